--- /dev/null
+++ b/src/clementinedeal/_messages.py
@@ -0,0 +1,64 @@
+"""Typed control messages, their codec, and the actions decisions return."""
+
+from dataclasses import dataclass, is_dataclass
+from typing import Any, TypeVar
+
+import msgspec
+
+from clementinedeal._errors import ProtocolError
+
+MessageT = TypeVar('MessageT')
+
+_KINDS: dict[str, type[Any]] = {}
+
+
+def message(kind: type[MessageT]) -> type[MessageT]:
+    """Register a frozen data class as a control message.
+
+    :param kind: the class; its name identifies it on the wire.
+    """
+    if not is_dataclass(kind):
+        raise TypeError(f'{kind.__name__} is not a data class')
+    _KINDS[kind.__name__] = kind
+    return kind
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Action: hand a control message to another instance, or lose it.
+
+    ``to`` is an instance name, ``body`` a registered message.
+    """
+
+    to: str
+    body: Any
+
+
+def encode(bodies: tuple[Any, ...]) -> bytes:
+    """Encode a batch of registered messages.
+
+    :param bodies: the messages, in order.
+    """
+    return msgspec.msgpack.encode(
+        [(type(body).__name__, body) for body in bodies],
+    )
+
+
+def decode(blob: bytes) -> tuple[Any, ...]:
+    """Decode a batch.
+
+    :param blob: what ``encode`` returned.
+    :raises ProtocolError: unknown kind or malformed fields.
+    """
+    try:
+        pairs = msgspec.msgpack.decode(blob, type=list[tuple[str, msgspec.Raw]])
+        return tuple(_decode_one(name, raw) for name, raw in pairs)
+    except msgspec.MsgspecError as exc:
+        raise ProtocolError(f'malformed control batch: {exc}') from exc
+
+
+def _decode_one(name: str, raw: msgspec.Raw) -> Any:
+    kind = _KINDS.get(name)
+    if kind is None:
+        raise ProtocolError(f'unknown control message {name}')
+    return msgspec.msgpack.decode(raw, type=kind)
--- /dev/null
+++ b/src/clementinedeal/_verdict.py
@@ -0,0 +1,42 @@
+"""Whether a request may have run at a target."""
+
+import enum
+
+
+class Verdict(enum.Enum):
+    """What is known about the execution of one request.
+
+    ``NOT_RUN`` is only used with proof that no target started the request.
+    """
+
+    NOT_RUN = 'not-run'
+    MAY_HAVE_RUN = 'may-have-run'
+    RAN = 'ran'
+
+
+class Reason(enum.Enum):
+    """Machine-readable cause of a refusal, sent to the caller."""
+
+    BAD_REQUEST = 'bad-request'
+    BODY_TOO_LARGE = 'body-too-large'
+    HEAD_TOO_LARGE = 'head-too-large'
+    SLOW_SENDER = 'slow-sender'
+    NO_ROUTE = 'no-route'
+    KEY_MISSING = 'key-missing'
+    KEY_UNKNOWN = 'key-unknown'
+    SERVICE_FORBIDDEN = 'service-forbidden'
+    RATE_EXCEEDED = 'rate-exceeded'
+    CONFIG_STALE = 'config-stale'
+    NO_TARGET = 'no-target'
+    QUEUE_FULL = 'queue-full'
+    DEADLINE = 'deadline'
+    DRAINING = 'draining'
+    CANCELLED = 'cancelled'
+    DUPLICATE = 'duplicate'
+    WRONG_INCARNATION = 'wrong-incarnation'
+    IN_PROGRESS = 'in-progress'
+    KEEPER_UNAVAILABLE = 'keeper-unavailable'
+    KEY_REUSED = 'idempotency-key-reused'
+    TARGET_FAILED = 'target-failed'
+    ANSWER_INCOMPLETE = 'answer-incomplete'
+    ANSWER_WRONG = 'answer-wrong'
--- /dev/null
+++ b/src/clementinedeal_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool, decision bench and demo for clementinedeal."""
