--- /dev/null
+++ b/src/clementinedeal_bench/_web.py
@@ -0,0 +1,277 @@
+"""Buffered HTTP server connections for the stand-ins."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from contextlib import suppress
+from dataclasses import dataclass
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+import trio
+
+RECEIVE_BYTES = 65536
+CHUNK_BYTES = 16384
+HeaderList = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WebRequest:
+    """One whole request; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: HeaderList = ()
+    body: bytes = b''
+
+    @property
+    def path(self) -> str:
+        """Return the decoded path without the query."""
+        return unquote(urlsplit(self.target).path)
+
+    def header(self, name: str, default: str = '') -> str:
+        """Return the first value of a header.
+
+        :param name: header name in lower case.
+        :param default: returned when the header is absent.
+        """
+        return first_header(self.headers, name, default)
+
+    def query(self, name: str, default: str = '') -> str:
+        """Return the last value of a query parameter.
+
+        :param name: parameter name.
+        :param default: returned when the parameter is absent.
+        """
+        pairs = parse_qsl(urlsplit(self.target).query)
+        return dict(pairs).get(name, default)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WebAnswer:
+    """One answer and how it is delivered.
+
+    ``chunked`` sends chunks in place of a content length. ``cut`` closes the
+    connection after so many body bytes. ``drop`` closes it without an answer.
+    """
+
+    status: int = 200
+    headers: HeaderList = ()
+    body: bytes = b''
+    chunked: bool = False
+    cut: int | None = None
+    drop: bool = False
+
+    def header(self, name: str, default: str = '') -> str:
+        """Return the first value of a header.
+
+        :param name: header name in lower case.
+        :param default: returned when the header is absent.
+        """
+        return first_header(self.headers, name, default)
+
+
+WebHandler = Callable[[WebRequest], Awaitable[WebAnswer]]
+
+
+def first_header(headers: HeaderList, name: str, default: str) -> str:
+    """Return the first value of a header in a list.
+
+    :param headers: pairs with names in lower case.
+    :param name: header name in lower case.
+    :param default: returned when the header is absent.
+    """
+    for key, field in headers:
+        if key == name:
+            return field
+    return default
+
+
+def text_headers(headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
+    """Decode the headers of an h11 event.
+
+    :param headers: headers as h11 gives them.
+    """
+    return tuple(
+        (name.decode('latin-1'), field.decode('latin-1'))
+        for name, field in headers
+    )
+
+
+class ConnectionEndError(Exception):
+    """The other end closed the connection."""
+
+
+PEER_FAULTS = (
+    ConnectionEndError,
+    h11.RemoteProtocolError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
+
+
+async def receive_into(conn: h11.Connection, stream: trio.abc.Stream) -> bool:
+    """Pass received bytes to a connection; False at the end of the stream.
+
+    :param conn: the connection state.
+    :param stream: where to receive.
+    """
+    blob = bytes(await stream.receive_some(RECEIVE_BYTES))
+    conn.receive_data(blob)
+    return bool(blob)
+
+
+async def next_event(conn: h11.Connection, stream: trio.abc.Stream) -> object:
+    """Return the next event of a connection, receiving as needed.
+
+    :param conn: the connection state.
+    :param stream: where to receive.
+    :raises h11.RemoteProtocolError: the peer violates HTTP or closes early.
+    """
+    event: object = conn.next_event()
+    while event is h11.NEED_DATA:
+        await receive_into(conn, stream)
+        event = conn.next_event()
+    return event
+
+
+class ServerConnection:
+    """Serves requests of one connection, one after the other.
+
+    The handler is cancelled when the client closes while it runs.
+    """
+
+    def __init__(self, stream: trio.abc.Stream, handler: WebHandler) -> None:
+        """Wrap an accepted stream.
+
+        :param stream: the connection.
+        :param handler: called with each whole request.
+        """
+        self._stream = stream
+        self._handler = handler
+        self._conn = h11.Connection(h11.SERVER)
+
+    async def serve(self) -> None:
+        """Serve until either end closes; never raises for peer faults."""
+        try:
+            await self._serve_all()
+        except PEER_FAULTS:
+            return
+        finally:
+            await trio.aclose_forcefully(self._stream)
+
+    async def _serve_all(self) -> None:
+        while True:
+            req = await self._receive_request()
+            answer = await self._run_handler(req)
+            await self._send_answer(req, answer)
+            if self._conn.states[h11.SERVER] is h11.MUST_CLOSE:
+                return
+            self._conn.start_next_cycle()
+
+    async def _receive_request(self) -> WebRequest:
+        head = await self._next_event()
+        if not isinstance(head, h11.Request):
+            raise ConnectionEndError
+        if self._conn.they_are_waiting_for_100_continue:
+            await self._send_continue()
+        parts = []
+        event = await self._next_event()
+        while isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+            event = await self._next_event()
+        if not isinstance(event, h11.EndOfMessage):
+            raise ConnectionEndError
+        return WebRequest(
+            method=head.method.decode(),
+            target=head.target.decode('latin-1'),
+            headers=text_headers(head.headers),
+            body=b''.join(parts),
+        )
+
+    async def _send_continue(self) -> None:
+        blob = self._conn.send(
+            h11.InformationalResponse(status_code=100, headers=[]),
+        )
+        await self._stream.send_all(blob)
+
+    async def _next_event(self) -> object:
+        return await next_event(self._conn, self._stream)
+
+    async def _run_handler(self, req: WebRequest) -> WebAnswer:
+        answer = WebAnswer(drop=True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_close, nursery.cancel_scope)
+            answer = await self._handler(req)
+            nursery.cancel_scope.cancel()
+        return answer
+
+    async def _watch_close(self, scope: trio.CancelScope) -> None:
+        more = True
+        with suppress(trio.BrokenResourceError):
+            while more:
+                more = await receive_into(self._conn, self._stream)
+        scope.cancel()
+
+    async def _send_answer(self, req: WebRequest, answer: WebAnswer) -> None:
+        if answer.drop:
+            raise ConnectionEndError
+        await self._send(self._head_event(req, answer))
+        body = answer.body
+        if req.method == 'HEAD' or answer.status in {204, 304}:
+            body = b''
+        if answer.cut is not None:
+            await self._send_body(body[: answer.cut])
+            raise ConnectionEndError
+        await self._send_body(body)
+        await self._send(h11.EndOfMessage())
+
+    def _head_event(self, req: WebRequest, answer: WebAnswer) -> h11.Response:
+        headers = list(answer.headers)
+        if answer.chunked:
+            headers.append(('transfer-encoding', 'chunked'))
+        elif answer.status not in {204, 304}:
+            headers.append(('content-length', str(len(answer.body))))
+        return h11.Response(status_code=answer.status, headers=headers)
+
+    async def _send_body(self, body: bytes) -> None:
+        for start in range(0, len(body), CHUNK_BYTES):
+            chunk = body[start : start + CHUNK_BYTES]
+            await self._send(h11.Data(data=chunk))
+
+    async def _send(self, event: h11.Event) -> None:
+        blob = self._conn.send(event)
+        if blob:
+            await self._stream.send_all(blob)
+
+
+async def serve_listener(
+    listener: trio.SocketListener,
+    handler: WebHandler,
+    connections: int,
+) -> None:
+    """Serve a listening socket until cancelled.
+
+    :param listener: the listening socket.
+    :param handler: called with each whole request.
+    :param connections: open connections allowed; further ones are closed.
+    """
+    door = _Door(handler, connections)
+    await trio.serve_listeners(door.serve, [listener])
+
+
+class _Door:
+    """Admits connections up to a limit."""
+
+    def __init__(self, handler: WebHandler, connections: int) -> None:
+        self._handler = handler
+        self._limit = connections
+        self._open = 0
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        if self._open >= self._limit:
+            await trio.aclose_forcefully(stream)
+            return
+        self._open += 1
+        try:
+            await ServerConnection(stream, self._handler).serve()
+        finally:
+            self._open -= 1
--- /dev/null
+++ b/src/clementinedeal_bench/_webclient.py
@@ -0,0 +1,165 @@
+"""Buffered HTTP client connections for the bench."""
+
+from dataclasses import dataclass
+
+import h11
+import trio
+from result import Err, Ok, Result
+
+from clementinedeal_bench._errors import BenchError
+from clementinedeal_bench._web import (
+    HeaderList,
+    WebAnswer,
+    WebRequest,
+    next_event,
+    text_headers,
+)
+
+CONNECT_TIMEOUT_SECONDS = 3.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WebFailure:
+    """Why there is no whole answer.
+
+    ``status`` and ``headers`` are those of a broken answer, if its head came.
+    ``sent`` tells whether bytes of the request may have left.
+    """
+
+    detail: str
+    sent: bool
+    status: int = 0
+    headers: HeaderList = ()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``ip:port``.
+
+    :param address: the address.
+    :raises BenchError: it has another form.
+    """
+    host, _, port = address.rpartition(':')
+    if not host or not port.isdigit():
+        raise BenchError(f'{address}: not an ip:port address')
+    return host, int(port)
+
+
+class WebClient:
+    """One kept-alive connection, opened when first used."""
+
+    def __init__(self, address: str) -> None:
+        """Create a closed client.
+
+        :param address: ``ip:port`` of the server.
+        """
+        self.address = address
+        split_address(address)
+        self._stream: trio.SocketStream | None = None
+        self._conn = h11.Connection(h11.CLIENT)
+
+    async def request(self, req: WebRequest) -> Result[WebAnswer, WebFailure]:
+        """Send a request and read the whole answer.
+
+        A cancelled or failed exchange closes the connection.
+
+        :param req: what to send; ``host`` and lengths are added.
+        """
+        try:
+            stream = await self._ready_stream()
+        except (OSError, trio.TooSlowError) as exc:
+            return Err(WebFailure(detail=f'connect: {exc}', sent=False))
+        exchange = _Exchange(self._conn, stream)
+        done = False
+        try:
+            answer = await exchange.run(req, self.address)
+            done = exchange.reusable()
+        except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
+            return Err(exchange.failure(str(exc)))
+        finally:
+            if not done:
+                self.close()
+        return Ok(answer)
+
+    def close(self) -> None:
+        """Close the connection; the next request opens another."""
+        if self._stream is not None:
+            self._stream.socket.close()
+            self._stream = None
+
+    async def _ready_stream(self) -> trio.SocketStream:
+        if self._stream is not None and self._stream.socket.is_readable():
+            # Readable while idle: the server has closed.
+            self.close()
+        if self._stream is None:
+            self._conn = h11.Connection(h11.CLIENT)
+            with trio.fail_after(CONNECT_TIMEOUT_SECONDS):
+                self._stream = await trio.open_tcp_stream(
+                    *split_address(self.address),
+                )
+        else:
+            self._conn.start_next_cycle()
+        return self._stream
+
+
+class _Exchange:
+    """One request and its answer on a connection."""
+
+    def __init__(self, conn: h11.Connection, stream: trio.SocketStream) -> None:
+        self._conn = conn
+        self._stream = stream
+        self._head: h11.Response | None = None
+
+    async def run(self, req: WebRequest, host: str) -> WebAnswer:
+        await self._stream.send_all(self._encode(req, host))
+        parts = []
+        event = await self._next_event()
+        while not isinstance(event, h11.EndOfMessage):
+            if isinstance(event, h11.Response):
+                self._head = event
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError('closed before the answer')
+            event = await self._next_event()
+        if self._head is None:
+            raise h11.RemoteProtocolError('no answer head')
+        return WebAnswer(
+            status=self._head.status_code,
+            headers=text_headers(self._head.headers),
+            body=b''.join(parts),
+        )
+
+    def reusable(self) -> bool:
+        return (
+            self._conn.our_state is h11.DONE
+            and self._conn.their_state is h11.DONE
+        )
+
+    def failure(self, detail: str) -> WebFailure:
+        if self._head is None:
+            return WebFailure(detail=detail, sent=True)
+        return WebFailure(
+            detail=detail,
+            sent=True,
+            status=self._head.status_code,
+            headers=text_headers(self._head.headers),
+        )
+
+    def _encode(self, req: WebRequest, host: str) -> bytes:
+        headers = [('host', host), *req.headers]
+        if req.body or req.method in {'POST', 'PUT', 'PATCH'}:
+            headers.append(('content-length', str(len(req.body))))
+        events: list[h11.Event] = [
+            h11.Request(
+                method=req.method,
+                target=req.target,
+                headers=headers,
+            ),
+        ]
+        if req.body:
+            events.append(h11.Data(data=req.body))
+        events.append(h11.EndOfMessage())
+        return b''.join(self._conn.send(event) or b'' for event in events)
+
+    async def _next_event(self) -> object:
+        return await next_event(self._conn, self._stream)
--- /dev/null
+++ b/tests/test_bench_web.py
@@ -0,0 +1,63 @@
+import pytest
+import trio
+
+from clementinedeal_bench._web import WebAnswer, WebRequest, serve_listener
+from clementinedeal_bench._webclient import WebClient
+
+BODY = b'0123456789' * 5000
+
+
+async def answer_by_path(req: WebRequest) -> WebAnswer:
+    if req.path == '/hang':
+        await trio.sleep_forever()
+    return {
+        '/echo': WebAnswer(body=req.body),
+        '/chunks': WebAnswer(body=BODY, chunked=True),
+        '/none': WebAnswer(status=204),
+        '/cut': WebAnswer(body=BODY, cut=100),
+        '/drop': WebAnswer(drop=True),
+    }[req.path]
+
+
+@pytest.fixture
+async def client(nursery) -> WebClient:
+    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    nursery.start_soon(serve_listener, listeners[0], answer_by_path, 1)
+    port = listeners[0].socket.getsockname()[1]
+    return WebClient(f'127.0.0.1:{port}')
+
+
+async def ask(client: WebClient, method: str, path: str, body: bytes = b''):
+    req = WebRequest(method=method, target=path, body=body)
+    return await client.request(req)
+
+
+async def test_whole_answers_share_one_connection(client):
+    assert (await ask(client, 'POST', '/echo', BODY)).unwrap().body == BODY
+    stream = client._stream
+    assert (await ask(client, 'GET', '/chunks')).unwrap().body == BODY
+    assert (await ask(client, 'HEAD', '/chunks')).unwrap().body == b''
+    assert (await ask(client, 'GET', '/none')).unwrap().status == 204
+    assert client._stream is stream
+
+
+async def test_broken_answers_are_failures(client):
+    cut = (await ask(client, 'GET', '/cut')).unwrap_err()
+    assert (cut.status, cut.sent) == (200, True)
+    dropped = (await ask(client, 'GET', '/drop')).unwrap_err()
+    assert (dropped.status, dropped.sent) == (0, True)
+
+
+async def test_connections_over_the_limit_are_closed(client, nursery):
+    assert (await ask(client, 'GET', '/none')).is_ok()
+    second = WebClient(client.address)
+    assert (await ask(second, 'GET', '/none')).is_err()
+
+
+async def test_a_closed_client_cancels_the_handler(client):
+    with trio.move_on_after(0.05):
+        await ask(client, 'GET', '/hang')
+    result = await ask(client, 'GET', '/none')
+    while result.is_err():
+        result = await ask(client, 'GET', '/none')
+    assert result.unwrap().status == 204
