Add the target stand-in with gray modes and an execution record

Slots counted a request as queued while trio's semaphore yielded, so a burst of three on two slots and one place lost one to a full queue; a free slot is now taken at once. A request given up before its slot says not-started, one given up in service says so and is recorded as stopped.

--- /dev/null
+++ b/src/clementinedeal_bench/_executions.py
@@ -0,0 +1,107 @@
+"""Record of what a stand-in target ran, for history checkers."""
+
+import enum
+import hashlib
+from collections import Counter
+
+import msgspec
+
+from clementinedeal_bench._web import WebRequest
+
+
+class ExecutionState(enum.Enum):
+    """How far an execution got."""
+
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    STOPPED = 'stopped'
+
+
+class Execution(msgspec.Struct, kw_only=True):
+    """One started execution.
+
+    Times are seconds of the machine's monotonic clock. ``leaving_for`` is
+    how long the target had been leaving when the execution began.
+    """
+
+    target: str
+    request_id: str
+    method: str
+    path: str
+    body_sha256: str
+    header_names: tuple[str, ...]
+    start: float
+    leaving_for: float = 0
+    end: float | None = None
+    state: ExecutionState = ExecutionState.RUNNING
+
+
+class ExecutionLog:
+    """Executions of one target in the order in which they began."""
+
+    def __init__(self, target: str) -> None:
+        """Create an empty log.
+
+        :param target: name of the target.
+        """
+        self._target = target
+        self._entries: list[Execution] = []
+
+    def begin(
+        self,
+        req: WebRequest,
+        now: float,
+        leaving_for: float,
+    ) -> Execution:
+        """Record that work on a request begins.
+
+        :param req: the request.
+        :param now: monotonic seconds.
+        :param leaving_for: seconds since the target began to leave.
+        """
+        entry = Execution(
+            target=self._target,
+            request_id=req.header('x-request-id'),
+            method=req.method,
+            path=req.target,
+            body_sha256=hashlib.sha256(req.body).hexdigest(),
+            header_names=tuple(name for name, _ in req.headers),
+            start=now,
+            leaving_for=leaving_for,
+        )
+        self._entries.append(entry)
+        return entry
+
+    def end(self, entry: Execution, state: ExecutionState, now: float) -> None:
+        """Record how an execution ended.
+
+        :param entry: what ``begin`` returned.
+        :param state: how it ended.
+        :param now: monotonic seconds.
+        """
+        entry.state = state
+        entry.end = now
+
+    def counts(self) -> dict[str, int]:
+        """Return the number of executions by state."""
+        return dict(Counter(entry.state.value for entry in self._entries))
+
+    def lines(self) -> bytes:
+        """Return all executions as JSON lines."""
+        return encode_lines(self._entries)
+
+
+def encode_lines(entries: list[Execution]) -> bytes:
+    """Encode executions as JSON lines.
+
+    :param entries: the executions.
+    """
+    return msgspec.json.Encoder().encode_lines(entries)
+
+
+def decode_lines(blob: bytes) -> list[Execution]:
+    """Decode what a target reports.
+
+    :param blob: JSON lines.
+    """
+    return msgspec.json.Decoder(Execution).decode_lines(blob)
--- a/src/clementinedeal_bench/_platform_server.py
+++ b/src/clementinedeal_bench/_platform_server.py
@@ -12,7 +12,7 @@
     ReadMeter,
     Versioned,
 )
-from clementinedeal_bench._web import WebAnswer, WebRequest, serve_listener
+from clementinedeal_bench._web import WebAnswer, WebRequest, WebServer
 
 VALUES_PREFIX = '/values/'
 INSTANCES_PATH = '/instances'
@@ -178,6 +178,6 @@
     :param port: port to listen on.
     :param settings: mode and figures to begin with.
     """
-    server = PlatformServer(Platform(settings), ReadMeter())
-    listeners = await trio.open_tcp_listeners(port, host=host)
-    await serve_listener(listeners[0], server.handle, CONNECTIONS)
+    platform = PlatformServer(Platform(settings), ReadMeter())
+    server = WebServer(platform.handle, CONNECTIONS)
+    await server.serve(await server.listen(host, port))
--- /dev/null
+++ b/src/clementinedeal_bench/_slots.py
@@ -0,0 +1,47 @@
+"""Slots of a stand-in target with a short queue before them."""
+
+import trio
+
+
+class SlotsFullError(Exception):
+    """All slots and queue places are taken."""
+
+
+class Slots:
+    """Counts requests in service and in the queue."""
+
+    def __init__(self, slots: int, queue_limit: int) -> None:
+        """Create free slots.
+
+        :param slots: requests served at once.
+        :param queue_limit: requests that may wait.
+        """
+        self._free = trio.Semaphore(slots)
+        self._slots = slots
+        self._queue_limit = queue_limit
+        self.queued = 0
+
+    @property
+    def in_use(self) -> int:
+        """Return the number of requests in service."""
+        return self._slots - self._free.value
+
+    async def acquire(self) -> None:
+        """Wait for a slot.
+
+        :raises SlotsFullError: the queue is full.
+        """
+        if self._free.value:
+            self._free.acquire_nowait()
+            return
+        if self.queued >= self._queue_limit:
+            raise SlotsFullError
+        self.queued += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self.queued -= 1
+
+    def release(self) -> None:
+        """Give a slot back."""
+        self._free.release()
--- /dev/null
+++ b/src/clementinedeal_bench/_target_answer.py
@@ -0,0 +1,107 @@
+"""Answers of the stand-in target, right and wrong ones."""
+
+import base64
+import hashlib
+
+import msgspec
+
+from clementinedeal_bench._gray import GrayPlan, WrongKind
+from clementinedeal_bench._web import HeaderList, WebAnswer, WebRequest
+
+FOREIGN_REQUEST_ID = '00000000-0000-7000-8000-000000000000'
+NO_CONTENT = 204
+PAD = b' '
+
+
+class AnswerBody(msgspec.Struct, frozen=True):
+    """Body of every whole answer of a service."""
+
+    target: str
+    request_id: str
+    method: str
+    path: str
+    body_sha256: str
+
+
+def content_digest(body: bytes) -> str:
+    """Return the value of a content-digest header.
+
+    :param body: the content.
+    """
+    encoded = base64.b64encode(hashlib.sha256(body).digest()).decode()
+    return f'sha-256=:{encoded}:'
+
+
+def not_started(cause: str) -> WebAnswer:
+    """Return a refusal of a request that was not and will not be started.
+
+    :param cause: one word for the log of the caller.
+    """
+    return WebAnswer(
+        status=503,
+        headers=(
+            ('x-target-refused', 'not-started'),
+            ('x-target-cause', cause),
+            ('retry-after', '1'),
+        ),
+    )
+
+
+def given_up(cause: str) -> WebAnswer:
+    """Return the answer to a request that was given up in service.
+
+    :param cause: ``deadline`` or ``cancelled``.
+    """
+    return WebAnswer(status=504, headers=(('x-target-abandoned', cause),))
+
+
+def whole_answer(name: str, req: WebRequest, plan: GrayPlan) -> WebAnswer:
+    """Return the answer to a request that was served.
+
+    :param name: name of the target.
+    :param req: the request.
+    :param plan: what is to be wrong with the answer.
+    """
+    if plan.wrong is WrongKind.STATUS:
+        return WebAnswer(status=500, headers=_id_headers(req, plan))
+    body = _body(name, req, plan)
+    headers = (
+        *_id_headers(req, plan),
+        ('content-type', 'application/json'),
+        ('content-digest', content_digest(body)),
+    )
+    if plan.wrong is WrongKind.BODY:
+        body = body.swapcase()
+    status = int(req.query('status', '200'))
+    if status == NO_CONTENT:
+        return WebAnswer(status=status, headers=_id_headers(req, plan))
+    return WebAnswer(
+        status=status,
+        headers=headers,
+        body=body,
+        chunked=bool(req.query('bytes')),
+        cut=len(body) // 2 if plan.short else None,
+    )
+
+
+def _request_id(req: WebRequest, plan: GrayPlan) -> str:
+    if plan.wrong is WrongKind.REQUEST_ID:
+        return FOREIGN_REQUEST_ID
+    return req.header('x-request-id')
+
+
+def _id_headers(req: WebRequest, plan: GrayPlan) -> HeaderList:
+    return (('x-request-id', _request_id(req, plan)),)
+
+
+def _body(name: str, req: WebRequest, plan: GrayPlan) -> bytes:
+    body = msgspec.json.encode(
+        AnswerBody(
+            target=name,
+            request_id=_request_id(req, plan),
+            method=req.method,
+            path=req.target,
+            body_sha256=hashlib.sha256(req.body).hexdigest(),
+        ),
+    )
+    return body.ljust(int(req.query('bytes', '0')), PAD)
--- a/src/clementinedeal_bench/_web.py
+++ b/src/clementinedeal_bench/_web.py
@@ -8,6 +8,8 @@
 import h11
 import trio
 
+from clementinedeal_bench._errors import BenchError
+
 RECEIVE_BYTES = 65536
 CHUNK_BYTES = 16384
 HeaderList = tuple[tuple[str, str], ...]
@@ -148,21 +150,33 @@
         self._stream = stream
         self._handler = handler
         self._conn = h11.Connection(h11.SERVER)
+        self._busy = False
+        self._finishing = False
+        self._idle_scope = trio.CancelScope()
 
     async def serve(self) -> None:
         """Serve until either end closes; never raises for peer faults."""
         try:
-            await self._serve_all()
+            with self._idle_scope:
+                await self._serve_all()
         except PEER_FAULTS:
             return
         finally:
             await trio.aclose_forcefully(self._stream)
 
+    def finish(self) -> None:
+        """Close when idle: now, or after the answer under way."""
+        self._finishing = True
+        if not self._busy:
+            self._idle_scope.cancel()
+
     async def _serve_all(self) -> None:
-        while True:
+        while not self._finishing:
             req = await self._receive_request()
+            self._busy = True
             answer = await self._run_handler(req)
             await self._send_answer(req, answer)
+            self._busy = False
             if self._conn.states[h11.SERVER] is h11.MUST_CLOSE:
                 return
             self._conn.start_next_cycle()
@@ -243,35 +257,58 @@
             await self._stream.send_all(blob)
 
 
-async def serve_listener(
-    listener: trio.SocketListener,
-    handler: WebHandler,
-    connections: int,
-) -> None:
-    """Serve a listening socket until cancelled.
-
-    :param listener: the listening socket.
-    :param handler: called with each whole request.
-    :param connections: open connections allowed; further ones are closed.
-    """
-    door = _Door(handler, connections)
-    await trio.serve_listeners(door.serve, [listener])
-
-
-class _Door:
-    """Admits connections up to a limit."""
+class WebServer:
+    """Serves the connections of listening sockets up to a limit."""
 
     def __init__(self, handler: WebHandler, connections: int) -> None:
+        """Create a server.
+
+        :param handler: called with each whole request.
+        :param connections: open connections allowed; further ones are closed.
+        """
         self._handler = handler
         self._limit = connections
-        self._open = 0
+        self._open: set[ServerConnection] = set()
+        self._closed = trio.Event()
+
+    async def finish(self) -> None:
+        """Close all connections, each after its answer under way."""
+        for conn in self._open:
+            conn.finish()
+        while self._open:
+            await self._closed.wait()
+
+    async def listen(self, host: str, port: int) -> trio.SocketListener:
+        """Open a listening socket.
+
+        :param host: address to listen on.
+        :param port: port to listen on; 0 for any.
+        :raises BenchError: the address can not be used.
+        """
+        try:
+            return (await trio.open_tcp_listeners(port, host=host))[0]
+        except OSError as exc:
+            raise BenchError(f'listen on {host}:{port}: {exc}') from exc
+
+    async def serve(self, listener: trio.SocketListener) -> None:
+        """Serve a listening socket until cancelled.
 
-    async def serve(self, stream: trio.abc.Stream) -> None:
-        if self._open >= self._limit:
+        :param listener: the listening socket.
+        """
+        await trio.serve_listeners(self._serve_stream, [listener])
+
+    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
+        if len(self._open) >= self._limit:
             await trio.aclose_forcefully(stream)
             return
-        self._open += 1
+        conn = ServerConnection(stream, self._handler)
+        self._open.add(conn)
         try:
-            await ServerConnection(stream, self._handler).serve()
+            await conn.serve()
         finally:
-            self._open -= 1
+            self._forget(conn)
+
+    def _forget(self, conn: ServerConnection) -> None:
+        self._open.remove(conn)
+        self._closed.set()
+        self._closed = trio.Event()
--- a/tests/test_bench_web.py
+++ b/tests/test_bench_web.py
@@ -1,7 +1,7 @@
 import pytest
 import trio
 
-from clementinedeal_bench._web import WebAnswer, WebRequest, serve_listener
+from clementinedeal_bench._web import WebAnswer, WebRequest, WebServer
 from clementinedeal_bench._webclient import WebClient
 
 BODY = b'0123456789' * 5000
@@ -21,9 +21,10 @@
 
 @pytest.fixture
 async def client(nursery) -> WebClient:
-    listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
-    nursery.start_soon(serve_listener, listeners[0], answer_by_path, 1)
-    port = listeners[0].socket.getsockname()[1]
+    server = WebServer(answer_by_path, connections=1)
+    listener = await server.listen('127.0.0.1', 0)
+    nursery.start_soon(server.serve, listener)
+    port = listener.socket.getsockname()[1]
     return WebClient(f'127.0.0.1:{port}')
 
 
