Add the load caller and the bench's command line

Each call carries a unique mark in its path, which the target repeats in its answer and its execution record, so that a foreign or doubled answer shows. Open-loop latency counts from the scheduled arrival.

--- /dev/null
+++ b/src/clementinedeal_bench/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of ``python -m clementinedeal_bench``."""
+
+from clementinedeal_bench._cli import run
+
+run()
--- /dev/null
+++ b/src/clementinedeal_bench/_caller.py
@@ -0,0 +1,203 @@
+"""Load caller: accounts that send requests to any of several daemons."""
+
+import random
+import time
+import uuid
+from collections.abc import Callable
+
+import trio
+from result import Err, Result
+
+from clementinedeal_bench._history import (
+    CallRecord,
+    Outcome,
+    note_answer,
+    note_failure,
+)
+from clementinedeal_bench._scenario import AccountLoad, RequestKind, Scenario
+from clementinedeal_bench._web import HeaderList, WebAnswer, WebRequest
+from clementinedeal_bench._webclient import WebClient, WebFailure
+
+FULL_POOL = 64
+MS_PER_SECOND = 1000
+GRACE_SECONDS = 1.0
+
+
+class Account:
+    """One account's key, random choices and kept-alive connections."""
+
+    def __init__(self, name: str, load: AccountLoad, seed: int) -> None:
+        """Create an account without connections.
+
+        :param name: its name.
+        :param load: its traffic.
+        :param seed: makes its choices repeatable.
+        """
+        self.name = name
+        self.load = load
+        self._rng = random.Random(f'{seed}/{name}')
+        self._idle: dict[str, list[WebClient]] = {}
+        self._weights = [kind.weight for kind in load.requests]
+
+    def gap(self) -> float:
+        """Return the seconds until the next arrival of the open loop."""
+        return self._rng.expovariate(self.load.rate)
+
+    def choose(
+        self,
+        daemons: tuple[str, ...],
+    ) -> tuple[str, RequestKind]:
+        """Choose a daemon and a kind of request.
+
+        :param daemons: their addresses.
+        """
+        kinds = self._rng.choices(self.load.requests, self._weights)
+        return self._rng.choice(daemons), kinds[0]
+
+    def take(self, daemon: str) -> WebClient:
+        """Return an idle connection to a daemon or a new one.
+
+        :param daemon: its address.
+        """
+        idle = self._idle.setdefault(daemon, [])
+        return idle.pop() if idle else WebClient(daemon)
+
+    def give_back(self, client: WebClient) -> None:
+        """Keep a connection for later requests.
+
+        :param client: the connection.
+        """
+        idle = self._idle[client.address]
+        if len(idle) < FULL_POOL:
+            idle.append(client)
+        else:
+            client.close()
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for idle in self._idle.values():
+            for client in idle:
+                client.close()
+
+
+class Caller:
+    """Runs a scenario and hands each finished call to a sink."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        sink: Callable[[CallRecord], None],
+    ) -> None:
+        """Create a caller.
+
+        :param scenario: daemons, accounts and length of the run.
+        :param sink: takes each record once it is complete.
+        """
+        self._scenario = scenario
+        self._sink = sink
+        self._stop = trio.Event()
+        self._run = uuid.uuid4().hex[:8]
+        self._sent = 0
+
+    def stop(self) -> None:
+        """Send nothing more; calls under way are still awaited."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Send until the scenario's time is over or ``stop`` is called."""
+        accounts = [
+            Account(name, load, self._scenario.seed)
+            for name, load in self._scenario.accounts.items()
+        ]
+        async with trio.open_nursery() as nursery:
+            for account in accounts:
+                self._start(nursery, account)
+            with trio.move_on_after(self._scenario.seconds):
+                await self._stop.wait()
+            self._stop.set()
+        for used in accounts:
+            used.close()
+
+    def _start(self, nursery: trio.Nursery, account: Account) -> None:
+        if account.load.rate:
+            nursery.start_soon(self._arrive, account)
+        for _ in range(account.load.workers):
+            nursery.start_soon(self._work, account)
+
+    async def _arrive(self, account: Account) -> None:
+        due = time.monotonic()
+        async with trio.open_nursery() as nursery:
+            while not self._stop.is_set():
+                due += account.gap()
+                with trio.move_on_after(max(0, due - time.monotonic())):
+                    await self._stop.wait()
+                    break
+                nursery.start_soon(self._call, account, due)
+
+    async def _work(self, account: Account) -> None:
+        while not self._stop.is_set():
+            await self._call(account, time.monotonic())
+
+    async def _call(self, account: Account, due: float) -> None:
+        daemon, kind = account.choose(self._scenario.daemons)
+        record = self._new_record(account, daemon, kind, due)
+        req = _build_request(account, kind, record)
+        client = account.take(daemon)
+        seconds = kind.timeout_ms / MS_PER_SECOND + GRACE_SECONDS
+        with trio.move_on_after(seconds):
+            _note(record, req, await client.request(req))
+        if record.outcome is Outcome.TIMEOUT:
+            record.detail = f'no answer in {seconds} s'
+        account.give_back(client)
+        record.end = time.monotonic()
+        self._sink(record)
+
+    def _new_record(
+        self,
+        account: Account,
+        daemon: str,
+        kind: RequestKind,
+        due: float,
+    ) -> CallRecord:
+        self._sent += 1
+        unique = f'{self._run}-{self._sent}'
+        mark = '&' if '?' in kind.path else '?'
+        return CallRecord(
+            caller_request=unique,
+            account=account.name,
+            service=kind.service,
+            method=kind.method,
+            path=f'{kind.path}{mark}caller-request={unique}',
+            daemon=daemon,
+            due=due,
+            idempotency_key=str(uuid.uuid4()) if kind.idempotency_key else '',
+        )
+
+
+def _note(
+    record: CallRecord,
+    req: WebRequest,
+    outcome: Result[WebAnswer, WebFailure],
+) -> None:
+    if isinstance(outcome, Err):
+        note_failure(record, outcome.err_value)
+    else:
+        note_answer(record, req, outcome.ok_value)
+
+
+def _build_request(
+    account: Account,
+    kind: RequestKind,
+    record: CallRecord,
+) -> WebRequest:
+    headers: HeaderList = (('x-request-timeout-ms', str(kind.timeout_ms)),)
+    if account.load.key:
+        headers += (('authorization', f'Bearer {account.load.key}'),)
+    if record.idempotency_key:
+        headers += (('idempotency-key', record.idempotency_key),)
+    return WebRequest(
+        method=kind.method,
+        target=record.path,
+        headers=headers,
+        body=b'x' * kind.body_bytes,
+    )
--- /dev/null
+++ b/src/clementinedeal_bench/_summary.py
@@ -0,0 +1,86 @@
+"""Counts and latency percentiles of a history of calls."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from clementinedeal_bench._history import CallRecord, Outcome
+
+US_PER_SECOND = 1_000_000
+US_PER_MS = 1000
+LONGEST_US = 120 * US_PER_SECOND
+SIGNIFICANT_DIGITS = 3
+
+
+class Latency(msgspec.Struct, frozen=True):
+    """Percentiles of latency in milliseconds."""
+
+    count: int
+    p50: float
+    p90: float
+    p99: float
+    most: float
+
+
+class Summary(msgspec.Struct, frozen=True):
+    """Counts of a group of calls; ``latency`` covers whole answers."""
+
+    account: str
+    service: str
+    requests: int
+    outcomes: dict[str, int]
+    reasons: dict[str, int]
+    verdicts: dict[str, int]
+    latency: Latency
+
+
+def measure(seconds: Iterable[float]) -> Latency:
+    """Return the percentiles of some durations.
+
+    :param seconds: the durations in seconds.
+    """
+    histogram = HdrHistogram(1, LONGEST_US, SIGNIFICANT_DIGITS)
+    for duration in seconds:
+        histogram.record_value(max(1, round(duration * US_PER_SECOND)))
+    p50, p90, p99, most = (
+        histogram.get_value_at_percentile(percent) / US_PER_MS
+        for percent in (50, 90, 99, 100)
+    )
+    return Latency(histogram.get_total_count(), p50, p90, p99, most)
+
+
+def summarize(
+    records: Iterable[CallRecord],
+    account: str = '*',
+    service: str = '*',
+) -> Summary:
+    """Count a group of calls.
+
+    :param records: the calls of the group.
+    :param account: label of the group.
+    :param service: label of the group.
+    """
+    calls = list(records)
+    answered = [call for call in calls if call.outcome is Outcome.ANSWERED]
+    return Summary(
+        account=account,
+        service=service,
+        requests=len(calls),
+        outcomes=dict(Counter(call.outcome.value for call in calls)),
+        reasons=dict(Counter(call.reason for call in calls if call.reason)),
+        verdicts=dict(Counter(call.verdict for call in calls if call.verdict)),
+        latency=measure(call.end - call.due for call in answered),
+    )
+
+
+def by_account_and_service(records: Iterable[CallRecord]) -> list[Summary]:
+    """Count calls for each account and service.
+
+    :param records: the calls.
+    """
+    groups: dict[tuple[str, str], list[CallRecord]] = {}
+    for call in records:
+        groups.setdefault((call.account, call.service), []).append(call)
+    return [summarize(groups[group], *group) for group in sorted(groups)]
