--- /dev/null
+++ b/src/clementinedeal/_events.py
@@ -0,0 +1,127 @@
+"""Structured events stamped with a hybrid logical clock."""
+
+import collections
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+BUFFER_EVENTS = 20_000
+_COUNTER_BITS = 16
+_MS_PER_SECOND = 1000
+
+log = logging.getLogger('clementinedeal')
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One thing that happened at one instance.
+
+    ``hlc`` orders events over all instances: milliseconds of physical time
+    in the upper bits, a counter in the lower 16. ``fields`` are key and
+    value pairs.
+    """
+
+    hlc: int
+    instance: str
+    incarnation: str
+    name: str
+    fields: tuple[tuple[str, str], ...]
+
+    def line(self) -> str:
+        """Return the event as one line of key=value pairs."""
+        pairs = ' '.join(f'{key}={_quote(text)}' for key, text in self.fields)
+        return (
+            f'hlc={self.hlc} instance={self.instance} '
+            f'incarnation={self.incarnation} event={self.name} {pairs}'
+        ).rstrip()
+
+
+def _quote(text: str) -> str:
+    if not text or any(char.isspace() or char in '"=' for char in text):
+        plain = text.replace('"', "'").replace('\n', ' ')
+        return f'"{plain}"'
+    return text
+
+
+def wall_ms() -> int:
+    """Return the wall clock in milliseconds."""
+    return int(time.time() * _MS_PER_SECOND)
+
+
+class HybridClock:
+    """Stamps that never go back and follow every stamp heard."""
+
+    def __init__(self, physical_ms: Callable[[], int] = wall_ms) -> None:
+        """Create a clock.
+
+        :param physical_ms: reads the wall clock in milliseconds.
+        """
+        self._physical_ms = physical_ms
+        self._last = 0
+
+    def stamp(self) -> int:
+        """Return the next stamp."""
+        physical = self._physical_ms() << _COUNTER_BITS
+        self._last = max(self._last + 1, physical)
+        return self._last
+
+    def observe(self, heard: int) -> None:
+        """Follow a stamp received from another instance.
+
+        :param heard: the sender's stamp.
+        """
+        self._last = max(self._last, heard)
+
+
+class EventLog:
+    """Keeps the latest events of one process and logs each as a line."""
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: str,
+        clock: HybridClock | None = None,
+    ) -> None:
+        """Create an empty log.
+
+        :param instance: name of this instance.
+        :param incarnation: identifies this run of the process.
+        :param clock: stamps the events.
+        """
+        self.instance = instance
+        self.incarnation = incarnation
+        self.clock = clock or HybridClock()
+        self._events: collections.deque[Event] = collections.deque(
+            maxlen=BUFFER_EVENTS,
+        )
+
+    def emit(self, name: str, **fields: object) -> None:
+        """Record and log one event.
+
+        :param name: what happened, in kebab case.
+        :param fields: its details; values are written with ``str``.
+        """
+        event = Event(
+            hlc=self.clock.stamp(),
+            instance=self.instance,
+            incarnation=self.incarnation,
+            name=name,
+            fields=tuple((key, str(raw)) for key, raw in fields.items()),
+        )
+        self._events.append(event)
+        if log.isEnabledFor(logging.INFO):
+            log.info(event.line())
+
+    def json_lines(self, since: int = 0) -> bytes:
+        """Return the kept events as JSON lines.
+
+        :param since: only events stamped later than this.
+        """
+        encoder = msgspec.json.Encoder()
+        lines = [
+            encoder.encode(event) for event in self._events if event.hlc > since
+        ]
+        return b''.join(lines)
--- /dev/null
+++ b/src/clementinedeal/_pool.py
@@ -0,0 +1,76 @@
+"""Small pools of kept-alive client connections, one per address."""
+
+import collections
+
+import trio
+
+from clementinedeal._http import ClientConn, ConnLostError
+from clementinedeal._timers import Clock
+
+IDLE_SECONDS = 5.0
+CONNECT_SECONDS = 0.5
+MAX_IDLE_CONNS = 16
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``ip:port``.
+
+    :param address: as published.
+    """
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+class ConnPool:
+    """Lends connections; one is used by one request at a time."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Create an empty pool.
+
+        :param clock: tells how long a connection has been idle.
+        """
+        self._clock = clock
+        self._idle: dict[str, collections.deque[ClientConn]] = {}
+
+    async def acquire(self, address: str) -> ClientConn:
+        """Return a fresh or idle connection.
+
+        :param address: ``ip:port``.
+        :raises ConnLostError: nobody could be connected to in time.
+        """
+        idle = self._idle.get(address)
+        while idle:
+            conn = idle.pop()
+            young = self._clock.now() - conn.idle_since < IDLE_SECONDS
+            if young and not conn.stale():
+                return conn
+            await conn.aclose()
+        return await self._connect(address)
+
+    async def release(self, address: str, conn: ClientConn) -> None:
+        """Give a connection back; it is closed unless its answer was whole.
+
+        :param address: what it was acquired for.
+        :param conn: the connection.
+        """
+        idle = self._idle.setdefault(address, collections.deque())
+        if len(idle) >= MAX_IDLE_CONNS or not conn.reusable():
+            await conn.aclose()
+            return
+        conn.idle_since = self._clock.now()
+        idle.append(conn)
+
+    async def aclose(self) -> None:
+        """Close every idle connection."""
+        for idle in self._idle.values():
+            while idle:
+                await idle.pop().aclose()
+
+    async def _connect(self, address: str) -> ClientConn:
+        host, port = split_address(address)
+        try:
+            with trio.fail_after(CONNECT_SECONDS):
+                stream = await trio.open_tcp_stream(host, port)
+        except (OSError, trio.TooSlowError) as exc:
+            raise ConnLostError(f'cannot connect to {address}') from exc
+        return ClientConn(stream)
