--- /dev/null
+++ b/src/clementinedeal/_control.py
@@ -0,0 +1,213 @@
+"""Batched, authenticated control messages between daemons over pynng."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import msgspec
+import pynng
+import trio
+
+from clementinedeal._envelope import Keyring
+from clementinedeal._errors import ProtocolError
+from clementinedeal._events import EventLog
+from clementinedeal._messages import Send, decode, encode
+
+MAX_BATCH_BODIES = 64
+MAX_OPEN_PEERS = 96
+SEND_BUFFER_MESSAGES = 64
+RECV_MAX_BYTES = 2_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    """What travels in one control message.
+
+    ``hlc`` is the sender's stamp, ``bodies`` an encoded batch.
+    """
+
+    sender: str
+    incarnation: str
+    hlc: int
+    bodies: bytes
+
+
+class Receiver(Protocol):
+    """Takes what arrived from another instance."""
+
+    def __call__(self, sender: str, body: Any) -> None:
+        """Handle one message.
+
+        :param sender: instance that sent it, authenticated.
+        :param body: a registered message.
+        """
+        ...
+
+
+class Outbox(Protocol):
+    """Hands control messages to other instances, or loses them."""
+
+    def send(self, action: Send) -> None:
+        """Queue one message."""
+        ...
+
+
+@dataclass(slots=True)
+class ControlCounters:
+    """Traffic of one daemon's control channel since its start."""
+
+    messages_sent: int = 0
+    messages_received: int = 0
+    bytes_sent: int = 0
+    bytes_received: int = 0
+    rejected: int = 0
+    dropped: int = 0
+
+
+@dataclass(slots=True)
+class _Peer:
+    address: str
+    socket: pynng.Push0
+    queue: list[Any] = field(default_factory=list)
+
+
+class ControlChannel:
+    """One listening socket, one dialled socket per peer in use."""
+
+    def __init__(
+        self,
+        address: str,
+        keyring: Keyring,
+        events: EventLog,
+        find_address: Callable[[str], str | None],
+    ) -> None:
+        """Create a channel that is not yet listening.
+
+        :param address: ``ip:port`` to listen on.
+        :param keyring: authenticates every batch.
+        :param events: stamps batches; tells the sender's name.
+        :param find_address: control address of an instance, None if unknown.
+        """
+        self.counters = ControlCounters()
+        self._address = address
+        self._keyring = keyring
+        self._events = events
+        self._find_address = find_address
+        self._peers: dict[str, _Peer] = {}
+        self._wake = trio.Event()
+        self._listener: pynng.Pull0 | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self._listener = pynng.Pull0(
+            listen=f'tcp://{self._address}',
+            recv_max_size=RECV_MAX_BYTES,
+        )
+
+    async def stop(self) -> None:
+        """Send what is queued, then close every socket."""
+        self._flush()
+        await trio.sleep(0.1)
+        for peer in self._peers.values():
+            peer.socket.close()
+        if self._listener is not None:
+            self._listener.close()
+
+    def send(self, action: Send) -> None:
+        """Queue one message; it leaves with the next batch to that peer."""
+        peer = self._peer(action.to)
+        if peer is None:
+            self.counters.dropped += 1
+            return
+        peer.queue.append(action.body)
+        self._wake.set()
+
+    async def run_sender(self) -> None:
+        """Send queued batches until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            self._flush()
+
+    async def run_receiver(self, receiver: Receiver) -> None:
+        """Receive until cancelled.
+
+        :param receiver: is called for each message.
+        """
+        listener = self._listener
+        if listener is None:
+            raise ProtocolError('control channel is not listening')
+        while True:
+            sealed = await listener.arecv()
+            self._receive(sealed, receiver)
+
+    def _receive(self, sealed: bytes, receiver: Receiver) -> None:
+        self.counters.messages_received += 1
+        self.counters.bytes_received += len(sealed)
+        try:
+            batch = self._open(sealed)
+            bodies = decode(batch.bodies)
+        except (ProtocolError, msgspec.MsgspecError):
+            self.counters.rejected += 1
+            return
+        self._events.clock.observe(batch.hlc)
+        for body in bodies:
+            receiver(batch.sender, body)
+
+    def _open(self, sealed: bytes) -> Batch:
+        blob = self._keyring.open(sealed, self._events.instance.encode())
+        return msgspec.msgpack.decode(blob, type=Batch)
+
+    def _peer(self, name: str) -> _Peer | None:
+        address = self._find_address(name)
+        if address is None:
+            return None
+        peer = self._peers.pop(name, None)
+        if peer is not None and peer.address != address:
+            peer.socket.close()
+            peer = None
+        peer = peer or self._dial(address)
+        self._peers[name] = peer
+        if len(self._peers) > MAX_OPEN_PEERS:
+            self._close_oldest()
+        return peer
+
+    def _dial(self, address: str) -> _Peer:
+        socket = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
+        socket.dial(f'tcp://{address}', block=False)
+        return _Peer(address, socket)
+
+    def _close_oldest(self) -> None:
+        name = next(iter(self._peers))
+        self._peers.pop(name).socket.close()
+
+    def _flush(self) -> None:
+        for name, peer in self._peers.items():
+            while peer.queue:
+                bodies = tuple(peer.queue[:MAX_BATCH_BODIES])
+                del peer.queue[:MAX_BATCH_BODIES]
+                self._send_batch(name, peer, bodies)
+
+    def _send_batch(
+        self,
+        name: str,
+        peer: _Peer,
+        bodies: tuple[Any, ...],
+    ) -> None:
+        batch = Batch(
+            sender=self._events.instance,
+            incarnation=self._events.incarnation,
+            hlc=self._events.clock.stamp(),
+            bodies=encode(bodies),
+        )
+        sealed = self._keyring.seal(
+            msgspec.msgpack.encode(batch),
+            name.encode(),
+        )
+        try:
+            peer.socket.send(sealed, block=False)
+        except pynng.TryAgain:
+            self.counters.dropped += len(bodies)
+            return
+        self.counters.messages_sent += 1
+        self.counters.bytes_sent += len(sealed)
