--- /dev/null
+++ b/src/clementinedeal/_addresses.py
@@ -0,0 +1,39 @@
+"""Network addresses written as ``ip:port``."""
+
+import ipaddress
+from typing import NamedTuple
+
+MAX_PORT = 65535
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+
+def parse_address(text: str) -> Address:
+    """Split an ``ip:port`` text; IPv6 numbers stand in brackets.
+
+    :param text: the address.
+    :raises ValueError: not an IP number with a port from 1 to 65535.
+    """
+    host, _, port = text.rpartition(':')
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        raise ValueError(f'{text!r} is not ip:port')
+    if host.startswith('[') and host.endswith(']'):
+        return Address(str(ipaddress.IPv6Address(host[1:-1])), int(port))
+    return Address(str(ipaddress.IPv4Address(host)), int(port))
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is a valid ``ip:port``.
+
+    :param text: the address.
+    """
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/src/clementinedeal/_document.py
@@ -0,0 +1,160 @@
+"""A YAML document whose entries know their dotted path."""
+
+import dataclasses
+from collections.abc import Hashable, Iterator
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+import yaml
+
+from clementinedeal._errors import SettingsError
+
+KindT = TypeVar('KindT')
+
+_PATH_MARK = ' - at `$'
+
+
+class _Loader(yaml.SafeLoader):
+    """Safe loader that rejects a key given twice in one mapping."""
+
+    def construct_mapping(
+        self,
+        node: yaml.MappingNode,
+        deep: bool = False,
+    ) -> dict[Hashable, Any]:
+        """Build a mapping from distinct keys."""
+        seen: set[str] = set()
+        for key, _ in node.value:
+            if key.value in seen and isinstance(key, yaml.ScalarNode):
+                raise yaml.constructor.ConstructorError(
+                    problem=f'key {key.value} is given twice',
+                    problem_mark=key.start_mark,
+                )
+            seen.add(str(key.value))
+        return super().construct_mapping(node, deep=deep)
+
+
+class Entry:
+    """One value of a document with its place."""
+
+    def __init__(self, file: str, path: str, raw: object) -> None:
+        """Wrap a value.
+
+        :param file: name of the document, for errors.
+        :param path: dotted path of the value, empty for the whole document.
+        :param raw: the value as YAML gave it.
+        """
+        self.file = file
+        self.path = path
+        self.raw = raw
+
+    def error(self, reason: str, below: str = '') -> SettingsError:
+        """Make an error about this entry or one below it.
+
+        :param reason: what is wrong, in one line.
+        :param below: path from this entry to the faulty one.
+        """
+        path = '.'.join(part for part in (self.path, below) if part)
+        return SettingsError(
+            file=self.file,
+            path=path or '(document)',
+            reason=' '.join(reason.split()),
+        )
+
+    def mapping(self) -> dict[str, 'Entry']:
+        """Return the entries of a mapping by key.
+
+        :raises SettingsError: not a mapping, or a key is not a string.
+        """
+        if not isinstance(self.raw, dict):
+            raise self.error('expected a mapping')
+        return {key: self._child(key) for key in self.raw}
+
+    def sequence(self) -> Iterator['Entry']:
+        """Yield the entries of a list.
+
+        :raises SettingsError: not a list.
+        """
+        if not isinstance(self.raw, list):
+            raise self.error('expected a list')
+        for index, raw in enumerate(self.raw):
+            yield Entry(self.file, f'{self.path}.{index}', raw)
+
+    def fields(self, required: tuple[str, ...]) -> dict[str, 'Entry']:
+        """Return the entries of a mapping that has exactly the given keys.
+
+        :param required: the keys.
+        :raises SettingsError: a key is missing or unknown.
+        """
+        entries = self.mapping()
+        self._check_keys(set(entries), set(required), set(required))
+        return entries
+
+    def build(self, kind: type[KindT], **given: object) -> KindT:
+        """Convert a mapping into a data class.
+
+        :param kind: the data class.
+        :param given: fields that the mapping must not contain.
+        :raises SettingsError: a field is missing, unknown or ill-typed.
+        """
+        fields = dataclasses.fields(kind)  # type: ignore[arg-type]
+        known = {field.name for field in fields} - set(given)
+        required = {field.name for field in fields if _is_required(field)}
+        values = {key: entry.raw for key, entry in self.mapping().items()}
+        self._check_keys(set(values), known, required - set(given))
+        return self.convert({**values, **given}, kind)
+
+    def convert(self, raw: object, kind: type[KindT]) -> KindT:
+        """Convert a value that stands at this place.
+
+        :param raw: the value.
+        :param kind: the type wanted.
+        :raises SettingsError: the value doesn't fit.
+        """
+        try:
+            return msgspec.convert(raw, type=kind)
+        except msgspec.ValidationError as exc:
+            reason, _, below = str(exc).partition(_PATH_MARK)
+            raise self.error(reason, below.strip('.`')) from exc
+
+    def _child(self, key: object) -> 'Entry':
+        path = f'{self.path}.{key}' if self.path else str(key)
+        if not isinstance(key, str):
+            raise Entry(self.file, path, key).error('the key is not a string')
+        return Entry(self.file, path, self.raw[key])  # type: ignore[index]
+
+    def _check_keys(
+        self,
+        keys: set[str],
+        known: set[str],
+        required: set[str],
+    ) -> None:
+        if not keys <= known:
+            raise self.error('unknown field', min(keys - known))
+        if not required <= keys:
+            raise self.error('required field is missing', min(required - keys))
+
+
+def read_document(path: str) -> Entry:
+    """Read a YAML file.
+
+    :param path: the file.
+    :raises SettingsError: the file can't be read or isn't YAML.
+    """
+    top = Entry(path, '', None)
+    try:
+        text = Path(path).read_text(encoding='utf-8')
+    except (OSError, ValueError) as exc:
+        raise top.error(f'cannot be read: {exc}') from exc
+    try:
+        # A subclass of SafeLoader that only adds a check.
+        raw = yaml.load(text, Loader=_Loader)  # noqa: S506
+    except (yaml.YAMLError, ValueError, RecursionError) as exc:
+        raise top.error(f'not YAML: {exc}') from exc
+    return Entry(path, '', raw)
+
+
+def _is_required(field: 'dataclasses.Field[Any]') -> bool:
+    missing = dataclasses.MISSING
+    return field.default is missing and field.default_factory is missing
--- /dev/null
+++ b/src/clementinedeal/_settings.py
@@ -0,0 +1,139 @@
+"""A daemon's own settings, read from YAML once at start."""
+
+import math
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from clementinedeal._addresses import is_address
+from clementinedeal._document import Entry, read_document
+from clementinedeal._errors import SettingsError
+
+MIN_SECRET_BYTES = 16
+MAX_SECRET_BYTES = 64  # key length limit of BLAKE2b
+
+_LISTENERS = ('caller', 'peer', 'control', 'operator')
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetKey:
+    """A secret shared by the daemons of a fleet."""
+
+    name: str
+    secret: bytes = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """Bounds on what a peer may make the daemon hold or wait for.
+
+    Sizes are in bytes, times in seconds.
+    """
+
+    max_head_bytes: int = 16_384
+    max_body_bytes: int = 8_388_608
+    max_caller_connections: int = 2_000
+    head_timeout_seconds: float = 5.0
+    body_timeout_seconds: float = 30.0
+    idle_timeout_seconds: float = 60.0
+    connect_timeout_seconds: float = 1.0
+    drain_timeout_seconds: float = 30.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DaemonSettings:
+    """What one daemon knows about itself before it hears from anybody.
+
+    Listen addresses and those of the platform's readers are ``ip:port``. The
+    first fleet key signs, all of them verify.
+    """
+
+    instance: str
+    zone: str
+    region: str
+    caller: str
+    peer: str
+    control: str
+    operator: str
+    platform: tuple[str, ...]
+    fleet_keys: tuple[FleetKey, ...]
+    limits: Limits = field(default_factory=Limits)
+
+
+def load_settings(path: str) -> Result[DaemonSettings, SettingsError]:
+    """Read and check a daemon's settings file.
+
+    :param path: the YAML file.
+    """
+    try:
+        return Ok(_read(read_document(path)))
+    except SettingsError as exc:
+        return Err(exc)
+
+
+def _read(top: Entry) -> DaemonSettings:
+    entries = top.mapping()
+    given: dict[str, object] = {}
+    if 'fleet_keys' in entries:
+        given['fleet_keys'] = _read_keys(entries.pop('fleet_keys'))
+    if 'limits' in entries:
+        given['limits'] = _read_limits(entries.pop('limits'))
+    rest = {key: entry.raw for key, entry in entries.items()}
+    body = Entry(top.file, top.path, rest)
+    cfg = body.build(DaemonSettings, **given)
+    _check_names(top, cfg)
+    _check_addresses(top, cfg)
+    return cfg
+
+
+def _read_keys(entry: Entry) -> tuple[FleetKey, ...]:
+    keys = tuple(
+        FleetKey(name=name, secret=_read_secret(secret))
+        for name, secret in entry.mapping().items()
+    )
+    if not keys:
+        raise entry.error('at least one key is needed')
+    return keys
+
+
+def _read_secret(entry: Entry) -> bytes:
+    try:
+        secret = bytes.fromhex(entry.convert(entry.raw, str))
+    except ValueError as exc:
+        raise entry.error('the secret is not hexadecimal') from exc
+    if not MIN_SECRET_BYTES <= len(secret) <= MAX_SECRET_BYTES:
+        raise entry.error(
+            f'the secret needs {MIN_SECRET_BYTES} to {MAX_SECRET_BYTES} bytes',
+        )
+    return secret
+
+
+def _read_limits(entry: Entry) -> Limits:
+    limits = entry.build(Limits)
+    for name in entry.mapping():
+        amount = getattr(limits, name)
+        if not (amount > 0 and math.isfinite(amount)):
+            raise entry.error('must be above 0', name)
+    return limits
+
+
+def _check_names(top: Entry, cfg: DaemonSettings) -> None:
+    for name in ('instance', 'zone', 'region'):
+        if not getattr(cfg, name):
+            raise top.error('must not be empty', name)
+
+
+def _check_addresses(top: Entry, cfg: DaemonSettings) -> None:
+    seen: set[str] = set()
+    for name in _LISTENERS:
+        address = getattr(cfg, name)
+        if not is_address(address):
+            raise top.error(f'{address!r} is not ip:port', name)
+        if address in seen:
+            raise top.error(f'{address} is used twice', name)
+        seen.add(address)
+    if not cfg.platform:
+        raise top.error('at least one address is needed', 'platform')
+    for index, address in enumerate(cfg.platform):
+        if not is_address(address):
+            raise top.error(f'{address!r} is not ip:port', f'platform.{index}')
