Publish a configuration as a root and immutable parts

Buckets by hash that are halved when they outgrow 24 KB: a fixed number of buckets suits one size only, and a number that follows the count moves every part when the count crosses a power of two. Instances may take 200 KB, so a new daemon learns its peers in two reads.

Taken out: hashing (halves by position): test_one_change_moves_one_part failed at the first removal; the check after unpacking: test_faulty_publication_is_rejected[fault] got Ok.

--- /dev/null
+++ b/src/clementinedeal/_parts.py
@@ -0,0 +1,125 @@
+"""Immutable parts of a publication: one bucket of entries each."""
+
+import enum
+import hashlib
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+import xxhash
+
+from clementinedeal._model import (
+    Account,
+    Instance,
+    Preset,
+    Route,
+    Service,
+    Target,
+)
+
+DIGEST_BYTES = 16
+PART_BYTES = 24_000  # parts and root weigh about the same at full size
+INSTANCE_PART_BYTES = 200_000  # a new daemon reads few to know its peers
+HASH_BITS = 64
+
+_ENCODER = msgspec.msgpack.Encoder(order='deterministic')
+
+
+class Section(enum.Enum):
+    """What kind of entry a part holds."""
+
+    PRESETS = 'presets'
+    SERVICES = 'services'
+    INSTANCES = 'instances'
+    TARGETS = 'targets'
+    ROUTES = 'routes'
+    ACCOUNTS = 'accounts'
+
+
+_DECODERS: dict[Section, msgspec.msgpack.Decoder[Any]] = {
+    Section.PRESETS: msgspec.msgpack.Decoder(tuple[Preset, ...]),
+    Section.SERVICES: msgspec.msgpack.Decoder(tuple[Service, ...]),
+    Section.INSTANCES: msgspec.msgpack.Decoder(tuple[Instance, ...]),
+    Section.TARGETS: msgspec.msgpack.Decoder(tuple[Target, ...]),
+    Section.ROUTES: msgspec.msgpack.Decoder(tuple[Route, ...]),
+    Section.ACCOUNTS: msgspec.msgpack.Decoder(tuple[Account, ...]),
+}
+
+
+def digest_of(blob: bytes) -> str:
+    """Return the hex digest that names a value.
+
+    :param blob: the value.
+    """
+    return hashlib.blake2b(blob, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def identity(entry: Any) -> str:
+    """Return what makes an entry unique within its section.
+
+    :param entry: any entry of the model.
+    """
+    if isinstance(entry, Route):
+        return f'{entry.method} {entry.prefix}'
+    if isinstance(entry, Preset):
+        return entry.name.value
+    return str(entry.name)
+
+
+def encode_section(section: Section, entries: Sequence[Any]) -> list[bytes]:
+    """Encode the entries of a section into parts.
+
+    Entries are spread by a hash of their identity; a bucket that is too
+    large is halved, so a change of one entry touches one bucket.
+
+    :param section: kind of the entries.
+    :param entries: all of them, in any order.
+    :raises ValueError: an entry can't be encoded.
+    """
+    limit = PART_BYTES
+    if section is Section.INSTANCES:
+        limit = INSTANCE_PART_BYTES
+    hashed = [
+        (xxhash.xxh3_64_intdigest(identity(entry).encode()), entry)
+        for entry in sorted(entries, key=identity)
+    ]
+    return list(_split(hashed, limit, HASH_BITS)) if hashed else []
+
+
+def decode_part(section: Section, blob: bytes) -> tuple[Any, ...]:
+    """Decode a part.
+
+    :param section: kind of its entries.
+    :param blob: what ``encode_section`` made.
+    :raises msgspec.MsgspecError: malformed.
+    """
+    entries: tuple[Any, ...] = _DECODERS[section].decode(blob)
+    return entries
+
+
+def _split(
+    hashed: list[tuple[int, Any]],
+    limit: int,
+    bits: int,
+) -> list[bytes]:
+    blob = _encode([entry for _, entry in hashed])
+    if len(blob) <= limit or len(hashed) == 1 or bits == 0:
+        return [blob]
+    mask = 1 << (bits - 1)
+    halves = (
+        [pair for pair in hashed if not pair[0] & mask],
+        [pair for pair in hashed if pair[0] & mask],
+    )
+    return [
+        blob
+        for half in halves
+        if half
+        for blob in _split(half, limit, bits - 1)
+    ]
+
+
+def _encode(entries: list[Any]) -> bytes:
+    try:
+        return _ENCODER.encode(entries)
+    except (OverflowError, msgspec.MsgspecError) as exc:
+        raise ValueError(str(exc)) from exc
--- a/src/clementinedeal/_validation.py
+++ b/src/clementinedeal/_validation.py
@@ -14,6 +14,8 @@
 )
 from clementinedeal._model import Config, PresetName
 
+MAX_VERSION = 2**63 - 1
+
 
 def find_fault(cfg: Config) -> Fault | None:
     """Return the first fault in a fixed order, or nothing.
@@ -28,8 +30,8 @@
 
 
 def _check_version(cfg: Config) -> Iterator[Fault]:
-    if cfg.version < 1:
-        yield Fault('version', 'must be at least 1')
+    if not 1 <= cfg.version <= MAX_VERSION:
+        yield Fault('version', f'must be from 1 to {MAX_VERSION}')
 
 
 def _check_names(cfg: Config) -> Iterator[Fault]:
