Remember forwards at the owner, plan attempts at the entry

Cause: a refusal that says "not run" needs proof, and a request that may have run must not be sent again unless it is idempotent.

The owner's table decides right before the first byte; a cancel of an id that it has not seen leaves a tombstone. The entry's plan cancels first and believes only the owner's answer, and that only within a proof window below the owner's retention, as an owner that has forgotten an id would call it never started. Ids in the table are those of attempts, so that an attempt which never started can be repeated at another target of the same owner.

Ruled out: evicting the oldest entries of a full table (it forgets work that is running); it refuses instead. Extending retention over a pause: the new incarnation already refuses what waited in socket buffers.

Taken out once each, and what failed: - tombstone: TestTable, an id both denied and started - incarnation check at start: TestTable, 'i0' started under 'i0x' - incarnation check at register and at cancel: the restart test, Ok instead of wrong-incarnation, NEVER_STARTED instead of UNKNOWN - duplicate check: TestTable, one id started twice - deadline check at start: TestTable, start at 1.0 with deadline 1.0 - proof window: the late cancel answer gave NOT_RUN

--- /dev/null
+++ b/src/clementinedeal/_attempt_set.py
@@ -0,0 +1,183 @@
+"""The attempts made for one request, and whether another is allowed."""
+
+import enum
+from collections import deque
+from dataclasses import dataclass
+
+from clementinedeal._attempt_events import Cancel, Forward, GiveUp
+from clementinedeal._model import Preset
+from clementinedeal._retry_budget import RetryBudget
+from clementinedeal._verdict import Reason, Verdict
+
+CANCEL_WAIT_SECONDS = 0.5
+
+_RETRYABLE = frozenset(
+    (
+        Reason.ANSWER_INCOMPLETE,
+        Reason.ANSWER_WRONG,
+        Reason.CONFIG_STALE,
+        Reason.DRAINING,
+        Reason.NO_TARGET,
+        Reason.QUEUE_FULL,
+        Reason.TARGET_FAILED,
+        Reason.WRONG_INCARNATION,
+    ),
+)
+_SEVERITY = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
+
+
+class Phase(enum.Enum):
+    """Whether an attempt's outcome is awaited, being cancelled or known."""
+
+    OPEN = 'open'
+    CANCELLING = 'cancelling'
+    CLOSED = 'closed'
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One forward; times are in monotonic seconds."""
+
+    attempt_id: str
+    target: str
+    sent_at: float
+    phase: Phase = Phase.OPEN
+    verdict: Verdict = Verdict.MAY_HAVE_RUN
+    cancel_until: float = 0.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptRequest:
+    """What a plan needs to know of one request.
+
+    ``preset`` is the one in force when the request came and ``deadline`` is
+    in monotonic seconds. ``candidates`` are targets, best first.
+    """
+
+    req_id: str
+    idempotent: bool
+    preset: Preset
+    candidates: tuple[str, ...]
+    deadline: float
+
+
+class AttemptSet:
+    """Creates attempts within their limits and knows the worst verdict.
+
+    ``replayable`` is cleared once the request body can't be sent again.
+    """
+
+    def __init__(self, req: AttemptRequest, budget: RetryBudget) -> None:
+        """Create an empty set.
+
+        :param req: the request.
+        :param budget: retry budget of the request's service.
+        """
+        self.replayable = True
+        self._req = req
+        self._budget = budget
+        self._candidates = deque(req.candidates)
+        self._attempts: dict[str, Attempt] = {}
+
+    def get(self, attempt_id: str) -> Attempt | None:
+        """Return an attempt whose outcome is not known yet.
+
+        :param attempt_id: its id.
+        """
+        attempt = self._attempts.get(attempt_id)
+        closed = attempt is None or attempt.phase is Phase.CLOSED
+        return None if closed else attempt
+
+    def in_phase(self, phase: Phase) -> list[Attempt]:
+        """Return the attempts in a phase.
+
+        :param phase: the phase.
+        """
+        return [
+            attempt
+            for attempt in self._attempts.values()
+            if attempt.phase is phase
+        ]
+
+    def first(self, now: float) -> Forward | None:
+        """Make the first attempt, None without a candidate.
+
+        :param now: current monotonic time in seconds.
+        """
+        self._budget.add_first_attempt(self._req.preset.retry_ratio)
+        return self._forward(now) if self._candidates else None
+
+    def retry(self, failure: GiveUp, now: float) -> Forward | None:
+        """Make another attempt after a failure, None if not allowed.
+
+        :param failure: how the last attempt ended.
+        :param now: current monotonic time in seconds.
+        """
+        if failure.reason not in _RETRYABLE:
+            return None
+        if self._req.idempotent or self.verdict() is Verdict.NOT_RUN:
+            return self._forward_within_limits(now)
+        return None
+
+    def hedge(self, now: float) -> Forward | None:
+        """Make an attempt beside the open ones, None if not allowed.
+
+        :param now: current monotonic time in seconds.
+        """
+        if self._req.idempotent:
+            return self._forward_within_limits(now)
+        return None
+
+    def cancel(self, attempt: Attempt, now: float) -> Cancel:
+        """Begin to cancel an attempt.
+
+        :param attempt: an open attempt.
+        :param now: current monotonic time in seconds.
+        """
+        attempt.phase = Phase.CANCELLING
+        attempt.cancel_until = now + CANCEL_WAIT_SECONDS
+        return Cancel(attempt.attempt_id, attempt.target)
+
+    def cancel_all(self, now: float, *, but: str = '') -> tuple[Cancel, ...]:
+        """Begin to cancel all open attempts.
+
+        :param now: current monotonic time in seconds.
+        :param but: id of the attempt to keep.
+        """
+        return tuple(
+            self.cancel(attempt, now)
+            for attempt in self.in_phase(Phase.OPEN)
+            if attempt.attempt_id != but
+        )
+
+    def abandon(self, attempt: Attempt, now: float) -> Cancel:
+        """Cancel an attempt whose verdict is known; no answer is awaited.
+
+        :param attempt: the attempt.
+        :param now: current monotonic time in seconds.
+        """
+        cancel = self.cancel(attempt, now)
+        attempt.phase = Phase.CLOSED
+        return cancel
+
+    def verdict(self) -> Verdict:
+        """Return what is known of the request over all its attempts."""
+        return max(
+            (attempt.verdict for attempt in self._attempts.values()),
+            key=_SEVERITY.index,
+            default=Verdict.NOT_RUN,
+        )
+
+    def _forward_within_limits(self, now: float) -> Forward | None:
+        more = len(self._attempts) < self._req.preset.max_attempts
+        in_time = now < self._req.deadline
+        allowed = self.replayable and more and in_time
+        if allowed and self._candidates and self._budget.take():
+            return self._forward(now)
+        return None
+
+    def _forward(self, now: float) -> Forward:
+        target = self._candidates.popleft()
+        attempt_id = f'{self._req.req_id}/{len(self._attempts)}'
+        self._attempts[attempt_id] = Attempt(attempt_id, target, now)
+        return Forward(attempt_id, target)
--- /dev/null
+++ b/src/clementinedeal/_executions.py
@@ -0,0 +1,276 @@
+"""Which forwarded requests this owner queued, started, finished, cancelled."""
+
+import enum
+import heapq
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from clementinedeal._messages import message
+from clementinedeal._verdict import Reason
+
+DEFAULT_ENTRIES = 65_536
+DEFAULT_RETENTION_SECONDS = 120.0
+
+
+class ExecutionState(enum.Enum):
+    """Progress of one forward at its owner."""
+
+    QUEUED = 'queued'
+    STARTED = 'started'
+    DONE = 'done'
+    CANCELLED = 'cancelled'
+
+
+class CancelAnswer(enum.Enum):
+    """What an owner can say truthfully about a cancelled forward.
+
+    ``NEVER_STARTED`` also promises that the forward never will start.
+    """
+
+    NEVER_STARTED = 'never-started'
+    STARTED = 'started'
+    FINISHED = 'finished'
+    UNKNOWN = 'unknown'
+
+
+_ANSWERS = {
+    ExecutionState.CANCELLED: CancelAnswer.NEVER_STARTED,
+    ExecutionState.STARTED: CancelAnswer.STARTED,
+    ExecutionState.DONE: CancelAnswer.FINISHED,
+}
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class CancelExecution:
+    """Entry to owner: cancel a forward and say whether it started.
+
+    ``incarnation`` is the owner incarnation that the forward named.
+    """
+
+    req_id: str
+    incarnation: str
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class ExecutionCancelled:
+    """Owner to entry: answer to ``CancelExecution``."""
+
+    req_id: str
+    answer: CancelAnswer
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ExecutionLimits:
+    """Bounds of the table.
+
+    ``retention`` is in seconds. It must exceed the time for which a forward
+    may stay in the network after its connection was aborted, and the time
+    within which an entry trusts the answer to a cancel.
+    """
+
+    entries: int = DEFAULT_ENTRIES
+    retention: float = DEFAULT_RETENTION_SECONDS
+
+
+@dataclass(slots=True)
+class _Execution:
+    state: ExecutionState
+    incarnation: str
+    deadline: float
+    forget_at: float
+
+
+class ExecutionTable:
+    """Remembers forwards so that none starts twice or after its cancel.
+
+    A request id here is unique for each forward, so a repeated attempt of
+    one request has an id of its own. Entries still queued or started are
+    never dropped; a full table refuses instead.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        limits: ExecutionLimits | None = None,
+    ) -> None:
+        """Create an empty table.
+
+        :param incarnation: identity of this run of the daemon.
+        :param limits: bounds; the defaults if absent.
+        """
+        self.incarnation = incarnation
+        self._limits = limits or ExecutionLimits()
+        self._table: dict[str, _Execution] = {}
+        self._expiries: list[tuple[float, str]] = []
+
+    def __len__(self) -> int:
+        """Return the number of remembered forwards."""
+        return len(self._table)
+
+    def register(
+        self,
+        req_id: str,
+        incarnation: str,
+        deadline: float,
+        now: float,
+    ) -> Result[None, Reason]:
+        """Admit a forward to the queue, before anything is sent on.
+
+        A forward that is admitted here and refused later, for instance by a
+        full queue, must be cancelled.
+
+        :param req_id: id of the forward.
+        :param incarnation: owner incarnation that the forward names.
+        :param deadline: monotonic time in seconds by which it must start.
+        :param now: current monotonic time in seconds.
+        :returns: an error whose request did not run, but for ``DUPLICATE``:
+            the other copy may have run.
+        """
+        self._expire(now)
+        reason = self._refusal(req_id, incarnation, deadline, now)
+        if reason is not None:
+            if reason is Reason.DEADLINE:
+                self._entomb(req_id, incarnation, now)
+            return Err(reason)
+        self._table[req_id] = _Execution(
+            ExecutionState.QUEUED,
+            incarnation,
+            deadline,
+            0,
+        )
+        return Ok(None)
+
+    def start(self, req_id: str, now: float) -> Result[None, Reason]:
+        """Allow the first byte to the target; call right before writing it.
+
+        A forward refused here never starts.
+
+        :param req_id: id of a registered forward.
+        :param now: current monotonic time in seconds.
+        """
+        execution = self._table.get(req_id)
+        if execution is None:
+            return Err(Reason.CANCELLED)
+        reason = self._start_refusal(execution, now)
+        if reason is None:
+            execution.state = ExecutionState.STARTED
+            return Ok(None)
+        if execution.state is ExecutionState.QUEUED:
+            self._close(req_id, execution, ExecutionState.CANCELLED, now)
+        return Err(reason)
+
+    def finish(self, req_id: str, now: float) -> None:
+        """Note that a started forward has ended, well or not.
+
+        :param req_id: id of the forward; unknown ids are ignored.
+        :param now: current monotonic time in seconds.
+        """
+        execution = self._table.get(req_id)
+        if execution and execution.state is ExecutionState.STARTED:
+            self._close(req_id, execution, ExecutionState.DONE, now)
+
+    def cancel(
+        self,
+        req_id: str,
+        incarnation: str,
+        now: float,
+    ) -> CancelAnswer:
+        """Cancel a forward, also one that has not arrived yet.
+
+        :param req_id: id of the forward.
+        :param incarnation: owner incarnation that the forward named.
+        :param now: current monotonic time in seconds.
+        """
+        self._expire(now)
+        execution = self._table.get(req_id)
+        if execution is None:
+            return self._entomb(req_id, incarnation, now)
+        if execution.state is ExecutionState.QUEUED:
+            self._close(req_id, execution, ExecutionState.CANCELLED, now)
+        return _ANSWERS[execution.state]
+
+    def on_pause(self, incarnation: str) -> None:
+        """Take a new incarnation after the process did not run for a while.
+
+        Forwards queued or in flight before do not start any more.
+
+        :param incarnation: the identity from now on.
+        """
+        self.incarnation = incarnation
+
+    def state(self, req_id: str) -> ExecutionState | None:
+        """Return the state of a forward, None if it is not remembered.
+
+        :param req_id: id of the forward.
+        """
+        execution = self._table.get(req_id)
+        return execution.state if execution else None
+
+    def _refusal(
+        self,
+        req_id: str,
+        incarnation: str,
+        deadline: float,
+        now: float,
+    ) -> Reason | None:
+        known = self._table.get(req_id)
+        if known and known.state is ExecutionState.CANCELLED:
+            return Reason.CANCELLED
+        if known:
+            return Reason.DUPLICATE
+        if incarnation != self.incarnation:
+            return Reason.WRONG_INCARNATION
+        if deadline <= now:
+            return Reason.DEADLINE
+        if len(self._table) >= self._limits.entries:
+            return Reason.QUEUE_FULL
+        return None
+
+    def _start_refusal(
+        self,
+        execution: _Execution,
+        now: float,
+    ) -> Reason | None:
+        if execution.state is ExecutionState.CANCELLED:
+            return Reason.CANCELLED
+        if execution.state is not ExecutionState.QUEUED:
+            return Reason.DUPLICATE
+        if execution.incarnation != self.incarnation:
+            return Reason.WRONG_INCARNATION
+        if execution.deadline <= now:
+            return Reason.DEADLINE
+        return None
+
+    def _entomb(
+        self,
+        req_id: str,
+        incarnation: str,
+        now: float,
+    ) -> CancelAnswer:
+        full = len(self._table) >= self._limits.entries
+        if full or incarnation != self.incarnation:
+            return CancelAnswer.UNKNOWN
+        tombstone = _Execution(ExecutionState.QUEUED, incarnation, now, 0)
+        self._table[req_id] = tombstone
+        self._close(req_id, tombstone, ExecutionState.CANCELLED, now)
+        return CancelAnswer.NEVER_STARTED
+
+    def _close(
+        self,
+        req_id: str,
+        execution: _Execution,
+        state: ExecutionState,
+        now: float,
+    ) -> None:
+        execution.state = state
+        last_use = max(execution.deadline, now)
+        execution.forget_at = last_use + self._limits.retention
+        heapq.heappush(self._expiries, (execution.forget_at, req_id))
+
+    def _expire(self, now: float) -> None:
+        while self._expiries and self._expiries[0][0] <= now:
+            _, req_id = heapq.heappop(self._expiries)
+            self._table.pop(req_id, None)
