--- /dev/null
+++ b/tests/test_history.py
@@ -0,0 +1,136 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from clementinedeal import _history as hs
+from clementinedeal import _history_checks as checks
+from clementinedeal._history import HistoryEvent
+from clementinedeal._verdict import Verdict
+
+History = tuple[HistoryEvent, ...]
+FLOOR = hs.FloorDeclared(at=0, service='s', targets=('a', 'b'), floor=1)
+
+
+def start(req_id: str, at: float, **rest: object) -> hs.Started:
+    return hs.Started(req_id=req_id, target='a', at=at, **rest)  # type: ignore[arg-type]
+
+
+def aside(instance: str, target: str, at: float) -> hs.TargetSetAside:
+    return hs.TargetSetAside(
+        instance=instance, target=target, aside=True, at=at
+    )
+
+
+def back(instance: str, target: str, at: float) -> hs.TargetSetAside:
+    return hs.TargetSetAside(
+        instance=instance, target=target, aside=False, at=at
+    )
+
+
+def answered(verdict: Verdict, digest: str = '') -> hs.Answered:
+    return hs.Answered(
+        req_id='r', verdict=verdict, digest=digest, expected='', at=9
+    )
+
+
+def force(version: int, at: float, incarnation: str = 'x') -> hs.ConfigInForce:
+    return hs.ConfigInForce(
+        instance='i', incarnation=incarnation, version=version, at=at
+    )
+
+
+CASES = [
+    (
+        checks.check_at_most_once,
+        (start('r', 1), start('q', 1), start('p', 1, idempotent=True))
+        + (start('p', 2, idempotent=True),),
+        (start('r', 1), start('r', 2)),
+    ),
+    (
+        checks.check_at_most_once,
+        (start('r', 1, key='k'), start('q', 2, key='l')),
+        (start('r', 1, key='k'), start('q', 2, key='k')),
+    ),
+    (
+        checks.check_not_run,
+        (start('r', 1), answered(Verdict.MAY_HAVE_RUN)),
+        (answered(Verdict.NOT_RUN), start('r', 10)),
+    ),
+    (
+        checks.check_answers,
+        (answered(Verdict.RAN),),
+        (answered(Verdict.RAN, 'that of another'),),
+    ),
+    (
+        checks.check_floor,
+        (FLOOR, aside('i', 'a', 1), back('i', 'a', 2), aside('j', 'b', 2)),
+        (FLOOR, aside('i', 'a', 1), aside('j', 'b', 2)),
+    ),
+    (
+        lambda events: checks.check_leaving(events, 3),
+        (hs.TargetLeaving(target='a', at=1), start('r', 4)),
+        (hs.TargetLeaving(target='a', at=1), start('r', 4.1)),
+    ),
+    (
+        lambda events: checks.check_keys(events, 7),
+        (hs.KeyWithdrawn(key_digest='k', at=1),)
+        + (hs.KeyHonoured(key_digest='k', account='c', at=8),),
+        (hs.KeyWithdrawn(key_digest='k', at=1),)
+        + (hs.KeyHonoured(key_digest='k', account='c', at=8.1),),
+    ),
+    (
+        lambda events: checks.check_keys(events, 7),
+        (),
+        (hs.KeySeenAtTarget(target='a', key_digest='k', at=1),),
+    ),
+    (
+        checks.check_versions,
+        (force(1, 1), force(2, 2), force(2, 3, 'y')),
+        (force(2, 1), force(1, 2, 'y')),
+    ),
+    (
+        lambda events: checks.check_convergence(events, 7),
+        (hs.InstanceRuns(instance='i', runs=True, at=0),)
+        + (hs.Published(version=2, at=1), force(2, 8)),
+        (hs.InstanceRuns(instance='i', runs=True, at=0),)
+        + (hs.Published(version=2, at=1), force(2, 8.1)),
+    ),
+    (
+        lambda events: checks.check_convergence(events, 7),
+        (hs.InstanceRuns(instance='i', runs=True, at=0),)
+        + (hs.InstanceRuns(instance='i', runs=False, at=5),)
+        + (hs.Published(version=2, at=1),),
+        (hs.InstanceRuns(instance='i', runs=True, at=0),)
+        + (hs.Published(version=2, at=1),),
+    ),
+]
+
+
+@pytest.mark.parametrize(('check', 'clean', 'broken'), CASES)
+def test_a_checker_tells_a_clean_history_from_a_broken_one(
+    check: object, clean: History, broken: History
+) -> None:
+    assert callable(check)
+    assert check(clean) == ()
+    assert len(check(broken)) == 1
+    assert len(check(tuple(reversed(broken)))) == 1
+
+
+@given(
+    st.lists(st.integers(0, 40), max_size=12),
+    st.sampled_from((0.25, 1, 2)),
+    st.integers(1, 4),
+)
+def test_rates_are_judged_as_by_trying_every_interval(
+    quarters: list[int], rate: float, burst: int
+) -> None:
+    times = sorted(quarter / 4 for quarter in quarters)
+    events = [hs.Admitted(account='c', at=at) for at in times]
+    exceeded = any(
+        last - first + 1 > burst + rate * (times[last] - times[first])
+        for first in range(len(times))
+        for last in range(first, len(times))
+    )
+    limits = {'c': checks.RateLimit(rate, burst)}
+    assert bool(checks.check_rates(events, limits)) == exceeded
+    assert len(checks.check_rates(events, {})) == len(times)
