Launch a whole deployment on loopback and drive it through faults

The demo starts platform, targets and daemons of a declaration as separate processes, runs traffic to all services while a daemon and a target are killed, a daemon is stopped, the preset switched, a key withdrawn and an account overuses its rate, and checks the histories.

--- a/src/clementinedeal_bench/_cli.py
+++ b/src/clementinedeal_bench/_cli.py
@@ -9,17 +9,29 @@
 from absl import flags
 from result import Err
 
+from clementinedeal import Config
 from clementinedeal_bench._caller import Caller
+from clementinedeal_bench._demo import Demo, DemoSettings
+from clementinedeal_bench._errors import BenchError
 from clementinedeal_bench._flags import Command, run_commands
+from clementinedeal_bench._fleet import FleetSettings
 from clementinedeal_bench._history import CallRecord
 from clementinedeal_bench._platform import PlatformSettings
 from clementinedeal_bench._platform_server import serve_platform
+from clementinedeal_bench._ports import shift_address
+from clementinedeal_bench._publisher import (
+    LIVE,
+    Publisher,
+    read_declaration,
+)
 from clementinedeal_bench._scenario import load_scenario
 from clementinedeal_bench._summary import by_account_and_service, summarize
 from clementinedeal_bench._target import TargetSettings, serve_target
 
 PLATFORM_PORT = 20_900
 TARGET_PORT = 20_990
+PLATFORM = f'127.0.0.1:{PLATFORM_PORT}'
+EXAMPLE = 'examples/freshwater.yaml'
 
 
 def _define_platform(values: flags.FlagValues) -> None:
@@ -91,9 +103,60 @@
     sys.stdout.write(encoder.encode_lines(groups).decode())
 
 
+def _define_publish(values: flags.FlagValues) -> None:
+    flags.DEFINE_string(
+        'platform', PLATFORM, 'address of the platform', flag_values=values
+    )
+
+
+def _run_publish(values: flags.FlagValues, rest: list[str]) -> None:
+    if len(rest) != 1:
+        raise BenchError('name one declaration file')
+    trio.run(_publish, values.platform, read_declaration(rest[0]))
+
+
+async def _publish(platform: str, cfg: Config) -> None:
+    publisher = Publisher(platform)
+    total = await publisher.publish(cfg)
+    await publisher.list_instances(dict.fromkeys(cfg.instances, LIVE))
+    publisher.close()
+    sys.stdout.write(f'published version={cfg.version} bytes={total}\n')
+
+
+def _define_demo(values: flags.FlagValues) -> None:
+    string = functools.partial(flags.DEFINE_string, flag_values=values)
+    decimal = functools.partial(flags.DEFINE_float, flag_values=values)
+    string('declaration', EXAMPLE, 'declaration to launch (YAML)')
+    string('platform', PLATFORM, 'address of the platform')
+    string('out', 'out', 'folder for logs, histories and the time line')
+    decimal('seconds', 6, 'length of each step')
+    decimal('rate', 60, 'requests per second of all accounts together')
+    integer = functools.partial(flags.DEFINE_integer, flag_values=values)
+    integer('width', 4, 'processes started at once')
+    integer('port_offset', 0, 'added to every port, to run twice at once')
+
+
+def _run_demo(values: flags.FlagValues, _rest: list[str]) -> None:
+    settings = DemoSettings(
+        declaration=values.declaration,
+        fleet=FleetSettings(
+            folder=Path(values.out),
+            platform=shift_address(values.platform, values.port_offset),
+            width=values.width,
+        ),
+        port_offset=values.port_offset,
+        seconds=values.seconds,
+        rate=values.rate,
+    )
+    lines = trio.run(Demo(settings).run)
+    sys.stdout.write(''.join(f'{line}\n' for line in lines))
+
+
 COMMANDS = (
     Command('platform', 'stand-in platform', _define_platform, _run_platform),
     Command('target', 'stand-in target', _define_target, _run_target),
+    Command('publish', 'publish a declaration', _define_publish, _run_publish),
+    Command('demo', 'drive a deployment on loopback', _define_demo, _run_demo),
     Command('load', 'send a scenario of requests', _define_load, _run_load),
 )
 
--- /dev/null
+++ b/src/clementinedeal_bench/_demo_traffic.py
@@ -0,0 +1,72 @@
+"""Traffic of the demo: all services of a declaration, all accounts."""
+
+from collections.abc import Iterable
+
+from clementinedeal import Config, Route
+from clementinedeal_bench._scenario import AccountLoad, RequestKind, Scenario
+
+KEY_PREFIX = 'demo-'  # the examples' keys are demo-ACCOUNT
+BODY_BYTES = 200
+READ_WEIGHT = 4.0
+TIMEOUT_MS = 5000
+SEED = 1
+
+
+def build_scenario(
+    cfg: Config,
+    rates: dict[str, float],
+    seconds: float,
+    daemons: Iterable[str] = (),
+) -> Scenario:
+    """Build traffic to every keyed route of the accounts' services.
+
+    :param cfg: the declaration.
+    :param rates: requests per second by account.
+    :param seconds: longest duration.
+    :param daemons: caller addresses; all of the declaration if empty.
+    """
+    everywhere = tuple(each.caller for each in cfg.instances.values())
+    return Scenario(
+        daemons=tuple(daemons) or everywhere,
+        accounts={name: _load(cfg, name, rate) for name, rate in rates.items()},
+        seconds=seconds,
+        seed=SEED,
+    )
+
+
+def spread_rate(cfg: Config, total: float) -> dict[str, float]:
+    """Split a rate over all accounts in proportion to what they may send.
+
+    :param cfg: the declaration.
+    :param total: requests per second of all accounts.
+    """
+    allowed = sum(account.rate for account in cfg.accounts.values())
+    return {
+        name: total * account.rate / allowed
+        for name, account in cfg.accounts.items()
+    }
+
+
+def _load(cfg: Config, name: str, rate: float) -> AccountLoad:
+    services = cfg.accounts[name].services
+    return AccountLoad(
+        key=f'{KEY_PREFIX}{name}',
+        rate=rate,
+        requests=tuple(
+            _kind(route)
+            for route in cfg.routes
+            if route.service in services and not route.open
+        ),
+    )
+
+
+def _kind(route: Route) -> RequestKind:
+    method = 'GET' if route.method == '*' else route.method
+    return RequestKind(
+        service=route.service,
+        method=method,
+        path=f'{route.prefix.rstrip("/")}/1',
+        weight=READ_WEIGHT if route.idempotent else 1,
+        body_bytes=0 if method == 'GET' else BODY_BYTES,
+        timeout_ms=TIMEOUT_MS,
+    )
--- /dev/null
+++ b/src/clementinedeal_bench/_fleet.py
@@ -0,0 +1,208 @@
+"""Launches platform, targets and daemons of a declaration on loopback."""
+
+import secrets
+import sys
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+
+import trio
+import yaml
+
+from clementinedeal import Config, Instance, Target
+from clementinedeal_bench._observer import await_ready
+from clementinedeal_bench._processes import Processes
+from clementinedeal_bench._publisher import LIVE, Publisher
+from clementinedeal_bench._webclient import split_address
+
+READY_SECONDS = 20.0
+SECRET_BYTES = 32
+PLATFORM = 'platform'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetSettings:
+    """How a fleet is launched.
+
+    ``width`` processes start at once. ``service`` and ``sigma`` shape the
+    targets' service times, in seconds and as log-normal spread.
+    """
+
+    folder: Path
+    platform: str = '127.0.0.1:20900'
+    daemons: bool = True
+    width: int = 4
+    service: float = 0.022
+    sigma: float = 0.3
+    log_level: str = 'warning'
+
+
+class Fleet:
+    """All processes of one deployment."""
+
+    def __init__(self, cfg: Config, settings: FleetSettings) -> None:
+        """Create a fleet without processes.
+
+        :param cfg: what to launch and to publish.
+        :param settings: how to launch it.
+        """
+        self.cfg = cfg
+        self._settings = settings
+        self._secret = secrets.token_hex(SECRET_BYTES)
+        self._processes = Processes(_make_folder(settings.folder / 'logs'))
+        self._configs = _make_folder(settings.folder / 'settings')
+        self.publisher = Publisher(settings.platform)
+        self._gone: set[str] = set()
+
+    async def start(self) -> None:
+        """Start everything and wait until it serves.
+
+        :raises BenchError: a process has ended or is not ready in time.
+        """
+        await self._start_platform()
+        await self.publisher.publish(self.cfg)
+        await self.publisher.list_instances(
+            dict.fromkeys(self.cfg.instances, LIVE),
+        )
+        await self._start_all(
+            (name, self._target_args(target), target.address, '/load')
+            for name, target in self.cfg.targets.items()
+        )
+        if self._settings.daemons:
+            await self._start_all(
+                (name, self._daemon_args(each), each.operator, '/healthz')
+                for name, each in self.cfg.instances.items()
+            )
+
+    def live_instances(self) -> list[Instance]:
+        """Return the instances whose daemons were not ended here."""
+        return [
+            instance
+            for name, instance in self.cfg.instances.items()
+            if name not in self._gone
+        ]
+
+    def live_targets(self) -> list[Target]:
+        """Return the targets that were not ended here."""
+        return [
+            target
+            for name, target in self.cfg.targets.items()
+            if name not in self._gone
+        ]
+
+    def kill(self, name: str) -> None:
+        """End a daemon or target as by kill -9.
+
+        :param name: name of the instance or target.
+        """
+        self._gone.add(name)
+        self._processes.kill(name)
+
+    async def stop(self, name: str) -> bool:
+        """Stop a daemon or target; True when it ended well in time.
+
+        :param name: name of the instance or target.
+        """
+        self._gone.add(name)
+        return await self._processes.stop(name)
+
+    async def restart_daemon(self, name: str) -> None:
+        """Start a daemon again and wait until it serves.
+
+        :param name: name of the instance.
+        """
+        instance = self.cfg.instances[name]
+        args = self._daemon_args(instance)
+        await self._start_one(name, args, instance.operator, '/healthz')
+        self._gone.discard(name)
+
+    def pid(self, name: str) -> int:
+        """Return the process id of a daemon or target.
+
+        :param name: name of the instance or target.
+        """
+        return self._processes.pid(name)
+
+    def close(self) -> None:
+        """End every process that still runs."""
+        self.publisher.close()
+        self._processes.kill_all()
+
+    async def _start_platform(self) -> None:
+        address = self._settings.platform
+        host, port = split_address(address)
+        args = _bench('platform', host=host, port=port)
+        await self._start_one(PLATFORM, args, address, '/operator/counters')
+
+    async def _start_all(
+        self,
+        starts: Iterable[tuple[str, list[str], str, str]],
+    ) -> None:
+        limit = trio.CapacityLimiter(self._settings.width)
+
+        async def start(*start_args: object) -> None:  # noqa: WPS430
+            async with limit:
+                await self._start_one(*start_args)  # type: ignore[arg-type]
+
+        async with trio.open_nursery() as nursery:
+            for each in starts:
+                nursery.start_soon(start, *each)
+
+    async def _start_one(
+        self,
+        name: str,
+        args: list[str],
+        address: str,
+        path: str,
+    ) -> None:
+        self._processes.start(name, args)
+        try:
+            await await_ready(address, path, READY_SECONDS)
+        finally:
+            self._processes.check(name)
+
+    def _target_args(self, target: Target) -> list[str]:
+        host, port = split_address(target.address)
+        return _bench(
+            'target',
+            name=target.name,
+            host=host,
+            port=port,
+            slots=target.slots,
+            connections=target.connections,
+            service=self._settings.service,
+            sigma=self._settings.sigma,
+            seed=port,
+        )
+
+    def _daemon_args(self, instance: Instance) -> list[str]:
+        file = self._configs / f'{instance.name}.yaml'
+        file.write_text(yaml.safe_dump(self._daemon_settings(instance)))
+        return [
+            *(sys.executable, '-m', 'clementinedeal', 'daemon'),
+            f'--settings={file}',
+            f'--log_level={self._settings.log_level}',
+        ]
+
+    def _daemon_settings(self, instance: Instance) -> dict[str, object]:
+        return {
+            'instance': instance.name,
+            'zone': instance.zone,
+            'region': instance.region,
+            'caller': instance.caller,
+            'peer': instance.peer,
+            'control': instance.control,
+            'operator': instance.operator,
+            'platform': [self._settings.platform],
+            'fleet_keys': {'bench': self._secret},
+        }
+
+
+def _bench(command: str, **values: object) -> list[str]:
+    pairs = [f'--{name}={text}' for name, text in values.items()]
+    return [sys.executable, '-m', 'clementinedeal_bench', command, *pairs]
+
+
+def _make_folder(folder: Path) -> Path:
+    folder.mkdir(parents=True, exist_ok=True)
+    return folder
--- /dev/null
+++ b/src/clementinedeal_bench/_observer.py
@@ -0,0 +1,99 @@
+"""Reads what daemons and targets say over HTTP."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
+
+import msgspec
+import trio
+from result import Err
+
+from clementinedeal import Instance, Target
+from clementinedeal_bench._errors import BenchError
+from clementinedeal_bench._executions import Execution, decode_lines
+from clementinedeal_bench._web import WebAnswer, WebRequest
+from clementinedeal_bench._webclient import WebClient
+
+ASK_SECONDS = 3.0
+POLL_SECONDS = 0.05
+OK_STATUS = 200
+ItemT = TypeVar('ItemT')
+FoundT = TypeVar('FoundT')
+
+
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """The part of a daemon's status that the bench reads."""
+
+    instance: str
+    config_version: int
+    preset: str
+    serving: bool
+
+
+async def get(address: str, path: str) -> bytes | None:
+    """Return the body of a GET, None unless it is answered with 200.
+
+    :param address: ``ip:port``.
+    :param path: path and query.
+    """
+    client = WebClient(address)
+    answer: WebAnswer | None = None
+    with trio.move_on_after(ASK_SECONDS):
+        found = await client.request(WebRequest(method='GET', target=path))
+        answer = None if isinstance(found, Err) else found.ok_value
+    client.close()
+    if answer is None or answer.status != OK_STATUS:
+        return None
+    return answer.body
+
+
+async def await_ready(address: str, path: str, seconds: float) -> None:
+    """Wait until a GET is answered with 200.
+
+    :param address: ``ip:port``.
+    :param path: path and query.
+    :param seconds: patience.
+    :raises BenchError: there is no such answer in time.
+    """
+    deadline = trio.current_time() + seconds
+    while await get(address, path) is None:
+        if trio.current_time() >= deadline:
+            raise BenchError(f'{address}{path}: not ready in {seconds} s')
+        await trio.sleep(POLL_SECONDS)
+
+
+async def gather(
+    job: Callable[[ItemT], Awaitable[FoundT]],
+    items: Iterable[ItemT],
+) -> list[FoundT]:
+    """Run a job for many items at once and return what they gave.
+
+    :param job: called with each item.
+    :param items: the items.
+    """
+    found: list[FoundT] = []
+
+    async def run_one(item: ItemT) -> None:  # noqa: WPS430 - binds the list
+        found.append(await job(item))
+
+    async with trio.open_nursery() as nursery:
+        for item in items:
+            nursery.start_soon(run_one, item)
+    return found
+
+
+async def read_status(instance: Instance) -> InstanceStatus | None:
+    """Return a daemon's status, None if it gives none.
+
+    :param instance: the daemon.
+    """
+    body = await get(instance.operator, '/status')
+    return body and msgspec.json.decode(body, type=InstanceStatus) or None
+
+
+async def read_executions(target: Target) -> list[Execution] | None:
+    """Return a target's executions, None if it gives none.
+
+    :param target: the target.
+    """
+    body = await get(target.address, '/control/executions')
+    return None if body is None else decode_lines(body)
--- /dev/null
+++ b/src/clementinedeal_bench/_publisher.py
@@ -0,0 +1,83 @@
+"""Publishes configurations to the platform stand-in."""
+
+import msgspec
+from result import Err
+
+from clementinedeal import Config
+from clementinedeal._declaration import check_file
+from clementinedeal._publication import ROOT_NAME, pack
+from clementinedeal_bench._errors import BenchError
+from clementinedeal_bench._platform_server import InstanceList, ListedInstance
+from clementinedeal_bench._web import WebAnswer, WebRequest
+from clementinedeal_bench._webclient import WebClient
+
+LIVE = 'live'
+OK_STATUS = 200
+
+
+def read_declaration(path: str) -> Config:
+    """Read a declaration.
+
+    :param path: the YAML file.
+    :raises ClementinedealError: it is not acceptable.
+    """
+    found = check_file(path)
+    if isinstance(found, Err):
+        raise found.err_value
+    return found.ok_value
+
+
+class Publisher:
+    """Puts values and the instance list, each part once."""
+
+    def __init__(self, address: str) -> None:
+        """Create a publisher.
+
+        :param address: ``ip:port`` of the platform stand-in.
+        """
+        self._client = WebClient(address)
+        self._known: set[str] = set()
+
+    async def publish(self, cfg: Config) -> int:
+        """Publish a configuration and return the bytes put.
+
+        :param cfg: a checked configuration.
+        :raises BenchError: the platform refused a value.
+        """
+        packed = pack(cfg)
+        if isinstance(packed, Err):
+            raise packed.err_value
+        total = 0
+        for name, blob in packed.ok_value.values():
+            if name not in self._known:
+                await self._put(f'values/{name}', blob)
+                total += len(blob)
+            if name != ROOT_NAME:
+                self._known.add(name)
+        return total
+
+    async def list_instances(self, states: dict[str, str]) -> None:
+        """Publish the list of instances.
+
+        :param states: ``live`` or ``leaving`` by instance name.
+        :raises BenchError: the platform refused the list.
+        """
+        listed = InstanceList(
+            tuple(ListedInstance(*entry) for entry in sorted(states.items())),
+        )
+        await self._put('instances', msgspec.json.encode(listed))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._client.close()
+
+    async def _put(self, path: str, body: bytes) -> WebAnswer:
+        req = WebRequest(method='PUT', target=f'/operator/{path}', body=body)
+        found = await self._client.request(req)
+        if isinstance(found, Err):
+            where = f'platform {self._client.address}'
+            raise BenchError(f'{where}: {found.err_value.detail}')
+        if found.ok_value.status != OK_STATUS:
+            status = found.ok_value.status
+            raise BenchError(f'platform refused {path}: status {status}')
+        return found.ok_value
--- /dev/null
+++ b/src/clementinedeal_bench/_report.py
@@ -0,0 +1,167 @@
+"""What a demo run showed: counts for each step and checks of the whole."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from clementinedeal import Account, Config, Verdict
+from clementinedeal._history import (
+    Admitted,
+    Answered,
+    HistoryEvent,
+    Started,
+    Violation,
+)
+from clementinedeal._history_checks import (
+    RateLimit,
+    check_at_most_once,
+    check_not_run,
+    check_rates,
+)
+from clementinedeal_bench._executions import Execution
+from clementinedeal_bench._history import CallRecord, Outcome
+from clementinedeal_bench._summary import Summary, summarize
+
+MARK = 'caller-request='
+KEY_HEADERS = frozenset(('authorization', 'x-api-key', 'proxy-authorization'))
+SHOWN_VIOLATIONS = 3
+ADMISSION_TO_START_SECONDS = 0.1  # widens the burst seen at the targets
+
+
+@dataclass(slots=True)
+class Step:
+    """One step of the demo: calls that were due from its begin to its end."""
+
+    name: str
+    begin: float
+    end: float = 0.0
+    notes: list[str] = field(default_factory=list)
+
+    def calls(self, records: Iterable[CallRecord]) -> list[CallRecord]:
+        """Return the calls of the step.
+
+        :param records: the whole history.
+        """
+        return [call for call in records if self.begin <= call.due < self.end]
+
+
+def step_lines(step: Step, records: Sequence[CallRecord]) -> list[str]:
+    """Describe a step in a few lines.
+
+    :param step: the step.
+    :param records: the whole history.
+    """
+    counts = summarize(step.calls(records))
+    seconds = step.end - step.begin
+    lines = [f'== {step.name} ({seconds:.1f} s)']
+    lines.extend(f'   {note}' for note in step.notes)
+    lines.append(f'   {_count_line(counts)}')
+    if counts.reasons:
+        lines.append(f'   refused by reason: {_pairs(counts.reasons)}')
+    if counts.verdicts:
+        lines.append(f'   verdicts: {_pairs(counts.verdicts)}')
+    return lines
+
+
+def check_lines(
+    cfg: Config,
+    records: Sequence[CallRecord],
+    executions: Sequence[Execution],
+) -> list[str]:
+    """Check the whole run and describe what was found.
+
+    :param cfg: rates and routes that were in force.
+    :param records: what callers saw.
+    :param executions: what targets ran, as far as they could be asked.
+    """
+    events = _events(cfg, records, executions)
+    limits = {
+        name: RateLimit(account.rate, _visible_burst(account))
+        for name, account in cfg.accounts.items()
+    }
+    wrong = [call for call in records if call.outcome is Outcome.WRONG]
+    leaked = [run for run in executions if KEY_HEADERS & set(run.header_names)]
+    return [
+        _verdict('non-idempotent work ran twice', check_at_most_once(events)),
+        _verdict('"not run" that ran', check_not_run(events)),
+        _verdict('more than rate and burst', check_rates(events, limits)),
+        _verdict('answers not whole or not own', wrong),
+        _verdict('executions that saw a key', leaked),
+    ]
+
+
+def caller_request(run: Execution) -> str:
+    """Return the caller's mark of an execution.
+
+    :param run: the execution.
+    """
+    return run.path.partition(MARK)[2].partition('&')[0]
+
+
+def _visible_burst(account: Account) -> float:
+    return account.burst + account.rate * ADMISSION_TO_START_SECONDS
+
+
+def _events(
+    cfg: Config,
+    records: Sequence[CallRecord],
+    executions: Sequence[Execution],
+) -> list[HistoryEvent]:
+    calls = {call.caller_request: call for call in records}
+    first: dict[str, float] = {}
+    events: list[HistoryEvent] = []
+    for run in executions:
+        req_id = caller_request(run)
+        first[req_id] = min(run.start, first.get(req_id, run.start))
+        events.append(_started(run, req_id))
+    for mark, at in first.items():
+        if mark in calls and calls[mark].account in cfg.accounts:
+            events.append(Admitted(at=at, account=calls[mark].account))
+    events.extend(_answered(call) for call in records if call.verdict)
+    return events
+
+
+def _started(run: Execution, req_id: str) -> Started:
+    return Started(
+        at=run.start,
+        req_id=req_id,
+        target=run.target,
+        idempotent=run.method in {'GET', 'HEAD'},
+    )
+
+
+def _answered(call: CallRecord) -> Answered:
+    return Answered(
+        at=call.end,
+        req_id=call.caller_request,
+        verdict=Verdict(call.verdict),
+        status=call.status,
+    )
+
+
+def _verdict(what: str, found: Sequence[object]) -> str:
+    if not found:
+        return f'   ok    {what}: none'
+    shown = '; '.join(_describe(each) for each in found[:SHOWN_VIOLATIONS])
+    return f'   FAULT {what}: {len(found)}, such as {shown}'
+
+
+def _describe(found: object) -> str:
+    if isinstance(found, Violation):
+        return found.detail
+    if isinstance(found, CallRecord):
+        return f'{found.method} {found.path}: {found.detail}'
+    if isinstance(found, Execution):
+        return f'{found.method} {found.path} at {found.target}'
+    return str(found)
+
+
+def _count_line(counts: Summary) -> str:
+    latency = counts.latency
+    return (
+        f'{counts.requests} requests: {_pairs(counts.outcomes)}; '
+        f'p50 {latency.p50:.1f} ms, p99 {latency.p99:.1f} ms'
+    )
+
+
+def _pairs(counts: dict[str, int]) -> str:
+    return ', '.join(f'{name} {counts[name]}' for name in sorted(counts))
