--- a/src/clementinedeal_bench/_caller.py
+++ b/src/clementinedeal_bench/_caller.py
@@ -143,6 +143,7 @@
         record = self._new_record(account, daemon, kind, due)
         req = _build_request(account, kind, record)
         client = account.take(daemon)
+        record.sent = time.monotonic()
         seconds = kind.timeout_ms / MS_PER_SECOND + GRACE_SECONDS
         with trio.move_on_after(seconds):
             _note(record, req, await client.request(req))
--- a/src/clementinedeal_bench/_cli.py
+++ b/src/clementinedeal_bench/_cli.py
@@ -16,6 +16,7 @@
 from clementinedeal_bench._flags import Command, run_commands
 from clementinedeal_bench._fleet import FleetSettings
 from clementinedeal_bench._history import CallRecord
+from clementinedeal_bench._latency import LatencyRun, LatencySettings
 from clementinedeal_bench._platform import PlatformSettings
 from clementinedeal_bench._platform_server import serve_platform
 from clementinedeal_bench._ports import shift_address
@@ -31,6 +32,8 @@
 PLATFORM_PORT = 20_900
 TARGET_PORT = 20_990
 PLATFORM = f'127.0.0.1:{PLATFORM_PORT}'
+LATENCY_PORT = 24_000
+PLATFORM_STEP = 90
 EXAMPLE = 'examples/freshwater.yaml'
 
 
@@ -152,11 +155,40 @@
     sys.stdout.write(''.join(f'{line}\n' for line in lines))
 
 
+def _define_latency(values: flags.FlagValues) -> None:
+    string = functools.partial(flags.DEFINE_string, flag_values=values)
+    decimal = functools.partial(flags.DEFINE_float, flag_values=values)
+    string('out', 'out', 'folder for logs')
+    decimal('seconds', 20, 'length of the measurement')
+    decimal('rate', 108, 'requests per second into the daemon')
+    flags.DEFINE_integer(
+        'base_port', LATENCY_PORT, 'first port used', flag_values=values
+    )
+
+
+def _run_latency(values: flags.FlagValues, _rest: list[str]) -> None:
+    platform = f'127.0.0.1:{values.base_port + PLATFORM_STEP}'
+    settings = LatencySettings(
+        fleet=FleetSettings(
+            folder=Path(values.out),
+            platform=platform,
+            service=0,
+            sigma=0,
+        ),
+        base_port=values.base_port,
+        seconds=values.seconds,
+        rate=values.rate,
+    )
+    report = trio.run(LatencyRun(settings).run)
+    sys.stdout.write(f'{msgspec.json.encode(report).decode()}\n')
+
+
 COMMANDS = (
     Command('platform', 'stand-in platform', _define_platform, _run_platform),
     Command('target', 'stand-in target', _define_target, _run_target),
     Command('publish', 'publish a declaration', _define_publish, _run_publish),
     Command('demo', 'drive a deployment on loopback', _define_demo, _run_demo),
+    Command('latency', 'added latency', _define_latency, _run_latency),
     Command('load', 'send a scenario of requests', _define_load, _run_load),
 )
 
--- a/src/clementinedeal_bench/_history.py
+++ b/src/clementinedeal_bench/_history.py
@@ -36,7 +36,7 @@
 
     ``caller_request`` is unique and stands in the request's path. Times are
     seconds of the machine's monotonic clock; ``due`` is when the request was
-    to be sent, and latency counts from there.
+    to be sent, and latency counts from there; ``sent`` is when it was.
     """
 
     caller_request: str
@@ -46,6 +46,7 @@
     path: str
     daemon: str
     due: float
+    sent: float = 0.0
     end: float = 0.0
     outcome: Outcome = Outcome.TIMEOUT
     status: int = 0
