Lend conserved units from a mint to wallets

A holder's level plus what it has lent and cannot prove gone never exceeds its share; a borrower counts a lease from its request, the holder from the grant plus a margin. Amounts are integer micro-units.

The stateful test found that room freed by a late report or by an expiry was filled for the time before it was free; the mint now fills up to each such moment in order.

--- /dev/null
+++ b/src/clementinedeal/_leases.py
@@ -0,0 +1,322 @@
+"""Conserved units that one holder lends to many borrowers for a time.
+
+A ``Mint`` makes units at a fixed rate up to a capacity. At every moment its
+level plus what it has lent, and cannot prove gone, is at most the capacity.
+A ``Wallet`` is the borrower's side. Messages may be lost, repeated, late or
+out of order: each can only lose units.
+
+Amounts are integer micro-units, times are monotonic seconds of the caller's
+own clock. Clocks of holder and borrower need not agree, only run at nearly
+the same speed: the borrower counts a lease from before it sent the request,
+the holder from after it received it and adds ``LEASE_MARGIN_SECONDS``.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+UNIT_MICROS = 1_000_000
+LEASE_TTL_SECONDS = 2.0
+LEASE_MARGIN_SECONDS = 0.2
+QUIET_SECONDS = LEASE_TTL_SECONDS + LEASE_MARGIN_SECONDS
+MAX_LEASES = 1024
+
+_MICROS_PER_SECOND = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseId:
+    """Names one draw for ever.
+
+    ``incarnation`` differs between two processes of the same ``borrower``,
+    ``seq`` between two draws of one process.
+    """
+
+    borrower: str
+    incarnation: int
+    seq: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseReport:
+    """What a borrower tells the holder about one lease.
+
+    ``spent`` is cumulative micro-units. After ``closed`` the borrower spends
+    nothing more from the lease, so the holder may use the rest.
+    """
+
+    lease: LeaseId
+    spent: int
+    closed: bool
+
+
+@dataclass(slots=True)
+class _Lent:
+    granted: int
+    spent: int
+    expires_at: float
+
+    @property
+    def left(self) -> int:
+        return self.granted - self.spent
+
+
+class Mint:
+    """The holder's side of one share."""
+
+    def __init__(self, *, capacity: int, rate: int, now: float) -> None:
+        """Start empty.
+
+        :param capacity: most micro-units in the level and lent together.
+        :param rate: micro-units made per second; zero for pure permits.
+        :param now: monotonic seconds from which units are made. A holder
+            that may follow another one passes a time at which every lease
+            of its predecessor has expired, ``QUIET_SECONDS`` ahead.
+        """
+        self.capacity = capacity
+        self.rate = rate
+        self.level = 0
+        self.lent = 0
+        self._filled_at = _micros(now)
+        self._residue = 0
+        self._leases: dict[LeaseId, _Lent] = {}
+        self._next_expiry = float('inf')
+
+    def advance(self, now: float) -> None:
+        """Make the units due and forget expired leases, in order of time.
+
+        :param now: monotonic seconds.
+        """
+        while self._next_expiry <= now:
+            self._fill(self._next_expiry)
+            self._expire(self._next_expiry)
+        self._fill(now)
+
+    def skip(self, now: float) -> None:
+        """Let time pass without making units.
+
+        :param now: monotonic seconds.
+        """
+        if now >= self._next_expiry:
+            self._expire(now)
+        self._filled_at = max(self._filled_at, _micros(now))
+        self._residue = 0
+
+    def reshape(self, *, capacity: int, rate: int, now: float) -> None:
+        """Change the share from now on; what exceeds it is dropped.
+
+        :param capacity: new capacity in micro-units.
+        :param rate: new rate in micro-units per second.
+        :param now: monotonic seconds.
+        """
+        self.advance(now)
+        self.capacity = capacity
+        self.rate = rate
+        self.level = max(0, min(self.level, capacity - self.lent))
+
+    def drop(self, now: float) -> None:
+        """Empty the level, as after a pause.
+
+        :param now: monotonic seconds.
+        """
+        self.skip(now)
+        self.level = 0
+
+    def spend(self, amount: int) -> None:
+        """Use units of the level here.
+
+        :param amount: micro-units, at most the level.
+        :raises ValueError: the level is lower.
+        """
+        if amount > self.level:
+            raise ValueError(f'{amount} exceeds the level {self.level}')
+        self.level -= amount
+
+    def lend(
+        self,
+        lease: LeaseId,
+        amount: int,
+        ttl: float,
+        now: float,
+    ) -> int:
+        """Lend up to an amount and return what was granted.
+
+        A repeated request is answered with the first grant.
+
+        :param lease: name of the draw.
+        :param amount: micro-units wanted.
+        :param ttl: seconds that the borrower counts from its request.
+        :param now: monotonic seconds; ``advance`` was called with it.
+        """
+        known = self._leases.get(lease)
+        if known is not None:
+            return known.granted
+        granted = min(amount, self.level)
+        if granted <= 0 or len(self._leases) >= MAX_LEASES:
+            return 0
+        expires_at = now + ttl + LEASE_MARGIN_SECONDS
+        self._leases[lease] = _Lent(granted, 0, expires_at)
+        self._next_expiry = min(self._next_expiry, expires_at)
+        self.level -= granted
+        self.lent += granted
+        return granted
+
+    def settle(self, report: LeaseReport) -> None:
+        """Take in a report; one of an unknown lease changes nothing.
+
+        :param report: from the borrower that the lease names. ``advance`` or
+            ``skip`` was called with the time of its arrival.
+        """
+        lent = self._leases.get(report.lease)
+        if lent is None:
+            return
+        newly = min(report.spent, lent.granted) - lent.spent
+        if newly > 0:
+            lent.spent += newly
+            self.lent -= newly
+        if report.closed:
+            self._close(report.lease, lent)
+
+    def _fill(self, now: float) -> None:
+        elapsed = _micros(now) - self._filled_at
+        if elapsed <= 0:
+            return
+        self._filled_at += elapsed
+        room = max(0, self.capacity - self.lent - self.level)
+        made = self.rate * elapsed + self._residue
+        whole = made // _MICROS_PER_SECOND
+        self._residue = made % _MICROS_PER_SECOND
+        if whole >= room:
+            whole = room
+            self._residue = 0
+        self.level += whole
+
+    def _close(self, lease: LeaseId, lent: _Lent) -> None:
+        self.lent -= lent.left
+        room = self.capacity - self.lent - self.level
+        self.level += max(0, min(lent.left, room))
+        self._leases.pop(lease)
+
+    def _expire(self, now: float) -> None:
+        gone = [
+            lease
+            for lease, lent in self._leases.items()
+            if lent.expires_at <= now
+        ]
+        for lease in gone:
+            self.lent -= self._leases.pop(lease).left
+        self._next_expiry = min(
+            (lent.expires_at for lent in self._leases.values()),
+            default=float('inf'),
+        )
+
+
+@dataclass(slots=True)
+class _Held:
+    lease: LeaseId
+    holder: str
+    left: int
+    expires_at: float
+    spent: int = 0
+    reported: int = 0
+
+    def report(self, *, closed: bool) -> LeaseReport:
+        self.reported = self.spent
+        return LeaseReport(self.lease, self.spent, closed)
+
+
+class Wallet:
+    """The borrower's side: units borrowed from several holders."""
+
+    def __init__(self) -> None:
+        """Start with nothing."""
+        self._held: list[_Held] = []
+
+    def add(
+        self,
+        lease: LeaseId,
+        holder: str,
+        amount: int,
+        expires_at: float,
+    ) -> None:
+        """Keep a grant.
+
+        :param lease: name of the draw; the caller adds each only once.
+        :param holder: instance that granted it.
+        :param amount: micro-units.
+        :param expires_at: monotonic seconds, counted from the request.
+        """
+        self._held.append(_Held(lease, holder, amount, expires_at))
+        self._held.sort(key=lambda held: held.expires_at)
+
+    def balance(self, now: float) -> int:
+        """Return the micro-units that may be spent now."""
+        if self._held and self._held[0].expires_at <= now:
+            self._held = [held for held in self._held if held.expires_at > now]
+        return sum(held.left for held in self._held)
+
+    def spend(self, amount: int) -> None:
+        """Use units, those that expire first before others.
+
+        :param amount: micro-units, at most the balance just read.
+        """
+        for held in self._held:
+            part = min(amount, held.left)
+            held.left -= part
+            held.spent += part
+            amount -= part
+
+    def unreported(self) -> dict[str, int]:
+        """Return micro-units spent and not yet reported, by holder."""
+        due: dict[str, int] = {}
+        for held in self._held:
+            if held.spent > held.reported:
+                newly = held.spent - held.reported
+                due[held.holder] = due.get(held.holder, 0) + newly
+        return due
+
+    def report(self, holder: str) -> tuple[LeaseReport, ...]:
+        """Report what was spent of a holder's leases; close empty ones.
+
+        :param holder: instance name.
+        """
+        return self._report(
+            lambda held: held.holder == holder and held.spent > held.reported,
+            close_all=False,
+        )
+
+    def close(self, holder: str) -> tuple[LeaseReport, ...]:
+        """Give a holder's leases up and report them.
+
+        :param holder: instance name.
+        """
+        return self._report(
+            lambda held: held.holder == holder,
+            close_all=True,
+        )
+
+    def holders(self) -> tuple[str, ...]:
+        """Return the instances whose leases are held, each once."""
+        return tuple(dict.fromkeys(held.holder for held in self._held))
+
+    def _report(
+        self,
+        selects: Callable[[_Held], bool],
+        *,
+        close_all: bool,
+    ) -> tuple[LeaseReport, ...]:
+        reports: list[LeaseReport] = []
+        kept: list[_Held] = []
+        for held in self._held:
+            closed = close_all or not held.left
+            if not selects(held):
+                kept.append(held)
+                continue
+            reports.append(held.report(closed=closed))
+            if not closed:
+                kept.append(held)
+        self._held = kept
+        return tuple(reports)
+
+
+def _micros(seconds: float) -> int:
+    return int(seconds * _MICROS_PER_SECOND)
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,132 @@
+"""One holder and one borrower over a faulty link: nothing is ever minted."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from clementinedeal._leases import (
+    LEASE_MARGIN_SECONDS,
+    LEASE_TTL_SECONDS,
+    QUIET_SECONDS,
+    LeaseId,
+    LeaseReport,
+    Mint,
+    Wallet,
+)
+
+RATE = 5_000_000
+CAPACITY = 5_000_000
+WAITS_MILLIS = (1, 201, 1000, 1999, 2199)
+
+
+class Lending(RuleBasedStateMachine):
+    """Every message stays in a bag and may come again at any time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = CAPACITY / RATE
+        self.mint = Mint(capacity=CAPACITY, rate=RATE, now=0)
+        self.wallet = Wallet()
+        self.sent_at: dict[LeaseId, float] = {}
+        self.bag: list[tuple[LeaseId, int] | LeaseReport] = []
+        self.grants: list[tuple[LeaseId, int]] = []
+        self.spends: list[tuple[float, int]] = []
+
+    @rule(divisor=st.sampled_from((1, 1, 3)), legs=st.integers(0, 2))
+    def draw(self, divisor: int, legs: int) -> None:
+        lease = LeaseId('b', 1, len(self.bag))
+        self.sent_at[lease] = self.now
+        self.bag.append((lease, CAPACITY // divisor))
+        if legs > 0:
+            self.deliver_to_holder(1)
+        if legs > 1:
+            self.deliver_grant(1)
+
+    @rule(pick=st.integers(1, 3))
+    def deliver_to_holder(self, pick: int) -> None:
+        if len(self.bag) < pick:
+            return
+        body = self.bag[-pick]
+        self.mint.advance(self.now)
+        if isinstance(body, LeaseReport):
+            self.mint.settle(body)
+            return
+        granted = self.mint.lend(*body, LEASE_TTL_SECONDS, self.now)
+        self.grants.append((body[0], granted))
+
+    @rule(pick=st.integers(1, 3))
+    def deliver_grant(self, pick: int) -> None:
+        if len(self.grants) < pick:
+            return
+        lease, granted = self.grants[-pick]
+        sent_at = self.sent_at.pop(lease, None)
+        if sent_at is not None:
+            expires_at = sent_at + LEASE_TTL_SECONDS
+            self.wallet.add(lease, 'h', granted, expires_at)
+
+    @rule(closes=st.booleans(), arrives=st.booleans())
+    def report(self, closes: bool, arrives: bool) -> None:
+        chosen = self.wallet.close if closes else self.wallet.report
+        self.mint.advance(self.now)
+        for report in chosen('h'):
+            self.bag.append(report)
+            if arrives:
+                self.mint.settle(report)
+
+    @rule(portion=st.sampled_from((1, 1, 3)))
+    def spend_borrowed(self, portion: int) -> None:
+        amount = self.wallet.balance(self.now) // portion
+        self.wallet.spend(amount)
+        self.check_spent(amount)
+
+    @rule()
+    def spend_everywhere(self) -> None:
+        self.mint.advance(self.now)
+        amount = self.mint.level
+        self.mint.spend(amount)
+        self.check_spent(amount)
+        self.spend_borrowed(1)
+
+    @rule(millis=st.sampled_from(WAITS_MILLIS))
+    def wait(self, millis: int) -> None:
+        self.now += millis / 1000
+
+    @rule(is_idle=st.booleans())
+    def replace_holder(self, is_idle: bool) -> None:
+        start = self.now + QUIET_SECONDS
+        self.mint = Mint(capacity=CAPACITY, rate=RATE, now=start)
+        self.now = start + is_idle * CAPACITY / RATE
+
+    def check_spent(self, amount: int) -> None:
+        self.spends.append((self.now, amount))
+        total = 0
+        for at, part in reversed(self.spends):
+            total += part
+            assert total <= CAPACITY + RATE * (self.now - at) + 10
+
+
+TestLending = Lending.TestCase
+TestLending.settings = settings(max_examples=300)
+
+
+def test_unspent_units_come_back_and_can_be_lent_again() -> None:
+    mint = Mint(capacity=CAPACITY, rate=0, now=0)
+    mint.level = CAPACITY
+    wallet = Wallet()
+    lease = LeaseId('b', 1, 1)
+    granted = mint.lend(lease, CAPACITY, LEASE_TTL_SECONDS, 0)
+    wallet.add(lease, 'h', granted, LEASE_TTL_SECONDS)
+    wallet.spend(1_000_000)
+    for report in wallet.close('h') * 2:
+        mint.settle(report)
+    assert mint.level == CAPACITY - 1_000_000
+    assert wallet.balance(0) == 0
+
+
+def test_room_freed_by_an_expiry_fills_only_from_then_on() -> None:
+    mint = Mint(capacity=CAPACITY, rate=RATE, now=0)
+    mint.advance(1)
+    mint.lend(LeaseId('b', 1, 1), CAPACITY, LEASE_TTL_SECONDS, 1)
+    expires_at = 1 + LEASE_TTL_SECONDS + LEASE_MARGIN_SECONDS
+    mint.advance(expires_at + 0.1)
+    assert abs(mint.level - RATE // 10) <= 10
