Keep each daemon's view of the fleet: versions, members, freshness

FleetView is what the transport drives; acceptance, spread, membership and freshness are decisions of their own below it. Ages are dated from when the question was sent. A restarted daemon waits for a peer that knows itself to be current, and may be found by its peers while the platform is down.

Ruled out: counting instances for the majority rule at the moment of the question (a daemon that just learnt of a newer version would lose its freshness at once); the time since when more than half were heard is kept instead.

--- /dev/null
+++ b/src/clementinedeal/_freshness.py
@@ -0,0 +1,121 @@
+"""Whether a daemon heard recently enough that nothing newer is published."""
+
+import math
+
+from clementinedeal._view_messages import Contact
+
+FRESH_SECONDS = 10.0
+CONTACT_SECONDS = 4.0  # leaves time to read and tell before the bound
+
+
+class Freshness:
+    """Evidence about the newest published version.
+
+    All times are of this daemon's clock and never later than the event that
+    they stand for: what a peer reports is dated from when it was asked.
+    """
+
+    def __init__(self, now: float) -> None:
+        """Start without evidence.
+
+        :param now: monotonic seconds.
+        """
+        self.newest = 0
+        self._settled = 0
+        self._behind_since = now
+        self._covered_at = -math.inf
+        self._quorum_at = -math.inf
+        self._contact_version = 0
+        self._contact_at = -math.inf
+
+    def on_known(self, version: int, now: float) -> None:
+        """Note that a version exists.
+
+        :param version: the version heard of.
+        :param now: monotonic seconds.
+        """
+        if self.newest <= self._settled < version:
+            self._behind_since = now
+        self.newest = max(self.newest, version)
+
+    def on_settled(self, version: int, now: float) -> None:
+        """Note that a version was decided on.
+
+        :param version: highest version accepted or rejected so far.
+        :param now: monotonic seconds.
+        """
+        self.on_known(version, now)
+        self._settled = max(self._settled, version)
+        self._behind_since = now
+        if self._contact_version == self._settled:
+            self._covered_at = max(self._covered_at, self._contact_at)
+
+    def on_contact(self, version: int, at: float, now: float) -> None:
+        """Take evidence that a read of the platform showed nothing newer.
+
+        Evidence below what is known comes from a stale replica or is
+        overtaken; it is dropped.
+
+        :param version: the newest version that the reader knew.
+        :param at: a time not after the read, in monotonic seconds.
+        :param now: monotonic seconds.
+        """
+        self.on_known(version, now)
+        if version > self._contact_version:
+            self._contact_version = version
+            self._contact_at = at
+        elif version == self._contact_version:
+            self._contact_at = max(self._contact_at, at)
+        if version == self._settled:
+            self._covered_at = max(self._covered_at, at)
+
+    def contact(self, now: float) -> Contact | None:
+        """Return the evidence to hand on, if it is any use.
+
+        :param now: monotonic seconds.
+        """
+        age = now - self._contact_at
+        if age > FRESH_SECONDS or self._contact_version < self.newest:
+            return None
+        return Contact(self._contact_version, age)
+
+    def lacks_contact(self, now: float) -> bool:
+        """Return whether it is time to read the platform without a role.
+
+        :param now: monotonic seconds.
+        """
+        return now - self._contact_at > CONTACT_SECONDS
+
+    def on_quorum(self, at: float) -> None:
+        """Take evidence that more than half of the fleet knew nothing newer.
+
+        It counts only while this daemon knows of nothing newer itself.
+
+        :param at: more than half of the published instances were heard at
+            this time or later, in monotonic seconds.
+        """
+        if self.newest <= self._settled:
+            self._quorum_at = max(self._quorum_at, at)
+
+    def is_fresh(self, now: float) -> bool:
+        """Return whether nothing newer was known within the bound.
+
+        :param now: monotonic seconds.
+        """
+        if self._settled == 0:
+            return False
+        if self.newest > self._settled and not _is_recent(
+            self._behind_since, now
+        ):
+            return False
+        return _is_recent(max(self._covered_at, self._quorum_at), now)
+
+    def drop(self) -> None:
+        """Forget all evidence, after a pause."""
+        self._covered_at = -math.inf
+        self._contact_at = -math.inf
+        self._quorum_at = -math.inf
+
+
+def _is_recent(at: float, now: float) -> bool:
+    return now - at <= FRESH_SECONDS
--- /dev/null
+++ b/src/clementinedeal/_member.py
@@ -0,0 +1,81 @@
+"""What a daemon knows of one published instance."""
+
+import math
+
+from clementinedeal._view_messages import MemberRecord
+
+AGES_PER_SECOND = 4
+AGE_CAP = 255
+NEVER = -math.inf
+
+
+class Member:
+    """What is known of one published instance; times in monotonic seconds."""
+
+    __slots__ = (
+        'changed_at',
+        'heard_at',
+        'incarnation',
+        'is_left',
+        'leaving',
+        'name',
+        'record_at',
+        'since',
+    )
+
+    def __init__(self, name: str, now: float) -> None:
+        """Create a member that was never heard.
+
+        :param name: instance name.
+        :param now: monotonic seconds.
+        """
+        self.name = name
+        self.since = now
+        self.heard_at = NEVER
+        self.incarnation = 0
+        self.leaving = False
+        self.record_at = NEVER
+        self.changed_at = NEVER
+        self.is_left = False
+
+    def wire_age(self, now: float) -> int:
+        """Return quarter seconds since it was heard, rounded up, capped.
+
+        :param now: monotonic seconds.
+        """
+        if self.heard_at == NEVER:
+            return AGE_CAP
+        age = math.ceil((now - self.heard_at) * AGES_PER_SECOND)
+        return min(AGE_CAP, age)
+
+    def record(self, index: int, now: float) -> MemberRecord:
+        """Return the record to tell.
+
+        :param index: place among the sorted published names.
+        :param now: monotonic seconds.
+        """
+        age = now - self.record_at
+        return MemberRecord(index, self.incarnation, self.leaving, age)
+
+    def merge(self, record: MemberRecord, sent_at: float) -> bool:
+        """Take a record if it is later; return whether anything changed.
+
+        :param record: what a peer said.
+        :param sent_at: when that peer was asked, in monotonic seconds.
+        """
+        at = sent_at - record.age
+        same = record.incarnation == self.incarnation
+        if at <= self.record_at and not same:
+            return False
+        leaving = record.leaving or (same and self.leaving)
+        changed = not same or leaving != self.leaving
+        self.incarnation = record.incarnation
+        self.leaving = leaving
+        self.record_at = max(self.record_at, at)
+        if changed:
+            self.changed_at = sent_at
+        return changed
+
+    def last_sign(self) -> float:
+        """Return when it was heard, or else when it became known."""
+        return max(self.heard_at, self.since)
--- /dev/null
+++ b/src/clementinedeal/_roster.py
@@ -0,0 +1,157 @@
+"""The gossiped table of published instances."""
+
+from collections.abc import Iterable, Iterator
+
+import xxhash
+
+from clementinedeal._member import AGE_CAP, AGES_PER_SECOND, NEVER, Member
+from clementinedeal._view_messages import MemberRecord, ViewAnswer
+
+NEWS_SECONDS = 15.0  # how long a changed record is told to everybody asking
+MAX_NEWS = 64
+
+
+class Roster:
+    """Ages and records by index in the sorted published names."""
+
+    def __init__(self, me: str) -> None:
+        """Start without members.
+
+        :param me: name of this instance.
+        """
+        self._me = me
+        self._members: dict[str, Member] = {}
+        self._order: list[Member] = []
+        self._digest: int | None = None
+        self.names: tuple[str, ...] = ()
+        self.names_digest = 0
+
+    def __iter__(self) -> Iterator[Member]:
+        """Iterate over the members in order of their names."""
+        return iter(self._order)
+
+    def adopt(self, names: Iterable[str], now: float) -> list[str]:
+        """Take the published names; return those that are gone.
+
+        What is known of the names that stay is kept.
+
+        :param names: all published instances.
+        :param now: monotonic seconds.
+        """
+        old = self._members
+        self.names = tuple(sorted(names))
+        self._members = {
+            name: old.get(name) or Member(name, now) for name in self.names
+        }
+        self._order = list(self._members.values())
+        self._digest = None
+        joined = '\0'.join(self.names)
+        self.names_digest = xxhash.xxh3_64_intdigest(joined.encode()) >> 1
+        return [name for name in old if name not in self._members]
+
+    def find(self, name: str) -> Member | None:
+        """Return a member by name.
+
+        :param name: instance name.
+        """
+        return self._members.get(name)
+
+    def merge(self, sender: str, answer: ViewAnswer, sent_at: float) -> None:
+        """Merge a peer's table.
+
+        :param sender: who answered.
+        :param answer: its view.
+        :param sent_at: when it was asked; nothing in the answer can be
+            proved younger than that.
+        """
+        member = self._members.get(sender)
+        if member is not None:
+            member.heard_at = max(member.heard_at, sent_at)
+            record = MemberRecord(0, answer.incarnation, answer.leaving, 0)
+            self.set_record(sender, record, sent_at)
+        if answer.names != self.names_digest:
+            return
+        self._merge_ages(answer.ages, sent_at)
+        for record in answer.records:
+            if 0 <= record.index < len(self._order):
+                name = self.names[record.index]
+                self._merge_record(name, record, sent_at)
+
+    def set_record(self, name: str, record: MemberRecord, at: float) -> None:
+        """Take what an instance says of itself.
+
+        :param name: the instance.
+        :param record: what it says; its index is not used.
+        :param at: when it said so, in monotonic seconds.
+        """
+        member = self._members.get(name)
+        if member is not None and member.merge(record, at):
+            self._digest = None
+
+    def ages(self, now: float) -> bytes:
+        """Return everybody's age for an answer.
+
+        :param now: monotonic seconds.
+        """
+        return bytes(
+            [
+                0 if member.name == self._me else member.wire_age(now)
+                for member in self._order
+            ],
+        )
+
+    def records(self, now: float, *, full: bool) -> tuple[MemberRecord, ...]:
+        """Return the records to tell.
+
+        :param now: monotonic seconds.
+        :param full: all of them rather than those that changed lately.
+        """
+        known = [
+            (member.changed_at, index, member)
+            for index, member in enumerate(self._order)
+            if full or now - member.changed_at < NEWS_SECONDS
+        ]
+        if not full and len(known) > MAX_NEWS:
+            known.sort(reverse=True, key=lambda news: news[:2])
+            known = known[:MAX_NEWS]
+        return tuple(
+            member.record(index, now)
+            for _, index, member in known
+            if member.incarnation
+        )
+
+    def records_digest(self) -> int:
+        """Return a digest of all records, for peers to compare."""
+        if self._digest is None:
+            text = ','.join(
+                f'{member.incarnation}{member.leaving}'
+                for member in self._order
+            )
+            self._digest = xxhash.xxh3_64_intdigest(text.encode()) >> 1
+        return self._digest
+
+    def quorum_at(self, now: float) -> float:
+        """Return since when more than half of all were heard.
+
+        :param now: monotonic seconds.
+        """
+        times = sorted(
+            now if member.name == self._me else member.heard_at
+            for member in self._order
+        )
+        return times[(len(times) - 1) // 2] if times else NEVER
+
+    def _merge_ages(self, ages: bytes, sent_at: float) -> None:
+        for member, age in zip(self._order, ages, strict=False):
+            heard_at = sent_at - age / AGES_PER_SECOND
+            if heard_at > member.heard_at and age < AGE_CAP:
+                member.heard_at = heard_at
+
+    def _merge_record(
+        self,
+        name: str,
+        record: MemberRecord,
+        sent_at: float,
+    ) -> None:
+        if name != self._me:
+            self.set_record(name, record, sent_at)
--- /dev/null
+++ b/src/clementinedeal/_serving.py
@@ -0,0 +1,66 @@
+"""Answers to peers that want values of a version."""
+
+from clementinedeal._acceptance import Acceptance
+from clementinedeal._messages import Send
+from clementinedeal._spread import Spread
+from clementinedeal._view_messages import (
+    PartsAnswer,
+    PartsRequest,
+    RootAnswer,
+    RootRequest,
+)
+
+MAX_ANSWER_BYTES = 256_000
+
+
+class Serving:
+    """Hands out what this daemon holds, also of versions not yet whole."""
+
+    def __init__(self, acceptance: Acceptance, spread: Spread) -> None:
+        """Serve from what others hold.
+
+        :param acceptance: whole versions.
+        :param spread: the version being gathered.
+        """
+        self._acceptance = acceptance
+        self._spread = spread
+
+    def on_root_request(
+        self,
+        sender: str,
+        body: RootRequest,
+        now: float,
+    ) -> list[Send]:
+        """Answer a peer that wants a root.
+
+        :param sender: the peer.
+        :param body: its request.
+        :param now: monotonic seconds.
+        """
+        found = None
+        for bundle in self._acceptance.bundles():
+            if bundle.ref == body.ref:
+                found = bundle.root_blob
+        return [Send(sender, RootAnswer(body.nonce, found))]
+
+    def on_parts_request(
+        self,
+        sender: str,
+        body: PartsRequest,
+        now: float,
+    ) -> list[Send]:
+        """Answer a peer that wants parts; large answers are cut short.
+
+        :param sender: the peer.
+        :param body: its request.
+        :param now: monotonic seconds.
+        """
+        known = self._acceptance.parts()
+        found: list[bytes] = []
+        size = 0
+        for digest in body.digests:
+            blob = known.get(digest) or self._spread.part(digest)
+            if blob is not None and size < MAX_ANSWER_BYTES:
+                found.append(blob)
+                size += len(blob)
+        return [Send(sender, PartsAnswer(body.nonce, tuple(found)))]
--- /dev/null
+++ b/src/clementinedeal/_view_handlers.py
@@ -0,0 +1,121 @@
+"""What a daemon does with each message about the view of the fleet."""
+
+from collections.abc import Callable
+from typing import Any
+
+from clementinedeal._messages import Send
+from clementinedeal._serving import Serving
+from clementinedeal._view_actions import PeerAddress
+from clementinedeal._view_messages import (
+    Announcement,
+    LeavingNotice,
+    MemberRecord,
+    PartsAnswer,
+    PartsRequest,
+    RootAnswer,
+    RootRequest,
+    ViewAnswer,
+    ViewRequest,
+)
+from clementinedeal._view_state import ViewState
+
+Handler = Callable[[str, Any, float], list[Any]]
+
+
+class ViewHandlers:
+    """Handlers by type of message."""
+
+    def __init__(self, state: ViewState) -> None:
+        """Handle messages for a daemon.
+
+        :param state: its view.
+        """
+        self._state = state
+        serving = Serving(state.acceptance, state.spread)
+        self.by_type: dict[type[Any], Handler] = {
+            ViewRequest: self._on_view_request,
+            ViewAnswer: self._on_view_answer,
+            Announcement: self._on_announcement,
+            RootRequest: serving.on_root_request,
+            RootAnswer: state.spread.on_root_answer,
+            PartsRequest: serving.on_parts_request,
+            PartsAnswer: state.spread.on_parts_answer,
+            LeavingNotice: self._on_leaving_notice,
+        }
+
+    def _on_view_request(
+        self,
+        sender: str,
+        body: ViewRequest,
+        now: float,
+    ) -> list[Any]:
+        state = self._state
+        actions: list[Any] = []
+        if state.members.roster.find(sender) is None:
+            actions.append(PeerAddress(sender, body.control))
+        if body.held is not None:
+            state.freshness.on_known(body.held.version, now)
+            actions.extend(state.spread.on_ref(body.held, sender, now))
+        return [*actions, Send(sender, self._answer(body, now))]
+
+    def _answer(self, body: ViewRequest, now: float) -> ViewAnswer:
+        state = self._state
+        roster = state.members.roster
+        own = MemberRecord(0, state.incarnation, state.leaving, 0)
+        roster.set_record(state.me, own, now)
+        held = state.acceptance.held
+        refused = state.acceptance.refused
+        return ViewAnswer(
+            nonce=body.nonce,
+            incarnation=state.incarnation,
+            leaving=state.leaving,
+            fresh=state.is_fresh(now),
+            held=None if held is None else held.ref,
+            rejected=None if refused is None else refused.ref,
+            newest=state.freshness.newest,
+            contact=state.freshness.contact(now),
+            names=roster.names_digest,
+            ages=roster.ages(now),
+            records=roster.records(now, full=body.full),
+            records_digest=roster.records_digest(),
+        )
+
+    def _on_view_answer(
+        self,
+        sender: str,
+        body: ViewAnswer,
+        now: float,
+    ) -> list[Any]:
+        state = self._state
+        sent_at = state.gossip.on_answer(sender, body, now)
+        if sent_at is None:
+            return []
+        state.freshness.on_known(body.newest, now)
+        if body.contact is not None:
+            at = sent_at - body.contact.age
+            state.freshness.on_contact(body.contact.version, at, now)
+        state.members.roster.merge(sender, body, sent_at)
+        state.acceptance.gate.on_peer(body.held, fresh=body.fresh)
+        actions: list[Any] = []
+        for ref in (body.held, body.rejected):
+            if ref is not None:
+                actions.extend(state.spread.on_ref(ref, sender, now))
+        return actions
+
+    def _on_announcement(
+        self,
+        sender: str,
+        body: Announcement,
+        now: float,
+    ) -> list[Any]:
+        self._state.freshness.on_known(body.ref.version, now)
+        return self._state.spread.on_ref(body.ref, sender, now)
+
+    def _on_leaving_notice(
+        self,
+        sender: str,
+        body: LeavingNotice,
+        now: float,
+    ) -> list[Any]:
+        self._state.members.on_leaving(sender, body.incarnation, now)
+        return list(self._state.members.changes(now))
--- /dev/null
+++ b/src/clementinedeal/_view_state.py
@@ -0,0 +1,171 @@
+"""The parts of a daemon's view and the rules that join them."""
+
+import random
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from clementinedeal._acceptance import Acceptance
+from clementinedeal._freshness import Freshness
+from clementinedeal._gossip import Gossip
+from clementinedeal._membership import Membership
+from clementinedeal._messages import Send
+from clementinedeal._model import Config, Instance
+from clementinedeal._parts import Section, decode_part
+from clementinedeal._readers import READERS, ReadSchedule, reader_order
+from clementinedeal._settings import DaemonSettings
+from clementinedeal._spread import Spread
+from clementinedeal._view_actions import (
+    ConfigInForce,
+    InstanceLeft,
+    ReadPlatform,
+    WatchRoot,
+)
+
+INCARNATION_BITS = 48
+SWEEP_SECONDS = 0.5
+
+
+class ViewState:
+    """State shared by the message handlers and the facade."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        """Create the state of a daemon that has just started.
+
+        :param settings: the daemon's own settings.
+        :param rng: source of jitter, peers and incarnations.
+        :param now: monotonic seconds.
+        """
+        self.me = settings.instance
+        self.leaving = False
+        self.acceptance = Acceptance()
+        self.freshness = Freshness(now)
+        self.members = Membership(self.me)
+        self.gossip = Gossip(self.me, self.members, rng)
+        self.spread = Spread(self.me, self.acceptance)
+        self.schedule = ReadSchedule(rng, now)
+        self._control = settings.control
+        self._rng = rng
+        self._reader_order: list[str] = []
+        self._sweep_due = now
+        self.incarnation = 0
+        self.renew()
+
+    @property
+    def config(self) -> Config | None:
+        """Return the configuration in force."""
+        return self.acceptance.cfg
+
+    def renew(self) -> None:
+        """Take a new incarnation."""
+        self.incarnation = self._rng.getrandbits(INCARNATION_BITS) + 1
+
+    def is_fresh(self, now: float) -> bool:
+        """Return whether keyed requests may be served.
+
+        :param now: monotonic seconds.
+        """
+        return self.config is not None and self.freshness.is_fresh(now)
+
+    def is_reader(self, now: float) -> bool:
+        """Return whether the fleet relies on this daemon to read.
+
+        :param now: monotonic seconds.
+        """
+        before = 0
+        for name in self._reader_order:
+            if name == self.me:
+                return not self.leaving
+            if not self.members.is_silent(name, now):
+                before += not self.members.is_leaving(name)
+            if before == READERS:
+                return False
+        return False
+
+    def ask_peers(self, now: float) -> list[Send]:
+        """Return the requests for views that are due.
+
+        :param now: monotonic seconds.
+        """
+        held = self.acceptance.held
+        return self.gossip.ask(
+            now,
+            control=self._control,
+            held=None if held is None else held.ref,
+        )
+
+    def reads(self, now: float) -> Iterator[ReadPlatform | WatchRoot]:
+        """Yield the reads of root and instance list that are due.
+
+        :param now: monotonic seconds.
+        """
+        if self.config is None:
+            yield from self.schedule.start(now)
+            return
+        count = len(self._reader_order)
+        yield from self.schedule.list_reads(now, count)
+        is_reader = self.is_reader(now)
+        if is_reader or self.freshness.lacks_contact(now):
+            yield from self.schedule.watch(
+                now,
+                self.acceptance.settled,
+                is_reader=is_reader,
+                published=count,
+            )
+
+    def sweep(self, now: float) -> Iterator[Any]:
+        """Yield changes among members, twice a second.
+
+        :param now: monotonic seconds.
+        """
+        if now < self._sweep_due:
+            return
+        self._sweep_due = now + SWEEP_SECONDS
+        self.freshness.on_quorum(self.members.roster.quorum_at(now))
+        yield from self.members.changes(now)
+
+    def finish(self, actions: list[Any], now: float) -> list[Any]:
+        """Let the parts know of what the actions changed.
+
+        :param actions: what an input led to; more may be added.
+        :param now: monotonic seconds.
+        """
+        for action in tuple(actions):
+            if isinstance(action, ConfigInForce):
+                actions.extend(self._adopt(action.cfg.instances, now))
+        pull = self.spread.pull
+        if pull is not None:
+            self.freshness.on_known(pull.ref.version, now)
+        if self.acceptance.settled:
+            self.freshness.on_settled(self.acceptance.settled, now)
+        if self.config is None and self.acceptance.gate.asked_at is None:
+            actions.extend(self._meet_peers(now))
+        return actions
+
+    def _adopt(
+        self,
+        instances: Mapping[str, Instance],
+        now: float,
+    ) -> list[InstanceLeft]:
+        left = self.members.roster.adopt(instances, now)
+        self.spread.adopt(self.members.roster.names)
+        self._reader_order = reader_order(instances)
+        return [InstanceLeft(name) for name in left]
+
+    def _meet_peers(self, now: float) -> list[Send]:
+        pull = self.spread.pull
+        blobs = pull.instance_parts() if pull else ()
+        entries = [
+            entry
+            for blob in blobs
+            for entry in decode_part(Section.INSTANCES, blob)
+        ]
+        if not entries:
+            return []
+        self.acceptance.gate.on_asked(now)
+        self._adopt({entry.name: entry for entry in entries}, now)
+        return self.ask_peers(now)
--- /dev/null
+++ b/src/clementinedeal_bench/_virtual_fleet.py
@@ -0,0 +1,253 @@
+"""Views of many daemons over a lossy network under virtual time."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from typing import Any
+
+from clementinedeal._messages import Send, decode, encode
+from clementinedeal._model import Config, Instance
+from clementinedeal._publication import ROOT_NAME
+from clementinedeal._settings import DaemonSettings, FleetKey
+from clementinedeal._view_actions import (
+    ConfigInForce,
+    ConfigRejected,
+    InstanceList,
+    ReadPlatform,
+    WatchRoot,
+)
+from clementinedeal._views import FleetView
+from clementinedeal_bench._stand_in_platform import StandInPlatform
+
+Input = Callable[[float], list[Any]]
+
+TICK_SECONDS = 0.2
+PLATFORM_SECONDS = 0.005
+
+
+@dataclass(slots=True, kw_only=True)
+class Network:
+    """Faults of the network between daemons and towards the platform."""
+
+    loss: float = 0.0
+    duplicates: float = 0.0
+    min_delay: float = 0.0005
+    max_delay: float = 0.003
+    cuts: set[tuple[str, str]] = field(default_factory=set)
+    platform_cuts: set[str] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class Process:
+    """One run of a daemon."""
+
+    name: str
+    view: FleetView
+    versions: list[int] = field(default_factory=list)
+    rejected: list[ConfigRejected] = field(default_factory=list)
+    is_paused: bool = False
+    is_down: bool = False
+    inbox: list[Input] = field(default_factory=list)
+
+
+class VirtualFleet:
+    """Carries out the actions of the views and counts what they cost."""
+
+    def __init__(self, cfg: Config, seed: int, replicas: int = 1) -> None:
+        """Create a fleet in which nobody runs yet.
+
+        :param cfg: gives the instances.
+        :param seed: of every random choice.
+        :param replicas: copies of the platform.
+        """
+        self.now = 0.0
+        self.cfg = cfg
+        self.network = Network()
+        self.platform = StandInPlatform(replicas)
+        self.processes: dict[str, Process] = {}
+        self.messages = 0
+        self.sent_bytes = 0
+        self._rng = random.Random(seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._names = sorted(cfg.instances)
+
+    def start(self, name: str) -> None:
+        """Start a daemon, replacing an earlier run of it.
+
+        :param name: instance name.
+        """
+        self.stop(name)
+        settings = _settings(self.cfg.instances[name])
+        rng = random.Random(self._rng.getrandbits(32))
+        process = Process(name, FleetView(settings, rng, self.now))
+        self.processes[name] = process
+        phase = self._rng.uniform(0, TICK_SECONDS)
+        self._at(self.now + phase, partial(self._tick, process))
+
+    def stop(self, name: str) -> None:
+        """End a daemon at once.
+
+        :param name: instance name.
+        """
+        if name in self.processes:
+            self.processes.pop(name).is_down = True
+
+    def stop_gracefully(self, name: str) -> None:
+        """Let a daemon tell the others that it takes no new work.
+
+        :param name: instance name.
+        """
+        process = self.processes[name]
+        self._perform(process, process.view.stop(self.now))
+
+    def pause(self, name: str) -> None:
+        """Freeze a daemon; its messages wait.
+
+        :param name: instance name.
+        """
+        self.processes[name].is_paused = True
+
+    def resume(self, name: str) -> None:
+        """Let a daemon go on and take what waited.
+
+        :param name: instance name.
+        """
+        process = self.processes[name]
+        process.is_paused = False
+        self._perform(process, process.view.on_pause(self.now))
+        inbox = process.inbox
+        process.inbox = []
+        for call in inbox:
+            self._deliver(process, call)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass.
+
+        :param seconds: how much.
+        """
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            event = heapq.heappop(self._events)
+            self.now = event[0]
+            event[-1]()
+        self.now = end
+
+    def _tick(self, process: Process) -> None:
+        if process.is_down:
+            return
+        self._at(self.now + TICK_SECONDS, partial(self._tick, process))
+        self.platform.expire(self.now)
+        if not process.is_paused:
+            self._perform(process, process.view.on_tick(self.now))
+
+    def _perform(self, process: Process, actions: list[Any]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(process.name, action)
+            elif isinstance(action, ReadPlatform | WatchRoot):
+                self._read(process, action)
+            elif isinstance(action, ConfigInForce):
+                process.versions.append(action.cfg.version)
+            elif isinstance(action, ConfigRejected):
+                process.rejected.append(action)
+
+    def _send(self, sender: str, action: Send) -> None:
+        blob = encode((action.body,))
+        self.messages += 1
+        self.sent_bytes += len(blob)
+        copies = 1 + (self._rng.random() < self.network.duplicates)
+        for _ in range(copies):
+            if self._rng.random() >= self.network.loss:
+                call = partial(self._receive, sender, action.to, blob)
+                delay = self._rng.uniform(
+                    self.network.min_delay,
+                    self.network.max_delay,
+                )
+                self._at(self.now + delay, call)
+
+    def _receive(self, sender: str, to: str, blob: bytes) -> None:
+        process = self.processes.get(to)
+        if process is None or (sender, to) in self.network.cuts:
+            return
+        for body in decode(blob):
+            self._deliver(
+                process,
+                partial(process.view.on_message, sender, body),
+            )
+
+    def _deliver(self, process: Process, call: Input) -> None:
+        if process.is_paused:
+            process.inbox.append(call)
+        elif not process.is_down:
+            self._perform(process, call(self.now))
+
+    def _read(self, process: Process, action: ReadPlatform | WatchRoot) -> None:
+        name = action.name if isinstance(action, ReadPlatform) else ROOT_NAME
+        if not self._reaches_platform(process.name):
+            self._reply(process, name, None, is_failure=True)
+            return
+        replica = self._names.index(process.name)
+        if isinstance(action, ReadPlatform):
+            found = self.platform.read(name, replica, self.now)
+            self._reply(process, name, found, is_failure=found is None)
+            return
+        self.platform.watch(
+            replica,
+            action.after,
+            self.now + action.seconds,
+            self.now,
+            partial(self._reply, process, name),
+        )
+
+    def _reply(
+        self,
+        process: Process,
+        name: str,
+        found: Any,
+        *,
+        is_failure: bool = False,
+    ) -> None:
+        at = self.now + PLATFORM_SECONDS
+        failed = is_failure or not self._reaches_platform(process.name)
+        call = _platform_input(process.view, name, found, is_failure=failed)
+        self._at(at, partial(self._deliver, process, call))
+
+    def _reaches_platform(self, name: str) -> bool:
+        return self.platform.is_up and name not in self.network.platform_cuts
+
+    def _at(self, when: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._order), event))
+
+
+def _platform_input(
+    view: FleetView,
+    name: str,
+    found: Any,
+    *,
+    is_failure: bool,
+) -> Input:
+    if is_failure:
+        return partial(view.on_platform_failure, name)
+    if isinstance(found, InstanceList):
+        return partial(view.on_platform_list, found)
+    if name == ROOT_NAME:
+        return partial(view.on_platform_root, found)
+    return partial(view.on_platform_part, found)
+
+
+def _settings(known: Instance) -> DaemonSettings:
+    return DaemonSettings(
+        instance=known.name,
+        zone=known.zone,
+        region=known.region,
+        caller=known.caller,
+        peer=known.peer,
+        control=known.control,
+        operator=known.operator,
+        platform=('127.0.0.1:1',),
+        fleet_keys=(FleetKey(name='k', secret=bytes(16)),),
+    )
--- /dev/null
+++ b/tests/test_views.py
@@ -0,0 +1,273 @@
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from clementinedeal import _view_state
+from clementinedeal._freshness import FRESH_SECONDS
+from clementinedeal._publication import pack
+from clementinedeal._readers import REREAD_SECONDS
+from clementinedeal._view_actions import InstanceList
+from clementinedeal_bench._large import large_config
+from clementinedeal_bench._virtual_fleet import VirtualFleet
+
+SIZE = 8
+IN_FORCE_SECONDS = 7.0
+START_SECONDS = 20.0
+CHECK_SECONDS = 0.5
+CFG = large_config(accounts=3, routes=2, targets=SIZE, instances=SIZE)
+NAMES = sorted(CFG.instances)
+
+some = st.sampled_from(NAMES)
+
+
+@pytest.fixture(autouse=True)
+def _few_readers(monkeypatch):
+    monkeypatch.setattr(_view_state, 'READERS', 3)
+
+
+def publication(version, *, valid=True):
+    services = CFG.services if valid else {}
+    return pack(replace(CFG, version=version, services=services)).unwrap()
+
+
+def started(seed=0, replicas=1):
+    fleet = VirtualFleet(CFG, seed, replicas)
+    fleet.platform.publish(publication(1))
+    for name in NAMES:
+        fleet.start(name)
+    fleet.run(START_SECONDS)
+    assert versions(fleet) == {1}
+    return fleet
+
+
+def versions(fleet, names=NAMES):
+    views = [fleet.processes[name].view for name in names]
+    return {view.config.version if view.config else 0 for view in views}
+
+
+def fresh(fleet, names=NAMES):
+    return [
+        name for name in names if fleet.processes[name].view.is_fresh(fleet.now)
+    ]
+
+
+def split(fleet, side):
+    """Cut a side from the other daemons and from the platform."""
+    fleet.network.cuts = {
+        (a, b) for a in NAMES for b in NAMES if (a in side) != (b in side)
+    }
+    fleet.network.platform_cuts = set(side)
+
+
+class FleetMachine(RuleBasedStateMachine):
+    """Faults in any order; what must hold is checked twice a second."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def begin(self, seed):
+        self.fleet = started(seed, replicas=2)
+        self.version = 1
+        self.newest = 1
+        self.published_at = 0.0
+        self.platform_whole_since = 0.0
+        self.isolated = {}
+        self.last = {}
+
+    @rule(valid=st.booleans())
+    def publish(self, valid):
+        self.version += 1
+        self.fleet.platform.publish(publication(self.version, valid=valid))
+        if valid:
+            self.newest = self.version
+            self.published_at = self.fleet.now
+
+    @rule(side=st.sets(some, min_size=1, max_size=SIZE // 2))
+    def split_off(self, side):
+        split(self.fleet, side)
+        self.isolated = dict.fromkeys(side, self.fleet.now)
+
+    @rule(pairs=st.sets(st.tuples(some, some)), cut_off=st.sets(some))
+    def cut_some_ways(self, pairs, cut_off):
+        self.fleet.network.cuts = pairs
+        self.fleet.network.platform_cuts = cut_off
+        self.isolated = {}
+
+    @rule(loss=st.sampled_from([0.0, 0.05, 0.5]), delay=st.floats(0.01, 3))
+    def trouble(self, loss, delay):
+        self.fleet.network.loss = loss
+        self.fleet.network.duplicates = loss
+        self.fleet.network.max_delay = delay
+
+    @rule(is_up=st.booleans())
+    def switch_platform(self, is_up):
+        self.fleet.platform.is_up = is_up
+
+    @rule(replica=st.integers(0, 1))
+    def freeze(self, replica):
+        self.fleet.platform.freeze(replica)
+
+    @rule(name=some, seconds=st.floats(0.6, 15))
+    def pause(self, name, seconds):
+        self.fleet.pause(name)
+        self.run(seconds)
+        self.fleet.resume(name)
+
+    @rule(name=some)
+    def restart(self, name):
+        self.fleet.start(name)
+
+    @rule(seconds=st.floats(0.1, 15))
+    def run(self, seconds):
+        end = self.fleet.now + seconds
+        while self.fleet.now < end:
+            if not self.platform_is_whole():
+                self.platform_whole_since = self.fleet.now + CHECK_SECONDS
+            self.fleet.run(CHECK_SECONDS)
+            self.check()
+
+    @rule()
+    def heal(self):
+        network = self.fleet.network
+        network.cuts, network.platform_cuts = set(), set()
+        network.loss, network.max_delay = 0.05, 0.01
+        self.fleet.platform.thaw()
+        self.fleet.platform.is_up = True
+        self.isolated = {}
+
+    @precondition(lambda self: self.fleet.now > START_SECONDS)
+    @rule(name=some)
+    def publish_when_healed(self, name):
+        self.heal()
+        self.run(START_SECONDS)
+        assert versions(self.fleet) == {self.newest}
+        self.publish(valid=True)
+        self.run(IN_FORCE_SECONDS)
+        assert versions(self.fleet) == {self.newest}
+        assert fresh(self.fleet) == NAMES
+        self.fleet.platform.freeze(0)
+        self.fleet.platform.freeze(1)
+        self.fleet.start(name)
+        self.run(START_SECONDS)
+        assert self.fleet.processes[name].versions == [self.newest]
+
+    def platform_is_whole(self):
+        platform = self.fleet.platform
+        cut = self.fleet.network.platform_cuts
+        return platform.is_up and not platform.frozen and not cut
+
+    @invariant()
+    def check(self):
+        now = self.fleet.now
+        for name, process in self.fleet.processes.items():
+            assert process.versions == sorted(set(process.versions))
+            if process.is_paused or not process.view.is_fresh(now):
+                continue
+            since = self.isolated.get(name, now)
+            assert now - since <= FRESH_SECONDS, f'{name} is cut off'
+            since = max(self.published_at, self.platform_whole_since)
+            if now - since > FRESH_SECONDS:
+                assert process.view.config.version == self.newest
+
+
+TestFleet = FleetMachine.TestCase
+TestFleet.settings = settings(max_examples=25, stateful_step_count=20)
+
+
+@pytest.mark.parametrize('size', [1, 3, 4])
+def test_side_without_majority_or_platform_is_not_fresh(size):
+    fleet = started()
+    fleet.network.min_delay = fleet.network.max_delay = 0.9
+    fleet.run(FRESH_SECONDS)
+    split(fleet, NAMES[:size])
+    fleet.run(FRESH_SECONDS)
+    assert not fresh(fleet, NAMES[:size])
+    assert fresh(fleet, NAMES[size:]) == NAMES[size:]
+
+
+def test_even_halves_without_platform_are_not_fresh():
+    fleet = started()
+    fleet.platform.is_up = False
+    split(fleet, NAMES[: SIZE // 2])
+    fleet.run(2 * FRESH_SECONDS)
+    assert not fresh(fleet)
+
+
+def test_majority_without_platform_stays_fresh():
+    fleet = started()
+    side = NAMES[3:]
+    split(fleet, side)
+    fleet.platform.publish(publication(2))
+    fleet.run(2 * FRESH_SECONDS)
+    assert versions(fleet, side) == {1}
+    assert fresh(fleet, side) == side
+    assert versions(fleet, NAMES[:3]) == {2}
+    assert fresh(fleet) == NAMES
+
+
+def test_platform_outage_of_an_hour_keeps_all_fresh():
+    fleet = started()
+    fleet.network.loss = 0.05
+    fleet.platform.is_up = False
+    for _ in range(60):
+        fleet.run(60)
+        assert fresh(fleet) == NAMES
+    fleet.start(NAMES[0])
+    fleet.run(START_SECONDS)
+    assert versions(fleet) == {1}
+    assert fresh(fleet) == NAMES
+
+
+def test_lost_announcements_are_repaired_by_pulls():
+    fleet = started()
+    cut_off = NAMES[0]
+    fleet.network.cuts = {(name, cut_off) for name in NAMES[1:]}
+    fleet.network.platform_cuts = {cut_off}
+    fleet.platform.publish(publication(2))
+    fleet.run(1)
+    assert versions(fleet, [cut_off]) == {1}
+    fleet.network.cuts = set()
+    fleet.run(IN_FORCE_SECONDS)
+    assert versions(fleet) == {2}
+
+
+def test_version_published_twice_is_reported_and_not_taken():
+    fleet = started()
+    other = pack(replace(CFG, accounts={})).unwrap()
+    fleet.platform.publish(other)
+    fleet.start(NAMES[0])
+    fleet.run(2 * REREAD_SECONDS)
+    assert all(process.versions == [1] for process in fleet.processes.values())
+    assert any(process.rejected for process in fleet.processes.values())
+
+
+def test_stopping_and_listed_instances_are_leaving_everywhere():
+    fleet = started()
+    leaver, listed, dead = NAMES[:3]
+    fleet.stop_gracefully(leaver)
+    fleet.platform.listed = InstanceList(
+        live=frozenset(NAMES),
+        leaving=frozenset([listed]),
+    )
+    fleet.stop(dead)
+    fleet.run(IN_FORCE_SECONDS + FRESH_SECONDS)
+    for name in NAMES[3:]:
+        view = fleet.processes[name].view
+        assert view.is_leaving(leaver)
+        assert view.is_leaving(listed)
+        assert not view.is_alive(dead, fleet.now)
+        assert view.is_alive(leaver, fleet.now)
+    fleet.start(leaver)
+    fleet.run(START_SECONDS)
+    current = fleet.processes[leaver].view.incarnation(leaver)
+    for name in NAMES[3:]:
+        view = fleet.processes[name].view
+        assert not view.is_leaving(leaver)
+        assert view.incarnation(leaver) == current
