--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -24,7 +24,7 @@
 from clementinedeal._owner import Owner, OwnerParts
 from clementinedeal._platform import HttpPlatform
 from clementinedeal._pool import ConnPool
-from clementinedeal._serving import HttpServer
+from clementinedeal._http_server import HttpServer
 from clementinedeal._settings import DaemonSettings
 from clementinedeal._target_call import TargetCaller
 from clementinedeal._thin import (
