Eject an owned target only while a conserved permit surely holds

Cause: skipping by each router's own view takes a service below its floor in the union of views. Permits are lent by one holder per service; a ceiling falls at once and rises after two freshness times and a lease, which covers restart, handover of the holder, skipped versions and changes of floor or targets. Ruled out: two holders that split the permits (twice the reports, and of one permit none can be split); explicit release messages (reordering would free a permit in use: a later report gives it back instead). Proof: stateful machine over six daemons with loss, delay, copies, restarts, pauses, cuts, lagging versions and lists. Without the wait (Ceiling(0.0)) it fails with 'assert 1 <= 0' (one ejected, none allowed); without counting the absent with 'assert 2 <= 1'.

--- a/src/clementinedeal/_cusum.py
+++ b/src/clementinedeal/_cusum.py
@@ -12,6 +12,13 @@
     hit: float
     miss: float
 
+    def of(self, hit: bool) -> float:
+        """Return the ratio of one observation.
+
+        :param hit: whether it was a hit.
+        """
+        return self.hit if hit else self.miss
+
 
 NO_ODDS = Odds(0.0, 0.0)
 
@@ -66,7 +73,8 @@
         """
         if self.score < self.level:
             self.since = now
-        self.score = max(0.0, self.score + weight)
+        score = self.score + weight
+        self.score = score if score > 0 else 0.0
 
     def clear(self, now: float) -> None:
         """Forget all evidence."""
--- a/src/clementinedeal/_detector.py
+++ b/src/clementinedeal/_detector.py
@@ -83,7 +83,14 @@
             return
         if now - outcome.latency_seconds < self._resumed_at:
             return
-        sample = Sample(now, outcome.kind, outcome.latency_seconds)
+        failed = outcome.kind in FAILURES
+        sample = Sample(
+            at=now,
+            latency=outcome.latency_seconds,
+            failed=failed,
+            corrupt=outcome.kind in CORRUPTIONS,
+            timed=not failed or outcome.kind is OutcomeKind.TIMEOUT,
+        )
         self._samples.add(sample)
         self._score(sample)
 
@@ -179,24 +186,14 @@
         self._wrong_odds = odds(corruptions, cfg.part_corruptions)
 
     def _score(self, sample: Sample) -> None:
-        failed = sample.kind in FAILURES
-        corrupt = sample.kind in CORRUPTIONS
-        trials = (
-            (self._failing, self._failing_odds, failed),
-            (self._partly, self._partly_odds, failed),
-            (self._wrong, self._wrong_odds, corrupt),
-        )
-        for cusum, weights, hit in trials:
-            cusum.add(weights.hit if hit else weights.miss, sample.at)
-        classes = self._judging_classes(sample)
-        if classes is not None:
-            self._slow.add(classes.ratio(sample.latency), sample.at)
-
-    def _judging_classes(self, sample: Sample) -> LatencyClasses | None:
-        """Classes to judge a sample by; none for one that failed early."""
-        old = sample.at - self._heard_at > self._cfg.baseline_seconds
-        early = sample.kind in FAILURES - {OutcomeKind.TIMEOUT}
-        return None if old or early else self._classes
+        at = sample.at
+        self._failing.add(self._failing_odds.of(sample.failed), at)
+        self._partly.add(self._partly_odds.of(sample.failed), at)
+        self._wrong.add(self._wrong_odds.of(sample.corrupt), at)
+        if self._classes is None or not sample.timed:
+            return
+        if at - self._heard_at <= self._cfg.baseline_seconds:
+            self._slow.add(self._classes.ratio(sample.latency), at)
 
     def _rescore(self, now: float) -> None:
         for cusum in self._cusums:
--- a/src/clementinedeal/_latency.py
+++ b/src/clementinedeal/_latency.py
@@ -1,5 +1,7 @@
 """Latency of a target measured by the quantiles of its peers."""
 
+from bisect import bisect_left
+
 from clementinedeal._cusum import ratios
 from clementinedeal._health import Baseline
 
@@ -37,8 +39,7 @@
 
         :param latency: seconds the answer took.
         """
-        rank = sum(latency > bound for bound in self._bounds)
-        return SLOW_RATIOS[rank]
+        return SLOW_RATIOS[bisect_left(self._bounds, latency)]
 
     def overdue(self, age: float) -> float:
         """Return the evidence of a request in flight, never negative.
--- /dev/null
+++ b/src/clementinedeal/_permits.py
@@ -0,0 +1,238 @@
+"""Conserved permits to eject targets of one service."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from clementinedeal._ceiling import Ceiling
+from clementinedeal._hashing import rank
+from clementinedeal._messages import Send
+from clementinedeal._model import Config
+from clementinedeal._peers import Peers
+from clementinedeal._reports import PermitAnswer, TargetReport
+
+FRESHNESS_SECONDS = 10.0
+LEASE_SECONDS = 5.0
+# Covers a pause that goes unnoticed and the drift between two clocks.
+LEASE_MARGIN_SECONDS = 1.0
+# A holder that was not ticked for so long was paused and may be outdated.
+TICK_VALID_SECONDS = 0.5
+# A view that differs from this one acts until it loses its freshness, and
+# what it granted last runs for a lease. The second freshness covers a
+# version that this daemon skipped while another held permits under it.
+SETTLE_SECONDS = 2 * FRESHNESS_SECONDS + LEASE_SECONDS + LEASE_MARGIN_SECONDS
+
+
+def targets_of(cfg: Config, service: str) -> frozenset[str]:
+    """Return the names of the published targets of a service."""
+    return frozenset(
+        name
+        for name, target in cfg.targets.items()
+        if target.service == service
+    )
+
+
+def holder_of(cfg: Config, service: str) -> str | None:
+    """Return the instance that lends the permits of a service.
+
+    :param cfg: the configuration in force.
+    :param service: name of the service; without targets it has no holder.
+    """
+    targets = cfg.targets.values()
+    owners = {one.instance for one in targets if one.service == service}
+    ranked = rank(f'permits/{service}', owners)
+    return ranked[0] if ranked else None
+
+
+@dataclass(slots=True)
+class Permit:
+    """One permit lent; ``lapsing`` when its renewal was refused.
+
+    ``incarnation`` and ``sent_at`` are those of the newest report granted.
+    """
+
+    incarnation: int
+    sent_at: float
+    until: float
+    lapsing: bool = False
+
+
+class PermitHolder:
+    """Lends permits while this daemon is the holder in a fresh view."""
+
+    def __init__(
+        self,
+        service: str,
+        me: str,
+        cfg: Config,
+        now: float,
+    ) -> None:
+        """Start without permits; none are lent until others' have expired.
+
+        :param service: name of the service.
+        :param me: name of this instance.
+        :param cfg: the configuration in force.
+        :param now: monotonic time in seconds.
+        """
+        self._service = service
+        self._me = me
+        self._fresh = False
+        self._stopped = False
+        self._absent: frozenset[str] = frozenset()
+        self._leaving: set[str] = set()
+        self._permits: dict[str, Permit] = {}
+        self._peers = Peers()
+        self._ticked_at = now
+        self._ceiling = Ceiling(SETTLE_SECONDS)
+        self.on_config(cfg, now)
+
+    def on_config(self, cfg: Config, now: float) -> None:
+        """Take a new configuration into force.
+
+        :param cfg: the configuration.
+        :param now: monotonic time in seconds.
+        """
+        self._cfg = cfg
+        self._targets = targets_of(cfg, self._service)
+        self._leaving &= self._targets
+        self._update_ceiling(now)
+
+    def set_fresh(self, fresh: bool, now: float) -> None:
+        """Tell whether this daemon's view is recent enough to lend.
+
+        :param fresh: true while it is.
+        :param now: monotonic time in seconds.
+        """
+        self._fresh = fresh
+        self._update_ceiling(now)
+
+    def set_absent(self, targets: frozenset[str], now: float) -> None:
+        """Tell which targets are known to be dead or leaving.
+
+        :param targets: their names; others are ignored.
+        :param now: monotonic time in seconds.
+        """
+        self._absent = targets
+        self._prune(now)
+
+    def on_pause(self, now: float) -> None:
+        """Lend nothing until other views have settled.
+
+        :param now: monotonic time in seconds.
+        """
+        self._ceiling.change(0, now)
+        self._update_ceiling(now)
+
+    def on_tick(self, now: float) -> None:
+        """Forget what has expired; nothing is lent without regular ticks.
+
+        :param now: monotonic time in seconds.
+        """
+        self._ticked_at = now
+        self._prune(now)
+
+    def stop(self, now: float) -> None:
+        """Lend nothing any more.
+
+        :param now: monotonic time in seconds.
+        """
+        self._stopped = True
+        self._update_ceiling(now)
+
+    def on_message(self, sender: str, body: Any, now: float) -> list[Send]:
+        """Answer a report of an owner.
+
+        :param sender: name of the instance it came from.
+        :param body: the message; others than reports are ignored.
+        :param now: monotonic time in seconds.
+        """
+        if not isinstance(body, TargetReport):
+            return []
+        self._prune(now)
+        self._peers.note(body.target, body.traffic, now)
+        self._note_leaving(body)
+        answer = PermitAnswer(
+            service=body.service,
+            target=body.target,
+            incarnation=body.incarnation,
+            sent_at=body.sent_at,
+            granted=self._is_owner(sender, body) and self._decide(body, now),
+            baseline=self._peers.baseline(body.target, now),
+        )
+        return [Send(sender, answer)]
+
+    def lent(self, now: float) -> frozenset[str]:
+        """Return the targets whose permits may still be in use.
+
+        :param now: monotonic time in seconds.
+        """
+        self._prune(now)
+        return frozenset(self._permits)
+
+    def _decide(self, report: TargetReport, now: float) -> bool:
+        permit = self._permits.get(report.target)
+        if permit is not None and _precedes(report, permit):
+            return False
+        if not report.wants:
+            self._permits.pop(report.target, None)
+            return False
+        if self._out_with(report.target, permit) > self._allowed(now):
+            if permit is not None:
+                permit.lapsing = True
+            return False
+        until = now + LEASE_SECONDS + LEASE_MARGIN_SECONDS
+        self._permits[report.target] = Permit(
+            report.incarnation,
+            report.sent_at,
+            until,
+        )
+        return True
+
+    def _allowed(self, now: float) -> int:
+        if now - self._ticked_at > TICK_VALID_SECONDS:
+            return 0
+        return self._ceiling.lowest(now)
+
+    def _out_with(self, target: str, permit: Permit | None) -> int:
+        """Count the targets out of use if this one has a permit too."""
+        renews = permit is not None and not permit.lapsing
+        lent = {
+            name
+            for name, other in self._permits.items()
+            if not (renews and other.lapsing)
+        }
+        absent = (self._absent | self._leaving) & self._targets
+        return len(lent | absent | {target})
+
+    def _is_owner(self, sender: str, report: TargetReport) -> bool:
+        if report.target not in self._targets:
+            return False
+        return self._cfg.targets[report.target].instance == sender
+
+    def _note_leaving(self, report: TargetReport) -> None:
+        if report.leaving:
+            self._leaving.add(report.target)
+        else:
+            self._leaving.discard(report.target)
+
+    def _update_ceiling(self, now: float) -> None:
+        lends = self._fresh and not self._stopped and self._cfg.active.ejection
+        if not lends or holder_of(self._cfg, self._service) != self._me:
+            self._ceiling.change(0, now)
+            return
+        allowed = len(self._targets) - self._cfg.floor(self._service)
+        self._ceiling.change(max(0, allowed), now)
+
+    def _prune(self, now: float) -> None:
+        self._peers.prune(now)
+        self._permits = {
+            name: permit
+            for name, permit in self._permits.items()
+            if permit.until > now
+        }
+
+
+def _precedes(report: TargetReport, permit: Permit) -> bool:
+    """Whether a report is late, or of another life of the owner."""
+    if report.incarnation != permit.incarnation:
+        return True
+    return report.sent_at <= permit.sent_at
--- /dev/null
+++ b/src/clementinedeal/_reporter.py
@@ -0,0 +1,68 @@
+"""When an owner reports on its targets, and to whom."""
+
+from clementinedeal._health import Healthy
+from clementinedeal._messages import Send
+from clementinedeal._model import Config
+from clementinedeal._permits import holder_of
+from clementinedeal._standing import Standing
+
+REPORT_SECONDS = 1.0
+SUSPECT_REPORT_SECONDS = 0.25
+
+
+class Reporter:
+    """Paces reports: once a second, four times for a suspected target."""
+
+    def __init__(self, cfg: Config) -> None:
+        """Start in a view that is not fresh.
+
+        :param cfg: the configuration in force.
+        """
+        self.fresh = False
+        self.on_config(cfg)
+
+    def on_config(self, cfg: Config) -> None:
+        """Take a new configuration into force.
+
+        :param cfg: the configuration.
+        """
+        self._cfg = cfg
+        services = {target.service for target in cfg.targets.values()}
+        self._holders: dict[str, str | None] = dict.fromkeys(services)
+
+    def if_due(self, standing: Standing, now: float) -> list[Send]:
+        """Report on a target if it is time.
+
+        :param standing: the target's standing.
+        :param now: monotonic time in seconds.
+        """
+        elapsed = now - standing.reported_at
+        if elapsed < SUSPECT_REPORT_SECONDS:
+            return []
+        if elapsed >= REPORT_SECONDS:
+            return self.at_once(standing, now)
+        health = standing.detector.health(now)
+        if standing.out or isinstance(health, Healthy):
+            return []
+        return self.at_once(standing, now)
+
+    def at_once(self, standing: Standing, now: float) -> list[Send]:
+        """Report, unless that would give back a permit that is in use.
+
+        :param standing: the target's standing.
+        :param now: monotonic time in seconds.
+        """
+        asks = self.fresh and self._cfg.active.ejection
+        if standing.out and not asks:
+            return []
+        holder = self._holder(standing.target.service)
+        if holder is None or now <= standing.reported_at:
+            return []
+        return [Send(holder, standing.report(asks, now))]
+
+    def _holder(self, service: str) -> str | None:
+        holder = self._holders.get(service)
+        if holder is None:
+            holder = holder_of(self._cfg, service)
+            self._holders[service] = holder
+        return holder
--- a/src/clementinedeal/_samples.py
+++ b/src/clementinedeal/_samples.py
@@ -4,14 +4,9 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from clementinedeal._health import (
-    CORRUPTIONS,
-    FAILURES,
-    OutcomeKind,
-    Traffic,
-)
+from clementinedeal._health import Traffic
 
-SAMPLES_KEPT = 256
+SAMPLES_KEPT = 128
 WINDOW_SECONDS = 1.0
 LONGEST_WINDOW_SECONDS = 10.0
 FEWEST_SAMPLES = 8
@@ -19,11 +14,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """One request that ended at ``at`` (monotonic seconds)."""
+    """One request that ended at ``at`` (monotonic seconds).
+
+    ``timed`` tells that its latency in seconds says something.
+    """
 
     at: float
-    kind: OutcomeKind
     latency: float
+    failed: bool
+    corrupt: bool
+    timed: bool
 
 
 class Samples:
@@ -52,8 +52,8 @@
         if not count:
             return Traffic()
         latencies = sorted([one.latency for one in recent] + list(overdue))
-        failures = sum(one.kind in FAILURES for one in recent) + len(overdue)
-        corruptions = sum(one.kind in CORRUPTIONS for one in recent)
+        failures = sum(one.failed for one in recent) + len(overdue)
+        corruptions = sum(one.corrupt for one in recent)
         return Traffic(
             count=count,
             p50=latencies[count // 2],
--- /dev/null
+++ b/tests/test_permits.py
@@ -0,0 +1,297 @@
+import random
+from dataclasses import dataclass, field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from clementinedeal._ejection import EjectionOffice
+from clementinedeal._health import Outcome, OutcomeKind
+from clementinedeal._messages import Send, decode, encode
+from clementinedeal._model import Config, Preset, PresetName, Service, Target
+from clementinedeal._permits import (
+    FRESHNESS_SECONDS,
+    LEASE_MARGIN_SECONDS,
+    LEASE_SECONDS,
+)
+from clementinedeal._target_state import OUT
+
+SIZE = 6
+ROUND_SECONDS = 0.25
+LAPSE_SECONDS = LEASE_SECONDS + LEASE_MARGIN_SECONDS + 2 * ROUND_SECONDS
+SETTLED_SECONDS = 2 * FRESHNESS_SECONDS + LAPSE_SECONDS
+BAD = Outcome(OutcomeKind.ERROR, 0.0)
+GOOD = Outcome(OutcomeKind.OK, 0.0)
+LEARN_SECONDS = (0.25, 1.0, 3.0, 9.0, 40.0)
+DELAYS = {'good': (0.0,), 'slow': (0.0, 0.5, 2.0, 4.5, 9.0)}
+
+daemons = st.integers(0, SIZE - 1)
+floors = st.integers(3, SIZE)
+
+
+def make_config(version: int, floor: int, numbers: frozenset[int]) -> Config:
+    return Config(
+        version=version,
+        preset=PresetName.ORDINARY,
+        presets={PresetName.ORDINARY: Preset(name=PresetName.ORDINARY)},
+        services={'s': Service(name='s', floor=floor)},
+        targets={
+            f't{n}': Target(
+                name=f't{n}', service='s', instance=f'i{n}', address=''
+            )
+            for n in sorted(numbers)
+        },
+        routes=(),
+        accounts={},
+        instances={},
+    )
+
+
+@dataclass
+class Version:
+    cfg: Config
+    published: float
+    superseded: float = float('inf')
+
+    def is_fresh(self, now: float) -> bool:
+        return now - self.superseded <= FRESHNESS_SECONDS
+
+    @property
+    def allowed(self) -> int:
+        return max(0, len(self.cfg.targets) - self.cfg.floor('s'))
+
+
+@dataclass
+class Daemon:
+    version: Version
+    office: EjectionOffice
+    offset: float
+    alive: bool = True
+    paused_at: float | None = None
+    learns_at: float = 0.0
+    absent: frozenset[str] = frozenset()
+    absent_since: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def running(self) -> bool:
+        return self.alive and self.paused_at is None
+
+
+class Fleet(RuleBasedStateMachine):
+    @initialize(seed=st.integers(0, 2**16), floor=floors)
+    def start(self, seed: int, floor: int) -> None:
+        self.rng = random.Random(seed)
+        self.now = 100.0
+        self.mode = 'good'
+        self.lossy = False
+        self.cuts: set[tuple[int, int]] = set()
+        self.sick: set[int] = set()
+        self.leaving: set[int] = set()
+        self.mail: list[tuple[float, int, int, bytes]] = []
+        self.lives = 0
+        cfg = make_config(1, floor, frozenset(range(SIZE)))
+        self.versions = [Version(cfg, self.now - SETTLED_SECONDS)]
+        self.fleet = [self.boot(number) for number in range(SIZE)]
+        self.sicken(frozenset((0, 1, 2)))
+        self.advance(30.0)
+
+    def boot(self, number: int) -> Daemon:
+        self.lives += 1
+        offset = self.rng.choice((0.0, 1000.0, -50.0))
+        usable = [one for one in self.versions if one.is_fresh(self.now)]
+        version = self.rng.choice(usable)
+        office = EjectionOffice(
+            f'i{number}',
+            version.cfg,
+            self.now + offset,
+            incarnation=self.lives,
+        )
+        return Daemon(version, office, offset)
+
+    @rule(floor=floors, numbers=st.frozensets(daemons, min_size=4))
+    def publish(self, floor: int, numbers: frozenset[int]) -> None:
+        self.versions[-1].superseded = self.now
+        cfg = make_config(len(self.versions) + 1, floor, numbers)
+        self.versions.append(Version(cfg, self.now))
+        for daemon in self.fleet:
+            daemon.learns_at = self.now + self.rng.choice(LEARN_SECONDS)
+
+    @rule(floor=floors)
+    def change_floor(self, floor: int) -> None:
+        targets = self.versions[-1].cfg.targets
+        self.publish(floor, frozenset(int(name[1:]) for name in targets))
+
+    def learn(self, daemon: Daemon) -> None:
+        if daemon.version is not self.versions[-1]:
+            daemon.version = self.versions[-1]
+            daemon.office.on_config(daemon.version.cfg, self.clock(daemon))
+
+    @rule(number=daemons)
+    def kill(self, number: int) -> None:
+        self.fleet[number].alive = False
+
+    @rule(number=daemons)
+    def restart(self, number: int) -> None:
+        self.fleet[number] = self.boot(number)
+        self.leaving.discard(number)
+
+    @rule(number=daemons)
+    def pause(self, number: int) -> None:
+        if self.fleet[number].running:
+            self.fleet[number].paused_at = self.now
+
+    @rule(number=daemons)
+    def wake(self, number: int) -> None:
+        daemon = self.fleet[number]
+        if daemon.alive and daemon.paused_at is not None:
+            gap = self.now - daemon.paused_at
+            daemon.paused_at = None
+            self.deliver()
+            daemon.office.on_pause(gap, self.clock(daemon))
+
+    @rule(pair=st.tuples(daemons, daemons))
+    def cut(self, pair: tuple[int, int]) -> None:
+        self.cuts.symmetric_difference_update({pair})
+
+    @rule(mode=st.sampled_from(sorted(DELAYS)), lossy=st.booleans())
+    def change_network(self, mode: str, lossy: bool) -> None:
+        self.mode, self.lossy = mode, lossy
+        self.cuts.clear()
+
+    @rule(numbers=st.frozensets(daemons, min_size=1, max_size=3))
+    def sicken(self, numbers: frozenset[int]) -> None:
+        self.sick = set(numbers)
+
+    @rule(number=daemons)
+    def leave(self, number: int) -> None:
+        daemon = self.fleet[number]
+        if daemon.running:
+            self.leaving.add(number)
+            clock = self.clock(daemon)
+            self.post(number, daemon.office.on_leaving(f't{number}', clock))
+
+    @rule(number=daemons)
+    def hear_of_absent(self, number: int) -> None:
+        daemon = self.fleet[number]
+        if daemon.running:
+            absent = {n for n in range(SIZE) if not self.fleet[n].alive}
+            names = frozenset(f't{n}' for n in absent | self.leaving)
+            daemon.absent_since = {
+                name: daemon.absent_since.get(name, self.now) for name in names
+            }
+            daemon.office.set_absent(names, self.clock(daemon))
+
+    @rule()
+    def all_hear_of_absent(self) -> None:
+        for number in range(SIZE):
+            self.hear_of_absent(number)
+
+    @rule()
+    def settle(self) -> None:
+        self.change_network('good', lossy=False)
+        for number in range(SIZE):
+            self.wake(number)
+            if not self.fleet[number].alive:
+                self.restart(number)
+        self.all_hear_of_absent()
+        self.advance(33.0)
+
+    @rule(seconds=st.sampled_from((0.25, 1.0, 2.0, 5.0, 7.0, 12.0, 27.0)))
+    def advance(self, seconds: float) -> None:
+        for _ in range(int(seconds / ROUND_SECONDS)):
+            self.now += ROUND_SECONDS
+            self.deliver()
+            for number, daemon in enumerate(self.fleet):
+                if daemon.running:
+                    self.run(number, daemon)
+            self.check()
+
+    def run(self, number: int, daemon: Daemon) -> None:
+        clock = self.clock(daemon)
+        if daemon.learns_at <= self.now:
+            self.learn(daemon)
+        daemon.office.set_fresh(daemon.version.is_fresh(self.now), clock)
+        self.post(number, daemon.office.on_tick(clock))
+        outcome = BAD if number in self.sick else GOOD
+        for _ in range(8 if number in self.sick else 3):
+            actions = daemon.office.on_outcome(f't{number}', outcome, clock)
+            self.post(number, actions)
+
+    def clock(self, daemon: Daemon) -> float:
+        return self.now + daemon.offset
+
+    def post(self, sender: int, actions: list) -> None:
+        for action in actions:
+            if not isinstance(action, Send):
+                continue
+            number = int(action.to[1:])
+            copies = 1
+            if self.lossy:
+                copies = self.rng.choice((0, 1, 2))
+            for _ in range(copies):
+                due = self.now + self.rng.choice(DELAYS[self.mode])
+                blob = encode((action.body,))
+                self.mail.append((due, sender, number, blob))
+
+    def deliver(self) -> None:
+        while True:
+            due = [
+                one
+                for one in self.mail
+                if one[0] <= self.now and self.fleet[one[2]].paused_at is None
+            ]
+            if not due:
+                return
+            self.mail = [one for one in self.mail if one not in due]
+            self.rng.shuffle(due)
+            for _, sender, number, blob in due:
+                daemon = self.fleet[number]
+                if not daemon.alive or (sender, number) in self.cuts:
+                    continue
+                clock = self.clock(daemon)
+                for body in decode(blob):
+                    actions = daemon.office.on_message(
+                        f'i{sender}', body, clock
+                    )
+                    self.post(number, actions)
+
+    def ejected(self) -> set[str]:
+        return {
+            f't{number}'
+            for number, daemon in enumerate(self.fleet)
+            if daemon.running
+            and f't{number}' in daemon.version.cfg.targets
+            and daemon.office.state(f't{number}') in OUT
+        }
+
+    def check(self) -> None:
+        ejected = self.ejected()
+        running = [one for one in self.fleet if one.running]
+        in_force = [
+            one.version for one in running if one.version.is_fresh(self.now)
+        ]
+        for version in (*in_force, self.versions[-1]):
+            if self.now - version.published < SETTLED_SECONDS:
+                continue
+            out = ejected & set(version.cfg.targets)
+            assert len(out) <= version.allowed, (out, version)
+        self.check_absent(ejected, running)
+
+    def check_absent(self, ejected: set[str], running: list[Daemon]) -> None:
+        newest = self.versions[-1]
+        if self.now - newest.published < SETTLED_SECONDS:
+            return
+        known = set(newest.cfg.targets)
+        for daemon in running:
+            known &= {
+                name
+                for name, since in daemon.absent_since.items()
+                if self.now - since >= LAPSE_SECONDS
+            }
+        out = ejected & set(newest.cfg.targets)
+        if out:
+            assert len(out | known) <= newest.allowed, (out, known, newest)
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = settings(max_examples=30, stateful_step_count=30)
