--- a/src/clementinedeal/_attempt_set.py
+++ b/src/clementinedeal/_attempt_set.py
@@ -19,10 +19,20 @@
         Reason.DRAINING,
         Reason.NO_TARGET,
         Reason.QUEUE_FULL,
+        Reason.TARGET_EJECTED,
         Reason.TARGET_FAILED,
         Reason.WRONG_INCARNATION,
     ),
 )
+# No target works for these, so they cost no budget and count as no attempt.
+_FREE = frozenset(
+    (
+        Reason.DRAINING,
+        Reason.NO_TARGET,
+        Reason.TARGET_EJECTED,
+        Reason.WRONG_INCARNATION,
+    ),
+)
 _SEVERITY = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
 
 
@@ -78,6 +88,7 @@
         self._budget = budget
         self._candidates = deque(req.candidates)
         self._attempts: dict[str, Attempt] = {}
+        self._free = 0
 
     def get(self, attempt_id: str) -> Attempt | None:
         """Return an attempt whose outcome is not known yet.
@@ -115,9 +126,12 @@
         """
         if failure.reason not in _RETRYABLE:
             return None
-        if self._req.idempotent or self.verdict() is Verdict.NOT_RUN:
-            return self._forward_within_limits(now)
-        return None
+        if not self._req.idempotent and self.verdict() is not Verdict.NOT_RUN:
+            return None
+        if failure.verdict is Verdict.NOT_RUN and failure.reason in _FREE:
+            self._free += 1
+            return self._forward_if_possible(now)
+        return self._forward_within_limits(now)
 
     def hedge(self, now: float) -> Forward | None:
         """Make an attempt beside the open ones, None if not allowed.
@@ -169,10 +183,15 @@
         )
 
     def _forward_within_limits(self, now: float) -> Forward | None:
-        more = len(self._attempts) < self._req.preset.max_attempts
-        in_time = now < self._req.deadline
-        allowed = self.replayable and more and in_time
-        if allowed and self._candidates and self._budget.take():
+        counted = len(self._attempts) - self._free
+        more = counted < self._req.preset.max_attempts
+        if more and self._candidates and self._budget.take():
+            return self._forward_if_possible(now)
+        return None
+
+    def _forward_if_possible(self, now: float) -> Forward | None:
+        possible = self.replayable and now < self._req.deadline
+        if possible and self._candidates:
             return self._forward(now)
         return None
 
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -1,43 +1,52 @@
 """One daemon: builds its parts, runs them, stops them gracefully."""
 
+import functools
+import random
 import signal
+from collections.abc import Iterable
+from typing import Any
 
 import trio
 
-from clementinedeal._access import Access
-from clementinedeal._entry import Entry
-from clementinedeal._entry_parts import EntryParts
-from clementinedeal._envelope import Keyring, Outcome
-from clementinedeal._events import EventLog, wall_ms
-from clementinedeal._executions import ExecutionTable
-from clementinedeal._feed import Feed
-from clementinedeal._forwarding import (
-    Ownership,
-    PeerClient,
-    PeerParts,
-    PeerServer,
+from clementinedeal._cancels import Cancels
+from clementinedeal._control import ControlChannel
+from clementinedeal._directory import Directory
+from clementinedeal._dispatch import Dispatcher
+from clementinedeal._entry_view import EntryView, format_incarnation
+from clementinedeal._envelope import Keyring
+from clementinedeal._events import EventLog
+from clementinedeal._executions import (
+    CancelAnswer,
+    CancelExecution,
+    ExecutionTable,
 )
-from clementinedeal._http import HttpLimits
+from clementinedeal._front import Front, FrontContext, http_limits
+from clementinedeal._http_server import HttpServer
+from clementinedeal._hub import Hub
+from clementinedeal._messages import Send
 from clementinedeal._metrics import Metrics
-from clementinedeal._model import Config, Target
-from clementinedeal._operator import DaemonStatus, Operator, TargetStatus
-from clementinedeal._owner import Owner, OwnerParts
+from clementinedeal._model import Config
+from clementinedeal._offices import OfficeContext, Offices
+from clementinedeal._operator import Operator
 from clementinedeal._platform import HttpPlatform
+from clementinedeal._platform_reads import PlatformReads
 from clementinedeal._pool import ConnPool
-from clementinedeal._http_server import HttpServer
 from clementinedeal._settings import DaemonSettings
-from clementinedeal._target_call import TargetCaller
-from clementinedeal._thin import (
-    MetricsRecorder,
-    NoCancel,
-    NoIdempotency,
-    Onlooker,
-    OpenTokenGate,
-    SemaphoreSlots,
-    ThinView,
+from clementinedeal._status import StatusDesk
+from clementinedeal._timers import MonotonicClock, Timers
+from clementinedeal._view_actions import (
+    ConfigInForce,
+    ConfigRejected,
+    InstanceLeaving,
+    InstanceLeft,
+    PeerAddress,
+    ReadPlatform,
+    WatchRoot,
 )
-from clementinedeal._timers import MonotonicClock
+from clementinedeal._views import FleetView
 
+TICK_SECONDS = 0.1
+NOTICE_SECONDS = 0.5
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -45,163 +54,225 @@
     """Everything that runs in one process."""
 
     def __init__(self, settings: DaemonSettings) -> None:
-        """Build the parts.
+        """Build the parts that need no configuration.
 
         :param settings: checked settings of this daemon.
         """
-        self._settings = settings
-        self._clock = MonotonicClock()
-        self._events = EventLog(settings.instance, f'{wall_ms():x}')
-        self._metrics = Metrics()
-        self._pool = ConnPool(self._clock)
-        self._view = ThinView()
-        self._slots = SemaphoreSlots(self._slots_of)
-        self._view.learn_incarnation(
-            settings.instance,
-            self._events.incarnation,
-        )
-        self._draining = False
-        self._owner = self._build_owner()
-        self._peer_parts = PeerParts(
-            keyring=Keyring(
-                {key.name: key.secret for key in settings.fleet_keys},
-            ),
-            events=self._events,
-            pool=self._pool,
-            on_outcome=self._on_outcome,
+        rng = random.SystemRandom()
+        clock = MonotonicClock()
+        fleet = FleetView(settings, rng, clock.now())
+        incarnation = format_incarnation(fleet.incarnation(settings.instance))
+        dispatcher = Dispatcher()
+        self._shared = OfficeContext(
+            settings=settings,
+            clock=clock,
+            hub=Hub(clock, dispatcher),
+            dispatcher=dispatcher,
+            events=EventLog(settings.instance, incarnation),
+            metrics=Metrics(),
+            fleet=fleet,
         )
-        self._feed = Feed(
-            HttpPlatform(settings.platform, self._pool),
-            self._events,
-            self._take,
-        )
-        self._servers = self._build_servers()
+        self._timers = Timers(clock)
+        self._pool = ConnPool(clock)
+        self._platform = HttpPlatform(settings.platform, self._pool)
+        self._front_context = self._build_front_context(rng, incarnation)
+        self._front: Front | None = None
+        self._fresh = False
+        self._configured = trio.Event()
+        self._stopping = trio.Event()
+        self._subscribe()
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully."""
         async with trio.open_nursery() as nursery:
-            for server in self._servers:
-                await nursery.start(server.run)
-            nursery.start_soon(self._feed.run)
-            self._events.emit('daemon-started')
-            with trio.open_signal_receiver(*_STOP_SIGNALS) as signals:
-                await anext(signals)
+            await self._start_control(nursery)
+            nursery.start_soon(self._await_signal)
+            nursery.start_soon(self._serve_when_configured, nursery)
+            await self._stopping.wait()
             await self._stop()
             nursery.cancel_scope.cancel()
-        self._events.emit('daemon-stopped')
+        self._shared.events.emit('daemon-stopped')
 
-    async def _stop(self) -> None:
-        self._events.emit('daemon-draining')
-        self._draining = True
-        seconds = self._settings.limits.drain_timeout_seconds
-        for server in self._servers:
-            await server.stop(seconds)
-
-    def _build_owner(self) -> Owner:
-        return Owner(
-            OwnerParts(
-                clock=self._clock,
-                events=self._events,
-                executions=ExecutionTable(self._events.incarnation),
-                tokens=OpenTokenGate(),
-                slots=self._slots,
-                watcher=Onlooker(),
-                caller=TargetCaller(self._pool),
-            ),
+    def _build_front_context(
+        self,
+        rng: random.Random,
+        incarnation: str,
+    ) -> FrontContext:
+        shared = self._shared
+        settings = shared.settings
+        directory = Directory(settings.instance)
+        keyring = Keyring(
+            {key.name: key.secret for key in settings.fleet_keys},
         )
-
-    def _build_servers(self) -> tuple[HttpServer, ...]:
-        settings = self._settings
-        limits = HttpLimits(
-            head_bytes=settings.limits.max_head_bytes,
-            head_timeout=settings.limits.head_timeout_seconds,
-            idle_timeout=settings.limits.idle_timeout_seconds,
-            body_timeout=settings.limits.body_timeout_seconds,
+        self._control = ControlChannel(
+            settings.control,
+            keyring,
+            shared.events,
+            directory.control_address,
         )
-        entry = Entry(
-            EntryParts(
-                me=settings.instance,
-                clock=self._clock,
-                events=self._events,
-                view=self._view,
-                owner=self._owner,
-                peers=PeerClient(self._peer_parts),
-                remote=NoCancel(),
-                idempotency=NoIdempotency(),
-                recorder=MetricsRecorder(self._metrics),
-                max_body_bytes=settings.limits.max_body_bytes,
-            ),
+        return FrontContext(
+            shared=shared,
+            pool=self._pool,
+            keyring=keyring,
+            executions=ExecutionTable(incarnation),
+            directory=directory,
+            view=EntryView(settings.instance, shared.fleet, shared.clock, rng),
+            cancels=Cancels(self._control.send, self._cancel_here),
+            status=StatusDesk(shared, directory),
         )
-        peer = PeerServer(
-            self._peer_parts,
-            Ownership(self._owner, self._find_target, self._describe),
+
+    def _subscribe(self) -> None:
+        shared = self._shared
+        hub = shared.hub
+        hub.on_message.append(self._view_message)
+        hub.on_message.append(self._front_context.cancels.on_message)
+        hub.on_tick.append(shared.fleet.on_tick)
+        hub.on_tick.append(self._note_fresh)
+        hub.on_pause.append(self._renew)
+        hub.on_stop.append(shared.fleet.stop)
+        reads = PlatformReads(
+            self._platform,
+            shared.fleet,
+            shared.dispatcher,
+            shared.clock,
+            shared.events,
         )
-        operator = Operator(
-            self._events,
-            self._metrics,
-            self._status,
-            lambda: None,
+        self._reads = reads
+        handlers = (
+            (Send, self._control.send),
+            (ReadPlatform, reads.read),
+            (WatchRoot, reads.watch),
+            (PeerAddress, self._meet),
+            (ConfigInForce, self._take_config),
+            (ConfigRejected, self._note_rejected),
+            (InstanceLeaving, self._note_leaving),
+            (InstanceLeft, self._note_left),
         )
-        served = (
-            (settings.caller, entry.serve),
-            (settings.peer, peer.serve),
-            (settings.operator, operator.serve),
+        for kind, handler in handlers:
+            shared.dispatcher.register(kind, handler)
+
+    async def _start_control(self, nursery: trio.Nursery) -> None:
+        shared = self._shared
+        await self._control.start()
+        nursery.start_soon(self._control.run_sender)
+        nursery.start_soon(self._control.run_receiver, shared.hub.receive)
+        nursery.start_soon(self._reads.run)
+        await trio.lowlevel.checkpoint()
+        self._timers.every(TICK_SECONDS, shared.hub.tick)
+        self._timers.on_pause(shared.hub.pause)
+        nursery.start_soon(self._timers.run)
+        status = self._front_context.status
+        operator = Operator(
+            shared.events,
+            shared.metrics,
+            status.status,
+            functools.partial(status.refresh, self._control, self._platform),
         )
-        return tuple(
-            HttpServer(address, serve, limits, self._events)
-            for address, serve in served
+        self._operator_server = HttpServer(
+            shared.settings.operator,
+            operator.serve,
+            http_limits(shared.settings.limits),
+            shared.events,
         )
+        await nursery.start(self._operator_server.run)
+        shared.events.emit('daemon-started', zone=shared.settings.zone)
+
+    async def _serve_when_configured(self, nursery: trio.Nursery) -> None:
+        await self._configured.wait()
+        if self._front is not None:
+            await self._front.start(nursery)
+            self._front_context.status.listening = True
+            self._shared.events.emit('daemon-serving')
 
-    def _take(self, cfg: Config) -> None:
-        self._view.access = Access(cfg)
-        self._events.emit(
+    async def _await_signal(self) -> None:
+        with trio.open_signal_receiver(*_STOP_SIGNALS) as signals:
+            await anext(signals)
+        self._stopping.set()
+
+    async def _stop(self) -> None:
+        self._shared.events.emit('daemon-draining')
+        self._front_context.status.draining = True
+        self._shared.hub.stop()
+        await trio.sleep(NOTICE_SECONDS)
+        seconds = self._shared.settings.limits.drain_timeout_seconds
+        if self._front is not None:
+            await self._front.stop(seconds)
+        await self._operator_server.stop(0)
+        await self._control.stop()
+        await self._pool.aclose()
+
+    def _take_config(self, action: ConfigInForce) -> None:
+        cfg = action.cfg
+        context = self._front_context
+        context.directory.take_config(cfg)
+        context.view.take_config(cfg)
+        self._shared.events.emit(
             'config-in-force',
             version=cfg.version,
             preset=cfg.preset.value,
         )
+        if self._front is None:
+            self._open(cfg)
+        else:
+            self._shared.hub.take_config(cfg)
+
+    def _open(self, cfg: Config) -> None:
+        offices = Offices(self._shared, cfg)
+        self._front_context.status.offices = offices
+        self._front = Front(self._front_context, offices)
+        self._front_context.status.owner = self._front.owner
+        self._configured.set()
+
+    def _cancel_here(self, wish: CancelExecution) -> CancelAnswer:
+        if self._front is None:
+            return CancelAnswer.UNKNOWN
+        return self._front.owner.cancel(wish)
+
+    def _note_fresh(self, now: float) -> None:
+        fresh = self._shared.fleet.is_fresh(now)
+        if fresh != self._fresh:
+            self._fresh = fresh
+            name = 'config-fresh' if fresh else 'config-stale'
+            self._shared.events.emit(name)
+            self._shared.hub.set_fresh(fresh)
+
+    def _renew(self, gap: float, now: float) -> list[object]:
+        """Rejoin as a new incarnation after a pause."""
+        shared = self._shared
+        actions = shared.fleet.on_pause(now)
+        me = shared.settings.instance
+        incarnation = format_incarnation(shared.fleet.incarnation(me))
+        shared.events.incarnation = incarnation
+        self._front_context.executions.on_pause(incarnation)
+        shared.events.emit('daemon-paused', seconds=f'{gap:.3f}')
+        return actions
 
-    def _find_target(self, name: str) -> Target | None:
-        cfg = self._cfg
-        target = cfg.targets.get(name) if cfg else None
-        owned = target and target.instance == self._settings.instance
-        return target if owned else None
-
-    def _slots_of(self, name: str) -> int:
-        target = self._find_target(name)
-        return target.slots if target else 1
-
-    def _describe(self, name: str) -> tuple[float, str]:
-        return self._slots.load(name), 'in-use'
-
-    def _on_outcome(self, owner: str, target: str, outcome: Outcome) -> None:
-        self._view.learn_incarnation(owner, outcome.incarnation)
-
-    @property
-    def _cfg(self) -> Config | None:
-        return self._view.access.cfg if self._view.access else None
-
-    def _status(self) -> DaemonStatus:
-        cfg = self._cfg
-        owned = cfg.targets.values() if cfg else ()
-        return DaemonStatus(
-            instance=self._settings.instance,
-            incarnation=self._events.incarnation,
-            zone=self._settings.zone,
-            serving=cfg is not None and not self._draining,
-            draining=self._draining,
-            config_version=cfg.version if cfg else 0,
-            preset=cfg.preset.value if cfg else '',
-            fresh=True,
-            rejected='',
-            alive_instances=0,
-            targets=tuple(
-                TargetStatus(
-                    name=target.name,
-                    service=target.service,
-                    state='in-use',
-                    load=self._slots.load(target.name),
-                )
-                for target in owned
-                if target.instance == self._settings.instance
-            ),
+    def _view_message(
+        self,
+        sender: str,
+        body: Any,
+        now: float,
+    ) -> Iterable[Any]:
+        fleet = self._shared.fleet
+        return (
+            fleet.on_message(sender, body, now) if fleet.handles(body) else ()
         )
+
+    def _meet(self, action: PeerAddress) -> None:
+        self._front_context.directory.meet(action.instance, action.control)
+
+    def _note_rejected(self, action: ConfigRejected) -> None:
+        self._front_context.status.rejected = (
+            f'{action.version}: {action.reason}'
+        )
+        self._shared.events.emit(
+            'config-rejected',
+            version=action.version,
+            reason=action.reason,
+        )
+
+    def _note_leaving(self, action: InstanceLeaving) -> None:
+        self._shared.events.emit('instance-leaving', peer=action.instance)
+
+    def _note_left(self, action: InstanceLeft) -> None:
+        self._shared.events.emit('instance-left', peer=action.instance)
--- a/src/clementinedeal/_entry_parts.py
+++ b/src/clementinedeal/_entry_parts.py
@@ -15,7 +15,7 @@
 from clementinedeal._timers import Clock
 
 
-class FleetView(Protocol):
+class EntryKnowledge(Protocol):
     """What an entry knows of the fleet."""
 
     @property
@@ -79,7 +79,7 @@
     me: str
     clock: Clock
     events: EventLog
-    view: FleetView
+    view: EntryKnowledge
     owner: Owner
     peers: PeerClient
     remote: RemoteCancel
--- a/src/clementinedeal/_exchange.py
+++ b/src/clementinedeal/_exchange.py
@@ -27,7 +27,7 @@
 from clementinedeal._attempts import AttemptPlan
 from clementinedeal._digest import AnswerWrongError
 from clementinedeal._executions import CancelAnswer
-from clementinedeal._http import ConnLostError, HttpError
+from clementinedeal._http import ConnLostError, HttpError, WriteLostError
 from clementinedeal._replies import Answered, Refused
 from clementinedeal._replies import Reply as AttemptReply
 from clementinedeal._timers import Clock
@@ -36,7 +36,7 @@
 EVENT_BUFFER = 64
 
 
-class CallerLeftError(ConnLostError):
+class CallerLeftError(WriteLostError):
     """The caller's connection broke while it was answered."""
 
 
--- /dev/null
+++ b/src/clementinedeal/_front.py
@@ -0,0 +1,139 @@
+"""The serving side of a daemon: owner, entry and their listeners."""
+
+from dataclasses import dataclass
+
+import trio
+
+from clementinedeal._cancels import Cancels
+from clementinedeal._directory import Directory
+from clementinedeal._entry import Entry
+from clementinedeal._entry_parts import EntryParts
+from clementinedeal._entry_view import EntryView
+from clementinedeal._envelope import Keyring
+from clementinedeal._executions import ExecutionTable
+from clementinedeal._forwarding import (
+    Ownership,
+    PeerClient,
+    PeerParts,
+    PeerServer,
+)
+from clementinedeal._http import HttpLimits
+from clementinedeal._http_server import HttpServer
+from clementinedeal._offices import OfficeContext, Offices
+from clementinedeal._owner import Owner, OwnerParts
+from clementinedeal._pool import ConnPool
+from clementinedeal._recorder import MetricsRecorder
+from clementinedeal._settings import Limits
+from clementinedeal._status import StatusDesk
+from clementinedeal._target_call import TargetCaller
+
+
+@dataclass(frozen=True, slots=True)
+class FrontContext:
+    """What the serving side works with."""
+
+    shared: OfficeContext
+    pool: ConnPool
+    keyring: Keyring
+    executions: ExecutionTable
+    directory: Directory
+    view: EntryView
+    cancels: Cancels
+    status: StatusDesk
+
+
+class Front:
+    """Built when the offices exist; listens from ``start`` on."""
+
+    def __init__(self, context: FrontContext, offices: Offices) -> None:
+        """Build owner, entry and servers.
+
+        :param context: collaborators.
+        :param offices: decide.
+        """
+        self._context = context
+        self.owner = self._build_owner(offices)
+        parts = PeerParts(
+            keyring=context.keyring,
+            events=context.shared.events,
+            pool=context.pool,
+            on_outcome=context.view.on_outcome,
+        )
+        entry = self._build_entry(offices, PeerClient(parts))
+        peer = PeerServer(
+            parts,
+            Ownership(
+                self.owner,
+                context.directory.owned_target,
+                context.status.describe_target,
+            ),
+        )
+        settings = context.shared.settings
+        limits = http_limits(settings.limits)
+        events = context.shared.events
+        self._servers = (
+            HttpServer(settings.caller, entry.serve, limits, events),
+            HttpServer(settings.peer, peer.serve, limits, events),
+        )
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen for callers and peers.
+
+        :param nursery: runs the servers.
+        """
+        for server in self._servers:
+            await nursery.start(server.run)
+
+    async def stop(self, seconds: float) -> None:
+        """Take no new work and let what is in flight end.
+
+        :param seconds: how long it may take.
+        """
+        self.owner.draining = True
+        async with trio.open_nursery() as nursery:
+            for server in self._servers:
+                nursery.start_soon(server.stop, seconds)
+
+    def _build_owner(self, offices: Offices) -> Owner:
+        context = self._context
+        return Owner(
+            OwnerParts(
+                clock=context.shared.clock,
+                events=context.shared.events,
+                executions=context.executions,
+                tokens=offices.tokens,
+                slots=offices.slots,
+                watcher=offices.watcher,
+                caller=TargetCaller(context.pool),
+            ),
+        )
+
+    def _build_entry(self, offices: Offices, peers: PeerClient) -> Entry:
+        shared = self._context.shared
+        return Entry(
+            EntryParts(
+                me=shared.settings.instance,
+                clock=shared.clock,
+                events=shared.events,
+                view=self._context.view,
+                owner=self.owner,
+                peers=peers,
+                remote=self._context.cancels,
+                idempotency=offices.keys,
+                recorder=MetricsRecorder(shared.metrics, shared.clock),
+                max_body_bytes=shared.settings.limits.max_body_bytes,
+            ),
+        )
+
+
+def http_limits(limits: Limits) -> HttpLimits:
+    """Return the HTTP bounds of a daemon's settings.
+
+    :param limits: from the settings file.
+    """
+    return HttpLimits(
+        head_bytes=limits.max_head_bytes,
+        head_timeout=limits.head_timeout_seconds,
+        idle_timeout=limits.idle_timeout_seconds,
+        body_timeout=limits.body_timeout_seconds,
+    )
--- a/src/clementinedeal/_gates.py
+++ b/src/clementinedeal/_gates.py
@@ -48,6 +48,10 @@
 class OutcomeWatcher(Protocol):
     """Learns from the owner's own traffic how its targets do."""
 
+    def refusal(self, target: str, *, idempotent: bool) -> Refused | None:
+        """Return why a target takes no such request now, None if it does."""
+        ...
+
     def started(self, req_id: str, target: str, *, idempotent: bool) -> None:
         """Note the first byte to a target."""
         ...
--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -138,13 +138,18 @@
 
     async def send(self, event: h11.Event) -> None:
         """Send one event."""
-        blob = self.h11.send(event)
-        if blob:
-            await self._write(blob)
+        await self.send_all(event)
 
     async def send_all(self, *events: h11.Event) -> None:
-        """Send several events in one write."""
-        blobs = [self.h11.send(event) for event in events]
+        """Send several events in one write.
+
+        :raises ConnLostError: the connection is gone, or the body does not
+            have its declared length.
+        """
+        try:
+            blobs = [self.h11.send(event) for event in events]
+        except h11.LocalProtocolError as exc:
+            raise ConnLostError(f'cannot be sent: {exc}') from exc
         await self._write(b''.join(blob for blob in blobs if blob))
 
     async def next_event(self) -> h11.Event | type[object]:
--- a/src/clementinedeal/_hub.py
+++ b/src/clementinedeal/_hub.py
@@ -1,57 +1,41 @@
 """Drives the decision parts of a daemon: messages, time, configuration."""
 
-from collections.abc import Iterable
-from typing import Any, Protocol
+from collections.abc import Callable, Iterable
+from typing import Any, TypeAlias
 
 from clementinedeal._dispatch import Dispatcher
 from clementinedeal._model import Config
-from clementinedeal._timers import Timers
+from clementinedeal._timers import Clock
 
-
-class Office(Protocol):
-    """A decision part; each method returns the actions to perform."""
-
-    def on_message(self, sender: str, body: Any, now: float) -> Iterable[Any]:
-        """Take in a message of another instance; foreign kinds are ignored."""
-        ...
-
-    def on_tick(self, now: float) -> Iterable[Any]:
-        """Let time pass."""
-        ...
-
-    def on_config(self, cfg: Config, now: float) -> Iterable[Any]:
-        """Take a configuration into force."""
-        ...
-
-    def on_pause(self, gap: float, now: float) -> Iterable[Any]:
-        """React to a gap in the process's time, in seconds."""
-        ...
-
-    def set_fresh(self, fresh: bool, now: float) -> Iterable[Any] | None:
-        """Learn whether the configuration is known to be recent."""
-        ...
-
-    def stop(self, now: float) -> Iterable[Any]:
-        """Hand over before a planned stop."""
-        ...
+Actions: TypeAlias = Iterable[Any] | None
+MessageHandler: TypeAlias = Callable[[str, Any, float], Actions]
+TickHandler: TypeAlias = Callable[[float], Actions]
+ConfigHandler: TypeAlias = Callable[[Config, float], Actions]
+PauseHandler: TypeAlias = Callable[[float, float], Actions]
+FreshHandler: TypeAlias = Callable[[bool, float], Actions]
 
 
 class Hub:
-    """Passes what happens to every office and performs what they return."""
+    """Passes what happens to its subscribers and performs what they return.
 
-    def __init__(self, timers: Timers, dispatcher: Dispatcher) -> None:
-        """Create a hub without offices.
+    Handlers get the monotonic time in seconds as their last argument. They
+    are called in the order in which they were added.
+    """
 
-        :param timers: gives the time.
+    def __init__(self, clock: Clock, dispatcher: Dispatcher) -> None:
+        """Create a hub without subscribers.
+
+        :param clock: gives the time.
         :param dispatcher: performs actions.
         """
-        self._clock = timers.clock
+        self.on_message: list[MessageHandler] = []
+        self.on_tick: list[TickHandler] = []
+        self.on_config: list[ConfigHandler] = []
+        self.on_pause: list[PauseHandler] = []
+        self.on_fresh: list[FreshHandler] = []
+        self.on_stop: list[TickHandler] = []
+        self._clock = clock
         self._dispatcher = dispatcher
-        self._offices: list[Office] = []
-
-    def add(self, office: Office) -> None:
-        """Add an office; it hears of everything from now on."""
-        self._offices.append(office)
 
     def receive(self, sender: str, body: Any) -> None:
         """Pass on a message.
@@ -60,16 +44,16 @@
         :param body: the message.
         """
         now = self._clock.now()
-        for office in self._offices:
-            self._perform(office.on_message(sender, body, now))
+        for handler in self.on_message:
+            self.perform(handler(sender, body, now))
 
     def tick(self, now: float) -> None:
         """Let time pass.
 
         :param now: monotonic time in seconds.
         """
-        for office in self._offices:
-            self._perform(office.on_tick(now))
+        for handler in self.on_tick:
+            self.perform(handler(now))
 
     def take_config(self, cfg: Config) -> None:
         """Bring a configuration into force.
@@ -77,8 +61,8 @@
         :param cfg: the configuration.
         """
         now = self._clock.now()
-        for office in self._offices:
-            self._perform(office.on_config(cfg, now))
+        for handler in tuple(self.on_config):
+            self.perform(handler(cfg, now))
 
     def pause(self, gap: float) -> None:
         """Tell of a pause.
@@ -86,21 +70,28 @@
         :param gap: its length in seconds.
         """
         now = self._clock.now()
-        for office in self._offices:
-            self._perform(office.on_pause(gap, now))
+        for handler in self.on_pause:
+            self.perform(handler(gap, now))
 
     def set_fresh(self, fresh: bool) -> None:
-        """Tell whether the configuration is known to be recent."""
+        """Tell whether the configuration is known to be recent.
+
+        :param fresh: true while it is.
+        """
         now = self._clock.now()
-        for office in self._offices:
-            self._perform(office.set_fresh(fresh, now))
+        for handler in self.on_fresh:
+            self.perform(handler(fresh, now))
 
     def stop(self) -> None:
         """Tell of the planned stop."""
         now = self._clock.now()
-        for office in self._offices:
-            self._perform(office.stop(now))
+        for handler in self.on_stop:
+            self.perform(handler(now))
+
+    def perform(self, actions: Actions) -> None:
+        """Perform actions.
 
-    def _perform(self, actions: Iterable[Any] | None) -> None:
+        :param actions: what a handler returned.
+        """
         if actions:
             self._dispatcher.perform(actions)
--- /dev/null
+++ b/src/clementinedeal/_offices.py
@@ -0,0 +1,101 @@
+"""The decision parts that need a configuration to exist."""
+
+from dataclasses import dataclass
+
+from clementinedeal._dispatch import Dispatcher
+from clementinedeal._ejection import EjectionOffice
+from clementinedeal._events import EventLog
+from clementinedeal._gates import SlotGate, TokenGate
+from clementinedeal._hub import Hub
+from clementinedeal._metrics import Metrics
+from clementinedeal._model import Config, Target
+from clementinedeal._settings import DaemonSettings
+from clementinedeal._thin import NoIdempotency, OpenTokenGate, SemaphoreSlots
+from clementinedeal._timers import Clock
+from clementinedeal._views import FleetView
+from clementinedeal._watcher import TargetWatcher
+
+
+@dataclass(frozen=True, slots=True)
+class OfficeContext:
+    """What the offices share."""
+
+    settings: DaemonSettings
+    clock: Clock
+    hub: Hub
+    dispatcher: Dispatcher
+    events: EventLog
+    metrics: Metrics
+    fleet: FleetView
+
+
+class Offices:
+    """Built when the first configuration comes into force."""
+
+    def __init__(self, context: OfficeContext, cfg: Config) -> None:
+        """Build the offices and subscribe them.
+
+        :param context: what they share.
+        :param cfg: the first configuration.
+        """
+        self._context = context
+        self._cfg = cfg
+        self._relatives = self._find_relatives()
+        now = context.clock.now()
+        me = context.settings.instance
+        self.ejection = EjectionOffice(
+            me,
+            cfg,
+            now,
+            incarnation=context.fleet.incarnation(me),
+        )
+        self.keys = NoIdempotency()
+        self.watcher = TargetWatcher(
+            context.clock,
+            self.ejection,
+            context.dispatcher,
+            context.metrics,
+        )
+        self.tokens: TokenGate = OpenTokenGate()
+        self.slots: SlotGate = SemaphoreSlots(self._slots_of)
+        self._subscribe_ejection(context.hub)
+
+    def _subscribe_ejection(self, hub: Hub) -> None:
+        office = self.ejection
+        hub.on_message.append(office.on_message)
+        hub.on_tick.append(self.watcher.report_in_flight)
+        hub.on_tick.append(self._note_absent)
+        hub.on_tick.append(office.on_tick)
+        hub.on_config.append(self._note_config)
+        hub.on_config.append(office.on_config)
+        hub.on_pause.append(office.on_pause)
+        hub.on_fresh.append(office.set_fresh)
+        hub.on_stop.append(office.stop)
+
+    def _note_config(self, cfg: Config, now: float) -> None:
+        self._cfg = cfg
+        self._relatives = self._find_relatives()
+
+    def _find_relatives(self) -> tuple[Target, ...]:
+        """Return the targets of every service that has one here."""
+        me = self._context.settings.instance
+        targets = self._cfg.targets.values()
+        services = {
+            target.service for target in targets if target.instance == me
+        }
+        return tuple(target for target in targets if target.service in services)
+
+    def _note_absent(self, now: float) -> None:
+        """Tell which targets of the owned services are dead or leaving."""
+        fleet = self._context.fleet
+        absent = [
+            target.name
+            for target in self._relatives
+            if fleet.is_leaving(target.instance)
+            or not fleet.is_alive(target.instance, now)
+        ]
+        self.ejection.set_absent(absent, now)
+
+    def _slots_of(self, name: str) -> int:
+        target = self._cfg.targets.get(name)
+        return target.slots if target else 1
--- a/src/clementinedeal/_outgoing.py
+++ b/src/clementinedeal/_outgoing.py
@@ -86,7 +86,8 @@
         """Send again at once if only the incarnation was unknown."""
         async with self._attempt_once(fwd) as reply:
             self._learn(fwd, reply)
-            if not _is_stranger(reply):
+            replayable = self._incoming.req.body.whole is not None
+            if not (replayable and _is_stranger(reply)):
                 yield reply
                 return
         renamed = self._forward(
--- a/src/clementinedeal/_owner.py
+++ b/src/clementinedeal/_owner.py
@@ -15,6 +15,7 @@
     ExecutionTable,
 )
 from clementinedeal._gates import OutcomeWatcher, SlotGate, TokenGate
+from clementinedeal._http import ConnLostError, HttpError, WriteLostError
 from clementinedeal._model import Target
 from clementinedeal._replies import Refused, Reply, Request
 from clementinedeal._target_call import TargetCall, TargetCaller
@@ -22,6 +23,7 @@
 from clementinedeal._verdict import Reason, Verdict
 
 _MS_PER_SECOND = 1000
+_SHORT = Refused(Verdict.MAY_HAVE_RUN, Reason.ANSWER_INCOMPLETE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +159,9 @@
         parts = self._parts
         if self.draining:
             return Refused(Verdict.NOT_RUN, Reason.DRAINING)
+        refusal = parts.watcher.refusal(target.name, idempotent=fwd.idempotent)
+        if refusal is not None:
+            return refusal
         if fwd.account and not fwd.admitted:
             refusal = await parts.tokens.take(fwd.attempt, fwd.account)
             if refusal is not None:
@@ -195,8 +200,32 @@
             scope=scope,
         )
         async with self._parts.caller.call(call) as reply:
-            self._parts.watcher.ended(fwd.attempt, target.name, reply)
-            yield reply
+            whole = isinstance(reply, Refused) or reply.body.whole is not None
+            if whole:
+                self._parts.watcher.ended(fwd.attempt, target.name, reply)
+                yield reply
+                return
+            async with self._watched_stream(fwd, target, reply):
+                yield reply
+
+    @contextlib.asynccontextmanager
+    async def _watched_stream(
+        self,
+        fwd: Forward,
+        target: Target,
+        reply: Reply,
+    ) -> AsyncIterator[None]:
+        """Report a streamed answer at its end, as short if it breaks off."""
+        ended = self._parts.watcher.ended
+        try:
+            yield
+        except WriteLostError:
+            ended(fwd.attempt, target.name, reply)
+            raise
+        except (ConnLostError, HttpError):
+            ended(fwd.attempt, target.name, _SHORT)
+            raise
+        ended(fwd.attempt, target.name, reply)
 
     def _start(self, fwd: Forward, target: Target) -> Result[None, Reason]:
         parts = self._parts
--- a/src/clementinedeal/_platform.py
+++ b/src/clementinedeal/_platform.py
@@ -15,7 +15,6 @@
 from clementinedeal._pool import ConnPool
 
 READ_SECONDS = 3.0
-WATCH_SECONDS = 10.0
 _OK = 200
 _NOT_MODIFIED = 304
 _NOT_FOUND = 404
@@ -59,15 +58,20 @@
         """
         ...
 
-    async def watch(self, name: str, after: int) -> PlatformValue | None:
+    async def watch(
+        self,
+        name: str,
+        after: int,
+        seconds: float,
+    ) -> PlatformValue | None:
         """Wait for a value newer than a version; None if there was none.
 
         :raises PlatformError: no usable answer.
         """
         ...
 
-    async def instances(self, after: int) -> InstanceList | None:
-        """Wait for a list newer than a version; None if there was none.
+    async def instances(self) -> InstanceList:
+        """Read the list of instances.
 
         :raises PlatformError: no usable answer.
         """
@@ -92,17 +96,21 @@
         """Read a value; None if there is none."""
         return await self._value(f'/values/{name}', READ_SECONDS)
 
-    async def watch(self, name: str, after: int) -> PlatformValue | None:
+    async def watch(
+        self,
+        name: str,
+        after: int,
+        seconds: float,
+    ) -> PlatformValue | None:
         """Wait for a newer value; None if there was none in time."""
-        path = f'/values/{name}?after={after}&wait={WATCH_SECONDS:g}'
-        return await self._value(path, WATCH_SECONDS + READ_SECONDS)
+        path = f'/values/{name}?after={after}&wait={seconds:g}'
+        return await self._value(path, seconds + READ_SECONDS)
 
-    async def instances(self, after: int) -> InstanceList | None:
-        """Wait for a newer list; None if there was none in time."""
-        path = f'/instances?after={after}&wait={WATCH_SECONDS:g}'
-        found = await self._value(path, WATCH_SECONDS + READ_SECONDS)
+    async def instances(self) -> InstanceList:
+        """Read the list of instances."""
+        found = await self._value('/instances', READ_SECONDS)
         if found is None:
-            return None
+            raise PlatformError('no instance list is published')
         try:
             return msgspec.json.decode(found.blob, type=InstanceList)
         except msgspec.MsgspecError as exc:
--- /dev/null
+++ b/src/clementinedeal/_recorder.py
@@ -0,0 +1,43 @@
+"""Counts and times finished requests."""
+
+from clementinedeal._incoming import Incoming
+from clementinedeal._metrics import Metrics
+from clementinedeal._timers import Clock
+
+MAX_LABELLED_ACCOUNTS = 1000
+OTHER_ACCOUNTS = 'other'
+
+
+class MetricsRecorder:
+    """Writes each finished request into the metrics."""
+
+    def __init__(self, metrics: Metrics, clock: Clock) -> None:
+        """Create a recorder.
+
+        :param metrics: the collectors.
+        :param clock: times requests.
+        """
+        self._metrics = metrics
+        self._clock = clock
+        self._accounts: set[str] = set()
+
+    def record(self, incoming: Incoming, outcome: str) -> None:
+        """Note one request.
+
+        :param incoming: the request.
+        :param outcome: verdict or reason.
+        """
+        service = incoming.service
+        account = self._label(incoming.account)
+        seconds = self._clock.now() - incoming.started
+        self._metrics.requests.labels(service, account, outcome).inc()
+        self._metrics.request_seconds.labels(service).observe(seconds)
+
+    def _label(self, account: str) -> str:
+        """Bound the number of label values that the process keeps."""
+        if account in self._accounts:
+            return account
+        if len(self._accounts) >= MAX_LABELLED_ACCOUNTS:
+            return OTHER_ACCOUNTS
+        self._accounts.add(account)
+        return account
--- a/src/clementinedeal/_replies.py
+++ b/src/clementinedeal/_replies.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
-from clementinedeal._http import RequestHead, ResponseHead
+from clementinedeal._http import ConnLostError, RequestHead, ResponseHead
 from clementinedeal._verdict import Reason, Verdict
 
 
@@ -52,9 +52,16 @@
         """
         self._first = first
         self._rest = rest
+        self._used = False
 
     async def pieces(self) -> AsyncIterator[bytes]:
-        """Yield the body."""
+        """Yield the body.
+
+        :raises ConnLostError: it was sent before.
+        """
+        if self._used:
+            raise ConnLostError('the body cannot be sent again')
+        self._used = True
         yield self._first
         async for piece in self._rest:
             yield piece
--- /dev/null
+++ b/src/clementinedeal/_status.py
@@ -0,0 +1,98 @@
+"""What a daemon tells operators of itself."""
+
+from clementinedeal._control import ControlChannel
+from clementinedeal._directory import Directory
+from clementinedeal._model import Target
+from clementinedeal._offices import OfficeContext, Offices
+from clementinedeal._operator import DaemonStatus, TargetStatus
+from clementinedeal._owner import Owner
+from clementinedeal._platform import HttpPlatform
+
+
+class StatusDesk:
+    """Gathers status and gauges from the parts."""
+
+    def __init__(self, shared: OfficeContext, directory: Directory) -> None:
+        """Create a desk.
+
+        :param shared: settings, clock, events, metrics and fleet view.
+        :param directory: configuration in force.
+        """
+        self.listening = False
+        self.draining = False
+        self.rejected = ''
+        self.offices: Offices | None = None
+        self.owner: Owner | None = None
+        self._shared = shared
+        self._directory = directory
+
+    def describe_target(self, name: str) -> tuple[float, str]:
+        """Return load and state of an owned target.
+
+        :param name: the target.
+        """
+        if self.offices is None:
+            return 0, 'unknown'
+        state = self.offices.watcher.state(name)
+        return self.offices.slots.load(name), state
+
+    def status(self) -> DaemonStatus:
+        """Describe the daemon."""
+        cfg = self._directory.cfg
+        shared = self._shared
+        now = shared.clock.now()
+        instances = cfg.instances if cfg else ()
+        alive = sum(shared.fleet.is_alive(name, now) for name in instances)
+        return DaemonStatus(
+            instance=shared.settings.instance,
+            incarnation=shared.events.incarnation,
+            zone=shared.settings.zone,
+            serving=self.listening and not self.draining,
+            draining=self.draining,
+            config_version=cfg.version if cfg else 0,
+            preset=cfg.preset.value if cfg else '',
+            fresh=shared.fleet.is_fresh(now),
+            rejected=self.rejected,
+            alive_instances=alive,
+            targets=tuple(
+                self._target_status(target)
+                for target in self._directory.owned_targets()
+            ),
+        )
+
+    def refresh(
+        self,
+        control: ControlChannel,
+        platform: HttpPlatform,
+    ) -> None:
+        """Set the gauges.
+
+        :param control: counts control traffic.
+        :param platform: counts reads.
+        """
+        metrics = self._shared.metrics
+        told = self.status()
+        counters = control.counters
+        metrics.config_version.set(told.config_version)
+        metrics.fresh.set(told.fresh)
+        metrics.in_flight.set(self.owner.in_flight if self.owner else 0)
+        metrics.control_bytes.set(
+            counters.bytes_sent + counters.bytes_received,
+        )
+        metrics.control_messages.set(
+            counters.messages_sent + counters.messages_received,
+        )
+        metrics.platform_reads.set(platform.reads)
+        metrics.target_state.clear()
+        for target in told.targets:
+            metrics.target_load.labels(target.name).set(target.load)
+            metrics.target_state.labels(target.name, target.state).set(1)
+
+    def _target_status(self, target: Target) -> TargetStatus:
+        load, state = self.describe_target(target.name)
+        return TargetStatus(
+            name=target.name,
+            service=target.service,
+            state=state,
+            load=load,
+        )
--- a/src/clementinedeal/_thin.py
+++ b/src/clementinedeal/_thin.py
@@ -4,13 +4,10 @@
 
 import trio
 
-from clementinedeal._access import Access, Granted
 from clementinedeal._exchange import Finished
-from clementinedeal._executions import CancelAnswer, CancelExecution
 from clementinedeal._incoming import Incoming
-from clementinedeal._metrics import Metrics
 from clementinedeal._refusals import Refusal
-from clementinedeal._replies import Answered, Refused, Reply
+from clementinedeal._replies import Answered, Refused
 from clementinedeal._verdict import Reason, Verdict
 
 
@@ -62,66 +59,6 @@
         return limit.borrowed_tokens / limit.total_tokens if limit else 0
 
 
-class Onlooker:
-    """Learns nothing."""
-
-    def started(self, req_id: str, target: str, *, idempotent: bool) -> None:
-        """Ignore."""
-
-    def ended(self, req_id: str, target: str, reply: Reply) -> None:
-        """Ignore."""
-
-    def state(self, target: str) -> str:
-        """Return in-use."""
-        return 'in-use'
-
-
-class ThinView:
-    """All targets of the service, in published order."""
-
-    def __init__(self) -> None:
-        """Create without a configuration."""
-        self.access: Access | None = None
-        self._incarnations: dict[str, str] = {}
-        self._turn = 0
-
-    def fresh(self) -> bool:
-        """Return true."""
-        return True
-
-    def candidates(self, granted: Granted) -> tuple[str, ...]:
-        """Return the targets in turn."""
-        if self.access is None:
-            return ()
-        names = [
-            target.name
-            for target in self.access.cfg.targets.values()
-            if target.service == granted.route.service
-        ]
-        self._turn += 1
-        cut = self._turn % len(names)
-        return tuple(names[cut:] + names[:cut])
-
-    def incarnation(self, instance: str) -> str:
-        """Return what was learned."""
-        return self._incarnations.get(instance, '')
-
-    def learn_incarnation(self, instance: str, incarnation: str) -> None:
-        """Remember."""
-        self._incarnations[instance] = incarnation
-
-    def attempt_ended(self, target: str, seconds: float, *, ok: bool) -> None:
-        """Ignore."""
-
-
-class NoCancel:
-    """Knows nothing."""
-
-    async def cancel(self, owner: str, wish: CancelExecution) -> CancelAnswer:
-        """Return UNKNOWN."""
-        return CancelAnswer.UNKNOWN
-
-
 class NoIdempotency:
     """Lets everything run."""
 
@@ -130,22 +67,3 @@
 
     def settle(self, incoming: Incoming, finished: Finished) -> None:
         """Ignore."""
-
-
-class MetricsRecorder:
-    """Counts finished requests."""
-
-    def __init__(self, metrics: Metrics) -> None:
-        """Create.
-
-        :param metrics: the counters.
-        """
-        self._metrics = metrics
-
-    def record(self, incoming: Incoming, outcome: str) -> None:
-        """Count one request."""
-        self._metrics.requests.labels(
-            incoming.service,
-            incoming.account,
-            outcome,
-        ).inc()
--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -28,6 +28,7 @@
     RATE_EXCEEDED = 'rate-exceeded'
     CONFIG_STALE = 'config-stale'
     NO_TARGET = 'no-target'
+    TARGET_EJECTED = 'target-ejected'
     QUEUE_FULL = 'queue-full'
     DEADLINE = 'deadline'
     DRAINING = 'draining'
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -17,6 +17,7 @@
 from clementinedeal._view_actions import (
     ConfigInForce,
     InstanceLeft,
+    PeerAddress,
     ReadPlatform,
     WatchRoot,
 )
@@ -156,7 +157,7 @@
         self._reader_order = reader_order(instances)
         return [InstanceLeft(name) for name in left]
 
-    def _meet_peers(self, now: float) -> list[Send]:
+    def _meet_peers(self, now: float) -> list[PeerAddress | Send]:
         pull = self.spread.pull
         blobs = pull.instance_parts() if pull else ()
         entries = [
@@ -168,4 +169,5 @@
             return []
         self.acceptance.gate.on_asked(now)
         self._adopt({entry.name: entry for entry in entries}, now)
-        return self.ask_peers(now)
+        met = [PeerAddress(entry.name, entry.control) for entry in entries]
+        return [*met, *self.ask_peers(now)]
--- /dev/null
+++ b/src/clementinedeal/_watcher.py
@@ -0,0 +1,130 @@
+"""Feeds what the owner's own traffic shows to the ejection office."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from clementinedeal._dispatch import Dispatcher
+from clementinedeal._ejection import EjectionOffice
+from clementinedeal._health import Outcome, OutcomeKind
+from clementinedeal._metrics import Metrics
+from clementinedeal._replies import Answered, Refused, Reply
+from clementinedeal._target_call import TARGET_STATE_HEADER
+from clementinedeal._target_state import TargetState
+from clementinedeal._timers import Clock
+from clementinedeal._verdict import Reason, Verdict
+
+_SERVER_ERROR = 500
+_LEAVING = b'leaving'
+_REFUSED_KINDS = {
+    Reason.DEADLINE: OutcomeKind.TIMEOUT,
+    Reason.ANSWER_WRONG: OutcomeKind.WRONG,
+    Reason.ANSWER_INCOMPLETE: OutcomeKind.SHORT,
+    Reason.QUEUE_FULL: OutcomeKind.REFUSED,
+    Reason.TARGET_FAILED: OutcomeKind.CONNECT,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class _Started:
+    target: str
+    at: float
+    idempotent: bool
+
+
+class TargetWatcher:
+    """Times requests at owned targets and reports how they end."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        office: EjectionOffice,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
+    ) -> None:
+        """Create a watcher.
+
+        :param clock: times requests.
+        :param office: learns.
+        :param dispatcher: performs what the office decides.
+        :param metrics: counts executions.
+        """
+        self._clock = clock
+        self._office = office
+        self._dispatcher = dispatcher
+        self._metrics = metrics
+        self._running: dict[str, _Started] = {}
+
+    def refusal(self, target: str, *, idempotent: bool) -> Refused | None:
+        """Return why a target takes no such request now, None if it does.
+
+        :param target: an owned target.
+        :param idempotent: a target on trial takes only such requests.
+        """
+        state = self._office.state(target)
+        if state is TargetState.LEAVING:
+            return Refused(Verdict.NOT_RUN, Reason.DRAINING)
+        on_trial = state is TargetState.TRIAL and not idempotent
+        if state is TargetState.EJECTED or on_trial:
+            return Refused(Verdict.NOT_RUN, Reason.TARGET_EJECTED)
+        return None
+
+    def started(self, req_id: str, target: str, *, idempotent: bool) -> None:
+        """Note the first byte to a target."""
+        started = _Started(target, self._clock.now(), idempotent)
+        self._running[req_id] = started
+
+    def ended(self, req_id: str, target: str, reply: Reply) -> None:
+        """Note what a request came to.
+
+        :param req_id: unique id of the attempt.
+        :param target: the target.
+        :param reply: answer, or the refusal with its reason.
+        """
+        now = self._clock.now()
+        kind = _kind(reply)
+        started = self._running.pop(req_id, None)
+        if kind is None:
+            return
+        outcome = Outcome(
+            kind=kind,
+            latency_seconds=now - started.at if started else 0,
+            idempotent=started.idempotent if started else True,
+        )
+        self._metrics.executions.labels(target, kind.value).inc()
+        self._perform(self._office.on_outcome(target, outcome, now))
+        if _says_leaving(reply):
+            self._perform(self._office.on_leaving(target, now))
+
+    def state(self, target: str) -> str:
+        """Return the target's state at this owner."""
+        return self._office.state(target).value
+
+    def report_in_flight(self, now: float) -> None:
+        """Tell the office what is running, so that a hang shows.
+
+        :param now: monotonic time in seconds.
+        """
+        started: dict[str, list[float]] = {}
+        for running in self._running.values():
+            started.setdefault(running.target, []).append(running.at)
+        for target, times in started.items():
+            self._perform(self._office.on_inflight(target, times, now))
+
+    def _perform(self, actions: Iterable[Any]) -> None:
+        self._dispatcher.perform(actions)
+
+
+def _kind(reply: Reply) -> OutcomeKind | None:
+    if isinstance(reply, Refused):
+        return _REFUSED_KINDS.get(reply.reason)
+    if reply.head.status >= _SERVER_ERROR:
+        return OutcomeKind.ERROR
+    return OutcomeKind.OK
+
+
+def _says_leaving(reply: Reply) -> bool:
+    return (
+        isinstance(reply, Answered)
+        and reply.head.header(TARGET_STATE_HEADER) == _LEAVING
+    )
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,263 @@
+"""Two daemons' serving sides and stand-in targets in one trio loop."""
+
+import hashlib
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+import trio
+
+from clementinedeal import (
+    Account,
+    Config,
+    Instance,
+    Preset,
+    PresetName,
+    Route,
+    Service,
+    Target,
+)
+from clementinedeal._access import Access
+from clementinedeal._entry import Entry
+from clementinedeal._entry_parts import EntryParts
+from clementinedeal._envelope import Keyring
+from clementinedeal._events import EventLog
+from clementinedeal._executions import CancelAnswer, ExecutionTable
+from clementinedeal._forwarding import (
+    Ownership,
+    PeerClient,
+    PeerParts,
+    PeerServer,
+)
+from clementinedeal._http import HttpLimits
+from clementinedeal._http_server import HttpServer
+from clementinedeal._owner import Owner, OwnerParts
+from clementinedeal._pool import ConnPool
+from clementinedeal._target_call import TargetCaller
+from clementinedeal._timers import MonotonicClock
+from clementinedeal_bench._gray import GraySettings
+from clementinedeal_bench._target import Target as StandIn
+from clementinedeal_bench._target import TargetSettings
+from clementinedeal_bench._web import WebServer
+
+KEY = b'sesame'
+SECRET = b'0' * 32
+
+
+def free_address() -> str:
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        return f'127.0.0.1:{server.getsockname()[1]}'
+
+
+def instance(name: str) -> Instance:
+    return Instance(
+        name=name,
+        zone='z',
+        region='r',
+        caller=free_address(),
+        peer=free_address(),
+        control=free_address(),
+        operator=free_address(),
+    )
+
+
+def make_config(owners: tuple[str, ...]) -> Config:
+    preset = Preset(name=PresetName.ORDINARY, deadline=2)
+    return Config(
+        version=1,
+        preset=PresetName.ORDINARY,
+        presets={PresetName.ORDINARY: preset},
+        services={'desk': Service(name='desk', floor=1)},
+        targets={
+            f't-{owner}': Target(
+                name=f't-{owner}',
+                service='desk',
+                instance=owner,
+                address=free_address(),
+            )
+            for owner in owners
+        },
+        routes=(
+            Route(method='GET', prefix='/', service='desk', idempotent=True),
+            Route(method='POST', prefix='/', service='desk', idempotent=False),
+        ),
+        accounts={
+            'acme': Account(
+                name='acme',
+                key_digests=(hashlib.sha256(KEY).hexdigest(),),
+                rate=100,
+                burst=100,
+                services=('desk',),
+            ),
+        },
+        instances={name: instance(name) for name in ('a', 'b')},
+    )
+
+
+class Gates:
+    """Admits everything and remembers nothing."""
+
+    async def take(self, req_id: str, account: str) -> None:
+        return None
+
+    async def acquire(self, *request: Any) -> None:
+        return None
+
+    def release(self, req_id: str, target: str) -> None:
+        return None
+
+    def load(self, target: str) -> float:
+        return 0
+
+    def refusal(self, target: str, *, idempotent: bool) -> None:
+        return None
+
+    def started(self, req_id: str, target: str, *, idempotent: bool) -> None:
+        return None
+
+    def ended(self, req_id: str, target: str, reply: Any) -> None:
+        return None
+
+    def state(self, target: str) -> str:
+        return 'in-use'
+
+    async def claim(self, incoming: Any) -> None:
+        return None
+
+    def settle(self, incoming: Any, finished: Any) -> None:
+        return None
+
+    def record(self, incoming: Any, outcome: str) -> None:
+        return None
+
+
+@dataclass
+class View:
+    access: Access
+    order: tuple[str, ...]
+    is_fresh: bool = True
+    incarnations: dict[str, str] = field(default_factory=dict)
+
+    def fresh(self) -> bool:
+        return self.is_fresh
+
+    def candidates(self, granted: Any) -> tuple[str, ...]:
+        return self.order
+
+    def incarnation(self, name: str) -> str:
+        return self.incarnations.get(name, '')
+
+    def learn_incarnation(self, name: str, incarnation: str) -> None:
+        self.incarnations[name] = incarnation
+
+    def attempt_ended(self, target: str, seconds: float, *, ok: bool) -> None:
+        return None
+
+
+class Node:
+    """The serving side of one daemon."""
+
+    def __init__(self, name: str, cfg: Config, view: View) -> None:
+        self.cfg = cfg
+        self.events = EventLog(name, f'{name}1')
+        clock = MonotonicClock()
+        pool = ConnPool(clock)
+        gates = Gates()
+        self.executions = ExecutionTable(f'{name}1')
+        self.owner = Owner(
+            OwnerParts(
+                clock,
+                self.events,
+                self.executions,
+                gates,
+                gates,
+                gates,
+                TargetCaller(pool),
+            ),
+        )
+        parts = PeerParts(
+            Keyring({'k': SECRET}),
+            self.events,
+            pool,
+            lambda owner, target, outcome: view.learn_incarnation(
+                owner,
+                outcome.incarnation,
+            ),
+        )
+        entry = Entry(
+            EntryParts(
+                name,
+                clock,
+                self.events,
+                view,
+                self.owner,
+                PeerClient(parts),
+                self,
+                gates,
+                gates,
+                max_body_bytes=200_000,
+            ),
+        )
+        ownership = Ownership(
+            self.owner,
+            cfg.targets.get,
+            lambda target: (0.0, 'in-use'),
+        )
+        peer = PeerServer(parts, ownership)
+        where = cfg.instances[name]
+        limits = HttpLimits(body_timeout=1)
+        self.servers = (
+            HttpServer(where.caller, entry.serve, limits, self.events),
+            HttpServer(where.peer, peer.serve, limits, self.events),
+        )
+
+    async def cancel(self, owner: str, wish: Any) -> CancelAnswer:
+        return CancelAnswer.UNKNOWN
+
+
+@dataclass
+class Fleet:
+    cfg: Config
+    view: View
+    nodes: dict[str, Node]
+    targets: dict[str, StandIn]
+
+    def misbehave(self, target: str, **change: Any) -> None:
+        settings = msgspec.convert(change, GraySettings)
+        self.targets[target].gray.configure(settings, 0)
+
+    def executions(self) -> list[dict[str, Any]]:
+        return [
+            msgspec.json.decode(line)
+            for target in self.targets.values()
+            for line in target.log.lines().splitlines()
+        ]
+
+
+@asynccontextmanager
+async def running_fleet(
+    owners: tuple[str, ...] = ('b',),
+) -> AsyncIterator[Fleet]:
+    cfg = make_config(owners)
+    view = View(Access(cfg), tuple(cfg.targets))
+    nodes = {name: Node(name, cfg, view) for name in cfg.instances}
+    view.incarnations['a'] = 'a1'
+    targets: dict[str, StandIn] = {}
+    async with trio.open_nursery() as nursery:
+        for node in nodes.values():
+            for server in node.servers:
+                await nursery.start(server.run)
+        for target in cfg.targets.values():
+            host, port = target.address.split(':')
+            stand_in = StandIn(
+                TargetSettings(name=target.name, service=0, sigma=0),
+            )
+            targets[target.name] = stand_in
+            server = WebServer(stand_in.handle, 360)
+            listener = await server.listen(host, int(port))
+            nursery.start_soon(server.serve, listener)
+        yield Fleet(cfg, view, nodes, targets)
+        nursery.cancel_scope.cancel()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -7,9 +7,9 @@
 
 from clementinedeal._events import EventLog
 from clementinedeal._http import ConnLostError, HttpLimits, RequestHead
+from clementinedeal._http_server import HttpServer
 from clementinedeal._pool import ConnPool
 from clementinedeal._server_conn import ServerConn
-from clementinedeal._http_server import HttpServer
 from clementinedeal._timers import MonotonicClock
 
 
