Join tokens and routing into the daemon

The owner now waits for its token office before a slot; the entry orders targets by the router (holders of the account's tokens, own zone, load, path faults) and hears an owner's state, load and time from the header of its answer. Targets that left are probed until they are back. Added time is recorded as the total less the time of the target.

--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -45,7 +45,7 @@
 )
 from clementinedeal._views import FleetView
 
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.05
 NOTICE_SECONDS = 0.5
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -128,6 +128,7 @@
         hub.on_message.append(self._front_context.cancels.on_message)
         hub.on_tick.append(shared.fleet.on_tick)
         hub.on_tick.append(self._note_fresh)
+        hub.on_tick.append(self._front_context.view.refresh)
         hub.on_pause.append(self._renew)
         hub.on_stop.append(shared.fleet.stop)
         reads = PlatformReads(
@@ -219,6 +220,7 @@
     def _open(self, cfg: Config) -> None:
         offices = Offices(self._shared, cfg)
         self._front_context.status.offices = offices
+        self._front_context.view.holders = offices.holders
         self._front = Front(self._front_context, offices)
         self._front_context.status.owner = self._front.owner
         self._configured.set()
--- a/src/clementinedeal/_entry.py
+++ b/src/clementinedeal/_entry.py
@@ -18,7 +18,7 @@
 )
 from clementinedeal._outgoing import Outgoing, answer_caller
 from clementinedeal._refusals import Refusal
-from clementinedeal._replies import Request, buffer_body
+from clementinedeal._replies import Answered, Request, buffer_body
 from clementinedeal._retry_budget import RetryBudgets
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._verdict import Reason, Verdict
@@ -129,7 +129,8 @@
     ) -> None:
         failure = finished.refusal
         if failure is None:
-            self._record(incoming, Verdict.RAN, 'answered')
+            answer = finished.answer
+            self._record(incoming, Verdict.RAN, 'answered', answer)
             return
         self._record(incoming, failure.verdict, failure.reason.value)
         if finished.cut or conn.head_sent:
@@ -143,8 +144,9 @@
         incoming: Incoming,
         verdict: Verdict,
         outcome: str,
+        answer: Answered | None = None,
     ) -> None:
-        self._parts.recorder.record(incoming, outcome)
+        self._parts.recorder.record(incoming, outcome, answer)
         self._parts.events.emit(
             'request-finished',
             req=incoming.req_id,
--- a/src/clementinedeal/_entry_parts.py
+++ b/src/clementinedeal/_entry_parts.py
@@ -39,10 +39,6 @@
         """Note what an instance said of itself."""
         ...
 
-    def attempt_ended(self, target: str, seconds: float, *, ok: bool) -> None:
-        """Note how an attempt went as seen from here."""
-        ...
-
 
 class RemoteCancel(Protocol):
     """Cancels attempts at other daemons."""
@@ -67,8 +63,13 @@
 class RequestRecorder(Protocol):
     """Counts finished requests."""
 
-    def record(self, incoming: Incoming, outcome: str) -> None:
-        """Note one request and its verdict or reason."""
+    def record(
+        self,
+        incoming: Incoming,
+        outcome: str,
+        answer: Answered | None,
+    ) -> None:
+        """Note one request, its verdict or reason, and its answer."""
         ...
 
 
--- a/src/clementinedeal/_entry_view.py
+++ b/src/clementinedeal/_entry_view.py
@@ -1,23 +1,21 @@
 """What an entry knows of the fleet, joined from its sources."""
 
 import random
-from dataclasses import dataclass
+from collections.abc import Callable
 
 from clementinedeal._access import Access, Granted
 from clementinedeal._envelope import Outcome
-from clementinedeal._model import Config, Target
+from clementinedeal._model import Config
+from clementinedeal._routing import Availability, Router, TargetView
 from clementinedeal._timers import Clock
 from clementinedeal._views import FleetView
 
-HEARD_SECONDS = 2.0
-_OUT_STATES = frozenset(('ejected', 'leaving'))
-
-
-@dataclass(frozen=True, slots=True)
-class _Heard:
-    at: float
-    load: float
-    state: str
+REFRESH_SECONDS = 0.5
+_AVAILABILITIES = {
+    'trial': Availability.TRIAL,
+    'ejected': Availability.EJECTED,
+    'leaving': Availability.LEAVING,
+}
 
 
 class EntryView:
@@ -38,13 +36,15 @@
         :param rng: breaks ties.
         """
         self.access: Access | None = None
+        self.holders: Callable[[str], tuple[str, ...]] = _no_holders
         self._me = me
         self._fleet = fleet
         self._clock = clock
         self._rng = rng
+        self._router: Router | None = None
         self._incarnations: dict[str, str] = {}
-        self._heard: dict[str, _Heard] = {}
-        self._by_service: dict[str, tuple[Target, ...]] = {}
+        self._absent: frozenset[str] = frozenset()
+        self._refresh_due = clock.now()
 
     def take_config(self, cfg: Config) -> None:
         """Work by a configuration from now on.
@@ -52,12 +52,12 @@
         :param cfg: the configuration in force.
         """
         self.access = Access(cfg)
-        by_service: dict[str, list[Target]] = {}
-        for target in cfg.targets.values():
-            by_service.setdefault(target.service, []).append(target)
-        self._by_service = {
-            service: tuple(targets) for service, targets in by_service.items()
-        }
+        if self._router is None:
+            zone = cfg.instances[self._me].zone
+            self._router = Router(self._me, zone, cfg, self._rng)
+        else:
+            self._router.on_config(cfg)
+        self._absent = frozenset()
 
     def fresh(self) -> bool:
         """Whether the configuration is known to be recent."""
@@ -68,11 +68,18 @@
 
         :param granted: route and account of the request.
         """
-        targets = list(self._by_service.get(granted.route.service, ()))
-        self._rng.shuffle(targets)
-        now = self._clock.now()
-        targets.sort(key=lambda target: self._badness(target, now))
-        return tuple(target.name for target in targets)
+        if self._router is None:
+            return ()
+        account = granted.account
+        route = granted.route
+        return tuple(
+            self._router.order(
+                route.service,
+                self.holders(account.name) if account else (),
+                route.idempotent,
+                self._clock.now(),
+            ),
+        )
 
     def incarnation(self, instance: str) -> str:
         """Return the last known incarnation of an instance, or ''."""
@@ -83,25 +90,72 @@
         """Note what an instance said of itself."""
         self._incarnations[instance] = incarnation
 
-    def on_outcome(self, owner: str, target: str, outcome: Outcome) -> None:
-        """Note what an owner said of itself and its target."""
+    def on_outcome(
+        self,
+        owner: str,
+        target: str,
+        outcome: Outcome,
+        path_seconds: float,
+    ) -> None:
+        """Note what an owner said of itself and its target.
+
+        :param owner: the instance that answered.
+        :param target: the target that was asked for.
+        :param outcome: what the owner said.
+        :param path_seconds: time spent on the way, both directions.
+        """
         self._incarnations[owner] = outcome.incarnation
-        now = self._clock.now()
-        self._heard[target] = _Heard(now, outcome.load, outcome.state)
-
-    def attempt_ended(self, target: str, seconds: float, *, ok: bool) -> None:
-        """Note how an attempt went as seen from here."""
-
-    def _badness(self, target: Target, now: float) -> tuple[bool, bool, float]:
-        heard = self._heard.get(target.name)
-        out = False
-        load = 0.0
-        if heard is not None and now - heard.at < HEARD_SECONDS:
-            out = heard.state in _OUT_STATES
-            load = heard.load
-        away = not self._fleet.is_alive(target.instance, now)
-        away = away or self._fleet.is_leaving(target.instance)
-        return out, away, load
+        if self._router is None:
+            return
+        self._router.paths.on_answer(owner, path_seconds)
+        available = _AVAILABILITIES.get(outcome.state, Availability.IN_USE)
+        self._note(target, available, outcome.load)
+
+    def on_unreachable(self, owner: str) -> None:
+        """Note that an owner could not be connected to from here."""
+        if self._router is not None:
+            self._router.paths.on_connect_failure(owner, self._clock.now())
+
+    def refresh(self, now: float) -> None:
+        """Follow which instances are gone or leaving, twice a second.
+
+        :param now: monotonic time in seconds.
+        """
+        if self.access is None or now < self._refresh_due:
+            return
+        self._refresh_due = now + REFRESH_SECONDS
+        absent = frozenset(
+            name
+            for name in self.access.cfg.instances
+            if self._fleet.is_leaving(name)
+            or not self._fleet.is_alive(name, now)
+        )
+        changed = absent ^ self._absent
+        self._absent = absent
+        if changed:
+            self._note_owners(changed)
+
+    def _note_owners(self, changed: frozenset[str]) -> None:
+        cfg = self.access.cfg if self.access else None
+        for target in cfg.targets.values() if cfg else ():
+            if target.instance in changed:
+                gone = target.instance in self._absent
+                available = Availability.LOST if gone else Availability.IN_USE
+                self._note(target.name, available, 0)
+
+    def _note(
+        self,
+        target: str,
+        available: Availability,
+        load: float,
+    ) -> None:
+        if self._router is not None:
+            view = TargetView(available, load, self._clock.now())
+            self._router.on_view(target, view)
+
+
+def _no_holders(_account: str) -> tuple[str, ...]:
+    return ()
 
 
 def format_incarnation(incarnation: int) -> str:
--- a/src/clementinedeal/_envelope.py
+++ b/src/clementinedeal/_envelope.py
@@ -46,7 +46,8 @@
     """Joined to the owner's answer.
 
     ``verdict`` and ``reason`` are the values of the enumerations; an empty
-    reason marks the target's own answer. ``load`` is the share of the
+    reason marks the target's own answer. The owner spent ``spent`` seconds,
+    ``target_seconds`` of them waiting for the target. ``load`` is the share of the
     target's slots in use, ``state`` its state at the owner.
     """
 
@@ -57,6 +58,8 @@
     incarnation: str
     load: float
     state: str
+    spent: float
+    target_seconds: float
     hlc: int
 
 
--- a/src/clementinedeal/_forwarding.py
+++ b/src/clementinedeal/_forwarding.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
+import trio
+
 from clementinedeal._client_conn import ClientConn
 from clementinedeal._envelope import (
     FORWARD_HEADER,
@@ -48,13 +50,16 @@
 class PeerParts:
     """What both directions work with.
 
-    ``on_outcome`` hears what an owner says of itself and its target.
+    ``on_outcome`` hears what an owner says of itself and its target, with
+    the seconds spent on the way; ``on_unreachable`` hears of an owner that
+    could not be connected to.
     """
 
     keyring: Keyring
     events: EventLog
     pool: ConnPool
-    on_outcome: Callable[[str, str, Outcome], None]
+    on_outcome: Callable[[str, str, Outcome, float], None]
+    on_unreachable: Callable[[str], None]
 
 
 class PeerClient:
@@ -84,6 +89,7 @@
         try:
             conn = await self._parts.pool.acquire(owner.peer)
         except ConnLostError:
+            self._parts.on_unreachable(owner.name)
             yield Refused(Verdict.NOT_RUN, Reason.NO_TARGET)
             return
         try:
@@ -108,16 +114,19 @@
             (FORWARD_HEADER, sealed),
         )
         head = RequestHead(req.head.method, req.head.path, headers)
+        started = trio.current_time()
         await send_request(conn, head, req.body)
-        return await self._read_reply(conn, owner, fwd)
+        return await self._read_reply(conn, owner, fwd, started)
 
     async def _read_reply(
         self,
         conn: ClientConn,
         owner: Instance,
         fwd: Forward,
+        started: float,
     ) -> Reply:
         head = await conn.read_head()
+        seconds = trio.current_time() - started
         sealed = head.header(OUTCOME_HEADER)
         if sealed is None:
             raise ConnLostError('the owner sent no outcome')
@@ -129,10 +138,20 @@
         except PeerAuthError as exc:
             raise ConnLostError('the outcome is not authentic') from exc
         self._parts.events.clock.observe(outcome.hlc)
-        self._parts.on_outcome(owner.name, fwd.target, outcome)
+        self._parts.on_outcome(
+            owner.name,
+            fwd.target,
+            outcome,
+            max(0, seconds - outcome.spent),
+        )
         body = await buffer_body(conn.read_body(), REPLAY_BYTES)
         if not outcome.reason:
-            return Answered(head, body, admitted=outcome.admitted)
+            return Answered(
+                head,
+                body,
+                admitted=outcome.admitted,
+                target_seconds=outcome.target_seconds,
+            )
         return Refused(
             verdict=Verdict(outcome.verdict),
             reason=Reason(outcome.reason),
@@ -189,23 +208,26 @@
         fwd: Forward,
     ) -> None:
         body = await buffer_body(conn.read_body(), REPLAY_BYTES)
+        started = trio.current_time()
         headers = without_internal(end_to_end(head.headers))
         req = Request(RequestHead(head.method, head.path, headers), body)
         target = self._ownership.find_target(fwd.target)
         if target is None:
             refused = Refused(Verdict.NOT_RUN, Reason.NO_TARGET)
-            await self._send(conn, fwd, refused)
+            await self._send(conn, fwd, refused, started)
             return
         async with self._ownership.owner.execute(fwd, target, req) as reply:
-            await self._send(conn, fwd, reply)
+            await self._send(conn, fwd, reply, started)
 
     async def _send(
         self,
         conn: ServerConn,
         fwd: Forward,
         reply: Reply,
+        started: float,
     ) -> None:
-        outcome = self._outcome(fwd, reply)
+        spent = trio.current_time() - started
+        outcome = self._outcome(fwd, reply, spent)
         sealed = self._parts.keyring.seal_header(outcome, fwd.attempt.encode())
         extra = ((OUTCOME_HEADER, sealed),)
         if isinstance(reply, Refused):
@@ -213,9 +235,10 @@
             return
         await send_answer(conn, reply, extra)
 
-    def _outcome(self, fwd: Forward, reply: Reply) -> Outcome:
+    def _outcome(self, fwd: Forward, reply: Reply, spent: float) -> Outcome:
         load, state = self._ownership.describe(fwd.target)
         refused = reply if isinstance(reply, Refused) else None
+        answer = reply if isinstance(reply, Answered) else None
         return Outcome(
             verdict=(refused.verdict if refused else Verdict.RAN).value,
             reason=refused.reason.value if refused else '',
@@ -224,6 +247,8 @@
             incarnation=self._parts.events.incarnation,
             load=load,
             state=state,
+            spent=spent,
+            target_seconds=answer.target_seconds if answer else 0,
             hlc=self._parts.events.clock.stamp(),
         )
 
--- a/src/clementinedeal/_front.py
+++ b/src/clementinedeal/_front.py
@@ -22,6 +22,7 @@
 from clementinedeal._offices import OfficeContext, Offices
 from clementinedeal._owner import Owner, OwnerParts
 from clementinedeal._pool import ConnPool
+from clementinedeal._prober import Prober
 from clementinedeal._recorder import MetricsRecorder
 from clementinedeal._settings import Limits
 from clementinedeal._status import StatusDesk
@@ -53,11 +54,17 @@
         """
         self._context = context
         self.owner = self._build_owner(offices)
+        self._prober = Prober(
+            context.pool,
+            offices.leaving_targets,
+            offices.note_back,
+        )
         parts = PeerParts(
             keyring=context.keyring,
             events=context.shared.events,
             pool=context.pool,
             on_outcome=context.view.on_outcome,
+            on_unreachable=context.view.on_unreachable,
         )
         entry = self._build_entry(offices, PeerClient(parts))
         peer = PeerServer(
@@ -83,6 +90,7 @@
         """
         for server in self._servers:
             await nursery.start(server.run)
+        nursery.start_soon(self._prober.run)
 
     async def stop(self, seconds: float) -> None:
         """Take no new work and let what is in flight end.
--- a/src/clementinedeal/_offices.py
+++ b/src/clementinedeal/_offices.py
@@ -5,13 +5,20 @@
 from clementinedeal._dispatch import Dispatcher
 from clementinedeal._ejection import EjectionOffice
 from clementinedeal._events import EventLog
-from clementinedeal._gates import SlotGate, TokenGate
+from clementinedeal._gates import SlotGate
 from clementinedeal._hub import Hub
 from clementinedeal._metrics import Metrics
 from clementinedeal._model import Config, Target
 from clementinedeal._settings import DaemonSettings
-from clementinedeal._thin import NoIdempotency, OpenTokenGate, SemaphoreSlots
+from clementinedeal._target_state import (
+    TargetEjected,
+    TargetReinstated,
+    TargetState,
+)
+from clementinedeal._thin import NoIdempotency, SemaphoreSlots
 from clementinedeal._timers import Clock
+from clementinedeal._token_gate import OfficeTokenGate
+from clementinedeal._tokens import TokenOffice
 from clementinedeal._views import FleetView
 from clementinedeal._watcher import TargetWatcher
 
@@ -56,9 +63,23 @@
             context.dispatcher,
             context.metrics,
         )
-        self.tokens: TokenGate = OpenTokenGate()
+        tokens = TokenOffice(
+            me,
+            cfg,
+            now,
+            incarnation=context.fleet.incarnation(me),
+        )
+        self.tokens = OfficeTokenGate(
+            tokens,
+            context.dispatcher,
+            context.clock,
+        )
+        self.holders = tokens.holders
         self.slots: SlotGate = SemaphoreSlots(self._slots_of)
         self._subscribe_ejection(context.hub)
+        self._subscribe_tokens(context.hub, tokens)
+        context.dispatcher.register(TargetEjected, self._note_ejected)
+        context.dispatcher.register(TargetReinstated, self._note_reinstated)
 
     def _subscribe_ejection(self, hub: Hub) -> None:
         office = self.ejection
@@ -72,10 +93,47 @@
         hub.on_fresh.append(office.set_fresh)
         hub.on_stop.append(office.stop)
 
+    def leaving_targets(self) -> tuple[Target, ...]:
+        """Return the owned targets that take no new work."""
+        me = self._context.settings.instance
+        return tuple(
+            target
+            for target in self._relatives
+            if target.instance == me
+            and self.ejection.state(target.name) is TargetState.LEAVING
+        )
+
+    def note_back(self, target: str) -> None:
+        """Use a target again that had left.
+
+        :param target: an owned target.
+        """
+        now = self._context.clock.now()
+        self._context.dispatcher.perform(self.ejection.on_cold(target, now))
+        self._context.events.emit('target-back', target=target)
+
+    def _subscribe_tokens(self, hub: Hub, office: TokenOffice) -> None:
+        hub.on_message.append(office.on_message)
+        hub.on_tick.append(office.on_tick)
+        hub.on_config.append(office.on_config)
+        hub.on_pause.append(office.on_pause)
+        hub.on_fresh.append(office.set_fresh)
+        hub.on_stop.append(office.stop)
+
     def _note_config(self, cfg: Config, now: float) -> None:
         self._cfg = cfg
         self._relatives = self._find_relatives()
 
+    def _note_ejected(self, change: TargetEjected) -> None:
+        self._context.events.emit(
+            'target-ejected',
+            target=change.target,
+            cause=change.cause.value,
+        )
+
+    def _note_reinstated(self, change: TargetReinstated) -> None:
+        self._context.events.emit('target-reinstated', target=change.target)
+
     def _find_relatives(self) -> tuple[Target, ...]:
         """Return the targets of every service that has one here."""
         me = self._context.settings.instance
--- a/src/clementinedeal/_outgoing.py
+++ b/src/clementinedeal/_outgoing.py
@@ -51,16 +51,9 @@
 
         :raises ConnLostError: the connection ended after the first byte.
         """
-        started = self._parts.clock.now()
         fwd = self._forward(attempt_id, self._target(target), admitted=admitted)
-        ok = False
-        try:
-            async with self._attempt_twice(fwd) as reply:
-                ok = isinstance(reply, Answered)
-                yield reply
-        finally:
-            seconds = self._parts.clock.now() - started
-            self._parts.view.attempt_ended(target, seconds, ok=ok)
+        async with self._attempt_twice(fwd) as reply:
+            yield reply
 
     async def cancel(self, attempt_id: str, target: str) -> CancelAnswer:
         """Ask the owner how far the attempt came; it won't start any more."""
--- a/src/clementinedeal/_recorder.py
+++ b/src/clementinedeal/_recorder.py
@@ -2,6 +2,7 @@
 
 from clementinedeal._incoming import Incoming
 from clementinedeal._metrics import Metrics
+from clementinedeal._replies import Answered
 from clementinedeal._timers import Clock
 
 MAX_LABELLED_ACCOUNTS = 1000
@@ -21,17 +22,26 @@
         self._clock = clock
         self._accounts: set[str] = set()
 
-    def record(self, incoming: Incoming, outcome: str) -> None:
+    def record(
+        self,
+        incoming: Incoming,
+        outcome: str,
+        answer: Answered | None,
+    ) -> None:
         """Note one request.
 
         :param incoming: the request.
         :param outcome: verdict or reason.
+        :param answer: the target's answer, None without one.
         """
         service = incoming.service
         account = self._label(incoming.account)
         seconds = self._clock.now() - incoming.started
         self._metrics.requests.labels(service, account, outcome).inc()
         self._metrics.request_seconds.labels(service).observe(seconds)
+        if answer is not None:
+            added = seconds - answer.target_seconds
+            self._metrics.added_seconds.labels(service).observe(added)
 
     def _label(self, account: str) -> str:
         """Bound the number of label values that the process keeps."""
--- a/src/clementinedeal/_replies.py
+++ b/src/clementinedeal/_replies.py
@@ -92,11 +92,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The target's answer; ``body`` fails if it turns out not to be whole."""
+    """The target's answer; ``body`` fails if it turns out not to be whole.
+
+    ``target_seconds`` is the time that the target took.
+    """
 
     head: ResponseHead
     body: Body
     admitted: bool = False
+    target_seconds: float = 0.0
 
 
 Reply: TypeAlias = Refused | Answered
--- a/src/clementinedeal/_target_call.py
+++ b/src/clementinedeal/_target_call.py
@@ -106,6 +106,7 @@
 
 
 async def _answer(conn: ClientConn, call: TargetCall) -> Reply:
+    started = trio.current_time()
     await send_request(conn, _target_head(call), call.req.body)
     head = await conn.read_head()
     check_request_id(head, call.req_id)
@@ -115,7 +116,8 @@
     body = await buffer_body(pieces, ANSWER_BUFFER_BYTES)
     if head.header(TARGET_REFUSED_HEADER) == b'not-started':
         return Refused(Verdict.NOT_RUN, Reason.QUEUE_FULL)
-    return Answered(head, body)
+    seconds = trio.current_time() - started
+    return Answered(head, body, target_seconds=seconds)
 
 
 def _target_head(call: TargetCall) -> RequestHead:
--- a/src/clementinedeal/_thin.py
+++ b/src/clementinedeal/_thin.py
@@ -11,13 +11,6 @@
 from clementinedeal._verdict import Reason, Verdict
 
 
-class OpenTokenGate:
-    """Admits everything."""
-
-    async def take(self, req_id: str, account: str) -> Refused | None:
-        """Admit."""
-
-
 class SemaphoreSlots:
     """First come, first served."""
 
--- /dev/null
+++ b/src/clementinedeal/_token_gate.py
@@ -0,0 +1,66 @@
+"""Makes requests wait for what the token office decides."""
+
+from collections.abc import Iterable
+from typing import Any
+
+from clementinedeal._dispatch import Dispatcher, Waiters
+from clementinedeal._draws import Admitted
+from clementinedeal._draws import Refused as TokenRefused
+from clementinedeal._replies import Refused
+from clementinedeal._timers import Clock
+from clementinedeal._tokens import TokenOffice
+from clementinedeal._verdict import Reason, Verdict
+
+
+class OfficeTokenGate:
+    """Takes tokens from an office for one request at a time."""
+
+    def __init__(
+        self,
+        office: TokenOffice,
+        dispatcher: Dispatcher,
+        clock: Clock,
+    ) -> None:
+        """Create a gate and register for the office's decisions.
+
+        :param office: decides.
+        :param dispatcher: performs what the office decides.
+        :param clock: the office's time.
+        """
+        self._office = office
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._waiters: Waiters[Refused | None] = Waiters()
+        dispatcher.register(Admitted, self._admitted)
+        dispatcher.register(TokenRefused, self._refused)
+
+    async def take(self, req_id: str, account: str) -> Refused | None:
+        """Wait for a token; None when it was taken.
+
+        :param req_id: unique id of the attempt.
+        :param account: the client account.
+        """
+        self._waiters.expect(req_id)
+        try:
+            self._perform(self._office.take(req_id, account, self._now()))
+            return await self._waiters.wait(req_id)
+        except BaseException:
+            self._office.cancel(req_id, account)
+            raise
+
+    def _admitted(self, action: Admitted) -> None:
+        self._waiters.resolve(action.req_id, None)
+
+    def _refused(self, action: TokenRefused) -> None:
+        refused = Refused(
+            Verdict.NOT_RUN,
+            Reason.RATE_EXCEEDED,
+            action.retry_after_seconds,
+        )
+        self._waiters.resolve(action.req_id, refused)
+
+    def _perform(self, actions: Iterable[Any]) -> None:
+        self._dispatcher.perform(actions)
+
+    def _now(self) -> float:
+        return self._clock.now()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -130,7 +130,7 @@
     def settle(self, incoming: Any, finished: Any) -> None:
         return None
 
-    def record(self, incoming: Any, outcome: str) -> None:
+    def record(self, *finished: Any) -> None:
         return None
 
 
@@ -153,9 +153,6 @@
     def learn_incarnation(self, name: str, incarnation: str) -> None:
         self.incarnations[name] = incarnation
 
-    def attempt_ended(self, target: str, seconds: float, *, ok: bool) -> None:
-        return None
-
 
 class Node:
     """The serving side of one daemon."""
@@ -182,10 +179,11 @@
             Keyring({'k': SECRET}),
             self.events,
             pool,
-            lambda owner, target, outcome: view.learn_incarnation(
+            lambda owner, target, outcome, seconds: view.learn_incarnation(
                 owner,
                 outcome.incarnation,
             ),
+            lambda owner: None,
         )
         entry = Entry(
             EntryParts(
