Keep idempotency keys at one instance each, and judge outcomes by history

Cause: a caller that repeats a request with its Idempotency-Key, through another entry, after a restart or across a configuration change, must not have it run twice, and nothing of ours lasts.

A key has one keeper by rendezvous over published instances. A keeper grants a key only if it, and each instance that may have kept the key before, would remember an earlier claim; an instance that was asked about a key grants it no more until it has asked back. After a start, a pause or a time without fresh configuration a keeper is in quarantine for one retention; UUIDv7 keys that are newer than its begin by 20 s (all entries have heard) and 60 s (largest clock error) are taken as new at once.

The owner's table also notices a gap between ticks itself: a forward that waited in the socket buffer of a paused owner was started 33 s late in a trial run of the machine, before the pause handler had run.

Ruled out: handing over completeness with the records of a planned stop (a keeper that restarts twice would take the first hand-over for complete); records are handed over as facts only. Freeing a key on a settlement that comes when the claim is forgotten: it may be an old copy.

--- a/src/clementinedeal/_executions.py
+++ b/src/clementinedeal/_executions.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from clementinedeal._messages import message
+from clementinedeal._timers import PAUSE_SECONDS
 from clementinedeal._verdict import Reason
 
 DEFAULT_ENTRIES = 65_536
@@ -34,6 +35,7 @@
     UNKNOWN = 'unknown'
 
 
+_ENTOMBED = frozenset((Reason.DEADLINE, Reason.WRONG_INCARNATION))
 _ANSWERS = {
     ExecutionState.CANCELLED: CancelAnswer.NEVER_STARTED,
     ExecutionState.STARTED: CancelAnswer.STARTED,
@@ -105,6 +107,7 @@
         self._limits = limits or ExecutionLimits()
         self._table: dict[str, _Execution] = {}
         self._expiries: list[tuple[float, str]] = []
+        self._last_tick = float('inf')
 
     def __len__(self) -> int:
         """Return the number of remembered forwards."""
@@ -132,7 +135,7 @@
         self._expire(now)
         reason = self._refusal(req_id, incarnation, deadline, now)
         if reason is not None:
-            if reason is Reason.DEADLINE:
+            if reason in _ENTOMBED:
                 self._entomb(req_id, incarnation, now)
             return Err(reason)
         self._table[req_id] = _Execution(
@@ -192,6 +195,16 @@
             self._close(req_id, execution, ExecutionState.CANCELLED, now)
         return _ANSWERS[execution.state]
 
+    def on_tick(self, now: float) -> None:
+        """Note that the process runs.
+
+        Once called, it must be called several times a second: nothing is
+        admitted or started between a gap and the next call.
+
+        :param now: current monotonic time in seconds.
+        """
+        self._last_tick = now
+
     def on_pause(self, incarnation: str) -> None:
         """Take a new incarnation after the process did not run for a while.
 
@@ -221,7 +234,7 @@
             return Reason.CANCELLED
         if known:
             return Reason.DUPLICATE
-        if incarnation != self.incarnation:
+        if incarnation != self.incarnation or self._is_after_gap(now):
             return Reason.WRONG_INCARNATION
         if deadline <= now:
             return Reason.DEADLINE
@@ -240,10 +253,15 @@
             return Reason.DUPLICATE
         if execution.incarnation != self.incarnation:
             return Reason.WRONG_INCARNATION
+        if self._is_after_gap(now):
+            return Reason.WRONG_INCARNATION
         if execution.deadline <= now:
             return Reason.DEADLINE
         return None
 
+    def _is_after_gap(self, now: float) -> bool:
+        return now - self._last_tick > PAUSE_SECONDS
+
     def _entomb(
         self,
         req_id: str,
--- /dev/null
+++ b/src/clementinedeal/_idempotency.py
@@ -0,0 +1,236 @@
+"""Idempotency keys at one daemon: its entry's claims and its keeper."""
+
+import hashlib
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from clementinedeal._claims import (
+    Actions,
+    ClaimAction,
+    ClaimRefused,
+    Claims,
+)
+from clementinedeal._keeper import Keeper
+from clementinedeal._key_messages import (
+    ClaimAnswer,
+    ClaimKey,
+    HandOverKeys,
+    KeyFound,
+    KeyMissing,
+    KeySettled,
+    QueryKey,
+    SettleKey,
+    StoredAnswer,
+)
+from clementinedeal._key_placement import SETTLE_SECONDS, KeyPlacement
+from clementinedeal._key_table import KeeperLimits
+from clementinedeal._messages import Send
+from clementinedeal._model import Config
+from clementinedeal._verdict import Reason, Verdict
+
+KEY_LIMIT_CHARS = 255
+PATIENCE_SLACK_SECONDS = 5.0  # cancels and owners' last checks
+PAUSE_SECONDS = 2.0  # far below SETTLE_SECONDS
+
+_DIGEST_BYTES = 16
+_UUID7 = 7
+_UUID_BITS = 128
+_UUID7_TIME_BITS = 48
+
+
+def key_digest(account: str, key: str) -> str:
+    """Return the name under which a key is kept.
+
+    :param account: the client account.
+    :param key: the key as the caller sent it.
+    """
+    text = f'{account}\0{key}'.encode()
+    return hashlib.blake2b(text, digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def minted_ms(key: str) -> int:
+    """Return the wall-clock milliseconds that a UUIDv7 key carries, or 0.
+
+    :param key: the key as the caller sent it.
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return 0
+    if parsed.version != _UUID7:
+        return 0
+    return parsed.int >> (_UUID_BITS - _UUID7_TIME_BITS)
+
+
+class IdempotencyOffice:
+    """Claims keys for this entry's requests and keeps its share of keys.
+
+    A request with a key may run only after ``ClaimGranted``.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        cfg: Config,
+        now: float,
+        *,
+        wall_ms: Callable[[], int],
+        limits: KeeperLimits | None = None,
+    ) -> None:
+        """Start in quarantine, as a former run may have granted keys.
+
+        :param me: name of this instance.
+        :param cfg: configuration in force.
+        :param now: current monotonic time in seconds.
+        :param wall_ms: reads the wall clock in milliseconds.
+        :param limits: bounds of the keeper's memory.
+        """
+        bounds = limits or KeeperLimits()
+        self._me = me
+        self._wall_ms = wall_ms
+        past_seconds = bounds.retention + SETTLE_SECONDS
+        self._placement = KeyPlacement(cfg.instances, past_seconds)
+        self._claims = Claims()
+        self._keeper = Keeper(me, self._placement, bounds, wall_ms)
+        self._keeper.doubt(now)
+        self._last_tick = now
+
+    def claim(
+        self,
+        req_id: str,
+        account: str,
+        key: str,
+        fingerprint: str,
+        patience: float,
+        now: float,
+    ) -> Actions:
+        """Claim a request's key.
+
+        :param req_id: the request.
+        :param account: its client account.
+        :param key: its idempotency key.
+        :param fingerprint: digest of method, path and body.
+        :param patience: time left to the request in seconds.
+        :param now: current monotonic time in seconds.
+        """
+        self._notice_gap(now)
+        digest = key_digest(account, key)
+        keeper = self._placement.keeper(digest)
+        if len(key) > KEY_LIMIT_CHARS or not keeper:
+            reason = Reason.BAD_REQUEST if keeper else Reason.KEEPER_UNAVAILABLE
+            return (ClaimRefused(req_id, reason, Verdict.NOT_RUN),)
+        claim = ClaimKey(
+            key=digest,
+            minted_ms=minted_ms(key),
+            fingerprint=fingerprint,
+            req_id=req_id,
+            patience=patience + PATIENCE_SLACK_SECONDS,
+        )
+        return self._local(self._claims.claim(keeper, claim, now), now)
+
+    def complete(
+        self,
+        req_id: str,
+        verdict: Verdict,
+        answer: StoredAnswer | None,
+        now: float,
+    ) -> Actions:
+        """Store what a granted request came to; ``NOT_RUN`` frees its key.
+
+        :param req_id: the request.
+        :param verdict: what is known of its execution.
+        :param answer: its answer, if it has come whole and is small.
+        :param now: current monotonic time in seconds.
+        """
+        actions = self._claims.settle(req_id, verdict, answer, now)
+        return self._local(actions, now)
+
+    def on_message(self, sender: str, body: Any, now: float) -> Actions:
+        """Handle a control message; other kinds have no effect.
+
+        :param sender: instance name.
+        :param body: the message.
+        :param now: current monotonic time in seconds.
+        """
+        self._notice_gap(now)
+        return self._local(self._handle(sender, body, now), now)
+
+    def on_tick(self, now: float) -> Actions:
+        """Handle what is due; call it several times a second.
+
+        :param now: current monotonic time in seconds.
+        """
+        self._notice_gap(now)
+        self._last_tick = now
+        actions = (*self._claims.on_tick(now), *self._keeper.on_tick(now))
+        return self._local(actions, now)
+
+    def on_config(self, cfg: Config, now: float) -> None:
+        """Place keys by a new configuration.
+
+        :param cfg: the configuration that came into force.
+        :param now: current monotonic time in seconds.
+        """
+        self._placement.change(cfg.instances, now, self._wall_ms())
+
+    def on_pause(self, now: float) -> None:
+        """Go into quarantine, as others may have kept this daemon's keys.
+
+        Call it after a pause and whenever the configuration is not fresh. A
+        gap between ticks is noticed without it.
+
+        :param now: current monotonic time in seconds.
+        """
+        self._keeper.doubt(now)
+
+    def stop(self, now: float) -> Actions:
+        """Grant nothing more and hand records over.
+
+        :param now: current monotonic time in seconds.
+        """
+        return self._local(self._keeper.stop(now), now)
+
+    @property
+    def unsettled(self) -> int:
+        """Number of this entry's requests not yet confirmed by a keeper."""
+        return self._claims.unsettled
+
+    def _notice_gap(self, now: float) -> None:
+        if now - self._last_tick > PAUSE_SECONDS:
+            self._last_tick = now
+            self._keeper.doubt(now)
+
+    def _handle(self, sender: str, body: Any, now: float) -> Actions:
+        match body:
+            case ClaimAnswer():
+                return self._claims.on_answer(body, now)
+            case KeySettled():
+                self._claims.on_settled(body.req_id)
+            case HandOverKeys():
+                self._keeper.on_hand_over(body, now)
+            case ClaimKey():
+                return self._keeper.on_claim(sender, body, now)
+            case SettleKey():
+                return self._keeper.on_settle(sender, body, now)
+        return self._handle_transfer(sender, body, now)
+
+    def _handle_transfer(self, sender: str, body: Any, now: float) -> Actions:
+        match body:
+            case QueryKey():
+                return self._keeper.on_query(sender, body, now)
+            case KeyFound():
+                return self._keeper.on_found(body, now)
+            case KeyMissing():
+                return self._keeper.on_missing(sender, body, now)
+        return ()
+
+    def _local(self, actions: Iterable[ClaimAction], now: float) -> Actions:
+        """Deliver messages to this instance at once."""
+        outside: list[ClaimAction] = []
+        for action in actions:
+            if isinstance(action, Send) and action.to == self._me:
+                outside.extend(self.on_message(self._me, action.body, now))
+            else:
+                outside.append(action)
+        return tuple(outside)
--- /dev/null
+++ b/src/clementinedeal/_keeper.py
@@ -0,0 +1,279 @@
+"""The keeper's side of idempotency keys: grants each key once."""
+
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from clementinedeal._key_answers import refuse, replay
+from clementinedeal._key_messages import (
+    ClaimAnswer,
+    ClaimKey,
+    ClaimOutcome,
+    HandOverKeys,
+    KeyFound,
+    KeyMissing,
+    KeyRecord,
+    KeySettled,
+    KeyState,
+    QueryKey,
+    SettleKey,
+)
+from clementinedeal._key_placement import SETTLE_SECONDS, KeyPlacement
+from clementinedeal._key_table import KeeperLimits, KeyTable
+from clementinedeal._messages import Send
+from clementinedeal._quarantine import MovedKeys, Quarantine
+
+QUERY_SECONDS = 0.4
+HANDOVER_RECORDS = 20
+NONCE_BITS = 16  # queries of one run in the same millisecond as its start
+
+Sends = tuple[Send, ...]
+
+
+@dataclass(slots=True)
+class _Pending:
+    """A claim that waits for the key's former keepers."""
+
+    claim: ClaimKey
+    entry: str
+    give_up_at: float
+    waiting: set[str]
+    asked: set[str] = field(default_factory=set)
+    sure: bool = True
+
+
+class Keeper:
+    """Grants keys of which this instance is the keeper.
+
+    A key is granted as new only if this instance, and each that may have
+    kept the key before, would remember an earlier claim. An instance that
+    was asked about a key grants it no more until it has asked back.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        placement: KeyPlacement,
+        limits: KeeperLimits,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        """Create a keeper; ``doubt`` must be called before its first use.
+
+        :param me: name of this instance.
+        :param placement: current and past keepers.
+        :param limits: bounds of the memory.
+        :param wall_ms: reads the wall clock in milliseconds.
+        """
+        self._me = me
+        self._placement = placement
+        self._table = KeyTable(limits)
+        self._quarantine = Quarantine(limits.retention, wall_ms)
+        self._moved = MovedKeys(
+            limits.retention + SETTLE_SECONDS,
+            limits.entries,
+        )
+        self._pending: dict[int, _Pending] = {}
+        self._nonces = itertools.count(wall_ms() << NONCE_BITS)
+        self._stopping = False
+
+    def doubt(self, now: float) -> None:
+        """Begin a quarantine: claims made before may be unknown here.
+
+        :param now: current monotonic time in seconds.
+        """
+        self._quarantine.begin(now)
+        self._pending.clear()
+
+    def on_claim(self, entry: str, claim: ClaimKey, now: float) -> Sends:
+        """Grant, refuse or look into a claim.
+
+        :param entry: the claiming instance.
+        :param claim: the claim.
+        :param now: current monotonic time in seconds.
+        """
+        if self._stopping or self._placement.keeper(claim.key) != self._me:
+            return (refuse(entry, claim),)
+        record = self._table.get(claim.key, now)
+        if record is not None and not self._moved.get(claim.key, now):
+            return self._answer(entry, claim, record, now)
+        if self._is_pending(claim.key):
+            return (refuse(entry, claim),)
+        return self._look_into(entry, claim, now)
+
+    def on_settle(self, entry: str, settled: SettleKey, now: float) -> Sends:
+        """Note what a request came to, and tell the key's next keeper.
+
+        :param entry: the instance that ran the request.
+        :param settled: the outcome.
+        :param now: current monotonic time in seconds.
+        """
+        self._table.settle(settled, now)
+        done = Send(entry, KeySettled(settled.req_id))
+        moved_to = self._moved.get(settled.key, now)
+        if moved_to and moved_to != entry:
+            return done, Send(moved_to, settled)
+        return (done,)
+
+    def on_query(self, asker: str, query: QueryKey, now: float) -> Sends:
+        """Give a key up to another keeper and say what is known of it.
+
+        :param asker: the other keeper.
+        :param query: names the key.
+        :param now: current monotonic time in seconds.
+        """
+        moved_to = self._moved.get(query.key, now)
+        sure = self._quarantine.remembers(query.minted_ms, now)
+        if self._is_pending(query.key):
+            missing = KeyMissing(query.nonce, query.key, False, '')
+            return (Send(asker, missing),)
+        if not self._moved.add(query.key, asker, now):
+            return ()
+        record = self._table.get(query.key, now)
+        if record is None or (moved_to and record.state is KeyState.FREE):
+            missing = KeyMissing(query.nonce, query.key, sure, moved_to)
+            return (Send(asker, missing),)
+        return (Send(asker, KeyFound(query.nonce, record)),)
+
+    def on_found(self, found: KeyFound, now: float) -> Sends:
+        """Adopt a record from a former keeper and answer the claim.
+
+        :param found: the record.
+        :param now: current monotonic time in seconds.
+        """
+        pending = self._pending.pop(found.nonce, None)
+        if pending is None:
+            return ()
+        if self._table.put(found.record, now):
+            self._moved.discard(found.record.key)
+        return self._answer(pending.entry, pending.claim, found.record, now)
+
+    def on_missing(self, sender: str, missing: KeyMissing, now: float) -> Sends:
+        """Count an answer without a record; the last one decides.
+
+        :param sender: the former keeper.
+        :param missing: its answer.
+        :param now: current monotonic time in seconds.
+        """
+        pending = self._pending.get(missing.nonce)
+        if pending is None:
+            return ()
+        pending.waiting.discard(sender)
+        pending.sure = pending.sure and missing.sure
+        further = {missing.moved_to} - pending.asked - {self._me, ''}
+        sends = self._ask(missing.nonce, pending, further)
+        if pending.waiting:
+            return sends
+        self._pending.pop(missing.nonce)
+        return self._decide(pending, now)
+
+    def on_hand_over(self, message: HandOverKeys, now: float) -> None:
+        """Remember the records of an instance that stops.
+
+        :param message: its records.
+        :param now: current monotonic time in seconds.
+        """
+        for record in message.records:
+            if self._table.get(record.key, now) is None:
+                self._table.put(record, now)
+
+    def on_tick(self, now: float) -> Sends:
+        """Refuse claims whose former keepers do not answer.
+
+        :param now: current monotonic time in seconds.
+        """
+        late = [
+            nonce
+            for nonce, pending in self._pending.items()
+            if pending.give_up_at <= now
+        ]
+        ended = [self._pending.pop(nonce) for nonce in late]
+        return tuple(refuse(pending.entry, pending.claim) for pending in ended)
+
+    def stop(self, now: float) -> Sends:
+        """Grant no more, and hand the records to the next in rank.
+
+        :param now: current monotonic time in seconds.
+        """
+        self._stopping = True
+        heirs: dict[str, list[KeyRecord]] = {}
+        for record in self._table.records(now):
+            if record.state is KeyState.FREE:
+                continue
+            heir = self._placement.next_keeper(record.key)
+            heirs.setdefault(heir, []).append(record)
+        heirs.pop('', None)
+        return tuple(
+            Send(heir, HandOverKeys(tuple(batch)))
+            for heir, records in heirs.items()
+            for batch in _batches(records)
+        )
+
+    def _look_into(self, entry: str, claim: ClaimKey, now: float) -> Sends:
+        others = self._placement.former(claim.key, claim.minted_ms, now)
+        others.add(self._moved.get(claim.key, now))
+        if not self._quarantine.remembers(claim.minted_ms, now):
+            others.add(self._placement.next_keeper(claim.key))
+        others -= {self._me, ''}
+        pending = _Pending(claim, entry, now + QUERY_SECONDS, set())
+        if not others:
+            return self._decide(pending, now)
+        nonce = next(self._nonces)
+        self._pending[nonce] = pending
+        return self._ask(nonce, pending, others)
+
+    def _ask(self, nonce: int, pending: _Pending, others: set[str]) -> Sends:
+        pending.waiting |= others
+        pending.asked |= others
+        claim = pending.claim
+        query = QueryKey(claim.key, claim.minted_ms, nonce)
+        return tuple(Send(name, query) for name in sorted(others))
+
+    def _decide(self, pending: _Pending, now: float) -> Sends:
+        claim = pending.claim
+        record = self._table.get(claim.key, now)
+        if record is not None and record.state is not KeyState.FREE:
+            return (Send(pending.entry, replay(claim, record)),)
+        remembers = self._quarantine.remembers(claim.minted_ms, now)
+        if pending.sure and remembers:
+            outcome = self._open(claim, now)
+            return (Send(pending.entry, ClaimAnswer(claim.req_id, outcome)),)
+        wait = self._quarantine.left(now)
+        return (refuse(pending.entry, claim, wait),)
+
+    def _answer(
+        self,
+        entry: str,
+        claim: ClaimKey,
+        record: KeyRecord,
+        now: float,
+    ) -> Sends:
+        if record.state is not KeyState.FREE:
+            return (Send(entry, replay(claim, record)),)
+        if record.req_id == claim.req_id:
+            return (refuse(entry, claim),)
+        outcome = self._open(claim, now)
+        return (Send(entry, ClaimAnswer(claim.req_id, outcome)),)
+
+    def _open(self, claim: ClaimKey, now: float) -> ClaimOutcome:
+        if self._quarantine.outlived(claim.minted_ms):
+            return ClaimOutcome.IN_DOUBT
+        record = KeyRecord(
+            key=claim.key,
+            fingerprint=claim.fingerprint,
+            req_id=claim.req_id,
+            state=KeyState.IN_PROGRESS,
+            patience=claim.patience,
+        )
+        if not self._table.put(record, now):
+            return ClaimOutcome.FULL
+        self._moved.discard(claim.key)
+        return ClaimOutcome.NEW
+
+    def _is_pending(self, key: str) -> bool:
+        pendings = self._pending.values()
+        return any(pending.claim.key == key for pending in pendings)
+
+
+def _batches(records: list[KeyRecord]) -> list[list[KeyRecord]]:
+    starts = range(0, len(records), HANDOVER_RECORDS)
+    return [records[start : start + HANDOVER_RECORDS] for start in starts]
--- /dev/null
+++ b/src/clementinedeal/_key_table.py
@@ -0,0 +1,161 @@
+"""Bounded memory of claimed idempotency keys."""
+
+import heapq
+from dataclasses import dataclass, replace
+
+from clementinedeal._key_messages import KeyRecord, KeyState, SettleKey
+from clementinedeal._verdict import Verdict
+
+DEFAULT_ENTRIES = 20_000
+DEFAULT_BYTES = 32 * 1024 * 1024
+DEFAULT_BODY_BYTES = 16 * 1024
+DEFAULT_RETENTION_SECONDS = 600.0
+RECORD_BYTES = 600  # keys, ids and containers of one record
+
+_SETTLED_STATES = {
+    Verdict.NOT_RUN: KeyState.FREE,
+    Verdict.MAY_HAVE_RUN: KeyState.IN_DOUBT,
+    Verdict.RAN: KeyState.DONE,
+}
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class KeeperLimits:
+    """Bounds of a keeper's memory; ``retention`` is in seconds."""
+
+    entries: int = DEFAULT_ENTRIES
+    total_bytes: int = DEFAULT_BYTES
+    body_bytes: int = DEFAULT_BODY_BYTES
+    retention: float = DEFAULT_RETENTION_SECONDS
+
+
+@dataclass(slots=True)
+class _Kept:
+    record: KeyRecord
+    until: float
+    size: int
+
+
+class KeyTable:
+    """Records by key; refuses new ones when full, never drops live ones."""
+
+    def __init__(self, limits: KeeperLimits) -> None:
+        """Create an empty table.
+
+        :param limits: its bounds.
+        """
+        self._limits = limits
+        self._kept: dict[str, _Kept] = {}
+        self._expiries: list[tuple[float, str]] = []
+        self._used_bytes = 0
+
+    def __len__(self) -> int:
+        """Return the number of records."""
+        return len(self._kept)
+
+    @property
+    def used_bytes(self) -> int:
+        """Estimate of the memory in use."""
+        return self._used_bytes
+
+    def get(self, key: str, now: float) -> KeyRecord | None:
+        """Return a record as it stands, None if there is none.
+
+        :param key: digest of account and key.
+        :param now: current monotonic time in seconds.
+        """
+        self._expire(now)
+        kept = self._kept.get(key)
+        if kept is None:
+            return None
+        left = kept.until - now
+        if left > 0 or kept.record.state is not KeyState.IN_PROGRESS:
+            return replace(kept.record, patience=max(left, 0))
+        return replace(kept.record, patience=0, state=KeyState.IN_DOUBT)
+
+    def put(self, record: KeyRecord, now: float) -> bool:
+        """Remember a record in place of an older one; False when full.
+
+        :param record: what to remember.
+        :param now: current monotonic time in seconds.
+        """
+        self._expire(now)
+        if record.key not in self._kept and self._is_full():
+            return False
+        self._drop(record.key)
+        self._store(record, now + record.patience, now)
+        return True
+
+    def settle(self, settled: SettleKey, now: float) -> None:
+        """Note what a claimed request came to.
+
+        A settlement whose claim was forgotten is remembered anew, unless
+        the request did not run: a later one may have.
+
+        :param settled: from the entry that was granted the claim.
+        :param now: current monotonic time in seconds.
+        """
+        kept = self._kept.get(settled.key)
+        if kept is None and settled.verdict is Verdict.NOT_RUN:
+            return
+        if kept is not None and not _may_settle(kept.record, settled):
+            return
+        record = KeyRecord(
+            key=settled.key,
+            fingerprint=settled.fingerprint,
+            req_id=settled.req_id,
+            state=_SETTLED_STATES[settled.verdict],
+            answer=settled.answer,
+        )
+        self.put(record, now)
+
+    def records(self, now: float) -> tuple[KeyRecord, ...]:
+        """Return all records as they stand.
+
+        :param now: current monotonic time in seconds.
+        """
+        found = [self.get(key, now) for key in tuple(self._kept)]
+        return tuple(record for record in found if record is not None)
+
+    def _is_full(self) -> bool:
+        if len(self._kept) >= self._limits.entries:
+            return True
+        return self._used_bytes + RECORD_BYTES > self._limits.total_bytes
+
+    def _store(self, record: KeyRecord, until: float, now: float) -> None:
+        size = RECORD_BYTES
+        if record.answer is not None:
+            size += len(record.answer.body)
+        total = self._used_bytes + size
+        if total > self._limits.total_bytes or self._too_large(record):
+            record = replace(record, answer=None)
+            size = RECORD_BYTES
+        self._kept[record.key] = _Kept(record, until, size)
+        self._used_bytes += size
+        forget_at = until + self._limits.retention
+        heapq.heappush(self._expiries, (forget_at, record.key))
+
+    def _too_large(self, record: KeyRecord) -> bool:
+        answer = record.answer
+        limit = self._limits.body_bytes
+        return answer is not None and len(answer.body) > limit
+
+    def _drop(self, key: str) -> None:
+        kept = self._kept.pop(key, None)
+        if kept is not None:
+            self._used_bytes -= kept.size
+
+    def _expire(self, now: float) -> None:
+        while self._expiries and self._expiries[0][0] <= now:
+            _, key = heapq.heappop(self._expiries)
+            kept = self._kept.get(key)
+            if kept and kept.until + self._limits.retention <= now:
+                self._drop(key)
+
+
+def _may_settle(record: KeyRecord, settled: SettleKey) -> bool:
+    if record.req_id != settled.req_id:
+        return False
+    if record.state is KeyState.IN_DOUBT:
+        return settled.verdict is Verdict.RAN
+    return record.state is KeyState.IN_PROGRESS
--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,391 @@
+import itertools
+import random
+import uuid
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from clementinedeal import _attempt_events as ev
+from clementinedeal import _claims as cl
+from clementinedeal._attempt_set import AttemptRequest
+from clementinedeal._attempts import AttemptPlan
+from clementinedeal._executions import (
+    CancelExecution,
+    ExecutionCancelled,
+    ExecutionTable,
+)
+from clementinedeal._history import Answered, Started
+from clementinedeal._history_checks import check_at_most_once, check_not_run
+from clementinedeal._idempotency import IdempotencyOffice
+from clementinedeal._key_messages import StoredAnswer
+from clementinedeal._key_placement import SETTLE_SECONDS
+from clementinedeal._key_table import KeeperLimits
+from clementinedeal._messages import Send, decode, encode
+from clementinedeal._model import Config, Preset, PresetName
+from clementinedeal._retry_budget import RetryBudget
+from clementinedeal._verdict import Reason, Verdict
+
+RETENTION = 200.0
+STEP_SECONDS = 0.25
+DEADLINE_SECONDS = 3.0
+CONFIG_SECONDS = 7.0
+TRANSIT_SECONDS = 30.0
+WALL_MS = 1_700_000_000_000
+NODES = ('n0', 'n1', 'n2', 'n3')
+ANSWER = StoredAnswer(201, (), b'booked')
+PRESET = Preset(name=PresetName.ORDINARY)
+
+
+def published(*names: str) -> Any:
+    return SimpleNamespace(instances=dict.fromkeys(names))
+
+
+@dataclass(frozen=True)
+class Forwarded:
+    attempt: str
+    incarnation: str
+    seconds: float
+
+
+@dataclass(frozen=True)
+class Told:
+    """An owner's answer to a forward, as typed events of the plan."""
+
+    attempt: str
+    events: tuple[Any, ...]
+    incarnation: str
+
+
+@dataclass
+class Call:
+    req_id: str
+    key: str
+    deadline: float
+    plan: AttemptPlan
+    done: bool = False
+
+
+@dataclass
+class Node:
+    """One daemon: entry, owner of one target, keeper."""
+
+    name: str
+    fleet: 'Fleet'
+    incarnation: str
+    cfg: Config
+    asleep_until: float = 0.0
+    calls: dict[str, Call] = field(default_factory=dict)
+    queued: dict[str, str] = field(default_factory=dict)
+    running: dict[str, str] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.known = {name: f'{name}.0' for name in NODES}
+        self.table = ExecutionTable(self.incarnation)
+        self.last_tick = self.fleet.now
+        self.table.on_tick(self.last_tick)
+        self.office = IdempotencyOffice(
+            self.name,
+            self.cfg,
+            self.fleet.now,
+            wall_ms=self.fleet.wall_ms,
+            limits=KeeperLimits(retention=RETENTION),
+        )
+
+    def submit(self, key: str) -> None:
+        now = self.fleet.now
+        req_id = f'{self.name}-{next(self.fleet.numbers)}'
+        deadline = now + DEADLINE_SECONDS
+        others = sorted(
+            self.cfg.instances, key=lambda _: self.fleet.rng.random()
+        )
+        req = AttemptRequest(
+            req_id=req_id,
+            idempotent=False,
+            preset=PRESET,
+            candidates=tuple(others),
+            deadline=deadline,
+        )
+        plan = AttemptPlan(req, RetryBudget())
+        self.calls[req_id] = Call(req_id, key, deadline, plan)
+        self.fleet.keys_of[req_id] = key
+        self.fleet.deadlines[req_id] = deadline
+        claimed = self.office.claim(
+            req_id, 'c', key, 'f', DEADLINE_SECONDS, now
+        )
+        self.on_claims(claimed)
+
+    def on_claims(self, actions: cl.Actions) -> None:
+        for action in actions:
+            match action:
+                case Send():
+                    body = decode(encode((action.body,)))[0]
+                    self.fleet.post(self.name, action.to, body)
+                case cl.ClaimGranted():
+                    call = self.calls[action.req_id]
+                    self.on_plan(call, call.plan.start(self.fleet.now))
+                case cl.Replay():
+                    self.answer(action.req_id, Verdict.RAN)
+                case cl.ClaimRefused():
+                    self.answer(action.req_id, action.verdict)
+
+    def on_plan(self, call: Call, actions: Any) -> None:
+        for action in actions:
+            match action:
+                case ev.Forward():
+                    self.forward(call, action)
+                case ev.Cancel():
+                    known = self.fleet.named[action.attempt_id]
+                    wish = CancelExecution(action.attempt_id, known)
+                    self.fleet.post(self.name, action.target, wish)
+                case ev.GiveUp() | ev.CutStream():
+                    self.answer(call.req_id, action.verdict)
+                    self.settle(call, action.verdict, None)
+        if call.plan.finished and not call.done:
+            self.answer(call.req_id, Verdict.RAN)
+            self.settle(call, Verdict.RAN, ANSWER)
+
+    def forward(self, call: Call, action: ev.Forward) -> None:
+        known = self.known[action.target]
+        self.fleet.named[action.attempt_id] = known
+        seconds = call.deadline - self.fleet.now
+        body = Forwarded(action.attempt_id, known, seconds)
+        self.fleet.post(self.name, action.target, body)
+
+    def answer(self, req_id: str, verdict: Verdict) -> None:
+        self.calls.pop(req_id, None)
+        self.fleet.record(
+            Answered(at=self.fleet.now, req_id=req_id, verdict=verdict)
+        )
+
+    def settle(
+        self, call: Call, verdict: Verdict, stored: StoredAnswer | None
+    ) -> None:
+        call.done = True
+        now = self.fleet.now
+        done = self.office.complete(call.req_id, verdict, stored, now)
+        self.on_claims(done)
+
+    def on_message(self, sender: str, body: Any) -> None:
+        now = self.fleet.now
+        match body:
+            case Forwarded():
+                self.on_forward(sender, body)
+            case CancelExecution():
+                answer = self.table.cancel(body.req_id, body.incarnation, now)
+                told = ExecutionCancelled(body.req_id, answer)
+                self.fleet.post(self.name, sender, told)
+            case ExecutionCancelled():
+                event = ev.CancelAnswered(body.req_id, body.answer)
+                self.on_attempt(body.req_id, event)
+            case Told():
+                self.known[sender] = body.incarnation
+                for event in body.events:
+                    self.on_attempt(body.attempt, event)
+            case _:
+                self.on_claims(self.office.on_message(sender, body, now))
+
+    def on_attempt(self, attempt: str, event: Any) -> None:
+        call = self.calls.get(attempt.split('/')[0])
+        if call is not None:
+            self.on_plan(call, call.plan.on_event(event, self.fleet.now))
+
+    def on_forward(self, sender: str, body: Forwarded) -> None:
+        now = self.fleet.now
+        known = self.table.register(
+            body.attempt, body.incarnation, now + body.seconds, now
+        )
+        if known.is_ok():
+            self.queued[body.attempt] = sender
+        else:
+            self.refuse(sender, body.attempt, known.unwrap_err())
+
+    def refuse(self, entry: str, attempt: str, reason: Reason) -> None:
+        ran = reason is Reason.DUPLICATE
+        verdict = Verdict.MAY_HAVE_RUN if ran else Verdict.NOT_RUN
+        failed = ev.AttemptFailed(attempt, verdict, reason)
+        told = Told(attempt, (failed,), self.incarnation)
+        self.fleet.post(self.name, entry, told)
+
+    def work(self, rng: random.Random) -> None:
+        now = self.fleet.now
+        for attempt in [one for one in self.queued if rng.random() < 0.4]:
+            entry = self.queued.pop(attempt)
+            allowed = self.table.start(attempt, now)
+            if allowed.is_err():
+                self.refuse(entry, attempt, allowed.unwrap_err())
+                continue
+            self.fleet.start(attempt, self.name)
+            self.running[attempt] = entry
+        for attempt in [one for one in self.running if rng.random() < 0.4]:
+            entry = self.running.pop(attempt)
+            self.table.finish(attempt, now)
+            events = (ev.AnswerHead(attempt, 201), ev.AnswerComplete(attempt))
+            told = Told(attempt, events, self.incarnation)
+            self.fleet.post(self.name, entry, told)
+
+    def tick(self) -> None:
+        now = self.fleet.now
+        if self.asleep_until > self.last_tick:
+            self.incarnation = f'{self.name}.{next(self.fleet.numbers)}'
+            self.table.on_pause(self.incarnation)
+        self.last_tick = now
+        self.table.on_tick(now)
+        self.on_claims(self.office.on_tick(now))
+        for call in tuple(self.calls.values()):
+            if call.plan.due() <= now:
+                timed_out = call.plan.on_event(ev.Timeout(), now)
+                self.on_plan(call, timed_out)
+
+
+class Fleet:
+    """Nodes, a network that loses, delays and repeats, and a history."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.keys: dict[str, float] = {}
+        self.numbers = itertools.count()
+        self.rng = random.Random(0)
+        self.history: list[Any] = []
+        self.keys_of: dict[str, str] = {}
+        self.deadlines: dict[str, float] = {}
+        self.named: dict[str, str] = {}
+        self.mail: list[tuple[float, str, str, Any]] = []
+        self.cfg = published(*NODES[:3])
+        self.config_due = 0.0
+        self.nodes = {name: self.boot(name, 0) for name in NODES}
+        self.run(RETENTION + SETTLE_SECONDS, random.Random(0), loss=0)
+
+    def boot(self, name: str, run: int) -> Node:
+        return Node(name, self, f'{name}.{run}', self.cfg)
+
+    def wall_ms(self) -> int:
+        return WALL_MS + int(self.now * 1000)
+
+    def record(self, event: Any) -> None:
+        self.history.append(event)
+
+    def post(self, sender: str, to: str, body: Any) -> None:
+        slow = self.rng.random() < 0.1
+        delay = self.rng.uniform(0, TRANSIT_SECONDS if slow else 0.5)
+        self.mail.append((self.now + delay, sender, to, body))
+
+    def start(self, attempt: str, target: str) -> None:
+        req_id = attempt.split('/')[0]
+        key = self.keys_of[req_id]
+        self.record(Started(at=self.now, req_id=req_id, target=target, key=key))
+        assert self.now <= self.deadlines[req_id] + TRANSIT_SECONDS
+
+    def make_key(self, rng: random.Random) -> None:
+        """Add a UUIDv7 of a caller with a wrong clock, or a UUIDv4."""
+        millis = self.wall_ms() + rng.randrange(-30_000, 30_000)
+        low = rng.getrandbits(74)
+        timed = uuid.UUID(int=(millis << 80) | (7 << 76) | (2 << 62) | low)
+        plain = uuid.UUID(int=rng.getrandbits(128), version=4)
+        self.keys[str(timed)] = float('inf')
+        self.keys[str(plain)] = self.now + RETENTION
+
+    def submit(self, rng: random.Random) -> None:
+        if rng.random() < 0.3:
+            self.make_key(rng)
+        keys = [key for key, end in self.keys.items() if end > self.now]
+        if keys:
+            key = rng.choice(keys[-6:])
+            for node in rng.choices(self.awake(), k=rng.randint(1, 3)):
+                node.submit(key)
+
+    def run(
+        self,
+        seconds: float,
+        rng: random.Random,
+        loss: float,
+        traffic: float = 0,
+    ) -> None:
+        self.rng = rng
+        for _ in range(int(seconds / STEP_SECONDS)):
+            self.now += STEP_SECONDS
+            self.adopt_if_due()
+            if rng.random() < traffic and self.awake():
+                self.submit(rng)
+            self.deliver(rng, loss)
+            for node in self.awake():
+                node.work(rng)
+                node.tick()
+
+    def awake(self) -> list[Node]:
+        nodes = self.nodes.values()
+        return [node for node in nodes if node.asleep_until <= self.now]
+
+    def adopt_if_due(self) -> None:
+        if self.now >= self.config_due:
+            self.adopt(self.awake())
+
+    def adopt(self, nodes: list[Node]) -> None:
+        for node in nodes:
+            if node.cfg is not self.cfg:
+                node.cfg = self.cfg
+                node.office.on_config(self.cfg, self.now)
+
+    def deliver(self, rng: random.Random, loss: float) -> None:
+        pending, self.mail = self.mail, []
+        rng.shuffle(pending)
+        for sent in pending:
+            due, sender, to, body = sent
+            node = self.nodes[to]
+            waits = max(due, node.asleep_until) > self.now
+            if waits or rng.random() < 0.2:
+                self.mail.append(sent)
+            elif rng.random() >= loss:
+                node.on_message(sender, body)
+                if rng.random() < loss:
+                    self.post(sender, to, body)
+
+
+class OutcomeMachine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = Fleet()
+
+    @rule(
+        seconds=st.sampled_from((1, 5, 20, 60)),
+        rng=st.integers(0, 1 << 32),
+        loss=st.sampled_from((0, 0.1, 0.3)),
+    )
+    def run(self, seconds: float, rng: int, loss: float) -> None:
+        self.fleet.run(seconds, random.Random(rng), loss, traffic=0.1)
+
+    @rule(name=st.sampled_from(NODES))
+    def restart(self, name: str) -> None:
+        self.fleet.nodes[name] = self.fleet.boot(name, next(self.fleet.numbers))
+
+    @rule(name=st.sampled_from(NODES), gap=st.sampled_from((1, 4, 40)))
+    def pause(self, name: str, gap: float) -> None:
+        node = self.fleet.nodes[name]
+        node.asleep_until = self.fleet.now + gap
+
+    @rule(names=st.sets(st.sampled_from(NODES), min_size=2))
+    def publish(self, names: set[str]) -> None:
+        if self.fleet.now >= self.fleet.config_due:
+            self.fleet.cfg = published(*sorted(names))
+            self.fleet.config_due = self.fleet.now + CONFIG_SECONDS
+
+    @rule(name=st.sampled_from(NODES))
+    def adopt(self, name: str) -> None:
+        self.fleet.adopt([self.fleet.nodes[name]])
+
+    @rule(name=st.sampled_from(NODES))
+    def stop(self, name: str) -> None:
+        node = self.fleet.nodes[name]
+        node.on_claims(node.office.stop(self.fleet.now))
+
+    @invariant()
+    def outcomes_are_true(self) -> None:
+        assert check_at_most_once(self.fleet.history) == ()
+        assert check_not_run(self.fleet.history) == ()
+
+
+TestOutcomes = OutcomeMachine.TestCase
+TestOutcomes.settings = settings(max_examples=100, stateful_step_count=30)
