--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -6,14 +6,19 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from clementinedeal._ejection import EjectionOffice
-from clementinedeal._health import Outcome, OutcomeKind
+from clementinedeal._health import Outcome, OutcomeKind, Traffic
 from clementinedeal._messages import Send, decode, encode
 from clementinedeal._model import Config, Preset, PresetName, Service, Target
+from clementinedeal._permit_use import PermitUse, Reply
 from clementinedeal._permits import (
     FRESHNESS_SECONDS,
     LEASE_MARGIN_SECONDS,
     LEASE_SECONDS,
+    SETTLE_SECONDS,
+    PermitHolder,
+    holder_of,
 )
+from clementinedeal._reports import PermitAnswer, TargetReport
 from clementinedeal._target_state import OUT
 
 SIZE = 6
@@ -153,9 +158,16 @@
     def cut(self, pair: tuple[int, int]) -> None:
         self.cuts.symmetric_difference_update({pair})
 
+    @rule(number=daemons)
+    def cut_sender(self, number: int) -> None:
+        self.cuts |= {(number, other) for other in range(SIZE)}
+
     @rule(mode=st.sampled_from(sorted(DELAYS)), lossy=st.booleans())
     def change_network(self, mode: str, lossy: bool) -> None:
         self.mode, self.lossy = mode, lossy
+
+    @rule()
+    def heal(self) -> None:
         self.cuts.clear()
 
     @rule(numbers=st.frozensets(daemons, min_size=1, max_size=3))
@@ -189,6 +201,7 @@
     @rule()
     def settle(self) -> None:
         self.change_network('good', lossy=False)
+        self.heal()
         for number in range(SIZE):
             self.wake(number)
             if not self.fleet[number].alive:
@@ -295,3 +308,51 @@
 
 TestFleet = Fleet.TestCase
 TestFleet.settings = settings(max_examples=30, stateful_step_count=30)
+
+
+def grant(sent_at: float, *, granted: bool = True) -> PermitAnswer:
+    return PermitAnswer('s', 't0', 1, sent_at, granted, None)
+
+
+def test_a_permit_counts_from_the_sending_of_its_request() -> None:
+    use = PermitUse(1, 0.0)
+    use.on_report(wants=True, now=10.0)
+    assert use.on_answer(grant(10.0), 14.5) is Reply.GRANTED
+    assert use.holds(10.0 + LEASE_SECONDS - 0.01)
+    assert not use.holds(10.0 + LEASE_SECONDS)
+
+
+def test_late_answers_and_those_to_another_life_are_void() -> None:
+    use = PermitUse(1, 0.0)
+    use.on_report(wants=True, now=10.0)
+    assert use.on_answer(grant(10.0), 15.0) is Reply.BASELINE
+    assert use.on_answer(grant(9.0), 10.1) is Reply.VOID
+    use.on_report(wants=False, now=16.0)
+    assert use.on_answer(grant(10.0), 10.2) is Reply.VOID
+    other = PermitUse(2, 0.0)
+    other.on_report(wants=True, now=10.0)
+    assert other.on_answer(grant(10.0), 10.1) is Reply.VOID
+
+
+def test_a_late_report_gives_no_newer_permit_back() -> None:
+    cfg = make_config(1, SIZE - 1, frozenset(range(SIZE)))
+    me = holder_of(cfg, 's') or ''
+    holder = PermitHolder('s', me, cfg, 0.0)
+    holder.set_fresh(True, 0.0)
+
+    def report(sent_at: float, *, wants: bool, target: str = 't1') -> bool:
+        body = TargetReport('s', target, 1, sent_at, wants, False, Traffic())
+        (send,) = holder.on_message(f'i{target[1:]}', body, now)
+        return send.body.granted
+
+    now = SETTLE_SECONDS - 0.1
+    holder.on_tick(now)
+    assert not report(now, wants=True)
+    now = SETTLE_SECONDS
+    holder.on_tick(now)
+    assert report(now, wants=True)
+    assert not report(now - 0.05, wants=False)
+    assert holder.lent(now) == {'t1'}
+    assert not report(now, wants=True, target='t2')
+    assert not report(now + 0.1, wants=False)
+    assert report(now, wants=True, target='t2')
