Join idempotency keys into the entry

Cause: the last placeholder before the entry was the one for keys; a repeat through another entry would have run twice.

Found: for half a minute after the start of the whole fleet every keyed request is refused, since shares wait until no older version can be in use; and the planned stop of a daemon did not end in time. Both are next.

--- a/src/clementinedeal/_envelope.py
+++ b/src/clementinedeal/_envelope.py
@@ -47,8 +47,8 @@
 
     ``verdict`` and ``reason`` are the values of the enumerations; an empty
     reason marks the target's own answer. The owner spent ``spent`` seconds,
-    ``target_seconds`` of them waiting for the target. ``load`` is the share of the
-    target's slots in use, ``state`` its state at the owner.
+    ``target_seconds`` of them waiting for the target. ``load`` is the share
+    of the target's slots in use, ``state`` its state at the owner.
     """
 
     verdict: str
--- /dev/null
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -0,0 +1,142 @@
+"""Lets requests with an idempotency key pass at most once."""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Any
+
+from clementinedeal._claims import ClaimGranted, ClaimRefused, Replay
+from clementinedeal._dispatch import Dispatcher, Waiters
+from clementinedeal._exchange import Finished
+from clementinedeal._http import Headers, ResponseHead, end_to_end
+from clementinedeal._idempotency import IdempotencyOffice
+from clementinedeal._incoming import Incoming
+from clementinedeal._key_messages import StoredAnswer
+from clementinedeal._refusals import Refusal
+from clementinedeal._replies import Answered, WholeBody
+from clementinedeal._timers import Clock
+from clementinedeal._verdict import Verdict
+
+STORED_BODY_BYTES = 16384
+_STORED_HEADERS = frozenset(
+    (
+        b'content-type',
+        b'content-digest',
+        b'content-encoding',
+        b'location',
+    )
+)
+_FINGERPRINT_BYTES = 16
+
+_Decision = ClaimGranted | ClaimRefused | Replay
+
+
+class KeyGate:
+    """Claims keys before requests run and settles them afterwards."""
+
+    def __init__(
+        self,
+        office: IdempotencyOffice,
+        dispatcher: Dispatcher,
+        clock: Clock,
+    ) -> None:
+        """Create a gate and register for the office's decisions.
+
+        :param office: decides.
+        :param dispatcher: performs what the office decides.
+        :param clock: the office's time.
+        """
+        self._office = office
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._waiters: Waiters[_Decision] = Waiters()
+        for kind in (ClaimGranted, ClaimRefused, Replay):
+            dispatcher.register(kind, self._decided)
+
+    async def claim(self, incoming: Incoming) -> Refusal | Answered | None:
+        """Claim the request's key; None when it may run now.
+
+        :param incoming: a request; those without a key pass.
+        """
+        if not _is_keyed(incoming):
+            return None
+        self._waiters.expect(incoming.req_id)
+        now = self._clock.now()
+        self._perform(
+            self._office.claim(
+                incoming.req_id,
+                incoming.account,
+                incoming.idempotency_key,
+                _fingerprint(incoming),
+                incoming.deadline - now,
+                now,
+            ),
+        )
+        decision = await self._waiters.wait(incoming.req_id)
+        match decision:
+            case ClaimGranted():
+                return None
+            case Replay():
+                return _answered(decision.answer)
+        return Refusal(
+            decision.verdict,
+            decision.reason,
+            decision.retry_after,
+        )
+
+    def settle(self, incoming: Incoming, finished: Finished) -> None:
+        """Store what a granted request came to.
+
+        :param incoming: the request.
+        :param finished: its end.
+        """
+        if not _is_keyed(incoming):
+            return
+        verdict = finished.refusal.verdict if finished.refusal else Verdict.RAN
+        answer = _stored(finished.answer) if finished.answer else None
+        now = self._clock.now()
+        self._perform(
+            self._office.complete(incoming.req_id, verdict, answer, now),
+        )
+
+    def _decided(self, decision: _Decision) -> None:
+        self._waiters.resolve(decision.req_id, decision)
+
+    def _perform(self, actions: Iterable[Any]) -> None:
+        self._dispatcher.perform(actions)
+
+
+def _is_keyed(incoming: Incoming) -> bool:
+    return bool(
+        incoming.account
+        and incoming.idempotency_key
+        and not incoming.granted.route.idempotent,
+    )
+
+
+def _fingerprint(incoming: Incoming) -> str:
+    head = incoming.req.head
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    digest.update(f'{head.method} {head.path}\n'.encode())
+    digest.update(incoming.req.body.whole or b'')
+    return digest.hexdigest()
+
+
+def _stored(answer: Answered) -> StoredAnswer | None:
+    whole = answer.body.whole
+    if whole is None or len(whole) > STORED_BODY_BYTES:
+        return None
+    headers = tuple(
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in end_to_end(answer.head.headers)
+        if name in _STORED_HEADERS
+    )
+    return StoredAnswer(answer.head.status, headers, whole)
+
+
+def _answered(stored: StoredAnswer) -> Answered:
+    headers: Headers = tuple(
+        (name.encode('latin-1'), text.encode('latin-1'))
+        for name, text in stored.headers
+    )
+    head = ResponseHead(stored.status, headers)
+    return Answered(head, WholeBody(stored.body))
--- a/src/clementinedeal/_offices.py
+++ b/src/clementinedeal/_offices.py
@@ -4,9 +4,11 @@
 
 from clementinedeal._dispatch import Dispatcher
 from clementinedeal._ejection import EjectionOffice
-from clementinedeal._events import EventLog
+from clementinedeal._events import EventLog, wall_ms
 from clementinedeal._gates import SlotGate
 from clementinedeal._hub import Hub
+from clementinedeal._idempotency import IdempotencyOffice
+from clementinedeal._idempotency_gate import KeyGate
 from clementinedeal._metrics import Metrics
 from clementinedeal._model import Config, Target
 from clementinedeal._settings import DaemonSettings
@@ -15,7 +17,7 @@
     TargetReinstated,
     TargetState,
 )
-from clementinedeal._thin import NoIdempotency, SemaphoreSlots
+from clementinedeal._thin import SemaphoreSlots
 from clementinedeal._timers import Clock
 from clementinedeal._token_gate import OfficeTokenGate
 from clementinedeal._tokens import TokenOffice
@@ -56,7 +58,8 @@
             now,
             incarnation=context.fleet.incarnation(me),
         )
-        self.keys = NoIdempotency()
+        idempotency = IdempotencyOffice(me, cfg, now, wall_ms=wall_ms)
+        self.keys = KeyGate(idempotency, context.dispatcher, context.clock)
         self.watcher = TargetWatcher(
             context.clock,
             self.ejection,
@@ -78,6 +81,7 @@
         self.slots: SlotGate = SemaphoreSlots(self._slots_of)
         self._subscribe_ejection(context.hub)
         self._subscribe_tokens(context.hub, tokens)
+        self._subscribe_idempotency(context.hub, idempotency)
         context.dispatcher.register(TargetEjected, self._note_ejected)
         context.dispatcher.register(TargetReinstated, self._note_reinstated)
 
@@ -120,6 +124,17 @@
         hub.on_fresh.append(office.set_fresh)
         hub.on_stop.append(office.stop)
 
+    def _subscribe_idempotency(
+        self,
+        hub: Hub,
+        office: IdempotencyOffice,
+    ) -> None:
+        hub.on_message.append(office.on_message)
+        hub.on_tick.append(office.on_tick)
+        hub.on_config.append(office.on_config)
+        hub.on_pause.append(lambda _gap, now: office.on_pause(now))
+        hub.on_stop.append(office.stop)
+
     def _note_config(self, cfg: Config, now: float) -> None:
         self._cfg = cfg
         self._relatives = self._find_relatives()
--- a/src/clementinedeal/_thin.py
+++ b/src/clementinedeal/_thin.py
@@ -4,10 +4,7 @@
 
 import trio
 
-from clementinedeal._exchange import Finished
-from clementinedeal._incoming import Incoming
-from clementinedeal._refusals import Refusal
-from clementinedeal._replies import Answered, Refused
+from clementinedeal._replies import Refused
 from clementinedeal._verdict import Reason, Verdict
 
 
@@ -50,13 +47,3 @@
         """Return slots in use per slot."""
         limit = self._limits.get(target)
         return limit.borrowed_tokens / limit.total_tokens if limit else 0
-
-
-class NoIdempotency:
-    """Lets everything run."""
-
-    async def claim(self, incoming: Incoming) -> Refusal | Answered | None:
-        """Let it run."""
-
-    def settle(self, incoming: Incoming, finished: Finished) -> None:
-        """Ignore."""
--- a/src/clementinedeal_bench/_fleet.py
+++ b/src/clementinedeal_bench/_fleet.py
@@ -31,7 +31,7 @@
     folder: Path
     platform: str = '127.0.0.1:20900'
     daemons: bool = True
-    width: int = 4
+    width: int = 27
     service: float = 0.022
     sigma: float = 0.3
     log_level: str = 'warning'
