Tell peers for how long a version is known; end a stop cleanly

Cause: a restarted daemon held back its token shares for the full growth wait (38 s), although its peers had been on the same version for hours; and the control channel's receiver raised when the stop closed its socket, so the planned stop ended with an error. Peers now tell since when they know a version; a restarted holder waits only for what its former run may have lent. Ruled out: a publication time in the root, which would need clocks that agree.

--- a/src/clementinedeal/_control.py
+++ b/src/clementinedeal/_control.py
@@ -1,5 +1,6 @@
 """Batched, authenticated control messages between daemons over pynng."""
 
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
@@ -130,16 +131,17 @@
             self._flush()
 
     async def run_receiver(self, receiver: Receiver) -> None:
-        """Receive until cancelled.
+        """Receive until cancelled or stopped.
 
         :param receiver: is called for each message.
         """
         listener = self._listener
         if listener is None:
             raise ProtocolError('control channel is not listening')
-        while True:
-            sealed = await listener.arecv()
-            self._receive(sealed, receiver)
+        with contextlib.suppress(pynng.Closed):
+            while True:
+                sealed = await listener.arecv()
+                self._receive(sealed, receiver)
 
     def _receive(self, sealed: bytes, receiver: Receiver) -> None:
         self.counters.messages_received += 1
--- a/src/clementinedeal/_offices.py
+++ b/src/clementinedeal/_offices.py
@@ -71,6 +71,7 @@
             cfg,
             now,
             incarnation=context.fleet.incarnation(me),
+            known_for=context.fleet.known_for(now),
         )
         self.tokens = OfficeTokenGate(
             tokens,
@@ -119,7 +120,10 @@
     def _subscribe_tokens(self, hub: Hub, office: TokenOffice) -> None:
         hub.on_message.append(office.on_message)
         hub.on_tick.append(office.on_tick)
-        hub.on_config.append(office.on_config)
+        fleet = self._context.fleet
+        hub.on_config.append(
+            lambda cfg, now: office.on_config(cfg, now, fleet.known_for(now)),
+        )
         hub.on_pause.append(office.on_pause)
         hub.on_fresh.append(office.set_fresh)
         hub.on_stop.append(office.stop)
--- a/src/clementinedeal/_view_handlers.py
+++ b/src/clementinedeal/_view_handlers.py
@@ -71,6 +71,7 @@
             leaving=state.leaving,
             fresh=state.is_fresh(now),
             held=None if held is None else held.ref,
+            held_for=state.ages.seconds(held.ref if held else None, now),
             rejected=None if refused is None else refused.ref,
             newest=state.freshness.newest,
             contact=state.freshness.contact(now),
@@ -95,6 +96,8 @@
             at = sent_at - body.contact.age
             state.freshness.on_contact(body.contact.version, at, now)
         state.members.roster.merge(sender, body, sent_at)
+        if body.held is not None:
+            state.ages.note(body.held, now - body.held_for)
         state.acceptance.gate.on_peer(body.held, fresh=body.fresh)
         actions: list[Any] = []
         for ref in (body.held, body.rejected):
--- a/src/clementinedeal/_view_messages.py
+++ b/src/clementinedeal/_view_messages.py
@@ -57,7 +57,8 @@
 class ViewAnswer:
     """The sender's view when it answered.
 
-    ``held`` is in force there, ``rejected`` its newest refused version and
+    ``held`` is in force there and known to have been published ``held_for``
+    seconds ago, ``rejected`` its newest refused version and
     ``newest`` the highest version it knows to exist. ``ages`` gives, by index
     in the names that ``names`` is the digest of, quarter seconds since each
     instance was heard, 255 for longer.
@@ -68,6 +69,7 @@
     leaving: bool
     fresh: bool
     held: VersionRef | None
+    held_for: float
     rejected: VersionRef | None
     newest: int
     contact: Contact | None
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -14,6 +14,7 @@
 from clementinedeal._readers import READERS, ReadSchedule, reader_order
 from clementinedeal._settings import DaemonSettings
 from clementinedeal._spread import Spread
+from clementinedeal._version_ages import VersionAges
 from clementinedeal._view_actions import (
     ConfigInForce,
     InstanceLeft,
@@ -44,6 +45,7 @@
         self.me = settings.instance
         self.leaving = False
         self.acceptance = Acceptance()
+        self.ages = VersionAges()
         self.freshness = Freshness(now)
         self.members = Membership(self.me)
         self.gossip = Gossip(self.me, self.members, rng)
@@ -61,6 +63,14 @@
         """Return the configuration in force."""
         return self.acceptance.cfg
 
+    def known_for(self, now: float) -> float:
+        """Return for how long the version in force is published, at least.
+
+        :param now: monotonic seconds.
+        """
+        held = self.acceptance.held
+        return self.ages.seconds(held.ref if held else None, now)
+
     def renew(self) -> None:
         """Take a new incarnation."""
         self.incarnation = self._rng.getrandbits(INCARNATION_BITS) + 1
@@ -135,6 +145,9 @@
         :param actions: what an input led to; more may be added.
         :param now: monotonic seconds.
         """
+        held = self.acceptance.held
+        if held is not None:
+            self.ages.note(held.ref, now)
         for action in tuple(actions):
             if isinstance(action, ConfigInForce):
                 actions.extend(self._adopt(action.cfg.instances, now))
--- a/src/clementinedeal/_views.py
+++ b/src/clementinedeal/_views.py
@@ -43,6 +43,13 @@
         """Return the configuration in force, nothing before the first."""
         return self._state.config
 
+    def known_for(self, now: float) -> float:
+        """Return for how long the version in force is published, at least.
+
+        :param now: monotonic seconds.
+        """
+        return self._state.known_for(now)
+
     def is_fresh(self, now: float) -> bool:
         """Return whether keyed requests may be served.
 
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -15,7 +15,9 @@
 from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._publication import pack
 from clementinedeal._readers import REREAD_SECONDS
+from clementinedeal._version_ages import VersionAges
 from clementinedeal._view_actions import InstanceList
+from clementinedeal._view_messages import VersionRef
 from clementinedeal_bench._large import large_config
 from clementinedeal_bench._virtual_fleet import VirtualFleet
 
@@ -271,3 +273,16 @@
         view = fleet.processes[name].view
         assert not view.is_leaving(leaver)
         assert view.incarnation(leaver) == current
+
+
+def test_a_restarted_daemon_learns_for_how_long_the_version_is_known() -> None:
+    ages = VersionAges()
+    old = VersionRef(1, 'a')
+    new = VersionRef(2, 'b')
+    ages.note(old, 0)
+    ages.note(new, 50)
+    ages.note(old, 10)
+    ages.note(new, 40)
+    assert ages.seconds(new, 60) == 20
+    assert ages.seconds(old, 60) == 0
+    assert ages.seconds(None, 60) == 0
