Leave requests begun before a reset out of the evidence

Cause: a hang from before a trial made the trial fail although the target had recovered; their late ends were ignored already, their ages were not.

--- a/src/clementinedeal/_detector.py
+++ b/src/clementinedeal/_detector.py
@@ -97,6 +97,8 @@
     def on_inflight(self, started: Sequence[float]) -> None:
         """Replace the list of requests in flight.
 
+        Those that began before the last reset are no evidence.
+
         :param started: monotonic times in seconds of their start.
         """
         self._started = tuple(started)
@@ -202,7 +204,7 @@
             self._score(sample)
 
     def _ages(self, now: float) -> list[float]:
-        return [now - max(at, self._resumed_at) for at in self._started]
+        return [now - at for at in self._started if at >= self._resumed_at]
 
     def _hung(self, now: float) -> list[float]:
         limit = self._cfg.hang_seconds
