--- a/src/clementinedeal/_holders.py
+++ b/src/clementinedeal/_holders.py
@@ -42,13 +42,14 @@
         report: TargetReport,
         now: float,
     ) -> list[Send]:
-        """Answer a report; one on a service unknown here is ignored.
+        """Answer a report; one on a target unknown here is ignored.
 
         :param sender: name of the instance it came from.
         :param report: what its owner says of a target.
         :param now: monotonic time in seconds.
         """
-        holder = self._holders.get(report.service)
+        target = self._cfg.targets.get(report.target)
+        holder = self._holders.get(target.service) if target else None
         return holder.on_message(sender, report, now) if holder else []
 
     def on_tick(self, now: float) -> None:
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -150,12 +150,14 @@
         self._prune(now)
         self._peers.note(body.target, body.traffic, now)
         self._note_leaving(body)
+        granted = self._is_owner(sender, body) and self._decide(body, now)
+        if not body.wants and not body.compares:
+            return []
         answer = PermitAnswer(
-            service=body.service,
             target=body.target,
             incarnation=body.incarnation,
             sent_at=body.sent_at,
-            granted=self._is_owner(sender, body) and self._decide(body, now),
+            granted=granted,
             baseline=self._peers.baseline(body.target, now),
         )
         return [Send(sender, answer)]
--- a/src/clementinedeal/_reports.py
+++ b/src/clementinedeal/_reports.py
@@ -14,13 +14,15 @@
     ``incarnation`` and ``sent_at`` (owner's monotonic seconds) order the
     reports of one target and are sent back with the answer. ``wants`` asks
     for a permit or its renewal; without it a permit held is given back.
+    ``compares`` asks for the peers' traffic; a report with neither is not
+    answered.
     """
 
-    service: str
     target: str
     incarnation: int
     sent_at: float
     wants: bool
+    compares: bool
     leaving: bool
     traffic: Traffic
 
@@ -30,7 +32,6 @@
 class PermitAnswer:
     """Answer to one report; ``granted`` lends a permit from ``sent_at``."""
 
-    service: str
     target: str
     incarnation: int
     sent_at: float
--- a/src/clementinedeal/_standing.py
+++ b/src/clementinedeal/_standing.py
@@ -17,6 +17,7 @@
 )
 
 LONGEST_TRIAL_SECONDS = 60.0
+COMPARE_SECONDS = 3.0
 
 
 class Standing:
@@ -43,6 +44,7 @@
         self._permit = PermitUse(incarnation, now)
         self._damping = Damping(now)
         self._since = now
+        self._compared_at = now - COMPARE_SECONDS
         self._trials = 0
 
     @property
@@ -78,14 +80,16 @@
         :param now: monotonic time in seconds, later than the last report.
         """
         wants = asks and self._wants(now)
+        suspected = not isinstance(self.detector.health(now), Healthy)
+        outdated = now - self._compared_at >= COMPARE_SECONDS
         self.reported_at = now
         self._permit.on_report(wants, now)
         return TargetReport(
-            service=self.target.service,
             target=self.target.name,
             incarnation=self._permit.incarnation,
             sent_at=now,
             wants=wants,
+            compares=suspected or outdated,
             leaving=self.state is TargetState.LEAVING,
             traffic=self.detector.traffic(now),
         )
@@ -98,6 +102,7 @@
         """
         reply = self._permit.on_answer(answer, now)
         if reply is not Reply.VOID:
+            self._compared_at = answer.sent_at
             self.detector.on_baseline(answer.baseline, answer.sent_at)
         if reply is Reply.REFUSED:
             return self.reinstate(now)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -28,7 +28,7 @@
 BAD = Outcome(OutcomeKind.ERROR, 0.0)
 GOOD = Outcome(OutcomeKind.OK, 0.0)
 LEARN_SECONDS = (0.25, 1.0, 3.0, 9.0, 40.0)
-DELAYS = {'good': (0.0,), 'slow': (0.0, 0.5, 2.0, 4.5, 9.0)}
+DELAYS = {'good': (0.0,), 'late': (0.0, 4.5), 'slow': (0.0, 0.5, 2.0, 4.5, 9.0)}
 
 daemons = st.integers(0, SIZE - 1)
 floors = st.integers(3, SIZE)
@@ -162,6 +162,13 @@
     def cut_sender(self, number: int) -> None:
         self.cuts |= {(number, other) for other in range(SIZE)}
 
+    @rule(number=daemons)
+    def lose_renewals_while_answers_are_late(self, number: int) -> None:
+        self.change_network('late', lossy=False)
+        self.advance(5.0)
+        self.cut_sender(number)
+        self.advance(12.0)
+
     @rule(mode=st.sampled_from(sorted(DELAYS)), lossy=st.booleans())
     def change_network(self, mode: str, lossy: bool) -> None:
         self.mode, self.lossy = mode, lossy
@@ -311,7 +318,7 @@
 
 
 def grant(sent_at: float, *, granted: bool = True) -> PermitAnswer:
-    return PermitAnswer('s', 't0', 1, sent_at, granted, None)
+    return PermitAnswer('t0', 1, sent_at, granted, None)
 
 
 def test_a_permit_counts_from_the_sending_of_its_request() -> None:
@@ -341,7 +348,7 @@
     holder.set_fresh(True, 0.0)
 
     def report(sent_at: float, *, wants: bool, target: str = 't1') -> bool:
-        body = TargetReport('s', target, 1, sent_at, wants, False, Traffic())
+        body = TargetReport(target, 1, sent_at, wants, True, False, Traffic())
         (send,) = holder.on_message(f'i{target[1:]}', body, now)
         return send.body.granted
 
