Let only the owner speak for its target; lose no drain signal

A report from an instance that is not the owner in the holder's view marked the target as leaving and entered the peers' median. A drain signal at the tick of a periodic report was not sent until the next one; sending times are made distinct instead. A target published anew while ejected is announced as reinstated.

--- a/src/clementinedeal/_ejection.py
+++ b/src/clementinedeal/_ejection.py
@@ -11,7 +11,11 @@
 from clementinedeal._reporter import Reporter
 from clementinedeal._reports import PermitAnswer, TargetReport
 from clementinedeal._standing import Standing
-from clementinedeal._target_state import Change, TargetState
+from clementinedeal._target_state import (
+    Change,
+    TargetReinstated,
+    TargetState,
+)
 
 Action = Send | Change
 
@@ -51,6 +55,7 @@
         :param now: monotonic time in seconds.
         """
         self._reporter.on_config(cfg)
+        former = self._standings
         self._standings = {
             name: self._standing(target, now)
             for name, target in cfg.targets.items()
@@ -59,7 +64,11 @@
         owned = self._standings.values()
         services = {standing.target.service for standing in owned}
         self._holders.on_config(cfg, services, now)
-        actions: list[Action] = []
+        actions: list[Action] = [
+            TargetReinstated(name)
+            for name, standing in former.items()
+            if standing.out and self._standings.get(name, standing) != standing
+        ]
         if not cfg.active.ejection:
             for standing in owned:
                 actions.extend(standing.reinstate(now))
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -148,9 +148,11 @@
         if not isinstance(body, TargetReport):
             return []
         self._prune(now)
-        self._peers.note(body.target, body.traffic, now)
-        self._note_leaving(body)
-        granted = self._is_owner(sender, body) and self._decide(body, now)
+        granted = False
+        if self._is_owner(sender, body):
+            self._peers.note(body.target, body.traffic, now)
+            self._note_leaving(body)
+            granted = self._decide(body, now)
         if not body.wants and not body.compares:
             return []
         answer = PermitAnswer(
--- a/src/clementinedeal/_reporter.py
+++ b/src/clementinedeal/_reporter.py
@@ -56,7 +56,7 @@
         if standing.out and not asks:
             return []
         holder = self._holder(standing.target.service)
-        if holder is None or now <= standing.reported_at:
+        if holder is None:
             return []
         return [Send(holder, standing.report(asks, now))]
 
--- a/src/clementinedeal/_standing.py
+++ b/src/clementinedeal/_standing.py
@@ -1,5 +1,7 @@
 """Standing of one owned target: in use, ejected, tried, or leaving."""
 
+import math
+
 from clementinedeal._damping import Damping
 from clementinedeal._detector import Detector, DetectorSettings
 from clementinedeal._health import Healthy, Outcome, Sick
@@ -74,20 +76,21 @@
         self.detector.on_outcome(outcome, now)
 
     def report(self, asks: bool, now: float) -> TargetReport:
-        """Return the next report to the permit holder.
+        """Return the next report; no two have the same sending time.
 
         :param asks: whether permits may be asked for at all.
-        :param now: monotonic time in seconds, later than the last report.
+        :param now: monotonic time in seconds.
         """
+        sent_at = max(now, math.nextafter(self.reported_at, math.inf))
         wants = asks and self._wants(now)
         suspected = not isinstance(self.detector.health(now), Healthy)
         outdated = now - self._compared_at >= COMPARE_SECONDS
-        self.reported_at = now
-        self._permit.on_report(wants, now)
+        self.reported_at = sent_at
+        self._permit.on_report(wants, sent_at)
         return TargetReport(
             target=self.target.name,
             incarnation=self._permit.incarnation,
-            sent_at=now,
+            sent_at=sent_at,
             wants=wants,
             compares=suspected or outdated,
             leaving=self.state is TargetState.LEAVING,
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -156,6 +156,15 @@
     assert actions == [TargetReinstated(f't{SICK}')]
 
 
+def test_a_target_published_anew_is_in_use(ejected: Deployment) -> None:
+    name = f't{SICK}'
+    moved = dataclasses.replace(CFG.targets[name], address='127.0.0.1:9')
+    cfg = dataclasses.replace(CFG, targets={**CFG.targets, name: moved})
+    actions = ejected.offices[SICK].on_config(cfg, ejected.now)
+    assert actions == [TargetReinstated(name)]
+    assert ejected.state(SICK) is TargetState.IN_USE
+
+
 def test_a_pause_drops_the_permit_and_the_evidence(ejected: Deployment) -> None:
     actions = ejected.offices[SICK].on_pause(2.0, ejected.now + 2)
     assert actions == [TargetReinstated(f't{SICK}')]
@@ -164,7 +173,7 @@
 
 def test_a_draining_target_gets_no_work(fleet: Deployment) -> None:
     office = fleet.offices[SICK]
-    (send,) = office.on_leaving(f't{SICK}', fleet.now + 0.01)
+    (send,) = office.on_leaving(f't{SICK}', fleet.now)
     assert isinstance(send, Send)
     assert send.body.leaving
     assert office.state(f't{SICK}') is TargetState.LEAVING
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -341,6 +341,20 @@
     assert other.on_answer(grant(10.0), 10.1) is Reply.VOID
 
 
+def test_only_the_owner_speaks_for_its_target() -> None:
+    cfg = make_config(1, SIZE - 1, frozenset(range(SIZE)))
+    holder = PermitHolder('s', holder_of(cfg, 's') or '', cfg, 0.0)
+    holder.set_fresh(True, 0.0)
+    now = SETTLE_SECONDS
+    holder.on_tick(now)
+    foreign = TargetReport('t1', 1, now, True, True, True, Traffic())
+    (refusal,) = holder.on_message('i2', foreign, now)
+    assert not refusal.body.granted
+    own = TargetReport('t2', 1, now, True, True, False, Traffic())
+    (answer,) = holder.on_message('i2', own, now)
+    assert answer.body.granted
+
+
 def test_a_late_report_gives_no_newer_permit_back() -> None:
     cfg = make_config(1, SIZE - 1, frozenset(range(SIZE)))
     me = holder_of(cfg, 's') or ''
