--- a/src/clementinedeal/_standing.py
+++ b/src/clementinedeal/_standing.py
@@ -1,5 +1,7 @@
 """Standing of one owned target: in use, ejected, tried, or leaving."""
 
+import math
+
 from clementinedeal._damping import Damping
 from clementinedeal._detector import Detector, DetectorSettings
 from clementinedeal._health import Healthy, Outcome, Sick
@@ -17,6 +19,7 @@
 )
 
 LONGEST_TRIAL_SECONDS = 60.0
+COMPARE_SECONDS = 3.0
 
 
 class Standing:
@@ -43,6 +46,7 @@
         self._permit = PermitUse(incarnation, now)
         self._damping = Damping(now)
         self._since = now
+        self._compared_at = now - COMPARE_SECONDS
         self._trials = 0
 
     @property
@@ -72,20 +76,23 @@
         self.detector.on_outcome(outcome, now)
 
     def report(self, asks: bool, now: float) -> TargetReport:
-        """Return the next report to the permit holder.
+        """Return the next report; no two have the same sending time.
 
         :param asks: whether permits may be asked for at all.
-        :param now: monotonic time in seconds, later than the last report.
+        :param now: monotonic time in seconds.
         """
+        sent_at = max(now, math.nextafter(self.reported_at, math.inf))
         wants = asks and self._wants(now)
-        self.reported_at = now
-        self._permit.on_report(wants, now)
+        suspected = not isinstance(self.detector.health(now), Healthy)
+        outdated = now - self._compared_at >= COMPARE_SECONDS
+        self.reported_at = sent_at
+        self._permit.on_report(wants, sent_at)
         return TargetReport(
-            service=self.target.service,
             target=self.target.name,
             incarnation=self._permit.incarnation,
-            sent_at=now,
+            sent_at=sent_at,
             wants=wants,
+            compares=suspected or outdated,
             leaving=self.state is TargetState.LEAVING,
             traffic=self.detector.traffic(now),
         )
@@ -98,6 +105,7 @@
         """
         reply = self._permit.on_answer(answer, now)
         if reply is not Reply.VOID:
+            self._compared_at = answer.sent_at
             self.detector.on_baseline(answer.baseline, answer.sent_at)
         if reply is Reply.REFUSED:
             return self.reinstate(now)
