Add steps to the demo: a slow target, a key given back, the time line

The demo's steps stand in a module of their own. Idempotency keys of the caller are UUIDs of version 7. The declaration under test is written beside the histories, so that status and timeline can be asked about it.

--- a/src/clementinedeal_bench/_caller.py
+++ b/src/clementinedeal_bench/_caller.py
@@ -1,6 +1,7 @@
 """Load caller: accounts that send requests to any of several daemons."""
 
 import random
+import secrets
 import time
 import uuid
 from collections.abc import Callable
@@ -20,6 +21,12 @@
 
 FULL_POOL = 64
 MS_PER_SECOND = 1000
+NS_PER_MS = 1_000_000
+UUID_TIME_SHIFT = 80
+UUID_UPPER_BITS = 12
+UUID_UPPER_SHIFT = 64
+UUID_LOWER_BITS = 62
+UUID_VERSION_7 = (7 << 76) | (2 << UUID_LOWER_BITS)  # version and variant
 GRACE_SECONDS = 1.0
 
 
@@ -171,10 +178,18 @@
             path=f'{kind.path}{mark}caller-request={unique}',
             daemon=daemon,
             due=due,
-            idempotency_key=str(uuid.uuid4()) if kind.idempotency_key else '',
+            idempotency_key=time_bearing_key() if kind.idempotency_key else '',
         )
 
 
+def time_bearing_key() -> str:
+    """Return a fresh UUID of version 7: wall clock first, then random bits."""
+    clock = time.time_ns() // NS_PER_MS << UUID_TIME_SHIFT
+    upper = secrets.randbits(UUID_UPPER_BITS) << UUID_UPPER_SHIFT
+    lower = secrets.randbits(UUID_LOWER_BITS)
+    return str(uuid.UUID(int=clock | UUID_VERSION_7 | upper | lower))
+
+
 def _note(
     record: CallRecord,
     req: WebRequest,
--- a/src/clementinedeal_bench/_cli.py
+++ b/src/clementinedeal_bench/_cli.py
@@ -11,6 +11,10 @@
 
 from clementinedeal import Config
 from clementinedeal_bench._caller import Caller
+from clementinedeal_bench._declarations import (
+    read_declaration,
+    shift_address,
+)
 from clementinedeal_bench._demo import Demo, DemoSettings
 from clementinedeal_bench._errors import BenchError
 from clementinedeal_bench._flags import Command, run_commands
@@ -19,12 +23,7 @@
 from clementinedeal_bench._latency import LatencyRun, LatencySettings
 from clementinedeal_bench._platform import PlatformSettings
 from clementinedeal_bench._platform_server import serve_platform
-from clementinedeal_bench._ports import shift_address
-from clementinedeal_bench._publisher import (
-    LIVE,
-    Publisher,
-    read_declaration,
-)
+from clementinedeal_bench._publisher import LIVE, Publisher
 from clementinedeal_bench._scenario import load_scenario
 from clementinedeal_bench._summary import by_account_and_service, summarize
 from clementinedeal_bench._target import TargetSettings, serve_target
--- a/src/clementinedeal_bench/_ports.py
+++ b/src/clementinedeal_bench/_declarations.py
@@ -1,11 +1,43 @@
-"""Moves a declaration to other ports."""
+"""Reads, moves and writes declarations."""
 
 from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import yaml
+from result import Err
 
 from clementinedeal import Config
+from clementinedeal._declaration import check_file
 from clementinedeal_bench._webclient import split_address
 
 
+def read_declaration(path: str) -> Config:
+    """Read a declaration.
+
+    :param path: the YAML file.
+    :raises ClementinedealError: it is not acceptable.
+    """
+    found = check_file(path)
+    if isinstance(found, Err):
+        raise found.err_value
+    return found.ok_value
+
+
+def write_declaration(cfg: Config, path: Path) -> None:
+    """Write a configuration as a declaration.
+
+    :param cfg: the configuration.
+    :param path: the YAML file.
+    """
+    document: dict[str, Any] = msgspec.to_builtins(cfg, str_keys=True)
+    for section in ('presets', 'services', 'instances', 'targets', 'accounts'):
+        for entry in document[section].values():
+            entry.pop('name')
+    path.write_text(yaml.safe_dump(document, sort_keys=False))
+
+
 def shift_address(address: str, offset: int) -> str:
     """Add to the port of an address.
 
--- /dev/null
+++ b/src/clementinedeal_bench/_demo_steps.py
@@ -0,0 +1,221 @@
+"""Steps of the demo: one fault or change each, under traffic."""
+
+import sys
+import time
+from collections.abc import Iterable
+from dataclasses import replace
+
+import trio
+
+from clementinedeal import Account, Config, PresetName, Target
+from clementinedeal_bench._caller import Caller
+from clementinedeal_bench._demo_traffic import build_scenario
+from clementinedeal_bench._executions import Execution
+from clementinedeal_bench._fleet import Fleet
+from clementinedeal_bench._history import CallRecord, Outcome
+from clementinedeal_bench._observer import (
+    gather,
+    put,
+    read_executions,
+    read_status,
+)
+from clementinedeal_bench._report import Step
+
+SETTLE_SECONDS = 10.0
+POLL_SECONDS = 0.1
+OVERUSE = 4.0
+IN_USE = 'in-use'
+SLOW_MODE = b'{"mode": "slow", "factor": 20}'
+HEALTHY_MODE = b'{"mode": "healthy"}'
+
+
+class DemoSteps:
+    """Runs the steps one after the other and notes what each showed."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        records: list[CallRecord],
+        seconds: float,
+    ) -> None:
+        """Create the steps.
+
+        :param fleet: what to drive; it runs when the steps do.
+        :param records: calls as they complete.
+        :param seconds: length of each step.
+        """
+        self._fleet = fleet
+        self._cfg = fleet.cfg
+        self._records = records
+        self._seconds = seconds
+        self.steps: list[Step] = []
+        self.executions: list[Execution] = []
+
+    async def run(self) -> None:
+        """Run all steps."""
+        await self._finish(self._begin('ordinary traffic'))
+        await self._kill_daemon()
+        await self._kill_target()
+        await self._slow_target()
+        await self._stop_daemon()
+        await self._switch_preset()
+        await self._withdraw_key()
+        await self._overuse()
+
+    async def collect(self, targets: Iterable[Target]) -> None:
+        """Add what targets ran to the executions.
+
+        :param targets: whom to ask, each once.
+        """
+        for found in await gather(read_executions, targets):
+            self.executions.extend(found or ())
+
+    async def _kill_daemon(self) -> None:
+        name = sorted(self._cfg.instances)[-1]
+        step = self._begin(f'kill -9 of daemon {name}')
+        self._fleet.kill(name)
+        await self._finish(step)
+        step.notes.append('callers go on trying the dead daemon')
+        await self._fleet.restart_daemon(name)
+
+    async def _kill_target(self) -> None:
+        name = sorted(self._cfg.targets)[0]
+        step = self._begin(f'kill -9 of target {name}')
+        await self.collect([self._cfg.targets[name]])
+        self._fleet.kill(name)
+        await self._finish(step)
+        step.notes.append('its record ends just before the kill')
+
+    async def _slow_target(self) -> None:
+        target = self._cfg.targets[sorted(self._cfg.targets)[-1]]
+        step = self._begin(f'target {target.name} serves 20 times slower')
+        await put(target.address, '/control/mode', SLOW_MODE)
+        with trio.move_on_after(self._seconds):
+            await self._await_not_in_use(target)
+            spent = time.monotonic() - step.begin
+            step.notes.append(f'set aside after {spent:.2f} s')
+        await self._finish(step)
+        if not step.notes:
+            step.notes.append('not set aside in this time')
+        await put(target.address, '/control/mode', HEALTHY_MODE)
+
+    async def _stop_daemon(self) -> None:
+        name = sorted(self._cfg.instances)[-2]
+        step = self._begin(f'planned stop of daemon {name}')
+        ended = await self._fleet.stop(name)
+        spent = time.monotonic() - step.begin
+        await self._finish(step)
+        address = self._cfg.instances[name].caller
+        cut = [
+            call
+            for call in step.calls(self._records)
+            if call.daemon == address and call.outcome is Outcome.BROKEN
+        ]
+        step.notes.append(
+            f'ended with status 0: {ended}, in {spent:.1f} s, '
+            f'calls cut: {len(cut)}',
+        )
+        await self._fleet.restart_daemon(name)
+
+    async def _switch_preset(self) -> None:
+        step = self._begin('preset switch to peak')
+        await self._publish(step, replace(self._cfg, preset=PresetName.PEAK))
+        await self._finish(step)
+
+    async def _withdraw_key(self) -> None:
+        account = self._by_rate()[-1]
+        step = self._begin(f'key of {account.name} withdrawn')
+        published = time.monotonic()
+        await self._publish_account(step, replace(account, key_digests=()))
+        await self._finish(step)
+        last = max(self._answers(step, account.name), default=published)
+        step.notes.append(
+            f'last answer to the key {last - published:.2f} s after publishing',
+        )
+        step = self._begin(f'key of {account.name} given back')
+        published = time.monotonic()
+        await self._publish_account(step, account)
+        await self._finish(step)
+        for first in self._answers(step, account.name)[:1]:
+            step.notes.append(
+                f'first answer {first - published:.2f} s after publishing',
+            )
+
+    async def _overuse(self) -> None:
+        account = self._by_rate()[0]
+        rates = {account.name: OVERUSE * account.rate}
+        scenario = build_scenario(self._cfg, rates, self._seconds)
+        step = self._begin(
+            f'{account.name} sends {OVERUSE:g} times its {account.rate:g}/s',
+        )
+        await Caller(scenario, self._records.append).run()
+        step.end = time.monotonic()
+        allowed = account.burst + account.rate * (step.end - step.begin)
+        count = len(self._answers(step, account.name))
+        step.notes.append(
+            f'{account.name} was answered {count} times, '
+            f'rate and burst allow {allowed:.0f}',
+        )
+
+    async def _publish_account(self, step: Step, account: Account) -> None:
+        accounts = {**self._cfg.accounts, account.name: account}
+        await self._publish(step, replace(self._cfg, accounts=accounts))
+
+    async def _publish(self, step: Step, cfg: Config) -> None:
+        version = self._cfg.version + 1
+        self._cfg = replace(cfg, version=version)
+        began = time.monotonic()
+        await self._fleet.publisher.publish(self._cfg)
+        reached = await self._await_version(version)
+        spent = time.monotonic() - began
+        step.notes.append(
+            f'version {version} in force at {reached} daemons '
+            f'of {len(self._fleet.live_instances())} after {spent:.2f} s',
+        )
+
+    async def _await_version(self, version: int) -> int:
+        deadline = time.monotonic() + SETTLE_SECONDS
+        reached = 0
+        while time.monotonic() < deadline:
+            told = await gather(read_status, self._fleet.live_instances())
+            reached = sum(
+                each is not None and each.config_version >= version
+                for each in told
+            )
+            if reached == len(told):
+                break
+            await trio.sleep(POLL_SECONDS)
+        return reached
+
+    async def _await_not_in_use(self, target: Target) -> None:
+        owner = self._cfg.instances[target.instance]
+        while True:
+            told = await read_status(owner)
+            states = told.states() if told else {}
+            if states.get(target.name, IN_USE) != IN_USE:
+                return
+            await trio.sleep(POLL_SECONDS)
+
+    def _answers(self, step: Step, account: str) -> list[float]:
+        return sorted(
+            call.end
+            for call in step.calls(self._records)
+            if call.account == account and call.outcome is Outcome.ANSWERED
+        )
+
+    def _by_rate(self) -> list[Account]:
+        return sorted(
+            self._cfg.accounts.values(),
+            key=lambda account: account.rate,
+        )
+
+    def _begin(self, name: str) -> Step:
+        sys.stdout.write(f'{name} ...\n')
+        sys.stdout.flush()
+        step = Step(name, time.monotonic())
+        self.steps.append(step)
+        return step
+
+    async def _finish(self, step: Step) -> None:
+        await trio.sleep(self._seconds)
+        step.end = time.monotonic()
--- a/src/clementinedeal_bench/_observer.py
+++ b/src/clementinedeal_bench/_observer.py
@@ -20,6 +20,13 @@
 FoundT = TypeVar('FoundT')
 
 
+class OwnedTarget(msgspec.Struct, frozen=True):
+    """A target in its owner's status."""
+
+    name: str
+    state: str
+
+
 class InstanceStatus(msgspec.Struct, frozen=True):
     """The part of a daemon's status that the bench reads."""
 
@@ -27,6 +34,11 @@
     config_version: int
     preset: str
     serving: bool
+    targets: tuple[OwnedTarget, ...] = ()
+
+    def states(self) -> dict[str, str]:
+        """Return the states of the owned targets by name."""
+        return {target.name: target.state for target in self.targets}
 
 
 async def get(address: str, path: str) -> bytes | None:
@@ -35,10 +47,25 @@
     :param address: ``ip:port``.
     :param path: path and query.
     """
+    return await _ask(address, WebRequest(method='GET', target=path))
+
+
+async def put(address: str, path: str, body: bytes) -> bytes | None:
+    """Return the answer to a PUT, None unless it is answered with 200.
+
+    :param address: ``ip:port``.
+    :param path: path and query.
+    :param body: what to put.
+    """
+    req = WebRequest(method='PUT', target=path, body=body)
+    return await _ask(address, req)
+
+
+async def _ask(address: str, req: WebRequest) -> bytes | None:
     client = WebClient(address)
     answer: WebAnswer | None = None
     with trio.move_on_after(ASK_SECONDS):
-        found = await client.request(WebRequest(method='GET', target=path))
+        found = await client.request(req)
         answer = None if isinstance(found, Err) else found.ok_value
     client.close()
     if answer is None or answer.status != OK_STATUS:
--- a/src/clementinedeal_bench/_publisher.py
+++ b/src/clementinedeal_bench/_publisher.py
@@ -4,7 +4,6 @@
 from result import Err
 
 from clementinedeal import Config
-from clementinedeal._declaration import check_file
 from clementinedeal._publication import ROOT_NAME, pack
 from clementinedeal_bench._errors import BenchError
 from clementinedeal_bench._platform_server import InstanceList, ListedInstance
@@ -15,18 +14,6 @@
 OK_STATUS = 200
 
 
-def read_declaration(path: str) -> Config:
-    """Read a declaration.
-
-    :param path: the YAML file.
-    :raises ClementinedealError: it is not acceptable.
-    """
-    found = check_file(path)
-    if isinstance(found, Err):
-        raise found.err_value
-    return found.ok_value
-
-
 class Publisher:
     """Puts values and the instance list, each part once."""
 
--- /dev/null
+++ b/src/clementinedeal_bench/_timeline_page.py
@@ -0,0 +1,34 @@
+"""Has the product write the time line of a whole fleet."""
+
+import sys
+from pathlib import Path
+
+import trio
+
+PAGE_NAME = 'timeline.html'
+
+
+async def write_timeline(declaration: Path, folder: Path) -> str:
+    """Write the time line page and return a line that says where it is.
+
+    :param declaration: declaration of the running fleet.
+    :param folder: where to write the page.
+    """
+    page = folder / PAGE_NAME
+    page.unlink(missing_ok=True)
+    args = [
+        *(sys.executable, '-m', 'clementinedeal', 'timeline'),
+        f'--declaration={declaration}',
+        '--html',
+        f'--out={page}',
+    ]
+    ended = await trio.run_process(
+        args,
+        capture_stdout=True,
+        capture_stderr=True,
+        check=False,
+    )
+    if page.exists():
+        return f'time line: {page}'
+    lines = ended.stderr.decode().splitlines() or ['no page']
+    return f'time line: not written, status {ended.returncode}: {lines[-1]}'
--- a/tests/test_bench_caller.py
+++ b/tests/test_bench_caller.py
@@ -4,9 +4,9 @@
 import pytest
 
 from clementinedeal_bench._caller import Caller
+from clementinedeal_bench._declarations import read_declaration
 from clementinedeal_bench._executions import Execution
 from clementinedeal_bench._history import CallRecord, Outcome
-from clementinedeal_bench._publisher import read_declaration
 from clementinedeal_bench._report import check_lines
 from clementinedeal_bench._scenario import (
     AccountLoad,
