Say may-have-run of an attempt that nobody waited for

Only an answered attempt is finished now; an abandoned one answers a cancel with 'started'. Ruled out: the plan's verdicts (they follow the owner's answer). Before: (504, deadline, ran); after: (504, deadline, may-have-run).

--- a/src/clementinedeal/_executions.py
+++ b/src/clementinedeal/_executions.py
@@ -20,6 +20,7 @@
     QUEUED = 'queued'
     STARTED = 'started'
     DONE = 'done'
+    ABANDONED = 'abandoned'
     CANCELLED = 'cancelled'
 
 
@@ -39,6 +40,7 @@
 _ANSWERS = {
     ExecutionState.CANCELLED: CancelAnswer.NEVER_STARTED,
     ExecutionState.STARTED: CancelAnswer.STARTED,
+    ExecutionState.ABANDONED: CancelAnswer.STARTED,
     ExecutionState.DONE: CancelAnswer.FINISHED,
 }
 
@@ -166,14 +168,20 @@
         return Err(reason)
 
     def finish(self, req_id: str, now: float) -> None:
-        """Note that a started forward has ended, well or not.
+        """Note that a started forward was answered by its target.
 
         :param req_id: id of the forward; unknown ids are ignored.
         :param now: current monotonic time in seconds.
         """
-        execution = self._table.get(req_id)
-        if execution and execution.state is ExecutionState.STARTED:
-            self._close(req_id, execution, ExecutionState.DONE, now)
+        self._end(req_id, ExecutionState.DONE, now)
+
+    def abandon(self, req_id: str, now: float) -> None:
+        """Note that nobody waits any more for a started forward.
+
+        :param req_id: id of the forward; unknown and ended ones are ignored.
+        :param now: current monotonic time in seconds.
+        """
+        self._end(req_id, ExecutionState.ABANDONED, now)
 
     def cancel(
         self,
@@ -222,6 +230,11 @@
         execution = self._table.get(req_id)
         return execution.state if execution else None
 
+    def _end(self, req_id: str, state: ExecutionState, now: float) -> None:
+        execution = self._table.get(req_id)
+        if execution and execution.state is ExecutionState.STARTED:
+            self._close(req_id, execution, state, now)
+
     def _refusal(
         self,
         req_id: str,
--- a/src/clementinedeal/_owner.py
+++ b/src/clementinedeal/_owner.py
@@ -200,11 +200,14 @@
             scope=scope,
         )
         async with self._parts.caller.call(call) as reply:
-            whole = isinstance(reply, Refused) or reply.body.whole is not None
-            if whole:
+            if isinstance(reply, Refused):
                 self._parts.watcher.ended(fwd.attempt, target.name, reply)
                 yield reply
                 return
+            if reply.body.whole is not None:
+                self._note_answered(fwd, target, reply)
+                yield reply
+                return
             async with self._watched_stream(fwd, target, reply):
                 yield reply
 
@@ -225,7 +228,17 @@
         except (ConnLostError, HttpError):
             ended(fwd.attempt, target.name, _SHORT)
             raise
-        ended(fwd.attempt, target.name, reply)
+        self._note_answered(fwd, target, reply)
+
+    def _note_answered(
+        self,
+        fwd: Forward,
+        target: Target,
+        reply: Reply,
+    ) -> None:
+        parts = self._parts
+        parts.executions.finish(fwd.attempt, parts.clock.now())
+        parts.watcher.ended(fwd.attempt, target.name, reply)
 
     def _start(self, fwd: Forward, target: Target) -> Result[None, Reason]:
         parts = self._parts
@@ -249,7 +262,7 @@
         parts = self._parts
         now = parts.clock.now()
         parts.executions.cancel(attempt, parts.executions.incarnation, now)
-        parts.executions.finish(attempt, now)
+        parts.executions.abandon(attempt, now)
 
     def _unregistered(self, reason: Reason) -> Refused:
         verdict = Verdict.NOT_RUN
