Replay the orders of events that conservation of tokens must survive

One test for each: leases of a predecessor, late borrowers, unreached holders, restarts during a change, skipped versions, new accounts, holders that were cut off, and grants to an earlier process.

--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -66,7 +66,8 @@
     @rule()
     def drain_and_replace(self) -> None:
         self.apply(self.queue.drain())
-        assert not self.waiting and not self.queue.waiting
+        assert not self.waiting
+        assert not self.queue.waiting
         late = self.queue.offer('late', 'a', self.now + 60, self.now)
         assert [type(each) for each in late] == [Reject]
         self.running.clear()
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -197,6 +197,103 @@
 TestFaultyFleet.settings = settings(max_examples=150, stateful_step_count=30)
 
 
+def flood(fleet: TokenFleet) -> None:
+    """Ask for far more than the burst everywhere at once, and check."""
+    checker = RateChecker(fleet)
+    for index in range(30):
+        for name in NAMES:
+            fleet.take(name, f'flood-{index}', 'a')
+    fleet.run(0.1)
+    assert fleet.outcomes
+    checker.check()
+
+
+def borrow(fleet: TokenFleet, *names: str) -> None:
+    """Leave unspent leases at some daemons."""
+    for index in range(8 * len(names)):
+        fleet.take(names[index % len(names)], f'borrow-{index}', 'a')
+    fleet.run(0.1)
+
+
+def tell(fleet: TokenFleet, cfg: Config, *names: str) -> None:
+    fleet.publish(cfg)
+    for name in names:
+        fleet.tell(name)
+
+
+def test_new_holders_wait_for_leases_of_their_predecessors() -> None:
+    fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
+    borrow(fleet, 'i0', 'i1', 'i2')
+    fleet.start('i3', 0, known_for=100)
+    fleet.start('i4', 0, known_for=100)
+    fleet.run(1)
+    flood(fleet)
+
+
+def test_borrowers_drop_leases_before_holders_count_them_free() -> None:
+    fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
+    borrow(fleet, 'i0', 'i1', 'i2')
+    fleet.run(3)
+    flood(fleet)
+
+
+def test_new_holders_wait_for_old_ones_that_heard_nothing() -> None:
+    fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
+    tell(fleet, config(2, 60, 40, '12'), 'i0', 'i1', 'i2')
+    fleet.run(5)
+    flood(fleet)
+
+
+def test_a_restart_during_a_change_waits_for_the_older_version() -> None:
+    fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
+    fleet.publish(config(2, 60, 40, '12'))
+    fleet.start('i1', 0, known_for=0)
+    fleet.start('i2', 0, known_for=0)
+    fleet.run(5)
+    flood(fleet)
+
+
+def test_holders_that_skipped_a_version_share_with_nobody() -> None:
+    fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
+    tell(fleet, config(2, 60, 40, '12'), 'i1', 'i2')
+    fleet.run(9)
+    tell(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
+    fleet.run(6)
+    flood(fleet)
+
+
+def test_a_new_account_whose_first_version_was_skipped_waits() -> None:
+    fleet = TokenFleet(config(1, 0, 0, '34'), seed=1)
+    tell(fleet, config(2, 60, 40, '12'), 'i1', 'i2')
+    fleet.run(5)
+    tell(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
+    fleet.run(3)
+    flood(fleet)
+
+
+def test_a_holder_that_was_cut_off_comes_back_without_a_share() -> None:
+    fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
+    tell(fleet, config(2, 60, 40, '12'), 'i0', 'i1', 'i2')
+    fleet.run(60)
+    tell(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
+    fleet.run(3)
+    flood(fleet)
+
+
+def test_a_grant_to_an_earlier_process_is_worth_nothing() -> None:
+    fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
+    borrow(fleet, 'i0')
+    fleet.outcomes.clear()
+    grants = len(fleet.history)
+    fleet.run(3)
+    fleet.start('i0', 0, known_for=100)
+    fleet.cuts = {('i0', 'i3'), ('i0', 'i4')}
+    fleet.take('i0', 'again', 'a')
+    for back in range(grants + 1):
+        fleet.replay(back)
+    assert fleet.outcomes == []
+
+
 def outcomes(
     fleet: TokenFleet, seconds: float, rate: float, names: tuple[str, ...]
 ) -> list[Outcome]:
