Measure the spread under virtual time; check addresses once

The stand-in platform lost a version published while all replicas were frozen; it keeps the newest now.

--- a/src/clementinedeal/_parts.py
+++ b/src/clementinedeal/_parts.py
@@ -2,7 +2,8 @@
 
 import enum
 import hashlib
-from collections.abc import Sequence
+import operator
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgspec
@@ -54,16 +55,16 @@
     return hashlib.blake2b(blob, digest_size=DIGEST_BYTES).hexdigest()
 
 
-def identity(entry: Any) -> str:
-    """Return what makes an entry unique within its section.
+def identities(section: Section) -> Callable[[Any], str]:
+    """Return the function that tells what makes an entry unique.
 
-    :param entry: any entry of the model.
+    :param section: kind of the entries.
     """
-    if isinstance(entry, Route):
-        return f'{entry.method} {entry.prefix}'
-    if isinstance(entry, Preset):
-        return entry.name.value
-    return str(entry.name)
+    if section is Section.ROUTES:
+        return _route_identity
+    if section is Section.PRESETS:
+        return operator.attrgetter('name.value')
+    return operator.attrgetter('name')
 
 
 def encode_section(section: Section, entries: Sequence[Any]) -> list[bytes]:
@@ -79,6 +80,7 @@
     limit = PART_BYTES
     if section is Section.INSTANCES:
         limit = INSTANCE_PART_BYTES
+    identity = identities(section)
     hashed = [
         (xxhash.xxh3_64_intdigest(identity(entry).encode()), entry)
         for entry in sorted(entries, key=identity)
@@ -97,6 +99,10 @@
     return entries
 
 
+def _route_identity(route: Route) -> str:
+    return f'{route.method} {route.prefix}'
+
+
 def _split(
     hashed: list[tuple[int, Any]],
     limit: int,
--- a/src/clementinedeal/_publication.py
+++ b/src/clementinedeal/_publication.py
@@ -14,7 +14,7 @@
     decode_part,
     digest_of,
     encode_section,
-    identity,
+    identities,
 )
 from clementinedeal._validation import find_fault
 
@@ -165,11 +165,12 @@
     digests: tuple[str, ...],
     parts: Mapping[str, bytes],
 ) -> _Entries:
+    identity = identities(section)
     merged: _Entries = {}
     count = 0
     for digest in digests:
         entries = _decode(section, digest, parts)
-        merged.update((identity(entry), entry) for entry in entries)
+        merged.update(zip(map(identity, entries), entries, strict=True))
         count += len(entries)
     if len(merged) != count:
         raise PublicationError(f'{section.value}: an entry is given twice')
--- a/src/clementinedeal_bench/_stand_in_platform.py
+++ b/src/clementinedeal_bench/_stand_in_platform.py
@@ -36,19 +36,27 @@
         self.is_up = True
         self.reads: list[float] = []
         self.listed = InstanceList(frozenset(), frozenset())
-        self.newest = 0
+        self._newest: bytes | None = None
         self._roots: list[bytes | None] = [None for _ in range(replicas)]
         self.frozen: set[int] = set()
+        self.cut_off: set[str] = set()
         self._parts: dict[str, bytes] = {}
         self._waiting: list[Waiting] = []
 
+    def is_reached(self, name: str) -> bool:
+        """Return whether reads by a daemon are answered.
+
+        :param name: instance name.
+        """
+        return self.is_up and name not in self.cut_off
+
     def publish(self, publication: Publication) -> None:
         """Make a version readable at all replicas that are not stale.
 
         :param publication: its values.
         """
         self._parts.update(publication.parts)
-        self.newest = _version(publication.root)
+        self._newest = publication.root
         self._roots = [
             old if replica in self.frozen else publication.root
             for replica, old in enumerate(self._roots)
@@ -65,8 +73,7 @@
     def thaw(self) -> None:
         """Bring all replicas up to date."""
         self.frozen.clear()
-        newest = max(self._roots, key=_version)
-        self._roots = [newest for _ in self._roots]
+        self._roots = [self._newest for _ in self._roots]
         self._wake()
 
     def read(self, name: str, replica: int, now: float) -> object:
--- a/src/clementinedeal_bench/_virtual_fleet.py
+++ b/src/clementinedeal_bench/_virtual_fleet.py
@@ -3,10 +3,11 @@
 import heapq
 import itertools
 import random
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
-from typing import Any
+from typing import Any, TypeVar
 
 from clementinedeal._messages import Send, decode, encode
 from clementinedeal._model import Config, Instance
@@ -22,6 +23,8 @@
 from clementinedeal._views import FleetView
 from clementinedeal_bench._stand_in_platform import StandInPlatform
 
+ResultT = TypeVar('ResultT')
+
 Input = Callable[[float], list[Any]]
 
 TICK_SECONDS = 0.2
@@ -30,14 +33,13 @@
 
 @dataclass(slots=True, kw_only=True)
 class Network:
-    """Faults of the network between daemons and towards the platform."""
+    """Faults of the network between daemons."""
 
     loss: float = 0.0
     duplicates: float = 0.0
     min_delay: float = 0.0005
     max_delay: float = 0.003
     cuts: set[tuple[str, str]] = field(default_factory=set)
-    platform_cuts: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -70,6 +72,7 @@
         self.processes: dict[str, Process] = {}
         self.messages = 0
         self.sent_bytes = 0
+        self.busy_seconds = 0.0
         self._rng = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -96,13 +99,13 @@
         if name in self.processes:
             self.processes.pop(name).is_down = True
 
-    def stop_gracefully(self, name: str) -> None:
-        """Let a daemon tell the others that it takes no new work.
+    def ask(self, name: str, call: Input) -> None:
+        """Call a method of a daemon's view and carry out its actions.
 
         :param name: instance name.
+        :param call: takes the virtual time in seconds.
         """
-        process = self.processes[name]
-        self._perform(process, process.view.stop(self.now))
+        self._deliver(self.processes[name], call)
 
     def pause(self, name: str) -> None:
         """Freeze a daemon; its messages wait.
@@ -118,7 +121,7 @@
         """
         process = self.processes[name]
         process.is_paused = False
-        self._perform(process, process.view.on_pause(self.now))
+        self.ask(name, process.view.on_pause)
         inbox = process.inbox
         process.inbox = []
         for call in inbox:
@@ -142,7 +145,7 @@
         self._at(self.now + TICK_SECONDS, partial(self._tick, process))
         self.platform.expire(self.now)
         if not process.is_paused:
-            self._perform(process, process.view.on_tick(self.now))
+            self._perform(process, self._timed(process.view.on_tick))
 
     def _perform(self, process: Process, actions: list[Any]) -> None:
         for action in actions:
@@ -156,7 +159,9 @@
                 process.rejected.append(action)
 
     def _send(self, sender: str, action: Send) -> None:
+        started = time.process_time()
         blob = encode((action.body,))
+        self.busy_seconds += time.process_time() - started
         self.messages += 1
         self.sent_bytes += len(blob)
         copies = 1 + (self._rng.random() < self.network.duplicates)
@@ -173,7 +178,10 @@
         process = self.processes.get(to)
         if process is None or (sender, to) in self.network.cuts:
             return
-        for body in decode(blob):
+        started = time.process_time()
+        bodies = decode(blob)
+        self.busy_seconds += time.process_time() - started
+        for body in bodies:
             self._deliver(
                 process,
                 partial(process.view.on_message, sender, body),
@@ -183,11 +191,11 @@
         if process.is_paused:
             process.inbox.append(call)
         elif not process.is_down:
-            self._perform(process, call(self.now))
+            self._perform(process, self._timed(call))
 
     def _read(self, process: Process, action: ReadPlatform | WatchRoot) -> None:
         name = action.name if isinstance(action, ReadPlatform) else ROOT_NAME
-        if not self._reaches_platform(process.name):
+        if not self.platform.is_reached(process.name):
             self._reply(process, name, None, is_failure=True)
             return
         replica = self._names.index(process.name)
@@ -212,12 +220,15 @@
         is_failure: bool = False,
     ) -> None:
         at = self.now + PLATFORM_SECONDS
-        failed = is_failure or not self._reaches_platform(process.name)
+        failed = is_failure or not self.platform.is_reached(process.name)
         call = _platform_input(process.view, name, found, is_failure=failed)
         self._at(at, partial(self._deliver, process, call))
 
-    def _reaches_platform(self, name: str) -> bool:
-        return self.platform.is_up and name not in self.network.platform_cuts
+    def _timed(self, call: Callable[[float], ResultT]) -> ResultT:
+        started = time.process_time()
+        outcome = call(self.now)
+        self.busy_seconds += time.process_time() - started
+        return outcome
 
     def _at(self, when: float, event: Callable[[], None]) -> None:
         heapq.heappush(self._events, (when, next(self._order), event))
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -14,8 +14,9 @@
 from clementinedeal import _view_state
 from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._publication import pack
-from clementinedeal._readers import REREAD_SECONDS
+from clementinedeal._readers import REREAD_SECONDS, reader_order
 from clementinedeal._view_actions import InstanceList
+from clementinedeal._view_messages import Announcement, VersionRef
 from clementinedeal_bench._large import large_config
 from clementinedeal_bench._virtual_fleet import VirtualFleet
 
@@ -65,7 +66,7 @@
     fleet.network.cuts = {
         (a, b) for a in NAMES for b in NAMES if (a in side) != (b in side)
     }
-    fleet.network.platform_cuts = set(side)
+    fleet.platform.cut_off = set(side)
 
 
 class FleetMachine(RuleBasedStateMachine):
@@ -97,7 +98,7 @@
     @rule(pairs=st.sets(st.tuples(some, some)), cut_off=st.sets(some))
     def cut_some_ways(self, pairs, cut_off):
         self.fleet.network.cuts = pairs
-        self.fleet.network.platform_cuts = cut_off
+        self.fleet.platform.cut_off = cut_off
         self.isolated = {}
 
     @rule(loss=st.sampled_from([0.0, 0.05, 0.5]), delay=st.floats(0.01, 3))
@@ -136,7 +137,7 @@
     @rule()
     def heal(self):
         network = self.fleet.network
-        network.cuts, network.platform_cuts = set(), set()
+        network.cuts, self.fleet.platform.cut_off = set(), set()
         network.loss, network.max_delay = 0.05, 0.01
         self.fleet.platform.thaw()
         self.fleet.platform.is_up = True
@@ -160,7 +161,7 @@
 
     def platform_is_whole(self):
         platform = self.fleet.platform
-        cut = self.fleet.network.platform_cuts
+        cut = platform.cut_off
         return platform.is_up and not platform.frozen and not cut
 
     @invariant()
@@ -229,7 +230,7 @@
     fleet = started()
     cut_off = NAMES[0]
     fleet.network.cuts = {(name, cut_off) for name in NAMES[1:]}
-    fleet.network.platform_cuts = {cut_off}
+    fleet.platform.cut_off = {cut_off}
     fleet.platform.publish(publication(2))
     fleet.run(1)
     assert versions(fleet, [cut_off]) == {1}
@@ -251,7 +252,7 @@
 def test_stopping_and_listed_instances_are_leaving_everywhere():
     fleet = started()
     leaver, listed, dead = NAMES[:3]
-    fleet.stop_gracefully(leaver)
+    fleet.ask(leaver, fleet.processes[leaver].view.stop)
     fleet.platform.listed = InstanceList(
         live=frozenset(NAMES),
         leaving=frozenset([listed]),
@@ -271,3 +272,41 @@
         view = fleet.processes[name].view
         assert not view.is_leaving(leaver)
         assert view.incarnation(leaver) == current
+
+
+def test_readers_cut_from_the_platform_do_not_hold_up_a_version():
+    fleet = started()
+    readers = reader_order(CFG.instances)[:3]
+    fleet.platform.cut_off = set(readers)
+    fleet.run(FRESH_SECONDS)
+    fleet.platform.publish(publication(2))
+    fleet.run(FRESH_SECONDS)
+    assert versions(fleet) == {2}
+
+
+def test_paused_daemon_rejoins_as_another_and_hears_before_it_serves():
+    fleet = started()
+    name, peer = NAMES[:2]
+    before = fleet.processes[name].view.incarnation(name)
+    fleet.pause(name)
+    fleet.run(1)
+    fleet.network.cuts = {(peer, name) for peer in NAMES}
+    fleet.platform.cut_off = {name}
+    fleet.resume(name)
+    assert fresh(fleet, [name]) == []
+    fleet.network.cuts, fleet.platform.cut_off = set(), set()
+    fleet.run(IN_FORCE_SECONDS)
+    assert fresh(fleet) == NAMES
+    after = fleet.processes[name].view.incarnation(name)
+    assert before != after == fleet.processes[peer].view.incarnation(name)
+
+
+def test_daemon_with_a_higher_ref_only_heard_of_loses_freshness():
+    fleet = started()
+    name = NAMES[0]
+    fleet.platform.cut_off = set(NAMES)
+    view = fleet.processes[name].view
+    for _ in range(int(2 * FRESH_SECONDS)):
+        view.on_message(NAMES[1], Announcement(VersionRef(2, 'd')), fleet.now)
+        fleet.run(1)
+    assert fresh(fleet, [name]) == []
