Join the fair queue before each target's slots

Cause: the placeholder queue was first come, first served without a limit, so one account could fill it and late requests started anyway. Each owned target has a TargetQueue now; its slots follow the share that the ejection office allows (slow start), its limit the preset; what waits for a target that is ejected is refused unrun, so that the entry tries another. No placeholder is left.

--- a/src/clementinedeal/_offices.py
+++ b/src/clementinedeal/_offices.py
@@ -5,19 +5,18 @@
 from clementinedeal._dispatch import Dispatcher
 from clementinedeal._ejection import EjectionOffice
 from clementinedeal._events import EventLog, wall_ms
-from clementinedeal._gates import SlotGate
 from clementinedeal._hub import Hub
 from clementinedeal._idempotency import IdempotencyOffice
 from clementinedeal._idempotency_gate import KeyGate
 from clementinedeal._metrics import Metrics
 from clementinedeal._model import Config, Target
 from clementinedeal._settings import DaemonSettings
+from clementinedeal._slot_gate import QueueSlots
 from clementinedeal._target_state import (
     TargetEjected,
     TargetReinstated,
     TargetState,
 )
-from clementinedeal._thin import SemaphoreSlots
 from clementinedeal._timers import Clock
 from clementinedeal._token_gate import OfficeTokenGate
 from clementinedeal._tokens import TokenOffice
@@ -79,7 +78,7 @@
             context.clock,
         )
         self.holders = tokens.holders
-        self.slots: SlotGate = SemaphoreSlots(self._slots_of)
+        self.slots = QueueSlots(me, cfg, context.clock, self.ejection.share)
         self._subscribe_ejection(context.hub)
         self._subscribe_tokens(context.hub, tokens)
         self._subscribe_idempotency(context.hub, idempotency)
@@ -92,8 +91,10 @@
         hub.on_tick.append(self.watcher.report_in_flight)
         hub.on_tick.append(self._note_absent)
         hub.on_tick.append(office.on_tick)
+        hub.on_tick.append(self.slots.on_tick)
         hub.on_config.append(self._note_config)
         hub.on_config.append(office.on_config)
+        hub.on_config.append(self.slots.on_config)
         hub.on_pause.append(office.on_pause)
         hub.on_fresh.append(office.set_fresh)
         hub.on_stop.append(office.stop)
@@ -144,6 +145,7 @@
         self._relatives = self._find_relatives()
 
     def _note_ejected(self, change: TargetEjected) -> None:
+        self.slots.turn_away(change.target)
         self._context.events.emit(
             'target-ejected',
             target=change.target,
@@ -172,7 +174,3 @@
             or not fleet.is_alive(target.instance, now)
         ]
         self.ejection.set_absent(absent, now)
-
-    def _slots_of(self, name: str) -> int:
-        target = self._cfg.targets.get(name)
-        return target.slots if target else 1
--- a/src/clementinedeal/_queue.py
+++ b/src/clementinedeal/_queue.py
@@ -182,6 +182,13 @@
         self._slots = slots
         return self._fill(now)
 
+    def set_limit(self, limit: int) -> None:
+        """Change how many may wait; those that wait stay.
+
+        :param limit: new number, as of another preset.
+        """
+        self._limit = limit
+
     def drain(self) -> QueueActions:
         """Refuse all that waits and all that comes."""
         self._draining = True
--- /dev/null
+++ b/src/clementinedeal/_slot_gate.py
@@ -0,0 +1,148 @@
+"""Makes requests wait in the queue before a target's slots."""
+
+from collections.abc import Callable
+
+from clementinedeal._dispatch import Waiters
+from clementinedeal._model import Config, Target
+from clementinedeal._queue import QueueActions, Reject, Start, TargetQueue
+from clementinedeal._replies import Refused
+from clementinedeal._timers import Clock
+from clementinedeal._verdict import Reason, Verdict
+
+_EJECTED = Refused(Verdict.NOT_RUN, Reason.TARGET_EJECTED)
+_GONE = Refused(Verdict.NOT_RUN, Reason.NO_TARGET)
+
+
+class QueueSlots:
+    """The queues of all owned targets."""
+
+    def __init__(
+        self,
+        me: str,
+        cfg: Config,
+        clock: Clock,
+        share: Callable[[str, float], float],
+    ) -> None:
+        """Create a queue for each owned target.
+
+        :param me: name of this instance.
+        :param cfg: names the owned targets, their slots and queue limit.
+        :param clock: the queues' time.
+        :param share: usable share of a target's slots, 0 to 1, by name and
+            monotonic time.
+        """
+        self._me = me
+        self._clock = clock
+        self._share = share
+        self._targets: dict[str, Target] = {}
+        self._queues: dict[str, TargetQueue] = {}
+        self._waiting: dict[str, str] = {}
+        self._waiters: Waiters[Refused | None] = Waiters()
+        self.on_config(cfg, clock.now())
+
+    def on_config(self, cfg: Config, now: float) -> None:
+        """Follow a configuration; queues of kept targets stay.
+
+        :param cfg: the configuration in force.
+        :param now: monotonic time in seconds.
+        """
+        self._targets = {
+            name: target
+            for name, target in cfg.targets.items()
+            if target.instance == self._me
+        }
+        limit = cfg.active.queue_limit
+        for name, target in self._targets.items():
+            queue = self._queues.get(name)
+            if queue is None:
+                self._queues[name] = TargetQueue(target.slots, limit)
+            else:
+                queue.set_limit(limit)
+
+    def on_tick(self, now: float) -> None:
+        """Expire what waits too long and follow slow starts.
+
+        :param now: monotonic time in seconds.
+        """
+        for name, target in self._targets.items():
+            queue = self._queues[name]
+            slots = round(self._share(name, now) * target.slots)
+            self._follow(queue.resize(max(1, slots), now))
+            self._follow(queue.on_tick(now))
+
+    async def acquire(
+        self,
+        req_id: str,
+        target: str,
+        account: str,
+        seconds_left: float,
+    ) -> Refused | None:
+        """Wait for a slot; None when it is lent.
+
+        :param req_id: unique id of the attempt.
+        :param target: an owned target.
+        :param account: shares the queue fairly with other accounts.
+        :param seconds_left: time in which the request must start.
+        """
+        queue = self._queues.get(target)
+        if queue is None:
+            return _GONE
+        now = self._clock.now()
+        self._waiters.expect(req_id)
+        self._waiting[req_id] = target
+        self._follow(queue.offer(req_id, account, now + seconds_left, now))
+        return await self._waiters.wait(req_id)
+
+    def release(self, req_id: str, target: str) -> None:
+        """Give a slot back, or leave the queue.
+
+        :param req_id: unique id of the attempt.
+        :param target: an owned target.
+        """
+        self._waiting.pop(req_id, None)
+        queue = self._queues.get(target)
+        if queue is not None:
+            self._follow(queue.cancel(req_id))
+            self._follow(queue.finish(req_id, self._clock.now()))
+
+    def load(self, target: str) -> float:
+        """Return running and waiting requests per slot.
+
+        :param target: a target.
+        """
+        queue = self._queues.get(target)
+        if queue is None or target not in self._targets:
+            return 0
+        return (queue.running + queue.waiting) / self._targets[target].slots
+
+    def turn_away(self, target: str) -> None:
+        """Refuse what waits for a target that was ejected.
+
+        :param target: an owned target.
+        """
+        waiting = [
+            req_id
+            for req_id, wanted in self._waiting.items()
+            if wanted == target
+        ]
+        for req_id in waiting:
+            self._waiting.pop(req_id)
+            self._queues[target].cancel(req_id)
+            self._waiters.resolve(req_id, _EJECTED)
+
+    def _follow(self, actions: QueueActions) -> None:
+        for action in actions:
+            self._waiting.pop(action.req_id, None)
+            match action:
+                case Start():
+                    self._waiters.resolve(action.req_id, None)
+                case Reject():
+                    self._waiters.resolve(action.req_id, _refused(action))
+
+
+def _refused(reject: Reject) -> Refused:
+    return Refused(
+        Verdict.NOT_RUN,
+        reject.reason,
+        reject.retry_after_seconds,
+    )
