Keep a daemon alive through a fault in one request or message

Cause: found by the demo's log of a planned stop and by reading: an exception in one connection's task, in a part that handles a control message, or a send on a control socket closed by the stop, ended the whole daemon. Ruled out: ignoring the fault silently (it stays in the log and in the counter of rejected messages).

--- a/src/clementinedeal/_control.py
+++ b/src/clementinedeal/_control.py
@@ -11,13 +11,14 @@
 
 from clementinedeal._envelope import Keyring
 from clementinedeal._errors import ProtocolError
-from clementinedeal._events import EventLog
+from clementinedeal._events import EventLog, log
 from clementinedeal._messages import Send, decode, encode
 
 MAX_BATCH_BODIES = 64
 MAX_OPEN_PEERS = 96
 SEND_BUFFER_MESSAGES = 64
 RECV_MAX_BYTES = 2_000_000
+LINGER_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +98,7 @@
         self._peers: dict[str, _Peer] = {}
         self._wake = trio.Event()
         self._listener: pynng.Pull0 | None = None
+        self._stopped = False
 
     async def start(self) -> None:
         """Listen."""
@@ -108,7 +110,8 @@
     async def stop(self) -> None:
         """Send what is queued, then close every socket."""
         self._flush()
-        await trio.sleep(0.1)
+        self._stopped = True
+        await trio.sleep(LINGER_SECONDS)
         for peer in self._peers.values():
             peer.socket.close()
         if self._listener is not None:
@@ -116,7 +119,7 @@
 
     def send(self, action: Send) -> None:
         """Queue one message; it leaves with the next batch to that peer."""
-        peer = self._peer(action.to)
+        peer = None if self._stopped else self._peer(action.to)
         if peer is None:
             self.counters.dropped += 1
             return
@@ -154,7 +157,18 @@
             return
         self._events.clock.observe(batch.hlc)
         for body in bodies:
-            receiver(batch.sender, body)
+            self._hand_over(receiver, batch.sender, body)
+
+    def _hand_over(self, receiver: Receiver, sender: str, body: Any) -> None:
+        """Keep the daemon alive if a part fails on a message."""
+        try:
+            receiver(sender, body)
+        except Exception:
+            self.counters.rejected += 1
+            kind = type(body).__name__
+            log.exception(
+                'event=message-failed sender=%s kind=%s', sender, kind
+            )
 
     def _open(self, sealed: bytes) -> Batch:
         blob = self._keyring.open(sealed, self._events.instance.encode())
@@ -208,7 +222,7 @@
         )
         try:
             peer.socket.send(sealed, block=False)
-        except pynng.TryAgain:
+        except pynng.NNGException:
             self.counters.dropped += len(bodies)
             return
         self.counters.messages_sent += 1
--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from clementinedeal._events import EventLog
+from clementinedeal._events import EventLog, log
 from clementinedeal._http import (
     ConnLostError,
     HttpError,
@@ -104,7 +104,7 @@
         self._open[conn] = scope
         try:
             with scope:
-                await self._converse(conn)
+                await self._converse_safely(conn)
             with trio.CancelScope(shield=True):
                 await conn.drain_close()
         finally:
@@ -112,6 +112,14 @@
             if not self._open:
                 self._done.set()
 
+    async def _converse_safely(self, conn: ServerConn) -> None:
+        """Keep the daemon alive if a part fails on a request."""
+        try:
+            await self._converse(conn)
+        except Exception:
+            log.exception('event=connection-failed address=%s', self._address)
+            await conn.aclose()
+
     async def _converse(self, conn: ServerConn) -> None:
         try:
             again = True
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -28,6 +28,8 @@
         await conn.start_answer(200, ((b'content-length', b'10'),))
         await conn.send_piece(b'half')
         raise ConnLostError('cut')
+    if head.path == '/bug':
+        raise ValueError('bug')
     if head.path == '/slow':
         await trio.sleep(0.2)
     await conn.respond(200, ((b'x-path', head.path.encode()),), body)
@@ -136,3 +138,14 @@
         head = await conn.read_head()
         assert head.status == 200
         assert head.header(b'connection') == b'close'
+
+
+async def test_a_fault_in_one_request_ends_only_its_connection() -> None:
+    async with serving():
+        conn = await ConnPool(MonotonicClock()).acquire(ADDRESS)
+        await conn.send_whole(RequestHead('GET', '/bug', GET.headers), b'')
+        with pytest.raises(ConnLostError):
+            await conn.read_head()
+        other = await ConnPool(MonotonicClock()).acquire(ADDRESS)
+        await other.send_whole(GET, b'')
+        assert (await other.read_head()).status == 200
