Ask for a permit at once when a target is newly held sick

Cause: the request waited for the pace of 0.25 s of a suspect's reports. Reports stay bounded: five a second at most, also where no permit can be had.

--- a/src/clementinedeal/_reporter.py
+++ b/src/clementinedeal/_reporter.py
@@ -1,17 +1,22 @@
 """When an owner reports on its targets, and to whom."""
 
-from clementinedeal._health import Healthy
+from clementinedeal._health import Healthy, Sick
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
 from clementinedeal._permits import holder_of
 from clementinedeal._standing import Standing
+from clementinedeal._target_state import TargetState
 
 REPORT_SECONDS = 1.0
 SUSPECT_REPORT_SECONDS = 0.25
 
 
 class Reporter:
-    """Paces reports: once a second, four times for a suspected target."""
+    """Paces reports.
+
+    Once a second, four times for a suspected target, at once for one that
+    is newly held sick.
+    """
 
     def __init__(self, cfg: Config) -> None:
         """Start in a view that is not fresh.
@@ -37,14 +42,18 @@
         :param now: monotonic time in seconds.
         """
         elapsed = now - standing.reported_at
-        if elapsed < SUSPECT_REPORT_SECONDS:
-            return []
         if elapsed >= REPORT_SECONDS:
             return self.at_once(standing, now)
-        health = standing.detector.health(now)
-        if standing.out or isinstance(health, Healthy):
+        if standing.out or standing.state is TargetState.LEAVING:
             return []
-        return self.at_once(standing, now)
+        health = standing.detector.health(now)
+        suspected = not isinstance(health, Healthy)
+        if suspected and elapsed >= SUSPECT_REPORT_SECONDS:
+            return self.at_once(standing, now)
+        asked = standing.state is TargetState.REQUESTING
+        if isinstance(health, Sick) and self._asks() and not asked:
+            return self.at_once(standing, now)
+        return []
 
     def at_once(self, standing: Standing, now: float) -> list[Send]:
         """Report, unless that would give back a permit that is in use.
@@ -52,7 +61,7 @@
         :param standing: the target's standing.
         :param now: monotonic time in seconds.
         """
-        asks = self.fresh and self._cfg.active.ejection
+        asks = self._asks()
         if standing.out and not asks:
             return []
         holder = self._holder(standing.target.service)
@@ -60,6 +69,9 @@
             return []
         return [Send(holder, standing.report(asks, now))]
 
+    def _asks(self) -> bool:
+        return self.fresh and self._cfg.active.ejection
+
     def _holder(self, service: str) -> str | None:
         holder = self._holders.get(service)
         if holder is None:
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -180,6 +180,22 @@
     assert office.share(f't{SICK}', fleet.now) == 0
 
 
+@pytest.mark.parametrize('fresh', [True, False])
+def test_a_sick_target_reports_no_more_than_five_times_a_second(
+    fresh: bool,
+) -> None:
+    fleet = Deployment()
+    fleet.set_fresh(fresh)
+    fleet.offices[HOLDER].set_fresh(False, fleet.now)
+    office = fleet.offices[SICK]
+    outcome = Outcome(OutcomeKind.ERROR, 0.001)
+    sends = []
+    for number in range(1000):
+        now = fleet.now + number / 1000
+        sends += office.on_outcome(f't{SICK}', outcome, now)
+    assert 1 <= len(sends) <= 5
+
+
 def test_a_cold_target_starts_slowly(fleet: Deployment) -> None:
     office = fleet.offices[SICK]
     assert office.on_cold(f't{SICK}', fleet.now) == []
