--- a/src/clementinedeal/_borrowing.py
+++ b/src/clementinedeal/_borrowing.py
@@ -96,6 +96,7 @@
         if draw.abandoned or self._stopping:
             report = LeaseReport(lease, 0, closed=True)
             return (Send(sender, SpentReports(body.account, (report,))),)
+        desk.levels[sender] = body.left
         if body.amount:
             desk.wallet.add(lease, sender, body.amount, draw.expires_at)
         if body.amount < max(1, draw.need):
--- a/src/clementinedeal/_draws.py
+++ b/src/clementinedeal/_draws.py
@@ -35,11 +35,15 @@
 @message
 @dataclass(frozen=True, slots=True)
 class DrawGrant:
-    """Answers a draw with the micro-tokens lent, zero included."""
+    """Answers a draw with the micro-tokens lent, zero included.
+
+    ``left`` is what the holder has after it, for the choice of the next one.
+    """
 
     account: str
     lease: LeaseId
     amount: int
+    left: int
 
 
 @message
@@ -120,6 +124,7 @@
     demand: Demand = field(default_factory=Demand)
     asked: set[str] = field(default_factory=set)
     dry: dict[str, float] = field(default_factory=dict)
+    levels: dict[str, int] = field(default_factory=dict)
     rounds: int = 0
     round_at: float = 0
     answered: bool = True
--- a/src/clementinedeal/_holdings.py
+++ b/src/clementinedeal/_holdings.py
@@ -66,12 +66,12 @@
         mint = self.find(body.account, now)
         ttl = body.ttl_millis / MILLIS_PER_SECOND
         if mint is None or ttl > LEASE_TTL_SECONDS:
-            return DrawGrant(body.account, body.lease, 0)
+            return DrawGrant(body.account, body.lease, 0, 0)
         needed = min(body.need, mint.level)
         surplus = (mint.level - needed) // SURPLUS_DIVISOR
         amount = needed + max(0, min(body.want - needed, surplus))
         granted = mint.lend(body.lease, amount, ttl, now)
-        return DrawGrant(body.account, body.lease, granted)
+        return DrawGrant(body.account, body.lease, granted, mint.level)
 
     def settle(
         self,
--- a/src/clementinedeal/_siblings.py
+++ b/src/clementinedeal/_siblings.py
@@ -5,10 +5,11 @@
 from clementinedeal._model import Config
 
 SUSPECT_SECONDS = 1.0
+UNKNOWN_LEVEL = 1 << 62
 
 
 class Siblings:
-    """Prefers holders that answer, had tokens lately and stand near."""
+    """Prefers holders that answer, stand near and have many tokens."""
 
     def __init__(self, me: str, cfg: Config) -> None:
         """Suspect nobody.
@@ -62,18 +63,34 @@
             self._near[holders] = near
         answering = [name for name in near if not self._is_suspect(name, now)]
         chosen = answering or near
-        if not desk.dry:
+        if not desk.levels:
             return chosen
-        return sorted(chosen, key=lambda name: desk.dry.get(name, 0) > now)
+        return sorted(chosen, key=lambda name: self._cost(desk, name, now))
+
+    def _cost(
+        self,
+        desk: AccountDraws,
+        name: str,
+        now: float,
+    ) -> tuple[bool, bool, int]:
+        is_dry = now < desk.dry.get(name, 0)
+        level = desk.levels.get(name, UNKNOWN_LEVEL)
+        return is_dry, not self._is_in_region(name), -level
 
     def _is_suspect(self, name: str, now: float) -> bool:
         return now < self._suspects.get(name, 0)
 
     def _by_zone(self, holders: tuple[str, ...]) -> list[str]:
         others = rank(self._me, set(holders) - {self._me})
-        return sorted(others, key=lambda name: not self._is_near(name))
+        others.sort(key=lambda name: not self._is_in_zone(name))
+        return sorted(others, key=lambda name: not self._is_in_region(name))
 
-    def _is_near(self, name: str) -> bool:
+    def _is_in_zone(self, name: str) -> bool:
         mine = self._cfg.instances.get(self._me)
         other = self._cfg.instances.get(name)
         return bool(mine and other and mine.zone == other.zone)
+
+    def _is_in_region(self, name: str) -> bool:
+        mine = self._cfg.instances.get(self._me)
+        other = self._cfg.instances.get(name)
+        return bool(mine and other and mine.region == other.region)
--- /dev/null
+++ b/src/clementinedeal_bench/_token_config.py
@@ -0,0 +1,64 @@
+"""Configurations with one account for trials of tokens."""
+
+from clementinedeal._model import (
+    Account,
+    Config,
+    Instance,
+    Preset,
+    PresetName,
+    Service,
+    Target,
+)
+
+ACCOUNT = 'a'
+ZONES = 3
+
+
+def configuration(rate: float, burst: float, daemons: int) -> Config:
+    """Return a configuration with one account and one target a daemon.
+
+    :param rate: of the account, in requests per second.
+    :param burst: of the account, in requests.
+    :param daemons: how many instances.
+    """
+    names = [f'i{index}' for index in range(daemons)]
+    service = Service(name='s', floor=0)
+    return Config(
+        version=1,
+        preset=PresetName.ORDINARY,
+        presets={PresetName.ORDINARY: Preset(name=PresetName.ORDINARY)},
+        services={service.name: service},
+        targets={
+            name: Target(
+                name=name, service=service.name, instance=name, address=''
+            )
+            for name in names
+        },
+        routes=(),
+        accounts={
+            ACCOUNT: Account(
+                name=ACCOUNT,
+                key_digests=(),
+                rate=rate,
+                burst=burst,
+                services=(service.name,),
+            ),
+        },
+        instances={
+            name: instance(name, index % ZONES)
+            for index, name in enumerate(names)
+        },
+    )
+
+
+def instance(name: str, zone: int) -> Instance:
+    """Return a published instance without addresses."""
+    return Instance(
+        name=name,
+        zone=f'z{zone}',
+        region='r',
+        caller='',
+        peer='',
+        control='',
+        operator='',
+    )
--- a/src/clementinedeal_bench/_token_fleet.py
+++ b/src/clementinedeal_bench/_token_fleet.py
@@ -158,13 +158,12 @@
         if node.acts(self.now):
             self._handle(name, node.office.stop(self.now))
 
-    def replay(self, back: int) -> None:
+    def replay(self, parcel: Parcel) -> None:
         """Deliver an old message once more.
 
-        :param back: how many messages ago it was sent.
+        :param parcel: from ``history``.
         """
-        if back < len(self.history):
-            self._deliver(self.history[-1 - back])
+        self._deliver(parcel)
 
     def run(self, seconds: float, step: float = STEP_SECONDS) -> None:
         """Let time pass, deliver what is due and tick every daemon.
--- /dev/null
+++ b/src/clementinedeal_bench/_token_timing.py
@@ -0,0 +1,107 @@
+"""Measures processor time per call of the token office.
+
+Run as a module; prints one JSON line with microseconds.
+"""
+
+import json
+import time
+
+from clementinedeal._borrowing import Actions
+from clementinedeal._draws import Admitted
+from clementinedeal._messages import Send
+from clementinedeal._tokens import TokenOffice
+from clementinedeal_bench._token_config import ACCOUNT, configuration
+
+CALLS = 20_000
+LARGE = 1_000_000.0
+SMALL = 9.0
+NANOS_PER_MICRO = 1000
+WARM_STEPS = 40
+STEP_SECONDS = 0.25
+CALL_SECONDS = 0.001
+
+
+class Pair:
+    """One account, its two holders, and one owner that holds no share."""
+
+    def __init__(self, rate: float) -> None:
+        """Start three daemons with full shares.
+
+        :param rate: of the account, in requests per second.
+        """
+        cfg = configuration(rate, LARGE, 3)
+        self.now = 0.0
+        self.offices = {
+            name: TokenOffice(name, cfg, 0, incarnation=1, known_for=LARGE)
+            for name in cfg.instances
+        }
+        self.holders = self.offices['i0'].holders(ACCOUNT)
+        for _ in range(WARM_STEPS):
+            self.now += STEP_SECONDS
+            self.tick()
+
+    def tick(self) -> None:
+        """Tick all daemons and tell them that they are fresh."""
+        for office in self.offices.values():
+            office.on_tick(self.now)
+            office.set_fresh(True, self.now)
+
+    def deliver(self, sender: str, actions: Actions) -> int:
+        """Deliver messages until none is left; return what was admitted.
+
+        :param sender: the daemon whose actions these are.
+        :param actions: what it asked for.
+        """
+        admitted = 0
+        for action in actions:
+            if isinstance(action, Send):
+                office = self.offices[action.to]
+                answer = office.on_message(sender, action.body, self.now)
+                admitted += self.deliver(action.to, answer)
+            admitted += isinstance(action, Admitted)
+        return admitted
+
+
+def local_micros() -> float:
+    """Return microseconds for a take from the own share."""
+    pair = Pair(LARGE)
+    office = pair.offices[pair.holders[0]]
+    started = time.process_time_ns()
+    for index in range(CALLS):
+        office.take(str(index), ACCOUNT, pair.now)
+    return (time.process_time_ns() - started) / NANOS_PER_MICRO / CALLS
+
+
+def drawn_micros() -> tuple[float, int]:
+    """Return microseconds of owner and holder for a take with one draw.
+
+    The second figure is how many of the takes were admitted.
+    """
+    pair = Pair(SMALL)
+    name = next(each for each in pair.offices if each not in pair.holders)
+    spent = 0
+    admitted = 0
+    for index in range(CALLS // 10):
+        pair.now += STEP_SECONDS
+        pair.tick()
+        started = time.process_time_ns()
+        actions = pair.offices[name].take(str(index), ACCOUNT, pair.now)
+        admitted += pair.deliver(name, actions)
+        spent += time.process_time_ns() - started
+    return spent / NANOS_PER_MICRO / (CALLS // 10), admitted
+
+
+def main() -> None:
+    """Print the figures."""
+    drawn, admitted = drawn_micros()
+    line = {
+        'take_local_us': round(local_micros(), 2),
+        'take_with_draw_both_sides_us': round(drawn, 2),
+        'draws': CALLS // 10,
+        'admitted': admitted,
+    }
+    print(json.dumps(line))  # noqa: WPS421
+
+
+if __name__ == '__main__':
+    main()
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -2,6 +2,7 @@
 
 import math
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
@@ -155,7 +156,8 @@
 
     @rule(back=st.integers(0, 20))
     def replay(self, back: int) -> None:
-        self.fleet.replay(back)
+        for parcel in self.fleet.history[-1 - back : -back or None]:
+            self.fleet.replay(parcel)
 
     @rule(name=st.sampled_from(NAMES), behind=st.integers(0, 1))
     def replace_daemon(self, name: str, behind: int) -> None:
@@ -230,10 +232,14 @@
     flood(fleet)
 
 
-def test_borrowers_drop_leases_before_holders_count_them_free() -> None:
+@pytest.mark.parametrize('seconds', [0.02, 1.5, 3])
+def test_borrowers_drop_leases_before_holders_count_them_free(
+    seconds: float,
+) -> None:
     fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
+    fleet.link = Link(repeat=1, jitter=0.02)
     borrow(fleet, 'i0', 'i1', 'i2')
-    fleet.run(3)
+    fleet.run(seconds)
     flood(fleet)
 
 
@@ -258,7 +264,9 @@
     tell(fleet, config(2, 60, 40, '12'), 'i1', 'i2')
     fleet.run(9)
     tell(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
-    fleet.run(6)
+    fleet.run(5.5)
+    borrow(fleet, 'i1', 'i2')
+    fleet.run(1)
     flood(fleet)
 
 
@@ -274,7 +282,7 @@
 def test_a_holder_that_was_cut_off_comes_back_without_a_share() -> None:
     fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
     tell(fleet, config(2, 60, 40, '12'), 'i0', 'i1', 'i2')
-    fleet.run(60)
+    fleet.run(80)
     tell(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
     fleet.run(3)
     flood(fleet)
@@ -284,13 +292,13 @@
     fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
     borrow(fleet, 'i0')
     fleet.outcomes.clear()
-    grants = len(fleet.history)
+    old = tuple(fleet.history)
     fleet.run(3)
     fleet.start('i0', 0, known_for=100)
     fleet.cuts = {('i0', 'i3'), ('i0', 'i4')}
     fleet.take('i0', 'again', 'a')
-    for back in range(grants + 1):
-        fleet.replay(back)
+    for parcel in old:
+        fleet.replay(parcel)
     assert fleet.outcomes == []
 
 
