Tell a refused version from one in force elsewhere

The views now carry the highest version known to be in force anywhere beside the highest that exists, and the time since a daemon is behind starts once instead of with every message. Late answers are taken, since digests tell whether they fit; before, a network slower than the one second between requests let no pull finish.

--- a/src/clementinedeal/_freshness.py
+++ b/src/clementinedeal/_freshness.py
@@ -15,14 +15,13 @@
     they stand for: what a peer reports is dated from when it was asked.
     """
 
-    def __init__(self, now: float) -> None:
-        """Start without evidence.
-
-        :param now: monotonic seconds.
-        """
+    def __init__(self) -> None:
+        """Start without evidence."""
         self.newest = 0
+        self.accepted = 0
         self._settled = 0
-        self._behind_since = now
+        self._in_force = 0
+        self._behind_since: float | None = None
         self._covered_at = -math.inf
         self._quorum_at = -math.inf
         self._contact_version = 0
@@ -34,19 +33,31 @@
         :param version: the version heard of.
         :param now: monotonic seconds.
         """
-        if self.newest <= self._settled < version:
-            self._behind_since = now
         self.newest = max(self.newest, version)
+        self._note(now)
 
-    def on_settled(self, version: int, now: float) -> None:
-        """Note that a version was decided on.
+    def on_accepted(self, version: int, now: float) -> None:
+        """Note that a version is in force somewhere.
 
-        :param version: highest version accepted or rejected so far.
+        A later one that was refused doesn't stand for it.
+
+        :param version: the version heard of.
         :param now: monotonic seconds.
         """
+        self.accepted = max(self.accepted, version)
         self.on_known(version, now)
-        self._settled = max(self._settled, version)
-        self._behind_since = now
+
+    def on_settled(self, settled: int, in_force: int, now: float) -> None:
+        """Note which versions were decided on here.
+
+        :param settled: highest version accepted or refused so far.
+        :param in_force: highest version accepted.
+        :param now: monotonic seconds.
+        """
+        self._settled = max(self._settled, settled)
+        self._in_force = max(self._in_force, in_force)
+        self.newest = max(self.newest, settled)
+        self.on_accepted(in_force, now)
         if self._contact_version == self._settled:
             self._covered_at = max(self._covered_at, self._contact_at)
 
@@ -94,7 +105,7 @@
         :param at: more than half of the published instances were heard at
             this time or later, in monotonic seconds.
         """
-        if self.newest <= self._settled:
+        if self._behind_since is None:
             self._quorum_at = max(self._quorum_at, at)
 
     def is_fresh(self, now: float) -> bool:
@@ -102,11 +113,8 @@
 
         :param now: monotonic seconds.
         """
-        if self._settled == 0:
-            return False
-        if self.newest > self._settled and not _is_recent(
-            self._behind_since, now
-        ):
+        behind_since = self._behind_since
+        if behind_since is not None and not _is_recent(behind_since, now):
             return False
         return _is_recent(max(self._covered_at, self._quorum_at), now)
 
@@ -116,6 +124,13 @@
         self._contact_at = -math.inf
         self._quorum_at = -math.inf
 
+    def _note(self, now: float) -> None:
+        known = self.newest <= self._settled
+        if known and self.accepted <= self._in_force:
+            self._behind_since = None
+        elif self._behind_since is None:
+            self._behind_since = now
+
 
 def _is_recent(at: float, now: float) -> bool:
     return now - at <= FRESH_SECONDS
--- a/src/clementinedeal/_spread.py
+++ b/src/clementinedeal/_spread.py
@@ -121,17 +121,14 @@
         body: RootAnswer,
         now: float,
     ) -> list[Any]:
-        """Take a root from a peer.
+        """Take a root from a peer, also a late one: its digest tells.
 
         :param sender: the peer.
         :param body: its answer.
         :param now: monotonic seconds.
         """
-        pull = self._replied(sender, body.nonce)
-        if pull is None:
-            return []
-        if body.root is None:
-            pull.drop_source(sender)
+        pull = self._replied(sender, body.nonce, found=body.root is not None)
+        if pull is None or body.root is None:
             return self._ask(now)
         fault = pull.on_root(body.root, self._acceptance.parts())
         if fault:
@@ -152,12 +149,9 @@
         :param body: its answer.
         :param now: monotonic seconds.
         """
-        pull = self._replied(sender, body.nonce)
+        pull = self._replied(sender, body.nonce, found=bool(body.parts))
         if pull is None:
             return []
-        if not body.parts:
-            pull.drop_source(sender)
-            return self._ask(now)
         for blob in body.parts:
             pull.on_part(blob)
         self._pulled_at = now
@@ -223,12 +217,14 @@
             return [Send(peer, RootRequest(nonce, pull.ref))]
         return [Send(peer, PartsRequest(nonce, pull.lacking()))]
 
-    def _replied(self, sender: str, nonce: int) -> Pull | None:
-        if self._pull is None or self._awaited != (sender, nonce):
-            return None
-        self._awaited = None
-        self._pull.on_reply()
-        return self._pull
+    def _replied(self, sender: str, nonce: int, *, found: bool) -> Pull | None:
+        pull = self._pull
+        if pull is not None and self._awaited == (sender, nonce):
+            self._awaited = None
+            pull.on_reply()
+            if not found:
+                pull.drop_source(sender)
+        return pull
 
 
 def _distances(count: int) -> Iterable[int]:
--- a/src/clementinedeal/_view_handlers.py
+++ b/src/clementinedeal/_view_handlers.py
@@ -54,7 +54,7 @@
         if state.members.roster.find(sender) is None:
             actions.append(PeerAddress(sender, body.control))
         if body.held is not None:
-            state.freshness.on_known(body.held.version, now)
+            state.freshness.on_accepted(body.held.version, now)
             actions.extend(state.spread.on_ref(body.held, sender, now))
         return [*actions, Send(sender, self._answer(body, now))]
 
@@ -73,6 +73,7 @@
             held=None if held is None else held.ref,
             rejected=None if refused is None else refused.ref,
             newest=state.freshness.newest,
+            accepted=state.freshness.accepted,
             contact=state.freshness.contact(now),
             names=roster.names_digest,
             ages=roster.ages(now),
@@ -91,6 +92,7 @@
         if sent_at is None:
             return []
         state.freshness.on_known(body.newest, now)
+        state.freshness.on_accepted(body.accepted, now)
         if body.contact is not None:
             at = sent_at - body.contact.age
             state.freshness.on_contact(body.contact.version, at, now)
--- a/src/clementinedeal/_view_messages.py
+++ b/src/clementinedeal/_view_messages.py
@@ -58,7 +58,8 @@
     """The sender's view when it answered.
 
     ``held`` is in force there, ``rejected`` its newest refused version and
-    ``newest`` the highest version it knows to exist. ``ages`` gives, by index
+    ``newest`` the highest version it knows to exist, ``accepted`` the highest
+    that it knows to be in force anywhere. ``ages`` gives, by index
     in the names that ``names`` is the digest of, quarter seconds since each
     instance was heard, 255 for longer.
     """
@@ -70,6 +71,7 @@
     held: VersionRef | None
     rejected: VersionRef | None
     newest: int
+    accepted: int
     contact: Contact | None
     names: int
     ages: bytes
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -43,7 +43,7 @@
         self.me = settings.instance
         self.leaving = False
         self.acceptance = Acceptance()
-        self.freshness = Freshness(now)
+        self.freshness = Freshness()
         self.members = Membership(self.me)
         self.gossip = Gossip(self.me, self.members, rng)
         self.spread = Spread(self.me, self.acceptance)
@@ -141,7 +141,11 @@
         if pull is not None:
             self.freshness.on_known(pull.ref.version, now)
         if self.acceptance.settled:
-            self.freshness.on_settled(self.acceptance.settled, now)
+            self.freshness.on_settled(
+                self.acceptance.settled,
+                self.acceptance.version,
+                now,
+            )
         if self.config is None and self.acceptance.gate.asked_at is None:
             actions.extend(self._meet_peers(now))
         return actions
