--- a/src/clementinedeal/_member.py
+++ b/src/clementinedeal/_member.py
@@ -38,16 +38,6 @@
         self.changed_at = NEVER
         self.is_left = False
 
-    def wire_age(self, now: float) -> int:
-        """Return quarter seconds since it was heard, rounded up, capped.
-
-        :param now: monotonic seconds.
-        """
-        if self.heard_at == NEVER:
-            return AGE_CAP
-        age = math.ceil((now - self.heard_at) * AGES_PER_SECOND)
-        return min(AGE_CAP, age)
-
     def record(self, index: int, now: float) -> MemberRecord:
         """Return the record to tell.
 
--- a/src/clementinedeal/_roster.py
+++ b/src/clementinedeal/_roster.py
@@ -89,13 +89,19 @@
             self._digest = None
 
     def ages(self, now: float) -> bytes:
-        """Return everybody's age for an answer.
+        """Return everybody's age for an answer, rounded up and capped.
 
         :param now: monotonic seconds.
         """
+        own = self._members.get(self._me)
+        if own is not None:
+            own.heard_at = now
+        oldest = now - (AGE_CAP - 1) / AGES_PER_SECOND
         return bytes(
             [
-                0 if member.name == self._me else member.wire_age(now)
+                AGE_CAP
+                if member.heard_at <= oldest
+                else int((now - member.heard_at) * AGES_PER_SECOND) + 1
                 for member in self._order
             ],
         )
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -22,7 +22,7 @@
 )
 
 INCARNATION_BITS = 48
-SWEEP_SECONDS = 0.5
+SWEEP_SECONDS = 1.0
 
 
 class ViewState:
@@ -118,7 +118,7 @@
             )
 
     def sweep(self, now: float) -> Iterator[Any]:
-        """Yield changes among members, twice a second.
+        """Yield changes among members, once a second.
 
         :param now: monotonic seconds.
         """
