--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -24,7 +24,7 @@
 )
 
 INCARNATION_BITS = 48
-SWEEP_SECONDS = 0.5
+SWEEP_SECONDS = 1.0
 
 
 class ViewState:
@@ -46,7 +46,7 @@
         self.leaving = False
         self.acceptance = Acceptance()
         self.ages = VersionAges()
-        self.freshness = Freshness(now)
+        self.freshness = Freshness()
         self.members = Membership(self.me)
         self.gossip = Gossip(self.me, self.members, rng)
         self.spread = Spread(self.me, self.acceptance)
@@ -129,7 +129,7 @@
             )
 
     def sweep(self, now: float) -> Iterator[Any]:
-        """Yield changes among members, twice a second.
+        """Yield changes among members, once a second.
 
         :param now: monotonic seconds.
         """
@@ -155,7 +155,11 @@
         if pull is not None:
             self.freshness.on_known(pull.ref.version, now)
         if self.acceptance.settled:
-            self.freshness.on_settled(self.acceptance.settled, now)
+            self.freshness.on_settled(
+                self.acceptance.settled,
+                self.acceptance.version,
+                now,
+            )
         if self.config is None and self.acceptance.gate.asked_at is None:
             actions.extend(self._meet_peers(now))
         return actions
