Warm the demo up and slow down its busiest target

The slowest-loaded target saw 9 requests in 24 s, too few to judge detection by; the busiest is slowed down now and the executions until it was set aside are counted.

--- a/src/clementinedeal_bench/_demo_steps.py
+++ b/src/clementinedeal_bench/_demo_steps.py
@@ -12,19 +12,19 @@
 from clementinedeal_bench._demo_traffic import build_scenario
 from clementinedeal_bench._executions import Execution
 from clementinedeal_bench._fleet import Fleet
-from clementinedeal_bench._history import CallRecord, Outcome
-from clementinedeal_bench._observer import (
-    gather,
-    put,
-    read_executions,
-    read_status,
+from clementinedeal_bench._fleet_watch import (
+    await_not_in_use,
+    await_version,
+    count_executions,
 )
+from clementinedeal_bench._history import CallRecord, Outcome
+from clementinedeal_bench._observer import gather, put, read_executions
 from clementinedeal_bench._report import Step
 
-SETTLE_SECONDS = 10.0
+WARM_UP_SECONDS = 40.0
+DETECTION_SECONDS = 20.0
 POLL_SECONDS = 0.1
 OVERUSE = 4.0
-IN_USE = 'in-use'
 SLOW_MODE = b'{"mode": "slow", "factor": 20}'
 HEALTHY_MODE = b'{"mode": "healthy"}'
 
@@ -53,14 +53,18 @@
 
     async def run(self) -> None:
         """Run all steps."""
-        await self._finish(self._begin('ordinary traffic'))
-        await self._kill_daemon()
-        await self._kill_target()
-        await self._slow_target()
-        await self._stop_daemon()
-        await self._switch_preset()
-        await self._withdraw_key()
-        await self._overuse()
+        for run_step in (
+            self._warm_up,
+            self._ordinary,
+            self._kill_daemon,
+            self._kill_target,
+            self._slow_target,
+            self._stop_daemon,
+            self._switch_preset,
+            self._withdraw_key,
+            self._overuse,
+        ):
+            await run_step()
 
     async def collect(self, targets: Iterable[Target]) -> None:
         """Add what targets ran to the executions.
@@ -70,6 +74,20 @@
         for found in await gather(read_executions, targets):
             self.executions.extend(found or ())
 
+    async def _warm_up(self) -> None:
+        step = self._begin('start: token holders wait out earlier leases')
+        waiting = set(self._cfg.accounts)
+        with trio.move_on_after(WARM_UP_SECONDS):
+            while waiting:
+                await trio.sleep(POLL_SECONDS)
+                waiting -= {call.account for call in self._records if _ok(call)}
+        step.end = time.monotonic()
+        never = ', '.join(sorted(waiting)) or 'none'
+        step.notes.append(f'accounts without any answer so far: {never}')
+
+    async def _ordinary(self) -> None:
+        await self._finish(self._begin('ordinary traffic'))
+
     async def _kill_daemon(self) -> None:
         name = sorted(self._cfg.instances)[-1]
         step = self._begin(f'kill -9 of daemon {name}')
@@ -87,16 +105,19 @@
         step.notes.append('its record ends just before the kill')
 
     async def _slow_target(self) -> None:
-        target = self._cfg.targets[sorted(self._cfg.targets)[-1]]
+        before = await count_executions(self._fleet.live_targets())
+        target = self._cfg.targets[max(before, key=before.__getitem__)]
         step = self._begin(f'target {target.name} serves 20 times slower')
         await put(target.address, '/control/mode', SLOW_MODE)
-        with trio.move_on_after(self._seconds):
-            await self._await_not_in_use(target)
-            spent = time.monotonic() - step.begin
-            step.notes.append(f'set aside after {spent:.2f} s')
+        owner = self._cfg.instances[target.instance]
+        with trio.move_on_after(DETECTION_SECONDS):
+            await await_not_in_use(owner, target)
+        spent = time.monotonic() - step.begin
+        after = await count_executions([target])
+        slow = after[target.name] - before[target.name]
+        word = 'set aside' if spent < DETECTION_SECONDS else 'not set aside'
+        step.notes.append(f'{word} after {spent:.1f} s and {slow} executions')
         await self._finish(step)
-        if not step.notes:
-            step.notes.append('not set aside in this time')
         await put(target.address, '/control/mode', HEALTHY_MODE)
 
     async def _stop_daemon(self) -> None:
@@ -166,41 +187,21 @@
         self._cfg = replace(cfg, version=version)
         began = time.monotonic()
         await self._fleet.publisher.publish(self._cfg)
-        reached = await self._await_version(version)
+        reached = await await_version(
+            self._fleet.live_instances(),
+            version,
+        )
         spent = time.monotonic() - began
         step.notes.append(
             f'version {version} in force at {reached} daemons '
             f'of {len(self._fleet.live_instances())} after {spent:.2f} s',
         )
 
-    async def _await_version(self, version: int) -> int:
-        deadline = time.monotonic() + SETTLE_SECONDS
-        reached = 0
-        while time.monotonic() < deadline:
-            told = await gather(read_status, self._fleet.live_instances())
-            reached = sum(
-                each is not None and each.config_version >= version
-                for each in told
-            )
-            if reached == len(told):
-                break
-            await trio.sleep(POLL_SECONDS)
-        return reached
-
-    async def _await_not_in_use(self, target: Target) -> None:
-        owner = self._cfg.instances[target.instance]
-        while True:
-            told = await read_status(owner)
-            states = told.states() if told else {}
-            if states.get(target.name, IN_USE) != IN_USE:
-                return
-            await trio.sleep(POLL_SECONDS)
-
     def _answers(self, step: Step, account: str) -> list[float]:
         return sorted(
             call.end
             for call in step.calls(self._records)
-            if call.account == account and call.outcome is Outcome.ANSWERED
+            if call.account == account and _ok(call)
         )
 
     def _by_rate(self) -> list[Account]:
@@ -219,3 +220,7 @@
     async def _finish(self, step: Step) -> None:
         await trio.sleep(self._seconds)
         step.end = time.monotonic()
+
+
+def _ok(call: CallRecord) -> bool:
+    return call.outcome is Outcome.ANSWERED
--- a/src/clementinedeal_bench/_processes.py
+++ b/src/clementinedeal_bench/_processes.py
@@ -18,10 +18,12 @@
     def __init__(self, folder: Path) -> None:
         """Create an empty set.
 
-        :param folder: existing folder for the log files.
+        :param folder: existing folder for the log files; old ones are removed.
         """
         self._folder = folder
         self._running: dict[str, subprocess.Popen[bytes]] = {}
+        for old in folder.glob('*.log'):
+            old.unlink()
 
     def start(self, name: str, args: list[str]) -> int:
         """Start a process and return its id.
