--- a/src/clementinedeal_bench/_observer.py
+++ b/src/clementinedeal_bench/_observer.py
@@ -73,19 +73,27 @@
     return answer.body
 
 
-async def await_ready(address: str, path: str, seconds: float) -> None:
+async def await_ready(
+    address: str,
+    path: str,
+    seconds: float,
+    check: Callable[[], None],
+) -> None:
     """Wait until a GET is answered with 200.
 
     :param address: ``ip:port``.
     :param path: path and query.
     :param seconds: patience.
+    :param check: raises when there is nothing to wait for.
     :raises BenchError: there is no such answer in time.
     """
     deadline = trio.current_time() + seconds
     while await get(address, path) is None:
+        check()
         if trio.current_time() >= deadline:
             raise BenchError(f'{address}{path}: not ready in {seconds} s')
         await trio.sleep(POLL_SECONDS)
+    check()
 
 
 async def gather(
--- a/src/clementinedeal_bench/_publisher.py
+++ b/src/clementinedeal_bench/_publisher.py
@@ -22,6 +22,7 @@
 
         :param address: ``ip:port`` of the platform stand-in.
         """
+        self.address = address
         self._client = WebClient(address)
         self._known: set[str] = set()
 
--- /dev/null
+++ b/tests/test_bench_fleet.py
@@ -0,0 +1,92 @@
+import json
+import socket
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from clementinedeal_bench._declarations import (
+    read_declaration,
+    shift_address,
+    shift_ports,
+    write_declaration,
+)
+from clementinedeal_bench._demo_traffic import build_scenario, spread_rate
+from clementinedeal_bench._errors import BenchError
+from clementinedeal_bench._fleet import Fleet, FleetSettings
+from clementinedeal_bench._observer import get, read_executions
+from clementinedeal_bench._scenario import find_fault
+from clementinedeal_bench._webclient import split_address
+
+DECLARATION = 'examples/sabarmati.yaml'
+
+
+def free_address() -> str:
+    with socket.socket() as sock:
+        sock.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{sock.getsockname()[1]}'
+
+
+@pytest.fixture
+async def fleet(tmp_path: Path):
+    cfg = read_declaration(DECLARATION)
+    settings = FleetSettings(
+        folder=tmp_path,
+        platform=free_address(),
+        daemons=False,
+    )
+    names = sorted(cfg.targets)[:2]
+    targets = {
+        name: replace(cfg.targets[name], address=free_address())
+        for name in names
+    }
+    fleet = Fleet(replace(cfg, targets=targets), settings)
+    yield fleet
+    fleet.close()
+
+
+async def test_stand_ins_run_as_processes_until_ended(fleet):
+    await fleet.start()
+    first, second = fleet.live_targets()
+    platform = fleet.publisher.address
+    assert await get(platform, '/values/root')
+    assert fleet.cfg.instances.keys() == {
+        each['name']
+        for each in json.loads(await get(platform, '/instances'))['instances']
+    }
+    assert await get(first.address, '/jobs')
+    (run,) = await read_executions(first)
+    assert (run.target, run.path) == (first.name, '/jobs')
+    fleet.kill(first.name)
+    assert await get(first.address, '/probe') is None
+    assert fleet.live_targets() == [second]
+    assert await fleet.stop(second.name)
+    assert fleet.live_targets() == []
+
+
+async def test_a_taken_port_is_one_clear_error(fleet):
+    target = next(iter(fleet.cfg.targets.values()))
+    with socket.socket() as sock:
+        host, port = split_address(target.address)
+        sock.bind((host, port))
+        with pytest.raises(ExceptionGroup) as raised:
+            await fleet.start()
+    assert raised.group_contains(BenchError, match=f'listen on .*{port}')
+
+
+def test_declarations_move_and_come_back(tmp_path):
+    cfg = read_declaration(DECLARATION)
+    moved = shift_ports(cfg, 500)
+    old = cfg.instances['sabarmati-00'].peer
+    assert moved.instances['sabarmati-00'].peer == shift_address(old, 500)
+    assert shift_ports(moved, -500) == cfg
+    write_declaration(moved, tmp_path / 'moved.yaml')
+    assert read_declaration(str(tmp_path / 'moved.yaml')) == moved
+    traffic = build_scenario(moved, spread_rate(moved, 60), 1)
+    assert not find_fault(traffic)
+    services = {
+        kind.service
+        for load in traffic.accounts.values()
+        for kind in load.requests
+    }
+    assert services == set(cfg.services)
