--- a/src/clementinedeal/_holders.py
+++ b/src/clementinedeal/_holders.py
@@ -53,7 +53,7 @@
         return holder.on_message(sender, report, now) if holder else []
 
     def on_tick(self, now: float) -> None:
-        """Forget what has expired.
+        """Note that this daemon is awake.
 
         :param now: monotonic time in seconds.
         """
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -123,12 +123,11 @@
         self._update_ceiling(now)
 
     def on_tick(self, now: float) -> None:
-        """Forget what has expired; nothing is lent without regular ticks.
+        """Note that this daemon is awake; nothing is lent without it.
 
         :param now: monotonic time in seconds.
         """
         self._ticked_at = now
-        self._prune(now)
 
     def stop(self, now: float) -> None:
         """Lend nothing any more.
