--- a/src/clementinedeal/_entry.py
+++ b/src/clementinedeal/_entry.py
@@ -8,6 +8,7 @@
 from clementinedeal._entry_parts import EntryParts
 from clementinedeal._exchange import Exchange, Finished
 from clementinedeal._forwarding import REPLAY_BYTES
+from clementinedeal._hedged_exchange import HedgedExchange
 from clementinedeal._http import ConnLostError, RequestHead
 from clementinedeal._incoming import (
     Incoming,
@@ -18,7 +19,7 @@
 )
 from clementinedeal._outgoing import Outgoing, answer_caller
 from clementinedeal._refusals import Refusal
-from clementinedeal._replies import Request, buffer_body
+from clementinedeal._replies import Answered, Request, buffer_body
 from clementinedeal._retry_budget import RetryBudgets
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._verdict import Reason, Verdict
@@ -117,7 +118,11 @@
             budget,
         )
         outgoing = Outgoing(self._parts, conn, incoming)
-        exchange = Exchange(plan, outgoing, self._parts.clock)
+        hedges = incoming.granted.route.idempotent and (
+            cfg.active.hedge_after > 0
+        )
+        kind = HedgedExchange if hedges else Exchange
+        exchange = kind(plan, outgoing, self._parts.clock)
         replayable = incoming.req.body.whole is not None
         return await exchange.run(replayable=replayable)
 
@@ -129,7 +134,8 @@
     ) -> None:
         failure = finished.refusal
         if failure is None:
-            self._record(incoming, Verdict.RAN, 'answered')
+            answer = finished.answer
+            self._record(incoming, Verdict.RAN, 'answered', answer)
             return
         self._record(incoming, failure.verdict, failure.reason.value)
         if finished.cut or conn.head_sent:
@@ -143,8 +149,9 @@
         incoming: Incoming,
         verdict: Verdict,
         outcome: str,
+        answer: Answered | None = None,
     ) -> None:
-        self._parts.recorder.record(incoming, outcome)
+        self._parts.recorder.record(incoming, outcome, answer)
         self._parts.events.emit(
             'request-finished',
             req=incoming.req_id,
--- a/src/clementinedeal/_entry_parts.py
+++ b/src/clementinedeal/_entry_parts.py
@@ -15,7 +15,7 @@
 from clementinedeal._timers import Clock
 
 
-class FleetView(Protocol):
+class EntryKnowledge(Protocol):
     """What an entry knows of the fleet."""
 
     @property
@@ -39,10 +39,6 @@
         """Note what an instance said of itself."""
         ...
 
-    def attempt_ended(self, target: str, seconds: float, *, ok: bool) -> None:
-        """Note how an attempt went as seen from here."""
-        ...
-
 
 class RemoteCancel(Protocol):
     """Cancels attempts at other daemons."""
@@ -67,8 +63,13 @@
 class RequestRecorder(Protocol):
     """Counts finished requests."""
 
-    def record(self, incoming: Incoming, outcome: str) -> None:
-        """Note one request and its verdict or reason."""
+    def record(
+        self,
+        incoming: Incoming,
+        outcome: str,
+        answer: Answered | None,
+    ) -> None:
+        """Note one request, its verdict or reason, and its answer."""
         ...
 
 
@@ -79,7 +80,7 @@
     me: str
     clock: Clock
     events: EventLog
-    view: FleetView
+    view: EntryKnowledge
     owner: Owner
     peers: PeerClient
     remote: RemoteCancel
--- a/src/clementinedeal/_executions.py
+++ b/src/clementinedeal/_executions.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from clementinedeal._messages import message
+from clementinedeal._timers import PAUSE_SECONDS
 from clementinedeal._verdict import Reason
 
 DEFAULT_ENTRIES = 65_536
@@ -19,6 +20,7 @@
     QUEUED = 'queued'
     STARTED = 'started'
     DONE = 'done'
+    ABANDONED = 'abandoned'
     CANCELLED = 'cancelled'
 
 
@@ -34,9 +36,11 @@
     UNKNOWN = 'unknown'
 
 
+_ENTOMBED = frozenset((Reason.DEADLINE, Reason.WRONG_INCARNATION))
 _ANSWERS = {
     ExecutionState.CANCELLED: CancelAnswer.NEVER_STARTED,
     ExecutionState.STARTED: CancelAnswer.STARTED,
+    ExecutionState.ABANDONED: CancelAnswer.STARTED,
     ExecutionState.DONE: CancelAnswer.FINISHED,
 }
 
@@ -105,6 +109,7 @@
         self._limits = limits or ExecutionLimits()
         self._table: dict[str, _Execution] = {}
         self._expiries: list[tuple[float, str]] = []
+        self._last_tick = float('inf')
 
     def __len__(self) -> int:
         """Return the number of remembered forwards."""
@@ -132,7 +137,7 @@
         self._expire(now)
         reason = self._refusal(req_id, incarnation, deadline, now)
         if reason is not None:
-            if reason is Reason.DEADLINE:
+            if reason in _ENTOMBED:
                 self._entomb(req_id, incarnation, now)
             return Err(reason)
         self._table[req_id] = _Execution(
@@ -163,14 +168,20 @@
         return Err(reason)
 
     def finish(self, req_id: str, now: float) -> None:
-        """Note that a started forward has ended, well or not.
+        """Note that a started forward was answered by its target.
 
         :param req_id: id of the forward; unknown ids are ignored.
         :param now: current monotonic time in seconds.
         """
-        execution = self._table.get(req_id)
-        if execution and execution.state is ExecutionState.STARTED:
-            self._close(req_id, execution, ExecutionState.DONE, now)
+        self._end(req_id, ExecutionState.DONE, now)
+
+    def abandon(self, req_id: str, now: float) -> None:
+        """Note that nobody waits any more for a started forward.
+
+        :param req_id: id of the forward; unknown and ended ones are ignored.
+        :param now: current monotonic time in seconds.
+        """
+        self._end(req_id, ExecutionState.ABANDONED, now)
 
     def cancel(
         self,
@@ -192,6 +203,16 @@
             self._close(req_id, execution, ExecutionState.CANCELLED, now)
         return _ANSWERS[execution.state]
 
+    def on_tick(self, now: float) -> None:
+        """Note that the process runs.
+
+        Once called, it must be called several times a second: nothing is
+        admitted or started between a gap and the next call.
+
+        :param now: current monotonic time in seconds.
+        """
+        self._last_tick = now
+
     def on_pause(self, incarnation: str) -> None:
         """Take a new incarnation after the process did not run for a while.
 
@@ -209,6 +230,11 @@
         execution = self._table.get(req_id)
         return execution.state if execution else None
 
+    def _end(self, req_id: str, state: ExecutionState, now: float) -> None:
+        execution = self._table.get(req_id)
+        if execution and execution.state is ExecutionState.STARTED:
+            self._close(req_id, execution, state, now)
+
     def _refusal(
         self,
         req_id: str,
@@ -221,7 +247,7 @@
             return Reason.CANCELLED
         if known:
             return Reason.DUPLICATE
-        if incarnation != self.incarnation:
+        if incarnation != self.incarnation or self._is_after_gap(now):
             return Reason.WRONG_INCARNATION
         if deadline <= now:
             return Reason.DEADLINE
@@ -240,10 +266,15 @@
             return Reason.DUPLICATE
         if execution.incarnation != self.incarnation:
             return Reason.WRONG_INCARNATION
+        if self._is_after_gap(now):
+            return Reason.WRONG_INCARNATION
         if execution.deadline <= now:
             return Reason.DEADLINE
         return None
 
+    def _is_after_gap(self, now: float) -> bool:
+        return now - self._last_tick > PAUSE_SECONDS
+
     def _entomb(
         self,
         req_id: str,
--- /dev/null
+++ b/src/clementinedeal/_offices.py
@@ -0,0 +1,176 @@
+"""The decision parts that need a configuration to exist."""
+
+from dataclasses import dataclass
+
+from clementinedeal._dispatch import Dispatcher
+from clementinedeal._ejection import EjectionOffice
+from clementinedeal._events import EventLog, wall_ms
+from clementinedeal._hub import Hub
+from clementinedeal._idempotency import IdempotencyOffice
+from clementinedeal._idempotency_gate import KeyGate
+from clementinedeal._metrics import Metrics
+from clementinedeal._model import Config, Target
+from clementinedeal._settings import DaemonSettings
+from clementinedeal._slot_gate import QueueSlots
+from clementinedeal._target_state import (
+    TargetEjected,
+    TargetReinstated,
+    TargetState,
+)
+from clementinedeal._timers import Clock
+from clementinedeal._token_gate import OfficeTokenGate
+from clementinedeal._tokens import TokenOffice
+from clementinedeal._views import FleetView
+from clementinedeal._watcher import TargetWatcher
+
+
+@dataclass(frozen=True, slots=True)
+class OfficeContext:
+    """What the offices share."""
+
+    settings: DaemonSettings
+    clock: Clock
+    hub: Hub
+    dispatcher: Dispatcher
+    events: EventLog
+    metrics: Metrics
+    fleet: FleetView
+
+
+class Offices:
+    """Built when the first configuration comes into force."""
+
+    def __init__(self, context: OfficeContext, cfg: Config) -> None:
+        """Build the offices and subscribe them.
+
+        :param context: what they share.
+        :param cfg: the first configuration.
+        """
+        self._context = context
+        self._cfg = cfg
+        self._relatives = self._find_relatives()
+        now = context.clock.now()
+        me = context.settings.instance
+        self.ejection = EjectionOffice(
+            me,
+            cfg,
+            now,
+            incarnation=context.fleet.incarnation(me),
+        )
+        idempotency = IdempotencyOffice(me, cfg, now, wall_ms=wall_ms)
+        self.keys = KeyGate(idempotency, context.dispatcher, context.clock)
+        self.watcher = TargetWatcher(
+            context.clock,
+            self.ejection,
+            context.dispatcher,
+            context.metrics,
+        )
+        tokens = TokenOffice(
+            me,
+            cfg,
+            now,
+            incarnation=context.fleet.incarnation(me),
+            known_for=context.fleet.known_for(now),
+        )
+        self.tokens = OfficeTokenGate(
+            tokens,
+            context.dispatcher,
+            context.clock,
+        )
+        self.holders = tokens.holders
+        self.slots = QueueSlots(me, cfg, context.clock, self.ejection.share)
+        self._subscribe_ejection(context.hub)
+        self._subscribe_tokens(context.hub, tokens)
+        self._subscribe_idempotency(context.hub, idempotency)
+        context.dispatcher.register(TargetEjected, self._note_ejected)
+        context.dispatcher.register(TargetReinstated, self._note_reinstated)
+
+    def _subscribe_ejection(self, hub: Hub) -> None:
+        office = self.ejection
+        hub.on_message.append(office.on_message)
+        hub.on_tick.append(self.watcher.report_in_flight)
+        hub.on_tick.append(self._note_absent)
+        hub.on_tick.append(office.on_tick)
+        hub.on_tick.append(self.slots.on_tick)
+        hub.on_config.append(self._note_config)
+        hub.on_config.append(office.on_config)
+        hub.on_config.append(self.slots.on_config)
+        hub.on_pause.append(office.on_pause)
+        hub.on_fresh.append(office.set_fresh)
+        hub.on_stop.append(office.stop)
+
+    def leaving_targets(self) -> tuple[Target, ...]:
+        """Return the owned targets that take no new work."""
+        me = self._context.settings.instance
+        return tuple(
+            target
+            for target in self._relatives
+            if target.instance == me
+            and self.ejection.state(target.name) is TargetState.LEAVING
+        )
+
+    def note_back(self, target: str) -> None:
+        """Use a target again that had left.
+
+        :param target: an owned target.
+        """
+        now = self._context.clock.now()
+        self._context.dispatcher.perform(self.ejection.on_cold(target, now))
+        self._context.events.emit('target-back', target=target)
+
+    def _subscribe_tokens(self, hub: Hub, office: TokenOffice) -> None:
+        hub.on_message.append(office.on_message)
+        hub.on_tick.append(office.on_tick)
+        fleet = self._context.fleet
+        hub.on_config.append(
+            lambda cfg, now: office.on_config(cfg, now, fleet.known_for(now)),
+        )
+        hub.on_pause.append(office.on_pause)
+        hub.on_fresh.append(office.set_fresh)
+        hub.on_stop.append(office.stop)
+
+    def _subscribe_idempotency(
+        self,
+        hub: Hub,
+        office: IdempotencyOffice,
+    ) -> None:
+        hub.on_message.append(office.on_message)
+        hub.on_tick.append(office.on_tick)
+        hub.on_config.append(office.on_config)
+        hub.on_pause.append(lambda _gap, now: office.on_pause(now))
+        hub.on_stop.append(office.stop)
+
+    def _note_config(self, cfg: Config, now: float) -> None:
+        self._cfg = cfg
+        self._relatives = self._find_relatives()
+
+    def _note_ejected(self, change: TargetEjected) -> None:
+        self.slots.turn_away(change.target)
+        self._context.events.emit(
+            'target-ejected',
+            target=change.target,
+            cause=change.cause.value,
+        )
+
+    def _note_reinstated(self, change: TargetReinstated) -> None:
+        self._context.events.emit('target-reinstated', target=change.target)
+
+    def _find_relatives(self) -> tuple[Target, ...]:
+        """Return the targets of every service that has one here."""
+        me = self._context.settings.instance
+        targets = self._cfg.targets.values()
+        services = {
+            target.service for target in targets if target.instance == me
+        }
+        return tuple(target for target in targets if target.service in services)
+
+    def _note_absent(self, now: float) -> None:
+        """Tell which targets of the owned services are dead or leaving."""
+        fleet = self._context.fleet
+        absent = [
+            target.name
+            for target in self._relatives
+            if fleet.is_leaving(target.instance)
+            or not fleet.is_alive(target.instance, now)
+        ]
+        self.ejection.set_absent(absent, now)
--- /dev/null
+++ b/src/clementinedeal_bench/_cli.py
@@ -0,0 +1,197 @@
+"""Command line of the bench."""
+
+import functools
+import sys
+from pathlib import Path
+
+import msgspec
+import trio
+from absl import flags
+from result import Err
+
+from clementinedeal import Config
+from clementinedeal_bench._caller import Caller
+from clementinedeal_bench._declarations import (
+    read_declaration,
+    shift_address,
+)
+from clementinedeal_bench._demo import Demo, DemoSettings
+from clementinedeal_bench._errors import BenchError
+from clementinedeal_bench._flags import Command, run_commands
+from clementinedeal_bench._fleet import FleetSettings
+from clementinedeal_bench._history import CallRecord
+from clementinedeal_bench._latency import LatencyRun, LatencySettings
+from clementinedeal_bench._platform import PlatformSettings
+from clementinedeal_bench._platform_server import serve_platform
+from clementinedeal_bench._publisher import LIVE, Publisher
+from clementinedeal_bench._scenario import load_scenario
+from clementinedeal_bench._summary import by_account_and_service, summarize
+from clementinedeal_bench._target import TargetSettings, serve_target
+
+PLATFORM_PORT = 20_900
+TARGET_PORT = 20_990
+PLATFORM = f'127.0.0.1:{PLATFORM_PORT}'
+LATENCY_PORT = 24_000
+PLATFORM_STEP = 90
+EXAMPLE = 'examples/freshwater.yaml'
+
+
+def _define_platform(values: flags.FlagValues) -> None:
+    integer = functools.partial(flags.DEFINE_integer, flag_values=values)
+    flags.DEFINE_string(
+        'host', '127.0.0.1', 'address to listen on', flag_values=values
+    )
+    integer('port', PLATFORM_PORT, 'port to listen on')
+    flags.DEFINE_float(
+        'lag', 0, 'delay of the instance list in seconds', flag_values=values
+    )
+
+
+def _run_platform(values: flags.FlagValues, _rest: list[str]) -> None:
+    settings = PlatformSettings(lag=values.lag)
+    trio.run(serve_platform, values.host, values.port, settings)
+
+
+def _define_target(values: flags.FlagValues) -> None:
+    string = functools.partial(flags.DEFINE_string, flag_values=values)
+    integer = functools.partial(flags.DEFINE_integer, flag_values=values)
+    decimal = functools.partial(flags.DEFINE_float, flag_values=values)
+    string('name', 'target', 'name in answers and records')
+    string('host', '127.0.0.1', 'address to listen on')
+    integer('port', TARGET_PORT, 'port to listen on')
+    integer('slots', 7, 'requests served at once')
+    integer('queue', 7, 'requests that may wait for a slot')
+    integer('connections', 360, 'connections accepted')
+    decimal('service', 0.022, 'median service time in seconds')
+    decimal('sigma', 0.3, 'log-normal spread of the service time, 0: fixed')
+    decimal('cold', 0, 'seconds of slow service after the start')
+    decimal('drain', 2, 'seconds of new work while leaving')
+    integer('seed', 0, 'seed of service times and gray modes')
+
+
+def _run_target(values: flags.FlagValues, _rest: list[str]) -> None:
+    settings = TargetSettings(
+        name=values.name,
+        host=values.host,
+        port=values.port,
+        slots=values.slots,
+        queue=values.queue,
+        connections=values.connections,
+        service=values.service,
+        sigma=values.sigma,
+        cold=values.cold,
+        drain=values.drain,
+        seed=values.seed,
+    )
+    trio.run(serve_target, settings)
+
+
+def _define_load(values: flags.FlagValues) -> None:
+    string = functools.partial(flags.DEFINE_string, flag_values=values)
+    string('scenario', None, 'scenario file (YAML)', required=True)
+    string('history', '', 'file for the history of calls (JSON lines)')
+
+
+def _run_load(values: flags.FlagValues, _rest: list[str]) -> None:
+    scenario = load_scenario(values.scenario)
+    if isinstance(scenario, Err):
+        raise scenario.err_value
+    records: list[CallRecord] = []
+    trio.run(Caller(scenario.ok_value, records.append).run)
+    encoder = msgspec.json.Encoder()
+    if values.history:
+        Path(values.history).write_bytes(encoder.encode_lines(records))
+    groups = [*by_account_and_service(records), summarize(records)]
+    sys.stdout.write(encoder.encode_lines(groups).decode())
+
+
+def _define_publish(values: flags.FlagValues) -> None:
+    flags.DEFINE_string(
+        'platform', PLATFORM, 'address of the platform', flag_values=values
+    )
+
+
+def _run_publish(values: flags.FlagValues, rest: list[str]) -> None:
+    if len(rest) != 1:
+        raise BenchError('name one declaration file')
+    trio.run(_publish, values.platform, read_declaration(rest[0]))
+
+
+async def _publish(platform: str, cfg: Config) -> None:
+    publisher = Publisher(platform)
+    total = await publisher.publish(cfg)
+    await publisher.list_instances(dict.fromkeys(cfg.instances, LIVE))
+    publisher.close()
+    sys.stdout.write(f'published version={cfg.version} bytes={total}\n')
+
+
+def _define_demo(values: flags.FlagValues) -> None:
+    string = functools.partial(flags.DEFINE_string, flag_values=values)
+    decimal = functools.partial(flags.DEFINE_float, flag_values=values)
+    string('declaration', EXAMPLE, 'declaration to launch (YAML)')
+    string('platform', PLATFORM, 'address of the platform')
+    string('out', 'out', 'folder for logs, histories and the time line')
+    decimal('seconds', 6, 'length of each step')
+    decimal('rate', 60, 'requests per second of all accounts together')
+    integer = functools.partial(flags.DEFINE_integer, flag_values=values)
+    integer('width', 4, 'processes started at once')
+    integer('port_offset', 0, 'added to every port, to run twice at once')
+
+
+def _run_demo(values: flags.FlagValues, _rest: list[str]) -> None:
+    settings = DemoSettings(
+        declaration=values.declaration,
+        fleet=FleetSettings(
+            folder=Path(values.out),
+            platform=shift_address(values.platform, values.port_offset),
+            width=values.width,
+        ),
+        port_offset=values.port_offset,
+        seconds=values.seconds,
+        rate=values.rate,
+    )
+    lines = trio.run(Demo(settings).run)
+    sys.stdout.write(''.join(f'{line}\n' for line in lines))
+
+
+def _define_latency(values: flags.FlagValues) -> None:
+    string = functools.partial(flags.DEFINE_string, flag_values=values)
+    decimal = functools.partial(flags.DEFINE_float, flag_values=values)
+    string('out', 'out', 'folder for logs')
+    decimal('seconds', 20, 'length of the measurement')
+    decimal('rate', 108, 'requests per second into the daemon')
+    flags.DEFINE_integer(
+        'base_port', LATENCY_PORT, 'first port used', flag_values=values
+    )
+
+
+def _run_latency(values: flags.FlagValues, _rest: list[str]) -> None:
+    platform = f'127.0.0.1:{values.base_port + PLATFORM_STEP}'
+    settings = LatencySettings(
+        fleet=FleetSettings(
+            folder=Path(values.out),
+            platform=platform,
+            service=0,
+            sigma=0,
+        ),
+        base_port=values.base_port,
+        seconds=values.seconds,
+        rate=values.rate,
+    )
+    report = trio.run(LatencyRun(settings).run)
+    sys.stdout.write(f'{msgspec.json.encode(report).decode()}\n')
+
+
+COMMANDS = (
+    Command('platform', 'stand-in platform', _define_platform, _run_platform),
+    Command('target', 'stand-in target', _define_target, _run_target),
+    Command('publish', 'publish a declaration', _define_publish, _run_publish),
+    Command('demo', 'drive a deployment on loopback', _define_demo, _run_demo),
+    Command('latency', 'added latency', _define_latency, _run_latency),
+    Command('load', 'send a scenario of requests', _define_load, _run_load),
+)
+
+
+def run() -> None:
+    """Run the command line of the process."""
+    run_commands('clementinedeal-bench', COMMANDS)
--- /dev/null
+++ b/src/clementinedeal_bench/_observer.py
@@ -0,0 +1,134 @@
+"""Reads what daemons and targets say over HTTP."""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
+
+import msgspec
+import trio
+from result import Err
+
+from clementinedeal import Instance, Target
+from clementinedeal_bench._errors import BenchError
+from clementinedeal_bench._executions import Execution, decode_lines
+from clementinedeal_bench._web import WebAnswer, WebRequest
+from clementinedeal_bench._webclient import WebClient
+
+ASK_SECONDS = 3.0
+POLL_SECONDS = 0.05
+OK_STATUS = 200
+ItemT = TypeVar('ItemT')
+FoundT = TypeVar('FoundT')
+
+
+class OwnedTarget(msgspec.Struct, frozen=True):
+    """A target in its owner's status."""
+
+    name: str
+    state: str
+
+
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """The part of a daemon's status that the bench reads."""
+
+    instance: str
+    config_version: int
+    preset: str
+    serving: bool
+    targets: tuple[OwnedTarget, ...] = ()
+
+    def states(self) -> dict[str, str]:
+        """Return the states of the owned targets by name."""
+        return {target.name: target.state for target in self.targets}
+
+
+async def get(address: str, path: str) -> bytes | None:
+    """Return the body of a GET, None unless it is answered with 200.
+
+    :param address: ``ip:port``.
+    :param path: path and query.
+    """
+    return await _ask(address, WebRequest(method='GET', target=path))
+
+
+async def put(address: str, path: str, body: bytes) -> bytes | None:
+    """Return the answer to a PUT, None unless it is answered with 200.
+
+    :param address: ``ip:port``.
+    :param path: path and query.
+    :param body: what to put.
+    """
+    req = WebRequest(method='PUT', target=path, body=body)
+    return await _ask(address, req)
+
+
+async def _ask(address: str, req: WebRequest) -> bytes | None:
+    client = WebClient(address)
+    answer: WebAnswer | None = None
+    with trio.move_on_after(ASK_SECONDS):
+        found = await client.request(req)
+        answer = None if isinstance(found, Err) else found.ok_value
+    client.close()
+    if answer is None or answer.status != OK_STATUS:
+        return None
+    return answer.body
+
+
+async def await_ready(
+    address: str,
+    path: str,
+    seconds: float,
+    check: Callable[[], None],
+) -> None:
+    """Wait until a GET is answered with 200.
+
+    :param address: ``ip:port``.
+    :param path: path and query.
+    :param seconds: patience.
+    :param check: raises when there is nothing to wait for.
+    :raises BenchError: there is no such answer in time.
+    """
+    deadline = trio.current_time() + seconds
+    while await get(address, path) is None:
+        check()
+        if trio.current_time() >= deadline:
+            raise BenchError(f'{address}{path}: not ready in {seconds} s')
+        await trio.sleep(POLL_SECONDS)
+    check()
+
+
+async def gather(
+    job: Callable[[ItemT], Awaitable[FoundT]],
+    items: Iterable[ItemT],
+) -> list[FoundT]:
+    """Run a job for many items at once and return what they gave.
+
+    :param job: called with each item.
+    :param items: the items.
+    """
+    found: list[FoundT] = []
+
+    async def run_one(item: ItemT) -> None:  # noqa: WPS430 - binds the list
+        found.append(await job(item))
+
+    async with trio.open_nursery() as nursery:
+        for item in items:
+            nursery.start_soon(run_one, item)
+    return found
+
+
+async def read_status(instance: Instance) -> InstanceStatus | None:
+    """Return a daemon's status, None if it gives none.
+
+    :param instance: the daemon.
+    """
+    body = await get(instance.operator, '/status')
+    return body and msgspec.json.decode(body, type=InstanceStatus) or None
+
+
+async def read_executions(target: Target) -> list[Execution] | None:
+    """Return a target's executions, None if it gives none.
+
+    :param target: the target.
+    """
+    body = await get(target.address, '/control/executions')
+    return None if body is None else decode_lines(body)
