--- a/src/clementinedeal/_view_messages.py
+++ b/src/clementinedeal/_view_messages.py
@@ -57,11 +57,12 @@
 class ViewAnswer:
     """The sender's view when it answered.
 
-    ``held`` is in force there and known to have been published ``held_for``
-    seconds ago, ``rejected`` its newest refused version and
-    ``newest`` the highest version it knows to exist. ``ages`` gives, by index
-    in the names that ``names`` is the digest of, quarter seconds since each
-    instance was heard, 255 for longer.
+        ``held`` is in force there and known to have been published ``held_for``
+    seconds ago, ``rejected`` its newest refused version, ``newest`` the
+    highest version it knows to exist and ``accepted`` the highest that it
+    knows to be in force anywhere. ``ages`` gives, by index
+        in the names that ``names`` is the digest of, quarter seconds since each
+        instance was heard, 255 for longer.
     """
 
     nonce: int
@@ -72,6 +73,7 @@
     held_for: float
     rejected: VersionRef | None
     newest: int
+    accepted: int
     contact: Contact | None
     names: int
     ages: bytes
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -322,7 +322,7 @@
 
 
 TestFleet = Fleet.TestCase
-TestFleet.settings = settings(max_examples=25, stateful_step_count=25)
+TestFleet.settings = settings(max_examples=30, stateful_step_count=30)
 
 
 def grant(sent_at: float, *, granted: bool = True) -> PermitAnswer:
