--- a/src/clementinedeal/_draw_plan.py
+++ b/src/clementinedeal/_draw_plan.py
@@ -13,7 +13,7 @@
 from clementinedeal._siblings import Siblings
 
 LOW_SECONDS = 0.25
-ROUND_SIZES = (1, 8, 64)
+ROUND_SIZES = (1, 2, 4)
 
 
 class DrawPlan:
--- a/src/clementinedeal/_pace.py
+++ b/src/clementinedeal/_pace.py
@@ -2,6 +2,7 @@
 
 from clementinedeal._leases import UNIT_MICROS
 from clementinedeal._model import Account
+from clementinedeal._shares import holder_count
 
 CHUNK_SECONDS = 1.0
 CHUNK_BURST_DIVISOR = 4
@@ -29,7 +30,8 @@
     @property
     def dry_seconds(self) -> float:
         """Return how long holders without tokens are left alone."""
-        return min(MAX_DRY_SECONDS, self._seconds_per_token)
+        count = holder_count(self._rate)
+        return min(MAX_DRY_SECONDS, count * self._seconds_per_token)
 
     @property
     def retry_after_seconds(self) -> float:
