--- a/src/clementinedeal/_pace.py
+++ b/src/clementinedeal/_pace.py
@@ -13,7 +13,8 @@
 SETTLE_DIVISOR = 4
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 60.0
-MAX_DRY_SECONDS = 0.2
+MAX_DRY_SECONDS = 0.4
+DRY_TOKENS = 4
 
 
 class Pace:
@@ -29,9 +30,12 @@
 
     @property
     def dry_seconds(self) -> float:
-        """Return how long holders without tokens are left alone."""
-        count = holder_count(self._rate)
-        return min(MAX_DRY_SECONDS, count * self._seconds_per_token)
+        """Return how long holders without tokens are left alone.
+
+        It is the time in which one of them makes ``DRY_TOKENS``.
+        """
+        seconds = holder_count(self._rate) * self._seconds_per_token
+        return min(MAX_DRY_SECONDS, DRY_TOKENS * seconds)
 
     @property
     def retry_after_seconds(self) -> float:
