--- a/src/clementinedeal/_pace.py
+++ b/src/clementinedeal/_pace.py
@@ -2,6 +2,7 @@
 
 from clementinedeal._leases import UNIT_MICROS
 from clementinedeal._model import Account
+from clementinedeal._shares import holder_count
 
 CHUNK_SECONDS = 1.0
 CHUNK_BURST_DIVISOR = 4
@@ -12,7 +13,8 @@
 SETTLE_DIVISOR = 4
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 60.0
-MAX_DRY_SECONDS = 0.2
+MAX_DRY_SECONDS = 0.4
+DRY_TOKENS = 4
 
 
 class Pace:
@@ -28,8 +30,12 @@
 
     @property
     def dry_seconds(self) -> float:
-        """Return how long holders without tokens are left alone."""
-        return min(MAX_DRY_SECONDS, self._seconds_per_token)
+        """Return how long holders without tokens are left alone.
+
+        It is the time in which one of them makes ``DRY_TOKENS``.
+        """
+        seconds = holder_count(self._rate) * self._seconds_per_token
+        return min(MAX_DRY_SECONDS, DRY_TOKENS * seconds)
 
     @property
     def retry_after_seconds(self) -> float:
