Don't hang a start on a version that can't be used

A daemon that started under a root whose instances can't be read, or that names none, waited for it for good: with no instances it knew no peers, and lower versions were passed over. Such a version is refused by its root, a pull that stands still without sources is dropped, and a refused root counts as decided on.

--- a/src/clementinedeal/_acceptance.py
+++ b/src/clementinedeal/_acceptance.py
@@ -88,6 +88,7 @@
         self.cfg: Config | None = None
         self.refused: Bundle | None = None
         self._rejected: dict[VersionRef, None] = {}
+        self._highest_rejected = 0
 
     @property
     def version(self) -> int:
@@ -97,8 +98,7 @@
     @property
     def settled(self) -> int:
         """Return the highest version decided on, for or against."""
-        refused = self.refused.ref.version if self.refused else 0
-        return max(self.version, refused)
+        return max(self.version, self._highest_rejected)
 
     def bundles(self) -> tuple[Bundle, ...]:
         """Return the whole versions held, also one that was refused."""
@@ -177,5 +177,6 @@
 
     def _remember(self, ref: VersionRef) -> None:
         self._rejected[ref] = None
+        self._highest_rejected = max(self._highest_rejected, ref.version)
         if len(self._rejected) > MAX_REJECTED:
             self._rejected.pop(next(iter(self._rejected)))
--- a/src/clementinedeal/_part_reads.py
+++ b/src/clementinedeal/_part_reads.py
@@ -67,7 +67,7 @@
 
     def _may_read(self, pull: Pull, now: float, *, is_reader: bool) -> bool:
         started = self._acceptance.held is not None
-        if started or not pull.instance_parts():
+        if started or not pull.has_instances():
             return True
         gate = self._acceptance.gate
         if is_reader or gate.asked_at is None:
--- a/src/clementinedeal/_pull.py
+++ b/src/clementinedeal/_pull.py
@@ -3,7 +3,8 @@
 from collections.abc import Mapping
 
 from clementinedeal._acceptance import Bundle
-from clementinedeal._parts import Section, digest_of
+from clementinedeal._model import Instance
+from clementinedeal._parts import Section, decode_part, digest_of
 from clementinedeal._publication import Root, read_root
 from clementinedeal._view_messages import VersionRef
 
@@ -110,12 +111,25 @@
         rest = (digest for digest in self._missing if digest not in first)
         return (*first, *rest)[:count]
 
-    def instance_parts(self) -> tuple[bytes, ...]:
-        """Return the parts that hold instances, nothing until all are here."""
+    def has_instances(self) -> bool:
+        """Return whether all parts that hold instances are here."""
         digests = self._instance_digests()
-        if not all(digest in self._parts for digest in digests):
-            return ()
-        return tuple(self._parts[digest] for digest in digests)
+        held = all(digest in self._parts for digest in digests)
+        return held and self.root is not None
+
+    def instances(self) -> tuple[Instance, ...]:
+        """Return the instances that the version names.
+
+        :raises msgspec.MsgspecError: a part is malformed.
+        """
+        return tuple(
+            entry
+            for digest in self._instance_digests()
+            for entry in decode_part(
+                Section.INSTANCES,
+                self._parts[digest],
+            )
+        )
 
     def part(self, digest: str) -> bytes | None:
         """Return a part held already.
--- a/src/clementinedeal/_readers.py
+++ b/src/clementinedeal/_readers.py
@@ -14,6 +14,7 @@
 START_JITTER_SECONDS = 3.0
 START_RETRY_SECONDS = 4.0
 WATCH_SECONDS = 1.0
+MIN_WATCH_SECONDS = 0.25  # where the root shown can't be settled yet
 REREAD_SECONDS = 30.0  # shows a version published twice, or a stale replica
 READ_TIMEOUT_SECONDS = 5.0
 RETRY_SECONDS = 1.0
@@ -90,9 +91,10 @@
         """
         if not self._is_due(now):
             return []
+        gap = MIN_WATCH_SECONDS
         if not is_reader:
             gap = max(MIN_LONE_SECONDS, published / LONE_READS_PER_SECOND)
-            self._root_due = now + self._jitter(gap)
+        self._root_due = now + self._jitter(gap)
         self._root_sent = now
         if now >= self._reread_due:
             self._reread_due = now + self._jitter(REREAD_SECONDS)
--- a/src/clementinedeal/_spread.py
+++ b/src/clementinedeal/_spread.py
@@ -10,6 +10,7 @@
 from clementinedeal._parts import digest_of
 from clementinedeal._publication import read_root
 from clementinedeal._pull import Pull
+from clementinedeal._view_actions import ConfigRejected
 from clementinedeal._view_messages import (
     Announcement,
     PartsAnswer,
@@ -132,8 +133,7 @@
             return self._ask(now)
         fault = pull.on_root(body.root, self._acceptance.parts())
         if fault:
-            self._pull = None
-            return list(self._acceptance.reject(pull.ref, fault))
+            return list(self.refuse(fault))
         self._pulled_at = now
         return self._settle(now)
 
@@ -157,6 +157,15 @@
         self._pulled_at = now
         return self._settle(now)
 
+    def refuse(self, reason: str) -> list[ConfigRejected]:
+        """Give up the version being gathered, which can't be accepted.
+
+        :param reason: why, for operators.
+        """
+        pull = self._pull
+        self._pull = None
+        return [] if pull is None else self._acceptance.reject(pull.ref, reason)
+
     def on_tick(self, now: float, *, is_reader: bool) -> list[Any]:
         """Retry what got no answer.
 
@@ -167,7 +176,8 @@
         if pull is None:
             return []
         idle = now - self._pulled_at > ABANDON_SECONDS
-        if idle and pull.root is None and not pull.sources:
+        if idle and not pull.sources:
+            # A lower version may be had meanwhile; this one is heard again.
             self._pull = None
         actions = self._settle(now)
         if self._pull is not None and not pull.sources:
@@ -199,10 +209,8 @@
         if not decisions:
             return []
         self._pull = None
-        return [*decisions, *self._announce(bundle.ref)]
-
-    def _announce(self, ref: VersionRef) -> list[Any]:
-        return [Send(peer, Announcement(ref)) for peer in self._fingers]
+        news = Announcement(bundle.ref)
+        return [*decisions, *(Send(peer, news) for peer in self._fingers)]
 
     def _ask(self, now: float) -> list[Any]:
         pull = self._pull
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -4,13 +4,14 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
+import msgspec
+
 from clementinedeal._acceptance import Acceptance
 from clementinedeal._freshness import Freshness
 from clementinedeal._gossip import Gossip
 from clementinedeal._membership import Membership
 from clementinedeal._messages import Send
 from clementinedeal._model import Config, Instance
-from clementinedeal._parts import Section, decode_part
 from clementinedeal._readers import READERS, ReadSchedule, reader_order
 from clementinedeal._settings import DaemonSettings
 from clementinedeal._spread import Spread
@@ -160,16 +161,16 @@
         self._reader_order = reader_order(instances)
         return [InstanceLeft(name) for name in left]
 
-    def _meet_peers(self, now: float) -> list[Send]:
+    def _meet_peers(self, now: float) -> list[Any]:
         pull = self.spread.pull
-        blobs = pull.instance_parts() if pull else ()
-        entries = [
-            entry
-            for blob in blobs
-            for entry in decode_part(Section.INSTANCES, blob)
-        ]
-        if not entries:
+        if pull is None or not pull.has_instances():
             return []
+        try:
+            entries = pull.instances()
+        except msgspec.MsgspecError as exc:
+            return list(self.spread.refuse(f'instances: {exc}'))
+        if not entries:
+            return list(self.spread.refuse('instances: none are given'))
         self.acceptance.gate.on_asked(now)
         self._adopt({entry.name: entry for entry in entries}, now)
-        return self.ask_peers(now)
+        return list(self.ask_peers(now))
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -1,5 +1,6 @@
 from dataclasses import replace
 
+import msgspec
 import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -13,7 +14,8 @@
 
 from clementinedeal import _view_state
 from clementinedeal._freshness import FRESH_SECONDS
-from clementinedeal._publication import pack
+from clementinedeal._parts import Section, digest_of
+from clementinedeal._publication import Publication, pack, read_root
 from clementinedeal._readers import REREAD_SECONDS, reader_order
 from clementinedeal._view_actions import InstanceList
 from clementinedeal._view_messages import Announcement, VersionRef, ViewRequest
@@ -339,3 +341,30 @@
     assert view.is_fresh(fleet.now)
     fleet.run(2 * CHECK_SECONDS)
     assert not view.is_fresh(fleet.now)
+
+
+@pytest.mark.parametrize('fault', ['malformed', 'none'])
+def test_restart_under_a_version_with_unusable_instances(fault):
+    fleet = started()
+    cfg = replace(CFG, version=2, instances={})
+    faulty = pack(cfg).unwrap()
+    if fault == 'malformed':
+        junk = b'junk'
+        root = read_root(faulty.root).unwrap()
+        parts = {**root.parts, Section.INSTANCES: (digest_of(junk),)}
+        blob = msgspec.msgpack.encode(replace(root, parts=parts))
+        parts = {**faulty.parts, digest_of(junk): junk}
+        faulty = Publication(root=blob, parts=parts)
+    fleet.platform.cut_off = set(NAMES[1:])
+    fleet.platform.publish(faulty)
+    fleet.network.cuts = {(name, NAMES[0]) for name in NAMES}
+    fleet.start(NAMES[0])
+    fleet.run(FRESH_SECONDS)
+    assert versions(fleet, NAMES[:1]) == {0}
+    fleet.network.cuts = set()
+    fleet.run(2 * START_SECONDS)
+    assert versions(fleet) == {1}
+    assert NAMES[0] in fresh(fleet)
+    fleet.platform.cut_off = set()
+    fleet.run(FRESH_SECONDS)
+    assert fresh(fleet) == NAMES
