--- a/src/clementinedeal/_key_placement.py
+++ b/src/clementinedeal/_key_placement.py
@@ -3,27 +3,16 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from clementinedeal._hashing import rank, score
+from clementinedeal._hashing import Candidates
 
 SETTLE_SECONDS = 20.0  # twice the time after which a stale entry refuses
 CLOCK_MARGIN_SECONDS = 60.0  # largest clock error of callers and daemons
 MS_PER_SECOND = 1000
 
-Names = frozenset[str]
-
-
-def place(key: str, names: Iterable[str]) -> str:
-    """Return the instance of highest rendezvous weight.
-
-    :param key: digest of account and key.
-    :param names: published instances; at least one.
-    """
-    return max(names, key=lambda name: (score(key, name), name))
-
 
 @dataclass(frozen=True, slots=True)
 class _Former:
-    names: Names
+    candidates: Candidates
     left_at: float
     left_ms: int
 
@@ -37,7 +26,7 @@
         :param names: published instances.
         :param retention: how long a past list matters, in seconds.
         """
-        self._names: Names = frozenset(names)
+        self._candidates = Candidates(names)
         self._retention = retention
         self._past: list[_Former] = []
 
@@ -48,25 +37,25 @@
         :param now: current monotonic time in seconds.
         :param wall_ms: wall-clock time in milliseconds.
         """
-        changed = frozenset(names)
-        if changed == self._names:
+        changed = Candidates(names)
+        if changed.names == self._candidates.names:
             return
-        self._past.append(_Former(self._names, now, wall_ms))
-        self._names = changed
+        self._past.append(_Former(self._candidates, now, wall_ms))
+        self._candidates = changed
 
     def keeper(self, key: str) -> str:
         """Return the keeper of a key, empty without instances.
 
         :param key: digest of account and key.
         """
-        return place(key, self._names) if self._names else ''
+        return self._candidates.heaviest(key)
 
     def next_keeper(self, key: str) -> str:
         """Return who keeps a key once its keeper is gone, or ''.
 
         :param key: digest of account and key.
         """
-        ranked = rank(key, self._names)
+        ranked = self._candidates.rank(key)
         return ranked[1] if len(ranked) > 1 else ''
 
     def former(self, key: str, minted_ms: int, now: float) -> set[str]:
@@ -79,9 +68,10 @@
         oldest = now - self._retention
         self._past = [past for past in self._past if past.left_at > oldest]
         return {
-            place(key, past.names)
+            past.candidates.heaviest(key)
             for past in self._past
-            if past.names and not minted_after(minted_ms, past.left_ms)
+            if past.candidates.names
+            and not minted_after(minted_ms, past.left_ms)
         }
 
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -5,13 +5,13 @@
 import pytest
 
 from clementinedeal import _claims as cl
+from clementinedeal._hashing import Candidates
 from clementinedeal._idempotency import IdempotencyOffice, key_digest
 from clementinedeal._key_messages import (
     KeyState,
     SettleKey,
     StoredAnswer,
 )
-from clementinedeal._key_placement import place
 from clementinedeal._key_table import RECORD_BYTES, KeeperLimits
 from clementinedeal._messages import Send
 from clementinedeal._verdict import Reason, Verdict
@@ -23,8 +23,8 @@
 KEY = next(
     key
     for key in map(str, range(99))
-    if place(key_digest('c', key), OLD) == 'a'
-    and place(key_digest('c', key), NEW) == 'c'
+    if Candidates(OLD).heaviest(key_digest('c', key)) == 'a'
+    and Candidates(NEW).heaviest(key_digest('c', key)) == 'c'
 )
 
 
@@ -214,7 +214,7 @@
     kept = [
         key
         for key in map(str, range(99))
-        if place(key_digest('c', key), OLD) == 'a'
+        if Candidates(OLD).heaviest(key_digest('c', key)) == 'a'
     ]
     for number in range(2):
         granted = fleet.claim('b', f'r{number}', kept[number])
