Merge the events of all daemons into one time line

Cause: operators follow one request, target or account over many processes, whose wall clocks differ.

Events are ordered by their hybrid logical clock, printed as text or as one HTML page with a lane for each instance; the timeline command filters and writes them and exits 1 when an instance is silent. The event log served its JSON without line ends; it now serves one line each.

Not run: the command against running daemons.

--- a/src/clementinedeal/_commands.py
+++ b/src/clementinedeal/_commands.py
@@ -14,11 +14,19 @@
 from clementinedeal._daemon import Daemon
 from clementinedeal._declaration import check_file
 from clementinedeal._errors import ClementinedealError, SettingsError
+from clementinedeal._events import Event
 from clementinedeal._model import Config
 from clementinedeal._operator import DaemonStatus
 from clementinedeal._operator_client import OperatorAnswer, ask_all
 from clementinedeal._publication import pack
 from clementinedeal._settings import load_settings
+from clementinedeal._timeline import (
+    TimelineFilter,
+    merge_events,
+    read_events,
+    render_text,
+)
+from clementinedeal._timeline_page import render_page
 
 FoundT = TypeVar('FoundT')
 
@@ -93,9 +101,33 @@
     :param args: none; declaration and filters are flags.
     """
     answers = _ask('/events')
-    for answer in answers:
-        sys.stdout.write((answer.body or b'').decode())
-    return 0
+    silent = [
+        f'instance={answer.instance.name} error="{answer.error}"\n'
+        for answer in answers
+        if answer.body is None
+    ]
+    sys.stderr.write(''.join(silent))
+    logs = [read_events(answer.body or b'') for answer in answers]
+    _write_timeline(merge_events(logs, _timeline_filter()))
+    return 1 if silent else 0
+
+
+def _timeline_filter() -> TimelineFilter:
+    chosen = flags.FLAGS
+    return TimelineFilter(
+        request=chosen.request,
+        target=chosen.target,
+        account=chosen.account,
+        event=chosen.event,
+    )
+
+
+def _write_timeline(events: tuple[Event, ...]) -> None:
+    text = render_page(events) if flags.FLAGS.html else render_text(events)
+    if flags.FLAGS.out is None:
+        sys.stdout.write(text)
+    else:
+        pathlib.Path(flags.FLAGS.out).write_text(text, encoding='utf-8')
 
 
 def _status_line(answer: OperatorAnswer) -> str:
--- a/src/clementinedeal/_events.py
+++ b/src/clementinedeal/_events.py
@@ -120,8 +120,5 @@
 
         :param since: only events stamped later than this.
         """
-        encoder = msgspec.json.Encoder()
-        lines = [
-            encoder.encode(event) for event in self._events if event.hlc > since
-        ]
-        return b''.join(lines)
+        events = [event for event in self._events if event.hlc > since]
+        return msgspec.json.Encoder().encode_lines(events)
--- /dev/null
+++ b/src/clementinedeal/_timeline.py
@@ -0,0 +1,103 @@
+"""Time line of a fleet: events of many daemons in one causal order."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+
+import msgspec
+
+from clementinedeal._errors import ProtocolError
+from clementinedeal._events import Event
+
+COUNTER_BITS = 16
+
+_MS_PER_SECOND = 1000
+_REQUEST_FIELDS = frozenset(('req', 'attempt'))
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TimelineFilter:
+    """Which events to show; an empty value matches all."""
+
+    request: str = ''
+    target: str = ''
+    account: str = ''
+    event: str = ''
+
+    def matches(self, event: Event) -> bool:
+        """Tell whether an event is to be shown.
+
+        :param event: the event.
+        """
+        return (
+            self.event in {'', event.name}
+            and self._names_request(event)
+            and _has_field(event, 'target', self.target)
+            and _has_field(event, 'account', self.account)
+        )
+
+    def _names_request(self, event: Event) -> bool:
+        wanted = self.request
+        return not wanted or any(
+            key in _REQUEST_FIELDS and text.split('/')[0] == wanted
+            for key, text in event.fields
+        )
+
+
+def read_events(lines: bytes) -> tuple[Event, ...]:
+    """Read the events of one daemon.
+
+    :param lines: JSON lines as its operator endpoint serves them.
+    :raises ProtocolError: a line is malformed.
+    """
+    try:
+        events = msgspec.json.Decoder(Event).decode_lines(lines)
+    except msgspec.MsgspecError as exc:
+        raise ProtocolError(f'malformed event: {exc}') from exc
+    return tuple(events)
+
+
+def merge_events(
+    logs: Iterable[Iterable[Event]],
+    wanted: TimelineFilter | None = None,
+) -> tuple[Event, ...]:
+    """Return the events of all daemons, causes before their effects.
+
+    Events that are in several logs are returned once. Stamps of one daemon
+    rise, so equal ones are of different daemons and not related.
+
+    :param logs: the events of each daemon.
+    :param wanted: which events to return; all if absent.
+    """
+    shown = wanted or TimelineFilter()
+    events = {
+        event for events in logs for event in events if shown.matches(event)
+    }
+    return tuple(sorted(events, key=_order))
+
+
+def wall_time(hlc: int) -> str:
+    """Return the physical part of a stamp as UTC time in milliseconds.
+
+    :param hlc: the stamp.
+    """
+    seconds = (hlc >> COUNTER_BITS) / _MS_PER_SECOND
+    moment = datetime.fromtimestamp(seconds, UTC)
+    return moment.isoformat(timespec='milliseconds')
+
+
+def render_text(events: Iterable[Event]) -> str:
+    """Return one line for each event.
+
+    :param events: in the order to print.
+    """
+    lines = (f'time={wall_time(one.hlc)} {one.line()}\n' for one in events)
+    return ''.join(lines)
+
+
+def _order(event: Event) -> tuple[int, str, str]:
+    return event.hlc, event.instance, event.name
+
+
+def _has_field(event: Event, name: str, wanted: str) -> bool:
+    return not wanted or (name, wanted) in event.fields
