--- a/src/clementinedeal/_acceptance.py
+++ b/src/clementinedeal/_acceptance.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from clementinedeal._model import Config
-from clementinedeal._publication import Root, unpack
+from clementinedeal._publication import PartMemo, Root, unpack
 from clementinedeal._view_actions import ConfigInForce, ConfigRejected
 from clementinedeal._view_messages import VersionRef
 
@@ -89,6 +89,7 @@
         self.refused: Bundle | None = None
         self._rejected: dict[VersionRef, None] = {}
         self._highest_rejected = 0
+        self._memo = PartMemo()
 
     @property
     def version(self) -> int:
@@ -160,7 +161,7 @@
             return []
         if self.held is None and not self.gate.is_open(bundle.ref.version, now):
             return []
-        outcome = unpack(bundle.root, bundle.parts)
+        outcome = unpack(bundle.root, bundle.parts, self._memo)
         if isinstance(outcome, Err):
             self._refuse(bundle)
             return [ConfigRejected(bundle.ref.version, str(outcome.err_value))]
--- a/src/clementinedeal/_publication.py
+++ b/src/clementinedeal/_publication.py
@@ -109,24 +109,70 @@
     return Ok(root)
 
 
+class PartMemo:
+    """Decoded parts of the last version, so that a change costs little.
+
+    Keyed by digest, whose content never changes; the outcome of ``unpack``
+    is the same with any memo.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._entries: dict[tuple[Section, str], tuple[Any, ...]] = {}
+
+    def decode(
+        self,
+        section: Section,
+        digest: str,
+        parts: Mapping[str, bytes],
+    ) -> tuple[Any, ...]:
+        """Return the entries of a part.
+
+        :param section: kind of the entries.
+        :param digest: name of the part.
+        :param parts: the parts at hand.
+        :raises PublicationError: it is missing or malformed.
+        """
+        key = (section, digest)
+        if key not in self._entries:
+            self._entries[key] = _decode(section, digest, parts)
+        return self._entries[key]
+
+    def retain(self, root: Root) -> None:
+        """Forget the parts that a root doesn't name.
+
+        :param root: the root.
+        """
+        wanted = set(root.digests())
+        self._entries = {
+            key: entries
+            for key, entries in self._entries.items()
+            if key[1] in wanted
+        }
+
+
 def unpack(
     root: Root,
     parts: Mapping[str, bytes],
+    memo: PartMemo | None = None,
 ) -> Result[Config, PublicationError]:
     """Build a configuration and check it whole.
 
-    The outcome depends on the arguments alone, so all daemons agree on it.
+    The outcome depends on the values alone, so all daemons agree on it.
 
     :param root: the root.
     :param parts: every part that the root names, by digest.
+    :param memo: parts decoded before; those of this version are kept in it.
     """
+    memo = memo or PartMemo()
     try:
         entries = {
-            section: _merge(section, root.parts.get(section, ()), parts)
-            for section in Section
+            section: _merge(section, root, parts, memo) for section in Section
         }
     except PublicationError as exc:
         return Err(exc)
+    finally:
+        memo.retain(root)
     cfg = _build(root, entries)
     fault = find_fault(cfg)
     if fault is not None:
@@ -162,14 +208,15 @@
 
 def _merge(
     section: Section,
-    digests: tuple[str, ...],
+    root: Root,
     parts: Mapping[str, bytes],
+    memo: PartMemo,
 ) -> _Entries:
     identity = identities(section)
     merged: _Entries = {}
     count = 0
-    for digest in digests:
-        entries = _decode(section, digest, parts)
+    for digest in root.parts.get(section, ()):
+        entries = memo.decode(section, digest, parts)
         merged.update(zip(map(identity, entries), entries, strict=True))
         count += len(entries)
     if len(merged) != count:
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -12,6 +12,7 @@
 from clementinedeal._publication import (
     FORMAT,
     MAX_VALUE_BYTES,
+    PartMemo,
     pack,
     read_root,
     unpack,
@@ -53,6 +54,8 @@
     else:
         accounts[name] = replace(accounts[name], key_digests=('f' * 64,))
     after = pack(replace(cfg, version=2, accounts=accounts)).unwrap()
+    root = read_root(after.root).unwrap()
+    assert unpack(root, after.parts, MEMO) == unpack(root, after.parts)
     assert len(set(after.parts) - set(PUBLISHED.parts)) <= 1
     assert reopen(after).unwrap().accounts == accounts
 
@@ -108,3 +111,5 @@
 
 LARGE = large_config(accounts=2400, routes=370, targets=540, instances=65)
 PUBLISHED = pack(LARGE).unwrap()
+MEMO = PartMemo()
+unpack(read_root(PUBLISHED.root).unwrap(), PUBLISHED.parts, MEMO)
