--- /dev/null
+++ b/src/clementinedeal/_entry_view.py
@@ -0,0 +1,164 @@
+"""What an entry knows of the fleet, joined from its sources."""
+
+import random
+from collections.abc import Callable
+
+from clementinedeal._access import Access, Granted
+from clementinedeal._envelope import Outcome
+from clementinedeal._model import Config
+from clementinedeal._routing import Availability, Router, TargetView
+from clementinedeal._timers import Clock
+from clementinedeal._views import FleetView
+
+REFRESH_SECONDS = 0.5
+_AVAILABILITIES = {
+    'trial': Availability.TRIAL,
+    'ejected': Availability.EJECTED,
+    'leaving': Availability.LEAVING,
+}
+
+
+class EntryView:
+    """Chooses targets for requests and remembers what owners said."""
+
+    def __init__(
+        self,
+        me: str,
+        fleet: FleetView,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Create a view without a configuration.
+
+        :param me: name of this instance.
+        :param fleet: configuration, members and freshness.
+        :param clock: ages what was heard.
+        :param rng: breaks ties.
+        """
+        self.access: Access | None = None
+        self.holders: Callable[[str], tuple[str, ...]] = _no_holders
+        self._me = me
+        self._fleet = fleet
+        self._clock = clock
+        self._rng = rng
+        self._router: Router | None = None
+        self._incarnations: dict[str, str] = {}
+        self._absent: frozenset[str] = frozenset()
+
+    def take_config(self, cfg: Config) -> None:
+        """Work by a configuration from now on.
+
+        :param cfg: the configuration in force.
+        """
+        self.access = Access(cfg)
+        if self._router is None:
+            zone = cfg.instances[self._me].zone
+            self._router = Router(self._me, zone, cfg, self._rng)
+        else:
+            self._router.on_config(cfg)
+        self._absent = frozenset()
+
+    def fresh(self) -> bool:
+        """Whether the configuration is known to be recent."""
+        return self._fleet.is_fresh(self._clock.now())
+
+    def candidates(self, granted: Granted) -> tuple[str, ...]:
+        """Return targets to try, best first.
+
+        :param granted: route and account of the request.
+        """
+        if self._router is None:
+            return ()
+        account = granted.account
+        route = granted.route
+        return tuple(
+            self._router.order(
+                route.service,
+                self.holders(account.name) if account else (),
+                route.idempotent,
+                self._clock.now(),
+            ),
+        )
+
+    def incarnation(self, instance: str) -> str:
+        """Return the last known incarnation of an instance, or ''."""
+        learned = self._incarnations.get(instance)
+        return learned or format_incarnation(self._fleet.incarnation(instance))
+
+    def learn_incarnation(self, instance: str, incarnation: str) -> None:
+        """Note what an instance said of itself."""
+        self._incarnations[instance] = incarnation
+
+    def on_outcome(
+        self,
+        owner: str,
+        target: str,
+        outcome: Outcome,
+        path_seconds: float,
+    ) -> None:
+        """Note what an owner said of itself and its target.
+
+        :param owner: the instance that answered.
+        :param target: the target that was asked for.
+        :param outcome: what the owner said.
+        :param path_seconds: time spent on the way, both directions.
+        """
+        self._incarnations[owner] = outcome.incarnation
+        if self._router is None:
+            return
+        self._router.paths.on_answer(owner, path_seconds)
+        available = _AVAILABILITIES.get(outcome.state, Availability.IN_USE)
+        self._note(target, available, outcome.load)
+
+    def on_unreachable(self, owner: str) -> None:
+        """Note that an owner could not be connected to from here."""
+        if self._router is not None:
+            self._router.paths.on_connect_failure(owner, self._clock.now())
+
+    def refresh(self, now: float) -> None:
+        """Follow which instances are gone or leaving.
+
+        :param now: monotonic time in seconds.
+        """
+        if self.access is None:
+            return
+        absent = frozenset(
+            name
+            for name in self.access.cfg.instances
+            if self._fleet.is_leaving(name)
+            or not self._fleet.is_alive(name, now)
+        )
+        changed = absent ^ self._absent
+        self._absent = absent
+        if changed:
+            self._note_owners(changed)
+
+    def _note_owners(self, changed: frozenset[str]) -> None:
+        cfg = self.access.cfg if self.access else None
+        for target in cfg.targets.values() if cfg else ():
+            if target.instance in changed:
+                gone = target.instance in self._absent
+                available = Availability.LOST if gone else Availability.IN_USE
+                self._note(target.name, available, 0)
+
+    def _note(
+        self,
+        target: str,
+        available: Availability,
+        load: float,
+    ) -> None:
+        if self._router is not None:
+            view = TargetView(available, load, self._clock.now())
+            self._router.on_view(target, view)
+
+
+def _no_holders(_account: str) -> tuple[str, ...]:
+    return ()
+
+
+def format_incarnation(incarnation: int) -> str:
+    """Return an incarnation as text, '' if unknown.
+
+    :param incarnation: number that the fleet view gives.
+    """
+    return f'{incarnation:012x}' if incarnation else ''
--- /dev/null
+++ b/src/clementinedeal/_hub.py
@@ -0,0 +1,97 @@
+"""Drives the decision parts of a daemon: messages, time, configuration."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, TypeAlias
+
+from clementinedeal._dispatch import Dispatcher
+from clementinedeal._model import Config
+from clementinedeal._timers import Timers
+
+Actions: TypeAlias = Iterable[Any] | None
+MessageHandler: TypeAlias = Callable[[str, Any, float], Actions]
+TickHandler: TypeAlias = Callable[[float], Actions]
+ConfigHandler: TypeAlias = Callable[[Config, float], Actions]
+PauseHandler: TypeAlias = Callable[[float, float], Actions]
+FreshHandler: TypeAlias = Callable[[bool, float], Actions]
+
+
+class Hub:
+    """Passes what happens to its subscribers and performs what they return.
+
+    Handlers get the monotonic time in seconds as their last argument. They
+    are called in the order in which they were added.
+    """
+
+    def __init__(self, timers: Timers, dispatcher: Dispatcher) -> None:
+        """Create a hub without subscribers.
+
+        :param timers: gives the time and calls periodic handlers.
+        :param dispatcher: performs actions.
+        """
+        self.on_message: list[MessageHandler] = []
+        self.on_config: list[ConfigHandler] = []
+        self.on_pause: list[PauseHandler] = []
+        self.on_fresh: list[FreshHandler] = []
+        self.on_stop: list[TickHandler] = []
+        self._timers = timers
+        self._clock = timers.clock
+        self._dispatcher = dispatcher
+
+    def receive(self, sender: str, body: Any) -> None:
+        """Pass on a message.
+
+        :param sender: the instance it came from.
+        :param body: the message.
+        """
+        now = self._clock.now()
+        for handler in self.on_message:
+            self.perform(handler(sender, body, now))
+
+    def every(self, seconds: float, handler: TickHandler) -> None:
+        """Call a handler periodically.
+
+        :param seconds: the period.
+        :param handler: returns actions.
+        """
+        self._timers.every(seconds, lambda now: self.perform(handler(now)))
+
+    def take_config(self, cfg: Config) -> None:
+        """Bring a configuration into force.
+
+        :param cfg: the configuration.
+        """
+        now = self._clock.now()
+        for handler in tuple(self.on_config):
+            self.perform(handler(cfg, now))
+
+    def pause(self, gap: float) -> None:
+        """Tell of a pause.
+
+        :param gap: its length in seconds.
+        """
+        now = self._clock.now()
+        for handler in self.on_pause:
+            self.perform(handler(gap, now))
+
+    def set_fresh(self, fresh: bool) -> None:
+        """Tell whether the configuration is known to be recent.
+
+        :param fresh: true while it is.
+        """
+        now = self._clock.now()
+        for handler in self.on_fresh:
+            self.perform(handler(fresh, now))
+
+    def stop(self) -> None:
+        """Tell of the planned stop."""
+        now = self._clock.now()
+        for handler in self.on_stop:
+            self.perform(handler(now))
+
+    def perform(self, actions: Actions) -> None:
+        """Perform actions.
+
+        :param actions: what a handler returned.
+        """
+        if actions:
+            self._dispatcher.perform(actions)
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -15,9 +15,11 @@
 from clementinedeal._readers import READERS, ReadSchedule, reader_order
 from clementinedeal._settings import DaemonSettings
 from clementinedeal._spread import Spread
+from clementinedeal._version_ages import VersionAges
 from clementinedeal._view_actions import (
     ConfigInForce,
     InstanceLeft,
+    PeerAddress,
     ReadPlatform,
     WatchRoot,
 )
@@ -44,6 +46,7 @@
         self.me = settings.instance
         self.leaving = False
         self.acceptance = Acceptance()
+        self.ages = VersionAges()
         self.freshness = Freshness()
         self.members = Membership(self.me)
         self.gossip = Gossip(self.me, self.members, rng)
@@ -61,6 +64,14 @@
         """Return the configuration in force."""
         return self.acceptance.cfg
 
+    def known_for(self, now: float) -> float:
+        """Return for how long the version in force is published, at least.
+
+        :param now: monotonic seconds.
+        """
+        held = self.acceptance.held
+        return self.ages.seconds(held.ref if held else None, now)
+
     def renew(self) -> None:
         """Take a new incarnation."""
         self.incarnation = self._rng.getrandbits(INCARNATION_BITS) + 1
@@ -135,6 +146,9 @@
         :param actions: what an input led to; more may be added.
         :param now: monotonic seconds.
         """
+        held = self.acceptance.held
+        if held is not None:
+            self.ages.note(held.ref, now)
         for action in tuple(actions):
             if isinstance(action, ConfigInForce):
                 actions.extend(self._adopt(action.cfg.instances, now))
@@ -173,4 +187,5 @@
             return list(self.spread.refuse('instances: none are given'))
         self.acceptance.gate.on_asked(now)
         self._adopt({entry.name: entry for entry in entries}, now)
-        return list(self.ask_peers(now))
+        met = [PeerAddress(entry.name, entry.control) for entry in entries]
+        return [*met, *self.ask_peers(now)]
--- /dev/null
+++ b/src/clementinedeal_bench/_declarations.py
@@ -0,0 +1,71 @@
+"""Reads, moves and writes declarations."""
+
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import yaml
+from result import Err
+
+from clementinedeal import Config
+from clementinedeal._declaration import check_file
+from clementinedeal_bench._webclient import split_address
+
+
+def read_declaration(path: str) -> Config:
+    """Read a declaration.
+
+    :param path: the YAML file.
+    :raises ClementinedealError: it is not acceptable.
+    """
+    found = check_file(path)
+    if isinstance(found, Err):
+        raise found.err_value
+    return found.ok_value
+
+
+def write_declaration(cfg: Config, path: Path) -> None:
+    """Write a configuration as a declaration.
+
+    :param cfg: the configuration.
+    :param path: the YAML file.
+    """
+    document: dict[str, Any] = msgspec.to_builtins(cfg, str_keys=True)
+    for section in ('presets', 'services', 'instances', 'targets', 'accounts'):
+        for entry in document[section].values():
+            entry.pop('name')
+    path.write_text(yaml.safe_dump(document, sort_keys=False))
+
+
+def shift_address(address: str, offset: int) -> str:
+    """Add to the port of an address.
+
+    :param address: ``ip:port``.
+    :param offset: what to add.
+    """
+    host, port = split_address(address)
+    return f'{host}:{port + offset}'
+
+
+def shift_ports(cfg: Config, offset: int) -> Config:
+    """Add to every port of a configuration.
+
+    :param cfg: the configuration.
+    :param offset: what to add.
+    """
+    instances = {
+        name: replace(
+            each,
+            caller=shift_address(each.caller, offset),
+            peer=shift_address(each.peer, offset),
+            control=shift_address(each.control, offset),
+            operator=shift_address(each.operator, offset),
+        )
+        for name, each in cfg.instances.items()
+    }
+    targets = {
+        name: replace(target, address=shift_address(target.address, offset))
+        for name, target in cfg.targets.items()
+    }
+    return replace(cfg, instances=instances, targets=targets)
--- /dev/null
+++ b/src/clementinedeal_bench/_demo.py
@@ -0,0 +1,107 @@
+"""The demo: a whole deployment on loopback, driven through its faults."""
+
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+import trio
+
+from clementinedeal_bench._caller import Caller
+from clementinedeal_bench._declarations import (
+    read_declaration,
+    shift_ports,
+    write_declaration,
+)
+from clementinedeal_bench._demo_steps import DemoSteps
+from clementinedeal_bench._demo_traffic import build_scenario, spread_rate
+from clementinedeal_bench._fleet import Fleet, FleetSettings
+from clementinedeal_bench._history import CallRecord
+from clementinedeal_bench._report import check_lines, step_lines
+from clementinedeal_bench._timeline_page import write_timeline
+
+LONGEST_SECONDS = 3600.0
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class DemoSettings:
+    """How the demo runs.
+
+    Each step lasts ``seconds``; all accounts together send ``rate``
+    requests a second. ``port_offset`` is added to every port of the
+    declaration.
+    """
+
+    declaration: str
+    fleet: FleetSettings
+    seconds: float = 6.0
+    rate: float = 60.0
+    port_offset: int = 0
+
+
+class Demo:
+    """Launches a fleet, drives it, and reports what was seen."""
+
+    def __init__(self, settings: DemoSettings) -> None:
+        """Read the declaration.
+
+        :param settings: how to run.
+        :raises ClementinedealError: the declaration is not acceptable.
+        """
+        self._settings = settings
+        self._cfg = shift_ports(
+            read_declaration(settings.declaration),
+            settings.port_offset,
+        )
+        self._fleet = Fleet(self._cfg, settings.fleet)
+        self._records: list[CallRecord] = []
+        self._steps = DemoSteps(self._fleet, self._records, settings.seconds)
+
+    async def run(self) -> list[str]:
+        """Run the demo and return the report's lines."""
+        began = time.monotonic()
+        try:
+            await self._fleet.start()
+            sys.stdout.write(
+                f'{len(self._cfg.instances)} daemons and '
+                f'{len(self._cfg.targets)} targets are up after '
+                f'{time.monotonic() - began:.1f} s\n',
+            )
+            await self._drive()
+            return await self._report()
+        finally:
+            self._fleet.close()
+
+    async def _drive(self) -> None:
+        rates = spread_rate(self._cfg, self._settings.rate)
+        scenario = build_scenario(self._cfg, rates, LONGEST_SECONDS)
+        caller = Caller(scenario, self._records.append)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(caller.run)
+            await self._steps.run()
+            caller.stop()
+
+    async def _report(self) -> list[str]:
+        await self._steps.collect(self._fleet.live_targets())
+        folder = self._settings.fleet.folder
+        executions = self._steps.executions
+        _write_lines(folder / 'history.jsonl', self._records)
+        _write_lines(folder / 'executions.jsonl', executions)
+        lines = [
+            line
+            for step in self._steps.steps
+            for line in step_lines(step, self._records)
+        ]
+        lines.append('== checks of the whole run')
+        lines += check_lines(self._cfg, self._records, executions)
+        lines.append(f'histories: {folder}/history.jsonl, executions.jsonl')
+        declaration = folder / 'declaration.yaml'
+        write_declaration(self._cfg, declaration)
+        lines.append(await write_timeline(declaration, folder))
+        return lines
+
+
+def _write_lines(path: Path, entries: Sequence[object]) -> None:
+    path.write_bytes(msgspec.json.Encoder().encode_lines(entries))
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -17,6 +17,7 @@
 from clementinedeal._parts import Section, digest_of
 from clementinedeal._publication import Publication, pack, read_root
 from clementinedeal._readers import REREAD_SECONDS, reader_order
+from clementinedeal._version_ages import VersionAges
 from clementinedeal._view_actions import InstanceList
 from clementinedeal._view_messages import Announcement, VersionRef, ViewRequest
 from clementinedeal_bench._large import large_config
@@ -281,6 +282,19 @@
         assert view.incarnation(leaver) == current
 
 
+def test_a_restarted_daemon_learns_for_how_long_the_version_is_known() -> None:
+    ages = VersionAges()
+    old = VersionRef(1, 'a')
+    new = VersionRef(2, 'b')
+    ages.note(old, 0)
+    ages.note(new, 50)
+    ages.note(old, 10)
+    ages.note(new, 40)
+    assert ages.seconds(new, 60) == 20
+    assert ages.seconds(old, 60) == 0
+    assert ages.seconds(None, 60) == 0
+
+
 def test_readers_cut_from_the_platform_do_not_hold_up_a_version():
     fleet = started()
     readers = reader_order(CFG.instances)[:3]
