Prove that a restart doesn't go back to a stale platform

All daemons are restarted in turn under a platform that shows an older root. Two mechanisms keep them from it: no parts are read before peers had 3 s to answer, and the gate refuses what is below the peers' version. With both taken out the test failed ([1, 2] in force instead of [2]); with either alone it passes. The gate alone is shown by test_restarted_daemon_asks_before_it_serves.

--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -46,7 +46,10 @@
 def started(seed=0, replicas=1):
     fleet = VirtualFleet(CFG, seed, replicas)
     fleet.platform.publish(publication(1))
+    fleet.network.min_delay = fleet.network.max_delay = 0.9
     for name in NAMES:
+        fleet.stop(name)
+        fleet.run(START_SECONDS)
         fleet.start(name)
     fleet.run(START_SECONDS)
     assert versions(fleet) == {1}
@@ -382,3 +385,19 @@
     fleet.platform.cut_off = set()
     fleet.run(FRESH_SECONDS)
     assert fresh(fleet) == NAMES
+
+
+def test_restart_does_not_go_back_to_what_a_stale_platform_shows():
+    fleet = started()
+    fleet.platform.publish(publication(2))
+    fleet.run(IN_FORCE_SECONDS)
+    fleet.platform.publish(publication(1))
+    fleet.network.min_delay = fleet.network.max_delay = 0.9
+    for name in NAMES:
+        fleet.stop(name)
+        fleet.run(START_SECONDS)
+        fleet.start(name)
+        fleet.run(START_SECONDS)
+        assert fleet.processes[name].versions == [2]
+    assert versions(fleet) == {2}
+    assert fresh(fleet) == NAMES
