--- a/src/clementinedeal/_commands.py
+++ b/src/clementinedeal/_commands.py
@@ -42,14 +42,15 @@
 
     :param args: none; the settings file is a flag.
     """
-    settings = _unwrap(load_settings(_needed('settings')))
+    reload = functools.partial(load_settings, _needed('settings'))
+    settings = _unwrap(reload())
     logging.basicConfig(
         stream=sys.stderr,
         level=flags.FLAGS.log_level.upper(),
         format=_LOG_FORMAT,
         force=True,
     )
-    trio.run(Daemon(settings).run)
+    trio.run(Daemon(settings, reload).run)
     return 0
 
 
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -27,6 +27,7 @@
 from clementinedeal._front import Front, FrontContext, http_limits
 from clementinedeal._http_server import HttpServer
 from clementinedeal._hub import Hub
+from clementinedeal._key_rotation import KeyRotation, Reload
 from clementinedeal._messages import Send
 from clementinedeal._metrics import Metrics
 from clementinedeal._model import Config
@@ -57,10 +58,15 @@
 class Daemon:
     """Everything that runs in one process."""
 
-    def __init__(self, settings: DaemonSettings) -> None:
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        reload: Reload,
+    ) -> None:
         """Build the parts that need no configuration.
 
         :param settings: checked settings of this daemon.
+        :param reload: reads them again; only the fleet keys are taken over.
         """
         rng = random.SystemRandom()
         clock = MonotonicClock()
@@ -80,6 +86,11 @@
         self._pool = ConnPool(clock)
         self._platform = HttpPlatform(settings.platform, self._pool)
         self._front_context = self._build_front_context(rng, incarnation)
+        self._rotation = KeyRotation(
+            self._front_context.keyring,
+            reload,
+            self._shared.events,
+        )
         self._front: Front | None = None
         self._fresh = False
         self._configured = trio.Event()
@@ -91,6 +102,7 @@
         async with trio.open_nursery() as nursery:
             await self._start_control(nursery)
             nursery.start_soon(self._await_signal)
+            nursery.start_soon(self._rotation.run)
             nursery.start_soon(self._serve_when_configured, nursery)
             await self._stopping.wait()
             await self._stop()
--- a/src/clementinedeal/_envelope.py
+++ b/src/clementinedeal/_envelope.py
@@ -69,6 +69,13 @@
     def __init__(self, keys: Mapping[str, bytes]) -> None:
         """Create a ring.
 
+        :param keys: secrets by key id, the signing key first.
+        """
+        self.replace(keys)
+
+    def replace(self, keys: Mapping[str, bytes]) -> None:
+        """Use other keys from now on.
+
         :param keys: secrets by key id, the signing key first.
         """
         self._keys = dict(keys)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,12 +2,17 @@
 from dataclasses import dataclass
 from typing import Any
 
+import pytest
 import trio
+from result import Err, Ok, Result
 
 from clementinedeal._control import ControlChannel
 from clementinedeal._envelope import Keyring
+from clementinedeal._errors import PeerAuthError, SettingsError
 from clementinedeal._events import EventLog
+from clementinedeal._key_rotation import KeyRotation
 from clementinedeal._messages import Send, message
+from clementinedeal._settings import DaemonSettings, FleetKey
 
 
 @message
@@ -81,3 +86,36 @@
         {'new': new, 'old': old}, {'old': old, 'new': new}
     )
     assert len(received) == 3
+
+
+def test_rejected_settings_leave_the_old_keys() -> None:
+    old = FleetKey(name='old', secret=b'1' * 32)
+    new = FleetKey(name='new', secret=b'2' * 32)
+    ring = Keyring({'old': old.secret})
+    bad = SettingsError(file='f', path='fleet_keys', reason='none')
+    found: list[Result[DaemonSettings, SettingsError]] = [
+        Err(bad),
+        Ok(settings_with(new, old)),
+    ]
+    rotation = KeyRotation(ring, lambda: found.pop(0), EventLog('a', '1'))
+    rotation.rotate()
+    sealed = Keyring({'new': new.secret}).seal(b'x', b'to')
+    with pytest.raises(PeerAuthError):
+        ring.open(sealed, b'to')
+    rotation.rotate()
+    assert ring.open(sealed, b'to') == b'x'
+    assert ring.open(Keyring({'old': old.secret}).seal(b'y', b''), b'') == b'y'
+
+
+def settings_with(*keys: FleetKey) -> DaemonSettings:
+    return DaemonSettings(
+        instance='a',
+        zone='z',
+        region='r',
+        caller='127.0.0.1:1',
+        peer='127.0.0.1:2',
+        control='127.0.0.1:3',
+        operator='127.0.0.1:4',
+        platform=('127.0.0.1:5',),
+        fleet_keys=keys,
+    )
