--- a/src/clementinedeal/_claims.py
+++ b/src/clementinedeal/_claims.py
@@ -125,14 +125,16 @@
         answer: StoredAnswer | None,
         now: float,
     ) -> Actions:
-        """Tell the keeper what a granted request came to, until it hears.
+        """Tell the keeper what a request came to, until it hears.
 
-        :param req_id: the request; without a granted claim nothing is done.
+        :param req_id: the request; without a claim nothing is done. One
+            that still waits for its claim ends here and is never granted.
         :param verdict: what is known of its execution.
         :param answer: to be replayed to repeats, if there is one.
         :param now: current monotonic time in seconds.
         """
         waiting = self._granted.pop(req_id, None)
+        waiting = waiting or self._waiting.pop(req_id, None)
         if waiting is None:
             return ()
         return self._settle(waiting, verdict, answer, now)
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -131,6 +131,7 @@
         hub.on_message.append(self._view_message)
         hub.on_message.append(self._front_context.cancels.on_message)
         hub.on_pause.append(self._renew)
+        hub.every(VIEW_SECONDS, self._front_context.executions.on_tick)
         hub.on_stop.append(shared.fleet.stop)
         reads = PlatformReads(
             self._platform,
--- a/src/clementinedeal/_idempotency.py
+++ b/src/clementinedeal/_idempotency.py
@@ -31,7 +31,7 @@
 
 KEY_LIMIT_CHARS = 255
 PATIENCE_SLACK_SECONDS = 5.0  # cancels and owners' last checks
-PAUSE_SECONDS = 2.0  # far below SETTLE_SECONDS
+PAUSE_SECONDS = 5.0  # below SETTLE_SECONDS less twice the freshness limit
 
 _DIGEST_BYTES = 16
 _UUID7 = 7
@@ -95,6 +95,7 @@
         self._keeper = Keeper(me, self._placement, bounds, wall_ms)
         self._keeper.doubt(now)
         self._last_tick = now
+        self._stale_since = now
 
     def claim(
         self,
@@ -174,15 +175,29 @@
         """
         self._placement.change(cfg.instances, now, self._wall_ms())
 
-    def on_pause(self, now: float) -> None:
+    def on_pause(self, gap: float, now: float) -> None:
         """Go into quarantine, as others may have kept this daemon's keys.
 
-        Call it after a pause and whenever the configuration is not fresh. A
-        gap between ticks is noticed without it.
+        A gap between ticks is noticed without this call.
 
+        :param gap: length of the pause in seconds; short ones do no harm.
         :param now: current monotonic time in seconds.
         """
-        self._keeper.doubt(now)
+        if gap > PAUSE_SECONDS:
+            self._keeper.doubt(now)
+
+    def set_fresh(self, fresh: bool, now: float) -> None:
+        """Grant nothing new while configurations may have been missed.
+
+        :param fresh: whether the configuration is known to be recent.
+        :param now: current monotonic time in seconds.
+        """
+        if not fresh:
+            self._stale_since = now
+            self._keeper.suspend()
+            return
+        self._keeper.resume()
+        self.on_pause(now - self._stale_since, now)
 
     def stop(self, now: float) -> Actions:
         """Grant nothing more and hand records over.
--- a/src/clementinedeal/_idempotency_gate.py
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from typing import Any
 
+import trio
+
 from clementinedeal._claims import ClaimGranted, ClaimRefused, Replay
 from clementinedeal._dispatch import Dispatcher, Waiters
 from clementinedeal._exchange import Finished
@@ -71,7 +73,7 @@
                 now,
             ),
         )
-        decision = await self._waiters.wait(incoming.req_id)
+        decision = await self._decision(incoming.req_id)
         match decision:
             case ClaimGranted():
                 return None
@@ -98,6 +100,16 @@
             self._office.complete(incoming.req_id, verdict, answer, now),
         )
 
+    async def _decision(self, req_id: str) -> _Decision:
+        try:
+            return await self._waiters.wait(req_id)
+        except trio.Cancelled:
+            now = self._clock.now()
+            self._perform(
+                self._office.complete(req_id, Verdict.NOT_RUN, None, now),
+            )
+            raise
+
     def _decided(self, decision: _Decision) -> None:
         self._waiters.resolve(decision.req_id, decision)
 
--- a/src/clementinedeal/_keeper.py
+++ b/src/clementinedeal/_keeper.py
@@ -84,6 +84,14 @@
         self._quarantine.begin(now)
         self._pending.clear()
 
+    def suspend(self) -> None:
+        """Grant nothing new until ``resume``."""
+        self._quarantine.suspend()
+
+    def resume(self) -> None:
+        """Go on as before ``suspend``."""
+        self._quarantine.resume()
+
     def on_claim(self, entry: str, claim: ClaimKey, now: float) -> Sends:
         """Grant, refuse or look into a claim.
 
--- a/src/clementinedeal/_key_placement.py
+++ b/src/clementinedeal/_key_placement.py
@@ -5,7 +5,7 @@
 
 from clementinedeal._hashing import rank, score
 
-SETTLE_SECONDS = 20.0  # twice the time after which a stale entry refuses
+SETTLE_SECONDS = 30.0  # above twice the freshness limit and a short pause
 CLOCK_MARGIN_SECONDS = 60.0  # largest clock error of callers and daemons
 MS_PER_SECOND = 1000
 
@@ -78,12 +78,19 @@
         """
         oldest = now - self._retention
         self._past = [past for past in self._past if past.left_at > oldest]
+        keeper = self.keeper(key) if self._past else ''
         return {
-            place(key, past.names)
+            self._keeper_of(key, past, keeper)
             for past in self._past
             if past.names and not minted_after(minted_ms, past.left_ms)
         }
 
+    def _keeper_of(self, key: str, past: _Former, keeper: str) -> str:
+        """Place a key by a past list; cheap as long as its keeper was in it."""
+        if keeper in past.names:
+            return place(key, (keeper, *(past.names - self._names)))
+        return place(key, past.names)
+
 
 def minted_after(minted_ms: int, event_ms: int) -> bool:
     """Tell whether a key was made when an event had reached all daemons.
--- a/src/clementinedeal/_offices.py
+++ b/src/clementinedeal/_offices.py
@@ -142,7 +142,8 @@
         hub.on_message.append(office.on_message)
         hub.every(KEYS_SECONDS, office.on_tick)
         hub.on_config.append(office.on_config)
-        hub.on_pause.append(lambda _gap, now: office.on_pause(now))
+        hub.on_pause.append(office.on_pause)
+        hub.on_fresh.append(office.set_fresh)
         hub.on_stop.append(office.stop)
 
     def _note_config(self, cfg: Config, now: float) -> None:
--- a/src/clementinedeal/_quarantine.py
+++ b/src/clementinedeal/_quarantine.py
@@ -23,6 +23,7 @@
         self._wall_ms = wall_ms
         self._ends_at = float('inf')
         self._began_ms = 0
+        self._suspended = False
 
     def begin(self, now: float) -> None:
         """Note that claims made before now may be unknown.
@@ -32,12 +33,22 @@
         self._ends_at = now + self._retention + SETTLE_SECONDS
         self._began_ms = self._wall_ms()
 
+    def suspend(self) -> None:
+        """Note that no claim is surely known until ``resume``."""
+        self._suspended = True
+
+    def resume(self) -> None:
+        """Go on as before ``suspend``."""
+        self._suspended = False
+
     def remembers(self, minted_ms: int, now: float) -> bool:
         """Tell whether any claim of a key would be known.
 
         :param minted_ms: wall-clock time that the key carries, 0 for none.
         :param now: current monotonic time in seconds.
         """
+        if self._suspended:
+            return False
         if now >= self._ends_at:
             return True
         return self._began_ms > 0 and minted_after(minted_ms, self._began_ms)
