--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from clementinedeal import _claims as cl
+from clementinedeal._hashing import Candidates
 from clementinedeal._idempotency import (
     PAUSE_SECONDS,
     IdempotencyOffice,
@@ -18,7 +19,7 @@
     SettleKey,
     StoredAnswer,
 )
-from clementinedeal._key_placement import KeyPlacement, place
+from clementinedeal._key_placement import KeyPlacement
 from clementinedeal._key_table import RECORD_BYTES, KeeperLimits
 from clementinedeal._messages import Send
 from clementinedeal._verdict import Reason, Verdict
@@ -30,8 +31,8 @@
 KEY = next(
     key
     for key in map(str, range(99))
-    if place(key_digest('c', key), OLD) == 'a'
-    and place(key_digest('c', key), NEW) == 'c'
+    if Candidates(OLD).heaviest(key_digest('c', key)) == 'a'
+    and Candidates(NEW).heaviest(key_digest('c', key)) == 'c'
 )
 
 
@@ -46,9 +47,9 @@
         placement.change(names, number, 1000 * number + 1)
     seen = [{'a', 'b'}, *lists]
     changed = [old for old, new in pairwise(seen) if old != new]
-    former = {place('k', names) for names in changed}
+    former = {Candidates(names).heaviest('k') for names in changed}
     assert placement.former('k', 0, len(lists)) == former
-    assert placement.keeper('k') == place('k', seen[-1])
+    assert placement.keeper('k') == Candidates(seen[-1]).heaviest('k')
     assert placement.former('k', 10**9, len(lists)) == set()
     assert placement.former('k', 0, 200) == set()
 
@@ -235,7 +236,7 @@
     kept = [
         key
         for key in map(str, range(99))
-        if place(key_digest('c', key), OLD) == 'a'
+        if Candidates(OLD).heaviest(key_digest('c', key)) == 'a'
     ]
     for number in range(2):
         granted = fleet.claim('b', f'r{number}', kept[number])
