Say ran of a request whose caller left during its answer

Cause: when the caller's connection broke while its answer was written, the exchange ended with its initial "not run, no target": a false verdict in the time line, and the idempotency key was freed, so that a repeat ran the request a second time. Ruled out: the plan (it has no verdict to give once the caller left) and the key gate (it settles by the exchange's verdict).

--- a/src/clementinedeal/_exchange.py
+++ b/src/clementinedeal/_exchange.py
@@ -180,6 +180,7 @@
         try:
             await self._runner.reply(reply)
         except CallerLeftError:
+            self._finished = left_unread(reply, forward.target)
             raise
         except AnswerWrongError:
             reason = Reason.ANSWER_WRONG
@@ -194,6 +195,16 @@
         return self._plan.on_event(event, self._clock.now())
 
 
+def left_unread(reply: Answered, target: str) -> Finished:
+    """Return the end of a request whose caller left before its answer's end.
+
+    :param reply: the answer; it can still be stored for a repeat.
+    :param target: where the request ran.
+    """
+    failure = GiveUp(Verdict.RAN, Reason.CANCELLED)
+    return Finished(failure, cut=True, answer=reply, target=target)
+
+
 def failure_event(attempt_id: str, reply: Refused) -> AttemptEvent:
     incomplete = reply.reason in {
         Reason.ANSWER_INCOMPLETE,
--- a/src/clementinedeal/_hedged_exchange.py
+++ b/src/clementinedeal/_hedged_exchange.py
@@ -29,6 +29,7 @@
     CallerLeftError,
     Finished,
     failure_event,
+    left_unread,
 )
 from clementinedeal._http import ConnLostError, HttpError
 from clementinedeal._replies import Answered, Refused
@@ -150,6 +151,7 @@
             reason = Reason.ANSWER_WRONG
             self._post(AnswerIncomplete(attempt_id, sent=True, reason=reason))
         except CallerLeftError:
+            self._finished = left_unread(reply, forward.target)
             raise
         except (ConnLostError, HttpError):
             self._post(AnswerIncomplete(attempt_id, sent=True))
