--- a/src/clementinedeal/_key_placement.py
+++ b/src/clementinedeal/_key_placement.py
@@ -5,7 +5,7 @@
 
 from clementinedeal._hashing import Candidates
 
-SETTLE_SECONDS = 20.0  # twice the time after which a stale entry refuses
+SETTLE_SECONDS = 30.0  # above twice the freshness limit and a short pause
 CLOCK_MARGIN_SECONDS = 60.0  # largest clock error of callers and daemons
 MS_PER_SECOND = 1000
 
