Tell the token office of freshness at every look

Cause: the office drops its freshness in a pause that no other part notices, and the daemon told it only of changes, so it could stay not fresh for good. Repeating the same word costs nothing. Ruled out: the same for the ejection office, whose holders look their service up again at each word.

--- a/src/clementinedeal/_offices.py
+++ b/src/clementinedeal/_offices.py
@@ -27,6 +27,7 @@
 DETECTION_SECONDS = 0.1
 KEYS_SECONDS = 0.25
 ABSENCE_SECONDS = 0.5
+FRESHNESS_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +132,11 @@
             lambda cfg, now: office.on_config(cfg, now, fleet.known_for(now)),
         )
         hub.on_pause.append(office.on_pause)
-        hub.on_fresh.append(office.set_fresh)
+        # The office forgets its freshness in pauses that nobody else notices.
+        hub.every(
+            FRESHNESS_SECONDS,
+            lambda now: office.set_fresh(fleet.is_fresh(now), now),
+        )
         hub.on_stop.append(office.stop)
 
     def _subscribe_idempotency(
