Begin an exchange as may-have-run, not as not run

Cause: an exchange that ended without a decision of its plan would have said "not run" of an attempt in flight. The plan gives every true "not run" itself, also without a candidate.

--- a/src/clementinedeal/_exchange.py
+++ b/src/clementinedeal/_exchange.py
@@ -82,7 +82,7 @@
     target: str = ''
 
 
-NO_TARGET = Finished(GiveUp(Verdict.NOT_RUN, Reason.NO_TARGET))
+UNDECIDED = Finished(GiveUp(Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED))
 
 
 class Exchange:
@@ -104,7 +104,7 @@
         self._runner = runner
         self._clock = clock
         self._admitted = False
-        self._finished = NO_TARGET
+        self._finished = UNDECIDED
 
     async def run(self, *, replayable: bool) -> Finished:
         """Run the request to its end.
--- a/src/clementinedeal/_hedged_exchange.py
+++ b/src/clementinedeal/_hedged_exchange.py
@@ -24,7 +24,7 @@
 from clementinedeal._attempts import AttemptPlan
 from clementinedeal._digest import AnswerWrongError
 from clementinedeal._exchange import (
-    NO_TARGET,
+    UNDECIDED,
     AttemptRunner,
     CallerLeftError,
     Finished,
@@ -69,7 +69,7 @@
         self._events_in = channel[0]
         self._events_out = channel[1]
         self._admitted = False
-        self._finished = NO_TARGET
+        self._finished = UNDECIDED
 
     async def run(self, *, replayable: bool) -> Finished:
         """Run the request to its end.
