--- a/src/clementinedeal/_idempotency_gate.py
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -16,7 +16,7 @@
 from clementinedeal._refusals import Refusal
 from clementinedeal._replies import Answered, WholeBody
 from clementinedeal._timers import Clock
-from clementinedeal._verdict import Verdict
+from clementinedeal._verdict import Reason, Verdict
 
 STORED_BODY_BYTES = 16384
 _STORED_HEADERS = frozenset(
@@ -57,10 +57,15 @@
     async def claim(self, incoming: Incoming) -> Refusal | Answered | None:
         """Claim the request's key; None when it may run now.
 
+        A body too large to buffer cannot be told from another, so that a key
+        with one is refused.
+
         :param incoming: a request; those without a key pass.
         """
         if not _is_keyed(incoming):
             return None
+        if incoming.req.body.whole is None:
+            return Refusal(Verdict.NOT_RUN, Reason.BODY_TOO_LARGE)
         self._waiters.expect(incoming.req_id)
         now = self._clock.now()
         self._perform(
--- a/src/clementinedeal/_offices.py
+++ b/src/clementinedeal/_offices.py
@@ -27,7 +27,7 @@
 DETECTION_SECONDS = 0.1
 KEYS_SECONDS = 0.25
 ABSENCE_SECONDS = 0.5
-FRESHNESS_SECONDS = 0.1
+FRESHNESS_CHECK_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +64,7 @@
             incarnation=context.fleet.incarnation(me),
         )
         idempotency = IdempotencyOffice(me, cfg, now, wall_ms=wall_ms)
+        idempotency.set_fresh(context.fleet.is_fresh(now), now)
         self.keys = KeyGate(idempotency, context.dispatcher, context.clock)
         self.watcher = TargetWatcher(
             context.clock,
@@ -134,7 +135,7 @@
         hub.on_pause.append(office.on_pause)
         # The office forgets its freshness in pauses that nobody else notices.
         hub.every(
-            FRESHNESS_SECONDS,
+            FRESHNESS_CHECK_SECONDS,
             lambda now: office.set_fresh(fleet.is_fresh(now), now),
         )
         hub.on_stop.append(office.stop)
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -4,13 +4,13 @@
 from typing import Any
 
 from clementinedeal._ceiling import Ceiling
+from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._hashing import rank
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
 from clementinedeal._peers import Peers
 from clementinedeal._reports import PermitAnswer, TargetReport
 
-FRESHNESS_SECONDS = 10.0
 LEASE_SECONDS = 5.0
 # Covers a pause that goes unnoticed and the drift between two clocks.
 LEASE_MARGIN_SECONDS = 1.0
@@ -19,7 +19,7 @@
 # A view that differs from this one acts until it loses its freshness, and
 # what it granted last runs for a lease. The second freshness covers a
 # version that this daemon skipped while another held permits under it.
-SETTLE_SECONDS = 2 * FRESHNESS_SECONDS + LEASE_SECONDS + LEASE_MARGIN_SECONDS
+SETTLE_SECONDS = 2 * FRESH_SECONDS + LEASE_SECONDS + LEASE_MARGIN_SECONDS
 
 
 def targets_of(cfg: Config, service: str) -> frozenset[str]:
--- a/src/clementinedeal/_share_views.py
+++ b/src/clementinedeal/_share_views.py
@@ -8,11 +8,11 @@
 
 from dataclasses import dataclass
 
+from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._leases import LEASE_TTL_SECONDS, QUIET_SECONDS
 from clementinedeal._model import Config
 from clementinedeal._shares import AccountShares, Share, ShareTable
 
-FRESHNESS_SECONDS = 10.0
 SPREAD_SECONDS = 7.0
 PAUSE_MARGIN_SECONDS = 2.0
 RETAIN_SECONDS = 30.0
@@ -20,7 +20,7 @@
 # Twice: a daemon may skip a version that others still go by, and it may be
 # as late in hearing of the one after it.
 GROW_WAIT_SECONDS = (
-    2 * (FRESHNESS_SECONDS + SPREAD_SECONDS)
+    2 * (FRESH_SECONDS + SPREAD_SECONDS)
     + LEASE_TTL_SECONDS
     + PAUSE_MARGIN_SECONDS
 )
--- a/src/clementinedeal_bench/_token_fleet.py
+++ b/src/clementinedeal_bench/_token_fleet.py
@@ -9,9 +9,9 @@
 
 from clementinedeal._borrowing import Actions
 from clementinedeal._draws import Admitted, Refused
+from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._messages import Send, decode, encode
 from clementinedeal._model import Config
-from clementinedeal._share_views import FRESHNESS_SECONDS
 from clementinedeal._tokens import TokenOffice
 
 STEP_SECONDS = 0.02
@@ -196,7 +196,7 @@
             for publication in self.versions
             if publication.cfg.version > node.version
         )
-        heard_until = min(newer, default=self.now) + FRESHNESS_SECONDS
+        heard_until = min(newer, default=self.now) + FRESH_SECONDS
         node.office.set_fresh(self.now < heard_until, self.now)
 
     def _deliver(self, parcel: Parcel) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,7 +1,6 @@
 """Two daemons' serving sides and stand-in targets in one trio loop."""
 
 import hashlib
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -42,16 +41,12 @@
 from clementinedeal_bench._target import Target as StandIn
 from clementinedeal_bench._target import TargetSettings
 from clementinedeal_bench._web import WebServer
+from ports import free_address
 
 KEY = b'sesame'
 SECRET = b'0' * 32
 
 
-def free_address() -> str:
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        return f'127.0.0.1:{server.getsockname()[1]}'
-
-
 def instance(name: str) -> Instance:
     return Instance(
         name=name,
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -17,16 +17,11 @@
 from clementinedeal_bench._observer import get, read_executions
 from clementinedeal_bench._scenario import find_fault
 from clementinedeal_bench._webclient import split_address
+from ports import free_address
 
 DECLARATION = 'examples/sabarmati.yaml'
 
 
-def free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{sock.getsockname()[1]}'
-
-
 @pytest.fixture
 async def fleet(tmp_path: Path):
     cfg = read_declaration(DECLARATION)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,4 +1,3 @@
-import socket
 from dataclasses import dataclass
 from typing import Any
 
@@ -13,6 +12,7 @@
 from clementinedeal._key_rotation import KeyRotation
 from clementinedeal._messages import Send, message
 from clementinedeal._settings import DaemonSettings, FleetKey
+from ports import free_address
 
 
 @message
@@ -21,11 +21,6 @@
     text: str
 
 
-def free_address() -> str:
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        return f'127.0.0.1:{server.getsockname()[1]}'
-
-
 ADDRESSES = {'a': free_address(), 'b': free_address()}
 
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,4 +1,3 @@
-import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -11,12 +10,7 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._timers import MonotonicClock
-
-
-def free_address() -> str:
-    with socket.create_server(('127.0.0.1', 0)) as server:
-        return f'127.0.0.1:{server.getsockname()[1]}'
-
+from ports import free_address
 
 ADDRESS = free_address()
 GET = RequestHead('GET', '/a', ((b'host', b'x'),))
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -6,12 +6,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
 from clementinedeal._ejection import EjectionOffice
+from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._health import Outcome, OutcomeKind, Traffic
 from clementinedeal._messages import Send, decode, encode
 from clementinedeal._model import Config, Preset, PresetName, Service, Target
 from clementinedeal._permit_use import PermitUse, Reply
 from clementinedeal._permits import (
-    FRESHNESS_SECONDS,
     LEASE_MARGIN_SECONDS,
     LEASE_SECONDS,
     SETTLE_SECONDS,
@@ -24,7 +24,7 @@
 SIZE = 6
 ROUND_SECONDS = 0.25
 LAPSE_SECONDS = LEASE_SECONDS + LEASE_MARGIN_SECONDS + 2 * ROUND_SECONDS
-SETTLED_SECONDS = 2 * FRESHNESS_SECONDS + LAPSE_SECONDS
+SETTLED_SECONDS = 2 * FRESH_SECONDS + LAPSE_SECONDS
 BAD = Outcome(OutcomeKind.ERROR, 0.0)
 GOOD = Outcome(OutcomeKind.OK, 0.0)
 LEARN_SECONDS = (0.25, 1.0, 3.0, 9.0, 40.0)
@@ -59,7 +59,7 @@
     superseded: float = float('inf')
 
     def is_fresh(self, now: float) -> bool:
-        return now - self.superseded <= FRESHNESS_SECONDS
+        return now - self.superseded <= FRESH_SECONDS
 
     @property
     def allowed(self) -> int:
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
+from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._leases import LEASE_TTL_SECONDS
 from clementinedeal._model import (
     Account,
@@ -18,7 +19,6 @@
     Target,
 )
 from clementinedeal._share_views import (
-    FRESHNESS_SECONDS,
     GROW_WAIT_SECONDS,
     PAUSE_MARGIN_SECONDS,
 )
@@ -26,7 +26,7 @@
 from clementinedeal_bench._token_fleet import Link, Outcome, TokenFleet
 
 NAMES = tuple(f'i{index}' for index in range(5))
-OLD_SECONDS = FRESHNESS_SECONDS + LEASE_TTL_SECONDS + PAUSE_MARGIN_SECONDS
+OLD_SECONDS = FRESH_SECONDS + LEASE_TTL_SECONDS + PAUSE_MARGIN_SECONDS
 LINKS = (Link(), Link(loss=0.2, repeat=0.5, jitter=0.3), Link(jitter=3))
 ROUNDING = 0.001
 SOME = st.sets(st.sampled_from(NAMES), min_size=1)
