--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import trio
+from result import Ok
 
 from clementinedeal._cancels import Cancels
 from clementinedeal._control import ControlChannel
@@ -61,12 +62,13 @@
     def __init__(
         self,
         settings: DaemonSettings,
-        reload: Reload,
+        reload: Reload | None = None,
     ) -> None:
         """Build the parts that need no configuration.
 
         :param settings: checked settings of this daemon.
-        :param reload: reads them again; only the fleet keys are taken over.
+        :param reload: reads them again at SIGHUP; only the fleet keys are
+            taken over. Without it SIGHUP changes nothing.
         """
         rng = random.SystemRandom()
         clock = MonotonicClock()
@@ -88,7 +90,7 @@
         self._front_context = self._build_front_context(rng, incarnation)
         self._rotation = KeyRotation(
             self._front_context.keyring,
-            reload,
+            reload or functools.partial(Ok, settings),
             self._shared.events,
         )
         self._front: Front | None = None
