Build the daemon on the micro-kernel

Cause: the kernel stood beside the daemon, which held its parts in fields and started and stopped them by hand. Timers, connections, platform, control channel, key rotation, operator endpoint and platform reads are registered by name, found by name and started and stopped in order. What the view tells operators moved into a module of its own. Ruled out: the serving side in the kernel too, as it exists only from the first configuration on.

--- a/src/clementinedeal/_control.py
+++ b/src/clementinedeal/_control.py
@@ -82,6 +82,7 @@
         keyring: Keyring,
         events: EventLog,
         find_address: Callable[[str], str | None],
+        receiver: Receiver,
     ) -> None:
         """Create a channel that is not yet listening.
 
@@ -89,23 +90,30 @@
         :param keyring: authenticates every batch.
         :param events: stamps batches; tells the sender's name.
         :param find_address: control address of an instance, None if unknown.
+        :param receiver: is called for each message received.
         """
         self.counters = ControlCounters()
         self._address = address
         self._keyring = keyring
         self._events = events
         self._find_address = find_address
+        self._receiver = receiver
         self._peers: dict[str, _Peer] = {}
         self._wake = trio.Event()
         self._listener: pynng.Pull0 | None = None
         self._stopped = False
 
-    async def start(self) -> None:
-        """Listen."""
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen, send and receive from now on.
+
+        :param nursery: runs the tasks.
+        """
         self._listener = pynng.Pull0(
             listen=f'tcp://{self._address}',
             recv_max_size=RECV_MAX_BYTES,
         )
+        nursery.start_soon(self._run_sender)
+        nursery.start_soon(self._run_receiver, self._listener)
 
     async def stop(self) -> None:
         """Send what is queued, then close every socket."""
@@ -126,27 +134,19 @@
         peer.queue.append(action.body)
         self._wake.set()
 
-    async def run_sender(self) -> None:
-        """Send queued batches until cancelled."""
+    async def _run_sender(self) -> None:
         while True:
             await self._wake.wait()
             self._wake = trio.Event()
             self._flush()
 
-    async def run_receiver(self, receiver: Receiver) -> None:
-        """Receive until cancelled or stopped.
-
-        :param receiver: is called for each message.
-        """
-        listener = self._listener
-        if listener is None:
-            raise ProtocolError('control channel is not listening')
+    async def _run_receiver(self, listener: pynng.Pull0) -> None:
         with contextlib.suppress(pynng.Closed):
             while True:
                 sealed = await listener.arecv()
-                self._receive(sealed, receiver)
+                self._receive(sealed)
 
-    def _receive(self, sealed: bytes, receiver: Receiver) -> None:
+    def _receive(self, sealed: bytes) -> None:
         self.counters.messages_received += 1
         self.counters.bytes_received += len(sealed)
         try:
@@ -157,12 +157,12 @@
             return
         self._events.clock.observe(batch.hlc)
         for body in bodies:
-            self._hand_over(receiver, batch.sender, body)
+            self._hand_over(batch.sender, body)
 
-    def _hand_over(self, receiver: Receiver, sender: str, body: Any) -> None:
+    def _hand_over(self, sender: str, body: Any) -> None:
         """Keep the daemon alive if a part fails on a message."""
         try:
-            receiver(sender, body)
+            self._receiver(sender, body)
         except Exception:
             self.counters.rejected += 1
             kind = type(body).__name__
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -28,6 +28,7 @@
 from clementinedeal._front import Front, FrontContext, http_limits
 from clementinedeal._http_server import HttpServer
 from clementinedeal._hub import Hub
+from clementinedeal._kernel import Kernel
 from clementinedeal._key_rotation import KeyRotation, Reload
 from clementinedeal._messages import Send
 from clementinedeal._metrics import Metrics
@@ -42,13 +43,10 @@
 from clementinedeal._timers import MonotonicClock, Timers
 from clementinedeal._view_actions import (
     ConfigInForce,
-    ConfigRejected,
-    InstanceLeaving,
-    InstanceLeft,
-    PeerAddress,
     ReadPlatform,
     WatchRoot,
 )
+from clementinedeal._view_notes import ViewNotes
 from clementinedeal._views import FleetView
 
 VIEW_SECONDS = 0.1
@@ -75,24 +73,28 @@
         fleet = FleetView(settings, rng, clock.now())
         incarnation = format_incarnation(fleet.incarnation(settings.instance))
         dispatcher = Dispatcher()
-        self._timers = Timers(clock)
+        self._kernel = Kernel()
+        timers = self._kernel.register('timers', Timers(clock))
         self._shared = OfficeContext(
             settings=settings,
             clock=clock,
-            hub=Hub(self._timers, dispatcher),
+            hub=Hub(timers, dispatcher),
             dispatcher=dispatcher,
             events=EventLog(settings.instance, incarnation),
             metrics=Metrics(),
             fleet=fleet,
         )
-        self._pool = ConnPool(clock)
-        self._platform = HttpPlatform(settings.platform, self._pool)
+        pool = self._kernel.register('connections', ConnPool(clock))
+        platform = HttpPlatform(settings.platform, pool)
+        self._kernel.register('platform', platform)
         self._front_context = self._build_front_context(rng, incarnation)
-        self._rotation = KeyRotation(
+        rotation = KeyRotation(
             self._front_context.keyring,
             reload or functools.partial(Ok, settings),
             self._shared.events,
         )
+        self._kernel.register('key rotation', rotation)
+        self._kernel.register('operator', self._build_operator())
         self._front: Front | None = None
         self._fresh = False
         self._configured = trio.Event()
@@ -102,12 +104,16 @@
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully."""
         async with trio.open_nursery() as nursery:
-            await self._start_control(nursery)
+            await self._kernel.start(nursery)
+            self._shared.events.emit(
+                'daemon-started',
+                zone=self._shared.settings.zone,
+            )
             nursery.start_soon(self._await_signal)
-            nursery.start_soon(self._rotation.run)
             nursery.start_soon(self._serve_when_configured, nursery)
             await self._stopping.wait()
-            await self._stop()
+            await self._drain()
+            await self._kernel.stop()
             nursery.cancel_scope.cancel()
         self._shared.events.emit('daemon-stopped')
 
@@ -122,20 +128,22 @@
         keyring = Keyring(
             {key.name: key.secret for key in settings.fleet_keys},
         )
-        self._control = ControlChannel(
+        control = ControlChannel(
             settings.control,
             keyring,
             shared.events,
             directory.control_address,
+            shared.hub.receive,
         )
+        self._kernel.register('control', control)
         return FrontContext(
             shared=shared,
-            pool=self._pool,
+            pool=self._kernel.find('connections', ConnPool),
             keyring=keyring,
             executions=ExecutionTable(incarnation),
             directory=directory,
             view=EntryView(settings.instance, shared.fleet, shared.clock, rng),
-            cancels=Cancels(self._control.send, self._cancel_here),
+            cancels=Cancels(control.send, self._cancel_here),
             status=StatusDesk(shared, directory),
         )
 
@@ -147,54 +155,56 @@
         hub.on_pause.append(self._renew)
         hub.every(VIEW_SECONDS, self._front_context.executions.on_tick)
         hub.on_stop.append(shared.fleet.stop)
+        hub.every(VIEW_SECONDS, shared.fleet.on_tick)
+        hub.every(VIEW_SECONDS, self._note_fresh)
+        hub.every(REFRESH_SECONDS, self._front_context.view.refresh)
+        self._kernel.find('timers', Timers).on_pause(hub.pause)
+        self._register_actions()
+
+    def _register_actions(self) -> None:
+        shared = self._shared
         reads = PlatformReads(
-            self._platform,
+            self._kernel.find('platform', HttpPlatform),
             shared.fleet,
             shared.dispatcher,
             shared.clock,
             shared.events,
         )
-        self._reads = reads
+        self._kernel.register('platform reads', reads)
         handlers = (
-            (Send, self._control.send),
+            (Send, self._kernel.find('control', ControlChannel).send),
             (ReadPlatform, reads.read),
             (WatchRoot, reads.watch),
-            (PeerAddress, self._meet),
             (ConfigInForce, self._take_config),
-            (ConfigRejected, self._note_rejected),
-            (InstanceLeaving, self._note_leaving),
-            (InstanceLeft, self._note_left),
         )
         for kind, handler in handlers:
             shared.dispatcher.register(kind, handler)
+        ViewNotes(
+            shared.dispatcher,
+            self._front_context.directory,
+            self._front_context.status,
+            shared.events,
+        )
 
-    async def _start_control(self, nursery: trio.Nursery) -> None:
+    def _build_operator(self) -> HttpServer:
         shared = self._shared
-        await self._control.start()
-        nursery.start_soon(self._control.run_sender)
-        nursery.start_soon(self._control.run_receiver, shared.hub.receive)
-        nursery.start_soon(self._reads.run)
-        await trio.lowlevel.checkpoint()
-        shared.hub.every(VIEW_SECONDS, shared.fleet.on_tick)
-        shared.hub.every(VIEW_SECONDS, self._note_fresh)
-        shared.hub.every(REFRESH_SECONDS, self._front_context.view.refresh)
-        self._timers.on_pause(shared.hub.pause)
-        nursery.start_soon(self._timers.run)
         status = self._front_context.status
         operator = Operator(
             shared.events,
             shared.metrics,
             status.status,
-            functools.partial(status.refresh, self._control, self._platform),
+            functools.partial(
+                status.refresh,
+                self._kernel.find('control', ControlChannel),
+                self._kernel.find('platform', HttpPlatform),
+            ),
         )
-        self._operator_server = HttpServer(
+        return HttpServer(
             shared.settings.operator,
             operator.serve,
             http_limits(shared.settings.limits),
             shared.events,
         )
-        await nursery.start(self._operator_server.run)
-        shared.events.emit('daemon-started', zone=shared.settings.zone)
 
     async def _serve_when_configured(self, nursery: trio.Nursery) -> None:
         await self._configured.wait()
@@ -208,7 +218,7 @@
             await anext(signals)
         self._stopping.set()
 
-    async def _stop(self) -> None:
+    async def _drain(self) -> None:
         self._shared.events.emit('daemon-draining')
         self._front_context.status.draining = True
         self._shared.hub.stop()
@@ -216,9 +226,6 @@
         seconds = self._shared.settings.limits.drain_timeout_seconds
         if self._front is not None:
             await self._front.stop(seconds)
-        await self._operator_server.stop(0)
-        await self._control.stop()
-        await self._pool.aclose()
 
     def _take_config(self, action: ConfigInForce) -> None:
         cfg = action.cfg
@@ -277,22 +284,3 @@
         return (
             fleet.on_message(sender, body, now) if fleet.handles(body) else ()
         )
-
-    def _meet(self, action: PeerAddress) -> None:
-        self._front_context.directory.meet(action.instance, action.control)
-
-    def _note_rejected(self, action: ConfigRejected) -> None:
-        self._front_context.status.rejected = (
-            f'{action.version}: {action.reason}'
-        )
-        self._shared.events.emit(
-            'config-rejected',
-            version=action.version,
-            reason=action.reason,
-        )
-
-    def _note_leaving(self, action: InstanceLeaving) -> None:
-        self._shared.events.emit('instance-leaving', peer=action.instance)
-
-    def _note_left(self, action: InstanceLeft) -> None:
-        self._shared.events.emit('instance-left', peer=action.instance)
--- a/src/clementinedeal/_front.py
+++ b/src/clementinedeal/_front.py
@@ -89,7 +89,7 @@
         :param nursery: runs the servers.
         """
         for server in self._servers:
-            await nursery.start(server.run)
+            await server.start(nursery)
         nursery.start_soon(self._prober.run)
 
     async def stop(self, seconds: float) -> None:
--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -78,7 +78,14 @@
             for listener in listeners:
                 await listener.aclose()
 
-    async def stop(self, seconds: float) -> None:
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Listen from now on.
+
+        :param nursery: runs the server.
+        """
+        await nursery.start(self.run)
+
+    async def stop(self, seconds: float = 0) -> None:
         """Accept nothing more and let what is open end.
 
         :param seconds: time for requests in flight; then they are cut.
--- a/src/clementinedeal/_kernel.py
+++ b/src/clementinedeal/_kernel.py
@@ -1,22 +1,32 @@
 """Micro-kernel: services register, find each other by name, start in order."""
 
-from collections.abc import Iterator
-from typing import Protocol, TypeVar, cast
+from typing import Protocol, TypeVar, runtime_checkable
+
+import trio
 
 from clementinedeal._errors import ClementinedealError
 
 ServiceT = TypeVar('ServiceT')
 
 
-class KernelService(Protocol):
-    """A part of the daemon with a life cycle."""
+@runtime_checkable
+class Startable(Protocol):
+    """A part that runs tasks or listens."""
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Begin work; parts registered earlier have started.
 
-    async def start(self) -> None:
-        """Begin work; services registered earlier have started."""
+        :param nursery: runs the part's tasks.
+        """
         ...
 
+
+@runtime_checkable
+class Stoppable(Protocol):
+    """A part that has something to finish."""
+
     async def stop(self) -> None:
-        """Finish work; services registered later have stopped."""
+        """Finish work; parts registered later have stopped."""
         ...
 
 
@@ -35,7 +45,8 @@
         """Add a part and return it.
 
         :param name: unique name by which others find it.
-        :param part: any object; those with a life cycle are started.
+        :param part: any object; ``start`` and ``stop`` are called if it has
+            them.
         :raises KernelError: the name is taken.
         """
         if name in self._parts:
@@ -55,17 +66,17 @@
             raise KernelError(f'no service {name} of type {kind.__name__}')
         return part
 
-    async def start(self) -> None:
-        """Start all parts that have a life cycle, in registration order."""
-        for part in self._living():
-            await part.start()
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Start the parts in registration order.
+
+        :param nursery: runs their tasks.
+        """
+        for part in tuple(self._parts.values()):
+            if isinstance(part, Startable):
+                await part.start(nursery)
 
     async def stop(self) -> None:
-        """Stop all parts that have a life cycle, last one first."""
-        for part in reversed(tuple(self._living())):
-            await part.stop()
-
-    def _living(self) -> Iterator[KernelService]:
-        for part in self._parts.values():
-            if hasattr(part, 'start') and hasattr(part, 'stop'):
-                yield cast(KernelService, part)
+        """Stop the parts, last one first."""
+        for part in reversed(tuple(self._parts.values())):
+            if isinstance(part, Stoppable):
+                await part.stop()
--- a/src/clementinedeal/_key_rotation.py
+++ b/src/clementinedeal/_key_rotation.py
@@ -33,8 +33,14 @@
         self._reload = reload
         self._events = events
 
-    async def run(self) -> None:
-        """Wait for signals until cancelled."""
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Follow signals from now on.
+
+        :param nursery: runs the loop.
+        """
+        nursery.start_soon(self._run)
+
+    async def _run(self) -> None:
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
             while True:
                 await anext(signals)
--- a/src/clementinedeal/_operator_client.py
+++ b/src/clementinedeal/_operator_client.py
@@ -37,7 +37,7 @@
     async with trio.open_nursery() as nursery:
         for instance in instances:
             nursery.start_soon(_ask, pool, instance, path, answers)
-    await pool.aclose()
+    await pool.stop()
     return tuple(sorted(answers, key=lambda answer: answer.instance.name))
 
 
--- a/src/clementinedeal/_platform_reads.py
+++ b/src/clementinedeal/_platform_reads.py
@@ -74,11 +74,12 @@
         self._available = True
         self._root_seen = (0, 0)
 
-    async def run(self) -> None:
-        """Run reads until cancelled."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            await trio.sleep_forever()
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Allow reads from now on.
+
+        :param nursery: runs them.
+        """
+        self._nursery = nursery
 
     def read(self, action: ReadPlatform) -> None:
         """Begin to read a value or the list."""
--- a/src/clementinedeal/_pool.py
+++ b/src/clementinedeal/_pool.py
@@ -61,7 +61,7 @@
         conn.idle_since = self._clock.now()
         idle.append(conn)
 
-    async def aclose(self) -> None:
+    async def stop(self) -> None:
         """Close every idle connection."""
         for idle in self._idle.values():
             while idle:
--- a/src/clementinedeal/_timers.py
+++ b/src/clementinedeal/_timers.py
@@ -127,6 +127,13 @@
         while self._heap and self._heap[0].due <= now:
             self._run(heapq.heappop(self._heap), now)
 
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Tick from now on.
+
+        :param nursery: runs the loop.
+        """
+        nursery.start_soon(self.run)
+
     async def run(self) -> None:
         """Tick until cancelled."""
         self._last_tick = self.clock.now()
--- /dev/null
+++ b/src/clementinedeal/_view_notes.py
@@ -0,0 +1,55 @@
+"""Notes for operators and addresses that come from the view of the fleet."""
+
+from clementinedeal._directory import Directory
+from clementinedeal._dispatch import Dispatcher
+from clementinedeal._events import EventLog
+from clementinedeal._status import StatusDesk
+from clementinedeal._view_actions import (
+    ConfigRejected,
+    InstanceLeaving,
+    InstanceLeft,
+    PeerAddress,
+)
+
+
+class ViewNotes:
+    """Performs the actions of the view that concern nobody else."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        directory: Directory,
+        status: StatusDesk,
+        events: EventLog,
+    ) -> None:
+        """Register for the actions.
+
+        :param dispatcher: hands them over.
+        :param directory: learns addresses of instances met.
+        :param status: shows a rejected version.
+        :param events: records changes among instances.
+        """
+        self._directory = directory
+        self._status = status
+        self._events = events
+        dispatcher.register(PeerAddress, self._meet)
+        dispatcher.register(ConfigRejected, self._note_rejected)
+        dispatcher.register(InstanceLeaving, self._note_leaving)
+        dispatcher.register(InstanceLeft, self._note_left)
+
+    def _meet(self, action: PeerAddress) -> None:
+        self._directory.meet(action.instance, action.control)
+
+    def _note_rejected(self, action: ConfigRejected) -> None:
+        self._status.rejected = f'{action.version}: {action.reason}'
+        self._events.emit(
+            'config-rejected',
+            version=action.version,
+            reason=action.reason,
+        )
+
+    def _note_leaving(self, action: InstanceLeaving) -> None:
+        self._events.emit('instance-leaving', peer=action.instance)
+
+    def _note_left(self, action: InstanceLeft) -> None:
+        self._events.emit('instance-left', peer=action.instance)
--- a/src/clementinedeal_bench/_fleet_slopes.py
+++ b/src/clementinedeal_bench/_fleet_slopes.py
@@ -49,29 +49,28 @@
 async def _exchange(size: int) -> Slope:
     """Measure one batch, sent and received in this process."""
     addresses = {'a': '127.0.0.1:20701', 'b': '127.0.0.1:20702'}
+    heard = trio.Event()
+
+    def receive(sender: str, body: Any) -> None:
+        heard.set()
+
     here, there = (
         ControlChannel(
             address,
             Keyring({'k': bytes(32)}),
             EventLog(name, '1'),
             addresses.get,
+            receive,
         )
         for name, address in addresses.items()
     )
-    heard = trio.Event()
-
-    def receive(sender: str, body: Any) -> None:
-        heard.set()
-
     async with trio.open_nursery() as nursery:
-        await here.start()
-        await there.start()
-        nursery.start_soon(here.run_sender)
-        nursery.start_soon(there.run_receiver, receive)
+        await here.start(nursery)
+        await there.start(nursery)
         started = 0.0
         count = CALLS // 4
-        for number in range(count + 50):
-            if number == 50:
+        for number in range(count + WARM_MESSAGES):
+            if number == WARM_MESSAGES:
                 started = time.process_time()
             heard = trio.Event()
             here.send(Send('b', Payload(bytes(size))))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,7 +5,7 @@
 import trio
 from result import Err, Ok, Result
 
-from clementinedeal._control import ControlChannel
+from clementinedeal._control import ControlChannel, Receiver
 from clementinedeal._envelope import Keyring
 from clementinedeal._errors import PeerAuthError, SettingsError
 from clementinedeal._events import EventLog
@@ -24,12 +24,17 @@
 ADDRESSES = {'a': free_address(), 'b': free_address()}
 
 
-def channel(name: str, keys: dict[str, bytes]) -> ControlChannel:
+def channel(
+    name: str,
+    keys: dict[str, bytes],
+    receive: Receiver,
+) -> ControlChannel:
     return ControlChannel(
         ADDRESSES[name],
         Keyring(keys),
         EventLog(name, '1'),
         ADDRESSES.get,
+        receive,
     )
 
 
@@ -37,7 +42,6 @@
     sender_keys: dict[str, bytes],
     receiver_keys: dict[str, bytes],
 ) -> tuple[list[tuple[str, Any]], ControlChannel]:
-    here, there = channel('a', sender_keys), channel('b', receiver_keys)
     received: list[tuple[str, Any]] = []
 
     def receive(sender: str, body: Any) -> None:
@@ -45,11 +49,11 @@
         if body == Note('bug'):
             raise ValueError('bug')
 
+    here = channel('a', sender_keys, receive)
+    there = channel('b', receiver_keys, receive)
     async with trio.open_nursery() as nursery:
-        await here.start()
-        await there.start()
-        nursery.start_soon(here.run_sender)
-        nursery.start_soon(there.run_receiver, receive)
+        await here.start(nursery)
+        await there.start(nursery)
         for text in ('one', 'bug', 'two'):
             here.send(Send('b', Note(text)))
         here.send(Send('nobody', Note('lost')))
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -1,4 +1,5 @@
 import pytest
+import trio
 
 from clementinedeal._kernel import Kernel, KernelError
 from clementinedeal._timers import VirtualClock
@@ -9,19 +10,21 @@
         self.name = name
         self.log = log
 
-    async def start(self) -> None:
+    async def start(self, nursery: trio.Nursery) -> None:
         self.log.append(f'+{self.name}')
 
     async def stop(self) -> None:
         self.log.append(f'-{self.name}')
 
 
-async def test_parts_start_in_order_and_stop_in_reverse() -> None:
+async def test_parts_start_in_order_and_stop_in_reverse(
+    nursery: trio.Nursery,
+) -> None:
     log: list[str] = []
     kernel = Kernel()
     kernel.register('a', Part('a', log))
     kernel.register('b', Part('b', log))
-    await kernel.start()
+    await kernel.start(nursery)
     await kernel.stop()
     assert log == ['+a', '+b', '-b', '-a']
 
