--- a/src/clementinedeal/_wallet.py
+++ b/src/clementinedeal/_borrowed.py
@@ -20,7 +20,7 @@
         return LeaseReport(self.lease, self.spent, closed)
 
 
-class Wallet:
+class BorrowedUnits:
     """The borrower's side: units borrowed from several holders."""
 
     def __init__(self) -> None:
--- a/src/clementinedeal/_borrowing.py
+++ b/src/clementinedeal/_borrowing.py
@@ -17,7 +17,7 @@
 from clementinedeal._holdings import Holdings
 from clementinedeal._leases import UNIT_MICROS, LeaseReport
 from clementinedeal._messages import Send
-from clementinedeal._pace import Pace
+from clementinedeal._token_amounts import Pace
 
 IDLE_SECONDS = 5.0
 
@@ -49,20 +49,20 @@
         :param account: name of the account.
         :param now: monotonic seconds.
         """
-        desk = self._desks.get(account)
-        if desk is None:
-            desk = AccountDraws(account)
-            self._desks[account] = desk
-        desk.used_at = now
-        desk.demand.note(now)
-        if not desk.waiting and self._spend(desk, now):
-            sends = self._draws.prefetch(desk, now)
-            self._mark(desk)
+        reporter = self._desks.get(account)
+        if reporter is None:
+            reporter = AccountDraws(account)
+            self._desks[account] = reporter
+        reporter.used_at = now
+        reporter.demand.note(now)
+        if not reporter.waiting and self._spend(reporter, now):
+            sends = self._draws.prefetch(reporter, now)
+            self._mark(reporter)
             return (Admitted(req_id), *sends)
-        if self._is_hopeless(desk, now):
-            return (_refuse(self._draws.pace(desk), req_id),)
-        desk.waiting.append(Waiting(req_id, now))
-        return self._serve(desk, now)
+        if self._is_hopeless(reporter, now):
+            return (_refuse(self._draws.pace(reporter), req_id),)
+        reporter.waiting.append(Waiting(req_id, now))
+        return self._serve(reporter, now)
 
     def cancel(self, req_id: str, account: str) -> bool:
         """Forget a request that waits; tell whether it did.
@@ -70,10 +70,10 @@
         :param req_id: request id.
         :param account: name of the account.
         """
-        desk = self._desks.get(account)
-        for waiting in desk.waiting if desk else ():
-            if desk and waiting.req_id == req_id:
-                desk.waiting.remove(waiting)
+        reporter = self._desks.get(account)
+        for waiting in reporter.waiting if reporter else ():
+            if reporter and waiting.req_id == req_id:
+                reporter.waiting.remove(waiting)
                 return True
         return False
 
@@ -85,26 +85,26 @@
         :param now: monotonic seconds.
         """
         self._draws.siblings.trust(sender)
-        desk = self._desks.get(body.account)
+        reporter = self._desks.get(body.account)
         lease = body.lease
-        if desk is None or lease.incarnation != self._draws.incarnation:
+        if reporter is None or lease.incarnation != self._draws.incarnation:
             return ()
-        draw = desk.draws.get(lease.seq)
+        draw = reporter.draws.get(lease.seq)
         if draw is None or draw.holder != sender:
             return ()
-        desk.draws.pop(lease.seq)
+        reporter.draws.pop(lease.seq)
         if draw.abandoned or self._stopping:
             report = LeaseReport(lease, 0, closed=True)
             return (Send(sender, SpentReports(body.account, (report,))),)
-        desk.levels[sender] = body.left
+        reporter.levels[sender] = body.left
         if body.amount:
-            desk.wallet.add(lease, sender, body.amount, draw.expires_at)
+            reporter.borrowed.add(lease, sender, body.amount, draw.expires_at)
         if body.amount < max(1, draw.need):
-            desk.dry[sender] = now + self._draws.pace(desk).dry_seconds
+            reporter.dry[sender] = now + self._draws.pace(reporter).dry_seconds
         else:
-            desk.asked.discard(sender)
-            desk.rounds = 0
-        return self._serve(desk, now)
+            reporter.asked.discard(sender)
+            reporter.rounds = 0
+        return self._serve(reporter, now)
 
     def on_tick(self, now: float) -> Actions:
         """Handle late draws, refusals and reports that are due.
@@ -112,13 +112,13 @@
         :param now: monotonic seconds.
         """
         done: list[TokenAction] = []
-        for desk in tuple(self._busy.values()):
-            for holder in desk.expire(now):
+        for reporter in tuple(self._busy.values()):
+            for holder in reporter.expire(now):
                 self._draws.siblings.suspect(holder, now)
-            done.extend(self._serve(desk, now))
-            done.extend(_settle(desk, now))
-            if not desk.is_busy():
-                self._busy.pop(desk.account)
+            done.extend(self._serve(reporter, now))
+            done.extend(_settle(reporter, now))
+            if not reporter.is_busy():
+                self._busy.pop(reporter.account)
         if now - self._swept_at >= IDLE_SECONDS:
             self._sweep(now)
         return tuple(done)
@@ -138,104 +138,114 @@
         """Refuse all from now on and give back what was borrowed."""
         self._stopping = True
         done = list(self._refuse_all())
-        for desk in self._desks.values():
-            done.extend(_give_back(desk))
+        for reporter in self._desks.values():
+            done.extend(_give_back(reporter))
         return tuple(done)
 
-    def _spend(self, desk: AccountDraws, now: float) -> bool:
-        mint = self._holdings.find(desk.account, now)
-        if self._stopping or not desk.spend(UNIT_MICROS, mint, now):
+    def _spend(self, reporter: AccountDraws, now: float) -> bool:
+        lender = self._holdings.find(reporter.account, now)
+        if self._stopping or not reporter.spend(UNIT_MICROS, lender, now):
             return False
-        if desk.settle_at == math.inf and desk.wallet.holders():
-            desk.settle_at = now + self._draws.pace(desk).settle_seconds
+        if reporter.settle_at == math.inf and reporter.borrowed.holders():
+            reporter.settle_at = now + self._draws.pace(reporter).settle_seconds
         return True
 
-    def _is_hopeless(self, desk: AccountDraws, now: float) -> bool:
+    def _is_hopeless(self, reporter: AccountDraws, now: float) -> bool:
         return (
             self._stopping
-            or now < desk.refuse_until
-            or len(desk.waiting) >= MAX_WAITING
-            or not self._draws.order(desk, now)
+            or now < reporter.refuse_until
+            or len(reporter.waiting) >= MAX_WAITING
+            or not self._draws.order(reporter, now)
         )
 
-    def _serve(self, desk: AccountDraws, now: float) -> Actions:
+    def _serve(self, reporter: AccountDraws, now: float) -> Actions:
         done: list[TokenAction] = []
-        while desk.waiting and self._spend(desk, now):
-            done.append(Admitted(desk.waiting.popleft().req_id))
-        while desk.waiting and not desk.pending():
-            sends = self._draws.next_round(desk, now)
-            done.extend(sends or self._give_up(desk, now))
-        while desk.waiting and _is_late(desk.waiting[0], now):
+        while reporter.waiting and self._spend(reporter, now):
+            done.append(Admitted(reporter.waiting.popleft().req_id))
+        while reporter.waiting and not reporter.pending():
+            sends = self._draws.next_round(reporter, now)
+            done.extend(sends or self._give_up(reporter, now))
+        while reporter.waiting and _is_late(reporter.waiting[0], now):
             done.append(
-                _refuse(self._draws.pace(desk), desk.waiting.popleft().req_id)
+                _refuse(
+                    self._draws.pace(reporter),
+                    reporter.waiting.popleft().req_id,
+                )
             )
-        if not desk.waiting and not desk.pending():
-            done.extend(self._end_run(desk, now))
-        self._mark(desk)
+        if not reporter.waiting and not reporter.pending():
+            done.extend(self._end_run(reporter, now))
+        self._mark(reporter)
         return tuple(done)
 
-    def _mark(self, desk: AccountDraws) -> None:
-        if desk.is_busy():
-            self._busy[desk.account] = desk
+    def _mark(self, reporter: AccountDraws) -> None:
+        if reporter.is_busy():
+            self._busy[reporter.account] = reporter
 
-    def _end_run(self, desk: AccountDraws, now: float) -> Actions:
-        desk.end_run()
-        if self._draws.pace(desk).chunk(desk.demand.rate(now)):
+    def _end_run(self, reporter: AccountDraws, now: float) -> Actions:
+        reporter.end_run()
+        if self._draws.pace(reporter).chunk(reporter.demand.rate(now)):
             return ()
-        return _give_back(desk) if desk.wallet.balance(now) else ()
+        return _give_back(reporter) if reporter.borrowed.balance(now) else ()
 
-    def _give_up(self, desk: AccountDraws, now: float) -> Actions:
-        if desk.answered:
-            desk.refuse_until = now + self._draws.pace(desk).dry_seconds
-        is_final = desk.answered or not self._draws.order(desk, now)
+    def _give_up(self, reporter: AccountDraws, now: float) -> Actions:
+        if reporter.answered:
+            reporter.refuse_until = now + self._draws.pace(reporter).dry_seconds
+        is_final = reporter.answered or not self._draws.order(reporter, now)
         done: list[TokenAction] = []
-        while desk.waiting:
-            if not is_final and desk.waiting[0].since > desk.round_at:
+        while reporter.waiting:
+            if not is_final and reporter.waiting[0].since > reporter.round_at:
                 break
             done.append(
-                _refuse(self._draws.pace(desk), desk.waiting.popleft().req_id)
+                _refuse(
+                    self._draws.pace(reporter),
+                    reporter.waiting.popleft().req_id,
+                )
             )
-        desk.end_run()
-        done.extend(_give_back(desk))
+        reporter.end_run()
+        done.extend(_give_back(reporter))
         return tuple(done)
 
     def _refuse_all(self) -> Actions:
         refused: list[TokenAction] = []
-        for desk in self._desks.values():
+        for reporter in self._desks.values():
             refused.extend(
-                _refuse(self._draws.pace(desk), req.req_id)
-                for req in desk.waiting
+                _refuse(self._draws.pace(reporter), req.req_id)
+                for req in reporter.waiting
             )
-            desk.waiting.clear()
+            reporter.waiting.clear()
         return tuple(refused)
 
     def _sweep(self, now: float) -> None:
         self._swept_at = now
-        for desk in tuple(self._desks.values()):
-            desk.wallet.balance(now)
-            if desk.is_idle(now, IDLE_SECONDS):
-                self._desks.pop(desk.account)
+        for reporter in tuple(self._desks.values()):
+            reporter.borrowed.balance(now)
+            if reporter.is_idle(now, IDLE_SECONDS):
+                self._desks.pop(reporter.account)
 
 
 def _refuse(pace: Pace, req_id: str) -> Refused:
     return Refused(req_id, pace.retry_after_seconds)
 
 
-def _settle(desk: AccountDraws, now: float) -> tuple[Send, ...]:
-    if now < desk.settle_at:
+def _settle(reporter: AccountDraws, now: float) -> tuple[Send, ...]:
+    if now < reporter.settle_at:
         return ()
-    desk.settle_at = math.inf
-    desk.wallet.balance(now)
+    reporter.settle_at = math.inf
+    reporter.borrowed.balance(now)
     return tuple(
-        Send(name, SpentReports(desk.account, desk.wallet.report(name)))
-        for name in desk.wallet.unreported()
+        Send(
+            name, SpentReports(reporter.account, reporter.borrowed.report(name))
+        )
+        for name in reporter.borrowed.unreported()
     )
 
 
-def _give_back(desk: AccountDraws) -> tuple[Send, ...]:
+def _give_back(reporter: AccountDraws) -> tuple[Send, ...]:
     return tuple(
-        Send(name, SpentReports(desk.account, desk.wallet.close(name)))
-        for name in desk.wallet.holders()
+        Send(
+            name, SpentReports(reporter.account, reporter.borrowed.close(name))
+        )
+        for name in reporter.borrowed.holders()
     )
 
 
--- a/src/clementinedeal/_cancels.py
+++ b/src/clementinedeal/_cancels.py
@@ -25,7 +25,7 @@
         send: Callable[[Send], None],
         cancel_here: Callable[[CancelExecution], CancelAnswer],
     ) -> None:
-        """Create the desk.
+        """Create without pending cancels.
 
         :param send: hands a message to another instance.
         :param cancel_here: cancels an attempt at this owner.
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -30,16 +30,16 @@
 from clementinedeal._hub import Hub
 from clementinedeal._kernel import Kernel
 from clementinedeal._key_rotation import KeyRotation, Reload
+from clementinedeal._managers import ManagerContext, Managers
 from clementinedeal._messages import Send
 from clementinedeal._metrics import Metrics
 from clementinedeal._model import Config
-from clementinedeal._offices import OfficeContext, Offices
 from clementinedeal._operator import Operator
 from clementinedeal._platform import HttpPlatform
 from clementinedeal._platform_reads import PlatformReads
 from clementinedeal._pool import ConnPool
 from clementinedeal._settings import DaemonSettings
-from clementinedeal._status import StatusDesk
+from clementinedeal._status import StatusReporter
 from clementinedeal._timers import MonotonicClock, Timers
 from clementinedeal._view_actions import (
     ConfigInForce,
@@ -75,7 +75,7 @@
         dispatcher = Dispatcher()
         self._kernel = Kernel()
         timers = self._kernel.register('timers', Timers(clock))
-        self._shared = OfficeContext(
+        self._shared = ManagerContext(
             settings=settings,
             clock=clock,
             hub=Hub(timers, dispatcher),
@@ -144,7 +144,7 @@
             directory=directory,
             view=EntryView(settings.instance, shared.fleet, shared.clock, rng),
             cancels=Cancels(control.send, self._cancel_here),
-            status=StatusDesk(shared, directory),
+            status=StatusReporter(shared, directory),
         )
 
     def _subscribe(self) -> None:
@@ -243,10 +243,10 @@
             self._shared.hub.take_config(cfg)
 
     def _open(self, cfg: Config) -> None:
-        offices = Offices(self._shared, cfg)
-        self._front_context.status.offices = offices
-        self._front_context.view.holders = offices.holders
-        self._front = Front(self._front_context, offices)
+        managers = Managers(self._shared, cfg)
+        self._front_context.status.managers = managers
+        self._front_context.view.holders = managers.holders
+        self._front = Front(self._front_context, managers)
         self._front_context.status.owner = self._front.owner
         self._configured.set()
 
--- a/src/clementinedeal/_draw_plan.py
+++ b/src/clementinedeal/_draw_plan.py
@@ -6,11 +6,11 @@
     Draw,
     DrawRequest,
 )
+from clementinedeal._holder_order import Siblings
 from clementinedeal._holdings import MILLIS_PER_SECOND, Holdings
 from clementinedeal._leases import LEASE_TTL_SECONDS, UNIT_MICROS, LeaseId
 from clementinedeal._messages import Send
-from clementinedeal._pace import Pace
-from clementinedeal._siblings import Siblings
+from clementinedeal._token_amounts import Pace
 
 LOW_SECONDS = 0.25
 ROUND_SIZES = (1, 2, 4)
@@ -32,78 +32,85 @@
         self._holdings = holdings
         self._seq = 0
 
-    def pace(self, desk: AccountDraws) -> Pace:
+    def pace(self, reporter: AccountDraws) -> Pace:
         """Return the pace of an account under the version in force."""
-        return Pace(self._holdings.cfg.accounts.get(desk.account))
+        return Pace(self._holdings.cfg.accounts.get(reporter.account))
 
-    def order(self, desk: AccountDraws, now: float) -> list[str]:
+    def order(self, reporter: AccountDraws, now: float) -> list[str]:
         """Return the other holders, best first.
 
-        :param desk: the account's state.
+        :param reporter: the account's state.
         :param now: monotonic seconds.
         """
-        holders = self._holdings.views.table.find(desk.account).holders
-        return self.siblings.order(desk, holders, now)
+        holders = self._holdings.views.table.find(reporter.account).holders
+        return self.siblings.order(reporter, holders, now)
 
     def next_round(
         self,
-        desk: AccountDraws,
+        reporter: AccountDraws,
         now: float,
     ) -> tuple[Send, ...]:
         """Ask holders not yet asked; nothing when there are no more.
 
-        :param desk: the account's state, with requests waiting.
+        :param reporter: the account's state, with requests waiting.
         :param now: monotonic seconds.
         """
-        if desk.rounds >= len(ROUND_SIZES):
+        if reporter.rounds >= len(ROUND_SIZES):
             return ()
-        size = ROUND_SIZES[desk.rounds]
+        size = ROUND_SIZES[reporter.rounds]
         names = [
-            name for name in self.order(desk, now) if name not in desk.asked
+            name
+            for name in self.order(reporter, now)
+            if name not in reporter.asked
         ]
         if names:
-            desk.rounds += 1
-            desk.round_at = now
-        mint = self._holdings.find(desk.account, now)
-        have = desk.available(mint, now)
-        need = len(desk.waiting) * UNIT_MICROS - have
-        return tuple(self._draw(desk, name, need, now) for name in names[:size])
+            reporter.rounds += 1
+            reporter.round_at = now
+        lender = self._holdings.find(reporter.account, now)
+        have = reporter.available(lender, now)
+        need = len(reporter.waiting) * UNIT_MICROS - have
+        return tuple(
+            self._draw(reporter, name, need, now) for name in names[:size]
+        )
 
-    def prefetch(self, desk: AccountDraws, now: float) -> tuple[Send, ...]:
+    def prefetch(self, reporter: AccountDraws, now: float) -> tuple[Send, ...]:
         """Ask for a chunk before a large account runs out here.
 
-        :param desk: the account's state.
+        :param reporter: the account's state.
         :param now: monotonic seconds.
         """
-        demand = desk.demand.rate(now)
-        if not self.pace(desk).chunk(demand) or desk.is_drawing():
+        demand = reporter.demand.rate(now)
+        if not self.pace(reporter).chunk(demand) or reporter.is_drawing():
             return ()
-        mint = self._holdings.find(desk.account, now)
-        if desk.available(mint, now) >= demand * LOW_SECONDS * UNIT_MICROS:
+        lender = self._holdings.find(reporter.account, now)
+        if (
+            reporter.available(lender, now)
+            >= demand * LOW_SECONDS * UNIT_MICROS
+        ):
             return ()
-        names = self.order(desk, now)
-        if not names or now < desk.dry.get(names[0], 0):
+        names = self.order(reporter, now)
+        if not names or now < reporter.dry.get(names[0], 0):
             return ()
-        return (self._draw(desk, names[0], 0, now),)
+        return (self._draw(reporter, names[0], 0, now),)
 
     def _draw(
         self,
-        desk: AccountDraws,
+        reporter: AccountDraws,
         holder: str,
         need: int,
         now: float,
     ) -> Send:
-        want = max(need, self.pace(desk).chunk(desk.demand.rate(now)))
+        want = max(need, self.pace(reporter).chunk(reporter.demand.rate(now)))
         ttl = LEASE_TTL_SECONDS if want > need else DRAW_TTL_SECONDS
         self._seq += 1
-        desk.asked.add(holder)
-        desk.draws[self._seq] = Draw(holder, need, now, now + ttl)
+        reporter.asked.add(holder)
+        reporter.draws[self._seq] = Draw(holder, need, now, now + ttl)
         body = DrawRequest(
-            desk.account,
+            reporter.account,
             LeaseId(self._me, self.incarnation, self._seq),
             need,
             want,
             int(ttl * MILLIS_PER_SECOND),
-            desk.wallet.report(holder),
+            reporter.borrowed.report(holder),
         )
         return Send(holder, body)
--- a/src/clementinedeal/_draws.py
+++ b/src/clementinedeal/_draws.py
@@ -4,9 +4,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from clementinedeal._leases import LeaseId, LeaseReport, Mint
+from clementinedeal._borrowed import BorrowedUnits
+from clementinedeal._leases import LeaseId, LeaseReport, Lender
 from clementinedeal._messages import Send, message
-from clementinedeal._wallet import Wallet
 
 DRAW_TIMEOUT_SECONDS = 0.05
 DRAW_LIMIT_SECONDS = 0.2
@@ -118,7 +118,7 @@
     """What an owner keeps for one account with recent demand."""
 
     account: str
-    wallet: Wallet = field(default_factory=Wallet)
+    borrowed: BorrowedUnits = field(default_factory=BorrowedUnits)
     waiting: deque[Waiting] = field(default_factory=deque)
     draws: dict[int, Draw] = field(default_factory=dict)
     demand: Demand = field(default_factory=Demand)
@@ -143,7 +143,7 @@
         :param idle_seconds: time without a request.
         """
         unused = now - self.used_at >= idle_seconds
-        return unused and not self.is_busy() and not self.wallet.holders()
+        return unused and not self.is_busy() and not self.borrowed.holders()
 
     def pending(self) -> int:
         """Return how many draws with requests behind them are unanswered."""
@@ -157,29 +157,29 @@
         """Tell whether any draw is unanswered."""
         return any(not draw.abandoned for draw in self.draws.values())
 
-    def spend(self, amount: int, mint: Mint | None, now: float) -> bool:
+    def spend(self, amount: int, lender: Lender | None, now: float) -> bool:
         """Spend borrowed units first, then own ones; all or nothing.
 
         :param amount: micro-units.
-        :param mint: this instance's own share if it may be used now.
+        :param lender: this instance's own share if it may be used now.
         :param now: monotonic seconds.
         """
-        borrowed = min(amount, self.wallet.balance(now))
+        borrowed = min(amount, self.borrowed.balance(now))
         own = amount - borrowed
-        if own > _level(mint):
+        if own > _level(lender):
             return False
-        self.wallet.spend(borrowed)
-        if mint and own:
-            mint.spend(own)
+        self.borrowed.spend(borrowed)
+        if lender and own:
+            lender.spend(own)
         return True
 
-    def available(self, mint: Mint | None, now: float) -> int:
+    def available(self, lender: Lender | None, now: float) -> int:
         """Return the micro-units that could be spent now.
 
-        :param mint: this instance's own share if it may be used now.
+        :param lender: this instance's own share if it may be used now.
         :param now: monotonic seconds.
         """
-        return self.wallet.balance(now) + _level(mint)
+        return self.borrowed.balance(now) + _level(lender)
 
     def end_run(self) -> None:
         """Forget whom the last requests asked."""
@@ -206,5 +206,5 @@
         return tuple(late)
 
 
-def _level(mint: Mint | None) -> int:
-    return mint.level if mint else 0
+def _level(lender: Lender | None) -> int:
+    return lender.level if lender else 0
--- a/src/clementinedeal/_ejection.py
+++ b/src/clementinedeal/_ejection.py
@@ -5,9 +5,9 @@
 
 from clementinedeal._detector import DetectorSettings
 from clementinedeal._health import Outcome
-from clementinedeal._holders import Holders
 from clementinedeal._messages import Send
 from clementinedeal._model import Config, Target
+from clementinedeal._permit_holders import Holders
 from clementinedeal._reporter import Reporter
 from clementinedeal._reports import PermitAnswer, TargetReport
 from clementinedeal._standing import Standing
@@ -20,7 +20,7 @@
 Action = Send | Change
 
 
-class EjectionOffice:
+class EjectionManager:
     """Owner's side for each owned target, and the holders placed here."""
 
     def __init__(
--- a/src/clementinedeal/_front.py
+++ b/src/clementinedeal/_front.py
@@ -19,13 +19,13 @@
 )
 from clementinedeal._http import HttpLimits
 from clementinedeal._http_server import HttpServer
-from clementinedeal._offices import OfficeContext, Offices
+from clementinedeal._managers import ManagerContext, Managers
 from clementinedeal._owner import Owner, OwnerParts
 from clementinedeal._pool import ConnPool
 from clementinedeal._prober import Prober
 from clementinedeal._recorder import MetricsRecorder
 from clementinedeal._settings import Limits
-from clementinedeal._status import StatusDesk
+from clementinedeal._status import StatusReporter
 from clementinedeal._target_call import TargetCaller
 
 
@@ -33,31 +33,31 @@
 class FrontContext:
     """What the serving side works with."""
 
-    shared: OfficeContext
+    shared: ManagerContext
     pool: ConnPool
     keyring: Keyring
     executions: ExecutionTable
     directory: Directory
     view: EntryView
     cancels: Cancels
-    status: StatusDesk
+    status: StatusReporter
 
 
 class Front:
-    """Built when the offices exist; listens from ``start`` on."""
+    """Built when the managers exist; listens from ``start`` on."""
 
-    def __init__(self, context: FrontContext, offices: Offices) -> None:
+    def __init__(self, context: FrontContext, managers: Managers) -> None:
         """Build owner, entry and servers.
 
         :param context: collaborators.
-        :param offices: decide.
+        :param managers: decide.
         """
         self._context = context
-        self.owner = self._build_owner(offices)
+        self.owner = self._build_owner(managers)
         self._prober = Prober(
             context.pool,
-            offices.leaving_targets,
-            offices.note_back,
+            managers.leaving_targets,
+            managers.note_back,
         )
         parts = PeerParts(
             keyring=context.keyring,
@@ -66,7 +66,7 @@
             on_outcome=context.view.on_outcome,
             on_unreachable=context.view.on_unreachable,
         )
-        entry = self._build_entry(offices, PeerClient(parts))
+        entry = self._build_entry(managers, PeerClient(parts))
         peer = PeerServer(
             parts,
             Ownership(
@@ -102,21 +102,21 @@
             for server in self._servers:
                 nursery.start_soon(server.stop, seconds)
 
-    def _build_owner(self, offices: Offices) -> Owner:
+    def _build_owner(self, managers: Managers) -> Owner:
         context = self._context
         return Owner(
             OwnerParts(
                 clock=context.shared.clock,
                 events=context.shared.events,
                 executions=context.executions,
-                tokens=offices.tokens,
-                slots=offices.slots,
-                watcher=offices.watcher,
+                tokens=managers.tokens,
+                slots=managers.slots,
+                watcher=managers.watcher,
                 caller=TargetCaller(context.pool),
             ),
         )
 
-    def _build_entry(self, offices: Offices, peers: PeerClient) -> Entry:
+    def _build_entry(self, managers: Managers, peers: PeerClient) -> Entry:
         shared = self._context.shared
         return Entry(
             EntryParts(
@@ -127,7 +127,7 @@
                 owner=self.owner,
                 peers=peers,
                 remote=self._context.cancels,
-                idempotency=offices.keys,
+                idempotency=managers.keys,
                 recorder=MetricsRecorder(shared.metrics, shared.clock),
                 max_body_bytes=shared.settings.limits.max_body_bytes,
             ),
--- a/src/clementinedeal/_siblings.py
+++ b/src/clementinedeal/_holder_order.py
@@ -47,13 +47,13 @@
 
     def order(
         self,
-        desk: AccountDraws,
+        reporter: AccountDraws,
         holders: tuple[str, ...],
         now: float,
     ) -> list[str]:
         """Order the other holders; suspects only when there is no other.
 
-        :param desk: the account's state at this owner.
+        :param reporter: the account's state at this owner.
         :param holders: all holders of the account.
         :param now: monotonic seconds.
         """
@@ -63,18 +63,18 @@
             self._near[holders] = near
         answering = [name for name in near if not self._is_suspect(name, now)]
         chosen = answering or near
-        if not desk.levels:
+        if not reporter.levels:
             return chosen
-        return sorted(chosen, key=lambda name: self._cost(desk, name, now))
+        return sorted(chosen, key=lambda name: self._cost(reporter, name, now))
 
     def _cost(
         self,
-        desk: AccountDraws,
+        reporter: AccountDraws,
         name: str,
         now: float,
     ) -> tuple[bool, bool, int]:
-        is_dry = now < desk.dry.get(name, 0)
-        level = desk.levels.get(name, UNKNOWN_LEVEL)
+        is_dry = now < reporter.dry.get(name, 0)
+        level = reporter.levels.get(name, UNKNOWN_LEVEL)
         return is_dry, not self._is_in_region(name), -level
 
     def _is_suspect(self, name: str, now: float) -> bool:
--- a/src/clementinedeal/_holdings.py
+++ b/src/clementinedeal/_holdings.py
@@ -1,7 +1,7 @@
 """The holder's side: this instance's shares of many accounts."""
 
 from clementinedeal._draws import DrawGrant, DrawRequest
-from clementinedeal._leases import LEASE_TTL_SECONDS, LeaseReport, Mint
+from clementinedeal._leases import LEASE_TTL_SECONDS, LeaseReport, Lender
 from clementinedeal._model import Config
 from clementinedeal._share_views import ShareViews
 
@@ -10,7 +10,7 @@
 
 
 class Holdings:
-    """Mints of the accounts that this instance holds a share of.
+    """Lenders of the accounts that this instance holds a share of.
 
     While not fresh, nothing is made, lent or spent.
     """
@@ -32,7 +32,7 @@
         """
         self.views = ShareViews(me, cfg, now, known_for)
         self.is_fresh = False
-        self._mints: dict[str, Mint] = {}
+        self._lenders: dict[str, Lender] = {}
         self._next_change = float('inf')
         self._dropped_at = now
 
@@ -41,8 +41,8 @@
         """Return the version in force."""
         return self.views.table.cfg
 
-    def find(self, account: str, now: float) -> Mint | None:
-        """Return the mint of an account, brought up to now.
+    def find(self, account: str, now: float) -> Lender | None:
+        """Return the lender of an account, brought up to now.
 
         :param account: name of the account.
         :param now: monotonic seconds.
@@ -51,10 +51,10 @@
             return None
         if now >= self._next_change:
             self._reshape(now)
-        mint = self._mints.get(account) or self._create(account, now)
-        if mint:
-            mint.advance(now)
-        return mint
+        lender = self._lenders.get(account) or self._create(account, now)
+        if lender:
+            lender.advance(now)
+        return lender
 
     def lend(self, body: DrawRequest, now: float) -> DrawGrant:
         """Answer a draw.
@@ -63,15 +63,15 @@
         :param now: monotonic seconds.
         """
         self.settle(body.account, body.reports, now)
-        mint = self.find(body.account, now)
+        lender = self.find(body.account, now)
         ttl = body.ttl_millis / MILLIS_PER_SECOND
-        if mint is None or ttl > LEASE_TTL_SECONDS:
+        if lender is None or ttl > LEASE_TTL_SECONDS:
             return DrawGrant(body.account, body.lease, 0, 0)
-        needed = min(body.need, mint.level)
-        surplus = (mint.level - needed) // SURPLUS_DIVISOR
+        needed = min(body.need, lender.level)
+        surplus = (lender.level - needed) // SURPLUS_DIVISOR
         amount = needed + max(0, min(body.want - needed, surplus))
-        granted = mint.lend(body.lease, amount, ttl, now)
-        return DrawGrant(body.account, body.lease, granted, mint.level)
+        granted = lender.lend(body.lease, amount, ttl, now)
+        return DrawGrant(body.account, body.lease, granted, lender.level)
 
     def settle(
         self,
@@ -85,13 +85,13 @@
         :param reports: about leases of the sender.
         :param now: monotonic seconds.
         """
-        mint = self._mints.get(account)
-        if mint is None:
+        lender = self._lenders.get(account)
+        if lender is None:
             return
         if self.find(account, now) is None:
-            mint.skip(now)
+            lender.skip(now)
         for report in reports:
-            mint.settle(report)
+            lender.settle(report)
 
     def set_fresh(self, is_fresh: bool, now: float) -> None:
         """Start or stop making and lending.
@@ -101,11 +101,11 @@
         """
         if is_fresh == self.is_fresh:
             return
-        for mint in self._mints.values():
+        for lender in self._lenders.values():
             if self.is_fresh:
-                mint.advance(now)
+                lender.advance(now)
             else:
-                mint.skip(now)
+                lender.skip(now)
         self.is_fresh = is_fresh
 
     def on_config(self, cfg: Config, now: float, known_for: float) -> None:
@@ -119,7 +119,7 @@
             self.views.add(cfg, now)
         else:
             self.views.reset(cfg, now, known_for)
-            self._mints.clear()
+            self._lenders.clear()
         self._reshape(now)
 
     def drop(self, now: float) -> None:
@@ -129,28 +129,28 @@
         """
         self.is_fresh = False
         self._dropped_at = now
-        for mint in self._mints.values():
-            mint.drop(now)
+        for lender in self._lenders.values():
+            lender.drop(now)
 
-    def _create(self, account: str, now: float) -> Mint | None:
+    def _create(self, account: str, now: float) -> Lender | None:
         share = self.views.effective(account, now)
         if not share.burst:
             return None
         lasting = self.views.lasting(account)
-        mint = Mint(
+        lender = Lender(
             capacity=lasting.burst,
             rate=lasting.rate,
             now=max(self.views.ready_at(), self._dropped_at),
         )
-        mint.reshape(capacity=share.burst, rate=share.rate, now=now)
-        self._mints[account] = mint
-        return mint
+        lender.reshape(capacity=share.burst, rate=share.rate, now=now)
+        self._lenders[account] = lender
+        return lender
 
     def _reshape(self, now: float) -> None:
         self.views.forget(now)
         self._next_change = self.views.next_change(now)
-        for account, mint in tuple(self._mints.items()):
+        for account, lender in tuple(self._lenders.items()):
             share = self.views.effective(account, now)
-            mint.reshape(capacity=share.burst, rate=share.rate, now=now)
-            if not share.burst and not mint.lent:
-                self._mints.pop(account)
+            lender.reshape(capacity=share.burst, rate=share.rate, now=now)
+            if not share.burst and not lender.lent:
+                self._lenders.pop(account)
--- a/src/clementinedeal/_idempotency.py
+++ b/src/clementinedeal/_idempotency.py
@@ -63,7 +63,7 @@
     return parsed.int >> (_UUID_BITS - _UUID7_TIME_BITS)
 
 
-class IdempotencyOffice:
+class IdempotencyManager:
     """Claims keys for this entry's requests and keeps its share of keys.
 
     A request with a key may run only after ``ClaimGranted``.
--- a/src/clementinedeal/_idempotency_gate.py
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -10,7 +10,7 @@
 from clementinedeal._dispatch import Dispatcher, Waiters
 from clementinedeal._exchange import Finished
 from clementinedeal._http import Headers, ResponseHead, end_to_end
-from clementinedeal._idempotency import IdempotencyOffice
+from clementinedeal._idempotency import IdempotencyManager
 from clementinedeal._incoming import Incoming
 from clementinedeal._key_messages import StoredAnswer
 from clementinedeal._refusals import Refusal
@@ -37,17 +37,17 @@
 
     def __init__(
         self,
-        office: IdempotencyOffice,
+        manager: IdempotencyManager,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
-        """Create a gate and register for the office's decisions.
+        """Create a gate and register for the manager's decisions.
 
-        :param office: decides.
-        :param dispatcher: performs what the office decides.
-        :param clock: the office's time.
+        :param manager: decides.
+        :param dispatcher: performs what the manager decides.
+        :param clock: the manager's time.
         """
-        self._office = office
+        self._manager = manager
         self._dispatcher = dispatcher
         self._clock = clock
         self._waiters: Waiters[_Decision] = Waiters()
@@ -69,7 +69,7 @@
         self._waiters.expect(incoming.req_id)
         now = self._clock.now()
         self._perform(
-            self._office.claim(
+            self._manager.claim(
                 incoming.req_id,
                 incoming.account,
                 incoming.idempotency_key,
@@ -102,7 +102,7 @@
         answer = _stored(finished.answer) if finished.answer else None
         now = self._clock.now()
         self._perform(
-            self._office.complete(incoming.req_id, verdict, answer, now),
+            self._manager.complete(incoming.req_id, verdict, answer, now),
         )
 
     async def _decision(self, req_id: str) -> _Decision:
@@ -111,7 +111,7 @@
         except trio.Cancelled:
             now = self._clock.now()
             self._perform(
-                self._office.complete(req_id, Verdict.NOT_RUN, None, now),
+                self._manager.complete(req_id, Verdict.NOT_RUN, None, now),
             )
             raise
 
--- a/src/clementinedeal/_leases.py
+++ b/src/clementinedeal/_leases.py
@@ -1,9 +1,9 @@
 """Conserved units that one holder lends to many borrowers for a time.
 
-A ``Mint`` makes units at a fixed rate up to a capacity. At every moment its
+A ``Lender`` makes units at a fixed rate up to a capacity. At every moment its
 level plus what it has lent, and cannot prove gone, is at most the capacity.
-A ``Wallet``
-(``_wallet``) is the borrower's side. Messages may be lost, repeated, late or
+A ``BorrowedUnits``
+(``_borrowed``) is the borrower's side. Messages may be lost, repeated, late or
 out of order: each can only lose units.
 
 Amounts are integer micro-units, times are monotonic seconds of the caller's
@@ -60,7 +60,7 @@
         return self.granted - self.spent
 
 
-class Mint:
+class Lender:
     """The holder's side of one share."""
 
     def __init__(self, *, capacity: int, rate: int, now: float) -> None:
--- a/src/clementinedeal/_offices.py
+++ b/src/clementinedeal/_managers.py
@@ -3,10 +3,10 @@
 from dataclasses import dataclass
 
 from clementinedeal._dispatch import Dispatcher
-from clementinedeal._ejection import EjectionOffice
+from clementinedeal._ejection import EjectionManager
 from clementinedeal._events import EventLog, wall_ms
 from clementinedeal._hub import Hub
-from clementinedeal._idempotency import IdempotencyOffice
+from clementinedeal._idempotency import IdempotencyManager
 from clementinedeal._idempotency_gate import KeyGate
 from clementinedeal._metrics import Metrics
 from clementinedeal._model import Config, Target
@@ -18,8 +18,8 @@
     TargetState,
 )
 from clementinedeal._timers import Clock
-from clementinedeal._token_gate import OfficeTokenGate
-from clementinedeal._tokens import TokenOffice
+from clementinedeal._token_gate import ManagedTokenGate
+from clementinedeal._tokens import TokenManager
 from clementinedeal._views import FleetView
 from clementinedeal._watcher import TargetWatcher
 
@@ -31,8 +31,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OfficeContext:
-    """What the offices share."""
+class ManagerContext:
+    """What the managers share."""
 
     settings: DaemonSettings
     clock: Clock
@@ -43,11 +43,11 @@
     fleet: FleetView
 
 
-class Offices:
+class Managers:
     """Built when the first configuration comes into force."""
 
-    def __init__(self, context: OfficeContext, cfg: Config) -> None:
-        """Build the offices and subscribe them.
+    def __init__(self, context: ManagerContext, cfg: Config) -> None:
+        """Build the managers and subscribe them.
 
         :param context: what they share.
         :param cfg: the first configuration.
@@ -57,13 +57,13 @@
         self._relatives = self._find_relatives()
         now = context.clock.now()
         me = context.settings.instance
-        self.ejection = EjectionOffice(
+        self.ejection = EjectionManager(
             me,
             cfg,
             now,
             incarnation=context.fleet.incarnation(me),
         )
-        idempotency = IdempotencyOffice(me, cfg, now, wall_ms=wall_ms)
+        idempotency = IdempotencyManager(me, cfg, now, wall_ms=wall_ms)
         idempotency.set_fresh(context.fleet.is_fresh(now), now)
         self.keys = KeyGate(idempotency, context.dispatcher, context.clock)
         self.watcher = TargetWatcher(
@@ -72,14 +72,14 @@
             context.dispatcher,
             context.metrics,
         )
-        tokens = TokenOffice(
+        tokens = TokenManager(
             me,
             cfg,
             now,
             incarnation=context.fleet.incarnation(me),
             known_for=context.fleet.known_for(now),
         )
-        self.tokens = OfficeTokenGate(
+        self.tokens = ManagedTokenGate(
             tokens,
             context.dispatcher,
             context.clock,
@@ -93,18 +93,18 @@
         context.dispatcher.register(TargetReinstated, self._note_reinstated)
 
     def _subscribe_ejection(self, hub: Hub) -> None:
-        office = self.ejection
-        hub.on_message.append(office.on_message)
+        manager = self.ejection
+        hub.on_message.append(manager.on_message)
         hub.every(DETECTION_SECONDS, self.watcher.report_in_flight)
         hub.every(ABSENCE_SECONDS, self._note_absent)
-        hub.every(DETECTION_SECONDS, office.on_tick)
+        hub.every(DETECTION_SECONDS, manager.on_tick)
         hub.every(WAITING_SECONDS, self.slots.on_tick)
         hub.on_config.append(self._note_config)
-        hub.on_config.append(office.on_config)
+        hub.on_config.append(manager.on_config)
         hub.on_config.append(self.slots.on_config)
-        hub.on_pause.append(office.on_pause)
-        hub.on_fresh.append(office.set_fresh)
-        hub.on_stop.append(office.stop)
+        hub.on_pause.append(manager.on_pause)
+        hub.on_fresh.append(manager.set_fresh)
+        hub.on_stop.append(manager.stop)
 
     def leaving_targets(self) -> tuple[Target, ...]:
         """Return the owned targets that take no new work."""
@@ -125,32 +125,32 @@
         self._context.dispatcher.perform(self.ejection.on_cold(target, now))
         self._context.events.emit('target-back', target=target)
 
-    def _subscribe_tokens(self, hub: Hub, office: TokenOffice) -> None:
-        hub.on_message.append(office.on_message)
-        hub.every(WAITING_SECONDS, office.on_tick)
+    def _subscribe_tokens(self, hub: Hub, manager: TokenManager) -> None:
+        hub.on_message.append(manager.on_message)
+        hub.every(WAITING_SECONDS, manager.on_tick)
         fleet = self._context.fleet
         hub.on_config.append(
-            lambda cfg, now: office.on_config(cfg, now, fleet.known_for(now)),
+            lambda cfg, now: manager.on_config(cfg, now, fleet.known_for(now)),
         )
-        hub.on_pause.append(office.on_pause)
-        # The office forgets its freshness in pauses that nobody else notices.
+        hub.on_pause.append(manager.on_pause)
+        # The manager forgets its freshness in pauses that nobody else notices.
         hub.every(
             FRESHNESS_CHECK_SECONDS,
-            lambda now: office.set_fresh(fleet.is_fresh(now), now),
+            lambda now: manager.set_fresh(fleet.is_fresh(now), now),
         )
-        hub.on_stop.append(office.stop)
+        hub.on_stop.append(manager.stop)
 
     def _subscribe_idempotency(
         self,
         hub: Hub,
-        office: IdempotencyOffice,
+        manager: IdempotencyManager,
     ) -> None:
-        hub.on_message.append(office.on_message)
-        hub.every(KEYS_SECONDS, office.on_tick)
-        hub.on_config.append(office.on_config)
-        hub.on_pause.append(office.on_pause)
-        hub.on_fresh.append(office.set_fresh)
-        hub.on_stop.append(office.stop)
+        hub.on_message.append(manager.on_message)
+        hub.every(KEYS_SECONDS, manager.on_tick)
+        hub.on_config.append(manager.on_config)
+        hub.on_pause.append(manager.on_pause)
+        hub.on_fresh.append(manager.set_fresh)
+        hub.on_stop.append(manager.stop)
 
     def _note_config(self, cfg: Config, now: float) -> None:
         self._cfg = cfg
--- a/src/clementinedeal/_serving.py
+++ b/src/clementinedeal/_part_answers.py
@@ -13,7 +13,7 @@
 MAX_ANSWER_BYTES = 256_000
 
 
-class Serving:
+class PartAnswers:
     """Hands out what this daemon holds, also of versions not yet whole."""
 
     def __init__(self, acceptance: Acceptance, spread: Spread) -> None:
--- a/src/clementinedeal/_peers.py
+++ b/src/clementinedeal/_peer_traffic.py
@@ -18,7 +18,7 @@
     at: float
 
 
-class Peers:
+class PeerTraffic:
     """What a permit holder was told of the targets of its service."""
 
     def __init__(self) -> None:
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -8,7 +8,7 @@
 from clementinedeal._hashing import rank
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
-from clementinedeal._peers import Peers
+from clementinedeal._peer_traffic import PeerTraffic
 from clementinedeal._reports import PermitAnswer, TargetReport
 
 LEASE_SECONDS = 5.0
@@ -80,7 +80,7 @@
         self._absent: frozenset[str] = frozenset()
         self._leaving: set[str] = set()
         self._permits: dict[str, Permit] = {}
-        self._peers = Peers()
+        self._peers = PeerTraffic()
         self._ticked_at = now
         self._ceiling = Ceiling(SETTLE_SECONDS)
         self.on_config(cfg, now)
--- a/src/clementinedeal/_status.py
+++ b/src/clementinedeal/_status.py
@@ -2,18 +2,18 @@
 
 from clementinedeal._control import ControlChannel
 from clementinedeal._directory import Directory
+from clementinedeal._managers import ManagerContext, Managers
 from clementinedeal._model import Target
-from clementinedeal._offices import OfficeContext, Offices
 from clementinedeal._operator import DaemonStatus, TargetStatus
 from clementinedeal._owner import Owner
 from clementinedeal._platform import HttpPlatform
 
 
-class StatusDesk:
+class StatusReporter:
     """Gathers status and gauges from the parts."""
 
-    def __init__(self, shared: OfficeContext, directory: Directory) -> None:
-        """Create a desk.
+    def __init__(self, shared: ManagerContext, directory: Directory) -> None:
+        """Create a reporter.
 
         :param shared: settings, clock, events, metrics and fleet view.
         :param directory: configuration in force.
@@ -21,7 +21,7 @@
         self.listening = False
         self.draining = False
         self.rejected = ''
-        self.offices: Offices | None = None
+        self.managers: Managers | None = None
         self.owner: Owner | None = None
         self._shared = shared
         self._directory = directory
@@ -31,10 +31,10 @@
 
         :param name: the target.
         """
-        if self.offices is None:
+        if self.managers is None:
             return 0, 'unknown'
-        state = self.offices.watcher.state(name)
-        return self.offices.slots.load(name), state
+        state = self.managers.watcher.state(name)
+        return self.managers.slots.load(name), state
 
     def status(self) -> DaemonStatus:
         """Describe the daemon."""
--- a/src/clementinedeal/_token_gate.py
+++ b/src/clementinedeal/_token_gate.py
@@ -1,4 +1,4 @@
-"""Makes requests wait for what the token office decides."""
+"""Makes requests wait for what the token manager decides."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -8,26 +8,26 @@
 from clementinedeal._draws import Refused as TokenRefused
 from clementinedeal._replies import Refused
 from clementinedeal._timers import Clock
-from clementinedeal._tokens import TokenOffice
+from clementinedeal._tokens import TokenManager
 from clementinedeal._verdict import Reason, Verdict
 
 
-class OfficeTokenGate:
-    """Takes tokens from an office for one request at a time."""
+class ManagedTokenGate:
+    """Takes tokens from an manager for one request at a time."""
 
     def __init__(
         self,
-        office: TokenOffice,
+        manager: TokenManager,
         dispatcher: Dispatcher,
         clock: Clock,
     ) -> None:
-        """Create a gate and register for the office's decisions.
+        """Create a gate and register for the manager's decisions.
 
-        :param office: decides.
-        :param dispatcher: performs what the office decides.
-        :param clock: the office's time.
+        :param manager: decides.
+        :param dispatcher: performs what the manager decides.
+        :param clock: the manager's time.
         """
-        self._office = office
+        self._manager = manager
         self._dispatcher = dispatcher
         self._clock = clock
         self._waiters: Waiters[Refused | None] = Waiters()
@@ -42,10 +42,10 @@
         """
         self._waiters.expect(req_id)
         try:
-            self._perform(self._office.take(req_id, account, self._now()))
+            self._perform(self._manager.take(req_id, account, self._now()))
             return await self._waiters.wait(req_id)
         except BaseException:
-            self._office.cancel(req_id, account)
+            self._manager.cancel(req_id, account)
             raise
 
     def _admitted(self, action: Admitted) -> None:
--- a/src/clementinedeal/_tokens.py
+++ b/src/clementinedeal/_tokens.py
@@ -20,7 +20,7 @@
 GAP_SECONDS = 2 * PAUSE_SECONDS
 
 
-class TokenOffice:
+class TokenManager:
     """Takes, lends and draws the tokens of all accounts for one daemon.
 
     The transport calls ``on_tick`` at least every 50 ms. A gap between two
@@ -78,10 +78,10 @@
         return self._borrowing.cancel(req_id, account)
 
     def on_message(self, sender: str, body: Any, now: float) -> Actions:
-        """Handle a control message of another instance's office.
+        """Handle a control message of another instance's manager.
 
         :param sender: its authenticated name.
-        :param body: any message; others than the office's are ignored.
+        :param body: any message; others than the manager's are ignored.
         :param now: monotonic seconds.
         """
         before = self._watch(now)
--- a/src/clementinedeal/_validation.py
+++ b/src/clementinedeal/_validation.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 
 from clementinedeal._addresses import is_address
-from clementinedeal._faults import (
+from clementinedeal._entry_checks import (
     Fault,
     account_faults,
     is_name,
--- a/src/clementinedeal/_view_handlers.py
+++ b/src/clementinedeal/_view_handlers.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from clementinedeal._messages import Send
-from clementinedeal._serving import Serving
+from clementinedeal._part_answers import PartAnswers
 from clementinedeal._view_actions import PeerAddress
 from clementinedeal._view_messages import (
     Announcement,
@@ -31,14 +31,14 @@
         :param state: its view.
         """
         self._state = state
-        serving = Serving(state.acceptance, state.spread)
+        answers = PartAnswers(state.acceptance, state.spread)
         self.by_type: dict[type[Any], Handler] = {
             ViewRequest: self._on_view_request,
             ViewAnswer: self._on_view_answer,
             Announcement: self._on_announcement,
-            RootRequest: serving.on_root_request,
+            RootRequest: answers.on_root_request,
             RootAnswer: state.spread.on_root_answer,
-            PartsRequest: serving.on_parts_request,
+            PartsRequest: answers.on_parts_request,
             PartsAnswer: state.spread.on_parts_answer,
             LeavingNotice: self._on_leaving_notice,
         }
--- a/src/clementinedeal/_view_notes.py
+++ b/src/clementinedeal/_view_notes.py
@@ -3,7 +3,7 @@
 from clementinedeal._directory import Directory
 from clementinedeal._dispatch import Dispatcher
 from clementinedeal._events import EventLog
-from clementinedeal._status import StatusDesk
+from clementinedeal._status import StatusReporter
 from clementinedeal._view_actions import (
     ConfigRejected,
     InstanceLeaving,
@@ -19,7 +19,7 @@
         self,
         dispatcher: Dispatcher,
         directory: Directory,
-        status: StatusDesk,
+        status: StatusReporter,
         events: EventLog,
     ) -> None:
         """Register for the actions.
--- a/src/clementinedeal/_watcher.py
+++ b/src/clementinedeal/_watcher.py
@@ -1,11 +1,11 @@
-"""Feeds what the owner's own traffic shows to the ejection office."""
+"""Feeds what the owner's own traffic shows to the ejection manager."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from clementinedeal._dispatch import Dispatcher
-from clementinedeal._ejection import EjectionOffice
+from clementinedeal._ejection import EjectionManager
 from clementinedeal._health import Outcome, OutcomeKind
 from clementinedeal._metrics import Metrics
 from clementinedeal._replies import Answered, Refused, Reply
@@ -38,19 +38,19 @@
     def __init__(
         self,
         clock: Clock,
-        office: EjectionOffice,
+        manager: EjectionManager,
         dispatcher: Dispatcher,
         metrics: Metrics,
     ) -> None:
         """Create a watcher.
 
         :param clock: times requests.
-        :param office: learns.
-        :param dispatcher: performs what the office decides.
+        :param manager: learns.
+        :param dispatcher: performs what the manager decides.
         :param metrics: counts executions.
         """
         self._clock = clock
-        self._office = office
+        self._manager = manager
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._running: dict[str, _Started] = {}
@@ -61,7 +61,7 @@
         :param target: an owned target.
         :param idempotent: a target on trial takes only such requests.
         """
-        state = self._office.state(target)
+        state = self._manager.state(target)
         if state is TargetState.LEAVING:
             return Refused(Verdict.NOT_RUN, Reason.DRAINING)
         on_trial = state is TargetState.TRIAL and not idempotent
@@ -92,16 +92,16 @@
             idempotent=started.idempotent if started else True,
         )
         self._metrics.executions.labels(target, kind.value).inc()
-        self._perform(self._office.on_outcome(target, outcome, now))
+        self._perform(self._manager.on_outcome(target, outcome, now))
         if _says_leaving(reply):
-            self._perform(self._office.on_leaving(target, now))
+            self._perform(self._manager.on_leaving(target, now))
 
     def state(self, target: str) -> str:
         """Return the target's state at this owner."""
-        return self._office.state(target).value
+        return self._manager.state(target).value
 
     def report_in_flight(self, now: float) -> None:
-        """Tell the office what is running, so that a hang shows.
+        """Tell the manager what is running, so that a hang shows.
 
         :param now: monotonic time in seconds.
         """
@@ -109,7 +109,7 @@
         for running in self._running.values():
             started.setdefault(running.target, []).append(running.at)
         for target, times in started.items():
-            self._perform(self._office.on_inflight(target, times, now))
+            self._perform(self._manager.on_inflight(target, times, now))
 
     def _perform(self, actions: Iterable[Any]) -> None:
         self._dispatcher.perform(actions)
--- a/src/clementinedeal_bench/_decision_slopes.py
+++ b/src/clementinedeal_bench/_decision_slopes.py
@@ -7,15 +7,15 @@
 
 from clementinedeal import Config
 from clementinedeal._access import Access
-from clementinedeal._ejection import EjectionOffice
+from clementinedeal._ejection import EjectionManager
 from clementinedeal._envelope import Forward, Keyring
 from clementinedeal._executions import ExecutionTable
 from clementinedeal._health import Outcome, OutcomeKind
 from clementinedeal._http import RequestHead
-from clementinedeal._idempotency import IdempotencyOffice
+from clementinedeal._idempotency import IdempotencyManager
 from clementinedeal._queue import TargetQueue
 from clementinedeal._routing import Router
-from clementinedeal._tokens import TokenOffice
+from clementinedeal._tokens import TokenManager
 from clementinedeal_bench._slope import (
     ACCOUNT_SIZES,
     CALLS,
@@ -118,38 +118,38 @@
         cfg,
         accounts={**cfg.accounts, account: generous},
     )
-    held, office = bytes_of(
-        lambda: TokenOffice(name, cfg, 0, incarnation=1, known_for=1e6),
+    held, manager = bytes_of(
+        lambda: TokenManager(name, cfg, 0, incarnation=1, known_for=1e6),
     )
-    office.set_fresh(True, 0)
-    _pass_time(office.on_tick, WARM_SECONDS)
+    manager.set_fresh(True, 0)
+    _pass_time(manager.on_tick, WARM_SECONDS)
     cost = micros_per_call(
-        lambda number: office.take(f'r{number}', account, WARM_SECONDS),
+        lambda number: manager.take(f'r{number}', account, WARM_SECONDS),
     )
-    yield Slope('token holder', 'office', accounts, held, 'B')
+    yield Slope('token holder', 'manager', accounts, held, 'B')
     yield Slope('token holder', 'take', accounts, cost, 'us')
-    idle = micros_per_call(lambda _: office.on_tick(WARM_SECONDS))
+    idle = micros_per_call(lambda _: manager.on_tick(WARM_SECONDS))
     yield Slope('token holder', 'tick', accounts, idle, 'us')
 
 
 def _ejection_of(instances: int) -> Iterator[Slope]:
     cfg = sized_config(1_000, instances)
     name = next(iter(cfg.targets.values())).instance
-    office = EjectionOffice(name, cfg, 0)
-    office.set_fresh(True, 0)
+    manager = EjectionManager(name, cfg, 0)
+    manager.set_fresh(True, 0)
     target = next(
         one.name for one in cfg.targets.values() if one.instance == name
     )
     outcome = Outcome(OutcomeKind.OK, 0.025)
     cost = micros_per_call(
-        lambda number: office.on_outcome(
+        lambda number: manager.on_outcome(
             target, outcome, number / REQUESTS_PER_SECOND
         ),
     )
     yield Slope('owner', 'outcome', instances, cost, 'us')
     late = CALLS * ROUNDS / REQUESTS_PER_SECOND
     idle = micros_per_call(
-        lambda number: office.on_tick(late + number / 10),
+        lambda number: manager.on_tick(late + number / 10),
     )
     yield Slope('owner', 'detection tick', instances, idle, 'us')
 
@@ -169,20 +169,20 @@
 
 
 def _keys_of(entries: int) -> Iterator[Slope]:
-    office, account = _key_office(160)
+    manager, account = _key_manager(160)
 
     def fill() -> None:
         for number in range(entries):
-            office.claim(f'r{number}', account, f'k{number}', 'f', 10, 0)
+            manager.claim(f'r{number}', account, f'k{number}', 'f', 10, 0)
 
     held, _ = bytes_of(fill)
     yield Slope('keeper', 'claims from one entry', entries, held, 'B')
 
 
 def _claims_of(instances: int) -> Iterator[Slope]:
-    office, account = _key_office(instances)
+    manager, account = _key_manager(instances)
     cost = micros_per_call(
-        lambda number: office.claim(
+        lambda number: manager.claim(
             f'r{number}',
             account,
             f'k{number}',
@@ -194,15 +194,15 @@
     yield Slope('keeper', 'claim at the entry', instances, cost, 'us')
 
 
-def _key_office(instances: int) -> tuple[IdempotencyOffice, str]:
+def _key_manager(instances: int) -> tuple[IdempotencyManager, str]:
     cfg = sized_config(1_000, instances)
-    office = IdempotencyOffice('instance-000', cfg, 0, wall_ms=lambda: 0)
-    return office, next(iter(cfg.accounts))
+    manager = IdempotencyManager('instance-000', cfg, 0, wall_ms=lambda: 0)
+    return manager, next(iter(cfg.accounts))
 
 
 def _held_account(cfg: Config) -> tuple[str, str]:
     account = next(iter(cfg.accounts))
-    first = TokenOffice('instance-000', cfg, 0, incarnation=1)
+    first = TokenManager('instance-000', cfg, 0, incarnation=1)
     return first.holders(account)[0], account
 
 
--- a/src/clementinedeal_bench/_detection.py
+++ b/src/clementinedeal_bench/_detection.py
@@ -15,8 +15,8 @@
 from clementinedeal_bench._ejection_policies import (
     ConsecutiveErrors,
     FixedLatency,
+    Managers,
     NoPolicy,
-    Offices,
     Policy,
 )
 from clementinedeal_bench._model_targets import Mode, ModelTarget, Work
@@ -184,7 +184,7 @@
 
 
 def _ours(threshold: float) -> Callable[[int], Policy]:
-    return lambda size: Offices(size, size - size // OUT_RATIO, threshold)
+    return lambda size: Managers(size, size - size // OUT_RATIO, threshold)
 
 
 def report(
--- a/src/clementinedeal_bench/_ejection_policies.py
+++ b/src/clementinedeal_bench/_ejection_policies.py
@@ -4,7 +4,7 @@
 from typing import Any, Protocol
 
 from clementinedeal._detector import DetectorSettings
-from clementinedeal._ejection import Action, EjectionOffice
+from clementinedeal._ejection import Action, EjectionManager
 from clementinedeal._health import FAILURES, Outcome, OutcomeKind
 from clementinedeal._messages import Send
 from clementinedeal._model import Config, Preset, PresetName, Service, Target
@@ -127,7 +127,7 @@
             self._eject(target, now)
 
 
-class Offices:
+class Managers:
     """Ours: one daemon for each target, messages delivered at once."""
 
     def __init__(self, size: int, floor: int, threshold: float) -> None:
@@ -140,8 +140,8 @@
         self.ejections: list[str] = []
         cfg = make_config(size, floor)
         detection = DetectorSettings(threshold=threshold)
-        self._offices = {
-            number: EjectionOffice(
+        self._managers = {
+            number: EjectionManager(
                 f'i{number}',
                 cfg,
                 0.0,
@@ -150,8 +150,8 @@
             )
             for number in range(size)
         }
-        for office in self._offices.values():
-            office.set_fresh(True, 0.0)
+        for manager in self._managers.values():
+            manager.set_fresh(True, 0.0)
 
     def on_outcome(self, target: str, outcome: Outcome, now: float) -> None:
         """Tell the owner.
@@ -160,8 +160,8 @@
         :param outcome: how the request ended.
         :param now: virtual time in seconds.
         """
-        office = self._office(target)
-        self._carry(target, office.on_outcome(target, outcome, now), now)
+        manager = self._manager(target)
+        self._carry(target, manager.on_outcome(target, outcome, now), now)
 
     def on_tick(self, inflight: dict[str, list[float]], now: float) -> None:
         """Tick every daemon.
@@ -170,9 +170,9 @@
         :param now: virtual time in seconds.
         """
         for target, started in inflight.items():
-            office = self._office(target)
-            actions = office.on_inflight(target, started, now)
-            self._carry(target, actions + office.on_tick(now), now)
+            manager = self._manager(target)
+            actions = manager.on_inflight(target, started, now)
+            self._carry(target, actions + manager.on_tick(now), now)
 
     def share(self, target: str, now: float) -> float:
         """Return the owner's share.
@@ -180,10 +180,10 @@
         :param target: its name.
         :param now: virtual time in seconds.
         """
-        return self._office(target).share(target, now)
+        return self._manager(target).share(target, now)
 
-    def _office(self, name: str) -> EjectionOffice:
-        return self._offices[int(name[1:])]
+    def _manager(self, name: str) -> EjectionManager:
+        return self._managers[int(name[1:])]
 
     def _carry(self, target: str, actions: list[Action], now: float) -> None:
         for action in actions:
@@ -193,8 +193,8 @@
                 self.ejections.append(action.target)
 
     def _deliver(self, sender: str, to: str, body: Any, now: float) -> None:
-        office = self._office(to)
-        actions = office.on_message(f'i{sender[1:]}', body, now)
+        manager = self._manager(to)
+        actions = manager.on_message(f'i{sender[1:]}', body, now)
         self._carry(to, actions, now)
 
 
--- a/src/clementinedeal_bench/_token_fleet.py
+++ b/src/clementinedeal_bench/_token_fleet.py
@@ -1,4 +1,4 @@
-"""Token offices of several daemons under virtual time and a faulty network."""
+"""Token managers of several daemons under virtual time and a faulty network."""
 
 import heapq
 import itertools
@@ -12,7 +12,7 @@
 from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._messages import Send, decode, encode
 from clementinedeal._model import Config
-from clementinedeal._tokens import TokenOffice
+from clementinedeal._tokens import TokenManager
 
 STEP_SECONDS = 0.02
 START_SECONDS = 100.0
@@ -52,7 +52,7 @@
 class Node:
     """One daemon: its process, what it has heard and whether it runs."""
 
-    office: TokenOffice
+    manager: TokenManager
     version: int
     incarnation: int
     runs: bool = True
@@ -76,7 +76,7 @@
 
 
 class TokenFleet:
-    """Runs offices, their messages and what they hear of publications."""
+    """Runs managers, their messages and what they hear of publications."""
 
     def __init__(self, cfg: Config, seed: int) -> None:
         """Start one daemon for each published instance, long after start.
@@ -109,14 +109,14 @@
         publication = self.versions[max(0, len(self.versions) - 1 - behind)]
         old = self.nodes.get(name)
         incarnation = old.incarnation + 1 if old else 1
-        office = TokenOffice(
+        manager = TokenManager(
             name,
             publication.cfg,
             self.now,
             incarnation=incarnation,
             known_for=known_for,
         )
-        node = Node(office, publication.cfg.version, incarnation)
+        node = Node(manager, publication.cfg.version, incarnation)
         self.nodes[name] = node
         self._freshen(node)
 
@@ -133,7 +133,7 @@
         if not node.acts(self.now):
             return
         cfg = self.versions[-1].cfg
-        self._handle(name, node.office.on_config(cfg, self.now))
+        self._handle(name, node.manager.on_config(cfg, self.now))
         node.version = cfg.version
         self._freshen(node)
 
@@ -146,7 +146,7 @@
         """
         node = self.nodes[name]
         if node.acts(self.now):
-            actions = node.office.take(req_id, account, self.now)
+            actions = node.manager.take(req_id, account, self.now)
             self._handle(name, actions)
 
     def stop(self, name: str) -> None:
@@ -156,7 +156,7 @@
         """
         node = self.nodes[name]
         if node.acts(self.now):
-            self._handle(name, node.office.stop(self.now))
+            self._handle(name, node.manager.stop(self.now))
 
     def replay(self, parcel: Parcel) -> None:
         """Deliver an old message once more.
@@ -188,7 +188,7 @@
         for name, node in tuple(self.nodes.items()):
             if node.acts(self.now):
                 self._freshen(node)
-                self._handle(name, node.office.on_tick(self.now))
+                self._handle(name, node.manager.on_tick(self.now))
 
     def _freshen(self, node: Node) -> None:
         newer = (
@@ -197,7 +197,7 @@
             if publication.cfg.version > node.version
         )
         heard_until = min(newer, default=self.now) + FRESH_SECONDS
-        node.office.set_fresh(self.now < heard_until, self.now)
+        node.manager.set_fresh(self.now < heard_until, self.now)
 
     def _deliver(self, parcel: Parcel) -> None:
         node = self.nodes[parcel.send.to]
@@ -206,7 +206,7 @@
             heapq.heappush(self._parcels, parcel)
         elif node.acts(self.now):
             body = parcel.send.body
-            actions = node.office.on_message(parcel.sender, body, self.now)
+            actions = node.manager.on_message(parcel.sender, body, self.now)
             self._handle(parcel.send.to, actions)
 
     def _handle(self, name: str, actions: Actions) -> None:
--- a/src/clementinedeal_bench/_token_timing.py
+++ b/src/clementinedeal_bench/_token_timing.py
@@ -1,4 +1,4 @@
-"""Measures processor time per call of the token office.
+"""Measures processor time per call of the token manager.
 
 Run as a module; prints one JSON line with microseconds.
 """
@@ -9,7 +9,7 @@
 from clementinedeal._borrowing import Actions
 from clementinedeal._draws import Admitted
 from clementinedeal._messages import Send
-from clementinedeal._tokens import TokenOffice
+from clementinedeal._tokens import TokenManager
 from clementinedeal_bench._token_config import ACCOUNT, configuration
 
 CALLS = 20_000
@@ -31,20 +31,20 @@
         """
         cfg = configuration(rate, LARGE, 3)
         self.now = 0.0
-        self.offices = {
-            name: TokenOffice(name, cfg, 0, incarnation=1, known_for=LARGE)
+        self.managers = {
+            name: TokenManager(name, cfg, 0, incarnation=1, known_for=LARGE)
             for name in cfg.instances
         }
-        self.holders = self.offices['i0'].holders(ACCOUNT)
+        self.holders = self.managers['i0'].holders(ACCOUNT)
         for _ in range(WARM_STEPS):
             self.now += STEP_SECONDS
             self.tick()
 
     def tick(self) -> None:
         """Tick all daemons and tell them that they are fresh."""
-        for office in self.offices.values():
-            office.on_tick(self.now)
-            office.set_fresh(True, self.now)
+        for manager in self.managers.values():
+            manager.on_tick(self.now)
+            manager.set_fresh(True, self.now)
 
     def deliver(self, sender: str, actions: Actions) -> int:
         """Deliver messages until none is left; return what was admitted.
@@ -55,8 +55,8 @@
         admitted = 0
         for action in actions:
             if isinstance(action, Send):
-                office = self.offices[action.to]
-                answer = office.on_message(sender, action.body, self.now)
+                manager = self.managers[action.to]
+                answer = manager.on_message(sender, action.body, self.now)
                 admitted += self.deliver(action.to, answer)
             admitted += isinstance(action, Admitted)
         return admitted
@@ -65,10 +65,10 @@
 def local_micros() -> float:
     """Return microseconds for a take from the own share."""
     pair = Pair(LARGE)
-    office = pair.offices[pair.holders[0]]
+    manager = pair.managers[pair.holders[0]]
     started = time.process_time_ns()
     for index in range(CALLS):
-        office.take(str(index), ACCOUNT, pair.now)
+        manager.take(str(index), ACCOUNT, pair.now)
     return (time.process_time_ns() - started) / NANOS_PER_MICRO / CALLS
 
 
@@ -78,14 +78,14 @@
     The second figure is how many of the takes were admitted.
     """
     pair = Pair(SMALL)
-    name = next(each for each in pair.offices if each not in pair.holders)
+    name = next(each for each in pair.managers if each not in pair.holders)
     spent = 0
     admitted = 0
     for index in range(CALLS // 10):
         pair.now += STEP_SECONDS
         pair.tick()
         started = time.process_time_ns()
-        actions = pair.offices[name].take(str(index), ACCOUNT, pair.now)
+        actions = pair.managers[name].take(str(index), ACCOUNT, pair.now)
         admitted += pair.deliver(name, actions)
         spent += time.process_time_ns() - started
     return spent / NANOS_PER_MICRO / (CALLS // 10), admitted
--- a/src/clementinedeal_bench/_token_trial.py
+++ b/src/clementinedeal_bench/_token_trial.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from clementinedeal._model import Config
-from clementinedeal._tokens import TokenOffice
+from clementinedeal._tokens import TokenManager
 from clementinedeal_bench._token_config import ACCOUNT, configuration
 from clementinedeal_bench._token_fleet import STEP_SECONDS, TokenFleet
 
@@ -145,7 +145,7 @@
 
 
 class HolderFleet:
-    """The chosen way: token offices over a network with 1 ms latency."""
+    """The chosen way: token managers over a network with 1 ms latency."""
 
     def __init__(self, cfg: Config, seed: int, dead: list[str]) -> None:
         """Start all daemons with full shares, then kill some.
@@ -159,7 +159,7 @@
             self._fleet.nodes[name].runs = False
 
     def take(self, name: str, req_id: str) -> None:
-        """Ask the daemon's office for a token."""
+        """Ask the daemon's manager for a token."""
         self._fleet.take(name, req_id, ACCOUNT)
 
     def step(self) -> None:
@@ -206,8 +206,8 @@
     :param seed: of traffic and network.
     """
     cfg = configuration(case.rate, case.burst, case.daemons)
-    office = TokenOffice('', cfg, 0, incarnation=1)
-    holders = list(office.holders(ACCOUNT))
+    manager = TokenManager('', cfg, 0, incarnation=1)
+    holders = list(manager.holders(ACCOUNT))
     dead = holders[: case.dead]
     asked = list(cfg.instances)
     if case.routing == Routing.HOLDER.value:
--- a/tests/test_detection_bench.py
+++ b/tests/test_detection_bench.py
@@ -3,8 +3,8 @@
 from clementinedeal_bench._detection import Load, Run
 from clementinedeal_bench._ejection_policies import (
     ConsecutiveErrors,
+    Managers,
     NoPolicy,
-    Offices,
 )
 from clementinedeal_bench._model_targets import Mode
 
@@ -20,7 +20,7 @@
     mode: Mode,
     seconds: float,
 ) -> None:
-    finding = Run(mode, 3, Offices(SIZE, 6, 18.0), LOAD).finish()
+    finding = Run(mode, 3, Managers(SIZE, 6, 18.0), LOAD).finish()
     assert finding.detected is not None
     assert finding.detected < seconds
     assert finding.wrongful == 0
@@ -30,7 +30,7 @@
 def test_healthy_targets_and_a_common_slowdown_are_left_alone(
     mode: Mode,
 ) -> None:
-    finding = Run(mode, 3, Offices(SIZE, 6, 18.0), LOAD).finish()
+    finding = Run(mode, 3, Managers(SIZE, 6, 18.0), LOAD).finish()
     assert finding.detected is None
     assert finding.wrongful == 0
 
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from clementinedeal._ejection import EjectionOffice
+from clementinedeal._ejection import EjectionManager
 from clementinedeal._health import Cause, Outcome, OutcomeKind
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
@@ -22,40 +22,40 @@
 
 
 class Deployment:
-    """Offices that hear each other at once, with steady traffic."""
+    """Managers that hear each other at once, with steady traffic."""
 
     def __init__(self, cfg: Config = CFG) -> None:
         self.now = 100.0
         self.failing: set[int] = set()
         self.lost: set[int] = set()
         self.changes: list[TargetEjected | TargetReinstated] = []
-        self.offices = [
-            EjectionOffice(f'i{n}', cfg, self.now, incarnation=n)
+        self.managers = [
+            EjectionManager(f'i{n}', cfg, self.now, incarnation=n)
             for n in range(SIZE)
         ]
         self.set_fresh(True)
         self.run(SETTLE_SECONDS + 1)
 
     def set_fresh(self, fresh: bool) -> None:
-        for office in self.offices:
-            office.set_fresh(fresh, self.now)
+        for manager in self.managers:
+            manager.set_fresh(fresh, self.now)
 
     def run(self, seconds: float) -> None:
         end = self.now + seconds
         while self.now < end:
             self.now += GAP_SECONDS
-            for number, office in enumerate(self.offices):
+            for number, manager in enumerate(self.managers):
                 if number not in self.lost:
-                    self.serve(number, office)
+                    self.serve(number, manager)
 
-    def serve(self, number: int, office: EjectionOffice) -> None:
-        self.carry(number, office.on_tick(self.now))
+    def serve(self, number: int, manager: EjectionManager) -> None:
+        self.carry(number, manager.on_tick(self.now))
         failing = number in self.failing
         kind = OutcomeKind.ERROR if failing else OutcomeKind.OK
-        if office.share(f't{number}', self.now):
+        if manager.share(f't{number}', self.now):
             outcome = Outcome(kind, 0.02)
             self.carry(
-                number, office.on_outcome(f't{number}', outcome, self.now)
+                number, manager.on_outcome(f't{number}', outcome, self.now)
             )
 
     def carry(self, sender: int, actions: list) -> None:
@@ -65,13 +65,13 @@
                 continue
             number = int(action.to[1:])
             if number not in self.lost:
-                office = self.offices[number]
+                manager = self.managers[number]
                 body = action.body
-                actions = office.on_message(f'i{sender}', body, self.now)
+                actions = manager.on_message(f'i{sender}', body, self.now)
                 self.carry(number, actions)
 
     def state(self, number: int) -> TargetState:
-        return self.offices[number].state(f't{number}')
+        return self.managers[number].state(f't{number}')
 
 
 @pytest.fixture
@@ -92,14 +92,14 @@
 def test_a_cured_target_returns_by_trial_and_slow_start(
     ejected: Deployment,
 ) -> None:
-    office = ejected.offices[SICK]
+    manager = ejected.managers[SICK]
     ejected.run(3.0)
-    assert office.share(f't{SICK}', ejected.now) == 0
+    assert manager.share(f't{SICK}', ejected.now) == 0
     ejected.failing.clear()
     shares = []
     for _ in range(30):
         ejected.run(1.0)
-        shares.append(office.share(f't{SICK}', ejected.now))
+        shares.append(manager.share(f't{SICK}', ejected.now))
     assert ejected.changes == [TargetReinstated(f't{SICK}')]
     assert shares == sorted(shares)
     assert any(0 < share < 1 for share in shares)
@@ -152,7 +152,7 @@
 ) -> None:
     preset = dataclasses.replace(CFG.active, ejection=False)
     cfg = dataclasses.replace(CFG, presets={preset.name: preset})
-    actions = ejected.offices[SICK].on_config(cfg, ejected.now)
+    actions = ejected.managers[SICK].on_config(cfg, ejected.now)
     assert actions == [TargetReinstated(f't{SICK}')]
 
 
@@ -160,24 +160,24 @@
     name = f't{SICK}'
     moved = dataclasses.replace(CFG.targets[name], address='127.0.0.1:9')
     cfg = dataclasses.replace(CFG, targets={**CFG.targets, name: moved})
-    actions = ejected.offices[SICK].on_config(cfg, ejected.now)
+    actions = ejected.managers[SICK].on_config(cfg, ejected.now)
     assert actions == [TargetReinstated(name)]
     assert ejected.state(SICK) is TargetState.IN_USE
 
 
 def test_a_pause_drops_the_permit_and_the_evidence(ejected: Deployment) -> None:
-    actions = ejected.offices[SICK].on_pause(2.0, ejected.now + 2)
+    actions = ejected.managers[SICK].on_pause(2.0, ejected.now + 2)
     assert actions == [TargetReinstated(f't{SICK}')]
     assert ejected.state(SICK) is TargetState.IN_USE
 
 
 def test_a_draining_target_gets_no_work(fleet: Deployment) -> None:
-    office = fleet.offices[SICK]
-    (send,) = office.on_leaving(f't{SICK}', fleet.now)
+    manager = fleet.managers[SICK]
+    (send,) = manager.on_leaving(f't{SICK}', fleet.now)
     assert isinstance(send, Send)
     assert send.body.leaving
-    assert office.state(f't{SICK}') is TargetState.LEAVING
-    assert office.share(f't{SICK}', fleet.now) == 0
+    assert manager.state(f't{SICK}') is TargetState.LEAVING
+    assert manager.share(f't{SICK}', fleet.now) == 0
 
 
 @pytest.mark.parametrize('fresh', [True, False])
@@ -186,22 +186,22 @@
 ) -> None:
     fleet = Deployment()
     fleet.set_fresh(fresh)
-    fleet.offices[HOLDER].set_fresh(False, fleet.now)
-    office = fleet.offices[SICK]
+    fleet.managers[HOLDER].set_fresh(False, fleet.now)
+    manager = fleet.managers[SICK]
     outcome = Outcome(OutcomeKind.ERROR, 0.001)
     sends = []
     for number in range(1000):
         now = fleet.now + number / 1000
-        sends += office.on_outcome(f't{SICK}', outcome, now)
+        sends += manager.on_outcome(f't{SICK}', outcome, now)
     assert 1 <= len(sends) <= 5
 
 
 def test_a_cold_target_starts_slowly(fleet: Deployment) -> None:
-    office = fleet.offices[SICK]
-    assert office.on_cold(f't{SICK}', fleet.now) == []
-    assert 0 < office.share(f't{SICK}', fleet.now) < 0.5
+    manager = fleet.managers[SICK]
+    assert manager.on_cold(f't{SICK}', fleet.now) == []
+    assert 0 < manager.share(f't{SICK}', fleet.now) < 0.5
     fleet.run(12.0)
-    assert office.share(f't{SICK}', fleet.now) == 1
+    assert manager.share(f't{SICK}', fleet.now) == 1
 
 
 def test_a_flapping_target_stays_out_longer_each_time(
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -11,7 +11,7 @@
 from clementinedeal._hashing import Candidates
 from clementinedeal._idempotency import (
     PAUSE_SECONDS,
-    IdempotencyOffice,
+    IdempotencyManager,
     key_digest,
 )
 from clementinedeal._key_messages import (
@@ -54,8 +54,8 @@
     assert placement.former('k', 0, 200) == set()
 
 
-class Offices:
-    """Offices that reach one another at once, but for those cut off."""
+class Managers:
+    """Managers that reach one another at once, but for those cut off."""
 
     def __init__(self, *names: str) -> None:
         self.now = 0.0
@@ -64,7 +64,7 @@
         self.all = {name: self.boot(name, OLD) for name in names}
 
     def boot(self, name: str, published_names: tuple[str, ...]) -> Any:
-        return IdempotencyOffice(
+        return IdempotencyManager(
             name,
             published(published_names),
             self.now,
@@ -72,7 +72,7 @@
             limits=LIMITS,
         )
 
-    def at(self, now: float) -> 'Offices':
+    def at(self, now: float) -> 'Managers':
         while self.now < now:
             self.now = min(now, self.now + 1)
             for name in self.all:
@@ -84,8 +84,8 @@
         for send in [one for one in actions if isinstance(one, Send)]:
             self.sent.append(send.body)
             if not {sender, send.to} & self.cut:
-                office = self.all[send.to]
-                answers = office.on_message(sender, send.body, self.now)
+                manager = self.all[send.to]
+                answers = manager.on_message(sender, send.body, self.now)
                 decided += self.deliver(send.to, answers)
         return decided
 
@@ -125,7 +125,7 @@
 def test_a_repeat_gets_what_the_first_came_to(
     verdict: Verdict, repeat: Any
 ) -> None:
-    fleet = Offices('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(SURE)
     assert fleet.claim('b', 'r1') == cl.ClaimGranted('r1')
     early = fleet.claim('a', 'r0')
     assert refused('r0', Reason.IN_PROGRESS, Verdict.MAY_HAVE_RUN)(early)
@@ -135,15 +135,15 @@
 
 
 def test_another_request_with_the_key_is_refused() -> None:
-    fleet = Offices('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(SURE)
     fleet.claim('b', 'r1')
-    office = fleet.all['a']
-    found = office.claim('r2', 'c', KEY, 'other', 3, SURE)[0]
+    manager = fleet.all['a']
+    found = manager.claim('r2', 'c', KEY, 'other', 3, SURE)[0]
     assert refused('r2', Reason.KEY_REUSED, Verdict.NOT_RUN)(found)
 
 
 def test_an_unreachable_keeper_refuses_and_hears_of_it_later() -> None:
-    fleet = Offices('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(SURE)
     fleet.cut = {'a'}
     assert fleet.claim('b', 'r1') is None
     late = fleet.all['b'].on_tick(SURE + 1)
@@ -155,7 +155,7 @@
 
 
 def test_a_restarted_keeper_knows_only_keys_newer_than_itself() -> None:
-    fleet = Offices('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(SURE)
     names = OLD
     fleet.all = {name: fleet.boot(name, names) for name in names}
     assert refused('r1', *NOT_KEPT)(fleet.claim('b', 'r1'))
@@ -170,7 +170,7 @@
 
 
 def test_a_new_keeper_asks_the_former_one_which_then_grants_no_more() -> None:
-    fleet = Offices('a', 'b', 'c').at(SURE)
+    fleet = Managers('a', 'b', 'c').at(SURE)
     for name in 'bc':
         fleet.all[name].on_config(published(NEW), SURE)
     assert fleet.claim('c', 'r1') == cl.ClaimGranted('r1')
@@ -181,7 +181,7 @@
 
 
 def test_a_new_keeper_refuses_while_the_former_one_is_silent() -> None:
-    fleet = Offices('a', 'b', 'c').at(SURE)
+    fleet = Managers('a', 'b', 'c').at(SURE)
     fleet.claim('b', 'r1')
     for name in 'bc':
         fleet.all[name].on_config(published(NEW), SURE)
@@ -195,7 +195,7 @@
 
 
 def test_two_keepers_that_ask_one_another_both_refuse() -> None:
-    fleet = Offices('a', 'b', 'c').at(SURE)
+    fleet = Managers('a', 'b', 'c').at(SURE)
     for name in 'bc':
         fleet.all[name].on_config(published(NEW), SURE)
     unheard = fleet.all['c'].claim('r1', 'c', KEY, 'f', 3, SURE)
@@ -215,14 +215,14 @@
 
 
 def test_a_keeper_that_was_paused_is_in_quarantine() -> None:
-    fleet = Offices('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(SURE)
     fleet.now = SURE + PAUSE_SECONDS + 1
     fleet.all['b'].on_tick(fleet.now)
     assert refused('r1', *NOT_KEPT)(fleet.claim('b', 'r1'))
 
 
 def test_a_planned_stop_hands_over_what_the_successor_replays() -> None:
-    fleet = Offices('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(SURE)
     fleet.claim('b', 'r1')
     fleet.complete('b', 'r1', Verdict.RAN)
     fleet.deliver('a', fleet.all['a'].stop(SURE))
@@ -232,7 +232,7 @@
 
 
 def test_the_table_is_bounded_in_entries_and_bytes() -> None:
-    fleet = Offices('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(SURE)
     kept = [
         key
         for key in map(str, range(99))
@@ -256,7 +256,7 @@
 
 
 def test_a_keeper_without_fresh_configuration_grants_nothing() -> None:
-    fleet = Offices('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(SURE)
     fleet.all['a'].set_fresh(False, SURE)
     assert refused('r1', *NOT_KEPT)(fleet.claim('b', 'r1'))
     fleet.at(2 * SURE)
@@ -268,7 +268,7 @@
 
 
 def test_a_claim_that_nobody_waits_for_leaves_the_key_free() -> None:
-    fleet = Offices('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(SURE)
     left = fleet.all['b'].claim('r1', 'c', KEY, 'f', 3, SURE)
     gone = fleet.all['b'].complete('r1', Verdict.NOT_RUN, None, SURE)
     assert fleet.deliver('b', left) == []
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -4,15 +4,15 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
+from clementinedeal._borrowed import BorrowedUnits
 from clementinedeal._leases import (
     LEASE_MARGIN_SECONDS,
     LEASE_TTL_SECONDS,
     QUIET_SECONDS,
     LeaseId,
     LeaseReport,
-    Mint,
+    Lender,
 )
-from clementinedeal._wallet import Wallet
 
 RATE = 5_000_000
 CAPACITY = 5_000_000
@@ -25,8 +25,8 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = CAPACITY / RATE
-        self.mint = Mint(capacity=CAPACITY, rate=RATE, now=0)
-        self.wallet = Wallet()
+        self.lender = Lender(capacity=CAPACITY, rate=RATE, now=0)
+        self.borrowed = BorrowedUnits()
         self.sent_at: dict[LeaseId, float] = {}
         self.bag: list[tuple[LeaseId, int] | LeaseReport] = []
         self.grants: list[tuple[LeaseId, int]] = []
@@ -47,11 +47,11 @@
         if len(self.bag) < pick:
             return
         body = self.bag[-pick]
-        self.mint.advance(self.now)
+        self.lender.advance(self.now)
         if isinstance(body, LeaseReport):
-            self.mint.settle(body)
+            self.lender.settle(body)
             return
-        granted = self.mint.lend(*body, LEASE_TTL_SECONDS, self.now)
+        granted = self.lender.lend(*body, LEASE_TTL_SECONDS, self.now)
         self.grants.append((body[0], granted))
 
     @rule(pick=st.integers(1, 3))
@@ -62,28 +62,28 @@
         sent_at = self.sent_at.pop(lease, None)
         if sent_at is not None:
             expires_at = sent_at + LEASE_TTL_SECONDS
-            self.wallet.add(lease, 'h', granted, expires_at)
+            self.borrowed.add(lease, 'h', granted, expires_at)
 
     @rule(closes=st.booleans(), arrives=st.booleans())
     def report(self, closes: bool, arrives: bool) -> None:
-        chosen = self.wallet.close if closes else self.wallet.report
-        self.mint.advance(self.now)
+        chosen = self.borrowed.close if closes else self.borrowed.report
+        self.lender.advance(self.now)
         for report in chosen('h'):
             self.bag.append(report)
             if arrives:
-                self.mint.settle(report)
+                self.lender.settle(report)
 
     @rule(portion=st.sampled_from((1, 1, 3)))
     def spend_borrowed(self, portion: int) -> None:
-        amount = self.wallet.balance(self.now) // portion
-        self.wallet.spend(amount)
+        amount = self.borrowed.balance(self.now) // portion
+        self.borrowed.spend(amount)
         self.check_spent(amount)
 
     @rule()
     def spend_everywhere(self) -> None:
-        self.mint.advance(self.now)
-        amount = self.mint.level
-        self.mint.spend(amount)
+        self.lender.advance(self.now)
+        amount = self.lender.level
+        self.lender.spend(amount)
         self.check_spent(amount)
         self.spend_borrowed(1)
 
@@ -94,7 +94,7 @@
     @rule()
     def replace_holder(self) -> None:
         start = self.now + QUIET_SECONDS
-        self.mint = Mint(capacity=CAPACITY, rate=RATE, now=start)
+        self.lender = Lender(capacity=CAPACITY, rate=RATE, now=start)
         self.now = start + CAPACITY / RATE
         self.spend_everywhere()
 
@@ -111,23 +111,23 @@
 
 
 def test_unspent_units_come_back_and_can_be_lent_again() -> None:
-    mint = Mint(capacity=CAPACITY, rate=0, now=0)
-    mint.level = CAPACITY
-    wallet = Wallet()
+    lender = Lender(capacity=CAPACITY, rate=0, now=0)
+    lender.level = CAPACITY
+    borrowed = BorrowedUnits()
     lease = LeaseId('b', 1, 1)
-    granted = mint.lend(lease, CAPACITY, LEASE_TTL_SECONDS, 0)
-    wallet.add(lease, 'h', granted, LEASE_TTL_SECONDS)
-    wallet.spend(1_000_000)
-    for report in wallet.close('h') * 2:
-        mint.settle(report)
-    assert mint.level == CAPACITY - 1_000_000
-    assert wallet.balance(0) == 0
+    granted = lender.lend(lease, CAPACITY, LEASE_TTL_SECONDS, 0)
+    borrowed.add(lease, 'h', granted, LEASE_TTL_SECONDS)
+    borrowed.spend(1_000_000)
+    for report in borrowed.close('h') * 2:
+        lender.settle(report)
+    assert lender.level == CAPACITY - 1_000_000
+    assert borrowed.balance(0) == 0
 
 
 def test_room_freed_by_an_expiry_fills_only_from_then_on() -> None:
-    mint = Mint(capacity=CAPACITY, rate=RATE, now=0)
-    mint.advance(1)
-    mint.lend(LeaseId('b', 1, 1), CAPACITY, LEASE_TTL_SECONDS, 1)
+    lender = Lender(capacity=CAPACITY, rate=RATE, now=0)
+    lender.advance(1)
+    lender.lend(LeaseId('b', 1, 1), CAPACITY, LEASE_TTL_SECONDS, 1)
     expires_at = 1 + LEASE_TTL_SECONDS + LEASE_MARGIN_SECONDS
-    mint.advance(expires_at + 0.1)
-    assert abs(mint.level - RATE // 10) <= 10
+    lender.advance(expires_at + 0.1)
+    assert abs(lender.level - RATE // 10) <= 10
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -20,7 +20,7 @@
 )
 from clementinedeal._history import Answered, Started
 from clementinedeal._history_checks import check_at_most_once, check_not_run
-from clementinedeal._idempotency import IdempotencyOffice
+from clementinedeal._idempotency import IdempotencyManager
 from clementinedeal._key_messages import StoredAnswer
 from clementinedeal._key_placement import SETTLE_SECONDS
 from clementinedeal._key_table import KeeperLimits
@@ -88,7 +88,7 @@
         self.table = ExecutionTable(self.incarnation)
         self.last_tick = self.fleet.now
         self.table.on_tick(self.last_tick)
-        self.office = IdempotencyOffice(
+        self.manager = IdempotencyManager(
             self.name,
             self.cfg,
             self.fleet.now,
@@ -114,7 +114,7 @@
         self.calls[req_id] = Call(req_id, key, deadline, plan)
         self.fleet.keys_of[req_id] = key
         self.fleet.deadlines[req_id] = deadline
-        claimed = self.office.claim(
+        claimed = self.manager.claim(
             req_id, 'c', key, 'f', DEADLINE_SECONDS, now
         )
         self.on_claims(claimed)
@@ -167,7 +167,7 @@
     ) -> None:
         call.done = True
         now = self.fleet.now
-        done = self.office.complete(call.req_id, verdict, stored, now)
+        done = self.manager.complete(call.req_id, verdict, stored, now)
         self.on_claims(done)
 
     def on_message(self, sender: str, body: Any) -> None:
@@ -187,7 +187,7 @@
                 for event in body.events:
                     self.on_attempt(body.attempt, event)
             case _:
-                self.on_claims(self.office.on_message(sender, body, now))
+                self.on_claims(self.manager.on_message(sender, body, now))
 
     def on_attempt(self, attempt: str, event: Any) -> None:
         call = self.calls.get(attempt.split('/')[0])
@@ -235,7 +235,7 @@
             self.table.on_pause(self.incarnation)
         self.last_tick = now
         self.table.on_tick(now)
-        self.on_claims(self.office.on_tick(now))
+        self.on_claims(self.manager.on_tick(now))
         for call in tuple(self.calls.values()):
             if call.plan.due() <= now:
                 timed_out = call.plan.on_event(ev.Timeout(), now)
@@ -324,7 +324,7 @@
             node.asleep_until = self.now + gap
             return
         if planned:
-            node.on_claims(node.office.stop(self.now))
+            node.on_claims(node.manager.stop(self.now))
         self.nodes[name] = self.boot(name, next(self.numbers))
 
     def awake(self) -> list[Node]:
@@ -339,7 +339,7 @@
         for node in nodes:
             if node.cfg is not self.cfg:
                 node.cfg = self.cfg
-                node.office.on_config(self.cfg, self.now)
+                node.manager.on_config(self.cfg, self.now)
 
     def deliver(self, rng: random.Random, loss: float) -> None:
         pending, self.mail = self.mail, []
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from clementinedeal._ejection import EjectionOffice
+from clementinedeal._ejection import EjectionManager
 from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._health import Outcome, OutcomeKind, Traffic
 from clementinedeal._messages import Send, decode, encode
@@ -69,7 +69,7 @@
 @dataclass
 class Daemon:
     version: Version
-    office: EjectionOffice
+    manager: EjectionManager
     offset: float
     alive: bool = True
     paused_at: float | None = None
@@ -105,13 +105,13 @@
         offset = self.rng.choice((0.0, 1000.0, -50.0))
         usable = [one for one in self.versions if one.is_fresh(self.now)]
         version = self.rng.choice(usable)
-        office = EjectionOffice(
+        manager = EjectionManager(
             f'i{number}',
             version.cfg,
             self.now + offset,
             incarnation=self.lives,
         )
-        return Daemon(version, office, offset)
+        return Daemon(version, manager, offset)
 
     @rule(floor=floors, numbers=st.frozensets(daemons, min_size=4))
     def publish(self, floor: int, numbers: frozenset[int]) -> None:
@@ -135,7 +135,7 @@
     def learn(self, daemon: Daemon) -> None:
         if daemon.version is not self.versions[-1]:
             daemon.version = self.versions[-1]
-            daemon.office.on_config(daemon.version.cfg, self.clock(daemon))
+            daemon.manager.on_config(daemon.version.cfg, self.clock(daemon))
 
     @rule(number=daemons)
     def kill(self, number: int) -> None:
@@ -158,7 +158,7 @@
             gap = self.now - daemon.paused_at
             daemon.paused_at = None
             self.deliver()
-            daemon.office.on_pause(gap, self.clock(daemon))
+            daemon.manager.on_pause(gap, self.clock(daemon))
 
     @rule(pair=st.tuples(daemons, daemons))
     def cut(self, pair: tuple[int, int]) -> None:
@@ -195,7 +195,7 @@
         if daemon.running:
             self.leaving.add(number)
             clock = self.clock(daemon)
-            self.post(number, daemon.office.on_leaving(f't{number}', clock))
+            self.post(number, daemon.manager.on_leaving(f't{number}', clock))
 
     @rule(number=daemons)
     def hear_of_absent(self, number: int) -> None:
@@ -206,7 +206,7 @@
             daemon.absent_since = {
                 name: daemon.absent_since.get(name, self.now) for name in names
             }
-            daemon.office.set_absent(names, self.clock(daemon))
+            daemon.manager.set_absent(names, self.clock(daemon))
 
     @rule()
     def all_hear_of_absent(self) -> None:
@@ -238,11 +238,11 @@
         clock = self.clock(daemon)
         if daemon.learns_at <= self.now:
             self.learn(daemon)
-        daemon.office.set_fresh(daemon.version.is_fresh(self.now), clock)
-        self.post(number, daemon.office.on_tick(clock))
+        daemon.manager.set_fresh(daemon.version.is_fresh(self.now), clock)
+        self.post(number, daemon.manager.on_tick(clock))
         outcome = BAD if number in self.sick else GOOD
         for _ in range(8 if number in self.sick else 3):
-            actions = daemon.office.on_outcome(f't{number}', outcome, clock)
+            actions = daemon.manager.on_outcome(f't{number}', outcome, clock)
             self.post(number, actions)
 
     def clock(self, daemon: Daemon) -> float:
@@ -278,7 +278,7 @@
                     continue
                 clock = self.clock(daemon)
                 for body in decode(blob):
-                    actions = daemon.office.on_message(
+                    actions = daemon.manager.on_message(
                         f'i{sender}', body, clock
                     )
                     self.post(number, actions)
@@ -289,7 +289,7 @@
             for number, daemon in enumerate(self.fleet)
             if daemon.running
             and f't{number}' in daemon.version.cfg.targets
-            and daemon.office.state(f't{number}') in OUT
+            and daemon.manager.state(f't{number}') in OUT
         }
 
     def check(self) -> None:
