--- a/src/clementinedeal/_attempt_events.py
+++ b/src/clementinedeal/_attempt_events.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from clementinedeal._executions import CancelAnswer
+from clementinedeal._cancel_messages import CancelAnswer
 from clementinedeal._verdict import Reason, Verdict
 
 
--- a/src/clementinedeal/_attempts.py
+++ b/src/clementinedeal/_attempts.py
@@ -22,7 +22,7 @@
     AttemptSet,
     Phase,
 )
-from clementinedeal._executions import CancelAnswer
+from clementinedeal._cancel_messages import CancelAnswer
 from clementinedeal._retry_budget import RetryBudget
 from clementinedeal._verdict import Reason, Verdict
 
--- a/src/clementinedeal/_cancels.py
+++ b/src/clementinedeal/_cancels.py
@@ -5,12 +5,12 @@
 
 import trio
 
-from clementinedeal._dispatch import Waiters
-from clementinedeal._executions import (
+from clementinedeal._cancel_messages import (
     CancelAnswer,
     CancelExecution,
     ExecutionCancelled,
 )
+from clementinedeal._dispatch import Waiters
 from clementinedeal._messages import Send
 
 CANCEL_SECONDS = 0.4
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -9,6 +9,7 @@
 import trio
 from result import Ok
 
+from clementinedeal._cancel_messages import CancelAnswer, CancelExecution
 from clementinedeal._cancels import Cancels
 from clementinedeal._control import ControlChannel
 from clementinedeal._directory import Directory
@@ -20,11 +21,7 @@
 )
 from clementinedeal._envelope import Keyring
 from clementinedeal._events import EventLog
-from clementinedeal._executions import (
-    CancelAnswer,
-    CancelExecution,
-    ExecutionTable,
-)
+from clementinedeal._executions import ExecutionTable
 from clementinedeal._front import Front, FrontContext, http_limits
 from clementinedeal._http_server import HttpServer
 from clementinedeal._hub import Hub
--- a/src/clementinedeal/_entry_parts.py
+++ b/src/clementinedeal/_entry_parts.py
@@ -4,9 +4,9 @@
 from typing import Protocol
 
 from clementinedeal._access import Access, Granted
+from clementinedeal._cancel_messages import CancelAnswer, CancelExecution
 from clementinedeal._events import EventLog
 from clementinedeal._exchange import Finished
-from clementinedeal._executions import CancelAnswer, CancelExecution
 from clementinedeal._forwarding import PeerClient
 from clementinedeal._incoming import Incoming
 from clementinedeal._owner import Owner
--- a/src/clementinedeal/_exchange.py
+++ b/src/clementinedeal/_exchange.py
@@ -26,8 +26,8 @@
     Timeout,
 )
 from clementinedeal._attempts import Actions, AttemptPlan
+from clementinedeal._cancel_messages import CancelAnswer
 from clementinedeal._digest import AnswerWrongError
-from clementinedeal._executions import CancelAnswer
 from clementinedeal._http import ConnLostError, HttpError, WriteLostError
 from clementinedeal._replies import Answered, Refused
 from clementinedeal._replies import Reply as AttemptReply
--- a/src/clementinedeal/_executions.py
+++ b/src/clementinedeal/_executions.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok, Result
 
-from clementinedeal._messages import message
+from clementinedeal._cancel_messages import CancelAnswer
 from clementinedeal._timers import PAUSE_SECONDS
 from clementinedeal._verdict import Reason
 
@@ -24,18 +24,6 @@
     CANCELLED = 'cancelled'
 
 
-class CancelAnswer(enum.Enum):
-    """What an owner can say truthfully about a cancelled forward.
-
-    ``NEVER_STARTED`` also promises that the forward never will start.
-    """
-
-    NEVER_STARTED = 'never-started'
-    STARTED = 'started'
-    FINISHED = 'finished'
-    UNKNOWN = 'unknown'
-
-
 _ENTOMBED = frozenset((Reason.DEADLINE, Reason.WRONG_INCARNATION))
 _ANSWERS = {
     ExecutionState.CANCELLED: CancelAnswer.NEVER_STARTED,
@@ -45,27 +33,6 @@
 }
 
 
-@message
-@dataclass(frozen=True, slots=True)
-class CancelExecution:
-    """Entry to owner: cancel a forward and say whether it started.
-
-    ``incarnation`` is the owner incarnation that the forward named.
-    """
-
-    req_id: str
-    incarnation: str
-
-
-@message
-@dataclass(frozen=True, slots=True)
-class ExecutionCancelled:
-    """Owner to entry: answer to ``CancelExecution``."""
-
-    req_id: str
-    answer: CancelAnswer
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ExecutionLimits:
     """Bounds of the table.
--- a/src/clementinedeal/_outgoing.py
+++ b/src/clementinedeal/_outgoing.py
@@ -3,10 +3,10 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+from clementinedeal._cancel_messages import CancelAnswer, CancelExecution
 from clementinedeal._entry_parts import EntryParts
 from clementinedeal._envelope import Forward
 from clementinedeal._exchange import CallerLeftError
-from clementinedeal._executions import CancelAnswer, CancelExecution
 from clementinedeal._forwarding import send_answer
 from clementinedeal._http import WriteLostError
 from clementinedeal._incoming import Incoming
--- a/src/clementinedeal/_owner.py
+++ b/src/clementinedeal/_owner.py
@@ -7,13 +7,10 @@
 import trio
 from result import Err, Ok, Result
 
+from clementinedeal._cancel_messages import CancelAnswer, CancelExecution
 from clementinedeal._envelope import Forward
 from clementinedeal._events import EventLog
-from clementinedeal._executions import (
-    CancelAnswer,
-    CancelExecution,
-    ExecutionTable,
-)
+from clementinedeal._executions import ExecutionTable
 from clementinedeal._gates import OutcomeWatcher, SlotGate, TokenGate
 from clementinedeal._http import ConnLostError, HttpError, WriteLostError
 from clementinedeal._model import Target
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -20,11 +20,12 @@
     Target,
 )
 from clementinedeal._access import Access
+from clementinedeal._cancel_messages import CancelAnswer
 from clementinedeal._entry import Entry
 from clementinedeal._entry_parts import EntryParts
 from clementinedeal._envelope import Keyring
 from clementinedeal._events import EventLog
-from clementinedeal._executions import CancelAnswer, ExecutionTable
+from clementinedeal._executions import ExecutionTable
 from clementinedeal._forwarding import (
     Ownership,
     PeerClient,
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -3,7 +3,7 @@
 from clementinedeal import _attempt_events as ev
 from clementinedeal._attempt_set import CANCEL_WAIT_SECONDS, AttemptRequest
 from clementinedeal._attempts import PROOF_WINDOW_SECONDS, AttemptPlan
-from clementinedeal._executions import CancelAnswer
+from clementinedeal._cancel_messages import CancelAnswer
 from clementinedeal._model import Preset, PresetName
 from clementinedeal._retry_budget import RetryBudget
 from clementinedeal._verdict import Reason, Verdict
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -5,8 +5,8 @@
 
 from clementinedeal._attempt_set import AttemptRequest
 from clementinedeal._attempts import AttemptPlan
+from clementinedeal._cancel_messages import CancelAnswer
 from clementinedeal._exchange import CallerLeftError, Exchange
-from clementinedeal._executions import CancelAnswer
 from clementinedeal._hedged_exchange import HedgedExchange
 from clementinedeal._http import ResponseHead
 from clementinedeal._model import Preset, PresetName
--- a/tests/test_executions.py
+++ b/tests/test_executions.py
@@ -3,8 +3,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from result import Err, Ok
 
+from clementinedeal._cancel_messages import CancelAnswer
 from clementinedeal._executions import (
-    CancelAnswer,
     ExecutionLimits,
     ExecutionState,
     ExecutionTable,
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -13,11 +13,8 @@
 from clementinedeal import _claims as cl
 from clementinedeal._attempt_set import AttemptRequest
 from clementinedeal._attempts import AttemptPlan
-from clementinedeal._executions import (
-    CancelExecution,
-    ExecutionCancelled,
-    ExecutionTable,
-)
+from clementinedeal._cancel_messages import CancelExecution, ExecutionCancelled
+from clementinedeal._executions import ExecutionTable
 from clementinedeal._history import Answered, Started
 from clementinedeal._history_checks import check_at_most_once, check_not_run
 from clementinedeal._idempotency import IdempotencyManager
--- /dev/null
+++ b/tests/test_prober.py
@@ -0,0 +1,34 @@
+import trio
+
+from clementinedeal._pool import ConnPool
+from clementinedeal._prober import Prober
+from clementinedeal._timers import MonotonicClock
+from fleet import running_fleet
+
+
+async def test_a_target_is_back_once_it_says_no_more_that_it_leaves() -> None:
+    async with running_fleet(('a', 'b')) as fleet:
+        leaving = fleet.cfg.targets['t-a']
+        fleet.targets['t-a'].leave()
+        back: list[str] = []
+        seen = trio.Event()
+
+        def note(name: str) -> None:
+            back.append(name)
+            seen.set()
+
+        watched = [leaving]
+        prober = Prober(
+            ConnPool(MonotonicClock()),
+            lambda: tuple(watched),
+            note,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(prober.run)
+            with trio.move_on_after(1.5):
+                await seen.wait()
+            assert back == []
+            watched.append(fleet.cfg.targets['t-b'])
+            await seen.wait()
+            nursery.cancel_scope.cancel()
+    assert set(back) == {'t-b'}
