--- a/src/clementinedeal/_entry.py
+++ b/src/clementinedeal/_entry.py
@@ -82,7 +82,12 @@
         req_id: str,
         reason: Reason,
     ) -> None:
-        self._parts.events.emit('request-refused', req=req_id, reason=reason)
+        self._parts.recorder.refused_early(reason)
+        self._parts.events.emit(
+            'request-refused',
+            req=req_id,
+            reason=reason.value,
+        )
         conn.close_unless_read()
         await _refuse(conn, req_id, Refusal(Verdict.NOT_RUN, reason))
 
@@ -151,7 +156,7 @@
         outcome: str,
         answer: Answered | None = None,
     ) -> None:
-        self._parts.recorder.record(incoming, outcome, answer)
+        self._parts.recorder.record(incoming, verdict, outcome, answer)
         self._parts.events.emit(
             'request-finished',
             req=incoming.req_id,
--- a/src/clementinedeal/_entry_parts.py
+++ b/src/clementinedeal/_entry_parts.py
@@ -13,6 +13,7 @@
 from clementinedeal._refusals import Refusal
 from clementinedeal._replies import Answered
 from clementinedeal._timers import Clock
+from clementinedeal._verdict import Reason, Verdict
 
 
 class EntryKnowledge(Protocol):
@@ -66,10 +67,15 @@
     def record(
         self,
         incoming: Incoming,
+        verdict: Verdict,
         outcome: str,
         answer: Answered | None,
     ) -> None:
-        """Note one request, its verdict or reason, and its answer."""
+        """Note one request, its verdict, its end and its answer."""
+        ...
+
+    def refused_early(self, reason: Reason) -> None:
+        """Note one request that route or key did not let in."""
         ...
 
 
--- a/src/clementinedeal/_managers.py
+++ b/src/clementinedeal/_managers.py
@@ -83,6 +83,7 @@
             tokens,
             context.dispatcher,
             context.clock,
+            context.metrics,
         )
         self.holders = tokens.holders
         self.slots = QueueSlots(me, cfg, context.clock, self.ejection.share)
@@ -158,6 +159,10 @@
 
     def _note_ejected(self, change: TargetEjected) -> None:
         self.slots.turn_away(change.target)
+        self._context.metrics.ejections.labels(
+            change.target,
+            change.cause.value,
+        ).inc()
         self._context.events.emit(
             'target-ejected',
             target=change.target,
--- a/src/clementinedeal/_metrics.py
+++ b/src/clementinedeal/_metrics.py
@@ -34,7 +34,13 @@
         self.requests = Counter(
             'clementinedeal_requests_total',
             'Requests finished at this entry.',
-            ('service', 'account', 'outcome'),
+            ('service', 'account', 'verdict', 'outcome'),
+            registry=self.registry,
+        )
+        self.early_refusals = Counter(
+            'clementinedeal_early_refusals_total',
+            'Requests refused at this entry by route or key.',
+            ('reason',),
             registry=self.registry,
         )
         self.request_seconds = Histogram(
@@ -69,6 +75,18 @@
             ('target',),
             registry=self.registry,
         )
+        self.ejections = Counter(
+            'clementinedeal_ejections_total',
+            'Ejections of owned targets.',
+            ('target', 'cause'),
+            registry=self.registry,
+        )
+        self.token_takes = Counter(
+            'clementinedeal_token_takes_total',
+            'Requests of accounts that got a token at this owner, or none.',
+            ('outcome',),
+            registry=self.registry,
+        )
         self._add_gauges()
 
     def _add_gauges(self) -> None:
@@ -80,6 +98,10 @@
             'config_fresh',
             'One while the configuration is known to be recent.',
         )
+        self.config_age = self._gauge(
+            'config_known_seconds',
+            'Seconds for which the version in force is known at least.',
+        )
         self.in_flight = self._gauge(
             'in_flight',
             'Attempts running or queued at owned targets.',
--- a/src/clementinedeal/_recorder.py
+++ b/src/clementinedeal/_recorder.py
@@ -4,6 +4,7 @@
 from clementinedeal._metrics import Metrics
 from clementinedeal._replies import Answered
 from clementinedeal._timers import Clock
+from clementinedeal._verdict import Reason, Verdict
 
 MAX_LABELLED_ACCOUNTS = 1000
 OTHER_ACCOUNTS = 'other'
@@ -25,24 +26,38 @@
     def record(
         self,
         incoming: Incoming,
+        verdict: Verdict,
         outcome: str,
         answer: Answered | None,
     ) -> None:
         """Note one request.
 
         :param incoming: the request.
-        :param outcome: verdict or reason.
+        :param verdict: whether it may have run.
+        :param outcome: answered, replayed or the reason of a refusal.
         :param answer: the target's answer, None without one.
         """
         service = incoming.service
         account = self._label(incoming.account)
         seconds = self._clock.now() - incoming.started
-        self._metrics.requests.labels(service, account, outcome).inc()
+        self._metrics.requests.labels(
+            service,
+            account,
+            verdict.value,
+            outcome,
+        ).inc()
         self._metrics.request_seconds.labels(service).observe(seconds)
         if answer is not None:
             added = seconds - answer.target_seconds
             self._metrics.added_seconds.labels(service).observe(added)
 
+    def refused_early(self, reason: Reason) -> None:
+        """Note one request that route or key did not let in.
+
+        :param reason: why.
+        """
+        self._metrics.early_refusals.labels(reason.value).inc()
+
     def _label(self, account: str) -> str:
         """Bound the number of label values that the process keeps."""
         if account in self._accounts:
--- a/src/clementinedeal/_token_gate.py
+++ b/src/clementinedeal/_token_gate.py
@@ -6,6 +6,7 @@
 from clementinedeal._dispatch import Dispatcher, Waiters
 from clementinedeal._draws import Admitted
 from clementinedeal._draws import Refused as TokenRefused
+from clementinedeal._metrics import Metrics
 from clementinedeal._replies import Refused
 from clementinedeal._timers import Clock
 from clementinedeal._tokens import TokenManager
@@ -20,16 +21,19 @@
         manager: TokenManager,
         dispatcher: Dispatcher,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         """Create a gate and register for the manager's decisions.
 
         :param manager: decides.
         :param dispatcher: performs what the manager decides.
         :param clock: the manager's time.
+        :param metrics: counts what was taken and refused.
         """
         self._manager = manager
         self._dispatcher = dispatcher
         self._clock = clock
+        self._takes = metrics.token_takes
         self._waiters: Waiters[Refused | None] = Waiters()
         dispatcher.register(Admitted, self._admitted)
         dispatcher.register(TokenRefused, self._refused)
@@ -49,9 +53,11 @@
             raise
 
     def _admitted(self, action: Admitted) -> None:
+        self._takes.labels('admitted').inc()
         self._waiters.resolve(action.req_id, None)
 
     def _refused(self, action: TokenRefused) -> None:
+        self._takes.labels('refused').inc()
         refused = Refused(
             Verdict.NOT_RUN,
             Reason.RATE_EXCEEDED,
--- a/src/clementinedeal_bench/_report.py
+++ b/src/clementinedeal_bench/_report.py
@@ -17,6 +17,7 @@
     check_not_run,
     check_rates,
 )
+from clementinedeal_bench._account_shares import worst_line
 from clementinedeal_bench._executions import Execution
 from clementinedeal_bench._history import CallRecord, Outcome
 from clementinedeal_bench._summary import Summary, summarize
@@ -55,6 +56,7 @@
     lines = [f'== {step.name} ({seconds:.1f} s)']
     lines.extend(f'   {note}' for note in step.notes)
     lines.append(f'   {_count_line(counts)}')
+    lines.append(f'   {worst_line(step.calls(records))}')
     if counts.reasons:
         lines.append(f'   refused by reason: {_pairs(counts.reasons)}')
     if counts.verdicts:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -129,6 +129,9 @@
     def record(self, *finished: Any) -> None:
         return None
 
+    def refused_early(self, reason: Any) -> None:
+        return None
+
 
 @dataclass
 class View:
