--- a/src/clementinedeal/_managers.py
+++ b/src/clementinedeal/_managers.py
@@ -54,7 +54,7 @@
         """
         self._context = context
         self._cfg = cfg
-        self._relatives = self._find_relatives()
+        self._service_targets = self._find_service_targets()
         now = context.clock.now()
         me = context.settings.instance
         self.ejection = EjectionManager(
@@ -112,7 +112,7 @@
         me = self._context.settings.instance
         return tuple(
             target
-            for target in self._relatives
+            for target in self._service_targets
             if target.instance == me
             and self.ejection.state(target.name) is TargetState.LEAVING
         )
@@ -155,7 +155,7 @@
 
     def _note_config(self, cfg: Config, now: float) -> None:
         self._cfg = cfg
-        self._relatives = self._find_relatives()
+        self._service_targets = self._find_service_targets()
 
     def _note_ejected(self, change: TargetEjected) -> None:
         self.slots.turn_away(change.target)
@@ -172,7 +172,7 @@
     def _note_reinstated(self, change: TargetReinstated) -> None:
         self._context.events.emit('target-reinstated', target=change.target)
 
-    def _find_relatives(self) -> tuple[Target, ...]:
+    def _find_service_targets(self) -> tuple[Target, ...]:
         """Return the targets of every service that has one here."""
         me = self._context.settings.instance
         targets = self._cfg.targets.values()
@@ -186,7 +186,7 @@
         fleet = self._context.fleet
         absent = [
             target.name
-            for target in self._relatives
+            for target in self._service_targets
             if fleet.is_leaving(target.instance)
             or not fleet.is_alive(target.instance, now)
         ]
--- a/src/clementinedeal/_token_gate.py
+++ b/src/clementinedeal/_token_gate.py
@@ -14,7 +14,7 @@
 
 
 class ManagedTokenGate:
-    """Takes tokens from an manager for one request at a time."""
+    """Takes tokens from a manager for one request at a time."""
 
     def __init__(
         self,
