--- a/src/clementinedeal/_outgoing.py
+++ b/src/clementinedeal/_outgoing.py
@@ -80,7 +80,7 @@
         async with self._attempt_once(fwd) as reply:
             self._learn(fwd, reply)
             replayable = self._incoming.req.body.whole is not None
-            if not (replayable and _is_stranger(reply)):
+            if not (replayable and _is_wrong_incarnation(reply)):
                 yield reply
                 return
         renamed = self._forward(
@@ -138,7 +138,7 @@
         return self._incoming.access.cfg.instances[target.instance]
 
 
-def _is_stranger(reply: Reply) -> bool:
+def _is_wrong_incarnation(reply: Reply) -> bool:
     return (
         isinstance(reply, Refused)
         and reply.reason is Reason.WRONG_INCARNATION
