--- a/src/clementinedeal_bench/_caller.py
+++ b/src/clementinedeal_bench/_caller.py
@@ -16,7 +16,7 @@
     note_failure,
 )
 from clementinedeal_bench._scenario import AccountLoad, RequestKind, Scenario
-from clementinedeal_bench._web import HeaderList, WebAnswer, WebRequest
+from clementinedeal_bench._web_messages import HeaderList, WebAnswer, WebRequest
 from clementinedeal_bench._webclient import WebClient, WebFailure
 
 FULL_POOL = 64
--- a/src/clementinedeal_bench/_executions.py
+++ b/src/clementinedeal_bench/_executions.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from clementinedeal_bench._web import WebRequest
+from clementinedeal_bench._web_messages import WebRequest
 
 
 class ExecutionState(enum.Enum):
--- a/src/clementinedeal_bench/_history.py
+++ b/src/clementinedeal_bench/_history.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from clementinedeal_bench._target_answer import AnswerBody, content_digest
-from clementinedeal_bench._web import WebAnswer, WebRequest
+from clementinedeal_bench._web_messages import WebAnswer, WebRequest
 from clementinedeal_bench._webclient import WebFailure
 
 SERVER_ERROR = 500
--- a/src/clementinedeal_bench/_observer.py
+++ b/src/clementinedeal_bench/_observer.py
@@ -10,7 +10,7 @@
 from clementinedeal import Instance, Target
 from clementinedeal_bench._errors import BenchError
 from clementinedeal_bench._executions import Execution, decode_lines
-from clementinedeal_bench._web import WebAnswer, WebRequest
+from clementinedeal_bench._web_messages import WebAnswer, WebRequest
 from clementinedeal_bench._webclient import WebClient
 
 ASK_SECONDS = 3.0
--- a/src/clementinedeal_bench/_platform_server.py
+++ b/src/clementinedeal_bench/_platform_server.py
@@ -12,7 +12,8 @@
     ReadMeter,
     Versioned,
 )
-from clementinedeal_bench._web import WebAnswer, WebRequest, WebServer
+from clementinedeal_bench._web import WebServer
+from clementinedeal_bench._web_messages import WebAnswer, WebRequest
 
 VALUES_PREFIX = '/values/'
 INSTANCES_PATH = '/instances'
--- a/src/clementinedeal_bench/_publisher.py
+++ b/src/clementinedeal_bench/_publisher.py
@@ -7,7 +7,7 @@
 from clementinedeal._publication import ROOT_NAME, pack
 from clementinedeal_bench._errors import BenchError
 from clementinedeal_bench._platform_server import InstanceList, ListedInstance
-from clementinedeal_bench._web import WebAnswer, WebRequest
+from clementinedeal_bench._web_messages import WebAnswer, WebRequest
 from clementinedeal_bench._webclient import WebClient
 
 LIVE = 'live'
--- a/src/clementinedeal_bench/_target.py
+++ b/src/clementinedeal_bench/_target.py
@@ -22,7 +22,8 @@
     not_started,
     whole_answer,
 )
-from clementinedeal_bench._web import WebAnswer, WebRequest, WebServer
+from clementinedeal_bench._web import WebServer
+from clementinedeal_bench._web_messages import WebAnswer, WebRequest
 
 LEAVING_HEADER = ('x-target-state', 'leaving')
 
--- a/src/clementinedeal_bench/_target_answer.py
+++ b/src/clementinedeal_bench/_target_answer.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from clementinedeal_bench._gray import GrayPlan, WrongKind
-from clementinedeal_bench._web import HeaderList, WebAnswer, WebRequest
+from clementinedeal_bench._web_messages import HeaderList, WebAnswer, WebRequest
 
 FOREIGN_REQUEST_ID = '00000000-0000-7000-8000-000000000000'
 NO_CONTENT = 204
--- a/src/clementinedeal_bench/_webclient.py
+++ b/src/clementinedeal_bench/_webclient.py
@@ -7,11 +7,11 @@
 from result import Err, Ok, Result
 
 from clementinedeal_bench._errors import BenchError
-from clementinedeal_bench._web import (
+from clementinedeal_bench._web import next_event
+from clementinedeal_bench._web_messages import (
     HeaderList,
     WebAnswer,
     WebRequest,
-    next_event,
     text_headers,
 )
 
--- a/tests/test_bench_caller.py
+++ b/tests/test_bench_caller.py
@@ -16,7 +16,8 @@
 )
 from clementinedeal_bench._summary import by_account_and_service
 from clementinedeal_bench._target import Target, TargetSettings
-from clementinedeal_bench._web import WebAnswer, WebRequest, WebServer
+from clementinedeal_bench._web import WebServer
+from clementinedeal_bench._web_messages import WebAnswer, WebRequest
 
 DECLARATION = 'examples/freshwater.yaml'
 REFUSAL = (
--- a/tests/test_bench_platform.py
+++ b/tests/test_bench_platform.py
@@ -10,7 +10,7 @@
     ReadMeter,
 )
 from clementinedeal_bench._platform_server import PlatformServer
-from clementinedeal_bench._web import WebRequest
+from clementinedeal_bench._web_messages import WebRequest
 
 
 @pytest.fixture
--- a/tests/test_bench_target.py
+++ b/tests/test_bench_target.py
@@ -7,7 +7,7 @@
 from clementinedeal_bench._gray import GrayMachine, GrayMode, GraySettings
 from clementinedeal_bench._target import Target, TargetSettings
 from clementinedeal_bench._target_answer import content_digest
-from clementinedeal_bench._web import WebRequest
+from clementinedeal_bench._web_messages import WebRequest
 
 
 @pytest.fixture
