End a process at once when a caller keeps its connection open

Cause: a handler that had answered and announced the close waited, shielded from the end of the process, up to 1 s for the other side's end of stream; the mesh daemon leaves 0.3 s between its end and the kill.

Ruled out: the log's last flush (it does not block) and the executions (the nursery's end cancels them). The shield guarded only against that end.

--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -132,8 +132,7 @@
         try:
             with scope:
                 await self._converse_safely(conn)
-            with trio.CancelScope(shield=True):
-                await conn.drain_close()
+            await conn.drain_close()
         finally:
             self._open.pop(conn, None)
             if not self._open:
--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -19,6 +19,9 @@
     find_header,
 )
 
+# A closed socket with unread bytes resets the connection and may take the
+# answer with it; the other side gets one lost packet's time to read it.
+CLOSE_SECONDS = 1.0
 _PROCESSING = 102
 
 
@@ -172,13 +175,14 @@
         await trio.aclose_forcefully(self._wire.stream)
 
     async def drain_close(self) -> None:
-        """Send the end of stream, read a little, then close."""
-        stream = self._wire.stream
-        if isinstance(stream, trio.SocketStream):
-            with trio.move_on_after(1), contextlib.suppress(*BROKEN_ERRORS):
-                await stream.send_eof()
-                await _read_to_end(stream)
-        await self.aclose()
+        """Send the end of stream, read a little, then close.
+
+        A cancelled task closes at once.
+        """
+        try:
+            await _end_stream(self._wire.stream)
+        finally:
+            await self.aclose()
 
     async def _first_bytes(self) -> bool:
         if self._wire.h11.trailing_data[0]:
@@ -220,6 +224,17 @@
         return h11.Response(status_code=status, headers=list(headers))
 
 
+async def _end_stream(stream: trio.abc.Stream) -> None:
+    if not isinstance(stream, trio.SocketStream):
+        return
+    with (
+        trio.move_on_after(CLOSE_SECONDS),
+        contextlib.suppress(*BROKEN_ERRORS),
+    ):
+        await stream.send_eof()
+        await _read_to_end(stream)
+
+
 async def _read_to_end(stream: trio.SocketStream) -> None:
     received = True
     while received:
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -9,21 +9,17 @@
 
 from clementinedeal._errors import SettingsError
 from clementinedeal._events import EventLog
-from clementinedeal._http import HttpLimits, RequestHead
+from clementinedeal._http import HttpLimits
 from clementinedeal._http_server import HttpServer
 from clementinedeal._incoming import new_request_id
 from clementinedeal._pool import ConnPool
-from clementinedeal._server_conn import ServerConn
 from clementinedeal._timers import BootClock
 from clementinedeal.mesh._admission import Admission
 from clementinedeal.mesh._allowances import Allowances
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._calls import CallFailures
 from clementinedeal.mesh._catalog import Catalog
-from clementinedeal.mesh._contracts import (
-    Dialect,
-    Platform,
-)
+from clementinedeal.mesh._contracts import Dialect, Platform
 from clementinedeal.mesh._datagrams import DatagramChannel
 from clementinedeal.mesh._declarations import DeclarationFeed
 from clementinedeal.mesh._entry import Entry, EntryParts
@@ -31,6 +27,7 @@
 from clementinedeal.mesh._owner import Owner, OwnerParts
 from clementinedeal.mesh._peer_client import PeerClient
 from clementinedeal.mesh._peer_server import PeerServer
+from clementinedeal.mesh._readiness import Readiness
 from clementinedeal.mesh._sender import Sender, SenderParts
 from clementinedeal.mesh._settings import NodeSettings
 from clementinedeal.mesh._tally import Tally
@@ -47,12 +44,6 @@
 # A round trip between zones takes about 1 ms; a lost packet is sent again
 # after a second, and another target is reached sooner.
 PEER_CONNECT_SECONDS = 0.15
-METRICS_PATH = '/metrics'
-_METRICS_TYPE = ((b'content-type', b'text/plain; version=0.0.4'),)
-_OK = 200
-_UNAVAILABLE = 503
-_NOT_FOUND = 404
-
 Reload = Callable[[], Result[NodeSettings, SettingsError]]
 
 
@@ -183,6 +174,7 @@
             ),
         )
         peers = PeerServer(self._owner, self.events, nursery)
+        readiness = Readiness(self._dialect, self._is_ready, self._tally)
         limits = HttpLimits()
         self._callers = HttpServer(
             settings.callers,
@@ -195,7 +187,7 @@
             HttpServer(settings.peers, peers.serve, limits, self.events),
             HttpServer(
                 settings.ready,
-                self._answer_operator,
+                readiness.serve,
                 limits,
                 self.events,
             ),
@@ -229,23 +221,9 @@
             ),
         )
 
-    async def _answer_operator(
-        self,
-        conn: ServerConn,
-        head: RequestHead,
-    ) -> None:
-        await conn.skip_body()
-        if head.path == METRICS_PATH:
-            await conn.respond(_OK, _METRICS_TYPE, self._tally.render())
-            return
-        if not self._dialect.is_ready_check(head):
-            await conn.respond(_NOT_FOUND, ())
-            return
-        ready = (
-            self._declarations.catalog is not None
-            and not self._stopping.is_set()
-        )
-        await conn.respond(_OK if ready else _UNAVAILABLE, ())
+    def _is_ready(self) -> bool:
+        known = self._declarations.catalog is not None
+        return known and not self._stopping.is_set()
 
     async def _count_daemons(self) -> None:
         while True:
--- /dev/null
+++ b/src/clementinedeal/mesh/_readiness.py
@@ -0,0 +1,48 @@
+"""Answers operators: whether the daemon takes work, and its metrics."""
+
+from collections.abc import Callable
+
+from clementinedeal._http import RequestHead
+from clementinedeal._server_conn import ServerConn
+from clementinedeal.mesh._contracts import Dialect
+from clementinedeal.mesh._tally import Tally
+
+METRICS_PATH = '/metrics'
+_METRICS_TYPE = ((b'content-type', b'text/plain; version=0.0.4'),)
+_OK = 200
+_UNAVAILABLE = 503
+_NOT_FOUND = 404
+
+
+class Readiness:
+    """What the operators' port answers."""
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        is_ready: Callable[[], bool],
+        tally: Tally,
+    ) -> None:
+        """Create the answers.
+
+        :param dialect: tells the ready check from other requests.
+        :param is_ready: whether new requests are taken.
+        :param tally: the metrics.
+        """
+        self._dialect = dialect
+        self._is_ready = is_ready
+        self._tally = tally
+
+    async def serve(self, conn: ServerConn, head: RequestHead) -> None:
+        """Answer one request.
+
+        :param conn: the operator's connection.
+        :param head: the request.
+        """
+        await conn.skip_body()
+        if head.path == METRICS_PATH:
+            await conn.respond(_OK, _METRICS_TYPE, self._tally.render())
+        elif self._dialect.is_ready_check(head):
+            await conn.respond(_OK if self._is_ready() else _UNAVAILABLE, ())
+        else:
+            await conn.respond(_NOT_FOUND, ())
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,6 +10,7 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._timers import MonotonicClock
+from clementinedeal.mesh._daemon import KILL_MARGIN_SECONDS
 from ports import free_address
 
 ADDRESS = free_address()
@@ -134,6 +135,20 @@
         assert head.header(b'connection') == b'close'
 
 
+async def test_the_end_does_not_wait_for_who_keeps_a_connection_open() -> None:
+    async with serving() as server:
+        server.drain()
+        host, port = ADDRESS.split(':')
+        stream = await trio.open_tcp_stream(host, int(port))
+        await stream.send_all(b'GET /a HTTP/1.1\r\nhost: x\r\n\r\n')
+        assert await stream.receive_some()
+        await trio.sleep(0.05)
+        ended = trio.current_time()
+    # the mesh daemon ends its connections so long before it is killed
+    assert trio.current_time() - ended < KILL_MARGIN_SECONDS
+    await stream.aclose()
+
+
 async def test_a_fault_in_one_request_ends_only_its_connection() -> None:
     async with serving():
         conn = await ConnPool(MonotonicClock()).acquire(ADDRESS)
