Learn how long a target's connections may rest

Now a reset within 50 ms on a connection that rested 150 ms or more halves what the owner trusts for 10 s and counts odds of 3; the caller is told connection-forgotten, may have run, for nothing proves that it has not.

Before: a target that forgets after 200 ms lost every request that came 300 ms after the last (read from the code; the test is on a class that is new). After: one of four, test_mesh_rest.

--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -25,6 +25,8 @@
         """
         self.stream = stream
         self.idle_until = 0.0
+        self.rested: float | None = None
+        self.idle_since = 0.0
         self._closed = False
         self._method = b'GET'
         self._wire = Wire(stream, h11.CLIENT, READ_BYTES)
--- a/src/clementinedeal/_pool.py
+++ b/src/clementinedeal/_pool.py
@@ -1,6 +1,7 @@
 """Small pools of kept-alive client connections, one per address."""
 
 import collections
+import math
 
 import trio
 
@@ -39,16 +40,23 @@
         self._clock = clock
         self._idle: dict[str, collections.deque[ClientConn]] = {}
 
-    async def acquire(self, address: str) -> ClientConn:
+    async def acquire(
+        self,
+        address: str,
+        most_rest: float = math.inf,
+    ) -> ClientConn:
         """Return a fresh or idle connection.
 
         :param address: ``ip:port``.
+        :param most_rest: how long it may have been idle, in seconds.
         :raises ConnLostError: nobody could be connected to in time.
         """
         idle = self._idle.get(address)
         while idle:
             conn = idle.pop()
-            young = self._clock.now() < conn.idle_until
+            now = self._clock.now()
+            conn.rested = now - conn.idle_since
+            young = now < conn.idle_until and conn.rested <= most_rest
             if young and not conn.stale():
                 return conn
             await conn.aclose()
@@ -70,7 +78,8 @@
         if len(kept) >= MAX_IDLE_CONNS or not conn.reusable():
             await conn.aclose()
             return
-        conn.idle_until = self._clock.now() + idle
+        conn.idle_since = self._clock.now()
+        conn.idle_until = conn.idle_since + idle
         kept.append(conn)
 
     async def stop(self) -> None:
--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -41,3 +41,4 @@
     TARGET_FAILED = 'target-failed'
     ANSWER_INCOMPLETE = 'answer-incomplete'
     ANSWER_WRONG = 'answer-wrong'
+    CONNECTION_FORGOTTEN = 'connection-forgotten'
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -120,7 +120,12 @@
             OwnerParts(
                 clock=self._clock,
                 events=self.events,
-                origin=Origin(settings.target, self._pool, self._dialect),
+                origin=Origin(
+                    settings.target,
+                    self._pool,
+                    self._dialect,
+                    self._clock,
+                ),
                 calls=calls,
                 tally=self._tally,
                 nursery=nursery,
--- a/src/clementinedeal/mesh/_health.py
+++ b/src/clementinedeal/mesh/_health.py
@@ -13,6 +13,7 @@
 FAST_FAILURE = 150.0  # 0.75 of the time when sick, 0.005 when well
 SLOW_FAILURE = 3.0  # mostly a failed call or the work itself
 LOST_ANSWER = 12.0
+FORGOTTEN = 3.0  # a well target forgets resting connections, too
 OVERDUE = 5.0
 SHED = 4.0
 SURVIVED = 0.3  # not refused at once
--- a/src/clementinedeal/mesh/_origin.py
+++ b/src/clementinedeal/mesh/_origin.py
@@ -16,9 +16,11 @@
     end_to_end,
 )
 from clementinedeal._pool import ConnPool
+from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._contracts import Dialect, Signs, Stamp
 from clementinedeal.mesh._outcomes import Outcome, not_run
+from clementinedeal.mesh._rest import RestLimit
 
 # Bodies up to this size fit the socket's buffer whatever the target reads.
 SMALL_BODY_BYTES = 8192
@@ -29,6 +31,10 @@
 # A target answers at its deadline itself; this much later it is silent.
 DEADLINE_GRACE_SECONDS = 0.1
 MOST_FOREIGN_ANSWERS = 3
+# A target resets what comes on a connection that it forgot at once, and no
+# target is known to forget one that rested less than 200 ms.
+FORGOTTEN_SECONDS = 0.05
+LEAST_REST_SECONDS = 0.15
 
 _SUCCESS = range(200, 300)
 _FAILURE_STATUS = 500
@@ -47,16 +53,25 @@
 class Origin:
     """Calls one target over kept-alive connections."""
 
-    def __init__(self, address: str, pool: ConnPool, dialect: Dialect) -> None:
+    def __init__(
+        self,
+        address: str,
+        pool: ConnPool,
+        dialect: Dialect,
+        clock: Clock,
+    ) -> None:
         """Create a caller.
 
         :param address: ``ip:port`` of the target.
         :param pool: connections.
         :param dialect: how the target speaks.
+        :param clock: monotonic time.
         """
         self._address = address
         self._pool = pool
         self._dialect = dialect
+        self._clock = clock
+        self._rest = RestLimit(clock)
 
     async def call(self, message: Message, stamp: Stamp) -> Outcome:
         """Run a request and return what came of it.
@@ -65,10 +80,14 @@
         :param stamp: what the system adds to it.
         """
         try:
-            conn = await self._pool.acquire(self._address)
+            conn = await self._pool.acquire(
+                self._address,
+                self._rest.seconds(),
+            )
         except ConnLostError:
             return not_run(Reason.NO_TARGET)
         kept = False
+        begun = self._clock.now()
         try:
             limit = max(0, stamp.left) + DEADLINE_GRACE_SECONDS
             with trio.move_on_after(limit):
@@ -78,12 +97,21 @@
                     await self._pool.release(self._address, conn, idle)
                 return outcome
         except (ConnLostError, HttpError):
-            return _unknown(Reason.ANSWER_INCOMPLETE)
+            return self._judge_loss(conn.rested, self._clock.now() - begun)
         finally:
             if not kept:
                 conn.abort()
         return _unknown(Reason.DEADLINE)
 
+    def _judge_loss(self, rested: float | None, spent: float) -> Outcome:
+        """Tell a connection that was forgotten from an answer cut short."""
+        if rested is None or rested < LEAST_REST_SECONDS:
+            return _unknown(Reason.ANSWER_INCOMPLETE)
+        if spent > FORGOTTEN_SECONDS:
+            return _unknown(Reason.ANSWER_INCOMPLETE)
+        self._rest.on_forgotten(rested)
+        return _unknown(Reason.CONNECTION_FORGOTTEN)
+
     async def _converse(
         self,
         conn: ClientConn,
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -243,6 +243,8 @@
                 self._learn_failure(seconds)
             case Reason.ANSWER_WRONG | Reason.ANSWER_INCOMPLETE:
                 self._observe(evidence.LOST_ANSWER, 'answer-lost')
+            case Reason.CONNECTION_FORGOTTEN:
+                self._observe(evidence.FORGOTTEN, 'connection-forgotten')
 
     def _learn_failure(self, seconds: float) -> None:
         if seconds < evidence.FAST_SECONDS:
--- /dev/null
+++ b/tests/test_mesh_rest.py
@@ -0,0 +1,100 @@
+"""Targets that forget resting connections."""
+
+import socket
+import struct
+
+import pytest
+import trio
+from tests.ports import free_address
+
+from clementinedeal._pool import ConnPool, split_address
+from clementinedeal._timers import MonotonicClock, VirtualClock
+from clementinedeal._verdict import Reason, Verdict
+from clementinedeal.mesh._contracts import Stamp
+from clementinedeal.mesh._origin import Message, Origin
+from clementinedeal.mesh._rest import LEARNED_SECONDS, RestLimit
+from clementinedeal.platform import PlatformDialect
+
+REST_SECONDS = 0.2
+HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
+MESSAGE = Message('GET', '/look/1', HEADERS, b'')
+STAMP = Stamp(req_id='r1', left=2.0, target='t1', account='', caller='')
+
+
+class Forgetful:
+    """Answers, and resets what comes on a connection that rested."""
+
+    def __init__(self, rest):
+        self.rest = rest
+        self.opened = 0
+
+    async def serve(self, stream):
+        self.opened += 1
+        while True:
+            before = trio.current_time()
+            if not await stream.receive_some():
+                return
+            if trio.current_time() - before > self.rest:
+                reset(stream)
+                return
+            await trio.sleep(0.01)
+            await stream.send_all(
+                b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
+                b'content-length: 2\r\n\r\nok',
+            )
+
+
+def reset(stream):
+    linger = struct.pack('ii', 1, 0)
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    stream.socket.close()
+
+
+@pytest.fixture
+async def target(nursery):
+    made = Forgetful(REST_SECONDS)
+    address = free_address()
+    host, port = split_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    nursery.start_soon(trio.serve_listeners, made.serve, listeners)
+    clock = MonotonicClock()
+    made.origin = Origin(address, ConnPool(clock), PlatformDialect(), clock)
+    return made
+
+
+async def test_one_request_is_lost_and_says_that_it_may_have_run(target):
+    reasons = []
+    for _ in range(4):
+        outcome = await target.origin.call(MESSAGE, STAMP)
+        reasons.append(outcome.reason)
+        if outcome.reason is not None:
+            assert outcome.verdict is Verdict.MAY_HAVE_RUN
+            assert outcome.reached
+        await trio.sleep(REST_SECONDS * 1.5)
+    assert reasons == [None, Reason.CONNECTION_FORGOTTEN, None, None]
+
+
+async def test_connections_in_use_are_kept(target):
+    for _ in range(10):
+        assert (await target.origin.call(MESSAGE, STAMP)).succeeded
+        await trio.sleep(REST_SECONDS / 4)
+    assert target.opened == 1
+
+
+async def test_a_cut_answer_teaches_nothing_of_rests(target):
+    target.rest = 0
+    await target.origin.call(MESSAGE, STAMP)
+    outcome = await target.origin.call(MESSAGE, STAMP)
+    assert outcome.reason is Reason.ANSWER_INCOMPLETE
+
+
+def test_what_was_learned_is_forgotten():
+    clock = VirtualClock()
+    limit = RestLimit(clock)
+    assert limit.seconds() == float('inf')
+    limit.on_forgotten(0.4)
+    assert limit.seconds() == pytest.approx(0.2)
+    limit.on_forgotten(3.0)
+    assert limit.seconds() == pytest.approx(0.2)
+    clock.advance(LEARNED_SECONDS + 0.1)
+    assert limit.seconds() == float('inf')
