Never call a request not run after one of its attempts ran

Cause: an idempotent request whose first attempt ran and failed, and whose repeat the target shed unrun, ended with the outcome of the last attempt: 503, not run. The plan kept the newest outcome that had reached a target, whatever an older one had shown.

Ruled out: the stop's refusals (no stop was that far in either) and the record (written after the target's own shed).

Before: test_a_shed_repeat_does_not_undo_the_first_run fails for both kinds of first outcome; after: passes.

--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -131,17 +131,20 @@
         """
         if outcome.reached:
             self._reached.add(target)
-            self._last = outcome
             self._paid = False
             self._refused.clear()
             self._queues = 0
             self._insisted = False
         elif outcome.reason is not None:
             self._refused[target] = outcome.reason
-            if self._last is None or self._last.verdict is Verdict.NOT_RUN:
-                self._last = None
-            if outcome.verdict is not Verdict.NOT_RUN:
-                self._last = outcome
+        if outcome.verdict is not Verdict.NOT_RUN:
+            self._last = outcome
+        elif not self._may_have_run():
+            self._last = outcome if outcome.reached else None
+
+    def _may_have_run(self) -> bool:
+        last = self._last
+        return last is not None and last.verdict is not Verdict.NOT_RUN
 
     def _is_final(self, outcome: Outcome) -> bool:
         if outcome.succeeded:
@@ -230,7 +233,7 @@
         return Pause(seconds=HOLD_PAUSE_SECONDS)
 
     def _give_up(self, reason: Reason) -> Outcome:
-        if self._last is not None and self._last.verdict is not Verdict.NOT_RUN:
+        if self._last is not None and self._may_have_run():
             return self._last
         return Outcome(
             verdict=Verdict.NOT_RUN,
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -189,6 +189,13 @@
     assert end.retry_after > 0
 
 
+@pytest.mark.parametrize('first', [FAILED, LOST])
+def test_a_shed_repeat_does_not_undo_the_first_run(first):
+    tries, end = run(make_plan(idempotent=True), [first, SHED])
+    assert len(tries) == 2
+    assert end is first
+
+
 def test_lost_answer_is_never_called_not_run():
     plan = make_plan(idempotent=True)
     step = plan.next_step(0)
