Outlive a reload signal during the start

Cause: SIGHUP ends a process that has no handler for it; the mesh daemon set its own only after its imports (0.28 s) and its listeners.

Ruled out: a failed start (the log ends with the former process's daemon-stopped, no line of another).

Before: the new test (a signal while the program reads its settings from a pipe) ends with -1; after: the program goes on and refuses the bad settings with 2.

--- /dev/null
+++ b/src/clementinedeal/mesh/_program.py
@@ -0,0 +1,52 @@
+"""The daemon as a process: its settings, its log lines, its exit status."""
+
+import functools
+import logging
+import sys
+
+import trio
+from result import Err
+
+from clementinedeal.mesh._daemon import MeshDaemon
+from clementinedeal.mesh._log_output import OutputQueue
+from clementinedeal.platform import (
+    PlatformDialect,
+    PlatformStore,
+    load_node,
+    node_path,
+)
+
+_USAGE_EXIT = 2
+_LOG_FORMAT = 'time=%(asctime)s level=%(levelname)s %(message)s'
+
+
+def main() -> int:
+    """Run the daemon until SIGTERM; 2 if its settings are not acceptable."""
+    reload = functools.partial(load_node, node_path())
+    found = reload()
+    if isinstance(found, Err):
+        sys.stderr.write(f'clementinedeal: {found.err_value}\n')
+        return _USAGE_EXIT
+    output = OutputQueue(sys.stdout.fileno())
+    logging.basicConfig(
+        handlers=[output],
+        level=logging.INFO,
+        format=_LOG_FORMAT,
+    )
+    daemon = MeshDaemon(
+        found.ok_value,
+        reload,
+        PlatformStore,
+        PlatformDialect(),
+    )
+    daemon.left_out = lambda: output.total_left_out
+    trio.run(_run, daemon, output)
+    output.flush_rest()
+    return 0
+
+
+async def _run(daemon: MeshDaemon, output: OutputQueue) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(output.run)
+        await daemon.run()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_mesh_program.py
@@ -0,0 +1,23 @@
+"""The program itself: its start, before it listens for signals."""
+
+import os
+import signal
+import subprocess
+import sys
+
+
+def test_a_reload_signal_during_the_start_does_not_end_it(tmp_path):
+    settings = tmp_path / 'node.toml'
+    os.mkfifo(settings)
+    with subprocess.Popen(
+        [sys.executable, '-m', 'clementinedeal.mesh'],
+        env={**os.environ, 'CLEMENTINEDEAL_NODE_FILE': str(settings)},
+        stderr=subprocess.PIPE,
+    ) as process:
+        # opens once the program waits for its settings
+        with settings.open('w') as pipe:
+            process.send_signal(signal.SIGHUP)
+            pipe.write('node = 1')
+        _, told = process.communicate(timeout=10)
+    assert process.returncode == 2
+    assert b'node.toml' in told
