Let trials through to suspect targets, when the others are full

Cause: the owner checks an attempt before and after its queue; the first check took the trial, the second then found the next one not yet due, so no trial of a suspect target ever passed. Suspicion only faded, in some 10 s, also while requests queued at the other targets.

Ruled out: trials by every first attempt of an idempotent request, as the code meant.

Now an attempt is offered as a trial only after another target was full; one passes in 0.8 s. Tests: one trial at a time reaches a suspect target fails on the former owner.

--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -20,8 +20,9 @@
 
 # Above this risk of a failure only trials and last resorts are let through.
 MOST_RISK = 0.35
-# Pause between trials of a suspect target: each that fails costs a retry.
-TRIAL_SECONDS = 0.4
+# Pause between trials of a suspect target: one that fails loses a request or
+# costs a repeat, and a sick one stays so for some 4 s.
+TRIAL_SECONDS = 0.8
 # A refused connection means a target that is down; asked again after this.
 DOWN_SECONDS = 0.3
 # A forward whose connection broke is kept this long for the entry to ask.
@@ -147,7 +148,8 @@
 
     async def _admit(self, execution: Execution) -> Outcome:
         attempt = execution.attempt
-        refusal = self._refusal(attempt)
+        passes = attempt.insist or self._take_trial(attempt)
+        refusal = self._refusal(attempt, passes=passes)
         if refusal is not None:
             return not_run(refusal, self.state())
         if self.slots.expected_wait(attempt.rank) > attempt.wait:
@@ -162,7 +164,7 @@
         started = self._parts.clock.now()
         self._parts.tally.time('queue_seconds', started - queued)
         try:
-            refusal = self._refusal(attempt)
+            refusal = self._refusal(attempt, passes=passes)
             if refusal is not None:
                 return not_run(refusal, self.state())
             outcome = await self._call(execution)
@@ -180,20 +182,31 @@
             state=self.state(),
         )
 
-    def _refusal(self, attempt: Attempt) -> Reason | None:
+    def _take_trial(self, attempt: Attempt) -> bool:
+        """Whether an attempt may show if a suspect target is well again."""
         now = self._parts.clock.now()
+        if not attempt.scout or self._is_trusted() or now < self._trial_at:
+            return False
+        self._trial_at = now + TRIAL_SECONDS
+        return True
+
+    def _is_trusted(self) -> bool:
+        return self.health.risk() <= MOST_RISK
+
+    def _refusal(self, attempt: Attempt, *, passes: bool) -> Reason | None:
+        """Return why an attempt may not start now, if it may not.
+
+        :param attempt: what the entry asks for.
+        :param passes: whether it goes to a suspect target all the same.
+        """
         target = self.target
         if self.stopping or (target is not None and target.draining):
             return Reason.DRAINING
-        if target is None or now < self._down_until:
+        if target is None or self._parts.clock.now() < self._down_until:
             return Reason.NO_TARGET
         if attempt.target != target.name:
             return Reason.WRONG_INCARNATION
-        if self.health.risk() > MOST_RISK and not attempt.insist:
-            if not (attempt.scout and now > self._trial_at):
-                return Reason.TARGET_EJECTED
-            self._trial_at = now + TRIAL_SECONDS
-        return None
+        return None if passes or self._is_trusted() else Reason.TARGET_EJECTED
 
     async def _call(self, execution: Execution) -> Outcome:
         attempt = execution.attempt
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -101,6 +101,7 @@
         self._hold_until: float | None = None
         self._queues = 0
         self._insisted = False
+        self._offered = False
         self._paid = True
         self._queue_until: float | None = None
 
@@ -135,6 +136,7 @@
             self._refused.clear()
             self._queues = 0
             self._insisted = False
+            self._offered = False
         elif outcome.reason is not None:
             self._refused[target] = outcome.reason
         if outcome.verdict is not Verdict.NOT_RUN:
@@ -172,16 +174,21 @@
         )
         fresh = [one for one in order if one.name not in self._refused]
         if fresh and len(self._refused) < MOST_REFUSALS:
-            scout = not careful and self._route.max_targets > 1
-            patience = self._patience(left)
-            return Try(target=fresh[0], patience=patience, scout=scout)
+            return Try(target=fresh[0], patience=self._patience(left))
         return self._choose_last(order, now, left)
 
     def _choose_last(
         self, order: list[Target], now: float, left: float
     ) -> Step:
-        """Queue at a busy target, else insist on a suspect one."""
+        """Try a suspect target, queue at a busy one, else insist."""
         busy = self._refused_for(order, Reason.QUEUE_FULL)
+        suspect = self._refused_for(order, Reason.TARGET_EJECTED)
+        if busy and suspect and not self._offered:
+            # the suspect's slots are missed: whether it is well is worth one
+            # request in each pause that its owner keeps between trials
+            self._offered = True
+            patience = self._patience(left)
+            return Try(target=suspect[0], patience=patience, scout=True)
         wait = min(left / 2, self._queue_seconds(now))
         queues = wait > LEAST_QUEUE_SECONDS and self._queues < MOST_QUEUES
         if busy and queues:
@@ -190,7 +197,6 @@
             self._refused[target.name] = Reason.DEADLINE
             patience = self._patience(left) + wait
             return Try(target=target, patience=patience, wait=wait)
-        suspect = self._refused_for(order, Reason.TARGET_EJECTED)
         if suspect and not self._insisted:
             self._insisted = True
             target = self._balancer.least_risk(suspect)
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -8,6 +8,7 @@
 from clementinedeal._http import RequestHead
 from clementinedeal._timers import MonotonicClock, VirtualClock
 from clementinedeal._verdict import Reason, Verdict
+from clementinedeal.mesh import _health as evidence
 from clementinedeal.mesh import _peer_wire as wire
 from clementinedeal.mesh._calls import CallFailures
 from clementinedeal.mesh._executions import (
@@ -166,3 +167,22 @@
     clock.advance(KEPT_SECONDS + 1)
     table.close('other')
     assert table.find('a1') is None
+
+
+async def test_one_trial_at_a_time_reaches_a_suspect_target(owner):
+    owner.health.observe(evidence.FAST_FAILURE)
+    plain = owner.submit(make_attempt('a1'), MESSAGE)
+    trials = [
+        owner.submit(make_attempt(f't{number}', scout=True), MESSAGE)
+        for number in range(3)
+    ]
+    for execution in (plain, *trials):
+        await execution.done.wait()
+    assert plain.outcome.reason is Reason.TARGET_EJECTED
+    reasons = [one.outcome.reason for one in trials]
+    assert sorted(reasons, key=str) == [
+        None,
+        Reason.TARGET_EJECTED,
+        Reason.TARGET_EJECTED,
+    ]
+    assert owner._parts.origin.runs == 1
