Queue a target's calls by the urgency of what it works on

Cause: calls of targets ranked before every request with a key.

Now a call ranks as the most urgent request that its maker's daemon has at its target, so the declared priorities hold at the called service too.

Ruled out: the parent's id as a prefix of the call's (seen, but not promised by the platform's pages).

--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -14,7 +14,7 @@
 from clementinedeal.mesh._health import TargetHealth
 from clementinedeal.mesh._origin import Message, Origin
 from clementinedeal.mesh._outcomes import Attempt, Outcome, State, not_run
-from clementinedeal.mesh._slots import SlotQueue
+from clementinedeal.mesh._slots import Rank, SlotQueue
 from clementinedeal.mesh._tally import Tally
 from clementinedeal.mesh._types import Target
 
@@ -62,6 +62,12 @@
         self._down_until = 0.0
         self._trial_at = 0.0
         self._trusted = True
+        self._running: list[Rank] = []
+
+    @property
+    def most_urgent(self) -> Rank | None:
+        """Rank of the most urgent request that the target works on."""
+        return min(self._running, default=None)
 
     def take_target(self, target: Target | None) -> None:
         """Believe what is listed of the target from now on.
@@ -167,7 +173,11 @@
             refusal = self._refusal(attempt, passes=passes)
             if refusal is not None:
                 return not_run(refusal, self.state())
-            outcome = await self._call(execution)
+            self._running.append(attempt.rank)
+            try:
+                outcome = await self._call(execution)
+            finally:
+                self._running.remove(attempt.rank)
         finally:
             spent = self._parts.clock.now() - started
             self.slots.release(spent if execution.reached else None)
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -18,10 +18,11 @@
 from clementinedeal.mesh._plan import Finish, Pause, Plan, Try
 from clementinedeal.mesh._retries import RetryShare
 from clementinedeal.mesh._settings import NodeSettings
+from clementinedeal.mesh._slots import Rank
 from clementinedeal.mesh._types import Target
 
-# Rank of a call that a target makes: its parent's work is already spent.
-CALL_PRIORITY = -1
+# Priority of a request without a key that no run of the own target made.
+KEYLESS_PRIORITY = 0
 # An owner answers at the deadline itself; its answer is on its way so long.
 ANSWER_GRACE_SECONDS = 0.12
 
@@ -149,8 +150,6 @@
 
     def _attempt(self, admitted: Admitted, step: Try, number: int) -> Attempt:
         parts = self._parts
-        account = admitted.account
-        priority = CALL_PRIORITY if account is None else account.priority
         return Attempt(
             attempt=f'{new_request_id()[:12]}.{number}',
             req_id=admitted.req_id,
@@ -158,14 +157,21 @@
             left=round(admitted.deadline - parts.clock.now(), 3),
             objective=admitted.route.objective,
             idempotent=admitted.route.idempotent,
-            account=account.name if account else '',
+            account=admitted.account.name if admitted.account else '',
             caller=parts.settings().service,
-            rank=(priority, admitted.route.priority),
+            rank=self._rank(admitted),
             wait=round(step.wait, 3),
             insist=step.insist,
             scout=step.scout,
         )
 
+    def _rank(self, admitted: Admitted) -> Rank:
+        """Return the place in queues: a call is as urgent as who makes it."""
+        if admitted.account is not None:
+            return admitted.account.priority, admitted.route.priority
+        maker = self._parts.owner.most_urgent
+        return maker or (KEYLESS_PRIORITY, admitted.route.priority)
+
     def _budget(self, service: str) -> RetryShare:
         budget = self._budgets.get(service)
         if budget is None:
