--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -99,7 +99,7 @@
         self._refused: dict[str, Reason] = {}
         self._last: Outcome | None = None
         self._hold_until: float | None = None
-        self._queues = 0
+        self._queued: set[str] = set()
         self._insisted = False
         self._offered = False
         self._paid = True
@@ -134,7 +134,7 @@
             self._reached.add(target)
             self._paid = False
             self._refused.clear()
-            self._queues = 0
+            self._queued.clear()
             self._insisted = False
             self._offered = False
         elif outcome.reason is not None:
@@ -181,7 +181,8 @@
         self, order: list[Target], now: float, left: float
     ) -> Step:
         """Try a suspect target, queue at a busy one, else insist."""
-        busy = self._refused_for(order, Reason.QUEUE_FULL)
+        full = self._refused_for(order, Reason.QUEUE_FULL)
+        busy = [one for one in full if one.name not in self._queued]
         suspect = self._refused_for(order, Reason.TARGET_EJECTED)
         if busy and suspect and not self._offered:
             # the suspect's slots are missed: whether it is well is worth one
@@ -190,11 +191,10 @@
             patience = self._patience(left)
             return Try(target=suspect[0], patience=patience, scout=True)
         wait = min(left / 2, self._queue_seconds(now))
-        queues = wait > LEAST_QUEUE_SECONDS and self._queues < MOST_QUEUES
+        queues = wait > LEAST_QUEUE_SECONDS and len(self._queued) < MOST_QUEUES
         if busy and queues:
-            self._queues += 1
             target = self._balancer.shortest_queue(busy)
-            self._refused[target.name] = Reason.DEADLINE
+            self._queued.add(target.name)
             patience = self._patience(left) + wait
             return Try(target=target, patience=patience, wait=wait)
         if suspect and not self._insisted:
@@ -235,7 +235,7 @@
             reason = next(iter(self._refused.values()), Reason.NO_TARGET)
             return Finish(outcome=self._give_up(reason))
         self._refused.clear()
-        self._queues = 0
+        self._queued.clear()
         return Pause(seconds=HOLD_PAUSE_SECONDS)
 
     def _give_up(self, reason: Reason) -> Outcome:
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -156,6 +156,13 @@
     assert 1 < waited <= 2 + 1e-9
 
 
+def test_queues_once_at_each_target():
+    busy = not_run(Reason.QUEUE_FULL)
+    tries, end = run(make_plan(idempotent=False), [busy] * 5 + [ANSWERED])
+    assert end is ANSWERED
+    assert len({one.target for one in tries if one.wait}) == 3
+
+
 def test_insists_when_all_are_suspect():
     suspect = not_run(Reason.TARGET_EJECTED)
     tries, end = run(make_plan(idempotent=False), [suspect] * 3 + [ANSWERED])
