Wait for answers that another daemon still works on

Cause: an entry takes 2.5 s of silence of an owner for a loss and asks again, over a new connection, for 2 s in all. A run that takes longer was asked once, then given up as may-have-run 5 s after it was sent, though its owner had confirmed it and delivered 1 to 8 s later. A place in a queue was lost the same way after 2.5 s: no-target, and the target passed over for a second.

Now an owner that confirms is asked on until the answer is due, and silence in a queue is expected for the whole wait. Owners that know nothing or can't be reached are given up after 2 s as before.

Before: both new tests fail (502, and refused); after: pass.

--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -28,7 +28,8 @@
 CONFIRM_SECONDS = 0.3
 # An owner that confirmed and is silent for so long is asked again.
 SILENCE_SECONDS = 2.5
-# How long the owner of a request that may have run is asked for its answer.
+# An owner that knows nothing or can't be reached is asked for so long; one
+# that still runs the request is asked until the answer is due.
 ASK_SECONDS = 2.0
 ASK_PAUSE_SECONDS = 0.1
 
@@ -84,7 +85,7 @@
                 return await self._end(address, conn, refused)
         sent_at = self._clock.now()
         head = _forward_head(attempt, message)
-        exchange = _Exchange(conn)
+        exchange = _Exchange(conn, SILENCE_SECONDS)
         outcome = await exchange.run(head, message.body)
         if outcome is None:
             conn.abort()
@@ -101,7 +102,9 @@
         head = RequestHead(
             'GET', '/', ((b'host', b'-'), (wire.RESERVE_HEADER, text))
         )
-        exchange = _Exchange(conn)
+        # in a queue, silence is no sign of a loss
+        silence = max(SILENCE_SECONDS, attempt.wait + CONFIRM_SECONDS)
+        exchange = _Exchange(conn, silence)
         outcome = await exchange.run(head, b'')
         if exchange.reserved and conn.reusable():
             return None
@@ -139,10 +142,13 @@
             except ConnLostError:
                 await trio.sleep(ASK_PAUSE_SECONDS)
                 continue
-            outcome = await _Exchange(conn).run(head, b'')
+            exchange = _Exchange(conn, SILENCE_SECONDS)
+            outcome = await exchange.run(head, b'')
             conn.abort()
             if outcome is not None:
                 return outcome
+            if exchange.confirmed:
+                give_up = trio.current_time() + ASK_SECONDS
         return Outcome(
             verdict=Verdict.MAY_HAVE_RUN,
             reason=Reason.TARGET_FAILED,
@@ -165,10 +171,12 @@
 class _Exchange:
     """One request to an owner and its answer."""
 
-    def __init__(self, conn: ClientConn) -> None:
+    def __init__(self, conn: ClientConn, silence: float) -> None:
         self._conn = conn
+        self._silence = silence
         self._scope = trio.CancelScope()
         self.reserved = False
+        self.confirmed = False
 
     async def run(self, head: RequestHead, body: bytes) -> Outcome | None:
         """Return what the owner answered, None if no answer came."""
@@ -182,7 +190,8 @@
         return None
 
     def _confirm(self) -> None:
-        self._scope.deadline = trio.current_time() + SILENCE_SECONDS
+        self.confirmed = True
+        self._scope.deadline = trio.current_time() + self._silence
 
     async def _read(self) -> Outcome | None:
         head = await self._conn.read_head(self._confirm)
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -19,6 +19,7 @@
 from clementinedeal._http import ConnLostError, RequestHead
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import MonotonicClock
+from clementinedeal.mesh import _peer_client
 from clementinedeal.mesh._daemon import KILL_MARGIN_SECONDS, MeshDaemon
 from clementinedeal.mesh._settings import NodeSettings
 from clementinedeal.platform import PlatformDialect, PlatformStore
@@ -359,3 +360,33 @@
     nursery.cancel_scope.cancel()
     # a round of the loop may end it late
     assert left > KILL_MARGIN_SECONDS - 0.1
+
+
+@pytest.fixture
+async def far(fleet, monkeypatch):
+    """A fleet whose only target has one slot, behind another daemon."""
+    monkeypatch.setattr(_peer_client, 'SILENCE_SECONDS', 0.15)
+    monkeypatch.setattr(_peer_client, 'ASK_SECONDS', 0.15)
+    for number, state in enumerate(('draining', 'ready', 'draining')):
+        told = registration(fleet.settings[number].target, state=state)
+        told['info']['slots'] = 1
+        fleet.store.put(f'servers/t{number}', told)
+    await trio.sleep(2)
+    return fleet
+
+
+async def test_a_long_run_behind_another_daemon_is_answered(far):
+    far.targets[1].seconds = 1.0
+    answer, whole = await far.send(0, '/book/long', b'x')
+    assert answer.status == 200
+    assert whole == b't1:x'
+
+
+async def test_a_booking_keeps_its_place_in_a_queue(far, nursery):
+    far.targets[1].seconds = 0.7
+    nursery.start_soon(far.send, 1, '/book/first', b'x')
+    await trio.sleep(0.1)
+    answer, _ = await far.send(0, '/book/second', b'x')
+    assert answer.status == 200
+    paths = [path for _, path, _, _ in far.runs() if 'book' in path]
+    assert paths == ['/book/first', '/book/second']
