--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -209,7 +209,7 @@
             config_version=lambda: feed.version,
             config_age_seconds=lambda: feed.age,
             repeats=lambda: self._sender.repeats,
-            target_risk=owner.health.risk,
+            target_risk=lambda: owner.suspicion.risk,
             target_running=lambda: owner.slots.running,
             target_waiting=lambda: owner.slots.waiting,
             target_slots=lambda: owner.slots.slots,
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -7,22 +7,16 @@
 from clementinedeal._events import EventLog
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh import _health as evidence
 from clementinedeal.mesh._calls import CallFailures
 from clementinedeal.mesh._contracts import Stamp
 from clementinedeal.mesh._executions import Execution, ExecutionTable
-from clementinedeal.mesh._health import TargetHealth
 from clementinedeal.mesh._origin import Message, Origin
 from clementinedeal.mesh._outcomes import Attempt, Outcome, State, not_run
 from clementinedeal.mesh._slots import Rank, SlotQueue
+from clementinedeal.mesh._suspicion import Suspicion
 from clementinedeal.mesh._tally import Tally
 from clementinedeal.mesh._types import Target
 
-# Above this risk of a failure only trials and last resorts are let through.
-MOST_RISK = 0.35
-# Pause between trials of a suspect target: one that fails loses a request or
-# costs a repeat, and a sick one stays so for some 4 s.
-TRIAL_SECONDS = 0.8
 # A refused connection means a target that is down; asked again after this.
 DOWN_SECONDS = 0.3
 # A forward whose connection broke is kept this long for the entry to ask.
@@ -56,12 +50,10 @@
         self._parts = parts
         self.target: Target | None = None
         self.stopping = False
-        self.health = TargetHealth(parts.clock)
+        self.suspicion = Suspicion(parts.clock, parts.events, parts.calls)
         self.slots = SlotQueue(DEFAULT_SLOTS)
         self.executions = ExecutionTable(parts.clock)
         self._down_until = 0.0
-        self._trial_at = 0.0
-        self._trusted = True
         self._running: list[Rank] = []
 
     @property
@@ -82,7 +74,7 @@
             (former.name, former.started_ms) == (target.name, target.started_ms)
         )
         if not same:
-            self.health.renew()
+            self.suspicion.renew(target.name)
             self._down_until = 0
         self.slots.slots = target.slots
         self.slots.admit()
@@ -91,7 +83,7 @@
         """Return what entries should know of the target."""
         slots = self.slots
         return State(
-            risk=round(self.health.risk(), 3),
+            risk=round(self.suspicion.risk, 3),
             running=slots.running,
             waiting=slots.waiting,
             slots=slots.slots,
@@ -154,7 +146,7 @@
 
     async def _admit(self, execution: Execution) -> Outcome:
         attempt = execution.attempt
-        passes = attempt.insist or self._take_trial(attempt)
+        passes = attempt.insist or self.suspicion.take_trial(attempt)
         refusal = self._refusal(attempt, passes=passes)
         if refusal is not None:
             return not_run(refusal, self.state())
@@ -192,17 +184,6 @@
             state=self.state(),
         )
 
-    def _take_trial(self, attempt: Attempt) -> bool:
-        """Whether an attempt may show if a suspect target is well again."""
-        now = self._parts.clock.now()
-        if not attempt.scout or self._is_trusted() or now < self._trial_at:
-            return False
-        self._trial_at = now + TRIAL_SECONDS
-        return True
-
-    def _is_trusted(self) -> bool:
-        return self.health.risk() <= MOST_RISK
-
     def _refusal(self, attempt: Attempt, *, passes: bool) -> Reason | None:
         """Return why an attempt may not start now, if it may not.
 
@@ -216,7 +197,8 @@
             return Reason.NO_TARGET
         if attempt.target != target.name:
             return Reason.WRONG_INCARNATION
-        return None if passes or self._is_trusted() else Reason.TARGET_EJECTED
+        trusted = passes or self.suspicion.is_trusted
+        return None if trusted else Reason.TARGET_EJECTED
 
     async def _call(self, execution: Execution) -> Outcome:
         attempt = execution.attempt
@@ -237,56 +219,17 @@
         )
         execution.reached = True
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch, attempt)
+            nursery.start_soon(self.suspicion.watch, attempt)
             outcome = await self._parts.origin.call(execution.message, stamp)
             nursery.cancel_scope.cancel()
         if not outcome.reached:
             execution.reached = False
+            self._down_until = self._parts.clock.now() + DOWN_SECONDS
         spent = self._parts.clock.now() - started
         self._parts.tally.time('target_seconds', spent)
-        self._learn(outcome, spent)
+        self.suspicion.learn(outcome, spent)
         return outcome
 
-    async def _watch(self, attempt: Attempt) -> None:
-        """Take a request that is not refused at once for a good sign."""
-        await trio.sleep(evidence.SURVIVAL_SECONDS)
-        self._observe(evidence.SURVIVED, 'survived')
-        await trio.sleep(attempt.objective)
-        self._observe(evidence.OVERDUE, 'overdue')
-
-    def _learn(self, outcome: Outcome, seconds: float) -> None:
-        match outcome.reason:
-            case None:
-                self._observe(evidence.COMPLETED, 'completed')
-            case Reason.NO_TARGET:
-                self._down_until = self._parts.clock.now() + DOWN_SECONDS
-            case Reason.QUEUE_FULL:
-                self._observe(evidence.SHED, 'shed')
-            case Reason.TARGET_FAILED:
-                self._learn_failure(seconds)
-            case Reason.ANSWER_WRONG | Reason.ANSWER_INCOMPLETE:
-                self._observe(evidence.LOST_ANSWER, 'answer-lost')
-            case Reason.CONNECTION_FORGOTTEN:
-                self._observe(evidence.FORGOTTEN, 'connection-forgotten')
-
-    def _learn_failure(self, seconds: float) -> None:
-        if seconds < evidence.FAST_SECONDS:
-            self._observe(evidence.FAST_FAILURE, 'failed-at-once')
-        elif not self._parts.calls.failed_recently():
-            self._observe(evidence.SLOW_FAILURE, 'failed')
-
-    def _observe(self, ratio: float, sign: str) -> None:
-        risk = self.health.observe(ratio)
-        trusted = risk <= MOST_RISK
-        if trusted != self._trusted:
-            self._trusted = trusted
-            self._parts.events.emit(
-                'target-trusted' if trusted else 'target-suspected',
-                target=self.target.name if self.target else '',
-                risk=f'{risk:.3f}',
-                sign=sign,
-            )
-
     def _log(self, execution: Execution, outcome: Outcome) -> None:
         attempt = execution.attempt
         reason = outcome.reason.value if outcome.reason else 'answered'
@@ -299,7 +242,7 @@
             verdict=outcome.verdict.value,
             reason=reason,
             status=outcome.status,
-            risk=f'{self.health.risk():.3f}',
+            risk=f'{self.suspicion.risk:.3f}',
             running=self.slots.running,
             waiting=self.slots.waiting,
         )
--- /dev/null
+++ b/src/clementinedeal/mesh/_suspicion.py
@@ -0,0 +1,121 @@
+"""What the requests of one target show of its health, and what follows."""
+
+import trio
+
+from clementinedeal._events import EventLog
+from clementinedeal._timers import Clock
+from clementinedeal._verdict import Reason
+from clementinedeal.mesh import _health as evidence
+from clementinedeal.mesh._calls import CallFailures
+from clementinedeal.mesh._health import TargetHealth
+from clementinedeal.mesh._outcomes import Attempt, Outcome
+
+# Above this risk of a failure only trials and last resorts are let through.
+MOST_RISK = 0.35
+# Pause between trials of a suspect target: one that fails loses a request or
+# costs a repeat, and a sick one stays so for some 4 s.
+TRIAL_SECONDS = 0.8
+
+
+class Suspicion:
+    """Turns outcomes into evidence, and a risk into trust."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        events: EventLog,
+        calls: CallFailures,
+    ) -> None:
+        """Start with what is known of targets in general.
+
+        :param clock: monotonic time.
+        :param events: hears when trust changes.
+        :param calls: failures that a target passes on.
+        """
+        self._clock = clock
+        self._events = events
+        self._calls = calls
+        self._health = TargetHealth(clock)
+        self._trusted = True
+        self._trial_at = 0.0
+        self._target = ''
+
+    @property
+    def risk(self) -> float:
+        """Probability that the target is sick now."""
+        return self._health.risk()
+
+    @property
+    def is_trusted(self) -> bool:
+        """Whether bookings may go to the target."""
+        return self.risk <= MOST_RISK
+
+    def renew(self, target: str) -> None:
+        """Forget the past: another process has taken the target's place.
+
+        :param target: its name.
+        """
+        self._target = target
+        self._health.renew()
+
+    def take_trial(self, attempt: Attempt) -> bool:
+        """Whether an attempt may show if a suspect target is well again.
+
+        :param attempt: one that asks for it.
+        """
+        now = self._clock.now()
+        if not attempt.scout or self.is_trusted or now < self._trial_at:
+            return False
+        self._trial_at = now + TRIAL_SECONDS
+        return True
+
+    async def watch(self, attempt: Attempt) -> None:
+        """Take a request that is not refused at once for a good sign.
+
+        :param attempt: it has just been sent.
+        """
+        await trio.sleep(evidence.SURVIVAL_SECONDS)
+        self.observe(evidence.SURVIVED, 'survived')
+        await trio.sleep(attempt.objective)
+        self.observe(evidence.OVERDUE, 'overdue')
+
+    def learn(self, outcome: Outcome, seconds: float) -> None:
+        """Take in how a request ended.
+
+        :param outcome: what came of it.
+        :param seconds: how long the target had it.
+        """
+        match outcome.reason:
+            case None:
+                self.observe(evidence.COMPLETED, 'completed')
+            case Reason.QUEUE_FULL:
+                self.observe(evidence.SHED, 'shed')
+            case Reason.TARGET_FAILED:
+                self._learn_failure(seconds)
+            case Reason.ANSWER_WRONG | Reason.ANSWER_INCOMPLETE:
+                self.observe(evidence.LOST_ANSWER, 'answer-lost')
+            case Reason.CONNECTION_FORGOTTEN:
+                self.observe(evidence.FORGOTTEN, 'connection-forgotten')
+
+    def observe(self, ratio: float, sign: str) -> None:
+        """Take in evidence.
+
+        :param ratio: how much likelier it is from a sick target.
+        :param sign: its name in the log.
+        """
+        risk = self._health.observe(ratio)
+        trusted = risk <= MOST_RISK
+        if trusted != self._trusted:
+            self._trusted = trusted
+            self._events.emit(
+                'target-trusted' if trusted else 'target-suspected',
+                target=self._target,
+                risk=f'{risk:.3f}',
+                sign=sign,
+            )
+
+    def _learn_failure(self, seconds: float) -> None:
+        if seconds < evidence.FAST_SECONDS:
+            self.observe(evidence.FAST_FAILURE, 'failed-at-once')
+        elif not self._calls.failed_recently():
+            self.observe(evidence.SLOW_FAILURE, 'failed')
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -170,7 +170,7 @@
 
 
 async def test_one_trial_at_a_time_reaches_a_suspect_target(owner):
-    owner.health.observe(evidence.FAST_FAILURE)
+    owner.suspicion.observe(evidence.FAST_FAILURE, 'failed')
     plain = owner.submit(make_attempt('a1'), MESSAGE)
     trials = [
         owner.submit(make_attempt(f't{number}', scout=True), MESSAGE)
--- a/tests/test_mesh_health.py
+++ b/tests/test_mesh_health.py
@@ -3,7 +3,7 @@
 from clementinedeal._timers import VirtualClock
 from clementinedeal.mesh import _health as evidence
 from clementinedeal.mesh._health import TargetHealth
-from clementinedeal.mesh._owner import MOST_RISK
+from clementinedeal.mesh._suspicion import MOST_RISK
 
 
 def make():
