Give test processes ports of their own

Cause: a test port was looked for on 127.0.0.1 only, and test processes with neighbouring numbers began 37 ports apart; a target of the mesh tests on 127.0.0.2 met one of the other process.

Checked: with a listener on 127.0.0.2 the former look finds the port free, the new one, on all addresses, does not.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -6,7 +6,8 @@
 
 FIRST_PORT = 10_000
 PORTS = 9_000
-_offsets = itertools.count(os.getpid() * 37)
+# test processes with neighbouring numbers begin far from one another
+_offsets = itertools.count(os.getpid() * 997)
 
 
 def free_address() -> str:
@@ -14,7 +15,8 @@
     while True:
         port = FIRST_PORT + next(_offsets) % PORTS
         try:
-            socket.create_server(('127.0.0.1', port)).close()
+            # tests listen on other loopback addresses, too
+            socket.create_server(('', port)).close()
         except OSError:
             continue
         return f'127.0.0.1:{port}'
