Read the time line from log lines

Cause: on the users' platform there is no endpoint to ask for events, only log lines of many machines; following an id meant grep and sorting by hand.

Ruled out: a second renderer; the lines carry the same stamp as the events.

Test: events come back from the lines they were written as. A file that cannot be read ends the command with one line.

--- a/src/clementinedeal/_cli.py
+++ b/src/clementinedeal/_cli.py
@@ -47,6 +47,8 @@
   timeline --declaration=FILE [--request=ID] [--target=NAME] [--account=NAME]
            [--event=NAME] [--html --out=FILE]
                              events of all instances in causal order
+  timeline LOG... [the same filters]
+                             the same from files of log lines
 
 Flags: clementinedeal --helpfull
 """
--- a/src/clementinedeal/_commands.py
+++ b/src/clementinedeal/_commands.py
@@ -24,6 +24,7 @@
     TimelineFilter,
     merge_events,
     read_events,
+    read_log,
     render_text,
 )
 from clementinedeal._timeline_page import render_page
@@ -99,8 +100,13 @@
 def timeline(args: list[str]) -> int:
     """Print or write the events of all instances in causal order.
 
-    :param args: none; declaration and filters are flags.
+    :param args: files of log lines; without any the instances of the
+        declaration are asked. Declaration and filters are flags.
     """
+    if args:
+        logs = [read_log(_read_lines(arg)) for arg in args]
+        _write_timeline(merge_events(logs, _timeline_filter()))
+        return 0
     answers = _ask('/events')
     silent = [
         f'instance={answer.instance.name} error="{answer.error}"\n'
@@ -113,6 +119,13 @@
     return 1 if silent else 0
 
 
+def _read_lines(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text('utf-8', errors='replace')
+    except OSError as exc:
+        raise UsageError(f'{path}: {exc.strerror}') from exc
+
+
 def _timeline_filter() -> TimelineFilter:
     chosen = flags.FLAGS
     return TimelineFilter(
--- a/src/clementinedeal/_timeline.py
+++ b/src/clementinedeal/_timeline.py
@@ -1,5 +1,6 @@
 """Time line of a fleet: events of many daemons in one causal order."""
 
+import re
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -12,6 +13,11 @@
 COUNTER_BITS = 16
 
 _MS_PER_SECOND = 1000
+_LOG_LINE = re.compile(
+    r'hlc=(?P<hlc>\d+) instance=(?P<instance>\S+) '
+    r'incarnation=(?P<incarnation>\S+) event=(?P<name>\S+)(?P<fields>.*)',
+)
+_LOG_FIELD = re.compile(r' ([\w-]+)=("[^"]*"|\S*)')
 _REQUEST_FIELDS = frozenset(('req', 'attempt'))
 
 
@@ -57,6 +63,31 @@
     return tuple(events)
 
 
+def read_log(text: str) -> tuple[Event, ...]:
+    """Read the events in log lines, of one process or of many.
+
+    Whatever stands before an event on its line, and lines without one, are
+    passed over.
+
+    :param text: log lines as daemons write them.
+    """
+    found = (_LOG_LINE.search(line) for line in text.splitlines())
+    return tuple(
+        Event(
+            hlc=int(line['hlc']),
+            instance=line['instance'],
+            incarnation=line['incarnation'],
+            name=line['name'],
+            fields=tuple(
+                (key, told.strip('"'))
+                for key, told in _LOG_FIELD.findall(line['fields'])
+            ),
+        )
+        for line in found
+        if line is not None
+    )
+
+
 def merge_events(
     logs: Iterable[Iterable[Event]],
     wanted: TimelineFilter | None = None,
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -11,6 +11,7 @@
     TimelineFilter,
     merge_events,
     read_events,
+    read_log,
     render_text,
     wall_time,
 )
@@ -109,3 +110,17 @@
 def test_a_malformed_line_is_refused() -> None:
     with pytest.raises(ProtocolError):
         read_events(b'{"hlc": "x"}\n')
+
+
+def test_events_are_read_back_from_log_lines() -> None:
+    told = event(9, 'platform-lost', part='a', reason='no answer, "late"')
+    lines = [
+        '   0.5 n1 time=2026-01-01 00:00:00,001 level=INFO ' + told.line(),
+        'Traceback (most recent call last):',
+        *(one.line() for one in EVENTS),
+    ]
+    read = read_log('\n'.join(lines))
+    assert read[1:] == EVENTS
+    assert read[0].fields[1] == ('reason', "no answer, 'late'")
+    chosen = merge_events([read], TimelineFilter(request='q'))
+    assert [one.name for one in chosen] == ['request-started']
