Let the soak restart what ends by itself, and count it

Its daemon's log stops 2 s into the faults without an error line. The platform restarts a process that ends; the soak did not, and would not have noticed one that ended and came back.

Ruled out: a failed start (its reason would stand in the log). Read, not shown: a reload signal before the program's first line, which no program can answer.

--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -18,6 +18,10 @@
 )
 
 STOP_SECONDS = 6.0
+# the interpreter's own start, on a machine under load
+INTERPRETER_SECONDS = 0.5
+# a process restarted by the platform serves again after so long
+RESTART_SECONDS = 3.0
 _SETTINGS = """
 node = "{name}"
 zone = "a"
@@ -54,6 +58,8 @@
             stop=STOP_SECONDS,
         )
         self.process = None
+        self.started_at = 0.0
+        self.reloaded_at = 0.0
         # times from which to which its callers are owed no answer
         self.troubles = []
         # times of stop signals, and what the process ended with
@@ -61,6 +67,7 @@
         self.exits = []
 
     def start(self, folder):
+        self.started_at = trio.current_time()
         path = folder / f'{self.name}.toml'
         path.write_text(self.settings)
         with open(folder / f'{self.name}.log', 'ab') as output:
@@ -82,6 +89,23 @@
             self.troubles.remove((begin, math.inf))
             self.troubles.append((begin, trio.current_time() + more))
 
+    def reload(self):
+        self.reloaded_at = trio.current_time()
+        self.signal(signal.SIGHUP)
+
+    def restart_if_ended(self, folder):
+        """Do what the platform does with a process that ended by itself."""
+        code = self.process.poll()
+        if code is None:
+            return
+        # no program can answer a signal before its first line has run
+        early = self.reloaded_at - self.started_at < INTERPRETER_SECONDS
+        if not (early and code == -signal.SIGHUP):
+            self.exits.append(f'by itself with {code}')
+        now = trio.current_time()
+        self.troubles.append((self.started_at, now + RESTART_SECONDS))
+        self.start(folder)
+
     def signal(self, number):
         if self.process.poll() is None:
             self.process.send_signal(number)
