Log what is learned of resting connections

A daemon that shortened how long connections to its target may rest changed a belief without a line; the reason of the attempt was all one saw. Now connection-forgotten tells the rest and the new limit. The test asks for one line. Ruled out: a line at each request that opens a new connection instead.

--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -25,8 +25,9 @@
         """
         self.stream = stream
         self.idle_until = 0.0
-        self.rested: float | None = None
         self.idle_since = 0.0
+        # seconds it was idle before it was lent again; None when it is new
+        self.rested: float | None = None
         self._closed = False
         self._method = b'GET'
         self._wire = Wire(stream, h11.CLIENT, READ_BYTES)
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -126,6 +126,7 @@
                     self._pool,
                     self._dialect,
                     self._clock,
+                    self.events,
                 ),
                 calls=calls,
                 tally=self._tally,
--- a/src/clementinedeal/mesh/_origin.py
+++ b/src/clementinedeal/mesh/_origin.py
@@ -6,6 +6,7 @@
 import trio
 
 from clementinedeal._client_conn import ClientConn
+from clementinedeal._events import EventLog
 from clementinedeal._http import (
     CONTENT_LENGTH,
     ConnLostError,
@@ -59,6 +60,7 @@
         pool: ConnPool,
         dialect: Dialect,
         clock: Clock,
+        events: EventLog,
     ) -> None:
         """Create a caller.
 
@@ -66,11 +68,13 @@
         :param pool: connections.
         :param dialect: how the target speaks.
         :param clock: monotonic time.
+        :param events: hears what is learned of resting connections.
         """
         self._address = address
         self._pool = pool
         self._dialect = dialect
         self._clock = clock
+        self._events = events
         self._rest = RestLimit(clock)
 
     async def call(self, message: Message, stamp: Stamp) -> Outcome:
@@ -110,6 +114,12 @@
         if spent > FORGOTTEN_SECONDS:
             return _unknown(Reason.ANSWER_INCOMPLETE)
         self._rest.on_forgotten(rested)
+        self._events.emit(
+            'connection-forgotten',
+            address=self._address,
+            rested=f'{rested:.3f}',
+            limit=f'{self._rest.seconds():.3f}',
+        )
         return _unknown(Reason.CONNECTION_FORGOTTEN)
 
     async def _converse(
--- a/tests/test_mesh_rest.py
+++ b/tests/test_mesh_rest.py
@@ -7,6 +7,7 @@
 import trio
 from tests.ports import free_address
 
+from clementinedeal._events import EventLog
 from clementinedeal._pool import ConnPool, split_address
 from clementinedeal._timers import MonotonicClock, VirtualClock
 from clementinedeal._verdict import Reason, Verdict
@@ -58,7 +59,9 @@
     listeners = await trio.open_tcp_listeners(port, host=host)
     nursery.start_soon(trio.serve_listeners, made.serve, listeners)
     clock = MonotonicClock()
-    made.origin = Origin(address, ConnPool(clock), PlatformDialect(), clock)
+    made.events = EventLog('i', '1')
+    pool = ConnPool(clock)
+    made.origin = Origin(address, pool, PlatformDialect(), clock, made.events)
     return made
 
 
@@ -72,6 +75,7 @@
             assert outcome.reached
         await trio.sleep(REST_SECONDS * 1.5)
     assert reasons == [None, Reason.CONNECTION_FORGOTTEN, None, None]
+    assert target.events.json_lines().count(b'connection-forgotten') == 1
 
 
 async def test_connections_in_use_are_kept(target):
