Call a request not run whose body was never sent

Cause: the sender's own limit could end a reservation, whose owner had confirmed it and then fell silent, and took the request for one that may have run, though its body had not been sent.

Ruled out: a longer limit in the sender, which would answer after the deadline.

Before: the new test (an owner that confirms and freezes) fails, no outcome but the sender's; after: not run, in time.

--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -102,8 +102,10 @@
         head = RequestHead(
             'GET', '/', ((b'host', b'-'), (wire.RESERVE_HEADER, text))
         )
-        # in a queue, silence is no sign of a loss
+        # in a queue, silence is no sign of a loss; when the answer is due and
+        # the body was not sent, nothing has run
         silence = max(SILENCE_SECONDS, attempt.wait + CONFIRM_SECONDS)
+        silence = min(silence, attempt.left)
         exchange = _Exchange(conn, silence)
         outcome = await exchange.run(head, b'')
         if exchange.reserved and conn.reusable():
--- /dev/null
+++ b/tests/test_mesh_peer_client.py
@@ -0,0 +1,48 @@
+"""Owners that fall silent before they have the body of a request."""
+
+import trio
+from tests.ports import free_address
+
+from clementinedeal._pool import ConnPool, split_address
+from clementinedeal._timers import MonotonicClock
+from clementinedeal._verdict import Verdict
+from clementinedeal.mesh._origin import Message
+from clementinedeal.mesh._outcomes import Attempt
+from clementinedeal.mesh._peer_client import PeerClient
+from clementinedeal.mesh._sender import ANSWER_GRACE_SECONDS
+
+LEFT = 0.5
+
+
+async def confirm_and_freeze(stream):
+    await stream.receive_some()
+    await stream.send_all(b'HTTP/1.1 102 Processing\r\n\r\n')
+    await trio.sleep_forever()
+
+
+async def test_a_request_whose_body_was_not_sent_has_not_run(nursery):
+    address = free_address()
+    host, port = split_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    nursery.start_soon(trio.serve_listeners, confirm_and_freeze, listeners)
+    clock = MonotonicClock()
+    attempt = Attempt(
+        attempt='a1',
+        req_id='r1',
+        target='t1',
+        left=LEFT,
+        objective=1.0,
+        idempotent=False,
+        account='shop',
+        caller='s',
+        rank=(0, 0),
+    )
+    outcome = None
+    with trio.move_on_after(LEFT + ANSWER_GRACE_SECONDS):
+        outcome = await PeerClient(ConnPool(clock), clock).attempt(
+            address,
+            attempt,
+            Message('POST', '/', (), b'x'),
+        )
+    assert outcome is not None
+    assert outcome.verdict is Verdict.NOT_RUN
