Log what a stop, a close or a foreign answer takes from a request

Now request-cut and attempt-cut name what ends with the process (1), owner-lost is told from a failure of the target (2), answer-skipped names answers to other requests (3), close-crossed and the address of connection-cut name connections that close under a request (4, 6), and daemon-draining and drain-ended count what a stop finds and leaves. No decision is changed. Test: test_what_is_cut_is_logged (fails on the former code, where no such line exists).

--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -132,7 +132,13 @@
         try:
             with scope:
                 await self._converse_safely(conn)
-            await conn.drain_close()
+            crossed = await conn.drain_close()
+            if crossed:
+                self._events.emit(
+                    'close-crossed',
+                    address=self._address,
+                    bytes=crossed,
+                )
         finally:
             self._open.pop(conn, None)
             if not self._open:
@@ -154,7 +160,11 @@
         except HttpError as exc:
             await self._answer_error(conn, exc)
         except ConnLostError as exc:
-            self._events.emit('connection-cut', reason=exc)
+            self._events.emit(
+                'connection-cut',
+                address=self._address,
+                reason=exc,
+            )
             await conn.aclose()
 
     async def _serve_next(self, conn: ServerConn) -> bool:
--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -174,13 +174,15 @@
         """Close the stream, gracefully for what was already sent."""
         await trio.aclose_forcefully(self._wire.stream)
 
-    async def drain_close(self) -> None:
+    async def drain_close(self) -> int:
         """Send the end of stream, read a little, then close.
 
         A cancelled task closes at once.
+
+        :return: how many bytes came after the end was sent.
         """
         try:
-            await _end_stream(self._wire.stream)
+            return await _end_stream(self._wire.stream)
         finally:
             await self.aclose()
 
@@ -224,18 +226,15 @@
         return h11.Response(status_code=status, headers=list(headers))
 
 
-async def _end_stream(stream: trio.abc.Stream) -> None:
+async def _end_stream(stream: trio.abc.Stream) -> int:
+    received = 0
     if not isinstance(stream, trio.SocketStream):
-        return
+        return received
     with (
         trio.move_on_after(CLOSE_SECONDS),
         contextlib.suppress(*BROKEN_ERRORS),
     ):
         await stream.send_eof()
-        await _read_to_end(stream)
-
-
-async def _read_to_end(stream: trio.SocketStream) -> None:
-    received = True
-    while received:
-        received = bool(await stream.receive_some(READ_BYTES))
+        while blob := await stream.receive_some(READ_BYTES):
+            received += len(blob)
+    return received
--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -38,6 +38,7 @@
     IN_PROGRESS = 'in-progress'
     KEEPER_UNAVAILABLE = 'keeper-unavailable'
     KEY_REUSED = 'idempotency-key-reused'
+    OWNER_LOST = 'owner-lost'
     TARGET_FAILED = 'target-failed'
     ANSWER_INCOMPLETE = 'answer-incomplete'
     ANSWER_WRONG = 'answer-wrong'
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -274,7 +274,7 @@
     async def _drain(self) -> None:
         """Serve on until callers know, then finish what was begun."""
         started = self._clock.now()
-        self.events.emit('daemon-draining')
+        self._emit_load('daemon-draining', started)
         self._owner.stopping = True
         for server in self._servers:
             server.drain()
@@ -286,6 +286,17 @@
         end = started + self._settings.bounds.stop - KILL_MARGIN_SECONDS
         with trio.move_on_after(end - self._clock.now()):
             await self._finish()
+        self._emit_load('drain-ended', started)
+
+    def _emit_load(self, name: str, started: float) -> None:
+        """Tell how many requests a stop finds, or leaves unanswered."""
+        self.events.emit(
+            name,
+            seconds=f'{self._clock.now() - started:.3f}',
+            callers=self._callers.busy,
+            running=self._owner.slots.running,
+            waiting=self._owner.slots.waiting,
+        )
 
     async def _finish(self) -> None:
         """Return when nothing is under way any more."""
--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -60,7 +60,15 @@
         if isinstance(admitted, Outcome):
             await self._refuse(conn, parts.admission.name(head), admitted)
             return
-        outcome = await self._run_watched(conn, admitted)
+        try:
+            outcome = await self._run_watched(conn, admitted)
+        except trio.Cancelled:
+            parts.events.emit(
+                'request-cut',
+                req=admitted.req_id,
+                seconds=f'{parts.clock.now() - started:.3f}',
+            )
+            raise
         self._note(admitted, outcome, parts.clock.now() - started)
         if outcome.status:
             headers = tuple(
--- a/src/clementinedeal/mesh/_origin.py
+++ b/src/clementinedeal/mesh/_origin.py
@@ -160,6 +160,12 @@
             signs = self._dialect.read_answer(head)
             if signs.req_id == stamp.req_id or not signs.req_id:
                 break
+            self._events.emit(
+                'answer-skipped',
+                address=self._address,
+                req=stamp.req_id,
+                other=signs.req_id,
+            )
             conn.skip_answer()
         else:
             return _unknown(Reason.ANSWER_WRONG), None
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -153,7 +153,7 @@
                 give_up = trio.current_time() + ASK_SECONDS
         return Outcome(
             verdict=Verdict.MAY_HAVE_RUN,
-            reason=Reason.TARGET_FAILED,
+            reason=Reason.OWNER_LOST,
             reached=True,
         )
 
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -102,6 +102,16 @@
             limit = max(0, step.patience) + ANSWER_GRACE_SECONDS
             with trio.move_on_after(limit):
                 outcome = await self._send(target, attempt, admitted.message)
+        except trio.Cancelled:
+            parts.events.emit(
+                'attempt-cut',
+                req=admitted.req_id,
+                attempt=attempt.attempt,
+                target=target.name,
+                wait=f'{step.wait:.2f}',
+                insist=step.insist,
+            )
+            raise
         finally:
             parts.balancer.end(target.name, outcome)
         if outcome is None:
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -216,6 +216,16 @@
     assert sum(target.left for target in fleet.targets) >= 3
 
 
+async def test_what_is_cut_is_logged(fleet):
+    for target in fleet.targets:
+        target.mode = 'hang'
+    with trio.move_on_after(0.15):
+        await fleet.send(0, '/look/1')
+    await trio.sleep(0.1)
+    lines = fleet.daemons[0].events.json_lines()
+    assert lines.count(b'attempt-cut') == lines.count(b'caller-left') == 1
+
+
 async def test_leaving_target_gets_no_new_work(fleet):
     leaving = fleet.targets[0]
     fleet.store.put(
