--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,5 @@
 from hypothesis import settings
+from tests.mesh_fleet import far, fleet  # noqa: F401
 
 settings.register_profile(
     'ci',
