--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -30,6 +30,7 @@
     store: Store
     targets: list = field(default_factory=list)
     daemons: list = field(default_factory=list)
+    ended: list = field(default_factory=list)
     settings: list = field(default_factory=list)
     pool: ConnPool = field(default_factory=lambda: ConnPool(MonotonicClock()))
     ids: int = 0
@@ -104,12 +105,18 @@
             PlatformDialect(),
         )
         fleet.daemons.append(daemon)
-        nursery.start_soon(daemon.run)
+        fleet.ended.append(trio.Event())
+        nursery.start_soon(run, daemon, fleet.ended[-1])
     for number in range(len(HOSTS)):
         await ready(fleet, number)
     return fleet
 
 
+async def run(daemon, ended):
+    await daemon.run()
+    ended.set()
+
+
 async def ready(fleet, number):
     with trio.fail_after(5):
         while True:
--- /dev/null
+++ b/tests/test_mesh_origin.py
@@ -0,0 +1,72 @@
+"""Targets that send answers of other requests on a kept connection."""
+
+import pytest
+import trio
+from tests.ports import free_address
+
+from clementinedeal._events import EventLog
+from clementinedeal._pool import ConnPool, split_address
+from clementinedeal._timers import MonotonicClock
+from clementinedeal.mesh._contracts import Stamp
+from clementinedeal.mesh._origin import Message, Origin
+from clementinedeal.platform import PlatformDialect
+
+WORK_SECONDS = 0.1
+
+
+def answer(req_id):
+    return (
+        b'HTTP/1.1 200 OK\r\nattempt-id: %b\r\nserver-seal: s\r\n'
+        b'content-length: 2\r\n\r\n%b' % (req_id, req_id)
+    )
+
+
+class Repeating:
+    """Answers late, after extra answers to the request before."""
+
+    def __init__(self, pieces):
+        self.pieces = pieces
+        self.opened = 0
+
+    async def serve(self, stream):
+        self.opened += 1
+        await stream.receive_some()
+        await stream.send_all(answer(b'r1'))
+        await stream.receive_some()
+        for piece in self.pieces:
+            await stream.send_all(piece)
+            await trio.sleep(WORK_SECONDS)
+        await stream.send_all(answer(b'r2'))
+        await stream.receive_some()
+
+
+async def call(origin, req_id):
+    headers = ((b'host', b'x'), (b'attempt-id', req_id.encode()))
+    message = Message('POST', '/book/1', headers, b'x')
+    stamp = Stamp(req_id=req_id, left=2.0, target='t1', account='', caller='')
+    return await origin.call(message, stamp)
+
+
+@pytest.mark.parametrize(
+    'pieces',
+    [
+        [answer(b'r1')],
+        [answer(b'r1'), answer(b'r1')],
+        [answer(b'r1') + answer(b'r1')],
+        [answer(b'r1')[:30], answer(b'r1')[30:]],
+    ],
+    ids=['one', 'apart', 'together', 'split'],
+)
+async def test_a_late_extra_answer_does_not_lose_the_next_one(nursery, pieces):
+    target = Repeating(pieces)
+    address = free_address()
+    host, port = split_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    nursery.start_soon(trio.serve_listeners, target.serve, listeners)
+    clock = MonotonicClock()
+    pool = ConnPool(clock)
+    events = EventLog('i', '1')
+    origin = Origin(address, pool, PlatformDialect(), clock, events)
+    assert (await call(origin, 'r1')).body == b'r1'
+    assert (await call(origin, 'r2')).body == b'r2'
+    assert target.opened == 1
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -1,14 +1,23 @@
 """Planned stops of whole daemons under their callers."""
 
 import contextlib
+import dataclasses
 import time
 
+import pytest
 import trio
 import trio.lowlevel
+from result import Ok
+from tests.store_standin import configuration, registration
 
 from clementinedeal._http import ConnLostError, RequestHead
+from clementinedeal.mesh import _daemon
 from clementinedeal.mesh._daemon import KILL_MARGIN_SECONDS
 
+SHORT_NOTICE_SECONDS = 0.3
+SHORT_STOP_SECONDS = 2.0
+LONG_SECONDS = 30.0
+
 
 async def is_ready(fleet, number):
     address = fleet.settings[number].ready
@@ -104,3 +113,110 @@
     nursery.cancel_scope.cancel()
     # a round of the loop may end it late
     assert left > KILL_MARGIN_SECONDS - 0.1
+
+
+@pytest.fixture
+async def patient(fleet, monkeypatch):
+    """A fleet of one slot, with long timeouts and short stops."""
+    monkeypatch.setattr(_daemon, 'NOTICE_SECONDS', SHORT_NOTICE_SECONDS)
+    cfg = configuration(2)
+    for entry in cfg['resources']:
+        if entry['entry_type'] == 'routes':
+            entry['spec']['timeout_s'] = LONG_SECONDS
+            entry['spec']['target_latency_s'] = LONG_SECONDS / 2
+    fleet.store.put('op/config', cfg)
+    for number, state in enumerate(('draining', 'ready', 'draining')):
+        told = registration(fleet.settings[number].target, state=state)
+        told['info']['slots'] = 1
+        fleet.store.put(f'servers/t{number}', told)
+    for daemon in fleet.daemons:
+        settings = daemon._settings
+        bounds = dataclasses.replace(settings.bounds, stop=SHORT_STOP_SECONDS)
+        shorter = dataclasses.replace(settings, bounds=bounds)
+        daemon._settings = shorter
+        daemon._reload = lambda shorter=shorter: Ok(shorter)
+    await trio.sleep(2)
+    return fleet
+
+
+async def ask(fleet, number, path, found, **more):
+    answer, _ = await fleet.send(number, path, b'x', patience_ms=30_000, **more)
+    found[path] = (answer.status, answer.header(b'x-verdict'))
+
+
+async def stop(fleet, number):
+    """Stop a daemon and wait for its end."""
+    fleet.daemons[number].stop()
+    with trio.fail_after(SHORT_STOP_SECONDS):
+        await fleet.ended[number].wait()
+
+
+async def test_a_booking_that_queues_when_its_daemon_ends_is_refused(patient):
+    patient.targets[1].mode = 'hang'
+    found = {}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, patient, 1, '/book/first', {})
+        await trio.sleep(0.1)
+        nursery.start_soon(ask, patient, 0, '/book/second', found)
+        await trio.sleep(0.1)
+        await stop(patient, 0)
+        nursery.cancel_scope.cancel()
+    assert found['/book/second'] == (503, b'not-run')
+    assert not [one for one in patient.runs() if one[1] == '/book/second']
+
+
+@pytest.mark.parametrize('path', ['/book/1', '/look/1'])
+async def test_a_run_that_outlasts_its_daemon_is_answered(patient, path):
+    patient.targets[1].mode = 'hang'
+    found = {}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, patient, 0, path, found)
+        await trio.sleep(0.2)
+        await stop(patient, 0)
+        nursery.cancel_scope.cancel()
+    assert found[path] == (502, b'may-have-run')
+
+
+async def test_a_late_call_of_a_target_is_not_begun_to_be_cut(patient):
+    patient.targets[1].mode = 'hang'
+    found = {}
+    async with trio.open_nursery() as nursery:
+        # a request that runs on keeps the daemon up
+        nursery.start_soon(ask, patient, 0, '/book/long', {})
+        await trio.sleep(0.2)
+        patient.daemons[0].stop()
+        await trio.sleep(SHORT_NOTICE_SECONDS + 0.2)
+        with trio.fail_after(0.2):
+            await ask(patient, 0, '/open/call', found, key='')
+        nursery.cancel_scope.cancel()
+    assert found['/open/call'] == (503, b'not-run')
+    assert not [one for one in patient.runs() if one[1] == '/open/call']
+
+
+async def test_a_stopping_owner_keeps_nobody_in_its_queue(patient):
+    patient.targets[1].mode = 'hang'
+    found = {}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, patient, 0, '/book/first', {})
+        await trio.sleep(0.1)
+        nursery.start_soon(ask, patient, 0, '/book/second', found)
+        await trio.sleep(0.1)
+        told = registration(patient.settings[0].target)
+        patient.store.put('servers/t0', told)
+        await trio.sleep(1.5)
+        patient.daemons[1].stop()
+        await trio.sleep(0.3)
+        nursery.cancel_scope.cancel()
+    assert found['/book/second'] == (200, None)
+
+
+async def test_a_stopping_owner_tells_what_became_of_its_runs(patient):
+    patient.targets[1].mode = 'hang'
+    found = {}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, patient, 0, '/book/1', found)
+        await trio.sleep(0.2)
+        await stop(patient, 1)
+        await trio.sleep(0.2)
+        nursery.cancel_scope.cancel()
+    assert found['/book/1'] == (502, b'may-have-run')
