Answer all that a stopping daemon has read before it ends

Callers saw requests end without an answer, or wait behind a daemon that was gone, around planned stops. Cause: the stop knew requests only as open connections. It took calls of targets to the last moment, left requests in queues, its own and those of other owners, and at the end of its time cut every connection that had no answer. A request may queue for its objective: 1.5 to 3 s on the small deployments, 3 to 5 s on the grown ones, where it outlasts the stop; there LOST shows.

Now a stop has steps, each of which leaves no request without an answer: the owner empties its queue at once; after the notice nothing is begun and what waits is refused; what still runs shortly before the end is answered as it stands, also to other entries. An attempt is called unrun only if nothing that may run was sent, which the attempt itself now records; what ended its patience before that was called may-have-run. The steps stand in a module of their own.

Two that set or called parts of the former stop use its new ones and check the same.

--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -75,7 +75,7 @@
         allowances: Allowances,
         rng: random.Random,
     ) -> None:
-        """Take requests with keys until ``closing`` is set.
+        """Take requests until ``closing`` is set.
 
         :param dialect: how callers speak.
         :param standing: the declaration in force.
@@ -116,6 +116,8 @@
         :param started: when it came, monotonic seconds.
         """
         catalog = self.standing.catalog
+        if self.closing:
+            return _refusal(Reason.DRAINING, UNREADY_RETRY_SECONDS)
         if catalog is None:
             return _refusal(Reason.CONFIG_STALE, UNREADY_RETRY_SECONDS)
         asked = self._dialect.read_request(head)
@@ -148,8 +150,6 @@
         req_id: str,
     ) -> Outcome | None:
         """Return why a request with a key is not taken, if it is not."""
-        if self.closing:
-            return _refusal(Reason.DRAINING, UNREADY_RETRY_SECONDS)
         if not self.standing.is_fresh():
             return _refusal(Reason.CONFIG_STALE, UNREADY_RETRY_SECONDS)
         pause = await self._allowances.take(account, req_id)
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -30,16 +30,10 @@
 from clementinedeal.mesh._readiness import Readiness
 from clementinedeal.mesh._sender import Sender, SenderParts
 from clementinedeal.mesh._settings import NodeSettings
+from clementinedeal.mesh._stop import Stop, StopParts
 from clementinedeal.mesh._tally import Tally
 from clementinedeal.mesh._targets import TargetFeed
 
-# Callers see that the daemon takes no new work at the second ready check
-# that fails, one a second; until then it serves as before.
-NOTICE_SECONDS = 2.5
-# Kept before the platform kills the process: for the tasks to end and for the
-# interpreter, which takes 0.05 s of a whole core.
-KILL_MARGIN_SECONDS = 0.4
-FINISH_POLL_SECONDS = 0.1
 # How often the settings file is looked at for a change without a signal.
 SETTINGS_SECONDS = 1.0
 # A round trip between zones takes about 1 ms; a lost packet is sent again
@@ -105,7 +99,7 @@
                 service=self._settings.service,
             )
             await self._stopping.wait()
-            await self._drain()
+            await self._stop.run(self._settings.bounds.stop)
             nursery.cancel_scope.cancel()
         self.events.emit('daemon-stopped')
 
@@ -199,6 +193,17 @@
                 self.events,
             ),
         )
+        self._stop = Stop(
+            StopParts(
+                clock=self._clock,
+                events=self.events,
+                admission=self._admission,
+                sender=self._sender,
+                owner=self._owner,
+                callers=self._callers,
+                servers=self._servers,
+            ),
+        )
         self._add_gauges()
         self._declarations.on_change.append(self._take_limits)
         self._declarations.on_change.append(self._allowances.take_catalog)
@@ -270,37 +275,3 @@
             former=self._settings.service,
         )
         self._settings = settings
-
-    async def _drain(self) -> None:
-        """Serve on until callers know, then finish what was begun."""
-        started = self._clock.now()
-        self._emit_load('daemon-draining', started)
-        self._owner.stopping = True
-        for server in self._servers:
-            server.drain()
-        await trio.sleep(NOTICE_SECONDS)
-        # from here on only calls of targets that still work are taken
-        self._admission.closing = True
-        self._sender.closing = True
-        self._callers.close_idle()
-        end = started + self._settings.bounds.stop - KILL_MARGIN_SECONDS
-        with trio.move_on_after(end - self._clock.now()):
-            await self._finish()
-        self._emit_load('drain-ended', started)
-
-    def _emit_load(self, name: str, started: float) -> None:
-        """Tell how many requests a stop finds, or leaves unanswered."""
-        self.events.emit(
-            name,
-            seconds=f'{self._clock.now() - started:.3f}',
-            callers=self._callers.busy,
-            running=self._owner.slots.running,
-            waiting=self._owner.slots.waiting,
-        )
-
-    async def _finish(self) -> None:
-        """Return when nothing is under way any more."""
-        while True:
-            if not any(server.busy for server in self._servers):
-                return
-            await trio.sleep(FINISH_POLL_SECONDS)
--- a/src/clementinedeal/mesh/_outcomes.py
+++ b/src/clementinedeal/mesh/_outcomes.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 import msgspec
+import trio
 
 from clementinedeal._http import Headers
 from clementinedeal._verdict import Reason, Verdict
@@ -78,6 +79,17 @@
         return self.reason is None
 
 
+@dataclass(eq=False, slots=True)
+class Trying:
+    """An attempt under way, as far as its entry knows.
+
+    ``sent`` is set before the first byte goes out that may run at a target.
+    """
+
+    scope: trio.CancelScope
+    sent: bool = False
+
+
 def not_run(reason: Reason, state: State | None = None) -> Outcome:
     """Return the outcome of an attempt that no target saw.
 
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -49,7 +49,9 @@
         """
         self._parts = parts
         self.target: Target | None = None
-        self.stopping = False
+        self._stopping = False
+        self._live: set[Execution] = set()
+        self._queuing: set[trio.CancelScope] = set()
         self.suspicion = Suspicion(parts.clock, parts.events, parts.calls)
         self.slots = SlotQueue(DEFAULT_SLOTS)
         self.executions = ExecutionTable(parts.clock)
@@ -79,6 +81,16 @@
         self.slots.slots = target.slots
         self.slots.admit()
 
+    def stop(self) -> None:
+        """Begin nothing any more, and send elsewhere what waits here."""
+        self._stopping = True
+        self._empty_queue()
+
+    def end(self) -> None:
+        """Give up what still runs, so that its entries hear of it."""
+        for execution in self._live:
+            execution.scope.cancel()
+
     def state(self) -> State:
         """Return what entries should know of the target."""
         slots = self.slots
@@ -107,6 +119,7 @@
         )
         if not self.executions.open(execution):
             return None
+        self._live.add(execution)
         self._parts.nursery.start_soon(self._run, execution)
         return execution
 
@@ -130,13 +143,14 @@
     async def _run(self, execution: Execution) -> None:
         with execution.scope:
             execution.outcome = await self._admit(execution)
+        self._live.remove(execution)
         if execution.outcome is None:
             verdict = (
                 Verdict.MAY_HAVE_RUN if execution.reached else Verdict.NOT_RUN
             )
             execution.outcome = Outcome(
                 verdict=verdict,
-                reason=Reason.CANCELLED,
+                reason=Reason.DRAINING if self._stopping else Reason.CANCELLED,
                 reached=execution.reached,
             )
         execution.wanted.set()
@@ -152,15 +166,10 @@
             return not_run(refusal, self.state())
         if self.slots.expected_wait(attempt.rank) > attempt.wait:
             return not_run(Reason.QUEUE_FULL, self.state())
-        acquired = False
-        queued = self._parts.clock.now()
-        with trio.move_on_after(attempt.wait):
-            await self.slots.acquire(attempt.rank)
-            acquired = True
-        if not acquired:
-            return not_run(Reason.QUEUE_FULL, self.state())
+        if not await self._queue(attempt):
+            refusal = self._refusal(attempt, passes=passes)
+            return not_run(refusal or Reason.QUEUE_FULL, self.state())
         started = self._parts.clock.now()
-        self._parts.tally.time('queue_seconds', started - queued)
         try:
             refusal = self._refusal(attempt, passes=passes)
             if refusal is not None:
@@ -184,6 +193,25 @@
             state=self.state(),
         )
 
+    async def _queue(self, attempt: Attempt) -> bool:
+        """Wait for a slot; False if there was none in time."""
+        acquired = False
+        queued = self._parts.clock.now()
+        with trio.move_on_after(attempt.wait) as scope:
+            self._queuing.add(scope)
+            try:
+                await self.slots.acquire(attempt.rank)
+            finally:
+                self._queuing.remove(scope)
+            acquired = True
+            spent = self._parts.clock.now() - queued
+            self._parts.tally.time('queue_seconds', spent)
+        return acquired
+
+    def _empty_queue(self) -> None:
+        for scope in self._queuing:
+            scope.cancel()
+
     def _refusal(self, attempt: Attempt, *, passes: bool) -> Reason | None:
         """Return why an attempt may not start now, if it may not.
 
@@ -191,7 +219,7 @@
         :param passes: whether it goes to a suspect target all the same.
         """
         target = self.target
-        if self.stopping or (target is not None and target.draining):
+        if self._stopping or (target is not None and target.draining):
             return Reason.DRAINING
         if target is None or self._parts.clock.now() < self._down_until:
             return Reason.NO_TARGET
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -20,6 +20,7 @@
 from clementinedeal.mesh._outcomes import (
     Attempt,
     Outcome,
+    Trying,
     decode_told,
     not_run,
 )
@@ -51,6 +52,7 @@
         address: str,
         attempt: Attempt,
         message: Message,
+        trying: Trying,
     ) -> Outcome:
         """Send an attempt to an owner and return its outcome.
 
@@ -61,13 +63,20 @@
         :param address: ``ip:port`` of the owner.
         :param attempt: what is asked for.
         :param message: the request.
+        :param trying: is told before anything that may run is sent.
         """
         try:
             conn = await self._pool.acquire(address)
         except ConnLostError:
             return not_run(Reason.NO_TARGET)
         try:
-            return await self._converse(address, conn, attempt, message)
+            return await self._converse(
+                address,
+                conn,
+                attempt,
+                message,
+                trying,
+            )
         except trio.Cancelled:
             conn.abort()
             raise
@@ -78,11 +87,13 @@
         conn: ClientConn,
         attempt: Attempt,
         message: Message,
+        trying: Trying,
     ) -> Outcome:
         if not attempt.idempotent:
             refused = await self._reserve(conn, attempt)
             if refused is not None:
                 return await self._end(address, conn, refused)
+        trying.sent = True
         sent_at = self._clock.now()
         head = _forward_head(attempt, message)
         exchange = _Exchange(conn, SILENCE_SECONDS)
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -119,9 +119,9 @@
             return Finish(outcome=self._last)
         left = self._deadline - now
         if left <= 0:
-            return Finish(outcome=self._give_up(Reason.DEADLINE))
+            return Finish(outcome=self.give_up(Reason.DEADLINE))
         if self._reached and not self._may_repeat(left):
-            return Finish(outcome=self._last or self._give_up(Reason.NO_TARGET))
+            return Finish(outcome=self._last or self.give_up(Reason.NO_TARGET))
         return self._choose(now, left)
 
     def on_outcome(self, target: str, outcome: Outcome) -> None:
@@ -144,6 +144,19 @@
         elif not self._may_have_run():
             self._last = outcome if outcome.reached else None
 
+    def give_up(self, reason: Reason) -> Outcome:
+        """Return how the request ends if nothing more is tried.
+
+        :param reason: why nothing is, for a request that has not run.
+        """
+        if self._last is not None and self._may_have_run():
+            return self._last
+        return Outcome(
+            verdict=Verdict.NOT_RUN,
+            reason=reason,
+            retry_after=self._route.objective * RETRY_SHARE,
+        )
+
     def _may_have_run(self) -> bool:
         last = self._last
         return last is not None and last.verdict is not Verdict.NOT_RUN
@@ -233,16 +246,7 @@
             self._hold_until = min(now + hold, self._deadline)
         if now >= self._hold_until:
             reason = next(iter(self._refused.values()), Reason.NO_TARGET)
-            return Finish(outcome=self._give_up(reason))
+            return Finish(outcome=self.give_up(reason))
         self._refused.clear()
         self._queued.clear()
         return Pause(seconds=HOLD_PAUSE_SECONDS)
-
-    def _give_up(self, reason: Reason) -> Outcome:
-        if self._last is not None and self._may_have_run():
-            return self._last
-        return Outcome(
-            verdict=Verdict.NOT_RUN,
-            reason=reason,
-            retry_after=self._route.objective * RETRY_SHARE,
-        )
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -12,7 +12,7 @@
 from clementinedeal.mesh._admission import Admitted
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._origin import Message
-from clementinedeal.mesh._outcomes import Attempt, Outcome, not_run
+from clementinedeal.mesh._outcomes import Attempt, Outcome, Trying, not_run
 from clementinedeal.mesh._owner import Owner
 from clementinedeal.mesh._peer_client import PeerClient
 from clementinedeal.mesh._plan import Finish, Pause, Plan, Try
@@ -49,14 +49,30 @@
         """
         self._parts = parts
         self._budgets: dict[str, RetryShare] = {}
+        self._trying: set[Trying] = set()
+        self._closing = False
+        self._ended = False
         self.daemons = 1
-        self.closing = False
 
     @property
     def repeats(self) -> int:
         """Repeats sent since the start."""
         return sum(budget.taken for budget in self._budgets.values())
 
+    def close(self) -> None:
+        """Begin nothing any more; what waits for a target is refused."""
+        self._closing = True
+        for trying in self._trying:
+            if not trying.sent:
+                trying.scope.cancel()
+
+    def end(self) -> None:
+        """Give up what still runs: there is no time left to wait for it."""
+        self._closing = True
+        self._ended = True
+        for trying in self._trying:
+            trying.scope.cancel()
+
     async def run(self, admitted: Admitted) -> Outcome:
         """Return how a request ended.
 
@@ -74,12 +90,11 @@
         )
         tries = 0
         while True:
-            if self.closing and admitted.account and not plan.begun:
-                # it would be cut unanswered when the process ends
-                return not_run(Reason.DRAINING)
             match plan.next_step(parts.clock.now()):
                 case Finish(outcome=outcome):
                     return outcome
+                case _ if self._ended or (self._closing and not plan.begun):
+                    return plan.give_up(Reason.DRAINING)
                 case Pause(seconds=seconds):
                     await trio.sleep(seconds)
                 case Try() as step:
@@ -97,11 +112,18 @@
         target = step.target
         attempt = self._attempt(admitted, step, number)
         outcome: Outcome | None = None
+        limit = max(0, step.patience) + ANSWER_GRACE_SECONDS
+        trying = Trying(trio.CancelScope(deadline=trio.current_time() + limit))
+        self._trying.add(trying)
         parts.balancer.start(target.name)
         try:
-            limit = max(0, step.patience) + ANSWER_GRACE_SECONDS
-            with trio.move_on_after(limit):
-                outcome = await self._send(target, attempt, admitted.message)
+            with trying.scope:
+                outcome = await self._send(
+                    target,
+                    attempt,
+                    admitted.message,
+                    trying,
+                )
         except trio.Cancelled:
             parts.events.emit(
                 'attempt-cut',
@@ -113,13 +135,10 @@
             )
             raise
         finally:
+            self._trying.remove(trying)
             parts.balancer.end(target.name, outcome)
         if outcome is None:
-            outcome = Outcome(
-                verdict=Verdict.MAY_HAVE_RUN,
-                reason=Reason.DEADLINE,
-                reached=True,
-            )
+            outcome = self._given_up(trying)
         parts.events.emit(
             'attempt-tried',
             req=admitted.req_id,
@@ -134,11 +153,23 @@
         )
         return outcome
 
+    def _given_up(self, trying: Trying) -> Outcome:
+        """Return the outcome of an attempt without an answer."""
+        reason = Reason.DRAINING if self._closing else Reason.DEADLINE
+        if not trying.sent:
+            return not_run(reason)
+        return Outcome(
+            verdict=Verdict.MAY_HAVE_RUN,
+            reason=reason,
+            reached=True,
+        )
+
     async def _send(
         self,
         target: Target,
         attempt: Attempt,
         message: Message,
+        trying: Trying,
     ) -> Outcome:
         settings = self._parts.settings()
         if target.address != settings.target:
@@ -147,13 +178,16 @@
                 f'{target.host}:{port}',
                 attempt,
                 message,
+                trying,
             )
         execution = self._parts.owner.submit(attempt, message)
         assert execution is not None
+        trying.sent = True
         try:
             await execution.done.wait()
         except trio.Cancelled:
             self._parts.owner.abandon(execution)
+            trying.sent = execution.reached
             raise
         assert execution.outcome is not None
         return execution.outcome
--- /dev/null
+++ b/src/clementinedeal/mesh/_stop.py
@@ -0,0 +1,100 @@
+"""A planned stop: what was read is answered before the process ends."""
+
+from dataclasses import dataclass
+
+import trio
+
+from clementinedeal._events import EventLog
+from clementinedeal._http_server import HttpServer
+from clementinedeal._timers import Clock
+from clementinedeal.mesh._admission import Admission
+from clementinedeal.mesh._owner import Owner
+from clementinedeal.mesh._sender import Sender
+
+# Callers see that the daemon takes no new work at the second ready check
+# that fails, one a second; until then it serves as before.
+NOTICE_SECONDS = 2.5
+# Kept before the platform kills the process: for the tasks to end and for the
+# interpreter, which takes 0.05 s of a whole core.
+KILL_MARGIN_SECONDS = 0.4
+# Kept before that for the last answers to be written and read.
+ANSWER_SECONDS = 0.2
+FINISH_POLL_SECONDS = 0.1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class StopParts:
+    """What a stop ends: ``callers`` is one of the ``servers``."""
+
+    clock: Clock
+    events: EventLog
+    admission: Admission
+    sender: Sender
+    owner: Owner
+    callers: HttpServer
+    servers: tuple[HttpServer, ...]
+
+
+class Stop:
+    """Takes a daemon out of service."""
+
+    def __init__(self, parts: StopParts) -> None:
+        """Create a stop that has not begun.
+
+        :param parts: what it ends.
+        """
+        self._parts = parts
+
+    async def run(self, grace: float) -> None:
+        """Return when the process may end.
+
+        :param grace: seconds from now until the process is killed.
+        """
+        started = self._parts.clock.now()
+        end = started + grace - KILL_MARGIN_SECONDS
+        self._announce()
+        self._emit_load('daemon-draining', started)
+        await trio.sleep(NOTICE_SECONDS)
+        self._refuse()
+        if not await self._finished(end - ANSWER_SECONDS):
+            self._emit_load('drain-overdue', started)
+            self._answer()
+            await self._finished(end)
+        self._emit_load('drain-ended', started)
+
+    def _announce(self) -> None:
+        """Take no work for the target, close connections after answers."""
+        self._parts.owner.stop()
+        for server in self._parts.servers:
+            server.drain()
+
+    def _refuse(self) -> None:
+        """Begin nothing that the end might cut."""
+        self._parts.admission.closing = True
+        self._parts.sender.close()
+        self._parts.callers.close_idle()
+
+    def _answer(self) -> None:
+        """Answer what still runs: that it may have run is all that is known."""
+        self._parts.sender.end()
+        self._parts.owner.end()
+
+    async def _finished(self, until: float) -> bool:
+        """Wait until nothing is under way; False if time runs out first."""
+        with trio.move_on_after(until - self._parts.clock.now()):
+            while True:
+                if not any(server.busy for server in self._parts.servers):
+                    return True
+                await trio.sleep(FINISH_POLL_SECONDS)
+        return False
+
+    def _emit_load(self, name: str, started: float) -> None:
+        """Tell how many requests a stop finds, or leaves."""
+        slots = self._parts.owner.slots
+        self._parts.events.emit(
+            name,
+            seconds=f'{self._parts.clock.now() - started:.3f}',
+            callers=self._parts.callers.busy,
+            running=slots.running,
+            waiting=slots.waiting,
+        )
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -8,7 +8,7 @@
 from clementinedeal._http import ConnLostError, HttpError, RequestHead
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import MonotonicClock
-from clementinedeal.mesh._daemon import NOTICE_SECONDS
+from clementinedeal.mesh._stop import NOTICE_SECONDS
 
 PATIENCE_SECONDS = 3.0
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -10,7 +10,7 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._timers import MonotonicClock
-from clementinedeal.mesh._daemon import KILL_MARGIN_SECONDS
+from clementinedeal.mesh._stop import KILL_MARGIN_SECONDS
 from ports import free_address
 
 ADDRESS = free_address()
--- a/tests/test_mesh_peer_client.py
+++ b/tests/test_mesh_peer_client.py
@@ -7,7 +7,7 @@
 from clementinedeal._timers import MonotonicClock
 from clementinedeal._verdict import Verdict
 from clementinedeal.mesh._origin import Message
-from clementinedeal.mesh._outcomes import Attempt
+from clementinedeal.mesh._outcomes import Attempt, Trying
 from clementinedeal.mesh._peer_client import PeerClient
 from clementinedeal.mesh._sender import ANSWER_GRACE_SECONDS
 
@@ -43,6 +43,7 @@
             address,
             attempt,
             Message('POST', '/', (), b'x'),
+            Trying(trio.CancelScope()),
         )
     assert outcome is not None
     assert outcome.verdict is Verdict.NOT_RUN
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -11,8 +11,8 @@
 from tests.store_standin import configuration, registration
 
 from clementinedeal._http import ConnLostError, RequestHead
-from clementinedeal.mesh import _daemon
-from clementinedeal.mesh._daemon import KILL_MARGIN_SECONDS
+from clementinedeal.mesh import _stop
+from clementinedeal.mesh._stop import KILL_MARGIN_SECONDS
 
 SHORT_NOTICE_SECONDS = 0.3
 SHORT_STOP_SECONDS = 2.0
@@ -83,7 +83,7 @@
     for target in fleet.targets:
         target.mode = 'shed'
     fleet.daemons[0].stop()
-    fleet.daemons[0]._sender.closing = True
+    fleet.daemons[0]._sender.close()
     answer, _ = await fleet.send(0, '/book/1')
     assert answer.status == 503
     assert answer.header(b'x-reason') == b'draining'
@@ -108,7 +108,7 @@
     nursery.start_soon(hold_up)
     await trio.sleep(0.3)
     begun = trio.current_time()
-    await fleet.daemons[0]._drain()
+    await fleet.daemons[0]._stop.run(fleet.settings[0].bounds.stop)
     left = fleet.settings[0].bounds.stop - (trio.current_time() - begun)
     nursery.cancel_scope.cancel()
     # a round of the loop may end it late
@@ -118,7 +118,7 @@
 @pytest.fixture
 async def patient(fleet, monkeypatch):
     """A fleet of one slot, with long timeouts and short stops."""
-    monkeypatch.setattr(_daemon, 'NOTICE_SECONDS', SHORT_NOTICE_SECONDS)
+    monkeypatch.setattr(_stop, 'NOTICE_SECONDS', SHORT_NOTICE_SECONDS)
     cfg = configuration(2)
     for entry in cfg['resources']:
         if entry['entry_type'] == 'routes':
