Log a request that its daemon cuts also below a nursery

The line request-cut was to name what ends unanswered with the process. It never came: the request runs below a nursery, which raises a cancellation as a group that no clause for trio.Cancelled catches. Found by reading, shown by a test that ends a daemon under a request: no such line before, one now. What decides is now how the run ended: with an outcome, with its caller gone, or without either.

--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -60,15 +60,7 @@
         if isinstance(admitted, Outcome):
             await self._refuse(conn, parts.admission.name(head), admitted)
             return
-        try:
-            outcome = await self._run_watched(conn, admitted)
-        except trio.Cancelled:
-            parts.events.emit(
-                'request-cut',
-                req=admitted.req_id,
-                seconds=f'{parts.clock.now() - started:.3f}',
-            )
-            raise
+        outcome = await self._run_watched(conn, admitted)
         self._note(admitted, outcome, parts.clock.now() - started)
         if outcome.status:
             headers = tuple(
@@ -85,21 +77,35 @@
     ) -> Outcome:
         """Run a request and give it up when its caller leaves."""
         outcome: Outcome | None = None
+        left = False
 
         async def watch_caller(scope: trio.CancelScope) -> None:
+            nonlocal left
             await conn.wait_left()
+            left = True
             scope.cancel()
 
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(watch_caller, nursery.cancel_scope)
-            outcome = await self._parts.sender.run(admitted)
-            nursery.cancel_scope.cancel()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch_caller, nursery.cancel_scope)
+                outcome = await self._parts.sender.run(admitted)
+                nursery.cancel_scope.cancel()
+        finally:
+            if outcome is None:
+                self._note_cut(admitted.req_id, left=left)
         if outcome is None:
-            self._parts.tally.count('left')
-            self._parts.events.emit('caller-left', req=admitted.req_id)
             raise ConnLostError('the caller left')
         return outcome
 
+    def _note_cut(self, req_id: str, *, left: bool) -> None:
+        """Tell a request whose caller left from one cut by the daemon."""
+        if left:
+            self._parts.tally.count('left')
+        self._parts.events.emit(
+            'caller-left' if left else 'request-cut',
+            req=req_id,
+        )
+
     def _note(
         self,
         admitted: Admitted,
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -220,3 +220,25 @@
         await trio.sleep(0.2)
         nursery.cancel_scope.cancel()
     assert found['/book/1'] == (502, b'may-have-run')
+
+
+async def test_a_request_that_its_daemon_cuts_is_logged(fleet, monkeypatch):
+    monkeypatch.setattr(_stop.Stop, 'run', end_at_once)
+    for target in fleet.targets:
+        target.mode = 'hang'
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(cut, fleet)
+        await trio.sleep(0.2)
+        fleet.daemons[0].stop()
+        await fleet.ended[0].wait()
+    lines = fleet.daemons[0].events.json_lines()
+    assert lines.count(b'request-cut') == lines.count(b'attempt-cut') == 1
+
+
+async def end_at_once(*_):
+    await trio.lowlevel.checkpoint()
+
+
+async def cut(fleet):
+    with pytest.raises(ConnLostError):
+        await fleet.send(0, '/look/1')
