Wait on for the true answer after an extra one that came alone

Callers got 502 'may have run' while their target worked on, whenever a target sent a second answer to the former request on a kept connection. Cause: what follows a skipped answer is handed to a fresh parser; if nothing followed yet, the parser was handed no bytes, which h11 takes as the end of the stream, so the owner gave up a connection on which the true answer was still to come. Only extra answers that came in one piece with the true one were skipped.

Ruled out: answers that are truly of another request (still skipped, at most three, then answer-wrong).

--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -122,7 +122,8 @@
             ),
         )
         fresh.send(h11.EndOfMessage())
-        fresh.receive_data(excess)
+        if excess:  # no bytes would mean the end of the stream
+            fresh.receive_data(excess)
         self._wire.h11 = fresh
 
     def reusable(self) -> bool:
