Wait only behind answers to requests that the connection has had

An extra answer belongs to a request that was answered on the same connection shortly before; only such ids are skipped. Any other is a wrong answer at once: may-have-run.

By the same check a refusal of somebody else's request (503, not executed, under another id) is no longer taken for the own one: it was called not run. Tests: test_an_answer_to_nobody_is_not_waited_behind and test_a_refusal_of_another_request_is_not_taken_for_its_own, both failed before.

--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -1,5 +1,6 @@
 """The calling side of one HTTP connection."""
 
+import collections
 import select
 from collections.abc import AsyncIterator, Callable
 
@@ -14,6 +15,9 @@
     Wire,
 )
 
+# An extra answer belongs to the request before, or to one not long before it.
+MOST_ANSWERED = 4
+
 
 class ClientConn:
     """The calling side of one connection."""
@@ -28,6 +32,10 @@
         self.idle_since = 0.0
         # seconds it was idle before it was lent again; None when it is new
         self.rested: float | None = None
+        # ids of the latest requests that were answered on it
+        self.answered: collections.deque[str] = collections.deque(
+            maxlen=MOST_ANSWERED,
+        )
         self._closed = False
         self._method = b'GET'
         self._wire = Wire(stream, h11.CLIENT, READ_BYTES)
--- a/src/clementinedeal/mesh/_origin.py
+++ b/src/clementinedeal/mesh/_origin.py
@@ -158,7 +158,8 @@
             head = await conn.read_head()
             body = b''.join([piece async for piece in conn.read_body()])
             signs = self._dialect.read_answer(head)
-            if signs.req_id == stamp.req_id or not signs.req_id:
+            own = signs.req_id == stamp.req_id
+            if own or signs.req_id not in conn.answered:
                 break
             self._events.emit(
                 'answer-skipped',
@@ -169,6 +170,7 @@
             conn.skip_answer()
         else:
             return _unknown(Reason.ANSWER_WRONG), None
+        conn.answered.append(stamp.req_id)
         idle = None if signs.closing else _idle_limit(signs)
         return judge_answer(head, body, signs, stamp), idle
 
@@ -204,6 +206,9 @@
     :param signs: what the headers say.
     :param stamp: what was sent with the request.
     """
+    foreign = signs.req_id != stamp.req_id
+    if foreign and signs.req_id:
+        return _unknown(Reason.ANSWER_WRONG)
     if signs.not_run:
         reason = Reason.WRONG_INCARNATION if signs.moved else Reason.QUEUE_FULL
         return Outcome(
@@ -212,7 +217,6 @@
             reached=True,
         )
     success = head.status in _SUCCESS
-    foreign = signs.req_id != stamp.req_id
     if signs.encoded or (success and (foreign or not signs.sealed)):
         return _unknown(Reason.ANSWER_WRONG)
     if not signs.sealed and head.status >= _FAILURE_STATUS:
--- a/tests/test_mesh_origin.py
+++ b/tests/test_mesh_origin.py
@@ -7,6 +7,7 @@
 from clementinedeal._events import EventLog
 from clementinedeal._pool import ConnPool, split_address
 from clementinedeal._timers import MonotonicClock
+from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._contracts import Stamp
 from clementinedeal.mesh._origin import Message, Origin
 from clementinedeal.platform import PlatformDialect
@@ -40,6 +41,17 @@
         await stream.receive_some()
 
 
+async def start(target, nursery):
+    address = free_address()
+    host, port = split_address(address)
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    nursery.start_soon(trio.serve_listeners, target.serve, listeners)
+    clock = MonotonicClock()
+    pool = ConnPool(clock)
+    events = EventLog('i', '1')
+    return Origin(address, pool, PlatformDialect(), clock, events)
+
+
 async def call(origin, req_id):
     headers = ((b'host', b'x'), (b'attempt-id', req_id.encode()))
     message = Message('POST', '/book/1', headers, b'x')
@@ -47,6 +59,24 @@
     return await origin.call(message, stamp)
 
 
+async def test_an_answer_to_nobody_is_not_waited_behind(nursery):
+    target = Repeating([answer(b'r0')])
+    origin = await start(target, nursery)
+    assert (await call(origin, 'r1')).body == b'r1'
+    with trio.fail_after(WORK_SECONDS):
+        outcome = await call(origin, 'r2')
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.reason is Reason.ANSWER_WRONG
+
+
+async def test_a_refusal_of_another_request_is_not_taken_for_its_own(nursery):
+    refusal = b'HTTP/1.1 503 Busy\r\nattempt-id: r0\r\nnot-executed: 1\r\n'
+    target = Repeating([refusal + b'content-length: 0\r\n\r\n'])
+    origin = await start(target, nursery)
+    await call(origin, 'r1')
+    assert (await call(origin, 'r2')).verdict is Verdict.MAY_HAVE_RUN
+
+
 @pytest.mark.parametrize(
     'pieces',
     [
@@ -59,14 +89,7 @@
 )
 async def test_a_late_extra_answer_does_not_lose_the_next_one(nursery, pieces):
     target = Repeating(pieces)
-    address = free_address()
-    host, port = split_address(address)
-    listeners = await trio.open_tcp_listeners(port, host=host)
-    nursery.start_soon(trio.serve_listeners, target.serve, listeners)
-    clock = MonotonicClock()
-    pool = ConnPool(clock)
-    events = EventLog('i', '1')
-    origin = Origin(address, pool, PlatformDialect(), clock, events)
+    origin = await start(target, nursery)
     assert (await call(origin, 'r1')).body == b'r1'
     assert (await call(origin, 'r2')).body == b'r2'
     assert target.opened == 1
