Break off a lookup only when its repeat is granted

Callers of lookups got 504 while the target still worked, well before their deadline. Cause: an attempt was given up after 1.3 times the objective, and only then was a repeat asked of the budget; without one the request ended with an answer of the daemon's own.

Now the budget pays before an attempt is broken off, and a stopping daemon breaks off nothing. Tests, failed before: two forms of test_a_lookup_that_may_not_go_elsewhere_is_waited_for; that a silent target is still left is checked by test_a_lookup_goes_on_from_a_silent_target.

--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -87,6 +87,7 @@
             nursery.start_soon(self._datagrams.run, self._allowances.on_message)
             own = self._settings.target
             nursery.start_soon(self._declarations.run)
+            nursery.start_soon(self._sender.run)
             nursery.start_soon(self._targets.run_list, own)
             nursery.start_soon(self._targets.run_own)
             nursery.start_soon(self._await_stop)
--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -88,7 +88,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(watch_caller, nursery.cancel_scope)
-                outcome = await self._parts.sender.run(admitted)
+                outcome = await self._parts.sender.send(admitted)
                 nursery.cancel_scope.cancel()
         finally:
             if outcome is None:
--- a/src/clementinedeal/mesh/_outcomes.py
+++ b/src/clementinedeal/mesh/_outcomes.py
@@ -1,5 +1,6 @@
 """What daemons tell each other of one attempt."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -84,9 +85,13 @@
     """An attempt under way, as far as its entry knows.
 
     ``sent`` is set before the first byte goes out that may run at a target.
+    From ``overdue_at``, in monotonic seconds, it may be left for another
+    attempt if ``may_break_off`` allows that.
     """
 
     scope: trio.CancelScope
+    overdue_at: float
+    may_break_off: Callable[[float], bool]
     sent: bool = False
 
 
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -44,7 +44,7 @@
 
     ``wait`` is how long it may queue there, in seconds; ``insist`` and
     ``scout`` as in an attempt. Without an answer after ``patience`` seconds
-    the attempt is given up.
+    the attempt is given up if another may follow.
     """
 
     target: Target
@@ -103,6 +103,7 @@
         self._insisted = False
         self._offered = False
         self._paid = True
+        self._prepaid = False
         self._queue_until: float | None = None
 
     @property
@@ -132,7 +133,8 @@
         """
         if outcome.reached:
             self._reached.add(target)
-            self._paid = False
+            self._paid = self._prepaid
+            self._prepaid = False
             self._refused.clear()
             self._queued.clear()
             self._insisted = False
@@ -144,6 +146,18 @@
         elif not self._may_have_run():
             self._last = outcome if outcome.reached else None
 
+    def may_break_off(self, now: float) -> bool:
+        """Whether the attempt under way may be left for another; pays for it.
+
+        :param now: monotonic time in seconds.
+        """
+        left = self._deadline - now
+        if left < LEAST_SHARE * self._route.objective:
+            return False
+        if not self._prepaid:
+            self._prepaid = self._budget.take()
+        return self._prepaid
+
     def give_up(self, reason: Reason) -> Outcome:
         """Return how the request ends if nothing more is tried.
 
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -25,6 +25,9 @@
 KEYLESS_PRIORITY = 0
 # An owner answers at the deadline itself; its answer is on its way so long.
 ANSWER_GRACE_SECONDS = 0.12
+# How often it is looked for attempts that take too long; they are given up
+# after seconds.
+PATIENCE_POLL_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,6 +53,7 @@
         self._parts = parts
         self._budgets: dict[str, RetryShare] = {}
         self._trying: set[Trying] = set()
+        self._stopping = False
         self._closing = False
         self._ended = False
         self.daemons = 1
@@ -59,6 +63,19 @@
         """Repeats sent since the start."""
         return sum(budget.taken for budget in self._budgets.values())
 
+    async def run(self) -> None:
+        """Break off attempts that take too long, where others may follow."""
+        while not self._stopping:
+            await trio.sleep(PATIENCE_POLL_SECONDS)
+            now = self._parts.clock.now()
+            for trying in tuple(self._trying):
+                if trying.overdue_at <= now and trying.may_break_off(now):
+                    trying.scope.cancel()
+
+    def stop(self) -> None:
+        """Break off nothing any more for a repeat that might not end."""
+        self._stopping = True
+
     def close(self) -> None:
         """Begin nothing any more; what waits for a target is refused."""
         self._closing = True
@@ -73,7 +90,7 @@
         for trying in self._trying:
             trying.scope.cancel()
 
-    async def run(self, admitted: Admitted) -> Outcome:
+    async def send(self, admitted: Admitted) -> Outcome:
         """Return how a request ended.
 
         :param admitted: the request.
@@ -99,12 +116,13 @@
                     await trio.sleep(seconds)
                 case Try() as step:
                     tries += 1
-                    outcome = await self._try(admitted, step, tries)
+                    outcome = await self._try(admitted, plan, step, tries)
                     plan.on_outcome(step.target.name, outcome)
 
     async def _try(
         self,
         admitted: Admitted,
+        plan: Plan,
         step: Try,
         number: int,
     ) -> Outcome:
@@ -112,8 +130,12 @@
         target = step.target
         attempt = self._attempt(admitted, step, number)
         outcome: Outcome | None = None
-        limit = max(0, step.patience) + ANSWER_GRACE_SECONDS
-        trying = Trying(trio.CancelScope(deadline=trio.current_time() + limit))
+        limit = max(0, attempt.left) + ANSWER_GRACE_SECONDS
+        trying = Trying(
+            trio.CancelScope(deadline=trio.current_time() + limit),
+            parts.clock.now() + step.patience,
+            plan.may_break_off,
+        )
         self._trying.add(trying)
         parts.balancer.start(target.name)
         try:
--- a/src/clementinedeal/mesh/_stop.py
+++ b/src/clementinedeal/mesh/_stop.py
@@ -64,6 +64,7 @@
 
     def _announce(self) -> None:
         """Take no work for the target, close connections after answers."""
+        self._parts.sender.stop()
         self._parts.owner.stop()
         for server in self._parts.servers:
             server.drain()
--- a/tests/test_mesh_peer_client.py
+++ b/tests/test_mesh_peer_client.py
@@ -1,5 +1,7 @@
 """Owners that fall silent before they have the body of a request."""
 
+import math
+
 import trio
 from tests.ports import free_address
 
@@ -43,7 +45,7 @@
             address,
             attempt,
             Message('POST', '/', (), b'x'),
-            Trying(trio.CancelScope()),
+            Trying(trio.CancelScope(), math.inf, bool),
         )
     assert outcome is not None
     assert outcome.verdict is Verdict.NOT_RUN
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -253,3 +253,29 @@
     step = make_plan(idempotent=False).next_step(0)
     assert isinstance(step, Try)
     assert step.patience == 5
+
+
+def test_breaking_off_is_paid_once_and_in_advance():
+    budget = Budget(1)
+    plan = make_plan(idempotent=True, budget=budget)
+    step = plan.next_step(0)
+    assert isinstance(step, Try)
+    assert plan.may_break_off(2.6)
+    assert plan.may_break_off(2.6)
+    assert budget.level == 0
+    silent = Outcome(
+        verdict=Verdict.MAY_HAVE_RUN,
+        reason=Reason.DEADLINE,
+        reached=True,
+    )
+    plan.on_outcome(step.target.name, silent)
+    assert isinstance(plan.next_step(2.7), Try)
+
+
+def test_nothing_is_broken_off_without_a_repeat_or_time_for_it():
+    plan = make_plan(idempotent=True, budget=Budget(0))
+    plan.next_step(0)
+    assert not plan.may_break_off(2.6)
+    plan = make_plan(idempotent=True)
+    plan.next_step(0)
+    assert not plan.may_break_off(4.9)
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -12,6 +12,7 @@
 
 from clementinedeal._http import ConnLostError, RequestHead
 from clementinedeal.mesh import _stop
+from clementinedeal.mesh._retries import RetryShare
 from clementinedeal.mesh._stop import KILL_MARGIN_SECONDS
 
 SHORT_NOTICE_SECONDS = 0.3
@@ -119,12 +120,7 @@
 async def patient(fleet, monkeypatch):
     """A fleet of one slot, with long timeouts and short stops."""
     monkeypatch.setattr(_stop, 'NOTICE_SECONDS', SHORT_NOTICE_SECONDS)
-    cfg = configuration(2)
-    for entry in cfg['resources']:
-        if entry['entry_type'] == 'routes':
-            entry['spec']['timeout_s'] = LONG_SECONDS
-            entry['spec']['target_latency_s'] = LONG_SECONDS / 2
-    fleet.store.put('op/config', cfg)
+    set_times(fleet, LONG_SECONDS, LONG_SECONDS / 2)
     for number, state in enumerate(('draining', 'ready', 'draining')):
         told = registration(fleet.settings[number].target, state=state)
         told['info']['slots'] = 1
@@ -139,6 +135,23 @@
     return fleet
 
 
+def set_times(fleet, timeout, objective):
+    cfg = configuration(2)
+    for entry in cfg['resources']:
+        if entry['entry_type'] == 'routes':
+            entry['spec']['timeout_s'] = timeout
+            entry['spec']['target_latency_s'] = objective
+    fleet.store.put('op/config', cfg)
+
+
+@pytest.fixture
+async def quick(fleet):
+    """A fleet whose lookups are overdue after half a second."""
+    set_times(fleet, LONG_SECONDS, 0.4)
+    await trio.sleep(0.5)
+    return fleet
+
+
 async def ask(fleet, number, path, found, **more):
     answer, _ = await fleet.send(number, path, b'x', patience_ms=30_000, **more)
     found[path] = (answer.status, answer.header(b'x-verdict'))
@@ -242,3 +255,30 @@
 async def cut(fleet):
     with pytest.raises(ConnLostError):
         await fleet.send(0, '/look/1')
+
+
+@pytest.mark.parametrize('stopping', [False, True])
+async def test_a_lookup_that_may_not_go_elsewhere_is_waited_for(
+    quick,
+    stopping,
+    monkeypatch,
+):
+    for target in quick.targets:
+        target.seconds = 1.2
+    found = {}
+    async with trio.open_nursery() as nursery:
+        if stopping:
+            quick.daemons[0].stop()
+        else:
+            monkeypatch.setattr(RetryShare, 'take', lambda _: False)
+        nursery.start_soon(ask, quick, 0, '/look/slow', found)
+    assert found['/look/slow'] == (200, None)
+    assert sum(one[1] == '/look/slow' for one in quick.runs()) == 1
+
+
+async def test_a_lookup_goes_on_from_a_silent_target(quick):
+    quick.targets[0].mode = 'hang'
+    found = {}
+    for number in range(6):
+        await ask(quick, number % 3, f'/look/{number}', found)
+    assert set(found.values()) == {(200, None)}
