Answer a request on which a part of the daemon fails

An exception in a daemon's own code was the worst of the ways to lose requests: in an owner's attempt it ended the process and every request on it, and at a caller's connection the connection closed without an answer.

Now the owner's attempt ends as may-have-run, with the trace in the log, and the caller gets 500 'internal', may have run, if nothing was sent to it yet.

--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -150,7 +150,8 @@
             await self._converse(conn)
         except Exception:
             log.exception('event=connection-failed address=%s', self._address)
-            await conn.aclose()
+            refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.INTERNAL)
+            await self._refuse(conn, refusal)
 
     async def _converse(self, conn: ServerConn) -> None:
         try:
@@ -177,13 +178,20 @@
         return conn.ready_for_next()
 
     async def _answer_error(self, conn: ServerConn, exc: HttpError) -> None:
+        reason = _REASONS.get(exc.status, Reason.BAD_REQUEST)
+        await self._refuse(conn, Refusal(Verdict.NOT_RUN, reason))
+
+    async def _refuse(self, conn: ServerConn, refusal: Refusal) -> None:
+        """Give the last answer of a connection, unless one has begun."""
         if conn.head_sent:
             await conn.aclose()
             return
-        reason = _REASONS.get(exc.status, Reason.BAD_REQUEST)
-        refusal = Refusal(Verdict.NOT_RUN, reason)
         req_id = new_request_id()
-        self._events.emit('request-refused', req=req_id, reason=reason.value)
+        self._events.emit(
+            'request-refused',
+            req=req_id,
+            reason=refusal.reason.value,
+        )
         conn.close_after_answer()
         try:
             await conn.respond(
--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -43,3 +43,4 @@
     ANSWER_INCOMPLETE = 'answer-incomplete'
     ANSWER_WRONG = 'answer-wrong'
     CONNECTION_FORGOTTEN = 'connection-forgotten'
+    INTERNAL = 'internal'
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from clementinedeal._events import EventLog
+from clementinedeal._events import EventLog, log
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._calls import CallFailures
@@ -141,8 +141,15 @@
             self.abandon(execution)
 
     async def _run(self, execution: Execution) -> None:
-        with execution.scope:
-            execution.outcome = await self._admit(execution)
+        try:
+            with execution.scope:
+                execution.outcome = await self._admit(execution)
+        except Exception:
+            # the other attempts of the process go on
+            log.exception(
+                'event=attempt-failed req=%s',
+                execution.attempt.req_id,
+            )
         self._live.remove(execution)
         if execution.outcome is None:
             verdict = (
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -149,6 +149,21 @@
     assert waiting.outcome.reason is Reason.DRAINING
 
 
+async def test_a_part_that_fails_ends_one_attempt_and_not_the_daemon(owner):
+    owner._parts.origin.call = fail
+    failed = owner.submit(make_attempt('a1'), MESSAGE)
+    await failed.done.wait()
+    assert failed.outcome.verdict is Verdict.MAY_HAVE_RUN
+    owner._parts.origin.call = Origin().call
+    next_one = owner.submit(make_attempt('a2'), MESSAGE)
+    await next_one.done.wait()
+    assert next_one.outcome.status == 200
+
+
+async def fail(message, stamp):
+    raise ValueError('bug')
+
+
 def test_a_young_owner_proves_nothing_of_what_was_sent_before():
     clock = VirtualClock(50)
     table = ExecutionTable(clock)
