Cut an answer that has no end

What callers saw: a lookup or a booking whose target sends without end got 504 when its time was up, and until then the daemon beside the target kept all that came.

Cause: five places joined a body in memory whatever its size: the call of the own target, answers of other daemons, the store, the older product's platform, the operator's client. Only the deadline ended them.

Ruled out: refusing by content-length alone (chunks and bodies without a length have none); counting only the content (chunk extensions are never part of it); a bound on the number of pieces of its own (one bound in bytes, in which a small piece costs 256, holds both memory and work).

Why it works: one read of a whole body has a limit, closes the connection as soon as it is passed, and raises an error of the known family, so each caller treats the answer as one cut short: it may have run, a lookup goes on to another target. The line answer-cut tells size and bound. The sending side of a large request no longer hides which error ended the reading.

Not known: how large a target's largest honest answer is.

--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -11,6 +11,8 @@
     ConnLostError,
     RequestHead,
     ResponseHead,
+    SizeBound,
+    TooLongError,
     Wire,
 )
 
@@ -109,6 +111,25 @@
                 raise ConnLostError('connection ended inside the answer')
             yield bytes(event.data)
 
+    async def read_whole(self, limit: int) -> bytes:
+        """Return the whole response body; one beyond the limit is cut.
+
+        :param limit: bytes taken at the most, the body's framing included.
+        :raises TooLongError: there is more; the connection is closed.
+        :raises ConnLostError: the body was cut short.
+        :raises HttpError: malformed answer.
+        """
+        bound = SizeBound(self._wire, limit)
+        whole = bytearray()
+        try:
+            async for piece in self.read_body():
+                bound.count(len(piece))
+                whole += piece
+        except TooLongError:
+            self.abort()
+            raise
+        return bytes(whole)
+
     def skip_answer(self) -> None:
         """Take the answer read so far for another request's, await the next.
 
--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -11,7 +11,12 @@
 READ_BYTES = 65536
 # Parsing an event takes some 6 us of a core: other tasks wait for 0.4 ms.
 EVENTS_PER_TURN = 64
+# What an event costs at the least, as if it were so many bytes: 16,384 small
+# ones in 4 MiB are 0.1 s of a core.
+LEAST_EVENT_BYTES = 256
 _BAD_REQUEST = 400
+_TOO_LARGE = 413
+_HEAD_TOO_LARGE = 431
 CONTENT_LENGTH = b'content-length'
 TRANSFER_ENCODING = b'transfer-encoding'
 _HOP_BY_HOP = frozenset(
@@ -46,6 +51,27 @@
         self.status = status
 
 
+class TooLongError(HttpError):
+    """The other side sent more than is taken; ``size``, ``limit`` in bytes."""
+
+    def __init__(
+        self,
+        *,
+        size: int,
+        limit: int,
+        status: int = _TOO_LARGE,
+    ) -> None:
+        """Tell how much was sent.
+
+        :param size: bytes received, small pieces counted as larger.
+        :param limit: bytes taken at the most.
+        :param status: answer for a caller.
+        """
+        super().__init__(f'{size} bytes, limit {limit}', status=status)
+        self.size = size
+        self.limit = limit
+
+
 class ConnLostError(ProtocolError):
     """The connection ended before the message was complete."""
 
@@ -137,6 +163,8 @@
         """
         self.stream = stream
         self.h11 = h11.Connection(role, max_incomplete_event_size=head_bytes)
+        self.received = 0
+        self._head_bytes = head_bytes
         self._parsed = 0
 
     async def send(self, event: h11.Event) -> None:
@@ -161,6 +189,7 @@
         Other tasks get their turn however much was received before.
 
         :raises HttpError: malformed input.
+        :raises TooLongError: a head, or a line between chunks, is too long.
         :raises ConnLostError: the stream ended inside a message.
         """
         if self._parsed >= EVENTS_PER_TURN:
@@ -179,6 +208,12 @@
         except h11.RemoteProtocolError as exc:
             if self.h11.trailing_data[1]:
                 raise ConnLostError(str(exc)) from exc
+            if exc.error_status_hint == _HEAD_TOO_LARGE:
+                raise TooLongError(
+                    size=len(self.h11.trailing_data[0]),
+                    limit=self._head_bytes,
+                    status=_HEAD_TOO_LARGE,
+                ) from exc
             raise HttpError(str(exc), status=exc.error_status_hint) from exc
 
     async def _read(self) -> None:
@@ -187,6 +222,7 @@
         except trio.BrokenResourceError as exc:
             raise ConnLostError('connection reset') from exc
         self._parsed = 0
+        self.received += len(blob)
         self.h11.receive_data(bytes(blob))
 
     async def _write(self, blob: bytes) -> None:
@@ -194,3 +230,29 @@
             await self.stream.send_all(blob)
         except BROKEN_ERRORS as exc:
             raise WriteLostError('connection closed while writing') from exc
+
+
+class SizeBound:
+    """Counts what comes over a wire, up to a limit."""
+
+    def __init__(self, wire: Wire, limit: int) -> None:
+        """Count from now on.
+
+        :param wire: what the bytes come over, framing included.
+        :param limit: bytes taken at the most.
+        """
+        self._wire = wire
+        self._limit = limit
+        self._begun = wire.received
+        self._counted = 0
+
+    def count(self, size: int = 0) -> None:
+        """Count one event.
+
+        :param size: of its content, in bytes.
+        :raises TooLongError: the limit is passed.
+        """
+        self._counted += max(size, LEAST_EVENT_BYTES)
+        total = max(self._counted, self._wire.received - self._begun)
+        if total > self._limit:
+            raise TooLongError(size=total, limit=self._limit)
--- a/src/clementinedeal/_operator_client.py
+++ b/src/clementinedeal/_operator_client.py
@@ -11,6 +11,8 @@
 from clementinedeal._timers import MonotonicClock
 
 ASK_SECONDS = 3.0
+# The 20,000 events that an instance keeps, at 1 KB each, and some more.
+MOST_ANSWER_BYTES = 32 << 20
 _OK = 200
 
 
@@ -62,7 +64,7 @@
     try:
         await conn.send_whole(head, b'')
         answer = await conn.read_head()
-        body = b''.join([piece async for piece in conn.read_body()])
+        body = await conn.read_whole(MOST_ANSWER_BYTES)
     finally:
         await conn.aclose()
     if answer.status != _OK:
--- a/src/clementinedeal/_platform.py
+++ b/src/clementinedeal/_platform.py
@@ -15,6 +15,8 @@
 from clementinedeal._pool import ConnPool
 
 READ_SECONDS = 3.0
+# Three reads at once hold 24 MiB of the smallest machine's 200 MB.
+MOST_VALUE_BYTES = 8 << 20
 _OK = 200
 _NOT_MODIFIED = 304
 _NOT_FOUND = 404
@@ -145,7 +147,7 @@
         head = RequestHead('GET', path, ((b'host', address.encode()),))
         await conn.send_whole(head, b'')
         answer = await conn.read_head()
-        blob = b''.join([piece async for piece in conn.read_body()])
+        blob = await conn.read_whole(MOST_VALUE_BYTES)
         if answer.status in {_NOT_MODIFIED, _NOT_FOUND}:
             return None
         if answer.status != _OK:
--- a/src/clementinedeal/mesh/_origin.py
+++ b/src/clementinedeal/mesh/_origin.py
@@ -1,11 +1,11 @@
 """Sends one request to the target beside this daemon."""
 
-import contextlib
 from dataclasses import dataclass
 
 import trio
 
 from clementinedeal._client_conn import ClientConn
+from clementinedeal._errors import ProtocolError
 from clementinedeal._events import EventLog
 from clementinedeal._http import (
     CONTENT_LENGTH,
@@ -14,6 +14,7 @@
     HttpError,
     RequestHead,
     ResponseHead,
+    TooLongError,
     end_to_end,
 )
 from clementinedeal._pool import ConnPool
@@ -32,6 +33,9 @@
 # A target answers at its deadline itself; this much later it is silent.
 DEADLINE_GRACE_SECONDS = 0.1
 MOST_FOREIGN_ANSWERS = 3
+# The 13 requests that a target runs at once then hold 55 MB of the smallest
+# machine's 200 MB.
+MOST_ANSWER_BYTES = 4 << 20
 # A target resets what comes on a connection that it forgot at once, and no
 # target is known to forget one that rested less than 200 ms.
 FORGOTTEN_SECONDS = 0.05
@@ -100,6 +104,14 @@
                 if idle is not None:
                     await self._pool.release(self._address, conn, idle)
                 return outcome
+        except TooLongError as exc:
+            self._events.emit(
+                'answer-cut',
+                address=self._address,
+                bytes=exc.size,
+                limit=exc.limit,
+            )
+            return _unknown(Reason.ANSWER_INCOMPLETE)
         except (ConnLostError, HttpError):
             return self._judge_loss(conn.rested, self._clock.now() - begun)
         finally:
@@ -138,14 +150,16 @@
             await conn.send_whole(head, message.body)
             return await self._read_answer(conn, stamp)
         sent = trio.Event()
-        found: tuple[Outcome, float | None] | None = None
+        found: tuple[Outcome, float | None] | ProtocolError
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_send, conn, head, message.body, sent)
-            with contextlib.suppress(ConnLostError, HttpError):
+            try:
                 found = await self._read_answer(conn, stamp)
+            except (ConnLostError, HttpError) as exc:
+                found = exc
             nursery.cancel_scope.cancel()
-        if found is None:
-            raise ConnLostError('the connection broke before the answer')
+        if isinstance(found, ProtocolError):
+            raise found
         # a target that answered early may still read the rest
         return found if sent.is_set() else (found[0], None)
 
@@ -156,7 +170,7 @@
     ) -> tuple[Outcome, float | None]:
         for _ in range(MOST_FOREIGN_ANSWERS):
             head = await conn.read_head()
-            body = b''.join([piece async for piece in conn.read_body()])
+            body = await conn.read_whole(MOST_ANSWER_BYTES)
             signs = self._dialect.read_answer(head)
             if signs.req_id == stamp.req_id or not signs.req_id:
                 break
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -4,11 +4,14 @@
 import trio
 
 from clementinedeal._client_conn import ClientConn
+from clementinedeal._events import log
 from clementinedeal._http import (
     CONTENT_LENGTH,
+    READ_BYTES,
     ConnLostError,
     HttpError,
     RequestHead,
+    TooLongError,
     end_to_end,
 )
 from clementinedeal._incoming import without_internal
@@ -16,7 +19,7 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh import _peer_wire as wire
-from clementinedeal.mesh._origin import Message
+from clementinedeal.mesh._origin import MOST_ANSWER_BYTES, Message
 from clementinedeal.mesh._outcomes import (
     Attempt,
     Outcome,
@@ -80,12 +83,12 @@
         message: Message,
     ) -> Outcome:
         if not attempt.idempotent:
-            refused = await self._reserve(conn, attempt)
+            refused = await self._reserve(address, conn, attempt)
             if refused is not None:
                 return await self._end(address, conn, refused)
         sent_at = self._clock.now()
         head = _forward_head(attempt, message)
-        exchange = _Exchange(conn, SILENCE_SECONDS)
+        exchange = _Exchange(address, conn, SILENCE_SECONDS)
         outcome = await exchange.run(head, message.body)
         if outcome is None:
             conn.abort()
@@ -94,6 +97,7 @@
 
     async def _reserve(
         self,
+        address: str,
         conn: ClientConn,
         attempt: Attempt,
     ) -> Outcome | None:
@@ -106,7 +110,7 @@
         # the body was not sent, nothing has run
         silence = max(SILENCE_SECONDS, attempt.wait + CONFIRM_SECONDS)
         silence = min(silence, attempt.left)
-        exchange = _Exchange(conn, silence)
+        exchange = _Exchange(address, conn, silence)
         outcome = await exchange.run(head, b'')
         if exchange.reserved and conn.reusable():
             return None
@@ -144,7 +148,7 @@
             except ConnLostError:
                 await trio.sleep(ASK_PAUSE_SECONDS)
                 continue
-            exchange = _Exchange(conn, SILENCE_SECONDS)
+            exchange = _Exchange(address, conn, SILENCE_SECONDS)
             outcome = await exchange.run(head, b'')
             conn.abort()
             if outcome is not None:
@@ -173,7 +177,8 @@
 class _Exchange:
     """One request to an owner and its answer."""
 
-    def __init__(self, conn: ClientConn, silence: float) -> None:
+    def __init__(self, address: str, conn: ClientConn, silence: float) -> None:
+        self._address = address
         self._conn = conn
         self._silence = silence
         self._scope = trio.CancelScope()
@@ -187,6 +192,14 @@
             with self._scope:
                 await self._conn.send_whole(head, body)
                 return await self._read()
+        except TooLongError as exc:
+            log.warning(
+                'event=answer-cut address=%s bytes=%d limit=%d',
+                self._address,
+                exc.size,
+                exc.limit,
+            )
+            return None
         except (ConnLostError, HttpError, msgspec.MsgspecError):
             return None
         return None
@@ -197,7 +210,7 @@
 
     async def _read(self) -> Outcome | None:
         head = await self._conn.read_head(self._confirm)
-        body = b''.join([piece async for piece in self._conn.read_body()])
+        body = await self._conn.read_whole(MOST_ANSWER_BYTES + READ_BYTES)
         self.reserved = head.status == wire.RESERVED_STATUS and not head.header(
             wire.TOLD_HEADER,
         )
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -1,6 +1,5 @@
 """Read-only client of the platform's store."""
 
-import base64
 import math
 from dataclasses import dataclass
 from typing import Any
@@ -11,7 +10,7 @@
 
 from clementinedeal._errors import ProtocolError
 from clementinedeal._events import EventLog
-from clementinedeal._http import RequestHead
+from clementinedeal._http import RequestHead, TooLongError
 from clementinedeal._pool import ConnPool
 from clementinedeal.mesh._contracts import HistoryGoneError, SourceError
 from clementinedeal.mesh._types import (
@@ -24,6 +23,7 @@
     UnreadableError,
     decode_declaration,
 )
+from clementinedeal.platform._items import Changes, Item, Range, Revision
 from clementinedeal.platform._registration import decode_target
 
 _CONFIG_KEY = 'op/config'
@@ -35,37 +35,9 @@
 
 # The store answers in about 4 ms; a call that takes this long is lost.
 CALL_SECONDS = 1.0
-
-
-class _Item(msgspec.Struct):
-    """One stored value; ``revision`` is that of its last change."""
-
-    key: str
-    value: str = ''
-    revision: int = 0
-    at_rev: int = 0
-    deleted: bool = False
-
-    def blob(self) -> bytes:
-        try:
-            return base64.b64decode(self.value, validate=True)
-        except ValueError as exc:
-            raise UnreadableError(f'{self.key}: not base64') from exc
-
-
-class _Range(msgspec.Struct):
-    items: list[_Item]
-    has_more: bool
-    at_rev: int
-
-
-class _Revision(msgspec.Struct):
-    at_rev: int = 0
-
-
-class _Changes(msgspec.Struct):
-    events: list[_Item]
-    at_rev: int
+# A page of the store has about 1 MB, and three calls may run at once: 24 MiB
+# of the smallest machine's 200 MB.
+MOST_ANSWER_BYTES = 8 << 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +75,7 @@
         answer = await self._get('/-/kv-key', {'key': _CONFIG_KEY})
         if answer.status == _NOT_FOUND:
             return DeclarationNews(revision=_missing_revision(answer))
-        item = _decode(answer, _Item)
+        item = _decode(answer, Item)
         return self._declaration(item, item.at_rev)
 
     async def wait(self, revision: int, seconds: float) -> DeclarationNews:
@@ -133,7 +105,7 @@
         more = True
         while more:
             answer = await self._get('/-/kv-range', query)
-            page = _decode(answer, _Range)
+            page = _decode(answer, Range)
             for item in page.items:
                 target = self._target(item)
                 if target is not None:
@@ -156,7 +128,7 @@
                 revision=_missing_revision(answer),
                 changed=True,
             )
-        item = _decode(answer, _Item)
+        item = _decode(answer, Item)
         return TargetNews(
             revision=item.at_rev,
             changed=True,
@@ -190,7 +162,7 @@
         prefix: str,
         revision: int,
         seconds: float,
-    ) -> _Changes:
+    ) -> Changes:
         answer = await self._get(
             '/-/kv-watch',
             {
@@ -202,7 +174,7 @@
         )
         if answer.status == _GONE:
             raise HistoryGoneError(f'{prefix}: history after {revision} gone')
-        changes: _Changes = _decode(answer, _Changes)
+        changes: Changes = _decode(answer, Changes)
         return changes
 
     async def _get(
@@ -231,15 +203,23 @@
         try:
             await conn.send_whole(head, b'')
             answer = await conn.read_head()
-            body = b''.join([piece async for piece in conn.read_body()])
+            body = await conn.read_whole(MOST_ANSWER_BYTES)
             whole = True
+        except TooLongError as exc:
+            self._events.emit(
+                'answer-cut',
+                address=self._address,
+                bytes=exc.size,
+                limit=exc.limit,
+            )
+            raise
         finally:
             if not whole:
                 conn.abort()
         await self._pool.release(self._address, conn)
         return _Answer(answer.status, body)
 
-    def _declaration(self, item: _Item, revision: int) -> DeclarationNews:
+    def _declaration(self, item: Item, revision: int) -> DeclarationNews:
         try:
             declaration = decode_declaration(item.blob())
         except UnreadableError as exc:
@@ -251,7 +231,7 @@
             declaration=declaration,
         )
 
-    def _target(self, item: _Item) -> Target | None:
+    def _target(self, item: Item) -> Target | None:
         if item.deleted:
             return None
         name = item.key.removeprefix(_TARGETS_PREFIX)
@@ -261,7 +241,7 @@
             self._note_unreadable(item, exc)
             return None
 
-    def _note_unreadable(self, item: _Item, exc: Exception) -> None:
+    def _note_unreadable(self, item: Item, exc: Exception) -> None:
         """Log a value that cannot be read, once for each revision."""
         if self._unreadable.get(item.key) == item.revision:
             return
@@ -286,6 +266,6 @@
 def _missing_revision(answer: _Answer) -> int:
     """Return the store's revision from an answer that names no item."""
     try:
-        return msgspec.json.decode(answer.body, type=_Revision).at_rev
+        return msgspec.json.decode(answer.body, type=Revision).at_rev
     except msgspec.MsgspecError:
         return 0
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -192,7 +192,7 @@
 
 
 class TargetStandIn:
-    """One target: answers, fails, sheds, hangs or breaks off."""
+    """One target: answers, fails, sheds, hangs, breaks off or never ends."""
 
     def __init__(self, name, address):
         self.name = name
@@ -234,4 +234,10 @@
         if self.mode == 'foreign':
             echo = b'another'
         sent = ((b'attempt-id', echo), (b'server-seal', b's'))
+        if self.mode == 'endless':
+            await conn.start_answer(200, sent)
+            # as good as without end, and no danger to the machine
+            for _ in range(1024):
+                await conn.send_piece(bytes(1 << 16))
+            await conn.wait_left()
         await conn.respond(status, sent, self.name.encode() + b':' + body)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,19 +1,35 @@
 """Bytes from another process that come without end."""
 
+import json
+
 import pytest
 import trio
 import trio.testing
+from tests.endless_standin import BODIES, HEADS, MOST_SENT, Endless
 
 from clementinedeal._client_conn import ClientConn
+from clementinedeal._events import EventLog
 from clementinedeal._http import HttpLimits, RequestHead
+from clementinedeal._platform import HttpPlatform, PlatformError
+from clementinedeal._pool import ConnPool
 from clementinedeal._server_conn import ServerConn
-
+from clementinedeal._timers import MonotonicClock
+from clementinedeal._verdict import Reason, Verdict
+from clementinedeal.mesh import _peer_client
+from clementinedeal.mesh._contracts import SourceError, Stamp
+from clementinedeal.mesh._origin import Message, Origin
+from clementinedeal.mesh._outcomes import Attempt
+from clementinedeal.mesh._peer_client import PeerClient
+from clementinedeal.platform import PlatformDialect, PlatformStore
+
+HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
+STAMP = Stamp(req_id='r1', left=5.0, target='t1', account='', caller='')
 # What one read may bring: hundreds of events, each some 6 us of a core.
 TINY_CHUNKS = b'1\r\nx\r\n' * 10_000 + b'0\r\n\r\n'
-INTERIMS = b'HTTP/1.1 100 \r\n\r\n' * 800
+MANY_INTERIMS = b'HTTP/1.1 100 \r\n\r\n' * 800
 # A task waits while two turns of the reader may come one after the other.
 MOST_EVENTS = 150
-CHUNKED = b'transfer-encoding: chunked\r\n\r\n'
+CHUNKING = b'transfer-encoding: chunked\r\n\r\n'
 GET = RequestHead('GET', '/', ((b'host', b'x'),))
 
 
@@ -53,7 +69,7 @@
 
 
 async def test_tiny_chunks_of_an_answer_hold_up_no_other_task(turns):
-    conn = await answering(b'HTTP/1.1 200 OK\r\n' + CHUNKED + TINY_CHUNKS)
+    conn = await answering(b'HTTP/1.1 200 OK\r\n' + CHUNKING + TINY_CHUNKS)
     await conn.read_head()
     async for _ in conn.read_body():
         turns.note()
@@ -64,7 +80,7 @@
 async def test_tiny_chunks_of_a_request_hold_up_no_other_task(turns):
     near, far = trio.testing.memory_stream_pair()
     conn = ServerConn(near, HttpLimits())
-    await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKED)
+    await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
     assert await conn.next_request()
     await far.send_all(TINY_CHUNKS)
     async for _ in conn.read_body():
@@ -74,14 +90,14 @@
 
 
 async def test_interim_answers_hold_up_no_other_task(turns):
-    conn = await answering(INTERIMS + b'HTTP/1.1 200 OK\r\n\r\n')
+    conn = await answering(MANY_INTERIMS + b'HTTP/1.1 200 OK\r\n\r\n')
     await conn.read_head(turns.note)
     assert turns.total == 800
     assert turns.most <= MOST_EVENTS
 
 
 async def test_reading_what_was_received_can_be_cancelled():
-    conn = await answering(b'HTTP/1.1 200 OK\r\n' + CHUNKED + TINY_CHUNKS)
+    conn = await answering(b'HTTP/1.1 200 OK\r\n' + CHUNKING + TINY_CHUNKS)
     await conn.read_head()
     pieces = 0
     with trio.CancelScope() as scope:
@@ -89,3 +105,96 @@
             pieces += 1
             scope.cancel()
     assert pieces <= MOST_EVENTS
+
+
+@pytest.fixture(params=[*HEADS, *BODIES])
+async def endless(request, nursery):
+    made = Endless(*{**HEADS, **BODIES}[request.param])
+    await made.start(nursery)
+    return made
+
+
+async def cut(endless):
+    """Wait until the stand-in sees its connection closed."""
+    with trio.fail_after(1):
+        await endless.closed.wait()
+    return endless.most_sent < MOST_SENT
+
+
+@pytest.mark.parametrize('body', [b'', b'x' * 100_000])
+async def test_an_answer_without_end_is_cut_long_before_its_deadline(
+    endless,
+    body,
+):
+    events = EventLog('i', '1')
+    clock = MonotonicClock()
+    pool = ConnPool(clock)
+    origin = Origin(endless.address, pool, PlatformDialect(), clock, events)
+    outcome = await origin.call(Message('POST', '/', HEADERS, body), STAMP)
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.reason is Reason.ANSWER_INCOMPLETE
+    assert await cut(endless)
+
+
+async def test_a_cut_answer_leaves_a_line_with_its_size(nursery):
+    endless = Endless(*BODIES['no-length'])
+    await endless.start(nursery)
+    events = EventLog('i', '1')
+    clock = MonotonicClock()
+    pool = ConnPool(clock)
+    origin = Origin(endless.address, pool, PlatformDialect(), clock, events)
+    await origin.call(Message('GET', '/', HEADERS, b''), STAMP)
+    lines = [
+        dict(line['fields'])
+        for line in map(json.loads, events.json_lines().splitlines())
+        if line['name'] == 'answer-cut'
+    ]
+    assert len(lines) == 1
+    assert lines[0]['address'] == endless.address
+    assert int(lines[0]['bytes']) > int(lines[0]['limit']) > 0
+
+
+async def test_a_store_that_sends_without_end_gives_no_answer(endless):
+    pool = ConnPool(MonotonicClock())
+    store = PlatformStore(endless.address, pool, EventLog('i', '1'))
+    with pytest.raises(SourceError):
+        await store.read()
+    assert await cut(endless)
+
+
+async def test_a_platform_that_sends_without_end_gives_no_answer(endless):
+    pool = ConnPool(MonotonicClock())
+    platform = HttpPlatform((endless.address,), pool)
+    with pytest.raises(PlatformError):
+        await platform.instances()
+    assert await cut(endless)
+
+
+ATTEMPT = Attempt(
+    attempt='a1',
+    req_id='r1',
+    target='t1',
+    left=5.0,
+    objective=1.0,
+    idempotent=True,
+    account='shop',
+    caller='s',
+    rank=(0, 0),
+)
+
+
+async def test_an_owner_that_sends_without_end_is_cut(
+    nursery,
+    monkeypatch,
+    caplog,
+):
+    monkeypatch.setattr(_peer_client, 'ASK_SECONDS', 0.5)
+    endless = Endless(*BODIES['no-length'])
+    await endless.start(nursery)
+    clock = MonotonicClock()
+    client = PeerClient(ConnPool(clock), clock)
+    message = Message('GET', '/', HEADERS, b'')
+    outcome = await client.attempt(endless.address, ATTEMPT, message)
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert await cut(endless)
+    assert f'event=answer-cut address={endless.address}' in caplog.text
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -169,7 +169,7 @@
     assert answer.status == 200
 
 
-@pytest.mark.parametrize('mode', ['fail', 'reset', 'foreign'])
+@pytest.mark.parametrize('mode', ['fail', 'reset', 'foreign', 'endless'])
 async def test_idempotent_requests_go_round_a_failing_target(fleet, mode):
     fleet.targets[0].mode = mode
     statuses = [
@@ -179,7 +179,7 @@
     assert statuses.count(200) >= 29
 
 
-@pytest.mark.parametrize('mode', ['fail', 'reset', 'foreign'])
+@pytest.mark.parametrize('mode', ['fail', 'reset', 'foreign', 'endless'])
 async def test_others_run_at_most_once(fleet, mode):
     for target in fleet.targets:
         target.mode = mode
@@ -190,6 +190,16 @@
     assert len(ids) == len(set(ids)) == 12
 
 
+async def test_an_endless_answer_is_given_up_at_once(fleet):
+    fleet.targets[0].mode = 'endless'
+    events = fleet.daemons[0].events
+    with trio.fail_after(5):
+        while b'"answer-cut"' not in events.json_lines():
+            answer, _ = await fleet.send(0, '/look/1')
+            assert answer.status == 200
+    assert b'"deadline"' not in events.json_lines()
+
+
 async def test_a_failing_target_is_set_aside_for_bookings(fleet):
     fleet.targets[0].mode = 'fail'
     statuses = [
