Bound the interim answers before an answer

What callers saw: a target that sends interim answers without end held its request, and half the daemon's core, until the deadline, then 504.

Cause: the client passes over every interim answer, however many come; each restarts a daemon's patience with an owner, too.

Ruled out: a bound on their number alone, as each may have a head of 64 KiB whose parsing takes 0.026 s of a core (one run of h11 alone).

Why it works: the bound of whole bodies counts here as well: 256 KiB in all, each interim answer as 256 bytes at the least.

--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -16,6 +16,9 @@
     Wire,
 )
 
+# Some 1,000 small interim answers, one each 15 ms of a request's 15 s.
+MOST_INTERIM_BYTES = 4 * READ_BYTES
+
 
 class ClientConn:
     """The calling side of one connection."""
@@ -82,9 +85,11 @@
         """Wait for the response head; interim answers are passed over.
 
         :param on_interim: called at each interim answer.
+        :raises TooLongError: too many interim answers.
         :raises ConnLostError: the connection ended first.
         :raises HttpError: malformed answer.
         """
+        bound = SizeBound(self._wire, MOST_INTERIM_BYTES)
         while True:
             event = await self._wire.next_event()
             if isinstance(event, h11.Response):
@@ -94,6 +99,7 @@
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnLostError('connection ended before the answer')
+            bound.count()
             if on_interim is not None:
                 on_interim()
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,7 +5,7 @@
 import pytest
 import trio
 import trio.testing
-from tests.endless_standin import BODIES, HEADS, MOST_SENT, Endless
+from tests.endless_standin import BODIES, HEADS, INTERIMS, MOST_SENT, Endless
 
 from clementinedeal._client_conn import ClientConn
 from clementinedeal._events import EventLog
@@ -107,9 +107,9 @@
     assert pieces <= MOST_EVENTS
 
 
-@pytest.fixture(params=[*HEADS, *BODIES])
+@pytest.fixture(params=[*HEADS, *BODIES, *INTERIMS])
 async def endless(request, nursery):
-    made = Endless(*{**HEADS, **BODIES}[request.param])
+    made = Endless(*{**HEADS, **BODIES, **INTERIMS}[request.param])
     await made.start(nursery)
     return made
 
