Do not take junk for a forgotten connection

What callers saw: nothing. A target that answered junk within 50 ms on a connection that had rested made the daemon shorten how long connections may rest, log connection-forgotten, and take the request for a milder sign than a lost answer.

Cause: bytes that are no HTTP and a connection that was lost were judged alike.

Found while reading for answers without end. Before: the new test fails, `Reason.CONNECTION_FORGOTTEN is Reason.ANSWER_INCOMPLETE`; after: it and the other tests of rests and endless answers pass (63).

Why it works: a target that sends something has not forgotten the connection; only a lost one is still judged by its rest.

--- a/src/clementinedeal/mesh/_origin.py
+++ b/src/clementinedeal/mesh/_origin.py
@@ -112,7 +112,9 @@
                 limit=exc.limit,
             )
             return _unknown(Reason.ANSWER_INCOMPLETE)
-        except (ConnLostError, HttpError):
+        except HttpError:
+            return _unknown(Reason.ANSWER_INCOMPLETE)
+        except ConnLostError:
             return self._judge_loss(conn.rested, self._clock.now() - begun)
         finally:
             if not kept:
--- a/tests/test_mesh_rest.py
+++ b/tests/test_mesh_rest.py
@@ -25,6 +25,11 @@
 class Forgetful:
     """Answers, and resets what comes on a connection that rested."""
 
+    answer = (
+        b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
+        b'content-length: 2\r\n\r\nok'
+    )
+
     def __init__(self, rest):
         self.rest = rest
         self.opened = 0
@@ -39,10 +44,7 @@
                 reset(stream)
                 return
             await trio.sleep(0.01)
-            await stream.send_all(
-                b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
-                b'content-length: 2\r\n\r\nok',
-            )
+            await stream.send_all(self.answer)
 
 
 def reset(stream):
@@ -102,3 +104,13 @@
     assert limit.seconds() == pytest.approx(0.2)
     clock.advance(LEARNED_SECONDS + 0.1)
     assert limit.seconds() == float('inf')
+
+
+async def test_junk_on_a_rested_connection_teaches_nothing_of_rests(target):
+    target.rest = 10
+    await target.origin.call(MESSAGE, STAMP)
+    target.answer = b'junk\r\n\r\n'
+    await trio.sleep(REST_SECONDS)
+    outcome = await target.origin.call(MESSAGE, STAMP)
+    assert outcome.reason is Reason.ANSWER_INCOMPLETE
+    assert b'connection-forgotten' not in target.events.json_lines()
