Bound the bodies that other daemons and operators send

What callers saw: nothing yet. Whoever reaches the port between daemons may send a body without end, and the daemon keeps all of it; on the operators' port it drops it, without an end either. Only the ports of callers had a bound.

Cause: the body was joined before anything was known of the request.

Ruled out: the operator's bound on callers' bodies, which the server between daemons does not know; a bound in every read of a request body, which would refuse callers that send small chunks within the operator's bound.

Before: both new tests fail (`trio.TooSlowError` after 5 s of sending, `DID NOT RAISE HttpError`).

Why it works: the limits of a connection get a bound for whole bodies, 32 MiB, counted like answers, and the request is answered 413 and its connection closed. Nothing was submitted, so an entry that asks is told truthfully that nothing ran. A bound of the operator above 32 MiB would be cut between daemons; the smallest machine could not hold such a body on its way.

--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -82,9 +82,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpLimits:
-    """Bounds on what the other side may send; times in seconds."""
+    """Bounds on what the other side may send; times in seconds.
+
+    ``body_bytes`` bounds a body that is kept or dropped whole. It is held up
+    to three times on its way: half of the smallest machine's 200 MB.
+    """
 
     head_bytes: int = 16384
+    body_bytes: int = 32 << 20
     head_timeout: float = 10.0
     idle_timeout: float = 60.0
     body_timeout: float = 30.0
--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -15,6 +15,7 @@
     HttpError,
     HttpLimits,
     RequestHead,
+    SizeBound,
     Wire,
     find_header,
 )
@@ -71,9 +72,28 @@
                 return
             yield bytes(event.data)
 
+    async def read_whole(self) -> bytes:
+        """Return the whole request body, within the limits.
+
+        :raises TooLongError: it is larger.
+        :raises HttpError: malformed or too slow.
+        :raises ConnLostError: the sender went away.
+        """
+        bound = SizeBound(self._wire, self.limits.body_bytes)
+        whole = bytearray()
+        async for piece in self.read_body():
+            bound.count(len(piece))
+            whole += piece
+        return bytes(whole)
+
     async def skip_body(self) -> None:
-        """Read the request body and drop it."""
+        """Read the request body, within the limits, and drop it.
+
+        :raises TooLongError: it is larger.
+        """
+        bound = SizeBound(self._wire, self.limits.body_bytes)
         while isinstance(await self._body_event(), h11.Data):
+            bound.count()
             await trio.lowlevel.checkpoint_if_cancelled()
 
     async def respond(
@@ -94,7 +114,9 @@
         if not known and not bodiless:
             headers = (*headers, length)
         self._head_sent = True
-        events: list[h11.Event] = [self._head(status, headers)]
+        events: list[h11.Event] = [
+            _head(status, headers, closing=self._must_close)
+        ]
         if body and self._method != b'HEAD':
             events.append(h11.Data(data=body))
         events.append(h11.EndOfMessage())
@@ -131,7 +153,7 @@
         :param headers: end-to-end headers, length included if known.
         """
         self._head_sent = True
-        await self._wire.send(self._head(status, headers))
+        await self._wire.send(_head(status, headers, closing=self._must_close))
 
     async def send_piece(self, piece: bytes) -> None:
         """Send one piece of a streamed answer."""
@@ -218,10 +240,11 @@
             return await self._wire.next_event()
         raise HttpError('request body too slow', status=408)
 
-    def _head(self, status: int, headers: Headers) -> h11.Response:
-        if self._must_close:
-            headers = (*headers, (b'connection', b'close'))
-        return h11.Response(status_code=status, headers=list(headers))
+
+def _head(status: int, headers: Headers, *, closing: bool) -> h11.Response:
+    if closing:
+        headers = (*headers, (b'connection', b'close'))
+    return h11.Response(status_code=status, headers=list(headers))
 
 
 async def _end_stream(stream: trio.abc.Stream) -> None:
--- a/src/clementinedeal/mesh/_peer_server.py
+++ b/src/clementinedeal/mesh/_peer_server.py
@@ -162,7 +162,7 @@
 
 
 async def _read_message(conn: ServerConn, head: RequestHead) -> Message:
-    body = b''.join([piece async for piece in conn.read_body()])
+    body = await conn.read_whole()
     headers = tuple(
         pair
         for pair in without_internal(end_to_end(head.headers))
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,17 +1,20 @@
 """Bytes from another process that come without end."""
 
+import contextlib
 import json
 
 import pytest
 import trio
 import trio.testing
 from tests.endless_standin import BODIES, HEADS, INTERIMS, MOST_SENT, Endless
+from tests.ports import free_address
 
 from clementinedeal._client_conn import ClientConn
 from clementinedeal._events import EventLog
-from clementinedeal._http import HttpLimits, RequestHead
+from clementinedeal._http import HttpError, HttpLimits, RequestHead
+from clementinedeal._http_server import HttpServer
 from clementinedeal._platform import HttpPlatform, PlatformError
-from clementinedeal._pool import ConnPool
+from clementinedeal._pool import ConnPool, split_address
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._timers import MonotonicClock
 from clementinedeal._verdict import Reason, Verdict
@@ -20,6 +23,7 @@
 from clementinedeal.mesh._origin import Message, Origin
 from clementinedeal.mesh._outcomes import Attempt
 from clementinedeal.mesh._peer_client import PeerClient
+from clementinedeal.mesh._peer_server import PeerServer
 from clementinedeal.platform import PlatformDialect, PlatformStore
 
 HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
@@ -198,3 +202,37 @@
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
     assert await cut(endless)
     assert f'event=answer-cut address={endless.address}' in caplog.text
+
+
+async def test_a_request_of_a_peer_without_end_is_refused(nursery):
+    address = free_address()
+    events = EventLog('i', '1')
+    peers = PeerServer(None, events, nursery)
+    limits = HttpLimits(body_bytes=1 << 20)
+    server = HttpServer(address, peers.serve, limits, events)
+    await server.start(nursery)
+    host, port = split_address(address)
+    stream = await trio.open_tcp_stream(host, port)
+    await stream.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
+
+    async def send():
+        with contextlib.suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(TINY_CHUNKS[:60_000])
+
+    nursery.start_soon(send)
+    with trio.fail_after(5):
+        answer = await stream.receive_some()
+        while await stream.receive_some():
+            pass
+    assert answer.startswith(b'HTTP/1.1 413 ')
+
+
+async def test_a_body_that_is_dropped_is_bounded():
+    near, far = trio.testing.memory_stream_pair()
+    conn = ServerConn(near, HttpLimits(body_bytes=1 << 20))
+    await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
+    assert await conn.next_request()
+    await far.send_all(TINY_CHUNKS)
+    with pytest.raises(HttpError):
+        await conn.skip_body()
