Test bytes after an answer and endless reservations

What callers saw: no fault. Two things that the users' pages name had no test: more bytes after a whole answer, at once or while the connection rests, and a reservation answered without end.

The tests pass on the code before: such a connection is not used again, the requests after it get their own answers, and a request whose body was never sent has not run. The new tests of other processes' bytes move to a file of their own, without a change of what they ask; the stand-in's fixture is shared.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,6 @@
+import pytest
 from hypothesis import settings
+from tests.endless_standin import BODIES, HEADS, INTERIMS, Endless
 
 settings.register_profile(
     'ci',
@@ -9,3 +11,10 @@
     database=None,
 )
 settings.load_profile('ci')
+
+
+@pytest.fixture(params=[*HEADS, *BODIES, *INTERIMS])
+async def endless(request, nursery):
+    made = Endless(*{**HEADS, **BODIES, **INTERIMS}[request.param])
+    await made.start(nursery)
+    return made
--- a/tests/endless_standin.py
+++ b/tests/endless_standin.py
@@ -60,6 +60,12 @@
         listeners = await trio.open_tcp_listeners(port, host=host)
         nursery.start_soon(trio.serve_listeners, self._serve, listeners)
 
+    async def was_cut(self):
+        """Whether the connection is closed, and long before the end."""
+        with trio.fail_after(1):
+            await self.closed.wait()
+        return self.most_sent < MOST_SENT
+
     async def _serve(self, stream):
         self.opened += 1
         sent = 0
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -6,25 +6,27 @@
 import pytest
 import trio
 import trio.testing
-from tests.endless_standin import BODIES, HEADS, INTERIMS, MOST_SENT, Endless
+from tests.endless_standin import (
+    BODIES,
+    OK,
+    Endless,
+)
 from tests.ports import free_address
 
 from clementinedeal._client_conn import ClientConn
 from clementinedeal._events import EventLog
-from clementinedeal._http import HttpError, HttpLimits, RequestHead
-from clementinedeal._http_server import HttpServer
-from clementinedeal._platform import HttpPlatform, PlatformError
+from clementinedeal._http import (
+    BROKEN_ERRORS,
+    HttpLimits,
+    RequestHead,
+)
 from clementinedeal._pool import ConnPool, split_address
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._timers import MonotonicClock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh import _peer_client
-from clementinedeal.mesh._contracts import SourceError, Stamp
+from clementinedeal.mesh._contracts import Stamp
 from clementinedeal.mesh._origin import Message, Origin
-from clementinedeal.mesh._outcomes import Attempt
-from clementinedeal.mesh._peer_client import PeerClient
-from clementinedeal.mesh._peer_server import PeerServer
-from clementinedeal.platform import PlatformDialect, PlatformStore
+from clementinedeal.platform import PlatformDialect
 
 HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
 STAMP = Stamp(req_id='r1', left=5.0, target='t1', account='', caller='')
@@ -111,20 +113,6 @@
     assert pieces <= MOST_EVENTS
 
 
-@pytest.fixture(params=[*HEADS, *BODIES, *INTERIMS])
-async def endless(request, nursery):
-    made = Endless(*{**HEADS, **BODIES, **INTERIMS}[request.param])
-    await made.start(nursery)
-    return made
-
-
-async def cut(endless):
-    """Wait until the stand-in sees its connection closed."""
-    with trio.fail_after(1):
-        await endless.closed.wait()
-    return endless.most_sent < MOST_SENT
-
-
 @pytest.mark.parametrize('body', [b'', b'x' * 100_000])
 async def test_an_answer_without_end_is_cut_long_before_its_deadline(
     endless,
@@ -137,7 +125,7 @@
     outcome = await origin.call(Message('POST', '/', HEADERS, body), STAMP)
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
     assert outcome.reason is Reason.ANSWER_INCOMPLETE
-    assert await cut(endless)
+    assert await endless.was_cut()
 
 
 async def test_a_cut_answer_leaves_a_line_with_its_size(nursery):
@@ -158,81 +146,48 @@
     assert int(lines[0]['bytes']) > int(lines[0]['limit']) > 0
 
 
-async def test_a_store_that_sends_without_end_gives_no_answer(endless):
-    pool = ConnPool(MonotonicClock())
-    store = PlatformStore(endless.address, pool, EventLog('i', '1'))
-    with pytest.raises(SourceError):
-        await store.read()
-    assert await cut(endless)
-
-
-async def test_a_platform_that_sends_without_end_gives_no_answer(endless):
-    pool = ConnPool(MonotonicClock())
-    platform = HttpPlatform((endless.address,), pool)
-    with pytest.raises(PlatformError):
-        await platform.instances()
-    assert await cut(endless)
-
-
-ATTEMPT = Attempt(
-    attempt='a1',
-    req_id='r1',
-    target='t1',
-    left=5.0,
-    objective=1.0,
-    idempotent=True,
-    account='shop',
-    caller='s',
-    rank=(0, 0),
-)
+WHOLE = OK + b'content-length: 2\r\n\r\nok'
 
 
-async def test_an_owner_that_sends_without_end_is_cut(
-    nursery,
-    monkeypatch,
-    caplog,
-):
-    monkeypatch.setattr(_peer_client, 'ASK_SECONDS', 0.5)
-    endless = Endless(*BODIES['no-length'])
-    await endless.start(nursery)
-    clock = MonotonicClock()
-    client = PeerClient(ConnPool(clock), clock)
-    message = Message('GET', '/', HEADERS, b'')
-    outcome = await client.attempt(endless.address, ATTEMPT, message)
-    assert outcome.verdict is Verdict.MAY_HAVE_RUN
-    assert await cut(endless)
-    assert f'event=answer-cut address={endless.address}' in caplog.text
+async def send_on(stream):
+    with contextlib.suppress(*BROKEN_ERRORS):
+        while True:
+            await stream.send_all(b'x' * 50_000)
 
 
-async def test_a_request_of_a_peer_without_end_is_refused(nursery):
-    address = free_address()
-    events = EventLog('i', '1')
-    peers = PeerServer(None, events, nursery)
-    limits = HttpLimits(body_bytes=1 << 20)
-    server = HttpServer(address, peers.serve, limits, events)
-    await server.start(nursery)
-    host, port = split_address(address)
-    stream = await trio.open_tcp_stream(host, port)
-    await stream.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
+async def whole_then_more(stream):
+    await stream.receive_some()
+    await stream.send_all(WHOLE + b'x' * 50_000)
+    await send_on(stream)
 
-    async def send():
-        with contextlib.suppress(trio.BrokenResourceError):
-            while True:
-                await stream.send_all(TINY_CHUNKS[:60_000])
 
-    nursery.start_soon(send)
-    with trio.fail_after(5):
-        answer = await stream.receive_some()
-        while await stream.receive_some():
-            pass
-    assert answer.startswith(b'HTTP/1.1 413 ')
+async def whole_then_more_later(stream):
+    await stream.receive_some()
+    await stream.send_all(WHOLE)
+    await trio.sleep(0.05)
+    await send_on(stream)
 
 
-async def test_a_body_that_is_dropped_is_bounded():
-    near, far = trio.testing.memory_stream_pair()
-    conn = ServerConn(near, HttpLimits(body_bytes=1 << 20))
-    await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
-    assert await conn.next_request()
-    await far.send_all(TINY_CHUNKS)
-    with pytest.raises(HttpError):
-        await conn.skip_body()
+@pytest.mark.parametrize('serve', [whole_then_more, whole_then_more_later])
+async def test_bytes_after_an_answer_belong_to_no_request(nursery, serve):
+    address = free_address()
+    host, port = split_address(address)
+    opened = 0
+
+    async def count(stream):
+        nonlocal opened
+        opened += 1
+        await serve(stream)
+
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    nursery.start_soon(trio.serve_listeners, count, listeners)
+    clock = MonotonicClock()
+    pool = ConnPool(clock)
+    events = EventLog('i', '1')
+    origin = Origin(address, pool, PlatformDialect(), clock, events)
+    message = Message('GET', '/', HEADERS, b'')
+    for number in range(3):
+        outcome = await origin.call(message, STAMP)
+        assert outcome.body == b'ok'
+        await trio.sleep(0.1)
+        assert opened == number + 1
--- /dev/null
+++ b/tests/test_endless_peers.py
@@ -0,0 +1,119 @@
+"""Other daemons, operators and the store, when they send without end."""
+
+import contextlib
+
+import msgspec
+import pytest
+import trio
+import trio.testing
+from tests.endless_standin import BODIES, Endless
+from tests.ports import free_address
+
+from clementinedeal._events import EventLog
+from clementinedeal._http import HttpError, HttpLimits
+from clementinedeal._http_server import HttpServer
+from clementinedeal._platform import HttpPlatform, PlatformError
+from clementinedeal._pool import ConnPool, split_address
+from clementinedeal._server_conn import ServerConn
+from clementinedeal._timers import MonotonicClock
+from clementinedeal._verdict import Verdict
+from clementinedeal.mesh import _peer_client
+from clementinedeal.mesh._contracts import SourceError
+from clementinedeal.mesh._origin import Message
+from clementinedeal.mesh._outcomes import Attempt
+from clementinedeal.mesh._peer_client import PeerClient
+from clementinedeal.mesh._peer_server import PeerServer
+from clementinedeal.platform import PlatformStore
+
+HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
+TINY_CHUNKS = b'1\r\nx\r\n' * 10_000 + b'0\r\n\r\n'
+CHUNKING = b'transfer-encoding: chunked\r\n\r\n'
+ATTEMPT = Attempt(
+    attempt='a1',
+    req_id='r1',
+    target='t1',
+    left=5.0,
+    objective=1.0,
+    idempotent=True,
+    account='shop',
+    caller='s',
+    rank=(0, 0),
+)
+
+
+async def test_a_store_that_sends_without_end_gives_no_answer(endless):
+    pool = ConnPool(MonotonicClock())
+    store = PlatformStore(endless.address, pool, EventLog('i', '1'))
+    with pytest.raises(SourceError):
+        await store.read()
+    assert await endless.was_cut()
+
+
+async def test_a_platform_that_sends_without_end_gives_no_answer(endless):
+    pool = ConnPool(MonotonicClock())
+    platform = HttpPlatform((endless.address,), pool)
+    with pytest.raises(PlatformError):
+        await platform.instances()
+    assert await endless.was_cut()
+
+
+async def test_an_owner_that_sends_without_end_is_cut(
+    nursery,
+    monkeypatch,
+    caplog,
+):
+    monkeypatch.setattr(_peer_client, 'ASK_SECONDS', 0.5)
+    endless = Endless(*BODIES['no-length'])
+    await endless.start(nursery)
+    clock = MonotonicClock()
+    client = PeerClient(ConnPool(clock), clock)
+    message = Message('GET', '/', HEADERS, b'')
+    outcome = await client.attempt(endless.address, ATTEMPT, message)
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert await endless.was_cut()
+    assert f'event=answer-cut address={endless.address}' in caplog.text
+
+
+async def test_a_request_of_a_peer_without_end_is_refused(nursery):
+    address = free_address()
+    events = EventLog('i', '1')
+    peers = PeerServer(None, events, nursery)
+    limits = HttpLimits(body_bytes=1 << 20)
+    server = HttpServer(address, peers.serve, limits, events)
+    await server.start(nursery)
+    host, port = split_address(address)
+    stream = await trio.open_tcp_stream(host, port)
+    await stream.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
+
+    async def send():
+        with contextlib.suppress(trio.BrokenResourceError):
+            while True:
+                await stream.send_all(TINY_CHUNKS[:60_000])
+
+    nursery.start_soon(send)
+    with trio.fail_after(5):
+        answer = await stream.receive_some()
+        while await stream.receive_some():
+            pass
+    assert answer.startswith(b'HTTP/1.1 413 ')
+
+
+async def test_a_body_that_is_dropped_is_bounded():
+    near, far = trio.testing.memory_stream_pair()
+    conn = ServerConn(near, HttpLimits(body_bytes=1 << 20))
+    await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
+    assert await conn.next_request()
+    await far.send_all(TINY_CHUNKS)
+    with pytest.raises(HttpError):
+        await conn.skip_body()
+
+
+async def test_a_reservation_answered_without_end_has_not_run(endless):
+    clock = MonotonicClock()
+    client = PeerClient(ConnPool(clock), clock)
+    booking = msgspec.structs.replace(ATTEMPT, idempotent=False)
+    message = Message('POST', '/', HEADERS, b'x')
+    outcome = await client.attempt(endless.address, booking, message)
+    assert outcome.verdict is Verdict.NOT_RUN
+    assert endless.opened == 1
+    assert await endless.was_cut()
