Pause before an owner is asked again

What callers saw: nothing yet. An owner whose answers cannot be read was asked again without a pause for 2 s, and for as long as it confirms each time.

Cause: only a refused connection was followed by the pause.

Ruled out: giving up at the first answer that cannot be read; the owner may tell the truth at the next.

Why it works: a question that brought nothing is followed by the pause of 0.1 s whatever the cause, so at most 4 MiB come each 0.1 s from an owner that sends without end.

--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -155,6 +155,7 @@
                 return outcome
             if exchange.confirmed:
                 give_up = trio.current_time() + ASK_SECONDS
+            await trio.sleep(ASK_PAUSE_SECONDS)
         return Outcome(
             verdict=Verdict.MAY_HAVE_RUN,
             reason=Reason.TARGET_FAILED,
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -6,7 +6,7 @@
 import pytest
 import trio
 import trio.testing
-from tests.endless_standin import BODIES, Endless
+from tests.endless_standin import BODIES, HEADS, Endless
 from tests.ports import free_address
 
 from clementinedeal._events import EventLog
@@ -108,6 +108,21 @@
         await conn.skip_body()
 
 
+async def test_an_owner_that_sends_junk_is_not_asked_without_a_pause(
+    nursery,
+    monkeypatch,
+):
+    monkeypatch.setattr(_peer_client, 'ASK_SECONDS', 0.5)
+    endless = Endless(*HEADS['junk-lines'])
+    await endless.start(nursery)
+    clock = MonotonicClock()
+    client = PeerClient(ConnPool(clock), clock)
+    message = Message('GET', '/', HEADERS, b'')
+    outcome = await client.attempt(endless.address, ATTEMPT, message)
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert endless.opened <= 7
+
+
 async def test_a_reservation_answered_without_end_has_not_run(endless):
     clock = MonotonicClock()
     client = PeerClient(ConnPool(clock), clock)
