Give up a list of targets that has no end

What callers saw: nothing yet. A store, or whatever answers at its address, that says at each page that there are more was read page after page without an end or a pause, and every target it named was kept.

Cause: the list ended only with a page that says so; a page that repeats the last key was asked for again and again.

Before: both new tests fail (`trio.TooSlowError` after 5 s, keys that advance and keys that do not).

Ruled out: a check that keys advance, which a list that makes up names passes.

Why it works: after 100 pages of some 500 items the list counts as no answer, like any other failure of the store: the line platform-lost tells why, and the last list holds.

--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -38,6 +38,8 @@
 # A page of the store has about 1 MB, and three calls may run at once: 24 MiB
 # of the smallest machine's 200 MB.
 MOST_ANSWER_BYTES = 8 << 20
+# A page has some 500 items: a list of 50,000 targets.
+MOST_PAGES = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,8 +104,7 @@
             query['serializable'] = 1
         targets: dict[str, Target] = {}
         revision = math.inf
-        more = True
-        while more:
+        for _ in range(MOST_PAGES):
             answer = await self._get('/-/kv-range', query)
             page = _decode(answer, Range)
             for item in page.items:
@@ -112,9 +113,10 @@
                     targets[target.name] = target
             # pages are read one after the other: the first is the oldest
             revision = min(revision, page.at_rev)
-            more = page.has_more and bool(page.items)
-            query['after'] = page.items[-1].key if page.items else ''
-        return Listing(revision=int(revision), targets=targets)
+            if not page.has_more or not page.items:
+                return Listing(revision=int(revision), targets=targets)
+            query['after'] = page.items[-1].key
+        raise SourceError(f'more than {MOST_PAGES} pages of targets')
 
     async def read_target(self, name: str) -> TargetNews:
         """Return what is listed of one target now.
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -1,6 +1,7 @@
 """Other daemons, operators and the store, when they send without end."""
 
 import contextlib
+import json
 
 import msgspec
 import pytest
@@ -132,3 +133,23 @@
     assert outcome.verdict is Verdict.NOT_RUN
     assert endless.opened == 1
     assert await endless.was_cut()
+
+
+@pytest.mark.parametrize('key', ['servers/t0', 'servers/t{:05}'])
+async def test_a_list_of_the_store_without_end_is_given_up(nursery, key):
+    pages = 0
+
+    async def serve(conn, head):
+        nonlocal pages
+        pages += 1
+        await conn.skip_body()
+        item = {'key': key.format(pages), 'value': ''}
+        page = {'items': [item], 'has_more': True, 'at_rev': 1}
+        await conn.respond(200, (), json.dumps(page).encode())
+
+    address = free_address()
+    events = EventLog('i', '1')
+    await HttpServer(address, serve, HttpLimits(), events).start(nursery)
+    store = PlatformStore(address, ConnPool(MonotonicClock()), events)
+    with trio.fail_after(5), pytest.raises(SourceError):
+        await store.list_targets(may_lag=True)
