--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -12,11 +12,15 @@
     ConnLostError,
     RequestHead,
     ResponseHead,
+    SizeBound,
+    TooLongError,
     Wire,
 )
 
 # An extra answer belongs to the request before, or to one not long before it.
 MOST_ANSWERED = 4
+# Some 1,000 small interim answers, one each 15 ms of a request's 15 s.
+MOST_INTERIM_BYTES = 4 * READ_BYTES
 
 
 class ClientConn:
@@ -88,9 +92,11 @@
         """Wait for the response head; interim answers are passed over.
 
         :param on_interim: called at each interim answer.
+        :raises TooLongError: too many interim answers.
         :raises ConnLostError: the connection ended first.
         :raises HttpError: malformed answer.
         """
+        bound = SizeBound(self._wire, MOST_INTERIM_BYTES)
         while True:
             event = await self._wire.next_event()
             if isinstance(event, h11.Response):
@@ -100,6 +106,7 @@
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnLostError('connection ended before the answer')
+            bound.count()
             if on_interim is not None:
                 on_interim()
 
@@ -117,6 +124,25 @@
                 raise ConnLostError('connection ended inside the answer')
             yield bytes(event.data)
 
+    async def read_whole(self, limit: int) -> bytes:
+        """Return the whole response body; one beyond the limit is cut.
+
+        :param limit: bytes taken at the most, the body's framing included.
+        :raises TooLongError: there is more; the connection is closed.
+        :raises ConnLostError: the body was cut short.
+        :raises HttpError: malformed answer.
+        """
+        bound = SizeBound(self._wire, limit)
+        whole = bytearray()
+        try:
+            async for piece in self.read_body():
+                bound.count(len(piece))
+                whole += piece
+        except TooLongError:
+            self.abort()
+            raise
+        return bytes(whole)
+
     def skip_answer(self) -> None:
         """Take the answer read so far for another request's, await the next.
 
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -1,6 +1,7 @@
 """Whole daemons before stand-ins of the platform and its targets."""
 
 import contextlib
+import math
 from dataclasses import dataclass, field
 
 import pytest
@@ -19,6 +20,7 @@
 from clementinedeal._timers import MonotonicClock
 from clementinedeal.mesh import _peer_client
 from clementinedeal.mesh._daemon import MeshDaemon
+from clementinedeal.mesh._outcomes import Trying
 from clementinedeal.mesh._settings import NodeSettings
 from clementinedeal.platform import PlatformDialect, PlatformStore
 
@@ -64,6 +66,11 @@
         return [one for target in self.targets for one in target.seen]
 
 
+def trying():
+    """Return an attempt that nobody breaks off."""
+    return Trying(trio.CancelScope(), math.inf, bool)
+
+
 def free_port():
     return int(free_address().rpartition(':')[2])
 
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,193 @@
+"""Bytes from another process that come without end."""
+
+import contextlib
+import json
+
+import pytest
+import trio
+import trio.testing
+from tests.endless_standin import (
+    BODIES,
+    OK,
+    Endless,
+)
+from tests.ports import free_address
+
+from clementinedeal._client_conn import ClientConn
+from clementinedeal._events import EventLog
+from clementinedeal._http import (
+    BROKEN_ERRORS,
+    HttpLimits,
+    RequestHead,
+)
+from clementinedeal._pool import ConnPool, split_address
+from clementinedeal._server_conn import ServerConn
+from clementinedeal._timers import MonotonicClock
+from clementinedeal._verdict import Reason, Verdict
+from clementinedeal.mesh._contracts import Stamp
+from clementinedeal.mesh._origin import Message, Origin
+from clementinedeal.platform import PlatformDialect
+
+HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
+STAMP = Stamp(req_id='r1', left=5.0, target='t1', account='', caller='')
+# What one read may bring: hundreds of events, each some 6 us of a core.
+TINY_CHUNKS = b'1\r\nx\r\n' * 10_000 + b'0\r\n\r\n'
+MANY_INTERIMS = b'HTTP/1.1 100 \r\n\r\n' * 800
+# A task waits while two turns of the reader may come one after the other.
+MOST_EVENTS = 150
+CHUNKING = b'transfer-encoding: chunked\r\n\r\n'
+GET = RequestHead('GET', '/', ((b'host', b'x'),))
+
+
+class Turns:
+    """Counts events between two turns of another task."""
+
+    def __init__(self):
+        self.events = 0
+        self.most = 0
+        self.total = 0
+
+    def note(self):
+        self.events += 1
+        self.total += 1
+        self.most = max(self.most, self.events)
+
+    async def take(self):
+        while True:
+            self.events = 0
+            await trio.lowlevel.checkpoint()
+
+
+@pytest.fixture
+async def turns(nursery):
+    made = Turns()
+    nursery.start_soon(made.take)
+    return made
+
+
+async def answering(blob):
+    """Return a connection whose request is answered with these bytes."""
+    near, far = trio.testing.memory_stream_pair()
+    conn = ClientConn(near)
+    await conn.send_whole(GET, b'')
+    await far.send_all(blob)
+    return conn
+
+
+async def test_tiny_chunks_of_an_answer_hold_up_no_other_task(turns):
+    conn = await answering(b'HTTP/1.1 200 OK\r\n' + CHUNKING + TINY_CHUNKS)
+    await conn.read_head()
+    async for _ in conn.read_body():
+        turns.note()
+    assert turns.total == 10_000
+    assert turns.most <= MOST_EVENTS
+
+
+async def test_tiny_chunks_of_a_request_hold_up_no_other_task(turns):
+    near, far = trio.testing.memory_stream_pair()
+    conn = ServerConn(near, HttpLimits())
+    await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
+    assert await conn.next_request()
+    await far.send_all(TINY_CHUNKS)
+    async for _ in conn.read_body():
+        turns.note()
+    assert turns.total == 10_000
+    assert turns.most <= MOST_EVENTS
+
+
+async def test_interim_answers_hold_up_no_other_task(turns):
+    conn = await answering(MANY_INTERIMS + b'HTTP/1.1 200 OK\r\n\r\n')
+    await conn.read_head(turns.note)
+    assert turns.total == 800
+    assert turns.most <= MOST_EVENTS
+
+
+async def test_reading_what_was_received_can_be_cancelled():
+    conn = await answering(b'HTTP/1.1 200 OK\r\n' + CHUNKING + TINY_CHUNKS)
+    await conn.read_head()
+    pieces = 0
+    with trio.CancelScope() as scope:
+        async for _ in conn.read_body():
+            pieces += 1
+            scope.cancel()
+    assert pieces <= MOST_EVENTS
+
+
+@pytest.mark.parametrize('body', [b'', b'x' * 100_000])
+async def test_an_answer_without_end_is_cut_long_before_its_deadline(
+    endless,
+    body,
+):
+    events = EventLog('i', '1')
+    clock = MonotonicClock()
+    pool = ConnPool(clock)
+    origin = Origin(endless.address, pool, PlatformDialect(), clock, events)
+    outcome = await origin.call(Message('POST', '/', HEADERS, body), STAMP)
+    assert outcome.verdict is Verdict.MAY_HAVE_RUN
+    assert outcome.reason is Reason.ANSWER_INCOMPLETE
+    assert await endless.was_cut()
+
+
+async def test_a_cut_answer_leaves_a_line_with_its_size(nursery):
+    endless = Endless(*BODIES['no-length'])
+    await endless.start(nursery)
+    events = EventLog('i', '1')
+    clock = MonotonicClock()
+    pool = ConnPool(clock)
+    origin = Origin(endless.address, pool, PlatformDialect(), clock, events)
+    await origin.call(Message('GET', '/', HEADERS, b''), STAMP)
+    lines = [
+        dict(line['fields'])
+        for line in map(json.loads, events.json_lines().splitlines())
+        if line['name'] == 'answer-cut'
+    ]
+    assert len(lines) == 1
+    assert lines[0]['address'] == endless.address
+    assert int(lines[0]['bytes']) > int(lines[0]['limit']) > 0
+
+
+WHOLE = OK + b'content-length: 2\r\n\r\nok'
+
+
+async def send_on(stream):
+    with contextlib.suppress(*BROKEN_ERRORS):
+        while True:
+            await stream.send_all(b'x' * 50_000)
+
+
+async def whole_then_more(stream):
+    await stream.receive_some()
+    await stream.send_all(WHOLE + b'x' * 50_000)
+    await send_on(stream)
+
+
+async def whole_then_more_later(stream):
+    await stream.receive_some()
+    await stream.send_all(WHOLE)
+    await trio.sleep(0.05)
+    await send_on(stream)
+
+
+@pytest.mark.parametrize('serve', [whole_then_more, whole_then_more_later])
+async def test_bytes_after_an_answer_belong_to_no_request(nursery, serve):
+    address = free_address()
+    host, port = split_address(address)
+    opened = 0
+
+    async def count(stream):
+        nonlocal opened
+        opened += 1
+        await serve(stream)
+
+    listeners = await trio.open_tcp_listeners(port, host=host)
+    nursery.start_soon(trio.serve_listeners, count, listeners)
+    clock = MonotonicClock()
+    pool = ConnPool(clock)
+    events = EventLog('i', '1')
+    origin = Origin(address, pool, PlatformDialect(), clock, events)
+    message = Message('GET', '/', HEADERS, b'')
+    for number in range(3):
+        outcome = await origin.call(message, STAMP)
+        assert outcome.body == b'ok'
+        await trio.sleep(0.1)
+        assert opened == number + 1
