Break off a lookup only for a target that has room

Callers of lookups got 504 seconds before their deadline: an attempt was broken off for a repeat that no target took.

Now a target must be believed to take the repeat at once, by its load as last heard of, before the attempt under way is left and the budget is asked. Test: test_nothing_is_broken_off_for_targets_that_are_full (before: broken off, and paid for).

--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -119,6 +119,20 @@
             key=lambda one: costs[one.name],
         )
 
+    def has_room(self, service: str, without: Collection[str]) -> bool:
+        """Whether a target is believed to take one more request at once.
+
+        :param service: name of the service.
+        :param without: names of targets that are no choice.
+        """
+        now = self._clock.now()
+        return any(
+            self._load(one, now) < CROWDED_LOAD
+            and now >= self._heard_of(one).avoid_until
+            for one in self.targets(service)
+            if one.name not in without
+        )
+
     def shortest_queue(self, targets: Sequence[Target]) -> Target:
         """Return the target whose queue was the shortest when last heard of.
 
@@ -168,11 +182,15 @@
         heard.wait = state.wait
         heard.heard_at = now
 
+    def _load(self, target: Target, now: float) -> float:
+        """Return the load that a target is believed to have now."""
+        heard = self._heard_of(target)
+        load = USUAL_LOAD + (heard.load - USUAL_LOAD) * _trust(heard, now)
+        return max(load, heard.in_flight / max(1, target.slots))
+
     def _cost(self, target: Target, now: float, *, careful: bool) -> float:
         heard = self._heard[target.name]
-        trust: float = 0.5 ** ((now - heard.heard_at) / HALF_LIFE_SECONDS)
-        load = USUAL_LOAD + (heard.load - USUAL_LOAD) * trust
-        cost = max(load, heard.in_flight / max(1, target.slots))
+        cost = self._load(target, now)
         cost += CROWD_COST * max(0, cost - CROWDED_LOAD)
         cost += JITTER_COST * self._rng.random()
         if target.zone != self._zone:
@@ -180,6 +198,7 @@
         elif target.host != self._host:
             cost += OTHER_HOST_COST
         if careful:
+            trust = _trust(heard, now)
             risk = USUAL_RISK + (heard.risk - USUAL_RISK) * trust
             cost += RISK_COST * risk
         if now < self._cold_until[target.name]:
@@ -187,3 +206,8 @@
         if now < heard.avoid_until:
             cost += AVOIDED_COST
         return cost
+
+
+def _trust(heard: Heard, now: float) -> float:
+    trust: float = 0.5 ** ((now - heard.heard_at) / HALF_LIFE_SECONDS)
+    return trust
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -104,6 +104,7 @@
         self._offered = False
         self._paid = True
         self._prepaid = False
+        self._under_way = ''
         self._queue_until: float | None = None
 
     @property
@@ -123,7 +124,10 @@
             return Finish(outcome=self.give_up(Reason.DEADLINE))
         if self._reached and not self._may_repeat(left):
             return Finish(outcome=self._last or self.give_up(Reason.NO_TARGET))
-        return self._choose(now, left)
+        step = self._choose(now, left)
+        if isinstance(step, Try):
+            self._under_way = step.target.name
+        return step
 
     def on_outcome(self, target: str, outcome: Outcome) -> None:
         """Take in how an attempt ended.
@@ -154,6 +158,9 @@
         left = self._deadline - now
         if left < LEAST_SHARE * self._route.objective:
             return False
+        known = self._reached | {self._under_way}
+        if not self._balancer.has_room(self._service, known):
+            return False
         if not self._prepaid:
             self._prepaid = self._budget.take()
         return self._prepaid
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -7,7 +7,7 @@
 from clementinedeal._timers import VirtualClock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._balancer import Balancer
-from clementinedeal.mesh._outcomes import Outcome, not_run
+from clementinedeal.mesh._outcomes import Outcome, State, not_run
 from clementinedeal.mesh._plan import Finish, Pause, Plan, Try
 from clementinedeal.mesh._types import Part, RouteRule, Target
 
@@ -279,3 +279,19 @@
     plan = make_plan(idempotent=True)
     plan.next_step(0)
     assert not plan.may_break_off(4.9)
+
+
+def test_nothing_is_broken_off_for_targets_that_are_full():
+    budget = Budget(1)
+    plan = make_plan(idempotent=True, budget=budget)
+    step = plan.next_step(0)
+    state = State(risk=0.1, running=7, waiting=3, slots=7, wait=1.0)
+    for target in TARGETS:
+        plan._balancer.start(target.name)
+        plan._balancer.end(target.name, not_run(Reason.QUEUE_FULL, state))
+    assert not plan.may_break_off(2.6)
+    assert budget.level == 1
+    free = State(risk=0.1, running=1, waiting=0, slots=7, wait=0.0)
+    other = next(one for one in TARGETS if one != step.target)
+    plan._balancer.end(other.name, not_run(Reason.QUEUE_FULL, free))
+    assert plan.may_break_off(2.6)
