Keep resting connections by the limits in force

A configuration that lets callers' connections rest for longer held only for connections that opened after it: older ones closed at the former limit, under callers that relied on the new one. Found by reading. The limits now hold for open connections, too; a shorter rest never closes one early. Test: test_a_rest_that_became_longer_does_not_close_a_connection, failed before.

--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -91,11 +91,13 @@
         return sum(not conn.idle for conn in self._open)
 
     def take_limits(self, limits: HttpLimits) -> None:
-        """Bound the senders of connections that open from now on.
+        """Bound the senders of all connections from now on.
 
         :param limits: the bounds.
         """
         self._limits = limits
+        for conn in self._open:
+            conn.take_limits(limits)
 
     def drain(self) -> None:
         """Serve on, but close every connection after its next answer."""
--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -38,17 +38,29 @@
         self.limits = limits
         self.idle = True
         self._wire = Wire(stream, h11.SERVER, limits.head_bytes)
-        self._head_sent = False
+        self._resting = trio.CancelScope()
+        # whether a byte of the answer may have reached the other side
+        self.head_sent = False
         self._method = b''
         self._must_close = False
 
+    def take_limits(self, limits: HttpLimits) -> None:
+        """Bound the other side from now on; a rest may become longer.
+
+        :param limits: the bounds.
+        """
+        longer = limits.idle_timeout - self.limits.idle_timeout
+        self.limits = limits
+        if self.idle and longer > 0:
+            self._resting.deadline += longer
+
     async def next_request(self) -> RequestHead | None:
         """Wait for the next request; None when the connection is over.
 
         :raises HttpError: malformed, oversized or too slow a head.
         """
         self.idle = True
-        self._head_sent = False
+        self.head_sent = False
         if not await self._first_bytes():
             return None
         self.idle = False
@@ -113,7 +125,7 @@
         bodiless = status in {204, 304} or self._method == b'HEAD'
         if not known and not bodiless:
             headers = (*headers, length)
-        self._head_sent = True
+        self.head_sent = True
         events: list[h11.Event] = [
             _head(status, headers, closing=self._must_close)
         ]
@@ -152,7 +164,7 @@
         :param status: HTTP status.
         :param headers: end-to-end headers, length included if known.
         """
-        self._head_sent = True
+        self.head_sent = True
         await self._wire.send(_head(status, headers, closing=self._must_close))
 
     async def send_piece(self, piece: bytes) -> None:
@@ -164,11 +176,6 @@
         """Mark a streamed answer as complete."""
         await self._wire.send(h11.EndOfMessage())
 
-    @property
-    def head_sent(self) -> bool:
-        """Whether a byte of the answer may have reached the other side."""
-        return self._head_sent
-
     def close_after_answer(self) -> None:
         """Announce and perform the close with the next answer."""
         self._must_close = True
@@ -211,7 +218,9 @@
     async def _first_bytes(self) -> bool:
         if self._wire.h11.trailing_data[0]:
             return True
-        with trio.move_on_after(self.limits.idle_timeout):
+        limit = trio.current_time() + self.limits.idle_timeout
+        self._resting = trio.CancelScope(deadline=limit)
+        with self._resting:
             try:
                 blob = await self._wire.stream.receive_some(READ_BYTES)
             except BROKEN_ERRORS:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -160,3 +160,19 @@
         other = await ConnPool(MonotonicClock()).acquire(ADDRESS)
         await other.send_whole(GET, b'')
         assert (await other.read_head()).status == 200
+
+
+async def test_a_rest_that_became_longer_does_not_close_a_connection() -> None:
+    async with serving() as server:
+        server.take_limits(HttpLimits(idle_timeout=0.2))
+        conn = await ConnPool(MonotonicClock()).acquire(ADDRESS)
+        await conn.send_whole(GET, b'')
+        assert (await conn.read_head()).status == 200
+        assert [piece async for piece in conn.read_body()] == []
+        await trio.sleep(0.1)
+        server.take_limits(HttpLimits(idle_timeout=5.0))
+        await trio.sleep(0.3)
+        assert conn.reusable()
+        assert not conn.stale()
+        await conn.send_whole(GET, b'')
+        assert (await conn.read_head()).status == 200
