Let a held-up loop, a second signal or a lost entry cut no stop

Review of the mended stop, each shown by a test that failed before:

The wait is never negative now, the notice ends with the grace time, and the answers get their time however late they begin; - a second SIGTERM or SIGINT killed the process at once, the older daemon's as well: the first one ended the receiver; - an owner ended beside a booking that its target worked on if no entry was connected at that moment; it now waits for what runs, too; - a lookup was broken off by a look begun before the stop, done after it.

An owner is also asked with the age of the request at the connect, not before: a pause between the two could have proved too much (read, not shown). test_what_waits_for_a_target_is_refused_before_the_end closed the sender before it asked, so nothing waited; it now closes it under a request that waits, and checks the same answer, its verdict and that a target was tried.

--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -212,8 +212,9 @@
 
     async def _await_signal(self) -> None:
         with trio.open_signal_receiver(*_STOP_SIGNALS) as signals:
-            await anext(signals)
-        self._stopping.set()
+            # one that comes again must not end the process at once
+            async for _ in signals:
+                self._stopping.set()
 
     async def _drain(self) -> None:
         self._shared.events.emit('daemon-draining')
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -248,8 +248,9 @@
             signal.SIGTERM,
             signal.SIGINT,
         ) as signals:
-            await anext(signals)
-        self.stop()
+            # one that comes again must not end the process at once
+            async for _ in signals:
+                self.stop()
 
     async def _follow_settings(self) -> None:
         """Take over settings that changed, with a signal or without."""
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -58,6 +58,11 @@
         self._down_until = 0.0
         self._running: list[Rank] = []
 
+    @property
+    def busy(self) -> bool:
+        """Whether an attempt waits or runs, connected to its entry or not."""
+        return bool(self._live)
+
     @property
     def most_urgent(self) -> Rank | None:
         """Rank of the most urgent request that the target works on."""
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -147,6 +147,11 @@
         """Ask over new connections what became of an attempt."""
         give_up = trio.current_time() + ASK_SECONDS
         while trio.current_time() < give_up:
+            try:
+                conn = await self._pool.connect(address)
+            except ConnLostError:
+                await trio.sleep(ASK_PAUSE_SECONDS)
+                continue
             age = self._clock.now() - sent_at
             asked = msgspec.json.encode((attempt.attempt, round(age, 3)))
             head = RequestHead(
@@ -154,11 +159,6 @@
                 '/',
                 ((b'host', address.encode()), (wire.ASK_HEADER, asked)),
             )
-            try:
-                conn = await self._pool.connect(address)
-            except ConnLostError:
-                await trio.sleep(ASK_PAUSE_SECONDS)
-                continue
             exchange = _Exchange(address, conn, SILENCE_SECONDS)
             outcome = await exchange.run(head, b'')
             conn.abort()
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -65,8 +65,10 @@
 
     async def run(self) -> None:
         """Break off attempts that take too long, where others may follow."""
-        while not self._stopping:
+        while True:
             await trio.sleep(PATIENCE_POLL_SECONDS)
+            if self._stopping:
+                return
             now = self._parts.clock.now()
             for trying in tuple(self._trying):
                 if trying.overdue_at <= now and trying.may_break_off(now):
--- a/src/clementinedeal/mesh/_stop.py
+++ b/src/clementinedeal/mesh/_stop.py
@@ -54,12 +54,15 @@
         end = started + grace - KILL_MARGIN_SECONDS
         self._announce()
         self._emit_load('daemon-draining', started)
-        await trio.sleep(NOTICE_SECONDS)
+        answered_by = end - ANSWER_SECONDS
+        await trio.sleep(min(NOTICE_SECONDS, max(0, answered_by - started)))
         self._refuse()
-        if not await self._finished(end - ANSWER_SECONDS):
+        if not await self._finished(answered_by):
             self._emit_load('drain-overdue', started)
             self._answer()
-            await self._finished(end)
+            # a loop that was held up still gets its time for the answers
+            late = self._parts.clock.now() + ANSWER_SECONDS
+            await self._finished(max(end, late))
         self._emit_load('drain-ended', started)
 
     def _announce(self) -> None:
@@ -82,13 +85,18 @@
 
     async def _finished(self, until: float) -> bool:
         """Wait until nothing is under way; False if time runs out first."""
-        with trio.move_on_after(until - self._parts.clock.now()):
+        left = max(0, until - self._parts.clock.now())
+        with trio.move_on_after(left):
             while True:
-                if not any(server.busy for server in self._parts.servers):
+                if not self._under_way():
                     return True
                 await trio.sleep(FINISH_POLL_SECONDS)
         return False
 
+    def _under_way(self) -> bool:
+        busy = any(server.busy for server in self._parts.servers)
+        return busy or self._parts.owner.busy
+
     def _emit_load(self, name: str, started: float) -> None:
         """Tell how many requests a stop finds, or leaves."""
         slots = self._parts.owner.slots
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import signal
 import time
 
 import pytest
@@ -12,8 +13,10 @@
 
 from clementinedeal._http import ConnLostError, RequestHead
 from clementinedeal.mesh import _stop
+from clementinedeal.mesh._daemon import MeshDaemon
 from clementinedeal.mesh._retries import RetryShare
 from clementinedeal.mesh._stop import KILL_MARGIN_SECONDS
+from clementinedeal.platform import PlatformDialect, PlatformStore
 
 SHORT_NOTICE_SECONDS = 0.3
 SHORT_STOP_SECONDS = 2.0
@@ -77,17 +80,19 @@
     assert not [one for one in fleet.runs()[before:] if one[1] == '/book/late']
 
 
-async def test_what_waits_for_a_target_is_refused_before_the_end(
-    fleet,
-    nursery,
-):
-    for target in fleet.targets:
+async def test_what_waits_for_a_target_is_refused_before_the_end(patient):
+    for target in patient.targets:
         target.mode = 'shed'
-    fleet.daemons[0].stop()
-    fleet.daemons[0]._sender.close()
-    answer, _ = await fleet.send(0, '/book/1')
-    assert answer.status == 503
-    assert answer.header(b'x-reason') == b'draining'
+    found = {}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, patient, 0, '/book/1', found)
+        await trio.sleep(0.2)
+        assert not found
+        patient.daemons[0]._sender.close()
+    assert found['/book/1'] == (503, b'not-run')
+    lines = patient.daemons[0].events.json_lines()
+    assert b'attempt-tried' in lines
+    assert b'"draining"' in lines
 
 
 async def test_a_slow_loop_does_not_delay_the_end(fleet, nursery):
@@ -282,3 +287,81 @@
     for number in range(6):
         await ask(quick, number % 3, f'/look/{number}', found)
     assert set(found.values()) == {(200, None)}
+
+
+@pytest.mark.parametrize('seconds', [0.25, 0.6])
+async def test_a_pause_at_the_end_of_a_stop_cuts_no_answer(patient, seconds):
+    patient.targets[1].mode = 'hang'
+    found = {}
+    ending = patient.daemons[0]._stop
+    answer = ending._answer
+
+    def answer_late():
+        time.sleep(seconds)
+        answer()
+
+    ending._answer = answer_late
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, patient, 0, '/book/1', found)
+        await trio.sleep(0.2)
+        patient.daemons[0].stop()
+        with trio.fail_after(2 * SHORT_STOP_SECONDS):
+            await patient.ended[0].wait()
+        nursery.cancel_scope.cancel()
+    assert found['/book/1'] == (502, b'may-have-run')
+
+
+async def test_a_stop_shorter_than_its_notice_answers(patient):
+    patient.targets[1].mode = 'hang'
+    found = {}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, patient, 0, '/book/1', found)
+        await trio.sleep(0.2)
+        with trio.fail_after(1):
+            await patient.daemons[0]._stop.run(0.5)
+        await trio.sleep(0.1)
+        nursery.cancel_scope.cancel()
+    assert found['/book/1'] == (502, b'may-have-run')
+
+
+async def test_an_owner_waits_for_a_booking_whose_entry_is_gone(patient):
+    patient.targets[1].seconds = 1.0
+    with trio.move_on_after(0.2):
+        await ask(patient, 0, '/book/1', {})
+    begun = trio.current_time()
+    patient.daemons[1].stop()
+    await patient.ended[1].wait()
+    assert trio.current_time() - begun > 0.7
+
+
+async def test_nothing_is_broken_off_once_a_stop_has_begun(quick):
+    for target in quick.targets:
+        target.seconds = 1.2
+    sender = quick.daemons[0]._sender
+    found = {}
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ask, quick, 0, '/look/slow', found)
+        await trio.sleep(0.1)
+        (trying,) = sender._trying
+        left = trying.overdue_at - quick.daemons[0]._clock.now()
+        # between two looks at what is overdue
+        await trio.sleep(left - 0.002)
+        quick.daemons[0].stop()
+    assert found['/look/slow'] == (200, None)
+    assert sum(one[1] == '/look/slow' for one in quick.runs()) == 1
+
+
+async def test_a_second_stop_signal_does_not_end_the_process(fleet, nursery):
+    daemon = MeshDaemon(
+        fleet.settings[0],
+        lambda: Ok(fleet.settings[0]),
+        PlatformStore,
+        PlatformDialect(),
+    )
+    nursery.start_soon(daemon._await_stop)
+    await trio.sleep(0.05)
+    handler = signal.getsignal(signal.SIGINT)
+    signal.raise_signal(signal.SIGINT)
+    await trio.sleep(0.05)
+    assert daemon._stopping.is_set()
+    assert signal.getsignal(signal.SIGINT) == handler
