Go on whatever bytes others write or send

One entry of the store of some 2 KB, nested 1,100 levels deep, ended every daemon of a fleet, again after each restart, and one datagram of 1.3 KB a single one, with all requests on them: msgspec raises RecursionError there, which no clause caught, and an exception in a part of the daemon ends its process.

What decoding may raise is now one tuple that every decoder of foreign bytes catches, the older parts included. The class is mended beside it: a part that fails for whatever reason is logged with its trace and started again, and its process goes on. An owner's answer with a verdict or a reason that this version does not know counts as no answer.

--- a/src/clementinedeal/_control.py
+++ b/src/clementinedeal/_control.py
@@ -10,11 +10,12 @@
 import trio
 
 from clementinedeal._envelope import Keyring
-from clementinedeal._errors import ProtocolError
+from clementinedeal._errors import UNREADABLE_ERRORS, ProtocolError
 from clementinedeal._events import EventLog, log
 from clementinedeal._messages import Send, decode, encode
 
 MAX_BATCH_BODIES = 64
+_BATCH_ERRORS = (ProtocolError, *UNREADABLE_ERRORS)
 MAX_OPEN_PEERS = 96
 SEND_BUFFER_MESSAGES = 64
 RECV_MAX_BYTES = 2_000_000
@@ -152,7 +153,7 @@
         try:
             batch = self._open(sealed)
             bodies = decode(batch.bodies)
-        except (ProtocolError, msgspec.MsgspecError):
+        except _BATCH_ERRORS:
             self.counters.rejected += 1
             return
         self._events.clock.observe(batch.hlc)
--- a/src/clementinedeal/_errors.py
+++ b/src/clementinedeal/_errors.py
@@ -1,5 +1,11 @@
 """Exceptions of the library: one family with a single base."""
 
+import msgspec
+
+# What decoding foreign bytes raises; at some 1,000 nested levels msgspec ends
+# with a RecursionError.
+UNREADABLE_ERRORS = (msgspec.MsgspecError, RecursionError, UnicodeDecodeError)
+
 
 class ClementinedealError(Exception):
     """Base of every exception the library raises."""
--- a/src/clementinedeal/_messages.py
+++ b/src/clementinedeal/_messages.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from clementinedeal._errors import ProtocolError
+from clementinedeal._errors import UNREADABLE_ERRORS, ProtocolError
 
 MessageT = TypeVar('MessageT')
 
@@ -53,7 +53,7 @@
     try:
         pairs = msgspec.msgpack.decode(blob, type=list[tuple[str, msgspec.Raw]])
         return tuple(_decode_one(name, raw) for name, raw in pairs)
-    except msgspec.MsgspecError as exc:
+    except UNREADABLE_ERRORS as exc:
         raise ProtocolError(f'malformed control batch: {exc}') from exc
 
 
--- a/src/clementinedeal/_platform.py
+++ b/src/clementinedeal/_platform.py
@@ -7,6 +7,7 @@
 import trio
 
 from clementinedeal._client_conn import ClientConn
+from clementinedeal._errors import UNREADABLE_ERRORS
 from clementinedeal._http import (
     ConnLostError,
     HttpError,
@@ -115,7 +116,7 @@
             raise PlatformError('no instance list is published')
         try:
             return msgspec.json.decode(found.blob, type=InstanceList)
-        except msgspec.MsgspecError as exc:
+        except UNREADABLE_ERRORS as exc:
             raise PlatformError(f'malformed list: {exc}') from exc
 
     async def _value(self, path: str, seconds: float) -> PlatformValue | None:
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -4,9 +4,8 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-import msgspec
-
 from clementinedeal._acceptance import Acceptance
+from clementinedeal._errors import UNREADABLE_ERRORS
 from clementinedeal._freshness import Freshness
 from clementinedeal._gossip import Gossip
 from clementinedeal._membership import Membership
@@ -181,7 +180,7 @@
             return []
         try:
             entries = pull.instances()
-        except msgspec.MsgspecError as exc:
+        except UNREADABLE_ERRORS as exc:
             return list(self.spread.refuse(f'instances: {exc}'))
         if not entries:
             return list(self.spread.refuse('instances: none are given'))
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -1,5 +1,6 @@
 """One mesh daemon: builds its parts, runs them, stops them gracefully."""
 
+import functools
 import random
 import signal
 from collections.abc import Callable
@@ -28,6 +29,7 @@
 from clementinedeal.mesh._peer_client import PeerClient
 from clementinedeal.mesh._peer_server import PeerServer
 from clementinedeal.mesh._readiness import Readiness
+from clementinedeal.mesh._running import Part, keep_running
 from clementinedeal.mesh._sender import Sender, SenderParts
 from clementinedeal.mesh._settings import NodeSettings
 from clementinedeal.mesh._stop import Stop, StopParts
@@ -79,31 +81,43 @@
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully."""
-        async with trio.open_nursery() as nursery:
-            self._build(nursery)
-            for server in self._servers:
-                await server.start(nursery)
-            await self._datagrams.open()
-            nursery.start_soon(self._datagrams.run, self._allowances.on_message)
-            own = self._settings.target
-            nursery.start_soon(self._declarations.run)
-            nursery.start_soon(self._sender.run)
-            nursery.start_soon(self._targets.run_list, own)
-            nursery.start_soon(self._targets.run_own)
-            nursery.start_soon(self._await_stop)
-            nursery.start_soon(self._follow_settings)
-            nursery.start_soon(self._count_daemons)
-            self.events.emit(
-                'daemon-started',
-                zone=self._settings.zone,
-                ports=self._settings.ports,
-                service=self._settings.service,
-            )
-            await self._stopping.wait()
-            await self._stop.run(self._settings.bounds.stop)
-            nursery.cancel_scope.cancel()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._build(nursery)
+                for server in self._servers:
+                    await server.start(nursery)
+                await self._datagrams.open()
+                for part in self._parts():
+                    nursery.start_soon(keep_running, part)
+                nursery.start_soon(self._await_stop)
+                self.events.emit(
+                    'daemon-started',
+                    zone=self._settings.zone,
+                    ports=self._settings.ports,
+                    service=self._settings.service,
+                )
+                await self._stopping.wait()
+                await self._stop.run(self._settings.bounds.stop)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._datagrams.close()
         self.events.emit('daemon-stopped')
 
+    def _parts(self) -> list[Part]:
+        """Return what runs beside the servers."""
+        return [
+            self._declarations.run,
+            self._sender.run,
+            functools.partial(
+                self._datagrams.run,
+                self._allowances.on_message,
+            ),
+            functools.partial(self._targets.run_list, self._settings.target),
+            self._targets.run_own,
+            self._follow_settings,
+            self._count_daemons,
+        ]
+
     def stop(self) -> None:
         """Begin the graceful stop, as at SIGTERM."""
         self._stopping.set()
--- a/src/clementinedeal/mesh/_datagrams.py
+++ b/src/clementinedeal/mesh/_datagrams.py
@@ -6,10 +6,12 @@
 import msgspec
 import trio
 
+from clementinedeal._errors import UNREADABLE_ERRORS
 from clementinedeal._events import EventLog
 from clementinedeal.mesh._allowances import Draw, Grant
 
 MOST_BYTES = 1400
+_READ_ERRORS = (OSError, *UNREADABLE_ERRORS)
 
 Body: TypeAlias = Draw | Grant
 Receive: TypeAlias = Callable[[str, Body], Awaitable[None]]
@@ -53,18 +55,23 @@
         await sock.bind((self._host, self._port))
         self._socket = sock
 
+    def close(self) -> None:
+        """Close the socket, if it is open."""
+        if self._socket is not None:
+            self._socket.close()
+
     async def run(self, receive: Receive) -> None:
         """Hand on messages until cancelled.
 
         :param receive: takes the sender's IP number and the message.
         """
-        assert self._socket is not None
-        with self._socket as sock:
-            while True:
-                try:
-                    blob, sender = await sock.recvfrom(MOST_BYTES)
-                    body: Body = msgspec.msgpack.decode(blob, type=Body)
-                except (OSError, msgspec.MsgspecError) as exc:
-                    self._events.emit('datagram-unread', reason=exc)
-                    continue
-                await receive(sender[0], body)
+        sock = self._socket
+        assert sock is not None
+        while True:
+            try:
+                blob, sender = await sock.recvfrom(MOST_BYTES)
+                body: Body = msgspec.msgpack.decode(blob, type=Body)
+            except _READ_ERRORS as exc:
+                self._events.emit('datagram-unread', reason=exc)
+                continue
+            await receive(sender[0], body)
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -4,6 +4,7 @@
 import trio
 
 from clementinedeal._client_conn import ClientConn
+from clementinedeal._errors import UNREADABLE_ERRORS
 from clementinedeal._events import log
 from clementinedeal._http import (
     CONTENT_LENGTH,
@@ -36,6 +37,8 @@
 # that still runs the request is asked until the answer is due.
 ASK_SECONDS = 2.0
 ASK_PAUSE_SECONDS = 0.1
+# A newer owner may give a verdict or a reason that is not known here.
+_ANSWER_ERRORS = (ConnLostError, HttpError, ValueError, *UNREADABLE_ERRORS)
 
 
 class PeerClient:
@@ -212,7 +215,7 @@
                 exc.limit,
             )
             return None
-        except (ConnLostError, HttpError, msgspec.MsgspecError):
+        except _ANSWER_ERRORS:
             return None
         return None
 
--- a/src/clementinedeal/mesh/_peer_server.py
+++ b/src/clementinedeal/mesh/_peer_server.py
@@ -3,6 +3,7 @@
 import msgspec
 import trio
 
+from clementinedeal._errors import UNREADABLE_ERRORS
 from clementinedeal._events import EventLog
 from clementinedeal._http import (
     CONTENT_LENGTH,
@@ -59,7 +60,7 @@
         message = await _read_message(conn, head)
         try:
             found = self._find(head, message)
-        except msgspec.MsgspecError:
+        except UNREADABLE_ERRORS:
             found = None
         if isinstance(found, Outcome):
             await _send(conn, found)
--- a/src/clementinedeal/platform/_registration.py
+++ b/src/clementinedeal/platform/_registration.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from clementinedeal._addresses import is_address
+from clementinedeal._errors import UNREADABLE_ERRORS
 from clementinedeal.mesh._types import Target
 from clementinedeal.platform._declaration import UnreadableError
 
@@ -38,7 +39,7 @@
     """
     try:
         told = msgspec.json.decode(blob, type=_Registration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except UNREADABLE_ERRORS as exc:
         raise UnreadableError(str(exc)) from exc
     if told.status.state not in _STATES:
         raise UnreadableError(f'unknown state {told.status.state!r}')
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from clementinedeal._errors import ProtocolError
+from clementinedeal._errors import UNREADABLE_ERRORS, ProtocolError
 from clementinedeal._events import EventLog
 from clementinedeal._http import RequestHead, TooLongError
 from clementinedeal._pool import ConnPool
@@ -261,7 +261,7 @@
         raise SourceError(f'status {answer.status}')
     try:
         return msgspec.json.decode(answer.body, type=kind)
-    except msgspec.MsgspecError as exc:
+    except UNREADABLE_ERRORS as exc:
         raise SourceError(f'unreadable answer: {exc}') from exc
 
 
@@ -269,5 +269,5 @@
     """Return the store's revision from an answer that names no item."""
     try:
         return msgspec.json.decode(answer.body, type=Revision).at_rev
-    except msgspec.MsgspecError:
+    except UNREADABLE_ERRORS:
         return 0
