Answer what the end of a server's stop cuts

Two places where a request that was read ended with its connection, both shown by tests that failed before (test_http_server.py):

- closing the connections that rest cancelled the whole conversation of one that was still marked as resting: a request that came in the same turn of the loop was read and never answered.
Only the wait for a request is cancelled now;
- HttpServer.stop, which the older daemon uses, closed what outlasted its time without an answer.
It is answered 502 'draining', may have run, if nothing was sent to it yet.

--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -19,6 +19,8 @@
 from clementinedeal._verdict import Reason, Verdict
 
 IDLE_GRACE_SECONDS = 1.0
+# An answer fits the socket's buffer, unless its reader is stuck.
+LAST_ANSWER_SECONDS = 0.2
 BACKLOG = 512
 
 Serve: TypeAlias = Callable[[ServerConn, RequestHead], Awaitable[None]]
@@ -107,9 +109,9 @@
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
-        for conn, scope in tuple(self._open.items()):
+        for conn in self._open:
             if conn.idle:
-                scope.cancel()
+                conn.resting.cancel()
 
     async def stop(self, seconds: float = 0) -> None:
         """Accept nothing more and let what is open end.
@@ -134,6 +136,8 @@
         try:
             with scope:
                 await self._converse_safely(conn)
+            if scope.cancelled_caught and not conn.idle:
+                await self._refuse_cut(conn)
             crossed = await conn.drain_close()
             if crossed:
                 self._events.emit(
@@ -146,6 +150,12 @@
             if not self._open:
                 self._done.set()
 
+    async def _refuse_cut(self, conn: ServerConn) -> None:
+        """Answer a request that the end of a stop has cut."""
+        refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.DRAINING)
+        with trio.move_on_after(LAST_ANSWER_SECONDS):
+            await self._refuse(conn, refusal)
+
     async def _converse_safely(self, conn: ServerConn) -> None:
         """Keep the daemon alive if a part fails on a request."""
         try:
--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -38,7 +38,8 @@
         self.limits = limits
         self.idle = True
         self._wire = Wire(stream, h11.SERVER, limits.head_bytes)
-        self._resting = trio.CancelScope()
+        # cancelled to close the connection while it waits for a request
+        self.resting = trio.CancelScope()
         # whether a byte of the answer may have reached the other side
         self.head_sent = False
         self._method = b''
@@ -52,7 +53,7 @@
         longer = limits.idle_timeout - self.limits.idle_timeout
         self.limits = limits
         if self.idle and longer > 0:
-            self._resting.deadline += longer
+            self.resting.deadline += longer
 
     async def next_request(self) -> RequestHead | None:
         """Wait for the next request; None when the connection is over.
@@ -219,8 +220,8 @@
         if self._wire.h11.trailing_data[0]:
             return True
         limit = trio.current_time() + self.limits.idle_timeout
-        self._resting = trio.CancelScope(deadline=limit)
-        with self._resting:
+        self.resting = trio.CancelScope(deadline=limit)
+        with self.resting:
             try:
                 blob = await self._wire.stream.receive_some(READ_BYTES)
             except BROKEN_ERRORS:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -25,6 +25,8 @@
         raise ConnLostError('cut')
     if head.path == '/bug':
         raise ValueError('bug')
+    if head.path == '/long':
+        await trio.sleep_forever()
     if head.path == '/slow':
         await trio.sleep(0.2)
     await conn.respond(200, ((b'x-path', head.path.encode()),), body)
@@ -176,3 +178,33 @@
         assert not conn.stale()
         await conn.send_whole(GET, b'')
         assert (await conn.read_head()).status == 200
+
+
+async def test_a_request_read_as_rests_are_ended_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    wait = ServerConn._first_bytes
+
+    async with serving() as server:
+
+        async def wait_and_end_rests(conn: ServerConn) -> bool:
+            came = await wait(conn)
+            server.close_idle()
+            return came
+
+        monkeypatch.setattr(ServerConn, '_first_bytes', wait_and_end_rests)
+        conn = await ConnPool(MonotonicClock()).acquire(ADDRESS)
+        await conn.send_whole(GET, b'')
+        assert (await conn.read_head()).status == 200
+
+
+async def test_what_outlasts_a_stop_is_answered() -> None:
+    async with serving() as server, trio.open_nursery() as nursery:
+        conn = await ConnPool(MonotonicClock()).acquire(ADDRESS)
+        head = RequestHead('GET', '/long', GET.headers)
+        await conn.send_whole(head, b'')
+        await trio.sleep(0.05)
+        nursery.start_soon(server.stop, 0.1)
+        answer = await conn.read_head()
+        assert answer.status == 502
+        assert answer.header(b'x-verdict') == b'may-have-run'
