Try a suspect target at least each 1.5 s

Cause: a suspect target got a trial only from a request that found another one full; else suspicion faded in some 10 s.

Now the first attempt of an idempotent request, which can be made good elsewhere, passes as a trial where none has for 1.5 s. Test: test_a_suspect_target_is_not_left_out_for_long (before: refused to the end).

--- a/src/clementinedeal/mesh/_outcomes.py
+++ b/src/clementinedeal/mesh/_outcomes.py
@@ -16,7 +16,8 @@
     ``left`` is the time to the deadline in seconds, ``rank`` the account's
     and the route's priority. ``wait`` is how long it may queue, in seconds;
     ``insist`` asks a suspect target all the same, ``scout`` offers the
-    request as a trial of one.
+    request as a trial of one. ``spare`` tells that a failure can still be made
+    good at another target.
     """
 
     attempt: str
@@ -31,6 +32,7 @@
     wait: float = 0.0
     insist: bool = False
     scout: bool = False
+    spare: bool = False
 
 
 class State(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -42,9 +42,9 @@
 class Try:
     """Send the request to a target.
 
-    ``wait`` is how long it may queue there, in seconds; ``insist`` and
-    ``scout`` as in an attempt. Without an answer after ``patience`` seconds
-    the attempt is given up if another may follow.
+    ``wait`` is how long it may queue there, in seconds; ``insist``, ``scout``
+    and ``spare`` as in an attempt. Without an answer after ``patience``
+    seconds the attempt is given up if another may follow.
     """
 
     target: Target
@@ -52,6 +52,7 @@
     wait: float = 0.0
     insist: bool = False
     scout: bool = False
+    spare: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -208,7 +209,11 @@
         )
         fresh = [one for one in order if one.name not in self._refused]
         if fresh and len(self._refused) < MOST_REFUSALS:
-            return Try(target=fresh[0], patience=self._patience(left))
+            return Try(
+                target=fresh[0],
+                patience=self._patience(left),
+                spare=not careful and self._route.max_targets > 1,
+            )
         return self._choose_last(order, now, left)
 
     def _choose_last(
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -231,6 +231,7 @@
             wait=round(step.wait, 3),
             insist=step.insist,
             scout=step.scout,
+            spare=step.spare,
         )
 
     def _rank(self, admitted: Admitted) -> Rank:
--- a/src/clementinedeal/mesh/_suspicion.py
+++ b/src/clementinedeal/mesh/_suspicion.py
@@ -15,6 +15,9 @@
 # Pause between trials of a suspect target: one that fails loses a request or
 # costs a repeat, and a sick one stays so for some 4 s.
 TRIAL_SECONDS = 0.8
+# A target that got nothing for 2 s counts as left out, sick or not; so often
+# at least it is tried by what can be made good elsewhere.
+LEFT_OUT_SECONDS = 1.5
 
 
 class Suspicion:
@@ -37,7 +40,7 @@
         self._calls = calls
         self._health = TargetHealth(clock)
         self._trusted = True
-        self._trial_at = 0.0
+        self._tried_at = float('-inf')
         self._target = ''
 
     @property
@@ -63,10 +66,13 @@
 
         :param attempt: one that asks for it.
         """
+        if self.is_trusted:
+            return False
         now = self._clock.now()
-        if not attempt.scout or self.is_trusted or now < self._trial_at:
+        pause = TRIAL_SECONDS if attempt.scout else LEFT_OUT_SECONDS
+        if not (attempt.scout or attempt.spare) or now < self._tried_at + pause:
             return False
-        self._trial_at = now + TRIAL_SECONDS
+        self._tried_at = now
         return True
 
     async def watch(self, attempt: Attempt) -> None:
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -10,6 +10,7 @@
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh import _health as evidence
 from clementinedeal.mesh import _peer_wire as wire
+from clementinedeal.mesh import _suspicion
 from clementinedeal.mesh._calls import CallFailures
 from clementinedeal.mesh._executions import (
     KEPT_SECONDS,
@@ -210,3 +211,27 @@
     assert owner.most_urgent == execution.attempt.rank
     await execution.done.wait()
     assert owner.most_urgent is None
+
+
+async def test_a_suspect_target_is_not_left_out_for_long(owner, monkeypatch):
+    monkeypatch.setattr(_suspicion, 'LEFT_OUT_SECONDS', 0.1)
+    for _ in range(4):
+        owner.suspicion.observe(evidence.FAST_FAILURE, 'failed')
+    outcomes = []
+    for number in range(3):
+        for more in ({'idempotent': False}, {'idempotent': True}):
+            spare = more['idempotent']
+            attempt = make_attempt(f'{number}{spare}', spare=spare, **more)
+            execution = owner.submit(attempt, MESSAGE)
+            await execution.done.wait()
+            outcomes.append(execution.outcome.reason)
+            owner.suspicion.observe(evidence.FAST_FAILURE, 'failed')
+    assert outcomes[0] is Reason.TARGET_EJECTED
+    assert outcomes[1] is None
+    assert owner._parts.origin.runs == 1
+    await trio.sleep(0.1)
+    again = owner.submit(
+        make_attempt('b', spare=True, idempotent=True), MESSAGE
+    )
+    await again.done.wait()
+    assert again.outcome.status == 200
