Begin no repeat once a stop has closed

A request whose first target had refused or failed it counted as begun, so a closing daemon let it wait and repeat to the end of its time. After the notice such a request now ends at once with what is known of it: the target's own answer, or not run. test_what_waits_for_a_target_is_refused_before_the_end now lets its request wait behind targets that shed, and failed before. The tests of stops share how they ask; what each checks is the same.

--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -108,11 +108,6 @@
         self._under_way = ''
         self._queue_until: float | None = None
 
-    @property
-    def begun(self) -> bool:
-        """Whether a byte of the request has reached a target."""
-        return bool(self._reached)
-
     def next_step(self, now: float) -> Step:
         """Return what to do next.
 
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -55,7 +55,6 @@
         self._trying: set[Trying] = set()
         self._stopping = False
         self._closing = False
-        self._ended = False
         self.daemons = 1
 
     @property
@@ -88,7 +87,6 @@
     def end(self) -> None:
         """Give up what still runs: there is no time left to wait for it."""
         self._closing = True
-        self._ended = True
         for trying in self._trying:
             trying.scope.cancel()
 
@@ -112,7 +110,7 @@
             match plan.next_step(parts.clock.now()):
                 case Finish(outcome=outcome):
                     return outcome
-                case _ if self._ended or (self._closing and not plan.begun):
+                case _ if self._closing:
                     return plan.give_up(Reason.DRAINING)
                 case Pause(seconds=seconds):
                     await trio.sleep(seconds)
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -83,12 +83,10 @@
 async def test_what_waits_for_a_target_is_refused_before_the_end(patient):
     for target in patient.targets:
         target.mode = 'shed'
-    found = {}
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(ask, patient, 0, '/book/1', found)
-        await trio.sleep(0.2)
+    async with asking(patient, (0, '/book/1')) as found:
         assert not found
         patient.daemons[0]._sender.close()
+        await trio.sleep(0.2)
     assert found['/book/1'] == (503, b'not-run')
     lines = patient.daemons[0].events.json_lines()
     assert b'attempt-tried' in lines
@@ -123,7 +121,8 @@
 
 @pytest.fixture
 async def patient(fleet, monkeypatch):
-    """A fleet of one slot, with long timeouts and short stops."""
+    """A fleet of one slot at a target that hangs, with short stops."""
+    fleet.targets[1].mode = 'hang'
     monkeypatch.setattr(_stop, 'NOTICE_SECONDS', SHORT_NOTICE_SECONDS)
     set_times(fleet, LONG_SECONDS, LONG_SECONDS / 2)
     for number, state in enumerate(('draining', 'ready', 'draining')):
@@ -162,6 +161,18 @@
     found[path] = (answer.status, answer.header(b'x-verdict'))
 
 
+@contextlib.asynccontextmanager
+async def asking(fleet, *asked):
+    """Send requests one after the other; what is left at the end is cut."""
+    found = {}
+    async with trio.open_nursery() as nursery:
+        for number, path in asked:
+            nursery.start_soon(ask, fleet, number, path, found)
+            await trio.sleep(0.2)
+        yield found
+        nursery.cancel_scope.cancel()
+
+
 async def stop(fleet, number):
     """Stop a daemon and wait for its end."""
     fleet.daemons[number].stop()
@@ -170,73 +181,46 @@
 
 
 async def test_a_booking_that_queues_when_its_daemon_ends_is_refused(patient):
-    patient.targets[1].mode = 'hang'
-    found = {}
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(ask, patient, 1, '/book/first', {})
-        await trio.sleep(0.1)
-        nursery.start_soon(ask, patient, 0, '/book/second', found)
-        await trio.sleep(0.1)
+    asked = ((1, '/book/first'), (0, '/book/second'))
+    async with asking(patient, *asked) as found:
         await stop(patient, 0)
-        nursery.cancel_scope.cancel()
     assert found['/book/second'] == (503, b'not-run')
     assert not [one for one in patient.runs() if one[1] == '/book/second']
 
 
 @pytest.mark.parametrize('path', ['/book/1', '/look/1'])
 async def test_a_run_that_outlasts_its_daemon_is_answered(patient, path):
-    patient.targets[1].mode = 'hang'
-    found = {}
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(ask, patient, 0, path, found)
-        await trio.sleep(0.2)
+    async with asking(patient, (0, path)) as found:
         await stop(patient, 0)
-        nursery.cancel_scope.cancel()
     assert found[path] == (502, b'may-have-run')
 
 
 async def test_a_late_call_of_a_target_is_not_begun_to_be_cut(patient):
-    patient.targets[1].mode = 'hang'
-    found = {}
-    async with trio.open_nursery() as nursery:
-        # a request that runs on keeps the daemon up
-        nursery.start_soon(ask, patient, 0, '/book/long', {})
-        await trio.sleep(0.2)
+    # a request that runs on keeps the daemon up
+    async with asking(patient, (0, '/book/long')) as found:
         patient.daemons[0].stop()
         await trio.sleep(SHORT_NOTICE_SECONDS + 0.2)
         with trio.fail_after(0.2):
             await ask(patient, 0, '/open/call', found, key='')
-        nursery.cancel_scope.cancel()
     assert found['/open/call'] == (503, b'not-run')
     assert not [one for one in patient.runs() if one[1] == '/open/call']
 
 
 async def test_a_stopping_owner_keeps_nobody_in_its_queue(patient):
-    patient.targets[1].mode = 'hang'
-    found = {}
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(ask, patient, 0, '/book/first', {})
-        await trio.sleep(0.1)
-        nursery.start_soon(ask, patient, 0, '/book/second', found)
-        await trio.sleep(0.1)
+    asked = ((0, '/book/first'), (0, '/book/second'))
+    async with asking(patient, *asked) as found:
         told = registration(patient.settings[0].target)
         patient.store.put('servers/t0', told)
         await trio.sleep(1.5)
         patient.daemons[1].stop()
         await trio.sleep(0.3)
-        nursery.cancel_scope.cancel()
     assert found['/book/second'] == (200, None)
 
 
 async def test_a_stopping_owner_tells_what_became_of_its_runs(patient):
-    patient.targets[1].mode = 'hang'
-    found = {}
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(ask, patient, 0, '/book/1', found)
-        await trio.sleep(0.2)
+    async with asking(patient, (0, '/book/1')) as found:
         await stop(patient, 1)
         await trio.sleep(0.2)
-        nursery.cancel_scope.cancel()
     assert found['/book/1'] == (502, b'may-have-run')
 
 
@@ -291,8 +275,6 @@
 
 @pytest.mark.parametrize('seconds', [0.25, 0.6])
 async def test_a_pause_at_the_end_of_a_stop_cuts_no_answer(patient, seconds):
-    patient.targets[1].mode = 'hang'
-    found = {}
     ending = patient.daemons[0]._stop
     answer = ending._answer
 
@@ -301,30 +283,23 @@
         answer()
 
     ending._answer = answer_late
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(ask, patient, 0, '/book/1', found)
-        await trio.sleep(0.2)
+    async with asking(patient, (0, '/book/1')) as found:
         patient.daemons[0].stop()
         with trio.fail_after(2 * SHORT_STOP_SECONDS):
             await patient.ended[0].wait()
-        nursery.cancel_scope.cancel()
     assert found['/book/1'] == (502, b'may-have-run')
 
 
 async def test_a_stop_shorter_than_its_notice_answers(patient):
-    patient.targets[1].mode = 'hang'
-    found = {}
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(ask, patient, 0, '/book/1', found)
-        await trio.sleep(0.2)
+    async with asking(patient, (0, '/book/1')) as found:
         with trio.fail_after(1):
             await patient.daemons[0]._stop.run(0.5)
         await trio.sleep(0.1)
-        nursery.cancel_scope.cancel()
     assert found['/book/1'] == (502, b'may-have-run')
 
 
 async def test_an_owner_waits_for_a_booking_whose_entry_is_gone(patient):
+    patient.targets[1].mode = 'ok'
     patient.targets[1].seconds = 1.0
     with trio.move_on_after(0.2):
         await ask(patient, 0, '/book/1', {})
