Play planned work alone in the soak

A second run of the soak sends only SIGTERM, SIGHUP and new configurations, one after the other, while targets work for up to 4 s, make calls of their own and answer some requests twice.

--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -3,6 +3,7 @@
 import contextlib
 import math
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -10,6 +11,7 @@
 import trio
 from tests.ports import free_address
 from tests.soak_cable import Cable
+from tests.soak_targets import WorkingTarget
 from tests.store_standin import (
     Store,
     TargetStandIn,
@@ -22,41 +24,48 @@
 INTERPRETER_SECONDS = 0.5
 # a process restarted by the platform serves again after so long
 RESTART_SECONDS = 3.0
+# longer than the grace time, so that it seldom ends a request before
+PLANNED_TIMEOUT_SECONDS = 8.0
+# instances of the service that is only called by targets
+CALLED = 2
 _SETTINGS = """
 node = "{name}"
 zone = "a"
 app_addr = "{target}"
-service = "till"
+service = "{service}"
 port_range = [{datagrams}, {datagrams}]
 listen = {{ inbound = "{peers}", outbound = "{callers}", ready = "{ready}" }}
 platform = {{ address = "{store}" }}
-bounds = {{ revoke_s = 5.0, retry_slack = 60, grace_s = {stop} }}
+bounds = {{ revoke_s = 5.0, retry_slack = {slack}, grace_s = {stop} }}
 """
 
 
 class Instance:
     """One daemon's process, its target, and the cables to what it uses."""
 
-    def __init__(self, number, store, peer_port, datagram_port):
+    def __init__(self, number, fleet, peer_port, datagram_port):
         host = f'127.0.1.{number + 1}'
         ports = [free_address().rpartition(':')[2] for _ in range(3)]
         self.name = f'n{number}'
+        self.service = fleet.service(number)
         self.callers = f'{host}:{ports[0]}'
         self.ready = f'{host}:{ports[1]}'
         self.generation = 0
-        self.store_cable = Cable(free_address(), store.address)
-        self.target = TargetStandIn(f't{number}.0', free_address())
+        self.store_cable = Cable(free_address(), fleet.store.address)
+        self.target = fleet.make_target(f't{number}.0')
         self.target_cable = Cable(f'{host}:{ports[2]}', self.target.address)
-        self.settings = _SETTINGS.format(
-            name=self.name,
-            target=self.target_cable.address,
-            datagrams=datagram_port,
-            peers=f'{host}:{peer_port}',
-            callers=self.callers,
-            ready=self.ready,
-            store=self.store_cable.address,
-            stop=STOP_SECONDS,
-        )
+        self._slack = 60
+        self._settings = {
+            'name': self.name,
+            'service': self.service,
+            'target': self.target_cable.address,
+            'datagrams': datagram_port,
+            'peers': f'{host}:{peer_port}',
+            'callers': self.callers,
+            'ready': self.ready,
+            'store': self.store_cable.address,
+            'stop': STOP_SECONDS,
+        }
         self.process = None
         self.started_at = 0.0
         self.reloaded_at = 0.0
@@ -66,10 +75,19 @@
         self.stops = []
         self.exits = []
 
+    def __repr__(self):
+        return self.name
+
+    def write_settings(self, folder):
+        path = folder / f'{self.name}.toml'
+        text = _SETTINGS.format(**self._settings, slack=self._slack)
+        fresh = path.with_suffix('.new')
+        fresh.write_text(text)
+        return fresh.rename(path)
+
     def start(self, folder):
         self.started_at = trio.current_time()
-        path = folder / f'{self.name}.toml'
-        path.write_text(self.settings)
+        path = self.write_settings(folder)
         with open(folder / f'{self.name}.log', 'ab') as output:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', 'clementinedeal.mesh'],
@@ -89,7 +107,9 @@
             self.troubles.remove((begin, math.inf))
             self.troubles.append((begin, trio.current_time() + more))
 
-    def reload(self):
+    def reload(self, folder):
+        self._slack += 1
+        self.write_settings(folder)
         self.reloaded_at = trio.current_time()
         self.signal(signal.SIGHUP)
 
@@ -127,13 +147,16 @@
 class Fleet:
     """The instances, the store and the configuration in force."""
 
+    slots = 7
+    kinds = ('look', 'book', 'book', 'book')
+
     def __init__(self, size, folder):
         self.folder = folder
         self.store = Store()
         peer_port = int(free_address().rpartition(':')[2])
         datagram_port = int(free_address().rpartition(':')[2])
         self.instances = [
-            Instance(number, self.store, peer_port, datagram_port)
+            Instance(number, self, peer_port, datagram_port)
             for number in range(size)
         ]
         self.version = 1
@@ -141,9 +164,18 @@
         self.withdrawn = {}
         self.former_targets = []
 
+    def make_target(self, name):
+        return TargetStandIn(name, free_address())
+
+    def service(self, number):
+        return 'till'
+
+    def configuration(self):
+        return configuration(self.version, api_keys=self.keys)
+
     async def start(self, nursery):
         await self.store.start(nursery)
-        self.store.put('op/config', configuration(api_keys=self.keys))
+        self.store.put('op/config', self.configuration())
         for one in self.instances:
             await nursery.start(one.store_cable.run)
             await nursery.start(one.target_cable.run)
@@ -166,7 +198,7 @@
         name = one.target.name.partition('.')[0]
         self.store.delete(f'servers/{one.target.name}')
         self.former_targets.append(one.target)
-        one.target = TargetStandIn(f'{name}.{one.generation}', free_address())
+        one.target = self.make_target(f'{name}.{one.generation}')
         await one.target.start(nursery)
         one.target_cable.set_mode('reset')
         one.target_cable.far = one.target.address
@@ -187,13 +219,51 @@
             one.end()
 
     def _register(self, one):
-        self.store.put(
-            f'servers/{one.target.name}',
-            registration(one.target_cable.address),
-        )
+        item = registration(one.target_cable.address, one.service)
+        item['info']['slots'] = self.slots
+        self.store.put(f'servers/{one.target.name}', item)
 
     def _publish(self):
         self.version += 1
-        self.store.put(
-            'op/config', configuration(self.version, api_keys=self.keys)
-        )
+        self.store.put('op/config', self.configuration())
+
+
+class WorkingFleet(Fleet):
+    """Slow targets with few slots; their calls go to those of a service."""
+
+    slots = 3
+    kinds = ('look', 'open', 'book', 'book', 'book')
+
+    def __init__(self, size, folder, seed):
+        self._seed = seed
+        self._objective = random.Random(seed).choice([1, 2, 4])
+        super().__init__(size, folder)
+
+    def make_target(self, name):
+        return WorkingTarget(name, free_address(), self._seed)
+
+    def service(self, number):
+        return 'stock' if number < CALLED else 'till'
+
+    def configuration(self):
+        whole = super().configuration()
+        for item in whole['resources']:
+            spec = item['spec']
+            if item['entry_type'] == 'routes':
+                spec['timeout_s'] = PLANNED_TIMEOUT_SECONDS
+                spec['target_latency_s'] = self._objective
+            if item['metadata']['name'] == 'open':
+                spec['service'] = 'stock'
+            if item['metadata']['name'] == 'till':
+                stock = {**item, 'metadata': {'name': 'stock'}}
+        whole['resources'].append(stock)
+        return whole
+
+    def runs_of(self, call):
+        """Return the runs of a call, each with the instance it was at."""
+        name = getattr(call, 'name', None)
+        return [
+            (one, run)
+            for one in self.instances
+            for run in one.target.runs.get(name, [])
+        ]
--- a/tests/test_mesh_soak.py
+++ b/tests/test_mesh_soak.py
@@ -4,23 +4,39 @@
 than these; each that ever failed stays in the list, with its cause.
 """
 
+import collections
 import contextlib
 import os
 import random
 import signal
+import time
 
 import pytest
 import trio
 import trio.lowlevel
 from tests.soak_cable import MODES
-from tests.soak_callers import Callers, broken_promises
-from tests.soak_fleet import RESTART_SECONDS, STOP_SECONDS, Fleet
+from tests.soak_callers import (
+    Callers,
+    broken_promises,
+    judge_end_by_plan,
+)
+from tests.soak_fleet import (
+    PLANNED_TIMEOUT_SECONDS,
+    RESTART_SECONDS,
+    STOP_SECONDS,
+    Fleet,
+    WorkingFleet,
+)
 
 from clementinedeal._pool import split_address
 
 SIZE = 4
 CALLERS = 6
 FAULT_SECONDS = 7.0
+PLANNED_SIZE = 5
+# many more than the targets have slots
+PLANNED_CALLERS = 36
+PLANNED_SECONDS = 18.0
 RECOVER_SECONDS = 15.0
 # after the end of a pause, what was late needs the time that it is owed
 CATCH_UP_SECONDS = 3.0
@@ -81,7 +97,7 @@
             one.end()
             await trio.sleep(self.rng.uniform(0, 1))
             one.start(self.fleet.folder)
-            await self._back(one)
+            await is_back(one)
         self._stopping.discard(one)
 
     async def pause(self, one):
@@ -96,20 +112,15 @@
         if one in self._stopping:
             return
         self._stopping.add(one)
-        one.stops.append(trio.current_time())
-        one.signal(signal.SIGTERM)
-        code = 'killed after its time'
-        with trio.move_on_after(STOP_SECONDS):
-            code = await one.ended()
-        one.exits.append(code)
+        await stop_by_signal(one)
         with one.trouble():
             one.end()
             one.start(self.fleet.folder)
-            await self._back(one)
+            await is_back(one)
         self._stopping.discard(one)
 
     async def reload(self, one):
-        one.reload()
+        one.reload(self.fleet.folder)
         await trio.lowlevel.checkpoint()
 
     async def cut_store(self, one):
@@ -141,13 +152,43 @@
             self.fleet.add_key(f'key-{self.fleet.version + 2}')
         await trio.lowlevel.checkpoint()
 
-    async def _back(self, one):
-        """Wait until a started daemon listens."""
-        with trio.move_on_after(RECOVER_SECONDS):
-            while True:
-                if await is_listening(one):
-                    return
-                await trio.sleep(0.05)
+
+class PlannedWork(Faults):
+    """Stops, reloads and configurations only, one after the other."""
+
+    async def run(self, seconds):
+        kinds = (self.stop, self.stop, self.reload, self.change)
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            kind = self.rng.choice(kinds)
+            one = self.rng.choice(self.fleet.instances)
+            self.told.append((trio.current_time(), kind.__name__, one.name))
+            await kind(one)
+            await trio.sleep(self.rng.choice([0, 0.3, 1.5]))
+
+    async def stop(self, one):
+        await stop_by_signal(one)
+        one.end()
+        one.start(self.fleet.folder)
+        await is_back(one)
+
+
+async def stop_by_signal(one):
+    one.stops.append(trio.current_time())
+    one.signal(signal.SIGTERM)
+    code = 'killed after its time'
+    with trio.move_on_after(STOP_SECONDS):
+        code = await one.ended()
+    one.exits.append(code)
+
+
+async def is_back(one):
+    """Wait until a started daemon listens."""
+    with trio.move_on_after(RECOVER_SECONDS):
+        while True:
+            if await is_listening(one):
+                return
+            await trio.sleep(0.05)
 
 
 async def is_listening(one):
@@ -159,20 +200,21 @@
     return True
 
 
-async def serve_again(callers):
-    """Wait until every daemon serves a lookup and a booking."""
-    for one in callers.fleet.instances:
-        for kind in ('look', 'book'):
-            call = None
-            while call is None or call.status != 200:
-                call = await callers.ask(one, kind)
-                await trio.sleep(0.05)
+async def serve_again(callers, one):
+    """Wait until a daemon serves a lookup and a booking."""
+    for kind in ('look', 'book'):
+        call = None
+        while call is None or call.status != 200:
+            call = await callers.ask(one, kind)
+            await trio.sleep(0.05)
 
 
 async def check_service(callers):
     """Check that all daemons serve within the time for a recovery."""
     with trio.move_on_after(RECOVER_SECONDS) as scope:
-        await serve_again(callers)
+        async with trio.open_nursery() as nursery:
+            for one in callers.fleet.instances:
+                nursery.start_soon(serve_again, callers, one)
     if scope.cancelled_caught:
         last = [(one.instance.name, one) for one in callers.calls[-8:]]
         pytest.fail(f'not served: {last}')
@@ -207,3 +249,38 @@
         print(*told)
     assert not found
     assert sum(call.status == 200 for call in callers.calls) > 100
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+async def test_planned_work_loses_nothing(seed, tmp_path, nursery):
+    rng = random.Random(seed)
+    fleet = WorkingFleet(PLANNED_SIZE, tmp_path, seed)
+    callers = Callers(fleet, rng, (4, PLANNED_TIMEOUT_SECONDS))
+    work = PlannedWork(fleet, rng, nursery)
+    modes = rng.choice([['ok'], ['ok', 'extra']])
+    for one in fleet.instances:
+        one.target.mode = rng.choice(modes)
+        one.target.call = callers.maker(one)
+    try:
+        await fleet.start(nursery)
+        for one in fleet.instances:
+            await is_back(one)
+        await check_service(callers)
+        async with trio.open_nursery() as load:
+            for _ in range(PLANNED_CALLERS):
+                load.start_soon(callers.run)
+            await work.run(PLANNED_SECONDS)
+            callers.closing = True
+        await check_service(callers)
+    finally:
+        fleet.end()
+    found = broken_promises(callers, judge_end_by_plan)
+    # what the logs' times are in the times below
+    print(time.time() - trio.current_time())
+    print(collections.Counter((one.status, one.left) for one in callers.calls))
+    for rule, call in found:
+        print(rule, call, *fleet.runs_of(call))
+    for told in work.told:
+        print(*told)
+    assert not found
+    assert sum(call.status == 200 for call in callers.calls) > 100
