--- a/tests/test_mesh_soak.py
+++ b/tests/test_mesh_soak.py
@@ -4,23 +4,32 @@
 than these; each that ever failed stays in the list, with its cause.
 """
 
+import collections
 import contextlib
+import functools
 import os
 import random
 import signal
+import time
 
 import pytest
 import trio
 import trio.lowlevel
 from tests.soak_cable import MODES
-from tests.soak_callers import Callers, broken_promises
-from tests.soak_fleet import RESTART_SECONDS, STOP_SECONDS, Fleet
+from tests.soak_callers import (
+    Callers,
+    broken_promises,
+    judge_end_by_plan,
+    judge_end_under_faults,
+)
+from tests.soak_fleet import (
+    PLANNED_TIMEOUT_SECONDS,
+    RESTART_SECONDS,
+    STOP_SECONDS,
+    Fleet,
+    WorkingFleet,
+)
 
-from clementinedeal._pool import split_address
-
-SIZE = 4
-CALLERS = 6
-FAULT_SECONDS = 7.0
 RECOVER_SECONDS = 15.0
 # after the end of a pause, what was late needs the time that it is owed
 CATCH_UP_SECONDS = 3.0
@@ -29,14 +38,25 @@
 # came before the program's first line, and nobody started it again, as the
 # platform does
 SEEDS = [1, 127, 138, 146, 303]
+# 2007: a lookup was given up just before its target's answer, and no other
+# target took it; 2012: requests without a key were taken until the process
+# ended, and a lookup was given up after the stop signal; 2015: a booking
+# waited in a queue when the process ended; 2028: a late second answer cut
+# the booking behind it; 3006: a process was killed 0.35 s after its last line,
+# not known why
+PLANNED_SEEDS = [2007, 2012, 2015, 2028, 3006]
 _first, _, _end = os.environ.get('SOAK_SEEDS', '').partition(':')
 if _first:
-    SEEDS = list(range(int(_first), int(_end or int(_first) + 1)))
+    SEEDS = PLANNED_SEEDS = range(int(_first), int(_end or int(_first) + 1))
 
 
 class Faults:
     """Strike at random; signals, restarts and changes overlap."""
 
+    seconds = 7.0
+    callers = 6
+    recover_seconds = RECOVER_SECONDS
+
     def __init__(self, fleet, rng, nursery):
         self.fleet = fleet
         self.rng = rng
@@ -44,7 +64,7 @@
         self.told = []
         self._stopping = set()
 
-    async def run(self, seconds):
+    async def run(self):
         kinds = (
             self.kill,
             self.pause,
@@ -56,7 +76,7 @@
             self.replace,
             self.change,
         )
-        end = trio.current_time() + seconds
+        end = trio.current_time() + self.seconds
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
                 kind = self.rng.choice(kinds)
@@ -77,12 +97,7 @@
         if one in self._stopping:
             return
         self._stopping.add(one)
-        with one.trouble():
-            one.end()
-            await trio.sleep(self.rng.uniform(0, 1))
-            one.start(self.fleet.folder)
-            await self._back(one)
-        self._stopping.discard(one)
+        await self._start_again(one, self.rng.uniform(0, 1))
 
     async def pause(self, one):
         if one in self._stopping:
@@ -102,14 +117,20 @@
         with trio.move_on_after(STOP_SECONDS):
             code = await one.ended()
         one.exits.append(code)
+        await self._start_again(one, 0)
+
+    async def _start_again(self, one, pause):
+        """Start a process, and wait until it listens."""
         with one.trouble():
             one.end()
+            await trio.sleep(pause)
             one.start(self.fleet.folder)
-            await self._back(one)
+            with trio.move_on_after(RECOVER_SECONDS):
+                await one.is_back()
         self._stopping.discard(one)
 
     async def reload(self, one):
-        one.reload()
+        one.reload(self.fleet.folder)
         await trio.lowlevel.checkpoint()
 
     async def cut_store(self, one):
@@ -141,69 +162,96 @@
             self.fleet.add_key(f'key-{self.fleet.version + 2}')
         await trio.lowlevel.checkpoint()
 
-    async def _back(self, one):
-        """Wait until a started daemon listens."""
-        with trio.move_on_after(RECOVER_SECONDS):
-            while True:
-                if await is_listening(one):
-                    return
-                await trio.sleep(0.05)
 
+class PlannedWork(Faults):
+    """Stops, reloads and configurations only, one after the other."""
 
-async def is_listening(one):
-    host, port = split_address(one.callers)
-    try:
-        await trio.aclose_forcefully(await trio.open_tcp_stream(host, port))
-    except OSError:
-        return False
-    return True
+    seconds = 18.0
+    # many more than the targets have slots
+    callers = 36
+    # its lookup and its booking may each last until their timeout
+    recover_seconds = RECOVER_SECONDS + 2 * PLANNED_TIMEOUT_SECONDS
+
+    async def run(self):
+        kinds = (self.stop, self.stop, self.reload, self.change)
+        end = trio.current_time() + self.seconds
+        while trio.current_time() < end:
+            kind = self.rng.choice(kinds)
+            one = self.rng.choice(self.fleet.instances)
+            self.told.append((trio.current_time(), kind.__name__, one.name))
+            await kind(one)
+            await trio.sleep(self.rng.choice([0, 0.3, 1.5]))
 
 
-async def serve_again(callers):
-    """Wait until every daemon serves a lookup and a booking."""
-    for one in callers.fleet.instances:
-        for kind in ('look', 'book'):
-            call = None
-            while call is None or call.status != 200:
-                call = await callers.ask(one, kind)
-                await trio.sleep(0.05)
+async def serve_again(callers, one):
+    """Wait until a daemon serves a lookup and a booking."""
+    for kind in ('look', 'book'):
+        call = None
+        while call is None or call.status != 200:
+            call = await callers.ask(one, kind)
+            await trio.sleep(0.05)
 
 
-async def check_service(callers):
+async def check_service(callers, seconds):
     """Check that all daemons serve within the time for a recovery."""
-    with trio.move_on_after(RECOVER_SECONDS) as scope:
-        await serve_again(callers)
+    with trio.move_on_after(seconds) as scope:
+        async with trio.open_nursery() as nursery:
+            for one in callers.fleet.instances:
+                nursery.start_soon(serve_again, callers, one)
     if scope.cancelled_caught:
-        last = [(one.instance.name, one) for one in callers.calls[-8:]]
-        pytest.fail(f'not served: {last}')
+        pytest.fail(f'not served: {callers.calls[-8:]}')
 
 
-@pytest.mark.parametrize('seed', SEEDS)
-async def test_promises_hold_under_faults(seed, tmp_path, nursery):
-    rng = random.Random(seed)
-    fleet = Fleet(SIZE, tmp_path)
-    callers = Callers(fleet, rng)
-    faults = Faults(fleet, rng, nursery)
+async def soak(faults, callers, judge_end):
+    """Check that all promises hold while something strikes the fleet."""
+    fleet = faults.fleet
     try:
         with contextlib.ExitStack() as starting:
             for one in fleet.instances:
                 starting.enter_context(one.trouble())
-            await fleet.start(nursery)
-            await check_service(callers)
-        async with trio.open_nursery() as load:
-            load.start_soon(faults.restart)
-            for _ in range(CALLERS):
-                load.start_soon(callers.run)
-            await faults.run(FAULT_SECONDS)
-            await trio.sleep(RESTART_SECONDS)
-            load.cancel_scope.cancel()
-        await check_service(callers)
+            await fleet.start(faults.nursery)
+            await check_service(callers, faults.recover_seconds)
+        async with trio.open_nursery() as background:
+            background.start_soon(faults.restart)
+            async with trio.open_nursery() as load:
+                for _ in range(faults.callers):
+                    load.start_soon(callers.run)
+                await faults.run()
+                await trio.sleep(RESTART_SECONDS)
+                callers.closing = True
+            background.cancel_scope.cancel()
+        await check_service(callers, faults.recover_seconds)
     finally:
         fleet.end()
-    found = broken_promises(callers)
+    found = broken_promises(callers, judge_end)
+    # what the times in the logs are more than those below
+    print(time.time() - trio.current_time())
+    print(collections.Counter((one.status, one.left) for one in callers.calls))
     for rule, call in found:
-        print(rule, call)
+        print(rule, call, *fleet.runs_of(call))
     for told in faults.told:
         print(*told)
     assert not found
     assert sum(call.status == 200 for call in callers.calls) > 100
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+async def test_promises_hold_under_faults(seed, tmp_path, nursery):
+    rng = random.Random(seed)
+    fleet = Fleet(tmp_path)
+    faults = Faults(fleet, rng, nursery)
+    await soak(faults, Callers(fleet, rng), judge_end_under_faults)
+
+
+@pytest.mark.parametrize('seed', PLANNED_SEEDS)
+async def test_planned_work_loses_nothing(seed, tmp_path, nursery):
+    rng = random.Random(seed)
+    fleet = WorkingFleet(tmp_path, seed)
+    patience = functools.partial(rng.uniform, 4, PLANNED_TIMEOUT_SECONDS)
+    callers = Callers(fleet, rng, patience)
+    modes = rng.choice([['ok'], ['ok', 'extra']])
+    for one in fleet.instances:
+        one.target.mode = rng.choice(modes)
+        one.target.call = functools.partial(callers.ask, one, 'open')
+    work = PlannedWork(fleet, rng, nursery)
+    await soak(work, callers, judge_end_by_plan)
