--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -16,7 +16,7 @@
 LATE_SECONDS = 0.5
 # A request that crosses a close is cut at once and was not taken; what is
 # cut later had been read.
-CROSSING_SECONDS = 0.25
+CROSSING_SECONDS = 0.2
 # Requests sent so long after a stop signal may end unanswered, if their
 # target was still at work in the last sixth of the grace time.
 SENT_SECONDS = 3.0
