--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -59,6 +59,14 @@
     assert await endless.was_cut()
 
 
+async def attempt(endless, asked):
+    """Send an attempt to an owner that never ends."""
+    clock = MonotonicClock()
+    client = PeerClient(ConnPool(clock), clock)
+    message = Message('POST', '/', HEADERS, b'x')
+    return await client.attempt(endless.address, asked, message, trying())
+
+
 async def test_an_owner_that_sends_without_end_is_cut(
     nursery,
     monkeypatch,
@@ -67,10 +75,7 @@
     monkeypatch.setattr(_peer_client, 'ASK_SECONDS', 0.5)
     endless = Endless(*BODIES['no-length'])
     await endless.start(nursery)
-    clock = MonotonicClock()
-    client = PeerClient(ConnPool(clock), clock)
-    message = Message('GET', '/', HEADERS, b'')
-    outcome = await client.attempt(endless.address, ATTEMPT, message, trying())
+    outcome = await attempt(endless, ATTEMPT)
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
     assert await endless.was_cut()
     assert f'event=answer-cut address={endless.address}' in caplog.text
@@ -117,20 +122,14 @@
     monkeypatch.setattr(_peer_client, 'ASK_SECONDS', 0.5)
     endless = Endless(*HEADS['junk-lines'])
     await endless.start(nursery)
-    clock = MonotonicClock()
-    client = PeerClient(ConnPool(clock), clock)
-    message = Message('GET', '/', HEADERS, b'')
-    outcome = await client.attempt(endless.address, ATTEMPT, message, trying())
+    outcome = await attempt(endless, ATTEMPT)
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
     assert endless.opened <= 7
 
 
 async def test_a_reservation_answered_without_end_has_not_run(endless):
-    clock = MonotonicClock()
-    client = PeerClient(ConnPool(clock), clock)
     booking = msgspec.structs.replace(ATTEMPT, idempotent=False)
-    message = Message('POST', '/', HEADERS, b'x')
-    outcome = await client.attempt(endless.address, booking, message, trying())
+    outcome = await attempt(endless, booking)
     assert outcome.verdict is Verdict.NOT_RUN
     assert endless.opened == 1
     assert await endless.was_cut()
