--- a/src/clementinedeal/_borrowed.py
+++ b/src/clementinedeal/_borrowed.py
@@ -7,10 +7,10 @@
 
 
 @dataclass(slots=True)
-class _Held:
+class _BorrowedLease:
     lease: LeaseId
     holder: str
-    left: int
+    unspent: int
     expires_at: float
     spent: int = 0
     reported: int = 0
@@ -25,7 +25,7 @@
 
     def __init__(self) -> None:
         """Start with nothing."""
-        self._held: list[_Held] = []
+        self._held: list[_BorrowedLease] = []
 
     def add(
         self,
@@ -41,14 +41,14 @@
         :param amount: micro-units.
         :param expires_at: monotonic seconds, counted from the request.
         """
-        self._held.append(_Held(lease, holder, amount, expires_at))
+        self._held.append(_BorrowedLease(lease, holder, amount, expires_at))
         self._held.sort(key=lambda held: held.expires_at)
 
     def balance(self, now: float) -> int:
         """Return the micro-units that may be spent now."""
         if self._held and self._held[0].expires_at <= now:
             self._held = [held for held in self._held if held.expires_at > now]
-        return sum(held.left for held in self._held)
+        return sum(held.unspent for held in self._held)
 
     def spend(self, amount: int) -> None:
         """Use units, those that expire first before others.
@@ -56,8 +56,8 @@
         :param amount: micro-units, at most the balance just read.
         """
         for held in self._held:
-            part = min(amount, held.left)
-            held.left -= part
+            part = min(amount, held.unspent)
+            held.unspent -= part
             held.spent += part
             amount -= part
 
@@ -96,15 +96,15 @@
 
     def _report(
         self,
-        selects: Callable[[_Held], bool],
+        matches: Callable[[_BorrowedLease], bool],
         *,
         close_all: bool,
     ) -> tuple[LeaseReport, ...]:
         reports: list[LeaseReport] = []
-        kept: list[_Held] = []
+        kept: list[_BorrowedLease] = []
         for held in self._held:
-            closed = close_all or not held.left
-            if not selects(held):
+            closed = close_all or not held.unspent
+            if not matches(held):
                 kept.append(held)
                 continue
             reports.append(held.report(closed=closed))
--- a/src/clementinedeal/_borrowing.py
+++ b/src/clementinedeal/_borrowing.py
@@ -2,26 +2,26 @@
 
 import math
 
-from clementinedeal._draw_plan import DrawPlan
+from clementinedeal._draw_planner import DrawPlanner
+from clementinedeal._draw_policy import DrawPolicy
 from clementinedeal._draws import (
-    DRAW_LIMIT_SECONDS,
-    MAX_WAITING,
-    AccountDraws,
-    Admitted,
+    MAX_WAIT_SECONDS,
+    MAX_WAITING_REQUESTS,
+    AccountState,
     DrawGrant,
-    Refused,
     SpentReports,
     TokenAction,
-    Waiting,
+    TokenGranted,
+    TokenRefused,
+    WaitingRequest,
 )
 from clementinedeal._holdings import Holdings
-from clementinedeal._leases import UNIT_MICROS, LeaseReport
+from clementinedeal._leases import MICROS_PER_UNIT, LeaseReport
 from clementinedeal._messages import Send
-from clementinedeal._token_amounts import Pace
 
-IDLE_SECONDS = 5.0
+ACCOUNT_IDLE_SECONDS = 5.0
 
-Actions = tuple[TokenAction, ...]
+TokenActions = tuple[TokenAction, ...]
 
 
 class Borrowing:
@@ -36,33 +36,33 @@
         :param holdings: this instance's own shares.
         """
         self._holdings = holdings
-        self._draws = DrawPlan(me, incarnation, holdings)
+        self._planner = DrawPlanner(me, incarnation, holdings)
         self._swept_at = 0.0
-        self._stopping = False
-        self._desks: dict[str, AccountDraws] = {}
-        self._busy: dict[str, AccountDraws] = {}
+        self._is_stopping = False
+        self._accounts: dict[str, AccountState] = {}
+        self._busy_accounts: dict[str, AccountState] = {}
 
-    def take(self, req_id: str, account: str, now: float) -> Actions:
+    def take(self, req_id: str, account: str, now: float) -> TokenActions:
         """Take one token; the outcome may come from a later call.
 
         :param req_id: request id, unique.
         :param account: name of the account.
         :param now: monotonic seconds.
         """
-        reporter = self._desks.get(account)
-        if reporter is None:
-            reporter = AccountDraws(account)
-            self._desks[account] = reporter
-        reporter.used_at = now
-        reporter.demand.note(now)
-        if not reporter.waiting and self._spend(reporter, now):
-            sends = self._draws.prefetch(reporter, now)
-            self._mark(reporter)
-            return (Admitted(req_id), *sends)
-        if self._is_hopeless(reporter, now):
-            return (_refuse(self._draws.pace(reporter), req_id),)
-        reporter.waiting.append(Waiting(req_id, now))
-        return self._serve(reporter, now)
+        state = self._accounts.get(account)
+        if state is None:
+            state = AccountState(account)
+            self._accounts[account] = state
+        state.last_request_at = now
+        state.demand.record(now)
+        if not state.waiting and self._spend(state, now):
+            sends = self._planner.prefetch(state, now)
+            self._mark_busy(state)
+            return (TokenGranted(req_id), *sends)
+        if self._must_refuse(state, now):
+            return (_refuse(self._planner.policy(state), req_id),)
+        state.waiting.append(WaitingRequest(req_id, now))
+        return self._process_waiting(state, now)
 
     def cancel(self, req_id: str, account: str) -> bool:
         """Forget a request that waits; tell whether it did.
@@ -70,184 +70,188 @@
         :param req_id: request id.
         :param account: name of the account.
         """
-        reporter = self._desks.get(account)
-        for waiting in reporter.waiting if reporter else ():
-            if reporter and waiting.req_id == req_id:
-                reporter.waiting.remove(waiting)
+        state = self._accounts.get(account)
+        for waiting in state.waiting if state else ():
+            if state and waiting.req_id == req_id:
+                state.waiting.remove(waiting)
                 return True
         return False
 
-    def on_grant(self, sender: str, body: DrawGrant, now: float) -> Actions:
+    def on_grant(
+        self, sender: str, body: DrawGrant, now: float
+    ) -> TokenActions:
         """Keep a grant if it answers an open draw; give a late one back.
 
         :param sender: authenticated name of the holder.
         :param body: the grant.
         :param now: monotonic seconds.
         """
-        self._draws.siblings.trust(sender)
-        reporter = self._desks.get(body.account)
+        self._planner.holder_order.clear_suspect(sender)
+        state = self._accounts.get(body.account)
         lease = body.lease
-        if reporter is None or lease.incarnation != self._draws.incarnation:
+        if state is None or lease.incarnation != self._planner.incarnation:
             return ()
-        draw = reporter.draws.get(lease.seq)
+        draw = state.draws.get(lease.seq)
         if draw is None or draw.holder != sender:
             return ()
-        reporter.draws.pop(lease.seq)
-        if draw.abandoned or self._stopping:
+        state.draws.pop(lease.seq)
+        if draw.abandoned or self._is_stopping:
             report = LeaseReport(lease, 0, closed=True)
             return (Send(sender, SpentReports(body.account, (report,))),)
-        reporter.levels[sender] = body.left
+        state.holder_levels[sender] = body.left
         if body.amount:
-            reporter.borrowed.add(lease, sender, body.amount, draw.expires_at)
+            state.borrowed.add(lease, sender, body.amount, draw.expires_at)
         if body.amount < max(1, draw.need):
-            reporter.dry[sender] = now + self._draws.pace(reporter).dry_seconds
+            state.empty_until[sender] = (
+                now + self._planner.policy(state).empty_backoff_seconds
+            )
         else:
-            reporter.asked.discard(sender)
-            reporter.rounds = 0
-        return self._serve(reporter, now)
+            state.asked_holders.discard(sender)
+            state.rounds_sent = 0
+        return self._process_waiting(state, now)
 
-    def on_tick(self, now: float) -> Actions:
+    def on_tick(self, now: float) -> TokenActions:
         """Handle late draws, refusals and reports that are due.
 
         :param now: monotonic seconds.
         """
-        done: list[TokenAction] = []
-        for reporter in tuple(self._busy.values()):
-            for holder in reporter.expire(now):
-                self._draws.siblings.suspect(holder, now)
-            done.extend(self._serve(reporter, now))
-            done.extend(_settle(reporter, now))
-            if not reporter.is_busy():
-                self._busy.pop(reporter.account)
-        if now - self._swept_at >= IDLE_SECONDS:
-            self._sweep(now)
-        return tuple(done)
+        actions: list[TokenAction] = []
+        for state in tuple(self._busy_accounts.values()):
+            for holder in state.expire_draws(now):
+                self._planner.holder_order.mark_suspect(holder, now)
+            actions.extend(self._process_waiting(state, now))
+            actions.extend(_report_spent(state, now))
+            if not state.is_busy():
+                self._busy_accounts.pop(state.account)
+        if now - self._swept_at >= ACCOUNT_IDLE_SECONDS:
+            self._remove_idle(now)
+        return tuple(actions)
 
     def on_config(self) -> None:
         """Go by the version that the holdings go by."""
-        self._draws.siblings.on_config(self._holdings.cfg)
+        self._planner.holder_order.on_config(self._holdings.cfg)
 
-    def drop(self) -> Actions:
+    def reset(self) -> TokenActions:
         """Forget all that was borrowed and refuse what waits."""
-        done = self._refuse_all()
-        self._desks.clear()
-        self._busy.clear()
-        return done
+        refusals = self._refuse_all()
+        self._accounts.clear()
+        self._busy_accounts.clear()
+        return refusals
 
-    def stop(self) -> Actions:
+    def stop(self) -> TokenActions:
         """Refuse all from now on and give back what was borrowed."""
-        self._stopping = True
-        done = list(self._refuse_all())
-        for reporter in self._desks.values():
-            done.extend(_give_back(reporter))
-        return tuple(done)
-
-    def _spend(self, reporter: AccountDraws, now: float) -> bool:
-        lender = self._holdings.find(reporter.account, now)
-        if self._stopping or not reporter.spend(UNIT_MICROS, lender, now):
+        self._is_stopping = True
+        actions = list(self._refuse_all())
+        for state in self._accounts.values():
+            actions.extend(_return_leases(state))
+        return tuple(actions)
+
+    def _spend(self, state: AccountState, now: float) -> bool:
+        lender = self._holdings.find_lender(state.account, now)
+        if self._is_stopping or not state.spend(MICROS_PER_UNIT, lender, now):
             return False
-        if reporter.settle_at == math.inf and reporter.borrowed.holders():
-            reporter.settle_at = now + self._draws.pace(reporter).settle_seconds
+        if state.report_at == math.inf and state.borrowed.holders():
+            state.report_at = (
+                now + self._planner.policy(state).report_delay_seconds
+            )
         return True
 
-    def _is_hopeless(self, reporter: AccountDraws, now: float) -> bool:
+    def _must_refuse(self, state: AccountState, now: float) -> bool:
         return (
-            self._stopping
-            or now < reporter.refuse_until
-            or len(reporter.waiting) >= MAX_WAITING
-            or not self._draws.order(reporter, now)
+            self._is_stopping
+            or now < state.refuse_until
+            or len(state.waiting) >= MAX_WAITING_REQUESTS
+            or not self._planner.order(state, now)
         )
 
-    def _serve(self, reporter: AccountDraws, now: float) -> Actions:
-        done: list[TokenAction] = []
-        while reporter.waiting and self._spend(reporter, now):
-            done.append(Admitted(reporter.waiting.popleft().req_id))
-        while reporter.waiting and not reporter.pending():
-            sends = self._draws.next_round(reporter, now)
-            done.extend(sends or self._give_up(reporter, now))
-        while reporter.waiting and _is_late(reporter.waiting[0], now):
-            done.append(
+    def _process_waiting(self, state: AccountState, now: float) -> TokenActions:
+        actions: list[TokenAction] = []
+        while state.waiting and self._spend(state, now):
+            actions.append(TokenGranted(state.waiting.popleft().req_id))
+        while state.waiting and not state.count_pending():
+            sends = self._planner.next_round(state, now)
+            actions.extend(sends or self._refuse_waiting(state, now))
+        while state.waiting and _is_late(state.waiting[0], now):
+            actions.append(
                 _refuse(
-                    self._draws.pace(reporter),
-                    reporter.waiting.popleft().req_id,
+                    self._planner.policy(state),
+                    state.waiting.popleft().req_id,
                 )
             )
-        if not reporter.waiting and not reporter.pending():
-            done.extend(self._end_run(reporter, now))
-        self._mark(reporter)
-        return tuple(done)
-
-    def _mark(self, reporter: AccountDraws) -> None:
-        if reporter.is_busy():
-            self._busy[reporter.account] = reporter
-
-    def _end_run(self, reporter: AccountDraws, now: float) -> Actions:
-        reporter.end_run()
-        if self._draws.pace(reporter).chunk(reporter.demand.rate(now)):
+        if not state.waiting and not state.count_pending():
+            actions.extend(self._end_rounds(state, now))
+        self._mark_busy(state)
+        return tuple(actions)
+
+    def _mark_busy(self, state: AccountState) -> None:
+        if state.is_busy():
+            self._busy_accounts[state.account] = state
+
+    def _end_rounds(self, state: AccountState, now: float) -> TokenActions:
+        state.reset_rounds()
+        if self._planner.policy(state).prefetch_amount(state.demand.rate(now)):
             return ()
-        return _give_back(reporter) if reporter.borrowed.balance(now) else ()
-
-    def _give_up(self, reporter: AccountDraws, now: float) -> Actions:
-        if reporter.answered:
-            reporter.refuse_until = now + self._draws.pace(reporter).dry_seconds
-        is_final = reporter.answered or not self._draws.order(reporter, now)
-        done: list[TokenAction] = []
-        while reporter.waiting:
-            if not is_final and reporter.waiting[0].since > reporter.round_at:
+        return _return_leases(state) if state.borrowed.balance(now) else ()
+
+    def _refuse_waiting(self, state: AccountState, now: float) -> TokenActions:
+        if state.all_answered:
+            state.refuse_until = (
+                now + self._planner.policy(state).empty_backoff_seconds
+            )
+        is_final = state.all_answered or not self._planner.order(state, now)
+        actions: list[TokenAction] = []
+        while state.waiting:
+            if not is_final and state.waiting[0].since > state.round_started_at:
                 break
-            done.append(
+            actions.append(
                 _refuse(
-                    self._draws.pace(reporter),
-                    reporter.waiting.popleft().req_id,
+                    self._planner.policy(state),
+                    state.waiting.popleft().req_id,
                 )
             )
-        reporter.end_run()
-        done.extend(_give_back(reporter))
-        return tuple(done)
+        state.reset_rounds()
+        actions.extend(_return_leases(state))
+        return tuple(actions)
 
-    def _refuse_all(self) -> Actions:
+    def _refuse_all(self) -> TokenActions:
         refused: list[TokenAction] = []
-        for reporter in self._desks.values():
+        for state in self._accounts.values():
             refused.extend(
-                _refuse(self._draws.pace(reporter), req.req_id)
-                for req in reporter.waiting
+                _refuse(self._planner.policy(state), req.req_id)
+                for req in state.waiting
             )
-            reporter.waiting.clear()
+            state.waiting.clear()
         return tuple(refused)
 
-    def _sweep(self, now: float) -> None:
+    def _remove_idle(self, now: float) -> None:
         self._swept_at = now
-        for reporter in tuple(self._desks.values()):
-            reporter.borrowed.balance(now)
-            if reporter.is_idle(now, IDLE_SECONDS):
-                self._desks.pop(reporter.account)
+        for state in tuple(self._accounts.values()):
+            state.borrowed.balance(now)
+            if state.is_idle(now, ACCOUNT_IDLE_SECONDS):
+                self._accounts.pop(state.account)
 
 
-def _refuse(pace: Pace, req_id: str) -> Refused:
-    return Refused(req_id, pace.retry_after_seconds)
+def _refuse(policy: DrawPolicy, req_id: str) -> TokenRefused:
+    return TokenRefused(req_id, policy.retry_after_seconds)
 
 
-def _settle(reporter: AccountDraws, now: float) -> tuple[Send, ...]:
-    if now < reporter.settle_at:
+def _report_spent(state: AccountState, now: float) -> tuple[Send, ...]:
+    if now < state.report_at:
         return ()
-    reporter.settle_at = math.inf
-    reporter.borrowed.balance(now)
+    state.report_at = math.inf
+    state.borrowed.balance(now)
     return tuple(
-        Send(
-            name, SpentReports(reporter.account, reporter.borrowed.report(name))
-        )
-        for name in reporter.borrowed.unreported()
+        Send(name, SpentReports(state.account, state.borrowed.report(name)))
+        for name in state.borrowed.unreported()
     )
 
 
-def _give_back(reporter: AccountDraws) -> tuple[Send, ...]:
+def _return_leases(state: AccountState) -> tuple[Send, ...]:
     return tuple(
-        Send(
-            name, SpentReports(reporter.account, reporter.borrowed.close(name))
-        )
-        for name in reporter.borrowed.holders()
+        Send(name, SpentReports(state.account, state.borrowed.close(name)))
+        for name in state.borrowed.holders()
     )
 
 
-def _is_late(waiting: Waiting, now: float) -> bool:
-    return now - waiting.since >= DRAW_LIMIT_SECONDS
+def _is_late(waiting: WaitingRequest, now: float) -> bool:
+    return now - waiting.since >= MAX_WAIT_SECONDS
--- a/src/clementinedeal/_claims.py
+++ b/src/clementinedeal/_claims.py
@@ -12,9 +12,9 @@
 from clementinedeal._messages import Send
 from clementinedeal._verdict import Reason, Verdict
 
-CLAIM_SECONDS = 1.0
+CLAIM_TIMEOUT_SECONDS = 1.0
 SETTLE_RETRY_SECONDS = 0.5
-SETTLE_TRIES = 20
+MAX_SETTLE_TRIES = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,11 +43,11 @@
     req_id: str
     reason: Reason
     verdict: Verdict
-    retry_after: float = 0.0
+    retry_after_seconds: float = 0.0
 
 
 ClaimAction = Send | ClaimGranted | Replay | ClaimRefused
-Actions = tuple[ClaimAction, ...]
+ClaimActions = tuple[ClaimAction, ...]
 
 _REFUSALS = {
     ClaimOutcome.IN_PROGRESS: (Reason.IN_PROGRESS, Verdict.MAY_HAVE_RUN),
@@ -60,14 +60,14 @@
 
 
 @dataclass(slots=True)
-class _Waiting:
+class _PendingClaim:
     keeper: str
     claim: ClaimKey
     give_up_at: float
 
 
 @dataclass(slots=True)
-class _Settling:
+class _PendingSettlement:
     keeper: str
     settled: SettleKey
     send_at: float
@@ -79,33 +79,33 @@
 
     def __init__(self) -> None:
         """Create an empty set."""
-        self._waiting: dict[str, _Waiting] = {}
-        self._granted: dict[str, _Waiting] = {}
-        self._settling: dict[str, _Settling] = {}
+        self._pending: dict[str, _PendingClaim] = {}
+        self._granted: dict[str, _PendingClaim] = {}
+        self._settlements: dict[str, _PendingSettlement] = {}
 
-    def claim(self, keeper: str, claim: ClaimKey, now: float) -> Actions:
+    def claim(self, keeper: str, claim: ClaimKey, now: float) -> ClaimActions:
         """Ask a keeper.
 
         :param keeper: instance name.
         :param claim: the claim.
         :param now: current monotonic time in seconds.
         """
-        waiting = _Waiting(keeper, claim, now + CLAIM_SECONDS)
-        self._waiting[claim.req_id] = waiting
+        pending = _PendingClaim(keeper, claim, now + CLAIM_TIMEOUT_SECONDS)
+        self._pending[claim.req_id] = pending
         return (Send(keeper, claim),)
 
-    def on_answer(self, answer: ClaimAnswer, now: float) -> Actions:
+    def on_answer(self, answer: ClaimAnswer, now: float) -> ClaimActions:
         """Decide on a request after its keeper's answer.
 
         :param answer: from the keeper; late ones have no effect.
         :param now: current monotonic time in seconds.
         """
-        waiting = self._waiting.get(answer.req_id)
-        if waiting is None or waiting.give_up_at <= now:
+        pending = self._pending.get(answer.req_id)
+        if pending is None or pending.give_up_at <= now:
             return ()
-        self._waiting.pop(answer.req_id)
+        self._pending.pop(answer.req_id)
         if answer.outcome is ClaimOutcome.NEW:
-            self._granted[answer.req_id] = waiting
+            self._granted[answer.req_id] = pending
             return (ClaimGranted(answer.req_id),)
         if answer.outcome is ClaimOutcome.DONE and answer.answer:
             return (Replay(answer.req_id, answer.answer),)
@@ -124,7 +124,7 @@
         verdict: Verdict,
         answer: StoredAnswer | None,
         now: float,
-    ) -> Actions:
+    ) -> ClaimActions:
         """Tell the keeper what a request came to, until it hears.
 
         :param req_id: the request; without a claim nothing is done. One
@@ -133,61 +133,61 @@
         :param answer: to be replayed to repeats, if there is one.
         :param now: current monotonic time in seconds.
         """
-        waiting = self._granted.pop(req_id, None)
-        waiting = waiting or self._waiting.pop(req_id, None)
-        if waiting is None:
+        pending = self._granted.pop(req_id, None)
+        pending = pending or self._pending.pop(req_id, None)
+        if pending is None:
             return ()
-        return self._settle(waiting, verdict, answer, now)
+        return self._settle(pending, verdict, answer, now)
 
     def on_settled(self, req_id: str) -> None:
         """Stop telling the keeper.
 
         :param req_id: the settled request.
         """
-        self._settling.pop(req_id, None)
+        self._settlements.pop(req_id, None)
 
-    def on_tick(self, now: float) -> Actions:
+    def on_tick(self, now: float) -> ClaimActions:
         """Refuse claims without an answer and repeat settlements.
 
         :param now: current monotonic time in seconds.
         """
         actions: list[ClaimAction] = []
         late = [
-            waiting
-            for waiting in self._waiting.values()
-            if waiting.give_up_at <= now
+            pending
+            for pending in self._pending.values()
+            if pending.give_up_at <= now
         ]
-        for waiting in late:
-            actions.extend(self._give_up(waiting, now))
-        for settling in tuple(self._settling.values()):
-            if settling.send_at <= now:
-                actions.append(self._send(settling, now))
+        for pending in late:
+            actions.extend(self._give_up(pending, now))
+        for settlement in tuple(self._settlements.values()):
+            if settlement.send_at <= now:
+                actions.append(self._send(settlement, now))
         return tuple(actions)
 
     @property
     def unsettled(self) -> int:
         """Number of requests whose outcome the keeper has not confirmed."""
-        return len(self._granted) + len(self._settling)
+        return len(self._granted) + len(self._settlements)
 
-    def _give_up(self, waiting: _Waiting, now: float) -> Actions:
-        req_id = waiting.claim.req_id
-        self._waiting.pop(req_id)
+    def _give_up(self, pending: _PendingClaim, now: float) -> ClaimActions:
+        req_id = pending.claim.req_id
+        self._pending.pop(req_id)
         refused = ClaimRefused(
             req_id,
             Reason.KEEPER_UNAVAILABLE,
             Verdict.NOT_RUN,
-            CLAIM_SECONDS,
+            CLAIM_TIMEOUT_SECONDS,
         )
-        return refused, *self._settle(waiting, Verdict.NOT_RUN, None, now)
+        return refused, *self._settle(pending, Verdict.NOT_RUN, None, now)
 
     def _settle(
         self,
-        waiting: _Waiting,
+        pending: _PendingClaim,
         verdict: Verdict,
         answer: StoredAnswer | None,
         now: float,
-    ) -> Actions:
-        claim = waiting.claim
+    ) -> ClaimActions:
+        claim = pending.claim
         settled = SettleKey(
             key=claim.key,
             fingerprint=claim.fingerprint,
@@ -195,13 +195,13 @@
             verdict=verdict,
             answer=answer,
         )
-        settling = _Settling(waiting.keeper, settled, now)
-        self._settling[claim.req_id] = settling
-        return (self._send(settling, now),)
-
-    def _send(self, settling: _Settling, now: float) -> Send:
-        settling.tries += 1
-        settling.send_at = now + SETTLE_RETRY_SECONDS
-        if settling.tries >= SETTLE_TRIES:
-            self._settling.pop(settling.settled.req_id, None)
-        return Send(settling.keeper, settling.settled)
+        settlement = _PendingSettlement(pending.keeper, settled, now)
+        self._settlements[claim.req_id] = settlement
+        return (self._send(settlement, now),)
+
+    def _send(self, settlement: _PendingSettlement, now: float) -> Send:
+        settlement.tries += 1
+        settlement.send_at = now + SETTLE_RETRY_SECONDS
+        if settlement.tries >= MAX_SETTLE_TRIES:
+            self._settlements.pop(settlement.settled.req_id, None)
+        return Send(settlement.keeper, settlement.settled)
--- a/src/clementinedeal/_token_amounts.py
+++ b/src/clementinedeal/_draw_policy.py
@@ -1,23 +1,23 @@
 """Times and amounts that follow from an account's rate and burst."""
 
-from clementinedeal._leases import UNIT_MICROS
+from clementinedeal._leases import MICROS_PER_UNIT
 from clementinedeal._model import Account
 from clementinedeal._shares import holder_count
 
-CHUNK_SECONDS = 1.0
-CHUNK_BURST_DIVISOR = 4
-LARGE_RATE_PER_SECOND = 10.0
-LARGE_DEMAND_PER_SECOND = 4.0
-SETTLE_MIN_SECONDS = 0.05
-SETTLE_MAX_SECONDS = 1.0
-SETTLE_DIVISOR = 4
+PREFETCH_SECONDS = 1.0
+PREFETCH_BURST_DIVISOR = 4
+MIN_PREFETCH_RATE_PER_SECOND = 10.0
+MIN_PREFETCH_DEMAND_PER_SECOND = 4.0
+MIN_REPORT_DELAY_SECONDS = 0.05
+MAX_REPORT_DELAY_SECONDS = 1.0
+REPORT_DELAY_DIVISOR = 4
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 60.0
-MAX_DRY_SECONDS = 0.4
-DRY_TOKENS = 4
+MAX_EMPTY_BACKOFF_SECONDS = 0.4
+EMPTY_BACKOFF_TOKENS = 4
 
 
-class Pace:
+class DrawPolicy:
     """How an owner goes about one account."""
 
     def __init__(self, account: Account | None) -> None:
@@ -29,13 +29,18 @@
         self._burst = account.burst if account else 0.0
 
     @property
-    def dry_seconds(self) -> float:
+    def empty_backoff_seconds(self) -> float:
         """Return how long holders without tokens are left alone.
 
         It is the time in which one of them makes ``DRY_TOKENS``.
         """
-        seconds = holder_count(self._rate) * self._seconds_per_token
-        return min(MAX_DRY_SECONDS, DRY_TOKENS * seconds)
+        seconds_per_holder_token = (
+            holder_count(self._rate) * self._seconds_per_token
+        )
+        return min(
+            MAX_EMPTY_BACKOFF_SECONDS,
+            EMPTY_BACKOFF_TOKENS * seconds_per_holder_token,
+        )
 
     @property
     def retry_after_seconds(self) -> float:
@@ -43,22 +48,27 @@
         return max(MIN_RETRY_AFTER_SECONDS, self._seconds_per_token)
 
     @property
-    def settle_seconds(self) -> float:
+    def report_delay_seconds(self) -> float:
         """Return how long spent tokens may go unreported."""
-        span = self._burst * self._seconds_per_token / SETTLE_DIVISOR
-        return max(SETTLE_MIN_SECONDS, min(SETTLE_MAX_SECONDS, span))
+        delay_seconds = (
+            self._burst * self._seconds_per_token / REPORT_DELAY_DIVISOR
+        )
+        return max(
+            MIN_REPORT_DELAY_SECONDS,
+            min(MAX_REPORT_DELAY_SECONDS, delay_seconds),
+        )
 
-    def chunk(self, demand: float) -> int:
+    def prefetch_amount(self, demand: float) -> int:
         """Return the micro-tokens worth borrowing ahead; zero if none.
 
         :param demand: requests per second at this owner.
         """
-        if self._rate < LARGE_RATE_PER_SECOND:
+        if self._rate < MIN_PREFETCH_RATE_PER_SECOND:
             return 0
-        if demand < LARGE_DEMAND_PER_SECOND:
+        if demand < MIN_PREFETCH_DEMAND_PER_SECOND:
             return 0
-        most = self._burst / CHUNK_BURST_DIVISOR
-        return int(min(demand * CHUNK_SECONDS, most) * UNIT_MICROS)
+        max_tokens = self._burst / PREFETCH_BURST_DIVISOR
+        return int(min(demand * PREFETCH_SECONDS, max_tokens) * MICROS_PER_UNIT)
 
     @property
     def _seconds_per_token(self) -> float:
--- a/src/clementinedeal/_draws.py
+++ b/src/clementinedeal/_draws.py
@@ -9,10 +9,10 @@
 from clementinedeal._messages import Send, message
 
 DRAW_TIMEOUT_SECONDS = 0.05
-DRAW_LIMIT_SECONDS = 0.2
-DRAW_TTL_SECONDS = 0.25
-MAX_WAITING = 64
-DEMAND_SECONDS = 1.0
+MAX_WAIT_SECONDS = 0.2
+ON_DEMAND_TTL_SECONDS = 0.25
+MAX_WAITING_REQUESTS = 64
+DEMAND_WINDOW_SECONDS = 1.0
 
 
 @message
@@ -56,25 +56,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Admitted:
+class TokenGranted:
     """Action: the request holds a token and may start."""
 
     req_id: str
 
 
 @dataclass(frozen=True, slots=True)
-class Refused:
+class TokenRefused:
     """Action: no token; the request must not start."""
 
     req_id: str
     retry_after_seconds: float
 
 
-TokenAction = Admitted | Refused | Send
+TokenAction = TokenGranted | TokenRefused | Send
 
 
 @dataclass(frozen=True, slots=True)
-class Waiting:
+class WaitingRequest:
     """A request that waits for a token."""
 
     req_id: str
@@ -82,7 +82,7 @@
 
 
 @dataclass(slots=True)
-class Draw:
+class OpenDraw:
     """A draw that was sent; ``abandoned`` after its timeout."""
 
     holder: str
@@ -98,43 +98,45 @@
     def __init__(self) -> None:
         """Start at zero."""
         self._rate = 0.0
-        self._at = 0.0
+        self._updated_at = 0.0
 
-    def note(self, now: float) -> None:
+    def record(self, now: float) -> None:
         """Count one request.
 
         :param now: monotonic seconds.
         """
-        self._rate = self.rate(now) + 1 / DEMAND_SECONDS
-        self._at = now
+        self._rate = self.rate(now) + 1 / DEMAND_WINDOW_SECONDS
+        self._updated_at = now
 
     def rate(self, now: float) -> float:
         """Return requests per second around now."""
-        return self._rate * math.exp((self._at - now) / DEMAND_SECONDS)
+        return self._rate * math.exp(
+            (self._updated_at - now) / DEMAND_WINDOW_SECONDS
+        )
 
 
 @dataclass(slots=True)
-class AccountDraws:
+class AccountState:
     """What an owner keeps for one account with recent demand."""
 
     account: str
     borrowed: BorrowedUnits = field(default_factory=BorrowedUnits)
-    waiting: deque[Waiting] = field(default_factory=deque)
-    draws: dict[int, Draw] = field(default_factory=dict)
+    waiting: deque[WaitingRequest] = field(default_factory=deque)
+    draws: dict[int, OpenDraw] = field(default_factory=dict)
     demand: Demand = field(default_factory=Demand)
-    asked: set[str] = field(default_factory=set)
-    dry: dict[str, float] = field(default_factory=dict)
-    levels: dict[str, int] = field(default_factory=dict)
-    rounds: int = 0
-    round_at: float = 0
-    answered: bool = True
+    asked_holders: set[str] = field(default_factory=set)
+    empty_until: dict[str, float] = field(default_factory=dict)
+    holder_levels: dict[str, int] = field(default_factory=dict)
+    rounds_sent: int = 0
+    round_started_at: float = 0
+    all_answered: bool = True
     refuse_until: float = 0
-    settle_at: float = float('inf')
-    used_at: float = 0
+    report_at: float = float('inf')
+    last_request_at: float = 0
 
     def is_busy(self) -> bool:
         """Tell whether something may become due."""
-        return bool(self.waiting or self.draws or math.isfinite(self.settle_at))
+        return bool(self.waiting or self.draws or math.isfinite(self.report_at))
 
     def is_idle(self, now: float, idle_seconds: float) -> bool:
         """Tell whether nothing is left to keep.
@@ -142,10 +144,10 @@
         :param now: monotonic seconds.
         :param idle_seconds: time without a request.
         """
-        unused = now - self.used_at >= idle_seconds
+        unused = now - self.last_request_at >= idle_seconds
         return unused and not self.is_busy() and not self.borrowed.holders()
 
-    def pending(self) -> int:
+    def count_pending(self) -> int:
         """Return how many draws with requests behind them are unanswered."""
         return sum(
             1
@@ -153,7 +155,7 @@
             if draw.need and not draw.abandoned
         )
 
-    def is_drawing(self) -> bool:
+    def has_open_draw(self) -> bool:
         """Tell whether any draw is unanswered."""
         return any(not draw.abandoned for draw in self.draws.values())
 
@@ -181,13 +183,13 @@
         """
         return self.borrowed.balance(now) + _level(lender)
 
-    def end_run(self) -> None:
+    def reset_rounds(self) -> None:
         """Forget whom the last requests asked."""
-        self.asked.clear()
-        self.rounds = 0
-        self.answered = True
+        self.asked_holders.clear()
+        self.rounds_sent = 0
+        self.all_answered = True
 
-    def expire(self, now: float) -> tuple[str, ...]:
+    def expire_draws(self, now: float) -> tuple[str, ...]:
         """Abandon late draws and return the holders that did not answer.
 
         :param now: monotonic seconds.
@@ -199,7 +201,7 @@
                 and draw.sent_at + DRAW_TIMEOUT_SECONDS <= now
             ):
                 draw.abandoned = True
-                self.answered = False
+                self.all_answered = False
                 late.append(draw.holder)
             if draw.expires_at <= now:
                 self.draws.pop(seq)
--- a/src/clementinedeal/_holder_order.py
+++ b/src/clementinedeal/_holder_order.py
@@ -1,6 +1,6 @@
 """The order in which an owner asks the holders of an account."""
 
-from clementinedeal._draws import AccountDraws
+from clementinedeal._draws import AccountState
 from clementinedeal._hashing import rank
 from clementinedeal._model import Config
 
@@ -8,7 +8,7 @@
 UNKNOWN_LEVEL = 1 << 62
 
 
-class Siblings:
+class HolderOrder:
     """Prefers holders that answer, stand near and have many tokens."""
 
     def __init__(self, me: str, cfg: Config) -> None:
@@ -20,7 +20,7 @@
         self._me = me
         self._cfg = cfg
         self._suspects: dict[str, float] = {}
-        self._near: dict[tuple[str, ...], list[str]] = {}
+        self._by_distance: dict[tuple[str, ...], list[str]] = {}
 
     def on_config(self, cfg: Config) -> None:
         """Go by a newer version.
@@ -28,9 +28,9 @@
         :param cfg: the version that came into force.
         """
         self._cfg = cfg
-        self._near.clear()
+        self._by_distance.clear()
 
-    def suspect(self, name: str, now: float) -> None:
+    def mark_suspect(self, name: str, now: float) -> None:
         """Note that a holder did not answer in time.
 
         :param name: instance name.
@@ -38,7 +38,7 @@
         """
         self._suspects[name] = now + SUSPECT_SECONDS
 
-    def trust(self, name: str) -> None:
+    def clear_suspect(self, name: str) -> None:
         """Note that a holder answered.
 
         :param name: instance name.
@@ -47,7 +47,7 @@
 
     def order(
         self,
-        reporter: AccountDraws,
+        state: AccountState,
         holders: tuple[str, ...],
         now: float,
     ) -> list[str]:
@@ -57,40 +57,42 @@
         :param holders: all holders of the account.
         :param now: monotonic seconds.
         """
-        near = self._near.get(holders)
-        if near is None:
-            near = self._by_zone(holders)
-            self._near[holders] = near
-        answering = [name for name in near if not self._is_suspect(name, now)]
-        chosen = answering or near
-        if not reporter.levels:
+        by_distance = self._by_distance.get(holders)
+        if by_distance is None:
+            by_distance = self._sort_by_distance(holders)
+            self._by_distance[holders] = by_distance
+        answering = [
+            name for name in by_distance if not self._is_suspect(name, now)
+        ]
+        chosen = answering or by_distance
+        if not state.holder_levels:
             return chosen
-        return sorted(chosen, key=lambda name: self._cost(reporter, name, now))
+        return sorted(chosen, key=lambda name: self._sort_key(state, name, now))
 
-    def _cost(
+    def _sort_key(
         self,
-        reporter: AccountDraws,
+        state: AccountState,
         name: str,
         now: float,
     ) -> tuple[bool, bool, int]:
-        is_dry = now < reporter.dry.get(name, 0)
-        level = reporter.levels.get(name, UNKNOWN_LEVEL)
+        is_dry = now < state.empty_until.get(name, 0)
+        level = state.holder_levels.get(name, UNKNOWN_LEVEL)
         return is_dry, not self._is_in_region(name), -level
 
     def _is_suspect(self, name: str, now: float) -> bool:
         return now < self._suspects.get(name, 0)
 
-    def _by_zone(self, holders: tuple[str, ...]) -> list[str]:
+    def _sort_by_distance(self, holders: tuple[str, ...]) -> list[str]:
         others = rank(self._me, set(holders) - {self._me})
         others.sort(key=lambda name: not self._is_in_zone(name))
         return sorted(others, key=lambda name: not self._is_in_region(name))
 
     def _is_in_zone(self, name: str) -> bool:
-        mine = self._cfg.instances.get(self._me)
+        own = self._cfg.instances.get(self._me)
         other = self._cfg.instances.get(name)
-        return bool(mine and other and mine.zone == other.zone)
+        return bool(own and other and own.zone == other.zone)
 
     def _is_in_region(self, name: str) -> bool:
-        mine = self._cfg.instances.get(self._me)
+        own = self._cfg.instances.get(self._me)
         other = self._cfg.instances.get(name)
-        return bool(mine and other and mine.region == other.region)
+        return bool(own and other and own.region == other.region)
--- a/src/clementinedeal/_holdings.py
+++ b/src/clementinedeal/_holdings.py
@@ -3,7 +3,7 @@
 from clementinedeal._draws import DrawGrant, DrawRequest
 from clementinedeal._leases import LEASE_TTL_SECONDS, LeaseReport, Lender
 from clementinedeal._model import Config
-from clementinedeal._share_views import ShareViews
+from clementinedeal._share_versions import ShareVersions
 
 SURPLUS_DIVISOR = 4
 MILLIS_PER_SECOND = 1000
@@ -30,18 +30,18 @@
         :param known_for: seconds for which the version is known to have been
             published, at least.
         """
-        self.views = ShareViews(me, cfg, now, known_for)
+        self.versions = ShareVersions(me, cfg, now, known_for)
         self.is_fresh = False
         self._lenders: dict[str, Lender] = {}
         self._next_change = float('inf')
-        self._dropped_at = now
+        self._discarded_at = now
 
     @property
     def cfg(self) -> Config:
         """Return the version in force."""
-        return self.views.table.cfg
+        return self.versions.table.cfg
 
-    def find(self, account: str, now: float) -> Lender | None:
+    def find_lender(self, account: str, now: float) -> Lender | None:
         """Return the lender of an account, brought up to now.
 
         :param account: name of the account.
@@ -50,8 +50,8 @@
         if not self.is_fresh:
             return None
         if now >= self._next_change:
-            self._reshape(now)
-        lender = self._lenders.get(account) or self._create(account, now)
+            self._resize_lenders(now)
+        lender = self._lenders.get(account) or self._create_lender(account, now)
         if lender:
             lender.advance(now)
         return lender
@@ -62,8 +62,8 @@
         :param body: from the borrower that its lease names.
         :param now: monotonic seconds.
         """
-        self.settle(body.account, body.reports, now)
-        lender = self.find(body.account, now)
+        self.apply_reports(body.account, body.reports, now)
+        lender = self.find_lender(body.account, now)
         ttl = body.ttl_millis / MILLIS_PER_SECOND
         if lender is None or ttl > LEASE_TTL_SECONDS:
             return DrawGrant(body.account, body.lease, 0, 0)
@@ -73,7 +73,7 @@
         granted = lender.lend(body.lease, amount, ttl, now)
         return DrawGrant(body.account, body.lease, granted, lender.level)
 
-    def settle(
+    def apply_reports(
         self,
         account: str,
         reports: tuple[LeaseReport, ...],
@@ -88,10 +88,10 @@
         lender = self._lenders.get(account)
         if lender is None:
             return
-        if self.find(account, now) is None:
-            lender.skip(now)
+        if self.find_lender(account, now) is None:
+            lender.advance_without_refill(now)
         for report in reports:
-            lender.settle(report)
+            lender.apply_report(report)
 
     def set_fresh(self, is_fresh: bool, now: float) -> None:
         """Start or stop making and lending.
@@ -105,7 +105,7 @@
             if self.is_fresh:
                 lender.advance(now)
             else:
-                lender.skip(now)
+                lender.advance_without_refill(now)
         self.is_fresh = is_fresh
 
     def on_config(self, cfg: Config, now: float, known_for: float) -> None:
@@ -116,41 +116,41 @@
         :param known_for: as in the constructor.
         """
         if self.is_fresh:
-            self.views.add(cfg, now)
+            self.versions.add(cfg, now)
         else:
-            self.views.reset(cfg, now, known_for)
+            self.versions.reset(cfg, now, known_for)
             self._lenders.clear()
-        self._reshape(now)
+        self._resize_lenders(now)
 
-    def drop(self, now: float) -> None:
+    def discard_tokens(self, now: float) -> None:
         """Empty everything after a pause and wait for freshness.
 
         :param now: monotonic seconds.
         """
         self.is_fresh = False
-        self._dropped_at = now
+        self._discarded_at = now
         for lender in self._lenders.values():
-            lender.drop(now)
+            lender.discard_level(now)
 
-    def _create(self, account: str, now: float) -> Lender | None:
-        share = self.views.effective(account, now)
+    def _create_lender(self, account: str, now: float) -> Lender | None:
+        share = self.versions.effective_share(account, now)
         if not share.burst:
             return None
-        lasting = self.views.lasting(account)
+        stable = self.versions.stable_share(account)
         lender = Lender(
-            capacity=lasting.burst,
-            rate=lasting.rate,
-            now=max(self.views.ready_at(), self._dropped_at),
+            capacity=stable.burst,
+            rate=stable.rate,
+            now=max(self.versions.ready_at(), self._discarded_at),
         )
-        lender.reshape(capacity=share.burst, rate=share.rate, now=now)
+        lender.resize(capacity=share.burst, rate=share.rate, now=now)
         self._lenders[account] = lender
         return lender
 
-    def _reshape(self, now: float) -> None:
-        self.views.forget(now)
-        self._next_change = self.views.next_change(now)
+    def _resize_lenders(self, now: float) -> None:
+        self.versions.discard_old(now)
+        self._next_change = self.versions.next_change(now)
         for account, lender in tuple(self._lenders.items()):
-            share = self.views.effective(account, now)
-            lender.reshape(capacity=share.burst, rate=share.rate, now=now)
+            share = self.versions.effective_share(account, now)
+            lender.resize(capacity=share.burst, rate=share.rate, now=now)
             if not share.burst and not lender.lent:
                 self._lenders.pop(account)
--- a/src/clementinedeal/_idempotency.py
+++ b/src/clementinedeal/_idempotency.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from clementinedeal._claims import (
-    Actions,
     ClaimAction,
+    ClaimActions,
     ClaimRefused,
     Claims,
 )
@@ -23,15 +23,15 @@
     SettleKey,
     StoredAnswer,
 )
-from clementinedeal._key_placement import SETTLE_SECONDS, KeyPlacement
+from clementinedeal._key_placement import CONVERGENCE_SECONDS, KeyPlacement
 from clementinedeal._key_table import KeeperLimits
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
 from clementinedeal._verdict import Reason, Verdict
 
-KEY_LIMIT_CHARS = 255
+MAX_KEY_CHARS = 255
 PATIENCE_SLACK_SECONDS = 5.0  # cancels and owners' last checks
-PAUSE_SECONDS = 5.0  # below SETTLE_SECONDS less twice the freshness limit
+MAX_PAUSE_SECONDS = 5.0  # below SETTLE_SECONDS less twice the freshness limit
 
 _DIGEST_BYTES = 16
 _UUID7 = 7
@@ -89,11 +89,11 @@
         bounds = limits or KeeperLimits()
         self._me = me
         self._wall_ms = wall_ms
-        past_seconds = bounds.retention + SETTLE_SECONDS
+        past_seconds = bounds.retention_seconds + CONVERGENCE_SECONDS
         self._placement = KeyPlacement(cfg.instances, past_seconds)
         self._claims = Claims()
         self._keeper = Keeper(me, self._placement, bounds, wall_ms)
-        self._keeper.doubt(now)
+        self._keeper.start_quarantine(now)
         self._last_tick = now
         self._stale_since = now
 
@@ -105,7 +105,7 @@
         fingerprint: str,
         patience: float,
         now: float,
-    ) -> Actions:
+    ) -> ClaimActions:
         """Claim a request's key.
 
         :param req_id: the request.
@@ -115,10 +115,10 @@
         :param patience: time left to the request in seconds.
         :param now: current monotonic time in seconds.
         """
-        self._notice_gap(now)
+        self._detect_pause(now)
         digest = key_digest(account, key)
         keeper = self._placement.keeper(digest)
-        if len(key) > KEY_LIMIT_CHARS or not keeper:
+        if len(key) > MAX_KEY_CHARS or not keeper:
             reason = Reason.BAD_REQUEST if keeper else Reason.KEEPER_UNAVAILABLE
             return (ClaimRefused(req_id, reason, Verdict.NOT_RUN),)
         claim = ClaimKey(
@@ -128,7 +128,7 @@
             req_id=req_id,
             patience=patience + PATIENCE_SLACK_SECONDS,
         )
-        return self._local(self._claims.claim(keeper, claim, now), now)
+        return self._deliver_local(self._claims.claim(keeper, claim, now), now)
 
     def complete(
         self,
@@ -136,7 +136,7 @@
         verdict: Verdict,
         answer: StoredAnswer | None,
         now: float,
-    ) -> Actions:
+    ) -> ClaimActions:
         """Store what a granted request came to; ``NOT_RUN`` frees its key.
 
         :param req_id: the request.
@@ -145,27 +145,27 @@
         :param now: current monotonic time in seconds.
         """
         actions = self._claims.settle(req_id, verdict, answer, now)
-        return self._local(actions, now)
+        return self._deliver_local(actions, now)
 
-    def on_message(self, sender: str, body: Any, now: float) -> Actions:
+    def on_message(self, sender: str, body: Any, now: float) -> ClaimActions:
         """Handle a control message; other kinds have no effect.
 
         :param sender: instance name.
         :param body: the message.
         :param now: current monotonic time in seconds.
         """
-        self._notice_gap(now)
-        return self._local(self._handle(sender, body, now), now)
+        self._detect_pause(now)
+        return self._deliver_local(self._handle(sender, body, now), now)
 
-    def on_tick(self, now: float) -> Actions:
+    def on_tick(self, now: float) -> ClaimActions:
         """Handle what is due; call it several times a second.
 
         :param now: current monotonic time in seconds.
         """
-        self._notice_gap(now)
+        self._detect_pause(now)
         self._last_tick = now
         actions = (*self._claims.on_tick(now), *self._keeper.on_tick(now))
-        return self._local(actions, now)
+        return self._deliver_local(actions, now)
 
     def on_config(self, cfg: Config, now: float) -> None:
         """Place keys by a new configuration.
@@ -173,7 +173,7 @@
         :param cfg: the configuration that came into force.
         :param now: current monotonic time in seconds.
         """
-        self._placement.change(cfg.instances, now, self._wall_ms())
+        self._placement.update(cfg.instances, now, self._wall_ms())
 
     def on_pause(self, gap: float, now: float) -> None:
         """Go into quarantine, as others may have kept this daemon's keys.
@@ -183,40 +183,40 @@
         :param gap: length of the pause in seconds; short ones do no harm.
         :param now: current monotonic time in seconds.
         """
-        if gap > PAUSE_SECONDS:
-            self._keeper.doubt(now)
+        if gap > MAX_PAUSE_SECONDS:
+            self._keeper.start_quarantine(now)
 
-    def set_fresh(self, fresh: bool, now: float) -> None:
+    def set_fresh(self, is_fresh: bool, now: float) -> None:
         """Grant nothing new while configurations may have been missed.
 
         :param fresh: whether the configuration is known to be recent.
         :param now: current monotonic time in seconds.
         """
-        if not fresh:
+        if not is_fresh:
             self._stale_since = now
             self._keeper.suspend()
             return
         self._keeper.resume()
         self.on_pause(now - self._stale_since, now)
 
-    def stop(self, now: float) -> Actions:
+    def stop(self, now: float) -> ClaimActions:
         """Grant nothing more and hand records over.
 
         :param now: current monotonic time in seconds.
         """
-        return self._local(self._keeper.stop(now), now)
+        return self._deliver_local(self._keeper.stop(now), now)
 
     @property
     def unsettled(self) -> int:
         """Number of this entry's requests not yet confirmed by a keeper."""
         return self._claims.unsettled
 
-    def _notice_gap(self, now: float) -> None:
-        if now - self._last_tick > PAUSE_SECONDS:
+    def _detect_pause(self, now: float) -> None:
+        if now - self._last_tick > MAX_PAUSE_SECONDS:
             self._last_tick = now
-            self._keeper.doubt(now)
+            self._keeper.start_quarantine(now)
 
-    def _handle(self, sender: str, body: Any, now: float) -> Actions:
+    def _handle(self, sender: str, body: Any, now: float) -> ClaimActions:
         match body:
             case ClaimAnswer():
                 return self._claims.on_answer(body, now)
@@ -230,7 +230,9 @@
                 return self._keeper.on_settle(sender, body, now)
         return self._handle_transfer(sender, body, now)
 
-    def _handle_transfer(self, sender: str, body: Any, now: float) -> Actions:
+    def _handle_transfer(
+        self, sender: str, body: Any, now: float
+    ) -> ClaimActions:
         match body:
             case QueryKey():
                 return self._keeper.on_query(sender, body, now)
@@ -240,12 +242,14 @@
                 return self._keeper.on_missing(sender, body, now)
         return ()
 
-    def _local(self, actions: Iterable[ClaimAction], now: float) -> Actions:
+    def _deliver_local(
+        self, actions: Iterable[ClaimAction], now: float
+    ) -> ClaimActions:
         """Deliver messages to this instance at once."""
-        outside: list[ClaimAction] = []
+        outgoing: list[ClaimAction] = []
         for action in actions:
             if isinstance(action, Send) and action.to == self._me:
-                outside.extend(self.on_message(self._me, action.body, now))
+                outgoing.extend(self.on_message(self._me, action.body, now))
             else:
-                outside.append(action)
-        return tuple(outside)
+                outgoing.append(action)
+        return tuple(outgoing)
--- a/src/clementinedeal/_idempotency_gate.py
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -18,7 +18,7 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 
-STORED_BODY_BYTES = 16384
+MAX_STORED_BODY_BYTES = 16384
 _STORED_HEADERS = frozenset(
     (
         b'content-type',
@@ -52,7 +52,7 @@
         self._clock = clock
         self._waiters: Waiters[_Decision] = Waiters()
         for kind in (ClaimGranted, ClaimRefused, Replay):
-            dispatcher.register(kind, self._decided)
+            dispatcher.register(kind, self._on_decision)
 
     async def claim(self, incoming: Incoming) -> Refusal | Answered | None:
         """Claim the request's key; None when it may run now.
@@ -78,16 +78,16 @@
                 now,
             ),
         )
-        decision = await self._decision(incoming.req_id)
+        decision = await self._wait_for_decision(incoming.req_id)
         match decision:
             case ClaimGranted():
                 return None
             case Replay():
-                return _answered(decision.answer)
+                return _from_stored(decision.answer)
         return Refusal(
             decision.verdict,
             decision.reason,
-            decision.retry_after,
+            decision.retry_after_seconds,
         )
 
     def settle(self, incoming: Incoming, finished: Finished) -> None:
@@ -99,13 +99,13 @@
         if not _is_keyed(incoming):
             return
         verdict = finished.refusal.verdict if finished.refusal else Verdict.RAN
-        answer = _stored(finished.answer) if finished.answer else None
+        answer = _to_stored(finished.answer) if finished.answer else None
         now = self._clock.now()
         self._perform(
             self._manager.complete(incoming.req_id, verdict, answer, now),
         )
 
-    async def _decision(self, req_id: str) -> _Decision:
+    async def _wait_for_decision(self, req_id: str) -> _Decision:
         try:
             return await self._waiters.wait(req_id)
         except trio.Cancelled:
@@ -115,7 +115,7 @@
             )
             raise
 
-    def _decided(self, decision: _Decision) -> None:
+    def _on_decision(self, decision: _Decision) -> None:
         self._waiters.resolve(decision.req_id, decision)
 
     def _perform(self, actions: Iterable[Any]) -> None:
@@ -138,9 +138,9 @@
     return digest.hexdigest()
 
 
-def _stored(answer: Answered) -> StoredAnswer | None:
+def _to_stored(answer: Answered) -> StoredAnswer | None:
     whole = answer.body.whole
-    if whole is None or len(whole) > STORED_BODY_BYTES:
+    if whole is None or len(whole) > MAX_STORED_BODY_BYTES:
         return None
     headers = tuple(
         (name.decode('latin-1'), text.decode('latin-1'))
@@ -150,7 +150,7 @@
     return StoredAnswer(answer.head.status, headers, whole)
 
 
-def _answered(stored: StoredAnswer) -> Answered:
+def _from_stored(stored: StoredAnswer) -> Answered:
     headers: Headers = tuple(
         (name.encode('latin-1'), text.encode('latin-1'))
         for name, text in stored.headers
--- a/src/clementinedeal/_keeper.py
+++ b/src/clementinedeal/_keeper.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from clementinedeal._key_answers import refuse, replay
+from clementinedeal._key_answers import answer_repeat, refuse_claim
 from clementinedeal._key_messages import (
     ClaimAnswer,
     ClaimKey,
@@ -18,28 +18,28 @@
     QueryKey,
     SettleKey,
 )
-from clementinedeal._key_placement import SETTLE_SECONDS, KeyPlacement
+from clementinedeal._key_placement import CONVERGENCE_SECONDS, KeyPlacement
 from clementinedeal._key_table import KeeperLimits, KeyTable
 from clementinedeal._messages import Send
 from clementinedeal._quarantine import MovedKeys, Quarantine
 
-QUERY_SECONDS = 0.4
-HANDOVER_RECORDS = 20
+QUERY_TIMEOUT_SECONDS = 0.4
+MAX_HANDOVER_RECORDS = 20
 NONCE_BITS = 16  # queries of one run in the same millisecond as its start
 
 Sends = tuple[Send, ...]
 
 
 @dataclass(slots=True)
-class _Pending:
+class _ClaimQuery:
     """A claim that waits for the key's former keepers."""
 
     claim: ClaimKey
     entry: str
     give_up_at: float
-    waiting: set[str]
+    unanswered: set[str]
     asked: set[str] = field(default_factory=set)
-    sure: bool = True
+    is_sure: bool = True
 
 
 class Keeper:
@@ -67,16 +67,16 @@
         self._me = me
         self._placement = placement
         self._table = KeyTable(limits)
-        self._quarantine = Quarantine(limits.retention, wall_ms)
+        self._quarantine = Quarantine(limits.retention_seconds, wall_ms)
         self._moved = MovedKeys(
-            limits.retention + SETTLE_SECONDS,
-            limits.entries,
+            limits.retention_seconds + CONVERGENCE_SECONDS,
+            limits.max_entries,
         )
-        self._pending: dict[int, _Pending] = {}
+        self._pending: dict[int, _ClaimQuery] = {}
         self._nonces = itertools.count(wall_ms() << NONCE_BITS)
-        self._stopping = False
+        self._is_stopping = False
 
-    def doubt(self, now: float) -> None:
+    def start_quarantine(self, now: float) -> None:
         """Begin a quarantine: claims made before may be unknown here.
 
         :param now: current monotonic time in seconds.
@@ -99,14 +99,14 @@
         :param claim: the claim.
         :param now: current monotonic time in seconds.
         """
-        if self._stopping or self._placement.keeper(claim.key) != self._me:
-            return (refuse(entry, claim),)
+        if self._is_stopping or self._placement.keeper(claim.key) != self._me:
+            return (refuse_claim(entry, claim),)
         record = self._table.get(claim.key, now)
         if record is not None and not self._moved.get(claim.key, now):
-            return self._answer(entry, claim, record, now)
+            return self._answer_from_record(entry, claim, record, now)
         if self._is_pending(claim.key):
-            return (refuse(entry, claim),)
-        return self._look_into(entry, claim, now)
+            return (refuse_claim(entry, claim),)
+        return self._query_former_keepers(entry, claim, now)
 
     def on_settle(self, entry: str, settled: SettleKey, now: float) -> Sends:
         """Note what a request came to, and tell the key's next keeper.
@@ -122,7 +122,7 @@
             return done, Send(moved_to, settled)
         return (done,)
 
-    def on_query(self, asker: str, query: QueryKey, now: float) -> Sends:
+    def on_query(self, requester: str, query: QueryKey, now: float) -> Sends:
         """Give a key up to another keeper and say what is known of it.
 
         :param asker: the other keeper.
@@ -133,14 +133,14 @@
         sure = self._quarantine.remembers(query.minted_ms, now)
         if self._is_pending(query.key):
             missing = KeyMissing(query.nonce, query.key, False, '')
-            return (Send(asker, missing),)
-        if not self._moved.add(query.key, asker, now):
+            return (Send(requester, missing),)
+        if not self._moved.add(query.key, requester, now):
             return ()
         record = self._table.get(query.key, now)
         if record is None or (moved_to and record.state is KeyState.FREE):
             missing = KeyMissing(query.nonce, query.key, sure, moved_to)
-            return (Send(asker, missing),)
-        return (Send(asker, KeyFound(query.nonce, record)),)
+            return (Send(requester, missing),)
+        return (Send(requester, KeyFound(query.nonce, record)),)
 
     def on_found(self, found: KeyFound, now: float) -> Sends:
         """Adopt a record from a former keeper and answer the claim.
@@ -153,7 +153,9 @@
             return ()
         if self._table.put(found.record, now):
             self._moved.discard(found.record.key)
-        return self._answer(pending.entry, pending.claim, found.record, now)
+        return self._answer_from_record(
+            pending.entry, pending.claim, found.record, now
+        )
 
     def on_missing(self, sender: str, missing: KeyMissing, now: float) -> Sends:
         """Count an answer without a record; the last one decides.
@@ -165,11 +167,11 @@
         pending = self._pending.get(missing.nonce)
         if pending is None:
             return ()
-        pending.waiting.discard(sender)
-        pending.sure = pending.sure and missing.sure
+        pending.unanswered.discard(sender)
+        pending.is_sure = pending.is_sure and missing.sure
         further = {missing.moved_to} - pending.asked - {self._me, ''}
         sends = self._ask(missing.nonce, pending, further)
-        if pending.waiting:
+        if pending.unanswered:
             return sends
         self._pending.pop(missing.nonce)
         return self._decide(pending, now)
@@ -195,60 +197,64 @@
             if pending.give_up_at <= now
         ]
         ended = [self._pending.pop(nonce) for nonce in late]
-        return tuple(refuse(pending.entry, pending.claim) for pending in ended)
+        return tuple(
+            refuse_claim(pending.entry, pending.claim) for pending in ended
+        )
 
     def stop(self, now: float) -> Sends:
         """Grant no more, and hand the records to the next in rank.
 
         :param now: current monotonic time in seconds.
         """
-        self._stopping = True
-        heirs: dict[str, list[KeyRecord]] = {}
+        self._is_stopping = True
+        successors: dict[str, list[KeyRecord]] = {}
         for record in self._table.records(now):
             if record.state is KeyState.FREE:
                 continue
-            heir = self._placement.next_keeper(record.key)
-            heirs.setdefault(heir, []).append(record)
-        heirs.pop('', None)
+            successor = self._placement.next_keeper(record.key)
+            successors.setdefault(successor, []).append(record)
+        successors.pop('', None)
         return tuple(
-            Send(heir, HandOverKeys(tuple(batch)))
-            for heir, records in heirs.items()
+            Send(successor, HandOverKeys(tuple(batch)))
+            for successor, records in successors.items()
             for batch in _batches(records)
         )
 
-    def _look_into(self, entry: str, claim: ClaimKey, now: float) -> Sends:
-        others = self._placement.former(claim.key, claim.minted_ms, now)
+    def _query_former_keepers(
+        self, entry: str, claim: ClaimKey, now: float
+    ) -> Sends:
+        others = self._placement.former_keepers(claim.key, claim.minted_ms, now)
         others.add(self._moved.get(claim.key, now))
         if not self._quarantine.remembers(claim.minted_ms, now):
             others.add(self._placement.next_keeper(claim.key))
         others -= {self._me, ''}
-        pending = _Pending(claim, entry, now + QUERY_SECONDS, set())
+        pending = _ClaimQuery(claim, entry, now + QUERY_TIMEOUT_SECONDS, set())
         if not others:
             return self._decide(pending, now)
         nonce = next(self._nonces)
         self._pending[nonce] = pending
         return self._ask(nonce, pending, others)
 
-    def _ask(self, nonce: int, pending: _Pending, others: set[str]) -> Sends:
-        pending.waiting |= others
+    def _ask(self, nonce: int, pending: _ClaimQuery, others: set[str]) -> Sends:
+        pending.unanswered |= others
         pending.asked |= others
         claim = pending.claim
         query = QueryKey(claim.key, claim.minted_ms, nonce)
         return tuple(Send(name, query) for name in sorted(others))
 
-    def _decide(self, pending: _Pending, now: float) -> Sends:
+    def _decide(self, pending: _ClaimQuery, now: float) -> Sends:
         claim = pending.claim
         record = self._table.get(claim.key, now)
         if record is not None and record.state is not KeyState.FREE:
-            return (Send(pending.entry, replay(claim, record)),)
+            return (Send(pending.entry, answer_repeat(claim, record)),)
         remembers = self._quarantine.remembers(claim.minted_ms, now)
-        if pending.sure and remembers:
-            outcome = self._open(claim, now)
+        if pending.is_sure and remembers:
+            outcome = self._try_grant(claim, now)
             return (Send(pending.entry, ClaimAnswer(claim.req_id, outcome)),)
-        wait = self._quarantine.left(now)
-        return (refuse(pending.entry, claim, wait),)
+        wait = self._quarantine.remaining_seconds(now)
+        return (refuse_claim(pending.entry, claim, wait),)
 
-    def _answer(
+    def _answer_from_record(
         self,
         entry: str,
         claim: ClaimKey,
@@ -256,14 +262,14 @@
         now: float,
     ) -> Sends:
         if record.state is not KeyState.FREE:
-            return (Send(entry, replay(claim, record)),)
+            return (Send(entry, answer_repeat(claim, record)),)
         if record.req_id == claim.req_id:
-            return (refuse(entry, claim),)
-        outcome = self._open(claim, now)
+            return (refuse_claim(entry, claim),)
+        outcome = self._try_grant(claim, now)
         return (Send(entry, ClaimAnswer(claim.req_id, outcome)),)
 
-    def _open(self, claim: ClaimKey, now: float) -> ClaimOutcome:
-        if self._quarantine.outlived(claim.minted_ms):
+    def _try_grant(self, claim: ClaimKey, now: float) -> ClaimOutcome:
+        if self._quarantine.is_past_retention(claim.minted_ms):
             return ClaimOutcome.IN_DOUBT
         record = KeyRecord(
             key=claim.key,
@@ -283,5 +289,5 @@
 
 
 def _batches(records: list[KeyRecord]) -> list[list[KeyRecord]]:
-    starts = range(0, len(records), HANDOVER_RECORDS)
-    return [records[start : start + HANDOVER_RECORDS] for start in starts]
+    starts = range(0, len(records), MAX_HANDOVER_RECORDS)
+    return [records[start : start + MAX_HANDOVER_RECORDS] for start in starts]
--- a/src/clementinedeal/_key_answers.py
+++ b/src/clementinedeal/_key_answers.py
@@ -9,10 +9,10 @@
 )
 from clementinedeal._messages import Send
 
-RETRY_SOON_SECONDS = 1.0
+DEFAULT_RETRY_AFTER_SECONDS = 1.0
 
 
-def replay(claim: ClaimKey, record: KeyRecord) -> ClaimAnswer:
+def answer_repeat(claim: ClaimKey, record: KeyRecord) -> ClaimAnswer:
     """Answer a claim of a key that another request has claimed before.
 
     :param claim: the claim.
@@ -29,10 +29,10 @@
     return ClaimAnswer(claim.req_id, ClaimOutcome.DONE, record.answer)
 
 
-def refuse(
+def refuse_claim(
     entry: str,
     claim: ClaimKey,
-    retry_after: float = RETRY_SOON_SECONDS,
+    retry_after_seconds: float = DEFAULT_RETRY_AFTER_SECONDS,
 ) -> Send:
     """Refuse a claim of which too little is known.
 
@@ -41,5 +41,5 @@
     :param retry_after: seconds after which another try makes sense.
     """
     outcome = ClaimOutcome.QUARANTINED
-    answer = ClaimAnswer(claim.req_id, outcome, retry_after=retry_after)
+    answer = ClaimAnswer(claim.req_id, outcome, retry_after=retry_after_seconds)
     return Send(entry, answer)
--- a/src/clementinedeal/_key_placement.py
+++ b/src/clementinedeal/_key_placement.py
@@ -5,13 +5,13 @@
 
 from clementinedeal._hashing import Candidates
 
-SETTLE_SECONDS = 30.0  # above twice the freshness limit and a short pause
+CONVERGENCE_SECONDS = 30.0  # above twice the freshness limit and a short pause
 CLOCK_MARGIN_SECONDS = 60.0  # largest clock error of callers and daemons
 MS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
-class _Former:
+class _FormerCandidates:
     candidates: Candidates
     left_at: float
     left_ms: int
@@ -20,17 +20,17 @@
 class KeyPlacement:
     """Published instances of now and of the last retention time."""
 
-    def __init__(self, names: Iterable[str], retention: float) -> None:
+    def __init__(self, names: Iterable[str], retention_seconds: float) -> None:
         """Begin without a past.
 
         :param names: published instances.
         :param retention: how long a past list matters, in seconds.
         """
         self._candidates = Candidates(names)
-        self._retention = retention
-        self._past: list[_Former] = []
+        self._retention_seconds = retention_seconds
+        self._past: list[_FormerCandidates] = []
 
-    def change(self, names: Iterable[str], now: float, wall_ms: int) -> None:
+    def update(self, names: Iterable[str], now: float, wall_ms: int) -> None:
         """Take a new list into use.
 
         :param names: published instances.
@@ -40,7 +40,7 @@
         changed = Candidates(names)
         if changed.names == self._candidates.names:
             return
-        self._past.append(_Former(self._candidates, now, wall_ms))
+        self._past.append(_FormerCandidates(self._candidates, now, wall_ms))
         self._candidates = changed
 
     def keeper(self, key: str) -> str:
@@ -58,14 +58,14 @@
         ranked = self._candidates.rank(key)
         return ranked[1] if len(ranked) > 1 else ''
 
-    def former(self, key: str, minted_ms: int, now: float) -> set[str]:
+    def former_keepers(self, key: str, minted_ms: int, now: float) -> set[str]:
         """Return the instances that may have kept a key before.
 
         :param key: digest of account and key.
         :param minted_ms: wall-clock time that the key carries, 0 for none.
         :param now: current monotonic time in seconds.
         """
-        oldest = now - self._retention
+        oldest = now - self._retention_seconds
         self._past = [past for past in self._past if past.left_at > oldest]
         return {
             past.candidates.heaviest(key)
@@ -81,5 +81,5 @@
     :param minted_ms: wall-clock time that the key carries, 0 for none.
     :param event_ms: wall-clock time of the event.
     """
-    slack = (SETTLE_SECONDS + CLOCK_MARGIN_SECONDS) * MS_PER_SECOND
+    slack = (CONVERGENCE_SECONDS + CLOCK_MARGIN_SECONDS) * MS_PER_SECOND
     return minted_ms > event_ms + slack
--- a/src/clementinedeal/_key_table.py
+++ b/src/clementinedeal/_key_table.py
@@ -6,9 +6,9 @@
 from clementinedeal._key_messages import KeyRecord, KeyState, SettleKey
 from clementinedeal._verdict import Verdict
 
-DEFAULT_ENTRIES = 20_000
-DEFAULT_BYTES = 32 * 1024 * 1024
-DEFAULT_BODY_BYTES = 16 * 1024
+DEFAULT_MAX_ENTRIES = 20_000
+DEFAULT_MAX_BYTES = 32 * 1024 * 1024
+DEFAULT_MAX_BODY_BYTES = 16 * 1024
 DEFAULT_RETENTION_SECONDS = 600.0
 RECORD_BYTES = 600  # keys, ids and containers of one record
 
@@ -23,16 +23,16 @@
 class KeeperLimits:
     """Bounds of a keeper's memory; ``retention`` is in seconds."""
 
-    entries: int = DEFAULT_ENTRIES
-    total_bytes: int = DEFAULT_BYTES
-    body_bytes: int = DEFAULT_BODY_BYTES
-    retention: float = DEFAULT_RETENTION_SECONDS
+    max_entries: int = DEFAULT_MAX_ENTRIES
+    max_bytes: int = DEFAULT_MAX_BYTES
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    retention_seconds: float = DEFAULT_RETENTION_SECONDS
 
 
 @dataclass(slots=True)
-class _Kept:
+class _StoredRecord:
     record: KeyRecord
-    until: float
+    in_progress_until: float
     size: int
 
 
@@ -45,7 +45,7 @@
         :param limits: its bounds.
         """
         self._limits = limits
-        self._kept: dict[str, _Kept] = {}
+        self._kept: dict[str, _StoredRecord] = {}
         self._expiries: list[tuple[float, str]] = []
         self._used_bytes = 0
 
@@ -68,7 +68,7 @@
         kept = self._kept.get(key)
         if kept is None:
             return None
-        left = kept.until - now
+        left = kept.in_progress_until - now
         if left > 0 or kept.record.state is not KeyState.IN_PROGRESS:
             return replace(kept.record, patience=max(left, 0))
         return replace(kept.record, patience=0, state=KeyState.IN_DOUBT)
@@ -82,7 +82,7 @@
         self._expire(now)
         if record.key not in self._kept and self._is_full():
             return False
-        self._drop(record.key)
+        self._remove(record.key)
         self._store(record, now + record.patience, now)
         return True
 
@@ -98,7 +98,7 @@
         kept = self._kept.get(settled.key)
         if kept is None and settled.verdict is Verdict.NOT_RUN:
             return
-        if kept is not None and not _may_settle(kept.record, settled):
+        if kept is not None and not _accepts_settlement(kept.record, settled):
             return
         record = KeyRecord(
             key=settled.key,
@@ -118,29 +118,31 @@
         return tuple(record for record in found if record is not None)
 
     def _is_full(self) -> bool:
-        if len(self._kept) >= self._limits.entries:
+        if len(self._kept) >= self._limits.max_entries:
             return True
-        return self._used_bytes + RECORD_BYTES > self._limits.total_bytes
+        return self._used_bytes + RECORD_BYTES > self._limits.max_bytes
 
-    def _store(self, record: KeyRecord, until: float, now: float) -> None:
+    def _store(
+        self, record: KeyRecord, in_progress_until: float, now: float
+    ) -> None:
         size = RECORD_BYTES
         if record.answer is not None:
             size += len(record.answer.body)
         total = self._used_bytes + size
-        if total > self._limits.total_bytes or self._too_large(record):
+        if total > self._limits.max_bytes or self._has_large_answer(record):
             record = replace(record, answer=None)
             size = RECORD_BYTES
-        self._kept[record.key] = _Kept(record, until, size)
+        self._kept[record.key] = _StoredRecord(record, in_progress_until, size)
         self._used_bytes += size
-        forget_at = until + self._limits.retention
+        forget_at = in_progress_until + self._limits.retention_seconds
         heapq.heappush(self._expiries, (forget_at, record.key))
 
-    def _too_large(self, record: KeyRecord) -> bool:
+    def _has_large_answer(self, record: KeyRecord) -> bool:
         answer = record.answer
-        limit = self._limits.body_bytes
+        limit = self._limits.max_body_bytes
         return answer is not None and len(answer.body) > limit
 
-    def _drop(self, key: str) -> None:
+    def _remove(self, key: str) -> None:
         kept = self._kept.pop(key, None)
         if kept is not None:
             self._used_bytes -= kept.size
@@ -149,11 +151,15 @@
         while self._expiries and self._expiries[0][0] <= now:
             _, key = heapq.heappop(self._expiries)
             kept = self._kept.get(key)
-            if kept and kept.until + self._limits.retention <= now:
-                self._drop(key)
+            if (
+                kept
+                and kept.in_progress_until + self._limits.retention_seconds
+                <= now
+            ):
+                self._remove(key)
 
 
-def _may_settle(record: KeyRecord, settled: SettleKey) -> bool:
+def _accepts_settlement(record: KeyRecord, settled: SettleKey) -> bool:
     if record.req_id != settled.req_id:
         return False
     if record.state is KeyState.IN_DOUBT:
--- a/src/clementinedeal/_leases.py
+++ b/src/clementinedeal/_leases.py
@@ -14,13 +14,13 @@
 
 from dataclasses import dataclass
 
-UNIT_MICROS = 1_000_000
+MICROS_PER_UNIT = 1_000_000
 LEASE_TTL_SECONDS = 2.0
 LEASE_MARGIN_SECONDS = 0.2
-QUIET_SECONDS = LEASE_TTL_SECONDS + LEASE_MARGIN_SECONDS
+HOLDER_LEASE_TTL_SECONDS = LEASE_TTL_SECONDS + LEASE_MARGIN_SECONDS
 MAX_LEASES = 1024
 
-_MICROS_PER_SECOND = 1_000_000
+_MICROSECONDS_PER_SECOND = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,13 +50,13 @@
 
 
 @dataclass(slots=True)
-class _Lent:
+class _GrantedLease:
     granted: int
     spent: int
     expires_at: float
 
     @property
-    def left(self) -> int:
+    def unspent(self) -> int:
         return self.granted - self.spent
 
 
@@ -76,9 +76,9 @@
         self.rate = rate
         self.level = 0
         self.lent = 0
-        self._filled_at = _micros(now)
-        self._residue = 0
-        self._leases: dict[LeaseId, _Lent] = {}
+        self._filled_at = _to_microseconds(now)
+        self._remainder = 0
+        self._leases: dict[LeaseId, _GrantedLease] = {}
         self._next_expiry = float('inf')
 
     def advance(self, now: float) -> None:
@@ -87,21 +87,21 @@
         :param now: monotonic seconds.
         """
         while self._next_expiry <= now:
-            self._fill(self._next_expiry)
-            self._expire(self._next_expiry)
-        self._fill(now)
+            self._refill(self._next_expiry)
+            self._expire_leases(self._next_expiry)
+        self._refill(now)
 
-    def skip(self, now: float) -> None:
+    def advance_without_refill(self, now: float) -> None:
         """Let time pass without making units.
 
         :param now: monotonic seconds.
         """
         if now >= self._next_expiry:
-            self._expire(now)
-        self._filled_at = max(self._filled_at, _micros(now))
-        self._residue = 0
+            self._expire_leases(now)
+        self._filled_at = max(self._filled_at, _to_microseconds(now))
+        self._remainder = 0
 
-    def reshape(self, *, capacity: int, rate: int, now: float) -> None:
+    def resize(self, *, capacity: int, rate: int, now: float) -> None:
         """Change the share from now on; what exceeds it is dropped.
 
         :param capacity: new capacity in micro-units.
@@ -113,12 +113,12 @@
         self.rate = rate
         self.level = max(0, min(self.level, capacity - self.lent))
 
-    def drop(self, now: float) -> None:
+    def discard_level(self, now: float) -> None:
         """Empty the level, as after a pause.
 
         :param now: monotonic seconds.
         """
-        self.skip(now)
+        self.advance_without_refill(now)
         self.level = 0
 
     def spend(self, amount: int) -> None:
@@ -135,7 +135,7 @@
         self,
         lease: LeaseId,
         amount: int,
-        ttl: float,
+        ttl_seconds: float,
         now: float,
     ) -> int:
         """Lend up to an amount and return what was granted.
@@ -153,14 +153,14 @@
         granted = min(amount, self.level)
         if granted <= 0 or len(self._leases) >= MAX_LEASES:
             return 0
-        expires_at = now + ttl + LEASE_MARGIN_SECONDS
-        self._leases[lease] = _Lent(granted, 0, expires_at)
+        expires_at = now + ttl_seconds + LEASE_MARGIN_SECONDS
+        self._leases[lease] = _GrantedLease(granted, 0, expires_at)
         self._next_expiry = min(self._next_expiry, expires_at)
         self.level -= granted
         self.lent += granted
         return granted
 
-    def settle(self, report: LeaseReport) -> None:
+    def apply_report(self, report: LeaseReport) -> None:
         """Take in a report; one of an unknown lease changes nothing.
 
         :param report: from the borrower that the lease names. ``advance`` or
@@ -176,39 +176,39 @@
         if report.closed:
             self._close(report.lease, lent)
 
-    def _fill(self, now: float) -> None:
-        elapsed = _micros(now) - self._filled_at
+    def _refill(self, now: float) -> None:
+        elapsed = _to_microseconds(now) - self._filled_at
         if elapsed <= 0:
             return
         self._filled_at += elapsed
         room = max(0, self.capacity - self.lent - self.level)
-        made = self.rate * elapsed + self._residue
-        whole = made // _MICROS_PER_SECOND
-        self._residue = made % _MICROS_PER_SECOND
+        made = self.rate * elapsed + self._remainder
+        whole = made // _MICROSECONDS_PER_SECOND
+        self._remainder = made % _MICROSECONDS_PER_SECOND
         if whole >= room:
             whole = room
-            self._residue = 0
+            self._remainder = 0
         self.level += whole
 
-    def _close(self, lease: LeaseId, lent: _Lent) -> None:
-        self.lent -= lent.left
+    def _close(self, lease: LeaseId, lent: _GrantedLease) -> None:
+        self.lent -= lent.unspent
         room = self.capacity - self.lent - self.level
-        self.level += max(0, min(lent.left, room))
+        self.level += max(0, min(lent.unspent, room))
         self._leases.pop(lease)
 
-    def _expire(self, now: float) -> None:
-        gone = [
+    def _expire_leases(self, now: float) -> None:
+        expired = [
             lease
             for lease, lent in self._leases.items()
             if lent.expires_at <= now
         ]
-        for lease in gone:
-            self.lent -= self._leases.pop(lease).left
+        for lease in expired:
+            self.lent -= self._leases.pop(lease).unspent
         self._next_expiry = min(
             (lent.expires_at for lent in self._leases.values()),
             default=float('inf'),
         )
 
 
-def _micros(seconds: float) -> int:
-    return int(seconds * _MICROS_PER_SECOND)
+def _to_microseconds(seconds: float) -> int:
+    return int(seconds * _MICROSECONDS_PER_SECOND)
--- a/src/clementinedeal/_retry_budget.py
+++ b/src/clementinedeal/_retry_budget.py
@@ -1,12 +1,12 @@
 """Budget that bounds retries and hedges to a share of first attempts."""
 
-INITIAL_RETRIES = 10.0
+MAX_SAVED_RETRIES = 10.0
 
 
 class RetryBudget:
     """Token bucket of one service, filled by its first attempts."""
 
-    def __init__(self, limit: float = INITIAL_RETRIES) -> None:
+    def __init__(self, limit: float = MAX_SAVED_RETRIES) -> None:
         """Create a full bucket.
 
         :param limit: retries that may be saved up.
--- a/src/clementinedeal/_share_views.py
+++ b/src/clementinedeal/_share_versions.py
@@ -9,25 +9,25 @@
 from dataclasses import dataclass
 
 from clementinedeal._freshness import FRESH_SECONDS
-from clementinedeal._leases import LEASE_TTL_SECONDS, QUIET_SECONDS
+from clementinedeal._leases import HOLDER_LEASE_TTL_SECONDS, LEASE_TTL_SECONDS
 from clementinedeal._model import Config
 from clementinedeal._shares import AccountShares, Share, ShareTable
 
-SPREAD_SECONDS = 7.0
+PROPAGATION_SECONDS = 7.0
 PAUSE_MARGIN_SECONDS = 2.0
-RETAIN_SECONDS = 30.0
+RETENTION_SECONDS = 30.0
 
 # Twice: a daemon may skip a version that others still go by, and it may be
 # as late in hearing of the one after it.
 GROW_WAIT_SECONDS = (
-    2 * (FRESH_SECONDS + SPREAD_SECONDS)
+    2 * (FRESH_SECONDS + PROPAGATION_SECONDS)
     + LEASE_TTL_SECONDS
     + PAUSE_MARGIN_SECONDS
 )
 
 
 @dataclass(slots=True)
-class _View:
+class _ShareVersion:
     table: ShareTable
     ready_at: float
     superseded_at: float = float('inf')
@@ -37,7 +37,7 @@
         return self.table.cfg.version
 
 
-class ShareViews:
+class ShareVersions:
     """The versions that this daemon went by recently, newest last."""
 
     def __init__(
@@ -61,7 +61,7 @@
     @property
     def table(self) -> ShareTable:
         """Return the shares under the version in force."""
-        return self._views[-1].table
+        return self._versions[-1].table
 
     def reset(self, cfg: Config, now: float, known_for: float) -> None:
         """Go by a version with an unknown past, as after a restart.
@@ -70,8 +70,8 @@
         :param now: monotonic seconds.
         :param known_for: as in the constructor.
         """
-        wait = max(QUIET_SECONDS, GROW_WAIT_SECONDS - known_for)
-        self._views = [_View(ShareTable(cfg), now + wait)]
+        wait = max(HOLDER_LEASE_TTL_SECONDS, GROW_WAIT_SECONDS - known_for)
+        self._versions = [_ShareVersion(ShareTable(cfg), now + wait)]
 
     def add(self, cfg: Config, now: float) -> None:
         """Go by a newer version from now on.
@@ -79,66 +79,68 @@
         :param cfg: version in force.
         :param now: monotonic seconds; this daemon was fresh until now.
         """
-        self._views[-1].superseded_at = now
-        view = _View(ShareTable(cfg), now + GROW_WAIT_SECONDS)
-        self._views.append(view)
+        self._versions[-1].superseded_at = now
+        version = _ShareVersion(ShareTable(cfg), now + GROW_WAIT_SECONDS)
+        self._versions.append(version)
 
-    def forget(self, now: float) -> None:
+    def discard_old(self, now: float) -> None:
         """Drop versions that matter no more.
 
         :param now: monotonic seconds.
         """
-        horizon = now - GROW_WAIT_SECONDS - RETAIN_SECONDS
-        while self._views[0].superseded_at <= horizon:
-            self._views.pop(0)
+        horizon = now - GROW_WAIT_SECONDS - RETENTION_SECONDS
+        while self._versions[0].superseded_at <= horizon:
+            self._versions.pop(0)
 
     def next_change(self, now: float) -> float:
         """Return when a share may next grow or a version be forgotten.
 
         :param now: monotonic seconds.
         """
-        waits = (GROW_WAIT_SECONDS, GROW_WAIT_SECONDS + RETAIN_SECONDS)
+        waits = (GROW_WAIT_SECONDS, GROW_WAIT_SECONDS + RETENTION_SECONDS)
         dues = (
-            view.superseded_at + wait for view in self._views for wait in waits
+            version.superseded_at + wait
+            for version in self._versions
+            for wait in waits
         )
         return min((due for due in dues if due > now), default=float('inf'))
 
     def ready_at(self) -> float:
         """Return since when ``lasting`` holds, in monotonic seconds."""
-        return self._views[0].ready_at
+        return self._versions[0].ready_at
 
-    def effective(self, account: str, now: float) -> Share:
+    def effective_share(self, account: str, now: float) -> Share:
         """Return the share that this instance may use now.
 
         :param account: name of the account.
         :param now: monotonic seconds.
         """
-        return self._lowest(account, now - GROW_WAIT_SECONDS)
+        return self._lowest_share(account, now - GROW_WAIT_SECONDS)
 
-    def lasting(self, account: str) -> Share:
+    def stable_share(self, account: str) -> Share:
         """Return the share that held at least since ``ready_at``.
 
         :param account: name of the account.
         """
-        return self._lowest(account, -float('inf'))
+        return self._lowest_share(account, -float('inf'))
 
-    def _lowest(self, account: str, since: float) -> Share:
-        newest = self._views[-1]
+    def _lowest_share(self, account: str, since: float) -> Share:
+        newest = self._versions[-1]
         shares = newest.table.find(account)
-        lowest = shares.share(self._me)
+        lowest = shares.share_of(self._me)
         version = newest.version
-        for view in reversed(self._views[:-1]):
-            if view.superseded_at <= since:
+        for earlier in reversed(self._versions[:-1]):
+            if earlier.superseded_at <= since:
                 break
-            older = view.table.find(account)
-            if not _replaces(shares, version, older, view.version):
+            older = earlier.table.find(account)
+            if not _only_grows(shares, version, older, earlier.version):
                 shares = older
-                lowest = lowest.lower(older.share(self._me))
-            version = view.version
+                lowest = lowest.min_with(older.share_of(self._me))
+            version = earlier.version
         return lowest
 
 
-def _replaces(
+def _only_grows(
     newer: AccountShares,
     newer_version: int,
     older: AccountShares,
--- a/src/clementinedeal/_shares.py
+++ b/src/clementinedeal/_shares.py
@@ -10,7 +10,7 @@
 from decimal import Decimal
 
 from clementinedeal._hashing import rank
-from clementinedeal._leases import UNIT_MICROS
+from clementinedeal._leases import MICROS_PER_UNIT
 from clementinedeal._model import Account, Config, Instance
 
 RATE_PER_HOLDER = 10.0
@@ -25,7 +25,7 @@
     rate: int = 0
     burst: int = 0
 
-    def lower(self, other: 'Share') -> 'Share':
+    def min_with(self, other: 'Share') -> 'Share':
         """Return the lower rate with the lower burst."""
         return Share(min(self.rate, other.rate), min(self.burst, other.burst))
 
@@ -44,7 +44,7 @@
     holders: tuple[str, ...] = ()
     shares: tuple[Share, ...] = ()
 
-    def share(self, name: str) -> Share:
+    def share_of(self, name: str) -> Share:
         """Return an instance's share; zero when it holds none."""
         if name not in self.holders:
             return NO_SHARE
@@ -53,7 +53,7 @@
     def covers(self, other: 'AccountShares') -> bool:
         """Tell whether no holder has more in the other."""
         return all(
-            self.share(name).covers(share)
+            self.share_of(name).covers(share)
             for name, share in zip(other.holders, other.shares, strict=True)
         )
 
@@ -71,21 +71,21 @@
         """
         self.cfg = cfg
         self._owners = _owners_by_service(cfg)
-        self._known: dict[str, AccountShares] = {}
+        self._computed: dict[str, AccountShares] = {}
 
     def find(self, account: str) -> AccountShares:
         """Return the shares of an account; empty for an unknown one.
 
         :param account: name of the account.
         """
-        known = self._known.get(account)
-        if known is not None:
-            return known
+        computed = self._computed.get(account)
+        if computed is not None:
+            return computed
         declared = self.cfg.accounts.get(account)
         if declared is None:
             return NO_SHARES
         shares = account_shares(declared, self._candidates(declared))
-        self._known[account] = shares
+        self._computed[account] = shares
         return shares
 
     def _candidates(self, account: Account) -> tuple[Instance, ...]:
@@ -104,12 +104,12 @@
     :param account: the published account.
     :param candidates: instances that own a target it may call.
     """
-    placed = _spread(account.name, candidates)
+    placed = _order_across_zones(account.name, candidates)
     count = min(holder_count(account.rate), len(placed))
     if not count:
         return NO_SHARES
-    rates = split(micros(account.rate), count)
-    bursts = split(micros(account.burst), count)
+    rates = split_evenly(to_micros(account.rate), count)
+    bursts = split_evenly(to_micros(account.burst), count)
     return AccountShares(
         tuple(placed[:count]),
         tuple(map(Share, rates, bursts)),
@@ -125,15 +125,15 @@
     return max(MIN_HOLDERS, min(MAX_HOLDERS, wanted))
 
 
-def micros(published: float) -> int:
+def to_micros(published: float) -> int:
     """Return a published figure in millionths, as written and rounded down.
 
     :param published: a rate or burst.
     """
-    return math.floor(Decimal(str(published)) * UNIT_MICROS)
+    return math.floor(Decimal(str(published)) * MICROS_PER_UNIT)
 
 
-def split(total: int, count: int) -> tuple[int, ...]:
+def split_evenly(total: int, count: int) -> tuple[int, ...]:
     """Split an integer into nearly equal parts that add up to it.
 
     :param total: what to split.
@@ -143,7 +143,9 @@
     return tuple(part + (index < rest) for index in range(count))
 
 
-def _spread(account: str, candidates: Iterable[Instance]) -> list[str]:
+def _order_across_zones(
+    account: str, candidates: Iterable[Instance]
+) -> list[str]:
     zones = {instance.name: instance.zone for instance in candidates}
     used: dict[str, int] = {}
     placed: list[tuple[int, int, str]] = []
--- a/src/clementinedeal/_token_gate.py
+++ b/src/clementinedeal/_token_gate.py
@@ -4,8 +4,7 @@
 from typing import Any
 
 from clementinedeal._dispatch import Dispatcher, Waiters
-from clementinedeal._draws import Admitted
-from clementinedeal._draws import Refused as TokenRefused
+from clementinedeal._draws import TokenGranted, TokenRefused
 from clementinedeal._metrics import Metrics
 from clementinedeal._replies import Refused
 from clementinedeal._timers import Clock
@@ -33,10 +32,10 @@
         self._manager = manager
         self._dispatcher = dispatcher
         self._clock = clock
-        self._takes = metrics.token_takes
+        self._take_counter = metrics.token_takes
         self._waiters: Waiters[Refused | None] = Waiters()
-        dispatcher.register(Admitted, self._admitted)
-        dispatcher.register(TokenRefused, self._refused)
+        dispatcher.register(TokenGranted, self._on_granted)
+        dispatcher.register(TokenRefused, self._on_refused)
 
     async def take(self, req_id: str, account: str) -> Refused | None:
         """Wait for a token; None when it was taken.
@@ -52,12 +51,12 @@
             self._manager.cancel(req_id, account)
             raise
 
-    def _admitted(self, action: Admitted) -> None:
-        self._takes.labels('admitted').inc()
+    def _on_granted(self, action: TokenGranted) -> None:
+        self._take_counter.labels('admitted').inc()
         self._waiters.resolve(action.req_id, None)
 
-    def _refused(self, action: TokenRefused) -> None:
-        self._takes.labels('refused').inc()
+    def _on_refused(self, action: TokenRefused) -> None:
+        self._take_counter.labels('refused').inc()
         refused = Refused(
             Verdict.NOT_RUN,
             Reason.RATE_EXCEEDED,
--- a/src/clementinedeal/_tokens.py
+++ b/src/clementinedeal/_tokens.py
@@ -7,7 +7,7 @@
 
 from typing import Any
 
-from clementinedeal._borrowing import Actions, Borrowing
+from clementinedeal._borrowing import Borrowing, TokenActions
 from clementinedeal._draws import DrawGrant, DrawRequest, SpentReports
 from clementinedeal._holdings import Holdings
 from clementinedeal._leases import LeaseReport
@@ -17,7 +17,7 @@
 
 # Above the timers' limit, so that they report every pause noticed here and
 # freshness is renewed after it.
-GAP_SECONDS = 2 * PAUSE_SECONDS
+MAX_CALL_GAP_SECONDS = 2 * PAUSE_SECONDS
 
 
 class TokenManager:
@@ -48,7 +48,7 @@
             published, at least. The shares of this instance stay empty until
             ``GROW_WAIT_SECONDS`` after the publication.
         """
-        self._last_call = now
+        self._last_call_at = now
         self._holdings = Holdings(me, cfg, now, known_for)
         self._borrowing = Borrowing(me, incarnation, self._holdings)
 
@@ -57,17 +57,17 @@
 
         :param account: name of the account; unknown ones have none.
         """
-        return self._holdings.views.table.find(account).holders
+        return self._holdings.versions.table.find(account).holders
 
-    def take(self, req_id: str, account: str, now: float) -> Actions:
+    def take(self, req_id: str, account: str, now: float) -> TokenActions:
         """Take one token; the outcome may come from a later call.
 
         :param req_id: request id, unique.
         :param account: name of the account.
         :param now: monotonic seconds.
         """
-        before = self._watch(now)
-        return before + self._borrowing.take(req_id, account, now)
+        pause_actions = self._detect_pause(now)
+        return pause_actions + self._borrowing.take(req_id, account, now)
 
     def cancel(self, req_id: str, account: str) -> bool:
         """Forget a request that waits; tell whether it did.
@@ -77,35 +77,37 @@
         """
         return self._borrowing.cancel(req_id, account)
 
-    def on_message(self, sender: str, body: Any, now: float) -> Actions:
+    def on_message(self, sender: str, body: Any, now: float) -> TokenActions:
         """Handle a control message of another instance's manager.
 
         :param sender: its authenticated name.
         :param body: any message; others than the manager's are ignored.
         :param now: monotonic seconds.
         """
-        before = self._watch(now)
+        pause_actions = self._detect_pause(now)
         if isinstance(body, DrawRequest):
-            return before + self._on_draw(sender, body, now)
+            return pause_actions + self._on_draw(sender, body, now)
         if isinstance(body, DrawGrant):
-            return before + self._borrowing.on_grant(sender, body, now)
-        if isinstance(body, SpentReports) and _is_own(sender, body.reports):
-            self._holdings.settle(body.account, body.reports, now)
-        return before
-
-    def on_tick(self, now: float) -> Actions:
+            return pause_actions + self._borrowing.on_grant(sender, body, now)
+        if isinstance(body, SpentReports) and _all_name_sender(
+            sender, body.reports
+        ):
+            self._holdings.apply_reports(body.account, body.reports, now)
+        return pause_actions
+
+    def on_tick(self, now: float) -> TokenActions:
         """Handle what has become due.
 
         :param now: monotonic seconds.
         """
-        return self._watch(now) + self._borrowing.on_tick(now)
+        return self._detect_pause(now) + self._borrowing.on_tick(now)
 
     def on_config(
         self,
         cfg: Config,
         now: float,
         known_for: float = 0.0,
-    ) -> Actions:
+    ) -> TokenActions:
         """Go by a newer version; others are ignored.
 
         A daemon that was not fresh is told that it is with ``set_fresh`` only
@@ -115,51 +117,55 @@
         :param now: monotonic seconds.
         :param known_for: as in the constructor.
         """
-        before = self._watch(now)
+        pause_actions = self._detect_pause(now)
         if cfg.version > self._holdings.cfg.version:
             self._holdings.on_config(cfg, now, known_for)
             self._borrowing.on_config()
-        return before
+        return pause_actions
 
-    def set_fresh(self, is_fresh: bool, now: float) -> Actions:
+    def set_fresh(self, is_fresh: bool, now: float) -> TokenActions:
         """Start or stop making, lending and spending this daemon's shares.
 
         :param is_fresh: whether nothing newer is known to be published.
         :param now: monotonic seconds.
         """
-        before = self._watch(now)
+        pause_actions = self._detect_pause(now)
         self._holdings.set_fresh(is_fresh, now)
-        return before
+        return pause_actions
 
-    def on_pause(self, gap: float, now: float) -> Actions:
+    def on_pause(self, gap: float, now: float) -> TokenActions:
         """Drop all tokens and refuse what waits; freshness must be renewed.
 
         :param gap: length of the pause in seconds.
         :param now: monotonic seconds.
         """
-        self._last_call = now
-        self._holdings.drop(now)
-        return self._borrowing.drop()
+        self._last_call_at = now
+        self._holdings.discard_tokens(now)
+        return self._borrowing.reset()
 
-    def stop(self, now: float) -> Actions:
+    def stop(self, now: float) -> TokenActions:
         """Refuse what waits and give borrowed tokens back.
 
         :param now: monotonic seconds.
         """
-        return self._watch(now) + self._borrowing.stop()
+        return self._detect_pause(now) + self._borrowing.stop()
 
-    def _watch(self, now: float) -> Actions:
-        gap = now - self._last_call
-        self._last_call = max(now, self._last_call)
-        if gap > GAP_SECONDS:
+    def _detect_pause(self, now: float) -> TokenActions:
+        gap = now - self._last_call_at
+        self._last_call_at = max(now, self._last_call_at)
+        if gap > MAX_CALL_GAP_SECONDS:
             return self.on_pause(gap, now)
         return ()
 
-    def _on_draw(self, sender: str, body: DrawRequest, now: float) -> Actions:
-        if body.lease.borrower != sender or not _is_own(sender, body.reports):
+    def _on_draw(
+        self, sender: str, body: DrawRequest, now: float
+    ) -> TokenActions:
+        if body.lease.borrower != sender or not _all_name_sender(
+            sender, body.reports
+        ):
             return ()
         return (Send(sender, self._holdings.lend(body, now)),)
 
 
-def _is_own(sender: str, reports: tuple[LeaseReport, ...]) -> bool:
+def _all_name_sender(sender: str, reports: tuple[LeaseReport, ...]) -> bool:
     return all(report.lease.borrower == sender for report in reports)
--- a/src/clementinedeal_bench/_token_fleet.py
+++ b/src/clementinedeal_bench/_token_fleet.py
@@ -7,8 +7,8 @@
 from random import Random
 from typing import Any
 
-from clementinedeal._borrowing import Actions
-from clementinedeal._draws import Admitted, Refused
+from clementinedeal._borrowing import TokenActions
+from clementinedeal._draws import TokenGranted, TokenRefused
 from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._messages import Send, decode, encode
 from clementinedeal._model import Config
@@ -209,15 +209,15 @@
             actions = node.manager.on_message(parcel.sender, body, self.now)
             self._handle(parcel.send.to, actions)
 
-    def _handle(self, name: str, actions: Actions) -> None:
+    def _handle(self, name: str, actions: TokenActions) -> None:
         for action in actions:
             if isinstance(action, Send):
                 self._post(name, action)
             else:
                 self._note(action)
 
-    def _note(self, action: Admitted | Refused) -> None:
-        admitted = isinstance(action, Admitted)
+    def _note(self, action: TokenGranted | TokenRefused) -> None:
+        admitted = isinstance(action, TokenGranted)
         self.outcomes.append(Outcome(self.now, action.req_id, admitted))
 
     def _post(self, sender: str, send: Send) -> None:
--- a/src/clementinedeal_bench/_token_timing.py
+++ b/src/clementinedeal_bench/_token_timing.py
@@ -6,8 +6,8 @@
 import json
 import time
 
-from clementinedeal._borrowing import Actions
-from clementinedeal._draws import Admitted
+from clementinedeal._borrowing import TokenActions
+from clementinedeal._draws import TokenGranted
 from clementinedeal._messages import Send
 from clementinedeal._tokens import TokenManager
 from clementinedeal_bench._token_config import ACCOUNT, configuration
@@ -46,7 +46,7 @@
             manager.on_tick(self.now)
             manager.set_fresh(True, self.now)
 
-    def deliver(self, sender: str, actions: Actions) -> int:
+    def deliver(self, sender: str, actions: TokenActions) -> int:
         """Deliver messages until none is left; return what was admitted.
 
         :param sender: the daemon whose actions these are.
@@ -58,7 +58,7 @@
                 manager = self.managers[action.to]
                 answer = manager.on_message(sender, action.body, self.now)
                 admitted += self.deliver(action.to, answer)
-            admitted += isinstance(action, Admitted)
+            admitted += isinstance(action, TokenGranted)
         return admitted
 
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -10,7 +10,7 @@
 from clementinedeal import _claims as cl
 from clementinedeal._hashing import Candidates
 from clementinedeal._idempotency import (
-    PAUSE_SECONDS,
+    MAX_PAUSE_SECONDS,
     IdempotencyManager,
     key_digest,
 )
@@ -24,9 +24,9 @@
 from clementinedeal._messages import Send
 from clementinedeal._verdict import Reason, Verdict
 
-LIMITS = KeeperLimits(entries=2, retention=100, body_bytes=4)
+LIMITS = KeeperLimits(max_entries=2, retention_seconds=100, max_body_bytes=4)
 ANSWER = StoredAnswer(201, (), b'ok')
-SURE = 500.0  # after any quarantine
+AFTER_QUARANTINE_SECONDS = 500.0  # after any quarantine
 OLD, NEW = ('a', 'b'), ('b', 'c')
 KEY = next(
     key
@@ -42,16 +42,16 @@
 
 @given(st.lists(st.sets(st.sampled_from('abcdef'), min_size=1), max_size=4))
 def test_former_keepers_are_those_of_each_list(lists: list[set[str]]) -> None:
-    placement = KeyPlacement('ab', retention=100)
+    placement = KeyPlacement('ab', retention_seconds=100)
     for number, names in enumerate(lists):
-        placement.change(names, number, 1000 * number + 1)
+        placement.update(names, number, 1000 * number + 1)
     seen = [{'a', 'b'}, *lists]
     changed = [old for old, new in pairwise(seen) if old != new]
     former = {Candidates(names).heaviest('k') for names in changed}
-    assert placement.former('k', 0, len(lists)) == former
+    assert placement.former_keepers('k', 0, len(lists)) == former
     assert placement.keeper('k') == Candidates(seen[-1]).heaviest('k')
-    assert placement.former('k', 10**9, len(lists)) == set()
-    assert placement.former('k', 0, 200) == set()
+    assert placement.former_keepers('k', 10**9, len(lists)) == set()
+    assert placement.former_keepers('k', 0, 200) == set()
 
 
 class Managers:
@@ -122,10 +122,10 @@
         ),
     ],
 )
-def test_a_repeat_gets_what_the_first_came_to(
+def test_a_repeat_gets_the_outcome_of_the_first_request(
     verdict: Verdict, repeat: Any
 ) -> None:
-    fleet = Managers('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
     assert fleet.claim('b', 'r1') == cl.ClaimGranted('r1')
     early = fleet.claim('a', 'r0')
     assert refused('r0', Reason.IN_PROGRESS, Verdict.MAY_HAVE_RUN)(early)
@@ -135,44 +135,48 @@
 
 
 def test_another_request_with_the_key_is_refused() -> None:
-    fleet = Managers('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
     fleet.claim('b', 'r1')
     manager = fleet.all['a']
-    found = manager.claim('r2', 'c', KEY, 'other', 3, SURE)[0]
+    found = manager.claim('r2', 'c', KEY, 'other', 3, AFTER_QUARANTINE_SECONDS)[
+        0
+    ]
     assert refused('r2', Reason.KEY_REUSED, Verdict.NOT_RUN)(found)
 
 
-def test_an_unreachable_keeper_refuses_and_hears_of_it_later() -> None:
-    fleet = Managers('a', 'b').at(SURE)
+def test_a_claim_at_an_unreachable_keeper_is_refused_and_settled_later() -> (
+    None
+):
+    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
     fleet.cut = {'a'}
     assert fleet.claim('b', 'r1') is None
-    late = fleet.all['b'].on_tick(SURE + 1)
+    late = fleet.all['b'].on_tick(AFTER_QUARANTINE_SECONDS + 1)
     assert refused('r1', *NOT_KEPT)(late[0])
     assert isinstance(late[1].body, SettleKey)
     fleet.cut = set()
-    fleet.at(SURE + 3)
+    fleet.at(AFTER_QUARANTINE_SECONDS + 3)
     assert fleet.all['b'].unsettled == 0
 
 
 def test_a_restarted_keeper_knows_only_keys_newer_than_itself() -> None:
-    fleet = Managers('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
     names = OLD
     fleet.all = {name: fleet.boot(name, names) for name in names}
     assert refused('r1', *NOT_KEPT)(fleet.claim('b', 'r1'))
-    fleet.at(SURE + 95)
+    fleet.at(AFTER_QUARANTINE_SECONDS + 95)
     made = int(fleet.now * 1000) << 80 | 7 << 76 | 2 << 62
     assert fleet.claim('b', 'r2', str(uuid.UUID(int=made))) == cl.ClaimGranted(
         'r2'
     )
     assert refused('r3', *NOT_KEPT)(fleet.claim('b', 'r3'))
-    fleet.at(SURE + 131)
+    fleet.at(AFTER_QUARANTINE_SECONDS + 131)
     assert fleet.claim('b', 'r4') == cl.ClaimGranted('r4')
 
 
-def test_a_new_keeper_asks_the_former_one_which_then_grants_no_more() -> None:
-    fleet = Managers('a', 'b', 'c').at(SURE)
+def test_a_former_keeper_grants_no_more_after_a_new_one_asked_it() -> None:
+    fleet = Managers('a', 'b', 'c').at(AFTER_QUARANTINE_SECONDS)
     for name in 'bc':
-        fleet.all[name].on_config(published(NEW), SURE)
+        fleet.all[name].on_config(published(NEW), AFTER_QUARANTINE_SECONDS)
     assert fleet.claim('c', 'r1') == cl.ClaimGranted('r1')
     found = fleet.claim('a', 'r2')
     assert refused('r2', Reason.IN_PROGRESS, Verdict.MAY_HAVE_RUN)(found)
@@ -181,13 +185,13 @@
 
 
 def test_a_new_keeper_refuses_while_the_former_one_is_silent() -> None:
-    fleet = Managers('a', 'b', 'c').at(SURE)
+    fleet = Managers('a', 'b', 'c').at(AFTER_QUARANTINE_SECONDS)
     fleet.claim('b', 'r1')
     for name in 'bc':
-        fleet.all[name].on_config(published(NEW), SURE)
+        fleet.all[name].on_config(published(NEW), AFTER_QUARANTINE_SECONDS)
     fleet.cut = {'a'}
     fleet.claim('c', 'r2')
-    late = fleet.all['c'].on_tick(SURE + 0.5)
+    late = fleet.all['c'].on_tick(AFTER_QUARANTINE_SECONDS + 0.5)
     assert refused('r2', *NOT_KEPT)(late[0])
     fleet.cut = set()
     found = fleet.claim('b', 'r3')
@@ -195,18 +199,22 @@
 
 
 def test_two_keepers_that_ask_one_another_both_refuse() -> None:
-    fleet = Managers('a', 'b', 'c').at(SURE)
+    fleet = Managers('a', 'b', 'c').at(AFTER_QUARANTINE_SECONDS)
     for name in 'bc':
-        fleet.all[name].on_config(published(NEW), SURE)
-    unheard = fleet.all['c'].claim('r1', 'c', KEY, 'f', 3, SURE)
-    fleet.all['a'].on_message('c', unheard[0].body, SURE)
-    fleet.at(SURE + 1)
+        fleet.all[name].on_config(published(NEW), AFTER_QUARANTINE_SECONDS)
+    unheard = fleet.all['c'].claim(
+        'r1', 'c', KEY, 'f', 3, AFTER_QUARANTINE_SECONDS
+    )
+    fleet.all['a'].on_message('c', unheard[0].body, AFTER_QUARANTINE_SECONDS)
+    fleet.at(AFTER_QUARANTINE_SECONDS + 1)
     crossed = {
         name: fleet.all[name].claim(f'r-{name}', 'c', KEY, 'f', 3, fleet.now)
         for name in 'ac'
     }
     answers = {
-        name: fleet.all[other].on_message(name, crossed[name][0].body, SURE + 1)
+        name: fleet.all[other].on_message(
+            name, crossed[name][0].body, AFTER_QUARANTINE_SECONDS + 1
+        )
         for name, other in (('a', 'c'), ('c', 'a'))
     }
     for name, other in (('a', 'c'), ('c', 'a')):
@@ -215,24 +223,24 @@
 
 
 def test_a_keeper_that_was_paused_is_in_quarantine() -> None:
-    fleet = Managers('a', 'b').at(SURE)
-    fleet.now = SURE + PAUSE_SECONDS + 1
+    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
+    fleet.now = AFTER_QUARANTINE_SECONDS + MAX_PAUSE_SECONDS + 1
     fleet.all['b'].on_tick(fleet.now)
     assert refused('r1', *NOT_KEPT)(fleet.claim('b', 'r1'))
 
 
 def test_a_planned_stop_hands_over_what_the_successor_replays() -> None:
-    fleet = Managers('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
     fleet.claim('b', 'r1')
     fleet.complete('b', 'r1', Verdict.RAN)
-    fleet.deliver('a', fleet.all['a'].stop(SURE))
+    fleet.deliver('a', fleet.all['a'].stop(AFTER_QUARANTINE_SECONDS))
     assert refused('r2', *NOT_KEPT)(fleet.claim('b', 'r2'))
     fleet.all['a'] = fleet.boot('a', OLD)
     assert fleet.claim('b', 'r3') == cl.Replay('r3', ANSWER)
 
 
 def test_the_table_is_bounded_in_entries_and_bytes() -> None:
-    fleet = Managers('a', 'b').at(SURE)
+    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
     kept = [
         key
         for key in map(str, range(99))
@@ -243,34 +251,42 @@
         assert granted == cl.ClaimGranted(f'r{number}')
     assert refused('r2', *NOT_KEPT)(fleet.claim('b', 'r2', kept[2]))
     large = StoredAnswer(200, (), b'12345')
-    done = fleet.all['b'].complete('r0', Verdict.RAN, large, SURE)
+    done = fleet.all['b'].complete(
+        'r0', Verdict.RAN, large, AFTER_QUARANTINE_SECONDS
+    )
     fleet.deliver('b', done)
     found = fleet.claim('b', 'r3', kept[0])
     assert refused('r3', Reason.DUPLICATE, Verdict.RAN)(found)
     table = fleet.all['a']._keeper._table
     assert table.used_bytes == 2 * RECORD_BYTES
-    states = {record.state for record in table.records(SURE + 60)}
+    states = {
+        record.state for record in table.records(AFTER_QUARANTINE_SECONDS + 60)
+    }
     assert states == {KeyState.DONE, KeyState.IN_DOUBT}
-    fleet.at(SURE + 120)
+    fleet.at(AFTER_QUARANTINE_SECONDS + 120)
     assert table.records(fleet.now) == ()
 
 
 def test_a_keeper_without_fresh_configuration_grants_nothing() -> None:
-    fleet = Managers('a', 'b').at(SURE)
-    fleet.all['a'].set_fresh(False, SURE)
+    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
+    fleet.all['a'].set_fresh(False, AFTER_QUARANTINE_SECONDS)
     assert refused('r1', *NOT_KEPT)(fleet.claim('b', 'r1'))
-    fleet.at(2 * SURE)
+    fleet.at(2 * AFTER_QUARANTINE_SECONDS)
     assert refused('r2', *NOT_KEPT)(fleet.claim('b', 'r2'))
     fleet.all['a'].set_fresh(True, fleet.now)
     assert refused('r3', *NOT_KEPT)(fleet.claim('b', 'r3'))
-    fleet.at(3 * SURE)
+    fleet.at(3 * AFTER_QUARANTINE_SECONDS)
     assert fleet.claim('b', 'r4') == cl.ClaimGranted('r4')
 
 
-def test_a_claim_that_nobody_waits_for_leaves_the_key_free() -> None:
-    fleet = Managers('a', 'b').at(SURE)
-    left = fleet.all['b'].claim('r1', 'c', KEY, 'f', 3, SURE)
-    gone = fleet.all['b'].complete('r1', Verdict.NOT_RUN, None, SURE)
+def test_a_cancelled_claim_leaves_the_key_free() -> None:
+    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
+    left = fleet.all['b'].claim(
+        'r1', 'c', KEY, 'f', 3, AFTER_QUARANTINE_SECONDS
+    )
+    gone = fleet.all['b'].complete(
+        'r1', Verdict.NOT_RUN, None, AFTER_QUARANTINE_SECONDS
+    )
     assert fleet.deliver('b', left) == []
     fleet.deliver('b', gone)
     assert fleet.claim('a', 'r2') == cl.ClaimGranted('r2')
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,9 +6,9 @@
 
 from clementinedeal._borrowed import BorrowedUnits
 from clementinedeal._leases import (
+    HOLDER_LEASE_TTL_SECONDS,
     LEASE_MARGIN_SECONDS,
     LEASE_TTL_SECONDS,
-    QUIET_SECONDS,
     LeaseId,
     LeaseReport,
     Lender,
@@ -49,7 +49,7 @@
         body = self.bag[-pick]
         self.lender.advance(self.now)
         if isinstance(body, LeaseReport):
-            self.lender.settle(body)
+            self.lender.apply_report(body)
             return
         granted = self.lender.lend(*body, LEASE_TTL_SECONDS, self.now)
         self.grants.append((body[0], granted))
@@ -71,7 +71,7 @@
         for report in chosen('h'):
             self.bag.append(report)
             if arrives:
-                self.lender.settle(report)
+                self.lender.apply_report(report)
 
     @rule(portion=st.sampled_from((1, 1, 3)))
     def spend_borrowed(self, portion: int) -> None:
@@ -93,7 +93,7 @@
 
     @rule()
     def replace_holder(self) -> None:
-        start = self.now + QUIET_SECONDS
+        start = self.now + HOLDER_LEASE_TTL_SECONDS
         self.lender = Lender(capacity=CAPACITY, rate=RATE, now=start)
         self.now = start + CAPACITY / RATE
         self.spend_everywhere()
@@ -119,7 +119,7 @@
     borrowed.add(lease, 'h', granted, LEASE_TTL_SECONDS)
     borrowed.spend(1_000_000)
     for report in borrowed.close('h') * 2:
-        lender.settle(report)
+        lender.apply_report(report)
     assert lender.level == CAPACITY - 1_000_000
     assert borrowed.balance(0) == 0
 
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -19,7 +19,7 @@
 from clementinedeal._history_checks import check_at_most_once, check_not_run
 from clementinedeal._idempotency import IdempotencyManager
 from clementinedeal._key_messages import StoredAnswer
-from clementinedeal._key_placement import SETTLE_SECONDS
+from clementinedeal._key_placement import CONVERGENCE_SECONDS
 from clementinedeal._key_table import KeeperLimits
 from clementinedeal._messages import Send, decode, encode
 from clementinedeal._model import Config, Preset, PresetName
@@ -90,7 +90,7 @@
             self.cfg,
             self.fleet.now,
             wall_ms=self.fleet.wall_ms,
-            limits=KeeperLimits(retention=RETENTION),
+            limits=KeeperLimits(retention_seconds=RETENTION),
         )
 
     def submit(self, key: str) -> None:
@@ -116,7 +116,7 @@
         )
         self.on_claims(claimed)
 
-    def on_claims(self, actions: cl.Actions) -> None:
+    def on_claims(self, actions: cl.ClaimActions) -> None:
         for action in actions:
             match action:
                 case Send():
@@ -255,7 +255,7 @@
         self.cfg = published(*NODES[:3])
         self.config_due = 0.0
         self.nodes = {name: self.boot(name, 0) for name in NODES}
-        self.run(RETENTION + SETTLE_SECONDS, random.Random(0), loss=0)
+        self.run(RETENTION + CONVERGENCE_SECONDS, random.Random(0), loss=0)
 
     def boot(self, name: str, run: int) -> Node:
         return Node(name, self, f'{name}.{run}', self.cfg)
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -18,7 +18,7 @@
     Service,
     Target,
 )
-from clementinedeal._share_views import (
+from clementinedeal._share_versions import (
     GROW_WAIT_SECONDS,
     PAUSE_MARGIN_SECONDS,
 )
@@ -26,10 +26,10 @@
 from clementinedeal_bench._token_fleet import Link, Outcome, TokenFleet
 
 NAMES = tuple(f'i{index}' for index in range(5))
-OLD_SECONDS = FRESH_SECONDS + LEASE_TTL_SECONDS + PAUSE_MARGIN_SECONDS
+OLD_VERSION_SECONDS = FRESH_SECONDS + LEASE_TTL_SECONDS + PAUSE_MARGIN_SECONDS
 LINKS = (Link(), Link(loss=0.2, repeat=0.5, jitter=0.3), Link(jitter=3))
 ROUNDING = 0.001
-SOME = st.sets(st.sampled_from(NAMES), min_size=1)
+SOME_NAMES = st.sets(st.sampled_from(NAMES), min_size=1)
 
 
 def instance(name: str) -> Instance:
@@ -82,7 +82,7 @@
         total = max(burst for _, burst in self.valid(start, start))
         edges = {start, end}
         for publication in self.fleet.versions:
-            for edge in (publication.at, publication.at + OLD_SECONDS):
+            for edge in (publication.at, publication.at + OLD_VERSION_SECONDS):
                 edges.add(min(max(edge, start), end))
         points = sorted(edges)
         for left, right in zip(points, points[1:], strict=False):
@@ -94,7 +94,9 @@
     def valid(self, start: float, end: float) -> list[tuple[float, float]]:
         found = []
         versions = self.fleet.versions
-        ends = [each.at + OLD_SECONDS for each in versions[1:]] + [math.inf]
+        ends = [each.at + OLD_VERSION_SECONDS for each in versions[1:]] + [
+            math.inf
+        ]
         for publication, until in zip(versions, ends, strict=True):
             if publication.at <= end and start <= until:
                 account = publication.cfg.accounts['a']
@@ -130,7 +132,7 @@
             self.requests(set(NAMES), 15)
         self.checker.check()
 
-    @rule(names=SOME, count=st.sampled_from((1, 4, 8)))
+    @rule(names=SOME_NAMES, count=st.sampled_from((1, 4, 8)))
     def requests(self, names: set[str], count: int) -> None:
         for name in sorted(names):
             for _ in range(count):
@@ -177,7 +179,7 @@
         rate=st.sampled_from((4, 60)),
         burst=st.sampled_from((10, 40)),
         owners=st.sampled_from(('34', '12')),
-        reached=SOME,
+        reached=SOME_NAMES,
     )
     def publish(
         self, rate: float, burst: float, owners: str, reached: set[str]
@@ -186,7 +188,7 @@
         self.fleet.publish(config(version, rate, burst, owners))
         self.tell(reached)
 
-    @rule(names=SOME)
+    @rule(names=SOME_NAMES)
     def tell(self, names: set[str]) -> None:
         for name in sorted(names):
             self.fleet.tell(name)
@@ -259,7 +261,7 @@
     flood(fleet)
 
 
-def test_holders_that_skipped_a_version_share_with_nobody() -> None:
+def test_holders_that_skipped_a_version_wait_for_its_holders() -> None:
     fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
     tell(fleet, config(2, 60, 40, '12'), 'i1', 'i2')
     fleet.run(9)
@@ -288,7 +290,7 @@
     flood(fleet)
 
 
-def test_a_grant_to_an_earlier_process_is_worth_nothing() -> None:
+def test_a_grant_to_an_earlier_process_admits_nothing() -> None:
     fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
     borrow(fleet, 'i0')
     fleet.outcomes.clear()
@@ -324,7 +326,7 @@
         assert [each for each in answers if not each.admitted] == []
 
 
-def test_one_dead_holder_of_ten_leaves_nine_tenths() -> None:
+def test_one_dead_holder_of_five_still_admits_half_the_rate() -> None:
     fleet = TokenFleet(config(1, 50, 50, '01234'), seed=1)
     fleet.nodes['i0'].runs = False
     answers = outcomes(fleet, 20, 25, NAMES[1:])
