--- a/src/clementinedeal/_digest.py
+++ b/src/clementinedeal/_answer_checks.py
@@ -41,7 +41,7 @@
     )
 
 
-async def checked(
+async def check_digest(
     head: ResponseHead,
     pieces: AsyncIterator[bytes],
 ) -> AsyncIterator[bytes]:
@@ -51,7 +51,7 @@
     :param pieces: the body.
     :raises AnswerWrongError: the digest does not match.
     """
-    expected = _sha256_of(head)
+    expected = _expected_sha256(head)
     digest = hashlib.sha256()
     async for piece in pieces:
         if expected is not None:
@@ -61,7 +61,7 @@
         raise AnswerWrongError('answer does not match its digest')
 
 
-def _sha256_of(head: ResponseHead) -> bytes | None:
+def _expected_sha256(head: ResponseHead) -> bytes | None:
     text = head.header(CONTENT_DIGEST_HEADER)
     if text is None or not text.startswith(_SHA256_PREFIX):
         return None
--- a/src/clementinedeal/_attempt_events.py
+++ b/src/clementinedeal/_attempt_events.py
@@ -46,7 +46,7 @@
     """
 
     attempt_id: str
-    sent: bool
+    is_partly_sent: bool
     reason: Reason = Reason.ANSWER_INCOMPLETE
 
 
@@ -94,7 +94,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Forward:
+class SendAttempt:
     """Action: send the request to the owner of a target."""
 
     attempt_id: str
@@ -102,7 +102,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Cancel:
+class CancelAttempt:
     """Action: abort the attempt's connection, then send the cancel.
 
     The connection goes first, so that no part of the forward is sent after
@@ -114,14 +114,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
+class RelayAnswer:
     """Action: pass this attempt's answer to the caller."""
 
     attempt_id: str
 
 
 @dataclass(frozen=True, slots=True)
-class GiveUp:
+class RefuseRequest:
     """Action: refuse the request; ``retry_after`` is in seconds."""
 
     verdict: Verdict
@@ -130,11 +130,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CutStream:
+class AbortStream:
     """Action: end the caller's stream visibly broken."""
 
     verdict: Verdict
     reason: Reason
 
 
-AttemptAction = Forward | Cancel | Reply | GiveUp | CutStream
+AttemptAction = (
+    SendAttempt | CancelAttempt | RelayAnswer | RefuseRequest | AbortStream
+)
--- a/src/clementinedeal/_attempts.py
+++ b/src/clementinedeal/_attempt_plan.py
@@ -1,6 +1,7 @@
 """The entry's plan for one request: attempts, cancels, final verdict."""
 
 from clementinedeal._attempt_events import (
+    AbortStream,
     AnswerComplete,
     AnswerHead,
     AnswerIncomplete,
@@ -11,16 +12,15 @@
     CallerLeft,
     CancelAnswered,
     ConnectionLost,
-    CutStream,
-    GiveUp,
-    Reply,
+    RefuseRequest,
+    RelayAnswer,
     Timeout,
 )
 from clementinedeal._attempt_set import (
-    Attempt,
+    AttemptPhase,
     AttemptRequest,
     AttemptSet,
-    Phase,
+    AttemptState,
 )
 from clementinedeal._cancel_messages import CancelAnswer
 from clementinedeal._retry_budget import RetryBudget
@@ -37,7 +37,7 @@
     CancelAnswer.UNKNOWN: Verdict.MAY_HAVE_RUN,
 }
 
-Actions = tuple[AttemptAction, ...]
+AttemptActions = tuple[AttemptAction, ...]
 
 
 class AttemptPlan:
@@ -59,32 +59,32 @@
         self._attempts = AttemptSet(req, budget)
         self._hedge_at = _NEVER
         self._winner = ''
-        self._failure = GiveUp(Verdict.NOT_RUN, Reason.NO_TARGET)
+        self._failure = RefuseRequest(Verdict.NOT_RUN, Reason.NO_TARGET)
 
-    def start(self, now: float) -> Actions:
+    def start(self, now: float) -> AttemptActions:
         """Make the first attempt.
 
         :param now: current monotonic time in seconds.
         """
-        forward = self._attempts.first(now)
-        if forward is None:
+        first = self._attempts.create_first(now)
+        if first is None:
             return self._conclude()
         delay = self._req.preset.hedge_after
         if self._req.idempotent and delay > 0:
             self._hedge_at = now + delay
-        return (forward,)
+        return (first,)
 
-    def due(self) -> float:
+    def next_timeout(self) -> float:
         """Return the monotonic time for the next ``Timeout``, or infinity."""
         if self.finished or self._winner:
             return _NEVER
-        cancelling = self._attempts.in_phase(Phase.CANCELLING)
+        cancelling = self._attempts.in_phase(AttemptPhase.CANCELLING)
         times = [attempt.cancel_until for attempt in cancelling]
-        if self._attempts.in_phase(Phase.OPEN):
+        if self._attempts.in_phase(AttemptPhase.OPEN):
             times.extend((self._hedge_at, self._req.deadline))
         return min(times, default=_NEVER)
 
-    def on_event(self, event: AttemptEvent, now: float) -> Actions:
+    def on_event(self, event: AttemptEvent, now: float) -> AttemptActions:
         """Return what to do after an event.
 
         :param event: what happened.
@@ -108,10 +108,10 @@
 
     def _on_attempt_event(
         self,
-        attempt: Attempt,
+        attempt: AttemptState,
         event: AttemptEvent,
         now: float,
-    ) -> Actions:
+    ) -> AttemptActions:
         match event:
             case AttemptFailed():
                 return self._on_failed(attempt, event, now)
@@ -129,64 +129,70 @@
 
     def _on_failed(
         self,
-        attempt: Attempt,
+        attempt: AttemptState,
         event: AttemptFailed,
         now: float,
-    ) -> Actions:
+    ) -> AttemptActions:
         if self._winner:
-            return self._cut(Verdict.RAN, event.reason)
-        failure = GiveUp(event.verdict, event.reason, event.retry_after)
-        return self._close(attempt, failure, now)
+            return self._abort_stream(Verdict.RAN, event.reason)
+        failure = RefuseRequest(event.verdict, event.reason, event.retry_after)
+        return self._close_attempt(attempt, failure, now)
 
-    def _on_connection_lost(self, attempt: Attempt, now: float) -> Actions:
+    def _on_connection_lost(
+        self, attempt: AttemptState, now: float
+    ) -> AttemptActions:
         if self._winner:
-            return self._cut(Verdict.RAN, Reason.ANSWER_INCOMPLETE)
-        if attempt.phase is Phase.CANCELLING:
+            return self._abort_stream(Verdict.RAN, Reason.ANSWER_INCOMPLETE)
+        if attempt.phase is AttemptPhase.CANCELLING:
             return ()
         return (self._attempts.cancel(attempt, now),)
 
     def _on_head(
         self,
-        attempt: Attempt,
+        attempt: AttemptState,
         event: AnswerHead,
         now: float,
-    ) -> Actions:
+    ) -> AttemptActions:
         if event.status in _UNAVAILABLE_STATUSES:
-            retry = self._attempts.hedge(now)
+            retry = self._attempts.create_hedge(now)
             if retry is not None:
                 attempt.verdict = Verdict.RAN
                 return self._attempts.abandon(attempt, now), retry
         self._winner = attempt.attempt_id
-        losers = self._attempts.cancel_all(now, but=self._winner)
-        return (Reply(attempt.attempt_id), *losers)
+        losers = self._attempts.cancel_all(now, except_id=self._winner)
+        return (RelayAnswer(attempt.attempt_id), *losers)
 
     def _on_incomplete(
         self,
-        attempt: Attempt,
+        attempt: AttemptState,
         event: AnswerIncomplete,
         now: float,
-    ) -> Actions:
-        wrong = event.reason is Reason.ANSWER_WRONG
-        verdict = Verdict.MAY_HAVE_RUN if wrong else Verdict.RAN
-        if event.sent:
-            return self._cut(verdict, event.reason)
+    ) -> AttemptActions:
+        is_wrong = event.reason is Reason.ANSWER_WRONG
+        verdict = Verdict.MAY_HAVE_RUN if is_wrong else Verdict.RAN
+        if event.is_partly_sent:
+            return self._abort_stream(verdict, event.reason)
         self._winner = ''
-        return self._close(attempt, GiveUp(verdict, event.reason), now)
+        return self._close_attempt(
+            attempt, RefuseRequest(verdict, event.reason), now
+        )
 
     def _on_cancel_answered(
         self,
-        attempt: Attempt,
+        attempt: AttemptState,
         event: CancelAnswered,
         now: float,
-    ) -> Actions:
-        if attempt.phase is not Phase.CANCELLING:
+    ) -> AttemptActions:
+        if attempt.phase is not AttemptPhase.CANCELLING:
             return ()
         verdict = _CANCEL_VERDICTS[event.answer]
         if now - attempt.sent_at > PROOF_WINDOW_SECONDS:
             verdict = Verdict.MAY_HAVE_RUN
-        return self._close(attempt, self._timed_out(verdict, now), now)
+        return self._close_attempt(
+            attempt, self._timeout_failure(verdict, now), now
+        )
 
-    def _on_timeout(self, now: float) -> Actions:
+    def _on_timeout(self, now: float) -> AttemptActions:
         if self._winner:
             return ()
         actions: list[AttemptAction] = []
@@ -194,40 +200,42 @@
             actions.extend(self._attempts.cancel_all(now))
         elif now >= self._hedge_at:
             self._hedge_at = _NEVER
-            hedge = self._attempts.hedge(now)
+            hedge = self._attempts.create_hedge(now)
             actions.extend((hedge,) if hedge else ())
-        for attempt in self._attempts.in_phase(Phase.CANCELLING):
+        for attempt in self._attempts.in_phase(AttemptPhase.CANCELLING):
             if now >= attempt.cancel_until:
-                failure = self._timed_out(Verdict.MAY_HAVE_RUN, now)
-                actions.extend(self._close(attempt, failure, now))
+                failure = self._timeout_failure(Verdict.MAY_HAVE_RUN, now)
+                actions.extend(self._close_attempt(attempt, failure, now))
         return tuple(actions)
 
-    def _close(self, attempt: Attempt, failure: GiveUp, now: float) -> Actions:
-        attempt.phase = Phase.CLOSED
+    def _close_attempt(
+        self, attempt: AttemptState, failure: RefuseRequest, now: float
+    ) -> AttemptActions:
+        attempt.phase = AttemptPhase.CLOSED
         attempt.verdict = failure.verdict
         self._failure = failure
-        if self._attempts.in_phase(Phase.OPEN):
+        if self._attempts.in_phase(AttemptPhase.OPEN):
             return ()
-        retry = self._attempts.retry(failure, now)
+        retry = self._attempts.create_retry(failure, now)
         if retry is not None:
             return (retry,)
-        waiting = self._attempts.in_phase(Phase.CANCELLING)
-        return () if waiting else self._conclude()
+        cancelling = self._attempts.in_phase(AttemptPhase.CANCELLING)
+        return () if cancelling else self._conclude()
 
-    def _timed_out(self, verdict: Verdict, now: float) -> GiveUp:
-        late = now >= self._req.deadline
-        reason = Reason.DEADLINE if late else Reason.TARGET_FAILED
-        return GiveUp(verdict, reason)
+    def _timeout_failure(self, verdict: Verdict, now: float) -> RefuseRequest:
+        is_late = now >= self._req.deadline
+        reason = Reason.DEADLINE if is_late else Reason.TARGET_FAILED
+        return RefuseRequest(verdict, reason)
 
-    def _conclude(self) -> Actions:
+    def _conclude(self) -> AttemptActions:
         self.finished = True
         failure = self._failure
-        verdict = self._attempts.verdict()
-        return (GiveUp(verdict, failure.reason, failure.retry_after),)
+        verdict = self._attempts.overall_verdict()
+        return (RefuseRequest(verdict, failure.reason, failure.retry_after),)
 
-    def _cut(self, verdict: Verdict, reason: Reason) -> Actions:
+    def _abort_stream(self, verdict: Verdict, reason: Reason) -> AttemptActions:
         self.finished = True
-        return (CutStream(verdict, reason),)
+        return (AbortStream(verdict, reason),)
 
-    def _lost_to_winner(self, attempt: Attempt) -> bool:
+    def _lost_to_winner(self, attempt: AttemptState) -> bool:
         return bool(self._winner) and self._winner != attempt.attempt_id
--- a/src/clementinedeal/_outgoing.py
+++ b/src/clementinedeal/_attempt_sender.py
@@ -9,24 +9,24 @@
 from clementinedeal._exchange import CallerLeftError
 from clementinedeal._forwarding import send_answer
 from clementinedeal._http import WriteLostError
-from clementinedeal._incoming import Incoming
+from clementinedeal._incoming_request import IncomingRequest
 from clementinedeal._model import Instance, Target
 from clementinedeal._refusals import REQUEST_ID_HEADER, VERDICT_HEADER
-from clementinedeal._replies import Answered, Refused, Reply
+from clementinedeal._replies import AttemptRefusal, AttemptReply, TargetAnswer
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._verdict import Reason, Verdict
 
 _MS_PER_SECOND = 1000
 
 
-class Outgoing:
+class AttemptSender:
     """Carries out the plan of one request."""
 
     def __init__(
         self,
         parts: EntryParts,
         conn: ServerConn,
-        incoming: Incoming,
+        incoming: IncomingRequest,
     ) -> None:
         """Create the sending side of one request.
 
@@ -37,7 +37,7 @@
         self._parts = parts
         self._conn = conn
         self._incoming = incoming
-        self._named: dict[str, str] = {}
+        self._named_incarnations: dict[str, str] = {}
 
     @contextlib.asynccontextmanager
     async def attempt(
@@ -46,24 +46,26 @@
         target: str,
         *,
         admitted: bool,
-    ) -> AsyncIterator[Reply]:
+    ) -> AsyncIterator[AttemptReply]:
         """Send the request to the owner of a target.
 
         :raises ConnLostError: the connection ended after the first byte.
         """
         fwd = self._forward(attempt_id, self._target(target), admitted=admitted)
-        async with self._attempt_twice(fwd) as reply:
+        async with self._attempt_and_correct_incarnation(fwd) as reply:
             yield reply
 
     async def cancel(self, attempt_id: str, target: str) -> CancelAnswer:
         """Ask the owner how far the attempt came; it won't start any more."""
         owner = self._target(target).instance
-        wish = CancelExecution(attempt_id, self._named.get(attempt_id, ''))
+        cancel_request = CancelExecution(
+            attempt_id, self._named_incarnations.get(attempt_id, '')
+        )
         if owner == self._parts.me:
-            return self._parts.owner.cancel(wish)
-        return await self._parts.remote.cancel(owner, wish)
+            return self._parts.owner.cancel(cancel_request)
+        return await self._parts.canceller.cancel(owner, cancel_request)
 
-    async def reply(self, answer: Answered) -> None:
+    async def reply(self, answer: TargetAnswer) -> None:
         """Pass an answer to the caller.
 
         :raises CallerLeftError: the caller's connection broke.
@@ -75,24 +77,26 @@
             raise CallerLeftError('the caller left') from exc
 
     @contextlib.asynccontextmanager
-    async def _attempt_twice(self, fwd: Forward) -> AsyncIterator[Reply]:
+    async def _attempt_and_correct_incarnation(
+        self, fwd: Forward
+    ) -> AsyncIterator[AttemptReply]:
         """Send again at once if only the incarnation was unknown."""
         async with self._attempt_once(fwd) as reply:
-            self._learn(fwd, reply)
+            self._learn_incarnation(fwd, reply)
             replayable = self._incoming.req.body.whole is not None
             if not (replayable and _is_wrong_incarnation(reply)):
                 yield reply
                 return
-        renamed = self._forward(
+        retried = self._forward(
             fwd.attempt,
             self._target(fwd.target),
             admitted=fwd.admitted,
         )
-        async with self._attempt_once(renamed) as reply:
+        async with self._attempt_once(retried) as reply:
             yield reply
 
     @contextlib.asynccontextmanager
-    async def _attempt_once(self, fwd: Forward) -> AsyncIterator[Reply]:
+    async def _attempt_once(self, fwd: Forward) -> AsyncIterator[AttemptReply]:
         target = self._target(fwd.target)
         req = self._incoming.req
         if target.instance == self._parts.me:
@@ -103,8 +107,8 @@
         async with self._parts.peers.forward(owner, fwd, req) as reply:
             yield reply
 
-    def _learn(self, fwd: Forward, reply: Reply) -> None:
-        if isinstance(reply, Refused) and reply.incarnation:
+    def _learn_incarnation(self, fwd: Forward, reply: AttemptReply) -> None:
+        if isinstance(reply, AttemptRefusal) and reply.incarnation:
             owner = self._target(fwd.target).instance
             self._parts.view.learn_incarnation(owner, reply.incarnation)
 
@@ -116,8 +120,8 @@
         admitted: bool,
     ) -> Forward:
         incarnation = self._parts.view.incarnation(target.instance)
-        self._named[attempt_id] = incarnation
-        left = self._incoming.deadline - self._parts.clock.now()
+        self._named_incarnations[attempt_id] = incarnation
+        seconds_left = self._incoming.deadline - self._parts.clock.now()
         return Forward(
             attempt=attempt_id,
             req_id=self._incoming.req_id,
@@ -125,7 +129,7 @@
             target=target.name,
             incarnation=incarnation,
             account=self._incoming.account,
-            deadline_ms=max(0, int(left * _MS_PER_SECOND)),
+            deadline_ms=max(0, int(seconds_left * _MS_PER_SECOND)),
             idempotent=self._incoming.granted.route.idempotent,
             admitted=admitted,
             hlc=self._parts.events.clock.stamp(),
@@ -138,9 +142,9 @@
         return self._incoming.access.cfg.instances[target.instance]
 
 
-def _is_wrong_incarnation(reply: Reply) -> bool:
+def _is_wrong_incarnation(reply: AttemptReply) -> bool:
     return (
-        isinstance(reply, Refused)
+        isinstance(reply, AttemptRefusal)
         and reply.reason is Reason.WRONG_INCARNATION
         and bool(reply.incarnation)
     )
@@ -149,7 +153,7 @@
 async def answer_caller(
     conn: ServerConn,
     req_id: str,
-    answer: Answered,
+    answer: TargetAnswer,
 ) -> None:
     """Send a target's answer to the caller.
 
--- a/src/clementinedeal/_attempt_set.py
+++ b/src/clementinedeal/_attempt_set.py
@@ -4,7 +4,11 @@
 from collections import deque
 from dataclasses import dataclass
 
-from clementinedeal._attempt_events import Cancel, Forward, GiveUp
+from clementinedeal._attempt_events import (
+    CancelAttempt,
+    RefuseRequest,
+    SendAttempt,
+)
 from clementinedeal._model import Preset
 from clementinedeal._retry_budget import RetryBudget
 from clementinedeal._verdict import Reason, Verdict
@@ -25,7 +29,7 @@
     ),
 )
 # No target works for these, so they cost no budget and count as no attempt.
-_FREE = frozenset(
+_UNCOUNTED = frozenset(
     (
         Reason.DRAINING,
         Reason.NO_TARGET,
@@ -36,7 +40,7 @@
 _SEVERITY = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
 
 
-class Phase(enum.Enum):
+class AttemptPhase(enum.Enum):
     """Whether an attempt's outcome is awaited, being cancelled or known."""
 
     OPEN = 'open'
@@ -45,13 +49,13 @@
 
 
 @dataclass(slots=True)
-class Attempt:
+class AttemptState:
     """One forward; times are in monotonic seconds."""
 
     attempt_id: str
     target: str
     sent_at: float
-    phase: Phase = Phase.OPEN
+    phase: AttemptPhase = AttemptPhase.OPEN
     verdict: Verdict = Verdict.MAY_HAVE_RUN
     cancel_until: float = 0.0
 
@@ -87,19 +91,19 @@
         self._req = req
         self._budget = budget
         self._candidates = deque(req.candidates)
-        self._attempts: dict[str, Attempt] = {}
-        self._free = 0
+        self._attempts: dict[str, AttemptState] = {}
+        self._uncounted = 0
 
-    def get(self, attempt_id: str) -> Attempt | None:
+    def get(self, attempt_id: str) -> AttemptState | None:
         """Return an attempt whose outcome is not known yet.
 
         :param attempt_id: its id.
         """
         attempt = self._attempts.get(attempt_id)
-        closed = attempt is None or attempt.phase is Phase.CLOSED
-        return None if closed else attempt
+        is_closed = attempt is None or attempt.phase is AttemptPhase.CLOSED
+        return None if is_closed else attempt
 
-    def in_phase(self, phase: Phase) -> list[Attempt]:
+    def in_phase(self, phase: AttemptPhase) -> list[AttemptState]:
         """Return the attempts in a phase.
 
         :param phase: the phase.
@@ -110,15 +114,17 @@
             if attempt.phase is phase
         ]
 
-    def first(self, now: float) -> Forward | None:
+    def create_first(self, now: float) -> SendAttempt | None:
         """Make the first attempt, None without a candidate.
 
         :param now: current monotonic time in seconds.
         """
         self._budget.add_first_attempt(self._req.preset.retry_ratio)
-        return self._forward(now) if self._candidates else None
+        return self._create(now) if self._candidates else None
 
-    def retry(self, failure: GiveUp, now: float) -> Forward | None:
+    def create_retry(
+        self, failure: RefuseRequest, now: float
+    ) -> SendAttempt | None:
         """Make another attempt after a failure, None if not allowed.
 
         :param failure: how the last attempt ended.
@@ -126,33 +132,38 @@
         """
         if failure.reason not in _RETRYABLE:
             return None
-        if not self._req.idempotent and self.verdict() is not Verdict.NOT_RUN:
+        if (
+            not self._req.idempotent
+            and self.overall_verdict() is not Verdict.NOT_RUN
+        ):
             return None
-        if failure.verdict is Verdict.NOT_RUN and failure.reason in _FREE:
-            self._free += 1
-            return self._forward_if_possible(now)
-        return self._forward_within_limits(now)
+        if failure.verdict is Verdict.NOT_RUN and failure.reason in _UNCOUNTED:
+            self._uncounted += 1
+            return self._create_if_possible(now)
+        return self._create_within_limits(now)
 
-    def hedge(self, now: float) -> Forward | None:
+    def create_hedge(self, now: float) -> SendAttempt | None:
         """Make an attempt beside the open ones, None if not allowed.
 
         :param now: current monotonic time in seconds.
         """
         if self._req.idempotent:
-            return self._forward_within_limits(now)
+            return self._create_within_limits(now)
         return None
 
-    def cancel(self, attempt: Attempt, now: float) -> Cancel:
+    def cancel(self, attempt: AttemptState, now: float) -> CancelAttempt:
         """Begin to cancel an attempt.
 
         :param attempt: an open attempt.
         :param now: current monotonic time in seconds.
         """
-        attempt.phase = Phase.CANCELLING
+        attempt.phase = AttemptPhase.CANCELLING
         attempt.cancel_until = now + CANCEL_WAIT_SECONDS
-        return Cancel(attempt.attempt_id, attempt.target)
+        return CancelAttempt(attempt.attempt_id, attempt.target)
 
-    def cancel_all(self, now: float, *, but: str = '') -> tuple[Cancel, ...]:
+    def cancel_all(
+        self, now: float, *, except_id: str = ''
+    ) -> tuple[CancelAttempt, ...]:
         """Begin to cancel all open attempts.
 
         :param now: current monotonic time in seconds.
@@ -160,21 +171,21 @@
         """
         return tuple(
             self.cancel(attempt, now)
-            for attempt in self.in_phase(Phase.OPEN)
-            if attempt.attempt_id != but
+            for attempt in self.in_phase(AttemptPhase.OPEN)
+            if attempt.attempt_id != except_id
         )
 
-    def abandon(self, attempt: Attempt, now: float) -> Cancel:
+    def abandon(self, attempt: AttemptState, now: float) -> CancelAttempt:
         """Cancel an attempt whose verdict is known; no answer is awaited.
 
         :param attempt: the attempt.
         :param now: current monotonic time in seconds.
         """
         cancel = self.cancel(attempt, now)
-        attempt.phase = Phase.CLOSED
+        attempt.phase = AttemptPhase.CLOSED
         return cancel
 
-    def verdict(self) -> Verdict:
+    def overall_verdict(self) -> Verdict:
         """Return what is known of the request over all its attempts."""
         return max(
             (attempt.verdict for attempt in self._attempts.values()),
@@ -182,21 +193,21 @@
             default=Verdict.NOT_RUN,
         )
 
-    def _forward_within_limits(self, now: float) -> Forward | None:
-        counted = len(self._attempts) - self._free
-        more = counted < self._req.preset.max_attempts
-        if more and self._candidates and self._budget.take():
-            return self._forward_if_possible(now)
+    def _create_within_limits(self, now: float) -> SendAttempt | None:
+        counted = len(self._attempts) - self._uncounted
+        may_retry = counted < self._req.preset.max_attempts
+        if may_retry and self._candidates and self._budget.take():
+            return self._create_if_possible(now)
         return None
 
-    def _forward_if_possible(self, now: float) -> Forward | None:
-        possible = self.replayable and now < self._req.deadline
-        if possible and self._candidates:
-            return self._forward(now)
+    def _create_if_possible(self, now: float) -> SendAttempt | None:
+        is_possible = self.replayable and now < self._req.deadline
+        if is_possible and self._candidates:
+            return self._create(now)
         return None
 
-    def _forward(self, now: float) -> Forward:
+    def _create(self, now: float) -> SendAttempt:
         target = self._candidates.popleft()
         attempt_id = f'{self._req.req_id}/{len(self._attempts)}'
-        self._attempts[attempt_id] = Attempt(attempt_id, target, now)
-        return Forward(attempt_id, target)
+        self._attempts[attempt_id] = AttemptState(attempt_id, target, now)
+        return SendAttempt(attempt_id, target)
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -10,7 +10,7 @@
 from result import Ok
 
 from clementinedeal._cancel_messages import CancelAnswer, CancelExecution
-from clementinedeal._cancels import Cancels
+from clementinedeal._cancel_messenger import CancelMessenger
 from clementinedeal._control import ControlChannel
 from clementinedeal._directory import Directory
 from clementinedeal._dispatch import Dispatcher
@@ -140,7 +140,7 @@
             executions=ExecutionTable(incarnation),
             directory=directory,
             view=EntryView(settings.instance, shared.fleet, shared.clock, rng),
-            cancels=Cancels(control.send, self._cancel_here),
+            cancels=CancelMessenger(control.send, self._cancel_here),
             status=StatusReporter(shared, directory),
         )
 
--- a/src/clementinedeal/_entry.py
+++ b/src/clementinedeal/_entry.py
@@ -3,23 +3,23 @@
 from result import Err, Ok, Result
 
 from clementinedeal._access import Access, Granted
+from clementinedeal._attempt_plan import AttemptPlan
+from clementinedeal._attempt_sender import AttemptSender, answer_caller
 from clementinedeal._attempt_set import AttemptRequest
-from clementinedeal._attempts import AttemptPlan
 from clementinedeal._entry_parts import EntryParts
-from clementinedeal._exchange import Exchange, Finished
-from clementinedeal._forwarding import REPLAY_BYTES
+from clementinedeal._exchange import Exchange, ExchangeResult
+from clementinedeal._forwarding import MAX_REPLAY_BYTES
 from clementinedeal._hedged_exchange import HedgedExchange
 from clementinedeal._http import ConnLostError, RequestHead
-from clementinedeal._incoming import (
-    Incoming,
+from clementinedeal._incoming_request import (
+    IncomingRequest,
+    caller_timeout_seconds,
     forwarded_head,
-    limited,
+    limit_body,
     new_request_id,
-    patience,
 )
-from clementinedeal._outgoing import Outgoing, answer_caller
 from clementinedeal._refusals import Refusal
-from clementinedeal._replies import Answered, Request, buffer_body
+from clementinedeal._replies import Request, TargetAnswer, buffer_body
 from clementinedeal._retry_budget import RetryBudgets
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._verdict import Reason, Verdict
@@ -44,25 +44,26 @@
         :raises ConnLostError: the stream must end broken.
         """
         req_id = new_request_id()
-        checked = self._check(head)
+        checked = self._check_access(head)
         if isinstance(checked, Err):
             await self._refuse_early(conn, req_id, checked.err_value)
             return
         access, granted = checked.ok_value
         started = self._parts.clock.now()
-        pieces = limited(conn.read_body(), self._parts.max_body_bytes)
-        body = await buffer_body(pieces, REPLAY_BYTES)
-        incoming = Incoming(
+        pieces = limit_body(conn.read_body(), self._parts.max_body_bytes)
+        body = await buffer_body(pieces, MAX_REPLAY_BYTES)
+        incoming = IncomingRequest(
             req_id=req_id,
             granted=granted,
             access=access,
             req=Request(forwarded_head(head), body),
             started=started,
-            deadline=started + patience(head, access.cfg.active.deadline),
+            deadline=started
+            + caller_timeout_seconds(head, access.cfg.active.deadline),
         )
         await self._serve_checked(conn, incoming)
 
-    def _check(
+    def _check_access(
         self,
         head: RequestHead,
     ) -> Result[tuple[Access, Granted], Reason]:
@@ -82,7 +83,7 @@
         req_id: str,
         reason: Reason,
     ) -> None:
-        self._parts.recorder.refused_early(reason)
+        self._parts.recorder.record_early_refusal(reason)
         self._parts.events.emit(
             'request-refused',
             req=req_id,
@@ -94,7 +95,7 @@
     async def _serve_checked(
         self,
         conn: ServerConn,
-        incoming: Incoming,
+        incoming: IncomingRequest,
     ) -> None:
         claimed = await self._parts.idempotency.claim(incoming)
         if isinstance(claimed, Refusal):
@@ -105,11 +106,13 @@
             self._record(incoming, Verdict.RAN, 'replayed')
             await answer_caller(conn, incoming.req_id, claimed)
             return
-        finished = await self._run(conn, incoming)
-        self._parts.idempotency.settle(incoming, finished)
-        await self._conclude(conn, incoming, finished)
+        result = await self._run(conn, incoming)
+        self._parts.idempotency.settle(incoming, result)
+        await self._conclude(conn, incoming, result)
 
-    async def _run(self, conn: ServerConn, incoming: Incoming) -> Finished:
+    async def _run(
+        self, conn: ServerConn, incoming: IncomingRequest
+    ) -> ExchangeResult:
         cfg = incoming.access.cfg
         budget = self._budgets.of(incoming.service)
         plan = AttemptPlan(
@@ -122,28 +125,28 @@
             ),
             budget,
         )
-        outgoing = Outgoing(self._parts, conn, incoming)
-        hedges = incoming.granted.route.idempotent and (
+        sender = AttemptSender(self._parts, conn, incoming)
+        may_hedge = incoming.granted.route.idempotent and (
             cfg.active.hedge_after > 0
         )
-        kind = HedgedExchange if hedges else Exchange
-        exchange = kind(plan, outgoing, self._parts.clock)
+        exchange_class = HedgedExchange if may_hedge else Exchange
+        exchange = exchange_class(plan, sender, self._parts.clock)
         replayable = incoming.req.body.whole is not None
         return await exchange.run(replayable=replayable)
 
     async def _conclude(
         self,
         conn: ServerConn,
-        incoming: Incoming,
-        finished: Finished,
+        incoming: IncomingRequest,
+        result: ExchangeResult,
     ) -> None:
-        failure = finished.refusal
+        failure = result.refusal
         if failure is None:
-            answer = finished.answer
+            answer = result.answer
             self._record(incoming, Verdict.RAN, 'answered', answer)
             return
         self._record(incoming, failure.verdict, failure.reason.value)
-        if finished.cut or conn.head_sent:
+        if result.must_abort or conn.head_sent:
             raise ConnLostError('the answer broke off')
         refusal = Refusal(failure.verdict, failure.reason, failure.retry_after)
         conn.close_unless_read()
@@ -151,10 +154,10 @@
 
     def _record(
         self,
-        incoming: Incoming,
+        incoming: IncomingRequest,
         verdict: Verdict,
         outcome: str,
-        answer: Answered | None = None,
+        answer: TargetAnswer | None = None,
     ) -> None:
         self._parts.recorder.record(incoming, verdict, outcome, answer)
         self._parts.events.emit(
--- a/src/clementinedeal/_entry_parts.py
+++ b/src/clementinedeal/_entry_parts.py
@@ -6,12 +6,12 @@
 from clementinedeal._access import Access, Granted
 from clementinedeal._cancel_messages import CancelAnswer, CancelExecution
 from clementinedeal._events import EventLog
-from clementinedeal._exchange import Finished
+from clementinedeal._exchange import ExchangeResult
 from clementinedeal._forwarding import PeerClient
-from clementinedeal._incoming import Incoming
+from clementinedeal._incoming_request import IncomingRequest
 from clementinedeal._owner import Owner
 from clementinedeal._refusals import Refusal
-from clementinedeal._replies import Answered
+from clementinedeal._replies import TargetAnswer
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 
@@ -41,10 +41,12 @@
         ...
 
 
-class RemoteCancel(Protocol):
+class RemoteCanceller(Protocol):
     """Cancels attempts at other daemons."""
 
-    async def cancel(self, owner: str, wish: CancelExecution) -> CancelAnswer:
+    async def cancel(
+        self, owner: str, cancel_request: CancelExecution
+    ) -> CancelAnswer:
         """Ask an owner; UNKNOWN when it does not answer in time."""
         ...
 
@@ -52,11 +54,13 @@
 class IdempotencyGate(Protocol):
     """Lets each idempotency key run once."""
 
-    async def claim(self, incoming: Incoming) -> Refusal | Answered | None:
+    async def claim(
+        self, incoming: IncomingRequest
+    ) -> Refusal | TargetAnswer | None:
         """Claim the request's key; None when it may run now."""
         ...
 
-    def settle(self, incoming: Incoming, finished: Finished) -> None:
+    def settle(self, incoming: IncomingRequest, result: ExchangeResult) -> None:
         """Store what the request came to."""
         ...
 
@@ -66,15 +70,15 @@
 
     def record(
         self,
-        incoming: Incoming,
+        incoming: IncomingRequest,
         verdict: Verdict,
         outcome: str,
-        answer: Answered | None,
+        answer: TargetAnswer | None,
     ) -> None:
         """Note one request, its verdict, its end and its answer."""
         ...
 
-    def refused_early(self, reason: Reason) -> None:
+    def record_early_refusal(self, reason: Reason) -> None:
         """Note one request that route or key did not let in."""
         ...
 
@@ -89,7 +93,7 @@
     view: EntryKnowledge
     owner: Owner
     peers: PeerClient
-    remote: RemoteCancel
+    canceller: RemoteCanceller
     idempotency: IdempotencyGate
     recorder: RequestRecorder
     max_body_bytes: int
--- a/src/clementinedeal/_entry_view.py
+++ b/src/clementinedeal/_entry_view.py
@@ -72,7 +72,7 @@
         account = granted.account
         route = granted.route
         return tuple(
-            self._router.order(
+            self._router.rank_targets(
                 route.service,
                 self.holders(account.name) if account else (),
                 route.idempotent,
@@ -108,7 +108,7 @@
             return
         self._router.paths.on_answer(owner, path_seconds)
         available = _AVAILABILITIES.get(outcome.state, Availability.IN_USE)
-        self._note(target, available, outcome.load)
+        self._update_router(target, available, outcome.load)
 
     def on_unreachable(self, owner: str) -> None:
         """Note that an owner could not be connected to from here."""
@@ -131,17 +131,19 @@
         changed = absent ^ self._absent
         self._absent = absent
         if changed:
-            self._note_owners(changed)
+            self._note_absences(changed)
 
-    def _note_owners(self, changed: frozenset[str]) -> None:
+    def _note_absences(self, changed: frozenset[str]) -> None:
         cfg = self.access.cfg if self.access else None
         for target in cfg.targets.values() if cfg else ():
             if target.instance in changed:
-                gone = target.instance in self._absent
-                available = Availability.LOST if gone else Availability.IN_USE
-                self._note(target.name, available, 0)
+                is_gone = target.instance in self._absent
+                available = (
+                    Availability.LOST if is_gone else Availability.IN_USE
+                )
+                self._update_router(target.name, available, 0)
 
-    def _note(
+    def _update_router(
         self,
         target: str,
         available: Availability,
--- a/src/clementinedeal/_exchange.py
+++ b/src/clementinedeal/_exchange.py
@@ -7,7 +7,9 @@
 
 import trio
 
+from clementinedeal._answer_checks import AnswerWrongError
 from clementinedeal._attempt_events import (
+    AbortStream,
     AnswerComplete,
     AnswerHead,
     AnswerIncomplete,
@@ -16,21 +18,18 @@
     AttemptFailed,
     BodyNotReplayable,
     CallerLeft,
-    Cancel,
     CancelAnswered,
+    CancelAttempt,
     ConnectionLost,
-    CutStream,
-    Forward,
-    GiveUp,
-    Reply,
+    RefuseRequest,
+    RelayAnswer,
+    SendAttempt,
     Timeout,
 )
-from clementinedeal._attempts import Actions, AttemptPlan
+from clementinedeal._attempt_plan import AttemptActions, AttemptPlan
 from clementinedeal._cancel_messages import CancelAnswer
-from clementinedeal._digest import AnswerWrongError
 from clementinedeal._http import ConnLostError, HttpError, WriteLostError
-from clementinedeal._replies import Answered, Refused
-from clementinedeal._replies import Reply as AttemptReply
+from clementinedeal._replies import AttemptRefusal, AttemptReply, TargetAnswer
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 
@@ -59,7 +58,7 @@
         """Ask the owner how far the attempt came; it won't start any more."""
         ...
 
-    async def reply(self, answer: Answered) -> None:
+    async def reply(self, answer: TargetAnswer) -> None:
         """Pass an answer to the caller.
 
         :raises CallerLeftError: the caller's connection broke.
@@ -69,20 +68,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Finished:
+class ExchangeResult:
     """How a request ended.
 
     ``refusal`` is None after an answer; ``cut`` tells that the caller's
     stream must end visibly broken; ``answer`` is what the caller got.
     """
 
-    refusal: GiveUp | None = None
-    cut: bool = False
-    answer: Answered | None = None
+    refusal: RefuseRequest | None = None
+    must_abort: bool = False
+    answer: TargetAnswer | None = None
     target: str = ''
 
 
-UNDECIDED = Finished(GiveUp(Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED))
+UNKNOWN_RESULT = ExchangeResult(
+    RefuseRequest(Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED)
+)
 
 
 class Exchange:
@@ -104,114 +105,122 @@
         self._runner = runner
         self._clock = clock
         self._admitted = False
-        self._finished = UNDECIDED
+        self._result = UNKNOWN_RESULT
 
-    async def run(self, *, replayable: bool) -> Finished:
+    async def run(self, *, replayable: bool) -> ExchangeResult:
         """Run the request to its end.
 
         :param replayable: whether its body can be sent again.
         """
         if not replayable:
-            self._tell(BodyNotReplayable())
+            self._report(BodyNotReplayable())
         actions = self._plan.start(self._clock.now())
         while actions:
             following: list[AttemptAction] = []
             for action in actions:
-                following.extend(await self._carry_out(action))
+                following.extend(await self._perform(action))
             actions = tuple(following)
-        return self._finished
+        return self._result
 
-    async def _carry_out(self, action: AttemptAction) -> Actions:
+    async def _perform(self, action: AttemptAction) -> AttemptActions:
         match action:
-            case Forward():
-                return await self._attempt(action)
-            case Cancel():
+            case SendAttempt():
+                return await self._run_attempt(action)
+            case CancelAttempt():
                 answer = await self._runner.cancel(
                     action.attempt_id,
                     action.target,
                 )
-                return self._tell(CancelAnswered(action.attempt_id, answer))
-            case GiveUp():
-                self._finished = Finished(action)
-            case CutStream():
-                failure = GiveUp(action.verdict, action.reason)
-                self._finished = Finished(failure, cut=True)
+                return self._report(CancelAnswered(action.attempt_id, answer))
+            case RefuseRequest():
+                self._result = ExchangeResult(action)
+            case AbortStream():
+                failure = RefuseRequest(action.verdict, action.reason)
+                self._result = ExchangeResult(failure, must_abort=True)
         return ()
 
-    async def _attempt(self, forward: Forward) -> Actions:
-        wait = max(0, self._plan.due() - self._clock.now())
+    async def _run_attempt(self, send: SendAttempt) -> AttemptActions:
+        wait = max(0, self._plan.next_timeout() - self._clock.now())
         scope = trio.CancelScope(deadline=trio.current_time() + wait)
         with scope:
             try:
-                return await self._converse(forward, scope)
+                return await self._handle_reply(send, scope)
             except CallerLeftError:
-                self._tell(CallerLeft())
+                self._report(CallerLeft())
                 return ()
             except (ConnLostError, HttpError):
-                return self._tell(ConnectionLost(forward.attempt_id))
-        return self._tell(Timeout())
+                return self._report(ConnectionLost(send.attempt_id))
+        return self._report(Timeout())
 
-    async def _converse(
+    async def _handle_reply(
         self,
-        forward: Forward,
+        send: SendAttempt,
         scope: trio.CancelScope,
-    ) -> Actions:
-        attempt_id = forward.attempt_id
+    ) -> AttemptActions:
+        attempt_id = send.attempt_id
         async with self._runner.attempt(
             attempt_id,
-            forward.target,
+            send.target,
             admitted=self._admitted,
         ) as reply:
             self._admitted = self._admitted or reply.admitted
-            if isinstance(reply, Refused):
-                return self._tell(failure_event(attempt_id, reply))
-            actions = self._tell(AnswerHead(attempt_id, reply.head.status))
-            if actions != (Reply(attempt_id),):
+            if isinstance(reply, AttemptRefusal):
+                return self._report(failure_event(attempt_id, reply))
+            actions = self._report(AnswerHead(attempt_id, reply.head.status))
+            if actions != (RelayAnswer(attempt_id),):
                 return tuple(
                     action
                     for action in actions
-                    if not isinstance(action, Cancel)
+                    if not isinstance(action, CancelAttempt)
                 )
             scope.deadline = math.inf
-            return await self._pass_on(forward, reply)
+            return await self._relay(send, reply)
 
-    async def _pass_on(self, forward: Forward, reply: Answered) -> Actions:
-        attempt_id = forward.attempt_id
+    async def _relay(
+        self, send: SendAttempt, reply: TargetAnswer
+    ) -> AttemptActions:
+        attempt_id = send.attempt_id
         try:
             await self._runner.reply(reply)
         except CallerLeftError:
-            self._finished = left_unread(reply, forward.target)
+            self._result = result_of_caller_left(reply, send.target)
             raise
         except AnswerWrongError:
             reason = Reason.ANSWER_WRONG
-            broken = AnswerIncomplete(attempt_id, sent=True, reason=reason)
-            return self._tell(broken)
+            broken = AnswerIncomplete(
+                attempt_id, is_partly_sent=True, reason=reason
+            )
+            return self._report(broken)
         except (ConnLostError, HttpError):
-            return self._tell(AnswerIncomplete(attempt_id, sent=True))
-        self._finished = Finished(answer=reply, target=forward.target)
-        return self._tell(AnswerComplete(attempt_id))
+            return self._report(
+                AnswerIncomplete(attempt_id, is_partly_sent=True)
+            )
+        self._result = ExchangeResult(answer=reply, target=send.target)
+        return self._report(AnswerComplete(attempt_id))
 
-    def _tell(self, event: AttemptEvent) -> Actions:
+    def _report(self, event: AttemptEvent) -> AttemptActions:
         return self._plan.on_event(event, self._clock.now())
 
 
-def left_unread(reply: Answered, target: str) -> Finished:
+def result_of_caller_left(reply: TargetAnswer, target: str) -> ExchangeResult:
     """Return the end of a request whose caller left before its answer's end.
 
     :param reply: the answer; it can still be stored for a repeat.
     :param target: where the request ran.
     """
-    failure = GiveUp(Verdict.RAN, Reason.CANCELLED)
-    return Finished(failure, cut=True, answer=reply, target=target)
+    failure = RefuseRequest(Verdict.RAN, Reason.CANCELLED)
+    return ExchangeResult(failure, must_abort=True, answer=reply, target=target)
 
 
-def failure_event(attempt_id: str, reply: Refused) -> AttemptEvent:
-    incomplete = reply.reason in {
+def failure_event(attempt_id: str, reply: AttemptRefusal) -> AttemptEvent:
+    is_incomplete = reply.reason in {
         Reason.ANSWER_INCOMPLETE,
         Reason.ANSWER_WRONG,
     }
-    if incomplete:
-        return AnswerIncomplete(attempt_id, sent=False, reason=reply.reason)
+    if is_incomplete:
+        return AnswerIncomplete(
+            attempt_id, is_partly_sent=False, reason=reply.reason
+        )
     return AttemptFailed(
         attempt_id,
         reply.verdict,
--- a/src/clementinedeal/_executions.py
+++ b/src/clementinedeal/_executions.py
@@ -10,7 +10,7 @@
 from clementinedeal._timers import PAUSE_SECONDS
 from clementinedeal._verdict import Reason
 
-DEFAULT_ENTRIES = 65_536
+DEFAULT_MAX_ENTRIES = 65_536
 DEFAULT_RETENTION_SECONDS = 120.0
 
 
@@ -24,8 +24,8 @@
     CANCELLED = 'cancelled'
 
 
-_ENTOMBED = frozenset((Reason.DEADLINE, Reason.WRONG_INCARNATION))
-_ANSWERS = {
+_RECORDED_REFUSALS = frozenset((Reason.DEADLINE, Reason.WRONG_INCARNATION))
+_CANCEL_ANSWERS = {
     ExecutionState.CANCELLED: CancelAnswer.NEVER_STARTED,
     ExecutionState.STARTED: CancelAnswer.STARTED,
     ExecutionState.ABANDONED: CancelAnswer.STARTED,
@@ -42,8 +42,8 @@
     within which an entry trusts the answer to a cancel.
     """
 
-    entries: int = DEFAULT_ENTRIES
-    retention: float = DEFAULT_RETENTION_SECONDS
+    max_entries: int = DEFAULT_MAX_ENTRIES
+    retention_seconds: float = DEFAULT_RETENTION_SECONDS
 
 
 @dataclass(slots=True)
@@ -102,11 +102,11 @@
             the other copy may have run.
         """
         self._expire(now)
-        reason = self._refusal(req_id, incarnation, deadline, now)
-        if reason is not None:
-            if reason in _ENTOMBED:
-                self._entomb(req_id, incarnation, now)
-            return Err(reason)
+        refusal = self._register_refusal(req_id, incarnation, deadline, now)
+        if refusal is not None:
+            if refusal in _RECORDED_REFUSALS:
+                self._record_cancelled(req_id, incarnation, now)
+            return Err(refusal)
         self._table[req_id] = _Execution(
             ExecutionState.QUEUED,
             incarnation,
@@ -140,7 +140,7 @@
         :param req_id: id of the forward; unknown ids are ignored.
         :param now: current monotonic time in seconds.
         """
-        self._end(req_id, ExecutionState.DONE, now)
+        self._close_if_started(req_id, ExecutionState.DONE, now)
 
     def abandon(self, req_id: str, now: float) -> None:
         """Note that nobody waits any more for a started forward.
@@ -148,7 +148,7 @@
         :param req_id: id of the forward; unknown and ended ones are ignored.
         :param now: current monotonic time in seconds.
         """
-        self._end(req_id, ExecutionState.ABANDONED, now)
+        self._close_if_started(req_id, ExecutionState.ABANDONED, now)
 
     def cancel(
         self,
@@ -165,10 +165,10 @@
         self._expire(now)
         execution = self._table.get(req_id)
         if execution is None:
-            return self._entomb(req_id, incarnation, now)
+            return self._record_cancelled(req_id, incarnation, now)
         if execution.state is ExecutionState.QUEUED:
             self._close(req_id, execution, ExecutionState.CANCELLED, now)
-        return _ANSWERS[execution.state]
+        return _CANCEL_ANSWERS[execution.state]
 
     def on_tick(self, now: float) -> None:
         """Note that the process runs.
@@ -197,28 +197,30 @@
         execution = self._table.get(req_id)
         return execution.state if execution else None
 
-    def _end(self, req_id: str, state: ExecutionState, now: float) -> None:
+    def _close_if_started(
+        self, req_id: str, state: ExecutionState, now: float
+    ) -> None:
         execution = self._table.get(req_id)
         if execution and execution.state is ExecutionState.STARTED:
             self._close(req_id, execution, state, now)
 
-    def _refusal(
+    def _register_refusal(
         self,
         req_id: str,
         incarnation: str,
         deadline: float,
         now: float,
     ) -> Reason | None:
-        known = self._table.get(req_id)
-        if known and known.state is ExecutionState.CANCELLED:
+        existing = self._table.get(req_id)
+        if existing and existing.state is ExecutionState.CANCELLED:
             return Reason.CANCELLED
-        if known:
+        if existing:
             return Reason.DUPLICATE
-        if incarnation != self.incarnation or self._is_after_gap(now):
+        if incarnation != self.incarnation or self._has_missed_ticks(now):
             return Reason.WRONG_INCARNATION
         if deadline <= now:
             return Reason.DEADLINE
-        if len(self._table) >= self._limits.entries:
+        if len(self._table) >= self._limits.max_entries:
             return Reason.QUEUE_FULL
         return None
 
@@ -233,23 +235,23 @@
             return Reason.DUPLICATE
         if execution.incarnation != self.incarnation:
             return Reason.WRONG_INCARNATION
-        if self._is_after_gap(now):
+        if self._has_missed_ticks(now):
             return Reason.WRONG_INCARNATION
         if execution.deadline <= now:
             return Reason.DEADLINE
         return None
 
-    def _is_after_gap(self, now: float) -> bool:
+    def _has_missed_ticks(self, now: float) -> bool:
         return now - self._last_tick > PAUSE_SECONDS
 
-    def _entomb(
+    def _record_cancelled(
         self,
         req_id: str,
         incarnation: str,
         now: float,
     ) -> CancelAnswer:
-        full = len(self._table) >= self._limits.entries
-        if full or incarnation != self.incarnation:
+        is_full = len(self._table) >= self._limits.max_entries
+        if is_full or incarnation != self.incarnation:
             return CancelAnswer.UNKNOWN
         tombstone = _Execution(ExecutionState.QUEUED, incarnation, now, 0)
         self._table[req_id] = tombstone
@@ -265,7 +267,7 @@
     ) -> None:
         execution.state = state
         last_use = max(execution.deadline, now)
-        execution.forget_at = last_use + self._limits.retention
+        execution.forget_at = last_use + self._limits.retention_seconds
         heapq.heappush(self._expiries, (execution.forget_at, req_id))
 
     def _expire(self, now: float) -> None:
--- a/src/clementinedeal/_forwarding.py
+++ b/src/clementinedeal/_forwarding.py
@@ -22,28 +22,28 @@
     RequestHead,
     end_to_end,
 )
-from clementinedeal._incoming import without_internal
+from clementinedeal._incoming_request import strip_internal_headers
 from clementinedeal._model import Instance, Target
 from clementinedeal._owner import Owner
 from clementinedeal._pool import ConnPool
 from clementinedeal._replies import (
-    Answered,
-    Refused,
-    Reply,
+    AttemptRefusal,
+    AttemptReply,
     Request,
+    TargetAnswer,
     buffer_body,
 )
 from clementinedeal._server_conn import ServerConn
-from clementinedeal._target_call import framing, send_request
+from clementinedeal._target_call import framing_headers, send_request
 from clementinedeal._verdict import Reason, Verdict
 
-REPLAY_BYTES = 65536
+MAX_REPLAY_BYTES = 65536
 _REFUSED_STATUS = 503
 _FORBIDDEN = 403
 
 
-def _request_context(to: str, head: RequestHead) -> bytes:
-    return f'{to} {head.method} {head.path}'.encode()
+def _request_context(receiver: str, head: RequestHead) -> bytes:
+    return f'{receiver} {head.method} {head.path}'.encode()
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +78,7 @@
         owner: Instance,
         fwd: Forward,
         req: Request,
-    ) -> AsyncIterator[Reply]:
+    ) -> AsyncIterator[AttemptReply]:
         """Run one attempt at another daemon.
 
         :param owner: the daemon beside the target.
@@ -90,27 +90,27 @@
             conn = await self._parts.pool.acquire(owner.peer)
         except ConnLostError:
             self._parts.on_unreachable(owner.name)
-            yield Refused(Verdict.NOT_RUN, Reason.NO_TARGET)
+            yield AttemptRefusal(Verdict.NOT_RUN, Reason.NO_TARGET)
             return
         try:
-            yield await self._exchange(conn, owner, fwd, req)
+            yield await self._send_forward(conn, owner, fwd, req)
         except BaseException:
             await conn.aclose()
             raise
         await self._parts.pool.release(owner.peer, conn)
 
-    async def _exchange(
+    async def _send_forward(
         self,
         conn: ClientConn,
         owner: Instance,
         fwd: Forward,
         req: Request,
-    ) -> Reply:
+    ) -> AttemptReply:
         context = _request_context(owner.name, req.head)
         sealed = self._parts.keyring.seal_header(fwd, context)
         headers = (
             *req.head.headers,
-            *framing(req.head, req.body),
+            *framing_headers(req.head, req.body),
             (FORWARD_HEADER, sealed),
         )
         head = RequestHead(req.head.method, req.head.path, headers)
@@ -124,7 +124,7 @@
         owner: Instance,
         fwd: Forward,
         started: float,
-    ) -> Reply:
+    ) -> AttemptReply:
         head = await conn.read_head()
         seconds = trio.current_time() - started
         sealed = head.header(OUTCOME_HEADER)
@@ -144,15 +144,15 @@
             outcome,
             max(0, seconds - outcome.spent),
         )
-        body = await buffer_body(conn.read_body(), REPLAY_BYTES)
+        body = await buffer_body(conn.read_body(), MAX_REPLAY_BYTES)
         if not outcome.reason:
-            return Answered(
+            return TargetAnswer(
                 head,
                 body,
                 admitted=outcome.admitted,
                 target_seconds=outcome.target_seconds,
             )
-        return Refused(
+        return AttemptRefusal(
             verdict=Verdict(outcome.verdict),
             reason=Reason(outcome.reason),
             retry_after=outcome.retry_after,
@@ -162,25 +162,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ownership:
+class OwnedTargets:
     """What the serving side knows of its own targets."""
 
     owner: Owner
     find_target: Callable[[str], Target | None]
-    describe: Callable[[str], tuple[float, str]]
+    load_and_state: Callable[[str], tuple[float, str]]
 
 
 class PeerServer:
     """Runs attempts that other daemons forward."""
 
-    def __init__(self, parts: PeerParts, ownership: Ownership) -> None:
+    def __init__(self, parts: PeerParts, owned: OwnedTargets) -> None:
         """Create a server.
 
         :param parts: its collaborators.
         :param ownership: runs requests and finds targets.
         """
         self._parts = parts
-        self._ownership = ownership
+        self._owned = owned
 
     async def serve(self, conn: ServerConn, head: RequestHead) -> None:
         """Answer one request on a peer connection.
@@ -207,38 +207,40 @@
         head: RequestHead,
         fwd: Forward,
     ) -> None:
-        body = await buffer_body(conn.read_body(), REPLAY_BYTES)
+        body = await buffer_body(conn.read_body(), MAX_REPLAY_BYTES)
         started = trio.current_time()
-        headers = without_internal(end_to_end(head.headers))
+        headers = strip_internal_headers(end_to_end(head.headers))
         req = Request(RequestHead(head.method, head.path, headers), body)
-        target = self._ownership.find_target(fwd.target)
+        target = self._owned.find_target(fwd.target)
         if target is None:
-            refused = Refused(Verdict.NOT_RUN, Reason.NO_TARGET)
+            refused = AttemptRefusal(Verdict.NOT_RUN, Reason.NO_TARGET)
             await self._send(conn, fwd, refused, started)
             return
-        async with self._ownership.owner.execute(fwd, target, req) as reply:
+        async with self._owned.owner.execute(fwd, target, req) as reply:
             await self._send(conn, fwd, reply, started)
 
     async def _send(
         self,
         conn: ServerConn,
         fwd: Forward,
-        reply: Reply,
+        reply: AttemptReply,
         started: float,
     ) -> None:
         spent = trio.current_time() - started
         outcome = self._outcome(fwd, reply, spent)
         sealed = self._parts.keyring.seal_header(outcome, fwd.attempt.encode())
         extra = ((OUTCOME_HEADER, sealed),)
-        if isinstance(reply, Refused):
+        if isinstance(reply, AttemptRefusal):
             await conn.respond(_REFUSED_STATUS, extra)
             return
         await send_answer(conn, reply, extra)
 
-    def _outcome(self, fwd: Forward, reply: Reply, spent: float) -> Outcome:
-        load, state = self._ownership.describe(fwd.target)
-        refused = reply if isinstance(reply, Refused) else None
-        answer = reply if isinstance(reply, Answered) else None
+    def _outcome(
+        self, fwd: Forward, reply: AttemptReply, spent: float
+    ) -> Outcome:
+        load, state = self._owned.load_and_state(fwd.target)
+        refused = reply if isinstance(reply, AttemptRefusal) else None
+        answer = reply if isinstance(reply, TargetAnswer) else None
         return Outcome(
             verdict=(refused.verdict if refused else Verdict.RAN).value,
             reason=refused.reason.value if refused else '',
@@ -255,7 +257,7 @@
 
 async def send_answer(
     conn: ServerConn,
-    reply: Answered,
+    reply: TargetAnswer,
     extra: Headers,
 ) -> None:
     """Send an answer on; a broken body breaks the connection.
@@ -266,7 +268,7 @@
     :raises ConnLostError: either side broke.
     """
     added = {name for name, _ in extra}
-    passed = without_internal(end_to_end(reply.head.headers))
+    passed = strip_internal_headers(end_to_end(reply.head.headers))
     kept = tuple(pair for pair in passed if pair[0] not in added)
     headers = (*kept, *extra)
     if reply.body.whole is not None:
--- a/src/clementinedeal/_front.py
+++ b/src/clementinedeal/_front.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from clementinedeal._cancels import Cancels
+from clementinedeal._cancel_messenger import CancelMessenger
 from clementinedeal._directory import Directory
 from clementinedeal._entry import Entry
 from clementinedeal._entry_parts import EntryParts
@@ -12,7 +12,7 @@
 from clementinedeal._envelope import Keyring
 from clementinedeal._executions import ExecutionTable
 from clementinedeal._forwarding import (
-    Ownership,
+    OwnedTargets,
     PeerClient,
     PeerParts,
     PeerServer,
@@ -39,7 +39,7 @@
     executions: ExecutionTable
     directory: Directory
     view: EntryView
-    cancels: Cancels
+    cancels: CancelMessenger
     status: StatusReporter
 
 
@@ -69,7 +69,7 @@
         entry = self._build_entry(managers, PeerClient(parts))
         peer = PeerServer(
             parts,
-            Ownership(
+            OwnedTargets(
                 self.owner,
                 context.directory.owned_target,
                 context.status.describe_target,
@@ -126,7 +126,7 @@
                 view=self._context.view,
                 owner=self.owner,
                 peers=peers,
-                remote=self._context.cancels,
+                canceller=self._context.cancels,
                 idempotency=managers.keys,
                 recorder=MetricsRecorder(shared.metrics, shared.clock),
                 max_body_bytes=shared.settings.limits.max_body_bytes,
--- a/src/clementinedeal/_gates.py
+++ b/src/clementinedeal/_gates.py
@@ -2,13 +2,13 @@
 
 from typing import Protocol
 
-from clementinedeal._replies import Refused, Reply
+from clementinedeal._replies import AttemptRefusal, AttemptReply
 
 
 class TokenGate(Protocol):
     """Takes a request from its account's rate and burst."""
 
-    async def take(self, req_id: str, account: str) -> Refused | None:
+    async def take(self, req_id: str, account: str) -> AttemptRefusal | None:
         """Wait for a token; None when it was taken.
 
         :param req_id: unique id of the attempt.
@@ -26,7 +26,7 @@
         target: str,
         account: str,
         seconds_left: float,
-    ) -> Refused | None:
+    ) -> AttemptRefusal | None:
         """Wait for a slot; None when it is lent.
 
         :param req_id: unique id of the attempt.
@@ -48,7 +48,9 @@
 class OutcomeWatcher(Protocol):
     """Learns from the owner's own traffic how its targets do."""
 
-    def refusal(self, target: str, *, idempotent: bool) -> Refused | None:
+    def refusal(
+        self, target: str, *, idempotent: bool
+    ) -> AttemptRefusal | None:
         """Return why a target takes no such request now, None if it does."""
         ...
 
@@ -56,7 +58,7 @@
         """Note the first byte to a target."""
         ...
 
-    def ended(self, req_id: str, target: str, reply: Reply) -> None:
+    def ended(self, req_id: str, target: str, reply: AttemptReply) -> None:
         """Note what a started request came to.
 
         :param reply: answer, or the refusal with its reason.
--- a/src/clementinedeal/_hedged_exchange.py
+++ b/src/clementinedeal/_hedged_exchange.py
@@ -4,7 +4,9 @@
 
 import trio
 
+from clementinedeal._answer_checks import AnswerWrongError
 from clementinedeal._attempt_events import (
+    AbortStream,
     AnswerComplete,
     AnswerHead,
     AnswerIncomplete,
@@ -12,27 +14,25 @@
     AttemptEvent,
     BodyNotReplayable,
     CallerLeft,
-    Cancel,
     CancelAnswered,
+    CancelAttempt,
     ConnectionLost,
-    CutStream,
-    Forward,
-    GiveUp,
-    Reply,
+    RefuseRequest,
+    RelayAnswer,
+    SendAttempt,
     Timeout,
 )
-from clementinedeal._attempts import AttemptPlan
-from clementinedeal._digest import AnswerWrongError
+from clementinedeal._attempt_plan import AttemptPlan
 from clementinedeal._exchange import (
-    UNDECIDED,
+    UNKNOWN_RESULT,
     AttemptRunner,
     CallerLeftError,
-    Finished,
+    ExchangeResult,
     failure_event,
-    left_unread,
+    result_of_caller_left,
 )
 from clementinedeal._http import ConnLostError, HttpError
-from clementinedeal._replies import Answered, Refused
+from clementinedeal._replies import AttemptRefusal, TargetAnswer
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason
 
@@ -40,7 +40,7 @@
 
 
 @dataclass(slots=True)
-class _Running:
+class _RunningAttempt:
     target: str
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     chosen: trio.Event = field(default_factory=trio.Event)
@@ -64,14 +64,14 @@
         self._plan = plan
         self._runner = runner
         self._clock = clock
-        self._running: dict[str, _Running] = {}
+        self._running: dict[str, _RunningAttempt] = {}
         channel = trio.open_memory_channel[AttemptEvent](EVENT_BUFFER)
         self._events_in = channel[0]
         self._events_out = channel[1]
         self._admitted = False
-        self._finished = UNDECIDED
+        self._result = UNKNOWN_RESULT
 
-    async def run(self, *, replayable: bool) -> Finished:
+    async def run(self, *, replayable: bool) -> ExchangeResult:
         """Run the request to its end.
 
         :param replayable: whether its body can be sent again.
@@ -89,10 +89,10 @@
                 now = self._clock.now()
                 self._perform(self._plan.on_event(event, now), nursery)
             nursery.cancel_scope.cancel()
-        return self._finished
+        return self._result
 
     async def _next_event(self) -> AttemptEvent:
-        wait = max(0, self._plan.due() - self._clock.now())
+        wait = max(0, self._plan.next_timeout() - self._clock.now())
         with trio.move_on_after(wait):
             return await self._events_out.receive()
         return Timeout()
@@ -104,64 +104,70 @@
     ) -> None:
         for action in actions:
             match action:
-                case Forward():
-                    running = _Running(action.target)
+                case SendAttempt():
+                    running = _RunningAttempt(action.target)
                     self._running[action.attempt_id] = running
-                    nursery.start_soon(self._attempt, action, running)
-                case Cancel():
+                    nursery.start_soon(self._run_attempt, action, running)
+                case CancelAttempt():
                     self._running[action.attempt_id].scope.cancel()
                     nursery.start_soon(self._cancel, action)
-                case Reply():
+                case RelayAnswer():
                     self._running[action.attempt_id].chosen.set()
-                case GiveUp():
-                    self._finished = Finished(action)
-                case CutStream():
-                    failure = GiveUp(action.verdict, action.reason)
-                    self._finished = Finished(failure, cut=True)
-
-    async def _attempt(self, forward: Forward, running: _Running) -> None:
+                case RefuseRequest():
+                    self._result = ExchangeResult(action)
+                case AbortStream():
+                    failure = RefuseRequest(action.verdict, action.reason)
+                    self._result = ExchangeResult(failure, must_abort=True)
+
+    async def _run_attempt(
+        self, send: SendAttempt, running: _RunningAttempt
+    ) -> None:
         with running.scope:
             try:
-                await self._converse(forward, running)
+                await self._handle_reply(send, running)
             except CallerLeftError:
-                self._post(CallerLeft())
+                self._report(CallerLeft())
             except (ConnLostError, HttpError):
-                self._post(ConnectionLost(forward.attempt_id))
+                self._report(ConnectionLost(send.attempt_id))
 
-    async def _converse(self, forward: Forward, running: _Running) -> None:
+    async def _handle_reply(
+        self, send: SendAttempt, running: _RunningAttempt
+    ) -> None:
         admitted = self._admitted
         async with self._runner.attempt(
-            forward.attempt_id,
-            forward.target,
+            send.attempt_id,
+            send.target,
             admitted=admitted,
         ) as reply:
             self._admitted = self._admitted or reply.admitted
-            if isinstance(reply, Refused):
-                self._post(failure_event(forward.attempt_id, reply))
+            if isinstance(reply, AttemptRefusal):
+                self._report(failure_event(send.attempt_id, reply))
                 return
-            self._post(AnswerHead(forward.attempt_id, reply.head.status))
+            self._report(AnswerHead(send.attempt_id, reply.head.status))
             await running.chosen.wait()
-            await self._pass_on(forward, reply)
+            await self._relay(send, reply)
 
-    async def _pass_on(self, forward: Forward, reply: Answered) -> None:
-        attempt_id = forward.attempt_id
+    async def _relay(self, send: SendAttempt, reply: TargetAnswer) -> None:
+        attempt_id = send.attempt_id
         try:
             await self._runner.reply(reply)
         except AnswerWrongError:
             reason = Reason.ANSWER_WRONG
-            self._post(AnswerIncomplete(attempt_id, sent=True, reason=reason))
+            self._report(
+                AnswerIncomplete(attempt_id, is_partly_sent=True, reason=reason)
+            )
         except CallerLeftError:
-            self._finished = left_unread(reply, forward.target)
+            self._result = result_of_caller_left(reply, send.target)
             raise
         except (ConnLostError, HttpError):
-            self._post(AnswerIncomplete(attempt_id, sent=True))
+            self._report(AnswerIncomplete(attempt_id, is_partly_sent=True))
         else:
-            self._finished = Finished(answer=reply, target=forward.target)
-            self._post(AnswerComplete(attempt_id))
+            self._result = ExchangeResult(answer=reply, target=send.target)
+            self._report(AnswerComplete(attempt_id))
 
-    async def _cancel(self, action: Cancel) -> None:
+    async def _cancel(self, action: CancelAttempt) -> None:
         answer = await self._runner.cancel(action.attempt_id, action.target)
-        self._post(CancelAnswered(action.attempt_id, answer))
+        self._report(CancelAnswered(action.attempt_id, answer))
 
-    def _post(self, event: AttemptEvent) -> None:
+    def _report(self, event: AttemptEvent) -> None:
         self._events_in.send_nowait(event)
--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -12,7 +12,7 @@
     HttpLimits,
     RequestHead,
 )
-from clementinedeal._incoming import new_request_id
+from clementinedeal._incoming_request import new_request_id
 from clementinedeal._pool import split_address
 from clementinedeal._refusals import Refusal
 from clementinedeal._server_conn import ServerConn
--- a/src/clementinedeal/_idempotency_gate.py
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -8,13 +8,13 @@
 
 from clementinedeal._claims import ClaimGranted, ClaimRefused, Replay
 from clementinedeal._dispatch import Dispatcher, Waiters
-from clementinedeal._exchange import Finished
+from clementinedeal._exchange import ExchangeResult
 from clementinedeal._http import Headers, ResponseHead, end_to_end
 from clementinedeal._idempotency import IdempotencyManager
-from clementinedeal._incoming import Incoming
+from clementinedeal._incoming_request import IncomingRequest
 from clementinedeal._key_messages import StoredAnswer
 from clementinedeal._refusals import Refusal
-from clementinedeal._replies import Answered, WholeBody
+from clementinedeal._replies import TargetAnswer, WholeBody
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 
@@ -54,7 +54,9 @@
         for kind in (ClaimGranted, ClaimRefused, Replay):
             dispatcher.register(kind, self._on_decision)
 
-    async def claim(self, incoming: Incoming) -> Refusal | Answered | None:
+    async def claim(
+        self, incoming: IncomingRequest
+    ) -> Refusal | TargetAnswer | None:
         """Claim the request's key; None when it may run now.
 
         A body too large to buffer cannot be told from another, so that a key
@@ -90,7 +92,7 @@
             decision.retry_after_seconds,
         )
 
-    def settle(self, incoming: Incoming, finished: Finished) -> None:
+    def settle(self, incoming: IncomingRequest, result: ExchangeResult) -> None:
         """Store what a granted request came to.
 
         :param incoming: the request.
@@ -98,8 +100,8 @@
         """
         if not _is_keyed(incoming):
             return
-        verdict = finished.refusal.verdict if finished.refusal else Verdict.RAN
-        answer = _to_stored(finished.answer) if finished.answer else None
+        verdict = result.refusal.verdict if result.refusal else Verdict.RAN
+        answer = _to_stored(result.answer) if result.answer else None
         now = self._clock.now()
         self._perform(
             self._manager.complete(incoming.req_id, verdict, answer, now),
@@ -122,7 +124,7 @@
         self._dispatcher.perform(actions)
 
 
-def _is_keyed(incoming: Incoming) -> bool:
+def _is_keyed(incoming: IncomingRequest) -> bool:
     return bool(
         incoming.account
         and incoming.idempotency_key
@@ -130,7 +132,7 @@
     )
 
 
-def _fingerprint(incoming: Incoming) -> str:
+def _fingerprint(incoming: IncomingRequest) -> str:
     head = incoming.req.head
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
     digest.update(f'{head.method} {head.path}\n'.encode())
@@ -138,7 +140,7 @@
     return digest.hexdigest()
 
 
-def _to_stored(answer: Answered) -> StoredAnswer | None:
+def _to_stored(answer: TargetAnswer) -> StoredAnswer | None:
     whole = answer.body.whole
     if whole is None or len(whole) > MAX_STORED_BODY_BYTES:
         return None
@@ -150,10 +152,10 @@
     return StoredAnswer(answer.head.status, headers, whole)
 
 
-def _from_stored(stored: StoredAnswer) -> Answered:
+def _from_stored(stored: StoredAnswer) -> TargetAnswer:
     headers: Headers = tuple(
         (name.encode('latin-1'), text.encode('latin-1'))
         for name, text in stored.headers
     )
     head = ResponseHead(stored.status, headers)
-    return Answered(head, WholeBody(stored.body))
+    return TargetAnswer(head, WholeBody(stored.body))
--- a/src/clementinedeal/_incoming.py
+++ b/src/clementinedeal/_incoming_request.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from clementinedeal._access import Access, Granted
-from clementinedeal._digest import REQUEST_ID_HEADER
+from clementinedeal._answer_checks import REQUEST_ID_HEADER
 from clementinedeal._envelope import INTERNAL_PREFIX
 from clementinedeal._http import (
     Headers,
@@ -19,7 +19,7 @@
 TIMEOUT_HEADER = b'x-request-timeout-ms'
 _TOO_LARGE = 413
 _MS_PER_SECOND = 1000
-_NOT_PASSED_ON = frozenset(
+_DROPPED_HEADERS = frozenset(
     (
         b'authorization',
         REQUEST_ID_HEADER,
@@ -31,7 +31,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Incoming:
+class IncomingRequest:
     """One caller's request after the access check.
 
     ``started`` and ``deadline`` are in monotonic seconds.
@@ -66,7 +66,7 @@
     return uuid.uuid4().hex
 
 
-def without_internal(headers: Headers) -> Headers:
+def strip_internal_headers(headers: Headers) -> Headers:
     """Drop headers that only daemons may set.
 
     :param headers: as received.
@@ -83,13 +83,13 @@
     """
     headers = tuple(
         pair
-        for pair in without_internal(end_to_end(head.headers))
-        if pair[0] not in _NOT_PASSED_ON
+        for pair in strip_internal_headers(end_to_end(head.headers))
+        if pair[0] not in _DROPPED_HEADERS
     )
     return RequestHead(head.method, head.path, headers)
 
 
-def patience(head: RequestHead, limit: float) -> float:
+def caller_timeout_seconds(head: RequestHead, max_seconds: float) -> float:
     """Return how long the caller waits, in seconds.
 
     :param head: may carry the caller's own timeout.
@@ -97,13 +97,13 @@
     """
     text = head.header(TIMEOUT_HEADER)
     if text is None or not text.isdigit():
-        return limit
-    return min(limit, int(text) / _MS_PER_SECOND)
+        return max_seconds
+    return min(max_seconds, int(text) / _MS_PER_SECOND)
 
 
-async def limited(
+async def limit_body(
     pieces: AsyncIterator[bytes],
-    limit: int,
+    max_bytes: int,
 ) -> AsyncIterator[bytes]:
     """Pass a body through up to a size.
 
@@ -114,6 +114,6 @@
     size = 0
     async for piece in pieces:
         size += len(piece)
-        if size > limit:
+        if size > max_bytes:
             raise HttpError('request body too large', status=_TOO_LARGE)
         yield piece
--- a/src/clementinedeal/_managers.py
+++ b/src/clementinedeal/_managers.py
@@ -11,7 +11,7 @@
 from clementinedeal._metrics import Metrics
 from clementinedeal._model import Config, Target
 from clementinedeal._settings import DaemonSettings
-from clementinedeal._slot_gate import QueueSlots
+from clementinedeal._slot_gate import QueuedSlotGate
 from clementinedeal._target_state import (
     TargetEjected,
     TargetReinstated,
@@ -86,7 +86,7 @@
             context.metrics,
         )
         self.holders = tokens.holders
-        self.slots = QueueSlots(me, cfg, context.clock, self.ejection.share)
+        self.slots = QueuedSlotGate(me, cfg, context.clock, self.ejection.share)
         self._subscribe_ejection(context.hub)
         self._subscribe_tokens(context.hub, tokens)
         self._subscribe_idempotency(context.hub, idempotency)
@@ -158,7 +158,7 @@
         self._service_targets = self._find_service_targets()
 
     def _note_ejected(self, change: TargetEjected) -> None:
-        self.slots.turn_away(change.target)
+        self.slots.reject_waiting(change.target)
         self._context.metrics.ejections.labels(
             change.target,
             change.cause.value,
--- a/src/clementinedeal/_paths.py
+++ b/src/clementinedeal/_network_paths.py
@@ -9,19 +9,19 @@
 
 
 @dataclass(slots=True)
-class Path:
+class NetworkPath:
     """Smoothed latency and the latest failure to connect, in seconds."""
 
     latency: float = 0.0
     faulty_until: float = 0.0
 
 
-class Paths:
+class NetworkPaths:
     """Path faults of one daemon; they say nothing about the target."""
 
     def __init__(self) -> None:
         """Start without any experience."""
-        self._paths: dict[str, Path] = {}
+        self._paths: dict[str, NetworkPath] = {}
 
     def on_answer(self, owner: str, latency: float) -> None:
         """Take in what a forward took besides the owner's own time.
@@ -29,7 +29,7 @@
         :param owner: instance that was called.
         :param latency: seconds spent on the way.
         """
-        path = self._paths.setdefault(owner, Path(latency))
+        path = self._paths.setdefault(owner, NetworkPath(latency))
         path.latency += LATENCY_WEIGHT * (latency - path.latency)
         path.faulty_until = 0.0
 
@@ -39,7 +39,7 @@
         :param owner: instance that could not be reached.
         :param now: monotonic time in seconds.
         """
-        path = self._paths.setdefault(owner, Path())
+        path = self._paths.setdefault(owner, NetworkPath())
         path.faulty_until = now + PATH_FAULT_SECONDS
 
     def is_faulty(self, owner: str, now: float) -> bool:
@@ -51,7 +51,7 @@
         path = self._paths.get(owner)
         return path is not None and now < path.faulty_until
 
-    def cost(self, owner: str) -> float:
+    def load_equivalent(self, owner: str) -> float:
         """Return the path latency as a share of a target's capacity.
 
         :param owner: instance to be called.
@@ -59,7 +59,7 @@
         path = self._paths.get(owner)
         return path.latency / FULL_LOAD_LATENCY_SECONDS if path else 0.0
 
-    def keep(self, owners: set[str]) -> None:
+    def retain(self, owners: set[str]) -> None:
         """Forget all other owners.
 
         :param owners: those that are published.
--- a/src/clementinedeal/_owner.py
+++ b/src/clementinedeal/_owner.py
@@ -14,13 +14,13 @@
 from clementinedeal._gates import OutcomeWatcher, SlotGate, TokenGate
 from clementinedeal._http import ConnLostError, HttpError, WriteLostError
 from clementinedeal._model import Target
-from clementinedeal._replies import Refused, Reply, Request
+from clementinedeal._replies import AttemptRefusal, AttemptReply, Request
 from clementinedeal._target_call import TargetCall, TargetCaller
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 
 _MS_PER_SECOND = 1000
-_SHORT = Refused(Verdict.MAY_HAVE_RUN, Reason.ANSWER_INCOMPLETE)
+_INCOMPLETE = AttemptRefusal(Verdict.MAY_HAVE_RUN, Reason.ANSWER_INCOMPLETE)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +55,7 @@
         fwd: Forward,
         target: Target,
         req: Request,
-    ) -> AsyncIterator[Reply]:
+    ) -> AsyncIterator[AttemptReply]:
         """Run one attempt; the answer is read inside the context.
 
         :param fwd: the attempt.
@@ -64,67 +64,67 @@
         """
         self.in_flight += 1
         try:
-            async with self._registered(fwd, target, req) as reply:
+            async with self._execute_registered(fwd, target, req) as reply:
                 yield reply
         finally:
             self.in_flight -= 1
             self._scopes.pop(fwd.attempt, None)
 
-    def cancel(self, wish: CancelExecution) -> CancelAnswer:
+    def cancel(self, cancel_request: CancelExecution) -> CancelAnswer:
         """Cancel an attempt and tell truthfully how far it came.
 
         :param wish: names the attempt and the owner's incarnation.
         """
         parts = self._parts
         answer = parts.executions.cancel(
-            wish.req_id,
-            wish.incarnation,
+            cancel_request.req_id,
+            cancel_request.incarnation,
             parts.clock.now(),
         )
-        scope = self._scopes.get(wish.req_id)
+        scope = self._scopes.get(cancel_request.req_id)
         if scope is not None:
             scope.cancel()
         return answer
 
     @contextlib.asynccontextmanager
-    async def _registered(
+    async def _execute_registered(
         self,
         fwd: Forward,
         target: Target,
         req: Request,
-    ) -> AsyncIterator[Reply]:
+    ) -> AsyncIterator[AttemptReply]:
         parts = self._parts
         now = parts.clock.now()
         deadline = now + fwd.deadline_ms / _MS_PER_SECOND
-        known = parts.executions.register(
+        registered = parts.executions.register(
             fwd.attempt,
             fwd.incarnation,
             deadline,
             now,
         )
-        if isinstance(known, Err):
-            yield self._unregistered(known.err_value)
+        if isinstance(registered, Err):
+            yield self._registration_refusal(registered.err_value)
             return
         try:
-            async with self._admitted(fwd, target, req) as reply:
+            async with self._execute_admitted(fwd, target, req) as reply:
                 yield reply
         finally:
-            self._forget(fwd.attempt)
+            self._close_execution(fwd.attempt)
 
     @contextlib.asynccontextmanager
-    async def _admitted(
+    async def _execute_admitted(
         self,
         fwd: Forward,
         target: Target,
         req: Request,
-    ) -> AsyncIterator[Reply]:
+    ) -> AsyncIterator[AttemptReply]:
         seconds = fwd.deadline_ms / _MS_PER_SECOND
         try:
             refusal = await self._pass_gates(fwd, target, seconds)
             if refusal is not None:
                 yield refusal
                 return
-            async with self._called(fwd, target, req) as reply:
+            async with self._call_target(fwd, target, req) as reply:
                 yield replace(reply, admitted=True)
         finally:
             self._parts.slots.release(fwd.attempt, target.name)
@@ -134,28 +134,28 @@
         fwd: Forward,
         target: Target,
         seconds: float,
-    ) -> Refused | None:
+    ) -> AttemptRefusal | None:
         """Take a token, then a slot; a cancelled wait counts as refused."""
         scope = trio.CancelScope()
         self._scopes[fwd.attempt] = scope
         scope.deadline = trio.current_time() + seconds
         with scope:
-            return await self._token_and_slot(fwd, target, seconds)
-        late = trio.current_time() >= scope.deadline
-        return Refused(
+            return await self._take_token_and_slot(fwd, target, seconds)
+        is_late = trio.current_time() >= scope.deadline
+        return AttemptRefusal(
             Verdict.NOT_RUN,
-            Reason.DEADLINE if late else Reason.CANCELLED,
+            Reason.DEADLINE if is_late else Reason.CANCELLED,
         )
 
-    async def _token_and_slot(
+    async def _take_token_and_slot(
         self,
         fwd: Forward,
         target: Target,
         seconds: float,
-    ) -> Refused | None:
+    ) -> AttemptRefusal | None:
         parts = self._parts
         if self.draining:
-            return Refused(Verdict.NOT_RUN, Reason.DRAINING)
+            return AttemptRefusal(Verdict.NOT_RUN, Reason.DRAINING)
         refusal = parts.watcher.refusal(target.name, idempotent=fwd.idempotent)
         if refusal is not None:
             return refusal
@@ -171,7 +171,7 @@
         )
         if refusal is None:
             return None
-        return Refused(
+        return AttemptRefusal(
             refusal.verdict,
             refusal.reason,
             refusal.retry_after,
@@ -179,12 +179,12 @@
         )
 
     @contextlib.asynccontextmanager
-    async def _called(
+    async def _call_target(
         self,
         fwd: Forward,
         target: Target,
         req: Request,
-    ) -> AsyncIterator[Reply]:
+    ) -> AsyncIterator[AttemptReply]:
         seconds = fwd.deadline_ms / _MS_PER_SECOND
         scope = trio.CancelScope(deadline=trio.current_time() + seconds)
         self._scopes[fwd.attempt] = scope
@@ -197,7 +197,7 @@
             scope=scope,
         )
         async with self._parts.caller.call(call) as reply:
-            if isinstance(reply, Refused):
+            if isinstance(reply, AttemptRefusal):
                 self._parts.watcher.ended(fwd.attempt, target.name, reply)
                 yield reply
                 return
@@ -205,15 +205,15 @@
                 self._note_answered(fwd, target, reply)
                 yield reply
                 return
-            async with self._watched_stream(fwd, target, reply):
+            async with self._watch_stream(fwd, target, reply):
                 yield reply
 
     @contextlib.asynccontextmanager
-    async def _watched_stream(
+    async def _watch_stream(
         self,
         fwd: Forward,
         target: Target,
-        reply: Reply,
+        reply: AttemptReply,
     ) -> AsyncIterator[None]:
         """Report a streamed answer at its end, as short if it breaks off."""
         ended = self._parts.watcher.ended
@@ -223,7 +223,7 @@
             ended(fwd.attempt, target.name, reply)
             raise
         except (ConnLostError, HttpError):
-            ended(fwd.attempt, target.name, _SHORT)
+            ended(fwd.attempt, target.name, _INCOMPLETE)
             raise
         self._note_answered(fwd, target, reply)
 
@@ -231,7 +231,7 @@
         self,
         fwd: Forward,
         target: Target,
-        reply: Reply,
+        reply: AttemptReply,
     ) -> None:
         parts = self._parts
         parts.executions.finish(fwd.attempt, parts.clock.now())
@@ -255,15 +255,15 @@
             )
         return allowed
 
-    def _forget(self, attempt: str) -> None:
+    def _close_execution(self, attempt: str) -> None:
         parts = self._parts
         now = parts.clock.now()
         parts.executions.cancel(attempt, parts.executions.incarnation, now)
         parts.executions.abandon(attempt, now)
 
-    def _unregistered(self, reason: Reason) -> Refused:
+    def _registration_refusal(self, reason: Reason) -> AttemptRefusal:
         verdict = Verdict.NOT_RUN
         if reason is Reason.DUPLICATE:
             verdict = Verdict.MAY_HAVE_RUN
         incarnation = self._parts.executions.incarnation
-        return Refused(verdict, reason, incarnation=incarnation)
+        return AttemptRefusal(verdict, reason, incarnation=incarnation)
--- a/src/clementinedeal/_recorder.py
+++ b/src/clementinedeal/_recorder.py
@@ -1,8 +1,8 @@
 """Counts and times finished requests."""
 
-from clementinedeal._incoming import Incoming
+from clementinedeal._incoming_request import IncomingRequest
 from clementinedeal._metrics import Metrics
-from clementinedeal._replies import Answered
+from clementinedeal._replies import TargetAnswer
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 
@@ -25,10 +25,10 @@
 
     def record(
         self,
-        incoming: Incoming,
+        incoming: IncomingRequest,
         verdict: Verdict,
         outcome: str,
-        answer: Answered | None,
+        answer: TargetAnswer | None,
     ) -> None:
         """Note one request.
 
@@ -51,7 +51,7 @@
             added = seconds - answer.target_seconds
             self._metrics.added_seconds.labels(service).observe(added)
 
-    def refused_early(self, reason: Reason) -> None:
+    def record_early_refusal(self, reason: Reason) -> None:
         """Note one request that route or key did not let in.
 
         :param reason: why.
--- a/src/clementinedeal/_refusals.py
+++ b/src/clementinedeal/_refusals.py
@@ -58,7 +58,7 @@
             return _BAD_GATEWAY
         return status
 
-    def headers(self, req_id: str, *, fractions: bool = False) -> Headers:
+    def headers(self, req_id: str, *, with_fraction: bool = False) -> Headers:
         """Return the headers of the answer.
 
         :param req_id: id of the refused request.
@@ -74,7 +74,7 @@
             headers = (*headers, (b'www-authenticate', b'Bearer'))
         if self.retry_after > 0:
             seconds = f'{math.ceil(self.retry_after)}'
-            if fractions:
+            if with_fraction:
                 seconds = f'{self.retry_after:.2f}'
             headers = (*headers, (RETRY_AFTER_HEADER, seconds.encode()))
         return headers
--- a/src/clementinedeal/_replies.py
+++ b/src/clementinedeal/_replies.py
@@ -52,16 +52,16 @@
         """
         self._first = first
         self._rest = rest
-        self._used = False
+        self._is_consumed = False
 
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the body.
 
         :raises ConnLostError: it was sent before.
         """
-        if self._used:
+        if self._is_consumed:
             raise ConnLostError('the body cannot be sent again')
-        self._used = True
+        self._is_consumed = True
         yield self._first
         async for piece in self._rest:
             yield piece
@@ -76,7 +76,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Refused:
+class AttemptRefusal:
     """The attempt brought no usable answer.
 
     ``verdict`` is proved; ``admitted`` tells whether the account's token was
@@ -91,7 +91,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Answered:
+class TargetAnswer:
     """The target's answer; ``body`` fails if it turns out not to be whole.
 
     ``target_seconds`` is the time that the target took.
@@ -103,12 +103,12 @@
     target_seconds: float = 0.0
 
 
-Reply: TypeAlias = Refused | Answered
+AttemptReply: TypeAlias = AttemptRefusal | TargetAnswer
 
 
 async def buffer_body(
     pieces: AsyncIterator[bytes],
-    limit: int,
+    max_bytes: int,
 ) -> Body:
     """Read a body; it is buffered whole if it fits.
 
@@ -118,6 +118,6 @@
     first = bytearray()
     async for piece in pieces:
         first += piece
-        if len(first) > limit:
+        if len(first) > max_bytes:
             return StreamedBody(bytes(first), pieces)
     return WholeBody(bytes(first))
--- a/src/clementinedeal/_routing.py
+++ b/src/clementinedeal/_routing.py
@@ -5,15 +5,15 @@
 from dataclasses import dataclass, field
 
 from clementinedeal._model import Config, Target
-from clementinedeal._paths import Paths
+from clementinedeal._network_paths import NetworkPaths
 
-MOST_CHOICES = 5
+MAX_CANDIDATES = 5
 # Longer than the lease of a permit to eject.
 EJECTED_VALID_SECONDS = 6.0
 LOAD_VALID_SECONDS = 5.0
 UNKNOWN_LOAD = 0.5
 FULL_LOAD = 1.0
-TRIAL_RATIO = 0.15
+TRIAL_FRACTION = 0.15
 
 
 class Availability(enum.IntEnum):
@@ -26,7 +26,7 @@
     LOST = 4
 
 
-OUT = frozenset((Availability.TRIAL, Availability.EJECTED))
+EXPIRING = frozenset((Availability.TRIAL, Availability.EJECTED))
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,15 +42,15 @@
 
 
 @dataclass(slots=True)
-class Pool:
+class CandidatePool:
     """Targets of one service by how they may be used."""
 
-    size: int
+    target_count: int
     valid_until: float = float('inf')
     own_zone: list[Target] = field(default_factory=list)
     other_zones: list[Target] = field(default_factory=list)
-    trial: list[Target] = field(default_factory=list)
-    out: list[Target] = field(default_factory=list)
+    on_trial: list[Target] = field(default_factory=list)
+    last_resort: list[Target] = field(default_factory=list)
     by_owner: dict[str, list[Target]] = field(default_factory=dict)
 
 
@@ -75,7 +75,7 @@
         self._zone = zone
         self._rng = rng
         self._views: dict[str, TargetView] = {}
-        self.paths = Paths()
+        self.paths = NetworkPaths()
         self.on_config(cfg)
 
     def on_config(self, cfg: Config) -> None:
@@ -84,7 +84,7 @@
         :param cfg: the configuration.
         """
         self._cfg = cfg
-        self._pools: dict[str, Pool] = {}
+        self._pools: dict[str, CandidatePool] = {}
         self._targets: dict[str, list[Target]] = {
             service: [] for service in cfg.services
         }
@@ -95,7 +95,7 @@
             for name, view in self._views.items()
             if name in cfg.targets
         }
-        self.paths.keep({one.instance for one in cfg.targets.values()})
+        self.paths.retain({one.instance for one in cfg.targets.values()})
 
     def on_view(self, name: str, view: TargetView) -> None:
         """Take in what was heard of a target; older views are ignored.
@@ -104,15 +104,17 @@
         :param view: its state and load.
         """
         target = self._cfg.targets.get(name)
-        former = self._views.get(name)
-        if target is None or (former and former.heard_at > view.heard_at):
+        previous = self._views.get(name)
+        if target is None or (previous and previous.heard_at > view.heard_at):
             return
         self._views[name] = view
-        same = former is not None and former.availability is view.availability
-        if not same or view.availability in OUT:
+        is_unchanged = (
+            previous is not None and previous.availability is view.availability
+        )
+        if not is_unchanged or view.availability in EXPIRING:
             self._pools.pop(target.service, None)
 
-    def order(
+    def rank_targets(
         self,
         service: str,
         holders: tuple[str, ...],
@@ -127,112 +129,114 @@
         :param now: monotonic time in seconds.
         """
         pool = self._pool(service, now)
-        chosen = self._trial(pool) if idempotent else []
-        chosen += self._of_holders(pool, holders, now)
+        chosen = self._pick_trial(pool) if idempotent else []
+        chosen += self._holder_targets(pool, holders, now)
         for group in (pool.own_zone, pool.other_zones):
-            self._draw(group, chosen, now)
+            self._add_random(group, chosen, now)
         if not chosen:
-            chosen = pool.out[:MOST_CHOICES]
-        faulty = self.paths.is_faulty
-        chosen.sort(key=lambda one: faulty(one.instance, now))
+            chosen = pool.last_resort[:MAX_CANDIDATES]
+        is_faulty = self.paths.is_faulty
+        chosen.sort(key=lambda one: is_faulty(one.instance, now))
         return [one.name for one in chosen]
 
-    def _trial(self, pool: Pool) -> list[Target]:
+    def _pick_trial(self, pool: CandidatePool) -> list[Target]:
         """Rarely take a target whose owner wants to try it."""
-        if not pool.trial:
+        if not pool.on_trial:
             return []
-        share = TRIAL_RATIO * len(pool.trial) / pool.size
-        if self._rng.random() >= share:
+        probability = TRIAL_FRACTION * len(pool.on_trial) / pool.target_count
+        if self._rng.random() >= probability:
             return []
-        return [self._rng.choice(pool.trial)]
+        return [self._rng.choice(pool.on_trial)]
 
-    def _of_holders(
+    def _holder_targets(
         self,
-        pool: Pool,
+        pool: CandidatePool,
         holders: tuple[str, ...],
         now: float,
     ) -> list[Target]:
         found: list[tuple[float, str, Target]] = []
         for holder in holders:
             for target in pool.by_owner.get(holder, ()):
-                load = self._load(target, now)
+                load = self._effective_load(target, now)
                 if load < FULL_LOAD:
                     found.append((load, target.name, target))
         found.sort()
         return [one[2] for one in found]
 
-    def _draw(
+    def _add_random(
         self,
         group: list[Target],
         chosen: list[Target],
         now: float,
     ) -> None:
         """Add the less loaded of two random targets until there is enough."""
-        if len(chosen) >= MOST_CHOICES:
+        if len(chosen) >= MAX_CANDIDATES:
             return
         taken = {one.name for one in chosen}
         rest = [one for one in group if one.name not in taken]
-        while rest and len(chosen) < MOST_CHOICES:
-            index = self._index(rest)
-            other = self._index(rest)
-            if self._load(rest[other], now) < self._load(rest[index], now):
+        while rest and len(chosen) < MAX_CANDIDATES:
+            index = self._random_index(rest)
+            other = self._random_index(rest)
+            if self._effective_load(rest[other], now) < self._effective_load(
+                rest[index], now
+            ):
                 index = other
             chosen.append(rest[index])
             rest[index] = rest[-1]
             rest.pop()
 
-    def _index(self, rest: list[Target]) -> int:
+    def _random_index(self, rest: list[Target]) -> int:
         return int(self._rng.random() * len(rest))
 
-    def _load(self, target: Target, now: float) -> float:
+    def _effective_load(self, target: Target, now: float) -> float:
         cost = 0.0
         if target.instance != self._me:
-            cost = self.paths.cost(target.instance)
+            cost = self.paths.load_equivalent(target.instance)
         view = self._views.get(target.name)
         if view is None or now - view.heard_at > LOAD_VALID_SECONDS:
             return cost + UNKNOWN_LOAD
         return cost + view.load
 
-    def _pool(self, service: str, now: float) -> Pool:
+    def _pool(self, service: str, now: float) -> CandidatePool:
         pool = self._pools.get(service)
         if pool is None or now >= pool.valid_until:
-            pool = self._sort(service, now)
+            pool = self._build_pool(service, now)
             self._pools[service] = pool
         return pool
 
-    def _sort(self, service: str, now: float) -> Pool:
+    def _build_pool(self, service: str, now: float) -> CandidatePool:
         targets = self._targets.get(service, [])
-        pool = Pool(max(len(targets), 1))
+        pool = CandidatePool(max(len(targets), 1))
         ranked: list[tuple[Availability, str, Target]] = []
         for target in targets:
-            availability = self._availability(target, now)
+            availability = self._current_availability(target, now)
             if availability is Availability.IN_USE:
-                self._group(pool, target).append(target)
+                self._zone_group(pool, target).append(target)
                 owned = pool.by_owner.setdefault(target.instance, [])
                 owned.append(target)
                 continue
             ranked.append((availability, target.name, target))
-            if availability in OUT:
+            if availability in EXPIRING:
                 heard_at = self._views[target.name].heard_at
                 until = heard_at + EJECTED_VALID_SECONDS
                 pool.valid_until = min(pool.valid_until, until)
             if availability is Availability.TRIAL:
-                pool.trial.append(target)
+                pool.on_trial.append(target)
         ranked.sort()
-        pool.out = [one[2] for one in ranked]
+        pool.last_resort = [one[2] for one in ranked]
         return pool
 
-    def _group(self, pool: Pool, target: Target) -> list[Target]:
+    def _zone_group(self, pool: CandidatePool, target: Target) -> list[Target]:
         instance = self._cfg.instances.get(target.instance)
-        near = instance is not None and instance.zone == self._zone
-        return pool.own_zone if near else pool.other_zones
+        is_own_zone = instance is not None and instance.zone == self._zone
+        return pool.own_zone if is_own_zone else pool.other_zones
 
-    def _availability(self, target: Target, now: float) -> Availability:
+    def _current_availability(self, target: Target, now: float) -> Availability:
         """Take a target whose ejection was not renewed for one in use."""
         view = self._views.get(target.name)
         if view is None:
             return Availability.IN_USE
-        if view.availability not in OUT:
+        if view.availability not in EXPIRING:
             return view.availability
         expired = now - view.heard_at >= EJECTED_VALID_SECONDS
         return Availability.IN_USE if expired else view.availability
--- a/src/clementinedeal/_slot_gate.py
+++ b/src/clementinedeal/_slot_gate.py
@@ -4,16 +4,21 @@
 
 from clementinedeal._dispatch import Waiters
 from clementinedeal._model import Config, Target
-from clementinedeal._queue import QueueActions, Reject, Start, TargetQueue
-from clementinedeal._replies import Refused
+from clementinedeal._replies import AttemptRefusal
+from clementinedeal._target_queue import (
+    QueueActions,
+    RejectRequest,
+    StartRequest,
+    TargetQueue,
+)
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 
-_EJECTED = Refused(Verdict.NOT_RUN, Reason.TARGET_EJECTED)
-_GONE = Refused(Verdict.NOT_RUN, Reason.NO_TARGET)
+_EJECTED = AttemptRefusal(Verdict.NOT_RUN, Reason.TARGET_EJECTED)
+_NOT_OWNED = AttemptRefusal(Verdict.NOT_RUN, Reason.NO_TARGET)
 
 
-class QueueSlots:
+class QueuedSlotGate:
     """The queues of all owned targets."""
 
     def __init__(
@@ -21,7 +26,7 @@
         me: str,
         cfg: Config,
         clock: Clock,
-        share: Callable[[str, float], float],
+        usable_fraction: Callable[[str, float], float],
     ) -> None:
         """Create a queue for each owned target.
 
@@ -33,11 +38,11 @@
         """
         self._me = me
         self._clock = clock
-        self._share = share
+        self._usable_fraction = usable_fraction
         self._targets: dict[str, Target] = {}
         self._queues: dict[str, TargetQueue] = {}
         self._waiting: dict[str, str] = {}
-        self._waiters: Waiters[Refused | None] = Waiters()
+        self._waiters: Waiters[AttemptRefusal | None] = Waiters()
         self.on_config(cfg, clock.now())
 
     def on_config(self, cfg: Config, now: float) -> None:
@@ -57,7 +62,7 @@
             if queue is None:
                 self._queues[name] = TargetQueue(target.slots, limit)
             else:
-                queue.set_limit(limit)
+                queue.set_max_waiting(limit)
 
     def on_tick(self, now: float) -> None:
         """Expire what waits too long and follow slow starts.
@@ -66,9 +71,9 @@
         """
         for name, target in self._targets.items():
             queue = self._queues[name]
-            slots = round(self._share(name, now) * target.slots)
-            self._follow(queue.resize(max(1, slots), now))
-            self._follow(queue.on_tick(now))
+            slots = round(self._usable_fraction(name, now) * target.slots)
+            self._perform(queue.resize(max(1, slots), now))
+            self._perform(queue.on_tick(now))
 
     async def acquire(
         self,
@@ -76,7 +81,7 @@
         target: str,
         account: str,
         seconds_left: float,
-    ) -> Refused | None:
+    ) -> AttemptRefusal | None:
         """Wait for a slot; None when it is lent.
 
         :param req_id: unique id of the attempt.
@@ -86,11 +91,11 @@
         """
         queue = self._queues.get(target)
         if queue is None:
-            return _GONE
+            return _NOT_OWNED
         now = self._clock.now()
         self._waiters.expect(req_id)
         self._waiting[req_id] = target
-        self._follow(queue.offer(req_id, account, now + seconds_left, now))
+        self._perform(queue.offer(req_id, account, now + seconds_left, now))
         return await self._waiters.wait(req_id)
 
     def release(self, req_id: str, target: str) -> None:
@@ -102,8 +107,8 @@
         self._waiting.pop(req_id, None)
         queue = self._queues.get(target)
         if queue is not None:
-            self._follow(queue.cancel(req_id))
-            self._follow(queue.finish(req_id, self._clock.now()))
+            self._perform(queue.cancel(req_id))
+            self._perform(queue.finish(req_id, self._clock.now()))
 
     def load(self, target: str) -> float:
         """Return running and waiting requests per slot.
@@ -115,33 +120,33 @@
             return 0
         return (queue.running + queue.waiting) / self._targets[target].slots
 
-    def turn_away(self, target: str) -> None:
+    def reject_waiting(self, target: str) -> None:
         """Refuse what waits for a target that was ejected.
 
         :param target: an owned target.
         """
         waiting = [
             req_id
-            for req_id, wanted in self._waiting.items()
-            if wanted == target
+            for req_id, awaited in self._waiting.items()
+            if awaited == target
         ]
         for req_id in waiting:
             self._waiting.pop(req_id)
             self._queues[target].cancel(req_id)
             self._waiters.resolve(req_id, _EJECTED)
 
-    def _follow(self, actions: QueueActions) -> None:
+    def _perform(self, actions: QueueActions) -> None:
         for action in actions:
             self._waiting.pop(action.req_id, None)
             match action:
-                case Start():
+                case StartRequest():
                     self._waiters.resolve(action.req_id, None)
-                case Reject():
-                    self._waiters.resolve(action.req_id, _refused(action))
+                case RejectRequest():
+                    self._waiters.resolve(action.req_id, _to_refusal(action))
 
 
-def _refused(reject: Reject) -> Refused:
-    return Refused(
+def _to_refusal(reject: RejectRequest) -> AttemptRefusal:
+    return AttemptRefusal(
         Verdict.NOT_RUN,
         reject.reason,
         reject.retry_after_seconds,
--- a/src/clementinedeal/_target_call.py
+++ b/src/clementinedeal/_target_call.py
@@ -7,14 +7,14 @@
 import trio
 from result import Err, Result
 
-from clementinedeal._client_conn import ClientConn
-from clementinedeal._digest import (
+from clementinedeal._answer_checks import (
     REQUEST_ID_HEADER,
     AnswerWrongError,
+    check_digest,
     check_request_id,
-    checked,
     is_framed,
 )
+from clementinedeal._client_conn import ClientConn
 from clementinedeal._http import (
     ConnLostError,
     HttpError,
@@ -23,11 +23,11 @@
 from clementinedeal._model import Target
 from clementinedeal._pool import ConnPool
 from clementinedeal._replies import (
-    Answered,
+    AttemptRefusal,
+    AttemptReply,
     Body,
-    Refused,
-    Reply,
     Request,
+    TargetAnswer,
     buffer_body,
 )
 from clementinedeal._verdict import Reason, Verdict
@@ -66,7 +66,7 @@
         self._pool = pool
 
     @contextlib.asynccontextmanager
-    async def call(self, call: TargetCall) -> AsyncIterator[Reply]:
+    async def call(self, call: TargetCall) -> AsyncIterator[AttemptReply]:
         """Perform one call; the answer's body is read inside the context.
 
         :param call: what to send where, and whether it may still start.
@@ -74,50 +74,52 @@
         try:
             conn = await self._pool.acquire(call.target.address)
         except ConnLostError:
-            yield Refused(Verdict.NOT_RUN, Reason.TARGET_FAILED)
+            yield AttemptRefusal(Verdict.NOT_RUN, Reason.TARGET_FAILED)
             return
         allowed = call.may_start()
         if isinstance(allowed, Err):
             await self._pool.release(call.target.address, conn)
-            yield Refused(Verdict.NOT_RUN, allowed.err_value)
+            yield AttemptRefusal(Verdict.NOT_RUN, allowed.err_value)
             return
         try:
-            yield await _exchange(conn, call)
+            yield await _call_over(conn, call)
         except BaseException:
             await conn.aclose()
             raise
         await self._pool.release(call.target.address, conn)
 
 
-async def _exchange(conn: ClientConn, call: TargetCall) -> Reply:
+async def _call_over(conn: ClientConn, call: TargetCall) -> AttemptReply:
     with call.scope:
         try:
-            return await _answer(conn, call)
+            return await _send_and_read(conn, call)
         except AnswerWrongError:
             await conn.aclose()
-            return Refused(Verdict.MAY_HAVE_RUN, Reason.ANSWER_WRONG)
+            return AttemptRefusal(Verdict.MAY_HAVE_RUN, Reason.ANSWER_WRONG)
         except (ConnLostError, HttpError):
             await conn.aclose()
-            return Refused(Verdict.MAY_HAVE_RUN, Reason.ANSWER_INCOMPLETE)
+            return AttemptRefusal(
+                Verdict.MAY_HAVE_RUN, Reason.ANSWER_INCOMPLETE
+            )
     await conn.aclose()
-    late = trio.current_time() >= call.scope.deadline
-    reason = Reason.DEADLINE if late else Reason.CANCELLED
-    return Refused(Verdict.MAY_HAVE_RUN, reason)
+    is_late = trio.current_time() >= call.scope.deadline
+    reason = Reason.DEADLINE if is_late else Reason.CANCELLED
+    return AttemptRefusal(Verdict.MAY_HAVE_RUN, reason)
 
 
-async def _answer(conn: ClientConn, call: TargetCall) -> Reply:
+async def _send_and_read(conn: ClientConn, call: TargetCall) -> AttemptReply:
     started = trio.current_time()
     await send_request(conn, _target_head(call), call.req.body)
     head = await conn.read_head()
     check_request_id(head, call.req_id)
     if not is_framed(head, call.req.head.method):
         raise ConnLostError('the end of the answer cannot be told from a cut')
-    pieces = checked(head, conn.read_body())
+    pieces = check_digest(head, conn.read_body())
     body = await buffer_body(pieces, ANSWER_BUFFER_BYTES)
     if head.header(TARGET_REFUSED_HEADER) == b'not-started':
-        return Refused(Verdict.NOT_RUN, Reason.QUEUE_FULL)
+        return AttemptRefusal(Verdict.NOT_RUN, Reason.QUEUE_FULL)
     seconds = trio.current_time() - started
-    return Answered(head, body, target_seconds=seconds)
+    return TargetAnswer(head, body, target_seconds=seconds)
 
 
 def _target_head(call: TargetCall) -> RequestHead:
@@ -126,14 +128,14 @@
         *head.headers,
         (REQUEST_ID_HEADER, call.req_id.encode()),
         (DEADLINE_HEADER, b'%d' % (call.seconds_left * _MS_PER_SECOND)),
-        *framing(head, call.req.body),
+        *framing_headers(head, call.req.body),
     )
     if head.header(b'host') is None:
         headers = ((b'host', call.target.address.encode()), *headers)
     return RequestHead(head.method, head.path, headers)
 
 
-def framing(
+def framing_headers(
     head: RequestHead,
     body: Body,
 ) -> tuple[tuple[bytes, bytes], ...]:
--- a/src/clementinedeal/_queue.py
+++ b/src/clementinedeal/_target_queue.py
@@ -15,14 +15,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Start:
+class StartRequest:
     """Action: send the request to the target now."""
 
     req_id: str
 
 
 @dataclass(frozen=True, slots=True)
-class Reject:
+class RejectRequest:
     """Action: the request has not run and will not."""
 
     req_id: str
@@ -30,12 +30,12 @@
     retry_after_seconds: float
 
 
-QueueAction = Start | Reject
+QueueAction = StartRequest | RejectRequest
 QueueActions = tuple[QueueAction, ...]
 
 
 @dataclass(frozen=True, slots=True)
-class Queued:
+class QueuedRequest:
     """A request that waits for a slot; ``deadline`` in monotonic seconds."""
 
     req_id: str
@@ -48,17 +48,17 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        self._lanes: OrderedDict[str, deque[Queued]] = OrderedDict()
+        self._lanes: OrderedDict[str, deque[QueuedRequest]] = OrderedDict()
 
     def __len__(self) -> int:
         """Return how many requests wait."""
         return sum(map(len, self._lanes.values()))
 
-    def add(self, req: Queued) -> None:
+    def add(self, req: QueuedRequest) -> None:
         """Append a request to its account's lane."""
         self._lanes.setdefault(req.account, deque()).append(req)
 
-    def ahead(self, account: str) -> int:
+    def count_ahead(self, account: str) -> int:
         """Return how many requests start before a new one of an account.
 
         :param account: name of the account.
@@ -71,7 +71,7 @@
         )
         return own + sum(others)
 
-    def pop(self) -> Queued:
+    def pop(self) -> QueuedRequest:
         """Take the next request, one account after the other."""
         account, lane = next(iter(self._lanes.items()))
         req = lane.popleft()
@@ -80,21 +80,21 @@
             self._lanes[account] = lane
         return req
 
-    def pop_newest_of_longest(self) -> Queued:
+    def pop_newest_of_longest(self) -> QueuedRequest:
         """Take the newest request of the account that has most waiting."""
         longest = max(self._lanes.values(), key=len)
         req = longest[-1]
         self.remove(req)
         return req
 
-    def remove(self, req: Queued) -> None:
+    def remove(self, req: QueuedRequest) -> None:
         """Take a request out of its lane."""
         lane = self._lanes[req.account]
         lane.remove(req)
         if not lane:
             self._lanes.pop(req.account)
 
-    def all(self) -> tuple[Queued, ...]:
+    def all(self) -> tuple[QueuedRequest, ...]:
         """Return all waiting requests."""
         return tuple(req for lane in self._lanes.values() for req in lane)
 
@@ -102,14 +102,14 @@
 class TargetQueue:
     """Starts, queues or refuses the requests of one target."""
 
-    def __init__(self, slots: int, limit: int) -> None:
+    def __init__(self, slots: int, max_waiting: int) -> None:
         """Start idle.
 
         :param slots: how many requests may run at once.
         :param limit: how many may wait.
         """
         self._slots = slots
-        self._limit = limit
+        self._max_waiting = max_waiting
         self._draining = False
         self._lanes = AccountLanes()
         self._started_at: dict[str, float] = {}
@@ -139,14 +139,14 @@
         :param deadline: monotonic seconds at which it must have started.
         :param now: monotonic seconds.
         """
-        req = Queued(req_id, account, deadline)
+        req = QueuedRequest(req_id, account, deadline)
         if self._draining:
             return (self._reject(req, Reason.DRAINING),)
-        if now + self._wait_seconds(account) >= deadline:
+        if now + self._expected_wait_seconds(account) >= deadline:
             return (self._reject(req, Reason.DEADLINE),)
         self._lanes.add(req)
-        started = self._fill(now)
-        if self.waiting <= self._limit:
+        started = self._start_waiting(now)
+        if self.waiting <= self._max_waiting:
             return started
         evicted = self._lanes.pop_newest_of_longest()
         return (*started, self._reject(evicted, Reason.QUEUE_FULL))
@@ -159,8 +159,8 @@
         """
         started_at = self._started_at.pop(req_id, None)
         if started_at is not None:
-            self._learn(now - started_at)
-        return self._fill(now)
+            self._update_service_seconds(now - started_at)
+        return self._start_waiting(now)
 
     def cancel(self, req_id: str) -> QueueActions:
         """Refuse a request that waits; one that runs goes on.
@@ -180,14 +180,14 @@
         :param now: monotonic seconds.
         """
         self._slots = slots
-        return self._fill(now)
+        return self._start_waiting(now)
 
-    def set_limit(self, limit: int) -> None:
+    def set_max_waiting(self, max_waiting: int) -> None:
         """Change how many may wait; those that wait stay.
 
         :param limit: new number, as of another preset.
         """
-        self._limit = limit
+        self._max_waiting = max_waiting
 
     def drain(self) -> QueueActions:
         """Refuse all that waits and all that comes."""
@@ -201,36 +201,36 @@
 
         :param now: monotonic seconds.
         """
-        done: list[QueueAction] = []
+        actions: list[QueueAction] = []
         for req in self._lanes.all():
             if req.deadline <= now:
                 self._lanes.remove(req)
-                done.append(self._reject(req, Reason.DEADLINE))
-        return tuple(done)
+                actions.append(self._reject(req, Reason.DEADLINE))
+        return tuple(actions)
 
-    def _fill(self, now: float) -> QueueActions:
-        done: list[QueueAction] = list(self.on_tick(now))
+    def _start_waiting(self, now: float) -> QueueActions:
+        actions: list[QueueAction] = list(self.on_tick(now))
         while self._lanes and self.running < self._slots:
             req = self._lanes.pop()
             self._started_at[req.req_id] = now
-            done.append(Start(req.req_id))
-        return tuple(done)
+            actions.append(StartRequest(req.req_id))
+        return tuple(actions)
 
-    def _wait_seconds(self, account: str) -> float:
+    def _expected_wait_seconds(self, account: str) -> float:
         if not self._lanes and self.running < self._slots:
             return 0
-        turns = (self._lanes.ahead(account) + 1) / max(1, self._slots)
+        turns = (self._lanes.count_ahead(account) + 1) / max(1, self._slots)
         return turns * self._service_seconds
 
-    def _learn(self, seconds: float) -> None:
+    def _update_service_seconds(self, seconds: float) -> None:
         if not self._service_seconds:
             self._service_seconds = seconds
         change = seconds - self._service_seconds
         self._service_seconds += ESTIMATE_WEIGHT * change
 
-    def _reject(self, req: Queued, reason: Reason) -> Reject:
-        wait = self._wait_seconds(req.account)
-        return Reject(
+    def _reject(self, req: QueuedRequest, reason: Reason) -> RejectRequest:
+        wait = self._expected_wait_seconds(req.account)
+        return RejectRequest(
             req.req_id,
             reason,
             max(MIN_RETRY_AFTER_SECONDS, wait),
--- a/src/clementinedeal/_token_gate.py
+++ b/src/clementinedeal/_token_gate.py
@@ -6,7 +6,7 @@
 from clementinedeal._dispatch import Dispatcher, Waiters
 from clementinedeal._draws import TokenGranted, TokenRefused
 from clementinedeal._metrics import Metrics
-from clementinedeal._replies import Refused
+from clementinedeal._replies import AttemptRefusal
 from clementinedeal._timers import Clock
 from clementinedeal._tokens import TokenManager
 from clementinedeal._verdict import Reason, Verdict
@@ -33,11 +33,11 @@
         self._dispatcher = dispatcher
         self._clock = clock
         self._take_counter = metrics.token_takes
-        self._waiters: Waiters[Refused | None] = Waiters()
+        self._waiters: Waiters[AttemptRefusal | None] = Waiters()
         dispatcher.register(TokenGranted, self._on_granted)
         dispatcher.register(TokenRefused, self._on_refused)
 
-    async def take(self, req_id: str, account: str) -> Refused | None:
+    async def take(self, req_id: str, account: str) -> AttemptRefusal | None:
         """Wait for a token; None when it was taken.
 
         :param req_id: unique id of the attempt.
@@ -57,7 +57,7 @@
 
     def _on_refused(self, action: TokenRefused) -> None:
         self._take_counter.labels('refused').inc()
-        refused = Refused(
+        refused = AttemptRefusal(
             Verdict.NOT_RUN,
             Reason.RATE_EXCEEDED,
             action.retry_after_seconds,
--- a/src/clementinedeal/_watcher.py
+++ b/src/clementinedeal/_watcher.py
@@ -8,7 +8,7 @@
 from clementinedeal._ejection import EjectionManager
 from clementinedeal._health import Outcome, OutcomeKind
 from clementinedeal._metrics import Metrics
-from clementinedeal._replies import Answered, Refused, Reply
+from clementinedeal._replies import AttemptRefusal, AttemptReply, TargetAnswer
 from clementinedeal._target_call import TARGET_STATE_HEADER
 from clementinedeal._target_state import TargetState
 from clementinedeal._timers import Clock
@@ -55,7 +55,9 @@
         self._metrics = metrics
         self._running: dict[str, _Started] = {}
 
-    def refusal(self, target: str, *, idempotent: bool) -> Refused | None:
+    def refusal(
+        self, target: str, *, idempotent: bool
+    ) -> AttemptRefusal | None:
         """Return why a target takes no such request now, None if it does.
 
         :param target: an owned target.
@@ -63,10 +65,10 @@
         """
         state = self._manager.state(target)
         if state is TargetState.LEAVING:
-            return Refused(Verdict.NOT_RUN, Reason.DRAINING)
+            return AttemptRefusal(Verdict.NOT_RUN, Reason.DRAINING)
         on_trial = state is TargetState.TRIAL and not idempotent
         if state is TargetState.EJECTED or on_trial:
-            return Refused(Verdict.NOT_RUN, Reason.TARGET_EJECTED)
+            return AttemptRefusal(Verdict.NOT_RUN, Reason.TARGET_EJECTED)
         return None
 
     def started(self, req_id: str, target: str, *, idempotent: bool) -> None:
@@ -74,7 +76,7 @@
         started = _Started(target, self._clock.now(), idempotent)
         self._running[req_id] = started
 
-    def ended(self, req_id: str, target: str, reply: Reply) -> None:
+    def ended(self, req_id: str, target: str, reply: AttemptReply) -> None:
         """Note what a request came to.
 
         :param req_id: unique id of the attempt.
@@ -115,16 +117,16 @@
         self._dispatcher.perform(actions)
 
 
-def _kind(reply: Reply) -> OutcomeKind | None:
-    if isinstance(reply, Refused):
+def _kind(reply: AttemptReply) -> OutcomeKind | None:
+    if isinstance(reply, AttemptRefusal):
         return _REFUSED_KINDS.get(reply.reason)
     if reply.head.status >= _SERVER_ERROR:
         return OutcomeKind.ERROR
     return OutcomeKind.OK
 
 
-def _says_leaving(reply: Reply) -> bool:
+def _says_leaving(reply: AttemptReply) -> bool:
     return (
-        isinstance(reply, Answered)
+        isinstance(reply, TargetAnswer)
         and reply.head.header(TARGET_STATE_HEADER) == _LEAVING
     )
--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -7,7 +7,10 @@
 from result import Err
 
 from clementinedeal._http import CONTENT_LENGTH, RequestHead, end_to_end
-from clementinedeal._incoming import new_request_id, without_internal
+from clementinedeal._incoming_request import (
+    new_request_id,
+    strip_internal_headers,
+)
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._catalog import Catalog
 from clementinedeal.mesh._contracts import Dialect
@@ -166,7 +169,7 @@
 def _message(head: RequestHead, body: bytes) -> Message:
     headers = tuple(
         pair
-        for pair in without_internal(end_to_end(head.headers))
+        for pair in strip_internal_headers(end_to_end(head.headers))
         if pair[0] not in _HIDDEN
     )
     return Message(head.method, head.path, headers, body)
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -12,7 +12,7 @@
 from clementinedeal._events import EventLog
 from clementinedeal._http import HttpLimits
 from clementinedeal._http_server import HttpServer
-from clementinedeal._incoming import new_request_id
+from clementinedeal._incoming_request import new_request_id
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import BootClock
 from clementinedeal.mesh._admission import Admission
--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -153,7 +153,7 @@
             )
         await conn.respond(
             refusal.status,
-            refusal.headers(req_id, fractions=True),
+            refusal.headers(req_id, with_fraction=True),
             refusal.body(req_id),
         )
 
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -15,7 +15,7 @@
     TooLongError,
     end_to_end,
 )
-from clementinedeal._incoming import without_internal
+from clementinedeal._incoming_request import strip_internal_headers
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
@@ -233,7 +233,7 @@
             return None
         told = decode_told(head.header(wire.TOLD_HEADER) or b'')
         answered = told.verdict == Verdict.RAN.value
-        headers = without_internal(end_to_end(head.headers))
+        headers = strip_internal_headers(end_to_end(head.headers))
         return Outcome(
             verdict=Verdict(told.verdict),
             reason=Reason(told.reason) if told.reason else None,
--- a/src/clementinedeal/mesh/_peer_server.py
+++ b/src/clementinedeal/mesh/_peer_server.py
@@ -11,7 +11,7 @@
     RequestHead,
     end_to_end,
 )
-from clementinedeal._incoming import without_internal
+from clementinedeal._incoming_request import strip_internal_headers
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh import _peer_wire as wire
@@ -166,7 +166,7 @@
     body = await conn.read_whole()
     headers = tuple(
         pair
-        for pair in without_internal(end_to_end(head.headers))
+        for pair in strip_internal_headers(end_to_end(head.headers))
         if pair[0] != CONTENT_LENGTH
     )
     return Message(head.method, head.path, headers, body)
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -6,7 +6,7 @@
 import trio
 
 from clementinedeal._events import EventLog
-from clementinedeal._incoming import new_request_id
+from clementinedeal._incoming_request import new_request_id
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._admission import Admitted
--- a/src/clementinedeal_bench/_decision_slopes.py
+++ b/src/clementinedeal_bench/_decision_slopes.py
@@ -13,8 +13,8 @@
 from clementinedeal._health import Outcome, OutcomeKind
 from clementinedeal._http import RequestHead
 from clementinedeal._idempotency import IdempotencyManager
-from clementinedeal._queue import TargetQueue
 from clementinedeal._routing import Router
+from clementinedeal._target_queue import TargetQueue
 from clementinedeal._tokens import TokenManager
 from clementinedeal_bench._slope import (
     ACCOUNT_SIZES,
@@ -102,7 +102,7 @@
     cfg = sized_config(1_000, instances)
     router = Router('instance-000', 'zone', cfg, random.Random(1))
     service = next(iter(cfg.services))
-    cost = micros_per_call(lambda _: router.order(service, (), True, 1))
+    cost = micros_per_call(lambda _: router.rank_targets(service, (), True, 1))
     yield Slope('entry', 'order of targets', instances, cost, 'us')
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -27,7 +27,7 @@
 from clementinedeal._events import EventLog
 from clementinedeal._executions import ExecutionTable
 from clementinedeal._forwarding import (
-    Ownership,
+    OwnedTargets,
     PeerClient,
     PeerParts,
     PeerServer,
@@ -123,13 +123,13 @@
     async def claim(self, incoming: Any) -> None:
         return None
 
-    def settle(self, incoming: Any, finished: Any) -> None:
+    def settle(self, incoming: Any, result: Any) -> None:
         return None
 
     def record(self, *finished: Any) -> None:
         return None
 
-    def refused_early(self, reason: Any) -> None:
+    def record_early_refusal(self, reason: Any) -> None:
         return None
 
 
@@ -198,7 +198,7 @@
                 max_body_bytes=200_000,
             ),
         )
-        ownership = Ownership(
+        ownership = OwnedTargets(
             self.owner,
             cfg.targets.get,
             lambda target: (0.0, 'in-use'),
@@ -211,7 +211,7 @@
             HttpServer(where.peer, peer.serve, limits, self.events),
         )
 
-    async def cancel(self, owner: str, wish: Any) -> CancelAnswer:
+    async def cancel(self, owner: str, cancel_request: Any) -> CancelAnswer:
         return CancelAnswer.UNKNOWN
 
 
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -5,20 +5,28 @@
     CancelExecution,
     ExecutionCancelled,
 )
-from clementinedeal._cancels import CANCEL_SECONDS, RESEND_SECONDS, Cancels
+from clementinedeal._cancel_messenger import (
+    CANCEL_RESEND_SECONDS,
+    CANCEL_TIMEOUT_SECONDS,
+    CancelMessenger,
+)
 from clementinedeal._messages import Send
 
-WISH = CancelExecution('r/0', 'i')
+CANCEL_REQUEST = CancelExecution('r/0', 'i')
 
 
-class Pair:
+class LossyPair:
     """An entry whose first messages to the owner are lost."""
 
     def __init__(self, losses: int) -> None:
         self.losses = losses
         self.sent: list[Send] = []
-        self.entry = Cancels(self.send, lambda wish: CancelAnswer.UNKNOWN)
-        self.owner = Cancels(self.send, lambda wish: CancelAnswer.NEVER_STARTED)
+        self.entry = CancelMessenger(
+            self.send, lambda cancel_request: CancelAnswer.UNKNOWN
+        )
+        self.owner = CancelMessenger(
+            self.send, lambda cancel_request: CancelAnswer.NEVER_STARTED
+        )
 
     def send(self, action: Send) -> None:
         self.sent.append(action)
@@ -31,23 +39,23 @@
 async def test_a_lost_cancel_is_sent_again(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    pair = Pair(losses=2)
+    pair = LossyPair(losses=2)
     started = trio.current_time()
-    answer = await pair.entry.cancel('b', WISH)
+    answer = await pair.entry.cancel('b', CANCEL_REQUEST)
     assert answer is CancelAnswer.NEVER_STARTED
-    assert pair.sent == [Send('b', WISH)] * 3
-    assert trio.current_time() - started == 2 * RESEND_SECONDS
+    assert pair.sent == [Send('b', CANCEL_REQUEST)] * 3
+    assert trio.current_time() - started == 2 * CANCEL_RESEND_SECONDS
 
 
-async def test_an_owner_that_is_silent_proves_nothing(
+async def test_a_silent_owner_gives_unknown_after_the_timeout(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
-    pair = Pair(losses=100)
+    pair = LossyPair(losses=100)
     started = trio.current_time()
-    assert await pair.entry.cancel('b', WISH) is CancelAnswer.UNKNOWN
-    assert trio.current_time() - started == CANCEL_SECONDS
+    assert await pair.entry.cancel('b', CANCEL_REQUEST) is CancelAnswer.UNKNOWN
+    assert trio.current_time() - started == CANCEL_TIMEOUT_SECONDS
 
 
-def test_an_answer_that_nobody_awaits_is_ignored() -> None:
+def test_an_answer_to_no_pending_cancel_is_ignored() -> None:
     late = ExecutionCancelled('gone', CancelAnswer.FINISHED)
-    assert list(Pair(losses=0).entry.on_message('b', late, 0)) == []
+    assert list(LossyPair(losses=0).entry.on_message('b', late, 0)) == []
--- a/tests/test_executions.py
+++ b/tests/test_executions.py
@@ -21,7 +21,9 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
-        self.table = ExecutionTable('i0', ExecutionLimits(retention=RETENTION))
+        self.table = ExecutionTable(
+            'i0', ExecutionLimits(retention_seconds=RETENTION)
+        )
         self.starts: dict[str, int] = {}
         self.denied: set[str] = set()
         self.sent: dict[str, tuple[str, float]] = {}
@@ -73,7 +75,9 @@
 
 
 def test_a_full_table_refuses_and_leaves_no_tombstone() -> None:
-    table = ExecutionTable('i', ExecutionLimits(entries=1, retention=5))
+    table = ExecutionTable(
+        'i', ExecutionLimits(max_entries=1, retention_seconds=5)
+    )
     assert table.register('a', 'i', 9, 0) == Ok(None)
     assert table.register('b', 'i', 9, 0) == Err(Reason.QUEUE_FULL)
     assert table.cancel('c', 'i', 0) is CancelAnswer.UNKNOWN
@@ -83,13 +87,13 @@
     assert table.register('b', 'i', 99, 14) == Ok(None)
 
 
-def test_a_restarted_owner_knows_nothing_of_older_forwards() -> None:
+def test_a_restarted_owner_refuses_forwards_to_its_last_incarnation() -> None:
     table = ExecutionTable('new')
     assert table.cancel('a', 'old', 0) is CancelAnswer.UNKNOWN
     assert table.register('a', 'old', 9, 0) == Err(Reason.WRONG_INCARNATION)
 
 
-def test_nothing_starts_between_a_gap_and_the_next_tick() -> None:
+def test_no_forward_starts_between_a_pause_and_the_next_tick() -> None:
     table = ExecutionTable('i')
     table.on_tick(0)
     assert table.register('a', 'i', 99, 0.1) == Ok(None)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -11,8 +11,8 @@
 
 from clementinedeal import _attempt_events as ev
 from clementinedeal import _claims as cl
+from clementinedeal._attempt_plan import AttemptPlan
 from clementinedeal._attempt_set import AttemptRequest
-from clementinedeal._attempts import AttemptPlan
 from clementinedeal._cancel_messages import CancelExecution, ExecutionCancelled
 from clementinedeal._executions import ExecutionTable
 from clementinedeal._history import Answered, Started
@@ -50,7 +50,7 @@
 
 
 @dataclass(frozen=True)
-class Told:
+class OwnerReply:
     """An owner's answer to a forward, as typed events of the plan."""
 
     attempt: str
@@ -133,20 +133,20 @@
     def on_plan(self, call: Call, actions: Any) -> None:
         for action in actions:
             match action:
-                case ev.Forward():
+                case ev.SendAttempt():
                     self.forward(call, action)
-                case ev.Cancel():
+                case ev.CancelAttempt():
                     known = self.fleet.named[action.attempt_id]
-                    wish = CancelExecution(action.attempt_id, known)
-                    self.fleet.post(self.name, action.target, wish)
-                case ev.GiveUp() | ev.CutStream():
+                    cancel_request = CancelExecution(action.attempt_id, known)
+                    self.fleet.post(self.name, action.target, cancel_request)
+                case ev.RefuseRequest() | ev.AbortStream():
                     self.answer(call.req_id, action.verdict)
                     self.settle(call, action.verdict, None)
         if call.plan.finished and not call.done:
             self.answer(call.req_id, Verdict.RAN)
             self.settle(call, Verdict.RAN, ANSWER)
 
-    def forward(self, call: Call, action: ev.Forward) -> None:
+    def forward(self, call: Call, action: ev.SendAttempt) -> None:
         known = self.known[action.target]
         self.fleet.named[action.attempt_id] = known
         seconds = call.deadline - self.fleet.now
@@ -174,12 +174,12 @@
                 self.on_forward(sender, body)
             case CancelExecution():
                 answer = self.table.cancel(body.req_id, body.incarnation, now)
-                told = ExecutionCancelled(body.req_id, answer)
-                self.fleet.post(self.name, sender, told)
+                reply = ExecutionCancelled(body.req_id, answer)
+                self.fleet.post(self.name, sender, reply)
             case ExecutionCancelled():
                 event = ev.CancelAnswered(body.req_id, body.answer)
                 self.on_attempt(body.req_id, event)
-            case Told():
+            case OwnerReply():
                 self.known[sender] = body.incarnation
                 for event in body.events:
                     self.on_attempt(body.attempt, event)
@@ -193,20 +193,20 @@
 
     def on_forward(self, sender: str, body: Forwarded) -> None:
         now = self.fleet.now
-        known = self.table.register(
+        registered = self.table.register(
             body.attempt, body.incarnation, now + body.seconds, now
         )
-        if known.is_ok():
+        if registered.is_ok():
             self.queued[body.attempt] = sender
         else:
-            self.refuse(sender, body.attempt, known.unwrap_err())
+            self.refuse(sender, body.attempt, registered.unwrap_err())
 
     def refuse(self, entry: str, attempt: str, reason: Reason) -> None:
         ran = reason is Reason.DUPLICATE
         verdict = Verdict.MAY_HAVE_RUN if ran else Verdict.NOT_RUN
         failed = ev.AttemptFailed(attempt, verdict, reason)
-        told = Told(attempt, (failed,), self.incarnation)
-        self.fleet.post(self.name, entry, told)
+        reply = OwnerReply(attempt, (failed,), self.incarnation)
+        self.fleet.post(self.name, entry, reply)
 
     def work(self, rng: random.Random) -> None:
         now = self.fleet.now
@@ -222,8 +222,8 @@
             entry = self.running.pop(attempt)
             self.table.finish(attempt, now)
             events = (ev.AnswerHead(attempt, 201), ev.AnswerComplete(attempt))
-            told = Told(attempt, events, self.incarnation)
-            self.fleet.post(self.name, entry, told)
+            reply = OwnerReply(attempt, events, self.incarnation)
+            self.fleet.post(self.name, entry, reply)
 
     def tick(self) -> None:
         now = self.fleet.now
@@ -234,7 +234,7 @@
         self.table.on_tick(now)
         self.on_claims(self.manager.on_tick(now))
         for call in tuple(self.calls.values()):
-            if call.plan.due() <= now:
+            if call.plan.next_timeout() <= now:
                 timed_out = call.plan.on_event(ev.Timeout(), now)
                 self.on_plan(call, timed_out)
 
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -5,14 +5,19 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from clementinedeal._queue import QueueActions, Reject, Start, TargetQueue
+from clementinedeal._target_queue import (
+    QueueActions,
+    RejectRequest,
+    StartRequest,
+    TargetQueue,
+)
 from clementinedeal._verdict import Reason
 
 LIMIT = 4
 ACCOUNTS = ('a', 'b', 'c')
 
 
-class Admission(RuleBasedStateMachine):
+class QueueMachine(RuleBasedStateMachine):
     """Every request ends once; nothing refused ever starts."""
 
     def __init__(self) -> None:
@@ -69,13 +74,13 @@
         assert not self.waiting
         assert not self.queue.waiting
         late = self.queue.offer('late', 'a', self.now + 60, self.now)
-        assert [type(each) for each in late] == [Reject]
+        assert [type(each) for each in late] == [RejectRequest]
         self.running.clear()
         self.queue = TargetQueue(self.slots, LIMIT)
 
     def apply(self, actions: QueueActions) -> None:
         for action in actions:
-            if isinstance(action, Start):
+            if isinstance(action, StartRequest):
                 self.on_start(action.req_id)
             else:
                 self.on_reject(action)
@@ -92,7 +97,7 @@
                 self.passed[other, account] += 1
                 assert self.passed[other, account] <= 2
 
-    def on_reject(self, action: Reject) -> None:
+    def on_reject(self, action: RejectRequest) -> None:
         account, _ = self.waiting.pop(action.req_id)
         assert action.retry_after_seconds > 0
         if action.reason is Reason.QUEUE_FULL:
@@ -108,33 +113,33 @@
         assert not self.waiting or len(self.running) >= self.slots
 
 
-TestAdmission = Admission.TestCase
+TestQueue = QueueMachine.TestCase
 
 
-def test_what_cannot_start_in_time_is_refused_at_once() -> None:
+def test_a_request_that_cannot_start_in_time_is_refused_at_once() -> None:
     queue = TargetQueue(1, LIMIT)
     queue.offer('1', 'a', 10, 0)
     queue.finish('1', 2)
     queue.offer('2', 'a', 10, 2)
     assert queue.offer('3', 'a', 4.5, 2) == ()
     (reject,) = queue.offer('4', 'a', 5.5, 2)
-    assert reject == Reject('4', Reason.DEADLINE, 4)
+    assert reject == RejectRequest('4', Reason.DEADLINE, 4)
 
 
-def test_a_flooding_account_gives_way_to_another() -> None:
+def test_a_full_queue_evicts_from_the_account_with_most_requests() -> None:
     queue = TargetQueue(1, LIMIT)
     for index in range(LIMIT + 1):
         queue.offer(f'a{index}', 'a', 60, 0)
     (reject,) = queue.offer('b', 'b', 60, 0)
-    assert reject == Reject('a4', Reason.QUEUE_FULL, 0.1)
+    assert reject == RejectRequest('a4', Reason.QUEUE_FULL, 0.1)
     queue.finish('a0', 0)
-    assert queue.finish('a1', 0) == (Start('b'),)
+    assert queue.finish('a1', 0) == (StartRequest('b'),)
 
 
-def test_a_request_whose_deadline_passed_unnoticed_is_not_started() -> None:
+def test_a_request_past_its_deadline_is_not_started() -> None:
     queue = TargetQueue(1, LIMIT)
     queue.offer('1', 'a', 10, 0)
     queue.offer('2', 'a', 10, 0)
     (reject,) = queue.finish('1', 10)
-    assert isinstance(reject, Reject)
+    assert isinstance(reject, RejectRequest)
     assert reject.reason is Reason.DEADLINE
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -34,11 +34,11 @@
 def router() -> Router:
     router = Router('i0', 'z0', CFG, random.Random(1))
     for name in NAMES:
-        hear(router, name, Availability.IN_USE)
+        observe(router, name, Availability.IN_USE)
     return router
 
 
-def hear(
+def observe(
     router: Router,
     name: str,
     availability: Availability,
@@ -48,86 +48,91 @@
     router.on_view(name, TargetView(availability, load, at))
 
 
-def firsts(router: Router, *holders: str, at: float = 10.0) -> Counter[str]:
-    lists = [router.order('s', holders, True, at) for _ in range(3000)]
+def count_first(
+    router: Router, *holders: str, at: float = 10.0
+) -> Counter[str]:
+    lists = [router.rank_targets('s', holders, True, at) for _ in range(3000)]
     return Counter(names[0] for names in lists)
 
 
 def test_least_loaded_holder_goes_first_unless_it_is_full(
     router: Router,
 ) -> None:
-    hear(router, 't4', Availability.IN_USE, 0.1)
-    assert router.order('s', ('i5', 'i4'), False, 10.0)[:2] == ['t4', 't5']
-    hear(router, 't4', Availability.IN_USE, 1.0)
-    assert router.order('s', ('i5', 'i4'), False, 10.0)[0] == 't5'
+    observe(router, 't4', Availability.IN_USE, 0.1)
+    assert router.rank_targets('s', ('i5', 'i4'), False, 10.0)[:2] == [
+        't4',
+        't5',
+    ]
+    observe(router, 't4', Availability.IN_USE, 1.0)
+    assert router.rank_targets('s', ('i5', 'i4'), False, 10.0)[0] == 't5'
 
 
 def test_own_zone_goes_before_others_and_load_is_spread(
     router: Router,
 ) -> None:
-    order = router.order('s', (), False, 10.0)
+    order = router.rank_targets('s', (), False, 10.0)
     assert {int(name[1:]) % 3 for name in order[:3]} == {0}
     assert len(set(order)) == len(order)
-    counts = firsts(router)
+    counts = count_first(router)
     assert set(counts) == {'t0', 't3', 't6'}
-    hear(router, 't3', Availability.IN_USE, 0.9)
-    assert firsts(router)['t3'] < counts['t3'] / 2
+    observe(router, 't3', Availability.IN_USE, 0.9)
+    assert count_first(router)['t3'] < counts['t3'] / 2
 
 
 @pytest.mark.parametrize(
     'bad',
     [Availability.EJECTED, Availability.LEAVING, Availability.LOST],
 )
-def test_a_target_out_of_use_is_left_out(
+def test_a_target_out_of_use_is_not_ranked(
     router: Router,
     bad: Availability,
 ) -> None:
-    hear(router, 't0', bad)
+    observe(router, 't0', bad)
     for _ in range(200):
-        assert 't0' not in router.order('s', ('i0',), True, 10.0)
+        assert 't0' not in router.rank_targets('s', ('i0',), True, 10.0)
 
 
-def test_with_nothing_else_left_the_least_bad_is_tried(
+def test_targets_out_of_use_are_ranked_when_there_is_no_other(
     router: Router,
 ) -> None:
     for name in NAMES:
-        hear(router, name, Availability.LOST)
-    hear(router, 't7', Availability.LEAVING)
-    hear(router, 't2', Availability.EJECTED)
-    assert router.order('s', (), False, 10.0)[:2] == ['t2', 't7']
+        observe(router, name, Availability.LOST)
+    observe(router, 't7', Availability.LEAVING)
+    observe(router, 't2', Availability.EJECTED)
+    assert router.rank_targets('s', (), False, 10.0)[:2] == ['t2', 't7']
 
 
-def test_an_ejection_that_is_not_renewed_is_forgotten(router: Router) -> None:
-    hear(router, 't0', Availability.EJECTED)
-    assert 't0' not in firsts(router, at=12.0)
-    assert 't0' in firsts(router, at=17.0)
+def test_an_ejection_that_is_not_renewed_expires(router: Router) -> None:
+    observe(router, 't0', Availability.EJECTED)
+    assert 't0' not in count_first(router, at=12.0)
+    assert 't0' in count_first(router, at=17.0)
 
 
-def test_a_small_share_of_idempotent_requests_tries_a_target(
+def test_a_small_fraction_of_idempotent_requests_is_a_trial(
     router: Router,
 ) -> None:
-    hear(router, 't8', Availability.TRIAL)
-    tried = firsts(router)['t8'] / 3000
+    observe(router, 't8', Availability.TRIAL)
+    tried = count_first(router)['t8'] / 3000
     assert 0 < tried < 1 / SIZE
     for _ in range(500):
-        assert 't8' not in router.order('s', (), False, 10.0)
+        assert 't8' not in router.rank_targets('s', (), False, 10.0)
 
 
-def test_a_path_fault_only_moves_an_owner_back(router: Router) -> None:
+def test_a_path_fault_ranks_an_owner_last_but_keeps_it(router: Router) -> None:
     router.paths.on_connect_failure('i0', 10.0)
-    assert 't0' not in firsts(router, 'i0')
+    assert 't0' not in count_first(router, 'i0')
     for name in NAMES[1:]:
-        hear(router, name, Availability.LOST)
-    assert router.order('s', (), False, 10.0) == ['t0']
-    assert router.order('s', ('i0',), False, 14.0)[0] == 't0'
+        observe(router, name, Availability.LOST)
+    assert router.rank_targets('s', (), False, 10.0) == ['t0']
+    assert router.rank_targets('s', ('i0',), False, 14.0)[0] == 't0'
 
 
 def test_a_slow_path_counts_as_load(router: Router) -> None:
     for _ in range(20):
         router.paths.on_answer('i3', 0.2)
-    counts = firsts(router)
+    counts = count_first(router)
     assert counts['t3'] < counts['t6'] / 2
 
 
 def test_an_unknown_service_has_no_targets(router: Router) -> None:
-    assert router.order('x', (), False, 10.0) == []
+    assert router.rank_targets('x', (), False, 10.0) == []
