--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -15,17 +15,19 @@
 from clementinedeal.mesh._catalog import Catalog
 from clementinedeal.mesh._contracts import Dialect
 from clementinedeal.mesh._origin import Message
-from clementinedeal.mesh._outcomes import Outcome
+from clementinedeal.mesh._outcomes import MeshOutcome
 from clementinedeal.mesh._types import ClientAccount, RouteRule
 
 # Callers of a daemon without a declaration are told to come back after this.
-UNREADY_RETRY_SECONDS = 0.5
+UNREADY_RETRY_AFTER_SECONDS = 0.5
 # Largest body before a declaration says it.
-UNREADY_BODY_BYTES = 1 << 20
-_HIDDEN = frozenset((CONTENT_LENGTH, b'expect', b'authorization'))
+UNREADY_MAX_BODY_BYTES = 1 << 20
+_HEADERS_NOT_FORWARDED = frozenset(
+    (CONTENT_LENGTH, b'expect', b'authorization')
+)
 
 
-class Allowances(Protocol):
+class RateLimiter(Protocol):
     """Grants requests within the rate and burst of an account."""
 
     async def take(self, account: ClientAccount, req_id: str) -> float:
@@ -33,7 +35,7 @@
         ...
 
 
-class Standing(Protocol):
+class ActiveDeclaration(Protocol):
     """What is in force here."""
 
     @property
@@ -57,7 +59,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Admitted:
+class AdmittedRequest:
     """A request that may be sent; ``deadline`` in monotonic seconds."""
 
     req_id: str
@@ -74,8 +76,8 @@
     def __init__(
         self,
         dialect: Dialect,
-        standing: Standing,
-        allowances: Allowances,
+        active_declaration: ActiveDeclaration,
+        rate_limiter: RateLimiter,
         rng: random.Random,
     ) -> None:
         """Take requests until ``closing`` is set.
@@ -86,20 +88,20 @@
         :param rng: draws a part of a split route.
         """
         self._dialect = dialect
-        self.standing = standing
-        self._allowances = allowances
+        self.active_declaration = active_declaration
+        self._rate_limiter = rate_limiter
         self._rng = rng
-        self.closing = False
+        self.is_closing = False
 
     @property
-    def body_bytes(self) -> int:
+    def max_body_bytes(self) -> int:
         """Largest body that callers may send."""
-        catalog = self.standing.catalog
+        catalog = self.active_declaration.catalog
         if catalog is None:
-            return UNREADY_BODY_BYTES
+            return UNREADY_MAX_BODY_BYTES
         return catalog.declaration.limits.body_bytes
 
-    def name(self, head: RequestHead) -> str:
+    def read_request_id(self, head: RequestHead) -> str:
         """Return the id that the caller gave its request.
 
         :param head: the request's head.
@@ -110,73 +112,75 @@
         self,
         head: RequestHead,
         body: bytes,
-        started: float,
-    ) -> Admitted | Outcome:
+        received_at: float,
+    ) -> AdmittedRequest | MeshOutcome:
         """Return a request that may be sent, or why it is refused.
 
         :param head: its head.
         :param body: its whole body.
         :param started: when it came, monotonic seconds.
         """
-        catalog = self.standing.catalog
-        if self.closing:
-            return _refusal(Reason.DRAINING, UNREADY_RETRY_SECONDS)
+        catalog = self.active_declaration.catalog
+        if self.is_closing:
+            return _refusal(Reason.DRAINING, UNREADY_RETRY_AFTER_SECONDS)
         if catalog is None:
-            return _refusal(Reason.CONFIG_STALE, UNREADY_RETRY_SECONDS)
-        asked = self._dialect.read_request(head)
+            return _refusal(Reason.CONFIG_STALE, UNREADY_RETRY_AFTER_SECONDS)
+        fields = self._dialect.read_request(head)
         host = (head.header(b'host') or b'').decode('latin-1')
         route = catalog.find_route(host, head.path)
         if route is None:
             return _refusal(Reason.NO_ROUTE)
-        found = catalog.find_account(route, asked.key)
-        if isinstance(found, Err):
-            return _refusal(found.err_value)
-        account = found.ok_value
-        refused = account and await self._refuse_account(account, asked.req_id)
-        if refused:
-            return refused
-        patience = route.timeout
-        if asked.patience is not None:
-            patience = min(patience, asked.patience)
-        return Admitted(
-            req_id=asked.req_id or new_request_id(),
+        account_found = catalog.find_account(route, fields.key)
+        if isinstance(account_found, Err):
+            return _refusal(account_found.err_value)
+        account = account_found.ok_value
+        refusal = account and await self._check_account(account, fields.req_id)
+        if refusal:
+            return refusal
+        timeout = route.timeout
+        if fields.patience is not None:
+            timeout = min(timeout, fields.patience)
+        return AdmittedRequest(
+            req_id=fields.req_id or new_request_id(),
             route=route,
-            service=self._draw_part(route),
+            service=self._choose_service(route),
             account=account,
             message=_message(head, body),
-            deadline=started + patience,
+            deadline=received_at + timeout,
         )
 
-    async def _refuse_account(
+    async def _check_account(
         self,
         account: ClientAccount,
         req_id: str,
-    ) -> Outcome | None:
+    ) -> MeshOutcome | None:
         """Return why a request with a key is not taken, if it is not."""
-        if not self.standing.is_fresh():
-            return _refusal(Reason.CONFIG_STALE, UNREADY_RETRY_SECONDS)
-        pause = await self._allowances.take(account, req_id)
-        return _refusal(Reason.RATE_EXCEEDED, pause) if pause else None
+        if not self.active_declaration.is_fresh():
+            return _refusal(Reason.CONFIG_STALE, UNREADY_RETRY_AFTER_SECONDS)
+        retry_after = await self._rate_limiter.take(account, req_id)
+        return (
+            _refusal(Reason.RATE_EXCEEDED, retry_after) if retry_after else None
+        )
 
-    def _draw_part(self, route: RouteRule) -> str:
-        if len(route.parts) == 1:
-            return route.parts[0].service
-        weights = [part.weight for part in route.parts]
-        drawn = self._rng.choices(route.parts, weights)
-        return drawn[0].service
+    def _choose_service(self, route: RouteRule) -> str:
+        if len(route.weighted_services) == 1:
+            return route.weighted_services[0].service
+        weights = [part.weight for part in route.weighted_services]
+        chosen = self._rng.choices(route.weighted_services, weights)
+        return chosen[0].service
 
 
 def _message(head: RequestHead, body: bytes) -> Message:
     headers = tuple(
         pair
         for pair in strip_internal_headers(end_to_end(head.headers))
-        if pair[0] not in _HIDDEN
+        if pair[0] not in _HEADERS_NOT_FORWARDED
     )
     return Message(head.method, head.path, headers, body)
 
 
-def _refusal(reason: Reason, retry_after: float = 0) -> Outcome:
-    return Outcome(
+def _refusal(reason: Reason, retry_after: float = 0) -> MeshOutcome:
+    return MeshOutcome(
         verdict=Verdict.NOT_RUN,
         reason=reason,
         retry_after=retry_after,
--- a/src/clementinedeal/mesh/_running.py
+++ b/src/clementinedeal/mesh/_background_task.py
@@ -8,12 +8,12 @@
 from clementinedeal._events import log
 
 # A part that fails at once again must not take the loop for itself.
-AGAIN_SECONDS = 0.5
+RESTART_DELAY_SECONDS = 0.5
 
-Part: TypeAlias = Callable[[], Awaitable[None]]
+BackgroundTask: TypeAlias = Callable[[], Awaitable[None]]
 
 
-async def keep_running(part: Part) -> None:
+async def keep_running(task: BackgroundTask) -> None:
     """Run a part to its end; one that fails is started again.
 
     What a part meets must not end the process, and the requests on it.
@@ -22,9 +22,9 @@
     """
     while True:
         try:
-            await part()
+            await task()
         except Exception:
             log.exception('event=part-failed')
-            await trio.sleep(AGAIN_SECONDS)
+            await trio.sleep(RESTART_DELAY_SECONDS)
         else:
             return
--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -6,23 +6,23 @@
 
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason
-from clementinedeal.mesh._outcomes import Outcome, State
+from clementinedeal.mesh._outcomes import MeshOutcome, TargetCondition
 from clementinedeal.mesh._types import Target
 
 # What was heard of a target loses half its weight in this time.
 HALF_LIFE_SECONDS = 1.5
 # Assumed of a target that nothing was heard of.
-USUAL_LOAD = 0.4
-USUAL_RISK = 0.25
+DEFAULT_LOAD = 0.4
+DEFAULT_RISK = 0.25
 # Costs are in shares of a target's slots. Bytes between zones are priced, a
 # booking that fails loses many times that; a target that is nearly full makes
 # requests wait.
 OTHER_ZONE_COST = 0.45
-OTHER_HOST_COST = 0.1
+OTHER_INSTANCE_COST = 0.1
 RISK_COST = 3.0
-CROWD_COST = 2.0
-CROWDED_LOAD = 0.8
-COLD_COST = 0.5
+NEARLY_FULL_COST = 2.0
+NEARLY_FULL_LOAD = 0.8
+WARMUP_COST = 0.5
 AVOIDED_COST = 5.0
 JITTER_COST = 0.15
 # How long a target is passed over after it refused for a cause.
@@ -35,13 +35,13 @@
 
 
 @dataclass(slots=True)
-class Heard:
+class TargetObservation:
     """What this entry last heard of a target, and when (seconds)."""
 
-    load: float = USUAL_LOAD
-    risk: float = USUAL_RISK
+    load: float = DEFAULT_LOAD
+    risk: float = DEFAULT_RISK
     wait: float = 0.0
-    heard_at: float = float('-inf')
+    observed_at: float = float('-inf')
     avoid_until: float = float('-inf')
     in_flight: int = 0
 
@@ -68,10 +68,10 @@
         self._clock = clock
         self._rng = rng
         self._by_service: dict[str, list[Target]] = {}
-        self._cold_until: dict[str, float] = {}
-        self._heard: dict[str, Heard] = {}
+        self._warmup_until: dict[str, float] = {}
+        self._observations: dict[str, TargetObservation] = {}
 
-    def take_targets(self, targets: Iterable[Target]) -> None:
+    def set_targets(self, targets: Iterable[Target]) -> None:
         """Choose among these targets from now on.
 
         :param targets: all that are listed.
@@ -80,27 +80,27 @@
         by_service: dict[str, list[Target]] = {}
         for target in targets:
             by_service.setdefault(target.service, []).append(target)
-            if target.name not in self._heard:
-                self._heard[target.name] = Heard()
-                self._cold_until[target.name] = now + target.warmup
+            if target.name not in self._observations:
+                self._observations[target.name] = TargetObservation()
+                self._warmup_until[target.name] = now + target.warmup_seconds
         self._by_service = by_service
         names = {one.name for group in by_service.values() for one in group}
-        for name in self._heard.keys() - names:
-            del self._heard[name]
-            del self._cold_until[name]
+        for name in self._observations.keys() - names:
+            del self._observations[name]
+            del self._warmup_until[name]
 
-    def targets(self, service: str) -> list[Target]:
+    def available_targets(self, service: str) -> list[Target]:
         """Return the targets of a service that take work."""
         return [
             one for one in self._by_service.get(service, ()) if not one.draining
         ]
 
-    def order(
+    def rank_targets(
         self,
         service: str,
-        without: Collection[str],
+        excluded: Collection[str],
         *,
-        careful: bool,
+        avoid_risk: bool,
     ) -> list[Target]:
         """Return targets, the best first.
 
@@ -110,16 +110,20 @@
         """
         now = self._clock.now()
         costs = {
-            one.name: self._cost(one, now, careful=careful)
-            for one in self.targets(service)
-            if one.name not in without
+            one.name: self._estimate_cost(one, now, avoid_risk=avoid_risk)
+            for one in self.available_targets(service)
+            if one.name not in excluded
         }
         return sorted(
-            (one for one in self.targets(service) if one.name in costs),
+            (
+                one
+                for one in self.available_targets(service)
+                if one.name in costs
+            ),
             key=lambda one: costs[one.name],
         )
 
-    def has_room(self, service: str, without: Collection[str]) -> bool:
+    def has_room(self, service: str, excluded: Collection[str]) -> bool:
         """Whether a target is believed to take one more request at once.
 
         :param service: name of the service.
@@ -127,87 +131,93 @@
         """
         now = self._clock.now()
         return any(
-            self._load(one, now) < CROWDED_LOAD
-            and now >= self._heard_of(one).avoid_until
-            for one in self.targets(service)
-            if one.name not in without
+            self._estimate_load(one, now) < NEARLY_FULL_LOAD
+            and now >= self._observation(one).avoid_until
+            for one in self.available_targets(service)
+            if one.name not in excluded
         )
 
-    def shortest_queue(self, targets: Sequence[Target]) -> Target:
+    def find_shortest_queue(self, targets: Sequence[Target]) -> Target:
         """Return the target whose queue was the shortest when last heard of.
 
         :param targets: the choice.
         """
-        return min(targets, key=lambda one: self._heard_of(one).wait)
+        return min(targets, key=lambda one: self._observation(one).wait)
 
-    def least_risk(self, targets: Sequence[Target]) -> Target:
+    def find_least_risk(self, targets: Sequence[Target]) -> Target:
         """Return the target that was the least suspect when last heard of.
 
         :param targets: the choice.
         """
-        return min(targets, key=lambda one: self._heard_of(one).risk)
+        return min(targets, key=lambda one: self._observation(one).risk)
 
-    def start(self, name: str) -> None:
+    def on_attempt_started(self, name: str) -> None:
         """Count an attempt at a target."""
-        heard = self._heard.get(name)
-        if heard is not None:
-            heard.in_flight += 1
+        observation = self._observations.get(name)
+        if observation is not None:
+            observation.in_flight += 1
 
-    def end(self, name: str, outcome: Outcome | None) -> None:
+    def on_attempt_ended(self, name: str, outcome: MeshOutcome | None) -> None:
         """Take in what an attempt showed of its target.
 
         :param name: the target.
         :param outcome: None if the attempt was given up.
         """
-        heard = self._heard.get(name)
-        if heard is None:
+        observation = self._observations.get(name)
+        if observation is None:
             return
-        heard.in_flight = max(0, heard.in_flight - 1)
+        observation.in_flight = max(0, observation.in_flight - 1)
         if outcome is None:
             return
         now = self._clock.now()
         if outcome.state is not None:
-            self._hear(heard, outcome.state, now)
+            self._record_condition(observation, outcome.state, now)
         if outcome.reason is not None:
             pause = AVOID_SECONDS.get(outcome.reason, 0)
-            heard.avoid_until = max(heard.avoid_until, now + pause)
+            observation.avoid_until = max(observation.avoid_until, now + pause)
 
-    def _heard_of(self, target: Target) -> Heard:
-        return self._heard.get(target.name) or Heard()
+    def _observation(self, target: Target) -> TargetObservation:
+        return self._observations.get(target.name) or TargetObservation()
 
-    def _hear(self, heard: Heard, state: State, now: float) -> None:
+    def _record_condition(
+        self, observation: TargetObservation, state: TargetCondition, now: float
+    ) -> None:
         busy = state.running + state.waiting
-        heard.load = busy / max(1, state.slots)
-        heard.risk = state.risk
-        heard.wait = state.wait
-        heard.heard_at = now
+        observation.load = busy / max(1, state.slots)
+        observation.risk = state.risk
+        observation.wait = state.wait
+        observation.observed_at = now
 
-    def _load(self, target: Target, now: float) -> float:
+    def _estimate_load(self, target: Target, now: float) -> float:
         """Return the load that a target is believed to have now."""
-        heard = self._heard_of(target)
-        load = USUAL_LOAD + (heard.load - USUAL_LOAD) * _trust(heard, now)
-        return max(load, heard.in_flight / max(1, target.slots))
-
-    def _cost(self, target: Target, now: float, *, careful: bool) -> float:
-        heard = self._heard[target.name]
-        cost = self._load(target, now)
-        cost += CROWD_COST * max(0, cost - CROWDED_LOAD)
+        observation = self._observation(target)
+        load = DEFAULT_LOAD + (
+            observation.load - DEFAULT_LOAD
+        ) * _recency_weight(observation, now)
+        return max(load, observation.in_flight / max(1, target.slots))
+
+    def _estimate_cost(
+        self, target: Target, now: float, *, avoid_risk: bool
+    ) -> float:
+        observation = self._observations[target.name]
+        cost = self._estimate_load(target, now)
+        cost += NEARLY_FULL_COST * max(0, cost - NEARLY_FULL_LOAD)
         cost += JITTER_COST * self._rng.random()
         if target.zone != self._zone:
             cost += OTHER_ZONE_COST
         elif target.host != self._host:
-            cost += OTHER_HOST_COST
-        if careful:
-            trust = _trust(heard, now)
-            risk = USUAL_RISK + (heard.risk - USUAL_RISK) * trust
+            cost += OTHER_INSTANCE_COST
+        if avoid_risk:
+            weight = _recency_weight(observation, now)
+            risk = DEFAULT_RISK + (observation.risk - DEFAULT_RISK) * weight
             cost += RISK_COST * risk
-        if now < self._cold_until[target.name]:
-            cost += COLD_COST
-        if now < heard.avoid_until:
+        if now < self._warmup_until[target.name]:
+            cost += WARMUP_COST
+        if now < observation.avoid_until:
             cost += AVOIDED_COST
         return cost
 
 
-def _trust(heard: Heard, now: float) -> float:
-    trust: float = 0.5 ** ((now - heard.heard_at) / HALF_LIFE_SECONDS)
-    return trust
+def _recency_weight(observation: TargetObservation, now: float) -> float:
+    weight: float = 0.5 ** ((now - observation.observed_at) / HALF_LIFE_SECONDS)
+    return weight
--- a/src/clementinedeal/mesh/_contracts.py
+++ b/src/clementinedeal/mesh/_contracts.py
@@ -5,7 +5,7 @@
 
 from clementinedeal._errors import ClementinedealError
 from clementinedeal._http import Headers, RequestHead, ResponseHead
-from clementinedeal.mesh._types import DeclarationNews, Listing, TargetNews
+from clementinedeal.mesh._types import DeclarationUpdate, Listing, TargetUpdate
 
 
 class SourceError(ClementinedealError):
@@ -19,14 +19,14 @@
 class DeclarationSource(Protocol):
     """Where declarations are published."""
 
-    async def read(self) -> DeclarationNews:
+    async def read(self) -> DeclarationUpdate:
         """Return the newest declaration.
 
         :raises SourceError: the source gave no answer.
         """
         ...
 
-    async def wait(self, revision: int, seconds: float) -> DeclarationNews:
+    async def wait(self, revision: int, seconds: float) -> DeclarationUpdate:
         """Wait for a declaration newer than a revision.
 
         An answer also proves that nothing newer was published before it.
@@ -49,7 +49,7 @@
         """
         ...
 
-    async def read_target(self, name: str) -> TargetNews:
+    async def read_target(self, name: str) -> TargetUpdate:
         """Return what is listed of one target now.
 
         :param name: the target.
@@ -62,7 +62,7 @@
         name: str,
         revision: int,
         seconds: float,
-    ) -> TargetNews:
+    ) -> TargetUpdate:
         """Wait for a change of one target.
 
         :param name: the target.
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -16,7 +16,7 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import BootClock
 from clementinedeal.mesh._admission import Admission
-from clementinedeal.mesh._allowances import Allowances
+from clementinedeal.mesh._background_task import BackgroundTask, keep_running
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._calls import CallFailures
 from clementinedeal.mesh._catalog import Catalog
@@ -24,17 +24,17 @@
 from clementinedeal.mesh._datagrams import DatagramChannel
 from clementinedeal.mesh._declarations import DeclarationFeed
 from clementinedeal.mesh._entry import Entry, EntryParts
+from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._origin import Origin
-from clementinedeal.mesh._owner import Owner, OwnerParts
+from clementinedeal.mesh._owner import MeshOwner, MeshOwnerParts
 from clementinedeal.mesh._peer_client import PeerClient
 from clementinedeal.mesh._peer_server import PeerServer
+from clementinedeal.mesh._rate_limiter import AccountRateLimiter
 from clementinedeal.mesh._readiness import Readiness
-from clementinedeal.mesh._running import Part, keep_running
 from clementinedeal.mesh._sender import Sender, SenderParts
 from clementinedeal.mesh._settings import NodeSettings
-from clementinedeal.mesh._stop import Stop, StopParts
-from clementinedeal.mesh._tally import Tally
-from clementinedeal.mesh._targets import TargetFeed
+from clementinedeal.mesh._stop import PlannedStop, StopParts
+from clementinedeal.mesh._target_feed import TargetFeed
 
 # How often the settings file is looked at for a change without a signal.
 SETTINGS_SECONDS = 1.0
@@ -76,7 +76,7 @@
             settings.bounds.revoke,
         )
         self._stopping = trio.Event()
-        self._tally = Tally()
+        self._tally = DaemonMetrics()
         self.left_out: Callable[[], int] = int
 
     async def run(self) -> None:
@@ -103,7 +103,7 @@
             self._datagrams.close()
         self.events.emit('daemon-stopped')
 
-    def _parts(self) -> list[Part]:
+    def _parts(self) -> list[BackgroundTask]:
         """Return what runs beside the servers."""
         return [
             self._declarations.run,
@@ -112,8 +112,8 @@
                 self._datagrams.run,
                 self._allowances.on_message,
             ),
-            functools.partial(self._targets.run_list, self._settings.target),
-            self._targets.run_own,
+            functools.partial(self._targets.follow_list, self._settings.target),
+            self._targets.follow_own,
             self._follow_settings,
             self._count_daemons,
         ]
@@ -126,8 +126,8 @@
         rng = random.SystemRandom()
         settings = self._settings
         calls = CallFailures(self._clock)
-        self._owner = Owner(
-            OwnerParts(
+        self._owner = MeshOwner(
+            MeshOwnerParts(
                 clock=self._clock,
                 events=self.events,
                 origin=Origin(
@@ -138,7 +138,7 @@
                     self.events,
                 ),
                 calls=calls,
-                tally=self._tally,
+                metrics=self._tally,
                 nursery=nursery,
             ),
         )
@@ -152,7 +152,7 @@
             self.events,
         )
         self._datagrams = DatagramChannel(host, settings.ports[0], self.events)
-        self._allowances = Allowances(
+        self._allowances = AccountRateLimiter(
             host,
             lambda: self._targets.hosts,
             self._datagrams,
@@ -208,20 +208,20 @@
                 self.events,
             ),
         )
-        self._stop = Stop(
+        self._stop = PlannedStop(
             StopParts(
                 clock=self._clock,
                 events=self.events,
                 admission=self._admission,
                 sender=self._sender,
                 owner=self._owner,
-                callers=self._callers,
+                caller_server=self._callers,
                 servers=self._servers,
             ),
         )
         self._add_gauges()
         self._declarations.on_change.append(self._take_limits)
-        self._declarations.on_change.append(self._allowances.take_catalog)
+        self._declarations.on_change.append(self._allowances.set_catalog)
 
     def _add_gauges(self) -> None:
         owner = self._owner
@@ -230,7 +230,7 @@
             config_version=lambda: feed.version,
             config_age_seconds=lambda: feed.age,
             repeats=lambda: self._sender.repeats,
-            target_risk=lambda: owner.suspicion.risk,
+            target_risk=lambda: owner.health.risk,
             target_running=lambda: owner.slots.running,
             target_waiting=lambda: owner.slots.waiting,
             target_slots=lambda: owner.slots.slots,
--- a/src/clementinedeal/mesh/_datagrams.py
+++ b/src/clementinedeal/mesh/_datagrams.py
@@ -8,12 +8,12 @@
 
 from clementinedeal._errors import UNREADABLE_ERRORS
 from clementinedeal._events import EventLog
-from clementinedeal.mesh._allowances import Draw, Grant
+from clementinedeal.mesh._rate_limiter import TokenReply, TokenRequest
 
 MOST_BYTES = 1400
 _READ_ERRORS = (OSError, *UNREADABLE_ERRORS)
 
-Body: TypeAlias = Draw | Grant
+Body: TypeAlias = TokenRequest | TokenReply
 Receive: TypeAlias = Callable[[str, Body], Awaitable[None]]
 
 
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -8,7 +8,7 @@
 from clementinedeal._timers import Clock
 from clementinedeal.mesh._catalog import Catalog
 from clementinedeal.mesh._contracts import DeclarationSource, SourceError
-from clementinedeal.mesh._types import DeclarationNews
+from clementinedeal.mesh._types import DeclarationUpdate
 
 # One watch proves that nothing newer was published; it is renewed at this
 # rate so that a daemon cut off refuses keys well within their bound.
@@ -79,7 +79,7 @@
         if revision:
             asked = self._clock.now()
             news = await self._source.wait(revision, WATCH_SECONDS)
-            if not news.published:
+            if not news.published_revision:
                 # a source that held the call to its end looked that late
                 whole = self._clock.now() - asked >= WATCH_SECONDS
                 proved_at = asked + WATCH_SECONDS if whole else asked
@@ -87,20 +87,23 @@
         else:
             news = await self._source.read()
         self._take(news)
-        if not news.published and not revision:
+        if not news.published_revision and not revision:
             await trio.sleep(RETRY_SECONDS)
             return 0
         return max(revision, news.revision)
 
-    def _take(self, news: DeclarationNews) -> None:
-        if news.declaration is None or news.published <= self._published:
+    def _take(self, news: DeclarationUpdate) -> None:
+        if (
+            news.declaration is None
+            or news.published_revision <= self._published
+        ):
             return
-        self._published = news.published
+        self._published = news.published_revision
         self.catalog = Catalog(news.declaration)
         self._events.emit(
             'config-in-force',
             version=news.declaration.version,
-            revision=news.published,
+            revision=news.published_revision,
             routes=len(news.declaration.routes),
             accounts=len(news.declaration.accounts),
         )
--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -15,11 +15,11 @@
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh._admission import Admission, Admitted
+from clementinedeal.mesh._admission import Admission, AdmittedRequest
 from clementinedeal.mesh._calls import CallFailures
-from clementinedeal.mesh._outcomes import Outcome
+from clementinedeal.mesh._metrics import DaemonMetrics
+from clementinedeal.mesh._outcomes import MeshOutcome
 from clementinedeal.mesh._sender import Sender
-from clementinedeal.mesh._tally import Tally
 
 _TOO_LARGE = 413
 
@@ -33,7 +33,7 @@
     admission: Admission
     sender: Sender
     calls: CallFailures
-    tally: Tally
+    tally: DaemonMetrics
 
 
 class Entry:
@@ -55,10 +55,12 @@
         """
         parts = self._parts
         started = parts.clock.now()
-        body = await _read_body(conn, parts.admission.body_bytes)
+        body = await _read_body(conn, parts.admission.max_body_bytes)
         admitted = await parts.admission.admit(head, body, started)
-        if isinstance(admitted, Outcome):
-            await self._refuse(conn, parts.admission.name(head), admitted)
+        if isinstance(admitted, MeshOutcome):
+            await self._refuse(
+                conn, parts.admission.read_request_id(head), admitted
+            )
             return
         outcome = await self._run_watched(conn, admitted)
         self._note(admitted, outcome, parts.clock.now() - started)
@@ -73,10 +75,10 @@
     async def _run_watched(
         self,
         conn: ServerConn,
-        admitted: Admitted,
-    ) -> Outcome:
+        admitted: AdmittedRequest,
+    ) -> MeshOutcome:
         """Run a request and give it up when its caller leaves."""
-        outcome: Outcome | None = None
+        outcome: MeshOutcome | None = None
         left = False
 
         async def watch_caller(scope: trio.CancelScope) -> None:
@@ -108,8 +110,8 @@
 
     def _note(
         self,
-        admitted: Admitted,
-        outcome: Outcome,
+        admitted: AdmittedRequest,
+        outcome: MeshOutcome,
         seconds: float,
     ) -> None:
         if not outcome.succeeded and admitted.account is None:
@@ -120,7 +122,7 @@
         verdict = outcome.verdict.value
         tally = self._parts.tally
         tally.count('requests', service, account, verdict, reason)
-        tally.time('request_seconds', seconds, service)
+        tally.observe('request_seconds', seconds, service)
         self._parts.events.emit(
             'request-finished',
             req=admitted.req_id,
@@ -137,10 +139,10 @@
         self,
         conn: ServerConn,
         req_id: str,
-        outcome: Outcome,
+        outcome: MeshOutcome,
     ) -> None:
         reason = outcome.reason or Reason.TARGET_FAILED
-        standing = self._parts.admission.standing
+        standing = self._parts.admission.active_declaration
         refusal = Refusal(outcome.verdict, reason, outcome.retry_after)
         if outcome.verdict is Verdict.NOT_RUN:
             self._parts.events.emit(
--- a/src/clementinedeal/mesh/_executions.py
+++ b/src/clementinedeal/mesh/_executions.py
@@ -7,10 +7,10 @@
 
 from clementinedeal._timers import Clock
 from clementinedeal.mesh._origin import Message
-from clementinedeal.mesh._outcomes import Attempt, Outcome
+from clementinedeal.mesh._outcomes import MeshAttempt, MeshOutcome
 
 # Longer than any forward stays on its way and any entry asks again.
-KEPT_SECONDS = 20.0
+RETENTION_SECONDS = 20.0
 
 
 @dataclass(eq=False, slots=True)
@@ -22,19 +22,19 @@
     target.
     """
 
-    attempt: Attempt
+    attempt: MeshAttempt
     message: Message | None
     deadline: float
-    wanted: trio.Event = field(default_factory=trio.Event)
-    sent: trio.Event = field(default_factory=trio.Event)
+    body_wanted: trio.Event = field(default_factory=trio.Event)
+    body_received: trio.Event = field(default_factory=trio.Event)
     reached: bool = False
-    readers: int = 0
-    outcome: Outcome | None = None
+    reader_count: int = 0
+    outcome: MeshOutcome | None = None
     done: trio.Event = field(default_factory=trio.Event)
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
 
-class ExecutionTable:
+class MeshExecutionTable:
     """Remembers attempts, so that none starts twice or after a refusal."""
 
     def __init__(self, clock: Clock) -> None:
@@ -44,42 +44,42 @@
         """
         self._clock = clock
         self._started_at = clock.now()
-        self._known: dict[str, Execution | None] = {}
+        self._executions: dict[str, Execution | None] = {}
         self._ended: collections.deque[tuple[float, str]] = collections.deque()
 
-    def open(self, execution: Execution) -> bool:
+    def add(self, execution: Execution) -> bool:
         """Remember a new attempt; False if its id is known already.
 
         :param execution: the attempt.
         """
         name = execution.attempt.attempt
-        if name in self._known:
+        if name in self._executions:
             return False
-        self._known[name] = execution
+        self._executions[name] = execution
         return True
 
-    def find(self, name: str) -> Execution | None:
+    def find(self, attempt_id: str) -> Execution | None:
         """Return an attempt that was opened and is still remembered."""
-        return self._known.get(name)
+        return self._executions.get(attempt_id)
 
-    def forbid(self, name: str, age: float) -> bool:
+    def forbid(self, attempt_id: str, age: float) -> bool:
         """Keep an unknown attempt from ever starting here.
 
         :param name: the attempt.
         :param age: seconds since it was sent.
         :return: whether it is proved that it never started.
         """
-        self._known.setdefault(name, None)
-        self.close(name)
+        self._executions.setdefault(attempt_id, None)
+        self.expire_later(attempt_id)
         up = self._clock.now() - self._started_at
-        return age < min(up, KEPT_SECONDS)
+        return age < min(up, RETENTION_SECONDS)
 
-    def close(self, name: str) -> None:
+    def expire_later(self, attempt_id: str) -> None:
         """Forget an attempt after a while.
 
         :param name: the attempt.
         """
         now = self._clock.now()
-        self._ended.append((now, name))
-        while self._ended and now - self._ended[0][0] > KEPT_SECONDS:
-            self._known.pop(self._ended.popleft()[1], None)
+        self._ended.append((now, attempt_id))
+        while self._ended and now - self._ended[0][0] > RETENTION_SECONDS:
+            self._executions.pop(self._ended.popleft()[1], None)
--- a/src/clementinedeal/mesh/_suspicion.py
+++ b/src/clementinedeal/mesh/_health_tracker.py
@@ -7,20 +7,20 @@
 from clementinedeal._verdict import Reason
 from clementinedeal.mesh import _health as evidence
 from clementinedeal.mesh._calls import CallFailures
-from clementinedeal.mesh._health import TargetHealth
-from clementinedeal.mesh._outcomes import Attempt, Outcome
+from clementinedeal.mesh._health import HealthEstimate
+from clementinedeal.mesh._outcomes import MeshAttempt, MeshOutcome
 
 # Above this risk of a failure only trials and last resorts are let through.
-MOST_RISK = 0.35
+MAX_TRUSTED_RISK = 0.35
 # Pause between trials of a suspect target: one that fails loses a request or
 # costs a repeat, and a sick one stays so for some 4 s.
-TRIAL_SECONDS = 0.8
+SCOUT_INTERVAL_SECONDS = 0.8
 # A target that got nothing for 2 s counts as left out, sick or not; so often
 # at least it is tried by what can be made good elsewhere.
-LEFT_OUT_SECONDS = 1.5
+SPARE_INTERVAL_SECONDS = 1.5
 
 
-class Suspicion:
+class HealthTracker:
     """Turns outcomes into evidence, and a risk into trust."""
 
     def __init__(
@@ -38,30 +38,30 @@
         self._clock = clock
         self._events = events
         self._calls = calls
-        self._health = TargetHealth(clock)
-        self._trusted = True
-        self._tried_at = float('-inf')
+        self._estimate = HealthEstimate(clock)
+        self._was_trusted = True
+        self._last_trial_at = float('-inf')
         self._target = ''
 
     @property
     def risk(self) -> float:
         """Probability that the target is sick now."""
-        return self._health.risk()
+        return self._estimate.risk()
 
     @property
     def is_trusted(self) -> bool:
         """Whether bookings may go to the target."""
-        return self.risk <= MOST_RISK
+        return self.risk <= MAX_TRUSTED_RISK
 
-    def renew(self, target: str) -> None:
+    def reset(self, target: str) -> None:
         """Forget the past: another process has taken the target's place.
 
         :param target: its name.
         """
         self._target = target
-        self._health.renew()
+        self._estimate.reset()
 
-    def take_trial(self, attempt: Attempt) -> bool:
+    def claim_trial(self, attempt: MeshAttempt) -> bool:
         """Whether an attempt may show if a suspect target is well again.
 
         :param attempt: one that asks for it.
@@ -69,23 +69,28 @@
         if self.is_trusted:
             return False
         now = self._clock.now()
-        pause = TRIAL_SECONDS if attempt.scout else LEFT_OUT_SECONDS
-        if not (attempt.scout or attempt.spare) or now < self._tried_at + pause:
+        interval = (
+            SCOUT_INTERVAL_SECONDS if attempt.scout else SPARE_INTERVAL_SECONDS
+        )
+        if (
+            not (attempt.scout or attempt.spare)
+            or now < self._last_trial_at + interval
+        ):
             return False
-        self._tried_at = now
+        self._last_trial_at = now
         return True
 
-    async def watch(self, attempt: Attempt) -> None:
+    async def observe_progress(self, attempt: MeshAttempt) -> None:
         """Take a request that is not refused at once for a good sign.
 
         :param attempt: it has just been sent.
         """
         await trio.sleep(evidence.SURVIVAL_SECONDS)
-        self.observe(evidence.SURVIVED, 'survived')
+        self.observe(evidence.SURVIVED_RATIO, 'survived')
         await trio.sleep(attempt.objective)
-        self.observe(evidence.OVERDUE, 'overdue')
+        self.observe(evidence.OVERDUE_RATIO, 'overdue')
 
-    def learn(self, outcome: Outcome, seconds: float) -> None:
+    def on_outcome(self, outcome: MeshOutcome, seconds: float) -> None:
         """Take in how a request ended.
 
         :param outcome: what came of it.
@@ -93,26 +98,28 @@
         """
         match outcome.reason:
             case None:
-                self.observe(evidence.COMPLETED, 'completed')
+                self.observe(evidence.COMPLETED_RATIO, 'completed')
             case Reason.QUEUE_FULL:
-                self.observe(evidence.SHED, 'shed')
+                self.observe(evidence.SHED_RATIO, 'shed')
             case Reason.TARGET_FAILED:
-                self._learn_failure(seconds)
+                self._observe_failure(seconds)
             case Reason.ANSWER_WRONG | Reason.ANSWER_INCOMPLETE:
-                self.observe(evidence.LOST_ANSWER, 'answer-lost')
+                self.observe(evidence.LOST_ANSWER_RATIO, 'answer-lost')
             case Reason.CONNECTION_FORGOTTEN:
-                self.observe(evidence.FORGOTTEN, 'connection-forgotten')
+                self.observe(
+                    evidence.CONNECTION_FORGOTTEN_RATIO, 'connection-forgotten'
+                )
 
-    def observe(self, ratio: float, sign: str) -> None:
+    def observe(self, likelihood_ratio: float, sign: str) -> None:
         """Take in evidence.
 
         :param ratio: how much likelier it is from a sick target.
         :param sign: its name in the log.
         """
-        risk = self._health.observe(ratio)
-        trusted = risk <= MOST_RISK
-        if trusted != self._trusted:
-            self._trusted = trusted
+        risk = self._estimate.observe(likelihood_ratio)
+        trusted = risk <= MAX_TRUSTED_RISK
+        if trusted != self._was_trusted:
+            self._was_trusted = trusted
             self._events.emit(
                 'target-trusted' if trusted else 'target-suspected',
                 target=self._target,
@@ -120,8 +127,8 @@
                 sign=sign,
             )
 
-    def _learn_failure(self, seconds: float) -> None:
-        if seconds < evidence.FAST_SECONDS:
-            self.observe(evidence.FAST_FAILURE, 'failed-at-once')
+    def _observe_failure(self, seconds: float) -> None:
+        if seconds < evidence.MAX_FAST_FAILURE_SECONDS:
+            self.observe(evidence.FAST_FAILURE_RATIO, 'failed-at-once')
         elif not self._calls.failed_recently():
-            self.observe(evidence.SLOW_FAILURE, 'failed')
+            self.observe(evidence.SLOW_FAILURE_RATIO, 'failed')
--- a/src/clementinedeal/mesh/_tally.py
+++ b/src/clementinedeal/mesh/_metrics.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
 
-BUCKETS_SECONDS = (
+BUCKET_BOUNDS_SECONDS = (
     0.001,
     0.0025,
     0.005,
@@ -49,7 +49,7 @@
 }
 
 
-class Tally:
+class DaemonMetrics:
     """What a daemon counts; gauges are read when they are rendered."""
 
     def __init__(self) -> None:
@@ -72,7 +72,7 @@
         """
         self._counts[name][labels] += 1
 
-    def time(self, name: str, seconds: float, *labels: str) -> None:
+    def observe(self, name: str, seconds: float, *labels: str) -> None:
         """Add an observation to a histogram.
 
         :param name: its name.
@@ -81,9 +81,9 @@
         """
         buckets = self._buckets[name].get(labels)
         if buckets is None:
-            buckets = [0 for _ in BUCKETS_SECONDS]
+            buckets = [0 for _ in BUCKET_BOUNDS_SECONDS]
             self._buckets[name][labels] = buckets
-        buckets[bisect.bisect_left(BUCKETS_SECONDS, seconds)] += 1
+        buckets[bisect.bisect_left(BUCKET_BOUNDS_SECONDS, seconds)] += 1
         self._sums[name, labels] += seconds
 
     def render(self) -> bytes:
@@ -106,16 +106,18 @@
             HistogramMetricFamily,
         )
 
-        for name, (text, names) in _COUNTERS.items():
-            counter = CounterMetricFamily(_PREFIX + name, text, labels=names)
+        for name, (description, label_names) in _COUNTERS.items():
+            counter = CounterMetricFamily(
+                _PREFIX + name, description, labels=label_names
+            )
             for labels, total in self._counts[name].items():
                 counter.add_metric(labels, total)
             yield counter
-        for name, (text, names) in _HISTOGRAMS.items():
+        for name, (description, label_names) in _HISTOGRAMS.items():
             histogram = HistogramMetricFamily(
                 _PREFIX + name,
-                text,
-                labels=names,
+                description,
+                labels=label_names,
             )
             for labels, buckets in self._buckets[name].items():
                 histogram.add_metric(
@@ -131,7 +133,7 @@
 def _accumulate(buckets: list[int]) -> list[tuple[str, int]]:
     total = 0
     rows = []
-    for edge, count in zip(BUCKETS_SECONDS, buckets, strict=True):
+    for bound, count in zip(BUCKET_BOUNDS_SECONDS, buckets, strict=True):
         total += count
-        rows.append(('+Inf' if edge == float('inf') else str(edge), total))
+        rows.append(('+Inf' if bound == float('inf') else str(bound), total))
     return rows
--- a/src/clementinedeal/mesh/_origin.py
+++ b/src/clementinedeal/mesh/_origin.py
@@ -21,8 +21,8 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._contracts import Dialect, Signs, Stamp
-from clementinedeal.mesh._outcomes import Outcome, not_run
-from clementinedeal.mesh._rest import RestLimit
+from clementinedeal.mesh._idle_limit import IdleLimit
+from clementinedeal.mesh._outcomes import MeshOutcome, not_run
 
 # Bodies up to this size fit the socket's buffer whatever the target reads.
 SMALL_BODY_BYTES = 8192
@@ -79,9 +79,9 @@
         self._dialect = dialect
         self._clock = clock
         self._events = events
-        self._rest = RestLimit(clock)
+        self._rest = IdleLimit(clock)
 
-    async def call(self, message: Message, stamp: Stamp) -> Outcome:
+    async def call(self, message: Message, stamp: Stamp) -> MeshOutcome:
         """Run a request and return what came of it.
 
         :param message: the request.
@@ -90,7 +90,7 @@
         try:
             conn = await self._pool.acquire(
                 self._address,
-                self._rest.seconds(),
+                self._rest.max_idle_seconds(),
             )
         except ConnLostError:
             return not_run(Reason.NO_TARGET)
@@ -121,18 +121,18 @@
                 conn.abort()
         return _unknown(Reason.DEADLINE)
 
-    def _judge_loss(self, rested: float | None, spent: float) -> Outcome:
+    def _judge_loss(self, rested: float | None, spent: float) -> MeshOutcome:
         """Tell a connection that was forgotten from an answer cut short."""
         if rested is None or rested < LEAST_REST_SECONDS:
             return _unknown(Reason.ANSWER_INCOMPLETE)
         if spent > FORGOTTEN_SECONDS:
             return _unknown(Reason.ANSWER_INCOMPLETE)
-        self._rest.on_forgotten(rested)
+        self._rest.on_connection_forgotten(rested)
         self._events.emit(
             'connection-forgotten',
             address=self._address,
             rested=f'{rested:.3f}',
-            limit=f'{self._rest.seconds():.3f}',
+            limit=f'{self._rest.max_idle_seconds():.3f}',
         )
         return _unknown(Reason.CONNECTION_FORGOTTEN)
 
@@ -141,7 +141,7 @@
         conn: ClientConn,
         message: Message,
         stamp: Stamp,
-    ) -> tuple[Outcome, float | None]:
+    ) -> tuple[MeshOutcome, float | None]:
         """Return the outcome and how long the connection may stay idle."""
         added = self._dialect.target_headers(message.headers, stamp)
         if message.body or message.method not in {'GET', 'HEAD'}:
@@ -152,7 +152,7 @@
             await conn.send_whole(head, message.body)
             return await self._read_answer(conn, stamp)
         sent = trio.Event()
-        found: tuple[Outcome, float | None] | ProtocolError
+        found: tuple[MeshOutcome, float | None] | ProtocolError
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_send, conn, head, message.body, sent)
             try:
@@ -169,7 +169,7 @@
         self,
         conn: ClientConn,
         stamp: Stamp,
-    ) -> tuple[Outcome, float | None]:
+    ) -> tuple[MeshOutcome, float | None]:
         for _ in range(MOST_FOREIGN_ANSWERS):
             head = await conn.read_head()
             body = await conn.read_whole(MOST_ANSWER_BYTES)
@@ -214,7 +214,7 @@
     body: bytes,
     signs: Signs,
     stamp: Stamp,
-) -> Outcome:
+) -> MeshOutcome:
     """Decide what a target's whole answer says of a request.
 
     :param head: its status and headers.
@@ -227,7 +227,7 @@
         return _unknown(Reason.ANSWER_WRONG)
     if signs.not_run:
         reason = Reason.WRONG_INCARNATION if signs.moved else Reason.QUEUE_FULL
-        return Outcome(
+        return MeshOutcome(
             verdict=Verdict.NOT_RUN,
             reason=reason,
             reached=True,
@@ -238,7 +238,7 @@
     if not signs.sealed and head.status >= _FAILURE_STATUS:
         return _unknown(Reason.TARGET_FAILED)
     failed = head.status >= _FAILURE_STATUS
-    return Outcome(
+    return MeshOutcome(
         verdict=Verdict.RAN,
         reason=Reason.TARGET_FAILED if failed else None,
         reached=True,
@@ -248,5 +248,7 @@
     )
 
 
-def _unknown(reason: Reason) -> Outcome:
-    return Outcome(verdict=Verdict.MAY_HAVE_RUN, reason=reason, reached=True)
+def _unknown(reason: Reason) -> MeshOutcome:
+    return MeshOutcome(
+        verdict=Verdict.MAY_HAVE_RUN, reason=reason, reached=True
+    )
--- a/src/clementinedeal/mesh/_outcomes.py
+++ b/src/clementinedeal/mesh/_outcomes.py
@@ -10,7 +10,7 @@
 from clementinedeal._verdict import Reason, Verdict
 
 
-class Attempt(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+class MeshAttempt(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """One try of a request at one target, as the entry asks for it.
 
     ``left`` is the time to the deadline in seconds, ``rank`` the account's
@@ -35,7 +35,9 @@
     spare: bool = False
 
 
-class State(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+class TargetCondition(
+    msgspec.Struct, frozen=True, kw_only=True, array_like=True
+):
     """What an owner says of its target with each answer.
 
     ``risk`` is the probability that it is sick; ``wait`` the expected time
@@ -49,18 +51,18 @@
     wait: float
 
 
-class Told(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+class OutcomeHeader(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The part of an outcome that travels beside the target's answer."""
 
     verdict: str
     reason: str
     reached: bool
     retry_after: float
-    state: State | None
+    state: TargetCondition | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Outcome:
+class MeshOutcome:
     """How an attempt ended.
 
     ``status`` is 0 unless the target answered; then ``headers`` and ``body``
@@ -74,7 +76,7 @@
     status: int = 0
     headers: Headers = ()
     body: bytes = b''
-    state: State | None = None
+    state: TargetCondition | None = None
 
     @property
     def succeeded(self) -> bool:
@@ -83,7 +85,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class Trying:
+class PendingAttempt:
     """An attempt under way, as far as its entry knows.
 
     ``sent`` is set before the first byte goes out that may run at a target.
@@ -93,34 +95,36 @@
 
     scope: trio.CancelScope
     overdue_at: float
-    may_break_off: Callable[[float], bool]
+    reserve_retry: Callable[[float], bool]
     sent: bool = False
 
 
-def not_run(reason: Reason, state: State | None = None) -> Outcome:
+def not_run(
+    reason: Reason, state: TargetCondition | None = None
+) -> MeshOutcome:
     """Return the outcome of an attempt that no target saw.
 
     :param reason: why.
     :param state: what the owner says of its target.
     """
-    return Outcome(verdict=Verdict.NOT_RUN, reason=reason, state=state)
+    return MeshOutcome(verdict=Verdict.NOT_RUN, reason=reason, state=state)
 
 
-def encode_told(outcome: Outcome) -> bytes:
+def encode_outcome_header(outcome: MeshOutcome) -> bytes:
     """Encode what travels beside the answer, as a header value."""
-    told = Told(
+    fields = OutcomeHeader(
         verdict=outcome.verdict.value,
         reason=outcome.reason.value if outcome.reason else '',
         reached=outcome.reached,
         retry_after=outcome.retry_after,
         state=outcome.state,
     )
-    return msgspec.json.encode(told)
+    return msgspec.json.encode(fields)
 
 
-def decode_told(blob: bytes) -> Told:
+def decode_outcome_header(blob: bytes) -> OutcomeHeader:
     """Decode a header value.
 
     :raises msgspec.MsgspecError: it is none.
     """
-    return msgspec.json.decode(blob, type=Told)
+    return msgspec.json.decode(blob, type=OutcomeHeader)
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -9,66 +9,71 @@
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._calls import CallFailures
 from clementinedeal.mesh._contracts import Stamp
-from clementinedeal.mesh._executions import Execution, ExecutionTable
+from clementinedeal.mesh._executions import Execution, MeshExecutionTable
+from clementinedeal.mesh._health_tracker import HealthTracker
+from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._origin import Message, Origin
-from clementinedeal.mesh._outcomes import Attempt, Outcome, State, not_run
+from clementinedeal.mesh._outcomes import (
+    MeshAttempt,
+    MeshOutcome,
+    TargetCondition,
+    not_run,
+)
 from clementinedeal.mesh._slots import Rank, SlotQueue
-from clementinedeal.mesh._suspicion import Suspicion
-from clementinedeal.mesh._tally import Tally
 from clementinedeal.mesh._types import Target
 
 # A refused connection means a target that is down; asked again after this.
-DOWN_SECONDS = 0.3
+DOWN_RETRY_SECONDS = 0.3
 # A forward whose connection broke is kept this long for the entry to ask.
-ABANDON_SECONDS = 0.25
+RECONNECT_SECONDS = 0.25
 # An entry sends the body of a request at once when it is wanted.
-BODY_SECONDS = 0.3
+BODY_TIMEOUT_SECONDS = 0.3
 DEFAULT_SLOTS = 7
 _FAILURE_STATUS = 500
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class OwnerParts:
+class MeshOwnerParts:
     """What an owner works with."""
 
     clock: Clock
     events: EventLog
     origin: Origin
     calls: CallFailures
-    tally: Tally
+    metrics: DaemonMetrics
     nursery: trio.Nursery
 
 
-class Owner:
+class MeshOwner:
     """Admits, runs and remembers attempts at one target."""
 
-    def __init__(self, parts: OwnerParts) -> None:
+    def __init__(self, parts: MeshOwnerParts) -> None:
         """Start without a target.
 
         :param parts: its collaborators.
         """
         self._parts = parts
         self.target: Target | None = None
-        self._stopping = False
-        self._live: set[Execution] = set()
-        self._queuing: set[trio.CancelScope] = set()
-        self.suspicion = Suspicion(parts.clock, parts.events, parts.calls)
+        self._is_stopping = False
+        self._live_executions: set[Execution] = set()
+        self._queue_scopes: set[trio.CancelScope] = set()
+        self.health = HealthTracker(parts.clock, parts.events, parts.calls)
         self.slots = SlotQueue(DEFAULT_SLOTS)
-        self.executions = ExecutionTable(parts.clock)
+        self.executions = MeshExecutionTable(parts.clock)
         self._down_until = 0.0
-        self._running: list[Rank] = []
+        self._running_ranks: list[Rank] = []
 
     @property
-    def busy(self) -> bool:
+    def is_busy(self) -> bool:
         """Whether an attempt waits or runs, connected to its entry or not."""
-        return bool(self._live)
+        return bool(self._live_executions)
 
     @property
-    def most_urgent(self) -> Rank | None:
+    def most_urgent_rank(self) -> Rank | None:
         """Rank of the most urgent request that the target works on."""
-        return min(self._running, default=None)
+        return min(self._running_ranks, default=None)
 
-    def take_target(self, target: Target | None) -> None:
+    def set_target(self, target: Target | None) -> None:
         """Believe what is listed of the target from now on.
 
         :param target: None if there is none, or it is gone.
@@ -77,30 +82,30 @@
         self.target = target
         if target is None:
             return
-        same = former is not None and (
+        is_same_process = former is not None and (
             (former.name, former.started_ms) == (target.name, target.started_ms)
         )
-        if not same:
-            self.suspicion.renew(target.name)
+        if not is_same_process:
+            self.health.reset(target.name)
             self._down_until = 0
         self.slots.slots = target.slots
-        self.slots.admit()
+        self.slots.fill_free_slots()
 
-    def stop(self) -> None:
+    def stop_admitting(self) -> None:
         """Begin nothing any more, and send elsewhere what waits here."""
-        self._stopping = True
-        self._empty_queue()
+        self._is_stopping = True
+        self._cancel_queued()
 
-    def end(self) -> None:
+    def cancel_running(self) -> None:
         """Give up what still runs, so that its entries hear of it."""
-        for execution in self._live:
+        for execution in self._live_executions:
             execution.scope.cancel()
 
-    def state(self) -> State:
+    def target_condition(self) -> TargetCondition:
         """Return what entries should know of the target."""
         slots = self.slots
-        return State(
-            risk=round(self.suspicion.risk, 3),
+        return TargetCondition(
+            risk=round(self.health.risk, 3),
             running=slots.running,
             waiting=slots.waiting,
             slots=slots.slots,
@@ -109,7 +114,7 @@
 
     def submit(
         self,
-        attempt: Attempt,
+        attempt: MeshAttempt,
         message: Message | None,
     ) -> Execution | None:
         """Start an attempt; None if one of its name was here before.
@@ -122,9 +127,9 @@
             message,
             self._parts.clock.now() + attempt.left,
         )
-        if not self.executions.open(execution):
+        if not self.executions.add(execution):
             return None
-        self._live.add(execution)
+        self._live_executions.add(execution)
         self._parts.nursery.start_soon(self._run, execution)
         return execution
 
@@ -141,60 +146,64 @@
 
         :param execution: the attempt whose connection broke.
         """
-        await trio.sleep(ABANDON_SECONDS)
-        if not execution.readers:
+        await trio.sleep(RECONNECT_SECONDS)
+        if not execution.reader_count:
             self.abandon(execution)
 
     async def _run(self, execution: Execution) -> None:
         try:
             with execution.scope:
-                execution.outcome = await self._admit(execution)
+                execution.outcome = await self._execute(execution)
         except Exception:
             # the other attempts of the process go on
             log.exception(
                 'event=attempt-failed req=%s',
                 execution.attempt.req_id,
             )
-        self._live.remove(execution)
+        self._live_executions.remove(execution)
         if execution.outcome is None:
             verdict = (
                 Verdict.MAY_HAVE_RUN if execution.reached else Verdict.NOT_RUN
             )
-            execution.outcome = Outcome(
+            execution.outcome = MeshOutcome(
                 verdict=verdict,
-                reason=Reason.DRAINING if self._stopping else Reason.CANCELLED,
+                reason=Reason.DRAINING
+                if self._is_stopping
+                else Reason.CANCELLED,
                 reached=execution.reached,
             )
-        execution.wanted.set()
+        execution.body_wanted.set()
         execution.done.set()
-        self.executions.close(execution.attempt.attempt)
-        self._log(execution, execution.outcome)
+        self.executions.expire_later(execution.attempt.attempt)
+        self._record_end(execution, execution.outcome)
 
-    async def _admit(self, execution: Execution) -> Outcome:
+    async def _execute(self, execution: Execution) -> MeshOutcome:
         attempt = execution.attempt
-        passes = attempt.insist or self.suspicion.take_trial(attempt)
-        refusal = self._refusal(attempt, passes=passes)
+        ignore_risk = attempt.insist or self.health.claim_trial(attempt)
+        refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
         if refusal is not None:
-            return not_run(refusal, self.state())
+            return not_run(refusal, self.target_condition())
         if self.slots.expected_wait(attempt.rank) > attempt.wait:
-            return not_run(Reason.QUEUE_FULL, self.state())
-        if not await self._queue(attempt):
-            refusal = self._refusal(attempt, passes=passes)
-            return not_run(refusal or Reason.QUEUE_FULL, self.state())
+            return not_run(Reason.QUEUE_FULL, self.target_condition())
+        if not await self._wait_for_slot(attempt):
+            refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
+            return not_run(
+                refusal or Reason.QUEUE_FULL, self.target_condition()
+            )
         started = self._parts.clock.now()
         try:
-            refusal = self._refusal(attempt, passes=passes)
+            refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
             if refusal is not None:
-                return not_run(refusal, self.state())
-            self._running.append(attempt.rank)
+                return not_run(refusal, self.target_condition())
+            self._running_ranks.append(attempt.rank)
             try:
-                outcome = await self._call(execution)
+                outcome = await self._call_target(execution)
             finally:
-                self._running.remove(attempt.rank)
+                self._running_ranks.remove(attempt.rank)
         finally:
-            spent = self._parts.clock.now() - started
-            self.slots.release(spent if execution.reached else None)
-        return Outcome(
+            elapsed = self._parts.clock.now() - started
+            self.slots.release(elapsed if execution.reached else None)
+        return MeshOutcome(
             verdict=outcome.verdict,
             reason=outcome.reason,
             reached=outcome.reached,
@@ -202,78 +211,80 @@
             status=outcome.status,
             headers=outcome.headers,
             body=outcome.body,
-            state=self.state(),
+            state=self.target_condition(),
         )
 
-    async def _queue(self, attempt: Attempt) -> bool:
+    async def _wait_for_slot(self, attempt: MeshAttempt) -> bool:
         """Wait for a slot; False if there was none in time."""
         acquired = False
-        queued = self._parts.clock.now()
+        queued_at = self._parts.clock.now()
         with trio.move_on_after(attempt.wait) as scope:
-            self._queuing.add(scope)
+            self._queue_scopes.add(scope)
             try:
                 await self.slots.acquire(attempt.rank)
             finally:
-                self._queuing.remove(scope)
+                self._queue_scopes.remove(scope)
             acquired = True
-            spent = self._parts.clock.now() - queued
-            self._parts.tally.time('queue_seconds', spent)
+            elapsed = self._parts.clock.now() - queued_at
+            self._parts.metrics.observe('queue_seconds', elapsed)
         return acquired
 
-    def _empty_queue(self) -> None:
-        for scope in self._queuing:
+    def _cancel_queued(self) -> None:
+        for scope in self._queue_scopes:
             scope.cancel()
 
-    def _refusal(self, attempt: Attempt, *, passes: bool) -> Reason | None:
+    def _refusal_reason(
+        self, attempt: MeshAttempt, *, ignore_risk: bool
+    ) -> Reason | None:
         """Return why an attempt may not start now, if it may not.
 
         :param attempt: what the entry asks for.
         :param passes: whether it goes to a suspect target all the same.
         """
         target = self.target
-        if self._stopping or (target is not None and target.draining):
+        if self._is_stopping or (target is not None and target.draining):
             return Reason.DRAINING
         if target is None or self._parts.clock.now() < self._down_until:
             return Reason.NO_TARGET
         if attempt.target != target.name:
             return Reason.WRONG_INCARNATION
-        trusted = passes or self.suspicion.is_trusted
-        return None if trusted else Reason.TARGET_EJECTED
+        is_allowed = ignore_risk or self.health.is_trusted
+        return None if is_allowed else Reason.TARGET_EJECTED
 
-    async def _call(self, execution: Execution) -> Outcome:
+    async def _call_target(self, execution: Execution) -> MeshOutcome:
         attempt = execution.attempt
         if execution.message is None:
-            execution.wanted.set()
-            with trio.move_on_after(BODY_SECONDS):
-                await execution.sent.wait()
+            execution.body_wanted.set()
+            with trio.move_on_after(BODY_TIMEOUT_SECONDS):
+                await execution.body_received.wait()
         started = self._parts.clock.now()
-        left = execution.deadline - started
-        if left <= 0 or execution.message is None:
-            return not_run(Reason.DEADLINE, self.state())
+        seconds_left = execution.deadline - started
+        if seconds_left <= 0 or execution.message is None:
+            return not_run(Reason.DEADLINE, self.target_condition())
         stamp = Stamp(
             req_id=attempt.req_id,
-            left=left,
+            left=seconds_left,
             target=attempt.target,
             account=attempt.account,
             caller=attempt.caller,
         )
         execution.reached = True
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.suspicion.watch, attempt)
+            nursery.start_soon(self.health.observe_progress, attempt)
             outcome = await self._parts.origin.call(execution.message, stamp)
             nursery.cancel_scope.cancel()
         if not outcome.reached:
             execution.reached = False
-            self._down_until = self._parts.clock.now() + DOWN_SECONDS
-        spent = self._parts.clock.now() - started
-        self._parts.tally.time('target_seconds', spent)
-        self.suspicion.learn(outcome, spent)
+            self._down_until = self._parts.clock.now() + DOWN_RETRY_SECONDS
+        elapsed = self._parts.clock.now() - started
+        self._parts.metrics.observe('target_seconds', elapsed)
+        self.health.on_outcome(outcome, elapsed)
         return outcome
 
-    def _log(self, execution: Execution, outcome: Outcome) -> None:
+    def _record_end(self, execution: Execution, outcome: MeshOutcome) -> None:
         attempt = execution.attempt
         reason = outcome.reason.value if outcome.reason else 'answered'
-        self._parts.tally.count('attempts', outcome.verdict.value, reason)
+        self._parts.metrics.count('attempts', outcome.verdict.value, reason)
         self._parts.events.emit(
             'attempt-ended',
             req=attempt.req_id,
@@ -282,7 +293,7 @@
             verdict=outcome.verdict.value,
             reason=reason,
             status=outcome.status,
-            risk=f'{self.suspicion.risk:.3f}',
+            risk=f'{self.health.risk:.3f}',
             running=self.slots.running,
             waiting=self.slots.waiting,
         )
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -22,10 +22,10 @@
 from clementinedeal.mesh import _peer_wire as wire
 from clementinedeal.mesh._origin import MOST_ANSWER_BYTES, Message
 from clementinedeal.mesh._outcomes import (
-    Attempt,
-    Outcome,
-    Trying,
-    decode_told,
+    MeshAttempt,
+    MeshOutcome,
+    PendingAttempt,
+    decode_outcome_header,
     not_run,
 )
 
@@ -56,10 +56,10 @@
     async def attempt(
         self,
         address: str,
-        attempt: Attempt,
+        attempt: MeshAttempt,
         message: Message,
-        trying: Trying,
-    ) -> Outcome:
+        trying: PendingAttempt,
+    ) -> MeshOutcome:
         """Send an attempt to an owner and return its outcome.
 
         What must not run twice is sent in two steps: the body, without which
@@ -91,10 +91,10 @@
         self,
         address: str,
         conn: ClientConn,
-        attempt: Attempt,
+        attempt: MeshAttempt,
         message: Message,
-        trying: Trying,
-    ) -> Outcome:
+        trying: PendingAttempt,
+    ) -> MeshOutcome:
         if not attempt.idempotent:
             refused = await self._reserve(address, conn, attempt)
             if refused is not None:
@@ -113,8 +113,8 @@
         self,
         address: str,
         conn: ClientConn,
-        attempt: Attempt,
-    ) -> Outcome | None:
+        attempt: MeshAttempt,
+    ) -> MeshOutcome | None:
         """Get a slot; None once the owner holds one for the request."""
         text = msgspec.json.encode(attempt)
         head = RequestHead(
@@ -136,17 +136,17 @@
         self,
         address: str,
         conn: ClientConn,
-        outcome: Outcome,
-    ) -> Outcome:
+        outcome: MeshOutcome,
+    ) -> MeshOutcome:
         await self._pool.release(address, conn)
         return outcome
 
     async def _ask(
         self,
         address: str,
-        attempt: Attempt,
+        attempt: MeshAttempt,
         sent_at: float,
-    ) -> Outcome:
+    ) -> MeshOutcome:
         """Ask over new connections what became of an attempt."""
         give_up = trio.current_time() + ASK_SECONDS
         while trio.current_time() < give_up:
@@ -170,14 +170,14 @@
             if exchange.confirmed:
                 give_up = trio.current_time() + ASK_SECONDS
             await trio.sleep(ASK_PAUSE_SECONDS)
-        return Outcome(
+        return MeshOutcome(
             verdict=Verdict.MAY_HAVE_RUN,
             reason=Reason.OWNER_LOST,
             reached=True,
         )
 
 
-def _forward_head(attempt: Attempt, message: Message) -> RequestHead:
+def _forward_head(attempt: MeshAttempt, message: Message) -> RequestHead:
     length = (CONTENT_LENGTH, b'%d' % len(message.body))
     told = (wire.ATTEMPT_HEADER, msgspec.json.encode(attempt))
     if not attempt.idempotent:
@@ -200,7 +200,7 @@
         self.reserved = False
         self.confirmed = False
 
-    async def run(self, head: RequestHead, body: bytes) -> Outcome | None:
+    async def run(self, head: RequestHead, body: bytes) -> MeshOutcome | None:
         """Return what the owner answered, None if no answer came."""
         self._scope.deadline = trio.current_time() + CONFIRM_SECONDS
         try:
@@ -223,7 +223,7 @@
         self.confirmed = True
         self._scope.deadline = trio.current_time() + self._silence
 
-    async def _read(self) -> Outcome | None:
+    async def _read(self) -> MeshOutcome | None:
         head = await self._conn.read_head(self._confirm)
         body = await self._conn.read_whole(MOST_ANSWER_BYTES + READ_BYTES)
         self.reserved = head.status == wire.RESERVED_STATUS and not head.header(
@@ -231,10 +231,10 @@
         )
         if self.reserved:
             return None
-        told = decode_told(head.header(wire.TOLD_HEADER) or b'')
+        told = decode_outcome_header(head.header(wire.TOLD_HEADER) or b'')
         answered = told.verdict == Verdict.RAN.value
         headers = strip_internal_headers(end_to_end(head.headers))
-        return Outcome(
+        return MeshOutcome(
             verdict=Verdict(told.verdict),
             reason=Reason(told.reason) if told.reason else None,
             reached=told.reached,
--- a/src/clementinedeal/mesh/_peer_server.py
+++ b/src/clementinedeal/mesh/_peer_server.py
@@ -18,12 +18,12 @@
 from clementinedeal.mesh._executions import Execution
 from clementinedeal.mesh._origin import Message
 from clementinedeal.mesh._outcomes import (
-    Attempt,
-    Outcome,
-    encode_told,
+    MeshAttempt,
+    MeshOutcome,
+    encode_outcome_header,
     not_run,
 )
-from clementinedeal.mesh._owner import Owner
+from clementinedeal.mesh._owner import MeshOwner
 
 # Outcomes that come sooner need no confirmation before them.
 AT_ONCE_SECONDS = 0.03
@@ -36,7 +36,7 @@
 
     def __init__(
         self,
-        owner: Owner,
+        owner: MeshOwner,
         events: EventLog,
         nursery: trio.Nursery,
     ) -> None:
@@ -62,7 +62,7 @@
             found = self._find(head, message)
         except UNREADABLE_ERRORS:
             found = None
-        if isinstance(found, Outcome):
+        if isinstance(found, MeshOutcome):
             await _send(conn, found)
         elif found is None:
             self._events.emit('peer-rejected', path=head.path)
@@ -75,7 +75,7 @@
         self,
         head: RequestHead,
         message: Message,
-    ) -> Execution | Outcome | None:
+    ) -> Execution | MeshOutcome | None:
         """Return what a peer's request is about; None if it is none."""
         run = head.header(wire.RUN_HEADER)
         if run is not None:
@@ -88,28 +88,28 @@
         sealed = reserve or head.header(wire.ATTEMPT_HEADER)
         if sealed is None:
             return None
-        attempt = msgspec.json.decode(sealed, type=Attempt)
+        attempt = msgspec.json.decode(sealed, type=MeshAttempt)
         started = self._owner.submit(attempt, None if reserve else message)
         # one that came twice is answered as the first, a forbidden one never
         known = started or self._owner.executions.find(attempt.attempt)
         return known or not_run(Reason.CANCELLED)
 
-    def _begin(self, name: str, message: Message) -> Execution | Outcome:
+    def _begin(self, name: str, message: Message) -> Execution | MeshOutcome:
         """Hand the body to the request that holds a slot for it."""
         known = self._owner.executions.find(name)
         if known is None:
             return not_run(Reason.CANCELLED)
         if known.message is None and not known.done.is_set():
             known.message = message
-            known.sent.set()
+            known.body_received.set()
         return known
 
-    def _recall(self, name: str, age: float) -> Execution | Outcome:
+    def _recall(self, name: str, age: float) -> Execution | MeshOutcome:
         known = self._owner.executions.find(name)
         if known is not None:
             return known
         never = self._owner.executions.forbid(name, age)
-        return Outcome(
+        return MeshOutcome(
             verdict=Verdict.NOT_RUN if never else Verdict.MAY_HAVE_RUN,
             reason=Reason.CANCELLED,
             reached=not never,
@@ -120,10 +120,10 @@
         conn: ServerConn,
         execution: Execution,
     ) -> None:
-        execution.readers += 1
+        execution.reader_count += 1
         settled = execution.done
         if execution.message is None:
-            settled = execution.wanted
+            settled = execution.body_wanted
         try:
             await _wait_watched(conn, settled)
             if execution.outcome is None:
@@ -131,7 +131,7 @@
             else:
                 await _send(conn, execution.outcome)
         finally:
-            execution.readers -= 1
+            execution.reader_count -= 1
             if not settled.is_set():
                 self._nursery.start_soon(self._owner.abandon_later, execution)
 
@@ -172,8 +172,8 @@
     return Message(head.method, head.path, headers, body)
 
 
-async def _send(conn: ServerConn, outcome: Outcome) -> None:
-    headers = ((wire.TOLD_HEADER, encode_told(outcome)),)
+async def _send(conn: ServerConn, outcome: MeshOutcome) -> None:
+    headers = ((wire.TOLD_HEADER, encode_outcome_header(outcome)),)
     if outcome.verdict is Verdict.RAN:
         kept = tuple(
             pair for pair in outcome.headers if pair[0] != CONTENT_LENGTH
--- a/src/clementinedeal/mesh/_allowances.py
+++ b/src/clementinedeal/mesh/_rate_limiter.py
@@ -16,27 +16,27 @@
 
 # A home answers within a round trip between zones, about 1 ms; a datagram
 # may be lost, so it is sent once more.
-ANSWER_SECONDS = 0.03
-DRAW_TRIES = 2
+REPLY_TIMEOUT_SECONDS = 0.03
+MAX_SENDS = 2
 # A home that did not answer is not asked again for this long.
-SILENT_SECONDS = 0.5
+SILENT_HOME_SECONDS = 0.5
 # The operators' tolerance is for errors of either side: half of it spares
 # callers at the edge of their rate a wrongful refusal, half is left for homes
 # that change or restart.
-TOLERANCE_SHARE = 0.5
+USED_TOLERANCE_FRACTION = 0.5
 # A refused caller is told to come back no sooner and no later.
-LEAST_RETRY_SECONDS = 0.1
-MOST_RETRY_SECONDS = 2.0
+MIN_RETRY_AFTER_SECONDS = 0.1
+MAX_RETRY_AFTER_SECONDS = 2.0
 
 
-class Draw(msgspec.Struct, frozen=True, array_like=True, tag='draw'):
+class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='draw'):
     """Asks an account's home for the right to one request."""
 
     number: int
     account: str
 
 
-class Grant(msgspec.Struct, frozen=True, array_like=True, tag='grant'):
+class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag='grant'):
     """A home's answer; ``pause`` is 0 or the seconds to wait."""
 
     number: int
@@ -67,24 +67,26 @@
         """
         self._rate = rate
         self._burst = max(1, burst)
-        self._level = self._burst
-        self._filled_at = now
+        self._tokens = self._burst
+        self._refilled_at = now
 
     def take(self, now: float) -> float:
         """Spend one token; return 0, or the seconds until there is one.
 
         :param now: monotonic time in seconds.
         """
-        filled = self._level + self._rate * max(0, now - self._filled_at)
-        self._level = min(self._burst, filled)
-        self._filled_at = now
-        if self._level >= 1:
-            self._level -= 1
+        tokens = self._tokens + self._rate * max(0, now - self._refilled_at)
+        self._tokens = min(self._burst, tokens)
+        self._refilled_at = now
+        if self._tokens >= 1:
+            self._tokens -= 1
             return 0
-        pause = (1 - self._level) / self._rate if self._rate else 1
-        return min(MOST_RETRY_SECONDS, max(LEAST_RETRY_SECONDS, pause))
+        retry_after = (1 - self._tokens) / self._rate if self._rate else 1
+        return min(
+            MAX_RETRY_AFTER_SECONDS, max(MIN_RETRY_AFTER_SECONDS, retry_after)
+        )
 
-    def change(self, rate: float, burst: float) -> None:
+    def set_limits(self, rate: float, burst: float) -> None:
         """Take over another rate and burst.
 
         :param rate: tokens a second.
@@ -92,7 +94,7 @@
         """
         self._rate = rate
         self._burst = max(1, burst)
-        self._level = min(self._level, self._burst)
+        self._tokens = min(self._tokens, self._burst)
 
 
 def find_home(account: str, hosts: Collection[str]) -> str:
@@ -108,7 +110,7 @@
     )
 
 
-class Allowances:
+class AccountRateLimiter:
     """Grants requests within the rate and burst of their account."""
 
     def __init__(
@@ -129,33 +131,33 @@
         :param events: hears of homes that do not answer.
         :param bounds: the operators' tolerance.
         """
-        self._over = 1 + TOLERANCE_SHARE * bounds.allowance_over
-        self._slack = TOLERANCE_SHARE * bounds.allowance_slack
+        self._limit_factor = 1 + USED_TOLERANCE_FRACTION * bounds.allowance_over
+        self._extra_burst = USED_TOLERANCE_FRACTION * bounds.allowance_slack
         self._host = host
         self._hosts = hosts
         self._datagrams = datagrams
         self._clock = clock
         self._events = events
         self._accounts: dict[str, ClientAccount] = {}
-        self._counted: dict[str, TokenBucket] = {}
-        self._shares: dict[str, TokenBucket] = {}
+        self._home_buckets: dict[str, TokenBucket] = {}
+        self._share_buckets: dict[str, TokenBucket] = {}
         self._silent_until: dict[str, float] = {}
-        self._numbers = itertools.count()
-        self._awaited: dict[int, Grant | None] = {}
-        self._wakers: dict[int, trio.Event] = {}
+        self._request_numbers = itertools.count()
+        self._replies: dict[int, TokenReply | None] = {}
+        self._reply_events: dict[int, trio.Event] = {}
 
-    def take_catalog(self, catalog: Catalog) -> None:
+    def set_catalog(self, catalog: Catalog) -> None:
         """Count by another declaration from now on.
 
         :param catalog: the declaration.
         """
         self._accounts = catalog.by_name
-        self._shares.clear()
-        for name in self._counted.keys() - self._accounts.keys():
-            del self._counted[name]
-        for name, bucket in self._counted.items():
+        self._share_buckets.clear()
+        for name in self._home_buckets.keys() - self._accounts.keys():
+            del self._home_buckets[name]
+        for name, bucket in self._home_buckets.items():
             account = self._accounts[name]
-            bucket.change(*self._tolerated(account))
+            bucket.set_limits(*self._tolerated_limits(account))
 
     async def take(self, account: ClientAccount, req_id: str) -> float:
         """Return 0 if granted, else after how many seconds to come back.
@@ -165,8 +167,8 @@
         """
         if not account.rate:
             return 0
-        pause = await self._draw(account)
-        if pause:
+        retry_after = await self._take_token(account)
+        if retry_after:
             self._events.emit(
                 'allowance-spent',
                 req=req_id,
@@ -174,79 +176,81 @@
                 home=find_home(account.name, self._hosts()),
                 rate=account.rate,
                 burst=account.burst,
-                pause=f'{pause:.2f}',
+                pause=f'{retry_after:.2f}',
             )
-        return pause
+        return retry_after
 
-    async def _draw(self, account: ClientAccount) -> float:
+    async def _take_token(self, account: ClientAccount) -> float:
         home = find_home(account.name, self._hosts())
         if home in {self._host, ''}:
-            return self._count(account.name)
+            return self._take_as_home(account.name)
         if self._clock.now() >= self._silent_until.get(home, 0):
-            grant = await self._ask(home, account.name)
-            if grant is not None:
-                return grant.pause
-            self._silent_until[home] = self._clock.now() + SILENT_SECONDS
+            reply = await self._ask_home(home, account.name)
+            if reply is not None:
+                return reply.pause
+            self._silent_until[home] = self._clock.now() + SILENT_HOME_SECONDS
             self._events.emit('home-silent', account=account.name, home=home)
-        return self._take_share(account)
+        return self._take_from_share(account)
 
-    async def on_message(self, host: str, body: Draw | Grant) -> None:
+    async def on_message(
+        self, host: str, body: TokenRequest | TokenReply
+    ) -> None:
         """Answer another daemon's draw, or take in a home's answer.
 
         :param host: the sender.
         :param body: the message.
         """
-        if isinstance(body, Draw):
-            pause = round(self._count(body.account), 2)
-            await self._datagrams.send(host, Grant(body.number, pause))
+        if isinstance(body, TokenRequest):
+            pause = round(self._take_as_home(body.account), 2)
+            await self._datagrams.send(host, TokenReply(body.number, pause))
             return
-        waker = self._wakers.get(body.number)
-        if waker is not None:
-            self._awaited[body.number] = body
-            waker.set()
-
-    async def _ask(self, home: str, account: str) -> Grant | None:
-        for _ in range(DRAW_TRIES):
-            number = next(self._numbers)
-            waker = trio.Event()
-            self._wakers[number] = waker
+        reply_event = self._reply_events.get(body.number)
+        if reply_event is not None:
+            self._replies[body.number] = body
+            reply_event.set()
+
+    async def _ask_home(self, home: str, account: str) -> TokenReply | None:
+        for _ in range(MAX_SENDS):
+            number = next(self._request_numbers)
+            reply_event = trio.Event()
+            self._reply_events[number] = reply_event
             try:
-                await self._datagrams.send(home, Draw(number, account))
-                with trio.move_on_after(ANSWER_SECONDS):
-                    await waker.wait()
+                await self._datagrams.send(home, TokenRequest(number, account))
+                with trio.move_on_after(REPLY_TIMEOUT_SECONDS):
+                    await reply_event.wait()
             finally:
-                del self._wakers[number]
-            grant = self._awaited.pop(number, None)
-            if grant is not None:
-                return grant
+                del self._reply_events[number]
+            reply = self._replies.pop(number, None)
+            if reply is not None:
+                return reply
         return None
 
-    def _count(self, name: str) -> float:
+    def _take_as_home(self, name: str) -> float:
         account = self._accounts.get(name)
         if account is None or not account.rate:
             return 0
         now = self._clock.now()
-        bucket = self._counted.get(name)
+        bucket = self._home_buckets.get(name)
         if bucket is None:
-            bucket = TokenBucket(*self._tolerated(account), now)
-            self._counted[name] = bucket
+            bucket = TokenBucket(*self._tolerated_limits(account), now)
+            self._home_buckets[name] = bucket
         return bucket.take(now)
 
-    def _tolerated(self, account: ClientAccount) -> tuple[float, float]:
+    def _tolerated_limits(self, account: ClientAccount) -> tuple[float, float]:
         """Return the rate and burst that a home grants."""
-        rate = account.rate * self._over
-        return rate, account.burst * self._over + self._slack
+        rate = account.rate * self._limit_factor
+        return rate, account.burst * self._limit_factor + self._extra_burst
 
-    def _take_share(self, account: ClientAccount) -> float:
+    def _take_from_share(self, account: ClientAccount) -> float:
         """Count alone while the home is silent: this daemon's equal share."""
         now = self._clock.now()
-        daemons = max(1, len(self._hosts()))
-        share = self._shares.get(account.name)
-        if share is None:
-            share = TokenBucket(
-                account.rate / daemons,
-                account.burst / daemons,
+        daemon_count = max(1, len(self._hosts()))
+        bucket = self._share_buckets.get(account.name)
+        if bucket is None:
+            bucket = TokenBucket(
+                account.rate / daemon_count,
+                account.burst / daemon_count,
                 now,
             )
-            self._shares[account.name] = share
-        return share.take(now)
+            self._share_buckets[account.name] = bucket
+        return bucket.take(now)
--- a/src/clementinedeal/mesh/_readiness.py
+++ b/src/clementinedeal/mesh/_readiness.py
@@ -5,7 +5,7 @@
 from clementinedeal._http import RequestHead
 from clementinedeal._server_conn import ServerConn
 from clementinedeal.mesh._contracts import Dialect
-from clementinedeal.mesh._tally import Tally
+from clementinedeal.mesh._metrics import DaemonMetrics
 
 METRICS_PATH = '/metrics'
 _METRICS_TYPE = ((b'content-type', b'text/plain; version=0.0.4'),)
@@ -21,7 +21,7 @@
         self,
         dialect: Dialect,
         is_ready: Callable[[], bool],
-        tally: Tally,
+        tally: DaemonMetrics,
     ) -> None:
         """Create the answers.
 
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -9,14 +9,19 @@
 from clementinedeal._incoming_request import new_request_id
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh._admission import Admitted
+from clementinedeal.mesh._admission import AdmittedRequest
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._origin import Message
-from clementinedeal.mesh._outcomes import Attempt, Outcome, Trying, not_run
-from clementinedeal.mesh._owner import Owner
+from clementinedeal.mesh._outcomes import (
+    MeshAttempt,
+    MeshOutcome,
+    PendingAttempt,
+    not_run,
+)
+from clementinedeal.mesh._owner import MeshOwner
 from clementinedeal.mesh._peer_client import PeerClient
-from clementinedeal.mesh._plan import Finish, Pause, Plan, Try
-from clementinedeal.mesh._retries import RetryShare
+from clementinedeal.mesh._plan import FinishStep, PauseStep, Plan, SendStep
+from clementinedeal.mesh._retry_tokens import RetryTokenBucket
 from clementinedeal.mesh._settings import NodeSettings
 from clementinedeal.mesh._slots import Rank
 from clementinedeal.mesh._types import Target
@@ -38,7 +43,7 @@
     clock: Clock
     events: EventLog
     balancer: Balancer
-    owner: Owner
+    owner: MeshOwner
     peers: PeerClient
 
 
@@ -51,8 +56,8 @@
         :param parts: its collaborators.
         """
         self._parts = parts
-        self._budgets: dict[str, RetryShare] = {}
-        self._trying: set[Trying] = set()
+        self._budgets: dict[str, RetryTokenBucket] = {}
+        self._trying: set[PendingAttempt] = set()
         self._stopping = False
         self._closing = False
         self.daemons = 1
@@ -60,7 +65,7 @@
     @property
     def repeats(self) -> int:
         """Repeats sent since the start."""
-        return sum(budget.taken for budget in self._budgets.values())
+        return sum(budget.retries_taken for budget in self._budgets.values())
 
     async def run(self) -> None:
         """Break off attempts that take too long, where others may follow."""
@@ -70,7 +75,7 @@
                 return
             now = self._parts.clock.now()
             for trying in tuple(self._trying):
-                if trying.overdue_at <= now and trying.may_break_off(now):
+                if trying.overdue_at <= now and trying.reserve_retry(now):
                     trying.scope.cancel()
 
     def stop(self) -> None:
@@ -90,7 +95,7 @@
         for trying in self._trying:
             trying.scope.cancel()
 
-    async def send(self, admitted: Admitted) -> Outcome:
+    async def send(self, admitted: AdmittedRequest) -> MeshOutcome:
         """Return how a request ended.
 
         :param admitted: the request.
@@ -108,36 +113,36 @@
         tries = 0
         while True:
             match plan.next_step(parts.clock.now()):
-                case Finish(outcome=outcome):
+                case FinishStep(outcome=outcome):
                     return outcome
                 case _ if self._closing:
-                    return plan.give_up(Reason.DRAINING)
-                case Pause(seconds=seconds):
+                    return plan.conclude(Reason.DRAINING)
+                case PauseStep(seconds=seconds):
                     await trio.sleep(seconds)
-                case Try() as step:
+                case SendStep() as step:
                     tries += 1
                     outcome = await self._try(admitted, plan, step, tries)
                     plan.on_outcome(step.target.name, outcome)
 
     async def _try(
         self,
-        admitted: Admitted,
+        admitted: AdmittedRequest,
         plan: Plan,
-        step: Try,
+        step: SendStep,
         number: int,
-    ) -> Outcome:
+    ) -> MeshOutcome:
         parts = self._parts
         target = step.target
         attempt = self._attempt(admitted, step, number)
-        outcome: Outcome | None = None
+        outcome: MeshOutcome | None = None
         limit = max(0, attempt.left) + ANSWER_GRACE_SECONDS
-        trying = Trying(
+        trying = PendingAttempt(
             trio.CancelScope(deadline=trio.current_time() + limit),
-            parts.clock.now() + step.patience,
-            plan.may_break_off,
+            parts.clock.now() + step.overdue_after,
+            plan.reserve_retry,
         )
         self._trying.add(trying)
-        parts.balancer.start(target.name)
+        parts.balancer.on_attempt_started(target.name)
         try:
             with trying.scope:
                 outcome = await self._send(
@@ -158,7 +163,7 @@
             raise
         finally:
             self._trying.remove(trying)
-            parts.balancer.end(target.name, outcome)
+            parts.balancer.on_attempt_ended(target.name, outcome)
         if outcome is None:
             outcome = self._given_up(trying)
         parts.events.emit(
@@ -175,12 +180,12 @@
         )
         return outcome
 
-    def _given_up(self, trying: Trying) -> Outcome:
+    def _given_up(self, trying: PendingAttempt) -> MeshOutcome:
         """Return the outcome of an attempt without an answer."""
         reason = Reason.DRAINING if self._closing else Reason.DEADLINE
         if not trying.sent:
             return not_run(reason)
-        return Outcome(
+        return MeshOutcome(
             verdict=Verdict.MAY_HAVE_RUN,
             reason=reason,
             reached=True,
@@ -189,10 +194,10 @@
     async def _send(
         self,
         target: Target,
-        attempt: Attempt,
+        attempt: MeshAttempt,
         message: Message,
-        trying: Trying,
-    ) -> Outcome:
+        trying: PendingAttempt,
+    ) -> MeshOutcome:
         settings = self._parts.settings()
         if target.address != settings.target:
             port = settings.peers.rpartition(':')[2]
@@ -214,9 +219,11 @@
         assert execution.outcome is not None
         return execution.outcome
 
-    def _attempt(self, admitted: Admitted, step: Try, number: int) -> Attempt:
+    def _attempt(
+        self, admitted: AdmittedRequest, step: SendStep, number: int
+    ) -> MeshAttempt:
         parts = self._parts
-        return Attempt(
+        return MeshAttempt(
             attempt=f'{new_request_id()[:12]}.{number}',
             req_id=admitted.req_id,
             target=step.target.name,
@@ -232,18 +239,18 @@
             spare=step.spare,
         )
 
-    def _rank(self, admitted: Admitted) -> Rank:
+    def _rank(self, admitted: AdmittedRequest) -> Rank:
         """Return the place in queues: a call is as urgent as who makes it."""
         if admitted.account is not None:
             return admitted.account.priority, admitted.route.priority
-        maker = self._parts.owner.most_urgent
+        maker = self._parts.owner.most_urgent_rank
         return maker or (KEYLESS_PRIORITY, admitted.route.priority)
 
-    def _budget(self, service: str) -> RetryShare:
+    def _budget(self, service: str) -> RetryTokenBucket:
         budget = self._budgets.get(service)
         if budget is None:
             bounds = self._parts.settings().bounds
-            budget = RetryShare(bounds, self._parts.clock)
+            budget = RetryTokenBucket(bounds, self._parts.clock)
             self._budgets[service] = budget
-        budget.daemons = self.daemons
+        budget.daemon_count = self.daemons
         return budget
--- a/src/clementinedeal/mesh/_slots.py
+++ b/src/clementinedeal/mesh/_slots.py
@@ -10,7 +10,7 @@
 Rank: TypeAlias = tuple[int, int]
 
 # Weight of the newest service time in the running mean.
-MEAN_WEIGHT = 0.1
+NEWEST_WEIGHT = 0.1
 INITIAL_SERVICE_SECONDS = 0.5
 
 
@@ -19,9 +19,9 @@
     """One request in the queue; the lowest rank goes first."""
 
     rank: Rank
-    order: int
+    sequence: int
     granted: trio.Event = field(compare=False, default_factory=trio.Event)
-    left: bool = field(compare=False, default=False)
+    cancelled: bool = field(compare=False, default=False)
 
 
 class SlotQueue:
@@ -34,16 +34,16 @@
         """
         self.slots = slots
         self.running = 0
-        self.mean_seconds = INITIAL_SERVICE_SECONDS
+        self.mean_service_seconds = INITIAL_SERVICE_SECONDS
         self._waiting: list[Waiter] = []
-        self._order = itertools.count()
+        self._sequence = itertools.count()
 
     @property
     def waiting(self) -> int:
         """Requests in the queue."""
-        return sum(not waiter.left for waiter in self._waiting)
+        return sum(not waiter.cancelled for waiter in self._waiting)
 
-    def free(self) -> bool:
+    def has_free_slot(self) -> bool:
         """Whether a request would start at once."""
         return self.running < self.slots and not self.waiting
 
@@ -52,28 +52,33 @@
 
         :param rank: requests of a lower or equal rank go before it.
         """
-        if self.free():
+        if self.has_free_slot():
             return 0
         ahead = sum(
-            not waiter.left and waiter.rank <= rank for waiter in self._waiting
+            not waiter.cancelled and waiter.rank <= rank
+            for waiter in self._waiting
         )
         excess = max(0, self.running - self.slots)
-        return (ahead + excess + 1) * self.mean_seconds / max(1, self.slots)
+        return (
+            (ahead + excess + 1)
+            * self.mean_service_seconds
+            / max(1, self.slots)
+        )
 
     async def acquire(self, rank: Rank) -> None:
         """Wait for a slot.
 
         :param rank: the lowest goes first.
         """
-        if self.free():
+        if self.has_free_slot():
             self.running += 1
             return
-        waiter = Waiter(rank, next(self._order))
+        waiter = Waiter(rank, next(self._sequence))
         heapq.heappush(self._waiting, waiter)
         try:
             await waiter.granted.wait()
         except trio.Cancelled:
-            waiter.left = True
+            waiter.cancelled = True
             if waiter.granted.is_set():
                 self.release()
             raise
@@ -84,15 +89,15 @@
         :param seconds: how long the target worked, if it did.
         """
         if seconds is not None:
-            change = seconds - self.mean_seconds
-            self.mean_seconds += MEAN_WEIGHT * change
+            change = seconds - self.mean_service_seconds
+            self.mean_service_seconds += NEWEST_WEIGHT * change
         self.running -= 1
-        self.admit()
+        self.fill_free_slots()
 
-    def admit(self) -> None:
+    def fill_free_slots(self) -> None:
         """Let waiting requests start while there are free slots."""
         while self._waiting and self.running < self.slots:
             waiter = heapq.heappop(self._waiting)
-            if not waiter.left:
+            if not waiter.cancelled:
                 self.running += 1
                 waiter.granted.set()
--- a/src/clementinedeal/mesh/_stop.py
+++ b/src/clementinedeal/mesh/_stop.py
@@ -8,7 +8,7 @@
 from clementinedeal._http_server import HttpServer
 from clementinedeal._timers import Clock
 from clementinedeal.mesh._admission import Admission
-from clementinedeal.mesh._owner import Owner
+from clementinedeal.mesh._owner import MeshOwner
 from clementinedeal.mesh._sender import Sender
 
 # Callers see that the daemon takes no new work at the second ready check
@@ -18,7 +18,7 @@
 # interpreter, which takes 0.05 s of a whole core.
 KILL_MARGIN_SECONDS = 0.4
 # Kept before that for the last answers to be written and read.
-ANSWER_SECONDS = 0.2
+LAST_ANSWERS_SECONDS = 0.2
 FINISH_POLL_SECONDS = 0.1
 
 
@@ -30,12 +30,12 @@
     events: EventLog
     admission: Admission
     sender: Sender
-    owner: Owner
-    callers: HttpServer
+    owner: MeshOwner
+    caller_server: HttpServer
     servers: tuple[HttpServer, ...]
 
 
-class Stop:
+class PlannedStop:
     """Takes a daemon out of service."""
 
     def __init__(self, parts: StopParts) -> None:
@@ -51,51 +51,51 @@
         :param grace: seconds from now until the process is killed.
         """
         started = self._parts.clock.now()
-        end = started + grace - KILL_MARGIN_SECONDS
-        self._announce()
+        ends_at = started + grace - KILL_MARGIN_SECONDS
+        self._start_draining()
         self._emit_load('daemon-draining', started)
-        answered_by = end - ANSWER_SECONDS
+        answered_by = ends_at - LAST_ANSWERS_SECONDS
         await trio.sleep(min(NOTICE_SECONDS, max(0, answered_by - started)))
-        self._refuse()
-        if not await self._finished(answered_by):
+        self._refuse_new_work()
+        if not await self._wait_finished(answered_by):
             self._emit_load('drain-overdue', started)
-            self._answer()
+            self._cancel_running()
             # a loop that was held up still gets its time for the answers
-            late = self._parts.clock.now() + ANSWER_SECONDS
-            await self._finished(max(end, late))
+            extended = self._parts.clock.now() + LAST_ANSWERS_SECONDS
+            await self._wait_finished(max(ends_at, extended))
         self._emit_load('drain-ended', started)
 
-    def _announce(self) -> None:
+    def _start_draining(self) -> None:
         """Take no work for the target, close connections after answers."""
         self._parts.sender.stop()
-        self._parts.owner.stop()
+        self._parts.owner.stop_admitting()
         for server in self._parts.servers:
             server.drain()
 
-    def _refuse(self) -> None:
+    def _refuse_new_work(self) -> None:
         """Begin nothing that the end might cut."""
-        self._parts.admission.closing = True
+        self._parts.admission.is_closing = True
         self._parts.sender.close()
-        self._parts.callers.close_idle()
+        self._parts.caller_server.close_idle()
 
-    def _answer(self) -> None:
+    def _cancel_running(self) -> None:
         """Answer what still runs: that it may have run is all that is known."""
         self._parts.sender.end()
-        self._parts.owner.end()
+        self._parts.owner.cancel_running()
 
-    async def _finished(self, until: float) -> bool:
+    async def _wait_finished(self, until: float) -> bool:
         """Wait until nothing is under way; False if time runs out first."""
-        left = max(0, until - self._parts.clock.now())
-        with trio.move_on_after(left):
+        seconds_left = max(0, until - self._parts.clock.now())
+        with trio.move_on_after(seconds_left):
             while True:
-                if not self._under_way():
+                if not self._has_work():
                     return True
                 await trio.sleep(FINISH_POLL_SECONDS)
         return False
 
-    def _under_way(self) -> bool:
-        busy = any(server.busy for server in self._parts.servers)
-        return busy or self._parts.owner.busy
+    def _has_work(self) -> bool:
+        is_serving = any(server.busy for server in self._parts.servers)
+        return is_serving or self._parts.owner.is_busy
 
     def _emit_load(self, name: str, started: float) -> None:
         """Tell how many requests a stop finds, or leaves."""
@@ -103,7 +103,7 @@
         self._parts.events.emit(
             name,
             seconds=f'{self._parts.clock.now() - started:.3f}',
-            callers=self._parts.callers.busy,
+            callers=self._parts.caller_server.busy,
             running=slots.running,
             waiting=slots.waiting,
         )
--- a/src/clementinedeal/mesh/_types.py
+++ b/src/clementinedeal/mesh/_types.py
@@ -19,7 +19,7 @@
     zone: str
     slots: int
     draining: bool = False
-    warmup: float = 0.0
+    warmup_seconds: float = 0.0
     started_ms: int = 0
 
     @property
@@ -29,7 +29,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Part:
+class WeightedService:
     """A service's share of a route's requests."""
 
     service: str
@@ -48,7 +48,7 @@
     name: str
     host: str
     prefix: str
-    parts: tuple[Part, ...]
+    weighted_services: tuple[WeightedService, ...]
     idempotent: bool
     timeout: float
     objective: float
@@ -90,7 +90,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class DeclarationNews:
+class DeclarationUpdate:
     """What a read or watch of the declarations brought.
 
     ``revision`` is the source's own, to go on from; ``published`` that of
@@ -99,7 +99,7 @@
     """
 
     revision: int
-    published: int = 0
+    published_revision: int = 0
     declaration: Declaration | None = None
 
 
@@ -112,7 +112,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class TargetNews:
+class TargetUpdate:
     """What a watch on one target brought; None: it is listed no more."""
 
     revision: int
--- a/src/clementinedeal/platform/_declaration.py
+++ b/src/clementinedeal/platform/_declaration.py
@@ -8,9 +8,9 @@
 from clementinedeal.mesh._types import (
     ClientAccount,
     Declaration,
-    Part,
     RequestLimits,
     RouteRule,
+    WeightedService,
 )
 
 
@@ -105,13 +105,15 @@
 def _route(resource: _Resource) -> RouteRule:
     spec = msgspec.convert(resource.spec, _Route)
     parts = tuple(
-        Part(service=one.service, weight=one.weight) for one in spec.split
+        WeightedService(service=one.service, weight=one.weight)
+        for one in spec.split
     )
     return RouteRule(
         name=resource.metadata.name,
         host=spec.host,
         prefix=spec.prefix,
-        parts=parts or (Part(service=spec.service, weight=1),),
+        weighted_services=parts
+        or (WeightedService(service=spec.service, weight=1),),
         idempotent=spec.kind == 'safe',
         timeout=spec.timeout_s,
         objective=spec.target_latency_s or spec.timeout_s,
--- a/src/clementinedeal/platform/_registration.py
+++ b/src/clementinedeal/platform/_registration.py
@@ -54,6 +54,6 @@
         zone=told.info.zone,
         slots=told.info.slots,
         draining=told.status.state == 'draining',
-        warmup=told.status.warmup_s_time,
+        warmup_seconds=told.status.warmup_s_time,
         started_ms=told.born,
     )
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -14,10 +14,10 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal.mesh._contracts import HistoryGoneError, SourceError
 from clementinedeal.mesh._types import (
-    DeclarationNews,
+    DeclarationUpdate,
     Listing,
     Target,
-    TargetNews,
+    TargetUpdate,
 )
 from clementinedeal.platform._declaration import (
     UnreadableError,
@@ -69,18 +69,18 @@
         self._unreadable: dict[str, int] = {}
         self.calls = 0
 
-    async def read(self) -> DeclarationNews:
+    async def read(self) -> DeclarationUpdate:
         """Return the newest declaration.
 
         :raises SourceError: the store gave no answer.
         """
         answer = await self._get('/-/kv-key', {'key': _CONFIG_KEY})
         if answer.status == _NOT_FOUND:
-            return DeclarationNews(revision=_missing_revision(answer))
+            return DeclarationUpdate(revision=_missing_revision(answer))
         item = _decode(answer, Item)
         return self._declaration(item, item.at_rev)
 
-    async def wait(self, revision: int, seconds: float) -> DeclarationNews:
+    async def wait(self, revision: int, seconds: float) -> DeclarationUpdate:
         """Wait for a declaration newer than a revision.
 
         :param revision: the newest one known.
@@ -91,7 +91,7 @@
         for item in reversed(changes.events):
             if item.key == _CONFIG_KEY and not item.deleted:
                 return self._declaration(item, changes.at_rev)
-        return DeclarationNews(revision=changes.at_rev)
+        return DeclarationUpdate(revision=changes.at_rev)
 
     async def list_targets(self, *, may_lag: bool) -> Listing:
         """Return every listed target.
@@ -118,7 +118,7 @@
             query['after'] = page.items[-1].key
         raise SourceError(f'more than {MOST_PAGES} pages of targets')
 
-    async def read_target(self, name: str) -> TargetNews:
+    async def read_target(self, name: str) -> TargetUpdate:
         """Return what is listed of one target now.
 
         :param name: the target.
@@ -126,12 +126,12 @@
         """
         answer = await self._get('/-/kv-key', {'key': _TARGETS_PREFIX + name})
         if answer.status == _NOT_FOUND:
-            return TargetNews(
+            return TargetUpdate(
                 revision=_missing_revision(answer),
                 changed=True,
             )
         item = _decode(answer, Item)
-        return TargetNews(
+        return TargetUpdate(
             revision=item.at_rev,
             changed=True,
             target=self._target(item),
@@ -142,7 +142,7 @@
         name: str,
         revision: int,
         seconds: float,
-    ) -> TargetNews:
+    ) -> TargetUpdate:
         """Wait for a change of one target.
 
         :param name: the target.
@@ -153,7 +153,7 @@
         key = _TARGETS_PREFIX + name
         changes = await self._watch(key, revision, seconds)
         own = [item for item in changes.events if item.key == key]
-        return TargetNews(
+        return TargetUpdate(
             revision=changes.at_rev,
             changed=bool(own),
             target=self._target(own[-1]) if own else None,
@@ -221,15 +221,17 @@
         await self._pool.release(self._address, conn)
         return _Answer(answer.status, body)
 
-    def _declaration(self, item: Item, revision: int) -> DeclarationNews:
+    def _declaration(self, item: Item, revision: int) -> DeclarationUpdate:
         try:
             declaration = decode_declaration(item.blob())
         except UnreadableError as exc:
             self._note_unreadable(item, exc)
-            return DeclarationNews(revision=revision, published=item.revision)
-        return DeclarationNews(
+            return DeclarationUpdate(
+                revision=revision, published_revision=item.revision
+            )
+        return DeclarationUpdate(
             revision=revision,
-            published=item.revision,
+            published_revision=item.revision,
             declaration=declaration,
         )
 
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -20,7 +20,7 @@
 from clementinedeal._timers import MonotonicClock
 from clementinedeal.mesh import _peer_client
 from clementinedeal.mesh._daemon import MeshDaemon
-from clementinedeal.mesh._outcomes import Trying
+from clementinedeal.mesh._outcomes import PendingAttempt
 from clementinedeal.mesh._settings import NodeSettings
 from clementinedeal.platform import PlatformDialect, PlatformStore
 
@@ -68,7 +68,7 @@
 
 def trying():
     """Return an attempt that nobody breaks off."""
-    return Trying(trio.CancelScope(), math.inf, bool)
+    return PendingAttempt(trio.CancelScope(), math.inf, bool)
 
 
 def free_port():
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -22,7 +22,7 @@
 from clementinedeal.mesh import _peer_client
 from clementinedeal.mesh._contracts import SourceError
 from clementinedeal.mesh._origin import Message
-from clementinedeal.mesh._outcomes import Attempt
+from clementinedeal.mesh._outcomes import MeshAttempt
 from clementinedeal.mesh._peer_client import PeerClient
 from clementinedeal.mesh._peer_server import PeerServer
 from clementinedeal.platform import PlatformStore
@@ -30,7 +30,7 @@
 HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
 TINY_CHUNKS = b'1\r\nx\r\n' * 10_000 + b'0\r\n\r\n'
 CHUNKING = b'transfer-encoding: chunked\r\n\r\n'
-ATTEMPT = Attempt(
+ATTEMPT = MeshAttempt(
     attempt='a1',
     req_id='r1',
     target='t1',
--- a/tests/test_mesh_allowances.py
+++ b/tests/test_mesh_allowances.py
@@ -4,12 +4,12 @@
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
-from clementinedeal.mesh._allowances import (
-    Allowances,
+from clementinedeal.mesh._catalog import Catalog
+from clementinedeal.mesh._rate_limiter import (
+    AccountRateLimiter,
     TokenBucket,
     find_home,
 )
-from clementinedeal.mesh._catalog import Catalog
 from clementinedeal.mesh._settings import Bounds
 from clementinedeal.mesh._types import ClientAccount, Declaration
 
@@ -30,7 +30,7 @@
     """Hands datagrams over at once, or loses them."""
 
     def __init__(self):
-        self.offices = {}
+        self.limiters = {}
         self.lost = set()
         self.loss = 0.0
         self.rng = random.Random(7)
@@ -44,7 +44,7 @@
                     return
                 if network.rng.random() < network.loss:
                     return
-                await network.offices[host].on_message(sender, body)
+                await network.limiters[host].on_message(sender, body)
 
         return Channel()
 
@@ -62,7 +62,7 @@
         ),
     )
     for host in hosts:
-        office = Allowances(
+        limiter = AccountRateLimiter(
             host,
             lambda: hosts,
             network.channel(host),
@@ -70,8 +70,8 @@
             EventLog(host, '1'),
             bounds,
         )
-        office.take_catalog(catalog)
-        network.offices[host] = office
+        limiter.set_catalog(catalog)
+        network.limiters[host] = limiter
     return network, clock, hosts
 
 
@@ -80,8 +80,8 @@
     granted = 0
     for _ in range(int(rate * seconds)):
         clock.advance(1 / rate)
-        office = network.offices[rng.choice(hosts)]
-        granted += await office.take(account, 'r') == 0
+        limiter = network.limiters[rng.choice(hosts)]
+        granted += await limiter.take(account, 'r') == 0
     return granted
 
 
@@ -97,7 +97,7 @@
     assert granted >= 0.9 * (10 * 5 + 20)
 
 
-async def test_silent_home_leaves_equal_shares(autojump_clock):
+async def test_a_silent_home_is_replaced_by_equal_shares(autojump_clock):
     network, clock, hosts = make()
     network.lost.add(find_home('shop', hosts))
     others = [host for host in hosts if host not in network.lost]
@@ -114,8 +114,8 @@
 
 async def test_refusal_names_a_time_to_come_back():
     network, clock, hosts = make()
-    office = network.offices[hosts[0]]
-    pauses = [await office.take(ACCOUNT, 'r') for _ in range(30)]
+    limiter = network.limiters[hosts[0]]
+    pauses = [await limiter.take(ACCOUNT, 'r') for _ in range(30)]
     assert pauses[0] == 0
     assert 0 < pauses[-1] <= 2
 
@@ -124,19 +124,19 @@
     free = ClientAccount(name='shop', keys=(), priority=1, rate=0, burst=0)
     network, _, hosts = make(account=free)
     pauses = [
-        await network.offices[hosts[0]].take(free, 'r') for _ in range(99)
+        await network.limiters[hosts[0]].take(free, 'r') for _ in range(99)
     ]
     assert not any(pauses)
 
 
 def test_lower_rate_binds_at_once():
     bucket = TokenBucket(10, 20, 0.0)
-    bucket.change(1, 2)
+    bucket.set_limits(1, 2)
     granted = sum(bucket.take(0.0) == 0 for _ in range(10))
     assert granted == 2
 
 
-def test_homes_move_little():
+def test_a_lost_instance_moves_only_its_own_accounts():
     hosts = [f'10.0.0.{number}' for number in range(20)]
     names = [f'a{number}' for number in range(200)]
     moved = [
@@ -147,7 +147,7 @@
     assert all(find_home(name, hosts) == hosts[0] for name in moved)
 
 
-async def test_tolerance_is_used_in_part():
+async def test_a_home_grants_only_part_of_the_tolerance():
     network, clock, hosts = make(bounds=TOLERANT)
     granted = await demand(network, clock, hosts, 80, 5)
     exact = 10 * 5 + 20
--- a/tests/test_mesh_declarations.py
+++ b/tests/test_mesh_declarations.py
@@ -9,7 +9,7 @@
 from clementinedeal.mesh._daemon import MeshDaemon
 from clementinedeal.mesh._declarations import DeclarationFeed
 from clementinedeal.mesh._settings import NodeSettings
-from clementinedeal.mesh._types import Declaration, DeclarationNews
+from clementinedeal.mesh._types import Declaration, DeclarationUpdate
 
 
 class Source:
@@ -47,9 +47,9 @@
         services=frozenset(),
         accounts=(),
     )
-    return DeclarationNews(
+    return DeclarationUpdate(
         revision=revision,
-        published=revision,
+        published_revision=revision,
         declaration=declaration,
     )
 
@@ -87,7 +87,7 @@
 
 
 async def test_empty_watch_proves_newness_to_its_end(autojump_clock):
-    empty = DeclarationNews(revision=21)
+    empty = DeclarationUpdate(revision=21)
     feed, _, clock = await follow([(version(3, 20), 0), (empty, None)])
     assert feed.age == pytest.approx(0)
     clock.advance(4.6)
@@ -97,7 +97,7 @@
 
 
 async def test_watch_answered_early_proves_only_its_beginning(autojump_clock):
-    empty = DeclarationNews(revision=21)
+    empty = DeclarationUpdate(revision=21)
     feed, _, _ = await follow([(version(3, 20), 0), (empty, 0.9)])
     assert feed.age == pytest.approx(0.9)
 
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -9,26 +9,26 @@
 from clementinedeal._timers import MonotonicClock, VirtualClock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh import _health as evidence
+from clementinedeal.mesh import _health_tracker
 from clementinedeal.mesh import _peer_wire as wire
-from clementinedeal.mesh import _suspicion
 from clementinedeal.mesh._calls import CallFailures
 from clementinedeal.mesh._executions import (
-    KEPT_SECONDS,
+    RETENTION_SECONDS,
     Execution,
-    ExecutionTable,
+    MeshExecutionTable,
 )
+from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._origin import Message
-from clementinedeal.mesh._outcomes import Attempt, Outcome
-from clementinedeal.mesh._owner import Owner, OwnerParts
+from clementinedeal.mesh._outcomes import MeshAttempt, MeshOutcome
+from clementinedeal.mesh._owner import MeshOwner, MeshOwnerParts
 from clementinedeal.mesh._peer_server import PeerServer
-from clementinedeal.mesh._tally import Tally
 from clementinedeal.mesh._types import Target
 
 MESSAGE = Message('POST', '/', (), b'x')
 
 
 def make_attempt(name='a1', *, idempotent=False, **more):
-    return Attempt(
+    return MeshAttempt(
         attempt=name,
         req_id='r1',
         target='t1',
@@ -51,23 +51,23 @@
     async def call(self, message, stamp):
         self.runs += 1
         await trio.sleep(0.05)
-        return Outcome(verdict=Verdict.RAN, reached=True, status=200)
+        return MeshOutcome(verdict=Verdict.RAN, reached=True, status=200)
 
 
 @pytest.fixture
 def owner(nursery):
     clock = MonotonicClock()
-    made = Owner(
-        OwnerParts(
+    made = MeshOwner(
+        MeshOwnerParts(
             clock=clock,
             events=EventLog('i', '1'),
             origin=Origin(),
             calls=CallFailures(clock),
-            tally=Tally(),
+            metrics=DaemonMetrics(),
             nursery=nursery,
         ),
     )
-    made.take_target(
+    made.set_target(
         Target(
             name='t1',
             service='s',
@@ -83,7 +83,7 @@
     return RequestHead('POST', '/', ((name, value),))
 
 
-async def test_a_forward_that_comes_twice_runs_once(owner, nursery):
+async def test_a_duplicate_attempt_runs_once(owner, nursery):
     server = PeerServer(owner, EventLog('i', '1'), nursery)
     sent = msgspec.json.encode(make_attempt(idempotent=True))
     first = server._find(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
@@ -93,11 +93,11 @@
     assert owner._parts.origin.runs == 1
 
 
-async def test_a_body_that_comes_twice_runs_once(owner, nursery):
+async def test_a_duplicate_body_runs_once(owner, nursery):
     server = PeerServer(owner, EventLog('i', '1'), nursery)
     sent = msgspec.json.encode(make_attempt())
     held = server._find(head(wire.RESERVE_HEADER, sent), MESSAGE)
-    await held.wanted.wait()
+    await held.body_wanted.wait()
     assert owner._parts.origin.runs == 0
     for _ in range(2):
         run = server._find(head(wire.RUN_HEADER, b'a1'), MESSAGE)
@@ -107,14 +107,16 @@
     assert held.outcome.status == 200
 
 
-async def test_a_slot_without_its_body_is_given_back(owner):
+async def test_a_slot_is_released_when_no_body_arrives(owner):
     held = owner.submit(make_attempt(), None)
     await held.done.wait()
     assert held.outcome.verdict is Verdict.NOT_RUN
     assert owner.slots.running == 0
 
 
-async def test_a_forward_after_the_question_never_runs(owner, nursery):
+async def test_an_attempt_that_arrives_after_a_query_for_it_never_runs(
+    owner, nursery
+):
     server = PeerServer(owner, EventLog('i', '1'), nursery)
     await trio.sleep(0.05)
     asked = msgspec.json.encode(('a1', 0.01))
@@ -128,12 +130,12 @@
     assert owner._parts.origin.runs == 0
 
 
-async def test_leaving_target_refuses_what_waits_in_its_queue(owner):
+async def test_a_draining_target_refuses_its_queued_attempts(owner):
     running = owner.submit(make_attempt('a1'), MESSAGE)
     await trio.sleep(0.01)
     waiting = owner.submit(make_attempt('a2', wait=1.0), MESSAGE)
     await trio.sleep(0.01)
-    owner.take_target(
+    owner.set_target(
         Target(
             name='t1',
             service='s',
@@ -150,7 +152,7 @@
     assert waiting.outcome.reason is Reason.DRAINING
 
 
-async def test_a_part_that_fails_ends_one_attempt_and_not_the_daemon(owner):
+async def test_an_exception_in_one_attempt_does_not_end_the_daemon(owner):
     owner._parts.origin.call = fail
     failed = owner.submit(make_attempt('a1'), MESSAGE)
     await failed.done.wait()
@@ -165,28 +167,28 @@
     raise ValueError('bug')
 
 
-def test_a_young_owner_proves_nothing_of_what_was_sent_before():
+def test_a_restarted_owner_cannot_prove_that_an_older_attempt_never_ran():
     clock = VirtualClock(50)
-    table = ExecutionTable(clock)
+    table = MeshExecutionTable(clock)
     clock.advance(1)
     assert not table.forbid('a1', age=1.5)
     assert table.forbid('a2', age=0.5)
 
 
-def test_attempts_are_forgotten_after_a_while():
+def test_ended_attempts_are_forgotten():
     clock = VirtualClock()
-    table = ExecutionTable(clock)
+    table = MeshExecutionTable(clock)
     execution = Execution(make_attempt(), MESSAGE, 2.0)
-    assert table.open(execution)
-    assert not table.open(execution)
-    table.close('a1')
-    clock.advance(KEPT_SECONDS + 1)
-    table.close('other')
+    assert table.add(execution)
+    assert not table.add(execution)
+    table.expire_later('a1')
+    clock.advance(RETENTION_SECONDS + 1)
+    table.expire_later('other')
     assert table.find('a1') is None
 
 
 async def test_one_trial_at_a_time_reaches_a_suspect_target(owner):
-    owner.suspicion.observe(evidence.FAST_FAILURE, 'failed')
+    owner.health.observe(evidence.FAST_FAILURE_RATIO, 'failed')
     plain = owner.submit(make_attempt('a1'), MESSAGE)
     trials = [
         owner.submit(make_attempt(f't{number}', scout=True), MESSAGE)
@@ -204,19 +206,21 @@
     assert owner._parts.origin.runs == 1
 
 
-async def test_a_call_is_as_urgent_as_what_the_target_works_on(owner):
-    assert owner.most_urgent is None
+async def test_most_urgent_rank_follows_the_running_attempts(owner):
+    assert owner.most_urgent_rank is None
     execution = owner.submit(make_attempt('a1'), MESSAGE)
     await trio.sleep(0.02)
-    assert owner.most_urgent == execution.attempt.rank
+    assert owner.most_urgent_rank == execution.attempt.rank
     await execution.done.wait()
-    assert owner.most_urgent is None
+    assert owner.most_urgent_rank is None
 
 
-async def test_a_suspect_target_is_not_left_out_for_long(owner, monkeypatch):
-    monkeypatch.setattr(_suspicion, 'LEFT_OUT_SECONDS', 0.1)
+async def test_a_suspect_target_regularly_gets_retriable_requests(
+    owner, monkeypatch
+):
+    monkeypatch.setattr(_health_tracker, 'SPARE_INTERVAL_SECONDS', 0.1)
     for _ in range(4):
-        owner.suspicion.observe(evidence.FAST_FAILURE, 'failed')
+        owner.health.observe(evidence.FAST_FAILURE_RATIO, 'failed')
     outcomes = []
     for number in range(3):
         for more in ({'idempotent': False}, {'idempotent': True}):
@@ -225,7 +229,7 @@
             execution = owner.submit(attempt, MESSAGE)
             await execution.done.wait()
             outcomes.append(execution.outcome.reason)
-            owner.suspicion.observe(evidence.FAST_FAILURE, 'failed')
+            owner.health.observe(evidence.FAST_FAILURE_RATIO, 'failed')
     assert outcomes[0] is Reason.TARGET_EJECTED
     assert outcomes[1] is None
     assert owner._parts.origin.runs == 1
--- a/tests/test_mesh_health.py
+++ b/tests/test_mesh_health.py
@@ -2,43 +2,43 @@
 
 from clementinedeal._timers import VirtualClock
 from clementinedeal.mesh import _health as evidence
-from clementinedeal.mesh._health import TargetHealth
-from clementinedeal.mesh._suspicion import MOST_RISK
+from clementinedeal.mesh._health import HealthEstimate
+from clementinedeal.mesh._health_tracker import MAX_TRUSTED_RISK
 
 
 def make():
     clock = VirtualClock()
-    return TargetHealth(clock), clock
+    return HealthEstimate(clock), clock
 
 
 def test_trusted_at_first():
     health, _ = make()
-    assert health.risk() < MOST_RISK
+    assert health.risk() < MAX_TRUSTED_RISK
 
 
 def test_one_fast_failure_makes_a_proven_target_suspect():
     health, _ = make()
     for _ in range(5):
-        health.observe(evidence.SURVIVED)
+        health.observe(evidence.SURVIVED_RATIO)
     assert health.risk() < 0.05
-    assert health.observe(evidence.FAST_FAILURE) > MOST_RISK
+    assert health.observe(evidence.FAST_FAILURE_RATIO) > MAX_TRUSTED_RISK
 
 
-def test_one_slow_failure_does_not():
+def test_one_slow_failure_leaves_a_target_trusted():
     health, _ = make()
     for _ in range(3):
-        health.observe(evidence.SURVIVED)
-    assert health.observe(evidence.SLOW_FAILURE) < MOST_RISK
+        health.observe(evidence.SURVIVED_RATIO)
+    assert health.observe(evidence.SLOW_FAILURE_RATIO) < MAX_TRUSTED_RISK
 
 
-def test_trials_that_survive_bring_it_back():
+def test_surviving_trials_restore_trust():
     health, clock = make()
-    health.observe(evidence.FAST_FAILURE)
-    assert health.risk() > MOST_RISK
+    health.observe(evidence.FAST_FAILURE_RATIO)
+    assert health.risk() > MAX_TRUSTED_RISK
     trials = 0
-    while health.risk() > MOST_RISK:
+    while health.risk() > MAX_TRUSTED_RISK:
         clock.advance(0.4)
-        health.observe(evidence.SURVIVED)
+        health.observe(evidence.SURVIVED_RATIO)
         trials += 1
     assert 1 <= trials <= 5
 
@@ -46,14 +46,14 @@
 def test_suspicion_fades_without_evidence():
     health, clock = make()
     for _ in range(3):
-        health.observe(evidence.FAST_FAILURE)
+        health.observe(evidence.FAST_FAILURE_RATIO)
     clock.advance(20)
-    assert health.risk() < MOST_RISK
+    assert health.risk() < MAX_TRUSTED_RISK
 
 
-def test_another_process_starts_anew():
+def test_a_new_process_does_not_inherit_risk():
     health, _ = make()
     first = health.risk()
-    health.observe(evidence.FAST_FAILURE)
-    health.renew()
+    health.observe(evidence.FAST_FAILURE_RATIO)
+    health.reset()
     assert health.risk() == first
--- a/tests/test_mesh_logs.py
+++ b/tests/test_mesh_logs.py
@@ -8,7 +8,7 @@
 
 from clementinedeal.mesh import _log_output as log_output
 from clementinedeal.mesh._log_output import OutputQueue
-from clementinedeal.mesh._tally import Tally
+from clementinedeal.mesh._metrics import DaemonMetrics
 
 
 def record(text, created=100.0):
@@ -58,9 +58,9 @@
 
 
 def test_metrics_in_the_text_format():
-    tally = Tally()
+    tally = DaemonMetrics()
     tally.count('requests', 'till', 'shop', 'ran', 'answered')
-    tally.time('request_seconds', 0.3, 'till')
+    tally.observe('request_seconds', 0.3, 'till')
     tally.gauges['config_version'] = lambda: 7
     text = tally.render().decode()
     assert (
--- a/tests/test_mesh_peer_client.py
+++ b/tests/test_mesh_peer_client.py
@@ -8,7 +8,7 @@
 from clementinedeal._timers import MonotonicClock
 from clementinedeal._verdict import Verdict
 from clementinedeal.mesh._origin import Message
-from clementinedeal.mesh._outcomes import Attempt
+from clementinedeal.mesh._outcomes import MeshAttempt
 from clementinedeal.mesh._peer_client import PeerClient
 from clementinedeal.mesh._sender import ANSWER_GRACE_SECONDS
 
@@ -27,7 +27,7 @@
     listeners = await trio.open_tcp_listeners(port, host=host)
     nursery.start_soon(trio.serve_listeners, confirm_and_freeze, listeners)
     clock = MonotonicClock()
-    attempt = Attempt(
+    attempt = MeshAttempt(
         attempt='a1',
         req_id='r1',
         target='t1',
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -7,9 +7,9 @@
 from clementinedeal._timers import VirtualClock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._balancer import Balancer
-from clementinedeal.mesh._outcomes import Outcome, State, not_run
-from clementinedeal.mesh._plan import Finish, Pause, Plan, Try
-from clementinedeal.mesh._types import Part, RouteRule, Target
+from clementinedeal.mesh._outcomes import MeshOutcome, TargetCondition, not_run
+from clementinedeal.mesh._plan import FinishStep, PauseStep, Plan, SendStep
+from clementinedeal.mesh._types import RouteRule, Target, WeightedService
 
 TARGETS = tuple(
     Target(
@@ -21,22 +21,24 @@
     )
     for number in range(3)
 )
-FAILED = Outcome(
+FAILED = MeshOutcome(
     verdict=Verdict.RAN,
     reason=Reason.TARGET_FAILED,
     reached=True,
     status=500,
 )
-LOST = Outcome(
+LOST = MeshOutcome(
     verdict=Verdict.MAY_HAVE_RUN,
     reason=Reason.ANSWER_INCOMPLETE,
     reached=True,
 )
-SHED = Outcome(verdict=Verdict.NOT_RUN, reason=Reason.QUEUE_FULL, reached=True)
-ANSWERED = Outcome(verdict=Verdict.RAN, reached=True, status=200)
+SHED = MeshOutcome(
+    verdict=Verdict.NOT_RUN, reason=Reason.QUEUE_FULL, reached=True
+)
+ANSWERED = MeshOutcome(verdict=Verdict.RAN, reached=True, status=200)
 
 
-class Budget:
+class RetryTokens:
     def __init__(self, level=10):
         self.level = level
 
@@ -45,12 +47,12 @@
         return self.level >= 0
 
 
-def make_plan(*, idempotent, attempts=2, budget=None, targets=TARGETS):
+def make_plan(*, idempotent, attempts=2, retry_tokens=None, targets=TARGETS):
     route = RouteRule(
         name='r',
         host='h',
         prefix='/',
-        parts=(Part(service='till', weight=1),),
+        weighted_services=(WeightedService(service='till', weight=1),),
         idempotent=idempotent,
         timeout=5,
         objective=2,
@@ -59,22 +61,24 @@
         public=False,
     )
     balancer = Balancer('10.0.0.0', 'a', VirtualClock(), random.Random(1))
-    balancer.take_targets(targets)
-    return Plan(route, 'till', balancer, budget or Budget(), deadline=5)
+    balancer.set_targets(targets)
+    return Plan(
+        route, 'till', balancer, retry_tokens or RetryTokens(), deadline=5
+    )
 
 
 def run(plan, outcomes, now=0.0):
     """Feed outcomes to the tries of a plan; return the tries and the end."""
-    tries = []
+    steps = []
     pending = list(outcomes)
     while True:
         step = plan.next_step(now)
-        if isinstance(step, Finish):
-            return tries, step.outcome
-        if isinstance(step, Pause):
+        if isinstance(step, FinishStep):
+            return steps, step.outcome
+        if isinstance(step, PauseStep):
             now += step.seconds
             continue
-        tries.append(step)
+        steps.append(step)
         plan.on_outcome(step.target.name, pending.pop(0))
 
 
@@ -104,29 +108,29 @@
     assert end is FAILED
 
 
-def test_no_repeat_without_budget():
-    plan = make_plan(idempotent=True, budget=Budget(0))
+def test_no_retry_without_a_token():
+    plan = make_plan(idempotent=True, retry_tokens=RetryTokens(0))
     tries, end = run(plan, [FAILED])
     assert len(tries) == 1
     assert end is FAILED
 
 
-def test_refusals_cost_no_budget():
-    budget = Budget(0)
-    plan = make_plan(idempotent=False, budget=budget)
+def test_refusals_by_owners_cost_no_retries():
+    tokens = RetryTokens(0)
+    plan = make_plan(idempotent=False, retry_tokens=tokens)
     refused = not_run(Reason.TARGET_EJECTED)
     tries, end = run(plan, [refused, refused, ANSWERED])
     assert end is ANSWERED
-    assert budget.level == 0
+    assert tokens.level == 0
     assert len({one.target.name for one in tries}) == 3
 
 
-def test_shed_by_the_target_costs_budget():
-    budget = Budget(1)
-    plan = make_plan(idempotent=False, budget=budget)
+def test_a_rejection_by_the_target_costs_a_retry():
+    tokens = RetryTokens(1)
+    plan = make_plan(idempotent=False, retry_tokens=tokens)
     _, end = run(plan, [SHED, ANSWERED])
     assert end is ANSWERED
-    assert budget.level == 0
+    assert tokens.level == 0
 
 
 def test_queues_when_all_are_busy():
@@ -143,15 +147,15 @@
     waited = 0.0
     for _ in range(20):
         step = plan.next_step(now)
-        if isinstance(step, Finish):
+        if isinstance(step, FinishStep):
             break
-        if isinstance(step, Pause):
+        if isinstance(step, PauseStep):
             now += step.seconds
             continue
         waited += step.wait
         now += step.wait
         plan.on_outcome(step.target.name, not_run(Reason.QUEUE_FULL))
-    assert isinstance(step, Finish)
+    assert isinstance(step, FinishStep)
     assert step.outcome.verdict is Verdict.NOT_RUN
     assert 1 < waited <= 2 + 1e-9
 
@@ -214,84 +218,88 @@
     assert end is first
 
 
-def test_lost_answer_is_never_called_not_run():
+def test_a_lost_answer_is_not_reported_as_not_run():
     plan = make_plan(idempotent=True)
     step = plan.next_step(0)
-    assert isinstance(step, Try)
+    assert isinstance(step, SendStep)
     plan.on_outcome(step.target.name, LOST)
     end = plan.next_step(5.0)
-    assert isinstance(end, Finish)
+    assert isinstance(end, FinishStep)
     assert end.outcome.verdict is Verdict.MAY_HAVE_RUN
 
 
-def test_no_repeat_right_before_the_deadline():
+def test_no_retry_right_before_the_deadline():
     plan = make_plan(idempotent=True)
     step = plan.next_step(0)
-    assert isinstance(step, Try)
+    assert isinstance(step, SendStep)
     plan.on_outcome(step.target.name, FAILED)
-    assert isinstance(plan.next_step(4.9), Finish)
+    assert isinstance(plan.next_step(4.9), FinishStep)
 
 
-def test_silent_target_is_left_while_there_is_time_for_another():
+def test_a_silent_target_is_abandoned_if_time_is_left_for_another():
     plan = make_plan(idempotent=True)
     step = plan.next_step(0)
-    assert isinstance(step, Try)
-    assert 2 < step.patience < 3
-    silent = Outcome(
+    assert isinstance(step, SendStep)
+    assert 2 < step.overdue_after < 3
+    silent = MeshOutcome(
         verdict=Verdict.MAY_HAVE_RUN,
         reason=Reason.DEADLINE,
         reached=True,
     )
     plan.on_outcome(step.target.name, silent)
     again = plan.next_step(2.7)
-    assert isinstance(again, Try)
+    assert isinstance(again, SendStep)
     assert again.target != step.target
-    assert again.patience == pytest.approx(2.3)
+    assert again.overdue_after == pytest.approx(2.3)
 
 
-def test_what_must_not_run_twice_is_waited_for():
+def test_a_non_idempotent_request_is_not_abandoned():
     step = make_plan(idempotent=False).next_step(0)
-    assert isinstance(step, Try)
-    assert step.patience == 5
+    assert isinstance(step, SendStep)
+    assert step.overdue_after == 5
 
 
-def test_breaking_off_is_paid_once_and_in_advance():
-    budget = Budget(1)
-    plan = make_plan(idempotent=True, budget=budget)
+def test_abandoning_an_attempt_takes_one_retry_in_advance():
+    tokens = RetryTokens(1)
+    plan = make_plan(idempotent=True, retry_tokens=tokens)
     step = plan.next_step(0)
-    assert isinstance(step, Try)
-    assert plan.may_break_off(2.6)
-    assert plan.may_break_off(2.6)
-    assert budget.level == 0
-    silent = Outcome(
+    assert isinstance(step, SendStep)
+    assert plan.reserve_retry(2.6)
+    assert plan.reserve_retry(2.6)
+    assert tokens.level == 0
+    silent = MeshOutcome(
         verdict=Verdict.MAY_HAVE_RUN,
         reason=Reason.DEADLINE,
         reached=True,
     )
     plan.on_outcome(step.target.name, silent)
-    assert isinstance(plan.next_step(2.7), Try)
+    assert isinstance(plan.next_step(2.7), SendStep)
 
 
-def test_nothing_is_broken_off_without_a_repeat_or_time_for_it():
-    plan = make_plan(idempotent=True, budget=Budget(0))
+def test_no_attempt_is_abandoned_without_a_retry_or_time_for_it():
+    plan = make_plan(idempotent=True, retry_tokens=RetryTokens(0))
     plan.next_step(0)
-    assert not plan.may_break_off(2.6)
+    assert not plan.reserve_retry(2.6)
     plan = make_plan(idempotent=True)
     plan.next_step(0)
-    assert not plan.may_break_off(4.9)
+    assert not plan.reserve_retry(4.9)
 
 
-def test_nothing_is_broken_off_for_targets_that_are_full():
-    budget = Budget(1)
-    plan = make_plan(idempotent=True, budget=budget)
+def test_no_attempt_is_abandoned_when_other_targets_are_full():
+    tokens = RetryTokens(1)
+    plan = make_plan(idempotent=True, retry_tokens=tokens)
     step = plan.next_step(0)
-    state = State(risk=0.1, running=7, waiting=3, slots=7, wait=1.0)
+    state = TargetCondition(risk=0.1, running=7, waiting=3, slots=7, wait=1.0)
     for target in TARGETS:
-        plan._balancer.start(target.name)
-        plan._balancer.end(target.name, not_run(Reason.QUEUE_FULL, state))
-    assert not plan.may_break_off(2.6)
-    assert budget.level == 1
-    free = State(risk=0.1, running=1, waiting=0, slots=7, wait=0.0)
+        plan._balancer.on_attempt_started(target.name)
+        plan._balancer.on_attempt_ended(
+            target.name, not_run(Reason.QUEUE_FULL, state)
+        )
+    assert not plan.reserve_retry(2.6)
+    assert tokens.level == 1
+    free = TargetCondition(risk=0.1, running=1, waiting=0, slots=7, wait=0.0)
     other = next(one for one in TARGETS if one != step.target)
-    plan._balancer.end(other.name, not_run(Reason.QUEUE_FULL, free))
-    assert plan.may_break_off(2.6)
+    plan._balancer.on_attempt_ended(
+        other.name, not_run(Reason.QUEUE_FULL, free)
+    )
+    assert plan.reserve_retry(2.6)
--- a/tests/test_mesh_rest.py
+++ b/tests/test_mesh_rest.py
@@ -12,17 +12,17 @@
 from clementinedeal._timers import MonotonicClock, VirtualClock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._contracts import Stamp
+from clementinedeal.mesh._idle_limit import LIMIT_LIFETIME_SECONDS, IdleLimit
 from clementinedeal.mesh._origin import Message, Origin
-from clementinedeal.mesh._rest import LEARNED_SECONDS, RestLimit
 from clementinedeal.platform import PlatformDialect
 
-REST_SECONDS = 0.2
+TARGET_IDLE_LIMIT_SECONDS = 0.2
 HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
 MESSAGE = Message('GET', '/look/1', HEADERS, b'')
 STAMP = Stamp(req_id='r1', left=2.0, target='t1', account='', caller='')
 
 
-class Forgetful:
+class ForgetfulTarget:
     """Answers, and resets what comes on a connection that rested."""
 
     answer = (
@@ -30,8 +30,8 @@
         b'content-length: 2\r\n\r\nok'
     )
 
-    def __init__(self, rest):
-        self.rest = rest
+    def __init__(self, idle_limit):
+        self.idle_limit = idle_limit
         self.opened = 0
 
     async def serve(self, stream):
@@ -40,7 +40,7 @@
             before = trio.current_time()
             if not await stream.receive_some():
                 return
-            if trio.current_time() - before > self.rest:
+            if trio.current_time() - before > self.idle_limit:
                 reset(stream)
                 return
             await trio.sleep(0.01)
@@ -55,7 +55,7 @@
 
 @pytest.fixture
 async def target(nursery):
-    made = Forgetful(REST_SECONDS)
+    made = ForgetfulTarget(TARGET_IDLE_LIMIT_SECONDS)
     address = free_address()
     host, port = split_address(address)
     listeners = await trio.open_tcp_listeners(port, host=host)
@@ -75,7 +75,7 @@
         if outcome.reason is not None:
             assert outcome.verdict is Verdict.MAY_HAVE_RUN
             assert outcome.reached
-        await trio.sleep(REST_SECONDS * 1.5)
+        await trio.sleep(TARGET_IDLE_LIMIT_SECONDS * 1.5)
     assert reasons == [None, Reason.CONNECTION_FORGOTTEN, None, None]
     assert target.events.json_lines().count(b'connection-forgotten') == 1
 
@@ -83,34 +83,34 @@
 async def test_connections_in_use_are_kept(target):
     for _ in range(10):
         assert (await target.origin.call(MESSAGE, STAMP)).succeeded
-        await trio.sleep(REST_SECONDS / 4)
+        await trio.sleep(TARGET_IDLE_LIMIT_SECONDS / 4)
     assert target.opened == 1
 
 
-async def test_a_cut_answer_teaches_nothing_of_rests(target):
-    target.rest = 0
+async def test_a_cut_answer_does_not_change_the_idle_limit(target):
+    target.idle_limit = 0
     await target.origin.call(MESSAGE, STAMP)
     outcome = await target.origin.call(MESSAGE, STAMP)
     assert outcome.reason is Reason.ANSWER_INCOMPLETE
 
 
-def test_what_was_learned_is_forgotten():
+def test_a_learned_idle_limit_expires():
     clock = VirtualClock()
-    limit = RestLimit(clock)
-    assert limit.seconds() == float('inf')
-    limit.on_forgotten(0.4)
-    assert limit.seconds() == pytest.approx(0.2)
-    limit.on_forgotten(3.0)
-    assert limit.seconds() == pytest.approx(0.2)
-    clock.advance(LEARNED_SECONDS + 0.1)
-    assert limit.seconds() == float('inf')
-
-
-async def test_junk_on_a_rested_connection_teaches_nothing_of_rests(target):
-    target.rest = 10
+    limit = IdleLimit(clock)
+    assert limit.max_idle_seconds() == float('inf')
+    limit.on_connection_forgotten(0.4)
+    assert limit.max_idle_seconds() == pytest.approx(0.2)
+    limit.on_connection_forgotten(3.0)
+    assert limit.max_idle_seconds() == pytest.approx(0.2)
+    clock.advance(LIMIT_LIFETIME_SECONDS + 0.1)
+    assert limit.max_idle_seconds() == float('inf')
+
+
+async def test_an_unreadable_answer_does_not_change_the_idle_limit(target):
+    target.idle_limit = 10
     await target.origin.call(MESSAGE, STAMP)
     target.answer = b'junk\r\n\r\n'
-    await trio.sleep(REST_SECONDS)
+    await trio.sleep(TARGET_IDLE_LIMIT_SECONDS)
     outcome = await target.origin.call(MESSAGE, STAMP)
     assert outcome.reason is Reason.ANSWER_INCOMPLETE
     assert b'connection-forgotten' not in target.events.json_lines()
--- a/tests/test_mesh_running.py
+++ b/tests/test_mesh_running.py
@@ -7,7 +7,7 @@
 from tests.store_standin import configuration
 
 from clementinedeal._pool import split_address
-from clementinedeal.mesh import _running
+from clementinedeal.mesh import _background_task
 
 LEVELS = 1_500
 
@@ -44,8 +44,8 @@
     assert answer.status == 200
 
 
-async def test_a_part_that_fails_runs_again(monkeypatch, caplog):
-    monkeypatch.setattr(_running, 'AGAIN_SECONDS', 0.01)
+async def test_a_failed_background_task_is_restarted(monkeypatch, caplog):
+    monkeypatch.setattr(_background_task, 'RESTART_DELAY_SECONDS', 0.01)
     runs = []
 
     async def part():
@@ -55,6 +55,6 @@
             raise ValueError('bug')
 
     with trio.fail_after(1):
-        await _running.keep_running(part)
+        await _background_task.keep_running(part)
     assert len(runs) == 3
     assert caplog.text.count('event=part-failed') == 2
--- a/tests/test_mesh_sender.py
+++ b/tests/test_mesh_sender.py
@@ -10,7 +10,7 @@
 
 
 def rank_of(account, running):
-    parts = SimpleNamespace(owner=SimpleNamespace(most_urgent=running))
+    parts = SimpleNamespace(owner=SimpleNamespace(most_urgent_rank=running))
     admitted = SimpleNamespace(account=account, route=ROUTE)
     return Sender(parts)._rank(admitted)
 
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -14,7 +14,7 @@
 from clementinedeal._http import ConnLostError, RequestHead
 from clementinedeal.mesh import _stop
 from clementinedeal.mesh._daemon import MeshDaemon
-from clementinedeal.mesh._retries import RetryShare
+from clementinedeal.mesh._retry_tokens import RetryTokenBucket
 from clementinedeal.mesh._stop import KILL_MARGIN_SECONDS
 from clementinedeal.platform import PlatformDialect, PlatformStore
 
@@ -80,15 +80,17 @@
     assert not [one for one in fleet.runs()[before:] if one[1] == '/book/late']
 
 
-async def test_what_waits_for_a_target_is_refused_before_the_end(patient):
-    for target in patient.targets:
+async def test_requests_without_a_target_are_refused_before_the_end(
+    hanging_fleet,
+):
+    for target in hanging_fleet.targets:
         target.mode = 'shed'
-    async with asking(patient, (0, '/book/1')) as found:
+    async with sending(hanging_fleet, (0, '/book/1')) as found:
         assert not found
-        patient.daemons[0]._sender.close()
+        hanging_fleet.daemons[0]._sender.close()
         await trio.sleep(0.2)
     assert found['/book/1'] == (503, b'not-run')
-    lines = patient.daemons[0].events.json_lines()
+    lines = hanging_fleet.daemons[0].events.json_lines()
     assert b'attempt-tried' in lines
     assert b'"draining"' in lines
 
@@ -120,15 +122,15 @@
 
 
 @pytest.fixture
-async def patient(fleet, monkeypatch):
+async def hanging_fleet(fleet, monkeypatch):
     """A fleet of one slot at a target that hangs, with short stops."""
     fleet.targets[1].mode = 'hang'
     monkeypatch.setattr(_stop, 'NOTICE_SECONDS', SHORT_NOTICE_SECONDS)
     set_times(fleet, LONG_SECONDS, LONG_SECONDS / 2)
     for number, state in enumerate(('draining', 'ready', 'draining')):
-        told = registration(fleet.settings[number].target, state=state)
-        told['info']['slots'] = 1
-        fleet.store.put(f'servers/t{number}', told)
+        registered = registration(fleet.settings[number].target, state=state)
+        registered['info']['slots'] = 1
+        fleet.store.put(f'servers/t{number}', registered)
     for daemon in fleet.daemons:
         settings = daemon._settings
         bounds = dataclasses.replace(settings.bounds, stop=SHORT_STOP_SECONDS)
@@ -149,7 +151,7 @@
 
 
 @pytest.fixture
-async def quick(fleet):
+async def short_objective_fleet(fleet):
     """A fleet whose lookups are overdue after half a second."""
     set_times(fleet, LONG_SECONDS, 0.4)
     await trio.sleep(0.5)
@@ -162,7 +164,7 @@
 
 
 @contextlib.asynccontextmanager
-async def asking(fleet, *asked):
+async def sending(fleet, *asked):
     """Send requests one after the other; what is left at the end is cut."""
     found = {}
     async with trio.open_nursery() as nursery:
@@ -180,52 +182,52 @@
         await fleet.ended[number].wait()
 
 
-async def test_a_booking_that_queues_when_its_daemon_ends_is_refused(patient):
+async def test_a_queued_request_is_refused_when_its_entry_stops(hanging_fleet):
     asked = ((1, '/book/first'), (0, '/book/second'))
-    async with asking(patient, *asked) as found:
-        await stop(patient, 0)
+    async with sending(hanging_fleet, *asked) as found:
+        await stop(hanging_fleet, 0)
     assert found['/book/second'] == (503, b'not-run')
-    assert not [one for one in patient.runs() if one[1] == '/book/second']
+    assert not [one for one in hanging_fleet.runs() if one[1] == '/book/second']
 
 
 @pytest.mark.parametrize('path', ['/book/1', '/look/1'])
-async def test_a_run_that_outlasts_its_daemon_is_answered(patient, path):
-    async with asking(patient, (0, path)) as found:
-        await stop(patient, 0)
+async def test_a_run_that_outlasts_its_daemon_is_answered(hanging_fleet, path):
+    async with sending(hanging_fleet, (0, path)) as found:
+        await stop(hanging_fleet, 0)
     assert found[path] == (502, b'may-have-run')
 
 
-async def test_a_late_call_of_a_target_is_not_begun_to_be_cut(patient):
+async def test_a_late_call_of_a_target_is_not_begun_to_be_cut(hanging_fleet):
     # a request that runs on keeps the daemon up
-    async with asking(patient, (0, '/book/long')) as found:
-        patient.daemons[0].stop()
+    async with sending(hanging_fleet, (0, '/book/long')) as found:
+        hanging_fleet.daemons[0].stop()
         await trio.sleep(SHORT_NOTICE_SECONDS + 0.2)
         with trio.fail_after(0.2):
-            await ask(patient, 0, '/open/call', found, key='')
+            await ask(hanging_fleet, 0, '/open/call', found, key='')
     assert found['/open/call'] == (503, b'not-run')
-    assert not [one for one in patient.runs() if one[1] == '/open/call']
+    assert not [one for one in hanging_fleet.runs() if one[1] == '/open/call']
 
 
-async def test_a_stopping_owner_keeps_nobody_in_its_queue(patient):
+async def test_a_stopping_owner_refuses_its_queued_requests(hanging_fleet):
     asked = ((0, '/book/first'), (0, '/book/second'))
-    async with asking(patient, *asked) as found:
-        told = registration(patient.settings[0].target)
-        patient.store.put('servers/t0', told)
+    async with sending(hanging_fleet, *asked) as found:
+        registered = registration(hanging_fleet.settings[0].target)
+        hanging_fleet.store.put('servers/t0', registered)
         await trio.sleep(1.5)
-        patient.daemons[1].stop()
+        hanging_fleet.daemons[1].stop()
         await trio.sleep(0.3)
     assert found['/book/second'] == (200, None)
 
 
-async def test_a_stopping_owner_tells_what_became_of_its_runs(patient):
-    async with asking(patient, (0, '/book/1')) as found:
-        await stop(patient, 1)
+async def test_a_stopping_owner_reports_its_running_requests(hanging_fleet):
+    async with sending(hanging_fleet, (0, '/book/1')) as found:
+        await stop(hanging_fleet, 1)
         await trio.sleep(0.2)
     assert found['/book/1'] == (502, b'may-have-run')
 
 
 async def test_a_request_that_its_daemon_cuts_is_logged(fleet, monkeypatch):
-    monkeypatch.setattr(_stop.Stop, 'run', end_at_once)
+    monkeypatch.setattr(_stop.PlannedStop, 'run', end_at_once)
     for target in fleet.targets:
         target.mode = 'hang'
     async with trio.open_nursery() as nursery:
@@ -247,83 +249,93 @@
 
 
 @pytest.mark.parametrize('stopping', [False, True])
-async def test_a_lookup_that_may_not_go_elsewhere_is_waited_for(
-    quick,
+async def test_a_lookup_is_not_abandoned_when_it_may_not_be_retried(
+    short_objective_fleet,
     stopping,
     monkeypatch,
 ):
-    for target in quick.targets:
+    for target in short_objective_fleet.targets:
         target.seconds = 1.2
     found = {}
     async with trio.open_nursery() as nursery:
         if stopping:
-            quick.daemons[0].stop()
+            short_objective_fleet.daemons[0].stop()
         else:
-            monkeypatch.setattr(RetryShare, 'take', lambda _: False)
-        nursery.start_soon(ask, quick, 0, '/look/slow', found)
+            monkeypatch.setattr(RetryTokenBucket, 'take', lambda _: False)
+        nursery.start_soon(ask, short_objective_fleet, 0, '/look/slow', found)
     assert found['/look/slow'] == (200, None)
-    assert sum(one[1] == '/look/slow' for one in quick.runs()) == 1
+    assert (
+        sum(one[1] == '/look/slow' for one in short_objective_fleet.runs()) == 1
+    )
 
 
-async def test_a_lookup_goes_on_from_a_silent_target(quick):
-    quick.targets[0].mode = 'hang'
+async def test_a_lookup_is_retried_when_its_target_is_silent(
+    short_objective_fleet,
+):
+    short_objective_fleet.targets[0].mode = 'hang'
     found = {}
     for number in range(6):
-        await ask(quick, number % 3, f'/look/{number}', found)
+        await ask(short_objective_fleet, number % 3, f'/look/{number}', found)
     assert set(found.values()) == {(200, None)}
 
 
 @pytest.mark.parametrize('seconds', [0.25, 0.6])
-async def test_a_pause_at_the_end_of_a_stop_cuts_no_answer(patient, seconds):
-    ending = patient.daemons[0]._stop
-    answer = ending._answer
+async def test_a_pause_at_the_end_of_a_stop_cuts_no_answer(
+    hanging_fleet, seconds
+):
+    ending = hanging_fleet.daemons[0]._stop
+    answer = ending._cancel_running
 
     def answer_late():
         time.sleep(seconds)
         answer()
 
-    ending._answer = answer_late
-    async with asking(patient, (0, '/book/1')) as found:
-        patient.daemons[0].stop()
+    ending._cancel_running = answer_late
+    async with sending(hanging_fleet, (0, '/book/1')) as found:
+        hanging_fleet.daemons[0].stop()
         with trio.fail_after(2 * SHORT_STOP_SECONDS):
-            await patient.ended[0].wait()
+            await hanging_fleet.ended[0].wait()
     assert found['/book/1'] == (502, b'may-have-run')
 
 
-async def test_a_stop_shorter_than_its_notice_answers(patient):
-    async with asking(patient, (0, '/book/1')) as found:
+async def test_a_stop_shorter_than_its_notice_answers(hanging_fleet):
+    async with sending(hanging_fleet, (0, '/book/1')) as found:
         with trio.fail_after(1):
-            await patient.daemons[0]._stop.run(0.5)
+            await hanging_fleet.daemons[0]._stop.run(0.5)
         await trio.sleep(0.1)
     assert found['/book/1'] == (502, b'may-have-run')
 
 
-async def test_an_owner_waits_for_a_booking_whose_entry_is_gone(patient):
-    patient.targets[1].mode = 'ok'
-    patient.targets[1].seconds = 1.0
+async def test_an_owner_waits_for_a_request_whose_entry_is_gone(hanging_fleet):
+    hanging_fleet.targets[1].mode = 'ok'
+    hanging_fleet.targets[1].seconds = 1.0
     with trio.move_on_after(0.2):
-        await ask(patient, 0, '/book/1', {})
+        await ask(hanging_fleet, 0, '/book/1', {})
     begun = trio.current_time()
-    patient.daemons[1].stop()
-    await patient.ended[1].wait()
+    hanging_fleet.daemons[1].stop()
+    await hanging_fleet.ended[1].wait()
     assert trio.current_time() - begun > 0.7
 
 
-async def test_nothing_is_broken_off_once_a_stop_has_begun(quick):
-    for target in quick.targets:
+async def test_no_attempt_is_abandoned_once_a_stop_has_begun(
+    short_objective_fleet,
+):
+    for target in short_objective_fleet.targets:
         target.seconds = 1.2
-    sender = quick.daemons[0]._sender
+    sender = short_objective_fleet.daemons[0]._sender
     found = {}
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(ask, quick, 0, '/look/slow', found)
+        nursery.start_soon(ask, short_objective_fleet, 0, '/look/slow', found)
         await trio.sleep(0.1)
         (trying,) = sender._trying
-        left = trying.overdue_at - quick.daemons[0]._clock.now()
+        left = trying.overdue_at - short_objective_fleet.daemons[0]._clock.now()
         # between two looks at what is overdue
         await trio.sleep(left - 0.002)
-        quick.daemons[0].stop()
+        short_objective_fleet.daemons[0].stop()
     assert found['/look/slow'] == (200, None)
-    assert sum(one[1] == '/look/slow' for one in quick.runs()) == 1
+    assert (
+        sum(one[1] == '/look/slow' for one in short_objective_fleet.runs()) == 1
+    )
 
 
 async def test_a_second_stop_signal_does_not_end_the_process(fleet, nursery):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -68,7 +68,7 @@
     assert (await client.read()).declaration is None
     store.put('op/config', configuration(version=4))
     news = await client.read()
-    assert news.published == store.revision
+    assert news.published_revision == store.revision
     assert news.declaration.version == 4
     route = news.declaration.routes[1]
     assert (route.prefix, route.idempotent, route.max_targets) == (
@@ -87,7 +87,7 @@
     news = await client.wait(news.revision, 5)
     assert news.declaration.version == 5
     news = await client.wait(news.revision, 0.05)
-    assert news.published == 0
+    assert news.published_revision == 0
 
 
 async def _put_later(store):
