--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -14,8 +14,8 @@
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._catalog import Catalog
 from clementinedeal.mesh._contracts import Dialect
-from clementinedeal.mesh._origin import Message
 from clementinedeal.mesh._outcomes import MeshOutcome
+from clementinedeal.mesh._target_client import BufferedRequest
 from clementinedeal.mesh._types import ClientAccount, RouteRule
 
 # Callers of a daemon without a declaration are told to come back after this.
@@ -66,7 +66,7 @@
     route: RouteRule
     service: str
     account: ClientAccount | None
-    message: Message
+    message: BufferedRequest
     deadline: float
 
 
@@ -138,8 +138,8 @@
         if refusal:
             return refusal
         timeout = route.timeout
-        if fields.patience is not None:
-            timeout = min(timeout, fields.patience)
+        if fields.timeout is not None:
+            timeout = min(timeout, fields.timeout)
         return AdmittedRequest(
             req_id=fields.req_id or new_request_id(),
             route=route,
@@ -170,13 +170,13 @@
         return chosen[0].service
 
 
-def _message(head: RequestHead, body: bytes) -> Message:
+def _message(head: RequestHead, body: bytes) -> BufferedRequest:
     headers = tuple(
         pair
         for pair in strip_internal_headers(end_to_end(head.headers))
         if pair[0] not in _HEADERS_NOT_FORWARDED
     )
-    return Message(head.method, head.path, headers, body)
+    return BufferedRequest(head.method, head.path, headers, body)
 
 
 def _refusal(reason: Reason, retry_after: float = 0) -> MeshOutcome:
--- a/src/clementinedeal/mesh/_calls.py
+++ b/src/clementinedeal/mesh/_call_failures.py
@@ -3,7 +3,7 @@
 from clementinedeal._timers import Clock
 
 # A target answers its own caller within this time of a call that failed.
-RECENT_SECONDS = 0.2
+RECENT_FAILURE_SECONDS = 0.2
 
 
 class CallFailures:
@@ -17,10 +17,10 @@
         self._clock = clock
         self._failed_at = float('-inf')
 
-    def note(self) -> None:
+    def record(self) -> None:
         """Record that a call has failed now."""
         self._failed_at = self._clock.now()
 
     def failed_recently(self) -> bool:
         """Whether a call failed so recently that a request fails by it."""
-        return self._clock.now() - self._failed_at < RECENT_SECONDS
+        return self._clock.now() - self._failed_at < RECENT_FAILURE_SECONDS
--- a/src/clementinedeal/mesh/_catalog.py
+++ b/src/clementinedeal/mesh/_catalog.py
@@ -17,17 +17,19 @@
         :param declaration: a whole version.
         """
         self.declaration = declaration
-        self._routes: dict[str, list[RouteRule]] = collections.defaultdict(list)
+        self._routes_by_host: dict[str, list[RouteRule]] = (
+            collections.defaultdict(list)
+        )
         for route in declaration.routes:
-            self._routes[route.host.lower()].append(route)
-        for routes in self._routes.values():
+            self._routes_by_host[route.host.lower()].append(route)
+        for routes in self._routes_by_host.values():
             routes.sort(key=_prefix_length, reverse=True)
-        self._accounts = {
+        self._accounts_by_key = {
             key: account
             for account in declaration.accounts
             for key in account.keys
         }
-        self.by_name = {one.name: one for one in declaration.accounts}
+        self.accounts_by_name = {one.name: one for one in declaration.accounts}
 
     def find_route(self, host: str, path: str) -> RouteRule | None:
         """Return the route with the longest prefix that begins the path.
@@ -36,9 +38,9 @@
         :param path: the path, with or without a query.
         """
         name = host.partition(':')[0].strip().lower()
-        plain = path.partition('?')[0]
-        for route in self._routes.get(name, ()):
-            if plain.startswith(route.prefix):
+        bare_path = path.partition('?')[0]
+        for route in self._routes_by_host.get(name, ()):
+            if bare_path.startswith(route.prefix):
                 return route
         return None
 
@@ -52,11 +54,11 @@
         :param route: the request's route.
         :param key: the key that came with it.
         """
-        if route.public or not self.by_name:
+        if route.public or not self.accounts_by_name:
             return Ok(None)
         if key is None:
             return Err(Reason.KEY_MISSING)
-        account = self._accounts.get(key)
+        account = self._accounts_by_key.get(key)
         return Err(Reason.KEY_UNKNOWN) if account is None else Ok(account)
 
 
--- a/src/clementinedeal/mesh/_contracts.py
+++ b/src/clementinedeal/mesh/_contracts.py
@@ -80,16 +80,16 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Asked:
+class CallerHeaders:
     """What a caller's headers say; ``patience`` is in seconds."""
 
     req_id: str
-    patience: float | None
+    timeout: float | None
     key: str | None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Stamp:
+class CallContext:
     """What the owner tells a target beside the caller's own headers.
 
     ``left`` is the time to the deadline in seconds; ``account`` is empty on
@@ -97,14 +97,14 @@
     """
 
     req_id: str
-    left: float
+    seconds_left: float
     target: str
     account: str
-    caller: str
+    caller_service: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Signs:
+class AnswerHeaders:
     """What a target's answer says besides its status and body.
 
     ``idle`` is how long the target keeps an idle connection, in seconds.
@@ -114,19 +114,19 @@
     req_id: str
     sealed: bool
     encoded: bool
-    moved: bool
+    misdirected: bool
     closing: bool
-    idle: float | None = None
+    idle_seconds: float | None = None
 
 
 class Dialect(Protocol):
     """How callers and targets speak."""
 
-    def read_request(self, head: RequestHead) -> Asked:
+    def read_request(self, head: RequestHead) -> CallerHeaders:
         """Decode what a caller's headers say."""
         ...
 
-    def target_headers(self, headers: Headers, stamp: Stamp) -> Headers:
+    def target_headers(self, headers: Headers, context: CallContext) -> Headers:
         """Return the headers for the target.
 
         :param headers: the caller's, end to end.
@@ -134,7 +134,7 @@
         """
         ...
 
-    def read_answer(self, head: ResponseHead) -> Signs:
+    def read_answer(self, head: ResponseHead) -> AnswerHeaders:
         """Decode what a target's headers say."""
         ...
 
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -18,30 +18,30 @@
 from clementinedeal.mesh._admission import Admission
 from clementinedeal.mesh._background_task import BackgroundTask, keep_running
 from clementinedeal.mesh._balancer import Balancer
-from clementinedeal.mesh._calls import CallFailures
+from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._catalog import Catalog
 from clementinedeal.mesh._contracts import Dialect, Platform
 from clementinedeal.mesh._datagrams import DatagramChannel
 from clementinedeal.mesh._declarations import DeclarationFeed
-from clementinedeal.mesh._entry import Entry, EntryParts
+from clementinedeal.mesh._entry import MeshEntry, MeshEntryParts
 from clementinedeal.mesh._metrics import DaemonMetrics
-from clementinedeal.mesh._origin import Origin
+from clementinedeal.mesh._operator_endpoint import OperatorEndpoint
 from clementinedeal.mesh._owner import MeshOwner, MeshOwnerParts
-from clementinedeal.mesh._peer_client import PeerClient
-from clementinedeal.mesh._peer_server import PeerServer
+from clementinedeal.mesh._peer_client import MeshPeerClient
+from clementinedeal.mesh._peer_server import MeshPeerServer
 from clementinedeal.mesh._rate_limiter import AccountRateLimiter
-from clementinedeal.mesh._readiness import Readiness
 from clementinedeal.mesh._sender import Sender, SenderParts
-from clementinedeal.mesh._settings import NodeSettings
+from clementinedeal.mesh._settings import MeshDaemonSettings
 from clementinedeal.mesh._stop import PlannedStop, StopParts
+from clementinedeal.mesh._target_client import TargetClient
 from clementinedeal.mesh._target_feed import TargetFeed
 
 # How often the settings file is looked at for a change without a signal.
-SETTINGS_SECONDS = 1.0
+SETTINGS_POLL_SECONDS = 1.0
 # A round trip between zones takes about 1 ms; a lost packet is sent again
 # after a second, and another target is reached sooner.
 PEER_CONNECT_SECONDS = 0.15
-Reload = Callable[[], Result[NodeSettings, SettingsError]]
+ReloadSettings = Callable[[], Result[MeshDaemonSettings, SettingsError]]
 
 
 class MeshDaemon:
@@ -49,9 +49,9 @@
 
     def __init__(
         self,
-        settings: NodeSettings,
-        reload: Reload,
-        connect: Callable[[str, ConnPool, EventLog], Platform],
+        settings: MeshDaemonSettings,
+        reload: ReloadSettings,
+        open_platform: Callable[[str, ConnPool, EventLog], Platform],
         dialect: Dialect,
     ) -> None:
         """Create a daemon that does not run yet.
@@ -67,17 +67,19 @@
         self._clock = BootClock()
         self.events = EventLog(settings.instance, new_request_id()[:8])
         self._pool = ConnPool(self._clock)
-        platform = connect(settings.platform, self._pool, self.events)
+        platform = open_platform(
+            settings.platform_address, self._pool, self.events
+        )
         self._platform = platform
         self._declarations = DeclarationFeed(
             platform,
             self._clock,
             self.events,
-            settings.bounds.revoke,
+            settings.bounds.revoke_seconds,
         )
         self._stopping = trio.Event()
-        self._tally = DaemonMetrics()
-        self.left_out: Callable[[], int] = int
+        self._metrics = DaemonMetrics()
+        self.count_dropped_lines: Callable[[], int] = int
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then stop gracefully."""
@@ -87,23 +89,23 @@
                 for server in self._servers:
                     await server.start(nursery)
                 await self._datagrams.open()
-                for part in self._parts():
+                for part in self._background_tasks():
                     nursery.start_soon(keep_running, part)
-                nursery.start_soon(self._await_stop)
+                nursery.start_soon(self._wait_for_stop_signal)
                 self.events.emit(
                     'daemon-started',
                     zone=self._settings.zone,
-                    ports=self._settings.ports,
+                    ports=self._settings.port_range,
                     service=self._settings.service,
                 )
                 await self._stopping.wait()
-                await self._stop.run(self._settings.bounds.stop)
+                await self._stop.run(self._settings.bounds.stop_seconds)
                 nursery.cancel_scope.cancel()
         finally:
             self._datagrams.close()
         self.events.emit('daemon-stopped')
 
-    def _parts(self) -> list[BackgroundTask]:
+    def _background_tasks(self) -> list[BackgroundTask]:
         """Return what runs beside the servers."""
         return [
             self._declarations.run,
@@ -112,10 +114,12 @@
                 self._datagrams.run,
                 self._allowances.on_message,
             ),
-            functools.partial(self._targets.follow_list, self._settings.target),
+            functools.partial(
+                self._targets.follow_list, self._settings.target_address
+            ),
             self._targets.follow_own,
-            self._follow_settings,
-            self._count_daemons,
+            self._watch_settings,
+            self._update_daemon_count,
         ]
 
     def stop(self) -> None:
@@ -125,24 +129,24 @@
     def _build(self, nursery: trio.Nursery) -> None:
         rng = random.SystemRandom()
         settings = self._settings
-        calls = CallFailures(self._clock)
+        call_failures = CallFailures(self._clock)
         self._owner = MeshOwner(
             MeshOwnerParts(
                 clock=self._clock,
                 events=self.events,
-                origin=Origin(
-                    settings.target,
+                origin=TargetClient(
+                    settings.target_address,
                     self._pool,
                     self._dialect,
                     self._clock,
                     self.events,
                 ),
-                calls=calls,
-                metrics=self._tally,
+                calls=call_failures,
+                metrics=self._metrics,
                 nursery=nursery,
             ),
         )
-        host = settings.target.rpartition(':')[0]
+        host = settings.target_address.rpartition(':')[0]
         balancer = Balancer(host, settings.zone, self._clock, rng)
         self._targets = TargetFeed(
             self._platform,
@@ -151,7 +155,9 @@
             self._clock,
             self.events,
         )
-        self._datagrams = DatagramChannel(host, settings.ports[0], self.events)
+        self._datagrams = DatagramChannel(
+            host, settings.port_range[0], self.events
+        )
         self._allowances = AccountRateLimiter(
             host,
             lambda: self._targets.hosts,
@@ -173,37 +179,41 @@
                 events=self.events,
                 balancer=balancer,
                 owner=self._owner,
-                peers=PeerClient(
+                peer_client=MeshPeerClient(
                     ConnPool(self._clock, PEER_CONNECT_SECONDS),
                     self._clock,
                 ),
             ),
         )
-        entry = Entry(
-            EntryParts(
+        entry = MeshEntry(
+            MeshEntryParts(
                 clock=self._clock,
                 events=self.events,
                 admission=self._admission,
                 sender=self._sender,
-                calls=calls,
-                tally=self._tally,
+                call_failures=call_failures,
+                metrics=self._metrics,
             ),
         )
-        peers = PeerServer(self._owner, self.events, nursery)
-        readiness = Readiness(self._dialect, self._is_ready, self._tally)
+        peer_server = MeshPeerServer(self._owner, self.events, nursery)
+        operator_endpoint = OperatorEndpoint(
+            self._dialect, self._is_ready, self._metrics
+        )
         limits = HttpLimits()
-        self._callers = HttpServer(
-            settings.callers,
+        self._caller_server = HttpServer(
+            settings.caller_address,
             entry.serve,
             limits,
             self.events,
         )
         self._servers = (
-            self._callers,
-            HttpServer(settings.peers, peers.serve, limits, self.events),
+            self._caller_server,
+            HttpServer(
+                settings.peer_address, peer_server.serve, limits, self.events
+            ),
             HttpServer(
-                settings.ready,
-                readiness.serve,
+                settings.ready_address,
+                operator_endpoint.serve,
                 limits,
                 self.events,
             ),
@@ -215,32 +225,32 @@
                 admission=self._admission,
                 sender=self._sender,
                 owner=self._owner,
-                caller_server=self._callers,
+                caller_server=self._caller_server,
                 servers=self._servers,
             ),
         )
         self._add_gauges()
-        self._declarations.on_change.append(self._take_limits)
+        self._declarations.on_change.append(self._apply_limits)
         self._declarations.on_change.append(self._allowances.set_catalog)
 
     def _add_gauges(self) -> None:
         owner = self._owner
         feed = self._declarations
-        self._tally.gauges.update(
+        self._metrics.gauges.update(
             config_version=lambda: feed.version,
             config_age_seconds=lambda: feed.age,
-            repeats=lambda: self._sender.repeats,
+            repeats=lambda: self._sender.retry_count,
             target_risk=lambda: owner.health.risk,
             target_running=lambda: owner.slots.running,
             target_waiting=lambda: owner.slots.waiting,
             target_slots=lambda: owner.slots.slots,
             platform_calls=lambda: self._platform.calls,
-            log_lines_left_out=lambda: self.left_out(),
+            log_lines_left_out=lambda: self.count_dropped_lines(),
         )
 
-    def _take_limits(self, catalog: Catalog) -> None:
+    def _apply_limits(self, catalog: Catalog) -> None:
         limits = catalog.declaration.limits
-        self._callers.take_limits(
+        self._caller_server.take_limits(
             HttpLimits(
                 head_bytes=limits.head_bytes,
                 head_timeout=limits.head_timeout,
@@ -249,15 +259,15 @@
         )
 
     def _is_ready(self) -> bool:
-        known = self._declarations.catalog is not None
-        return known and not self._stopping.is_set()
+        has_declaration = self._declarations.catalog is not None
+        return has_declaration and not self._stopping.is_set()
 
-    async def _count_daemons(self) -> None:
+    async def _update_daemon_count(self) -> None:
         while True:
-            self._sender.daemons = max(1, len(self._targets.hosts))
+            self._sender.daemon_count = max(1, len(self._targets.hosts))
             await trio.sleep(1)
 
-    async def _await_stop(self) -> None:
+    async def _wait_for_stop_signal(self) -> None:
         with trio.open_signal_receiver(
             signal.SIGTERM,
             signal.SIGINT,
@@ -266,23 +276,23 @@
             async for _ in signals:
                 self.stop()
 
-    async def _follow_settings(self) -> None:
+    async def _watch_settings(self) -> None:
         """Take over settings that changed, with a signal or without."""
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
             while True:
-                with trio.move_on_after(SETTINGS_SECONDS):
+                with trio.move_on_after(SETTINGS_POLL_SECONDS):
                     await anext(signals)
                     self.events.emit('settings-signal')
-                self._take_settings(self._reload())
+                self._apply_settings(self._reload())
 
-    def _take_settings(
+    def _apply_settings(
         self,
-        found: Result[NodeSettings, SettingsError],
+        reloaded: Result[MeshDaemonSettings, SettingsError],
     ) -> None:
-        if isinstance(found, Err):
-            self.events.emit('settings-rejected', reason=found.err_value)
+        if isinstance(reloaded, Err):
+            self.events.emit('settings-rejected', reason=reloaded.err_value)
             return
-        settings = found.ok_value
+        settings = reloaded.ok_value
         if settings == self._settings:
             return
         self.events.emit(
--- a/src/clementinedeal/mesh/_datagrams.py
+++ b/src/clementinedeal/mesh/_datagrams.py
@@ -10,11 +10,11 @@
 from clementinedeal._events import EventLog
 from clementinedeal.mesh._rate_limiter import TokenReply, TokenRequest
 
-MOST_BYTES = 1400
+MAX_DATAGRAM_BYTES = 1400
 _READ_ERRORS = (OSError, *UNREADABLE_ERRORS)
 
 Body: TypeAlias = TokenRequest | TokenReply
-Receive: TypeAlias = Callable[[str, Body], Awaitable[None]]
+MessageHandler: TypeAlias = Callable[[str, Body], Awaitable[None]]
 
 
 class DatagramChannel:
@@ -60,7 +60,7 @@
         if self._socket is not None:
             self._socket.close()
 
-    async def run(self, receive: Receive) -> None:
+    async def run(self, on_message: MessageHandler) -> None:
         """Hand on messages until cancelled.
 
         :param receive: takes the sender's IP number and the message.
@@ -69,9 +69,9 @@
         assert sock is not None
         while True:
             try:
-                blob, sender = await sock.recvfrom(MOST_BYTES)
+                blob, source = await sock.recvfrom(MAX_DATAGRAM_BYTES)
                 body: Body = msgspec.msgpack.decode(blob, type=Body)
             except _READ_ERRORS as exc:
                 self._events.emit('datagram-unread', reason=exc)
                 continue
-            await receive(sender[0], body)
+            await on_message(source[0], body)
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -38,10 +38,10 @@
         self._source = source
         self._clock = clock
         self._events = events
-        self._valid_seconds = revoke_seconds - FRESH_MARGIN_SECONDS
-        self._proved_at = float('-inf')
-        self._published = 0
-        self._reachable = True
+        self._max_age_seconds = revoke_seconds - FRESH_MARGIN_SECONDS
+        self._confirmed_at = float('-inf')
+        self._published_revision = 0
+        self._is_reachable = True
         self.catalog: Catalog | None = None
         self.on_change: list[Callable[[Catalog], None]] = []
 
@@ -53,52 +53,54 @@
     @property
     def age(self) -> float:
         """Seconds since nothing newer was known to be published."""
-        return self._clock.now() - self._proved_at
+        return self._clock.now() - self._confirmed_at
 
     def is_fresh(self) -> bool:
         """Whether no withdrawn key can be missing from the declaration."""
-        return self.age < self._valid_seconds
+        return self.age < self._max_age_seconds
 
     async def run(self) -> None:
         """Follow the source until cancelled."""
         revision = 0
         while True:
-            started = self._clock.now()
+            started_at = self._clock.now()
             try:
-                revision = await self._follow(revision)
+                revision = await self._read_or_wait(revision)
             except SourceError as exc:
-                self._note_lost(exc)
+                self._report_lost(exc)
                 revision = 0
                 await trio.sleep(RETRY_SECONDS)
             else:
                 # what was published before the call was made is known now
-                self._proved_at = max(self._proved_at, started)
-                self._note_back()
+                self._confirmed_at = max(self._confirmed_at, started_at)
+                self._report_recovered()
 
-    async def _follow(self, revision: int) -> int:
+    async def _read_or_wait(self, revision: int) -> int:
         if revision:
-            asked = self._clock.now()
+            sent_at = self._clock.now()
             news = await self._source.wait(revision, WATCH_SECONDS)
             if not news.published_revision:
                 # a source that held the call to its end looked that late
-                whole = self._clock.now() - asked >= WATCH_SECONDS
-                proved_at = asked + WATCH_SECONDS if whole else asked
-                self._proved_at = max(self._proved_at, proved_at)
+                is_complete = self._clock.now() - sent_at >= WATCH_SECONDS
+                confirmed_at = (
+                    sent_at + WATCH_SECONDS if is_complete else sent_at
+                )
+                self._confirmed_at = max(self._confirmed_at, confirmed_at)
         else:
             news = await self._source.read()
-        self._take(news)
+        self._apply(news)
         if not news.published_revision and not revision:
             await trio.sleep(RETRY_SECONDS)
             return 0
         return max(revision, news.revision)
 
-    def _take(self, news: DeclarationUpdate) -> None:
+    def _apply(self, news: DeclarationUpdate) -> None:
         if (
             news.declaration is None
-            or news.published_revision <= self._published
+            or news.published_revision <= self._published_revision
         ):
             return
-        self._published = news.published_revision
+        self._published_revision = news.published_revision
         self.catalog = Catalog(news.declaration)
         self._events.emit(
             'config-in-force',
@@ -110,9 +112,9 @@
         for handler in self.on_change:
             handler(self.catalog)
 
-    def _note_lost(self, exc: SourceError) -> None:
-        if self._reachable:
-            self._reachable = False
+    def _report_lost(self, exc: SourceError) -> None:
+        if self._is_reachable:
+            self._is_reachable = False
             self._events.emit(
                 'platform-lost',
                 part='declarations',
@@ -120,7 +122,7 @@
                 age=f'{self.age:.2f}',
             )
 
-    def _note_back(self) -> None:
-        if not self._reachable:
-            self._reachable = True
+    def _report_recovered(self) -> None:
+        if not self._is_reachable:
+            self._is_reachable = True
             self._events.emit('platform-back', part='declarations')
--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -16,30 +16,30 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._admission import Admission, AdmittedRequest
-from clementinedeal.mesh._calls import CallFailures
+from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._outcomes import MeshOutcome
 from clementinedeal.mesh._sender import Sender
 
-_TOO_LARGE = 413
+_TOO_LARGE_STATUS = 413
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class EntryParts:
+class MeshEntryParts:
     """What an entry works with."""
 
     clock: Clock
     events: EventLog
     admission: Admission
     sender: Sender
-    calls: CallFailures
-    tally: DaemonMetrics
+    call_failures: CallFailures
+    metrics: DaemonMetrics
 
 
-class Entry:
+class MeshEntry:
     """Serves the connections of callers."""
 
-    def __init__(self, parts: EntryParts) -> None:
+    def __init__(self, parts: MeshEntryParts) -> None:
         """Create an entry.
 
         :param parts: its collaborators.
@@ -54,37 +54,37 @@
         :raises ConnLostError: the caller is gone.
         """
         parts = self._parts
-        started = parts.clock.now()
+        started_at = parts.clock.now()
         body = await _read_body(conn, parts.admission.max_body_bytes)
-        admitted = await parts.admission.admit(head, body, started)
+        admitted = await parts.admission.admit(head, body, started_at)
         if isinstance(admitted, MeshOutcome):
-            await self._refuse(
+            await self._respond_error(
                 conn, parts.admission.read_request_id(head), admitted
             )
             return
-        outcome = await self._run_watched(conn, admitted)
-        self._note(admitted, outcome, parts.clock.now() - started)
+        outcome = await self._run_while_connected(conn, admitted)
+        self._report_finished(admitted, outcome, parts.clock.now() - started_at)
         if outcome.status:
             headers = tuple(
                 pair for pair in outcome.headers if pair[0] != CONTENT_LENGTH
             )
             await conn.respond(outcome.status, headers, outcome.body)
         else:
-            await self._refuse(conn, admitted.req_id, outcome)
+            await self._respond_error(conn, admitted.req_id, outcome)
 
-    async def _run_watched(
+    async def _run_while_connected(
         self,
         conn: ServerConn,
         admitted: AdmittedRequest,
     ) -> MeshOutcome:
         """Run a request and give it up when its caller leaves."""
         outcome: MeshOutcome | None = None
-        left = False
+        caller_left = False
 
         async def watch_caller(scope: trio.CancelScope) -> None:
-            nonlocal left
+            nonlocal caller_left
             await conn.wait_left()
-            left = True
+            caller_left = True
             scope.cancel()
 
         try:
@@ -94,35 +94,35 @@
                 nursery.cancel_scope.cancel()
         finally:
             if outcome is None:
-                self._note_cut(admitted.req_id, left=left)
+                self._report_cancelled(admitted.req_id, caller_left=caller_left)
         if outcome is None:
             raise ConnLostError('the caller left')
         return outcome
 
-    def _note_cut(self, req_id: str, *, left: bool) -> None:
+    def _report_cancelled(self, req_id: str, *, caller_left: bool) -> None:
         """Tell a request whose caller left from one cut by the daemon."""
-        if left:
-            self._parts.tally.count('left')
+        if caller_left:
+            self._parts.metrics.count('left')
         self._parts.events.emit(
-            'caller-left' if left else 'request-cut',
+            'caller-left' if caller_left else 'request-cut',
             req=req_id,
         )
 
-    def _note(
+    def _report_finished(
         self,
         admitted: AdmittedRequest,
         outcome: MeshOutcome,
         seconds: float,
     ) -> None:
         if not outcome.succeeded and admitted.account is None:
-            self._parts.calls.note()
+            self._parts.call_failures.record()
         account = admitted.account.name if admitted.account else ''
         reason = outcome.reason.value if outcome.reason else 'answered'
         service = admitted.service
         verdict = outcome.verdict.value
-        tally = self._parts.tally
-        tally.count('requests', service, account, verdict, reason)
-        tally.observe('request_seconds', seconds, service)
+        metrics = self._parts.metrics
+        metrics.count('requests', service, account, verdict, reason)
+        metrics.observe('request_seconds', seconds, service)
         self._parts.events.emit(
             'request-finished',
             req=admitted.req_id,
@@ -135,14 +135,14 @@
             seconds=f'{seconds:.3f}',
         )
 
-    async def _refuse(
+    async def _respond_error(
         self,
         conn: ServerConn,
         req_id: str,
         outcome: MeshOutcome,
     ) -> None:
         reason = outcome.reason or Reason.TARGET_FAILED
-        standing = self._parts.admission.active_declaration
+        config = self._parts.admission.active_declaration
         refusal = Refusal(outcome.verdict, reason, outcome.retry_after)
         if outcome.verdict is Verdict.NOT_RUN:
             self._parts.events.emit(
@@ -150,8 +150,8 @@
                 req=req_id,
                 reason=reason.value,
                 retry_after=f'{outcome.retry_after:.2f}',
-                version=standing.version,
-                age=f'{standing.age:.2f}',
+                version=config.version,
+                age=f'{config.age:.2f}',
             )
         await conn.respond(
             refusal.status,
@@ -160,10 +160,10 @@
         )
 
 
-async def _read_body(conn: ServerConn, limit: int) -> bytes:
+async def _read_body(conn: ServerConn, max_bytes: int) -> bytes:
     body = bytearray()
     async for piece in conn.read_body():
         body += piece
-        if len(body) > limit:
-            raise HttpError('request body too large', status=_TOO_LARGE)
+        if len(body) > max_bytes:
+            raise HttpError('request body too large', status=_TOO_LARGE_STATUS)
     return bytes(body)
--- a/src/clementinedeal/mesh/_executions.py
+++ b/src/clementinedeal/mesh/_executions.py
@@ -6,8 +6,8 @@
 import trio
 
 from clementinedeal._timers import Clock
-from clementinedeal.mesh._origin import Message
 from clementinedeal.mesh._outcomes import MeshAttempt, MeshOutcome
+from clementinedeal.mesh._target_client import BufferedRequest
 
 # Longer than any forward stays on its way and any entry asks again.
 RETENTION_SECONDS = 20.0
@@ -23,7 +23,7 @@
     """
 
     attempt: MeshAttempt
-    message: Message | None
+    message: BufferedRequest | None
     deadline: float
     body_wanted: trio.Event = field(default_factory=trio.Event)
     body_received: trio.Event = field(default_factory=trio.Event)
--- a/src/clementinedeal/mesh/_health_tracker.py
+++ b/src/clementinedeal/mesh/_health_tracker.py
@@ -6,7 +6,7 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason
 from clementinedeal.mesh import _health as evidence
-from clementinedeal.mesh._calls import CallFailures
+from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._health import HealthEstimate
 from clementinedeal.mesh._outcomes import MeshAttempt, MeshOutcome
 
--- a/src/clementinedeal/mesh/_log_output.py
+++ b/src/clementinedeal/mesh/_log_output.py
@@ -7,12 +7,12 @@
 import trio
 
 # Lines kept while the reader of standard output stalls.
-MOST_LINES = 5000
+MAX_QUEUED_LINES = 5000
 # Lines a second over which lines of success are left out, and counted.
-LINES_PER_SECOND = 200
+MAX_ROUTINE_LINES_PER_SECOND = 200
 _BLOCK_BYTES = 32_768
 # The first lines to go under load: they tell of what went well.
-ROUTINE_MARKS = ('reason=answered', 'outcome=answered')
+ROUTINE_MARKERS = ('reason=answered', 'outcome=answered')
 
 
 class OutputQueue(logging.Handler):
@@ -26,11 +26,11 @@
         super().__init__()
         self._descriptor = descriptor
         self._lines: collections.deque[str] = collections.deque()
-        self._waiting = trio.Event()
+        self._has_lines = trio.Event()
         self._second = 0
-        self._written = 0
-        self.left_out = 0
-        self.total_left_out = 0
+        self._lines_in_second = 0
+        self.unreported_drops = 0
+        self.dropped_lines = 0
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a line, or count it as left out."""
@@ -38,26 +38,26 @@
         second = int(record.created)
         if second != self._second:
             self._begin_second(second)
-        self._written += 1
-        routine = any(mark in line for mark in ROUTINE_MARKS)
-        crowded = self._written > LINES_PER_SECOND
-        if (routine and crowded) or len(self._lines) >= MOST_LINES:
-            self.left_out += 1
-            self.total_left_out += 1
+        self._lines_in_second += 1
+        is_routine = any(mark in line for mark in ROUTINE_MARKERS)
+        is_busy = self._lines_in_second > MAX_ROUTINE_LINES_PER_SECOND
+        if (is_routine and is_busy) or len(self._lines) >= MAX_QUEUED_LINES:
+            self.unreported_drops += 1
+            self.dropped_lines += 1
             return
         self._lines.append(line)
-        self._waiting.set()
+        self._has_lines.set()
 
     async def run(self) -> None:
         """Write lines until cancelled."""
         os.set_blocking(self._descriptor, False)
         while True:
-            await self._waiting.wait()
-            self._waiting = trio.Event()
+            await self._has_lines.wait()
+            self._has_lines = trio.Event()
             while self._lines:
                 await _write(self._descriptor, self._take_block())
 
-    def flush_rest(self) -> None:
+    def flush_remaining(self) -> None:
         """Write what is left at the end, as far as the reader takes it."""
         while self._lines:
             try:
@@ -66,11 +66,13 @@
                 return
 
     def _begin_second(self, second: int) -> None:
-        if self.left_out:
-            self._lines.append(f'event=lines-left-out count={self.left_out}')
-            self.left_out = 0
+        if self.unreported_drops:
+            self._lines.append(
+                f'event=lines-left-out count={self.unreported_drops}'
+            )
+            self.unreported_drops = 0
         self._second = second
-        self._written = 0
+        self._lines_in_second = 0
 
     def _take_block(self) -> bytes:
         block = bytearray()
--- a/src/clementinedeal/mesh/_readiness.py
+++ b/src/clementinedeal/mesh/_operator_endpoint.py
@@ -14,14 +14,14 @@
 _NOT_FOUND = 404
 
 
-class Readiness:
+class OperatorEndpoint:
     """What the operators' port answers."""
 
     def __init__(
         self,
         dialect: Dialect,
         is_ready: Callable[[], bool],
-        tally: DaemonMetrics,
+        metrics: DaemonMetrics,
     ) -> None:
         """Create the answers.
 
@@ -31,7 +31,7 @@
         """
         self._dialect = dialect
         self._is_ready = is_ready
-        self._tally = tally
+        self._metrics = metrics
 
     async def serve(self, conn: ServerConn, head: RequestHead) -> None:
         """Answer one request.
@@ -41,7 +41,7 @@
         """
         await conn.skip_body()
         if head.path == METRICS_PATH:
-            await conn.respond(_OK, _METRICS_TYPE, self._tally.render())
+            await conn.respond(_OK, _METRICS_TYPE, self._metrics.render())
         elif self._dialect.is_ready_check(head):
             await conn.respond(_OK if self._is_ready() else _UNAVAILABLE, ())
         else:
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -7,12 +7,11 @@
 from clementinedeal._events import EventLog, log
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh._calls import CallFailures
-from clementinedeal.mesh._contracts import Stamp
+from clementinedeal.mesh._call_failures import CallFailures
+from clementinedeal.mesh._contracts import CallContext
 from clementinedeal.mesh._executions import Execution, MeshExecutionTable
 from clementinedeal.mesh._health_tracker import HealthTracker
 from clementinedeal.mesh._metrics import DaemonMetrics
-from clementinedeal.mesh._origin import Message, Origin
 from clementinedeal.mesh._outcomes import (
     MeshAttempt,
     MeshOutcome,
@@ -20,6 +19,7 @@
     not_run,
 )
 from clementinedeal.mesh._slots import Rank, SlotQueue
+from clementinedeal.mesh._target_client import BufferedRequest, TargetClient
 from clementinedeal.mesh._types import Target
 
 # A refused connection means a target that is down; asked again after this.
@@ -38,7 +38,7 @@
 
     clock: Clock
     events: EventLog
-    origin: Origin
+    origin: TargetClient
     calls: CallFailures
     metrics: DaemonMetrics
     nursery: trio.Nursery
@@ -115,7 +115,7 @@
     def submit(
         self,
         attempt: MeshAttempt,
-        message: Message | None,
+        message: BufferedRequest | None,
     ) -> Execution | None:
         """Start an attempt; None if one of its name was here before.
 
@@ -261,12 +261,12 @@
         seconds_left = execution.deadline - started
         if seconds_left <= 0 or execution.message is None:
             return not_run(Reason.DEADLINE, self.target_condition())
-        stamp = Stamp(
+        stamp = CallContext(
             req_id=attempt.req_id,
-            left=seconds_left,
+            seconds_left=seconds_left,
             target=attempt.target,
             account=attempt.account,
-            caller=attempt.caller,
+            caller_service=attempt.caller,
         )
         execution.reached = True
         async with trio.open_nursery() as nursery:
--- a/src/clementinedeal/mesh/_peer_server.py
+++ b/src/clementinedeal/mesh/_peer_server.py
@@ -16,7 +16,6 @@
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh import _peer_wire as wire
 from clementinedeal.mesh._executions import Execution
-from clementinedeal.mesh._origin import Message
 from clementinedeal.mesh._outcomes import (
     MeshAttempt,
     MeshOutcome,
@@ -24,14 +23,15 @@
     not_run,
 )
 from clementinedeal.mesh._owner import MeshOwner
+from clementinedeal.mesh._target_client import BufferedRequest
 
 # Outcomes that come sooner need no confirmation before them.
-AT_ONCE_SECONDS = 0.03
-_REFUSED_STATUS = 503
-_FORBIDDEN = 403
+CONFIRM_AFTER_SECONDS = 0.03
+_UNAVAILABLE_STATUS = 503
+_FORBIDDEN_STATUS = 403
 
 
-class PeerServer:
+class MeshPeerServer:
     """Runs attempts that other daemons send."""
 
     def __init__(
@@ -57,104 +57,110 @@
         :param head: the request's head.
         :raises ConnLostError: the connection broke.
         """
-        message = await _read_message(conn, head)
+        request = await _read_request(conn, head)
         try:
-            found = self._find(head, message)
+            answer = self._dispatch(head, request)
         except UNREADABLE_ERRORS:
-            found = None
-        if isinstance(found, MeshOutcome):
-            await _send(conn, found)
-        elif found is None:
+            answer = None
+        if isinstance(answer, MeshOutcome):
+            await _respond(conn, answer)
+        elif answer is None:
             self._events.emit('peer-rejected', path=head.path)
             conn.close_after_answer()
-            await conn.respond(_FORBIDDEN, ())
+            await conn.respond(_FORBIDDEN_STATUS, ())
         else:
-            await self._await_outcome(conn, found)
+            await self._respond_when_settled(conn, answer)
 
-    def _find(
+    def _dispatch(
         self,
         head: RequestHead,
-        message: Message,
+        request: BufferedRequest,
     ) -> Execution | MeshOutcome | None:
         """Return what a peer's request is about; None if it is none."""
-        run = head.header(wire.RUN_HEADER)
-        if run is not None:
-            return self._begin(run.decode('latin-1'), message)
-        asked = head.header(wire.ASK_HEADER)
-        if asked is not None:
-            name, age = msgspec.json.decode(asked, type=tuple[str, float])
-            return self._recall(name, age)
+        reserved_id = head.header(wire.RUN_HEADER)
+        if reserved_id is not None:
+            return self._start_reserved(reserved_id.decode('latin-1'), request)
+        query = head.header(wire.ASK_HEADER)
+        if query is not None:
+            attempt_id, age = msgspec.json.decode(query, type=tuple[str, float])
+            return self._find_or_forbid(attempt_id, age)
         reserve = head.header(wire.RESERVE_HEADER)
-        sealed = reserve or head.header(wire.ATTEMPT_HEADER)
-        if sealed is None:
+        encoded = reserve or head.header(wire.ATTEMPT_HEADER)
+        if encoded is None:
             return None
-        attempt = msgspec.json.decode(sealed, type=MeshAttempt)
-        started = self._owner.submit(attempt, None if reserve else message)
+        attempt = msgspec.json.decode(encoded, type=MeshAttempt)
+        execution = self._owner.submit(attempt, None if reserve else request)
         # one that came twice is answered as the first, a forbidden one never
-        known = started or self._owner.executions.find(attempt.attempt)
-        return known or not_run(Reason.CANCELLED)
+        known_execution = execution or self._owner.executions.find(
+            attempt.attempt
+        )
+        return known_execution or not_run(Reason.CANCELLED)
 
-    def _begin(self, name: str, message: Message) -> Execution | MeshOutcome:
+    def _start_reserved(
+        self, attempt_id: str, request: BufferedRequest
+    ) -> Execution | MeshOutcome:
         """Hand the body to the request that holds a slot for it."""
-        known = self._owner.executions.find(name)
-        if known is None:
+        execution = self._owner.executions.find(attempt_id)
+        if execution is None:
             return not_run(Reason.CANCELLED)
-        if known.message is None and not known.done.is_set():
-            known.message = message
-            known.body_received.set()
-        return known
-
-    def _recall(self, name: str, age: float) -> Execution | MeshOutcome:
-        known = self._owner.executions.find(name)
-        if known is not None:
-            return known
-        never = self._owner.executions.forbid(name, age)
+        if execution.message is None and not execution.done.is_set():
+            execution.message = request
+            execution.body_received.set()
+        return execution
+
+    def _find_or_forbid(
+        self, attempt_id: str, age: float
+    ) -> Execution | MeshOutcome:
+        execution = self._owner.executions.find(attempt_id)
+        if execution is not None:
+            return execution
+        never_starts = self._owner.executions.forbid(attempt_id, age)
         return MeshOutcome(
-            verdict=Verdict.NOT_RUN if never else Verdict.MAY_HAVE_RUN,
+            verdict=Verdict.NOT_RUN if never_starts else Verdict.MAY_HAVE_RUN,
             reason=Reason.CANCELLED,
-            reached=not never,
+            reached=not never_starts,
         )
 
-    async def _await_outcome(
+    async def _respond_when_settled(
         self,
         conn: ServerConn,
         execution: Execution,
     ) -> None:
         execution.reader_count += 1
-        settled = execution.done
+        settled_event = execution.done
         if execution.message is None:
-            settled = execution.body_wanted
+            settled_event = execution.body_wanted
         try:
-            await _wait_watched(conn, settled)
+            await _wait_while_connected(conn, settled_event)
             if execution.outcome is None:
                 await conn.respond(wire.RESERVED_STATUS, ())
             else:
-                await _send(conn, execution.outcome)
+                await _respond(conn, execution.outcome)
         finally:
             execution.reader_count -= 1
-            if not settled.is_set():
+            if not settled_event.is_set():
                 self._nursery.start_soon(self._owner.abandon_later, execution)
 
 
-async def _wait_watched(conn: ServerConn, event: trio.Event) -> None:
+async def _wait_while_connected(conn: ServerConn, event: trio.Event) -> None:
     """Wait for an event, confirming the request if it takes a while.
 
     :raises ConnLostError: the entry left.
     """
-    with trio.move_on_after(AT_ONCE_SECONDS):
+    with trio.move_on_after(CONFIRM_AFTER_SECONDS):
         await event.wait()
     if event.is_set():
         return
     await conn.send_interim()
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_cancel_when_left, conn, nursery.cancel_scope)
+        nursery.start_soon(_cancel_on_disconnect, conn, nursery.cancel_scope)
         await event.wait()
         nursery.cancel_scope.cancel()
     if not event.is_set():
         raise ConnLostError('the entry left')
 
 
-async def _cancel_when_left(
+async def _cancel_on_disconnect(
     conn: ServerConn,
     scope: trio.CancelScope,
 ) -> None:
@@ -162,17 +168,17 @@
     scope.cancel()
 
 
-async def _read_message(conn: ServerConn, head: RequestHead) -> Message:
+async def _read_request(conn: ServerConn, head: RequestHead) -> BufferedRequest:
     body = await conn.read_whole()
     headers = tuple(
         pair
         for pair in strip_internal_headers(end_to_end(head.headers))
         if pair[0] != CONTENT_LENGTH
     )
-    return Message(head.method, head.path, headers, body)
+    return BufferedRequest(head.method, head.path, headers, body)
 
 
-async def _send(conn: ServerConn, outcome: MeshOutcome) -> None:
+async def _respond(conn: ServerConn, outcome: MeshOutcome) -> None:
     headers = ((wire.TOLD_HEADER, encode_outcome_header(outcome)),)
     if outcome.verdict is Verdict.RAN:
         kept = tuple(
@@ -180,4 +186,4 @@
         )
         await conn.respond(outcome.status, (*kept, *headers), outcome.body)
         return
-    await conn.respond(_REFUSED_STATUS, headers)
+    await conn.respond(_UNAVAILABLE_STATUS, headers)
--- a/src/clementinedeal/mesh/_program.py
+++ b/src/clementinedeal/mesh/_program.py
@@ -23,9 +23,9 @@
 def main() -> int:
     """Run the daemon until SIGTERM; 2 if its settings are not acceptable."""
     reload = functools.partial(load_node, node_path())
-    found = reload()
-    if isinstance(found, Err):
-        sys.stderr.write(f'clementinedeal: {found.err_value}\n')
+    loaded = reload()
+    if isinstance(loaded, Err):
+        sys.stderr.write(f'clementinedeal: {loaded.err_value}\n')
         return _USAGE_EXIT
     output = OutputQueue(sys.stdout.fileno())
     logging.basicConfig(
@@ -34,14 +34,14 @@
         format=_LOG_FORMAT,
     )
     daemon = MeshDaemon(
-        found.ok_value,
+        loaded.ok_value,
         reload,
         PlatformStore,
         PlatformDialect(),
     )
-    daemon.left_out = lambda: output.total_left_out
+    daemon.count_dropped_lines = lambda: output.dropped_lines
     trio.run(_run, daemon, output)
-    output.flush_rest()
+    output.flush_remaining()
     return 0
 
 
--- a/src/clementinedeal/mesh/_rate_limiter.py
+++ b/src/clementinedeal/mesh/_rate_limiter.py
@@ -131,7 +131,9 @@
         :param events: hears of homes that do not answer.
         :param bounds: the operators' tolerance.
         """
-        self._limit_factor = 1 + USED_TOLERANCE_FRACTION * bounds.allowance_over
+        self._limit_factor = (
+            1 + USED_TOLERANCE_FRACTION * bounds.allowance_over_fraction
+        )
         self._extra_burst = USED_TOLERANCE_FRACTION * bounds.allowance_slack
         self._host = host
         self._hosts = hosts
@@ -151,7 +153,7 @@
 
         :param catalog: the declaration.
         """
-        self._accounts = catalog.by_name
+        self._accounts = catalog.accounts_by_name
         self._share_buckets.clear()
         for name in self._home_buckets.keys() - self._accounts.keys():
             del self._home_buckets[name]
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -11,7 +11,6 @@
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._admission import AdmittedRequest
 from clementinedeal.mesh._balancer import Balancer
-from clementinedeal.mesh._origin import Message
 from clementinedeal.mesh._outcomes import (
     MeshAttempt,
     MeshOutcome,
@@ -19,11 +18,12 @@
     not_run,
 )
 from clementinedeal.mesh._owner import MeshOwner
-from clementinedeal.mesh._peer_client import PeerClient
+from clementinedeal.mesh._peer_client import MeshPeerClient
 from clementinedeal.mesh._plan import FinishStep, PauseStep, Plan, SendStep
 from clementinedeal.mesh._retry_tokens import RetryTokenBucket
-from clementinedeal.mesh._settings import NodeSettings
+from clementinedeal.mesh._settings import MeshDaemonSettings
 from clementinedeal.mesh._slots import Rank
+from clementinedeal.mesh._target_client import BufferedRequest
 from clementinedeal.mesh._types import Target
 
 # Priority of a request without a key that no run of the own target made.
@@ -32,19 +32,19 @@
 ANSWER_GRACE_SECONDS = 0.12
 # How often it is looked for attempts that take too long; they are given up
 # after seconds.
-PATIENCE_POLL_SECONDS = 0.1
+OVERDUE_POLL_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SenderParts:
     """What a sender works with; settings may change while it runs."""
 
-    settings: Callable[[], NodeSettings]
+    settings: Callable[[], MeshDaemonSettings]
     clock: Clock
     events: EventLog
     balancer: Balancer
     owner: MeshOwner
-    peers: PeerClient
+    peer_client: MeshPeerClient
 
 
 class Sender:
@@ -56,43 +56,45 @@
         :param parts: its collaborators.
         """
         self._parts = parts
-        self._budgets: dict[str, RetryTokenBucket] = {}
-        self._trying: set[PendingAttempt] = set()
-        self._stopping = False
-        self._closing = False
-        self.daemons = 1
+        self._retry_budgets: dict[str, RetryTokenBucket] = {}
+        self._running_attempts: set[PendingAttempt] = set()
+        self._keeps_overdue = False
+        self._is_closing = False
+        self.daemon_count = 1
 
     @property
-    def repeats(self) -> int:
+    def retry_count(self) -> int:
         """Repeats sent since the start."""
-        return sum(budget.retries_taken for budget in self._budgets.values())
+        return sum(
+            budget.retries_taken for budget in self._retry_budgets.values()
+        )
 
     async def run(self) -> None:
         """Break off attempts that take too long, where others may follow."""
         while True:
-            await trio.sleep(PATIENCE_POLL_SECONDS)
-            if self._stopping:
+            await trio.sleep(OVERDUE_POLL_SECONDS)
+            if self._keeps_overdue:
                 return
             now = self._parts.clock.now()
-            for trying in tuple(self._trying):
+            for trying in tuple(self._running_attempts):
                 if trying.overdue_at <= now and trying.reserve_retry(now):
                     trying.scope.cancel()
 
-    def stop(self) -> None:
+    def keep_overdue(self) -> None:
         """Break off nothing any more for a repeat that might not end."""
-        self._stopping = True
+        self._keeps_overdue = True
 
-    def close(self) -> None:
+    def cancel_unsent(self) -> None:
         """Begin nothing any more; what waits for a target is refused."""
-        self._closing = True
-        for trying in self._trying:
+        self._is_closing = True
+        for trying in self._running_attempts:
             if not trying.sent:
                 trying.scope.cancel()
 
-    def end(self) -> None:
+    def cancel_all(self) -> None:
         """Give up what still runs: there is no time left to wait for it."""
-        self._closing = True
-        for trying in self._trying:
+        self._is_closing = True
+        for trying in self._running_attempts:
             trying.scope.cancel()
 
     async def send(self, admitted: AdmittedRequest) -> MeshOutcome:
@@ -101,7 +103,7 @@
         :param admitted: the request.
         """
         parts = self._parts
-        budget = self._budget(admitted.service)
+        budget = self._find_retry_budget(admitted.service)
         budget.add_request()
         plan = Plan(
             admitted.route,
@@ -110,30 +112,32 @@
             budget,
             admitted.deadline,
         )
-        tries = 0
+        attempt_number = 0
         while True:
             match plan.next_step(parts.clock.now()):
                 case FinishStep(outcome=outcome):
                     return outcome
-                case _ if self._closing:
+                case _ if self._is_closing:
                     return plan.conclude(Reason.DRAINING)
                 case PauseStep(seconds=seconds):
                     await trio.sleep(seconds)
                 case SendStep() as step:
-                    tries += 1
-                    outcome = await self._try(admitted, plan, step, tries)
+                    attempt_number += 1
+                    outcome = await self._run_attempt(
+                        admitted, plan, step, attempt_number
+                    )
                     plan.on_outcome(step.target.name, outcome)
 
-    async def _try(
+    async def _run_attempt(
         self,
         admitted: AdmittedRequest,
         plan: Plan,
         step: SendStep,
-        number: int,
+        attempt_number: int,
     ) -> MeshOutcome:
         parts = self._parts
         target = step.target
-        attempt = self._attempt(admitted, step, number)
+        attempt = self._build_attempt(admitted, step, attempt_number)
         outcome: MeshOutcome | None = None
         limit = max(0, attempt.left) + ANSWER_GRACE_SECONDS
         trying = PendingAttempt(
@@ -141,11 +145,11 @@
             parts.clock.now() + step.overdue_after,
             plan.reserve_retry,
         )
-        self._trying.add(trying)
+        self._running_attempts.add(trying)
         parts.balancer.on_attempt_started(target.name)
         try:
             with trying.scope:
-                outcome = await self._send(
+                outcome = await self._send_attempt(
                     target,
                     attempt,
                     admitted.message,
@@ -162,10 +166,10 @@
             )
             raise
         finally:
-            self._trying.remove(trying)
+            self._running_attempts.remove(trying)
             parts.balancer.on_attempt_ended(target.name, outcome)
         if outcome is None:
-            outcome = self._given_up(trying)
+            outcome = self._unanswered_outcome(trying)
         parts.events.emit(
             'attempt-tried',
             req=admitted.req_id,
@@ -180,9 +184,9 @@
         )
         return outcome
 
-    def _given_up(self, trying: PendingAttempt) -> MeshOutcome:
+    def _unanswered_outcome(self, trying: PendingAttempt) -> MeshOutcome:
         """Return the outcome of an attempt without an answer."""
-        reason = Reason.DRAINING if self._closing else Reason.DEADLINE
+        reason = Reason.DRAINING if self._is_closing else Reason.DEADLINE
         if not trying.sent:
             return not_run(reason)
         return MeshOutcome(
@@ -191,23 +195,23 @@
             reached=True,
         )
 
-    async def _send(
+    async def _send_attempt(
         self,
         target: Target,
         attempt: MeshAttempt,
-        message: Message,
+        request: BufferedRequest,
         trying: PendingAttempt,
     ) -> MeshOutcome:
         settings = self._parts.settings()
-        if target.address != settings.target:
-            port = settings.peers.rpartition(':')[2]
-            return await self._parts.peers.attempt(
+        if target.address != settings.target_address:
+            port = settings.peer_address.rpartition(':')[2]
+            return await self._parts.peer_client.send_attempt(
                 f'{target.host}:{port}',
                 attempt,
-                message,
+                request,
                 trying,
             )
-        execution = self._parts.owner.submit(attempt, message)
+        execution = self._parts.owner.submit(attempt, request)
         assert execution is not None
         trying.sent = True
         try:
@@ -219,12 +223,12 @@
         assert execution.outcome is not None
         return execution.outcome
 
-    def _attempt(
-        self, admitted: AdmittedRequest, step: SendStep, number: int
+    def _build_attempt(
+        self, admitted: AdmittedRequest, step: SendStep, attempt_number: int
     ) -> MeshAttempt:
         parts = self._parts
         return MeshAttempt(
-            attempt=f'{new_request_id()[:12]}.{number}',
+            attempt=f'{new_request_id()[:12]}.{attempt_number}',
             req_id=admitted.req_id,
             target=step.target.name,
             left=round(admitted.deadline - parts.clock.now(), 3),
@@ -243,14 +247,14 @@
         """Return the place in queues: a call is as urgent as who makes it."""
         if admitted.account is not None:
             return admitted.account.priority, admitted.route.priority
-        maker = self._parts.owner.most_urgent_rank
-        return maker or (KEYLESS_PRIORITY, admitted.route.priority)
+        calling_rank = self._parts.owner.most_urgent_rank
+        return calling_rank or (KEYLESS_PRIORITY, admitted.route.priority)
 
-    def _budget(self, service: str) -> RetryTokenBucket:
-        budget = self._budgets.get(service)
+    def _find_retry_budget(self, service: str) -> RetryTokenBucket:
+        budget = self._retry_budgets.get(service)
         if budget is None:
             bounds = self._parts.settings().bounds
             budget = RetryTokenBucket(bounds, self._parts.clock)
-            self._budgets[service] = budget
-        budget.daemon_count = self.daemons
+            self._retry_budgets[service] = budget
+        budget.daemon_count = self.daemon_count
         return budget
--- a/src/clementinedeal/mesh/_settings.py
+++ b/src/clementinedeal/mesh/_settings.py
@@ -15,17 +15,17 @@
     requests in any ``allowance_window``.
     """
 
-    revoke: float = 5.0
+    revoke_seconds: float = 5.0
     retry_ratio: float = 0.2
-    retry_window: float = 10.0
+    retry_window_seconds: float = 10.0
     retry_slack: float = 60.0
-    stop: float = 6.0
-    allowance_over: float = 0.0
+    stop_seconds: float = 6.0
+    allowance_over_fraction: float = 0.0
     allowance_slack: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class NodeSettings:
+class MeshDaemonSettings:
     """One daemon's place; listen addresses are ``ip:port``.
 
     ``callers`` is where clients and the target of the same instance send
@@ -36,11 +36,11 @@
 
     instance: str
     zone: str
-    callers: str
-    peers: str
-    ready: str
-    target: str
+    caller_address: str
+    peer_address: str
+    ready_address: str
+    target_address: str
     service: str
-    platform: str
-    ports: tuple[int, int]
+    platform_address: str
+    port_range: tuple[int, int]
     bounds: Bounds = field(default_factory=Bounds)
--- a/src/clementinedeal/mesh/_stop.py
+++ b/src/clementinedeal/mesh/_stop.py
@@ -67,7 +67,7 @@
 
     def _start_draining(self) -> None:
         """Take no work for the target, close connections after answers."""
-        self._parts.sender.stop()
+        self._parts.sender.keep_overdue()
         self._parts.owner.stop_admitting()
         for server in self._parts.servers:
             server.drain()
@@ -75,12 +75,12 @@
     def _refuse_new_work(self) -> None:
         """Begin nothing that the end might cut."""
         self._parts.admission.is_closing = True
-        self._parts.sender.close()
+        self._parts.sender.cancel_unsent()
         self._parts.caller_server.close_idle()
 
     def _cancel_running(self) -> None:
         """Answer what still runs: that it may have run is all that is known."""
-        self._parts.sender.end()
+        self._parts.sender.cancel_all()
         self._parts.owner.cancel_running()
 
     async def _wait_finished(self, until: float) -> bool:
--- a/src/clementinedeal/mesh/_origin.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -20,33 +20,33 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh._contracts import Dialect, Signs, Stamp
+from clementinedeal.mesh._contracts import AnswerHeaders, CallContext, Dialect
 from clementinedeal.mesh._idle_limit import IdleLimit
 from clementinedeal.mesh._outcomes import MeshOutcome, not_run
 
 # Bodies up to this size fit the socket's buffer whatever the target reads.
-SMALL_BODY_BYTES = 8192
+MAX_BUFFERED_BODY_BYTES = 8192
 # Idle connections are given up this long before the target closes them.
 IDLE_MARGIN_SECONDS = 1.0
 # A target that says nothing of its idle limit is taken to close after this.
-IDLE_SECONDS = 4.0
+DEFAULT_IDLE_SECONDS = 4.0
 # A target answers at its deadline itself; this much later it is silent.
 DEADLINE_GRACE_SECONDS = 0.1
-MOST_FOREIGN_ANSWERS = 3
+MAX_FOREIGN_ANSWERS = 3
 # The 13 requests that a target runs at once then hold 55 MB of the smallest
 # machine's 200 MB.
-MOST_ANSWER_BYTES = 4 << 20
+MAX_ANSWER_BYTES = 4 << 20
 # A target resets what comes on a connection that it forgot at once, and no
 # target is known to forget one that rested less than 200 ms.
-FORGOTTEN_SECONDS = 0.05
-LEAST_REST_SECONDS = 0.15
+MAX_RESET_SECONDS = 0.05
+MIN_REST_SECONDS = 0.15
 
 _SUCCESS = range(200, 300)
 _FAILURE_STATUS = 500
 
 
 @dataclass(frozen=True, slots=True)
-class Message:
+class BufferedRequest:
     """A request with its whole body and end-to-end headers only."""
 
     method: str
@@ -55,7 +55,7 @@
     body: bytes
 
 
-class Origin:
+class TargetClient:
     """Calls one target over kept-alive connections."""
 
     def __init__(
@@ -79,9 +79,11 @@
         self._dialect = dialect
         self._clock = clock
         self._events = events
-        self._rest = IdleLimit(clock)
+        self._rest_limit = IdleLimit(clock)
 
-    async def call(self, message: Message, stamp: Stamp) -> MeshOutcome:
+    async def call(
+        self, request: BufferedRequest, context: CallContext
+    ) -> MeshOutcome:
         """Run a request and return what came of it.
 
         :param message: the request.
@@ -90,17 +92,17 @@
         try:
             conn = await self._pool.acquire(
                 self._address,
-                self._rest.max_idle_seconds(),
+                self._rest_limit.max_idle_seconds(),
             )
         except ConnLostError:
             return not_run(Reason.NO_TARGET)
-        kept = False
-        begun = self._clock.now()
+        is_released = False
+        started_at = self._clock.now()
         try:
-            limit = max(0, stamp.left) + DEADLINE_GRACE_SECONDS
+            limit = max(0, context.seconds_left) + DEADLINE_GRACE_SECONDS
             with trio.move_on_after(limit):
-                outcome, idle = await self._converse(conn, message, stamp)
-                kept = idle is not None
+                outcome, idle = await self._exchange(conn, request, context)
+                is_released = idle is not None
                 if idle is not None:
                     await self._pool.release(self._address, conn, idle)
                 return outcome
@@ -111,109 +113,119 @@
                 bytes=exc.size,
                 limit=exc.limit,
             )
-            return _unknown(Reason.ANSWER_INCOMPLETE)
+            return _may_have_run(Reason.ANSWER_INCOMPLETE)
         except HttpError:
-            return _unknown(Reason.ANSWER_INCOMPLETE)
+            return _may_have_run(Reason.ANSWER_INCOMPLETE)
         except ConnLostError:
-            return self._judge_loss(conn.rested, self._clock.now() - begun)
+            return self._classify_loss(
+                conn.rested, self._clock.now() - started_at
+            )
         finally:
-            if not kept:
+            if not is_released:
                 conn.abort()
-        return _unknown(Reason.DEADLINE)
+        return _may_have_run(Reason.DEADLINE)
 
-    def _judge_loss(self, rested: float | None, spent: float) -> MeshOutcome:
+    def _classify_loss(
+        self, rested: float | None, seconds: float
+    ) -> MeshOutcome:
         """Tell a connection that was forgotten from an answer cut short."""
-        if rested is None or rested < LEAST_REST_SECONDS:
-            return _unknown(Reason.ANSWER_INCOMPLETE)
-        if spent > FORGOTTEN_SECONDS:
-            return _unknown(Reason.ANSWER_INCOMPLETE)
-        self._rest.on_connection_forgotten(rested)
+        if rested is None or rested < MIN_REST_SECONDS:
+            return _may_have_run(Reason.ANSWER_INCOMPLETE)
+        if seconds > MAX_RESET_SECONDS:
+            return _may_have_run(Reason.ANSWER_INCOMPLETE)
+        self._rest_limit.on_connection_forgotten(rested)
         self._events.emit(
             'connection-forgotten',
             address=self._address,
             rested=f'{rested:.3f}',
-            limit=f'{self._rest.max_idle_seconds():.3f}',
+            limit=f'{self._rest_limit.max_idle_seconds():.3f}',
         )
-        return _unknown(Reason.CONNECTION_FORGOTTEN)
+        return _may_have_run(Reason.CONNECTION_FORGOTTEN)
 
-    async def _converse(
+    async def _exchange(
         self,
         conn: ClientConn,
-        message: Message,
-        stamp: Stamp,
+        request: BufferedRequest,
+        context: CallContext,
     ) -> tuple[MeshOutcome, float | None]:
         """Return the outcome and how long the connection may stay idle."""
-        added = self._dialect.target_headers(message.headers, stamp)
-        if message.body or message.method not in {'GET', 'HEAD'}:
-            length = (CONTENT_LENGTH, b'%d' % len(message.body))
+        added = self._dialect.target_headers(request.headers, context)
+        if request.body or request.method not in {'GET', 'HEAD'}:
+            length = (CONTENT_LENGTH, b'%d' % len(request.body))
             added = (*added, length)
-        head = RequestHead(message.method, message.path, added)
-        if len(message.body) <= SMALL_BODY_BYTES:
-            await conn.send_whole(head, message.body)
-            return await self._read_answer(conn, stamp)
-        sent = trio.Event()
-        found: tuple[MeshOutcome, float | None] | ProtocolError
+        head = RequestHead(request.method, request.path, added)
+        if len(request.body) <= MAX_BUFFERED_BODY_BYTES:
+            await conn.send_whole(head, request.body)
+            return await self._read_answer(conn, context)
+        body_sent = trio.Event()
+        answer: tuple[MeshOutcome, float | None] | ProtocolError
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_send, conn, head, message.body, sent)
+            nursery.start_soon(
+                _send_request, conn, head, request.body, body_sent
+            )
             try:
-                found = await self._read_answer(conn, stamp)
+                answer = await self._read_answer(conn, context)
             except (ConnLostError, HttpError) as exc:
-                found = exc
+                answer = exc
             nursery.cancel_scope.cancel()
-        if isinstance(found, ProtocolError):
-            raise found
+        if isinstance(answer, ProtocolError):
+            raise answer
         # a target that answered early may still read the rest
-        return found if sent.is_set() else (found[0], None)
+        return answer if body_sent.is_set() else (answer[0], None)
 
     async def _read_answer(
         self,
         conn: ClientConn,
-        stamp: Stamp,
+        context: CallContext,
     ) -> tuple[MeshOutcome, float | None]:
-        for _ in range(MOST_FOREIGN_ANSWERS):
+        for _ in range(MAX_FOREIGN_ANSWERS):
             head = await conn.read_head()
-            body = await conn.read_whole(MOST_ANSWER_BYTES)
-            signs = self._dialect.read_answer(head)
-            own = signs.req_id == stamp.req_id
-            if own or signs.req_id not in conn.answered:
+            body = await conn.read_whole(MAX_ANSWER_BYTES)
+            answer_headers = self._dialect.read_answer(head)
+            is_own = answer_headers.req_id == context.req_id
+            if is_own or answer_headers.req_id not in conn.answered:
                 break
             self._events.emit(
                 'answer-skipped',
                 address=self._address,
-                req=stamp.req_id,
-                other=signs.req_id,
+                req=context.req_id,
+                other=answer_headers.req_id,
             )
             conn.skip_answer()
         else:
-            return _unknown(Reason.ANSWER_WRONG), None
-        conn.answered.append(stamp.req_id)
-        idle = None if signs.closing else _idle_limit(signs)
-        return judge_answer(head, body, signs, stamp), idle
+            return _may_have_run(Reason.ANSWER_WRONG), None
+        conn.answered.append(context.req_id)
+        idle = None if answer_headers.closing else _idle_limit(answer_headers)
+        return classify_answer(head, body, answer_headers, context), idle
 
 
-async def _send(
+async def _send_request(
     conn: ClientConn,
     head: RequestHead,
     body: bytes,
-    sent: trio.Event,
+    body_sent: trio.Event,
 ) -> None:
     try:
         await conn.send_whole(head, body)
     except ConnLostError:
         return  # the reading side reports what came of the request
-    sent.set()
+    body_sent.set()
 
 
-def _idle_limit(signs: Signs) -> float | None:
-    limit = IDLE_SECONDS if signs.idle is None else signs.idle
+def _idle_limit(answer_headers: AnswerHeaders) -> float | None:
+    limit = (
+        DEFAULT_IDLE_SECONDS
+        if answer_headers.idle_seconds is None
+        else answer_headers.idle_seconds
+    )
     return limit - IDLE_MARGIN_SECONDS if limit > IDLE_MARGIN_SECONDS else None
 
 
-def judge_answer(
+def classify_answer(
     head: ResponseHead,
     body: bytes,
-    signs: Signs,
-    stamp: Stamp,
+    answer_headers: AnswerHeaders,
+    context: CallContext,
 ) -> MeshOutcome:
     """Decide what a target's whole answer says of a request.
 
@@ -222,25 +234,31 @@
     :param signs: what the headers say.
     :param stamp: what was sent with the request.
     """
-    foreign = signs.req_id != stamp.req_id
-    if foreign and signs.req_id:
-        return _unknown(Reason.ANSWER_WRONG)
-    if signs.not_run:
-        reason = Reason.WRONG_INCARNATION if signs.moved else Reason.QUEUE_FULL
+    is_foreign = answer_headers.req_id != context.req_id
+    if is_foreign and answer_headers.req_id:
+        return _may_have_run(Reason.ANSWER_WRONG)
+    if answer_headers.not_run:
+        reason = (
+            Reason.WRONG_INCARNATION
+            if answer_headers.misdirected
+            else Reason.QUEUE_FULL
+        )
         return MeshOutcome(
             verdict=Verdict.NOT_RUN,
             reason=reason,
             reached=True,
         )
-    success = head.status in _SUCCESS
-    if signs.encoded or (success and (foreign or not signs.sealed)):
-        return _unknown(Reason.ANSWER_WRONG)
-    if not signs.sealed and head.status >= _FAILURE_STATUS:
-        return _unknown(Reason.TARGET_FAILED)
-    failed = head.status >= _FAILURE_STATUS
+    is_success = head.status in _SUCCESS
+    if answer_headers.encoded or (
+        is_success and (is_foreign or not answer_headers.sealed)
+    ):
+        return _may_have_run(Reason.ANSWER_WRONG)
+    if not answer_headers.sealed and head.status >= _FAILURE_STATUS:
+        return _may_have_run(Reason.TARGET_FAILED)
+    is_failure = head.status >= _FAILURE_STATUS
     return MeshOutcome(
         verdict=Verdict.RAN,
-        reason=Reason.TARGET_FAILED if failed else None,
+        reason=Reason.TARGET_FAILED if is_failure else None,
         reached=True,
         status=head.status,
         headers=end_to_end(head.headers),
@@ -248,7 +266,7 @@
     )
 
 
-def _unknown(reason: Reason) -> MeshOutcome:
+def _may_have_run(reason: Reason) -> MeshOutcome:
     return MeshOutcome(
         verdict=Verdict.MAY_HAVE_RUN, reason=reason, reached=True
     )
--- a/src/clementinedeal/platform/_declaration.py
+++ b/src/clementinedeal/platform/_declaration.py
@@ -33,7 +33,7 @@
     resources: list[_Resource]
 
 
-class _Weighted(msgspec.Struct):
+class _SplitPart(msgspec.Struct):
     service: str
     weight: float
 
@@ -49,7 +49,7 @@
     attempts: int = 1
     public: bool = False
     service: str = ''
-    split: list[_Weighted] = []
+    split: list[_SplitPart] = []
 
 
 class _Account(msgspec.Struct):
@@ -83,16 +83,18 @@
     services = set()
     routes = []
     accounts = []
-    for one in document.resources:
-        match one.entry_type:
+    for resource in document.resources:
+        match resource.entry_type:
             case 'routes':
-                routes.append(_route(one))
+                routes.append(_convert_route(resource))
             case 'services':
-                services.add(one.metadata.name)
+                services.add(resource.metadata.name)
             case 'tenants':
-                accounts.append(_account(one))
+                accounts.append(_convert_account(resource))
             case 'limits':
-                limits = _limits(msgspec.convert(one.spec, _Limits))
+                limits = _convert_limits(
+                    msgspec.convert(resource.spec, _Limits)
+                )
     return Declaration(
         version=document.version,
         routes=tuple(routes),
@@ -102,7 +104,7 @@
     )
 
 
-def _route(resource: _Resource) -> RouteRule:
+def _convert_route(resource: _Resource) -> RouteRule:
     spec = msgspec.convert(resource.spec, _Route)
     parts = tuple(
         WeightedService(service=one.service, weight=one.weight)
@@ -123,7 +125,7 @@
     )
 
 
-def _account(resource: _Resource) -> ClientAccount:
+def _convert_account(resource: _Resource) -> ClientAccount:
     spec = msgspec.convert(resource.spec, _Account)
     return ClientAccount(
         name=resource.metadata.name,
@@ -134,7 +136,7 @@
     )
 
 
-def _limits(spec: _Limits) -> RequestLimits:
+def _convert_limits(spec: _Limits) -> RequestLimits:
     return RequestLimits(
         head_bytes=spec.max_header_bytes,
         body_bytes=spec.max_body_bytes,
--- a/src/clementinedeal/platform/_items.py
+++ b/src/clementinedeal/platform/_items.py
@@ -27,7 +27,7 @@
             raise UnreadableError(f'{self.key}: not base64') from exc
 
 
-class Range(msgspec.Struct):
+class ItemPage(msgspec.Struct):
     """One page of items."""
 
     items: list[Item]
@@ -35,7 +35,7 @@
     at_rev: int
 
 
-class Revision(msgspec.Struct):
+class StoreRevision(msgspec.Struct):
     """What an answer without an item tells."""
 
     at_rev: int = 0
--- a/src/clementinedeal/platform/_node.py
+++ b/src/clementinedeal/platform/_node.py
@@ -8,7 +8,7 @@
 
 from clementinedeal._addresses import is_address
 from clementinedeal._errors import SettingsError
-from clementinedeal.mesh._settings import Bounds, NodeSettings
+from clementinedeal.mesh._settings import Bounds, MeshDaemonSettings
 
 NODE_FILE_VARIABLE = 'CLEMENTINEDEAL_NODE_FILE'
 
@@ -50,57 +50,57 @@
     return os.environ.get(NODE_FILE_VARIABLE, '')
 
 
-def load_node(path: str) -> Result[NodeSettings, SettingsError]:
+def load_node(path: str) -> Result[MeshDaemonSettings, SettingsError]:
     """Read and check the platform's settings file.
 
     :param path: the TOML file.
     """
     try:
         with open(path, 'rb') as stream:
-            told = msgspec.convert(tomllib.load(stream), _Node)
+            node = msgspec.convert(tomllib.load(stream), _Node)
     except msgspec.ValidationError as exc:
-        return Err(_error(path, str(exc)))
+        return Err(_settings_error(path, str(exc)))
     except (OSError, ValueError) as exc:
         return Err(SettingsError(file=path, path='.', reason=str(exc)))
     addresses = {
-        'listen.inbound': told.listen.inbound,
-        'listen.outbound': told.listen.outbound,
-        'listen.ready': told.listen.ready,
-        'platform.address': told.platform.address,
-        'app_addr': told.app_addr,
+        'listen.inbound': node.listen.inbound,
+        'listen.outbound': node.listen.outbound,
+        'listen.ready': node.listen.ready,
+        'platform.address': node.platform.address,
+        'app_addr': node.app_addr,
     }
     for name, address in addresses.items():
         if not is_address(address):
             reason = f'{address!r} is not ip:port'
             return Err(SettingsError(file=path, path=name, reason=reason))
-    return Ok(_convert(told))
-
-
-def _convert(told: _Node) -> NodeSettings:
-    bounds = told.bounds
-    return NodeSettings(
-        instance=told.node,
-        zone=told.zone,
-        callers=told.listen.outbound,
-        peers=told.listen.inbound,
-        ready=told.listen.ready,
-        target=told.app_addr,
-        service=told.service,
-        platform=told.platform.address,
-        ports=told.port_range,
+    return Ok(_convert(node))
+
+
+def _convert(node: _Node) -> MeshDaemonSettings:
+    bounds = node.bounds
+    return MeshDaemonSettings(
+        instance=node.node,
+        zone=node.zone,
+        caller_address=node.listen.outbound,
+        peer_address=node.listen.inbound,
+        ready_address=node.listen.ready,
+        target_address=node.app_addr,
+        service=node.service,
+        platform_address=node.platform.address,
+        port_range=node.port_range,
         bounds=Bounds(
-            revoke=bounds.revoke_s,
+            revoke_seconds=bounds.revoke_s,
             retry_ratio=bounds.retry_ratio,
-            retry_window=bounds.retry_window_s,
+            retry_window_seconds=bounds.retry_window_s,
             retry_slack=bounds.retry_slack,
-            stop=bounds.grace_s,
-            allowance_over=bounds.quota_over,
+            stop_seconds=bounds.grace_s,
+            allowance_over_fraction=bounds.quota_over,
             allowance_slack=bounds.quota_slack,
         ),
     )
 
 
-def _error(path: str, text: str) -> SettingsError:
+def _settings_error(path: str, text: str) -> SettingsError:
     """Split msgspec's message into the entry and what is wrong with it."""
     reason, _, entry = text.partition(' - at `$')
     return SettingsError(
--- a/src/clementinedeal/platform/_registration.py
+++ b/src/clementinedeal/platform/_registration.py
@@ -38,22 +38,22 @@
     :raises UnreadableError: it names no target that could be used.
     """
     try:
-        told = msgspec.json.decode(blob, type=_Registration)
+        registration = msgspec.json.decode(blob, type=_Registration)
     except UNREADABLE_ERRORS as exc:
         raise UnreadableError(str(exc)) from exc
-    if told.status.state not in _STATES:
-        raise UnreadableError(f'unknown state {told.status.state!r}')
-    if not is_address(told.address):
-        raise UnreadableError(f'{told.address!r} is not ip:port')
-    if told.info.slots < 1 or not told.info.service:
+    if registration.status.state not in _STATES:
+        raise UnreadableError(f'unknown state {registration.status.state!r}')
+    if not is_address(registration.address):
+        raise UnreadableError(f'{registration.address!r} is not ip:port')
+    if registration.info.slots < 1 or not registration.info.service:
         raise UnreadableError('no slots or no service')
     return Target(
         name=name,
-        service=told.info.service,
-        address=told.address,
-        zone=told.info.zone,
-        slots=told.info.slots,
-        draining=told.status.state == 'draining',
-        warmup_seconds=told.status.warmup_s_time,
-        started_ms=told.born,
+        service=registration.info.service,
+        address=registration.address,
+        zone=registration.info.zone,
+        slots=registration.info.slots,
+        draining=registration.status.state == 'draining',
+        warmup_seconds=registration.status.warmup_s_time,
+        started_ms=registration.born,
     )
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -23,7 +23,12 @@
     UnreadableError,
     decode_declaration,
 )
-from clementinedeal.platform._items import Changes, Item, Range, Revision
+from clementinedeal.platform._items import (
+    Changes,
+    Item,
+    ItemPage,
+    StoreRevision,
+)
 from clementinedeal.platform._registration import decode_target
 
 _CONFIG_KEY = 'op/config'
@@ -37,9 +42,9 @@
 CALL_SECONDS = 1.0
 # A page of the store has about 1 MB, and three calls may run at once: 24 MiB
 # of the smallest machine's 200 MB.
-MOST_ANSWER_BYTES = 8 << 20
+MAX_ANSWER_BYTES = 8 << 20
 # A page has some 500 items: a list of 50,000 targets.
-MOST_PAGES = 100
+MAX_PAGES = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +71,7 @@
         self._address = address
         self._pool = pool
         self._events = events
-        self._unreadable: dict[str, int] = {}
+        self._unreadable_revisions: dict[str, int] = {}
         self.calls = 0
 
     async def read(self) -> DeclarationUpdate:
@@ -78,7 +83,7 @@
         if answer.status == _NOT_FOUND:
             return DeclarationUpdate(revision=_missing_revision(answer))
         item = _decode(answer, Item)
-        return self._declaration(item, item.at_rev)
+        return self._convert_declaration(item, item.at_rev)
 
     async def wait(self, revision: int, seconds: float) -> DeclarationUpdate:
         """Wait for a declaration newer than a revision.
@@ -90,7 +95,7 @@
         changes = await self._watch(_CONFIG_KEY, revision, seconds)
         for item in reversed(changes.events):
             if item.key == _CONFIG_KEY and not item.deleted:
-                return self._declaration(item, changes.at_rev)
+                return self._convert_declaration(item, changes.at_rev)
         return DeclarationUpdate(revision=changes.at_rev)
 
     async def list_targets(self, *, may_lag: bool) -> Listing:
@@ -104,11 +109,11 @@
             query['serializable'] = 1
         targets: dict[str, Target] = {}
         revision = math.inf
-        for _ in range(MOST_PAGES):
+        for _ in range(MAX_PAGES):
             answer = await self._get('/-/kv-range', query)
-            page = _decode(answer, Range)
+            page = _decode(answer, ItemPage)
             for item in page.items:
-                target = self._target(item)
+                target = self._convert_target(item)
                 if target is not None:
                     targets[target.name] = target
             # pages are read one after the other: the first is the oldest
@@ -116,7 +121,7 @@
             if not page.has_more or not page.items:
                 return Listing(revision=int(revision), targets=targets)
             query['after'] = page.items[-1].key
-        raise SourceError(f'more than {MOST_PAGES} pages of targets')
+        raise SourceError(f'more than {MAX_PAGES} pages of targets')
 
     async def read_target(self, name: str) -> TargetUpdate:
         """Return what is listed of one target now.
@@ -134,7 +139,7 @@
         return TargetUpdate(
             revision=item.at_rev,
             changed=True,
-            target=self._target(item),
+            target=self._convert_target(item),
         )
 
     async def wait_target(
@@ -152,11 +157,11 @@
         """
         key = _TARGETS_PREFIX + name
         changes = await self._watch(key, revision, seconds)
-        own = [item for item in changes.events if item.key == key]
+        own_items = [item for item in changes.events if item.key == key]
         return TargetUpdate(
             revision=changes.at_rev,
-            changed=bool(own),
-            target=self._target(own[-1]) if own else None,
+            changed=bool(own_items),
+            target=self._convert_target(own_items[-1]) if own_items else None,
         )
 
     async def _watch(
@@ -183,7 +188,7 @@
         self,
         path: str,
         query: dict[str, Any],
-        held: float = 0,
+        wait_seconds: float = 0,
     ) -> _Answer:
         """Make one call; ``held`` is how long the store may wait, seconds."""
         self.calls += 1
@@ -193,7 +198,7 @@
             ((b'host', self._address.encode()),),
         )
         try:
-            with trio.fail_after(held + CALL_SECONDS):
+            with trio.fail_after(wait_seconds + CALL_SECONDS):
                 return await self._exchange(head)
         except (ProtocolError, trio.TooSlowError) as exc:
             reason = str(exc) or 'no answer in time'
@@ -201,12 +206,12 @@
 
     async def _exchange(self, head: RequestHead) -> _Answer:
         conn = await self._pool.acquire(self._address)
-        whole = False
+        is_complete = False
         try:
             await conn.send_whole(head, b'')
             answer = await conn.read_head()
-            body = await conn.read_whole(MOST_ANSWER_BYTES)
-            whole = True
+            body = await conn.read_whole(MAX_ANSWER_BYTES)
+            is_complete = True
         except TooLongError as exc:
             self._events.emit(
                 'answer-cut',
@@ -216,16 +221,18 @@
             )
             raise
         finally:
-            if not whole:
+            if not is_complete:
                 conn.abort()
         await self._pool.release(self._address, conn)
         return _Answer(answer.status, body)
 
-    def _declaration(self, item: Item, revision: int) -> DeclarationUpdate:
+    def _convert_declaration(
+        self, item: Item, revision: int
+    ) -> DeclarationUpdate:
         try:
             declaration = decode_declaration(item.blob())
         except UnreadableError as exc:
-            self._note_unreadable(item, exc)
+            self._report_unreadable(item, exc)
             return DeclarationUpdate(
                 revision=revision, published_revision=item.revision
             )
@@ -235,21 +242,21 @@
             declaration=declaration,
         )
 
-    def _target(self, item: Item) -> Target | None:
+    def _convert_target(self, item: Item) -> Target | None:
         if item.deleted:
             return None
         name = item.key.removeprefix(_TARGETS_PREFIX)
         try:
             return decode_target(name, item.blob())
         except UnreadableError as exc:
-            self._note_unreadable(item, exc)
+            self._report_unreadable(item, exc)
             return None
 
-    def _note_unreadable(self, item: Item, exc: Exception) -> None:
+    def _report_unreadable(self, item: Item, exc: Exception) -> None:
         """Log a value that cannot be read, once for each revision."""
-        if self._unreadable.get(item.key) == item.revision:
+        if self._unreadable_revisions.get(item.key) == item.revision:
             return
-        self._unreadable[item.key] = item.revision
+        self._unreadable_revisions[item.key] = item.revision
         self._events.emit(
             'value-unreadable',
             key=item.key,
@@ -270,6 +277,6 @@
 def _missing_revision(answer: _Answer) -> int:
     """Return the store's revision from an answer that names no item."""
     try:
-        return msgspec.json.decode(answer.body, type=Revision).at_rev
+        return msgspec.json.decode(answer.body, type=StoreRevision).at_rev
     except UNREADABLE_ERRORS:
         return 0
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -21,7 +21,7 @@
 from clementinedeal.mesh import _peer_client
 from clementinedeal.mesh._daemon import MeshDaemon
 from clementinedeal.mesh._outcomes import PendingAttempt
-from clementinedeal.mesh._settings import NodeSettings
+from clementinedeal.mesh._settings import MeshDaemonSettings
 from clementinedeal.platform import PlatformDialect, PlatformStore
 
 HOSTS = ('127.0.0.1', '127.0.0.2', '127.0.0.3')
@@ -35,38 +35,38 @@
     ended: list = field(default_factory=list)
     settings: list = field(default_factory=list)
     pool: ConnPool = field(default_factory=lambda: ConnPool(MonotonicClock()))
-    ids: int = 0
+    request_count: int = 0
 
     async def send(self, number, path, body=b'', **more):
-        self.ids += 1
+        self.request_count += 1
         key = more.get('key', 'key-1')
         headers = (
             (b'host', b'h.example'),
-            (b'attempt-id', b'a%d' % self.ids),
+            (b'attempt-id', b'a%d' % self.request_count),
             (b'deadline-ms', b'%d' % more.get('patience_ms', 3000)),
             (b'content-length', b'%d' % len(body)),
         )
         if key:
             headers = (*headers, (b'authorization', b'Bearer ' + key.encode()))
-        address = self.settings[number].callers
+        address = self.settings[number].caller_address
         conn = await self.pool.acquire(address)
         method = 'POST' if path.startswith('/book') else 'GET'
         head = RequestHead(method, path, headers)
         try:
             await conn.send_whole(head, body)
             answer = await conn.read_head()
-            whole = b''.join([piece async for piece in conn.read_body()])
+            answer_body = b''.join([piece async for piece in conn.read_body()])
         except BaseException:
             conn.abort()
             raise
         await self.pool.release(address, conn)
-        return answer, whole
+        return answer, answer_body
 
     def runs(self):
         return [one for target in self.targets for one in target.seen]
 
 
-def trying():
+def untimed_attempt():
     """Return an attempt that nobody breaks off."""
     return PendingAttempt(trio.CancelScope(), math.inf, bool)
 
@@ -75,18 +75,18 @@
     return int(free_address().rpartition(':')[2])
 
 
-def node(number, store, peer_port, datagram_port):
+def make_settings(number, store, peer_port, datagram_port):
     host = HOSTS[number]
-    return NodeSettings(
+    return MeshDaemonSettings(
         instance=f'n{number}',
         zone='a',
-        callers=f'{host}:{free_port()}',
-        peers=f'{host}:{peer_port}',
-        ready=f'{host}:{free_port()}',
-        target=f'{host}:{free_port()}',
+        caller_address=f'{host}:{free_port()}',
+        peer_address=f'{host}:{peer_port}',
+        ready_address=f'{host}:{free_port()}',
+        target_address=f'{host}:{free_port()}',
         service='till',
-        platform=store.address,
-        ports=(datagram_port, datagram_port),
+        platform_address=store.address,
+        port_range=(datagram_port, datagram_port),
     )
 
 
@@ -98,10 +98,10 @@
     fleet = Fleet(store)
     ports = (free_port(), free_port())
     for number in range(len(HOSTS)):
-        settings = node(number, store, *ports)
-        target = TargetStandIn(f't{number}', settings.target)
+        settings = make_settings(number, store, *ports)
+        target = TargetStandIn(f't{number}', settings.target_address)
         await target.start(nursery)
-        store.put(f'servers/t{number}', registration(settings.target))
+        store.put(f'servers/t{number}', registration(settings.target_address))
         fleet.targets.append(target)
         fleet.settings.append(settings)
     for settings in fleet.settings:
@@ -113,18 +113,18 @@
         )
         fleet.daemons.append(daemon)
         fleet.ended.append(trio.Event())
-        nursery.start_soon(run, daemon, fleet.ended[-1])
+        nursery.start_soon(run_daemon, daemon, fleet.ended[-1])
     for number in range(len(HOSTS)):
-        await ready(fleet, number)
+        await wait_until_serving(fleet, number)
     return fleet
 
 
-async def run(daemon, ended):
+async def run_daemon(daemon, ended):
     await daemon.run()
     ended.set()
 
 
-async def ready(fleet, number):
+async def wait_until_serving(fleet, number):
     with trio.fail_after(5):
         while True:
             with contextlib.suppress(ConnLostError):
@@ -134,7 +134,7 @@
             await trio.sleep(0.05)
 
 
-async def answers(fleet, number, status, seconds):
+async def wait_for_status(fleet, number, status, seconds):
     """Ask until a status is answered."""
     with trio.fail_after(seconds):
         seen = None
@@ -146,11 +146,11 @@
 @pytest.fixture
 async def far(fleet, monkeypatch):
     """A fleet whose only target has one slot, behind another daemon."""
-    monkeypatch.setattr(_peer_client, 'SILENCE_SECONDS', 0.15)
-    monkeypatch.setattr(_peer_client, 'ASK_SECONDS', 0.15)
+    monkeypatch.setattr(_peer_client, 'MAX_SILENCE_SECONDS', 0.15)
+    monkeypatch.setattr(_peer_client, 'QUERY_SECONDS', 0.15)
     for number, state in enumerate(('draining', 'ready', 'draining')):
-        told = registration(fleet.settings[number].target, state=state)
-        told['info']['slots'] = 1
-        fleet.store.put(f'servers/t{number}', told)
+        item = registration(fleet.settings[number].target_address, state=state)
+        item['info']['slots'] = 1
+        fleet.store.put(f'servers/t{number}', item)
     await trio.sleep(2)
     return fleet
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -8,18 +8,18 @@
 FIRST_PORT = 10_000
 # a process that is stopped leaves its port free for a while, and other test
 # processes of the run must not take it: each has a range of its own
-PORTS = 1_100
-RANGES = 18
+PORTS_PER_RANGE = 1_100
+RANGE_COUNT = 18
 _run = zlib.crc32(os.environ.get('PYTEST_XDIST_TESTRUNUID', '').encode())
 _worker = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
-_first = FIRST_PORT + (_run + _worker) % RANGES * PORTS
+_first = FIRST_PORT + (_run + _worker) % RANGE_COUNT * PORTS_PER_RANGE
 _offsets = itertools.count(os.getpid() * 97)
 
 
 def free_address() -> str:
     """Return an address on which nobody listens."""
     while True:
-        port = _first + next(_offsets) % PORTS
+        port = _first + next(_offsets) % PORTS_PER_RANGE
         try:
             # tests listen on other loopback addresses, too
             socket.create_server(('', port)).close()
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -24,12 +24,18 @@
 from clementinedeal._server_conn import ServerConn
 from clementinedeal._timers import MonotonicClock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh._contracts import Stamp
-from clementinedeal.mesh._origin import MOST_ANSWER_BYTES, Message, Origin
+from clementinedeal.mesh._contracts import CallContext
+from clementinedeal.mesh._target_client import (
+    MAX_ANSWER_BYTES,
+    BufferedRequest,
+    TargetClient,
+)
 from clementinedeal.platform import PlatformDialect
 
 HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
-STAMP = Stamp(req_id='r1', left=5.0, target='t1', account='', caller='')
+STAMP = CallContext(
+    req_id='r1', seconds_left=5.0, target='t1', account='', caller_service=''
+)
 # What one read may bring: hundreds of events, each some 6 us of a core.
 TINY_CHUNKS = b'1\r\nx\r\n' * 10_000 + b'0\r\n\r\n'
 MANY_INTERIMS = b'HTTP/1.1 100 \r\n\r\n' * 800
@@ -121,8 +127,12 @@
     events = EventLog('i', '1')
     clock = MonotonicClock()
     pool = ConnPool(clock)
-    origin = Origin(endless.address, pool, PlatformDialect(), clock, events)
-    outcome = await origin.call(Message('POST', '/', HEADERS, body), STAMP)
+    origin = TargetClient(
+        endless.address, pool, PlatformDialect(), clock, events
+    )
+    outcome = await origin.call(
+        BufferedRequest('POST', '/', HEADERS, body), STAMP
+    )
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
     assert outcome.reason is Reason.ANSWER_INCOMPLETE
     assert await endless.was_cut()
@@ -134,8 +144,10 @@
     events = EventLog('i', '1')
     clock = MonotonicClock()
     pool = ConnPool(clock)
-    origin = Origin(endless.address, pool, PlatformDialect(), clock, events)
-    await origin.call(Message('GET', '/', HEADERS, b''), STAMP)
+    origin = TargetClient(
+        endless.address, pool, PlatformDialect(), clock, events
+    )
+    await origin.call(BufferedRequest('GET', '/', HEADERS, b''), STAMP)
     lines = [
         dict(line['fields'])
         for line in map(json.loads, events.json_lines().splitlines())
@@ -184,8 +196,8 @@
     clock = MonotonicClock()
     pool = ConnPool(clock)
     events = EventLog('i', '1')
-    origin = Origin(address, pool, PlatformDialect(), clock, events)
-    message = Message('GET', '/', HEADERS, b'')
+    origin = TargetClient(address, pool, PlatformDialect(), clock, events)
+    message = BufferedRequest('GET', '/', HEADERS, b'')
     for number in range(3):
         outcome = await origin.call(message, STAMP)
         assert outcome.body == b'ok'
@@ -204,4 +216,4 @@
         + b'0\r\n\r\n',
     )
     await conn.read_head()
-    assert await conn.read_whole(MOST_ANSWER_BYTES) == b'x' * size
+    assert await conn.read_whole(MAX_ANSWER_BYTES) == b'x' * size
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -8,7 +8,7 @@
 import trio
 import trio.testing
 from tests.endless_standin import BODIES, HEADS, Endless
-from tests.mesh_fleet import trying
+from tests.mesh_fleet import untimed_attempt
 from tests.ports import free_address
 
 from clementinedeal._events import EventLog
@@ -21,10 +21,10 @@
 from clementinedeal._verdict import Verdict
 from clementinedeal.mesh import _peer_client
 from clementinedeal.mesh._contracts import SourceError
-from clementinedeal.mesh._origin import Message
 from clementinedeal.mesh._outcomes import MeshAttempt
-from clementinedeal.mesh._peer_client import PeerClient
-from clementinedeal.mesh._peer_server import PeerServer
+from clementinedeal.mesh._peer_client import MeshPeerClient
+from clementinedeal.mesh._peer_server import MeshPeerServer
+from clementinedeal.mesh._target_client import BufferedRequest
 from clementinedeal.platform import PlatformStore
 
 HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
@@ -62,9 +62,11 @@
 async def attempt(endless, asked):
     """Send an attempt to an owner that never ends."""
     clock = MonotonicClock()
-    client = PeerClient(ConnPool(clock), clock)
-    message = Message('POST', '/', HEADERS, b'x')
-    return await client.attempt(endless.address, asked, message, trying())
+    client = MeshPeerClient(ConnPool(clock), clock)
+    message = BufferedRequest('POST', '/', HEADERS, b'x')
+    return await client.send_attempt(
+        endless.address, asked, message, untimed_attempt()
+    )
 
 
 async def test_an_owner_that_sends_without_end_is_cut(
@@ -72,7 +74,7 @@
     monkeypatch,
     caplog,
 ):
-    monkeypatch.setattr(_peer_client, 'ASK_SECONDS', 0.5)
+    monkeypatch.setattr(_peer_client, 'QUERY_SECONDS', 0.5)
     endless = Endless(*BODIES['no-length'])
     await endless.start(nursery)
     outcome = await attempt(endless, ATTEMPT)
@@ -84,7 +86,7 @@
 async def test_a_request_of_a_peer_without_end_is_refused(nursery):
     address = free_address()
     events = EventLog('i', '1')
-    peers = PeerServer(None, events, nursery)
+    peers = MeshPeerServer(None, events, nursery)
     limits = HttpLimits(body_bytes=1 << 20)
     server = HttpServer(address, peers.serve, limits, events)
     await server.start(nursery)
@@ -119,7 +121,7 @@
     nursery,
     monkeypatch,
 ):
-    monkeypatch.setattr(_peer_client, 'ASK_SECONDS', 0.5)
+    monkeypatch.setattr(_peer_client, 'QUERY_SECONDS', 0.5)
     endless = Endless(*HEADS['junk-lines'])
     await endless.start(nursery)
     outcome = await attempt(endless, ATTEMPT)
--- a/tests/test_mesh_declarations.py
+++ b/tests/test_mesh_declarations.py
@@ -8,17 +8,17 @@
 from clementinedeal.mesh._contracts import HistoryGoneError, SourceError
 from clementinedeal.mesh._daemon import MeshDaemon
 from clementinedeal.mesh._declarations import DeclarationFeed
-from clementinedeal.mesh._settings import NodeSettings
+from clementinedeal.mesh._settings import MeshDaemonSettings
 from clementinedeal.mesh._types import Declaration, DeclarationUpdate
 
 
-class Source:
+class ScriptedSource:
     """Answers from a script; then it is silent."""
 
     def __init__(self, clock, script):
         self.clock = clock
         self.script = list(script)
-        self.asked = []
+        self.revisions = []
         self.done = trio.Event()
 
     async def read(self):
@@ -28,7 +28,7 @@
         return await self._next(revision, seconds)
 
     async def _next(self, revision, seconds):
-        self.asked.append(revision)
+        self.revisions.append(revision)
         if not self.script:
             self.done.set()
             await trio.sleep_forever()
@@ -40,7 +40,7 @@
         return news
 
 
-def version(number, revision):
+def news_of_version(number, revision):
     declaration = Declaration(
         version=number,
         routes=(),
@@ -56,7 +56,7 @@
 
 async def follow(script):
     clock = VirtualClock(100)
-    source = Source(clock, script)
+    source = ScriptedSource(clock, script)
     feed = DeclarationFeed(source, clock, EventLog('i', '1'), 5.0)
     with trio.move_on_after(5):
         async with trio.open_nursery() as nursery:
@@ -67,28 +67,34 @@
     return feed, source, clock
 
 
-async def test_takes_newer_versions_only(autojump_clock):
+async def test_older_versions_are_ignored(autojump_clock):
     feed, _, _ = await follow(
-        [(version(3, 20), 0), (version(5, 30), 0), (version(4, 25), 0)],
+        [
+            (news_of_version(3, 20), 0),
+            (news_of_version(5, 30), 0),
+            (news_of_version(4, 25), 0),
+        ],
     )
     assert feed.version == 5
 
 
-async def test_reads_again_when_history_is_gone(autojump_clock):
+async def test_declaration_is_read_again_when_the_history_is_gone(
+    autojump_clock,
+):
     feed, source, _ = await follow(
         [
-            (version(3, 20), 0),
+            (news_of_version(3, 20), 0),
             (HistoryGoneError('gone'), 0),
-            (version(7, 90), 0),
+            (news_of_version(7, 90), 0),
         ],
     )
     assert feed.version == 7
-    assert source.asked[:3] == [0, 20, 0]
+    assert source.revisions[:3] == [0, 20, 0]
 
 
-async def test_empty_watch_proves_newness_to_its_end(autojump_clock):
+async def test_complete_empty_watch_confirms_until_its_end(autojump_clock):
     empty = DeclarationUpdate(revision=21)
-    feed, _, clock = await follow([(version(3, 20), 0), (empty, None)])
+    feed, _, clock = await follow([(news_of_version(3, 20), 0), (empty, None)])
     assert feed.age == pytest.approx(0)
     clock.advance(4.6)
     assert feed.is_fresh()
@@ -96,31 +102,35 @@
     assert not feed.is_fresh()
 
 
-async def test_watch_answered_early_proves_only_its_beginning(autojump_clock):
+async def test_watch_answered_early_confirms_only_its_start(autojump_clock):
     empty = DeclarationUpdate(revision=21)
-    feed, _, _ = await follow([(version(3, 20), 0), (empty, 0.9)])
+    feed, _, _ = await follow([(news_of_version(3, 20), 0), (empty, 0.9)])
     assert feed.age == pytest.approx(0.9)
 
 
-async def test_failed_calls_prove_nothing(autojump_clock):
+async def test_failed_calls_do_not_confirm_the_declaration(autojump_clock):
     feed, _, _ = await follow(
-        [(version(3, 20), 0), (SourceError('busy'), 3), (SourceError(''), 3)],
+        [
+            (news_of_version(3, 20), 0),
+            (SourceError('busy'), 3),
+            (SourceError(''), 3),
+        ],
     )
     assert feed.version == 3
     assert not feed.is_fresh()
 
 
-def test_daemons_count_time_in_which_the_machine_slept():
-    settings = NodeSettings(
+def test_clock_counts_the_time_of_a_suspended_system():
+    settings = MeshDaemonSettings(
         instance='n',
         zone='a',
-        callers='127.0.0.1:1',
-        peers='127.0.0.1:2',
-        ready='127.0.0.1:3',
-        target='127.0.0.1:4',
+        caller_address='127.0.0.1:1',
+        peer_address='127.0.0.1:2',
+        ready_address='127.0.0.1:3',
+        target_address='127.0.0.1:4',
         service='s',
-        platform='127.0.0.1:5',
-        ports=(6, 6),
+        platform_address='127.0.0.1:5',
+        port_range=(6, 6),
     )
     clocks = []
     MeshDaemon(
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -11,20 +11,20 @@
 from clementinedeal.mesh import _health as evidence
 from clementinedeal.mesh import _health_tracker
 from clementinedeal.mesh import _peer_wire as wire
-from clementinedeal.mesh._calls import CallFailures
+from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._executions import (
     RETENTION_SECONDS,
     Execution,
     MeshExecutionTable,
 )
 from clementinedeal.mesh._metrics import DaemonMetrics
-from clementinedeal.mesh._origin import Message
 from clementinedeal.mesh._outcomes import MeshAttempt, MeshOutcome
 from clementinedeal.mesh._owner import MeshOwner, MeshOwnerParts
-from clementinedeal.mesh._peer_server import PeerServer
+from clementinedeal.mesh._peer_server import MeshPeerServer
+from clementinedeal.mesh._target_client import BufferedRequest
 from clementinedeal.mesh._types import Target
 
-MESSAGE = Message('POST', '/', (), b'x')
+MESSAGE = BufferedRequest('POST', '/', (), b'x')
 
 
 def make_attempt(name='a1', *, idempotent=False, **more):
@@ -84,23 +84,23 @@
 
 
 async def test_a_duplicate_attempt_runs_once(owner, nursery):
-    server = PeerServer(owner, EventLog('i', '1'), nursery)
+    server = MeshPeerServer(owner, EventLog('i', '1'), nursery)
     sent = msgspec.json.encode(make_attempt(idempotent=True))
-    first = server._find(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
-    second = server._find(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
+    first = server._dispatch(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
+    second = server._dispatch(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
     assert first is second
     await first.done.wait()
     assert owner._parts.origin.runs == 1
 
 
 async def test_a_duplicate_body_runs_once(owner, nursery):
-    server = PeerServer(owner, EventLog('i', '1'), nursery)
+    server = MeshPeerServer(owner, EventLog('i', '1'), nursery)
     sent = msgspec.json.encode(make_attempt())
-    held = server._find(head(wire.RESERVE_HEADER, sent), MESSAGE)
+    held = server._dispatch(head(wire.RESERVE_HEADER, sent), MESSAGE)
     await held.body_wanted.wait()
     assert owner._parts.origin.runs == 0
     for _ in range(2):
-        run = server._find(head(wire.RUN_HEADER, b'a1'), MESSAGE)
+        run = server._dispatch(head(wire.RUN_HEADER, b'a1'), MESSAGE)
         assert run is held
     await held.done.wait()
     assert owner._parts.origin.runs == 1
@@ -117,13 +117,13 @@
 async def test_an_attempt_that_arrives_after_a_query_for_it_never_runs(
     owner, nursery
 ):
-    server = PeerServer(owner, EventLog('i', '1'), nursery)
+    server = MeshPeerServer(owner, EventLog('i', '1'), nursery)
     await trio.sleep(0.05)
     asked = msgspec.json.encode(('a1', 0.01))
-    answer = server._find(head(wire.ASK_HEADER, asked), MESSAGE)
+    answer = server._dispatch(head(wire.ASK_HEADER, asked), MESSAGE)
     assert answer.verdict is Verdict.NOT_RUN
     sent = msgspec.json.encode(make_attempt(idempotent=True))
-    late = server._find(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
+    late = server._dispatch(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
     assert late.verdict is Verdict.NOT_RUN
     assert late.reason is Reason.CANCELLED
     await trio.sleep(0.05)
--- a/tests/test_mesh_logs.py
+++ b/tests/test_mesh_logs.py
@@ -27,11 +27,11 @@
     os.close(writer)
 
 
-async def test_stalled_reader_does_not_hold_up_the_loop(pipe, nursery):
+async def test_stalled_reader_does_not_block_the_event_loop(pipe, nursery):
     queue = OutputQueue(pipe[1])
     nursery.start_soon(queue.run)
     line = 'outcome=failed ' + 'x' * 1000
-    for number in range(log_output.MOST_LINES + 500):
+    for number in range(log_output.MAX_QUEUED_LINES + 500):
         queue.emit(record(line, created=number))
     worst = 0.0
     for _ in range(50):
@@ -39,22 +39,22 @@
         await trio.sleep(0.002)
         worst = max(worst, trio.current_time() - before)
     assert worst < 0.1
-    assert queue.total_left_out >= 400
+    assert queue.dropped_lines >= 400
 
 
-async def test_successes_are_left_out_before_failures(pipe, nursery):
+async def test_lines_of_success_are_dropped_before_failures(pipe, nursery):
     queue = OutputQueue(pipe[1])
-    for _ in range(log_output.LINES_PER_SECOND * 2):
+    for _ in range(log_output.MAX_ROUTINE_LINES_PER_SECOND * 2):
         queue.emit(record('outcome=answered'))
     for _ in range(20):
         queue.emit(record('outcome=target-failed'))
     queue.emit(record('next second', created=101.0))
-    assert queue.total_left_out == log_output.LINES_PER_SECOND
+    assert queue.dropped_lines == log_output.MAX_ROUTINE_LINES_PER_SECOND
     nursery.start_soon(queue.run)
     await trio.sleep(0.05)
     written = os.read(pipe[0], 1 << 20).decode()
     assert written.count('target-failed') == 20
-    assert f'event=lines-left-out count={queue.total_left_out}' in written
+    assert f'event=lines-left-out count={queue.dropped_lines}' in written
 
 
 def test_metrics_in_the_text_format():
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -2,11 +2,11 @@
 
 import pytest
 import trio
-from tests.mesh_fleet import answers
+from tests.mesh_fleet import wait_for_status
 from tests.store_standin import configuration, registration
 
 
-async def test_serves_every_kind_from_every_daemon(fleet):
+async def test_every_daemon_serves_every_kind_of_route(fleet):
     for number in range(3):
         for path in ('/look/1', '/book/1'):
             answer, whole = await fleet.send(number, path, b'body')
@@ -17,7 +17,7 @@
     assert answer.status == 200
 
 
-async def test_targets_see_account_and_caller_and_no_key(fleet):
+async def test_targets_get_account_and_caller_but_no_key(fleet):
     for number in range(3):
         await fleet.send(number, '/book/1', b'x')
     for _, _, headers, _ in fleet.runs():
@@ -28,7 +28,7 @@
         assert int(headers[b'deadline-ms']) <= 2000
 
 
-async def test_unknown_routes_and_keys(fleet):
+async def test_unknown_routes_and_keys_are_refused(fleet):
     answer, _ = await fleet.send(0, '/none/1')
     assert answer.status == 404
     answer, _ = await fleet.send(0, '/look/1', key='wrong')
@@ -39,13 +39,13 @@
 
 async def test_withdrawn_key_is_refused(fleet):
     fleet.store.put('op/config', configuration(2, api_keys=['key-2']))
-    await answers(fleet, 1, 401, seconds=2)
+    await wait_for_status(fleet, 1, 401, seconds=2)
     answer, _ = await fleet.send(1, '/look/1', key='key-2')
     assert answer.status == 200
 
 
 @pytest.mark.parametrize('mode', ['fail', 'reset', 'foreign', 'endless'])
-async def test_idempotent_requests_go_round_a_failing_target(fleet, mode):
+async def test_idempotent_requests_avoid_a_failing_target(fleet, mode):
     fleet.targets[0].mode = mode
     statuses = [
         (await fleet.send(number % 3, '/look/1'))[0].status
@@ -55,7 +55,7 @@
 
 
 @pytest.mark.parametrize('mode', ['fail', 'reset', 'foreign', 'endless'])
-async def test_others_run_at_most_once(fleet, mode):
+async def test_non_idempotent_requests_run_at_most_once(fleet, mode):
     for target in fleet.targets:
         target.mode = mode
     for number in range(12):
@@ -75,7 +75,7 @@
     assert b'"deadline"' not in events.json_lines()
 
 
-async def test_a_failing_target_is_set_aside_for_bookings(fleet):
+async def test_non_idempotent_requests_avoid_a_failing_target(fleet):
     fleet.targets[0].mode = 'fail'
     statuses = [
         (await fleet.send(number % 3, '/book/1'))[0].status
@@ -84,14 +84,14 @@
     assert statuses.count(200) >= 36
 
 
-async def test_shed_requests_go_elsewhere(fleet):
+async def test_requests_refused_by_one_target_run_at_another(fleet):
     fleet.targets[0].mode = 'shed'
     for number in range(9):
         answer, _ = await fleet.send(number % 3, '/book/1')
         assert answer.status == 200
 
 
-async def test_caller_that_leaves_takes_its_request_along(fleet):
+async def test_request_is_cancelled_when_its_caller_disconnects(fleet):
     for target in fleet.targets:
         target.mode = 'hang'
     for number in range(3):
@@ -101,7 +101,7 @@
     assert sum(target.left for target in fleet.targets) >= 3
 
 
-async def test_what_is_cut_is_logged(fleet):
+async def test_cancelled_request_and_attempt_are_logged_once(fleet):
     for target in fleet.targets:
         target.mode = 'hang'
     with trio.move_on_after(0.15):
@@ -111,7 +111,7 @@
     assert lines.count(b'attempt-cut') == lines.count(b'caller-left') == 1
 
 
-async def test_leaving_target_gets_no_new_work(fleet):
+async def test_draining_target_gets_no_new_requests(fleet):
     leaving = fleet.targets[0]
     fleet.store.put(
         'servers/t0',
@@ -125,7 +125,7 @@
     assert len(leaving.seen) == before
 
 
-async def test_another_process_at_the_address_is_not_used(fleet):
+async def test_other_process_at_a_known_address_is_not_used(fleet):
     fleet.targets[0].name = 'successor'
     for number in range(9):
         answer, whole = await fleet.send(number % 3, '/book/1')
@@ -133,7 +133,7 @@
         assert not whole.startswith(b'successor')
 
 
-async def test_serves_on_while_the_store_is_away(fleet):
+async def test_requests_are_served_while_the_store_is_silent(fleet):
     fleet.store.mode = 'silent'
     await trio.sleep(2.5)
     answer, _ = await fleet.send(0, '/open/1', key='')
@@ -142,17 +142,17 @@
     assert answer.status == 200
 
 
-async def test_keys_are_refused_once_nothing_proves_them(fleet):
+async def test_keys_are_refused_when_the_declaration_is_stale(fleet):
     fleet.store.mode = 'silent'
     await trio.sleep(5.2)
     answer, _ = await fleet.send(0, '/look/1')
     assert answer.status == 503
     assert answer.header(b'x-verdict') == b'not-run'
     fleet.store.mode = 'ok'
-    await answers(fleet, 0, 200, seconds=4)
+    await wait_for_status(fleet, 0, 200, seconds=4)
 
 
-async def test_answers_at_the_routes_timeout(fleet):
+async def test_request_ends_at_the_timeout_of_its_route(fleet):
     for target in fleet.targets:
         target.mode = 'hang'
     started = trio.current_time()
@@ -161,14 +161,14 @@
     assert answer.status in {502, 504}
 
 
-async def test_a_long_run_behind_another_daemon_is_answered(far):
+async def test_slow_request_through_another_daemon_is_answered(far):
     far.targets[1].seconds = 1.0
     answer, whole = await far.send(0, '/book/long', b'x')
     assert answer.status == 200
     assert whole == b't1:x'
 
 
-async def test_a_booking_keeps_its_place_in_a_queue(far, nursery):
+async def test_non_idempotent_request_keeps_its_place_in_a_queue(far, nursery):
     far.targets[1].seconds = 0.7
     nursery.start_soon(far.send, 1, '/book/first', b'x')
     await trio.sleep(0.1)
--- a/tests/test_mesh_peer_client.py
+++ b/tests/test_mesh_peer_client.py
@@ -1,16 +1,16 @@
 """Owners that fall silent before they have the body of a request."""
 
 import trio
-from tests.mesh_fleet import trying
+from tests.mesh_fleet import untimed_attempt
 from tests.ports import free_address
 
 from clementinedeal._pool import ConnPool, split_address
 from clementinedeal._timers import MonotonicClock
 from clementinedeal._verdict import Verdict
-from clementinedeal.mesh._origin import Message
 from clementinedeal.mesh._outcomes import MeshAttempt
-from clementinedeal.mesh._peer_client import PeerClient
+from clementinedeal.mesh._peer_client import MeshPeerClient
 from clementinedeal.mesh._sender import ANSWER_GRACE_SECONDS
+from clementinedeal.mesh._target_client import BufferedRequest
 
 LEFT = 0.5
 
@@ -21,7 +21,7 @@
     await trio.sleep_forever()
 
 
-async def test_a_request_whose_body_was_not_sent_has_not_run(nursery):
+async def test_request_without_a_sent_body_is_reported_as_not_run(nursery):
     address = free_address()
     host, port = split_address(address)
     listeners = await trio.open_tcp_listeners(port, host=host)
@@ -40,11 +40,11 @@
     )
     outcome = None
     with trio.move_on_after(LEFT + ANSWER_GRACE_SECONDS):
-        outcome = await PeerClient(ConnPool(clock), clock).attempt(
+        outcome = await MeshPeerClient(ConnPool(clock), clock).send_attempt(
             address,
             attempt,
-            Message('POST', '/', (), b'x'),
-            trying(),
+            BufferedRequest('POST', '/', (), b'x'),
+            untimed_attempt(),
         )
     assert outcome is not None
     assert outcome.verdict is Verdict.NOT_RUN
--- a/tests/test_mesh_program.py
+++ b/tests/test_mesh_program.py
@@ -6,7 +6,7 @@
 import sys
 
 
-def test_a_reload_signal_during_the_start_does_not_end_it(tmp_path):
+def test_reload_signal_during_the_start_does_not_end_the_process(tmp_path):
     settings = tmp_path / 'node.toml'
     os.mkfifo(settings)
     with subprocess.Popen(
@@ -18,6 +18,6 @@
         with settings.open('w') as pipe:
             process.send_signal(signal.SIGHUP)
             pipe.write('node = 1')
-        _, told = process.communicate(timeout=10)
+        _, error_output = process.communicate(timeout=10)
     assert process.returncode == 2
-    assert b'node.toml' in told
+    assert b'node.toml' in error_output
--- a/tests/test_mesh_rest.py
+++ b/tests/test_mesh_rest.py
@@ -11,15 +11,17 @@
 from clementinedeal._pool import ConnPool, split_address
 from clementinedeal._timers import MonotonicClock, VirtualClock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh._contracts import Stamp
+from clementinedeal.mesh._contracts import CallContext
 from clementinedeal.mesh._idle_limit import LIMIT_LIFETIME_SECONDS, IdleLimit
-from clementinedeal.mesh._origin import Message, Origin
+from clementinedeal.mesh._target_client import BufferedRequest, TargetClient
 from clementinedeal.platform import PlatformDialect
 
 TARGET_IDLE_LIMIT_SECONDS = 0.2
 HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
-MESSAGE = Message('GET', '/look/1', HEADERS, b'')
-STAMP = Stamp(req_id='r1', left=2.0, target='t1', account='', caller='')
+MESSAGE = BufferedRequest('GET', '/look/1', HEADERS, b'')
+STAMP = CallContext(
+    req_id='r1', seconds_left=2.0, target='t1', account='', caller_service=''
+)
 
 
 class ForgetfulTarget:
@@ -63,7 +65,9 @@
     clock = MonotonicClock()
     made.events = EventLog('i', '1')
     pool = ConnPool(clock)
-    made.origin = Origin(address, pool, PlatformDialect(), clock, made.events)
+    made.origin = TargetClient(
+        address, pool, PlatformDialect(), clock, made.events
+    )
     return made
 
 
--- a/tests/test_mesh_running.py
+++ b/tests/test_mesh_running.py
@@ -34,10 +34,10 @@
 
 
 async def test_a_deeply_nested_datagram_ends_no_daemon(fleet):
-    host, _ = split_address(fleet.settings[0].callers)
+    host, _ = split_address(fleet.settings[0].caller_address)
     blob = b'\x94\xa4draw\x01\xa1a' + b'\x91' * 1300 + b'\xc0'
     with socket.socket(type=socket.SOCK_DGRAM) as sock:
-        sock.sendto(blob, (host, fleet.settings[0].ports[0]))
+        sock.sendto(blob, (host, fleet.settings[0].port_range[0]))
     await trio.sleep(0.3)
     assert b'datagram-unread' in fleet.daemons[0].events.json_lines()
     answer, _ = await fleet.send(0, '/look/1')
--- a/tests/test_mesh_sender.py
+++ b/tests/test_mesh_sender.py
@@ -16,11 +16,11 @@
 
 
 @pytest.mark.parametrize('running', [None, (0, 0)])
-def test_accounts_go_before_routes(running):
+def test_account_priority_precedes_route_priority(running):
     account = SimpleNamespace(priority=1)
     assert rank_of(account, running) == (1, 2)
 
 
-def test_calls_rank_as_what_makes_them():
+def test_call_takes_the_rank_of_the_request_that_makes_it():
     assert rank_of(None, (3, 1)) == (3, 1)
     assert rank_of(None, None) == (KEYLESS_PRIORITY, 2)
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -24,7 +24,7 @@
 
 
 async def is_ready(fleet, number):
-    address = fleet.settings[number].ready
+    address = fleet.settings[number].ready_address
     conn = await fleet.pool.acquire(address)
     await conn.send_whole(RequestHead('GET', '/-/ready', HOST), b'')
     answer = await conn.read_head()
@@ -87,7 +87,7 @@
         target.mode = 'shed'
     async with sending(hanging_fleet, (0, '/book/1')) as found:
         assert not found
-        hanging_fleet.daemons[0]._sender.close()
+        hanging_fleet.daemons[0]._sender.cancel_unsent()
         await trio.sleep(0.2)
     assert found['/book/1'] == (503, b'not-run')
     lines = hanging_fleet.daemons[0].events.json_lines()
@@ -114,8 +114,8 @@
     nursery.start_soon(hold_up)
     await trio.sleep(0.3)
     begun = trio.current_time()
-    await fleet.daemons[0]._stop.run(fleet.settings[0].bounds.stop)
-    left = fleet.settings[0].bounds.stop - (trio.current_time() - begun)
+    await fleet.daemons[0]._stop.run(fleet.settings[0].bounds.stop_seconds)
+    left = fleet.settings[0].bounds.stop_seconds - (trio.current_time() - begun)
     nursery.cancel_scope.cancel()
     # a round of the loop may end it late
     assert left > KILL_MARGIN_SECONDS - 0.1
@@ -128,12 +128,16 @@
     monkeypatch.setattr(_stop, 'NOTICE_SECONDS', SHORT_NOTICE_SECONDS)
     set_times(fleet, LONG_SECONDS, LONG_SECONDS / 2)
     for number, state in enumerate(('draining', 'ready', 'draining')):
-        registered = registration(fleet.settings[number].target, state=state)
+        registered = registration(
+            fleet.settings[number].target_address, state=state
+        )
         registered['info']['slots'] = 1
         fleet.store.put(f'servers/t{number}', registered)
     for daemon in fleet.daemons:
         settings = daemon._settings
-        bounds = dataclasses.replace(settings.bounds, stop=SHORT_STOP_SECONDS)
+        bounds = dataclasses.replace(
+            settings.bounds, stop_seconds=SHORT_STOP_SECONDS
+        )
         shorter = dataclasses.replace(settings, bounds=bounds)
         daemon._settings = shorter
         daemon._reload = lambda shorter=shorter: Ok(shorter)
@@ -211,7 +215,7 @@
 async def test_a_stopping_owner_refuses_its_queued_requests(hanging_fleet):
     asked = ((0, '/book/first'), (0, '/book/second'))
     async with sending(hanging_fleet, *asked) as found:
-        registered = registration(hanging_fleet.settings[0].target)
+        registered = registration(hanging_fleet.settings[0].target_address)
         hanging_fleet.store.put('servers/t0', registered)
         await trio.sleep(1.5)
         hanging_fleet.daemons[1].stop()
@@ -327,7 +331,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(ask, short_objective_fleet, 0, '/look/slow', found)
         await trio.sleep(0.1)
-        (trying,) = sender._trying
+        (trying,) = sender._running_attempts
         left = trying.overdue_at - short_objective_fleet.daemons[0]._clock.now()
         # between two looks at what is overdue
         await trio.sleep(left - 0.002)
@@ -345,7 +349,7 @@
         PlatformStore,
         PlatformDialect(),
     )
-    nursery.start_soon(daemon._await_stop)
+    nursery.start_soon(daemon._wait_for_stop_signal)
     await trio.sleep(0.05)
     handler = signal.getsignal(signal.SIGINT)
     signal.raise_signal(signal.SIGINT)
--- a/tests/test_mesh_origin.py
+++ b/tests/test_mesh_target_client.py
@@ -8,8 +8,8 @@
 from clementinedeal._pool import ConnPool, split_address
 from clementinedeal._timers import MonotonicClock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh._contracts import Stamp
-from clementinedeal.mesh._origin import Message, Origin
+from clementinedeal.mesh._contracts import CallContext
+from clementinedeal.mesh._target_client import BufferedRequest, TargetClient
 from clementinedeal.platform import PlatformDialect
 
 WORK_SECONDS = 0.1
@@ -22,7 +22,7 @@
     )
 
 
-class Repeating:
+class RepeatingTarget:
     """Answers late, after extra answers to the request before."""
 
     def __init__(self, pieces):
@@ -49,18 +49,24 @@
     clock = MonotonicClock()
     pool = ConnPool(clock)
     events = EventLog('i', '1')
-    return Origin(address, pool, PlatformDialect(), clock, events)
+    return TargetClient(address, pool, PlatformDialect(), clock, events)
 
 
 async def call(origin, req_id):
     headers = ((b'host', b'x'), (b'attempt-id', req_id.encode()))
-    message = Message('POST', '/book/1', headers, b'x')
-    stamp = Stamp(req_id=req_id, left=2.0, target='t1', account='', caller='')
+    message = BufferedRequest('POST', '/book/1', headers, b'x')
+    stamp = CallContext(
+        req_id=req_id,
+        seconds_left=2.0,
+        target='t1',
+        account='',
+        caller_service='',
+    )
     return await origin.call(message, stamp)
 
 
-async def test_an_answer_to_nobody_is_not_waited_behind(nursery):
-    target = Repeating([answer(b'r0')])
+async def test_unmatched_answer_fails_the_request_at_once(nursery):
+    target = RepeatingTarget([answer(b'r0')])
     origin = await start(target, nursery)
     assert (await call(origin, 'r1')).body == b'r1'
     with trio.fail_after(WORK_SECONDS):
@@ -69,9 +75,9 @@
     assert outcome.reason is Reason.ANSWER_WRONG
 
 
-async def test_a_refusal_of_another_request_is_not_taken_for_its_own(nursery):
+async def test_refusal_of_another_request_is_not_accepted(nursery):
     refusal = b'HTTP/1.1 503 Busy\r\nattempt-id: r0\r\nnot-executed: 1\r\n'
-    target = Repeating([refusal + b'content-length: 0\r\n\r\n'])
+    target = RepeatingTarget([refusal + b'content-length: 0\r\n\r\n'])
     origin = await start(target, nursery)
     await call(origin, 'r1')
     assert (await call(origin, 'r2')).verdict is Verdict.MAY_HAVE_RUN
@@ -87,8 +93,10 @@
     ],
     ids=['one', 'apart', 'together', 'split'],
 )
-async def test_a_late_extra_answer_does_not_lose_the_next_one(nursery, pieces):
-    target = Repeating(pieces)
+async def test_late_repeated_answer_does_not_lose_the_next_answer(
+    nursery, pieces
+):
+    target = RepeatingTarget(pieces)
     origin = await start(target, nursery)
     assert (await call(origin, 'r1')).body == b'r1'
     assert (await call(origin, 'r2')).body == b'r2'
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,9 +9,9 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import MonotonicClock
 from clementinedeal.mesh._contracts import (
+    CallContext,
     HistoryGoneError,
     SourceError,
-    Stamp,
 )
 from clementinedeal.platform import PlatformDialect, PlatformStore, load_node
 
@@ -29,7 +29,7 @@
     return PlatformStore(store.address, pool, EventLog('i', '1'))
 
 
-async def test_lists_over_pages(store, client):
+async def test_targets_are_listed_over_several_pages(store, client):
     for number in range(7):
         store.put(f'servers/t{number}', registration(f'10.0.0.{number + 1}:80'))
     store.put('op/config', configuration())
@@ -64,7 +64,7 @@
     assert events.json_lines().count(b'value-unreadable') == 1
 
 
-async def test_reads_the_whole_configuration(store, client):
+async def test_whole_configuration_is_read(store, client):
     assert (await client.read()).declaration is None
     store.put('op/config', configuration(version=4))
     news = await client.read()
@@ -80,7 +80,7 @@
     assert news.declaration.limits.body_bytes == 100_000
 
 
-async def test_watch_brings_the_next_configuration(store, client, nursery):
+async def test_watch_returns_the_next_configuration(store, client, nursery):
     store.put('op/config', configuration(version=4))
     news = await client.read()
     nursery.start_soon(_put_later, store)
@@ -95,7 +95,7 @@
     store.put('op/config', configuration(version=5))
 
 
-async def test_watch_of_one_target_tells_of_its_end(store, client):
+async def test_watch_reports_that_its_target_is_deleted(store, client):
     store.put('servers/t1', registration('10.0.0.1:80'))
     store.put('servers/t10', registration('10.0.0.2:80'))
     news = await client.read_target('t1')
@@ -110,7 +110,7 @@
     assert (await client.read_target('t1')).target is None
 
 
-async def test_forgotten_history_is_told_apart(store, client):
+async def test_dropped_history_raises_its_own_error(store, client):
     store.put('op/config', configuration())
     news = await client.read()
     store.put('op/config', configuration(version=2))
@@ -120,7 +120,7 @@
 
 
 @pytest.mark.parametrize('mode', ['busy', 'reset', 'silent'])
-async def test_no_answer_is_an_error(store, client, mode, autojump_clock):
+async def test_missing_answer_is_an_error(store, client, mode, autojump_clock):
     store.mode = mode
     with pytest.raises(SourceError):
         await client.list_targets(may_lag=True)
@@ -137,7 +137,13 @@
             (b'deadline-ms', b'99999'),
             (b'authorization', b'Bearer secret'),
         ),
-        Stamp(req_id='a1', left=1.5, target='i-1', account='shop', caller='s'),
+        CallContext(
+            req_id='a1',
+            seconds_left=1.5,
+            target='i-1',
+            account='shop',
+            caller_service='s',
+        ),
     )
     assert sorted(headers) == [
         (b'attempt-id', b'a1'),
@@ -149,13 +155,15 @@
     ]
 
 
-def test_no_account_on_open_routes():
-    stamp = Stamp(req_id='a', left=1, target='i', account='', caller='s')
+def test_account_header_of_a_caller_is_removed_on_public_routes():
+    stamp = CallContext(
+        req_id='a', seconds_left=1, target='i', account='', caller_service='s'
+    )
     headers = PlatformDialect().target_headers(((b'tenant', b'x'),), stamp)
     assert all(name != b'tenant' for name, _ in headers)
 
 
-def test_reads_what_answers_say():
+def test_answer_headers_are_decoded():
     read = PlatformDialect().read_answer
     answer = read(
         ResponseHead(
@@ -169,14 +177,14 @@
     )
     assert answer.sealed
     assert not answer.not_run
-    assert answer.idle == 10
+    assert answer.idle_seconds == 10
     assert read(ResponseHead(503, ((b'not-executed', b'1'),))).not_run
-    assert read(ResponseHead(421, ())).moved
+    assert read(ResponseHead(421, ())).misdirected
     assert not read(ResponseHead(503, ())).not_run
 
 
 @pytest.mark.parametrize(
-    ('headers', 'patience', 'key'),
+    ('headers', 'timeout', 'key'),
     [
         (((b'deadline-ms', b'1500'),), 1.5, None),
         (((b'deadline-ms', b'soon'),), None, None),
@@ -184,10 +192,10 @@
         (((b'authorization', b'Basic k'),), None, None),
     ],
 )
-def test_reads_what_callers_say(headers, patience, key):
-    asked = PlatformDialect().read_request(RequestHead('GET', '/', headers))
-    assert asked.patience == patience
-    assert asked.key == key
+def test_caller_headers_are_decoded(headers, timeout, key):
+    decoded = PlatformDialect().read_request(RequestHead('GET', '/', headers))
+    assert decoded.timeout == timeout
+    assert decoded.key == key
 
 
 NODE = """
@@ -208,13 +216,13 @@
 """
 
 
-def test_settings_file(tmp_path):
+def test_settings_file_is_read(tmp_path):
     path = tmp_path / 'settings.toml'
     path.write_text(NODE)
     settings = load_node(str(path)).unwrap()
-    assert settings.callers == '10.0.0.1:83'
-    assert settings.ports == (7640, 7655)
-    assert settings.bounds.revoke == 5
+    assert settings.caller_address == '10.0.0.1:83'
+    assert settings.port_range == (7640, 7655)
+    assert settings.bounds.revoke_seconds == 5
 
 
 @pytest.mark.parametrize(
@@ -235,5 +243,5 @@
     assert '\n' not in str(error)
 
 
-def test_missing_settings_file(tmp_path):
+def test_missing_settings_file_is_an_error(tmp_path):
     assert load_node(str(tmp_path / 'none.toml')).is_err()
