--- a/src/clementinedeal/_permit_use.py
+++ b/src/clementinedeal/_borrowed_permit.py
@@ -3,13 +3,13 @@
 import enum
 from collections import OrderedDict
 
+from clementinedeal._permit_messages import PermitAnswer
 from clementinedeal._permits import LEASE_SECONDS
-from clementinedeal._reports import PermitAnswer
 
-REPORTS_REMEMBERED = 32
+MAX_PENDING_REPORTS = 32
 
 
-class Reply(enum.Enum):
+class PermitReply(enum.Enum):
     """What an answer means to the owner that receives it."""
 
     VOID = 'void'
@@ -18,7 +18,7 @@
     REFUSED = 'refused'
 
 
-class PermitUse:
+class BorrowedPermit:
     """Knows until when a permit surely holds.
 
     The lease runs from the time at which the request was sent, which is
@@ -32,16 +32,16 @@
         :param now: monotonic time in seconds.
         """
         self.incarnation = incarnation
-        self._reports: OrderedDict[float, bool] = OrderedDict()
-        self._sent_at = now
-        self._until = now
+        self._pending_reports: OrderedDict[float, bool] = OrderedDict()
+        self._answered_report_at = now
+        self._expires_at = now
 
-    def holds(self, now: float) -> bool:
+    def is_held(self, now: float) -> bool:
         """Return whether the permit surely holds.
 
         :param now: monotonic time in seconds.
         """
-        return now < self._until
+        return now < self._expires_at
 
     def on_report(self, wants: bool, now: float) -> None:
         """Note a report that is being sent.
@@ -51,31 +51,33 @@
         """
         if not wants:
             self.drop(now)
-        self._reports[now] = wants
-        if len(self._reports) > REPORTS_REMEMBERED:
-            self._reports.popitem(last=False)
+        self._pending_reports[now] = wants
+        if len(self._pending_reports) > MAX_PENDING_REPORTS:
+            self._pending_reports.popitem(last=False)
 
     def drop(self, now: float) -> None:
         """Stop using the permit; answers under way become void.
 
         :param now: monotonic time in seconds.
         """
-        self._reports.clear()
-        self._until = now
+        self._pending_reports.clear()
+        self._expires_at = now
 
-    def on_answer(self, answer: PermitAnswer, now: float) -> Reply:
+    def on_answer(self, answer: PermitAnswer, now: float) -> PermitReply:
         """Take in an answer.
 
         :param answer: what the holder says.
         :param now: monotonic time in seconds.
         """
-        wanted = self._reports.get(answer.sent_at)
+        wanted = self._pending_reports.get(answer.sent_at)
         if wanted is None or answer.incarnation != self.incarnation:
-            return Reply.VOID
-        if not wanted or answer.sent_at < self._sent_at:
-            return Reply.BASELINE
-        self._sent_at = answer.sent_at
+            return PermitReply.VOID
+        if not wanted or answer.sent_at < self._answered_report_at:
+            return PermitReply.BASELINE
+        self._answered_report_at = answer.sent_at
         if not answer.granted:
-            return Reply.REFUSED
-        self._until = max(self._until, answer.sent_at + LEASE_SECONDS)
-        return Reply.GRANTED if self.holds(now) else Reply.BASELINE
+            return PermitReply.REFUSED
+        self._expires_at = max(self._expires_at, answer.sent_at + LEASE_SECONDS)
+        return (
+            PermitReply.GRANTED if self.is_held(now) else PermitReply.BASELINE
+        )
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -43,7 +43,7 @@
     ReadPlatform,
     WatchRoot,
 )
-from clementinedeal._view_notes import ViewNotes
+from clementinedeal._view_recorder import ViewRecorder
 from clementinedeal._views import FleetView
 
 VIEW_SECONDS = 0.1
@@ -176,7 +176,7 @@
         )
         for kind, handler in handlers:
             shared.dispatcher.register(kind, handler)
-        ViewNotes(
+        ViewRecorder(
             shared.dispatcher,
             self._front_context.directory,
             self._front_context.status,
--- a/src/clementinedeal/_ejection.py
+++ b/src/clementinedeal/_ejection.py
@@ -4,20 +4,20 @@
 from typing import Any
 
 from clementinedeal._detector import DetectorSettings
-from clementinedeal._health import Outcome
 from clementinedeal._messages import Send
 from clementinedeal._model import Config, Target
-from clementinedeal._permit_holders import Holders
-from clementinedeal._reporter import Reporter
-from clementinedeal._reports import PermitAnswer, TargetReport
-from clementinedeal._standing import Standing
+from clementinedeal._permit_holders import PermitHolders
+from clementinedeal._permit_messages import PermitAnswer, TargetReport
+from clementinedeal._target_health import RequestOutcome
+from clementinedeal._target_reporter import TargetReporter
 from clementinedeal._target_state import (
-    Change,
+    TargetChange,
     TargetReinstated,
     TargetState,
 )
+from clementinedeal._target_tracker import TargetTracker
 
-Action = Send | Change
+Action = Send | TargetChange
 
 
 class EjectionManager:
@@ -30,7 +30,7 @@
         now: float,
         *,
         incarnation: int = 0,
-        detection: DetectorSettings | None = None,
+        detector_settings: DetectorSettings | None = None,
     ) -> None:
         """Start with every owned target in use, in a view not fresh yet.
 
@@ -42,10 +42,10 @@
         """
         self._me = me
         self._incarnation = incarnation
-        self._detection = detection or DetectorSettings()
-        self._reporter = Reporter(cfg)
-        self._holders = Holders(me, cfg)
-        self._standings: dict[str, Standing] = {}
+        self._detector_settings = detector_settings or DetectorSettings()
+        self._reporter = TargetReporter(cfg)
+        self._holders = PermitHolders(me, cfg)
+        self._trackers: dict[str, TargetTracker] = {}
         self.on_config(cfg, now)
 
     def on_config(self, cfg: Config, now: float) -> list[Action]:
@@ -55,29 +55,30 @@
         :param now: monotonic time in seconds.
         """
         self._reporter.on_config(cfg)
-        former = self._standings
-        self._standings = {
-            name: self._standing(target, now)
+        former = self._trackers
+        self._trackers = {
+            name: self._tracker_for(target, now)
             for name, target in cfg.targets.items()
             if target.instance == self._me
         }
-        owned = self._standings.values()
-        services = {standing.target.service for standing in owned}
+        owned = self._trackers.values()
+        services = {tracker.target.service for tracker in owned}
         self._holders.on_config(cfg, services, now)
         actions: list[Action] = [
             TargetReinstated(name)
-            for name, standing in former.items()
-            if standing.out and self._standings.get(name, standing) != standing
+            for name, tracker in former.items()
+            if tracker.is_ejected
+            and self._trackers.get(name, tracker) != tracker
         ]
         if not cfg.active.ejection:
-            for standing in owned:
-                actions.extend(standing.reinstate(now))
+            for tracker in owned:
+                actions.extend(tracker.reinstate(now))
         return actions
 
     def on_outcome(
         self,
         target: str,
-        outcome: Outcome,
+        outcome: RequestOutcome,
         now: float,
     ) -> list[Action]:
         """Take in the end of a request to an owned target.
@@ -86,11 +87,13 @@
         :param outcome: how the request ended.
         :param now: monotonic time in seconds.
         """
-        standing = self._standings.get(target)
-        if standing is None:
+        tracker = self._trackers.get(target)
+        if tracker is None:
             return []
-        standing.on_outcome(outcome, now)
-        return self._route(self._reporter.if_due(standing, now), now)
+        tracker.on_outcome(outcome, now)
+        return self._deliver_local(
+            self._reporter.report_if_due(tracker, now), now
+        )
 
     def on_inflight(
         self,
@@ -104,11 +107,13 @@
         :param started: monotonic times in seconds of their start.
         :param now: monotonic time in seconds.
         """
-        standing = self._standings.get(target)
-        if standing is None:
+        tracker = self._trackers.get(target)
+        if tracker is None:
             return []
-        standing.detector.on_inflight(tuple(started))
-        return self._route(self._reporter.if_due(standing, now), now)
+        tracker.detector.on_inflight(tuple(started))
+        return self._deliver_local(
+            self._reporter.report_if_due(tracker, now), now
+        )
 
     def on_message(self, sender: str, body: Any, now: float) -> list[Action]:
         """Take in a report or an answer; other messages are ignored.
@@ -119,11 +124,11 @@
         """
         if isinstance(body, TargetReport):
             sends = self._holders.on_report(sender, body, now)
-            return self._route(sends, now)
+            return self._deliver_local(sends, now)
         if not isinstance(body, PermitAnswer):
             return []
-        standing = self._standings.get(body.target)
-        return list(standing.on_answer(body, now)) if standing else []
+        tracker = self._trackers.get(body.target)
+        return list(tracker.on_answer(body, now)) if tracker else []
 
     def on_tick(self, now: float) -> list[Action]:
         """Let time pass; expected about every 20 ms.
@@ -132,13 +137,13 @@
         """
         self._holders.on_tick(now)
         actions: list[Action] = []
-        for standing in self._standings.values():
-            actions.extend(standing.on_tick(now))
-            sends = self._reporter.if_due(standing, now)
-            actions.extend(self._route(sends, now))
+        for tracker in self._trackers.values():
+            actions.extend(tracker.on_tick(now))
+            sends = self._reporter.report_if_due(tracker, now)
+            actions.extend(self._deliver_local(sends, now))
         return actions
 
-    def on_pause(self, gap: float, now: float) -> list[Action]:
+    def on_pause(self, gap_seconds: float, now: float) -> list[Action]:
         """Drop all permits, evidence and grants after a pause.
 
         :param gap: its length in seconds.
@@ -146,11 +151,11 @@
         """
         self._holders.on_pause(now)
         actions: list[Action] = []
-        for standing in self._standings.values():
-            state = standing.state
+        for tracker in self._trackers.values():
+            state = tracker.state
             if state is not TargetState.LEAVING:
                 state = TargetState.IN_USE
-            actions.extend(standing.begin_anew(state, now))
+            actions.extend(tracker.restart(state, now))
         return actions
 
     def on_leaving(self, target: str, now: float) -> list[Action]:
@@ -159,22 +164,22 @@
         :param target: its name; one that is not owned is ignored.
         :param now: monotonic time in seconds.
         """
-        standing = self._standings.get(target)
-        if standing is None:
+        tracker = self._trackers.get(target)
+        if tracker is None:
             return []
-        standing.on_leaving(now)
-        return self._route(self._reporter.at_once(standing, now), now)
+        tracker.on_leaving(now)
+        return self._deliver_local(self._reporter.report_now(tracker, now), now)
 
-    def on_cold(self, target: str, now: float) -> list[Action]:
+    def on_restarted(self, target: str, now: float) -> list[Action]:
         """Begin anew with a target that has just started.
 
         :param target: its name; one that is not owned is ignored.
         :param now: monotonic time in seconds.
         """
-        standing = self._standings.get(target)
-        if standing is None:
+        tracker = self._trackers.get(target)
+        if tracker is None:
             return []
-        return list(standing.begin_anew(TargetState.SLOW_START, now))
+        return list(tracker.restart(TargetState.SLOW_START, now))
 
     def set_fresh(self, fresh: bool, now: float) -> None:
         """Tell whether this daemon's view is fresh.
@@ -184,7 +189,7 @@
         :param fresh: true while it is.
         :param now: monotonic time in seconds.
         """
-        self._reporter.fresh = fresh
+        self._reporter.is_fresh = fresh
         self._holders.set_fresh(fresh, now)
 
     def set_absent(self, targets: Iterable[str], now: float) -> None:
@@ -202,7 +207,7 @@
         """
         self._holders.stop(now)
         actions: list[Action] = []
-        for target in self._standings:
+        for target in self._trackers:
             actions.extend(self.on_leaving(target, now))
         return actions
 
@@ -212,25 +217,27 @@
         :param target: its name.
         :raises KeyError: the target is not owned here.
         """
-        return self._standings[target].state
+        return self._trackers[target].state
 
-    def share(self, target: str, now: float) -> float:
+    def usable_fraction(self, target: str, now: float) -> float:
         """Return the usable share of an owned target's slots, 0 to 1.
 
         :param target: its name.
         :param now: monotonic time in seconds.
         :raises KeyError: the target is not owned here.
         """
-        return self._standings[target].share(now)
+        return self._trackers[target].usable_fraction(now)
 
-    def _standing(self, target: Target, now: float) -> Standing:
+    def _tracker_for(self, target: Target, now: float) -> TargetTracker:
         """Keep the standing of a target unless it was published anew."""
-        former = self._standings.get(target.name)
+        former = self._trackers.get(target.name)
         if former is not None and former.target == target:
             return former
-        return Standing(target, self._incarnation, self._detection, now)
+        return TargetTracker(
+            target, self._incarnation, self._detector_settings, now
+        )
 
-    def _route(self, sends: list[Send], now: float) -> list[Action]:
+    def _deliver_local(self, sends: list[Send], now: float) -> list[Action]:
         """Hand what is for this daemon itself over at once."""
         actions: list[Action] = []
         for send in sends:
--- a/src/clementinedeal/_damping.py
+++ b/src/clementinedeal/_ejection_backoff.py
@@ -1,13 +1,13 @@
 """How long a target that was ejected again and again stays out."""
 
-FIRST_HOLD_SECONDS = 5.0
-MOST_DOUBLINGS = 6
-FORGIVE_SECONDS = 60.0
-FIRST_TRIALS = 10
-MOST_TRIALS = 40
+MIN_HOLD_SECONDS = 5.0
+MAX_DOUBLINGS = 6
+DECAY_SECONDS = 60.0
+MIN_TRIAL_REQUESTS = 10
+MAX_TRIAL_REQUESTS = 40
 
 
-class Damping:
+class EjectionBackoff:
     """Counts ejections that followed each other closely."""
 
     def __init__(self, now: float) -> None:
@@ -21,13 +21,15 @@
     @property
     def hold_seconds(self) -> float:
         """Return how long the target stays out before it is tried."""
-        doublings = min(self._ejections - 1, MOST_DOUBLINGS)
-        return FIRST_HOLD_SECONDS * (1 << max(doublings, 0))
+        doublings = min(self._ejections - 1, MAX_DOUBLINGS)
+        return MIN_HOLD_SECONDS * (1 << max(doublings, 0))
 
     @property
-    def trials(self) -> int:
+    def trial_requests(self) -> int:
         """Return how many good answers the target must give first."""
-        return min(FIRST_TRIALS * max(self._ejections, 1), MOST_TRIALS)
+        return min(
+            MIN_TRIAL_REQUESTS * max(self._ejections, 1), MAX_TRIAL_REQUESTS
+        )
 
     def on_ejection(self, now: float) -> None:
         """Count an ejection or a failed trial.
@@ -37,11 +39,11 @@
         self._ejections += 1
         self._changed_at = now
 
-    def on_good(self, now: float) -> None:
+    def on_in_use(self, now: float) -> None:
         """Forget one ejection for each minute that passes without another.
 
         :param now: monotonic time in seconds.
         """
-        if self._ejections and now - self._changed_at >= FORGIVE_SECONDS:
+        if self._ejections and now - self._changed_at >= DECAY_SECONDS:
             self._ejections -= 1
             self._changed_at = now
--- a/src/clementinedeal/_managers.py
+++ b/src/clementinedeal/_managers.py
@@ -17,11 +17,11 @@
     TargetReinstated,
     TargetState,
 )
+from clementinedeal._target_watcher import TargetWatcher
 from clementinedeal._timers import Clock
 from clementinedeal._token_gate import ManagedTokenGate
 from clementinedeal._tokens import TokenManager
 from clementinedeal._views import FleetView
-from clementinedeal._watcher import TargetWatcher
 
 WAITING_SECONDS = 0.05
 DETECTION_SECONDS = 0.1
@@ -77,7 +77,7 @@
             cfg,
             now,
             incarnation=context.fleet.incarnation(me),
-            known_for=context.fleet.known_for(now),
+            known_for=context.fleet.config_age_seconds(now),
         )
         self.tokens = ManagedTokenGate(
             tokens,
@@ -86,7 +86,9 @@
             context.metrics,
         )
         self.holders = tokens.holders
-        self.slots = QueuedSlotGate(me, cfg, context.clock, self.ejection.share)
+        self.slots = QueuedSlotGate(
+            me, cfg, context.clock, self.ejection.usable_fraction
+        )
         self._subscribe_ejection(context.hub)
         self._subscribe_tokens(context.hub, tokens)
         self._subscribe_idempotency(context.hub, idempotency)
@@ -123,7 +125,9 @@
         :param target: an owned target.
         """
         now = self._context.clock.now()
-        self._context.dispatcher.perform(self.ejection.on_cold(target, now))
+        self._context.dispatcher.perform(
+            self.ejection.on_restarted(target, now)
+        )
         self._context.events.emit('target-back', target=target)
 
     def _subscribe_tokens(self, hub: Hub, manager: TokenManager) -> None:
@@ -131,7 +135,9 @@
         hub.every(WAITING_SECONDS, manager.on_tick)
         fleet = self._context.fleet
         hub.on_config.append(
-            lambda cfg, now: manager.on_config(cfg, now, fleet.known_for(now)),
+            lambda cfg, now: manager.on_config(
+                cfg, now, fleet.config_age_seconds(now)
+            ),
         )
         hub.on_pause.append(manager.on_pause)
         # The manager forgets its freshness in pauses that nobody else notices.
--- a/src/clementinedeal/_peer_traffic.py
+++ b/src/clementinedeal/_peer_traffic.py
@@ -3,19 +3,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from clementinedeal._health import Baseline, Traffic
+from clementinedeal._target_health import Baseline, Traffic
 
-REPORT_VALID_SECONDS = 3.0
-FEWEST_SAMPLES = 4
-FEWEST_PEERS = 2
+MAX_REPORT_AGE_SECONDS = 3.0
+MIN_SAMPLES = 4
+MIN_PEERS = 2
 
 
 @dataclass(frozen=True, slots=True)
-class HeardTraffic:
+class ReportedTraffic:
     """Traffic of one target and when it was heard of."""
 
     traffic: Traffic
-    at: float
+    received_at: float
 
 
 class PeerTraffic:
@@ -23,23 +23,23 @@
 
     def __init__(self) -> None:
         """Start without any report."""
-        self._heard: dict[str, HeardTraffic] = {}
+        self._reported: dict[str, ReportedTraffic] = {}
 
-    def note(self, target: str, traffic: Traffic, now: float) -> None:
+    def set_traffic(self, target: str, traffic: Traffic, now: float) -> None:
         """Remember the newest traffic of a target.
 
         :param target: its name.
         :param traffic: summary by its owner.
         :param now: monotonic time in seconds.
         """
-        self._heard[target] = HeardTraffic(traffic, now)
+        self._reported[target] = ReportedTraffic(traffic, now)
 
     def prune(self, now: float) -> None:
         """Forget reports that are too old to be used."""
-        self._heard = {
+        self._reported = {
             target: one
-            for target, one in self._heard.items()
-            if now - one.at <= REPORT_VALID_SECONDS
+            for target, one in self._reported.items()
+            if now - one.received_at <= MAX_REPORT_AGE_SECONDS
         }
 
     def baseline(self, target: str, now: float) -> Baseline | None:
@@ -50,10 +50,10 @@
         """
         peers = [
             one
-            for name, one in self._heard.items()
+            for name, one in self._reported.items()
             if name != target and _is_usable(one, now)
         ]
-        if len(peers) < FEWEST_PEERS:
+        if len(peers) < MIN_PEERS:
             return None
         return Baseline(
             peers=len(peers),
@@ -63,20 +63,20 @@
             corruptions=_median(peers, lambda one: one.traffic.corruptions),
             reach_seconds=_median(
                 peers,
-                lambda one: now - one.at + one.traffic.window_seconds,
+                lambda one: now - one.received_at + one.traffic.window_seconds,
             ),
         )
 
 
-def _is_usable(one: HeardTraffic, now: float) -> bool:
-    if one.traffic.count < FEWEST_SAMPLES:
+def _is_usable(one: ReportedTraffic, now: float) -> bool:
+    if one.traffic.count < MIN_SAMPLES:
         return False
-    return now - one.at <= REPORT_VALID_SECONDS
+    return now - one.received_at <= MAX_REPORT_AGE_SECONDS
 
 
 def _median(
-    peers: list[HeardTraffic],
-    measure: Callable[[HeardTraffic], float],
+    peers: list[ReportedTraffic],
+    measure: Callable[[ReportedTraffic], float],
 ) -> float:
     """Upper median: an even number of peers leans to fewer ejections."""
     measures = sorted(map(measure, peers))
--- a/src/clementinedeal/_permit_holders.py
+++ b/src/clementinedeal/_permit_holders.py
@@ -2,11 +2,11 @@
 
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
+from clementinedeal._permit_messages import TargetReport
 from clementinedeal._permits import PermitHolder
-from clementinedeal._reports import TargetReport
 
 
-class Holders:
+class PermitHolders:
     """One holder for each service of which this instance owns a target."""
 
     def __init__(self, me: str, cfg: Config) -> None:
--- a/src/clementinedeal/_reports.py
+++ b/src/clementinedeal/_permit_messages.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
-from clementinedeal._health import Baseline, Traffic
 from clementinedeal._messages import message
+from clementinedeal._target_health import Baseline, Traffic
 
 
 @message
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -3,19 +3,19 @@
 from dataclasses import dataclass
 from typing import Any
 
-from clementinedeal._ceiling import Ceiling
 from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._hashing import rank
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
 from clementinedeal._peer_traffic import PeerTraffic
-from clementinedeal._reports import PermitAnswer, TargetReport
+from clementinedeal._permit_messages import PermitAnswer, TargetReport
+from clementinedeal._trailing_minimum import TrailingMinimum
 
 LEASE_SECONDS = 5.0
 # Covers a pause that goes unnoticed and the drift between two clocks.
 LEASE_MARGIN_SECONDS = 1.0
 # A holder that was not ticked for so long was paused and may be outdated.
-TICK_VALID_SECONDS = 0.5
+MAX_TICK_AGE_SECONDS = 0.5
 # A view that differs from this one acts until it loses its freshness, and
 # what it granted last runs for a lease. The second freshness covers a
 # version that this daemon skipped while another held permits under it.
@@ -44,7 +44,7 @@
 
 
 @dataclass(slots=True)
-class Permit:
+class LentPermit:
     """One permit lent; ``lapsing`` when its renewal was refused.
 
     ``incarnation`` and ``sent_at`` are those of the newest report granted.
@@ -52,8 +52,8 @@
 
     incarnation: int
     sent_at: float
-    until: float
-    lapsing: bool = False
+    expires_at: float
+    is_lapsing: bool = False
 
 
 class PermitHolder:
@@ -79,10 +79,10 @@
         self._stopped = False
         self._absent: frozenset[str] = frozenset()
         self._leaving: set[str] = set()
-        self._permits: dict[str, Permit] = {}
+        self._permits: dict[str, LentPermit] = {}
         self._peers = PeerTraffic()
         self._ticked_at = now
-        self._ceiling = Ceiling(SETTLE_SECONDS)
+        self._limit = TrailingMinimum(SETTLE_SECONDS)
         self.on_config(cfg, now)
 
     def on_config(self, cfg: Config, now: float) -> None:
@@ -94,7 +94,7 @@
         self._cfg = cfg
         self._targets = targets_of(cfg, self._service)
         self._leaving &= self._targets
-        self._update_ceiling(now)
+        self._update_limit(now)
 
     def set_fresh(self, fresh: bool, now: float) -> None:
         """Tell whether this daemon's view is recent enough to lend.
@@ -103,7 +103,7 @@
         :param now: monotonic time in seconds.
         """
         self._fresh = fresh
-        self._update_ceiling(now)
+        self._update_limit(now)
 
     def set_absent(self, targets: frozenset[str], now: float) -> None:
         """Tell which targets are known to be dead or leaving.
@@ -119,8 +119,8 @@
 
         :param now: monotonic time in seconds.
         """
-        self._ceiling.change(0, now)
-        self._update_ceiling(now)
+        self._limit.set_value(0, now)
+        self._update_limit(now)
 
     def on_tick(self, now: float) -> None:
         """Note that this daemon is awake; nothing is lent without it.
@@ -135,7 +135,7 @@
         :param now: monotonic time in seconds.
         """
         self._stopped = True
-        self._update_ceiling(now)
+        self._update_limit(now)
 
     def on_message(self, sender: str, body: Any, now: float) -> list[Send]:
         """Answer a report of an owner.
@@ -149,9 +149,9 @@
         self._prune(now)
         granted = False
         if self._is_owner(sender, body):
-            self._peers.note(body.target, body.traffic, now)
+            self._peers.set_traffic(body.target, body.traffic, now)
             self._note_leaving(body)
-            granted = self._decide(body, now)
+            granted = self._grant_or_return(body, now)
         if not body.wants and not body.compares:
             return []
         answer = PermitAnswer(
@@ -163,7 +163,7 @@
         )
         return [Send(sender, answer)]
 
-    def lent(self, now: float) -> frozenset[str]:
+    def lent_targets(self, now: float) -> frozenset[str]:
         """Return the targets whose permits may still be in use.
 
         :param now: monotonic time in seconds.
@@ -171,37 +171,37 @@
         self._prune(now)
         return frozenset(self._permits)
 
-    def _decide(self, report: TargetReport, now: float) -> bool:
+    def _grant_or_return(self, report: TargetReport, now: float) -> bool:
         permit = self._permits.get(report.target)
-        if permit is not None and _precedes(report, permit):
+        if permit is not None and _is_outdated(report, permit):
             return False
         if not report.wants:
             self._permits.pop(report.target, None)
             return False
-        if self._out_with(report.target, permit) > self._allowed(now):
+        if self._count_unavailable(report.target, permit) > self._limit_at(now):
             if permit is not None:
-                permit.lapsing = True
+                permit.is_lapsing = True
             return False
         until = now + LEASE_SECONDS + LEASE_MARGIN_SECONDS
-        self._permits[report.target] = Permit(
+        self._permits[report.target] = LentPermit(
             report.incarnation,
             report.sent_at,
             until,
         )
         return True
 
-    def _allowed(self, now: float) -> int:
-        if now - self._ticked_at > TICK_VALID_SECONDS:
+    def _limit_at(self, now: float) -> int:
+        if now - self._ticked_at > MAX_TICK_AGE_SECONDS:
             return 0
-        return self._ceiling.lowest(now)
+        return self._limit.minimum(now)
 
-    def _out_with(self, target: str, permit: Permit | None) -> int:
+    def _count_unavailable(self, target: str, permit: LentPermit | None) -> int:
         """Count the targets out of use if this one has a permit too."""
-        renews = permit is not None and not permit.lapsing
+        renews = permit is not None and not permit.is_lapsing
         lent = {
             name
             for name, other in self._permits.items()
-            if not (renews and other.lapsing)
+            if not (renews and other.is_lapsing)
         }
         absent = (self._absent | self._leaving) & self._targets
         return len(lent | absent | {target})
@@ -217,24 +217,24 @@
         else:
             self._leaving.discard(report.target)
 
-    def _update_ceiling(self, now: float) -> None:
+    def _update_limit(self, now: float) -> None:
         lends = self._fresh and not self._stopped and self._cfg.active.ejection
         if not lends or holder_of(self._cfg, self._service) != self._me:
-            self._ceiling.change(0, now)
+            self._limit.set_value(0, now)
             return
         allowed = len(self._targets) - self._cfg.floor(self._service)
-        self._ceiling.change(max(0, allowed), now)
+        self._limit.set_value(max(0, allowed), now)
 
     def _prune(self, now: float) -> None:
         self._peers.prune(now)
         self._permits = {
             name: permit
             for name, permit in self._permits.items()
-            if permit.until > now
+            if permit.expires_at > now
         }
 
 
-def _precedes(report: TargetReport, permit: Permit) -> bool:
+def _is_outdated(report: TargetReport, permit: LentPermit) -> bool:
     """Whether a report is late, or of another life of the owner."""
     if report.incarnation != permit.incarnation:
         return True
--- a/src/clementinedeal/_platform_reads.py
+++ b/src/clementinedeal/_platform_reads.py
@@ -120,9 +120,11 @@
     async def _watch_root(self, action: WatchRoot) -> Iterable[Any]:
         """Watch by the platform's own version of the value held here."""
         held, stored = self._root_seen
-        if held != action.after:
+        if held != action.after_version:
             return await self._read_root(ROOT_NAME)
-        found = await self._platform.watch(ROOT_NAME, stored, action.seconds)
+        found = await self._platform.watch(
+            ROOT_NAME, stored, action.timeout_seconds
+        )
         if found is None:
             return self._listener.on_platform_root(None, self._now())
         self._note_root(found.blob, found.version)
--- a/src/clementinedeal/_prober.py
+++ b/src/clementinedeal/_prober.py
@@ -9,7 +9,7 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._target_call import TARGET_STATE_HEADER
 
-PROBE_SECONDS = 1.0
+PROBE_INTERVAL_SECONDS = 1.0
 PROBE_TIMEOUT_SECONDS = 0.5
 PROBE_PATH = '/probe'
 _OK = 200
@@ -21,7 +21,7 @@
     def __init__(
         self,
         pool: ConnPool,
-        leaving: Callable[[], tuple[Target, ...]],
+        list_leaving: Callable[[], tuple[Target, ...]],
         on_back: Callable[[str], None],
     ) -> None:
         """Create a prober.
@@ -31,14 +31,14 @@
         :param on_back: is told the name of a target that is back.
         """
         self._pool = pool
-        self._leaving = leaving
+        self._list_leaving = list_leaving
         self._on_back = on_back
 
     async def run(self) -> None:
         """Probe until cancelled."""
         while True:
-            await trio.sleep(PROBE_SECONDS)
-            for target in self._leaving():
+            await trio.sleep(PROBE_INTERVAL_SECONDS)
+            for target in self._list_leaving():
                 if await self._is_back(target):
                     self._on_back(target.name)
 
@@ -58,5 +58,5 @@
             answer = await conn.read_head()
         finally:
             await conn.aclose()
-        stays = answer.header(TARGET_STATE_HEADER) is None
-        return answer.status == _OK and stays
+        is_staying = answer.header(TARGET_STATE_HEADER) is None
+        return answer.status == _OK and is_staying
--- a/src/clementinedeal/_samples.py
+++ b/src/clementinedeal/_samples.py
@@ -4,12 +4,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from clementinedeal._health import Traffic
+from clementinedeal._target_health import Traffic
 
-SAMPLES_KEPT = 128
+MAX_SAMPLES = 128
 WINDOW_SECONDS = 1.0
-LONGEST_WINDOW_SECONDS = 10.0
-FEWEST_SAMPLES = 8
+MAX_WINDOW_SECONDS = 10.0
+MIN_SAMPLES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,11 +19,11 @@
     ``timed`` tells that its latency in seconds says something.
     """
 
-    at: float
-    latency: float
-    failed: bool
-    corrupt: bool
-    timed: bool
+    ended_at: float
+    latency_seconds: float
+    is_failure: bool
+    is_corruption: bool
+    has_latency: bool
 
 
 class Samples:
@@ -31,7 +31,7 @@
 
     def __init__(self) -> None:
         """Start without any."""
-        self.latest: deque[Sample] = deque(maxlen=SAMPLES_KEPT)
+        self.latest: deque[Sample] = deque(maxlen=MAX_SAMPLES)
 
     def add(self, sample: Sample) -> None:
         """Remember one request; the oldest is forgotten.
@@ -51,25 +51,27 @@
         count = len(recent) + len(overdue)
         if not count:
             return Traffic()
-        latencies = sorted([one.latency for one in recent] + list(overdue))
-        failures = sum(one.failed for one in recent) + len(overdue)
-        corruptions = sum(one.corrupt for one in recent)
+        latencies = sorted(
+            [one.latency_seconds for one in recent] + list(overdue)
+        )
+        failures = sum(one.is_failure for one in recent) + len(overdue)
+        corruptions = sum(one.is_corruption for one in recent)
         return Traffic(
             count=count,
             p50=latencies[count // 2],
             p90=latencies[count * 9 // 10],
             failures=failures / count,
             corruptions=corruptions / count,
-            window_seconds=now - recent[-1].at if recent else 0.0,
+            window_seconds=now - recent[-1].ended_at if recent else 0.0,
         )
 
     def _recent(self, now: float) -> list[Sample]:
         recent: list[Sample] = []
         for sample in reversed(self.latest):
-            age = now - sample.at
-            if age > LONGEST_WINDOW_SECONDS:
+            age = now - sample.ended_at
+            if age > MAX_WINDOW_SECONDS:
                 break
-            if age > WINDOW_SECONDS and len(recent) >= FEWEST_SAMPLES:
+            if age > WINDOW_SECONDS and len(recent) >= MIN_SAMPLES:
                 break
             recent.append(sample)
         return recent
--- a/src/clementinedeal/_status.py
+++ b/src/clementinedeal/_status.py
@@ -76,7 +76,7 @@
         metrics.config_version.set(told.config_version)
         metrics.fresh.set(told.fresh)
         now = self._shared.clock.now()
-        metrics.config_age.set(self._shared.fleet.known_for(now))
+        metrics.config_age.set(self._shared.fleet.config_age_seconds(now))
         metrics.in_flight.set(self.owner.in_flight if self.owner else 0)
         metrics.control_bytes.set(
             counters.bytes_sent + counters.bytes_received,
--- a/src/clementinedeal/_health.py
+++ b/src/clementinedeal/_target_health.py
@@ -21,7 +21,7 @@
     CONNECT = 'connect'
 
 
-FAILURES = frozenset(
+FAILURE_KINDS = frozenset(
     (
         OutcomeKind.ERROR,
         OutcomeKind.WRONG,
@@ -30,11 +30,11 @@
         OutcomeKind.CONNECT,
     ),
 )
-CORRUPTIONS = frozenset((OutcomeKind.WRONG, OutcomeKind.SHORT))
+CORRUPTION_KINDS = frozenset((OutcomeKind.WRONG, OutcomeKind.SHORT))
 
 
 @dataclass(frozen=True, slots=True)
-class Outcome:
+class RequestOutcome:
     """End of one request of the owner's own traffic."""
 
     kind: OutcomeKind
@@ -89,18 +89,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Suspect:
+class Suspected:
     """Some evidence, in nats of log-likelihood ratio."""
 
     evidence: float
 
 
 @dataclass(frozen=True, slots=True)
-class Sick:
+class Unhealthy:
     """Evidence above the threshold, in nats, confirmed by the peers."""
 
     cause: Cause
     evidence: float
 
 
-Health = Healthy | Suspect | Sick
+Health = Healthy | Suspected | Unhealthy
--- a/src/clementinedeal/_reporter.py
+++ b/src/clementinedeal/_target_reporter.py
@@ -1,17 +1,17 @@
 """When an owner reports on its targets, and to whom."""
 
-from clementinedeal._health import Healthy, Sick
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
 from clementinedeal._permits import holder_of
-from clementinedeal._standing import Standing
+from clementinedeal._target_health import Healthy, Unhealthy
 from clementinedeal._target_state import TargetState
+from clementinedeal._target_tracker import TargetTracker
 
-REPORT_SECONDS = 1.0
-SUSPECT_REPORT_SECONDS = 0.25
+REPORT_INTERVAL_SECONDS = 1.0
+SUSPECT_REPORT_INTERVAL_SECONDS = 0.25
 
 
-class Reporter:
+class TargetReporter:
     """Paces reports.
 
     Once a second, four times for a suspected target, at once for one that
@@ -23,7 +23,7 @@
 
         :param cfg: the configuration in force.
         """
-        self.fresh = False
+        self.is_fresh = False
         self.on_config(cfg)
 
     def on_config(self, cfg: Config) -> None:
@@ -35,44 +35,48 @@
         services = {target.service for target in cfg.targets.values()}
         self._holders: dict[str, str | None] = dict.fromkeys(services)
 
-    def if_due(self, standing: Standing, now: float) -> list[Send]:
+    def report_if_due(self, tracker: TargetTracker, now: float) -> list[Send]:
         """Report on a target if it is time.
 
         :param standing: the target's standing.
         :param now: monotonic time in seconds.
         """
-        elapsed = now - standing.reported_at
-        if elapsed >= REPORT_SECONDS:
-            return self.at_once(standing, now)
-        if standing.out or standing.state is TargetState.LEAVING:
+        elapsed = now - tracker.reported_at
+        if elapsed >= REPORT_INTERVAL_SECONDS:
+            return self.report_now(tracker, now)
+        if tracker.is_ejected or tracker.state is TargetState.LEAVING:
             return []
-        health = standing.detector.health(now)
+        health = tracker.detector.health(now)
         suspected = not isinstance(health, Healthy)
-        if suspected and elapsed >= SUSPECT_REPORT_SECONDS:
-            return self.at_once(standing, now)
-        asked = standing.state is TargetState.REQUESTING
-        if isinstance(health, Sick) and self._asks() and not asked:
-            return self.at_once(standing, now)
+        if suspected and elapsed >= SUSPECT_REPORT_INTERVAL_SECONDS:
+            return self.report_now(tracker, now)
+        has_requested = tracker.state is TargetState.REQUESTING
+        if (
+            isinstance(health, Unhealthy)
+            and self._may_request_permits()
+            and not has_requested
+        ):
+            return self.report_now(tracker, now)
         return []
 
-    def at_once(self, standing: Standing, now: float) -> list[Send]:
+    def report_now(self, tracker: TargetTracker, now: float) -> list[Send]:
         """Report, unless that would give back a permit that is in use.
 
         :param standing: the target's standing.
         :param now: monotonic time in seconds.
         """
-        asks = self._asks()
-        if standing.out and not asks:
+        may_request = self._may_request_permits()
+        if tracker.is_ejected and not may_request:
             return []
-        holder = self._holder(standing.target.service)
+        holder = self._find_holder(tracker.target.service)
         if holder is None:
             return []
-        return [Send(holder, standing.report(asks, now))]
+        return [Send(holder, tracker.build_report(may_request, now))]
 
-    def _asks(self) -> bool:
-        return self.fresh and self._cfg.active.ejection
+    def _may_request_permits(self) -> bool:
+        return self.is_fresh and self._cfg.active.ejection
 
-    def _holder(self, service: str) -> str | None:
+    def _find_holder(self, service: str) -> str | None:
         holder = self._holders.get(service)
         if holder is None:
             holder = holder_of(self._cfg, service)
--- a/src/clementinedeal/_target_state.py
+++ b/src/clementinedeal/_target_state.py
@@ -3,10 +3,10 @@
 import enum
 from dataclasses import dataclass
 
-from clementinedeal._health import Cause
+from clementinedeal._target_health import Cause
 
-TRIAL_SHARE = 0.15
-SLOW_START_SHARE = 0.2
+TRIAL_FRACTION = 0.15
+SLOW_START_FRACTION = 0.2
 SLOW_START_SECONDS = 10.0
 
 
@@ -21,7 +21,7 @@
     LEAVING = 'leaving'
 
 
-OUT = frozenset((TargetState.EJECTED, TargetState.TRIAL))
+EJECTED_STATES = frozenset((TargetState.EJECTED, TargetState.TRIAL))
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,10 +39,10 @@
     target: str
 
 
-Change = TargetEjected | TargetReinstated
+TargetChange = TargetEjected | TargetReinstated
 
 
-def usable_share(state: TargetState, elapsed: float) -> float:
+def usable_fraction_in(state: TargetState, elapsed_seconds: float) -> float:
     """Return the usable share of a target's slots, 0 to 1.
 
     :param state: state of the target.
@@ -51,7 +51,9 @@
     if state in {TargetState.EJECTED, TargetState.LEAVING}:
         return 0.0
     if state is TargetState.TRIAL:
-        return TRIAL_SHARE
+        return TRIAL_FRACTION
     if state is TargetState.SLOW_START:
-        return min(1.0, SLOW_START_SHARE + elapsed / SLOW_START_SECONDS)
+        return min(
+            1.0, SLOW_START_FRACTION + elapsed_seconds / SLOW_START_SECONDS
+        )
     return 1.0
--- a/src/clementinedeal/_watcher.py
+++ b/src/clementinedeal/_target_watcher.py
@@ -6,17 +6,17 @@
 
 from clementinedeal._dispatch import Dispatcher
 from clementinedeal._ejection import EjectionManager
-from clementinedeal._health import Outcome, OutcomeKind
 from clementinedeal._metrics import Metrics
 from clementinedeal._replies import AttemptRefusal, AttemptReply, TargetAnswer
 from clementinedeal._target_call import TARGET_STATE_HEADER
+from clementinedeal._target_health import OutcomeKind, RequestOutcome
 from clementinedeal._target_state import TargetState
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 
 _SERVER_ERROR = 500
 _LEAVING = b'leaving'
-_REFUSED_KINDS = {
+_KIND_BY_REASON = {
     Reason.DEADLINE: OutcomeKind.TIMEOUT,
     Reason.ANSWER_WRONG: OutcomeKind.WRONG,
     Reason.ANSWER_INCOMPLETE: OutcomeKind.SHORT,
@@ -26,7 +26,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Started:
+class _RunningRequest:
     target: str
     at: float
     idempotent: bool
@@ -53,7 +53,7 @@
         self._manager = manager
         self._dispatcher = dispatcher
         self._metrics = metrics
-        self._running: dict[str, _Started] = {}
+        self._running: dict[str, _RunningRequest] = {}
 
     def refusal(
         self, target: str, *, idempotent: bool
@@ -73,7 +73,7 @@
 
     def started(self, req_id: str, target: str, *, idempotent: bool) -> None:
         """Note the first byte to a target."""
-        started = _Started(target, self._clock.now(), idempotent)
+        started = _RunningRequest(target, self._clock.now(), idempotent)
         self._running[req_id] = started
 
     def ended(self, req_id: str, target: str, reply: AttemptReply) -> None:
@@ -88,14 +88,14 @@
         started = self._running.pop(req_id, None)
         if kind is None:
             return
-        outcome = Outcome(
+        outcome = RequestOutcome(
             kind=kind,
             latency_seconds=now - started.at if started else 0,
             idempotent=started.idempotent if started else True,
         )
         self._metrics.executions.labels(target, kind.value).inc()
         self._perform(self._manager.on_outcome(target, outcome, now))
-        if _says_leaving(reply):
+        if _is_leaving_reply(reply):
             self._perform(self._manager.on_leaving(target, now))
 
     def state(self, target: str) -> str:
@@ -119,13 +119,13 @@
 
 def _kind(reply: AttemptReply) -> OutcomeKind | None:
     if isinstance(reply, AttemptRefusal):
-        return _REFUSED_KINDS.get(reply.reason)
+        return _KIND_BY_REASON.get(reply.reason)
     if reply.head.status >= _SERVER_ERROR:
         return OutcomeKind.ERROR
     return OutcomeKind.OK
 
 
-def _says_leaving(reply: AttemptReply) -> bool:
+def _is_leaving_reply(reply: AttemptReply) -> bool:
     return (
         isinstance(reply, TargetAnswer)
         and reply.head.header(TARGET_STATE_HEADER) == _LEAVING
--- a/src/clementinedeal/_ceiling.py
+++ b/src/clementinedeal/_trailing_minimum.py
@@ -4,26 +4,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Superseded:
+class FormerValue:
     """A former value that still limits until a time."""
 
     value: int
-    until: float
+    expires_at: float
 
 
-class Ceiling:
+class TrailingMinimum:
     """The lowest of the value now and those of the last ``wait`` seconds."""
 
-    def __init__(self, wait: float) -> None:
+    def __init__(self, window_seconds: float) -> None:
         """Start at zero.
 
         :param wait: seconds for which a former value goes on limiting.
         """
-        self._wait = wait
+        self._window_seconds = window_seconds
         self._value = 0
-        self._former: list[Superseded] = []
+        self._former_values: list[FormerValue] = []
 
-    def change(self, value: int, now: float) -> None:
+    def set_value(self, value: int, now: float) -> None:
         """Set the value.
 
         :param value: the new one.
@@ -31,14 +31,20 @@
         """
         if value == self._value:
             return
-        self._former = [one for one in self._former if one.until > now]
-        self._former.append(Superseded(self._value, now + self._wait))
+        self._former_values = [
+            one for one in self._former_values if one.expires_at > now
+        ]
+        self._former_values.append(
+            FormerValue(self._value, now + self._window_seconds)
+        )
         self._value = value
 
-    def lowest(self, now: float) -> int:
+    def minimum(self, now: float) -> int:
         """Return what is allowed now.
 
         :param now: monotonic time in seconds.
         """
-        limits = [one.value for one in self._former if one.until > now]
+        limits = [
+            one.value for one in self._former_values if one.expires_at > now
+        ]
         return min([self._value, *limits])
--- a/src/clementinedeal/_view_actions.py
+++ b/src/clementinedeal/_view_actions.py
@@ -27,8 +27,8 @@
     After ``seconds`` the platform answers that there is none.
     """
 
-    after: int
-    seconds: float
+    after_version: int
+    timeout_seconds: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedeal/_view_handlers.py
+++ b/src/clementinedeal/_view_handlers.py
@@ -56,9 +56,9 @@
         if body.held is not None:
             state.freshness.on_accepted(body.held.version, now)
             actions.extend(state.spread.on_ref(body.held, sender, now))
-        return [*actions, Send(sender, self._answer(body, now))]
+        return [*actions, Send(sender, self._build_answer(body, now))]
 
-    def _answer(self, body: ViewRequest, now: float) -> ViewAnswer:
+    def _build_answer(self, body: ViewRequest, now: float) -> ViewAnswer:
         state = self._state
         roster = state.members.roster
         own = MemberRecord(0, state.incarnation, state.leaving, 0)
@@ -71,7 +71,9 @@
             leaving=state.leaving,
             fresh=state.is_fresh(now),
             held=None if held is None else held.ref,
-            held_for=state.ages.seconds(held.ref if held else None, now),
+            held_for=state.version_ages.seconds(
+                held.ref if held else None, now
+            ),
             rejected=None if refused is None else refused.ref,
             newest=state.freshness.newest,
             accepted=state.freshness.accepted,
@@ -99,7 +101,7 @@
             state.freshness.on_contact(body.contact.version, at, now)
         state.members.roster.merge(sender, body, sent_at)
         if body.held is not None:
-            state.ages.note(body.held, now - body.held_for)
+            state.version_ages.note(body.held, now - body.held_for)
         state.acceptance.gate.on_peer(body.held, fresh=body.fresh)
         actions: list[Any] = []
         for ref in (body.held, body.rejected):
--- a/src/clementinedeal/_view_notes.py
+++ b/src/clementinedeal/_view_recorder.py
@@ -12,7 +12,7 @@
 )
 
 
-class ViewNotes:
+class ViewRecorder:
     """Performs the actions of the view that concern nobody else."""
 
     def __init__(
@@ -32,15 +32,15 @@
         self._directory = directory
         self._status = status
         self._events = events
-        dispatcher.register(PeerAddress, self._meet)
-        dispatcher.register(ConfigRejected, self._note_rejected)
-        dispatcher.register(InstanceLeaving, self._note_leaving)
-        dispatcher.register(InstanceLeft, self._note_left)
+        dispatcher.register(PeerAddress, self._add_address)
+        dispatcher.register(ConfigRejected, self._record_rejected)
+        dispatcher.register(InstanceLeaving, self._record_leaving)
+        dispatcher.register(InstanceLeft, self._record_left)
 
-    def _meet(self, action: PeerAddress) -> None:
+    def _add_address(self, action: PeerAddress) -> None:
         self._directory.meet(action.instance, action.control)
 
-    def _note_rejected(self, action: ConfigRejected) -> None:
+    def _record_rejected(self, action: ConfigRejected) -> None:
         self._status.rejected = f'{action.version}: {action.reason}'
         self._events.emit(
             'config-rejected',
@@ -48,8 +48,8 @@
             reason=action.reason,
         )
 
-    def _note_leaving(self, action: InstanceLeaving) -> None:
+    def _record_leaving(self, action: InstanceLeaving) -> None:
         self._events.emit('instance-leaving', peer=action.instance)
 
-    def _note_left(self, action: InstanceLeft) -> None:
+    def _record_left(self, action: InstanceLeft) -> None:
         self._events.emit('instance-left', peer=action.instance)
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -24,7 +24,7 @@
 )
 
 INCARNATION_BITS = 48
-SWEEP_SECONDS = 1.0
+SWEEP_INTERVAL_SECONDS = 1.0
 
 
 class ViewState:
@@ -45,7 +45,7 @@
         self.me = settings.instance
         self.leaving = False
         self.acceptance = Acceptance()
-        self.ages = VersionAges()
+        self.version_ages = VersionAges()
         self.freshness = Freshness()
         self.members = Membership(self.me)
         self.gossip = Gossip(self.me, self.members, rng)
@@ -56,22 +56,22 @@
         self._reader_order: list[str] = []
         self._sweep_due = now
         self.incarnation = 0
-        self.renew()
+        self.renew_incarnation()
 
     @property
     def config(self) -> Config | None:
         """Return the configuration in force."""
         return self.acceptance.cfg
 
-    def known_for(self, now: float) -> float:
+    def config_age_seconds(self, now: float) -> float:
         """Return for how long the version in force is published, at least.
 
         :param now: monotonic seconds.
         """
         held = self.acceptance.held
-        return self.ages.seconds(held.ref if held else None, now)
+        return self.version_ages.seconds(held.ref if held else None, now)
 
-    def renew(self) -> None:
+    def renew_incarnation(self) -> None:
         """Take a new incarnation."""
         self.incarnation = self._rng.getrandbits(INCARNATION_BITS) + 1
 
@@ -87,17 +87,17 @@
 
         :param now: monotonic seconds.
         """
-        before = 0
+        ahead = 0
         for name in self._reader_order:
             if name == self.me:
                 return not self.leaving
             if not self.members.is_silent(name, now):
-                before += not self.members.is_leaving(name)
-            if before == READERS:
+                ahead += not self.members.is_leaving(name)
+            if ahead == READERS:
                 return False
         return False
 
-    def ask_peers(self, now: float) -> list[Send]:
+    def request_views(self, now: float) -> list[Send]:
         """Return the requests for views that are due.
 
         :param now: monotonic seconds.
@@ -109,7 +109,7 @@
             held=None if held is None else held.ref,
         )
 
-    def reads(self, now: float) -> Iterator[ReadPlatform | WatchRoot]:
+    def due_reads(self, now: float) -> Iterator[ReadPlatform | WatchRoot]:
         """Yield the reads of root and instance list that are due.
 
         :param now: monotonic seconds.
@@ -128,18 +128,18 @@
                 published=count,
             )
 
-    def sweep(self, now: float) -> Iterator[Any]:
+    def sweep_members(self, now: float) -> Iterator[Any]:
         """Yield changes among members, once a second.
 
         :param now: monotonic seconds.
         """
         if now < self._sweep_due:
             return
-        self._sweep_due = now + SWEEP_SECONDS
+        self._sweep_due = now + SWEEP_INTERVAL_SECONDS
         self.freshness.on_quorum(self.members.roster.quorum_at(now))
         yield from self.members.changes(now)
 
-    def finish(self, actions: list[Any], now: float) -> list[Any]:
+    def apply_changes(self, actions: list[Any], now: float) -> list[Any]:
         """Let the parts know of what the actions changed.
 
         :param actions: what an input led to; more may be added.
@@ -147,7 +147,7 @@
         """
         held = self.acceptance.held
         if held is not None:
-            self.ages.note(held.ref, now)
+            self.version_ages.note(held.ref, now)
         for action in tuple(actions):
             if isinstance(action, ConfigInForce):
                 actions.extend(self._adopt(action.cfg.instances, now))
@@ -161,7 +161,7 @@
                 now,
             )
         if self.config is None and self.acceptance.gate.asked_at is None:
-            actions.extend(self._meet_peers(now))
+            actions.extend(self._adopt_pulled_instances(now))
         return actions
 
     def _adopt(
@@ -174,7 +174,7 @@
         self._reader_order = reader_order(instances)
         return [InstanceLeft(name) for name in left]
 
-    def _meet_peers(self, now: float) -> list[Any]:
+    def _adopt_pulled_instances(self, now: float) -> list[Any]:
         pull = self.spread.pull
         if pull is None or not pull.has_instances():
             return []
@@ -187,4 +187,4 @@
         self.acceptance.gate.on_asked(now)
         self._adopt({entry.name: entry for entry in entries}, now)
         met = [PeerAddress(entry.name, entry.control) for entry in entries]
-        return [*met, *self.ask_peers(now)]
+        return [*met, *self.request_views(now)]
--- a/src/clementinedeal/_views.py
+++ b/src/clementinedeal/_views.py
@@ -43,12 +43,12 @@
         """Return the configuration in force, nothing before the first."""
         return self._state.config
 
-    def known_for(self, now: float) -> float:
+    def config_age_seconds(self, now: float) -> float:
         """Return for how long the version in force is published, at least.
 
         :param now: monotonic seconds.
         """
-        return self._state.known_for(now)
+        return self._state.config_age_seconds(now)
 
     def is_fresh(self, now: float) -> bool:
         """Return whether keyed requests may be served.
@@ -98,7 +98,7 @@
         :param now: monotonic seconds.
         """
         handler = self._handlers[type(body)]
-        return self._state.finish(handler(sender, body, now), now)
+        return self._state.apply_changes(handler(sender, body, now), now)
 
     def on_platform_root(self, blob: bytes | None, now: float) -> Actions:
         """Take the answer to a read or watch of the root.
@@ -114,7 +114,9 @@
             state.freshness.on_contact(version, asked.sent_at, now)
         if blob is None:
             return []
-        return state.finish(state.spread.on_platform_root(blob, now), now)
+        return state.apply_changes(
+            state.spread.on_platform_root(blob, now), now
+        )
 
     def on_platform_part(self, blob: bytes, now: float) -> Actions:
         """Take the answer to a read of a part.
@@ -123,7 +125,9 @@
         :param now: monotonic seconds.
         """
         state = self._state
-        return state.finish(state.spread.on_platform_part(blob, now), now)
+        return state.apply_changes(
+            state.spread.on_platform_part(blob, now), now
+        )
 
     def on_platform_list(self, listed: InstanceList, now: float) -> Actions:
         """Take the answer to a read of the instance list.
@@ -151,12 +155,12 @@
         :param now: monotonic seconds.
         """
         state = self._state
-        actions: Actions = list(state.reads(now))
+        actions: Actions = list(state.due_reads(now))
         is_reader = state.is_reader(now)
         actions.extend(state.spread.on_tick(now, is_reader=is_reader))
-        actions.extend(state.sweep(now))
-        actions.extend(state.ask_peers(now))
-        return state.finish(actions, now)
+        actions.extend(state.sweep_members(now))
+        actions.extend(state.request_views(now))
+        return state.apply_changes(actions, now)
 
     def on_pause(self, now: float) -> Actions:
         """Forget what may have changed during a pause; rejoin as another.
@@ -168,8 +172,8 @@
         state.gossip.drop()
         state.schedule.drop()
         state.members.drop(now)
-        state.renew()
-        return list(state.ask_peers(now))
+        state.renew_incarnation()
+        return list(state.request_views(now))
 
     def stop(self, now: float) -> Actions:
         """Tell peers that this daemon takes no new work.
--- a/src/clementinedeal_bench/_decision_slopes.py
+++ b/src/clementinedeal_bench/_decision_slopes.py
@@ -10,10 +10,10 @@
 from clementinedeal._ejection import EjectionManager
 from clementinedeal._envelope import Forward, Keyring
 from clementinedeal._executions import ExecutionTable
-from clementinedeal._health import Outcome, OutcomeKind
 from clementinedeal._http import RequestHead
 from clementinedeal._idempotency import IdempotencyManager
 from clementinedeal._routing import Router
+from clementinedeal._target_health import OutcomeKind, RequestOutcome
 from clementinedeal._target_queue import TargetQueue
 from clementinedeal._tokens import TokenManager
 from clementinedeal_bench._slope import (
@@ -140,7 +140,7 @@
     target = next(
         one.name for one in cfg.targets.values() if one.instance == name
     )
-    outcome = Outcome(OutcomeKind.OK, 0.025)
+    outcome = RequestOutcome(OutcomeKind.OK, 0.025)
     cost = micros_per_call(
         lambda number: manager.on_outcome(
             target, outcome, number / REQUESTS_PER_SECOND
--- a/src/clementinedeal_bench/_ejection_policies.py
+++ b/src/clementinedeal_bench/_ejection_policies.py
@@ -5,9 +5,13 @@
 
 from clementinedeal._detector import DetectorSettings
 from clementinedeal._ejection import Action, EjectionManager
-from clementinedeal._health import FAILURES, Outcome, OutcomeKind
 from clementinedeal._messages import Send
 from clementinedeal._model import Config, Preset, PresetName, Service, Target
+from clementinedeal._target_health import (
+    FAILURE_KINDS,
+    OutcomeKind,
+    RequestOutcome,
+)
 from clementinedeal._target_state import TargetEjected
 
 SERVICE = 'status'
@@ -22,7 +26,9 @@
 
     ejections: list[str]
 
-    def on_outcome(self, target: str, outcome: Outcome, now: float) -> None:
+    def on_outcome(
+        self, target: str, outcome: RequestOutcome, now: float
+    ) -> None:
         """Take in the end of one request."""
         ...
 
@@ -42,7 +48,9 @@
         """Start with every target in use."""
         self.ejections: list[str] = []
 
-    def on_outcome(self, target: str, outcome: Outcome, now: float) -> None:
+    def on_outcome(
+        self, target: str, outcome: RequestOutcome, now: float
+    ) -> None:
         """Ignore it."""
 
     def on_tick(self, inflight: dict[str, list[float]], now: float) -> None:
@@ -83,14 +91,16 @@
         super().__init__(most_out)
         self._failures: dict[str, int] = {}
 
-    def on_outcome(self, target: str, outcome: Outcome, now: float) -> None:
+    def on_outcome(
+        self, target: str, outcome: RequestOutcome, now: float
+    ) -> None:
         """Count a failure, or start again.
 
         :param target: its name.
         :param outcome: how the request ended.
         :param now: virtual time in seconds.
         """
-        failed = outcome.kind in FAILURES
+        failed = outcome.kind in FAILURE_KINDS
         count = self._failures.get(target, 0) + 1 if failed else 0
         self._failures[target] = count
         if count >= FAILURES_IN_A_ROW:
@@ -109,7 +119,9 @@
         super().__init__(most_out)
         self._latencies: dict[str, deque[float]] = {}
 
-    def on_outcome(self, target: str, outcome: Outcome, now: float) -> None:
+    def on_outcome(
+        self, target: str, outcome: RequestOutcome, now: float
+    ) -> None:
         """Average the latency with those before.
 
         :param target: its name.
@@ -139,21 +151,23 @@
         """
         self.ejections: list[str] = []
         cfg = make_config(size, floor)
-        detection = DetectorSettings(threshold=threshold)
+        detection = DetectorSettings(threshold_nats=threshold)
         self._managers = {
             number: EjectionManager(
                 f'i{number}',
                 cfg,
                 0.0,
                 incarnation=number,
-                detection=detection,
+                detector_settings=detection,
             )
             for number in range(size)
         }
         for manager in self._managers.values():
             manager.set_fresh(True, 0.0)
 
-    def on_outcome(self, target: str, outcome: Outcome, now: float) -> None:
+    def on_outcome(
+        self, target: str, outcome: RequestOutcome, now: float
+    ) -> None:
         """Tell the owner.
 
         :param target: its name.
@@ -180,7 +194,7 @@
         :param target: its name.
         :param now: virtual time in seconds.
         """
-        return self._manager(target).share(target, now)
+        return self._manager(target).usable_fraction(target, now)
 
     def _manager(self, name: str) -> EjectionManager:
         return self._managers[int(name[1:])]
--- a/src/clementinedeal_bench/_model_targets.py
+++ b/src/clementinedeal_bench/_model_targets.py
@@ -6,7 +6,7 @@
 import random
 from dataclasses import dataclass
 
-from clementinedeal._health import Outcome, OutcomeKind
+from clementinedeal._target_health import OutcomeKind, RequestOutcome
 
 MEAN_SECONDS = 0.025
 SPREAD = 0.4
@@ -42,7 +42,7 @@
 
     started: float
     ends: float
-    outcome: Outcome
+    outcome: RequestOutcome
 
 
 class ModelTarget:
@@ -76,7 +76,7 @@
             seconds = TIMEOUT_SECONDS
         ends = started + seconds
         heapq.heappush(self._free, ends)
-        return Work(started, ends, Outcome(kind, seconds))
+        return Work(started, ends, RequestOutcome(kind, seconds))
 
     def _seconds(self, sick: bool, started: float) -> float:
         seconds = self._rng.lognormvariate(self._median, SPREAD)
--- a/src/clementinedeal_bench/_virtual_fleet.py
+++ b/src/clementinedeal_bench/_virtual_fleet.py
@@ -205,8 +205,8 @@
             return
         self.platform.watch(
             replica,
-            action.after,
-            self.now + action.seconds,
+            action.after_version,
+            self.now + action.timeout_seconds,
             self.now,
             partial(self._reply, process, name),
         )
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -3,10 +3,10 @@
 import pytest
 
 from clementinedeal._ejection import EjectionManager
-from clementinedeal._health import Cause, Outcome, OutcomeKind
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
 from clementinedeal._permits import LEASE_SECONDS, SETTLE_SECONDS, holder_of
+from clementinedeal._target_health import Cause, OutcomeKind, RequestOutcome
 from clementinedeal._target_state import (
     TargetEjected,
     TargetReinstated,
@@ -18,7 +18,7 @@
 GAP_SECONDS = 1 / 13
 CFG = make_config(1, 6, frozenset(range(SIZE)))
 HOLDER = int((holder_of(CFG, 's') or 'i0')[1:])
-SICK = (HOLDER + 1) % SIZE
+FAULTY = (HOLDER + 1) % SIZE
 
 
 class Deployment:
@@ -49,16 +49,16 @@
                     self.serve(number, manager)
 
     def serve(self, number: int, manager: EjectionManager) -> None:
-        self.carry(number, manager.on_tick(self.now))
+        self.deliver(number, manager.on_tick(self.now))
         failing = number in self.failing
         kind = OutcomeKind.ERROR if failing else OutcomeKind.OK
-        if manager.share(f't{number}', self.now):
-            outcome = Outcome(kind, 0.02)
-            self.carry(
+        if manager.usable_fraction(f't{number}', self.now):
+            outcome = RequestOutcome(kind, 0.02)
+            self.deliver(
                 number, manager.on_outcome(f't{number}', outcome, self.now)
             )
 
-    def carry(self, sender: int, actions: list) -> None:
+    def deliver(self, sender: int, actions: list) -> None:
         for action in actions:
             if not isinstance(action, Send):
                 self.changes.append(action)
@@ -68,7 +68,7 @@
                 manager = self.managers[number]
                 body = action.body
                 actions = manager.on_message(f'i{sender}', body, self.now)
-                self.carry(number, actions)
+                self.deliver(number, actions)
 
     def state(self, number: int) -> TargetState:
         return self.managers[number].state(f't{number}')
@@ -81,29 +81,29 @@
 
 @pytest.fixture
 def ejected(fleet: Deployment) -> Deployment:
-    fleet.failing = {SICK}
+    fleet.failing = {FAULTY}
     fleet.run(1.0)
-    assert fleet.changes == [TargetEjected(f't{SICK}', Cause.FAILING)]
-    assert fleet.state(SICK) is TargetState.EJECTED
+    assert fleet.changes == [TargetEjected(f't{FAULTY}', Cause.FAILING)]
+    assert fleet.state(FAULTY) is TargetState.EJECTED
     fleet.changes.clear()
     return fleet
 
 
-def test_a_cured_target_returns_by_trial_and_slow_start(
+def test_a_recovered_target_returns_by_trial_and_slow_start(
     ejected: Deployment,
 ) -> None:
-    manager = ejected.managers[SICK]
+    manager = ejected.managers[FAULTY]
     ejected.run(3.0)
-    assert manager.share(f't{SICK}', ejected.now) == 0
+    assert manager.usable_fraction(f't{FAULTY}', ejected.now) == 0
     ejected.failing.clear()
     shares = []
     for _ in range(30):
         ejected.run(1.0)
-        shares.append(manager.share(f't{SICK}', ejected.now))
-    assert ejected.changes == [TargetReinstated(f't{SICK}')]
+        shares.append(manager.usable_fraction(f't{FAULTY}', ejected.now))
+    assert ejected.changes == [TargetReinstated(f't{FAULTY}')]
     assert shares == sorted(shares)
     assert any(0 < share < 1 for share in shares)
-    assert ejected.state(SICK) is TargetState.IN_USE
+    assert ejected.state(FAULTY) is TargetState.IN_USE
 
 
 def test_a_target_that_fails_its_trial_stays_out(ejected: Deployment) -> None:
@@ -134,7 +134,7 @@
 ) -> None:
     ejected.lost = {HOLDER}
     ejected.run(LEASE_SECONDS + 2 * GAP_SECONDS)
-    assert ejected.changes == [TargetReinstated(f't{SICK}')]
+    assert ejected.changes == [TargetReinstated(f't{FAULTY}')]
 
 
 def test_a_view_not_fresh_means_reinstatement_within_the_lease(
@@ -142,7 +142,7 @@
 ) -> None:
     ejected.set_fresh(False)
     ejected.run(LEASE_SECONDS + 2 * GAP_SECONDS)
-    assert ejected.changes == [TargetReinstated(f't{SICK}')]
+    assert ejected.changes == [TargetReinstated(f't{FAULTY}')]
     ejected.run(10.0)
     assert len(ejected.changes) == 1
 
@@ -152,56 +152,58 @@
 ) -> None:
     preset = dataclasses.replace(CFG.active, ejection=False)
     cfg = dataclasses.replace(CFG, presets={preset.name: preset})
-    actions = ejected.managers[SICK].on_config(cfg, ejected.now)
-    assert actions == [TargetReinstated(f't{SICK}')]
+    actions = ejected.managers[FAULTY].on_config(cfg, ejected.now)
+    assert actions == [TargetReinstated(f't{FAULTY}')]
 
 
-def test_a_target_published_anew_is_in_use(ejected: Deployment) -> None:
-    name = f't{SICK}'
+def test_a_target_published_with_a_new_address_is_in_use(
+    ejected: Deployment,
+) -> None:
+    name = f't{FAULTY}'
     moved = dataclasses.replace(CFG.targets[name], address='127.0.0.1:9')
     cfg = dataclasses.replace(CFG, targets={**CFG.targets, name: moved})
-    actions = ejected.managers[SICK].on_config(cfg, ejected.now)
+    actions = ejected.managers[FAULTY].on_config(cfg, ejected.now)
     assert actions == [TargetReinstated(name)]
-    assert ejected.state(SICK) is TargetState.IN_USE
+    assert ejected.state(FAULTY) is TargetState.IN_USE
 
 
 def test_a_pause_drops_the_permit_and_the_evidence(ejected: Deployment) -> None:
-    actions = ejected.managers[SICK].on_pause(2.0, ejected.now + 2)
-    assert actions == [TargetReinstated(f't{SICK}')]
-    assert ejected.state(SICK) is TargetState.IN_USE
+    actions = ejected.managers[FAULTY].on_pause(2.0, ejected.now + 2)
+    assert actions == [TargetReinstated(f't{FAULTY}')]
+    assert ejected.state(FAULTY) is TargetState.IN_USE
 
 
 def test_a_draining_target_gets_no_work(fleet: Deployment) -> None:
-    manager = fleet.managers[SICK]
-    (send,) = manager.on_leaving(f't{SICK}', fleet.now)
+    manager = fleet.managers[FAULTY]
+    (send,) = manager.on_leaving(f't{FAULTY}', fleet.now)
     assert isinstance(send, Send)
     assert send.body.leaving
-    assert manager.state(f't{SICK}') is TargetState.LEAVING
-    assert manager.share(f't{SICK}', fleet.now) == 0
+    assert manager.state(f't{FAULTY}') is TargetState.LEAVING
+    assert manager.usable_fraction(f't{FAULTY}', fleet.now) == 0
 
 
 @pytest.mark.parametrize('fresh', [True, False])
-def test_a_sick_target_reports_no_more_than_five_times_a_second(
+def test_an_unhealthy_target_reports_at_most_five_times_a_second(
     fresh: bool,
 ) -> None:
     fleet = Deployment()
     fleet.set_fresh(fresh)
     fleet.managers[HOLDER].set_fresh(False, fleet.now)
-    manager = fleet.managers[SICK]
-    outcome = Outcome(OutcomeKind.ERROR, 0.001)
+    manager = fleet.managers[FAULTY]
+    outcome = RequestOutcome(OutcomeKind.ERROR, 0.001)
     sends = []
     for number in range(1000):
         now = fleet.now + number / 1000
-        sends += manager.on_outcome(f't{SICK}', outcome, now)
+        sends += manager.on_outcome(f't{FAULTY}', outcome, now)
     assert 1 <= len(sends) <= 5
 
 
-def test_a_cold_target_starts_slowly(fleet: Deployment) -> None:
-    manager = fleet.managers[SICK]
-    assert manager.on_cold(f't{SICK}', fleet.now) == []
-    assert 0 < manager.share(f't{SICK}', fleet.now) < 0.5
+def test_a_restarted_target_starts_slowly(fleet: Deployment) -> None:
+    manager = fleet.managers[FAULTY]
+    assert manager.on_restarted(f't{FAULTY}', fleet.now) == []
+    assert 0 < manager.usable_fraction(f't{FAULTY}', fleet.now) < 0.5
     fleet.run(12.0)
-    assert manager.share(f't{SICK}', fleet.now) == 1
+    assert manager.usable_fraction(f't{FAULTY}', fleet.now) == 1
 
 
 def test_a_flapping_target_stays_out_longer_each_time(
@@ -209,12 +211,12 @@
 ) -> None:
     lengths = []
     for _ in range(3):
-        fleet.failing = {SICK}
+        fleet.failing = {FAULTY}
         fleet.run(2.0)
-        assert fleet.state(SICK) is TargetState.EJECTED
+        assert fleet.state(FAULTY) is TargetState.EJECTED
         fleet.failing = set()
         began = fleet.now
-        while fleet.state(SICK) is not TargetState.IN_USE:
+        while fleet.state(FAULTY) is not TargetState.IN_USE:
             fleet.run(1.0)
         lengths.append(fleet.now - began)
     assert lengths[0] < lengths[1] < lengths[2]
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -5,12 +5,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
+from clementinedeal._borrowed_permit import BorrowedPermit, PermitReply
 from clementinedeal._ejection import EjectionManager
 from clementinedeal._freshness import FRESH_SECONDS
-from clementinedeal._health import Outcome, OutcomeKind, Traffic
 from clementinedeal._messages import Send, decode, encode
 from clementinedeal._model import Config, Preset, PresetName, Service, Target
-from clementinedeal._permit_use import PermitUse, Reply
+from clementinedeal._permit_messages import PermitAnswer, TargetReport
 from clementinedeal._permits import (
     LEASE_MARGIN_SECONDS,
     LEASE_SECONDS,
@@ -18,15 +18,15 @@
     PermitHolder,
     holder_of,
 )
-from clementinedeal._reports import PermitAnswer, TargetReport
-from clementinedeal._target_state import OUT
+from clementinedeal._target_health import OutcomeKind, RequestOutcome, Traffic
+from clementinedeal._target_state import EJECTED_STATES
 
 SIZE = 6
 ROUND_SECONDS = 0.25
 LAPSE_SECONDS = LEASE_SECONDS + LEASE_MARGIN_SECONDS + 2 * ROUND_SECONDS
 SETTLED_SECONDS = 2 * FRESH_SECONDS + LAPSE_SECONDS
-BAD = Outcome(OutcomeKind.ERROR, 0.0)
-GOOD = Outcome(OutcomeKind.OK, 0.0)
+BAD = RequestOutcome(OutcomeKind.ERROR, 0.0)
+GOOD = RequestOutcome(OutcomeKind.OK, 0.0)
 LEARN_SECONDS = (0.25, 1.0, 3.0, 9.0, 40.0)
 DELAYS = {'good': (0.0,), 'late': (0.0, 4.5), 'slow': (0.0, 0.5, 2.0, 4.5, 9.0)}
 
@@ -90,14 +90,14 @@
         self.mode = 'good'
         self.lossy = False
         self.cuts: set[tuple[int, int]] = set()
-        self.sick: set[int] = set()
+        self.faulty: set[int] = set()
         self.leaving: set[int] = set()
         self.mail: list[tuple[float, int, int, bytes]] = []
         self.lives = 0
         cfg = make_config(1, floor, frozenset(range(SIZE)))
         self.versions = [Version(cfg, self.now - SETTLED_SECONDS)]
         self.fleet = [self.boot(number) for number in range(SIZE)]
-        self.sicken(frozenset((0, 1, 2)))
+        self.make_faulty(frozenset((0, 1, 2)))
         self.advance(30.0)
 
     def boot(self, number: int) -> Daemon:
@@ -186,8 +186,8 @@
         self.cuts.clear()
 
     @rule(numbers=st.frozensets(daemons, min_size=1, max_size=3))
-    def sicken(self, numbers: frozenset[int]) -> None:
-        self.sick = set(numbers)
+    def make_faulty(self, numbers: frozenset[int]) -> None:
+        self.faulty = set(numbers)
 
     @rule(number=daemons)
     def leave(self, number: int) -> None:
@@ -240,8 +240,8 @@
             self.learn(daemon)
         daemon.manager.set_fresh(daemon.version.is_fresh(self.now), clock)
         self.post(number, daemon.manager.on_tick(clock))
-        outcome = BAD if number in self.sick else GOOD
-        for _ in range(8 if number in self.sick else 3):
+        outcome = BAD if number in self.faulty else GOOD
+        for _ in range(8 if number in self.faulty else 3):
             actions = daemon.manager.on_outcome(f't{number}', outcome, clock)
             self.post(number, actions)
 
@@ -289,7 +289,7 @@
             for number, daemon in enumerate(self.fleet)
             if daemon.running
             and f't{number}' in daemon.version.cfg.targets
-            and daemon.manager.state(f't{number}') in OUT
+            and daemon.manager.state(f't{number}') in EJECTED_STATES
         }
 
     def check(self) -> None:
@@ -329,24 +329,24 @@
     return PermitAnswer('t0', 1, sent_at, granted, None)
 
 
-def test_a_permit_counts_from_the_sending_of_its_request() -> None:
-    use = PermitUse(1, 0.0)
-    use.on_report(wants=True, now=10.0)
-    assert use.on_answer(grant(10.0), 14.5) is Reply.GRANTED
-    assert use.holds(10.0 + LEASE_SECONDS - 0.01)
-    assert not use.holds(10.0 + LEASE_SECONDS)
+def test_a_lease_runs_from_the_sending_time_of_its_report() -> None:
+    permit = BorrowedPermit(1, 0.0)
+    permit.on_report(wants=True, now=10.0)
+    assert permit.on_answer(grant(10.0), 14.5) is PermitReply.GRANTED
+    assert permit.is_held(10.0 + LEASE_SECONDS - 0.01)
+    assert not permit.is_held(10.0 + LEASE_SECONDS)
 
 
-def test_late_answers_and_those_to_another_life_are_void() -> None:
-    use = PermitUse(1, 0.0)
-    use.on_report(wants=True, now=10.0)
-    assert use.on_answer(grant(10.0), 15.0) is Reply.BASELINE
-    assert use.on_answer(grant(9.0), 10.1) is Reply.VOID
-    use.on_report(wants=False, now=16.0)
-    assert use.on_answer(grant(10.0), 10.2) is Reply.VOID
-    other = PermitUse(2, 0.0)
+def test_late_answers_and_those_to_another_incarnation_grant_nothing() -> None:
+    permit = BorrowedPermit(1, 0.0)
+    permit.on_report(wants=True, now=10.0)
+    assert permit.on_answer(grant(10.0), 15.0) is PermitReply.BASELINE
+    assert permit.on_answer(grant(9.0), 10.1) is PermitReply.VOID
+    permit.on_report(wants=False, now=16.0)
+    assert permit.on_answer(grant(10.0), 10.2) is PermitReply.VOID
+    other = BorrowedPermit(2, 0.0)
     other.on_report(wants=True, now=10.0)
-    assert other.on_answer(grant(10.0), 10.1) is Reply.VOID
+    assert other.on_answer(grant(10.0), 10.1) is PermitReply.VOID
 
 
 class Lender:
@@ -392,7 +392,7 @@
     assert lender.tick_and_ask(1, SETTLE_SECONDS)
 
 
-def test_an_allowance_falls_at_once_and_grows_after_the_wait() -> None:
+def test_a_lower_limit_applies_at_once_and_a_higher_one_later() -> None:
     lender = Lender(SIZE - 1)
     now = SETTLE_SECONDS
     assert lender.tick_and_ask(1, now)
@@ -414,7 +414,7 @@
     assert lender.tick_and_ask(1, SETTLE_SECONDS + 1.1)
 
 
-def test_only_the_owner_speaks_for_its_target() -> None:
+def test_a_report_from_another_instance_than_the_owner_is_not_granted() -> None:
     lender = Lender(SIZE - 1)
     now = SETTLE_SECONDS
     lender.holder.on_tick(now)
@@ -424,12 +424,12 @@
     assert lender.ask(2, now)
 
 
-def test_a_late_report_gives_no_newer_permit_back() -> None:
+def test_a_late_report_does_not_return_a_newer_permit() -> None:
     lender = Lender(SIZE - 1)
     now = SETTLE_SECONDS
     assert lender.tick_and_ask(1, now)
     lender.ask(1, now, sent_at=now - 0.05, wants=False)
-    assert lender.holder.lent(now) == {'t1'}
+    assert lender.holder.lent_targets(now) == {'t1'}
     assert not lender.ask(2, now)
     lender.ask(1, now, sent_at=now + 0.1, wants=False)
     assert lender.ask(2, now)
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -6,7 +6,7 @@
 from fleet import running_fleet
 
 
-async def test_a_target_is_back_once_it_says_no_more_that_it_leaves() -> None:
+async def test_a_target_whose_probe_says_leaving_is_not_back() -> None:
     async with running_fleet(('a', 'b')) as fleet:
         leaving = fleet.cfg.targets['t-a']
         fleet.targets['t-a'].leave()
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -30,7 +30,7 @@
 CFG = large_config(accounts=3, routes=2, targets=SIZE, instances=SIZE)
 NAMES = sorted(CFG.instances)
 
-some = st.sampled_from(NAMES)
+instance_names = st.sampled_from(NAMES)
 
 
 @pytest.fixture(autouse=True)
@@ -96,19 +96,22 @@
             self.newest = self.version
             self.published_at = self.fleet.now
 
-    @rule(side=st.sets(some, min_size=1, max_size=SIZE // 2))
+    @rule(side=st.sets(instance_names, min_size=1, max_size=SIZE // 2))
     def split_off(self, side):
         split(self.fleet, side)
         self.isolated = dict.fromkeys(side, self.fleet.now)
 
-    @rule(pairs=st.sets(st.tuples(some, some)), cut_off=st.sets(some))
-    def cut_some_ways(self, pairs, cut_off):
+    @rule(
+        pairs=st.sets(st.tuples(instance_names, instance_names)),
+        cut_off=st.sets(instance_names),
+    )
+    def cut_links(self, pairs, cut_off):
         self.fleet.network.cuts = pairs
         self.fleet.platform.cut_off = cut_off
         self.isolated = {}
 
     @rule(loss=st.sampled_from([0.0, 0.05, 0.5]), delay=st.floats(0.01, 3))
-    def trouble(self, loss, delay):
+    def set_faults(self, loss, delay):
         self.fleet.network.loss = loss
         self.fleet.network.duplicates = loss
         self.fleet.network.max_delay = delay
@@ -121,13 +124,13 @@
     def freeze(self, replica):
         self.fleet.platform.freeze(replica)
 
-    @rule(name=some, seconds=st.floats(0.6, 15))
+    @rule(name=instance_names, seconds=st.floats(0.6, 15))
     def pause(self, name, seconds):
         self.fleet.pause(name)
         self.run(seconds)
         self.fleet.resume(name)
 
-    @rule(name=some)
+    @rule(name=instance_names)
     def restart(self, name):
         self.fleet.start(name)
 
@@ -150,7 +153,7 @@
         self.isolated = {}
 
     @precondition(lambda self: self.fleet.now > START_SECONDS)
-    @rule(name=some)
+    @rule(name=instance_names)
     def publish_when_healed(self, name):
         self.heal()
         self.run(START_SECONDS)
@@ -308,7 +311,7 @@
     assert versions(fleet) == {2}
 
 
-def test_paused_daemon_rejoins_as_another_and_hears_before_it_serves():
+def test_paused_daemon_rejoins_as_new_incarnation_and_is_not_yet_fresh():
     fleet = started()
     name, peer = NAMES[:2]
     before = fleet.processes[name].view.incarnation(name)
@@ -346,7 +349,7 @@
     assert versions(fleet) == {2}
 
 
-def test_refused_version_does_not_stand_for_one_in_force_elsewhere():
+def test_refused_version_does_not_replace_one_in_force_elsewhere():
     fleet = started()
     fleet.platform.publish(publication(3, valid=False))
     fleet.run(IN_FORCE_SECONDS)
