Rename late: queries of a keeper, unanswered claims of an entry

_holder_order.py HolderOrder._sort_key.is_dry is_empty _keeper.py Keeper._pending _queries _keeper.py Keeper._is_pending _is_being_queried _claims.py Claims._pending _unanswered tests/test_tokens.py RateChecker.check.news new_outcomes tests/test_tokens.py RateChecker.seen checked_count tests/test_idempotency.py AFTER_QUARANTINE_SECONDS STEADY_AT tests/test_idempotency.py test_a_claim_at_an_unreachable_keeper_is_refused_and_settled_later test_an_unreachable_keeper_is_sent_the_settlement_later

--- a/src/clementinedeal/_claims.py
+++ b/src/clementinedeal/_claims.py
@@ -79,7 +79,7 @@
 
     def __init__(self) -> None:
         """Create an empty set."""
-        self._pending: dict[str, _PendingClaim] = {}
+        self._unanswered: dict[str, _PendingClaim] = {}
         self._granted: dict[str, _PendingClaim] = {}
         self._settlements: dict[str, _PendingSettlement] = {}
 
@@ -91,7 +91,7 @@
         :param now: current monotonic time in seconds.
         """
         pending = _PendingClaim(keeper, claim, now + CLAIM_TIMEOUT_SECONDS)
-        self._pending[claim.req_id] = pending
+        self._unanswered[claim.req_id] = pending
         return (Send(keeper, claim),)
 
     def on_answer(self, answer: ClaimAnswer, now: float) -> ClaimActions:
@@ -100,10 +100,10 @@
         :param answer: from the keeper; late ones have no effect.
         :param now: current monotonic time in seconds.
         """
-        pending = self._pending.get(answer.req_id)
+        pending = self._unanswered.get(answer.req_id)
         if pending is None or pending.give_up_at <= now:
             return ()
-        self._pending.pop(answer.req_id)
+        self._unanswered.pop(answer.req_id)
         if answer.outcome is ClaimOutcome.NEW:
             self._granted[answer.req_id] = pending
             return (ClaimGranted(answer.req_id),)
@@ -134,7 +134,7 @@
         :param now: current monotonic time in seconds.
         """
         pending = self._granted.pop(req_id, None)
-        pending = pending or self._pending.pop(req_id, None)
+        pending = pending or self._unanswered.pop(req_id, None)
         if pending is None:
             return ()
         return self._settle(pending, verdict, answer, now)
@@ -154,7 +154,7 @@
         actions: list[ClaimAction] = []
         late = [
             pending
-            for pending in self._pending.values()
+            for pending in self._unanswered.values()
             if pending.give_up_at <= now
         ]
         for pending in late:
@@ -171,7 +171,7 @@
 
     def _give_up(self, pending: _PendingClaim, now: float) -> ClaimActions:
         req_id = pending.claim.req_id
-        self._pending.pop(req_id)
+        self._unanswered.pop(req_id)
         refused = ClaimRefused(
             req_id,
             Reason.KEEPER_UNAVAILABLE,
--- a/src/clementinedeal/_holder_order.py
+++ b/src/clementinedeal/_holder_order.py
@@ -75,9 +75,9 @@
         name: str,
         now: float,
     ) -> tuple[bool, bool, int]:
-        is_dry = now < state.empty_until.get(name, 0)
+        is_empty = now < state.empty_until.get(name, 0)
         level = state.holder_levels.get(name, UNKNOWN_LEVEL)
-        return is_dry, not self._is_in_region(name), -level
+        return is_empty, not self._is_in_region(name), -level
 
     def _is_suspect(self, name: str, now: float) -> bool:
         return now < self._suspects.get(name, 0)
--- a/src/clementinedeal/_keeper.py
+++ b/src/clementinedeal/_keeper.py
@@ -72,7 +72,7 @@
             limits.retention_seconds + CONVERGENCE_SECONDS,
             limits.max_entries,
         )
-        self._pending: dict[int, _ClaimQuery] = {}
+        self._queries: dict[int, _ClaimQuery] = {}
         self._nonces = itertools.count(wall_ms() << NONCE_BITS)
         self._is_stopping = False
 
@@ -82,7 +82,7 @@
         :param now: current monotonic time in seconds.
         """
         self._quarantine.begin(now)
-        self._pending.clear()
+        self._queries.clear()
 
     def suspend(self) -> None:
         """Grant nothing new until ``resume``."""
@@ -104,7 +104,7 @@
         record = self._table.get(claim.key, now)
         if record is not None and not self._moved.get(claim.key, now):
             return self._answer_from_record(entry, claim, record, now)
-        if self._is_pending(claim.key):
+        if self._is_being_queried(claim.key):
             return (refuse_claim(entry, claim),)
         return self._query_former_keepers(entry, claim, now)
 
@@ -131,7 +131,7 @@
         """
         moved_to = self._moved.get(query.key, now)
         sure = self._quarantine.remembers(query.minted_ms, now)
-        if self._is_pending(query.key):
+        if self._is_being_queried(query.key):
             missing = KeyMissing(query.nonce, query.key, False, '')
             return (Send(requester, missing),)
         if not self._moved.add(query.key, requester, now):
@@ -148,7 +148,7 @@
         :param found: the record.
         :param now: current monotonic time in seconds.
         """
-        pending = self._pending.pop(found.nonce, None)
+        pending = self._queries.pop(found.nonce, None)
         if pending is None:
             return ()
         if self._table.put(found.record, now):
@@ -164,7 +164,7 @@
         :param missing: its answer.
         :param now: current monotonic time in seconds.
         """
-        pending = self._pending.get(missing.nonce)
+        pending = self._queries.get(missing.nonce)
         if pending is None:
             return ()
         pending.unanswered.discard(sender)
@@ -173,7 +173,7 @@
         sends = self._ask(missing.nonce, pending, further)
         if pending.unanswered:
             return sends
-        self._pending.pop(missing.nonce)
+        self._queries.pop(missing.nonce)
         return self._decide(pending, now)
 
     def on_hand_over(self, message: HandOverKeys, now: float) -> None:
@@ -193,10 +193,10 @@
         """
         late = [
             nonce
-            for nonce, pending in self._pending.items()
+            for nonce, pending in self._queries.items()
             if pending.give_up_at <= now
         ]
-        ended = [self._pending.pop(nonce) for nonce in late]
+        ended = [self._queries.pop(nonce) for nonce in late]
         return tuple(
             refuse_claim(pending.entry, pending.claim) for pending in ended
         )
@@ -232,7 +232,7 @@
         if not others:
             return self._decide(pending, now)
         nonce = next(self._nonces)
-        self._pending[nonce] = pending
+        self._queries[nonce] = pending
         return self._ask(nonce, pending, others)
 
     def _ask(self, nonce: int, pending: _ClaimQuery, others: set[str]) -> Sends:
@@ -283,8 +283,8 @@
         self._moved.discard(claim.key)
         return ClaimOutcome.NEW
 
-    def _is_pending(self, key: str) -> bool:
-        pendings = self._pending.values()
+    def _is_being_queried(self, key: str) -> bool:
+        pendings = self._queries.values()
         return any(pending.claim.key == key for pending in pendings)
 
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -26,7 +26,7 @@
 
 LIMITS = KeeperLimits(max_entries=2, retention_seconds=100, max_body_bytes=4)
 ANSWER = StoredAnswer(201, (), b'ok')
-AFTER_QUARANTINE_SECONDS = 500.0  # after any quarantine
+STEADY_AT = 500.0  # after any quarantine
 OLD, NEW = ('a', 'b'), ('b', 'c')
 KEY = next(
     key
@@ -125,7 +125,7 @@
 def test_a_repeat_gets_the_outcome_of_the_first_request(
     verdict: Verdict, repeat: Any
 ) -> None:
-    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
+    fleet = Managers('a', 'b').at(STEADY_AT)
     assert fleet.claim('b', 'r1') == cl.ClaimGranted('r1')
     early = fleet.claim('a', 'r0')
     assert refused('r0', Reason.IN_PROGRESS, Verdict.MAY_HAVE_RUN)(early)
@@ -135,48 +135,44 @@
 
 
 def test_another_request_with_the_key_is_refused() -> None:
-    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
+    fleet = Managers('a', 'b').at(STEADY_AT)
     fleet.claim('b', 'r1')
     manager = fleet.all['a']
-    found = manager.claim('r2', 'c', KEY, 'other', 3, AFTER_QUARANTINE_SECONDS)[
-        0
-    ]
+    found = manager.claim('r2', 'c', KEY, 'other', 3, STEADY_AT)[0]
     assert refused('r2', Reason.KEY_REUSED, Verdict.NOT_RUN)(found)
 
 
-def test_a_claim_at_an_unreachable_keeper_is_refused_and_settled_later() -> (
-    None
-):
-    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
+def test_an_unreachable_keeper_is_sent_the_settlement_later() -> None:
+    fleet = Managers('a', 'b').at(STEADY_AT)
     fleet.cut = {'a'}
     assert fleet.claim('b', 'r1') is None
-    late = fleet.all['b'].on_tick(AFTER_QUARANTINE_SECONDS + 1)
+    late = fleet.all['b'].on_tick(STEADY_AT + 1)
     assert refused('r1', *NOT_KEPT)(late[0])
     assert isinstance(late[1].body, SettleKey)
     fleet.cut = set()
-    fleet.at(AFTER_QUARANTINE_SECONDS + 3)
+    fleet.at(STEADY_AT + 3)
     assert fleet.all['b'].unsettled == 0
 
 
 def test_a_restarted_keeper_knows_only_keys_newer_than_itself() -> None:
-    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
+    fleet = Managers('a', 'b').at(STEADY_AT)
     names = OLD
     fleet.all = {name: fleet.boot(name, names) for name in names}
     assert refused('r1', *NOT_KEPT)(fleet.claim('b', 'r1'))
-    fleet.at(AFTER_QUARANTINE_SECONDS + 95)
+    fleet.at(STEADY_AT + 95)
     made = int(fleet.now * 1000) << 80 | 7 << 76 | 2 << 62
     assert fleet.claim('b', 'r2', str(uuid.UUID(int=made))) == cl.ClaimGranted(
         'r2'
     )
     assert refused('r3', *NOT_KEPT)(fleet.claim('b', 'r3'))
-    fleet.at(AFTER_QUARANTINE_SECONDS + 131)
+    fleet.at(STEADY_AT + 131)
     assert fleet.claim('b', 'r4') == cl.ClaimGranted('r4')
 
 
 def test_a_former_keeper_grants_no_more_after_a_new_one_asked_it() -> None:
-    fleet = Managers('a', 'b', 'c').at(AFTER_QUARANTINE_SECONDS)
+    fleet = Managers('a', 'b', 'c').at(STEADY_AT)
     for name in 'bc':
-        fleet.all[name].on_config(published(NEW), AFTER_QUARANTINE_SECONDS)
+        fleet.all[name].on_config(published(NEW), STEADY_AT)
     assert fleet.claim('c', 'r1') == cl.ClaimGranted('r1')
     found = fleet.claim('a', 'r2')
     assert refused('r2', Reason.IN_PROGRESS, Verdict.MAY_HAVE_RUN)(found)
@@ -185,13 +181,13 @@
 
 
 def test_a_new_keeper_refuses_while_the_former_one_is_silent() -> None:
-    fleet = Managers('a', 'b', 'c').at(AFTER_QUARANTINE_SECONDS)
+    fleet = Managers('a', 'b', 'c').at(STEADY_AT)
     fleet.claim('b', 'r1')
     for name in 'bc':
-        fleet.all[name].on_config(published(NEW), AFTER_QUARANTINE_SECONDS)
+        fleet.all[name].on_config(published(NEW), STEADY_AT)
     fleet.cut = {'a'}
     fleet.claim('c', 'r2')
-    late = fleet.all['c'].on_tick(AFTER_QUARANTINE_SECONDS + 0.5)
+    late = fleet.all['c'].on_tick(STEADY_AT + 0.5)
     assert refused('r2', *NOT_KEPT)(late[0])
     fleet.cut = set()
     found = fleet.claim('b', 'r3')
@@ -199,21 +195,19 @@
 
 
 def test_two_keepers_that_ask_one_another_both_refuse() -> None:
-    fleet = Managers('a', 'b', 'c').at(AFTER_QUARANTINE_SECONDS)
+    fleet = Managers('a', 'b', 'c').at(STEADY_AT)
     for name in 'bc':
-        fleet.all[name].on_config(published(NEW), AFTER_QUARANTINE_SECONDS)
-    unheard = fleet.all['c'].claim(
-        'r1', 'c', KEY, 'f', 3, AFTER_QUARANTINE_SECONDS
-    )
-    fleet.all['a'].on_message('c', unheard[0].body, AFTER_QUARANTINE_SECONDS)
-    fleet.at(AFTER_QUARANTINE_SECONDS + 1)
+        fleet.all[name].on_config(published(NEW), STEADY_AT)
+    unheard = fleet.all['c'].claim('r1', 'c', KEY, 'f', 3, STEADY_AT)
+    fleet.all['a'].on_message('c', unheard[0].body, STEADY_AT)
+    fleet.at(STEADY_AT + 1)
     crossed = {
         name: fleet.all[name].claim(f'r-{name}', 'c', KEY, 'f', 3, fleet.now)
         for name in 'ac'
     }
     answers = {
         name: fleet.all[other].on_message(
-            name, crossed[name][0].body, AFTER_QUARANTINE_SECONDS + 1
+            name, crossed[name][0].body, STEADY_AT + 1
         )
         for name, other in (('a', 'c'), ('c', 'a'))
     }
@@ -223,24 +217,24 @@
 
 
 def test_a_keeper_that_was_paused_is_in_quarantine() -> None:
-    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
-    fleet.now = AFTER_QUARANTINE_SECONDS + MAX_PAUSE_SECONDS + 1
+    fleet = Managers('a', 'b').at(STEADY_AT)
+    fleet.now = STEADY_AT + MAX_PAUSE_SECONDS + 1
     fleet.all['b'].on_tick(fleet.now)
     assert refused('r1', *NOT_KEPT)(fleet.claim('b', 'r1'))
 
 
 def test_a_planned_stop_hands_over_what_the_successor_replays() -> None:
-    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
+    fleet = Managers('a', 'b').at(STEADY_AT)
     fleet.claim('b', 'r1')
     fleet.complete('b', 'r1', Verdict.RAN)
-    fleet.deliver('a', fleet.all['a'].stop(AFTER_QUARANTINE_SECONDS))
+    fleet.deliver('a', fleet.all['a'].stop(STEADY_AT))
     assert refused('r2', *NOT_KEPT)(fleet.claim('b', 'r2'))
     fleet.all['a'] = fleet.boot('a', OLD)
     assert fleet.claim('b', 'r3') == cl.Replay('r3', ANSWER)
 
 
 def test_the_table_is_bounded_in_entries_and_bytes() -> None:
-    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
+    fleet = Managers('a', 'b').at(STEADY_AT)
     kept = [
         key
         for key in map(str, range(99))
@@ -251,42 +245,34 @@
         assert granted == cl.ClaimGranted(f'r{number}')
     assert refused('r2', *NOT_KEPT)(fleet.claim('b', 'r2', kept[2]))
     large = StoredAnswer(200, (), b'12345')
-    done = fleet.all['b'].complete(
-        'r0', Verdict.RAN, large, AFTER_QUARANTINE_SECONDS
-    )
+    done = fleet.all['b'].complete('r0', Verdict.RAN, large, STEADY_AT)
     fleet.deliver('b', done)
     found = fleet.claim('b', 'r3', kept[0])
     assert refused('r3', Reason.DUPLICATE, Verdict.RAN)(found)
     table = fleet.all['a']._keeper._table
     assert table.used_bytes == 2 * RECORD_BYTES
-    states = {
-        record.state for record in table.records(AFTER_QUARANTINE_SECONDS + 60)
-    }
+    states = {record.state for record in table.records(STEADY_AT + 60)}
     assert states == {KeyState.DONE, KeyState.IN_DOUBT}
-    fleet.at(AFTER_QUARANTINE_SECONDS + 120)
+    fleet.at(STEADY_AT + 120)
     assert table.records(fleet.now) == ()
 
 
 def test_a_keeper_without_fresh_configuration_grants_nothing() -> None:
-    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
-    fleet.all['a'].set_fresh(False, AFTER_QUARANTINE_SECONDS)
+    fleet = Managers('a', 'b').at(STEADY_AT)
+    fleet.all['a'].set_fresh(False, STEADY_AT)
     assert refused('r1', *NOT_KEPT)(fleet.claim('b', 'r1'))
-    fleet.at(2 * AFTER_QUARANTINE_SECONDS)
+    fleet.at(2 * STEADY_AT)
     assert refused('r2', *NOT_KEPT)(fleet.claim('b', 'r2'))
     fleet.all['a'].set_fresh(True, fleet.now)
     assert refused('r3', *NOT_KEPT)(fleet.claim('b', 'r3'))
-    fleet.at(3 * AFTER_QUARANTINE_SECONDS)
+    fleet.at(3 * STEADY_AT)
     assert fleet.claim('b', 'r4') == cl.ClaimGranted('r4')
 
 
 def test_a_cancelled_claim_leaves_the_key_free() -> None:
-    fleet = Managers('a', 'b').at(AFTER_QUARANTINE_SECONDS)
-    left = fleet.all['b'].claim(
-        'r1', 'c', KEY, 'f', 3, AFTER_QUARANTINE_SECONDS
-    )
-    gone = fleet.all['b'].complete(
-        'r1', Verdict.NOT_RUN, None, AFTER_QUARANTINE_SECONDS
-    )
+    fleet = Managers('a', 'b').at(STEADY_AT)
+    left = fleet.all['b'].claim('r1', 'c', KEY, 'f', 3, STEADY_AT)
+    gone = fleet.all['b'].complete('r1', Verdict.NOT_RUN, None, STEADY_AT)
     assert fleet.deliver('b', left) == []
     fleet.deliver('b', gone)
     assert fleet.claim('a', 'r2') == cl.ClaimGranted('r2')
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -75,7 +75,7 @@
 
     def __init__(self, fleet: TokenFleet) -> None:
         self.fleet = fleet
-        self.seen = 0
+        self.checked_count = 0
         self.admitted: list[float] = []
 
     def allowed(self, start: float, end: float) -> float:
@@ -104,9 +104,9 @@
         return found
 
     def check(self) -> None:
-        news = self.fleet.outcomes[self.seen :]
-        self.seen = len(self.fleet.outcomes)
-        times = [outcome.at for outcome in news if outcome.admitted]
+        new_outcomes = self.fleet.outcomes[self.checked_count :]
+        self.checked_count = len(self.fleet.outcomes)
+        times = [outcome.at for outcome in new_outcomes if outcome.admitted]
         self.admitted.extend(times)
         for end in dict.fromkeys(times):
             count = len([at for at in self.admitted if at <= end])
