--- a/src/clementinedeal/_borrowed.py
+++ b/src/clementinedeal/_borrowed.py
@@ -8,6 +8,12 @@
 
 @dataclass(slots=True)
 class _BorrowedLease:
+    """A lease as the borrower knows it.
+
+    ``unspent``, ``spent`` and ``reported`` (the part of ``spent`` that was
+    sent to the holder) are in micro-units.
+    """
+
     lease: LeaseId
     holder: str
     unspent: int
@@ -16,15 +22,19 @@
     reported: int = 0
 
     def report(self, *, closed: bool) -> LeaseReport:
+        """Return a report and mark what was spent as reported.
+
+        :param closed: whether the borrower gives the lease up.
+        """
         self.reported = self.spent
         return LeaseReport(self.lease, self.spent, closed)
 
 
 class BorrowedUnits:
-    """The borrower's side: units borrowed from several holders."""
+    """Units of one account that this instance borrowed from its holders."""
 
     def __init__(self) -> None:
-        """Start with nothing."""
+        """Start without leases."""
         self._held: list[_BorrowedLease] = []
 
     def add(
@@ -34,26 +44,30 @@
         amount: int,
         expires_at: float,
     ) -> None:
-        """Keep a grant.
+        """Add a granted lease.
 
-        :param lease: name of the draw; the caller adds each only once.
+        :param lease: id of the draw; must not have been added before.
         :param holder: instance that granted it.
         :param amount: micro-units.
-        :param expires_at: monotonic seconds, counted from the request.
+        :param expires_at: monotonic seconds; the lifetime counts from the
+            sending of the request.
         """
         self._held.append(_BorrowedLease(lease, holder, amount, expires_at))
         self._held.sort(key=lambda held: held.expires_at)
 
     def balance(self, now: float) -> int:
-        """Return the micro-units that may be spent now."""
+        """Remove expired leases and return the micro-units left to spend.
+
+        :param now: monotonic seconds.
+        """
         if self._held and self._held[0].expires_at <= now:
             self._held = [held for held in self._held if held.expires_at > now]
         return sum(held.unspent for held in self._held)
 
     def spend(self, amount: int) -> None:
-        """Use units, those that expire first before others.
+        """Spend units of the leases that expire first.
 
-        :param amount: micro-units, at most the balance just read.
+        :param amount: micro-units, at most what ``balance`` just returned.
         """
         for held in self._held:
             part = min(amount, held.unspent)
@@ -62,7 +76,7 @@
             amount -= part
 
     def unreported(self) -> dict[str, int]:
-        """Return micro-units spent and not yet reported, by holder."""
+        """Return the micro-units spent but not yet reported, by holder."""
         due: dict[str, int] = {}
         for held in self._held:
             if held.spent > held.reported:
@@ -71,7 +85,9 @@
         return due
 
     def report(self, holder: str) -> tuple[LeaseReport, ...]:
-        """Report what was spent of a holder's leases; close empty ones.
+        """Report what was spent of a holder's leases since the last report.
+
+        Leases with nothing left are closed.
 
         :param holder: instance name.
         """
@@ -81,7 +97,7 @@
         )
 
     def close(self, holder: str) -> tuple[LeaseReport, ...]:
-        """Give a holder's leases up and report them.
+        """Remove a holder's leases and report them as closed.
 
         :param holder: instance name.
         """
@@ -91,7 +107,7 @@
         )
 
     def holders(self) -> tuple[str, ...]:
-        """Return the instances whose leases are held, each once."""
+        """Return the instances that granted the leases, each once."""
         return tuple(dict.fromkeys(held.holder for held in self._held))
 
     def _report(
--- a/src/clementinedeal/_borrowing.py
+++ b/src/clementinedeal/_borrowing.py
@@ -1,4 +1,4 @@
-"""The owner's side: requests take tokens, missing ones are drawn."""
+"""The owner's side: takes tokens for requests and borrows missing ones."""
 
 import math
 
@@ -19,20 +19,24 @@
 from clementinedeal._leases import MICROS_PER_UNIT, LeaseReport
 from clementinedeal._messages import Send
 
-ACCOUNT_IDLE_SECONDS = 5.0
+ACCOUNT_IDLE_SECONDS = 5.0  # without a request, before the state is removed
 
 TokenActions = tuple[TokenAction, ...]
 
 
 class Borrowing:
-    """Takes tokens for requests and draws them from the holders."""
+    """Takes tokens for the requests of one owner.
+
+    The owner is the daemon beside a target, the only one that calls it. Its
+    tokens come from its own shares and from draws on the other holders.
+    """
 
     def __init__(self, me: str, incarnation: int, holdings: Holdings) -> None:
         """Start with nothing borrowed.
 
         :param me: name of this instance.
-        :param incarnation: differs from that of every earlier process of the
-            same instance.
+        :param incarnation: number of this process, different from that of
+            every earlier process of the same instance.
         :param holdings: this instance's own shares.
         """
         self._holdings = holdings
@@ -43,9 +47,12 @@
         self._busy_accounts: dict[str, AccountState] = {}
 
     def take(self, req_id: str, account: str, now: float) -> TokenActions:
-        """Take one token; the outcome may come from a later call.
+        """Take one token for a request.
+
+        The decision (``TokenGranted`` or ``TokenRefused``) is among the
+        returned actions, or among those of a later call.
 
-        :param req_id: request id, unique.
+        :param req_id: unique request id.
         :param account: name of the account.
         :param now: monotonic seconds.
         """
@@ -65,7 +72,7 @@
         return self._process_waiting(state, now)
 
     def cancel(self, req_id: str, account: str) -> bool:
-        """Forget a request that waits; tell whether it did.
+        """Remove a waiting request and return whether it was waiting.
 
         :param req_id: request id.
         :param account: name of the account.
@@ -80,10 +87,10 @@
     def on_grant(
         self, sender: str, body: DrawGrant, now: float
     ) -> TokenActions:
-        """Keep a grant if it answers an open draw; give a late one back.
+        """Add a grant that answers an open draw; return a late one.
 
         :param sender: authenticated name of the holder.
-        :param body: the grant.
+        :param body: the grant; ignored if it answers no draw of this process.
         :param now: monotonic seconds.
         """
         self._planner.holder_order.clear_suspect(sender)
@@ -111,7 +118,7 @@
         return self._process_waiting(state, now)
 
     def on_tick(self, now: float) -> TokenActions:
-        """Handle late draws, refusals and reports that are due.
+        """Handle draws without answer, refusals and reports that are due.
 
         :param now: monotonic seconds.
         """
@@ -128,18 +135,18 @@
         return tuple(actions)
 
     def on_config(self) -> None:
-        """Go by the version that the holdings go by."""
+        """Switch to the configuration that the holdings use."""
         self._planner.holder_order.on_config(self._holdings.cfg)
 
     def reset(self) -> TokenActions:
-        """Forget all that was borrowed and refuse what waits."""
+        """Discard all borrowed tokens and refuse the waiting requests."""
         refusals = self._refuse_all()
         self._accounts.clear()
         self._busy_accounts.clear()
         return refusals
 
     def stop(self) -> TokenActions:
-        """Refuse all from now on and give back what was borrowed."""
+        """Refuse all requests from now on and return borrowed tokens."""
         self._is_stopping = True
         actions = list(self._refuse_all())
         for state in self._accounts.values():
@@ -194,6 +201,12 @@
         return _return_leases(state) if state.borrowed.balance(now) else ()
 
     def _refuse_waiting(self, state: AccountState, now: float) -> TokenActions:
+        """Refuse the waiting requests, as the rounds brought too few tokens.
+
+        If all holders answered, new requests are refused at once for a while.
+        If some did not, requests that arrived after the start of the last
+        round stay, and new rounds are started for them.
+        """
         if state.all_answered:
             state.refuse_until = (
                 now + self._planner.policy(state).empty_backoff_seconds
--- a/src/clementinedeal/_claims.py
+++ b/src/clementinedeal/_claims.py
@@ -1,4 +1,8 @@
-"""The entry's side of idempotency keys: claims before, settles after."""
+"""The entry's side of idempotency keys.
+
+The entry is the daemon that took the caller's request. It claims the key from
+its keeper before the request runs, and reports the outcome afterwards.
+"""
 
 from dataclasses import dataclass
 
@@ -14,19 +18,19 @@
 
 CLAIM_TIMEOUT_SECONDS = 1.0
 SETTLE_RETRY_SECONDS = 0.5
-MAX_SETTLE_TRIES = 20
+MAX_SETTLE_TRIES = 20  # messages for one settlement that is not confirmed
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimGranted:
-    """Action: the request may run."""
+    """Action: the key was claimed for the request, which may run."""
 
     req_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class Replay:
-    """Action: give the caller the answer of the first request."""
+    """Action: answer the request with the stored answer of the first one."""
 
     req_id: str
     answer: StoredAnswer
@@ -36,8 +40,8 @@
 class ClaimRefused:
     """Action: refuse the request.
 
-    ``verdict`` is ``NOT_RUN`` if nothing is known of an earlier request
-    with this key. ``retry_after`` is in seconds.
+    ``verdict`` is what is known of the execution of an earlier request with
+    this key: ``NOT_RUN`` if no such request is known.
     """
 
     req_id: str
@@ -61,6 +65,8 @@
 
 @dataclass(slots=True)
 class _PendingClaim:
+    """A claim that was sent; ``give_up_at`` is in monotonic seconds."""
+
     keeper: str
     claim: ClaimKey
     give_up_at: float
@@ -68,6 +74,11 @@
 
 @dataclass(slots=True)
 class _PendingSettlement:
+    """A settlement that is sent again until the keeper confirms it.
+
+    ``send_at`` is the monotonic time of the next try in seconds.
+    """
+
     keeper: str
     settled: SettleKey
     send_at: float
@@ -75,7 +86,7 @@
 
 
 class Claims:
-    """Claims that this entry waits for, holds or settles."""
+    """All claims of one entry: unanswered, granted or being settled."""
 
     def __init__(self) -> None:
         """Create an empty set."""
@@ -84,7 +95,7 @@
         self._settlements: dict[str, _PendingSettlement] = {}
 
     def claim(self, keeper: str, claim: ClaimKey, now: float) -> ClaimActions:
-        """Ask a keeper.
+        """Send a claim to a keeper.
 
         :param keeper: instance name.
         :param claim: the claim.
@@ -95,9 +106,9 @@
         return (Send(keeper, claim),)
 
     def on_answer(self, answer: ClaimAnswer, now: float) -> ClaimActions:
-        """Decide on a request after its keeper's answer.
+        """Decide on a request by its keeper's answer.
 
-        :param answer: from the keeper; late ones have no effect.
+        :param answer: the answer; ignored if it comes too late.
         :param now: current monotonic time in seconds.
         """
         pending = self._unanswered.get(answer.req_id)
@@ -125,12 +136,12 @@
         answer: StoredAnswer | None,
         now: float,
     ) -> ClaimActions:
-        """Tell the keeper what a request came to, until it hears.
+        """Report a request's outcome to the keeper until it confirms it.
 
-        :param req_id: the request; without a claim nothing is done. One
-            that still waits for its claim ends here and is never granted.
-        :param verdict: what is known of its execution.
-        :param answer: to be replayed to repeats, if there is one.
+        :param req_id: id of the request; ignored if it has no claim. A claim
+            that is not answered yet ends here, and is not granted any more.
+        :param verdict: what is known of the request's execution.
+        :param answer: answer to replay to repeated requests, if any.
         :param now: current monotonic time in seconds.
         """
         pending = self._granted.pop(req_id, None)
@@ -140,14 +151,14 @@
         return self._settle(pending, verdict, answer, now)
 
     def on_settled(self, req_id: str) -> None:
-        """Stop telling the keeper.
+        """Stop sending a settlement, as the keeper confirmed it.
 
-        :param req_id: the settled request.
+        :param req_id: id of the settled request.
         """
         self._settlements.pop(req_id, None)
 
     def on_tick(self, now: float) -> ClaimActions:
-        """Refuse claims without an answer and repeat settlements.
+        """Refuse requests whose claim got no answer; repeat settlements.
 
         :param now: current monotonic time in seconds.
         """
--- a/src/clementinedeal/_draw_planner.py
+++ b/src/clementinedeal/_draw_planner.py
@@ -1,4 +1,4 @@
-"""Which holders an owner asks for tokens, in rounds, and for how much."""
+"""Chooses which holders an owner asks for tokens, and for how many."""
 
 from clementinedeal._draw_policy import DrawPolicy
 from clementinedeal._draws import (
@@ -12,18 +12,22 @@
 from clementinedeal._leases import LEASE_TTL_SECONDS, MICROS_PER_UNIT, LeaseId
 from clementinedeal._messages import Send
 
+# Tokens are prefetched when fewer are left than the demand of this time.
 MIN_AVAILABLE_SECONDS = 0.25
 HOLDERS_PER_ROUND = (1, 2, 4)
 
 
 class DrawPlanner:
-    """Sends draws; the nearest holder first, then more in parallel."""
+    """Sends draws, first to the best holder, then to several in parallel.
+
+    The sizes of the rounds are ``HOLDERS_PER_ROUND``.
+    """
 
     def __init__(self, me: str, incarnation: int, holdings: Holdings) -> None:
         """Start with no draw sent.
 
         :param me: name of this instance.
-        :param incarnation: of this process.
+        :param incarnation: number of this process, part of each lease id.
         :param holdings: this instance's own shares.
         """
         self.incarnation = incarnation
@@ -33,13 +37,16 @@
         self._seq = 0
 
     def policy(self, state: AccountState) -> DrawPolicy:
-        """Return the pace of an account under the version in force."""
+        """Return the draw policy of an account under the version in force.
+
+        :param state: the account's state.
+        """
         return DrawPolicy(self._holdings.cfg.accounts.get(state.account))
 
     def order(self, state: AccountState, now: float) -> list[str]:
         """Return the other holders, best first.
 
-        :param reporter: the account's state.
+        :param state: the account's state.
         :param now: monotonic seconds.
         """
         holders = self._holdings.versions.table.find(state.account).holders
@@ -50,9 +57,11 @@
         state: AccountState,
         now: float,
     ) -> tuple[Send, ...]:
-        """Ask holders not yet asked; nothing when there are no more.
+        """Draw from the next holders that were not asked yet.
+
+        Return the messages, none if all rounds were sent or no holder is left.
 
-        :param reporter: the account's state, with requests waiting.
+        :param state: the account's state, with requests waiting.
         :param now: monotonic seconds.
         """
         if state.rounds_sent >= len(HOLDERS_PER_ROUND):
@@ -74,9 +83,9 @@
         )
 
     def prefetch(self, state: AccountState, now: float) -> tuple[Send, ...]:
-        """Ask for a chunk before a large account runs out here.
+        """Draw tokens ahead of demand if an account's tokens run low here.
 
-        :param reporter: the account's state.
+        :param state: the account's state.
         :param now: monotonic seconds.
         """
         demand = state.demand.rate(now)
--- a/src/clementinedeal/_draw_policy.py
+++ b/src/clementinedeal/_draw_policy.py
@@ -1,13 +1,18 @@
-"""Times and amounts that follow from an account's rate and burst."""
+"""Delays and amounts of draws, derived from an account's rate and burst."""
 
 from clementinedeal._leases import MICROS_PER_UNIT
 from clementinedeal._model import Account
 from clementinedeal._shares import holder_count
 
+# A prefetch covers this many seconds of demand, at most a fraction of the
+# burst.
 PREFETCH_SECONDS = 1.0
 PREFETCH_BURST_DIVISOR = 4
+# Below either limit, tokens are drawn only when a request needs them.
 MIN_PREFETCH_RATE_PER_SECOND = 10.0
 MIN_PREFETCH_DEMAND_PER_SECOND = 4.0
+# Spent tokens are reported after the time in which the account makes this
+# fraction of its burst (one divided by the divisor), within the limits.
 MIN_REPORT_DELAY_SECONDS = 0.05
 MAX_REPORT_DELAY_SECONDS = 1.0
 REPORT_DELAY_DIVISOR = 4
@@ -18,21 +23,23 @@
 
 
 class DrawPolicy:
-    """How an owner goes about one account."""
+    """Delays and amounts that an owner uses for one account."""
 
     def __init__(self, account: Account | None) -> None:
-        """Take the published figures.
+        """Read the published rate and burst.
 
-        :param account: nothing for an account that is not published.
+        :param account: None for an account that is not published; its rate
+            and burst count as zero.
         """
         self._rate = account.rate if account else 0.0
         self._burst = account.burst if account else 0.0
 
     @property
     def empty_backoff_seconds(self) -> float:
-        """Return how long holders without tokens are left alone.
+        """Return for how long a holder without tokens is not asked again.
 
-        It is the time in which one of them makes ``DRY_TOKENS``.
+        It is the time in which one holder makes ``EMPTY_BACKOFF_TOKENS``
+        tokens, at most ``MAX_EMPTY_BACKOFF_SECONDS``.
         """
         seconds_per_holder_token = (
             holder_count(self._rate) * self._seconds_per_token
@@ -44,12 +51,12 @@
 
     @property
     def retry_after_seconds(self) -> float:
-        """Return when a refused caller may come again."""
+        """Return after how many seconds a refused caller should retry."""
         return max(MIN_RETRY_AFTER_SECONDS, self._seconds_per_token)
 
     @property
     def report_delay_seconds(self) -> float:
-        """Return how long spent tokens may go unreported."""
+        """Return for how many seconds spent tokens may stay unreported."""
         delay_seconds = (
             self._burst * self._seconds_per_token / REPORT_DELAY_DIVISOR
         )
@@ -59,9 +66,9 @@
         )
 
     def prefetch_amount(self, demand: float) -> int:
-        """Return the micro-tokens worth borrowing ahead; zero if none.
+        """Return how many micro-tokens to borrow ahead of demand, or zero.
 
-        :param demand: requests per second at this owner.
+        :param demand: requests per second of the account at this owner.
         """
         if self._rate < MIN_PREFETCH_RATE_PER_SECOND:
             return 0
--- a/src/clementinedeal/_draws.py
+++ b/src/clementinedeal/_draws.py
@@ -1,4 +1,4 @@
-"""One account at one owner: borrowed tokens, waiting requests, open draws."""
+"""Messages of draws, and the state of one account at one owner."""
 
 import math
 from collections import deque
@@ -8,20 +8,22 @@
 from clementinedeal._leases import LeaseId, LeaseReport, Lender
 from clementinedeal._messages import Send, message
 
-DRAW_TIMEOUT_SECONDS = 0.05
-MAX_WAIT_SECONDS = 0.2
-ON_DEMAND_TTL_SECONDS = 0.25
-MAX_WAITING_REQUESTS = 64
+DRAW_TIMEOUT_SECONDS = 0.05  # for the holder's answer to one draw
+MAX_WAIT_SECONDS = 0.2  # of a request for its token
+ON_DEMAND_TTL_SECONDS = 0.25  # of leases that cover waiting requests only
+MAX_WAITING_REQUESTS = 64  # for each account at one owner
 DEMAND_WINDOW_SECONDS = 1.0
 
 
 @message
 @dataclass(frozen=True, slots=True)
 class DrawRequest:
-    """Asks a holder for tokens of an account.
+    """Owner to holder: lend tokens of an account.
 
-    ``need`` and ``want`` are micro-tokens: what requests wait for, and what
-    would be useful in all. The lease lasts ``ttl_millis`` from the sending.
+    ``need`` is what the waiting requests lack, ``want`` the total that the
+    owner can use, both in micro-tokens. The lease lasts ``ttl_millis`` from
+    the sending of this message. ``reports`` are on earlier leases of the same
+    holder.
     """
 
     account: str
@@ -35,9 +37,10 @@
 @message
 @dataclass(frozen=True, slots=True)
 class DrawGrant:
-    """Answers a draw with the micro-tokens lent, zero included.
+    """Holder to owner: the micro-tokens lent for a draw, possibly zero.
 
-    ``left`` is what the holder has after it, for the choice of the next one.
+    ``left`` is the holder's level after the grant in micro-tokens; owners ask
+    the holders with the highest level first.
     """
 
     account: str
@@ -49,7 +52,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class SpentReports:
-    """Tells a holder what became of its leases."""
+    """Owner to holder: what was spent of the holder's leases."""
 
     account: str
     reports: tuple[LeaseReport, ...]
@@ -57,14 +60,14 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenGranted:
-    """Action: the request holds a token and may start."""
+    """Action: a token was taken for the request, which may start."""
 
     req_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class TokenRefused:
-    """Action: no token; the request must not start."""
+    """Action: no token was available; the request must not start."""
 
     req_id: str
     retry_after_seconds: float
@@ -75,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WaitingRequest:
-    """A request that waits for a token."""
+    """A request that waits for a token since a monotonic time in seconds."""
 
     req_id: str
     since: float
@@ -83,7 +86,12 @@
 
 @dataclass(slots=True)
 class OpenDraw:
-    """A draw that was sent; ``abandoned`` after its timeout."""
+    """A draw that was sent and not yet answered.
+
+    ``need`` is in micro-tokens. The draw is ``abandoned`` once its timeout
+    has passed; a grant that arrives later is returned. The draw is kept until
+    ``expires_at``, when the lease would have ended.
+    """
 
     holder: str
     need: int
@@ -93,7 +101,7 @@
 
 
 class Demand:
-    """Requests per second, with an exponential window."""
+    """Requests per second, as an exponentially decaying average."""
 
     def __init__(self) -> None:
         """Start at zero."""
@@ -109,7 +117,10 @@
         self._updated_at = now
 
     def rate(self, now: float) -> float:
-        """Return requests per second around now."""
+        """Return the recent rate in requests per second.
+
+        :param now: monotonic seconds.
+        """
         return self._rate * math.exp(
             (self._updated_at - now) / DEMAND_WINDOW_SECONDS
         )
@@ -117,7 +128,18 @@
 
 @dataclass(slots=True)
 class AccountState:
-    """What an owner keeps for one account with recent demand."""
+    """State of one account with recent requests at one owner.
+
+    ``borrowed`` are the leases, ``waiting`` the requests without a token in
+    order of arrival, ``draws`` the open draws by sequence number. Holders are
+    asked in rounds while requests wait: ``asked_holders`` and ``rounds_sent``
+    belong to the current rounds, ``all_answered`` turns false when a holder
+    does not answer in time. By holder, ``empty_until`` is the time until which
+    it is not preferred, as it had too few tokens, and ``holder_levels`` its
+    last known level in micro-tokens. Requests are refused at once until
+    ``refuse_until``; spent tokens are reported at ``report_at``. Times are in
+    monotonic seconds.
+    """
 
     account: str
     borrowed: BorrowedUnits = field(default_factory=BorrowedUnits)
@@ -135,20 +157,20 @@
     last_request_at: float = 0
 
     def is_busy(self) -> bool:
-        """Tell whether something may become due."""
+        """Return whether ``on_tick`` has anything to do for this account."""
         return bool(self.waiting or self.draws or math.isfinite(self.report_at))
 
     def is_idle(self, now: float, idle_seconds: float) -> bool:
-        """Tell whether nothing is left to keep.
+        """Return whether this state may be removed.
 
         :param now: monotonic seconds.
-        :param idle_seconds: time without a request.
+        :param idle_seconds: minimum time since the last request.
         """
         unused = now - self.last_request_at >= idle_seconds
         return unused and not self.is_busy() and not self.borrowed.holders()
 
     def count_pending(self) -> int:
-        """Return how many draws with requests behind them are unanswered."""
+        """Return how many open draws were sent for waiting requests."""
         return sum(
             1
             for draw in self.draws.values()
@@ -156,14 +178,16 @@
         )
 
     def has_open_draw(self) -> bool:
-        """Tell whether any draw is unanswered."""
+        """Return whether any draw may still be answered in time."""
         return any(not draw.abandoned for draw in self.draws.values())
 
     def spend(self, amount: int, lender: Lender | None, now: float) -> bool:
-        """Spend borrowed units first, then own ones; all or nothing.
+        """Spend borrowed units first, then units of the own share.
+
+        Return whether the amount was available; otherwise nothing is spent.
 
         :param amount: micro-units.
-        :param lender: this instance's own share if it may be used now.
+        :param lender: this instance's own share, None if it may not be used.
         :param now: monotonic seconds.
         """
         borrowed = min(amount, self.borrowed.balance(now))
@@ -178,13 +202,13 @@
     def available(self, lender: Lender | None, now: float) -> int:
         """Return the micro-units that could be spent now.
 
-        :param lender: this instance's own share if it may be used now.
+        :param lender: this instance's own share, None if it may not be used.
         :param now: monotonic seconds.
         """
         return self.borrowed.balance(now) + _level(lender)
 
     def reset_rounds(self) -> None:
-        """Forget whom the last requests asked."""
+        """Start the next search for tokens with the first round again."""
         self.asked_holders.clear()
         self.rounds_sent = 0
         self.all_answered = True
@@ -192,6 +216,8 @@
     def expire_draws(self, now: float) -> tuple[str, ...]:
         """Abandon late draws and return the holders that did not answer.
 
+        Draws whose lease would have ended are removed.
+
         :param now: monotonic seconds.
         """
         late: list[str] = []
--- a/src/clementinedeal/_holder_order.py
+++ b/src/clementinedeal/_holder_order.py
@@ -4,18 +4,18 @@
 from clementinedeal._hashing import rank
 from clementinedeal._model import Config
 
-SUSPECT_SECONDS = 1.0
-UNKNOWN_LEVEL = 1 << 62
+SUSPECT_SECONDS = 1.0  # without an answer in time, until asked again
+UNKNOWN_LEVEL = 1 << 62  # above any level, so that unknown ones are asked
 
 
 class HolderOrder:
-    """Prefers holders that answer, stand near and have many tokens."""
+    """Orders holders: answering, near and well supplied ones come first."""
 
     def __init__(self, me: str, cfg: Config) -> None:
-        """Suspect nobody.
+        """Start with no holder suspected.
 
         :param me: name of this instance.
-        :param cfg: version in force.
+        :param cfg: configuration in force.
         """
         self._me = me
         self._cfg = cfg
@@ -23,15 +23,15 @@
         self._by_distance: dict[tuple[str, ...], list[str]] = {}
 
     def on_config(self, cfg: Config) -> None:
-        """Go by a newer version.
+        """Switch to a newer configuration.
 
-        :param cfg: the version that came into force.
+        :param cfg: the configuration that came into force.
         """
         self._cfg = cfg
         self._by_distance.clear()
 
     def mark_suspect(self, name: str, now: float) -> None:
-        """Note that a holder did not answer in time.
+        """Record that a holder did not answer in time.
 
         :param name: instance name.
         :param now: monotonic seconds.
@@ -39,7 +39,7 @@
         self._suspects[name] = now + SUSPECT_SECONDS
 
     def clear_suspect(self, name: str) -> None:
-        """Note that a holder answered.
+        """Record that a holder answered.
 
         :param name: instance name.
         """
@@ -51,9 +51,14 @@
         holders: tuple[str, ...],
         now: float,
     ) -> list[str]:
-        """Order the other holders; suspects only when there is no other.
+        """Return the other holders of an account, best first.
 
-        :param reporter: the account's state at this owner.
+        Suspected holders are left out unless all are suspected. Holders with
+        tokens precede empty ones, then those of the same region precede
+        others, then higher levels precede lower ones, then those of the same
+        zone precede others.
+
+        :param state: the account's state at this owner.
         :param holders: all holders of the account.
         :param now: monotonic seconds.
         """
--- a/src/clementinedeal/_holdings.py
+++ b/src/clementinedeal/_holdings.py
@@ -1,18 +1,22 @@
-"""The holder's side: this instance's shares of many accounts."""
+"""The holder's side: this instance's shares of all accounts."""
 
 from clementinedeal._draws import DrawGrant, DrawRequest
 from clementinedeal._leases import LEASE_TTL_SECONDS, LeaseReport, Lender
 from clementinedeal._model import Config
 from clementinedeal._share_versions import ShareVersions
 
+# Beyond what waiting requests need, one draw gets at most this part of the
+# holder's level (one divided by the divisor).
 SURPLUS_DIVISOR = 4
 MILLIS_PER_SECOND = 1000
 
 
 class Holdings:
-    """Lenders of the accounts that this instance holds a share of.
+    """Lenders of the accounts of which this instance holds a share.
 
-    While not fresh, nothing is made, lent or spent.
+    A holder is an instance that keeps a share of an account's rate and burst
+    and lends tokens of it to owners. While the configuration is not known to
+    be fresh, no tokens are made, lent or spent.
     """
 
     def __init__(
@@ -22,13 +26,13 @@
         now: float,
         known_for: float,
     ) -> None:
-        """Start empty and not fresh.
+        """Start with no tokens and not fresh.
 
         :param me: name of this instance.
-        :param cfg: version in force.
+        :param cfg: configuration in force.
         :param now: monotonic seconds.
-        :param known_for: seconds for which the version is known to have been
-            published, at least.
+        :param known_for: seconds since the configuration was published, as
+            far as is known; the real age may be higher.
         """
         self.versions = ShareVersions(me, cfg, now, known_for)
         self.is_fresh = False
@@ -38,11 +42,13 @@
 
     @property
     def cfg(self) -> Config:
-        """Return the version in force."""
+        """Return the configuration in force."""
         return self.versions.table.cfg
 
     def find_lender(self, account: str, now: float) -> Lender | None:
-        """Return the lender of an account, brought up to now.
+        """Return the lender of an account with its level as of now.
+
+        Return None if this instance holds no share or is not fresh.
 
         :param account: name of the account.
         :param now: monotonic seconds.
@@ -57,9 +63,9 @@
         return lender
 
     def lend(self, body: DrawRequest, now: float) -> DrawGrant:
-        """Answer a draw.
+        """Answer a draw with a grant, possibly of zero.
 
-        :param body: from the borrower that its lease names.
+        :param body: the request of the borrower that its lease names.
         :param now: monotonic seconds.
         """
         self.apply_reports(body.account, body.reports, now)
@@ -79,10 +85,10 @@
         reports: tuple[LeaseReport, ...],
         now: float,
     ) -> None:
-        """Take in what a borrower reports.
+        """Apply a borrower's reports.
 
         :param account: name of the account.
-        :param reports: about leases of the sender.
+        :param reports: reports on leases of the sender.
         :param now: monotonic seconds.
         """
         lender = self._lenders.get(account)
@@ -94,9 +100,10 @@
             lender.apply_report(report)
 
     def set_fresh(self, is_fresh: bool, now: float) -> None:
-        """Start or stop making and lending.
+        """Enable or disable making and lending tokens.
 
-        :param is_fresh: whether nothing newer is known to be published.
+        :param is_fresh: whether the configuration in force is known to have
+            been the newest published one until recently.
         :param now: monotonic seconds.
         """
         if is_fresh == self.is_fresh:
@@ -109,9 +116,9 @@
         self.is_fresh = is_fresh
 
     def on_config(self, cfg: Config, now: float, known_for: float) -> None:
-        """Go by a newer version.
+        """Switch to a newer configuration.
 
-        :param cfg: the version that came into force.
+        :param cfg: the configuration that came into force.
         :param now: monotonic seconds.
         :param known_for: as in the constructor.
         """
@@ -123,7 +130,7 @@
         self._resize_lenders(now)
 
     def discard_tokens(self, now: float) -> None:
-        """Empty everything after a pause and wait for freshness.
+        """Discard all tokens after a pause; the holder is no longer fresh.
 
         :param now: monotonic seconds.
         """
--- a/src/clementinedeal/_idempotency.py
+++ b/src/clementinedeal/_idempotency.py
@@ -1,4 +1,4 @@
-"""Idempotency keys at one daemon: its entry's claims and its keeper."""
+"""Idempotency keys at one daemon, as an entry and as a keeper."""
 
 import hashlib
 import uuid
@@ -30,8 +30,12 @@
 from clementinedeal._verdict import Reason, Verdict
 
 MAX_KEY_CHARS = 255
-PATIENCE_SLACK_SECONDS = 5.0  # cancels and owners' last checks
-MAX_PAUSE_SECONDS = 5.0  # below SETTLE_SECONDS less twice the freshness limit
+# Added to the time left to a request, for cancellations and the owners' last
+# checks.
+PATIENCE_SLACK_SECONDS = 5.0
+# A longer pause starts a quarantine. Must be less than CONVERGENCE_SECONDS
+# minus twice the freshness limit.
+MAX_PAUSE_SECONDS = 5.0
 
 _DIGEST_BYTES = 16
 _UUID7 = 7
@@ -40,7 +44,7 @@
 
 
 def key_digest(account: str, key: str) -> str:
-    """Return the name under which a key is kept.
+    """Return the digest under which a key is kept, as hexadecimal digits.
 
     :param account: the client account.
     :param key: the key as the caller sent it.
@@ -50,7 +54,9 @@
 
 
 def minted_ms(key: str) -> int:
-    """Return the wall-clock milliseconds that a UUIDv7 key carries, or 0.
+    """Return the time that a UUIDv7 key carries, in wall-clock milliseconds.
+
+    Other keys carry no time; 0 is returned for them.
 
     :param key: the key as the caller sent it.
     """
@@ -64,9 +70,11 @@
 
 
 class IdempotencyManager:
-    """Claims keys for this entry's requests and keeps its share of keys.
+    """Claims keys for this entry's requests and keeps the keys placed here.
 
-    A request with a key may run only after ``ClaimGranted``.
+    A request with a key may run only after ``ClaimGranted``. Methods return
+    the actions to perform; messages to this instance itself are delivered
+    without a network.
     """
 
     def __init__(
@@ -78,13 +86,13 @@
         wall_ms: Callable[[], int],
         limits: KeeperLimits | None = None,
     ) -> None:
-        """Start in quarantine, as a former run may have granted keys.
+        """Start in quarantine, as an earlier process may have granted keys.
 
         :param me: name of this instance.
         :param cfg: configuration in force.
         :param now: current monotonic time in seconds.
-        :param wall_ms: reads the wall clock in milliseconds.
-        :param limits: bounds of the keeper's memory.
+        :param wall_ms: returns the wall-clock time in milliseconds.
+        :param limits: limits of the keeper's memory.
         """
         bounds = limits or KeeperLimits()
         self._me = me
@@ -108,11 +116,11 @@
     ) -> ClaimActions:
         """Claim a request's key.
 
-        :param req_id: the request.
-        :param account: its client account.
-        :param key: its idempotency key.
+        :param req_id: id of the request.
+        :param account: name of its client account.
+        :param key: its idempotency key, as the caller sent it.
         :param fingerprint: digest of method, path and body.
-        :param patience: time left to the request in seconds.
+        :param patience: seconds until the request's deadline.
         :param now: current monotonic time in seconds.
         """
         self._detect_pause(now)
@@ -137,28 +145,31 @@
         answer: StoredAnswer | None,
         now: float,
     ) -> ClaimActions:
-        """Store what a granted request came to; ``NOT_RUN`` frees its key.
+        """Store the outcome of a request with a claim.
 
-        :param req_id: the request.
-        :param verdict: what is known of its execution.
-        :param answer: its answer, if it has come whole and is small.
+        :param req_id: id of the request.
+        :param verdict: what is known of its execution; ``NOT_RUN`` makes the
+            key available again.
+        :param answer: its answer, if it is complete and small enough.
         :param now: current monotonic time in seconds.
         """
         actions = self._claims.settle(req_id, verdict, answer, now)
         return self._deliver_local(actions, now)
 
     def on_message(self, sender: str, body: Any, now: float) -> ClaimActions:
-        """Handle a control message; other kinds have no effect.
+        """Handle a control message on idempotency keys.
 
         :param sender: instance name.
-        :param body: the message.
+        :param body: any control message; other kinds are ignored.
         :param now: current monotonic time in seconds.
         """
         self._detect_pause(now)
         return self._deliver_local(self._handle(sender, body, now), now)
 
     def on_tick(self, now: float) -> ClaimActions:
-        """Handle what is due; call it several times a second.
+        """Handle timeouts and repeats that are due.
+
+        Must be called several times a second.
 
         :param now: current monotonic time in seconds.
         """
@@ -168,7 +179,7 @@
         return self._deliver_local(actions, now)
 
     def on_config(self, cfg: Config, now: float) -> None:
-        """Place keys by a new configuration.
+        """Place keys on the instances of a new configuration.
 
         :param cfg: the configuration that came into force.
         :param now: current monotonic time in seconds.
@@ -176,20 +187,24 @@
         self._placement.update(cfg.instances, now, self._wall_ms())
 
     def on_pause(self, gap: float, now: float) -> None:
-        """Go into quarantine, as others may have kept this daemon's keys.
+        """Start a quarantine, as others may have kept this daemon's keys.
 
-        A gap between ticks is noticed without this call.
+        Long gaps between ticks are detected without this call.
 
-        :param gap: length of the pause in seconds; short ones do no harm.
+        :param gap: length of the pause in seconds; a pause of up to
+            ``MAX_PAUSE_SECONDS`` is ignored.
         :param now: current monotonic time in seconds.
         """
         if gap > MAX_PAUSE_SECONDS:
             self._keeper.start_quarantine(now)
 
     def set_fresh(self, is_fresh: bool, now: float) -> None:
-        """Grant nothing new while configurations may have been missed.
+        """Suspend or resume granting keys.
+
+        Keys are not granted while a newer configuration may be in force
+        elsewhere. After a long suspension, a quarantine starts.
 
-        :param fresh: whether the configuration is known to be recent.
+        :param is_fresh: whether the configuration is known to be recent.
         :param now: current monotonic time in seconds.
         """
         if not is_fresh:
@@ -200,7 +215,7 @@
         self.on_pause(now - self._stale_since, now)
 
     def stop(self, now: float) -> ClaimActions:
-        """Grant nothing more and hand records over.
+        """Grant no more keys and hand the records over to other keepers.
 
         :param now: current monotonic time in seconds.
         """
@@ -208,7 +223,7 @@
 
     @property
     def unsettled(self) -> int:
-        """Number of this entry's requests not yet confirmed by a keeper."""
+        """Number of this entry's claims whose settlement is not confirmed."""
         return self._claims.unsettled
 
     def _detect_pause(self, now: float) -> None:
@@ -245,7 +260,7 @@
     def _deliver_local(
         self, actions: Iterable[ClaimAction], now: float
     ) -> ClaimActions:
-        """Deliver messages to this instance at once."""
+        """Handle messages to this instance; return all other actions."""
         outgoing: list[ClaimAction] = []
         for action in actions:
             if isinstance(action, Send) and action.to == self._me:
--- a/src/clementinedeal/_idempotency_gate.py
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -1,4 +1,4 @@
-"""Lets requests with an idempotency key pass at most once."""
+"""Lets a request with an idempotency key run at most once."""
 
 import hashlib
 from collections.abc import Iterable
@@ -43,9 +43,9 @@
     ) -> None:
         """Create a gate and register for the manager's decisions.
 
-        :param manager: decides.
-        :param dispatcher: performs what the manager decides.
-        :param clock: the manager's time.
+        :param manager: grants, refuses and settles claims.
+        :param dispatcher: performs the manager's actions.
+        :param clock: clock of the times that the manager is given.
         """
         self._manager = manager
         self._dispatcher = dispatcher
@@ -57,12 +57,14 @@
     async def claim(
         self, incoming: IncomingRequest
     ) -> Refusal | TargetAnswer | None:
-        """Claim the request's key; None when it may run now.
+        """Claim the request's key.
 
-        A body too large to buffer cannot be told from another, so that a key
-        with one is refused.
+        Return None if the request may run, the stored answer of the first
+        request, or a refusal. A body that is too large to buffer has no
+        fingerprint, so a request that has both a key and such a body is
+        refused.
 
-        :param incoming: a request; those without a key pass.
+        :param incoming: the request; one without a key may always run.
         """
         if not _is_keyed(incoming):
             return None
@@ -93,10 +95,10 @@
         )
 
     def settle(self, incoming: IncomingRequest, result: ExchangeResult) -> None:
-        """Store what a granted request came to.
+        """Store the outcome of a request whose key was granted.
 
-        :param incoming: the request.
-        :param finished: its end.
+        :param incoming: the request; ignored if it has no key.
+        :param finished: its answer or refusal.
         """
         if not _is_keyed(incoming):
             return
--- a/src/clementinedeal/_keeper.py
+++ b/src/clementinedeal/_keeper.py
@@ -1,4 +1,4 @@
-"""The keeper's side of idempotency keys: grants each key once."""
+"""The keeper's side of idempotency keys: grants each key to one request."""
 
 import itertools
 from collections.abc import Callable
@@ -24,15 +24,24 @@
 from clementinedeal._quarantine import MovedKeys, Quarantine
 
 QUERY_TIMEOUT_SECONDS = 0.4
-MAX_HANDOVER_RECORDS = 20
-NONCE_BITS = 16  # queries of one run in the same millisecond as its start
+MAX_HANDOVER_RECORDS = 20  # in one message
+# Nonces count up from the start time in milliseconds, shifted by this many
+# bits: a restarted process does not repeat those of its predecessor, unless
+# that sent more queries than 2**16 per millisecond of its run.
+NONCE_BITS = 16
 
 Sends = tuple[Send, ...]
 
 
 @dataclass(slots=True)
 class _ClaimQuery:
-    """A claim that waits for the key's former keepers."""
+    """A claim that waits for answers of the key's former keepers.
+
+    ``entry`` is the claiming instance, ``give_up_at`` a monotonic time in
+    seconds. ``unanswered`` are the instances that have yet to answer,
+    ``asked`` all that were queried. ``is_sure`` turns false when one of them
+    may have forgotten an earlier claim.
+    """
 
     claim: ClaimKey
     entry: str
@@ -43,11 +52,13 @@
 
 
 class Keeper:
-    """Grants keys of which this instance is the keeper.
+    """Grants the idempotency keys of which this instance is the keeper.
 
-    A key is granted as new only if this instance, and each that may have
-    kept the key before, would remember an earlier claim. An instance that
-    was asked about a key grants it no more until it has asked back.
+    Each key has one keeper, chosen by rendezvous hashing over the published
+    instances. A key is granted as new only if this instance and all that may
+    have kept the key before would remember an earlier claim. A keeper that
+    another one queried about a key does not grant the key any more until it
+    has queried that other one in turn.
     """
 
     def __init__(
@@ -57,12 +68,14 @@
         limits: KeeperLimits,
         wall_ms: Callable[[], int],
     ) -> None:
-        """Create a keeper; ``doubt`` must be called before its first use.
+        """Create a keeper without records.
+
+        ``start_quarantine`` must be called before its first use.
 
         :param me: name of this instance.
-        :param placement: current and past keepers.
-        :param limits: bounds of the memory.
-        :param wall_ms: reads the wall clock in milliseconds.
+        :param placement: current and past keepers of the keys.
+        :param limits: limits of the memory.
+        :param wall_ms: returns the wall-clock time in milliseconds.
         """
         self._me = me
         self._placement = placement
@@ -77,7 +90,7 @@
         self._is_stopping = False
 
     def start_quarantine(self, now: float) -> None:
-        """Begin a quarantine: claims made before may be unknown here.
+        """Start a quarantine, as earlier claims may be unknown here.
 
         :param now: current monotonic time in seconds.
         """
@@ -85,15 +98,15 @@
         self._queries.clear()
 
     def suspend(self) -> None:
-        """Grant nothing new until ``resume``."""
+        """Grant no new keys until ``resume`` is called."""
         self._quarantine.suspend()
 
     def resume(self) -> None:
-        """Go on as before ``suspend``."""
+        """Undo ``suspend``; a quarantine still lasts until its own end."""
         self._quarantine.resume()
 
     def on_claim(self, entry: str, claim: ClaimKey, now: float) -> Sends:
-        """Grant, refuse or look into a claim.
+        """Answer a claim, or query the key's former keepers first.
 
         :param entry: the claiming instance.
         :param claim: the claim.
@@ -109,9 +122,9 @@
         return self._query_former_keepers(entry, claim, now)
 
     def on_settle(self, entry: str, settled: SettleKey, now: float) -> Sends:
-        """Note what a request came to, and tell the key's next keeper.
+        """Record a request's outcome and forward it if the key has moved.
 
-        :param entry: the instance that ran the request.
+        :param entry: instance that claimed the key for the request.
         :param settled: the outcome.
         :param now: current monotonic time in seconds.
         """
@@ -123,10 +136,10 @@
         return (done,)
 
     def on_query(self, requester: str, query: QueryKey, now: float) -> Sends:
-        """Give a key up to another keeper and say what is known of it.
+        """Give a key up to another keeper and send what is known of it.
 
-        :param asker: the other keeper.
-        :param query: names the key.
+        :param requester: instance name of the other keeper.
+        :param query: the query, which names the key.
         :param now: current monotonic time in seconds.
         """
         moved_to = self._moved.get(query.key, now)
@@ -143,7 +156,7 @@
         return (Send(requester, KeyFound(query.nonce, record)),)
 
     def on_found(self, found: KeyFound, now: float) -> Sends:
-        """Adopt a record from a former keeper and answer the claim.
+        """Store a record of a former keeper and answer the waiting claim.
 
         :param found: the record.
         :param now: current monotonic time in seconds.
@@ -158,9 +171,11 @@
         )
 
     def on_missing(self, sender: str, missing: KeyMissing, now: float) -> Sends:
-        """Count an answer without a record; the last one decides.
+        """Record that a former keeper has no record of a key.
+
+        The claim is decided once all queried instances have answered.
 
-        :param sender: the former keeper.
+        :param sender: instance name of the former keeper.
         :param missing: its answer.
         :param now: current monotonic time in seconds.
         """
@@ -177,9 +192,9 @@
         return self._decide(pending, now)
 
     def on_hand_over(self, message: HandOverKeys, now: float) -> None:
-        """Remember the records of an instance that stops.
+        """Store records of an instance that stops, unless known here.
 
-        :param message: its records.
+        :param message: the records.
         :param now: current monotonic time in seconds.
         """
         for record in message.records:
@@ -187,7 +202,7 @@
                 self._table.put(record, now)
 
     def on_tick(self, now: float) -> Sends:
-        """Refuse claims whose former keepers do not answer.
+        """Refuse claims whose former keepers did not answer in time.
 
         :param now: current monotonic time in seconds.
         """
@@ -202,7 +217,7 @@
         )
 
     def stop(self, now: float) -> Sends:
-        """Grant no more, and hand the records to the next in rank.
+        """Grant no more keys and send each record to the key's next keeper.
 
         :param now: current monotonic time in seconds.
         """
--- a/src/clementinedeal/_key_answers.py
+++ b/src/clementinedeal/_key_answers.py
@@ -1,4 +1,4 @@
-"""A keeper's answers to claims."""
+"""A keeper's answers to claims that it does not grant as new."""
 
 from clementinedeal._key_messages import (
     ClaimAnswer,
@@ -13,10 +13,12 @@
 
 
 def answer_repeat(claim: ClaimKey, record: KeyRecord) -> ClaimAnswer:
-    """Answer a claim of a key that another request has claimed before.
+    """Answer a claim of a key that was claimed before.
+
+    A repeated message of the granted claim gets the same grant again.
 
     :param claim: the claim.
-    :param record: what is known of the key.
+    :param record: the key's record, in any state but ``FREE``.
     """
     if record.fingerprint != claim.fingerprint:
         return ClaimAnswer(claim.req_id, ClaimOutcome.CONFLICT)
@@ -34,11 +36,11 @@
     claim: ClaimKey,
     retry_after_seconds: float = DEFAULT_RETRY_AFTER_SECONDS,
 ) -> Send:
-    """Refuse a claim of which too little is known.
+    """Refuse a claim, as the keeper may not know of all earlier claims.
 
     :param entry: the claiming instance.
     :param claim: the claim.
-    :param retry_after: seconds after which another try makes sense.
+    :param retry_after_seconds: seconds after which the caller may retry.
     """
     outcome = ClaimOutcome.QUARANTINED
     answer = ClaimAnswer(claim.req_id, outcome, retry_after=retry_after_seconds)
--- a/src/clementinedeal/_key_messages.py
+++ b/src/clementinedeal/_key_messages.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredAnswer:
-    """An answer kept for repeats of its request."""
+    """An answer that is kept to be replayed to repeated requests."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
@@ -17,9 +17,11 @@
 
 
 class KeyState(enum.Enum):
-    """What a keeper knows of the request that claimed a key.
+    """State of the request that claimed a key.
 
-    ``FREE`` is the state after a request that did not run.
+    ``IN_DOUBT`` means that the request may have run and that its outcome is
+    unknown, ``FREE`` that it did not run, so that the key may be claimed
+    again.
     """
 
     IN_PROGRESS = 'in-progress'
@@ -30,12 +32,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeyRecord:
-    """One claimed key.
+    """A keeper's record of one claimed key.
 
-    ``key`` is the digest of account and key, ``fingerprint`` that of the
-    request. ``answer`` is absent while there is none or where it was too
-    large. ``patience`` is the time in seconds for which the request can
-    still be in progress.
+    ``key`` is the digest of account and key, ``fingerprint`` the digest of
+    the request, ``req_id`` the id of the request that claimed the key.
+    ``answer`` is None until there is one, or if it was too large to store.
+    ``patience`` is the time in seconds for which the request may still be in
+    progress.
     """
 
     key: str
@@ -47,7 +50,13 @@
 
 
 class ClaimOutcome(enum.Enum):
-    """A keeper's answer to a claim."""
+    """A keeper's answer to a claim.
+
+    ``NEW`` grants the key. ``IN_PROGRESS``, ``DONE`` and ``IN_DOUBT`` are the
+    states of an earlier request with the key. ``CONFLICT`` means that the key
+    was claimed for a different request, ``QUARANTINED`` that the keeper may
+    not know of all earlier claims, ``FULL`` that it has no memory left.
+    """
 
     NEW = 'new'
     IN_PROGRESS = 'in-progress'
@@ -61,10 +70,11 @@
 @message
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClaimKey:
-    """Entry to keeper: may this request run?
+    """Entry to keeper: claim a key for a request.
 
-    ``minted_ms`` is the wall-clock time that the key carries, 0 for none;
-    ``patience`` the time left to the request in seconds.
+    ``key`` is the digest of account and key. ``minted_ms`` is the wall-clock
+    time in milliseconds that the key carries, 0 for none. ``patience`` is the
+    time in seconds for which the request may be in progress.
     """
 
     key: str
@@ -77,7 +87,11 @@
 @message
 @dataclass(frozen=True, slots=True)
 class ClaimAnswer:
-    """Keeper to entry; ``retry_after`` is in seconds."""
+    """Keeper to entry: the answer to a claim.
+
+    ``answer`` is the stored answer if the outcome is ``DONE`` and one is
+    known; ``retry_after`` is in seconds.
+    """
 
     req_id: str
     outcome: ClaimOutcome
@@ -88,9 +102,9 @@
 @message
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SettleKey:
-    """Entry to keeper: what a granted request came to.
+    """Entry to keeper: the outcome of a request with a claim.
 
-    ``NOT_RUN`` frees the key.
+    The verdict ``NOT_RUN`` makes the key available to another request.
     """
 
     key: str
@@ -103,7 +117,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class KeySettled:
-    """Keeper to entry: the settlement has arrived."""
+    """Keeper to entry: confirms a ``SettleKey`` message."""
 
     req_id: str
 
@@ -111,7 +125,11 @@
 @message
 @dataclass(frozen=True, slots=True)
 class QueryKey:
-    """Keeper to another keeper: give up this key and say what you know."""
+    """Keeper to another keeper: stop granting a key and send its record.
+
+    ``nonce`` joins the answer to the query; ``minted_ms`` is as in
+    ``ClaimKey``.
+    """
 
     key: str
     minted_ms: int
@@ -121,7 +139,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class KeyFound:
-    """Answer to ``QueryKey``: the record."""
+    """Answer to ``QueryKey``: the key's record."""
 
     nonce: int
     record: KeyRecord
@@ -130,10 +148,10 @@
 @message
 @dataclass(frozen=True, slots=True)
 class KeyMissing:
-    """Answer to ``QueryKey``: no record.
+    """Answer to ``QueryKey``: the sender has no record of the key.
 
-    ``sure`` tells that the sender would remember one. ``moved_to`` names
-    the instance that asked before, or is empty.
+    ``sure`` is set if the sender would know of any earlier claim. ``moved_to``
+    is the instance that queried the key before, or empty.
     """
 
     nonce: int
@@ -145,6 +163,6 @@
 @message
 @dataclass(frozen=True, slots=True)
 class HandOverKeys:
-    """Stopping keeper to the next in rank: records to remember."""
+    """Stopping keeper to the keys' next keeper: records to store."""
 
     records: tuple[KeyRecord, ...]
--- a/src/clementinedeal/_key_placement.py
+++ b/src/clementinedeal/_key_placement.py
@@ -1,39 +1,51 @@
-"""Which instance keeps an idempotency key, and which ones kept it before."""
+"""Chooses the instance that keeps an idempotency key.
+
+The instances that may have kept it under earlier configurations are known,
+too, for as long as records of them may matter.
+"""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from clementinedeal._hashing import Candidates
 
-CONVERGENCE_SECONDS = 30.0  # above twice the freshness limit and a short pause
+# Time after which no daemon acts on a superseded list of instances any more:
+# more than twice the freshness limit plus a short pause.
+CONVERGENCE_SECONDS = 30.0
 CLOCK_MARGIN_SECONDS = 60.0  # largest clock error of callers and daemons
 MS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
 class _FormerCandidates:
+    """A former list of instances and when it was replaced here.
+
+    ``left_at`` is in monotonic seconds, ``left_ms`` the same moment in
+    wall-clock milliseconds.
+    """
+
     candidates: Candidates
     left_at: float
     left_ms: int
 
 
 class KeyPlacement:
-    """Published instances of now and of the last retention time."""
+    """The published instances, now and within the retention time."""
 
     def __init__(self, names: Iterable[str], retention_seconds: float) -> None:
-        """Begin without a past.
+        """Start without former lists.
 
-        :param names: published instances.
-        :param retention: how long a past list matters, in seconds.
+        :param names: names of the published instances.
+        :param retention_seconds: time for which a former list is kept.
         """
         self._candidates = Candidates(names)
         self._retention_seconds = retention_seconds
         self._past: list[_FormerCandidates] = []
 
     def update(self, names: Iterable[str], now: float, wall_ms: int) -> None:
-        """Take a new list into use.
+        """Use a new list of instances.
 
-        :param names: published instances.
+        :param names: names of the published instances.
         :param now: current monotonic time in seconds.
         :param wall_ms: wall-clock time in milliseconds.
         """
@@ -44,14 +56,16 @@
         self._candidates = changed
 
     def keeper(self, key: str) -> str:
-        """Return the keeper of a key, empty without instances.
+        """Return the keeper of a key, or '' if there are no instances.
 
         :param key: digest of account and key.
         """
         return self._candidates.heaviest(key)
 
     def next_keeper(self, key: str) -> str:
-        """Return who keeps a key once its keeper is gone, or ''.
+        """Return the instance that keeps a key once its keeper is removed.
+
+        Return '' if there is no other instance.
 
         :param key: digest of account and key.
         """
@@ -61,8 +75,10 @@
     def former_keepers(self, key: str, minted_ms: int, now: float) -> set[str]:
         """Return the instances that may have kept a key before.
 
+        Those are left out that were replaced well before the key was made.
+
         :param key: digest of account and key.
-        :param minted_ms: wall-clock time that the key carries, 0 for none.
+        :param minted_ms: wall-clock milliseconds in the key, 0 for none.
         :param now: current monotonic time in seconds.
         """
         oldest = now - self._retention_seconds
@@ -76,10 +92,10 @@
 
 
 def minted_after(minted_ms: int, event_ms: int) -> bool:
-    """Tell whether a key was made when an event had reached all daemons.
+    """Return whether a key was made after all daemons knew of an event.
 
-    :param minted_ms: wall-clock time that the key carries, 0 for none.
-    :param event_ms: wall-clock time of the event.
+    :param minted_ms: wall-clock milliseconds in the key, 0 for none.
+    :param event_ms: wall-clock time of the event in milliseconds.
     """
     slack = (CONVERGENCE_SECONDS + CLOCK_MARGIN_SECONDS) * MS_PER_SECOND
     return minted_ms > event_ms + slack
--- a/src/clementinedeal/_key_table.py
+++ b/src/clementinedeal/_key_table.py
@@ -1,4 +1,4 @@
-"""Bounded memory of claimed idempotency keys."""
+"""Stores the records of claimed idempotency keys, with limited memory."""
 
 import heapq
 from dataclasses import dataclass, replace
@@ -10,7 +10,7 @@
 DEFAULT_MAX_BYTES = 32 * 1024 * 1024
 DEFAULT_MAX_BODY_BYTES = 16 * 1024
 DEFAULT_RETENTION_SECONDS = 600.0
-RECORD_BYTES = 600  # keys, ids and containers of one record
+RECORD_BYTES = 600  # estimate for one record without its answer's body
 
 _SETTLED_STATES = {
     Verdict.NOT_RUN: KeyState.FREE,
@@ -21,7 +21,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeeperLimits:
-    """Bounds of a keeper's memory; ``retention`` is in seconds."""
+    """Limits of a keeper's memory.
+
+    ``max_bytes`` is the limit of all records together, ``max_body_bytes`` of
+    one stored answer's body. ``retention_seconds`` is the time for which a
+    record is kept after its request ended.
+    """
 
     max_entries: int = DEFAULT_MAX_ENTRIES
     max_bytes: int = DEFAULT_MAX_BYTES
@@ -31,18 +36,27 @@
 
 @dataclass(slots=True)
 class _StoredRecord:
+    """A record, its estimated size in bytes and when its request must end.
+
+    ``in_progress_until`` is in monotonic seconds.
+    """
+
     record: KeyRecord
     in_progress_until: float
     size: int
 
 
 class KeyTable:
-    """Records by key; refuses new ones when full, never drops live ones."""
+    """Records by key.
+
+    A full table refuses new records; it never removes one before its
+    retention time has passed.
+    """
 
     def __init__(self, limits: KeeperLimits) -> None:
         """Create an empty table.
 
-        :param limits: its bounds.
+        :param limits: limits of its memory.
         """
         self._limits = limits
         self._kept: dict[str, _StoredRecord] = {}
@@ -55,11 +69,13 @@
 
     @property
     def used_bytes(self) -> int:
-        """Estimate of the memory in use."""
+        """Estimate of the memory in use, in bytes."""
         return self._used_bytes
 
     def get(self, key: str, now: float) -> KeyRecord | None:
-        """Return a record as it stands, None if there is none.
+        """Return a key's record with its present state, None if unknown.
+
+        A request in progress is in doubt once its time has passed.
 
         :param key: digest of account and key.
         :param now: current monotonic time in seconds.
@@ -74,9 +90,12 @@
         return replace(kept.record, patience=0, state=KeyState.IN_DOUBT)
 
     def put(self, record: KeyRecord, now: float) -> bool:
-        """Remember a record in place of an older one; False when full.
+        """Store a record in place of an older one with the same key.
+
+        Return False if the table is full. An answer that is too large is left
+        out.
 
-        :param record: what to remember.
+        :param record: the record to store.
         :param now: current monotonic time in seconds.
         """
         self._expire(now)
@@ -87,12 +106,12 @@
         return True
 
     def settle(self, settled: SettleKey, now: float) -> None:
-        """Note what a claimed request came to.
+        """Store the outcome of a request with a claim.
 
-        A settlement whose claim was forgotten is remembered anew, unless
-        the request did not run: a later one may have.
+        A settlement whose claim is not known here is stored too, unless its
+        request did not run: in that case a later request may have run.
 
-        :param settled: from the entry that was granted the claim.
+        :param settled: from the entry that claimed the key.
         :param now: current monotonic time in seconds.
         """
         kept = self._kept.get(settled.key)
@@ -110,7 +129,7 @@
         self.put(record, now)
 
     def records(self, now: float) -> tuple[KeyRecord, ...]:
-        """Return all records as they stand.
+        """Return all records with their present states.
 
         :param now: current monotonic time in seconds.
         """
--- a/src/clementinedeal/_leases.py
+++ b/src/clementinedeal/_leases.py
@@ -1,15 +1,16 @@
-"""Conserved units that one holder lends to many borrowers for a time.
+"""Units that one holder lends to many borrowers for a limited time.
 
-A ``Lender`` makes units at a fixed rate up to a capacity. At every moment its
-level plus what it has lent, and cannot prove gone, is at most the capacity.
-A ``BorrowedUnits``
-(``_borrowed``) is the borrower's side. Messages may be lost, repeated, late or
-out of order: each can only lose units.
+A ``Lender`` makes units at a fixed rate up to a capacity. At any time, its
+level plus the lent units that are neither reported as spent, nor returned, nor
+expired is at most the capacity. ``BorrowedUnits`` (``_borrowed``) is the
+borrower's side. Messages may be lost, repeated, late or out of order: units
+can be lost by that, but never created.
 
 Amounts are integer micro-units, times are monotonic seconds of the caller's
-own clock. Clocks of holder and borrower need not agree, only run at nearly
-the same speed: the borrower counts a lease from before it sent the request,
-the holder from after it received it and adds ``LEASE_MARGIN_SECONDS``.
+own clock. The clocks of holder and borrower need not agree, but must run at
+nearly the same speed: the borrower counts the time of a lease from before it
+sent the request, the holder from after it received the request, and the
+holder adds ``LEASE_MARGIN_SECONDS``.
 """
 
 from dataclasses import dataclass
@@ -17,18 +18,19 @@
 MICROS_PER_UNIT = 1_000_000
 LEASE_TTL_SECONDS = 2.0
 LEASE_MARGIN_SECONDS = 0.2
+# Time after a grant when the holder counts a lease of full length as expired.
 HOLDER_LEASE_TTL_SECONDS = LEASE_TTL_SECONDS + LEASE_MARGIN_SECONDS
-MAX_LEASES = 1024
+MAX_LEASES = 1024  # open leases of one lender
 
 _MICROSECONDS_PER_SECOND = 1_000_000
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseId:
-    """Names one draw for ever.
+    """Identifies one draw; an id is never used again.
 
-    ``incarnation`` differs between two processes of the same ``borrower``,
-    ``seq`` between two draws of one process.
+    ``borrower`` is an instance name. ``incarnation`` differs between two
+    processes of the same borrower, ``seq`` between two draws of one process.
     """
 
     borrower: str
@@ -38,10 +40,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseReport:
-    """What a borrower tells the holder about one lease.
+    """A borrower's report to the holder on one lease.
 
-    ``spent`` is cumulative micro-units. After ``closed`` the borrower spends
-    nothing more from the lease, so the holder may use the rest.
+    ``spent`` is the total of micro-units spent so far. If ``closed`` is set,
+    the borrower spends nothing more from the lease, so the holder may use the
+    rest.
     """
 
     lease: LeaseId
@@ -51,26 +54,33 @@
 
 @dataclass(slots=True)
 class _GrantedLease:
+    """A lease as the holder knows it; amounts in micro-units."""
+
     granted: int
     spent: int
     expires_at: float
 
     @property
     def unspent(self) -> int:
+        """Micro-units that are not reported as spent."""
         return self.granted - self.spent
 
 
 class Lender:
-    """The holder's side of one share."""
+    """The holder's side: makes the units of one share and lends them.
+
+    ``level`` are the micro-units that are available here, ``lent`` those of
+    open leases that are not yet reported as spent.
+    """
 
     def __init__(self, *, capacity: int, rate: int, now: float) -> None:
         """Start empty.
 
-        :param capacity: most micro-units in the level and lent together.
-        :param rate: micro-units made per second; zero for pure permits.
+        :param capacity: limit of level and lent micro-units together.
+        :param rate: micro-units made per second; may be zero.
         :param now: monotonic seconds from which units are made. A holder
-            that may follow another one passes a time at which every lease
-            of its predecessor has expired, ``QUIET_SECONDS`` ahead.
+            that may have had a predecessor passes a time at which every lease
+            of the predecessor has expired, ``HOLDER_LEASE_TTL_SECONDS`` ahead.
         """
         self.capacity = capacity
         self.rate = rate
@@ -82,7 +92,10 @@
         self._next_expiry = float('inf')
 
     def advance(self, now: float) -> None:
-        """Make the units due and forget expired leases, in order of time.
+        """Make the units that are due and remove expired leases.
+
+        Both are done in order of time, so that capacity freed by an expired
+        lease is filled only from the expiry on.
 
         :param now: monotonic seconds.
         """
@@ -92,7 +105,7 @@
         self._refill(now)
 
     def advance_without_refill(self, now: float) -> None:
-        """Let time pass without making units.
+        """Remove expired leases without making units up to now.
 
         :param now: monotonic seconds.
         """
@@ -102,7 +115,7 @@
         self._remainder = 0
 
     def resize(self, *, capacity: int, rate: int, now: float) -> None:
-        """Change the share from now on; what exceeds it is dropped.
+        """Change capacity and rate; units above the capacity are discarded.
 
         :param capacity: new capacity in micro-units.
         :param rate: new rate in micro-units per second.
@@ -114,7 +127,7 @@
         self.level = max(0, min(self.level, capacity - self.lent))
 
     def discard_level(self, now: float) -> None:
-        """Empty the level, as after a pause.
+        """Set the level to zero, as after a pause.
 
         :param now: monotonic seconds.
         """
@@ -122,13 +135,15 @@
         self.level = 0
 
     def spend(self, amount: int) -> None:
-        """Use units of the level here.
+        """Spend units of the level on this instance.
 
         :param amount: micro-units, at most the level.
-        :raises ValueError: the level is lower.
+        :raises ValueError: the amount is higher than the level.
         """
         if amount > self.level:
-            raise ValueError(f'{amount} exceeds the level {self.level}')
+            raise ValueError(
+                f'cannot spend {amount} micro-units, only {self.level} left',
+            )
         self.level -= amount
 
     def lend(
@@ -138,13 +153,14 @@
         ttl_seconds: float,
         now: float,
     ) -> int:
-        """Lend up to an amount and return what was granted.
+        """Lend up to an amount and return the micro-units granted.
 
-        A repeated request is answered with the first grant.
+        A repeated request gets the same grant again, without lending twice.
 
-        :param lease: name of the draw.
+        :param lease: id of the draw.
         :param amount: micro-units wanted.
-        :param ttl: seconds that the borrower counts from its request.
+        :param ttl_seconds: lifetime of the lease, which the borrower counts
+            from the sending of its request.
         :param now: monotonic seconds; ``advance`` was called with it.
         """
         known = self._leases.get(lease)
@@ -161,10 +177,10 @@
         return granted
 
     def apply_report(self, report: LeaseReport) -> None:
-        """Take in a report; one of an unknown lease changes nothing.
+        """Apply a borrower's report; one on an unknown lease is ignored.
 
         :param report: from the borrower that the lease names. ``advance`` or
-            ``skip`` was called with the time of its arrival.
+            ``advance_without_refill`` was called with the time of arrival.
         """
         lent = self._leases.get(report.lease)
         if lent is None:
--- a/src/clementinedeal/_quarantine.py
+++ b/src/clementinedeal/_quarantine.py
@@ -1,4 +1,4 @@
-"""How far back a keeper's memory of idempotency keys reaches."""
+"""Tracks which earlier claims of idempotency keys a keeper may not know."""
 
 from collections.abc import Callable
 
@@ -11,15 +11,20 @@
 
 
 class Quarantine:
-    """Tells whether a claim made earlier would be remembered."""
+    """Tells whether this keeper would know of any earlier claim of a key.
+
+    During a quarantine, it is sure only of keys that were made after the
+    quarantine began. A quarantine ends when every claim made before it has
+    passed its retention time.
+    """
 
     def __init__(
         self, retention_seconds: float, wall_ms: Callable[[], int]
     ) -> None:
-        """Create a quarantine that has no end before ``begin``.
+        """Create a quarantine without an end; ``begin`` sets the end.
 
-        :param retention: how long claims are remembered, in seconds.
-        :param wall_ms: reads the wall clock in milliseconds.
+        :param retention_seconds: time for which a keeper keeps a record.
+        :param wall_ms: returns the wall-clock time in milliseconds.
         """
         self._retention_seconds = retention_seconds
         self._wall_ms = wall_ms
@@ -28,7 +33,7 @@
         self._is_suspended = False
 
     def begin(self, now: float) -> None:
-        """Note that claims made before now may be unknown.
+        """Start a quarantine: claims made before now may be unknown here.
 
         :param now: current monotonic time in seconds.
         """
@@ -36,17 +41,17 @@
         self._began_ms = self._wall_ms()
 
     def suspend(self) -> None:
-        """Note that no claim is surely known until ``resume``."""
+        """Treat all claims as possibly unknown until ``resume`` is called."""
         self._is_suspended = True
 
     def resume(self) -> None:
-        """Go on as before ``suspend``."""
+        """Undo ``suspend``."""
         self._is_suspended = False
 
     def remembers(self, minted_ms: int, now: float) -> bool:
-        """Tell whether any claim of a key would be known.
+        """Return whether any earlier claim of a key would be known here.
 
-        :param minted_ms: wall-clock time that the key carries, 0 for none.
+        :param minted_ms: wall-clock milliseconds in the key, 0 for none.
         :param now: current monotonic time in seconds.
         """
         if self._is_suspended:
@@ -56,9 +61,9 @@
         return self._began_ms > 0 and minted_after(minted_ms, self._began_ms)
 
     def is_past_retention(self, minted_ms: int) -> bool:
-        """Tell whether a key is so old that a claim may be forgotten.
+        """Return whether a key is so old that its record may be removed.
 
-        :param minted_ms: wall-clock time that the key carries, 0 for none.
+        :param minted_ms: wall-clock milliseconds in the key, 0 for none.
         """
         age = (self._wall_ms() - minted_ms) / MS_PER_SECOND
         return (
@@ -67,7 +72,7 @@
         )
 
     def remaining_seconds(self, now: float) -> float:
-        """Return the time to its end in seconds, at least one.
+        """Return the time to the quarantine's end in seconds, at least 1.
 
         :param now: current monotonic time in seconds.
         """
@@ -76,23 +81,23 @@
 
 
 class MovedKeys:
-    """Keys given up to another instance, for a limited time."""
+    """Keys that were given up to other instances recently."""
 
     def __init__(self, retention_seconds: float, max_keys: int) -> None:
         """Create an empty set.
 
-        :param retention: how long a key stays in it, in seconds.
-        :param limit: largest number of keys.
+        :param retention_seconds: time for which a key stays in the set.
+        :param max_keys: largest number of keys.
         """
         self._retention_seconds = retention_seconds
         self._max_keys = max_keys
         self._moved: dict[str, tuple[str, float]] = {}
 
     def add(self, key: str, new_keeper: str, now: float) -> bool:
-        """Note that a key was given up; False when full.
+        """Add a key that was given up; return False if the set is full.
 
         :param key: digest of account and key.
-        :param to: the instance that asked for it.
+        :param new_keeper: the instance that queried it.
         :param now: current monotonic time in seconds.
         """
         self._expire(now)
@@ -103,7 +108,7 @@
         return True
 
     def get(self, key: str, now: float) -> str:
-        """Return who asked last, or ''.
+        """Return the instance that a key was given up to last, or ''.
 
         :param key: digest of account and key.
         :param now: current monotonic time in seconds.
@@ -112,7 +117,7 @@
         return self._moved.get(key, ('', 0))[0]
 
     def discard(self, key: str) -> None:
-        """Note that a key is kept here again.
+        """Remove a key, as it is kept here again.
 
         :param key: digest of account and key.
         """
--- a/src/clementinedeal/_retry_budget.py
+++ b/src/clementinedeal/_retry_budget.py
@@ -1,28 +1,28 @@
-"""Budget that bounds retries and hedges to a share of first attempts."""
+"""Limits retries and hedges to a fraction of the first attempts."""
 
 MAX_SAVED_RETRIES = 10.0
 
 
 class RetryBudget:
-    """Token bucket of one service, filled by its first attempts."""
+    """Token bucket of one service, filled by the service's first attempts."""
 
     def __init__(self, limit: float = MAX_SAVED_RETRIES) -> None:
         """Create a full bucket.
 
-        :param limit: retries that may be saved up.
+        :param limit: capacity, the number of retries that may be saved.
         """
         self._limit = limit
         self._level = limit
 
     def add_first_attempt(self, ratio: float) -> None:
-        """Earn a share of a retry.
+        """Add a fraction of a retry for a first attempt.
 
-        :param ratio: retries earned by one first attempt.
+        :param ratio: retries allowed for each first attempt.
         """
         self._level = min(self._limit, self._level + ratio)
 
     def take(self) -> bool:
-        """Spend one retry if there is one."""
+        """Spend one retry; return whether there was one."""
         if self._level < 1:
             return False
         self._level -= 1
@@ -30,14 +30,17 @@
 
 
 class RetryBudgets:
-    """The budgets of all services at one entry."""
+    """The retry budgets of all services at one entry.
+
+    The entry is the daemon that took the caller's request.
+    """
 
     def __init__(self) -> None:
         """Create an empty set."""
         self._budgets: dict[str, RetryBudget] = {}
 
     def of(self, service: str) -> RetryBudget:
-        """Return the budget of a service, creating it at first use.
+        """Return the budget of a service; it is created on first use.
 
         :param service: name of the service.
         """
--- a/src/clementinedeal/_share_versions.py
+++ b/src/clementinedeal/_share_versions.py
@@ -1,9 +1,10 @@
-"""An instance's share while several versions may be in force in the fleet.
+"""An instance's share while several configurations may be in force.
 
-A share that shrinks takes effect at once. One that grows waits until every
-daemon that still goes by an older version has lost its freshness and its
-leases have expired. An account whose shares all stay or grow from one version
-to the next needs no wait, as no other instance has to give anything up.
+A share that shrinks takes effect at once. A share that grows takes effect
+only after every daemon that still uses an older configuration has lost its
+freshness and the leases that it granted have expired; otherwise the shares in
+use could add up to more than the published rate. An account of which no
+holder's share shrinks from one version to the next needs no wait.
 """
 
 from dataclasses import dataclass
@@ -13,12 +14,15 @@
 from clementinedeal._model import Config
 from clementinedeal._shares import AccountShares, Share, ShareTable
 
+# Time allowed for a published version to reach all daemons.
 PROPAGATION_SECONDS = 7.0
+# Time allowed for a paused daemon to detect its pause.
 PAUSE_MARGIN_SECONDS = 2.0
+# How much longer a superseded version is kept, for ``stable_share``.
 RETENTION_SECONDS = 30.0
 
-# Twice: a daemon may skip a version that others still go by, and it may be
-# as late in hearing of the one after it.
+# The first term counts twice: a daemon may skip a version that others still
+# use, and may then learn of the next version equally late.
 GROW_WAIT_SECONDS = (
     2 * (FRESH_SECONDS + PROPAGATION_SECONDS)
     + LEASE_TTL_SECONDS
@@ -28,17 +32,25 @@
 
 @dataclass(slots=True)
 class _ShareVersion:
+    """Shares under one version that is or was in force here.
+
+    From ``ready_at`` on, no older version is in use in the fleet and no lease
+    of it is valid. ``superseded_at`` is when a newer version came into force
+    here. Both are in monotonic seconds.
+    """
+
     table: ShareTable
     ready_at: float
     superseded_at: float = float('inf')
 
     @property
     def version(self) -> int:
+        """Version number of the configuration."""
         return self.table.cfg.version
 
 
 class ShareVersions:
-    """The versions that this daemon went by recently, newest last."""
+    """The configurations that were in force here recently, newest last."""
 
     def __init__(
         self,
@@ -47,13 +59,13 @@
         now: float,
         known_for: float,
     ) -> None:
-        """Start with one version and an unknown past.
+        """Start with one version; earlier ones are unknown.
 
         :param me: name of this instance.
-        :param cfg: version in force.
+        :param cfg: configuration in force.
         :param now: monotonic seconds.
-        :param known_for: seconds for which the version is known to have been
-            published, at least; peers' word, zero when unknown.
+        :param known_for: seconds since the configuration was published, as
+            peers report it, zero when unknown; the real age may be higher.
         """
         self._me = me
         self.reset(cfg, now, known_for)
@@ -64,9 +76,9 @@
         return self._versions[-1].table
 
     def reset(self, cfg: Config, now: float, known_for: float) -> None:
-        """Go by a version with an unknown past, as after a restart.
+        """Forget all versions and start with one, as after a restart.
 
-        :param cfg: version in force.
+        :param cfg: configuration in force.
         :param now: monotonic seconds.
         :param known_for: as in the constructor.
         """
@@ -74,9 +86,9 @@
         self._versions = [_ShareVersion(ShareTable(cfg), now + wait)]
 
     def add(self, cfg: Config, now: float) -> None:
-        """Go by a newer version from now on.
+        """Use a newer version from now on.
 
-        :param cfg: version in force.
+        :param cfg: configuration in force.
         :param now: monotonic seconds; this daemon was fresh until now.
         """
         self._versions[-1].superseded_at = now
@@ -84,7 +96,7 @@
         self._versions.append(version)
 
     def discard_old(self, now: float) -> None:
-        """Drop versions that matter no more.
+        """Remove versions that no longer affect any share.
 
         :param now: monotonic seconds.
         """
@@ -93,7 +105,9 @@
             self._versions.pop(0)
 
     def next_change(self, now: float) -> float:
-        """Return when a share may next grow or a version be forgotten.
+        """Return when a share may next grow or a version be removed.
+
+        The time is in monotonic seconds, infinite if there is none.
 
         :param now: monotonic seconds.
         """
@@ -106,7 +120,10 @@
         return min((due for due in dues if due > now), default=float('inf'))
 
     def ready_at(self) -> float:
-        """Return since when ``lasting`` holds, in monotonic seconds."""
+        """Return since when ``stable_share`` is valid, in monotonic seconds.
+
+        The time may lie in the future.
+        """
         return self._versions[0].ready_at
 
     def effective_share(self, account: str, now: float) -> Share:
@@ -118,13 +135,20 @@
         return self._lowest_share(account, now - GROW_WAIT_SECONDS)
 
     def stable_share(self, account: str) -> Share:
-        """Return the share that held at least since ``ready_at``.
+        """Return the share that has been available since ``ready_at``.
+
+        It is the lowest share under all versions that are kept.
 
         :param account: name of the account.
         """
         return self._lowest_share(account, -float('inf'))
 
     def _lowest_share(self, account: str, since: float) -> Share:
+        """Return the lowest share under the versions that still count.
+
+        A version counts if it was superseded after ``since``, unless each
+        holder's share stayed or grew from it to the next version.
+        """
         newest = self._versions[-1]
         shares = newest.table.find(account)
         lowest = shares.share_of(self._me)
--- a/src/clementinedeal/_shares.py
+++ b/src/clementinedeal/_shares.py
@@ -1,7 +1,7 @@
-"""Which instances hold an account's rate and burst, and how much each.
+"""Which instances hold an account's rate and burst, and how much each holds.
 
-Everything here follows from one published configuration, so all daemons that
-have the same version agree without talking.
+Everything here is computed from one published configuration, so all daemons
+that have the same version agree without exchanging messages.
 """
 
 import math
@@ -13,6 +13,7 @@
 from clementinedeal._leases import MICROS_PER_UNIT
 from clementinedeal._model import Account, Config, Instance
 
+# Requests per second for each of which an account gets one more holder.
 RATE_PER_HOLDER = 10.0
 MIN_HOLDERS = 2
 MAX_HOLDERS = 64
@@ -20,17 +21,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Share:
-    """A part of an account: micro-tokens per second and micro-tokens."""
+    """The part of an account's rate and burst that one instance holds.
+
+    ``rate`` is in micro-tokens per second, ``burst`` in micro-tokens.
+    """
 
     rate: int = 0
     burst: int = 0
 
     def min_with(self, other: 'Share') -> 'Share':
-        """Return the lower rate with the lower burst."""
+        """Return a share of the lower rate and the lower burst.
+
+        :param other: share to compare with.
+        """
         return Share(min(self.rate, other.rate), min(self.burst, other.burst))
 
     def covers(self, other: 'Share') -> bool:
-        """Tell whether neither rate nor burst of the other is higher."""
+        """Return whether rate and burst are at least those of the other.
+
+        :param other: share to compare with.
+        """
         return self.rate >= other.rate and self.burst >= other.burst
 
 
@@ -39,19 +49,30 @@
 
 @dataclass(frozen=True, slots=True)
 class AccountShares:
-    """The holders of one account in rendezvous order and their shares."""
+    """The holders of one account and their shares.
+
+    ``holders`` are instance names in the order of rendezvous hashing, the
+    first of each zone before the second of any. ``shares`` has one entry for
+    each of them.
+    """
 
     holders: tuple[str, ...] = ()
     shares: tuple[Share, ...] = ()
 
     def share_of(self, name: str) -> Share:
-        """Return an instance's share; zero when it holds none."""
+        """Return an instance's share, ``NO_SHARE`` if it holds none.
+
+        :param name: instance name.
+        """
         if name not in self.holders:
             return NO_SHARE
         return self.shares[self.holders.index(name)]
 
     def covers(self, other: 'AccountShares') -> bool:
-        """Tell whether no holder has more in the other."""
+        """Return whether each holder's share covers its share in the other.
+
+        :param other: shares of the same account under another version.
+        """
         return all(
             self.share_of(name).covers(share)
             for name, share in zip(other.holders, other.shares, strict=True)
@@ -62,19 +83,22 @@
 
 
 class ShareTable:
-    """The shares of all accounts under one configuration, on demand."""
+    """The shares of all accounts under one configuration.
+
+    The shares of an account are computed when they are first requested.
+    """
 
     def __init__(self, cfg: Config) -> None:
-        """Index the owners; accounts are worked out when first asked for.
+        """Index the owners of all services.
 
-        :param cfg: one whole version.
+        :param cfg: one version of the whole configuration.
         """
         self.cfg = cfg
         self._owners = _owners_by_service(cfg)
         self._computed: dict[str, AccountShares] = {}
 
     def find(self, account: str) -> AccountShares:
-        """Return the shares of an account; empty for an unknown one.
+        """Return the shares of an account, ``NO_SHARES`` if it is unknown.
 
         :param account: name of the account.
         """
@@ -99,10 +123,12 @@
     account: Account,
     candidates: Iterable[Instance],
 ) -> AccountShares:
-    """Choose the holders of an account and split it exactly.
+    """Choose the holders of an account and split its rate and burst.
+
+    The shares add up to exactly the published rate and burst.
 
     :param account: the published account.
-    :param candidates: instances that own a target it may call.
+    :param candidates: instances that own a target which it may call.
     """
     placed = _order_across_zones(account.name, candidates)
     count = min(holder_count(account.rate), len(placed))
@@ -117,7 +143,7 @@
 
 
 def holder_count(rate: float) -> int:
-    """Return how many holders an account of a rate is given.
+    """Return the number of holders of an account with a given rate.
 
     :param rate: requests per second.
     """
@@ -126,17 +152,19 @@
 
 
 def to_micros(published: float) -> int:
-    """Return a published figure in millionths, as written and rounded down.
+    """Convert a published rate or burst to millionths, rounded down.
+
+    The conversion is decimal, so that the figure counts as it is written.
 
-    :param published: a rate or burst.
+    :param published: rate in tokens per second, or burst in tokens.
     """
     return math.floor(Decimal(str(published)) * MICROS_PER_UNIT)
 
 
 def split_evenly(total: int, count: int) -> tuple[int, ...]:
-    """Split an integer into nearly equal parts that add up to it.
+    """Split an integer into parts that differ by at most one.
 
-    :param total: what to split.
+    :param total: sum of the parts.
     :param count: number of parts, above zero.
     """
     part, rest = divmod(total, count)
@@ -146,6 +174,7 @@
 def _order_across_zones(
     account: str, candidates: Iterable[Instance]
 ) -> list[str]:
+    """Order candidates by rendezvous hashing, the first of each zone first."""
     zones = {instance.name: instance.zone for instance in candidates}
     used: dict[str, int] = {}
     placed: list[tuple[int, int, str]] = []
--- a/src/clementinedeal/_token_gate.py
+++ b/src/clementinedeal/_token_gate.py
@@ -1,4 +1,4 @@
-"""Makes requests wait for what the token manager decides."""
+"""Lets requests wait for the decisions of the token manager."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -13,7 +13,7 @@
 
 
 class ManagedTokenGate:
-    """Takes tokens from a manager for one request at a time."""
+    """Takes one token for each request; implements ``TokenGate``."""
 
     def __init__(
         self,
@@ -24,10 +24,10 @@
     ) -> None:
         """Create a gate and register for the manager's decisions.
 
-        :param manager: decides.
-        :param dispatcher: performs what the manager decides.
-        :param clock: the manager's time.
-        :param metrics: counts what was taken and refused.
+        :param manager: grants or refuses tokens.
+        :param dispatcher: performs the manager's actions.
+        :param clock: clock of the times that the manager is given.
+        :param metrics: counts granted and refused requests for tokens.
         """
         self._manager = manager
         self._dispatcher = dispatcher
@@ -38,10 +38,10 @@
         dispatcher.register(TokenRefused, self._on_refused)
 
     async def take(self, req_id: str, account: str) -> AttemptRefusal | None:
-        """Wait for a token; None when it was taken.
+        """Wait for a token; return None once it is taken, else the refusal.
 
         :param req_id: unique id of the attempt.
-        :param account: the client account.
+        :param account: name of the client account.
         """
         self._waiters.expect(req_id)
         try:
--- a/src/clementinedeal/_tokens.py
+++ b/src/clementinedeal/_tokens.py
@@ -1,8 +1,9 @@
 """Rate and burst of client accounts over the whole fleet.
 
-The owner of a target takes a token for each request before it starts. Tokens
-come from the shares of a few holders; an owner without tokens draws from the
-holders before it refuses.
+The owner of a target takes a token for each request before it starts. An
+account's rate and burst are split into shares, each held by one instance (a
+holder). An owner that has no tokens borrows some from the holders before it
+refuses a request; such a loan is called a draw.
 """
 
 from typing import Any
@@ -15,17 +16,21 @@
 from clementinedeal._model import Config
 from clementinedeal._timers import PAUSE_SECONDS
 
-# Above the timers' limit, so that they report every pause noticed here and
-# freshness is renewed after it.
+# Greater than the pause threshold of the timers: every pause detected here is
+# also reported by them, and the daemon renews its freshness after the report.
 MAX_CALL_GAP_SECONDS = 2 * PAUSE_SECONDS
 
 
 class TokenManager:
     """Takes, lends and draws the tokens of all accounts for one daemon.
 
-    The transport calls ``on_tick`` at least every 50 ms. A gap between two
-    calls of more than ``GAP_SECONDS`` counts as a pause, also before the
-    timers report it.
+    The daemon is an owner (takes tokens for the requests of its targets) and
+    may be a holder (lends tokens of its shares to owners) at the same time.
+    Methods return the actions to perform; they do no input or output.
+
+    ``on_tick`` must be called at least every 50 ms. If more than
+    ``MAX_CALL_GAP_SECONDS`` pass between two calls of any method, the process
+    is taken to have been paused, even if the timers have not reported it yet.
     """
 
     def __init__(
@@ -40,13 +45,13 @@
         """Start with no tokens and not fresh.
 
         :param me: name of this instance.
-        :param cfg: version in force.
+        :param cfg: configuration in force.
         :param now: monotonic seconds.
-        :param incarnation: differs from that of every earlier process of the
-            same instance.
-        :param known_for: seconds for which the version is known to have been
-            published, at least. The shares of this instance stay empty until
-            ``GROW_WAIT_SECONDS`` after the publication.
+        :param incarnation: number of this process, different from that of
+            every earlier process of the same instance.
+        :param known_for: seconds since the configuration was published, as
+            far as is known; the real age may be higher. The shares of this
+            instance stay empty until the age is ``GROW_WAIT_SECONDS``.
         """
         self._last_call_at = now
         self._holdings = Holdings(me, cfg, now, known_for)
@@ -55,14 +60,17 @@
     def holders(self, account: str) -> tuple[str, ...]:
         """Return the instances that hold shares of an account.
 
-        :param account: name of the account; unknown ones have none.
+        :param account: name of the account; an unknown one has no holders.
         """
         return self._holdings.versions.table.find(account).holders
 
     def take(self, req_id: str, account: str, now: float) -> TokenActions:
-        """Take one token; the outcome may come from a later call.
+        """Take one token for a request.
+
+        The decision (``TokenGranted`` or ``TokenRefused``) is among the
+        returned actions, or among those of a later call.
 
-        :param req_id: request id, unique.
+        :param req_id: unique request id.
         :param account: name of the account.
         :param now: monotonic seconds.
         """
@@ -70,7 +78,7 @@
         return pause_actions + self._borrowing.take(req_id, account, now)
 
     def cancel(self, req_id: str, account: str) -> bool:
-        """Forget a request that waits; tell whether it did.
+        """Remove a waiting request and return whether it was waiting.
 
         :param req_id: request id.
         :param account: name of the account.
@@ -78,10 +86,10 @@
         return self._borrowing.cancel(req_id, account)
 
     def on_message(self, sender: str, body: Any, now: float) -> TokenActions:
-        """Handle a control message of another instance's manager.
+        """Handle a control message of another instance's token manager.
 
-        :param sender: its authenticated name.
-        :param body: any message; others than the manager's are ignored.
+        :param sender: authenticated name of the other instance.
+        :param body: any control message; other kinds are ignored.
         :param now: monotonic seconds.
         """
         pause_actions = self._detect_pause(now)
@@ -96,7 +104,7 @@
         return pause_actions
 
     def on_tick(self, now: float) -> TokenActions:
-        """Handle what has become due.
+        """Handle timeouts, refusals and reports that are due.
 
         :param now: monotonic seconds.
         """
@@ -108,12 +116,12 @@
         now: float,
         known_for: float = 0.0,
     ) -> TokenActions:
-        """Go by a newer version; others are ignored.
+        """Switch to a newer configuration; older ones are ignored.
 
-        A daemon that was not fresh is told that it is with ``set_fresh`` only
-        after this call, never before.
+        If the daemon becomes fresh through this configuration, ``set_fresh``
+        must be called after this method.
 
-        :param cfg: the version that came into force.
+        :param cfg: the configuration that came into force.
         :param now: monotonic seconds.
         :param known_for: as in the constructor.
         """
@@ -124,9 +132,12 @@
         return pause_actions
 
     def set_fresh(self, is_fresh: bool, now: float) -> TokenActions:
-        """Start or stop making, lending and spending this daemon's shares.
+        """Enable or disable the use of this daemon's shares.
 
-        :param is_fresh: whether nothing newer is known to be published.
+        While disabled, no tokens of the shares are made, lent or spent.
+
+        :param is_fresh: whether the configuration in force is known to have
+            been the newest published one until recently.
         :param now: monotonic seconds.
         """
         pause_actions = self._detect_pause(now)
@@ -134,7 +145,9 @@
         return pause_actions
 
     def on_pause(self, gap: float, now: float) -> TokenActions:
-        """Drop all tokens and refuse what waits; freshness must be renewed.
+        """Discard all tokens and refuse the waiting requests.
+
+        The shares are not used until ``set_fresh`` is called again.
 
         :param gap: length of the pause in seconds.
         :param now: monotonic seconds.
@@ -144,7 +157,7 @@
         return self._borrowing.reset()
 
     def stop(self, now: float) -> TokenActions:
-        """Refuse what waits and give borrowed tokens back.
+        """Refuse all requests from now on and return borrowed tokens.
 
         :param now: monotonic seconds.
         """
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -1,3 +1,5 @@
+"""Claims of idempotency keys between entries and keepers, under faults."""
+
 import uuid
 from itertools import pairwise
 from types import SimpleNamespace
@@ -26,7 +28,7 @@
 
 LIMITS = KeeperLimits(max_entries=2, retention_seconds=100, max_body_bytes=4)
 ANSWER = StoredAnswer(201, (), b'ok')
-STEADY_AT = 500.0  # after any quarantine
+STEADY_AT = 500.0  # seconds; any quarantine has ended by then
 OLD, NEW = ('a', 'b'), ('b', 'c')
 KEY = next(
     key
@@ -55,7 +57,7 @@
 
 
 class Managers:
-    """Managers that reach one another at once, but for those cut off."""
+    """Managers that exchange messages at once, except with those in ``cut``."""
 
     def __init__(self, *names: str) -> None:
         self.now = 0.0
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,4 +1,7 @@
-"""One holder and one borrower over a faulty link: nothing is ever minted."""
+"""One holder and one borrower over a faulty link never spend too many units.
+
+Spent units must not exceed capacity + rate * length in any interval.
+"""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -20,7 +23,7 @@
 
 
 class Lending(RuleBasedStateMachine):
-    """Every message stays in a bag and may come again at any time."""
+    """Random steps; each message may be delivered again at any time."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -1,4 +1,8 @@
-"""Rate and burst over a fleet under faults, against a history checker."""
+"""Checks rate and burst of an account over a fleet with faults.
+
+The fleet runs in virtual time; a checker compares what it admitted with what
+the published versions allow.
+"""
 
 import math
 
@@ -46,7 +50,13 @@
 
 
 def config(version: int, rate: float, burst: float, owners: str) -> Config:
-    """Return a version whose targets stand on the instances numbered."""
+    """Return a version with one account and one service.
+
+    :param version: version number.
+    :param rate: of the account, in requests per second.
+    :param burst: of the account, in requests.
+    :param owners: digits of the instances that have a target.
+    """
     targets = {
         digit: Target(name=digit, service='s', instance=f'i{digit}', address='')
         for digit in owners
@@ -69,8 +79,9 @@
 class RateChecker:
     """Checks admitted <= burst + rate * length for every interval.
 
-    A version counts until those that went by it cannot be fresh, nor their
-    leases be valid, any more.
+    Of several versions, the highest burst and rate count. A superseded version
+    counts until no daemon that uses it can be fresh and no lease granted under
+    it can be valid.
     """
 
     def __init__(self, fleet: TokenFleet) -> None:
@@ -118,7 +129,7 @@
 
 
 class FaultyFleet(RuleBasedStateMachine):
-    """Five daemons; requests come in floods to show any token too many."""
+    """Five daemons under random faults; floods reveal any excess token."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -202,7 +213,7 @@
 
 
 def flood(fleet: TokenFleet) -> None:
-    """Ask for far more than the burst everywhere at once, and check."""
+    """Send far more requests than the burst to all daemons, and check."""
     checker = RateChecker(fleet)
     for index in range(30):
         for name in NAMES:
@@ -213,7 +224,7 @@
 
 
 def borrow(fleet: TokenFleet, *names: str) -> None:
-    """Leave unspent leases at some daemons."""
+    """Send requests so that the named daemons have unspent leases."""
     for index in range(8 * len(names)):
         fleet.take(names[index % len(names)], f'borrow-{index}', 'a')
     fleet.run(0.1)
@@ -307,7 +318,7 @@
 def outcomes(
     fleet: TokenFleet, seconds: float, rate: float, names: tuple[str, ...]
 ) -> list[Outcome]:
-    """Send requests evenly, in turn to each instance named."""
+    """Send requests at an even rate, to each named instance in turn."""
     for index in range(int(seconds * rate)):
         fleet.take(names[index % len(names)], f'{seconds}-{index}', 'a')
         fleet.run(1 / rate, step=1 / rate / math.ceil(20 / rate))
