Rename some locals of attempts, the entry and the owner

Table: src/clementinedeal/_exchange.py Exchange.run.following next_actions src/clementinedeal/_exchange.py Exchange._relay.broken incomplete src/clementinedeal/_entry_view.py EntryView.on_outcome.available availability src/clementinedeal/_entry_view.py EntryView._note_absences.available availability src/clementinedeal/_entry_view.py EntryView._update_router.available availability src/clementinedeal/_entry_view.py EntryView._note_absences _update_availability src/clementinedeal/_owner.py Owner._note_answered _record_answer src/clementinedeal/_owner.py Owner._start _start_execution src/clementinedeal/_forwarding.py PeerServer._outcome.refused refusal src/clementinedeal/_slot_gate.py QueuedSlotGate.reject_waiting.awaited waits_for src/clementinedeal/_slot_gate.py _to_refusal.reject rejection src/clementinedeal/_target_queue.py TargetQueue.offer.started actions tests/test_cancels.py test_an_answer_to_no_pending_cancel_is_ignored.late unexpected tests/test_slot_gate.py GateClient.ended results tests/test_slot_gate.py test_a_slow_start_uses_fewer_slots.seats client tests/test_slot_gate.py test_an_ejection_rejects_waiting_requests.seats client tests/test_slot_gate.py test_a_caller_that_stops_waiting_takes_no_slot.seats client tests/test_slot_gate.py test_a_request_that_waits_past_its_deadline_is_refused.seats client tests/test_routing.py test_a_small_fraction_of_idempotent_requests_is_a_trial.tried trial_fraction tests/test_queue.py QueueMachine.passed overtaken src/clementinedeal/_exchange.py Exchange._relay.reply answer src/clementinedeal/_exchange.py result_of_caller_left.reply answer src/clementinedeal/_exchange.py failure_event.reply refusal src/clementinedeal/_hedged_exchange.py HedgedExchange._relay.reply answer src/clementinedeal/_forwarding.py send_answer.reply answer

--- a/src/clementinedeal/_entry_view.py
+++ b/src/clementinedeal/_entry_view.py
@@ -107,8 +107,8 @@
         if self._router is None:
             return
         self._router.paths.on_answer(owner, path_seconds)
-        available = _AVAILABILITIES.get(outcome.state, Availability.IN_USE)
-        self._update_router(target, available, outcome.load)
+        availability = _AVAILABILITIES.get(outcome.state, Availability.IN_USE)
+        self._update_router(target, availability, outcome.load)
 
     def on_unreachable(self, owner: str) -> None:
         """Note that an owner could not be connected to from here."""
@@ -131,26 +131,26 @@
         changed = absent ^ self._absent
         self._absent = absent
         if changed:
-            self._note_absences(changed)
+            self._update_availability(changed)
 
-    def _note_absences(self, changed: frozenset[str]) -> None:
+    def _update_availability(self, changed: frozenset[str]) -> None:
         cfg = self.access.cfg if self.access else None
         for target in cfg.targets.values() if cfg else ():
             if target.instance in changed:
                 is_gone = target.instance in self._absent
-                available = (
+                availability = (
                     Availability.LOST if is_gone else Availability.IN_USE
                 )
-                self._update_router(target.name, available, 0)
+                self._update_router(target.name, availability, 0)
 
     def _update_router(
         self,
         target: str,
-        available: Availability,
+        availability: Availability,
         load: float,
     ) -> None:
         if self._router is not None:
-            view = TargetView(available, load, self._clock.now())
+            view = TargetView(availability, load, self._clock.now())
             self._router.on_view(target, view)
 
 
--- a/src/clementinedeal/_exchange.py
+++ b/src/clementinedeal/_exchange.py
@@ -116,10 +116,10 @@
             self._report(BodyNotReplayable())
         actions = self._plan.start(self._clock.now())
         while actions:
-            following: list[AttemptAction] = []
+            next_actions: list[AttemptAction] = []
             for action in actions:
-                following.extend(await self._perform(action))
-            actions = tuple(following)
+                next_actions.extend(await self._perform(action))
+            actions = tuple(next_actions)
         return self._result
 
     async def _perform(self, action: AttemptAction) -> AttemptActions:
@@ -177,53 +177,55 @@
             return await self._relay(send, reply)
 
     async def _relay(
-        self, send: SendAttempt, reply: TargetAnswer
+        self, send: SendAttempt, answer: TargetAnswer
     ) -> AttemptActions:
         attempt_id = send.attempt_id
         try:
-            await self._runner.reply(reply)
+            await self._runner.reply(answer)
         except CallerLeftError:
-            self._result = result_of_caller_left(reply, send.target)
+            self._result = result_of_caller_left(answer, send.target)
             raise
         except AnswerWrongError:
             reason = Reason.ANSWER_WRONG
-            broken = AnswerIncomplete(
+            incomplete = AnswerIncomplete(
                 attempt_id, is_partly_sent=True, reason=reason
             )
-            return self._report(broken)
+            return self._report(incomplete)
         except (ConnLostError, HttpError):
             return self._report(
                 AnswerIncomplete(attempt_id, is_partly_sent=True)
             )
-        self._result = ExchangeResult(answer=reply, target=send.target)
+        self._result = ExchangeResult(answer=answer, target=send.target)
         return self._report(AnswerComplete(attempt_id))
 
     def _report(self, event: AttemptEvent) -> AttemptActions:
         return self._plan.on_event(event, self._clock.now())
 
 
-def result_of_caller_left(reply: TargetAnswer, target: str) -> ExchangeResult:
+def result_of_caller_left(answer: TargetAnswer, target: str) -> ExchangeResult:
     """Return the end of a request whose caller left before its answer's end.
 
     :param reply: the answer; it can still be stored for a repeat.
     :param target: where the request ran.
     """
     failure = RefuseRequest(Verdict.RAN, Reason.CANCELLED)
-    return ExchangeResult(failure, must_abort=True, answer=reply, target=target)
+    return ExchangeResult(
+        failure, must_abort=True, answer=answer, target=target
+    )
 
 
-def failure_event(attempt_id: str, reply: AttemptRefusal) -> AttemptEvent:
-    is_incomplete = reply.reason in {
+def failure_event(attempt_id: str, refusal: AttemptRefusal) -> AttemptEvent:
+    is_incomplete = refusal.reason in {
         Reason.ANSWER_INCOMPLETE,
         Reason.ANSWER_WRONG,
     }
     if is_incomplete:
         return AnswerIncomplete(
-            attempt_id, is_partly_sent=False, reason=reply.reason
+            attempt_id, is_partly_sent=False, reason=refusal.reason
         )
     return AttemptFailed(
         attempt_id,
-        reply.verdict,
-        reply.reason,
-        reply.retry_after,
+        refusal.verdict,
+        refusal.reason,
+        refusal.retry_after,
     )
--- a/src/clementinedeal/_forwarding.py
+++ b/src/clementinedeal/_forwarding.py
@@ -239,12 +239,12 @@
         self, fwd: Forward, reply: AttemptReply, spent: float
     ) -> Outcome:
         load, state = self._owned.load_and_state(fwd.target)
-        refused = reply if isinstance(reply, AttemptRefusal) else None
+        refusal = reply if isinstance(reply, AttemptRefusal) else None
         answer = reply if isinstance(reply, TargetAnswer) else None
         return Outcome(
-            verdict=(refused.verdict if refused else Verdict.RAN).value,
-            reason=refused.reason.value if refused else '',
-            retry_after=refused.retry_after if refused else 0,
+            verdict=(refusal.verdict if refusal else Verdict.RAN).value,
+            reason=refusal.reason.value if refusal else '',
+            retry_after=refusal.retry_after if refusal else 0,
             admitted=reply.admitted,
             incarnation=self._parts.events.incarnation,
             load=load,
@@ -257,7 +257,7 @@
 
 async def send_answer(
     conn: ServerConn,
-    reply: TargetAnswer,
+    answer: TargetAnswer,
     extra: Headers,
 ) -> None:
     """Send an answer on; a broken body breaks the connection.
@@ -268,13 +268,13 @@
     :raises ConnLostError: either side broke.
     """
     added = {name for name, _ in extra}
-    passed = strip_internal_headers(end_to_end(reply.head.headers))
+    passed = strip_internal_headers(end_to_end(answer.head.headers))
     kept = tuple(pair for pair in passed if pair[0] not in added)
     headers = (*kept, *extra)
-    if reply.body.whole is not None:
-        await conn.respond(reply.head.status, headers, reply.body.whole)
+    if answer.body.whole is not None:
+        await conn.respond(answer.head.status, headers, answer.body.whole)
         return
-    await conn.start_answer(reply.head.status, headers)
-    async for piece in reply.body.pieces():
+    await conn.start_answer(answer.head.status, headers)
+    async for piece in answer.body.pieces():
         await conn.send_piece(piece)
     await conn.end_answer()
--- a/src/clementinedeal/_hedged_exchange.py
+++ b/src/clementinedeal/_hedged_exchange.py
@@ -147,22 +147,22 @@
             await running.chosen.wait()
             await self._relay(send, reply)
 
-    async def _relay(self, send: SendAttempt, reply: TargetAnswer) -> None:
+    async def _relay(self, send: SendAttempt, answer: TargetAnswer) -> None:
         attempt_id = send.attempt_id
         try:
-            await self._runner.reply(reply)
+            await self._runner.reply(answer)
         except AnswerWrongError:
             reason = Reason.ANSWER_WRONG
             self._report(
                 AnswerIncomplete(attempt_id, is_partly_sent=True, reason=reason)
             )
         except CallerLeftError:
-            self._result = result_of_caller_left(reply, send.target)
+            self._result = result_of_caller_left(answer, send.target)
             raise
         except (ConnLostError, HttpError):
             self._report(AnswerIncomplete(attempt_id, is_partly_sent=True))
         else:
-            self._result = ExchangeResult(answer=reply, target=send.target)
+            self._result = ExchangeResult(answer=answer, target=send.target)
             self._report(AnswerComplete(attempt_id))
 
     async def _cancel(self, action: CancelAttempt) -> None:
--- a/src/clementinedeal/_owner.py
+++ b/src/clementinedeal/_owner.py
@@ -193,7 +193,7 @@
             req_id=fwd.req_id,
             req=req,
             seconds_left=seconds,
-            may_start=lambda: self._start(fwd, target),
+            may_start=lambda: self._start_execution(fwd, target),
             scope=scope,
         )
         async with self._parts.caller.call(call) as reply:
@@ -202,7 +202,7 @@
                 yield reply
                 return
             if reply.body.whole is not None:
-                self._note_answered(fwd, target, reply)
+                self._record_answer(fwd, target, reply)
                 yield reply
                 return
             async with self._watch_stream(fwd, target, reply):
@@ -225,9 +225,9 @@
         except (ConnLostError, HttpError):
             ended(fwd.attempt, target.name, _INCOMPLETE)
             raise
-        self._note_answered(fwd, target, reply)
+        self._record_answer(fwd, target, reply)
 
-    def _note_answered(
+    def _record_answer(
         self,
         fwd: Forward,
         target: Target,
@@ -237,7 +237,9 @@
         parts.executions.finish(fwd.attempt, parts.clock.now())
         parts.watcher.ended(fwd.attempt, target.name, reply)
 
-    def _start(self, fwd: Forward, target: Target) -> Result[None, Reason]:
+    def _start_execution(
+        self, fwd: Forward, target: Target
+    ) -> Result[None, Reason]:
         parts = self._parts
         allowed = parts.executions.start(fwd.attempt, parts.clock.now())
         if isinstance(allowed, Ok):
--- a/src/clementinedeal/_slot_gate.py
+++ b/src/clementinedeal/_slot_gate.py
@@ -127,8 +127,8 @@
         """
         waiting = [
             req_id
-            for req_id, awaited in self._waiting.items()
-            if awaited == target
+            for req_id, waits_for in self._waiting.items()
+            if waits_for == target
         ]
         for req_id in waiting:
             self._waiting.pop(req_id)
@@ -145,9 +145,9 @@
                     self._waiters.resolve(action.req_id, _to_refusal(action))
 
 
-def _to_refusal(reject: RejectRequest) -> AttemptRefusal:
+def _to_refusal(rejection: RejectRequest) -> AttemptRefusal:
     return AttemptRefusal(
         Verdict.NOT_RUN,
-        reject.reason,
-        reject.retry_after_seconds,
+        rejection.reason,
+        rejection.retry_after_seconds,
     )
--- a/src/clementinedeal/_target_queue.py
+++ b/src/clementinedeal/_target_queue.py
@@ -145,11 +145,11 @@
         if now + self._expected_wait_seconds(account) >= deadline:
             return (self._reject(req, Reason.DEADLINE),)
         self._lanes.add(req)
-        started = self._start_waiting(now)
+        actions = self._start_waiting(now)
         if self.waiting <= self._max_waiting:
-            return started
+            return actions
         evicted = self._lanes.pop_newest_of_longest()
-        return (*started, self._reject(evicted, Reason.QUEUE_FULL))
+        return (*actions, self._reject(evicted, Reason.QUEUE_FULL))
 
     def finish(self, req_id: str, now: float) -> QueueActions:
         """Free the slot of a request whose execution has ended.
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -57,5 +57,5 @@
 
 
 def test_an_answer_to_no_pending_cancel_is_ignored() -> None:
-    late = ExecutionCancelled('gone', CancelAnswer.FINISHED)
-    assert list(LossyPair(losses=0).entry.on_message('b', late, 0)) == []
+    unexpected = ExecutionCancelled('gone', CancelAnswer.FINISHED)
+    assert list(LossyPair(losses=0).entry.on_message('b', unexpected, 0)) == []
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -29,7 +29,7 @@
         self.count = 0
         self.waiting: dict[str, tuple[str, float]] = {}
         self.running: list[str] = []
-        self.passed: Counter[tuple[str, str]] = Counter()
+        self.overtaken: Counter[tuple[str, str]] = Counter()
 
     @rule(
         account=st.sampled_from(ACCOUNTS), patience=st.sampled_from((1, 5, 60))
@@ -92,10 +92,10 @@
         self.running.append(req_id)
         waiting = {name for name, _ in self.waiting.values()}
         for other in ACCOUNTS:
-            self.passed.pop((account, other), None)
+            self.overtaken.pop((account, other), None)
             if other in waiting and other != account:
-                self.passed[other, account] += 1
-                assert self.passed[other, account] <= 2
+                self.overtaken[other, account] += 1
+                assert self.overtaken[other, account] <= 2
 
     def on_reject(self, action: RejectRequest) -> None:
         account, _ = self.waiting.pop(action.req_id)
@@ -105,7 +105,7 @@
             lengths[account] += 1
             assert lengths[account] == max(lengths.values())
         for other in ACCOUNTS:
-            self.passed.pop((account, other), None)
+            self.overtaken.pop((account, other), None)
 
     @invariant()
     def queue_is_short_and_work_conserving(self) -> None:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -112,8 +112,8 @@
     router: Router,
 ) -> None:
     observe(router, 't8', Availability.TRIAL)
-    tried = count_first(router)['t8'] / 3000
-    assert 0 < tried < 1 / SIZE
+    trial_fraction = count_first(router)['t8'] / 3000
+    assert 0 < trial_fraction < 1 / SIZE
     for _ in range(500):
         assert 't8' not in router.rank_targets('s', (), False, 10.0)
 
--- a/tests/test_slot_gate.py
+++ b/tests/test_slot_gate.py
@@ -23,10 +23,10 @@
             lambda target, now: self.share,
         )
         self.gate.on_tick(0)
-        self.ended: dict[str, AttemptRefusal | None] = {}
+        self.results: dict[str, AttemptRefusal | None] = {}
 
     async def acquire(self, req_id: str, seconds: float = 5) -> None:
-        self.ended[req_id] = await self.gate.acquire(
+        self.results[req_id] = await self.gate.acquire(
             req_id,
             TARGET,
             'acme',
@@ -35,55 +35,55 @@
 
 
 async def test_a_slow_start_uses_fewer_slots(nursery: trio.Nursery) -> None:
-    seats = GateClient(share=0.3)
+    client = GateClient(share=0.3)
     for number in range(4):
-        nursery.start_soon(seats.acquire, str(number))
+        nursery.start_soon(client.acquire, str(number))
     await trio.testing.wait_all_tasks_blocked()
-    assert len(seats.ended) == 2
-    seats.share = 1
-    seats.gate.on_tick(0)
+    assert len(client.results) == 2
+    client.share = 1
+    client.gate.on_tick(0)
     await trio.testing.wait_all_tasks_blocked()
-    assert set(seats.ended.values()) == {None}
-    assert len(seats.ended) == 4
+    assert set(client.results.values()) == {None}
+    assert len(client.results) == 4
 
 
 async def test_an_ejection_rejects_waiting_requests(
     nursery: trio.Nursery,
 ) -> None:
-    seats = GateClient(share=0.1)
-    nursery.start_soon(seats.acquire, 'running')
+    client = GateClient(share=0.1)
+    nursery.start_soon(client.acquire, 'running')
     await trio.testing.wait_all_tasks_blocked()
-    nursery.start_soon(seats.acquire, 'waiting')
+    nursery.start_soon(client.acquire, 'waiting')
     await trio.testing.wait_all_tasks_blocked()
-    seats.gate.reject_waiting(TARGET)
+    client.gate.reject_waiting(TARGET)
     await trio.testing.wait_all_tasks_blocked()
-    refused = seats.ended['waiting']
+    refused = client.results['waiting']
     assert refused == AttemptRefusal(Verdict.NOT_RUN, Reason.TARGET_EJECTED)
-    assert seats.ended['running'] is None
-    assert seats.gate.load(TARGET) == 1 / 7
+    assert client.results['running'] is None
+    assert client.gate.load(TARGET) == 1 / 7
 
 
 async def test_a_caller_that_stops_waiting_takes_no_slot() -> None:
-    seats = GateClient(share=0.1)
-    await seats.acquire('running')
+    client = GateClient(share=0.1)
+    await client.acquire('running')
     with trio.move_on_after(0.01):
-        await seats.acquire('gone')
-    seats.gate.release('gone', TARGET)
-    seats.gate.release('running', TARGET)
-    assert seats.gate.load(TARGET) == 0
+        await client.acquire('gone')
+    client.gate.release('gone', TARGET)
+    client.gate.release('running', TARGET)
+    assert client.gate.load(TARGET) == 0
 
 
 async def test_a_request_that_waits_past_its_deadline_is_refused(
     nursery: trio.Nursery,
 ) -> None:
-    seats = GateClient(share=0.1)
-    await seats.acquire('running')
-    nursery.start_soon(seats.acquire, 'late', 1)
+    client = GateClient(share=0.1)
+    await client.acquire('running')
+    nursery.start_soon(client.acquire, 'late', 1)
     await trio.testing.wait_all_tasks_blocked()
-    seats.clock.advance(2)
-    seats.gate.on_tick(seats.clock.now())
+    client.clock.advance(2)
+    client.gate.on_tick(client.clock.now())
     await trio.testing.wait_all_tasks_blocked()
-    refused = seats.ended['late']
+    refused = client.results['late']
     assert refused is not None
     assert (refused.verdict, refused.reason) == (
         Verdict.NOT_RUN,
