--- a/src/clementinedeal/_answer_checks.py
+++ b/src/clementinedeal/_answer_checks.py
@@ -1,4 +1,4 @@
-"""Checks that an answer is whole and belongs to its request."""
+"""Checks that an answer is complete and belongs to its request."""
 
 import base64
 import hashlib
@@ -12,26 +12,30 @@
 
 
 class AnswerWrongError(ConnLostError):
-    """The answer does not match its digest or its request."""
+    """The answer has a wrong digest or the id of another request."""
 
 
 def check_request_id(head: ResponseHead, req_id: str) -> None:
-    """Check the echoed request id, if the target echoes one.
+    """Check the request id in an answer if the target echoes one.
 
-    :param head: the answer's head.
-    :param req_id: id that was sent.
-    :raises AnswerWrongError: the answer is for another request.
+    :param head: head of the answer.
+    :param req_id: id that was sent to the target.
+    :raises AnswerWrongError: the answer has another id.
     """
     echoed = head.header(REQUEST_ID_HEADER)
     if echoed is not None and echoed != req_id.encode():
-        raise AnswerWrongError('answer carries a foreign request id')
+        raise AnswerWrongError('answer has the id of another request')
 
 
 def is_framed(head: ResponseHead, method: str) -> bool:
-    """Whether the end of the answer can be told from a cut.
+    """Return whether an incomplete answer can be detected.
 
-    :param head: the answer's head.
-    :param method: the request's method.
+    That is so if the answer has a declared length, is chunked or has no body.
+    Otherwise its body ends with the connection, and a broken connection looks
+    like a regular end.
+
+    :param head: head of the answer.
+    :param method: method of the request.
     """
     if method == 'HEAD' or head.status in {204, 304}:
         return True
@@ -45,11 +49,11 @@
     head: ResponseHead,
     pieces: AsyncIterator[bytes],
 ) -> AsyncIterator[bytes]:
-    """Pass a body through and check its digest at the end.
+    """Yield the pieces of a body and check its digest at the end.
 
-    :param head: the answer's head; its digest header is optional.
+    :param head: head of the answer; its digest header is optional.
     :param pieces: the body.
-    :raises AnswerWrongError: the digest does not match.
+    :raises AnswerWrongError: the digest does not match the body.
     """
     expected = _expected_sha256(head)
     digest = hashlib.sha256()
@@ -58,10 +62,11 @@
             digest.update(piece)
         yield piece
     if expected is not None and digest.digest() != expected:
-        raise AnswerWrongError('answer does not match its digest')
+        raise AnswerWrongError('answer body does not match its digest')
 
 
 def _expected_sha256(head: ResponseHead) -> bytes | None:
+    """Return the declared digest; b'' if malformed, so that none matches."""
     text = head.header(CONTENT_DIGEST_HEADER)
     if text is None or not text.startswith(_SHA256_PREFIX):
         return None
--- a/src/clementinedeal/_attempt_events.py
+++ b/src/clementinedeal/_attempt_events.py
@@ -1,6 +1,8 @@
-"""Typed events and actions of the entry's plan for one request.
+"""Events that an ``AttemptPlan`` takes in and actions that it returns.
 
-An attempt id names one forward; a request has one for each attempt.
+An attempt is one forward of a request to the owner of a target, the daemon
+that runs beside the target. Its id has the form ``request id/number`` and is
+unique; a request that is retried or hedged has several attempts.
 """
 
 from dataclasses import dataclass
@@ -11,10 +13,15 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptFailed:
-    """The owner refused or failed an attempt, or no byte left this entry.
+    """Event: the attempt ended without an answer from the target.
 
-    ``verdict`` is what the sender of the failure proves. ``retry_after`` is
-    in seconds.
+    The owner refused it, the call to the target failed, or the entry sent
+    no byte of it.
+
+    :param attempt_id: id of the attempt.
+    :param verdict: whether the attempt may have run at the target.
+    :param reason: why it failed.
+    :param retry_after: seconds after which a retry makes sense, 0 if unknown.
     """
 
     attempt_id: str
@@ -25,14 +32,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionLost:
-    """The connection to the owner ended after the first byte was written."""
+    """Event: the connection to the owner broke after the first byte."""
 
     attempt_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """The head of an answer has come whole; nothing went to the caller."""
+    """Event: the status line and headers of an answer have been read.
+
+    Nothing has been sent to the caller yet.
+
+    :param attempt_id: id of the attempt.
+    :param status: HTTP status of the answer.
+    """
 
     attempt_id: str
     status: int
@@ -40,9 +53,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerIncomplete:
-    """An answer was short or wrong.
+    """Event: an answer ended early, or failed its digest or request id check.
 
-    ``sent`` tells whether a byte of it went to the caller.
+    :param attempt_id: id of the attempt.
+    :param is_partly_sent: whether the caller may have got a part of it.
+    :param reason: ``ANSWER_INCOMPLETE`` or ``ANSWER_WRONG``.
     """
 
     attempt_id: str
@@ -52,14 +67,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerComplete:
-    """The chosen answer has ended whole."""
+    """Event: the whole answer was sent to the caller."""
 
     attempt_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class CancelAnswered:
-    """The owner answered a cancel."""
+    """Event: a cancel was answered, or its wait for an answer timed out."""
 
     attempt_id: str
     answer: CancelAnswer
@@ -67,17 +82,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BodyNotReplayable:
-    """The request body outgrew the buffer, it can't be sent again."""
+    """Event: the request body exceeds the buffer and can't be sent again."""
 
 
 @dataclass(frozen=True, slots=True)
 class CallerLeft:
-    """The caller closed its connection."""
+    """Event: the caller closed its connection."""
 
 
 @dataclass(frozen=True, slots=True)
 class Timeout:
-    """The time that ``AttemptPlan.due`` named has come."""
+    """Event: the time returned by ``AttemptPlan.next_timeout`` is reached."""
 
 
 AttemptEvent = (
@@ -95,7 +110,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SendAttempt:
-    """Action: send the request to the owner of a target."""
+    """Action: send the request to the owner of a target.
+
+    :param attempt_id: id of the new attempt.
+    :param target: name of the target.
+    """
 
     attempt_id: str
     target: str
@@ -103,10 +122,10 @@
 
 @dataclass(frozen=True, slots=True)
 class CancelAttempt:
-    """Action: abort the attempt's connection, then send the cancel.
+    """Action: abort the attempt's connection, then cancel it at its owner.
 
-    The connection goes first, so that no part of the forward is sent after
-    the owner's answer.
+    The connection is aborted first, so that no part of the request is sent
+    after the owner has answered the cancel.
     """
 
     attempt_id: str
@@ -115,14 +134,19 @@
 
 @dataclass(frozen=True, slots=True)
 class RelayAnswer:
-    """Action: pass this attempt's answer to the caller."""
+    """Action: send the answer of this attempt to the caller."""
 
     attempt_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class RefuseRequest:
-    """Action: refuse the request; ``retry_after`` is in seconds."""
+    """Action: refuse the request; also records why an attempt failed.
+
+    :param verdict: whether the request may have run at a target.
+    :param reason: why it is refused.
+    :param retry_after: seconds after which a retry makes sense, 0 if unknown.
+    """
 
     verdict: Verdict
     reason: Reason
@@ -131,7 +155,11 @@
 
 @dataclass(frozen=True, slots=True)
 class AbortStream:
-    """Action: end the caller's stream visibly broken."""
+    """Action: break the caller's connection in the middle of the answer.
+
+    A part of the answer was sent, so no status can report the failure.
+    Without a regular end the caller can detect that the answer is incomplete.
+    """
 
     verdict: Verdict
     reason: Reason
--- a/src/clementinedeal/_attempt_plan.py
+++ b/src/clementinedeal/_attempt_plan.py
@@ -1,4 +1,8 @@
-"""The entry's plan for one request: attempts, cancels, final verdict."""
+"""Decides what the entry does with one request after each event.
+
+The entry is the daemon that took the caller's request. The plan performs no
+I/O: it takes events and returns actions, which an exchange carries out.
+"""
 
 from clementinedeal._attempt_events import (
     AbortStream,
@@ -26,9 +30,13 @@
 from clementinedeal._retry_budget import RetryBudget
 from clementinedeal._verdict import Reason, Verdict
 
-PROOF_WINDOW_SECONDS = 60.0  # below the owners' retention of attempt ids
+# The answer to a cancel is trusted for this long after the attempt was sent.
+# It must be shorter than the time for which owners remember attempt ids.
+PROOF_WINDOW_SECONDS = 60.0
 
 _NEVER = float('inf')
+# Statuses by which a target, or a proxy in front of it, says that it is
+# unavailable.
 _UNAVAILABLE_STATUSES = frozenset((502, 503, 504))
 _CANCEL_VERDICTS = {
     CancelAnswer.NEVER_STARTED: Verdict.NOT_RUN,
@@ -41,17 +49,20 @@
 
 
 class AttemptPlan:
-    """Decides what to do with one request after each event.
+    """State machine for the attempts, cancels and final verdict of a request.
 
     A request that may have run is sent again only if it is idempotent. Each
-    further attempt takes the next candidate and a unit of the budget.
-    ``finished`` tells that no event matters any more.
+    further attempt goes to the next candidate and takes one unit of the retry
+    budget. After a refusal like ``DRAINING`` or ``TARGET_EJECTED``, for which
+    no target did any work, it takes none.
+
+    ``finished`` is set once all further events are ignored.
     """
 
     def __init__(self, req: AttemptRequest, budget: RetryBudget) -> None:
-        """Create a plan; ``start`` begins it.
+        """Create a plan; ``start`` returns its first actions.
 
-        :param req: the request.
+        :param req: the request to plan for.
         :param budget: retry budget of the request's service.
         """
         self.finished = False
@@ -62,7 +73,7 @@
         self._failure = RefuseRequest(Verdict.NOT_RUN, Reason.NO_TARGET)
 
     def start(self, now: float) -> AttemptActions:
-        """Make the first attempt.
+        """Return the first attempt, or a refusal if there is no candidate.
 
         :param now: current monotonic time in seconds.
         """
@@ -75,7 +86,10 @@
         return (first,)
 
     def next_timeout(self) -> float:
-        """Return the monotonic time for the next ``Timeout``, or infinity."""
+        """Return when the next ``Timeout`` is due.
+
+        The time is in monotonic seconds, infinity if none is due.
+        """
         if self.finished or self._winner:
             return _NEVER
         cancelling = self._attempts.in_phase(AttemptPhase.CANCELLING)
@@ -85,7 +99,10 @@
         return min(times, default=_NEVER)
 
     def on_event(self, event: AttemptEvent, now: float) -> AttemptActions:
-        """Return what to do after an event.
+        """Return the actions that follow from an event, in order.
+
+        Events of closed attempts are ignored. Once an answer is chosen for
+        the caller, so are those of all other attempts.
 
         :param event: what happened.
         :param now: current monotonic time in seconds.
@@ -154,6 +171,7 @@
         now: float,
     ) -> AttemptActions:
         if event.status in _UNAVAILABLE_STATUSES:
+            # If another attempt is allowed, this answer is discarded for it.
             retry = self._attempts.create_hedge(now)
             if retry is not None:
                 attempt.verdict = Verdict.RAN
--- a/src/clementinedeal/_attempt_sender.py
+++ b/src/clementinedeal/_attempt_sender.py
@@ -1,4 +1,4 @@
-"""The attempts of one request, sent to local and remote owners."""
+"""Sends the attempts of one request to the owners of their targets."""
 
 import contextlib
 from collections.abc import AsyncIterator
@@ -20,7 +20,10 @@
 
 
 class AttemptSender:
-    """Carries out the plan of one request."""
+    """Sends attempts and cancels to owners, and the answer to the caller.
+
+    An owner is this daemon itself or, over the peer connection, another one.
+    """
 
     def __init__(
         self,
@@ -28,11 +31,11 @@
         conn: ServerConn,
         incoming: IncomingRequest,
     ) -> None:
-        """Create the sending side of one request.
+        """Create the sender of one request.
 
         :param parts: the entry's collaborators.
         :param conn: the caller's connection.
-        :param incoming: the request.
+        :param incoming: the caller's request.
         """
         self._parts = parts
         self._conn = conn
@@ -49,14 +52,26 @@
     ) -> AsyncIterator[AttemptReply]:
         """Send the request to the owner of a target.
 
-        :raises ConnLostError: the connection ended after the first byte.
+        The body of the reply must be read inside the context.
+
+        :param attempt_id: id of the attempt.
+        :param target: name of the target.
+        :param admitted: whether an earlier attempt has taken the account's
+            token.
+        :raises ConnLostError: the connection broke after the first byte.
         """
         fwd = self._forward(attempt_id, self._target(target), admitted=admitted)
         async with self._attempt_and_correct_incarnation(fwd) as reply:
             yield reply
 
     async def cancel(self, attempt_id: str, target: str) -> CancelAnswer:
-        """Ask the owner how far the attempt came; it won't start any more."""
+        """Cancel an attempt at its owner and return how far it came.
+
+        An attempt that has not started won't start any more.
+
+        :param attempt_id: id of the attempt.
+        :param target: name of the target that it was sent to.
+        """
         owner = self._target(target).instance
         cancel_request = CancelExecution(
             attempt_id, self._named_incarnations.get(attempt_id, '')
@@ -66,21 +81,26 @@
         return await self._parts.canceller.cancel(owner, cancel_request)
 
     async def reply(self, answer: TargetAnswer) -> None:
-        """Pass an answer to the caller.
+        """Send an answer to the caller.
 
+        :param answer: the target's answer.
         :raises CallerLeftError: the caller's connection broke.
-        :raises ConnLostError: the answer broke off.
+        :raises ConnLostError: the answer ended early.
         """
         try:
             await answer_caller(self._conn, self._incoming.req_id, answer)
         except WriteLostError as exc:
-            raise CallerLeftError('the caller left') from exc
+            raise CallerLeftError('caller connection closed') from exc
 
     @contextlib.asynccontextmanager
     async def _attempt_and_correct_incarnation(
         self, fwd: Forward
     ) -> AsyncIterator[AttemptReply]:
-        """Send again at once if only the incarnation was unknown."""
+        """Send an attempt, and once more if it named a wrong incarnation.
+
+        A refusal for a wrong incarnation carries the owner's present one, so
+        that the second copy under the same attempt id can be accepted.
+        """
         async with self._attempt_once(fwd) as reply:
             self._learn_incarnation(fwd, reply)
             replayable = self._incoming.req.body.whole is not None
@@ -158,9 +178,10 @@
     """Send a target's answer to the caller.
 
     :param conn: the caller's connection.
-    :param req_id: id of the request, also told to the caller.
-    :param answer: the answer.
-    :raises ConnLostError: either side broke.
+    :param req_id: id of the request, sent in a header.
+    :param answer: the target's answer.
+    :raises ConnLostError: the caller's connection broke, or the answer ended
+        early.
     """
     extra = (
         (REQUEST_ID_HEADER, req_id.encode()),
--- a/src/clementinedeal/_attempt_set.py
+++ b/src/clementinedeal/_attempt_set.py
@@ -1,4 +1,4 @@
-"""The attempts made for one request, and whether another is allowed."""
+"""The attempts of one request, and the limits on making another."""
 
 import enum
 from collections import deque
@@ -13,8 +13,11 @@
 from clementinedeal._retry_budget import RetryBudget
 from clementinedeal._verdict import Reason, Verdict
 
+# A cancel that is not answered within this time proves nothing: the request
+# may have run.
 CANCEL_WAIT_SECONDS = 0.5
 
+# Reasons after which another target may succeed.
 _RETRYABLE = frozenset(
     (
         Reason.ANSWER_INCOMPLETE,
@@ -28,7 +31,8 @@
         Reason.WRONG_INCARNATION,
     ),
 )
-# No target works for these, so they cost no budget and count as no attempt.
+# With these reasons no target did any work, so that the next attempt takes
+# nothing from the retry budget and the failed one does not count.
 _UNCOUNTED = frozenset(
     (
         Reason.DRAINING,
@@ -37,11 +41,16 @@
         Reason.WRONG_INCARNATION,
     ),
 )
+# From best to worst.
 _SEVERITY = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
 
 
 class AttemptPhase(enum.Enum):
-    """Whether an attempt's outcome is awaited, being cancelled or known."""
+    """Progress of an attempt.
+
+    ``OPEN``: its reply is awaited. ``CANCELLING``: the answer to its cancel
+    is awaited. ``CLOSED``: its verdict is final.
+    """
 
     OPEN = 'open'
     CANCELLING = 'cancelling'
@@ -50,7 +59,16 @@
 
 @dataclass(slots=True)
 class AttemptState:
-    """One forward; times are in monotonic seconds."""
+    """What is known of one attempt.
+
+    :param attempt_id: its id.
+    :param target: name of the target that it was sent to.
+    :param sent_at: monotonic time in seconds at which it was created.
+    :param phase: its progress.
+    :param verdict: whether it may have run; final once it is closed.
+    :param cancel_until: monotonic time in seconds up to which the answer to
+        its cancel is awaited; unused in the other phases.
+    """
 
     attempt_id: str
     target: str
@@ -62,10 +80,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AttemptRequest:
-    """What a plan needs to know of one request.
+    """The properties of a request that its plan depends on.
 
-    ``preset`` is the one in force when the request came and ``deadline`` is
-    in monotonic seconds. ``candidates`` are targets, best first.
+    :param req_id: id of the request.
+    :param idempotent: whether the request may run more than once.
+    :param preset: the preset in force when the request came.
+    :param candidates: names of the targets to try, the best first.
+    :param deadline: monotonic time in seconds by which it must be answered.
     """
 
     req_id: str
@@ -76,15 +97,15 @@
 
 
 class AttemptSet:
-    """Creates attempts within their limits and knows the worst verdict.
+    """Creates the attempts of one request and applies their limits.
 
-    ``replayable`` is cleared once the request body can't be sent again.
+    ``replayable`` is set to False once the request body can't be sent again.
     """
 
     def __init__(self, req: AttemptRequest, budget: RetryBudget) -> None:
         """Create an empty set.
 
-        :param req: the request.
+        :param req: the request that the attempts are for.
         :param budget: retry budget of the request's service.
         """
         self.replayable = True
@@ -95,16 +116,16 @@
         self._uncounted = 0
 
     def get(self, attempt_id: str) -> AttemptState | None:
-        """Return an attempt whose outcome is not known yet.
+        """Return an attempt, or None if it is unknown or closed.
 
-        :param attempt_id: its id.
+        :param attempt_id: id of the attempt.
         """
         attempt = self._attempts.get(attempt_id)
         is_closed = attempt is None or attempt.phase is AttemptPhase.CLOSED
         return None if is_closed else attempt
 
     def in_phase(self, phase: AttemptPhase) -> list[AttemptState]:
-        """Return the attempts in a phase.
+        """Return the attempts that are in a phase, the oldest first.
 
         :param phase: the phase.
         """
@@ -115,7 +136,7 @@
         ]
 
     def create_first(self, now: float) -> SendAttempt | None:
-        """Make the first attempt, None without a candidate.
+        """Create the first attempt; None if there is no candidate.
 
         :param now: current monotonic time in seconds.
         """
@@ -125,9 +146,9 @@
     def create_retry(
         self, failure: RefuseRequest, now: float
     ) -> SendAttempt | None:
-        """Make another attempt after a failure, None if not allowed.
+        """Create another attempt after a failure; None if not allowed.
 
-        :param failure: how the last attempt ended.
+        :param failure: why the last attempt failed.
         :param now: current monotonic time in seconds.
         """
         if failure.reason not in _RETRYABLE:
@@ -143,7 +164,9 @@
         return self._create_within_limits(now)
 
     def create_hedge(self, now: float) -> SendAttempt | None:
-        """Make an attempt beside the open ones, None if not allowed.
+        """Create an attempt beside the open ones; None if not allowed.
+
+        Only idempotent requests may have more than one open attempt.
 
         :param now: current monotonic time in seconds.
         """
@@ -152,7 +175,7 @@
         return None
 
     def cancel(self, attempt: AttemptState, now: float) -> CancelAttempt:
-        """Begin to cancel an attempt.
+        """Put an open attempt into the cancelling phase.
 
         :param attempt: an open attempt.
         :param now: current monotonic time in seconds.
@@ -164,10 +187,10 @@
     def cancel_all(
         self, now: float, *, except_id: str = ''
     ) -> tuple[CancelAttempt, ...]:
-        """Begin to cancel all open attempts.
+        """Put all open attempts into the cancelling phase.
 
         :param now: current monotonic time in seconds.
-        :param but: id of the attempt to keep.
+        :param except_id: id of an attempt that stays open.
         """
         return tuple(
             self.cancel(attempt, now)
@@ -176,7 +199,7 @@
         )
 
     def abandon(self, attempt: AttemptState, now: float) -> CancelAttempt:
-        """Cancel an attempt whose verdict is known; no answer is awaited.
+        """Cancel an attempt whose verdict is known, without awaiting an answer.
 
         :param attempt: the attempt.
         :param now: current monotonic time in seconds.
@@ -186,7 +209,11 @@
         return cancel
 
     def overall_verdict(self) -> Verdict:
-        """Return what is known of the request over all its attempts."""
+        """Return the worst verdict of all attempts.
+
+        ``RAN`` is worse than ``MAY_HAVE_RUN``, which is worse than
+        ``NOT_RUN``.
+        """
         return max(
             (attempt.verdict for attempt in self._attempts.values()),
             key=_SEVERITY.index,
--- a/src/clementinedeal/_cancel_messages.py
+++ b/src/clementinedeal/_cancel_messages.py
@@ -1,4 +1,4 @@
-"""Messages by which an entry cancels an attempt at its owner."""
+"""Messages with which an entry cancels an attempt at its owner."""
 
 import enum
 from dataclasses import dataclass
@@ -7,9 +7,12 @@
 
 
 class CancelAnswer(enum.Enum):
-    """What an owner can say truthfully about a cancelled forward.
+    """How far a cancelled attempt came at its owner.
 
-    ``NEVER_STARTED`` also promises that the forward never will start.
+    ``NEVER_STARTED``: no byte was sent to the target, and none will be.
+    ``STARTED``: the request was sent to the target and not answered in full.
+    ``FINISHED``: the target answered. ``UNKNOWN``: the owner has no record of
+    the attempt that proves any of these.
     """
 
     NEVER_STARTED = 'never-started'
@@ -21,9 +24,10 @@
 @message
 @dataclass(frozen=True, slots=True)
 class CancelExecution:
-    """Entry to owner: cancel a forward and say whether it started.
+    """Entry to owner: cancel an attempt and answer whether it started.
 
-    ``incarnation`` is the owner incarnation that the forward named.
+    :param req_id: id of the attempt.
+    :param incarnation: owner incarnation that the attempt was sent to.
     """
 
     req_id: str
@@ -33,7 +37,11 @@
 @message
 @dataclass(frozen=True, slots=True)
 class ExecutionCancelled:
-    """Owner to entry: answer to ``CancelExecution``."""
+    """Owner to entry: answer to ``CancelExecution``.
+
+    :param req_id: id of the attempt.
+    :param answer: how far it came.
+    """
 
     req_id: str
     answer: CancelAnswer
--- a/src/clementinedeal/_cancel_messenger.py
+++ b/src/clementinedeal/_cancel_messenger.py
@@ -1,4 +1,4 @@
-"""Cancelling attempts at other daemons, and answering their cancels."""
+"""Cancels attempts at other daemons and answers their cancels."""
 
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -18,17 +18,21 @@
 
 
 class CancelMessenger:
-    """Both sides of the cancel exchange of one daemon."""
+    """Exchanges cancel messages with the other daemons.
+
+    As an entry it sends cancels and awaits their answers; as an owner it
+    answers those of other entries.
+    """
 
     def __init__(
         self,
         send: Callable[[Send], None],
         cancel_locally: Callable[[CancelExecution], CancelAnswer],
     ) -> None:
-        """Create without pending cancels.
+        """Create a messenger without pending cancels.
 
-        :param send: hands a message to another instance.
-        :param cancel_here: cancels an attempt at this owner.
+        :param send: sends a message to another instance.
+        :param cancel_locally: cancels an attempt at this daemon's owner.
         """
         self._send = send
         self._cancel_locally = cancel_locally
@@ -37,12 +41,16 @@
     async def cancel(
         self, owner: str, cancel_request: CancelExecution
     ) -> CancelAnswer:
-        """Ask an owner; UNKNOWN when it does not answer in time.
+        """Cancel an attempt at another daemon and return how far it came.
 
-        A lost message is sent again; the owner's answer never changes back.
+        The cancel is sent again until it is answered, as messages may be
+        lost. This is safe: an owner that has answered ``NEVER_STARTED`` never
+        starts the attempt.
 
         :param owner: instance that the attempt was sent to.
-        :param wish: names the attempt.
+        :param cancel_request: names the attempt.
+        :returns: the owner's answer, ``UNKNOWN`` if there is none within
+            ``CANCEL_TIMEOUT_SECONDS``.
         """
         self._waiters.expect(cancel_request.req_id)
         with trio.move_on_after(CANCEL_TIMEOUT_SECONDS):
@@ -54,11 +62,12 @@
         return CancelAnswer.UNKNOWN
 
     def on_message(self, sender: str, body: Any, now: float) -> Iterable[Send]:
-        """Take in a cancel or the answer to one.
+        """Handle a cancel or the answer to one.
 
-        :param sender: the instance it came from.
-        :param body: the message; others are ignored.
-        :param now: monotonic time in seconds.
+        :param sender: instance that sent the message.
+        :param body: the message; other types are ignored.
+        :param now: current monotonic time in seconds.
+        :returns: messages to send.
         """
         if isinstance(body, CancelExecution):
             answer = self._cancel_locally(body)
--- a/src/clementinedeal/_entry.py
+++ b/src/clementinedeal/_entry.py
@@ -1,4 +1,4 @@
-"""The entry's side: takes callers' requests and answers for outcomes."""
+"""The entry: takes callers' requests and answers each of them once."""
 
 from result import Err, Ok, Result
 
@@ -26,12 +26,17 @@
 
 
 class Entry:
-    """Serves callers' connections."""
+    """Serves callers' connections.
+
+    The entry of a request is the daemon that took it from its caller. It
+    checks access and idempotency keys, forwards the request to owners of
+    targets and reports the verdict.
+    """
 
     def __init__(self, parts: EntryParts) -> None:
         """Create an entry.
 
-        :param parts: its collaborators.
+        :param parts: collaborators of the entry.
         """
         self._parts = parts
         self._budgets = RetryBudgets()
@@ -40,8 +45,9 @@
         """Answer one request of a caller.
 
         :param conn: the caller's connection.
-        :param head: the request's head.
-        :raises ConnLostError: the stream must end broken.
+        :param head: head of the request.
+        :raises ConnLostError: the answer ended early and the connection must
+            be closed.
         """
         req_id = new_request_id()
         checked = self._check_access(head)
@@ -147,7 +153,7 @@
             return
         self._record(incoming, failure.verdict, failure.reason.value)
         if result.must_abort or conn.head_sent:
-            raise ConnLostError('the answer broke off')
+            raise ConnLostError('answer ended early')
         refusal = Refusal(failure.verdict, failure.reason, failure.retry_after)
         conn.close_unless_read()
         await _refuse(conn, incoming.req_id, refusal)
--- a/src/clementinedeal/_entry_parts.py
+++ b/src/clementinedeal/_entry_parts.py
@@ -1,4 +1,4 @@
-"""What an entry works with."""
+"""Collaborators of an entry, most of them as interfaces."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -17,27 +17,30 @@
 
 
 class EntryKnowledge(Protocol):
-    """What an entry knows of the fleet."""
+    """What an entry knows of the configuration and the other daemons."""
 
     @property
     def access(self) -> Access | None:
-        """Index of the configuration in force, None before the first."""
+        """Routes and accounts of the configuration in force, None before."""
         ...
 
     def fresh(self) -> bool:
-        """Whether the configuration is known to be recent."""
+        """Return whether the configuration is known to be recent."""
         ...
 
     def candidates(self, granted: Granted) -> tuple[str, ...]:
-        """Return targets to try, best first."""
+        """Return the names of the targets to try, the best first.
+
+        :param granted: route and account of the request.
+        """
         ...
 
     def incarnation(self, instance: str) -> str:
-        """Return the last known incarnation of an instance, or ''."""
+        """Return the last known incarnation of an instance; '' if unknown."""
         ...
 
     def learn_incarnation(self, instance: str, incarnation: str) -> None:
-        """Note what an instance said of itself."""
+        """Store the incarnation that an instance reported."""
         ...
 
 
@@ -47,21 +50,34 @@
     async def cancel(
         self, owner: str, cancel_request: CancelExecution
     ) -> CancelAnswer:
-        """Ask an owner; UNKNOWN when it does not answer in time."""
+        """Cancel an attempt at another daemon and return how far it came.
+
+        :param owner: instance that the attempt was sent to.
+        :param cancel_request: names the attempt.
+        :returns: the owner's answer, ``UNKNOWN`` if there is none in time.
+        """
         ...
 
 
 class IdempotencyGate(Protocol):
-    """Lets each idempotency key run once."""
+    """Lets at most one request run for each idempotency key."""
 
     async def claim(
         self, incoming: IncomingRequest
     ) -> Refusal | TargetAnswer | None:
-        """Claim the request's key; None when it may run now."""
+        """Claim the key of a request.
+
+        :param incoming: the request.
+        :returns: None if it may run now, else a refusal or the stored answer.
+        """
         ...
 
     def settle(self, incoming: IncomingRequest, result: ExchangeResult) -> None:
-        """Store what the request came to."""
+        """Store how a request ended.
+
+        :param incoming: a request that was allowed to run.
+        :param result: how it ended.
+        """
         ...
 
 
@@ -75,17 +91,38 @@
         outcome: str,
         answer: TargetAnswer | None,
     ) -> None:
-        """Note one request, its verdict, its end and its answer."""
+        """Count a finished request.
+
+        :param incoming: the request.
+        :param verdict: whether it may have run.
+        :param outcome: answered, replayed or the reason of a refusal.
+        :param answer: the target's answer, None without one.
+        """
         ...
 
     def record_early_refusal(self, reason: Reason) -> None:
-        """Note one request that route or key did not let in."""
+        """Count a request that failed the access check.
+
+        :param reason: why it was refused.
+        """
         ...
 
 
 @dataclass(frozen=True, slots=True)
 class EntryParts:
-    """Collaborators of an entry; ``me`` is this instance's name."""
+    """Collaborators of an entry.
+
+    :param me: name of this instance.
+    :param clock: monotonic clock.
+    :param events: log of this daemon's events.
+    :param view: configuration, candidates and incarnations.
+    :param owner: runs attempts at the targets beside this daemon.
+    :param peers: forwards attempts to the owners at other daemons.
+    :param canceller: cancels attempts at other daemons.
+    :param idempotency: checks idempotency keys.
+    :param recorder: counts requests.
+    :param max_body_bytes: largest request body in bytes.
+    """
 
     me: str
     clock: Clock
--- a/src/clementinedeal/_entry_view.py
+++ b/src/clementinedeal/_entry_view.py
@@ -1,4 +1,4 @@
-"""What an entry knows of the fleet, joined from its sources."""
+"""What an entry knows of the configuration and the other daemons."""
 
 import random
 from collections.abc import Callable
@@ -19,7 +19,11 @@
 
 
 class EntryView:
-    """Chooses targets for requests and remembers what owners said."""
+    """Chooses targets for requests from what owners have reported.
+
+    ``access`` is None until there is a configuration. ``holders`` returns the
+    instances that hold tokens of an account.
+    """
 
     def __init__(
         self,
@@ -31,9 +35,9 @@
         """Create a view without a configuration.
 
         :param me: name of this instance.
-        :param fleet: configuration, members and freshness.
-        :param clock: ages what was heard.
-        :param rng: breaks ties.
+        :param fleet: members of the fleet and freshness of the configuration.
+        :param clock: gives the age of reports.
+        :param rng: source of random choices.
         """
         self.access: Access | None = None
         self.holders: Callable[[str], tuple[str, ...]] = _no_holders
@@ -46,7 +50,7 @@
         self._absent: frozenset[str] = frozenset()
 
     def take_config(self, cfg: Config) -> None:
-        """Work by a configuration from now on.
+        """Use a new configuration.
 
         :param cfg: the configuration in force.
         """
@@ -59,11 +63,11 @@
         self._absent = frozenset()
 
     def fresh(self) -> bool:
-        """Whether the configuration is known to be recent."""
+        """Return whether the configuration is known to be recent."""
         return self._fleet.is_fresh(self._clock.now())
 
     def candidates(self, granted: Granted) -> tuple[str, ...]:
-        """Return targets to try, best first.
+        """Return the names of the targets to try, the best first.
 
         :param granted: route and account of the request.
         """
@@ -81,12 +85,12 @@
         )
 
     def incarnation(self, instance: str) -> str:
-        """Return the last known incarnation of an instance, or ''."""
+        """Return the last known incarnation of an instance; '' if unknown."""
         learned = self._incarnations.get(instance)
         return learned or format_incarnation(self._fleet.incarnation(instance))
 
     def learn_incarnation(self, instance: str, incarnation: str) -> None:
-        """Note what an instance said of itself."""
+        """Store the incarnation that an instance reported."""
         self._incarnations[instance] = incarnation
 
     def on_outcome(
@@ -96,12 +100,12 @@
         outcome: Outcome,
         path_seconds: float,
     ) -> None:
-        """Note what an owner said of itself and its target.
+        """Store what an owner reported of itself and a target.
 
-        :param owner: the instance that answered.
-        :param target: the target that was asked for.
-        :param outcome: what the owner said.
-        :param path_seconds: time spent on the way, both directions.
+        :param owner: instance that answered.
+        :param target: target that the attempt was for.
+        :param outcome: the owner's report.
+        :param path_seconds: time spent on the network, both directions.
         """
         self._incarnations[owner] = outcome.incarnation
         if self._router is None:
@@ -111,14 +115,14 @@
         self._update_router(target, availability, outcome.load)
 
     def on_unreachable(self, owner: str) -> None:
-        """Note that an owner could not be connected to from here."""
+        """Record that this daemon could not connect to an owner."""
         if self._router is not None:
             self._router.paths.on_connect_failure(owner, self._clock.now())
 
     def refresh(self, now: float) -> None:
-        """Follow which instances are gone or leaving.
+        """Update the targets of instances that are lost or leaving.
 
-        :param now: monotonic time in seconds.
+        :param now: current monotonic time in seconds.
         """
         if self.access is None:
             return
@@ -159,8 +163,8 @@
 
 
 def format_incarnation(incarnation: int) -> str:
-    """Return an incarnation as text, '' if unknown.
+    """Return an incarnation as text; '' if unknown.
 
-    :param incarnation: number that the fleet view gives.
+    :param incarnation: its number, 0 if unknown.
     """
     return f'{incarnation:012x}' if incarnation else ''
--- a/src/clementinedeal/_exchange.py
+++ b/src/clementinedeal/_exchange.py
@@ -1,4 +1,7 @@
-"""Runs the attempts of one request until the caller has its answer."""
+"""Carries out the plan of one request, one attempt at a time.
+
+``HedgedExchange`` is the counterpart for plans with concurrent attempts.
+"""
 
 import contextlib
 import math
@@ -35,11 +38,11 @@
 
 
 class CallerLeftError(WriteLostError):
-    """The caller's connection broke while it was answered."""
+    """The caller's connection broke while an answer was sent to it."""
 
 
 class AttemptRunner(Protocol):
-    """Carries out what a plan decides for one request."""
+    """Performs the network operations that a plan asks for."""
 
     def attempt(
         self,
@@ -50,19 +53,32 @@
     ) -> contextlib.AbstractAsyncContextManager[AttemptReply]:
         """Send the request to the owner of a target.
 
-        :raises ConnLostError: the connection ended after the first byte.
+        The body of the reply must be read inside the context.
+
+        :param attempt_id: id of the attempt.
+        :param target: name of the target.
+        :param admitted: whether an earlier attempt has taken the account's
+            token.
+        :raises ConnLostError: the connection broke after the first byte.
         """
         ...
 
     async def cancel(self, attempt_id: str, target: str) -> CancelAnswer:
-        """Ask the owner how far the attempt came; it won't start any more."""
+        """Cancel an attempt at its owner and return how far it came.
+
+        An attempt that has not started won't start any more.
+
+        :param attempt_id: id of the attempt.
+        :param target: name of the target that it was sent to.
+        """
         ...
 
     async def reply(self, answer: TargetAnswer) -> None:
-        """Pass an answer to the caller.
+        """Send an answer to the caller.
 
+        :param answer: the target's answer.
         :raises CallerLeftError: the caller's connection broke.
-        :raises ConnLostError: the answer broke off.
+        :raises ConnLostError: the answer ended early.
         """
         ...
 
@@ -71,8 +87,11 @@
 class ExchangeResult:
     """How a request ended.
 
-    ``refusal`` is None after an answer; ``cut`` tells that the caller's
-    stream must end visibly broken; ``answer`` is what the caller got.
+    :param refusal: why it failed, None if it was answered.
+    :param must_abort: whether the caller's connection must be broken because
+        a part of an answer was sent.
+    :param answer: the answer that was sent to the caller, in full or in part.
+    :param target: name of the target that sent the answer.
     """
 
     refusal: RefuseRequest | None = None
@@ -81,13 +100,14 @@
     target: str = ''
 
 
+# Result of an exchange that ends without a decision of its plan.
 UNKNOWN_RESULT = ExchangeResult(
     RefuseRequest(Verdict.MAY_HAVE_RUN, Reason.TARGET_FAILED)
 )
 
 
 class Exchange:
-    """One request that is tried at one owner at a time."""
+    """Runs a request whose plan has at most one open attempt."""
 
     def __init__(
         self,
@@ -97,9 +117,9 @@
     ) -> None:
         """Create an exchange.
 
-        :param plan: decides; it must not hedge.
-        :param runner: carries out.
-        :param clock: the plan's time.
+        :param plan: decides on the attempts; it must not hedge.
+        :param runner: performs the plan's network operations.
+        :param clock: clock of the plan.
         """
         self._plan = plan
         self._runner = runner
@@ -108,7 +128,7 @@
         self._result = UNKNOWN_RESULT
 
     async def run(self, *, replayable: bool) -> ExchangeResult:
-        """Run the request to its end.
+        """Run the request until it is answered, refused or aborted.
 
         :param replayable: whether its body can be sent again.
         """
@@ -168,11 +188,13 @@
                 return self._report(failure_event(attempt_id, reply))
             actions = self._report(AnswerHead(attempt_id, reply.head.status))
             if actions != (RelayAnswer(attempt_id),):
+                # The attempt was answered, so that it needs no cancel.
                 return tuple(
                     action
                     for action in actions
                     if not isinstance(action, CancelAttempt)
                 )
+            # The deadline is for the head of the answer, not for its body.
             scope.deadline = math.inf
             return await self._relay(send, reply)
 
@@ -203,10 +225,11 @@
 
 
 def result_of_caller_left(answer: TargetAnswer, target: str) -> ExchangeResult:
-    """Return the end of a request whose caller left before its answer's end.
+    """Return the result of a request whose caller left during its answer.
 
-    :param reply: the answer; it can still be stored for a repeat.
-    :param target: where the request ran.
+    :param answer: the answer; it is kept for a repeat with the same
+        idempotency key.
+    :param target: name of the target that sent the answer.
     """
     failure = RefuseRequest(Verdict.RAN, Reason.CANCELLED)
     return ExchangeResult(
@@ -215,6 +238,11 @@
 
 
 def failure_event(attempt_id: str, refusal: AttemptRefusal) -> AttemptEvent:
+    """Return the plan's event for an attempt that brought no answer.
+
+    :param attempt_id: id of the attempt.
+    :param refusal: the owner's refusal.
+    """
     is_incomplete = refusal.reason in {
         Reason.ANSWER_INCOMPLETE,
         Reason.ANSWER_WRONG,
--- a/src/clementinedeal/_executions.py
+++ b/src/clementinedeal/_executions.py
@@ -1,4 +1,8 @@
-"""Which forwarded requests this owner queued, started, finished, cancelled."""
+"""The owner's table of the attempts that entries forwarded to it.
+
+The owner is the daemon beside a target, the only one that calls it. In this
+module a request id names one forward, that is one attempt of a request.
+"""
 
 import enum
 import heapq
@@ -15,7 +19,12 @@
 
 
 class ExecutionState(enum.Enum):
-    """Progress of one forward at its owner."""
+    """Progress of one forward at its owner.
+
+    ``QUEUED`` and ``STARTED`` are open. ``DONE``: the target answered.
+    ``ABANDONED``: the owner stopped waiting for the target. ``CANCELLED``: it
+    never started and never will.
+    """
 
     QUEUED = 'queued'
     STARTED = 'started'
@@ -24,6 +33,8 @@
     CANCELLED = 'cancelled'
 
 
+# A forward refused for these reasons is recorded as cancelled, so that a
+# later copy of it is not accepted either.
 _RECORDED_REFUSALS = frozenset((Reason.DEADLINE, Reason.WRONG_INCARNATION))
 _CANCEL_ANSWERS = {
     ExecutionState.CANCELLED: CancelAnswer.NEVER_STARTED,
@@ -37,9 +48,13 @@
 class ExecutionLimits:
     """Bounds of the table.
 
-    ``retention`` is in seconds. It must exceed the time for which a forward
-    may stay in the network after its connection was aborted, and the time
-    within which an entry trusts the answer to a cancel.
+    The retention must exceed both the time for which a forward may stay in
+    the network after its connection was aborted, and the time for which an
+    entry trusts the answer to a cancel (``PROOF_WINDOW_SECONDS``).
+
+    :param max_entries: forwards remembered at the most.
+    :param retention_seconds: how long a closed forward is remembered after
+        its deadline or its last change, whichever is later.
     """
 
     max_entries: int = DEFAULT_MAX_ENTRIES
@@ -48,6 +63,8 @@
 
 @dataclass(slots=True)
 class _Execution:
+    """A forward in the table; times are in monotonic seconds."""
+
     state: ExecutionState
     incarnation: str
     deadline: float
@@ -57,9 +74,8 @@
 class ExecutionTable:
     """Remembers forwards so that none starts twice or after its cancel.
 
-    A request id here is unique for each forward, so a repeated attempt of
-    one request has an id of its own. Entries still queued or started are
-    never dropped; a full table refuses instead.
+    Each attempt of a request has an id of its own. Forwards that are queued
+    or started are never dropped; a full table refuses new ones.
     """
 
     def __init__(
@@ -69,13 +85,15 @@
     ) -> None:
         """Create an empty table.
 
-        :param incarnation: identity of this run of the daemon.
-        :param limits: bounds; the defaults if absent.
+        :param incarnation: identifies this run of the daemon.
+        :param limits: bounds of the table; None for the defaults.
         """
         self.incarnation = incarnation
         self._limits = limits or ExecutionLimits()
         self._table: dict[str, _Execution] = {}
+        # Heap of closed forwards by the time at which they are forgotten.
         self._expiries: list[tuple[float, str]] = []
+        # Until the first tick no gap is detected.
         self._last_tick = float('inf')
 
     def __len__(self) -> int:
@@ -89,17 +107,17 @@
         deadline: float,
         now: float,
     ) -> Result[None, Reason]:
-        """Admit a forward to the queue, before anything is sent on.
+        """Record a forward as queued.
 
-        A forward that is admitted here and refused later, for instance by a
-        full queue, must be cancelled.
+        A forward that is registered and refused later, for instance by a full
+        queue, must be cancelled.
 
         :param req_id: id of the forward.
         :param incarnation: owner incarnation that the forward names.
         :param deadline: monotonic time in seconds by which it must start.
         :param now: current monotonic time in seconds.
-        :returns: an error whose request did not run, but for ``DUPLICATE``:
-            the other copy may have run.
+        :returns: why it is refused, if it is. The request has then not run,
+            except for ``DUPLICATE``, where the other copy may have run.
         """
         self._expire(now)
         refusal = self._register_refusal(req_id, incarnation, deadline, now)
@@ -116,12 +134,11 @@
         return Ok(None)
 
     def start(self, req_id: str, now: float) -> Result[None, Reason]:
-        """Allow the first byte to the target; call right before writing it.
-
-        A forward refused here never starts.
+        """Record a forward as started, right before its first byte is sent.
 
         :param req_id: id of a registered forward.
         :param now: current monotonic time in seconds.
+        :returns: why it may not start, if so; it then never starts.
         """
         execution = self._table.get(req_id)
         if execution is None:
@@ -135,15 +152,15 @@
         return Err(reason)
 
     def finish(self, req_id: str, now: float) -> None:
-        """Note that a started forward was answered by its target.
+        """Record that the target answered a started forward.
 
-        :param req_id: id of the forward; unknown ids are ignored.
+        :param req_id: id of the forward; unknown and ended ones are ignored.
         :param now: current monotonic time in seconds.
         """
         self._close_if_started(req_id, ExecutionState.DONE, now)
 
     def abandon(self, req_id: str, now: float) -> None:
-        """Note that nobody waits any more for a started forward.
+        """Record that the owner no longer waits for a started forward.
 
         :param req_id: id of the forward; unknown and ended ones are ignored.
         :param now: current monotonic time in seconds.
@@ -156,11 +173,15 @@
         incarnation: str,
         now: float,
     ) -> CancelAnswer:
-        """Cancel a forward, also one that has not arrived yet.
+        """Cancel a forward, including one that has not arrived yet.
+
+        A forward that has started is not stopped by this.
 
         :param req_id: id of the forward.
         :param incarnation: owner incarnation that the forward named.
         :param now: current monotonic time in seconds.
+        :returns: how far the forward came. ``UNKNOWN`` if it is not in the
+            table and was meant for another incarnation, or the table is full.
         """
         self._expire(now)
         execution = self._table.get(req_id)
@@ -171,26 +192,28 @@
         return _CANCEL_ANSWERS[execution.state]
 
     def on_tick(self, now: float) -> None:
-        """Note that the process runs.
+        """Record that the process is running.
 
-        Once called, it must be called several times a second: nothing is
-        admitted or started between a gap and the next call.
+        Once called, it must be called several times a second. After a gap
+        that shows that the process was paused, no forward is registered or
+        started until the next call.
 
         :param now: current monotonic time in seconds.
         """
         self._last_tick = now
 
     def on_pause(self, incarnation: str) -> None:
-        """Take a new incarnation after the process did not run for a while.
+        """Take a new incarnation after the process was paused.
 
-        Forwards queued or in flight before do not start any more.
+        Forwards that were queued or on their way before the pause don't start
+        any more.
 
-        :param incarnation: the identity from now on.
+        :param incarnation: the new incarnation.
         """
         self.incarnation = incarnation
 
     def state(self, req_id: str) -> ExecutionState | None:
-        """Return the state of a forward, None if it is not remembered.
+        """Return the state of a forward, or None if it is unknown.
 
         :param req_id: id of the forward.
         """
@@ -250,6 +273,7 @@
         incarnation: str,
         now: float,
     ) -> CancelAnswer:
+        """Add a forward that may never start, if the table has room."""
         is_full = len(self._table) >= self._limits.max_entries
         if is_full or incarnation != self.incarnation:
             return CancelAnswer.UNKNOWN
--- a/src/clementinedeal/_forwarding.py
+++ b/src/clementinedeal/_forwarding.py
@@ -1,4 +1,4 @@
-"""Forwarding of requests to other daemons, and serving theirs."""
+"""Forwards attempts to other daemons and serves those forwarded here."""
 
 import contextlib
 from collections.abc import AsyncIterator, Callable
@@ -37,22 +37,27 @@
 from clementinedeal._target_call import framing_headers, send_request
 from clementinedeal._verdict import Reason, Verdict
 
+# Bodies up to this size are buffered, so that they can be sent again.
 MAX_REPLAY_BYTES = 65536
 _REFUSED_STATUS = 503
 _FORBIDDEN = 403
 
 
 def _request_context(receiver: str, head: RequestHead) -> bytes:
+    """Return what a forward's seal is bound to: receiver and request line."""
     return f'{receiver} {head.method} {head.path}'.encode()
 
 
 @dataclass(frozen=True, slots=True)
 class PeerParts:
-    """What both directions work with.
-
-    ``on_outcome`` hears what an owner says of itself and its target, with
-    the seconds spent on the way; ``on_unreachable`` hears of an owner that
-    could not be connected to.
+    """Collaborators of ``PeerClient`` and ``PeerServer``.
+
+    :param keyring: fleet keys that authenticate the daemons to each other.
+    :param events: log of this daemon's events.
+    :param pool: pool of connections to other daemons.
+    :param on_outcome: called with owner, target, the owner's report and the
+        seconds spent on the network.
+    :param on_unreachable: called with an owner that can't be connected to.
     """
 
     keyring: Keyring
@@ -63,12 +68,12 @@
 
 
 class PeerClient:
-    """Sends attempts to the owners of their targets."""
+    """Sends attempts to owners at other daemons."""
 
     def __init__(self, parts: PeerParts) -> None:
         """Create a client.
 
-        :param parts: its collaborators.
+        :param parts: collaborators of the client.
         """
         self._parts = parts
 
@@ -81,10 +86,13 @@
     ) -> AsyncIterator[AttemptReply]:
         """Run one attempt at another daemon.
 
-        :param owner: the daemon beside the target.
-        :param fwd: the attempt.
-        :param req: what to send.
-        :raises ConnLostError: the connection ended after the first byte.
+        The body of the reply must be read inside the context.
+
+        :param owner: instance beside the target.
+        :param fwd: describes the attempt.
+        :param req: the request to send.
+        :raises ConnLostError: the connection broke after the first byte, or
+            the owner's report is missing or not authentic.
         """
         try:
             conn = await self._parts.pool.acquire(owner.peer)
@@ -129,14 +137,14 @@
         seconds = trio.current_time() - started
         sealed = head.header(OUTCOME_HEADER)
         if sealed is None:
-            raise ConnLostError('the owner sent no outcome')
+            raise ConnLostError('reply of the owner has no outcome header')
         try:
             outcome = self._parts.keyring.open_outcome(
                 sealed,
                 fwd.attempt.encode(),
             )
         except PeerAuthError as exc:
-            raise ConnLostError('the outcome is not authentic') from exc
+            raise ConnLostError('outcome header is not authentic') from exc
         self._parts.events.clock.observe(outcome.hlc)
         self._parts.on_outcome(
             owner.name,
@@ -163,7 +171,13 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnedTargets:
-    """What the serving side knows of its own targets."""
+    """The targets beside this daemon.
+
+    :param owner: runs attempts at them.
+    :param find_target: returns a target by name, None if it is not owned.
+    :param load_and_state: returns a target's running and waiting requests per
+        slot, and its state.
+    """
 
     owner: Owner
     find_target: Callable[[str], Target | None]
@@ -176,8 +190,8 @@
     def __init__(self, parts: PeerParts, owned: OwnedTargets) -> None:
         """Create a server.
 
-        :param parts: its collaborators.
-        :param ownership: runs requests and finds targets.
+        :param parts: collaborators of the server.
+        :param owned: the targets beside this daemon.
         """
         self._parts = parts
         self._owned = owned
@@ -185,9 +199,10 @@
     async def serve(self, conn: ServerConn, head: RequestHead) -> None:
         """Answer one request on a peer connection.
 
-        :param conn: the connection.
-        :param head: the request's head.
-        :raises ConnLostError: the connection or the answer broke.
+        :param conn: the peer's connection.
+        :param head: head of the request.
+        :raises ConnLostError: the connection broke, or the answer ended
+            early.
         """
         context = _request_context(self._parts.events.instance, head)
         sealed = head.header(FORWARD_HEADER) or b''
@@ -260,12 +275,15 @@
     answer: TargetAnswer,
     extra: Headers,
 ) -> None:
-    """Send an answer on; a broken body breaks the connection.
+    """Send a target's answer on a connection.
+
+    If its body ends early, the connection must be closed without a regular
+    end of the answer.
 
-    :param conn: where to.
-    :param reply: the answer.
-    :param extra: headers to add.
-    :raises ConnLostError: either side broke.
+    :param conn: connection to the caller or to the entry.
+    :param answer: the target's answer.
+    :param extra: headers to add; they replace those of the same name.
+    :raises ConnLostError: the connection broke, or the answer ended early.
     """
     added = {name for name, _ in extra}
     passed = strip_internal_headers(end_to_end(answer.head.headers))
--- a/src/clementinedeal/_gates.py
+++ b/src/clementinedeal/_gates.py
@@ -1,4 +1,4 @@
-"""What an owner asks before it starts a request, and whom it tells."""
+"""Interfaces of the checks and reports around an owner's target calls."""
 
 from typing import Protocol
 
@@ -6,19 +6,23 @@
 
 
 class TokenGate(Protocol):
-    """Takes a request from its account's rate and burst."""
+    """Limits requests to the rate and burst of their client accounts."""
 
     async def take(self, req_id: str, account: str) -> AttemptRefusal | None:
-        """Wait for a token; None when it was taken.
+        """Wait for a token of an account.
 
         :param req_id: unique id of the attempt.
-        :param account: the client account.
+        :param account: name of the client account.
+        :returns: None if a token was taken, else why not.
         """
         ...
 
 
 class SlotGate(Protocol):
-    """Lends the slots of the owned targets."""
+    """Grants the slots of the owned targets.
+
+    A slot allows one request to run at its target.
+    """
 
     async def acquire(
         self,
@@ -27,44 +31,56 @@
         account: str,
         seconds_left: float,
     ) -> AttemptRefusal | None:
-        """Wait for a slot; None when it is lent.
+        """Wait for a slot of a target.
 
         :param req_id: unique id of the attempt.
-        :param target: an owned target.
-        :param account: shares the queue fairly with other accounts.
-        :param seconds_left: time in which the request is of use.
+        :param target: name of an owned target.
+        :param account: client account; accounts are served round-robin.
+        :param seconds_left: time within which the request must start.
+        :returns: None if a slot was acquired, else why not.
         """
         ...
 
     def release(self, req_id: str, target: str) -> None:
-        """Give a slot back, or leave the queue."""
+        """Release a slot, or leave the queue."""
         ...
 
     def load(self, target: str) -> float:
-        """Return slots in use and waiting requests per slot."""
+        """Return the running and waiting requests per slot."""
         ...
 
 
 class OutcomeWatcher(Protocol):
-    """Learns from the owner's own traffic how its targets do."""
+    """Judges the owned targets by the replies of the owner's own calls."""
 
     def refusal(
         self, target: str, *, idempotent: bool
     ) -> AttemptRefusal | None:
-        """Return why a target takes no such request now, None if it does."""
+        """Return why a target takes no such request now; None if it does.
+
+        :param target: name of an owned target.
+        :param idempotent: whether the request may run more than once.
+        """
         ...
 
     def started(self, req_id: str, target: str, *, idempotent: bool) -> None:
-        """Note the first byte to a target."""
+        """Record that an attempt is about to be sent to its target.
+
+        :param req_id: unique id of the attempt.
+        :param target: name of the target.
+        :param idempotent: whether the request may run more than once.
+        """
         ...
 
     def ended(self, req_id: str, target: str, reply: AttemptReply) -> None:
-        """Note what a started request came to.
+        """Record how an attempt ended.
 
-        :param reply: answer, or the refusal with its reason.
+        :param req_id: unique id of the attempt.
+        :param target: name of the target.
+        :param reply: the target's answer, or the refusal with its reason.
         """
         ...
 
     def state(self, target: str) -> str:
-        """Return the target's state: in-use, ejected, leaving or trial."""
+        """Return the state of a target: in-use, ejected, leaving or trial."""
         ...
--- a/src/clementinedeal/_hedged_exchange.py
+++ b/src/clementinedeal/_hedged_exchange.py
@@ -1,4 +1,4 @@
-"""Runs a request whose plan may make attempts side by side."""
+"""Carries out the plan of one request that may have concurrent attempts."""
 
 from dataclasses import dataclass, field
 
@@ -36,18 +36,26 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason
 
+# Events that may wait for the plan. A request has few attempts and each of them
+# reports few events, so that reporting one never has to wait.
 EVENT_BUFFER = 64
 
 
 @dataclass(slots=True)
 class _RunningAttempt:
+    """An attempt's task; ``chosen`` is set when its answer may be sent on."""
+
     target: str
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     chosen: trio.Event = field(default_factory=trio.Event)
 
 
 class HedgedExchange:
-    """One request that may be tried at several owners at once."""
+    """Runs a request whose plan may have several open attempts.
+
+    Each attempt runs in a task of its own and reports its events to the loop
+    in ``run``, which alone calls the plan.
+    """
 
     def __init__(
         self,
@@ -57,9 +65,9 @@
     ) -> None:
         """Create an exchange.
 
-        :param plan: decides.
-        :param runner: carries out.
-        :param clock: the plan's time.
+        :param plan: decides on the attempts.
+        :param runner: performs the plan's network operations.
+        :param clock: clock of the plan.
         """
         self._plan = plan
         self._runner = runner
@@ -72,7 +80,7 @@
         self._result = UNKNOWN_RESULT
 
     async def run(self, *, replayable: bool) -> ExchangeResult:
-        """Run the request to its end.
+        """Run the request until it is answered, refused or aborted.
 
         :param replayable: whether its body can be sent again.
         """
--- a/src/clementinedeal/_incoming_request.py
+++ b/src/clementinedeal/_incoming_request.py
@@ -1,4 +1,4 @@
-"""A caller's request on its way through the entry."""
+"""A caller's request as the entry handles it."""
 
 import uuid
 from collections.abc import AsyncIterator
@@ -19,6 +19,7 @@
 TIMEOUT_HEADER = b'x-request-timeout-ms'
 _TOO_LARGE = 413
 _MS_PER_SECOND = 1000
+# Request headers that the entry handles itself and does not forward.
 _DROPPED_HEADERS = frozenset(
     (
         b'authorization',
@@ -32,9 +33,14 @@
 
 @dataclass(frozen=True, slots=True)
 class IncomingRequest:
-    """One caller's request after the access check.
-
-    ``started`` and ``deadline`` are in monotonic seconds.
+    """A caller's request that has passed the access check.
+
+    :param req_id: id of the request, unique in the fleet.
+    :param granted: its route and account.
+    :param access: the access rules it was checked by.
+    :param req: the request to forward.
+    :param started: monotonic time in seconds at which its head was checked.
+    :param deadline: monotonic time in seconds by which it must be answered.
     """
 
     req_id: str
@@ -51,25 +57,25 @@
 
     @property
     def service(self) -> str:
-        """Name of the service asked for."""
+        """Name of the service that the route leads to."""
         return self.granted.route.service
 
     @property
     def idempotency_key(self) -> str:
-        """The caller's idempotency key, empty without one."""
+        """The caller's idempotency key, empty if there is none."""
         text = self.req.head.header(IDEMPOTENCY_HEADER) or b''
         return text.decode('latin-1')
 
 
 def new_request_id() -> str:
-    """Return an id that no other request has."""
+    """Return a new id, unique in the fleet."""
     return uuid.uuid4().hex
 
 
 def strip_internal_headers(headers: Headers) -> Headers:
-    """Drop headers that only daemons may set.
+    """Return headers without those that only daemons may set.
 
-    :param headers: as received.
+    :param headers: headers as received.
     """
     return tuple(
         pair for pair in headers if not pair[0].startswith(INTERNAL_PREFIX)
@@ -77,9 +83,11 @@
 
 
 def forwarded_head(head: RequestHead) -> RequestHead:
-    """Return the head without key, internal and per-connection headers.
+    """Return the head to forward.
+
+    The API key, internal headers and hop-by-hop headers are removed.
 
-    :param head: as received from the caller.
+    :param head: head as received from the caller.
     """
     headers = tuple(
         pair
@@ -90,10 +98,10 @@
 
 
 def caller_timeout_seconds(head: RequestHead, max_seconds: float) -> float:
-    """Return how long the caller waits, in seconds.
+    """Return how long the caller waits for its answer, in seconds.
 
-    :param head: may carry the caller's own timeout.
-    :param limit: the preset's deadline in seconds.
+    :param head: head that may have a timeout header, in milliseconds.
+    :param max_seconds: upper bound, and the value without such a header.
     """
     text = head.header(TIMEOUT_HEADER)
     if text is None or not text.isdigit():
@@ -105,10 +113,10 @@
     pieces: AsyncIterator[bytes],
     max_bytes: int,
 ) -> AsyncIterator[bytes]:
-    """Pass a body through up to a size.
+    """Yield the pieces of a body up to a size.
 
     :param pieces: the body.
-    :param limit: its largest size in bytes.
+    :param max_bytes: largest size of the body in bytes.
     :raises HttpError: the body is larger.
     """
     size = 0
--- a/src/clementinedeal/_network_paths.py
+++ b/src/clementinedeal/_network_paths.py
@@ -1,8 +1,10 @@
-"""An entry's own experience of the way to each owner."""
+"""Latency and reachability of the owners as this entry has seen them."""
 
 from dataclasses import dataclass
 
+# How long an owner is avoided after a failure to connect to it.
 PATH_FAULT_SECONDS = 3.0
+# Weight of the newest sample in the moving average of a path's latency.
 LATENCY_WEIGHT = 0.2
 # Path latency that counts as much as a target whose slots are all busy.
 FULL_LOAD_LATENCY_SECONDS = 0.02
@@ -10,59 +12,69 @@
 
 @dataclass(slots=True)
 class NetworkPath:
-    """Smoothed latency and the latest failure to connect, in seconds."""
+    """State of the path to one owner.
+
+    :param latency: moving average in seconds.
+    :param faulty_until: monotonic time in seconds up to which the owner is
+        avoided.
+    """
 
     latency: float = 0.0
     faulty_until: float = 0.0
 
 
 class NetworkPaths:
-    """Path faults of one daemon; they say nothing about the target."""
+    """Paths from this daemon to the owners of targets.
+
+    A path fault only affects the ranking here. It is no evidence against the
+    target, which may work for other daemons.
+    """
 
     def __init__(self) -> None:
-        """Start without any experience."""
+        """Create an empty set."""
         self._paths: dict[str, NetworkPath] = {}
 
     def on_answer(self, owner: str, latency: float) -> None:
-        """Take in what a forward took besides the owner's own time.
+        """Record the path latency of an answered forward.
 
         :param owner: instance that was called.
-        :param latency: seconds spent on the way.
+        :param latency: time of the forward less the owner's own, in seconds.
         """
         path = self._paths.setdefault(owner, NetworkPath(latency))
         path.latency += LATENCY_WEIGHT * (latency - path.latency)
         path.faulty_until = 0.0
 
     def on_connect_failure(self, owner: str, now: float) -> None:
-        """Avoid an owner for a while where there is another.
+        """Mark the path to an owner as faulty for ``PATH_FAULT_SECONDS``.
 
         :param owner: instance that could not be reached.
-        :param now: monotonic time in seconds.
+        :param now: current monotonic time in seconds.
         """
         path = self._paths.setdefault(owner, NetworkPath())
         path.faulty_until = now + PATH_FAULT_SECONDS
 
     def is_faulty(self, owner: str, now: float) -> bool:
-        """Return whether the owner was out of reach a moment ago.
+        """Return whether an owner was unreachable a moment ago.
 
-        :param owner: instance to be called.
-        :param now: monotonic time in seconds.
+        :param owner: name of the instance.
+        :param now: current monotonic time in seconds.
         """
         path = self._paths.get(owner)
         return path is not None and now < path.faulty_until
 
     def load_equivalent(self, owner: str) -> float:
-        """Return the path latency as a share of a target's capacity.
+        """Return the path latency in units of a target's load.
 
-        :param owner: instance to be called.
+        :param owner: name of the instance.
+        :returns: 1 for a latency of ``FULL_LOAD_LATENCY_SECONDS``.
         """
         path = self._paths.get(owner)
         return path.latency / FULL_LOAD_LATENCY_SECONDS if path else 0.0
 
     def retain(self, owners: set[str]) -> None:
-        """Forget all other owners.
+        """Forget all owners but the given ones.
 
-        :param owners: those that are published.
+        :param owners: names of the instances to keep.
         """
         self._paths = {
             owner: path
--- a/src/clementinedeal/_owner.py
+++ b/src/clementinedeal/_owner.py
@@ -1,4 +1,4 @@
-"""The owner's side: admits, queues and runs requests at its targets."""
+"""The owner: admits, queues and runs forwarded requests at its targets."""
 
 import contextlib
 from collections.abc import AsyncIterator
@@ -25,7 +25,16 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerParts:
-    """What an owner works with."""
+    """Collaborators of an owner.
+
+    :param clock: monotonic clock.
+    :param events: log of this daemon's events.
+    :param executions: table of the forwarded attempts.
+    :param tokens: takes tokens of the accounts.
+    :param slots: grants slots of the targets.
+    :param watcher: judges the targets by their replies.
+    :param caller: calls the targets.
+    """
 
     clock: Clock
     events: EventLog
@@ -37,12 +46,17 @@
 
 
 class Owner:
-    """Runs forwarded requests at the targets beside this daemon."""
+    """Runs forwarded requests at the targets beside this daemon.
+
+    The owner is the daemon beside a target and the only one that calls it.
+    ``draining`` makes it refuse new requests; ``in_flight`` is the number of
+    attempts that it works on.
+    """
 
     def __init__(self, parts: OwnerParts) -> None:
         """Create an owner.
 
-        :param parts: its collaborators.
+        :param parts: collaborators of the owner.
         """
         self._parts = parts
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -56,11 +70,11 @@
         target: Target,
         req: Request,
     ) -> AsyncIterator[AttemptReply]:
-        """Run one attempt; the answer is read inside the context.
+        """Run one attempt; the reply's body must be read inside the context.
 
-        :param fwd: the attempt.
+        :param fwd: describes the attempt.
         :param target: an owned target.
-        :param req: what to send.
+        :param req: the request to send.
         """
         self.in_flight += 1
         try:
@@ -71,9 +85,11 @@
             self._scopes.pop(fwd.attempt, None)
 
     def cancel(self, cancel_request: CancelExecution) -> CancelAnswer:
-        """Cancel an attempt and tell truthfully how far it came.
+        """Cancel an attempt and return how far it came.
 
-        :param wish: names the attempt and the owner's incarnation.
+        A wait for a token, a slot or the target's answer is aborted.
+
+        :param cancel_request: names the attempt and the owner's incarnation.
         """
         parts = self._parts
         answer = parts.executions.cancel(
@@ -135,7 +151,7 @@
         target: Target,
         seconds: float,
     ) -> AttemptRefusal | None:
-        """Take a token, then a slot; a cancelled wait counts as refused."""
+        """Wait for a token, then for a slot; return why there is none."""
         scope = trio.CancelScope()
         self._scopes[fwd.attempt] = scope
         scope.deadline = trio.current_time() + seconds
@@ -153,6 +169,11 @@
         target: Target,
         seconds: float,
     ) -> AttemptRefusal | None:
+        """Take what the attempt needs to start, in this order.
+
+        A refusal for lack of a slot says that the token was taken, so that
+        the next attempt does not take another one.
+        """
         parts = self._parts
         if self.draining:
             return AttemptRefusal(Verdict.NOT_RUN, Reason.DRAINING)
@@ -215,7 +236,11 @@
         target: Target,
         reply: AttemptReply,
     ) -> AsyncIterator[None]:
-        """Report a streamed answer at its end, as short if it breaks off."""
+        """Report how a streamed answer ended once it has been read.
+
+        If the reader's connection breaks, the target is not at fault: the
+        watcher gets the answer, not an incomplete one.
+        """
         ended = self._parts.watcher.ended
         try:
             yield
@@ -258,6 +283,7 @@
         return allowed
 
     def _close_execution(self, attempt: str) -> None:
+        """Close the attempt in the table, whether it has started or not."""
         parts = self._parts
         now = parts.clock.now()
         parts.executions.cancel(attempt, parts.executions.incarnation, now)
--- a/src/clementinedeal/_refusals.py
+++ b/src/clementinedeal/_refusals.py
@@ -1,4 +1,4 @@
-"""The answers that the system itself gives to callers."""
+"""Answers that the proxy itself gives to callers."""
 
 import math
 from dataclasses import dataclass
@@ -42,7 +42,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """A refusal as the caller sees it; ``retry_after`` is in seconds."""
+    """A refusal as the caller sees it.
+
+    :param verdict: whether the request may have run.
+    :param reason: why it is refused.
+    :param retry_after: seconds after which a retry makes sense, 0 if unknown.
+    """
 
     verdict: Verdict
     reason: Reason
@@ -50,7 +55,11 @@
 
     @property
     def status(self) -> int:
-        """The HTTP status; 503 only for a request that has not run."""
+        """The HTTP status.
+
+        503 is only used for a request that has not run, so that a caller may
+        send it again.
+        """
         if self.verdict is Verdict.NOT_RUN and self.reason is Reason.DEADLINE:
             return _UNAVAILABLE
         status = _STATUSES.get(self.reason, _UNAVAILABLE)
@@ -62,7 +71,8 @@
         """Return the headers of the answer.
 
         :param req_id: id of the refused request.
-        :param fractions: whether the caller reads fractions of a second.
+        :param with_fraction: whether to write ``retry-after`` with two
+            decimals; the HTTP standard has whole seconds.
         """
         headers: Headers = (
             (b'content-type', b'application/json'),
--- a/src/clementinedeal/_replies.py
+++ b/src/clementinedeal/_replies.py
@@ -1,4 +1,4 @@
-"""What an attempt comes to, wherever it ran, and what a request carries."""
+"""A request as it is forwarded, and the reply to one attempt at it."""
 
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -9,15 +9,15 @@
 
 
 class Body(Protocol):
-    """A request body on its way."""
+    """A request or response body, buffered or streamed."""
 
     @property
     def whole(self) -> bytes | None:
-        """The whole body when it is buffered, else None."""
+        """The whole body if it is buffered, else None."""
         ...
 
     def pieces(self) -> AsyncIterator[bytes]:
-        """Yield the body; a second call needs a buffered body."""
+        """Yield the body in pieces; only a buffered one can be read twice."""
         ...
 
 
@@ -25,7 +25,10 @@
     """A body that is buffered and can be sent again."""
 
     def __init__(self, whole: bytes) -> None:
-        """Wrap the bytes."""
+        """Wrap a body.
+
+        :param whole: the body, empty if there is none.
+        """
         self._whole = whole
 
     @property
@@ -34,33 +37,33 @@
         return self._whole
 
     async def pieces(self) -> AsyncIterator[bytes]:
-        """Yield the body at once."""
+        """Yield the body as one piece, or nothing if it is empty."""
         if self._whole:
             yield self._whole
 
 
 class StreamedBody:
-    """A body that passes through once; its first part may be buffered."""
+    """A body that is too large to buffer and can be read only once."""
 
     whole: bytes | None = None
 
     def __init__(self, first: bytes, rest: AsyncIterator[bytes]) -> None:
-        """Join what was read with what is to come.
+        """Join the part that has been read to the rest.
 
-        :param first: bytes that were read already.
-        :param rest: yields the others.
+        :param first: bytes that have been read.
+        :param rest: yields the remaining pieces.
         """
         self._first = first
         self._rest = rest
         self._is_consumed = False
 
     async def pieces(self) -> AsyncIterator[bytes]:
-        """Yield the body.
+        """Yield the body in pieces.
 
-        :raises ConnLostError: it was sent before.
+        :raises ConnLostError: the body has been read before.
         """
         if self._is_consumed:
-            raise ConnLostError('the body cannot be sent again')
+            raise ConnLostError('a streamed body cannot be sent twice')
         self._is_consumed = True
         yield self._first
         async for piece in self._rest:
@@ -69,7 +72,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A request as it is forwarded: end-to-end headers only."""
+    """A request as it is forwarded.
+
+    :param head: method, path and end-to-end headers.
+    :param body: the body.
+    """
 
     head: RequestHead
     body: Body
@@ -77,10 +84,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptRefusal:
-    """The attempt brought no usable answer.
+    """Reply to an attempt that got no usable answer from its target.
 
-    ``verdict`` is proved; ``admitted`` tells whether the account's token was
-    taken; ``retry_after`` is in seconds; ``incarnation`` is the owner's.
+    :param verdict: whether the attempt may have run; ``NOT_RUN`` is proved.
+    :param reason: why it failed.
+    :param retry_after: seconds after which a retry makes sense, 0 if unknown.
+    :param admitted: whether the account's token was taken.
+    :param incarnation: the owner's present incarnation, empty if not given.
     """
 
     verdict: Verdict
@@ -92,9 +102,12 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetAnswer:
-    """The target's answer; ``body`` fails if it turns out not to be whole.
+    """Reply to an attempt that its target answered.
 
-    ``target_seconds`` is the time that the target took.
+    :param head: status and headers.
+    :param body: the body; reading it raises an error if it ends early.
+    :param admitted: whether the account's token was taken.
+    :param target_seconds: time that the target took to answer.
     """
 
     head: ResponseHead
@@ -110,10 +123,11 @@
     pieces: AsyncIterator[bytes],
     max_bytes: int,
 ) -> Body:
-    """Read a body; it is buffered whole if it fits.
+    """Read a body up to a limit.
 
     :param pieces: yields the body.
-    :param limit: largest buffered body in bytes.
+    :param max_bytes: size in bytes up to which the body is buffered.
+    :returns: a ``WholeBody``, or a ``StreamedBody`` if it is larger.
     """
     first = bytearray()
     async for piece in pieces:
--- a/src/clementinedeal/_routing.py
+++ b/src/clementinedeal/_routing.py
@@ -1,4 +1,4 @@
-"""The entry's choice of targets to try for a request."""
+"""Ranks the targets of a service for one request at its entry."""
 
 import enum
 import random
@@ -7,17 +7,29 @@
 from clementinedeal._model import Config, Target
 from clementinedeal._network_paths import NetworkPaths
 
+# Random targets are added until a request has this number of candidates.
 MAX_CANDIDATES = 5
-# Longer than the lease of a permit to eject.
+# An ejection that is not reported again within this time has expired. The time
+# must be longer than the lease of a permit to eject.
 EJECTED_VALID_SECONDS = 6.0
+# A load that is older than this counts as unknown.
 LOAD_VALID_SECONDS = 5.0
 UNKNOWN_LOAD = 0.5
+# One running or waiting request per slot.
 FULL_LOAD = 1.0
+# If all targets of a service are on trial, this fraction of the idempotent
+# requests is a trial; with fewer of them it is proportionally smaller.
 TRIAL_FRACTION = 0.15
 
 
 class Availability(enum.IntEnum):
-    """What was heard of a target, the least bad first."""
+    """Last known availability of a target, from best to worst.
+
+    ``IN_USE``: takes requests. ``TRIAL``: ejected, but its owner tries it
+    with a few idempotent requests. ``EJECTED``: its owner found it faulty.
+    ``LEAVING``: it takes no new requests. ``LOST``: its owner is leaving or
+    not alive.
+    """
 
     IN_USE = 0
     TRIAL = 1
@@ -26,14 +38,17 @@
     LOST = 4
 
 
+# These hold only as long as the owner keeps reporting them.
 EXPIRING = frozenset((Availability.TRIAL, Availability.EJECTED))
 
 
 @dataclass(frozen=True, slots=True)
 class TargetView:
-    """State and load of a target, heard at a monotonic time in seconds.
+    """Last known availability and load of a target.
 
-    ``load`` is the share of its usable slots that are busy or queued for.
+    :param availability: its availability.
+    :param load: running and waiting requests per slot.
+    :param heard_at: monotonic time in seconds at which it was reported.
     """
 
     availability: Availability
@@ -43,7 +58,17 @@
 
 @dataclass(slots=True)
 class CandidatePool:
-    """Targets of one service by how they may be used."""
+    """Targets of one service, grouped by how they may be used.
+
+    :param target_count: number of all targets of the service, at least 1.
+    :param valid_until: monotonic time in seconds at which an ejection
+        expires and the groups must be built again.
+    :param own_zone: targets in use in this availability zone.
+    :param other_zones: targets in use in the other zones.
+    :param on_trial: ejected targets that their owners try.
+    :param last_resort: all targets that are not in use, the best first.
+    :param by_owner: targets in use, by the name of the owning instance.
+    """
 
     target_count: int
     valid_until: float = float('inf')
@@ -55,7 +80,12 @@
 
 
 class Router:
-    """Orders the targets of a service for one request."""
+    """Ranks the targets of a service for one request.
+
+    Targets whose owners hold tokens of the account come first, then those in
+    the own availability zone, then the others. Within a zone the less loaded
+    of two random targets is taken, which spreads load without herding.
+    """
 
     def __init__(
         self,
@@ -64,12 +94,12 @@
         cfg: Config,
         rng: random.Random,
     ) -> None:
-        """Start without having heard of any target.
+        """Create a router without reports on targets.
 
-        :param me: name of this instance; nothing costs less than it.
-        :param zone: its availability zone.
+        :param me: name of this instance; the path to itself costs nothing.
+        :param zone: availability zone of this instance.
         :param cfg: the configuration in force.
-        :param rng: source of the random choices.
+        :param rng: source of random choices.
         """
         self._me = me
         self._zone = zone
@@ -79,9 +109,9 @@
         self.on_config(cfg)
 
     def on_config(self, cfg: Config) -> None:
-        """Take a new configuration into force.
+        """Use a new configuration and forget targets that it lacks.
 
-        :param cfg: the configuration.
+        :param cfg: the new configuration.
         """
         self._cfg = cfg
         self._pools: dict[str, CandidatePool] = {}
@@ -98,10 +128,10 @@
         self.paths.retain({one.instance for one in cfg.targets.values()})
 
     def on_view(self, name: str, view: TargetView) -> None:
-        """Take in what was heard of a target; older views are ignored.
+        """Store a report on a target unless a newer one is known.
 
         :param name: name of the target; an unknown one is ignored.
-        :param view: its state and load.
+        :param view: its availability and load.
         """
         target = self._cfg.targets.get(name)
         previous = self._views.get(name)
@@ -123,10 +153,13 @@
     ) -> list[str]:
         """Return the names of the targets to try, the best first.
 
-        :param service: name of the service.
-        :param holders: instances that hold the account's tokens.
-        :param idempotent: whether the request may serve as a trial.
-        :param now: monotonic time in seconds.
+        Targets that are not in use are returned only if there is no other.
+        Those whose owner was unreachable a moment ago are moved to the end.
+
+        :param service: name of the service; an unknown one has no targets.
+        :param holders: instances that hold tokens of the account.
+        :param idempotent: whether the request may be used for a trial.
+        :param now: current monotonic time in seconds.
         """
         pool = self._pool(service, now)
         chosen = self._pick_trial(pool) if idempotent else []
@@ -140,7 +173,7 @@
         return [one.name for one in chosen]
 
     def _pick_trial(self, pool: CandidatePool) -> list[Target]:
-        """Rarely take a target whose owner wants to try it."""
+        """Return a target on trial for a small fraction of the requests."""
         if not pool.on_trial:
             return []
         probability = TRIAL_FRACTION * len(pool.on_trial) / pool.target_count
@@ -169,7 +202,7 @@
         chosen: list[Target],
         now: float,
     ) -> None:
-        """Add the less loaded of two random targets until there is enough."""
+        """Add the less loaded of two random targets until there are enough."""
         if len(chosen) >= MAX_CANDIDATES:
             return
         taken = {one.name for one in chosen}
@@ -189,6 +222,7 @@
         return int(self._rng.random() * len(rest))
 
     def _effective_load(self, target: Target, now: float) -> float:
+        """Return the load of a target plus the cost of the path to it."""
         cost = 0.0
         if target.instance != self._me:
             cost = self.paths.load_equivalent(target.instance)
@@ -232,7 +266,7 @@
         return pool.own_zone if is_own_zone else pool.other_zones
 
     def _current_availability(self, target: Target, now: float) -> Availability:
-        """Take a target whose ejection was not renewed for one in use."""
+        """Return a target's availability; an expired ejection is in use."""
         view = self._views.get(target.name)
         if view is None:
             return Availability.IN_USE
--- a/src/clementinedeal/_slot_gate.py
+++ b/src/clementinedeal/_slot_gate.py
@@ -1,4 +1,4 @@
-"""Makes requests wait in the queue before a target's slots."""
+"""The ``SlotGate`` of an owner, with one queue per owned target."""
 
 from collections.abc import Callable
 
@@ -19,7 +19,7 @@
 
 
 class QueuedSlotGate:
-    """The queues of all owned targets."""
+    """Queues requests for the slots of all owned targets."""
 
     def __init__(
         self,
@@ -31,25 +31,27 @@
         """Create a queue for each owned target.
 
         :param me: name of this instance.
-        :param cfg: names the owned targets, their slots and queue limit.
-        :param clock: the queues' time.
-        :param share: usable share of a target's slots, 0 to 1, by name and
-            monotonic time.
+        :param cfg: configuration with the owned targets, their slots and the
+            queue limit.
+        :param clock: clock of the queues.
+        :param usable_fraction: returns the usable fraction of a target's
+            slots, 0 to 1, from its name and the monotonic time in seconds.
         """
         self._me = me
         self._clock = clock
         self._usable_fraction = usable_fraction
         self._targets: dict[str, Target] = {}
         self._queues: dict[str, TargetQueue] = {}
+        # Targets by the ids of the attempts that wait for them.
         self._waiting: dict[str, str] = {}
         self._waiters: Waiters[AttemptRefusal | None] = Waiters()
         self.on_config(cfg, clock.now())
 
     def on_config(self, cfg: Config, now: float) -> None:
-        """Follow a configuration; queues of kept targets stay.
+        """Use a new configuration; the queues of kept targets stay.
 
         :param cfg: the configuration in force.
-        :param now: monotonic time in seconds.
+        :param now: current monotonic time in seconds.
         """
         self._targets = {
             name: target
@@ -65,9 +67,9 @@
                 queue.set_max_waiting(limit)
 
     def on_tick(self, now: float) -> None:
-        """Expire what waits too long and follow slow starts.
+        """Refuse expired requests and adapt slots to slow starts.
 
-        :param now: monotonic time in seconds.
+        :param now: current monotonic time in seconds.
         """
         for name, target in self._targets.items():
             queue = self._queues[name]
@@ -82,12 +84,15 @@
         account: str,
         seconds_left: float,
     ) -> AttemptRefusal | None:
-        """Wait for a slot; None when it is lent.
+        """Wait for a slot of a target.
+
+        ``release`` must be called in any case, also if the wait is cancelled.
 
         :param req_id: unique id of the attempt.
-        :param target: an owned target.
-        :param account: shares the queue fairly with other accounts.
-        :param seconds_left: time in which the request must start.
+        :param target: name of an owned target.
+        :param account: client account; accounts are served round-robin.
+        :param seconds_left: time within which the request must start.
+        :returns: None if a slot was acquired, else why not.
         """
         queue = self._queues.get(target)
         if queue is None:
@@ -99,10 +104,10 @@
         return await self._waiters.wait(req_id)
 
     def release(self, req_id: str, target: str) -> None:
-        """Give a slot back, or leave the queue.
+        """Release a slot, or leave the queue.
 
         :param req_id: unique id of the attempt.
-        :param target: an owned target.
+        :param target: name of an owned target.
         """
         self._waiting.pop(req_id, None)
         queue = self._queues.get(target)
@@ -111,9 +116,10 @@
             self._perform(queue.finish(req_id, self._clock.now()))
 
     def load(self, target: str) -> float:
-        """Return running and waiting requests per slot.
+        """Return the running and waiting requests per slot.
 
-        :param target: a target.
+        :param target: name of a target.
+        :returns: the load, 0 for a target that is not owned.
         """
         queue = self._queues.get(target)
         if queue is None or target not in self._targets:
@@ -121,9 +127,9 @@
         return (queue.running + queue.waiting) / self._targets[target].slots
 
     def reject_waiting(self, target: str) -> None:
-        """Refuse what waits for a target that was ejected.
+        """Refuse all requests that wait for a target that was ejected.
 
-        :param target: an owned target.
+        :param target: name of an owned target.
         """
         waiting = [
             req_id
--- a/src/clementinedeal/_target_call.py
+++ b/src/clementinedeal/_target_call.py
@@ -32,8 +32,12 @@
 )
 from clementinedeal._verdict import Reason, Verdict
 
+# Answers up to this size are read whole and checked before they are passed on,
+# so that an attempt with an incomplete or wrong one can still be retried.
 ANSWER_BUFFER_BYTES = 65536
 DEADLINE_HEADER = b'x-deadline-ms'
+# A target uses these in its answers to say that it has not started the request,
+# and that it is leaving.
 TARGET_REFUSED_HEADER = b'x-target-refused'
 TARGET_STATE_HEADER = b'x-target-state'
 _MS_PER_SECOND = 1000
@@ -43,8 +47,13 @@
 class TargetCall:
     """One call to a target.
 
-    ``may_start`` is asked right before the first byte. Cancelling ``scope``
-    abandons the call; its deadline ends it.
+    :param target: the target to call.
+    :param req_id: id of the request, sent to the target in a header.
+    :param req: the request to send.
+    :param seconds_left: time left until the request's deadline.
+    :param may_start: called right before the first byte is sent; an error
+        prevents the call.
+    :param scope: cancelling it abandons the call, as does its deadline.
     """
 
     target: Target
@@ -56,12 +65,12 @@
 
 
 class TargetCaller:
-    """Calls targets and judges their answers."""
+    """Calls targets and checks that their answers are complete."""
 
     def __init__(self, pool: ConnPool) -> None:
         """Create a caller.
 
-        :param pool: lends connections to targets.
+        :param pool: pool of connections to targets.
         """
         self._pool = pool
 
@@ -69,7 +78,7 @@
     async def call(self, call: TargetCall) -> AsyncIterator[AttemptReply]:
         """Perform one call; the answer's body is read inside the context.
 
-        :param call: what to send where, and whether it may still start.
+        :param call: the call.
         """
         try:
             conn = await self._pool.acquire(call.target.address)
@@ -113,7 +122,7 @@
     head = await conn.read_head()
     check_request_id(head, call.req_id)
     if not is_framed(head, call.req.head.method):
-        raise ConnLostError('the end of the answer cannot be told from a cut')
+        raise ConnLostError('answer has no content-length and is not chunked')
     pieces = check_digest(head, conn.read_body())
     body = await buffer_body(pieces, ANSWER_BUFFER_BYTES)
     if head.header(TARGET_REFUSED_HEADER) == b'not-started':
@@ -139,10 +148,10 @@
     head: RequestHead,
     body: Body,
 ) -> tuple[tuple[bytes, bytes], ...]:
-    """Return the header that delimits a forwarded request body.
+    """Return the headers that delimit a forwarded request body.
 
-    :param head: the forwarded head, which may keep a declared length.
-    :param body: what will be sent.
+    :param head: the forwarded head; no header is added to a declared length.
+    :param body: the body that will be sent.
     """
     if head.header(b'content-length') is not None:
         return ()
@@ -158,10 +167,10 @@
 ) -> None:
     """Send a request, in one write when its body is buffered.
 
-    :param conn: an unused connection.
-    :param head: complete head with framing.
+    :param conn: an idle connection.
+    :param head: complete head, including the headers that delimit the body.
     :param body: the body.
-    :raises ConnLostError: the connection is gone.
+    :raises ConnLostError: the connection broke.
     """
     if body.whole is not None:
         await conn.send_whole(head, body.whole)
--- a/src/clementinedeal/_target_queue.py
+++ b/src/clementinedeal/_target_queue.py
@@ -1,8 +1,9 @@
-"""The short queue of an owner before the slots of one target.
+"""The queue of an owner for the slots of one target.
 
-A request is refused at once when it could not start in time; one that waits
-is refused when its deadline passes. A request that was refused has not run
-and will not.
+A target has a number of slots, the requests that it may run at once. A
+request that is not expected to start before its deadline is refused at once;
+one that waits is refused when its deadline passes. A refused request has not
+run and will not.
 """
 
 from collections import OrderedDict, deque
@@ -10,6 +11,7 @@
 
 from clementinedeal._verdict import Reason
 
+# Weight of the newest sample in the moving average of service times.
 ESTIMATE_WEIGHT = 0.2
 MIN_RETRY_AFTER_SECONDS = 0.1
 
@@ -23,7 +25,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RejectRequest:
-    """Action: the request has not run and will not."""
+    """Action: refuse the request; it has not run and will not.
+
+    :param req_id: request id.
+    :param reason: why it is refused.
+    :param retry_after_seconds: when a retry is likely to find a free slot.
+    """
 
     req_id: str
     reason: Reason
@@ -36,7 +43,12 @@
 
 @dataclass(frozen=True, slots=True)
 class QueuedRequest:
-    """A request that waits for a slot; ``deadline`` in monotonic seconds."""
+    """A request that waits for a slot.
+
+    :param req_id: request id, unique.
+    :param account: name of the client account, empty if there is none.
+    :param deadline: monotonic time in seconds by which it must have started.
+    """
 
     req_id: str
     account: str
@@ -44,14 +56,17 @@
 
 
 class AccountLanes:
-    """Waiting requests in one lane per account, served in turn."""
+    """Waiting requests in one lane per account, served round-robin.
+
+    No lane is ever empty.
+    """
 
     def __init__(self) -> None:
-        """Start empty."""
+        """Create without requests."""
         self._lanes: OrderedDict[str, deque[QueuedRequest]] = OrderedDict()
 
     def __len__(self) -> int:
-        """Return how many requests wait."""
+        """Return the number of waiting requests."""
         return sum(map(len, self._lanes.values()))
 
     def add(self, req: QueuedRequest) -> None:
@@ -59,9 +74,9 @@
         self._lanes.setdefault(req.account, deque()).append(req)
 
     def count_ahead(self, account: str) -> int:
-        """Return how many requests start before a new one of an account.
+        """Return how many requests would start before a new one.
 
-        :param account: name of the account.
+        :param account: account of the new request.
         """
         own = len(self._lanes.get(account, ()))
         others = (
@@ -72,7 +87,7 @@
         return own + sum(others)
 
     def pop(self) -> QueuedRequest:
-        """Take the next request, one account after the other."""
+        """Remove and return the next request; its account goes last."""
         account, lane = next(iter(self._lanes.items()))
         req = lane.popleft()
         self._lanes.pop(account)
@@ -81,14 +96,14 @@
         return req
 
     def pop_newest_of_longest(self) -> QueuedRequest:
-        """Take the newest request of the account that has most waiting."""
+        """Remove and return the newest request of the longest lane."""
         longest = max(self._lanes.values(), key=len)
         req = longest[-1]
         self.remove(req)
         return req
 
     def remove(self, req: QueuedRequest) -> None:
-        """Take a request out of its lane."""
+        """Remove a request from its lane."""
         lane = self._lanes[req.account]
         lane.remove(req)
         if not lane:
@@ -103,10 +118,10 @@
     """Starts, queues or refuses the requests of one target."""
 
     def __init__(self, slots: int, max_waiting: int) -> None:
-        """Start idle.
+        """Create an empty queue.
 
-        :param slots: how many requests may run at once.
-        :param limit: how many may wait.
+        :param slots: number of requests that may run at once.
+        :param max_waiting: number of requests that may wait.
         """
         self._slots = slots
         self._max_waiting = max_waiting
@@ -117,12 +132,12 @@
 
     @property
     def waiting(self) -> int:
-        """Return how many requests wait."""
+        """The number of waiting requests."""
         return len(self._lanes)
 
     @property
     def running(self) -> int:
-        """Return how many requests run."""
+        """The number of running requests."""
         return len(self._started_at)
 
     def offer(
@@ -132,12 +147,15 @@
         deadline: float,
         now: float,
     ) -> QueueActions:
-        """Start a request, let it wait, or refuse it or another one.
+        """Add a request: start it, queue it or refuse it.
+
+        If the queue is full, the newest request of the account with the most
+        waiting requests is refused, which may be another one.
 
         :param req_id: request id, unique.
-        :param account: client account; empty for routes open to all.
-        :param deadline: monotonic seconds at which it must have started.
-        :param now: monotonic seconds.
+        :param account: name of the client account, empty on an open route.
+        :param deadline: monotonic time in seconds by which it must start.
+        :param now: current monotonic time in seconds.
         """
         req = QueuedRequest(req_id, account, deadline)
         if self._draining:
@@ -152,10 +170,10 @@
         return (*actions, self._reject(evicted, Reason.QUEUE_FULL))
 
     def finish(self, req_id: str, now: float) -> QueueActions:
-        """Free the slot of a request whose execution has ended.
+        """Free the slot of a request that has ended and start waiting ones.
 
-        :param req_id: a request that was started; others are ignored.
-        :param now: monotonic seconds.
+        :param req_id: id of a running request; others are ignored.
+        :param now: current monotonic time in seconds.
         """
         started_at = self._started_at.pop(req_id, None)
         if started_at is not None:
@@ -163,7 +181,7 @@
         return self._start_waiting(now)
 
     def cancel(self, req_id: str) -> QueueActions:
-        """Refuse a request that waits; one that runs goes on.
+        """Refuse a waiting request; a running one is not affected.
 
         :param req_id: request id.
         """
@@ -174,32 +192,32 @@
         return ()
 
     def resize(self, slots: int, now: float) -> QueueActions:
-        """Change how many may run; those that run go on.
+        """Change the number of slots; running requests are not affected.
 
-        :param slots: new number, as for a slow start.
-        :param now: monotonic seconds.
+        :param slots: new number of slots, for example during a slow start.
+        :param now: current monotonic time in seconds.
         """
         self._slots = slots
         return self._start_waiting(now)
 
     def set_max_waiting(self, max_waiting: int) -> None:
-        """Change how many may wait; those that wait stay.
+        """Change how many requests may wait; those that wait stay.
 
-        :param limit: new number, as of another preset.
+        :param max_waiting: new limit, for example that of another preset.
         """
         self._max_waiting = max_waiting
 
     def drain(self) -> QueueActions:
-        """Refuse all that waits and all that comes."""
+        """Refuse all waiting requests and all that are offered later."""
         self._draining = True
         refused = self._lanes.all()
         self._lanes = AccountLanes()
         return tuple(self._reject(req, Reason.DRAINING) for req in refused)
 
     def on_tick(self, now: float) -> QueueActions:
-        """Refuse what has not started by its deadline.
+        """Refuse waiting requests whose deadline has passed.
 
-        :param now: monotonic seconds.
+        :param now: current monotonic time in seconds.
         """
         actions: list[QueueAction] = []
         for req in self._lanes.all():
--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -1,12 +1,14 @@
-"""Whether a request may have run at a target."""
+"""The verdict on a request, and the reasons of refusals."""
 
 import enum
 
 
 class Verdict(enum.Enum):
-    """What is known about the execution of one request.
+    """Whether a request has run at a target.
 
-    ``NOT_RUN`` is only used with proof that no target started the request.
+    ``NOT_RUN`` requires proof that no target started the request. ``RAN``
+    means that a target answered it, even if the answer did not reach the
+    caller. ``MAY_HAVE_RUN`` is used where neither is known.
     """
 
     NOT_RUN = 'not-run'
@@ -15,7 +17,7 @@
 
 
 class Reason(enum.Enum):
-    """Machine-readable cause of a refusal, sent to the caller."""
+    """Machine-readable reason of a refusal, sent to the caller."""
 
     BAD_REQUEST = 'bad-request'
     BODY_TOO_LARGE = 'body-too-large'
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,3 +1,5 @@
+"""What the plan of a request does after each event."""
+
 import pytest
 
 from clementinedeal import _attempt_events as ev
--- a/tests/test_cancels.py
+++ b/tests/test_cancels.py
@@ -1,3 +1,5 @@
+"""Cancels between an entry and an owner when messages are lost."""
+
 import trio
 
 from clementinedeal._cancel_messages import (
@@ -16,7 +18,7 @@
 
 
 class LossyPair:
-    """An entry whose first messages to the owner are lost."""
+    """An entry and an owner; the first messages to the owner are lost."""
 
     def __init__(self, losses: int) -> None:
         self.losses = losses
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -1,3 +1,5 @@
+"""The result of a request whose caller leaves during its answer."""
+
 import contextlib
 from collections.abc import AsyncIterator
 
--- a/tests/test_executions.py
+++ b/tests/test_executions.py
@@ -1,3 +1,5 @@
+"""The owner's table lets no forward start twice or after its cancel."""
+
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -16,7 +18,7 @@
 
 
 class TableMachine(RuleBasedStateMachine):
-    """Forwards arrive within their retention, in any order and repeatedly."""
+    """Forwards arrive within the retention, in any order, also repeatedly."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -1,3 +1,5 @@
+"""Verdicts of simulated daemons with faults, checked against what has run."""
+
 import itertools
 import random
 import uuid
@@ -51,7 +53,7 @@
 
 @dataclass(frozen=True)
 class OwnerReply:
-    """An owner's answer to a forward, as typed events of the plan."""
+    """An owner's reply to a forward, as events of the entry's plan."""
 
     attempt: str
     events: tuple[Any, ...]
@@ -69,7 +71,7 @@
 
 @dataclass
 class Node:
-    """One daemon: entry, owner of one target, keeper."""
+    """One daemon: entry, owner of one target, keeper of idempotency keys."""
 
     name: str
     fleet: 'Fleet'
@@ -240,7 +242,7 @@
 
 
 class Fleet:
-    """Nodes, a network that loses, delays and repeats, and a history."""
+    """Daemons, a network that loses, delays and repeats messages, a history."""
 
     def __init__(self) -> None:
         self.now = self.traffic = self.faults = 0.0
@@ -278,7 +280,7 @@
         assert self.now <= self.deadlines[req_id] + TRANSIT_SECONDS
 
     def make_key(self, rng: random.Random) -> None:
-        """Add a UUIDv7 of a caller with a wrong clock, or a UUIDv4."""
+        """Add a UUIDv7 of a caller with a wrong clock, and a UUIDv4."""
         millis = self.wall_ms() + rng.randrange(-30_000, 30_000)
         low = rng.getrandbits(74)
         timed = uuid.UUID(int=(millis << 80) | (7 << 76) | (2 << 62) | low)
@@ -375,7 +377,7 @@
         gap=st.sampled_from(GAPS),
     )
     def fail(self, name: str, planned: bool, gap: float) -> None:
-        """Restart an instance, planned or not, or pause it for a time."""
+        """Restart an instance, planned or not, or pause it for some seconds."""
         self.fleet.fail(name, planned, gap)
 
     @rule(names=st.sets(st.sampled_from(NODES), min_size=2))
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -1,4 +1,4 @@
-"""The queue before a target against a plain account of what happened."""
+"""The queue for a target's slots, checked against a simple model."""
 
 from collections import Counter
 
@@ -18,7 +18,7 @@
 
 
 class QueueMachine(RuleBasedStateMachine):
-    """Every request ends once; nothing refused ever starts."""
+    """Each request ends once, and a refused one never starts."""
 
     def __init__(self) -> None:
         super().__init__()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,3 +1,5 @@
+"""The order in which an entry tries the targets of a service."""
+
 import dataclasses
 import random
 from collections import Counter
--- a/tests/test_slot_gate.py
+++ b/tests/test_slot_gate.py
@@ -1,3 +1,5 @@
+"""Requests that wait for a slot of a target."""
+
 import trio
 
 from clementinedeal._replies import AttemptRefusal
@@ -10,7 +12,7 @@
 
 
 class GateClient:
-    """A gate with one free slot share and the refusals it gave."""
+    """A gate with one target, and the results of its waits by request."""
 
     def __init__(self, share: float = 1.0) -> None:
         self.clock = VirtualClock()
