Rename a few more names of mesh and platform, and put two back

retry_window and allowance_over stand on the list of outer names.

src/clementinedeal/mesh/_settings.py Bounds.retry_window_seconds retry_window # stands on the list of outer names src/clementinedeal/mesh/_settings.py Bounds.allowance_over_fraction allowance_over # stands on the list of outer names src/clementinedeal/mesh/_catalog.py Catalog.find_route.name host_name src/clementinedeal/platform/_node.py _settings_error.entry field tests/store_standin.py Store.forgotten dropped_revision tests/store_standin.py Store.stale replica_state

--- a/src/clementinedeal/mesh/_catalog.py
+++ b/src/clementinedeal/mesh/_catalog.py
@@ -37,9 +37,9 @@
         :param host: the host named by the request, with or without a port.
         :param path: the path, with or without a query.
         """
-        name = host.partition(':')[0].strip().lower()
+        host_name = host.partition(':')[0].strip().lower()
         bare_path = path.partition('?')[0]
-        for route in self._routes_by_host.get(name, ()):
+        for route in self._routes_by_host.get(host_name, ()):
             if bare_path.startswith(route.prefix):
                 return route
         return None
--- a/src/clementinedeal/mesh/_rate_limiter.py
+++ b/src/clementinedeal/mesh/_rate_limiter.py
@@ -131,9 +131,7 @@
         :param events: hears of homes that do not answer.
         :param bounds: the operators' tolerance.
         """
-        self._limit_factor = (
-            1 + USED_TOLERANCE_FRACTION * bounds.allowance_over_fraction
-        )
+        self._limit_factor = 1 + USED_TOLERANCE_FRACTION * bounds.allowance_over
         self._extra_burst = USED_TOLERANCE_FRACTION * bounds.allowance_slack
         self._host = host
         self._hosts = hosts
--- a/src/clementinedeal/mesh/_retry_tokens.py
+++ b/src/clementinedeal/mesh/_retry_tokens.py
@@ -52,10 +52,7 @@
         self._refilled_at = now
         # half is earned over the window, half may be saved up
         self._tokens += (
-            self._slack_share()
-            / 2
-            * elapsed
-            / self._bounds.retry_window_seconds
+            self._slack_share() / 2 * elapsed / self._bounds.retry_window
         )
         self._limit_to_capacity()
 
--- a/src/clementinedeal/mesh/_settings.py
+++ b/src/clementinedeal/mesh/_settings.py
@@ -17,10 +17,10 @@
 
     revoke_seconds: float = 5.0
     retry_ratio: float = 0.2
-    retry_window_seconds: float = 10.0
+    retry_window: float = 10.0
     retry_slack: float = 60.0
     stop_seconds: float = 6.0
-    allowance_over_fraction: float = 0.0
+    allowance_over: float = 0.0
     allowance_slack: float = 0.0
 
 
--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -213,12 +213,16 @@
 
 
 def _idle_limit(answer_headers: AnswerHeaders) -> float | None:
-    limit = (
+    idle_seconds = (
         DEFAULT_IDLE_SECONDS
         if answer_headers.idle_seconds is None
         else answer_headers.idle_seconds
     )
-    return limit - IDLE_MARGIN_SECONDS if limit > IDLE_MARGIN_SECONDS else None
+    return (
+        idle_seconds - IDLE_MARGIN_SECONDS
+        if idle_seconds > IDLE_MARGIN_SECONDS
+        else None
+    )
 
 
 def classify_answer(
--- a/src/clementinedeal/platform/_node.py
+++ b/src/clementinedeal/platform/_node.py
@@ -91,10 +91,10 @@
         bounds=Bounds(
             revoke_seconds=bounds.revoke_s,
             retry_ratio=bounds.retry_ratio,
-            retry_window_seconds=bounds.retry_window_s,
+            retry_window=bounds.retry_window_s,
             retry_slack=bounds.retry_slack,
             stop_seconds=bounds.grace_s,
-            allowance_over_fraction=bounds.quota_over,
+            allowance_over=bounds.quota_over,
             allowance_slack=bounds.quota_slack,
         ),
     )
@@ -102,9 +102,9 @@
 
 def _settings_error(path: str, text: str) -> SettingsError:
     """Split msgspec's message into the entry and what is wrong with it."""
-    reason, _, entry = text.partition(' - at `$')
+    reason, _, field = text.partition(' - at `$')
     return SettingsError(
         file=path,
-        path=entry.strip('.`') or '.',
+        path=field.strip('.`') or '.',
         reason=reason,
     )
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -21,9 +21,9 @@
         self.items = {}
         self.revision = 10
         self.history = []
-        self.forgotten = 0
+        self.dropped_revision = 0
         self.mode = 'ok'
-        self.stale = None
+        self.replica_state = None
         self.calls = []
         self.changed = trio.Event()
         self.address = free_address()
@@ -44,12 +44,12 @@
         self._note({'key': key, 'revision': self.revision, 'deleted': True})
 
     def forget(self):
-        self.forgotten = self.revision
+        self.dropped_revision = self.revision
         self.history.clear()
 
     def freeze_replica(self):
         """Let cheap reads see this moment from now on."""
-        self.stale = (dict(self.items), self.revision)
+        self.replica_state = (dict(self.items), self.revision)
 
     def _note(self, event):
         self.history.append(event)
@@ -97,8 +97,8 @@
 
     async def _range(self, query):
         items, revision = self.items, self.revision
-        if 'serializable' in query and self.stale is not None:
-            items, revision = self.stale
+        if 'serializable' in query and self.replica_state is not None:
+            items, revision = self.replica_state
         names = sorted(
             key
             for key in items
@@ -113,7 +113,7 @@
 
     async def _watch(self, query):
         after = int(query['after'])
-        if after < self.forgotten:
+        if after < self.dropped_revision:
             return 410, {}
         with trio.move_on_after(int(query['wait_ms']) / 1000):
             while not self._since(query['prefix'], after):
--- a/tests/test_mesh_allowances.py
+++ b/tests/test_mesh_allowances.py
@@ -23,7 +23,7 @@
 
 
 EXACT = Bounds()
-TOLERANT = Bounds(allowance_over_fraction=0.25, allowance_slack=20)
+TOLERANT = Bounds(allowance_over=0.25, allowance_slack=20)
 
 
 class Network:
--- a/tests/test_mesh_target_client.py
+++ b/tests/test_mesh_target_client.py
@@ -52,25 +52,25 @@
     return TargetClient(address, pool, PlatformDialect(), clock, events)
 
 
-async def call(origin, req_id):
+async def call(client, req_id):
     headers = ((b'host', b'x'), (b'attempt-id', req_id.encode()))
-    message = BufferedRequest('POST', '/book/1', headers, b'x')
-    stamp = CallContext(
+    request = BufferedRequest('POST', '/book/1', headers, b'x')
+    context = CallContext(
         req_id=req_id,
         seconds_left=2.0,
         target='t1',
         account='',
         caller_service='',
     )
-    return await origin.call(message, stamp)
+    return await client.call(request, context)
 
 
 async def test_unmatched_answer_fails_the_request_at_once(nursery):
     target = RepeatingTarget([answer(b'r0')])
-    origin = await start(target, nursery)
-    assert (await call(origin, 'r1')).body == b'r1'
+    client = await start(target, nursery)
+    assert (await call(client, 'r1')).body == b'r1'
     with trio.fail_after(WORK_SECONDS):
-        outcome = await call(origin, 'r2')
+        outcome = await call(client, 'r2')
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
     assert outcome.reason is Reason.ANSWER_WRONG
 
@@ -78,9 +78,9 @@
 async def test_refusal_of_another_request_is_not_accepted(nursery):
     refusal = b'HTTP/1.1 503 Busy\r\nattempt-id: r0\r\nnot-executed: 1\r\n'
     target = RepeatingTarget([refusal + b'content-length: 0\r\n\r\n'])
-    origin = await start(target, nursery)
-    await call(origin, 'r1')
-    assert (await call(origin, 'r2')).verdict is Verdict.MAY_HAVE_RUN
+    client = await start(target, nursery)
+    await call(client, 'r1')
+    assert (await call(client, 'r2')).verdict is Verdict.MAY_HAVE_RUN
 
 
 @pytest.mark.parametrize(
@@ -97,7 +97,7 @@
     nursery, pieces
 ):
     target = RepeatingTarget(pieces)
-    origin = await start(target, nursery)
-    assert (await call(origin, 'r1')).body == b'r1'
-    assert (await call(origin, 'r2')).body == b'r2'
+    client = await start(target, nursery)
+    assert (await call(client, 'r1')).body == b'r1'
+    assert (await call(client, 'r2')).body == b'r2'
     assert target.opened == 1
