--- a/src/clementinedeal/mesh/_call_failures.py
+++ b/src/clementinedeal/mesh/_call_failures.py
@@ -2,15 +2,19 @@
 
 from clementinedeal._timers import Clock
 
-# A target answers its own caller within this time of a call that failed.
+# A target whose own call failed passes the failure on within this time.
 RECENT_FAILURE_SECONDS = 0.2
 
 
 class CallFailures:
-    """Tells a failure of the target from one that it passes on."""
+    """Tells failures of the target from failures that it passes on.
+
+    If a call made by the target failed shortly before a request fails, the
+    failure says nothing of the target's own health.
+    """
 
     def __init__(self, clock: Clock) -> None:
-        """Start without a failure.
+        """Start with no failure recorded.
 
         :param clock: monotonic time.
         """
@@ -22,5 +26,5 @@
         self._failed_at = self._clock.now()
 
     def failed_recently(self) -> bool:
-        """Whether a call failed so recently that a request fails by it."""
+        """Whether a failed call may be why a request fails now."""
         return self._clock.now() - self._failed_at < RECENT_FAILURE_SECONDS
--- a/src/clementinedeal/mesh/_catalog.py
+++ b/src/clementinedeal/mesh/_catalog.py
@@ -9,7 +9,11 @@
 
 
 class Catalog:
-    """One declaration, indexed."""
+    """A declaration with indexes by host and API key.
+
+    ``declaration`` is the whole version; ``accounts_by_name`` maps each
+    account's name to it.
+    """
 
     def __init__(self, declaration: Declaration) -> None:
         """Index a declaration.
@@ -32,7 +36,7 @@
         self.accounts_by_name = {one.name: one for one in declaration.accounts}
 
     def find_route(self, host: str, path: str) -> RouteRule | None:
-        """Return the route with the longest prefix that begins the path.
+        """Return the route with the longest prefix that matches the path.
 
         :param host: the host named by the request, with or without a port.
         :param path: the path, with or without a query.
@@ -49,10 +53,12 @@
         route: RouteRule,
         key: str | None,
     ) -> Result[ClientAccount | None, Reason]:
-        """Return the account that a request is for, None on open routes.
+        """Return the account of a request.
 
         :param route: the request's route.
-        :param key: the key that came with it.
+        :param key: the API key of the request, None if it has none.
+        :return: None on public routes, or if no accounts are declared; an
+            error if the key is missing or unknown.
         """
         if route.public or not self.accounts_by_name:
             return Ok(None)
--- a/src/clementinedeal/mesh/_contracts.py
+++ b/src/clementinedeal/mesh/_contracts.py
@@ -1,4 +1,4 @@
-"""What a mesh daemon asks of the platform it runs on."""
+"""Interfaces between a mesh daemon and the platform it runs on."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -9,7 +9,7 @@
 
 
 class SourceError(ClementinedealError):
-    """The platform did not answer, or not usefully."""
+    """A call to the platform got no answer, or an unusable one."""
 
 
 class HistoryGoneError(SourceError):
@@ -17,7 +17,10 @@
 
 
 class DeclarationSource(Protocol):
-    """Where declarations are published."""
+    """Publishes declarations.
+
+    A revision is the source's own counter of its changes.
+    """
 
     async def read(self) -> DeclarationUpdate:
         """Return the newest declaration.
@@ -29,30 +32,31 @@
     async def wait(self, revision: int, seconds: float) -> DeclarationUpdate:
         """Wait for a declaration newer than a revision.
 
-        An answer also proves that nothing newer was published before it.
+        An answer without one shows that none was published before the call
+        was sent; if the call was held for the full time, until its end.
 
-        :param revision: the newest one known.
-        :param seconds: how long the source waits for one.
+        :param revision: the newest revision known.
+        :param seconds: how long the source holds the call.
         :raises SourceError: the source gave no answer.
         """
         ...
 
 
 class Registry(Protocol):
-    """Where targets are listed."""
+    """Lists the targets of the fleet."""
 
     async def list_targets(self, *, may_lag: bool) -> Listing:
         """Return every listed target.
 
-        :param may_lag: whether a cheaper answer, seconds old, will do.
+        :param may_lag: accept a cheaper answer that may be seconds old.
         :raises SourceError: the registry gave no answer.
         """
         ...
 
     async def read_target(self, name: str) -> TargetUpdate:
-        """Return what is listed of one target now.
+        """Return the current entry of one target.
 
-        :param name: the target.
+        :param name: the name of the target.
         :raises SourceError: the registry gave no answer.
         """
         ...
@@ -63,25 +67,29 @@
         revision: int,
         seconds: float,
     ) -> TargetUpdate:
-        """Wait for a change of one target.
+        """Wait for a change of one target's entry.
 
-        :param name: the target.
-        :param revision: the newest one known.
-        :param seconds: how long the registry waits.
+        :param name: the name of the target.
+        :param revision: the newest revision known.
+        :param seconds: how long the registry holds the call.
         :raises SourceError: the registry gave no answer.
         """
         ...
 
 
 class Platform(DeclarationSource, Registry, Protocol):
-    """What publishes declarations and lists targets."""
+    """Publishes declarations and lists targets; ``calls`` counts calls."""
 
     calls: int
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerHeaders:
-    """What a caller's headers say; ``patience`` is in seconds."""
+    """The decoded headers of a caller's request.
+
+    ``timeout`` is how long the caller waits, in seconds, None if it does not
+    say; ``key`` is its API key.
+    """
 
     req_id: str
     timeout: float | None
@@ -90,10 +98,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallContext:
-    """What the owner tells a target beside the caller's own headers.
+    """What the owner knows of a request, for its target's headers.
 
-    ``left`` is the time to the deadline in seconds; ``account`` is empty on
-    public routes; ``caller`` is the service the request came from.
+    ``seconds_left`` is the time to the deadline; ``target`` the name of the
+    target that must run the request; ``account`` is empty on public routes;
+    ``caller_service`` is the service that the request came from. ``req_id``
+    is the caller's own id of the request, which the target returns.
     """
 
     req_id: str
@@ -105,9 +115,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AnswerHeaders:
-    """What a target's answer says besides its status and body.
+    """The decoded headers of a target's answer.
 
-    ``idle`` is how long the target keeps an idle connection, in seconds.
+    ``not_run``: the target refused the request before running it.
+    ``misdirected``: because another process runs at the address. ``sealed``:
+    the answer carries the mark that the target's server sets. ``encoded``:
+    the body has a content encoding. ``closing``: the target closes the
+    connection. ``idle_seconds`` is how long it keeps an idle connection.
     """
 
     not_run: bool
@@ -120,24 +134,33 @@
 
 
 class Dialect(Protocol):
-    """How callers and targets speak."""
+    """Encodes and decodes the headers of callers and targets."""
 
     def read_request(self, head: RequestHead) -> CallerHeaders:
-        """Decode what a caller's headers say."""
+        """Decode the headers of a caller's request.
+
+        :param head: the request's head.
+        """
         ...
 
     def target_headers(self, headers: Headers, context: CallContext) -> Headers:
         """Return the headers for the target.
 
-        :param headers: the caller's, end to end.
-        :param stamp: what the system adds; it replaces what callers sent.
+        :param headers: the caller's end-to-end headers.
+        :param context: what is added; it replaces what the caller sent.
         """
         ...
 
     def read_answer(self, head: ResponseHead) -> AnswerHeaders:
-        """Decode what a target's headers say."""
+        """Decode the headers of a target's answer.
+
+        :param head: the answer's head.
+        """
         ...
 
     def is_ready_check(self, head: RequestHead) -> bool:
-        """Whether the platform asks if this daemon takes work."""
+        """Whether a request is the platform's check for readiness.
+
+        :param head: the request's head.
+        """
         ...
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -36,16 +36,20 @@
 from clementinedeal.mesh._target_client import TargetClient
 from clementinedeal.mesh._target_feed import TargetFeed
 
-# How often the settings file is looked at for a change without a signal.
+# Interval at which the settings file is read again without a signal.
 SETTINGS_POLL_SECONDS = 1.0
-# A round trip between zones takes about 1 ms; a lost packet is sent again
-# after a second, and another target is reached sooner.
+# A round trip between zones takes about 1 ms. A lost packet is sent again only
+# after a second; trying another target is faster.
 PEER_CONNECT_SECONDS = 0.15
 ReloadSettings = Callable[[], Result[MeshDaemonSettings, SettingsError]]
 
 
 class MeshDaemon:
-    """Everything that runs in one process."""
+    """The parts of one daemon process and the servers that expose them.
+
+    ``count_dropped_lines`` returns how many log lines were dropped; the
+    program that owns the log output sets it.
+    """
 
     def __init__(
         self,
@@ -57,9 +61,9 @@
         """Create a daemon that does not run yet.
 
         :param settings: checked settings.
-        :param reload: reads them again.
-        :param connect: opens the platform at an address.
-        :param dialect: how callers and targets speak.
+        :param reload: reads the settings again.
+        :param open_platform: opens the platform at an ``ip:port`` address.
+        :param dialect: encodes and decodes headers.
         """
         self._settings = settings
         self._reload = reload
@@ -106,7 +110,7 @@
         self.events.emit('daemon-stopped')
 
     def _background_tasks(self) -> list[BackgroundTask]:
-        """Return what runs beside the servers."""
+        """Return the tasks that run besides the servers."""
         return [
             self._declarations.run,
             self._sender.run,
@@ -272,12 +276,12 @@
             signal.SIGTERM,
             signal.SIGINT,
         ) as signals:
-            # one that comes again must not end the process at once
+            # a repeated signal must not end the process at once
             async for _ in signals:
                 self.stop()
 
     async def _watch_settings(self) -> None:
-        """Take over settings that changed, with a signal or without."""
+        """Apply changed settings, at SIGHUP and by polling."""
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
             while True:
                 with trio.move_on_after(SETTINGS_POLL_SECONDS):
--- a/src/clementinedeal/mesh/_datagrams.py
+++ b/src/clementinedeal/mesh/_datagrams.py
@@ -1,4 +1,4 @@
-"""Small messages between daemons over UDP."""
+"""Messages between daemons over UDP."""
 
 from collections.abc import Awaitable, Callable
 from typing import TypeAlias
@@ -10,6 +10,7 @@
 from clementinedeal._events import EventLog
 from clementinedeal.mesh._rate_limiter import TokenReply, TokenRequest
 
+# Largest datagram that is read; a longer one is cut and fails to decode.
 MAX_DATAGRAM_BYTES = 1400
 _READ_ERRORS = (OSError, *UNREADABLE_ERRORS)
 
@@ -18,14 +19,17 @@
 
 
 class DatagramChannel:
-    """One bound socket; every daemon listens on the same port."""
+    """Sends and receives datagrams; all daemons use the same port.
+
+    A message is one msgpack document. It may be lost; nothing is sent again.
+    """
 
     def __init__(self, host: str, port: int, events: EventLog) -> None:
         """Create a channel that is not open yet.
 
-        :param host: IP number of this instance.
-        :param port: of all daemons.
-        :param events: hears of what cannot be read or sent.
+        :param host: IP address of this instance.
+        :param port: the UDP port of all daemons.
+        :param events: log of messages that cannot be read or sent.
         """
         self._host = host
         self._port = port
@@ -35,8 +39,8 @@
     async def send(self, host: str, body: msgspec.Struct) -> None:
         """Send a message; it may be lost.
 
-        :param host: IP number of the other daemon.
-        :param body: the message.
+        :param host: IP address of the other daemon.
+        :param body: the message, a ``Draw`` or a ``Grant``.
         """
         if self._socket is None:
             return
@@ -49,7 +53,7 @@
     async def open(self) -> None:
         """Bind the socket.
 
-        :raises OSError: the address is taken.
+        :raises OSError: the address is in use.
         """
         sock = trio.socket.socket(type=trio.socket.SOCK_DGRAM)
         await sock.bind((self._host, self._port))
@@ -61,9 +65,9 @@
             self._socket.close()
 
     async def run(self, on_message: MessageHandler) -> None:
-        """Hand on messages until cancelled.
+        """Receive messages until cancelled; the socket must be open.
 
-        :param receive: takes the sender's IP number and the message.
+        :param on_message: called with the sender's IP address and the message.
         """
         sock = self._socket
         assert sock is not None
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -1,4 +1,4 @@
-"""Follows the published declarations and knows how recent its own is."""
+"""Follows the published declarations and tracks how recent they are."""
 
 from collections.abc import Callable
 
@@ -10,16 +10,23 @@
 from clementinedeal.mesh._contracts import DeclarationSource, SourceError
 from clementinedeal.mesh._types import DeclarationUpdate
 
-# One watch proves that nothing newer was published; it is renewed at this
-# rate so that a daemon cut off refuses keys well within their bound.
+# Length of one watch. A watch without changes confirms that nothing newer was
+# published. Watches are short so that a daemon that loses the platform refuses
+# keys well before the operators' limit for withdrawn keys.
 WATCH_SECONDS = 1.7
+# Pause after a failed call, and after a read that found no declaration.
 RETRY_SECONDS = 0.25
-# Kept between the last proof and the bound for clocks and requests under way.
+# Subtracted from that limit, for clocks and for requests in progress.
 FRESH_MARGIN_SECONDS = 0.3
 
 
 class DeclarationFeed:
-    """Holds the newest declaration; it never goes back to an older one."""
+    """Holds the newest published declaration.
+
+    Invariant: the published revision never decreases, so that an older
+    declaration never replaces a newer one. Handlers in ``on_change`` are
+    called with each new catalog.
+    """
 
     def __init__(
         self,
@@ -30,10 +37,10 @@
     ) -> None:
         """Start without a declaration.
 
-        :param source: where they are published.
+        :param source: where declarations are published.
         :param clock: monotonic time.
-        :param events: hears of changes and outages.
-        :param revoke_seconds: how old the proof of newness may be.
+        :param events: log of changes and outages.
+        :param revoke_seconds: time in which a withdrawn key must be refused.
         """
         self._source = source
         self._clock = clock
@@ -47,16 +54,16 @@
 
     @property
     def version(self) -> int:
-        """Version in force, 0 before there is one."""
+        """Version of the declaration in force, 0 before there is one."""
         return self.catalog.declaration.version if self.catalog else 0
 
     @property
     def age(self) -> float:
-        """Seconds since nothing newer was known to be published."""
+        """Seconds since the declaration was last confirmed as the newest."""
         return self._clock.now() - self._confirmed_at
 
     def is_fresh(self) -> bool:
-        """Whether no withdrawn key can be missing from the declaration."""
+        """Whether the declaration is recent enough to accept keys by it."""
         return self.age < self._max_age_seconds
 
     async def run(self) -> None:
@@ -71,16 +78,22 @@
                 revision = 0
                 await trio.sleep(RETRY_SECONDS)
             else:
-                # what was published before the call was made is known now
+                # an answer shows all that was published before its call
                 self._confirmed_at = max(self._confirmed_at, started_at)
                 self._report_recovered()
 
     async def _read_or_wait(self, revision: int) -> int:
+        """Make one call to the source and apply its answer.
+
+        :param revision: the newest revision known, 0 for a first read.
+        :return: the revision to wait from, 0 to read again.
+        """
         if revision:
             sent_at = self._clock.now()
             news = await self._source.wait(revision, WATCH_SECONDS)
             if not news.published_revision:
-                # a source that held the call to its end looked that late
+                # a call held for the whole time found nothing up to its end,
+                # one answered early only up to its start
                 is_complete = self._clock.now() - sent_at >= WATCH_SECONDS
                 confirmed_at = (
                     sent_at + WATCH_SECONDS if is_complete else sent_at
--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -1,4 +1,4 @@
-"""Takes the requests of this instance and answers for their outcomes."""
+"""Serves the callers of this instance and answers each request."""
 
 from dataclasses import dataclass
 
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MeshEntryParts:
-    """What an entry works with."""
+    """The collaborators of an entry; ``metrics`` counts its requests."""
 
     clock: Clock
     events: EventLog
@@ -37,21 +37,27 @@
 
 
 class MeshEntry:
-    """Serves the connections of callers."""
+    """Handles the requests of callers.
+
+    The entry is the daemon that took the caller's request. It sends the
+    request to targets, through their owners, until it has an outcome, and
+    answers the caller. A request whose caller disconnects is cancelled.
+    """
 
     def __init__(self, parts: MeshEntryParts) -> None:
         """Create an entry.
 
-        :param parts: its collaborators.
+        :param parts: the collaborators.
         """
         self._parts = parts
 
     async def serve(self, conn: ServerConn, head: RequestHead) -> None:
-        """Answer one request.
+        """Read the body of one request, run it and answer the caller.
 
         :param conn: the caller's connection.
         :param head: the request's head.
-        :raises ConnLostError: the caller is gone.
+        :raises ConnLostError: the caller closed its connection.
+        :raises HttpError: the body is larger than the limit in force.
         """
         parts = self._parts
         started_at = parts.clock.now()
@@ -77,7 +83,7 @@
         conn: ServerConn,
         admitted: AdmittedRequest,
     ) -> MeshOutcome:
-        """Run a request and give it up when its caller leaves."""
+        """Run a request; cancel it if the caller closes its connection."""
         outcome: MeshOutcome | None = None
         caller_left = False
 
@@ -96,11 +102,16 @@
             if outcome is None:
                 self._report_cancelled(admitted.req_id, caller_left=caller_left)
         if outcome is None:
-            raise ConnLostError('the caller left')
+            raise ConnLostError('the caller closed its connection')
         return outcome
 
     def _report_cancelled(self, req_id: str, *, caller_left: bool) -> None:
-        """Tell a request whose caller left from one cut by the daemon."""
+        """Log a cancelled request.
+
+        :param req_id: id of the request.
+        :param caller_left: whether its caller disconnected; if not, the
+            daemon cancelled it.
+        """
         if caller_left:
             self._parts.metrics.count('left')
         self._parts.events.emit(
@@ -114,6 +125,7 @@
         outcome: MeshOutcome,
         seconds: float,
     ) -> None:
+        # a request without an account may be a call by the own target
         if not outcome.succeeded and admitted.account is None:
             self._parts.call_failures.record()
         account = admitted.account.name if admitted.account else ''
--- a/src/clementinedeal/mesh/_log_output.py
+++ b/src/clementinedeal/mesh/_log_output.py
@@ -1,4 +1,4 @@
-"""Log lines on standard output that never hold up the loop."""
+"""Log output that never blocks the event loop."""
 
 import collections
 import logging
@@ -6,17 +6,22 @@
 
 import trio
 
-# Lines kept while the reader of standard output stalls.
+# Lines queued while nothing reads standard output; further ones are dropped.
 MAX_QUEUED_LINES = 5000
-# Lines a second over which lines of success are left out, and counted.
+# Once so many lines came in a second, routine ones are dropped, and counted.
 MAX_ROUTINE_LINES_PER_SECOND = 200
+# Lines are written in blocks of about this size.
 _BLOCK_BYTES = 32_768
-# The first lines to go under load: they tell of what went well.
+# Marks of routine lines: they report success and are dropped first under load.
 ROUTINE_MARKERS = ('reason=answered', 'outcome=answered')
 
 
 class OutputQueue(logging.Handler):
-    """Queues formatted lines; a task writes them when they can be written."""
+    """Queues formatted lines for a task that writes them.
+
+    ``dropped_lines`` counts lines dropped since the start,
+    ``unreported_drops`` those that no line has reported yet.
+    """
 
     def __init__(self, descriptor: int) -> None:
         """Start with an empty queue.
@@ -33,7 +38,7 @@
         self.dropped_lines = 0
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Queue a line, or count it as left out."""
+        """Queue a line, or drop and count it."""
         line = self.format(record)
         second = int(record.created)
         if second != self._second:
@@ -58,7 +63,7 @@
                 await _write(self._descriptor, self._take_block())
 
     def flush_remaining(self) -> None:
-        """Write what is left at the end, as far as the reader takes it."""
+        """Write the queued lines as far as possible without blocking."""
         while self._lines:
             try:
                 os.write(self._descriptor, self._take_block())
@@ -82,7 +87,7 @@
 
 
 async def _write(descriptor: int, block: bytes) -> None:
-    """Write a block, waiting while the reader is slow."""
+    """Write a block; wait while the descriptor is not writable."""
     while block:
         try:
             block = block[os.write(descriptor, block) :]
--- a/src/clementinedeal/mesh/_operator_endpoint.py
+++ b/src/clementinedeal/mesh/_operator_endpoint.py
@@ -1,4 +1,4 @@
-"""Answers operators: whether the daemon takes work, and its metrics."""
+"""The HTTP endpoint for operators: readiness and metrics."""
 
 from collections.abc import Callable
 
@@ -15,7 +15,7 @@
 
 
 class OperatorEndpoint:
-    """What the operators' port answers."""
+    """Answers the platform's ready check and scrapes of the metrics."""
 
     def __init__(
         self,
@@ -23,11 +23,11 @@
         is_ready: Callable[[], bool],
         metrics: DaemonMetrics,
     ) -> None:
-        """Create the answers.
+        """Create an endpoint.
 
-        :param dialect: tells the ready check from other requests.
-        :param is_ready: whether new requests are taken.
-        :param tally: the metrics.
+        :param dialect: recognizes the ready check.
+        :param is_ready: returns whether the daemon takes new requests.
+        :param metrics: the metrics.
         """
         self._dialect = dialect
         self._is_ready = is_ready
@@ -37,7 +37,7 @@
         """Answer one request.
 
         :param conn: the operator's connection.
-        :param head: the request.
+        :param head: the request's head.
         """
         await conn.skip_body()
         if head.path == METRICS_PATH:
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -1,4 +1,4 @@
-"""Sends attempts to other daemons and asks again what became of them."""
+"""Sends attempts to other daemons and queries the outcome of lost ones."""
 
 import msgspec
 import trio
@@ -29,26 +29,34 @@
 )
 from clementinedeal.mesh._target_client import MAX_ANSWER_BYTES, BufferedRequest
 
-# An owner confirms a forward in one round trip; later it may be lost.
+# An owner confirms a request within one round trip. Without a confirmation in
+# this time the request or its answer counts as lost.
 CONFIRM_SECONDS = 0.3
-# An owner that confirmed and is silent for so long is asked again.
+# Time from the last confirmation until an owner without an answer is queried.
 MAX_SILENCE_SECONDS = 2.5
-# An owner that knows nothing or can't be reached is asked for so long; one
-# that still runs the request is asked until the answer is due.
+# How long an owner that cannot be reached is queried. The time starts again
+# with each confirmation: an owner that still runs the request is queried until
+# the answer is due.
 QUERY_SECONDS = 2.0
+# Pause between queries.
 QUERY_PAUSE_SECONDS = 0.1
-# A newer owner may give a verdict or a reason that is not known here.
+# ValueError: a newer owner may send a verdict or reason unknown here.
 _ANSWER_ERRORS = (ConnLostError, HttpError, ValueError, *UNREADABLE_ERRORS)
 
 
 class MeshPeerClient:
-    """Sends attempts to the daemons that own their targets."""
+    """Sends attempts to the daemons that own their targets.
+
+    If the answer to an attempt is lost, the owner is asked for the outcome
+    over new connections. The request itself is not sent again.
+    """
 
     def __init__(self, pool: ConnPool, clock: Clock) -> None:
         """Create a client.
 
         :param pool: connections.
-        :param clock: steady time that counts a suspended machine's too.
+        :param clock: monotonic time that goes on while the system is
+            suspended.
         """
         self._pool = pool
         self._clock = clock
@@ -62,14 +70,16 @@
     ) -> MeshOutcome:
         """Send an attempt to an owner and return its outcome.
 
-        What must not run twice is sent in two steps: the body, without which
-        nothing runs, follows when the owner has a slot for it. Until then a
-        lost connection proves that the request did not run.
+        A request that must not run twice is sent in two steps: first a slot
+        is reserved, then the body is sent. The request cannot run without its
+        body, so that a connection lost before the second step proves that it
+        did not run.
 
         :param address: ``ip:port`` of the owner.
-        :param attempt: what is asked for.
-        :param message: the request.
-        :param trying: is told before anything that may run is sent.
+        :param attempt: the attempt.
+        :param request: the request with its body.
+        :param trying: state of the attempt; ``sent`` is set before anything
+            is sent that may run.
         """
         try:
             conn = await self._pool.acquire(address)
@@ -115,13 +125,13 @@
         conn: ClientConn,
         attempt: MeshAttempt,
     ) -> MeshOutcome | None:
-        """Get a slot; None once the owner holds one for the request."""
+        """Reserve a slot; return None if granted, else why not."""
         text = msgspec.json.encode(attempt)
         head = RequestHead(
             'GET', '/', ((b'host', b'-'), (wire.RESERVE_HEADER, text))
         )
-        # in a queue, silence is no sign of a loss; when the answer is due and
-        # the body was not sent, nothing has run
+        # an attempt in a queue is silent for up to ``wait``; at the deadline
+        # it has not run, since its body was not sent
         max_silence = max(MAX_SILENCE_SECONDS, attempt.wait + CONFIRM_SECONDS)
         max_silence = min(max_silence, attempt.left)
         exchange = _Exchange(address, conn, max_silence)
@@ -147,7 +157,7 @@
         attempt: MeshAttempt,
         sent_at: float,
     ) -> MeshOutcome:
-        """Ask over new connections what became of an attempt."""
+        """Query the outcome of an attempt over new connections."""
         give_up_at = trio.current_time() + QUERY_SECONDS
         while trio.current_time() < give_up_at:
             try:
@@ -190,7 +200,12 @@
 
 
 class _Exchange:
-    """One request to an owner and its answer."""
+    """One request to an owner and its answer.
+
+    ``is_reserved``: the answer grants a slot. ``is_confirmed``: the owner sent
+    an interim response, so that it has the request. ``max_silence`` is how
+    long the answer may take after that, in seconds.
+    """
 
     def __init__(
         self, address: str, conn: ClientConn, max_silence: float
@@ -203,7 +218,12 @@
         self.is_confirmed = False
 
     async def run(self, head: RequestHead, body: bytes) -> MeshOutcome | None:
-        """Return what the owner answered, None if no answer came."""
+        """Send the request; return the outcome that the owner sent, if any.
+
+        :param head: the head of the request.
+        :param body: its whole body.
+        :return: None if the exchange failed, timed out or granted a slot.
+        """
         self._scope.deadline = trio.current_time() + CONFIRM_SECONDS
         try:
             with self._scope:
--- a/src/clementinedeal/mesh/_peer_server.py
+++ b/src/clementinedeal/mesh/_peer_server.py
@@ -1,4 +1,4 @@
-"""Runs the attempts that other daemons send."""
+"""Serves the attempts that other daemons send to this owner."""
 
 import msgspec
 import trio
@@ -25,14 +25,20 @@
 from clementinedeal.mesh._owner import MeshOwner
 from clementinedeal.mesh._target_client import BufferedRequest
 
-# Outcomes that come sooner need no confirmation before them.
+# An attempt that takes longer than this is confirmed to its entry by an
+# interim response.
 CONFIRM_AFTER_SECONDS = 0.03
 _UNAVAILABLE_STATUS = 503
 _FORBIDDEN_STATUS = 403
 
 
 class MeshPeerServer:
-    """Runs attempts that other daemons send."""
+    """Handles requests of other daemons to the owner of a target.
+
+    A request starts an attempt, reserves a slot for one, sends the body for
+    a reserved slot, or asks for the outcome of an attempt. An attempt does
+    not end with its connection: the entry may ask for its outcome later.
+    """
 
     def __init__(
         self,
@@ -43,8 +49,8 @@
         """Create a server.
 
         :param owner: runs the attempts.
-        :param events: hears of strangers.
-        :param nursery: outlives connections.
+        :param events: log of requests that no daemon sends.
+        :param nursery: runs tasks that outlive a connection.
         """
         self._owner = owner
         self._events = events
@@ -55,7 +61,7 @@
 
         :param conn: the connection.
         :param head: the request's head.
-        :raises ConnLostError: the connection broke.
+        :raises ConnLostError: the connection was lost.
         """
         request = await _read_request(conn, head)
         try:
@@ -76,7 +82,10 @@
         head: RequestHead,
         request: BufferedRequest,
     ) -> Execution | MeshOutcome | None:
-        """Return what a peer's request is about; None if it is none."""
+        """Return the attempt or the outcome that a request is about.
+
+        :return: None if the request has none of the headers of daemons.
+        """
         reserved_id = head.header(wire.RUN_HEADER)
         if reserved_id is not None:
             return self._start_reserved(reserved_id.decode('latin-1'), request)
@@ -90,7 +99,7 @@
             return None
         attempt = msgspec.json.decode(encoded, type=MeshAttempt)
         execution = self._owner.submit(attempt, None if reserve else request)
-        # one that came twice is answered as the first, a forbidden one never
+        # a repeated attempt shares the first one; a forbidden one is refused
         known_execution = execution or self._owner.executions.find(
             attempt.attempt
         )
@@ -99,7 +108,7 @@
     def _start_reserved(
         self, attempt_id: str, request: BufferedRequest
     ) -> Execution | MeshOutcome:
-        """Hand the body to the request that holds a slot for it."""
+        """Give the body to the attempt that holds a slot for it."""
         execution = self._owner.executions.find(attempt_id)
         if execution is None:
             return not_run(Reason.CANCELLED)
@@ -111,6 +120,11 @@
     def _find_or_forbid(
         self, attempt_id: str, age: float
     ) -> Execution | MeshOutcome:
+        """Return a known attempt; keep an unknown one from ever starting.
+
+        :param attempt_id: the attempt.
+        :param age: seconds since it was sent.
+        """
         execution = self._owner.executions.find(attempt_id)
         if execution is not None:
             return execution
@@ -126,6 +140,11 @@
         conn: ServerConn,
         execution: Execution,
     ) -> None:
+        """Answer with the outcome, or that a slot is held for the attempt.
+
+        If the connection is lost before, the attempt is kept for a while in
+        case the entry asks for it.
+        """
         execution.reader_count += 1
         settled_event = execution.done
         if execution.message is None:
@@ -143,9 +162,9 @@
 
 
 async def _wait_while_connected(conn: ServerConn, event: trio.Event) -> None:
-    """Wait for an event, confirming the request if it takes a while.
+    """Wait for an event; confirm the request if that takes a while.
 
-    :raises ConnLostError: the entry left.
+    :raises ConnLostError: the entry closed its connection.
     """
     with trio.move_on_after(CONFIRM_AFTER_SECONDS):
         await event.wait()
@@ -157,7 +176,7 @@
         await event.wait()
         nursery.cancel_scope.cancel()
     if not event.is_set():
-        raise ConnLostError('the entry left')
+        raise ConnLostError('the entry closed its connection')
 
 
 async def _cancel_on_disconnect(
--- a/src/clementinedeal/mesh/_program.py
+++ b/src/clementinedeal/mesh/_program.py
@@ -1,4 +1,4 @@
-"""The daemon as a process: its settings, its log lines, its exit status."""
+"""The main function of the daemon process."""
 
 import functools
 import logging
@@ -21,7 +21,10 @@
 
 
 def main() -> int:
-    """Run the daemon until SIGTERM; 2 if its settings are not acceptable."""
+    """Run the daemon until SIGTERM or SIGINT.
+
+    :return: the exit status, 2 if the settings are not valid.
+    """
     reload = functools.partial(load_node, node_path())
     loaded = reload()
     if isinstance(loaded, Err):
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -1,4 +1,4 @@
-"""Carries out the plan of one request after the other."""
+"""Sends requests to targets, one attempt after the other as planned."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -26,18 +26,23 @@
 from clementinedeal.mesh._target_client import BufferedRequest
 from clementinedeal.mesh._types import Target
 
-# Priority of a request without a key that no run of the own target made.
+# Account priority of a request without an account, unless the own target runs
+# a request whose rank it takes.
 KEYLESS_PRIORITY = 0
-# An owner answers at the deadline itself; its answer is on its way so long.
+# Added to the time limit of an attempt: the owner answers no later than at the
+# deadline, and this is the time in which its answer arrives.
 ANSWER_GRACE_SECONDS = 0.12
-# How often it is looked for attempts that take too long; they are given up
-# after seconds.
+# Interval between checks for overdue attempts. An attempt is overdue only
+# after seconds, so that this delay is short in comparison.
 OVERDUE_POLL_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SenderParts:
-    """What a sender works with; settings may change while it runs."""
+    """The collaborators of a sender.
+
+    ``settings`` returns those in force; they may change while it runs.
+    """
 
     settings: Callable[[], MeshDaemonSettings]
     clock: Clock
@@ -48,12 +53,17 @@
 
 
 class Sender:
-    """Sends requests to targets, beside this daemon or behind others."""
+    """Sends requests to targets.
+
+    The target beside this daemon is called through this daemon's owner, any
+    other through the daemon that owns it. ``daemon_count`` is the number of
+    daemons that share the fleet's retry budget.
+    """
 
     def __init__(self, parts: SenderParts) -> None:
         """Create a sender.
 
-        :param parts: its collaborators.
+        :param parts: the collaborators.
         """
         self._parts = parts
         self._retry_budgets: dict[str, RetryTokenBucket] = {}
@@ -64,13 +74,13 @@
 
     @property
     def retry_count(self) -> int:
-        """Repeats sent since the start."""
+        """Retries sent since the start, over all services."""
         return sum(
             budget.retries_taken for budget in self._retry_budgets.values()
         )
 
     async def run(self) -> None:
-        """Break off attempts that take too long, where others may follow."""
+        """Cancel overdue attempts whose request may go to another target."""
         while True:
             await trio.sleep(OVERDUE_POLL_SECONDS)
             if self._keeps_overdue:
@@ -81,24 +91,30 @@
                     trying.scope.cancel()
 
     def keep_overdue(self) -> None:
-        """Break off nothing any more for a repeat that might not end."""
+        """Cancel no more overdue attempts.
+
+        During a graceful stop a retry might not end before the process does.
+        """
         self._keeps_overdue = True
 
     def cancel_unsent(self) -> None:
-        """Begin nothing any more; what waits for a target is refused."""
+        """Start no attempt any more and cancel those that are not sent yet.
+
+        Requests that wait for a target are refused as draining.
+        """
         self._is_closing = True
         for trying in self._running_attempts:
             if not trying.sent:
                 trying.scope.cancel()
 
     def cancel_all(self) -> None:
-        """Give up what still runs: there is no time left to wait for it."""
+        """Cancel all attempts: the time for the graceful stop is over."""
         self._is_closing = True
         for trying in self._running_attempts:
             trying.scope.cancel()
 
     async def send(self, admitted: AdmittedRequest) -> MeshOutcome:
-        """Return how a request ended.
+        """Run a request to its end and return the outcome.
 
         :param admitted: the request.
         """
@@ -185,7 +201,7 @@
         return outcome
 
     def _unanswered_outcome(self, trying: PendingAttempt) -> MeshOutcome:
-        """Return the outcome of an attempt without an answer."""
+        """Return the outcome of an attempt that was cancelled or timed out."""
         reason = Reason.DRAINING if self._is_closing else Reason.DEADLINE
         if not trying.sent:
             return not_run(reason)
@@ -244,7 +260,12 @@
         )
 
     def _rank(self, admitted: AdmittedRequest) -> Rank:
-        """Return the place in queues: a call is as urgent as who makes it."""
+        """Return the rank of a request in queues.
+
+        A request without an account may be a call that the own target makes
+        for a request which it runs. It takes the rank of the most urgent of
+        these.
+        """
         if admitted.account is not None:
             return admitted.account.priority, admitted.route.priority
         calling_rank = self._parts.owner.most_urgent_rank
--- a/src/clementinedeal/mesh/_settings.py
+++ b/src/clementinedeal/mesh/_settings.py
@@ -1,18 +1,18 @@
-"""Settings of a mesh daemon: where it stands and what binds it."""
+"""Settings of a mesh daemon."""
 
 from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Bounds:
-    """What the platform's operators promise or ask for; times in seconds.
-
-    A withdrawn key must be refused ``revoke`` after its withdrawal. Repeats
-    of a service's requests over ``retry_window`` stay within
-    ``retry_ratio`` of them plus ``retry_slack``, over the whole fleet. A
-    process is killed ``stop`` after its stop signal. An account may exceed
-    its rate and burst by ``allowance_over`` of it plus ``allowance_slack``
-    requests in any ``allowance_window``.
+    """Limits that the platform's operators set for the fleet.
+
+    A withdrawn key must be refused ``revoke_seconds`` after its withdrawal.
+    In any ``retry_window`` seconds the whole fleet sends at most
+    ``retry_ratio`` times as many retries as requests to a service, plus
+    ``retry_slack``. A process is killed ``stop_seconds`` after its stop
+    signal. An account may exceed its rate and burst by the fraction
+    ``allowance_over`` of them plus ``allowance_slack`` requests.
     """
 
     revoke_seconds: float = 5.0
@@ -26,12 +26,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MeshDaemonSettings:
-    """One daemon's place; listen addresses are ``ip:port``.
-
-    ``callers`` is where clients and the target of the same instance send
-    requests, ``peers`` where other daemons do, ``ready`` where the platform
-    asks whether the daemon takes work. ``target`` is the address of the
-    target beside it and ``service`` the service that target belongs to.
+    """Settings of one daemon; addresses are ``ip:port``.
+
+    The daemon listens at ``caller_address`` for clients and for the target of
+    its instance, at ``peer_address`` for other daemons, and at
+    ``ready_address`` for the platform's ready check. ``target_address`` is the
+    target beside it, of the service ``service``; ``platform_address`` the
+    platform's store. ``port_range`` holds the first and last port that it may
+    use otherwise; the first is the UDP port of all daemons.
     """
 
     instance: str
--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -1,4 +1,4 @@
-"""Sends one request to the target beside this daemon."""
+"""HTTP client for the target beside this daemon."""
 
 from dataclasses import dataclass
 
@@ -24,20 +24,25 @@
 from clementinedeal.mesh._idle_limit import IdleLimit
 from clementinedeal.mesh._outcomes import MeshOutcome, not_run
 
-# Bodies up to this size fit the socket's buffer whatever the target reads.
+# Bodies up to this size fit into the socket's send buffer even if the target
+# reads nothing. A larger body is sent while the answer is read.
 MAX_BUFFERED_BODY_BYTES = 8192
-# Idle connections are given up this long before the target closes them.
+# Idle connections are closed this long before the target would close them.
 IDLE_MARGIN_SECONDS = 1.0
-# A target that says nothing of its idle limit is taken to close after this.
+# Idle limit of a target that does not announce one.
 DEFAULT_IDLE_SECONDS = 4.0
-# A target answers at its deadline itself; this much later it is silent.
+# A target answers no later than at the deadline. One that has not answered
+# this long after it is given up.
 DEADLINE_GRACE_SECONDS = 0.1
+# Answers that are read for one request: those to earlier requests are skipped.
 MAX_FOREIGN_ANSWERS = 3
-# The 13 requests that a target runs at once then hold 55 MB of the smallest
-# machine's 200 MB.
+# The 13 requests that a target runs at once then hold 55 MB of the 200 MB of
+# the smallest instance.
 MAX_ANSWER_BYTES = 4 << 20
-# A target resets what comes on a connection that it forgot at once, and no
-# target is known to forget one that rested less than 200 ms.
+# A target that dropped an idle connection without closing it resets the
+# connection as soon as a request arrives. No target is known to drop one that
+# was idle for less than 200 ms. A loss is taken for such a drop if the
+# connection had been idle for the minimum and broke within the maximum.
 MAX_RESET_SECONDS = 0.05
 MIN_REST_SECONDS = 0.15
 
@@ -47,7 +52,10 @@
 
 @dataclass(frozen=True, slots=True)
 class BufferedRequest:
-    """A request with its whole body and end-to-end headers only."""
+    """A request with its whole body and end-to-end headers only.
+
+    ``path`` includes the query.
+    """
 
     method: str
     path: str
@@ -56,7 +64,11 @@
 
 
 class TargetClient:
-    """Calls one target over kept-alive connections."""
+    """Calls one target over kept-alive connections.
+
+    Each answer is matched to its request by the request id that the target
+    returns: a target may send answers to earlier requests on a connection.
+    """
 
     def __init__(
         self,
@@ -66,13 +78,13 @@
         clock: Clock,
         events: EventLog,
     ) -> None:
-        """Create a caller.
+        """Create a client without connections.
 
         :param address: ``ip:port`` of the target.
         :param pool: connections.
-        :param dialect: how the target speaks.
+        :param dialect: encodes and decodes the target's headers.
         :param clock: monotonic time.
-        :param events: hears what is learned of resting connections.
+        :param events: log of dropped connections and unusable answers.
         """
         self._address = address
         self._pool = pool
@@ -84,10 +96,10 @@
     async def call(
         self, request: BufferedRequest, context: CallContext
     ) -> MeshOutcome:
-        """Run a request and return what came of it.
+        """Send a request to the target and return its outcome.
 
-        :param message: the request.
-        :param stamp: what the system adds to it.
+        :param request: the request.
+        :param context: what is added to its headers.
         """
         try:
             conn = await self._pool.acquire(
@@ -128,7 +140,12 @@
     def _classify_loss(
         self, rested: float | None, seconds: float
     ) -> MeshOutcome:
-        """Tell a connection that was forgotten from an answer cut short."""
+        """Tell a dropped idle connection from an answer that was cut short.
+
+        :param rested: how long the connection had been idle, in seconds;
+            None if it was new.
+        :param seconds: time from the request to the loss.
+        """
         if rested is None or rested < MIN_REST_SECONDS:
             return _may_have_run(Reason.ANSWER_INCOMPLETE)
         if seconds > MAX_RESET_SECONDS:
@@ -148,7 +165,10 @@
         request: BufferedRequest,
         context: CallContext,
     ) -> tuple[MeshOutcome, float | None]:
-        """Return the outcome and how long the connection may stay idle."""
+        """Return the outcome and how long the connection may stay idle.
+
+        The second is in seconds, None if the connection must be closed.
+        """
         added = self._dialect.target_headers(request.headers, context)
         if request.body or request.method not in {'GET', 'HEAD'}:
             length = (CONTENT_LENGTH, b'%d' % len(request.body))
@@ -170,7 +190,7 @@
             nursery.cancel_scope.cancel()
         if isinstance(answer, ProtocolError):
             raise answer
-        # a target that answered early may still read the rest
+        # after an early answer the target may still read the rest of the body
         return answer if body_sent.is_set() else (answer[0], None)
 
     async def _read_answer(
@@ -208,7 +228,7 @@
     try:
         await conn.send_whole(head, body)
     except ConnLostError:
-        return  # the reading side reports what came of the request
+        return  # the task that reads the answer reports the loss
     body_sent.set()
 
 
@@ -231,12 +251,15 @@
     answer_headers: AnswerHeaders,
     context: CallContext,
 ) -> MeshOutcome:
-    """Decide what a target's whole answer says of a request.
+    """Return the outcome of a request that the target answered.
+
+    An answer to another request, an encoded one, or a success without the
+    target's seal is not accepted: the request may have run.
 
-    :param head: its status and headers.
+    :param head: status and headers of the answer.
     :param body: its whole body.
-    :param signs: what the headers say.
-    :param stamp: what was sent with the request.
+    :param answer_headers: the decoded headers.
+    :param context: what was added to the request.
     """
     is_foreign = answer_headers.req_id != context.req_id
     if is_foreign and answer_headers.req_id:
--- a/src/clementinedeal/platform/__init__.py
+++ b/src/clementinedeal/platform/__init__.py
@@ -1,4 +1,4 @@
-"""The users' platform: its names, formats and calls, and no decisions."""
+"""Adapters to the users' platform: its names, formats and calls."""
 
 from clementinedeal.platform._dialect import PlatformDialect
 from clementinedeal.platform._node import load_node, node_path
--- a/src/clementinedeal/platform/_declaration.py
+++ b/src/clementinedeal/platform/_declaration.py
@@ -1,4 +1,4 @@
-"""The operator's configuration as the platform's store holds it."""
+"""Decodes the operators' configuration from the platform's store."""
 
 from typing import Any
 
@@ -15,7 +15,7 @@
 
 
 class UnreadableError(ClementinedealError):
-    """A stored value is not what the platform's pages describe."""
+    """A stored value does not have the format that the platform documents."""
 
 
 class _Metadata(msgspec.Struct):
@@ -23,29 +23,41 @@
 
 
 class _Resource(msgspec.Struct):
+    """One entry; ``entry_type`` says what ``spec`` describes."""
+
     entry_type: str
     spec: dict[str, Any]
     metadata: _Metadata = msgspec.field(default_factory=_Metadata)
 
 
 class _Document(msgspec.Struct):
+    """The whole value: one version of the configuration."""
+
     version: int
     resources: list[_Resource]
 
 
 class _SplitPart(msgspec.Struct):
+    """A service's part of a route, in proportion to its weight."""
+
     service: str
     weight: float
 
 
 class _Route(msgspec.Struct):
+    """A route; ``timeout_s`` and ``target_latency_s`` are in seconds.
+
+    ``kind`` is ``safe`` if its requests may run twice; ``split`` divides the
+    requests among services and replaces ``service``.
+    """
+
     host: str
     prefix: str
     kind: str
     timeout_s: float
     target_latency_s: float = 0
     priority: int = 0
-    # how many targets may run one request, not how often it may be sent
+    # how many targets may run one request; it may be sent more often
     attempts: int = 1
     public: bool = False
     service: str = ''
@@ -53,6 +65,8 @@
 
 
 class _Account(msgspec.Struct):
+    """A client account; the platform calls it a tenant."""
+
     api_keys: list[str] = []
     priority: int = 0
     rate_per_s: float = 0
@@ -60,6 +74,8 @@
 
 
 class _Limits(msgspec.Struct):
+    """Limits on callers; names that end in ``_s`` are in seconds."""
+
     max_header_bytes: int
     max_body_bytes: int
     header_timeout_s: float
@@ -67,10 +83,10 @@
 
 
 def decode_declaration(blob: bytes) -> Declaration:
-    """Read one version of the operator's configuration.
+    """Decode one version of the operators' configuration.
 
-    :param blob: the stored value.
-    :raises UnreadableError: it cannot be used as a whole.
+    :param blob: the stored value, JSON.
+    :raises UnreadableError: any part of the value is not valid.
     """
     try:
         return _convert(msgspec.json.decode(blob, type=_Document))
--- a/src/clementinedeal/platform/_dialect.py
+++ b/src/clementinedeal/platform/_dialect.py
@@ -1,4 +1,4 @@
-"""The platform's request and answer headers."""
+"""Encodes and decodes the platform's request and answer headers."""
 
 import math
 
@@ -27,17 +27,20 @@
 _MISDIRECTED = 421
 _MS_PER_SECOND = 1000
 
-# set by the system on every request to a target, whatever the caller sent
+# Removed from callers' requests: they are set for targets, or secret.
 _REPLACED_HEADERS = frozenset(
     (_DEADLINE, _EXPECTED_TARGET, _ACCOUNT, _CALLER, _AUTHORIZATION)
 )
 
 
 class PlatformDialect:
-    """Translates headers to and from the product's types."""
+    """Translates between headers and the types of the daemon."""
 
     def read_request(self, head: RequestHead) -> CallerHeaders:
-        """Decode what a caller's headers say."""
+        """Decode the headers of a caller's request.
+
+        :param head: the request's head.
+        """
         return CallerHeaders(
             req_id=_decode_text(head.header(_ATTEMPT_ID)),
             timeout=_decode_timeout(head.header(_DEADLINE)),
@@ -47,8 +50,8 @@
     def target_headers(self, headers: Headers, context: CallContext) -> Headers:
         """Return the headers for the target.
 
-        :param headers: the caller's, end to end.
-        :param stamp: what the system adds; it replaces what callers sent.
+        :param headers: the caller's end-to-end headers.
+        :param context: what is added; it replaces what the caller sent.
         """
         milliseconds_left = max(1, int(context.seconds_left * _MS_PER_SECOND))
         added = [
@@ -64,7 +67,10 @@
         return (*kept, *added)
 
     def read_answer(self, head: ResponseHead) -> AnswerHeaders:
-        """Decode what a target's headers say."""
+        """Decode the headers of a target's answer.
+
+        :param head: the answer's head.
+        """
         misdirected = head.status == _MISDIRECTED
         return AnswerHeaders(
             not_run=misdirected or head.header(_NOT_RUN) is not None,
@@ -77,7 +83,10 @@
         )
 
     def is_ready_check(self, head: RequestHead) -> bool:
-        """Whether the platform asks if this daemon takes work."""
+        """Whether a request is the platform's check for readiness.
+
+        :param head: the request's head.
+        """
         return head.path.partition('?')[0] == _READY_PATH
 
 
--- a/src/clementinedeal/platform/_items.py
+++ b/src/clementinedeal/platform/_items.py
@@ -1,4 +1,4 @@
-"""What the platform's store answers."""
+"""Answers of the platform's store."""
 
 import base64
 
@@ -8,7 +8,12 @@
 
 
 class Item(msgspec.Struct):
-    """One stored value; ``revision`` is that of its last change."""
+    """One stored value.
+
+    ``value`` is base64; ``revision`` is the store's revision of the last
+    change of this key, ``at_rev`` that of the answer. ``deleted`` marks the
+    event of a removal.
+    """
 
     key: str
     value: str = ''
@@ -17,18 +22,20 @@
     deleted: bool = False
 
     def blob(self) -> bytes:
-        """Return the value as it was written.
+        """Return the decoded value.
 
-        :raises UnreadableError: it is not base64.
+        :raises UnreadableError: the value is not base64.
         """
         try:
             return base64.b64decode(self.value, validate=True)
         except ValueError as exc:
-            raise UnreadableError(f'{self.key}: not base64') from exc
+            raise UnreadableError(
+                f'{self.key}: the value is not base64'
+            ) from exc
 
 
 class ItemPage(msgspec.Struct):
-    """One page of items."""
+    """One page of items; ``at_rev`` is the revision that it shows."""
 
     items: list[Item]
     has_more: bool
@@ -36,13 +43,13 @@
 
 
 class StoreRevision(msgspec.Struct):
-    """What an answer without an item tells."""
+    """An answer without an item: only the store's revision."""
 
     at_rev: int = 0
 
 
 class Changes(msgspec.Struct):
-    """What a watch answers."""
+    """The answer to a watch; ``events`` are in the order of changes."""
 
     events: list[Item]
     at_rev: int
--- a/src/clementinedeal/platform/_node.py
+++ b/src/clementinedeal/platform/_node.py
@@ -1,4 +1,4 @@
-"""The settings file that the platform lays beside each process."""
+"""Reads the settings file that the platform provides for each process."""
 
 import os
 import tomllib
@@ -14,13 +14,24 @@
 
 
 class _Listen(msgspec.Struct):
-    # the port for other daemons; "inbound" says only that it is not outbound
+    """Addresses to listen at, ``ip:port``.
+
+    ``inbound`` is for other daemons, ``outbound`` for callers of the
+    instance, ``ready`` for the platform's ready check.
+    """
+
     inbound: str
     outbound: str
     ready: str
 
 
 class _Bounds(msgspec.Struct):
+    """Limits of the operators; names that end in ``_s`` are in seconds.
+
+    ``grace_s`` is the time from the stop signal until the process is killed;
+    ``quota_over`` the fraction by which an account may exceed its rate.
+    """
+
     revoke_s: float = 5.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
@@ -35,6 +46,8 @@
 
 
 class _Node(msgspec.Struct):
+    """The file; ``node`` is the instance, ``app_addr`` its target's address."""
+
     node: str
     zone: str
     app_addr: str
@@ -53,7 +66,8 @@
 def load_node(path: str) -> Result[MeshDaemonSettings, SettingsError]:
     """Read and check the platform's settings file.
 
-    :param path: the TOML file.
+    :param path: path of the TOML file.
+    :return: the settings, or an error that names the field.
     """
     try:
         with open(path, 'rb') as stream:
@@ -101,7 +115,7 @@
 
 
 def _settings_error(path: str, text: str) -> SettingsError:
-    """Split msgspec's message into the entry and what is wrong with it."""
+    """Split msgspec's message into the field and what is wrong with it."""
     reason, _, field = text.partition(' - at `$')
     return SettingsError(
         file=path,
--- a/src/clementinedeal/platform/_registration.py
+++ b/src/clementinedeal/platform/_registration.py
@@ -1,4 +1,4 @@
-"""What a target says of itself in the platform's store."""
+"""Decodes the registrations of targets in the platform's store."""
 
 import msgspec
 
@@ -11,6 +11,8 @@
 
 
 class _Info(msgspec.Struct):
+    """Fixed data of a target; ``slots``: requests that it runs at once."""
+
     service: str
     zone: str
     slots: int
@@ -18,11 +20,13 @@
 
 class _Status(msgspec.Struct):
     state: str
-    # how many seconds the target is still slow, not how long it took
+    # seconds for which the target is slow after its start
     warmup_s_time: float = 0
 
 
 class _Registration(msgspec.Struct):
+    """The value that a target writes; ``address`` is its ``ip:port``."""
+
     address: str
     info: _Info
     status: _Status
@@ -31,11 +35,11 @@
 
 
 def decode_target(name: str, blob: bytes) -> Target:
-    """Read the registration of one target.
+    """Decode the registration of one target.
 
-    :param name: the target's name, the end of its key.
-    :param blob: the stored value.
-    :raises UnreadableError: it names no target that could be used.
+    :param name: the target's name, the end of its key in the store.
+    :param blob: the stored value, JSON.
+    :raises UnreadableError: the value is not valid; the message says why.
     """
     try:
         registration = msgspec.json.decode(blob, type=_Registration)
@@ -46,7 +50,7 @@
     if not is_address(registration.address):
         raise UnreadableError(f'{registration.address!r} is not ip:port')
     if registration.info.slots < 1 or not registration.info.service:
-        raise UnreadableError('no slots or no service')
+        raise UnreadableError('expected at least one slot and a service name')
     return Target(
         name=name,
         service=registration.info.service,
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -38,12 +38,12 @@
 _GONE = 410
 _MS_PER_SECOND = 1000
 
-# The store answers in about 4 ms; a call that takes this long is lost.
+# The store answers in about 4 ms; a call without an answer after this is lost.
 CALL_SECONDS = 1.0
-# A page of the store has about 1 MB, and three calls may run at once: 24 MiB
-# of the smallest machine's 200 MB.
+# A page of the store has about 1 MB. Three calls may run at once and then hold
+# up to 24 MiB of the 200 MB of the smallest instance.
 MAX_ANSWER_BYTES = 8 << 20
-# A page has some 500 items: a list of 50,000 targets.
+# A page has some 500 items, so that up to 50,000 targets can be listed.
 MAX_PAGES = 100
 
 
@@ -54,7 +54,11 @@
 
 
 class PlatformStore:
-    """Declarations and targets, as the platform's store holds them."""
+    """Reads declarations and targets from the platform's store.
+
+    Implements ``Platform``. A value that cannot be decoded is logged once for
+    each of its revisions and treated as missing.
+    """
 
     def __init__(
         self,
@@ -66,7 +70,7 @@
 
         :param address: ``ip:port`` of the store.
         :param pool: connections.
-        :param events: hears of values that cannot be read.
+        :param events: log of values that cannot be decoded.
         """
         self._address = address
         self._pool = pool
@@ -88,8 +92,8 @@
     async def wait(self, revision: int, seconds: float) -> DeclarationUpdate:
         """Wait for a declaration newer than a revision.
 
-        :param revision: the newest one known.
-        :param seconds: how long the store waits for one.
+        :param revision: the newest revision known.
+        :param seconds: how long the store holds the call.
         :raises SourceError: the store gave no answer.
         """
         changes = await self._watch(_CONFIG_KEY, revision, seconds)
@@ -101,7 +105,7 @@
     async def list_targets(self, *, may_lag: bool) -> Listing:
         """Return every listed target.
 
-        :param may_lag: whether a cheaper answer, seconds old, will do.
+        :param may_lag: accept a cheaper answer that may be seconds old.
         :raises SourceError: the store gave no answer.
         """
         query: dict[str, Any] = {'prefix': _TARGETS_PREFIX}
@@ -124,9 +128,9 @@
         raise SourceError(f'more than {MAX_PAGES} pages of targets')
 
     async def read_target(self, name: str) -> TargetUpdate:
-        """Return what is listed of one target now.
+        """Return the current entry of one target.
 
-        :param name: the target.
+        :param name: the name of the target.
         :raises SourceError: the store gave no answer.
         """
         answer = await self._get('/-/kv-key', {'key': _TARGETS_PREFIX + name})
@@ -148,11 +152,11 @@
         revision: int,
         seconds: float,
     ) -> TargetUpdate:
-        """Wait for a change of one target.
+        """Wait for a change of one target's entry.
 
-        :param name: the target.
-        :param revision: the newest one known.
-        :param seconds: how long the store waits.
+        :param name: the name of the target.
+        :param revision: the newest revision known.
+        :param seconds: how long the store holds the call.
         :raises SourceError: the store gave no answer.
         """
         key = _TARGETS_PREFIX + name
@@ -180,7 +184,9 @@
             seconds,
         )
         if answer.status == _GONE:
-            raise HistoryGoneError(f'{prefix}: history after {revision} gone')
+            raise HistoryGoneError(
+                f'{prefix}: no history after revision {revision}'
+            )
         changes: Changes = _decode(answer, Changes)
         return changes
 
@@ -190,7 +196,13 @@
         query: dict[str, Any],
         wait_seconds: float = 0,
     ) -> _Answer:
-        """Make one call; ``held`` is how long the store may wait, seconds."""
+        """Make one call.
+
+        :param path: path of the call, without its query.
+        :param query: the parameters of the query.
+        :param wait_seconds: how long the store may hold the call.
+        :raises SourceError: the call failed or timed out.
+        """
         self.calls += 1
         head = RequestHead(
             'GET',
@@ -253,7 +265,7 @@
             return None
 
     def _report_unreadable(self, item: Item, exc: Exception) -> None:
-        """Log a value that cannot be read, once for each revision."""
+        """Log a value that cannot be decoded, once for each revision."""
         if self._unreadable_revisions.get(item.key) == item.revision:
             return
         self._unreadable_revisions[item.key] = item.revision
@@ -267,7 +279,7 @@
 
 def _decode(answer: _Answer, kind: type[Any]) -> Any:
     if answer.status != _OK:
-        raise SourceError(f'status {answer.status}')
+        raise SourceError(f'expected status 200, not {answer.status}')
     try:
         return msgspec.json.decode(answer.body, type=kind)
     except UNREADABLE_ERRORS as exc:
@@ -275,7 +287,7 @@
 
 
 def _missing_revision(answer: _Answer) -> int:
-    """Return the store's revision from an answer that names no item."""
+    """Return the store's revision from an answer without an item."""
     try:
         return msgspec.json.decode(answer.body, type=StoreRevision).at_rev
     except UNREADABLE_ERRORS:
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -1,4 +1,4 @@
-"""Whole daemons before stand-ins of the platform and its targets."""
+"""A fleet of whole daemons with stand-ins for the store and the targets."""
 
 import contextlib
 import math
@@ -67,7 +67,7 @@
 
 
 def untimed_attempt():
-    """Return an attempt that nobody breaks off."""
+    """Return the state of an attempt that is never overdue."""
     return PendingAttempt(trio.CancelScope(), math.inf, bool)
 
 
@@ -135,7 +135,7 @@
 
 
 async def wait_for_status(fleet, number, status, seconds):
-    """Ask until a status is answered."""
+    """Send requests until one is answered with a status."""
     with trio.fail_after(seconds):
         seen = None
         while seen != status:
@@ -145,7 +145,7 @@
 
 @pytest.fixture
 async def far(fleet, monkeypatch):
-    """A fleet whose only target has one slot, behind another daemon."""
+    """A fleet whose only open target has one slot and is owned by daemon 1."""
     monkeypatch.setattr(_peer_client, 'MAX_SILENCE_SECONDS', 0.15)
     monkeypatch.setattr(_peer_client, 'QUERY_SECONDS', 0.15)
     for number, state in enumerate(('draining', 'ready', 'draining')):
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -6,8 +6,8 @@
 import zlib
 
 FIRST_PORT = 10_000
-# a process that is stopped leaves its port free for a while, and other test
-# processes of the run must not take it: each has a range of its own
+# The port of a stopped process is free for a while. Other test processes of the
+# run must not take it, so that each process has a range of its own.
 PORTS_PER_RANGE = 1_100
 RANGE_COUNT = 18
 _run = zlib.crc32(os.environ.get('PYTEST_XDIST_TESTRUNUID', '').encode())
@@ -17,11 +17,11 @@
 
 
 def free_address() -> str:
-    """Return an address on which nobody listens."""
+    """Return an address on which nothing listens."""
     while True:
         port = _first + next(_offsets) % PORTS_PER_RANGE
         try:
-            # tests listen on other loopback addresses, too
+            # tests listen on other loopback addresses as well
             socket.create_server(('', port)).close()
         except OSError:
             continue
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -1,4 +1,4 @@
-"""A small stand-in of the users' platform: its store and its targets."""
+"""Stand-ins for the users' platform: its store and its targets."""
 
 import base64
 import json
@@ -15,7 +15,7 @@
 
 
 class Store:
-    """Keys, revisions, history, and the ways in which it fails."""
+    """A store with revisions and a history; ``mode`` sets how it fails."""
 
     def __init__(self):
         self.items = {}
@@ -48,7 +48,7 @@
         self.history.clear()
 
     def freeze_replica(self):
-        """Let cheap reads see this moment from now on."""
+        """Answer all further reads that may lag with the present items."""
         self.replica_state = (dict(self.items), self.revision)
 
     def _note(self, event):
@@ -130,7 +130,7 @@
 
 
 def registration(address, service='till', state='ready', **more):
-    """Return what a target writes of itself."""
+    """Return the registration that a target writes."""
     return {
         'address': address,
         'info': {
@@ -192,7 +192,11 @@
 
 
 class TargetStandIn:
-    """One target: answers, fails, sheds, hangs, breaks off or never ends."""
+    """One target; ``mode`` sets how it answers or fails.
+
+    ``seen`` holds the requests that it ran, ``left`` counts the callers that
+    disconnected while it hung, ``seconds`` is how long a request takes.
+    """
 
     def __init__(self, name, address):
         self.name = name
@@ -237,7 +241,7 @@
         sent = ((b'attempt-id', echo), (b'server-seal', b's'))
         if self.mode == 'endless':
             await conn.start_answer(200, sent)
-            # as good as without end, and no danger to the machine
+            # longer than any limit, but bounded to protect the test machine
             for _ in range(1024):
                 await conn.send_piece(bytes(1 << 16))
             await conn.wait_left()
--- a/tests/test_mesh_declarations.py
+++ b/tests/test_mesh_declarations.py
@@ -1,4 +1,4 @@
-"""Declarations: never older, and known to be new."""
+"""The declaration in force is never replaced by an older one, or stale."""
 
 import pytest
 import trio
@@ -13,7 +13,7 @@
 
 
 class ScriptedSource:
-    """Answers from a script; then it is silent."""
+    """A declaration source that answers from a script, then not at all."""
 
     def __init__(self, clock, script):
         self.clock = clock
--- a/tests/test_mesh_logs.py
+++ b/tests/test_mesh_logs.py
@@ -1,4 +1,4 @@
-"""Log output that is bounded and never holds up the loop; metrics."""
+"""Log output is bounded and does not block the event loop; metrics."""
 
 import logging
 import os
@@ -19,7 +19,7 @@
 
 @pytest.fixture
 def pipe():
-    """Stand in for standard output; its reader takes nothing by itself."""
+    """A pipe in place of standard output; nothing reads it by itself."""
     reader, writer = os.pipe()
     os.set_blocking(reader, False)
     yield reader, writer
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -1,4 +1,4 @@
-"""Requests on their way through whole daemons."""
+"""Requests through a fleet of whole daemons."""
 
 import pytest
 import trio
--- a/tests/test_mesh_peer_client.py
+++ b/tests/test_mesh_peer_client.py
@@ -1,4 +1,4 @@
-"""Owners that fall silent before they have the body of a request."""
+"""Owners that stop answering before they have the body of a request."""
 
 import trio
 from tests.mesh_fleet import untimed_attempt
--- a/tests/test_mesh_program.py
+++ b/tests/test_mesh_program.py
@@ -1,4 +1,4 @@
-"""The program itself: its start, before it listens for signals."""
+"""The start of the daemon process, before it handles signals."""
 
 import os
 import signal
@@ -14,7 +14,7 @@
         env={**os.environ, 'CLEMENTINEDEAL_NODE_FILE': str(settings)},
         stderr=subprocess.PIPE,
     ) as process:
-        # opens once the program waits for its settings
+        # blocks until the program reads its settings
         with settings.open('w') as pipe:
             process.send_signal(signal.SIGHUP)
             pipe.write('node = 1')
--- a/tests/test_mesh_sender.py
+++ b/tests/test_mesh_sender.py
@@ -1,4 +1,4 @@
-"""What the sender puts into an attempt."""
+"""The rank that the sender gives an attempt."""
 
 from types import SimpleNamespace
 
--- a/tests/test_mesh_target_client.py
+++ b/tests/test_mesh_target_client.py
@@ -1,4 +1,4 @@
-"""Targets that send answers of other requests on a kept connection."""
+"""Targets that send answers to other requests on a kept-alive connection."""
 
 import pytest
 import trio
@@ -23,7 +23,7 @@
 
 
 class RepeatingTarget:
-    """Answers late, after extra answers to the request before."""
+    """Sends given bytes before its late answer to the second request."""
 
     def __init__(self, pieces):
         self.pieces = pieces
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,4 +1,4 @@
-"""The adapter to the users' platform, against our own stand-in."""
+"""The adapters to the users' platform, with a stand-in for its store."""
 
 import pytest
 import trio
