--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -245,9 +245,9 @@
             config_age_seconds=lambda: feed.age,
             repeats=lambda: self._sender.retry_count,
             target_risk=lambda: owner.health.risk,
-            target_running=lambda: owner.slots.running,
-            target_waiting=lambda: owner.slots.waiting,
-            target_slots=lambda: owner.slots.slots,
+            target_running=lambda: owner.slot_queue.running,
+            target_waiting=lambda: owner.slot_queue.waiting,
+            target_slots=lambda: owner.slot_queue.slots,
             platform_calls=lambda: self._platform.calls,
             log_lines_left_out=lambda: self.count_dropped_lines(),
         )
--- a/src/clementinedeal/mesh/_executions.py
+++ b/src/clementinedeal/mesh/_executions.py
@@ -31,7 +31,7 @@
     reader_count: int = 0
     outcome: MeshOutcome | None = None
     done: trio.Event = field(default_factory=trio.Event)
-    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    cancel_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
 
 
 class MeshExecutionTable:
--- a/src/clementinedeal/mesh/_outcomes.py
+++ b/src/clementinedeal/mesh/_outcomes.py
@@ -93,7 +93,7 @@
     attempt if ``may_break_off`` allows that.
     """
 
-    scope: trio.CancelScope
+    cancel_scope: trio.CancelScope
     overdue_at: float
     reserve_retry: Callable[[float], bool]
     sent: bool = False
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -58,7 +58,7 @@
         self._live_executions: set[Execution] = set()
         self._queue_scopes: set[trio.CancelScope] = set()
         self.health = HealthTracker(parts.clock, parts.events, parts.calls)
-        self.slots = SlotQueue(DEFAULT_SLOTS)
+        self.slot_queue = SlotQueue(DEFAULT_SLOTS)
         self.executions = MeshExecutionTable(parts.clock)
         self._down_until = 0.0
         self._running_ranks: list[Rank] = []
@@ -88,8 +88,8 @@
         if not is_same_process:
             self.health.reset(target.name)
             self._down_until = 0
-        self.slots.slots = target.slots
-        self.slots.fill_free_slots()
+        self.slot_queue.slots = target.slots
+        self.slot_queue.fill_free_slots()
 
     def stop_admitting(self) -> None:
         """Begin nothing any more, and send elsewhere what waits here."""
@@ -99,17 +99,17 @@
     def cancel_running(self) -> None:
         """Give up what still runs, so that its entries hear of it."""
         for execution in self._live_executions:
-            execution.scope.cancel()
+            execution.cancel_scope.cancel()
 
     def target_condition(self) -> TargetCondition:
         """Return what entries should know of the target."""
-        slots = self.slots
+        slot_queue = self.slot_queue
         return TargetCondition(
             risk=round(self.health.risk, 3),
-            running=slots.running,
-            waiting=slots.waiting,
-            slots=slots.slots,
-            wait=round(slots.expected_wait((0, 0)), 3),
+            running=slot_queue.running,
+            waiting=slot_queue.waiting,
+            slots=slot_queue.slots,
+            wait=round(slot_queue.expected_wait((0, 0)), 3),
         )
 
     def submit(
@@ -139,7 +139,7 @@
         :param execution: the attempt.
         """
         if execution.attempt.idempotent or not execution.reached:
-            execution.scope.cancel()
+            execution.cancel_scope.cancel()
 
     async def abandon_later(self, execution: Execution) -> None:
         """Give up an attempt unless its entry asks for it again.
@@ -152,7 +152,7 @@
 
     async def _run(self, execution: Execution) -> None:
         try:
-            with execution.scope:
+            with execution.cancel_scope:
                 execution.outcome = await self._execute(execution)
         except Exception:
             # the other attempts of the process go on
@@ -183,7 +183,7 @@
         refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
         if refusal is not None:
             return not_run(refusal, self.target_condition())
-        if self.slots.expected_wait(attempt.rank) > attempt.wait:
+        if self.slot_queue.expected_wait(attempt.rank) > attempt.wait:
             return not_run(Reason.QUEUE_FULL, self.target_condition())
         if not await self._wait_for_slot(attempt):
             refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
@@ -202,7 +202,7 @@
                 self._running_ranks.remove(attempt.rank)
         finally:
             elapsed = self._parts.clock.now() - started
-            self.slots.release(elapsed if execution.reached else None)
+            self.slot_queue.release(elapsed if execution.reached else None)
         return MeshOutcome(
             verdict=outcome.verdict,
             reason=outcome.reason,
@@ -221,7 +221,7 @@
         with trio.move_on_after(attempt.wait) as scope:
             self._queue_scopes.add(scope)
             try:
-                await self.slots.acquire(attempt.rank)
+                await self.slot_queue.acquire(attempt.rank)
             finally:
                 self._queue_scopes.remove(scope)
             acquired = True
@@ -294,6 +294,6 @@
             reason=reason,
             status=outcome.status,
             risk=f'{self.health.risk:.3f}',
-            running=self.slots.running,
-            waiting=self.slots.waiting,
+            running=self.slot_queue.running,
+            waiting=self.slot_queue.waiting,
         )
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -88,7 +88,7 @@
             now = self._parts.clock.now()
             for trying in tuple(self._running_attempts):
                 if trying.overdue_at <= now and trying.reserve_retry(now):
-                    trying.scope.cancel()
+                    trying.cancel_scope.cancel()
 
     def keep_overdue(self) -> None:
         """Cancel no more overdue attempts.
@@ -105,13 +105,13 @@
         self._is_closing = True
         for trying in self._running_attempts:
             if not trying.sent:
-                trying.scope.cancel()
+                trying.cancel_scope.cancel()
 
     def cancel_all(self) -> None:
         """Cancel all attempts: the time for the graceful stop is over."""
         self._is_closing = True
         for trying in self._running_attempts:
-            trying.scope.cancel()
+            trying.cancel_scope.cancel()
 
     async def send(self, admitted: AdmittedRequest) -> MeshOutcome:
         """Run a request to its end and return the outcome.
@@ -164,7 +164,7 @@
         self._running_attempts.add(trying)
         parts.balancer.on_attempt_started(target.name)
         try:
-            with trying.scope:
+            with trying.cancel_scope:
                 outcome = await self._send_attempt(
                     target,
                     attempt,
--- a/src/clementinedeal/mesh/_stop.py
+++ b/src/clementinedeal/mesh/_stop.py
@@ -99,11 +99,11 @@
 
     def _emit_load(self, name: str, started: float) -> None:
         """Tell how many requests a stop finds, or leaves."""
-        slots = self._parts.owner.slots
+        slot_queue = self._parts.owner.slot_queue
         self._parts.events.emit(
             name,
             seconds=f'{self._parts.clock.now() - started:.3f}',
             callers=self._parts.caller_server.busy,
-            running=slots.running,
-            waiting=slots.waiting,
+            running=slot_queue.running,
+            waiting=slot_queue.waiting,
         )
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -111,7 +111,7 @@
     held = owner.submit(make_attempt(), None)
     await held.done.wait()
     assert held.outcome.verdict is Verdict.NOT_RUN
-    assert owner.slots.running == 0
+    assert owner.slot_queue.running == 0
 
 
 async def test_an_attempt_that_arrives_after_a_query_for_it_never_runs(
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -89,7 +89,7 @@
 
 
 @pytest.mark.parametrize('outcome', [FAILED, LOST])
-def test_what_may_have_run_is_not_sent_again(outcome):
+def test_a_request_that_may_have_run_is_not_sent_again(outcome):
     tries, end = run(make_plan(idempotent=False), [outcome])
     assert len(tries) == 1
     assert end is outcome
@@ -186,7 +186,7 @@
     assert not any(one.insist for one in tries)
 
 
-def test_all_are_asked_before_it_insists():
+def test_all_targets_are_asked_before_insisting():
     targets = tuple(
         Target(
             name=f't{number}',
@@ -204,7 +204,7 @@
     assert not any(one.insist for one in tries)
 
 
-def test_gives_up_without_targets_and_says_not_run():
+def test_without_targets_a_request_is_reported_as_not_run():
     _, end = run(make_plan(idempotent=False, targets=()), [])
     assert end.verdict is Verdict.NOT_RUN
     assert end.reason is Reason.NO_TARGET
@@ -212,7 +212,7 @@
 
 
 @pytest.mark.parametrize('first', [FAILED, LOST])
-def test_a_shed_repeat_does_not_undo_the_first_run(first):
+def test_a_rejected_retry_does_not_hide_that_the_first_attempt_ran(first):
     tries, end = run(make_plan(idempotent=True), [first, SHED])
     assert len(tries) == 2
     assert end is first
--- a/tests/test_mesh_allowances.py
+++ b/tests/test_mesh_rate_limiter.py
@@ -112,7 +112,7 @@
     assert granted >= 0.97 * 160
 
 
-async def test_refusal_names_a_time_to_come_back():
+async def test_a_refusal_has_a_retry_after():
     network, clock, hosts = make()
     limiter = network.limiters[hosts[0]]
     pauses = [await limiter.take(ACCOUNT, 'r') for _ in range(30)]
@@ -120,7 +120,7 @@
     assert 0 < pauses[-1] <= 2
 
 
-async def test_no_rate_is_no_limit():
+async def test_an_account_without_a_rate_has_no_limit():
     free = ClientAccount(name='shop', keys=(), priority=1, rate=0, burst=0)
     network, _, hosts = make(account=free)
     pauses = [
@@ -129,7 +129,7 @@
     assert not any(pauses)
 
 
-def test_lower_rate_binds_at_once():
+def test_a_lower_rate_applies_at_once():
     bucket = TokenBucket(10, 20, 0.0)
     bucket.set_limits(1, 2)
     granted = sum(bucket.take(0.0) == 0 for _ in range(10))
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -201,7 +201,7 @@
     assert found[path] == (502, b'may-have-run')
 
 
-async def test_a_late_call_of_a_target_is_not_begun_to_be_cut(hanging_fleet):
+async def test_a_late_call_of_a_target_is_refused_and_not_cut(hanging_fleet):
     # a request that runs on keeps the daemon up
     async with sending(hanging_fleet, (0, '/book/long')) as found:
         hanging_fleet.daemons[0].stop()
@@ -284,7 +284,7 @@
 
 
 @pytest.mark.parametrize('seconds', [0.25, 0.6])
-async def test_a_pause_at_the_end_of_a_stop_cuts_no_answer(
+async def test_a_blocked_event_loop_at_the_end_of_a_stop_cuts_no_answer(
     hanging_fleet, seconds
 ):
     ending = hanging_fleet.daemons[0]._stop
@@ -302,7 +302,9 @@
     assert found['/book/1'] == (502, b'may-have-run')
 
 
-async def test_a_stop_shorter_than_its_notice_answers(hanging_fleet):
+async def test_a_stop_shorter_than_its_notice_answers_running_requests(
+    hanging_fleet,
+):
     async with sending(hanging_fleet, (0, '/book/1')) as found:
         with trio.fail_after(1):
             await hanging_fleet.daemons[0]._stop.run(0.5)
