--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -1,4 +1,4 @@
-"""Decides whether a caller's request is taken."""
+"""Admission control: whether a caller's request is accepted."""
 
 import random
 from dataclasses import dataclass
@@ -18,49 +18,67 @@
 from clementinedeal.mesh._target_client import BufferedRequest
 from clementinedeal.mesh._types import ClientAccount, RouteRule
 
-# Callers of a daemon without a declaration are told to come back after this.
+# Retry-After for callers of a daemon that has no declaration yet, has a stale
+# one, or is stopping.
 UNREADY_RETRY_AFTER_SECONDS = 0.5
-# Largest body before a declaration says it.
+# Largest request body accepted while no declaration sets a limit.
 UNREADY_MAX_BODY_BYTES = 1 << 20
+# The entry handles these itself: the length is set anew, Expect is answered
+# here, and Authorization carries the caller's API key.
 _HEADERS_NOT_FORWARDED = frozenset(
     (CONTENT_LENGTH, b'expect', b'authorization')
 )
 
 
 class RateLimiter(Protocol):
-    """Grants requests within the rate and burst of an account."""
+    """Enforces the rate and burst of client accounts."""
 
     async def take(self, account: ClientAccount, req_id: str) -> float:
-        """Return 0 if granted, else after how many seconds to come back."""
+        """Take one token of an account.
+
+        :param account: the account that the request counts against.
+        :param req_id: id of the request, for the log.
+        :return: 0 if the request is allowed, else the seconds after which
+            the caller should retry.
+        """
         ...
 
 
 class ActiveDeclaration(Protocol):
-    """What is in force here."""
+    """The declaration that this daemon applies, and how recent it is."""
 
     @property
     def catalog(self) -> Catalog | None:
-        """The declaration in force."""
+        """The indexed declaration, None until one was received."""
         ...
 
     @property
     def version(self) -> int:
-        """Its version, 0 before there is one."""
+        """Version of the declaration, 0 if there is none."""
         ...
 
     @property
     def age(self) -> float:
-        """Seconds since nothing newer was known to be published."""
+        """Seconds since it was last proved to be the newest one published."""
         ...
 
     def is_fresh(self) -> bool:
-        """Whether no withdrawn key can be missing from it."""
+        """Whether it is recent enough to accept API keys.
+
+        A withdrawn key must be refused within a bound, so keys are accepted
+        only if the declaration was proved the newest within that bound.
+        """
         ...
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AdmittedRequest:
-    """A request that may be sent; ``deadline`` in monotonic seconds."""
+    """A request that was accepted and may be sent to a target.
+
+    ``service`` is the service chosen for it, one of the route's weighted
+    services. ``account`` is None on routes without a key. ``deadline`` is in
+    monotonic seconds.
+    """
 
     req_id: str
     route: RouteRule
@@ -71,7 +89,7 @@
 
 
 class Admission:
-    """Checks route, key, freshness and allowance of each request."""
+    """Checks the route, API key and rate limit of each request."""
 
     def __init__(
         self,
@@ -80,12 +98,12 @@
         rate_limiter: RateLimiter,
         rng: random.Random,
     ) -> None:
-        """Take requests until ``closing`` is set.
+        """Create the checks; requests are accepted until ``is_closing`` is set.
 
-        :param dialect: how callers speak.
-        :param standing: the declaration in force.
-        :param allowances: rates and bursts.
-        :param rng: draws a part of a split route.
+        :param dialect: decodes the headers of callers.
+        :param active_declaration: routes, accounts and limits to apply.
+        :param rate_limiter: enforces the rates of accounts.
+        :param rng: chooses a service of a weighted route.
         """
         self._dialect = dialect
         self.active_declaration = active_declaration
@@ -95,16 +113,16 @@
 
     @property
     def max_body_bytes(self) -> int:
-        """Largest body that callers may send."""
+        """Largest request body that callers may send, in bytes."""
         catalog = self.active_declaration.catalog
         if catalog is None:
             return UNREADY_MAX_BODY_BYTES
         return catalog.declaration.limits.body_bytes
 
     def read_request_id(self, head: RequestHead) -> str:
-        """Return the id that the caller gave its request.
+        """Return the id that the caller gave its request, empty if none.
 
-        :param head: the request's head.
+        :param head: request line and headers.
         """
         return self._dialect.read_request(head).req_id
 
@@ -114,11 +132,11 @@
         body: bytes,
         received_at: float,
     ) -> AdmittedRequest | MeshOutcome:
-        """Return a request that may be sent, or why it is refused.
+        """Return the accepted request, or the outcome that refuses it.
 
-        :param head: its head.
-        :param body: its whole body.
-        :param started: when it came, monotonic seconds.
+        :param head: request line and headers.
+        :param body: the whole body.
+        :param received_at: when the head arrived, monotonic seconds.
         """
         catalog = self.active_declaration.catalog
         if self.is_closing:
@@ -154,7 +172,7 @@
         account: ClientAccount,
         req_id: str,
     ) -> MeshOutcome | None:
-        """Return why a request with a key is not taken, if it is not."""
+        """Return the refusal of a request with a key, None if accepted."""
         if not self.active_declaration.is_fresh():
             return _refusal(Reason.CONFIG_STALE, UNREADY_RETRY_AFTER_SECONDS)
         retry_after = await self._rate_limiter.take(account, req_id)
--- a/src/clementinedeal/mesh/_background_task.py
+++ b/src/clementinedeal/mesh/_background_task.py
@@ -1,4 +1,4 @@
-"""Keeps the parts of a daemon running."""
+"""Restarts a daemon's background tasks when they fail."""
 
 from collections.abc import Awaitable, Callable
 from typing import TypeAlias
@@ -7,18 +7,19 @@
 
 from clementinedeal._events import log
 
-# A part that fails at once again must not take the loop for itself.
+# A task that fails again at once must not keep the event loop busy.
 RESTART_DELAY_SECONDS = 0.5
 
 BackgroundTask: TypeAlias = Callable[[], Awaitable[None]]
 
 
 async def keep_running(task: BackgroundTask) -> None:
-    """Run a part to its end; one that fails is started again.
+    """Run a task until it returns; a task that raises is started again.
 
-    What a part meets must not end the process, and the requests on it.
+    An unexpected exception in one task must not end the process and the
+    requests that it serves.
 
-    :param part: runs until it is done or cancelled.
+    :param task: runs until it is done or cancelled.
     """
     while True:
         try:
--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -1,4 +1,8 @@
-"""The entry's order of targets for one request."""
+"""Load balancing: the order in which an entry tries the targets of a service.
+
+The entry knows a target only by the condition that its owner sends with each
+outcome, and by the attempts that this entry has running there.
+"""
 
 import random
 from collections.abc import Collection, Iterable, Sequence
@@ -9,14 +13,15 @@
 from clementinedeal.mesh._outcomes import MeshOutcome, TargetCondition
 from clementinedeal.mesh._types import Target
 
-# What was heard of a target loses half its weight in this time.
+# The last known condition of a target loses half its weight in this time; the
+# estimate returns to the defaults.
 HALF_LIFE_SECONDS = 1.5
-# Assumed of a target that nothing was heard of.
+# Load and risk assumed of a target whose condition is unknown.
 DEFAULT_LOAD = 0.4
 DEFAULT_RISK = 0.25
-# Costs are in shares of a target's slots. Bytes between zones are priced, a
-# booking that fails loses many times that; a target that is nearly full makes
-# requests wait.
+# Costs are in the unit of load: 1 is all slots of a target. Traffic between
+# availability zones is charged for, but a failed request that cannot be retried
+# costs many times as much. A nearly full target makes requests wait.
 OTHER_ZONE_COST = 0.45
 OTHER_INSTANCE_COST = 0.1
 RISK_COST = 3.0
@@ -25,7 +30,7 @@
 WARMUP_COST = 0.5
 AVOIDED_COST = 5.0
 JITTER_COST = 0.15
-# How long a target is passed over after it refused for a cause.
+# For how many seconds a target is avoided after a refusal for this reason.
 AVOID_SECONDS = {
     Reason.NO_TARGET: 1.0,
     Reason.DRAINING: 3.0,
@@ -36,7 +41,13 @@
 
 @dataclass(slots=True)
 class TargetObservation:
-    """What this entry last heard of a target, and when (seconds)."""
+    """The last known condition of a target, as this entry observed it.
+
+    ``load`` is the fraction of slots in use, above 1 with a queue. ``risk`` is
+    the probability that the target is sick. ``wait`` is the expected time in
+    its queue, in seconds. ``observed_at`` and ``avoid_until`` are monotonic
+    seconds. ``in_flight`` counts the attempts that this entry has there.
+    """
 
     load: float = DEFAULT_LOAD
     risk: float = DEFAULT_RISK
@@ -47,7 +58,7 @@
 
 
 class Balancer:
-    """Orders targets by what is known of their load, risk and distance."""
+    """Ranks the targets of a service by load, risk and distance."""
 
     def __init__(
         self,
@@ -56,12 +67,12 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
-        """Start without targets.
+        """Create a balancer without targets.
 
-        :param host: IP number of this instance.
+        :param host: IP address of this instance.
         :param zone: its availability zone.
         :param clock: monotonic time.
-        :param rng: breaks ties.
+        :param rng: adds jitter, so that entries do not all choose one target.
         """
         self._host = host
         self._zone = zone
@@ -72,9 +83,9 @@
         self._observations: dict[str, TargetObservation] = {}
 
     def set_targets(self, targets: Iterable[Target]) -> None:
-        """Choose among these targets from now on.
+        """Replace the targets to choose from.
 
-        :param targets: all that are listed.
+        :param targets: all listed targets, of all services.
         """
         now = self._clock.now()
         by_service: dict[str, list[Target]] = {}
@@ -90,7 +101,7 @@
             del self._warmup_until[name]
 
     def available_targets(self, service: str) -> list[Target]:
-        """Return the targets of a service that take work."""
+        """Return the targets of a service that are not draining."""
         return [
             one for one in self._by_service.get(service, ()) if not one.draining
         ]
@@ -102,11 +113,12 @@
         *,
         avoid_risk: bool,
     ) -> list[Target]:
-        """Return targets, the best first.
+        """Return the targets of a service, the best first.
 
         :param service: name of the service.
-        :param without: names of targets that are no choice.
-        :param careful: whether a failure cannot be made good.
+        :param excluded: names of targets to leave out.
+        :param avoid_risk: whether to prefer targets that are unlikely to
+            fail, for a request that cannot be retried after a failure.
         """
         now = self._clock.now()
         costs = {
@@ -124,10 +136,10 @@
         )
 
     def has_room(self, service: str, excluded: Collection[str]) -> bool:
-        """Whether a target is believed to take one more request at once.
+        """Whether some target is expected to have a free slot.
 
         :param service: name of the service.
-        :param without: names of targets that are no choice.
+        :param excluded: names of targets to leave out.
         """
         now = self._clock.now()
         return any(
@@ -138,30 +150,33 @@
         )
 
     def find_shortest_queue(self, targets: Sequence[Target]) -> Target:
-        """Return the target whose queue was the shortest when last heard of.
+        """Return the target with the shortest last known wait.
 
-        :param targets: the choice.
+        :param targets: the targets to choose from, not empty.
         """
         return min(targets, key=lambda one: self._observation(one).wait)
 
     def find_least_risk(self, targets: Sequence[Target]) -> Target:
-        """Return the target that was the least suspect when last heard of.
+        """Return the target with the lowest last known risk.
 
-        :param targets: the choice.
+        :param targets: the targets to choose from, not empty.
         """
         return min(targets, key=lambda one: self._observation(one).risk)
 
     def on_attempt_started(self, name: str) -> None:
-        """Count an attempt at a target."""
+        """Count an attempt that this entry sends.
+
+        :param name: name of the target.
+        """
         observation = self._observations.get(name)
         if observation is not None:
             observation.in_flight += 1
 
     def on_attempt_ended(self, name: str, outcome: MeshOutcome | None) -> None:
-        """Take in what an attempt showed of its target.
+        """Record what the end of an attempt shows of its target.
 
-        :param name: the target.
-        :param outcome: None if the attempt was given up.
+        :param name: name of the target.
+        :param outcome: None if the attempt was abandoned.
         """
         observation = self._observations.get(name)
         if observation is None:
@@ -189,7 +204,7 @@
         observation.observed_at = now
 
     def _estimate_load(self, target: Target, now: float) -> float:
-        """Return the load that a target is believed to have now."""
+        """Return the load that a target is expected to have now."""
         observation = self._observation(target)
         load = DEFAULT_LOAD + (
             observation.load - DEFAULT_LOAD
@@ -219,5 +234,6 @@
 
 
 def _recency_weight(observation: TargetObservation, now: float) -> float:
+    """Return the weight of an observation, from 1 when new down to 0."""
     weight: float = 0.5 ** ((now - observation.observed_at) / HALF_LIFE_SECONDS)
     return weight
--- a/src/clementinedeal/mesh/_executions.py
+++ b/src/clementinedeal/mesh/_executions.py
@@ -1,4 +1,4 @@
-"""Attempts at the target beside this daemon, by their id."""
+"""The owner's record of attempts at its target, by their id."""
 
 import collections
 from dataclasses import dataclass, field
@@ -9,17 +9,23 @@
 from clementinedeal.mesh._outcomes import MeshAttempt, MeshOutcome
 from clementinedeal.mesh._target_client import BufferedRequest
 
-# Longer than any forward stays on its way and any entry asks again.
+# Ended attempts are remembered for longer than a forwarded attempt can be
+# delayed in the network, and longer than any entry asks for its outcome.
 RETENTION_SECONDS = 20.0
 
 
 @dataclass(eq=False, slots=True)
 class Execution:
-    """One attempt, independent of the connection it came over.
-
-    ``message`` is None until its body was asked for and sent: what has no
-    body yet cannot run. ``reached`` is set before the first byte goes to the
-    target.
+    """One attempt, independent of the connection on which it arrived.
+
+    ``deadline`` is in monotonic seconds. ``message`` is None until the entry
+    has sent the body: for a request that is not idempotent it does so once the
+    owner has a slot. Without a body the attempt cannot run. ``body_wanted`` is
+    set when there is a slot or an outcome, ``body_received`` when the message
+    is there. ``reached`` is set before the first byte is sent to the target.
+    ``reader_count`` is the number of connections that wait for the outcome.
+    ``done`` is set once ``outcome`` is. Cancelling ``cancel_scope`` ends the
+    attempt.
     """
 
     attempt: MeshAttempt
@@ -35,10 +41,10 @@
 
 
 class MeshExecutionTable:
-    """Remembers attempts, so that none starts twice or after a refusal."""
+    """Remembers attempts, so that none runs twice or after it was forbidden."""
 
     def __init__(self, clock: Clock) -> None:
-        """Start empty.
+        """Create an empty table.
 
         :param clock: monotonic time.
         """
@@ -48,9 +54,10 @@
         self._ended: collections.deque[tuple[float, str]] = collections.deque()
 
     def add(self, execution: Execution) -> bool:
-        """Remember a new attempt; False if its id is known already.
+        """Add a new attempt.
 
         :param execution: the attempt.
+        :return: False if an attempt of this id is known or was forbidden.
         """
         name = execution.attempt.attempt
         if name in self._executions:
@@ -59,15 +66,19 @@
         return True
 
     def find(self, attempt_id: str) -> Execution | None:
-        """Return an attempt that was opened and is still remembered."""
+        """Return an attempt that was added and is still remembered.
+
+        :param attempt_id: id of the attempt.
+        """
         return self._executions.get(attempt_id)
 
     def forbid(self, attempt_id: str, age: float) -> bool:
-        """Keep an unknown attempt from ever starting here.
+        """Prevent an unknown attempt from starting here.
 
-        :param name: the attempt.
+        :param attempt_id: id of the attempt.
         :param age: seconds since it was sent.
-        :return: whether it is proved that it never started.
+        :return: whether it certainly never started: this process was running
+            when it was sent and still remembers attempts of that age.
         """
         self._executions.setdefault(attempt_id, None)
         self.expire_later(attempt_id)
@@ -75,9 +86,9 @@
         return age < min(up, RETENTION_SECONDS)
 
     def expire_later(self, attempt_id: str) -> None:
-        """Forget an attempt after a while.
+        """Forget an attempt after ``RETENTION_SECONDS``.
 
-        :param name: the attempt.
+        :param attempt_id: id of the attempt.
         """
         now = self._clock.now()
         self._ended.append((now, attempt_id))
--- a/src/clementinedeal/mesh/_health.py
+++ b/src/clementinedeal/mesh/_health.py
@@ -1,27 +1,30 @@
-"""How likely the target beside this daemon is to fail its next request."""
+"""Estimates the probability that a target is sick.
+
+A sick target has a gray failure: it accepts connections, but most requests
+fail. The estimate belongs to the owner and uses the owner's own traffic.
+"""
 
 import math
 
 from clementinedeal._timers import Clock
 
-# Rates of a two-state model: gray failures of several seconds that hit a
-# target a few times a minute.
+# Transition rates of a Markov model with two states, well and sick: gray
+# failures last several seconds and occur a few times a minute.
 ONSET_PER_SECOND = 0.05
 RECOVERY_PER_SECOND = 0.15
 
-# Likelihood ratios, sick against well, of what one request can show.
-FAST_FAILURE_RATIO = 150.0  # 0.75 of the time when sick, 0.005 when well
-SLOW_FAILURE_RATIO = 3.0  # mostly a failed call or the work itself
+# Likelihood ratios of what one request can show: how many times likelier a sick
+# target is to show it than a well one.
+FAST_FAILURE_RATIO = 150.0  # probability 0.75 if sick, 0.005 if well
+SLOW_FAILURE_RATIO = 3.0  # mostly the work itself or a call that it made
 LOST_ANSWER_RATIO = 12.0
-CONNECTION_FORGOTTEN_RATIO = (
-    3.0  # a well target forgets resting connections, too
-)
+CONNECTION_FORGOTTEN_RATIO = 3.0  # a well target drops idle ones, too
 OVERDUE_RATIO = 5.0
 SHED_RATIO = 4.0
-SURVIVED_RATIO = 0.3  # not refused at once
+SURVIVED_RATIO = 0.3  # no failure within SURVIVAL_SECONDS
 COMPLETED_RATIO = 0.7
 
-# A sick target fails at the start of a request, a median of 6 ms after it.
+# A sick target fails a request soon after its start, after 6 ms in the median.
 MAX_FAST_FAILURE_SECONDS = 0.15
 SURVIVAL_SECONDS = 0.08
 
@@ -30,10 +33,14 @@
 
 
 class HealthEstimate:
-    """Bayes estimate over a sick and a well state, from own traffic."""
+    """Bayes estimate of the probability that a target is sick.
+
+    Without evidence it returns to ``_long_run_risk``, the fraction of time that
+    the model's target is sick.
+    """
 
     def __init__(self, clock: Clock) -> None:
-        """Start with what is known of targets in general.
+        """Start with the long-run probability.
 
         :param clock: monotonic time.
         """
@@ -56,9 +63,10 @@
         return self._risk
 
     def observe(self, likelihood_ratio: float) -> float:
-        """Take in evidence and return the new risk.
+        """Update the estimate by one piece of evidence and return it.
 
-        :param ratio: how much likelier the evidence is from a sick target.
+        :param likelihood_ratio: how many times likelier the evidence is from
+            a sick target than from a well one.
         """
         risk = self.risk()
         odds = risk / (1 - risk) * likelihood_ratio
@@ -67,6 +75,6 @@
         return self._risk
 
     def reset(self) -> None:
-        """Forget the past: another process has taken the target's place."""
+        """Discard all evidence, because the target's process was replaced."""
         self._risk = self._long_run_risk
         self._updated_at = self._clock.now()
--- a/src/clementinedeal/mesh/_health_tracker.py
+++ b/src/clementinedeal/mesh/_health_tracker.py
@@ -1,4 +1,4 @@
-"""What the requests of one target show of its health, and what follows."""
+"""Tracks the health of the owned target and limits its requests if suspect."""
 
 import trio
 
@@ -10,18 +10,21 @@
 from clementinedeal.mesh._health import HealthEstimate
 from clementinedeal.mesh._outcomes import MeshAttempt, MeshOutcome
 
-# Above this risk of a failure only trials and last resorts are let through.
+# A target with a higher risk is suspect: its owner accepts only trials and
+# attempts that insist.
 MAX_TRUSTED_RISK = 0.35
-# Pause between trials of a suspect target: one that fails loses a request or
-# costs a repeat, and a sick one stays so for some 4 s.
+# Least time from one trial of a suspect target to a ``scout`` attempt. A trial
+# that fails loses a request or costs a retry, and a sick target stays sick for
+# about 4 s.
 SCOUT_INTERVAL_SECONDS = 0.8
-# A target that got nothing for 2 s counts as left out, sick or not; so often
-# at least it is tried by what can be made good elsewhere.
+# Least time from one trial to a ``spare`` attempt, which can be retried at
+# another target. Whether sick or not, a target that gets no request for 2 s
+# counts as unused.
 SPARE_INTERVAL_SECONDS = 1.5
 
 
 class HealthTracker:
-    """Turns outcomes into evidence, and a risk into trust."""
+    """Turns outcomes into evidence and decides whether to trust the target."""
 
     def __init__(
         self,
@@ -29,11 +32,11 @@
         events: EventLog,
         calls: CallFailures,
     ) -> None:
-        """Start with what is known of targets in general.
+        """Create a tracker without evidence.
 
         :param clock: monotonic time.
-        :param events: hears when trust changes.
-        :param calls: failures that a target passes on.
+        :param events: log of changes between trusted and suspect.
+        :param calls: recent failures of the calls that the target made.
         """
         self._clock = clock
         self._events = events
@@ -50,21 +53,22 @@
 
     @property
     def is_trusted(self) -> bool:
-        """Whether bookings may go to the target."""
+        """Whether the target accepts requests without restriction."""
         return self.risk <= MAX_TRUSTED_RISK
 
     def reset(self, target: str) -> None:
-        """Forget the past: another process has taken the target's place.
+        """Discard all evidence, because the target's process was replaced.
 
-        :param target: its name.
+        :param target: name of the target.
         """
         self._target = target
         self._estimate.reset()
 
     def claim_trial(self, attempt: MeshAttempt) -> bool:
-        """Whether an attempt may show if a suspect target is well again.
+        """Accept an attempt as a trial of a suspect target, if one is due.
 
-        :param attempt: one that asks for it.
+        :param attempt: an attempt; only ``scout`` and ``spare`` ones qualify.
+        :return: whether the attempt goes to the target as a trial.
         """
         if self.is_trusted:
             return False
@@ -81,9 +85,12 @@
         return True
 
     async def observe_progress(self, attempt: MeshAttempt) -> None:
-        """Take a request that is not refused at once for a good sign.
+        """Record evidence while a request runs, until cancelled.
 
-        :param attempt: it has just been sent.
+        A request without an early failure is evidence for a well target, one
+        without an answer within the latency objective for a sick one.
+
+        :param attempt: an attempt that has just been sent to the target.
         """
         await trio.sleep(evidence.SURVIVAL_SECONDS)
         self.observe(evidence.SURVIVED_RATIO, 'survived')
@@ -91,10 +98,10 @@
         self.observe(evidence.OVERDUE_RATIO, 'overdue')
 
     def on_outcome(self, outcome: MeshOutcome, seconds: float) -> None:
-        """Take in how a request ended.
+        """Record the evidence of a request's end.
 
-        :param outcome: what came of it.
-        :param seconds: how long the target had it.
+        :param outcome: how it ended.
+        :param seconds: how long the target took.
         """
         match outcome.reason:
             case None:
@@ -111,10 +118,11 @@
                 )
 
     def observe(self, likelihood_ratio: float, sign: str) -> None:
-        """Take in evidence.
+        """Record one piece of evidence and log a change of trust.
 
-        :param ratio: how much likelier it is from a sick target.
-        :param sign: its name in the log.
+        :param likelihood_ratio: how many times likelier it is from a sick
+            target than from a well one.
+        :param sign: name of the evidence in the log.
         """
         risk = self._estimate.observe(likelihood_ratio)
         trusted = risk <= MAX_TRUSTED_RISK
--- a/src/clementinedeal/mesh/_metrics.py
+++ b/src/clementinedeal/mesh/_metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms, kept plain and rendered on demand."""
+"""Counters, latency histograms and gauges of a mesh daemon."""
 
 import bisect
 import collections
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
 
+# Upper bounds of the histogram buckets.
 BUCKET_BOUNDS_SECONDS = (
     0.001,
     0.0025,
@@ -26,8 +27,10 @@
 )
 _PREFIX = 'clementinedeal_'
 
+# Label values, in the order of the label names below.
 Labels: TypeAlias = tuple[str, ...]
 
+# Name: (help text, label names).
 _COUNTERS = {
     'requests': (
         'Requests finished at this entry.',
@@ -50,10 +53,13 @@
 
 
 class DaemonMetrics:
-    """What a daemon counts; gauges are read when they are rendered."""
+    """Metrics of one daemon, in plain containers until they are scraped.
+
+    ``gauges`` holds a function for each gauge, called at each scrape.
+    """
 
     def __init__(self) -> None:
-        """Start at zero."""
+        """Create metrics that are all zero."""
         self._counts: dict[str, collections.Counter[Labels]] = {
             name: collections.Counter() for name in _COUNTERS
         }
@@ -67,17 +73,17 @@
     def count(self, name: str, *labels: str) -> None:
         """Add one to a counter.
 
-        :param name: its name.
-        :param labels: in the order of its declaration.
+        :param name: a key of ``_COUNTERS``.
+        :param labels: label values, in the order of the label names.
         """
         self._counts[name][labels] += 1
 
     def observe(self, name: str, seconds: float, *labels: str) -> None:
         """Add an observation to a histogram.
 
-        :param name: its name.
-        :param seconds: what was observed.
-        :param labels: in the order of its declaration.
+        :param name: a key of ``_HISTOGRAMS``.
+        :param seconds: the observed time.
+        :param labels: label values, in the order of the label names.
         """
         buckets = self._buckets[name].get(labels)
         if buckets is None:
@@ -87,8 +93,9 @@
         self._sums[name, labels] += seconds
 
     def render(self) -> bytes:
-        """Return everything in the Prometheus text format."""
-        # imported at the first scrape: it would delay the start by a fifth
+        """Return all metrics in the Prometheus text format."""
+        # imported at the first scrape: at the start of the process the import
+        # would make the start a fifth longer
         from prometheus_client import (  # noqa: PLC0415
             CollectorRegistry,
             generate_latest,
@@ -99,7 +106,7 @@
         return generate_latest(registry)
 
     def collect(self) -> Iterable['Metric']:
-        """Yield the metrics, as prometheus_client's collectors do."""
+        """Yield the metrics; called by prometheus_client's registry."""
         from prometheus_client.core import (  # noqa: PLC0415
             CounterMetricFamily,
             GaugeMetricFamily,
@@ -131,6 +138,7 @@
 
 
 def _accumulate(buckets: list[int]) -> list[tuple[str, int]]:
+    """Return upper bounds with cumulative counts, as Prometheus wants them."""
     total = 0
     rows = []
     for bound, count in zip(BUCKET_BOUNDS_SECONDS, buckets, strict=True):
--- a/src/clementinedeal/mesh/_outcomes.py
+++ b/src/clementinedeal/mesh/_outcomes.py
@@ -1,4 +1,4 @@
-"""What daemons tell each other of one attempt."""
+"""Attempts and their outcomes, as entries and owners exchange them."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,13 +11,18 @@
 
 
 class MeshAttempt(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """One try of a request at one target, as the entry asks for it.
-
-    ``left`` is the time to the deadline in seconds, ``rank`` the account's
-    and the route's priority. ``wait`` is how long it may queue, in seconds;
-    ``insist`` asks a suspect target all the same, ``scout`` offers the
-    request as a trial of one. ``spare`` tells that a failure can still be made
-    good at another target.
+    """One attempt of a request at one target, as its entry asks the owner.
+
+    ``attempt`` is the attempt's id, ``target`` the target's name. ``left`` is
+    the time until the deadline, ``objective`` the latency objective and
+    ``wait`` how long the attempt may queue, all in seconds. ``account`` is the
+    client account, empty if there is none; ``caller`` is the service of the
+    instance where the request came in. ``rank`` holds the priorities of account
+    and route.
+
+    Three flags matter for a suspect target. ``insist``: the attempt runs there
+    all the same. ``scout``: it may be used as a trial. ``spare``: a failure can
+    be retried at another target, so it may be used as a trial, less often.
     """
 
     attempt: str
@@ -38,10 +43,11 @@
 class TargetCondition(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True
 ):
-    """What an owner says of its target with each answer.
+    """The condition of a target, which its owner sends with each outcome.
 
-    ``risk`` is the probability that it is sick; ``wait`` the expected time
-    in the queue in seconds.
+    ``risk`` is the probability that the target is sick. ``running`` and
+    ``waiting`` count attempts, ``slots`` is how many may run at once. ``wait``
+    is the expected time in the queue, in seconds.
     """
 
     risk: float
@@ -52,7 +58,11 @@
 
 
 class OutcomeHeader(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """The part of an outcome that travels beside the target's answer."""
+    """The part of an outcome that an owner sends as a header of its answer.
+
+    ``verdict`` and ``reason`` are the values of the enums; ``reason`` is empty
+    if the target answered without a failure.
+    """
 
     verdict: str
     reason: str
@@ -63,10 +73,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MeshOutcome:
-    """How an attempt ended.
+    """How an attempt, or the whole request, ended.
 
-    ``status`` is 0 unless the target answered; then ``headers`` and ``body``
-    are its whole answer. ``reached`` tells that a byte went to the target.
+    ``verdict`` says whether the request ran. ``reason`` is None if the target
+    answered without a failure. ``reached`` is True if a byte was sent to the
+    target. ``retry_after`` is in seconds. ``status`` is 0 unless the target
+    answered; ``headers`` and ``body`` are then its whole answer. ``state`` is
+    the condition of the target, if known.
     """
 
     verdict: Verdict
@@ -80,17 +93,18 @@
 
     @property
     def succeeded(self) -> bool:
-        """Whether the target answered without a failure."""
+        """True if the target answered without a failure."""
         return self.reason is None
 
 
 @dataclass(eq=False, slots=True)
 class PendingAttempt:
-    """An attempt under way, as far as its entry knows.
+    """A running attempt, as its entry knows it.
 
-    ``sent`` is set before the first byte goes out that may run at a target.
-    From ``overdue_at``, in monotonic seconds, it may be left for another
-    attempt if ``may_break_off`` allows that.
+    ``sent`` is set before the first byte is sent that can make the request run
+    at a target. From ``overdue_at``, in monotonic seconds, the entry calls
+    ``reserve_retry`` with the time and, if that returns True, cancels
+    ``cancel_scope`` and retries.
     """
 
     cancel_scope: trio.CancelScope
@@ -102,16 +116,19 @@
 def not_run(
     reason: Reason, state: TargetCondition | None = None
 ) -> MeshOutcome:
-    """Return the outcome of an attempt that no target saw.
+    """Return the outcome of an attempt that did not reach a target.
 
-    :param reason: why.
-    :param state: what the owner says of its target.
+    :param reason: why it did not run.
+    :param state: the condition of the target, if known.
     """
     return MeshOutcome(verdict=Verdict.NOT_RUN, reason=reason, state=state)
 
 
 def encode_outcome_header(outcome: MeshOutcome) -> bytes:
-    """Encode what travels beside the answer, as a header value."""
+    """Encode an outcome as a header value.
+
+    :param outcome: its status, headers and body are not included.
+    """
     fields = OutcomeHeader(
         verdict=outcome.verdict.value,
         reason=outcome.reason.value if outcome.reason else '',
@@ -125,6 +142,7 @@
 def decode_outcome_header(blob: bytes) -> OutcomeHeader:
     """Decode a header value.
 
-    :raises msgspec.MsgspecError: it is none.
+    :param blob: the value of the header.
+    :raises msgspec.MsgspecError: it is not an encoded outcome.
     """
     return msgspec.json.decode(blob, type=OutcomeHeader)
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -1,4 +1,4 @@
-"""Answers for the one target beside this daemon."""
+"""The owner of the target on this daemon's instance."""
 
 from dataclasses import dataclass
 
@@ -22,19 +22,22 @@
 from clementinedeal.mesh._target_client import BufferedRequest, TargetClient
 from clementinedeal.mesh._types import Target
 
-# A refused connection means a target that is down; asked again after this.
+# A refused connection means that the target is down; it is tried again after
+# this time.
 DOWN_RETRY_SECONDS = 0.3
-# A forward whose connection broke is kept this long for the entry to ask.
+# An attempt whose connection broke keeps running for this long, so that its
+# entry can ask for the outcome on a new connection.
 RECONNECT_SECONDS = 0.25
-# An entry sends the body of a request at once when it is wanted.
+# An entry sends the body at once when the owner has a slot; later it is lost.
 BODY_TIMEOUT_SECONDS = 0.3
+# Slots assumed until the target is listed.
 DEFAULT_SLOTS = 7
 _FAILURE_STATUS = 500
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MeshOwnerParts:
-    """What an owner works with."""
+    """Collaborators of an owner; ``nursery`` runs the attempts."""
 
     clock: Clock
     events: EventLog
@@ -45,10 +48,15 @@
 
 
 class MeshOwner:
-    """Admits, runs and remembers attempts at one target."""
+    """Accepts, runs and remembers the attempts at one target.
+
+    The owner is the daemon on the target's instance and the only one that calls
+    it. An attempt may wait in its queue for a slot; one that it cannot run is
+    refused with a reason, and the entry then tries another target.
+    """
 
     def __init__(self, parts: MeshOwnerParts) -> None:
-        """Start without a target.
+        """Create an owner without a target.
 
         :param parts: its collaborators.
         """
@@ -65,18 +73,18 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether an attempt waits or runs, connected to its entry or not."""
+        """Whether an attempt waits or runs, even if its connection broke."""
         return bool(self._live_executions)
 
     @property
     def most_urgent_rank(self) -> Rank | None:
-        """Rank of the most urgent request that the target works on."""
+        """Rank of the most urgent running request, None if none runs."""
         return min(self._running_ranks, default=None)
 
     def set_target(self, target: Target | None) -> None:
-        """Believe what is listed of the target from now on.
+        """Replace what is known of the target.
 
-        :param target: None if there is none, or it is gone.
+        :param target: the listed target, None if there is none.
         """
         former = self.target
         self.target = target
@@ -92,17 +100,17 @@
         self.slot_queue.fill_free_slots()
 
     def stop_admitting(self) -> None:
-        """Begin nothing any more, and send elsewhere what waits here."""
+        """Refuse new attempts and the queued ones, which go elsewhere."""
         self._is_stopping = True
         self._cancel_queued()
 
     def cancel_running(self) -> None:
-        """Give up what still runs, so that its entries hear of it."""
+        """Cancel what still runs, so that its entries get an outcome."""
         for execution in self._live_executions:
             execution.cancel_scope.cancel()
 
     def target_condition(self) -> TargetCondition:
-        """Return what entries should know of the target."""
+        """Return the target's condition, for entries."""
         slot_queue = self.slot_queue
         return TargetCondition(
             risk=round(self.health.risk, 3),
@@ -117,10 +125,12 @@
         attempt: MeshAttempt,
         message: BufferedRequest | None,
     ) -> Execution | None:
-        """Start an attempt; None if one of its name was here before.
+        """Start an attempt.
 
         :param attempt: what the entry asks for.
-        :param message: the request; None if it is sent when wanted.
+        :param message: the request, None if the entry sends it when there is
+            a slot.
+        :return: the started attempt, None if its id is known already.
         """
         execution = Execution(
             attempt,
@@ -134,7 +144,9 @@
         return execution
 
     def abandon(self, execution: Execution) -> None:
-        """Give up what nobody waits for, unless it must run to its end.
+        """Cancel an attempt that nobody waits for.
+
+        A request that is not idempotent and has reached the target runs on.
 
         :param execution: the attempt.
         """
@@ -142,7 +154,7 @@
             execution.cancel_scope.cancel()
 
     async def abandon_later(self, execution: Execution) -> None:
-        """Give up an attempt unless its entry asks for it again.
+        """Cancel an attempt, unless its entry asks for it again in time.
 
         :param execution: the attempt whose connection broke.
         """
@@ -151,11 +163,12 @@
             self.abandon(execution)
 
     async def _run(self, execution: Execution) -> None:
+        """Run an attempt to its end, then set its outcome and log it."""
         try:
             with execution.cancel_scope:
                 execution.outcome = await self._execute(execution)
         except Exception:
-            # the other attempts of the process go on
+            # one attempt's failure must not end the others of the process
             log.exception(
                 'event=attempt-failed req=%s',
                 execution.attempt.req_id,
@@ -178,6 +191,7 @@
         self._record_end(execution, execution.outcome)
 
     async def _execute(self, execution: Execution) -> MeshOutcome:
+        """Refuse an attempt, or wait for a slot and call the target."""
         attempt = execution.attempt
         ignore_risk = attempt.insist or self.health.claim_trial(attempt)
         refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
@@ -215,7 +229,7 @@
         )
 
     async def _wait_for_slot(self, attempt: MeshAttempt) -> bool:
-        """Wait for a slot; False if there was none in time."""
+        """Wait for a slot; False if there is none within ``attempt.wait``."""
         acquired = False
         queued_at = self._parts.clock.now()
         with trio.move_on_after(attempt.wait) as scope:
@@ -236,10 +250,10 @@
     def _refusal_reason(
         self, attempt: MeshAttempt, *, ignore_risk: bool
     ) -> Reason | None:
-        """Return why an attempt may not start now, if it may not.
+        """Return why an attempt may not start now, None if it may.
 
         :param attempt: what the entry asks for.
-        :param passes: whether it goes to a suspect target all the same.
+        :param ignore_risk: whether it may go to a suspect target.
         """
         target = self.target
         if self._is_stopping or (target is not None and target.draining):
@@ -252,6 +266,7 @@
         return None if is_allowed else Reason.TARGET_EJECTED
 
     async def _call_target(self, execution: Execution) -> MeshOutcome:
+        """Wait for the body if it is missing, then call the target."""
         attempt = execution.attempt
         if execution.message is None:
             execution.body_wanted.set()
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -1,4 +1,7 @@
-"""Decides the attempts of one request, without sockets or clocks."""
+"""Decides the attempts of one request, without input or output of its own.
+
+The sender carries out the steps of a plan and reports their outcomes to it.
+"""
 
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
@@ -8,33 +11,36 @@
 from clementinedeal.mesh._outcomes import MeshOutcome
 from clementinedeal.mesh._types import RouteRule, Target
 
-# Refusals after which the request queues or insists; each is a round trip.
+# Each refusal by an owner costs a round trip. After this many, the request
+# queues at a busy target or insists on a suspect one.
 MAX_REFUSALS = 8
-# A request queues for no longer than its objective in all: what is left must
-# suffice for the work, and who leaves a queue for another loses its place.
+# Total time in queues, as a fraction of the latency objective: the time left
+# must suffice for the work. A request that moves to another queue starts at its
+# end.
 MAX_QUEUE_FRACTION = 1.0
 MIN_QUEUE_SECONDS = 0.1
-# An idempotent request that has no answer after this share of its objective
-# is given up for another target, if enough time is left there.
+# An idempotent request without an answer after this fraction of its objective
+# is abandoned for another target, if at least the second fraction remains for
+# the second attempt.
 OVERDUE_FRACTION = 1.3
 MIN_SECOND_ATTEMPT_FRACTION = 0.7
-# Targets that a request is queued at, one after the other.
+# How many targets a request may queue at, one after the other.
 MAX_QUEUES = 3
-# With less time left than this share of the objective no repeat is begun.
+# No retry is started with less than this fraction of the objective left.
 MIN_RETRY_TIME_FRACTION = 0.15
-# A request that no target takes is held for this share of its objective: a
-# caller that is refused sooner loses less than by waiting.
+# A request that no target accepts is held for this fraction of its objective,
+# then refused: an early refusal costs the caller less than a long wait.
 HOLD_FRACTION = 0.12
 HOLD_PAUSE_SECONDS = 0.1
-# Callers are told to come back after this share of the objective.
+# Retry-After for refused callers, as a fraction of the objective.
 RETRY_AFTER_FRACTION = 0.4
 
 
 class RetryTokens(Protocol):
-    """Bounds repeats."""
+    """Limits how many retries this daemon sends."""
 
     def take(self) -> bool:
-        """Spend one repeat if there is one."""
+        """Take a token for one retry; False if there is none."""
         ...
 
 
@@ -42,9 +48,10 @@
 class SendStep:
     """Send the request to a target.
 
-    ``wait`` is how long it may queue there, in seconds; ``insist``, ``scout``
-    and ``spare`` as in an attempt. Without an answer after ``patience``
-    seconds the attempt is given up if another may follow.
+    Without an answer after ``overdue_after`` seconds the attempt is abandoned,
+    if a retry is possible. ``wait`` is how long it may queue at the target, in
+    seconds. ``insist``, ``scout`` and ``spare`` have the meaning that
+    ``MeshAttempt`` describes.
     """
 
     target: Target
@@ -57,14 +64,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PauseStep:
-    """Wait, then ask for the next step."""
+    """Wait for some seconds, then ask the plan for the next step."""
 
     seconds: float
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FinishStep:
-    """The request ends with this outcome."""
+    """End the request with this outcome."""
 
     outcome: MeshOutcome
 
@@ -73,7 +80,14 @@
 
 
 class Plan:
-    """One request's way to an answer."""
+    """State machine of one request at its entry.
+
+    ``next_step`` and ``on_outcome`` alternate until a ``FinishStep``. A target
+    that received the request is not tried again. A request that has run or may
+    have run is retried only if its route is idempotent. A new attempt costs a
+    retry token if a target has received the request, but none after refusals by
+    owners alone.
+    """
 
     def __init__(
         self,
@@ -83,13 +97,13 @@
         retry_tokens: RetryTokens,
         deadline: float,
     ) -> None:
-        """Begin a request.
+        """Create a plan without attempts.
 
-        :param route: its rule.
-        :param service: the part of the route that it goes to.
-        :param balancer: orders targets.
-        :param budget: bounds repeats.
-        :param deadline: when its answer is due, monotonic seconds.
+        :param route: the rule that the request matched.
+        :param service: the service that it goes to.
+        :param balancer: ranks the targets of the service.
+        :param retry_tokens: limits retries.
+        :param deadline: when the answer is due, monotonic seconds.
         """
         self._route = route
         self._service = service
@@ -109,7 +123,7 @@
         self._queue_until: float | None = None
 
     def next_step(self, now: float) -> Step:
-        """Return what to do next.
+        """Return the next step.
 
         :param now: monotonic time in seconds.
         """
@@ -130,10 +144,10 @@
         return step
 
     def on_outcome(self, target: str, outcome: MeshOutcome) -> None:
-        """Take in how an attempt ended.
+        """Record the outcome of the last attempt.
 
-        :param target: its target.
-        :param outcome: its outcome.
+        :param target: name of its target.
+        :param outcome: how it ended.
         """
         if outcome.reached:
             self._reached_targets.add(target)
@@ -151,9 +165,13 @@
             self._last_outcome = outcome if outcome.reached else None
 
     def reserve_retry(self, now: float) -> bool:
-        """Whether the attempt under way may be left for another; pays for it.
+        """Take a retry token so that the running attempt may be abandoned.
+
+        The token is taken once per attempt, and only if enough time is left
+        and another target is expected to have a free slot.
 
         :param now: monotonic time in seconds.
+        :return: whether the attempt may be abandoned.
         """
         seconds_left = self._deadline - now
         if seconds_left < MIN_RETRY_TIME_FRACTION * self._route.objective:
@@ -166,9 +184,9 @@
         return self._has_reserved_token
 
     def conclude(self, reason: Reason) -> MeshOutcome:
-        """Return how the request ends if nothing more is tried.
+        """Return the outcome of the request if it is not tried again.
 
-        :param reason: why nothing is, for a request that has not run.
+        :param reason: why it is refused, for a request that has not run.
         """
         if self._last_outcome is not None and self._may_have_run():
             return self._last_outcome
@@ -190,7 +208,7 @@
         return not self._route.idempotent
 
     def _may_retry(self, seconds_left: float) -> bool:
-        """Whether another target may see the request; pays for it once."""
+        """Whether a retry may be sent; takes its token once."""
         if len(self._reached_targets) >= self._route.max_targets:
             return False
         if seconds_left < MIN_RETRY_TIME_FRACTION * self._route.objective:
@@ -218,13 +236,17 @@
     def _choose_fallback(
         self, ranked: list[Target], now: float, seconds_left: float
     ) -> Step:
-        """Try a suspect target, queue at a busy one, else insist."""
+        """Return the step for a request that every target has refused.
+
+        A suspect target is tried once as a trial, then the request queues at
+        busy targets, then it insists on a suspect one.
+        """
         full = self._targets_refused_for(ranked, Reason.QUEUE_FULL)
         busy = [one for one in full if one.name not in self._queued_targets]
         suspect = self._targets_refused_for(ranked, Reason.TARGET_EJECTED)
         if busy and suspect and not self._has_scouted:
-            # the suspect's slots are missed: whether it is well is worth one
-            # request in each pause that its owner keeps between trials
+            # the other targets are full, so the suspect's slots are needed:
+            # its owner accepts one request per interval as a trial
             self._has_scouted = True
             overdue_after = self._overdue_after(seconds_left)
             return SendStep(
@@ -253,13 +275,13 @@
         return self._hold(now)
 
     def _queue_seconds(self, now: float) -> float:
-        """Return how long the request may still queue."""
+        """Return how long the request may still queue, in seconds."""
         if self._queue_until is None:
             self._queue_until = now + MAX_QUEUE_FRACTION * self._route.objective
         return self._queue_until - now
 
     def _overdue_after(self, seconds_left: float) -> float:
-        """Return how long to wait for one target, in seconds."""
+        """Return after how many seconds an attempt is overdue."""
         may_retry = len(self._reached_targets) + 1 < self._route.max_targets
         if not (self._route.idempotent and may_retry):
             return seconds_left
@@ -279,7 +301,7 @@
         return [one for one in ranked if self._refusals.get(one.name) is reason]
 
     def _hold(self, now: float) -> Step:
-        """Begin again after a pause, for a while."""
+        """Return a pause before another round, or the end of the request."""
         if self._hold_until is None:
             hold = HOLD_FRACTION * self._route.objective
             self._hold_until = min(now + hold, self._deadline)
--- a/src/clementinedeal/mesh/_rate_limiter.py
+++ b/src/clementinedeal/mesh/_rate_limiter.py
@@ -1,4 +1,9 @@
-"""Client accounts' rates and bursts, counted by one home daemon each."""
+"""Rate limits of client accounts.
+
+Each account has one home, the daemon that counts its requests. Other daemons
+ask the home for a token by datagram, before they accept a request. While the
+home does not answer, each daemon enforces an equal share of the rate.
+"""
 
 import itertools
 from collections.abc import Callable, Collection
@@ -14,55 +19,62 @@
 from clementinedeal.mesh._settings import Bounds
 from clementinedeal.mesh._types import ClientAccount
 
-# A home answers within a round trip between zones, about 1 ms; a datagram
-# may be lost, so it is sent once more.
+# A round trip between availability zones takes about 1 ms. A datagram may be
+# lost, so a request without a reply is sent once more.
 REPLY_TIMEOUT_SECONDS = 0.03
 MAX_SENDS = 2
-# A home that did not answer is not asked again for this long.
+# A home that did not reply is not asked again for this long.
 SILENT_HOME_SECONDS = 0.5
-# The operators' tolerance is for errors of either side: half of it spares
-# callers at the edge of their rate a wrongful refusal, half is left for homes
-# that change or restart.
+# Fraction of the operators' tolerance that homes grant on top of the declared
+# limits, so that callers close to their rate are not refused wrongly. The rest
+# covers homes that change or restart, whose buckets start full again.
 USED_TOLERANCE_FRACTION = 0.5
-# A refused caller is told to come back no sooner and no later.
+# Bounds of the Retry-After that refused callers get.
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 2.0
 
 
 class TokenRequest(msgspec.Struct, frozen=True, array_like=True, tag='draw'):
-    """Asks an account's home for the right to one request."""
+    """Asks the home of an account for one token.
+
+    ``number`` identifies the request, for the reply to it.
+    """
 
     number: int
     account: str
 
 
 class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag='grant'):
-    """A home's answer; ``pause`` is 0 or the seconds to wait."""
+    """A home's reply to the request ``number``.
+
+    ``pause`` is 0 if the token is granted, else the seconds after which the
+    caller should retry.
+    """
 
     number: int
     pause: float
 
 
 class Datagrams(Protocol):
-    """Sends small messages to other daemons; some are lost."""
+    """Sends small messages to other daemons; delivery is not guaranteed."""
 
     async def send(self, host: str, body: msgspec.Struct) -> None:
         """Send a message.
 
-        :param host: IP number of the other daemon.
+        :param host: IP address of the other daemon.
         :param body: the message.
         """
         ...
 
 
 class TokenBucket:
-    """Tokens of one account, or of a share of it."""
+    """Token bucket of one account, or of one daemon's share of it."""
 
     def __init__(self, rate: float, burst: float, now: float) -> None:
-        """Start full.
+        """Create a full bucket.
 
-        :param rate: tokens a second.
-        :param burst: most tokens saved up.
+        :param rate: tokens added per second.
+        :param burst: capacity in tokens; at least 1 is used.
         :param now: monotonic time in seconds.
         """
         self._rate = rate
@@ -71,9 +83,11 @@
         self._refilled_at = now
 
     def take(self, now: float) -> float:
-        """Spend one token; return 0, or the seconds until there is one.
+        """Take one token.
 
         :param now: monotonic time in seconds.
+        :return: 0 if a token was taken, else the seconds to wait, within
+            ``MIN_RETRY_AFTER_SECONDS`` and ``MAX_RETRY_AFTER_SECONDS``.
         """
         tokens = self._tokens + self._rate * max(0, now - self._refilled_at)
         self._tokens = min(self._burst, tokens)
@@ -87,10 +101,10 @@
         )
 
     def set_limits(self, rate: float, burst: float) -> None:
-        """Take over another rate and burst.
+        """Change rate and capacity; tokens above the capacity are dropped.
 
-        :param rate: tokens a second.
-        :param burst: most tokens saved up.
+        :param rate: tokens added per second.
+        :param burst: capacity in tokens; at least 1 is used.
         """
         self._rate = rate
         self._burst = max(1, burst)
@@ -98,10 +112,11 @@
 
 
 def find_home(account: str, hosts: Collection[str]) -> str:
-    """Return the host that counts an account, by rendezvous hashing.
+    """Return the home of an account, by rendezvous hashing.
 
     :param account: name of the account.
-    :param hosts: IP numbers of the daemons.
+    :param hosts: IP addresses of the daemons.
+    :return: IP address of the home, empty if there are no daemons.
     """
     return max(
         hosts,
@@ -111,7 +126,11 @@
 
 
 class AccountRateLimiter:
-    """Grants requests within the rate and burst of their account."""
+    """Enforces rate and burst of each account over the whole fleet.
+
+    This daemon is the home of some accounts: their tokens are counted here,
+    also for other daemons.
+    """
 
     def __init__(
         self,
@@ -122,14 +141,14 @@
         events: EventLog,
         bounds: Bounds,
     ) -> None:
-        """Start with nothing spent.
+        """Create a limiter with full buckets.
 
-        :param host: IP number of this instance.
-        :param hosts: IP numbers of all instances.
-        :param datagrams: to the homes.
+        :param host: IP address of this instance.
+        :param hosts: returns the IP addresses of all instances.
+        :param datagrams: sends messages to other daemons.
         :param clock: monotonic time.
-        :param events: hears of homes that do not answer.
-        :param bounds: the operators' tolerance.
+        :param events: log of refusals and of homes that do not reply.
+        :param bounds: by how much an account may exceed its limits.
         """
         self._limit_factor = 1 + USED_TOLERANCE_FRACTION * bounds.allowance_over
         self._extra_burst = USED_TOLERANCE_FRACTION * bounds.allowance_slack
@@ -147,9 +166,9 @@
         self._reply_events: dict[int, trio.Event] = {}
 
     def set_catalog(self, catalog: Catalog) -> None:
-        """Count by another declaration from now on.
+        """Apply the limits of another declaration.
 
-        :param catalog: the declaration.
+        :param catalog: the indexed declaration.
         """
         self._accounts = catalog.accounts_by_name
         self._share_buckets.clear()
@@ -160,10 +179,12 @@
             bucket.set_limits(*self._tolerated_limits(account))
 
     async def take(self, account: ClientAccount, req_id: str) -> float:
-        """Return 0 if granted, else after how many seconds to come back.
+        """Take one token of an account; an account without a rate has no limit.
 
-        :param account: whose request it is.
-        :param req_id: id of the request.
+        :param account: the account that the request counts against.
+        :param req_id: id of the request, for the log.
+        :return: 0 if the request is allowed, else the seconds after which
+            the caller should retry.
         """
         if not account.rate:
             return 0
@@ -195,9 +216,9 @@
     async def on_message(
         self, host: str, body: TokenRequest | TokenReply
     ) -> None:
-        """Answer another daemon's draw, or take in a home's answer.
+        """Reply to another daemon's request, or deliver a home's reply.
 
-        :param host: the sender.
+        :param host: IP address of the sender.
         :param body: the message.
         """
         if isinstance(body, TokenRequest):
@@ -237,12 +258,12 @@
         return bucket.take(now)
 
     def _tolerated_limits(self, account: ClientAccount) -> tuple[float, float]:
-        """Return the rate and burst that a home grants."""
+        """Return the rate and burst that a home grants, with tolerance."""
         rate = account.rate * self._limit_factor
         return rate, account.burst * self._limit_factor + self._extra_burst
 
     def _take_from_share(self, account: ClientAccount) -> float:
-        """Count alone while the home is silent: this daemon's equal share."""
+        """Take a token of this daemon's equal share, if the home is silent."""
         now = self._clock.now()
         daemon_count = max(1, len(self._hosts()))
         bucket = self._share_buckets.get(account.name)
--- a/src/clementinedeal/mesh/_retry_tokens.py
+++ b/src/clementinedeal/mesh/_retry_tokens.py
@@ -1,20 +1,31 @@
-"""This daemon's share of the fleet's budget of repeats."""
+"""Limits the retries of this daemon.
+
+The operators bound retries over the whole fleet. Each daemon enforces an equal
+part of that bound by itself.
+"""
 
 from clementinedeal._timers import Clock
 from clementinedeal.mesh._settings import Bounds
 
-# A repeated request repeats its own calls, which count as well.
+# Fraction of the operators' bound that is used. A retried request repeats the
+# calls that its target makes, and they count as retries, too.
 USED_BUDGET_FRACTION = 0.6
+# Capacity of the bucket in tokens, at least; also its level at the start.
 MIN_CAPACITY = 1.0
 
 
 class RetryTokenBucket:
-    """Token bucket of one service: a share of its requests plus slack."""
+    """Token bucket for the retries of one service.
+
+    Each request adds a fraction of a token, and a constant rate adds this
+    daemon's part of the operators' slack. ``daemon_count`` is the number of
+    daemons in the fleet; ``retries_taken`` counts the tokens taken.
+    """
 
     def __init__(self, bounds: Bounds, clock: Clock) -> None:
-        """Start with nothing saved up.
+        """Create a bucket with the smallest capacity.
 
-        :param bounds: the fleet's budget.
+        :param bounds: the operators' bound on retries over the fleet.
         :param clock: monotonic time.
         """
         self._bounds = bounds
@@ -25,13 +36,13 @@
         self.retries_taken = 0
 
     def add_request(self) -> None:
-        """Earn a share of a repeat by a first send."""
+        """Add the fraction of a token that a new request earns."""
         self._refill()
         self._tokens += self._bounds.retry_ratio * USED_BUDGET_FRACTION
         self._limit_to_capacity()
 
     def take(self) -> bool:
-        """Spend one repeat if there is one."""
+        """Take a token for one retry; False if there is none."""
         self._refill()
         if self._tokens < 1:
             return False
@@ -40,6 +51,7 @@
         return True
 
     def _slack_share(self) -> float:
+        """Return this daemon's part of the slack per window, in tokens."""
         return (
             self._bounds.retry_slack
             * USED_BUDGET_FRACTION
@@ -50,7 +62,7 @@
         now = self._clock.now()
         elapsed = now - self._refilled_at
         self._refilled_at = now
-        # half is earned over the window, half may be saved up
+        # half of the slack is added over each window, half may accumulate
         self._tokens += (
             self._slack_share() / 2 * elapsed / self._bounds.retry_window
         )
--- a/src/clementinedeal/mesh/_slots.py
+++ b/src/clementinedeal/mesh/_slots.py
@@ -1,4 +1,4 @@
-"""The slots of one target and the queue before them."""
+"""The slots of one target and the queue for them."""
 
 import heapq
 import itertools
@@ -7,16 +7,17 @@
 
 import trio
 
+# Priorities of the account and of the route; the lowest rank goes first.
 Rank: TypeAlias = tuple[int, int]
 
-# Weight of the newest service time in the running mean.
+# Weight of the newest service time in the exponential moving average.
 NEWEST_WEIGHT = 0.1
 INITIAL_SERVICE_SECONDS = 0.5
 
 
 @dataclass(order=True, slots=True)
 class Waiter:
-    """One request in the queue; the lowest rank goes first."""
+    """One request in the queue, ordered by rank, then by arrival."""
 
     rank: Rank
     sequence: int
@@ -25,10 +26,13 @@
 
 
 class SlotQueue:
-    """Admits as many requests at once as the target has slots."""
+    """Lets as many requests run at once as the target has slots.
+
+    ``running`` may exceed ``slots`` after the number of slots has decreased.
+    """
 
     def __init__(self, slots: int) -> None:
-        """Start with all slots free.
+        """Create a queue with all slots free.
 
         :param slots: requests that the target runs at once.
         """
@@ -40,17 +44,18 @@
 
     @property
     def waiting(self) -> int:
-        """Requests in the queue."""
+        """Number of requests in the queue."""
         return sum(not waiter.cancelled for waiter in self._waiting)
 
     def has_free_slot(self) -> bool:
-        """Whether a request would start at once."""
+        """Whether a new request would start at once."""
         return self.running < self.slots and not self.waiting
 
     def expected_wait(self, rank: Rank) -> float:
-        """Estimate the wait of one more request, in seconds.
+        """Estimate how long a new request would wait, in seconds.
 
-        :param rank: requests of a lower or equal rank go before it.
+        :param rank: its rank; queued requests of a lower or equal rank go
+            before it.
         """
         if self.has_free_slot():
             return 0
@@ -66,9 +71,10 @@
         )
 
     async def acquire(self, rank: Rank) -> None:
-        """Wait for a slot.
+        """Wait for a slot and take it.
 
-        :param rank: the lowest goes first.
+        :param rank: rank of the request.
+        :raises trio.Cancelled: no slot is held then.
         """
         if self.has_free_slot():
             self.running += 1
@@ -86,7 +92,7 @@
     def release(self, seconds: float | None = None) -> None:
         """Give a slot back.
 
-        :param seconds: how long the target worked, if it did.
+        :param seconds: the target's service time, None if it was not called.
         """
         if seconds is not None:
             change = seconds - self.mean_service_seconds
@@ -95,7 +101,7 @@
         self.fill_free_slots()
 
     def fill_free_slots(self) -> None:
-        """Let waiting requests start while there are free slots."""
+        """Give free slots to waiting requests."""
         while self._waiting and self.running < self.slots:
             waiter = heapq.heappop(self._waiting)
             if not waiter.cancelled:
--- a/src/clementinedeal/mesh/_stop.py
+++ b/src/clementinedeal/mesh/_stop.py
@@ -1,4 +1,4 @@
-"""A planned stop: what was read is answered before the process ends."""
+"""Graceful stop: every request that was read is answered before the end."""
 
 from dataclasses import dataclass
 
@@ -11,20 +11,20 @@
 from clementinedeal.mesh._owner import MeshOwner
 from clementinedeal.mesh._sender import Sender
 
-# Callers see that the daemon takes no new work at the second ready check
-# that fails, one a second; until then it serves as before.
+# Callers check readiness once a second and turn away after two failures. Until
+# then the daemon serves requests as before.
 NOTICE_SECONDS = 2.5
-# Kept before the platform kills the process: for the tasks to end and for the
-# interpreter, which takes 0.05 s of a whole core.
+# Time kept before the platform kills the process: for the tasks to end, and for
+# the exit of the interpreter, which takes 0.05 s of CPU time.
 KILL_MARGIN_SECONDS = 0.4
-# Kept before that for the last answers to be written and read.
+# Time kept before that for the last answers to be written and read.
 LAST_ANSWERS_SECONDS = 0.2
 FINISH_POLL_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class StopParts:
-    """What a stop ends: ``callers`` is one of the ``servers``."""
+    """What a stop acts on; ``caller_server`` is one of the ``servers``."""
 
     clock: Clock
     events: EventLog
@@ -36,17 +36,23 @@
 
 
 class PlannedStop:
-    """Takes a daemon out of service."""
+    """Takes a daemon out of service, in three phases.
+
+    First the daemon reports that it is not ready and still serves callers, but
+    from other targets than its own. Then it refuses new requests and waits for
+    the running ones. What still runs at the end is cancelled and answered as
+    possibly run.
+    """
 
     def __init__(self, parts: StopParts) -> None:
         """Create a stop that has not begun.
 
-        :param parts: what it ends.
+        :param parts: what it acts on.
         """
         self._parts = parts
 
     async def run(self, grace: float) -> None:
-        """Return when the process may end.
+        """Stop the daemon; returns when the process may end.
 
         :param grace: seconds from now until the process is killed.
         """
@@ -60,31 +66,34 @@
         if not await self._wait_finished(answered_by):
             self._emit_load('drain-overdue', started)
             self._cancel_running()
-            # a loop that was held up still gets its time for the answers
+            # an event loop that was blocked still gets time for the answers
             extended = self._parts.clock.now() + LAST_ANSWERS_SECONDS
             await self._wait_finished(max(ends_at, extended))
         self._emit_load('drain-ended', started)
 
     def _start_draining(self) -> None:
-        """Take no work for the target, close connections after answers."""
+        """Accept no work for the target, close connections after answers."""
         self._parts.sender.keep_overdue()
         self._parts.owner.stop_admitting()
         for server in self._parts.servers:
             server.drain()
 
     def _refuse_new_work(self) -> None:
-        """Begin nothing that the end might cut."""
+        """Refuse new requests: the end of the process would cut them."""
         self._parts.admission.is_closing = True
         self._parts.sender.cancel_unsent()
         self._parts.caller_server.close_idle()
 
     def _cancel_running(self) -> None:
-        """Answer what still runs: that it may have run is all that is known."""
+        """Cancel what still runs; it is answered as possibly run."""
         self._parts.sender.cancel_all()
         self._parts.owner.cancel_running()
 
     async def _wait_finished(self, until: float) -> bool:
-        """Wait until nothing is under way; False if time runs out first."""
+        """Wait until nothing runs; False if time runs out first.
+
+        :param until: when to stop waiting, monotonic seconds.
+        """
         seconds_left = max(0, until - self._parts.clock.now())
         with trio.move_on_after(seconds_left):
             while True:
@@ -98,7 +107,7 @@
         return is_serving or self._parts.owner.is_busy
 
     def _emit_load(self, name: str, started: float) -> None:
-        """Tell how many requests a stop finds, or leaves."""
+        """Log how many requests are running and waiting."""
         slot_queue = self._parts.owner.slot_queue
         self._parts.events.emit(
             name,
--- a/src/clementinedeal/mesh/_target_feed.py
+++ b/src/clementinedeal/mesh/_target_feed.py
@@ -1,4 +1,8 @@
-"""Follows the registry: all targets cheaply, the own one closely."""
+"""Follows the target registry.
+
+The whole list is polled, which is cheap and may lag. The own target, the one on
+this instance, is watched, because its owner must act on changes quickly.
+"""
 
 import trio
 
@@ -9,23 +13,24 @@
 from clementinedeal.mesh._owner import MeshOwner
 from clementinedeal.mesh._types import Listing, Target
 
-# Cheap lists, which may lag, are asked for at this rate, and for longer
-# lists no faster than a budget for control traffic allows.
+# Least time between two reads of the list. A long list is read less often, by
+# the approximate size of its targets, so that control traffic stays within its
+# limit.
 LIST_INTERVAL_SECONDS = 1.0
 BYTES_PER_TARGET = 310
 MAX_LIST_BYTES_PER_SECOND = 10_000
-# The own target's entry changes at each heartbeat; a watch that comes back
-# is renewed after this pause, well within the bound for leaving targets.
+# The own target's entry changes at each heartbeat. After a change the watch is
+# renewed with a pause, well within the bound for noticing that a target leaves.
 OWN_WATCH_TIMEOUT_SECONDS = 5.0
 OWN_PAUSE_SECONDS = 1.0
 RETRY_SECONDS = 0.25
-# Entries that lapsed while the registry was away are back this long after
-# its return, if their target lives.
+# Entries expire while the registry is unreachable. Targets that still run are
+# registered again within this time after it is back.
 REREGISTRATION_SECONDS = 2.3
 
 
 class TargetFeed:
-    """Tells the balancer and the owner what is listed."""
+    """Passes the listed targets to the balancer, the own one to the owner."""
 
     def __init__(
         self,
@@ -35,13 +40,13 @@
         clock: Clock,
         events: EventLog,
     ) -> None:
-        """Start without targets.
+        """Create a feed without targets.
 
-        :param registry: where they are listed.
-        :param balancer: chooses among them.
-        :param owner: answers for the own one.
+        :param registry: lists the targets.
+        :param balancer: receives all listed targets.
+        :param owner: receives the own target.
         :param clock: monotonic time.
-        :param events: hears of changes and outages.
+        :param events: log of changes and outages.
         """
         self._registry = registry
         self._balancer = balancer
@@ -58,13 +63,13 @@
 
     @property
     def hosts(self) -> frozenset[str]:
-        """IP numbers of the instances with a listed target."""
+        """IP addresses of the instances with a listed target."""
         return self._hosts
 
     async def follow_list(self, own_address: str) -> None:
-        """Follow the whole list until cancelled.
+        """Poll the whole list until cancelled.
 
-        :param own_address: ``ip:port`` of the target beside this daemon.
+        :param own_address: ``ip:port`` of the target on this instance.
         """
         while True:
             try:
@@ -83,7 +88,7 @@
             )
 
     async def follow_own(self) -> None:
-        """Follow the own target's entry until cancelled."""
+        """Watch the own target's entry until cancelled."""
         while True:
             await self._own_listed.wait()
             own = self._own
@@ -115,7 +120,8 @@
         if target is not None:
             self._set_own(target)
             return
-        # entries lapse while the registry is away: the living come back
+        # the entry may have expired while the registry was unreachable: give a
+        # running target time to register again
         wait = self._restored_at + REREGISTRATION_SECONDS - self._clock.now()
         if wait > 0:
             await trio.sleep(wait)
@@ -134,7 +140,7 @@
         now = self._clock.now()
         targets = dict(listing.targets)
         if now < self._restored_at + REREGISTRATION_SECONDS:
-            # what is listed no more may only have lapsed
+            # a missing entry may only have expired: keep the former targets
             targets = {**self._targets, **targets}
         self._targets = targets
         self._hosts = frozenset(one.host for one in targets.values())
@@ -142,6 +148,7 @@
         self._find_own(listing, own_address)
 
     def _find_own(self, listing: Listing, own_address: str) -> None:
+        """Follow the newest process that is listed at the own address."""
         own = [
             one
             for one in listing.targets.values()
--- a/src/clementinedeal/mesh/_types.py
+++ b/src/clementinedeal/mesh/_types.py
@@ -1,4 +1,4 @@
-"""What a mesh daemon knows of the fleet: frozen data, no behaviour."""
+"""Data classes of the fleet: targets, routes, accounts and declarations."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -8,9 +8,11 @@
 class Target:
     """One running process of a service, as the registry lists it.
 
-    ``warmup`` is for how many seconds it stays slow after its start;
-    ``started_ms`` the Unix time of that start, which tells two runs under
-    one name apart.
+    ``address`` is ``ip:port``. ``slots`` is how many requests it may run at
+    once. A ``draining`` target accepts no new requests. ``warmup`` is for how
+    many seconds it is still slow after its start. ``started_ms`` is the Unix
+    time of that start in milliseconds, which distinguishes two processes of the
+    same name.
     """
 
     name: str
@@ -24,13 +26,13 @@
 
     @property
     def host(self) -> str:
-        """IP number of the instance that the target stands on."""
+        """IP address of the instance that the target runs on."""
         return self.address.rpartition(':')[0]
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WeightedService:
-    """A service's share of a route's requests."""
+    """A service and the weight with which a route chooses it."""
 
     service: str
     weight: float
@@ -41,8 +43,10 @@
     """How requests to one host and path prefix are served.
 
     Times are in seconds: ``timeout`` bounds the wait for an answer,
-    ``objective`` is the latency aimed at. ``max_targets`` bounds how many
-    targets may run one request. Priority 0 is the most urgent.
+    ``objective`` is the latency objective. ``weighted_services`` are the
+    services to choose from, at least one. An ``idempotent`` request may run
+    more than once. ``max_targets`` bounds how many targets may run one request.
+    Priority 0 is the most urgent. A ``public`` route needs no API key.
     """
 
     name: str
@@ -59,7 +63,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ClientAccount:
-    """A client account; a rate of 0 is no limit."""
+    """A client account.
+
+    ``keys`` are its API keys. Priority 0 is the most urgent. ``rate`` is in
+    requests per second, 0 for no limit; ``burst`` is in requests.
+    """
 
     name: str
     keys: tuple[str, ...] = field(repr=False)
@@ -70,7 +78,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RequestLimits:
-    """Bounds on what a caller may send; sizes in bytes, times in seconds."""
+    """Limits on what a caller may send; sizes in bytes, times in seconds."""
 
     head_bytes: int = 16_384
     body_bytes: int = 8_388_608
@@ -80,7 +88,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Declaration:
-    """One whole version of what operators declare."""
+    """One complete version of the operators' configuration."""
 
     version: int
     routes: tuple[RouteRule, ...]
@@ -91,11 +99,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeclarationUpdate:
-    """What a read or watch of the declarations brought.
+    """Result of a read or watch of the declarations.
 
-    ``revision`` is the source's own, to go on from; ``published`` that of
-    the newest declaration found, 0 if there is none; ``declaration`` is None
-    if none was found or it cannot be read.
+    ``revision`` is the source's revision from which to continue.
+    ``published_revision`` is that of the newest declaration found, 0 if there
+    is none. ``declaration`` is None if none was found or it cannot be decoded.
     """
 
     revision: int
@@ -105,7 +113,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Listing:
-    """The targets that the registry listed at one revision."""
+    """The targets that the registry listed at one revision, by name."""
 
     revision: int
     targets: Mapping[str, Target]
@@ -113,7 +121,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetUpdate:
-    """What a watch on one target brought; None: it is listed no more."""
+    """Result of a read or watch of one target.
+
+    ``revision`` is the registry's revision from which to continue. If
+    ``changed``, ``target`` is the new entry, None if it is no longer listed.
+    """
 
     revision: int
     changed: bool = False
--- a/tests/test_mesh_background_task.py
+++ b/tests/test_mesh_background_task.py
@@ -1,4 +1,4 @@
-"""Daemons go on whatever others send or write."""
+"""Daemons survive unreadable input and exceptions in background tasks."""
 
 import socket
 
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -1,4 +1,4 @@
-"""Attempts that come twice, late or after they were forbidden."""
+"""Attempts that arrive twice, late or after they were forbidden."""
 
 import msgspec
 import pytest
@@ -43,7 +43,7 @@
 
 
 class Origin:
-    """Counts runs and takes a while for each."""
+    """Counts the runs at the target and takes 50 ms for each."""
 
     def __init__(self):
         self.runs = 0
--- a/tests/test_mesh_health.py
+++ b/tests/test_mesh_health.py
@@ -1,4 +1,4 @@
-"""The estimate of a target's health."""
+"""The estimated probability that a target is sick."""
 
 from clementinedeal._timers import VirtualClock
 from clementinedeal.mesh import _health as evidence
--- a/tests/test_mesh_idle_limit.py
+++ b/tests/test_mesh_idle_limit.py
@@ -1,4 +1,4 @@
-"""Targets that forget resting connections."""
+"""Targets that drop idle connections without closing them."""
 
 import socket
 import struct
@@ -25,7 +25,7 @@
 
 
 class ForgetfulTarget:
-    """Answers, and resets what comes on a connection that rested."""
+    """Answers requests, but resets those on a connection idle for too long."""
 
     answer = (
         b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -1,4 +1,4 @@
-"""The plan of attempts: what is tried, repeated and given up."""
+"""The plan of attempts: what is tried, retried and abandoned."""
 
 import random
 
@@ -68,7 +68,7 @@
 
 
 def run(plan, outcomes, now=0.0):
-    """Feed outcomes to the tries of a plan; return the tries and the end."""
+    """Answer each attempt with an outcome; return the attempts and the end."""
     steps = []
     pending = list(outcomes)
     while True:
--- a/tests/test_mesh_rate_limiter.py
+++ b/tests/test_mesh_rate_limiter.py
@@ -1,4 +1,4 @@
-"""Rates and bursts counted by home daemons."""
+"""Rate limits of client accounts, counted by home daemons."""
 
 import random
 
@@ -27,7 +27,7 @@
 
 
 class Network:
-    """Hands datagrams over at once, or loses them."""
+    """Delivers datagrams at once, or drops them."""
 
     def __init__(self):
         self.limiters = {}
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -1,4 +1,4 @@
-"""Planned stops of whole daemons under their callers."""
+"""Graceful stops of whole daemons while requests run."""
 
 import contextlib
 import dataclasses
@@ -61,7 +61,7 @@
     for target in fleet.targets:
         target.mode = 'hang'
     async with trio.open_nursery() as nursery:
-        # a request that runs on keeps the daemon up
+        # a request that still runs keeps the daemon from ending
         nursery.start_soon(fleet.send, 0, '/open/1', b'')
         await trio.sleep(0.2)
         fleet.daemons[0].stop()
@@ -117,13 +117,13 @@
     await fleet.daemons[0]._stop.run(fleet.settings[0].bounds.stop_seconds)
     left = fleet.settings[0].bounds.stop_seconds - (trio.current_time() - begun)
     nursery.cancel_scope.cancel()
-    # a round of the loop may end it late
+    # one pass of the event loop may delay the end
     assert left > KILL_MARGIN_SECONDS - 0.1
 
 
 @pytest.fixture
 async def hanging_fleet(fleet, monkeypatch):
-    """A fleet of one slot at a target that hangs, with short stops."""
+    """A fleet with one slot, at a target that hangs, and with short stops."""
     fleet.targets[1].mode = 'hang'
     monkeypatch.setattr(_stop, 'NOTICE_SECONDS', SHORT_NOTICE_SECONDS)
     set_times(fleet, LONG_SECONDS, LONG_SECONDS / 2)
@@ -169,7 +169,7 @@
 
 @contextlib.asynccontextmanager
 async def sending(fleet, *asked):
-    """Send requests one after the other; what is left at the end is cut."""
+    """Start requests 0.2 s apart; those without an answer are cancelled."""
     found = {}
     async with trio.open_nursery() as nursery:
         for number, path in asked:
@@ -202,7 +202,7 @@
 
 
 async def test_a_late_call_of_a_target_is_refused_and_not_cut(hanging_fleet):
-    # a request that runs on keeps the daemon up
+    # a request that still runs keeps the daemon from ending
     async with sending(hanging_fleet, (0, '/book/long')) as found:
         hanging_fleet.daemons[0].stop()
         await trio.sleep(SHORT_NOTICE_SECONDS + 0.2)
@@ -335,7 +335,7 @@
         await trio.sleep(0.1)
         (trying,) = sender._running_attempts
         left = trying.overdue_at - short_objective_fleet.daemons[0]._clock.now()
-        # between two looks at what is overdue
+        # between two checks for overdue attempts
         await trio.sleep(left - 0.002)
         short_objective_fleet.daemons[0].stop()
     assert found['/look/slow'] == (200, None)
