Rename a few more names of views, permits and their tests

No behaviour changes. Each line: file, old name, new name.

src/clementinedeal/_target_tracker.py TargetTracker.restart reset_to src/clementinedeal/_permits.py PermitHolder._note_leaving _update_leaving src/clementinedeal/_views.py FleetView.on_platform_root.asked root_read src/clementinedeal/_views.py _version _root_version tests/test_views.py fresh fresh_names tests/test_permits.py Fleet.lives last_incarnation tests/test_permits.py Fleet.mail in_transit

--- a/src/clementinedeal/_ejection.py
+++ b/src/clementinedeal/_ejection.py
@@ -155,7 +155,7 @@
             state = tracker.state
             if state is not TargetState.LEAVING:
                 state = TargetState.IN_USE
-            actions.extend(tracker.restart(state, now))
+            actions.extend(tracker.reset_to(state, now))
         return actions
 
     def on_leaving(self, target: str, now: float) -> list[Action]:
@@ -179,7 +179,7 @@
         tracker = self._trackers.get(target)
         if tracker is None:
             return []
-        return list(tracker.restart(TargetState.SLOW_START, now))
+        return list(tracker.reset_to(TargetState.SLOW_START, now))
 
     def set_fresh(self, fresh: bool, now: float) -> None:
         """Tell whether this daemon's view is fresh.
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -150,7 +150,7 @@
         granted = False
         if self._is_owner(sender, body):
             self._peers.set_traffic(body.target, body.traffic, now)
-            self._note_leaving(body)
+            self._update_leaving(body)
             granted = self._grant_or_return(body, now)
         if not body.wants and not body.compares:
             return []
@@ -211,7 +211,7 @@
             return False
         return self._cfg.targets[report.target].instance == sender
 
-    def _note_leaving(self, report: TargetReport) -> None:
+    def _update_leaving(self, report: TargetReport) -> None:
         if report.leaving:
             self._leaving.add(report.target)
         else:
--- a/src/clementinedeal/_target_tracker.py
+++ b/src/clementinedeal/_target_tracker.py
@@ -146,7 +146,7 @@
         self._permit.drop(now)
         return self._leave_ejection(TargetState.IN_USE, now)
 
-    def restart(self, state: TargetState, now: float) -> list[TargetChange]:
+    def reset_to(self, state: TargetState, now: float) -> list[TargetChange]:
         """Drop the permit and all evidence.
 
         :param state: the state to be in, not an ejected one.
--- a/src/clementinedeal/_views.py
+++ b/src/clementinedeal/_views.py
@@ -108,10 +108,10 @@
         :param now: monotonic seconds.
         """
         state = self._state
-        asked = state.schedule.on_root(now, started=self.config is not None)
-        if asked is not None:
-            version = asked.after if blob is None else _version(blob)
-            state.freshness.on_contact(version, asked.sent_at, now)
+        root_read = state.schedule.on_root(now, started=self.config is not None)
+        if root_read is not None:
+            version = root_read.after if blob is None else _root_version(blob)
+            state.freshness.on_contact(version, root_read.sent_at, now)
         if blob is None:
             return []
         return state.apply_changes(
@@ -190,6 +190,6 @@
         ]
 
 
-def _version(blob: bytes) -> int:
+def _root_version(blob: bytes) -> int:
     outcome = read_root(blob)
     return outcome.unwrap().version if outcome.is_ok() else 0
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -92,8 +92,8 @@
         self.cuts: set[tuple[int, int]] = set()
         self.faulty: set[int] = set()
         self.leaving: set[int] = set()
-        self.mail: list[tuple[float, int, int, bytes]] = []
-        self.lives = 0
+        self.in_transit: list[tuple[float, int, int, bytes]] = []
+        self.last_incarnation = 0
         cfg = make_config(1, floor, frozenset(range(SIZE)))
         self.versions = [Version(cfg, self.now - SETTLED_SECONDS)]
         self.fleet = [self.boot(number) for number in range(SIZE)]
@@ -101,7 +101,7 @@
         self.advance(30.0)
 
     def boot(self, number: int) -> Daemon:
-        self.lives += 1
+        self.last_incarnation += 1
         offset = self.rng.choice((0.0, 1000.0, -50.0))
         usable = [one for one in self.versions if one.is_fresh(self.now)]
         version = self.rng.choice(usable)
@@ -109,7 +109,7 @@
             f'i{number}',
             version.cfg,
             self.now + offset,
-            incarnation=self.lives,
+            incarnation=self.last_incarnation,
         )
         return Daemon(version, manager, offset)
 
@@ -259,18 +259,18 @@
             for _ in range(copies):
                 due = self.now + self.rng.choice(DELAYS[self.mode])
                 blob = encode((action.body,))
-                self.mail.append((due, sender, number, blob))
+                self.in_transit.append((due, sender, number, blob))
 
     def deliver(self) -> None:
         while True:
             due = [
                 one
-                for one in self.mail
+                for one in self.in_transit
                 if one[0] <= self.now and self.fleet[one[2]].paused_at is None
             ]
             if not due:
                 return
-            self.mail = [one for one in self.mail if one not in due]
+            self.in_transit = [one for one in self.in_transit if one not in due]
             self.rng.shuffle(due)
             for _, sender, number, blob in due:
                 daemon = self.fleet[number]
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -61,7 +61,7 @@
     return {view.config.version if view.config else 0 for view in views}
 
 
-def fresh(fleet, names=NAMES):
+def fresh_names(fleet, names=NAMES):
     return [
         name for name in names if fleet.processes[name].view.is_fresh(fleet.now)
     ]
@@ -164,7 +164,7 @@
         self.publish(valid=True)
         self.run(IN_FORCE_SECONDS)
         assert versions(self.fleet) == {self.newest}
-        assert fresh(self.fleet) == NAMES
+        assert fresh_names(self.fleet) == NAMES
         self.fleet.platform.freeze(0)
         self.fleet.platform.freeze(1)
         self.fleet.start(name)
@@ -203,8 +203,8 @@
     fleet.run(FRESH_SECONDS)
     split(fleet, NAMES[:size])
     fleet.run(FRESH_SECONDS)
-    assert not fresh(fleet, NAMES[:size])
-    assert fresh(fleet, NAMES[size:]) == NAMES[size:]
+    assert not fresh_names(fleet, NAMES[:size])
+    assert fresh_names(fleet, NAMES[size:]) == NAMES[size:]
 
 
 def test_even_halves_without_platform_are_not_fresh():
@@ -212,7 +212,7 @@
     fleet.platform.is_up = False
     split(fleet, NAMES[: SIZE // 2])
     fleet.run(2 * FRESH_SECONDS)
-    assert not fresh(fleet)
+    assert not fresh_names(fleet)
 
 
 def test_majority_without_platform_stays_fresh():
@@ -222,9 +222,9 @@
     fleet.platform.publish(publication(2))
     fleet.run(2 * FRESH_SECONDS)
     assert versions(fleet, side) == {1}
-    assert fresh(fleet, side) == side
+    assert fresh_names(fleet, side) == side
     assert versions(fleet, NAMES[:3]) == {2}
-    assert fresh(fleet) == NAMES
+    assert fresh_names(fleet) == NAMES
 
 
 def test_platform_outage_of_an_hour_keeps_all_fresh():
@@ -233,11 +233,11 @@
     fleet.platform.is_up = False
     for _ in range(60):
         fleet.run(60)
-        assert fresh(fleet) == NAMES
+        assert fresh_names(fleet) == NAMES
     fleet.start(NAMES[0])
     fleet.run(START_SECONDS)
     assert versions(fleet) == {1}
-    assert fresh(fleet) == NAMES
+    assert fresh_names(fleet) == NAMES
 
 
 def test_lost_announcements_are_repaired_by_pulls():
@@ -320,10 +320,10 @@
     fleet.network.cuts = {(peer, name) for peer in NAMES}
     fleet.platform.cut_off = {name}
     fleet.resume(name)
-    assert fresh(fleet, [name]) == []
+    assert fresh_names(fleet, [name]) == []
     fleet.network.cuts, fleet.platform.cut_off = set(), set()
     fleet.run(IN_FORCE_SECONDS)
-    assert fresh(fleet) == NAMES
+    assert fresh_names(fleet) == NAMES
     after = fleet.processes[name].view.incarnation(name)
     assert before != after == fleet.processes[peer].view.incarnation(name)
 
@@ -336,7 +336,7 @@
     for _ in range(int(2 * FRESH_SECONDS)):
         view.on_message(NAMES[1], Announcement(VersionRef(2, 'd')), fleet.now)
         fleet.run(1)
-    assert fresh(fleet, [name]) == []
+    assert fresh_names(fleet, [name]) == []
 
 
 @pytest.mark.parametrize('seed', range(5))
@@ -384,10 +384,10 @@
     fleet.network.cuts = set()
     fleet.run(2 * START_SECONDS)
     assert versions(fleet) == {1}
-    assert NAMES[0] in fresh(fleet)
+    assert NAMES[0] in fresh_names(fleet)
     fleet.platform.cut_off = set()
     fleet.run(FRESH_SECONDS)
-    assert fresh(fleet) == NAMES
+    assert fresh_names(fleet) == NAMES
 
 
 def test_restart_does_not_go_back_to_what_a_stale_platform_shows():
@@ -403,4 +403,4 @@
         fleet.run(START_SECONDS)
         assert fleet.processes[name].versions == [2]
     assert versions(fleet) == {2}
-    assert fresh(fleet) == NAMES
+    assert fresh_names(fleet) == NAMES
