--- a/src/clementinedeal/_borrowed_permit.py
+++ b/src/clementinedeal/_borrowed_permit.py
@@ -1,4 +1,4 @@
-"""The permit that an owner has borrowed, and its reports under way."""
+"""The permit that an owner has borrowed, and its pending reports."""
 
 import enum
 from collections import OrderedDict
@@ -6,11 +6,16 @@
 from clementinedeal._permit_messages import PermitAnswer
 from clementinedeal._permits import LEASE_SECONDS
 
+# Bounds the memory for reports that are never answered.
 MAX_PENDING_REPORTS = 32
 
 
 class PermitReply(enum.Enum):
-    """What an answer means to the owner that receives it."""
+    """What an answer means to the owner that receives it.
+
+    ``VOID`` answers no pending report and has no effect. ``BASELINE`` only
+    brings a baseline. ``GRANTED`` and ``REFUSED`` decide about the permit.
+    """
 
     VOID = 'void'
     BASELINE = 'baseline'
@@ -19,16 +24,17 @@
 
 
 class BorrowedPermit:
-    """Knows until when a permit surely holds.
+    """Keeps until when an owner may use a permit.
 
-    The lease runs from the time at which the request was sent, which is
-    before the holder began to count it.
+    The lease runs from the time at which the report that asked for it was
+    sent. This is before the holder started to count the lease, so it never
+    ends later here than at the holder.
     """
 
     def __init__(self, incarnation: int, now: float) -> None:
         """Start without a permit.
 
-        :param incarnation: tells this life of the owner from others.
+        :param incarnation: distinguishes this run of the owner from others.
         :param now: monotonic time in seconds.
         """
         self.incarnation = incarnation
@@ -37,17 +43,17 @@
         self._expires_at = now
 
     def is_held(self, now: float) -> bool:
-        """Return whether the permit surely holds.
+        """Return whether the permit is valid.
 
         :param now: monotonic time in seconds.
         """
         return now < self._expires_at
 
     def on_report(self, wants: bool, now: float) -> None:
-        """Note a report that is being sent.
+        """Record a report that is being sent.
 
-        :param wants: whether it asks for a permit; else it gives back.
-        :param now: its sending time in monotonic seconds.
+        :param wants: whether it asks for the permit; if not, it returns it.
+        :param now: sending time of the report in monotonic seconds.
         """
         if not wants:
             self.drop(now)
@@ -56,7 +62,7 @@
             self._pending_reports.popitem(last=False)
 
     def drop(self, now: float) -> None:
-        """Stop using the permit; answers under way become void.
+        """Stop using the permit and ignore answers to earlier reports.
 
         :param now: monotonic time in seconds.
         """
@@ -64,9 +70,9 @@
         self._expires_at = now
 
     def on_answer(self, answer: PermitAnswer, now: float) -> PermitReply:
-        """Take in an answer.
+        """Handle an answer and return what it means.
 
-        :param answer: what the holder says.
+        :param answer: the permit holder's answer.
         :param now: monotonic time in seconds.
         """
         wanted = self._pending_reports.get(answer.sent_at)
--- a/src/clementinedeal/_cusum.py
+++ b/src/clementinedeal/_cusum.py
@@ -1,4 +1,4 @@
-"""Cumulative sums of log-likelihood ratios (sequential tests)."""
+"""Cumulative sums (CUSUM) of log-likelihood ratios for sequential tests."""
 
 import math
 from collections.abc import Sequence
@@ -7,15 +7,19 @@
 
 @dataclass(frozen=True, slots=True)
 class BinaryLogRatios:
-    """Log-likelihood ratios of a yes-or-no observation, in nats."""
+    """Log-likelihood ratios of an observation that is a hit or a miss.
+
+    A hit is the event that is counted, such as a failed request. Both ratios
+    are in nats; a positive one is evidence that the target is unhealthy.
+    """
 
     hit: float
     miss: float
 
     def ratio_of(self, hit: bool) -> float:
-        """Return the ratio of one observation.
+        """Return the log-likelihood ratio of one observation, in nats.
 
-        :param hit: whether it was a hit.
+        :param hit: whether the observation was a hit.
         """
         return self.hit if hit else self.miss
 
@@ -24,10 +28,12 @@
 
 
 def binary_log_ratios(null: float, alternative: float) -> BinaryLogRatios:
-    """Return the ratios for two shares of hits; none if they don't part.
+    """Return the log-likelihood ratios of a hit and a miss.
 
-    :param null: share of hits of a healthy target.
-    :param alternative: share of hits of a sick one.
+    Both are zero if an unhealthy target has no more hits than a healthy one.
+
+    :param null: fraction of hits of a healthy target, between 0 and 1.
+    :param alternative: fraction of hits of an unhealthy target.
     """
     if alternative <= null:
         return ZERO_LOG_RATIOS
@@ -41,24 +47,29 @@
     null: Sequence[float],
     alternative: Sequence[float],
 ) -> tuple[float, ...]:
-    """Return the log-likelihood ratio of each class of observation.
+    """Return the log-likelihood ratio of each class of observation, in nats.
 
     :param null: probability of each class for a healthy target.
-    :param alternative: the same for a sick one.
+    :param alternative: probability of each class for an unhealthy target.
     """
     pairs = zip(null, alternative, strict=True)
     return tuple(math.log(unhealthy / healthy) for healthy, unhealthy in pairs)
 
 
 class Cusum:
-    """One-sided cumulative sum that never falls below zero."""
+    """One-sided cumulative sum of evidence that never falls below zero.
+
+    ``score`` is the sum in nats. ``onset_at`` is when the score last rose to
+    ``onset_level``, in monotonic seconds.
+    """
 
     __slots__ = ('onset_level', 'score', 'onset_at')
 
     def __init__(self, onset_level: float, now: float) -> None:
         """Start at zero.
 
-        :param level: score above which the start of evidence is dated.
+        :param onset_level: score in nats; ``onset_at`` moves with each
+            observation while the score is below it.
         :param now: monotonic time in seconds.
         """
         self.onset_level = onset_level
@@ -68,8 +79,8 @@
     def add(self, log_ratio: float, now: float) -> None:
         """Add one observation.
 
-        :param weight: its log-likelihood ratio in nats.
-        :param now: when it was made.
+        :param log_ratio: its log-likelihood ratio in nats.
+        :param now: when it was made, in monotonic seconds.
         """
         if self.score < self.onset_level:
             self.onset_at = now
@@ -77,6 +88,9 @@
         self.score = score if score > 0 else 0.0
 
     def clear(self, now: float) -> None:
-        """Forget all evidence."""
+        """Reset the score to zero.
+
+        :param now: monotonic time in seconds.
+        """
         self.score = 0.0
         self.onset_at = now
--- a/src/clementinedeal/_detector.py
+++ b/src/clementinedeal/_detector.py
@@ -1,4 +1,4 @@
-"""Sequential detection of a sick target from its owner's own traffic."""
+"""Sequential detection of an unhealthy target from its owner's requests."""
 
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
@@ -23,13 +23,30 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DetectorSettings:
-    """Hypotheses and threshold of the tests.
-
-    ``threshold`` is in nats. ``tolerance`` is how many times slower than
-    its peers a healthy target may be. The shares tell a healthy target
-    (``null``) from one that fails mostly, partly, or answers wrongly.
-    ``hang_factor`` times the highest latency class makes a request in
-    flight count as failed; ``hang_seconds`` does where peers are unknown.
+    """Hypotheses and thresholds of the sequential tests.
+
+    :param threshold_nats: evidence at which a target is unhealthy.
+    :param suspect_fraction: fraction of the threshold from which a target is
+        suspected.
+    :param max_slowdown: how many times slower than its peers a healthy
+        target may be.
+    :param healthy_failure_fraction: fraction of failed requests, 0 to 1, that
+        is expected of a healthy target.
+    :param failing_failure_fraction: the same for a target that mostly fails.
+    :param partly_failing_failure_fraction: the same for a target that fails
+        in part.
+    :param healthy_corruption_fraction: fraction of corrupt answers, 0 to 1,
+        that is expected of a healthy target.
+    :param wrong_corruption_fraction: the same for a target that answers
+        wrongly.
+    :param peer_factor: a target may have this many times the failures and
+        corruptions of its peers.
+    :param hang_factor: a request in flight counts as failed once it is this
+        many times older than the lower bound of the highest latency class.
+    :param default_hang_seconds: age from which a request in flight counts as
+        failed while no baseline is known.
+    :param max_baseline_age_seconds: latencies are compared with a baseline
+        only up to this age.
     """
 
     threshold_nats: float = 18.0
@@ -47,12 +64,18 @@
 
 
 class Detector:
-    """Judges one target by cumulative log-likelihood ratios."""
+    """Concludes the health of one target from the requests sent to it.
+
+    Each kind of fault (failing, partly failing, wrong answers, slowness) has
+    its own cumulative sum of log-likelihood ratios (CUSUM). The expected
+    values come from the settings and, once known, from the baseline, which
+    is the median traffic of the service's other targets.
+    """
 
     def __init__(self, cfg: DetectorSettings, now: float) -> None:
         """Start without evidence and without a baseline.
 
-        :param cfg: hypotheses and threshold.
+        :param cfg: hypotheses and thresholds of the tests.
         :param now: monotonic time in seconds.
         """
         self._cfg = cfg
@@ -76,12 +99,13 @@
         self._set_hypotheses(None)
 
     def on_outcome(self, outcome: RequestOutcome, now: float) -> None:
-        """Take in the end of one request.
+        """Add the evidence of one request that ended.
 
-        Shed load is no evidence, nor is a request that was in flight when
-        this process was paused.
+        Shed load is no evidence, and neither is a request that started
+        before the last reset, since a pause of this process may have
+        delayed it.
 
-        :param outcome: how it ended.
+        :param outcome: how the request ended.
         :param now: monotonic time in seconds.
         """
         if outcome.kind is OutcomeKind.REFUSED:
@@ -102,16 +126,20 @@
     def on_inflight(self, started: Sequence[float]) -> None:
         """Replace the list of requests in flight.
 
-        Those that began before the last reset are no evidence.
+        Requests that started before the last reset are no evidence.
 
-        :param started: monotonic times in seconds of their start.
+        :param started: start times of the requests in monotonic seconds.
         """
         self._in_flight_starts = tuple(started)
 
     def on_baseline(self, baseline: Baseline | None, now: float) -> None:
-        """Take in what the peers do; standing evidence is judged anew by it.
+        """Set the baseline that the target is compared with.
 
-        :param baseline: the peers' traffic, if enough of them are known.
+        The evidence of a target that is suspected or unhealthy is computed
+        again from its latest samples, with the new baseline.
+
+        :param baseline: median of the peers' traffic, None if too few peers
+            are known.
         :param now: monotonic time in seconds.
         """
         suspected = not isinstance(self.health(now), Healthy)
@@ -122,7 +150,7 @@
             self._recompute(now)
 
     def reset(self, now: float) -> None:
-        """Forget all evidence, as after a pause or a change of the target.
+        """Discard all evidence, for example after a pause or a restart.
 
         :param now: monotonic time in seconds.
         """
@@ -132,7 +160,7 @@
             cusum.clear(now)
 
     def health(self, now: float) -> Health:
-        """Return the verdict on all evidence, with what is overdue now.
+        """Return the verdict on all evidence, including overdue requests.
 
         :param now: monotonic time in seconds.
         """
@@ -148,7 +176,7 @@
         return Healthy()
 
     def traffic(self, now: float) -> Traffic:
-        """Summarise recent traffic for the peers.
+        """Summarise the recent requests for the permit holder.
 
         :param now: monotonic time in seconds.
         """
@@ -171,7 +199,11 @@
         yield Cause.SLOW, self._slow_cusum.score + self._overdue_evidence(now)
 
     def _is_confirmed(self, cause: Cause) -> bool:
-        """Whether the peers' samples are as new as the evidence."""
+        """Return whether the baseline is as new as the evidence.
+
+        A slowdown that is newer than the peers' samples may affect the peers
+        as well, so all of these must be newer than its onset.
+        """
         if cause is not Cause.SLOW:
             return True
         if self._baseline is None:
@@ -240,7 +272,7 @@
         return [age for age in self._in_flight_ages(now) if age > limit]
 
     def _overdue_evidence(self, now: float) -> float:
-        """Evidence of requests in flight that are late already."""
+        """Return the evidence of requests in flight that are late, in nats."""
         if self._latency_classes is None:
             return 0.0
         return sum(
--- a/src/clementinedeal/_ejection.py
+++ b/src/clementinedeal/_ejection.py
@@ -1,4 +1,4 @@
-"""Ejection of the targets of one daemon."""
+"""Detection and ejection of unhealthy targets in one daemon."""
 
 from collections.abc import Iterable
 from typing import Any
@@ -21,7 +21,17 @@
 
 
 class EjectionManager:
-    """Owner's side for each owned target, and the holders placed here."""
+    """Ejects unhealthy targets that this daemon owns, and lends permits for it.
+
+    The owner of a target is the daemon beside it and the only one that calls
+    it. An owner may eject a target only while it holds a permit of the
+    target's service, so that ejections never leave fewer targets in use than
+    the service's floor. The permits are lent by the service's permit holder,
+    which may be this daemon too.
+
+    Each input returns the actions to carry out: messages to send and changes
+    of targets. It performs no input or output itself.
+    """
 
     def __init__(
         self,
@@ -32,13 +42,15 @@
         incarnation: int = 0,
         detector_settings: DetectorSettings | None = None,
     ) -> None:
-        """Start with every owned target in use, in a view not fresh yet.
+        """Start with every owned target in use and a view that is not fresh.
 
         :param me: name of this instance.
         :param cfg: the configuration in force.
         :param now: monotonic time in seconds.
-        :param incarnation: tells this life of the daemon from others.
-        :param detection: settings of the detectors.
+        :param incarnation: distinguishes this run of the daemon from others
+            of the same instance.
+        :param detector_settings: settings of the detectors, None for the
+            default.
         """
         self._me = me
         self._incarnation = incarnation
@@ -49,7 +61,10 @@
         self.on_config(cfg, now)
 
     def on_config(self, cfg: Config, now: float) -> list[Action]:
-        """Take a new configuration into force.
+        """Apply a new configuration.
+
+        An ejected target that was published with changes is reinstated, and
+        so are all if the active preset does without ejection.
 
         :param cfg: the configuration.
         :param now: monotonic time in seconds.
@@ -81,9 +96,9 @@
         outcome: RequestOutcome,
         now: float,
     ) -> list[Action]:
-        """Take in the end of a request to an owned target.
+        """Handle the end of a request to an owned target.
 
-        :param target: its name; one that is not owned is ignored.
+        :param target: name of the target; ignored if it is not owned here.
         :param outcome: how the request ended.
         :param now: monotonic time in seconds.
         """
@@ -103,8 +118,8 @@
     ) -> list[Action]:
         """Replace the list of requests in flight at an owned target.
 
-        :param target: its name; one that is not owned is ignored.
-        :param started: monotonic times in seconds of their start.
+        :param target: name of the target; ignored if it is not owned here.
+        :param started: start times of the requests in monotonic seconds.
         :param now: monotonic time in seconds.
         """
         tracker = self._trackers.get(target)
@@ -116,9 +131,9 @@
         )
 
     def on_message(self, sender: str, body: Any, now: float) -> list[Action]:
-        """Take in a report or an answer; other messages are ignored.
+        """Handle a report or a permit answer; other messages are ignored.
 
-        :param sender: name of the instance it came from.
+        :param sender: name of the instance that sent the message.
         :param body: the message.
         :param now: monotonic time in seconds.
         """
@@ -131,7 +146,10 @@
         return list(tracker.on_answer(body, now)) if tracker else []
 
     def on_tick(self, now: float) -> list[Action]:
-        """Let time pass; expected about every 20 ms.
+        """Apply changes and send reports that are due.
+
+        To be called several times a second: the permit holder lends nothing
+        ``MAX_TICK_AGE_SECONDS`` after the last call.
 
         :param now: monotonic time in seconds.
         """
@@ -144,9 +162,12 @@
         return actions
 
     def on_pause(self, gap_seconds: float, now: float) -> list[Action]:
-        """Drop all permits, evidence and grants after a pause.
+        """Discard all evidence and borrowed permits, and stop lending for now.
+
+        To be called after a pause of this process, in which permits may have
+        expired and other views may have changed.
 
-        :param gap: its length in seconds.
+        :param gap_seconds: length of the pause.
         :param now: monotonic time in seconds.
         """
         self._holders.on_pause(now)
@@ -159,9 +180,9 @@
         return actions
 
     def on_leaving(self, target: str, now: float) -> list[Action]:
-        """Act on a target's own drain signal.
+        """Stop using a target that announced that it drains.
 
-        :param target: its name; one that is not owned is ignored.
+        :param target: name of the target; ignored if it is not owned here.
         :param now: monotonic time in seconds.
         """
         tracker = self._trackers.get(target)
@@ -171,9 +192,11 @@
         return self._deliver_local(self._reporter.report_now(tracker, now), now)
 
     def on_restarted(self, target: str, now: float) -> list[Action]:
-        """Begin anew with a target that has just started.
+        """Discard the state of a target that has just started.
+
+        It receives work gradually (slow start).
 
-        :param target: its name; one that is not owned is ignored.
+        :param target: name of the target; ignored if it is not owned here.
         :param now: monotonic time in seconds.
         """
         tracker = self._trackers.get(target)
@@ -182,26 +205,26 @@
         return list(tracker.reset_to(TargetState.SLOW_START, now))
 
     def set_fresh(self, fresh: bool, now: float) -> None:
-        """Tell whether this daemon's view is fresh.
+        """Set whether this daemon's view of the fleet is fresh.
 
-        While it is not, nothing is lent, asked for or renewed here.
+        While it is not, this daemon lends, requests and renews no permits.
 
-        :param fresh: true while it is.
+        :param fresh: whether the view is fresh.
         :param now: monotonic time in seconds.
         """
         self._reporter.is_fresh = fresh
         self._holders.set_fresh(fresh, now)
 
     def set_absent(self, targets: Iterable[str], now: float) -> None:
-        """Tell which targets of any service are known dead or leaving.
+        """Set the targets that are known to be dead or leaving.
 
-        :param targets: their names.
+        :param targets: their names, of any service.
         :param now: monotonic time in seconds.
         """
         self._holders.set_absent(frozenset(targets), now)
 
     def stop(self, now: float) -> list[Action]:
-        """Lend nothing more and tell the holders that the targets leave.
+        """Stop lending and report to the permit holders that targets leave.
 
         :param now: monotonic time in seconds.
         """
@@ -214,22 +237,22 @@
     def state(self, target: str) -> TargetState:
         """Return the state of an owned target.
 
-        :param target: its name.
+        :param target: name of the target.
         :raises KeyError: the target is not owned here.
         """
         return self._trackers[target].state
 
     def usable_fraction(self, target: str, now: float) -> float:
-        """Return the usable share of an owned target's slots, 0 to 1.
+        """Return the usable fraction of an owned target's slots, 0 to 1.
 
-        :param target: its name.
+        :param target: name of the target.
         :param now: monotonic time in seconds.
         :raises KeyError: the target is not owned here.
         """
         return self._trackers[target].usable_fraction(now)
 
     def _tracker_for(self, target: Target, now: float) -> TargetTracker:
-        """Keep the standing of a target unless it was published anew."""
+        """Return the existing tracker unless the published target changed."""
         former = self._trackers.get(target.name)
         if former is not None and former.target == target:
             return former
@@ -238,7 +261,7 @@
         )
 
     def _deliver_local(self, sends: list[Send], now: float) -> list[Action]:
-        """Hand what is for this daemon itself over at once."""
+        """Handle messages to this daemon at once; return all other actions."""
         actions: list[Action] = []
         for send in sends:
             if send.to == self._me:
--- a/src/clementinedeal/_ejection_backoff.py
+++ b/src/clementinedeal/_ejection_backoff.py
@@ -1,17 +1,24 @@
-"""How long a target that was ejected again and again stays out."""
+"""Longer ejections and trials for a target that was ejected repeatedly."""
 
+# Hold after the first ejection, and how often it is doubled at most.
 MIN_HOLD_SECONDS = 5.0
 MAX_DOUBLINGS = 6
+# Time in use after which one ejection no longer counts.
 DECAY_SECONDS = 60.0
+# Requests of the trial after the first ejection, and at most.
 MIN_TRIAL_REQUESTS = 10
 MAX_TRIAL_REQUESTS = 40
 
 
 class EjectionBackoff:
-    """Counts ejections that followed each other closely."""
+    """Counts recent ejections of a target and derives the next hold from them.
+
+    Each ejection or failed trial doubles the hold. In use, the count falls by
+    one every ``DECAY_SECONDS``.
+    """
 
     def __init__(self, now: float) -> None:
-        """Start without any.
+        """Start without ejections.
 
         :param now: monotonic time in seconds.
         """
@@ -20,13 +27,13 @@
 
     @property
     def hold_seconds(self) -> float:
-        """Return how long the target stays out before it is tried."""
+        """Return how long the target stays ejected before its trial."""
         doublings = min(self._ejections - 1, MAX_DOUBLINGS)
         return MIN_HOLD_SECONDS * (1 << max(doublings, 0))
 
     @property
     def trial_requests(self) -> int:
-        """Return how many good answers the target must give first."""
+        """Return how many requests a trial takes before reinstatement."""
         return min(
             MIN_TRIAL_REQUESTS * max(self._ejections, 1), MAX_TRIAL_REQUESTS
         )
@@ -40,7 +47,9 @@
         self._changed_at = now
 
     def on_in_use(self, now: float) -> None:
-        """Forget one ejection for each minute that passes without another.
+        """Decrease the count if ``DECAY_SECONDS`` passed since its last change.
+
+        To be called repeatedly while the target is in use.
 
         :param now: monotonic time in seconds.
         """
--- a/src/clementinedeal/_latency.py
+++ b/src/clementinedeal/_latency.py
@@ -1,26 +1,30 @@
-"""Latency of a target measured by the quantiles of its peers."""
+"""Classes of latency, bounded by quantiles of the peers' latencies."""
 
 from bisect import bisect_left
 
 from clementinedeal._cusum import class_log_ratios
 from clementinedeal._target_health import Baseline
 
-# Classes of latency: below the peers' median, up to their ninth decile, up
-# to that decile squared over the median, above it.
+# There are four classes of latency: up to the peers' median, up to their p90,
+# up to p90 * p90 / median, and above; each bound is multiplied by the slowdown
+# that a healthy target may have. These are the fractions of requests in each
+# class, for a healthy target and for a slow one.
 PEER_CLASS_FRACTIONS = (0.5, 0.39, 0.1, 0.01)
 SLOW_CLASS_FRACTIONS = (0.16, 0.44, 0.31, 0.09)
+# A lower median of the peers is raised to this; 0 could not be divided by.
 MIN_MEDIAN_SECONDS = 0.001
 SLOW_LOG_RATIOS = class_log_ratios(PEER_CLASS_FRACTIONS, SLOW_CLASS_FRACTIONS)
 
 
 class LatencyClasses:
-    """Bounds between the classes of latency, in seconds."""
+    """Sorts latencies into classes and returns their evidence for slowness."""
 
     def __init__(self, baseline: Baseline, max_slowdown: float) -> None:
-        """Derive the bounds from the peers.
+        """Derive the bounds between the classes from the peers' traffic.
 
         :param baseline: recent traffic of the peers.
-        :param tolerance: how many times slower a healthy target may be.
+        :param max_slowdown: how many times slower than its peers a healthy
+            target may be.
         """
         median = max(baseline.p50, MIN_MEDIAN_SECONDS)
         decile = max(baseline.p90, median)
@@ -35,16 +39,19 @@
         return self._bounds[-1]
 
     def log_ratio(self, latency: float) -> float:
-        """Return the evidence for slowness of one answer, in nats.
+        """Return the evidence for slowness in one latency, in nats.
 
-        :param latency: seconds the answer took.
+        :param latency: duration of the request in seconds.
         """
         return SLOW_LOG_RATIOS[bisect_left(self._bounds, latency)]
 
     def overdue_log_ratio(self, age: float) -> float:
-        """Return the evidence of a request in flight, never negative.
+        """Return the evidence for slowness of a request in flight, in nats.
 
-        :param age: seconds since its start.
+        It is never negative: up to the bound of the peers' p90 the request
+        counts as nothing, since it may still end in a higher class.
+
+        :param age: seconds since the request started.
         """
         if age <= self._bounds[1]:
             return 0.0
--- a/src/clementinedeal/_peer_traffic.py
+++ b/src/clementinedeal/_peer_traffic.py
@@ -1,41 +1,49 @@
-"""Recent traffic of a service's targets and the median of the peers."""
+"""Recent traffic of a service's targets and the medians over the peers."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from clementinedeal._target_health import Baseline, Traffic
 
+# Older reports, and reports with fewer samples, don't count in a baseline.
 MAX_REPORT_AGE_SECONDS = 3.0
 MIN_SAMPLES = 4
+# With fewer peers there is no baseline.
 MIN_PEERS = 2
 
 
 @dataclass(frozen=True, slots=True)
 class ReportedTraffic:
-    """Traffic of one target and when it was heard of."""
+    """Traffic of one target and when its report arrived.
+
+    ``received_at`` is in monotonic seconds.
+    """
 
     traffic: Traffic
     received_at: float
 
 
 class PeerTraffic:
-    """What a permit holder was told of the targets of its service."""
+    """Keeps the latest traffic that owners reported to a permit holder."""
 
     def __init__(self) -> None:
-        """Start without any report."""
+        """Start without reports."""
         self._reported: dict[str, ReportedTraffic] = {}
 
     def set_traffic(self, target: str, traffic: Traffic, now: float) -> None:
-        """Remember the newest traffic of a target.
+        """Store the newest traffic of a target.
 
-        :param target: its name.
-        :param traffic: summary by its owner.
+        :param target: name of the target.
+        :param traffic: summary that the owner reported.
         :param now: monotonic time in seconds.
         """
         self._reported[target] = ReportedTraffic(traffic, now)
 
     def prune(self, now: float) -> None:
-        """Forget reports that are too old to be used."""
+        """Discard reports that are too old to be used.
+
+        :param now: monotonic time in seconds.
+        """
         self._reported = {
             target: one
             for target, one in self._reported.items()
@@ -43,9 +51,11 @@
         }
 
     def baseline(self, target: str, now: float) -> Baseline | None:
-        """Return the median of the other targets, if enough are known.
+        """Return the medians over the other targets' recent traffic.
+
+        It is None if fewer than ``MIN_PEERS`` have enough recent samples.
 
-        :param target: the target that is to be compared.
+        :param target: name of the target that is to be compared.
         :param now: monotonic time in seconds.
         """
         peers = [
@@ -78,6 +88,9 @@
     peers: list[ReportedTraffic],
     measure: Callable[[ReportedTraffic], float],
 ) -> float:
-    """Upper median: an even number of peers leans to fewer ejections."""
+    """Return the upper median.
+
+    For an even number of peers it leads to fewer ejections than the lower.
+    """
     measures = sorted(map(measure, peers))
     return measures[len(measures) // 2]
--- a/src/clementinedeal/_permit_holders.py
+++ b/src/clementinedeal/_permit_holders.py
@@ -7,10 +7,14 @@
 
 
 class PermitHolders:
-    """One holder for each service of which this instance owns a target."""
+    """Runs a permit holder for each service of which a target is owned here.
+
+    Only one instance lends permits of a service: ``holder_of`` names it. The
+    holders in other instances lend none.
+    """
 
     def __init__(self, me: str, cfg: Config) -> None:
-        """Start without holders, in a view that is not fresh.
+        """Start without holders and with a view that is not fresh.
 
         :param me: name of this instance.
         :param cfg: the configuration in force.
@@ -22,10 +26,10 @@
         self._holders: dict[str, PermitHolder] = {}
 
     def on_config(self, cfg: Config, services: set[str], now: float) -> None:
-        """Take a new configuration into force.
+        """Apply a new configuration.
 
         :param cfg: the configuration.
-        :param services: services of which a target is owned here.
+        :param services: names of the services of which a target is owned here.
         :param now: monotonic time in seconds.
         """
         self._cfg = cfg
@@ -42,10 +46,10 @@
         report: TargetReport,
         now: float,
     ) -> list[Send]:
-        """Answer a report; one on a target unknown here is ignored.
+        """Answer a report; ignore one on a target that is unknown here.
 
-        :param sender: name of the instance it came from.
-        :param report: what its owner says of a target.
+        :param sender: name of the instance that sent the report.
+        :param report: an owner's report on a target.
         :param now: monotonic time in seconds.
         """
         target = self._cfg.targets.get(report.target)
@@ -53,7 +57,7 @@
         return holder.on_message(sender, report, now) if holder else []
 
     def on_tick(self, now: float) -> None:
-        """Note that this daemon is awake.
+        """Record that this daemon is running.
 
         :param now: monotonic time in seconds.
         """
@@ -61,7 +65,7 @@
             holder.on_tick(now)
 
     def on_pause(self, now: float) -> None:
-        """Lend nothing until other views have settled.
+        """Lend nothing for ``SETTLE_SECONDS`` after a pause.
 
         :param now: monotonic time in seconds.
         """
@@ -69,9 +73,9 @@
             holder.on_pause(now)
 
     def set_fresh(self, fresh: bool, now: float) -> None:
-        """Tell whether this daemon's view is fresh.
+        """Set whether this daemon's view of the fleet is fresh.
 
-        :param fresh: true while it is.
+        :param fresh: whether the view is fresh.
         :param now: monotonic time in seconds.
         """
         self._fresh = fresh
@@ -79,7 +83,7 @@
             holder.set_fresh(fresh, now)
 
     def set_absent(self, targets: frozenset[str], now: float) -> None:
-        """Tell which targets are known dead or leaving.
+        """Set the targets that are known to be dead or leaving.
 
         :param targets: their names.
         :param now: monotonic time in seconds.
@@ -89,7 +93,7 @@
             holder.set_absent(targets, now)
 
     def stop(self, now: float) -> None:
-        """Lend nothing any more.
+        """Lend no more permits.
 
         :param now: monotonic time in seconds.
         """
--- a/src/clementinedeal/_permit_messages.py
+++ b/src/clementinedeal/_permit_messages.py
@@ -1,4 +1,4 @@
-"""Messages between a target's owner and its service's permit holder."""
+"""Messages between a target's owner and the service's permit holder."""
 
 from dataclasses import dataclass
 
@@ -9,13 +9,14 @@
 @message
 @dataclass(frozen=True, slots=True)
 class TargetReport:
-    """What an owner says of its target, about once a second.
-
-    ``incarnation`` and ``sent_at`` (owner's monotonic seconds) order the
-    reports of one target and are sent back with the answer. ``wants`` asks
-    for a permit or its renewal; without it a permit held is given back.
-    ``compares`` asks for the peers' traffic; a report with neither is not
-    answered.
+    """An owner's report on a target, sent about once a second.
+
+    ``incarnation`` and ``sent_at`` (the owner's monotonic seconds) order the
+    reports on a target and are repeated in the answer. ``wants`` asks for a
+    permit to eject the target or for its renewal; a report without it returns
+    the permit. ``compares`` asks for the baseline, the median traffic of the
+    target's peers. A report with neither is not answered. ``leaving`` is
+    whether the target drains.
     """
 
     target: str
@@ -30,7 +31,12 @@
 @message
 @dataclass(frozen=True, slots=True)
 class PermitAnswer:
-    """Answer to one report; ``granted`` lends a permit from ``sent_at``."""
+    """Answer to one report.
+
+    ``target``, ``incarnation`` and ``sent_at`` are those of the report.
+    ``granted`` lends a permit for ``LEASE_SECONDS`` from ``sent_at``.
+    ``baseline`` is None if too few peers are known.
+    """
 
     target: str
     incarnation: int
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -1,4 +1,4 @@
-"""Conserved permits to eject targets of one service."""
+"""Lends a limited number of permits to eject targets of one service."""
 
 from dataclasses import dataclass
 from typing import Any
@@ -11,19 +11,27 @@
 from clementinedeal._permit_messages import PermitAnswer, TargetReport
 from clementinedeal._trailing_minimum import TrailingMinimum
 
+# How long an owner may use a permit, from the sending of the report that asked
+# for it.
 LEASE_SECONDS = 5.0
-# Covers a pause that goes unnoticed and the drift between two clocks.
+# The holder counts a permit for this much longer than its owner uses it. This
+# covers a pause that goes unnoticed and the drift between the two clocks.
 LEASE_MARGIN_SECONDS = 1.0
-# A holder that was not ticked for so long was paused and may be outdated.
+# A holder whose last tick is older may have been paused, with an outdated view.
 MAX_TICK_AGE_SECONDS = 0.5
-# A view that differs from this one acts until it loses its freshness, and
-# what it granted last runs for a lease. The second freshness covers a
-# version that this daemon skipped while another held permits under it.
+# How long another view may still have an effect. A daemon with another version
+# grants permits until its view is no longer fresh, and the last one granted
+# runs for a lease. The second FRESH_SECONDS covers a version that this daemon
+# skipped while another daemon lent permits under it.
 SETTLE_SECONDS = 2 * FRESH_SECONDS + LEASE_SECONDS + LEASE_MARGIN_SECONDS
 
 
 def targets_of(cfg: Config, service: str) -> frozenset[str]:
-    """Return the names of the published targets of a service."""
+    """Return the names of the published targets of a service.
+
+    :param cfg: the configuration in force.
+    :param service: name of the service.
+    """
     return frozenset(
         name
         for name, target in cfg.targets.items()
@@ -34,8 +42,11 @@
 def holder_of(cfg: Config, service: str) -> str | None:
     """Return the instance that lends the permits of a service.
 
+    It is the first of the targets' owners in the rendezvous order of the
+    service, or None if the service has no targets.
+
     :param cfg: the configuration in force.
-    :param service: name of the service; without targets it has no holder.
+    :param service: name of the service.
     """
     targets = cfg.targets.values()
     owners = {one.instance for one in targets if one.service == service}
@@ -45,9 +56,11 @@
 
 @dataclass(slots=True)
 class LentPermit:
-    """One permit lent; ``lapsing`` when its renewal was refused.
+    """One permit that was lent, as its holder records it.
 
-    ``incarnation`` and ``sent_at`` are those of the newest report granted.
+    ``incarnation`` and ``sent_at`` are those of the newest report that was
+    granted. ``expires_at`` is in the holder's monotonic seconds.
+    ``is_lapsing`` is set once a renewal was refused.
     """
 
     incarnation: int
@@ -57,7 +70,14 @@
 
 
 class PermitHolder:
-    """Lends permits while this daemon is the holder in a fresh view."""
+    """Lends the permits of one service, while it is the service's holder.
+
+    The holder is the daemon that keeps count of the permits of a service. A
+    permit allows the owner of a target to eject it for the time of a lease.
+    Invariant: a permit is granted only if, with it, the targets out of use
+    (with a permit, dead or leaving) are no more than the service's targets
+    less its floor.
+    """
 
     def __init__(
         self,
@@ -66,7 +86,10 @@
         cfg: Config,
         now: float,
     ) -> None:
-        """Start without permits; none are lent until others' have expired.
+        """Start without permits.
+
+        None are lent for ``SETTLE_SECONDS``, in which those that an earlier
+        holder lent expire.
 
         :param service: name of the service.
         :param me: name of this instance.
@@ -86,7 +109,7 @@
         self.on_config(cfg, now)
 
     def on_config(self, cfg: Config, now: float) -> None:
-        """Take a new configuration into force.
+        """Apply a new configuration.
 
         :param cfg: the configuration.
         :param now: monotonic time in seconds.
@@ -97,25 +120,25 @@
         self._update_limit(now)
 
     def set_fresh(self, fresh: bool, now: float) -> None:
-        """Tell whether this daemon's view is recent enough to lend.
+        """Set whether this daemon's view of the fleet is fresh enough to lend.
 
-        :param fresh: true while it is.
+        :param fresh: whether the view is fresh.
         :param now: monotonic time in seconds.
         """
         self._fresh = fresh
         self._update_limit(now)
 
     def set_absent(self, targets: frozenset[str], now: float) -> None:
-        """Tell which targets are known to be dead or leaving.
+        """Set the targets that are known to be dead or leaving.
 
-        :param targets: their names; others are ignored.
+        :param targets: their names; those of other services are ignored.
         :param now: monotonic time in seconds.
         """
         self._absent = targets
         self._prune(now)
 
     def on_pause(self, now: float) -> None:
-        """Lend nothing until other views have settled.
+        """Lend nothing for ``SETTLE_SECONDS`` after a pause.
 
         :param now: monotonic time in seconds.
         """
@@ -123,14 +146,14 @@
         self._update_limit(now)
 
     def on_tick(self, now: float) -> None:
-        """Note that this daemon is awake; nothing is lent without it.
+        """Record that this daemon is running; without it nothing is lent.
 
         :param now: monotonic time in seconds.
         """
         self._ticked_at = now
 
     def stop(self, now: float) -> None:
-        """Lend nothing any more.
+        """Lend no more permits.
 
         :param now: monotonic time in seconds.
         """
@@ -140,8 +163,11 @@
     def on_message(self, sender: str, body: Any, now: float) -> list[Send]:
         """Answer a report of an owner.
 
-        :param sender: name of the instance it came from.
-        :param body: the message; others than reports are ignored.
+        A report by any other instance than the target's owner has no effect,
+        and its answer grants nothing.
+
+        :param sender: name of the instance that sent the message.
+        :param body: the message; ignored if it is not a report.
         :param now: monotonic time in seconds.
         """
         if not isinstance(body, TargetReport):
@@ -196,7 +222,11 @@
         return self._limit.minimum(now)
 
     def _count_unavailable(self, target: str, permit: LentPermit | None) -> int:
-        """Count the targets out of use if this one has a permit too."""
+        """Count the targets out of use if this one has a permit too.
+
+        A renewal doesn't count the permits that are lapsing: these end on
+        their own, so the renewal need not be refused because of them.
+        """
         renews = permit is not None and not permit.is_lapsing
         lent = {
             name
@@ -235,7 +265,7 @@
 
 
 def _is_outdated(report: TargetReport, permit: LentPermit) -> bool:
-    """Whether a report is late, or of another life of the owner."""
+    """Return whether a report is late or from another run of its owner."""
     if report.incarnation != permit.incarnation:
         return True
     return report.sent_at <= permit.sent_at
--- a/src/clementinedeal/_prober.py
+++ b/src/clementinedeal/_prober.py
@@ -1,4 +1,4 @@
-"""Finds out when a target that left has come back."""
+"""Probes targets that are leaving, to find out when they are back."""
 
 from collections.abc import Callable
 
@@ -16,7 +16,11 @@
 
 
 class Prober:
-    """Probes owned targets that are leaving; others are judged by traffic."""
+    """Sends probes to owned targets that are leaving.
+
+    These get no requests. The health of all other targets is concluded from
+    the requests sent to them, without probes.
+    """
 
     def __init__(
         self,
@@ -26,9 +30,9 @@
     ) -> None:
         """Create a prober.
 
-        :param pool: lends connections.
-        :param leaving: returns the targets to probe.
-        :param on_back: is told the name of a target that is back.
+        :param pool: pool of connections to targets.
+        :param list_leaving: returns the targets to probe.
+        :param on_back: called with the name of a target that is back.
         """
         self._pool = pool
         self._list_leaving = list_leaving
--- a/src/clementinedeal/_samples.py
+++ b/src/clementinedeal/_samples.py
@@ -1,4 +1,4 @@
-"""The recent requests of one target and their summary."""
+"""The latest requests of one target and a summary of them."""
 
 from collections import deque
 from collections.abc import Sequence
@@ -7,6 +7,8 @@
 from clementinedeal._target_health import Traffic
 
 MAX_SAMPLES = 128
+# The summary covers the first window, or up to the longer one as long as it has
+# fewer than MIN_SAMPLES.
 WINDOW_SECONDS = 1.0
 MAX_WINDOW_SECONDS = 10.0
 MIN_SAMPLES = 8
@@ -14,9 +16,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """One request that ended at ``at`` (monotonic seconds).
+    """One request that ended at ``ended_at`` (monotonic seconds).
 
-    ``timed`` tells that its latency in seconds says something.
+    ``has_latency`` is whether the latency may be compared with that of the
+    peers. It is false for failures other than timeouts, since they may end
+    early.
     """
 
     ended_at: float
@@ -27,24 +31,27 @@
 
 
 class Samples:
-    """Bounded memory of a target's latest requests."""
+    """Keeps the latest ``MAX_SAMPLES`` requests of a target."""
 
     def __init__(self) -> None:
-        """Start without any."""
+        """Start without samples."""
         self.latest: deque[Sample] = deque(maxlen=MAX_SAMPLES)
 
     def add(self, sample: Sample) -> None:
-        """Remember one request; the oldest is forgotten.
+        """Add a request and discard the oldest one if the limit is reached.
 
         :param sample: the newest request.
         """
         self.latest.append(sample)
 
     def summary(self, overdue: Sequence[float], now: float) -> Traffic:
-        """Summarise about the last second, or more if there was little.
+        """Summarise the samples of the last ``WINDOW_SECONDS``.
+
+        If these are fewer than ``MIN_SAMPLES``, older samples are added, up
+        to an age of ``MAX_WINDOW_SECONDS``.
 
         :param overdue: ages in seconds of requests in flight that are late;
-            each counts as a failed one that took at least so long.
+            each counts as a failure with its age as latency.
         :param now: monotonic time in seconds.
         """
         recent = self._recent(now)
--- a/src/clementinedeal/_target_health.py
+++ b/src/clementinedeal/_target_health.py
@@ -1,4 +1,4 @@
-"""What is observed of a target and what is concluded from it."""
+"""Observations of a target's requests and the health concluded from them."""
 
 import enum
 from dataclasses import dataclass
@@ -7,9 +7,10 @@
 class OutcomeKind(enum.Enum):
     """How one request to a target ended.
 
-    ``ERROR`` is a 5xx answer, ``WRONG`` a bad digest or a foreign request
-    id, ``SHORT`` a truncated answer, ``REFUSED`` shed load, which is
-    overload and no sickness.
+    ``ERROR`` is a 5xx answer, ``WRONG`` an answer with a bad digest or the
+    id of another request, ``SHORT`` a truncated answer, ``TIMEOUT`` no answer
+    before the deadline and ``CONNECT`` a connection that failed. ``REFUSED``
+    is a request that was shed; this means overload and not a fault.
     """
 
     OK = 'ok'
@@ -35,7 +36,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestOutcome:
-    """End of one request of the owner's own traffic."""
+    """How one request from a target's owner to the target ended.
+
+    ``latency_seconds`` runs from the start of the request to its end.
+    """
 
     kind: OutcomeKind
     latency_seconds: float
@@ -46,8 +50,9 @@
 class Traffic:
     """Summary of the recent requests of one target.
 
-    Latencies are in seconds, shares between 0 and 1; ``window_seconds`` is
-    how far back the samples reach.
+    ``p50`` and ``p90`` are latencies in seconds; ``failures`` and
+    ``corruptions`` are fractions of ``count``, between 0 and 1.
+    ``window_seconds`` is the age of the oldest sample.
     """
 
     count: int = 0
@@ -62,7 +67,10 @@
 class Baseline:
     """Median of the recent traffic of a target's peers.
 
-    ``reach_seconds`` is how far back from its sending the samples reach.
+    The peers are the service's other targets and ``peers`` is their number.
+    ``p50``, ``p90``, ``failures`` and ``corruptions`` are as in ``Traffic``.
+    ``reach_seconds`` is the age of the peers' oldest samples at the time at
+    which the permit holder computed the baseline.
     """
 
     peers: int
@@ -74,7 +82,7 @@
 
 
 class Cause(enum.Enum):
-    """Why a target is held to be sick."""
+    """The fault for which a target is considered unhealthy."""
 
     FAILING = 'failing'
     PARTLY_FAILING = 'partly-failing'
@@ -85,19 +93,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Healthy:
-    """Nothing speaks against the target."""
+    """The evidence against the target is below the level of suspicion."""
 
 
 @dataclass(frozen=True, slots=True)
 class Suspected:
-    """Some evidence, in nats of log-likelihood ratio."""
+    """The evidence, in nats, is below the threshold or not yet confirmed."""
 
     evidence: float
 
 
 @dataclass(frozen=True, slots=True)
 class Unhealthy:
-    """Evidence above the threshold, in nats, confirmed by the peers."""
+    """The evidence, in nats, has reached the threshold.
+
+    For slowness the peers' samples must also be as new as the evidence.
+    """
 
     cause: Cause
     evidence: float
--- a/src/clementinedeal/_target_reporter.py
+++ b/src/clementinedeal/_target_reporter.py
@@ -1,4 +1,4 @@
-"""When an owner reports on its targets, and to whom."""
+"""Decides when an owner reports on a target, and to which instance."""
 
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
@@ -12,14 +12,14 @@
 
 
 class TargetReporter:
-    """Paces reports.
+    """Sends an owner's reports to the permit holder of the target's service.
 
-    Once a second, four times for a suspected target, at once for one that
-    is newly held sick.
+    A report is due once a second, four times a second for a suspected target,
+    and at once when a target becomes unhealthy and permits may be requested.
     """
 
     def __init__(self, cfg: Config) -> None:
-        """Start in a view that is not fresh.
+        """Start with a view that is not fresh.
 
         :param cfg: the configuration in force.
         """
@@ -27,7 +27,7 @@
         self.on_config(cfg)
 
     def on_config(self, cfg: Config) -> None:
-        """Take a new configuration into force.
+        """Apply a new configuration.
 
         :param cfg: the configuration.
         """
@@ -36,9 +36,9 @@
         self._holders: dict[str, str | None] = dict.fromkeys(services)
 
     def report_if_due(self, tracker: TargetTracker, now: float) -> list[Send]:
-        """Report on a target if it is time.
+        """Return a report on a target if one is due.
 
-        :param standing: the target's standing.
+        :param tracker: state of the target.
         :param now: monotonic time in seconds.
         """
         elapsed = now - tracker.reported_at
@@ -60,9 +60,12 @@
         return []
 
     def report_now(self, tracker: TargetTracker, now: float) -> list[Send]:
-        """Report, unless that would give back a permit that is in use.
+        """Return a report on a target.
 
-        :param standing: the target's standing.
+        There is none while the target is ejected and no permits may be
+        requested: a report that doesn't ask for the permit returns it.
+
+        :param tracker: state of the target.
         :param now: monotonic time in seconds.
         """
         may_request = self._may_request_permits()
--- a/src/clementinedeal/_target_state.py
+++ b/src/clementinedeal/_target_state.py
@@ -1,17 +1,25 @@
-"""States of an owned target and the actions that announce a change."""
+"""States of an owned target and the actions that report a change."""
 
 import enum
 from dataclasses import dataclass
 
 from clementinedeal._target_health import Cause
 
+# Fractions of the slots that are used on trial and when slow start begins.
 TRIAL_FRACTION = 0.15
 SLOW_START_FRACTION = 0.2
 SLOW_START_SECONDS = 10.0
 
 
 class TargetState(enum.Enum):
-    """Whether and how a target is used."""
+    """Whether and how an owned target is used.
+
+    ``REQUESTING`` is a target in use whose owner has asked for a permit to
+    eject it. ``EJECTED`` takes no requests. ``TRIAL`` takes idempotent
+    requests on a few slots, to find out whether the target has recovered.
+    ``SLOW_START`` takes requests on a growing number of slots. ``LEAVING``
+    drains and takes no new requests.
+    """
 
     IN_USE = 'in-use'
     REQUESTING = 'requesting'
@@ -26,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetEjected:
-    """Action: the target takes no work until it is reinstated."""
+    """Action: stop sending requests to a target until it is reinstated."""
 
     target: str
     cause: Cause
@@ -34,7 +42,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetReinstated:
-    """Action: the target takes work again."""
+    """Action: send requests to the target again."""
 
     target: str
 
@@ -43,10 +51,10 @@
 
 
 def usable_fraction_in(state: TargetState, elapsed_seconds: float) -> float:
-    """Return the usable share of a target's slots, 0 to 1.
+    """Return the usable fraction of a target's slots, 0 to 1.
 
     :param state: state of the target.
-    :param elapsed: seconds since it was entered.
+    :param elapsed_seconds: time since the state was entered.
     """
     if state in {TargetState.EJECTED, TargetState.LEAVING}:
         return 0.0
--- a/src/clementinedeal/_target_tracker.py
+++ b/src/clementinedeal/_target_tracker.py
@@ -1,4 +1,4 @@
-"""Standing of one owned target: in use, ejected, tried, or leaving."""
+"""State machine of one owned target: in use, ejected, on trial or leaving."""
 
 import math
 
@@ -18,12 +18,18 @@
     usable_fraction_in,
 )
 
+# A trial that gets too few requests ends after this time.
 MAX_TRIAL_SECONDS = 60.0
+# How often the baseline is requested for a target that is not suspected.
 BASELINE_INTERVAL_SECONDS = 3.0
 
 
 class TargetTracker:
-    """State machine of one target; is out only while a permit surely holds."""
+    """Decides from evidence and permits whether a target is ejected.
+
+    The owner of a target runs one tracker for it. Invariant: after each
+    ``on_tick`` the target is ejected or on trial only if a permit is held.
+    """
 
     def __init__(
         self,
@@ -35,7 +41,7 @@
         """Start with the target in use.
 
         :param target: the owned target.
-        :param incarnation: tells this life of the owner from others.
+        :param incarnation: distinguishes this run of the owner from others.
         :param cfg: settings of the detector.
         :param now: monotonic time in seconds.
         """
@@ -51,22 +57,23 @@
 
     @property
     def is_ejected(self) -> bool:
-        """Return whether the target is ejected."""
+        """Return whether the target is ejected or on trial."""
         return self.state in EJECTED_STATES
 
     def usable_fraction(self, now: float) -> float:
-        """Return the usable share of the slots, 0 to 1.
+        """Return the usable fraction of the target's slots, 0 to 1.
 
         :param now: monotonic time in seconds.
         """
         return usable_fraction_in(self.state, now - self._entered_at)
 
     def on_outcome(self, outcome: RequestOutcome, now: float) -> None:
-        """Take in the end of one request.
+        """Handle the end of a request.
 
-        What was begun before an ejection says nothing about the trial.
+        While the target is ejected or on trial, requests that started before
+        that state was entered are ignored.
 
-        :param outcome: how it ended.
+        :param outcome: how the request ended.
         :param now: monotonic time in seconds.
         """
         started = now - outcome.latency_seconds
@@ -78,7 +85,9 @@
     def build_report(self, may_request: bool, now: float) -> TargetReport:
         """Return the next report; no two have the same sending time.
 
-        :param asks: whether permits may be asked for at all.
+        Asking for a permit moves the target to ``REQUESTING``.
+
+        :param may_request: whether this daemon may ask for permits now.
         :param now: monotonic time in seconds.
         """
         sent_at = max(now, math.nextafter(self.reported_at, math.inf))
@@ -98,9 +107,11 @@
         )
 
     def on_answer(self, answer: PermitAnswer, now: float) -> list[TargetChange]:
-        """Take in an answer; one to a report that is void is ignored.
+        """Handle the permit holder's answer to a report.
+
+        Answers to reports that are no longer pending are ignored.
 
-        :param answer: what the holder says.
+        :param answer: the answer.
         :param now: monotonic time in seconds.
         """
         reply = self._permit.on_answer(answer, now)
@@ -117,7 +128,7 @@
         return []
 
     def on_tick(self, now: float) -> list[TargetChange]:
-        """Let time pass.
+        """Apply the changes of state that are due.
 
         :param now: monotonic time in seconds.
         """
@@ -139,7 +150,7 @@
         return []
 
     def reinstate(self, now: float) -> list[TargetChange]:
-        """Use the target again at once, with the evidence kept.
+        """Give up the permit and use the target again; keep the evidence.
 
         :param now: monotonic time in seconds.
         """
@@ -147,9 +158,9 @@
         return self._leave_ejection(TargetState.IN_USE, now)
 
     def reset_to(self, state: TargetState, now: float) -> list[TargetChange]:
-        """Drop the permit and all evidence.
+        """Give up the permit, discard all evidence and enter a state.
 
-        :param state: the state to be in, not an ejected one.
+        :param state: the state to enter, neither ejected nor on trial.
         :param now: monotonic time in seconds.
         """
         self.detector.reset(now)
@@ -159,13 +170,14 @@
         return changes
 
     def on_leaving(self, now: float) -> None:
-        """Give the target no new work; it drains.
+        """Enter ``LEAVING``: the target drains and takes no new requests.
 
         :param now: monotonic time in seconds.
         """
         self._enter(TargetState.LEAVING, now)
 
     def _wants_permit(self, now: float) -> bool:
+        """Return whether to ask for a permit; enter or leave ``REQUESTING``."""
         if self.is_ejected or self.state is TargetState.LEAVING:
             return self.is_ejected
         is_unhealthy = isinstance(self.detector.health(now), Unhealthy)
@@ -176,7 +188,7 @@
         return is_unhealthy
 
     def _eject_if_confirmed(self, now: float) -> list[TargetChange]:
-        """Act on a first grant if the newest baseline confirms the cause."""
+        """Eject the target if it is still unhealthy by the newest baseline."""
         verdict = self.detector.health(now)
         if not isinstance(verdict, Unhealthy):
             return []
--- a/src/clementinedeal/_target_watcher.py
+++ b/src/clementinedeal/_target_watcher.py
@@ -1,4 +1,4 @@
-"""Feeds what the owner's own traffic shows to the ejection manager."""
+"""Reports the outcomes of an owner's requests to the ejection manager."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -16,6 +16,7 @@
 
 _SERVER_ERROR = 500
 _LEAVING = b'leaving'
+# Refusals that say something about the target; others are no evidence.
 _KIND_BY_REASON = {
     Reason.DEADLINE: OutcomeKind.TIMEOUT,
     Reason.ANSWER_WRONG: OutcomeKind.WRONG,
@@ -33,7 +34,7 @@
 
 
 class TargetWatcher:
-    """Times requests at owned targets and reports how they end."""
+    """Measures requests to owned targets and reports how they ended."""
 
     def __init__(
         self,
@@ -44,10 +45,10 @@
     ) -> None:
         """Create a watcher.
 
-        :param clock: times requests.
-        :param manager: learns.
-        :param dispatcher: performs what the manager decides.
-        :param metrics: counts executions.
+        :param clock: source of monotonic time.
+        :param manager: receives the outcomes.
+        :param dispatcher: performs the actions that the manager returns.
+        :param metrics: counts executions by target and kind of outcome.
         """
         self._clock = clock
         self._manager = manager
@@ -58,10 +59,11 @@
     def refusal(
         self, target: str, *, idempotent: bool
     ) -> AttemptRefusal | None:
-        """Return why a target takes no such request now, None if it does.
+        """Return the refusal of a request, or None if the target takes it.
 
-        :param target: an owned target.
-        :param idempotent: a target on trial takes only such requests.
+        :param target: name of an owned target.
+        :param idempotent: whether the request is idempotent; a target on
+            trial takes only such requests.
         """
         state = self._manager.state(target)
         if state is TargetState.LEAVING:
@@ -72,16 +74,23 @@
         return None
 
     def started(self, req_id: str, target: str, *, idempotent: bool) -> None:
-        """Note the first byte to a target."""
+        """Record the start of a request, at its first byte to the target.
+
+        :param req_id: unique id of the attempt.
+        :param target: name of the target.
+        :param idempotent: whether the request is idempotent.
+        """
         started = _RunningRequest(target, self._clock.now(), idempotent)
         self._running[req_id] = started
 
     def ended(self, req_id: str, target: str, reply: AttemptReply) -> None:
-        """Note what a request came to.
+        """Report how a request ended.
+
+        A refusal whose reason says nothing about the target is ignored.
 
         :param req_id: unique id of the attempt.
-        :param target: the target.
-        :param reply: answer, or the refusal with its reason.
+        :param target: name of the target.
+        :param reply: the answer, or the refusal with its reason.
         """
         now = self._clock.now()
         kind = _kind(reply)
@@ -99,11 +108,14 @@
             self._perform(self._manager.on_leaving(target, now))
 
     def state(self, target: str) -> str:
-        """Return the target's state at this owner."""
+        """Return the value of the target's state, such as 'in-use'.
+
+        :param target: name of an owned target.
+        """
         return self._manager.state(target).value
 
     def report_in_flight(self, now: float) -> None:
-        """Tell the manager what is running, so that a hang shows.
+        """Pass the requests in flight to the manager, to detect hangs.
 
         :param now: monotonic time in seconds.
         """
--- a/src/clementinedeal/_trailing_minimum.py
+++ b/src/clementinedeal/_trailing_minimum.py
@@ -1,32 +1,32 @@
-"""A number that falls at once and rises only after a wait."""
+"""A limit that falls at once and rises only after a wait."""
 
 from dataclasses import dataclass
 
 
 @dataclass(frozen=True, slots=True)
 class FormerValue:
-    """A former value that still limits until a time."""
+    """A former value, which counts until ``expires_at`` (monotonic seconds)."""
 
     value: int
     expires_at: float
 
 
 class TrailingMinimum:
-    """The lowest of the value now and those of the last ``wait`` seconds."""
+    """The lowest of the present value and those of the last seconds."""
 
     def __init__(self, window_seconds: float) -> None:
-        """Start at zero.
+        """Start with the value zero.
 
-        :param wait: seconds for which a former value goes on limiting.
+        :param window_seconds: time for which a former value still counts.
         """
         self._window_seconds = window_seconds
         self._value = 0
         self._former_values: list[FormerValue] = []
 
     def set_value(self, value: int, now: float) -> None:
-        """Set the value.
+        """Replace the value.
 
-        :param value: the new one.
+        :param value: the new value.
         :param now: monotonic time in seconds.
         """
         if value == self._value:
@@ -40,7 +40,7 @@
         self._value = value
 
     def minimum(self, now: float) -> int:
-        """Return what is allowed now.
+        """Return the lowest of the value and the former ones that count.
 
         :param now: monotonic time in seconds.
         """
--- a/src/clementinedeal/_view_actions.py
+++ b/src/clementinedeal/_view_actions.py
@@ -1,4 +1,4 @@
-"""What keeping the view of the fleet asks of the transport."""
+"""Actions of the fleet view and the platform's list of instances."""
 
 from dataclasses import dataclass
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceList:
-    """The platform's lagging list of instance names."""
+    """Names of instances as the platform lists them, with a delay."""
 
     live: frozenset[str]
     leaving: frozenset[str]
@@ -15,16 +15,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadPlatform:
-    """Action: read a value by name, then report it or the failure."""
+    """Action: read a value of the platform and report it or the failure."""
 
     name: str
 
 
 @dataclass(frozen=True, slots=True)
 class WatchRoot:
-    """Action: wait for a root above a version.
+    """Action: wait for a root with a version above ``after_version``.
 
-    After ``seconds`` the platform answers that there is none.
+    After ``timeout_seconds`` the platform answers that there is none.
     """
 
     after_version: int
@@ -33,7 +33,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
-    """Action: reach an instance that no held configuration names here."""
+    """Action: use an address of an instance that no configuration here has.
+
+    ``control`` is the control address of the instance.
+    """
 
     instance: str
     control: str
@@ -41,14 +44,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigInForce:
-    """Action: work by this configuration from now on."""
+    """Action: apply this configuration from now on."""
 
     cfg: Config
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigRejected:
-    """Action: tell operators that a version was refused, the old one stays."""
+    """Action: report a rejected version; the old one stays in force."""
 
     version: int
     reason: str
@@ -56,13 +59,13 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceLeaving:
-    """Action: give an instance no new work."""
+    """Action: send an instance no new requests."""
 
     instance: str
 
 
 @dataclass(frozen=True, slots=True)
 class InstanceLeft:
-    """Action: an instance is no longer heard or no longer published."""
+    """Action: an instance is no longer heard from or no longer published."""
 
     instance: str
--- a/src/clementinedeal/_view_handlers.py
+++ b/src/clementinedeal/_view_handlers.py
@@ -1,4 +1,4 @@
-"""What a daemon does with each message about the view of the fleet."""
+"""Handlers of the messages by which daemons keep their view of the fleet."""
 
 from collections.abc import Callable
 from typing import Any
@@ -23,12 +23,16 @@
 
 
 class ViewHandlers:
-    """Handlers by type of message."""
+    """Maps each type of message to its handler, in ``by_type``.
+
+    A handler takes the sender's name, the message and the monotonic time in
+    seconds, and returns the actions to carry out.
+    """
 
     def __init__(self, state: ViewState) -> None:
-        """Handle messages for a daemon.
+        """Create the handlers of a daemon.
 
-        :param state: its view.
+        :param state: the daemon's view of the fleet.
         """
         self._state = state
         answers = PartAnswers(state.acceptance, state.spread)
--- a/src/clementinedeal/_view_messages.py
+++ b/src/clementinedeal/_view_messages.py
@@ -15,9 +15,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Contact:
-    """Some daemon read the platform and found nothing above ``version``.
+    """Some daemon read the platform and found no version above ``version``.
 
-    ``age`` is at least the time since then, in seconds.
+    This was at most ``age`` seconds ago.
     """
 
     version: int
@@ -26,9 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberRecord:
-    """What an instance said of itself at least ``age`` seconds ago.
+    """What an instance reported about itself, at most ``age`` seconds ago.
 
-    ``index`` is its place among the sorted published names.
+    ``index`` is the position of its name among the sorted published names.
+    ``leaving`` is whether it takes no new requests.
     """
 
     index: int
@@ -42,8 +43,9 @@
 class ViewRequest:
     """Asks for the receiver's view.
 
-    ``control`` is the sender's control address; ``full`` asks for the records
-    of all instances.
+    ``nonce`` is repeated in the answer. ``control`` is the sender's control
+    address, ``held`` the version in force at the sender. ``full`` asks for
+    the records of all instances.
     """
 
     nonce: int
@@ -55,14 +57,19 @@
 @message
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ViewAnswer:
-    """The sender's view when it answered.
-
-        ``held`` is in force there and known to have been published ``held_for``
-    seconds ago, ``rejected`` its newest refused version, ``newest`` the
-    highest version it knows to exist and ``accepted`` the highest that it
-    knows to be in force anywhere. ``ages`` gives, by index
-        in the names that ``names`` is the digest of, quarter seconds since each
-        instance was heard, 255 for longer.
+    """The sender's view at the time of its answer.
+
+    ``incarnation``, ``leaving`` and ``fresh`` are those of the sender.
+    ``held`` is the version in force there, which was published at least
+    ``held_for`` seconds ago. ``rejected`` is the newest version that the
+    sender rejected, ``newest`` the highest one that it knows to exist and
+    ``accepted`` the highest one that it knows to be in force anywhere.
+
+    ``names`` is a digest of the sorted published names. ``ages`` has one byte
+    for each of them: the time since that instance was heard from, in quarters
+    of a second, rounded up, or 255 if it is longer. ``records_digest`` is a
+    digest of the records of all instances; ``records`` has all of them, or
+    those that changed lately.
     """
 
     nonce: int
@@ -84,7 +91,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """The sender holds this version whole."""
+    """Announces a version that the sender has with all its parts."""
 
     ref: VersionRef
 
@@ -92,7 +99,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class RootRequest:
-    """Asks for the root of a version."""
+    """Asks for the root of a version; ``nonce`` is repeated in the answer."""
 
     nonce: int
     ref: VersionRef
@@ -101,7 +108,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class RootAnswer:
-    """The root asked for, or nothing where the sender doesn't hold it."""
+    """The root that was asked for, or None if the sender doesn't have it."""
 
     nonce: int
     root: bytes | None
@@ -110,7 +117,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class PartsRequest:
-    """Asks for parts by digest."""
+    """Asks for parts by digest; ``nonce`` is repeated in the answer."""
 
     nonce: int
     digests: tuple[str, ...]
@@ -119,7 +126,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class PartsAnswer:
-    """Those of the parts asked for that the sender has and that fit."""
+    """The requested parts that the sender has and that fit into one message."""
 
     nonce: int
     parts: tuple[bytes, ...]
@@ -128,6 +135,6 @@
 @message
 @dataclass(frozen=True, slots=True)
 class LeavingNotice:
-    """The sender stops taking new work."""
+    """Announces that the sender takes no new requests."""
 
     incarnation: int
--- a/src/clementinedeal/_view_recorder.py
+++ b/src/clementinedeal/_view_recorder.py
@@ -1,4 +1,4 @@
-"""Notes for operators and addresses that come from the view of the fleet."""
+"""Records actions of the fleet view: events, status and peer addresses."""
 
 from clementinedeal._directory import Directory
 from clementinedeal._dispatch import Dispatcher
@@ -13,7 +13,7 @@
 
 
 class ViewRecorder:
-    """Performs the actions of the view that concern nobody else."""
+    """Performs those actions of the view that only have to be recorded."""
 
     def __init__(
         self,
@@ -24,10 +24,10 @@
     ) -> None:
         """Register for the actions.
 
-        :param dispatcher: hands them over.
-        :param directory: learns addresses of instances met.
-        :param status: shows a rejected version.
-        :param events: records changes among instances.
+        :param dispatcher: source of the actions.
+        :param directory: receives control addresses of instances.
+        :param status: shows a rejected version to operators.
+        :param events: log for rejected versions and changes of instances.
         """
         self._directory = directory
         self._status = status
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -1,4 +1,4 @@
-"""The parts of a daemon's view and the rules that join them."""
+"""State of a daemon's view of the fleet, and how its parts are connected."""
 
 import random
 from collections.abc import Iterator, Mapping
@@ -24,11 +24,16 @@
 )
 
 INCARNATION_BITS = 48
+# How often changes among members are looked for.
 SWEEP_INTERVAL_SECONDS = 1.0
 
 
 class ViewState:
-    """State shared by the message handlers and the facade."""
+    """State shared by ``ViewHandlers`` and ``FleetView``.
+
+    A reader is one of the ``READERS`` daemons that read the platform for the
+    fleet; the others learn of new versions from their peers.
+    """
 
     def __init__(
         self,
@@ -39,7 +44,7 @@
         """Create the state of a daemon that has just started.
 
         :param settings: the daemon's own settings.
-        :param rng: source of jitter, peers and incarnations.
+        :param rng: source of jitter, choice of peers and incarnations.
         :param now: monotonic seconds.
         """
         self.me = settings.instance
@@ -64,7 +69,7 @@
         return self.acceptance.cfg
 
     def config_age_seconds(self, now: float) -> float:
-        """Return for how long the version in force is published, at least.
+        """Return the least time since the version in force was published.
 
         :param now: monotonic seconds.
         """
@@ -72,18 +77,21 @@
         return self.version_ages.seconds(held.ref if held else None, now)
 
     def renew_incarnation(self) -> None:
-        """Take a new incarnation."""
+        """Take a new random incarnation, never 0, which stands for unknown."""
         self.incarnation = self._rng.getrandbits(INCARNATION_BITS) + 1
 
     def is_fresh(self, now: float) -> bool:
-        """Return whether keyed requests may be served.
+        """Return whether the view is fresh, so that keyed requests are served.
 
         :param now: monotonic seconds.
         """
         return self.config is not None and self.freshness.is_fresh(now)
 
     def is_reader(self, now: float) -> bool:
-        """Return whether the fleet relies on this daemon to read.
+        """Return whether this daemon is one of the readers.
+
+        The readers are the first ``READERS`` instances in reader order that
+        are neither silent nor leaving.
 
         :param now: monotonic seconds.
         """
@@ -98,7 +106,7 @@
         return False
 
     def request_views(self, now: float) -> list[Send]:
-        """Return the requests for views that are due.
+        """Return the requests to peers for their views that are due.
 
         :param now: monotonic seconds.
         """
@@ -110,7 +118,7 @@
         )
 
     def due_reads(self, now: float) -> Iterator[ReadPlatform | WatchRoot]:
-        """Yield the reads of root and instance list that are due.
+        """Yield the reads of the root and the instance list that are due.
 
         :param now: monotonic seconds.
         """
@@ -129,7 +137,7 @@
             )
 
     def sweep_members(self, now: float) -> Iterator[Any]:
-        """Yield changes among members, once a second.
+        """Yield changes among members, every ``SWEEP_INTERVAL_SECONDS``.
 
         :param now: monotonic seconds.
         """
@@ -140,9 +148,9 @@
         yield from self.members.changes(now)
 
     def apply_changes(self, actions: list[Any], now: float) -> list[Any]:
-        """Let the parts know of what the actions changed.
+        """Update all parts of the view after an input, and return its actions.
 
-        :param actions: what an input led to; more may be added.
+        :param actions: actions that the input led to; others are appended.
         :param now: monotonic seconds.
         """
         held = self.acceptance.held
@@ -175,6 +183,11 @@
         return [InstanceLeft(name) for name in left]
 
     def _adopt_pulled_instances(self, now: float) -> list[Any]:
+        """Adopt the instances of the version that is being pulled.
+
+        A daemon without a configuration needs them to ask its peers, before
+        it accepts the version.
+        """
         pull = self.spread.pull
         if pull is None or not pull.has_instances():
             return []
@@ -183,7 +196,7 @@
         except UNREADABLE_ERRORS as exc:
             return list(self.spread.refuse(f'instances: {exc}'))
         if not entries:
-            return list(self.spread.refuse('instances: none are given'))
+            return list(self.spread.refuse('instances: the list is empty'))
         self.acceptance.gate.on_asked(now)
         self._adopt({entry.name: entry for entry in entries}, now)
         met = [PeerAddress(entry.name, entry.control) for entry in entries]
--- a/src/clementinedeal/_views.py
+++ b/src/clementinedeal/_views.py
@@ -16,10 +16,16 @@
 
 
 class FleetView:
-    """Driven by the transport; inputs return the actions to carry out.
+    """Keeps a daemon's view of the fleet.
 
-    Call ``on_tick`` ten times a second or so and ``on_pause`` before anything
-    else after a pause.
+    The view is the configuration in force, the instances that are alive or
+    leaving, and whether it is fresh: the daemon heard within the last
+    ``FRESH_SECONDS`` that no newer configuration is in force.
+
+    The transport calls the methods with each input; they return the actions
+    to carry out and perform no input or output. ``on_tick`` is to be called
+    about ten times a second, and ``on_pause`` before any other method after
+    a pause of the process.
     """
 
     def __init__(
@@ -31,8 +37,8 @@
         """Create the view of a daemon that has just started.
 
         :param settings: the daemon's own settings.
-        :param rng: source of jitter, peers and incarnations; seeded
-            differently in each process.
+        :param rng: source of jitter, choice of peers and incarnations; must
+            be seeded differently in each process.
         :param now: monotonic seconds.
         """
         self._state = ViewState(settings, rng, now)
@@ -40,35 +46,35 @@
 
     @property
     def config(self) -> Config | None:
-        """Return the configuration in force, nothing before the first."""
+        """Return the configuration in force, None before the first one."""
         return self._state.config
 
     def config_age_seconds(self, now: float) -> float:
-        """Return for how long the version in force is published, at least.
+        """Return the least time since the version in force was published.
 
         :param now: monotonic seconds.
         """
         return self._state.config_age_seconds(now)
 
     def is_fresh(self, now: float) -> bool:
-        """Return whether keyed requests may be served.
+        """Return whether the view is fresh, so that keyed requests are served.
 
         :param now: monotonic seconds.
         """
         return self._state.is_fresh(now)
 
     def is_alive(self, instance: str, now: float) -> bool:
-        """Return whether an instance may be tried.
+        """Return whether requests may be sent to an instance.
 
-        :param instance: its name.
+        :param instance: name of the instance.
         :param now: monotonic seconds.
         """
         return self._state.members.is_alive(instance, now)
 
     def is_leaving(self, instance: str) -> bool:
-        """Return whether an instance takes no new work.
+        """Return whether an instance takes no new requests.
 
-        :param instance: its name.
+        :param instance: name of the instance.
         """
         if instance == self._state.me:
             return self._state.leaving
@@ -77,23 +83,23 @@
     def incarnation(self, instance: str) -> int:
         """Return the newest known incarnation of an instance, 0 if unknown.
 
-        :param instance: its name.
+        :param instance: name of the instance.
         """
         if instance == self._state.me:
             return self._state.incarnation
         return self._state.members.incarnation(instance)
 
     def handles(self, body: Any) -> bool:
-        """Return whether a control message is for this part.
+        """Return whether ``on_message`` accepts a control message.
 
         :param body: the message.
         """
         return isinstance(body, tuple(self._handlers))
 
     def on_message(self, sender: str, body: Any, now: float) -> Actions:
-        """Take a control message.
+        """Handle a control message.
 
-        :param sender: the authenticated instance.
+        :param sender: name of the instance, which is authenticated.
         :param body: a message that ``handles`` accepts.
         :param now: monotonic seconds.
         """
@@ -101,10 +107,11 @@
         return self._state.apply_changes(handler(sender, body, now), now)
 
     def on_platform_root(self, blob: bytes | None, now: float) -> Actions:
-        """Take the answer to a read or watch of the root.
+        """Handle the platform's answer to a read or watch of the root.
 
-        :param blob: the value; nothing when the platform answered the watch
-            with nothing newer. A watch that got no answer is a failure.
+        :param blob: the root, or None if the platform answered the watch that
+            there is no newer one. A watch without an answer is a failure and
+            goes to ``on_platform_failure``.
         :param now: monotonic seconds.
         """
         state = self._state
@@ -119,9 +126,9 @@
         )
 
     def on_platform_part(self, blob: bytes, now: float) -> Actions:
-        """Take the answer to a read of a part.
+        """Handle the platform's answer to a read of a part.
 
-        :param blob: the value.
+        :param blob: the part.
         :param now: monotonic seconds.
         """
         state = self._state
@@ -130,9 +137,9 @@
         )
 
     def on_platform_list(self, listed: InstanceList, now: float) -> Actions:
-        """Take the answer to a read of the instance list.
+        """Handle the platform's answer to a read of the instance list.
 
-        :param listed: the list.
+        :param listed: the instance list.
         :param now: monotonic seconds.
         """
         state = self._state
@@ -140,9 +147,9 @@
         return list(state.members.changes(now))
 
     def on_platform_failure(self, name: str, now: float) -> Actions:
-        """Note a read or watch that failed.
+        """Handle a read or watch that failed.
 
-        :param name: what was read.
+        :param name: name of the value that was read.
         :param now: monotonic seconds.
         """
         if name == ROOT_NAME:
@@ -150,7 +157,7 @@
         return []
 
     def on_tick(self, now: float) -> Actions:
-        """Do what is due.
+        """Return the reads and requests that are due, and changes of members.
 
         :param now: monotonic seconds.
         """
@@ -163,7 +170,9 @@
         return state.apply_changes(actions, now)
 
     def on_pause(self, now: float) -> Actions:
-        """Forget what may have changed during a pause; rejoin as another.
+        """Discard what may have changed during a pause of this process.
+
+        The daemon takes a new incarnation and asks its peers for their views.
 
         :param now: monotonic seconds.
         """
@@ -176,7 +185,7 @@
         return list(state.request_views(now))
 
     def stop(self, now: float) -> Actions:
-        """Tell peers that this daemon takes no new work.
+        """Return notices to the peers that this daemon takes no new requests.
 
         :param now: monotonic seconds.
         """
--- a/tests/test_detector.py
+++ b/tests/test_detector.py
@@ -22,7 +22,7 @@
     baseline: Baseline | None = PEERS,
     start: float = 10.0,
 ) -> tuple[int, object]:
-    """Feed outcomes at 13/s until the target is held sick."""
+    """Feed 13 outcomes a second until the target is unhealthy."""
     detector.on_baseline(baseline, start)
     for number, outcome in enumerate(outcomes):
         now = start + number * GAP_SECONDS
@@ -36,6 +36,7 @@
 
 
 def latencies(factor: float, count: int, seed: int) -> list[RequestOutcome]:
+    """Return answers that are slower than the peers' by a factor."""
     rng = random.Random(seed)
     return [
         RequestOutcome(OutcomeKind.OK, factor * rng.lognormvariate(-3.7, 0.45))
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -22,7 +22,7 @@
 
 
 class Deployment:
-    """Managers that hear each other at once, with steady traffic."""
+    """Managers that exchange messages without delay, with steady traffic."""
 
     def __init__(self, cfg: Config = CFG) -> None:
         self.now = 100.0
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -54,6 +54,8 @@
 
 @dataclass
 class Version:
+    """A published configuration and when it was replaced."""
+
     cfg: Config
     published: float
     superseded: float = float('inf')
@@ -68,6 +70,8 @@
 
 @dataclass
 class Daemon:
+    """One daemon; its clock is ``offset`` seconds ahead of the model's."""
+
     version: Version
     manager: EjectionManager
     offset: float
@@ -83,6 +87,11 @@
 
 
 class Fleet(RuleBasedStateMachine):
+    """Faults, pauses and new versions in any order.
+
+    Each round checks that no more targets are ejected than the floor allows.
+    """
+
     @initialize(seed=st.integers(0, 2**16), floor=floors)
     def start(self, seed: int, floor: int) -> None:
         self.rng = random.Random(seed)
@@ -350,7 +359,7 @@
 
 
 class Lender:
-    """A holder that is asked for permits at any time."""
+    """A permit holder and reports that ask it for permits."""
 
     def __init__(self, floor: int) -> None:
         cfg = make_config(1, floor, frozenset(range(SIZE)))
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -39,11 +39,13 @@
 
 
 def publication(version, *, valid=True):
+    """Return a version; an invalid one lacks the services it refers to."""
     services = CFG.services if valid else {}
     return pack(replace(CFG, version=version, services=services)).unwrap()
 
 
 def started(seed=0, replicas=1):
+    """Return a fleet in which all daemons have version 1 in force."""
     fleet = VirtualFleet(CFG, seed, replicas)
     fleet.platform.publish(publication(1))
     fleet.network.min_delay = fleet.network.max_delay = 0.9
@@ -68,7 +70,7 @@
 
 
 def split(fleet, side):
-    """Cut a side from the other daemons and from the platform."""
+    """Disconnect daemons from the other daemons and from the platform."""
     fleet.network.cuts = {
         (a, b) for a in NAMES for b in NAMES if (a in side) != (b in side)
     }
@@ -76,7 +78,7 @@
 
 
 class FleetMachine(RuleBasedStateMachine):
-    """Faults in any order; what must hold is checked twice a second."""
+    """Faults in any order; the invariant is checked twice a second."""
 
     @initialize(seed=st.integers(0, 2**32))
     def begin(self, seed):
@@ -157,7 +159,7 @@
     def publish_when_healed(self, name):
         self.heal()
         self.run(START_SECONDS)
-        # Nobody may have seen a version before a refused one replaced it.
+        # A rejected version may have replaced one before any daemon read it.
         if self.version == self.newest:
             assert versions(self.fleet) == {self.newest}
         assert len(versions(self.fleet)) == 1
@@ -186,7 +188,7 @@
             since = self.isolated.get(name, now)
             assert now - since <= FRESH_SECONDS, f'{name} is cut off'
             since = max(self.published_at, self.platform_whole_since)
-            # Under a refused version the platform shows no earlier one.
+            # While the newest version is invalid, the platform shows no other.
             shown = self.version == self.newest
             if shown and now - since > FRESH_SECONDS:
                 assert process.view.config.version == self.newest
