--- a/src/clementinedeal/_acceptance.py
+++ b/src/clementinedeal/_acceptance.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from clementinedeal._model import Config
-from clementinedeal._publication import PartMemo, Root, unpack
+from clementinedeal._publication import PartCache, Root, unpack
 from clementinedeal._view_actions import ConfigInForce, ConfigRejected
 from clementinedeal._view_messages import VersionRef
 
@@ -33,19 +33,19 @@
 
     def __init__(self) -> None:
         """Create a closed gate."""
-        self.asked_at: float | None = None
+        self.peers_asked_at: float | None = None
         self._highest_at_peers = 0
-        self._vouched = False
+        self._has_fresh_peer = False
 
-    def on_asked(self, now: float) -> None:
+    def on_peers_asked(self, now: float) -> None:
         """Note that peers are known and were asked.
 
         :param now: monotonic seconds.
         """
-        if self.asked_at is None:
-            self.asked_at = now
+        if self.peers_asked_at is None:
+            self.peers_asked_at = now
 
-    def on_peer(self, held: VersionRef | None, fresh: bool) -> None:
+    def on_peer_answer(self, held: VersionRef | None, is_fresh: bool) -> None:
         """Take a peer's answer.
 
         :param held: what is in force there.
@@ -53,7 +53,7 @@
         """
         if held is not None:
             self._highest_at_peers = max(self._highest_at_peers, held.version)
-            self._vouched = self._vouched or fresh
+            self._has_fresh_peer = self._has_fresh_peer or is_fresh
 
     def is_open(self, version: int, now: float) -> bool:
         """Return whether a version may come into force.
@@ -63,18 +63,18 @@
         """
         if version < self._highest_at_peers:
             return False
-        if self._vouched:
+        if self._has_fresh_peer:
             return True
-        return self.waited(now)
+        return self.has_waited(now)
 
-    def waited(self, now: float) -> bool:
+    def has_waited(self, now: float) -> bool:
         """Return whether peers had their time to answer.
 
         :param now: monotonic seconds.
         """
         return (
-            self.asked_at is not None
-            and now - self.asked_at >= PEER_WAIT_SECONDS
+            self.peers_asked_at is not None
+            and now - self.peers_asked_at >= PEER_WAIT_SECONDS
         )
 
 
@@ -84,26 +84,26 @@
     def __init__(self) -> None:
         """Create the state of a daemon that has just started."""
         self.gate = StartGate()
-        self.held: Bundle | None = None
+        self.in_force: Bundle | None = None
         self.cfg: Config | None = None
-        self.refused: Bundle | None = None
+        self.newest_rejected: Bundle | None = None
         self._rejected: dict[VersionRef, None] = {}
         self._highest_rejected = 0
-        self._memo = PartMemo()
+        self._part_cache = PartCache()
 
     @property
     def version(self) -> int:
         """Return the version in force, 0 for none."""
-        return 0 if self.held is None else self.held.ref.version
+        return 0 if self.in_force is None else self.in_force.ref.version
 
     @property
-    def settled(self) -> int:
+    def highest_decided(self) -> int:
         """Return the highest version decided on, for or against."""
         return max(self.version, self._highest_rejected)
 
     def bundles(self) -> tuple[Bundle, ...]:
         """Return the whole versions held, also one that was refused."""
-        both = (self.held, self.refused)
+        both = (self.in_force, self.newest_rejected)
         return tuple(bundle for bundle in both if bundle is not None)
 
     def parts(self) -> dict[str, bytes]:
@@ -125,11 +125,11 @@
 
         :param ref: the version heard of.
         """
-        if self.held is None or ref.version != self.version:
+        if self.in_force is None or ref.version != self.version:
             return []
-        return [] if ref == self.held.ref else self.report_twin(ref)
+        return [] if ref == self.in_force.ref else self.reject_duplicate(ref)
 
-    def report_twin(self, ref: VersionRef) -> list[ConfigRejected]:
+    def reject_duplicate(self, ref: VersionRef) -> list[ConfigRejected]:
         """Refuse other content for a version that is taken already.
 
         :param ref: the other content.
@@ -144,7 +144,7 @@
         """
         if ref in self._rejected:
             return []
-        self._remember(ref)
+        self._add_rejected(ref)
         return [ConfigRejected(ref.version, reason)]
 
     def offer(
@@ -159,24 +159,32 @@
         """
         if not self.is_wanted(bundle.ref):
             return []
-        if self.held is None and not self.gate.is_open(bundle.ref.version, now):
+        if self.in_force is None and not self.gate.is_open(
+            bundle.ref.version, now
+        ):
             return []
-        outcome = unpack(bundle.root, bundle.parts, self._memo)
+        outcome = unpack(bundle.root, bundle.parts, self._part_cache)
         if isinstance(outcome, Err):
-            self._refuse(bundle)
+            self._reject_bundle(bundle)
             return [ConfigRejected(bundle.ref.version, str(outcome.err_value))]
-        self.held = bundle
+        self.in_force = bundle
         self.cfg = outcome.ok_value
-        if self.refused and self.refused.ref.version <= self.version:
-            self.refused = None
+        if (
+            self.newest_rejected
+            and self.newest_rejected.ref.version <= self.version
+        ):
+            self.newest_rejected = None
         return [ConfigInForce(outcome.ok_value)]
 
-    def _refuse(self, bundle: Bundle) -> None:
-        self._remember(bundle.ref)
-        if self.refused is None or bundle.ref > self.refused.ref:
-            self.refused = bundle
+    def _reject_bundle(self, bundle: Bundle) -> None:
+        self._add_rejected(bundle.ref)
+        if (
+            self.newest_rejected is None
+            or bundle.ref > self.newest_rejected.ref
+        ):
+            self.newest_rejected = bundle
 
-    def _remember(self, ref: VersionRef) -> None:
+    def _add_rejected(self, ref: VersionRef) -> None:
         self._rejected[ref] = None
         self._highest_rejected = max(self._highest_rejected, ref.version)
         if len(self._rejected) > MAX_REJECTED:
--- a/src/clementinedeal/_access.py
+++ b/src/clementinedeal/_access.py
@@ -39,7 +39,7 @@
         self._routes = {
             (route.method, route.prefix): route for route in cfg.routes
         }
-        self._lengths = sorted(
+        self._prefix_lengths = sorted(
             {len(route.prefix) for route in cfg.routes},
             reverse=True,
         )
@@ -48,14 +48,14 @@
         self,
         head: RequestHead,
         *,
-        fresh: bool,
+        is_fresh: bool,
     ) -> Result[Granted, Reason]:
         """Decide on a request by its head.
 
         :param head: as received from the caller.
         :param fresh: whether this configuration is known to be recent.
         """
-        route = self.route(head.method, head.path)
+        route = self.find_route(head.method, head.path)
         if route is None:
             return Err(Reason.NO_ROUTE)
         if route.open:
@@ -63,25 +63,25 @@
         key = bearer_key(head)
         if key is None:
             return Err(Reason.KEY_MISSING)
-        if not fresh:
+        if not is_fresh:
             return Err(Reason.CONFIG_STALE)
         return self._check_key(route, key)
 
-    def route(self, method: str, path: str) -> Route | None:
+    def find_route(self, method: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix.
 
         :param method: upper-case HTTP method.
         :param path: request target, with or without a query.
         """
         path = path.partition('?')[0]
-        for length in self._lengths:
+        for length in self._prefix_lengths:
             if length <= len(path):
-                found = self._match(method, path[:length])
+                found = self._find_exact(method, path[:length])
                 if found is not None:
                     return found
         return None
 
-    def _match(self, method: str, prefix: str) -> Route | None:
+    def _find_exact(self, method: str, prefix: str) -> Route | None:
         exact = self._routes.get((method, prefix))
         return exact or self._routes.get((ANY_METHOD, prefix))
 
--- a/src/clementinedeal/_addresses.py
+++ b/src/clementinedeal/_addresses.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 MAX_PORT = 65535
-CACHED_ADDRESSES = 16_384  # those of a whole fleet, checked at each version
+MAX_CACHED_ADDRESSES = 16_384  # those of a whole fleet, checked at each version
 
 
 class Address(NamedTuple):
@@ -29,7 +29,7 @@
     return Address(str(ipaddress.IPv4Address(host)), int(port))
 
 
-@functools.lru_cache(maxsize=CACHED_ADDRESSES)
+@functools.lru_cache(maxsize=MAX_CACHED_ADDRESSES)
 def is_address(text: str) -> bool:
     """Return whether a text is a valid ``ip:port``.
 
--- a/src/clementinedeal/_entry_checks.py
+++ b/src/clementinedeal/_config_checks.py
@@ -113,7 +113,7 @@
     return amount > 0 and math.isfinite(amount)
 
 
-def listeners(instance: Instance) -> tuple[tuple[str, str], ...]:
+def listen_addresses(instance: Instance) -> tuple[tuple[str, str], ...]:
     """Return the listen addresses of an instance by field name.
 
     :param instance: the instance.
--- a/src/clementinedeal/_declaration.py
+++ b/src/clementinedeal/_declaration.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from clementinedeal._document import Entry, read_document
+from clementinedeal._document import YamlEntry, read_document
 from clementinedeal._errors import SettingsError
 from clementinedeal._model import (
     Account,
@@ -48,7 +48,7 @@
     return Ok(cfg)
 
 
-def _read(top: Entry) -> Config:
+def _read(top: YamlEntry) -> Config:
     entries = top.fields(_SECTIONS)
     return Config(
         version=_convert(entries['version'], int),
@@ -64,14 +64,14 @@
     )
 
 
-def _read_named(entry: Entry, kind: type[KindT]) -> dict[str, KindT]:
+def _read_named(entry: YamlEntry, kind: type[KindT]) -> dict[str, KindT]:
     return {
         name: child.build(kind, name=name)
         for name, child in entry.mapping().items()
     }
 
 
-def _read_presets(entry: Entry) -> dict[PresetName, Preset]:
+def _read_presets(entry: YamlEntry) -> dict[PresetName, Preset]:
     names = tuple(name.value for name in PresetName)
     return {
         PresetName(name): child.build(Preset, name=name)
@@ -79,5 +79,5 @@
     }
 
 
-def _convert(entry: Entry, kind: type[KindT]) -> KindT:
+def _convert(entry: YamlEntry, kind: type[KindT]) -> KindT:
     return entry.convert(entry.raw, kind)
--- a/src/clementinedeal/_directory.py
+++ b/src/clementinedeal/_directory.py
@@ -13,7 +13,7 @@
         """
         self.cfg: Config | None = None
         self._me = me
-        self._met: dict[str, str] = {}
+        self._learned_addresses: dict[str, str] = {}
 
     def take_config(self, cfg: Config) -> None:
         """Look up in this configuration from now on.
@@ -22,13 +22,13 @@
         """
         self.cfg = cfg
 
-    def meet(self, instance: str, control: str) -> None:
+    def add_address(self, instance: str, control: str) -> None:
         """Remember an instance that no held configuration names.
 
         :param instance: its name.
         :param control: its control address.
         """
-        self._met[instance] = control
+        self._learned_addresses[instance] = control
 
     def control_address(self, instance: str) -> str | None:
         """Return the control address of an instance, None if unknown.
@@ -36,7 +36,7 @@
         :param instance: its name.
         """
         known = self.cfg.instances.get(instance) if self.cfg else None
-        return known.control if known else self._met.get(instance)
+        return known.control if known else self._learned_addresses.get(instance)
 
     def owned_target(self, name: str) -> Target | None:
         """Return a target of this instance, None if it is not one.
--- a/src/clementinedeal/_document.py
+++ b/src/clementinedeal/_document.py
@@ -12,7 +12,7 @@
 
 KindT = TypeVar('KindT')
 
-_PATH_MARK = ' - at `$'
+_PATH_SEPARATOR = ' - at `$'
 
 
 class _Loader(yaml.SafeLoader):
@@ -35,7 +35,7 @@
         return super().construct_mapping(node, deep=deep)
 
 
-class Entry:
+class YamlEntry:
     """One value of a document with its place."""
 
     def __init__(self, file: str, path: str, raw: object) -> None:
@@ -49,20 +49,20 @@
         self.path = path
         self.raw = raw
 
-    def error(self, reason: str, below: str = '') -> SettingsError:
+    def error(self, reason: str, subpath: str = '') -> SettingsError:
         """Make an error about this entry or one below it.
 
         :param reason: what is wrong, in one line.
         :param below: path from this entry to the faulty one.
         """
-        path = '.'.join(part for part in (self.path, below) if part)
+        path = '.'.join(part for part in (self.path, subpath) if part)
         return SettingsError(
             file=self.file,
             path=path or '(document)',
             reason=' '.join(reason.split()),
         )
 
-    def mapping(self) -> dict[str, 'Entry']:
+    def mapping(self) -> dict[str, 'YamlEntry']:
         """Return the entries of a mapping by key.
 
         :raises SettingsError: not a mapping, or a key is not a string.
@@ -71,7 +71,7 @@
             raise self.error('expected a mapping')
         return {key: self._child(key) for key in self.raw}
 
-    def sequence(self) -> Iterator['Entry']:
+    def sequence(self) -> Iterator['YamlEntry']:
         """Yield the entries of a list.
 
         :raises SettingsError: not a list.
@@ -79,9 +79,9 @@
         if not isinstance(self.raw, list):
             raise self.error('expected a list')
         for index, raw in enumerate(self.raw):
-            yield Entry(self.file, f'{self.path}.{index}', raw)
+            yield YamlEntry(self.file, f'{self.path}.{index}', raw)
 
-    def fields(self, required: tuple[str, ...]) -> dict[str, 'Entry']:
+    def fields(self, required: tuple[str, ...]) -> dict[str, 'YamlEntry']:
         """Return the entries of a mapping that has exactly the given keys.
 
         :param required: the keys.
@@ -115,14 +115,16 @@
         try:
             return msgspec.convert(raw, type=kind)
         except msgspec.ValidationError as exc:
-            reason, _, below = str(exc).partition(_PATH_MARK)
-            raise self.error(reason, below.strip('.`')) from exc
+            reason, _, subpath = str(exc).partition(_PATH_SEPARATOR)
+            raise self.error(reason, subpath.strip('.`')) from exc
 
-    def _child(self, key: object) -> 'Entry':
+    def _child(self, key: object) -> 'YamlEntry':
         path = f'{self.path}.{key}' if self.path else str(key)
         if not isinstance(key, str):
-            raise Entry(self.file, path, key).error('the key is not a string')
-        return Entry(self.file, path, self.raw[key])  # type: ignore[index]
+            raise YamlEntry(self.file, path, key).error(
+                'the key is not a string'
+            )
+        return YamlEntry(self.file, path, self.raw[key])  # type: ignore[index]
 
     def _check_keys(
         self,
@@ -136,13 +138,13 @@
             raise self.error('required field is missing', min(required - keys))
 
 
-def read_document(path: str) -> Entry:
+def read_document(path: str) -> YamlEntry:
     """Read a YAML file.
 
     :param path: the file.
     :raises SettingsError: the file can't be read or isn't YAML.
     """
-    top = Entry(path, '', None)
+    top = YamlEntry(path, '', None)
     try:
         text = Path(path).read_text(encoding='utf-8')
     except (OSError, ValueError) as exc:
@@ -152,7 +154,7 @@
         raw = yaml.load(text, Loader=_Loader)  # noqa: S506
     except (yaml.YAMLError, ValueError, RecursionError) as exc:
         raise top.error(f'not YAML: {exc}') from exc
-    return Entry(path, '', raw)
+    return YamlEntry(path, '', raw)
 
 
 def _is_required(field: 'dataclasses.Field[Any]') -> bool:
--- a/src/clementinedeal/_ejection.py
+++ b/src/clementinedeal/_ejection.py
@@ -85,7 +85,7 @@
             if tracker.is_ejected
             and self._trackers.get(name, tracker) != tracker
         ]
-        if not cfg.active.ejection:
+        if not cfg.active_preset.ejection:
             for tracker in owned:
                 actions.extend(tracker.reinstate(now))
         return actions
--- a/src/clementinedeal/_entry.py
+++ b/src/clementinedeal/_entry.py
@@ -65,7 +65,7 @@
             req=Request(forwarded_head(head), body),
             started=started,
             deadline=started
-            + caller_timeout_seconds(head, access.cfg.active.deadline),
+            + caller_timeout_seconds(head, access.cfg.active_preset.deadline),
         )
         await self._serve_checked(conn, incoming)
 
@@ -76,7 +76,7 @@
         access = self._parts.view.access
         if access is None:
             return Err(Reason.CONFIG_STALE)
-        granted = access.check(head, fresh=self._parts.view.fresh())
+        granted = access.check(head, is_fresh=self._parts.view.fresh())
         if isinstance(granted, Err):
             return granted
         if (head.content_length or 0) > self._parts.max_body_bytes:
@@ -125,7 +125,7 @@
             AttemptRequest(
                 req_id=incoming.req_id,
                 idempotent=incoming.granted.route.idempotent,
-                preset=cfg.active,
+                preset=cfg.active_preset,
                 candidates=self._parts.view.candidates(incoming.granted),
                 deadline=incoming.deadline,
             ),
@@ -133,7 +133,7 @@
         )
         sender = AttemptSender(self._parts, conn, incoming)
         may_hedge = incoming.granted.route.idempotent and (
-            cfg.active.hedge_after > 0
+            cfg.active_preset.hedge_after > 0
         )
         exchange_class = HedgedExchange if may_hedge else Exchange
         exchange = exchange_class(plan, sender, self._parts.clock)
--- a/src/clementinedeal/_freshness.py
+++ b/src/clementinedeal/_freshness.py
@@ -5,7 +5,7 @@
 from clementinedeal._view_messages import Contact
 
 FRESH_SECONDS = 10.0
-CONTACT_SECONDS = 4.0  # leaves time to read and tell before the bound
+MAX_CONTACT_AGE_SECONDS = 4.0  # leaves time to read and tell before the bound
 
 
 class Freshness:
@@ -17,12 +17,12 @@
 
     def __init__(self) -> None:
         """Start without evidence."""
-        self.newest = 0
-        self.accepted = 0
-        self._settled = 0
+        self.newest_known = 0
+        self.newest_accepted = 0
+        self._decided = 0
         self._in_force = 0
         self._behind_since: float | None = None
-        self._covered_at = -math.inf
+        self._confirmed_at = -math.inf
         self._quorum_at = -math.inf
         self._contact_version = 0
         self._contact_at = -math.inf
@@ -33,8 +33,8 @@
         :param version: the version heard of.
         :param now: monotonic seconds.
         """
-        self.newest = max(self.newest, version)
-        self._note(now)
+        self.newest_known = max(self.newest_known, version)
+        self._update_behind(now)
 
     def on_accepted(self, version: int, now: float) -> None:
         """Note that a version is in force somewhere.
@@ -44,24 +44,24 @@
         :param version: the version heard of.
         :param now: monotonic seconds.
         """
-        self.accepted = max(self.accepted, version)
+        self.newest_accepted = max(self.newest_accepted, version)
         self.on_known(version, now)
 
-    def on_settled(self, settled: int, in_force: int, now: float) -> None:
+    def on_decided(self, decided: int, in_force: int, now: float) -> None:
         """Note which versions were decided on here.
 
         :param settled: highest version accepted or refused so far.
         :param in_force: highest version accepted.
         :param now: monotonic seconds.
         """
-        self._settled = max(self._settled, settled)
+        self._decided = max(self._decided, decided)
         self._in_force = max(self._in_force, in_force)
-        self.newest = max(self.newest, settled)
+        self.newest_known = max(self.newest_known, decided)
         self.on_accepted(in_force, now)
-        if self._contact_version == self._settled:
-            self._covered_at = max(self._covered_at, self._contact_at)
+        if self._contact_version == self._decided:
+            self._confirmed_at = max(self._confirmed_at, self._contact_at)
 
-    def on_contact(self, version: int, at: float, now: float) -> None:
+    def on_contact(self, version: int, read_at: float, now: float) -> None:
         """Take evidence that a read of the platform showed nothing newer.
 
         Evidence below what is known comes from a stale replica or is
@@ -74,11 +74,11 @@
         self.on_known(version, now)
         if version > self._contact_version:
             self._contact_version = version
-            self._contact_at = at
+            self._contact_at = read_at
         elif version == self._contact_version:
-            self._contact_at = max(self._contact_at, at)
-        if version == self._settled:
-            self._covered_at = max(self._covered_at, at)
+            self._contact_at = max(self._contact_at, read_at)
+        if version == self._decided:
+            self._confirmed_at = max(self._confirmed_at, read_at)
 
     def contact(self, now: float) -> Contact | None:
         """Return the evidence to hand on, if it is any use.
@@ -86,7 +86,7 @@
         :param now: monotonic seconds.
         """
         age = now - self._contact_at
-        if age > FRESH_SECONDS or self._contact_version < self.newest:
+        if age > FRESH_SECONDS or self._contact_version < self.newest_known:
             return None
         return Contact(self._contact_version, age)
 
@@ -95,9 +95,9 @@
 
         :param now: monotonic seconds.
         """
-        return now - self._contact_at > CONTACT_SECONDS
+        return now - self._contact_at > MAX_CONTACT_AGE_SECONDS
 
-    def on_quorum(self, at: float) -> None:
+    def on_quorum(self, heard_at: float) -> None:
         """Take evidence that more than half of the fleet knew nothing newer.
 
         It counts only while this daemon knows of nothing newer itself.
@@ -106,7 +106,7 @@
             this time or later, in monotonic seconds.
         """
         if self._behind_since is None:
-            self._quorum_at = max(self._quorum_at, at)
+            self._quorum_at = max(self._quorum_at, heard_at)
 
     def is_fresh(self, now: float) -> bool:
         """Return whether nothing newer was known within the bound.
@@ -116,17 +116,17 @@
         behind_since = self._behind_since
         if behind_since is not None and not _is_recent(behind_since, now):
             return False
-        return _is_recent(max(self._covered_at, self._quorum_at), now)
+        return _is_recent(max(self._confirmed_at, self._quorum_at), now)
 
-    def drop(self) -> None:
+    def on_pause(self) -> None:
         """Forget all evidence, after a pause."""
-        self._covered_at = -math.inf
+        self._confirmed_at = -math.inf
         self._contact_at = -math.inf
         self._quorum_at = -math.inf
 
-    def _note(self, now: float) -> None:
-        known = self.newest <= self._settled
-        if known and self.accepted <= self._in_force:
+    def _update_behind(self, now: float) -> None:
+        all_decided = self.newest_known <= self._decided
+        if all_decided and self.newest_accepted <= self._in_force:
             self._behind_since = None
         elif self._behind_since is None:
             self._behind_since = now
--- a/src/clementinedeal/_gossip.py
+++ b/src/clementinedeal/_gossip.py
@@ -7,18 +7,18 @@
 from clementinedeal._messages import Send
 from clementinedeal._view_messages import VersionRef, ViewAnswer, ViewRequest
 
-ASK_SECONDS = 0.5
-START_ASK_SECONDS = 0.25
-START_PEERS = 3
-ANSWER_SECONDS = 2.0
-FULL_SECONDS = 10.0
-HEARD_SHARE = 0.75  # of requests; the rest may go to silent instances
-DRAWS = 5
+QUERY_INTERVAL_SECONDS = 0.5
+START_QUERY_INTERVAL_SECONDS = 0.25
+START_PEER_COUNT = 3
+ANSWER_TIMEOUT_SECONDS = 2.0
+MAX_DIFFERENCE_SECONDS = 10.0
+HEARD_PEER_FRACTION = 0.75  # of requests; the rest may go to silent instances
+MAX_DRAWS = 5
 NONCE_BITS = 62
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
+class ViewQuery:
     """A request that may still be answered."""
 
     peer: str
@@ -43,16 +43,16 @@
         self._me = me
         self._members = members
         self._rng = rng
-        self._asked: dict[int, Asked] = {}
-        self._due = 0.0
+        self._queries: dict[int, ViewQuery] = {}
+        self._next_query_at = 0.0
         self._wants_full = True
         self._differs_since: float | None = None
 
-    def ask(
+    def due_requests(
         self,
         now: float,
         *,
-        control: str,
+        control_address: str,
         held: VersionRef | None,
     ) -> list[Send]:
         """Return the requests that are due.
@@ -62,15 +62,19 @@
         :param held: version in force here.
         """
         names = self._members.roster.names
-        if now < self._due or set(names) <= {self._me}:
+        if now < self._next_query_at or set(names) <= {self._me}:
             return []
-        self._expire(now)
-        gap = START_ASK_SECONDS if held is None else ASK_SECONDS
-        self._due = now + gap * self._rng.uniform(0.9, 1.1)
-        count = START_PEERS if held is None else 1
-        peers = {self._draw(names, now) for _ in range(count)}
+        self._drop_expired(now)
+        interval = (
+            START_QUERY_INTERVAL_SECONDS
+            if held is None
+            else QUERY_INTERVAL_SECONDS
+        )
+        self._next_query_at = now + interval * self._rng.uniform(0.9, 1.1)
+        count = START_PEER_COUNT if held is None else 1
+        peers = {self._draw_peer(names, now) for _ in range(count)}
         return [
-            Send(peer, self._request(peer, now, control, held))
+            Send(peer, self._build_request(peer, now, control_address, held))
             for peer in sorted(peers)
         ]
 
@@ -87,57 +91,61 @@
             late or repeated.
         :param now: monotonic seconds.
         """
-        self._expire(now)
-        asked = self._asked.get(answer.nonce)
-        if asked is None or asked.peer != sender:
+        self._drop_expired(now)
+        query = self._queries.get(answer.nonce)
+        if query is None or query.peer != sender:
             return None
-        self._asked.pop(answer.nonce)
-        self._compare(answer, now)
-        return asked.sent_at
+        self._queries.pop(answer.nonce)
+        self._compare_records(answer, now)
+        return query.sent_at
 
-    def drop(self) -> None:
+    def on_pause(self) -> None:
         """Forget requests under way, after a pause."""
-        self._asked.clear()
-        self._due = 0.0
+        self._queries.clear()
+        self._next_query_at = 0.0
         self._wants_full = True
 
-    def _request(
+    def _build_request(
         self,
         peer: str,
         now: float,
-        control: str,
+        control_address: str,
         held: VersionRef | None,
     ) -> ViewRequest:
         nonce = self._rng.getrandbits(NONCE_BITS)
-        self._asked[nonce] = Asked(peer, now)
+        self._queries[nonce] = ViewQuery(peer, now)
         full = self._wants_full
         self._wants_full = False
-        return ViewRequest(nonce=nonce, control=control, held=held, full=full)
+        return ViewRequest(
+            nonce=nonce, control=control_address, held=held, full=full
+        )
 
-    def _draw(self, names: tuple[str, ...], now: float) -> str:
+    def _draw_peer(self, names: tuple[str, ...], now: float) -> str:
         choice = self._me
-        anyone = self._rng.random() >= HEARD_SHARE
-        for _ in range(DRAWS):
+        may_be_silent = self._rng.random() >= HEARD_PEER_FRACTION
+        for _ in range(MAX_DRAWS):
             choice = self._rng.choice(names)
-            usable = anyone or not self._members.is_silent(choice, now)
-            if choice != self._me and usable:
+            is_usable = may_be_silent or not self._members.is_silent(
+                choice, now
+            )
+            if choice != self._me and is_usable:
                 return choice
         others = [name for name in names if name != self._me]
         return self._rng.choice(others)
 
-    def _compare(self, answer: ViewAnswer, now: float) -> None:
-        same = answer.records_digest == self._members.roster.records_digest()
-        if same or answer.names != self._members.roster.names_digest:
+    def _compare_records(self, answer: ViewAnswer, now: float) -> None:
+        is_same = answer.records_digest == self._members.roster.records_digest()
+        if is_same or answer.names != self._members.roster.names_digest:
             self._differs_since = None
         elif self._differs_since is None:
             self._differs_since = now
-        elif now - self._differs_since > FULL_SECONDS:
+        elif now - self._differs_since > MAX_DIFFERENCE_SECONDS:
             self._differs_since = None
             self._wants_full = True
 
-    def _expire(self, now: float) -> None:
-        self._asked = {
-            nonce: asked
-            for nonce, asked in self._asked.items()
-            if now - asked.sent_at <= ANSWER_SECONDS
+    def _drop_expired(self, now: float) -> None:
+        self._queries = {
+            nonce: query
+            for nonce, query in self._queries.items()
+            if now - query.sent_at <= ANSWER_TIMEOUT_SECONDS
         }
--- a/src/clementinedeal/_hashing.py
+++ b/src/clementinedeal/_hashing.py
@@ -14,7 +14,7 @@
         :param names: the candidates, from published data.
         """
         self.names = tuple(sorted(names))
-        self._blobs = tuple(name.encode() for name in self.names)
+        self._encoded_names = tuple(name.encode() for name in self.names)
 
     def heaviest(self, key: str) -> str:
         """Return the name of greatest weight for a key, '' without names.
@@ -37,7 +37,7 @@
     def _weights(self, key: str) -> list[int]:
         weigh = xxhash.xxh3_64_intdigest
         seed = weigh(key.encode())
-        return [weigh(blob, seed) for blob in self._blobs]
+        return [weigh(blob, seed) for blob in self._encoded_names]
 
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
--- a/src/clementinedeal/_member.py
+++ b/src/clementinedeal/_member.py
@@ -4,8 +4,8 @@
 
 from clementinedeal._view_messages import MemberRecord
 
-AGES_PER_SECOND = 4
-AGE_CAP = 255
+AGE_UNITS_PER_SECOND = 4
+MAX_AGE_UNITS = 255
 NEVER = -math.inf
 
 
@@ -38,7 +38,7 @@
         self.changed_at = NEVER
         self.is_left = False
 
-    def record(self, index: int, now: float) -> MemberRecord:
+    def to_record(self, index: int, now: float) -> MemberRecord:
         """Return the record to tell.
 
         :param index: place among the sorted published names.
@@ -53,19 +53,19 @@
         :param record: what a peer said.
         :param sent_at: when that peer was asked, in monotonic seconds.
         """
-        at = sent_at - record.age
-        same = record.incarnation == self.incarnation
-        if at <= self.record_at and not same:
+        said_at = sent_at - record.age
+        same_incarnation = record.incarnation == self.incarnation
+        if said_at <= self.record_at and not same_incarnation:
             return False
-        leaving = record.leaving or (same and self.leaving)
-        changed = not same or leaving != self.leaving
+        leaving = record.leaving or (same_incarnation and self.leaving)
+        changed = not same_incarnation or leaving != self.leaving
         self.incarnation = record.incarnation
         self.leaving = leaving
-        self.record_at = max(self.record_at, at)
+        self.record_at = max(self.record_at, said_at)
         if changed:
             self.changed_at = sent_at
         return changed
 
-    def last_sign(self) -> float:
+    def last_seen_at(self) -> float:
         """Return when it was heard, or else when it became known."""
         return max(self.heard_at, self.since)
--- a/src/clementinedeal/_membership.py
+++ b/src/clementinedeal/_membership.py
@@ -11,8 +11,8 @@
 )
 from clementinedeal._view_messages import MemberRecord
 
-ALIVE_SECONDS = 8.0
-LIST_SECONDS = 30.0  # how long a reading of the platform's list counts
+MAX_UNHEARD_SECONDS = 8.0
+MAX_LIST_AGE_SECONDS = 30.0  # how long a reading of the platform's list counts
 
 
 class Membership:
@@ -29,11 +29,11 @@
         """
         self._me = me
         self.roster = Roster(me)
-        self._list = InstanceList(frozenset(), frozenset())
-        self._list_at = NEVER
-        self._told: set[str] = set()
+        self._platform_list = InstanceList(frozenset(), frozenset())
+        self._platform_list_at = NEVER
+        self._reported_leaving: set[str] = set()
 
-    def drop(self, now: float) -> None:
+    def on_pause(self, now: float) -> None:
         """Forget who was heard, after a pause.
 
         :param now: monotonic seconds.
@@ -53,14 +53,16 @@
             record = MemberRecord(0, incarnation, leaving=True, age=0)
             self.roster.set_record(sender, record, now)
 
-    def on_list(self, listed: InstanceList, asked_at: float) -> None:
+    def on_platform_list(
+        self, listed: InstanceList, requested_at: float
+    ) -> None:
         """Take the platform's list.
 
         :param listed: live and leaving names.
         :param asked_at: when it was read, in monotonic seconds.
         """
-        self._list = listed
-        self._list_at = asked_at
+        self._platform_list = listed
+        self._platform_list_at = requested_at
 
     def is_silent(self, name: str, now: float) -> bool:
         """Return whether an instance had its time to be heard and wasn't.
@@ -80,7 +82,7 @@
         member = self.roster.find(name)
         if member is None:
             return False
-        if name == self._me or now - member.heard_at <= ALIVE_SECONDS:
+        if name == self._me or now - member.heard_at <= MAX_UNHEARD_SECONDS:
             return True
         never_heard = member.heard_at == NEVER
         return never_heard and self._is_listed(name, now)
@@ -91,8 +93,8 @@
         :param name: the instance.
         """
         member = self.roster.find(name)
-        by_word = member is not None and member.leaving
-        return by_word or name in self._list.leaving
+        is_announced = member is not None and member.leaving
+        return is_announced or name in self._platform_list.leaving
 
     def incarnation(self, name: str) -> int:
         """Return the newest known incarnation of an instance, 0 if unknown.
@@ -112,18 +114,20 @@
             if silent and not member.is_left:
                 yield InstanceLeft(member.name)
             member.is_left = silent
-            leaving = member.leaving or member.name in self._list.leaving
-            if leaving and member.name not in self._told:
-                self._told.add(member.name)
+            leaving = (
+                member.leaving or member.name in self._platform_list.leaving
+            )
+            if leaving and member.name not in self._reported_leaving:
+                self._reported_leaving.add(member.name)
                 yield InstanceLeaving(member.name)
             elif not leaving:
-                self._told.discard(member.name)
+                self._reported_leaving.discard(member.name)
 
     def _is_silent(self, member: Member, now: float) -> bool:
-        if now - member.last_sign() <= ALIVE_SECONDS:
+        if now - member.last_seen_at() <= MAX_UNHEARD_SECONDS:
             return False
         return member.name != self._me
 
     def _is_listed(self, name: str, now: float) -> bool:
-        recent = now - self._list_at <= LIST_SECONDS
-        return recent and name in self._list.live
+        recent = now - self._platform_list_at <= MAX_LIST_AGE_SECONDS
+        return recent and name in self._platform_list.live
--- a/src/clementinedeal/_model.py
+++ b/src/clementinedeal/_model.py
@@ -111,10 +111,12 @@
     instances: Mapping[str, Instance]
 
     @property
-    def active(self) -> Preset:
+    def active_preset(self) -> Preset:
         """Return the preset in force."""
         return self.presets[self.preset]
 
     def floor(self, service: str) -> int:
         """Return the floor of a service under the preset in force."""
-        return self.active.floors.get(service, self.services[service].floor)
+        return self.active_preset.floors.get(
+            service, self.services[service].floor
+        )
--- a/src/clementinedeal/_part_answers.py
+++ b/src/clementinedeal/_part_answers.py
@@ -2,7 +2,7 @@
 
 from clementinedeal._acceptance import Acceptance
 from clementinedeal._messages import Send
-from clementinedeal._spread import Spread
+from clementinedeal._version_sync import VersionSync
 from clementinedeal._view_messages import (
     PartsAnswer,
     PartsRequest,
@@ -16,14 +16,16 @@
 class PartAnswers:
     """Hands out what this daemon holds, also of versions not yet whole."""
 
-    def __init__(self, acceptance: Acceptance, spread: Spread) -> None:
+    def __init__(
+        self, acceptance: Acceptance, version_sync: VersionSync
+    ) -> None:
         """Serve from what others hold.
 
         :param acceptance: whole versions.
         :param spread: the version being gathered.
         """
         self._acceptance = acceptance
-        self._spread = spread
+        self._version_sync = version_sync
 
     def on_root_request(
         self,
@@ -59,7 +61,7 @@
         found: list[bytes] = []
         size = 0
         for digest in body.digests:
-            blob = known.get(digest) or self._spread.part(digest)
+            blob = known.get(digest) or self._version_sync.find_part(digest)
             if blob is not None and size < MAX_ANSWER_BYTES:
                 found.append(blob)
                 size += len(blob)
--- a/src/clementinedeal/_part_reads.py
+++ b/src/clementinedeal/_part_reads.py
@@ -7,10 +7,10 @@
 from clementinedeal._pull import Pull
 from clementinedeal._view_actions import ReadPlatform
 
-RETRY_SECONDS = 2.0
+RETRY_INTERVAL_SECONDS = 2.0
 READER_PARTS_PER_SECOND = 50.0
-LONE_PARTS_PER_SECOND = 2.0
-LONE_WAIT_SECONDS = 10.0
+NON_READER_PARTS_PER_SECOND = 2.0
+NON_READER_WAIT_SECONDS = 10.0
 
 
 class PartReads:
@@ -22,18 +22,18 @@
         :param acceptance: tells whether a version is in force.
         """
         self._acceptance = acceptance
-        self._sent: dict[str, float] = {}
-        self._allowance = 0.0
-        self._earned_at: float | None = None
+        self._sent_at: dict[str, float] = {}
+        self._budget = 0.0
+        self._refilled_at: float | None = None
 
     def on_part(self, digest: str) -> None:
         """Note that a part came.
 
         :param digest: its digest.
         """
-        self._sent.pop(digest, None)
+        self._sent_at.pop(digest, None)
 
-    def due(
+    def due_reads(
         self,
         pull: Pull,
         now: float,
@@ -46,30 +46,34 @@
         :param now: monotonic seconds.
         :param is_reader: whether the fleet relies on this daemon's reads.
         """
-        self._earn(now, is_reader=is_reader)
+        self._refill(now, is_reader=is_reader)
         if not self._may_read(pull, now, is_reader=is_reader):
             return
-        for digest in pull.lacking(int(self._allowance)):
-            sent = self._sent.get(digest)
-            if sent is None or now - sent >= RETRY_SECONDS:
-                self._sent[digest] = now
-                self._allowance -= 1
+        for digest in pull.missing_digests(int(self._budget)):
+            sent_at = self._sent_at.get(digest)
+            if sent_at is None or now - sent_at >= RETRY_INTERVAL_SECONDS:
+                self._sent_at[digest] = now
+                self._budget -= 1
                 yield ReadPlatform(f'{PART_PREFIX}{digest}')
 
-    def _earn(self, now: float, *, is_reader: bool) -> None:
-        rate = READER_PARTS_PER_SECOND if is_reader else LONE_PARTS_PER_SECOND
-        if self._earned_at is None:
-            self._allowance = LONE_PARTS_PER_SECOND
+    def _refill(self, now: float, *, is_reader: bool) -> None:
+        rate = (
+            READER_PARTS_PER_SECOND
+            if is_reader
+            else NON_READER_PARTS_PER_SECOND
+        )
+        if self._refilled_at is None:
+            self._budget = NON_READER_PARTS_PER_SECOND
         else:
-            passed = now - self._earned_at
-            self._allowance = min(rate, self._allowance + passed * rate)
-        self._earned_at = now
+            passed = now - self._refilled_at
+            self._budget = min(rate, self._budget + passed * rate)
+        self._refilled_at = now
 
     def _may_read(self, pull: Pull, now: float, *, is_reader: bool) -> bool:
-        started = self._acceptance.held is not None
+        started = self._acceptance.in_force is not None
         if started or not pull.has_instances():
             return True
         gate = self._acceptance.gate
-        if is_reader or gate.asked_at is None:
-            return gate.waited(now)
-        return now - gate.asked_at >= LONE_WAIT_SECONDS
+        if is_reader or gate.peers_asked_at is None:
+            return gate.has_waited(now)
+        return now - gate.peers_asked_at >= NON_READER_WAIT_SECONDS
--- a/src/clementinedeal/_parts.py
+++ b/src/clementinedeal/_parts.py
@@ -19,8 +19,8 @@
 )
 
 DIGEST_BYTES = 16
-PART_BYTES = 24_000  # parts and root weigh about the same at full size
-INSTANCE_PART_BYTES = 200_000  # a new daemon reads few to know its peers
+MAX_PART_BYTES = 24_000  # parts and root weigh about the same at full size
+MAX_INSTANCE_PART_BYTES = 200_000  # a new daemon reads few to know its peers
 HASH_BITS = 64
 
 _ENCODER = msgspec.msgpack.Encoder(order='deterministic')
@@ -55,7 +55,7 @@
     return hashlib.blake2b(blob, digest_size=DIGEST_BYTES).hexdigest()
 
 
-def identities(section: Section) -> Callable[[Any], str]:
+def identity_function(section: Section) -> Callable[[Any], str]:
     """Return the function that tells what makes an entry unique.
 
     :param section: kind of the entries.
@@ -77,15 +77,15 @@
     :param entries: all of them, in any order.
     :raises ValueError: an entry can't be encoded.
     """
-    limit = PART_BYTES
+    max_bytes = MAX_PART_BYTES
     if section is Section.INSTANCES:
-        limit = INSTANCE_PART_BYTES
-    identity = identities(section)
+        max_bytes = MAX_INSTANCE_PART_BYTES
+    identity = identity_function(section)
     hashed = [
         (xxhash.xxh3_64_intdigest(identity(entry).encode()), entry)
         for entry in sorted(entries, key=identity)
     ]
-    return list(_split(hashed, limit, HASH_BITS)) if hashed else []
+    return list(_split(hashed, max_bytes, HASH_BITS)) if hashed else []
 
 
 def decode_part(section: Section, blob: bytes) -> tuple[Any, ...]:
@@ -105,11 +105,11 @@
 
 def _split(
     hashed: list[tuple[int, Any]],
-    limit: int,
+    max_bytes: int,
     bits: int,
 ) -> list[bytes]:
     blob = _encode([entry for _, entry in hashed])
-    if len(blob) <= limit or len(hashed) == 1 or bits == 0:
+    if len(blob) <= max_bytes or len(hashed) == 1 or bits == 0:
         return [blob]
     mask = 1 << (bits - 1)
     halves = (
@@ -120,7 +120,7 @@
         blob
         for half in halves
         if half
-        for blob in _split(half, limit, bits - 1)
+        for blob in _split(half, max_bytes, bits - 1)
     ]
 
 
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -248,7 +248,11 @@
             self._leaving.discard(report.target)
 
     def _update_limit(self, now: float) -> None:
-        lends = self._fresh and not self._stopped and self._cfg.active.ejection
+        lends = (
+            self._fresh
+            and not self._stopped
+            and self._cfg.active_preset.ejection
+        )
         if not lends or holder_of(self._cfg, self._service) != self._me:
             self._limit.set_value(0, now)
             return
--- a/src/clementinedeal/_platform.py
+++ b/src/clementinedeal/_platform.py
@@ -15,9 +15,9 @@
 )
 from clementinedeal._pool import ConnPool
 
-READ_SECONDS = 3.0
+READ_TIMEOUT_SECONDS = 3.0
 # Three reads at once hold 24 MiB of the smallest machine's 200 MB.
-MOST_VALUE_BYTES = 8 << 20
+MAX_RESPONSE_BYTES = 8 << 20
 _OK = 200
 _NOT_MODIFIED = 304
 _NOT_FOUND = 404
@@ -44,7 +44,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class InstanceList:
+class PlatformInstanceList:
     """The platform's list of live and leaving instances."""
 
     version: int
@@ -73,7 +73,7 @@
         """
         ...
 
-    async def instances(self) -> InstanceList:
+    async def instances(self) -> PlatformInstanceList:
         """Read the list of instances.
 
         :raises PlatformError: no usable answer.
@@ -92,12 +92,12 @@
         """
         self._addresses = addresses
         self._pool = pool
-        self._turn = 0
-        self.reads = 0
+        self._address_index = 0
+        self.read_count = 0
 
     async def read(self, name: str) -> PlatformValue | None:
         """Read a value; None if there is none."""
-        return await self._value(f'/values/{name}', READ_SECONDS)
+        return await self._read_value(f'/values/{name}', READ_TIMEOUT_SECONDS)
 
     async def watch(
         self,
@@ -107,26 +107,28 @@
     ) -> PlatformValue | None:
         """Wait for a newer value; None if there was none in time."""
         path = f'/values/{name}?after={after}&wait={seconds:g}'
-        return await self._value(path, seconds + READ_SECONDS)
+        return await self._read_value(path, seconds + READ_TIMEOUT_SECONDS)
 
-    async def instances(self) -> InstanceList:
+    async def instances(self) -> PlatformInstanceList:
         """Read the list of instances."""
-        found = await self._value('/instances', READ_SECONDS)
+        found = await self._read_value('/instances', READ_TIMEOUT_SECONDS)
         if found is None:
             raise PlatformError('no instance list is published')
         try:
-            return msgspec.json.decode(found.blob, type=InstanceList)
+            return msgspec.json.decode(found.blob, type=PlatformInstanceList)
         except UNREADABLE_ERRORS as exc:
             raise PlatformError(f'malformed list: {exc}') from exc
 
-    async def _value(self, path: str, seconds: float) -> PlatformValue | None:
-        address = self._addresses[self._turn % len(self._addresses)]
-        self.reads += 1
+    async def _read_value(
+        self, path: str, timeout_seconds: float
+    ) -> PlatformValue | None:
+        address = self._addresses[self._address_index % len(self._addresses)]
+        self.read_count += 1
         try:
-            with trio.fail_after(seconds):
+            with trio.fail_after(timeout_seconds):
                 return await self._get(address, path)
         except (HttpError, ConnLostError, trio.TooSlowError) as exc:
-            self._turn += 1
+            self._address_index += 1
             raise PlatformError(f'{address}{path}: {exc}') from exc
 
     async def _get(self, address: str, path: str) -> PlatformValue | None:
@@ -148,7 +150,7 @@
         head = RequestHead('GET', path, ((b'host', address.encode()),))
         await conn.send_whole(head, b'')
         answer = await conn.read_head()
-        blob = await conn.read_whole(MOST_VALUE_BYTES)
+        blob = await conn.read_whole(MAX_RESPONSE_BYTES)
         if answer.status in {_NOT_MODIFIED, _NOT_FOUND}:
             return None
         if answer.status != _OK:
--- a/src/clementinedeal/_platform_reads.py
+++ b/src/clementinedeal/_platform_reads.py
@@ -8,12 +8,15 @@
 
 from clementinedeal._errors import ClementinedealError
 from clementinedeal._events import EventLog
-from clementinedeal._platform import InstanceList, Platform, PlatformError
+from clementinedeal._platform import (
+    Platform,
+    PlatformError,
+    PlatformInstanceList,
+)
 from clementinedeal._publication import ROOT_NAME, read_root
-from clementinedeal._readers import LIST_NAME
+from clementinedeal._read_schedule import LIST_NAME
 from clementinedeal._timers import Clock
-from clementinedeal._view_actions import InstanceList as NameSets
-from clementinedeal._view_actions import ReadPlatform, WatchRoot
+from clementinedeal._view_actions import InstanceList, ReadPlatform, WatchRoot
 
 _LEAVING = 'leaving'
 
@@ -29,7 +32,9 @@
         """Take a part."""
         ...
 
-    def on_platform_list(self, listed: NameSets, now: float) -> Iterable[Any]:
+    def on_platform_list(
+        self, listed: InstanceList, now: float
+    ) -> Iterable[Any]:
         """Take the instance list."""
         ...
 
@@ -71,8 +76,8 @@
         self._clock = clock
         self._events = events
         self._nursery: trio.Nursery | None = None
-        self._available = True
-        self._root_seen = (0, 0)
+        self._is_available = True
+        self._last_root_versions = (0, 0)
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Allow reads from now on.
@@ -84,30 +89,30 @@
     def read(self, action: ReadPlatform) -> None:
         """Begin to read a value or the list."""
         if action.name == LIST_NAME:
-            self._begin(self._read_list, LIST_NAME)
+            self._start_task(self._read_list, LIST_NAME)
         elif action.name == ROOT_NAME:
-            self._begin(self._read_root, ROOT_NAME)
+            self._start_task(self._read_root, ROOT_NAME)
         else:
-            self._begin(self._read_part, action.name)
+            self._start_task(self._read_part, action.name)
 
     def watch(self, action: WatchRoot) -> None:
         """Begin to watch the root."""
-        self._begin(self._watch_root, action)
+        self._start_task(self._watch_root, action)
 
-    def _begin(self, task: Any, argument: Any) -> None:
+    def _start_task(self, task: Any, argument: Any) -> None:
         if self._nursery is None:
             raise ClementinedealError('platform reads are not running')
-        self._nursery.start_soon(self._guard, task, argument)
+        self._nursery.start_soon(self._run_task, task, argument)
 
-    async def _guard(self, task: Any, argument: Any) -> None:
+    async def _run_task(self, task: Any, argument: Any) -> None:
         name = argument if isinstance(argument, str) else ROOT_NAME
         try:
             actions = await task(argument)
         except PlatformError as exc:
-            self._note_available(False, str(exc))
+            self._report_available(False, str(exc))
             actions = self._listener.on_platform_failure(name, self._now())
         else:
-            self._note_available(True, '')
+            self._report_available(True, '')
         self._performer.perform(actions)
 
     async def _read_root(self, _name: str) -> Iterable[Any]:
@@ -119,11 +124,11 @@
 
     async def _watch_root(self, action: WatchRoot) -> Iterable[Any]:
         """Watch by the platform's own version of the value held here."""
-        held, stored = self._root_seen
-        if held != action.after_version:
+        version, stored_version = self._last_root_versions
+        if version != action.after_version:
             return await self._read_root(ROOT_NAME)
         found = await self._platform.watch(
-            ROOT_NAME, stored, action.timeout_seconds
+            ROOT_NAME, stored_version, action.timeout_seconds
         )
         if found is None:
             return self._listener.on_platform_root(None, self._now())
@@ -138,27 +143,27 @@
 
     async def _read_list(self, _name: str) -> Iterable[Any]:
         found = await self._platform.instances()
-        names = _name_sets(found)
+        names = _to_instance_list(found)
         return self._listener.on_platform_list(names, self._now())
 
-    def _note_root(self, blob: bytes, stored: int) -> None:
+    def _note_root(self, blob: bytes, stored_version: int) -> None:
         root = read_root(blob)
         if isinstance(root, Ok):
-            self._root_seen = (root.ok_value.version, stored)
+            self._last_root_versions = (root.ok_value.version, stored_version)
 
-    def _note_available(self, available: bool, reason: str) -> None:
-        if available != self._available:
-            self._available = available
-            name = 'platform-back' if available else 'platform-lost'
+    def _report_available(self, is_available: bool, reason: str) -> None:
+        if is_available != self._is_available:
+            self._is_available = is_available
+            name = 'platform-back' if is_available else 'platform-lost'
             self._events.emit(name, reason=reason)
 
     def _now(self) -> float:
         return self._clock.now()
 
 
-def _name_sets(found: InstanceList) -> NameSets:
+def _to_instance_list(found: PlatformInstanceList) -> InstanceList:
     leaving = frozenset(
         entry.name for entry in found.instances if entry.state == _LEAVING
     )
     every = frozenset(entry.name for entry in found.instances)
-    return NameSets(live=every - leaving, leaving=leaving)
+    return InstanceList(live=every - leaving, leaving=leaving)
--- a/src/clementinedeal/_publication.py
+++ b/src/clementinedeal/_publication.py
@@ -14,7 +14,7 @@
     decode_part,
     digest_of,
     encode_section,
-    identities,
+    identity_function,
 )
 from clementinedeal._validation import find_fault
 
@@ -109,7 +109,7 @@
     return Ok(root)
 
 
-class PartMemo:
+class PartCache:
     """Decoded parts of the last version, so that a change costs little.
 
     Keyed by digest, whose content never changes; the outcome of ``unpack``
@@ -154,7 +154,7 @@
 def unpack(
     root: Root,
     parts: Mapping[str, bytes],
-    memo: PartMemo | None = None,
+    part_cache: PartCache | None = None,
 ) -> Result[Config, PublicationError]:
     """Build a configuration and check it whole.
 
@@ -164,15 +164,16 @@
     :param parts: every part that the root names, by digest.
     :param memo: parts decoded before; those of this version are kept in it.
     """
-    memo = memo or PartMemo()
+    part_cache = part_cache or PartCache()
     try:
         entries = {
-            section: _merge(section, root, parts, memo) for section in Section
+            section: _merge(section, root, parts, part_cache)
+            for section in Section
         }
     except PublicationError as exc:
         return Err(exc)
     finally:
-        memo.retain(root)
+        part_cache.retain(root)
     cfg = _build(root, entries)
     fault = find_fault(cfg)
     if fault is not None:
@@ -210,13 +211,13 @@
     section: Section,
     root: Root,
     parts: Mapping[str, bytes],
-    memo: PartMemo,
+    part_cache: PartCache,
 ) -> _Entries:
-    identity = identities(section)
+    identity = identity_function(section)
     merged: _Entries = {}
     count = 0
     for digest in root.parts.get(section, ()):
-        entries = memo.decode(section, digest, parts)
+        entries = part_cache.decode(section, digest, parts)
         merged.update(zip(map(identity, entries), entries, strict=True))
         count += len(entries)
     if len(merged) != count:
--- a/src/clementinedeal/_pull.py
+++ b/src/clementinedeal/_pull.py
@@ -8,8 +8,8 @@
 from clementinedeal._publication import Root, read_root
 from clementinedeal._view_messages import VersionRef
 
-ANSWER_SECONDS = 1.0
-PARTS_PER_REQUEST = 32
+ANSWER_TIMEOUT_SECONDS = 1.0
+MAX_PARTS_PER_REQUEST = 32
 
 
 class Pull:
@@ -30,7 +30,7 @@
         self.sources: list[str] = []
         self._parts: dict[str, bytes] = {}
         self._missing: dict[str, None] = {}
-        self._busy_until = 0.0
+        self._waits_until = 0.0
 
     def add_source(self, peer: str) -> None:
         """Note that a peer holds the version.
@@ -53,16 +53,16 @@
 
         :param now: monotonic seconds.
         """
-        if now < self._busy_until or not self.sources:
+        if now < self._waits_until or not self.sources:
             return None
         peer = self.sources.pop(0)
         self.sources.append(peer)
-        self._busy_until = now + ANSWER_SECONDS
+        self._waits_until = now + ANSWER_TIMEOUT_SECONDS
         return peer
 
     def on_reply(self) -> None:
         """Note that the awaited answer came."""
-        self._busy_until = 0.0
+        self._waits_until = 0.0
 
     def on_root(self, blob: bytes, known: Mapping[str, bytes]) -> str:
         """Take the root; return why it is unusable, or nothing.
@@ -98,24 +98,28 @@
             self._missing.pop(digest)
             self._parts[digest] = blob
 
-    def lacking(self, count: int = PARTS_PER_REQUEST) -> tuple[str, ...]:
+    def missing_digests(
+        self, max_count: int = MAX_PARTS_PER_REQUEST
+    ) -> tuple[str, ...]:
         """Return digests of missing parts, those of instances first.
 
         :param count: at most so many.
         """
-        first = [
+        instance_digests = [
             digest
             for digest in self._instance_digests()
             if digest in self._missing
         ]
-        rest = (digest for digest in self._missing if digest not in first)
-        return (*first, *rest)[:count]
+        rest = (
+            digest for digest in self._missing if digest not in instance_digests
+        )
+        return (*instance_digests, *rest)[:max_count]
 
     def has_instances(self) -> bool:
         """Return whether all parts that hold instances are here."""
         digests = self._instance_digests()
-        held = all(digest in self._parts for digest in digests)
-        return held and self.root is not None
+        has_parts = all(digest in self._parts for digest in digests)
+        return has_parts and self.root is not None
 
     def instances(self) -> tuple[Instance, ...]:
         """Return the instances that the version names.
@@ -131,14 +135,14 @@
             )
         )
 
-    def part(self, digest: str) -> bytes | None:
+    def find_part(self, digest: str) -> bytes | None:
         """Return a part held already.
 
         :param digest: its digest.
         """
         return self._parts.get(digest)
 
-    def bundle(self) -> Bundle | None:
+    def complete_bundle(self) -> Bundle | None:
         """Return the whole version, nothing while values are lacking."""
         if self.root is None or self._missing:
             return None
--- /dev/null
+++ b/src/clementinedeal/_read_schedule.py
@@ -0,0 +1,168 @@
+"""Which instances read the platform for the fleet, and when."""
+
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from clementinedeal._hashing import rank
+from clementinedeal._model import Instance
+from clementinedeal._publication import ROOT_NAME
+from clementinedeal._view_actions import ReadPlatform, WatchRoot
+
+READER_COUNT = 8
+LIST_NAME = 'instances'
+START_JITTER_SECONDS = 3.0
+START_RETRY_INTERVAL_SECONDS = 4.0
+WATCH_TIMEOUT_SECONDS = 1.0
+MIN_WATCH_INTERVAL_SECONDS = 0.25  # where the root shown can't be settled yet
+REREAD_INTERVAL_SECONDS = (
+    30.0  # shows a version published twice, or a stale replica
+)
+READ_TIMEOUT_SECONDS = 5.0
+RETRY_INTERVAL_SECONDS = 1.0
+MIN_LIST_INTERVAL_SECONDS = 3.0
+MAX_LIST_READS_PER_SECOND = 100.0  # over the whole fleet
+MIN_NON_READER_INTERVAL_SECONDS = 2.0
+MAX_NON_READER_READS_PER_SECOND = (
+    200.0  # over the whole fleet, by daemons cut off
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RootRead:
+    """A read of the root: when it was sent, and above which version."""
+
+    sent_at: float
+    after_version: int
+
+
+def reader_order(instances: Mapping[str, Instance]) -> list[str]:
+    """Order instances by how early they are to read, zones taking turns.
+
+    :param instances: the published instances.
+    """
+    zone_counts: dict[str, int] = {}
+    placed: list[tuple[int, int, str]] = []
+    for place, name in enumerate(rank('platform-readers', instances)):
+        zone = instances[name].zone
+        placed.append((zone_counts.get(zone, 0), place, name))
+        zone_counts[zone] = zone_counts.get(zone, 0) + 1
+    return [entry[-1] for entry in sorted(placed)]
+
+
+class ReadSchedule:
+    """Decides when this daemon reads the root and the list of instances."""
+
+    def __init__(self, rng: random.Random, now: float) -> None:
+        """Create the schedule of a daemon that has just started.
+
+        :param rng: source of jitter.
+        :param now: monotonic seconds.
+        """
+        self._rng = rng
+        self._root_due_at = now + rng.uniform(0, START_JITTER_SECONDS)
+        self._root_sent_at: float | None = None
+        self._watched_version = 0
+        self._reread_due_at = now
+        self._list_due_at = now + rng.uniform(0, MIN_LIST_INTERVAL_SECONDS)
+        self.list_sent_at = now
+
+    def due_start_reads(self, now: float) -> list[ReadPlatform | WatchRoot]:
+        """Return the reads due while no version is in force.
+
+        :param now: monotonic seconds.
+        """
+        if not self._is_root_due(now):
+            return []
+        self._watched_version = 0
+        self._root_sent_at = now
+        return [ReadPlatform(ROOT_NAME)]
+
+    def due_root_reads(
+        self,
+        now: float,
+        after_version: int,
+        *,
+        is_reader: bool,
+        published_count: int,
+    ) -> list[ReadPlatform | WatchRoot]:
+        """Return the watch or read due while a version is in force.
+
+        :param now: monotonic seconds.
+        :param after: the version that needn't be reported.
+        :param is_reader: whether the fleet relies on this daemon.
+        :param published: number of published instances.
+        """
+        if not self._is_root_due(now):
+            return []
+        interval = MIN_WATCH_INTERVAL_SECONDS
+        if not is_reader:
+            interval = max(
+                MIN_NON_READER_INTERVAL_SECONDS,
+                published_count / MAX_NON_READER_READS_PER_SECOND,
+            )
+        self._root_due_at = now + self._jitter(interval)
+        self._root_sent_at = now
+        if now >= self._reread_due_at:
+            self._reread_due_at = now + self._jitter(REREAD_INTERVAL_SECONDS)
+            self._watched_version = 0
+            return [ReadPlatform(ROOT_NAME)]
+        self._watched_version = after_version
+        return [WatchRoot(after_version, WATCH_TIMEOUT_SECONDS)]
+
+    def due_list_reads(
+        self, now: float, published_count: int
+    ) -> list[ReadPlatform]:
+        """Return the reading of the instance list, when it is due.
+
+        :param now: monotonic seconds.
+        :param published: number of published instances.
+        """
+        if now < self._list_due_at:
+            return []
+        interval = max(
+            MIN_LIST_INTERVAL_SECONDS,
+            published_count / MAX_LIST_READS_PER_SECOND,
+        )
+        self._list_due_at = now + self._jitter(interval)
+        self.list_sent_at = now
+        return [ReadPlatform(LIST_NAME)]
+
+    def on_root(self, now: float, *, started: bool) -> RootRead | None:
+        """Note that the root was answered; return what was asked.
+
+        :param now: monotonic seconds.
+        :param started: whether a version is in force.
+        """
+        sent_at = self._root_sent_at
+        self._root_sent_at = None
+        if not started:
+            self._root_due_at = now + self._jitter(START_RETRY_INTERVAL_SECONDS)
+        return (
+            None
+            if sent_at is None
+            else RootRead(sent_at, self._watched_version)
+        )
+
+    def on_root_failure(self, now: float) -> None:
+        """Note that the root could not be read.
+
+        :param now: monotonic seconds.
+        """
+        self._root_sent_at = None
+        self._root_due_at = max(
+            self._root_due_at, now + self._jitter(RETRY_INTERVAL_SECONDS)
+        )
+
+    def on_pause(self) -> None:
+        """Forget reads under way, after a pause."""
+        self._root_sent_at = None
+
+    def _is_root_due(self, now: float) -> bool:
+        sent_at = self._root_sent_at
+        if sent_at is not None and now - sent_at < READ_TIMEOUT_SECONDS:
+            return False
+        return now >= self._root_due_at
+
+    def _jitter(self, seconds: float) -> float:
+        return seconds * self._rng.uniform(0.75, 1.25)
--- a/src/clementinedeal/_roster.py
+++ b/src/clementinedeal/_roster.py
@@ -4,11 +4,18 @@
 
 import xxhash
 
-from clementinedeal._member import AGE_CAP, AGES_PER_SECOND, NEVER, Member
+from clementinedeal._member import (
+    AGE_UNITS_PER_SECOND,
+    MAX_AGE_UNITS,
+    NEVER,
+    Member,
+)
 from clementinedeal._view_messages import MemberRecord, ViewAnswer
 
-NEWS_SECONDS = 15.0  # how long a changed record is told to everybody asking
-MAX_NEWS = 64
+RECENT_CHANGE_SECONDS = (
+    15.0  # how long a changed record is told to everybody asking
+)
+MAX_RECENT_RECORDS = 64
 
 
 class Roster:
@@ -21,16 +28,16 @@
         """
         self._me = me
         self._members: dict[str, Member] = {}
-        self._order: list[Member] = []
-        self._digest: int | None = None
+        self._sorted_members: list[Member] = []
+        self._cached_digest: int | None = None
         self.names: tuple[str, ...] = ()
         self.names_digest = 0
 
     def __iter__(self) -> Iterator[Member]:
         """Iterate over the members in order of their names."""
-        return iter(self._order)
+        return iter(self._sorted_members)
 
-    def adopt(self, names: Iterable[str], now: float) -> list[str]:
+    def set_names(self, names: Iterable[str], now: float) -> list[str]:
         """Take the published names; return those that are gone.
 
         What is known of the names that stay is kept.
@@ -38,16 +45,16 @@
         :param names: all published instances.
         :param now: monotonic seconds.
         """
-        old = self._members
+        previous = self._members
         self.names = tuple(sorted(names))
         self._members = {
-            name: old.get(name) or Member(name, now) for name in self.names
+            name: previous.get(name) or Member(name, now) for name in self.names
         }
-        self._order = list(self._members.values())
-        self._digest = None
+        self._sorted_members = list(self._members.values())
+        self._cached_digest = None
         joined = '\0'.join(self.names)
         self.names_digest = xxhash.xxh3_64_intdigest(joined.encode()) >> 1
-        return [name for name in old if name not in self._members]
+        return [name for name in previous if name not in self._members]
 
     def find(self, name: str) -> Member | None:
         """Return a member by name.
@@ -56,7 +63,9 @@
         """
         return self._members.get(name)
 
-    def merge(self, sender: str, answer: ViewAnswer, sent_at: float) -> None:
+    def merge_answer(
+        self, sender: str, answer: ViewAnswer, sent_at: float
+    ) -> None:
         """Merge a peer's table.
 
         :param sender: who answered.
@@ -73,11 +82,13 @@
             return
         self._merge_ages(answer.ages, sent_at)
         for record in answer.records:
-            if 0 <= record.index < len(self._order):
+            if 0 <= record.index < len(self._sorted_members):
                 name = self.names[record.index]
                 self._merge_record(name, record, sent_at)
 
-    def set_record(self, name: str, record: MemberRecord, at: float) -> None:
+    def set_record(
+        self, name: str, record: MemberRecord, said_at: float
+    ) -> None:
         """Take what an instance says of itself.
 
         :param name: the instance.
@@ -85,10 +96,10 @@
         :param at: when it said so, in monotonic seconds.
         """
         member = self._members.get(name)
-        if member is not None and member.merge(record, at):
-            self._digest = None
+        if member is not None and member.merge(record, said_at):
+            self._cached_digest = None
 
-    def ages(self, now: float) -> bytes:
+    def encode_ages(self, now: float) -> bytes:
         """Return everybody's age for an answer, rounded up and capped.
 
         :param now: monotonic seconds.
@@ -96,45 +107,47 @@
         own = self._members.get(self._me)
         if own is not None:
             own.heard_at = now
-        oldest = now - (AGE_CAP - 1) / AGES_PER_SECOND
+        oldest = now - (MAX_AGE_UNITS - 1) / AGE_UNITS_PER_SECOND
         return bytes(
             [
-                AGE_CAP
+                MAX_AGE_UNITS
                 if member.heard_at <= oldest
-                else int((now - member.heard_at) * AGES_PER_SECOND) + 1
-                for member in self._order
+                else int((now - member.heard_at) * AGE_UNITS_PER_SECOND) + 1
+                for member in self._sorted_members
             ],
         )
 
-    def records(self, now: float, *, full: bool) -> tuple[MemberRecord, ...]:
+    def records_to_send(
+        self, now: float, *, full: bool
+    ) -> tuple[MemberRecord, ...]:
         """Return the records to tell.
 
         :param now: monotonic seconds.
         :param full: all of them rather than those that changed lately.
         """
-        known = [
+        selected = [
             (member.changed_at, index, member)
-            for index, member in enumerate(self._order)
-            if full or now - member.changed_at < NEWS_SECONDS
+            for index, member in enumerate(self._sorted_members)
+            if full or now - member.changed_at < RECENT_CHANGE_SECONDS
         ]
-        if not full and len(known) > MAX_NEWS:
-            known.sort(reverse=True, key=lambda news: news[:2])
-            known = known[:MAX_NEWS]
+        if not full and len(selected) > MAX_RECENT_RECORDS:
+            selected.sort(reverse=True, key=lambda candidate: candidate[:2])
+            selected = selected[:MAX_RECENT_RECORDS]
         return tuple(
-            member.record(index, now)
-            for _, index, member in known
+            member.to_record(index, now)
+            for _, index, member in selected
             if member.incarnation
         )
 
     def records_digest(self) -> int:
         """Return a digest of all records, for peers to compare."""
-        if self._digest is None:
+        if self._cached_digest is None:
             text = ','.join(
                 f'{member.incarnation}{member.leaving}'
-                for member in self._order
+                for member in self._sorted_members
             )
-            self._digest = xxhash.xxh3_64_intdigest(text.encode()) >> 1
-        return self._digest
+            self._cached_digest = xxhash.xxh3_64_intdigest(text.encode()) >> 1
+        return self._cached_digest
 
     def quorum_at(self, now: float) -> float:
         """Return since when more than half of all were heard.
@@ -143,14 +156,14 @@
         """
         times = sorted(
             now if member.name == self._me else member.heard_at
-            for member in self._order
+            for member in self._sorted_members
         )
         return times[(len(times) - 1) // 2] if times else NEVER
 
     def _merge_ages(self, ages: bytes, sent_at: float) -> None:
-        for member, age in zip(self._order, ages, strict=False):
-            heard_at = sent_at - age / AGES_PER_SECOND
-            if heard_at > member.heard_at and age < AGE_CAP:
+        for member, age in zip(self._sorted_members, ages, strict=False):
+            heard_at = sent_at - age / AGE_UNITS_PER_SECOND
+            if heard_at > member.heard_at and age < MAX_AGE_UNITS:
                 member.heard_at = heard_at
 
     def _merge_record(
--- a/src/clementinedeal/_settings.py
+++ b/src/clementinedeal/_settings.py
@@ -6,13 +6,13 @@
 from result import Err, Ok, Result
 
 from clementinedeal._addresses import is_address
-from clementinedeal._document import Entry, read_document
+from clementinedeal._document import YamlEntry, read_document
 from clementinedeal._errors import SettingsError
 
 MIN_SECRET_BYTES = 16
 MAX_SECRET_BYTES = 64  # key length limit of BLAKE2b
 
-_LISTENERS = ('caller', 'peer', 'control', 'operator')
+_LISTENER_FIELDS = ('caller', 'peer', 'control', 'operator')
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -71,7 +71,7 @@
         return Err(exc)
 
 
-def _read(top: Entry) -> DaemonSettings:
+def _read(top: YamlEntry) -> DaemonSettings:
     entries = top.mapping()
     given: dict[str, object] = {}
     if 'fleet_keys' in entries:
@@ -79,14 +79,14 @@
     if 'limits' in entries:
         given['limits'] = _read_limits(entries.pop('limits'))
     rest = {key: entry.raw for key, entry in entries.items()}
-    body = Entry(top.file, top.path, rest)
+    body = YamlEntry(top.file, top.path, rest)
     cfg = body.build(DaemonSettings, **given)
     _check_names(top, cfg)
     _check_addresses(top, cfg)
     return cfg
 
 
-def _read_keys(entry: Entry) -> tuple[FleetKey, ...]:
+def _read_keys(entry: YamlEntry) -> tuple[FleetKey, ...]:
     keys = tuple(
         FleetKey(name=name, secret=_read_secret(secret))
         for name, secret in entry.mapping().items()
@@ -96,7 +96,7 @@
     return keys
 
 
-def _read_secret(entry: Entry) -> bytes:
+def _read_secret(entry: YamlEntry) -> bytes:
     try:
         secret = bytes.fromhex(entry.convert(entry.raw, str))
     except ValueError as exc:
@@ -108,7 +108,7 @@
     return secret
 
 
-def _read_limits(entry: Entry) -> Limits:
+def _read_limits(entry: YamlEntry) -> Limits:
     limits = entry.build(Limits)
     for name in entry.mapping():
         amount = getattr(limits, name)
@@ -117,15 +117,15 @@
     return limits
 
 
-def _check_names(top: Entry, cfg: DaemonSettings) -> None:
+def _check_names(top: YamlEntry, cfg: DaemonSettings) -> None:
     for name in ('instance', 'zone', 'region'):
         if not getattr(cfg, name):
             raise top.error('must not be empty', name)
 
 
-def _check_addresses(top: Entry, cfg: DaemonSettings) -> None:
+def _check_addresses(top: YamlEntry, cfg: DaemonSettings) -> None:
     seen: set[str] = set()
-    for name in _LISTENERS:
+    for name in _LISTENER_FIELDS:
         address = getattr(cfg, name)
         if not is_address(address):
             raise top.error(f'{address!r} is not ip:port', name)
--- a/src/clementinedeal/_slot_gate.py
+++ b/src/clementinedeal/_slot_gate.py
@@ -58,7 +58,7 @@
             for name, target in cfg.targets.items()
             if target.instance == self._me
         }
-        limit = cfg.active.queue_limit
+        limit = cfg.active_preset.queue_limit
         for name, target in self._targets.items():
             queue = self._queues.get(name)
             if queue is None:
--- a/src/clementinedeal/_status.py
+++ b/src/clementinedeal/_status.py
@@ -84,7 +84,7 @@
         metrics.control_messages.set(
             counters.messages_sent + counters.messages_received,
         )
-        metrics.platform_reads.set(platform.reads)
+        metrics.platform_reads.set(platform.read_count)
         metrics.target_state.clear()
         for target in told.targets:
             metrics.target_load.labels(target.name).set(target.load)
--- a/src/clementinedeal/_target_reporter.py
+++ b/src/clementinedeal/_target_reporter.py
@@ -77,7 +77,7 @@
         return [Send(holder, tracker.build_report(may_request, now))]
 
     def _may_request_permits(self) -> bool:
-        return self.is_fresh and self._cfg.active.ejection
+        return self.is_fresh and self._cfg.active_preset.ejection
 
     def _find_holder(self, service: str) -> str | None:
         holder = self._holders.get(service)
--- a/src/clementinedeal/_validation.py
+++ b/src/clementinedeal/_validation.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable, Iterator
 
 from clementinedeal._addresses import is_address
-from clementinedeal._entry_checks import (
+from clementinedeal._config_checks import (
     Fault,
     account_faults,
     is_name,
-    listeners,
+    listen_addresses,
     preset_faults,
     route_faults,
     target_faults,
@@ -82,13 +82,13 @@
 
 
 def _check_instances(cfg: Config) -> Iterator[Fault]:
-    owners: dict[str, str] = {}
+    paths_by_address: dict[str, str] = {}
     for name, instance in cfg.instances.items():
-        for field, address in listeners(instance):
+        for field, address in listen_addresses(instance):
             path = f'instances.{name}.{field}'
             if not is_address(address):
                 yield Fault(path, f'{address!r} is not ip:port')
-            other = owners.setdefault(address, path)
+            other = paths_by_address.setdefault(address, path)
             if other != path:
                 yield Fault(path, f'{address} is used by {other} too')
         if not (instance.zone and instance.region):
@@ -96,11 +96,11 @@
 
 
 def _check_targets(cfg: Config) -> Iterator[Fault]:
-    owners: dict[str, str] = {}
+    names_by_address: dict[str, str] = {}
     for name, target in cfg.targets.items():
         for fault in target_faults(cfg, target):
             yield Fault(f'targets.{name}.{fault.path}', fault.reason)
-        other = owners.setdefault(target.address, name)
+        other = names_by_address.setdefault(target.address, name)
         if other != name:
             yield Fault(f'targets.{name}.address', f'used by {other} too')
 
@@ -118,12 +118,12 @@
 
 
 def _check_accounts(cfg: Config) -> Iterator[Fault]:
-    owners: dict[str, str] = {}
+    names_by_digest: dict[str, str] = {}
     for name, account in cfg.accounts.items():
         for fault in account_faults(cfg, account):
             yield Fault(f'accounts.{name}.{fault.path}', fault.reason)
         for digest in account.key_digests:
-            other = owners.setdefault(digest, name)
+            other = names_by_digest.setdefault(digest, name)
             if other != name:
                 reason = f'a digest is used by {other} too'
                 yield Fault(f'accounts.{name}.key_digests', reason)
--- a/src/clementinedeal/_version_ages.py
+++ b/src/clementinedeal/_version_ages.py
@@ -8,27 +8,29 @@
 
     def __init__(self) -> None:
         """Know of no version."""
-        self._since: dict[VersionRef, float] = {}
+        self._published_since: dict[VersionRef, float] = {}
 
-    def note(self, ref: VersionRef, since: float) -> None:
+    def note_published(self, ref: VersionRef, since: float) -> None:
         """Note that a version was published at a time or before.
 
         :param ref: the version.
         :param since: monotonic time in seconds.
         """
-        newest = max((known.version for known in self._since), default=0)
+        newest = max(
+            (known.version for known in self._published_since), default=0
+        )
         if ref.version < newest:
             return
-        known = self._since.get(ref, since)
+        known = self._published_since.get(ref, since)
         if ref.version > newest:
-            self._since.clear()
-        self._since[ref] = min(known, since)
+            self._published_since.clear()
+        self._published_since[ref] = min(known, since)
 
-    def seconds(self, ref: VersionRef | None, now: float) -> float:
+    def age_seconds(self, ref: VersionRef | None, now: float) -> float:
         """Return for how long a version has been published, at least.
 
         :param ref: the version, None for none.
         :param now: monotonic time in seconds.
         """
-        since = self._since.get(ref, now) if ref else now
+        since = self._published_since.get(ref, now) if ref else now
         return now - since
--- a/src/clementinedeal/_spread.py
+++ b/src/clementinedeal/_version_sync.py
@@ -20,10 +20,10 @@
     VersionRef,
 )
 
-ABANDON_SECONDS = 5.0
+MAX_IDLE_SECONDS = 5.0
 
 
-class Spread:
+class VersionSync:
     """Brings newer versions here and hands them on."""
 
     def __init__(self, me: str, acceptance: Acceptance) -> None:
@@ -36,24 +36,24 @@
         self._acceptance = acceptance
         self._fingers: list[str] = []
         self._pull: Pull | None = None
-        self._pulled_at = 0.0
+        self._progress_at = 0.0
         self._nonces = itertools.count(1)
-        self._awaited: tuple[str, int] | None = None
-        self._reads = PartReads(acceptance)
+        self._pending_request: tuple[str, int] | None = None
+        self._part_reads = PartReads(acceptance)
 
     @property
     def pull(self) -> Pull | None:
         """Return the version being gathered."""
         return self._pull
 
-    def part(self, digest: str) -> bytes | None:
+    def find_part(self, digest: str) -> bytes | None:
         """Return a part of the version being gathered.
 
         :param digest: its digest.
         """
-        return None if self._pull is None else self._pull.part(digest)
+        return None if self._pull is None else self._pull.find_part(digest)
 
-    def adopt(self, names: tuple[str, ...]) -> None:
+    def set_names(self, names: tuple[str, ...]) -> None:
         """Take the published order, from which the fingers follow.
 
         :param names: all published instances, sorted.
@@ -61,10 +61,10 @@
         if self._me not in names:
             self._fingers = []
             return
-        mine = names.index(self._me)
+        own_index = names.index(self._me)
         self._fingers = [
-            names[(mine + distance) % len(names)]
-            for distance in _distances(len(names))
+            names[(own_index + distance) % len(names)]
+            for distance in _finger_distances(len(names))
         ]
 
     def on_ref(self, ref: VersionRef, source: str, now: float) -> list[Any]:
@@ -75,15 +75,15 @@
         :param now: monotonic seconds.
         """
         reports = self._acceptance.on_ref(ref)
-        twin = self._twin(ref)
-        if twin is not None and not twin.sources:
+        duplicate = self._find_duplicate(ref)
+        if duplicate is not None and not duplicate.sources:
             # What peers hold goes before what only the platform shows.
-            reports.extend(self._acceptance.report_twin(twin.ref))
+            reports.extend(self._acceptance.reject_duplicate(duplicate.ref))
             self._pull = None
-        pull = self._begin(ref, now)
+        pull = self._pull_for(ref, now)
         if pull is not None:
             pull.add_source(source)
-        return [*reports, *self._ask(now)]
+        return [*reports, *self._request_next(now)]
 
     def on_platform_root(self, blob: bytes, now: float) -> list[Any]:
         """Take a root that this daemon read itself.
@@ -97,12 +97,12 @@
             return list(self._acceptance.reject(ref, str(outcome.err())))
         ref = VersionRef(outcome.unwrap().version, digest_of(blob))
         reports = self._acceptance.on_ref(ref)
-        if self._twin(ref) is not None:
-            reports.extend(self._acceptance.report_twin(ref))
-        pull = self._begin(ref, now)
+        if self._find_duplicate(ref) is not None:
+            reports.extend(self._acceptance.reject_duplicate(ref))
+        pull = self._pull_for(ref, now)
         if pull is not None and pull.root is None:
             pull.on_root(blob, self._acceptance.parts())
-        return [*reports, *self._settle(now)]
+        return [*reports, *self._offer_complete(now)]
 
     def on_platform_part(self, blob: bytes, now: float) -> list[Any]:
         """Take a part that this daemon read itself.
@@ -110,11 +110,11 @@
         :param blob: the value.
         :param now: monotonic seconds.
         """
-        self._reads.on_part(digest_of(blob))
+        self._part_reads.on_part(digest_of(blob))
         if self._pull is not None:
             self._pull.on_part(blob)
-            self._pulled_at = now
-        return self._settle(now)
+            self._progress_at = now
+        return self._offer_complete(now)
 
     def on_root_answer(
         self,
@@ -128,14 +128,14 @@
         :param body: its answer.
         :param now: monotonic seconds.
         """
-        pull = self._replied(sender, body.nonce, found=body.root is not None)
+        pull = self._on_answer(sender, body.nonce, found=body.root is not None)
         if pull is None or body.root is None:
-            return self._ask(now)
+            return self._request_next(now)
         fault = pull.on_root(body.root, self._acceptance.parts())
         if fault:
-            return list(self.refuse(fault))
-        self._pulled_at = now
-        return self._settle(now)
+            return list(self.reject(fault))
+        self._progress_at = now
+        return self._offer_complete(now)
 
     def on_parts_answer(
         self,
@@ -149,15 +149,15 @@
         :param body: its answer.
         :param now: monotonic seconds.
         """
-        pull = self._replied(sender, body.nonce, found=bool(body.parts))
+        pull = self._on_answer(sender, body.nonce, found=bool(body.parts))
         if pull is None:
             return []
         for blob in body.parts:
             pull.on_part(blob)
-        self._pulled_at = now
-        return self._settle(now)
+        self._progress_at = now
+        return self._offer_complete(now)
 
-    def refuse(self, reason: str) -> list[ConfigRejected]:
+    def reject(self, reason: str) -> list[ConfigRejected]:
         """Give up the version being gathered, which can't be accepted.
 
         :param reason: why, for operators.
@@ -175,67 +175,72 @@
         pull = self._pull
         if pull is None:
             return []
-        idle = now - self._pulled_at > ABANDON_SECONDS
-        if idle and not pull.sources:
+        is_idle = now - self._progress_at > MAX_IDLE_SECONDS
+        if is_idle and not pull.sources:
             # A lower version may be had meanwhile; this one is heard again.
             self._pull = None
-        actions = self._settle(now)
+        actions = self._offer_complete(now)
         if self._pull is not None and not pull.sources:
             actions.extend(
-                self._reads.due(pull, now, is_reader=is_reader),
+                self._part_reads.due_reads(pull, now, is_reader=is_reader),
             )
         return actions
 
-    def _twin(self, ref: VersionRef) -> Pull | None:
+    def _find_duplicate(self, ref: VersionRef) -> Pull | None:
         pull = self._pull
         if pull is None or pull.ref == ref:
             return None
         return pull if pull.ref.version == ref.version else None
 
-    def _begin(self, ref: VersionRef, now: float) -> Pull | None:
+    def _pull_for(self, ref: VersionRef, now: float) -> Pull | None:
         if not self._acceptance.is_wanted(ref):
             return None
         if self._pull is None or ref.version > self._pull.ref.version:
             self._pull = Pull(ref)
-            self._pulled_at = now
-            self._awaited = None
+            self._progress_at = now
+            self._pending_request = None
         return self._pull if self._pull.ref == ref else None
 
-    def _settle(self, now: float) -> list[Any]:
-        bundle = self._pull.bundle() if self._pull else None
+    def _offer_complete(self, now: float) -> list[Any]:
+        bundle = self._pull.complete_bundle() if self._pull else None
         if bundle is None:
-            return self._ask(now)
+            return self._request_next(now)
         decisions = self._acceptance.offer(bundle, now)
         if not decisions:
             return []
         self._pull = None
-        news = Announcement(bundle.ref)
-        return [*decisions, *(Send(peer, news) for peer in self._fingers)]
+        announcement = Announcement(bundle.ref)
+        return [
+            *decisions,
+            *(Send(peer, announcement) for peer in self._fingers),
+        ]
 
-    def _ask(self, now: float) -> list[Any]:
+    def _request_next(self, now: float) -> list[Any]:
         pull = self._pull
-        if pull is None or pull.bundle() is not None:
+        if pull is None or pull.complete_bundle() is not None:
             return []
         peer = pull.next_source(now)
         if peer is None:
             return []
         nonce = next(self._nonces)
-        self._awaited = (peer, nonce)
+        self._pending_request = (peer, nonce)
         if pull.root is None:
             return [Send(peer, RootRequest(nonce, pull.ref))]
-        return [Send(peer, PartsRequest(nonce, pull.lacking()))]
+        return [Send(peer, PartsRequest(nonce, pull.missing_digests()))]
 
-    def _replied(self, sender: str, nonce: int, *, found: bool) -> Pull | None:
+    def _on_answer(
+        self, sender: str, nonce: int, *, found: bool
+    ) -> Pull | None:
         pull = self._pull
-        if pull is not None and self._awaited == (sender, nonce):
-            self._awaited = None
+        if pull is not None and self._pending_request == (sender, nonce):
+            self._pending_request = None
             pull.on_reply()
             if not found:
                 pull.drop_source(sender)
         return pull
 
 
-def _distances(count: int) -> Iterable[int]:
+def _finger_distances(count: int) -> Iterable[int]:
     distance = 1
     while distance < count:
         yield distance
--- a/src/clementinedeal/_view_handlers.py
+++ b/src/clementinedeal/_view_handlers.py
@@ -67,24 +67,24 @@
         roster = state.members.roster
         own = MemberRecord(0, state.incarnation, state.leaving, 0)
         roster.set_record(state.me, own, now)
-        held = state.acceptance.held
-        refused = state.acceptance.refused
+        held = state.acceptance.in_force
+        refused = state.acceptance.newest_rejected
         return ViewAnswer(
             nonce=body.nonce,
             incarnation=state.incarnation,
             leaving=state.leaving,
             fresh=state.is_fresh(now),
             held=None if held is None else held.ref,
-            held_for=state.version_ages.seconds(
+            held_for=state.version_ages.age_seconds(
                 held.ref if held else None, now
             ),
             rejected=None if refused is None else refused.ref,
-            newest=state.freshness.newest,
-            accepted=state.freshness.accepted,
+            newest=state.freshness.newest_known,
+            accepted=state.freshness.newest_accepted,
             contact=state.freshness.contact(now),
             names=roster.names_digest,
-            ages=roster.ages(now),
-            records=roster.records(now, full=body.full),
+            ages=roster.encode_ages(now),
+            records=roster.records_to_send(now, full=body.full),
             records_digest=roster.records_digest(),
         )
 
@@ -103,10 +103,10 @@
         if body.contact is not None:
             at = sent_at - body.contact.age
             state.freshness.on_contact(body.contact.version, at, now)
-        state.members.roster.merge(sender, body, sent_at)
+        state.members.roster.merge_answer(sender, body, sent_at)
         if body.held is not None:
-            state.version_ages.note(body.held, now - body.held_for)
-        state.acceptance.gate.on_peer(body.held, fresh=body.fresh)
+            state.version_ages.note_published(body.held, now - body.held_for)
+        state.acceptance.gate.on_peer_answer(body.held, is_fresh=body.fresh)
         actions: list[Any] = []
         for ref in (body.held, body.rejected):
             if ref is not None:
--- a/src/clementinedeal/_view_recorder.py
+++ b/src/clementinedeal/_view_recorder.py
@@ -38,7 +38,7 @@
         dispatcher.register(InstanceLeft, self._record_left)
 
     def _add_address(self, action: PeerAddress) -> None:
-        self._directory.meet(action.instance, action.control)
+        self._directory.add_address(action.instance, action.control)
 
     def _record_rejected(self, action: ConfigRejected) -> None:
         self._status.rejected = f'{action.version}: {action.reason}'
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -11,10 +11,14 @@
 from clementinedeal._membership import Membership
 from clementinedeal._messages import Send
 from clementinedeal._model import Config, Instance
-from clementinedeal._readers import READERS, ReadSchedule, reader_order
+from clementinedeal._read_schedule import (
+    READER_COUNT,
+    ReadSchedule,
+    reader_order,
+)
 from clementinedeal._settings import DaemonSettings
-from clementinedeal._spread import Spread
 from clementinedeal._version_ages import VersionAges
+from clementinedeal._version_sync import VersionSync
 from clementinedeal._view_actions import (
     ConfigInForce,
     InstanceLeft,
@@ -54,7 +58,7 @@
         self.freshness = Freshness()
         self.members = Membership(self.me)
         self.gossip = Gossip(self.me, self.members, rng)
-        self.spread = Spread(self.me, self.acceptance)
+        self.spread = VersionSync(self.me, self.acceptance)
         self.schedule = ReadSchedule(rng, now)
         self._control = settings.control
         self._rng = rng
@@ -73,8 +77,8 @@
 
         :param now: monotonic seconds.
         """
-        held = self.acceptance.held
-        return self.version_ages.seconds(held.ref if held else None, now)
+        held = self.acceptance.in_force
+        return self.version_ages.age_seconds(held.ref if held else None, now)
 
     def renew_incarnation(self) -> None:
         """Take a new random incarnation, never 0, which stands for unknown."""
@@ -101,7 +105,7 @@
                 return not self.leaving
             if not self.members.is_silent(name, now):
                 ahead += not self.members.is_leaving(name)
-            if ahead == READERS:
+            if ahead == READER_COUNT:
                 return False
         return False
 
@@ -110,10 +114,10 @@
 
         :param now: monotonic seconds.
         """
-        held = self.acceptance.held
-        return self.gossip.ask(
+        held = self.acceptance.in_force
+        return self.gossip.due_requests(
             now,
-            control=self._control,
+            control_address=self._control,
             held=None if held is None else held.ref,
         )
 
@@ -123,17 +127,17 @@
         :param now: monotonic seconds.
         """
         if self.config is None:
-            yield from self.schedule.start(now)
+            yield from self.schedule.due_start_reads(now)
             return
         count = len(self._reader_order)
-        yield from self.schedule.list_reads(now, count)
+        yield from self.schedule.due_list_reads(now, count)
         is_reader = self.is_reader(now)
         if is_reader or self.freshness.lacks_contact(now):
-            yield from self.schedule.watch(
+            yield from self.schedule.due_root_reads(
                 now,
-                self.acceptance.settled,
+                self.acceptance.highest_decided,
                 is_reader=is_reader,
-                published=count,
+                published_count=count,
             )
 
     def sweep_members(self, now: float) -> Iterator[Any]:
@@ -153,22 +157,22 @@
         :param actions: actions that the input led to; others are appended.
         :param now: monotonic seconds.
         """
-        held = self.acceptance.held
+        held = self.acceptance.in_force
         if held is not None:
-            self.version_ages.note(held.ref, now)
+            self.version_ages.note_published(held.ref, now)
         for action in tuple(actions):
             if isinstance(action, ConfigInForce):
                 actions.extend(self._adopt(action.cfg.instances, now))
         pull = self.spread.pull
         if pull is not None:
             self.freshness.on_known(pull.ref.version, now)
-        if self.acceptance.settled:
-            self.freshness.on_settled(
-                self.acceptance.settled,
+        if self.acceptance.highest_decided:
+            self.freshness.on_decided(
+                self.acceptance.highest_decided,
                 self.acceptance.version,
                 now,
             )
-        if self.config is None and self.acceptance.gate.asked_at is None:
+        if self.config is None and self.acceptance.gate.peers_asked_at is None:
             actions.extend(self._adopt_pulled_instances(now))
         return actions
 
@@ -177,8 +181,8 @@
         instances: Mapping[str, Instance],
         now: float,
     ) -> list[InstanceLeft]:
-        left = self.members.roster.adopt(instances, now)
-        self.spread.adopt(self.members.roster.names)
+        left = self.members.roster.set_names(instances, now)
+        self.spread.set_names(self.members.roster.names)
         self._reader_order = reader_order(instances)
         return [InstanceLeft(name) for name in left]
 
@@ -194,10 +198,10 @@
         try:
             entries = pull.instances()
         except UNREADABLE_ERRORS as exc:
-            return list(self.spread.refuse(f'instances: {exc}'))
+            return list(self.spread.reject(f'instances: {exc}'))
         if not entries:
-            return list(self.spread.refuse('instances: the list is empty'))
-        self.acceptance.gate.on_asked(now)
+            return list(self.spread.reject('instances: the list is empty'))
+        self.acceptance.gate.on_peers_asked(now)
         self._adopt({entry.name: entry for entry in entries}, now)
         met = [PeerAddress(entry.name, entry.control) for entry in entries]
         return [*met, *self.request_views(now)]
--- a/src/clementinedeal/_views.py
+++ b/src/clementinedeal/_views.py
@@ -117,7 +117,9 @@
         state = self._state
         root_read = state.schedule.on_root(now, started=self.config is not None)
         if root_read is not None:
-            version = root_read.after if blob is None else _root_version(blob)
+            version = (
+                root_read.after_version if blob is None else _root_version(blob)
+            )
             state.freshness.on_contact(version, root_read.sent_at, now)
         if blob is None:
             return []
@@ -143,7 +145,7 @@
         :param now: monotonic seconds.
         """
         state = self._state
-        state.members.on_list(listed, state.schedule.list_sent)
+        state.members.on_platform_list(listed, state.schedule.list_sent_at)
         return list(state.members.changes(now))
 
     def on_platform_failure(self, name: str, now: float) -> Actions:
@@ -177,10 +179,10 @@
         :param now: monotonic seconds.
         """
         state = self._state
-        state.freshness.drop()
-        state.gossip.drop()
-        state.schedule.drop()
-        state.members.drop(now)
+        state.freshness.on_pause()
+        state.gossip.on_pause()
+        state.schedule.on_pause()
+        state.members.on_pause(now)
         state.renew_incarnation()
         return list(state.request_views(now))
 
--- a/src/clementinedeal_bench/_config_size_trial.py
+++ b/src/clementinedeal_bench/_config_size_trial.py
@@ -15,7 +15,7 @@
 from typing import TypeVar
 
 from clementinedeal._publication import (
-    PartMemo,
+    PartCache,
     Publication,
     pack,
     read_root,
@@ -65,7 +65,7 @@
     root = read_root(before.root).unwrap()
     next_root = read_root(after.root).unwrap()
     whole = partial(unpack, root, before.parts)
-    memo = PartMemo()
+    memo = PartCache()
     unpack(root, before.parts, memo)
     return {
         'config_bytes': _held_bytes(whole),
--- a/src/clementinedeal_bench/_decision_slopes.py
+++ b/src/clementinedeal_bench/_decision_slopes.py
@@ -94,7 +94,7 @@
         '/api/77/thing',
         ((b'host', b'x'), (b'authorization', b'Bearer key-77')),
     )
-    cost = micros_per_call(lambda _: access.check(head, fresh=True))
+    cost = micros_per_call(lambda _: access.check(head, is_fresh=True))
     yield Slope('entry', 'access check', accounts, cost, 'us')
 
 
--- a/src/clementinedeal_bench/_stand_in_platform.py
+++ b/src/clementinedeal_bench/_stand_in_platform.py
@@ -9,7 +9,7 @@
     Publication,
     read_root,
 )
-from clementinedeal._readers import LIST_NAME
+from clementinedeal._read_schedule import LIST_NAME
 from clementinedeal._view_actions import InstanceList
 
 Reply = Callable[[bytes | InstanceList | None], None]
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -31,7 +31,7 @@
     def __init__(self):
         super().__init__()
         self.acceptance = Acceptance()
-        self.acceptance.gate.on_asked(0)
+        self.acceptance.gate.on_peers_asked(0)
         self.now = PEER_WAIT_SECONDS
         self.held = None
         self.reported = set()
@@ -47,13 +47,13 @@
             *self.acceptance.on_ref(offered.ref),
             *self.acceptance.offer(offered, self.now),
         ]
-        newer = self.held is None or version > self.held.version
-        twin = self.held and version == self.held.version
-        conflict = twin and offered.ref != self.held
+        is_newer = self.held is None or version > self.held.version
+        is_same_version = self.held and version == self.held.version
+        is_duplicate = is_same_version and offered.ref != self.held
         accepted = [a for a in actions if isinstance(a, ConfigInForce)]
         rejected = [a for a in actions if isinstance(a, ConfigRejected)]
-        assert len(accepted) == (newer and valid)
-        expected = (newer and not valid) or conflict
+        assert len(accepted) == (is_newer and valid)
+        expected = (is_newer and not valid) or is_duplicate
         assert len(rejected) == bool(
             expected and offered.ref not in self.reported
         )
@@ -64,7 +64,7 @@
 
     @invariant()
     def in_force_is_what_was_accepted_last(self):
-        held = self.acceptance.held
+        held = self.acceptance.in_force
         assert (held and held.ref) == self.held
         assert self.acceptance.version == (self.held.version if held else 0)
 
@@ -85,11 +85,13 @@
         ([(3, False), (2, True)], PEER_WAIT_SECONDS, False),
     ],
 )
-def test_restarted_daemon_asks_before_it_serves(answers, waited, expected):
+def test_a_restarted_daemon_takes_no_version_before_peers_answered(
+    answers, waited, expected
+):
     acceptance = Acceptance()
     assert not acceptance.offer(bundle(2), 100)
-    acceptance.gate.on_asked(100)
+    acceptance.gate.on_peers_asked(100)
     for version, fresh in answers:
         held = None if version is None else VersionRef(version, 'd')
-        acceptance.gate.on_peer(held, fresh=fresh)
+        acceptance.gate.on_peer_answer(held, is_fresh=fresh)
     assert bool(acceptance.offer(bundle(2), 100 + waited)) == expected
--- a/tests/test_declaration.py
+++ b/tests/test_declaration.py
@@ -101,7 +101,7 @@
 
 
 @pytest.mark.parametrize('example', [FRESHWATER, SABARMATI])
-def test_examples_are_accepted_and_current(example):
+def test_the_examples_are_valid_and_match_their_generator(example):
     path = EXAMPLES / f'{example.name}.yaml'
     assert path.read_text() == render(example)
     outcome = check_file(str(path))
@@ -131,7 +131,7 @@
     ['a: 1\na: 2', 'a: [', '[' * 9000, '', '- 1', '1: 2', '!!python/none x'],
 )
 @pytest.mark.parametrize('check', [check_file, load_settings])
-def test_text_that_is_no_document_is_one_line(tmp_path, check, text):
+def test_a_malformed_file_gives_an_error_of_one_line(tmp_path, check, text):
     path = tmp_path / 'faulty.yaml'
     path.write_text(text)
     error = check(str(path)).unwrap_err()
@@ -139,7 +139,7 @@
 
 
 @pytest.mark.parametrize('check', [check_file, load_settings])
-def test_unreadable_file_is_an_error(tmp_path, check):
+def test_an_unreadable_file_is_an_error(tmp_path, check):
     assert isinstance(check(str(tmp_path / 'none.yaml')), Err)
     (tmp_path / 'binary').write_bytes(b'\xff\xfe\x00')
     assert isinstance(check(str(tmp_path / 'binary')), Err)
@@ -153,7 +153,7 @@
     assert 'xaa' not in repr(cfg)
 
 
-def test_key_given_twice_is_an_error(tmp_path):
+def test_a_key_given_twice_is_an_error(tmp_path):
     path = tmp_path / 'twice.yaml'
     path.write_text(f'version: 2\n{render(FRESHWATER)}')
     error = check_file(str(path)).unwrap_err()
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -150,7 +150,7 @@
 def test_a_preset_without_ejection_reinstates_at_once(
     ejected: Deployment,
 ) -> None:
-    preset = dataclasses.replace(CFG.active, ejection=False)
+    preset = dataclasses.replace(CFG.active_preset, ejection=False)
     cfg = dataclasses.replace(CFG, presets={preset.name: preset})
     actions = ejected.managers[FAULTY].on_config(cfg, ejected.now)
     assert actions == [TargetReinstated(f't{FAULTY}')]
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -12,7 +12,7 @@
 from clementinedeal._publication import (
     FORMAT,
     MAX_VALUE_BYTES,
-    PartMemo,
+    PartCache,
     pack,
     read_root,
     unpack,
@@ -26,26 +26,26 @@
     return check_file(str(EXAMPLE)).unwrap()
 
 
-def reopen(publication):
+def read_back(publication):
     return unpack(read_root(publication.root).unwrap(), publication.parts)
 
 
 @given(st.permutations(list(example().accounts)), st.integers(1, 8), st.data())
-def test_round_trip_does_not_depend_on_the_order(names, count, data):
+def test_packing_does_not_depend_on_the_order_of_entries(names, count, data):
     cfg = example()
     kept = {name: cfg.accounts[name] for name in names[:count]}
     routes = data.draw(st.permutations(cfg.routes))
     preset = data.draw(st.sampled_from(PresetName))
     cfg = replace(cfg, accounts=kept, routes=tuple(routes), preset=preset)
     publication = pack(cfg).unwrap()
-    again = reopen(publication).unwrap()
+    again = read_back(publication).unwrap()
     assert replace(again, routes=cfg.routes) == cfg
     assert set(again.routes) == set(cfg.routes)
     assert pack(again).unwrap() == publication
 
 
 @given(st.integers(0, 2399), st.booleans())
-def test_one_change_moves_one_part(index, remove):
+def test_a_changed_account_changes_at_most_one_part(index, remove):
     cfg = LARGE
     accounts = dict(cfg.accounts)
     name = sorted(accounts)[index]
@@ -55,12 +55,12 @@
         accounts[name] = replace(accounts[name], key_digests=('f' * 64,))
     after = pack(replace(cfg, version=2, accounts=accounts)).unwrap()
     root = read_root(after.root).unwrap()
-    assert unpack(root, after.parts, MEMO) == unpack(root, after.parts)
+    assert unpack(root, after.parts, PART_CACHE) == unpack(root, after.parts)
     assert len(set(after.parts) - set(PUBLISHED.parts)) <= 1
-    assert reopen(after).unwrap().accounts == accounts
+    assert read_back(after).unwrap().accounts == accounts
 
 
-def test_switch_of_preset_moves_the_root_alone():
+def test_a_preset_switch_changes_only_the_root():
     after = pack(replace(LARGE, preset=PresetName.PEAK)).unwrap()
     assert after.parts == PUBLISHED.parts
     assert after.root != PUBLISHED.root
@@ -71,7 +71,7 @@
     assert list(PUBLISHED.values())[-1][0] == 'root'
 
 
-def test_value_over_the_limit_is_refused():
+def test_a_value_over_the_size_limit_is_an_error():
     cfg = example()
     account = cfg.accounts['erie-shop']
     digests = tuple(f'{number:064x}' for number in range(20_000))
@@ -80,7 +80,7 @@
 
 
 @pytest.mark.parametrize('field', ['parts', 'digest', 'fault', 'twice'])
-def test_faulty_publication_is_rejected(field):
+def test_a_faulty_publication_is_rejected(field):
     cfg = example()
     if field == 'fault':
         cfg = replace(cfg, services={})
@@ -99,11 +99,11 @@
 
 
 @given(st.binary(max_size=64) | st.just(pack(example()).unwrap().root[:-1]))
-def test_garbage_is_no_root(blob):
+def test_a_malformed_root_is_an_error(blob):
     assert isinstance(read_root(blob), Err)
 
 
-def test_root_of_another_format_is_refused():
+def test_a_root_of_another_format_is_an_error():
     root = read_root(PUBLISHED.root).unwrap()
     other = msgspec.msgpack.encode(replace(root, format=FORMAT + 1))
     assert isinstance(read_root(other), Err)
@@ -111,5 +111,5 @@
 
 LARGE = large_config(accounts=2400, routes=370, targets=540, instances=65)
 PUBLISHED = pack(LARGE).unwrap()
-MEMO = PartMemo()
-unpack(read_root(PUBLISHED.root).unwrap(), PUBLISHED.parts, MEMO)
+PART_CACHE = PartCache()
+unpack(read_root(PUBLISHED.root).unwrap(), PUBLISHED.parts, PART_CACHE)
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -16,7 +16,7 @@
 from clementinedeal._freshness import FRESH_SECONDS
 from clementinedeal._parts import Section, digest_of
 from clementinedeal._publication import Publication, pack, read_root
-from clementinedeal._readers import REREAD_SECONDS, reader_order
+from clementinedeal._read_schedule import REREAD_INTERVAL_SECONDS, reader_order
 from clementinedeal._version_ages import VersionAges
 from clementinedeal._view_actions import InstanceList
 from clementinedeal._view_messages import Announcement, VersionRef, ViewRequest
@@ -35,7 +35,7 @@
 
 @pytest.fixture(autouse=True)
 def _few_readers(monkeypatch):
-    monkeypatch.setattr(_view_state, 'READERS', 3)
+    monkeypatch.setattr(_view_state, 'READER_COUNT', 3)
 
 
 def publication(version, *, valid=True):
@@ -260,7 +260,7 @@
     other = pack(replace(CFG, accounts={})).unwrap()
     fleet.platform.publish(other)
     fleet.start(NAMES[0])
-    fleet.run(2 * REREAD_SECONDS)
+    fleet.run(2 * REREAD_INTERVAL_SECONDS)
     assert all(process.versions == [1] for process in fleet.processes.values())
     assert any(process.rejected for process in fleet.processes.values())
 
@@ -294,13 +294,13 @@
     ages = VersionAges()
     old = VersionRef(1, 'a')
     new = VersionRef(2, 'b')
-    ages.note(old, 0)
-    ages.note(new, 50)
-    ages.note(old, 10)
-    ages.note(new, 40)
-    assert ages.seconds(new, 60) == 20
-    assert ages.seconds(old, 60) == 0
-    assert ages.seconds(None, 60) == 0
+    ages.note_published(old, 0)
+    ages.note_published(new, 50)
+    ages.note_published(old, 10)
+    ages.note_published(new, 40)
+    assert ages.age_seconds(new, 60) == 20
+    assert ages.age_seconds(old, 60) == 0
+    assert ages.age_seconds(None, 60) == 0
 
 
 def test_readers_cut_from_the_platform_do_not_hold_up_a_version():
