--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -10,17 +10,17 @@
 from clementinedeal._http import (
     READ_BYTES,
     ConnLostError,
+    H11Stream,
     RequestHead,
     ResponseHead,
-    SizeBound,
+    SizeCounter,
     TooLongError,
-    Wire,
 )
 
 # An extra answer belongs to the request before, or to one not long before it.
-MOST_ANSWERED = 4
+MAX_ANSWERED_IDS = 4
 # Some 4,000 small interim answers, one each 4 ms of a request's 15 s.
-MOST_INTERIM_BYTES = 4 * READ_BYTES
+MAX_INTERIM_BYTES = 4 * READ_BYTES
 
 
 class ClientConn:
@@ -35,16 +35,16 @@
         self.idle_until = 0.0
         self.idle_since = 0.0
         # seconds it was idle before it was lent again; None when it is new
-        self.rested: float | None = None
+        self.idle_seconds: float | None = None
         # ids of the latest requests that were answered on it
-        self.answered: collections.deque[str] = collections.deque(
-            maxlen=MOST_ANSWERED,
+        self.answered_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_ANSWERED_IDS,
         )
-        self._closed = False
+        self._is_closed = False
         self._method = b'GET'
-        self._wire = Wire(stream, h11.CLIENT, READ_BYTES)
+        self._h11_stream = H11Stream(stream, h11.CLIENT, READ_BYTES)
 
-    async def send_head(self, head: RequestHead, more: bytes = b'') -> None:
+    async def send_head(self, head: RequestHead, body: bytes = b'') -> None:
         """Send the request head and, when given, the whole body.
 
         :param head: with a length header or chunked encoding for a body.
@@ -56,10 +56,10 @@
             target=head.path,
             headers=list(head.headers),
         )
-        if more:
-            await self._wire.send_all(request, h11.Data(data=more))
+        if body:
+            await self._h11_stream.send_all(request, h11.Data(data=body))
             return
-        await self._wire.send(request)
+        await self._h11_stream.send(request)
 
     async def send_whole(self, head: RequestHead, body: bytes) -> None:
         """Send a request with its whole body in one write."""
@@ -74,16 +74,16 @@
         if body:
             events.append(h11.Data(data=body))
         events.append(h11.EndOfMessage())
-        await self._wire.send_all(*events)
+        await self._h11_stream.send_all(*events)
 
     async def send_piece(self, piece: bytes) -> None:
         """Send one piece of the request body."""
         if piece:
-            await self._wire.send(h11.Data(data=piece))
+            await self._h11_stream.send(h11.Data(data=piece))
 
     async def end_request(self) -> None:
         """Mark the request as complete."""
-        await self._wire.send(h11.EndOfMessage())
+        await self._h11_stream.send(h11.EndOfMessage())
 
     async def read_head(
         self,
@@ -96,9 +96,9 @@
         :raises ConnLostError: the connection ended first.
         :raises HttpError: malformed answer.
         """
-        bound = SizeBound(self._wire, MOST_INTERIM_BYTES)
+        size_counter = SizeCounter(self._h11_stream, MAX_INTERIM_BYTES)
         while True:
-            event = await self._wire.next_event()
+            event = await self._h11_stream.next_event()
             if isinstance(event, h11.Response):
                 headers = tuple(
                     (bytes(key), bytes(text)) for key, text in event.headers
@@ -106,7 +106,7 @@
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise ConnLostError('connection ended before the answer')
-            bound.count()
+            size_counter.count()
             if on_interim is not None:
                 on_interim()
 
@@ -117,14 +117,14 @@
         :raises HttpError: malformed answer.
         """
         while True:
-            event = await self._wire.next_event()
+            event = await self._h11_stream.next_event()
             if isinstance(event, h11.EndOfMessage):
                 return
             if not isinstance(event, h11.Data):
                 raise ConnLostError('connection ended inside the answer')
             yield bytes(event.data)
 
-    async def read_whole(self, limit: int) -> bytes:
+    async def read_whole(self, max_bytes: int) -> bytes:
         """Return the whole response body; one beyond the limit is cut.
 
         :param limit: bytes taken at the most, the body's framing included.
@@ -132,47 +132,52 @@
         :raises ConnLostError: the body was cut short.
         :raises HttpError: malformed answer.
         """
-        bound = SizeBound(self._wire, limit)
-        whole = bytearray()
+        size_counter = SizeCounter(self._h11_stream, max_bytes)
+        body = bytearray()
         try:
             async for piece in self.read_body():
-                bound.count(len(piece))
-                whole += piece
+                size_counter.count(len(piece))
+                body += piece
         except TooLongError:
             self.abort()
             raise
-        return bytes(whole)
+        return bytes(body)
 
-    def skip_answer(self) -> None:
+    def discard_answer(self) -> None:
         """Take the answer read so far for another request's, await the next.
 
         Only after the whole request was sent and the whole answer read.
         """
-        excess = self._wire.h11.trailing_data[0]
-        fresh = h11.Connection(h11.CLIENT, max_incomplete_event_size=READ_BYTES)
-        fresh.send(
+        unparsed = self._h11_stream.h11.trailing_data[0]
+        h11_conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=READ_BYTES
+        )
+        h11_conn.send(
             h11.Request(
                 method=self._method, target='/', headers=[('host', '')]
             ),
         )
-        fresh.send(h11.EndOfMessage())
-        if excess:  # no bytes would mean the end of the stream
-            fresh.receive_data(excess)
-        self._wire.h11 = fresh
+        h11_conn.send(h11.EndOfMessage())
+        if unparsed:  # no bytes would mean the end of the stream
+            h11_conn.receive_data(unparsed)
+        self._h11_stream.h11 = h11_conn
 
-    def reusable(self) -> bool:
+    def prepare_next(self) -> bool:
         """Prepare for another request; False when there can be none."""
-        wire = self._wire.h11
-        if self._closed:
+        h11_conn = self._h11_stream.h11
+        if self._is_closed:
             return False
-        if wire.our_state is not h11.DONE or wire.their_state is not h11.DONE:
+        if (
+            h11_conn.our_state is not h11.DONE
+            or h11_conn.their_state is not h11.DONE
+        ):
             return False
-        if wire.trailing_data[0]:
+        if h11_conn.trailing_data[0]:
             return False
-        wire.start_next_cycle()
+        h11_conn.start_next_cycle()
         return True
 
-    def stale(self) -> bool:
+    def is_stale(self) -> bool:
         """Whether the idle connection has been closed or written to."""
         poll = select.poll()
         poll.register(self.stream.socket.fileno(), select.POLLIN)
@@ -180,10 +185,10 @@
 
     def abort(self) -> None:
         """Close the connection at once, without waiting."""
-        self._closed = True
+        self._is_closed = True
         self.stream.socket.close()
 
     async def aclose(self) -> None:
         """Close the connection at once."""
-        self._closed = True
+        self._is_closed = True
         await trio.aclose_forcefully(self.stream)
--- a/src/clementinedeal/_commands.py
+++ b/src/clementinedeal/_commands.py
@@ -17,7 +17,7 @@
 from clementinedeal._events import Event
 from clementinedeal._model import Config
 from clementinedeal._operator import DaemonStatus
-from clementinedeal._operator_client import OperatorAnswer, ask_all
+from clementinedeal._operator_client import OperatorAnswer, fetch_all
 from clementinedeal._publication import pack
 from clementinedeal._settings import load_settings
 from clementinedeal._timeline import (
@@ -43,7 +43,7 @@
 
     :param args: none; the settings file is a flag.
     """
-    reload = functools.partial(load_settings, _needed('settings'))
+    reload = functools.partial(load_settings, _require_flag('settings'))
     settings = _unwrap(reload())
     logging.basicConfig(
         stream=sys.stderr,
@@ -60,7 +60,7 @@
 
     :param args: the file.
     """
-    cfg = _declaration(args)
+    cfg = _load_declaration(args)
     publication = pack(cfg).unwrap()
     sizes = [len(blob) for _, blob in publication.values()]
     sys.stdout.write(
@@ -77,8 +77,8 @@
 
     :param args: the file; the folder is a flag.
     """
-    publication = pack(_declaration(args)).unwrap()
-    folder = pathlib.Path(_needed('out'))
+    publication = pack(_load_declaration(args)).unwrap()
+    folder = pathlib.Path(_require_flag('out'))
     folder.mkdir(parents=True, exist_ok=True)
     for name, blob in publication.values():
         (folder / name).write_bytes(blob)
@@ -91,7 +91,7 @@
 
     :param args: none; the declaration is a flag.
     """
-    answers = _ask('/status')
+    answers = _fetch_from_instances('/status')
     lines = [_status_line(answer) for answer in answers]
     sys.stdout.write(''.join(f'{line}\n' for line in lines))
     return 0 if all(' serving=True ' in line for line in lines) else 1
@@ -107,7 +107,7 @@
         logs = [read_log(_read_lines(arg)) for arg in args]
         _write_timeline(merge_events(logs, _timeline_filter()))
         return 0
-    answers = _ask('/events')
+    answers = _fetch_from_instances('/events')
     silent = [
         f'instance={answer.instance.name} error="{answer.error}"\n'
         for answer in answers
@@ -148,27 +148,27 @@
     name = answer.instance.name
     if answer.body is None:
         return f'instance={name} error="{answer.error}"'
-    told = msgspec.json.decode(answer.body, type=DaemonStatus)
+    reported = msgspec.json.decode(answer.body, type=DaemonStatus)
     targets = ','.join(
         f'{target.name}:{target.state}:{target.load:.2f}'
-        for target in told.targets
+        for target in reported.targets
     )
     return (
-        f'instance={name} zone={told.zone} serving={told.serving} '
-        f'version={told.config_version} preset={told.preset} '
-        f'fresh={told.fresh} alive={told.alive_instances} '
-        f'rejected="{told.rejected}" targets={targets}'
+        f'instance={name} zone={reported.zone} serving={reported.serving} '
+        f'version={reported.config_version} preset={reported.preset} '
+        f'fresh={reported.fresh} alive={reported.alive_instances} '
+        f'rejected="{reported.rejected}" targets={targets}'
     )
 
 
-def _ask(path: str) -> tuple[OperatorAnswer, ...]:
-    cfg = _unwrap(check_file(_needed('declaration')))
+def _fetch_from_instances(path: str) -> tuple[OperatorAnswer, ...]:
+    cfg = _unwrap(check_file(_require_flag('declaration')))
     return trio.run(
-        functools.partial(ask_all, cfg.instances.values(), path),
+        functools.partial(fetch_all, cfg.instances.values(), path),
     )
 
 
-def _declaration(args: list[str]) -> Config:
+def _load_declaration(args: list[str]) -> Config:
     if not args:
         raise UsageError('name a declaration file')
     return _unwrap(check_file(args[0]))
@@ -180,7 +180,7 @@
     return found.ok_value
 
 
-def _needed(flag: str) -> str:
+def _require_flag(flag: str) -> str:
     text: str | None = flags.FLAGS[flag].value
     if not text:
         raise UsageError(f'--{flag} is needed')
--- a/src/clementinedeal/_control.py
+++ b/src/clementinedeal/_control.py
@@ -10,15 +10,15 @@
 import trio
 
 from clementinedeal._envelope import Keyring
-from clementinedeal._errors import UNREADABLE_ERRORS, ProtocolError
+from clementinedeal._errors import DECODE_ERRORS, ProtocolError
 from clementinedeal._events import EventLog, log
 from clementinedeal._messages import Send, decode, encode
 
 MAX_BATCH_BODIES = 64
-_BATCH_ERRORS = (ProtocolError, *UNREADABLE_ERRORS)
+_REJECTED_BATCH_ERRORS = (ProtocolError, *DECODE_ERRORS)
 MAX_OPEN_PEERS = 96
 SEND_BUFFER_MESSAGES = 64
-RECV_MAX_BYTES = 2_000_000
+MAX_MESSAGE_BYTES = 2_000_000
 LINGER_SECONDS = 0.1
 
 
@@ -100,9 +100,9 @@
         self._find_address = find_address
         self._receiver = receiver
         self._peers: dict[str, _Peer] = {}
-        self._wake = trio.Event()
+        self._has_queued = trio.Event()
         self._listener: pynng.Pull0 | None = None
-        self._stopped = False
+        self._is_stopped = False
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Listen, send and receive from now on.
@@ -111,7 +111,7 @@
         """
         self._listener = pynng.Pull0(
             listen=f'tcp://{self._address}',
-            recv_max_size=RECV_MAX_BYTES,
+            recv_max_size=MAX_MESSAGE_BYTES,
         )
         nursery.start_soon(self._run_sender)
         nursery.start_soon(self._run_receiver, self._listener)
@@ -119,7 +119,7 @@
     async def stop(self) -> None:
         """Send what is queued, then close every socket."""
         self._flush()
-        self._stopped = True
+        self._is_stopped = True
         await trio.sleep(LINGER_SECONDS)
         for peer in self._peers.values():
             peer.socket.close()
@@ -128,17 +128,17 @@
 
     def send(self, action: Send) -> None:
         """Queue one message; it leaves with the next batch to that peer."""
-        peer = None if self._stopped else self._peer(action.to)
+        peer = None if self._is_stopped else self._find_or_dial(action.to)
         if peer is None:
             self.counters.dropped += 1
             return
         peer.queue.append(action.body)
-        self._wake.set()
+        self._has_queued.set()
 
     async def _run_sender(self) -> None:
         while True:
-            await self._wake.wait()
-            self._wake = trio.Event()
+            await self._has_queued.wait()
+            self._has_queued = trio.Event()
             self._flush()
 
     async def _run_receiver(self, listener: pynng.Pull0) -> None:
@@ -151,16 +151,16 @@
         self.counters.messages_received += 1
         self.counters.bytes_received += len(sealed)
         try:
-            batch = self._open(sealed)
+            batch = self._open_batch(sealed)
             bodies = decode(batch.bodies)
-        except _BATCH_ERRORS:
+        except _REJECTED_BATCH_ERRORS:
             self.counters.rejected += 1
             return
         self._events.clock.observe(batch.hlc)
         for body in bodies:
-            self._hand_over(batch.sender, body)
+            self._deliver(batch.sender, body)
 
-    def _hand_over(self, sender: str, body: Any) -> None:
+    def _deliver(self, sender: str, body: Any) -> None:
         """Keep the daemon alive if a part fails on a message."""
         try:
             self._receiver(sender, body)
@@ -171,11 +171,11 @@
                 'event=message-failed sender=%s kind=%s', sender, kind
             )
 
-    def _open(self, sealed: bytes) -> Batch:
+    def _open_batch(self, sealed: bytes) -> Batch:
         blob = self._keyring.open(sealed, self._events.instance.encode())
         return msgspec.msgpack.decode(blob, type=Batch)
 
-    def _peer(self, name: str) -> _Peer | None:
+    def _find_or_dial(self, name: str) -> _Peer | None:
         address = self._find_address(name)
         if address is None:
             return None
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -22,7 +22,6 @@
 from clementinedeal._envelope import Keyring
 from clementinedeal._events import EventLog
 from clementinedeal._executions import ExecutionTable
-from clementinedeal._front import Front, FrontContext, http_limits
 from clementinedeal._http_server import HttpServer
 from clementinedeal._hub import Hub
 from clementinedeal._kernel import Kernel
@@ -31,10 +30,15 @@
 from clementinedeal._messages import Send
 from clementinedeal._metrics import Metrics
 from clementinedeal._model import Config
-from clementinedeal._operator import Operator
+from clementinedeal._operator import OperatorEndpoints
 from clementinedeal._platform import HttpPlatform
 from clementinedeal._platform_reads import PlatformReads
 from clementinedeal._pool import ConnPool
+from clementinedeal._serving_side import (
+    ServingContext,
+    ServingSide,
+    http_limits,
+)
 from clementinedeal._settings import DaemonSettings
 from clementinedeal._status import StatusReporter
 from clementinedeal._timers import MonotonicClock, Timers
@@ -46,8 +50,8 @@
 from clementinedeal._view_recorder import ViewRecorder
 from clementinedeal._views import FleetView
 
-VIEW_SECONDS = 0.1
-NOTICE_SECONDS = 0.5
+VIEW_TICK_SECONDS = 0.1
+LEAVING_NOTICE_SECONDS = 0.5
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -84,16 +88,16 @@
         pool = self._kernel.register('connections', ConnPool(clock))
         platform = HttpPlatform(settings.platform, pool)
         self._kernel.register('platform', platform)
-        self._front_context = self._build_front_context(rng, incarnation)
+        self._serving_context = self._build_serving_context(rng, incarnation)
         rotation = KeyRotation(
-            self._front_context.keyring,
+            self._serving_context.keyring,
             reload or functools.partial(Ok, settings),
             self._shared.events,
         )
         self._kernel.register('key rotation', rotation)
-        self._kernel.register('operator', self._build_operator())
-        self._front: Front | None = None
-        self._fresh = False
+        self._kernel.register('operator', self._build_operator_server())
+        self._serving_side: ServingSide | None = None
+        self._is_fresh = False
         self._configured = trio.Event()
         self._stopping = trio.Event()
         self._subscribe()
@@ -106,7 +110,7 @@
                 'daemon-started',
                 zone=self._shared.settings.zone,
             )
-            nursery.start_soon(self._await_signal)
+            nursery.start_soon(self._wait_for_signal)
             nursery.start_soon(self._serve_when_configured, nursery)
             await self._stopping.wait()
             await self._drain()
@@ -114,11 +118,11 @@
             nursery.cancel_scope.cancel()
         self._shared.events.emit('daemon-stopped')
 
-    def _build_front_context(
+    def _build_serving_context(
         self,
         rng: random.Random,
         incarnation: str,
-    ) -> FrontContext:
+    ) -> ServingContext:
         shared = self._shared
         settings = shared.settings
         directory = Directory(settings.instance)
@@ -133,29 +137,29 @@
             shared.hub.receive,
         )
         self._kernel.register('control', control)
-        return FrontContext(
+        return ServingContext(
             shared=shared,
             pool=self._kernel.find('connections', ConnPool),
             keyring=keyring,
             executions=ExecutionTable(incarnation),
             directory=directory,
             view=EntryView(settings.instance, shared.fleet, shared.clock, rng),
-            cancels=CancelMessenger(control.send, self._cancel_here),
+            cancels=CancelMessenger(control.send, self._cancel_locally),
             status=StatusReporter(shared, directory),
         )
 
     def _subscribe(self) -> None:
         shared = self._shared
         hub = shared.hub
-        hub.on_message.append(self._view_message)
-        hub.on_message.append(self._front_context.cancels.on_message)
-        hub.on_pause.append(self._renew)
-        hub.every(VIEW_SECONDS, self._front_context.executions.on_tick)
+        hub.on_message.append(self._handle_view_message)
+        hub.on_message.append(self._serving_context.cancels.on_message)
+        hub.on_pause.append(self._rejoin)
+        hub.every(VIEW_TICK_SECONDS, self._serving_context.executions.on_tick)
         hub.on_stop.append(shared.fleet.stop)
-        hub.every(VIEW_SECONDS, shared.fleet.on_tick)
-        hub.every(VIEW_SECONDS, self._note_fresh)
-        hub.every(REFRESH_SECONDS, self._front_context.view.refresh)
-        self._kernel.find('timers', Timers).on_pause(hub.pause)
+        hub.every(VIEW_TICK_SECONDS, shared.fleet.on_tick)
+        hub.every(VIEW_TICK_SECONDS, self._update_freshness)
+        hub.every(REFRESH_SECONDS, self._serving_context.view.refresh)
+        self._kernel.find('timers', Timers).on_pause(hub.report_pause)
         self._register_actions()
 
     def _register_actions(self) -> None:
@@ -172,45 +176,45 @@
             (Send, self._kernel.find('control', ControlChannel).send),
             (ReadPlatform, reads.read),
             (WatchRoot, reads.watch),
-            (ConfigInForce, self._take_config),
+            (ConfigInForce, self._apply_config),
         )
         for kind, handler in handlers:
             shared.dispatcher.register(kind, handler)
         ViewRecorder(
             shared.dispatcher,
-            self._front_context.directory,
-            self._front_context.status,
+            self._serving_context.directory,
+            self._serving_context.status,
             shared.events,
         )
 
-    def _build_operator(self) -> HttpServer:
+    def _build_operator_server(self) -> HttpServer:
         shared = self._shared
-        status = self._front_context.status
-        operator = Operator(
+        status = self._serving_context.status
+        endpoints = OperatorEndpoints(
             shared.events,
             shared.metrics,
             status.status,
             functools.partial(
-                status.refresh,
+                status.update_gauges,
                 self._kernel.find('control', ControlChannel),
                 self._kernel.find('platform', HttpPlatform),
             ),
         )
         return HttpServer(
             shared.settings.operator,
-            operator.serve,
+            endpoints.serve,
             http_limits(shared.settings.limits),
             shared.events,
         )
 
     async def _serve_when_configured(self, nursery: trio.Nursery) -> None:
         await self._configured.wait()
-        if self._front is not None:
-            await self._front.start(nursery)
-            self._front_context.status.listening = True
+        if self._serving_side is not None:
+            await self._serving_side.start(nursery)
+            self._serving_context.status.is_listening = True
             self._shared.events.emit('daemon-serving')
 
-    async def _await_signal(self) -> None:
+    async def _wait_for_signal(self) -> None:
         with trio.open_signal_receiver(*_STOP_SIGNALS) as signals:
             # one that comes again must not end the process at once
             async for _ in signals:
@@ -218,16 +222,16 @@
 
     async def _drain(self) -> None:
         self._shared.events.emit('daemon-draining')
-        self._front_context.status.draining = True
-        self._shared.hub.stop()
-        await trio.sleep(NOTICE_SECONDS)
+        self._serving_context.status.is_draining = True
+        self._shared.hub.report_stop()
+        await trio.sleep(LEAVING_NOTICE_SECONDS)
         seconds = self._shared.settings.limits.drain_timeout_seconds
-        if self._front is not None:
-            await self._front.stop(seconds)
+        if self._serving_side is not None:
+            await self._serving_side.stop(seconds)
 
-    def _take_config(self, action: ConfigInForce) -> None:
+    def _apply_config(self, action: ConfigInForce) -> None:
         cfg = action.cfg
-        context = self._front_context
+        context = self._serving_context
         context.directory.take_config(cfg)
         context.view.take_config(cfg)
         self._shared.events.emit(
@@ -235,44 +239,44 @@
             version=cfg.version,
             preset=cfg.preset.value,
         )
-        if self._front is None:
-            self._open(cfg)
+        if self._serving_side is None:
+            self._build_serving_side(cfg)
         else:
-            self._shared.hub.take_config(cfg)
+            self._shared.hub.apply_config(cfg)
 
-    def _open(self, cfg: Config) -> None:
+    def _build_serving_side(self, cfg: Config) -> None:
         managers = Managers(self._shared, cfg)
-        self._front_context.status.managers = managers
-        self._front_context.view.holders = managers.holders
-        self._front = Front(self._front_context, managers)
-        self._front_context.status.owner = self._front.owner
+        self._serving_context.status.managers = managers
+        self._serving_context.view.holders = managers.holders
+        self._serving_side = ServingSide(self._serving_context, managers)
+        self._serving_context.status.owner = self._serving_side.owner
         self._configured.set()
 
-    def _cancel_here(self, wish: CancelExecution) -> CancelAnswer:
-        if self._front is None:
+    def _cancel_locally(self, cancel_request: CancelExecution) -> CancelAnswer:
+        if self._serving_side is None:
             return CancelAnswer.UNKNOWN
-        return self._front.owner.cancel(wish)
+        return self._serving_side.owner.cancel(cancel_request)
 
-    def _note_fresh(self, now: float) -> None:
-        fresh = self._shared.fleet.is_fresh(now)
-        if fresh != self._fresh:
-            self._fresh = fresh
-            name = 'config-fresh' if fresh else 'config-stale'
+    def _update_freshness(self, now: float) -> None:
+        is_fresh = self._shared.fleet.is_fresh(now)
+        if is_fresh != self._is_fresh:
+            self._is_fresh = is_fresh
+            name = 'config-fresh' if is_fresh else 'config-stale'
             self._shared.events.emit(name)
-            self._shared.hub.set_fresh(fresh)
+            self._shared.hub.report_freshness(is_fresh)
 
-    def _renew(self, gap: float, now: float) -> list[object]:
+    def _rejoin(self, gap: float, now: float) -> list[object]:
         """Rejoin as a new incarnation after a pause."""
         shared = self._shared
         actions = shared.fleet.on_pause(now)
         me = shared.settings.instance
         incarnation = format_incarnation(shared.fleet.incarnation(me))
         shared.events.incarnation = incarnation
-        self._front_context.executions.on_pause(incarnation)
+        self._serving_context.executions.on_pause(incarnation)
         shared.events.emit('daemon-paused', seconds=f'{gap:.3f}')
         return actions
 
-    def _view_message(
+    def _handle_view_message(
         self,
         sender: str,
         body: Any,
--- a/src/clementinedeal/_envelope.py
+++ b/src/clementinedeal/_envelope.py
@@ -15,7 +15,7 @@
 MAC_BYTES = 16
 FORWARD_HEADER = b'x-clementinedeal-forward'
 OUTCOME_HEADER = b'x-clementinedeal-outcome'
-INTERNAL_PREFIX = b'x-clementinedeal-'
+INTERNAL_HEADER_PREFIX = b'x-clementinedeal-'
 
 
 @message
@@ -88,7 +88,7 @@
         :param context: what it is bound to; not sent.
         """
         name = self._signer.encode()
-        code = _code(self._keys[self._signer], blob, context)
+        code = _authentication_code(self._keys[self._signer], blob, context)
         return bytes([len(name)]) + name + code + blob
 
     def open(self, sealed: bytes, context: bytes) -> bytes:
@@ -105,7 +105,9 @@
         key = self._keys.get(name)
         if key is None:
             raise PeerAuthError('unknown fleet key')
-        if not hmac.compare_digest(code, _code(key, blob, context)):
+        if not hmac.compare_digest(
+            code, _authentication_code(key, blob, context)
+        ):
             raise PeerAuthError('wrong authentication code')
         return blob
 
@@ -147,7 +149,7 @@
         return self.open(sealed, context)
 
 
-def _code(key: bytes, blob: bytes, context: bytes) -> bytes:
+def _authentication_code(key: bytes, blob: bytes, context: bytes) -> bytes:
     mac = hashlib.blake2b(context, digest_size=MAC_BYTES, key=key)
     mac.update(b'\0')
     mac.update(blob)
--- a/src/clementinedeal/_errors.py
+++ b/src/clementinedeal/_errors.py
@@ -4,7 +4,7 @@
 
 # What decoding foreign bytes raises; at some 1,000 nested levels msgspec ends
 # with a RecursionError.
-UNREADABLE_ERRORS = (msgspec.MsgspecError, RecursionError, UnicodeDecodeError)
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, UnicodeDecodeError)
 
 
 class ClementinedealError(Exception):
--- a/src/clementinedeal/_events.py
+++ b/src/clementinedeal/_events.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-BUFFER_EVENTS = 20_000
+MAX_BUFFERED_EVENTS = 20_000
 _COUNTER_BITS = 16
 _MS_PER_SECOND = 1000
 
@@ -68,12 +68,12 @@
         self._last = max(self._last + 1, physical)
         return self._last
 
-    def observe(self, heard: int) -> None:
+    def observe(self, received: int) -> None:
         """Follow a stamp received from another instance.
 
         :param heard: the sender's stamp.
         """
-        self._last = max(self._last, heard)
+        self._last = max(self._last, received)
 
 
 class EventLog:
@@ -95,7 +95,7 @@
         self.incarnation = incarnation
         self.clock = clock or HybridClock()
         self._events: collections.deque[Event] = collections.deque(
-            maxlen=BUFFER_EVENTS,
+            maxlen=MAX_BUFFERED_EVENTS,
         )
 
     def emit(self, name: str, **fields: object) -> None:
--- a/src/clementinedeal/_executions.py
+++ b/src/clementinedeal/_executions.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from clementinedeal._cancel_messages import CancelAnswer
-from clementinedeal._timers import PAUSE_SECONDS
+from clementinedeal._timers import MIN_PAUSE_SECONDS
 from clementinedeal._verdict import Reason
 
 DEFAULT_MAX_ENTRIES = 65_536
@@ -265,7 +265,7 @@
         return None
 
     def _has_missed_ticks(self, now: float) -> bool:
-        return now - self._last_tick > PAUSE_SECONDS
+        return now - self._last_tick > MIN_PAUSE_SECONDS
 
     def _record_cancelled(
         self,
--- a/src/clementinedeal/_forwarding.py
+++ b/src/clementinedeal/_forwarding.py
@@ -20,7 +20,7 @@
     ConnLostError,
     Headers,
     RequestHead,
-    end_to_end,
+    strip_hop_by_hop_headers,
 )
 from clementinedeal._incoming_request import strip_internal_headers
 from clementinedeal._model import Instance, Target
@@ -224,7 +224,7 @@
     ) -> None:
         body = await buffer_body(conn.read_body(), MAX_REPLAY_BYTES)
         started = trio.current_time()
-        headers = strip_internal_headers(end_to_end(head.headers))
+        headers = strip_internal_headers(strip_hop_by_hop_headers(head.headers))
         req = Request(RequestHead(head.method, head.path, headers), body)
         target = self._owned.find_target(fwd.target)
         if target is None:
@@ -286,7 +286,9 @@
     :raises ConnLostError: the connection broke, or the answer ended early.
     """
     added = {name for name, _ in extra}
-    passed = strip_internal_headers(end_to_end(answer.head.headers))
+    passed = strip_internal_headers(
+        strip_hop_by_hop_headers(answer.head.headers)
+    )
     kept = tuple(pair for pair in passed if pair[0] not in added)
     headers = (*kept, *extra)
     if answer.body.whole is not None:
--- a/src/clementinedeal/_history.py
+++ b/src/clementinedeal/_history.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Started(HistoryEvent):
+class RequestStarted(HistoryEvent):
     """A target received the first byte of a request.
 
     ``key`` identifies account and idempotency key, empty without one.
@@ -33,7 +33,7 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Answered(HistoryEvent):
+class RequestAnswered(HistoryEvent):
     """A caller's request has ended.
 
     ``whole`` tells whether the caller saw a properly ended answer,
@@ -43,13 +43,13 @@
     req_id: str
     verdict: Verdict
     status: int = 0
-    whole: bool = True
+    is_whole: bool = True
     digest: str = ''
     expected: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class Admitted(HistoryEvent):
+class RequestAdmitted(HistoryEvent):
     """A request was counted against its account's rate."""
 
     account: str
@@ -65,12 +65,12 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class TargetSetAside(HistoryEvent):
+class TargetExcluded(HistoryEvent):
     """An instance begins (``aside``) or ceases to keep work from a target."""
 
     instance: str
     target: str
-    aside: bool
+    is_excluded: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -97,11 +97,11 @@
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class InstanceRuns(HistoryEvent):
+class InstanceRunning(HistoryEvent):
     """An instance can act from now on, or ceases to (``runs`` is false)."""
 
     instance: str
-    runs: bool
+    is_running: bool
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -131,11 +131,11 @@
 class Violation:
     """A point that did not hold."""
 
-    point: str
+    rule: str
     detail: str
 
 
-def of_kind(
+def events_of_kind(
     events: Iterable[HistoryEvent],
     kind: type[EventT],
 ) -> list[EventT]:
--- a/src/clementinedeal/_history_checks.py
+++ b/src/clementinedeal/_history_checks.py
@@ -5,25 +5,25 @@
 from dataclasses import dataclass
 
 from clementinedeal._history import (
-    Admitted,
-    Answered,
     ConfigInForce,
     FloorDeclared,
     HistoryEvent,
-    InstanceRuns,
+    InstanceRunning,
     KeyHonoured,
     KeySeenAtTarget,
     KeyWithdrawn,
     Published,
-    Started,
+    RequestAdmitted,
+    RequestAnswered,
+    RequestStarted,
+    TargetExcluded,
     TargetLeaving,
-    TargetSetAside,
     Violation,
-    of_kind,
+    events_of_kind,
 )
 from clementinedeal._verdict import Verdict
 
-ROUNDING_REQUESTS = 1e-6
+ROUNDING_TOLERANCE_REQUESTS = 1e-6
 
 Events = Sequence[HistoryEvent]
 Violations = tuple[Violation, ...]
@@ -43,13 +43,15 @@
     :param events: the history.
     """
     starts = [
-        event for event in of_kind(events, Started) if not event.idempotent
+        event
+        for event in events_of_kind(events, RequestStarted)
+        if not event.idempotent
     ]
     by_request = Counter(event.req_id for event in starts)
     by_key = Counter(event.key for event in starts if event.key)
     return (
-        *_repeats('at-most-once by request', by_request),
-        *_repeats('at-most-once by key', by_key),
+        *_find_repeats('at-most-once by request', by_request),
+        *_find_repeats('at-most-once by key', by_key),
     )
 
 
@@ -58,10 +60,10 @@
 
     :param events: the history.
     """
-    started = {event.req_id for event in of_kind(events, Started)}
+    started = {event.req_id for event in events_of_kind(events, RequestStarted)}
     return tuple(
         Violation('not-run', f'{event.req_id} was started')
-        for event in of_kind(events, Answered)
+        for event in events_of_kind(events, RequestAnswered)
         if event.verdict is Verdict.NOT_RUN and event.req_id in started
     )
 
@@ -73,8 +75,8 @@
     """
     return tuple(
         Violation('answer', f'{event.req_id} got {event.digest}')
-        for event in of_kind(events, Answered)
-        if event.whole and event.digest != event.expected
+        for event in events_of_kind(events, RequestAnswered)
+        if event.is_whole and event.digest != event.expected
     )
 
 
@@ -91,18 +93,18 @@
     :param limits: by account name; accounts without one may have nothing.
     """
     levels: dict[str, float] = defaultdict(float)
-    last: dict[str, float] = {}
-    found: list[Violation] = []
-    for event in of_kind(events, Admitted):
+    last_at: dict[str, float] = {}
+    violations: list[Violation] = []
+    for event in events_of_kind(events, RequestAdmitted):
         name = event.account
         limit = limits.get(name, RateLimit(0, 0))
-        leaked = limit.rate * (event.at - last.get(name, event.at))
-        last[name] = event.at
+        leaked = limit.rate * (event.at - last_at.get(name, event.at))
+        last_at[name] = event.at
         levels[name] = max(0, levels[name] - leaked) + 1
-        if levels[name] > limit.burst + ROUNDING_REQUESTS:
+        if levels[name] > limit.burst + ROUNDING_TOLERANCE_REQUESTS:
             detail = f'{name} at {event.at}: {levels[name]} > {limit.burst}'
-            found.append(Violation('rate', detail))
-    return tuple(found)
+            violations.append(Violation('rate', detail))
+    return tuple(violations)
 
 
 def check_floor(events: Events) -> Violations:
@@ -110,54 +112,58 @@
 
     :param events: the history.
     """
-    aside: dict[str, set[str]] = defaultdict(set)
+    excluded_by: dict[str, set[str]] = defaultdict(set)
     declared: dict[str, FloorDeclared] = {}
-    found: list[Violation] = []
-    for moment in _moments(events):
-        for event in moment:
+    violations: list[Violation] = []
+    for group in _group_by_time(events):
+        for event in group:
             if isinstance(event, FloorDeclared):
                 declared[event.service] = event
-            if isinstance(event, TargetSetAside) and event.aside:
-                aside[event.target].add(event.instance)
-            elif isinstance(event, TargetSetAside):
-                aside[event.target].discard(event.instance)
-        at = moment[0].at
-        found.extend(_below_floor(declared.values(), aside, at))
-    return tuple(found)
+            if isinstance(event, TargetExcluded) and event.is_excluded:
+                excluded_by[event.target].add(event.instance)
+            elif isinstance(event, TargetExcluded):
+                excluded_by[event.target].discard(event.instance)
+        at = group[0].at
+        violations.extend(_find_below_floor(declared.values(), excluded_by, at))
+    return tuple(violations)
 
 
-def check_leaving(events: Events, bound: float) -> Violations:
+def check_leaving(events: Events, max_seconds: float) -> Violations:
     """A leaving target gets no new work after a time.
 
     :param events: the history.
     :param bound: seconds after the target's announcement.
     """
-    left = {event.target: event.at for event in of_kind(events, TargetLeaving)}
+    left_at = {
+        event.target: event.at
+        for event in events_of_kind(events, TargetLeaving)
+    }
     return tuple(
         Violation('leaving', f'{event.req_id} at {event.target} {event.at}')
-        for event in of_kind(events, Started)
-        if event.at > left.get(event.target, event.at) + bound
+        for event in events_of_kind(events, RequestStarted)
+        if event.at > left_at.get(event.target, event.at) + max_seconds
     )
 
 
-def check_keys(events: Events, bound: float) -> Violations:
+def check_keys(events: Events, max_seconds: float) -> Violations:
     """No target sees a key, and a withdrawn one stops working.
 
     :param events: the history.
     :param bound: seconds from the withdrawal.
     """
-    gone = {
-        event.key_digest: event.at for event in of_kind(events, KeyWithdrawn)
+    withdrawn_at = {
+        event.key_digest: event.at
+        for event in events_of_kind(events, KeyWithdrawn)
     }
     late = [
         event
-        for event in of_kind(events, KeyHonoured)
-        if event.at > gone.get(event.key_digest, event.at) + bound
+        for event in events_of_kind(events, KeyHonoured)
+        if event.at > withdrawn_at.get(event.key_digest, event.at) + max_seconds
     ]
-    seen = of_kind(events, KeySeenAtTarget)
+    leaked = events_of_kind(events, KeySeenAtTarget)
     return (
         *(Violation('key-withdrawn', f'{event}') for event in late),
-        *(Violation('key-at-target', f'{event}') for event in seen),
+        *(Violation('key-at-target', f'{event}') for event in leaked),
     )
 
 
@@ -167,16 +173,16 @@
     :param events: the history.
     """
     highest: dict[str, int] = {}
-    found: list[Violation] = []
-    for event in of_kind(events, ConfigInForce):
+    violations: list[Violation] = []
+    for event in events_of_kind(events, ConfigInForce):
         before = highest.get(event.instance, event.version)
         if event.version < before:
-            found.append(Violation('version', f'{event} after {before}'))
+            violations.append(Violation('version', f'{event} after {before}'))
         highest[event.instance] = max(before, event.version)
-    return tuple(found)
+    return tuple(violations)
 
 
-def check_convergence(events: Events, bound: float) -> Violations:
+def check_convergence(events: Events, max_seconds: float) -> Violations:
     """A published version is in force everywhere within a time.
 
     Only instances that run for the whole time are judged.
@@ -184,63 +190,65 @@
     :param events: the history.
     :param bound: seconds from the publication.
     """
-    in_force = of_kind(events, ConfigInForce)
-    found: list[Violation] = []
-    for published in of_kind(events, Published):
-        due = published.at + bound
+    in_force = events_of_kind(events, ConfigInForce)
+    violations: list[Violation] = []
+    for published in events_of_kind(events, Published):
+        due = published.at + max_seconds
         reached = {
             event.instance
             for event in in_force
             if event.version >= published.version and event.at <= due
         }
-        late = _running_all_the_time(events, published.at, due) - reached
+        late = _running_throughout(events, published.at, due) - reached
         for name in sorted(late):
             detail = f'{published.version} at {name}'
-            found.append(Violation('convergence', detail))
-    return tuple(found)
+            violations.append(Violation('convergence', detail))
+    return tuple(violations)
 
 
-def _repeats(point: str, counts: Counter[str]) -> list[Violation]:
+def _find_repeats(rule: str, counts: Counter[str]) -> list[Violation]:
     return [
-        Violation(point, f'{name} started {count} times')
+        Violation(rule, f'{name} started {count} times')
         for name, count in counts.items()
         if count > 1
     ]
 
 
-def _moments(events: Events) -> list[list[HistoryEvent]]:
-    moments: list[list[HistoryEvent]] = []
-    for event in of_kind(events, HistoryEvent):
-        if moments and moments[-1][0].at == event.at:
-            moments[-1].append(event)
+def _group_by_time(events: Events) -> list[list[HistoryEvent]]:
+    groups: list[list[HistoryEvent]] = []
+    for event in events_of_kind(events, HistoryEvent):
+        if groups and groups[-1][0].at == event.at:
+            groups[-1].append(event)
         else:
-            moments.append([event])
-    return moments
+            groups.append([event])
+    return groups
 
 
-def _below_floor(
+def _find_below_floor(
     declared: Iterable[FloorDeclared],
-    aside: Mapping[str, set[str]],
+    excluded_by: Mapping[str, set[str]],
     at: float,
 ) -> list[Violation]:
-    found: list[Violation] = []
+    violations: list[Violation] = []
     for service in declared:
-        left = [name for name in service.targets if not aside.get(name)]
-        if len(left) < service.floor:
-            detail = f'{service.service} has {len(left)} at {at}'
-            found.append(Violation('floor', detail))
-    return found
+        available = [
+            name for name in service.targets if not excluded_by.get(name)
+        ]
+        if len(available) < service.floor:
+            detail = f'{service.service} has {len(available)} at {at}'
+            violations.append(Violation('floor', detail))
+    return violations
 
 
-def _running_all_the_time(
+def _running_throughout(
     events: Events,
     begin: float,
     end: float,
 ) -> set[str]:
     running: set[str] = set()
-    for event in of_kind(events, InstanceRuns):
-        if event.at <= begin and event.runs:
+    for event in events_of_kind(events, InstanceRunning):
+        if event.at <= begin and event.is_running:
             running.add(event.instance)
-        elif event.at <= end and not event.runs:
+        elif event.at <= end and not event.is_running:
             running.discard(event.instance)
     return running
--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -10,10 +10,10 @@
 
 READ_BYTES = 65536
 # Parsing an event takes some 6 us of a core: other tasks wait for 0.4 ms.
-EVENTS_PER_TURN = 64
+MAX_EVENTS_PER_CHECKPOINT = 64
 # What an event costs at the least, as if it were so many bytes: 65,536 small
 # ones in 4 MiB are 0.4 s of a core, while others get their turns.
-LEAST_EVENT_BYTES = 64
+MIN_EVENT_BYTES = 64
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
@@ -33,7 +33,7 @@
     )
 )
 
-BROKEN_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
+BROKEN_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
 
@@ -88,8 +88,8 @@
     to three times on its way: half of the smallest machine's 200 MB.
     """
 
-    head_bytes: int = 16384
-    body_bytes: int = 32 << 20
+    max_head_bytes: int = 16384
+    max_body_bytes: int = 32 << 20
     head_timeout: float = 10.0
     idle_timeout: float = 60.0
     body_timeout: float = 30.0
@@ -139,26 +139,28 @@
     return None
 
 
-def end_to_end(headers: Headers) -> Headers:
+def strip_hop_by_hop_headers(headers: Headers) -> Headers:
     """Drop the headers that concern one connection only.
 
     :param headers: as received.
     """
-    named = set(_HOP_BY_HOP)
+    connection_headers = set(_HOP_BY_HOP)
     for key, text in headers:
         if key == b'connection':
-            named.update(part.strip().lower() for part in text.split(b','))
-    return tuple(pair for pair in headers if pair[0] not in named)
+            connection_headers.update(
+                part.strip().lower() for part in text.split(b',')
+            )
+    return tuple(pair for pair in headers if pair[0] not in connection_headers)
 
 
-class Wire:
+class H11Stream:
     """A stream with an h11 state machine on top."""
 
     def __init__(
         self,
         stream: trio.abc.Stream,
         role: Any,
-        head_bytes: int,
+        max_head_bytes: int,
     ) -> None:
         """Start on a fresh stream.
 
@@ -167,10 +169,12 @@
         :param head_bytes: largest head accepted.
         """
         self.stream = stream
-        self.h11 = h11.Connection(role, max_incomplete_event_size=head_bytes)
-        self.received = 0
-        self._head_bytes = head_bytes
-        self._parsed = 0
+        self.h11 = h11.Connection(
+            role, max_incomplete_event_size=max_head_bytes
+        )
+        self.received_bytes = 0
+        self._max_head_bytes = max_head_bytes
+        self._events_since_checkpoint = 0
 
     async def send(self, event: h11.Event) -> None:
         """Send one event."""
@@ -197,10 +201,10 @@
         :raises TooLongError: a head, or a line between chunks, is too long.
         :raises ConnLostError: the stream ended inside a message.
         """
-        if self._parsed >= EVENTS_PER_TURN:
-            self._parsed = 0
+        if self._events_since_checkpoint >= MAX_EVENTS_PER_CHECKPOINT:
+            self._events_since_checkpoint = 0
             await trio.lowlevel.checkpoint()
-        self._parsed += 1
+        self._events_since_checkpoint += 1
         while True:
             event = self._parse()
             if event is not h11.NEED_DATA:
@@ -216,7 +220,7 @@
             if exc.error_status_hint == _HEAD_TOO_LARGE:
                 raise TooLongError(
                     size=len(self.h11.trailing_data[0]),
-                    limit=self._head_bytes,
+                    limit=self._max_head_bytes,
                     status=_HEAD_TOO_LARGE,
                 ) from exc
             raise HttpError(str(exc), status=exc.error_status_hint) from exc
@@ -226,30 +230,30 @@
             blob = await self.stream.receive_some(READ_BYTES)
         except trio.BrokenResourceError as exc:
             raise ConnLostError('connection reset') from exc
-        self._parsed = 0
-        self.received += len(blob)
+        self._events_since_checkpoint = 0
+        self.received_bytes += len(blob)
         self.h11.receive_data(bytes(blob))
 
     async def _write(self, blob: bytes) -> None:
         try:
             await self.stream.send_all(blob)
-        except BROKEN_ERRORS as exc:
+        except BROKEN_STREAM_ERRORS as exc:
             raise WriteLostError('connection closed while writing') from exc
 
 
-class SizeBound:
+class SizeCounter:
     """Counts what comes over a wire, up to a limit."""
 
-    def __init__(self, wire: Wire, limit: int) -> None:
+    def __init__(self, h11_stream: H11Stream, max_bytes: int) -> None:
         """Count from now on.
 
         :param wire: what the bytes come over, framing included.
         :param limit: bytes taken at the most.
         """
-        self._wire = wire
-        self._limit = limit
-        self._begun = wire.received
-        self._counted = 0
+        self._h11_stream = h11_stream
+        self._max_bytes = max_bytes
+        self._start_bytes = h11_stream.received_bytes
+        self._counted_bytes = 0
 
     def count(self, size: int = 0) -> None:
         """Count one event.
@@ -257,7 +261,10 @@
         :param size: of its content, in bytes.
         :raises TooLongError: the limit is passed.
         """
-        self._counted += max(size, LEAST_EVENT_BYTES)
-        total = max(self._counted, self._wire.received - self._begun)
-        if total > self._limit:
-            raise TooLongError(size=total, limit=self._limit)
+        self._counted_bytes += max(size, MIN_EVENT_BYTES)
+        total = max(
+            self._counted_bytes,
+            self._h11_stream.received_bytes - self._start_bytes,
+        )
+        if total > self._max_bytes:
+            raise TooLongError(size=total, limit=self._max_bytes)
--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -20,12 +20,12 @@
 
 IDLE_GRACE_SECONDS = 1.0
 # An answer fits the socket's buffer, unless its reader is stuck.
-LAST_ANSWER_SECONDS = 0.2
-BACKLOG = 512
+LAST_ANSWER_TIMEOUT_SECONDS = 0.2
+MAX_BACKLOG_CONNECTIONS = 512
 
-Serve: TypeAlias = Callable[[ServerConn, RequestHead], Awaitable[None]]
+RequestHandler: TypeAlias = Callable[[ServerConn, RequestHead], Awaitable[None]]
 
-_REASONS = {
+_REASON_BY_STATUS = {
     408: Reason.SLOW_SENDER,
     413: Reason.BODY_TOO_LARGE,
     431: Reason.HEAD_TOO_LARGE,
@@ -38,7 +38,7 @@
     def __init__(
         self,
         address: str,
-        serve: Serve,
+        handler: RequestHandler,
         limits: HttpLimits,
         events: EventLog,
     ) -> None:
@@ -50,13 +50,13 @@
         :param events: hears of broken requests.
         """
         self._address = address
-        self._serve = serve
+        self._handler = handler
         self._limits = limits
         self._events = events
-        self._draining = False
-        self._open: dict[ServerConn, trio.CancelScope] = {}
-        self._accepting = trio.CancelScope()
-        self._done = trio.Event()
+        self._is_draining = False
+        self._conn_scopes: dict[ServerConn, trio.CancelScope] = {}
+        self._accept_scope = trio.CancelScope()
+        self._all_closed = trio.Event()
 
     async def run(
         self,
@@ -67,13 +67,13 @@
         listeners = await trio.open_tcp_listeners(
             port,
             host=host,
-            backlog=BACKLOG,
+            backlog=MAX_BACKLOG_CONNECTIONS,
         )
         async with trio.open_nursery() as nursery:
             task_status.started()
-            with self._accepting:
+            with self._accept_scope:
                 await trio.serve_listeners(
-                    self._handle,
+                    self._handle_connection,
                     listeners,
                     handler_nursery=nursery,
                 )
@@ -88,30 +88,30 @@
         await nursery.start(self.run)
 
     @property
-    def busy(self) -> int:
+    def busy_connections(self) -> int:
         """Connections with a request that is not answered."""
-        return sum(not conn.idle for conn in self._open)
+        return sum(not conn.is_idle for conn in self._conn_scopes)
 
-    def take_limits(self, limits: HttpLimits) -> None:
+    def set_limits(self, limits: HttpLimits) -> None:
         """Bound the senders of all connections from now on.
 
         :param limits: the bounds.
         """
         self._limits = limits
-        for conn in self._open:
-            conn.take_limits(limits)
+        for conn in self._conn_scopes:
+            conn.set_limits(limits)
 
     def drain(self) -> None:
         """Serve on, but close every connection after its next answer."""
-        self._draining = True
-        for conn in self._open:
+        self._is_draining = True
+        for conn in self._conn_scopes:
             conn.close_after_answer()
 
     def close_idle(self) -> None:
         """Close the connections that wait for a request."""
-        for conn in self._open:
-            if conn.idle:
-                conn.resting.cancel()
+        for conn in self._conn_scopes:
+            if conn.is_idle:
+                conn.idle_scope.cancel()
 
     async def stop(self, seconds: float = 0) -> None:
         """Accept nothing more and let what is open end.
@@ -119,57 +119,57 @@
         :param seconds: time for requests in flight; then they are cut.
         """
         self.drain()
-        self._accepting.cancel()
+        self._accept_scope.cancel()
         await trio.sleep(IDLE_GRACE_SECONDS)
         self.close_idle()
-        self._done = trio.Event()
-        if self._open:
+        self._all_closed = trio.Event()
+        if self._conn_scopes:
             with trio.move_on_after(seconds):
-                await self._done.wait()
-        for scope in tuple(self._open.values()):
+                await self._all_closed.wait()
+        for scope in tuple(self._conn_scopes.values()):
             scope.cancel()
 
-    async def _handle(self, stream: trio.SocketStream) -> None:
+    async def _handle_connection(self, stream: trio.SocketStream) -> None:
         conn = ServerConn(stream, self._limits)
         scope = trio.CancelScope()
-        self._open[conn] = scope
+        self._conn_scopes[conn] = scope
         try:
             with scope:
-                await self._converse_safely(conn)
-            if scope.cancelled_caught and not conn.idle:
-                await self._refuse_cut(conn)
-            crossed = await conn.drain_close()
-            if crossed:
+                await self._serve_or_report_fault(conn)
+            if scope.cancelled_caught and not conn.is_idle:
+                await self._refuse_cancelled(conn)
+            crossed_bytes = await conn.close_gracefully()
+            if crossed_bytes:
                 self._events.emit(
                     'close-crossed',
                     address=self._address,
-                    bytes=crossed,
+                    bytes=crossed_bytes,
                 )
         finally:
-            self._open.pop(conn, None)
-            if not self._open:
-                self._done.set()
+            self._conn_scopes.pop(conn, None)
+            if not self._conn_scopes:
+                self._all_closed.set()
 
-    async def _refuse_cut(self, conn: ServerConn) -> None:
+    async def _refuse_cancelled(self, conn: ServerConn) -> None:
         """Answer a request that the end of a stop has cut."""
         refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.DRAINING)
-        with trio.move_on_after(LAST_ANSWER_SECONDS):
+        with trio.move_on_after(LAST_ANSWER_TIMEOUT_SECONDS):
             await self._refuse(conn, refusal)
 
-    async def _converse_safely(self, conn: ServerConn) -> None:
+    async def _serve_or_report_fault(self, conn: ServerConn) -> None:
         """Keep the daemon alive if a part fails on a request."""
         try:
-            await self._converse(conn)
+            await self._serve_connection(conn)
         except Exception:
             log.exception('event=connection-failed address=%s', self._address)
             refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.INTERNAL)
             await self._refuse(conn, refusal)
 
-    async def _converse(self, conn: ServerConn) -> None:
+    async def _serve_connection(self, conn: ServerConn) -> None:
         try:
-            again = True
-            while again:
-                again = await self._serve_next(conn)
+            is_reusable = True
+            while is_reusable:
+                is_reusable = await self._serve_next_request(conn)
         except HttpError as exc:
             await self._answer_error(conn, exc)
         except ConnLostError as exc:
@@ -180,17 +180,17 @@
             )
             await conn.aclose()
 
-    async def _serve_next(self, conn: ServerConn) -> bool:
+    async def _serve_next_request(self, conn: ServerConn) -> bool:
         head = await conn.next_request()
         if head is None:
             return False
-        if self._draining:
+        if self._is_draining:
             conn.close_after_answer()
-        await self._serve(conn, head)
-        return conn.ready_for_next()
+        await self._handler(conn, head)
+        return conn.prepare_next()
 
     async def _answer_error(self, conn: ServerConn, exc: HttpError) -> None:
-        reason = _REASONS.get(exc.status, Reason.BAD_REQUEST)
+        reason = _REASON_BY_STATUS.get(exc.status, Reason.BAD_REQUEST)
         await self._refuse(conn, Refusal(Verdict.NOT_RUN, reason))
 
     async def _refuse(self, conn: ServerConn, refusal: Refusal) -> None:
--- a/src/clementinedeal/_hub.py
+++ b/src/clementinedeal/_hub.py
@@ -55,7 +55,7 @@
         """
         self._timers.every(seconds, lambda now: self.perform(handler(now)))
 
-    def take_config(self, cfg: Config) -> None:
+    def apply_config(self, cfg: Config) -> None:
         """Bring a configuration into force.
 
         :param cfg: the configuration.
@@ -64,7 +64,7 @@
         for handler in tuple(self.on_config):
             self.perform(handler(cfg, now))
 
-    def pause(self, gap: float) -> None:
+    def report_pause(self, gap: float) -> None:
         """Tell of a pause.
 
         :param gap: its length in seconds.
@@ -73,16 +73,16 @@
         for handler in self.on_pause:
             self.perform(handler(gap, now))
 
-    def set_fresh(self, fresh: bool) -> None:
+    def report_freshness(self, is_fresh: bool) -> None:
         """Tell whether the configuration is known to be recent.
 
         :param fresh: true while it is.
         """
         now = self._clock.now()
         for handler in self.on_fresh:
-            self.perform(handler(fresh, now))
+            self.perform(handler(is_fresh, now))
 
-    def stop(self) -> None:
+    def report_stop(self) -> None:
         """Tell of the planned stop."""
         now = self._clock.now()
         for handler in self.on_stop:
--- a/src/clementinedeal/_idempotency_gate.py
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -9,7 +9,7 @@
 from clementinedeal._claims import ClaimGranted, ClaimRefused, Replay
 from clementinedeal._dispatch import Dispatcher, Waiters
 from clementinedeal._exchange import ExchangeResult
-from clementinedeal._http import Headers, ResponseHead, end_to_end
+from clementinedeal._http import Headers, ResponseHead, strip_hop_by_hop_headers
 from clementinedeal._idempotency import IdempotencyManager
 from clementinedeal._incoming_request import IncomingRequest
 from clementinedeal._key_messages import StoredAnswer
@@ -148,7 +148,7 @@
         return None
     headers = tuple(
         (name.decode('latin-1'), text.decode('latin-1'))
-        for name, text in end_to_end(answer.head.headers)
+        for name, text in strip_hop_by_hop_headers(answer.head.headers)
         if name in _STORED_HEADERS
     )
     return StoredAnswer(answer.head.status, headers, whole)
--- a/src/clementinedeal/_incoming_request.py
+++ b/src/clementinedeal/_incoming_request.py
@@ -6,12 +6,12 @@
 
 from clementinedeal._access import Access, Granted
 from clementinedeal._answer_checks import REQUEST_ID_HEADER
-from clementinedeal._envelope import INTERNAL_PREFIX
+from clementinedeal._envelope import INTERNAL_HEADER_PREFIX
 from clementinedeal._http import (
     Headers,
     HttpError,
     RequestHead,
-    end_to_end,
+    strip_hop_by_hop_headers,
 )
 from clementinedeal._replies import Request
 
@@ -78,7 +78,9 @@
     :param headers: headers as received.
     """
     return tuple(
-        pair for pair in headers if not pair[0].startswith(INTERNAL_PREFIX)
+        pair
+        for pair in headers
+        if not pair[0].startswith(INTERNAL_HEADER_PREFIX)
     )
 
 
@@ -91,7 +93,9 @@
     """
     headers = tuple(
         pair
-        for pair in strip_internal_headers(end_to_end(head.headers))
+        for pair in strip_internal_headers(
+            strip_hop_by_hop_headers(head.headers)
+        )
         if pair[0] not in _DROPPED_HEADERS
     )
     return RequestHead(head.method, head.path, headers)
--- a/src/clementinedeal/_managers.py
+++ b/src/clementinedeal/_managers.py
@@ -23,10 +23,10 @@
 from clementinedeal._tokens import TokenManager
 from clementinedeal._views import FleetView
 
-WAITING_SECONDS = 0.05
-DETECTION_SECONDS = 0.1
-KEYS_SECONDS = 0.25
-ABSENCE_SECONDS = 0.5
+QUEUE_TICK_SECONDS = 0.05
+EJECTION_TICK_SECONDS = 0.1
+IDEMPOTENCY_TICK_SECONDS = 0.25
+ABSENCE_CHECK_SECONDS = 0.5
 FRESHNESS_CHECK_SECONDS = 0.1
 
 
@@ -65,7 +65,7 @@
         )
         idempotency = IdempotencyManager(me, cfg, now, wall_ms=wall_ms)
         idempotency.set_fresh(context.fleet.is_fresh(now), now)
-        self.keys = KeyGate(idempotency, context.dispatcher, context.clock)
+        self.key_gate = KeyGate(idempotency, context.dispatcher, context.clock)
         self.watcher = TargetWatcher(
             context.clock,
             self.ejection,
@@ -92,17 +92,17 @@
         self._subscribe_ejection(context.hub)
         self._subscribe_tokens(context.hub, tokens)
         self._subscribe_idempotency(context.hub, idempotency)
-        context.dispatcher.register(TargetEjected, self._note_ejected)
-        context.dispatcher.register(TargetReinstated, self._note_reinstated)
+        context.dispatcher.register(TargetEjected, self._on_ejected)
+        context.dispatcher.register(TargetReinstated, self._on_reinstated)
 
     def _subscribe_ejection(self, hub: Hub) -> None:
         manager = self.ejection
         hub.on_message.append(manager.on_message)
-        hub.every(DETECTION_SECONDS, self.watcher.report_in_flight)
-        hub.every(ABSENCE_SECONDS, self._note_absent)
-        hub.every(DETECTION_SECONDS, manager.on_tick)
-        hub.every(WAITING_SECONDS, self.slots.on_tick)
-        hub.on_config.append(self._note_config)
+        hub.every(EJECTION_TICK_SECONDS, self.watcher.report_in_flight)
+        hub.every(ABSENCE_CHECK_SECONDS, self._update_absent)
+        hub.every(EJECTION_TICK_SECONDS, manager.on_tick)
+        hub.every(QUEUE_TICK_SECONDS, self.slots.on_tick)
+        hub.on_config.append(self._on_config)
         hub.on_config.append(manager.on_config)
         hub.on_config.append(self.slots.on_config)
         hub.on_pause.append(manager.on_pause)
@@ -119,7 +119,7 @@
             and self.ejection.state(target.name) is TargetState.LEAVING
         )
 
-    def note_back(self, target: str) -> None:
+    def mark_returned(self, target: str) -> None:
         """Use a target again that had left.
 
         :param target: an owned target.
@@ -132,7 +132,7 @@
 
     def _subscribe_tokens(self, hub: Hub, manager: TokenManager) -> None:
         hub.on_message.append(manager.on_message)
-        hub.every(WAITING_SECONDS, manager.on_tick)
+        hub.every(QUEUE_TICK_SECONDS, manager.on_tick)
         fleet = self._context.fleet
         hub.on_config.append(
             lambda cfg, now: manager.on_config(
@@ -153,17 +153,17 @@
         manager: IdempotencyManager,
     ) -> None:
         hub.on_message.append(manager.on_message)
-        hub.every(KEYS_SECONDS, manager.on_tick)
+        hub.every(IDEMPOTENCY_TICK_SECONDS, manager.on_tick)
         hub.on_config.append(manager.on_config)
         hub.on_pause.append(manager.on_pause)
         hub.on_fresh.append(manager.set_fresh)
         hub.on_stop.append(manager.stop)
 
-    def _note_config(self, cfg: Config, now: float) -> None:
+    def _on_config(self, cfg: Config, now: float) -> None:
         self._cfg = cfg
         self._service_targets = self._find_service_targets()
 
-    def _note_ejected(self, change: TargetEjected) -> None:
+    def _on_ejected(self, change: TargetEjected) -> None:
         self.slots.reject_waiting(change.target)
         self._context.metrics.ejections.labels(
             change.target,
@@ -175,7 +175,7 @@
             cause=change.cause.value,
         )
 
-    def _note_reinstated(self, change: TargetReinstated) -> None:
+    def _on_reinstated(self, change: TargetReinstated) -> None:
         self._context.events.emit('target-reinstated', target=change.target)
 
     def _find_service_targets(self) -> tuple[Target, ...]:
@@ -187,7 +187,7 @@
         }
         return tuple(target for target in targets if target.service in services)
 
-    def _note_absent(self, now: float) -> None:
+    def _update_absent(self, now: float) -> None:
         """Tell which targets of the owned services are dead or leaving."""
         fleet = self._context.fleet
         absent = [
--- a/src/clementinedeal/_messages.py
+++ b/src/clementinedeal/_messages.py
@@ -5,11 +5,11 @@
 
 import msgspec
 
-from clementinedeal._errors import UNREADABLE_ERRORS, ProtocolError
+from clementinedeal._errors import DECODE_ERRORS, ProtocolError
 
 MessageT = TypeVar('MessageT')
 
-_KINDS: dict[str, type[Any]] = {}
+_MESSAGE_CLASSES: dict[str, type[Any]] = {}
 
 
 def message(kind: type[MessageT]) -> type[MessageT]:
@@ -19,7 +19,7 @@
     """
     if not is_dataclass(kind):
         raise TypeError(f'{kind.__name__} is not a data class')
-    _KINDS[kind.__name__] = kind
+    _MESSAGE_CLASSES[kind.__name__] = kind
     return kind
 
 
@@ -53,12 +53,12 @@
     try:
         pairs = msgspec.msgpack.decode(blob, type=list[tuple[str, msgspec.Raw]])
         return tuple(_decode_one(name, raw) for name, raw in pairs)
-    except UNREADABLE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise ProtocolError(f'malformed control batch: {exc}') from exc
 
 
 def _decode_one(name: str, raw: msgspec.Raw) -> Any:
-    kind = _KINDS.get(name)
+    kind = _MESSAGE_CLASSES.get(name)
     if kind is None:
         raise ProtocolError(f'unknown control message {name}')
     return msgspec.msgpack.decode(raw, type=kind)
--- a/src/clementinedeal/_recorder.py
+++ b/src/clementinedeal/_metrics_recorder.py
@@ -7,7 +7,7 @@
 from clementinedeal._verdict import Reason, Verdict
 
 MAX_LABELLED_ACCOUNTS = 1000
-OTHER_ACCOUNTS = 'other'
+OTHER_ACCOUNTS_LABEL = 'other'
 
 
 class MetricsRecorder:
@@ -21,7 +21,7 @@
         """
         self._metrics = metrics
         self._clock = clock
-        self._accounts: set[str] = set()
+        self._labelled_accounts: set[str] = set()
 
     def record(
         self,
@@ -38,7 +38,7 @@
         :param answer: the target's answer, None without one.
         """
         service = incoming.service
-        account = self._label(incoming.account)
+        account = self._account_label(incoming.account)
         seconds = self._clock.now() - incoming.started
         self._metrics.requests.labels(
             service,
@@ -58,11 +58,11 @@
         """
         self._metrics.early_refusals.labels(reason.value).inc()
 
-    def _label(self, account: str) -> str:
+    def _account_label(self, account: str) -> str:
         """Bound the number of label values that the process keeps."""
-        if account in self._accounts:
+        if account in self._labelled_accounts:
             return account
-        if len(self._accounts) >= MAX_LABELLED_ACCOUNTS:
-            return OTHER_ACCOUNTS
-        self._accounts.add(account)
+        if len(self._labelled_accounts) >= MAX_LABELLED_ACCOUNTS:
+            return OTHER_ACCOUNTS_LABEL
+        self._labelled_accounts.add(account)
         return account
--- a/src/clementinedeal/_operator.py
+++ b/src/clementinedeal/_operator.py
@@ -44,7 +44,7 @@
     targets: tuple[TargetStatus, ...]
 
 
-class Operator:
+class OperatorEndpoints:
     """Serves ``/healthz``, ``/status``, ``/events`` and ``/metrics``."""
 
     def __init__(
@@ -52,7 +52,7 @@
         events: EventLog,
         metrics: Metrics,
         status: Callable[[], DaemonStatus],
-        refresh: Callable[[], None],
+        update_gauges: Callable[[], None],
     ) -> None:
         """Create the endpoints.
 
@@ -64,7 +64,7 @@
         self._events = events
         self._metrics = metrics
         self._status = status
-        self._refresh = refresh
+        self._update_gauges = update_gauges
 
     async def serve(self, conn: ServerConn, head: RequestHead) -> None:
         """Answer one request.
@@ -82,15 +82,15 @@
                 body = msgspec.json.encode(self._status())
                 await conn.respond(_OK, _JSON, body)
             case '/events':
-                lines = self._events.json_lines(_since(query))
+                lines = self._events.json_lines(_parse_since(query))
                 await conn.respond(_OK, _JSON, lines)
             case '/metrics':
-                self._refresh()
+                self._update_gauges()
                 await conn.respond(_OK, _TEXT, self._metrics.render())
             case _:
                 await conn.respond(_NOT_FOUND, _TEXT)
 
 
-def _since(query: str) -> int:
+def _parse_since(query: str) -> int:
     name, _, text = query.partition('=')
     return int(text) if name == 'since' and text.isdigit() else 0
--- a/src/clementinedeal/_operator_client.py
+++ b/src/clementinedeal/_operator_client.py
@@ -10,9 +10,9 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import MonotonicClock
 
-ASK_SECONDS = 3.0
+REQUEST_TIMEOUT_SECONDS = 3.0
 # The 20,000 events that an instance keeps, at 1 KB each, and some more.
-MOST_ANSWER_BYTES = 32 << 20
+MAX_ANSWER_BYTES = 32 << 20
 _OK = 200
 
 
@@ -25,7 +25,7 @@
     error: str = ''
 
 
-async def ask_all(
+async def fetch_all(
     instances: Iterable[Instance],
     path: str,
 ) -> tuple[OperatorAnswer, ...]:
@@ -38,19 +38,19 @@
     answers: list[OperatorAnswer] = []
     async with trio.open_nursery() as nursery:
         for instance in instances:
-            nursery.start_soon(_ask, pool, instance, path, answers)
+            nursery.start_soon(_fetch, pool, instance, path, answers)
     await pool.stop()
     return tuple(sorted(answers, key=lambda answer: answer.instance.name))
 
 
-async def _ask(
+async def _fetch(
     pool: ConnPool,
     instance: Instance,
     path: str,
     answers: list[OperatorAnswer],
 ) -> None:
     try:
-        with trio.fail_after(ASK_SECONDS):
+        with trio.fail_after(REQUEST_TIMEOUT_SECONDS):
             body = await _get(pool, instance.operator, path)
     except (ConnLostError, HttpError, trio.TooSlowError) as exc:
         answers.append(OperatorAnswer(instance, None, str(exc)))
@@ -64,7 +64,7 @@
     try:
         await conn.send_whole(head, b'')
         answer = await conn.read_head()
-        body = await conn.read_whole(MOST_ANSWER_BYTES)
+        body = await conn.read_whole(MAX_ANSWER_BYTES)
     finally:
         await conn.aclose()
     if answer.status != _OK:
--- a/src/clementinedeal/_platform.py
+++ b/src/clementinedeal/_platform.py
@@ -7,7 +7,7 @@
 import trio
 
 from clementinedeal._client_conn import ClientConn
-from clementinedeal._errors import UNREADABLE_ERRORS
+from clementinedeal._errors import DECODE_ERRORS
 from clementinedeal._http import (
     ConnLostError,
     HttpError,
@@ -116,7 +116,7 @@
             raise PlatformError('no instance list is published')
         try:
             return msgspec.json.decode(found.blob, type=PlatformInstanceList)
-        except UNREADABLE_ERRORS as exc:
+        except DECODE_ERRORS as exc:
             raise PlatformError(f'malformed list: {exc}') from exc
 
     async def _read_value(
--- a/src/clementinedeal/_pool.py
+++ b/src/clementinedeal/_pool.py
@@ -9,8 +9,8 @@
 from clementinedeal._http import ConnLostError
 from clementinedeal._timers import Clock
 
-IDLE_SECONDS = 5.0
-CONNECT_SECONDS = 0.5
+MAX_IDLE_SECONDS = 5.0
+CONNECT_TIMEOUT_SECONDS = 0.5
 MAX_IDLE_CONNS = 16
 
 
@@ -29,21 +29,21 @@
     def __init__(
         self,
         clock: Clock,
-        connect_seconds: float = CONNECT_SECONDS,
+        connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
     ) -> None:
         """Create an empty pool.
 
         :param clock: tells how long a connection has been idle.
         :param connect_seconds: how long a connection may take to open.
         """
-        self._connect_seconds = connect_seconds
+        self._connect_timeout = connect_timeout
         self._clock = clock
-        self._idle: dict[str, collections.deque[ClientConn]] = {}
+        self._idle_conns: dict[str, collections.deque[ClientConn]] = {}
 
     async def acquire(
         self,
         address: str,
-        most_rest: float = math.inf,
+        max_idle: float = math.inf,
     ) -> ClientConn:
         """Return a fresh or idle connection.
 
@@ -51,13 +51,13 @@
         :param most_rest: how long it may have been idle, in seconds.
         :raises ConnLostError: nobody could be connected to in time.
         """
-        idle = self._idle.get(address)
-        while idle:
-            conn = idle.pop()
+        idle_conns = self._idle_conns.get(address)
+        while idle_conns:
+            conn = idle_conns.pop()
             now = self._clock.now()
-            conn.rested = now - conn.idle_since
-            young = now < conn.idle_until and conn.rested <= most_rest
-            if young and not conn.stale():
+            conn.idle_seconds = now - conn.idle_since
+            is_recent = now < conn.idle_until and conn.idle_seconds <= max_idle
+            if is_recent and not conn.is_stale():
                 return conn
             await conn.aclose()
         return await self.connect(address)
@@ -66,7 +66,7 @@
         self,
         address: str,
         conn: ClientConn,
-        idle: float = IDLE_SECONDS,
+        max_idle: float = MAX_IDLE_SECONDS,
     ) -> None:
         """Give a connection back; it is closed unless its answer was whole.
 
@@ -74,17 +74,17 @@
         :param conn: the connection.
         :param idle: how long it may stay idle, in seconds.
         """
-        kept = self._idle.setdefault(address, collections.deque())
-        if len(kept) >= MAX_IDLE_CONNS or not conn.reusable():
+        idle_conns = self._idle_conns.setdefault(address, collections.deque())
+        if len(idle_conns) >= MAX_IDLE_CONNS or not conn.prepare_next():
             await conn.aclose()
             return
         conn.idle_since = self._clock.now()
-        conn.idle_until = conn.idle_since + idle
-        kept.append(conn)
+        conn.idle_until = conn.idle_since + max_idle
+        idle_conns.append(conn)
 
     async def stop(self) -> None:
         """Close every idle connection."""
-        for idle in self._idle.values():
+        for idle in self._idle_conns.values():
             while idle:
                 await idle.pop().aclose()
 
@@ -96,7 +96,7 @@
         """
         host, port = split_address(address)
         try:
-            with trio.fail_after(self._connect_seconds):
+            with trio.fail_after(self._connect_timeout):
                 stream = await trio.open_tcp_stream(host, port)
         except (OSError, trio.TooSlowError) as exc:
             raise ConnLostError(f'cannot connect to {address}') from exc
--- a/src/clementinedeal/_publication.py
+++ b/src/clementinedeal/_publication.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from clementinedeal._errors import UNREADABLE_ERRORS, ClementinedealError
+from clementinedeal._errors import DECODE_ERRORS, ClementinedealError
 from clementinedeal._model import Config, PresetName
 from clementinedeal._parts import (
     Section,
@@ -102,7 +102,7 @@
     """
     try:
         root = msgspec.msgpack.decode(blob, type=Root)
-    except UNREADABLE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         return Err(PublicationError(f'root is malformed: {exc}'))
     if root.format != FORMAT:
         return Err(PublicationError(f'root has format {root.format}'))
@@ -237,5 +237,5 @@
         raise PublicationError(f'part {digest} has another digest')
     try:
         return decode_part(section, blob)
-    except UNREADABLE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise PublicationError(f'part {digest} is malformed: {exc}') from exc
--- a/src/clementinedeal/_front.py
+++ b/src/clementinedeal/_serving_side.py
@@ -20,17 +20,17 @@
 from clementinedeal._http import HttpLimits
 from clementinedeal._http_server import HttpServer
 from clementinedeal._managers import ManagerContext, Managers
+from clementinedeal._metrics_recorder import MetricsRecorder
 from clementinedeal._owner import Owner, OwnerParts
 from clementinedeal._pool import ConnPool
 from clementinedeal._prober import Prober
-from clementinedeal._recorder import MetricsRecorder
 from clementinedeal._settings import Limits
 from clementinedeal._status import StatusReporter
 from clementinedeal._target_call import TargetCaller
 
 
 @dataclass(frozen=True, slots=True)
-class FrontContext:
+class ServingContext:
     """What the serving side works with."""
 
     shared: ManagerContext
@@ -43,10 +43,10 @@
     status: StatusReporter
 
 
-class Front:
+class ServingSide:
     """Built when the managers exist; listens from ``start`` on."""
 
-    def __init__(self, context: FrontContext, managers: Managers) -> None:
+    def __init__(self, context: ServingContext, managers: Managers) -> None:
         """Build owner, entry and servers.
 
         :param context: collaborators.
@@ -57,7 +57,7 @@
         self._prober = Prober(
             context.pool,
             managers.leaving_targets,
-            managers.note_back,
+            managers.mark_returned,
         )
         parts = PeerParts(
             keyring=context.keyring,
@@ -127,7 +127,7 @@
                 owner=self.owner,
                 peers=peers,
                 canceller=self._context.cancels,
-                idempotency=managers.keys,
+                idempotency=managers.key_gate,
                 recorder=MetricsRecorder(shared.metrics, shared.clock),
                 max_body_bytes=shared.settings.limits.max_body_bytes,
             ),
@@ -140,7 +140,7 @@
     :param limits: from the settings file.
     """
     return HttpLimits(
-        head_bytes=limits.max_head_bytes,
+        max_head_bytes=limits.max_head_bytes,
         head_timeout=limits.head_timeout_seconds,
         idle_timeout=limits.idle_timeout_seconds,
         body_timeout=limits.body_timeout_seconds,
--- a/src/clementinedeal/_status.py
+++ b/src/clementinedeal/_status.py
@@ -18,8 +18,8 @@
         :param shared: settings, clock, events, metrics and fleet view.
         :param directory: configuration in force.
         """
-        self.listening = False
-        self.draining = False
+        self.is_listening = False
+        self.is_draining = False
         self.rejected = ''
         self.managers: Managers | None = None
         self.owner: Owner | None = None
@@ -47,8 +47,8 @@
             instance=shared.settings.instance,
             incarnation=shared.events.incarnation,
             zone=shared.settings.zone,
-            serving=self.listening and not self.draining,
-            draining=self.draining,
+            serving=self.is_listening and not self.is_draining,
+            draining=self.is_draining,
             config_version=cfg.version if cfg else 0,
             preset=cfg.preset.value if cfg else '',
             fresh=shared.fleet.is_fresh(now),
@@ -60,7 +60,7 @@
             ),
         )
 
-    def refresh(
+    def update_gauges(
         self,
         control: ControlChannel,
         platform: HttpPlatform,
@@ -71,10 +71,10 @@
         :param platform: counts reads.
         """
         metrics = self._shared.metrics
-        told = self.status()
+        status = self.status()
         counters = control.counters
-        metrics.config_version.set(told.config_version)
-        metrics.fresh.set(told.fresh)
+        metrics.config_version.set(status.config_version)
+        metrics.fresh.set(status.fresh)
         now = self._shared.clock.now()
         metrics.config_age.set(self._shared.fleet.config_age_seconds(now))
         metrics.in_flight.set(self.owner.in_flight if self.owner else 0)
@@ -86,7 +86,7 @@
         )
         metrics.platform_reads.set(platform.read_count)
         metrics.target_state.clear()
-        for target in told.targets:
+        for target in status.targets:
             metrics.target_load.labels(target.name).set(target.load)
             metrics.target_state.labels(target.name, target.state).set(1)
 
--- a/src/clementinedeal/_timeline.py
+++ b/src/clementinedeal/_timeline.py
@@ -79,8 +79,8 @@
             incarnation=line['incarnation'],
             name=line['name'],
             fields=tuple(
-                (key, told.strip('"'))
-                for key, told in _LOG_FIELD.findall(line['fields'])
+                (key, raw.strip('"'))
+                for key, raw in _LOG_FIELD.findall(line['fields'])
             ),
         )
         for line in found
@@ -90,7 +90,7 @@
 
 def merge_events(
     logs: Iterable[Iterable[Event]],
-    wanted: TimelineFilter | None = None,
+    event_filter: TimelineFilter | None = None,
 ) -> tuple[Event, ...]:
     """Return the events of all daemons, causes before their effects.
 
@@ -100,11 +100,11 @@
     :param logs: the events of each daemon.
     :param wanted: which events to return; all if absent.
     """
-    shown = wanted or TimelineFilter()
+    shown = event_filter or TimelineFilter()
     events = {
         event for events in logs for event in events if shown.matches(event)
     }
-    return tuple(sorted(events, key=_order))
+    return tuple(sorted(events, key=_sort_key))
 
 
 def wall_time(hlc: int) -> str:
@@ -126,7 +126,7 @@
     return ''.join(lines)
 
 
-def _order(event: Event) -> tuple[int, str, str]:
+def _sort_key(event: Event) -> tuple[int, str, str]:
     return event.hlc, event.instance, event.name
 
 
--- a/src/clementinedeal/_timers.py
+++ b/src/clementinedeal/_timers.py
@@ -10,9 +10,9 @@
 
 import trio
 
-LONGEST_SLEEP_SECONDS = 0.1
-SHORTEST_SLEEP_SECONDS = 0.005
-PAUSE_SECONDS = 0.5
+MAX_SLEEP_SECONDS = 0.1
+MIN_SLEEP_SECONDS = 0.005
+MIN_PAUSE_SECONDS = 0.5
 
 
 class Clock(Protocol):
@@ -129,7 +129,7 @@
         now = self.clock.now()
         gap = now - self._last_tick
         self._last_tick = now
-        if gap > PAUSE_SECONDS:
+        if gap > MIN_PAUSE_SECONDS:
             for handler in self._pause_handlers:
                 handler(gap)
         while self._heap and self._heap[0].due <= now:
@@ -151,9 +151,9 @@
 
     def _seconds_to_next(self) -> float:
         if not self._heap:
-            return LONGEST_SLEEP_SECONDS
+            return MAX_SLEEP_SECONDS
         wait = self._heap[0].due - self.clock.now()
-        return max(SHORTEST_SLEEP_SECONDS, min(LONGEST_SLEEP_SECONDS, wait))
+        return max(MIN_SLEEP_SECONDS, min(MAX_SLEEP_SECONDS, wait))
 
     def _push(
         self,
--- a/src/clementinedeal/_tokens.py
+++ b/src/clementinedeal/_tokens.py
@@ -14,11 +14,11 @@
 from clementinedeal._leases import LeaseReport
 from clementinedeal._messages import Send
 from clementinedeal._model import Config
-from clementinedeal._timers import PAUSE_SECONDS
+from clementinedeal._timers import MIN_PAUSE_SECONDS
 
 # Greater than the pause threshold of the timers: every pause detected here is
 # also reported by them, and the daemon renews its freshness after the report.
-MAX_CALL_GAP_SECONDS = 2 * PAUSE_SECONDS
+MAX_CALL_GAP_SECONDS = 2 * MIN_PAUSE_SECONDS
 
 
 class TokenManager:
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from clementinedeal._acceptance import Acceptance
-from clementinedeal._errors import UNREADABLE_ERRORS
+from clementinedeal._errors import DECODE_ERRORS
 from clementinedeal._freshness import Freshness
 from clementinedeal._gossip import Gossip
 from clementinedeal._membership import Membership
@@ -197,7 +197,7 @@
             return []
         try:
             entries = pull.instances()
-        except UNREADABLE_ERRORS as exc:
+        except DECODE_ERRORS as exc:
             return list(self.spread.reject(f'instances: {exc}'))
         if not entries:
             return list(self.spread.reject('instances: the list is empty'))
--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -6,7 +6,11 @@
 
 from result import Err
 
-from clementinedeal._http import CONTENT_LENGTH, RequestHead, end_to_end
+from clementinedeal._http import (
+    CONTENT_LENGTH,
+    RequestHead,
+    strip_hop_by_hop_headers,
+)
 from clementinedeal._incoming_request import (
     new_request_id,
     strip_internal_headers,
@@ -191,7 +195,9 @@
 def _message(head: RequestHead, body: bytes) -> BufferedRequest:
     headers = tuple(
         pair
-        for pair in strip_internal_headers(end_to_end(head.headers))
+        for pair in strip_internal_headers(
+            strip_hop_by_hop_headers(head.headers)
+        )
         if pair[0] not in _HEADERS_NOT_FORWARDED
     )
     return BufferedRequest(head.method, head.path, headers, body)
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -254,9 +254,9 @@
 
     def _apply_limits(self, catalog: Catalog) -> None:
         limits = catalog.declaration.limits
-        self._caller_server.take_limits(
+        self._caller_server.set_limits(
             HttpLimits(
-                head_bytes=limits.head_bytes,
+                max_head_bytes=limits.head_bytes,
                 head_timeout=limits.head_timeout,
                 idle_timeout=limits.idle_timeout,
             ),
--- a/src/clementinedeal/mesh/_datagrams.py
+++ b/src/clementinedeal/mesh/_datagrams.py
@@ -6,13 +6,13 @@
 import msgspec
 import trio
 
-from clementinedeal._errors import UNREADABLE_ERRORS
+from clementinedeal._errors import DECODE_ERRORS
 from clementinedeal._events import EventLog
 from clementinedeal.mesh._rate_limiter import TokenReply, TokenRequest
 
 # Largest datagram that is read; a longer one is cut and fails to decode.
 MAX_DATAGRAM_BYTES = 1400
-_READ_ERRORS = (OSError, *UNREADABLE_ERRORS)
+_READ_ERRORS = (OSError, *DECODE_ERRORS)
 
 Body: TypeAlias = TokenRequest | TokenReply
 MessageHandler: TypeAlias = Callable[[str, Body], Awaitable[None]]
--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -89,7 +89,7 @@
 
         async def watch_caller(scope: trio.CancelScope) -> None:
             nonlocal caller_left
-            await conn.wait_left()
+            await conn.wait_disconnected()
             caller_left = True
             scope.cancel()
 
--- a/src/clementinedeal/mesh/_operator_endpoint.py
+++ b/src/clementinedeal/mesh/_operator_endpoint.py
@@ -39,7 +39,7 @@
         :param conn: the operator's connection.
         :param head: the request's head.
         """
-        await conn.skip_body()
+        await conn.discard_body()
         if head.path == METRICS_PATH:
             await conn.respond(_OK, _METRICS_TYPE, self._metrics.render())
         elif self._dialect.is_ready_check(head):
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -4,7 +4,7 @@
 import trio
 
 from clementinedeal._client_conn import ClientConn
-from clementinedeal._errors import UNREADABLE_ERRORS
+from clementinedeal._errors import DECODE_ERRORS
 from clementinedeal._events import log
 from clementinedeal._http import (
     CONTENT_LENGTH,
@@ -13,7 +13,7 @@
     HttpError,
     RequestHead,
     TooLongError,
-    end_to_end,
+    strip_hop_by_hop_headers,
 )
 from clementinedeal._incoming_request import strip_internal_headers
 from clementinedeal._pool import ConnPool
@@ -41,7 +41,7 @@
 # Pause between queries.
 QUERY_PAUSE_SECONDS = 0.1
 # ValueError: a newer owner may send a verdict or reason unknown here.
-_ANSWER_ERRORS = (ConnLostError, HttpError, ValueError, *UNREADABLE_ERRORS)
+_ANSWER_ERRORS = (ConnLostError, HttpError, ValueError, *DECODE_ERRORS)
 
 
 class MeshPeerClient:
@@ -136,7 +136,7 @@
         max_silence = min(max_silence, attempt.left)
         exchange = _Exchange(address, conn, max_silence)
         outcome = await exchange.run(head, b'')
-        if exchange.is_reserved and conn.reusable():
+        if exchange.is_reserved and conn.prepare_next():
             return None
         if outcome is None:
             conn.abort()
@@ -258,7 +258,7 @@
             return None
         told = decode_outcome_header(head.header(wire.TOLD_HEADER) or b'')
         has_answer = told.verdict == Verdict.RAN.value
-        headers = strip_internal_headers(end_to_end(head.headers))
+        headers = strip_internal_headers(strip_hop_by_hop_headers(head.headers))
         return MeshOutcome(
             verdict=Verdict(told.verdict),
             reason=Reason(told.reason) if told.reason else None,
--- a/src/clementinedeal/mesh/_peer_server.py
+++ b/src/clementinedeal/mesh/_peer_server.py
@@ -3,13 +3,13 @@
 import msgspec
 import trio
 
-from clementinedeal._errors import UNREADABLE_ERRORS
+from clementinedeal._errors import DECODE_ERRORS
 from clementinedeal._events import EventLog
 from clementinedeal._http import (
     CONTENT_LENGTH,
     ConnLostError,
     RequestHead,
-    end_to_end,
+    strip_hop_by_hop_headers,
 )
 from clementinedeal._incoming_request import strip_internal_headers
 from clementinedeal._server_conn import ServerConn
@@ -66,7 +66,7 @@
         request = await _read_request(conn, head)
         try:
             answer = self._dispatch(head, request)
-        except UNREADABLE_ERRORS:
+        except DECODE_ERRORS:
             answer = None
         if isinstance(answer, MeshOutcome):
             await _respond(conn, answer)
@@ -183,7 +183,7 @@
     conn: ServerConn,
     scope: trio.CancelScope,
 ) -> None:
-    await conn.wait_left()
+    await conn.wait_disconnected()
     scope.cancel()
 
 
@@ -191,7 +191,9 @@
     body = await conn.read_whole()
     headers = tuple(
         pair
-        for pair in strip_internal_headers(end_to_end(head.headers))
+        for pair in strip_internal_headers(
+            strip_hop_by_hop_headers(head.headers)
+        )
         if pair[0] != CONTENT_LENGTH
     )
     return BufferedRequest(head.method, head.path, headers, body)
--- a/src/clementinedeal/mesh/_stop.py
+++ b/src/clementinedeal/mesh/_stop.py
@@ -103,7 +103,9 @@
         return False
 
     def _has_work(self) -> bool:
-        is_serving = any(server.busy for server in self._parts.servers)
+        is_serving = any(
+            server.busy_connections for server in self._parts.servers
+        )
         return is_serving or self._parts.owner.is_busy
 
     def _emit_load(self, name: str, started: float) -> None:
@@ -112,7 +114,7 @@
         self._parts.events.emit(
             name,
             seconds=f'{self._parts.clock.now() - started:.3f}',
-            callers=self._parts.caller_server.busy,
+            callers=self._parts.caller_server.busy_connections,
             running=slot_queue.running,
             waiting=slot_queue.waiting,
         )
--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -15,7 +15,7 @@
     RequestHead,
     ResponseHead,
     TooLongError,
-    end_to_end,
+    strip_hop_by_hop_headers,
 )
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import Clock
@@ -130,7 +130,7 @@
             return _may_have_run(Reason.ANSWER_INCOMPLETE)
         except ConnLostError:
             return self._classify_loss(
-                conn.rested, self._clock.now() - started_at
+                conn.idle_seconds, self._clock.now() - started_at
             )
         finally:
             if not is_released:
@@ -203,7 +203,7 @@
             body = await conn.read_whole(MAX_ANSWER_BYTES)
             answer_headers = self._dialect.read_answer(head)
             is_own = answer_headers.req_id == context.req_id
-            if is_own or answer_headers.req_id not in conn.answered:
+            if is_own or answer_headers.req_id not in conn.answered_ids:
                 break
             self._events.emit(
                 'answer-skipped',
@@ -211,10 +211,10 @@
                 req=context.req_id,
                 other=answer_headers.req_id,
             )
-            conn.skip_answer()
+            conn.discard_answer()
         else:
             return _may_have_run(Reason.ANSWER_WRONG), None
-        conn.answered.append(context.req_id)
+        conn.answered_ids.append(context.req_id)
         idle = None if answer_headers.closing else _idle_limit(answer_headers)
         return classify_answer(head, body, answer_headers, context), idle
 
@@ -288,7 +288,7 @@
         reason=Reason.TARGET_FAILED if is_failure else None,
         reached=True,
         status=head.status,
-        headers=end_to_end(head.headers),
+        headers=strip_hop_by_hop_headers(head.headers),
         body=body,
     )
 
--- a/src/clementinedeal/platform/_declaration.py
+++ b/src/clementinedeal/platform/_declaration.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from clementinedeal._errors import UNREADABLE_ERRORS, ClementinedealError
+from clementinedeal._errors import DECODE_ERRORS, ClementinedealError
 from clementinedeal.mesh._types import (
     ClientAccount,
     Declaration,
@@ -90,7 +90,7 @@
     """
     try:
         return _convert(msgspec.json.decode(blob, type=_Document))
-    except UNREADABLE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise UnreadableError(str(exc)) from exc
 
 
--- a/src/clementinedeal/platform/_registration.py
+++ b/src/clementinedeal/platform/_registration.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from clementinedeal._addresses import is_address
-from clementinedeal._errors import UNREADABLE_ERRORS
+from clementinedeal._errors import DECODE_ERRORS
 from clementinedeal.mesh._types import Target
 from clementinedeal.platform._declaration import UnreadableError
 
@@ -43,7 +43,7 @@
     """
     try:
         registration = msgspec.json.decode(blob, type=_Registration)
-    except UNREADABLE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise UnreadableError(str(exc)) from exc
     if registration.status.state not in _STATES:
         raise UnreadableError(f'unknown state {registration.status.state!r}')
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from clementinedeal._errors import UNREADABLE_ERRORS, ProtocolError
+from clementinedeal._errors import DECODE_ERRORS, ProtocolError
 from clementinedeal._events import EventLog
 from clementinedeal._http import RequestHead, TooLongError
 from clementinedeal._pool import ConnPool
@@ -282,7 +282,7 @@
         raise SourceError(f'expected status 200, not {answer.status}')
     try:
         return msgspec.json.decode(answer.body, type=kind)
-    except UNREADABLE_ERRORS as exc:
+    except DECODE_ERRORS as exc:
         raise SourceError(f'unreadable answer: {exc}') from exc
 
 
@@ -290,5 +290,5 @@
     """Return the store's revision from an answer without an item."""
     try:
         return msgspec.json.decode(answer.body, type=StoreRevision).at_rev
-    except UNREADABLE_ERRORS:
+    except DECODE_ERRORS:
         return 0
--- a/src/clementinedeal_bench/_report.py
+++ b/src/clementinedeal_bench/_report.py
@@ -5,10 +5,10 @@
 
 from clementinedeal import Account, Config, Verdict
 from clementinedeal._history import (
-    Admitted,
-    Answered,
     HistoryEvent,
-    Started,
+    RequestAdmitted,
+    RequestAnswered,
+    RequestStarted,
     Violation,
 )
 from clementinedeal._history_checks import (
@@ -117,13 +117,13 @@
         events.append(_started(run, req_id))
     for mark, at in first.items():
         if mark in calls and calls[mark].account in cfg.accounts:
-            events.append(Admitted(at=at, account=calls[mark].account))
+            events.append(RequestAdmitted(at=at, account=calls[mark].account))
     events.extend(_answered(call) for call in records if call.verdict)
     return events
 
 
-def _started(run: Execution, req_id: str) -> Started:
-    return Started(
+def _started(run: Execution, req_id: str) -> RequestStarted:
+    return RequestStarted(
         at=run.start,
         req_id=req_id,
         target=run.target,
@@ -131,8 +131,8 @@
     )
 
 
-def _answered(call: CallRecord) -> Answered:
-    return Answered(
+def _answered(call: CallRecord) -> RequestAnswered:
+    return RequestAnswered(
         at=call.end,
         req_id=call.caller_request,
         verdict=Verdict(call.verdict),
--- a/tests/endless_standin.py
+++ b/tests/endless_standin.py
@@ -5,7 +5,7 @@
 import trio
 from tests.ports import free_address
 
-from clementinedeal._http import BROKEN_ERRORS
+from clementinedeal._http import BROKEN_STREAM_ERRORS
 from clementinedeal._pool import split_address
 
 # Far more than any bound and what the sockets between hold; a reader without
@@ -69,7 +69,7 @@
     async def _serve(self, stream):
         self.opened += 1
         sent = 0
-        with contextlib.suppress(*BROKEN_ERRORS):
+        with contextlib.suppress(*BROKEN_STREAM_ERRORS):
             await stream.receive_some()
             await stream.send_all(self._opening)
             while sent < MOST_SENT:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -93,7 +93,7 @@
     )
 
 
-class Gates:
+class PassingGates:
     """Admits everything and remembers nothing."""
 
     async def take(self, req_id: str, account: str) -> None:
@@ -134,7 +134,7 @@
 
 
 @dataclass
-class View:
+class FixedView:
     access: Access
     order: tuple[str, ...]
     is_fresh: bool = True
@@ -153,15 +153,15 @@
         self.incarnations[name] = incarnation
 
 
-class Node:
+class DaemonNode:
     """The serving side of one daemon."""
 
-    def __init__(self, name: str, cfg: Config, view: View) -> None:
+    def __init__(self, name: str, cfg: Config, view: FixedView) -> None:
         self.cfg = cfg
         self.events = EventLog(name, f'{name}1')
         clock = MonotonicClock()
         pool = ConnPool(clock)
-        gates = Gates()
+        gates = PassingGates()
         self.executions = ExecutionTable(f'{name}1')
         self.owner = Owner(
             OwnerParts(
@@ -198,17 +198,17 @@
                 max_body_bytes=200_000,
             ),
         )
-        ownership = OwnedTargets(
+        owned_targets = OwnedTargets(
             self.owner,
             cfg.targets.get,
             lambda target: (0.0, 'in-use'),
         )
-        peer = PeerServer(parts, ownership)
-        where = cfg.instances[name]
+        peer = PeerServer(parts, owned_targets)
+        addresses = cfg.instances[name]
         limits = HttpLimits(body_timeout=1)
         self.servers = (
-            HttpServer(where.caller, entry.serve, limits, self.events),
-            HttpServer(where.peer, peer.serve, limits, self.events),
+            HttpServer(addresses.caller, entry.serve, limits, self.events),
+            HttpServer(addresses.peer, peer.serve, limits, self.events),
         )
 
     async def cancel(self, owner: str, cancel_request: Any) -> CancelAnswer:
@@ -218,8 +218,8 @@
 @dataclass
 class Fleet:
     cfg: Config
-    view: View
-    nodes: dict[str, Node]
+    view: FixedView
+    nodes: dict[str, DaemonNode]
     targets: dict[str, StandIn]
 
     def misbehave(self, target: str, **change: Any) -> None:
@@ -239,8 +239,8 @@
     owners: tuple[str, ...] = ('b',),
 ) -> AsyncIterator[Fleet]:
     cfg = make_config(owners)
-    view = View(Access(cfg), tuple(cfg.targets))
-    nodes = {name: Node(name, cfg, view) for name in cfg.instances}
+    view = FixedView(Access(cfg), tuple(cfg.targets))
+    nodes = {name: DaemonNode(name, cfg, view) for name in cfg.instances}
     view.incarnations['a'] = 'a1'
     targets: dict[str, StandIn] = {}
     async with trio.open_nursery() as nursery:
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -100,7 +100,7 @@
             headers.append((b'authorization', b'Bearer ' + call.key.encode()))
         address = call.instance.callers
         conn = await self._pool.acquire(address)
-        call.kept = conn.rested is not None
+        call.kept = conn.idle_seconds is not None
         method = 'POST' if call.path.startswith('/book') else 'GET'
         head = RequestHead(method, call.path, headers)
         try:
--- a/tests/soak_targets.py
+++ b/tests/soak_targets.py
@@ -89,9 +89,9 @@
         late = self._late.pop(conn, b'')
         if late:
             await trio.sleep(seconds)
-            await conn._wire.stream.send_all(late)
+            await conn._h11_stream.stream.send_all(late)
 
 
 async def _cancel_when_left(conn, nursery):
-    await conn.wait_left()
+    await conn.wait_disconnected()
     nursery.cancel_scope.cancel()
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -66,7 +66,7 @@
         await server.start(nursery)
 
     async def serve(self, conn, head):
-        await conn.skip_body()
+        await conn.discard_body()
         parts = urlsplit(head.path)
         query = {key: one[0] for key, one in parse_qs(parts.query).items()}
         self.calls.append((parts.path, query))
@@ -228,7 +228,7 @@
             return
         self.seen.append((echo.decode(), head.path, headers, body))
         if self.mode == 'hang':
-            await conn.wait_left()
+            await conn.wait_disconnected()
             self.left += 1
             return
         await trio.sleep(self.seconds)
@@ -244,5 +244,5 @@
             # longer than any limit, but bounded to protect the test machine
             for _ in range(1024):
                 await conn.send_piece(bytes(1 << 16))
-            await conn.wait_left()
+            await conn.wait_disconnected()
         await conn.respond(status, sent, self.name.encode() + b':' + body)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -73,7 +73,7 @@
     assert received == [(('a'), Note(text)) for text in ('one', 'bug', 'two')]
 
 
-async def test_strangers_are_not_heard() -> None:
+async def test_a_batch_sealed_with_an_unknown_key_is_rejected() -> None:
     received, there = await exchange({'k': b'1' * 32}, {'k': b'2' * 32})
     assert received == []
     assert there.counters.rejected == 1
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -16,7 +16,7 @@
 from clementinedeal._client_conn import ClientConn
 from clementinedeal._events import EventLog
 from clementinedeal._http import (
-    BROKEN_ERRORS,
+    BROKEN_STREAM_ERRORS,
     HttpLimits,
     RequestHead,
 )
@@ -162,7 +162,7 @@
 
 
 async def send_on(stream):
-    with contextlib.suppress(*BROKEN_ERRORS):
+    with contextlib.suppress(*BROKEN_STREAM_ERRORS):
         while True:
             await stream.send_all(b'x' * 50_000)
 
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -87,7 +87,7 @@
     address = free_address()
     events = EventLog('i', '1')
     peers = MeshPeerServer(None, events, nursery)
-    limits = HttpLimits(body_bytes=1 << 20)
+    limits = HttpLimits(max_body_bytes=1 << 20)
     server = HttpServer(address, peers.serve, limits, events)
     await server.start(nursery)
     host, port = split_address(address)
@@ -109,12 +109,12 @@
 
 async def test_a_body_that_is_dropped_is_bounded():
     near, far = trio.testing.memory_stream_pair()
-    conn = ServerConn(near, HttpLimits(body_bytes=1 << 19))
+    conn = ServerConn(near, HttpLimits(max_body_bytes=1 << 19))
     await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
     assert await conn.next_request()
     await far.send_all(TINY_CHUNKS)
     with pytest.raises(HttpError):
-        await conn.skip_body()
+        await conn.discard_body()
 
 
 async def test_an_owner_that_sends_junk_is_not_asked_without_a_pause(
@@ -144,7 +144,7 @@
     async def serve(conn, head):
         nonlocal pages
         pages += 1
-        await conn.skip_body()
+        await conn.discard_body()
         item = {'key': key.format(pages), 'value': ''}
         page = {'items': [item], 'has_more': True, 'at_rev': 1}
         await conn.respond(200, (), json.dumps(page).encode())
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -11,24 +11,24 @@
 FLOOR = hs.FloorDeclared(at=0, service='s', targets=('a', 'b'), floor=1)
 
 
-def start(req_id: str, at: float, **rest: object) -> hs.Started:
-    return hs.Started(req_id=req_id, target='a', at=at, **rest)  # type: ignore[arg-type]
+def start(req_id: str, at: float, **rest: object) -> hs.RequestStarted:
+    return hs.RequestStarted(req_id=req_id, target='a', at=at, **rest)  # type: ignore[arg-type]
 
 
-def aside(instance: str, target: str, at: float) -> hs.TargetSetAside:
-    return hs.TargetSetAside(
-        instance=instance, target=target, aside=True, at=at
+def exclude(instance: str, target: str, at: float) -> hs.TargetExcluded:
+    return hs.TargetExcluded(
+        instance=instance, target=target, is_excluded=True, at=at
     )
 
 
-def back(instance: str, target: str, at: float) -> hs.TargetSetAside:
-    return hs.TargetSetAside(
-        instance=instance, target=target, aside=False, at=at
+def include(instance: str, target: str, at: float) -> hs.TargetExcluded:
+    return hs.TargetExcluded(
+        instance=instance, target=target, is_excluded=False, at=at
     )
 
 
-def answered(verdict: Verdict, digest: str = '') -> hs.Answered:
-    return hs.Answered(
+def answered(verdict: Verdict, digest: str = '') -> hs.RequestAnswered:
+    return hs.RequestAnswered(
         req_id='r', verdict=verdict, digest=digest, expected='', at=9
     )
 
@@ -63,8 +63,13 @@
     ),
     (
         checks.check_floor,
-        (FLOOR, aside('i', 'a', 1), back('i', 'a', 2), aside('j', 'b', 2)),
-        (FLOOR, aside('i', 'a', 1), aside('j', 'b', 2)),
+        (
+            FLOOR,
+            exclude('i', 'a', 1),
+            include('i', 'a', 2),
+            exclude('j', 'b', 2),
+        ),
+        (FLOOR, exclude('i', 'a', 1), exclude('j', 'b', 2)),
     ),
     (
         lambda events: checks.check_leaving(events, 3),
@@ -90,17 +95,17 @@
     ),
     (
         lambda events: checks.check_convergence(events, 7),
-        (hs.InstanceRuns(instance='i', runs=True, at=0),)
+        (hs.InstanceRunning(instance='i', is_running=True, at=0),)
         + (hs.Published(version=2, at=1), force(2, 8)),
-        (hs.InstanceRuns(instance='i', runs=True, at=0),)
+        (hs.InstanceRunning(instance='i', is_running=True, at=0),)
         + (hs.Published(version=2, at=1), force(2, 8.1)),
     ),
     (
         lambda events: checks.check_convergence(events, 7),
-        (hs.InstanceRuns(instance='i', runs=True, at=0),)
-        + (hs.InstanceRuns(instance='i', runs=False, at=5),)
+        (hs.InstanceRunning(instance='i', is_running=True, at=0),)
+        + (hs.InstanceRunning(instance='i', is_running=False, at=5),)
         + (hs.Published(version=2, at=1),),
-        (hs.InstanceRuns(instance='i', runs=True, at=0),)
+        (hs.InstanceRunning(instance='i', is_running=True, at=0),)
         + (hs.Published(version=2, at=1),),
     ),
 ]
@@ -121,11 +126,11 @@
     st.sampled_from((0.25, 1, 2)),
     st.integers(1, 4),
 )
-def test_rates_are_judged_as_by_trying_every_interval(
+def test_rates_are_checked_over_every_interval(
     quarters: list[int], rate: float, burst: int
 ) -> None:
     times = sorted(quarter / 4 for quarter in quarters)
-    events = [hs.Admitted(account='c', at=at) for at in times]
+    events = [hs.RequestAdmitted(account='c', at=at) for at in times]
     exceeded = any(
         last - first + 1 > burst + rate * (times[last] - times[first])
         for first in range(len(times))
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -34,7 +34,7 @@
 
 @asynccontextmanager
 async def serving() -> AsyncIterator[HttpServer]:
-    limits = HttpLimits(head_bytes=2048, head_timeout=0.2, body_timeout=0.2)
+    limits = HttpLimits(max_head_bytes=2048, head_timeout=0.2, body_timeout=0.2)
     server = HttpServer(ADDRESS, echo, limits, EventLog('a', '1'))
     async with trio.open_nursery() as nursery:
         await nursery.start(server.run)
@@ -42,7 +42,7 @@
         nursery.cancel_scope.cancel()
 
 
-async def talk(blob: bytes) -> bytes:
+async def send_raw(blob: bytes) -> bytes:
     host, port = ADDRESS.split(':')
     stream = await trio.open_tcp_stream(host, int(port))
     async with stream:
@@ -79,7 +79,7 @@
     reason: bytes,
 ) -> None:
     async with serving():
-        answer = await talk(blob)
+        answer = await send_raw(blob)
     assert answer.startswith(b'HTTP/1.1 ' + status)
     assert b'x-reason: ' + reason in answer.lower()
     assert b'x-verdict: not-run' in answer.lower()
@@ -114,7 +114,7 @@
         assert [piece async for piece in conn.read_body()] == []
         await pool.release(ADDRESS, conn)
         await server.stop(1)
-    assert conn.stale()
+    assert conn.is_stale()
 
 
 async def test_a_short_answer_is_never_whole() -> None:
@@ -137,7 +137,7 @@
         assert head.header(b'connection') == b'close'
 
 
-async def test_the_end_does_not_wait_for_who_keeps_a_connection_open() -> None:
+async def test_draining_ends_a_connection_that_the_client_keeps_open() -> None:
     async with serving() as server:
         server.drain()
         host, port = ADDRESS.split(':')
@@ -164,41 +164,43 @@
         assert (await other.read_head()).status == 200
 
 
-async def test_a_rest_that_became_longer_does_not_close_a_connection() -> None:
+async def test_a_raised_idle_timeout_holds_for_open_connections() -> None:
     async with serving() as server:
-        server.take_limits(HttpLimits(idle_timeout=0.2))
+        server.set_limits(HttpLimits(idle_timeout=0.2))
         conn = await ConnPool(MonotonicClock()).acquire(ADDRESS)
         await conn.send_whole(GET, b'')
         assert (await conn.read_head()).status == 200
         assert [piece async for piece in conn.read_body()] == []
         await trio.sleep(0.1)
-        server.take_limits(HttpLimits(idle_timeout=5.0))
+        server.set_limits(HttpLimits(idle_timeout=5.0))
         await trio.sleep(0.3)
-        assert conn.reusable()
-        assert not conn.stale()
+        assert conn.prepare_next()
+        assert not conn.is_stale()
         await conn.send_whole(GET, b'')
         assert (await conn.read_head()).status == 200
 
 
-async def test_a_request_read_as_rests_are_ended_is_answered(
+async def test_a_request_received_while_idle_connections_close_is_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    wait = ServerConn._first_bytes
+    wait = ServerConn._wait_first_bytes
 
     async with serving() as server:
 
-        async def wait_and_end_rests(conn: ServerConn) -> bool:
+        async def wait_and_close_idle(conn: ServerConn) -> bool:
             came = await wait(conn)
             server.close_idle()
             return came
 
-        monkeypatch.setattr(ServerConn, '_first_bytes', wait_and_end_rests)
+        monkeypatch.setattr(
+            ServerConn, '_wait_first_bytes', wait_and_close_idle
+        )
         conn = await ConnPool(MonotonicClock()).acquire(ADDRESS)
         await conn.send_whole(GET, b'')
         assert (await conn.read_head()).status == 200
 
 
-async def test_what_outlasts_a_stop_is_answered() -> None:
+async def test_a_request_cut_by_a_stop_is_answered() -> None:
     async with serving() as server, trio.open_nursery() as nursery:
         conn = await ConnPool(MonotonicClock()).acquire(ADDRESS)
         head = RequestHead('GET', '/long', GET.headers)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -17,7 +17,7 @@
 from clementinedeal._attempt_set import AttemptRequest
 from clementinedeal._cancel_messages import CancelExecution, ExecutionCancelled
 from clementinedeal._executions import ExecutionTable
-from clementinedeal._history import Answered, Started
+from clementinedeal._history import RequestAnswered, RequestStarted
 from clementinedeal._history_checks import check_at_most_once, check_not_run
 from clementinedeal._idempotency import IdempotencyManager
 from clementinedeal._key_messages import StoredAnswer
@@ -158,7 +158,7 @@
     def answer(self, req_id: str, verdict: Verdict) -> None:
         self.calls.pop(req_id, None)
         self.fleet.record(
-            Answered(at=self.fleet.now, req_id=req_id, verdict=verdict)
+            RequestAnswered(at=self.fleet.now, req_id=req_id, verdict=verdict)
         )
 
     def settle(
@@ -276,7 +276,9 @@
     def start(self, attempt: str, target: str) -> None:
         req_id = attempt.split('/')[0]
         key = self.keys_of[req_id]
-        self.record(Started(at=self.now, req_id=req_id, target=target, key=key))
+        self.record(
+            RequestStarted(at=self.now, req_id=req_id, target=target, key=key)
+        )
         assert self.now <= self.deadlines[req_id] + TRANSIT_SECONDS
 
     def make_key(self, rng: random.Random) -> None:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -55,9 +55,9 @@
         )
         (execution,) = fleet.executions()
     assert answer.status == 200
-    told = json.loads(body)['request_id']
-    assert answer.header(b'x-request-id') == told.encode()
-    assert told != 'mine'
+    received_id = json.loads(body)['request_id']
+    assert answer.header(b'x-request-id') == received_id.encode()
+    assert received_id != 'mine'
     names = {name.lower() for name in execution['header_names']}
     assert 'x-trace' in names
     assert not names & {'authorization', 'x-clementinedeal-forward'}
@@ -110,7 +110,7 @@
         await conn.send_whole(head, b'')
         assert (await conn.read_head()).status == 200
         assert [piece async for piece in conn.read_body()]
-        assert conn.reusable()
+        assert conn.prepare_next()
         account = replace(fleet.cfg.accounts['acme'], key_digests=())
         fleet.view.access = Access(
             replace(fleet.cfg, accounts={'acme': account}),
@@ -151,7 +151,7 @@
     assert len(ran) == 1
 
 
-async def test_an_answer_that_breaks_off_late_ends_visibly_broken() -> None:
+async def test_a_target_answer_cut_late_is_not_ended_as_whole() -> None:
     async with running_fleet() as fleet:
         fleet.misbehave('t-b', mode='short')
         with pytest.raises(ConnLostError):
@@ -169,7 +169,7 @@
     assert refusal(alone) == (502, b'target-failed', b'not-run')
 
 
-async def test_peers_refuse_what_no_daemon_sealed() -> None:
+async def test_a_peer_request_without_a_valid_seal_is_refused() -> None:
     async with running_fleet() as fleet:
         peer = fleet.cfg.instances['b'].peer
         forged = (b'x-clementinedeal-forward', b'Zm9yZ2Vk')
@@ -197,7 +197,7 @@
     assert refusal(answer) == (504, b'deadline', b'may-have-run')
 
 
-async def test_a_hedge_answers_for_a_hanging_target() -> None:
+async def test_a_hedge_replaces_a_hanging_attempt() -> None:
     async with running_fleet(('a', 'b')) as fleet:
         presets = {
             name: replace(preset, hedge_after=0.05)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -28,7 +28,7 @@
 SERVICES = ('status', 'booking', 'payment')
 
 
-def small(cfg: Config) -> Config:
+def reduce_config(cfg: Config) -> Config:
     """Keep six instances, two targets of each service, two accounts."""
     names = sorted(cfg.instances)[:INSTANCES]
     return replace(
@@ -67,11 +67,11 @@
     )
 
 
-class Run:
+class FleetRun:
     """A fleet under traffic and what its callers and targets saw."""
 
     def __init__(self, folder: Path) -> None:
-        self.cfg = small(read_declaration('examples/freshwater.yaml'))
+        self.cfg = reduce_config(read_declaration('examples/freshwater.yaml'))
         settings = FleetSettings(
             folder=folder,
             platform=free_address(),
@@ -112,12 +112,14 @@
 
 @pytest.fixture
 async def run(tmp_path: Path):
-    made = Run(tmp_path)
+    made = FleetRun(tmp_path)
     yield made
     made.fleet.close()
 
 
-async def test_promises_hold_through_kills_freezes_and_outages(run: Run):
+async def test_history_checks_pass_through_kills_freezes_and_outages(
+    run: FleetRun,
+):
     await run.fleet.start()
     rates = {'members-app': 18.0, 'duluth-shop': 18.0}
     caller = Caller(
@@ -129,8 +131,8 @@
         await run.until(
             lambda: run.answered('members-app') and run.answered('duluth-shop'),
         )
-        await faults(run)
-        await withdrawal(run)
+        await inject_faults(run)
+        await withdraw_key(run)
         caller.stop()
     for target in run.fleet.live_targets():
         run.executions.extend(await read_executions(target) or ())
@@ -138,7 +140,7 @@
     assert [line for line in lines if 'FAULT' in line] == []
 
 
-async def faults(run: Run) -> None:
+async def inject_faults(run: FleetRun) -> None:
     first, second, third = sorted(run.cfg.instances)[:3]
     run.fleet.kill(first)
     await trio.sleep(FAULT_SECONDS)
@@ -150,12 +152,12 @@
     await run.mode('down')
     run.fleet.kill(third)
     await run.fleet.restart_daemon(third)
-    told = await run.status(third)
-    assert told['config_version'] == run.cfg.version
+    status = await run.status(third)
+    assert status['config_version'] == run.cfg.version
     await run.mode('up')
 
 
-async def withdrawal(run: Run) -> None:
+async def withdraw_key(run: FleetRun) -> None:
     account = replace(run.cfg.accounts['duluth-shop'], key_digests=())
     accounts = {**run.cfg.accounts, account.name: account}
     old = run.cfg
@@ -174,6 +176,6 @@
     fourth = sorted(run.cfg.instances)[3]
     run.fleet.kill(fourth)
     await run.fleet.restart_daemon(fourth)
-    told = await run.status(fourth)
-    assert told['config_version'] == run.cfg.version
+    status = await run.status(fourth)
+    assert status['config_version'] == run.cfg.version
     run.cfg = replace(old, version=run.cfg.version)
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -113,9 +113,9 @@
 
 
 def test_events_are_read_back_from_log_lines() -> None:
-    told = event(9, 'platform-lost', part='a', reason='no answer, "late"')
+    logged = event(9, 'platform-lost', part='a', reason='no answer, "late"')
     lines = [
-        '   0.5 n1 time=2026-01-01 00:00:00,001 level=INFO ' + told.line(),
+        '   0.5 n1 time=2026-01-01 00:00:00,001 level=INFO ' + logged.line(),
         'Traceback (most recent call last):',
         *(one.line() for one in EVENTS),
     ]
