--- a/src/clementinedeal_bench/_history.py
+++ b/src/clementinedeal_bench/_call_records.py
@@ -6,14 +6,14 @@
 import msgspec
 
 from clementinedeal_bench._target_answer import AnswerBody, content_digest
+from clementinedeal_bench._web_client import WebFailure
 from clementinedeal_bench._web_messages import WebAnswer, WebRequest
-from clementinedeal_bench._webclient import WebFailure
 
-SERVER_ERROR = 500
-NO_CONTENT = 204
+MIN_SERVER_ERROR_STATUS = 500
+NO_CONTENT_STATUS = 204
 
 
-class Outcome(enum.Enum):
+class CallOutcome(enum.Enum):
     """What a request came to in the caller's eyes.
 
     ``ANSWERED`` is a whole answer to the caller's own request, ``REFUSED``
@@ -48,7 +48,7 @@
     due: float
     sent: float = 0.0
     end: float = 0.0
-    outcome: Outcome = Outcome.TIMEOUT
+    outcome: CallOutcome = CallOutcome.TIMEOUT
     status: int = 0
     request_id: str = ''
     verdict: str = ''
@@ -59,18 +59,24 @@
     detail: str = ''
 
 
-def note_failure(record: CallRecord, failure: WebFailure) -> None:
+def record_failure(record: CallRecord, failure: WebFailure) -> None:
     """Record that no whole answer came.
 
     :param record: the record to fill.
     :param failure: what the connection saw.
     """
-    record.outcome = Outcome.BROKEN if failure.sent else Outcome.UNREACHABLE
+    record.outcome = (
+        CallOutcome.BROKEN
+        if failure.may_have_been_sent
+        else CallOutcome.UNREACHABLE
+    )
     record.status = failure.status
     record.detail = failure.detail
 
 
-def note_answer(record: CallRecord, req: WebRequest, answer: WebAnswer) -> None:
+def record_answer(
+    record: CallRecord, req: WebRequest, answer: WebAnswer
+) -> None:
     """Record and judge an answer.
 
     :param record: the record to fill.
@@ -83,16 +89,20 @@
     record.reason = answer.header('x-reason')
     record.retry_after = answer.header('retry-after')
     if record.reason:
-        record.outcome = Outcome.REFUSED
-    elif answer.status >= SERVER_ERROR:
-        record.outcome = Outcome.FAILED
+        record.outcome = CallOutcome.REFUSED
+    elif answer.status >= MIN_SERVER_ERROR_STATUS:
+        record.outcome = CallOutcome.FAILED
     else:
-        record.detail = _find_fault(record, req, answer)
-        record.outcome = Outcome.WRONG if record.detail else Outcome.ANSWERED
+        record.detail = _find_answer_fault(record, req, answer)
+        record.outcome = (
+            CallOutcome.WRONG if record.detail else CallOutcome.ANSWERED
+        )
 
 
-def _find_fault(record: CallRecord, req: WebRequest, answer: WebAnswer) -> str:
-    if req.method == 'HEAD' or answer.status == NO_CONTENT:
+def _find_answer_fault(
+    record: CallRecord, req: WebRequest, answer: WebAnswer
+) -> str:
+    if req.method == 'HEAD' or answer.status == NO_CONTENT_STATUS:
         return ''
     if answer.header('content-digest') != content_digest(answer.body):
         return 'the digest is not that of the body'
@@ -103,7 +113,7 @@
     record.target = body.target
     if body.request_id != record.request_id:
         return f'the body belongs to request {body.request_id}'
-    asked = (req.method, req.target, hashlib.sha256(req.body).hexdigest())
-    if (body.method, body.path, body.body_sha256) != asked:
+    sent = (req.method, req.target, hashlib.sha256(req.body).hexdigest())
+    if (body.method, body.path, body.body_sha256) != sent:
         return f'the answer is to {body.method} {body.path}'
     return ''
--- a/src/clementinedeal_bench/_caller.py
+++ b/src/clementinedeal_bench/_caller.py
@@ -9,17 +9,17 @@
 import trio
 from result import Err, Result
 
-from clementinedeal_bench._history import (
+from clementinedeal_bench._call_records import (
+    CallOutcome,
     CallRecord,
-    Outcome,
-    note_answer,
-    note_failure,
+    record_answer,
+    record_failure,
 )
 from clementinedeal_bench._scenario import AccountLoad, RequestKind, Scenario
+from clementinedeal_bench._web_client import WebClient, WebFailure
 from clementinedeal_bench._web_messages import HeaderList, WebAnswer, WebRequest
-from clementinedeal_bench._webclient import WebClient, WebFailure
 
-FULL_POOL = 64
+MAX_IDLE_CONNECTIONS = 64
 MS_PER_SECOND = 1000
 NS_PER_MS = 1_000_000
 UUID_TIME_SHIFT = 80
@@ -46,11 +46,11 @@
         self._idle: dict[str, list[WebClient]] = {}
         self._weights = [kind.weight for kind in load.requests]
 
-    def gap(self) -> float:
+    def draw_arrival_gap(self) -> float:
         """Return the seconds until the next arrival of the open loop."""
         return self._rng.expovariate(self.load.rate)
 
-    def choose(
+    def choose_request(
         self,
         daemons: tuple[str, ...],
     ) -> tuple[str, RequestKind]:
@@ -58,10 +58,10 @@
 
         :param daemons: their addresses.
         """
-        kinds = self._rng.choices(self.load.requests, self._weights)
-        return self._rng.choice(daemons), kinds[0]
+        chosen = self._rng.choices(self.load.requests, self._weights)
+        return self._rng.choice(daemons), chosen[0]
 
-    def take(self, daemon: str) -> WebClient:
+    def take_connection(self, daemon: str) -> WebClient:
         """Return an idle connection to a daemon or a new one.
 
         :param daemon: its address.
@@ -69,13 +69,13 @@
         idle = self._idle.setdefault(daemon, [])
         return idle.pop() if idle else WebClient(daemon)
 
-    def give_back(self, client: WebClient) -> None:
+    def return_connection(self, client: WebClient) -> None:
         """Keep a connection for later requests.
 
         :param client: the connection.
         """
         idle = self._idle[client.address]
-        if len(idle) < FULL_POOL:
+        if len(idle) < MAX_IDLE_CONNECTIONS:
             idle.append(client)
         else:
             client.close()
@@ -103,8 +103,8 @@
         self._scenario = scenario
         self._sink = sink
         self._stop = trio.Event()
-        self._run = uuid.uuid4().hex[:8]
-        self._sent = 0
+        self._run_id = uuid.uuid4().hex[:8]
+        self._sent_count = 0
 
     def stop(self) -> None:
         """Send nothing more; calls under way are still awaited."""
@@ -118,45 +118,45 @@
         ]
         async with trio.open_nursery() as nursery:
             for account in accounts:
-                self._start(nursery, account)
+                self._start_account(nursery, account)
             with trio.move_on_after(self._scenario.seconds):
                 await self._stop.wait()
             self._stop.set()
         for used in accounts:
             used.close()
 
-    def _start(self, nursery: trio.Nursery, account: Account) -> None:
+    def _start_account(self, nursery: trio.Nursery, account: Account) -> None:
         if account.load.rate:
-            nursery.start_soon(self._arrive, account)
+            nursery.start_soon(self._run_open_loop, account)
         for _ in range(account.load.workers):
-            nursery.start_soon(self._work, account)
+            nursery.start_soon(self._run_closed_loop, account)
 
-    async def _arrive(self, account: Account) -> None:
+    async def _run_open_loop(self, account: Account) -> None:
         due = time.monotonic()
         async with trio.open_nursery() as nursery:
             while not self._stop.is_set():
-                due += account.gap()
+                due += account.draw_arrival_gap()
                 with trio.move_on_after(max(0, due - time.monotonic())):
                     await self._stop.wait()
                     break
                 nursery.start_soon(self._call, account, due)
 
-    async def _work(self, account: Account) -> None:
+    async def _run_closed_loop(self, account: Account) -> None:
         while not self._stop.is_set():
             await self._call(account, time.monotonic())
 
     async def _call(self, account: Account, due: float) -> None:
-        daemon, kind = account.choose(self._scenario.daemons)
+        daemon, kind = account.choose_request(self._scenario.daemons)
         record = self._new_record(account, daemon, kind, due)
         req = _build_request(account, kind, record)
-        client = account.take(daemon)
+        client = account.take_connection(daemon)
         record.sent = time.monotonic()
-        seconds = kind.timeout_ms / MS_PER_SECOND + GRACE_SECONDS
-        with trio.move_on_after(seconds):
-            _note(record, req, await client.request(req))
-        if record.outcome is Outcome.TIMEOUT:
-            record.detail = f'no answer in {seconds} s'
-        account.give_back(client)
+        timeout_seconds = kind.timeout_ms / MS_PER_SECOND + GRACE_SECONDS
+        with trio.move_on_after(timeout_seconds):
+            _record_result(record, req, await client.request(req))
+        if record.outcome is CallOutcome.TIMEOUT:
+            record.detail = f'no answer in {timeout_seconds} s'
+        account.return_connection(client)
         record.end = time.monotonic()
         self._sink(record)
 
@@ -167,38 +167,38 @@
         kind: RequestKind,
         due: float,
     ) -> CallRecord:
-        self._sent += 1
-        unique = f'{self._run}-{self._sent}'
-        mark = '&' if '?' in kind.path else '?'
+        self._sent_count += 1
+        caller_request = f'{self._run_id}-{self._sent_count}'
+        separator = '&' if '?' in kind.path else '?'
         return CallRecord(
-            caller_request=unique,
+            caller_request=caller_request,
             account=account.name,
             service=kind.service,
             method=kind.method,
-            path=f'{kind.path}{mark}caller-request={unique}',
+            path=f'{kind.path}{separator}caller-request={caller_request}',
             daemon=daemon,
             due=due,
-            idempotency_key=time_bearing_key() if kind.idempotency_key else '',
+            idempotency_key=make_uuid7() if kind.idempotency_key else '',
         )
 
 
-def time_bearing_key() -> str:
+def make_uuid7() -> str:
     """Return a fresh UUID of version 7: wall clock first, then random bits."""
-    clock = time.time_ns() // NS_PER_MS << UUID_TIME_SHIFT
+    timestamp = time.time_ns() // NS_PER_MS << UUID_TIME_SHIFT
     upper = secrets.randbits(UUID_UPPER_BITS) << UUID_UPPER_SHIFT
     lower = secrets.randbits(UUID_LOWER_BITS)
-    return str(uuid.UUID(int=clock | UUID_VERSION_7 | upper | lower))
+    return str(uuid.UUID(int=timestamp | UUID_VERSION_7 | upper | lower))
 
 
-def _note(
+def _record_result(
     record: CallRecord,
     req: WebRequest,
-    outcome: Result[WebAnswer, WebFailure],
+    result: Result[WebAnswer, WebFailure],
 ) -> None:
-    if isinstance(outcome, Err):
-        note_failure(record, outcome.err_value)
+    if isinstance(result, Err):
+        record_failure(record, result.err_value)
     else:
-        note_answer(record, req, outcome.ok_value)
+        record_answer(record, req, result.ok_value)
 
 
 def _build_request(
--- a/src/clementinedeal_bench/_cli.py
+++ b/src/clementinedeal_bench/_cli.py
@@ -10,16 +10,16 @@
 from result import Err
 
 from clementinedeal import Config
+from clementinedeal_bench._call_records import CallRecord
 from clementinedeal_bench._caller import Caller
+from clementinedeal_bench._commands import Command, run_commands
 from clementinedeal_bench._declarations import (
     read_declaration,
     shift_address,
 )
 from clementinedeal_bench._demo import Demo, DemoSettings
 from clementinedeal_bench._errors import BenchError
-from clementinedeal_bench._flags import Command, run_commands
 from clementinedeal_bench._fleet import FleetSettings
-from clementinedeal_bench._history import CallRecord
 from clementinedeal_bench._latency import LatencyRun, LatencySettings
 from clementinedeal_bench._platform import PlatformSettings
 from clementinedeal_bench._platform_server import serve_platform
@@ -75,12 +75,12 @@
         host=values.host,
         port=values.port,
         slots=values.slots,
-        queue=values.queue,
-        connections=values.connections,
-        service=values.service,
-        sigma=values.sigma,
-        cold=values.cold,
-        drain=values.drain,
+        queue_limit=values.queue,
+        max_connections=values.connections,
+        service_seconds=values.service,
+        service_time_sigma=values.sigma,
+        cold_seconds=values.cold,
+        drain_seconds=values.drain,
         seed=values.seed,
     )
     trio.run(serve_target, settings)
@@ -143,8 +143,8 @@
         declaration=values.declaration,
         fleet=FleetSettings(
             folder=Path(values.out),
-            platform=shift_address(values.platform, values.port_offset),
-            width=values.width,
+            platform_address=shift_address(values.platform, values.port_offset),
+            max_parallel_starts=values.width,
         ),
         port_offset=values.port_offset,
         seconds=values.seconds,
@@ -170,9 +170,9 @@
     settings = LatencySettings(
         fleet=FleetSettings(
             folder=Path(values.out),
-            platform=platform,
-            service=0,
-            sigma=0,
+            platform_address=platform,
+            service_seconds=0,
+            service_time_sigma=0,
         ),
         base_port=values.base_port,
         seconds=values.seconds,
--- a/src/clementinedeal_bench/_flags.py
+++ b/src/clementinedeal_bench/_commands.py
@@ -9,7 +9,7 @@
 
 from clementinedeal import ClementinedealError
 
-USAGE_EXIT = 2
+USAGE_EXIT_STATUS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,11 +34,11 @@
     """
     app.run(
         lambda argv: _dispatch(program, commands, argv[1:]),
-        flags_parser=_keep_arguments,
+        flags_parser=_skip_global_flags,
     )
 
 
-def _keep_arguments(argv: list[str]) -> list[str]:
+def _skip_global_flags(argv: list[str]) -> list[str]:
     flags.FLAGS(argv[:1])
     return argv
 
@@ -48,52 +48,52 @@
     commands: tuple[Command, ...],
     argv: list[str],
 ) -> None:
-    known = {command.name: command for command in commands}
-    if argv and argv[0] in known:
-        _run(program, known[argv[0]], argv)
+    commands_by_name = {command.name: command for command in commands}
+    if argv and argv[0] in commands_by_name:
+        _run_command(program, commands_by_name[argv[0]], argv)
         return
-    asked = bool(argv) and argv[0] in {'--help', '-h', 'help'}
+    is_help_requested = bool(argv) and argv[0] in {'--help', '-h', 'help'}
     lines = [f'usage: {program} COMMAND [flags]', '']
     lines += [f'  {each.name:<10} {each.summary}' for each in commands]
     lines.append(f'\nflags of a command: {program} COMMAND --help')
-    if not asked:
-        _fail('\n'.join(lines), USAGE_EXIT)
-    _say('\n'.join(lines))
+    if not is_help_requested:
+        _exit_with_error('\n'.join(lines), USAGE_EXIT_STATUS)
+    _print('\n'.join(lines))
 
 
-def _run(program: str, command: Command, argv: list[str]) -> None:
+def _run_command(program: str, command: Command, argv: list[str]) -> None:
     values = flags.FlagValues()  # type: ignore[no-untyped-call]
     command.define(values)
     flags.DEFINE_bool(
         'help', False, 'show the flags', short_name='h', flag_values=values
     )
     try:
-        rest = values(argv)[1:]
+        positional = values(argv)[1:]
     except flags.Error as exc:
-        _fail(f'{program} {command.name}: {exc}', USAGE_EXIT)
+        _exit_with_error(f'{program} {command.name}: {exc}', USAGE_EXIT_STATUS)
     if values.help:
-        _say(f'{program} {command.name}: {command.summary}')
-        _say(values.get_help())
+        _print(f'{program} {command.name}: {command.summary}')
+        _print(values.get_help())
         return
     try:
-        command.run(values, rest)
+        command.run(values, positional)
     except* ClementinedealError as group:
-        _fail(f'{program} {command.name}: {_first(group)}', 1)
+        _exit_with_error(f'{program} {command.name}: {_first_error(group)}', 1)
     except* KeyboardInterrupt:
         sys.exit(1)
 
 
-def _first(group: BaseExceptionGroup[ClementinedealError]) -> str:
-    found: BaseException = group
-    while isinstance(found, BaseExceptionGroup):
-        found = found.exceptions[0]
-    return str(found)
+def _first_error(group: BaseExceptionGroup[ClementinedealError]) -> str:
+    error: BaseException = group
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return str(error)
 
 
-def _fail(line: str, status: int) -> NoReturn:
-    sys.stderr.write(f'{line}\n')
+def _exit_with_error(text: str, status: int) -> NoReturn:
+    sys.stderr.write(f'{text}\n')
     sys.exit(status)
 
 
-def _say(text: str) -> None:
+def _print(text: str) -> None:
     sys.stdout.write(f'{text}\n')
--- a/src/clementinedeal_bench/_core_meter.py
+++ b/src/clementinedeal_bench/_core_meter.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-STAT_UTIME = 11  # field after the command's closing bracket
-STAT_STIME = 12
+UTIME_FIELD = 11  # field after the command's closing bracket
+STIME_FIELD = 12
 
 
 class DaemonCost(msgspec.Struct, frozen=True):
@@ -29,21 +29,21 @@
         :param pid: the process.
         """
         self._pid = pid
-        self._begin = self._read()
-        self._idle = self._begin
-        self._busy = self._begin
+        self._period_start = self._read_usage()
+        self._idle_usage = self._period_start
+        self._busy_usage = self._period_start
 
     def end_idle(self) -> None:
         """End the idle time."""
-        self._idle = self._since_begin()
+        self._idle_usage = self._usage_since_start()
 
     def begin_busy(self) -> None:
         """Begin the busy time."""
-        self._begin = self._read()
+        self._period_start = self._read_usage()
 
     def end_busy(self) -> None:
         """End the busy time."""
-        self._busy = self._since_begin()
+        self._busy_usage = self._usage_since_start()
 
     def cost(self, requests: int) -> DaemonCost:
         """Return the figures.
@@ -52,33 +52,33 @@
         """
         return DaemonCost(
             requests=requests,
-            idle_core_share=self._idle.core_share,
-            busy_core_share=self._busy.core_share,
-            requests_per_core_second=requests / self._busy.core_seconds,
+            idle_core_share=self._idle_usage.core_fraction,
+            busy_core_share=self._busy_usage.core_fraction,
+            requests_per_core_second=requests / self._busy_usage.core_seconds,
         )
 
-    def _since_begin(self) -> 'Usage':
-        now = self._read()
-        return Usage(
-            now.seconds - self._begin.seconds,
-            now.core_seconds - self._begin.core_seconds,
+    def _usage_since_start(self) -> 'CoreUsage':
+        now = self._read_usage()
+        return CoreUsage(
+            now.elapsed_seconds - self._period_start.elapsed_seconds,
+            now.core_seconds - self._period_start.core_seconds,
         )
 
-    def _read(self) -> 'Usage':
+    def _read_usage(self) -> 'CoreUsage':
         stat = Path(f'/proc/{self._pid}/stat').read_text()
         fields = stat.rpartition(')')[2].split()
-        ticks = int(fields[STAT_UTIME]) + int(fields[STAT_STIME])
-        return Usage(time.monotonic(), ticks / os.sysconf('SC_CLK_TCK'))
+        ticks = int(fields[UTIME_FIELD]) + int(fields[STIME_FIELD])
+        return CoreUsage(time.monotonic(), ticks / os.sysconf('SC_CLK_TCK'))
 
 
 @dataclass(frozen=True, slots=True)
-class Usage:
+class CoreUsage:
     """Elapsed time and processor time, both in seconds."""
 
-    seconds: float
+    elapsed_seconds: float
     core_seconds: float
 
     @property
-    def core_share(self) -> float:
+    def core_fraction(self) -> float:
         """Return the share of a core that was used."""
-        return self.core_seconds / self.seconds
+        return self.core_seconds / self.elapsed_seconds
--- a/src/clementinedeal_bench/_declarations.py
+++ b/src/clementinedeal_bench/_declarations.py
@@ -10,7 +10,7 @@
 
 from clementinedeal import Config
 from clementinedeal._declaration import check_file
-from clementinedeal_bench._webclient import split_address
+from clementinedeal_bench._web_client import split_address
 
 
 def read_declaration(path: str) -> Config:
@@ -56,13 +56,13 @@
     """
     instances = {
         name: replace(
-            each,
-            caller=shift_address(each.caller, offset),
-            peer=shift_address(each.peer, offset),
-            control=shift_address(each.control, offset),
-            operator=shift_address(each.operator, offset),
+            instance,
+            caller=shift_address(instance.caller, offset),
+            peer=shift_address(instance.peer, offset),
+            control=shift_address(instance.control, offset),
+            operator=shift_address(instance.operator, offset),
         )
-        for name, each in cfg.instances.items()
+        for name, instance in cfg.instances.items()
     }
     targets = {
         name: replace(target, address=shift_address(target.address, offset))
--- a/src/clementinedeal_bench/_demo.py
+++ b/src/clementinedeal_bench/_demo.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from clementinedeal_bench._call_records import CallRecord
 from clementinedeal_bench._caller import Caller
 from clementinedeal_bench._declarations import (
     read_declaration,
@@ -18,7 +19,6 @@
 from clementinedeal_bench._demo_steps import DemoSteps
 from clementinedeal_bench._demo_traffic import build_scenario, spread_rate
 from clementinedeal_bench._fleet import Fleet, FleetSettings
-from clementinedeal_bench._history import CallRecord
 from clementinedeal_bench._report import check_lines, step_lines
 from clementinedeal_bench._timeline_page import write_timeline
 
--- a/src/clementinedeal_bench/_demo_steps.py
+++ b/src/clementinedeal_bench/_demo_steps.py
@@ -8,6 +8,7 @@
 import trio
 
 from clementinedeal import Account, Config, PresetName, Target
+from clementinedeal_bench._call_records import CallOutcome, CallRecord
 from clementinedeal_bench._caller import Caller
 from clementinedeal_bench._demo_traffic import build_scenario
 from clementinedeal_bench._executions import Execution
@@ -17,9 +18,8 @@
     await_version,
     count_executions,
 )
-from clementinedeal_bench._history import CallRecord, Outcome
-from clementinedeal_bench._observer import gather, put, read_executions
-from clementinedeal_bench._report import Step
+from clementinedeal_bench._report import DemoStep
+from clementinedeal_bench._status_reader import gather, put, read_executions
 
 WARM_UP_SECONDS = 40.0
 DETECTION_SECONDS = 20.0
@@ -48,7 +48,7 @@
         self._cfg = fleet.cfg
         self._records = records
         self._seconds = seconds
-        self.steps: list[Step] = []
+        self.steps: list[DemoStep] = []
         self.executions: list[Execution] = []
 
     async def run(self) -> None:
@@ -81,7 +81,7 @@
             while waiting:
                 await trio.sleep(POLL_SECONDS)
                 waiting -= {call.account for call in self._records if _ok(call)}
-        step.end = time.monotonic()
+        step.ended_at = time.monotonic()
         never = ', '.join(sorted(waiting)) or 'none'
         step.notes.append(f'accounts without any answer so far: {never}')
 
@@ -112,7 +112,7 @@
         owner = self._cfg.instances[target.instance]
         with trio.move_on_after(DETECTION_SECONDS):
             await await_not_in_use(owner, target)
-        spent = time.monotonic() - step.begin
+        spent = time.monotonic() - step.started_at
         after = await count_executions([target])
         slow = after[target.name] - before[target.name]
         word = 'set aside' if spent < DETECTION_SECONDS else 'not set aside'
@@ -124,13 +124,13 @@
         name = sorted(self._cfg.instances)[-2]
         step = self._begin(f'planned stop of daemon {name}')
         ended = await self._fleet.stop(name)
-        spent = time.monotonic() - step.begin
+        spent = time.monotonic() - step.started_at
         await self._finish(step)
         address = self._cfg.instances[name].caller
         cut = [
             call
             for call in step.calls(self._records)
-            if call.daemon == address and call.outcome is Outcome.BROKEN
+            if call.daemon == address and call.outcome is CallOutcome.BROKEN
         ]
         step.notes.append(
             f'ended with status 0: {ended}, in {spent:.1f} s, '
@@ -170,19 +170,21 @@
             f'{account.name} sends {OVERUSE:g} times its {account.rate:g}/s',
         )
         await Caller(scenario, self._records.append).run()
-        step.end = time.monotonic()
-        allowed = account.burst + account.rate * (step.end - step.begin)
+        step.ended_at = time.monotonic()
+        allowed = account.burst + account.rate * (
+            step.ended_at - step.started_at
+        )
         count = len(self._answers(step, account.name))
         step.notes.append(
             f'{account.name} was answered {count} times, '
             f'rate and burst allow {allowed:.0f}',
         )
 
-    async def _publish_account(self, step: Step, account: Account) -> None:
+    async def _publish_account(self, step: DemoStep, account: Account) -> None:
         accounts = {**self._cfg.accounts, account.name: account}
         await self._publish(step, replace(self._cfg, accounts=accounts))
 
-    async def _publish(self, step: Step, cfg: Config) -> None:
+    async def _publish(self, step: DemoStep, cfg: Config) -> None:
         version = self._cfg.version + 1
         self._cfg = replace(cfg, version=version)
         began = time.monotonic()
@@ -197,7 +199,7 @@
             f'of {len(self._fleet.live_instances())} after {spent:.2f} s',
         )
 
-    def _answers(self, step: Step, account: str) -> list[float]:
+    def _answers(self, step: DemoStep, account: str) -> list[float]:
         return sorted(
             call.end
             for call in step.calls(self._records)
@@ -210,17 +212,17 @@
             key=lambda account: account.rate,
         )
 
-    def _begin(self, name: str) -> Step:
+    def _begin(self, name: str) -> DemoStep:
         sys.stdout.write(f'{name} ...\n')
         sys.stdout.flush()
-        step = Step(name, time.monotonic())
+        step = DemoStep(name, time.monotonic())
         self.steps.append(step)
         return step
 
-    async def _finish(self, step: Step) -> None:
+    async def _finish(self, step: DemoStep) -> None:
         await trio.sleep(self._seconds)
-        step.end = time.monotonic()
+        step.ended_at = time.monotonic()
 
 
 def _ok(call: CallRecord) -> bool:
-    return call.outcome is Outcome.ANSWERED
+    return call.outcome is CallOutcome.ANSWERED
--- a/src/clementinedeal_bench/_detection.py
+++ b/src/clementinedeal_bench/_detection.py
@@ -14,12 +14,16 @@
 
 from clementinedeal_bench._ejection_policies import (
     ConsecutiveErrors,
+    EjectionManagers,
     FixedLatency,
-    Managers,
     NoPolicy,
     Policy,
 )
-from clementinedeal_bench._model_targets import Mode, ModelTarget, Work
+from clementinedeal_bench._model_targets import (
+    FaultMode,
+    ModelTarget,
+    ServedRequest,
+)
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer('seeds', 30, 'Runs of each case.')
@@ -27,11 +31,11 @@
 flags.DEFINE_float('rate', 13.0, 'Requests a second at each target.')
 flags.DEFINE_float('after', 40.0, 'Seconds simulated after the onset.')
 flags.DEFINE_list('thresholds', ['18'], 'Thresholds of ours, in nats.')
-flags.DEFINE_list('modes', [mode.value for mode in Mode], 'Modes to run.')
+flags.DEFINE_list('modes', [mode.value for mode in FaultMode], 'Modes to run.')
 flags.DEFINE_bool('baselines', True, 'Whether to run the other policies.')
 
-SIZES = (8, 12, 16)
-OUT_RATIO = 4
+TARGET_COUNTS = (8, 12, 16)
+MAX_EJECTED_DIVISOR = 4
 # Nothing is judged before; permits are lent after 26 s.
 WARM_UP_SECONDS = 40.0
 TICK_SECONDS = 0.05
@@ -39,41 +43,41 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Load:
+class LoadSettings:
     """Requests a second at each target, and seconds run after the onset."""
 
     rate: float = 13.0
-    after: float = 40.0
+    seconds_after_onset: float = 40.0
 
 
 @dataclass(order=True, slots=True)
-class Event:
+class SimulationEvent:
     """Arrival at a target, or the end of its work."""
 
     at: float
-    order: int
+    sequence: int
     target: str = field(compare=False)
-    work: Work | None = field(compare=False, default=None)
+    served: ServedRequest | None = field(compare=False, default=None)
 
 
 @dataclass(slots=True)
-class Finding:
+class DetectionResult:
     """Outcome of one run; ``detected`` is seconds from the onset."""
 
-    detected: float | None = None
-    wrongful: int = 0
-    healthy_seconds: float = 0.0
+    detection_seconds: float | None = None
+    wrongful_ejections: int = 0
+    healthy_target_seconds: float = 0.0
 
 
-class Run:
+class DetectionRun:
     """One service in virtual time under one policy."""
 
     def __init__(
         self,
-        mode: Mode,
+        mode: FaultMode,
         seed: int,
         policy: Policy,
-        load: Load,
+        load: LoadSettings,
     ) -> None:
         """Draw the targets; the fault is at the first one, or at all.
 
@@ -86,109 +90,131 @@
         self._rng = random.Random(seed)
         self._mode = mode
         self._policy = policy
-        self._events: list[Event] = []
-        self._order = 0
-        self.onset = WARM_UP_SECONDS + self._rng.random()
-        self._end = self.onset + load.after
-        size = size_of(seed)
+        self._events: list[SimulationEvent] = []
+        self._sequence = 0
+        self.onset_at = WARM_UP_SECONDS + self._rng.random()
+        self._ends_at = self.onset_at + load.seconds_after_onset
+        target_count = target_count_of(seed)
         self._targets = {
-            f't{number}': self._target(number) for number in range(size)
+            f't{number}': self._make_target(number)
+            for number in range(target_count)
         }
-        self._working: dict[str, list[Work]] = {
+        self._unfinished: dict[str, list[ServedRequest]] = {
             name: [] for name in self._targets
         }
 
-    def finish(self) -> Finding:
+    def simulate(self) -> DetectionResult:
         """Simulate to the end."""
-        finding = Finding()
+        result = DetectionResult()
         for target in self._targets:
-            self._push(self._gap(), target, None)
+            self._schedule(self._draw_arrival_gap(), target, None)
         now = 0.0
-        while now < self._end:
+        while now < self._ends_at:
             now += TICK_SECONDS
             while self._events[0].at <= now:
                 self._handle(heapq.heappop(self._events))
-                self._judge(finding, now)
-            self._policy.on_tick(self._inflight(now), now)
-            self._judge(finding, now)
-        sick = (
-            self._mode is not Mode.ALL_SLOW and self._mode is not Mode.HEALTHY
+                self._record_ejections(result, now)
+            self._policy.on_tick(self._in_flight_starts(now), now)
+            self._record_ejections(result, now)
+        has_faulty_target = (
+            self._mode is not FaultMode.ALL_SLOW
+            and self._mode is not FaultMode.HEALTHY
+        )
+        measured_seconds = self._ends_at - WARM_UP_SECONDS
+        result.healthy_target_seconds = measured_seconds * len(self._targets)
+        result.healthy_target_seconds -= (
+            self._load.seconds_after_onset if has_faulty_target else 0
         )
-        judged = self._end - WARM_UP_SECONDS
-        finding.healthy_seconds = judged * len(self._targets)
-        finding.healthy_seconds -= self._load.after if sick else 0
-        return finding
-
-    def _target(self, number: int) -> ModelTarget:
-        sick = number == 0 or self._mode is Mode.ALL_SLOW
-        mode = self._mode if sick else Mode.HEALTHY
+        return result
+
+    def _make_target(self, number: int) -> ModelTarget:
+        is_faulty = number == 0 or self._mode is FaultMode.ALL_SLOW
+        mode = self._mode if is_faulty else FaultMode.HEALTHY
         rng = random.Random(self._rng.random())
-        return ModelTarget(mode, self.onset, rng)
+        return ModelTarget(mode, self.onset_at, rng)
 
-    def _gap(self) -> float:
+    def _draw_arrival_gap(self) -> float:
         return self._rng.expovariate(self._load.rate)
 
-    def _push(self, at: float, target: str, work: Work | None) -> None:
-        self._order += 1
-        heapq.heappush(self._events, Event(at, self._order, target, work))
+    def _schedule(
+        self, at: float, target: str, served: ServedRequest | None
+    ) -> None:
+        self._sequence += 1
+        heapq.heappush(
+            self._events, SimulationEvent(at, self._sequence, target, served)
+        )
 
-    def _handle(self, event: Event) -> None:
+    def _handle(self, event: SimulationEvent) -> None:
         name = event.target
-        if event.work is not None:
-            self._working[name].remove(event.work)
-            self._policy.on_outcome(name, event.work.outcome, event.at)
+        if event.served is not None:
+            self._unfinished[name].remove(event.served)
+            self._policy.on_outcome(name, event.served.outcome, event.at)
             return
-        self._push(event.at + self._gap(), name, None)
-        if self._rng.random() < self._policy.share(name, event.at):
-            work = self._targets[name].serve(event.at)
-            self._working[name].append(work)
-            self._push(work.ends, name, work)
+        self._schedule(event.at + self._draw_arrival_gap(), name, None)
+        if self._rng.random() < self._policy.usable_fraction(name, event.at):
+            served = self._targets[name].serve(event.at)
+            self._unfinished[name].append(served)
+            self._schedule(served.ends_at, name, served)
 
-    def _inflight(self, now: float) -> dict[str, list[float]]:
+    def _in_flight_starts(self, now: float) -> dict[str, list[float]]:
         return {
-            name: [one.started for one in works if one.started <= now]
-            for name, works in self._working.items()
+            name: [
+                request.started_at
+                for request in requests
+                if request.started_at <= now
+            ]
+            for name, requests in self._unfinished.items()
         }
 
-    def _judge(self, finding: Finding, now: float) -> None:
+    def _record_ejections(self, result: DetectionResult, now: float) -> None:
         ejections = self._policy.ejections if now > WARM_UP_SECONDS else []
         for name in ejections:
             target = self._targets[name]
-            sick = target.mode not in {Mode.HEALTHY, Mode.ALL_SLOW}
-            if not sick or now < self.onset:
-                finding.wrongful += 1
-            elif finding.detected is None:
-                finding.detected = now - self.onset
+            is_faulty = target.mode not in {
+                FaultMode.HEALTHY,
+                FaultMode.ALL_SLOW,
+            }
+            if not is_faulty or now < self.onset_at:
+                result.wrongful_ejections += 1
+            elif result.detection_seconds is None:
+                result.detection_seconds = now - self.onset_at
         self._policy.ejections.clear()
 
 
-def size_of(seed: int) -> int:
+def target_count_of(seed: int) -> int:
     """Return the number of targets in a run.
 
     :param seed: of the run.
     """
-    return SIZES[seed % len(SIZES)]
+    return TARGET_COUNTS[seed % len(TARGET_COUNTS)]
 
 
-def policies() -> Iterator[tuple[str, Callable[[int], Policy]]]:
+def policy_factories() -> Iterator[tuple[str, Callable[[int], Policy]]]:
     """Yield the name of each policy and its factory by number of targets."""
     for threshold in FLAGS.thresholds:
-        yield f'ours-{threshold}', _ours(float(threshold))
+        yield f'ours-{threshold}', _ejection_managers_factory(float(threshold))
     if FLAGS.baselines:
         yield (
             'consecutive-errors',
-            lambda size: ConsecutiveErrors(size // OUT_RATIO),
+            lambda size: ConsecutiveErrors(size // MAX_EJECTED_DIVISOR),
+        )
+        yield (
+            'fixed-latency',
+            lambda size: FixedLatency(size // MAX_EJECTED_DIVISOR),
         )
-        yield 'fixed-latency', lambda size: FixedLatency(size // OUT_RATIO)
         yield 'none', lambda size: NoPolicy()
 
 
-def _ours(threshold: float) -> Callable[[int], Policy]:
-    return lambda size: Managers(size, size - size // OUT_RATIO, threshold)
+def _ejection_managers_factory(
+    threshold_nats: float,
+) -> Callable[[int], Policy]:
+    return lambda size: EjectionManagers(
+        size, size - size // MAX_EJECTED_DIVISOR, threshold_nats
+    )
 
 
-def report(
-    mode: Mode,
+def run_case(
+    mode: FaultMode,
     name: str,
     factory: Callable[[int], Policy],
 ) -> dict[str, object]:
@@ -199,32 +225,41 @@
     :param factory: of the policy, by number of targets.
     """
     seeds = range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds)
-    load = Load(FLAGS.rate, FLAGS.after)
-    findings = [
-        Run(mode, seed, factory(size_of(seed)), load).finish() for seed in seeds
+    load = LoadSettings(FLAGS.rate, FLAGS.after)
+    results = [
+        DetectionRun(
+            mode, seed, factory(target_count_of(seed)), load
+        ).simulate()
+        for seed in seeds
     ]
-    times = sorted(one.detected for one in findings if one.detected is not None)
-    hours = sum(one.healthy_seconds for one in findings) / HOUR_SECONDS
-    wrongful = sum(one.wrongful for one in findings)
+    detection_times = sorted(
+        result.detection_seconds
+        for result in results
+        if result.detection_seconds is not None
+    )
+    hours = (
+        sum(result.healthy_target_seconds for result in results) / HOUR_SECONDS
+    )
+    wrongful = sum(result.wrongful_ejections for result in results)
     return {
         'mode': mode.value,
         'policy': name,
         'seeds': [seeds[0], seeds[-1]],
-        'detected': f'{len(times)}/{len(findings)}',
-        'p50_s': _quantile(times, 0.5),
-        'p90_s': _quantile(times, 0.9),
-        'max_s': _quantile(times, 1.0),
+        'detected': f'{len(detection_times)}/{len(results)}',
+        'p50_s': _quantile(detection_times, 0.5),
+        'p90_s': _quantile(detection_times, 0.9),
+        'max_s': _quantile(detection_times, 1.0),
         'wrongful': wrongful,
         'healthy_target_hours': round(hours, 2),
         'wrongful_per_1000_hours': round(1000 * wrongful / hours, 1),
     }
 
 
-def _quantile(times: list[float], share: float) -> float | None:
-    if not times:
+def _quantile(sorted_seconds: list[float], fraction: float) -> float | None:
+    if not sorted_seconds:
         return None
-    index = min(int(share * len(times)), len(times) - 1)
-    return round(times[index], 2)
+    index = min(int(fraction * len(sorted_seconds)), len(sorted_seconds) - 1)
+    return round(sorted_seconds[index], 2)
 
 
 def main(argv: list[str]) -> None:
@@ -232,9 +267,9 @@
 
     :param argv: unused.
     """
-    for mode in map(Mode, FLAGS.modes):
-        for name, factory in policies():
-            line = json.dumps(report(mode, name, factory))
+    for mode in map(FaultMode, FLAGS.modes):
+        for name, factory in policy_factories():
+            line = json.dumps(run_case(mode, name, factory))
             sys.stdout.write(f'{line}\n')
             sys.stdout.flush()
 
--- a/src/clementinedeal_bench/_ejection_policies.py
+++ b/src/clementinedeal_bench/_ejection_policies.py
@@ -14,11 +14,11 @@
 )
 from clementinedeal._target_state import TargetEjected
 
-SERVICE = 'status'
-EJECTED_SECONDS = 30.0
-FAILURES_IN_A_ROW = 5
-LATENCIES_AVERAGED = 10
-LATENCY_LIMIT_SECONDS = 0.06
+SERVICE_NAME = 'status'
+EJECTION_SECONDS = 30.0
+CONSECUTIVE_FAILURES_TO_EJECT = 5
+AVERAGED_LATENCIES = 10
+MAX_MEAN_LATENCY_SECONDS = 0.06
 
 
 class Policy(Protocol):
@@ -32,11 +32,13 @@
         """Take in the end of one request."""
         ...
 
-    def on_tick(self, inflight: dict[str, list[float]], now: float) -> None:
+    def on_tick(
+        self, in_flight_starts: dict[str, list[float]], now: float
+    ) -> None:
         """Let time pass; starting times of requests in flight by target."""
         ...
 
-    def share(self, target: str, now: float) -> float:
+    def usable_fraction(self, target: str, now: float) -> float:
         """Return the usable share of a target, 0 to 1."""
         ...
 
@@ -53,43 +55,45 @@
     ) -> None:
         """Ignore it."""
 
-    def on_tick(self, inflight: dict[str, list[float]], now: float) -> None:
+    def on_tick(
+        self, in_flight_starts: dict[str, list[float]], now: float
+    ) -> None:
         """Ignore it."""
 
-    def share(self, target: str, now: float) -> float:
+    def usable_fraction(self, target: str, now: float) -> float:
         """Return the whole."""
         return 1.0
 
 
-class _Timed(NoPolicy):
+class _TimedEjection(NoPolicy):
     """Ejects for a fixed time, never more than a number at once."""
 
-    def __init__(self, most_out: int) -> None:
+    def __init__(self, max_ejected: int) -> None:
         super().__init__()
-        self._most_out = most_out
-        self._until: dict[str, float] = {}
+        self._max_ejected = max_ejected
+        self._ejected_until: dict[str, float] = {}
 
-    def share(self, target: str, now: float) -> float:
+    def usable_fraction(self, target: str, now: float) -> float:
         """Return nothing while the target is out."""
-        return 0.0 if self._until.get(target, 0) > now else 1.0
+        return 0.0 if self._ejected_until.get(target, 0) > now else 1.0
 
     def _eject(self, target: str, now: float) -> None:
-        out = sum(until > now for until in self._until.values())
-        if self.share(target, now) and out < self._most_out:
-            self._until[target] = now + EJECTED_SECONDS
+        ejected = sum(until > now for until in self._ejected_until.values())
+        if self.usable_fraction(target, now) and ejected < self._max_ejected:
+            self._ejected_until[target] = now + EJECTION_SECONDS
             self.ejections.append(target)
 
 
-class ConsecutiveErrors(_Timed):
+class ConsecutiveErrors(_TimedEjection):
     """Ejects after a number of failures in a row."""
 
-    def __init__(self, most_out: int) -> None:
+    def __init__(self, max_ejected: int) -> None:
         """Start with every target in use.
 
         :param most_out: how many may be out at once.
         """
-        super().__init__(most_out)
-        self._failures: dict[str, int] = {}
+        super().__init__(max_ejected)
+        self._consecutive_failures: dict[str, int] = {}
 
     def on_outcome(
         self, target: str, outcome: RequestOutcome, now: float
@@ -101,22 +105,22 @@
         :param now: virtual time in seconds.
         """
         failed = outcome.kind in FAILURE_KINDS
-        count = self._failures.get(target, 0) + 1 if failed else 0
-        self._failures[target] = count
-        if count >= FAILURES_IN_A_ROW:
-            self._failures[target] = 0
+        count = self._consecutive_failures.get(target, 0) + 1 if failed else 0
+        self._consecutive_failures[target] = count
+        if count >= CONSECUTIVE_FAILURES_TO_EJECT:
+            self._consecutive_failures[target] = 0
             self._eject(target, now)
 
 
-class FixedLatency(_Timed):
+class FixedLatency(_TimedEjection):
     """Ejects when the mean of the last latencies exceeds a limit."""
 
-    def __init__(self, most_out: int) -> None:
+    def __init__(self, max_ejected: int) -> None:
         """Start with every target in use.
 
         :param most_out: how many may be out at once.
         """
-        super().__init__(most_out)
+        super().__init__(max_ejected)
         self._latencies: dict[str, deque[float]] = {}
 
     def on_outcome(
@@ -130,19 +134,24 @@
         """
         if outcome.kind is OutcomeKind.REFUSED:
             return
-        fresh: deque[float] = deque(maxlen=LATENCIES_AVERAGED)
-        latest = self._latencies.setdefault(target, fresh)
-        latest.append(outcome.latency_seconds)
-        full = len(latest) == LATENCIES_AVERAGED
-        if full and sum(latest) > LATENCIES_AVERAGED * LATENCY_LIMIT_SECONDS:
-            latest.clear()
+        empty: deque[float] = deque(maxlen=AVERAGED_LATENCIES)
+        latencies = self._latencies.setdefault(target, empty)
+        latencies.append(outcome.latency_seconds)
+        is_window_full = len(latencies) == AVERAGED_LATENCIES
+        if (
+            is_window_full
+            and sum(latencies) > AVERAGED_LATENCIES * MAX_MEAN_LATENCY_SECONDS
+        ):
+            latencies.clear()
             self._eject(target, now)
 
 
-class Managers:
+class EjectionManagers:
     """Ours: one daemon for each target, messages delivered at once."""
 
-    def __init__(self, size: int, floor: int, threshold: float) -> None:
+    def __init__(
+        self, target_count: int, floor: int, threshold_nats: float
+    ) -> None:
         """Start all daemons at time zero in a fresh view.
 
         :param size: number of targets.
@@ -150,8 +159,8 @@
         :param threshold: of the detectors, in nats.
         """
         self.ejections: list[str] = []
-        cfg = make_config(size, floor)
-        detection = DetectorSettings(threshold_nats=threshold)
+        cfg = make_config(target_count, floor)
+        detection = DetectorSettings(threshold_nats=threshold_nats)
         self._managers = {
             number: EjectionManager(
                 f'i{number}',
@@ -160,7 +169,7 @@
                 incarnation=number,
                 detector_settings=detection,
             )
-            for number in range(size)
+            for number in range(target_count)
         }
         for manager in self._managers.values():
             manager.set_fresh(True, 0.0)
@@ -175,20 +184,24 @@
         :param now: virtual time in seconds.
         """
         manager = self._manager(target)
-        self._carry(target, manager.on_outcome(target, outcome, now), now)
+        self._apply_actions(
+            target, manager.on_outcome(target, outcome, now), now
+        )
 
-    def on_tick(self, inflight: dict[str, list[float]], now: float) -> None:
+    def on_tick(
+        self, in_flight_starts: dict[str, list[float]], now: float
+    ) -> None:
         """Tick every daemon.
 
         :param inflight: starting times by target.
         :param now: virtual time in seconds.
         """
-        for target, started in inflight.items():
+        for target, starts in in_flight_starts.items():
             manager = self._manager(target)
-            actions = manager.on_inflight(target, started, now)
-            self._carry(target, actions + manager.on_tick(now), now)
+            actions = manager.on_inflight(target, starts, now)
+            self._apply_actions(target, actions + manager.on_tick(now), now)
 
-    def share(self, target: str, now: float) -> float:
+    def usable_fraction(self, target: str, now: float) -> float:
         """Return the owner's share.
 
         :param target: its name.
@@ -199,7 +212,9 @@
     def _manager(self, name: str) -> EjectionManager:
         return self._managers[int(name[1:])]
 
-    def _carry(self, target: str, actions: list[Action], now: float) -> None:
+    def _apply_actions(
+        self, target: str, actions: list[Action], now: float
+    ) -> None:
         for action in actions:
             if isinstance(action, Send):
                 self._deliver(target, action.to, action.body, now)
@@ -209,24 +224,29 @@
     def _deliver(self, sender: str, to: str, body: Any, now: float) -> None:
         manager = self._manager(to)
         actions = manager.on_message(f'i{sender[1:]}', body, now)
-        self._carry(to, actions, now)
+        self._apply_actions(to, actions, now)
 
 
-def make_config(size: int, floor: int) -> Config:
+def make_config(target_count: int, floor: int) -> Config:
     """Return a configuration of one service, one target an instance.
 
     :param size: number of targets.
     :param floor: number that must stay in use.
     """
     targets = [
-        Target(name=f't{one}', service=SERVICE, instance=f'i{one}', address='')
-        for one in range(size)
+        Target(
+            name=f't{number}',
+            service=SERVICE_NAME,
+            instance=f'i{number}',
+            address='',
+        )
+        for number in range(target_count)
     ]
     return Config(
         version=1,
         preset=PresetName.ORDINARY,
         presets={PresetName.ORDINARY: Preset(name=PresetName.ORDINARY)},
-        services={SERVICE: Service(name=SERVICE, floor=floor)},
+        services={SERVICE_NAME: Service(name=SERVICE_NAME, floor=floor)},
         targets={target.name: target for target in targets},
         routes=(),
         accounts={},
--- a/src/clementinedeal_bench/_executions.py
+++ b/src/clementinedeal_bench/_executions.py
@@ -45,7 +45,7 @@
         :param target: name of the target.
         """
         self._target = target
-        self._entries: list[Execution] = []
+        self._executions: list[Execution] = []
 
     def begin(
         self,
@@ -59,7 +59,7 @@
         :param now: monotonic seconds.
         :param leaving_for: seconds since the target began to leave.
         """
-        entry = Execution(
+        execution = Execution(
             target=self._target,
             request_id=req.header('x-request-id'),
             method=req.method,
@@ -69,34 +69,38 @@
             start=now,
             leaving_for=leaving_for,
         )
-        self._entries.append(entry)
-        return entry
+        self._executions.append(execution)
+        return execution
 
-    def end(self, entry: Execution, state: ExecutionState, now: float) -> None:
+    def end(
+        self, execution: Execution, state: ExecutionState, now: float
+    ) -> None:
         """Record how an execution ended.
 
         :param entry: what ``begin`` returned.
         :param state: how it ended.
         :param now: monotonic seconds.
         """
-        entry.state = state
-        entry.end = now
+        execution.state = state
+        execution.end = now
 
-    def counts(self) -> dict[str, int]:
+    def count_by_state(self) -> dict[str, int]:
         """Return the number of executions by state."""
-        return dict(Counter(entry.state.value for entry in self._entries))
+        return dict(
+            Counter(execution.state.value for execution in self._executions)
+        )
 
-    def lines(self) -> bytes:
+    def json_lines(self) -> bytes:
         """Return all executions as JSON lines."""
-        return encode_lines(self._entries)
+        return encode_lines(self._executions)
 
 
-def encode_lines(entries: list[Execution]) -> bytes:
+def encode_lines(executions: list[Execution]) -> bytes:
     """Encode executions as JSON lines.
 
     :param entries: the executions.
     """
-    return msgspec.json.Encoder().encode_lines(entries)
+    return msgspec.json.Encoder().encode_lines(executions)
 
 
 def decode_lines(blob: bytes) -> list[Execution]:
--- a/src/clementinedeal_bench/_fleet.py
+++ b/src/clementinedeal_bench/_fleet.py
@@ -11,14 +11,14 @@
 import yaml
 
 from clementinedeal import Config, Instance, Target
-from clementinedeal_bench._observer import await_ready, gather
 from clementinedeal_bench._processes import Processes
 from clementinedeal_bench._publisher import LIVE, Publisher
-from clementinedeal_bench._webclient import split_address
+from clementinedeal_bench._status_reader import await_ready, gather
+from clementinedeal_bench._web_client import split_address
 
-READY_SECONDS = 20.0
+READY_TIMEOUT_SECONDS = 20.0
 SECRET_BYTES = 32
-PLATFORM = 'platform'
+PLATFORM_NAME = 'platform'
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,11 +30,11 @@
     """
 
     folder: Path
-    platform: str = '127.0.0.1:20900'
-    daemons: bool = True
-    width: int = 27
-    service: float = 0.022
-    sigma: float = 0.3
+    platform_address: str = '127.0.0.1:20900'
+    has_daemons: bool = True
+    max_parallel_starts: int = 27
+    service_seconds: float = 0.022
+    service_time_sigma: float = 0.3
     log_level: str = 'warning'
 
 
@@ -49,11 +49,11 @@
         """
         self.cfg = cfg
         self._settings = settings
-        self._secret = secrets.token_hex(SECRET_BYTES)
-        self._processes = Processes(_make_folder(settings.folder / 'logs'))
-        self._configs = _make_folder(settings.folder / 'settings')
-        self.publisher = Publisher(settings.platform)
-        self._gone: set[str] = set()
+        self._fleet_key = secrets.token_hex(SECRET_BYTES)
+        self._processes = Processes(_ensure_folder(settings.folder / 'logs'))
+        self._settings_folder = _ensure_folder(settings.folder / 'settings')
+        self.publisher = Publisher(settings.platform_address)
+        self._ended: set[str] = set()
 
     async def start(self) -> None:
         """Start everything and wait until it serves.
@@ -69,7 +69,7 @@
             (name, self._target_args(target), target.address, '/load')
             for name, target in self.cfg.targets.items()
         )
-        if self._settings.daemons:
+        if self._settings.has_daemons:
             await self._start_daemons()
 
     def live_instances(self) -> list[Instance]:
@@ -77,7 +77,7 @@
         return [
             instance
             for name, instance in self.cfg.instances.items()
-            if name not in self._gone
+            if name not in self._ended
         ]
 
     def live_targets(self) -> list[Target]:
@@ -85,7 +85,7 @@
         return [
             target
             for name, target in self.cfg.targets.items()
-            if name not in self._gone
+            if name not in self._ended
         ]
 
     def kill(self, name: str) -> None:
@@ -93,7 +93,7 @@
 
         :param name: name of the instance or target.
         """
-        self._gone.add(name)
+        self._ended.add(name)
         self._processes.kill(name)
 
     async def stop(self, name: str) -> bool:
@@ -101,7 +101,7 @@
 
         :param name: name of the instance or target.
         """
-        self._gone.add(name)
+        self._ended.add(name)
         return await self._processes.stop(name)
 
     async def restart_daemon(self, name: str) -> None:
@@ -112,7 +112,7 @@
         instance = self.cfg.instances[name]
         args = self._daemon_args(instance)
         await self._start_one(name, args, instance.operator, '/healthz')
-        self._gone.discard(name)
+        self._ended.discard(name)
 
     def pid(self, name: str) -> int:
         """Return the process id of a daemon or target.
@@ -127,16 +127,18 @@
         self._processes.kill_all()
 
     async def _start_platform(self) -> None:
-        address = self._settings.platform
+        address = self._settings.platform_address
         host, port = split_address(address)
-        args = _bench('platform', host=host, port=port)
-        await self._start_one(PLATFORM, args, address, '/operator/counters')
+        args = _bench_command('platform', host=host, port=port)
+        await self._start_one(
+            PLATFORM_NAME, args, address, '/operator/counters'
+        )
 
     async def _start_daemons(self) -> None:
         instances = self.cfg.instances
         await self._start_all(
-            (name, self._daemon_args(each), each.operator, '/status')
-            for name, each in instances.items()
+            (name, self._daemon_args(instance), instance.operator, '/status')
+            for name, instance in instances.items()
         )
         # One serves only once it has heard from others.
         await gather(self._await_serving, instances.values())
@@ -148,15 +150,15 @@
         self,
         starts: Iterable[tuple[str, list[str], str, str]],
     ) -> None:
-        limit = trio.CapacityLimiter(self._settings.width)
+        limit = trio.CapacityLimiter(self._settings.max_parallel_starts)
 
-        async def start(*start_args: object) -> None:  # noqa: WPS430
+        async def start_limited(*start_args: object) -> None:  # noqa: WPS430
             async with limit:
                 await self._start_one(*start_args)  # type: ignore[arg-type]
 
         async with trio.open_nursery() as nursery:
-            for each in starts:
-                nursery.start_soon(start, *each)
+            for args in starts:
+                nursery.start_soon(start_limited, *args)
 
     async def _start_one(
         self,
@@ -169,25 +171,25 @@
         await self._await_answer(name, address, path)
 
     async def _await_answer(self, name: str, address: str, path: str) -> None:
-        check = partial(self._processes.check, name)
-        await await_ready(address, path, READY_SECONDS, check)
+        check = partial(self._processes.check_running, name)
+        await await_ready(address, path, READY_TIMEOUT_SECONDS, check)
 
     def _target_args(self, target: Target) -> list[str]:
         host, port = split_address(target.address)
-        return _bench(
+        return _bench_command(
             'target',
             name=target.name,
             host=host,
             port=port,
             slots=target.slots,
             connections=target.connections,
-            service=self._settings.service,
-            sigma=self._settings.sigma,
+            service=self._settings.service_seconds,
+            sigma=self._settings.service_time_sigma,
             seed=port,
         )
 
     def _daemon_args(self, instance: Instance) -> list[str]:
-        file = self._configs / f'{instance.name}.yaml'
+        file = self._settings_folder / f'{instance.name}.yaml'
         file.write_text(yaml.safe_dump(self._daemon_settings(instance)))
         return [
             *(sys.executable, '-m', 'clementinedeal', 'daemon'),
@@ -204,16 +206,16 @@
             'peer': instance.peer,
             'control': instance.control,
             'operator': instance.operator,
-            'platform': [self._settings.platform],
-            'fleet_keys': {'bench': self._secret},
+            'platform': [self._settings.platform_address],
+            'fleet_keys': {'bench': self._fleet_key},
         }
 
 
-def _bench(command: str, **values: object) -> list[str]:
+def _bench_command(command: str, **values: object) -> list[str]:
     pairs = [f'--{name}={text}' for name, text in values.items()]
     return [sys.executable, '-m', 'clementinedeal_bench', command, *pairs]
 
 
-def _make_folder(folder: Path) -> Path:
+def _ensure_folder(folder: Path) -> Path:
     folder.mkdir(parents=True, exist_ok=True)
     return folder
--- a/src/clementinedeal_bench/_fleet_watch.py
+++ b/src/clementinedeal_bench/_fleet_watch.py
@@ -6,14 +6,14 @@
 import trio
 
 from clementinedeal import Instance, Target
-from clementinedeal_bench._observer import (
+from clementinedeal_bench._status_reader import (
     gather,
     read_executions,
     read_status,
 )
 
-SETTLE_SECONDS = 10.0
-POLL_SECONDS = 0.1
+VERSION_TIMEOUT_SECONDS = 10.0
+POLL_INTERVAL_SECONDS = 0.1
 IN_USE = 'in-use'
 
 
@@ -23,15 +23,16 @@
     :param instances: the daemons to ask.
     :param version: the version, or a higher one.
     """
-    deadline = time.monotonic() + SETTLE_SECONDS
-    reached = 0
-    while reached < len(instances) and time.monotonic() < deadline:
-        await trio.sleep(POLL_SECONDS)
-        told = await gather(read_status, instances)
-        reached = sum(
-            each is not None and each.config_version >= version for each in told
+    deadline = time.monotonic() + VERSION_TIMEOUT_SECONDS
+    daemons_at_version = 0
+    while daemons_at_version < len(instances) and time.monotonic() < deadline:
+        await trio.sleep(POLL_INTERVAL_SECONDS)
+        statuses = await gather(read_status, instances)
+        daemons_at_version = sum(
+            status is not None and status.config_version >= version
+            for status in statuses
         )
-    return reached
+    return daemons_at_version
 
 
 async def await_not_in_use(owner: Instance, target: Target) -> None:
@@ -42,9 +43,9 @@
     """
     state = IN_USE
     while state == IN_USE:
-        await trio.sleep(POLL_SECONDS)
-        told = await read_status(owner)
-        state = told.states().get(target.name, IN_USE) if told else IN_USE
+        await trio.sleep(POLL_INTERVAL_SECONDS)
+        status = await read_status(owner)
+        state = status.states().get(target.name, IN_USE) if status else IN_USE
 
 
 async def count_executions(targets: Sequence[Target]) -> dict[str, int]:
@@ -53,7 +54,7 @@
     :param targets: the targets to ask.
     """
     counts = dict.fromkeys((target.name for target in targets), 0)
-    for found in await gather(read_executions, targets):
-        for run in found or ():
-            counts[run.target] += 1
+    for executions in await gather(read_executions, targets):
+        for execution in executions or ():
+            counts[execution.target] += 1
     return counts
--- a/src/clementinedeal_bench/_gray.py
+++ b/src/clementinedeal_bench/_gray_failures.py
@@ -18,7 +18,7 @@
     MISLEADING = 'misleading'
 
 
-class WrongKind(enum.Enum):
+class WrongAnswerKind(enum.Enum):
     """What is wrong with a wrong answer."""
 
     STATUS = 'status'
@@ -39,24 +39,24 @@
     mode: GrayMode = GrayMode.HEALTHY
     share: float = 1.0
     factor: float = 10.0
-    wrong: WrongKind = WrongKind.STATUS
+    wrong: WrongAnswerKind = WrongAnswerKind.STATUS
     late: float = 1.0
     period: float = 4.0
     flap_mode: GrayMode = GrayMode.SLOW
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
-class GrayPlan:
+class InjectedFaults:
     """What happens to one request."""
 
-    factor: float = 1.0
-    wrong: WrongKind | None = None
-    short: bool = False
-    late: float = 0.0
-    hang: bool = False
+    service_time_factor: float = 1.0
+    wrong_kind: WrongAnswerKind | None = None
+    is_cut_short: bool = False
+    late_seconds: float = 0.0
+    hangs: bool = False
 
 
-class GrayMachine:
+class FaultInjector:
     """Decides the fate of each request from the mode, time and a seed."""
 
     def __init__(self, seed: int) -> None:
@@ -65,7 +65,7 @@
         :param seed: makes the choice of affected requests repeatable.
         """
         self.settings = GraySettings()
-        self._since = 0.0
+        self._configured_at = 0.0
         self._rng = random.Random(seed)
 
     def configure(self, settings: GraySettings, now: float) -> None:
@@ -75,33 +75,33 @@
         :param now: monotonic seconds.
         """
         self.settings = settings
-        self._since = now
+        self._configured_at = now
 
-    def mode(self, now: float) -> GrayMode:
+    def current_mode(self, now: float) -> GrayMode:
         """Return the mode that acts at this moment.
 
         :param now: monotonic seconds.
         """
         if self.settings.mode is not GrayMode.FLAP:
             return self.settings.mode
-        phase = (now - self._since) % (2 * self.settings.period)
+        phase = (now - self._configured_at) % (2 * self.settings.period)
         if phase < self.settings.period:
             return self.settings.flap_mode
         return GrayMode.HEALTHY
 
-    def plan(self, now: float) -> GrayPlan:
+    def choose_faults(self, now: float) -> InjectedFaults:
         """Decide the fate of the next request.
 
         :param now: monotonic seconds.
         """
         cfg = self.settings
-        mode = self.mode(now)
+        mode = self.current_mode(now)
         if self._rng.random() >= cfg.share:
-            return GrayPlan()
-        return GrayPlan(
-            factor=cfg.factor if mode is GrayMode.SLOW else 1,
-            wrong=cfg.wrong if mode is GrayMode.WRONG else None,
-            short=mode is GrayMode.SHORT,
-            late=cfg.late if mode is GrayMode.LATE else 0,
-            hang=mode is GrayMode.HANG,
+            return InjectedFaults()
+        return InjectedFaults(
+            service_time_factor=cfg.factor if mode is GrayMode.SLOW else 1,
+            wrong_kind=cfg.wrong if mode is GrayMode.WRONG else None,
+            is_cut_short=mode is GrayMode.SHORT,
+            late_seconds=cfg.late if mode is GrayMode.LATE else 0,
+            hangs=mode is GrayMode.HANG,
         )
--- a/src/clementinedeal_bench/_latency.py
+++ b/src/clementinedeal_bench/_latency.py
@@ -7,10 +7,10 @@
 import msgspec
 import trio
 
+from clementinedeal_bench._call_records import CallOutcome, CallRecord
 from clementinedeal_bench._caller import Caller
 from clementinedeal_bench._core_meter import CoreMeter, DaemonCost
 from clementinedeal_bench._fleet import Fleet, FleetSettings
-from clementinedeal_bench._history import CallRecord, Outcome
 from clementinedeal_bench._latency_config import (
     ENTRY,
     ONE_HOP,
@@ -19,7 +19,7 @@
     build_config,
 )
 from clementinedeal_bench._scenario import AccountLoad, RequestKind, Scenario
-from clementinedeal_bench._summary import Latency, measure
+from clementinedeal_bench._summary import LatencyPercentiles, measure_latency
 
 DIRECT = 'direct'
 WARM_UP_SECONDS = 3.0
@@ -48,9 +48,9 @@
     """
 
     rate: float
-    direct: Latency
-    one_hop: Latency
-    two_hops: Latency
+    direct: LatencyPercentiles
+    one_hop: LatencyPercentiles
+    two_hops: LatencyPercentiles
     one_hop_added_p50: float
     one_hop_added_p99: float
     two_hops_added_p50: float
@@ -107,7 +107,8 @@
             self._records.clear()
             await self._send(WARM_UP_SECONDS)
             refused = any(
-                call.outcome is not Outcome.ANSWERED for call in self._records
+                call.outcome is not CallOutcome.ANSWERED
+                for call in self._records
             )
 
     async def _send(self, seconds: float) -> None:
@@ -161,9 +162,9 @@
             not_answered=len(self._records) - answered,
         )
 
-    def _latency(self, name: str) -> Latency:
-        return measure(
+    def _latency(self, name: str) -> LatencyPercentiles:
+        return measure_latency(
             call.end - call.sent
             for call in self._records
-            if call.account == name and call.outcome is Outcome.ANSWERED
+            if call.account == name and call.outcome is CallOutcome.ANSWERED
         )
--- a/src/clementinedeal_bench/_model_targets.py
+++ b/src/clementinedeal_bench/_model_targets.py
@@ -8,19 +8,19 @@
 
 from clementinedeal._target_health import OutcomeKind, RequestOutcome
 
-MEAN_SECONDS = 0.025
-SPREAD = 0.4
+MEAN_SERVICE_SECONDS = 0.025
+SERVICE_TIME_SIGMA = 0.4
 SLOTS = 7
 TIMEOUT_SECONDS = 10.0
-BASE_ERRORS = 0.001
-TENTH = 0.1
-FLAP_SECONDS = 10.0
-STALL_EVERY_SECONDS = 60.0
+BASE_ERROR_FRACTION = 0.001
+WRONG_FRACTION = 0.1
+FLAP_PHASE_SECONDS = 10.0
+MEAN_STALL_INTERVAL_SECONDS = 60.0
 STALL_SECONDS = 0.2
-SLOWEST_FACTOR = 1.25
+MAX_SERVICE_TIME_FACTOR = 1.25
 
 
-class Mode(enum.Enum):
+class FaultMode(enum.Enum):
     """How a target behaves from the onset of its fault."""
 
     HEALTHY = 'healthy'
@@ -33,22 +33,28 @@
     ALL_SLOW = 'all-slow-3x'
 
 
-SLOWNESS = {Mode.SLOW_3: 3.0, Mode.SLOW_10: 10.0, Mode.ALL_SLOW: 3.0}
+SLOWDOWN_FACTORS = {
+    FaultMode.SLOW_3: 3.0,
+    FaultMode.SLOW_10: 10.0,
+    FaultMode.ALL_SLOW: 3.0,
+}
 
 
 @dataclass(frozen=True, slots=True)
-class Work:
+class ServedRequest:
     """One request at a target: when it starts and how it ends."""
 
-    started: float
-    ends: float
+    started_at: float
+    ends_at: float
     outcome: RequestOutcome
 
 
 class ModelTarget:
     """One target with slots; healthy ones differ in speed and stall."""
 
-    def __init__(self, mode: Mode, onset: float, rng: random.Random) -> None:
+    def __init__(
+        self, mode: FaultMode, onset_at: float, rng: random.Random
+    ) -> None:
         """Start idle.
 
         :param mode: fault from the onset on.
@@ -56,54 +62,73 @@
         :param rng: source of all its randomness.
         """
         self.mode = mode
-        self.onset = onset
+        self.onset_at = onset_at
         self._rng = rng
-        speed = rng.uniform(1 / SLOWEST_FACTOR, SLOWEST_FACTOR)
-        self._median = math.log(speed * MEAN_SECONDS) - SPREAD * SPREAD / 2
-        self._free = [0.0 for _ in range(SLOTS)]
-        self._stall_at = rng.expovariate(1 / STALL_EVERY_SECONDS)
+        service_time_factor = rng.uniform(
+            1 / MAX_SERVICE_TIME_FACTOR, MAX_SERVICE_TIME_FACTOR
+        )
+        self._log_median = (
+            math.log(service_time_factor * MEAN_SERVICE_SECONDS)
+            - SERVICE_TIME_SIGMA * SERVICE_TIME_SIGMA / 2
+        )
+        self._slots_free_at = [0.0 for _ in range(SLOTS)]
+        self._stall_at = rng.expovariate(1 / MEAN_STALL_INTERVAL_SECONDS)
 
-    def serve(self, now: float) -> Work:
+    def serve(self, now: float) -> ServedRequest:
         """Return what becomes of a request that arrives now.
 
         :param now: virtual time in seconds.
         """
-        started = max(now, heapq.heappop(self._free))
-        sick = started >= self.onset
-        seconds = self._seconds(sick, started)
-        kind = self._kind(sick, started)
+        started_at = max(now, heapq.heappop(self._slots_free_at))
+        is_faulty = started_at >= self.onset_at
+        seconds = self._draw_service_seconds(is_faulty, started_at)
+        kind = self._draw_outcome_kind(is_faulty, started_at)
         if kind is OutcomeKind.TIMEOUT:
             seconds = TIMEOUT_SECONDS
-        ends = started + seconds
-        heapq.heappush(self._free, ends)
-        return Work(started, ends, RequestOutcome(kind, seconds))
-
-    def _seconds(self, sick: bool, started: float) -> float:
-        seconds = self._rng.lognormvariate(self._median, SPREAD)
-        if sick:
-            seconds *= SLOWNESS.get(self.mode, 1.0)
-        return seconds + self._stall(started)
-
-    def _stall(self, started: float) -> float:
+        ends_at = started_at + seconds
+        heapq.heappush(self._slots_free_at, ends_at)
+        return ServedRequest(started_at, ends_at, RequestOutcome(kind, seconds))
+
+    def _draw_service_seconds(
+        self, is_faulty: bool, started_at: float
+    ) -> float:
+        seconds = self._rng.lognormvariate(self._log_median, SERVICE_TIME_SIGMA)
+        if is_faulty:
+            seconds *= SLOWDOWN_FACTORS.get(self.mode, 1.0)
+        return seconds + self._remaining_stall_seconds(started_at)
+
+    def _remaining_stall_seconds(self, started_at: float) -> float:
         """Seconds left of a stall of the whole target."""
-        if started >= self._stall_at + STALL_SECONDS:
-            pause = self._rng.expovariate(1 / STALL_EVERY_SECONDS)
-            self._stall_at = started + pause
-        return max(0.0, self._stall_at + STALL_SECONDS - started) * (
-            started >= self._stall_at
+        if started_at >= self._stall_at + STALL_SECONDS:
+            interval = self._rng.expovariate(1 / MEAN_STALL_INTERVAL_SECONDS)
+            self._stall_at = started_at + interval
+        return max(0.0, self._stall_at + STALL_SECONDS - started_at) * (
+            started_at >= self._stall_at
         )
 
-    def _kind(self, sick: bool, started: float) -> OutcomeKind:
-        draw = self._rng.random()
-        if sick and self.mode is Mode.HANGING:
+    def _draw_outcome_kind(
+        self, is_faulty: bool, started_at: float
+    ) -> OutcomeKind:
+        sample = self._rng.random()
+        if is_faulty and self.mode is FaultMode.HANGING:
             return OutcomeKind.TIMEOUT
-        if sick and self._fails(started):
+        if is_faulty and self._is_failing(started_at):
             return OutcomeKind.ERROR
-        if sick and self.mode is Mode.TENTH_WRONG and draw < TENTH:
+        if (
+            is_faulty
+            and self.mode is FaultMode.TENTH_WRONG
+            and sample < WRONG_FRACTION
+        ):
             return OutcomeKind.WRONG
-        return OutcomeKind.ERROR if draw < BASE_ERRORS else OutcomeKind.OK
+        return (
+            OutcomeKind.ERROR
+            if sample < BASE_ERROR_FRACTION
+            else OutcomeKind.OK
+        )
 
-    def _fails(self, started: float) -> bool:
-        if self.mode is Mode.FLAPPING:
-            return int((started - self.onset) / FLAP_SECONDS) % 2 == 0
-        return self.mode is Mode.FAILING
+    def _is_failing(self, started_at: float) -> bool:
+        if self.mode is FaultMode.FLAPPING:
+            return (
+                int((started_at - self.onset_at) / FLAP_PHASE_SECONDS) % 2 == 0
+            )
+        return self.mode is FaultMode.FAILING
--- a/src/clementinedeal_bench/_platform.py
+++ b/src/clementinedeal_bench/_platform.py
@@ -6,8 +6,8 @@
 
 from result import Err, Ok, Result
 
-VALUE_LIMIT_BYTES = 1_000_000
-READS_PER_SECOND = 2000
+MAX_VALUE_BYTES = 1_000_000
+MAX_READS_PER_SECOND = 2000
 METER_WINDOW_SECONDS = 1.0
 
 
@@ -32,16 +32,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Versioned:
+class PublishedValue:
     """One published body; ``visible`` is when readers first see it."""
 
     version: int
     body: bytes
-    visible: float = 0.0
+    visible_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class Counters:
+class ReadCounters:
     """Reads since the start: ``peak`` is the most in any second."""
 
     reads: int = 0
@@ -50,17 +50,19 @@
     peak: int = 0
 
 
-class ReadMeter:
+class ReadLimiter:
     """Counts calls of the last second and the watches older than that."""
 
-    def __init__(self, limit: int = READS_PER_SECOND) -> None:
+    def __init__(
+        self, max_reads_per_second: int = MAX_READS_PER_SECOND
+    ) -> None:
         """Start at zero.
 
         :param limit: reads allowed in a second, waiting watches included.
         """
-        self._limit = limit
-        self._calls: deque[float] = deque()
-        self._watches: dict[int, float] = {}
+        self._max_reads_per_second = max_reads_per_second
+        self._call_times: deque[float] = deque()
+        self._watch_starts: dict[int, float] = {}
         self._reads = 0
         self._refused = 0
         self._peak = 0
@@ -70,53 +72,55 @@
 
         :param now: monotonic seconds.
         """
-        used = self._used(now)
-        if used >= self._limit:
+        load = self._count_load(now)
+        if load >= self._max_reads_per_second:
             self._refused += 1
             return None
-        self._calls.append(now)
+        self._call_times.append(now)
         self._reads += 1
-        self._peak = max(self._peak, used + 1)
+        self._peak = max(self._peak, load + 1)
         return self._reads
 
-    def open_watch(self, call: int, now: float) -> None:
+    def start_watch(self, call_number: int, now: float) -> None:
         """Note that an admitted call waits.
 
         :param call: number of the call.
         :param now: monotonic seconds.
         """
-        self._watches[call] = now
+        self._watch_starts[call_number] = now
 
-    def close_watch(self, call: int) -> None:
+    def end_watch(self, call_number: int) -> None:
         """Note that a watch has ended.
 
         :param call: number of the call.
         """
-        self._watches.pop(call, None)
+        self._watch_starts.pop(call_number, None)
 
-    def counters(self) -> Counters:
+    def counters(self) -> ReadCounters:
         """Return the counts since the start."""
-        return Counters(
+        return ReadCounters(
             reads=self._reads,
             refused=self._refused,
-            waiting=len(self._watches),
+            waiting=len(self._watch_starts),
             peak=self._peak,
         )
 
-    def _used(self, now: float) -> int:
-        oldest = now - METER_WINDOW_SECONDS
-        while self._calls and self._calls[0] <= oldest:
-            self._calls.popleft()
-        held = sum(start <= oldest for start in self._watches.values())
-        return len(self._calls) + held
+    def _count_load(self, now: float) -> int:
+        window_start = now - METER_WINDOW_SECONDS
+        while self._call_times and self._call_times[0] <= window_start:
+            self._call_times.popleft()
+        long_watches = sum(
+            start <= window_start for start in self._watch_starts.values()
+        )
+        return len(self._call_times) + long_watches
 
 
 @dataclass(slots=True)
 class _Snapshot:
     """What a stale platform goes on serving."""
 
-    taken: float
-    heads: dict[str, Versioned] = field(default_factory=dict)
+    taken_at: float
+    newest: dict[str, PublishedValue] = field(default_factory=dict)
 
 
 class Platform:
@@ -128,9 +132,9 @@
         :param settings: mode and figures to begin with.
         """
         self.settings = settings
-        self._history: dict[str, deque[Versioned]] = {}
+        self._versions: dict[str, deque[PublishedValue]] = {}
         self._snapshot = _Snapshot(0.0)
-        self._since = 0.0
+        self._configured_at = 0.0
 
     def configure(self, settings: PlatformSettings, now: float) -> None:
         """Change the mode; a stale one keeps what is readable now.
@@ -138,13 +142,13 @@
         :param settings: the new mode and figures.
         :param now: monotonic seconds.
         """
-        heads = {}
-        for name in self._history:
-            seen = self._newest(name, now)
-            if seen is not None:
-                heads[name] = seen
-        self._snapshot = _Snapshot(now, heads)
-        self._since = now
+        newest = {}
+        for name in self._versions:
+            published = self._newest_visible(name, now)
+            if published is not None:
+                newest[name] = published
+        self._snapshot = _Snapshot(now, newest)
+        self._configured_at = now
         self.settings = settings
 
     def publish(
@@ -152,8 +156,8 @@
         name: str,
         body: bytes,
         now: float,
-        lag: float = 0.0,
-    ) -> Result[Versioned, str]:
+        lag_seconds: float = 0.0,
+    ) -> Result[PublishedValue, str]:
         """Publish a body as the next version of a name.
 
         :param name: name of the value.
@@ -161,23 +165,23 @@
         :param now: monotonic seconds.
         :param lag: seconds until readers see it.
         """
-        if len(body) > VALUE_LIMIT_BYTES:
-            return Err(f'{name}: {len(body)} bytes, over {VALUE_LIMIT_BYTES}')
-        past = self._history.setdefault(name, deque())
-        version = past[-1].version + 1 if past else 1
-        entry = Versioned(version, body, now + lag)
-        past.append(entry)
-        return Ok(entry)
-
-    def read(self, name: str, now: float) -> Versioned | None:
+        if len(body) > MAX_VALUE_BYTES:
+            return Err(f'{name}: {len(body)} bytes, over {MAX_VALUE_BYTES}')
+        versions = self._versions.setdefault(name, deque())
+        version = versions[-1].version + 1 if versions else 1
+        published = PublishedValue(version, body, now + lag_seconds)
+        versions.append(published)
+        return Ok(published)
+
+    def read(self, name: str, now: float) -> PublishedValue | None:
         """Return what a reader sees now.
 
         :param name: name of the value.
         :param now: monotonic seconds.
         """
         if self.settings.mode is PlatformMode.STALE:
-            return self._snapshot.heads.get(name)
-        return self._newest(name, now)
+            return self._snapshot.newest.get(name)
+        return self._newest_visible(name, now)
 
     def is_down(self, now: float) -> bool:
         """Tell whether readers get no answer now.
@@ -185,20 +189,22 @@
         :param now: monotonic seconds.
         """
         if self.settings.mode is PlatformMode.FLAPPING:
-            phase = (now - self._since) % (2 * self.settings.flap_period)
+            phase = (now - self._configured_at) % (
+                2 * self.settings.flap_period
+            )
             return phase < self.settings.flap_period
         return self.settings.mode is PlatformMode.DOWN
 
-    def delay(self) -> float:
+    def answer_delay_seconds(self) -> float:
         """Return the seconds by which each answer is delayed."""
         if self.settings.mode is PlatformMode.SLOW:
             return self.settings.slow
         return 0
 
-    def _newest(self, name: str, now: float) -> Versioned | None:
-        past = self._history.get(name)
-        if not past:
+    def _newest_visible(self, name: str, now: float) -> PublishedValue | None:
+        versions = self._versions.get(name)
+        if not versions:
             return None
-        while len(past) > 1 and past[1].visible <= now:
-            past.popleft()
-        return past[0] if past[0].visible <= now else None
+        while len(versions) > 1 and versions[1].visible_at <= now:
+            versions.popleft()
+        return versions[0] if versions[0].visible_at <= now else None
--- a/src/clementinedeal_bench/_platform_server.py
+++ b/src/clementinedeal_bench/_platform_server.py
@@ -9,19 +9,19 @@
 from clementinedeal_bench._platform import (
     Platform,
     PlatformSettings,
-    ReadMeter,
-    Versioned,
+    PublishedValue,
+    ReadLimiter,
 )
-from clementinedeal_bench._web import WebServer
 from clementinedeal_bench._web_messages import WebAnswer, WebRequest
+from clementinedeal_bench._web_server import WebServer
 
 VALUES_PREFIX = '/values/'
 INSTANCES_PATH = '/instances'
 OPERATOR_PREFIX = '/operator'
 INSTANCES_NAME = '/instances'
-WAIT_LIMIT_SECONDS = 60.0
-RECHECK_SECONDS = 0.1
-CONNECTIONS = 4096
+MAX_WAIT_SECONDS = 60.0
+RECHECK_INTERVAL_SECONDS = 0.1
+MAX_CONNECTIONS = 4096
 
 
 class ListedInstance(msgspec.Struct, frozen=True):
@@ -31,13 +31,13 @@
     state: str
 
 
-class InstanceList(msgspec.Struct, frozen=True):
+class InstanceListBody(msgspec.Struct, frozen=True):
     """The instance list as an operator puts it."""
 
     instances: tuple[ListedInstance, ...]
 
 
-class VersionedInstances(msgspec.Struct, frozen=True):
+class VersionedInstanceListBody(msgspec.Struct, frozen=True):
     """The instance list as readers see it."""
 
     version: int
@@ -47,14 +47,14 @@
 class PlatformServer:
     """Answers readers, and the operator's side of the tests."""
 
-    def __init__(self, platform: Platform, meter: ReadMeter) -> None:
+    def __init__(self, platform: Platform, read_limiter: ReadLimiter) -> None:
         """Serve a platform.
 
         :param platform: the state served.
         :param meter: the cap over all readers.
         """
         self._platform = platform
-        self._meter = meter
+        self._read_limiter = read_limiter
         self._changed = trio.Event()
 
     async def handle(self, req: WebRequest) -> WebAnswer:
@@ -63,54 +63,62 @@
         :param req: the request.
         """
         if req.path.startswith(f'{OPERATOR_PREFIX}/'):
-            return self._operate(req, req.path.removeprefix(OPERATOR_PREFIX))
+            return self._handle_operator(
+                req, req.path.removeprefix(OPERATOR_PREFIX)
+            )
         if req.method != 'GET':
             return WebAnswer(status=405)
-        call = self._meter.admit(trio.current_time())
-        if call is None:
+        call_number = self._read_limiter.admit(trio.current_time())
+        if call_number is None:
             return WebAnswer(status=429, headers=(('retry-after', '1'),))
-        await trio.sleep(self._platform.delay())
+        await trio.sleep(self._platform.answer_delay_seconds())
         if req.path == INSTANCES_PATH:
-            return await self._watch(req, INSTANCES_NAME, call)
+            return await self._watch(req, INSTANCES_NAME, call_number)
         if req.path.startswith(VALUES_PREFIX):
             name = req.path.removeprefix(VALUES_PREFIX)
-            return await self._watch(req, name, call)
+            return await self._watch(req, name, call_number)
         return WebAnswer(status=404)
 
-    async def _watch(self, req: WebRequest, name: str, call: int) -> WebAnswer:
+    async def _watch(
+        self, req: WebRequest, name: str, call_number: int
+    ) -> WebAnswer:
         try:
-            after = int(req.query('after', '0'))
-            wait = float(req.query('wait', '0'))
+            after_version = int(req.query('after', '0'))
+            wait_seconds = float(req.query('wait', '0'))
         except ValueError:
             return WebAnswer(status=400, body=b'after and wait are numbers\n')
-        deadline = trio.current_time() + min(wait, WAIT_LIMIT_SECONDS)
-        self._meter.open_watch(call, trio.current_time())
+        deadline = trio.current_time() + min(wait_seconds, MAX_WAIT_SECONDS)
+        self._read_limiter.start_watch(call_number, trio.current_time())
         try:
-            return await self._await_newer(name, after, deadline)
+            return await self._await_newer(name, after_version, deadline)
         finally:
-            self._meter.close_watch(call)
+            self._read_limiter.end_watch(call_number)
 
     async def _await_newer(
         self,
         name: str,
-        after: int,
+        after_version: int,
         deadline: float,
     ) -> WebAnswer:
         while True:
             now = trio.current_time()
             if self._platform.is_down(now):
                 return WebAnswer(drop=True)
-            seen = self._platform.read(name, now)
-            if seen is not None and seen.version > after:
-                return _answer(name, seen)
+            published = self._platform.read(name, now)
+            if published is not None and published.version > after_version:
+                return _value_answer(name, published)
             if now >= deadline:
-                return WebAnswer(status=304 if after else 404)
-            with trio.move_on_after(min(RECHECK_SECONDS, deadline - now)):
+                return WebAnswer(status=304 if after_version else 404)
+            with trio.move_on_after(
+                min(RECHECK_INTERVAL_SECONDS, deadline - now)
+            ):
                 await self._changed.wait()
 
-    def _operate(self, req: WebRequest, path: str) -> WebAnswer:
+    def _handle_operator(self, req: WebRequest, path: str) -> WebAnswer:
         if path == '/counters' and req.method == 'GET':
-            return _json(msgspec.json.encode(self._meter.counters()))
+            return _json_answer(
+                msgspec.json.encode(self._read_limiter.counters())
+            )
         if req.method != 'PUT':
             return WebAnswer(status=405)
         try:
@@ -122,9 +130,9 @@
         if path == '/mode':
             return self._put_mode(req.body)
         if path == INSTANCES_PATH:
-            msgspec.json.decode(req.body, type=InstanceList)
-            lag = self._platform.settings.lag
-            return self._publish(INSTANCES_NAME, req.body, lag)
+            msgspec.json.decode(req.body, type=InstanceListBody)
+            lag_seconds = self._platform.settings.lag
+            return self._publish(INSTANCES_NAME, req.body, lag_seconds)
         if path.startswith(VALUES_PREFIX):
             name = path.removeprefix(VALUES_PREFIX)
             return self._publish(name, req.body, 0)
@@ -135,33 +143,35 @@
         merged = asdict(self._platform.settings) | change
         settings = msgspec.convert(merged, PlatformSettings)
         self._platform.configure(settings, trio.current_time())
-        self._wake()
-        return _json(msgspec.json.encode(settings))
+        self._notify_watches()
+        return _json_answer(msgspec.json.encode(settings))
 
-    def _publish(self, name: str, body: bytes, lag: float) -> WebAnswer:
+    def _publish(self, name: str, body: bytes, lag_seconds: float) -> WebAnswer:
         now = trio.current_time()
-        outcome = self._platform.publish(name, body, now, lag)
-        if isinstance(outcome, Err):
-            return WebAnswer(status=413, body=f'{outcome.err_value}\n'.encode())
-        self._wake()
-        version = str(outcome.ok_value.version)
+        published = self._platform.publish(name, body, now, lag_seconds)
+        if isinstance(published, Err):
+            return WebAnswer(
+                status=413, body=f'{published.err_value}\n'.encode()
+            )
+        self._notify_watches()
+        version = str(published.ok_value.version)
         return WebAnswer(headers=(('x-version', version),))
 
-    def _wake(self) -> None:
+    def _notify_watches(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
 
-def _answer(name: str, seen: Versioned) -> WebAnswer:
-    headers = (('x-version', str(seen.version)),)
+def _value_answer(name: str, published: PublishedValue) -> WebAnswer:
+    headers = (('x-version', str(published.version)),)
     if name != INSTANCES_NAME:
-        return WebAnswer(headers=headers, body=seen.body)
-    listed = msgspec.json.decode(seen.body, type=InstanceList)
-    body = VersionedInstances(seen.version, listed.instances)
+        return WebAnswer(headers=headers, body=published.body)
+    listed = msgspec.json.decode(published.body, type=InstanceListBody)
+    body = VersionedInstanceListBody(published.version, listed.instances)
     return WebAnswer(headers=headers, body=msgspec.json.encode(body))
 
 
-def _json(body: bytes) -> WebAnswer:
+def _json_answer(body: bytes) -> WebAnswer:
     return WebAnswer(
         headers=(('content-type', 'application/json'),),
         body=body,
@@ -179,6 +189,6 @@
     :param port: port to listen on.
     :param settings: mode and figures to begin with.
     """
-    platform = PlatformServer(Platform(settings), ReadMeter())
-    server = WebServer(platform.handle, CONNECTIONS)
+    platform = PlatformServer(Platform(settings), ReadLimiter())
+    server = WebServer(platform.handle, MAX_CONNECTIONS)
     await server.serve(await server.listen(host, port))
--- a/src/clementinedeal_bench/_processes.py
+++ b/src/clementinedeal_bench/_processes.py
@@ -8,7 +8,7 @@
 
 from clementinedeal_bench._errors import BenchError
 
-STOP_SECONDS = 10.0
+STOP_TIMEOUT_SECONDS = 10.0
 LOG_TAIL_CHARS = 400
 
 
@@ -31,7 +31,7 @@
         :param name: its name here; also names its log file.
         :param args: the command line.
         """
-        with self._log(name).open('ab') as log:
+        with self._log_path(name).open('ab') as log:
             process = subprocess.Popen(
                 args,
                 stdin=subprocess.DEVNULL,
@@ -48,7 +48,7 @@
         """
         return self._running[name].pid
 
-    def check(self, name: str) -> None:
+    def check_running(self, name: str) -> None:
         """Raise unless a process runs.
 
         :param name: its name here.
@@ -56,7 +56,9 @@
         """
         code = self._running[name].poll()
         if code is not None:
-            tail = self._log(name).read_text(errors='replace')[-LOG_TAIL_CHARS:]
+            tail = self._log_path(name).read_text(errors='replace')[
+                -LOG_TAIL_CHARS:
+            ]
             raise BenchError(f'{name} ended with {code}: {tail.strip()}')
 
     def kill(self, name: str) -> None:
@@ -76,7 +78,9 @@
         process = self._running.pop(name)
         process.send_signal(signal.SIGTERM)
         try:
-            code = await trio.to_thread.run_sync(process.wait, STOP_SECONDS)
+            code = await trio.to_thread.run_sync(
+                process.wait, STOP_TIMEOUT_SECONDS
+            )
         except subprocess.TimeoutExpired:
             process.kill()
             code = process.wait()
@@ -87,5 +91,5 @@
         for name in tuple(self._running):
             self.kill(name)
 
-    def _log(self, name: str) -> Path:
+    def _log_path(self, name: str) -> Path:
         return self._folder / f'{name}.log'
--- a/src/clementinedeal_bench/_publisher.py
+++ b/src/clementinedeal_bench/_publisher.py
@@ -6,9 +6,12 @@
 from clementinedeal import Config
 from clementinedeal._publication import ROOT_NAME, pack
 from clementinedeal_bench._errors import BenchError
-from clementinedeal_bench._platform_server import InstanceList, ListedInstance
+from clementinedeal_bench._platform_server import (
+    InstanceListBody,
+    ListedInstance,
+)
+from clementinedeal_bench._web_client import WebClient
 from clementinedeal_bench._web_messages import WebAnswer, WebRequest
-from clementinedeal_bench._webclient import WebClient
 
 LIVE = 'live'
 OK_STATUS = 200
@@ -24,7 +27,7 @@
         """
         self.address = address
         self._client = WebClient(address)
-        self._known: set[str] = set()
+        self._published_parts: set[str] = set()
 
     async def publish(self, cfg: Config) -> int:
         """Publish a configuration and return the bytes put.
@@ -35,14 +38,14 @@
         packed = pack(cfg)
         if isinstance(packed, Err):
             raise packed.err_value
-        total = 0
+        published_bytes = 0
         for name, blob in packed.ok_value.values():
-            if name not in self._known:
+            if name not in self._published_parts:
                 await self._put(f'values/{name}', blob)
-                total += len(blob)
+                published_bytes += len(blob)
             if name != ROOT_NAME:
-                self._known.add(name)
-        return total
+                self._published_parts.add(name)
+        return published_bytes
 
     async def list_instances(self, states: dict[str, str]) -> None:
         """Publish the list of instances.
@@ -50,7 +53,7 @@
         :param states: ``live`` or ``leaving`` by instance name.
         :raises BenchError: the platform refused the list.
         """
-        listed = InstanceList(
+        listed = InstanceListBody(
             tuple(ListedInstance(*entry) for entry in sorted(states.items())),
         )
         await self._put('instances', msgspec.json.encode(listed))
--- a/src/clementinedeal_bench/_report.py
+++ b/src/clementinedeal_bench/_report.py
@@ -17,24 +17,26 @@
     check_not_run,
     check_rates,
 )
-from clementinedeal_bench._account_shares import worst_line
+from clementinedeal_bench._account_service_levels import worst_served_line
+from clementinedeal_bench._call_records import CallOutcome, CallRecord
 from clementinedeal_bench._executions import Execution
-from clementinedeal_bench._history import CallRecord, Outcome
 from clementinedeal_bench._summary import Summary, summarize
 
-MARK = 'caller-request='
-KEY_HEADERS = frozenset(('authorization', 'x-api-key', 'proxy-authorization'))
-SHOWN_VIOLATIONS = 3
+CALLER_REQUEST_PARAMETER = 'caller-request='
+CREDENTIAL_HEADERS = frozenset(
+    ('authorization', 'x-api-key', 'proxy-authorization')
+)
+MAX_SHOWN_VIOLATIONS = 3
 ADMISSION_TO_START_SECONDS = 0.1  # widens the burst seen at the targets
 
 
 @dataclass(slots=True)
-class Step:
+class DemoStep:
     """One step of the demo: calls that were due from its begin to its end."""
 
     name: str
-    begin: float
-    end: float = 0.0
+    started_at: float
+    ended_at: float = 0.0
     notes: list[str] = field(default_factory=list)
 
     def calls(self, records: Iterable[CallRecord]) -> list[CallRecord]:
@@ -42,25 +44,29 @@
 
         :param records: the whole history.
         """
-        return [call for call in records if self.begin <= call.due < self.end]
+        return [
+            call
+            for call in records
+            if self.started_at <= call.due < self.ended_at
+        ]
 
 
-def step_lines(step: Step, records: Sequence[CallRecord]) -> list[str]:
+def step_lines(step: DemoStep, records: Sequence[CallRecord]) -> list[str]:
     """Describe a step in a few lines.
 
     :param step: the step.
     :param records: the whole history.
     """
     counts = summarize(step.calls(records))
-    seconds = step.end - step.begin
+    seconds = step.ended_at - step.started_at
     lines = [f'== {step.name} ({seconds:.1f} s)']
     lines.extend(f'   {note}' for note in step.notes)
     lines.append(f'   {_count_line(counts)}')
-    lines.append(f'   {worst_line(step.calls(records))}')
+    lines.append(f'   {worst_served_line(step.calls(records))}')
     if counts.reasons:
-        lines.append(f'   refused by reason: {_pairs(counts.reasons)}')
+        lines.append(f'   refused by reason: {_format_counts(counts.reasons)}')
     if counts.verdicts:
-        lines.append(f'   verdicts: {_pairs(counts.verdicts)}')
+        lines.append(f'   verdicts: {_format_counts(counts.verdicts)}')
     return lines
 
 
@@ -75,49 +81,59 @@
     :param records: what callers saw.
     :param executions: what targets ran, as far as they could be asked.
     """
-    events = _events(cfg, records, executions)
+    events = _history_events(cfg, records, executions)
     limits = {
         name: RateLimit(account.rate, _visible_burst(account))
         for name, account in cfg.accounts.items()
     }
-    wrong = [call for call in records if call.outcome is Outcome.WRONG]
-    leaked = [run for run in executions if KEY_HEADERS & set(run.header_names)]
+    wrong_answers = [
+        call for call in records if call.outcome is CallOutcome.WRONG
+    ]
+    with_credentials = [
+        run for run in executions if CREDENTIAL_HEADERS & set(run.header_names)
+    ]
     return [
-        _verdict('non-idempotent work ran twice', check_at_most_once(events)),
-        _verdict('"not run" that ran', check_not_run(events)),
-        _verdict('more than rate and burst', check_rates(events, limits)),
-        _verdict('answers not whole or not own', wrong),
-        _verdict('executions that saw a key', leaked),
+        _check_line(
+            'non-idempotent work ran twice', check_at_most_once(events)
+        ),
+        _check_line('"not run" that ran', check_not_run(events)),
+        _check_line('more than rate and burst', check_rates(events, limits)),
+        _check_line('answers not whole or not own', wrong_answers),
+        _check_line('executions that saw a key', with_credentials),
     ]
 
 
-def caller_request(run: Execution) -> str:
+def caller_request_of(run: Execution) -> str:
     """Return the caller's mark of an execution.
 
     :param run: the execution.
     """
-    return run.path.partition(MARK)[2].partition('&')[0]
+    return run.path.partition(CALLER_REQUEST_PARAMETER)[2].partition('&')[0]
 
 
 def _visible_burst(account: Account) -> float:
     return account.burst + account.rate * ADMISSION_TO_START_SECONDS
 
 
-def _events(
+def _history_events(
     cfg: Config,
     records: Sequence[CallRecord],
     executions: Sequence[Execution],
 ) -> list[HistoryEvent]:
     calls = {call.caller_request: call for call in records}
-    first: dict[str, float] = {}
+    first_starts: dict[str, float] = {}
     events: list[HistoryEvent] = []
     for run in executions:
-        req_id = caller_request(run)
-        first[req_id] = min(run.start, first.get(req_id, run.start))
+        req_id = caller_request_of(run)
+        first_starts[req_id] = min(
+            run.start, first_starts.get(req_id, run.start)
+        )
         events.append(_started(run, req_id))
-    for mark, at in first.items():
-        if mark in calls and calls[mark].account in cfg.accounts:
-            events.append(RequestAdmitted(at=at, account=calls[mark].account))
+    for call_id, at in first_starts.items():
+        if call_id in calls and calls[call_id].account in cfg.accounts:
+            events.append(
+                RequestAdmitted(at=at, account=calls[call_id].account)
+            )
     events.extend(_answered(call) for call in records if call.verdict)
     return events
 
@@ -140,11 +156,13 @@
     )
 
 
-def _verdict(what: str, found: Sequence[object]) -> str:
+def _check_line(fault: str, found: Sequence[object]) -> str:
     if not found:
-        return f'   ok    {what}: none'
-    shown = '; '.join(_describe(each) for each in found[:SHOWN_VIOLATIONS])
-    return f'   FAULT {what}: {len(found)}, such as {shown}'
+        return f'   ok    {fault}: none'
+    shown = '; '.join(
+        _describe(example) for example in found[:MAX_SHOWN_VIOLATIONS]
+    )
+    return f'   FAULT {fault}: {len(found)}, such as {shown}'
 
 
 def _describe(found: object) -> str:
@@ -160,10 +178,10 @@
 def _count_line(counts: Summary) -> str:
     latency = counts.latency
     return (
-        f'{counts.requests} requests: {_pairs(counts.outcomes)}; '
+        f'{counts.requests} requests: {_format_counts(counts.outcomes)}; '
         f'p50 {latency.p50:.1f} ms, p99 {latency.p99:.1f} ms'
     )
 
 
-def _pairs(counts: dict[str, int]) -> str:
+def _format_counts(counts: dict[str, int]) -> str:
     return ', '.join(f'{name} {counts[name]}' for name in sorted(counts))
--- a/src/clementinedeal_bench/_stand_in_platform.py
+++ b/src/clementinedeal_bench/_simulated_platform.py
@@ -12,20 +12,20 @@
 from clementinedeal._read_schedule import LIST_NAME
 from clementinedeal._view_actions import InstanceList
 
-Reply = Callable[[bytes | InstanceList | None], None]
+WatchCallback = Callable[[bytes | InstanceList | None], None]
 
 
 @dataclass(slots=True)
-class Waiting:
+class PendingWatch:
     """A watch that was not answered yet."""
 
     replica: int
-    after: int
-    until: float
-    reply: Reply
+    after_version: int
+    expires_at: float
+    callback: WatchCallback
 
 
-class StandInPlatform:
+class SimulatedPlatform:
     """Values by replica; a stale replica keeps serving its last root."""
 
     def __init__(self, replicas: int = 1) -> None:
@@ -35,20 +35,20 @@
         """
         self.is_up = True
         self.reads: list[float] = []
-        self.listed = InstanceList(frozenset(), frozenset())
-        self._newest: bytes | None = None
+        self.instance_list = InstanceList(frozenset(), frozenset())
+        self._newest_root: bytes | None = None
         self._roots: list[bytes | None] = [None for _ in range(replicas)]
-        self.frozen: set[int] = set()
-        self.cut_off: set[str] = set()
+        self.stale_replicas: set[int] = set()
+        self.unreachable_daemons: set[str] = set()
         self._parts: dict[str, bytes] = {}
-        self._waiting: list[Waiting] = []
+        self._pending_watches: list[PendingWatch] = []
 
-    def is_reached(self, name: str) -> bool:
+    def is_reachable(self, name: str) -> bool:
         """Return whether reads by a daemon are answered.
 
         :param name: instance name.
         """
-        return self.is_up and name not in self.cut_off
+        return self.is_up and name not in self.unreachable_daemons
 
     def publish(self, publication: Publication) -> None:
         """Make a version readable at all replicas that are not stale.
@@ -56,25 +56,25 @@
         :param publication: its values.
         """
         self._parts.update(publication.parts)
-        self._newest = publication.root
+        self._newest_root = publication.root
         self._roots = [
-            old if replica in self.frozen else publication.root
+            old if replica in self.stale_replicas else publication.root
             for replica, old in enumerate(self._roots)
         ]
-        self._wake()
+        self._answer_ready_watches()
 
-    def freeze(self, replica: int) -> None:
+    def make_stale(self, replica: int) -> None:
         """Let a replica fall behind from now on.
 
         :param replica: which one.
         """
-        self.frozen.add(replica % len(self._roots))
+        self.stale_replicas.add(replica % len(self._roots))
 
-    def thaw(self) -> None:
+    def bring_up_to_date(self) -> None:
         """Bring all replicas up to date."""
-        self.frozen.clear()
-        self._roots = [self._newest for _ in self._roots]
-        self._wake()
+        self.stale_replicas.clear()
+        self._roots = [self._newest_root for _ in self._roots]
+        self._answer_ready_watches()
 
     def read(self, name: str, replica: int, now: float) -> object:
         """Return a value, nothing where it is missing.
@@ -85,7 +85,7 @@
         """
         self.reads.append(now)
         if name == LIST_NAME:
-            return self.listed
+            return self.instance_list
         if name == ROOT_NAME:
             return self._roots[replica % len(self._roots)]
         return self._parts.get(name.removeprefix(PART_PREFIX))
@@ -93,10 +93,10 @@
     def watch(
         self,
         replica: int,
-        after: int,
-        until: float,
+        after_version: int,
+        expires_at: float,
         now: float,
-        reply: Reply,
+        callback: WatchCallback,
     ) -> None:
         """Answer once a root above a version is there, or at the end.
 
@@ -108,30 +108,38 @@
         """
         self.reads.append(now)
         index = replica % len(self._roots)
-        self._waiting.append(Waiting(index, after, until, reply))
-        self._wake()
+        self._pending_watches.append(
+            PendingWatch(index, after_version, expires_at, callback)
+        )
+        self._answer_ready_watches()
 
-    def expire(self, now: float) -> None:
+    def expire_watches(self, now: float) -> None:
         """Answer the watches whose time is over.
 
         :param now: virtual seconds.
         """
-        over = [watch for watch in self._waiting if watch.until <= now]
-        self._waiting = [watch for watch in self._waiting if watch.until > now]
-        for watch in over:
-            watch.reply(None)
-
-    def _wake(self) -> None:
-        ready = list(filter(self._is_ready, self._waiting))
-        self._waiting = [
-            watch for watch in self._waiting if not self._is_ready(watch)
+        expired = [
+            watch for watch in self._pending_watches if watch.expires_at <= now
+        ]
+        self._pending_watches = [
+            watch for watch in self._pending_watches if watch.expires_at > now
+        ]
+        for watch in expired:
+            watch.callback(None)
+
+    def _answer_ready_watches(self) -> None:
+        ready = list(filter(self._is_ready, self._pending_watches))
+        self._pending_watches = [
+            watch
+            for watch in self._pending_watches
+            if not self._is_ready(watch)
         ]
         for watch in ready:
-            watch.reply(self._roots[watch.replica])
+            watch.callback(self._roots[watch.replica])
 
-    def _is_ready(self, watch: Waiting) -> bool:
-        return _version(self._roots[watch.replica]) > watch.after
+    def _is_ready(self, watch: PendingWatch) -> bool:
+        return _root_version(self._roots[watch.replica]) > watch.after_version
 
 
-def _version(blob: bytes | None) -> int:
+def _root_version(blob: bytes | None) -> int:
     return 0 if blob is None else read_root(blob).unwrap().version
--- a/src/clementinedeal_bench/_observer.py
+++ b/src/clementinedeal_bench/_status_reader.py
@@ -10,11 +10,11 @@
 from clementinedeal import Instance, Target
 from clementinedeal_bench._errors import BenchError
 from clementinedeal_bench._executions import Execution, decode_lines
+from clementinedeal_bench._web_client import WebClient
 from clementinedeal_bench._web_messages import WebAnswer, WebRequest
-from clementinedeal_bench._webclient import WebClient
 
-ASK_SECONDS = 3.0
-POLL_SECONDS = 0.05
+REQUEST_TIMEOUT_SECONDS = 3.0
+POLL_INTERVAL_SECONDS = 0.05
 OK_STATUS = 200
 ItemT = TypeVar('ItemT')
 FoundT = TypeVar('FoundT')
@@ -47,7 +47,7 @@
     :param address: ``ip:port``.
     :param path: path and query.
     """
-    return await _ask(address, WebRequest(method='GET', target=path))
+    return await _request_body(address, WebRequest(method='GET', target=path))
 
 
 async def put(address: str, path: str, body: bytes) -> bytes | None:
@@ -58,15 +58,15 @@
     :param body: what to put.
     """
     req = WebRequest(method='PUT', target=path, body=body)
-    return await _ask(address, req)
+    return await _request_body(address, req)
 
 
-async def _ask(address: str, req: WebRequest) -> bytes | None:
+async def _request_body(address: str, req: WebRequest) -> bytes | None:
     client = WebClient(address)
     answer: WebAnswer | None = None
-    with trio.move_on_after(ASK_SECONDS):
-        found = await client.request(req)
-        answer = None if isinstance(found, Err) else found.ok_value
+    with trio.move_on_after(REQUEST_TIMEOUT_SECONDS):
+        result = await client.request(req)
+        answer = None if isinstance(result, Err) else result.ok_value
     client.close()
     if answer is None or answer.status != OK_STATUS:
         return None
@@ -76,8 +76,8 @@
 async def await_ready(
     address: str,
     path: str,
-    seconds: float,
-    check: Callable[[], None],
+    timeout_seconds: float,
+    check_running: Callable[[], None],
 ) -> None:
     """Wait until a GET is answered with 200.
 
@@ -87,13 +87,15 @@
     :param check: raises when there is nothing to wait for.
     :raises BenchError: there is no such answer in time.
     """
-    deadline = trio.current_time() + seconds
+    deadline = trio.current_time() + timeout_seconds
     while await get(address, path) is None:
-        check()
+        check_running()
         if trio.current_time() >= deadline:
-            raise BenchError(f'{address}{path}: not ready in {seconds} s')
-        await trio.sleep(POLL_SECONDS)
-    check()
+            raise BenchError(
+                f'{address}{path}: not ready in {timeout_seconds} s'
+            )
+        await trio.sleep(POLL_INTERVAL_SECONDS)
+    check_running()
 
 
 async def gather(
--- a/src/clementinedeal_bench/_summary.py
+++ b/src/clementinedeal_bench/_summary.py
@@ -6,15 +6,15 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from clementinedeal_bench._history import CallRecord, Outcome
+from clementinedeal_bench._call_records import CallOutcome, CallRecord
 
 US_PER_SECOND = 1_000_000
 US_PER_MS = 1000
-LONGEST_US = 120 * US_PER_SECOND
+MAX_LATENCY_US = 120 * US_PER_SECOND
 SIGNIFICANT_DIGITS = 3
 
 
-class Latency(msgspec.Struct, frozen=True):
+class LatencyPercentiles(msgspec.Struct, frozen=True):
     """Percentiles of latency in milliseconds."""
 
     count: int
@@ -33,22 +33,22 @@
     outcomes: dict[str, int]
     reasons: dict[str, int]
     verdicts: dict[str, int]
-    latency: Latency
+    latency: LatencyPercentiles
 
 
-def measure(seconds: Iterable[float]) -> Latency:
+def measure_latency(seconds: Iterable[float]) -> LatencyPercentiles:
     """Return the percentiles of some durations.
 
     :param seconds: the durations in seconds.
     """
-    histogram = HdrHistogram(1, LONGEST_US, SIGNIFICANT_DIGITS)
+    histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
     for duration in seconds:
         histogram.record_value(max(1, round(duration * US_PER_SECOND)))
     p50, p90, p99, most = (
         histogram.get_value_at_percentile(percent) / US_PER_MS
         for percent in (50, 90, 99, 100)
     )
-    return Latency(histogram.get_total_count(), p50, p90, p99, most)
+    return LatencyPercentiles(histogram.get_total_count(), p50, p90, p99, most)
 
 
 def summarize(
@@ -63,7 +63,7 @@
     :param service: label of the group.
     """
     calls = list(records)
-    answered = [call for call in calls if call.outcome is Outcome.ANSWERED]
+    answered = [call for call in calls if call.outcome is CallOutcome.ANSWERED]
     return Summary(
         account=account,
         service=service,
@@ -71,7 +71,7 @@
         outcomes=dict(Counter(call.outcome.value for call in calls)),
         reasons=dict(Counter(call.reason for call in calls if call.reason)),
         verdicts=dict(Counter(call.verdict for call in calls if call.verdict)),
-        latency=measure(call.end - call.due for call in answered),
+        latency=measure_latency(call.end - call.due for call in answered),
     )
 
 
--- a/src/clementinedeal_bench/_target.py
+++ b/src/clementinedeal_bench/_target.py
@@ -15,15 +15,19 @@
     ExecutionLog,
     ExecutionState,
 )
-from clementinedeal_bench._gray import GrayMachine, GrayMode, GraySettings
+from clementinedeal_bench._gray_failures import (
+    FaultInjector,
+    GrayMode,
+    GraySettings,
+)
 from clementinedeal_bench._slots import Slots, SlotsFullError
 from clementinedeal_bench._target_answer import (
-    given_up,
-    not_started,
-    whole_answer,
+    abandonment_answer,
+    not_started_answer,
+    service_answer,
 )
-from clementinedeal_bench._web import WebServer
 from clementinedeal_bench._web_messages import WebAnswer, WebRequest
+from clementinedeal_bench._web_server import WebServer
 
 LEAVING_HEADER = ('x-target-state', 'leaving')
 
@@ -42,32 +46,32 @@
     host: str = '127.0.0.1'
     port: int = 0
     slots: int = 7
-    queue: int = 7
-    connections: int = 360
-    service: float = 0.022
-    sigma: float = 0.3
-    probe: float = 0.025
-    cold: float = 0.0
+    queue_limit: int = 7
+    max_connections: int = 360
+    service_seconds: float = 0.022
+    service_time_sigma: float = 0.3
+    probe_seconds: float = 0.025
+    cold_seconds: float = 0.0
     cold_factor: float = 5.0
-    drain: float = 2.0
+    drain_seconds: float = 2.0
     seed: int = 0
 
 
-class _Task:
+class _ActiveRequest:
     """One request from its arrival to its answer."""
 
     def __init__(self, req: WebRequest) -> None:
         self.req = req
         self.request_id = req.header('x-request-id')
         self.scope = trio.CancelScope(deadline=_deadline(req))
-        self.entry: Execution | None = None
+        self.execution: Execution | None = None
 
-    def given_up(self) -> WebAnswer:
-        late = trio.current_time() >= self.scope.deadline
-        cause = 'deadline' if late else 'cancelled'
-        if self.entry is None:
-            return not_started(cause)
-        return given_up(cause)
+    def abandonment_answer(self) -> WebAnswer:
+        is_overdue = trio.current_time() >= self.scope.deadline
+        cause = 'deadline' if is_overdue else 'cancelled'
+        if self.execution is None:
+            return not_started_answer(cause)
+        return abandonment_answer(cause)
 
 
 class Target:
@@ -79,14 +83,14 @@
         :param settings: its figures.
         """
         self.settings = settings
-        self.gray = GrayMachine(settings.seed)
-        self.log = ExecutionLog(settings.name)
-        self.slots = Slots(settings.slots, settings.queue)
+        self.fault_injector = FaultInjector(settings.seed)
+        self.execution_log = ExecutionLog(settings.name)
+        self.slots = Slots(settings.slots, settings.queue_limit)
         self._rng = random.Random(settings.seed)
-        self._born = time.monotonic()
-        self._left: float | None = None
+        self._created_at = time.monotonic()
+        self._leaving_since: float | None = None
         self.leaving = trio.Event()
-        self._tasks: dict[str, _Task] = {}
+        self._active_requests: dict[str, _ActiveRequest] = {}
 
     async def handle(self, req: WebRequest) -> WebAnswer:
         """Answer one request.
@@ -94,24 +98,28 @@
         :param req: the request.
         """
         answer = await self._dispatch(req)
-        if self._left is None:
+        if self._leaving_since is None:
             return answer
         return replace(answer, headers=(*answer.headers, LEAVING_HEADER))
 
-    def leave(self) -> None:
+    def begin_leaving(self) -> None:
         """Begin to leave: say so in answers, then take no new work."""
-        if self._left is None:
-            self._left = time.monotonic()
+        if self._leaving_since is None:
+            self._leaving_since = time.monotonic()
             self.leaving.set()
 
-    def leaving_for(self) -> float:
+    def seconds_leaving(self) -> float:
         """Return the seconds since the target began to leave."""
-        return 0 if self._left is None else time.monotonic() - self._left
+        return (
+            0
+            if self._leaving_since is None
+            else time.monotonic() - self._leaving_since
+        )
 
-    def drained(self) -> bool:
+    def is_drain_over(self) -> bool:
         """Tell whether new work is refused because the target leaves."""
-        return self._left is not None and (
-            self.leaving_for() >= self.settings.drain
+        return self._leaving_since is not None and (
+            self.seconds_leaving() >= self.settings.drain_seconds
         )
 
     async def _dispatch(self, req: WebRequest) -> WebAnswer:
@@ -126,33 +134,46 @@
         return await self._serve(req)
 
     async def _probe(self) -> WebAnswer:
-        await trio.sleep(self.settings.probe)
-        if self.gray.mode(time.monotonic()) is GrayMode.MISLEADING:
-            return _json({'state': 'failing'}, status=503)
-        return _json({'state': 'live' if self._left is None else 'leaving'})
+        await trio.sleep(self.settings.probe_seconds)
+        if (
+            self.fault_injector.current_mode(time.monotonic())
+            is GrayMode.MISLEADING
+        ):
+            return _json_answer({'state': 'failing'}, status=503)
+        return _json_answer(
+            {'state': 'live' if self._leaving_since is None else 'leaving'}
+        )
 
     def _load(self) -> WebAnswer:
         in_use = self.slots.in_use
-        if self.gray.mode(time.monotonic()) is GrayMode.MISLEADING:
+        if (
+            self.fault_injector.current_mode(time.monotonic())
+            is GrayMode.MISLEADING
+        ):
             in_use = self.settings.slots - in_use
-        return _json({'in_use': in_use, 'queue': self.slots.queued})
+        return _json_answer({'in_use': in_use, 'queue': self.slots.queued})
 
     def _cancel(self, request_id: str) -> WebAnswer:
-        task = self._tasks.get(request_id)
-        if task is None:
-            return _json({'cancelled': 'unknown'}, status=404)
-        task.scope.cancel()
-        started = task.entry is not None
-        return _json({'cancelled': 'started' if started else 'not-started'})
+        active = self._active_requests.get(request_id)
+        if active is None:
+            return _json_answer({'cancelled': 'unknown'}, status=404)
+        active.scope.cancel()
+        is_started = active.execution is not None
+        return _json_answer(
+            {'cancelled': 'started' if is_started else 'not-started'}
+        )
 
     def _control(self, req: WebRequest) -> WebAnswer:
         action = (req.method, req.path)
         if action == ('GET', '/control/executions'):
-            return WebAnswer(body=self.log.lines())
+            return WebAnswer(body=self.execution_log.json_lines())
         if action == ('GET', '/control/state'):
-            return _json({'left': self._left} | self.log.counts())
+            return _json_answer(
+                {'left': self._leaving_since}
+                | self.execution_log.count_by_state()
+            )
         if action == ('POST', '/control/drain'):
-            self.leave()
+            self.begin_leaving()
             return WebAnswer(status=204)
         if action == ('PUT', '/control/mode'):
             return self._put_mode(req.body)
@@ -161,69 +182,81 @@
     def _put_mode(self, body: bytes) -> WebAnswer:
         try:
             change = msgspec.json.decode(body, type=dict[str, object])
-            merged = asdict(self.gray.settings) | change
+            merged = asdict(self.fault_injector.settings) | change
             settings = msgspec.convert(merged, GraySettings)
         except msgspec.MsgspecError as exc:
             return WebAnswer(status=400, body=f'{exc}\n'.encode())
-        self.gray.configure(settings, time.monotonic())
+        self.fault_injector.configure(settings, time.monotonic())
         return WebAnswer(body=msgspec.json.encode(settings))
 
     async def _serve(self, req: WebRequest) -> WebAnswer:
-        if self.drained():
-            return not_started('leaving')
-        task = _Task(req)
-        self._tasks[task.request_id] = task
+        if self.is_drain_over():
+            return not_started_answer('leaving')
+        active = _ActiveRequest(req)
+        self._active_requests[active.request_id] = active
         try:
-            with task.scope:
-                return await self._run_in_slot(task)
+            with active.scope:
+                return await self._run_in_slot(active)
         except SlotsFullError:
-            return not_started('full')
+            return not_started_answer('full')
         finally:
-            self._tasks.pop(task.request_id, None)
-        return task.given_up()
+            self._active_requests.pop(active.request_id, None)
+        return active.abandonment_answer()
 
-    async def _run_in_slot(self, task: '_Task') -> WebAnswer:
+    async def _run_in_slot(self, active: '_ActiveRequest') -> WebAnswer:
         await self.slots.acquire()
         try:
-            return await self._execute(task)
+            return await self._execute(active)
         finally:
             self.slots.release()
 
-    async def _execute(self, task: '_Task') -> WebAnswer:
+    async def _execute(self, active: '_ActiveRequest') -> WebAnswer:
         now = time.monotonic()
-        plan = self.gray.plan(now)
-        entry = self.log.begin(task.req, now, self.leaving_for())
-        task.entry = entry
+        faults = self.fault_injector.choose_faults(now)
+        execution = self.execution_log.begin(
+            active.req, now, self.seconds_leaving()
+        )
+        active.execution = execution
         state = ExecutionState.STOPPED
         try:
-            await self._work(plan.factor, hang=plan.hang)
+            await self._simulate_service(
+                faults.service_time_factor, hangs=faults.hangs
+            )
             state = ExecutionState.FINISHED
         finally:
-            self.log.end(entry, state, time.monotonic())
-        await trio.sleep(plan.late)
-        return whole_answer(self.settings.name, task.req, plan)
-
-    async def _work(self, factor: float, *, hang: bool) -> None:
-        if hang:
+            self.execution_log.end(execution, state, time.monotonic())
+        await trio.sleep(faults.late_seconds)
+        return service_answer(self.settings.name, active.req, faults)
+
+    async def _simulate_service(
+        self, service_time_factor: float, *, hangs: bool
+    ) -> None:
+        if hangs:
             await trio.sleep_forever()
-        await trio.sleep(self._service_time() * factor)
+        await trio.sleep(self._draw_service_seconds() * service_time_factor)
 
-    def _service_time(self) -> float:
+    def _draw_service_seconds(self) -> float:
         cfg = self.settings
-        drawn = cfg.service
-        if cfg.sigma and cfg.service:
-            drawn = self._rng.lognormvariate(math.log(cfg.service), cfg.sigma)
-        if time.monotonic() - self._born < cfg.cold:
-            return drawn * cfg.cold_factor
-        return drawn
+        seconds = cfg.service_seconds
+        if cfg.service_time_sigma and cfg.service_seconds:
+            seconds = self._rng.lognormvariate(
+                math.log(cfg.service_seconds), cfg.service_time_sigma
+            )
+        if time.monotonic() - self._created_at < cfg.cold_seconds:
+            return seconds * cfg.cold_factor
+        return seconds
 
 
 def _deadline(req: WebRequest) -> float:
-    left = req.header('x-deadline-ms')
-    return trio.current_time() + float(left) / 1000 if left else math.inf
+    remaining_ms = req.header('x-deadline-ms')
+    return (
+        trio.current_time() + float(remaining_ms) / 1000
+        if remaining_ms
+        else math.inf
+    )
 
 
-def _json(body: object, status: int = 200) -> WebAnswer:
+def _json_answer(body: object, status: int = 200) -> WebAnswer:
     return WebAnswer(
         status=status,
         headers=(('content-type', 'application/json'),),
@@ -237,18 +270,18 @@
     :param settings: figures of the target.
     """
     target = Target(settings)
-    server = WebServer(target.handle, settings.connections)
+    server = WebServer(target.handle, settings.max_connections)
     listener = await server.listen(settings.host, settings.port)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_leave_on_signal, target)
         nursery.start_soon(server.serve, listener)
         await target.leaving.wait()
-        await trio.sleep(settings.drain)
-        await server.finish()
+        await trio.sleep(settings.drain_seconds)
+        await server.close_when_idle()
         nursery.cancel_scope.cancel()
 
 
 async def _leave_on_signal(target: Target) -> None:
     with trio.open_signal_receiver(signal.SIGTERM) as signals:
         async for _ in signals:
-            target.leave()
+            target.begin_leaving()
--- a/src/clementinedeal_bench/_target_answer.py
+++ b/src/clementinedeal_bench/_target_answer.py
@@ -5,12 +5,12 @@
 
 import msgspec
 
-from clementinedeal_bench._gray import GrayPlan, WrongKind
+from clementinedeal_bench._gray_failures import InjectedFaults, WrongAnswerKind
 from clementinedeal_bench._web_messages import HeaderList, WebAnswer, WebRequest
 
 FOREIGN_REQUEST_ID = '00000000-0000-7000-8000-000000000000'
-NO_CONTENT = 204
-PAD = b' '
+NO_CONTENT_STATUS = 204
+PADDING = b' '
 
 
 class AnswerBody(msgspec.Struct, frozen=True):
@@ -32,7 +32,7 @@
     return f'sha-256=:{encoded}:'
 
 
-def not_started(cause: str) -> WebAnswer:
+def not_started_answer(cause: str) -> WebAnswer:
     """Return a refusal of a request that was not and will not be started.
 
     :param cause: one word for the log of the caller.
@@ -47,7 +47,7 @@
     )
 
 
-def given_up(cause: str) -> WebAnswer:
+def abandonment_answer(cause: str) -> WebAnswer:
     """Return the answer to a request that was given up in service.
 
     :param cause: ``deadline`` or ``cancelled``.
@@ -55,53 +55,55 @@
     return WebAnswer(status=504, headers=(('x-target-abandoned', cause),))
 
 
-def whole_answer(name: str, req: WebRequest, plan: GrayPlan) -> WebAnswer:
+def service_answer(
+    name: str, req: WebRequest, faults: InjectedFaults
+) -> WebAnswer:
     """Return the answer to a request that was served.
 
     :param name: name of the target.
     :param req: the request.
     :param plan: what is to be wrong with the answer.
     """
-    if plan.wrong is WrongKind.STATUS:
-        return WebAnswer(status=500, headers=_id_headers(req, plan))
-    body = _body(name, req, plan)
+    if faults.wrong_kind is WrongAnswerKind.STATUS:
+        return WebAnswer(status=500, headers=_id_headers(req, faults))
+    body = _encode_body(name, req, faults)
     headers = (
-        *_id_headers(req, plan),
+        *_id_headers(req, faults),
         ('content-type', 'application/json'),
         ('content-digest', content_digest(body)),
     )
-    if plan.wrong is WrongKind.BODY:
+    if faults.wrong_kind is WrongAnswerKind.BODY:
         body = body.swapcase()
     status = int(req.query('status', '200'))
-    if status == NO_CONTENT:
-        return WebAnswer(status=status, headers=_id_headers(req, plan))
+    if status == NO_CONTENT_STATUS:
+        return WebAnswer(status=status, headers=_id_headers(req, faults))
     return WebAnswer(
         status=status,
         headers=headers,
         body=body,
         chunked=bool(req.query('bytes')),
-        cut=len(body) // 2 if plan.short else None,
+        cut_after_bytes=len(body) // 2 if faults.is_cut_short else None,
     )
 
 
-def _request_id(req: WebRequest, plan: GrayPlan) -> str:
-    if plan.wrong is WrongKind.REQUEST_ID:
+def _request_id(req: WebRequest, faults: InjectedFaults) -> str:
+    if faults.wrong_kind is WrongAnswerKind.REQUEST_ID:
         return FOREIGN_REQUEST_ID
     return req.header('x-request-id')
 
 
-def _id_headers(req: WebRequest, plan: GrayPlan) -> HeaderList:
-    return (('x-request-id', _request_id(req, plan)),)
+def _id_headers(req: WebRequest, faults: InjectedFaults) -> HeaderList:
+    return (('x-request-id', _request_id(req, faults)),)
 
 
-def _body(name: str, req: WebRequest, plan: GrayPlan) -> bytes:
+def _encode_body(name: str, req: WebRequest, faults: InjectedFaults) -> bytes:
     body = msgspec.json.encode(
         AnswerBody(
             target=name,
-            request_id=_request_id(req, plan),
+            request_id=_request_id(req, faults),
             method=req.method,
             path=req.target,
             body_sha256=hashlib.sha256(req.body).hexdigest(),
         ),
     )
-    return body.ljust(int(req.query('bytes', '0')), PAD)
+    return body.ljust(int(req.query('bytes', '0')), PADDING)
--- a/src/clementinedeal_bench/_virtual_fleet.py
+++ b/src/clementinedeal_bench/_virtual_fleet.py
@@ -21,7 +21,7 @@
     WatchRoot,
 )
 from clementinedeal._views import FleetView
-from clementinedeal_bench._stand_in_platform import StandInPlatform
+from clementinedeal_bench._simulated_platform import SimulatedPlatform
 
 ResultT = TypeVar('ResultT')
 
@@ -68,7 +68,7 @@
         self.now = 0.0
         self.cfg = cfg
         self.network = Network()
-        self.platform = StandInPlatform(replicas)
+        self.platform = SimulatedPlatform(replicas)
         self.processes: dict[str, Process] = {}
         self.messages = 0
         self.sent_bytes = 0
@@ -143,7 +143,7 @@
         if process.is_down:
             return
         self._at(self.now + TICK_SECONDS, partial(self._tick, process))
-        self.platform.expire(self.now)
+        self.platform.expire_watches(self.now)
         if not process.is_paused:
             self._perform(process, self._timed(process.view.on_tick))
 
@@ -195,7 +195,7 @@
 
     def _read(self, process: Process, action: ReadPlatform | WatchRoot) -> None:
         name = action.name if isinstance(action, ReadPlatform) else ROOT_NAME
-        if not self.platform.is_reached(process.name):
+        if not self.platform.is_reachable(process.name):
             self._reply(process, name, None, is_failure=True)
             return
         replica = self._names.index(process.name)
@@ -220,7 +220,7 @@
         is_failure: bool = False,
     ) -> None:
         at = self.now + PLATFORM_SECONDS
-        failed = is_failure or not self.platform.is_reached(process.name)
+        failed = is_failure or not self.platform.is_reachable(process.name)
         call = _platform_input(process.view, name, found, is_failure=failed)
         self._at(at, partial(self._deliver, process, call))
 
--- a/src/clementinedeal_bench/_webclient.py
+++ b/src/clementinedeal_bench/_web_client.py
@@ -7,13 +7,13 @@
 from result import Err, Ok, Result
 
 from clementinedeal_bench._errors import BenchError
-from clementinedeal_bench._web import next_event
 from clementinedeal_bench._web_messages import (
     HeaderList,
     WebAnswer,
     WebRequest,
     text_headers,
 )
+from clementinedeal_bench._web_server import next_event
 
 CONNECT_TIMEOUT_SECONDS = 3.0
 
@@ -27,7 +27,7 @@
     """
 
     detail: str
-    sent: bool
+    may_have_been_sent: bool
     status: int = 0
     headers: HeaderList = ()
 
@@ -65,18 +65,20 @@
         :param req: what to send; ``host`` and lengths are added.
         """
         try:
-            stream = await self._ready_stream()
+            stream = await self._ensure_stream()
         except (OSError, trio.TooSlowError) as exc:
-            return Err(WebFailure(detail=f'connect: {exc}', sent=False))
+            return Err(
+                WebFailure(detail=f'connect: {exc}', may_have_been_sent=False)
+            )
         exchange = _Exchange(self._conn, stream)
-        done = False
+        is_reusable = False
         try:
             answer = await exchange.run(req, self.address)
-            done = exchange.reusable()
+            is_reusable = exchange.is_reusable()
         except (h11.RemoteProtocolError, trio.BrokenResourceError) as exc:
-            return Err(exchange.failure(str(exc)))
+            return Err(exchange.make_failure(str(exc)))
         finally:
-            if not done:
+            if not is_reusable:
                 self.close()
         return Ok(answer)
 
@@ -86,7 +88,7 @@
             self._stream.socket.close()
             self._stream = None
 
-    async def _ready_stream(self) -> trio.SocketStream:
+    async def _ensure_stream(self) -> trio.SocketStream:
         if self._stream is not None and self._stream.socket.is_readable():
             # Readable while idle: the server has closed.
             self.close()
@@ -129,18 +131,18 @@
             body=b''.join(parts),
         )
 
-    def reusable(self) -> bool:
+    def is_reusable(self) -> bool:
         return (
             self._conn.our_state is h11.DONE
             and self._conn.their_state is h11.DONE
         )
 
-    def failure(self, detail: str) -> WebFailure:
+    def make_failure(self, detail: str) -> WebFailure:
         if self._head is None:
-            return WebFailure(detail=detail, sent=True)
+            return WebFailure(detail=detail, may_have_been_sent=True)
         return WebFailure(
             detail=detail,
-            sent=True,
+            may_have_been_sent=True,
             status=self._head.status_code,
             headers=text_headers(self._head.headers),
         )
--- a/src/clementinedeal_bench/_web_messages.py
+++ b/src/clementinedeal_bench/_web_messages.py
@@ -51,7 +51,7 @@
     headers: HeaderList = ()
     body: bytes = b''
     chunked: bool = False
-    cut: int | None = None
+    cut_after_bytes: int | None = None
     drop: bool = False
 
     def header(self, name: str, default: str = '') -> str:
@@ -70,9 +70,9 @@
     :param name: header name in lower case.
     :param default: returned when the header is absent.
     """
-    for key, field in headers:
-        if key == name:
-            return field
+    for field_name, field_value in headers:
+        if field_name == name:
+            return field_value
     return default
 
 
@@ -82,6 +82,6 @@
     :param headers: headers as h11 gives them.
     """
     return tuple(
-        (name.decode('latin-1'), field.decode('latin-1'))
-        for name, field in headers
+        (name.decode('latin-1'), field_value.decode('latin-1'))
+        for name, field_value in headers
     )
--- a/src/clementinedeal_bench/_web.py
+++ b/src/clementinedeal_bench/_web_server.py
@@ -20,12 +20,12 @@
 WebHandler = Callable[[WebRequest], Awaitable[WebAnswer]]
 
 
-class ConnectionEndError(Exception):
+class ConnectionClosedError(Exception):
     """The other end closed the connection."""
 
 
-PEER_FAULTS = (
-    ConnectionEndError,
+PEER_ERRORS = (
+    ConnectionClosedError,
     h11.RemoteProtocolError,
     trio.BrokenResourceError,
     trio.ClosedResourceError,
@@ -72,8 +72,8 @@
         self._stream = stream
         self._handler = handler
         self._conn = h11.Connection(h11.SERVER)
-        self._busy = False
-        self._finishing = False
+        self._is_busy = False
+        self._is_closing = False
         self._idle_scope = trio.CancelScope()
 
     async def serve(self) -> None:
@@ -81,24 +81,24 @@
         try:
             with self._idle_scope:
                 await self._serve_all()
-        except PEER_FAULTS:
+        except PEER_ERRORS:
             return
         finally:
             await trio.aclose_forcefully(self._stream)
 
-    def finish(self) -> None:
+    def close_when_idle(self) -> None:
         """Close when idle: now, or after the answer under way."""
-        self._finishing = True
-        if not self._busy:
+        self._is_closing = True
+        if not self._is_busy:
             self._idle_scope.cancel()
 
     async def _serve_all(self) -> None:
-        while not self._finishing:
+        while not self._is_closing:
             req = await self._receive_request()
-            self._busy = True
+            self._is_busy = True
             answer = await self._run_handler(req)
             await self._send_answer(req, answer)
-            self._busy = False
+            self._is_busy = False
             if self._conn.states[h11.SERVER] is h11.MUST_CLOSE:
                 return
             self._conn.start_next_cycle()
@@ -106,7 +106,7 @@
     async def _receive_request(self) -> WebRequest:
         head = await self._next_event()
         if not isinstance(head, h11.Request):
-            raise ConnectionEndError
+            raise ConnectionClosedError
         if self._conn.they_are_waiting_for_100_continue:
             await self._send_continue()
         parts = []
@@ -115,7 +115,7 @@
             parts.append(bytes(event.data))
             event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
-            raise ConnectionEndError
+            raise ConnectionClosedError
         return WebRequest(
             method=head.method.decode(),
             target=head.target.decode('latin-1'),
@@ -135,28 +135,28 @@
     async def _run_handler(self, req: WebRequest) -> WebAnswer:
         answer = WebAnswer(drop=True)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_close, nursery.cancel_scope)
+            nursery.start_soon(self._cancel_on_close, nursery.cancel_scope)
             answer = await self._handler(req)
             nursery.cancel_scope.cancel()
         return answer
 
-    async def _watch_close(self, scope: trio.CancelScope) -> None:
-        more = True
+    async def _cancel_on_close(self, scope: trio.CancelScope) -> None:
+        is_open = True
         with suppress(trio.BrokenResourceError):
-            while more:
-                more = await receive_into(self._conn, self._stream)
+            while is_open:
+                is_open = await receive_into(self._conn, self._stream)
         scope.cancel()
 
     async def _send_answer(self, req: WebRequest, answer: WebAnswer) -> None:
         if answer.drop:
-            raise ConnectionEndError
+            raise ConnectionClosedError
         await self._send(self._head_event(req, answer))
         body = answer.body
         if req.method == 'HEAD' or answer.status in {204, 304}:
             body = b''
-        if answer.cut is not None:
-            await self._send_body(body[: answer.cut])
-            raise ConnectionEndError
+        if answer.cut_after_bytes is not None:
+            await self._send_body(body[: answer.cut_after_bytes])
+            raise ConnectionClosedError
         await self._send_body(body)
         await self._send(h11.EndOfMessage())
 
@@ -182,23 +182,23 @@
 class WebServer:
     """Serves the connections of listening sockets up to a limit."""
 
-    def __init__(self, handler: WebHandler, connections: int) -> None:
+    def __init__(self, handler: WebHandler, max_connections: int) -> None:
         """Create a server.
 
         :param handler: called with each whole request.
         :param connections: open connections allowed; further ones are closed.
         """
         self._handler = handler
-        self._limit = connections
+        self._max_connections = max_connections
         self._open: set[ServerConnection] = set()
-        self._closed = trio.Event()
+        self._connection_closed = trio.Event()
 
-    async def finish(self) -> None:
+    async def close_when_idle(self) -> None:
         """Close all connections, each after its answer under way."""
         for conn in self._open:
-            conn.finish()
+            conn.close_when_idle()
         while self._open:
-            await self._closed.wait()
+            await self._connection_closed.wait()
 
     async def listen(self, host: str, port: int) -> trio.SocketListener:
         """Open a listening socket.
@@ -220,7 +220,7 @@
         await trio.serve_listeners(self._serve_stream, [listener])
 
     async def _serve_stream(self, stream: trio.abc.Stream) -> None:
-        if len(self._open) >= self._limit:
+        if len(self._open) >= self._max_connections:
             await trio.aclose_forcefully(stream)
             return
         conn = ServerConnection(stream, self._handler)
@@ -228,9 +228,9 @@
         try:
             await conn.serve()
         finally:
-            self._forget(conn)
+            self._remove(conn)
 
-    def _forget(self, conn: ServerConnection) -> None:
+    def _remove(self, conn: ServerConnection) -> None:
         self._open.remove(conn)
-        self._closed.set()
-        self._closed = trio.Event()
+        self._connection_closed.set()
+        self._connection_closed = trio.Event()
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -38,10 +38,10 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._target_call import TargetCaller
 from clementinedeal._timers import MonotonicClock
-from clementinedeal_bench._gray import GraySettings
+from clementinedeal_bench._gray_failures import GraySettings
 from clementinedeal_bench._target import Target as StandIn
 from clementinedeal_bench._target import TargetSettings
-from clementinedeal_bench._web import WebServer
+from clementinedeal_bench._web_server import WebServer
 from ports import free_address
 
 KEY = b'sesame'
@@ -224,13 +224,13 @@
 
     def misbehave(self, target: str, **change: Any) -> None:
         settings = msgspec.convert(change, GraySettings)
-        self.targets[target].gray.configure(settings, 0)
+        self.targets[target].fault_injector.configure(settings, 0)
 
     def executions(self) -> list[dict[str, Any]]:
         return [
             msgspec.json.decode(line)
             for target in self.targets.values()
-            for line in target.log.lines().splitlines()
+            for line in target.execution_log.json_lines().splitlines()
         ]
 
 
@@ -250,7 +250,9 @@
         for target in cfg.targets.values():
             host, port = target.address.split(':')
             stand_in = StandIn(
-                TargetSettings(name=target.name, service=0, sigma=0),
+                TargetSettings(
+                    name=target.name, service_seconds=0, service_time_sigma=0
+                ),
             )
             targets[target.name] = stand_in
             server = WebServer(stand_in.handle, 360)
--- a/tests/test_bench_caller.py
+++ b/tests/test_bench_caller.py
@@ -3,10 +3,10 @@
 
 import pytest
 
+from clementinedeal_bench._call_records import CallOutcome, CallRecord
 from clementinedeal_bench._caller import Caller
 from clementinedeal_bench._declarations import read_declaration
 from clementinedeal_bench._executions import Execution
-from clementinedeal_bench._history import CallRecord, Outcome
 from clementinedeal_bench._report import check_lines
 from clementinedeal_bench._scenario import (
     AccountLoad,
@@ -16,8 +16,8 @@
 )
 from clementinedeal_bench._summary import by_account_and_service
 from clementinedeal_bench._target import Target, TargetSettings
-from clementinedeal_bench._web import WebServer
 from clementinedeal_bench._web_messages import WebAnswer, WebRequest
+from clementinedeal_bench._web_server import WebServer
 
 DECLARATION = 'examples/freshwater.yaml'
 REFUSAL = (
@@ -29,7 +29,7 @@
 
 
 async def run(nursery, handler, load: AccountLoad) -> list[CallRecord]:
-    server = WebServer(handler, connections=50)
+    server = WebServer(handler, max_connections=50)
     listener = await server.listen('127.0.0.1', 0)
     nursery.start_soon(server.serve, listener)
     port = listener.socket.getsockname()[1]
@@ -50,16 +50,18 @@
 @pytest.mark.parametrize(
     ('mode', 'outcome'),
     [
-        ({}, Outcome.ANSWERED),
-        ({'mode': 'wrong', 'wrong': 'body'}, Outcome.WRONG),
-        ({'mode': 'wrong', 'wrong': 'status'}, Outcome.FAILED),
-        ({'mode': 'short'}, Outcome.BROKEN),
-        ({'mode': 'hang'}, Outcome.TIMEOUT),
+        ({}, CallOutcome.ANSWERED),
+        ({'mode': 'wrong', 'wrong': 'body'}, CallOutcome.WRONG),
+        ({'mode': 'wrong', 'wrong': 'status'}, CallOutcome.FAILED),
+        ({'mode': 'short'}, CallOutcome.BROKEN),
+        ({'mode': 'hang'}, CallOutcome.TIMEOUT),
     ],
 )
-async def test_answers_are_judged(nursery, monkeypatch, mode, outcome):
+async def test_each_kind_of_answer_gets_its_outcome(
+    nursery, monkeypatch, mode, outcome
+):
     monkeypatch.setattr('clementinedeal_bench._caller.GRACE_SECONDS', 0.1)
-    target = Target(TargetSettings(name='t', service=0))
+    target = Target(TargetSettings(name='t', service_seconds=0))
     body = json.dumps(mode).encode()
     setup = WebRequest(method='PUT', target='/control/mode', body=body)
     await target.handle(setup)
@@ -79,11 +81,11 @@
     load = AccountLoad(requests=(posts,), workers=2)
     records = await run(nursery, number_and_serve, load)
     assert {record.outcome for record in records} == {outcome}
-    if outcome is Outcome.WRONG:
+    if outcome is CallOutcome.WRONG:
         assert 'digest' in records[0].detail
 
 
-async def test_refusals_and_open_loop_are_summed_up(nursery):
+async def test_refusals_of_an_open_loop_are_counted_by_reason(nursery):
     async def refuse(_req: WebRequest) -> WebAnswer:
         return WebAnswer(status=429, headers=REFUSAL)
 
@@ -96,7 +98,7 @@
     assert len({record.path for record in records}) == len(records)
 
 
-def test_a_scenario_names_its_fault(tmp_path):
+def test_a_scenario_error_names_the_wrong_field(tmp_path):
     file = tmp_path / 'scenario.yaml'
     file.write_text('daemons: ["127.0.0.1:1"]\naccounts: {a: {rat: 1}}\n')
     assert 'rat' in str(load_scenario(str(file)).unwrap_err())
@@ -148,4 +150,4 @@
     assert faults(more, burst)['FAULT'] == 1
     leaked = [execution('0', 1.0, header_names=('authorization',))]
     assert faults(calls, leaked)['FAULT'] == 1
-    assert faults([call('0', outcome=Outcome.WRONG)], [])['FAULT'] == 1
+    assert faults([call('0', outcome=CallOutcome.WRONG)], [])['FAULT'] == 1
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -14,9 +14,9 @@
 from clementinedeal_bench._demo_traffic import build_scenario, spread_rate
 from clementinedeal_bench._errors import BenchError
 from clementinedeal_bench._fleet import Fleet, FleetSettings
-from clementinedeal_bench._observer import get, read_executions
 from clementinedeal_bench._scenario import find_fault
-from clementinedeal_bench._webclient import split_address
+from clementinedeal_bench._status_reader import get, read_executions
+from clementinedeal_bench._web_client import split_address
 from ports import free_address
 
 DECLARATION = 'examples/sabarmati.yaml'
@@ -27,8 +27,8 @@
     cfg = read_declaration(DECLARATION)
     settings = FleetSettings(
         folder=tmp_path,
-        platform=free_address(),
-        daemons=False,
+        platform_address=free_address(),
+        has_daemons=False,
     )
     names = sorted(cfg.targets)[:2]
     targets = {
@@ -40,7 +40,7 @@
     fleet.close()
 
 
-async def test_stand_ins_run_as_processes_until_ended(fleet):
+async def test_stand_in_processes_serve_until_killed_or_stopped(fleet):
     await fleet.start()
     first, second = fleet.live_targets()
     platform = fleet.publisher.address
@@ -59,7 +59,7 @@
     assert fleet.live_targets() == []
 
 
-async def test_a_taken_port_is_one_clear_error(fleet):
+async def test_a_port_in_use_fails_the_start_with_its_address(fleet):
     target = next(iter(fleet.cfg.targets.values()))
     with socket.socket() as sock:
         host, port = split_address(target.address)
@@ -69,7 +69,7 @@
     assert raised.group_contains(BenchError, match=f'listen on .*{port}')
 
 
-def test_declarations_move_and_come_back(tmp_path):
+def test_shifted_declarations_are_written_and_read_unchanged(tmp_path):
     cfg = read_declaration(DECLARATION)
     moved = shift_ports(cfg, 500)
     old = cfg.instances['sabarmati-00'].peer
--- a/tests/test_bench_platform.py
+++ b/tests/test_bench_platform.py
@@ -3,11 +3,11 @@
 import trio
 
 from clementinedeal_bench._platform import (
-    READS_PER_SECOND,
+    MAX_READS_PER_SECOND,
     Platform,
     PlatformMode,
     PlatformSettings,
-    ReadMeter,
+    ReadLimiter,
 )
 from clementinedeal_bench._platform_server import PlatformServer
 from clementinedeal_bench._web_messages import WebRequest
@@ -15,7 +15,7 @@
 
 @pytest.fixture
 def server() -> PlatformServer:
-    return PlatformServer(Platform(PlatformSettings()), ReadMeter(5))
+    return PlatformServer(Platform(PlatformSettings()), ReadLimiter(5))
 
 
 async def ask(server: PlatformServer, method: str, target: str, body=b''):
@@ -23,18 +23,18 @@
     return await server.handle(req)
 
 
-def test_meter_counts_calls_and_waiting_watches() -> None:
-    meter = ReadMeter()
-    calls = [meter.admit(0.0) for _ in range(READS_PER_SECOND)]
+def test_waiting_watches_count_against_the_read_limit() -> None:
+    limiter = ReadLimiter()
+    calls = [limiter.admit(0.0) for _ in range(MAX_READS_PER_SECOND)]
     assert None not in calls
-    assert meter.admit(0.5) is None
-    meter.open_watch(calls[0] or 0, 0.0)
-    later = [meter.admit(2.0) for _ in range(READS_PER_SECOND)]
+    assert limiter.admit(0.5) is None
+    limiter.start_watch(calls[0] or 0, 0.0)
+    later = [limiter.admit(2.0) for _ in range(MAX_READS_PER_SECOND)]
     assert later.count(None) == 1
-    assert meter.counters().refused == 2
+    assert limiter.counters().refused == 2
 
 
-def test_stale_serves_the_snapshot_and_lag_hides_the_newest() -> None:
+def test_stale_mode_serves_the_snapshot_and_lag_delays_the_newest() -> None:
     platform = Platform(PlatformSettings())
     platform.publish('a', b'1', 0.0)
     platform.configure(PlatformSettings(mode=PlatformMode.STALE), 1.0)
@@ -42,7 +42,7 @@
     assert platform.read('a', 3.0).body == b'1'
     platform.configure(PlatformSettings(), 4.0)
     assert platform.read('a', 4.0).body == b'2'
-    platform.publish('a', b'3', 5.0, lag=10.0)
+    platform.publish('a', b'3', 5.0, lag_seconds=10.0)
     assert platform.read('a', 14.9).version == 2
     assert platform.read('a', 15.0).version == 3
 
@@ -66,7 +66,9 @@
     assert late.status == 304
 
 
-async def test_cap_down_and_size_limit(server, autojump_clock):
+async def test_read_limit_down_mode_and_value_size_limit(
+    server, autojump_clock
+):
     await ask(server, 'PUT', '/operator/values/v', b'body')
     statuses = [
         (await ask(server, 'GET', '/values/v')).status for _ in '123456'
@@ -81,7 +83,9 @@
     assert bad.status == 400
 
 
-async def test_instance_list_lags(server, autojump_clock):
+async def test_an_instance_list_becomes_visible_after_its_lag(
+    server, autojump_clock
+):
     await ask(server, 'PUT', '/operator/mode', b'{"lag": 3.0}')
     listed = b'{"instances": [{"name": "d1", "state": "leaving"}]}'
     await ask(server, 'PUT', '/operator/instances', listed)
--- a/tests/test_bench_target.py
+++ b/tests/test_bench_target.py
@@ -4,7 +4,11 @@
 import trio
 
 from clementinedeal_bench._executions import ExecutionState, decode_lines
-from clementinedeal_bench._gray import GrayMachine, GrayMode, GraySettings
+from clementinedeal_bench._gray_failures import (
+    FaultInjector,
+    GrayMode,
+    GraySettings,
+)
 from clementinedeal_bench._target import Target, TargetSettings
 from clementinedeal_bench._target_answer import content_digest
 from clementinedeal_bench._web_messages import WebRequest
@@ -12,7 +16,13 @@
 
 @pytest.fixture
 def target(autojump_clock) -> Target:
-    cfg = TargetSettings(name='t1', slots=2, queue=1, service=1.0, sigma=0)
+    cfg = TargetSettings(
+        name='t1',
+        slots=2,
+        queue_limit=1,
+        service_seconds=1.0,
+        service_time_sigma=0,
+    )
     return Target(cfg)
 
 
@@ -38,7 +48,7 @@
     return decode_lines((await target.handle(req)).body)
 
 
-async def test_whole_answer_and_record(target):
+async def test_an_answer_and_its_execution_record_are_complete(target):
     req = request('r1', '/jobs?bytes=5000', authorization='Bearer k')
     answer = await target.handle(req)
     assert answer.chunked
@@ -51,7 +61,7 @@
     assert 'authorization' in entry.header_names
 
 
-async def test_sheds_when_slots_and_queue_are_full(target):
+async def test_requests_beyond_slots_and_queue_are_refused(target):
     statuses = {}
 
     async def ask(request_id: str) -> None:
@@ -71,7 +81,7 @@
     assert len(ran) == 3
 
 
-async def test_deadline_and_cancel_tell_started_from_not_started(target):
+async def test_deadline_and_cancel_answers_say_whether_work_started(target):
     answers = {}
 
     async def ask(request_id: str, **headers: str) -> None:
@@ -85,8 +95,8 @@
         await trio.sleep(0.1)
         await ask('queued', x_deadline_ms='300')
         cancel = WebRequest(method='POST', target='/cancel/stopped')
-        told = await target.handle(cancel)
-    assert json.loads(told.body) == {'cancelled': 'started'}
+        cancel_answer = await target.handle(cancel)
+    assert json.loads(cancel_answer.body) == {'cancelled': 'started'}
     assert answers['queued'].header('x-target-refused') == 'not-started'
     assert answers['stopped'].header('x-target-abandoned') == 'cancelled'
     states = {each.request_id: each.state for each in await executions(target)}
@@ -96,19 +106,21 @@
     }
 
 
-async def test_leaving_is_said_and_new_work_ends(target):
-    target.leave()
+async def test_a_leaving_target_says_so_and_refuses_work_after_its_drain(
+    target,
+):
+    target.begin_leaving()
     answer = await target.handle(request('r1'))
     assert answer.status == 200
     assert answer.header('x-target-state') == 'leaving'
-    target.settings = TargetSettings(name='t1', drain=0)
+    target.settings = TargetSettings(name='t1', drain_seconds=0)
     refused = await target.handle(request('r2'))
     assert refused.header('x-target-refused') == 'not-started'
     probe = await target.handle(WebRequest(method='GET', target='/probe'))
     assert json.loads(probe.body) == {'state': 'leaving'}
 
 
-async def test_wrong_answers(target):
+async def test_each_wrong_answer_mode_has_its_effect(target):
     assert await set_mode(target, mode='wrong', wrong='request-id') == 200
     answer = await target.handle(request('r1'))
     assert answer.header('x-request-id') != 'r1'
@@ -119,17 +131,24 @@
     assert (await target.handle(request('r1'))).status == 500
     await set_mode(target, mode='short')
     answer = await target.handle(request('r1'))
-    assert answer.cut < len(answer.body)
+    assert answer.cut_after_bytes < len(answer.body)
     assert await set_mode(target, mode='odd') == 400
     probe = await target.handle(WebRequest(method='GET', target='/probe'))
     assert probe.status == 200
 
 
-def test_flap_alternates_and_share_is_kept() -> None:
-    machine = GrayMachine(seed=1)
+def test_flap_alternates_and_share_limits_affected_requests() -> None:
+    injector = FaultInjector(seed=1)
     flap = GraySettings(mode=GrayMode.FLAP, period=2, flap_mode=GrayMode.HANG)
-    machine.configure(flap, 10.0)
-    assert [machine.plan(at).hang for at in (11, 13, 15)] == [True, False, True]
-    machine.configure(GraySettings(mode=GrayMode.SLOW, share=0.3), 20.0)
-    slow = sum(machine.plan(21.0).factor > 1 for _ in range(1000))
+    injector.configure(flap, 10.0)
+    assert [injector.choose_faults(at).hangs for at in (11, 13, 15)] == [
+        True,
+        False,
+        True,
+    ]
+    injector.configure(GraySettings(mode=GrayMode.SLOW, share=0.3), 20.0)
+    slow = sum(
+        injector.choose_faults(21.0).service_time_factor > 1
+        for _ in range(1000)
+    )
     assert 200 < slow < 400
--- a/tests/test_bench_web.py
+++ b/tests/test_bench_web.py
@@ -1,8 +1,8 @@
 import pytest
 import trio
 
-from clementinedeal_bench._web import WebAnswer, WebRequest, WebServer
-from clementinedeal_bench._webclient import WebClient
+from clementinedeal_bench._web_client import WebClient
+from clementinedeal_bench._web_server import WebAnswer, WebRequest, WebServer
 
 BODY = b'0123456789' * 5000
 
@@ -14,14 +14,14 @@
         '/echo': WebAnswer(body=req.body),
         '/chunks': WebAnswer(body=BODY, chunked=True),
         '/none': WebAnswer(status=204),
-        '/cut': WebAnswer(body=BODY, cut=100),
+        '/cut': WebAnswer(body=BODY, cut_after_bytes=100),
         '/drop': WebAnswer(drop=True),
     }[req.path]
 
 
 @pytest.fixture
 async def client(nursery) -> WebClient:
-    server = WebServer(answer_by_path, connections=1)
+    server = WebServer(answer_by_path, max_connections=1)
     listener = await server.listen('127.0.0.1', 0)
     nursery.start_soon(server.serve, listener)
     port = listener.socket.getsockname()[1]
@@ -33,7 +33,7 @@
     return await client.request(req)
 
 
-async def test_whole_answers_share_one_connection(client):
+async def test_complete_answers_reuse_one_connection(client):
     assert (await ask(client, 'POST', '/echo', BODY)).unwrap().body == BODY
     stream = client._stream
     assert (await ask(client, 'GET', '/chunks')).unwrap().body == BODY
@@ -44,9 +44,9 @@
 
 async def test_broken_answers_are_failures(client):
     cut = (await ask(client, 'GET', '/cut')).unwrap_err()
-    assert (cut.status, cut.sent) == (200, True)
+    assert (cut.status, cut.may_have_been_sent) == (200, True)
     dropped = (await ask(client, 'GET', '/drop')).unwrap_err()
-    assert (dropped.status, dropped.sent) == (0, True)
+    assert (dropped.status, dropped.may_have_been_sent) == (0, True)
 
 
 async def test_connections_over_the_limit_are_closed(client, nursery):
@@ -55,7 +55,7 @@
     assert (await ask(second, 'GET', '/none')).is_err()
 
 
-async def test_a_closed_client_cancels_the_handler(client):
+async def test_a_client_that_disconnects_cancels_the_handler(client):
     with trio.move_on_after(0.05):
         await ask(client, 'GET', '/hang')
     with trio.fail_after(5):
--- a/tests/test_detection_bench.py
+++ b/tests/test_detection_bench.py
@@ -1,43 +1,55 @@
 import pytest
 
-from clementinedeal_bench._detection import Load, Run
+from clementinedeal_bench._detection import DetectionRun, LoadSettings
 from clementinedeal_bench._ejection_policies import (
     ConsecutiveErrors,
-    Managers,
+    EjectionManagers,
     NoPolicy,
 )
-from clementinedeal_bench._model_targets import Mode
+from clementinedeal_bench._model_targets import FaultMode
 
 SIZE = 8
-LOAD = Load(after=15.0)
+LOAD = LoadSettings(seconds_after_onset=15.0)
 
 
 @pytest.mark.parametrize(
     ('mode', 'seconds'),
-    [(Mode.FAILING, 1.0), (Mode.SLOW_3, 5.0), (Mode.SLOW_10, 5.0)],
+    [
+        (FaultMode.FAILING, 1.0),
+        (FaultMode.SLOW_3, 5.0),
+        (FaultMode.SLOW_10, 5.0),
+    ],
 )
-def test_a_faulty_target_is_set_aside_in_time(
-    mode: Mode,
+def test_a_faulty_target_is_ejected_in_time(
+    mode: FaultMode,
     seconds: float,
 ) -> None:
-    finding = Run(mode, 3, Managers(SIZE, 6, 18.0), LOAD).finish()
-    assert finding.detected is not None
-    assert finding.detected < seconds
-    assert finding.wrongful == 0
+    result = DetectionRun(
+        mode, 3, EjectionManagers(SIZE, 6, 18.0), LOAD
+    ).simulate()
+    assert result.detection_seconds is not None
+    assert result.detection_seconds < seconds
+    assert result.wrongful_ejections == 0
 
 
-@pytest.mark.parametrize('mode', [Mode.HEALTHY, Mode.ALL_SLOW])
-def test_healthy_targets_and_a_common_slowdown_are_left_alone(
-    mode: Mode,
+@pytest.mark.parametrize('mode', [FaultMode.HEALTHY, FaultMode.ALL_SLOW])
+def test_healthy_targets_and_a_common_slowdown_are_not_ejected(
+    mode: FaultMode,
 ) -> None:
-    finding = Run(mode, 3, Managers(SIZE, 6, 18.0), LOAD).finish()
-    assert finding.detected is None
-    assert finding.wrongful == 0
-
-
-def test_one_seed_gives_one_run_whatever_the_policy() -> None:
-    runs = [Run(Mode.FAILING, 3, NoPolicy(), LOAD) for _ in range(2)]
-    first, second = (run.finish() for run in runs)
+    result = DetectionRun(
+        mode, 3, EjectionManagers(SIZE, 6, 18.0), LOAD
+    ).simulate()
+    assert result.detection_seconds is None
+    assert result.wrongful_ejections == 0
+
+
+def test_one_seed_gives_the_same_result_each_time() -> None:
+    runs = [
+        DetectionRun(FaultMode.FAILING, 3, NoPolicy(), LOAD) for _ in range(2)
+    ]
+    first, second = (run.simulate() for run in runs)
     assert first == second
-    errors = Run(Mode.FAILING, 3, ConsecutiveErrors(2), LOAD).finish()
-    assert errors.detected is not None
+    errors = DetectionRun(
+        FaultMode.FAILING, 3, ConsecutiveErrors(2), LOAD
+    ).simulate()
+    assert errors.detection_seconds is not None
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -9,7 +9,7 @@
 async def test_a_target_whose_probe_says_leaving_is_not_back() -> None:
     async with running_fleet(('a', 'b')) as fleet:
         leaving = fleet.cfg.targets['t-a']
-        fleet.targets['t-a'].leave()
+        fleet.targets['t-a'].begin_leaving()
         back: list[str] = []
         seen = trio.Event()
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,15 +11,15 @@
 import trio
 
 from clementinedeal import Config
+from clementinedeal_bench._call_records import CallOutcome, CallRecord
 from clementinedeal_bench._caller import Caller
 from clementinedeal_bench._declarations import read_declaration
 from clementinedeal_bench._demo_traffic import build_scenario
 from clementinedeal_bench._executions import Execution
 from clementinedeal_bench._fleet import Fleet, FleetSettings
 from clementinedeal_bench._fleet_watch import await_version
-from clementinedeal_bench._history import CallRecord, Outcome
-from clementinedeal_bench._observer import get, put, read_executions
 from clementinedeal_bench._report import check_lines
+from clementinedeal_bench._status_reader import get, put, read_executions
 from ports import free_address
 
 INSTANCES = 6
@@ -74,8 +74,8 @@
         self.cfg = reduce_config(read_declaration('examples/freshwater.yaml'))
         settings = FleetSettings(
             folder=folder,
-            platform=free_address(),
-            width=INSTANCES,
+            platform_address=free_address(),
+            max_parallel_starts=INSTANCES,
         )
         self.fleet = Fleet(self.cfg, settings)
         self.records: list[CallRecord] = []
@@ -88,7 +88,7 @@
 
     def answered(self, account: str) -> bool:
         return any(
-            call.account == account and call.outcome is Outcome.ANSWERED
+            call.account == account and call.outcome is CallOutcome.ANSWERED
             for call in self.records
         )
 
@@ -168,7 +168,7 @@
         call
         for call in run.records[seen:]
         if call.account == account.name
-        and call.outcome is Outcome.ANSWERED
+        and call.outcome is CallOutcome.ANSWERED
         and call.sent > run.records[seen - 1].end
     ]
     assert late == []
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -74,7 +74,7 @@
     fleet.network.cuts = {
         (a, b) for a in NAMES for b in NAMES if (a in side) != (b in side)
     }
-    fleet.platform.cut_off = set(side)
+    fleet.platform.unreachable_daemons = set(side)
 
 
 class FleetMachine(RuleBasedStateMachine):
@@ -109,7 +109,7 @@
     )
     def cut_links(self, pairs, cut_off):
         self.fleet.network.cuts = pairs
-        self.fleet.platform.cut_off = cut_off
+        self.fleet.platform.unreachable_daemons = cut_off
         self.isolated = {}
 
     @rule(loss=st.sampled_from([0.0, 0.05, 0.5]), delay=st.floats(0.01, 3))
@@ -124,7 +124,7 @@
 
     @rule(replica=st.integers(0, 1))
     def freeze(self, replica):
-        self.fleet.platform.freeze(replica)
+        self.fleet.platform.make_stale(replica)
 
     @rule(name=instance_names, seconds=st.floats(0.6, 15))
     def pause(self, name, seconds):
@@ -148,9 +148,9 @@
     @rule()
     def heal(self):
         network = self.fleet.network
-        network.cuts, self.fleet.platform.cut_off = set(), set()
+        network.cuts, self.fleet.platform.unreachable_daemons = set(), set()
         network.loss, network.max_delay = 0.05, 0.01
-        self.fleet.platform.thaw()
+        self.fleet.platform.bring_up_to_date()
         self.fleet.platform.is_up = True
         self.isolated = {}
 
@@ -167,16 +167,16 @@
         self.run(IN_FORCE_SECONDS)
         assert versions(self.fleet) == {self.newest}
         assert fresh_names(self.fleet) == NAMES
-        self.fleet.platform.freeze(0)
-        self.fleet.platform.freeze(1)
+        self.fleet.platform.make_stale(0)
+        self.fleet.platform.make_stale(1)
         self.fleet.start(name)
         self.run(START_SECONDS)
         assert self.fleet.processes[name].versions == [self.newest]
 
     def platform_is_whole(self):
         platform = self.fleet.platform
-        cut = platform.cut_off
-        return platform.is_up and not platform.frozen and not cut
+        cut = platform.unreachable_daemons
+        return platform.is_up and not platform.stale_replicas and not cut
 
     @invariant()
     def check(self):
@@ -246,7 +246,7 @@
     fleet = started()
     cut_off = NAMES[0]
     fleet.network.cuts = {(name, cut_off) for name in NAMES[1:]}
-    fleet.platform.cut_off = {cut_off}
+    fleet.platform.unreachable_daemons = {cut_off}
     fleet.platform.publish(publication(2))
     fleet.run(1)
     assert versions(fleet, [cut_off]) == {1}
@@ -269,7 +269,7 @@
     fleet = started()
     leaver, listed, dead = NAMES[:3]
     fleet.ask(leaver, fleet.processes[leaver].view.stop)
-    fleet.platform.listed = InstanceList(
+    fleet.platform.instance_list = InstanceList(
         live=frozenset(NAMES),
         leaving=frozenset([listed]),
     )
@@ -306,7 +306,7 @@
 def test_readers_cut_from_the_platform_do_not_hold_up_a_version():
     fleet = started()
     readers = reader_order(CFG.instances)[:3]
-    fleet.platform.cut_off = set(readers)
+    fleet.platform.unreachable_daemons = set(readers)
     fleet.run(FRESH_SECONDS)
     fleet.platform.publish(publication(2))
     fleet.run(FRESH_SECONDS)
@@ -320,10 +320,10 @@
     fleet.pause(name)
     fleet.run(1)
     fleet.network.cuts = {(peer, name) for peer in NAMES}
-    fleet.platform.cut_off = {name}
+    fleet.platform.unreachable_daemons = {name}
     fleet.resume(name)
     assert fresh_names(fleet, [name]) == []
-    fleet.network.cuts, fleet.platform.cut_off = set(), set()
+    fleet.network.cuts, fleet.platform.unreachable_daemons = set(), set()
     fleet.run(IN_FORCE_SECONDS)
     assert fresh_names(fleet) == NAMES
     after = fleet.processes[name].view.incarnation(name)
@@ -333,7 +333,7 @@
 def test_daemon_with_a_higher_ref_only_heard_of_loses_freshness():
     fleet = started()
     name = NAMES[0]
-    fleet.platform.cut_off = set(NAMES)
+    fleet.platform.unreachable_daemons = set(NAMES)
     view = fleet.processes[name].view
     for _ in range(int(2 * FRESH_SECONDS)):
         view.on_message(NAMES[1], Announcement(VersionRef(2, 'd')), fleet.now)
@@ -377,7 +377,7 @@
         blob = msgspec.msgpack.encode(replace(root, parts=parts))
         parts = {**faulty.parts, digest_of(junk): junk}
         faulty = Publication(root=blob, parts=parts)
-    fleet.platform.cut_off = set(NAMES[1:])
+    fleet.platform.unreachable_daemons = set(NAMES[1:])
     fleet.platform.publish(faulty)
     fleet.network.cuts = {(name, NAMES[0]) for name in NAMES}
     fleet.start(NAMES[0])
@@ -387,7 +387,7 @@
     fleet.run(2 * START_SECONDS)
     assert versions(fleet) == {1}
     assert NAMES[0] in fresh_names(fleet)
-    fleet.platform.cut_off = set()
+    fleet.platform.unreachable_daemons = set()
     fleet.run(FRESH_SECONDS)
     assert fresh_names(fleet) == NAMES
 
