--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,6 @@
 import pytest
 from hypothesis import settings
-from tests.endless_standin import BODIES, HEADS, INTERIMS, Endless
+from tests.endless_standin import BODIES, HEADS, INTERIM_ANSWERS, EndlessStandIn
 from tests.mesh_fleet import far, fleet  # noqa: F401
 
 settings.register_profile(
@@ -14,8 +14,10 @@
 settings.load_profile('ci')
 
 
-@pytest.fixture(params=[*HEADS, *BODIES, *INTERIMS])
+@pytest.fixture(params=[*HEADS, *BODIES, *INTERIM_ANSWERS])
 async def endless(request, nursery):
-    made = Endless(*{**HEADS, **BODIES, **INTERIMS}[request.param])
-    await made.start(nursery)
-    return made
+    stand_in = EndlessStandIn(
+        *{**HEADS, **BODIES, **INTERIM_ANSWERS}[request.param]
+    )
+    await stand_in.start(nursery)
+    return stand_in
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -10,8 +10,8 @@
 
 import trio
 from tests.ports import free_address
-from tests.soak_cable import Cable
-from tests.soak_targets import WorkingTarget
+from tests.soak_link import FaultyLink
+from tests.soak_targets import SlowTarget
 from tests.store_standin import (
     Store,
     TargetStandIn,
@@ -21,9 +21,9 @@
 
 from clementinedeal._pool import split_address
 
-STOP_SECONDS = 6.0
+GRACE_SECONDS = 6.0
 # the interpreter's own start, on a machine under load
-INTERPRETER_SECONDS = 0.5
+INTERPRETER_START_SECONDS = 0.5
 # a process restarted by the platform serves again after so long
 RESTART_SECONDS = 3.0
 # longer than the grace time, so that it seldom ends a request before
@@ -48,42 +48,42 @@
         ports = [free_address().rpartition(':')[2] for _ in range(3)]
         self.name = f'n{number}'
         self.service = fleet.services[number]
-        self.callers = f'{host}:{ports[0]}'
-        self.ready = f'{host}:{ports[1]}'
-        self.generation = 0
-        self.store_cable = Cable(free_address(), fleet.store.address)
+        self.caller_address = f'{host}:{ports[0]}'
+        self.ready_address = f'{host}:{ports[1]}'
+        self.target_generation = 0
+        self.store_link = FaultyLink(free_address(), fleet.store.address)
         self.target = fleet.make_target(f't{number}.0')
-        self.target_cable = Cable(f'{host}:{ports[2]}', self.target.address)
-        self._slack = 60
+        self.target_link = FaultyLink(f'{host}:{ports[2]}', self.target.address)
+        self._retry_slack = 60
         self._settings = {
             'name': self.name,
             'service': self.service,
-            'target': self.target_cable.address,
+            'target': self.target_link.address,
             'datagrams': datagram_port,
             'peers': f'{host}:{peer_port}',
-            'callers': self.callers,
-            'ready': self.ready,
-            'store': self.store_cable.address,
-            'stop': STOP_SECONDS,
+            'callers': self.caller_address,
+            'ready': self.ready_address,
+            'store': self.store_link.address,
+            'stop': GRACE_SECONDS,
         }
         self.process = None
         self.started_at = 0.0
         self.reloaded_at = 0.0
         # times from which to which its callers are owed no answer
-        self.troubles = []
+        self.exempt_periods = []
         # times of stop signals, and what the process ended with
-        self.stops = []
-        self.exits = []
+        self.stop_times = []
+        self.exit_results = []
 
     def __repr__(self):
         return self.name
 
     def write_settings(self, folder):
         path = folder / f'{self.name}.toml'
-        text = _SETTINGS.format(**self._settings, slack=self._slack)
-        fresh = path.with_suffix('.new')
-        fresh.write_text(text)
-        return fresh.rename(path)
+        text = _SETTINGS.format(**self._settings, slack=self._retry_slack)
+        new_path = path.with_suffix('.new')
+        new_path.write_text(text)
+        return new_path.rename(path)
 
     def start(self, folder):
         self.started_at = trio.current_time()
@@ -97,18 +97,20 @@
             )
 
     @contextlib.contextmanager
-    def trouble(self, more=0.0):
+    def exempt_period(self, extra_seconds=0.0):
         """Mark the time in which callers are owed no answer, and more."""
         begin = trio.current_time()
-        self.troubles.append((begin, math.inf))
+        self.exempt_periods.append((begin, math.inf))
         try:
             yield
         finally:
-            self.troubles.remove((begin, math.inf))
-            self.troubles.append((begin, trio.current_time() + more))
+            self.exempt_periods.remove((begin, math.inf))
+            self.exempt_periods.append(
+                (begin, trio.current_time() + extra_seconds)
+            )
 
     def reload(self, folder):
-        self._slack += 1
+        self._retry_slack += 1
         self.write_settings(folder)
         self.reloaded_at = trio.current_time()
         self.signal(signal.SIGHUP)
@@ -119,34 +121,38 @@
         if code is None:
             return
         # no program can answer a signal before its first line has run
-        early = self.reloaded_at - self.started_at < INTERPRETER_SECONDS
-        if not (early and code == -signal.SIGHUP):
-            self.exits.append(f'by itself with {code}')
+        is_starting = (
+            self.reloaded_at - self.started_at < INTERPRETER_START_SECONDS
+        )
+        if not (is_starting and code == -signal.SIGHUP):
+            self.exit_results.append(f'by itself with {code}')
         now = trio.current_time()
-        self.troubles.append((self.started_at, now + RESTART_SECONDS))
+        self.exempt_periods.append((self.started_at, now + RESTART_SECONDS))
         self.start(folder)
 
     def signal(self, number):
         if self.process.poll() is None:
             self.process.send_signal(number)
 
-    def end(self):
+    def kill(self):
         """End this soak's own process, if it runs, and wait for it."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
             self.process.wait()
 
-    async def is_back(self):
+    async def wait_until_listening(self):
         """Wait until a started daemon listens."""
         while True:
             with contextlib.suppress(OSError):
-                conn = await trio.open_tcp_stream(*split_address(self.callers))
+                conn = await trio.open_tcp_stream(
+                    *split_address(self.caller_address)
+                )
                 await trio.aclose_forcefully(conn)
                 return
             await trio.sleep(0.05)
 
-    async def ended(self):
+    async def wait_ended(self):
         return await trio.to_thread.run_sync(
             self.process.wait,
             abandon_on_cancel=True,
@@ -159,7 +165,7 @@
     # one instance each
     services = ('till',) * 4
     slots = 7
-    kinds = ('look', 'book', 'book', 'book')
+    request_kinds = ('look', 'book', 'book', 'book')
 
     def __init__(self, folder):
         self.folder = folder
@@ -184,14 +190,14 @@
     async def start(self, nursery):
         await self.store.start(nursery)
         self.store.put('op/config', self.configuration())
-        for one in self.instances:
-            await nursery.start(one.store_cable.run)
-            await nursery.start(one.target_cable.run)
-            await one.target.start(nursery)
-            self._register(one)
-            one.start(self.folder)
-
-    def withdraw(self, key):
+        for instance in self.instances:
+            await nursery.start(instance.store_link.run)
+            await nursery.start(instance.target_link.run)
+            await instance.target.start(nursery)
+            self._register(instance)
+            instance.start(self.folder)
+
+    def withdraw_key(self, key):
         self.keys.remove(key)
         self.withdrawn[key] = trio.current_time()
         self._publish()
@@ -200,22 +206,24 @@
         self.keys.append(key)
         self._publish()
 
-    async def replace_target(self, one, nursery):
+    async def replace_target(self, instance, nursery):
         """Let another process answer at a target's address."""
-        one.generation += 1
-        name = one.target.name.partition('.')[0]
-        self.store.delete(f'servers/{one.target.name}')
-        self.former_targets.append(one.target)
-        one.target = self.make_target(f'{name}.{one.generation}')
-        await one.target.start(nursery)
-        one.target_cable.set_mode('reset')
-        one.target_cable.far = one.target.address
-        one.target_cable.set_mode('ok')
-        self._register(one)
+        instance.target_generation += 1
+        name = instance.target.name.partition('.')[0]
+        self.store.delete(f'servers/{instance.target.name}')
+        self.former_targets.append(instance.target)
+        instance.target = self.make_target(
+            f'{name}.{instance.target_generation}'
+        )
+        await instance.target.start(nursery)
+        instance.target_link.set_mode('reset')
+        instance.target_link.destination = instance.target.address
+        instance.target_link.set_mode('ok')
+        self._register(instance)
 
     def runs(self):
         """Return what the targets' own records show, oldest first."""
-        current = [one.target for one in self.instances]
+        current = [instance.target for instance in self.instances]
         return [
             run
             for target in (*self.former_targets, *current)
@@ -225,51 +233,51 @@
     def runs_of(self, call):
         """Return the timed runs of a call, and the instance of each."""
         return [
-            (one, run)
-            for one in self.instances
-            for run in one.target.runs
-            if run.name == getattr(call, 'name', None)
+            (instance, run)
+            for instance in self.instances
+            for run in instance.target.runs
+            if run.attempt_id == getattr(call, 'attempt_id', None)
         ]
 
-    def end(self):
-        for one in self.instances:
-            one.end()
+    def kill(self):
+        for instance in self.instances:
+            instance.kill()
 
-    def _register(self, one):
-        item = registration(one.target_cable.address, one.service)
+    def _register(self, instance):
+        item = registration(instance.target_link.address, instance.service)
         item['info']['slots'] = self.slots
-        self.store.put(f'servers/{one.target.name}', item)
+        self.store.put(f'servers/{instance.target.name}', item)
 
     def _publish(self):
         self.version += 1
         self.store.put('op/config', self.configuration())
 
 
-class WorkingFleet(Fleet):
+class PlannedWorkFleet(Fleet):
     """Slow targets with few slots, some of which call the others."""
 
     services = ('stock', 'stock', 'till', 'till', 'till')
     slots = 3
-    kinds = ('look', 'open', 'book', 'book', 'book')
+    request_kinds = ('look', 'open', 'book', 'book', 'book')
 
     def __init__(self, folder, seed):
         self._seed = seed
-        self._objective = random.Random(seed).choice([1, 2, 4])
+        self._target_latency_seconds = random.Random(seed).choice([1, 2, 4])
         super().__init__(folder)
 
     def make_target(self, name):
-        return WorkingTarget(name, free_address(), self._seed)
+        return SlowTarget(name, free_address(), self._seed)
 
     def configuration(self):
-        whole = super().configuration()
-        for item in whole['resources']:
+        document = super().configuration()
+        for item in document['resources']:
             spec = item['spec']
             if item['entry_type'] == 'routes':
                 spec['timeout_s'] = PLANNED_TIMEOUT_SECONDS
-                spec['target_latency_s'] = self._objective
+                spec['target_latency_s'] = self._target_latency_seconds
             if item['metadata']['name'] == 'open':
                 spec['service'] = 'stock'
             if item['metadata']['name'] == 'till':
                 stock = {**item, 'metadata': {'name': 'stock'}}
-        whole['resources'].append(stock)
-        return whole
+        document['resources'].append(stock)
+        return document
--- a/tests/soak_cable.py
+++ b/tests/soak_link.py
@@ -7,26 +7,26 @@
 
 from clementinedeal._pool import split_address
 
-MODES = ('reset', 'silent', 'one-way', 'slow')
-SLOW_SECONDS = 0.15
-_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
+FAULT_MODES = ('reset', 'silent', 'one-way', 'slow')
+DELAY_SECONDS = 0.15
+_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 
-class Cable:
+class FaultyLink:
     """Carries bytes between one address and another, in a mode."""
 
-    def __init__(self, address, far):
+    def __init__(self, address, destination):
         self.address = address
-        self.far = far
+        self.destination = destination
         self.mode = 'ok'
         self._open = set()
-        self._mended = trio.Event()
+        self._restored = trio.Event()
 
     def set_mode(self, mode):
         self.mode = mode
         if mode == 'ok':
-            self._mended.set()
-            self._mended = trio.Event()
+            self._restored.set()
+            self._restored = trio.Event()
         if mode == 'reset':
             for stream in tuple(self._open):
                 _reset(stream)
@@ -37,41 +37,43 @@
             self._carry, port, host=host, task_status=task_status
         )
 
-    async def _carry(self, near):
+    async def _carry(self, client):
         if self.mode == 'reset':
-            _reset(near)
+            _reset(client)
             return
         try:
-            far = await trio.open_tcp_stream(*split_address(self.far))
+            server = await trio.open_tcp_stream(
+                *split_address(self.destination)
+            )
         except OSError:
-            _reset(near)
+            _reset(client)
             return
-        ends = {near, far}
+        ends = {client, server}
         self._open |= ends
         try:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._copy, near, far, False)
-                nursery.start_soon(self._copy, far, near, True)
+                nursery.start_soon(self._copy, client, server, False)
+                nursery.start_soon(self._copy, server, client, True)
         finally:
             self._open -= ends
             for stream in ends:
                 stream.socket.close()
 
-    async def _copy(self, source, sink, back):
+    async def _copy(self, source, sink, is_from_server):
         try:
             while True:
-                blob = await source.receive_some(65536)
+                chunk = await source.receive_some(65536)
                 while self.mode == 'silent' or (
-                    back and self.mode == 'one-way'
+                    is_from_server and self.mode == 'one-way'
                 ):
-                    await self._mended.wait()
+                    await self._restored.wait()
                 if self.mode == 'slow':
-                    await trio.sleep(SLOW_SECONDS)
-                if not blob:
+                    await trio.sleep(DELAY_SECONDS)
+                if not chunk:
                     await sink.send_eof()
                     return
-                await sink.send_all(blob)
-        except _ERRORS:
+                await sink.send_all(chunk)
+        except _STREAM_ERRORS:
             for stream in (source, sink):
                 _reset(stream)
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,8 +8,8 @@
 import trio.testing
 from tests.endless_standin import (
     BODIES,
-    OK,
-    Endless,
+    OK_HEAD,
+    EndlessStandIn,
 )
 from tests.ports import free_address
 
@@ -33,32 +33,32 @@
 from clementinedeal.platform import PlatformDialect
 
 HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
-STAMP = CallContext(
+CALL_CONTEXT = CallContext(
     req_id='r1', seconds_left=5.0, target='t1', account='', caller_service=''
 )
 # What one read may bring: hundreds of events, each some 6 us of a core.
 TINY_CHUNKS = b'1\r\nx\r\n' * 10_000 + b'0\r\n\r\n'
 MANY_INTERIMS = b'HTTP/1.1 100 \r\n\r\n' * 800
 # A task waits while two turns of the reader may come one after the other.
-MOST_EVENTS = 150
-CHUNKING = b'transfer-encoding: chunked\r\n\r\n'
+MAX_EVENTS_PER_TURN = 150
+CHUNKED_HEADER = b'transfer-encoding: chunked\r\n\r\n'
 GET = RequestHead('GET', '/', ((b'host', b'x'),))
 
 
-class Turns:
+class TurnCounter:
     """Counts events between two turns of another task."""
 
     def __init__(self):
         self.events = 0
-        self.most = 0
+        self.max_events = 0
         self.total = 0
 
-    def note(self):
+    def count_event(self):
         self.events += 1
         self.total += 1
-        self.most = max(self.most, self.events)
+        self.max_events = max(self.max_events, self.events)
 
-    async def take(self):
+    async def reset_each_turn(self):
         while True:
             self.events = 0
             await trio.lowlevel.checkpoint()
@@ -66,57 +66,61 @@
 
 @pytest.fixture
 async def turns(nursery):
-    made = Turns()
-    nursery.start_soon(made.take)
-    return made
+    counter = TurnCounter()
+    nursery.start_soon(counter.reset_each_turn)
+    return counter
 
 
-async def answering(blob):
+async def connect_answered(answer):
     """Return a connection whose request is answered with these bytes."""
     near, far = trio.testing.memory_stream_pair()
     conn = ClientConn(near)
     await conn.send_whole(GET, b'')
-    await far.send_all(blob)
+    await far.send_all(answer)
     return conn
 
 
 async def test_tiny_chunks_of_an_answer_hold_up_no_other_task(turns):
-    conn = await answering(b'HTTP/1.1 200 OK\r\n' + CHUNKING + TINY_CHUNKS)
+    conn = await connect_answered(
+        b'HTTP/1.1 200 OK\r\n' + CHUNKED_HEADER + TINY_CHUNKS
+    )
     await conn.read_head()
     async for _ in conn.read_body():
-        turns.note()
+        turns.count_event()
     assert turns.total == 10_000
-    assert turns.most <= MOST_EVENTS
+    assert turns.max_events <= MAX_EVENTS_PER_TURN
 
 
 async def test_tiny_chunks_of_a_request_hold_up_no_other_task(turns):
     near, far = trio.testing.memory_stream_pair()
     conn = ServerConn(near, HttpLimits())
-    await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
+    await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKED_HEADER)
     assert await conn.next_request()
     await far.send_all(TINY_CHUNKS)
     async for _ in conn.read_body():
-        turns.note()
+        turns.count_event()
     assert turns.total == 10_000
-    assert turns.most <= MOST_EVENTS
+    assert turns.max_events <= MAX_EVENTS_PER_TURN
 
 
 async def test_interim_answers_hold_up_no_other_task(turns):
-    conn = await answering(MANY_INTERIMS + b'HTTP/1.1 200 OK\r\n\r\n')
-    await conn.read_head(turns.note)
+    conn = await connect_answered(MANY_INTERIMS + b'HTTP/1.1 200 OK\r\n\r\n')
+    await conn.read_head(turns.count_event)
     assert turns.total == 800
-    assert turns.most <= MOST_EVENTS
+    assert turns.max_events <= MAX_EVENTS_PER_TURN
 
 
 async def test_reading_what_was_received_can_be_cancelled():
-    conn = await answering(b'HTTP/1.1 200 OK\r\n' + CHUNKING + TINY_CHUNKS)
+    conn = await connect_answered(
+        b'HTTP/1.1 200 OK\r\n' + CHUNKED_HEADER + TINY_CHUNKS
+    )
     await conn.read_head()
     pieces = 0
     with trio.CancelScope() as scope:
         async for _ in conn.read_body():
             pieces += 1
             scope.cancel()
-    assert pieces <= MOST_EVENTS
+    assert pieces <= MAX_EVENTS_PER_TURN
 
 
 @pytest.mark.parametrize('body', [b'', b'x' * 100_000])
@@ -127,27 +131,27 @@
     events = EventLog('i', '1')
     clock = MonotonicClock()
     pool = ConnPool(clock)
-    origin = TargetClient(
+    client = TargetClient(
         endless.address, pool, PlatformDialect(), clock, events
     )
-    outcome = await origin.call(
-        BufferedRequest('POST', '/', HEADERS, body), STAMP
+    outcome = await client.call(
+        BufferedRequest('POST', '/', HEADERS, body), CALL_CONTEXT
     )
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
     assert outcome.reason is Reason.ANSWER_INCOMPLETE
     assert await endless.was_cut()
 
 
-async def test_a_cut_answer_leaves_a_line_with_its_size(nursery):
-    endless = Endless(*BODIES['no-length'])
+async def test_a_cut_answer_is_logged_with_its_size(nursery):
+    endless = EndlessStandIn(*BODIES['no-length'])
     await endless.start(nursery)
     events = EventLog('i', '1')
     clock = MonotonicClock()
     pool = ConnPool(clock)
-    origin = TargetClient(
+    client = TargetClient(
         endless.address, pool, PlatformDialect(), clock, events
     )
-    await origin.call(BufferedRequest('GET', '/', HEADERS, b''), STAMP)
+    await client.call(BufferedRequest('GET', '/', HEADERS, b''), CALL_CONTEXT)
     lines = [
         dict(line['fields'])
         for line in map(json.loads, events.json_lines().splitlines())
@@ -158,51 +162,53 @@
     assert int(lines[0]['bytes']) > int(lines[0]['limit']) > 0
 
 
-WHOLE = OK + b'content-length: 2\r\n\r\nok'
+WHOLE_ANSWER = OK_HEAD + b'content-length: 2\r\n\r\nok'
 
 
-async def send_on(stream):
+async def send_until_closed(stream):
     with contextlib.suppress(*BROKEN_STREAM_ERRORS):
         while True:
             await stream.send_all(b'x' * 50_000)
 
 
-async def whole_then_more(stream):
+async def answer_then_send_at_once(stream):
     await stream.receive_some()
-    await stream.send_all(WHOLE + b'x' * 50_000)
-    await send_on(stream)
+    await stream.send_all(WHOLE_ANSWER + b'x' * 50_000)
+    await send_until_closed(stream)
 
 
-async def whole_then_more_later(stream):
+async def answer_then_send_later(stream):
     await stream.receive_some()
-    await stream.send_all(WHOLE)
+    await stream.send_all(WHOLE_ANSWER)
     await trio.sleep(0.05)
-    await send_on(stream)
+    await send_until_closed(stream)
 
 
-@pytest.mark.parametrize('serve', [whole_then_more, whole_then_more_later])
+@pytest.mark.parametrize(
+    'serve', [answer_then_send_at_once, answer_then_send_later]
+)
 async def test_bytes_after_an_answer_belong_to_no_request(nursery, serve):
     address = free_address()
     host, port = split_address(address)
-    opened = 0
+    connection_count = 0
 
-    async def count(stream):
-        nonlocal opened
-        opened += 1
+    async def serve_counted(stream):
+        nonlocal connection_count
+        connection_count += 1
         await serve(stream)
 
     listeners = await trio.open_tcp_listeners(port, host=host)
-    nursery.start_soon(trio.serve_listeners, count, listeners)
+    nursery.start_soon(trio.serve_listeners, serve_counted, listeners)
     clock = MonotonicClock()
     pool = ConnPool(clock)
     events = EventLog('i', '1')
-    origin = TargetClient(address, pool, PlatformDialect(), clock, events)
+    client = TargetClient(address, pool, PlatformDialect(), clock, events)
     message = BufferedRequest('GET', '/', HEADERS, b'')
     for number in range(3):
-        outcome = await origin.call(message, STAMP)
+        outcome = await client.call(message, CALL_CONTEXT)
         assert outcome.body == b'ok'
         await trio.sleep(0.1)
-        assert opened == number + 1
+        assert connection_count == number + 1
 
 
 async def test_an_answer_in_small_pieces_is_read_whole():
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 import trio.testing
-from tests.endless_standin import BODIES, HEADS, Endless
+from tests.endless_standin import BODIES, HEADS, EndlessStandIn
 from tests.mesh_fleet import untimed_attempt
 from tests.ports import free_address
 
@@ -29,7 +29,7 @@
 
 HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
 TINY_CHUNKS = b'1\r\nx\r\n' * 10_000 + b'0\r\n\r\n'
-CHUNKING = b'transfer-encoding: chunked\r\n\r\n'
+CHUNKED_HEADER = b'transfer-encoding: chunked\r\n\r\n'
 ATTEMPT = MeshAttempt(
     attempt='a1',
     req_id='r1',
@@ -59,13 +59,13 @@
     assert await endless.was_cut()
 
 
-async def attempt(endless, asked):
+async def send_attempt(endless, sent_attempt):
     """Send an attempt to an owner that never ends."""
     clock = MonotonicClock()
     client = MeshPeerClient(ConnPool(clock), clock)
     message = BufferedRequest('POST', '/', HEADERS, b'x')
     return await client.send_attempt(
-        endless.address, asked, message, untimed_attempt()
+        endless.address, sent_attempt, message, untimed_attempt()
     )
 
 
@@ -75,9 +75,9 @@
     caplog,
 ):
     monkeypatch.setattr(_peer_client, 'QUERY_SECONDS', 0.5)
-    endless = Endless(*BODIES['no-length'])
+    endless = EndlessStandIn(*BODIES['no-length'])
     await endless.start(nursery)
-    outcome = await attempt(endless, ATTEMPT)
+    outcome = await send_attempt(endless, ATTEMPT)
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
     assert await endless.was_cut()
     assert f'event=answer-cut address={endless.address}' in caplog.text
@@ -92,7 +92,7 @@
     await server.start(nursery)
     host, port = split_address(address)
     stream = await trio.open_tcp_stream(host, port)
-    await stream.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
+    await stream.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKED_HEADER)
 
     async def send():
         with contextlib.suppress(trio.BrokenResourceError):
@@ -110,35 +110,35 @@
 async def test_a_body_that_is_dropped_is_bounded():
     near, far = trio.testing.memory_stream_pair()
     conn = ServerConn(near, HttpLimits(max_body_bytes=1 << 19))
-    await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKING)
+    await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKED_HEADER)
     assert await conn.next_request()
     await far.send_all(TINY_CHUNKS)
     with pytest.raises(HttpError):
         await conn.discard_body()
 
 
-async def test_an_owner_that_sends_junk_is_not_asked_without_a_pause(
+async def test_an_owner_that_sends_junk_is_not_queried_without_a_pause(
     nursery,
     monkeypatch,
 ):
     monkeypatch.setattr(_peer_client, 'QUERY_SECONDS', 0.5)
-    endless = Endless(*HEADS['junk-lines'])
+    endless = EndlessStandIn(*HEADS['junk-lines'])
     await endless.start(nursery)
-    outcome = await attempt(endless, ATTEMPT)
+    outcome = await send_attempt(endless, ATTEMPT)
     assert outcome.verdict is Verdict.MAY_HAVE_RUN
-    assert endless.opened <= 7
+    assert endless.connection_count <= 7
 
 
 async def test_a_reservation_answered_without_end_has_not_run(endless):
-    booking = msgspec.structs.replace(ATTEMPT, idempotent=False)
-    outcome = await attempt(endless, booking)
+    reservation = msgspec.structs.replace(ATTEMPT, idempotent=False)
+    outcome = await send_attempt(endless, reservation)
     assert outcome.verdict is Verdict.NOT_RUN
-    assert endless.opened == 1
+    assert endless.connection_count == 1
     assert await endless.was_cut()
 
 
 @pytest.mark.parametrize('key', ['servers/t0', 'servers/t{:05}'])
-async def test_a_list_of_the_store_without_end_is_given_up(nursery, key):
+async def test_an_endless_list_of_the_store_is_given_up(nursery, key):
     pages = 0
 
     async def serve(conn, head):
--- a/tests/test_mesh_soak.py
+++ b/tests/test_mesh_soak.py
@@ -15,24 +15,24 @@
 import pytest
 import trio
 import trio.lowlevel
-from tests.soak_cable import MODES
 from tests.soak_callers import (
-    BAD_END,
-    LEFT_RUN,
+    BAD_EXIT,
+    DROPPED_GOOD_RUN,
     Callers,
-    broken_promises,
-    judge_end_by_plan,
-    judge_end_under_faults,
+    check_end_under_faults,
+    check_end_under_planned_work,
+    find_violations,
 )
 from tests.soak_fleet import (
+    GRACE_SECONDS,
     PLANNED_TIMEOUT_SECONDS,
     RESTART_SECONDS,
-    STOP_SECONDS,
     Fleet,
-    WorkingFleet,
+    PlannedWorkFleet,
 )
+from tests.soak_link import FAULT_MODES
 
-RECOVER_SECONDS = 15.0
+RECOVERY_SECONDS = 15.0
 # after the end of a pause, what was late needs the time that it is owed
 CATCH_UP_SECONDS = 3.0
 # 127: a reload signal ended a process that was starting; 138, 146: a shed
@@ -51,218 +51,232 @@
     SEEDS = PLANNED_SEEDS = range(int(_first), int(_end or int(_first) + 1))
 
 
-class Faults:
+class FaultInjector:
     """Strike at random; signals, restarts and changes overlap."""
 
-    seconds = 7.0
-    callers = 6
-    recover_seconds = RECOVER_SECONDS
+    duration_seconds = 7.0
+    caller_count = 6
+    recovery_seconds = RECOVERY_SECONDS
 
     def __init__(self, fleet, rng, nursery):
         self.fleet = fleet
         self.rng = rng
         self.nursery = nursery
-        self.told = []
+        self.applied = []
         self._stopping = set()
 
     async def run(self):
-        kinds = (
+        actions = (
             self.kill,
             self.pause,
             self.stop,
             self.reload,
-            self.cut_store,
-            self.cut_target,
-            self.sicken,
-            self.replace,
-            self.change,
+            self.disturb_store_link,
+            self.disturb_target_link,
+            self.fail_target,
+            self.replace_target,
+            self.change_configuration,
         )
-        end = trio.current_time() + self.seconds
+        end = trio.current_time() + self.duration_seconds
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
-                kind = self.rng.choice(kinds)
-                one = self.rng.choice(self.fleet.instances)
-                self.told.append((trio.current_time(), kind.__name__, one.name))
-                nursery.start_soon(kind, one)
+                action = self.rng.choice(actions)
+                instance = self.rng.choice(self.fleet.instances)
+                self.applied.append(
+                    (trio.current_time(), action.__name__, instance.name)
+                )
+                nursery.start_soon(action, instance)
                 await trio.sleep(self.rng.uniform(0.1, 0.9))
 
-    async def restart(self):
+    async def restart_ended(self):
         """Start processes again that ended by themselves."""
         while True:
             await trio.sleep(0.1)
-            for one in self.fleet.instances:
-                if one not in self._stopping:
-                    one.restart_if_ended(self.fleet.folder)
+            for instance in self.fleet.instances:
+                if instance not in self._stopping:
+                    instance.restart_if_ended(self.fleet.folder)
 
-    async def kill(self, one):
-        if one in self._stopping:
+    async def kill(self, instance):
+        if instance in self._stopping:
             return
-        self._stopping.add(one)
-        await self._start_again(one, self.rng.uniform(0, 1))
+        self._stopping.add(instance)
+        await self._restart(instance, self.rng.uniform(0, 1))
 
-    async def pause(self, one):
-        if one in self._stopping:
+    async def pause(self, instance):
+        if instance in self._stopping:
             return
-        with one.trouble(CATCH_UP_SECONDS):
-            one.signal(signal.SIGSTOP)
+        with instance.exempt_period(CATCH_UP_SECONDS):
+            instance.signal(signal.SIGSTOP)
             await trio.sleep(self.rng.uniform(0.1, 2))
-            one.signal(signal.SIGCONT)
+            instance.signal(signal.SIGCONT)
 
-    async def stop(self, one):
-        if one in self._stopping:
+    async def stop(self, instance):
+        if instance in self._stopping:
             return
-        self._stopping.add(one)
-        one.stops.append(trio.current_time())
-        one.signal(signal.SIGTERM)
-        code = 'killed after its time'
-        with trio.move_on_after(STOP_SECONDS):
-            code = await one.ended()
-        one.exits.append(code)
-        await self._start_again(one, 0)
-
-    async def _start_again(self, one, pause):
+        self._stopping.add(instance)
+        instance.stop_times.append(trio.current_time())
+        instance.signal(signal.SIGTERM)
+        result = 'killed after its time'
+        with trio.move_on_after(GRACE_SECONDS):
+            result = await instance.wait_ended()
+        instance.exit_results.append(result)
+        await self._restart(instance, 0)
+
+    async def _restart(self, instance, delay_seconds):
         """Start a process, and wait until it listens."""
-        with one.trouble():
-            one.end()
-            await trio.sleep(pause)
-            one.start(self.fleet.folder)
-            with trio.move_on_after(RECOVER_SECONDS):
-                await one.is_back()
-        self._stopping.discard(one)
-
-    async def reload(self, one):
-        one.reload(self.fleet.folder)
+        with instance.exempt_period():
+            instance.kill()
+            await trio.sleep(delay_seconds)
+            instance.start(self.fleet.folder)
+            with trio.move_on_after(RECOVERY_SECONDS):
+                await instance.wait_until_listening()
+        self._stopping.discard(instance)
+
+    async def reload(self, instance):
+        instance.reload(self.fleet.folder)
         await trio.lowlevel.checkpoint()
 
-    async def cut_store(self, one):
-        await self._cut(one.store_cable)
+    async def disturb_store_link(self, instance):
+        await self._disturb(instance.store_link)
 
-    async def cut_target(self, one):
-        await self._cut(one.target_cable)
+    async def disturb_target_link(self, instance):
+        await self._disturb(instance.target_link)
 
-    async def _cut(self, cable):
-        cable.set_mode(self.rng.choice(MODES))
+    async def _disturb(self, link):
+        link.set_mode(self.rng.choice(FAULT_MODES))
         await trio.sleep(self.rng.uniform(0.2, 3))
-        cable.set_mode('ok')
+        link.set_mode('ok')
 
-    async def sicken(self, one):
-        target = one.target
+    async def fail_target(self, instance):
+        target = instance.target
         target.mode = self.rng.choice(
             ['fail', 'shed', 'reset', 'hang', 'foreign'],
         )
         await trio.sleep(self.rng.uniform(0.3, 3))
         target.mode = 'ok'
 
-    async def replace(self, one):
-        await self.fleet.replace_target(one, self.nursery)
+    async def replace_target(self, instance):
+        await self.fleet.replace_target(instance, self.nursery)
 
-    async def change(self, _):
+    async def change_configuration(self, _):
         if len(self.fleet.keys) > 1:
-            self.fleet.withdraw(self.rng.choice(self.fleet.keys))
+            self.fleet.withdraw_key(self.rng.choice(self.fleet.keys))
         else:
             self.fleet.add_key(f'key-{self.fleet.version + 2}')
         await trio.lowlevel.checkpoint()
 
 
-class PlannedWork(Faults):
+class PlannedWork(FaultInjector):
     """Stops, reloads and configurations only, one after the other."""
 
-    seconds = 18.0
+    duration_seconds = 18.0
     # many more than the targets have slots
-    callers = 36
+    caller_count = 36
     # its lookup and its booking may each last until their timeout
-    recover_seconds = RECOVER_SECONDS + 2 * PLANNED_TIMEOUT_SECONDS
+    recovery_seconds = RECOVERY_SECONDS + 2 * PLANNED_TIMEOUT_SECONDS
 
     async def run(self):
-        kinds = (self.stop, self.stop, self.reload, self.change)
-        end = trio.current_time() + self.seconds
+        actions = (self.stop, self.stop, self.reload, self.change_configuration)
+        end = trio.current_time() + self.duration_seconds
         while trio.current_time() < end:
-            kind = self.rng.choice(kinds)
-            one = self.rng.choice(self.fleet.instances)
-            self.told.append((trio.current_time(), kind.__name__, one.name))
-            await kind(one)
+            action = self.rng.choice(actions)
+            instance = self.rng.choice(self.fleet.instances)
+            self.applied.append(
+                (trio.current_time(), action.__name__, instance.name)
+            )
+            await action(instance)
             await trio.sleep(self.rng.choice([0, 0.3, 1.5]))
 
 
-async def serve_again(callers, one):
+async def wait_until_serving(callers, instance):
     """Wait until a daemon serves a lookup and a booking."""
     for kind in ('look', 'book'):
         call = None
         while call is None or call.status != 200:
-            call = await callers.ask(one, kind)
+            call = await callers.send_request(instance, kind)
             await trio.sleep(0.05)
 
 
-async def check_service(callers, seconds):
+async def check_all_serving(callers, seconds):
     """Check that all daemons serve within the time for a recovery."""
-    with trio.move_on_after(seconds) as scope:
+    with trio.move_on_after(seconds) as limit:
         async with trio.open_nursery() as nursery:
-            for one in callers.fleet.instances:
-                nursery.start_soon(serve_again, callers, one)
-    if scope.cancelled_caught:
+            for instance in callers.fleet.instances:
+                nursery.start_soon(wait_until_serving, callers, instance)
+    if limit.cancelled_caught:
         pytest.fail(f'not served: {callers.calls[-8:]}')
 
 
-async def soak(faults, callers, judge_end):
+async def run_soak(injector, callers, check_end):
     """Return the promises that broke while something struck the fleet."""
-    fleet = faults.fleet
+    fleet = injector.fleet
     try:
-        with contextlib.ExitStack() as starting:
-            for one in fleet.instances:
-                starting.enter_context(one.trouble())
-            await fleet.start(faults.nursery)
-            await check_service(callers, faults.recover_seconds)
+        with contextlib.ExitStack() as startup:
+            for instance in fleet.instances:
+                startup.enter_context(instance.exempt_period())
+            await fleet.start(injector.nursery)
+            await check_all_serving(callers, injector.recovery_seconds)
         async with trio.open_nursery() as background:
-            background.start_soon(faults.restart)
+            background.start_soon(injector.restart_ended)
             async with trio.open_nursery() as load:
-                for _ in range(faults.callers):
+                for _ in range(injector.caller_count):
                     load.start_soon(callers.run)
-                await faults.run()
+                await injector.run()
                 await trio.sleep(RESTART_SECONDS)
-                callers.closing = True
+                callers.is_closing = True
             background.cancel_scope.cancel()
-        await check_service(callers, faults.recover_seconds)
+        await check_all_serving(callers, injector.recovery_seconds)
     finally:
-        fleet.end()
-    found = broken_promises(callers, judge_end)
+        fleet.kill()
+    violations = find_violations(callers, check_end)
     # what the times in the logs are more than those below
     print(time.time() - trio.current_time())
-    print(collections.Counter((one.status, one.left) for one in callers.calls))
-    for rule, call in found:
+    print(
+        collections.Counter(
+            (request.status, request.is_abandoned) for request in callers.calls
+        )
+    )
+    for rule, call in violations:
         print(rule, call, *fleet.runs_of(call))
-    for told in faults.told:
-        print(*told)
+    for fault in injector.applied:
+        print(*fault)
     assert sum(call.status == 200 for call in callers.calls) > 100
-    return found
+    return violations
 
 
 @pytest.mark.parametrize('seed', SEEDS)
-async def test_promises_hold_under_faults(seed, tmp_path, nursery):
+async def test_random_faults_break_no_promise(seed, tmp_path, nursery):
     rng = random.Random(seed)
     fleet = Fleet(tmp_path)
-    faults = Faults(fleet, rng, nursery)
+    injector = FaultInjector(fleet, rng, nursery)
     callers = Callers(fleet, rng)
-    assert not await soak(faults, callers, judge_end_under_faults)
+    assert not await run_soak(injector, callers, check_end_under_faults)
 
 
-async def plan_work(seed, tmp_path, nursery):
+async def run_planned_work(seed, tmp_path, nursery):
     """Return what a run of planned work alone shows against the promises."""
     rng = random.Random(seed)
-    fleet = WorkingFleet(tmp_path, seed)
-    patience = functools.partial(rng.uniform, 4, PLANNED_TIMEOUT_SECONDS)
-    callers = Callers(fleet, rng, patience)
+    fleet = PlannedWorkFleet(tmp_path, seed)
+    draw_timeout = functools.partial(rng.uniform, 4, PLANNED_TIMEOUT_SECONDS)
+    callers = Callers(fleet, rng, draw_timeout)
     modes = rng.choice([['ok'], ['ok', 'extra']])
-    for one in fleet.instances:
-        one.target.mode = rng.choice(modes)
-        one.target.call = functools.partial(callers.ask, one, 'open')
+    for instance in fleet.instances:
+        instance.target.mode = rng.choice(modes)
+        instance.target.send_request = functools.partial(
+            callers.send_request, instance, 'open'
+        )
     work = PlannedWork(fleet, rng, nursery)
-    return await soak(work, callers, judge_end_by_plan)
+    return await run_soak(work, callers, check_end_under_planned_work)
 
 
 @pytest.mark.parametrize('seed', PLANNED_SEEDS)
-async def test_planned_work_loses_nothing(seed, tmp_path, nursery):
-    found = await plan_work(seed, tmp_path, nursery)
-    assert not [one for one in found if one[0] not in {LEFT_RUN, BAD_END}]
+async def test_planned_work_loses_no_request(seed, tmp_path, nursery):
+    violations = await run_planned_work(seed, tmp_path, nursery)
+    assert not [
+        violation
+        for violation in violations
+        if violation[0] not in {DROPPED_GOOD_RUN, BAD_EXIT}
+    ]
 
 
 @pytest.mark.parametrize('seed', PLANNED_SEEDS)
@@ -271,4 +285,4 @@
     tmp_path,
     nursery,
 ):
-    assert not await plan_work(seed, tmp_path, nursery)
+    assert not await run_planned_work(seed, tmp_path, nursery)
