--- a/src/clementinedeal/_acceptance.py
+++ b/src/clementinedeal/_acceptance.py
@@ -1,4 +1,4 @@
-"""Which version of the configuration is in force."""
+"""Decides which version of the configuration is in force."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -11,12 +11,16 @@
 from clementinedeal._view_messages import VersionRef
 
 PEER_WAIT_SECONDS = 3.0
-MAX_REJECTED = 16
+MAX_REJECTED = 16  # rejected versions that are remembered
 
 
 @dataclass(frozen=True, slots=True)
 class Bundle:
-    """A version with all its values, ready to be decided on or handed on."""
+    """A version with all its values, as served to peers.
+
+    ``root_blob`` is the encoded root, ``parts`` holds the encoded parts by
+    digest.
+    """
 
     ref: VersionRef
     root: Root
@@ -25,20 +29,22 @@
 
 
 class StartGate:
-    """Keeps a restarted daemon from an older version than its peers have.
+    """Stops a restarted daemon from using an older version than its peers.
 
-    It opens for a version when a peer that knows its own to be current has
-    none above it, or when no such peer answered in time.
+    A stale replica of the platform can return an old version at start. A
+    version may come into force when no peer that answered has a higher one,
+    and either one of them knows its version to be current or
+    ``PEER_WAIT_SECONDS`` have passed since peers were asked.
     """
 
     def __init__(self) -> None:
-        """Create a closed gate."""
+        """Create a gate that no peer has answered yet."""
         self.peers_asked_at: float | None = None
         self._highest_at_peers = 0
         self._has_fresh_peer = False
 
     def on_peers_asked(self, now: float) -> None:
-        """Note that peers are known and were asked.
+        """Note when peers were first asked for their version.
 
         :param now: monotonic seconds.
         """
@@ -46,10 +52,10 @@
             self.peers_asked_at = now
 
     def on_peer_answer(self, held: VersionRef | None, is_fresh: bool) -> None:
-        """Take a peer's answer.
+        """Note the version that a peer reported.
 
-        :param held: what is in force there.
-        :param fresh: whether it knows that to be current.
+        :param held: the version in force at the peer, None for none.
+        :param is_fresh: whether the peer knows it to be current.
         """
         if held is not None:
             self._highest_at_peers = max(self._highest_at_peers, held.version)
@@ -58,7 +64,7 @@
     def is_open(self, version: int, now: float) -> bool:
         """Return whether a version may come into force.
 
-        :param version: the version at hand.
+        :param version: the version that would come into force.
         :param now: monotonic seconds.
         """
         if version < self._highest_at_peers:
@@ -68,7 +74,7 @@
         return self.has_waited(now)
 
     def has_waited(self, now: float) -> bool:
-        """Return whether peers had their time to answer.
+        """Return whether ``PEER_WAIT_SECONDS`` passed since peers were asked.
 
         :param now: monotonic seconds.
         """
@@ -79,7 +85,11 @@
 
 
 class Acceptance:
-    """Holds the version in force and refuses what must not replace it."""
+    """Holds the version in force and decides whether another replaces it.
+
+    The version in force only increases. The first content accepted under a
+    version number counts; other content under that number is rejected.
+    """
 
     def __init__(self) -> None:
         """Create the state of a daemon that has just started."""
@@ -93,54 +103,61 @@
 
     @property
     def version(self) -> int:
-        """Return the version in force, 0 for none."""
+        """Return the number of the version in force, 0 for none."""
         return 0 if self.in_force is None else self.in_force.ref.version
 
     @property
     def highest_decided(self) -> int:
-        """Return the highest version decided on, for or against."""
+        """Return the highest version that was accepted or rejected."""
         return max(self.version, self._highest_rejected)
 
     def bundles(self) -> tuple[Bundle, ...]:
-        """Return the whole versions held, also one that was refused."""
+        """Return the complete versions held here.
+
+        These are the version in force and the newest rejected one. Peers may
+        ask for the rejected one too, so that each decides on its own.
+        """
         both = (self.in_force, self.newest_rejected)
         return tuple(bundle for bundle in both if bundle is not None)
 
     def parts(self) -> dict[str, bytes]:
-        """Return the parts of all whole versions, by digest."""
+        """Return the encoded parts of all complete versions, by digest."""
         known: dict[str, bytes] = {}
         for bundle in self.bundles():
             known.update(bundle.parts)
         return known
 
     def is_wanted(self, ref: VersionRef) -> bool:
-        """Return whether a version could come into force.
+        """Return whether a version is newer and was not rejected before.
 
-        :param ref: the version heard of.
+        :param ref: number and digest of the version.
         """
         return ref.version > self.version and ref not in self._rejected
 
     def on_ref(self, ref: VersionRef) -> list[ConfigRejected]:
-        """Report a version that was published twice with other content.
+        """Reject a version that has the number in force but other content.
 
-        :param ref: the version heard of.
+        :param ref: number and digest of a version that a peer or the
+            platform holds.
         """
         if self.in_force is None or ref.version != self.version:
             return []
         return [] if ref == self.in_force.ref else self.reject_duplicate(ref)
 
     def reject_duplicate(self, ref: VersionRef) -> list[ConfigRejected]:
-        """Refuse other content for a version that is taken already.
+        """Reject a version whose number is already used by other content.
 
-        :param ref: the other content.
+        :param ref: number and digest of the duplicate.
         """
-        return self.reject(ref, f'published twice, also as {ref.digest}')
+        return self.reject(
+            ref, f'version was published twice, also with root {ref.digest}'
+        )
 
     def reject(self, ref: VersionRef, reason: str) -> list[ConfigRejected]:
-        """Refuse a version without its values.
+        """Reject a version whose values are not all held.
 
-        :param ref: the version.
-        :param reason: why, for operators.
+        :param ref: number and digest of the version.
+        :param reason: why, as shown to operators.
         """
         if ref in self._rejected:
             return []
@@ -152,7 +169,10 @@
         bundle: Bundle,
         now: float,
     ) -> list[ConfigInForce | ConfigRejected]:
-        """Decide on a whole version; nothing while the gate is closed.
+        """Accept or reject a complete version.
+
+        Nothing is decided, and nothing returned, about a version that is not
+        newer or that the start gate does not admit yet.
 
         :param bundle: the version with all its values.
         :param now: monotonic seconds.
--- a/src/clementinedeal/_access.py
+++ b/src/clementinedeal/_access.py
@@ -1,4 +1,4 @@
-"""Which route a request takes and on which account's behalf."""
+"""Matches requests to routes and API keys to client accounts."""
 
 import hashlib
 from dataclasses import dataclass
@@ -16,19 +16,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Granted:
-    """The request may go on; ``account`` is None on an open route."""
+    """A request that may proceed; ``account`` is None on an open route."""
 
     route: Route
     account: Account | None
 
 
 class Access:
-    """Index of one configuration by route and key digest."""
+    """Looks up routes by method and path, and accounts by key digest.
+
+    The index is built once for each version of the configuration.
+    """
 
     def __init__(self, cfg: Config) -> None:
         """Build the index.
 
-        :param cfg: the configuration it answers for.
+        :param cfg: the configuration to index.
         """
         self.cfg = cfg
         self._accounts = {
@@ -50,10 +53,12 @@
         *,
         is_fresh: bool,
     ) -> Result[Granted, Reason]:
-        """Decide on a request by its head.
+        """Return the route and account of a request, or why it is refused.
 
-        :param head: as received from the caller.
-        :param fresh: whether this configuration is known to be recent.
+        :param head: the request's head, as received from the caller.
+        :param is_fresh: whether the configuration is known to be current.
+            Without that, keyed routes are refused, because the key may have
+            been withdrawn since.
         """
         route = self.find_route(head.method, head.path)
         if route is None:
@@ -68,10 +73,10 @@
         return self._check_key(route, key)
 
     def find_route(self, method: str, path: str) -> Route | None:
-        """Return the route with the longest matching prefix.
+        """Return the route with the longest matching prefix, None without one.
 
         :param method: upper-case HTTP method.
-        :param path: request target, with or without a query.
+        :param path: path of the request, with or without a query.
         """
         path = path.partition('?')[0]
         for length in self._prefix_lengths:
@@ -95,9 +100,9 @@
 
 
 def bearer_key(head: RequestHead) -> bytes | None:
-    """Return the caller's key, None without one.
+    """Return the key of an ``Authorization: Bearer`` header, None without one.
 
-    :param head: as received.
+    :param head: the request's head, as received.
     """
     text = head.header(_AUTHORIZATION)
     if text is None or text[: len(_BEARER)].lower() != _BEARER:
@@ -106,8 +111,8 @@
 
 
 def key_digest(key: bytes) -> str:
-    """Return the published form of a key: hex SHA-256.
+    """Return the form in which the configuration holds a key: hex SHA-256.
 
-    :param key: the key itself.
+    :param key: the key, as sent by the caller.
     """
     return hashlib.sha256(key).hexdigest()
--- a/src/clementinedeal/_addresses.py
+++ b/src/clementinedeal/_addresses.py
@@ -5,21 +5,23 @@
 from typing import NamedTuple
 
 MAX_PORT = 65535
-MAX_CACHED_ADDRESSES = 16_384  # those of a whole fleet, checked at each version
+# Holds the addresses of a whole fleet, which are checked at each new version.
+MAX_CACHED_ADDRESSES = 16_384
 
 
 class Address(NamedTuple):
-    """An IP number and a port."""
+    """An IP address, without brackets, and a port."""
 
     host: str
     port: int
 
 
 def parse_address(text: str) -> Address:
-    """Split an ``ip:port`` text; IPv6 numbers stand in brackets.
+    """Parse an ``ip:port`` text; an IPv6 address is written in brackets.
 
     :param text: the address.
-    :raises ValueError: not an IP number with a port from 1 to 65535.
+    :raises ValueError: the text is not an IP address with a port from 1 to
+        65535.
     """
     host, _, port = text.rpartition(':')
     if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
--- a/src/clementinedeal/_config_checks.py
+++ b/src/clementinedeal/_config_checks.py
@@ -1,4 +1,7 @@
-"""Checks of single entries of a configuration."""
+"""Validates single entries of a configuration.
+
+The faults of an entry have paths relative to it.
+"""
 
 import math
 import re
@@ -23,25 +26,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """One reason to reject a configuration; ``path`` is dotted."""
+    """A reason to reject a configuration; ``path`` is dotted."""
 
     path: str
     reason: str
 
 
 def is_name(text: str) -> bool:
-    """Return whether a text may name an entry.
+    """Return whether a text is valid as the name of an entry.
 
-    :param text: the name.
+    :param text: the name to check.
     """
     return bool(_NAME.fullmatch(text))
 
 
 def preset_faults(cfg: Config, preset: Preset) -> Iterator[Fault]:
-    """Yield the faults of a preset, paths below it.
+    """Yield the faults of a preset.
 
-    :param cfg: the whole configuration.
-    :param preset: the entry.
+    :param cfg: the configuration that holds it.
+    :param preset: the preset to check.
     """
     if not _is_positive(preset.deadline):
         yield Fault('deadline', 'must be finite and above 0')
@@ -59,10 +62,10 @@
 
 
 def target_faults(cfg: Config, target: Target) -> Iterator[Fault]:
-    """Yield the faults of a target, paths below it.
+    """Yield the faults of a target.
 
-    :param cfg: the whole configuration.
-    :param target: the entry.
+    :param cfg: the configuration that holds it.
+    :param target: the target to check.
     """
     if target.service not in cfg.services:
         yield Fault('service', f'unknown service {target.service}')
@@ -77,10 +80,10 @@
 
 
 def route_faults(cfg: Config, route: Route) -> Iterator[Fault]:
-    """Yield the faults of a route, paths below it.
+    """Yield the faults of a route.
 
-    :param cfg: the whole configuration.
-    :param route: the entry.
+    :param cfg: the configuration that holds it.
+    :param route: the route to check.
     """
     if not _METHOD.fullmatch(route.method):
         yield Fault('method', 'must be upper-case letters or *')
@@ -91,10 +94,10 @@
 
 
 def account_faults(cfg: Config, account: Account) -> Iterator[Fault]:
-    """Yield the faults of an account, paths below it.
+    """Yield the faults of a client account.
 
-    :param cfg: the whole configuration.
-    :param account: the entry.
+    :param cfg: the configuration that holds it.
+    :param account: the account to check.
     """
     if not all(map(_DIGEST.fullmatch, account.key_digests)):
         yield Fault('key_digests', 'must be lower-case hex SHA-256 digests')
@@ -114,7 +117,7 @@
 
 
 def listen_addresses(instance: Instance) -> tuple[tuple[str, str], ...]:
-    """Return the listen addresses of an instance by field name.
+    """Return the listen addresses of an instance, each with its field name.
 
     :param instance: the instance.
     """
--- a/src/clementinedeal/_declaration.py
+++ b/src/clementinedeal/_declaration.py
@@ -1,4 +1,4 @@
-"""The operators' YAML declaration of a whole configuration."""
+"""Reads the YAML file in which operators declare a configuration."""
 
 from typing import TypeVar
 
@@ -33,9 +33,9 @@
 
 
 def check_file(path: str) -> Result[Config, SettingsError]:
-    """Read a declaration and check it whole.
+    """Read and validate a declaration.
 
-    :param path: the YAML file.
+    :param path: path of the YAML file.
     """
     try:
         top = read_document(path)
--- a/src/clementinedeal/_document.py
+++ b/src/clementinedeal/_document.py
@@ -1,4 +1,4 @@
-"""A YAML document whose entries know their dotted path."""
+"""Reads YAML documents and reports errors with the path of the faulty value."""
 
 import dataclasses
 from collections.abc import Hashable, Iterator
@@ -16,14 +16,14 @@
 
 
 class _Loader(yaml.SafeLoader):
-    """Safe loader that rejects a key given twice in one mapping."""
+    """Safe loader that rejects a repeated key in a mapping."""
 
     def construct_mapping(
         self,
         node: yaml.MappingNode,
         deep: bool = False,
     ) -> dict[Hashable, Any]:
-        """Build a mapping from distinct keys."""
+        """Build a mapping; raise an error if a key is repeated."""
         seen: set[str] = set()
         for key, _ in node.value:
             if key.value in seen and isinstance(key, yaml.ScalarNode):
@@ -36,24 +36,24 @@
 
 
 class YamlEntry:
-    """One value of a document with its place."""
+    """A value of a YAML document, with its path for error messages."""
 
     def __init__(self, file: str, path: str, raw: object) -> None:
         """Wrap a value.
 
-        :param file: name of the document, for errors.
+        :param file: file name of the document.
         :param path: dotted path of the value, empty for the whole document.
-        :param raw: the value as YAML gave it.
+        :param raw: the value as loaded from YAML.
         """
         self.file = file
         self.path = path
         self.raw = raw
 
     def error(self, reason: str, subpath: str = '') -> SettingsError:
-        """Make an error about this entry or one below it.
+        """Return an error about this entry or one inside it.
 
-        :param reason: what is wrong, in one line.
-        :param below: path from this entry to the faulty one.
+        :param reason: what is wrong; line breaks become spaces.
+        :param subpath: dotted path from this entry to the faulty one.
         """
         path = '.'.join(part for part in (self.path, subpath) if part)
         return SettingsError(
@@ -65,7 +65,8 @@
     def mapping(self) -> dict[str, 'YamlEntry']:
         """Return the entries of a mapping by key.
 
-        :raises SettingsError: not a mapping, or a key is not a string.
+        :raises SettingsError: the value is not a mapping, or a key is not a
+            string.
         """
         if not isinstance(self.raw, dict):
             raise self.error('expected a mapping')
@@ -74,7 +75,7 @@
     def sequence(self) -> Iterator['YamlEntry']:
         """Yield the entries of a list.
 
-        :raises SettingsError: not a list.
+        :raises SettingsError: the value is not a list.
         """
         if not isinstance(self.raw, list):
             raise self.error('expected a list')
@@ -85,18 +86,20 @@
         """Return the entries of a mapping that has exactly the given keys.
 
         :param required: the keys.
-        :raises SettingsError: a key is missing or unknown.
+        :raises SettingsError: a key is missing or unknown, or the value is
+            not a mapping.
         """
         entries = self.mapping()
         self._check_keys(set(entries), set(required), set(required))
         return entries
 
     def build(self, kind: type[KindT], **given: object) -> KindT:
-        """Convert a mapping into a data class.
+        """Convert a mapping to an instance of a data class.
 
         :param kind: the data class.
-        :param given: fields that the mapping must not contain.
-        :raises SettingsError: a field is missing, unknown or ill-typed.
+        :param given: values of fields that the mapping must not contain.
+        :raises SettingsError: a field is missing, unknown or of the wrong
+            type.
         """
         fields = dataclasses.fields(kind)  # type: ignore[arg-type]
         known = {field.name for field in fields} - set(given)
@@ -106,11 +109,11 @@
         return self.convert({**values, **given}, kind)
 
     def convert(self, raw: object, kind: type[KindT]) -> KindT:
-        """Convert a value that stands at this place.
+        """Convert a value to a type; errors name the path of this entry.
 
-        :param raw: the value.
-        :param kind: the type wanted.
-        :raises SettingsError: the value doesn't fit.
+        :param raw: the value to convert.
+        :param kind: the type to return.
+        :raises SettingsError: the value is not valid for the type.
         """
         try:
             return msgspec.convert(raw, type=kind)
@@ -141,19 +144,19 @@
 def read_document(path: str) -> YamlEntry:
     """Read a YAML file.
 
-    :param path: the file.
-    :raises SettingsError: the file can't be read or isn't YAML.
+    :param path: path of the file.
+    :raises SettingsError: the file cannot be read or is not valid YAML.
     """
     top = YamlEntry(path, '', None)
     try:
         text = Path(path).read_text(encoding='utf-8')
     except (OSError, ValueError) as exc:
-        raise top.error(f'cannot be read: {exc}') from exc
+        raise top.error(f'the file cannot be read: {exc}') from exc
     try:
-        # A subclass of SafeLoader that only adds a check.
+        # _Loader is a SafeLoader that only adds a check for repeated keys.
         raw = yaml.load(text, Loader=_Loader)  # noqa: S506
     except (yaml.YAMLError, ValueError, RecursionError) as exc:
-        raise top.error(f'not YAML: {exc}') from exc
+        raise top.error(f'the file is not valid YAML: {exc}') from exc
     return YamlEntry(path, '', raw)
 
 
--- a/src/clementinedeal/_freshness.py
+++ b/src/clementinedeal/_freshness.py
@@ -1,18 +1,27 @@
-"""Whether a daemon heard recently enough that nothing newer is published."""
+"""Evidence that the version in force is the newest published one."""
 
 import math
 
 from clementinedeal._view_messages import Contact
 
+# A daemon without evidence this recent refuses keyed requests, because a key
+# may have been withdrawn in a version that it does not know.
 FRESH_SECONDS = 10.0
-MAX_CONTACT_AGE_SECONDS = 4.0  # leaves time to read and tell before the bound
+# Older evidence makes a daemon read the platform itself. The rest of
+# FRESH_SECONDS is left for the read and for passing its result on.
+MAX_CONTACT_AGE_SECONDS = 4.0
 
 
 class Freshness:
-    """Evidence about the newest published version.
+    """Decides whether the version in force is known to be current.
+
+    Evidence comes from reads of the platform, here or at a peer (a
+    *contact*), and from hearing that a majority of the fleet knows of nothing
+    newer (a *quorum*).
 
     All times are of this daemon's clock and never later than the event that
-    they stand for: what a peer reports is dated from when it was asked.
+    they date: what a peer reports is dated from when the request to it was
+    sent.
     """
 
     def __init__(self) -> None:
@@ -28,30 +37,31 @@
         self._contact_at = -math.inf
 
     def on_known(self, version: int, now: float) -> None:
-        """Note that a version exists.
+        """Note that a version is published.
 
-        :param version: the version heard of.
+        :param version: its number.
         :param now: monotonic seconds.
         """
         self.newest_known = max(self.newest_known, version)
         self._update_behind(now)
 
     def on_accepted(self, version: int, now: float) -> None:
-        """Note that a version is in force somewhere.
+        """Note that a version is in force at some daemon.
 
-        A later one that was refused doesn't stand for it.
+        Until this daemon has that version or a newer one in force it is
+        behind, even if it rejected a still newer one.
 
-        :param version: the version heard of.
+        :param version: its number.
         :param now: monotonic seconds.
         """
         self.newest_accepted = max(self.newest_accepted, version)
         self.on_known(version, now)
 
     def on_decided(self, decided: int, in_force: int, now: float) -> None:
-        """Note which versions were decided on here.
+        """Note which versions this daemon has decided on.
 
-        :param settled: highest version accepted or refused so far.
-        :param in_force: highest version accepted.
+        :param decided: highest version accepted or rejected here so far.
+        :param in_force: highest version accepted here.
         :param now: monotonic seconds.
         """
         self._decided = max(self._decided, decided)
@@ -62,13 +72,13 @@
             self._confirmed_at = max(self._confirmed_at, self._contact_at)
 
     def on_contact(self, version: int, read_at: float, now: float) -> None:
-        """Take evidence that a read of the platform showed nothing newer.
+        """Note that a read of the platform showed nothing newer.
 
-        Evidence below what is known comes from a stale replica or is
-        overtaken; it is dropped.
+        A read that showed a version below the newest known one is ignored: it
+        came from a stale replica, or a newer version was published since.
 
-        :param version: the newest version that the reader knew.
-        :param at: a time not after the read, in monotonic seconds.
+        :param version: the newest version that the reading daemon knew.
+        :param read_at: a time not after the read, in monotonic seconds.
         :param now: monotonic seconds.
         """
         self.on_known(version, now)
@@ -81,7 +91,10 @@
             self._confirmed_at = max(self._confirmed_at, read_at)
 
     def contact(self, now: float) -> Contact | None:
-        """Return the evidence to hand on, if it is any use.
+        """Return the evidence to send to peers.
+
+        None is returned for evidence that is older than ``FRESH_SECONDS`` or
+        is about a version below the newest known one.
 
         :param now: monotonic seconds.
         """
@@ -91,25 +104,26 @@
         return Contact(self._contact_version, age)
 
     def lacks_contact(self, now: float) -> bool:
-        """Return whether it is time to read the platform without a role.
+        """Return whether a daemon that is not a reader should read too.
 
         :param now: monotonic seconds.
         """
         return now - self._contact_at > MAX_CONTACT_AGE_SECONDS
 
     def on_quorum(self, heard_at: float) -> None:
-        """Take evidence that more than half of the fleet knew nothing newer.
+        """Note that more than half of the fleet knew of nothing newer.
 
-        It counts only while this daemon knows of nothing newer itself.
+        It counts only while this daemon is not behind a version that it knows
+        of.
 
-        :param at: more than half of the published instances were heard at
-            this time or later, in monotonic seconds.
+        :param heard_at: more than half of the published instances were heard
+            at this time or later, in monotonic seconds.
         """
         if self._behind_since is None:
             self._quorum_at = max(self._quorum_at, heard_at)
 
     def is_fresh(self, now: float) -> bool:
-        """Return whether nothing newer was known within the bound.
+        """Return whether the version in force was current recently enough.
 
         :param now: monotonic seconds.
         """
@@ -119,12 +133,13 @@
         return _is_recent(max(self._confirmed_at, self._quorum_at), now)
 
     def on_pause(self) -> None:
-        """Forget all evidence, after a pause."""
+        """Discard all evidence after the process was suspended."""
         self._confirmed_at = -math.inf
         self._contact_at = -math.inf
         self._quorum_at = -math.inf
 
     def _update_behind(self, now: float) -> None:
+        """Note since when this daemon knows of a version that it lacks."""
         all_decided = self.newest_known <= self._decided
         if all_decided and self.newest_accepted <= self._in_force:
             self._behind_since = None
--- a/src/clementinedeal/_gossip.py
+++ b/src/clementinedeal/_gossip.py
@@ -1,4 +1,4 @@
-"""Whom to ask for a view, and which answers to believe."""
+"""Chooses peers to ask for their view and matches answers to requests."""
 
 import random
 from dataclasses import dataclass
@@ -8,25 +8,32 @@
 from clementinedeal._view_messages import VersionRef, ViewAnswer, ViewRequest
 
 QUERY_INTERVAL_SECONDS = 0.5
+# While no version is in force, more peers are asked and more often.
 START_QUERY_INTERVAL_SECONDS = 0.25
 START_PEER_COUNT = 3
 ANSWER_TIMEOUT_SECONDS = 2.0
+# Records that differ from a peer's for longer are requested in full.
 MAX_DIFFERENCE_SECONDS = 10.0
-HEARD_PEER_FRACTION = 0.75  # of requests; the rest may go to silent instances
-MAX_DRAWS = 5
+# Fraction of requests that prefer instances heard lately. The others may go to
+# silent instances, so that one that came back is noticed.
+HEARD_PEER_FRACTION = 0.75
+MAX_DRAWS = 5  # random choices before any other peer is taken
 NONCE_BITS = 62
 
 
 @dataclass(frozen=True, slots=True)
 class ViewQuery:
-    """A request that may still be answered."""
+    """A request for a view that may still be answered.
+
+    ``peer`` is the instance asked, ``sent_at`` is in monotonic seconds.
+    """
 
     peer: str
     sent_at: float
 
 
 class Gossip:
-    """Asks random peers; each answer is matched to its request."""
+    """Asks random peers for their view and matches each answer by nonce."""
 
     def __init__(
         self,
@@ -34,11 +41,11 @@
         members: Membership,
         rng: random.Random,
     ) -> None:
-        """Start with no request under way.
+        """Start without pending requests.
 
         :param me: name of this instance.
         :param members: the published instances.
-        :param rng: draws peers and nonces.
+        :param rng: source of randomness for peers, nonces and intervals.
         """
         self._me = me
         self._members = members
@@ -58,8 +65,8 @@
         """Return the requests that are due.
 
         :param now: monotonic seconds.
-        :param control: this daemon's control address.
-        :param held: version in force here.
+        :param control_address: this daemon's control address, ``ip:port``.
+        :param held: the version in force here, None for none.
         """
         names = self._members.roster.names
         if now < self._next_query_at or set(names) <= {self._me}:
@@ -86,9 +93,11 @@
     ) -> float | None:
         """Return when the request of an answer was sent, in monotonic seconds.
 
-        :param sender: who answered.
-        :param answer: the answer; nothing is returned for one not asked for,
-            late or repeated.
+        None is returned for an answer that was not requested from this peer,
+        is late or is a repetition; it must be ignored.
+
+        :param sender: name of the peer that answered.
+        :param answer: its answer.
         :param now: monotonic seconds.
         """
         self._drop_expired(now)
@@ -100,7 +109,7 @@
         return query.sent_at
 
     def on_pause(self) -> None:
-        """Forget requests under way, after a pause."""
+        """Discard pending requests after the process was suspended."""
         self._queries.clear()
         self._next_query_at = 0.0
         self._wants_full = True
@@ -134,6 +143,7 @@
         return self._rng.choice(others)
 
     def _compare_records(self, answer: ViewAnswer, now: float) -> None:
+        """Request all records next if they have differed for too long."""
         is_same = answer.records_digest == self._members.roster.records_digest()
         if is_same or answer.names != self._members.roster.names_digest:
             self._differs_since = None
--- a/src/clementinedeal/_hashing.py
+++ b/src/clementinedeal/_hashing.py
@@ -1,4 +1,8 @@
-"""Rendezvous hashing over published names."""
+"""Rendezvous hashing: assigns keys to published names.
+
+All daemons with the same names assign a key to the same name, and a name that
+is added or removed moves only the keys assigned to it.
+"""
 
 from collections.abc import Iterable
 
@@ -6,12 +10,12 @@
 
 
 class Candidates:
-    """Names among which keys are placed, prepared for many look-ups."""
+    """Names to which keys are assigned, prepared for many look-ups."""
 
     def __init__(self, names: Iterable[str]) -> None:
-        """Prepare names.
+        """Prepare the names.
 
-        :param names: the candidates, from published data.
+        :param names: the candidates, the same at all daemons.
         """
         self.names = tuple(sorted(names))
         self._encoded_names = tuple(name.encode() for name in self.names)
@@ -19,7 +23,7 @@
     def heaviest(self, key: str) -> str:
         """Return the name of greatest weight for a key, '' without names.
 
-        :param key: what is to be placed.
+        :param key: the key to assign.
         """
         if not self.names:
             return ''
@@ -27,9 +31,9 @@
         return self.names[weights.index(max(weights))]
 
     def rank(self, key: str) -> list[str]:
-        """Order the names by weight for a key, heaviest first.
+        """Return the names by weight for a key, heaviest first.
 
-        :param key: what is to be placed.
+        :param key: the key to assign.
         """
         weighted = zip(self._weights(key), self.names, strict=True)
         return [name for _, name in sorted(weighted, reverse=True)]
@@ -41,9 +45,9 @@
 
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
-    """Order names by rendezvous weight for a key, heaviest first.
+    """Return names by rendezvous weight for a key, heaviest first.
 
-    :param key: what is to be placed.
-    :param names: the candidates, from published data.
+    :param key: the key to assign.
+    :param names: the candidates, the same at all daemons.
     """
     return Candidates(names).rank(key)
--- a/src/clementinedeal/_key_rotation.py
+++ b/src/clementinedeal/_key_rotation.py
@@ -1,4 +1,4 @@
-"""Takes new fleet keys from the settings file while the daemon runs."""
+"""Replaces the fleet keys while the daemon runs."""
 
 import signal
 from collections.abc import Callable
@@ -15,7 +15,7 @@
 
 
 class KeyRotation:
-    """Reads the settings again at each SIGHUP; only the keys are used."""
+    """Reads the settings file again at each SIGHUP; uses only its keys."""
 
     def __init__(
         self,
@@ -23,20 +23,20 @@
         reload: Reload,
         events: EventLog,
     ) -> None:
-        """Create without a task.
+        """Create the rotation without a task.
 
-        :param keyring: gets the new keys.
-        :param reload: reads and checks the settings file.
-        :param events: hears of new and of rejected keys.
+        :param keyring: the keyring whose keys are replaced.
+        :param reload: reads and validates the settings file.
+        :param events: logs replaced and rejected keys.
         """
         self._keyring = keyring
         self._reload = reload
         self._events = events
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Follow signals from now on.
+        """Handle signals from now on.
 
-        :param nursery: runs the loop.
+        :param nursery: runs the task.
         """
         nursery.start_soon(self._run)
 
@@ -47,7 +47,7 @@
                 self.rotate()
 
     def rotate(self) -> None:
-        """Read the settings once; the old keys stay if they are rejected."""
+        """Read the settings once; keep the old keys if they are invalid."""
         settings = self._reload()
         if isinstance(settings, Err):
             self._events.emit('keys-rejected', reason=settings.err_value)
--- a/src/clementinedeal/_member.py
+++ b/src/clementinedeal/_member.py
@@ -1,16 +1,25 @@
-"""What a daemon knows of one published instance."""
+"""What a daemon knows about one published instance."""
 
 import math
 
 from clementinedeal._view_messages import MemberRecord
 
+# Ages travel as one byte each, in quarter seconds.
 AGE_UNITS_PER_SECOND = 4
-MAX_AGE_UNITS = 255
+MAX_AGE_UNITS = 255  # this old or older, or never heard
 NEVER = -math.inf
 
 
 class Member:
-    """What is known of one published instance; times in monotonic seconds."""
+    """What is known about one published instance.
+
+    An instance is *heard* when it answers a request for its view. All times
+    are in monotonic seconds: ``since`` is when the instance became known,
+    ``heard_at`` when any daemon last heard it, ``record_at`` when it stated
+    its incarnation and whether it leaves, and ``changed_at`` when that
+    statement last changed here. ``is_left`` is set while the instance is
+    reported as gone.
+    """
 
     __slots__ = (
         'changed_at',
@@ -26,7 +35,7 @@
     def __init__(self, name: str, now: float) -> None:
         """Create a member that was never heard.
 
-        :param name: instance name.
+        :param name: name of the instance.
         :param now: monotonic seconds.
         """
         self.name = name
@@ -39,19 +48,22 @@
         self.is_left = False
 
     def to_record(self, index: int, now: float) -> MemberRecord:
-        """Return the record to tell.
+        """Return the record to send to peers.
 
-        :param index: place among the sorted published names.
+        :param index: index of the instance in the sorted published names.
         :param now: monotonic seconds.
         """
         age = now - self.record_at
         return MemberRecord(index, self.incarnation, self.leaving, age)
 
     def merge(self, record: MemberRecord, sent_at: float) -> bool:
-        """Take a record if it is later; return whether anything changed.
+        """Apply a record; return whether anything changed.
+
+        A record of another incarnation is applied only if it is later than
+        the one held. Within one incarnation, leaving is final.
 
-        :param record: what a peer said.
-        :param sent_at: when that peer was asked, in monotonic seconds.
+        :param record: the record that a peer sent.
+        :param sent_at: when the peer was asked, in monotonic seconds.
         """
         said_at = sent_at - record.age
         same_incarnation = record.incarnation == self.incarnation
@@ -67,5 +79,5 @@
         return changed
 
     def last_seen_at(self) -> float:
-        """Return when it was heard, or else when it became known."""
+        """Return when it was last heard, or when it became known if later."""
         return max(self.heard_at, self.since)
--- a/src/clementinedeal/_membership.py
+++ b/src/clementinedeal/_membership.py
@@ -1,4 +1,4 @@
-"""Who is alive or leaving, from gossip and the platform's list."""
+"""Which instances are alive or leaving, from gossip and the platform."""
 
 from collections.abc import Iterator
 
@@ -11,15 +11,15 @@
 )
 from clementinedeal._view_messages import MemberRecord
 
-MAX_UNHEARD_SECONDS = 8.0
-MAX_LIST_AGE_SECONDS = 30.0  # how long a reading of the platform's list counts
+MAX_UNHEARD_SECONDS = 8.0  # an instance not heard for longer counts as silent
+MAX_LIST_AGE_SECONDS = 30.0  # an older platform list is not used for liveness
 
 
 class Membership:
-    """Judges the gossiped table and the list together.
+    """Combines the gossiped table of instances with the platform's list.
 
-    The list lags: it says who leaves, and stands in for hearing only where
-    an instance was never heard.
+    The platform's list lags. It is used to learn which instances leave, and
+    as evidence of liveness only for instances that were never heard.
     """
 
     def __init__(self, me: str) -> None:
@@ -34,7 +34,7 @@
         self._reported_leaving: set[str] = set()
 
     def on_pause(self, now: float) -> None:
-        """Forget who was heard, after a pause.
+        """Discard when instances were heard, after the process was suspended.
 
         :param now: monotonic seconds.
         """
@@ -43,10 +43,12 @@
             member.since = now
 
     def on_leaving(self, sender: str, incarnation: int, now: float) -> None:
-        """Take a stopping instance's notice.
+        """Note that an instance announced that it is stopping.
 
-        :param sender: who stops.
-        :param incarnation: as which it stops; others are left alone.
+        :param sender: name of the stopping instance.
+        :param incarnation: the incarnation that stops. A notice of any other
+            than the known one is ignored, so that a late notice does not mark
+            a restarted instance as leaving.
         :param now: monotonic seconds.
         """
         if self.incarnation(sender) in {0, incarnation}:
@@ -56,27 +58,32 @@
     def on_platform_list(
         self, listed: InstanceList, requested_at: float
     ) -> None:
-        """Take the platform's list.
+        """Replace the platform's list of instances.
 
-        :param listed: live and leaving names.
-        :param asked_at: when it was read, in monotonic seconds.
+        :param listed: names of live and of leaving instances.
+        :param requested_at: when the read was sent, in monotonic seconds.
         """
         self._platform_list = listed
         self._platform_list_at = requested_at
 
     def is_silent(self, name: str, now: float) -> bool:
-        """Return whether an instance had its time to be heard and wasn't.
+        """Return whether an instance was not heard for too long.
 
-        :param name: the instance.
+        An instance that was never heard counts as silent only after it has
+        been known for ``MAX_UNHEARD_SECONDS``; an unpublished one always does.
+
+        :param name: name of the instance.
         :param now: monotonic seconds.
         """
         member = self.roster.find(name)
         return member is None or self._is_silent(member, now)
 
     def is_alive(self, name: str, now: float) -> bool:
-        """Return whether an instance was heard, or else is listed as live.
+        """Return whether an instance was heard lately.
+
+        One that was never heard is alive if the platform lists it as live.
 
-        :param name: the instance.
+        :param name: name of the instance.
         :param now: monotonic seconds.
         """
         member = self.roster.find(name)
@@ -88,9 +95,9 @@
         return never_heard and self._is_listed(name, now)
 
     def is_leaving(self, name: str) -> bool:
-        """Return whether an instance leaves, by its word or by the list.
+        """Return whether an instance announced or is listed as leaving.
 
-        :param name: the instance.
+        :param name: name of the instance.
         """
         member = self.roster.find(name)
         is_announced = member is not None and member.leaving
@@ -99,13 +106,13 @@
     def incarnation(self, name: str) -> int:
         """Return the newest known incarnation of an instance, 0 if unknown.
 
-        :param name: the instance.
+        :param name: name of the instance.
         """
         member = self.roster.find(name)
         return 0 if member is None else member.incarnation
 
     def changes(self, now: float) -> Iterator[InstanceLeaving | InstanceLeft]:
-        """Yield what others must be told since the last call.
+        """Yield which instances left or began to leave since the last call.
 
         :param now: monotonic seconds.
         """
--- a/src/clementinedeal/_model.py
+++ b/src/clementinedeal/_model.py
@@ -1,4 +1,8 @@
-"""Frozen data classes of the published configuration."""
+"""Immutable data classes of the published configuration.
+
+They are encoded under their field names, both in the published values and in
+the operators' YAML files.
+"""
 
 import enum
 from collections.abc import Mapping
@@ -6,7 +10,7 @@
 
 
 class PresetName(enum.Enum):
-    """The three presets; exactly one is in force."""
+    """Names of the three presets; exactly one preset is in force."""
 
     ORDINARY = 'ordinary'
     PEAK = 'peak'
@@ -15,7 +19,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Instance:
-    """One daemon of the fleet and where it listens (``ip:port``)."""
+    """One daemon of the fleet.
+
+    ``caller``, ``peer``, ``control`` and ``operator`` are the addresses on
+    which it listens for callers, for requests and control messages of other
+    daemons, and for operators, all ``ip:port``.
+    """
 
     name: str
     zone: str
@@ -28,7 +37,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Target:
-    """One process of a service; only the daemon on ``instance`` calls it."""
+    """A process that serves requests of one service.
+
+    Only the daemon on ``instance``, its owner, calls it. ``address`` is
+    ``ip:port``. ``slots`` is the number of requests that it may run at the
+    same time, ``connections`` the number of connections that it accepts.
+    """
 
     name: str
     service: str
@@ -53,8 +67,10 @@
 class Route:
     """Maps a method and a path prefix to a service.
 
-    ``method`` is ``*`` for any. ``open`` routes need no key. The longest
-    matching prefix wins; an exact method goes before ``*``.
+    ``method`` is an upper-case HTTP method or ``*`` for any. Requests on an
+    ``open`` route need no key. Those on an ``idempotent`` route may be sent
+    again. The longest matching prefix applies; for the same prefix, an exact
+    method takes precedence over ``*``.
     """
 
     method: str
@@ -68,8 +84,9 @@
 class Account:
     """A client account.
 
-    ``key_digests`` are lower-case hex SHA-256 digests of its keys, ``rate``
-    is in requests per second over the whole fleet, ``burst`` in requests.
+    ``key_digests`` are lower-case hex SHA-256 digests of its API keys.
+    ``rate`` is in requests per second and ``burst`` in requests, both over the
+    whole fleet. ``services`` names the services that it may call.
     """
 
     name: str
@@ -81,10 +98,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Preset:
-    """Settings that an operator switches as one.
-
-    Times are in seconds. ``retry_ratio`` is the budget of retries as a share
-    of first attempts. ``floors`` overrides a service's floor by name.
+    """Settings that an operator switches together.
+
+    ``deadline`` is the most seconds that a request may take; callers may ask
+    for less. ``queue_limit`` is the number of requests that may wait for one
+    target, ``retry_ratio`` the budget of retries as a fraction of first
+    attempts, ``max_attempts`` the largest number of attempts of a request.
+    ``hedge_after`` is the seconds after which a second attempt of an
+    idempotent request may be sent, 0 for never. ``ejection`` allows targets to
+    be ejected. ``floors`` replaces the floors of services, by service name.
     """
 
     name: PresetName
@@ -99,7 +121,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Config:
-    """One whole, checked version of the published configuration."""
+    """One version of the published configuration.
+
+    ``preset`` names the preset in force. Presets, services, targets, accounts
+    and instances are keyed by name.
+    """
 
     version: int
     preset: PresetName
@@ -116,7 +142,10 @@
         return self.presets[self.preset]
 
     def floor(self, service: str) -> int:
-        """Return the floor of a service under the preset in force."""
+        """Return the floor of a service under the preset in force.
+
+        :param service: name of the service.
+        """
         return self.active_preset.floors.get(
             service, self.services[service].floor
         )
--- a/src/clementinedeal/_part_answers.py
+++ b/src/clementinedeal/_part_answers.py
@@ -1,4 +1,4 @@
-"""Answers to peers that want values of a version."""
+"""Answers the requests of peers for the values of a version."""
 
 from clementinedeal._acceptance import Acceptance
 from clementinedeal._messages import Send
@@ -10,19 +10,22 @@
     RootRequest,
 )
 
-MAX_ANSWER_BYTES = 256_000
+MAX_ANSWER_BYTES = 256_000  # no part is added to an answer of this size
 
 
 class PartAnswers:
-    """Hands out what this daemon holds, also of versions not yet whole."""
+    """Serves the values that this daemon holds.
+
+    Parts of a version that is still being pulled are served too.
+    """
 
     def __init__(
         self, acceptance: Acceptance, version_sync: VersionSync
     ) -> None:
-        """Serve from what others hold.
+        """Serve the values held by two other objects.
 
-        :param acceptance: whole versions.
-        :param spread: the version being gathered.
+        :param acceptance: holds the complete versions.
+        :param version_sync: holds the version being pulled.
         """
         self._acceptance = acceptance
         self._version_sync = version_sync
@@ -33,9 +36,9 @@
         body: RootRequest,
         now: float,
     ) -> list[Send]:
-        """Answer a peer that wants a root.
+        """Answer a request for a root.
 
-        :param sender: the peer.
+        :param sender: name of the peer.
         :param body: its request.
         :param now: monotonic seconds.
         """
@@ -51,9 +54,12 @@
         body: PartsRequest,
         now: float,
     ) -> list[Send]:
-        """Answer a peer that wants parts; large answers are cut short.
+        """Answer a request for parts.
+
+        Parts beyond ``MAX_ANSWER_BYTES`` are left out; the peer asks for them
+        again.
 
-        :param sender: the peer.
+        :param sender: name of the peer.
         :param body: its request.
         :param now: monotonic seconds.
         """
--- a/src/clementinedeal/_part_reads.py
+++ b/src/clementinedeal/_part_reads.py
@@ -1,4 +1,4 @@
-"""Reads of parts from the platform, within a budget."""
+"""Reads parts from the platform at a limited rate."""
 
 from collections.abc import Iterator
 
@@ -7,19 +7,24 @@
 from clementinedeal._pull import Pull
 from clementinedeal._view_actions import ReadPlatform
 
-RETRY_INTERVAL_SECONDS = 2.0
+RETRY_INTERVAL_SECONDS = 2.0  # a part that did not arrive is read again
 READER_PARTS_PER_SECOND = 50.0
 NON_READER_PARTS_PER_SECOND = 2.0
+# At start a non-reader waits this long for parts from its peers.
 NON_READER_WAIT_SECONDS = 10.0
 
 
 class PartReads:
-    """Lets readers of the platform go before the other daemons."""
+    """Limits the reads of parts, with a lower rate for non-readers.
+
+    Readers are the few daemons that read the platform for the whole fleet.
+    The others get parts from their peers and read only as a fallback.
+    """
 
     def __init__(self, acceptance: Acceptance) -> None:
-        """Start without allowance.
+        """Start with an empty budget.
 
-        :param acceptance: tells whether a version is in force.
+        :param acceptance: shows whether a version is in force.
         """
         self._acceptance = acceptance
         self._sent_at: dict[str, float] = {}
@@ -27,9 +32,9 @@
         self._refilled_at: float | None = None
 
     def on_part(self, digest: str) -> None:
-        """Note that a part came.
+        """Note that a part arrived.
 
-        :param digest: its digest.
+        :param digest: digest of the part.
         """
         self._sent_at.pop(digest, None)
 
@@ -40,11 +45,12 @@
         *,
         is_reader: bool,
     ) -> Iterator[ReadPlatform]:
-        """Yield the reads to begin.
+        """Yield the reads of missing parts that are due.
 
-        :param pull: what is lacking.
+        :param pull: the version being pulled.
         :param now: monotonic seconds.
-        :param is_reader: whether the fleet relies on this daemon's reads.
+        :param is_reader: whether this daemon reads the platform for the
+            fleet.
         """
         self._refill(now, is_reader=is_reader)
         if not self._may_read(pull, now, is_reader=is_reader):
@@ -70,6 +76,11 @@
         self._refilled_at = now
 
     def _may_read(self, pull: Pull, now: float, *, is_reader: bool) -> bool:
+        """Return whether to read parts, or to wait for peers to send them.
+
+        A daemon that starts reads the parts with instances at once, because
+        it needs them to know its peers.
+        """
         started = self._acceptance.in_force is not None
         if started or not pull.has_instances():
             return True
--- a/src/clementinedeal/_parts.py
+++ b/src/clementinedeal/_parts.py
@@ -1,4 +1,8 @@
-"""Immutable parts of a publication: one bucket of entries each."""
+"""Encodes the entries of a configuration into immutable parts.
+
+The entries of a section are distributed over buckets by a hash of what
+identifies them; a part is the encoded content of one bucket.
+"""
 
 import enum
 import hashlib
@@ -19,15 +23,19 @@
 )
 
 DIGEST_BYTES = 16
-MAX_PART_BYTES = 24_000  # parts and root weigh about the same at full size
-MAX_INSTANCE_PART_BYTES = 200_000  # a new daemon reads few to know its peers
+# A changed entry makes daemons fetch one part and the root. At full size both
+# are about as large: smaller parts would make a larger root.
+MAX_PART_BYTES = 24_000
+# Larger, because a daemon that starts must read all parts with instances
+# before it knows its peers.
+MAX_INSTANCE_PART_BYTES = 200_000
 HASH_BITS = 64
 
 _ENCODER = msgspec.msgpack.Encoder(order='deterministic')
 
 
 class Section(enum.Enum):
-    """What kind of entry a part holds."""
+    """A section of the configuration; a part holds entries of one section."""
 
     PRESETS = 'presets'
     SERVICES = 'services'
@@ -48,17 +56,17 @@
 
 
 def digest_of(blob: bytes) -> str:
-    """Return the hex digest that names a value.
+    """Return the hex digest by which a value is identified.
 
-    :param blob: the value.
+    :param blob: the encoded value.
     """
     return hashlib.blake2b(blob, digest_size=DIGEST_BYTES).hexdigest()
 
 
 def identity_function(section: Section) -> Callable[[Any], str]:
-    """Return the function that tells what makes an entry unique.
+    """Return the function that maps an entry to its unique identity.
 
-    :param section: kind of the entries.
+    :param section: section of the entries.
     """
     if section is Section.ROUTES:
         return _route_identity
@@ -70,12 +78,14 @@
 def encode_section(section: Section, entries: Sequence[Any]) -> list[bytes]:
     """Encode the entries of a section into parts.
 
-    Entries are spread by a hash of their identity; a bucket that is too
-    large is halved, so a change of one entry touches one bucket.
+    Entries are distributed by a hash of their identity. A bucket that is too
+    large is split in two by the next bit of the hash, so a change of one
+    entry changes only the part that holds it, unless a bucket is split or
+    merged.
 
-    :param section: kind of the entries.
-    :param entries: all of them, in any order.
-    :raises ValueError: an entry can't be encoded.
+    :param section: section of the entries.
+    :param entries: all entries of the section, in any order.
+    :raises ValueError: an entry cannot be encoded.
     """
     max_bytes = MAX_PART_BYTES
     if section is Section.INSTANCES:
@@ -91,9 +101,9 @@
 def decode_part(section: Section, blob: bytes) -> tuple[Any, ...]:
     """Decode a part.
 
-    :param section: kind of its entries.
-    :param blob: what ``encode_section`` made.
-    :raises msgspec.MsgspecError: malformed.
+    :param section: section that the part belongs to.
+    :param blob: a part that ``encode_section`` returned.
+    :raises msgspec.MsgspecError: the part is malformed.
     """
     entries: tuple[Any, ...] = _DECODERS[section].decode(blob)
     return entries
--- a/src/clementinedeal/_platform.py
+++ b/src/clementinedeal/_platform.py
@@ -1,4 +1,4 @@
-"""Reading and watching the platform; nothing is ever written to it."""
+"""Reads and watches values of the platform; nothing is written to it."""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -16,7 +16,7 @@
 from clementinedeal._pool import ConnPool
 
 READ_TIMEOUT_SECONDS = 3.0
-# Three reads at once hold 24 MiB of the smallest machine's 200 MB.
+# Three reads at once hold 24 MiB, of 200 MB on the smallest host.
 MAX_RESPONSE_BYTES = 8 << 20
 _OK = 200
 _NOT_MODIFIED = 304
@@ -29,7 +29,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformValue:
-    """A value and the version at which the platform holds it."""
+    """A value and the version number that the platform gave it.
+
+    That number is not the version of the configuration, which the value
+    itself holds.
+    """
 
     version: int
     blob: bytes
@@ -37,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedInstance:
-    """One entry of the platform's lagging list; state live or leaving."""
+    """An instance in the platform's list; ``state`` is live or leaving."""
 
     name: str
     state: str
@@ -45,19 +49,19 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformInstanceList:
-    """The platform's list of live and leaving instances."""
+    """The platform's list of live and leaving instances, which lags."""
 
     version: int
     instances: tuple[ListedInstance, ...]
 
 
 class Platform(Protocol):
-    """What the system may ask of the platform."""
+    """Read access to the platform's values."""
 
     async def read(self, name: str) -> PlatformValue | None:
-        """Read a value; None if there is none.
+        """Read a value by name; None if there is none.
 
-        :raises PlatformError: no usable answer.
+        :raises PlatformError: the platform gave no usable answer.
         """
         ...
 
@@ -67,28 +71,33 @@
         after: int,
         seconds: float,
     ) -> PlatformValue | None:
-        """Wait for a value newer than a version; None if there was none.
+        """Wait for a newer value; None if there is none within ``seconds``.
+
+        ``after`` is the platform's version number of the value held.
 
-        :raises PlatformError: no usable answer.
+        :raises PlatformError: the platform gave no usable answer.
         """
         ...
 
     async def instances(self) -> PlatformInstanceList:
         """Read the list of instances.
 
-        :raises PlatformError: no usable answer.
+        :raises PlatformError: the platform gave no usable answer.
         """
         ...
 
 
 class HttpPlatform:
-    """The platform over HTTP; addresses are tried in turn."""
+    """Reads the platform over HTTP.
+
+    Each read goes to one replica; after a failure the next one is used.
+    """
 
     def __init__(self, addresses: tuple[str, ...], pool: ConnPool) -> None:
-        """Create a reader.
+        """Create a client.
 
-        :param addresses: ``ip:port`` of the platform's replicas.
-        :param pool: lends connections.
+        :param addresses: addresses of the platform's replicas, ``ip:port``.
+        :param pool: provides connections.
         """
         self._addresses = addresses
         self._pool = pool
@@ -96,7 +105,7 @@
         self.read_count = 0
 
     async def read(self, name: str) -> PlatformValue | None:
-        """Read a value; None if there is none."""
+        """Read a value by name; None if there is none."""
         return await self._read_value(f'/values/{name}', READ_TIMEOUT_SECONDS)
 
     async def watch(
@@ -105,7 +114,7 @@
         after: int,
         seconds: float,
     ) -> PlatformValue | None:
-        """Wait for a newer value; None if there was none in time."""
+        """Wait for a newer value; None if there is none within ``seconds``."""
         path = f'/values/{name}?after={after}&wait={seconds:g}'
         return await self._read_value(path, seconds + READ_TIMEOUT_SECONDS)
 
@@ -113,11 +122,13 @@
         """Read the list of instances."""
         found = await self._read_value('/instances', READ_TIMEOUT_SECONDS)
         if found is None:
-            raise PlatformError('no instance list is published')
+            raise PlatformError('the platform has no list of instances')
         try:
             return msgspec.json.decode(found.blob, type=PlatformInstanceList)
         except DECODE_ERRORS as exc:
-            raise PlatformError(f'malformed list: {exc}') from exc
+            raise PlatformError(
+                f'the list of instances is malformed: {exc}'
+            ) from exc
 
     async def _read_value(
         self, path: str, timeout_seconds: float
@@ -154,5 +165,7 @@
         if answer.status in {_NOT_MODIFIED, _NOT_FOUND}:
             return None
         if answer.status != _OK:
-            raise PlatformError(f'status {answer.status}')
+            raise PlatformError(
+                f'unexpected status {answer.status}, expected {_OK}'
+            )
         return PlatformValue(int(answer.header(b'x-version') or 0), blob)
--- a/src/clementinedeal/_platform_reads.py
+++ b/src/clementinedeal/_platform_reads.py
@@ -1,4 +1,4 @@
-"""Carries out the reads and watches that the fleet view asks for."""
+"""Performs the reads and watches that the fleet view requests."""
 
 from collections.abc import Iterable
 from typing import Any, Protocol
@@ -22,24 +22,24 @@
 
 
 class PlatformListener(Protocol):
-    """Hears what the platform answered."""
+    """Processes the platform's answers; each method returns actions."""
 
     def on_platform_root(self, blob: bytes | None, now: float) -> Iterable[Any]:
-        """Take a root, or nothing newer."""
+        """Process a root; None if a watch found nothing newer."""
         ...
 
     def on_platform_part(self, blob: bytes, now: float) -> Iterable[Any]:
-        """Take a part."""
+        """Process a part."""
         ...
 
     def on_platform_list(
         self, listed: InstanceList, now: float
     ) -> Iterable[Any]:
-        """Take the instance list."""
+        """Process the list of instances."""
         ...
 
     def on_platform_failure(self, name: str, now: float) -> Iterable[Any]:
-        """Take a failure."""
+        """Process the failure to read the value of that name."""
         ...
 
 
@@ -52,7 +52,7 @@
 
 
 class PlatformReads:
-    """Runs each read as a task and reports its answer."""
+    """Runs each read as a task and passes its answer to the listener."""
 
     def __init__(
         self,
@@ -62,13 +62,13 @@
         clock: Clock,
         events: EventLog,
     ) -> None:
-        """Create without tasks.
+        """Create the reads without a task.
 
-        :param platform: is read.
-        :param listener: decides what follows.
-        :param performer: carries that out.
-        :param clock: gives the time of answers.
-        :param events: hears when the platform goes and comes back.
+        :param platform: the platform to read.
+        :param listener: returns the actions that follow from an answer.
+        :param performer: performs these actions.
+        :param clock: dates the answers.
+        :param events: logs when the platform is lost and when it is back.
         """
         self._platform = platform
         self._listener = listener
@@ -82,12 +82,15 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Allow reads from now on.
 
-        :param nursery: runs them.
+        :param nursery: runs the tasks.
         """
         self._nursery = nursery
 
     def read(self, action: ReadPlatform) -> None:
-        """Begin to read a value or the list."""
+        """Start reading a value or the list of instances.
+
+        :param action: names what to read.
+        """
         if action.name == LIST_NAME:
             self._start_task(self._read_list, LIST_NAME)
         elif action.name == ROOT_NAME:
@@ -96,12 +99,17 @@
             self._start_task(self._read_part, action.name)
 
     def watch(self, action: WatchRoot) -> None:
-        """Begin to watch the root."""
+        """Start watching the root.
+
+        :param action: the version held and how long to wait.
+        """
         self._start_task(self._watch_root, action)
 
     def _start_task(self, task: Any, argument: Any) -> None:
         if self._nursery is None:
-            raise ClementinedealError('platform reads are not running')
+            raise ClementinedealError(
+                'platform read requested before platform reads were started'
+            )
         self._nursery.start_soon(self._run_task, task, argument)
 
     async def _run_task(self, task: Any, argument: Any) -> None:
@@ -118,12 +126,16 @@
     async def _read_root(self, _name: str) -> Iterable[Any]:
         found = await self._platform.read(ROOT_NAME)
         if found is None:
-            raise PlatformError('no root is published')
+            raise PlatformError('the platform has no root')
         self._note_root(found.blob, found.version)
         return self._listener.on_platform_root(found.blob, self._now())
 
     async def _watch_root(self, action: WatchRoot) -> Iterable[Any]:
-        """Watch by the platform's own version of the value held here."""
+        """Watch the root by the platform's version number for it.
+
+        That number is known only for the root read last, so the root is read
+        first if another version is held.
+        """
         version, stored_version = self._last_root_versions
         if version != action.after_version:
             return await self._read_root(ROOT_NAME)
@@ -138,7 +150,7 @@
     async def _read_part(self, name: str) -> Iterable[Any]:
         found = await self._platform.read(name)
         if found is None:
-            raise PlatformError(f'{name} is not published')
+            raise PlatformError(f'the platform has no value {name}')
         return self._listener.on_platform_part(found.blob, self._now())
 
     async def _read_list(self, _name: str) -> Iterable[Any]:
--- a/src/clementinedeal/_publication.py
+++ b/src/clementinedeal/_publication.py
@@ -1,4 +1,9 @@
-"""A whole configuration as the values that the platform holds."""
+"""Encodes a configuration as platform values and decodes it again.
+
+A version consists of immutable parts, named by the digest of their content,
+and a root that lists those digests. A new version shares all unchanged parts
+with the one before.
+"""
 
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
@@ -18,8 +23,8 @@
 )
 from clementinedeal._validation import find_fault
 
-FORMAT = 1
-MAX_VALUE_BYTES = 1_000_000
+FORMAT = 1  # version of the encoding
+MAX_VALUE_BYTES = 1_000_000  # largest value that the platform takes
 ROOT_NAME = 'root'
 PART_PREFIX = 'part-'
 
@@ -27,12 +32,16 @@
 
 
 class PublicationError(ClementinedealError):
-    """A publication is malformed or its configuration is not acceptable."""
+    """A publication is malformed or its configuration is invalid."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Root:
-    """The value that names a version: preset in force and part digests."""
+    """The value that defines a version.
+
+    ``format`` is the version of this encoding, ``preset`` the preset in force,
+    and ``parts`` lists the part digests of each section.
+    """
 
     format: int
     version: int
@@ -48,22 +57,25 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Publication:
-    """The values of one version; parts go before the root."""
+    """The encoded values of one version; ``parts`` is keyed by digest."""
 
     root: bytes
-    parts: Mapping[str, bytes]  # by digest
+    parts: Mapping[str, bytes]
 
     def values(self) -> Iterator[tuple[str, bytes]]:
-        """Yield names and values in the order in which to publish them."""
+        """Yield names and values in the order in which to publish them.
+
+        The root comes last, so that its parts can be read once it appears.
+        """
         for digest, blob in self.parts.items():
             yield f'{PART_PREFIX}{digest}', blob
         yield ROOT_NAME, self.root
 
 
 def pack(cfg: Config) -> Result[Publication, PublicationError]:
-    """Turn a configuration into values.
+    """Encode a configuration as platform values.
 
-    :param cfg: a checked configuration.
+    :param cfg: a valid configuration.
     """
     try:
         sections = {
@@ -71,7 +83,7 @@
             for section, entries in _sections(cfg).items()
         }
     except ValueError as exc:
-        return Err(PublicationError(f'cannot be encoded: {exc}'))
+        return Err(PublicationError(f'configuration cannot be encoded: {exc}'))
     root = Root(
         format=FORMAT,
         version=cfg.version,
@@ -91,29 +103,37 @@
     )
     for name, blob in publication.values():
         if len(blob) > MAX_VALUE_BYTES:
-            return Err(PublicationError(f'{name} is over {MAX_VALUE_BYTES} B'))
+            return Err(
+                PublicationError(
+                    f'value {name} is larger than {MAX_VALUE_BYTES} bytes'
+                )
+            )
     return Ok(publication)
 
 
 def read_root(blob: bytes) -> Result[Root, PublicationError]:
-    """Decode a root value.
+    """Decode a root.
 
-    :param blob: the value.
+    :param blob: the encoded root.
     """
     try:
         root = msgspec.msgpack.decode(blob, type=Root)
     except DECODE_ERRORS as exc:
         return Err(PublicationError(f'root is malformed: {exc}'))
     if root.format != FORMAT:
-        return Err(PublicationError(f'root has format {root.format}'))
+        return Err(
+            PublicationError(
+                f'root has unknown format {root.format}, expected {FORMAT}'
+            )
+        )
     return Ok(root)
 
 
 class PartCache:
-    """Decoded parts of the last version, so that a change costs little.
+    """Decoded parts of the last version, reused for parts that did not change.
 
-    Keyed by digest, whose content never changes; the outcome of ``unpack``
-    is the same with any memo.
+    Parts are keyed by digest, so the content of an entry never changes and
+    ``unpack`` returns the same with any cache.
     """
 
     def __init__(self) -> None:
@@ -126,12 +146,12 @@
         digest: str,
         parts: Mapping[str, bytes],
     ) -> tuple[Any, ...]:
-        """Return the entries of a part.
+        """Return the decoded entries of a part.
 
-        :param section: kind of the entries.
-        :param digest: name of the part.
-        :param parts: the parts at hand.
-        :raises PublicationError: it is missing or malformed.
+        :param section: section that the part belongs to.
+        :param digest: digest of the part.
+        :param parts: encoded parts by digest.
+        :raises PublicationError: the part is missing or malformed.
         """
         key = (section, digest)
         if key not in self._entries:
@@ -139,9 +159,9 @@
         return self._entries[key]
 
     def retain(self, root: Root) -> None:
-        """Forget the parts that a root doesn't name.
+        """Discard the parts that a root does not list.
 
-        :param root: the root.
+        :param root: the root of the version in use.
         """
         wanted = set(root.digests())
         self._entries = {
@@ -156,13 +176,13 @@
     parts: Mapping[str, bytes],
     part_cache: PartCache | None = None,
 ) -> Result[Config, PublicationError]:
-    """Build a configuration and check it whole.
+    """Decode a configuration and validate it.
 
-    The outcome depends on the values alone, so all daemons agree on it.
+    The result depends on the values alone, so all daemons agree on it.
 
-    :param root: the root.
-    :param parts: every part that the root names, by digest.
-    :param memo: parts decoded before; those of this version are kept in it.
+    :param root: the decoded root.
+    :param parts: all parts that the root lists, encoded, by digest.
+    :param part_cache: parts decoded before; those of this version stay in it.
     """
     part_cache = part_cache or PartCache()
     try:
@@ -221,7 +241,7 @@
         merged.update(zip(map(identity, entries), entries, strict=True))
         count += len(entries)
     if len(merged) != count:
-        raise PublicationError(f'{section.value}: an entry is given twice')
+        raise PublicationError(f'{section.value}: an entry is defined twice')
     return dict(sorted(merged.items()))
 
 
@@ -234,7 +254,7 @@
     if blob is None:
         raise PublicationError(f'part {digest} is missing')
     if digest_of(blob) != digest:
-        raise PublicationError(f'part {digest} has another digest')
+        raise PublicationError(f'part {digest} does not match its digest')
     try:
         return decode_part(section, blob)
     except DECODE_ERRORS as exc:
--- a/src/clementinedeal/_pull.py
+++ b/src/clementinedeal/_pull.py
@@ -1,4 +1,4 @@
-"""Gathering the values of one version from peers or the platform."""
+"""Collects the values of one version from peers or the platform."""
 
 from collections.abc import Mapping
 
@@ -8,21 +8,22 @@
 from clementinedeal._publication import Root, read_root
 from clementinedeal._view_messages import VersionRef
 
-ANSWER_TIMEOUT_SECONDS = 1.0
+ANSWER_TIMEOUT_SECONDS = 1.0  # the next source is asked after this long
 MAX_PARTS_PER_REQUEST = 32
 
 
 class Pull:
-    """What is held and lacking of one version.
+    """The values of one version that are held and those that are missing.
 
-    Values are taken only if they have the digest that was asked for, so it
-    does not matter who sends them.
+    A value is accepted only if its digest is the expected one, so it does not
+    matter which peer sends it. ``sources`` names the peers known to hold the
+    version; they are asked in turn.
     """
 
     def __init__(self, ref: VersionRef) -> None:
-        """Start with nothing.
+        """Start without values.
 
-        :param ref: the version wanted.
+        :param ref: number and digest of the version to pull.
         """
         self.ref = ref
         self.root: Root | None = None
@@ -35,7 +36,7 @@
     def add_source(self, peer: str) -> None:
         """Note that a peer holds the version.
 
-        :param peer: its name.
+        :param peer: name of the peer.
         """
         if peer not in self.sources:
             self.sources.append(peer)
@@ -43,13 +44,13 @@
     def drop_source(self, peer: str) -> None:
         """Stop asking a peer.
 
-        :param peer: its name.
+        :param peer: name of the peer.
         """
         if peer in self.sources:
             self.sources.remove(peer)
 
     def next_source(self, now: float) -> str | None:
-        """Return whom to ask now, if nobody's answer is awaited.
+        """Return the peer to ask now, None while an answer is awaited.
 
         :param now: monotonic seconds.
         """
@@ -61,14 +62,17 @@
         return peer
 
     def on_reply(self) -> None:
-        """Note that the awaited answer came."""
+        """Note that the awaited answer arrived."""
         self._waits_until = 0.0
 
     def on_root(self, blob: bytes, known: Mapping[str, bytes]) -> str:
-        """Take the root; return why it is unusable, or nothing.
+        """Take the root; return why it is unusable, or an empty text.
 
-        :param blob: the value.
-        :param known: parts at hand by digest.
+        A root with another digest belongs to another version and is ignored.
+
+        :param blob: the encoded root.
+        :param known: encoded parts of other versions by digest, used where
+            this version has the same part.
         """
         if digest_of(blob) != self.ref.digest:
             return ''
@@ -77,7 +81,7 @@
             return str(outcome.err())
         root = outcome.unwrap()
         if root.version != self.ref.version:
-            return f'the root names version {root.version}'
+            return f'the root has another version number, {root.version}'
         self.root = root
         self.root_blob = blob
         for digest in root.digests():
@@ -89,9 +93,9 @@
         return ''
 
     def on_part(self, blob: bytes) -> None:
-        """Take a part if it is wanted.
+        """Take a part if it is missing; ignore any other.
 
-        :param blob: the value.
+        :param blob: the encoded part.
         """
         digest = digest_of(blob)
         if digest in self._missing:
@@ -101,9 +105,11 @@
     def missing_digests(
         self, max_count: int = MAX_PARTS_PER_REQUEST
     ) -> tuple[str, ...]:
-        """Return digests of missing parts, those of instances first.
+        """Return the digests of missing parts, those of instances first.
+
+        With the instances a daemon that has just started knows its peers.
 
-        :param count: at most so many.
+        :param max_count: largest number of digests returned.
         """
         instance_digests = [
             digest
@@ -116,13 +122,15 @@
         return (*instance_digests, *rest)[:max_count]
 
     def has_instances(self) -> bool:
-        """Return whether all parts that hold instances are here."""
+        """Return whether the root and all parts with instances are held."""
         digests = self._instance_digests()
         has_parts = all(digest in self._parts for digest in digests)
         return has_parts and self.root is not None
 
     def instances(self) -> tuple[Instance, ...]:
-        """Return the instances that the version names.
+        """Return the instances that the version publishes.
+
+        All parts with instances must be held (``has_instances``).
 
         :raises msgspec.MsgspecError: a part is malformed.
         """
@@ -136,14 +144,14 @@
         )
 
     def find_part(self, digest: str) -> bytes | None:
-        """Return a part held already.
+        """Return an encoded part, None if it is not held.
 
-        :param digest: its digest.
+        :param digest: digest of the part.
         """
         return self._parts.get(digest)
 
     def complete_bundle(self) -> Bundle | None:
-        """Return the whole version, nothing while values are lacking."""
+        """Return the complete version, None while values are missing."""
         if self.root is None or self._missing:
             return None
         return Bundle(self.ref, self.root, self.root_blob, self._parts)
--- a/src/clementinedeal/_read_schedule.py
+++ b/src/clementinedeal/_read_schedule.py
@@ -1,4 +1,4 @@
-"""Which instances read the platform for the fleet, and when."""
+"""Decides which daemons read the platform for the fleet, and when."""
 
 import random
 from collections.abc import Mapping
@@ -9,37 +9,45 @@
 from clementinedeal._publication import ROOT_NAME
 from clementinedeal._view_actions import ReadPlatform, WatchRoot
 
-READER_COUNT = 8
-LIST_NAME = 'instances'
+READER_COUNT = 8  # readers in the fleet
+LIST_NAME = 'instances'  # name under which the list of instances is read
 START_JITTER_SECONDS = 3.0
 START_RETRY_INTERVAL_SECONDS = 4.0
 WATCH_TIMEOUT_SECONDS = 1.0
-MIN_WATCH_INTERVAL_SECONDS = 0.25  # where the root shown can't be settled yet
-REREAD_INTERVAL_SECONDS = (
-    30.0  # shows a version published twice, or a stale replica
-)
+# Limits the rate of watches that return at once, because the root that they
+# return can't be accepted or rejected yet.
+MIN_WATCH_INTERVAL_SECONDS = 0.25
+# A watch returns only higher versions. Reading the root from time to time
+# detects a version that was published twice and a stale replica.
+REREAD_INTERVAL_SECONDS = 30.0
 READ_TIMEOUT_SECONDS = 5.0
 RETRY_INTERVAL_SECONDS = 1.0
 MIN_LIST_INTERVAL_SECONDS = 3.0
 MAX_LIST_READS_PER_SECOND = 100.0  # over the whole fleet
 MIN_NON_READER_INTERVAL_SECONDS = 2.0
-MAX_NON_READER_READS_PER_SECOND = (
-    200.0  # over the whole fleet, by daemons cut off
-)
+# Over the whole fleet, by daemons that hear nothing from the readers.
+MAX_NON_READER_READS_PER_SECOND = 200.0
 
 
 @dataclass(frozen=True, slots=True)
 class RootRead:
-    """A read of the root: when it was sent, and above which version."""
+    """A read or watch of the root.
+
+    ``sent_at`` is in monotonic seconds. A watch waits for a version above
+    ``after_version``, which is 0 for a read.
+    """
 
     sent_at: float
     after_version: int
 
 
 def reader_order(instances: Mapping[str, Instance]) -> list[str]:
-    """Order instances by how early they are to read, zones taking turns.
+    """Return the names of instances by priority as readers.
+
+    The first ones that are alive and not leaving read. Availability zones
+    alternate, so that the readers are distributed over all zones.
 
-    :param instances: the published instances.
+    :param instances: the published instances by name.
     """
     zone_counts: dict[str, int] = {}
     placed: list[tuple[int, int, str]] = []
@@ -51,12 +59,17 @@
 
 
 class ReadSchedule:
-    """Decides when this daemon reads the root and the list of instances."""
+    """Decides when this daemon reads the root and the list of instances.
+
+    A *reader* is one of the few daemons that read the platform for the whole
+    fleet; the others get its values from their peers and read only when these
+    have no recent evidence.
+    """
 
     def __init__(self, rng: random.Random, now: float) -> None:
         """Create the schedule of a daemon that has just started.
 
-        :param rng: source of jitter.
+        :param rng: source of randomness for jitter.
         :param now: monotonic seconds.
         """
         self._rng = rng
@@ -89,9 +102,10 @@
         """Return the watch or read due while a version is in force.
 
         :param now: monotonic seconds.
-        :param after: the version that needn't be reported.
-        :param is_reader: whether the fleet relies on this daemon.
-        :param published: number of published instances.
+        :param after_version: a watch waits for a version above this one.
+        :param is_reader: whether this daemon reads the platform for the
+            fleet.
+        :param published_count: number of published instances.
         """
         if not self._is_root_due(now):
             return []
@@ -113,10 +127,10 @@
     def due_list_reads(
         self, now: float, published_count: int
     ) -> list[ReadPlatform]:
-        """Return the reading of the instance list, when it is due.
+        """Return the read of the list of instances, if it is due.
 
         :param now: monotonic seconds.
-        :param published: number of published instances.
+        :param published_count: number of published instances.
         """
         if now < self._list_due_at:
             return []
@@ -129,7 +143,7 @@
         return [ReadPlatform(LIST_NAME)]
 
     def on_root(self, now: float, *, started: bool) -> RootRead | None:
-        """Note that the root was answered; return what was asked.
+        """Note the answer to a read or watch of the root; return the request.
 
         :param now: monotonic seconds.
         :param started: whether a version is in force.
@@ -155,7 +169,7 @@
         )
 
     def on_pause(self) -> None:
-        """Forget reads under way, after a pause."""
+        """Discard the pending read after the process was suspended."""
         self._root_sent_at = None
 
     def _is_root_due(self, now: float) -> bool:
--- a/src/clementinedeal/_roster.py
+++ b/src/clementinedeal/_roster.py
@@ -1,4 +1,4 @@
-"""The gossiped table of published instances."""
+"""The table of published instances that daemons exchange by gossip."""
 
 from collections.abc import Iterable, Iterator
 
@@ -12,14 +12,17 @@
 )
 from clementinedeal._view_messages import MemberRecord, ViewAnswer
 
-RECENT_CHANGE_SECONDS = (
-    15.0  # how long a changed record is told to everybody asking
-)
-MAX_RECENT_RECORDS = 64
+# A changed record is part of every answer for this long.
+RECENT_CHANGE_SECONDS = 15.0
+MAX_RECENT_RECORDS = 64  # in one answer
 
 
 class Roster:
-    """Ages and records by index in the sorted published names."""
+    """When each published instance was heard and what it said of itself.
+
+    In messages an instance is identified by its index in the sorted published
+    names, which holds only between daemons with the same names.
+    """
 
     def __init__(self, me: str) -> None:
         """Start without members.
@@ -38,11 +41,11 @@
         return iter(self._sorted_members)
 
     def set_names(self, names: Iterable[str], now: float) -> list[str]:
-        """Take the published names; return those that are gone.
+        """Replace the published names; return those no longer published.
 
-        What is known of the names that stay is kept.
+        What is known about names that stay is kept.
 
-        :param names: all published instances.
+        :param names: names of all published instances.
         :param now: monotonic seconds.
         """
         previous = self._members
@@ -57,21 +60,21 @@
         return [name for name in previous if name not in self._members]
 
     def find(self, name: str) -> Member | None:
-        """Return a member by name.
+        """Return a member by name, None if it is not published.
 
-        :param name: instance name.
+        :param name: name of the instance.
         """
         return self._members.get(name)
 
     def merge_answer(
         self, sender: str, answer: ViewAnswer, sent_at: float
     ) -> None:
-        """Merge a peer's table.
+        """Merge the table of a peer into this one.
 
-        :param sender: who answered.
+        :param sender: name of the peer that answered.
         :param answer: its view.
-        :param sent_at: when it was asked; nothing in the answer can be
-            proved younger than that.
+        :param sent_at: when the peer was asked, in monotonic seconds. Nothing
+            in the answer is known to be more recent than that.
         """
         member = self._members.get(sender)
         if member is not None:
@@ -89,18 +92,21 @@
     def set_record(
         self, name: str, record: MemberRecord, said_at: float
     ) -> None:
-        """Take what an instance says of itself.
+        """Apply a record that an instance sent about itself.
 
-        :param name: the instance.
-        :param record: what it says; its index is not used.
-        :param at: when it said so, in monotonic seconds.
+        :param name: name of the instance.
+        :param record: its record; the index is not used.
+        :param said_at: when the instance stated it, in monotonic seconds.
         """
         member = self._members.get(name)
         if member is not None and member.merge(record, said_at):
             self._cached_digest = None
 
     def encode_ages(self, now: float) -> bytes:
-        """Return everybody's age for an answer, rounded up and capped.
+        """Return how long ago each instance was heard, one byte each.
+
+        Ages are in quarter seconds, rounded up, at most ``MAX_AGE_UNITS``, in
+        the order of the sorted names.
 
         :param now: monotonic seconds.
         """
@@ -120,10 +126,11 @@
     def records_to_send(
         self, now: float, *, full: bool
     ) -> tuple[MemberRecord, ...]:
-        """Return the records to tell.
+        """Return the records to put into an answer.
 
         :param now: monotonic seconds.
-        :param full: all of them rather than those that changed lately.
+        :param full: whether to send all records, not only those that changed
+            within ``RECENT_CHANGE_SECONDS``.
         """
         selected = [
             (member.changed_at, index, member)
@@ -140,7 +147,7 @@
         )
 
     def records_digest(self) -> int:
-        """Return a digest of all records, for peers to compare."""
+        """Return a digest of all records, which peers compare with theirs."""
         if self._cached_digest is None:
             text = ','.join(
                 f'{member.incarnation}{member.leaving}'
@@ -150,7 +157,7 @@
         return self._cached_digest
 
     def quorum_at(self, now: float) -> float:
-        """Return since when more than half of all were heard.
+        """Return the latest time since which more than half were heard.
 
         :param now: monotonic seconds.
         """
--- a/src/clementinedeal/_settings.py
+++ b/src/clementinedeal/_settings.py
@@ -1,4 +1,7 @@
-"""A daemon's own settings, read from YAML once at start."""
+"""Reads a daemon's own settings from a YAML file.
+
+They are read at start; only the fleet keys are read again, at SIGHUP.
+"""
 
 import math
 from dataclasses import dataclass, field
@@ -17,7 +20,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetKey:
-    """A secret shared by the daemons of a fleet."""
+    """A named secret shared by all daemons of a fleet.
+
+    Daemons sign their messages to each other with it.
+    """
 
     name: str
     secret: bytes = field(repr=False)
@@ -25,9 +31,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Limits:
-    """Bounds on what a peer may make the daemon hold or wait for.
+    """Limits on connections, sizes and waiting times.
 
-    Sizes are in bytes, times in seconds.
+    They bound what a caller, a peer or a target can make the daemon hold or
+    wait for. Sizes are in bytes, times in seconds. ``drain_timeout_seconds``
+    is how long a stopping daemon lets running requests finish.
     """
 
     max_head_bytes: int = 16_384
@@ -42,10 +50,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DaemonSettings:
-    """What one daemon knows about itself before it hears from anybody.
+    """Settings that a daemon needs before it has a configuration.
 
-    Listen addresses and those of the platform's readers are ``ip:port``. The
-    first fleet key signs, all of them verify.
+    ``caller``, ``peer``, ``control`` and ``operator`` are the addresses on
+    which it listens, ``platform`` those of the platform's replicas, all
+    ``ip:port``. The first fleet key signs messages; all of them verify.
     """
 
     instance: str
@@ -61,9 +70,9 @@
 
 
 def load_settings(path: str) -> Result[DaemonSettings, SettingsError]:
-    """Read and check a daemon's settings file.
+    """Read and validate a daemon's settings file.
 
-    :param path: the YAML file.
+    :param path: path of the YAML file.
     """
     try:
         return Ok(_read(read_document(path)))
--- a/src/clementinedeal/_validation.py
+++ b/src/clementinedeal/_validation.py
@@ -1,4 +1,4 @@
-"""Checks of a whole configuration, the same for files and for publications."""
+"""Validates a configuration, the same for files and for publications."""
 
 from collections.abc import Callable, Iterator
 
@@ -18,9 +18,11 @@
 
 
 def find_fault(cfg: Config) -> Fault | None:
-    """Return the first fault in a fixed order, or nothing.
+    """Return the first fault of a configuration, None if it is valid.
 
-    :param cfg: the configuration, built but not yet trusted.
+    The checks run in a fixed order, so all daemons find the same fault.
+
+    :param cfg: the configuration, which may be invalid.
     """
     for check in _CHECKS:
         fault = next(check(cfg), None)
--- a/src/clementinedeal/_version_ages.py
+++ b/src/clementinedeal/_version_ages.py
@@ -1,20 +1,23 @@
-"""For how long versions are known to have been published."""
+"""Minimum ages of published versions."""
 
 from clementinedeal._view_messages import VersionRef
 
 
 class VersionAges:
-    """Remembers the newest versions and since when, at least, they exist."""
+    """Remembers the earliest time at which the newest version was published.
+
+    Several versions are held only if they have the same, highest number.
+    """
 
     def __init__(self) -> None:
-        """Know of no version."""
+        """Start without versions."""
         self._published_since: dict[VersionRef, float] = {}
 
     def note_published(self, ref: VersionRef, since: float) -> None:
-        """Note that a version was published at a time or before.
+        """Note that a version was published at a given time or before.
 
-        :param ref: the version.
-        :param since: monotonic time in seconds.
+        :param ref: number and digest of the version.
+        :param since: monotonic seconds.
         """
         newest = max(
             (known.version for known in self._published_since), default=0
@@ -27,10 +30,11 @@
         self._published_since[ref] = min(known, since)
 
     def age_seconds(self, ref: VersionRef | None, now: float) -> float:
-        """Return for how long a version has been published, at least.
+        """Return the seconds for which a version has been published, at least.
 
-        :param ref: the version, None for none.
-        :param now: monotonic time in seconds.
+        :param ref: number and digest of the version. The age of None and of
+            an unknown version is 0.
+        :param now: monotonic seconds.
         """
         since = self._published_since.get(ref, now) if ref else now
         return now - since
--- a/src/clementinedeal/_version_sync.py
+++ b/src/clementinedeal/_version_sync.py
@@ -1,4 +1,4 @@
-"""How versions travel: announcements, pulls, and reads of parts."""
+"""Transfer of configuration versions between daemons."""
 
 import itertools
 from collections.abc import Iterable
@@ -20,17 +20,25 @@
     VersionRef,
 )
 
+# A pull without sources is given up after this long without progress.
 MAX_IDLE_SECONDS = 5.0
 
 
 class VersionSync:
-    """Brings newer versions here and hands them on."""
+    """Pulls newer versions from peers or the platform and announces them.
+
+    At most one version is pulled at a time, the highest one known. When it is
+    complete it is accepted or rejected and announced to the *fingers*: the
+    instances at distances 1, 2, 4, 8 and so on in the sorted published names.
+    Each of them pulls it and announces it in turn, so that a version reaches
+    the whole fleet in a logarithmic number of steps.
+    """
 
     def __init__(self, me: str, acceptance: Acceptance) -> None:
-        """Start with nothing under way.
+        """Start without a pull.
 
         :param me: name of this instance.
-        :param acceptance: decides on whole versions.
+        :param acceptance: accepts or rejects complete versions.
         """
         self._me = me
         self._acceptance = acceptance
@@ -43,20 +51,20 @@
 
     @property
     def pull(self) -> Pull | None:
-        """Return the version being gathered."""
+        """Return the pull in progress, None without one."""
         return self._pull
 
     def find_part(self, digest: str) -> bytes | None:
-        """Return a part of the version being gathered.
+        """Return an encoded part of the version being pulled, None without it.
 
-        :param digest: its digest.
+        :param digest: digest of the part.
         """
         return None if self._pull is None else self._pull.find_part(digest)
 
     def set_names(self, names: tuple[str, ...]) -> None:
-        """Take the published order, from which the fingers follow.
+        """Compute the fingers of this instance.
 
-        :param names: all published instances, sorted.
+        :param names: names of all published instances, sorted.
         """
         if self._me not in names:
             self._fingers = []
@@ -68,16 +76,17 @@
         ]
 
     def on_ref(self, ref: VersionRef, source: str, now: float) -> list[Any]:
-        """Hear that a peer holds a version.
+        """Note that a peer holds a version, and pull it if it is newer.
 
-        :param ref: the version.
-        :param source: the peer.
+        :param ref: number and digest of the version.
+        :param source: name of the peer.
         :param now: monotonic seconds.
         """
         reports = self._acceptance.on_ref(ref)
         duplicate = self._find_duplicate(ref)
         if duplicate is not None and not duplicate.sources:
-            # What peers hold goes before what only the platform shows.
+            # A version that a peer holds takes precedence over other content
+            # under the same number that only the platform has returned.
             reports.extend(self._acceptance.reject_duplicate(duplicate.ref))
             self._pull = None
         pull = self._pull_for(ref, now)
@@ -86,9 +95,9 @@
         return [*reports, *self._request_next(now)]
 
     def on_platform_root(self, blob: bytes, now: float) -> list[Any]:
-        """Take a root that this daemon read itself.
+        """Process a root that this daemon read from the platform.
 
-        :param blob: the value.
+        :param blob: the encoded root.
         :param now: monotonic seconds.
         """
         outcome = read_root(blob)
@@ -105,9 +114,9 @@
         return [*reports, *self._offer_complete(now)]
 
     def on_platform_part(self, blob: bytes, now: float) -> list[Any]:
-        """Take a part that this daemon read itself.
+        """Process a part that this daemon read from the platform.
 
-        :param blob: the value.
+        :param blob: the encoded part.
         :param now: monotonic seconds.
         """
         self._part_reads.on_part(digest_of(blob))
@@ -122,9 +131,12 @@
         body: RootAnswer,
         now: float,
     ) -> list[Any]:
-        """Take a root from a peer, also a late one: its digest tells.
+        """Process a peer's answer to a request for the root.
+
+        A late answer is used too: the digest shows whether it is the root of
+        the version being pulled.
 
-        :param sender: the peer.
+        :param sender: name of the peer.
         :param body: its answer.
         :param now: monotonic seconds.
         """
@@ -143,9 +155,9 @@
         body: PartsAnswer,
         now: float,
     ) -> list[Any]:
-        """Take parts from a peer.
+        """Process a peer's answer to a request for parts.
 
-        :param sender: the peer.
+        :param sender: name of the peer.
         :param body: its answer.
         :param now: monotonic seconds.
         """
@@ -158,26 +170,30 @@
         return self._offer_complete(now)
 
     def reject(self, reason: str) -> list[ConfigRejected]:
-        """Give up the version being gathered, which can't be accepted.
+        """Reject the version being pulled.
 
-        :param reason: why, for operators.
+        :param reason: why, as shown to operators.
         """
         pull = self._pull
         self._pull = None
         return [] if pull is None else self._acceptance.reject(pull.ref, reason)
 
     def on_tick(self, now: float, *, is_reader: bool) -> list[Any]:
-        """Retry what got no answer.
+        """Send the requests and platform reads that are due.
+
+        The platform is read only for a version that no peer is known to hold.
 
         :param now: monotonic seconds.
-        :param is_reader: whether the fleet relies on this daemon's reads.
+        :param is_reader: whether this daemon reads the platform for the
+            fleet.
         """
         pull = self._pull
         if pull is None:
             return []
         is_idle = now - self._progress_at > MAX_IDLE_SECONDS
         if is_idle and not pull.sources:
-            # A lower version may be had meanwhile; this one is heard again.
+            # A lower version may be available in the meantime. This one is
+            # pulled again when a peer or the platform reports it again.
             self._pull = None
         actions = self._offer_complete(now)
         if self._pull is not None and not pull.sources:
@@ -187,12 +203,14 @@
         return actions
 
     def _find_duplicate(self, ref: VersionRef) -> Pull | None:
+        """Return the pull if it has other content under the same number."""
         pull = self._pull
         if pull is None or pull.ref == ref:
             return None
         return pull if pull.ref.version == ref.version else None
 
     def _pull_for(self, ref: VersionRef, now: float) -> Pull | None:
+        """Return the pull of a version; start it if none higher is pulled."""
         if not self._acceptance.is_wanted(ref):
             return None
         if self._pull is None or ref.version > self._pull.ref.version:
@@ -202,6 +220,7 @@
         return self._pull if self._pull.ref == ref else None
 
     def _offer_complete(self, now: float) -> list[Any]:
+        """Accept or reject the pulled version, or request what is missing."""
         bundle = self._pull.complete_bundle() if self._pull else None
         if bundle is None:
             return self._request_next(now)
@@ -216,6 +235,7 @@
         ]
 
     def _request_next(self, now: float) -> list[Any]:
+        """Ask the next source for the root or for missing parts."""
         pull = self._pull
         if pull is None or pull.complete_bundle() is not None:
             return []
@@ -231,6 +251,7 @@
     def _on_answer(
         self, sender: str, nonce: int, *, found: bool
     ) -> Pull | None:
+        """Note an answer; drop a source that lacks the values."""
         pull = self._pull
         if pull is not None and self._pending_request == (sender, nonce):
             self._pending_request = None
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -26,7 +26,11 @@
 
 
 class AcceptanceMachine(RuleBasedStateMachine):
-    """The oracle: the first valid offer above the one in force wins."""
+    """A valid version comes into force only above the one in force.
+
+    Invalid versions and other content under the number in force are rejected,
+    each reported once.
+    """
 
     def __init__(self):
         super().__init__()
