Rename the managers' gates and some locals for what they hold

Table: src/clementinedeal/_serving_side.py ServingContext.cancels cancel_messenger src/clementinedeal/_managers.py Managers.slots slot_gate src/clementinedeal/_managers.py Managers.__init__.tokens token_manager src/clementinedeal/_managers.py Managers.tokens token_gate src/clementinedeal/_managers.py Managers.watcher target_watcher src/clementinedeal/_status.py StatusReporter.rejected rejection src/clementinedeal/_timeline.py TimelineFilter._names_request _matches_request src/clementinedeal/_timeline.py merge_events.shown active_filter src/clementinedeal/_timeline.py wall_time.moment utc_time tests/test_http_server.py test_a_request_received_while_idle_connections_close_is_answered.wait wait_first_bytes tests/test_http_server.py test_a_request_received_while_idle_connections_close_is_answered.wait_and_close_idle.came has_bytes tests/test_processes.py FleetRun.mode.word mode tests/test_processes.py FleetRun.mode set_platform_mode tests/test_processes.py FleetRun.until wait_until tests/test_processes.py run.made fleet_run tests/test_control.py exchange.here sender tests/test_control.py exchange.there receiver tests/test_control.py test_rejected_settings_leave_the_old_keys.found results tests/test_messages.py Stranger Unregistered

--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -144,7 +144,9 @@
             executions=ExecutionTable(incarnation),
             directory=directory,
             view=EntryView(settings.instance, shared.fleet, shared.clock, rng),
-            cancels=CancelMessenger(control.send, self._cancel_locally),
+            cancel_messenger=CancelMessenger(
+                control.send, self._cancel_locally
+            ),
             status=StatusReporter(shared, directory),
         )
 
@@ -152,7 +154,7 @@
         shared = self._shared
         hub = shared.hub
         hub.on_message.append(self._handle_view_message)
-        hub.on_message.append(self._serving_context.cancels.on_message)
+        hub.on_message.append(self._serving_context.cancel_messenger.on_message)
         hub.on_pause.append(self._rejoin)
         hub.every(VIEW_TICK_SECONDS, self._serving_context.executions.on_tick)
         hub.on_stop.append(shared.fleet.stop)
--- a/src/clementinedeal/_managers.py
+++ b/src/clementinedeal/_managers.py
@@ -66,31 +66,31 @@
         idempotency = IdempotencyManager(me, cfg, now, wall_ms=wall_ms)
         idempotency.set_fresh(context.fleet.is_fresh(now), now)
         self.key_gate = KeyGate(idempotency, context.dispatcher, context.clock)
-        self.watcher = TargetWatcher(
+        self.target_watcher = TargetWatcher(
             context.clock,
             self.ejection,
             context.dispatcher,
             context.metrics,
         )
-        tokens = TokenManager(
+        token_manager = TokenManager(
             me,
             cfg,
             now,
             incarnation=context.fleet.incarnation(me),
             known_for=context.fleet.config_age_seconds(now),
         )
-        self.tokens = ManagedTokenGate(
-            tokens,
+        self.token_gate = ManagedTokenGate(
+            token_manager,
             context.dispatcher,
             context.clock,
             context.metrics,
         )
-        self.holders = tokens.holders
-        self.slots = QueuedSlotGate(
+        self.holders = token_manager.holders
+        self.slot_gate = QueuedSlotGate(
             me, cfg, context.clock, self.ejection.usable_fraction
         )
         self._subscribe_ejection(context.hub)
-        self._subscribe_tokens(context.hub, tokens)
+        self._subscribe_tokens(context.hub, token_manager)
         self._subscribe_idempotency(context.hub, idempotency)
         context.dispatcher.register(TargetEjected, self._on_ejected)
         context.dispatcher.register(TargetReinstated, self._on_reinstated)
@@ -98,13 +98,13 @@
     def _subscribe_ejection(self, hub: Hub) -> None:
         manager = self.ejection
         hub.on_message.append(manager.on_message)
-        hub.every(EJECTION_TICK_SECONDS, self.watcher.report_in_flight)
+        hub.every(EJECTION_TICK_SECONDS, self.target_watcher.report_in_flight)
         hub.every(ABSENCE_CHECK_SECONDS, self._update_absent)
         hub.every(EJECTION_TICK_SECONDS, manager.on_tick)
-        hub.every(QUEUE_TICK_SECONDS, self.slots.on_tick)
+        hub.every(QUEUE_TICK_SECONDS, self.slot_gate.on_tick)
         hub.on_config.append(self._on_config)
         hub.on_config.append(manager.on_config)
-        hub.on_config.append(self.slots.on_config)
+        hub.on_config.append(self.slot_gate.on_config)
         hub.on_pause.append(manager.on_pause)
         hub.on_fresh.append(manager.set_fresh)
         hub.on_stop.append(manager.stop)
@@ -164,7 +164,7 @@
         self._service_targets = self._find_service_targets()
 
     def _on_ejected(self, change: TargetEjected) -> None:
-        self.slots.reject_waiting(change.target)
+        self.slot_gate.reject_waiting(change.target)
         self._context.metrics.ejections.labels(
             change.target,
             change.cause.value,
--- a/src/clementinedeal/_serving_side.py
+++ b/src/clementinedeal/_serving_side.py
@@ -39,7 +39,7 @@
     executions: ExecutionTable
     directory: Directory
     view: EntryView
-    cancels: CancelMessenger
+    cancel_messenger: CancelMessenger
     status: StatusReporter
 
 
@@ -109,9 +109,9 @@
                 clock=context.shared.clock,
                 events=context.shared.events,
                 executions=context.executions,
-                tokens=managers.tokens,
-                slots=managers.slots,
-                watcher=managers.watcher,
+                tokens=managers.token_gate,
+                slots=managers.slot_gate,
+                watcher=managers.target_watcher,
                 caller=TargetCaller(context.pool),
             ),
         )
@@ -126,7 +126,7 @@
                 view=self._context.view,
                 owner=self.owner,
                 peers=peers,
-                canceller=self._context.cancels,
+                canceller=self._context.cancel_messenger,
                 idempotency=managers.key_gate,
                 recorder=MetricsRecorder(shared.metrics, shared.clock),
                 max_body_bytes=shared.settings.limits.max_body_bytes,
--- a/src/clementinedeal/_status.py
+++ b/src/clementinedeal/_status.py
@@ -20,7 +20,7 @@
         """
         self.is_listening = False
         self.is_draining = False
-        self.rejected = ''
+        self.rejection = ''
         self.managers: Managers | None = None
         self.owner: Owner | None = None
         self._shared = shared
@@ -33,8 +33,8 @@
         """
         if self.managers is None:
             return 0, 'unknown'
-        state = self.managers.watcher.state(name)
-        return self.managers.slots.load(name), state
+        state = self.managers.target_watcher.state(name)
+        return self.managers.slot_gate.load(name), state
 
     def status(self) -> DaemonStatus:
         """Describe the daemon."""
@@ -52,7 +52,7 @@
             config_version=cfg.version if cfg else 0,
             preset=cfg.preset.value if cfg else '',
             fresh=shared.fleet.is_fresh(now),
-            rejected=self.rejected,
+            rejected=self.rejection,
             alive_instances=alive,
             targets=tuple(
                 self._target_status(target)
--- a/src/clementinedeal/_timeline.py
+++ b/src/clementinedeal/_timeline.py
@@ -37,12 +37,12 @@
         """
         return (
             self.event in {'', event.name}
-            and self._names_request(event)
+            and self._matches_request(event)
             and _has_field(event, 'target', self.target)
             and _has_field(event, 'account', self.account)
         )
 
-    def _names_request(self, event: Event) -> bool:
+    def _matches_request(self, event: Event) -> bool:
         wanted = self.request
         return not wanted or any(
             key in _REQUEST_FIELDS and text.split('/')[0] == wanted
@@ -100,9 +100,12 @@
     :param logs: the events of each daemon.
     :param wanted: which events to return; all if absent.
     """
-    shown = event_filter or TimelineFilter()
+    active_filter = event_filter or TimelineFilter()
     events = {
-        event for events in logs for event in events if shown.matches(event)
+        event
+        for events in logs
+        for event in events
+        if active_filter.matches(event)
     }
     return tuple(sorted(events, key=_sort_key))
 
@@ -113,8 +116,8 @@
     :param hlc: the stamp.
     """
     seconds = (hlc >> COUNTER_BITS) / _MS_PER_SECOND
-    moment = datetime.fromtimestamp(seconds, UTC)
-    return moment.isoformat(timespec='milliseconds')
+    utc_time = datetime.fromtimestamp(seconds, UTC)
+    return utc_time.isoformat(timespec='milliseconds')
 
 
 def render_text(events: Iterable[Event]) -> str:
--- a/src/clementinedeal/_view_recorder.py
+++ b/src/clementinedeal/_view_recorder.py
@@ -41,7 +41,7 @@
         self._directory.add_address(action.instance, action.control)
 
     def _record_rejected(self, action: ConfigRejected) -> None:
-        self._status.rejected = f'{action.version}: {action.reason}'
+        self._status.rejection = f'{action.version}: {action.reason}'
         self._events.emit(
             'config-rejected',
             version=action.version,
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -49,22 +49,22 @@
         if body == Note('bug'):
             raise ValueError('bug')
 
-    here = channel('a', sender_keys, receive)
-    there = channel('b', receiver_keys, receive)
+    sender = channel('a', sender_keys, receive)
+    receiver = channel('b', receiver_keys, receive)
     async with trio.open_nursery() as nursery:
-        await here.start(nursery)
-        await there.start(nursery)
+        await sender.start(nursery)
+        await receiver.start(nursery)
         for text in ('one', 'bug', 'two'):
-            here.send(Send('b', Note(text)))
-        here.send(Send('nobody', Note('lost')))
+            sender.send(Send('b', Note(text)))
+        sender.send(Send('nobody', Note('lost')))
         with trio.move_on_after(5):
-            while not there.counters.messages_received:  # noqa: ASYNC110
+            while not receiver.counters.messages_received:  # noqa: ASYNC110
                 await trio.sleep(0.01)
-        await here.stop()
-        here.send(Send('b', Note('late')))
-        await there.stop()
+        await sender.stop()
+        sender.send(Send('b', Note('late')))
+        await receiver.stop()
         nursery.cancel_scope.cancel()
-    return received, there
+    return received, receiver
 
 
 async def test_a_batch_arrives_in_order_with_its_sender() -> None:
@@ -92,11 +92,11 @@
     new = FleetKey(name='new', secret=b'2' * 32)
     ring = Keyring({'old': old.secret})
     bad = SettingsError(file='f', path='fleet_keys', reason='none')
-    found: list[Result[DaemonSettings, SettingsError]] = [
+    results: list[Result[DaemonSettings, SettingsError]] = [
         Err(bad),
         Ok(settings_with(new, old)),
     ]
-    rotation = KeyRotation(ring, lambda: found.pop(0), EventLog('a', '1'))
+    rotation = KeyRotation(ring, lambda: results.pop(0), EventLog('a', '1'))
     rotation.rotate()
     sealed = Keyring({'new': new.secret}).seal(b'x', b'to')
     with pytest.raises(PeerAuthError):
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -183,14 +183,14 @@
 async def test_a_request_received_while_idle_connections_close_is_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    wait = ServerConn._wait_first_bytes
+    wait_first_bytes = ServerConn._wait_first_bytes
 
     async with serving() as server:
 
         async def wait_and_close_idle(conn: ServerConn) -> bool:
-            came = await wait(conn)
+            has_bytes = await wait_first_bytes(conn)
             server.close_idle()
-            return came
+            return has_bytes
 
         monkeypatch.setattr(
             ServerConn, '_wait_first_bytes', wait_and_close_idle
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -20,10 +20,10 @@
 
 def test_unknown_and_malformed_messages_are_refused() -> None:
     @dataclass(frozen=True)
-    class Stranger:
+    class Unregistered:
         nonce: int
 
     with pytest.raises(ProtocolError):
-        decode(encode((Stranger(1),)))
+        decode(encode((Unregistered(1),)))
     with pytest.raises(ProtocolError):
         decode(b'\xc1')
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -81,7 +81,7 @@
         self.records: list[CallRecord] = []
         self.executions: list[Execution] = []
 
-    async def until(self, is_true: Callable[[], bool]) -> None:
+    async def wait_until(self, is_true: Callable[[], bool]) -> None:
         with trio.fail_after(START_SECONDS):
             while not is_true():  # noqa: ASYNC110
                 await trio.sleep(0.1)
@@ -99,8 +99,8 @@
         with trio.fail_after(START_SECONDS):
             await await_version(live, self.cfg.version)
 
-    async def mode(self, word: str) -> None:
-        body = msgspec.json.encode({'mode': word})
+    async def set_platform_mode(self, mode: str) -> None:
+        body = msgspec.json.encode({'mode': mode})
         await put(self.fleet.publisher.address, '/operator/mode', body)
 
     async def status(self, name: str) -> dict[str, object]:
@@ -112,9 +112,9 @@
 
 @pytest.fixture
 async def run(tmp_path: Path):
-    made = FleetRun(tmp_path)
-    yield made
-    made.fleet.close()
+    fleet_run = FleetRun(tmp_path)
+    yield fleet_run
+    fleet_run.fleet.close()
 
 
 async def test_history_checks_pass_through_kills_freezes_and_outages(
@@ -128,7 +128,7 @@
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(caller.run)
-        await run.until(
+        await run.wait_until(
             lambda: run.answered('members-app') and run.answered('duluth-shop'),
         )
         await inject_faults(run)
@@ -149,12 +149,12 @@
     os.kill(frozen, signal.SIGSTOP)
     await trio.sleep(FAULT_SECONDS)
     os.kill(frozen, signal.SIGCONT)
-    await run.mode('down')
+    await run.set_platform_mode('down')
     run.fleet.kill(third)
     await run.fleet.restart_daemon(third)
     status = await run.status(third)
     assert status['config_version'] == run.cfg.version
-    await run.mode('up')
+    await run.set_platform_mode('up')
 
 
 async def withdraw_key(run: FleetRun) -> None:
@@ -172,7 +172,7 @@
         and call.sent > run.records[seen - 1].end
     ]
     assert late == []
-    await run.mode('down')
+    await run.set_platform_mode('down')
     fourth = sorted(run.cfg.instances)[3]
     run.fleet.kill(fourth)
     await run.fleet.restart_daemon(fourth)
