--- a/src/clementinedeal/__init__.py
+++ b/src/clementinedeal/__init__.py
@@ -1,4 +1,7 @@
-"""A proxy fleet for targets with gray failures."""
+"""A proxy fleet for targets with gray failures.
+
+A gray failure is a target that is up but slow, or fails part of its requests.
+"""
 
 import importlib
 from typing import TYPE_CHECKING, Any
@@ -26,7 +29,8 @@
     from clementinedeal._settings import DaemonSettings, load_settings
     from clementinedeal._verdict import Reason, Verdict
 
-# Imported at first use: a restarted daemon serves again the sooner.
+# Public names are imported at first use. Importing all of them would delay a
+# restarted daemon.
 _MODULES = {
     'Daemon': '_daemon',
     'check_file': '_declaration',
--- a/src/clementinedeal/__main__.py
+++ b/src/clementinedeal/__main__.py
@@ -1,4 +1,4 @@
-"""Lets the package run as a command."""
+"""Runs the command line as ``python -m clementinedeal``."""
 
 from clementinedeal._cli import run
 
--- a/src/clementinedeal/_cli.py
+++ b/src/clementinedeal/_cli.py
@@ -1,4 +1,4 @@
-"""The command line: one command a run, flags by absl."""
+"""The command line ``clementinedeal``: one command per run, flags by absl."""
 
 import sys
 from collections.abc import Callable, Sequence
@@ -65,7 +65,7 @@
 
 
 def main(argv: Sequence[str]) -> int:
-    """Run one command.
+    """Run one command and return the exit status.
 
     :param argv: program name, command and its arguments.
     """
@@ -81,7 +81,7 @@
 
 
 def run() -> None:
-    """Entry point of the command ``clementinedeal``."""
+    """Entry point of the program ``clementinedeal``."""
     if {'--help', '-h'} & set(sys.argv[1:]):
         sys.stdout.write(_USAGE)
         return
--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -17,14 +17,22 @@
     TooLongError,
 )
 
-# An extra answer belongs to the request before, or to one not long before it.
+# A target that answers a request twice sends the extra answer soon after, so
+# it carries the id of one of the latest requests.
 MAX_ANSWERED_IDS = 4
-# Some 4,000 small interim answers, one each 4 ms of a request's 15 s.
+# About 4,000 small interim answers, or one every 4 ms for a request that takes
+# 15 s.
 MAX_INTERIM_BYTES = 4 * READ_BYTES
 
 
 class ClientConn:
-    """The calling side of one connection."""
+    """The calling side of one connection; one request at a time.
+
+    ``idle_since`` and ``idle_until`` are monotonic times in seconds, set by
+    the pool. ``idle_seconds`` is how long the connection was idle before its
+    current use, None if it is new. ``answered_ids`` holds the ids of the
+    latest requests that were answered on it.
+    """
 
     def __init__(self, stream: trio.SocketStream) -> None:
         """Wrap a connected stream.
@@ -34,9 +42,7 @@
         self.stream = stream
         self.idle_until = 0.0
         self.idle_since = 0.0
-        # seconds it was idle before it was lent again; None when it is new
         self.idle_seconds: float | None = None
-        # ids of the latest requests that were answered on it
         self.answered_ids: collections.deque[str] = collections.deque(
             maxlen=MAX_ANSWERED_IDS,
         )
@@ -45,11 +51,13 @@
         self._h11_stream = H11Stream(stream, h11.CLIENT, READ_BYTES)
 
     async def send_head(self, head: RequestHead, body: bytes = b'') -> None:
-        """Send the request head and, when given, the whole body.
+        """Send the request head and, if given, the whole body.
+
+        The end of the request is sent by ``end_request``.
 
         :param head: with a length header or chunked encoding for a body.
-        :param more: whole body, in the same write.
-        :raises ConnLostError: the connection is gone.
+        :param body: the whole body, sent in the same write.
+        :raises ConnLostError: the connection is closed.
         """
         request = h11.Request(
             method=head.method,
@@ -62,7 +70,12 @@
         await self._h11_stream.send(request)
 
     async def send_whole(self, head: RequestHead, body: bytes) -> None:
-        """Send a request with its whole body in one write."""
+        """Send a request with its whole body in one write.
+
+        :param head: with a length header or chunked encoding for a body.
+        :param body: the whole body.
+        :raises ConnLostError: the connection is closed.
+        """
         self._method = head.method.encode('ascii')
         events: list[h11.Event] = [
             h11.Request(
@@ -77,7 +90,10 @@
         await self._h11_stream.send_all(*events)
 
     async def send_piece(self, piece: bytes) -> None:
-        """Send one piece of the request body."""
+        """Send one piece of the request body.
+
+        :param piece: the bytes; nothing is sent if it is empty.
+        """
         if piece:
             await self._h11_stream.send(h11.Data(data=piece))
 
@@ -89,11 +105,12 @@
         self,
         on_interim: Callable[[], None] | None = None,
     ) -> ResponseHead:
-        """Wait for the response head; interim answers are passed over.
+        """Wait for the response head and skip interim (1xx) answers.
 
         :param on_interim: called at each interim answer.
-        :raises TooLongError: too many interim answers.
-        :raises ConnLostError: the connection ended first.
+        :raises TooLongError: more than ``MAX_INTERIM_BYTES`` of interim
+            answers.
+        :raises ConnLostError: the connection ended before the head.
         :raises HttpError: malformed answer.
         """
         size_counter = SizeCounter(self._h11_stream, MAX_INTERIM_BYTES)
@@ -111,7 +128,7 @@
                 on_interim()
 
     async def read_body(self) -> AsyncIterator[bytes]:
-        """Yield the response body; ends only when it is whole.
+        """Yield the response body in pieces; return only after the last one.
 
         :raises ConnLostError: the body was cut short.
         :raises HttpError: malformed answer.
@@ -125,10 +142,10 @@
             yield bytes(event.data)
 
     async def read_whole(self, max_bytes: int) -> bytes:
-        """Return the whole response body; one beyond the limit is cut.
+        """Return the whole response body.
 
-        :param limit: bytes taken at the most, the body's framing included.
-        :raises TooLongError: there is more; the connection is closed.
+        :param max_bytes: maximum number of bytes accepted, framing included.
+        :raises TooLongError: the body is longer; the connection is closed.
         :raises ConnLostError: the body was cut short.
         :raises HttpError: malformed answer.
         """
@@ -144,9 +161,10 @@
         return bytes(body)
 
     def discard_answer(self) -> None:
-        """Take the answer read so far for another request's, await the next.
+        """Discard the answer just read, so that another one can be read.
 
-        Only after the whole request was sent and the whole answer read.
+        Used if a target sent an answer that belongs to an earlier request.
+        The whole request must have been sent and the whole answer been read.
         """
         unparsed = self._h11_stream.h11.trailing_data[0]
         h11_conn = h11.Connection(
@@ -158,12 +176,16 @@
             ),
         )
         h11_conn.send(h11.EndOfMessage())
-        if unparsed:  # no bytes would mean the end of the stream
+        if unparsed:  # h11 takes an empty chunk as the end of the stream
             h11_conn.receive_data(unparsed)
         self._h11_stream.h11 = h11_conn
 
     def prepare_next(self) -> bool:
-        """Prepare for another request; False when there can be none."""
+        """Prepare for the next request.
+
+        :return: False if the connection can't be used again, since the last
+            exchange is incomplete or more was received than its answer.
+        """
         h11_conn = self._h11_stream.h11
         if self._is_closed:
             return False
@@ -178,17 +200,17 @@
         return True
 
     def is_stale(self) -> bool:
-        """Whether the idle connection has been closed or written to."""
+        """Return whether the peer closed the idle connection or wrote to it."""
         poll = select.poll()
         poll.register(self.stream.socket.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
     def abort(self) -> None:
-        """Close the connection at once, without waiting."""
+        """Close the socket at once; unlike ``aclose`` never waits."""
         self._is_closed = True
         self.stream.socket.close()
 
     async def aclose(self) -> None:
-        """Close the connection at once."""
+        """Close the connection without waiting for unsent data."""
         self._is_closed = True
         await trio.aclose_forcefully(self.stream)
--- a/src/clementinedeal/_commands.py
+++ b/src/clementinedeal/_commands.py
@@ -1,4 +1,4 @@
-"""The commands behind the command line."""
+"""The commands of the command line; each returns the exit status."""
 
 import functools
 import logging
@@ -35,13 +35,13 @@
 
 
 class UsageError(ClementinedealError):
-    """An argument or flag is missing."""
+    """An argument or flag is missing, or names a file that can't be read."""
 
 
 def daemon(args: list[str]) -> int:
     """Run a daemon until SIGTERM.
 
-    :param args: none; the settings file is a flag.
+    :param args: empty; the settings file is a flag.
     """
     reload = functools.partial(load_settings, _require_flag('settings'))
     settings = _unwrap(reload())
@@ -56,9 +56,9 @@
 
 
 def check(args: list[str]) -> int:
-    """Check a declaration and say what it would publish.
+    """Check a declaration and print a summary of what it would publish.
 
-    :param args: the file.
+    :param args: the declaration file.
     """
     cfg = _load_declaration(args)
     publication = pack(cfg).unwrap()
@@ -73,9 +73,9 @@
 
 
 def pack_values(args: list[str]) -> int:
-    """Check a declaration and write the values to publish, root last.
+    """Check a declaration and write the values to publish, the root last.
 
-    :param args: the file; the folder is a flag.
+    :param args: the declaration file; the folder is a flag.
     """
     publication = pack(_load_declaration(args)).unwrap()
     folder = pathlib.Path(_require_flag('out'))
@@ -89,7 +89,7 @@
 def status(args: list[str]) -> int:
     """Print a line for each instance; exit 1 unless all of them serve.
 
-    :param args: none; the declaration is a flag.
+    :param args: empty; the declaration is a flag.
     """
     answers = _fetch_from_instances('/status')
     lines = [_status_line(answer) for answer in answers]
@@ -100,8 +100,10 @@
 def timeline(args: list[str]) -> int:
     """Print or write the events of all instances in causal order.
 
-    :param args: files of log lines; without any the instances of the
-        declaration are asked. Declaration and filters are flags.
+    Exit 1 if an instance does not answer.
+
+    :param args: files of log lines; if there are none, the instances of the
+        declaration are queried. Declaration and filters are flags.
     """
     if args:
         logs = [read_log(_read_lines(arg)) for arg in args]
@@ -170,7 +172,7 @@
 
 def _load_declaration(args: list[str]) -> Config:
     if not args:
-        raise UsageError('name a declaration file')
+        raise UsageError('the argument FILE (a declaration) is missing')
     return _unwrap(check_file(args[0]))
 
 
@@ -183,5 +185,5 @@
 def _require_flag(flag: str) -> str:
     text: str | None = flags.FLAGS[flag].value
     if not text:
-        raise UsageError(f'--{flag} is needed')
+        raise UsageError(f'the flag --{flag} is missing')
     return text
--- a/src/clementinedeal/_control.py
+++ b/src/clementinedeal/_control.py
@@ -24,9 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """What travels in one control message.
+    """Content of one control message, before it is sealed.
 
-    ``hlc`` is the sender's stamp, ``bodies`` an encoded batch.
+    ``sender`` is the sending instance and ``incarnation`` its run, ``hlc`` is
+    the sender's stamp, and ``bodies`` the messages encoded by ``encode``.
     """
 
     sender: str
@@ -36,28 +37,35 @@
 
 
 class Receiver(Protocol):
-    """Takes what arrived from another instance."""
+    """Handles the messages that arrive from other instances."""
 
     def __call__(self, sender: str, body: Any) -> None:
         """Handle one message.
 
-        :param sender: instance that sent it, authenticated.
+        :param sender: instance that sent it; authenticated.
         :param body: a registered message.
         """
         ...
 
 
 class Outbox(Protocol):
-    """Hands control messages to other instances, or loses them."""
+    """Sends control messages to other instances; they may be lost."""
 
     def send(self, action: Send) -> None:
-        """Queue one message."""
+        """Queue one message.
+
+        :param action: the message and its receiver.
+        """
         ...
 
 
 @dataclass(slots=True)
 class ControlCounters:
-    """Traffic of one daemon's control channel since its start."""
+    """Traffic of one daemon's control channel since its start.
+
+    ``rejected`` counts received batches that can't be opened or decoded and
+    messages whose handler failed, ``dropped`` the messages that were not sent.
+    """
 
     messages_sent: int = 0
     messages_received: int = 0
@@ -69,13 +77,20 @@
 
 @dataclass(slots=True)
 class _Peer:
+    """Open connection to a peer and the messages queued for it."""
+
     address: str
     socket: pynng.Push0
     queue: list[Any] = field(default_factory=list)
 
 
 class ControlChannel:
-    """One listening socket, one dialled socket per peer in use."""
+    """Sends and receives control messages.
+
+    It has one listening socket and one dialled socket for each of the
+    ``MAX_OPEN_PEERS`` peers last sent to. Messages to a peer are sent in
+    batches. Delivery is not guaranteed.
+    """
 
     def __init__(
         self,
@@ -88,8 +103,8 @@
         """Create a channel that is not yet listening.
 
         :param address: ``ip:port`` to listen on.
-        :param keyring: authenticates every batch.
-        :param events: stamps batches; tells the sender's name.
+        :param keyring: seals batches that are sent, opens those received.
+        :param events: provides this instance's name, run and clock.
         :param find_address: control address of an instance, None if unknown.
         :param receiver: is called for each message received.
         """
@@ -105,7 +120,7 @@
         self._is_stopped = False
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Listen, send and receive from now on.
+        """Listen, and start the tasks that send and receive.
 
         :param nursery: runs the tasks.
         """
@@ -127,7 +142,12 @@
             self._listener.close()
 
     def send(self, action: Send) -> None:
-        """Queue one message; it leaves with the next batch to that peer."""
+        """Queue one message for the next batch to its receiver.
+
+        It is dropped if the receiver is unknown or the channel is stopped.
+
+        :param action: the message and its receiver.
+        """
         peer = None if self._is_stopped else self._find_or_dial(action.to)
         if peer is None:
             self.counters.dropped += 1
@@ -161,7 +181,7 @@
             self._deliver(batch.sender, body)
 
     def _deliver(self, sender: str, body: Any) -> None:
-        """Keep the daemon alive if a part fails on a message."""
+        """Pass a message to the receiver; log a fault in its handling."""
         try:
             self._receiver(sender, body)
         except Exception:
@@ -176,6 +196,11 @@
         return msgspec.msgpack.decode(blob, type=Batch)
 
     def _find_or_dial(self, name: str) -> _Peer | None:
+        """Return the connection to an instance, the latest used last.
+
+        It is dialled if there is none or the address changed; None is
+        returned for an unknown instance.
+        """
         address = self._find_address(name)
         if address is None:
             return None
@@ -195,6 +220,7 @@
         return _Peer(address, socket)
 
     def _close_oldest(self) -> None:
+        """Close the least recently used connection."""
         name = next(iter(self._peers))
         self._peers.pop(name).socket.close()
 
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -1,4 +1,4 @@
-"""One daemon: builds its parts, runs them, stops them gracefully."""
+"""The daemon: builds its parts, runs them and stops them gracefully."""
 
 import functools
 import random
@@ -56,7 +56,12 @@
 
 
 class Daemon:
-    """Everything that runs in one process."""
+    """One daemon process, which runs beside an instance.
+
+    At first only the control channel, the platform client and the operator
+    endpoints run. Callers and peers are served once a configuration is in
+    force.
+    """
 
     def __init__(
         self,
@@ -65,9 +70,9 @@
     ) -> None:
         """Build the parts that need no configuration.
 
-        :param settings: checked settings of this daemon.
-        :param reload: reads them again at SIGHUP; only the fleet keys are
-            taken over. Without it SIGHUP changes nothing.
+        :param settings: validated settings of this daemon.
+        :param reload: reads the settings again at SIGHUP; only changed fleet
+            keys are applied. Without it SIGHUP changes nothing.
         """
         rng = random.SystemRandom()
         clock = MonotonicClock()
@@ -218,7 +223,7 @@
 
     async def _wait_for_signal(self) -> None:
         with trio.open_signal_receiver(*_STOP_SIGNALS) as signals:
-            # one that comes again must not end the process at once
+            # keeps receiving, since a second signal must not kill the process
             async for _ in signals:
                 self._stopping.set()
 
@@ -268,7 +273,11 @@
             self._shared.hub.report_freshness(is_fresh)
 
     def _rejoin(self, gap: float, now: float) -> list[object]:
-        """Rejoin as a new incarnation after a pause."""
+        """Rejoin the fleet as a new incarnation after a pause.
+
+        :param gap: length of the pause in seconds.
+        :param now: monotonic time in seconds.
+        """
         shared = self._shared
         actions = shared.fleet.on_pause(now)
         me = shared.settings.instance
--- a/src/clementinedeal/_dispatch.py
+++ b/src/clementinedeal/_dispatch.py
@@ -1,4 +1,4 @@
-"""Routing of typed actions and messages to the parts that perform them."""
+"""Dispatch of typed actions to their handlers, and waits for results by id."""
 
 from collections.abc import Callable, Iterable
 from typing import Any, Generic, TypeVar
@@ -25,46 +25,48 @@
         """Set the handler of one class.
 
         :param kind: class of action or message.
-        :param handler: is called with each instance.
-        :raises KernelError: the class has a handler.
+        :param handler: is called with each object of the class.
+        :raises KernelError: the class already has a handler.
         """
         if kind in self._handlers:
-            raise KernelError(f'{kind.__name__} has two handlers')
+            raise KernelError(f'{kind.__name__} already has a handler')
         self._handlers[kind] = handler
 
     def perform(self, actions: Iterable[Any]) -> None:
-        """Hand each action to its handler.
+        """Call the handler of each action.
 
         :param actions: in the order in which they are to be performed.
-        :raises KernelError: a class has no handler.
+        :raises KernelError: an action's class has no handler.
         """
         for action in actions:
             handler = self._handlers.get(type(action))
             if handler is None:
-                raise KernelError(f'no handler for {type(action).__name__}')
+                raise KernelError(f'{type(action).__name__} has no handler')
             handler(action)
 
 
 class Waiters(Generic[FoundT]):
-    """Tasks that wait for something by id."""
+    """Lets tasks wait for results that other tasks provide by id."""
 
     def __init__(self) -> None:
-        """Create an empty set."""
+        """Create an object without waits."""
         self._events: dict[str, trio.Event] = {}
         self._found: dict[str, FoundT] = {}
 
     def expect(self, key: str) -> None:
-        """Announce a wait, before what resolves it is set in motion.
+        """Announce a wait; to be called before its result can arrive.
 
-        :param key: unique id.
+        :param key: unique id of the wait.
         """
         self._events[key] = trio.Event()
 
     def resolve(self, key: str, found: FoundT) -> None:
-        """Wake the task; the first call counts, unknown ids are ignored.
+        """Provide a result and wake the task that waits for it.
 
-        :param key: the id.
-        :param found: what the task gets.
+        Later results for the same id, and unknown ids, are ignored.
+
+        :param key: id of the wait.
+        :param found: the result.
         """
         event = self._events.get(key)
         if event is not None and key not in self._found:
@@ -72,9 +74,9 @@
             event.set()
 
     async def wait(self, key: str) -> FoundT:
-        """Wait until resolved; the id is forgotten afterwards.
+        """Return the result once it is there; the id is then forgotten.
 
-        :param key: an expected id.
+        :param key: an id announced by ``expect``.
         """
         try:
             await self._events[key].wait()
@@ -83,6 +85,9 @@
             self.forget(key)
 
     def forget(self, key: str) -> None:
-        """Drop an id without waiting."""
+        """Forget an id without waiting.
+
+        :param key: the id; ignored if unknown.
+        """
         self._events.pop(key, None)
         self._found.pop(key, None)
--- a/src/clementinedeal/_envelope.py
+++ b/src/clementinedeal/_envelope.py
@@ -1,4 +1,4 @@
-"""Authenticated typed messages between daemons of one fleet."""
+"""Authentication of what the daemons of one fleet send each other."""
 
 import base64
 import hashlib
@@ -21,11 +21,13 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Forward:
-    """Joined to a request that an entry sends to an owner.
+    """Header of a request that an entry sends to an owner.
 
-    ``attempt`` identifies this attempt, ``incarnation`` the run of the
-    owner it is meant for (empty: any), ``deadline_ms`` the time left,
-    ``admitted`` whether the account's token was already taken.
+    ``attempt`` identifies the attempt and ``req_id`` the caller's request,
+    ``sender`` is the entry's instance. ``incarnation`` is the run of the
+    owner that may accept it (empty: any), ``deadline_ms`` the time left in
+    milliseconds. ``admitted`` tells whether a token of the account was
+    already taken; ``hlc`` is the sender's stamp.
     """
 
     attempt: str
@@ -43,12 +45,13 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """Joined to the owner's answer.
+    """Header of the owner's answer.
 
-    ``verdict`` and ``reason`` are the values of the enumerations; an empty
-    reason marks the target's own answer. The owner spent ``spent`` seconds,
-    ``target_seconds`` of them waiting for the target. ``load`` is the share
-    of the target's slots in use, ``state`` its state at the owner.
+    ``verdict`` and ``reason`` are values of the enumerations; an empty reason
+    marks an answer of the target. ``retry_after`` is in seconds. The owner
+    spent ``spent`` seconds on the request, ``target_seconds`` of them waiting
+    for the target. ``load`` is the target's load in requests per slot,
+    ``state`` its state at the owner; ``hlc`` is the sender's stamp.
     """
 
     verdict: str
@@ -64,19 +67,23 @@
 
 
 class Keyring:
-    """Fleet keys: the first signs, all verify."""
+    """The fleet keys; the first one seals, each of them can open.
+
+    A sealed message is the length of the key id, the key id, the
+    authentication code and the content. The content is not encrypted.
+    """
 
     def __init__(self, keys: Mapping[str, bytes]) -> None:
-        """Create a ring.
+        """Create a keyring.
 
-        :param keys: secrets by key id, the signing key first.
+        :param keys: secrets by key id, the key that seals first.
         """
         self.replace(keys)
 
     def replace(self, keys: Mapping[str, bytes]) -> None:
-        """Use other keys from now on.
+        """Replace all keys.
 
-        :param keys: secrets by key id, the signing key first.
+        :param keys: secrets by key id, the key that seals first.
         """
         self._keys = dict(keys)
         self._signer = next(iter(self._keys))
@@ -84,18 +91,18 @@
     def seal(self, blob: bytes, context: bytes) -> bytes:
         """Prefix a blob with key id and authentication code.
 
-        :param blob: what to authenticate.
-        :param context: what it is bound to; not sent.
+        :param blob: content to authenticate.
+        :param context: must be the same when the message is opened; not sent.
         """
         name = self._signer.encode()
         code = _authentication_code(self._keys[self._signer], blob, context)
         return bytes([len(name)]) + name + code + blob
 
     def open(self, sealed: bytes, context: bytes) -> bytes:
-        """Return the blob of a sealed message.
+        """Verify a sealed message and return its content.
 
-        :param sealed: what ``seal`` returned.
-        :param context: the same as given to ``seal``.
+        :param sealed: result of ``seal``.
+        :param context: the context that was given to ``seal``.
         :raises PeerAuthError: unknown key or wrong code.
         """
         size = sealed[0] if sealed else 0
@@ -114,16 +121,18 @@
     def seal_header(self, body: Any, context: bytes) -> bytes:
         """Encode and seal one message as a header value.
 
-        :param body: a data class.
-        :param context: what it is bound to.
+        :param body: the message, a data class.
+        :param context: must be the same when the header is opened; not sent.
         """
         return base64.urlsafe_b64encode(
             self.seal(msgspec.msgpack.encode(body), context),
         )
 
     def open_forward(self, text: bytes, context: bytes) -> Forward:
-        """Decode and verify a ``Forward`` header value.
+        """Verify and decode a ``Forward`` header value.
 
+        :param text: value of the header.
+        :param context: the context that was given to ``seal_header``.
         :raises PeerAuthError: not sealed by a fleet key for this context.
         """
         return msgspec.msgpack.decode(
@@ -132,8 +141,10 @@
         )
 
     def open_outcome(self, text: bytes, context: bytes) -> Outcome:
-        """Decode and verify an ``Outcome`` header value.
+        """Verify and decode an ``Outcome`` header value.
 
+        :param text: value of the header.
+        :param context: the context that was given to ``seal_header``.
         :raises PeerAuthError: not sealed by a fleet key for this context.
         """
         return msgspec.msgpack.decode(
--- a/src/clementinedeal/_errors.py
+++ b/src/clementinedeal/_errors.py
@@ -1,18 +1,18 @@
-"""Exceptions of the library: one family with a single base."""
+"""Exceptions of the library, with a common base class."""
 
 import msgspec
 
-# What decoding foreign bytes raises; at some 1,000 nested levels msgspec ends
-# with a RecursionError.
+# Raised by decoding untrusted bytes. msgspec raises RecursionError if they
+# nest about 1,000 levels deep.
 DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, UnicodeDecodeError)
 
 
 class ClementinedealError(Exception):
-    """Base of every exception the library raises."""
+    """Base class of all exceptions that the library raises."""
 
 
 class SettingsError(ClementinedealError):
-    """A settings or declaration file is not acceptable."""
+    """A settings or declaration file is invalid."""
 
     def __init__(self, *, file: str, path: str, reason: str) -> None:
         """Describe one rejected entry.
@@ -28,8 +28,8 @@
 
 
 class ProtocolError(ClementinedealError):
-    """A message violates the protocol it was received on."""
+    """A received message violates its protocol."""
 
 
 class PeerAuthError(ProtocolError):
-    """A peer message carries no valid authentication code."""
+    """A message from a peer has no valid authentication code."""
--- a/src/clementinedeal/_events.py
+++ b/src/clementinedeal/_events.py
@@ -1,4 +1,4 @@
-"""Structured events stamped with a hybrid logical clock."""
+"""Structured events, stamped by a hybrid logical clock."""
 
 import collections
 import logging
@@ -17,11 +17,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Event:
-    """One thing that happened at one instance.
+    """One event at one instance.
 
-    ``hlc`` orders events over all instances: milliseconds of physical time
-    in the upper bits, a counter in the lower 16. ``fields`` are key and
-    value pairs.
+    ``hlc`` is a stamp that orders the events of all instances: milliseconds
+    of wall-clock time in the upper bits, a counter in the lower 16.
+    ``incarnation`` identifies the run of the instance, ``name`` what
+    happened, and ``fields`` holds its details as pairs of key and value.
     """
 
     hlc: int
@@ -52,7 +53,7 @@
 
 
 class HybridClock:
-    """Stamps that never go back and follow every stamp heard."""
+    """Hybrid logical clock: its stamps rise and exceed all stamps observed."""
 
     def __init__(self, physical_ms: Callable[[], int] = wall_ms) -> None:
         """Create a clock.
@@ -69,9 +70,9 @@
         return self._last
 
     def observe(self, received: int) -> None:
-        """Follow a stamp received from another instance.
+        """Advance the clock to a stamp received from another instance.
 
-        :param heard: the sender's stamp.
+        :param received: the sender's stamp.
         """
         self._last = max(self._last, received)
 
@@ -101,8 +102,8 @@
     def emit(self, name: str, **fields: object) -> None:
         """Record and log one event.
 
-        :param name: what happened, in kebab case.
-        :param fields: its details; values are written with ``str``.
+        :param name: event name in kebab case.
+        :param fields: details; values are converted with ``str``.
         """
         event = Event(
             hlc=self.clock.stamp(),
@@ -118,7 +119,7 @@
     def json_lines(self, since: int = 0) -> bytes:
         """Return the kept events as JSON lines.
 
-        :param since: only events stamped later than this.
+        :param since: stamp; only later events are returned.
         """
         events = [event for event in self._events if event.hlc > since]
         return msgspec.json.Encoder().encode_lines(events)
--- a/src/clementinedeal/_history.py
+++ b/src/clementinedeal/_history.py
@@ -1,6 +1,7 @@
-"""Typed events of a recorded run, for the history checkers.
+"""Typed events of a recorded run, for the history checks.
 
-Times (``at``) are in seconds on one clock for the whole history.
+A history is a sequence of these events. Their times (``at``) are in seconds,
+by one clock for the whole history.
 """
 
 from collections.abc import Iterable
@@ -14,7 +15,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HistoryEvent:
-    """Base of all events."""
+    """Base class of all events."""
 
     at: float
 
@@ -23,7 +24,8 @@
 class RequestStarted(HistoryEvent):
     """A target received the first byte of a request.
 
-    ``key`` identifies account and idempotency key, empty without one.
+    ``key`` identifies the account and its idempotency key; it is empty if the
+    request has no idempotency key.
     """
 
     req_id: str
@@ -34,10 +36,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class RequestAnswered(HistoryEvent):
-    """A caller's request has ended.
+    """A caller's request has ended, with an answer or without one.
 
-    ``whole`` tells whether the caller saw a properly ended answer,
-    ``digest`` is what it received, ``expected`` what its request was due.
+    ``is_whole`` tells whether the caller received a complete answer,
+    ``digest`` is the digest of what it received, and ``expected`` that of the
+    answer to its request.
     """
 
     req_id: str
@@ -57,7 +60,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FloorDeclared(HistoryEvent):
-    """A service's targets and floor from now on."""
+    """A service's targets and floor changed.
+
+    ``floor`` is the number of targets that must stay in use.
+    """
 
     service: str
     targets: tuple[str, ...]
@@ -66,7 +72,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetExcluded(HistoryEvent):
-    """An instance begins (``aside``) or ceases to keep work from a target."""
+    """An instance begins (``is_excluded``) or ceases to exclude a target.
+
+    An excluded target gets no work from the instance.
+    """
 
     instance: str
     target: str
@@ -89,7 +98,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ConfigInForce(HistoryEvent):
-    """A version came into force at one run of an instance."""
+    """A configuration version came into force at an instance.
+
+    ``incarnation`` identifies the run of the instance.
+    """
 
     instance: str
     incarnation: str
@@ -98,7 +110,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class InstanceRunning(HistoryEvent):
-    """An instance can act from now on, or ceases to (``runs`` is false)."""
+    """An instance starts to run, or ceases to (``is_running`` is false)."""
 
     instance: str
     is_running: bool
@@ -106,14 +118,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeyWithdrawn(HistoryEvent):
-    """The operators withdrew an account's key."""
+    """The operators withdrew an account's key, given by its digest."""
 
     key_digest: str
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeyHonoured(HistoryEvent):
-    """A request was accepted for the key that came with it."""
+    """A request was accepted because of the key that it carried."""
 
     key_digest: str
     account: str
@@ -121,7 +133,7 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class KeySeenAtTarget(HistoryEvent):
-    """A target received a caller's key."""
+    """A target received a caller's key, which must never happen."""
 
     target: str
     key_digest: str
@@ -129,7 +141,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Violation:
-    """A point that did not hold."""
+    """A rule that the history breaks.
+
+    ``rule`` names the rule, ``detail`` the events that break it.
+    """
 
     rule: str
     detail: str
@@ -139,10 +154,10 @@
     events: Iterable[HistoryEvent],
     kind: type[EventT],
 ) -> list[EventT]:
-    """Return the events of a kind in the order of their times.
+    """Return the events of one class, ordered by time.
 
     :param events: a history in any order.
-    :param kind: the kind.
+    :param kind: class of the events to return.
     """
     found = [event for event in events if isinstance(event, kind)]
     return sorted(found, key=lambda event: event.at)
--- a/src/clementinedeal/_history_checks.py
+++ b/src/clementinedeal/_history_checks.py
@@ -1,4 +1,8 @@
-"""Checkers of a recorded run; they read events and know no mechanism."""
+"""Checks of a recorded run.
+
+They use only the events of its history, not the code that is checked. Each
+returns the violations that it finds, none if the rule holds.
+"""
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
@@ -31,14 +35,19 @@
 
 @dataclass(frozen=True, slots=True)
 class RateLimit:
-    """Requests per second and requests at once of one account."""
+    """Rate limit of one account.
+
+    ``rate`` is in requests per second, ``burst`` in requests.
+    """
 
     rate: float
     burst: float
 
 
 def check_at_most_once(events: Events) -> Violations:
-    """Non-idempotent work starts once per request and per idempotency key.
+    """Check that non-idempotent requests start at most once.
+
+    This holds for each request id and for each idempotency key.
 
     :param events: the history.
     """
@@ -56,7 +65,7 @@
 
 
 def check_not_run(events: Events) -> Violations:
-    """No request that was refused as not run was ever started.
+    """Check that no request refused as ``not-run`` was ever started.
 
     :param events: the history.
     """
@@ -69,7 +78,7 @@
 
 
 def check_answers(events: Events) -> Violations:
-    """An answer that looks whole is the whole answer to its own request.
+    """Check that each complete answer is the answer to its own request.
 
     :param events: the history.
     """
@@ -84,13 +93,15 @@
     events: Events,
     limits: Mapping[str, RateLimit],
 ) -> Violations:
-    """Over any interval, admitted <= burst + rate * length.
+    """Check that in any interval, admitted <= burst + rate * length.
 
-    A bucket that leaks at the rate holds more than the burst exactly when
-    some interval that ends now admitted too much.
+    Each account has a leaky bucket: an admitted request adds one, and the
+    bucket leaks at the rate. Its level exceeds the burst exactly if some
+    interval that ends at that time has too many admitted requests.
 
     :param events: the history.
-    :param limits: by account name; accounts without one may have nothing.
+    :param limits: rate limits by account name; an account without one may
+        have no request admitted.
     """
     levels: dict[str, float] = defaultdict(float)
     last_at: dict[str, float] = {}
@@ -108,7 +119,10 @@
 
 
 def check_floor(events: Events) -> Violations:
-    """Targets that no instance sets aside stay at or above the floor.
+    """Check that enough targets are excluded by no instance.
+
+    For each service their number must stay at or above the floor. Events of
+    the same time are applied together.
 
     :param events: the history.
     """
@@ -129,10 +143,11 @@
 
 
 def check_leaving(events: Events, max_seconds: float) -> Violations:
-    """A leaving target gets no new work after a time.
+    """Check that a leaving target gets no new work after some time.
 
     :param events: the history.
-    :param bound: seconds after the target's announcement.
+    :param max_seconds: time after the announcement in which work may still
+        start.
     """
     left_at = {
         event.target: event.at
@@ -146,10 +161,11 @@
 
 
 def check_keys(events: Events, max_seconds: float) -> Violations:
-    """No target sees a key, and a withdrawn one stops working.
+    """Check that no target sees a key and that withdrawn keys stop working.
 
     :param events: the history.
-    :param bound: seconds from the withdrawal.
+    :param max_seconds: time after the withdrawal in which the key may still
+        be accepted.
     """
     withdrawn_at = {
         event.key_digest: event.at
@@ -168,7 +184,7 @@
 
 
 def check_versions(events: Events) -> Violations:
-    """No instance goes back to an older version, also over a restart.
+    """Check that no instance returns to an older version, even by a restart.
 
     :param events: the history.
     """
@@ -183,12 +199,13 @@
 
 
 def check_convergence(events: Events, max_seconds: float) -> Violations:
-    """A published version is in force everywhere within a time.
+    """Check that a published version comes into force at every instance.
 
-    Only instances that run for the whole time are judged.
+    Only instances that run for the whole period are checked.
 
     :param events: the history.
-    :param bound: seconds from the publication.
+    :param max_seconds: time from publication until the version must be in
+        force.
     """
     in_force = events_of_kind(events, ConfigInForce)
     violations: list[Violation] = []
--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 over trio streams, both sides, by h11."""
+"""HTTP/1.1 messages over trio streams, parsed and serialized by h11."""
 
 from dataclasses import dataclass
 from typing import Any, TypeAlias
@@ -9,10 +9,11 @@
 from clementinedeal._errors import ProtocolError
 
 READ_BYTES = 65536
-# Parsing an event takes some 6 us of a core: other tasks wait for 0.4 ms.
+# h11 parses an event in about 6 us of CPU time, so other tasks wait at most
+# 0.4 ms between two checkpoints.
 MAX_EVENTS_PER_CHECKPOINT = 64
-# What an event costs at the least, as if it were so many bytes: 65,536 small
-# ones in 4 MiB are 0.4 s of a core, while others get their turns.
+# Each event counts as at least this many bytes, because small chunks cost CPU
+# time: 65,536 events fill a limit of 4 MiB and take 0.4 s of CPU time.
 MIN_EVENT_BYTES = 64
 _BAD_REQUEST = 400
 _TOO_LARGE = 413
@@ -39,20 +40,20 @@
 
 
 class HttpError(ProtocolError):
-    """The other side broke HTTP; ``status`` is the fitting answer."""
+    """The peer violated HTTP; ``status`` is the status to answer with."""
 
     def __init__(self, reason: str, *, status: int = _BAD_REQUEST) -> None:
-        """Describe the breach.
+        """Describe the violation.
 
         :param reason: what was wrong.
-        :param status: answer for a caller.
+        :param status: HTTP status to answer with, if the peer is a caller.
         """
         super().__init__(reason)
         self.status = status
 
 
 class TooLongError(HttpError):
-    """The other side sent more than is taken; ``size``, ``limit`` in bytes."""
+    """The peer sent more than accepted; ``size`` and ``limit`` in bytes."""
 
     def __init__(
         self,
@@ -61,13 +62,16 @@
         limit: int,
         status: int = _TOO_LARGE,
     ) -> None:
-        """Tell how much was sent.
+        """Record how much was received and how much is accepted.
 
-        :param size: bytes received, small pieces counted as larger.
-        :param limit: bytes taken at the most.
-        :param status: answer for a caller.
+        :param size: bytes received; each event counts as at least
+            ``MIN_EVENT_BYTES``.
+        :param limit: maximum number of bytes accepted.
+        :param status: HTTP status to answer with, if the peer is a caller.
         """
-        super().__init__(f'{size} bytes, limit {limit}', status=status)
+        super().__init__(
+            f'received {size} bytes, limit is {limit} bytes', status=status
+        )
         self.size = size
         self.limit = limit
 
@@ -77,15 +81,20 @@
 
 
 class WriteLostError(ConnLostError):
-    """The other side closed the connection while it was written to."""
+    """The peer closed the connection while data was written to it."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class HttpLimits:
-    """Bounds on what the other side may send; times in seconds.
+    """Limits on what the peer may send; timeouts in seconds.
+
+    ``max_body_bytes`` limits a body that is buffered or discarded as a whole.
+    Up to three copies of a body are in memory at a time; with the default
+    that is half of the 200 MB that the smallest machine has.
 
-    ``body_bytes`` bounds a body that is kept or dropped whole. It is held up
-    to three times on its way: half of the smallest machine's 200 MB.
+    ``head_timeout`` limits the time from the first byte of a request to the
+    end of its head, ``idle_timeout`` the wait for the next request, and
+    ``body_timeout`` the wait for the next piece of a body.
     """
 
     max_head_bytes: int = 16384
@@ -97,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestHead:
-    """Start line and headers of a request; header names are lower case."""
+    """Request line and headers of a request; header names are lower case."""
 
     method: str
     path: str
@@ -140,9 +149,11 @@
 
 
 def strip_hop_by_hop_headers(headers: Headers) -> Headers:
-    """Drop the headers that concern one connection only.
+    """Return the headers without the hop-by-hop ones.
+
+    Those that a ``connection`` header names are removed, too.
 
-    :param headers: as received.
+    :param headers: as received, with lower-case names.
     """
     connection_headers = set(_HOP_BY_HOP)
     for key, text in headers:
@@ -154,7 +165,10 @@
 
 
 class H11Stream:
-    """A stream with an h11 state machine on top."""
+    """A byte stream and the h11 state machine that parses it.
+
+    ``received_bytes`` counts the bytes read from the stream so far.
+    """
 
     def __init__(
         self,
@@ -162,11 +176,11 @@
         role: Any,
         max_head_bytes: int,
     ) -> None:
-        """Start on a fresh stream.
+        """Wrap a stream on which nothing was sent or received yet.
 
         :param stream: the connection.
         :param role: ``h11.CLIENT`` or ``h11.SERVER``.
-        :param head_bytes: largest head accepted.
+        :param max_head_bytes: size of the largest head accepted.
         """
         self.stream = stream
         self.h11 = h11.Connection(
@@ -177,13 +191,18 @@
         self._events_since_checkpoint = 0
 
     async def send(self, event: h11.Event) -> None:
-        """Send one event."""
+        """Send one event.
+
+        :param event: part of an HTTP message.
+        :raises ConnLostError: see ``send_all``.
+        """
         await self.send_all(event)
 
     async def send_all(self, *events: h11.Event) -> None:
         """Send several events in one write.
 
-        :raises ConnLostError: the connection is gone, or the body does not
+        :param events: in the order in which they are sent.
+        :raises ConnLostError: the connection is closed, or the body does not
             have its declared length.
         """
         try:
@@ -193,9 +212,10 @@
         await self._write(b''.join(blob for blob in blobs if blob))
 
     async def next_event(self) -> h11.Event | type[object]:
-        """Return the next event, reading as needed.
+        """Return the next event, reading from the stream as needed.
 
-        Other tasks get their turn however much was received before.
+        Other tasks can run after every ``MAX_EVENTS_PER_CHECKPOINT`` events,
+        even if many events are already in the receive buffer.
 
         :raises HttpError: malformed input.
         :raises TooLongError: a head, or a line between chunks, is too long.
@@ -242,13 +262,17 @@
 
 
 class SizeCounter:
-    """Counts what comes over a wire, up to a limit."""
+    """Counts the bytes of one message and enforces a limit.
+
+    The count is the larger of the bytes received, framing included, and of
+    the events' content, each event taken as ``MIN_EVENT_BYTES`` or more.
+    """
 
     def __init__(self, h11_stream: H11Stream, max_bytes: int) -> None:
-        """Count from now on.
+        """Start to count.
 
-        :param wire: what the bytes come over, framing included.
-        :param limit: bytes taken at the most.
+        :param h11_stream: the stream that the message is read from.
+        :param max_bytes: maximum number of bytes accepted.
         """
         self._h11_stream = h11_stream
         self._max_bytes = max_bytes
@@ -258,8 +282,8 @@
     def count(self, size: int = 0) -> None:
         """Count one event.
 
-        :param size: of its content, in bytes.
-        :raises TooLongError: the limit is passed.
+        :param size: size of the event's content in bytes.
+        :raises TooLongError: the limit is exceeded.
         """
         self._counted_bytes += max(size, MIN_EVENT_BYTES)
         total = max(
--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -19,7 +19,8 @@
 from clementinedeal._verdict import Reason, Verdict
 
 IDLE_GRACE_SECONDS = 1.0
-# An answer fits the socket's buffer, unless its reader is stuck.
+# A refusal fits the socket's send buffer, so writing it takes longer than this
+# only if the client does not read.
 LAST_ANSWER_TIMEOUT_SECONDS = 0.2
 MAX_BACKLOG_CONNECTIONS = 512
 
@@ -33,7 +34,10 @@
 
 
 class HttpServer:
-    """One listening address; every connection has a task."""
+    """Listens on one address and serves each connection in a task.
+
+    A fault in the handler ends only the connection on which it occurs.
+    """
 
     def __init__(
         self,
@@ -45,9 +49,9 @@
         """Create a server that is not yet listening.
 
         :param address: ``ip:port``.
-        :param serve: answers one request.
-        :param limits: bounds on senders.
-        :param events: hears of broken requests.
+        :param handler: answers one request; gets connection and head.
+        :param limits: limits on what clients may send.
+        :param events: log for refused requests and lost connections.
         """
         self._address = address
         self._handler = handler
@@ -62,7 +66,10 @@
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        """Listen and serve until stopped and the last request is answered."""
+        """Listen, and serve until ``stop`` has ended the last connection.
+
+        :param task_status: set as soon as the server listens.
+        """
         host, port = split_address(self._address)
         listeners = await trio.open_tcp_listeners(
             port,
@@ -81,7 +88,7 @@
                 await listener.aclose()
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Listen from now on.
+        """Return once the server listens.
 
         :param nursery: runs the server.
         """
@@ -89,20 +96,20 @@
 
     @property
     def busy_connections(self) -> int:
-        """Connections with a request that is not answered."""
+        """Number of connections with a request that is not answered yet."""
         return sum(not conn.is_idle for conn in self._conn_scopes)
 
     def set_limits(self, limits: HttpLimits) -> None:
-        """Bound the senders of all connections from now on.
+        """Apply limits to all connections, open and new.
 
-        :param limits: the bounds.
+        :param limits: the limits.
         """
         self._limits = limits
         for conn in self._conn_scopes:
             conn.set_limits(limits)
 
     def drain(self) -> None:
-        """Serve on, but close every connection after its next answer."""
+        """Keep serving, but close every connection after its next answer."""
         self._is_draining = True
         for conn in self._conn_scopes:
             conn.close_after_answer()
@@ -114,9 +121,13 @@
                 conn.idle_scope.cancel()
 
     async def stop(self, seconds: float = 0) -> None:
-        """Accept nothing more and let what is open end.
+        """Accept no new connection and end the open ones.
 
-        :param seconds: time for requests in flight; then they are cut.
+        Idle connections stay open for ``IDLE_GRACE_SECONDS``, so that a
+        request sent before the client learns of the stop is answered.
+
+        :param seconds: time for requests in flight; after it they are
+            cancelled and answered with ``Reason.DRAINING``.
         """
         self.drain()
         self._accept_scope.cancel()
@@ -151,13 +162,13 @@
                 self._all_closed.set()
 
     async def _refuse_cancelled(self, conn: ServerConn) -> None:
-        """Answer a request that the end of a stop has cut."""
+        """Answer a request that was cancelled at the end of a stop."""
         refusal = Refusal(Verdict.MAY_HAVE_RUN, Reason.DRAINING)
         with trio.move_on_after(LAST_ANSWER_TIMEOUT_SECONDS):
             await self._refuse(conn, refusal)
 
     async def _serve_or_report_fault(self, conn: ServerConn) -> None:
-        """Keep the daemon alive if a part fails on a request."""
+        """Serve a connection; log an unexpected fault and answer it."""
         try:
             await self._serve_connection(conn)
         except Exception:
@@ -194,7 +205,10 @@
         await self._refuse(conn, Refusal(Verdict.NOT_RUN, reason))
 
     async def _refuse(self, conn: ServerConn, refusal: Refusal) -> None:
-        """Give the last answer of a connection, unless one has begun."""
+        """Send a refusal as the connection's last answer.
+
+        If an answer has begun, the connection is closed instead.
+        """
         if conn.head_sent:
             await conn.aclose()
             return
--- a/src/clementinedeal/_hub.py
+++ b/src/clementinedeal/_hub.py
@@ -1,4 +1,4 @@
-"""Drives the decision parts of a daemon: messages, time, configuration."""
+"""Calls the managers of a daemon at messages, ticks and other events."""
 
 from collections.abc import Callable, Iterable
 from typing import Any, TypeAlias
@@ -16,16 +16,17 @@
 
 
 class Hub:
-    """Passes what happens to its subscribers and performs what they return.
+    """Calls the handlers of each event and performs the actions they return.
 
-    Handlers get the monotonic time in seconds as their last argument. They
-    are called in the order in which they were added.
+    Handlers are appended to the public lists. They are called in the order in
+    which they were added, with the monotonic time in seconds as their last
+    argument.
     """
 
     def __init__(self, timers: Timers, dispatcher: Dispatcher) -> None:
-        """Create a hub without subscribers.
+        """Create a hub without handlers.
 
-        :param timers: gives the time and calls periodic handlers.
+        :param timers: provides the time and calls periodic handlers.
         :param dispatcher: performs actions.
         """
         self.on_message: list[MessageHandler] = []
@@ -38,9 +39,9 @@
         self._dispatcher = dispatcher
 
     def receive(self, sender: str, body: Any) -> None:
-        """Pass on a message.
+        """Pass a control message to the message handlers.
 
-        :param sender: the instance it came from.
+        :param sender: the instance that sent it.
         :param body: the message.
         """
         now = self._clock.now()
@@ -51,12 +52,12 @@
         """Call a handler periodically.
 
         :param seconds: the period.
-        :param handler: returns actions.
+        :param handler: receives the time, returns actions or None.
         """
         self._timers.every(seconds, lambda now: self.perform(handler(now)))
 
     def apply_config(self, cfg: Config) -> None:
-        """Bring a configuration into force.
+        """Report a new configuration in force.
 
         :param cfg: the configuration.
         """
@@ -65,25 +66,25 @@
             self.perform(handler(cfg, now))
 
     def report_pause(self, gap: float) -> None:
-        """Tell of a pause.
+        """Report that the process was paused.
 
-        :param gap: its length in seconds.
+        :param gap: length of the pause in seconds.
         """
         now = self._clock.now()
         for handler in self.on_pause:
             self.perform(handler(gap, now))
 
     def report_freshness(self, is_fresh: bool) -> None:
-        """Tell whether the configuration is known to be recent.
+        """Report whether the configuration is known to be recent.
 
-        :param fresh: true while it is.
+        :param is_fresh: true while it is.
         """
         now = self._clock.now()
         for handler in self.on_fresh:
             self.perform(handler(is_fresh, now))
 
     def report_stop(self) -> None:
-        """Tell of the planned stop."""
+        """Report that the daemon begins a planned stop."""
         now = self._clock.now()
         for handler in self.on_stop:
             self.perform(handler(now))
@@ -91,7 +92,7 @@
     def perform(self, actions: Actions) -> None:
         """Perform actions.
 
-        :param actions: what a handler returned.
+        :param actions: what a handler returned, may be None.
         """
         if actions:
             self._dispatcher.perform(actions)
--- a/src/clementinedeal/_kernel.py
+++ b/src/clementinedeal/_kernel.py
@@ -1,4 +1,4 @@
-"""Micro-kernel: services register, find each other by name, start in order."""
+"""Registry of a daemon's parts, which starts and stops them in order."""
 
 from typing import Protocol, TypeVar, runtime_checkable
 
@@ -11,10 +11,10 @@
 
 @runtime_checkable
 class Startable(Protocol):
-    """A part that runs tasks or listens."""
+    """A part that runs tasks or listens on a socket."""
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Begin work; parts registered earlier have started.
+        """Begin work; parts that were registered earlier have started.
 
         :param nursery: runs the part's tasks.
         """
@@ -23,19 +23,23 @@
 
 @runtime_checkable
 class Stoppable(Protocol):
-    """A part that has something to finish."""
+    """A part that has work to finish or resources to release."""
 
     async def stop(self) -> None:
-        """Finish work; parts registered later have stopped."""
+        """Finish work; parts that were registered later have stopped."""
         ...
 
 
 class KernelError(ClementinedealError):
-    """A service is missing or registered twice."""
+    """A part or handler is missing, or registered twice."""
 
 
 class Kernel:
-    """Registry of the parts of one daemon."""
+    """Registry of the parts of one daemon.
+
+    Parts find each other by name and class. They are started in the order in
+    which they were registered and stopped in reverse.
+    """
 
     def __init__(self) -> None:
         """Create an empty registry."""
@@ -44,26 +48,26 @@
     def register(self, name: str, part: ServiceT) -> ServiceT:
         """Add a part and return it.
 
-        :param name: unique name by which others find it.
+        :param name: unique name by which other parts find it.
         :param part: any object; ``start`` and ``stop`` are called if it has
             them.
         :raises KernelError: the name is taken.
         """
         if name in self._parts:
-            raise KernelError(f'service {name} is registered twice')
+            raise KernelError(f'part {name!r} is already registered')
         self._parts[name] = part
         return part
 
     def find(self, name: str, kind: type[ServiceT]) -> ServiceT:
         """Return a part by name.
 
-        :param name: the name it was registered under.
-        :param kind: expected class, checked.
+        :param name: the name under which it was registered.
+        :param kind: the class that it must have.
         :raises KernelError: no such part, or one of another class.
         """
         part = self._parts.get(name)
         if not isinstance(part, kind):
-            raise KernelError(f'no service {name} of type {kind.__name__}')
+            raise KernelError(f'no part {name!r} of class {kind.__name__}')
         return part
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -76,7 +80,7 @@
                 await part.start(nursery)
 
     async def stop(self) -> None:
-        """Stop the parts, last one first."""
+        """Stop the parts in reverse order of registration."""
         for part in reversed(tuple(self._parts.values())):
             if isinstance(part, Stoppable):
                 await part.stop()
--- a/src/clementinedeal/_managers.py
+++ b/src/clementinedeal/_managers.py
@@ -1,4 +1,7 @@
-"""The decision parts that need a configuration to exist."""
+"""The managers of a daemon: tokens, slots, idempotency keys and ejection.
+
+They decide and return actions, and need a configuration to be built.
+"""
 
 from dataclasses import dataclass
 
@@ -32,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ManagerContext:
-    """What the managers share."""
+    """The parts of a daemon that its managers share."""
 
     settings: DaemonSettings
     clock: Clock
@@ -44,12 +47,16 @@
 
 
 class Managers:
-    """Built when the first configuration comes into force."""
+    """The managers of a daemon, subscribed to its hub.
+
+    Built when the first configuration comes into force. Later ones reach the
+    managers through the hub.
+    """
 
     def __init__(self, context: ManagerContext, cfg: Config) -> None:
-        """Build the managers and subscribe them.
+        """Build the managers and subscribe them to the hub.
 
-        :param context: what they share.
+        :param context: the parts that they share.
         :param cfg: the first configuration.
         """
         self._context = context
@@ -110,7 +117,7 @@
         hub.on_stop.append(manager.stop)
 
     def leaving_targets(self) -> tuple[Target, ...]:
-        """Return the owned targets that take no new work."""
+        """Return the owned targets that are leaving and get no new work."""
         me = self._context.settings.instance
         return tuple(
             target
@@ -120,9 +127,9 @@
         )
 
     def mark_returned(self, target: str) -> None:
-        """Use a target again that had left.
+        """Use a target again that was leaving and has restarted.
 
-        :param target: an owned target.
+        :param target: name of an owned target.
         """
         now = self._context.clock.now()
         self._context.dispatcher.perform(
@@ -140,7 +147,8 @@
             ),
         )
         hub.on_pause.append(manager.on_pause)
-        # The manager forgets its freshness in pauses that nobody else notices.
+        # The token manager also detects pauses by itself and then drops its
+        # freshness. No other part notices these, so it is set periodically.
         hub.every(
             FRESHNESS_CHECK_SECONDS,
             lambda now: manager.set_fresh(fleet.is_fresh(now), now),
@@ -179,7 +187,7 @@
         self._context.events.emit('target-reinstated', target=change.target)
 
     def _find_service_targets(self) -> tuple[Target, ...]:
-        """Return the targets of every service that has one here."""
+        """Return all targets of the services that have an owned target."""
         me = self._context.settings.instance
         targets = self._cfg.targets.values()
         services = {
@@ -188,7 +196,10 @@
         return tuple(target for target in targets if target.service in services)
 
     def _update_absent(self, now: float) -> None:
-        """Tell which targets of the owned services are dead or leaving."""
+        """Report which of these services' targets are on absent instances.
+
+        An instance is absent if it is not alive or is leaving.
+        """
         fleet = self._context.fleet
         absent = [
             target.name
--- a/src/clementinedeal/_messages.py
+++ b/src/clementinedeal/_messages.py
@@ -1,4 +1,4 @@
-"""Typed control messages, their codec, and the actions decisions return."""
+"""Registry and codec of control messages, and the action that sends one."""
 
 from dataclasses import dataclass, is_dataclass
 from typing import Any, TypeVar
@@ -15,7 +15,8 @@
 def message(kind: type[MessageT]) -> type[MessageT]:
     """Register a frozen data class as a control message.
 
-    :param kind: the class; its name identifies it on the wire.
+    :param kind: the class; its name identifies it in encoded batches.
+    :raises TypeError: the class is not a data class.
     """
     if not is_dataclass(kind):
         raise TypeError(f'{kind.__name__} is not a data class')
@@ -25,9 +26,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Action: hand a control message to another instance, or lose it.
+    """Action: send a control message to another instance.
 
-    ``to`` is an instance name, ``body`` a registered message.
+    ``to`` is the name of the instance, ``body`` a registered message. It may
+    be lost.
     """
 
     to: str
@@ -37,7 +39,7 @@
 def encode(bodies: tuple[Any, ...]) -> bytes:
     """Encode a batch of registered messages.
 
-    :param bodies: the messages, in order.
+    :param bodies: registered messages, in the order of delivery.
     """
     return msgspec.msgpack.encode(
         [(type(body).__name__, body) for body in bodies],
@@ -45,10 +47,10 @@
 
 
 def decode(blob: bytes) -> tuple[Any, ...]:
-    """Decode a batch.
+    """Decode a batch of registered messages.
 
-    :param blob: what ``encode`` returned.
-    :raises ProtocolError: unknown kind or malformed fields.
+    :param blob: result of ``encode``.
+    :raises ProtocolError: a message class is unknown, or fields are malformed.
     """
     try:
         pairs = msgspec.msgpack.decode(blob, type=list[tuple[str, msgspec.Raw]])
--- a/src/clementinedeal/_metrics.py
+++ b/src/clementinedeal/_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of one daemon, by prometheus_client."""
+"""Prometheus metrics of one daemon."""
 
 from prometheus_client import (
     CollectorRegistry,
@@ -26,7 +26,7 @@
 
 
 class Metrics:
-    """The daemon's collectors in a registry of their own."""
+    """The daemon's collectors, in a registry of their own."""
 
     def __init__(self) -> None:
         """Create the collectors."""
@@ -123,5 +123,5 @@
         return Gauge(f'clementinedeal_{name}', text, registry=self.registry)
 
     def render(self) -> bytes:
-        """Return all collectors in the text format."""
+        """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/src/clementinedeal/_metrics_recorder.py
+++ b/src/clementinedeal/_metrics_recorder.py
@@ -1,4 +1,4 @@
-"""Counts and times finished requests."""
+"""Records finished requests in the daemon's metrics."""
 
 from clementinedeal._incoming_request import IncomingRequest
 from clementinedeal._metrics import Metrics
@@ -11,13 +11,13 @@
 
 
 class MetricsRecorder:
-    """Writes each finished request into the metrics."""
+    """Counts finished requests and records how long they took."""
 
     def __init__(self, metrics: Metrics, clock: Clock) -> None:
         """Create a recorder.
 
         :param metrics: the collectors.
-        :param clock: times requests.
+        :param clock: measures how long requests take.
         """
         self._metrics = metrics
         self._clock = clock
@@ -30,12 +30,12 @@
         outcome: str,
         answer: TargetAnswer | None,
     ) -> None:
-        """Note one request.
+        """Record one finished request.
 
         :param incoming: the request.
         :param verdict: whether it may have run.
-        :param outcome: answered, replayed or the reason of a refusal.
-        :param answer: the target's answer, None without one.
+        :param outcome: ``answered``, ``replayed`` or the reason of a refusal.
+        :param answer: the target's answer, None if there is none.
         """
         service = incoming.service
         account = self._account_label(incoming.account)
@@ -52,14 +52,18 @@
             self._metrics.added_seconds.labels(service).observe(added)
 
     def record_early_refusal(self, reason: Reason) -> None:
-        """Note one request that route or key did not let in.
+        """Record a request that was refused because of its route or key.
 
-        :param reason: why.
+        :param reason: why it was refused.
         """
         self._metrics.early_refusals.labels(reason.value).inc()
 
     def _account_label(self, account: str) -> str:
-        """Bound the number of label values that the process keeps."""
+        """Return the label of an account; limits the number of labels.
+
+        prometheus_client keeps a time series for each label for ever, so
+        accounts beyond ``MAX_LABELLED_ACCOUNTS`` share one.
+        """
         if account in self._labelled_accounts:
             return account
         if len(self._labelled_accounts) >= MAX_LABELLED_ACCOUNTS:
--- a/src/clementinedeal/_operator.py
+++ b/src/clementinedeal/_operator.py
@@ -19,7 +19,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetStatus:
-    """One owned target; ``load`` is requests per slot."""
+    """Status of one target that the daemon owns.
+
+    ``load`` is the number of running and queued requests per slot.
+    """
 
     name: str
     service: str
@@ -29,7 +32,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DaemonStatus:
-    """What a daemon says of itself."""
+    """Status of a daemon, as ``/status`` returns it.
+
+    ``serving`` is true while it accepts requests, ``draining`` while it is
+    stopping. ``fresh`` is true while the configuration in force is known to
+    be recent, and ``rejected`` names the last rejected version and the
+    reason. ``targets`` are the targets that the daemon owns.
+    """
 
     instance: str
     incarnation: str
@@ -45,7 +54,7 @@
 
 
 class OperatorEndpoints:
-    """Serves ``/healthz``, ``/status``, ``/events`` and ``/metrics``."""
+    """Answers ``/healthz``, ``/status``, ``/events`` and ``/metrics``."""
 
     def __init__(
         self,
@@ -58,8 +67,8 @@
 
         :param events: served at ``/events?since=HLC`` as JSON lines.
         :param metrics: served at ``/metrics``.
-        :param status: describes the daemon.
-        :param refresh: updates the gauges before they are read.
+        :param status: returns the daemon's status.
+        :param update_gauges: called before ``/metrics`` is answered.
         """
         self._events = events
         self._metrics = metrics
--- a/src/clementinedeal/_operator_client.py
+++ b/src/clementinedeal/_operator_client.py
@@ -1,4 +1,4 @@
-"""Asks the operator endpoints of many instances at once."""
+"""Client that queries the operator endpoints of many instances at once."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -11,14 +11,17 @@
 from clementinedeal._timers import MonotonicClock
 
 REQUEST_TIMEOUT_SECONDS = 3.0
-# The 20,000 events that an instance keeps, at 1 KB each, and some more.
+# An instance keeps 20,000 events of about 1 KB each; the rest is reserve.
 MAX_ANSWER_BYTES = 32 << 20
 _OK = 200
 
 
 @dataclass(frozen=True, slots=True)
 class OperatorAnswer:
-    """What one instance said; ``body`` is None when it did not answer."""
+    """Answer of one instance.
+
+    ``body`` is None if the instance did not answer; ``error`` then tells why.
+    """
 
     instance: Instance
     body: bytes | None
@@ -29,10 +32,11 @@
     instances: Iterable[Instance],
     path: str,
 ) -> tuple[OperatorAnswer, ...]:
-    """Get one path from every instance.
+    """Request one path from every instance, all at the same time.
 
-    :param instances: whom to ask.
-    :param path: such as ``/status``.
+    :param instances: the instances to query.
+    :param path: path and query, such as ``/status``.
+    :return: one answer for each instance, ordered by instance name.
     """
     pool = ConnPool(MonotonicClock())
     answers: list[OperatorAnswer] = []
@@ -68,5 +72,5 @@
     finally:
         await conn.aclose()
     if answer.status != _OK:
-        raise HttpError(f'status {answer.status}')
+        raise HttpError(f'unexpected status {answer.status}')
     return body
--- a/src/clementinedeal/_pool.py
+++ b/src/clementinedeal/_pool.py
@@ -1,4 +1,4 @@
-"""Small pools of kept-alive client connections, one per address."""
+"""Small pools of keep-alive client connections, one per address."""
 
 import collections
 import math
@@ -15,16 +15,19 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port``.
+    """Split an address into host and port.
 
-    :param address: as published.
+    :param address: ``ip:port``; an IPv6 address stands in brackets.
     """
     host, _, port = address.rpartition(':')
     return host.strip('[]'), int(port)
 
 
 class ConnPool:
-    """Lends connections; one is used by one request at a time."""
+    """Keeps idle connections by address and hands them out again.
+
+    A connection that was handed out serves one request at a time.
+    """
 
     def __init__(
         self,
@@ -33,8 +36,8 @@
     ) -> None:
         """Create an empty pool.
 
-        :param clock: tells how long a connection has been idle.
-        :param connect_seconds: how long a connection may take to open.
+        :param clock: measures how long a connection has been idle.
+        :param connect_timeout: time to open a connection, in seconds.
         """
         self._connect_timeout = connect_timeout
         self._clock = clock
@@ -45,11 +48,12 @@
         address: str,
         max_idle: float = math.inf,
     ) -> ClientConn:
-        """Return a fresh or idle connection.
+        """Return an idle connection, or a new one if none is usable.
 
         :param address: ``ip:port``.
-        :param most_rest: how long it may have been idle, in seconds.
-        :raises ConnLostError: nobody could be connected to in time.
+        :param max_idle: how long the connection may have been idle, in
+            seconds.
+        :raises ConnLostError: no connection could be opened in time.
         """
         idle_conns = self._idle_conns.get(address)
         while idle_conns:
@@ -70,9 +74,9 @@
     ) -> None:
         """Give a connection back; it is closed unless its answer was whole.
 
-        :param address: what it was acquired for.
+        :param address: the address that it was acquired for.
         :param conn: the connection.
-        :param idle: how long it may stay idle, in seconds.
+        :param max_idle: how long it may stay idle, in seconds.
         """
         idle_conns = self._idle_conns.setdefault(address, collections.deque())
         if len(idle_conns) >= MAX_IDLE_CONNS or not conn.prepare_next():
@@ -89,10 +93,10 @@
                 await idle.pop().aclose()
 
     async def connect(self, address: str) -> ClientConn:
-        """Return a fresh connection.
+        """Open a new connection.
 
         :param address: ``ip:port``.
-        :raises ConnLostError: nobody could be connected to in time.
+        :raises ConnLostError: no connection could be opened in time.
         """
         host, port = split_address(address)
         try:
--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -20,35 +20,42 @@
     find_header,
 )
 
-# A closed socket with unread bytes resets the connection and may take the
-# answer with it; the other side gets one lost packet's time to read it.
+# Closing a socket that has unread bytes resets the connection, and the client
+# may lose the answer. The server reads on for this long, enough for one lost
+# packet to be sent again.
 CLOSE_TIMEOUT_SECONDS = 1.0
 _PROCESSING = 102
 
 
 class ServerConn:
-    """The serving side of one connection."""
+    """The serving side of one connection; one request at a time.
+
+    ``is_idle`` is true between requests. Cancelling ``idle_scope`` closes the
+    connection if it waits for a request. ``head_sent`` is true once a byte of
+    the current answer may have reached the client.
+    """
 
     def __init__(self, stream: trio.abc.Stream, limits: HttpLimits) -> None:
         """Wrap an accepted stream.
 
         :param stream: the connection, owned from now on.
-        :param limits: bounds on the other side.
+        :param limits: limits on what the client may send.
         """
         self.limits = limits
         self.is_idle = True
         self._h11_stream = H11Stream(stream, h11.SERVER, limits.max_head_bytes)
-        # cancelled to close the connection while it waits for a request
         self.idle_scope = trio.CancelScope()
-        # whether a byte of the answer may have reached the other side
         self.head_sent = False
         self._method = b''
         self._must_close = False
 
     def set_limits(self, limits: HttpLimits) -> None:
-        """Bound the other side from now on; a rest may become longer.
+        """Replace the limits.
+
+        A raised idle timeout also holds for a wait that has begun; a lowered
+        one holds from the next wait on.
 
-        :param limits: the bounds.
+        :param limits: limits on what the client may send.
         """
         extension = limits.idle_timeout - self.limits.idle_timeout
         self.limits = limits
@@ -56,9 +63,10 @@
             self.idle_scope.deadline += extension
 
     async def next_request(self) -> RequestHead | None:
-        """Wait for the next request; None when the connection is over.
+        """Wait for the next request and return its head.
 
-        :raises HttpError: malformed, oversized or too slow a head.
+        :return: None if the connection ended or was idle for too long.
+        :raises HttpError: the head is malformed, too large or too slow.
         """
         self.is_idle = True
         self.head_sent = False
@@ -67,13 +75,13 @@
         self.is_idle = False
         with trio.move_on_after(self.limits.head_timeout):
             return await self._read_head()
-        raise HttpError('request head too slow', status=408)
+        raise HttpError('request head not complete in time', status=408)
 
     async def read_body(self) -> AsyncIterator[bytes]:
         """Yield the request body in pieces.
 
         :raises HttpError: malformed or too slow.
-        :raises ConnLostError: the sender went away.
+        :raises ConnLostError: the client closed the connection.
         """
         if self._h11_stream.h11.they_are_waiting_for_100_continue:
             await self._h11_stream.send(
@@ -86,11 +94,11 @@
             yield bytes(event.data)
 
     async def read_whole(self) -> bytes:
-        """Return the whole request body, within the limits.
+        """Return the whole request body, up to ``limits.max_body_bytes``.
 
-        :raises TooLongError: it is larger.
+        :raises TooLongError: the body is larger.
         :raises HttpError: malformed or too slow.
-        :raises ConnLostError: the sender went away.
+        :raises ConnLostError: the client closed the connection.
         """
         size_counter = SizeCounter(self._h11_stream, self.limits.max_body_bytes)
         body = bytearray()
@@ -100,9 +108,9 @@
         return bytes(body)
 
     async def discard_body(self) -> None:
-        """Read the request body, within the limits, and drop it.
+        """Read the request body, up to the limit, and discard it.
 
-        :raises TooLongError: it is larger.
+        :raises TooLongError: the body is larger.
         """
         size_counter = SizeCounter(self._h11_stream, self.limits.max_body_bytes)
         while isinstance(await self._next_body_event(), h11.Data):
@@ -136,10 +144,11 @@
         await self._h11_stream.send_all(*events)
 
     async def wait_disconnected(self) -> None:
-        """Return when the other side has closed or broken the connection.
+        """Return when the client has closed or reset the connection.
 
-        Only while the request is being answered; what else arrives is kept
-        for the next request.
+        To be used only while a request is being answered. What arrives
+        meanwhile is kept for the next request. After ``READ_BYTES`` no more
+        is read, and the end of the connection is no longer noticed.
         """
         received_bytes = 0
         while received_bytes < READ_BYTES:
@@ -154,7 +163,7 @@
         await trio.sleep_forever()
 
     async def send_interim(self) -> None:
-        """Tell the other side that its request was taken in."""
+        """Send ``102 Processing``: the request was accepted."""
         await self._h11_stream.send(
             h11.InformationalResponse(status_code=_PROCESSING, headers=[]),
         )
@@ -163,7 +172,8 @@
         """Send the head of a streamed answer.
 
         :param status: HTTP status.
-        :param headers: end-to-end headers, length included if known.
+        :param headers: end-to-end headers; the body is chunked unless they
+            hold its length.
         """
         self.head_sent = True
         await self._h11_stream.send(
@@ -171,7 +181,10 @@
         )
 
     async def send_piece(self, piece: bytes) -> None:
-        """Send one piece of a streamed answer."""
+        """Send one piece of a streamed answer.
+
+        :param piece: the bytes; nothing is sent if it is empty.
+        """
         if piece:
             await self._h11_stream.send(h11.Data(data=piece))
 
@@ -180,7 +193,7 @@
         await self._h11_stream.send(h11.EndOfMessage())
 
     def close_after_answer(self) -> None:
-        """Announce and perform the close with the next answer."""
+        """Send ``connection: close`` with the next answer, then close."""
         self._must_close = True
 
     def close_unless_read(self) -> None:
@@ -193,7 +206,10 @@
             self._must_close = True
 
     def prepare_next(self) -> bool:
-        """Prepare for another request; False when there can be none."""
+        """Prepare for the next request.
+
+        :return: False if the last request or its answer is incomplete.
+        """
         is_complete = (
             self._h11_stream.h11.our_state is h11.DONE
             and self._h11_stream.h11.their_state is h11.DONE
@@ -203,15 +219,16 @@
         return is_complete
 
     async def aclose(self) -> None:
-        """Close the stream, gracefully for what was already sent."""
+        """Close the stream without waiting for the client."""
         await trio.aclose_forcefully(self._h11_stream.stream)
 
     async def close_gracefully(self) -> int:
-        """Send the end of stream, read a little, then close.
+        """Send the end of stream, read on for a short time, then close.
 
-        A cancelled task closes at once.
+        The client can so read an answer that it has not read yet. If the task
+        is cancelled, the stream is closed at once.
 
-        :return: how many bytes came after the end was sent.
+        :return: number of bytes received after the end was sent.
         """
         try:
             return await _end_stream(self._h11_stream.stream)
@@ -252,7 +269,7 @@
     async def _next_body_event(self) -> h11.Event | type[object]:
         with trio.move_on_after(self.limits.body_timeout):
             return await self._h11_stream.next_event()
-        raise HttpError('request body too slow', status=408)
+        raise HttpError('request body not received in time', status=408)
 
 
 def _response_head(
--- a/src/clementinedeal/_serving_side.py
+++ b/src/clementinedeal/_serving_side.py
@@ -1,4 +1,4 @@
-"""The serving side of a daemon: owner, entry and their listeners."""
+"""The serving side of a daemon: entry, owner and their listeners."""
 
 from dataclasses import dataclass
 
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServingContext:
-    """What the serving side works with."""
+    """The parts of a daemon that its serving side needs."""
 
     shared: ManagerContext
     pool: ConnPool
@@ -44,13 +44,18 @@
 
 
 class ServingSide:
-    """Built when the managers exist; listens from ``start`` on."""
+    """Entry and owner of a daemon and the servers that listen for them.
+
+    The entry takes the requests of callers; the owner is the only one that
+    calls the targets of this instance. Built once a configuration is in
+    force; the servers listen after ``start``.
+    """
 
     def __init__(self, context: ServingContext, managers: Managers) -> None:
         """Build owner, entry and servers.
 
-        :param context: collaborators.
-        :param managers: decide.
+        :param context: parts shared with the rest of the daemon.
+        :param managers: decide on tokens, slots, idempotency and ejection.
         """
         self._context = context
         self.owner = self._build_owner(managers)
@@ -93,9 +98,9 @@
         nursery.start_soon(self._prober.run)
 
     async def stop(self, seconds: float) -> None:
-        """Take no new work and let what is in flight end.
+        """Accept no new work and wait for the requests in flight.
 
-        :param seconds: how long it may take.
+        :param seconds: how long to wait before they are cancelled.
         """
         self.owner.draining = True
         async with trio.open_nursery() as nursery:
@@ -135,9 +140,9 @@
 
 
 def http_limits(limits: Limits) -> HttpLimits:
-    """Return the HTTP bounds of a daemon's settings.
+    """Return the HTTP limits that a daemon's settings ask for.
 
-    :param limits: from the settings file.
+    :param limits: limits of the settings file.
     """
     return HttpLimits(
         max_head_bytes=limits.max_head_bytes,
--- a/src/clementinedeal/_status.py
+++ b/src/clementinedeal/_status.py
@@ -1,4 +1,4 @@
-"""What a daemon tells operators of itself."""
+"""Status and gauges that a daemon reports to operators."""
 
 from clementinedeal._control import ControlChannel
 from clementinedeal._directory import Directory
@@ -10,13 +10,19 @@
 
 
 class StatusReporter:
-    """Gathers status and gauges from the parts."""
+    """Collects the daemon's status and gauges from its parts.
+
+    The daemon sets ``is_listening``, ``is_draining``, ``managers`` and
+    ``owner``; the last two are None until a configuration is in force.
+    ``rejection`` holds the last rejected configuration version and the
+    reason, or is empty.
+    """
 
     def __init__(self, shared: ManagerContext, directory: Directory) -> None:
         """Create a reporter.
 
-        :param shared: settings, clock, events, metrics and fleet view.
-        :param directory: configuration in force.
+        :param shared: provides settings, clock, events, metrics, fleet view.
+        :param directory: provides the configuration in force.
         """
         self.is_listening = False
         self.is_draining = False
@@ -29,7 +35,8 @@
     def describe_target(self, name: str) -> tuple[float, str]:
         """Return load and state of an owned target.
 
-        :param name: the target.
+        :param name: name of the target.
+        :return: requests per slot, and the state's name.
         """
         if self.managers is None:
             return 0, 'unknown'
@@ -37,7 +44,7 @@
         return self.managers.slot_gate.load(name), state
 
     def status(self) -> DaemonStatus:
-        """Describe the daemon."""
+        """Return the daemon's status."""
         cfg = self._directory.cfg
         shared = self._shared
         now = shared.clock.now()
@@ -65,10 +72,10 @@
         control: ControlChannel,
         platform: HttpPlatform,
     ) -> None:
-        """Set the gauges.
+        """Set all gauges to their current values.
 
-        :param control: counts control traffic.
-        :param platform: counts reads.
+        :param control: provides the counters of control traffic.
+        :param platform: provides the number of platform reads.
         """
         metrics = self._shared.metrics
         status = self.status()
--- a/src/clementinedeal/_timeline.py
+++ b/src/clementinedeal/_timeline.py
@@ -1,4 +1,4 @@
-"""Time line of a fleet: events of many daemons in one causal order."""
+"""Time line of a fleet: the events of many daemons in causal order."""
 
 import re
 from collections.abc import Iterable
@@ -23,7 +23,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TimelineFilter:
-    """Which events to show; an empty value matches all."""
+    """Selects events by request id, target, account and event name.
+
+    An empty value matches all events.
+    """
 
     request: str = ''
     target: str = ''
@@ -31,7 +34,7 @@
     event: str = ''
 
     def matches(self, event: Event) -> bool:
-        """Tell whether an event is to be shown.
+        """Return whether an event matches all values of the filter.
 
         :param event: the event.
         """
@@ -51,9 +54,9 @@
 
 
 def read_events(lines: bytes) -> tuple[Event, ...]:
-    """Read the events of one daemon.
+    """Parse the events of one daemon.
 
-    :param lines: JSON lines as its operator endpoint serves them.
+    :param lines: JSON lines, as its operator endpoint ``/events`` returns.
     :raises ProtocolError: a line is malformed.
     """
     try:
@@ -64,12 +67,12 @@
 
 
 def read_log(text: str) -> tuple[Event, ...]:
-    """Read the events in log lines, of one process or of many.
+    """Parse the events in log lines of one process or of several.
 
-    Whatever stands before an event on its line, and lines without one, are
-    passed over.
+    Text before an event on its line is ignored, and so are lines without an
+    event.
 
-    :param text: log lines as daemons write them.
+    :param text: log lines, as daemons write them.
     """
     found = (_LOG_LINE.search(line) for line in text.splitlines())
     return tuple(
@@ -94,11 +97,12 @@
 ) -> tuple[Event, ...]:
     """Return the events of all daemons, causes before their effects.
 
-    Events that are in several logs are returned once. Stamps of one daemon
-    rise, so equal ones are of different daemons and not related.
+    An event that is in several logs is returned once. The stamps of one
+    daemon rise strictly, so events with equal stamps are of different daemons
+    and causally unrelated.
 
     :param logs: the events of each daemon.
-    :param wanted: which events to return; all if absent.
+    :param event_filter: selects the events to return; None selects all.
     """
     active_filter = event_filter or TimelineFilter()
     events = {
@@ -111,9 +115,9 @@
 
 
 def wall_time(hlc: int) -> str:
-    """Return the physical part of a stamp as UTC time in milliseconds.
+    """Return a stamp's wall-clock time in ISO 8601, UTC, to the millisecond.
 
-    :param hlc: the stamp.
+    :param hlc: the stamp of an event.
     """
     seconds = (hlc >> COUNTER_BITS) / _MS_PER_SECOND
     utc_time = datetime.fromtimestamp(seconds, UTC)
@@ -121,9 +125,9 @@
 
 
 def render_text(events: Iterable[Event]) -> str:
-    """Return one line for each event.
+    """Return a text with one line for each event.
 
-    :param events: in the order to print.
+    :param events: in the order of the lines.
     """
     lines = (f'time={wall_time(one.hlc)} {one.line()}\n' for one in events)
     return ''.join(lines)
--- a/src/clementinedeal/_timeline_page.py
+++ b/src/clementinedeal/_timeline_page.py
@@ -1,4 +1,4 @@
-"""The time line as one HTML page without outside resources."""
+"""The time line as one HTML page that loads no other resource."""
 
 from collections.abc import Sequence
 from html import escape
@@ -57,10 +57,10 @@
 
 
 def render_page(events: Sequence[Event]) -> str:
-    """Return a page with a lane for each instance and a table below.
+    """Return a page with a lane for each instance and a table of the events.
 
-    :param events: in causal order; the lanes keep this order, not distances
-        in time.
+    :param events: in causal order; the lanes show them in this order at equal
+        distances, not to a scale of time.
     """
     names = sorted({event.instance for event in events})
     lane_of = {name: lane for lane, name in enumerate(names)}
--- a/src/clementinedeal/_timers.py
+++ b/src/clementinedeal/_timers.py
@@ -1,4 +1,4 @@
-"""Timer service: parts subscribe, one clock drives them all."""
+"""Clocks, and timers that call their subscribers by one clock."""
 
 import heapq
 import itertools
@@ -12,6 +12,7 @@
 
 MAX_SLEEP_SECONDS = 0.1
 MIN_SLEEP_SECONDS = 0.005
+# A longer gap between two ticks is reported as a pause of the process.
 MIN_PAUSE_SECONDS = 0.5
 
 
@@ -32,18 +33,18 @@
 
 
 class BootClock:
-    """A steady clock that also counts time in which the machine slept."""
+    """A monotonic clock that also counts time spent in system suspend."""
 
     def now(self) -> float:
-        """Return the seconds since the machine was started."""
+        """Return the seconds since the system was booted."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class VirtualClock:
-    """A clock that only moves when told to."""
+    """A clock that moves only when ``advance`` is called."""
 
     def __init__(self, start: float = 0.0) -> None:
-        """Start the clock.
+        """Create a clock.
 
         :param start: first reading in seconds.
         """
@@ -63,7 +64,12 @@
 
 @dataclass(order=True, slots=True)
 class Subscription:
-    """One pending callback; ``cancel`` stops it and its repetitions."""
+    """One pending callback, once or periodic; ``cancel`` stops it.
+
+    ``due`` is the monotonic time of the next call and ``period`` the time
+    between calls, both in seconds; a period of 0 means once. ``order`` keeps
+    subscriptions with the same due time in order of creation.
+    """
 
     due: float
     order: int
@@ -72,15 +78,15 @@
     cancelled: bool = field(compare=False, default=False)
 
     def cancel(self) -> None:
-        """Stop the subscription."""
+        """Stop the callback and its repetitions."""
         self.cancelled = True
 
 
 class Timers:
-    """Calls subscribers when their time has come and notices pauses."""
+    """Calls subscribers when they are due and detects pauses of the process."""
 
     def __init__(self, clock: Clock) -> None:
-        """Create an empty service.
+        """Create timers without subscribers.
 
         :param clock: the clock that decides what is due.
         """
@@ -107,9 +113,10 @@
         period: float,
         callback: Callable[[float], None],
     ) -> Subscription:
-        """Call back at multiples of a period; missed ones are not made up for.
+        """Call back at multiples of a period on the clock.
 
-        Common multiples let several subscriptions share one wake-up.
+        Subscriptions whose periods have common multiples share a wake-up.
+        Calls that were missed, as by a pause, are not made up for.
 
         :param period: seconds between calls, above zero.
         :param callback: receives the current time in seconds.
@@ -118,14 +125,14 @@
         return self._push(due, callback, period)
 
     def on_pause(self, handler: Callable[[float], None]) -> None:
-        """Register a handler that runs first after the process was paused.
+        """Register a handler for pauses; it runs before any due callback.
 
-        :param handler: receives the length of the gap in seconds.
+        :param handler: receives the length of the pause in seconds.
         """
         self._pause_handlers.append(handler)
 
     def tick(self) -> None:
-        """Report a pause if there was one, then run what is due."""
+        """Report a pause if there was one, then call what is due."""
         now = self.clock.now()
         gap = now - self._last_tick
         self._last_tick = now
@@ -136,7 +143,7 @@
             self._run(heapq.heappop(self._heap), now)
 
     async def start(self, nursery: trio.Nursery) -> None:
-        """Tick from now on.
+        """Start the loop that ticks.
 
         :param nursery: runs the loop.
         """
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,4 +1,4 @@
-"""Two daemons' serving sides and stand-in targets in one trio loop."""
+"""Serving sides of two daemons, and stand-in targets, in one trio loop."""
 
 import hashlib
 from collections.abc import AsyncIterator
@@ -94,7 +94,7 @@
 
 
 class PassingGates:
-    """Admits everything and remembers nothing."""
+    """Stub for all gates: admits every request and keeps no state."""
 
     async def take(self, req_id: str, account: str) -> None:
         return None
@@ -135,6 +135,8 @@
 
 @dataclass
 class FixedView:
+    """Stub for the entry's view: all targets are candidates, in one order."""
+
     access: Access
     order: tuple[str, ...]
     is_fresh: bool = True
@@ -217,6 +219,8 @@
 
 @dataclass
 class Fleet:
+    """Two running daemons, the configuration and the stand-in targets."""
+
     cfg: Config
     view: FixedView
     nodes: dict[str, DaemonNode]
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,3 +1,5 @@
+"""Control channel between two daemons, and rotation of the fleet keys."""
+
 from dataclasses import dataclass
 from typing import Any
 
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -1,3 +1,5 @@
+"""Each history check accepts a clean history and rejects a broken one."""
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -1,3 +1,5 @@
+"""HTTP server and client connections over real sockets."""
+
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -146,7 +148,7 @@
         assert await stream.receive_some()
         await trio.sleep(0.05)
         ended = trio.current_time()
-    # the mesh daemon ends its connections so long before it is killed
+    # The mesh daemon ends its connections this long before it is killed.
     assert trio.current_time() - ended < KILL_MARGIN_SECONDS
     await stream.aclose()
 
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -1,3 +1,5 @@
+"""Registration, start and stop of a daemon's parts."""
+
 import pytest
 import trio
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,3 +1,5 @@
+"""Codec of control messages."""
+
 from dataclasses import dataclass
 
 import pytest
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -1,3 +1,5 @@
+"""Requests from a caller through entry and owner to stand-in targets."""
+
 import json
 from dataclasses import replace
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,4 +1,4 @@
-"""Real processes under faults, judged afterwards by the history checkers."""
+"""Real daemon processes under faults; checked by the history checks."""
 
 import os
 import signal
@@ -29,7 +29,7 @@
 
 
 def reduce_config(cfg: Config) -> Config:
-    """Keep six instances, two targets of each service, two accounts."""
+    """Reduce to six instances, two targets a service, two accounts."""
     names = sorted(cfg.instances)[:INSTANCES]
     return replace(
         cfg,
@@ -68,7 +68,7 @@
 
 
 class FleetRun:
-    """A fleet under traffic and what its callers and targets saw."""
+    """A fleet under traffic, and what its callers and targets recorded."""
 
     def __init__(self, folder: Path) -> None:
         self.cfg = reduce_config(read_declaration('examples/freshwater.yaml'))
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -1,3 +1,5 @@
+"""Order, filters and formats of the time line."""
+
 import random
 from html.parser import HTMLParser
 
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -1,3 +1,5 @@
+"""Timers under a virtual clock."""
+
 from clementinedeal._timers import Timers, VirtualClock
 
 
