--- a/src/clementinedeal_bench/_fleet.py
+++ b/src/clementinedeal_bench/_fleet.py
@@ -17,7 +17,7 @@
 from clementinedeal_bench._web_client import split_address
 
 READY_TIMEOUT_SECONDS = 20.0
-SECRET_BYTES = 32
+FLEET_KEY_BYTES = 32
 PLATFORM_NAME = 'platform'
 
 
@@ -49,7 +49,7 @@
         """
         self.cfg = cfg
         self._settings = settings
-        self._fleet_key = secrets.token_hex(SECRET_BYTES)
+        self._fleet_key = secrets.token_hex(FLEET_KEY_BYTES)
         self._processes = Processes(_ensure_folder(settings.folder / 'logs'))
         self._settings_folder = _ensure_folder(settings.folder / 'settings')
         self.publisher = Publisher(settings.platform_address)
@@ -171,8 +171,8 @@
         await self._await_answer(name, address, path)
 
     async def _await_answer(self, name: str, address: str, path: str) -> None:
-        check = partial(self._processes.check_running, name)
-        await await_ready(address, path, READY_TIMEOUT_SECONDS, check)
+        check_running = partial(self._processes.check_running, name)
+        await await_ready(address, path, READY_TIMEOUT_SECONDS, check_running)
 
     def _target_args(self, target: Target) -> list[str]:
         host, port = split_address(target.address)
--- a/src/clementinedeal_bench/_platform.py
+++ b/src/clementinedeal_bench/_platform.py
@@ -8,7 +8,7 @@
 
 MAX_VALUE_BYTES = 1_000_000
 MAX_READS_PER_SECOND = 2000
-METER_WINDOW_SECONDS = 1.0
+READ_WINDOW_SECONDS = 1.0
 
 
 class PlatformMode(enum.Enum):
@@ -106,7 +106,7 @@
         )
 
     def _count_load(self, now: float) -> int:
-        window_start = now - METER_WINDOW_SECONDS
+        window_start = now - READ_WINDOW_SECONDS
         while self._call_times and self._call_times[0] <= window_start:
             self._call_times.popleft()
         long_watches = sum(
@@ -120,7 +120,7 @@
     """What a stale platform goes on serving."""
 
     taken_at: float
-    newest: dict[str, PublishedValue] = field(default_factory=dict)
+    values: dict[str, PublishedValue] = field(default_factory=dict)
 
 
 class Platform:
@@ -180,7 +180,7 @@
         :param now: monotonic seconds.
         """
         if self.settings.mode is PlatformMode.STALE:
-            return self._snapshot.newest.get(name)
+            return self._snapshot.values.get(name)
         return self._newest_visible(name, now)
 
     def is_down(self, now: float) -> bool:
--- a/src/clementinedeal_bench/_report.py
+++ b/src/clementinedeal_bench/_report.py
@@ -128,17 +128,17 @@
         first_starts[req_id] = min(
             run.start, first_starts.get(req_id, run.start)
         )
-        events.append(_started(run, req_id))
+        events.append(_start_event(run, req_id))
     for call_id, at in first_starts.items():
         if call_id in calls and calls[call_id].account in cfg.accounts:
             events.append(
                 RequestAdmitted(at=at, account=calls[call_id].account)
             )
-    events.extend(_answered(call) for call in records if call.verdict)
+    events.extend(_answer_event(call) for call in records if call.verdict)
     return events
 
 
-def _started(run: Execution, req_id: str) -> RequestStarted:
+def _start_event(run: Execution, req_id: str) -> RequestStarted:
     return RequestStarted(
         at=run.start,
         req_id=req_id,
@@ -147,7 +147,7 @@
     )
 
 
-def _answered(call: CallRecord) -> RequestAnswered:
+def _answer_event(call: CallRecord) -> RequestAnswered:
     return RequestAnswered(
         at=call.end,
         req_id=call.caller_request,
@@ -156,13 +156,13 @@
     )
 
 
-def _check_line(fault: str, found: Sequence[object]) -> str:
-    if not found:
+def _check_line(fault: str, violations: Sequence[object]) -> str:
+    if not violations:
         return f'   ok    {fault}: none'
     shown = '; '.join(
-        _describe(example) for example in found[:MAX_SHOWN_VIOLATIONS]
+        _describe(example) for example in violations[:MAX_SHOWN_VIOLATIONS]
     )
-    return f'   FAULT {fault}: {len(found)}, such as {shown}'
+    return f'   FAULT {fault}: {len(violations)}, such as {shown}'
 
 
 def _describe(found: object) -> str:
--- a/tests/test_bench_caller.py
+++ b/tests/test_bench_caller.py
@@ -66,20 +66,20 @@
     setup = WebRequest(method='PUT', target='/control/mode', body=body)
     await target.handle(setup)
 
-    async def number_and_serve(req: WebRequest) -> WebAnswer:
-        mark = ('x-request-id', req.target)
+    async def serve_with_request_id(req: WebRequest) -> WebAnswer:
+        id_header = ('x-request-id', req.target)
         return await target.handle(
             WebRequest(
                 method=req.method,
                 target=req.target,
-                headers=(*req.headers, mark),
+                headers=(*req.headers, id_header),
                 body=req.body,
             ),
         )
 
     posts = kind(method='POST', body_bytes=9, timeout_ms=100)
     load = AccountLoad(requests=(posts,), workers=2)
-    records = await run(nursery, number_and_serve, load)
+    records = await run(nursery, serve_with_request_id, load)
     assert {record.outcome for record in records} == {outcome}
     if outcome is CallOutcome.WRONG:
         assert 'digest' in records[0].detail
