--- a/src/clementinedeal_bench/__main__.py
+++ b/src/clementinedeal_bench/__main__.py
@@ -1,4 +1,4 @@
-"""Entry point of ``python -m clementinedeal_bench``."""
+"""Runs the command line as ``python -m clementinedeal_bench``."""
 
 from clementinedeal_bench._cli import run
 
--- a/src/clementinedeal_bench/_account_service_levels.py
+++ b/src/clementinedeal_bench/_account_service_levels.py
@@ -1,4 +1,4 @@
-"""How the worst-served client account fares against the median level."""
+"""Service levels of client accounts, and a line about the worst one."""
 
 import statistics
 from collections.abc import Iterable
@@ -13,7 +13,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AccountServiceLevel:
-    """What level account got: share answered, 0 to 1, and p99 in seconds."""
+    """How well the calls of one account were served.
+
+    :param account: name of the account.
+    :param answered_fraction: fraction of calls with a complete answer, 0 to 1.
+    :param p99_seconds: 99th percentile of the latency of these answers, from
+        when each request was sent.
+    """
 
     account: str
     answered_fraction: float
@@ -23,9 +29,11 @@
 def account_service_levels(
     calls: Iterable[CallRecord],
 ) -> list[AccountServiceLevel]:
-    """Return what each account got, calls that reached nobody left out.
+    """Return the service level of each account, sorted by name.
+
+    Calls that reached no daemon are left out.
 
-    :param calls: calls of level step.
+    :param calls: calls of one demo step.
     """
     by_account: dict[str, list[CallRecord]] = {}
     for call in calls:
@@ -38,9 +46,9 @@
 
 
 def worst_served_line(calls: Iterable[CallRecord]) -> str:
-    """Describe the worst-served account in level line.
+    """Describe the worst-served account and the median one in a line.
 
-    :param calls: calls of level step.
+    :param calls: calls of one demo step.
     """
     levels = account_service_levels(calls)
     if not levels:
--- a/src/clementinedeal_bench/_call_records.py
+++ b/src/clementinedeal_bench/_call_records.py
@@ -1,4 +1,4 @@
-"""What callers saw: one record for each request, judged for wholeness."""
+"""Records of the calls of the load caller, with a check of each answer."""
 
 import enum
 import hashlib
@@ -14,12 +14,14 @@
 
 
 class CallOutcome(enum.Enum):
-    """What a request came to in the caller's eyes.
-
-    ``ANSWERED`` is a whole answer to the caller's own request, ``REFUSED``
-    the fleet's own answer, ``FAILED`` an error status of a target, ``WRONG``
-    an answer that is not whole or belongs to another request, ``BROKEN`` a
-    connection that ended early, ``TIMEOUT`` the caller's patience at its end.
+    """Outcome of a call as the caller sees it.
+
+    ``ANSWERED`` is a complete answer to the caller's own request, ``REFUSED``
+    an answer that the fleet gave in place of a target, ``FAILED`` an error
+    status of a target, ``WRONG`` an answer whose body is damaged or belongs to
+    another request, ``BROKEN`` a connection that ended early, ``TIMEOUT`` no
+    answer within the caller's timeout, and ``UNREACHABLE`` a connection that
+    could not be opened.
     """
 
     ANSWERED = 'answered'
@@ -32,11 +34,29 @@
 
 
 class CallRecord(msgspec.Struct, kw_only=True):
-    """One request of a caller.
-
-    ``caller_request`` is unique and stands in the request's path. Times are
-    seconds of the machine's monotonic clock; ``due`` is when the request was
-    to be sent, and latency counts from there; ``sent`` is when it was.
+    """One call of the load caller.
+
+    Written as a JSON line. Fields of the answer are empty without one.
+
+    :param caller_request: unique id, part of the request's query.
+    :param account: name of the client account.
+    :param service: name of the service called.
+    :param method: method of the request.
+    :param path: path and query of the request.
+    :param daemon: ``ip:port`` of the daemon called.
+    :param due: monotonic seconds at which the request was to be sent; latency
+        counts from here.
+    :param sent: monotonic seconds at which it was sent.
+    :param end: monotonic seconds at which the call ended.
+    :param outcome: outcome of the call.
+    :param status: status of the answer, 0 without one.
+    :param request_id: ``x-request-id`` of the answer.
+    :param verdict: ``x-verdict`` of the answer.
+    :param reason: ``x-reason`` of a refusal.
+    :param retry_after: ``retry-after`` of a refusal.
+    :param target: name of the target that answered.
+    :param idempotency_key: key that the request carried.
+    :param detail: what is wrong with the answer, or why there is none.
     """
 
     caller_request: str
@@ -60,10 +80,10 @@
 
 
 def record_failure(record: CallRecord, failure: WebFailure) -> None:
-    """Record that no whole answer came.
+    """Record that no complete answer was received.
 
     :param record: the record to fill.
-    :param failure: what the connection saw.
+    :param failure: why there is none.
     """
     record.outcome = (
         CallOutcome.BROKEN
@@ -77,7 +97,7 @@
 def record_answer(
     record: CallRecord, req: WebRequest, answer: WebAnswer
 ) -> None:
-    """Record and judge an answer.
+    """Record an answer and the outcome that follows from it.
 
     :param record: the record to fill.
     :param req: what was sent.
@@ -105,15 +125,15 @@
     if req.method == 'HEAD' or answer.status == NO_CONTENT_STATUS:
         return ''
     if answer.header('content-digest') != content_digest(answer.body):
-        return 'the digest is not that of the body'
+        return 'content-digest does not match the body'
     try:
         body = msgspec.json.decode(answer.body, type=AnswerBody)
     except msgspec.MsgspecError as exc:
-        return f'not a service answer: {exc}'
+        return f'body is not an answer of a stand-in target: {exc}'
     record.target = body.target
     if body.request_id != record.request_id:
-        return f'the body belongs to request {body.request_id}'
+        return f'body belongs to request {body.request_id}'
     sent = (req.method, req.target, hashlib.sha256(req.body).hexdigest())
     if (body.method, body.path, body.body_sha256) != sent:
-        return f'the answer is to {body.method} {body.path}'
+        return f'body answers {body.method} {body.path}'
     return ''
--- a/src/clementinedeal_bench/_caller.py
+++ b/src/clementinedeal_bench/_caller.py
@@ -1,4 +1,4 @@
-"""Load caller: accounts that send requests to any of several daemons."""
+"""Load caller: client accounts that send requests to several daemons."""
 
 import random
 import secrets
@@ -22,23 +22,25 @@
 MAX_IDLE_CONNECTIONS = 64
 MS_PER_SECOND = 1000
 NS_PER_MS = 1_000_000
+# layout of a UUID of version 7 (RFC 9562), as bit positions and widths
 UUID_TIME_SHIFT = 80
 UUID_UPPER_BITS = 12
 UUID_UPPER_SHIFT = 64
 UUID_LOWER_BITS = 62
 UUID_VERSION_7 = (7 << 76) | (2 << UUID_LOWER_BITS)  # version and variant
+# The caller waits for this long beyond the timeout that its request states.
 GRACE_SECONDS = 1.0
 
 
 class Account:
-    """One account's key, random choices and kept-alive connections."""
+    """One client account: its traffic, random choices and connections."""
 
     def __init__(self, name: str, load: AccountLoad, seed: int) -> None:
         """Create an account without connections.
 
-        :param name: its name.
-        :param load: its traffic.
-        :param seed: makes its choices repeatable.
+        :param name: name of the account.
+        :param load: traffic and API key of the account.
+        :param seed: makes the account's choices repeatable.
         """
         self.name = name
         self.load = load
@@ -47,32 +49,32 @@
         self._weights = [kind.weight for kind in load.requests]
 
     def draw_arrival_gap(self) -> float:
-        """Return the seconds until the next arrival of the open loop."""
+        """Return the seconds until the next request of the open loop."""
         return self._rng.expovariate(self.load.rate)
 
     def choose_request(
         self,
         daemons: tuple[str, ...],
     ) -> tuple[str, RequestKind]:
-        """Choose a daemon and a kind of request.
+        """Choose a daemon and a kind of request at random.
 
-        :param daemons: their addresses.
+        :param daemons: ``ip:port`` of each daemon.
         """
         chosen = self._rng.choices(self.load.requests, self._weights)
         return self._rng.choice(daemons), chosen[0]
 
     def take_connection(self, daemon: str) -> WebClient:
-        """Return an idle connection to a daemon or a new one.
+        """Return an idle connection to a daemon, or a new one.
 
-        :param daemon: its address.
+        :param daemon: ``ip:port`` of the daemon.
         """
         idle = self._idle.setdefault(daemon, [])
         return idle.pop() if idle else WebClient(daemon)
 
     def return_connection(self, client: WebClient) -> None:
-        """Keep a connection for later requests.
+        """Keep a connection for later requests, or close it.
 
-        :param client: the connection.
+        :param client: what ``take_connection`` returned.
         """
         idle = self._idle[client.address]
         if len(idle) < MAX_IDLE_CONNECTIONS:
@@ -88,7 +90,7 @@
 
 
 class Caller:
-    """Runs a scenario and hands each finished call to a sink."""
+    """Runs a scenario and passes the record of each call to a sink."""
 
     def __init__(
         self,
@@ -98,7 +100,7 @@
         """Create a caller.
 
         :param scenario: daemons, accounts and length of the run.
-        :param sink: takes each record once it is complete.
+        :param sink: called with each complete record.
         """
         self._scenario = scenario
         self._sink = sink
@@ -107,11 +109,11 @@
         self._sent_count = 0
 
     def stop(self) -> None:
-        """Send nothing more; calls under way are still awaited."""
+        """Send no more requests; ``run`` still awaits the calls in progress."""
         self._stop.set()
 
     async def run(self) -> None:
-        """Send until the scenario's time is over or ``stop`` is called."""
+        """Send requests until the scenario's end or a call of ``stop``."""
         accounts = [
             Account(name, load, self._scenario.seed)
             for name, load in self._scenario.accounts.items()
@@ -183,7 +185,7 @@
 
 
 def make_uuid7() -> str:
-    """Return a fresh UUID of version 7: wall clock first, then random bits."""
+    """Return a new UUID of version 7: wall-clock time, then random bits."""
     timestamp = time.time_ns() // NS_PER_MS << UUID_TIME_SHIFT
     upper = secrets.randbits(UUID_UPPER_BITS) << UUID_UPPER_SHIFT
     lower = secrets.randbits(UUID_LOWER_BITS)
--- a/src/clementinedeal_bench/_commands.py
+++ b/src/clementinedeal_bench/_commands.py
@@ -1,4 +1,4 @@
-"""Sub-commands of the command line, each with its own flags."""
+"""Subcommands of the command line, each with its own flags."""
 
 import sys
 from collections.abc import Callable
@@ -14,10 +14,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Command:
-    """One sub-command.
+    """One subcommand.
 
-    ``define`` adds its flags, ``run`` is given their values and the
-    positional arguments.
+    :param name: name of the subcommand.
+    :param summary: one line for the help.
+    :param define: adds the subcommand's flags to a set of flags.
+    :param run: called with the flag values and the positional arguments.
     """
 
     name: str
@@ -27,10 +29,10 @@
 
 
 def run_commands(program: str, commands: tuple[Command, ...]) -> None:
-    """Run the sub-command named by the process's arguments, then exit.
+    """Run the subcommand that the process's arguments name, then exit.
 
-    :param program: name of the program, for usage lines.
-    :param commands: the sub-commands.
+    :param program: name of the program, for usage and error lines.
+    :param commands: the subcommands.
     """
     app.run(
         lambda argv: _dispatch(program, commands, argv[1:]),
--- a/src/clementinedeal_bench/_core_meter.py
+++ b/src/clementinedeal_bench/_core_meter.py
@@ -1,4 +1,4 @@
-"""Processor time of another process, idle and busy."""
+"""Processor time that another process uses while idle and while busy."""
 
 import os
 import time
@@ -7,12 +7,21 @@
 
 import msgspec
 
-UTIME_FIELD = 11  # field after the command's closing bracket
+# Fields of /proc/PID/stat, counted from the one after the command's closing
+# bracket: processor time in user and in system mode, in clock ticks.
+UTIME_FIELD = 11
 STIME_FIELD = 12
 
 
 class DaemonCost(msgspec.Struct, frozen=True):
-    """Processor time of a daemon: user and system, as a share of a core."""
+    """Processor time of a daemon, in user and system mode.
+
+    :param requests: requests of the busy period.
+    :param idle_core_share: fraction of one core used in the idle period.
+    :param busy_core_share: fraction of one core used in the busy period.
+    :param requests_per_core_second: requests per second of processor time in
+        the busy period.
+    """
 
     requests: int
     idle_core_share: float
@@ -21,12 +30,16 @@
 
 
 class CoreMeter:
-    """Processor time of a process while idle and while busy."""
+    """Measures the processor time of a process in an idle and a busy period.
+
+    The idle period begins at once; then come ``end_idle``, ``begin_busy``,
+    ``end_busy`` and ``cost``.
+    """
 
     def __init__(self, pid: int) -> None:
-        """Begin the idle time.
+        """Begin the idle period.
 
-        :param pid: the process.
+        :param pid: id of the process.
         """
         self._pid = pid
         self._period_start = self._read_usage()
@@ -34,21 +47,21 @@
         self._busy_usage = self._period_start
 
     def end_idle(self) -> None:
-        """End the idle time."""
+        """End the idle period."""
         self._idle_usage = self._usage_since_start()
 
     def begin_busy(self) -> None:
-        """Begin the busy time."""
+        """Begin the busy period."""
         self._period_start = self._read_usage()
 
     def end_busy(self) -> None:
-        """End the busy time."""
+        """End the busy period."""
         self._busy_usage = self._usage_since_start()
 
     def cost(self, requests: int) -> DaemonCost:
-        """Return the figures.
+        """Return the cost of both periods.
 
-        :param requests: requests of the busy time.
+        :param requests: number of requests in the busy period.
         """
         return DaemonCost(
             requests=requests,
@@ -80,5 +93,5 @@
 
     @property
     def core_fraction(self) -> float:
-        """Return the share of a core that was used."""
+        """Return the fraction of one core that was used."""
         return self.core_seconds / self.elapsed_seconds
--- a/src/clementinedeal_bench/_declarations.py
+++ b/src/clementinedeal_bench/_declarations.py
@@ -1,4 +1,7 @@
-"""Reads, moves and writes declarations."""
+"""Reads and writes declarations, and shifts their ports.
+
+A declaration is the YAML file from which a configuration is built.
+"""
 
 from dataclasses import replace
 from pathlib import Path
@@ -14,10 +17,10 @@
 
 
 def read_declaration(path: str) -> Config:
-    """Read a declaration.
+    """Read a declaration and return its configuration.
 
-    :param path: the YAML file.
-    :raises ClementinedealError: it is not acceptable.
+    :param path: path of the YAML file.
+    :raises ClementinedealError: the declaration is not valid.
     """
     found = check_file(path)
     if isinstance(found, Err):
@@ -29,7 +32,7 @@
     """Write a configuration as a declaration.
 
     :param cfg: the configuration.
-    :param path: the YAML file.
+    :param path: path of the YAML file.
     """
     document: dict[str, Any] = msgspec.to_builtins(cfg, str_keys=True)
     for section in ('presets', 'services', 'instances', 'targets', 'accounts'):
@@ -39,20 +42,20 @@
 
 
 def shift_address(address: str, offset: int) -> str:
-    """Add to the port of an address.
+    """Return an address with an offset added to its port.
 
     :param address: ``ip:port``.
-    :param offset: what to add.
+    :param offset: number to add.
     """
     host, port = split_address(address)
     return f'{host}:{port + offset}'
 
 
 def shift_ports(cfg: Config, offset: int) -> Config:
-    """Add to every port of a configuration.
+    """Return a configuration with an offset added to every port.
 
     :param cfg: the configuration.
-    :param offset: what to add.
+    :param offset: number to add.
     """
     instances = {
         name: replace(
--- a/src/clementinedeal_bench/_detection.py
+++ b/src/clementinedeal_bench/_detection.py
@@ -1,6 +1,7 @@
-"""Bench of detection: time to ejection against wrongful ejections.
+"""Detection bench: how fast and how wrongly each policy ejects targets.
 
-``python -m clementinedeal_bench._detection`` prints JSON lines.
+Each case is a fault mode and an ejection policy, run over many seeds in virtual
+time. ``python -m clementinedeal_bench._detection`` prints one JSON line a case.
 """
 
 import heapq
@@ -30,13 +31,15 @@
 flags.DEFINE_integer('first_seed', 1, 'Seed of the first run.')
 flags.DEFINE_float('rate', 13.0, 'Requests a second at each target.')
 flags.DEFINE_float('after', 40.0, 'Seconds simulated after the onset.')
-flags.DEFINE_list('thresholds', ['18'], 'Thresholds of ours, in nats.')
+flags.DEFINE_list('thresholds', ['18'], 'Detector thresholds, in nats.')
 flags.DEFINE_list('modes', [mode.value for mode in FaultMode], 'Modes to run.')
 flags.DEFINE_bool('baselines', True, 'Whether to run the other policies.')
 
-TARGET_COUNTS = (8, 12, 16)
+TARGET_COUNTS = (8, 12, 16)  # targets of a service; the seed selects one
+# One target in so many may be ejected at once.
 MAX_EJECTED_DIVISOR = 4
-# Nothing is judged before; permits are lent after 26 s.
+# Nothing is counted before this time: managers lend ejection permits to one
+# another only after 26 s.
 WARM_UP_SECONDS = 40.0
 TICK_SECONDS = 0.05
 HOUR_SECONDS = 3600.0
@@ -44,7 +47,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadSettings:
-    """Requests a second at each target, and seconds run after the onset."""
+    """Load of a run.
+
+    :param rate: requests per second at each target.
+    :param seconds_after_onset: seconds simulated after the onset of the fault.
+    """
 
     rate: float = 13.0
     seconds_after_onset: float = 40.0
@@ -52,7 +59,13 @@
 
 @dataclass(order=True, slots=True)
 class SimulationEvent:
-    """Arrival at a target, or the end of its work."""
+    """An arrival at a target, or the end of a request that it served.
+
+    :param at: virtual time in seconds.
+    :param sequence: orders events of the same time.
+    :param target: name of the target.
+    :param served: the request that ends; ``None`` for an arrival.
+    """
 
     at: float
     sequence: int
@@ -62,7 +75,14 @@
 
 @dataclass(slots=True)
 class DetectionResult:
-    """Outcome of one run; ``detected`` is seconds from the onset."""
+    """Result of one run.
+
+    :param detection_seconds: time from the onset to the ejection of the faulty
+        target, ``None`` without one.
+    :param wrongful_ejections: ejections of targets that were not faulty.
+    :param healthy_target_seconds: seconds of all targets together during which
+        an ejection would have been wrongful.
+    """
 
     detection_seconds: float | None = None
     wrongful_ejections: int = 0
@@ -79,12 +99,12 @@
         policy: Policy,
         load: LoadSettings,
     ) -> None:
-        """Draw the targets; the fault is at the first one, or at all.
+        """Create the targets; the first one, or all of them, get the fault.
 
-        :param mode: the fault.
-        :param seed: of all randomness.
-        :param policy: what ejects.
-        :param load: how much and how long.
+        :param mode: the fault; with ``ALL_SLOW`` all targets have it.
+        :param seed: seed of all randomness.
+        :param policy: decides on ejections.
+        :param load: rate of requests and length of the run.
         """
         self._load = load
         self._rng = random.Random(seed)
@@ -104,7 +124,7 @@
         }
 
     def simulate(self) -> DetectionResult:
-        """Simulate to the end."""
+        """Simulate the whole run and return its result."""
         result = DetectionResult()
         for target in self._targets:
             self._schedule(self._draw_arrival_gap(), target, None)
@@ -184,7 +204,7 @@
 def target_count_of(seed: int) -> int:
     """Return the number of targets in a run.
 
-    :param seed: of the run.
+    :param seed: seed of the run.
     """
     return TARGET_COUNTS[seed % len(TARGET_COUNTS)]
 
@@ -218,11 +238,11 @@
     name: str,
     factory: Callable[[int], Policy],
 ) -> dict[str, object]:
-    """Run one case over all seeds and return the line to print.
+    """Run one case over all seeds and return the fields of its line.
 
     :param mode: the fault.
-    :param name: of the policy.
-    :param factory: of the policy, by number of targets.
+    :param name: name of the policy.
+    :param factory: creates the policy for a number of targets.
     """
     seeds = range(FLAGS.first_seed, FLAGS.first_seed + FLAGS.seeds)
     load = LoadSettings(FLAGS.rate, FLAGS.after)
@@ -263,7 +283,7 @@
 
 
 def main(argv: list[str]) -> None:
-    """Run every case.
+    """Run every case that the flags select.
 
     :param argv: unused.
     """
--- a/src/clementinedeal_bench/_ejection_policies.py
+++ b/src/clementinedeal_bench/_ejection_policies.py
@@ -1,4 +1,8 @@
-"""Ways of ejecting sick targets that the detection bench compares."""
+"""Policies for ejecting faulty targets, compared by the detection bench.
+
+``EjectionManagers`` runs the project's own ejection managers. The others are
+simple rules to compare with.
+"""
 
 from collections import deque
 from typing import Any, Protocol
@@ -17,29 +21,47 @@
 SERVICE_NAME = 'status'
 EJECTION_SECONDS = 30.0
 CONSECUTIVE_FAILURES_TO_EJECT = 5
-AVERAGED_LATENCIES = 10
+AVERAGED_LATENCIES = 10  # latencies in the mean of FixedLatency
 MAX_MEAN_LATENCY_SECONDS = 0.06
 
 
 class Policy(Protocol):
-    """Decides from each target's outcomes which ones are out."""
+    """Decides which targets are ejected, from the outcomes of requests.
+
+    ``ejections`` lists the names of targets in the order of their ejection;
+    the bench clears it after reading.
+    """
 
     ejections: list[str]
 
     def on_outcome(
         self, target: str, outcome: RequestOutcome, now: float
     ) -> None:
-        """Take in the end of one request."""
+        """Process the end of one request.
+
+        :param target: name of the target.
+        :param outcome: how the request ended.
+        :param now: virtual time in seconds.
+        """
         ...
 
     def on_tick(
         self, in_flight_starts: dict[str, list[float]], now: float
     ) -> None:
-        """Let time pass; starting times of requests in flight by target."""
+        """Process a step of time.
+
+        :param in_flight_starts: virtual times in seconds at which the requests
+            in flight began, by target name.
+        :param now: virtual time in seconds.
+        """
         ...
 
     def usable_fraction(self, target: str, now: float) -> float:
-        """Return the usable share of a target, 0 to 1."""
+        """Return the fraction of its requests that a target may get, 0 to 1.
+
+        :param target: name of the target.
+        :param now: virtual time in seconds.
+        """
         ...
 
 
@@ -53,20 +75,20 @@
     def on_outcome(
         self, target: str, outcome: RequestOutcome, now: float
     ) -> None:
-        """Ignore it."""
+        """Do nothing."""
 
     def on_tick(
         self, in_flight_starts: dict[str, list[float]], now: float
     ) -> None:
-        """Ignore it."""
+        """Do nothing."""
 
     def usable_fraction(self, target: str, now: float) -> float:
-        """Return the whole."""
+        """Return 1 for every target."""
         return 1.0
 
 
 class _TimedEjection(NoPolicy):
-    """Ejects for a fixed time, never more than a number at once."""
+    """Ejects for a fixed time, up to a number of targets at once."""
 
     def __init__(self, max_ejected: int) -> None:
         super().__init__()
@@ -74,7 +96,7 @@
         self._ejected_until: dict[str, float] = {}
 
     def usable_fraction(self, target: str, now: float) -> float:
-        """Return nothing while the target is out."""
+        """Return 0 while the target is ejected, else 1."""
         return 0.0 if self._ejected_until.get(target, 0) > now else 1.0
 
     def _eject(self, target: str, now: float) -> None:
@@ -85,12 +107,12 @@
 
 
 class ConsecutiveErrors(_TimedEjection):
-    """Ejects after a number of failures in a row."""
+    """Ejects a target after a number of consecutive failures."""
 
     def __init__(self, max_ejected: int) -> None:
         """Start with every target in use.
 
-        :param most_out: how many may be out at once.
+        :param max_ejected: targets that may be ejected at once.
         """
         super().__init__(max_ejected)
         self._consecutive_failures: dict[str, int] = {}
@@ -98,9 +120,9 @@
     def on_outcome(
         self, target: str, outcome: RequestOutcome, now: float
     ) -> None:
-        """Count a failure, or start again.
+        """Count a failure, or reset the count.
 
-        :param target: its name.
+        :param target: name of the target.
         :param outcome: how the request ended.
         :param now: virtual time in seconds.
         """
@@ -113,12 +135,12 @@
 
 
 class FixedLatency(_TimedEjection):
-    """Ejects when the mean of the last latencies exceeds a limit."""
+    """Ejects a target when the mean of its last latencies is too high."""
 
     def __init__(self, max_ejected: int) -> None:
         """Start with every target in use.
 
-        :param most_out: how many may be out at once.
+        :param max_ejected: targets that may be ejected at once.
         """
         super().__init__(max_ejected)
         self._latencies: dict[str, deque[float]] = {}
@@ -126,9 +148,9 @@
     def on_outcome(
         self, target: str, outcome: RequestOutcome, now: float
     ) -> None:
-        """Average the latency with those before.
+        """Add a latency and eject the target if the mean is too high.
 
-        :param target: its name.
+        :param target: name of the target.
         :param outcome: how the request ended.
         :param now: virtual time in seconds.
         """
@@ -147,16 +169,20 @@
 
 
 class EjectionManagers:
-    """Ours: one daemon for each target, messages delivered at once."""
+    """The project's own policy: one ejection manager for each target.
+
+    Target ``tN`` is owned by instance ``iN``. Messages between the managers
+    are delivered at once and without loss.
+    """
 
     def __init__(
         self, target_count: int, floor: int, threshold_nats: float
     ) -> None:
-        """Start all daemons at time zero in a fresh view.
+        """Start all managers at time 0 with a fresh configuration.
 
-        :param size: number of targets.
-        :param floor: number that must stay in use.
-        :param threshold: of the detectors, in nats.
+        :param target_count: number of targets.
+        :param floor: number of targets that must stay in use.
+        :param threshold_nats: threshold of the detectors, in nats.
         """
         self.ejections: list[str] = []
         cfg = make_config(target_count, floor)
@@ -177,9 +203,9 @@
     def on_outcome(
         self, target: str, outcome: RequestOutcome, now: float
     ) -> None:
-        """Tell the owner.
+        """Pass the outcome to the owner's manager.
 
-        :param target: its name.
+        :param target: name of the target.
         :param outcome: how the request ended.
         :param now: virtual time in seconds.
         """
@@ -191,9 +217,10 @@
     def on_tick(
         self, in_flight_starts: dict[str, list[float]], now: float
     ) -> None:
-        """Tick every daemon.
+        """Pass the requests in flight and the time to every manager.
 
-        :param inflight: starting times by target.
+        :param in_flight_starts: virtual times in seconds at which the requests
+            in flight began, by target name.
         :param now: virtual time in seconds.
         """
         for target, starts in in_flight_starts.items():
@@ -202,9 +229,9 @@
             self._apply_actions(target, actions + manager.on_tick(now), now)
 
     def usable_fraction(self, target: str, now: float) -> float:
-        """Return the owner's share.
+        """Return the usable fraction that the owner's manager gives.
 
-        :param target: its name.
+        :param target: name of the target.
         :param now: virtual time in seconds.
         """
         return self._manager(target).usable_fraction(target, now)
@@ -228,10 +255,10 @@
 
 
 def make_config(target_count: int, floor: int) -> Config:
-    """Return a configuration of one service, one target an instance.
+    """Return a configuration with one service and one target per instance.
 
-    :param size: number of targets.
-    :param floor: number that must stay in use.
+    :param target_count: number of targets.
+    :param floor: number of targets that must stay in use.
     """
     targets = [
         Target(
--- a/src/clementinedeal_bench/_errors.py
+++ b/src/clementinedeal_bench/_errors.py
@@ -4,4 +4,7 @@
 
 
 class BenchError(ClementinedealError):
-    """A tool of the bench can not go on; the message is one clear line."""
+    """A bench tool cannot continue.
+
+    The message is one line, which the command line prints.
+    """
--- a/src/clementinedeal_bench/_executions.py
+++ b/src/clementinedeal_bench/_executions.py
@@ -1,4 +1,4 @@
-"""Record of what a stand-in target ran, for history checkers."""
+"""Records of the requests that a stand-in target executed."""
 
 import enum
 import hashlib
@@ -10,7 +10,11 @@
 
 
 class ExecutionState(enum.Enum):
-    """How far an execution got."""
+    """How far an execution got.
+
+    ``STOPPED`` is an execution that was abandoned at its deadline or after a
+    cancel call.
+    """
 
     RUNNING = 'running'
     FINISHED = 'finished'
@@ -18,10 +22,20 @@
 
 
 class Execution(msgspec.Struct, kw_only=True):
-    """One started execution.
-
-    Times are seconds of the machine's monotonic clock. ``leaving_for`` is
-    how long the target had been leaving when the execution began.
+    """One request on which a target began to work.
+
+    Written and read as a JSON line.
+
+    :param target: name of the target.
+    :param request_id: the ``x-request-id`` of the request.
+    :param method: method of the request.
+    :param path: path and query of the request.
+    :param body_sha256: hex digest of the request's body.
+    :param header_names: names of the request's headers, in lower case.
+    :param start: monotonic seconds at which work began.
+    :param leaving_for: seconds for which the target had been leaving by then.
+    :param end: monotonic seconds at which work ended.
+    :param state: how far the execution got.
     """
 
     target: str
@@ -37,7 +51,7 @@
 
 
 class ExecutionLog:
-    """Executions of one target in the order in which they began."""
+    """The executions of one target, in the order in which they began."""
 
     def __init__(self, target: str) -> None:
         """Create an empty log.
@@ -53,7 +67,7 @@
         now: float,
         leaving_for: float,
     ) -> Execution:
-        """Record that work on a request begins.
+        """Record that work on a request begins, and return the record.
 
         :param req: the request.
         :param now: monotonic seconds.
@@ -104,7 +118,7 @@
 
 
 def decode_lines(blob: bytes) -> list[Execution]:
-    """Decode what a target reports.
+    """Decode the executions that a target reports.
 
     :param blob: JSON lines.
     """
--- a/src/clementinedeal_bench/_fleet.py
+++ b/src/clementinedeal_bench/_fleet.py
@@ -1,4 +1,8 @@
-"""Launches platform, targets and daemons of a declaration on loopback."""
+"""Launches a whole deployment on loopback, as processes.
+
+A fleet is the platform stand-in, the stand-in targets and the daemons of one
+declaration.
+"""
 
 import secrets
 import sys
@@ -25,8 +29,14 @@
 class FleetSettings:
     """How a fleet is launched.
 
-    ``width`` processes start at once. ``service`` and ``sigma`` shape the
-    targets' service times, in seconds and as log-normal spread.
+    :param folder: folder for logs and settings files.
+    :param platform_address: ``ip:port`` of the platform stand-in.
+    :param has_daemons: whether daemons are started, not only stand-ins.
+    :param max_parallel_starts: processes that start at once.
+    :param service_seconds: median service time of the targets.
+    :param service_time_sigma: standard deviation of the logarithm of the
+        service time; 0 makes all service times equal.
+    :param log_level: log level of the daemons.
     """
 
     folder: Path
@@ -39,12 +49,12 @@
 
 
 class Fleet:
-    """All processes of one deployment."""
+    """The processes of one deployment, by instance or target name."""
 
     def __init__(self, cfg: Config, settings: FleetSettings) -> None:
         """Create a fleet without processes.
 
-        :param cfg: what to launch and to publish.
+        :param cfg: the configuration to launch and to publish.
         :param settings: how to launch it.
         """
         self.cfg = cfg
@@ -56,7 +66,7 @@
         self._ended: set[str] = set()
 
     async def start(self) -> None:
-        """Start everything and wait until it serves.
+        """Start all processes and wait until they serve.
 
         :raises BenchError: a process has ended or is not ready in time.
         """
@@ -73,7 +83,7 @@
             await self._start_daemons()
 
     def live_instances(self) -> list[Instance]:
-        """Return the instances whose daemons were not ended here."""
+        """Return the instances whose daemons were not killed or stopped."""
         return [
             instance
             for name, instance in self.cfg.instances.items()
@@ -81,7 +91,7 @@
         ]
 
     def live_targets(self) -> list[Target]:
-        """Return the targets that were not ended here."""
+        """Return the targets that were not killed or stopped."""
         return [
             target
             for name, target in self.cfg.targets.items()
@@ -89,7 +99,7 @@
         ]
 
     def kill(self, name: str) -> None:
-        """End a daemon or target as by kill -9.
+        """Kill a daemon or target with SIGKILL.
 
         :param name: name of the instance or target.
         """
@@ -97,7 +107,7 @@
         self._processes.kill(name)
 
     async def stop(self, name: str) -> bool:
-        """Stop a daemon or target; True when it ended well in time.
+        """Stop a daemon or target; True if it ended with status 0 in time.
 
         :param name: name of the instance or target.
         """
@@ -122,7 +132,7 @@
         return self._processes.pid(name)
 
     def close(self) -> None:
-        """End every process that still runs."""
+        """Kill every process that still runs."""
         self.publisher.close()
         self._processes.kill_all()
 
@@ -140,7 +150,8 @@
             (name, self._daemon_args(instance), instance.operator, '/status')
             for name, instance in instances.items()
         )
-        # One serves only once it has heard from others.
+        # A daemon serves only after it has heard from other daemons, so this
+        # wait comes after all of them have started.
         await gather(self._await_serving, instances.values())
 
     async def _await_serving(self, instance: Instance) -> None:
--- a/src/clementinedeal_bench/_fleet_watch.py
+++ b/src/clementinedeal_bench/_fleet_watch.py
@@ -1,4 +1,4 @@
-"""Waits until daemons report a change."""
+"""Waits until daemons report a change, and counts executions of targets."""
 
 import time
 from collections.abc import Sequence
@@ -18,10 +18,12 @@
 
 
 async def await_version(instances: Sequence[Instance], version: int) -> int:
-    """Wait until a version is in force; return at how many daemons it is.
+    """Wait until daemons use a configuration version; return how many do.
+
+    Returns early once all of them do, else after ``VERSION_TIMEOUT_SECONDS``.
 
     :param instances: the daemons to ask.
-    :param version: the version, or a higher one.
+    :param version: the lowest version to wait for.
     """
     deadline = time.monotonic() + VERSION_TIMEOUT_SECONDS
     daemons_at_version = 0
@@ -36,9 +38,9 @@
 
 
 async def await_not_in_use(owner: Instance, target: Target) -> None:
-    """Wait until a target's owner no longer reports it in use.
+    """Wait until a target's owner reports it as no longer in use.
 
-    :param owner: the daemon beside the target.
+    :param owner: the daemon beside the target, which reports its state.
     :param target: the target.
     """
     state = IN_USE
@@ -49,7 +51,7 @@
 
 
 async def count_executions(targets: Sequence[Target]) -> dict[str, int]:
-    """Return how many executions each target began, by target name.
+    """Return the number of executions that each target began, by name.
 
     :param targets: the targets to ask.
     """
--- a/src/clementinedeal_bench/_gray_failures.py
+++ b/src/clementinedeal_bench/_gray_failures.py
@@ -1,4 +1,8 @@
-"""Gray failures of a stand-in target: modes and what each does to a request."""
+"""Gray failures of a stand-in target.
+
+A target with a gray failure passes its health probes while it serves requests
+slowly, wrongly or not at all.
+"""
 
 import enum
 import random
@@ -6,7 +10,15 @@
 
 
 class GrayMode(enum.Enum):
-    """How a target misbehaves; probes stay good but for ``MISLEADING``."""
+    """How a target misbehaves.
+
+    ``SLOW`` multiplies the service time, ``WRONG`` sends a wrong answer,
+    ``SHORT`` closes the connection in the middle of the body, ``LATE`` holds
+    back a finished answer, ``HANG`` never answers, and ``FLAP`` alternates
+    between another mode and healthy. In these modes probes and load reports
+    stay correct. ``MISLEADING`` serves requests well, but its probes fail and
+    its load reports are wrong.
+    """
 
     HEALTHY = 'healthy'
     SLOW = 'slow'
@@ -19,7 +31,11 @@
 
 
 class WrongAnswerKind(enum.Enum):
-    """What is wrong with a wrong answer."""
+    """What is wrong with an answer in mode ``WRONG``.
+
+    ``STATUS`` is a status of 500, ``BODY`` a body that does not match its
+    digest, ``REQUEST_ID`` the request id of another request.
+    """
 
     STATUS = 'status'
     BODY = 'body'
@@ -28,12 +44,15 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class GraySettings:
-    """A mode and its figures.
-
-    ``share`` is the part of requests affected, ``factor`` multiplies the
-    service time of ``SLOW``, ``late`` seconds hold back an answer that is
-    ready, ``period`` is the length in seconds of each half of ``FLAP``, and
-    ``flap_mode`` the mode of the bad half.
+    """A mode and its parameters, as set over ``PUT /control/mode``.
+
+    :param mode: the current mode.
+    :param share: fraction of requests that are affected, 0 to 1.
+    :param factor: multiplies the service time in mode ``SLOW``.
+    :param wrong: what is wrong with the answers in mode ``WRONG``.
+    :param late: seconds for which mode ``LATE`` holds back an answer.
+    :param period: seconds of each half of ``FLAP``, faulty and healthy.
+    :param flap_mode: mode during the faulty half of ``FLAP``.
     """
 
     mode: GrayMode = GrayMode.HEALTHY
@@ -47,7 +66,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class InjectedFaults:
-    """What happens to one request."""
+    """Faults to apply to one request; the defaults apply none.
+
+    :param service_time_factor: multiplies the service time.
+    :param wrong_kind: what is wrong with the answer, ``None`` for nothing.
+    :param is_cut_short: whether the connection closes within the body.
+    :param late_seconds: delay between the end of the work and the answer.
+    :param hangs: whether the request is never answered.
+    """
 
     service_time_factor: float = 1.0
     wrong_kind: WrongAnswerKind | None = None
@@ -57,10 +83,10 @@
 
 
 class FaultInjector:
-    """Decides the fate of each request from the mode, time and a seed."""
+    """Chooses the faults of each request from mode, time and a seed."""
 
     def __init__(self, seed: int) -> None:
-        """Start healthy.
+        """Start in mode ``HEALTHY``.
 
         :param seed: makes the choice of affected requests repeatable.
         """
@@ -69,16 +95,16 @@
         self._rng = random.Random(seed)
 
     def configure(self, settings: GraySettings, now: float) -> None:
-        """Change the mode; a flap begins with its bad half.
+        """Change the mode; ``FLAP`` begins with its faulty half.
 
-        :param settings: the new mode and figures.
+        :param settings: the new mode and its parameters.
         :param now: monotonic seconds.
         """
         self.settings = settings
         self._configured_at = now
 
     def current_mode(self, now: float) -> GrayMode:
-        """Return the mode that acts at this moment.
+        """Return the mode in effect, with ``FLAP`` resolved to its half.
 
         :param now: monotonic seconds.
         """
@@ -90,7 +116,7 @@
         return GrayMode.HEALTHY
 
     def choose_faults(self, now: float) -> InjectedFaults:
-        """Decide the fate of the next request.
+        """Return the faults of the next request.
 
         :param now: monotonic seconds.
         """
--- a/src/clementinedeal_bench/_model_targets.py
+++ b/src/clementinedeal_bench/_model_targets.py
@@ -1,4 +1,8 @@
-"""Targets in virtual time: service times, slots and gray failures."""
+"""Simulated targets in virtual time, with service times, slots and faults.
+
+They stand for real targets in the detection bench: each has a fixed number of
+slots, log-normal service times, short stalls, and one fault from an onset on.
+"""
 
 import enum
 import heapq
@@ -9,19 +13,25 @@
 from clementinedeal._target_health import OutcomeKind, RequestOutcome
 
 MEAN_SERVICE_SECONDS = 0.025
+# standard deviation of the logarithm of the service time
 SERVICE_TIME_SIGMA = 0.4
 SLOTS = 7
 TIMEOUT_SECONDS = 10.0
-BASE_ERROR_FRACTION = 0.001
-WRONG_FRACTION = 0.1
-FLAP_PHASE_SECONDS = 10.0
+BASE_ERROR_FRACTION = 0.001  # errors of a healthy target
+WRONG_FRACTION = 0.1  # wrong answers in TENTH_WRONG
+FLAP_PHASE_SECONDS = 10.0  # length of each failing or healthy phase
 MEAN_STALL_INTERVAL_SECONDS = 60.0
 STALL_SECONDS = 0.2
+# Healthy targets differ in their mean service time by up to this factor.
 MAX_SERVICE_TIME_FACTOR = 1.25
 
 
 class FaultMode(enum.Enum):
-    """How a target behaves from the onset of its fault."""
+    """Fault of a target from its onset on.
+
+    ``ALL_SLOW`` slows every target of the service alike, which is no fault of
+    a single target; it must not lead to an ejection.
+    """
 
     HEALTHY = 'healthy'
     SLOW_3 = 'slow-3x'
@@ -42,7 +52,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ServedRequest:
-    """One request at a target: when it starts and how it ends."""
+    """A request that a target has accepted.
+
+    ``started_at`` and ``ends_at`` are virtual times in seconds; between arrival
+    and ``started_at`` the request waits for a slot.
+    """
 
     started_at: float
     ends_at: float
@@ -50,16 +64,20 @@
 
 
 class ModelTarget:
-    """One target with slots; healthy ones differ in speed and stall."""
+    """A target with a fixed number of slots.
+
+    Healthy targets also differ in their mean service time, fail now and then,
+    and stall as a whole for ``STALL_SECONDS`` at random times.
+    """
 
     def __init__(
         self, mode: FaultMode, onset_at: float, rng: random.Random
     ) -> None:
-        """Start idle.
+        """Create an idle target.
 
-        :param mode: fault from the onset on.
-        :param onset: virtual time in seconds.
-        :param rng: source of all its randomness.
+        :param mode: fault of the target.
+        :param onset_at: virtual time in seconds at which the fault begins.
+        :param rng: source of all randomness of this target.
         """
         self.mode = mode
         self.onset_at = onset_at
@@ -75,7 +93,7 @@
         self._stall_at = rng.expovariate(1 / MEAN_STALL_INTERVAL_SECONDS)
 
     def serve(self, now: float) -> ServedRequest:
-        """Return what becomes of a request that arrives now.
+        """Accept a request and return when and how it will end.
 
         :param now: virtual time in seconds.
         """
@@ -98,7 +116,7 @@
         return seconds + self._remaining_stall_seconds(started_at)
 
     def _remaining_stall_seconds(self, started_at: float) -> float:
-        """Seconds left of a stall of the whole target."""
+        """Return the seconds for which the target is still stalled."""
         if started_at >= self._stall_at + STALL_SECONDS:
             interval = self._rng.expovariate(1 / MEAN_STALL_INTERVAL_SECONDS)
             self._stall_at = started_at + interval
--- a/src/clementinedeal_bench/_platform.py
+++ b/src/clementinedeal_bench/_platform.py
@@ -1,4 +1,8 @@
-"""State of the platform stand-in: values, instance list, modes, read cap."""
+"""State of the platform stand-in: values, instance list, modes, read limit.
+
+The platform is the external store from which daemons read their configuration
+and the list of instances.
+"""
 
 import enum
 from collections import deque
@@ -12,7 +16,12 @@
 
 
 class PlatformMode(enum.Enum):
-    """How the stand-in answers readers."""
+    """How the stand-in answers readers.
+
+    ``DOWN`` gives no answer, ``STALE`` keeps serving the values that were
+    visible when the mode was set, ``SLOW`` delays each answer, and ``FLAPPING``
+    alternates between down and up.
+    """
 
     UP = 'up'
     DOWN = 'down'
@@ -23,7 +32,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class PlatformSettings:
-    """Mode and its figures, in seconds; ``lag`` delays the instance list."""
+    """A mode and its parameters, as set over ``PUT /operator/mode``.
+
+    :param mode: the current mode.
+    :param slow: seconds by which ``SLOW`` delays each answer.
+    :param flap_period: seconds of each half of ``FLAPPING``, down and up.
+    :param lag: seconds until readers see a new instance list, in any mode.
+    """
 
     mode: PlatformMode = PlatformMode.UP
     slow: float = 1.0
@@ -33,7 +48,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PublishedValue:
-    """One published body; ``visible`` is when readers first see it."""
+    """One version of a value.
+
+    ``visible_at`` is the monotonic time in seconds from which readers see it.
+    """
 
     version: int
     body: bytes
@@ -42,7 +60,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadCounters:
-    """Reads since the start: ``peak`` is the most in any second."""
+    """Counts of reads since the start, as served to operators.
+
+    :param reads: reads that were admitted.
+    :param refused: reads that were refused over the limit.
+    :param waiting: watches that wait now.
+    :param peak: the highest load in any second.
+    """
 
     reads: int = 0
     refused: int = 0
@@ -51,14 +75,18 @@
 
 
 class ReadLimiter:
-    """Counts calls of the last second and the watches older than that."""
+    """Limits the reads per second of all readers together.
+
+    The load is the number of calls admitted within the last second plus the
+    number of watches that have waited for longer.
+    """
 
     def __init__(
         self, max_reads_per_second: int = MAX_READS_PER_SECOND
     ) -> None:
-        """Start at zero.
+        """Create a limiter without calls.
 
-        :param limit: reads allowed in a second, waiting watches included.
+        :param max_reads_per_second: highest load, waiting watches included.
         """
         self._max_reads_per_second = max_reads_per_second
         self._call_times: deque[float] = deque()
@@ -68,7 +96,7 @@
         self._peak = 0
 
     def admit(self, now: float) -> int | None:
-        """Count a call and return its number, or None over the limit.
+        """Admit a call and return its number, or None over the limit.
 
         :param now: monotonic seconds.
         """
@@ -82,17 +110,17 @@
         return self._reads
 
     def start_watch(self, call_number: int, now: float) -> None:
-        """Note that an admitted call waits.
+        """Record that an admitted call waits for a newer version.
 
-        :param call: number of the call.
+        :param call_number: what ``admit`` returned.
         :param now: monotonic seconds.
         """
         self._watch_starts[call_number] = now
 
     def end_watch(self, call_number: int) -> None:
-        """Note that a watch has ended.
+        """Record that a call no longer waits.
 
-        :param call: number of the call.
+        :param call_number: what ``admit`` returned.
         """
         self._watch_starts.pop(call_number, None)
 
@@ -117,19 +145,22 @@
 
 @dataclass(slots=True)
 class _Snapshot:
-    """What a stale platform goes on serving."""
+    """Values that a stale platform keeps serving, by name."""
 
     taken_at: float
     values: dict[str, PublishedValue] = field(default_factory=dict)
 
 
 class Platform:
-    """Published values and the instance list, as readers see them."""
+    """Published values by name, as readers see them.
+
+    The instance list is a value as well.
+    """
 
     def __init__(self, settings: PlatformSettings) -> None:
         """Create an empty platform.
 
-        :param settings: mode and figures to begin with.
+        :param settings: the first mode and its parameters.
         """
         self.settings = settings
         self._versions: dict[str, deque[PublishedValue]] = {}
@@ -137,9 +168,9 @@
         self._configured_at = 0.0
 
     def configure(self, settings: PlatformSettings, now: float) -> None:
-        """Change the mode; a stale one keeps what is readable now.
+        """Change the mode; ``STALE`` keeps the values visible now.
 
-        :param settings: the new mode and figures.
+        :param settings: the new mode and its parameters.
         :param now: monotonic seconds.
         """
         newest = {}
@@ -161,12 +192,15 @@
         """Publish a body as the next version of a name.
 
         :param name: name of the value.
-        :param body: content, at most a megabyte.
+        :param body: content of at most ``MAX_VALUE_BYTES``.
         :param now: monotonic seconds.
-        :param lag: seconds until readers see it.
+        :param lag_seconds: delay until readers see it.
         """
         if len(body) > MAX_VALUE_BYTES:
-            return Err(f'{name}: {len(body)} bytes, over {MAX_VALUE_BYTES}')
+            return Err(
+                f'value {name}: {len(body)} bytes, expected at most '
+                f'{MAX_VALUE_BYTES}'
+            )
         versions = self._versions.setdefault(name, deque())
         version = versions[-1].version + 1 if versions else 1
         published = PublishedValue(version, body, now + lag_seconds)
@@ -174,7 +208,7 @@
         return Ok(published)
 
     def read(self, name: str, now: float) -> PublishedValue | None:
-        """Return what a reader sees now.
+        """Return the version that a reader sees, None if there is none.
 
         :param name: name of the value.
         :param now: monotonic seconds.
@@ -184,7 +218,7 @@
         return self._newest_visible(name, now)
 
     def is_down(self, now: float) -> bool:
-        """Tell whether readers get no answer now.
+        """Return whether readers get no answer now.
 
         :param now: monotonic seconds.
         """
@@ -196,7 +230,7 @@
         return self.settings.mode is PlatformMode.DOWN
 
     def answer_delay_seconds(self) -> float:
-        """Return the seconds by which each answer is delayed."""
+        """Return the delay of each answer."""
         if self.settings.mode is PlatformMode.SLOW:
             return self.settings.slow
         return 0
--- a/src/clementinedeal_bench/_platform_server.py
+++ b/src/clementinedeal_bench/_platform_server.py
@@ -1,4 +1,9 @@
-"""HTTP side of the platform stand-in."""
+"""HTTP server of the platform stand-in.
+
+Readers use ``GET /instances`` and ``GET /values/NAME``; with the query
+parameters ``after`` (a version) and ``wait`` (seconds) the answer waits for a
+newer version. Tests publish and set modes under ``/operator/``.
+"""
 
 from dataclasses import asdict
 
@@ -19,39 +24,41 @@
 INSTANCES_PATH = '/instances'
 OPERATOR_PREFIX = '/operator'
 INSTANCES_NAME = '/instances'
-MAX_WAIT_SECONDS = 60.0
+MAX_WAIT_SECONDS = 60.0  # longest wait of a watch, whatever it asks for
+# A waiting watch also checks at this interval, for values that become visible
+# after their lag and for changes of a flapping mode.
 RECHECK_INTERVAL_SECONDS = 0.1
 MAX_CONNECTIONS = 4096
 
 
 class ListedInstance(msgspec.Struct, frozen=True):
-    """One entry of the instance list; ``state`` is live or leaving."""
+    """An instance in the list; ``state`` is ``live`` or ``leaving``."""
 
     name: str
     state: str
 
 
 class InstanceListBody(msgspec.Struct, frozen=True):
-    """The instance list as an operator puts it."""
+    """The instance list as published by an operator."""
 
     instances: tuple[ListedInstance, ...]
 
 
 class VersionedInstanceListBody(msgspec.Struct, frozen=True):
-    """The instance list as readers see it."""
+    """The instance list as served to readers."""
 
     version: int
     instances: tuple[ListedInstance, ...]
 
 
 class PlatformServer:
-    """Answers readers, and the operator's side of the tests."""
+    """Answers readers of the platform and the operator calls of tests."""
 
     def __init__(self, platform: Platform, read_limiter: ReadLimiter) -> None:
-        """Serve a platform.
+        """Create a server.
 
-        :param platform: the state served.
-        :param meter: the cap over all readers.
+        :param platform: the values and the mode to serve.
+        :param read_limiter: limits the reads of all readers together.
         """
         self._platform = platform
         self._read_limiter = read_limiter
@@ -187,7 +194,7 @@
 
     :param host: address to listen on.
     :param port: port to listen on.
-    :param settings: mode and figures to begin with.
+    :param settings: the first mode and its parameters.
     """
     platform = PlatformServer(Platform(settings), ReadLimiter())
     server = WebServer(platform.handle, MAX_CONNECTIONS)
--- a/src/clementinedeal_bench/_processes.py
+++ b/src/clementinedeal_bench/_processes.py
@@ -1,4 +1,4 @@
-"""Child processes of the launcher, each ended by its own id."""
+"""Child processes of the fleet launcher."""
 
 import signal
 import subprocess
@@ -13,12 +13,15 @@
 
 
 class Processes:
-    """Starts named processes with a log file each, and ends just those."""
+    """Starts named processes with a log file each, and ends them.
+
+    It signals only processes that it has started, each by its id.
+    """
 
     def __init__(self, folder: Path) -> None:
-        """Create an empty set.
+        """Create an empty set of processes.
 
-        :param folder: existing folder for the log files; old ones are removed.
+        :param folder: existing folder for log files; old ones are removed.
         """
         self._folder = folder
         self._running: dict[str, subprocess.Popen[bytes]] = {}
@@ -28,7 +31,7 @@
     def start(self, name: str, args: list[str]) -> int:
         """Start a process and return its id.
 
-        :param name: its name here; also names its log file.
+        :param name: name of the process and of its log file.
         :param args: the command line.
         """
         with self._log_path(name).open('ab') as log:
@@ -44,36 +47,40 @@
     def pid(self, name: str) -> int:
         """Return the id of a process.
 
-        :param name: its name here.
+        :param name: name of the process.
         """
         return self._running[name].pid
 
     def check_running(self, name: str) -> None:
-        """Raise unless a process runs.
+        """Raise if a process has ended.
 
-        :param name: its name here.
-        :raises BenchError: it has ended; gives the end of its log.
+        :param name: name of the process.
+        :raises BenchError: it has ended; the message ends with its log's tail.
         """
         code = self._running[name].poll()
         if code is not None:
             tail = self._log_path(name).read_text(errors='replace')[
                 -LOG_TAIL_CHARS:
             ]
-            raise BenchError(f'{name} ended with {code}: {tail.strip()}')
+            raise BenchError(
+                f'{name}: process ended with status {code}: {tail.strip()}'
+            )
 
     def kill(self, name: str) -> None:
-        """End a process at once, as by kill -9.
+        """Kill a process with SIGKILL.
 
-        :param name: its name here.
+        :param name: name of the process.
         """
         process = self._running.pop(name)
         process.kill()
         process.wait()
 
     async def stop(self, name: str) -> bool:
-        """Ask a process to stop; True when it ended with status 0 in time.
+        """Stop a process with SIGTERM; True if it ended with status 0 in time.
+
+        A process that has not ended after ``STOP_TIMEOUT_SECONDS`` is killed.
 
-        :param name: its name here.
+        :param name: name of the process.
         """
         process = self._running.pop(name)
         process.send_signal(signal.SIGTERM)
@@ -87,7 +94,7 @@
         return code == 0
 
     def kill_all(self) -> None:
-        """End every process that still runs."""
+        """Kill every process that still runs."""
         for name in tuple(self._running):
             self.kill(name)
 
--- a/src/clementinedeal_bench/_publisher.py
+++ b/src/clementinedeal_bench/_publisher.py
@@ -18,7 +18,11 @@
 
 
 class Publisher:
-    """Puts values and the instance list, each part once."""
+    """Publishes configurations and the instance list.
+
+    A configuration consists of a root and of parts; a part that is already
+    published is not sent again.
+    """
 
     def __init__(self, address: str) -> None:
         """Create a publisher.
@@ -30,10 +34,10 @@
         self._published_parts: set[str] = set()
 
     async def publish(self, cfg: Config) -> int:
-        """Publish a configuration and return the bytes put.
+        """Publish a configuration and return the number of bytes sent.
 
-        :param cfg: a checked configuration.
-        :raises BenchError: the platform refused a value.
+        :param cfg: a valid configuration.
+        :raises BenchError: the platform has refused a value.
         """
         packed = pack(cfg)
         if isinstance(packed, Err):
@@ -51,7 +55,7 @@
         """Publish the list of instances.
 
         :param states: ``live`` or ``leaving`` by instance name.
-        :raises BenchError: the platform refused the list.
+        :raises BenchError: the platform has refused the list.
         """
         listed = InstanceListBody(
             tuple(ListedInstance(*entry) for entry in sorted(states.items())),
@@ -70,5 +74,8 @@
             raise BenchError(f'{where}: {found.err_value.detail}')
         if found.ok_value.status != OK_STATUS:
             status = found.ok_value.status
-            raise BenchError(f'platform refused {path}: status {status}')
+            raise BenchError(
+                f'platform refused {path}: status {status}, '
+                f'expected {OK_STATUS}'
+            )
         return found.ok_value
--- a/src/clementinedeal_bench/_report.py
+++ b/src/clementinedeal_bench/_report.py
@@ -1,4 +1,4 @@
-"""What a demo run showed: counts for each step and checks of the whole."""
+"""Report of a demo run: counts of each step and checks of the whole run."""
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
@@ -27,12 +27,20 @@
     ('authorization', 'x-api-key', 'proxy-authorization')
 )
 MAX_SHOWN_VIOLATIONS = 3
-ADMISSION_TO_START_SECONDS = 0.1  # widens the burst seen at the targets
+# Longest time from the admission of a request to its start at a target. Targets
+# may see a burst that is larger by what the account's rate admits in this time.
+ADMISSION_TO_START_SECONDS = 0.1
 
 
 @dataclass(slots=True)
 class DemoStep:
-    """One step of the demo: calls that were due from its begin to its end."""
+    """One step of the demo, with the calls that were due during it.
+
+    :param name: name of the step.
+    :param started_at: monotonic seconds.
+    :param ended_at: monotonic seconds.
+    :param notes: lines for the report.
+    """
 
     name: str
     started_at: float
@@ -42,7 +50,7 @@
     def calls(self, records: Iterable[CallRecord]) -> list[CallRecord]:
         """Return the calls of the step.
 
-        :param records: the whole history.
+        :param records: the calls of the whole run.
         """
         return [
             call
@@ -52,10 +60,10 @@
 
 
 def step_lines(step: DemoStep, records: Sequence[CallRecord]) -> list[str]:
-    """Describe a step in a few lines.
+    """Return the lines of the report about a step.
 
     :param step: the step.
-    :param records: the whole history.
+    :param records: the calls of the whole run.
     """
     counts = summarize(step.calls(records))
     seconds = step.ended_at - step.started_at
@@ -75,11 +83,13 @@
     records: Sequence[CallRecord],
     executions: Sequence[Execution],
 ) -> list[str]:
-    """Check the whole run and describe what was found.
+    """Check the whole run and return a line for each check.
 
-    :param cfg: rates and routes that were in force.
-    :param records: what callers saw.
-    :param executions: what targets ran, as far as they could be asked.
+    A line begins with ``ok`` or ``FAULT``.
+
+    :param cfg: the configuration that was in force.
+    :param records: the calls of the whole run.
+    :param executions: the executions of all targets that could be asked.
     """
     events = _history_events(cfg, records, executions)
     limits = {
@@ -94,17 +104,22 @@
     ]
     return [
         _check_line(
-            'non-idempotent work ran twice', check_at_most_once(events)
+            'non-idempotent requests executed twice', check_at_most_once(events)
+        ),
+        _check_line(
+            'requests with verdict not-run that were executed',
+            check_not_run(events),
+        ),
+        _check_line(
+            'rate and burst of an account exceeded', check_rates(events, limits)
         ),
-        _check_line('"not run" that ran', check_not_run(events)),
-        _check_line('more than rate and burst', check_rates(events, limits)),
-        _check_line('answers not whole or not own', wrong_answers),
-        _check_line('executions that saw a key', with_credentials),
+        _check_line('answers damaged or of another request', wrong_answers),
+        _check_line('executions that received credentials', with_credentials),
     ]
 
 
 def caller_request_of(run: Execution) -> str:
-    """Return the caller's mark of an execution.
+    """Return the caller's id of the request that was executed.
 
     :param run: the execution.
     """
@@ -162,7 +177,7 @@
     shown = '; '.join(
         _describe(example) for example in violations[:MAX_SHOWN_VIOLATIONS]
     )
-    return f'   FAULT {fault}: {len(violations)}, such as {shown}'
+    return f'   FAULT {fault}: {len(violations)}, for example {shown}'
 
 
 def _describe(found: object) -> str:
--- a/src/clementinedeal_bench/_scenario.py
+++ b/src/clementinedeal_bench/_scenario.py
@@ -1,4 +1,4 @@
-"""Settings of the load caller, read from YAML."""
+"""Scenarios of the load caller, read from YAML."""
 
 from pathlib import Path
 
@@ -15,10 +15,15 @@
     kw_only=True,
     forbid_unknown_fields=True,
 ):
-    """One kind of request; ``weight`` is its share of an account's traffic.
-
-    ``body_bytes`` of body are sent, ``timeout_ms`` is the caller's patience
-    and, with ``idempotency_key``, each request carries a fresh key.
+    """One kind of request of an account.
+
+    :param service: name of the service, for the records.
+    :param path: path, with or without a query.
+    :param method: HTTP method.
+    :param weight: how often the kind is chosen, relative to the others.
+    :param body_bytes: length of the body.
+    :param idempotency_key: whether each request carries a new idempotency key.
+    :param timeout_ms: timeout that the request states, in milliseconds.
     """
 
     service: str
@@ -36,10 +41,14 @@
     kw_only=True,
     forbid_unknown_fields=True,
 ):
-    """Traffic of one client account.
-
-    Either ``rate`` requests a second arrive at random (open loop), or each
-    of ``workers`` sends its next request after an answer (closed loop).
+    """Traffic of one client account; either ``rate`` or ``workers`` is set.
+
+    :param requests: the kinds of request to choose from.
+    :param key: API key; empty sends none.
+    :param rate: requests per second at random times, independent of the
+        answers (open loop).
+    :param workers: number of senders that each send the next request after the
+        answer to the one before (closed loop).
     """
 
     requests: tuple[RequestKind, ...]
@@ -54,7 +63,13 @@
     kw_only=True,
     forbid_unknown_fields=True,
 ):
-    """A whole run; ``daemons`` are caller addresses (``ip:port``)."""
+    """One run of the load caller.
+
+    :param daemons: caller addresses of the daemons, ``ip:port``.
+    :param accounts: traffic by account name.
+    :param seconds: length of the run.
+    :param seed: makes the random choices repeatable.
+    """
 
     daemons: tuple[str, ...]
     accounts: dict[str, AccountLoad]
@@ -65,7 +80,7 @@
 def load_scenario(path: str) -> Result[Scenario, BenchError]:
     """Read and check a scenario.
 
-    :param path: the YAML file.
+    :param path: path of the YAML file.
     """
     try:
         raw = yaml.safe_load(Path(path).read_text(encoding='utf-8'))
@@ -78,15 +93,17 @@
 
 
 def find_fault(scenario: Scenario) -> str:
-    """Return what is wrong with a scenario, empty if nothing is.
+    """Return what is wrong with a scenario, an empty text for nothing.
 
     :param scenario: the scenario.
     """
     if not scenario.daemons:
-        return 'daemons: at least one address is needed'
+        return 'daemons: expected at least one address'
     for name, load in scenario.accounts.items():
         if (load.rate > 0) == (load.workers > 0):
-            return f'accounts.{name}: give either rate or workers, above 0'
+            return f'accounts.{name}: expected either rate or workers above 0'
         if sum(kind.weight for kind in load.requests) <= 0:
-            return f'accounts.{name}.requests: weights must add up to above 0'
+            return (
+                f'accounts.{name}.requests: expected a sum of weights above 0'
+            )
     return ''
--- a/src/clementinedeal_bench/_simulated_platform.py
+++ b/src/clementinedeal_bench/_simulated_platform.py
@@ -1,4 +1,8 @@
-"""A platform under virtual time: replicas that lag, outages, counted reads."""
+"""A platform in virtual time, with stale replicas, outages and counted reads.
+
+``_platform`` is the stand-in that real daemons read over HTTP; this one serves
+views that are simulated within one process.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,7 +21,13 @@
 
 @dataclass(slots=True)
 class PendingWatch:
-    """A watch that was not answered yet."""
+    """A watch that has not been answered yet.
+
+    :param replica: index of the replica that answers.
+    :param after_version: the version that the watcher has.
+    :param expires_at: virtual time in seconds.
+    :param callback: called with the root, or ``None`` at the end.
+    """
 
     replica: int
     after_version: int
@@ -26,12 +36,16 @@
 
 
 class SimulatedPlatform:
-    """Values by replica; a stale replica keeps serving its last root."""
+    """Published values on several replicas.
+
+    Parts and the instance list are the same on all replicas; a stale replica
+    keeps serving the root that it had when it became stale.
+    """
 
     def __init__(self, replicas: int = 1) -> None:
         """Create an empty platform.
 
-        :param replicas: how many copies answer reads.
+        :param replicas: number of replicas that answer reads.
         """
         self.is_up = True
         self.reads: list[float] = []
@@ -44,16 +58,16 @@
         self._pending_watches: list[PendingWatch] = []
 
     def is_reachable(self, name: str) -> bool:
-        """Return whether reads by a daemon are answered.
+        """Return whether the platform answers the reads of a daemon.
 
         :param name: instance name.
         """
         return self.is_up and name not in self.unreachable_daemons
 
     def publish(self, publication: Publication) -> None:
-        """Make a version readable at all replicas that are not stale.
+        """Make a version readable on all replicas that are not stale.
 
-        :param publication: its values.
+        :param publication: root and parts of the version.
         """
         self._parts.update(publication.parts)
         self._newest_root = publication.root
@@ -64,9 +78,9 @@
         self._answer_ready_watches()
 
     def make_stale(self, replica: int) -> None:
-        """Let a replica fall behind from now on.
+        """Let a replica keep its current root from now on.
 
-        :param replica: which one.
+        :param replica: index, taken modulo the number of replicas.
         """
         self.stale_replicas.add(replica % len(self._roots))
 
@@ -77,11 +91,11 @@
         self._answer_ready_watches()
 
     def read(self, name: str, replica: int, now: float) -> object:
-        """Return a value, nothing where it is missing.
+        """Return a value, None where it is missing.
 
-        :param name: its name.
-        :param replica: which copy answers.
-        :param now: virtual seconds.
+        :param name: name of the value.
+        :param replica: index, taken modulo the number of replicas.
+        :param now: virtual time in seconds.
         """
         self.reads.append(now)
         if name == LIST_NAME:
@@ -98,13 +112,13 @@
         now: float,
         callback: WatchCallback,
     ) -> None:
-        """Answer once a root above a version is there, or at the end.
+        """Answer as soon as there is a newer root, or when the watch expires.
 
-        :param replica: which copy answers.
-        :param after: the version that the watcher has.
-        :param until: end of the watch in virtual seconds.
-        :param now: virtual seconds.
-        :param reply: called with the root, or nothing at the end.
+        :param replica: index, taken modulo the number of replicas.
+        :param after_version: the version that the watcher has.
+        :param expires_at: end of the watch, virtual time in seconds.
+        :param now: virtual time in seconds.
+        :param callback: called with the root, or ``None`` at the end.
         """
         self.reads.append(now)
         index = replica % len(self._roots)
@@ -114,9 +128,9 @@
         self._answer_ready_watches()
 
     def expire_watches(self, now: float) -> None:
-        """Answer the watches whose time is over.
+        """Answer the watches that have expired with ``None``.
 
-        :param now: virtual seconds.
+        :param now: virtual time in seconds.
         """
         expired = [
             watch for watch in self._pending_watches if watch.expires_at <= now
--- a/src/clementinedeal_bench/_slots.py
+++ b/src/clementinedeal_bench/_slots.py
@@ -1,19 +1,19 @@
-"""Slots of a stand-in target with a short queue before them."""
+"""Slots of a stand-in target, with a bounded queue for them."""
 
 import trio
 
 
 class SlotsFullError(Exception):
-    """All slots and queue places are taken."""
+    """All slots are in use and the queue is full."""
 
 
 class Slots:
-    """Counts requests in service and in the queue."""
+    """Limits the requests that are served and those that wait."""
 
     def __init__(self, slot_count: int, queue_limit: int) -> None:
         """Create free slots.
 
-        :param slots: requests served at once.
+        :param slot_count: requests served at once.
         :param queue_limit: requests that may wait.
         """
         self._free_slots = trio.Semaphore(slot_count)
@@ -23,13 +23,13 @@
 
     @property
     def in_use(self) -> int:
-        """Return the number of requests in service."""
+        """Return the number of requests that are being served."""
         return self._slot_count - self._free_slots.value
 
     async def acquire(self) -> None:
-        """Wait for a slot.
+        """Take a slot, waiting for one if needed.
 
-        :raises SlotsFullError: the queue is full.
+        :raises SlotsFullError: all slots are in use and the queue is full.
         """
         if self._free_slots.value:
             self._free_slots.acquire_nowait()
@@ -43,5 +43,5 @@
             self.queued -= 1
 
     def release(self) -> None:
-        """Give a slot back."""
+        """Release a slot."""
         self._free_slots.release()
--- a/src/clementinedeal_bench/_status_reader.py
+++ b/src/clementinedeal_bench/_status_reader.py
@@ -1,4 +1,4 @@
-"""Reads what daemons and targets say over HTTP."""
+"""Reads the status of daemons and the executions of targets over HTTP."""
 
 from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
@@ -21,14 +21,21 @@
 
 
 class OwnedTarget(msgspec.Struct, frozen=True):
-    """A target in its owner's status."""
+    """A target in the status of its owner, the daemon beside it."""
 
     name: str
     state: str
 
 
 class InstanceStatus(msgspec.Struct, frozen=True):
-    """The part of a daemon's status that the bench reads."""
+    """The fields of a daemon's ``/status`` that the bench reads.
+
+    :param instance: name of the daemon's instance.
+    :param config_version: configuration version in force.
+    :param preset: name of the preset in force.
+    :param serving: whether the daemon takes requests.
+    :param targets: the targets that the daemon owns.
+    """
 
     instance: str
     config_version: int
@@ -42,7 +49,7 @@
 
 
 async def get(address: str, path: str) -> bytes | None:
-    """Return the body of a GET, None unless it is answered with 200.
+    """Return the body of the answer to a GET, None unless its status is 200.
 
     :param address: ``ip:port``.
     :param path: path and query.
@@ -51,11 +58,11 @@
 
 
 async def put(address: str, path: str, body: bytes) -> bytes | None:
-    """Return the answer to a PUT, None unless it is answered with 200.
+    """Return the body of the answer to a PUT, None unless its status is 200.
 
     :param address: ``ip:port``.
     :param path: path and query.
-    :param body: what to put.
+    :param body: body of the request.
     """
     req = WebRequest(method='PUT', target=path, body=body)
     return await _request_body(address, req)
@@ -79,12 +86,12 @@
     timeout_seconds: float,
     check_running: Callable[[], None],
 ) -> None:
-    """Wait until a GET is answered with 200.
+    """Wait until a GET is answered with status 200.
 
     :param address: ``ip:port``.
     :param path: path and query.
-    :param seconds: patience.
-    :param check: raises when there is nothing to wait for.
+    :param timeout_seconds: longest wait.
+    :param check_running: raises if the process has ended.
     :raises BenchError: there is no such answer in time.
     """
     deadline = trio.current_time() + timeout_seconds
@@ -102,10 +109,10 @@
     job: Callable[[ItemT], Awaitable[FoundT]],
     items: Iterable[ItemT],
 ) -> list[FoundT]:
-    """Run a job for many items at once and return what they gave.
+    """Run a job for many items concurrently and return the results.
 
     :param job: called with each item.
-    :param items: the items.
+    :param items: the items; results come in the order of completion.
     """
     found: list[FoundT] = []
 
@@ -119,7 +126,7 @@
 
 
 async def read_status(instance: Instance) -> InstanceStatus | None:
-    """Return a daemon's status, None if it gives none.
+    """Return a daemon's status, None if it does not answer.
 
     :param instance: the daemon.
     """
@@ -128,7 +135,7 @@
 
 
 async def read_executions(target: Target) -> list[Execution] | None:
-    """Return a target's executions, None if it gives none.
+    """Return a target's executions, None if it does not answer.
 
     :param target: the target.
     """
--- a/src/clementinedeal_bench/_summary.py
+++ b/src/clementinedeal_bench/_summary.py
@@ -1,4 +1,4 @@
-"""Counts and latency percentiles of a history of calls."""
+"""Counts and latency percentiles of calls."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -15,7 +15,14 @@
 
 
 class LatencyPercentiles(msgspec.Struct, frozen=True):
-    """Percentiles of latency in milliseconds."""
+    """Percentiles of latency, in milliseconds.
+
+    :param count: number of latencies.
+    :param p50: 50th percentile.
+    :param p90: 90th percentile.
+    :param p99: 99th percentile.
+    :param most: maximum.
+    """
 
     count: int
     p50: float
@@ -25,7 +32,16 @@
 
 
 class Summary(msgspec.Struct, frozen=True):
-    """Counts of a group of calls; ``latency`` covers whole answers."""
+    """Counts of a group of calls, written as a JSON line.
+
+    :param account: name of the account, ``*`` for all.
+    :param service: name of the service, ``*`` for all.
+    :param requests: number of calls.
+    :param outcomes: number of calls by outcome.
+    :param reasons: number of refusals by reason.
+    :param verdicts: number of calls by verdict, where there was one.
+    :param latency: latency of the complete answers, from when each was due.
+    """
 
     account: str
     service: str
@@ -37,9 +53,9 @@
 
 
 def measure_latency(seconds: Iterable[float]) -> LatencyPercentiles:
-    """Return the percentiles of some durations.
+    """Return the percentiles of latencies.
 
-    :param seconds: the durations in seconds.
+    :param seconds: the latencies in seconds.
     """
     histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
     for duration in seconds:
@@ -59,8 +75,8 @@
     """Count a group of calls.
 
     :param records: the calls of the group.
-    :param account: label of the group.
-    :param service: label of the group.
+    :param account: name of their account, ``*`` for all.
+    :param service: name of their service, ``*`` for all.
     """
     calls = list(records)
     answered = [call for call in calls if call.outcome is CallOutcome.ANSWERED]
@@ -76,7 +92,7 @@
 
 
 def by_account_and_service(records: Iterable[CallRecord]) -> list[Summary]:
-    """Count calls for each account and service.
+    """Count the calls of each pair of account and service.
 
     :param records: the calls.
     """
--- a/src/clementinedeal_bench/_target.py
+++ b/src/clementinedeal_bench/_target.py
@@ -1,4 +1,9 @@
-"""HTTP side of the stand-in target."""
+"""HTTP server of the stand-in target.
+
+``/probe`` is the health probe, ``/load`` the load report, ``/cancel/ID``
+cancels a request, ``/control/`` is the interface of tests, and every other path
+is a request to the service.
+"""
 
 import json
 import math
@@ -34,12 +39,22 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class TargetSettings:
-    """Figures of one stand-in target.
-
-    Service times are log-normal with a median of ``service`` seconds and the
-    spread ``sigma``; zero makes them fixed. For the first ``cold`` seconds
-    they are multiplied by ``cold_factor``. A leaving target takes new work
-    for ``drain`` seconds more.
+    """Settings of one stand-in target.
+
+    :param name: target name, part of its answers and records.
+    :param host: address to listen on.
+    :param port: port to listen on; 0 for any.
+    :param slots: requests served at once.
+    :param queue_limit: requests that may wait for a slot.
+    :param max_connections: open connections; further ones are closed.
+    :param service_seconds: median of the log-normal service time.
+    :param service_time_sigma: standard deviation of the logarithm of the
+        service time; 0 makes all service times equal.
+    :param probe_seconds: time that a probe takes.
+    :param cold_seconds: how long after the start requests are slow.
+    :param cold_factor: multiplies the service time while cold.
+    :param drain_seconds: how long a leaving target still takes new work.
+    :param seed: makes service times and faults repeatable.
     """
 
     name: str
@@ -58,7 +73,11 @@
 
 
 class _ActiveRequest:
-    """One request from its arrival to its answer."""
+    """A request from its arrival to its answer.
+
+    ``execution`` is set once work has started; ``scope`` is cancelled at the
+    request's deadline or by a cancel call.
+    """
 
     def __init__(self, req: WebRequest) -> None:
         self.req = req
@@ -75,12 +94,16 @@
 
 
 class Target:
-    """Serves requests in slots, misbehaves on demand, and records its work."""
+    """A stand-in target: limited slots, injected faults, recorded executions.
+
+    Each request that starts work is recorded in ``execution_log``, which tests
+    compare with what callers and daemons report.
+    """
 
     def __init__(self, settings: TargetSettings) -> None:
-        """Create a target that is live from now on.
+        """Create a live target.
 
-        :param settings: its figures.
+        :param settings: limits, service times and seed.
         """
         self.settings = settings
         self.fault_injector = FaultInjector(settings.seed)
@@ -93,7 +116,7 @@
         self._active_requests: dict[str, _ActiveRequest] = {}
 
     async def handle(self, req: WebRequest) -> WebAnswer:
-        """Answer one request.
+        """Answer one request of any kind.
 
         :param req: the request.
         """
@@ -103,13 +126,16 @@
         return replace(answer, headers=(*answer.headers, LEAVING_HEADER))
 
     def begin_leaving(self) -> None:
-        """Begin to leave: say so in answers, then take no new work."""
+        """Announce in answers that the target leaves.
+
+        New requests are refused once ``drain_seconds`` have passed.
+        """
         if self._leaving_since is None:
             self._leaving_since = time.monotonic()
             self.leaving.set()
 
     def seconds_leaving(self) -> float:
-        """Return the seconds since the target began to leave."""
+        """Return the seconds since the target began to leave, else 0."""
         return (
             0
             if self._leaving_since is None
@@ -117,7 +143,7 @@
         )
 
     def is_drain_over(self) -> bool:
-        """Tell whether new work is refused because the target leaves."""
+        """Return whether new requests are refused because the target leaves."""
         return self._leaving_since is not None and (
             self.seconds_leaving() >= self.settings.drain_seconds
         )
@@ -265,9 +291,9 @@
 
 
 async def serve_target(settings: TargetSettings) -> None:
-    """Run a stand-in target until it has left after SIGTERM or a drain call.
+    """Run a stand-in target until it has drained, after SIGTERM or a call.
 
-    :param settings: figures of the target.
+    :param settings: settings of the target.
     """
     target = Target(settings)
     server = WebServer(target.handle, settings.max_connections)
--- a/src/clementinedeal_bench/_target_answer.py
+++ b/src/clementinedeal_bench/_target_answer.py
@@ -1,4 +1,4 @@
-"""Answers of the stand-in target, right and wrong ones."""
+"""Answers of the stand-in target, correct or with an injected fault."""
 
 import base64
 import hashlib
@@ -14,7 +14,16 @@
 
 
 class AnswerBody(msgspec.Struct, frozen=True):
-    """Body of every whole answer of a service."""
+    """Body of every complete answer to a service request.
+
+    It repeats the request, so that callers can check that the answer is theirs.
+
+    :param target: name of the target.
+    :param request_id: the ``x-request-id`` of the request.
+    :param method: method of the request.
+    :param path: path and query of the request.
+    :param body_sha256: hex digest of the request's body.
+    """
 
     target: str
     request_id: str
@@ -24,7 +33,7 @@
 
 
 def content_digest(body: bytes) -> str:
-    """Return the value of a content-digest header.
+    """Return the value of a ``content-digest`` header.
 
     :param body: the content.
     """
@@ -33,9 +42,9 @@
 
 
 def not_started_answer(cause: str) -> WebAnswer:
-    """Return a refusal of a request that was not and will not be started.
+    """Return the refusal of a request on which no work was or will be done.
 
-    :param cause: one word for the log of the caller.
+    :param cause: ``deadline``, ``cancelled``, ``leaving`` or ``full``.
     """
     return WebAnswer(
         status=503,
@@ -48,7 +57,7 @@
 
 
 def abandonment_answer(cause: str) -> WebAnswer:
-    """Return the answer to a request that was given up in service.
+    """Return the answer to a request whose work was started and abandoned.
 
     :param cause: ``deadline`` or ``cancelled``.
     """
@@ -58,11 +67,14 @@
 def service_answer(
     name: str, req: WebRequest, faults: InjectedFaults
 ) -> WebAnswer:
-    """Return the answer to a request that was served.
+    """Return the answer to a request whose work is done.
+
+    The query parameters ``status`` and ``bytes`` of the request set the status
+    and the least length of the body.
 
     :param name: name of the target.
     :param req: the request.
-    :param plan: what is to be wrong with the answer.
+    :param faults: faults to apply to the answer.
     """
     if faults.wrong_kind is WrongAnswerKind.STATUS:
         return WebAnswer(status=500, headers=_id_headers(req, faults))
--- a/src/clementinedeal_bench/_web_client.py
+++ b/src/clementinedeal_bench/_web_client.py
@@ -1,4 +1,4 @@
-"""Buffered HTTP client connections for the bench."""
+"""HTTP client connections of the bench, with whole messages in memory."""
 
 from dataclasses import dataclass
 
@@ -20,10 +20,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WebFailure:
-    """Why there is no whole answer.
+    """Why there is no complete answer.
 
-    ``status`` and ``headers`` are those of a broken answer, if its head came.
-    ``sent`` tells whether bytes of the request may have left.
+    :param detail: description of the failure.
+    :param may_have_been_sent: whether bytes of the request may have been sent.
+    :param status: status of an incomplete answer, 0 if no head was received.
+    :param headers: headers of an incomplete answer.
     """
 
     detail: str
@@ -33,19 +35,19 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Split ``ip:port``.
+    """Return host and port of an address.
 
-    :param address: the address.
-    :raises BenchError: it has another form.
+    :param address: ``ip:port``.
+    :raises BenchError: the address has another form.
     """
     host, _, port = address.rpartition(':')
     if not host or not port.isdigit():
-        raise BenchError(f'{address}: not an ip:port address')
+        raise BenchError(f'{address}: expected an address ip:port')
     return host, int(port)
 
 
 class WebClient:
-    """One kept-alive connection, opened when first used."""
+    """One kept-alive connection, opened with the first request."""
 
     def __init__(self, address: str) -> None:
         """Create a closed client.
@@ -58,11 +60,11 @@
         self._conn = h11.Connection(h11.CLIENT)
 
     async def request(self, req: WebRequest) -> Result[WebAnswer, WebFailure]:
-        """Send a request and read the whole answer.
+        """Send a request and read the complete answer.
 
         A cancelled or failed exchange closes the connection.
 
-        :param req: what to send; ``host`` and lengths are added.
+        :param req: the request; ``host`` and ``content-length`` are added.
         """
         try:
             stream = await self._ensure_stream()
@@ -83,14 +85,14 @@
         return Ok(answer)
 
     def close(self) -> None:
-        """Close the connection; the next request opens another."""
+        """Close the connection; the next request opens a new one."""
         if self._stream is not None:
             self._stream.socket.close()
             self._stream = None
 
     async def _ensure_stream(self) -> trio.SocketStream:
         if self._stream is not None and self._stream.socket.is_readable():
-            # Readable while idle: the server has closed.
+            # An idle connection is readable once the server has closed it.
             self.close()
         if self._stream is None:
             self._conn = h11.Connection(h11.CLIENT)
@@ -104,7 +106,7 @@
 
 
 class _Exchange:
-    """One request and its answer on a connection."""
+    """One request and its answer on an open connection."""
 
     def __init__(self, conn: h11.Connection, stream: trio.SocketStream) -> None:
         self._conn = conn
@@ -121,10 +123,12 @@
             elif isinstance(event, h11.Data):
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.ConnectionClosed):
-                raise h11.RemoteProtocolError('closed before the answer')
+                raise h11.RemoteProtocolError(
+                    'connection closed before the answer'
+                )
             event = await self._next_event()
         if self._head is None:
-            raise h11.RemoteProtocolError('no answer head')
+            raise h11.RemoteProtocolError('answer without a head')
         return WebAnswer(
             status=self._head.status_code,
             headers=text_headers(self._head.headers),
--- a/src/clementinedeal_bench/_web_messages.py
+++ b/src/clementinedeal_bench/_web_messages.py
@@ -1,4 +1,4 @@
-"""Requests and answers of the stand-ins, buffered whole."""
+"""Complete HTTP requests and answers of the stand-ins."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -9,7 +9,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WebRequest:
-    """One whole request; header names are in lower case."""
+    """One complete request.
+
+    :param method: HTTP method.
+    :param target: request target: encoded path and query.
+    :param headers: names in lower case, and values.
+    :param body: the whole body.
+    """
 
     method: str
     target: str
@@ -41,10 +47,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WebAnswer:
-    """One answer and how it is delivered.
-
-    ``chunked`` sends chunks in place of a content length. ``cut`` closes the
-    connection after so many body bytes. ``drop`` closes it without an answer.
+    """One answer and how it is sent.
+
+    :param status: HTTP status.
+    :param headers: names in lower case, and values.
+    :param body: the whole body.
+    :param chunked: whether the body is sent in chunks, without a length.
+    :param cut_after_bytes: closes the connection after this much of the body.
+    :param drop: closes the connection without an answer.
     """
 
     status: int = 200
@@ -66,7 +76,7 @@
 def first_header(headers: HeaderList, name: str, default: str) -> str:
     """Return the first value of a header in a list.
 
-    :param headers: pairs with names in lower case.
+    :param headers: names in lower case, and values.
     :param name: header name in lower case.
     :param default: returned when the header is absent.
     """
@@ -79,7 +89,7 @@
 def text_headers(headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
     """Decode the headers of an h11 event.
 
-    :param headers: headers as h11 gives them.
+    :param headers: names and values as bytes.
     """
     return tuple(
         (name.decode('latin-1'), field_value.decode('latin-1'))
--- a/src/clementinedeal_bench/_web_server.py
+++ b/src/clementinedeal_bench/_web_server.py
@@ -1,4 +1,4 @@
-"""Buffered HTTP server connections for the stand-ins."""
+"""HTTP server of the stand-ins, with whole messages in memory."""
 
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
@@ -21,7 +21,7 @@
 
 
 class ConnectionClosedError(Exception):
-    """The other end closed the connection."""
+    """The connection is closed, by the client or by this server."""
 
 
 PEER_ERRORS = (
@@ -35,8 +35,8 @@
 async def receive_into(conn: h11.Connection, stream: trio.abc.Stream) -> bool:
     """Pass received bytes to a connection; False at the end of the stream.
 
-    :param conn: the connection state.
-    :param stream: where to receive.
+    :param conn: state of the HTTP connection.
+    :param stream: stream to receive from.
     """
     blob = bytes(await stream.receive_some(RECEIVE_BYTES))
     conn.receive_data(blob)
@@ -46,8 +46,8 @@
 async def next_event(conn: h11.Connection, stream: trio.abc.Stream) -> object:
     """Return the next event of a connection, receiving as needed.
 
-    :param conn: the connection state.
-    :param stream: where to receive.
+    :param conn: state of the HTTP connection.
+    :param stream: stream to receive from.
     :raises h11.RemoteProtocolError: the peer violates HTTP or closes early.
     """
     event: object = conn.next_event()
@@ -58,16 +58,16 @@
 
 
 class ServerConnection:
-    """Serves requests of one connection, one after the other.
+    """Serves the requests of one connection, one after the other.
 
-    The handler is cancelled when the client closes while it runs.
+    The handler is cancelled when the client closes the connection.
     """
 
     def __init__(self, stream: trio.abc.Stream, handler: WebHandler) -> None:
         """Wrap an accepted stream.
 
-        :param stream: the connection.
-        :param handler: called with each whole request.
+        :param stream: the accepted stream.
+        :param handler: called with each complete request.
         """
         self._stream = stream
         self._handler = handler
@@ -77,7 +77,7 @@
         self._idle_scope = trio.CancelScope()
 
     async def serve(self) -> None:
-        """Serve until either end closes; never raises for peer faults."""
+        """Serve until either end closes; ``PEER_ERRORS`` are not raised."""
         try:
             with self._idle_scope:
                 await self._serve_all()
@@ -87,7 +87,7 @@
             await trio.aclose_forcefully(self._stream)
 
     def close_when_idle(self) -> None:
-        """Close when idle: now, or after the answer under way."""
+        """Close now if idle, else after the answer in progress."""
         self._is_closing = True
         if not self._is_busy:
             self._idle_scope.cancel()
@@ -180,13 +180,13 @@
 
 
 class WebServer:
-    """Serves the connections of listening sockets up to a limit."""
+    """Serves connections of listening sockets, up to a limit."""
 
     def __init__(self, handler: WebHandler, max_connections: int) -> None:
         """Create a server.
 
-        :param handler: called with each whole request.
-        :param connections: open connections allowed; further ones are closed.
+        :param handler: called with each complete request.
+        :param max_connections: open connections; further ones are closed.
         """
         self._handler = handler
         self._max_connections = max_connections
@@ -194,7 +194,7 @@
         self._connection_closed = trio.Event()
 
     async def close_when_idle(self) -> None:
-        """Close all connections, each after its answer under way."""
+        """Close every connection, after its answer in progress."""
         for conn in self._open:
             conn.close_when_idle()
         while self._open:
@@ -205,7 +205,7 @@
 
         :param host: address to listen on.
         :param port: port to listen on; 0 for any.
-        :raises BenchError: the address can not be used.
+        :raises BenchError: the address cannot be used.
         """
         try:
             return (await trio.open_tcp_listeners(port, host=host))[0]
--- a/tests/test_bench_caller.py
+++ b/tests/test_bench_caller.py
@@ -29,6 +29,7 @@
 
 
 async def run(nursery, handler, load: AccountLoad) -> list[CallRecord]:
+    """Run one account against a server and return its calls."""
     server = WebServer(handler, max_connections=50)
     listener = await server.listen('127.0.0.1', 0)
     nursery.start_soon(server.serve, listener)
@@ -60,6 +61,7 @@
 async def test_each_kind_of_answer_gets_its_outcome(
     nursery, monkeypatch, mode, outcome
 ):
+    """A damaged, failed or missing answer must not count as answered."""
     monkeypatch.setattr('clementinedeal_bench._caller.GRACE_SECONDS', 0.1)
     target = Target(TargetSettings(name='t', service_seconds=0))
     body = json.dumps(mode).encode()
--- a/tests/test_bench_platform.py
+++ b/tests/test_bench_platform.py
@@ -24,6 +24,7 @@
 
 
 def test_waiting_watches_count_against_the_read_limit() -> None:
+    """A watch that has waited for more than a second still counts as a call."""
     limiter = ReadLimiter()
     calls = [limiter.admit(0.0) for _ in range(MAX_READS_PER_SECOND)]
     assert None not in calls
--- a/tests/test_bench_web.py
+++ b/tests/test_bench_web.py
@@ -56,6 +56,7 @@
 
 
 async def test_a_client_that_disconnects_cancels_the_handler(client):
+    """A handler that keeps running would hold the only connection allowed."""
     with trio.move_on_after(0.05):
         await ask(client, 'GET', '/hang')
     with trio.fail_after(5):
--- a/tests/test_detection_bench.py
+++ b/tests/test_detection_bench.py
@@ -44,6 +44,7 @@
 
 
 def test_one_seed_gives_the_same_result_each_time() -> None:
+    """Policies are compared on equal seeds, which must fix all randomness."""
     runs = [
         DetectionRun(FaultMode.FAILING, 3, NoPolicy(), LOAD) for _ in range(2)
     ]
