--- a/src/clementinedeal_bench/_cli.py
+++ b/src/clementinedeal_bench/_cli.py
@@ -30,18 +30,18 @@
 
 PLATFORM_PORT = 20_900
 TARGET_PORT = 20_990
-PLATFORM = f'127.0.0.1:{PLATFORM_PORT}'
-LATENCY_PORT = 24_000
-PLATFORM_STEP = 90
-EXAMPLE = 'examples/freshwater.yaml'
+PLATFORM_ADDRESS = f'127.0.0.1:{PLATFORM_PORT}'
+LATENCY_BASE_PORT = 24_000
+PLATFORM_PORT_OFFSET = 90
+EXAMPLE_DECLARATION = 'examples/freshwater.yaml'
 
 
 def _define_platform(values: flags.FlagValues) -> None:
-    integer = functools.partial(flags.DEFINE_integer, flag_values=values)
+    define_integer = functools.partial(flags.DEFINE_integer, flag_values=values)
     flags.DEFINE_string(
         'host', '127.0.0.1', 'address to listen on', flag_values=values
     )
-    integer('port', PLATFORM_PORT, 'port to listen on')
+    define_integer('port', PLATFORM_PORT, 'port to listen on')
     flags.DEFINE_float(
         'lag', 0, 'delay of the instance list in seconds', flag_values=values
     )
@@ -53,20 +53,22 @@
 
 
 def _define_target(values: flags.FlagValues) -> None:
-    string = functools.partial(flags.DEFINE_string, flag_values=values)
-    integer = functools.partial(flags.DEFINE_integer, flag_values=values)
-    decimal = functools.partial(flags.DEFINE_float, flag_values=values)
-    string('name', 'target', 'name in answers and records')
-    string('host', '127.0.0.1', 'address to listen on')
-    integer('port', TARGET_PORT, 'port to listen on')
-    integer('slots', 7, 'requests served at once')
-    integer('queue', 7, 'requests that may wait for a slot')
-    integer('connections', 360, 'connections accepted')
-    decimal('service', 0.022, 'median service time in seconds')
-    decimal('sigma', 0.3, 'log-normal spread of the service time, 0: fixed')
-    decimal('cold', 0, 'seconds of slow service after the start')
-    decimal('drain', 2, 'seconds of new work while leaving')
-    integer('seed', 0, 'seed of service times and gray modes')
+    define_string = functools.partial(flags.DEFINE_string, flag_values=values)
+    define_integer = functools.partial(flags.DEFINE_integer, flag_values=values)
+    define_float = functools.partial(flags.DEFINE_float, flag_values=values)
+    define_string('name', 'target', 'name in answers and records')
+    define_string('host', '127.0.0.1', 'address to listen on')
+    define_integer('port', TARGET_PORT, 'port to listen on')
+    define_integer('slots', 7, 'requests served at once')
+    define_integer('queue', 7, 'requests that may wait for a slot')
+    define_integer('connections', 360, 'connections accepted')
+    define_float('service', 0.022, 'median service time in seconds')
+    define_float(
+        'sigma', 0.3, 'log-normal spread of the service time, 0: fixed'
+    )
+    define_float('cold', 0, 'seconds of slow service after the start')
+    define_float('drain', 2, 'seconds of new work while leaving')
+    define_integer('seed', 0, 'seed of service times and gray modes')
 
 
 def _run_target(values: flags.FlagValues, _rest: list[str]) -> None:
@@ -87,9 +89,9 @@
 
 
 def _define_load(values: flags.FlagValues) -> None:
-    string = functools.partial(flags.DEFINE_string, flag_values=values)
-    string('scenario', None, 'scenario file (YAML)', required=True)
-    string('history', '', 'file for the history of calls (JSON lines)')
+    define_string = functools.partial(flags.DEFINE_string, flag_values=values)
+    define_string('scenario', None, 'scenario file (YAML)', required=True)
+    define_string('history', '', 'file for the history of calls (JSON lines)')
 
 
 def _run_load(values: flags.FlagValues, _rest: list[str]) -> None:
@@ -107,35 +109,44 @@
 
 def _define_publish(values: flags.FlagValues) -> None:
     flags.DEFINE_string(
-        'platform', PLATFORM, 'address of the platform', flag_values=values
+        'platform',
+        PLATFORM_ADDRESS,
+        'address of the platform',
+        flag_values=values,
     )
 
 
-def _run_publish(values: flags.FlagValues, rest: list[str]) -> None:
-    if len(rest) != 1:
+def _run_publish(values: flags.FlagValues, positional: list[str]) -> None:
+    if len(positional) != 1:
         raise BenchError('name one declaration file')
-    trio.run(_publish, values.platform, read_declaration(rest[0]))
+    trio.run(_publish, values.platform, read_declaration(positional[0]))
 
 
 async def _publish(platform: str, cfg: Config) -> None:
     publisher = Publisher(platform)
-    total = await publisher.publish(cfg)
+    published_bytes = await publisher.publish(cfg)
     await publisher.list_instances(dict.fromkeys(cfg.instances, LIVE))
     publisher.close()
-    sys.stdout.write(f'published version={cfg.version} bytes={total}\n')
+    sys.stdout.write(
+        f'published version={cfg.version} bytes={published_bytes}\n'
+    )
 
 
 def _define_demo(values: flags.FlagValues) -> None:
-    string = functools.partial(flags.DEFINE_string, flag_values=values)
-    decimal = functools.partial(flags.DEFINE_float, flag_values=values)
-    string('declaration', EXAMPLE, 'declaration to launch (YAML)')
-    string('platform', PLATFORM, 'address of the platform')
-    string('out', 'out', 'folder for logs, histories and the time line')
-    decimal('seconds', 6, 'length of each step')
-    decimal('rate', 60, 'requests per second of all accounts together')
-    integer = functools.partial(flags.DEFINE_integer, flag_values=values)
-    integer('width', 4, 'processes started at once')
-    integer('port_offset', 0, 'added to every port, to run twice at once')
+    define_string = functools.partial(flags.DEFINE_string, flag_values=values)
+    define_float = functools.partial(flags.DEFINE_float, flag_values=values)
+    define_string(
+        'declaration', EXAMPLE_DECLARATION, 'declaration to launch (YAML)'
+    )
+    define_string('platform', PLATFORM_ADDRESS, 'address of the platform')
+    define_string('out', 'out', 'folder for logs, histories and the time line')
+    define_float('seconds', 6, 'length of each step')
+    define_float('rate', 60, 'requests per second of all accounts together')
+    define_integer = functools.partial(flags.DEFINE_integer, flag_values=values)
+    define_integer('width', 4, 'processes started at once')
+    define_integer(
+        'port_offset', 0, 'added to every port, to run twice at once'
+    )
 
 
 def _run_demo(values: flags.FlagValues, _rest: list[str]) -> None:
@@ -147,7 +158,7 @@
             max_parallel_starts=values.width,
         ),
         port_offset=values.port_offset,
-        seconds=values.seconds,
+        step_seconds=values.seconds,
         rate=values.rate,
     )
     lines = trio.run(Demo(settings).run)
@@ -155,18 +166,18 @@
 
 
 def _define_latency(values: flags.FlagValues) -> None:
-    string = functools.partial(flags.DEFINE_string, flag_values=values)
-    decimal = functools.partial(flags.DEFINE_float, flag_values=values)
-    string('out', 'out', 'folder for logs')
-    decimal('seconds', 20, 'length of the measurement')
-    decimal('rate', 108, 'requests per second into the daemon')
+    define_string = functools.partial(flags.DEFINE_string, flag_values=values)
+    define_float = functools.partial(flags.DEFINE_float, flag_values=values)
+    define_string('out', 'out', 'folder for logs')
+    define_float('seconds', 20, 'length of the measurement')
+    define_float('rate', 108, 'requests per second into the daemon')
     flags.DEFINE_integer(
-        'base_port', LATENCY_PORT, 'first port used', flag_values=values
+        'base_port', LATENCY_BASE_PORT, 'first port used', flag_values=values
     )
 
 
 def _run_latency(values: flags.FlagValues, _rest: list[str]) -> None:
-    platform = f'127.0.0.1:{values.base_port + PLATFORM_STEP}'
+    platform = f'127.0.0.1:{values.base_port + PLATFORM_PORT_OFFSET}'
     settings = LatencySettings(
         fleet=FleetSettings(
             folder=Path(values.out),
--- a/src/clementinedeal_bench/_config_size_trial.py
+++ b/src/clementinedeal_bench/_config_size_trial.py
@@ -21,13 +21,13 @@
     read_root,
     unpack,
 )
-from clementinedeal_bench._large import large_config
+from clementinedeal_bench._large_config import large_config
 
-ACCOUNTS = 24_000
-ROUTES = 3_700
-TARGETS = 5_400
-INSTANCES = 650
-RUNS = 5
+ACCOUNT_COUNT = 24_000
+ROUTE_COUNT = 3_700
+TARGET_COUNT = 5_400
+INSTANCE_COUNT = 650
+UNPACK_RUNS = 5
 
 OutcomeT = TypeVar('OutcomeT')
 
@@ -35,61 +35,70 @@
 def main() -> None:
     """Pack and unpack a large configuration and print the figures."""
     cfg = large_config(
-        accounts=ACCOUNTS,
-        routes=ROUTES,
-        targets=TARGETS,
-        instances=INSTANCES,
+        accounts=ACCOUNT_COUNT,
+        routes=ROUTE_COUNT,
+        targets=TARGET_COUNT,
+        instances=INSTANCE_COUNT,
     )
     publication = pack(cfg).unwrap()
     accounts = dict(cfg.accounts)
     accounts.pop(min(accounts))
-    after = pack(replace(cfg, version=2, accounts=accounts)).unwrap()
-    fields = {**_sizes(publication, after), **_costs(publication, after)}
-    sys.stdout.write(f'{json.dumps(fields)}\n')
+    changed = pack(replace(cfg, version=2, accounts=accounts)).unwrap()
+    report = {
+        **_measure_sizes(publication, changed),
+        **_measure_costs(publication, changed),
+    }
+    sys.stdout.write(f'{json.dumps(report)}\n')
 
 
-def _sizes(before: Publication, after: Publication) -> dict[str, object]:
-    moved = set(after.parts) - set(before.parts)
-    moved_bytes = sum(len(after.parts[digest]) for digest in moved)
+def _measure_sizes(
+    before: Publication, after: Publication
+) -> dict[str, object]:
+    new_digests = set(after.parts) - set(before.parts)
+    new_parts_bytes = sum(len(after.parts[digest]) for digest in new_digests)
     return {
         'root_bytes': len(before.root),
         'parts': len(before.parts),
         'parts_bytes': sum(map(len, before.parts.values())),
         'largest_part_bytes': max(map(len, before.parts.values())),
-        'change_parts': len(moved),
-        'change_bytes': len(after.root) + moved_bytes,
+        'change_parts': len(new_digests),
+        'change_bytes': len(after.root) + new_parts_bytes,
     }
 
 
-def _costs(before: Publication, after: Publication) -> dict[str, object]:
+def _measure_costs(
+    before: Publication, after: Publication
+) -> dict[str, object]:
     root = read_root(before.root).unwrap()
     next_root = read_root(after.root).unwrap()
-    whole = partial(unpack, root, before.parts)
+    unpack_all = partial(unpack, root, before.parts)
     memo = PartCache()
     unpack(root, before.parts, memo)
     return {
-        'config_bytes': _held_bytes(whole),
-        'change_seconds': _seconds(
+        'config_bytes': _measure_held_bytes(unpack_all),
+        'change_seconds': _measure_processor_seconds(
             partial(unpack, next_root, after.parts, memo),
         ),
-        'whole_seconds': sorted(_seconds(whole) for _ in range(RUNS)),
+        'whole_seconds': sorted(
+            _measure_processor_seconds(unpack_all) for _ in range(UNPACK_RUNS)
+        ),
     }
 
 
-def _held_bytes(make: Callable[[], OutcomeT]) -> int:
+def _measure_held_bytes(make: Callable[[], OutcomeT]) -> int:
     gc.collect()
     tracemalloc.start()
-    held = make()
+    made = make()
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    del held  # noqa: WPS420 keeps the outcome alive until it is measured
+    del made  # noqa: WPS420 keeps the outcome alive until it is measured
     return size
 
 
-def _seconds(make: Callable[[], OutcomeT]) -> float:
-    started = time.process_time()
+def _measure_processor_seconds(make: Callable[[], OutcomeT]) -> float:
+    started_at = time.process_time()
     make()
-    return round(time.process_time() - started, 3)
+    return round(time.process_time() - started_at, 3)
 
 
 if __name__ == '__main__':
--- a/src/clementinedeal_bench/_slope.py
+++ b/src/clementinedeal_bench/_cost_measurement.py
@@ -8,17 +8,17 @@
 from typing import Any
 
 from clementinedeal import Config
-from clementinedeal_bench._large import large_config
+from clementinedeal_bench._large_config import large_config
 
 ROUNDS = 5
-CALLS = 2000
-MICROS = 1_000_000
+CALLS_PER_ROUND = 2000
+MICROS_PER_SECOND = 1_000_000
 ACCOUNT_SIZES = (6_000, 12_000, 24_000)
 INSTANCE_SIZES = (160, 325, 650)
 
 
 @dataclass(frozen=True, slots=True)
-class Slope:
+class CostMeasurement:
     """One figure of one role at one size."""
 
     role: str
@@ -28,32 +28,32 @@
     unit: str
 
 
-def micros_per_call(call: Callable[[int], Any]) -> float:
+def measure_micros_per_call(call: Callable[[int], Any]) -> float:
     """Return the processor time of one call in microseconds, least of five.
 
     :param call: is given the number of the call.
     """
-    best = float('inf')
-    for turn in range(ROUNDS):
-        started = time.process_time()
-        for number in range(CALLS):
-            call(turn * CALLS + number)
-        best = min(best, time.process_time() - started)
-    return best / CALLS * MICROS
+    least_seconds = float('inf')
+    for round_number in range(ROUNDS):
+        started_at = time.process_time()
+        for number in range(CALLS_PER_ROUND):
+            call(round_number * CALLS_PER_ROUND + number)
+        least_seconds = min(least_seconds, time.process_time() - started_at)
+    return least_seconds / CALLS_PER_ROUND * MICROS_PER_SECOND
 
 
-def bytes_of(make: Callable[[], Any]) -> tuple[int, Any]:
+def measure_held_bytes(make_value: Callable[[], Any]) -> tuple[int, Any]:
     """Return the memory that a value holds and the value.
 
     :param make: makes it.
     """
     gc.collect()
     tracemalloc.start()
-    made = make()
+    made_value = make_value()
     gc.collect()
-    held, _ = tracemalloc.get_traced_memory()
+    held_bytes, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    return held, made
+    return held_bytes, made_value
 
 
 def sized_config(accounts: int, instances: int = 650) -> Config:
--- a/src/clementinedeal_bench/_decision_slopes.py
+++ b/src/clementinedeal_bench/_decision_slopes.py
@@ -16,172 +16,184 @@
 from clementinedeal._target_health import OutcomeKind, RequestOutcome
 from clementinedeal._target_queue import TargetQueue
 from clementinedeal._tokens import TokenManager
-from clementinedeal_bench._slope import (
+from clementinedeal_bench._cost_measurement import (
     ACCOUNT_SIZES,
-    CALLS,
+    CALLS_PER_ROUND,
     INSTANCE_SIZES,
     ROUNDS,
-    Slope,
-    bytes_of,
-    micros_per_call,
+    CostMeasurement,
+    measure_held_bytes,
+    measure_micros_per_call,
     sized_config,
 )
 
-WARM_SECONDS = 100.0
+WARM_UP_SECONDS = 100.0
 TICKS_PER_SECOND = 20
 REQUESTS_PER_SECOND = 13
 
 
-def entry() -> Iterator[Slope]:
+def measure_entry() -> Iterator[CostMeasurement]:
     """Measure the entry's decisions for one request."""
     for accounts in ACCOUNT_SIZES:
-        yield from _access_of(accounts)
+        yield from _measure_access_check(accounts)
     for instances in INSTANCE_SIZES:
-        yield from _order_of(instances)
+        yield from _measure_target_order(instances)
 
 
-def tokens() -> Iterator[Slope]:
+def measure_tokens() -> Iterator[CostMeasurement]:
     """Measure taking a token from a share held here, and an idle tick."""
     for accounts in ACCOUNT_SIZES:
-        yield from _tokens_of(accounts)
+        yield from _measure_token_manager(accounts)
 
 
-def ejection() -> Iterator[Slope]:
+def measure_ejection() -> Iterator[CostMeasurement]:
     """Measure the owner's evidence and the permit holder's reports."""
     for instances in INSTANCE_SIZES:
-        yield from _ejection_of(instances)
+        yield from _measure_ejection_manager(instances)
 
 
-def owner() -> Iterator[Slope]:
+def measure_owner() -> Iterator[CostMeasurement]:
     """Measure the record of executions and the queue."""
-    for entries in (1_000, 4_000, 16_000):
-        yield from _executions_of(entries)
+    for executions in (1_000, 4_000, 16_000):
+        yield from _measure_execution_table(executions)
     queue = TargetQueue(7, 14)
 
-    def turn(number: int) -> None:
+    def offer_and_finish(number: int) -> None:
         queue.offer(f'r{number}', 'a', 10, 0)
         queue.finish(f'r{number}', 0)
 
-    yield Slope('owner', 'queue', 7, micros_per_call(turn), 'us')
+    yield CostMeasurement(
+        'owner', 'queue', 7, measure_micros_per_call(offer_and_finish), 'us'
+    )
 
 
-def keeper() -> Iterator[Slope]:
+def measure_keeper() -> Iterator[CostMeasurement]:
     """Measure keys kept with their answers, and one claim."""
-    for entries in (1_000, 2_000, 4_000):
-        yield from _keys_of(entries)
+    for claims in (1_000, 2_000, 4_000):
+        yield from _measure_claims_memory(claims)
     for instances in INSTANCE_SIZES:
-        yield from _claims_of(instances)
+        yield from _measure_claim_time(instances)
 
 
-def envelope() -> Iterator[Slope]:
+def measure_envelope() -> Iterator[CostMeasurement]:
     """Measure sealing and opening what joins a forward."""
     keyring = Keyring({'k': bytes(32)})
     fwd = Forward('r/0', 'r', 'a', 't', 'i', 'acc', 1000, True, False, 1)
 
-    def turn(_number: int) -> None:
+    def seal_and_open(_number: int) -> None:
         sealed = keyring.seal_header(fwd, b'context')
         keyring.open_forward(sealed, b'context')
 
     sealed = keyring.seal_header(fwd, b'context')
-    yield Slope('entry', 'envelope', 1, micros_per_call(turn), 'us')
-    yield Slope('entry', 'envelope', 1, len(sealed), 'B')
+    yield CostMeasurement(
+        'entry', 'envelope', 1, measure_micros_per_call(seal_and_open), 'us'
+    )
+    yield CostMeasurement('entry', 'envelope', 1, len(sealed), 'B')
 
 
-def _access_of(accounts: int) -> Iterator[Slope]:
+def _measure_access_check(accounts: int) -> Iterator[CostMeasurement]:
     access = Access(sized_config(accounts))
     head = RequestHead(
         'GET',
         '/api/77/thing',
         ((b'host', b'x'), (b'authorization', b'Bearer key-77')),
     )
-    cost = micros_per_call(lambda _: access.check(head, is_fresh=True))
-    yield Slope('entry', 'access check', accounts, cost, 'us')
+    cost = measure_micros_per_call(lambda _: access.check(head, is_fresh=True))
+    yield CostMeasurement('entry', 'access check', accounts, cost, 'us')
 
 
-def _order_of(instances: int) -> Iterator[Slope]:
+def _measure_target_order(instances: int) -> Iterator[CostMeasurement]:
     cfg = sized_config(1_000, instances)
     router = Router('instance-000', 'zone', cfg, random.Random(1))
     service = next(iter(cfg.services))
-    cost = micros_per_call(lambda _: router.rank_targets(service, (), True, 1))
-    yield Slope('entry', 'order of targets', instances, cost, 'us')
+    cost = measure_micros_per_call(
+        lambda _: router.rank_targets(service, (), True, 1)
+    )
+    yield CostMeasurement('entry', 'order of targets', instances, cost, 'us')
 
 
-def _tokens_of(accounts: int) -> Iterator[Slope]:
+def _measure_token_manager(accounts: int) -> Iterator[CostMeasurement]:
     cfg = sized_config(accounts)
-    name, account = _held_account(cfg)
-    generous = replace(
+    name, account = _find_held_account(cfg)
+    large_account = replace(
         cfg.accounts[account],
         rate=1e6,
         burst=1e6,
     )
     cfg = replace(
         cfg,
-        accounts={**cfg.accounts, account: generous},
+        accounts={**cfg.accounts, account: large_account},
     )
-    held, manager = bytes_of(
+    held_bytes, manager = measure_held_bytes(
         lambda: TokenManager(name, cfg, 0, incarnation=1, known_for=1e6),
     )
     manager.set_fresh(True, 0)
-    _pass_time(manager.on_tick, WARM_SECONDS)
-    cost = micros_per_call(
-        lambda number: manager.take(f'r{number}', account, WARM_SECONDS),
+    _tick_until(manager.on_tick, WARM_UP_SECONDS)
+    cost = measure_micros_per_call(
+        lambda number: manager.take(f'r{number}', account, WARM_UP_SECONDS),
     )
-    yield Slope('token holder', 'manager', accounts, held, 'B')
-    yield Slope('token holder', 'take', accounts, cost, 'us')
-    idle = micros_per_call(lambda _: manager.on_tick(WARM_SECONDS))
-    yield Slope('token holder', 'tick', accounts, idle, 'us')
+    yield CostMeasurement('token holder', 'manager', accounts, held_bytes, 'B')
+    yield CostMeasurement('token holder', 'take', accounts, cost, 'us')
+    tick_cost = measure_micros_per_call(
+        lambda _: manager.on_tick(WARM_UP_SECONDS)
+    )
+    yield CostMeasurement('token holder', 'tick', accounts, tick_cost, 'us')
 
 
-def _ejection_of(instances: int) -> Iterator[Slope]:
+def _measure_ejection_manager(instances: int) -> Iterator[CostMeasurement]:
     cfg = sized_config(1_000, instances)
     name = next(iter(cfg.targets.values())).instance
     manager = EjectionManager(name, cfg, 0)
     manager.set_fresh(True, 0)
     target = next(
-        one.name for one in cfg.targets.values() if one.instance == name
+        candidate.name
+        for candidate in cfg.targets.values()
+        if candidate.instance == name
     )
     outcome = RequestOutcome(OutcomeKind.OK, 0.025)
-    cost = micros_per_call(
+    cost = measure_micros_per_call(
         lambda number: manager.on_outcome(
             target, outcome, number / REQUESTS_PER_SECOND
         ),
     )
-    yield Slope('owner', 'outcome', instances, cost, 'us')
-    late = CALLS * ROUNDS / REQUESTS_PER_SECOND
-    idle = micros_per_call(
-        lambda number: manager.on_tick(late + number / 10),
+    yield CostMeasurement('owner', 'outcome', instances, cost, 'us')
+    first_tick_at = CALLS_PER_ROUND * ROUNDS / REQUESTS_PER_SECOND
+    tick_cost = measure_micros_per_call(
+        lambda number: manager.on_tick(first_tick_at + number / 10),
     )
-    yield Slope('owner', 'detection tick', instances, idle, 'us')
+    yield CostMeasurement('owner', 'detection tick', instances, tick_cost, 'us')
 
 
-def _executions_of(entries: int) -> Iterator[Slope]:
+def _measure_execution_table(executions: int) -> Iterator[CostMeasurement]:
     table = ExecutionTable('i')
 
     def fill() -> None:
-        for number in range(entries):
+        for number in range(executions):
             req_id = f'{number:032x}/0'
             table.register(req_id, 'i', 10, 0)
             table.start(req_id, 0)
             table.finish(req_id, 0)
 
-    held, _ = bytes_of(fill)
-    yield Slope('owner', 'executions', entries, held, 'B')
+    held_bytes, _ = measure_held_bytes(fill)
+    yield CostMeasurement('owner', 'executions', executions, held_bytes, 'B')
 
 
-def _keys_of(entries: int) -> Iterator[Slope]:
-    manager, account = _key_manager(160)
+def _measure_claims_memory(claims: int) -> Iterator[CostMeasurement]:
+    manager, account = _make_key_manager(160)
 
     def fill() -> None:
-        for number in range(entries):
+        for number in range(claims):
             manager.claim(f'r{number}', account, f'k{number}', 'f', 10, 0)
 
-    held, _ = bytes_of(fill)
-    yield Slope('keeper', 'claims from one entry', entries, held, 'B')
+    held_bytes, _ = measure_held_bytes(fill)
+    yield CostMeasurement(
+        'keeper', 'claims from one entry', claims, held_bytes, 'B'
+    )
 
 
-def _claims_of(instances: int) -> Iterator[Slope]:
-    manager, account = _key_manager(instances)
-    cost = micros_per_call(
+def _measure_claim_time(instances: int) -> Iterator[CostMeasurement]:
+    manager, account = _make_key_manager(instances)
+    cost = measure_micros_per_call(
         lambda number: manager.claim(
             f'r{number}',
             account,
@@ -191,21 +203,21 @@
             0,
         ),
     )
-    yield Slope('keeper', 'claim at the entry', instances, cost, 'us')
+    yield CostMeasurement('keeper', 'claim at the entry', instances, cost, 'us')
 
 
-def _key_manager(instances: int) -> tuple[IdempotencyManager, str]:
+def _make_key_manager(instances: int) -> tuple[IdempotencyManager, str]:
     cfg = sized_config(1_000, instances)
     manager = IdempotencyManager('instance-000', cfg, 0, wall_ms=lambda: 0)
     return manager, next(iter(cfg.accounts))
 
 
-def _held_account(cfg: Config) -> tuple[str, str]:
+def _find_held_account(cfg: Config) -> tuple[str, str]:
     account = next(iter(cfg.accounts))
-    first = TokenManager('instance-000', cfg, 0, incarnation=1)
-    return first.holders(account)[0], account
+    manager = TokenManager('instance-000', cfg, 0, incarnation=1)
+    return manager.holders(account)[0], account
 
 
-def _pass_time(tick: Callable[[float], Any], until: float) -> None:
+def _tick_until(tick: Callable[[float], Any], until: float) -> None:
     for step in range(int(until * TICKS_PER_SECOND) + 1):
         tick(step / TICKS_PER_SECOND)
--- a/src/clementinedeal_bench/_demo.py
+++ b/src/clementinedeal_bench/_demo.py
@@ -22,7 +22,7 @@
 from clementinedeal_bench._report import check_lines, step_lines
 from clementinedeal_bench._timeline_page import write_timeline
 
-LONGEST_SECONDS = 3600.0
+MAX_TRAFFIC_SECONDS = 3600.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -36,7 +36,7 @@
 
     declaration: str
     fleet: FleetSettings
-    seconds: float = 6.0
+    step_seconds: float = 6.0
     rate: float = 60.0
     port_offset: int = 0
 
@@ -57,34 +57,36 @@
         )
         self._fleet = Fleet(self._cfg, settings.fleet)
         self._records: list[CallRecord] = []
-        self._steps = DemoSteps(self._fleet, self._records, settings.seconds)
+        self._steps = DemoSteps(
+            self._fleet, self._records, settings.step_seconds
+        )
 
     async def run(self) -> list[str]:
         """Run the demo and return the report's lines."""
-        began = time.monotonic()
+        started_at = time.monotonic()
         try:
             await self._fleet.start()
             sys.stdout.write(
                 f'{len(self._cfg.instances)} daemons and '
                 f'{len(self._cfg.targets)} targets are up after '
-                f'{time.monotonic() - began:.1f} s\n',
+                f'{time.monotonic() - started_at:.1f} s\n',
             )
-            await self._drive()
-            return await self._report()
+            await self._run_steps_under_traffic()
+            return await self._write_report()
         finally:
             self._fleet.close()
 
-    async def _drive(self) -> None:
+    async def _run_steps_under_traffic(self) -> None:
         rates = spread_rate(self._cfg, self._settings.rate)
-        scenario = build_scenario(self._cfg, rates, LONGEST_SECONDS)
+        scenario = build_scenario(self._cfg, rates, MAX_TRAFFIC_SECONDS)
         caller = Caller(scenario, self._records.append)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(caller.run)
             await self._steps.run()
             caller.stop()
 
-    async def _report(self) -> list[str]:
-        await self._steps.collect(self._fleet.live_targets())
+    async def _write_report(self) -> list[str]:
+        await self._steps.collect_executions(self._fleet.live_targets())
         folder = self._settings.fleet.folder
         executions = self._steps.executions
         _write_lines(folder / 'history.jsonl', self._records)
@@ -103,5 +105,5 @@
         return lines
 
 
-def _write_lines(path: Path, entries: Sequence[object]) -> None:
-    path.write_bytes(msgspec.json.Encoder().encode_lines(entries))
+def _write_lines(path: Path, records: Sequence[object]) -> None:
+    path.write_bytes(msgspec.json.Encoder().encode_lines(records))
--- a/src/clementinedeal_bench/_demo_traffic.py
+++ b/src/clementinedeal_bench/_demo_traffic.py
@@ -25,10 +25,14 @@
     :param seconds: longest duration.
     :param daemons: caller addresses; all of the declaration if empty.
     """
-    everywhere = tuple(each.caller for each in cfg.instances.values())
+    all_addresses = tuple(
+        instance.caller for instance in cfg.instances.values()
+    )
     return Scenario(
-        daemons=tuple(daemons) or everywhere,
-        accounts={name: _load(cfg, name, rate) for name, rate in rates.items()},
+        daemons=tuple(daemons) or all_addresses,
+        accounts={
+            name: _account_load(cfg, name, rate) for name, rate in rates.items()
+        },
         seconds=seconds,
         seed=SEED,
     )
@@ -40,27 +44,27 @@
     :param cfg: the declaration.
     :param total: requests per second of all accounts.
     """
-    allowed = sum(account.rate for account in cfg.accounts.values())
+    total_allowed = sum(account.rate for account in cfg.accounts.values())
     return {
-        name: total * account.rate / allowed
+        name: total * account.rate / total_allowed
         for name, account in cfg.accounts.items()
     }
 
 
-def _load(cfg: Config, name: str, rate: float) -> AccountLoad:
+def _account_load(cfg: Config, name: str, rate: float) -> AccountLoad:
     services = cfg.accounts[name].services
     return AccountLoad(
         key=f'{KEY_PREFIX}{name}',
         rate=rate,
         requests=tuple(
-            _kind(route)
+            _request_kind(route)
             for route in cfg.routes
             if route.service in services and not route.open
         ),
     )
 
 
-def _kind(route: Route) -> RequestKind:
+def _request_kind(route: Route) -> RequestKind:
     method = 'GET' if route.method == '*' else route.method
     return RequestKind(
         service=route.service,
--- a/src/clementinedeal_bench/_examples.py
+++ b/src/clementinedeal_bench/_examples.py
@@ -13,15 +13,15 @@
 
 HOST = '127.0.0.1'
 PORTS_PER_INSTANCE = 10
-PEER_OFFSET = 1
-CONTROL_OFFSET = 2
-OPERATOR_OFFSET = 3
-TARGET_OFFSET = 5
-PLATFORM_OFFSET = -100
+PEER_PORT_OFFSET = 1
+CONTROL_PORT_OFFSET = 2
+OPERATOR_PORT_OFFSET = 3
+TARGET_PORT_OFFSET = 5
+PLATFORM_PORT_OFFSET = -100
 
 
 @dataclass(frozen=True, slots=True)
-class ServiceSize:
+class ExampleService:
     """How many targets a service has and how many must stay in use."""
 
     name: str
@@ -30,7 +30,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AccountSize:
+class ExampleAccount:
     """An account's requests per second and burst; the name makes its key."""
 
     name: str
@@ -39,7 +39,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RouteLine:
+class ExampleRoute:
     """A route of an example."""
 
     method: str
@@ -57,9 +57,9 @@
     region: str
     first_port: int
     zones: tuple[str, ...]
-    services: tuple[ServiceSize, ...]
-    routes: tuple[RouteLine, ...]
-    accounts: tuple[AccountSize, ...]
+    services: tuple[ExampleService, ...]
+    routes: tuple[ExampleRoute, ...]
+    accounts: tuple[ExampleAccount, ...]
 
 
 FRESHWATER = Example(
@@ -68,29 +68,29 @@
     first_port=21000,
     zones=('Duluth', 'Sheboygan', 'Erie', 'Kingston'),
     services=(
-        ServiceSize('status', 8, 5),
-        ServiceSize('booking', 11, 7),
-        ServiceSize('payment', 8, 5),
+        ExampleService('status', 8, 5),
+        ExampleService('booking', 11, 7),
+        ExampleService('payment', 8, 5),
     ),
     routes=(
-        RouteLine('GET', '/status/', 'status'),
-        RouteLine('GET', '/hours', 'status', open=True),
-        RouteLine('GET', '/stock/', 'booking'),
-        RouteLine('GET', '/schedules/', 'booking'),
-        RouteLine('GET', '/bookings', 'booking'),
-        RouteLine('POST', '/bookings', 'booking', idempotent=False),
-        RouteLine('GET', '/payments', 'payment'),
-        RouteLine('POST', '/payments', 'payment', idempotent=False),
+        ExampleRoute('GET', '/status/', 'status'),
+        ExampleRoute('GET', '/hours', 'status', open=True),
+        ExampleRoute('GET', '/stock/', 'booking'),
+        ExampleRoute('GET', '/schedules/', 'booking'),
+        ExampleRoute('GET', '/bookings', 'booking'),
+        ExampleRoute('POST', '/bookings', 'booking', idempotent=False),
+        ExampleRoute('GET', '/payments', 'payment'),
+        ExampleRoute('POST', '/payments', 'payment', idempotent=False),
     ),
     accounts=(
-        AccountSize('members-app', 300, 150),
-        AccountSize('shops-app', 200, 100),
-        AccountSize('status-board', 150, 100),
-        AccountSize('stock-lookup', 40, 40),
-        AccountSize('duluth-shop', 10, 20),
-        AccountSize('sheboygan-shop', 10, 20),
-        AccountSize('erie-shop', 10, 20),
-        AccountSize('kingston-shop', 10, 20),
+        ExampleAccount('members-app', 300, 150),
+        ExampleAccount('shops-app', 200, 100),
+        ExampleAccount('status-board', 150, 100),
+        ExampleAccount('stock-lookup', 40, 40),
+        ExampleAccount('duluth-shop', 10, 20),
+        ExampleAccount('sheboygan-shop', 10, 20),
+        ExampleAccount('erie-shop', 10, 20),
+        ExampleAccount('kingston-shop', 10, 20),
     ),
 )
 
@@ -100,29 +100,29 @@
     first_port=23000,
     zones=('Ahmedabad', 'Surat', 'Vadodara'),
     services=(
-        ServiceSize('status', 9, 6),
-        ServiceSize('booking', 12, 8),
-        ServiceSize('billing', 6, 4),
+        ExampleService('status', 9, 6),
+        ExampleService('booking', 12, 8),
+        ExampleService('billing', 6, 4),
     ),
     routes=(
-        RouteLine('GET', '/status/', 'status'),
-        RouteLine('GET', '/counters', 'status', open=True),
-        RouteLine('GET', '/stock/', 'booking'),
-        RouteLine('GET', '/prices/', 'billing'),
-        RouteLine('GET', '/bookings', 'booking'),
-        RouteLine('POST', '/bookings', 'booking', idempotent=False),
-        RouteLine('GET', '/bills', 'billing'),
-        RouteLine('POST', '/bills', 'billing', idempotent=False),
+        ExampleRoute('GET', '/status/', 'status'),
+        ExampleRoute('GET', '/counters', 'status', open=True),
+        ExampleRoute('GET', '/stock/', 'booking'),
+        ExampleRoute('GET', '/prices/', 'billing'),
+        ExampleRoute('GET', '/bookings', 'booking'),
+        ExampleRoute('POST', '/bookings', 'booking', idempotent=False),
+        ExampleRoute('GET', '/bills', 'billing'),
+        ExampleRoute('POST', '/bills', 'billing', idempotent=False),
     ),
     accounts=(
-        AccountSize('tailors-app', 300, 150),
-        AccountSize('job-status', 200, 100),
-        AccountSize('counters', 150, 100),
-        AccountSize('price-lookup', 40, 40),
-        AccountSize('maninagar-branch', 10, 20),
-        AccountSize('katargam-branch', 10, 20),
-        AccountSize('alkapuri-branch', 10, 20),
-        AccountSize('navrangpura-branch', 10, 20),
+        ExampleAccount('tailors-app', 300, 150),
+        ExampleAccount('job-status', 200, 100),
+        ExampleAccount('counters', 150, 100),
+        ExampleAccount('price-lookup', 40, 40),
+        ExampleAccount('maninagar-branch', 10, 20),
+        ExampleAccount('katargam-branch', 10, 20),
+        ExampleAccount('alkapuri-branch', 10, 20),
+        ExampleAccount('navrangpura-branch', 10, 20),
     ),
 )
 
@@ -140,49 +140,51 @@
 
     :param example: what to declare.
     """
-    platform = _address(example, offset=PLATFORM_OFFSET)
+    platform = _address(example, offset=PLATFORM_PORT_OFFSET)
     return '\n'.join(
         (
             f'# Example declaration; the platform stands on {platform}.',
             '# Keys for trials:',
-            *(f'#   {demo_key(line.name)}' for line in example.accounts),
+            *(f'#   {demo_key(account.name)}' for account in example.accounts),
             yaml.safe_dump(_document(example), sort_keys=False),
         )
     )
 
 
 def _document(example: Example) -> dict[str, object]:
-    owners = tuple(_owners(example))
+    targets = tuple(_targets_with_service(example))
     return {
         'version': 1,
         'preset': 'ordinary',
         'presets': _presets(example),
         'services': {
-            size.name: {'floor': size.floor} for size in example.services
+            example_service.name: {'floor': example_service.floor}
+            for example_service in example.services
         },
         'instances': {
             f'{example.name}-{index:02}': _instance(example, index)
-            for index in range(len(owners))
+            for index in range(len(targets))
         },
         'targets': {
             target: _target(example, index, service)
-            for index, (target, service) in enumerate(owners)
+            for index, (target, service) in enumerate(targets)
         },
-        'routes': [_route(line) for line in example.routes],
+        'routes': [_route(route) for route in example.routes],
         'accounts': {
-            line.name: _account(example, line) for line in example.accounts
+            account.name: _account(example, account)
+            for account in example.accounts
         },
     }
 
 
-def _owners(example: Example) -> Iterator[tuple[str, str]]:
-    for size in example.services:
-        for index in range(size.targets):
-            yield f'{size.name}-{index:02}', size.name
+def _targets_with_service(example: Example) -> Iterator[tuple[str, str]]:
+    for service in example.services:
+        for index in range(service.targets):
+            yield f'{service.name}-{index:02}', service.name
 
 
 def _presets(example: Example) -> dict[str, object]:
-    floors = {size.name: size.floor + 1 for size in example.services}
+    floors = {service.name: service.floor + 1 for service in example.services}
     return {
         'ordinary': {'deadline': 10.0},
         'peak': {
@@ -200,9 +202,9 @@
         'zone': example.zones[index % len(example.zones)],
         'region': example.region,
         'caller': _address(example, index),
-        'peer': _address(example, index, PEER_OFFSET),
-        'control': _address(example, index, CONTROL_OFFSET),
-        'operator': _address(example, index, OPERATOR_OFFSET),
+        'peer': _address(example, index, PEER_PORT_OFFSET),
+        'control': _address(example, index, CONTROL_PORT_OFFSET),
+        'operator': _address(example, index, OPERATOR_PORT_OFFSET),
     }
 
 
@@ -210,27 +212,27 @@
     return {
         'service': service,
         'instance': f'{example.name}-{index:02}',
-        'address': _address(example, index, TARGET_OFFSET),
+        'address': _address(example, index, TARGET_PORT_OFFSET),
     }
 
 
-def _route(line: RouteLine) -> dict[str, object]:
+def _route(route: ExampleRoute) -> dict[str, object]:
     return {
-        'method': line.method,
-        'prefix': line.prefix,
-        'service': line.service,
-        'idempotent': line.idempotent,
-        'open': line.open,
+        'method': route.method,
+        'prefix': route.prefix,
+        'service': route.service,
+        'idempotent': route.idempotent,
+        'open': route.open,
     }
 
 
-def _account(example: Example, line: AccountSize) -> dict[str, object]:
-    digest = hashlib.sha256(demo_key(line.name).encode()).hexdigest()
+def _account(example: Example, account: ExampleAccount) -> dict[str, object]:
+    digest = hashlib.sha256(demo_key(account.name).encode()).hexdigest()
     return {
         'key_digests': [digest],
-        'rate': line.rate,
-        'burst': line.burst,
-        'services': [size.name for size in example.services],
+        'rate': account.rate,
+        'burst': account.burst,
+        'services': [service.name for service in example.services],
     }
 
 
@@ -239,7 +241,7 @@
     return f'{HOST}:{port}'
 
 
-def write_all(directory: Path) -> None:
+def write_examples(directory: Path) -> None:
     """Write every example into a directory.
 
     :param directory: an existing directory.
@@ -250,4 +252,4 @@
 
 
 if __name__ == '__main__':
-    write_all(Path(sys.argv[1]))
+    write_examples(Path(sys.argv[1]))
--- a/src/clementinedeal_bench/_fleet_slopes.py
+++ b/src/clementinedeal_bench/_fleet_slopes.py
@@ -13,29 +13,29 @@
 from clementinedeal._events import EventLog
 from clementinedeal._messages import Send, message
 from clementinedeal._publication import pack, read_root, unpack
-from clementinedeal_bench._slope import (
+from clementinedeal_bench._cost_measurement import (
     ACCOUNT_SIZES,
-    CALLS,
-    MICROS,
-    Slope,
-    bytes_of,
+    CALLS_PER_ROUND,
+    MICROS_PER_SECOND,
+    CostMeasurement,
+    measure_held_bytes,
     sized_config,
 )
 
 PAYLOAD_BYTES = (100, 1_000, 10_000)
-WARM_MESSAGES = 50
+WARM_UP_MESSAGES = 50
 
 
-def configuration() -> Iterator[Slope]:
+def measure_configuration() -> Iterator[CostMeasurement]:
     """Measure holding, unpacking and indexing a configuration."""
     for accounts in ACCOUNT_SIZES:
-        yield from _configuration_of(accounts)
+        yield from _measure_configuration_at(accounts)
 
 
-def control() -> Iterator[Slope]:
+def measure_control() -> Iterator[CostMeasurement]:
     """Measure control messages over loopback."""
     for size in PAYLOAD_BYTES:
-        yield trio.run(_exchange, size)
+        yield trio.run(_measure_exchange, size)
 
 
 @message
@@ -46,15 +46,15 @@
     blob: bytes
 
 
-async def _exchange(size: int) -> Slope:
+async def _measure_exchange(size: int) -> CostMeasurement:
     """Measure one batch, sent and received in this process."""
     addresses = {'a': '127.0.0.1:20701', 'b': '127.0.0.1:20702'}
-    heard = trio.Event()
+    received = trio.Event()
 
     def receive(sender: str, body: Any) -> None:
-        heard.set()
+        received.set()
 
-    here, there = (
+    local, remote = (
         ControlChannel(
             address,
             Keyring({'k': bytes(32)}),
@@ -65,38 +65,40 @@
         for name, address in addresses.items()
     )
     async with trio.open_nursery() as nursery:
-        await here.start(nursery)
-        await there.start(nursery)
-        started = 0.0
-        count = CALLS // 4
-        for number in range(count + WARM_MESSAGES):
-            if number == WARM_MESSAGES:
-                started = time.process_time()
-            heard = trio.Event()
-            here.send(Send('b', Payload(bytes(size))))
-            await heard.wait()
-        cost = (time.process_time() - started) / count * MICROS
-        await here.stop()
-        await there.stop()
+        await local.start(nursery)
+        await remote.start(nursery)
+        started_at = 0.0
+        count = CALLS_PER_ROUND // 4
+        for number in range(count + WARM_UP_MESSAGES):
+            if number == WARM_UP_MESSAGES:
+                started_at = time.process_time()
+            received = trio.Event()
+            local.send(Send('b', Payload(bytes(size))))
+            await received.wait()
+        cost = (time.process_time() - started_at) / count * MICROS_PER_SECOND
+        await local.stop()
+        await remote.stop()
         nursery.cancel_scope.cancel()
-    return Slope('control', 'message, both ends', size, cost, 'us')
+    return CostMeasurement('control', 'message, both ends', size, cost, 'us')
 
 
-def _configuration_of(accounts: int) -> Iterator[Slope]:
+def _measure_configuration_at(accounts: int) -> Iterator[CostMeasurement]:
     publication = pack(sized_config(accounts)).unwrap()
     root = read_root(publication.root).unwrap()
-    started = time.process_time()
-    held, cfg = bytes_of(lambda: unpack(root, publication.parts).unwrap())
-    seconds = time.process_time() - started
-    parts = sum(len(blob) for blob in publication.parts.values())
-    largest = max(len(blob) for blob in publication.parts.values())
-    index, _ = bytes_of(lambda: Access(cfg))
+    started_at = time.process_time()
+    held_bytes, cfg = measure_held_bytes(
+        lambda: unpack(root, publication.parts).unwrap()
+    )
+    unpack_seconds = time.process_time() - started_at
+    parts_bytes = sum(len(blob) for blob in publication.parts.values())
+    largest_part_bytes = max(len(blob) for blob in publication.parts.values())
+    index_bytes, _ = measure_held_bytes(lambda: Access(cfg))
     for figure, amount, unit in (
-        ('parts', parts, 'B'),
-        ('largest part', largest, 'B'),
+        ('parts', parts_bytes, 'B'),
+        ('largest part', largest_part_bytes, 'B'),
         ('root', len(publication.root), 'B'),
-        ('configuration', held, 'B'),
-        ('index', index, 'B'),
-        ('unpack, traced', seconds, 's'),
+        ('configuration', held_bytes, 'B'),
+        ('index', index_bytes, 'B'),
+        ('unpack, traced', unpack_seconds, 's'),
     ):
-        yield Slope('configuration', figure, accounts, amount, unit)
+        yield CostMeasurement('configuration', figure, accounts, amount, unit)
--- a/src/clementinedeal_bench/_large.py
+++ b/src/clementinedeal_bench/_large_config.py
@@ -13,7 +13,7 @@
     Target,
 )
 
-REGIONS = 2
+REGION_COUNT = 2
 ZONES_PER_REGION = 4
 TARGETS_PER_SERVICE = 16
 SERVICES_PER_ACCOUNT = 3
@@ -50,7 +50,7 @@
         },
         targets={
             target.name: target
-            for target in _targets(targets, services, instances)
+            for target in _make_targets(targets, services, instances)
         },
         routes=tuple(
             Route(
@@ -62,16 +62,19 @@
             for index in range(routes)
         ),
         accounts={
-            account.name: account for account in _accounts(accounts, services)
+            account.name: account
+            for account in _make_accounts(accounts, services)
         },
         instances={
             instance.name: instance
-            for instance in map(_instance, range(instances))
+            for instance in map(_make_instance, range(instances))
         },
     )
 
 
-def _targets(count: int, services: list[str], instances: int) -> list[Target]:
+def _make_targets(
+    count: int, services: list[str], instances: int
+) -> list[Target]:
     return [
         Target(
             name=f'target-{index:04}',
@@ -83,7 +86,7 @@
     ]
 
 
-def _accounts(count: int, services: list[str]) -> list[Account]:
+def _make_accounts(count: int, services: list[str]) -> list[Account]:
     return [
         Account(
             name=f'account-{index:05}',
@@ -99,8 +102,8 @@
     ]
 
 
-def _instance(index: int) -> Instance:
-    zone = index % (REGIONS * ZONES_PER_REGION)
+def _make_instance(index: int) -> Instance:
+    zone = index % (REGION_COUNT * ZONES_PER_REGION)
     return Instance(
         name=f'instance-{index:03}',
         zone=f'zone-{zone}',
@@ -112,6 +115,6 @@
     )
 
 
-def _address(net: str, index: int) -> str:
-    host, port = divmod(index, PORTS_PER_HOST)
-    return f'{net}.{host}.1:{FIRST_PORT + port}'
+def _address(network_prefix: str, index: int) -> str:
+    host, port_index = divmod(index, PORTS_PER_HOST)
+    return f'{network_prefix}.{host}.1:{FIRST_PORT + port_index}'
--- a/src/clementinedeal_bench/_latency.py
+++ b/src/clementinedeal_bench/_latency.py
@@ -24,7 +24,7 @@
 DIRECT = 'direct'
 WARM_UP_SECONDS = 3.0
 IDLE_SECONDS = 5.0
-START_SECONDS = 60.0
+START_TIMEOUT_SECONDS = 60.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,12 +83,12 @@
                 name: CoreMeter(self._fleet.pid(name))
                 for name in (ENTRY, OWNER)
             }
-            await self._measure()
+            await self._measure_usage()
         finally:
             self._fleet.close()
-        return self._report()
+        return self._make_report()
 
-    async def _measure(self) -> None:
+    async def _measure_usage(self) -> None:
         await trio.sleep(IDLE_SECONDS)
         for idle in self._meters.values():
             idle.end_idle()
@@ -96,22 +96,22 @@
         self._records.clear()
         for meter in self._meters.values():
             meter.begin_busy()
-        await self._send(self._settings.seconds)
+        await self._send_requests(self._settings.seconds)
         for busy in self._meters.values():
             busy.end_busy()
 
     async def _warm_up(self) -> None:
-        refused = True
-        deadline = time.monotonic() + START_SECONDS
-        while refused and time.monotonic() < deadline:
+        has_unanswered = True
+        deadline = time.monotonic() + START_TIMEOUT_SECONDS
+        while has_unanswered and time.monotonic() < deadline:
             self._records.clear()
-            await self._send(WARM_UP_SECONDS)
-            refused = any(
+            await self._send_requests(WARM_UP_SECONDS)
+            has_unanswered = any(
                 call.outcome is not CallOutcome.ANSWERED
                 for call in self._records
             )
 
-    async def _send(self, seconds: float) -> None:
+    async def _send_requests(self, seconds: float) -> None:
         entry = self._cfg.instances[ENTRY].caller
         target = self._cfg.targets[ONE_HOP].address
         groups = (
@@ -121,11 +121,11 @@
         )
         async with trio.open_nursery() as nursery:
             for name, address, path in groups:
-                scenario = self._scenario(name, address, path, seconds)
+                scenario = self._make_scenario(name, address, path, seconds)
                 caller = Caller(scenario, self._records.append)
                 nursery.start_soon(caller.run)
 
-    def _scenario(
+    def _make_scenario(
         self,
         name: str,
         address: str,
@@ -143,26 +143,26 @@
             seconds=seconds,
         )
 
-    def _report(self) -> LatencyReport:
-        direct, near, far = (
-            self._latency(name) for name in (DIRECT, ONE_HOP, TWO_HOPS)
+    def _make_report(self) -> LatencyReport:
+        direct, one_hop, two_hops = (
+            self._latency_of(name) for name in (DIRECT, ONE_HOP, TWO_HOPS)
         )
-        answered = direct.count + near.count + far.count
+        answered = direct.count + one_hop.count + two_hops.count
         return LatencyReport(
             rate=self._settings.rate,
             direct=direct,
-            one_hop=near,
-            two_hops=far,
-            one_hop_added_p50=near.p50 - direct.p50,
-            one_hop_added_p99=near.p99 - direct.p99,
-            two_hops_added_p50=far.p50 - direct.p50,
-            two_hops_added_p99=far.p99 - direct.p99,
-            entry=self._meters[ENTRY].cost(near.count + far.count),
-            owner=self._meters[OWNER].cost(far.count),
+            one_hop=one_hop,
+            two_hops=two_hops,
+            one_hop_added_p50=one_hop.p50 - direct.p50,
+            one_hop_added_p99=one_hop.p99 - direct.p99,
+            two_hops_added_p50=two_hops.p50 - direct.p50,
+            two_hops_added_p99=two_hops.p99 - direct.p99,
+            entry=self._meters[ENTRY].cost(one_hop.count + two_hops.count),
+            owner=self._meters[OWNER].cost(two_hops.count),
             not_answered=len(self._records) - answered,
         )
 
-    def _latency(self, name: str) -> LatencyPercentiles:
+    def _latency_of(self, name: str) -> LatencyPercentiles:
         return measure_latency(
             call.end - call.sent
             for call in self._records
--- a/src/clementinedeal_bench/_latency_config.py
+++ b/src/clementinedeal_bench/_latency_config.py
@@ -41,8 +41,8 @@
             name: Service(name=name, floor=1) for name in (ONE_HOP, TWO_HOPS)
         },
         targets={
-            ONE_HOP: _target(ONE_HOP, ENTRY, base_port + 5),
-            TWO_HOPS: _target(TWO_HOPS, OWNER, base_port + 15),
+            ONE_HOP: _make_target(ONE_HOP, ENTRY, base_port + 5),
+            TWO_HOPS: _make_target(TWO_HOPS, OWNER, base_port + 15),
         },
         routes=tuple(
             Route(
@@ -55,13 +55,13 @@
         ),
         accounts={account.name: account},
         instances={
-            ENTRY: _instance(ENTRY, base_port),
-            OWNER: _instance(OWNER, base_port + 10),
+            ENTRY: _make_instance(ENTRY, base_port),
+            OWNER: _make_instance(OWNER, base_port + 10),
         },
     )
 
 
-def _target(name: str, instance: str, port: int) -> Target:
+def _make_target(name: str, instance: str, port: int) -> Target:
     return Target(
         name=name,
         service=name,
@@ -70,7 +70,7 @@
     )
 
 
-def _instance(name: str, port: int) -> Instance:
+def _make_instance(name: str, port: int) -> Instance:
     return Instance(
         name=name,
         zone=f'zone-{name}',
--- a/src/clementinedeal_bench/_slopes.py
+++ b/src/clementinedeal_bench/_slopes.py
@@ -11,23 +11,23 @@
 from clementinedeal_bench import _decision_slopes as decisions
 from clementinedeal_bench import _fleet_slopes as fleet
 
-ROLES = (
-    fleet.configuration,
-    decisions.entry,
-    decisions.tokens,
-    decisions.ejection,
-    decisions.owner,
-    decisions.keeper,
-    decisions.envelope,
-    fleet.control,
+MEASUREMENTS = (
+    fleet.measure_configuration,
+    decisions.measure_entry,
+    decisions.measure_tokens,
+    decisions.measure_ejection,
+    decisions.measure_owner,
+    decisions.measure_keeper,
+    decisions.measure_envelope,
+    fleet.measure_control,
 )
 
 
 def main() -> None:
     """Print all slopes."""
-    for role in ROLES:
-        for slope in role():
-            sys.stdout.write(msgspec.json.encode(slope).decode())
+    for measure in MEASUREMENTS:
+        for measurement in measure():
+            sys.stdout.write(msgspec.json.encode(measurement).decode())
             sys.stdout.write('\n')
             sys.stdout.flush()
 
--- a/src/clementinedeal_bench/_spread_trial.py
+++ b/src/clementinedeal_bench/_spread_trial.py
@@ -11,18 +11,18 @@
 
 from clementinedeal._model import Config
 from clementinedeal._publication import pack
-from clementinedeal_bench._large import large_config
+from clementinedeal_bench._large_config import large_config
 from clementinedeal_bench._virtual_fleet import VirtualFleet
 
-ACCOUNTS = 200
-ROUTES = 50
-LOSS = 0.01
+ACCOUNT_COUNT = 200
+ROUTE_COUNT = 50
+LOSS_FRACTION = 0.01
 STEP_SECONDS = 0.1
-START_LIMIT_SECONDS = 60.0
+START_TIMEOUT_SECONDS = 60.0
 SETTLE_SECONDS = 35.0
 STEADY_SECONDS = 5.0
-LIMIT_SECONDS = 8.0
-CHANGES = 3
+CHANGE_PERIOD_SECONDS = 8.0
+CHANGE_COUNT = 3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -50,68 +50,79 @@
     :param size: number of instances.
     """
     cfg = large_config(
-        accounts=ACCOUNTS,
-        routes=ROUTES,
+        accounts=ACCOUNT_COUNT,
+        routes=ROUTE_COUNT,
         targets=size,
         instances=size,
     )
     fleet = VirtualFleet(cfg, seed)
-    fleet.network.loss = LOSS
+    fleet.network.loss_fraction = LOSS_FRACTION
     fleet.platform.publish(pack(cfg).unwrap())
     for name in cfg.instances:
         fleet.start(name)
-    start = _time_until(fleet, 1, START_LIMIT_SECONDS)
-    start_reads = _peak(fleet.platform.reads)
+    start_seconds = _seconds_until_in_force(fleet, 1, START_TIMEOUT_SECONDS)
+    start_reads = _max_reads_per_second(fleet.platform.reads)
     fleet.run(SETTLE_SECONDS)
-    _reset(fleet)
+    _reset_counters(fleet)
     fleet.run(STEADY_SECONDS)
-    shares = size * STEADY_SECONDS
+    instance_seconds = size * STEADY_SECONDS
     steady = SpreadFigures(
         seed=seed,
         size=size,
-        loss=LOSS,
-        start_seconds=start,
+        loss=LOSS_FRACTION,
+        start_seconds=start_seconds,
         start_reads_per_second=start_reads,
-        steady_messages=fleet.messages / shares,
-        steady_bytes=fleet.sent_bytes / shares,
-        steady_processor_share=fleet.busy_seconds / shares,
+        steady_messages=fleet.message_count / instance_seconds,
+        steady_bytes=fleet.sent_bytes / instance_seconds,
+        steady_processor_share=fleet.busy_seconds / instance_seconds,
         steady_reads_per_second=len(fleet.platform.reads) / STEADY_SECONDS,
         steady_fresh=_count_fresh(fleet),
         in_force_seconds=(),
         change_bytes=0,
     )
-    _reset(fleet)
-    times = tuple(_publish(fleet, cfg, 2 + step) for step in range(CHANGES))
-    quiet = steady.steady_bytes * size * LIMIT_SECONDS * CHANGES
-    change_bytes = (fleet.sent_bytes - quiet) / size / CHANGES
-    return replace(steady, in_force_seconds=times, change_bytes=change_bytes)
+    _reset_counters(fleet)
+    in_force_seconds = tuple(
+        _publish_change(fleet, cfg, 2 + step) for step in range(CHANGE_COUNT)
+    )
+    steady_bytes = (
+        steady.steady_bytes * size * CHANGE_PERIOD_SECONDS * CHANGE_COUNT
+    )
+    change_bytes = (fleet.sent_bytes - steady_bytes) / size / CHANGE_COUNT
+    return replace(
+        steady, in_force_seconds=in_force_seconds, change_bytes=change_bytes
+    )
 
 
-def _publish(fleet: VirtualFleet, cfg: Config, version: int) -> float:
+def _publish_change(fleet: VirtualFleet, cfg: Config, version: int) -> float:
     accounts = dict(cfg.accounts)
     accounts.pop(min(accounts))
     changed = replace(cfg, version=version, accounts=accounts)
     if version % 2:
         changed = replace(changed, accounts=cfg.accounts)
     fleet.platform.publish(pack(changed).unwrap())
-    began = fleet.now
-    taken = _time_until(fleet, version, LIMIT_SECONDS)
-    fleet.run(began + LIMIT_SECONDS - fleet.now)
-    return taken
+    started_at = fleet.now
+    in_force_seconds = _seconds_until_in_force(
+        fleet, version, CHANGE_PERIOD_SECONDS
+    )
+    fleet.run(started_at + CHANGE_PERIOD_SECONDS - fleet.now)
+    return in_force_seconds
 
 
-def _time_until(fleet: VirtualFleet, version: int, limit: float) -> float:
-    began = fleet.now
-    while fleet.now - began < limit:
+def _seconds_until_in_force(
+    fleet: VirtualFleet, version: int, max_seconds: float
+) -> float:
+    started_at = fleet.now
+    while fleet.now - started_at < max_seconds:
         fleet.run(STEP_SECONDS)
         if _count_in_force(fleet, version) == len(fleet.processes):
-            return round(fleet.now - began, 1)
-    return limit
+            return round(fleet.now - started_at, 1)
+    return max_seconds
 
 
 def _count_in_force(fleet: VirtualFleet, version: int) -> int:
     return sum(
-        version in process.versions for process in fleet.processes.values()
+        version in process.versions_in_force
+        for process in fleet.processes.values()
     )
 
 
@@ -121,15 +132,15 @@
     )
 
 
-def _peak(reads: list[float]) -> int:
+def _max_reads_per_second(reads: list[float]) -> int:
     counts: dict[int, int] = {}
-    for at in reads:
-        counts[int(at)] = counts.get(int(at), 0) + 1
+    for read_at in reads:
+        counts[int(read_at)] = counts.get(int(read_at), 0) + 1
     return max(counts.values())
 
 
-def _reset(fleet: VirtualFleet) -> None:
-    fleet.messages = 0
+def _reset_counters(fleet: VirtualFleet) -> None:
+    fleet.message_count = 0
     fleet.sent_bytes = 0
     fleet.busy_seconds = 0.0
     fleet.platform.reads.clear()
--- a/src/clementinedeal_bench/_token_config.py
+++ b/src/clementinedeal_bench/_token_config.py
@@ -10,18 +10,18 @@
     Target,
 )
 
-ACCOUNT = 'a'
-ZONES = 3
+ACCOUNT_NAME = 'a'
+ZONE_COUNT = 3
 
 
-def configuration(rate: float, burst: float, daemons: int) -> Config:
+def make_config(rate: float, burst: float, daemon_count: int) -> Config:
     """Return a configuration with one account and one target a daemon.
 
     :param rate: of the account, in requests per second.
     :param burst: of the account, in requests.
     :param daemons: how many instances.
     """
-    names = [f'i{index}' for index in range(daemons)]
+    names = [f'i{index}' for index in range(daemon_count)]
     service = Service(name='s', floor=0)
     return Config(
         version=1,
@@ -36,8 +36,8 @@
         },
         routes=(),
         accounts={
-            ACCOUNT: Account(
-                name=ACCOUNT,
+            ACCOUNT_NAME: Account(
+                name=ACCOUNT_NAME,
                 key_digests=(),
                 rate=rate,
                 burst=burst,
@@ -45,13 +45,13 @@
             ),
         },
         instances={
-            name: instance(name, index % ZONES)
+            name: make_instance(name, index % ZONE_COUNT)
             for index, name in enumerate(names)
         },
     )
 
 
-def instance(name: str, zone: int) -> Instance:
+def make_instance(name: str, zone: int) -> Instance:
     """Return a published instance without addresses."""
     return Instance(
         name=name,
--- a/src/clementinedeal_bench/_token_fleet.py
+++ b/src/clementinedeal_bench/_token_fleet.py
@@ -15,62 +15,62 @@
 from clementinedeal._tokens import TokenManager
 
 STEP_SECONDS = 0.02
-START_SECONDS = 100.0
-WARM_SECONDS = 30.0
-WARM_STEP_SECONDS = 0.25
+FIRST_VERSION_AGE_SECONDS = 100.0
+WARM_UP_SECONDS = 30.0
+WARM_UP_STEP_SECONDS = 0.25
 
 
 @dataclass(frozen=True, slots=True)
 class Link:
     """How messages fare: shares lost and repeated, delays in seconds."""
 
-    loss: float = 0
-    repeat: float = 0
-    latency: float = 0.001
-    jitter: float = 0
+    loss_fraction: float = 0
+    duplicate_fraction: float = 0
+    latency_seconds: float = 0.001
+    max_jitter_seconds: float = 0
 
 
 @dataclass(frozen=True, slots=True)
-class Publication:
+class PublishedVersion:
     """One version and when it was published, in virtual seconds."""
 
     cfg: Config
-    at: float
+    published_at: float
 
 
 @dataclass(order=True, slots=True)
-class Parcel:
+class Delivery:
     """A message on its way."""
 
-    due: float
-    order: int
+    due_at: float
+    sequence: int
     sender: str = field(compare=False)
-    send: Send = field(compare=False)
+    message: Send = field(compare=False)
 
 
 @dataclass(slots=True)
-class Node:
+class SimulatedDaemon:
     """One daemon: its process, what it has heard and whether it runs."""
 
     manager: TokenManager
     version: int
     incarnation: int
-    runs: bool = True
+    is_running: bool = True
     paused_until: float = 0
 
-    def acts(self, now: float) -> bool:
+    def is_active(self, now: float) -> bool:
         """Tell whether the process runs and is not paused.
 
         :param now: virtual seconds.
         """
-        return self.runs and self.paused_until <= now
+        return self.is_running and self.paused_until <= now
 
 
 @dataclass(frozen=True, slots=True)
-class Outcome:
+class TokenOutcome:
     """The answer to one request."""
 
-    at: float
+    answered_at: float
     req_id: str
     admitted: bool
 
@@ -86,56 +86,58 @@
         """
         self.now = 0.0
         self.link = Link()
-        self.cuts: set[tuple[str, str]] = set()
-        self.versions = [Publication(cfg, -START_SECONDS)]
-        self.nodes: dict[str, Node] = {}
-        self.history: list[Parcel] = []
-        self.outcomes: list[Outcome] = []
-        self.bytes_sent = 0
+        self.cut_links: set[tuple[str, str]] = set()
+        self.versions = [PublishedVersion(cfg, -FIRST_VERSION_AGE_SECONDS)]
+        self.daemons: dict[str, SimulatedDaemon] = {}
+        self.sent_messages: list[Delivery] = []
+        self.outcomes: list[TokenOutcome] = []
+        self.sent_bytes = 0
         self._rng = Random(seed)
-        self._order = itertools.count()
-        self._parcels: list[Parcel] = []
+        self._sequence = itertools.count()
+        self._deliveries: list[Delivery] = []
         for name in cfg.instances:
-            self.start(name, 0, known_for=START_SECONDS)
-        self.run(WARM_SECONDS, step=WARM_STEP_SECONDS)
+            self.start(name, 0, known_for=FIRST_VERSION_AGE_SECONDS)
+        self.run(WARM_UP_SECONDS, step_seconds=WARM_UP_STEP_SECONDS)
 
-    def start(self, name: str, behind: int, known_for: float) -> None:
+    def start(self, name: str, versions_behind: int, known_for: float) -> None:
         """Start a daemon, or replace it by a new process.
 
         :param name: instance.
         :param behind: how many versions its first one lags.
         :param known_for: what it is told of that version's age, in seconds.
         """
-        publication = self.versions[max(0, len(self.versions) - 1 - behind)]
-        old = self.nodes.get(name)
-        incarnation = old.incarnation + 1 if old else 1
+        version = self.versions[
+            max(0, len(self.versions) - 1 - versions_behind)
+        ]
+        predecessor = self.daemons.get(name)
+        incarnation = predecessor.incarnation + 1 if predecessor else 1
         manager = TokenManager(
             name,
-            publication.cfg,
+            version.cfg,
             self.now,
             incarnation=incarnation,
             known_for=known_for,
         )
-        node = Node(manager, publication.cfg.version, incarnation)
-        self.nodes[name] = node
-        self._freshen(node)
+        daemon = SimulatedDaemon(manager, version.cfg.version, incarnation)
+        self.daemons[name] = daemon
+        self._update_freshness(daemon)
 
     def publish(self, cfg: Config) -> None:
         """Publish a version; no daemon hears of it yet."""
-        self.versions.append(Publication(cfg, self.now))
+        self.versions.append(PublishedVersion(cfg, self.now))
 
-    def tell(self, name: str) -> None:
+    def apply_newest_version(self, name: str) -> None:
         """Let a daemon hear of the newest version.
 
         :param name: instance; one that is not running hears nothing.
         """
-        node = self.nodes[name]
-        if not node.acts(self.now):
+        daemon = self.daemons[name]
+        if not daemon.is_active(self.now):
             return
         cfg = self.versions[-1].cfg
-        self._handle(name, node.manager.on_config(cfg, self.now))
-        node.version = cfg.version
-        self._freshen(node)
+        self._perform(name, daemon.manager.on_config(cfg, self.now))
+        daemon.version = cfg.version
+        self._update_freshness(daemon)
 
     def take(self, name: str, req_id: str, account: str) -> None:
         """Let a request ask for a token at a daemon.
@@ -144,100 +146,100 @@
         :param req_id: request id.
         :param account: client account.
         """
-        node = self.nodes[name]
-        if node.acts(self.now):
-            actions = node.manager.take(req_id, account, self.now)
-            self._handle(name, actions)
+        daemon = self.daemons[name]
+        if daemon.is_active(self.now):
+            actions = daemon.manager.take(req_id, account, self.now)
+            self._perform(name, actions)
 
     def stop(self, name: str) -> None:
         """Stop a daemon as planned.
 
         :param name: instance.
         """
-        node = self.nodes[name]
-        if node.acts(self.now):
-            self._handle(name, node.manager.stop(self.now))
+        daemon = self.daemons[name]
+        if daemon.is_active(self.now):
+            self._perform(name, daemon.manager.stop(self.now))
 
-    def replay(self, parcel: Parcel) -> None:
+    def replay(self, delivery: Delivery) -> None:
         """Deliver an old message once more.
 
         :param parcel: from ``history``.
         """
-        self._deliver(parcel)
+        self._deliver(delivery)
 
-    def run(self, seconds: float, step: float = STEP_SECONDS) -> None:
+    def run(self, seconds: float, step_seconds: float = STEP_SECONDS) -> None:
         """Let time pass, deliver what is due and tick every daemon.
 
         :param seconds: how long.
         :param step: time between ticks in seconds.
         """
         ends_at = self.now + seconds
-        while self.now < ends_at - step / 2:
-            tick_at = self.now + step
+        while self.now < ends_at - step_seconds / 2:
+            tick_at = self.now + step_seconds
             self._deliver_until(tick_at)
             self.now = tick_at
             self._tick()
 
     def _deliver_until(self, until: float) -> None:
-        while self._parcels and self._parcels[0].due <= until:
-            parcel = heapq.heappop(self._parcels)
-            self.now = max(self.now, parcel.due)
-            self._deliver(parcel)
+        while self._deliveries and self._deliveries[0].due_at <= until:
+            delivery = heapq.heappop(self._deliveries)
+            self.now = max(self.now, delivery.due_at)
+            self._deliver(delivery)
 
     def _tick(self) -> None:
-        for name, node in tuple(self.nodes.items()):
-            if node.acts(self.now):
-                self._freshen(node)
-                self._handle(name, node.manager.on_tick(self.now))
-
-    def _freshen(self, node: Node) -> None:
-        newer = (
-            publication.at
-            for publication in self.versions
-            if publication.cfg.version > node.version
+        for name, daemon in tuple(self.daemons.items()):
+            if daemon.is_active(self.now):
+                self._update_freshness(daemon)
+                self._perform(name, daemon.manager.on_tick(self.now))
+
+    def _update_freshness(self, daemon: SimulatedDaemon) -> None:
+        superseded_at = (
+            version.published_at
+            for version in self.versions
+            if version.cfg.version > daemon.version
         )
-        heard_until = min(newer, default=self.now) + FRESH_SECONDS
-        node.manager.set_fresh(self.now < heard_until, self.now)
-
-    def _deliver(self, parcel: Parcel) -> None:
-        node = self.nodes[parcel.send.to]
-        if node.paused_until > self.now:
-            parcel.due = node.paused_until
-            heapq.heappush(self._parcels, parcel)
-        elif node.acts(self.now):
-            body = parcel.send.body
-            actions = node.manager.on_message(parcel.sender, body, self.now)
-            self._handle(parcel.send.to, actions)
-
-    def _handle(self, name: str, actions: TokenActions) -> None:
+        fresh_until = min(superseded_at, default=self.now) + FRESH_SECONDS
+        daemon.manager.set_fresh(self.now < fresh_until, self.now)
+
+    def _deliver(self, delivery: Delivery) -> None:
+        daemon = self.daemons[delivery.message.to]
+        if daemon.paused_until > self.now:
+            delivery.due_at = daemon.paused_until
+            heapq.heappush(self._deliveries, delivery)
+        elif daemon.is_active(self.now):
+            body = delivery.message.body
+            actions = daemon.manager.on_message(delivery.sender, body, self.now)
+            self._perform(delivery.message.to, actions)
+
+    def _perform(self, name: str, actions: TokenActions) -> None:
         for action in actions:
             if isinstance(action, Send):
-                self._post(name, action)
+                self._send(name, action)
             else:
-                self._note(action)
+                self._record_outcome(action)
 
-    def _note(self, action: TokenGranted | TokenRefused) -> None:
+    def _record_outcome(self, action: TokenGranted | TokenRefused) -> None:
         admitted = isinstance(action, TokenGranted)
-        self.outcomes.append(Outcome(self.now, action.req_id, admitted))
+        self.outcomes.append(TokenOutcome(self.now, action.req_id, admitted))
 
-    def _post(self, sender: str, send: Send) -> None:
-        blob = encode((send.body,))
-        self.bytes_sent += len(blob)
-        send = Send(send.to, _first(decode(blob)))
-        copies = 1 + (self._rng.random() < self.link.repeat)
+    def _send(self, sender: str, message: Send) -> None:
+        blob = encode((message.body,))
+        self.sent_bytes += len(blob)
+        message = Send(message.to, _first_body(decode(blob)))
+        copies = 1 + (self._rng.random() < self.link.duplicate_fraction)
         for _ in range(copies):
-            due = self.now + self.link.latency
-            due += self._rng.random() * self.link.jitter
-            parcel = Parcel(due, next(self._order), sender, send)
-            self.history.append(parcel)
-            if not self._is_lost(sender, send.to):
-                heapq.heappush(self._parcels, parcel)
+            due_at = self.now + self.link.latency_seconds
+            due_at += self._rng.random() * self.link.max_jitter_seconds
+            delivery = Delivery(due_at, next(self._sequence), sender, message)
+            self.sent_messages.append(delivery)
+            if not self._is_lost(sender, message.to):
+                heapq.heappush(self._deliveries, delivery)
 
     def _is_lost(self, sender: str, to: str) -> bool:
-        if (sender, to) in self.cuts:
+        if (sender, to) in self.cut_links:
             return True
-        return self._rng.random() < self.link.loss
+        return self._rng.random() < self.link.loss_fraction
 
 
-def _first(bodies: Iterable[Any]) -> Any:
+def _first_body(bodies: Iterable[Any]) -> Any:
     return next(iter(bodies))
--- a/src/clementinedeal_bench/_token_timing.py
+++ b/src/clementinedeal_bench/_token_timing.py
@@ -10,18 +10,18 @@
 from clementinedeal._draws import TokenGranted
 from clementinedeal._messages import Send
 from clementinedeal._tokens import TokenManager
-from clementinedeal_bench._token_config import ACCOUNT, configuration
+from clementinedeal_bench._token_config import ACCOUNT_NAME, make_config
 
 CALLS = 20_000
-LARGE = 1_000_000.0
-SMALL = 9.0
+LARGE_AMOUNT = 1_000_000.0
+LOW_RATE = 9.0
 NANOS_PER_MICRO = 1000
-WARM_STEPS = 40
+WARM_UP_STEPS = 40
 STEP_SECONDS = 0.25
 CALL_SECONDS = 0.001
 
 
-class Pair:
+class TimedFleet:
     """One account, its two holders, and one owner that holds no share."""
 
     def __init__(self, rate: float) -> None:
@@ -29,14 +29,16 @@
 
         :param rate: of the account, in requests per second.
         """
-        cfg = configuration(rate, LARGE, 3)
+        cfg = make_config(rate, LARGE_AMOUNT, 3)
         self.now = 0.0
         self.managers = {
-            name: TokenManager(name, cfg, 0, incarnation=1, known_for=LARGE)
+            name: TokenManager(
+                name, cfg, 0, incarnation=1, known_for=LARGE_AMOUNT
+            )
             for name in cfg.instances
         }
-        self.holders = self.managers['i0'].holders(ACCOUNT)
-        for _ in range(WARM_STEPS):
+        self.holders = self.managers['i0'].holders(ACCOUNT_NAME)
+        for _ in range(WARM_UP_STEPS):
             self.now += STEP_SECONDS
             self.tick()
 
@@ -62,45 +64,47 @@
         return admitted
 
 
-def local_micros() -> float:
+def measure_local_take() -> float:
     """Return microseconds for a take from the own share."""
-    pair = Pair(LARGE)
-    manager = pair.managers[pair.holders[0]]
-    started = time.process_time_ns()
+    fleet = TimedFleet(LARGE_AMOUNT)
+    manager = fleet.managers[fleet.holders[0]]
+    started_ns = time.process_time_ns()
     for index in range(CALLS):
-        manager.take(str(index), ACCOUNT, pair.now)
-    return (time.process_time_ns() - started) / NANOS_PER_MICRO / CALLS
+        manager.take(str(index), ACCOUNT_NAME, fleet.now)
+    return (time.process_time_ns() - started_ns) / NANOS_PER_MICRO / CALLS
 
 
-def drawn_micros() -> tuple[float, int]:
+def measure_take_with_draw() -> tuple[float, int]:
     """Return microseconds of owner and holder for a take with one draw.
 
     The second figure is how many of the takes were admitted.
     """
-    pair = Pair(SMALL)
-    name = next(each for each in pair.managers if each not in pair.holders)
-    spent = 0
+    fleet = TimedFleet(LOW_RATE)
+    owner = next(each for each in fleet.managers if each not in fleet.holders)
+    spent_ns = 0
     admitted = 0
     for index in range(CALLS // 10):
-        pair.now += STEP_SECONDS
-        pair.tick()
-        started = time.process_time_ns()
-        actions = pair.managers[name].take(str(index), ACCOUNT, pair.now)
-        admitted += pair.deliver(name, actions)
-        spent += time.process_time_ns() - started
-    return spent / NANOS_PER_MICRO / (CALLS // 10), admitted
+        fleet.now += STEP_SECONDS
+        fleet.tick()
+        started_ns = time.process_time_ns()
+        actions = fleet.managers[owner].take(
+            str(index), ACCOUNT_NAME, fleet.now
+        )
+        admitted += fleet.deliver(owner, actions)
+        spent_ns += time.process_time_ns() - started_ns
+    return spent_ns / NANOS_PER_MICRO / (CALLS // 10), admitted
 
 
 def main() -> None:
     """Print the figures."""
-    drawn, admitted = drawn_micros()
-    line = {
-        'take_local_us': round(local_micros(), 2),
-        'take_with_draw_both_sides_us': round(drawn, 2),
+    drawn_micros, admitted = measure_take_with_draw()
+    report = {
+        'take_local_us': round(measure_local_take(), 2),
+        'take_with_draw_both_sides_us': round(drawn_micros, 2),
         'draws': CALLS // 10,
         'admitted': admitted,
     }
-    print(json.dumps(line))  # noqa: WPS421
+    print(json.dumps(report))  # noqa: WPS421
 
 
 if __name__ == '__main__':
--- a/src/clementinedeal_bench/_token_trial.py
+++ b/src/clementinedeal_bench/_token_trial.py
@@ -15,16 +15,16 @@
 
 from clementinedeal._model import Config
 from clementinedeal._tokens import TokenManager
-from clementinedeal_bench._token_config import ACCOUNT, configuration
+from clementinedeal_bench._token_config import ACCOUNT_NAME, make_config
 from clementinedeal_bench._token_fleet import STEP_SECONDS, TokenFleet
 
 SEEDS = tuple(range(1, 31))
 RUN_SECONDS = 20.0
-BURST_EVERY_SECONDS = 10.0
+MEAN_BURST_INTERVAL_SECONDS = 10.0
 BURST_DIVISOR = 4
-DRAWS = 40
-DEAD_HOLDERS = (0, 1)
-LOADS = (0.4, 0.8, 1.0)
+DRAWS_PER_STEP = 40
+DEAD_HOLDER_COUNTS = (0, 1)
+LOAD_FRACTIONS = (0.4, 0.8, 1.0)
 
 
 class Routing(enum.Enum):
@@ -34,10 +34,10 @@
     HOLDER = 'holder first'
 
 
-class Way(enum.Enum):
+class SharingScheme(enum.Enum):
     """How rate and burst are shared."""
 
-    CHOSEN = 'holders'
+    HOLDERS = 'holders'
     STATIC = 'static share per daemon'
     SINGLE = 'one holder'
 
@@ -55,16 +55,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Tally:
+class RunCounts:
     """Counts of one run."""
 
     requests: int
     refused: int
     messages: int
-    size: int
+    sent_bytes: int
 
 
-class Fleet(Protocol):
+class SimulatedFleet(Protocol):
     """One way to share tokens over daemons."""
 
     def take(self, name: str, req_id: str) -> None:
@@ -75,7 +75,7 @@
         """Let one step of time pass."""
         ...
 
-    def tally(self, requests: int) -> Tally:
+    def count_results(self, requests: int) -> RunCounts:
         """Return what became of all requests."""
         ...
 
@@ -91,19 +91,19 @@
         """
         self._rate = rate
         self._burst = burst
-        self._level = burst
+        self._tokens = burst
 
     def take(self) -> bool:
         """Take one token if there is one."""
-        if self._level < 1:
+        if self._tokens < 1:
             return False
-        self._level -= 1
+        self._tokens -= 1
         return True
 
     def step(self) -> None:
         """Refill for one step of time."""
-        made = self._rate * STEP_SECONDS
-        self._level = min(self._burst, self._level + made)
+        refill = self._rate * STEP_SECONDS
+        self._tokens = min(self._burst, self._tokens + refill)
 
 
 class BucketFleet:
@@ -139,9 +139,9 @@
         for bucket in self._buckets.values():
             bucket.step()
 
-    def tally(self, requests: int) -> Tally:
+    def count_results(self, requests: int) -> RunCounts:
         """Return what became of all requests."""
-        return Tally(requests, self._refused, self._messages, 0)
+        return RunCounts(requests, self._refused, self._messages, 0)
 
 
 class HolderFleet:
@@ -156,69 +156,76 @@
         """
         self._fleet = TokenFleet(cfg, seed)
         for name in dead:
-            self._fleet.nodes[name].runs = False
+            self._fleet.daemons[name].is_running = False
 
     def take(self, name: str, req_id: str) -> None:
         """Ask the daemon's manager for a token."""
-        self._fleet.take(name, req_id, ACCOUNT)
+        self._fleet.take(name, req_id, ACCOUNT_NAME)
 
     def step(self) -> None:
         """Let one step of time pass."""
         self._fleet.run(STEP_SECONDS)
 
-    def tally(self, requests: int) -> Tally:
+    def count_results(self, requests: int) -> RunCounts:
         """Return what became of all requests."""
         self._fleet.run(1)
         admitted = sum(each.admitted for each in self._fleet.outcomes)
-        return Tally(
+        return RunCounts(
             requests,
             requests - admitted,
-            len(self._fleet.history),
-            self._fleet.bytes_sent,
+            len(self._fleet.sent_messages),
+            self._fleet.sent_bytes,
         )
 
 
-def arrivals(case: Case, rng: Random) -> Iterator[int]:
+def conforming_arrivals(case: Case, rng: Random) -> Iterator[int]:
     """Yield how many conforming requests come in each step.
 
     :param case: the account and its load, as a share of its rate, of which
         a part comes in sudden bursts.
     :param rng: random source.
     """
-    exact = Bucket(case.rate, case.burst)
-    sudden = int(case.burst / BURST_DIVISOR)
-    even = case.rate * case.load - sudden / BURST_EVERY_SECONDS
-    mean = even * STEP_SECONDS
-    chance = STEP_SECONDS / BURST_EVERY_SECONDS
+    exact_bucket = Bucket(case.rate, case.burst)
+    burst_requests = int(case.burst / BURST_DIVISOR)
+    even_rate = (
+        case.rate * case.load - burst_requests / MEAN_BURST_INTERVAL_SECONDS
+    )
+    mean_per_step = even_rate * STEP_SECONDS
+    burst_probability = STEP_SECONDS / MEAN_BURST_INTERVAL_SECONDS
     for _ in range(int(RUN_SECONDS / STEP_SECONDS)):
-        exact.step()
-        wanted = sum(rng.random() < mean / DRAWS for _ in range(DRAWS))
-        if rng.random() < chance:
-            wanted += sudden
-        yield sum(exact.take() for _ in range(wanted))
+        exact_bucket.step()
+        offered = sum(
+            rng.random() < mean_per_step / DRAWS_PER_STEP
+            for _ in range(DRAWS_PER_STEP)
+        )
+        if rng.random() < burst_probability:
+            offered += burst_requests
+        yield sum(exact_bucket.take() for _ in range(offered))
 
 
-def run(case: Case, way: Way, seed: int) -> Tally:
+def run_case(case: Case, scheme: SharingScheme, seed: int) -> RunCounts:
     """Run one case one way.
 
     :param case: the account and its traffic.
     :param way: how tokens are shared.
     :param seed: of traffic and network.
     """
-    cfg = configuration(case.rate, case.burst, case.daemons)
+    cfg = make_config(case.rate, case.burst, case.daemons)
     manager = TokenManager('', cfg, 0, incarnation=1)
-    holders = list(manager.holders(ACCOUNT))
+    holders = list(manager.holders(ACCOUNT_NAME))
     dead = holders[: case.dead]
-    asked = list(cfg.instances)
+    owners = list(cfg.instances)
     if case.routing == Routing.HOLDER.value:
-        asked = holders
-    fleet = make_fleet(case, way, seed, cfg, dead)
-    return drive(
-        case, fleet, [name for name in asked if name not in dead], seed
+        owners = holders
+    fleet = make_fleet(case, scheme, seed, cfg, dead)
+    return send_requests(
+        case, fleet, [name for name in owners if name not in dead], seed
     )
 
 
-def drive(case: Case, fleet: Fleet, asked: list[str], seed: int) -> Tally:
+def send_requests(
+    case: Case, fleet: SimulatedFleet, owners: list[str], seed: int
+) -> RunCounts:
     """Send a run's requests.
 
     :param case: the account and its traffic.
@@ -227,57 +234,60 @@
     :param seed: of the traffic.
     """
     rng = Random(seed)
-    total = 0
-    for count in arrivals(case, rng):
+    request_count = 0
+    for count in conforming_arrivals(case, rng):
         for _ in range(count):
-            total += 1
-            fleet.take(rng.choice(asked), str(total))
+            request_count += 1
+            fleet.take(rng.choice(owners), str(request_count))
         fleet.step()
-    return fleet.tally(total)
+    return fleet.count_results(request_count)
 
 
 def make_fleet(
     case: Case,
-    way: Way,
+    scheme: SharingScheme,
     seed: int,
     cfg: Config,
     dead: list[str],
-) -> Fleet:
+) -> SimulatedFleet:
     """Build the daemons of one run; arguments as in ``run``."""
-    if way is Way.CHOSEN:
+    if scheme is SharingScheme.HOLDERS:
         return HolderFleet(cfg, seed, dead)
     names = list(cfg.instances)
-    if way is Way.SINGLE:
+    if scheme is SharingScheme.SINGLE:
         return BucketFleet(case, (dead or names)[:1], dead)
     return BucketFleet(case, names, dead)
 
 
-def cases() -> Iterator[Case]:
+def all_cases() -> Iterator[Case]:
     """Yield all cases: a small and a large account, with and without fault."""
     sizes = ((3, 20, 12), (200, 200, 24))
     for size, load, dead, routing in itertools.product(
-        sizes, LOADS, DEAD_HOLDERS, Routing
+        sizes, LOAD_FRACTIONS, DEAD_HOLDER_COUNTS, Routing
     ):
         yield Case(*size, load, dead, routing.value)
 
 
-def summary(case: Case, way: Way) -> str:
+def summarize_case(case: Case, scheme: SharingScheme) -> str:
     """Run all seeds of a case and return its JSON line."""
-    tallies = [run(case, way, seed) for seed in SEEDS]
-    requests = sum(tally.requests for tally in tallies)
-    shares = [tally.refused / tally.requests for tally in tallies]
-    messages = sum(tally.messages for tally in tallies)
+    results = [run_case(case, scheme, seed) for seed in SEEDS]
+    requests = sum(run_counts.requests for run_counts in results)
+    refused_fractions = [
+        run_counts.refused / run_counts.requests for run_counts in results
+    ]
+    messages = sum(run_counts.messages for run_counts in results)
     return json.dumps(
         asdict(case)
         | {
-            'way': way.value,
+            'way': scheme.value,
             'seeds': [SEEDS[0], SEEDS[-1]],
             'requests': requests,
-            'refused_share': round(statistics.mean(shares), 5),
-            'refused_share_worst_seed': round(max(shares), 5),
+            'refused_share': round(statistics.mean(refused_fractions), 5),
+            'refused_share_worst_seed': round(max(refused_fractions), 5),
             'messages_per_request': round(messages / requests, 3),
             'bytes_per_request': round(
-                sum(tally.size for tally in tallies) / requests, 1
+                sum(run_counts.sent_bytes for run_counts in results) / requests,
+                1,
             ),
         },
     )
@@ -285,9 +295,9 @@
 
 def main() -> None:
     """Print all cases."""
-    for case in cases():
-        for way in Way:
-            print(summary(case, way), flush=True)  # noqa: WPS421
+    for case in all_cases():
+        for scheme in SharingScheme:
+            print(summarize_case(case, scheme), flush=True)  # noqa: WPS421
 
 
 if __name__ == '__main__':
--- a/src/clementinedeal_bench/_virtual_fleet.py
+++ b/src/clementinedeal_bench/_virtual_fleet.py
@@ -25,40 +25,40 @@
 
 ResultT = TypeVar('ResultT')
 
-Input = Callable[[float], list[Any]]
+ViewInput = Callable[[float], list[Any]]
 
 TICK_SECONDS = 0.2
-PLATFORM_SECONDS = 0.005
+PLATFORM_LATENCY_SECONDS = 0.005
 
 
 @dataclass(slots=True, kw_only=True)
 class Network:
     """Faults of the network between daemons."""
 
-    loss: float = 0.0
-    duplicates: float = 0.0
-    min_delay: float = 0.0005
-    max_delay: float = 0.003
-    cuts: set[tuple[str, str]] = field(default_factory=set)
+    loss_fraction: float = 0.0
+    duplicate_fraction: float = 0.0
+    min_delay_seconds: float = 0.0005
+    max_delay_seconds: float = 0.003
+    cut_links: set[tuple[str, str]] = field(default_factory=set)
 
 
 @dataclass(slots=True)
-class Process:
+class DaemonProcess:
     """One run of a daemon."""
 
     name: str
     view: FleetView
-    versions: list[int] = field(default_factory=list)
+    versions_in_force: list[int] = field(default_factory=list)
     rejected: list[ConfigRejected] = field(default_factory=list)
     is_paused: bool = False
     is_down: bool = False
-    inbox: list[Input] = field(default_factory=list)
+    inbox: list[ViewInput] = field(default_factory=list)
 
 
 class VirtualFleet:
     """Carries out the actions of the views and counts what they cost."""
 
-    def __init__(self, cfg: Config, seed: int, replicas: int = 1) -> None:
+    def __init__(self, cfg: Config, seed: int, replica_count: int = 1) -> None:
         """Create a fleet in which nobody runs yet.
 
         :param cfg: gives the instances.
@@ -68,14 +68,14 @@
         self.now = 0.0
         self.cfg = cfg
         self.network = Network()
-        self.platform = SimulatedPlatform(replicas)
-        self.processes: dict[str, Process] = {}
-        self.messages = 0
+        self.platform = SimulatedPlatform(replica_count)
+        self.processes: dict[str, DaemonProcess] = {}
+        self.message_count = 0
         self.sent_bytes = 0
         self.busy_seconds = 0.0
         self._rng = random.Random(seed)
         self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._order = itertools.count()
+        self._sequence = itertools.count()
         self._names = sorted(cfg.instances)
 
     def start(self, name: str) -> None:
@@ -84,12 +84,12 @@
         :param name: instance name.
         """
         self.stop(name)
-        settings = _settings(self.cfg.instances[name])
+        settings = _make_settings(self.cfg.instances[name])
         rng = random.Random(self._rng.getrandbits(32))
-        process = Process(name, FleetView(settings, rng, self.now))
+        process = DaemonProcess(name, FleetView(settings, rng, self.now))
         self.processes[name] = process
         phase = self._rng.uniform(0, TICK_SECONDS)
-        self._at(self.now + phase, partial(self._tick, process))
+        self._schedule(self.now + phase, partial(self._tick, process))
 
     def stop(self, name: str) -> None:
         """End a daemon at once.
@@ -99,7 +99,7 @@
         if name in self.processes:
             self.processes.pop(name).is_down = True
 
-    def ask(self, name: str, call: Input) -> None:
+    def call_view(self, name: str, call: ViewInput) -> None:
         """Call a method of a daemon's view and carry out its actions.
 
         :param name: instance name.
@@ -121,7 +121,7 @@
         """
         process = self.processes[name]
         process.is_paused = False
-        self.ask(name, process.view.on_pause)
+        self.call_view(name, process.view.on_pause)
         inbox = process.inbox
         process.inbox = []
         for call in inbox:
@@ -139,126 +139,128 @@
             event[-1]()
         self.now = end
 
-    def _tick(self, process: Process) -> None:
+    def _tick(self, process: DaemonProcess) -> None:
         if process.is_down:
             return
-        self._at(self.now + TICK_SECONDS, partial(self._tick, process))
+        self._schedule(self.now + TICK_SECONDS, partial(self._tick, process))
         self.platform.expire_watches(self.now)
         if not process.is_paused:
-            self._perform(process, self._timed(process.view.on_tick))
+            self._perform(process, self._call_timed(process.view.on_tick))
 
-    def _perform(self, process: Process, actions: list[Any]) -> None:
+    def _perform(self, process: DaemonProcess, actions: list[Any]) -> None:
         for action in actions:
             if isinstance(action, Send):
                 self._send(process.name, action)
             elif isinstance(action, ReadPlatform | WatchRoot):
-                self._read(process, action)
+                self._read_platform(process, action)
             elif isinstance(action, ConfigInForce):
-                process.versions.append(action.cfg.version)
+                process.versions_in_force.append(action.cfg.version)
             elif isinstance(action, ConfigRejected):
                 process.rejected.append(action)
 
     def _send(self, sender: str, action: Send) -> None:
-        started = time.process_time()
+        started_at = time.process_time()
         blob = encode((action.body,))
-        self.busy_seconds += time.process_time() - started
-        self.messages += 1
+        self.busy_seconds += time.process_time() - started_at
+        self.message_count += 1
         self.sent_bytes += len(blob)
-        copies = 1 + (self._rng.random() < self.network.duplicates)
+        copies = 1 + (self._rng.random() < self.network.duplicate_fraction)
         for _ in range(copies):
-            if self._rng.random() >= self.network.loss:
+            if self._rng.random() >= self.network.loss_fraction:
                 call = partial(self._receive, sender, action.to, blob)
                 delay = self._rng.uniform(
-                    self.network.min_delay,
-                    self.network.max_delay,
+                    self.network.min_delay_seconds,
+                    self.network.max_delay_seconds,
                 )
-                self._at(self.now + delay, call)
+                self._schedule(self.now + delay, call)
 
     def _receive(self, sender: str, to: str, blob: bytes) -> None:
         process = self.processes.get(to)
-        if process is None or (sender, to) in self.network.cuts:
+        if process is None or (sender, to) in self.network.cut_links:
             return
-        started = time.process_time()
+        started_at = time.process_time()
         bodies = decode(blob)
-        self.busy_seconds += time.process_time() - started
+        self.busy_seconds += time.process_time() - started_at
         for body in bodies:
             self._deliver(
                 process,
                 partial(process.view.on_message, sender, body),
             )
 
-    def _deliver(self, process: Process, call: Input) -> None:
+    def _deliver(self, process: DaemonProcess, call: ViewInput) -> None:
         if process.is_paused:
             process.inbox.append(call)
         elif not process.is_down:
-            self._perform(process, self._timed(call))
+            self._perform(process, self._call_timed(call))
 
-    def _read(self, process: Process, action: ReadPlatform | WatchRoot) -> None:
+    def _read_platform(
+        self, process: DaemonProcess, action: ReadPlatform | WatchRoot
+    ) -> None:
         name = action.name if isinstance(action, ReadPlatform) else ROOT_NAME
         if not self.platform.is_reachable(process.name):
-            self._reply(process, name, None, is_failure=True)
+            self._schedule_reply(process, name, None, is_failure=True)
             return
         replica = self._names.index(process.name)
         if isinstance(action, ReadPlatform):
-            found = self.platform.read(name, replica, self.now)
-            self._reply(process, name, found, is_failure=found is None)
+            value = self.platform.read(name, replica, self.now)
+            self._schedule_reply(process, name, value, is_failure=value is None)
             return
         self.platform.watch(
             replica,
             action.after_version,
             self.now + action.timeout_seconds,
             self.now,
-            partial(self._reply, process, name),
+            partial(self._schedule_reply, process, name),
         )
 
-    def _reply(
+    def _schedule_reply(
         self,
-        process: Process,
+        process: DaemonProcess,
         name: str,
-        found: Any,
+        value: Any,
         *,
         is_failure: bool = False,
     ) -> None:
-        at = self.now + PLATFORM_SECONDS
+        reply_at = self.now + PLATFORM_LATENCY_SECONDS
         failed = is_failure or not self.platform.is_reachable(process.name)
-        call = _platform_input(process.view, name, found, is_failure=failed)
-        self._at(at, partial(self._deliver, process, call))
+        call = _platform_input(process.view, name, value, is_failure=failed)
+        self._schedule(reply_at, partial(self._deliver, process, call))
 
-    def _timed(self, call: Callable[[float], ResultT]) -> ResultT:
-        started = time.process_time()
-        outcome = call(self.now)
-        self.busy_seconds += time.process_time() - started
-        return outcome
+    def _call_timed(self, call: Callable[[float], ResultT]) -> ResultT:
+        started_at = time.process_time()
+        result = call(self.now)
+        self.busy_seconds += time.process_time() - started_at
+        return result
 
-    def _at(self, when: float, event: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (when, next(self._order), event))
+    def _schedule(self, when: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._sequence), event))
 
 
 def _platform_input(
     view: FleetView,
     name: str,
-    found: Any,
+    value: Any,
     *,
     is_failure: bool,
-) -> Input:
+) -> ViewInput:
     if is_failure:
         return partial(view.on_platform_failure, name)
-    if isinstance(found, InstanceList):
-        return partial(view.on_platform_list, found)
+    if isinstance(value, InstanceList):
+        return partial(view.on_platform_list, value)
     if name == ROOT_NAME:
-        return partial(view.on_platform_root, found)
-    return partial(view.on_platform_part, found)
+        return partial(view.on_platform_root, value)
+    return partial(view.on_platform_part, value)
 
 
-def _settings(known: Instance) -> DaemonSettings:
+def _make_settings(instance: Instance) -> DaemonSettings:
     return DaemonSettings(
-        instance=known.name,
-        zone=known.zone,
-        region=known.region,
-        caller=known.caller,
-        peer=known.peer,
-        control=known.control,
-        operator=known.operator,
+        instance=instance.name,
+        zone=instance.zone,
+        region=instance.region,
+        caller=instance.caller,
+        peer=instance.peer,
+        control=instance.control,
+        operator=instance.operator,
         platform=('127.0.0.1:1',),
         fleet_keys=(FleetKey(name='k', secret=bytes(16)),),
     )
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -9,7 +9,7 @@
 from clementinedeal._publication import pack, read_root
 from clementinedeal._view_actions import ConfigInForce, ConfigRejected
 from clementinedeal._view_messages import VersionRef
-from clementinedeal_bench._large import large_config
+from clementinedeal_bench._large_config import large_config
 
 CFG = large_config(accounts=3, routes=2, targets=4, instances=4)
 
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -17,7 +17,7 @@
     read_root,
     unpack,
 )
-from clementinedeal_bench._large import large_config
+from clementinedeal_bench._large_config import large_config
 
 EXAMPLE = Path(__file__).parent.parent / 'examples' / 'freshwater.yaml'
 
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -27,11 +27,15 @@
     PAUSE_MARGIN_SECONDS,
 )
 from clementinedeal._shares import ShareTable
-from clementinedeal_bench._token_fleet import Link, Outcome, TokenFleet
+from clementinedeal_bench._token_fleet import Link, TokenFleet, TokenOutcome
 
 NAMES = tuple(f'i{index}' for index in range(5))
 OLD_VERSION_SECONDS = FRESH_SECONDS + LEASE_TTL_SECONDS + PAUSE_MARGIN_SECONDS
-LINKS = (Link(), Link(loss=0.2, repeat=0.5, jitter=0.3), Link(jitter=3))
+LINKS = (
+    Link(),
+    Link(loss_fraction=0.2, duplicate_fraction=0.5, max_jitter_seconds=0.3),
+    Link(max_jitter_seconds=3),
+)
 ROUNDING = 0.001
 SOME_NAMES = st.sets(st.sampled_from(NAMES), min_size=1)
 
@@ -93,7 +97,10 @@
         total = max(burst for _, burst in self.valid(start, start))
         edges = {start, end}
         for publication in self.fleet.versions:
-            for edge in (publication.at, publication.at + OLD_VERSION_SECONDS):
+            for edge in (
+                publication.published_at,
+                publication.published_at + OLD_VERSION_SECONDS,
+            ):
                 edges.add(min(max(edge, start), end))
         points = sorted(edges)
         for left, right in zip(points, points[1:], strict=False):
@@ -105,11 +112,11 @@
     def valid(self, start: float, end: float) -> list[tuple[float, float]]:
         found = []
         versions = self.fleet.versions
-        ends = [each.at + OLD_VERSION_SECONDS for each in versions[1:]] + [
-            math.inf
-        ]
+        ends = [
+            each.published_at + OLD_VERSION_SECONDS for each in versions[1:]
+        ] + [math.inf]
         for publication, until in zip(versions, ends, strict=True):
-            if publication.at <= end and start <= until:
+            if publication.published_at <= end and start <= until:
                 account = publication.cfg.accounts['a']
                 found.append((account.rate, account.burst))
         return found
@@ -117,7 +124,9 @@
     def check(self) -> None:
         new_outcomes = self.fleet.outcomes[self.checked_count :]
         self.checked_count = len(self.fleet.outcomes)
-        times = [outcome.at for outcome in new_outcomes if outcome.admitted]
+        times = [
+            outcome.answered_at for outcome in new_outcomes if outcome.admitted
+        ]
         self.admitted.extend(times)
         for end in dict.fromkeys(times):
             count = len([at for at in self.admitted if at <= end])
@@ -157,7 +166,7 @@
 
     @rule(seconds=st.sampled_from((9, 30)))
     def wait_long(self, seconds: float) -> None:
-        self.fleet.run(seconds, step=0.25)
+        self.fleet.run(seconds, step_seconds=0.25)
 
     @rule(link=st.sampled_from(LINKS))
     def change_link(self, link: Link) -> None:
@@ -165,22 +174,22 @@
 
     @rule(sender=st.sampled_from(NAMES), to=st.sampled_from(NAMES))
     def toggle_cut(self, sender: str, to: str) -> None:
-        self.fleet.cuts ^= {(sender, to)}
+        self.fleet.cut_links ^= {(sender, to)}
 
     @rule(back=st.integers(0, 20))
     def replay(self, back: int) -> None:
-        for parcel in self.fleet.history[-1 - back : -back or None]:
-            self.fleet.replay(parcel)
+        for delivery in self.fleet.sent_messages[-1 - back : -back or None]:
+            self.fleet.replay(delivery)
 
     @rule(name=st.sampled_from(NAMES), behind=st.integers(0, 1))
     def replace_daemon(self, name: str, behind: int) -> None:
         index = max(0, len(self.fleet.versions) - 1 - behind)
-        age = self.fleet.now - self.fleet.versions[index].at
+        age = self.fleet.now - self.fleet.versions[index].published_at
         self.fleet.start(name, behind, known_for=age)
 
     @rule(name=st.sampled_from(NAMES), gap=st.sampled_from((0.6, 1.1, 2.5, 20)))
     def pause(self, name: str, gap: float) -> None:
-        self.fleet.nodes[name].paused_until = self.fleet.now + gap
+        self.fleet.daemons[name].paused_until = self.fleet.now + gap
 
     @rule(name=st.sampled_from(NAMES))
     def stop(self, name: str) -> None:
@@ -202,7 +211,7 @@
     @rule(names=SOME_NAMES)
     def tell(self, names: set[str]) -> None:
         for name in sorted(names):
-            self.fleet.tell(name)
+            self.fleet.apply_newest_version(name)
 
     def teardown(self) -> None:
         self.flood()
@@ -233,7 +242,7 @@
 def tell(fleet: TokenFleet, cfg: Config, *names: str) -> None:
     fleet.publish(cfg)
     for name in names:
-        fleet.tell(name)
+        fleet.apply_newest_version(name)
 
 
 def test_new_holders_wait_for_leases_of_their_predecessors() -> None:
@@ -250,7 +259,7 @@
     seconds: float,
 ) -> None:
     fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
-    fleet.link = Link(repeat=1, jitter=0.02)
+    fleet.link = Link(duplicate_fraction=1, max_jitter_seconds=0.02)
     borrow(fleet, 'i0', 'i1', 'i2')
     fleet.run(seconds)
     flood(fleet)
@@ -305,23 +314,23 @@
     fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
     borrow(fleet, 'i0')
     fleet.outcomes.clear()
-    old = tuple(fleet.history)
+    old = tuple(fleet.sent_messages)
     fleet.run(3)
     fleet.start('i0', 0, known_for=100)
-    fleet.cuts = {('i0', 'i3'), ('i0', 'i4')}
+    fleet.cut_links = {('i0', 'i3'), ('i0', 'i4')}
     fleet.take('i0', 'again', 'a')
-    for parcel in old:
-        fleet.replay(parcel)
+    for delivery in old:
+        fleet.replay(delivery)
     assert fleet.outcomes == []
 
 
 def outcomes(
     fleet: TokenFleet, seconds: float, rate: float, names: tuple[str, ...]
-) -> list[Outcome]:
+) -> list[TokenOutcome]:
     """Send requests at an even rate, to each named instance in turn."""
     for index in range(int(seconds * rate)):
         fleet.take(names[index % len(names)], f'{seconds}-{index}', 'a')
-        fleet.run(1 / rate, step=1 / rate / math.ceil(20 / rate))
+        fleet.run(1 / rate, step_seconds=1 / rate / math.ceil(20 / rate))
     fleet.run(0.4)
     return fleet.outcomes
 
@@ -339,7 +348,7 @@
 
 def test_one_dead_holder_of_five_still_admits_half_the_rate() -> None:
     fleet = TokenFleet(config(1, 50, 50, '01234'), seed=1)
-    fleet.nodes['i0'].runs = False
+    fleet.daemons['i0'].is_running = False
     answers = outcomes(fleet, 20, 25, NAMES[1:])
     assert all(each.admitted for each in answers)
 
@@ -349,7 +358,7 @@
     fleet.run(10)
     fleet.publish(config(2, 8, 8, '01234'))
     for name in NAMES:
-        fleet.tell(name)
+        fleet.apply_newest_version(name)
     assert all(each.admitted for each in outcomes(fleet, 5, 8, NAMES))
 
 
@@ -366,9 +375,9 @@
     fleet = TokenFleet(before, seed=1)
     fleet.publish(after)
     for name in NAMES:
-        fleet.tell(name)
+        fleet.apply_newest_version(name)
     waited = GROW_WAIT_SECONDS - 1
-    fleet.run(waited, step=0.25)
+    fleet.run(waited, step_seconds=0.25)
     assert not any(each.admitted for each in outcomes(fleet, 0.5, 2, NAMES))
-    fleet.run(2, step=0.25)
+    fleet.run(2, step_seconds=0.25)
     assert outcomes(fleet, 1, 2, NAMES)[-1].admitted
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -20,7 +20,7 @@
 from clementinedeal._version_ages import VersionAges
 from clementinedeal._view_actions import InstanceList
 from clementinedeal._view_messages import Announcement, VersionRef, ViewRequest
-from clementinedeal_bench._large import large_config
+from clementinedeal_bench._large_config import large_config
 from clementinedeal_bench._virtual_fleet import VirtualFleet
 
 SIZE = 8
@@ -48,7 +48,7 @@
     """Return a fleet in which all daemons have version 1 in force."""
     fleet = VirtualFleet(CFG, seed, replicas)
     fleet.platform.publish(publication(1))
-    fleet.network.min_delay = fleet.network.max_delay = 0.9
+    fleet.network.min_delay_seconds = fleet.network.max_delay_seconds = 0.9
     for name in NAMES:
         fleet.stop(name)
         fleet.run(START_SECONDS)
@@ -71,7 +71,7 @@
 
 def split(fleet, side):
     """Disconnect daemons from the other daemons and from the platform."""
-    fleet.network.cuts = {
+    fleet.network.cut_links = {
         (a, b) for a in NAMES for b in NAMES if (a in side) != (b in side)
     }
     fleet.platform.unreachable_daemons = set(side)
@@ -108,15 +108,15 @@
         cut_off=st.sets(instance_names),
     )
     def cut_links(self, pairs, cut_off):
-        self.fleet.network.cuts = pairs
+        self.fleet.network.cut_links = pairs
         self.fleet.platform.unreachable_daemons = cut_off
         self.isolated = {}
 
     @rule(loss=st.sampled_from([0.0, 0.05, 0.5]), delay=st.floats(0.01, 3))
     def set_faults(self, loss, delay):
-        self.fleet.network.loss = loss
-        self.fleet.network.duplicates = loss
-        self.fleet.network.max_delay = delay
+        self.fleet.network.loss_fraction = loss
+        self.fleet.network.duplicate_fraction = loss
+        self.fleet.network.max_delay_seconds = delay
 
     @rule(is_up=st.booleans())
     def switch_platform(self, is_up):
@@ -148,8 +148,11 @@
     @rule()
     def heal(self):
         network = self.fleet.network
-        network.cuts, self.fleet.platform.unreachable_daemons = set(), set()
-        network.loss, network.max_delay = 0.05, 0.01
+        network.cut_links, self.fleet.platform.unreachable_daemons = (
+            set(),
+            set(),
+        )
+        network.loss_fraction, network.max_delay_seconds = 0.05, 0.01
         self.fleet.platform.bring_up_to_date()
         self.fleet.platform.is_up = True
         self.isolated = {}
@@ -171,7 +174,7 @@
         self.fleet.platform.make_stale(1)
         self.fleet.start(name)
         self.run(START_SECONDS)
-        assert self.fleet.processes[name].versions == [self.newest]
+        assert self.fleet.processes[name].versions_in_force == [self.newest]
 
     def platform_is_whole(self):
         platform = self.fleet.platform
@@ -182,7 +185,9 @@
     def check(self):
         now = self.fleet.now
         for name, process in self.fleet.processes.items():
-            assert process.versions == sorted(set(process.versions))
+            assert process.versions_in_force == sorted(
+                set(process.versions_in_force)
+            )
             if process.is_paused or not process.view.is_fresh(now):
                 continue
             since = self.isolated.get(name, now)
@@ -201,7 +206,7 @@
 @pytest.mark.parametrize('size', [1, 3, 4])
 def test_side_without_majority_or_platform_is_not_fresh(size):
     fleet = started()
-    fleet.network.min_delay = fleet.network.max_delay = 0.9
+    fleet.network.min_delay_seconds = fleet.network.max_delay_seconds = 0.9
     fleet.run(FRESH_SECONDS)
     split(fleet, NAMES[:size])
     fleet.run(FRESH_SECONDS)
@@ -231,7 +236,7 @@
 
 def test_platform_outage_of_an_hour_keeps_all_fresh():
     fleet = started()
-    fleet.network.loss = 0.05
+    fleet.network.loss_fraction = 0.05
     fleet.platform.is_up = False
     for _ in range(60):
         fleet.run(60)
@@ -245,12 +250,12 @@
 def test_lost_announcements_are_repaired_by_pulls():
     fleet = started()
     cut_off = NAMES[0]
-    fleet.network.cuts = {(name, cut_off) for name in NAMES[1:]}
+    fleet.network.cut_links = {(name, cut_off) for name in NAMES[1:]}
     fleet.platform.unreachable_daemons = {cut_off}
     fleet.platform.publish(publication(2))
     fleet.run(1)
     assert versions(fleet, [cut_off]) == {1}
-    fleet.network.cuts = set()
+    fleet.network.cut_links = set()
     fleet.run(IN_FORCE_SECONDS)
     assert versions(fleet) == {2}
 
@@ -261,14 +266,16 @@
     fleet.platform.publish(other)
     fleet.start(NAMES[0])
     fleet.run(2 * REREAD_INTERVAL_SECONDS)
-    assert all(process.versions == [1] for process in fleet.processes.values())
+    assert all(
+        process.versions_in_force == [1] for process in fleet.processes.values()
+    )
     assert any(process.rejected for process in fleet.processes.values())
 
 
 def test_stopping_and_listed_instances_are_leaving_everywhere():
     fleet = started()
     leaver, listed, dead = NAMES[:3]
-    fleet.ask(leaver, fleet.processes[leaver].view.stop)
+    fleet.call_view(leaver, fleet.processes[leaver].view.stop)
     fleet.platform.instance_list = InstanceList(
         live=frozenset(NAMES),
         leaving=frozenset([listed]),
@@ -319,11 +326,11 @@
     before = fleet.processes[name].view.incarnation(name)
     fleet.pause(name)
     fleet.run(1)
-    fleet.network.cuts = {(peer, name) for peer in NAMES}
+    fleet.network.cut_links = {(peer, name) for peer in NAMES}
     fleet.platform.unreachable_daemons = {name}
     fleet.resume(name)
     assert fresh_names(fleet, [name]) == []
-    fleet.network.cuts, fleet.platform.unreachable_daemons = set(), set()
+    fleet.network.cut_links, fleet.platform.unreachable_daemons = set(), set()
     fleet.run(IN_FORCE_SECONDS)
     assert fresh_names(fleet) == NAMES
     after = fleet.processes[name].view.incarnation(name)
@@ -344,7 +351,7 @@
 @pytest.mark.parametrize('seed', range(5))
 def test_refused_version_does_not_hide_the_one_before(seed):
     fleet = started(seed)
-    fleet.network.max_delay = 2.9
+    fleet.network.max_delay_seconds = 2.9
     fleet.platform.publish(publication(2))
     fleet.platform.publish(publication(3, valid=False))
     fleet.run(3 * FRESH_SECONDS)
@@ -379,11 +386,11 @@
         faulty = Publication(root=blob, parts=parts)
     fleet.platform.unreachable_daemons = set(NAMES[1:])
     fleet.platform.publish(faulty)
-    fleet.network.cuts = {(name, NAMES[0]) for name in NAMES}
+    fleet.network.cut_links = {(name, NAMES[0]) for name in NAMES}
     fleet.start(NAMES[0])
     fleet.run(FRESH_SECONDS)
     assert versions(fleet, NAMES[:1]) == {0}
-    fleet.network.cuts = set()
+    fleet.network.cut_links = set()
     fleet.run(2 * START_SECONDS)
     assert versions(fleet) == {1}
     assert NAMES[0] in fresh_names(fleet)
@@ -397,12 +404,12 @@
     fleet.platform.publish(publication(2))
     fleet.run(IN_FORCE_SECONDS)
     fleet.platform.publish(publication(1))
-    fleet.network.min_delay = fleet.network.max_delay = 0.9
+    fleet.network.min_delay_seconds = fleet.network.max_delay_seconds = 0.9
     for name in NAMES:
         fleet.stop(name)
         fleet.run(START_SECONDS)
         fleet.start(name)
         fleet.run(START_SECONDS)
-        assert fleet.processes[name].versions == [2]
+        assert fleet.processes[name].versions_in_force == [2]
     assert versions(fleet) == {2}
     assert fresh_names(fleet) == NAMES
