--- a/src/clementinedeal_bench/_cli.py
+++ b/src/clementinedeal_bench/_cli.py
@@ -1,4 +1,7 @@
-"""Command line of the bench."""
+"""Command line ``clementinedeal-bench``: each command and its flags.
+
+The names and defaults of the flags are part of the command line's interface.
+"""
 
 import functools
 import sys
@@ -32,7 +35,7 @@
 TARGET_PORT = 20_990
 PLATFORM_ADDRESS = f'127.0.0.1:{PLATFORM_PORT}'
 LATENCY_BASE_PORT = 24_000
-PLATFORM_PORT_OFFSET = 90
+PLATFORM_PORT_OFFSET = 90  # from the base port of a latency run
 EXAMPLE_DECLARATION = 'examples/freshwater.yaml'
 
 
@@ -56,19 +59,19 @@
     define_string = functools.partial(flags.DEFINE_string, flag_values=values)
     define_integer = functools.partial(flags.DEFINE_integer, flag_values=values)
     define_float = functools.partial(flags.DEFINE_float, flag_values=values)
-    define_string('name', 'target', 'name in answers and records')
+    define_string('name', 'target', 'name in answers and execution records')
     define_string('host', '127.0.0.1', 'address to listen on')
     define_integer('port', TARGET_PORT, 'port to listen on')
     define_integer('slots', 7, 'requests served at once')
     define_integer('queue', 7, 'requests that may wait for a slot')
-    define_integer('connections', 360, 'connections accepted')
+    define_integer('connections', 360, 'maximum number of open connections')
     define_float('service', 0.022, 'median service time in seconds')
     define_float(
         'sigma', 0.3, 'log-normal spread of the service time, 0: fixed'
     )
-    define_float('cold', 0, 'seconds of slow service after the start')
-    define_float('drain', 2, 'seconds of new work while leaving')
-    define_integer('seed', 0, 'seed of service times and gray modes')
+    define_float('cold', 0, 'seconds of slower service after the start')
+    define_float('drain', 2, 'seconds a leaving target accepts new work')
+    define_integer('seed', 0, 'seed of service times and injected faults')
 
 
 def _run_target(values: flags.FlagValues, _rest: list[str]) -> None:
@@ -118,7 +121,7 @@
 
 def _run_publish(values: flags.FlagValues, positional: list[str]) -> None:
     if len(positional) != 1:
-        raise BenchError('name one declaration file')
+        raise BenchError('expected one argument, the declaration file')
     trio.run(_publish, values.platform, read_declaration(positional[0]))
 
 
@@ -143,9 +146,11 @@
     define_float('seconds', 6, 'length of each step')
     define_float('rate', 60, 'requests per second of all accounts together')
     define_integer = functools.partial(flags.DEFINE_integer, flag_values=values)
-    define_integer('width', 4, 'processes started at once')
+    define_integer('width', 4, 'maximum number of processes starting at once')
     define_integer(
-        'port_offset', 0, 'added to every port, to run twice at once'
+        'port_offset',
+        0,
+        'added to every port, so that two demos can run at once',
     )
 
 
@@ -170,7 +175,7 @@
     define_float = functools.partial(flags.DEFINE_float, flag_values=values)
     define_string('out', 'out', 'folder for logs')
     define_float('seconds', 20, 'length of the measurement')
-    define_float('rate', 108, 'requests per second into the daemon')
+    define_float('rate', 108, 'requests per second sent to the entry daemon')
     flags.DEFINE_integer(
         'base_port', LATENCY_BASE_PORT, 'first port used', flag_values=values
     )
@@ -194,15 +199,22 @@
 
 
 COMMANDS = (
-    Command('platform', 'stand-in platform', _define_platform, _run_platform),
-    Command('target', 'stand-in target', _define_target, _run_target),
+    Command(
+        'platform', 'run a stand-in platform', _define_platform, _run_platform
+    ),
+    Command('target', 'run a stand-in target', _define_target, _run_target),
     Command('publish', 'publish a declaration', _define_publish, _run_publish),
-    Command('demo', 'drive a deployment on loopback', _define_demo, _run_demo),
-    Command('latency', 'added latency', _define_latency, _run_latency),
-    Command('load', 'send a scenario of requests', _define_load, _run_load),
+    Command(
+        'demo',
+        'launch a deployment on loopback and inject faults',
+        _define_demo,
+        _run_demo,
+    ),
+    Command('latency', 'measure added latency', _define_latency, _run_latency),
+    Command('load', 'send the requests of a scenario', _define_load, _run_load),
 )
 
 
 def run() -> None:
-    """Run the command line of the process."""
+    """Run the command that the arguments of the process name, then exit."""
     run_commands('clementinedeal-bench', COMMANDS)
--- a/src/clementinedeal_bench/_config_size_trial.py
+++ b/src/clementinedeal_bench/_config_size_trial.py
@@ -1,7 +1,8 @@
-"""Size and cost of a configuration at the size to design for.
+"""Measures the size and the processor time of a large configuration.
 
 Run as ``python -m clementinedeal_bench._config_size_trial``; prints one JSON
-line. Sizes are in bytes, times in seconds of processor time.
+line. Sizes are in bytes, times in seconds of processor time. ``change_...``
+figures are those of a version from which one account was removed.
 """
 
 import gc
@@ -23,17 +24,19 @@
 )
 from clementinedeal_bench._large_config import large_config
 
+# the size of deployment that the product is designed for
 ACCOUNT_COUNT = 24_000
 ROUTE_COUNT = 3_700
 TARGET_COUNT = 5_400
 INSTANCE_COUNT = 650
+
 UNPACK_RUNS = 5
 
 OutcomeT = TypeVar('OutcomeT')
 
 
 def main() -> None:
-    """Pack and unpack a large configuration and print the figures."""
+    """Pack and unpack a large configuration and print sizes and times."""
     cfg = large_config(
         accounts=ACCOUNT_COUNT,
         routes=ROUTE_COUNT,
@@ -91,7 +94,7 @@
     made = make()
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    del made  # noqa: WPS420 keeps the outcome alive until it is measured
+    del made  # noqa: WPS420 keeps the value alive until its size is read
     return size
 
 
--- a/src/clementinedeal_bench/_cost_measurement.py
+++ b/src/clementinedeal_bench/_cost_measurement.py
@@ -1,4 +1,4 @@
-"""One measured figure of a role, and how figures are taken."""
+"""One measured cost of a role, and the functions that measure costs."""
 
 import gc
 import time
@@ -13,13 +13,24 @@
 ROUNDS = 5
 CALLS_PER_ROUND = 2000
 MICROS_PER_SECOND = 1_000_000
+# numbers of accounts and instances; the last of each is the design size
 ACCOUNT_SIZES = (6_000, 12_000, 24_000)
 INSTANCE_SIZES = (160, 325, 650)
 
 
 @dataclass(frozen=True, slots=True)
 class CostMeasurement:
-    """One figure of one role at one size."""
+    """One cost of one role at one size.
+
+    The fields are the keys of the printed JSON line.
+
+    :param role: the role of a daemon, or the part that is measured.
+    :param figure: what was measured.
+    :param size: number of accounts, instances, entries, slots or bytes; 1 for
+        a cost that has no size.
+    :param amount: the cost, in ``unit``.
+    :param unit: ``us``, ``s`` or ``B`` (bytes).
+    """
 
     role: str
     figure: str
@@ -29,9 +40,11 @@
 
 
 def measure_micros_per_call(call: Callable[[int], Any]) -> float:
-    """Return the processor time of one call in microseconds, least of five.
+    """Return the processor time of one call in microseconds.
+
+    It is the mean over the calls of a round, the least of ``ROUNDS`` rounds.
 
-    :param call: is given the number of the call.
+    :param call: what to measure; takes the number of the call, from 0.
     """
     least_seconds = float('inf')
     for round_number in range(ROUNDS):
@@ -43,9 +56,9 @@
 
 
 def measure_held_bytes(make_value: Callable[[], Any]) -> tuple[int, Any]:
-    """Return the memory that a value holds and the value.
+    """Return the traced bytes that a call allocates and keeps, and its value.
 
-    :param make: makes it.
+    :param make_value: the call.
     """
     gc.collect()
     tracemalloc.start()
@@ -57,10 +70,11 @@
 
 
 def sized_config(accounts: int, instances: int = 650) -> Config:
-    """Return a configuration of the design size with fewer accounts.
+    """Return a configuration of the design size, scaled in two dimensions.
 
     :param accounts: number of accounts.
-    :param instances: number of instances; targets follow.
+    :param instances: number of instances; the number of targets is
+        proportional to it.
     """
     return large_config(
         accounts=accounts,
--- a/src/clementinedeal_bench/_decision_slopes.py
+++ b/src/clementinedeal_bench/_decision_slopes.py
@@ -1,4 +1,8 @@
-"""Costs of the decisions taken for requests, at three sizes each."""
+"""Measures the decisions that daemons take for requests, by size.
+
+Each function yields the costs of one role. Sizes are numbers of accounts,
+instances or entries of a table; times are in microseconds of processor time.
+"""
 
 import random
 from collections.abc import Callable, Iterator
@@ -27,13 +31,16 @@
     sized_config,
 )
 
-WARM_UP_SECONDS = 100.0
+WARM_UP_SECONDS = 100.0  # virtual; the holder uses its share afterwards
 TICKS_PER_SECOND = 20
-REQUESTS_PER_SECOND = 13
+REQUESTS_PER_SECOND = 13  # at one target
 
 
 def measure_entry() -> Iterator[CostMeasurement]:
-    """Measure the entry's decisions for one request."""
+    """Measure the access check and the choice of targets of one request.
+
+    The entry, the daemon that took the caller's request, decides both.
+    """
     for accounts in ACCOUNT_SIZES:
         yield from _measure_access_check(accounts)
     for instances in INSTANCE_SIZES:
@@ -41,19 +48,25 @@
 
 
 def measure_tokens() -> Iterator[CostMeasurement]:
-    """Measure taking a token from a share held here, and an idle tick."""
+    """Measure a holder: its memory, one take and one tick.
+
+    The take is from the share of the account's rate that the daemon holds.
+    """
     for accounts in ACCOUNT_SIZES:
         yield from _measure_token_manager(accounts)
 
 
 def measure_ejection() -> Iterator[CostMeasurement]:
-    """Measure the owner's evidence and the permit holder's reports."""
+    """Measure failure detection: one recorded outcome and one tick.
+
+    The owner, the daemon beside a target, records the outcome of each request.
+    """
     for instances in INSTANCE_SIZES:
         yield from _measure_ejection_manager(instances)
 
 
 def measure_owner() -> Iterator[CostMeasurement]:
-    """Measure the record of executions and the queue."""
+    """Measure the owner's table of executions and its request queue."""
     for executions in (1_000, 4_000, 16_000):
         yield from _measure_execution_table(executions)
     queue = TargetQueue(7, 14)
@@ -68,7 +81,10 @@
 
 
 def measure_keeper() -> Iterator[CostMeasurement]:
-    """Measure keys kept with their answers, and one claim."""
+    """Measure the memory of idempotency keys and the time of one claim.
+
+    The keeper of a key is the daemon that records which request claimed it.
+    """
     for claims in (1_000, 2_000, 4_000):
         yield from _measure_claims_memory(claims)
     for instances in INSTANCE_SIZES:
@@ -76,7 +92,10 @@
 
 
 def measure_envelope() -> Iterator[CostMeasurement]:
-    """Measure sealing and opening what joins a forward."""
+    """Measure the sealed header of a forwarded request.
+
+    Its cost is the time to seal and open it, and its size.
+    """
     keyring = Keyring({'k': bytes(32)})
     fwd = Forward('r/0', 'r', 'a', 't', 'i', 'acc', 1000, True, False, 1)
 
--- a/src/clementinedeal_bench/_demo.py
+++ b/src/clementinedeal_bench/_demo.py
@@ -1,4 +1,4 @@
-"""The demo: a whole deployment on loopback, driven through its faults."""
+"""The demo: runs a whole deployment on loopback and injects faults."""
 
 import sys
 import time
@@ -22,16 +22,18 @@
 from clementinedeal_bench._report import check_lines, step_lines
 from clementinedeal_bench._timeline_page import write_timeline
 
-MAX_TRAFFIC_SECONDS = 3600.0
+MAX_TRAFFIC_SECONDS = 3600.0  # the traffic stops after the last step
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DemoSettings:
     """How the demo runs.
 
-    Each step lasts ``seconds``; all accounts together send ``rate``
-    requests a second. ``port_offset`` is added to every port of the
-    declaration.
+    :param declaration: path of the declaration to launch (YAML).
+    :param fleet: how its processes are launched.
+    :param step_seconds: length of each step.
+    :param rate: requests per second of all accounts together.
+    :param port_offset: added to every port of the declaration.
     """
 
     declaration: str
@@ -42,13 +44,14 @@
 
 
 class Demo:
-    """Launches a fleet, drives it, and reports what was seen."""
+    """Launches a fleet, runs the steps under traffic and reports results."""
 
     def __init__(self, settings: DemoSettings) -> None:
         """Read the declaration.
 
         :param settings: how to run.
-        :raises ClementinedealError: the declaration is not acceptable.
+        :raises ClementinedealError: the declaration can't be read or is not
+            valid.
         """
         self._settings = settings
         self._cfg = shift_ports(
@@ -62,7 +65,13 @@
         )
 
     async def run(self) -> list[str]:
-        """Run the demo and return the report's lines."""
+        """Run the demo and return the lines of its report.
+
+        Also writes the histories, the declaration and the time line to the
+        folder of the settings. All processes have ended on return.
+
+        :raises BenchError: a process ended early or was not ready in time.
+        """
         started_at = time.monotonic()
         try:
             await self._fleet.start()
--- a/src/clementinedeal_bench/_demo_steps.py
+++ b/src/clementinedeal_bench/_demo_steps.py
@@ -1,4 +1,4 @@
-"""Steps of the demo: one fault or change each, under traffic."""
+"""Steps of the demo: each injects one fault or change under traffic."""
 
 import sys
 import time
@@ -22,15 +22,19 @@
 from clementinedeal_bench._status_reader import gather, put, read_executions
 
 WARM_UP_TIMEOUT_SECONDS = 40.0
-DETECTION_TIMEOUT_SECONDS = 20.0
+DETECTION_TIMEOUT_SECONDS = 20.0  # for a slow target to leave use
 POLL_INTERVAL_SECONDS = 0.1
-OVERUSE_FACTOR = 4.0
+OVERUSE_FACTOR = 4.0  # requests sent, as a multiple of the account's rate
 SLOW_MODE = b'{"mode": "slow", "factor": 20}'
 HEALTHY_MODE = b'{"mode": "healthy"}'
 
 
 class DemoSteps:
-    """Runs the steps one after the other and notes what each showed."""
+    """Runs the steps one after the other and records what each showed.
+
+    ``steps`` holds the steps that have begun, ``executions`` the executions
+    read from the targets so far.
+    """
 
     def __init__(
         self,
@@ -40,9 +44,9 @@
     ) -> None:
         """Create the steps.
 
-        :param fleet: what to drive; it runs when the steps do.
-        :param records: calls as they complete.
-        :param seconds: length of each step.
+        :param fleet: the deployment; it must run before the steps do.
+        :param records: the calls; the callers append each that completes.
+        :param step_seconds: length of each step.
         """
         self._fleet = fleet
         self._cfg = fleet.cfg
@@ -52,7 +56,7 @@
         self.executions: list[Execution] = []
 
     async def run(self) -> None:
-        """Run all steps."""
+        """Run all steps; the fleet must be up and under traffic."""
         for run_step in (
             self._warm_up,
             self._send_ordinary_traffic,
@@ -67,15 +71,17 @@
             await run_step()
 
     async def collect_executions(self, targets: Iterable[Target]) -> None:
-        """Add what targets ran to the executions.
+        """Read the executions of targets and add them to ``executions``.
 
-        :param targets: whom to ask, each once.
+        :param targets: targets to read, each only once in a run of the demo.
         """
         for executions in await gather(read_executions, targets):
             self.executions.extend(executions or ())
 
     async def _warm_up(self) -> None:
-        step = self._begin_step('start: token holders wait out earlier leases')
+        step = self._begin_step(
+            'start: token holders wait until earlier leases end'
+        )
         waiting = set(self._cfg.accounts)
         with trio.move_on_after(WARM_UP_TIMEOUT_SECONDS):
             while waiting:
@@ -95,7 +101,7 @@
         step = self._begin_step(f'kill -9 of daemon {name}')
         self._fleet.kill(name)
         await self._finish_step(step)
-        step.notes.append('callers go on trying the dead daemon')
+        step.notes.append('callers keep sending requests to the killed daemon')
         await self._fleet.restart_daemon(name)
 
     async def _kill_target(self) -> None:
@@ -104,7 +110,7 @@
         await self.collect_executions([self._cfg.targets[name]])
         self._fleet.kill(name)
         await self._finish_step(step)
-        step.notes.append('its record ends just before the kill')
+        step.notes.append('its executions were read just before the kill')
 
     async def _slow_target(self) -> None:
         counts_before = await count_executions(self._fleet.live_targets())
@@ -120,9 +126,9 @@
         counts_after = await count_executions([target])
         slow_executions = counts_after[target.name] - counts_before[target.name]
         detection = (
-            'set aside'
+            'taken out of use'
             if elapsed_seconds < DETECTION_TIMEOUT_SECONDS
-            else 'not set aside'
+            else 'not taken out of use'
         )
         step.notes.append(
             f'{detection} after {elapsed_seconds:.1f} s '
@@ -144,9 +150,9 @@
             if call.daemon == address and call.outcome is CallOutcome.BROKEN
         ]
         step.notes.append(
-            f'ended with status 0: {is_clean_exit}, '
+            f'exited with status 0: {is_clean_exit}, '
             f'in {elapsed_seconds:.1f} s, '
-            f'calls cut: {len(cut_calls)}',
+            f'calls cut off: {len(cut_calls)}',
         )
         await self._fleet.restart_daemon(name)
 
@@ -165,10 +171,10 @@
             self._answer_times(step, account.name), default=published_at
         )
         step.notes.append(
-            f'last answer to the key {last_answer_at - published_at:.2f} s '
+            f'last answer with the key {last_answer_at - published_at:.2f} s '
             'after publishing',
         )
-        step = self._begin_step(f'key of {account.name} given back')
+        step = self._begin_step(f'key of {account.name} restored')
         published_at = time.monotonic()
         await self._publish_account(step, account)
         await self._finish_step(step)
--- a/src/clementinedeal_bench/_demo_traffic.py
+++ b/src/clementinedeal_bench/_demo_traffic.py
@@ -1,13 +1,13 @@
-"""Traffic of the demo: all services of a declaration, all accounts."""
+"""Traffic of the demo: each account calls all services that it may call."""
 
 from collections.abc import Iterable
 
 from clementinedeal import Config, Route
 from clementinedeal_bench._scenario import AccountLoad, RequestKind, Scenario
 
-KEY_PREFIX = 'demo-'  # the examples' keys are demo-ACCOUNT
+KEY_PREFIX = 'demo-'  # the key of an account in the examples: demo-ACCOUNT
 BODY_BYTES = 200
-READ_WEIGHT = 4.0
+READ_WEIGHT = 4.0  # of an idempotent route; any other has 1
 TIMEOUT_MS = 5000
 SEED = 1
 
@@ -18,12 +18,13 @@
     seconds: float,
     daemons: Iterable[str] = (),
 ) -> Scenario:
-    """Build traffic to every keyed route of the accounts' services.
+    """Return traffic to the routes that need a key, for given accounts.
 
     :param cfg: the declaration.
-    :param rates: requests per second by account.
-    :param seconds: longest duration.
-    :param daemons: caller addresses; all of the declaration if empty.
+    :param rates: requests per second, by account name.
+    :param seconds: maximum duration.
+    :param daemons: caller addresses (``ip:port``) to send to; those of all
+        instances if empty.
     """
     all_addresses = tuple(
         instance.caller for instance in cfg.instances.values()
@@ -39,10 +40,10 @@
 
 
 def spread_rate(cfg: Config, total: float) -> dict[str, float]:
-    """Split a rate over all accounts in proportion to what they may send.
+    """Return requests per second by account, in proportion to their rates.
 
     :param cfg: the declaration.
-    :param total: requests per second of all accounts.
+    :param total: requests per second of all accounts together.
     """
     total_allowed = sum(account.rate for account in cfg.accounts.values())
     return {
--- a/src/clementinedeal_bench/_examples.py
+++ b/src/clementinedeal_bench/_examples.py
@@ -1,6 +1,7 @@
 """Writes the example declarations of the two user organisations.
 
-Run as ``python -m clementinedeal_bench._examples DIRECTORY``.
+Run as ``python -m clementinedeal_bench._examples DIRECTORY``. The committed
+files in ``examples/`` are its output.
 """
 
 import hashlib
@@ -13,16 +14,17 @@
 
 HOST = '127.0.0.1'
 PORTS_PER_INSTANCE = 10
+# offsets from the first port of an instance, its caller port
 PEER_PORT_OFFSET = 1
 CONTROL_PORT_OFFSET = 2
 OPERATOR_PORT_OFFSET = 3
 TARGET_PORT_OFFSET = 5
-PLATFORM_PORT_OFFSET = -100
+PLATFORM_PORT_OFFSET = -100  # from the first port of the deployment
 
 
 @dataclass(frozen=True, slots=True)
 class ExampleService:
-    """How many targets a service has and how many must stay in use."""
+    """A service: number of its targets, and how many must stay in use."""
 
     name: str
     targets: int
@@ -31,7 +33,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ExampleAccount:
-    """An account's requests per second and burst; the name makes its key."""
+    """A client account: requests per second and burst.
+
+    Its key is derived from its name (``demo_key``).
+    """
 
     name: str
     rate: int
@@ -40,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ExampleRoute:
-    """A route of an example."""
+    """A route of an example; an ``open`` one needs no key."""
 
     method: str
     prefix: str
@@ -51,7 +56,10 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Example:
-    """What distinguishes one organisation's deployment."""
+    """What differs between the deployments of the organisations.
+
+    Each target has an instance of its own; instances take turns in the zones.
+    """
 
     name: str
     region: str
@@ -128,7 +136,7 @@
 
 
 def demo_key(account: str) -> str:
-    """Return the key that an example gives to an account.
+    """Return the key of an account of an example.
 
     :param account: name of the account.
     """
@@ -138,7 +146,7 @@
 def render(example: Example) -> str:
     """Return the YAML text of an example.
 
-    :param example: what to declare.
+    :param example: the deployment to declare.
     """
     platform = _address(example, offset=PLATFORM_PORT_OFFSET)
     return '\n'.join(
@@ -244,7 +252,7 @@
 def write_examples(directory: Path) -> None:
     """Write every example into a directory.
 
-    :param directory: an existing directory.
+    :param directory: an existing directory; files in it are replaced.
     """
     for example in (FRESHWATER, SABARMATI):
         path = directory / f'{example.name}.yaml'
--- a/src/clementinedeal_bench/_fleet_slopes.py
+++ b/src/clementinedeal_bench/_fleet_slopes.py
@@ -1,4 +1,8 @@
-"""Costs of the configuration and of control messages, at three sizes."""
+"""Measures the configuration and control messages, at three sizes each.
+
+The size of a configuration is its number of accounts, that of a message the
+bytes of its payload.
+"""
 
 import time
 from collections.abc import Iterator
@@ -23,17 +27,17 @@
 )
 
 PAYLOAD_BYTES = (100, 1_000, 10_000)
-WARM_UP_MESSAGES = 50
+WARM_UP_MESSAGES = 50  # sent before the measurement begins
 
 
 def measure_configuration() -> Iterator[CostMeasurement]:
-    """Measure holding, unpacking and indexing a configuration."""
+    """Measure the memory of a configuration and its index, and unpacking it."""
     for accounts in ACCOUNT_SIZES:
         yield from _measure_configuration_at(accounts)
 
 
 def measure_control() -> Iterator[CostMeasurement]:
-    """Measure control messages over loopback."""
+    """Measure the processor time of control messages over loopback."""
     for size in PAYLOAD_BYTES:
         yield trio.run(_measure_exchange, size)
 
@@ -41,13 +45,19 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Payload:
-    """A control message of any size."""
+    """A control message that carries ``blob`` and is used only here."""
 
     blob: bytes
 
 
 async def _measure_exchange(size: int) -> CostMeasurement:
-    """Measure one batch, sent and received in this process."""
+    """Return the processor time of one message, at both ends.
+
+    Sender and receiver run in this process; each message is sent after the
+    one before it was received.
+
+    :param size: bytes of the payload.
+    """
     addresses = {'a': '127.0.0.1:20701', 'b': '127.0.0.1:20702'}
     received = trio.Event()
 
--- a/src/clementinedeal_bench/_large_config.py
+++ b/src/clementinedeal_bench/_large_config.py
@@ -1,4 +1,4 @@
-"""Configurations of any size for trials."""
+"""Generated configurations of any size, for trials and tests."""
 
 import hashlib
 
@@ -17,7 +17,7 @@
 ZONES_PER_REGION = 4
 TARGETS_PER_SERVICE = 16
 SERVICES_PER_ACCOUNT = 3
-FIRST_PORT = 1024
+FIRST_PORT = 1024  # generated addresses continue on another host address
 PORTS_PER_HOST = 60_000
 
 
@@ -29,13 +29,16 @@
     instances: int,
     version: int = 1,
 ) -> Config:
-    """Make a valid configuration.
+    """Return a valid configuration; equal arguments give equal ones.
 
-    :param accounts: number of client accounts, one key each.
-    :param routes: number of routes.
-    :param targets: number of targets, spread evenly.
-    :param instances: number of instances.
-    :param version: its version.
+    Account number N has the key ``str(N)``.
+
+    :param accounts: number of client accounts, with one key each.
+    :param routes: number of routes, spread evenly over the services.
+    :param targets: number of targets, spread evenly over services and
+        instances.
+    :param instances: number of instances, spread evenly over the zones.
+    :param version: version of the configuration.
     """
     services = [
         f'service-{index:03}'
--- a/src/clementinedeal_bench/_latency.py
+++ b/src/clementinedeal_bench/_latency.py
@@ -1,4 +1,8 @@
-"""Added latency of one and two hops, and what a daemon spends on them."""
+"""Measures added latency and processor time of one and two hops.
+
+One hop is a call through the daemon beside the target; two hops are a call
+through an entry that forwards it to the owner, the daemon beside the target.
+"""
 
 import secrets
 import time
@@ -22,17 +26,21 @@
 from clementinedeal_bench._summary import LatencyPercentiles, measure_latency
 
 DIRECT = 'direct'
-WARM_UP_SECONDS = 3.0
-IDLE_SECONDS = 5.0
-START_TIMEOUT_SECONDS = 60.0
+WARM_UP_SECONDS = 3.0  # of each warm-up run
+IDLE_SECONDS = 5.0  # over which the idle processor time is measured
+START_TIMEOUT_SECONDS = 60.0  # until a warm-up run has answers only
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LatencySettings:
     """How latency is measured.
 
-    ``rate`` requests a second enter the daemon, half of them for its own
-    target; half as many go to that target directly.
+    :param fleet: how processes are launched.
+    :param base_port: first of the ports used.
+    :param seconds: length of the measurement.
+    :param rate: requests per second sent to the entry daemon: half to the
+        target beside it, half to the other. As many as one half go directly
+        to the target beside it.
     """
 
     fleet: FleetSettings
@@ -42,9 +50,11 @@
 
 
 class LatencyReport(msgspec.Struct, frozen=True):
-    """Latencies in milliseconds; ``added`` ones are above direct calls.
+    """Results; the fields are the keys of the printed JSON line.
 
-    They count from the sending, so that the caller's timer is left out.
+    Latencies are in milliseconds from the sending of a request, so that they
+    exclude delays of the caller's timer. The ``added`` ones are differences
+    from the percentile of direct calls.
     """
 
     rate: float
@@ -61,7 +71,7 @@
 
 
 class LatencyRun:
-    """Two daemons with a target each, and calls to one of them."""
+    """Runs two daemons with a target each, and sends calls to one of them."""
 
     def __init__(self, settings: LatencySettings) -> None:
         """Create a run.
@@ -76,7 +86,10 @@
         self._meters: dict[str, CoreMeter] = {}
 
     async def run(self) -> LatencyReport:
-        """Measure and return the figures."""
+        """Start the processes, measure, end them and return the results.
+
+        :raises BenchError: a process ended early or was not ready in time.
+        """
         try:
             await self._fleet.start()
             self._meters = {
--- a/src/clementinedeal_bench/_latency_config.py
+++ b/src/clementinedeal_bench/_latency_config.py
@@ -1,4 +1,4 @@
-"""The small declaration on which added latency is measured."""
+"""The configuration with which added latency is measured."""
 
 import hashlib
 
@@ -15,16 +15,16 @@
 
 ENTRY = 'entry'
 OWNER = 'owner'
-ONE_HOP = 'near'
-TWO_HOPS = 'far'
-ACCOUNT_RATE = 100_000.0
+ONE_HOP = 'near'  # target and service beside the entry daemon
+TWO_HOPS = 'far'  # target and service beside the owner daemon
+ACCOUNT_RATE = 100_000.0  # high enough that no request is refused
 
 
 def build_config(base_port: int, key: str) -> Config:
-    """Return two instances in two zones, a target and a service each.
+    """Return two instances in two zones, with a target and a service each.
 
-    :param base_port: first of the ports used.
-    :param key: key of the one account.
+    :param base_port: first port; instances and targets use 16 ports from it.
+    :param key: key of the only account.
     """
     account = Account(
         name='bench',
--- a/src/clementinedeal_bench/_slopes.py
+++ b/src/clementinedeal_bench/_slopes.py
@@ -1,7 +1,7 @@
-"""Measures what each role of a daemon costs, at three sizes each.
+"""Measures how the cost of each role of a daemon grows with its size.
 
-Prints JSON lines; docs/CAPACITY.md works the design size out from them. Run
-``python -m clementinedeal_bench._slopes``.
+Run as ``python -m clementinedeal_bench._slopes``; prints a JSON line for each
+measurement. docs/CAPACITY.md derives the cost at the design size from them.
 """
 
 import sys
@@ -24,7 +24,7 @@
 
 
 def main() -> None:
-    """Print all slopes."""
+    """Take and print all measurements."""
     for measure in MEASUREMENTS:
         for measurement in measure():
             sys.stdout.write(msgspec.json.encode(measurement).decode())
--- a/src/clementinedeal_bench/_spread_trial.py
+++ b/src/clementinedeal_bench/_spread_trial.py
@@ -1,8 +1,8 @@
-"""Cost of gossip and spread, and time until a version is in force.
+"""Measures the spread of configurations and the cost of fleet views.
 
 Run as ``python -m clementinedeal_bench._spread_trial SEED SIZE...``; prints
-one JSON line for each size. Times are virtual, processor time is real and
-that of the decisions and the codec alone.
+one JSON line for each size. Times are virtual. Processor time is real and
+covers the views and the coding of messages only.
 """
 
 import json
@@ -19,15 +19,32 @@
 LOSS_FRACTION = 0.01
 STEP_SECONDS = 0.1
 START_TIMEOUT_SECONDS = 60.0
-SETTLE_SECONDS = 35.0
-STEADY_SECONDS = 5.0
-CHANGE_PERIOD_SECONDS = 8.0
+SETTLE_SECONDS = 35.0  # after the start, not measured
+STEADY_SECONDS = 5.0  # measured without any change
+CHANGE_PERIOD_SECONDS = 8.0  # from one change to the next
 CHANGE_COUNT = 3
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SpreadFigures:
-    """What one run showed; per daemon where a rate is given."""
+    """Results of one run; the fields are the keys of the printed line.
+
+    :param seed: seed of the run.
+    :param size: number of daemons.
+    :param loss: fraction of messages lost.
+    :param start_seconds: from the start until the first version was in force
+        at all daemons.
+    :param start_reads_per_second: most platform reads in one second of the
+        start, of the whole fleet.
+    :param steady_messages: messages per daemon and second without a change.
+    :param steady_bytes: bytes per daemon and second without a change.
+    :param steady_processor_share: fraction of a core that a daemon uses.
+    :param steady_reads_per_second: platform reads of the whole fleet.
+    :param steady_fresh: daemons that were fresh at the end of that time.
+    :param in_force_seconds: for each change, time until it was in force at
+        all daemons; ``CHANGE_PERIOD_SECONDS`` if it was not by then.
+    :param change_bytes: bytes per daemon and change, above the steady ones.
+    """
 
     seed: int
     size: int
@@ -46,7 +63,7 @@
 def run_trial(seed: int, size: int) -> SpreadFigures:
     """Start a fleet, let it settle and publish changes.
 
-    :param seed: of every random choice.
+    :param seed: seed of every random choice.
     :param size: number of instances.
     """
     cfg = large_config(
@@ -97,7 +114,7 @@
     accounts = dict(cfg.accounts)
     accounts.pop(min(accounts))
     changed = replace(cfg, version=version, accounts=accounts)
-    if version % 2:
+    if version % 2:  # odd versions restore the account that even ones lack
         changed = replace(changed, accounts=cfg.accounts)
     fleet.platform.publish(pack(changed).unwrap())
     started_at = fleet.now
--- a/src/clementinedeal_bench/_timeline_page.py
+++ b/src/clementinedeal_bench/_timeline_page.py
@@ -1,4 +1,4 @@
-"""Has the product write the time line of a whole fleet."""
+"""Writes the time line of a running fleet as an HTML page."""
 
 import sys
 from pathlib import Path
@@ -9,10 +9,12 @@
 
 
 async def write_timeline(declaration: Path, folder: Path) -> str:
-    """Write the time line page and return a line that says where it is.
+    """Run ``clementinedeal timeline`` and return a line for the report.
 
-    :param declaration: declaration of the running fleet.
-    :param folder: where to write the page.
+    The line says where the page is, or why it was not written.
+
+    :param declaration: path of the declaration of the running fleet.
+    :param folder: folder of the page.
     """
     page = folder / PAGE_NAME
     page.unlink(missing_ok=True)
--- a/src/clementinedeal_bench/_token_config.py
+++ b/src/clementinedeal_bench/_token_config.py
@@ -1,4 +1,4 @@
-"""Configurations with one account for trials of tokens."""
+"""Configurations with one client account, for trials of its tokens."""
 
 from clementinedeal._model import (
     Account,
@@ -15,11 +15,11 @@
 
 
 def make_config(rate: float, burst: float, daemon_count: int) -> Config:
-    """Return a configuration with one account and one target a daemon.
+    """Return a configuration with one account and a target per instance.
 
-    :param rate: of the account, in requests per second.
-    :param burst: of the account, in requests.
-    :param daemons: how many instances.
+    :param rate: rate of the account, in requests per second.
+    :param burst: burst of the account, in requests.
+    :param daemon_count: number of instances.
     """
     names = [f'i{index}' for index in range(daemon_count)]
     service = Service(name='s', floor=0)
@@ -52,7 +52,11 @@
 
 
 def make_instance(name: str, zone: int) -> Instance:
-    """Return a published instance without addresses."""
+    """Return an instance without addresses.
+
+    :param name: instance name.
+    :param zone: number of its availability zone.
+    """
     return Instance(
         name=name,
         zone=f'z{zone}',
--- a/src/clementinedeal_bench/_token_fleet.py
+++ b/src/clementinedeal_bench/_token_fleet.py
@@ -1,4 +1,4 @@
-"""Token managers of several daemons under virtual time and a faulty network."""
+"""Token managers of several daemons, in virtual time, over a faulty network."""
 
 import heapq
 import itertools
@@ -15,14 +15,20 @@
 from clementinedeal._tokens import TokenManager
 
 STEP_SECONDS = 0.02
-FIRST_VERSION_AGE_SECONDS = 100.0
+FIRST_VERSION_AGE_SECONDS = 100.0  # at the start of the daemons
 WARM_UP_SECONDS = 30.0
 WARM_UP_STEP_SECONDS = 0.25
 
 
 @dataclass(frozen=True, slots=True)
 class Link:
-    """How messages fare: shares lost and repeated, delays in seconds."""
+    """Faults of the network, equal for all pairs of daemons.
+
+    :param loss_fraction: fraction of the messages that are lost.
+    :param duplicate_fraction: fraction of the messages that are sent twice.
+    :param latency_seconds: least delay of a message.
+    :param max_jitter_seconds: upper bound of the random delay added to it.
+    """
 
     loss_fraction: float = 0
     duplicate_fraction: float = 0
@@ -32,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PublishedVersion:
-    """One version and when it was published, in virtual seconds."""
+    """A configuration and when it was published, in virtual seconds."""
 
     cfg: Config
     published_at: float
@@ -40,7 +46,13 @@
 
 @dataclass(order=True, slots=True)
 class Delivery:
-    """A message on its way."""
+    """A message in transit.
+
+    :param due_at: when it arrives, in virtual seconds.
+    :param sequence: order of sending, for messages due at the same time.
+    :param sender: instance name.
+    :param message: the message and its receiver.
+    """
 
     due_at: float
     sequence: int
@@ -50,7 +62,14 @@
 
 @dataclass(slots=True)
 class SimulatedDaemon:
-    """One daemon: its process, what it has heard and whether it runs."""
+    """One process of a daemon.
+
+    :param manager: its token manager.
+    :param version: the version of the configuration that it uses.
+    :param incarnation: number of the process, from 1 for each instance.
+    :param is_running: False for a process that was killed.
+    :param paused_until: end of its pause, in virtual seconds.
+    """
 
     manager: TokenManager
     version: int
@@ -59,7 +78,7 @@
     paused_until: float = 0
 
     def is_active(self, now: float) -> bool:
-        """Tell whether the process runs and is not paused.
+        """Return whether the process runs and is not paused.
 
         :param now: virtual seconds.
         """
@@ -68,7 +87,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenOutcome:
-    """The answer to one request."""
+    """Whether a request was admitted, and when in virtual seconds."""
 
     answered_at: float
     req_id: str
@@ -76,13 +95,20 @@
 
 
 class TokenFleet:
-    """Runs managers, their messages and what they hear of publications."""
+    """Runs token managers and carries their messages, in virtual time.
+
+    ``now`` is the time in seconds, ``link`` the current faults and
+    ``cut_links`` the pairs of sender and receiver whose messages are lost.
+    ``versions`` holds the published versions, ``sent_messages`` every copy of
+    a message that was sent, also of lost ones, and ``outcomes`` the result of
+    each request.
+    """
 
     def __init__(self, cfg: Config, seed: int) -> None:
-        """Start one daemon for each published instance, long after start.
+        """Start a daemon for each instance and let the shares come into use.
 
         :param cfg: first version.
-        :param seed: of the network's random choices.
+        :param seed: seed of the network's random choices.
         """
         self.now = 0.0
         self.link = Link()
@@ -102,9 +128,11 @@
     def start(self, name: str, versions_behind: int, known_for: float) -> None:
         """Start a daemon, or replace it by a new process.
 
-        :param name: instance.
-        :param behind: how many versions its first one lags.
-        :param known_for: what it is told of that version's age, in seconds.
+        :param name: instance name.
+        :param versions_behind: how many versions older than the newest its
+            first one is.
+        :param known_for: seconds since that version was published, as the
+            process knows it.
         """
         version = self.versions[
             max(0, len(self.versions) - 1 - versions_behind)
@@ -123,13 +151,17 @@
         self._update_freshness(daemon)
 
     def publish(self, cfg: Config) -> None:
-        """Publish a version; no daemon hears of it yet."""
+        """Publish a version; no daemon applies it yet.
+
+        :param cfg: the version.
+        """
         self.versions.append(PublishedVersion(cfg, self.now))
 
     def apply_newest_version(self, name: str) -> None:
-        """Let a daemon hear of the newest version.
+        """Let a daemon receive and apply the newest version.
 
-        :param name: instance; one that is not running hears nothing.
+        :param name: instance name; nothing happens if its process is killed
+            or paused.
         """
         daemon = self.daemons[name]
         if not daemon.is_active(self.now):
@@ -140,9 +172,10 @@
         self._update_freshness(daemon)
 
     def take(self, name: str, req_id: str, account: str) -> None:
-        """Let a request ask for a token at a daemon.
+        """Take a token for a request at a daemon.
 
-        :param name: instance.
+        :param name: instance name; nothing happens if its process is killed
+            or paused.
         :param req_id: request id.
         :param account: client account.
         """
@@ -152,26 +185,26 @@
             self._perform(name, actions)
 
     def stop(self, name: str) -> None:
-        """Stop a daemon as planned.
+        """Start the planned stop of a daemon.
 
-        :param name: instance.
+        :param name: instance name.
         """
         daemon = self.daemons[name]
         if daemon.is_active(self.now):
             self._perform(name, daemon.manager.stop(self.now))
 
     def replay(self, delivery: Delivery) -> None:
-        """Deliver an old message once more.
+        """Deliver an earlier message again.
 
-        :param parcel: from ``history``.
+        :param delivery: one of ``sent_messages``.
         """
         self._deliver(delivery)
 
     def run(self, seconds: float, step_seconds: float = STEP_SECONDS) -> None:
-        """Let time pass, deliver what is due and tick every daemon.
+        """Advance the time, deliver due messages and tick every daemon.
 
-        :param seconds: how long.
-        :param step: time between ticks in seconds.
+        :param seconds: virtual time to advance.
+        :param step_seconds: virtual time between ticks.
         """
         ends_at = self.now + seconds
         while self.now < ends_at - step_seconds / 2:
--- a/src/clementinedeal_bench/_token_timing.py
+++ b/src/clementinedeal_bench/_token_timing.py
@@ -1,6 +1,7 @@
-"""Measures processor time per call of the token manager.
+"""Measures the processor time of taking a token.
 
-Run as a module; prints one JSON line with microseconds.
+Run as ``python -m clementinedeal_bench._token_timing``; prints one JSON line.
+Keys that end in ``_us`` hold microseconds.
 """
 
 import json
@@ -13,8 +14,8 @@
 from clementinedeal_bench._token_config import ACCOUNT_NAME, make_config
 
 CALLS = 20_000
-LARGE_AMOUNT = 1_000_000.0
-LOW_RATE = 9.0
+LARGE_AMOUNT = 1_000_000.0  # a rate, burst or age that limits nothing
+LOW_RATE = 9.0  # requests per second, for takes with a draw each
 NANOS_PER_MICRO = 1000
 WARM_UP_STEPS = 40
 STEP_SECONDS = 0.25
@@ -22,12 +23,16 @@
 
 
 class TimedFleet:
-    """One account, its two holders, and one owner that holds no share."""
+    """Three daemons: the two holders of an account's shares, and an owner.
+
+    A holder keeps a share of the account's rate and burst. The owner holds no
+    share, so it draws its tokens from a holder.
+    """
 
     def __init__(self, rate: float) -> None:
         """Start three daemons with full shares.
 
-        :param rate: of the account, in requests per second.
+        :param rate: rate of the account, in requests per second.
         """
         cfg = make_config(rate, LARGE_AMOUNT, 3)
         self.now = 0.0
@@ -43,16 +48,16 @@
             self.tick()
 
     def tick(self) -> None:
-        """Tick all daemons and tell them that they are fresh."""
+        """Tick all daemons and mark their configuration as fresh."""
         for manager in self.managers.values():
             manager.on_tick(self.now)
             manager.set_fresh(True, self.now)
 
     def deliver(self, sender: str, actions: TokenActions) -> int:
-        """Deliver messages until none is left; return what was admitted.
+        """Deliver messages until none is left; return how many were admitted.
 
-        :param sender: the daemon whose actions these are.
-        :param actions: what it asked for.
+        :param sender: instance name of the daemon that returned the actions.
+        :param actions: messages to deliver and results of requests.
         """
         admitted = 0
         for action in actions:
@@ -65,7 +70,7 @@
 
 
 def measure_local_take() -> float:
-    """Return microseconds for a take from the own share."""
+    """Return microseconds for a take from the share of the same daemon."""
     fleet = TimedFleet(LARGE_AMOUNT)
     manager = fleet.managers[fleet.holders[0]]
     started_ns = time.process_time_ns()
@@ -75,9 +80,9 @@
 
 
 def measure_take_with_draw() -> tuple[float, int]:
-    """Return microseconds of owner and holder for a take with one draw.
+    """Return microseconds for a take with one draw, and how many succeeded.
 
-    The second figure is how many of the takes were admitted.
+    The time is that of the owner and the holder together.
     """
     fleet = TimedFleet(LOW_RATE)
     owner = next(each for each in fleet.managers if each not in fleet.holders)
@@ -96,7 +101,7 @@
 
 
 def main() -> None:
-    """Print the figures."""
+    """Measure and print the result as one JSON line."""
     drawn_micros, admitted = measure_take_with_draw()
     report = {
         'take_local_us': round(measure_local_take(), 2),
--- a/src/clementinedeal_bench/_token_trial.py
+++ b/src/clementinedeal_bench/_token_trial.py
@@ -1,7 +1,8 @@
-"""Compares ways to share an account's rate over a fleet, in virtual time.
+"""Compares schemes that share an account's rate over a fleet.
 
-Run as a module; prints one JSON line for each case and way. Traffic is cut to
-what one exact bucket over the fleet would admit, so every refusal is wrongful.
+Run as ``python -m clementinedeal_bench._token_trial``; prints one JSON line for
+each case and scheme. Time is virtual. Traffic is limited to what one exact
+token bucket for the whole fleet admits, so every refusal is wrongful.
 """
 
 import enum
@@ -21,21 +22,25 @@
 SEEDS = tuple(range(1, 31))
 RUN_SECONDS = 20.0
 MEAN_BURST_INTERVAL_SECONDS = 10.0
-BURST_DIVISOR = 4
-DRAWS_PER_STEP = 40
+BURST_DIVISOR = 4  # a sudden burst is this part of the account's burst
+DRAWS_PER_STEP = 40  # binomial trials for the arrivals of one time step
 DEAD_HOLDER_COUNTS = (0, 1)
-LOAD_FRACTIONS = (0.4, 0.8, 1.0)
+LOAD_FRACTIONS = (0.4, 0.8, 1.0)  # of the account's rate
 
 
 class Routing(enum.Enum):
-    """Which owner a request reaches."""
+    """Which daemons receive the requests."""
 
     ANY = 'any owner'
     HOLDER = 'holder first'
 
 
 class SharingScheme(enum.Enum):
-    """How rate and burst are shared."""
+    """How rate and burst of an account are shared.
+
+    With ``HOLDERS``, the scheme of the product, some daemons hold shares and
+    lend tokens to the others.
+    """
 
     HOLDERS = 'holders'
     STATIC = 'static share per daemon'
@@ -44,7 +49,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Case:
-    """One account and how its requests come."""
+    """One account and its traffic; the fields are keys of the printed line.
+
+    :param rate: rate of the account, in requests per second.
+    :param burst: burst of the account, in requests.
+    :param daemons: number of daemons.
+    :param load: mean traffic, as a fraction of the rate.
+    :param dead: number of holders that do not answer.
+    :param routing: a value of ``Routing``.
+    """
 
     rate: float
     burst: float
@@ -56,7 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunCounts:
-    """Counts of one run."""
+    """Requests, refusals, messages and their bytes in one run."""
 
     requests: int
     refused: int
@@ -65,10 +78,10 @@
 
 
 class SimulatedFleet(Protocol):
-    """One way to share tokens over daemons."""
+    """Daemons that share an account's tokens by one of the schemes."""
 
     def take(self, name: str, req_id: str) -> None:
-        """Ask for a token at a daemon."""
+        """Take a token for a request at a daemon."""
         ...
 
     def step(self) -> None:
@@ -84,37 +97,37 @@
     """An exact token bucket."""
 
     def __init__(self, rate: float, burst: float) -> None:
-        """Start full.
+        """Create a full bucket.
 
         :param rate: tokens per second.
-        :param burst: most tokens.
+        :param burst: maximum number of tokens.
         """
         self._rate = rate
         self._burst = burst
         self._tokens = burst
 
     def take(self) -> bool:
-        """Take one token if there is one."""
+        """Take one token; return False if there is none."""
         if self._tokens < 1:
             return False
         self._tokens -= 1
         return True
 
     def step(self) -> None:
-        """Refill for one step of time."""
+        """Add the tokens of one time step."""
         refill = self._rate * STEP_SECONDS
         self._tokens = min(self._burst, self._tokens + refill)
 
 
 class BucketFleet:
-    """Baselines: buckets at some daemons, asked by the others."""
+    """The baseline schemes: a token bucket at one daemon or at each."""
 
     def __init__(self, case: Case, holders: list[str], dead: list[str]) -> None:
         """Split rate and burst evenly over the holders.
 
         :param case: the account.
-        :param holders: daemons with a bucket.
-        :param dead: those that do not answer.
+        :param holders: instance names of the daemons with a bucket.
+        :param dead: instance names of the daemons that do not answer.
         """
         count = len(holders)
         self._dead = set(dead)
@@ -126,7 +139,10 @@
         self._messages = 0
 
     def take(self, name: str, req_id: str) -> None:
-        """Take from the daemon's own bucket or else from the only one."""
+        """Take from the daemon's bucket, or from the only one if it has none.
+
+        The second costs a request and an answer message.
+        """
         holder = name
         if name not in self._buckets:
             holder = next(iter(self._buckets))
@@ -145,21 +161,21 @@
 
 
 class HolderFleet:
-    """The chosen way: token managers over a network with 1 ms latency."""
+    """The product's scheme: token managers, 1 ms apart on the network."""
 
     def __init__(self, cfg: Config, seed: int, dead: list[str]) -> None:
-        """Start all daemons with full shares, then kill some.
+        """Start all daemons, let the shares come into use, then kill some.
 
         :param cfg: the configuration.
-        :param seed: of the network.
-        :param dead: daemons that stop answering.
+        :param seed: seed of the network's random choices.
+        :param dead: instance names of the daemons to kill.
         """
         self._fleet = TokenFleet(cfg, seed)
         for name in dead:
             self._fleet.daemons[name].is_running = False
 
     def take(self, name: str, req_id: str) -> None:
-        """Ask the daemon's manager for a token."""
+        """Take a token for a request from the daemon's token manager."""
         self._fleet.take(name, req_id, ACCOUNT_NAME)
 
     def step(self) -> None:
@@ -179,11 +195,12 @@
 
 
 def conforming_arrivals(case: Case, rng: Random) -> Iterator[int]:
-    """Yield how many conforming requests come in each step.
+    """Yield for each time step how many requests arrive within the rate.
+
+    Some of the load arrives in sudden bursts, at random times.
 
-    :param case: the account and its load, as a share of its rate, of which
-        a part comes in sudden bursts.
-    :param rng: random source.
+    :param case: the account and its load.
+    :param rng: source of the random choices.
     """
     exact_bucket = Bucket(case.rate, case.burst)
     burst_requests = int(case.burst / BURST_DIVISOR)
@@ -204,11 +221,11 @@
 
 
 def run_case(case: Case, scheme: SharingScheme, seed: int) -> RunCounts:
-    """Run one case one way.
+    """Run one case with one scheme and one seed.
 
     :param case: the account and its traffic.
-    :param way: how tokens are shared.
-    :param seed: of traffic and network.
+    :param scheme: how tokens are shared.
+    :param seed: seed of the traffic and of the network.
     """
     cfg = make_config(case.rate, case.burst, case.daemons)
     manager = TokenManager('', cfg, 0, incarnation=1)
@@ -226,12 +243,12 @@
 def send_requests(
     case: Case, fleet: SimulatedFleet, owners: list[str], seed: int
 ) -> RunCounts:
-    """Send a run's requests.
+    """Send the requests of one run and return its counts.
 
     :param case: the account and its traffic.
     :param fleet: the daemons.
-    :param asked: the owners that requests reach.
-    :param seed: of the traffic.
+    :param owners: instance names of the daemons that receive requests.
+    :param seed: seed of the traffic.
     """
     rng = Random(seed)
     request_count = 0
@@ -250,7 +267,14 @@
     cfg: Config,
     dead: list[str],
 ) -> SimulatedFleet:
-    """Build the daemons of one run; arguments as in ``run``."""
+    """Return the daemons of one run.
+
+    :param case: the account and its traffic.
+    :param scheme: how tokens are shared.
+    :param seed: seed of the network.
+    :param cfg: the configuration.
+    :param dead: instance names of the holders that do not answer.
+    """
     if scheme is SharingScheme.HOLDERS:
         return HolderFleet(cfg, seed, dead)
     names = list(cfg.instances)
@@ -260,7 +284,7 @@
 
 
 def all_cases() -> Iterator[Case]:
-    """Yield all cases: a small and a large account, with and without fault."""
+    """Yield the cases: small and large accounts, with and without a fault."""
     sizes = ((3, 20, 12), (200, 200, 24))
     for size, load, dead, routing in itertools.product(
         sizes, LOAD_FRACTIONS, DEAD_HOLDER_COUNTS, Routing
@@ -269,7 +293,11 @@
 
 
 def summarize_case(case: Case, scheme: SharingScheme) -> str:
-    """Run all seeds of a case and return its JSON line."""
+    """Run a case with all seeds and return its JSON line.
+
+    :param case: the account and its traffic.
+    :param scheme: how tokens are shared.
+    """
     results = [run_case(case, scheme, seed) for seed in SEEDS]
     requests = sum(run_counts.requests for run_counts in results)
     refused_fractions = [
@@ -294,7 +322,7 @@
 
 
 def main() -> None:
-    """Print all cases."""
+    """Run all cases with all schemes and print their lines."""
     for case in all_cases():
         for scheme in SharingScheme:
             print(summarize_case(case, scheme), flush=True)  # noqa: WPS421
--- a/src/clementinedeal_bench/_virtual_fleet.py
+++ b/src/clementinedeal_bench/_virtual_fleet.py
@@ -1,4 +1,4 @@
-"""Views of many daemons over a lossy network under virtual time."""
+"""Fleet views of many daemons, in virtual time, over a lossy network."""
 
 import heapq
 import itertools
@@ -25,15 +25,23 @@
 
 ResultT = TypeVar('ResultT')
 
+# a call of a view's method at a virtual time; returns the view's actions
 ViewInput = Callable[[float], list[Any]]
 
 TICK_SECONDS = 0.2
-PLATFORM_LATENCY_SECONDS = 0.005
+PLATFORM_LATENCY_SECONDS = 0.005  # from a read to its answer
 
 
 @dataclass(slots=True, kw_only=True)
 class Network:
-    """Faults of the network between daemons."""
+    """Faults of the network between daemons.
+
+    :param loss_fraction: fraction of the messages that are lost.
+    :param duplicate_fraction: fraction of the messages that are sent twice.
+    :param min_delay_seconds: least delay of a message.
+    :param max_delay_seconds: greatest delay of a message.
+    :param cut_links: pairs of sender and receiver whose messages are lost.
+    """
 
     loss_fraction: float = 0.0
     duplicate_fraction: float = 0.0
@@ -44,7 +52,16 @@
 
 @dataclass(slots=True)
 class DaemonProcess:
-    """One run of a daemon."""
+    """One process of a daemon.
+
+    :param name: instance name.
+    :param view: its fleet view.
+    :param versions_in_force: versions that came into force, in that order.
+    :param rejected: versions that it did not accept.
+    :param is_paused: whether the process is frozen.
+    :param is_down: whether the process has ended.
+    :param inbox: calls that wait for the end of the pause.
+    """
 
     name: str
     view: FleetView
@@ -56,14 +73,19 @@
 
 
 class VirtualFleet:
-    """Carries out the actions of the views and counts what they cost."""
+    """Carries out the actions of fleet views and counts their cost.
+
+    ``now`` is the virtual time in seconds. ``message_count`` and
+    ``sent_bytes`` count the messages sent, without duplicates;
+    ``busy_seconds`` is the processor time of views and codec.
+    """
 
     def __init__(self, cfg: Config, seed: int, replica_count: int = 1) -> None:
-        """Create a fleet in which nobody runs yet.
+        """Create a fleet in which no daemon runs yet.
 
-        :param cfg: gives the instances.
-        :param seed: of every random choice.
-        :param replicas: copies of the platform.
+        :param cfg: configuration that names the instances.
+        :param seed: seed of every random choice.
+        :param replica_count: number of copies of the platform's values.
         """
         self.now = 0.0
         self.cfg = cfg
@@ -79,7 +101,7 @@
         self._names = sorted(cfg.instances)
 
     def start(self, name: str) -> None:
-        """Start a daemon, replacing an earlier run of it.
+        """Start a daemon; an earlier process of it ends.
 
         :param name: instance name.
         """
@@ -103,19 +125,19 @@
         """Call a method of a daemon's view and carry out its actions.
 
         :param name: instance name.
-        :param call: takes the virtual time in seconds.
+        :param call: the method, which takes the virtual time in seconds.
         """
         self._deliver(self.processes[name], call)
 
     def pause(self, name: str) -> None:
-        """Freeze a daemon; its messages wait.
+        """Freeze a daemon; what arrives for it waits.
 
         :param name: instance name.
         """
         self.processes[name].is_paused = True
 
     def resume(self, name: str) -> None:
-        """Let a daemon go on and take what waited.
+        """Continue a paused daemon and deliver what has waited.
 
         :param name: instance name.
         """
@@ -128,9 +150,9 @@
             self._deliver(process, call)
 
     def run(self, seconds: float) -> None:
-        """Let time pass.
+        """Advance the time and run all events that become due.
 
-        :param seconds: how much.
+        :param seconds: virtual time to advance.
         """
         end = self.now + seconds
         while self._events and self._events[0][0] <= end:
