--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 import pytest
 from hypothesis import settings
 from tests.endless_standin import BODIES, HEADS, INTERIM_ANSWERS, EndlessStandIn
-from tests.mesh_fleet import far, fleet  # noqa: F401
+from tests.mesh_fleet import fleet, remote_target_fleet  # noqa: F401
 
 settings.register_profile(
     'ci',
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -9,7 +9,7 @@
 from result import Ok
 from tests.ports import free_address
 from tests.store_standin import (
-    Store,
+    StoreStandIn,
     TargetStandIn,
     configuration,
     registration,
@@ -29,7 +29,7 @@
 
 @dataclass
 class Fleet:
-    store: Store
+    store: StoreStandIn
     targets: list = field(default_factory=list)
     daemons: list = field(default_factory=list)
     ended: list = field(default_factory=list)
@@ -63,7 +63,7 @@
         return answer, answer_body
 
     def runs(self):
-        return [one for target in self.targets for one in target.seen]
+        return [run for target in self.targets for run in target.executed]
 
 
 def untimed_attempt():
@@ -92,7 +92,7 @@
 
 @pytest.fixture
 async def fleet(nursery):
-    store = Store()
+    store = StoreStandIn()
     await store.start(nursery)
     store.put('op/config', configuration())
     fleet = Fleet(store)
@@ -137,14 +137,14 @@
 async def wait_for_status(fleet, number, status, seconds):
     """Send requests until one is answered with a status."""
     with trio.fail_after(seconds):
-        seen = None
-        while seen != status:
+        received = None
+        while received != status:
             answer, _ = await fleet.send(number, '/look/1')
-            seen = answer.status
+            received = answer.status
 
 
 @pytest.fixture
-async def far(fleet, monkeypatch):
+async def remote_target_fleet(fleet, monkeypatch):
     """A fleet whose only open target has one slot and is owned by daemon 1."""
     monkeypatch.setattr(_peer_client, 'MAX_SILENCE_SECONDS', 0.15)
     monkeypatch.setattr(_peer_client, 'QUERY_SECONDS', 0.15)
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -13,7 +13,7 @@
 from tests.soak_link import FaultyLink
 from tests.soak_targets import SlowTarget
 from tests.store_standin import (
-    Store,
+    StoreStandIn,
     TargetStandIn,
     configuration,
     registration,
@@ -169,7 +169,7 @@
 
     def __init__(self, folder):
         self.folder = folder
-        self.store = Store()
+        self.store = StoreStandIn()
         peer_port = int(free_address().rpartition(':')[2])
         datagram_port = int(free_address().rpartition(':')[2])
         self.instances = [
@@ -227,7 +227,7 @@
         return [
             run
             for target in (*self.former_targets, *current)
-            for run in target.seen
+            for run in target.executed
         ]
 
     def runs_of(self, call):
--- a/tests/soak_targets.py
+++ b/tests/soak_targets.py
@@ -47,7 +47,7 @@
             await conn.respond(421, ((b'instance-id', self.name.encode()),))
             return
         attempt_id = headers[ATTEMPT_ID].decode()
-        self.seen.append((attempt_id, head.path, headers, body))
+        self.executed.append((attempt_id, head.path, headers, body))
         run = Run(attempt_id, trio.current_time())
         self.runs.append(run)
         rng = random.Random(f'{self._seed} {head.path}')
@@ -62,7 +62,7 @@
         finally:
             run.ended_at = trio.current_time()
         if not run.status:
-            self.left += 1
+            self.disconnects += 1
             return
         answer_body = self.name.encode() + b':' + body
         answer_headers = (
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -11,10 +11,10 @@
 from clementinedeal._http import HttpLimits
 from clementinedeal._http_server import HttpServer
 
-PAGE = 3
+MAX_PAGE_ITEMS = 3
 
 
-class Store:
+class StoreStandIn:
     """A store with revisions and a history; ``mode`` sets how it fails."""
 
     def __init__(self):
@@ -36,14 +36,14 @@
             'value': base64.b64encode(blob).decode(),
             'revision': self.revision,
         }
-        self._note({**self.items[key]})
+        self._record({**self.items[key]})
 
     def delete(self, key):
         self.revision += 1
         del self.items[key]
-        self._note({'key': key, 'revision': self.revision, 'deleted': True})
+        self._record({'key': key, 'revision': self.revision, 'deleted': True})
 
-    def forget(self):
+    def drop_history(self):
         self.dropped_revision = self.revision
         self.history.clear()
 
@@ -51,7 +51,7 @@
         """Answer all further reads that may lag with the present items."""
         self.replica_state = (dict(self.items), self.revision)
 
-    def _note(self, event):
+    def _record(self, event):
         self.history.append(event)
         self.changed.set()
         self.changed = trio.Event()
@@ -104,10 +104,10 @@
             for key in items
             if key.startswith(query['prefix']) and key > query.get('after', '')
         )
-        page = [items[key] for key in names[:PAGE]]
+        page = [items[key] for key in names[:MAX_PAGE_ITEMS]]
         return 200, {
             'items': page,
-            'has_more': len(names) > PAGE,
+            'has_more': len(names) > MAX_PAGE_ITEMS,
             'at_rev': revision,
         }
 
@@ -116,12 +116,12 @@
         if after < self.dropped_revision:
             return 410, {}
         with trio.move_on_after(int(query['wait_ms']) / 1000):
-            while not self._since(query['prefix'], after):
+            while not self._events_since(query['prefix'], after):
                 await self.changed.wait()
-        events = self._since(query['prefix'], after)
+        events = self._events_since(query['prefix'], after)
         return 200, {'events': events, 'at_rev': self.revision}
 
-    def _since(self, prefix, after):
+    def _events_since(self, prefix, after):
         return [
             event
             for event in self.history
@@ -202,10 +202,10 @@
         self.name = name
         self.address = address
         self.mode = 'ok'
-        self.seen = []
+        self.executed = []
         self.runs = []
-        self.left = 0
-        self.seconds = 0.0
+        self.disconnects = 0
+        self.work_seconds = 0.0
 
     async def start(self, nursery):
         server = HttpServer(
@@ -219,30 +219,32 @@
     async def serve(self, conn, head):
         body = b''.join([piece async for piece in conn.read_body()])
         headers = dict(head.headers)
-        echo = headers[b'attempt-id']
+        attempt_id = headers[b'attempt-id']
         if headers[b'expect-instance'] != self.name.encode():
             await conn.respond(421, ((b'instance-id', self.name.encode()),))
             return
         if self.mode == 'shed':
             await conn.respond(503, ((b'not-executed', b'1'),))
             return
-        self.seen.append((echo.decode(), head.path, headers, body))
+        self.executed.append((attempt_id.decode(), head.path, headers, body))
         if self.mode == 'hang':
             await conn.wait_disconnected()
-            self.left += 1
+            self.disconnects += 1
             return
-        await trio.sleep(self.seconds)
+        await trio.sleep(self.work_seconds)
         if self.mode == 'reset':
             await conn.aclose()
             return
         status = 500 if self.mode == 'fail' else 200
         if self.mode == 'foreign':
-            echo = b'another'
-        sent = ((b'attempt-id', echo), (b'server-seal', b's'))
+            attempt_id = b'another'
+        answer_headers = ((b'attempt-id', attempt_id), (b'server-seal', b's'))
         if self.mode == 'endless':
-            await conn.start_answer(200, sent)
+            await conn.start_answer(200, answer_headers)
             # longer than any limit, but bounded to protect the test machine
             for _ in range(1024):
                 await conn.send_piece(bytes(1 << 16))
             await conn.wait_disconnected()
-        await conn.respond(status, sent, self.name.encode() + b':' + body)
+        await conn.respond(
+            status, answer_headers, self.name.encode() + b':' + body
+        )
--- a/tests/test_mesh_background_task.py
+++ b/tests/test_mesh_background_task.py
@@ -9,11 +9,11 @@
 from clementinedeal._pool import split_address
 from clementinedeal.mesh import _background_task
 
-LEVELS = 1_500
+NESTING_DEPTH = 1_500
 
 
 def nested(text):
-    return text % (b'[' * LEVELS + b']' * LEVELS)
+    return text % (b'[' * NESTING_DEPTH + b']' * NESTING_DEPTH)
 
 
 @pytest.mark.parametrize(
@@ -26,7 +26,7 @@
 async def test_deeply_nested_bytes_in_the_store_end_no_daemon(fleet, key, blob):
     fleet.store.put(key, blob)
     await trio.sleep(1.5)
-    assert not any(one.is_set() for one in fleet.ended)
+    assert not any(event.is_set() for event in fleet.ended)
     fleet.store.put('op/config', configuration(10, api_keys=['key-2']))
     await trio.sleep(0.5)
     answer, _ = await fleet.send(0, '/look/1', key='key-2')
@@ -48,13 +48,13 @@
     monkeypatch.setattr(_background_task, 'RESTART_DELAY_SECONDS', 0.01)
     runs = []
 
-    async def part():
+    async def fail_twice():
         runs.append(trio.current_time())
         await trio.lowlevel.checkpoint()
         if len(runs) < 3:
             raise ValueError('bug')
 
     with trio.fail_after(1):
-        await _background_task.keep_running(part)
+        await _background_task.keep_running(fail_twice)
     assert len(runs) == 3
     assert caplog.text.count('event=part-failed') == 2
--- a/tests/test_mesh_declarations.py
+++ b/tests/test_mesh_declarations.py
@@ -32,15 +32,15 @@
         if not self.script:
             self.done.set()
             await trio.sleep_forever()
-        news, held = self.script.pop(0)
-        self.clock.advance(seconds if held is None else held)
+        update, seconds_held = self.script.pop(0)
+        self.clock.advance(seconds if seconds_held is None else seconds_held)
         await trio.lowlevel.checkpoint()
-        if isinstance(news, Exception):
-            raise news
-        return news
+        if isinstance(update, Exception):
+            raise update
+        return update
 
 
-def news_of_version(number, revision):
+def update_of_version(number, revision):
     declaration = Declaration(
         version=number,
         routes=(),
@@ -70,9 +70,9 @@
 async def test_older_versions_are_ignored(autojump_clock):
     feed, _, _ = await follow(
         [
-            (news_of_version(3, 20), 0),
-            (news_of_version(5, 30), 0),
-            (news_of_version(4, 25), 0),
+            (update_of_version(3, 20), 0),
+            (update_of_version(5, 30), 0),
+            (update_of_version(4, 25), 0),
         ],
     )
     assert feed.version == 5
@@ -83,9 +83,9 @@
 ):
     feed, source, _ = await follow(
         [
-            (news_of_version(3, 20), 0),
+            (update_of_version(3, 20), 0),
             (HistoryGoneError('gone'), 0),
-            (news_of_version(7, 90), 0),
+            (update_of_version(7, 90), 0),
         ],
     )
     assert feed.version == 7
@@ -94,7 +94,9 @@
 
 async def test_complete_empty_watch_confirms_until_its_end(autojump_clock):
     empty = DeclarationUpdate(revision=21)
-    feed, _, clock = await follow([(news_of_version(3, 20), 0), (empty, None)])
+    feed, _, clock = await follow(
+        [(update_of_version(3, 20), 0), (empty, None)]
+    )
     assert feed.age == pytest.approx(0)
     clock.advance(4.6)
     assert feed.is_fresh()
@@ -104,14 +106,14 @@
 
 async def test_watch_answered_early_confirms_only_its_start(autojump_clock):
     empty = DeclarationUpdate(revision=21)
-    feed, _, _ = await follow([(news_of_version(3, 20), 0), (empty, 0.9)])
+    feed, _, _ = await follow([(update_of_version(3, 20), 0), (empty, 0.9)])
     assert feed.age == pytest.approx(0.9)
 
 
 async def test_failed_calls_do_not_confirm_the_declaration(autojump_clock):
     feed, _, _ = await follow(
         [
-            (news_of_version(3, 20), 0),
+            (update_of_version(3, 20), 0),
             (SourceError('busy'), 3),
             (SourceError(''), 3),
         ],
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -42,13 +42,13 @@
     )
 
 
-class Origin:
+class CountingTargetClient:
     """Counts the runs at the target and takes 50 ms for each."""
 
     def __init__(self):
         self.runs = 0
 
-    async def call(self, message, stamp):
+    async def call(self, message, context):
         self.runs += 1
         await trio.sleep(0.05)
         return MeshOutcome(verdict=Verdict.RAN, reached=True, status=200)
@@ -57,17 +57,17 @@
 @pytest.fixture
 def owner(nursery):
     clock = MonotonicClock()
-    made = MeshOwner(
+    mesh_owner = MeshOwner(
         MeshOwnerParts(
             clock=clock,
             events=EventLog('i', '1'),
-            origin=Origin(),
+            origin=CountingTargetClient(),
             calls=CallFailures(clock),
             metrics=DaemonMetrics(),
             nursery=nursery,
         ),
     )
-    made.set_target(
+    mesh_owner.set_target(
         Target(
             name='t1',
             service='s',
@@ -76,7 +76,7 @@
             slots=1,
         ),
     )
-    return made
+    return mesh_owner
 
 
 def head(name, value):
@@ -96,21 +96,21 @@
 async def test_a_duplicate_body_runs_once(owner, nursery):
     server = MeshPeerServer(owner, EventLog('i', '1'), nursery)
     sent = msgspec.json.encode(make_attempt())
-    held = server._dispatch(head(wire.RESERVE_HEADER, sent), MESSAGE)
-    await held.body_wanted.wait()
+    reservation = server._dispatch(head(wire.RESERVE_HEADER, sent), MESSAGE)
+    await reservation.body_wanted.wait()
     assert owner._parts.origin.runs == 0
     for _ in range(2):
         run = server._dispatch(head(wire.RUN_HEADER, b'a1'), MESSAGE)
-        assert run is held
-    await held.done.wait()
+        assert run is reservation
+    await reservation.done.wait()
     assert owner._parts.origin.runs == 1
-    assert held.outcome.status == 200
+    assert reservation.outcome.status == 200
 
 
 async def test_a_slot_is_released_when_no_body_arrives(owner):
-    held = owner.submit(make_attempt(), None)
-    await held.done.wait()
-    assert held.outcome.verdict is Verdict.NOT_RUN
+    reservation = owner.submit(make_attempt(), None)
+    await reservation.done.wait()
+    assert reservation.outcome.verdict is Verdict.NOT_RUN
     assert owner.slot_queue.running == 0
 
 
@@ -119,8 +119,8 @@
 ):
     server = MeshPeerServer(owner, EventLog('i', '1'), nursery)
     await trio.sleep(0.05)
-    asked = msgspec.json.encode(('a1', 0.01))
-    answer = server._dispatch(head(wire.ASK_HEADER, asked), MESSAGE)
+    query = msgspec.json.encode(('a1', 0.01))
+    answer = server._dispatch(head(wire.ASK_HEADER, query), MESSAGE)
     assert answer.verdict is Verdict.NOT_RUN
     sent = msgspec.json.encode(make_attempt(idempotent=True))
     late = server._dispatch(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
@@ -157,13 +157,13 @@
     failed = owner.submit(make_attempt('a1'), MESSAGE)
     await failed.done.wait()
     assert failed.outcome.verdict is Verdict.MAY_HAVE_RUN
-    owner._parts.origin.call = Origin().call
+    owner._parts.origin.call = CountingTargetClient().call
     next_one = owner.submit(make_attempt('a2'), MESSAGE)
     await next_one.done.wait()
     assert next_one.outcome.status == 200
 
 
-async def fail(message, stamp):
+async def fail(message, context):
     raise ValueError('bug')
 
 
@@ -175,7 +175,7 @@
     assert table.forbid('a2', age=0.5)
 
 
-def test_ended_attempts_are_forgotten():
+def test_ended_attempts_expire():
     clock = VirtualClock()
     table = MeshExecutionTable(clock)
     execution = Execution(make_attempt(), MESSAGE, 2.0)
@@ -197,7 +197,7 @@
     for execution in (plain, *trials):
         await execution.done.wait()
     assert plain.outcome.reason is Reason.TARGET_EJECTED
-    reasons = [one.outcome.reason for one in trials]
+    reasons = [trial.outcome.reason for trial in trials]
     assert sorted(reasons, key=str) == [
         None,
         Reason.TARGET_EJECTED,
--- a/tests/test_mesh_idle_limit.py
+++ b/tests/test_mesh_idle_limit.py
@@ -19,7 +19,7 @@
 TARGET_IDLE_LIMIT_SECONDS = 0.2
 HEADERS = ((b'host', b'x'), (b'attempt-id', b'r1'))
 MESSAGE = BufferedRequest('GET', '/look/1', HEADERS, b'')
-STAMP = CallContext(
+CALL_CONTEXT = CallContext(
     req_id='r1', seconds_left=2.0, target='t1', account='', caller_service=''
 )
 
@@ -34,10 +34,10 @@
 
     def __init__(self, idle_limit):
         self.idle_limit = idle_limit
-        self.opened = 0
+        self.connection_count = 0
 
     async def serve(self, stream):
-        self.opened += 1
+        self.connection_count += 1
         while True:
             before = trio.current_time()
             if not await stream.receive_some():
@@ -57,24 +57,24 @@
 
 @pytest.fixture
 async def target(nursery):
-    made = ForgetfulTarget(TARGET_IDLE_LIMIT_SECONDS)
+    forgetful_target = ForgetfulTarget(TARGET_IDLE_LIMIT_SECONDS)
     address = free_address()
     host, port = split_address(address)
     listeners = await trio.open_tcp_listeners(port, host=host)
-    nursery.start_soon(trio.serve_listeners, made.serve, listeners)
+    nursery.start_soon(trio.serve_listeners, forgetful_target.serve, listeners)
     clock = MonotonicClock()
-    made.events = EventLog('i', '1')
+    forgetful_target.events = EventLog('i', '1')
     pool = ConnPool(clock)
-    made.origin = TargetClient(
-        address, pool, PlatformDialect(), clock, made.events
+    forgetful_target.client = TargetClient(
+        address, pool, PlatformDialect(), clock, forgetful_target.events
     )
-    return made
+    return forgetful_target
 
 
 async def test_one_request_is_lost_and_says_that_it_may_have_run(target):
     reasons = []
     for _ in range(4):
-        outcome = await target.origin.call(MESSAGE, STAMP)
+        outcome = await target.client.call(MESSAGE, CALL_CONTEXT)
         reasons.append(outcome.reason)
         if outcome.reason is not None:
             assert outcome.verdict is Verdict.MAY_HAVE_RUN
@@ -86,15 +86,15 @@
 
 async def test_connections_in_use_are_kept(target):
     for _ in range(10):
-        assert (await target.origin.call(MESSAGE, STAMP)).succeeded
+        assert (await target.client.call(MESSAGE, CALL_CONTEXT)).succeeded
         await trio.sleep(TARGET_IDLE_LIMIT_SECONDS / 4)
-    assert target.opened == 1
+    assert target.connection_count == 1
 
 
 async def test_a_cut_answer_does_not_change_the_idle_limit(target):
     target.idle_limit = 0
-    await target.origin.call(MESSAGE, STAMP)
-    outcome = await target.origin.call(MESSAGE, STAMP)
+    await target.client.call(MESSAGE, CALL_CONTEXT)
+    outcome = await target.client.call(MESSAGE, CALL_CONTEXT)
     assert outcome.reason is Reason.ANSWER_INCOMPLETE
 
 
@@ -112,9 +112,9 @@
 
 async def test_an_unreadable_answer_does_not_change_the_idle_limit(target):
     target.idle_limit = 10
-    await target.origin.call(MESSAGE, STAMP)
+    await target.client.call(MESSAGE, CALL_CONTEXT)
     target.answer = b'junk\r\n\r\n'
     await trio.sleep(TARGET_IDLE_LIMIT_SECONDS)
-    outcome = await target.origin.call(MESSAGE, STAMP)
+    outcome = await target.client.call(MESSAGE, CALL_CONTEXT)
     assert outcome.reason is Reason.ANSWER_INCOMPLETE
     assert b'connection-forgotten' not in target.events.json_lines()
--- a/tests/test_mesh_logs.py
+++ b/tests/test_mesh_logs.py
@@ -11,10 +11,10 @@
 from clementinedeal.mesh._metrics import DaemonMetrics
 
 
-def record(text, created=100.0):
-    made = logging.LogRecord('x', logging.INFO, '', 0, text, (), None)
-    made.created = created
-    return made
+def make_record(text, created=100.0):
+    log_record = logging.LogRecord('x', logging.INFO, '', 0, text, (), None)
+    log_record.created = created
+    return log_record
 
 
 @pytest.fixture
@@ -32,23 +32,23 @@
     nursery.start_soon(queue.run)
     line = 'outcome=failed ' + 'x' * 1000
     for number in range(log_output.MAX_QUEUED_LINES + 500):
-        queue.emit(record(line, created=number))
-    worst = 0.0
+        queue.emit(make_record(line, created=number))
+    max_delay_seconds = 0.0
     for _ in range(50):
         before = trio.current_time()
         await trio.sleep(0.002)
-        worst = max(worst, trio.current_time() - before)
-    assert worst < 0.1
+        max_delay_seconds = max(max_delay_seconds, trio.current_time() - before)
+    assert max_delay_seconds < 0.1
     assert queue.dropped_lines >= 400
 
 
 async def test_lines_of_success_are_dropped_before_failures(pipe, nursery):
     queue = OutputQueue(pipe[1])
     for _ in range(log_output.MAX_ROUTINE_LINES_PER_SECOND * 2):
-        queue.emit(record('outcome=answered'))
+        queue.emit(make_record('outcome=answered'))
     for _ in range(20):
-        queue.emit(record('outcome=target-failed'))
-    queue.emit(record('next second', created=101.0))
+        queue.emit(make_record('outcome=target-failed'))
+    queue.emit(make_record('next second', created=101.0))
     assert queue.dropped_lines == log_output.MAX_ROUTINE_LINES_PER_SECOND
     nursery.start_soon(queue.run)
     await trio.sleep(0.05)
@@ -58,11 +58,11 @@
 
 
 def test_metrics_in_the_text_format():
-    tally = DaemonMetrics()
-    tally.count('requests', 'till', 'shop', 'ran', 'answered')
-    tally.observe('request_seconds', 0.3, 'till')
-    tally.gauges['config_version'] = lambda: 7
-    text = tally.render().decode()
+    metrics = DaemonMetrics()
+    metrics.count('requests', 'till', 'shop', 'ran', 'answered')
+    metrics.observe('request_seconds', 0.3, 'till')
+    metrics.gauges['config_version'] = lambda: 7
+    text = metrics.render().decode()
     assert (
         'clementinedeal_requests_total{account="shop",reason="answered",'
         'service="till",verdict="ran"} 1.0'
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -9,10 +9,10 @@
 async def test_every_daemon_serves_every_kind_of_route(fleet):
     for number in range(3):
         for path in ('/look/1', '/book/1'):
-            answer, whole = await fleet.send(number, path, b'body')
+            answer, answer_body = await fleet.send(number, path, b'body')
             assert answer.status == 200
             assert answer.header(b'server-seal') == b's'
-            assert whole.endswith(b':body')
+            assert answer_body.endswith(b':body')
     answer, _ = await fleet.send(0, '/open/1', key='')
     assert answer.status == 200
 
@@ -61,8 +61,10 @@
     for number in range(12):
         answer, _ = await fleet.send(number % 3, '/book/1', b'x')
         assert answer.status == (500 if mode == 'fail' else 502)
-    ids = [name for name, path, _, _ in fleet.runs() if path == '/book/1']
-    assert len(ids) == len(set(ids)) == 12
+    attempt_ids = [
+        name for name, path, _, _ in fleet.runs() if path == '/book/1'
+    ]
+    assert len(attempt_ids) == len(set(attempt_ids)) == 12
 
 
 async def test_an_endless_answer_is_given_up_at_once(fleet):
@@ -98,7 +100,7 @@
         with trio.move_on_after(0.15):
             await fleet.send(number, '/look/1')
     await trio.sleep(0.6)
-    assert sum(target.left for target in fleet.targets) >= 3
+    assert sum(target.disconnects for target in fleet.targets) >= 3
 
 
 async def test_cancelled_request_and_attempt_are_logged_once(fleet):
@@ -112,25 +114,25 @@
 
 
 async def test_draining_target_gets_no_new_requests(fleet):
-    leaving = fleet.targets[0]
+    draining = fleet.targets[0]
     fleet.store.put(
         'servers/t0',
-        registration(leaving.address, state='draining'),
+        registration(draining.address, state='draining'),
     )
     await trio.sleep(1.5)
-    before = len(leaving.seen)
+    count_before = len(draining.executed)
     for number in range(12):
         answer, _ = await fleet.send(number % 3, '/book/1')
         assert answer.status == 200
-    assert len(leaving.seen) == before
+    assert len(draining.executed) == count_before
 
 
 async def test_other_process_at_a_known_address_is_not_used(fleet):
     fleet.targets[0].name = 'successor'
     for number in range(9):
-        answer, whole = await fleet.send(number % 3, '/book/1')
+        answer, answer_body = await fleet.send(number % 3, '/book/1')
         assert answer.status == 200
-        assert not whole.startswith(b'successor')
+        assert not answer_body.startswith(b'successor')
 
 
 async def test_requests_are_served_while_the_store_is_silent(fleet):
@@ -155,24 +157,30 @@
 async def test_request_ends_at_the_timeout_of_its_route(fleet):
     for target in fleet.targets:
         target.mode = 'hang'
-    started = trio.current_time()
+    started_at = trio.current_time()
     answer, _ = await fleet.send(0, '/book/1', patience_ms=9000)
-    assert 1.9 < trio.current_time() - started < 2.5
+    assert 1.9 < trio.current_time() - started_at < 2.5
     assert answer.status in {502, 504}
 
 
-async def test_slow_request_through_another_daemon_is_answered(far):
-    far.targets[1].seconds = 1.0
-    answer, whole = await far.send(0, '/book/long', b'x')
+async def test_slow_request_through_another_daemon_is_answered(
+    remote_target_fleet,
+):
+    remote_target_fleet.targets[1].work_seconds = 1.0
+    answer, answer_body = await remote_target_fleet.send(0, '/book/long', b'x')
     assert answer.status == 200
-    assert whole == b't1:x'
+    assert answer_body == b't1:x'
 
 
-async def test_non_idempotent_request_keeps_its_place_in_a_queue(far, nursery):
-    far.targets[1].seconds = 0.7
-    nursery.start_soon(far.send, 1, '/book/first', b'x')
+async def test_non_idempotent_request_keeps_its_place_in_a_queue(
+    remote_target_fleet, nursery
+):
+    remote_target_fleet.targets[1].work_seconds = 0.7
+    nursery.start_soon(remote_target_fleet.send, 1, '/book/first', b'x')
     await trio.sleep(0.1)
-    answer, _ = await far.send(0, '/book/second', b'x')
+    answer, _ = await remote_target_fleet.send(0, '/book/second', b'x')
     assert answer.status == 200
-    paths = [path for _, path, _, _ in far.runs() if 'book' in path]
+    paths = [
+        path for _, path, _, _ in remote_target_fleet.runs() if 'book' in path
+    ]
     assert paths == ['/book/first', '/book/second']
--- a/tests/test_mesh_peer_client.py
+++ b/tests/test_mesh_peer_client.py
@@ -12,7 +12,7 @@
 from clementinedeal.mesh._sender import ANSWER_GRACE_SECONDS
 from clementinedeal.mesh._target_client import BufferedRequest
 
-LEFT = 0.5
+TIME_LEFT_SECONDS = 0.5
 
 
 async def confirm_and_freeze(stream):
@@ -31,7 +31,7 @@
         attempt='a1',
         req_id='r1',
         target='t1',
-        left=LEFT,
+        left=TIME_LEFT_SECONDS,
         objective=1.0,
         idempotent=False,
         account='shop',
@@ -39,7 +39,7 @@
         rank=(0, 0),
     )
     outcome = None
-    with trio.move_on_after(LEFT + ANSWER_GRACE_SECONDS):
+    with trio.move_on_after(TIME_LEFT_SECONDS + ANSWER_GRACE_SECONDS):
         outcome = await MeshPeerClient(ConnPool(clock), clock).send_attempt(
             address,
             attempt,
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -67,7 +67,7 @@
     )
 
 
-def run(plan, outcomes, now=0.0):
+def run_plan(plan, outcomes, now=0.0):
     """Answer each attempt with an outcome; return the attempts and the end."""
     steps = []
     pending = list(outcomes)
@@ -83,35 +83,35 @@
 
 
 def test_success_is_final():
-    tries, outcome = run(make_plan(idempotent=False), [ANSWERED])
-    assert len(tries) == 1
+    steps, outcome = run_plan(make_plan(idempotent=False), [ANSWERED])
+    assert len(steps) == 1
     assert outcome is ANSWERED
 
 
 @pytest.mark.parametrize('outcome', [FAILED, LOST])
 def test_a_request_that_may_have_run_is_not_sent_again(outcome):
-    tries, end = run(make_plan(idempotent=False), [outcome])
-    assert len(tries) == 1
+    steps, end = run_plan(make_plan(idempotent=False), [outcome])
+    assert len(steps) == 1
     assert end is outcome
 
 
 def test_idempotent_failure_goes_to_another_target():
-    tries, end = run(make_plan(idempotent=True), [FAILED, ANSWERED])
+    steps, end = run_plan(make_plan(idempotent=True), [FAILED, ANSWERED])
     assert end is ANSWERED
-    assert tries[0].target != tries[1].target
-    assert not any(one.scout for one in tries)
+    assert steps[0].target != steps[1].target
+    assert not any(step.scout for step in steps)
 
 
 def test_no_more_targets_than_the_route_allows():
-    tries, end = run(make_plan(idempotent=True), [FAILED, FAILED])
-    assert len(tries) == 2
+    steps, end = run_plan(make_plan(idempotent=True), [FAILED, FAILED])
+    assert len(steps) == 2
     assert end is FAILED
 
 
 def test_no_retry_without_a_token():
     plan = make_plan(idempotent=True, retry_tokens=RetryTokens(0))
-    tries, end = run(plan, [FAILED])
-    assert len(tries) == 1
+    steps, end = run_plan(plan, [FAILED])
+    assert len(steps) == 1
     assert end is FAILED
 
 
@@ -119,26 +119,26 @@
     tokens = RetryTokens(0)
     plan = make_plan(idempotent=False, retry_tokens=tokens)
     refused = not_run(Reason.TARGET_EJECTED)
-    tries, end = run(plan, [refused, refused, ANSWERED])
+    steps, end = run_plan(plan, [refused, refused, ANSWERED])
     assert end is ANSWERED
     assert tokens.level == 0
-    assert len({one.target.name for one in tries}) == 3
+    assert len({step.target.name for step in steps}) == 3
 
 
 def test_a_rejection_by_the_target_costs_a_retry():
     tokens = RetryTokens(1)
     plan = make_plan(idempotent=False, retry_tokens=tokens)
-    _, end = run(plan, [SHED, ANSWERED])
+    _, end = run_plan(plan, [SHED, ANSWERED])
     assert end is ANSWERED
     assert tokens.level == 0
 
 
 def test_queues_when_all_are_busy():
     busy = not_run(Reason.QUEUE_FULL)
-    tries, end = run(make_plan(idempotent=False), [busy] * 3 + [ANSWERED])
+    steps, end = run_plan(make_plan(idempotent=False), [busy] * 3 + [ANSWERED])
     assert end is ANSWERED
-    assert tries[-1].wait > 0.5
-    assert not tries[-1].insist
+    assert steps[-1].wait > 0.5
+    assert not steps[-1].insist
 
 
 def test_queues_no_longer_than_the_objective_in_all():
@@ -162,28 +162,30 @@
 
 def test_queues_once_at_each_target():
     busy = not_run(Reason.QUEUE_FULL)
-    tries, end = run(make_plan(idempotent=False), [busy] * 5 + [ANSWERED])
+    steps, end = run_plan(make_plan(idempotent=False), [busy] * 5 + [ANSWERED])
     assert end is ANSWERED
-    assert len({one.target for one in tries if one.wait}) == 3
+    assert len({step.target for step in steps if step.wait}) == 3
 
 
 def test_insists_when_all_are_suspect():
     suspect = not_run(Reason.TARGET_EJECTED)
-    tries, end = run(make_plan(idempotent=False), [suspect] * 3 + [ANSWERED])
+    steps, end = run_plan(
+        make_plan(idempotent=False), [suspect] * 3 + [ANSWERED]
+    )
     assert end is ANSWERED
-    assert tries[-1].insist
+    assert steps[-1].insist
 
 
 def test_a_suspect_target_is_tried_once_when_the_others_are_busy():
     busy = not_run(Reason.QUEUE_FULL)
     suspect = not_run(Reason.TARGET_EJECTED)
     outcomes = [busy, suspect, busy, suspect, ANSWERED]
-    tries, end = run(make_plan(idempotent=False), outcomes)
+    steps, end = run_plan(make_plan(idempotent=False), outcomes)
     assert end is ANSWERED
-    assert [one.scout for one in tries] == [False] * 3 + [True, False]
-    assert tries[3].target == tries[1].target
-    assert tries[4].wait > 0
-    assert not any(one.insist for one in tries)
+    assert [step.scout for step in steps] == [False] * 3 + [True, False]
+    assert steps[3].target == steps[1].target
+    assert steps[4].wait > 0
+    assert not any(step.insist for step in steps)
 
 
 def test_all_targets_are_asked_before_insisting():
@@ -199,13 +201,13 @@
     )
     plan = make_plan(idempotent=False, targets=targets)
     suspect = not_run(Reason.TARGET_EJECTED)
-    tries, end = run(plan, [suspect] * 7 + [ANSWERED])
+    steps, end = run_plan(plan, [suspect] * 7 + [ANSWERED])
     assert end is ANSWERED
-    assert not any(one.insist for one in tries)
+    assert not any(step.insist for step in steps)
 
 
 def test_without_targets_a_request_is_reported_as_not_run():
-    _, end = run(make_plan(idempotent=False, targets=()), [])
+    _, end = run_plan(make_plan(idempotent=False, targets=()), [])
     assert end.verdict is Verdict.NOT_RUN
     assert end.reason is Reason.NO_TARGET
     assert end.retry_after > 0
@@ -213,8 +215,8 @@
 
 @pytest.mark.parametrize('first', [FAILED, LOST])
 def test_a_rejected_retry_does_not_hide_that_the_first_attempt_ran(first):
-    tries, end = run(make_plan(idempotent=True), [first, SHED])
-    assert len(tries) == 2
+    steps, end = run_plan(make_plan(idempotent=True), [first, SHED])
+    assert len(steps) == 2
     assert end is first
 
 
@@ -298,7 +300,7 @@
     assert not plan.reserve_retry(2.6)
     assert tokens.level == 1
     free = TargetCondition(risk=0.1, running=1, waiting=0, slots=7, wait=0.0)
-    other = next(one for one in TARGETS if one != step.target)
+    other = next(candidate for candidate in TARGETS if candidate != step.target)
     plan._balancer.on_attempt_ended(
         other.name, not_run(Reason.QUEUE_FULL, free)
     )
--- a/tests/test_mesh_rate_limiter.py
+++ b/tests/test_mesh_rate_limiter.py
@@ -49,7 +49,7 @@
         return Channel()
 
 
-def make(count=5, account=ACCOUNT, bounds=EXACT):
+def make_limiters(count=5, account=ACCOUNT, bounds=EXACT):
     network = Network()
     clock = VirtualClock()
     hosts = tuple(f'10.0.0.{number}' for number in range(count))
@@ -86,19 +86,19 @@
 
 
 async def test_within_the_rate_all_are_granted():
-    network, clock, hosts = make()
+    network, clock, hosts = make_limiters()
     assert await demand(network, clock, hosts, 8, 20) == 160
 
 
 async def test_over_any_window_no_more_than_rate_and_burst():
-    network, clock, hosts = make()
+    network, clock, hosts = make_limiters()
     granted = await demand(network, clock, hosts, 80, 5)
     assert granted <= 10 * 5 + 20
     assert granted >= 0.9 * (10 * 5 + 20)
 
 
 async def test_a_silent_home_is_replaced_by_equal_shares(autojump_clock):
-    network, clock, hosts = make()
+    network, clock, hosts = make_limiters()
     network.lost.add(find_home('shop', hosts))
     others = [host for host in hosts if host not in network.lost]
     granted = await demand(network, clock, others, 80, 5)
@@ -106,14 +106,14 @@
 
 
 async def test_lost_datagrams_are_sent_once_more(autojump_clock):
-    network, clock, hosts = make()
+    network, clock, hosts = make_limiters()
     network.loss = 0.05
     granted = await demand(network, clock, hosts, 8, 20)
     assert granted >= 0.97 * 160
 
 
 async def test_a_refusal_has_a_retry_after():
-    network, clock, hosts = make()
+    network, clock, hosts = make_limiters()
     limiter = network.limiters[hosts[0]]
     pauses = [await limiter.take(ACCOUNT, 'r') for _ in range(30)]
     assert pauses[0] == 0
@@ -122,7 +122,7 @@
 
 async def test_an_account_without_a_rate_has_no_limit():
     free = ClientAccount(name='shop', keys=(), priority=1, rate=0, burst=0)
-    network, _, hosts = make(account=free)
+    network, _, hosts = make_limiters(account=free)
     pauses = [
         await network.limiters[hosts[0]].take(free, 'r') for _ in range(99)
     ]
@@ -148,7 +148,7 @@
 
 
 async def test_a_home_grants_only_part_of_the_tolerance():
-    network, clock, hosts = make(bounds=TOLERANT)
+    network, clock, hosts = make_limiters(bounds=TOLERANT)
     granted = await demand(network, clock, hosts, 80, 5)
     exact = 10 * 5 + 20
     assert exact < granted < exact * 1.25 + 20 - 10
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -20,32 +20,32 @@
 
 SHORT_NOTICE_SECONDS = 0.3
 SHORT_STOP_SECONDS = 2.0
-LONG_SECONDS = 30.0
+LONG_TIMEOUT_SECONDS = 30.0
 
 
 async def is_ready(fleet, number):
     address = fleet.settings[number].ready_address
     conn = await fleet.pool.acquire(address)
-    await conn.send_whole(RequestHead('GET', '/-/ready', HOST), b'')
+    await conn.send_whole(RequestHead('GET', '/-/ready', HOST_HEADERS), b'')
     answer = await conn.read_head()
     conn.abort()
     return answer.status == 200
 
 
-HOST = ((b'host', b'x'),)
+HOST_HEADERS = ((b'host', b'x'),)
 
 
 async def test_planned_stop_cuts_no_request(fleet, nursery):
-    fleet.targets[0].seconds = 0.5
+    fleet.targets[0].work_seconds = 0.5
     statuses = []
 
-    async def ask():
+    async def send():
         answer, _ = await fleet.send(0, '/book/1')
         statuses.append(answer.status)
 
     assert await is_ready(fleet, 0)
     for _ in range(5):
-        nursery.start_soon(ask)
+        nursery.start_soon(send)
     await trio.sleep(0.1)
     fleet.daemons[0].stop()
     await trio.lowlevel.checkpoint()
@@ -57,7 +57,7 @@
     assert statuses == [200] * 5
 
 
-async def test_late_requests_of_a_stopping_daemon_are_refused_unrun(fleet):
+async def test_late_requests_of_a_stopping_daemon_are_refused_as_not_run(fleet):
     for target in fleet.targets:
         target.mode = 'hang'
     async with trio.open_nursery() as nursery:
@@ -69,15 +69,17 @@
         nursery.cancel_scope.cancel()
     for target in fleet.targets:
         target.mode = 'ok'
-        target.seconds = 1.5
-    before = len(fleet.runs())
+        target.work_seconds = 1.5
+    count_before = len(fleet.runs())
     async with trio.open_nursery() as nursery:
         nursery.start_soon(fleet.send, 0, '/look/2')
         await trio.sleep(1.2)
         answer, _ = await fleet.send(0, '/book/late')
         assert answer.status == 503
         assert answer.header(b'x-verdict') == b'not-run'
-    assert not [one for one in fleet.runs()[before:] if one[1] == '/book/late']
+    assert not [
+        run for run in fleet.runs()[count_before:] if run[1] == '/book/late'
+    ]
 
 
 async def test_requests_without_a_target_are_refused_before_the_end(
@@ -85,40 +87,42 @@
 ):
     for target in hanging_fleet.targets:
         target.mode = 'shed'
-    async with sending(hanging_fleet, (0, '/book/1')) as found:
-        assert not found
+    async with sent_requests(hanging_fleet, (0, '/book/1')) as answers:
+        assert not answers
         hanging_fleet.daemons[0]._sender.cancel_unsent()
         await trio.sleep(0.2)
-    assert found['/book/1'] == (503, b'not-run')
+    assert answers['/book/1'] == (503, b'not-run')
     lines = hanging_fleet.daemons[0].events.json_lines()
     assert b'attempt-tried' in lines
     assert b'"draining"' in lines
 
 
-async def test_a_slow_loop_does_not_delay_the_end(fleet, nursery):
+async def test_a_blocked_event_loop_does_not_delay_the_end(fleet, nursery):
     for target in fleet.targets:
         target.mode = 'hang'
 
-    async def keep_busy():
+    async def keep_sending():
         while True:
             with contextlib.suppress(ConnLostError):
                 await fleet.send(0, '/open/1')
             await trio.lowlevel.checkpoint()
 
-    async def hold_up():
+    async def block_event_loop():
         while True:
             time.sleep(0.06)  # noqa: ASYNC251
             await trio.sleep(0.01)
 
-    nursery.start_soon(keep_busy)
-    nursery.start_soon(hold_up)
+    nursery.start_soon(keep_sending)
+    nursery.start_soon(block_event_loop)
     await trio.sleep(0.3)
-    begun = trio.current_time()
+    started_at = trio.current_time()
     await fleet.daemons[0]._stop.run(fleet.settings[0].bounds.stop_seconds)
-    left = fleet.settings[0].bounds.stop_seconds - (trio.current_time() - begun)
+    seconds_left = fleet.settings[0].bounds.stop_seconds - (
+        trio.current_time() - started_at
+    )
     nursery.cancel_scope.cancel()
     # one pass of the event loop may delay the end
-    assert left > KILL_MARGIN_SECONDS - 0.1
+    assert seconds_left > KILL_MARGIN_SECONDS - 0.1
 
 
 @pytest.fixture
@@ -126,7 +130,7 @@
     """A fleet with one slot, at a target that hangs, and with short stops."""
     fleet.targets[1].mode = 'hang'
     monkeypatch.setattr(_stop, 'NOTICE_SECONDS', SHORT_NOTICE_SECONDS)
-    set_times(fleet, LONG_SECONDS, LONG_SECONDS / 2)
+    set_route_times(fleet, LONG_TIMEOUT_SECONDS, LONG_TIMEOUT_SECONDS / 2)
     for number, state in enumerate(('draining', 'ready', 'draining')):
         registered = registration(
             fleet.settings[number].target_address, state=state
@@ -145,37 +149,37 @@
     return fleet
 
 
-def set_times(fleet, timeout, objective):
+def set_route_times(fleet, timeout_seconds, target_latency_seconds):
     cfg = configuration(2)
     for entry in cfg['resources']:
         if entry['entry_type'] == 'routes':
-            entry['spec']['timeout_s'] = timeout
-            entry['spec']['target_latency_s'] = objective
+            entry['spec']['timeout_s'] = timeout_seconds
+            entry['spec']['target_latency_s'] = target_latency_seconds
     fleet.store.put('op/config', cfg)
 
 
 @pytest.fixture
 async def short_objective_fleet(fleet):
     """A fleet whose lookups are overdue after half a second."""
-    set_times(fleet, LONG_SECONDS, 0.4)
+    set_route_times(fleet, LONG_TIMEOUT_SECONDS, 0.4)
     await trio.sleep(0.5)
     return fleet
 
 
-async def ask(fleet, number, path, found, **more):
+async def send_request(fleet, number, path, answers, **more):
     answer, _ = await fleet.send(number, path, b'x', patience_ms=30_000, **more)
-    found[path] = (answer.status, answer.header(b'x-verdict'))
+    answers[path] = (answer.status, answer.header(b'x-verdict'))
 
 
 @contextlib.asynccontextmanager
-async def sending(fleet, *asked):
+async def sent_requests(fleet, *requests):
     """Start requests 0.2 s apart; those without an answer are cancelled."""
-    found = {}
+    answers = {}
     async with trio.open_nursery() as nursery:
-        for number, path in asked:
-            nursery.start_soon(ask, fleet, number, path, found)
+        for number, path in requests:
+            nursery.start_soon(send_request, fleet, number, path, answers)
             await trio.sleep(0.2)
-        yield found
+        yield answers
         nursery.cancel_scope.cancel()
 
 
@@ -187,47 +191,47 @@
 
 
 async def test_a_queued_request_is_refused_when_its_entry_stops(hanging_fleet):
-    asked = ((1, '/book/first'), (0, '/book/second'))
-    async with sending(hanging_fleet, *asked) as found:
+    requests = ((1, '/book/first'), (0, '/book/second'))
+    async with sent_requests(hanging_fleet, *requests) as answers:
         await stop(hanging_fleet, 0)
-    assert found['/book/second'] == (503, b'not-run')
-    assert not [one for one in hanging_fleet.runs() if one[1] == '/book/second']
+    assert answers['/book/second'] == (503, b'not-run')
+    assert not [run for run in hanging_fleet.runs() if run[1] == '/book/second']
 
 
 @pytest.mark.parametrize('path', ['/book/1', '/look/1'])
 async def test_a_run_that_outlasts_its_daemon_is_answered(hanging_fleet, path):
-    async with sending(hanging_fleet, (0, path)) as found:
+    async with sent_requests(hanging_fleet, (0, path)) as answers:
         await stop(hanging_fleet, 0)
-    assert found[path] == (502, b'may-have-run')
+    assert answers[path] == (502, b'may-have-run')
 
 
 async def test_a_late_call_of_a_target_is_refused_and_not_cut(hanging_fleet):
     # a request that still runs keeps the daemon from ending
-    async with sending(hanging_fleet, (0, '/book/long')) as found:
+    async with sent_requests(hanging_fleet, (0, '/book/long')) as answers:
         hanging_fleet.daemons[0].stop()
         await trio.sleep(SHORT_NOTICE_SECONDS + 0.2)
         with trio.fail_after(0.2):
-            await ask(hanging_fleet, 0, '/open/call', found, key='')
-    assert found['/open/call'] == (503, b'not-run')
-    assert not [one for one in hanging_fleet.runs() if one[1] == '/open/call']
+            await send_request(hanging_fleet, 0, '/open/call', answers, key='')
+    assert answers['/open/call'] == (503, b'not-run')
+    assert not [run for run in hanging_fleet.runs() if run[1] == '/open/call']
 
 
 async def test_a_stopping_owner_refuses_its_queued_requests(hanging_fleet):
-    asked = ((0, '/book/first'), (0, '/book/second'))
-    async with sending(hanging_fleet, *asked) as found:
+    requests = ((0, '/book/first'), (0, '/book/second'))
+    async with sent_requests(hanging_fleet, *requests) as answers:
         registered = registration(hanging_fleet.settings[0].target_address)
         hanging_fleet.store.put('servers/t0', registered)
         await trio.sleep(1.5)
         hanging_fleet.daemons[1].stop()
         await trio.sleep(0.3)
-    assert found['/book/second'] == (200, None)
+    assert answers['/book/second'] == (200, None)
 
 
 async def test_a_stopping_owner_reports_its_running_requests(hanging_fleet):
-    async with sending(hanging_fleet, (0, '/book/1')) as found:
+    async with sent_requests(hanging_fleet, (0, '/book/1')) as answers:
         await stop(hanging_fleet, 1)
         await trio.sleep(0.2)
-    assert found['/book/1'] == (502, b'may-have-run')
+    assert answers['/book/1'] == (502, b'may-have-run')
 
 
 async def test_a_request_that_its_daemon_cuts_is_logged(fleet, monkeypatch):
@@ -259,17 +263,19 @@
     monkeypatch,
 ):
     for target in short_objective_fleet.targets:
-        target.seconds = 1.2
-    found = {}
+        target.work_seconds = 1.2
+    answers = {}
     async with trio.open_nursery() as nursery:
         if stopping:
             short_objective_fleet.daemons[0].stop()
         else:
             monkeypatch.setattr(RetryTokenBucket, 'take', lambda _: False)
-        nursery.start_soon(ask, short_objective_fleet, 0, '/look/slow', found)
-    assert found['/look/slow'] == (200, None)
+        nursery.start_soon(
+            send_request, short_objective_fleet, 0, '/look/slow', answers
+        )
+    assert answers['/look/slow'] == (200, None)
     assert (
-        sum(one[1] == '/look/slow' for one in short_objective_fleet.runs()) == 1
+        sum(run[1] == '/look/slow' for run in short_objective_fleet.runs()) == 1
     )
 
 
@@ -277,70 +283,76 @@
     short_objective_fleet,
 ):
     short_objective_fleet.targets[0].mode = 'hang'
-    found = {}
+    answers = {}
     for number in range(6):
-        await ask(short_objective_fleet, number % 3, f'/look/{number}', found)
-    assert set(found.values()) == {(200, None)}
+        await send_request(
+            short_objective_fleet, number % 3, f'/look/{number}', answers
+        )
+    assert set(answers.values()) == {(200, None)}
 
 
 @pytest.mark.parametrize('seconds', [0.25, 0.6])
 async def test_a_blocked_event_loop_at_the_end_of_a_stop_cuts_no_answer(
     hanging_fleet, seconds
 ):
-    ending = hanging_fleet.daemons[0]._stop
-    answer = ending._cancel_running
+    planned_stop = hanging_fleet.daemons[0]._stop
+    cancel_running = planned_stop._cancel_running
 
-    def answer_late():
+    def block_then_cancel():
         time.sleep(seconds)
-        answer()
+        cancel_running()
 
-    ending._cancel_running = answer_late
-    async with sending(hanging_fleet, (0, '/book/1')) as found:
+    planned_stop._cancel_running = block_then_cancel
+    async with sent_requests(hanging_fleet, (0, '/book/1')) as answers:
         hanging_fleet.daemons[0].stop()
         with trio.fail_after(2 * SHORT_STOP_SECONDS):
             await hanging_fleet.ended[0].wait()
-    assert found['/book/1'] == (502, b'may-have-run')
+    assert answers['/book/1'] == (502, b'may-have-run')
 
 
 async def test_a_stop_shorter_than_its_notice_answers_running_requests(
     hanging_fleet,
 ):
-    async with sending(hanging_fleet, (0, '/book/1')) as found:
+    async with sent_requests(hanging_fleet, (0, '/book/1')) as answers:
         with trio.fail_after(1):
             await hanging_fleet.daemons[0]._stop.run(0.5)
         await trio.sleep(0.1)
-    assert found['/book/1'] == (502, b'may-have-run')
+    assert answers['/book/1'] == (502, b'may-have-run')
 
 
 async def test_an_owner_waits_for_a_request_whose_entry_is_gone(hanging_fleet):
     hanging_fleet.targets[1].mode = 'ok'
-    hanging_fleet.targets[1].seconds = 1.0
+    hanging_fleet.targets[1].work_seconds = 1.0
     with trio.move_on_after(0.2):
-        await ask(hanging_fleet, 0, '/book/1', {})
-    begun = trio.current_time()
+        await send_request(hanging_fleet, 0, '/book/1', {})
+    started_at = trio.current_time()
     hanging_fleet.daemons[1].stop()
     await hanging_fleet.ended[1].wait()
-    assert trio.current_time() - begun > 0.7
+    assert trio.current_time() - started_at > 0.7
 
 
 async def test_no_attempt_is_abandoned_once_a_stop_has_begun(
     short_objective_fleet,
 ):
     for target in short_objective_fleet.targets:
-        target.seconds = 1.2
+        target.work_seconds = 1.2
     sender = short_objective_fleet.daemons[0]._sender
-    found = {}
+    answers = {}
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(ask, short_objective_fleet, 0, '/look/slow', found)
+        nursery.start_soon(
+            send_request, short_objective_fleet, 0, '/look/slow', answers
+        )
         await trio.sleep(0.1)
-        (trying,) = sender._running_attempts
-        left = trying.overdue_at - short_objective_fleet.daemons[0]._clock.now()
+        (attempt,) = sender._running_attempts
+        seconds_left = (
+            attempt.overdue_at - short_objective_fleet.daemons[0]._clock.now()
+        )
         # between two checks for overdue attempts
-        await trio.sleep(left - 0.002)
+        await trio.sleep(seconds_left - 0.002)
         short_objective_fleet.daemons[0].stop()
-    assert found['/look/slow'] == (200, None)
+    assert answers['/look/slow'] == (200, None)
     assert (
-        sum(one[1] == '/look/slow' for one in short_objective_fleet.runs()) == 1
+        sum(run[1] == '/look/slow' for run in short_objective_fleet.runs()) == 1
     )
 
 
--- a/tests/test_mesh_target_client.py
+++ b/tests/test_mesh_target_client.py
@@ -27,10 +27,10 @@
 
     def __init__(self, pieces):
         self.pieces = pieces
-        self.opened = 0
+        self.connection_count = 0
 
     async def serve(self, stream):
-        self.opened += 1
+        self.connection_count += 1
         await stream.receive_some()
         await stream.send_all(answer(b'r1'))
         await stream.receive_some()
@@ -100,4 +100,4 @@
     client = await start(target, nursery)
     assert (await call(client, 'r1')).body == b'r1'
     assert (await call(client, 'r2')).body == b'r2'
-    assert target.opened == 1
+    assert target.connection_count == 1
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,7 +2,7 @@
 
 import pytest
 import trio
-from tests.store_standin import Store, configuration, registration
+from tests.store_standin import StoreStandIn, configuration, registration
 
 from clementinedeal._events import EventLog
 from clementinedeal._http import RequestHead, ResponseHead
@@ -18,7 +18,7 @@
 
 @pytest.fixture
 async def store(nursery):
-    standin = Store()
+    standin = StoreStandIn()
     await standin.start(nursery)
     return standin
 
@@ -114,7 +114,7 @@
     store.put('op/config', configuration())
     news = await client.read()
     store.put('op/config', configuration(version=2))
-    store.forget()
+    store.drop_history()
     with pytest.raises(HistoryGoneError):
         await client.wait(news.revision, 0.05)
 
