Describe the soak, the stand-ins and the tests of the mesh plainly

Describe the soak, its stand-ins and the endless answers plainly

Describe the stand-ins, the fleet and the tests of the mesh plainly

Say what the retry tokens of the plan tests are

--- a/tests/endless_standin.py
+++ b/tests/endless_standin.py
@@ -1,4 +1,4 @@
-"""A process that sends without end whatever it is asked."""
+"""A stand-in that answers each request with bytes that never end."""
 
 import contextlib
 
@@ -8,15 +8,16 @@
 from clementinedeal._http import BROKEN_STREAM_ERRORS
 from clementinedeal._pool import split_address
 
-# Far more than any bound and what the sockets between hold; a reader without
-# a bound then waits, and does not take the machine's memory.
+# Far more than any limit and the socket buffers together. A reader without a
+# limit then waits for more and does not use up the memory of the system.
 MAX_SENT_BYTES = 48 << 20
 _WRITE_BYTES = 1 << 16
 
+# Start of a head, without the empty line that ends it.
 OK_HEAD = b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
 CHUNKED_HEAD = OK_HEAD + b'transfer-encoding: chunked\r\n\r\n'
 
-# what comes first, and what is repeated
+# Bytes that are sent once, and bytes that are repeated, by a name.
 HEADS = {
     'one-header-line': (OK_HEAD + b'x: ', b'x' * 100),
     'many-header-lines': (OK_HEAD, b'x: y\r\n'),
@@ -45,7 +46,12 @@
 
 
 class EndlessStandIn:
-    """Sends its bytes at each connection once it was asked."""
+    """Sends bytes without end on each connection that has sent a request.
+
+    :param opening: bytes that are sent first.
+    :param repeated: bytes that follow again and again, up to
+        ``MAX_SENT_BYTES`` on a connection.
+    """
 
     def __init__(self, opening, repeated):
         self.address = free_address()
@@ -61,7 +67,10 @@
         nursery.start_soon(trio.serve_listeners, self._serve, listeners)
 
     async def was_cut(self):
-        """Whether the connection is closed, and long before the end."""
+        """Return whether the reader closed the connection long before the end.
+
+        :raises trio.TooSlowError: if it is not closed within a second.
+        """
         with trio.fail_after(1):
             await self.closed.wait()
         return self.max_sent_bytes < MAX_SENT_BYTES
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -29,6 +29,11 @@
 
 @dataclass
 class Fleet:
+    """Three daemons in this process, each with a target at its own address.
+
+    Lists are indexed by the daemon's number; ``ended`` holds an event for each.
+    """
+
     store: StoreStandIn
     targets: list = field(default_factory=list)
     daemons: list = field(default_factory=list)
@@ -38,6 +43,10 @@
     request_count: int = 0
 
     async def send(self, number, path, body=b'', **more):
+        """Send a request to a daemon; return the head and body of its answer.
+
+        :param more: ``key``, the API key, and ``patience_ms``, the timeout.
+        """
         self.request_count += 1
         key = more.get('key', 'key-1')
         headers = (
@@ -63,6 +72,7 @@
         return answer, answer_body
 
     def runs(self):
+        """Return the requests that the targets ran."""
         return [run for target in self.targets for run in target.executed]
 
 
@@ -125,6 +135,7 @@
 
 
 async def wait_until_serving(fleet, number):
+    """Send lookups to a daemon until one is answered with 200."""
     with trio.fail_after(5):
         while True:
             with contextlib.suppress(ConnLostError):
@@ -145,7 +156,7 @@
 
 @pytest.fixture
 async def remote_target_fleet(fleet, monkeypatch):
-    """A fleet whose only open target has one slot and is owned by daemon 1."""
+    """A fleet whose only target in use has one slot and is at daemon 1."""
     monkeypatch.setattr(_peer_client, 'MAX_SILENCE_SECONDS', 0.15)
     monkeypatch.setattr(_peer_client, 'QUERY_SECONDS', 0.15)
     for number, state in enumerate(('draining', 'ready', 'draining')):
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -1,4 +1,4 @@
-"""Callers of the soak: what they sent, when, and what they saw."""
+"""Callers of the soak test, and the checks of what they observed."""
 
 import contextlib
 import itertools
@@ -12,23 +12,35 @@
 from clementinedeal._timers import MonotonicClock
 from clementinedeal.mesh._stop import NOTICE_SECONDS
 
+# Timeout of a request for which no other is drawn or given.
 TIMEOUT_SECONDS = 3.0
+# Tolerance for an answer after its deadline.
 MAX_DELAY_SECONDS = 0.5
-# A request that crosses a close is cut at once and was not taken; what is
-# cut later had been read.
+# A request that is sent just as the daemon closes the connection is cut at
+# once and was not read. A request that is cut later than this had been read.
 MAX_CLOSE_RACE_SECONDS = 0.2
-# A lookup that was left for a repeat ends without one.
-DROPPED_GOOD_RUN = 'a lookup left a good run'
-BAD_EXIT = 'a stop ended badly'
-# Requests sent so long after a stop signal may end unanswered, if their
-# target was still at work in the last sixth of the grace time.
+# The daemon abandoned an attempt that would have succeeded, and the retry on
+# another target failed.
+DROPPED_GOOD_RUN = 'a lookup failed after its successful run was abandoned'
+BAD_EXIT = 'a process failed, ended by itself or outlasted its grace time'
+# A request that was sent at most this long after a stop signal may end without
+# an answer if its target was still working in the last sixth of the grace time.
 SENT_AFTER_STOP_SECONDS = 3.0
+# A call that ends within this time after a stop signal may have been broken off
+# by the stop.
 AFTER_STOP_SECONDS = GRACE_SECONDS + 1.0
+# Time from the stop signal to the start of that last sixth.
 LAST_SIXTH_START_SECONDS = GRACE_SECONDS * 5 / 6
 
 
 @dataclass(slots=True)
 class Call:
+    """A request of the soak and what its caller observed.
+
+    Times are those of ``trio.current_time``; 0 means that it did not happen.
+    """
+
+    # s and a number, or c and a number for a call that a target makes
     attempt_id: str
     instance: object
     path: str
@@ -36,19 +48,24 @@
     key: str
     timeout_seconds: float
     started_at: float
-    # when its last byte was sent, and over a kept connection or a new one
+    # when its last byte was sent
     sent_at: float = 0.0
+    # whether an earlier request had used the connection
     is_on_kept_connection: bool = False
     ended_at: float = 0.0
     status: int = 0
     has_seal: bool = False
     verdict: str = ''
     answer_body: bytes = field(default=b'', repr=False)
+    # whether the caller disconnected before the end of the answer
     is_abandoned: bool = False
 
 
 class Callers:
-    """Keep using open connections, and remember every request."""
+    """Sends requests over kept connections and records each of them.
+
+    :param draw_timeout: returns the timeout of a request, in seconds.
+    """
 
     def __init__(self, fleet, rng, draw_timeout=lambda: TIMEOUT_SECONDS):
         self.fleet = fleet
@@ -59,11 +76,21 @@
         self._pool = ConnPool(MonotonicClock())
 
     async def run(self):
+        """Send requests to random instances until ``is_closing`` is set."""
         while not self.is_closing:
             await trio.sleep(self._rng.uniform(0.005, 0.12))
             await self.send_request(self._rng.choice(self.fleet.instances))
 
     async def send_request(self, instance, kind=None, timeout_seconds=None):
+        """Send one request, and return its ``Call`` when it has ended.
+
+        Some callers disconnect after 50 ms, but never a target.
+
+        :param kind: the route's name, the first part of the path; random if
+            none is given.
+        :param timeout_seconds: the time that a calling target has left; drawn
+            if none is given.
+        """
         kind = kind or self._rng.choice(self.fleet.request_kinds)
         keys = [*self.fleet.keys, *self.fleet.withdrawn]
         number = len(self.calls)
@@ -121,10 +148,13 @@
 
 
 def find_violations(callers, check_end):
-    """Return what callers and targets saw against the promises.
+    """Return the broken promises as pairs of a rule and its call.
+
+    The rule ``BAD_EXIT`` comes with the exit result of a process instead.
 
-    :param callers: after the last request has ended.
-    :param check_end: says what is wrong with how a call ended.
+    :param callers: all of whose requests have ended.
+    :param check_end: yields the rules that the end of a call breaks, from the
+        call, the bodies that targets received for it and the fleet.
     """
     fleet = callers.fleet
     bodies = {}
@@ -150,18 +180,19 @@
 def _check_call(call, received, fleet):
     max_runs = 1 if call.path.startswith('/book') else 2
     if len(received) > max_runs:
-        yield 'ran too often'
+        yield 'ran more often than allowed'
     if any(body != call.body for body in received):
-        yield 'a target got another body'
+        yield 'a target received a different body'
     if call.status == 200:
         if not received:
-            yield 'answered without a run'
+            yield 'answered with 200 although no target ran it'
         if (
             not call.has_seal
             or call.answer_body.partition(b':')[2] != call.body
         ):
-            yield 'not a whole, true answer'
+            yield 'the answer is not the one that the target sent'
         withdrawn_at = fleet.withdrawn.get(call.key)
+        # the bound revoke_s, and a tolerance
         if (
             withdrawn_at is not None
             and call.started_at > withdrawn_at + 5.0 + 0.5
@@ -170,22 +201,24 @@
     if received and (
         call.verdict == 'not-run' or call.status in {401, 429, 503}
     ):
-        yield 'said not to have run, though it had'
+        yield 'reported as not run although a target ran it'
 
 
 def check_end_under_faults(call, received, fleet):
+    """Yield the rules that the end of a call breaks during random faults."""
     if call.status == 0 and _must_be_answered(call, has_run=bool(received)):
         if not call.is_abandoned:
-            yield 'cut without an answer'
+            yield 'connection closed without an answer'
         elif call.ended_at - call.started_at > call.timeout_seconds:
             yield 'no answer in time'
 
 
 def _must_be_answered(call, *, has_run):
-    """Whether a call should have got an answer.
+    """Return whether a call should have been answered.
 
-    A process that stops closes connections that rest, and then ends: what is
-    on its way just then and has not run may be sent again elsewhere.
+    A stopping process closes idle connections before it ends. A request that
+    was sent at that moment and has not run may be sent to another instance, so
+    it needs no answer.
     """
     instance = call.instance
     if any(
@@ -201,11 +234,12 @@
 
 
 def check_end_under_planned_work(call, received, fleet):
-    """Judge as the rules do around planned work, with no other trouble.
+    """Yield the rules that the end of a call breaks during planned operations.
 
-    What a process has read gets an answer, and no answer of the process's own
-    takes the place of a run. What may run twice may be broken off, to be run
-    elsewhere, but not after a stop signal to the process that took it.
+    A request that a process has read gets an answer, and an error of the
+    daemon does not replace the answer of a run. An attempt of a lookup may be
+    abandoned for a retry on another target, but not after a stop signal to the
+    process that accepted the lookup.
     """
     runs = fleet.runs_of(call)
     stops = call.instance.stop_times
@@ -224,10 +258,10 @@
             and call.ended_at > call.sent_at + MAX_CLOSE_RACE_SECONDS
         )
         if (runs or is_read) and not _is_excused_by_stop(call, runs, stops):
-            yield 'cut without an answer'
+            yield 'connection closed without an answer'
     elif call.has_seal:
         if call.status not in {run.status for _, run in runs}:
-            yield 'another status than the target gave'
+            yield 'the status is not the one that a target sent'
     elif call.status in {502, 504} and runs:
         owner_stops = [
             stop for instance, _ in runs for stop in instance.stop_times
@@ -240,16 +274,22 @@
         )
         if call.path.startswith('/book') or is_after_stop:
             yield (
-                'answered in place of a good run'
+                'an error replaced the answer of a good run'
                 if has_good_run
-                else 'broken off'
+                else 'a run was broken off'
             )
         elif has_good_run:
             yield DROPPED_GOOD_RUN
 
 
 def _is_excused_by_stop(call, runs, stops):
-    """Whether a grace time's end excuses that a call has no true answer."""
+    """Return whether a run near the end of a grace time excuses a call.
+
+    Such a call may lack an answer, or have one from the daemon.
+
+    :param runs: pairs of an instance and a ``Run`` of the call.
+    :param stops: times of stop signals.
+    """
     return any(
         (call.sent_at or call.started_at) <= stop + SENT_AFTER_STOP_SECONDS
         and run.started_at < stop + GRACE_SECONDS
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -1,4 +1,4 @@
-"""Real daemons as processes, between stand-ins on one machine."""
+"""The fleet of the soak: daemon processes with stand-ins of what they use."""
 
 import contextlib
 import math
@@ -21,12 +21,13 @@
 
 from clementinedeal._pool import split_address
 
+# From the stop signal until the process is killed.
 GRACE_SECONDS = 6.0
-# the interpreter's own start, on a machine under load
+# Start of the Python interpreter on a machine under load.
 INTERPRETER_START_SECONDS = 0.5
-# a process restarted by the platform serves again after so long
+# A process that the platform restarts serves again after this time.
 RESTART_SECONDS = 3.0
-# longer than the grace time, so that it seldom ends a request before
+# Longer than the grace time, so that a timeout seldom ends a request first.
 PLANNED_TIMEOUT_SECONDS = 8.0
 _SETTINGS = """
 node = "{name}"
@@ -41,7 +42,12 @@
 
 
 class Instance:
-    """One daemon's process, its target, and the cables to what it uses."""
+    """One daemon process, its target, and its links to target and store.
+
+    :param number: counted from zero; gives the name and the IP address.
+    :param fleet: the ``Fleet`` that the instance belongs to.
+    :param peer_port: the same at all instances, like ``datagram_port``.
+    """
 
     def __init__(self, number, fleet, peer_port, datagram_port):
         host = f'127.0.1.{number + 1}'
@@ -69,16 +75,18 @@
         self.process = None
         self.started_at = 0.0
         self.reloaded_at = 0.0
-        # times from which to which its callers are owed no answer
+        # (start, end) of the times when a missing answer breaks no promise
         self.exempt_periods = []
-        # times of stop signals, and what the process ended with
+        # times of stop signals
         self.stop_times = []
+        # exit code after each stop, or a text about an unexpected end
         self.exit_results = []
 
     def __repr__(self):
         return self.name
 
     def write_settings(self, folder):
+        """Replace the settings file in a folder; return its path."""
         path = folder / f'{self.name}.toml'
         text = _SETTINGS.format(**self._settings, slack=self._retry_slack)
         new_path = path.with_suffix('.new')
@@ -86,6 +94,7 @@
         return new_path.rename(path)
 
     def start(self, folder):
+        """Start the process with its settings and log file in a folder."""
         self.started_at = trio.current_time()
         path = self.write_settings(folder)
         with open(folder / f'{self.name}.log', 'ab') as output:
@@ -98,7 +107,10 @@
 
     @contextlib.contextmanager
     def exempt_period(self, extra_seconds=0.0):
-        """Mark the time in which callers are owed no answer, and more."""
+        """Record the time of the context as one that may lack answers.
+
+        :param extra_seconds: how long the period goes on after the context.
+        """
         begin = trio.current_time()
         self.exempt_periods.append((begin, math.inf))
         try:
@@ -110,17 +122,18 @@
             )
 
     def reload(self, folder):
+        """Write changed settings and send the reload signal."""
         self._retry_slack += 1
         self.write_settings(folder)
         self.reloaded_at = trio.current_time()
         self.signal(signal.SIGHUP)
 
     def restart_if_ended(self, folder):
-        """Do what the platform does with a process that ended by itself."""
+        """Start a process that ended by itself again, as the platform does."""
         code = self.process.poll()
         if code is None:
             return
-        # no program can answer a signal before its first line has run
+        # a program cannot handle a signal before its first line has run
         is_starting = (
             self.reloaded_at - self.started_at < INTERPRETER_START_SECONDS
         )
@@ -131,11 +144,12 @@
         self.start(folder)
 
     def signal(self, number):
+        """Send a signal to the process if it runs."""
         if self.process.poll() is None:
             self.process.send_signal(number)
 
     def kill(self):
-        """End this soak's own process, if it runs, and wait for it."""
+        """Kill the process if it runs, and wait for its end."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
@@ -153,6 +167,7 @@
             await trio.sleep(0.05)
 
     async def wait_ended(self):
+        """Wait for the end of the process; return its exit code."""
         return await trio.to_thread.run_sync(
             self.process.wait,
             abandon_on_cancel=True,
@@ -160,9 +175,9 @@
 
 
 class Fleet:
-    """The instances, the store and the configuration in force."""
+    """Instances, their targets, the store and the published configuration."""
 
-    # one instance each
+    # the service of each instance's target
     services = ('till',) * 4
     slots = 7
     request_kinds = ('look', 'book', 'book', 'book')
@@ -178,16 +193,20 @@
         ]
         self.version = 1
         self.keys = ['key-1', 'key-2']
+        # time of withdrawal by key
         self.withdrawn = {}
         self.former_targets = []
 
     def make_target(self, name):
+        """Return the stand-in of a target at a free address."""
         return TargetStandIn(name, free_address())
 
     def configuration(self):
+        """Return the configuration with the current version and keys."""
         return configuration(self.version, api_keys=self.keys)
 
     async def start(self, nursery):
+        """Start the store, the links, the targets and the processes."""
         await self.store.start(nursery)
         self.store.put('op/config', self.configuration())
         for instance in self.instances:
@@ -198,16 +217,18 @@
             instance.start(self.folder)
 
     def withdraw_key(self, key):
+        """Publish a configuration without a key."""
         self.keys.remove(key)
         self.withdrawn[key] = trio.current_time()
         self._publish()
 
     def add_key(self, key):
+        """Publish a configuration with one more key."""
         self.keys.append(key)
         self._publish()
 
     async def replace_target(self, instance, nursery):
-        """Let another process answer at a target's address."""
+        """Replace a target by another process at the same address."""
         instance.target_generation += 1
         name = instance.target.name.partition('.')[0]
         self.store.delete(f'servers/{instance.target.name}')
@@ -222,7 +243,10 @@
         self._register(instance)
 
     def runs(self):
-        """Return what the targets' own records show, oldest first."""
+        """Return the requests that targets ran, former targets first.
+
+        Each is a tuple of attempt id, path, headers and body.
+        """
         current = [instance.target for instance in self.instances]
         return [
             run
@@ -231,7 +255,10 @@
         ]
 
     def runs_of(self, call):
-        """Return the timed runs of a call, and the instance of each."""
+        """Return pairs of an instance and a ``Run`` for the runs of a call.
+
+        There are none for an exit result in place of a call.
+        """
         return [
             (instance, run)
             for instance in self.instances
@@ -240,6 +267,7 @@
         ]
 
     def kill(self):
+        """Kill the processes of all instances."""
         for instance in self.instances:
             instance.kill()
 
@@ -254,7 +282,7 @@
 
 
 class PlannedWorkFleet(Fleet):
-    """Slow targets with few slots, some of which call the others."""
+    """A fleet of slow targets with few slots; some call service ``stock``."""
 
     services = ('stock', 'stock', 'till', 'till', 'till')
     slots = 3
@@ -269,6 +297,7 @@
         return SlowTarget(name, free_address(), self._seed)
 
     def configuration(self):
+        """Add the service ``stock``, which the route ``open`` leads to."""
         document = super().configuration()
         for item in document['resources']:
             spec = item['spec']
--- a/tests/soak_link.py
+++ b/tests/soak_link.py
@@ -1,4 +1,4 @@
-"""A loopback proxy whose connections can be delayed, cut or silenced."""
+"""A loopback TCP proxy that can delay, hold back or reset its connections."""
 
 import socket
 import struct
@@ -7,13 +7,20 @@
 
 from clementinedeal._pool import split_address
 
+# reset: close all connections with RST, also new ones; silent: hold back all
+# bytes; one-way: hold back bytes to the client; slow: delay each chunk
 FAULT_MODES = ('reset', 'silent', 'one-way', 'slow')
 DELAY_SECONDS = 0.15
 _STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError, OSError)
 
 
 class FaultyLink:
-    """Carries bytes between one address and another, in a mode."""
+    """Forwards TCP connections to another address, with faults.
+
+    :param address: ``host:port`` to listen at.
+    :param destination: ``host:port`` to connect to; applies to connections
+        that are opened after a change.
+    """
 
     def __init__(self, address, destination):
         self.address = address
@@ -23,6 +30,7 @@
         self._restored = trio.Event()
 
     def set_mode(self, mode):
+        """Apply one of ``FAULT_MODES``, or ``ok``, to all connections."""
         self.mode = mode
         if mode == 'ok':
             self._restored.set()
@@ -32,6 +40,7 @@
                 _reset(stream)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Accept and forward connections until cancelled."""
         host, port = split_address(self.address)
         await trio.serve_tcp(
             self._carry, port, host=host, task_status=task_status
@@ -79,9 +88,10 @@
 
 
 def _reset(stream):
+    """Close a connection with RST in place of FIN."""
     linger = struct.pack('ii', 1, 0)
     try:
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     except OSError:
-        return  # closed by the other direction
+        return  # already closed by the copy in the other direction
     stream.socket.close()
--- a/tests/soak_targets.py
+++ b/tests/soak_targets.py
@@ -1,4 +1,4 @@
-"""Targets that work for a while, call other targets and answer twice."""
+"""Targets of the soak that work slowly, call others and may answer twice."""
 
 import math
 import random
@@ -9,6 +9,7 @@
 from tests.store_standin import TargetStandIn
 
 ATTEMPT_ID = b'attempt-id'
+# Part of the answers that are sent a second time in mode ``extra``.
 EXTRA_ANSWER_FRACTION = 0.3
 _EXTRA_ANSWER = (
     b'HTTP/1.1 200 OK\r\nattempt-id: %s\r\nserver-seal: s\r\n'
@@ -18,7 +19,11 @@
 
 @dataclass(slots=True)
 class Run:
-    """One run as its target saw it; a status of 0: broken off from outside."""
+    """One run as its target recorded it.
+
+    Times are those of ``trio.current_time``. The status is 0 while it runs, and
+    stays 0 if the daemon disconnects.
+    """
 
     attempt_id: str
     started_at: float
@@ -27,15 +32,17 @@
 
 
 class SlowTarget(TargetStandIn):
-    """Works as drawn for each path, and stops when nobody waits any more.
+    """Works for a time drawn for each path; stops if the daemon disconnects.
 
-    In the mode ``extra`` it sends some answers once more, behind the next
-    request on their connection.
+    In the mode ``extra`` it sends some answers a second time, while the next
+    request on the same connection runs.
+
+    :param seed: of the soak; it and the path determine the work of a request.
     """
 
     def __init__(self, name, address, seed):
         super().__init__(name, address)
-        # sends a request of its own, and returns what came of it
+        # sends a request to the target's own daemon; returns the ``Call``
         self.send_request = None
         self._seed = seed
         self._extra_answers = weakref.WeakKeyDictionary()
@@ -78,7 +85,10 @@
             )
 
     async def _work(self, path, headers, rng):
-        """Return the status after the work, or when the time is over."""
+        """Work, and return the status of the answer.
+
+        It is 500 if a call of the target failed, and 504 at the deadline.
+        """
         with trio.move_on_after(int(headers[b'deadline-ms']) / 1000) as scope:
             if path.startswith('/open/'):
                 await trio.sleep(rng.uniform(0.02, rng.choice([0.3, 1.5])))
@@ -104,5 +114,6 @@
 
 
 async def _cancel_on_disconnect(conn, nursery):
+    """Cancel a nursery when the daemon closes its connection."""
     await conn.wait_disconnected()
     nursery.cancel_scope.cancel()
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the users' platform: its store and its targets."""
+"""Stand-ins for the platform that operators run: its store and targets."""
 
 import base64
 import json
@@ -15,7 +15,12 @@
 
 
 class StoreStandIn:
-    """A store with revisions and a history; ``mode`` sets how it fails."""
+    """A key-value store with revisions and a history of its changes.
+
+    ``mode`` is ``ok`` or how it fails: ``busy`` answers 503, ``silent`` never
+    answers, ``reset`` closes the connection. ``calls`` holds the path and the
+    query of each request.
+    """
 
     def __init__(self):
         self.items = {}
@@ -44,11 +49,12 @@
         self._record({'key': key, 'revision': self.revision, 'deleted': True})
 
     def drop_history(self):
+        """Forget the changes so far; a watch from before gets 410."""
         self.dropped_revision = self.revision
         self.history.clear()
 
     def freeze_replica(self):
-        """Answer all further reads that may lag with the present items."""
+        """Answer all further ``serializable`` reads with the present items."""
         self.replica_state = (dict(self.items), self.revision)
 
     def _record(self, event):
@@ -194,8 +200,14 @@
 class TargetStandIn:
     """One target; ``mode`` sets how it answers or fails.
 
-    ``seen`` holds the requests that it ran, ``left`` counts the callers that
-    disconnected while it hung, ``seconds`` is how long a request takes.
+    The modes are ``ok``, ``shed`` (503, not run), ``fail`` (500), ``hang`` (no
+    answer), ``reset`` (closes the connection after the run), ``foreign`` (the
+    answer has another attempt id) and ``endless`` (a body without end).
+
+    ``executed`` holds the requests that it ran as tuples of attempt id, path,
+    headers and body. ``disconnects`` counts the connections that were closed
+    while it hung, ``work_seconds`` is how long a request takes. ``runs`` is
+    for targets that record the times of their runs.
     """
 
     def __init__(self, name, address):
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,4 +1,4 @@
-"""Bytes from another process that come without end."""
+"""Answers that never end, are too long or come in many tiny pieces."""
 
 import contextlib
 import json
@@ -36,17 +36,20 @@
 CALL_CONTEXT = CallContext(
     req_id='r1', seconds_left=5.0, target='t1', account='', caller_service=''
 )
-# What one read may bring: hundreds of events, each some 6 us of a core.
+# One read may bring hundreds of events, of about 6 us of CPU time each.
 TINY_CHUNKS = b'1\r\nx\r\n' * 10_000 + b'0\r\n\r\n'
 MANY_INTERIMS = b'HTTP/1.1 100 \r\n\r\n' * 800
-# A task waits while two turns of the reader may come one after the other.
+# Another task may have to wait for two turns of the reader in a row.
 MAX_EVENTS_PER_TURN = 150
 CHUNKED_HEADER = b'transfer-encoding: chunked\r\n\r\n'
 GET = RequestHead('GET', '/', ((b'host', b'x'),))
 
 
 class TurnCounter:
-    """Counts events between two turns of another task."""
+    """Counts the events that a reader handles between turns of another task.
+
+    ``max_events`` is the highest count between two turns.
+    """
 
     def __init__(self):
         self.events = 0
@@ -59,6 +62,7 @@
         self.max_events = max(self.max_events, self.events)
 
     async def reset_each_turn(self):
+        """Be the other task: reset the count at each turn of the event loop."""
         while True:
             self.events = 0
             await trio.lowlevel.checkpoint()
@@ -72,7 +76,7 @@
 
 
 async def connect_answered(answer):
-    """Return a connection whose request is answered with these bytes."""
+    """Return a connection whose request is answered with the given bytes."""
     near, far = trio.testing.memory_stream_pair()
     conn = ClientConn(near)
     await conn.send_whole(GET, b'')
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -1,4 +1,4 @@
-"""Other daemons, operators and the store, when they send without end."""
+"""Daemons, the platform and the store that send without end."""
 
 import contextlib
 import json
@@ -60,7 +60,7 @@
 
 
 async def send_attempt(endless, sent_attempt):
-    """Send an attempt to an owner that never ends."""
+    """Send an attempt to an owner whose answer never ends."""
     clock = MonotonicClock()
     client = MeshPeerClient(ConnPool(clock), clock)
     message = BufferedRequest('POST', '/', HEADERS, b'x')
--- a/tests/test_mesh_background_task.py
+++ b/tests/test_mesh_background_task.py
@@ -13,6 +13,7 @@
 
 
 def nested(text):
+    """Return bytes with a deeply nested list at ``%b``."""
     return text % (b'[' * NESTING_DEPTH + b']' * NESTING_DEPTH)
 
 
--- a/tests/test_mesh_declarations.py
+++ b/tests/test_mesh_declarations.py
@@ -13,7 +13,11 @@
 
 
 class ScriptedSource:
-    """A declaration source that answers from a script, then not at all."""
+    """A declaration source that answers from a script, then not at all.
+
+    :param script: pairs of an update or exception and the seconds that the
+        call takes; None for the whole time that a watch may wait.
+    """
 
     def __init__(self, clock, script):
         self.clock = clock
@@ -55,6 +59,7 @@
 
 
 async def follow(script):
+    """Run a feed until its script ends; return feed, source and clock."""
     clock = VirtualClock(100)
     source = ScriptedSource(clock, script)
     feed = DeclarationFeed(source, clock, EventLog('i', '1'), 5.0)
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -43,7 +43,7 @@
 
 
 class CountingTargetClient:
-    """Counts the runs at the target and takes 50 ms for each."""
+    """Stands in for the client of a target; counts runs, of 50 ms each."""
 
     def __init__(self):
         self.runs = 0
--- a/tests/test_mesh_health.py
+++ b/tests/test_mesh_health.py
@@ -1,4 +1,4 @@
-"""The estimated probability that a target is sick."""
+"""The estimated probability that a target is unhealthy."""
 
 from clementinedeal._timers import VirtualClock
 from clementinedeal.mesh import _health as evidence
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -39,6 +39,8 @@
 
 
 class RetryTokens:
+    """A bucket of retry tokens that is never refilled."""
+
     def __init__(self, level=10):
         self.level = level
 
@@ -68,7 +70,10 @@
 
 
 def run_plan(plan, outcomes, now=0.0):
-    """Answer each attempt with an outcome; return the attempts and the end."""
+    """End each attempt with one of the outcomes in their order.
+
+    Return the send steps and the final outcome.
+    """
     steps = []
     pending = list(outcomes)
     while True:
--- a/tests/test_mesh_rate_limiter.py
+++ b/tests/test_mesh_rate_limiter.py
@@ -27,7 +27,11 @@
 
 
 class Network:
-    """Delivers datagrams at once, or drops them."""
+    """Delivers datagrams at once, or drops them.
+
+    ``lost`` holds the hosts without a connection, ``loss`` is the probability
+    that a datagram is dropped.
+    """
 
     def __init__(self):
         self.limiters = {}
@@ -50,6 +54,7 @@
 
 
 def make_limiters(count=5, account=ACCOUNT, bounds=EXACT):
+    """Return a network with a limiter at each host, its clock and its hosts."""
     network = Network()
     clock = VirtualClock()
     hosts = tuple(f'10.0.0.{number}' for number in range(count))
@@ -76,6 +81,10 @@
 
 
 async def demand(network, clock, hosts, rate, seconds, account=ACCOUNT):
+    """Take a token at a random limiter ``rate`` times per second.
+
+    Return how many tokens were granted.
+    """
     rng = random.Random(3)
     granted = 0
     for _ in range(int(rate * seconds)):
--- a/tests/test_mesh_sender.py
+++ b/tests/test_mesh_sender.py
@@ -10,6 +10,11 @@
 
 
 def rank_of(account, running):
+    """Return the rank of an attempt.
+
+    :param account: of the caller; None for a call that a target makes.
+    :param running: the most urgent rank among the owner's running attempts.
+    """
     parts = SimpleNamespace(owner=SimpleNamespace(most_urgent_rank=running))
     admitted = SimpleNamespace(account=account, route=ROUTE)
     return Sender(parts)._rank(admitted)
--- a/tests/test_mesh_soak.py
+++ b/tests/test_mesh_soak.py
@@ -1,7 +1,8 @@
-"""A randomized soak of real daemons under faults from outside them.
+"""Soak test of real daemon processes under random faults and planned stops.
 
-``SOAK_SEEDS=100:150 scripts/test tests/test_mesh_soak.py`` runs more seeds
-than these; each that ever failed stays in the list, with its cause.
+``SOAK_SEEDS=100:150 scripts/test tests/test_mesh_soak.py`` runs the seeds 100
+to 149 instead of those listed here. A seed that has failed stays in its list,
+with the fault that it showed.
 """
 
 import collections
@@ -32,19 +33,25 @@
 )
 from tests.soak_link import FAULT_MODES
 
+# Time in which all daemons must serve requests after faults or a start.
 RECOVERY_SECONDS = 15.0
-# after the end of a pause, what was late needs the time that it is owed
+# Requests that a pause delayed may fail until their timeout has passed.
 CATCH_UP_SECONDS = 3.0
-# 127: a reload signal ended a process that was starting; 138, 146: a shed
-# repeat of a lookup that had run was answered "not run"; 303: a reload signal
-# came before the program's first line, and nobody started it again, as the
-# platform does
+# Faults that these seeds showed:
+# 127: a reload signal ended a process that was starting.
+# 138, 146: a lookup had run, but its retry was shed and the caller was
+# answered "not run".
+# 303: a reload signal ended a process before the program's first line, and
+# the test did not start it again as the platform does.
 SEEDS = [1, 127, 138, 146, 303]
-# 2007: a lookup was given up just before its target's answer, and no other
-# target took it; 2012: requests without a key were taken until the process
-# ended, and a lookup was given up after the stop signal; 2015: a booking
-# waited in a queue when the process ended; 2028: a late second answer cut
-# the booking behind it
+# Faults that these seeds showed:
+# 2007: an attempt of a lookup was abandoned just before its target answered,
+# and no other target accepted the lookup.
+# 2012: requests without a key were accepted until the process ended, and an
+# attempt of a lookup was abandoned after the stop signal.
+# 2015: a booking still waited in a queue when the process ended.
+# 2028: a late duplicate answer of a target cut the next booking on the same
+# connection.
 PLANNED_SEEDS = [2007, 2012, 2015, 2028]
 _first, _, _end = os.environ.get('SOAK_SEEDS', '').partition(':')
 if _first:
@@ -52,20 +59,27 @@
 
 
 class FaultInjector:
-    """Strike at random; signals, restarts and changes overlap."""
+    """Applies random faults to a fleet; several may overlap.
+
+    Each public coroutine method that takes an instance is one fault.
+    """
 
     duration_seconds = 7.0
     caller_count = 6
+    # time limit for all daemons to serve after a start or after the faults
     recovery_seconds = RECOVERY_SECONDS
 
     def __init__(self, fleet, rng, nursery):
         self.fleet = fleet
         self.rng = rng
         self.nursery = nursery
+        # (time, name of the fault, name of the instance)
         self.applied = []
+        # killed or stopped instances that do not listen again yet
         self._stopping = set()
 
     async def run(self):
+        """Start a random fault every 0.1 to 0.9 s until the time is over."""
         actions = (
             self.kill,
             self.pause,
@@ -89,7 +103,7 @@
                 await trio.sleep(self.rng.uniform(0.1, 0.9))
 
     async def restart_ended(self):
-        """Start processes again that ended by themselves."""
+        """Start processes that ended by themselves again, without end."""
         while True:
             await trio.sleep(0.1)
             for instance in self.fleet.instances:
@@ -97,12 +111,14 @@
                     instance.restart_if_ended(self.fleet.folder)
 
     async def kill(self, instance):
+        """Kill a process without notice and start it again within 1 s."""
         if instance in self._stopping:
             return
         self._stopping.add(instance)
         await self._restart(instance, self.rng.uniform(0, 1))
 
     async def pause(self, instance):
+        """Suspend a process for up to 2 s."""
         if instance in self._stopping:
             return
         with instance.exempt_period(CATCH_UP_SECONDS):
@@ -111,19 +127,20 @@
             instance.signal(signal.SIGCONT)
 
     async def stop(self, instance):
+        """Stop a process gracefully and start it again."""
         if instance in self._stopping:
             return
         self._stopping.add(instance)
         instance.stop_times.append(trio.current_time())
         instance.signal(signal.SIGTERM)
-        result = 'killed after its time'
+        result = 'killed after the grace time'
         with trio.move_on_after(GRACE_SECONDS):
             result = await instance.wait_ended()
         instance.exit_results.append(result)
         await self._restart(instance, 0)
 
     async def _restart(self, instance, delay_seconds):
-        """Start a process, and wait until it listens."""
+        """Kill a process if it runs, start it and wait until it listens."""
         with instance.exempt_period():
             instance.kill()
             await trio.sleep(delay_seconds)
@@ -133,13 +150,16 @@
         self._stopping.discard(instance)
 
     async def reload(self, instance):
+        """Write changed settings and send the reload signal."""
         instance.reload(self.fleet.folder)
         await trio.lowlevel.checkpoint()
 
     async def disturb_store_link(self, instance):
+        """Disturb the connections of a daemon to the store for up to 3 s."""
         await self._disturb(instance.store_link)
 
     async def disturb_target_link(self, instance):
+        """Disturb the connections of a daemon to its target for up to 3 s."""
         await self._disturb(instance.target_link)
 
     async def _disturb(self, link):
@@ -148,6 +168,7 @@
         link.set_mode('ok')
 
     async def fail_target(self, instance):
+        """Let a target fail in one of several modes for up to 3 s."""
         target = instance.target
         target.mode = self.rng.choice(
             ['fail', 'shed', 'reset', 'hang', 'foreign'],
@@ -156,9 +177,11 @@
         target.mode = 'ok'
 
     async def replace_target(self, instance):
+        """Replace a target by another process at the same address."""
         await self.fleet.replace_target(instance, self.nursery)
 
     async def change_configuration(self, _):
+        """Withdraw an API key, or add one if only one is left."""
         if len(self.fleet.keys) > 1:
             self.fleet.withdraw_key(self.rng.choice(self.fleet.keys))
         else:
@@ -167,15 +190,19 @@
 
 
 class PlannedWork(FaultInjector):
-    """Stops, reloads and configurations only, one after the other."""
+    """Applies only planned operations, each after the previous one has ended.
+
+    These are stops, reloads and changes of the configuration.
+    """
 
     duration_seconds = 18.0
-    # many more than the targets have slots
+    # many more than the targets' slots, so that requests queue
     caller_count = 36
-    # its lookup and its booking may each last until their timeout
+    # the check's lookup and booking may each take their whole timeout
     recovery_seconds = RECOVERY_SECONDS + 2 * PLANNED_TIMEOUT_SECONDS
 
     async def run(self):
+        """Apply random operations one by one until the time is over."""
         actions = (self.stop, self.stop, self.reload, self.change_configuration)
         end = trio.current_time() + self.duration_seconds
         while trio.current_time() < end:
@@ -189,7 +216,7 @@
 
 
 async def wait_until_serving(callers, instance):
-    """Wait until a daemon serves a lookup and a booking."""
+    """Repeat a lookup, then a booking, until a daemon answers it with 200."""
     for kind in ('look', 'book'):
         call = None
         while call is None or call.status != 200:
@@ -198,17 +225,27 @@
 
 
 async def check_all_serving(callers, seconds):
-    """Check that all daemons serve within the time for a recovery."""
+    """Fail the test unless all daemons serve requests within a time.
+
+    :param seconds: the time limit for all daemons together.
+    """
     with trio.move_on_after(seconds) as limit:
         async with trio.open_nursery() as nursery:
             for instance in callers.fleet.instances:
                 nursery.start_soon(wait_until_serving, callers, instance)
     if limit.cancelled_caught:
-        pytest.fail(f'not served: {callers.calls[-8:]}')
+        pytest.fail(
+            f'not all daemons served in time; last calls: {callers.calls[-8:]}'
+        )
 
 
 async def run_soak(injector, callers, check_end):
-    """Return the promises that broke while something struck the fleet."""
+    """Run callers and faults together; return the promises that were broken.
+
+    :param injector: applies the faults to its fleet.
+    :param callers: the load, which also checks the service before and after.
+    :param check_end: yields the rules that the end of a call breaks.
+    """
     fleet = injector.fleet
     try:
         with contextlib.ExitStack() as startup:
@@ -229,7 +266,7 @@
     finally:
         fleet.kill()
     violations = find_violations(callers, check_end)
-    # what the times in the logs are more than those below
+    # offset of the wall-clock times in the logs from the times printed below
     print(time.time() - trio.current_time())
     print(
         collections.Counter(
@@ -246,6 +283,7 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 async def test_random_faults_break_no_promise(seed, tmp_path, nursery):
+    """Kills, pauses, broken links and failing targets break no promise."""
     rng = random.Random(seed)
     fleet = Fleet(tmp_path)
     injector = FaultInjector(fleet, rng, nursery)
@@ -254,7 +292,11 @@
 
 
 async def run_planned_work(seed, tmp_path, nursery):
-    """Return what a run of planned work alone shows against the promises."""
+    """Run callers during planned operations; return the broken promises.
+
+    Targets call each other through their daemons. With some seeds a target may
+    send answers twice.
+    """
     rng = random.Random(seed)
     fleet = PlannedWorkFleet(tmp_path, seed)
     draw_timeout = functools.partial(rng.uniform, 4, PLANNED_TIMEOUT_SECONDS)
@@ -271,6 +313,7 @@
 
 @pytest.mark.parametrize('seed', PLANNED_SEEDS)
 async def test_planned_work_loses_no_request(seed, tmp_path, nursery):
+    """Planned operations break no promise but those of the next test."""
     violations = await run_planned_work(seed, tmp_path, nursery)
     assert not [
         violation
@@ -285,4 +328,5 @@
     tmp_path,
     nursery,
 ):
+    """No good run is dropped, and each stop ends cleanly in its grace time."""
     assert not await run_planned_work(seed, tmp_path, nursery)
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -24,6 +24,7 @@
 
 
 async def is_ready(fleet, number):
+    """Return whether a daemon answers its readiness check with 200."""
     address = fleet.settings[number].ready_address
     conn = await fleet.pool.acquire(address)
     await conn.send_whole(RequestHead('GET', '/-/ready', HOST_HEADERS), b'')
@@ -121,7 +122,7 @@
         trio.current_time() - started_at
     )
     nursery.cancel_scope.cancel()
-    # one pass of the event loop may delay the end
+    # one blocked turn of the event loop may delay the end
     assert seconds_left > KILL_MARGIN_SECONDS - 0.1
 
 
@@ -150,6 +151,7 @@
 
 
 def set_route_times(fleet, timeout_seconds, target_latency_seconds):
+    """Publish a configuration with these times at all routes."""
     cfg = configuration(2)
     for entry in cfg['resources']:
         if entry['entry_type'] == 'routes':
@@ -167,13 +169,19 @@
 
 
 async def send_request(fleet, number, path, answers, **more):
+    """Send a request; set ``answers[path]`` to its status and verdict."""
     answer, _ = await fleet.send(number, path, b'x', patience_ms=30_000, **more)
     answers[path] = (answer.status, answer.header(b'x-verdict'))
 
 
 @contextlib.asynccontextmanager
 async def sent_requests(fleet, *requests):
-    """Start requests 0.2 s apart; those without an answer are cancelled."""
+    """Start requests 0.2 s apart, and yield their answers by path.
+
+    At the end of the context, requests without an answer are cancelled.
+
+    :param requests: pairs of a daemon's number and a path.
+    """
     answers = {}
     async with trio.open_nursery() as nursery:
         for number, path in requests:
@@ -347,7 +355,7 @@
         seconds_left = (
             attempt.overdue_at - short_objective_fleet.daemons[0]._clock.now()
         )
-        # between two checks for overdue attempts
+        # stop the daemon between two of its checks for overdue attempts
         await trio.sleep(seconds_left - 0.002)
         short_objective_fleet.daemons[0].stop()
     assert answers['/look/slow'] == (200, None)
--- a/tests/test_mesh_target_client.py
+++ b/tests/test_mesh_target_client.py
@@ -42,6 +42,7 @@
 
 
 async def start(target, nursery):
+    """Start a target; return a client of it."""
     address = free_address()
     host, port = split_address(address)
     listeners = await trio.open_tcp_listeners(port, host=host)
