Rename what the parts left: owner's collaborators, attempt ids, retry buckets

src/clementinedeal/mesh/_owner.py MeshOwnerParts.origin target_client src/clementinedeal/mesh/_owner.py MeshOwnerParts.calls call_failures src/clementinedeal/mesh/_owner.py MeshOwner.submit.message request src/clementinedeal/mesh/_owner.py MeshOwner._call_target.stamp context src/clementinedeal/mesh/_executions.py Execution.message request src/clementinedeal/mesh/_admission.py AdmittedRequest.message request src/clementinedeal/mesh/_admission.py _message _build_request src/clementinedeal/mesh/_daemon.py MeshDaemon._allowances _rate_limiter src/clementinedeal/mesh/_sender.py Sender.retry_count.budget bucket src/clementinedeal/mesh/_sender.py Sender.run.trying pending src/clementinedeal/mesh/_sender.py Sender.cancel_unsent.trying pending src/clementinedeal/mesh/_sender.py Sender.cancel_all.trying pending src/clementinedeal/mesh/_sender.py Sender.send.budget retry_bucket src/clementinedeal/mesh/_sender.py Sender._run_attempt.trying pending src/clementinedeal/mesh/_sender.py Sender._unanswered_outcome.trying pending src/clementinedeal/mesh/_sender.py Sender._send_attempt.trying pending src/clementinedeal/mesh/_sender.py Sender._find_retry_budget.budget bucket src/clementinedeal/mesh/_sender.py Sender._find_retry_budget _find_retry_bucket src/clementinedeal/mesh/_sender.py Sender._retry_budgets _retry_buckets src/clementinedeal/mesh/_peer_client.py MeshPeerClient.send_attempt.trying pending src/clementinedeal/mesh/_peer_client.py MeshPeerClient._run_attempt.trying pending src/clementinedeal/mesh/_peer_client.py _Exchange._read_outcome.told outcome_header src/clementinedeal/mesh/_retry_tokens.py USED_BUDGET_FRACTION USED_BOUND_FRACTION src/clementinedeal/mesh/_retry_tokens.py RetryTokenBucket._slack_share _slack_part src/clementinedeal/mesh/_target_client.py TargetClient._classify_loss.rested idle_seconds src/clementinedeal/mesh/_target_client.py MIN_REST_SECONDS MIN_RESET_IDLE_SECONDS src/clementinedeal/mesh/_target_client.py TargetClient._rest_limit _idle_limit src/clementinedeal/mesh/_target_client.py _idle_limit _allowed_idle_seconds src/clementinedeal/platform/_node.py _Store _Platform src/clementinedeal/_view_state.py ViewState._adopt_pulled_instances.met addresses src/clementinedeal/_view_state.py ViewState.spread version_sync src/clementinedeal/mesh/_health_tracker.py HealthTracker.__init__.calls call_failures src/clementinedeal/mesh/_health_tracker.py HealthTracker._calls _call_failures src/clementinedeal/mesh/_executions.py MeshExecutionTable.forbid.up uptime src/clementinedeal/mesh/_declarations.py DeclarationFeed._read_or_wait.news update src/clementinedeal/mesh/_declarations.py DeclarationFeed._apply.news update src/clementinedeal/mesh/_daemon.py MeshDaemon.run.part task src/clementinedeal/_executions.py ExecutionTable.register.req_id attempt_id src/clementinedeal/_executions.py ExecutionTable.start.req_id attempt_id src/clementinedeal/_executions.py ExecutionTable.finish.req_id attempt_id src/clementinedeal/_executions.py ExecutionTable.abandon.req_id attempt_id src/clementinedeal/_executions.py ExecutionTable.cancel.req_id attempt_id src/clementinedeal/_executions.py ExecutionTable.state.req_id attempt_id src/clementinedeal/_executions.py ExecutionTable._close_if_started.req_id attempt_id src/clementinedeal/_executions.py ExecutionTable._register_refusal.req_id attempt_id src/clementinedeal/_executions.py ExecutionTable._record_cancelled.req_id attempt_id src/clementinedeal/_executions.py ExecutionTable._close.req_id attempt_id src/clementinedeal/_executions.py ExecutionTable._expire.req_id attempt_id src/clementinedeal/_gates.py TokenGate.take.req_id attempt_id src/clementinedeal/_gates.py SlotGate.acquire.req_id attempt_id src/clementinedeal/_gates.py SlotGate.release.req_id attempt_id src/clementinedeal/_gates.py OutcomeWatcher.started.req_id attempt_id src/clementinedeal/_gates.py OutcomeWatcher.ended.req_id attempt_id src/clementinedeal/_token_gate.py ManagedTokenGate.take.req_id attempt_id src/clementinedeal/_slot_gate.py QueuedSlotGate.acquire.req_id attempt_id src/clementinedeal/_slot_gate.py QueuedSlotGate.release.req_id attempt_id src/clementinedeal/_target_watcher.py TargetWatcher.started.req_id attempt_id src/clementinedeal/_target_watcher.py TargetWatcher.ended.req_id attempt_id src/clementinedeal/_target_watcher.py _RunningRequest.at started_at src/clementinedeal/_attempt_plan.py AttemptPlan._on_head.losers cancels src/clementinedeal/_permits.py PermitHolder._count_unavailable.renews is_renewal src/clementinedeal/_permits.py PermitHolder._update_limit.lends may_lend src/clementinedeal/_permits.py PermitHolder._fresh _is_fresh src/clementinedeal/_permits.py PermitHolder._stopped _is_stopped src/clementinedeal/_keeper.py Keeper._is_being_queried.pendings queries src/clementinedeal/_keeper.py Keeper.on_query.sure is_sure src/clementinedeal/_target_watcher.py TargetWatcher.started.started running src/clementinedeal/_target_watcher.py TargetWatcher.ended.started running src/clementinedeal/_permits.py PermitHolder.set_fresh.fresh is_fresh src/clementinedeal/_permit_holders.py PermitHolders.set_fresh.fresh is_fresh src/clementinedeal/_permit_holders.py PermitHolders._fresh _is_fresh src/clementinedeal/_ejection.py EjectionManager.set_fresh.fresh is_fresh

sed -i 's/_parts\.origin\b/_parts.target_client/' tests/test_mesh_executions.py sed -i '/def reject_waiting/,/_EJECTED/s/\breq_id\b/attempt_id/' src/clementinedeal/_slot_gate.py

--- a/src/clementinedeal/_attempt_plan.py
+++ b/src/clementinedeal/_attempt_plan.py
@@ -177,8 +177,8 @@
                 attempt.verdict = Verdict.RAN
                 return self._attempts.abandon(attempt, now), retry
         self._winner = attempt.attempt_id
-        losers = self._attempts.cancel_all(now, except_id=self._winner)
-        return (RelayAnswer(attempt.attempt_id), *losers)
+        cancels = self._attempts.cancel_all(now, except_id=self._winner)
+        return (RelayAnswer(attempt.attempt_id), *cancels)
 
     def _on_incomplete(
         self,
--- a/src/clementinedeal/_ejection.py
+++ b/src/clementinedeal/_ejection.py
@@ -204,7 +204,7 @@
             return []
         return list(tracker.reset_to(TargetState.SLOW_START, now))
 
-    def set_fresh(self, fresh: bool, now: float) -> None:
+    def set_fresh(self, is_fresh: bool, now: float) -> None:
         """Set whether this daemon's view of the fleet is fresh.
 
         While it is not, this daemon lends, requests and renews no permits.
@@ -212,8 +212,8 @@
         :param fresh: whether the view is fresh.
         :param now: monotonic time in seconds.
         """
-        self._reporter.is_fresh = fresh
-        self._holders.set_fresh(fresh, now)
+        self._reporter.is_fresh = is_fresh
+        self._holders.set_fresh(is_fresh, now)
 
     def set_absent(self, targets: Iterable[str], now: float) -> None:
         """Set the targets that are known to be dead or leaving.
--- a/src/clementinedeal/_executions.py
+++ b/src/clementinedeal/_executions.py
@@ -102,7 +102,7 @@
 
     def register(
         self,
-        req_id: str,
+        attempt_id: str,
         incarnation: str,
         deadline: float,
         now: float,
@@ -120,12 +120,12 @@
             except for ``DUPLICATE``, where the other copy may have run.
         """
         self._expire(now)
-        refusal = self._register_refusal(req_id, incarnation, deadline, now)
+        refusal = self._register_refusal(attempt_id, incarnation, deadline, now)
         if refusal is not None:
             if refusal in _RECORDED_REFUSALS:
-                self._record_cancelled(req_id, incarnation, now)
+                self._record_cancelled(attempt_id, incarnation, now)
             return Err(refusal)
-        self._table[req_id] = _Execution(
+        self._table[attempt_id] = _Execution(
             ExecutionState.QUEUED,
             incarnation,
             deadline,
@@ -133,14 +133,14 @@
         )
         return Ok(None)
 
-    def start(self, req_id: str, now: float) -> Result[None, Reason]:
+    def start(self, attempt_id: str, now: float) -> Result[None, Reason]:
         """Record a forward as started, right before its first byte is sent.
 
         :param req_id: id of a registered forward.
         :param now: current monotonic time in seconds.
         :returns: why it may not start, if so; it then never starts.
         """
-        execution = self._table.get(req_id)
+        execution = self._table.get(attempt_id)
         if execution is None:
             return Err(Reason.CANCELLED)
         reason = self._start_refusal(execution, now)
@@ -148,28 +148,28 @@
             execution.state = ExecutionState.STARTED
             return Ok(None)
         if execution.state is ExecutionState.QUEUED:
-            self._close(req_id, execution, ExecutionState.CANCELLED, now)
+            self._close(attempt_id, execution, ExecutionState.CANCELLED, now)
         return Err(reason)
 
-    def finish(self, req_id: str, now: float) -> None:
+    def finish(self, attempt_id: str, now: float) -> None:
         """Record that the target answered a started forward.
 
         :param req_id: id of the forward; unknown and ended ones are ignored.
         :param now: current monotonic time in seconds.
         """
-        self._close_if_started(req_id, ExecutionState.DONE, now)
+        self._close_if_started(attempt_id, ExecutionState.DONE, now)
 
-    def abandon(self, req_id: str, now: float) -> None:
+    def abandon(self, attempt_id: str, now: float) -> None:
         """Record that the owner no longer waits for a started forward.
 
         :param req_id: id of the forward; unknown and ended ones are ignored.
         :param now: current monotonic time in seconds.
         """
-        self._close_if_started(req_id, ExecutionState.ABANDONED, now)
+        self._close_if_started(attempt_id, ExecutionState.ABANDONED, now)
 
     def cancel(
         self,
-        req_id: str,
+        attempt_id: str,
         incarnation: str,
         now: float,
     ) -> CancelAnswer:
@@ -184,11 +184,11 @@
             table and was meant for another incarnation, or the table is full.
         """
         self._expire(now)
-        execution = self._table.get(req_id)
+        execution = self._table.get(attempt_id)
         if execution is None:
-            return self._record_cancelled(req_id, incarnation, now)
+            return self._record_cancelled(attempt_id, incarnation, now)
         if execution.state is ExecutionState.QUEUED:
-            self._close(req_id, execution, ExecutionState.CANCELLED, now)
+            self._close(attempt_id, execution, ExecutionState.CANCELLED, now)
         return _CANCEL_ANSWERS[execution.state]
 
     def on_tick(self, now: float) -> None:
@@ -212,29 +212,29 @@
         """
         self.incarnation = incarnation
 
-    def state(self, req_id: str) -> ExecutionState | None:
+    def state(self, attempt_id: str) -> ExecutionState | None:
         """Return the state of a forward, or None if it is unknown.
 
         :param req_id: id of the forward.
         """
-        execution = self._table.get(req_id)
+        execution = self._table.get(attempt_id)
         return execution.state if execution else None
 
     def _close_if_started(
-        self, req_id: str, state: ExecutionState, now: float
+        self, attempt_id: str, state: ExecutionState, now: float
     ) -> None:
-        execution = self._table.get(req_id)
+        execution = self._table.get(attempt_id)
         if execution and execution.state is ExecutionState.STARTED:
-            self._close(req_id, execution, state, now)
+            self._close(attempt_id, execution, state, now)
 
     def _register_refusal(
         self,
-        req_id: str,
+        attempt_id: str,
         incarnation: str,
         deadline: float,
         now: float,
     ) -> Reason | None:
-        existing = self._table.get(req_id)
+        existing = self._table.get(attempt_id)
         if existing and existing.state is ExecutionState.CANCELLED:
             return Reason.CANCELLED
         if existing:
@@ -269,7 +269,7 @@
 
     def _record_cancelled(
         self,
-        req_id: str,
+        attempt_id: str,
         incarnation: str,
         now: float,
     ) -> CancelAnswer:
@@ -278,13 +278,13 @@
         if is_full or incarnation != self.incarnation:
             return CancelAnswer.UNKNOWN
         tombstone = _Execution(ExecutionState.QUEUED, incarnation, now, 0)
-        self._table[req_id] = tombstone
-        self._close(req_id, tombstone, ExecutionState.CANCELLED, now)
+        self._table[attempt_id] = tombstone
+        self._close(attempt_id, tombstone, ExecutionState.CANCELLED, now)
         return CancelAnswer.NEVER_STARTED
 
     def _close(
         self,
-        req_id: str,
+        attempt_id: str,
         execution: _Execution,
         state: ExecutionState,
         now: float,
@@ -292,9 +292,9 @@
         execution.state = state
         last_use = max(execution.deadline, now)
         execution.forget_at = last_use + self._limits.retention_seconds
-        heapq.heappush(self._expiries, (execution.forget_at, req_id))
+        heapq.heappush(self._expiries, (execution.forget_at, attempt_id))
 
     def _expire(self, now: float) -> None:
         while self._expiries and self._expiries[0][0] <= now:
-            _, req_id = heapq.heappop(self._expiries)
-            self._table.pop(req_id, None)
+            _, attempt_id = heapq.heappop(self._expiries)
+            self._table.pop(attempt_id, None)
--- a/src/clementinedeal/_gates.py
+++ b/src/clementinedeal/_gates.py
@@ -8,7 +8,9 @@
 class TokenGate(Protocol):
     """Limits requests to the rate and burst of their client accounts."""
 
-    async def take(self, req_id: str, account: str) -> AttemptRefusal | None:
+    async def take(
+        self, attempt_id: str, account: str
+    ) -> AttemptRefusal | None:
         """Wait for a token of an account.
 
         :param req_id: unique id of the attempt.
@@ -26,7 +28,7 @@
 
     async def acquire(
         self,
-        req_id: str,
+        attempt_id: str,
         target: str,
         account: str,
         seconds_left: float,
@@ -41,7 +43,7 @@
         """
         ...
 
-    def release(self, req_id: str, target: str) -> None:
+    def release(self, attempt_id: str, target: str) -> None:
         """Release a slot, or leave the queue."""
         ...
 
@@ -63,7 +65,9 @@
         """
         ...
 
-    def started(self, req_id: str, target: str, *, idempotent: bool) -> None:
+    def started(
+        self, attempt_id: str, target: str, *, idempotent: bool
+    ) -> None:
         """Record that an attempt is about to be sent to its target.
 
         :param req_id: unique id of the attempt.
@@ -72,7 +76,7 @@
         """
         ...
 
-    def ended(self, req_id: str, target: str, reply: AttemptReply) -> None:
+    def ended(self, attempt_id: str, target: str, reply: AttemptReply) -> None:
         """Record how an attempt ended.
 
         :param req_id: unique id of the attempt.
--- a/src/clementinedeal/_keeper.py
+++ b/src/clementinedeal/_keeper.py
@@ -143,7 +143,7 @@
         :param now: current monotonic time in seconds.
         """
         moved_to = self._moved.get(query.key, now)
-        sure = self._quarantine.remembers(query.minted_ms, now)
+        is_sure = self._quarantine.remembers(query.minted_ms, now)
         if self._is_being_queried(query.key):
             missing = KeyMissing(query.nonce, query.key, False, '')
             return (Send(requester, missing),)
@@ -151,7 +151,7 @@
             return ()
         record = self._table.get(query.key, now)
         if record is None or (moved_to and record.state is KeyState.FREE):
-            missing = KeyMissing(query.nonce, query.key, sure, moved_to)
+            missing = KeyMissing(query.nonce, query.key, is_sure, moved_to)
             return (Send(requester, missing),)
         return (Send(requester, KeyFound(query.nonce, record)),)
 
@@ -299,8 +299,8 @@
         return ClaimOutcome.NEW
 
     def _is_being_queried(self, key: str) -> bool:
-        pendings = self._queries.values()
-        return any(pending.claim.key == key for pending in pendings)
+        queries = self._queries.values()
+        return any(pending.claim.key == key for pending in queries)
 
 
 def _batches(records: list[KeyRecord]) -> list[list[KeyRecord]]:
--- a/src/clementinedeal/_permit_holders.py
+++ b/src/clementinedeal/_permit_holders.py
@@ -21,7 +21,7 @@
         """
         self._me = me
         self._cfg = cfg
-        self._fresh = False
+        self._is_fresh = False
         self._absent: frozenset[str] = frozenset()
         self._holders: dict[str, PermitHolder] = {}
 
@@ -72,15 +72,15 @@
         for holder in self._holders.values():
             holder.on_pause(now)
 
-    def set_fresh(self, fresh: bool, now: float) -> None:
+    def set_fresh(self, is_fresh: bool, now: float) -> None:
         """Set whether this daemon's view of the fleet is fresh.
 
         :param fresh: whether the view is fresh.
         :param now: monotonic time in seconds.
         """
-        self._fresh = fresh
+        self._is_fresh = is_fresh
         for holder in self._holders.values():
-            holder.set_fresh(fresh, now)
+            holder.set_fresh(is_fresh, now)
 
     def set_absent(self, targets: frozenset[str], now: float) -> None:
         """Set the targets that are known to be dead or leaving.
@@ -103,5 +103,5 @@
     def _create(self, service: str, now: float) -> PermitHolder:
         holder = PermitHolder(service, self._me, self._cfg, now)
         holder.set_absent(self._absent, now)
-        holder.set_fresh(self._fresh, now)
+        holder.set_fresh(self._is_fresh, now)
         return holder
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -98,8 +98,8 @@
         """
         self._service = service
         self._me = me
-        self._fresh = False
-        self._stopped = False
+        self._is_fresh = False
+        self._is_stopped = False
         self._absent: frozenset[str] = frozenset()
         self._leaving: set[str] = set()
         self._permits: dict[str, LentPermit] = {}
@@ -119,13 +119,13 @@
         self._leaving &= self._targets
         self._update_limit(now)
 
-    def set_fresh(self, fresh: bool, now: float) -> None:
+    def set_fresh(self, is_fresh: bool, now: float) -> None:
         """Set whether this daemon's view of the fleet is fresh enough to lend.
 
         :param fresh: whether the view is fresh.
         :param now: monotonic time in seconds.
         """
-        self._fresh = fresh
+        self._is_fresh = is_fresh
         self._update_limit(now)
 
     def set_absent(self, targets: frozenset[str], now: float) -> None:
@@ -157,7 +157,7 @@
 
         :param now: monotonic time in seconds.
         """
-        self._stopped = True
+        self._is_stopped = True
         self._update_limit(now)
 
     def on_message(self, sender: str, body: Any, now: float) -> list[Send]:
@@ -227,11 +227,11 @@
         A renewal doesn't count the permits that are lapsing: these end on
         their own, so the renewal need not be refused because of them.
         """
-        renews = permit is not None and not permit.is_lapsing
+        is_renewal = permit is not None and not permit.is_lapsing
         lent = {
             name
             for name, other in self._permits.items()
-            if not (renews and other.is_lapsing)
+            if not (is_renewal and other.is_lapsing)
         }
         absent = (self._absent | self._leaving) & self._targets
         return len(lent | absent | {target})
@@ -248,12 +248,12 @@
             self._leaving.discard(report.target)
 
     def _update_limit(self, now: float) -> None:
-        lends = (
-            self._fresh
-            and not self._stopped
+        may_lend = (
+            self._is_fresh
+            and not self._is_stopped
             and self._cfg.active_preset.ejection
         )
-        if not lends or holder_of(self._cfg, self._service) != self._me:
+        if not may_lend or holder_of(self._cfg, self._service) != self._me:
             self._limit.set_value(0, now)
             return
         allowed = len(self._targets) - self._cfg.floor(self._service)
--- a/src/clementinedeal/_slot_gate.py
+++ b/src/clementinedeal/_slot_gate.py
@@ -79,7 +79,7 @@
 
     async def acquire(
         self,
-        req_id: str,
+        attempt_id: str,
         target: str,
         account: str,
         seconds_left: float,
@@ -98,22 +98,22 @@
         if queue is None:
             return _NOT_OWNED
         now = self._clock.now()
-        self._waiters.expect(req_id)
-        self._waiting[req_id] = target
-        self._perform(queue.offer(req_id, account, now + seconds_left, now))
-        return await self._waiters.wait(req_id)
+        self._waiters.expect(attempt_id)
+        self._waiting[attempt_id] = target
+        self._perform(queue.offer(attempt_id, account, now + seconds_left, now))
+        return await self._waiters.wait(attempt_id)
 
-    def release(self, req_id: str, target: str) -> None:
+    def release(self, attempt_id: str, target: str) -> None:
         """Release a slot, or leave the queue.
 
         :param req_id: unique id of the attempt.
         :param target: name of an owned target.
         """
-        self._waiting.pop(req_id, None)
+        self._waiting.pop(attempt_id, None)
         queue = self._queues.get(target)
         if queue is not None:
-            self._perform(queue.cancel(req_id))
-            self._perform(queue.finish(req_id, self._clock.now()))
+            self._perform(queue.cancel(attempt_id))
+            self._perform(queue.finish(attempt_id, self._clock.now()))
 
     def load(self, target: str) -> float:
         """Return the running and waiting requests per slot.
@@ -132,14 +132,14 @@
         :param target: name of an owned target.
         """
         waiting = [
-            req_id
-            for req_id, waits_for in self._waiting.items()
+            attempt_id
+            for attempt_id, waits_for in self._waiting.items()
             if waits_for == target
         ]
-        for req_id in waiting:
-            self._waiting.pop(req_id)
-            self._queues[target].cancel(req_id)
-            self._waiters.resolve(req_id, _EJECTED)
+        for attempt_id in waiting:
+            self._waiting.pop(attempt_id)
+            self._queues[target].cancel(attempt_id)
+            self._waiters.resolve(attempt_id, _EJECTED)
 
     def _perform(self, actions: QueueActions) -> None:
         for action in actions:
--- a/src/clementinedeal/_target_watcher.py
+++ b/src/clementinedeal/_target_watcher.py
@@ -29,7 +29,7 @@
 @dataclass(frozen=True, slots=True)
 class _RunningRequest:
     target: str
-    at: float
+    started_at: float
     idempotent: bool
 
 
@@ -73,17 +73,19 @@
             return AttemptRefusal(Verdict.NOT_RUN, Reason.TARGET_EJECTED)
         return None
 
-    def started(self, req_id: str, target: str, *, idempotent: bool) -> None:
+    def started(
+        self, attempt_id: str, target: str, *, idempotent: bool
+    ) -> None:
         """Record the start of a request, at its first byte to the target.
 
         :param req_id: unique id of the attempt.
         :param target: name of the target.
         :param idempotent: whether the request is idempotent.
         """
-        started = _RunningRequest(target, self._clock.now(), idempotent)
-        self._running[req_id] = started
+        running = _RunningRequest(target, self._clock.now(), idempotent)
+        self._running[attempt_id] = running
 
-    def ended(self, req_id: str, target: str, reply: AttemptReply) -> None:
+    def ended(self, attempt_id: str, target: str, reply: AttemptReply) -> None:
         """Report how a request ended.
 
         A refusal whose reason says nothing about the target is ignored.
@@ -94,13 +96,13 @@
         """
         now = self._clock.now()
         kind = _kind(reply)
-        started = self._running.pop(req_id, None)
+        running = self._running.pop(attempt_id, None)
         if kind is None:
             return
         outcome = RequestOutcome(
             kind=kind,
-            latency_seconds=now - started.at if started else 0,
-            idempotent=started.idempotent if started else True,
+            latency_seconds=now - running.started_at if running else 0,
+            idempotent=running.idempotent if running else True,
         )
         self._metrics.executions.labels(target, kind.value).inc()
         self._perform(self._manager.on_outcome(target, outcome, now))
@@ -121,7 +123,7 @@
         """
         started: dict[str, list[float]] = {}
         for running in self._running.values():
-            started.setdefault(running.target, []).append(running.at)
+            started.setdefault(running.target, []).append(running.started_at)
         for target, times in started.items():
             self._perform(self._manager.on_inflight(target, times, now))
 
--- a/src/clementinedeal/_token_gate.py
+++ b/src/clementinedeal/_token_gate.py
@@ -37,18 +37,20 @@
         dispatcher.register(TokenGranted, self._on_granted)
         dispatcher.register(TokenRefused, self._on_refused)
 
-    async def take(self, req_id: str, account: str) -> AttemptRefusal | None:
+    async def take(
+        self, attempt_id: str, account: str
+    ) -> AttemptRefusal | None:
         """Wait for a token; return None once it is taken, else the refusal.
 
         :param req_id: unique id of the attempt.
         :param account: name of the client account.
         """
-        self._waiters.expect(req_id)
+        self._waiters.expect(attempt_id)
         try:
-            self._perform(self._manager.take(req_id, account, self._now()))
-            return await self._waiters.wait(req_id)
+            self._perform(self._manager.take(attempt_id, account, self._now()))
+            return await self._waiters.wait(attempt_id)
         except BaseException:
-            self._manager.cancel(req_id, account)
+            self._manager.cancel(attempt_id, account)
             raise
 
     def _on_granted(self, action: TokenGranted) -> None:
--- a/src/clementinedeal/_view_handlers.py
+++ b/src/clementinedeal/_view_handlers.py
@@ -35,15 +35,15 @@
         :param state: the daemon's view of the fleet.
         """
         self._state = state
-        answers = PartAnswers(state.acceptance, state.spread)
+        answers = PartAnswers(state.acceptance, state.version_sync)
         self.by_type: dict[type[Any], Handler] = {
             ViewRequest: self._on_view_request,
             ViewAnswer: self._on_view_answer,
             Announcement: self._on_announcement,
             RootRequest: answers.on_root_request,
-            RootAnswer: state.spread.on_root_answer,
+            RootAnswer: state.version_sync.on_root_answer,
             PartsRequest: answers.on_parts_request,
-            PartsAnswer: state.spread.on_parts_answer,
+            PartsAnswer: state.version_sync.on_parts_answer,
             LeavingNotice: self._on_leaving_notice,
         }
 
@@ -59,7 +59,7 @@
             actions.append(PeerAddress(sender, body.control))
         if body.held is not None:
             state.freshness.on_accepted(body.held.version, now)
-            actions.extend(state.spread.on_ref(body.held, sender, now))
+            actions.extend(state.version_sync.on_ref(body.held, sender, now))
         return [*actions, Send(sender, self._build_answer(body, now))]
 
     def _build_answer(self, body: ViewRequest, now: float) -> ViewAnswer:
@@ -110,7 +110,7 @@
         actions: list[Any] = []
         for ref in (body.held, body.rejected):
             if ref is not None:
-                actions.extend(state.spread.on_ref(ref, sender, now))
+                actions.extend(state.version_sync.on_ref(ref, sender, now))
         return actions
 
     def _on_announcement(
@@ -120,7 +120,7 @@
         now: float,
     ) -> list[Any]:
         self._state.freshness.on_known(body.ref.version, now)
-        return self._state.spread.on_ref(body.ref, sender, now)
+        return self._state.version_sync.on_ref(body.ref, sender, now)
 
     def _on_leaving_notice(
         self,
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -58,7 +58,7 @@
         self.freshness = Freshness()
         self.members = Membership(self.me)
         self.gossip = Gossip(self.me, self.members, rng)
-        self.spread = VersionSync(self.me, self.acceptance)
+        self.version_sync = VersionSync(self.me, self.acceptance)
         self.schedule = ReadSchedule(rng, now)
         self._control = settings.control
         self._rng = rng
@@ -163,7 +163,7 @@
         for action in tuple(actions):
             if isinstance(action, ConfigInForce):
                 actions.extend(self._adopt(action.cfg.instances, now))
-        pull = self.spread.pull
+        pull = self.version_sync.pull
         if pull is not None:
             self.freshness.on_known(pull.ref.version, now)
         if self.acceptance.highest_decided:
@@ -182,7 +182,7 @@
         now: float,
     ) -> list[InstanceLeft]:
         left = self.members.roster.set_names(instances, now)
-        self.spread.set_names(self.members.roster.names)
+        self.version_sync.set_names(self.members.roster.names)
         self._reader_order = reader_order(instances)
         return [InstanceLeft(name) for name in left]
 
@@ -192,16 +192,20 @@
         A daemon without a configuration needs them to ask its peers, before
         it accepts the version.
         """
-        pull = self.spread.pull
+        pull = self.version_sync.pull
         if pull is None or not pull.has_instances():
             return []
         try:
             entries = pull.instances()
         except DECODE_ERRORS as exc:
-            return list(self.spread.reject(f'instances: {exc}'))
+            return list(self.version_sync.reject(f'instances: {exc}'))
         if not entries:
-            return list(self.spread.reject('instances: the list is empty'))
+            return list(
+                self.version_sync.reject('instances: the list is empty')
+            )
         self.acceptance.gate.on_peers_asked(now)
         self._adopt({entry.name: entry for entry in entries}, now)
-        met = [PeerAddress(entry.name, entry.control) for entry in entries]
-        return [*met, *self.request_views(now)]
+        addresses = [
+            PeerAddress(entry.name, entry.control) for entry in entries
+        ]
+        return [*addresses, *self.request_views(now)]
--- a/src/clementinedeal/_views.py
+++ b/src/clementinedeal/_views.py
@@ -124,7 +124,7 @@
         if blob is None:
             return []
         return state.apply_changes(
-            state.spread.on_platform_root(blob, now), now
+            state.version_sync.on_platform_root(blob, now), now
         )
 
     def on_platform_part(self, blob: bytes, now: float) -> Actions:
@@ -135,7 +135,7 @@
         """
         state = self._state
         return state.apply_changes(
-            state.spread.on_platform_part(blob, now), now
+            state.version_sync.on_platform_part(blob, now), now
         )
 
     def on_platform_list(self, listed: InstanceList, now: float) -> Actions:
@@ -166,7 +166,7 @@
         state = self._state
         actions: Actions = list(state.due_reads(now))
         is_reader = state.is_reader(now)
-        actions.extend(state.spread.on_tick(now, is_reader=is_reader))
+        actions.extend(state.version_sync.on_tick(now, is_reader=is_reader))
         actions.extend(state.sweep_members(now))
         actions.extend(state.request_views(now))
         return state.apply_changes(actions, now)
--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -88,7 +88,7 @@
     route: RouteRule
     service: str
     account: ClientAccount | None
-    message: BufferedRequest
+    request: BufferedRequest
     deadline: float
 
 
@@ -167,7 +167,7 @@
             route=route,
             service=self._choose_service(route),
             account=account,
-            message=_message(head, body),
+            request=_build_request(head, body),
             deadline=received_at + timeout,
         )
 
@@ -192,7 +192,7 @@
         return chosen[0].service
 
 
-def _message(head: RequestHead, body: bytes) -> BufferedRequest:
+def _build_request(head: RequestHead, body: bytes) -> BufferedRequest:
     headers = tuple(
         pair
         for pair in strip_internal_headers(
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -93,8 +93,8 @@
                 for server in self._servers:
                     await server.start(nursery)
                 await self._datagrams.open()
-                for part in self._background_tasks():
-                    nursery.start_soon(keep_running, part)
+                for task in self._background_tasks():
+                    nursery.start_soon(keep_running, task)
                 nursery.start_soon(self._wait_for_stop_signal)
                 self.events.emit(
                     'daemon-started',
@@ -116,7 +116,7 @@
             self._sender.run,
             functools.partial(
                 self._datagrams.run,
-                self._allowances.on_message,
+                self._rate_limiter.on_message,
             ),
             functools.partial(
                 self._targets.follow_list, self._settings.target_address
@@ -138,14 +138,14 @@
             MeshOwnerParts(
                 clock=self._clock,
                 events=self.events,
-                origin=TargetClient(
+                target_client=TargetClient(
                     settings.target_address,
                     self._pool,
                     self._dialect,
                     self._clock,
                     self.events,
                 ),
-                calls=call_failures,
+                call_failures=call_failures,
                 metrics=self._metrics,
                 nursery=nursery,
             ),
@@ -162,7 +162,7 @@
         self._datagrams = DatagramChannel(
             host, settings.port_range[0], self.events
         )
-        self._allowances = AccountRateLimiter(
+        self._rate_limiter = AccountRateLimiter(
             host,
             lambda: self._targets.hosts,
             self._datagrams,
@@ -173,7 +173,7 @@
         self._admission = Admission(
             self._dialect,
             self._declarations,
-            self._allowances,
+            self._rate_limiter,
             rng,
         )
         self._sender = Sender(
@@ -235,7 +235,7 @@
         )
         self._add_gauges()
         self._declarations.on_change.append(self._apply_limits)
-        self._declarations.on_change.append(self._allowances.set_catalog)
+        self._declarations.on_change.append(self._rate_limiter.set_catalog)
 
     def _add_gauges(self) -> None:
         owner = self._owner
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -90,8 +90,8 @@
         """
         if revision:
             sent_at = self._clock.now()
-            news = await self._source.wait(revision, WATCH_SECONDS)
-            if not news.published_revision:
+            update = await self._source.wait(revision, WATCH_SECONDS)
+            if not update.published_revision:
                 # a call held for the whole time found nothing up to its end,
                 # one answered early only up to its start
                 is_complete = self._clock.now() - sent_at >= WATCH_SECONDS
@@ -100,27 +100,27 @@
                 )
                 self._confirmed_at = max(self._confirmed_at, confirmed_at)
         else:
-            news = await self._source.read()
-        self._apply(news)
-        if not news.published_revision and not revision:
+            update = await self._source.read()
+        self._apply(update)
+        if not update.published_revision and not revision:
             await trio.sleep(RETRY_SECONDS)
             return 0
-        return max(revision, news.revision)
+        return max(revision, update.revision)
 
-    def _apply(self, news: DeclarationUpdate) -> None:
+    def _apply(self, update: DeclarationUpdate) -> None:
         if (
-            news.declaration is None
-            or news.published_revision <= self._published_revision
+            update.declaration is None
+            or update.published_revision <= self._published_revision
         ):
             return
-        self._published_revision = news.published_revision
-        self.catalog = Catalog(news.declaration)
+        self._published_revision = update.published_revision
+        self.catalog = Catalog(update.declaration)
         self._events.emit(
             'config-in-force',
-            version=news.declaration.version,
-            revision=news.published_revision,
-            routes=len(news.declaration.routes),
-            accounts=len(news.declaration.accounts),
+            version=update.declaration.version,
+            revision=update.published_revision,
+            routes=len(update.declaration.routes),
+            accounts=len(update.declaration.accounts),
         )
         for handler in self.on_change:
             handler(self.catalog)
--- a/src/clementinedeal/mesh/_executions.py
+++ b/src/clementinedeal/mesh/_executions.py
@@ -29,7 +29,7 @@
     """
 
     attempt: MeshAttempt
-    message: BufferedRequest | None
+    request: BufferedRequest | None
     deadline: float
     body_wanted: trio.Event = field(default_factory=trio.Event)
     body_received: trio.Event = field(default_factory=trio.Event)
@@ -82,8 +82,8 @@
         """
         self._executions.setdefault(attempt_id, None)
         self.expire_later(attempt_id)
-        up = self._clock.now() - self._started_at
-        return age < min(up, RETENTION_SECONDS)
+        uptime = self._clock.now() - self._started_at
+        return age < min(uptime, RETENTION_SECONDS)
 
     def expire_later(self, attempt_id: str) -> None:
         """Forget an attempt after ``RETENTION_SECONDS``.
--- a/src/clementinedeal/mesh/_health_tracker.py
+++ b/src/clementinedeal/mesh/_health_tracker.py
@@ -30,7 +30,7 @@
         self,
         clock: Clock,
         events: EventLog,
-        calls: CallFailures,
+        call_failures: CallFailures,
     ) -> None:
         """Create a tracker without evidence.
 
@@ -40,7 +40,7 @@
         """
         self._clock = clock
         self._events = events
-        self._calls = calls
+        self._call_failures = call_failures
         self._estimate = HealthEstimate(clock)
         self._was_trusted = True
         self._last_trial_at = float('-inf')
@@ -138,5 +138,5 @@
     def _observe_failure(self, seconds: float) -> None:
         if seconds < evidence.MAX_FAST_FAILURE_SECONDS:
             self.observe(evidence.FAST_FAILURE_RATIO, 'failed-at-once')
-        elif not self._calls.failed_recently():
+        elif not self._call_failures.failed_recently():
             self.observe(evidence.SLOW_FAILURE_RATIO, 'failed')
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -41,8 +41,8 @@
 
     clock: Clock
     events: EventLog
-    origin: TargetClient
-    calls: CallFailures
+    target_client: TargetClient
+    call_failures: CallFailures
     metrics: DaemonMetrics
     nursery: trio.Nursery
 
@@ -65,7 +65,9 @@
         self._is_stopping = False
         self._live_executions: set[Execution] = set()
         self._queue_scopes: set[trio.CancelScope] = set()
-        self.health = HealthTracker(parts.clock, parts.events, parts.calls)
+        self.health = HealthTracker(
+            parts.clock, parts.events, parts.call_failures
+        )
         self.slot_queue = SlotQueue(DEFAULT_SLOTS)
         self.executions = MeshExecutionTable(parts.clock)
         self._down_until = 0.0
@@ -123,7 +125,7 @@
     def submit(
         self,
         attempt: MeshAttempt,
-        message: BufferedRequest | None,
+        request: BufferedRequest | None,
     ) -> Execution | None:
         """Start an attempt.
 
@@ -134,7 +136,7 @@
         """
         execution = Execution(
             attempt,
-            message,
+            request,
             self._parts.clock.now() + attempt.left,
         )
         if not self.executions.add(execution):
@@ -268,15 +270,15 @@
     async def _call_target(self, execution: Execution) -> MeshOutcome:
         """Wait for the body if it is missing, then call the target."""
         attempt = execution.attempt
-        if execution.message is None:
+        if execution.request is None:
             execution.body_wanted.set()
             with trio.move_on_after(BODY_TIMEOUT_SECONDS):
                 await execution.body_received.wait()
         started = self._parts.clock.now()
         seconds_left = execution.deadline - started
-        if seconds_left <= 0 or execution.message is None:
+        if seconds_left <= 0 or execution.request is None:
             return not_run(Reason.DEADLINE, self.target_condition())
-        stamp = CallContext(
+        context = CallContext(
             req_id=attempt.req_id,
             seconds_left=seconds_left,
             target=attempt.target,
@@ -286,7 +288,9 @@
         execution.reached = True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.health.observe_progress, attempt)
-            outcome = await self._parts.origin.call(execution.message, stamp)
+            outcome = await self._parts.target_client.call(
+                execution.request, context
+            )
             nursery.cancel_scope.cancel()
         if not outcome.reached:
             execution.reached = False
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -66,7 +66,7 @@
         address: str,
         attempt: MeshAttempt,
         request: BufferedRequest,
-        trying: PendingAttempt,
+        pending: PendingAttempt,
     ) -> MeshOutcome:
         """Send an attempt to an owner and return its outcome.
 
@@ -91,7 +91,7 @@
                 conn,
                 attempt,
                 request,
-                trying,
+                pending,
             )
         except trio.Cancelled:
             conn.abort()
@@ -103,13 +103,13 @@
         conn: ClientConn,
         attempt: MeshAttempt,
         request: BufferedRequest,
-        trying: PendingAttempt,
+        pending: PendingAttempt,
     ) -> MeshOutcome:
         if not attempt.idempotent:
             refusal = await self._reserve(address, conn, attempt)
             if refusal is not None:
                 return await self._release(address, conn, refusal)
-        trying.sent = True
+        pending.sent = True
         sent_at = self._clock.now()
         head = _build_head(attempt, request)
         exchange = _Exchange(address, conn, MAX_SILENCE_SECONDS)
@@ -256,16 +256,20 @@
         )
         if self.is_reserved:
             return None
-        told = decode_outcome_header(head.header(wire.TOLD_HEADER) or b'')
-        has_answer = told.verdict == Verdict.RAN.value
+        outcome_header = decode_outcome_header(
+            head.header(wire.TOLD_HEADER) or b''
+        )
+        has_answer = outcome_header.verdict == Verdict.RAN.value
         headers = strip_internal_headers(strip_hop_by_hop_headers(head.headers))
         return MeshOutcome(
-            verdict=Verdict(told.verdict),
-            reason=Reason(told.reason) if told.reason else None,
-            reached=told.reached,
-            retry_after=told.retry_after,
+            verdict=Verdict(outcome_header.verdict),
+            reason=Reason(outcome_header.reason)
+            if outcome_header.reason
+            else None,
+            reached=outcome_header.reached,
+            retry_after=outcome_header.retry_after,
             status=head.status if has_answer else 0,
             headers=headers if has_answer else (),
             body=body,
-            state=told.state,
+            state=outcome_header.state,
         )
--- a/src/clementinedeal/mesh/_peer_server.py
+++ b/src/clementinedeal/mesh/_peer_server.py
@@ -112,8 +112,8 @@
         execution = self._owner.executions.find(attempt_id)
         if execution is None:
             return not_run(Reason.CANCELLED)
-        if execution.message is None and not execution.done.is_set():
-            execution.message = request
+        if execution.request is None and not execution.done.is_set():
+            execution.request = request
             execution.body_received.set()
         return execution
 
@@ -147,7 +147,7 @@
         """
         execution.reader_count += 1
         settled_event = execution.done
-        if execution.message is None:
+        if execution.request is None:
             settled_event = execution.body_wanted
         try:
             await _wait_while_connected(conn, settled_event)
--- a/src/clementinedeal/mesh/_retry_tokens.py
+++ b/src/clementinedeal/mesh/_retry_tokens.py
@@ -9,7 +9,7 @@
 
 # Fraction of the operators' bound that is used. A retried request repeats the
 # calls that its target makes, and they count as retries, too.
-USED_BUDGET_FRACTION = 0.6
+USED_BOUND_FRACTION = 0.6
 # Capacity of the bucket in tokens, at least; also its level at the start.
 MIN_CAPACITY = 1.0
 
@@ -38,7 +38,7 @@
     def add_request(self) -> None:
         """Add the fraction of a token that a new request earns."""
         self._refill()
-        self._tokens += self._bounds.retry_ratio * USED_BUDGET_FRACTION
+        self._tokens += self._bounds.retry_ratio * USED_BOUND_FRACTION
         self._limit_to_capacity()
 
     def take(self) -> bool:
@@ -50,11 +50,11 @@
         self.retries_taken += 1
         return True
 
-    def _slack_share(self) -> float:
+    def _slack_part(self) -> float:
         """Return this daemon's part of the slack per window, in tokens."""
         return (
             self._bounds.retry_slack
-            * USED_BUDGET_FRACTION
+            * USED_BOUND_FRACTION
             / max(1, self.daemon_count)
         )
 
@@ -64,11 +64,11 @@
         self._refilled_at = now
         # half of the slack is added over each window, half may accumulate
         self._tokens += (
-            self._slack_share() / 2 * elapsed / self._bounds.retry_window
+            self._slack_part() / 2 * elapsed / self._bounds.retry_window
         )
         self._limit_to_capacity()
 
     def _limit_to_capacity(self) -> None:
         self._tokens = min(
-            self._tokens, max(MIN_CAPACITY, self._slack_share() / 2 + 1)
+            self._tokens, max(MIN_CAPACITY, self._slack_part() / 2 + 1)
         )
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -66,7 +66,7 @@
         :param parts: the collaborators.
         """
         self._parts = parts
-        self._retry_budgets: dict[str, RetryTokenBucket] = {}
+        self._retry_buckets: dict[str, RetryTokenBucket] = {}
         self._running_attempts: set[PendingAttempt] = set()
         self._keeps_overdue = False
         self._is_closing = False
@@ -76,7 +76,7 @@
     def retry_count(self) -> int:
         """Retries sent since the start, over all services."""
         return sum(
-            budget.retries_taken for budget in self._retry_budgets.values()
+            bucket.retries_taken for bucket in self._retry_buckets.values()
         )
 
     async def run(self) -> None:
@@ -86,9 +86,9 @@
             if self._keeps_overdue:
                 return
             now = self._parts.clock.now()
-            for trying in tuple(self._running_attempts):
-                if trying.overdue_at <= now and trying.reserve_retry(now):
-                    trying.cancel_scope.cancel()
+            for pending in tuple(self._running_attempts):
+                if pending.overdue_at <= now and pending.reserve_retry(now):
+                    pending.cancel_scope.cancel()
 
     def keep_overdue(self) -> None:
         """Cancel no more overdue attempts.
@@ -103,15 +103,15 @@
         Requests that wait for a target are refused as draining.
         """
         self._is_closing = True
-        for trying in self._running_attempts:
-            if not trying.sent:
-                trying.cancel_scope.cancel()
+        for pending in self._running_attempts:
+            if not pending.sent:
+                pending.cancel_scope.cancel()
 
     def cancel_all(self) -> None:
         """Cancel all attempts: the time for the graceful stop is over."""
         self._is_closing = True
-        for trying in self._running_attempts:
-            trying.cancel_scope.cancel()
+        for pending in self._running_attempts:
+            pending.cancel_scope.cancel()
 
     async def send(self, admitted: AdmittedRequest) -> MeshOutcome:
         """Run a request to its end and return the outcome.
@@ -119,13 +119,13 @@
         :param admitted: the request.
         """
         parts = self._parts
-        budget = self._find_retry_budget(admitted.service)
-        budget.add_request()
+        retry_bucket = self._find_retry_bucket(admitted.service)
+        retry_bucket.add_request()
         plan = Plan(
             admitted.route,
             admitted.service,
             parts.balancer,
-            budget,
+            retry_bucket,
             admitted.deadline,
         )
         attempt_number = 0
@@ -156,20 +156,20 @@
         attempt = self._build_attempt(admitted, step, attempt_number)
         outcome: MeshOutcome | None = None
         limit = max(0, attempt.left) + ANSWER_GRACE_SECONDS
-        trying = PendingAttempt(
+        pending = PendingAttempt(
             trio.CancelScope(deadline=trio.current_time() + limit),
             parts.clock.now() + step.overdue_after,
             plan.reserve_retry,
         )
-        self._running_attempts.add(trying)
+        self._running_attempts.add(pending)
         parts.balancer.on_attempt_started(target.name)
         try:
-            with trying.cancel_scope:
+            with pending.cancel_scope:
                 outcome = await self._send_attempt(
                     target,
                     attempt,
-                    admitted.message,
-                    trying,
+                    admitted.request,
+                    pending,
                 )
         except trio.Cancelled:
             parts.events.emit(
@@ -182,10 +182,10 @@
             )
             raise
         finally:
-            self._running_attempts.remove(trying)
+            self._running_attempts.remove(pending)
             parts.balancer.on_attempt_ended(target.name, outcome)
         if outcome is None:
-            outcome = self._unanswered_outcome(trying)
+            outcome = self._unanswered_outcome(pending)
         parts.events.emit(
             'attempt-tried',
             req=admitted.req_id,
@@ -200,10 +200,10 @@
         )
         return outcome
 
-    def _unanswered_outcome(self, trying: PendingAttempt) -> MeshOutcome:
+    def _unanswered_outcome(self, pending: PendingAttempt) -> MeshOutcome:
         """Return the outcome of an attempt that was cancelled or timed out."""
         reason = Reason.DRAINING if self._is_closing else Reason.DEADLINE
-        if not trying.sent:
+        if not pending.sent:
             return not_run(reason)
         return MeshOutcome(
             verdict=Verdict.MAY_HAVE_RUN,
@@ -216,7 +216,7 @@
         target: Target,
         attempt: MeshAttempt,
         request: BufferedRequest,
-        trying: PendingAttempt,
+        pending: PendingAttempt,
     ) -> MeshOutcome:
         settings = self._parts.settings()
         if target.address != settings.target_address:
@@ -225,16 +225,16 @@
                 f'{target.host}:{port}',
                 attempt,
                 request,
-                trying,
+                pending,
             )
         execution = self._parts.owner.submit(attempt, request)
         assert execution is not None
-        trying.sent = True
+        pending.sent = True
         try:
             await execution.done.wait()
         except trio.Cancelled:
             self._parts.owner.abandon(execution)
-            trying.sent = execution.reached
+            pending.sent = execution.reached
             raise
         assert execution.outcome is not None
         return execution.outcome
@@ -271,11 +271,11 @@
         calling_rank = self._parts.owner.most_urgent_rank
         return calling_rank or (KEYLESS_PRIORITY, admitted.route.priority)
 
-    def _find_retry_budget(self, service: str) -> RetryTokenBucket:
-        budget = self._retry_budgets.get(service)
-        if budget is None:
+    def _find_retry_bucket(self, service: str) -> RetryTokenBucket:
+        bucket = self._retry_buckets.get(service)
+        if bucket is None:
             bounds = self._parts.settings().bounds
-            budget = RetryTokenBucket(bounds, self._parts.clock)
-            self._retry_budgets[service] = budget
-        budget.daemon_count = self.daemon_count
-        return budget
+            bucket = RetryTokenBucket(bounds, self._parts.clock)
+            self._retry_buckets[service] = bucket
+        bucket.daemon_count = self.daemon_count
+        return bucket
--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -44,7 +44,7 @@
 # was idle for less than 200 ms. A loss is taken for such a drop if the
 # connection had been idle for the minimum and broke within the maximum.
 MAX_RESET_SECONDS = 0.05
-MIN_REST_SECONDS = 0.15
+MIN_RESET_IDLE_SECONDS = 0.15
 
 _SUCCESS = range(200, 300)
 _FAILURE_STATUS = 500
@@ -91,7 +91,7 @@
         self._dialect = dialect
         self._clock = clock
         self._events = events
-        self._rest_limit = IdleLimit(clock)
+        self._idle_limit = IdleLimit(clock)
 
     async def call(
         self, request: BufferedRequest, context: CallContext
@@ -104,7 +104,7 @@
         try:
             conn = await self._pool.acquire(
                 self._address,
-                self._rest_limit.max_idle_seconds(),
+                self._idle_limit.max_idle_seconds(),
             )
         except ConnLostError:
             return not_run(Reason.NO_TARGET)
@@ -138,7 +138,7 @@
         return _may_have_run(Reason.DEADLINE)
 
     def _classify_loss(
-        self, rested: float | None, seconds: float
+        self, idle_seconds: float | None, seconds: float
     ) -> MeshOutcome:
         """Tell a dropped idle connection from an answer that was cut short.
 
@@ -146,16 +146,16 @@
             None if it was new.
         :param seconds: time from the request to the loss.
         """
-        if rested is None or rested < MIN_REST_SECONDS:
+        if idle_seconds is None or idle_seconds < MIN_RESET_IDLE_SECONDS:
             return _may_have_run(Reason.ANSWER_INCOMPLETE)
         if seconds > MAX_RESET_SECONDS:
             return _may_have_run(Reason.ANSWER_INCOMPLETE)
-        self._rest_limit.on_connection_forgotten(rested)
+        self._idle_limit.on_connection_forgotten(idle_seconds)
         self._events.emit(
             'connection-forgotten',
             address=self._address,
-            rested=f'{rested:.3f}',
-            limit=f'{self._rest_limit.max_idle_seconds():.3f}',
+            rested=f'{idle_seconds:.3f}',
+            limit=f'{self._idle_limit.max_idle_seconds():.3f}',
         )
         return _may_have_run(Reason.CONNECTION_FORGOTTEN)
 
@@ -215,7 +215,11 @@
         else:
             return _may_have_run(Reason.ANSWER_WRONG), None
         conn.answered_ids.append(context.req_id)
-        idle = None if answer_headers.closing else _idle_limit(answer_headers)
+        idle = (
+            None
+            if answer_headers.closing
+            else _allowed_idle_seconds(answer_headers)
+        )
         return classify_answer(head, body, answer_headers, context), idle
 
 
@@ -232,7 +236,7 @@
     body_sent.set()
 
 
-def _idle_limit(answer_headers: AnswerHeaders) -> float | None:
+def _allowed_idle_seconds(answer_headers: AnswerHeaders) -> float | None:
     idle_seconds = (
         DEFAULT_IDLE_SECONDS
         if answer_headers.idle_seconds is None
--- a/src/clementinedeal/platform/_node.py
+++ b/src/clementinedeal/platform/_node.py
@@ -41,7 +41,7 @@
     quota_slack: float = 0.0
 
 
-class _Store(msgspec.Struct):
+class _Platform(msgspec.Struct):
     address: str
 
 
@@ -54,7 +54,7 @@
     service: str
     port_range: tuple[int, int]
     listen: _Listen
-    platform: _Store
+    platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -61,8 +61,8 @@
         MeshOwnerParts(
             clock=clock,
             events=EventLog('i', '1'),
-            origin=CountingTargetClient(),
-            calls=CallFailures(clock),
+            target_client=CountingTargetClient(),
+            call_failures=CallFailures(clock),
             metrics=DaemonMetrics(),
             nursery=nursery,
         ),
@@ -90,7 +90,7 @@
     second = server._dispatch(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
     assert first is second
     await first.done.wait()
-    assert owner._parts.origin.runs == 1
+    assert owner._parts.target_client.runs == 1
 
 
 async def test_a_duplicate_body_runs_once(owner, nursery):
@@ -98,12 +98,12 @@
     sent = msgspec.json.encode(make_attempt())
     reservation = server._dispatch(head(wire.RESERVE_HEADER, sent), MESSAGE)
     await reservation.body_wanted.wait()
-    assert owner._parts.origin.runs == 0
+    assert owner._parts.target_client.runs == 0
     for _ in range(2):
         run = server._dispatch(head(wire.RUN_HEADER, b'a1'), MESSAGE)
         assert run is reservation
     await reservation.done.wait()
-    assert owner._parts.origin.runs == 1
+    assert owner._parts.target_client.runs == 1
     assert reservation.outcome.status == 200
 
 
@@ -127,7 +127,7 @@
     assert late.verdict is Verdict.NOT_RUN
     assert late.reason is Reason.CANCELLED
     await trio.sleep(0.05)
-    assert owner._parts.origin.runs == 0
+    assert owner._parts.target_client.runs == 0
 
 
 async def test_a_draining_target_refuses_its_queued_attempts(owner):
@@ -153,11 +153,11 @@
 
 
 async def test_an_exception_in_one_attempt_does_not_end_the_daemon(owner):
-    owner._parts.origin.call = fail
+    owner._parts.target_client.call = fail
     failed = owner.submit(make_attempt('a1'), MESSAGE)
     await failed.done.wait()
     assert failed.outcome.verdict is Verdict.MAY_HAVE_RUN
-    owner._parts.origin.call = CountingTargetClient().call
+    owner._parts.target_client.call = CountingTargetClient().call
     next_one = owner.submit(make_attempt('a2'), MESSAGE)
     await next_one.done.wait()
     assert next_one.outcome.status == 200
@@ -203,7 +203,7 @@
         Reason.TARGET_EJECTED,
         Reason.TARGET_EJECTED,
     ]
-    assert owner._parts.origin.runs == 1
+    assert owner._parts.target_client.runs == 1
 
 
 async def test_most_urgent_rank_follows_the_running_attempts(owner):
@@ -232,7 +232,7 @@
             owner.health.observe(evidence.FAST_FAILURE_RATIO, 'failed')
     assert outcomes[0] is Reason.TARGET_EJECTED
     assert outcomes[1] is None
-    assert owner._parts.origin.runs == 1
+    assert owner._parts.target_client.runs == 1
     await trio.sleep(0.1)
     again = owner.submit(
         make_attempt('b', spare=True, idempotent=True), MESSAGE
