Rename the configuration's age and two locals of gossip and leases

src/clementinedeal/_tokens.py TokenManager.__init__.known_for config_age_seconds src/clementinedeal/_tokens.py TokenManager.on_config.known_for config_age_seconds src/clementinedeal/_holdings.py Holdings.__init__.known_for config_age_seconds src/clementinedeal/_holdings.py Holdings.on_config.known_for config_age_seconds src/clementinedeal/_share_versions.py ShareVersions.__init__.known_for config_age_seconds src/clementinedeal/_share_versions.py ShareVersions.reset.known_for config_age_seconds src/clementinedeal/_member.py Member.merge.said_at stated_at src/clementinedeal/_roster.py Roster.set_record.said_at stated_at src/clementinedeal/_leases.py Lender.apply_report.newly newly_spent src/clementinedeal/_borrowed.py BorrowedUnits.unreported.newly newly_spent

--- a/src/clementinedeal/_borrowed.py
+++ b/src/clementinedeal/_borrowed.py
@@ -80,8 +80,8 @@
         due: dict[str, int] = {}
         for held in self._held:
             if held.spent > held.reported:
-                newly = held.spent - held.reported
-                due[held.holder] = due.get(held.holder, 0) + newly
+                newly_spent = held.spent - held.reported
+                due[held.holder] = due.get(held.holder, 0) + newly_spent
         return due
 
     def report(self, holder: str) -> tuple[LeaseReport, ...]:
--- a/src/clementinedeal/_holdings.py
+++ b/src/clementinedeal/_holdings.py
@@ -24,7 +24,7 @@
         me: str,
         cfg: Config,
         now: float,
-        known_for: float,
+        config_age_seconds: float,
     ) -> None:
         """Start with no tokens and not fresh.
 
@@ -34,7 +34,7 @@
         :param known_for: seconds since the configuration was published, as
             far as is known; the real age may be higher.
         """
-        self.versions = ShareVersions(me, cfg, now, known_for)
+        self.versions = ShareVersions(me, cfg, now, config_age_seconds)
         self.is_fresh = False
         self._lenders: dict[str, Lender] = {}
         self._next_change = float('inf')
@@ -115,7 +115,9 @@
                 lender.advance_without_refill(now)
         self.is_fresh = is_fresh
 
-    def on_config(self, cfg: Config, now: float, known_for: float) -> None:
+    def on_config(
+        self, cfg: Config, now: float, config_age_seconds: float
+    ) -> None:
         """Switch to a newer configuration.
 
         :param cfg: the configuration that came into force.
@@ -125,7 +127,7 @@
         if self.is_fresh:
             self.versions.add(cfg, now)
         else:
-            self.versions.reset(cfg, now, known_for)
+            self.versions.reset(cfg, now, config_age_seconds)
             self._lenders.clear()
         self._resize_lenders(now)
 
--- a/src/clementinedeal/_leases.py
+++ b/src/clementinedeal/_leases.py
@@ -185,10 +185,10 @@
         lent = self._leases.get(report.lease)
         if lent is None:
             return
-        newly = min(report.spent, lent.granted) - lent.spent
-        if newly > 0:
-            lent.spent += newly
-            self.lent -= newly
+        newly_spent = min(report.spent, lent.granted) - lent.spent
+        if newly_spent > 0:
+            lent.spent += newly_spent
+            self.lent -= newly_spent
         if report.closed:
             self._close(report.lease, lent)
 
--- a/src/clementinedeal/_managers.py
+++ b/src/clementinedeal/_managers.py
@@ -84,7 +84,7 @@
             cfg,
             now,
             incarnation=context.fleet.incarnation(me),
-            known_for=context.fleet.config_age_seconds(now),
+            config_age_seconds=context.fleet.config_age_seconds(now),
         )
         self.token_gate = ManagedTokenGate(
             token_manager,
--- a/src/clementinedeal/_member.py
+++ b/src/clementinedeal/_member.py
@@ -65,15 +65,15 @@
         :param record: the record that a peer sent.
         :param sent_at: when the peer was asked, in monotonic seconds.
         """
-        said_at = sent_at - record.age
+        stated_at = sent_at - record.age
         same_incarnation = record.incarnation == self.incarnation
-        if said_at <= self.record_at and not same_incarnation:
+        if stated_at <= self.record_at and not same_incarnation:
             return False
         leaving = record.leaving or (same_incarnation and self.leaving)
         changed = not same_incarnation or leaving != self.leaving
         self.incarnation = record.incarnation
         self.leaving = leaving
-        self.record_at = max(self.record_at, said_at)
+        self.record_at = max(self.record_at, stated_at)
         if changed:
             self.changed_at = sent_at
         return changed
--- a/src/clementinedeal/_roster.py
+++ b/src/clementinedeal/_roster.py
@@ -90,7 +90,7 @@
                 self._merge_record(name, record, sent_at)
 
     def set_record(
-        self, name: str, record: MemberRecord, said_at: float
+        self, name: str, record: MemberRecord, stated_at: float
     ) -> None:
         """Apply a record that an instance sent about itself.
 
@@ -99,7 +99,7 @@
         :param said_at: when the instance stated it, in monotonic seconds.
         """
         member = self._members.get(name)
-        if member is not None and member.merge(record, said_at):
+        if member is not None and member.merge(record, stated_at):
             self._cached_digest = None
 
     def encode_ages(self, now: float) -> bytes:
--- a/src/clementinedeal/_share_versions.py
+++ b/src/clementinedeal/_share_versions.py
@@ -57,7 +57,7 @@
         me: str,
         cfg: Config,
         now: float,
-        known_for: float,
+        config_age_seconds: float,
     ) -> None:
         """Start with one version; earlier ones are unknown.
 
@@ -68,21 +68,23 @@
             peers report it, zero when unknown; the real age may be higher.
         """
         self._me = me
-        self.reset(cfg, now, known_for)
+        self.reset(cfg, now, config_age_seconds)
 
     @property
     def table(self) -> ShareTable:
         """Return the shares under the version in force."""
         return self._versions[-1].table
 
-    def reset(self, cfg: Config, now: float, known_for: float) -> None:
+    def reset(self, cfg: Config, now: float, config_age_seconds: float) -> None:
         """Forget all versions and start with one, as after a restart.
 
         :param cfg: configuration in force.
         :param now: monotonic seconds.
         :param known_for: as in the constructor.
         """
-        wait = max(HOLDER_LEASE_TTL_SECONDS, GROW_WAIT_SECONDS - known_for)
+        wait = max(
+            HOLDER_LEASE_TTL_SECONDS, GROW_WAIT_SECONDS - config_age_seconds
+        )
         self._versions = [_ShareVersion(ShareTable(cfg), now + wait)]
 
     def add(self, cfg: Config, now: float) -> None:
--- a/src/clementinedeal/_tokens.py
+++ b/src/clementinedeal/_tokens.py
@@ -40,7 +40,7 @@
         now: float,
         *,
         incarnation: int,
-        known_for: float = 0.0,
+        config_age_seconds: float = 0.0,
     ) -> None:
         """Start with no tokens and not fresh.
 
@@ -54,7 +54,7 @@
             instance stay empty until the age is ``GROW_WAIT_SECONDS``.
         """
         self._last_call_at = now
-        self._holdings = Holdings(me, cfg, now, known_for)
+        self._holdings = Holdings(me, cfg, now, config_age_seconds)
         self._borrowing = Borrowing(me, incarnation, self._holdings)
 
     def holders(self, account: str) -> tuple[str, ...]:
@@ -114,7 +114,7 @@
         self,
         cfg: Config,
         now: float,
-        known_for: float = 0.0,
+        config_age_seconds: float = 0.0,
     ) -> TokenActions:
         """Switch to a newer configuration; older ones are ignored.
 
@@ -127,7 +127,7 @@
         """
         pause_actions = self._detect_pause(now)
         if cfg.version > self._holdings.cfg.version:
-            self._holdings.on_config(cfg, now, known_for)
+            self._holdings.on_config(cfg, now, config_age_seconds)
             self._borrowing.on_config()
         return pause_actions
 
--- a/src/clementinedeal_bench/_decision_slopes.py
+++ b/src/clementinedeal_bench/_decision_slopes.py
@@ -144,7 +144,9 @@
         accounts={**cfg.accounts, account: large_account},
     )
     held_bytes, manager = measure_held_bytes(
-        lambda: TokenManager(name, cfg, 0, incarnation=1, known_for=1e6),
+        lambda: TokenManager(
+            name, cfg, 0, incarnation=1, config_age_seconds=1e6
+        ),
     )
     manager.set_fresh(True, 0)
     _tick_until(manager.on_tick, WARM_UP_SECONDS)
--- a/src/clementinedeal_bench/_token_fleet.py
+++ b/src/clementinedeal_bench/_token_fleet.py
@@ -144,7 +144,7 @@
             version.cfg,
             self.now,
             incarnation=incarnation,
-            known_for=known_for,
+            config_age_seconds=known_for,
         )
         daemon = SimulatedDaemon(manager, version.cfg.version, incarnation)
         self.daemons[name] = daemon
--- a/src/clementinedeal_bench/_token_timing.py
+++ b/src/clementinedeal_bench/_token_timing.py
@@ -38,7 +38,7 @@
         self.now = 0.0
         self.managers = {
             name: TokenManager(
-                name, cfg, 0, incarnation=1, known_for=LARGE_AMOUNT
+                name, cfg, 0, incarnation=1, config_age_seconds=LARGE_AMOUNT
             )
             for name in cfg.instances
         }
