Describe attempt ids, peer headers, settings and constants plainly

Describe attempt ids, the peer headers and the platform's settings plainly

Docstrings follow the renamed parameters; constants and fields that had no explanation say what they hold and in which unit.

Explain undocumented constants and parameters of the flat package

Intervals, limits and sizes whose comment was missing say what they bound; parameters of interfaces have their docstrings.

Describe the configuration's age and the order of holders plainly

--- a/src/clementinedeal/_borrowing.py
+++ b/src/clementinedeal/_borrowing.py
@@ -52,7 +52,7 @@
         The decision (``TokenGranted`` or ``TokenRefused``) is among the
         returned actions, or among those of a later call.
 
-        :param req_id: unique request id.
+        :param req_id: unique id of the attempt that needs the token.
         :param account: name of the account.
         :param now: monotonic seconds.
         """
@@ -74,7 +74,7 @@
     def cancel(self, req_id: str, account: str) -> bool:
         """Remove a waiting request and return whether it was waiting.
 
-        :param req_id: request id.
+        :param req_id: id given to ``take``.
         :param account: name of the account.
         """
         state = self._accounts.get(account)
--- a/src/clementinedeal/_cancel_messenger.py
+++ b/src/clementinedeal/_cancel_messenger.py
@@ -13,6 +13,8 @@
 from clementinedeal._dispatch import Waiters
 from clementinedeal._messages import Send
 
+# How long an entry waits for the answer to a cancel, and how often it sends
+# the cancel again in that time.
 CANCEL_TIMEOUT_SECONDS = 0.4
 CANCEL_RESEND_SECONDS = 0.1
 
--- a/src/clementinedeal/_claims.py
+++ b/src/clementinedeal/_claims.py
@@ -16,7 +16,9 @@
 from clementinedeal._messages import Send
 from clementinedeal._verdict import Reason, Verdict
 
+# How long a claim may remain unanswered by the key's keeper.
 CLAIM_TIMEOUT_SECONDS = 1.0
+# Interval at which an unconfirmed settlement is sent again.
 SETTLE_RETRY_SECONDS = 0.5
 MAX_SETTLE_TRIES = 20  # messages for one settlement that is not confirmed
 
--- a/src/clementinedeal/_control.py
+++ b/src/clementinedeal/_control.py
@@ -14,11 +14,16 @@
 from clementinedeal._events import EventLog, log
 from clementinedeal._messages import Send, decode, encode
 
+# Messages that are sealed and sent together, at most.
 MAX_BATCH_BODIES = 64
 _REJECTED_BATCH_ERRORS = (ProtocolError, *DECODE_ERRORS)
+# Sockets to other daemons that are kept open, at most.
 MAX_OPEN_PEERS = 96
+# Batches that one socket buffers.
 SEND_BUFFER_MESSAGES = 64
+# Larger batches are not received.
 MAX_MESSAGE_BYTES = 2_000_000
+# Pause of a stop in which the last batches are sent, before sockets are closed.
 LINGER_SECONDS = 0.1
 
 
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -50,7 +50,10 @@
 from clementinedeal._view_recorder import ViewRecorder
 from clementinedeal._views import FleetView
 
+# Interval at which the fleet view and the execution table are updated.
 VIEW_TICK_SECONDS = 0.1
+# Pause of a stop between the leaving notices and the end of the listeners, in
+# which peers turn to other targets.
 LEAVING_NOTICE_SECONDS = 0.5
 _STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
--- a/src/clementinedeal/_ejection.py
+++ b/src/clementinedeal/_ejection.py
@@ -209,7 +209,7 @@
 
         While it is not, this daemon lends, requests and renews no permits.
 
-        :param fresh: whether the view is fresh.
+        :param is_fresh: whether the view is fresh.
         :param now: monotonic time in seconds.
         """
         self._reporter.is_fresh = is_fresh
--- a/src/clementinedeal/_entry_parts.py
+++ b/src/clementinedeal/_entry_parts.py
@@ -36,11 +36,18 @@
         ...
 
     def incarnation(self, instance: str) -> str:
-        """Return the last known incarnation of an instance; '' if unknown."""
+        """Return the last known incarnation of an instance; '' if unknown.
+
+        :param instance: name of the instance.
+        """
         ...
 
     def learn_incarnation(self, instance: str, incarnation: str) -> None:
-        """Store the incarnation that an instance reported."""
+        """Store the incarnation that an instance reported.
+
+        :param instance: name of the instance.
+        :param incarnation: its incarnation as text.
+        """
         ...
 
 
--- a/src/clementinedeal/_entry_view.py
+++ b/src/clementinedeal/_entry_view.py
@@ -10,6 +10,7 @@
 from clementinedeal._timers import Clock
 from clementinedeal._views import FleetView
 
+# Interval at which lost and leaving instances are looked for.
 REFRESH_SECONDS = 0.5
 _AVAILABILITIES = {
     'trial': Availability.TRIAL,
@@ -85,12 +86,19 @@
         )
 
     def incarnation(self, instance: str) -> str:
-        """Return the last known incarnation of an instance; '' if unknown."""
+        """Return the last known incarnation of an instance; '' if unknown.
+
+        :param instance: name of the instance.
+        """
         learned = self._incarnations.get(instance)
         return learned or format_incarnation(self._fleet.incarnation(instance))
 
     def learn_incarnation(self, instance: str, incarnation: str) -> None:
-        """Store the incarnation that an instance reported."""
+        """Store the incarnation that an instance reported.
+
+        :param instance: name of the instance.
+        :param incarnation: its incarnation as text.
+        """
         self._incarnations[instance] = incarnation
 
     def on_outcome(
@@ -115,7 +123,10 @@
         self._update_router(target, availability, outcome.load)
 
     def on_unreachable(self, owner: str) -> None:
-        """Record that this daemon could not connect to an owner."""
+        """Record that this daemon could not connect to an owner.
+
+        :param owner: name of the owner's instance.
+        """
         if self._router is not None:
             self._router.paths.on_connect_failure(owner, self._clock.now())
 
--- a/src/clementinedeal/_envelope.py
+++ b/src/clementinedeal/_envelope.py
@@ -26,7 +26,7 @@
     ``attempt`` identifies the attempt and ``req_id`` the caller's request,
     ``sender`` is the entry's instance. ``incarnation`` is the run of the
     owner that may accept it (empty: any), ``deadline_ms`` the time left in
-    milliseconds. ``admitted`` tells whether a token of the account was
+    milliseconds. ``admitted`` is whether a token of the account was
     already taken; ``hlc`` is the sender's stamp.
     """
 
--- a/src/clementinedeal/_events.py
+++ b/src/clementinedeal/_events.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+# The newest events, which operators can read from the daemon.
 MAX_BUFFERED_EVENTS = 20_000
 _COUNTER_BITS = 16
 _MS_PER_SECOND = 1000
--- a/src/clementinedeal/_executions.py
+++ b/src/clementinedeal/_executions.py
@@ -1,7 +1,8 @@
 """The owner's table of the attempts that entries forwarded to it.
 
-The owner is the daemon beside a target, the only one that calls it. In this
-module a request id names one forward, that is one attempt of a request.
+The owner is the daemon beside a target, the only one that calls it. A forward
+is one attempt of a request, as its entry sends it to the owner; the attempt's
+id identifies it.
 """
 
 import enum
@@ -112,7 +113,7 @@
         A forward that is registered and refused later, for instance by a full
         queue, must be cancelled.
 
-        :param req_id: id of the forward.
+        :param attempt_id: id of the forward.
         :param incarnation: owner incarnation that the forward names.
         :param deadline: monotonic time in seconds by which it must start.
         :param now: current monotonic time in seconds.
@@ -136,7 +137,7 @@
     def start(self, attempt_id: str, now: float) -> Result[None, Reason]:
         """Record a forward as started, right before its first byte is sent.
 
-        :param req_id: id of a registered forward.
+        :param attempt_id: id of a registered forward.
         :param now: current monotonic time in seconds.
         :returns: why it may not start, if so; it then never starts.
         """
@@ -154,7 +155,7 @@
     def finish(self, attempt_id: str, now: float) -> None:
         """Record that the target answered a started forward.
 
-        :param req_id: id of the forward; unknown and ended ones are ignored.
+        :param attempt_id: id of the forward; ignored if unknown or ended.
         :param now: current monotonic time in seconds.
         """
         self._close_if_started(attempt_id, ExecutionState.DONE, now)
@@ -162,7 +163,7 @@
     def abandon(self, attempt_id: str, now: float) -> None:
         """Record that the owner no longer waits for a started forward.
 
-        :param req_id: id of the forward; unknown and ended ones are ignored.
+        :param attempt_id: id of the forward; ignored if unknown or ended.
         :param now: current monotonic time in seconds.
         """
         self._close_if_started(attempt_id, ExecutionState.ABANDONED, now)
@@ -177,7 +178,7 @@
 
         A forward that has started is not stopped by this.
 
-        :param req_id: id of the forward.
+        :param attempt_id: id of the forward.
         :param incarnation: owner incarnation that the forward named.
         :param now: current monotonic time in seconds.
         :returns: how far the forward came. ``UNKNOWN`` if it is not in the
@@ -215,7 +216,7 @@
     def state(self, attempt_id: str) -> ExecutionState | None:
         """Return the state of a forward, or None if it is unknown.
 
-        :param req_id: id of the forward.
+        :param attempt_id: id of the forward.
         """
         execution = self._table.get(attempt_id)
         return execution.state if execution else None
--- a/src/clementinedeal/_forwarding.py
+++ b/src/clementinedeal/_forwarding.py
@@ -44,7 +44,7 @@
 
 
 def _request_context(receiver: str, head: RequestHead) -> bytes:
-    """Return what a forward's seal is bound to: receiver and request line."""
+    """Return what a forward's seal also covers: receiver, method and path."""
     return f'{receiver} {head.method} {head.path}'.encode()
 
 
--- a/src/clementinedeal/_gates.py
+++ b/src/clementinedeal/_gates.py
@@ -13,7 +13,7 @@
     ) -> AttemptRefusal | None:
         """Wait for a token of an account.
 
-        :param req_id: unique id of the attempt.
+        :param attempt_id: unique id of the attempt.
         :param account: name of the client account.
         :returns: None if a token was taken, else why not.
         """
@@ -35,7 +35,7 @@
     ) -> AttemptRefusal | None:
         """Wait for a slot of a target.
 
-        :param req_id: unique id of the attempt.
+        :param attempt_id: unique id of the attempt.
         :param target: name of an owned target.
         :param account: client account; accounts are served round-robin.
         :param seconds_left: time within which the request must start.
@@ -44,11 +44,18 @@
         ...
 
     def release(self, attempt_id: str, target: str) -> None:
-        """Release a slot, or leave the queue."""
+        """Release a slot, or leave the queue.
+
+        :param attempt_id: unique id of the attempt.
+        :param target: name of an owned target.
+        """
         ...
 
     def load(self, target: str) -> float:
-        """Return the running and waiting requests per slot."""
+        """Return the running and waiting requests per slot.
+
+        :param target: name of a target.
+        """
         ...
 
 
@@ -70,7 +77,7 @@
     ) -> None:
         """Record that an attempt is about to be sent to its target.
 
-        :param req_id: unique id of the attempt.
+        :param attempt_id: unique id of the attempt.
         :param target: name of the target.
         :param idempotent: whether the request may run more than once.
         """
@@ -79,12 +86,15 @@
     def ended(self, attempt_id: str, target: str, reply: AttemptReply) -> None:
         """Record how an attempt ended.
 
-        :param req_id: unique id of the attempt.
+        :param attempt_id: unique id of the attempt.
         :param target: name of the target.
         :param reply: the target's answer, or the refusal with its reason.
         """
         ...
 
     def state(self, target: str) -> str:
-        """Return the state of a target: in-use, ejected, leaving or trial."""
+        """Return the state of a target: in-use, ejected, leaving or trial.
+
+        :param target: name of an owned target.
+        """
         ...
--- a/src/clementinedeal/_gossip.py
+++ b/src/clementinedeal/_gossip.py
@@ -7,10 +7,12 @@
 from clementinedeal._messages import Send
 from clementinedeal._view_messages import VersionRef, ViewAnswer, ViewRequest
 
+# Mean interval at which peers are asked for their views.
 QUERY_INTERVAL_SECONDS = 0.5
 # While no version is in force, more peers are asked and more often.
 START_QUERY_INTERVAL_SECONDS = 0.25
 START_PEER_COUNT = 3
+# Answers that arrive later are ignored.
 ANSWER_TIMEOUT_SECONDS = 2.0
 # Records that differ from a peer's for longer are requested in full.
 MAX_DIFFERENCE_SECONDS = 10.0
--- a/src/clementinedeal/_history.py
+++ b/src/clementinedeal/_history.py
@@ -38,7 +38,7 @@
 class RequestAnswered(HistoryEvent):
     """A caller's request has ended, with an answer or without one.
 
-    ``is_whole`` tells whether the caller received a complete answer,
+    ``is_whole`` is whether the caller received a complete answer,
     ``digest`` is the digest of what it received, and ``expected`` that of the
     answer to its request.
     """
--- a/src/clementinedeal/_holder_order.py
+++ b/src/clementinedeal/_holder_order.py
@@ -4,12 +4,14 @@
 from clementinedeal._hashing import rank
 from clementinedeal._model import Config
 
-SUSPECT_SECONDS = 1.0  # without an answer in time, until asked again
-UNKNOWN_LEVEL = 1 << 62  # above any level, so that unknown ones are asked
+# How long a holder that did not answer in time is not asked again.
+SUSPECT_SECONDS = 1.0
+# Above any level: holders whose level is unknown are preferred.
+UNKNOWN_LEVEL = 1 << 62
 
 
 class HolderOrder:
-    """Orders holders: answering, near and well supplied ones come first."""
+    """Puts holders first that answer, have tokens and are near."""
 
     def __init__(self, me: str, cfg: Config) -> None:
         """Start with no holder suspected.
--- a/src/clementinedeal/_holdings.py
+++ b/src/clementinedeal/_holdings.py
@@ -31,8 +31,8 @@
         :param me: name of this instance.
         :param cfg: configuration in force.
         :param now: monotonic seconds.
-        :param known_for: seconds since the configuration was published, as
-            far as is known; the real age may be higher.
+        :param config_age_seconds: known time since the configuration was
+            published; the real age may be higher.
         """
         self.versions = ShareVersions(me, cfg, now, config_age_seconds)
         self.is_fresh = False
@@ -122,7 +122,7 @@
 
         :param cfg: the configuration that came into force.
         :param now: monotonic seconds.
-        :param known_for: as in the constructor.
+        :param config_age_seconds: as in the constructor.
         """
         if self.is_fresh:
             self.versions.add(cfg, now)
--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -113,7 +113,10 @@
     headers: Headers
 
     def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, or None."""
+        """Return the first value of a header, or None.
+
+        :param name: name of the header in lower case.
+        """
         return find_header(self.headers, name)
 
     @property
@@ -132,7 +135,10 @@
     headers: Headers
 
     def header(self, name: bytes) -> bytes | None:
-        """Return the first value of a header, or None."""
+        """Return the first value of a header, or None.
+
+        :param name: name of the header in lower case.
+        """
         return find_header(self.headers, name)
 
 
--- a/src/clementinedeal/_idempotency_gate.py
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -98,7 +98,7 @@
         """Store the outcome of a request whose key was granted.
 
         :param incoming: the request; ignored if it has no key.
-        :param finished: its answer or refusal.
+        :param result: its answer or refusal.
         """
         if not _is_keyed(incoming):
             return
--- a/src/clementinedeal/_managers.py
+++ b/src/clementinedeal/_managers.py
@@ -26,6 +26,7 @@
 from clementinedeal._tokens import TokenManager
 from clementinedeal._views import FleetView
 
+# Intervals of the managers' periodic work.
 QUEUE_TICK_SECONDS = 0.05
 EJECTION_TICK_SECONDS = 0.1
 IDEMPOTENCY_TICK_SECONDS = 0.25
--- a/src/clementinedeal/_operator_client.py
+++ b/src/clementinedeal/_operator_client.py
@@ -20,7 +20,7 @@
 class OperatorAnswer:
     """Answer of one instance.
 
-    ``body`` is None if the instance did not answer; ``error`` then tells why.
+    ``body`` is None if the instance did not answer; ``error`` then says why.
     """
 
     instance: Instance
--- a/src/clementinedeal/_owner.py
+++ b/src/clementinedeal/_owner.py
@@ -169,7 +169,7 @@
         target: Target,
         seconds: float,
     ) -> AttemptRefusal | None:
-        """Take what the attempt needs to start, in this order.
+        """Take a token of the account, then a slot of the target.
 
         A refusal for lack of a slot says that the token was taken, so that
         the next attempt does not take another one.
--- a/src/clementinedeal/_part_reads.py
+++ b/src/clementinedeal/_part_reads.py
@@ -8,6 +8,7 @@
 from clementinedeal._view_actions import ReadPlatform
 
 RETRY_INTERVAL_SECONDS = 2.0  # a part that did not arrive is read again
+# Parts that one daemon reads from the platform, as a reader and otherwise.
 READER_PARTS_PER_SECOND = 50.0
 NON_READER_PARTS_PER_SECOND = 2.0
 # At start a non-reader waits this long for parts from its peers.
--- a/src/clementinedeal/_permit_holders.py
+++ b/src/clementinedeal/_permit_holders.py
@@ -75,7 +75,7 @@
     def set_fresh(self, is_fresh: bool, now: float) -> None:
         """Set whether this daemon's view of the fleet is fresh.
 
-        :param fresh: whether the view is fresh.
+        :param is_fresh: whether the view is fresh.
         :param now: monotonic time in seconds.
         """
         self._is_fresh = is_fresh
--- a/src/clementinedeal/_permits.py
+++ b/src/clementinedeal/_permits.py
@@ -122,7 +122,7 @@
     def set_fresh(self, is_fresh: bool, now: float) -> None:
         """Set whether this daemon's view of the fleet is fresh enough to lend.
 
-        :param fresh: whether the view is fresh.
+        :param is_fresh: whether the view is fresh.
         :param now: monotonic time in seconds.
         """
         self._is_fresh = is_fresh
--- a/src/clementinedeal/_quarantine.py
+++ b/src/clementinedeal/_quarantine.py
@@ -11,7 +11,7 @@
 
 
 class Quarantine:
-    """Tells whether this keeper would know of any earlier claim of a key.
+    """Decides whether this keeper would know of any earlier claim of a key.
 
     During a quarantine, it is sure only of keys that were made after the
     quarantine began. A quarantine ends when every claim made before it has
--- a/src/clementinedeal/_retry_budget.py
+++ b/src/clementinedeal/_retry_budget.py
@@ -1,5 +1,6 @@
 """Limits retries and hedges to a fraction of the first attempts."""
 
+# Capacity of a bucket, in retries.
 MAX_SAVED_RETRIES = 10.0
 
 
--- a/src/clementinedeal/_roster.py
+++ b/src/clementinedeal/_roster.py
@@ -18,7 +18,7 @@
 
 
 class Roster:
-    """When each published instance was heard and what it said of itself.
+    """When each published instance was heard and what it reported of itself.
 
     In messages an instance is identified by its index in the sorted published
     names, which holds only between daemons with the same names.
@@ -96,7 +96,7 @@
 
         :param name: name of the instance.
         :param record: its record; the index is not used.
-        :param said_at: when the instance stated it, in monotonic seconds.
+        :param stated_at: when the instance stated it, in monotonic seconds.
         """
         member = self._members.get(name)
         if member is not None and member.merge(record, stated_at):
--- a/src/clementinedeal/_share_versions.py
+++ b/src/clementinedeal/_share_versions.py
@@ -64,8 +64,8 @@
         :param me: name of this instance.
         :param cfg: configuration in force.
         :param now: monotonic seconds.
-        :param known_for: seconds since the configuration was published, as
-            peers report it, zero when unknown; the real age may be higher.
+        :param config_age_seconds: time since the configuration was published,
+            as peers report it, zero when unknown; the real age may be higher.
         """
         self._me = me
         self.reset(cfg, now, config_age_seconds)
@@ -80,7 +80,7 @@
 
         :param cfg: configuration in force.
         :param now: monotonic seconds.
-        :param known_for: as in the constructor.
+        :param config_age_seconds: as in the constructor.
         """
         wait = max(
             HOLDER_LEASE_TTL_SECONDS, GROW_WAIT_SECONDS - config_age_seconds
--- a/src/clementinedeal/_shares.py
+++ b/src/clementinedeal/_shares.py
@@ -154,7 +154,8 @@
 def to_micros(published: float) -> int:
     """Convert a published rate or burst to millionths, rounded down.
 
-    The conversion is decimal, so that the figure counts as it is written.
+    The conversion is decimal, so that binary rounding does not change the
+    published value.
 
     :param published: rate in tokens per second, or burst in tokens.
     """
--- a/src/clementinedeal/_slot_gate.py
+++ b/src/clementinedeal/_slot_gate.py
@@ -88,7 +88,7 @@
 
         ``release`` must be called in any case, also if the wait is cancelled.
 
-        :param req_id: unique id of the attempt.
+        :param attempt_id: unique id of the attempt.
         :param target: name of an owned target.
         :param account: client account; accounts are served round-robin.
         :param seconds_left: time within which the request must start.
@@ -106,7 +106,7 @@
     def release(self, attempt_id: str, target: str) -> None:
         """Release a slot, or leave the queue.
 
-        :param req_id: unique id of the attempt.
+        :param attempt_id: unique id of the attempt.
         :param target: name of an owned target.
         """
         self._waiting.pop(attempt_id, None)
--- a/src/clementinedeal/_target_queue.py
+++ b/src/clementinedeal/_target_queue.py
@@ -3,7 +3,7 @@
 A target has a number of slots, the requests that it may run at once. A
 request that is not expected to start before its deadline is refused at once;
 one that waits is refused when its deadline passes. A refused request has not
-run and will not.
+run and will not. Each request is identified by the id of its attempt.
 """
 
 from collections import OrderedDict, deque
@@ -27,7 +27,7 @@
 class RejectRequest:
     """Action: refuse the request; it has not run and will not.
 
-    :param req_id: request id.
+    :param req_id: id of the attempt.
     :param reason: why it is refused.
     :param retry_after_seconds: when a retry is likely to find a free slot.
     """
@@ -45,7 +45,7 @@
 class QueuedRequest:
     """A request that waits for a slot.
 
-    :param req_id: request id, unique.
+    :param req_id: id of the attempt, unique.
     :param account: name of the client account, empty if there is none.
     :param deadline: monotonic time in seconds by which it must have started.
     """
@@ -70,7 +70,10 @@
         return sum(map(len, self._lanes.values()))
 
     def add(self, req: QueuedRequest) -> None:
-        """Append a request to its account's lane."""
+        """Append a request to its account's lane.
+
+        :param req: the request.
+        """
         self._lanes.setdefault(req.account, deque()).append(req)
 
     def count_ahead(self, account: str) -> int:
@@ -103,7 +106,10 @@
         return req
 
     def remove(self, req: QueuedRequest) -> None:
-        """Remove a request from its lane."""
+        """Remove a request from its lane.
+
+        :param req: a request that was added.
+        """
         lane = self._lanes[req.account]
         lane.remove(req)
         if not lane:
@@ -152,7 +158,7 @@
         If the queue is full, the newest request of the account with the most
         waiting requests is refused, which may be another one.
 
-        :param req_id: request id, unique.
+        :param req_id: id of the attempt, unique.
         :param account: name of the client account, empty on an open route.
         :param deadline: monotonic time in seconds by which it must start.
         :param now: current monotonic time in seconds.
@@ -172,7 +178,7 @@
     def finish(self, req_id: str, now: float) -> QueueActions:
         """Free the slot of a request that has ended and start waiting ones.
 
-        :param req_id: id of a running request; others are ignored.
+        :param req_id: id of a running attempt; others are ignored.
         :param now: current monotonic time in seconds.
         """
         started_at = self._started_at.pop(req_id, None)
@@ -183,7 +189,7 @@
     def cancel(self, req_id: str) -> QueueActions:
         """Refuse a waiting request; a running one is not affected.
 
-        :param req_id: request id.
+        :param req_id: id of the attempt.
         """
         for req in self._lanes.all():
             if req.req_id == req_id:
--- a/src/clementinedeal/_target_watcher.py
+++ b/src/clementinedeal/_target_watcher.py
@@ -28,6 +28,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _RunningRequest:
+    """A request that a target runs, started at monotonic seconds."""
+
     target: str
     started_at: float
     idempotent: bool
@@ -78,7 +80,7 @@
     ) -> None:
         """Record the start of a request, at its first byte to the target.
 
-        :param req_id: unique id of the attempt.
+        :param attempt_id: unique id of the attempt.
         :param target: name of the target.
         :param idempotent: whether the request is idempotent.
         """
@@ -90,7 +92,7 @@
 
         A refusal whose reason says nothing about the target is ignored.
 
-        :param req_id: unique id of the attempt.
+        :param attempt_id: unique id of the attempt.
         :param target: name of the target.
         :param reply: the answer, or the refusal with its reason.
         """
--- a/src/clementinedeal/_timers.py
+++ b/src/clementinedeal/_timers.py
@@ -10,6 +10,7 @@
 
 import trio
 
+# Bounds of the sleep between two ticks.
 MAX_SLEEP_SECONDS = 0.1
 MIN_SLEEP_SECONDS = 0.005
 # A longer gap between two ticks is reported as a pause of the process.
--- a/src/clementinedeal/_token_gate.py
+++ b/src/clementinedeal/_token_gate.py
@@ -42,7 +42,7 @@
     ) -> AttemptRefusal | None:
         """Wait for a token; return None once it is taken, else the refusal.
 
-        :param req_id: unique id of the attempt.
+        :param attempt_id: unique id of the attempt.
         :param account: name of the client account.
         """
         self._waiters.expect(attempt_id)
--- a/src/clementinedeal/_tokens.py
+++ b/src/clementinedeal/_tokens.py
@@ -49,8 +49,8 @@
         :param now: monotonic seconds.
         :param incarnation: number of this process, different from that of
             every earlier process of the same instance.
-        :param known_for: seconds since the configuration was published, as
-            far as is known; the real age may be higher. The shares of this
+        :param config_age_seconds: known time since the configuration was
+            published; the real age may be higher. The shares of this
             instance stay empty until the age is ``GROW_WAIT_SECONDS``.
         """
         self._last_call_at = now
@@ -70,7 +70,7 @@
         The decision (``TokenGranted`` or ``TokenRefused``) is among the
         returned actions, or among those of a later call.
 
-        :param req_id: unique request id.
+        :param req_id: unique id of the attempt that needs the token.
         :param account: name of the account.
         :param now: monotonic seconds.
         """
@@ -80,7 +80,7 @@
     def cancel(self, req_id: str, account: str) -> bool:
         """Remove a waiting request and return whether it was waiting.
 
-        :param req_id: request id.
+        :param req_id: id given to ``take``.
         :param account: name of the account.
         """
         return self._borrowing.cancel(req_id, account)
@@ -123,7 +123,7 @@
 
         :param cfg: the configuration that came into force.
         :param now: monotonic seconds.
-        :param known_for: as in the constructor.
+        :param config_age_seconds: as in the constructor.
         """
         pause_actions = self._detect_pause(now)
         if cfg.version > self._holdings.cfg.version:
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -35,8 +35,8 @@
 class ViewState:
     """State shared by ``ViewHandlers`` and ``FleetView``.
 
-    A reader is one of the ``READERS`` daemons that read the platform for the
-    fleet; the others learn of new versions from their peers.
+    A reader is one of the ``READER_COUNT`` daemons that read the platform for
+    the fleet; the others learn of new versions from their peers.
     """
 
     def __init__(
@@ -94,8 +94,8 @@
     def is_reader(self, now: float) -> bool:
         """Return whether this daemon is one of the readers.
 
-        The readers are the first ``READERS`` instances in reader order that
-        are neither silent nor leaving.
+        The readers are the first ``READER_COUNT`` instances in reader order
+        that are neither silent nor leaving.
 
         :param now: monotonic seconds.
         """
--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -101,7 +101,10 @@
             del self._warmup_until[name]
 
     def available_targets(self, service: str) -> list[Target]:
-        """Return the targets of a service that are not draining."""
+        """Return the targets of a service that are not draining.
+
+        :param service: name of the service.
+        """
         return [
             one for one in self._by_service.get(service, ()) if not one.draining
         ]
--- a/src/clementinedeal/mesh/_call_failures.py
+++ b/src/clementinedeal/mesh/_call_failures.py
@@ -7,7 +7,7 @@
 
 
 class CallFailures:
-    """Tells failures of the target from failures that it passes on.
+    """Distinguishes failures of the target from failures that it passes on.
 
     If a call made by the target failed shortly before a request fails, the
     failure says nothing of the target's own health.
--- a/src/clementinedeal/mesh/_contracts.py
+++ b/src/clementinedeal/mesh/_contracts.py
@@ -33,7 +33,8 @@
         """Wait for a declaration newer than a revision.
 
         An answer without one shows that none was published before the call
-        was sent; if the call was held for the full time, until its end.
+        was sent or, if the source held the call for the full time, before the
+        call ended.
 
         :param revision: the newest revision known.
         :param seconds: how long the source holds the call.
@@ -118,7 +119,8 @@
     """The decoded headers of a target's answer.
 
     ``not_run``: the target refused the request before running it.
-    ``misdirected``: because another process runs at the address. ``sealed``:
+    ``misdirected``: it did so because it is not the process that the request
+    names, but another one at the same address. ``sealed``:
     the answer carries the mark that the target's server sets. ``encoded``:
     the body has a content encoding. ``closing``: the target closes the
     connection. ``idle_seconds`` is how long it keeps an idle connection.
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -38,8 +38,9 @@
 
 # Interval at which the settings file is read again without a signal.
 SETTINGS_POLL_SECONDS = 1.0
-# A round trip between zones takes about 1 ms. A lost packet is sent again only
-# after a second; trying another target is faster.
+# Time limit for connecting to another daemon. A round trip between availability
+# zones takes about 1 ms. A lost packet is sent again only after a second, so
+# that it is faster to send the request to another target.
 PEER_CONNECT_SECONDS = 0.15
 ReloadSettings = Callable[[], Result[MeshDaemonSettings, SettingsError]]
 
--- a/src/clementinedeal/mesh/_datagrams.py
+++ b/src/clementinedeal/mesh/_datagrams.py
@@ -40,7 +40,7 @@
         """Send a message; it may be lost.
 
         :param host: IP address of the other daemon.
-        :param body: the message, a ``Draw`` or a ``Grant``.
+        :param body: the message, a ``TokenRequest`` or a ``TokenReply``.
         """
         if self._socket is None:
             return
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -16,7 +16,8 @@
 WATCH_SECONDS = 1.7
 # Pause after a failed call, and after a read that found no declaration.
 RETRY_SECONDS = 0.25
-# Subtracted from that limit, for clocks and for requests in progress.
+# Subtracted from the operators' limit for withdrawn keys, to allow for
+# differences between clocks and for requests in progress.
 FRESH_MARGIN_SECONDS = 0.3
 
 
--- a/src/clementinedeal/mesh/_executions.py
+++ b/src/clementinedeal/mesh/_executions.py
@@ -18,11 +18,11 @@
 class Execution:
     """One attempt, independent of the connection on which it arrived.
 
-    ``deadline`` is in monotonic seconds. ``message`` is None until the entry
+    ``deadline`` is in monotonic seconds. ``request`` is None until the entry
     has sent the body: for a request that is not idempotent it does so once the
     owner has a slot. Without a body the attempt cannot run. ``body_wanted`` is
-    set when there is a slot or an outcome, ``body_received`` when the message
-    is there. ``reached`` is set before the first byte is sent to the target.
+    set when there is a slot or an outcome, ``body_received`` when ``request``
+    is. ``reached`` is set before the first byte is sent to the target.
     ``reader_count`` is the number of connections that wait for the outcome.
     ``done`` is set once ``outcome`` is. Cancelling ``cancel_scope`` ends the
     attempt.
--- a/src/clementinedeal/mesh/_health_tracker.py
+++ b/src/clementinedeal/mesh/_health_tracker.py
@@ -13,11 +13,11 @@
 # A target with a higher risk is suspect: its owner accepts only trials and
 # attempts that insist.
 MAX_TRUSTED_RISK = 0.35
-# Least time from one trial of a suspect target to a ``scout`` attempt. A trial
-# that fails loses a request or costs a retry, and a sick target stays sick for
-# about 4 s.
+# Minimum time from one trial of a suspect target to a ``scout`` attempt. A
+# trial that fails loses a request or costs a retry, and a sick target stays
+# sick for about 4 s.
 SCOUT_INTERVAL_SECONDS = 0.8
-# Least time from one trial to a ``spare`` attempt, which can be retried at
+# Minimum time from one trial to a ``spare`` attempt, which can be retried at
 # another target. Whether sick or not, a target that gets no request for 2 s
 # counts as unused.
 SPARE_INTERVAL_SECONDS = 1.5
@@ -36,7 +36,7 @@
 
         :param clock: monotonic time.
         :param events: log of changes between trusted and suspect.
-        :param calls: recent failures of the calls that the target made.
+        :param call_failures: recent failures of the calls that the target made.
         """
         self._clock = clock
         self._events = events
--- a/src/clementinedeal/mesh/_log_output.py
+++ b/src/clementinedeal/mesh/_log_output.py
@@ -8,7 +8,7 @@
 
 # Lines queued while nothing reads standard output; further ones are dropped.
 MAX_QUEUED_LINES = 5000
-# Once so many lines came in a second, routine ones are dropped, and counted.
+# Beyond this many lines in a second, routine lines are dropped and counted.
 MAX_ROUTINE_LINES_PER_SECOND = 200
 # Lines are written in blocks of about this size.
 _BLOCK_BYTES = 32_768
@@ -38,7 +38,10 @@
         self.dropped_lines = 0
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Queue a line, or drop and count it."""
+        """Queue a line, or drop and count it.
+
+        :param record: the record to format as a line.
+        """
         line = self.format(record)
         second = int(record.created)
         if second != self._second:
--- a/src/clementinedeal/mesh/_metrics.py
+++ b/src/clementinedeal/mesh/_metrics.py
@@ -94,8 +94,8 @@
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        # imported at the first scrape: at the start of the process the import
-        # would make the start a fifth longer
+        # imported at the first scrape, because the import would make the start
+        # of the process a fifth longer
         from prometheus_client import (  # noqa: PLC0415
             CollectorRegistry,
             generate_latest,
--- a/src/clementinedeal/mesh/_operator_endpoint.py
+++ b/src/clementinedeal/mesh/_operator_endpoint.py
@@ -27,7 +27,7 @@
 
         :param dialect: recognizes the ready check.
         :param is_ready: returns whether the daemon takes new requests.
-        :param metrics: the metrics.
+        :param metrics: rendered at each scrape.
         """
         self._dialect = dialect
         self._is_ready = is_ready
--- a/src/clementinedeal/mesh/_outcomes.py
+++ b/src/clementinedeal/mesh/_outcomes.py
@@ -21,7 +21,7 @@
     and route.
 
     Three flags matter for a suspect target. ``insist``: the attempt runs there
-    all the same. ``scout``: it may be used as a trial. ``spare``: a failure can
+    even so. ``scout``: it may be used as a trial. ``spare``: a failure can
     be retried at another target, so it may be used as a trial, less often.
     """
 
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -28,7 +28,8 @@
 # An attempt whose connection broke keeps running for this long, so that its
 # entry can ask for the outcome on a new connection.
 RECONNECT_SECONDS = 0.25
-# An entry sends the body at once when the owner has a slot; later it is lost.
+# How long an owner that has a slot waits for the body. An entry sends it at
+# once, so that a body that takes longer is lost.
 BODY_TIMEOUT_SECONDS = 0.3
 # Slots assumed until the target is listed.
 DEFAULT_SLOTS = 7
@@ -37,7 +38,11 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MeshOwnerParts:
-    """Collaborators of an owner; ``nursery`` runs the attempts."""
+    """Collaborators of an owner.
+
+    ``target_client`` calls the target, ``call_failures`` are those of calls
+    that the target itself made, ``nursery`` runs the attempts.
+    """
 
     clock: Clock
     events: EventLog
@@ -51,8 +56,9 @@
     """Accepts, runs and remembers the attempts at one target.
 
     The owner is the daemon on the target's instance and the only one that calls
-    it. An attempt may wait in its queue for a slot; one that it cannot run is
-    refused with a reason, and the entry then tries another target.
+    it. An attempt may wait in the owner's queue for a slot. An attempt that the
+    owner cannot run is refused with a reason, and its entry then tries another
+    target.
     """
 
     def __init__(self, parts: MeshOwnerParts) -> None:
@@ -102,12 +108,12 @@
         self.slot_queue.fill_free_slots()
 
     def stop_admitting(self) -> None:
-        """Refuse new attempts and the queued ones, which go elsewhere."""
+        """Refuse new and queued attempts; their entries try other targets."""
         self._is_stopping = True
         self._cancel_queued()
 
     def cancel_running(self) -> None:
-        """Cancel what still runs, so that its entries get an outcome."""
+        """Cancel the running attempts, so that their entries get outcomes."""
         for execution in self._live_executions:
             execution.cancel_scope.cancel()
 
@@ -129,8 +135,8 @@
     ) -> Execution | None:
         """Start an attempt.
 
-        :param attempt: what the entry asks for.
-        :param message: the request, None if the entry sends it when there is
+        :param attempt: describes the attempt.
+        :param request: the request, None if the entry sends it when there is
             a slot.
         :return: the started attempt, None if its id is known already.
         """
@@ -148,7 +154,8 @@
     def abandon(self, execution: Execution) -> None:
         """Cancel an attempt that nobody waits for.
 
-        A request that is not idempotent and has reached the target runs on.
+        A request that is not idempotent and has reached the target is not
+        cancelled.
 
         :param execution: the attempt.
         """
@@ -254,7 +261,7 @@
     ) -> Reason | None:
         """Return why an attempt may not start now, None if it may.
 
-        :param attempt: what the entry asks for.
+        :param attempt: describes the attempt.
         :param ignore_risk: whether it may go to a suspect target.
         """
         target = self.target
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -78,7 +78,7 @@
         :param address: ``ip:port`` of the owner.
         :param attempt: the attempt.
         :param request: the request with its body.
-        :param trying: state of the attempt; ``sent`` is set before anything
+        :param pending: state of the attempt; ``sent`` is set before anything
             is sent that may run.
         """
         try:
--- a/src/clementinedeal/mesh/_peer_server.py
+++ b/src/clementinedeal/mesh/_peer_server.py
@@ -49,7 +49,7 @@
         """Create a server.
 
         :param owner: runs the attempts.
-        :param events: log of requests that no daemon sends.
+        :param events: log of rejected requests.
         :param nursery: runs tasks that outlive a connection.
         """
         self._owner = owner
--- a/src/clementinedeal/mesh/_peer_wire.py
+++ b/src/clementinedeal/mesh/_peer_wire.py
@@ -1,8 +1,11 @@
 """The headers that daemons add to the requests between them.
 
-An entry sends an attempt with its body, or reserves a slot for one and then
-sends the body for the attempt's id to run. It asks with an attempt's id for the
-outcome; the owner's answer carries the outcome in the last of these headers.
+An idempotent request is sent with ``ATTEMPT_HEADER``, which describes the
+attempt. For any other request the entry first reserves a slot with
+``RESERVE_HEADER``, which describes the attempt too, and then sends the request
+with ``RUN_HEADER``, which names the attempt's id. ``ASK_HEADER`` asks for the
+outcome of an attempt by its id and age. The owner's answer carries the outcome
+in ``TOLD_HEADER``.
 """
 
 ATTEMPT_HEADER = b'x-clementinedeal-attempt'
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -26,8 +26,8 @@
 from clementinedeal.mesh._target_client import BufferedRequest
 from clementinedeal.mesh._types import Target
 
-# Account priority of a request without an account, unless the own target runs
-# a request whose rank it takes.
+# Account priority of a request without an account, unless it takes the rank of
+# a request that the own target runs: see ``Sender._rank``.
 KEYLESS_PRIORITY = 0
 # Added to the time limit of an attempt: the owner answers no later than at the
 # deadline, and this is the time in which its answer arrives.
@@ -98,7 +98,7 @@
         self._keeps_overdue = True
 
     def cancel_unsent(self) -> None:
-        """Start no attempt any more and cancel those that are not sent yet.
+        """Start no more attempts and cancel those that have not been sent.
 
         Requests that wait for a target are refused as draining.
         """
--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -31,18 +31,20 @@
 IDLE_MARGIN_SECONDS = 1.0
 # Idle limit of a target that does not announce one.
 DEFAULT_IDLE_SECONDS = 4.0
-# A target answers no later than at the deadline. One that has not answered
-# this long after it is given up.
+# A target answers no later than at the deadline. A call without an answer this
+# long after the deadline is given up.
 DEADLINE_GRACE_SECONDS = 0.1
-# Answers that are read for one request: those to earlier requests are skipped.
+# How many answers are read for one request: answers to earlier requests are
+# skipped, and with this many of them the call fails.
 MAX_FOREIGN_ANSWERS = 3
 # The 13 requests that a target runs at once then hold 55 MB of the 200 MB of
 # the smallest instance.
 MAX_ANSWER_BYTES = 4 << 20
 # A target that dropped an idle connection without closing it resets the
-# connection as soon as a request arrives. No target is known to drop one that
-# was idle for less than 200 ms. A loss is taken for such a drop if the
-# connection had been idle for the minimum and broke within the maximum.
+# connection as soon as a request arrives. A lost connection counts as dropped
+# if it broke within MAX_RESET_SECONDS of the request and had been idle for
+# MIN_RESET_IDLE_SECONDS. No target is known to drop a connection that was idle
+# for less than 200 ms.
 MAX_RESET_SECONDS = 0.05
 MIN_RESET_IDLE_SECONDS = 0.15
 
@@ -140,10 +142,10 @@
     def _classify_loss(
         self, idle_seconds: float | None, seconds: float
     ) -> MeshOutcome:
-        """Tell a dropped idle connection from an answer that was cut short.
+        """Distinguish a dropped idle connection from an incomplete answer.
 
-        :param rested: how long the connection had been idle, in seconds;
-            None if it was new.
+        :param idle_seconds: how long the connection had been idle, None if it
+            was new.
         :param seconds: time from the request to the loss.
         """
         if idle_seconds is None or idle_seconds < MIN_RESET_IDLE_SECONDS:
--- a/src/clementinedeal/mesh/_target_feed.py
+++ b/src/clementinedeal/mesh/_target_feed.py
@@ -13,14 +13,15 @@
 from clementinedeal.mesh._owner import MeshOwner
 from clementinedeal.mesh._types import Listing, Target
 
-# Least time between two reads of the list. A long list is read less often, by
-# the approximate size of its targets, so that control traffic stays within its
+# Minimum time between two reads of the list. A long list is read less often, in
+# proportion to its approximate size, so that control traffic stays within its
 # limit.
 LIST_INTERVAL_SECONDS = 1.0
 BYTES_PER_TARGET = 310
 MAX_LIST_BYTES_PER_SECOND = 10_000
 # The own target's entry changes at each heartbeat. After a change the watch is
-# renewed with a pause, well within the bound for noticing that a target leaves.
+# renewed only after a pause, which is much shorter than the time in which a
+# leaving target must be noticed.
 OWN_WATCH_TIMEOUT_SECONDS = 5.0
 OWN_PAUSE_SECONDS = 1.0
 RETRY_SECONDS = 0.25
--- a/src/clementinedeal/mesh/_types.py
+++ b/src/clementinedeal/mesh/_types.py
@@ -9,10 +9,10 @@
     """One running process of a service, as the registry lists it.
 
     ``address`` is ``ip:port``. ``slots`` is how many requests it may run at
-    once. A ``draining`` target accepts no new requests. ``warmup`` is for how
-    many seconds it is still slow after its start. ``started_ms`` is the Unix
-    time of that start in milliseconds, which distinguishes two processes of the
-    same name.
+    once. A ``draining`` target accepts no new requests. ``warmup_seconds`` is
+    the length of its warmup, the time after its start in which it is still
+    slow. ``started_ms`` is the Unix time of that start in milliseconds, which
+    distinguishes two processes of the same name.
     """
 
     name: str
--- a/src/clementinedeal/platform/_declaration.py
+++ b/src/clementinedeal/platform/_declaration.py
@@ -19,6 +19,8 @@
 
 
 class _Metadata(msgspec.Struct):
+    """Metadata of an entry; ``name`` is empty if it has no name."""
+
     name: str = ''
 
 
@@ -65,7 +67,11 @@
 
 
 class _Account(msgspec.Struct):
-    """A client account; the platform calls it a tenant."""
+    """A client account; the platform calls it a tenant.
+
+    Priority 0 is the most urgent. ``rate_per_s`` is in requests per second, 0
+    for no limit; ``burst`` is in requests.
+    """
 
     api_keys: list[str] = []
     priority: int = 0
@@ -74,7 +80,7 @@
 
 
 class _Limits(msgspec.Struct):
-    """Limits on callers; names that end in ``_s`` are in seconds."""
+    """Limits on callers: sizes in bytes, times in seconds."""
 
     max_header_bytes: int
     max_body_bytes: int
--- a/src/clementinedeal/platform/_node.py
+++ b/src/clementinedeal/platform/_node.py
@@ -26,10 +26,18 @@
 
 
 class _Bounds(msgspec.Struct):
-    """Limits of the operators; names that end in ``_s`` are in seconds.
-
-    ``grace_s`` is the time from the stop signal until the process is killed;
-    ``quota_over`` the fraction by which an account may exceed its rate.
+    """Limits that the operators set for the fleet.
+
+    :param revoke_s: seconds after which a withdrawn API key must be refused.
+    :param retry_ratio: retries that the fleet may send for each request to a
+        service, within a window.
+    :param retry_window_s: length of that window in seconds.
+    :param retry_slack: retries that the fleet may send in addition in each
+        window.
+    :param grace_s: seconds from the stop signal until the process is killed.
+    :param quota_over: fraction by which an account may exceed its rate and
+        burst.
+    :param quota_slack: requests by which it may exceed them in addition.
     """
 
     revoke_s: float = 5.0
@@ -42,11 +50,19 @@
 
 
 class _Platform(msgspec.Struct):
+    """The platform's store; ``address`` is its ``ip:port``."""
+
     address: str
 
 
 class _Node(msgspec.Struct):
-    """The file; ``node`` is the instance, ``app_addr`` its target's address."""
+    """The whole file.
+
+    ``node`` is the name of the instance, ``zone`` its availability zone.
+    ``app_addr`` is the ``ip:port`` of its target, which runs ``service``.
+    ``port_range`` holds the first and last port that the daemon may use
+    besides those of ``listen``.
+    """
 
     node: str
     zone: str
--- a/src/clementinedeal/platform/_registration.py
+++ b/src/clementinedeal/platform/_registration.py
@@ -19,6 +19,8 @@
 
 
 class _Status(msgspec.Struct):
+    """Present condition of a target; ``state`` is one of ``_STATES``."""
+
     state: str
     # seconds for which the target is slow after its start
     warmup_s_time: float = 0
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -49,6 +49,8 @@
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
+    """HTTP status and whole body of the answer to one call."""
+
     status: int
     body: bytes
 
