--- a/src/clementinedeal/_access.py
+++ b/src/clementinedeal/_access.py
@@ -81,9 +81,9 @@
         path = path.partition('?')[0]
         for length in self._prefix_lengths:
             if length <= len(path):
-                found = self._find_exact(method, path[:length])
-                if found is not None:
-                    return found
+                route = self._find_exact(method, path[:length])
+                if route is not None:
+                    return route
         return None
 
     def _find_exact(self, method: str, prefix: str) -> Route | None:
--- a/src/clementinedeal/_commands.py
+++ b/src/clementinedeal/_commands.py
@@ -110,15 +110,15 @@
         _write_timeline(merge_events(logs, _timeline_filter()))
         return 0
     answers = _fetch_from_instances('/events')
-    silent = [
+    error_lines = [
         f'instance={answer.instance.name} error="{answer.error}"\n'
         for answer in answers
         if answer.body is None
     ]
-    sys.stderr.write(''.join(silent))
+    sys.stderr.write(''.join(error_lines))
     logs = [read_events(answer.body or b'') for answer in answers]
     _write_timeline(merge_events(logs, _timeline_filter()))
-    return 1 if silent else 0
+    return 1 if error_lines else 0
 
 
 def _read_lines(path: str) -> str:
@@ -176,10 +176,10 @@
     return _unwrap(check_file(args[0]))
 
 
-def _unwrap(found: Result[FoundT, SettingsError]) -> FoundT:
-    if isinstance(found, Err):
-        raise found.err_value
-    return found.ok_value
+def _unwrap(result: Result[FoundT, SettingsError]) -> FoundT:
+    if isinstance(result, Err):
+        raise result.err_value
+    return result.ok_value
 
 
 def _require_flag(flag: str) -> str:
--- a/src/clementinedeal/_control.py
+++ b/src/clementinedeal/_control.py
@@ -15,14 +15,14 @@
 from clementinedeal._messages import Send, decode, encode
 
 # Messages that are sealed and sent together, at most.
-MAX_BATCH_BODIES = 64
+MAX_MESSAGES_PER_BATCH = 64
 _REJECTED_BATCH_ERRORS = (ProtocolError, *DECODE_ERRORS)
 # Sockets to other daemons that are kept open, at most.
 MAX_OPEN_PEERS = 96
 # Batches that one socket buffers.
-SEND_BUFFER_MESSAGES = 64
+SEND_BUFFER_BATCHES = 64
 # Larger batches are not received.
-MAX_MESSAGE_BYTES = 2_000_000
+MAX_BATCH_BYTES = 2_000_000
 # Pause of a stop in which the last batches are sent, before sockets are closed.
 LINGER_SECONDS = 0.1
 
@@ -72,8 +72,8 @@
     messages whose handler failed, ``dropped`` the messages that were not sent.
     """
 
-    messages_sent: int = 0
-    messages_received: int = 0
+    batches_sent: int = 0
+    batches_received: int = 0
     bytes_sent: int = 0
     bytes_received: int = 0
     rejected: int = 0
@@ -131,7 +131,7 @@
         """
         self._listener = pynng.Pull0(
             listen=f'tcp://{self._address}',
-            recv_max_size=MAX_MESSAGE_BYTES,
+            recv_max_size=MAX_BATCH_BYTES,
         )
         nursery.start_soon(self._run_sender)
         nursery.start_soon(self._run_receiver, self._listener)
@@ -173,7 +173,7 @@
                 self._receive(sealed)
 
     def _receive(self, sealed: bytes) -> None:
-        self.counters.messages_received += 1
+        self.counters.batches_received += 1
         self.counters.bytes_received += len(sealed)
         try:
             batch = self._open_batch(sealed)
@@ -220,7 +220,7 @@
         return peer
 
     def _dial(self, address: str) -> _Peer:
-        socket = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
+        socket = pynng.Push0(send_buffer_size=SEND_BUFFER_BATCHES)
         socket.dial(f'tcp://{address}', block=False)
         return _Peer(address, socket)
 
@@ -232,8 +232,8 @@
     def _flush(self) -> None:
         for name, peer in self._peers.items():
             while peer.queue:
-                bodies = tuple(peer.queue[:MAX_BATCH_BODIES])
-                del peer.queue[:MAX_BATCH_BODIES]
+                bodies = tuple(peer.queue[:MAX_MESSAGES_PER_BATCH])
+                del peer.queue[:MAX_MESSAGES_PER_BATCH]
                 self._send_batch(name, peer, bodies)
 
     def _send_batch(
@@ -257,5 +257,5 @@
         except pynng.NNGException:
             self.counters.dropped += len(bodies)
             return
-        self.counters.messages_sent += 1
+        self.counters.batches_sent += 1
         self.counters.bytes_sent += len(sealed)
--- a/src/clementinedeal/_dispatch.py
+++ b/src/clementinedeal/_dispatch.py
@@ -51,7 +51,7 @@
     def __init__(self) -> None:
         """Create an object without waits."""
         self._events: dict[str, trio.Event] = {}
-        self._found: dict[str, FoundT] = {}
+        self._results: dict[str, FoundT] = {}
 
     def expect(self, key: str) -> None:
         """Announce a wait; to be called before its result can arrive.
@@ -60,17 +60,17 @@
         """
         self._events[key] = trio.Event()
 
-    def resolve(self, key: str, found: FoundT) -> None:
+    def resolve(self, key: str, result: FoundT) -> None:
         """Provide a result and wake the task that waits for it.
 
         Later results for the same id, and unknown ids, are ignored.
 
         :param key: id of the wait.
-        :param found: the result.
+        :param result: the result.
         """
         event = self._events.get(key)
-        if event is not None and key not in self._found:
-            self._found[key] = found
+        if event is not None and key not in self._results:
+            self._results[key] = result
             event.set()
 
     async def wait(self, key: str) -> FoundT:
@@ -80,7 +80,7 @@
         """
         try:
             await self._events[key].wait()
-            return self._found[key]
+            return self._results[key]
         finally:
             self.forget(key)
 
@@ -90,4 +90,4 @@
         :param key: the id; ignored if unknown.
         """
         self._events.pop(key, None)
-        self._found.pop(key, None)
+        self._results.pop(key, None)
--- a/src/clementinedeal/_envelope.py
+++ b/src/clementinedeal/_envelope.py
@@ -86,7 +86,7 @@
         :param keys: secrets by key id, the key that seals first.
         """
         self._keys = dict(keys)
-        self._signer = next(iter(self._keys))
+        self._signing_key_id = next(iter(self._keys))
 
     def seal(self, blob: bytes, context: bytes) -> bytes:
         """Prefix a blob with key id and authentication code.
@@ -94,9 +94,11 @@
         :param blob: content to authenticate.
         :param context: must be the same when the message is opened; not sent.
         """
-        name = self._signer.encode()
-        code = _authentication_code(self._keys[self._signer], blob, context)
-        return bytes([len(name)]) + name + code + blob
+        key_id = self._signing_key_id.encode()
+        code = _authentication_code(
+            self._keys[self._signing_key_id], blob, context
+        )
+        return bytes([len(key_id)]) + key_id + code + blob
 
     def open(self, sealed: bytes, context: bytes) -> bytes:
         """Verify a sealed message and return its content.
@@ -105,11 +107,11 @@
         :param context: the context that was given to ``seal``.
         :raises PeerAuthError: unknown key or wrong code.
         """
-        size = sealed[0] if sealed else 0
-        name = sealed[1 : 1 + size].decode('ascii', 'replace')
-        code = sealed[1 + size : 1 + size + MAC_BYTES]
-        blob = sealed[1 + size + MAC_BYTES :]
-        key = self._keys.get(name)
+        key_id_length = sealed[0] if sealed else 0
+        key_id = sealed[1 : 1 + key_id_length].decode('ascii', 'replace')
+        code = sealed[1 + key_id_length : 1 + key_id_length + MAC_BYTES]
+        blob = sealed[1 + key_id_length + MAC_BYTES :]
+        key = self._keys.get(key_id)
         if key is None:
             raise PeerAuthError('unknown fleet key')
         if not hmac.compare_digest(
--- a/src/clementinedeal/_history.py
+++ b/src/clementinedeal/_history.py
@@ -159,5 +159,5 @@
     :param events: a history in any order.
     :param kind: class of the events to return.
     """
-    found = [event for event in events if isinstance(event, kind)]
-    return sorted(found, key=lambda event: event.at)
+    matching_events = [event for event in events if isinstance(event, kind)]
+    return sorted(matching_events, key=lambda event: event.at)
--- a/src/clementinedeal/_history_checks.py
+++ b/src/clementinedeal/_history_checks.py
@@ -247,12 +247,12 @@
     at: float,
 ) -> list[Violation]:
     violations: list[Violation] = []
-    for service in declared:
+    for event in declared:
         available = [
-            name for name in service.targets if not excluded_by.get(name)
+            name for name in event.targets if not excluded_by.get(name)
         ]
-        if len(available) < service.floor:
-            detail = f'{service.service} has {len(available)} at {at}'
+        if len(available) < event.floor:
+            detail = f'{event.service} has {len(available)} at {at}'
             violations.append(Violation('floor', detail))
     return violations
 
--- a/src/clementinedeal/_latency.py
+++ b/src/clementinedeal/_latency.py
@@ -27,10 +27,10 @@
             target may be.
         """
         median = max(baseline.p50, MIN_MEDIAN_SECONDS)
-        decile = max(baseline.p90, median)
-        top = decile * decile / median
+        p90 = max(baseline.p90, median)
+        highest_bound = p90 * p90 / median
         self._bounds = tuple(
-            max_slowdown * bound for bound in (median, decile, top)
+            max_slowdown * bound for bound in (median, p90, highest_bound)
         )
 
     @property
--- a/src/clementinedeal/_messages.py
+++ b/src/clementinedeal/_messages.py
@@ -54,12 +54,12 @@
     """
     try:
         pairs = msgspec.msgpack.decode(blob, type=list[tuple[str, msgspec.Raw]])
-        return tuple(_decode_one(name, raw) for name, raw in pairs)
+        return tuple(_decode_message(name, raw) for name, raw in pairs)
     except DECODE_ERRORS as exc:
         raise ProtocolError(f'malformed control batch: {exc}') from exc
 
 
-def _decode_one(name: str, raw: msgspec.Raw) -> Any:
+def _decode_message(name: str, raw: msgspec.Raw) -> Any:
     kind = _MESSAGE_CLASSES.get(name)
     if kind is None:
         raise ProtocolError(f'unknown control message {name}')
--- a/src/clementinedeal/_part_answers.py
+++ b/src/clementinedeal/_part_answers.py
@@ -42,11 +42,11 @@
         :param body: its request.
         :param now: monotonic seconds.
         """
-        found = None
+        root_blob = None
         for bundle in self._acceptance.bundles():
             if bundle.ref == body.ref:
-                found = bundle.root_blob
-        return [Send(sender, RootAnswer(body.nonce, found))]
+                root_blob = bundle.root_blob
+        return [Send(sender, RootAnswer(body.nonce, root_blob))]
 
     def on_parts_request(
         self,
@@ -64,11 +64,11 @@
         :param now: monotonic seconds.
         """
         known = self._acceptance.parts()
-        found: list[bytes] = []
+        blobs: list[bytes] = []
         size = 0
         for digest in body.digests:
             blob = known.get(digest) or self._version_sync.find_part(digest)
             if blob is not None and size < MAX_ANSWER_BYTES:
-                found.append(blob)
+                blobs.append(blob)
                 size += len(blob)
-        return [Send(sender, PartsAnswer(body.nonce, tuple(found)))]
+        return [Send(sender, PartsAnswer(body.nonce, tuple(blobs)))]
--- a/src/clementinedeal/_peer_traffic.py
+++ b/src/clementinedeal/_peer_traffic.py
@@ -28,7 +28,7 @@
 
     def __init__(self) -> None:
         """Start without reports."""
-        self._reported: dict[str, ReportedTraffic] = {}
+        self._reports: dict[str, ReportedTraffic] = {}
 
     def set_traffic(self, target: str, traffic: Traffic, now: float) -> None:
         """Store the newest traffic of a target.
@@ -37,17 +37,17 @@
         :param traffic: summary that the owner reported.
         :param now: monotonic time in seconds.
         """
-        self._reported[target] = ReportedTraffic(traffic, now)
+        self._reports[target] = ReportedTraffic(traffic, now)
 
     def prune(self, now: float) -> None:
         """Discard reports that are too old to be used.
 
         :param now: monotonic time in seconds.
         """
-        self._reported = {
-            target: one
-            for target, one in self._reported.items()
-            if now - one.received_at <= MAX_REPORT_AGE_SECONDS
+        self._reports = {
+            target: report
+            for target, report in self._reports.items()
+            if now - report.received_at <= MAX_REPORT_AGE_SECONDS
         }
 
     def baseline(self, target: str, now: float) -> Baseline | None:
@@ -59,29 +59,33 @@
         :param now: monotonic time in seconds.
         """
         peers = [
-            one
-            for name, one in self._reported.items()
-            if name != target and _is_usable(one, now)
+            report
+            for name, report in self._reports.items()
+            if name != target and _is_usable(report, now)
         ]
         if len(peers) < MIN_PEERS:
             return None
         return Baseline(
             peers=len(peers),
-            p50=_median(peers, lambda one: one.traffic.p50),
-            p90=_median(peers, lambda one: one.traffic.p90),
-            failures=_median(peers, lambda one: one.traffic.failures),
-            corruptions=_median(peers, lambda one: one.traffic.corruptions),
+            p50=_median(peers, lambda report: report.traffic.p50),
+            p90=_median(peers, lambda report: report.traffic.p90),
+            failures=_median(peers, lambda report: report.traffic.failures),
+            corruptions=_median(
+                peers, lambda report: report.traffic.corruptions
+            ),
             reach_seconds=_median(
                 peers,
-                lambda one: now - one.received_at + one.traffic.window_seconds,
+                lambda report: (
+                    now - report.received_at + report.traffic.window_seconds
+                ),
             ),
         )
 
 
-def _is_usable(one: ReportedTraffic, now: float) -> bool:
-    if one.traffic.count < MIN_SAMPLES:
+def _is_usable(report: ReportedTraffic, now: float) -> bool:
+    if report.traffic.count < MIN_SAMPLES:
         return False
-    return now - one.received_at <= MAX_REPORT_AGE_SECONDS
+    return now - report.received_at <= MAX_REPORT_AGE_SECONDS
 
 
 def _median(
--- a/src/clementinedeal/_platform.py
+++ b/src/clementinedeal/_platform.py
@@ -120,11 +120,11 @@
 
     async def instances(self) -> PlatformInstanceList:
         """Read the list of instances."""
-        found = await self._read_value('/instances', READ_TIMEOUT_SECONDS)
-        if found is None:
+        value = await self._read_value('/instances', READ_TIMEOUT_SECONDS)
+        if value is None:
             raise PlatformError('the platform has no list of instances')
         try:
-            return msgspec.json.decode(found.blob, type=PlatformInstanceList)
+            return msgspec.json.decode(value.blob, type=PlatformInstanceList)
         except DECODE_ERRORS as exc:
             raise PlatformError(
                 f'the list of instances is malformed: {exc}'
@@ -145,12 +145,12 @@
     async def _get(self, address: str, path: str) -> PlatformValue | None:
         conn = await self._pool.acquire(address)
         try:
-            found = await self._exchange(conn, address, path)
+            value = await self._exchange(conn, address, path)
         except BaseException:
             await conn.aclose()
             raise
         await self._pool.release(address, conn)
-        return found
+        return value
 
     async def _exchange(
         self,
--- a/src/clementinedeal/_platform_reads.py
+++ b/src/clementinedeal/_platform_reads.py
@@ -124,11 +124,11 @@
         self._performer.perform(actions)
 
     async def _read_root(self, _name: str) -> Iterable[Any]:
-        found = await self._platform.read(ROOT_NAME)
-        if found is None:
+        value = await self._platform.read(ROOT_NAME)
+        if value is None:
             raise PlatformError('the platform has no root')
-        self._note_root(found.blob, found.version)
-        return self._listener.on_platform_root(found.blob, self._now())
+        self._note_root(value.blob, value.version)
+        return self._listener.on_platform_root(value.blob, self._now())
 
     async def _watch_root(self, action: WatchRoot) -> Iterable[Any]:
         """Watch the root by the platform's version number for it.
@@ -139,24 +139,24 @@
         version, stored_version = self._last_root_versions
         if version != action.after_version:
             return await self._read_root(ROOT_NAME)
-        found = await self._platform.watch(
+        value = await self._platform.watch(
             ROOT_NAME, stored_version, action.timeout_seconds
         )
-        if found is None:
+        if value is None:
             return self._listener.on_platform_root(None, self._now())
-        self._note_root(found.blob, found.version)
-        return self._listener.on_platform_root(found.blob, self._now())
+        self._note_root(value.blob, value.version)
+        return self._listener.on_platform_root(value.blob, self._now())
 
     async def _read_part(self, name: str) -> Iterable[Any]:
-        found = await self._platform.read(name)
-        if found is None:
+        value = await self._platform.read(name)
+        if value is None:
             raise PlatformError(f'the platform has no value {name}')
-        return self._listener.on_platform_part(found.blob, self._now())
+        return self._listener.on_platform_part(value.blob, self._now())
 
     async def _read_list(self, _name: str) -> Iterable[Any]:
-        found = await self._platform.instances()
-        names = _to_instance_list(found)
-        return self._listener.on_platform_list(names, self._now())
+        listed = await self._platform.instances()
+        instance_list = _to_instance_list(listed)
+        return self._listener.on_platform_list(instance_list, self._now())
 
     def _note_root(self, blob: bytes, stored_version: int) -> None:
         root = read_root(blob)
@@ -173,9 +173,9 @@
         return self._clock.now()
 
 
-def _to_instance_list(found: PlatformInstanceList) -> InstanceList:
+def _to_instance_list(listed: PlatformInstanceList) -> InstanceList:
     leaving = frozenset(
-        entry.name for entry in found.instances if entry.state == _LEAVING
+        entry.name for entry in listed.instances if entry.state == _LEAVING
     )
-    every = frozenset(entry.name for entry in found.instances)
-    return InstanceList(live=every - leaving, leaving=leaving)
+    names = frozenset(entry.name for entry in listed.instances)
+    return InstanceList(live=names - leaving, leaving=leaving)
--- a/src/clementinedeal/_pull.py
+++ b/src/clementinedeal/_pull.py
@@ -61,7 +61,7 @@
         self._waits_until = now + ANSWER_TIMEOUT_SECONDS
         return peer
 
-    def on_reply(self) -> None:
+    def on_answer(self) -> None:
         """Note that the awaited answer arrived."""
         self._waits_until = 0.0
 
@@ -116,10 +116,10 @@
             for digest in self._instance_digests()
             if digest in self._missing
         ]
-        rest = (
+        other_digests = (
             digest for digest in self._missing if digest not in instance_digests
         )
-        return (*instance_digests, *rest)[:max_count]
+        return (*instance_digests, *other_digests)[:max_count]
 
     def has_instances(self) -> bool:
         """Return whether the root and all parts with instances are held."""
--- a/src/clementinedeal/_read_schedule.py
+++ b/src/clementinedeal/_read_schedule.py
@@ -54,12 +54,12 @@
     :param instances: the published instances by name.
     """
     zone_counts: dict[str, int] = {}
-    placed: list[tuple[int, int, str]] = []
-    for place, name in enumerate(rank('platform-readers', instances)):
+    sort_keys: list[tuple[int, int, str]] = []
+    for position, name in enumerate(rank('platform-readers', instances)):
         zone = instances[name].zone
-        placed.append((zone_counts.get(zone, 0), place, name))
+        sort_keys.append((zone_counts.get(zone, 0), position, name))
         zone_counts[zone] = zone_counts.get(zone, 0) + 1
-    return [entry[-1] for entry in sorted(placed)]
+    return [entry[-1] for entry in sorted(sort_keys)]
 
 
 class ReadSchedule:
--- a/src/clementinedeal/_settings.py
+++ b/src/clementinedeal/_settings.py
@@ -87,8 +87,8 @@
         given['fleet_keys'] = _read_keys(entries.pop('fleet_keys'))
     if 'limits' in entries:
         given['limits'] = _read_limits(entries.pop('limits'))
-    rest = {key: entry.raw for key, entry in entries.items()}
-    body = YamlEntry(top.file, top.path, rest)
+    raw_fields = {key: entry.raw for key, entry in entries.items()}
+    body = YamlEntry(top.file, top.path, raw_fields)
     cfg = body.build(DaemonSettings, **given)
     _check_names(top, cfg)
     _check_addresses(top, cfg)
--- a/src/clementinedeal/_status.py
+++ b/src/clementinedeal/_status.py
@@ -89,7 +89,7 @@
             counters.bytes_sent + counters.bytes_received,
         )
         metrics.control_messages.set(
-            counters.messages_sent + counters.messages_received,
+            counters.batches_sent + counters.batches_received,
         )
         metrics.platform_reads.set(platform.read_count)
         metrics.target_state.clear()
--- a/src/clementinedeal/_timeline.py
+++ b/src/clementinedeal/_timeline.py
@@ -74,7 +74,7 @@
 
     :param text: log lines, as daemons write them.
     """
-    found = (_LOG_LINE.search(line) for line in text.splitlines())
+    matches = (_LOG_LINE.search(line) for line in text.splitlines())
     return tuple(
         Event(
             hlc=int(line['hlc']),
@@ -86,7 +86,7 @@
                 for key, raw in _LOG_FIELD.findall(line['fields'])
             ),
         )
-        for line in found
+        for line in matches
         if line is not None
     )
 
@@ -129,7 +129,9 @@
 
     :param events: in the order of the lines.
     """
-    lines = (f'time={wall_time(one.hlc)} {one.line()}\n' for one in events)
+    lines = (
+        f'time={wall_time(event.hlc)} {event.line()}\n' for event in events
+    )
     return ''.join(lines)
 
 
--- a/src/clementinedeal/_version_ages.py
+++ b/src/clementinedeal/_version_ages.py
@@ -20,14 +20,14 @@
         :param since: monotonic seconds.
         """
         newest = max(
-            (known.version for known in self._published_since), default=0
+            (held.version for held in self._published_since), default=0
         )
         if ref.version < newest:
             return
-        known = self._published_since.get(ref, since)
+        known_since = self._published_since.get(ref, since)
         if ref.version > newest:
             self._published_since.clear()
-        self._published_since[ref] = min(known, since)
+        self._published_since[ref] = min(known_since, since)
 
     def age_seconds(self, ref: VersionRef | None, now: float) -> float:
         """Return the seconds for which a version has been published, at least.
--- a/src/clementinedeal/_version_sync.py
+++ b/src/clementinedeal/_version_sync.py
@@ -255,7 +255,7 @@
         pull = self._pull
         if pull is not None and self._pending_request == (sender, nonce):
             self._pending_request = None
-            pull.on_reply()
+            pull.on_answer()
             if not found:
                 pull.drop_source(sender)
         return pull
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -60,7 +60,7 @@
             sender.send(Send('b', Note(text)))
         sender.send(Send('nobody', Note('lost')))
         with trio.move_on_after(5):
-            while not receiver.counters.messages_received:  # noqa: ASYNC110
+            while not receiver.counters.batches_received:  # noqa: ASYNC110
                 await trio.sleep(0.01)
         await sender.stop()
         sender.send(Send('b', Note('late')))
