Describe configuration, gossip, HTTP and events again for a new reader

Describe configuration, gossip, HTTP, connections and events again

Constants say their unit and effect, protocols their parameters, attributes that other modules read what they hold; batches and messages of the control channel are kept apart. The settings max_caller_connections and connect_timeout_seconds are said to be validated only, as the code has it.

Say why the token manager's freshness is set periodically

The comment said that no other part detects the pauses that the token manager detects; the comment at MAX_CALL_GAP_SECONDS says that the timers report them, too. The reason is that Hub.on_fresh reports only changes. Four comments more are plainer. Comments and docstrings only.

--- a/src/clementinedeal/_acceptance.py
+++ b/src/clementinedeal/_acceptance.py
@@ -10,6 +10,7 @@
 from clementinedeal._view_actions import ConfigInForce, ConfigRejected
 from clementinedeal._view_messages import VersionRef
 
+# How long a starting daemon waits for the versions of its peers.
 PEER_WAIT_SECONDS = 3.0
 MAX_REJECTED = 16  # rejected versions that are remembered
 
@@ -89,6 +90,10 @@
 
     The version in force only increases. The first content accepted under a
     version number counts; other content under that number is rejected.
+
+    ``in_force`` is the version in force and ``cfg`` its configuration, both
+    None before the first one. ``newest_rejected`` is the highest complete
+    version that was rejected and is above the one in force.
     """
 
     def __init__(self) -> None:
@@ -156,6 +161,8 @@
     def reject(self, ref: VersionRef, reason: str) -> list[ConfigRejected]:
         """Reject a version whose values are not all held.
 
+        Nothing is returned if it was rejected before.
+
         :param ref: number and digest of the version.
         :param reason: why, as shown to operators.
         """
@@ -172,7 +179,7 @@
         """Accept or reject a complete version.
 
         Nothing is decided, and nothing returned, about a version that is not
-        newer or that the start gate does not admit yet.
+        newer or for which the start gate is not open yet.
 
         :param bundle: the version with all its values.
         :param now: monotonic seconds.
--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -1,4 +1,4 @@
-"""The calling side of one HTTP connection."""
+"""The client end of one HTTP connection."""
 
 import collections
 import select
@@ -20,13 +20,13 @@
 # A target that answers a request twice sends the extra answer soon after, so
 # it carries the id of one of the latest requests.
 MAX_ANSWERED_IDS = 4
-# About 4,000 small interim answers, or one every 4 ms for a request that takes
-# 15 s.
+# Allows about 4,000 small interim answers: one every 4 ms for a request that
+# takes 15 s.
 MAX_INTERIM_BYTES = 4 * READ_BYTES
 
 
 class ClientConn:
-    """The calling side of one connection; one request at a time.
+    """The client end of one connection; one request at a time.
 
     ``idle_since`` and ``idle_until`` are monotonic times in seconds, set by
     the pool. ``idle_seconds`` is how long the connection was idle before its
@@ -55,7 +55,8 @@
 
         The end of the request is sent by ``end_request``.
 
-        :param head: with a length header or chunked encoding for a body.
+        :param head: request line and headers; a body needs a length header or
+            chunked encoding.
         :param body: the whole body, sent in the same write.
         :raises ConnLostError: the connection is closed.
         """
@@ -72,7 +73,8 @@
     async def send_whole(self, head: RequestHead, body: bytes) -> None:
         """Send a request with its whole body in one write.
 
-        :param head: with a length header or chunked encoding for a body.
+        :param head: request line and headers; a body needs a length header or
+            chunked encoding.
         :param body: the whole body.
         :raises ConnLostError: the connection is closed.
         """
@@ -93,12 +95,18 @@
         """Send one piece of the request body.
 
         :param piece: the bytes; nothing is sent if it is empty.
+        :raises ConnLostError: the connection is closed, or the body is longer
+            than declared.
         """
         if piece:
             await self._h11_stream.send(h11.Data(data=piece))
 
     async def end_request(self) -> None:
-        """Mark the request as complete."""
+        """Send the end of the request.
+
+        :raises ConnLostError: the connection is closed, or the body is shorter
+            than declared.
+        """
         await self._h11_stream.send(h11.EndOfMessage())
 
     async def read_head(
@@ -164,7 +172,8 @@
         """Discard the answer just read, so that another one can be read.
 
         Used if a target sent an answer that belongs to an earlier request.
-        The whole request must have been sent and the whole answer been read.
+        The request must have been sent by ``send_whole`` and the whole answer
+        been read.
         """
         unparsed = self._h11_stream.h11.trailing_data[0]
         h11_conn = h11.Connection(
--- a/src/clementinedeal/_config_checks.py
+++ b/src/clementinedeal/_config_checks.py
@@ -1,6 +1,6 @@
 """Validates single entries of a configuration.
 
-The faults of an entry have paths relative to it.
+The path of each fault is relative to the entry.
 """
 
 import math
--- a/src/clementinedeal/_control.py
+++ b/src/clementinedeal/_control.py
@@ -14,25 +14,27 @@
 from clementinedeal._events import EventLog, log
 from clementinedeal._messages import Send, decode, encode
 
-# Messages that are sealed and sent together, at most.
+# Messages to one peer are encoded, sealed and sent in batches up to this size.
 MAX_MESSAGES_PER_BATCH = 64
 _REJECTED_BATCH_ERRORS = (ProtocolError, *DECODE_ERRORS)
 # Sockets to other daemons that are kept open, at most.
-MAX_OPEN_PEERS = 96
+MAX_OPEN_PEERS = 96  # the connections to other peers are closed
 # Batches that one socket buffers.
-SEND_BUFFER_BATCHES = 64
+SEND_BUFFER_BATCHES = 64  # per peer; further batches are dropped
 # Larger batches are not received.
-MAX_BATCH_BYTES = 2_000_000
+MAX_BATCH_BYTES = 2_000_000  # largest sealed batch that is received
+# Time for the sockets to send buffered batches before they are closed.
 # Pause of a stop in which the last batches are sent, before sockets are closed.
 LINGER_SECONDS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """Content of one control message, before it is sealed.
+    """Messages that are sent to an instance together, before they are sealed.
 
     ``sender`` is the sending instance and ``incarnation`` its run, ``hlc`` is
-    the sender's stamp, and ``bodies`` the messages encoded by ``encode``.
+    the sender's stamp of its hybrid logical clock, and ``bodies`` holds the
+    messages as encoded by ``encode``.
     """
 
     sender: str
@@ -68,8 +70,10 @@
 class ControlCounters:
     """Traffic of one daemon's control channel since its start.
 
-    ``rejected`` counts received batches that can't be opened or decoded and
-    messages whose handler failed, ``dropped`` the messages that were not sent.
+    Bytes are those of sealed batches. ``rejected`` counts received batches
+    that can't be opened or decoded, and single messages whose handler failed.
+    ``dropped`` counts the messages that were not sent. The metric
+    ``control_messages`` is the number of batches sent and received.
     """
 
     batches_sent: int = 0
@@ -92,9 +96,9 @@
 class ControlChannel:
     """Sends and receives control messages.
 
-    It has one listening socket and one dialled socket for each of the
-    ``MAX_OPEN_PEERS`` peers last sent to. Messages to a peer are sent in
-    batches. Delivery is not guaranteed.
+    It has one listening socket, and one dialled socket for each of the latest
+    ``MAX_OPEN_PEERS`` peers to which messages were sent. Messages to a peer
+    are sent in batches. Delivery is not guaranteed.
     """
 
     def __init__(
@@ -186,7 +190,7 @@
             self._deliver(batch.sender, body)
 
     def _deliver(self, sender: str, body: Any) -> None:
-        """Pass a message to the receiver; log a fault in its handling."""
+        """Pass a message to the receiver; log an exception that it raises."""
         try:
             self._receiver(sender, body)
         except Exception:
@@ -201,10 +205,10 @@
         return msgspec.msgpack.decode(blob, type=Batch)
 
     def _find_or_dial(self, name: str) -> _Peer | None:
-        """Return the connection to an instance, the latest used last.
+        """Return the connection to an instance, None for an unknown one.
 
-        It is dialled if there is none or the address changed; None is
-        returned for an unknown instance.
+        The instance is dialled if there is no connection or its address
+        changed. ``_peers`` is kept in order of use.
         """
         address = self._find_address(name)
         if address is None:
--- a/src/clementinedeal/_directory.py
+++ b/src/clementinedeal/_directory.py
@@ -1,4 +1,4 @@
-"""Looks up control addresses of instances and targets owned here."""
+"""Looks up control addresses of instances, and the targets owned here."""
 
 from clementinedeal._model import Config, Target
 
@@ -6,8 +6,9 @@
 class Directory:
     """Looks up instances and targets in the configuration in force.
 
-    Control addresses of instances that it does not name are learned from
-    their messages.
+    Control addresses of instances that the configuration does not name are
+    learned from their messages. ``cfg`` is None until a configuration is in
+    force.
     """
 
     def __init__(self, me: str) -> None:
--- a/src/clementinedeal/_dispatch.py
+++ b/src/clementinedeal/_dispatch.py
@@ -46,10 +46,10 @@
 
 
 class Waiters(Generic[FoundT]):
-    """Lets tasks wait for results that other tasks provide by id."""
+    """Lets tasks wait for results that other tasks provide under an id."""
 
     def __init__(self) -> None:
-        """Create an object without waits."""
+        """Start without waits."""
         self._events: dict[str, trio.Event] = {}
         self._results: dict[str, FoundT] = {}
 
@@ -74,7 +74,7 @@
             event.set()
 
     async def wait(self, key: str) -> FoundT:
-        """Return the result once it is there; the id is then forgotten.
+        """Wait for the result and return it; the id is then forgotten.
 
         :param key: an id announced by ``expect``.
         """
--- a/src/clementinedeal/_document.py
+++ b/src/clementinedeal/_document.py
@@ -12,6 +12,7 @@
 
 KindT = TypeVar('KindT')
 
+# Separates the reason and the path in a msgspec.ValidationError.
 _PATH_SEPARATOR = ' - at `$'
 
 
--- a/src/clementinedeal/_envelope.py
+++ b/src/clementinedeal/_envelope.py
@@ -1,4 +1,4 @@
-"""Authentication of what the daemons of one fleet send each other."""
+"""Authenticates the messages between the daemons of one fleet."""
 
 import base64
 import hashlib
@@ -12,7 +12,7 @@
 from clementinedeal._errors import PeerAuthError
 from clementinedeal._messages import message
 
-MAC_BYTES = 16
+MAC_BYTES = 16  # length of an authentication code
 FORWARD_HEADER = b'x-clementinedeal-forward'
 OUTCOME_HEADER = b'x-clementinedeal-outcome'
 INTERNAL_HEADER_PREFIX = b'x-clementinedeal-'
@@ -25,9 +25,10 @@
 
     ``attempt`` identifies the attempt and ``req_id`` the caller's request,
     ``sender`` is the entry's instance. ``incarnation`` is the run of the
-    owner that may accept it (empty: any), ``deadline_ms`` the time left in
-    milliseconds. ``admitted`` is whether a token of the account was
-    already taken; ``hlc`` is the sender's stamp.
+    owner that may accept it (empty: any), ``deadline_ms`` the remaining time
+    of the request in milliseconds. ``admitted`` is true if a token of the
+    account was already taken; ``hlc`` is the sender's stamp of its hybrid
+    logical clock.
     """
 
     attempt: str
@@ -48,10 +49,12 @@
     """Header of the owner's answer.
 
     ``verdict`` and ``reason`` are values of the enumerations; an empty reason
-    marks an answer of the target. ``retry_after`` is in seconds. The owner
-    spent ``spent`` seconds on the request, ``target_seconds`` of them waiting
-    for the target. ``load`` is the target's load in requests per slot,
-    ``state`` its state at the owner; ``hlc`` is the sender's stamp.
+    marks an answer of the target. ``retry_after`` is in seconds. ``admitted``
+    is true if a token of the account was taken, ``incarnation`` is the run of
+    the owner. The owner spent ``spent`` seconds on the request,
+    ``target_seconds`` of them waiting for the target. ``load`` is the target's
+    load in requests per slot, ``state`` its state at the owner; ``hlc`` is the
+    owner's stamp of its hybrid logical clock.
     """
 
     verdict: str
@@ -67,7 +70,7 @@
 
 
 class Keyring:
-    """The fleet keys; the first one seals, each of them can open.
+    """The fleet keys; the first one seals messages, any of them opens one.
 
     A sealed message is the length of the key id, the key id, the
     authentication code and the content. The content is not encrypted.
@@ -76,14 +79,14 @@
     def __init__(self, keys: Mapping[str, bytes]) -> None:
         """Create a keyring.
 
-        :param keys: secrets by key id, the key that seals first.
+        :param keys: secrets by key id; the first one seals messages.
         """
         self.replace(keys)
 
     def replace(self, keys: Mapping[str, bytes]) -> None:
         """Replace all keys.
 
-        :param keys: secrets by key id, the key that seals first.
+        :param keys: secrets by key id; the first one seals messages.
         """
         self._keys = dict(keys)
         self._signing_key_id = next(iter(self._keys))
@@ -136,6 +139,7 @@
         :param text: value of the header.
         :param context: the context that was given to ``seal_header``.
         :raises PeerAuthError: not sealed by a fleet key for this context.
+        :raises msgspec.MsgspecError: the content is malformed.
         """
         return msgspec.msgpack.decode(
             self._open_header(text, context),
@@ -148,6 +152,7 @@
         :param text: value of the header.
         :param context: the context that was given to ``seal_header``.
         :raises PeerAuthError: not sealed by a fleet key for this context.
+        :raises msgspec.MsgspecError: the content is malformed.
         """
         return msgspec.msgpack.decode(
             self._open_header(text, context),
--- a/src/clementinedeal/_events.py
+++ b/src/clementinedeal/_events.py
@@ -10,7 +10,7 @@
 
 # The newest events, which operators can read from the daemon.
 MAX_BUFFERED_EVENTS = 20_000
-_COUNTER_BITS = 16
+_COUNTER_BITS = 16  # lower bits of a stamp, which hold the counter
 _MS_PER_SECOND = 1000
 
 log = logging.getLogger('clementinedeal')
@@ -22,8 +22,8 @@
 
     ``hlc`` is a stamp that orders the events of all instances: milliseconds
     of wall-clock time in the upper bits, a counter in the lower 16.
-    ``incarnation`` identifies the run of the instance, ``name`` what
-    happened, and ``fields`` holds its details as pairs of key and value.
+    ``incarnation`` identifies the run of the instance, ``name`` is the kind
+    of event, and ``fields`` holds its details as pairs of key and value.
     """
 
     hlc: int
@@ -49,7 +49,7 @@
 
 
 def wall_ms() -> int:
-    """Return the wall clock in milliseconds."""
+    """Return the wall-clock time in milliseconds since the Unix epoch."""
     return int(time.time() * _MS_PER_SECOND)
 
 
@@ -79,7 +79,7 @@
 
 
 class EventLog:
-    """Keeps the latest events of one process and logs each as a line."""
+    """Keeps the latest ``MAX_BUFFERED_EVENTS`` events and logs each one."""
 
     def __init__(
         self,
--- a/src/clementinedeal/_freshness.py
+++ b/src/clementinedeal/_freshness.py
@@ -7,21 +7,24 @@
 # A daemon without evidence this recent refuses keyed requests, because a key
 # may have been withdrawn in a version that it does not know.
 FRESH_SECONDS = 10.0
-# Older evidence makes a daemon read the platform itself. The rest of
-# FRESH_SECONDS is left for the read and for passing its result on.
+# A daemon whose newest contact is older reads the platform itself. The
+# remainder of FRESH_SECONDS allows for the read and for sending its result to
+# peers.
 MAX_CONTACT_AGE_SECONDS = 4.0
 
 
 class Freshness:
     """Decides whether the version in force is known to be current.
 
-    Evidence comes from reads of the platform, here or at a peer (a
-    *contact*), and from hearing that a majority of the fleet knows of nothing
-    newer (a *quorum*).
+    Evidence is a read of the platform by this daemon or a peer (a *contact*),
+    or that more than half of the fleet reported nothing newer (a *quorum*).
 
-    All times are of this daemon's clock and never later than the event that
-    they date: what a peer reports is dated from when the request to it was
-    sent.
+    All times are by this daemon's clock and never later than the event that
+    they refer to: the time of a peer's evidence is computed from the time at
+    which the request to the peer was sent.
+
+    ``newest_known`` is the highest version known to be published,
+    ``newest_accepted`` the highest one known to be in force at some daemon.
     """
 
     def __init__(self) -> None:
@@ -48,8 +51,8 @@
     def on_accepted(self, version: int, now: float) -> None:
         """Note that a version is in force at some daemon.
 
-        Until this daemon has that version or a newer one in force it is
-        behind, even if it rejected a still newer one.
+        This daemon is *behind* until that version or a newer one is in force
+        here, even if it has rejected a version that is newer still.
 
         :param version: its number.
         :param now: monotonic seconds.
@@ -104,7 +107,10 @@
         return Contact(self._contact_version, age)
 
     def lacks_contact(self, now: float) -> bool:
-        """Return whether a daemon that is not a reader should read too.
+        """Return whether the newest contact is too old.
+
+        If it is older than ``MAX_CONTACT_AGE_SECONDS``, a daemon that is not a
+        reader reads the platform, too.
 
         :param now: monotonic seconds.
         """
@@ -113,17 +119,19 @@
     def on_quorum(self, heard_at: float) -> None:
         """Note that more than half of the fleet knew of nothing newer.
 
-        It counts only while this daemon is not behind a version that it knows
-        of.
+        It is ignored while this daemon is behind a version that it knows.
 
-        :param heard_at: more than half of the published instances were heard
-            at this time or later, in monotonic seconds.
+        :param heard_at: time at or after which more than half of the
+            published instances were heard, in monotonic seconds.
         """
         if self._behind_since is None:
             self._quorum_at = max(self._quorum_at, heard_at)
 
     def is_fresh(self, now: float) -> bool:
-        """Return whether the version in force was current recently enough.
+        """Return whether the version in force was current recently.
+
+        Recently is at most ``FRESH_SECONDS`` ago. A daemon that has been
+        behind for longer than that is not fresh.
 
         :param now: monotonic seconds.
         """
--- a/src/clementinedeal/_gossip.py
+++ b/src/clementinedeal/_gossip.py
@@ -9,7 +9,7 @@
 
 # Mean interval at which peers are asked for their views.
 QUERY_INTERVAL_SECONDS = 0.5
-# While no version is in force, more peers are asked and more often.
+# While no version is in force, more peers are asked, and more often.
 START_QUERY_INTERVAL_SECONDS = 0.25
 START_PEER_COUNT = 3
 # Answers that arrive later are ignored.
@@ -17,9 +17,9 @@
 # Records that differ from a peer's for longer are requested in full.
 MAX_DIFFERENCE_SECONDS = 10.0
 # Fraction of requests that prefer instances heard lately. The others may go to
-# silent instances, so that one that came back is noticed.
+# silent instances, so that the return of an instance is noticed.
 HEARD_PEER_FRACTION = 0.75
-MAX_DRAWS = 5  # random choices before any other peer is taken
+MAX_DRAWS = 5  # for a suitable peer; after them any other peer is taken
 NONCE_BITS = 62
 
 
--- a/src/clementinedeal/_history.py
+++ b/src/clementinedeal/_history.py
@@ -38,9 +38,9 @@
 class RequestAnswered(HistoryEvent):
     """A caller's request has ended, with an answer or without one.
 
-    ``is_whole`` is whether the caller received a complete answer,
-    ``digest`` is the digest of what it received, and ``expected`` that of the
-    answer to its request.
+    ``is_whole`` is true if the caller received a complete answer, ``digest``
+    is the digest of the bytes that it received, and ``expected`` the digest of
+    the right answer to its request.
     """
 
     req_id: str
--- a/src/clementinedeal/_history_checks.py
+++ b/src/clementinedeal/_history_checks.py
@@ -27,6 +27,7 @@
 )
 from clementinedeal._verdict import Verdict
 
+# Tolerates rounding errors in the levels of the leaky buckets.
 ROUNDING_TOLERANCE_REQUESTS = 1e-6
 
 Events = Sequence[HistoryEvent]
@@ -119,10 +120,10 @@
 
 
 def check_floor(events: Events) -> Violations:
-    """Check that enough targets are excluded by no instance.
+    """Check that the targets in use never fall below a service's floor.
 
-    For each service their number must stay at or above the floor. Events of
-    the same time are applied together.
+    A target is in use if no instance excludes it. Events of the same time are
+    applied together.
 
     :param events: the history.
     """
@@ -143,7 +144,7 @@
 
 
 def check_leaving(events: Events, max_seconds: float) -> Violations:
-    """Check that a leaving target gets no new work after some time.
+    """Check that a leaving target gets no new work after ``max_seconds``.
 
     :param events: the history.
     :param max_seconds: time after the announcement in which work may still
--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -8,7 +8,7 @@
 
 from clementinedeal._errors import ProtocolError
 
-READ_BYTES = 65536
+READ_BYTES = 65536  # largest number of bytes in one read of a stream
 # h11 parses an event in about 6 us of CPU time, so other tasks wait at most
 # 0.4 ms between two checkpoints.
 MAX_EVENTS_PER_CHECKPOINT = 64
@@ -45,7 +45,7 @@
     def __init__(self, reason: str, *, status: int = _BAD_REQUEST) -> None:
         """Describe the violation.
 
-        :param reason: what was wrong.
+        :param reason: the violation.
         :param status: HTTP status to answer with, if the peer is a caller.
         """
         super().__init__(reason)
@@ -90,7 +90,7 @@
 
     ``max_body_bytes`` limits a body that is buffered or discarded as a whole.
     Up to three copies of a body are in memory at a time; with the default
-    that is half of the 200 MB that the smallest machine has.
+    that is half of the 200 MB of memory that the smallest host has.
 
     ``head_timeout`` limits the time from the first byte of a request to the
     end of its head, ``idle_timeout`` the wait for the next request, and
@@ -143,7 +143,7 @@
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
-    """Return the first value of a header, or None.
+    """Return the first value of a header, None without one.
 
     :param headers: lower-case names and values.
     :param name: lower-case name.
@@ -173,7 +173,8 @@
 class H11Stream:
     """A byte stream and the h11 state machine that parses it.
 
-    ``received_bytes`` counts the bytes read from the stream so far.
+    ``h11`` is that state machine. ``received_bytes`` counts the bytes read
+    from the stream so far.
     """
 
     def __init__(
--- a/src/clementinedeal/_key_rotation.py
+++ b/src/clementinedeal/_key_rotation.py
@@ -23,7 +23,7 @@
         reload: Reload,
         events: EventLog,
     ) -> None:
-        """Create the rotation without a task.
+        """Create the rotation; ``start`` makes it handle signals.
 
         :param keyring: the keyring whose keys are replaced.
         :param reload: reads and validates the settings file.
--- a/src/clementinedeal/_latency.py
+++ b/src/clementinedeal/_latency.py
@@ -11,7 +11,7 @@
 # class, for a healthy target and for a slow one.
 PEER_CLASS_FRACTIONS = (0.5, 0.39, 0.1, 0.01)
 SLOW_CLASS_FRACTIONS = (0.16, 0.44, 0.31, 0.09)
-# A lower median of the peers is raised to this; 0 could not be divided by.
+# A lower median of the peers is raised to this, since it is a divisor.
 MIN_MEDIAN_SECONDS = 0.001
 SLOW_LOG_RATIOS = class_log_ratios(PEER_CLASS_FRACTIONS, SLOW_CLASS_FRACTIONS)
 
@@ -41,6 +41,8 @@
     def log_ratio(self, latency: float) -> float:
         """Return the evidence for slowness in one latency, in nats.
 
+        It is negative for a latency that is more likely of a healthy target.
+
         :param latency: duration of the request in seconds.
         """
         return SLOW_LOG_RATIOS[bisect_left(self._bounds, latency)]
@@ -48,8 +50,8 @@
     def overdue_log_ratio(self, age: float) -> float:
         """Return the evidence for slowness of a request in flight, in nats.
 
-        It is never negative: up to the bound of the peers' p90 the request
-        counts as nothing, since it may still end in a higher class.
+        It is never negative. Up to the bound derived from the peers' p90 it is
+        0, since the request may still end in any higher class.
 
         :param age: seconds since the request started.
         """
--- a/src/clementinedeal/_managers.py
+++ b/src/clementinedeal/_managers.py
@@ -26,7 +26,7 @@
 from clementinedeal._tokens import TokenManager
 from clementinedeal._views import FleetView
 
-# Intervals of the managers' periodic work.
+# Intervals at which the daemon calls its managers.
 QUEUE_TICK_SECONDS = 0.05
 EJECTION_TICK_SECONDS = 0.1
 IDEMPOTENCY_TICK_SECONDS = 0.25
@@ -36,7 +36,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ManagerContext:
-    """The parts of a daemon that its managers share."""
+    """The parts of a daemon that its managers share.
+
+    ``fleet`` provides the state of instances and configuration versions.
+    """
 
     settings: DaemonSettings
     clock: Clock
@@ -148,8 +151,9 @@
             ),
         )
         hub.on_pause.append(manager.on_pause)
-        # The token manager also detects pauses by itself and then drops its
-        # freshness. No other part notices these, so it is set periodically.
+        # The token manager also detects pauses by itself and then uses no
+        # shares until its freshness is set again. ``Hub.on_fresh`` reports
+        # only changes, so the freshness is set periodically.
         hub.every(
             FRESHNESS_CHECK_SECONDS,
             lambda now: manager.set_fresh(fleet.is_fresh(now), now),
@@ -197,7 +201,7 @@
         return tuple(target for target in targets if target.service in services)
 
     def _update_absent(self, now: float) -> None:
-        """Report which of these services' targets are on absent instances.
+        """Report the targets of ``_service_targets`` on absent instances.
 
         An instance is absent if it is not alive or is leaving.
         """
--- a/src/clementinedeal/_member.py
+++ b/src/clementinedeal/_member.py
@@ -4,7 +4,7 @@
 
 from clementinedeal._view_messages import MemberRecord
 
-# Ages travel as one byte each, in quarter seconds.
+# Ages are sent as one byte each, in quarter seconds.
 AGE_UNITS_PER_SECOND = 4
 MAX_AGE_UNITS = 255  # this old or older, or never heard
 NEVER = -math.inf
@@ -79,5 +79,5 @@
         return changed
 
     def last_seen_at(self) -> float:
-        """Return when it was last heard, or when it became known if later."""
+        """Return when it was last heard or became known, the later of both."""
         return max(self.heard_at, self.since)
--- a/src/clementinedeal/_membership.py
+++ b/src/clementinedeal/_membership.py
@@ -34,7 +34,7 @@
         self._reported_leaving: set[str] = set()
 
     def on_pause(self, now: float) -> None:
-        """Discard when instances were heard, after the process was suspended.
+        """Discard when instances were last heard, after a pause of the process.
 
         :param now: monotonic seconds.
         """
@@ -79,9 +79,10 @@
         return member is None or self._is_silent(member, now)
 
     def is_alive(self, name: str, now: float) -> bool:
-        """Return whether an instance was heard lately.
+        """Return whether an instance was heard within ``MAX_UNHEARD_SECONDS``.
 
         One that was never heard is alive if the platform lists it as live.
+        This instance is always alive, if it is published.
 
         :param name: name of the instance.
         :param now: monotonic seconds.
--- a/src/clementinedeal/_messages.py
+++ b/src/clementinedeal/_messages.py
@@ -28,8 +28,8 @@
 class Send:
     """Action: send a control message to another instance.
 
-    ``to`` is the name of the instance, ``body`` a registered message. It may
-    be lost.
+    ``to`` is the name of the instance, ``body`` a registered message.
+    Delivery is not guaranteed.
     """
 
     to: str
--- a/src/clementinedeal/_metrics_recorder.py
+++ b/src/clementinedeal/_metrics_recorder.py
@@ -61,8 +61,8 @@
     def _account_label(self, account: str) -> str:
         """Return the label of an account; limits the number of labels.
 
-        prometheus_client keeps a time series for each label for ever, so
-        accounts beyond ``MAX_LABELLED_ACCOUNTS`` share one.
+        prometheus_client never drops the time series of a label, so accounts
+        beyond ``MAX_LABELLED_ACCOUNTS`` share one.
         """
         if account in self._labelled_accounts:
             return account
--- a/src/clementinedeal/_model.py
+++ b/src/clementinedeal/_model.py
@@ -100,9 +100,9 @@
 class Preset:
     """Settings that an operator switches together.
 
-    ``deadline`` is the most seconds that a request may take; callers may ask
-    for less. ``queue_limit`` is the number of requests that may wait for one
-    target, ``retry_ratio`` the budget of retries as a fraction of first
+    ``deadline`` is the time in seconds that a request may take; callers may
+    ask for less. ``queue_limit`` is the number of requests that may wait for
+    one target, ``retry_ratio`` the budget of retries as a fraction of first
     attempts, ``max_attempts`` the largest number of attempts of a request.
     ``hedge_after`` is the seconds after which a second attempt of an
     idempotent request may be sent, 0 for never. ``ejection`` allows targets to
--- a/src/clementinedeal/_operator.py
+++ b/src/clementinedeal/_operator.py
@@ -37,7 +37,9 @@
     ``serving`` is true while it accepts requests, ``draining`` while it is
     stopping. ``fresh`` is true while the configuration in force is known to
     be recent, and ``rejected`` names the last rejected version and the
-    reason. ``targets`` are the targets that the daemon owns.
+    reason. ``config_version`` is 0 and ``preset`` empty while no configuration
+    is in force. ``alive_instances`` counts the published instances that are
+    alive. ``targets`` are the targets that the daemon owns.
     """
 
     instance: str
--- a/src/clementinedeal/_operator_client.py
+++ b/src/clementinedeal/_operator_client.py
@@ -11,7 +11,8 @@
 from clementinedeal._timers import MonotonicClock
 
 REQUEST_TIMEOUT_SECONDS = 3.0
-# An instance keeps 20,000 events of about 1 KB each; the rest is reserve.
+# An instance keeps 20,000 events of about 1 KB each, which is 20 MB;
+# the remainder is a margin.
 MAX_ANSWER_BYTES = 32 << 20
 _OK = 200
 
@@ -20,7 +21,8 @@
 class OperatorAnswer:
     """Answer of one instance.
 
-    ``body`` is None if the instance did not answer; ``error`` then says why.
+    ``body`` is None if the instance gave no usable answer; ``error`` is then
+    the reason.
     """
 
     instance: Instance
--- a/src/clementinedeal/_part_answers.py
+++ b/src/clementinedeal/_part_answers.py
@@ -10,7 +10,7 @@
     RootRequest,
 )
 
-MAX_ANSWER_BYTES = 256_000  # no part is added to an answer of this size
+MAX_ANSWER_BYTES = 256_000  # no part is added once an answer has this size
 
 
 class PartAnswers:
@@ -22,7 +22,7 @@
     def __init__(
         self, acceptance: Acceptance, version_sync: VersionSync
     ) -> None:
-        """Serve the values held by two other objects.
+        """Create an object that answers requests.
 
         :param acceptance: holds the complete versions.
         :param version_sync: holds the version being pulled.
@@ -36,11 +36,11 @@
         body: RootRequest,
         now: float,
     ) -> list[Send]:
-        """Answer a request for a root.
+        """Answer a request for a root, without a root if it is not held.
 
         :param sender: name of the peer.
         :param body: its request.
-        :param now: monotonic seconds.
+        :param now: monotonic seconds; not used.
         """
         root_blob = None
         for bundle in self._acceptance.bundles():
@@ -61,7 +61,7 @@
 
         :param sender: name of the peer.
         :param body: its request.
-        :param now: monotonic seconds.
+        :param now: monotonic seconds; not used.
         """
         known = self._acceptance.parts()
         blobs: list[bytes] = []
--- a/src/clementinedeal/_part_reads.py
+++ b/src/clementinedeal/_part_reads.py
@@ -7,7 +7,7 @@
 from clementinedeal._pull import Pull
 from clementinedeal._view_actions import ReadPlatform
 
-RETRY_INTERVAL_SECONDS = 2.0  # a part that did not arrive is read again
+RETRY_INTERVAL_SECONDS = 2.0  # until a part that has not arrived is reread
 # Parts that one daemon reads from the platform, as a reader and otherwise.
 READER_PARTS_PER_SECOND = 50.0
 NON_READER_PARTS_PER_SECOND = 2.0
@@ -25,7 +25,7 @@
     def __init__(self, acceptance: Acceptance) -> None:
         """Start with an empty budget.
 
-        :param acceptance: shows whether a version is in force.
+        :param acceptance: provides the version in force and the start gate.
         """
         self._acceptance = acceptance
         self._sent_at: dict[str, float] = {}
--- a/src/clementinedeal/_parts.py
+++ b/src/clementinedeal/_parts.py
@@ -1,7 +1,7 @@
 """Encodes the entries of a configuration into immutable parts.
 
-The entries of a section are distributed over buckets by a hash of what
-identifies them; a part is the encoded content of one bucket.
+The entries of a section are distributed over buckets by a hash of their
+identity; a part is the encoded content of one bucket.
 """
 
 import enum
@@ -23,13 +23,14 @@
 )
 
 DIGEST_BYTES = 16
-# A changed entry makes daemons fetch one part and the root. At full size both
-# are about as large: smaller parts would make a larger root.
+# A changed entry makes daemons fetch one part and the root, which for the
+# largest configurations are of about the same size. Smaller parts would make
+# the root larger.
 MAX_PART_BYTES = 24_000
 # Larger, because a daemon that starts must read all parts with instances
 # before it knows its peers.
 MAX_INSTANCE_PART_BYTES = 200_000
-HASH_BITS = 64
+HASH_BITS = 64  # bits of the hash by which buckets can be split
 
 _ENCODER = msgspec.msgpack.Encoder(order='deterministic')
 
@@ -56,7 +57,7 @@
 
 
 def digest_of(blob: bytes) -> str:
-    """Return the hex digest by which a value is identified.
+    """Return the hex BLAKE2b digest that identifies a value.
 
     :param blob: the encoded value.
     """
--- a/src/clementinedeal/_peer_traffic.py
+++ b/src/clementinedeal/_peer_traffic.py
@@ -14,9 +14,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportedTraffic:
-    """Traffic of one target and when its report arrived.
+    """Traffic of one target, as its owner reported it.
 
-    ``received_at`` is in monotonic seconds.
+    ``received_at`` is when the report arrived, in monotonic seconds.
     """
 
     traffic: Traffic
--- a/src/clementinedeal/_platform.py
+++ b/src/clementinedeal/_platform.py
@@ -16,7 +16,7 @@
 from clementinedeal._pool import ConnPool
 
 READ_TIMEOUT_SECONDS = 3.0
-# Three reads at once hold 24 MiB, of 200 MB on the smallest host.
+# Three simultaneous reads hold up to 24 MiB; the smallest host has 200 MB.
 MAX_RESPONSE_BYTES = 8 << 20
 _OK = 200
 _NOT_MODIFIED = 304
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformValue:
-    """A value and the version number that the platform gave it.
+    """A value and the version number that the platform assigned to it.
 
     That number is not the version of the configuration, which the value
     itself holds.
@@ -59,8 +59,9 @@
     """Read access to the platform's values."""
 
     async def read(self, name: str) -> PlatformValue | None:
-        """Read a value by name; None if there is none.
+        """Read a value; return None if there is none.
 
+        :param name: name of the value.
         :raises PlatformError: the platform gave no usable answer.
         """
         ...
@@ -71,10 +72,11 @@
         after: int,
         seconds: float,
     ) -> PlatformValue | None:
-        """Wait for a newer value; None if there is none within ``seconds``.
-
-        ``after`` is the platform's version number of the value held.
+        """Wait for a newer value; return None if there is none in time.
 
+        :param name: name of the value.
+        :param after: the platform's version number of the value held.
+        :param seconds: how long to wait.
         :raises PlatformError: the platform gave no usable answer.
         """
         ...
@@ -90,7 +92,8 @@
 class HttpPlatform:
     """Reads the platform over HTTP.
 
-    Each read goes to one replica; after a failure the next one is used.
+    Each read is sent to one replica; after a failure the next one is used.
+    ``read_count`` is the number of reads and watches, failed ones included.
     """
 
     def __init__(self, addresses: tuple[str, ...], pool: ConnPool) -> None:
--- a/src/clementinedeal/_platform_reads.py
+++ b/src/clementinedeal/_platform_reads.py
@@ -25,21 +25,37 @@
     """Processes the platform's answers; each method returns actions."""
 
     def on_platform_root(self, blob: bytes | None, now: float) -> Iterable[Any]:
-        """Process a root; None if a watch found nothing newer."""
+        """Process a root.
+
+        :param blob: the encoded root, None if a watch found nothing newer.
+        :param now: monotonic seconds.
+        """
         ...
 
     def on_platform_part(self, blob: bytes, now: float) -> Iterable[Any]:
-        """Process a part."""
+        """Process a part.
+
+        :param blob: the encoded part.
+        :param now: monotonic seconds.
+        """
         ...
 
     def on_platform_list(
         self, listed: InstanceList, now: float
     ) -> Iterable[Any]:
-        """Process the list of instances."""
+        """Process the list of instances.
+
+        :param listed: names of live and of leaving instances.
+        :param now: monotonic seconds.
+        """
         ...
 
     def on_platform_failure(self, name: str, now: float) -> Iterable[Any]:
-        """Process the failure to read the value of that name."""
+        """Process a failed read or watch.
+
+        :param name: name of the value, or ``LIST_NAME``.
+        :param now: monotonic seconds.
+        """
         ...
 
 
@@ -47,7 +63,10 @@
     """Performs actions."""
 
     def perform(self, actions: Iterable[Any]) -> None:
-        """Hand each action to its handler."""
+        """Pass each action to its handler.
+
+        :param actions: in the order in which they are to be performed.
+        """
         ...
 
 
@@ -62,13 +81,13 @@
         clock: Clock,
         events: EventLog,
     ) -> None:
-        """Create the reads without a task.
+        """Create an object that can't read until ``start``.
 
         :param platform: the platform to read.
         :param listener: returns the actions that follow from an answer.
         :param performer: performs these actions.
-        :param clock: dates the answers.
-        :param events: logs when the platform is lost and when it is back.
+        :param clock: provides the time of each answer.
+        :param events: logs when reads begin to fail and to succeed again.
         """
         self._platform = platform
         self._listener = listener
@@ -89,7 +108,7 @@
     def read(self, action: ReadPlatform) -> None:
         """Start reading a value or the list of instances.
 
-        :param action: names what to read.
+        :param action: holds the name of the value or ``LIST_NAME``.
         """
         if action.name == LIST_NAME:
             self._start_task(self._read_list, LIST_NAME)
@@ -131,10 +150,10 @@
         return self._listener.on_platform_root(value.blob, self._now())
 
     async def _watch_root(self, action: WatchRoot) -> Iterable[Any]:
-        """Watch the root by the platform's version number for it.
+        """Wait for a root above the platform's version number of the last one.
 
-        That number is known only for the root read last, so the root is read
-        first if another version is held.
+        That number is known only for the root that was read last, so the root
+        is read instead if the action names another version.
         """
         version, stored_version = self._last_root_versions
         if version != action.after_version:
--- a/src/clementinedeal/_pool.py
+++ b/src/clementinedeal/_pool.py
@@ -12,22 +12,22 @@
 MAX_IDLE_SECONDS = 5.0
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Idle connections that are kept for one address, at most.
-MAX_IDLE_CONNS = 16
+MAX_IDLE_CONNS = 16  # for each address
 
 
 def split_address(address: str) -> tuple[str, int]:
     """Split an address into host and port.
 
-    :param address: ``ip:port``; an IPv6 address stands in brackets.
+    :param address: ``ip:port``; an IPv6 address is in brackets.
     """
     host, _, port = address.rpartition(':')
     return host.strip('[]'), int(port)
 
 
 class ConnPool:
-    """Keeps idle connections by address and hands them out again.
+    """Keeps idle connections by address and reuses them.
 
-    A connection that was handed out serves one request at a time.
+    An acquired connection serves one request at a time.
     """
 
     def __init__(
@@ -73,7 +73,10 @@
         conn: ClientConn,
         max_idle: float = MAX_IDLE_SECONDS,
     ) -> None:
-        """Give a connection back; it is closed unless its answer was whole.
+        """Return a connection to the pool.
+
+        It is closed if its last exchange is incomplete or if
+        ``MAX_IDLE_CONNS`` connections to the address are idle.
 
         :param address: the address that it was acquired for.
         :param conn: the connection.
--- a/src/clementinedeal/_publication.py
+++ b/src/clementinedeal/_publication.py
@@ -2,7 +2,7 @@
 
 A version consists of immutable parts, named by the digest of their content,
 and a root that lists those digests. A new version shares all unchanged parts
-with the one before.
+with the previous one.
 """
 
 from collections.abc import Iterator, Mapping
@@ -24,7 +24,7 @@
 from clementinedeal._validation import find_fault
 
 FORMAT = 1  # version of the encoding
-MAX_VALUE_BYTES = 1_000_000  # largest value that the platform takes
+MAX_VALUE_BYTES = 1_000_000  # largest value that the platform accepts
 ROOT_NAME = 'root'
 PART_PREFIX = 'part-'
 
--- a/src/clementinedeal/_pull.py
+++ b/src/clementinedeal/_pull.py
@@ -8,7 +8,7 @@
 from clementinedeal._publication import Root, read_root
 from clementinedeal._view_messages import VersionRef
 
-ANSWER_TIMEOUT_SECONDS = 1.0  # the next source is asked after this long
+ANSWER_TIMEOUT_SECONDS = 1.0  # then the next source is asked
 MAX_PARTS_PER_REQUEST = 32
 
 
@@ -17,7 +17,8 @@
 
     A value is accepted only if its digest is the expected one, so it does not
     matter which peer sends it. ``sources`` names the peers known to hold the
-    version; they are asked in turn.
+    version; they are asked in turn. ``root`` is None and ``root_blob`` empty
+    until the root is held.
     """
 
     def __init__(self, ref: VersionRef) -> None:
@@ -107,7 +108,7 @@
     ) -> tuple[str, ...]:
         """Return the digests of missing parts, those of instances first.
 
-        With the instances a daemon that has just started knows its peers.
+        A daemon that has just started needs the instances to know its peers.
 
         :param max_count: largest number of digests returned.
         """
--- a/src/clementinedeal/_read_schedule.py
+++ b/src/clementinedeal/_read_schedule.py
@@ -23,13 +23,13 @@
 # detects a version that was published twice and a stale replica.
 REREAD_INTERVAL_SECONDS = 30.0
 # A read or watch of the root that was not answered for this long is repeated.
-READ_TIMEOUT_SECONDS = 5.0
+READ_TIMEOUT_SECONDS = 5.0  # then another read of the root may be sent
 # Mean pause after a read of the root that failed.
-RETRY_INTERVAL_SECONDS = 1.0
+RETRY_INTERVAL_SECONDS = 1.0  # after a failed read of the root
 MIN_LIST_INTERVAL_SECONDS = 3.0
 MAX_LIST_READS_PER_SECOND = 100.0  # over the whole fleet
 MIN_NON_READER_INTERVAL_SECONDS = 2.0
-# Over the whole fleet, by daemons that hear nothing from the readers.
+# Over the whole fleet, by non-readers that have no recent evidence.
 MAX_NON_READER_READS_PER_SECOND = 200.0
 
 
@@ -48,8 +48,9 @@
 def reader_order(instances: Mapping[str, Instance]) -> list[str]:
     """Return the names of instances by priority as readers.
 
-    The first ones that are alive and not leaving read. Availability zones
-    alternate, so that the readers are distributed over all zones.
+    The first ``READER_COUNT`` of them that are alive and not leaving are the
+    readers. Availability zones alternate, so that the readers are distributed
+    over all zones.
 
     :param instances: the published instances by name.
     """
@@ -67,7 +68,8 @@
 
     A *reader* is one of the few daemons that read the platform for the whole
     fleet; the others get its values from their peers and read only when these
-    have no recent evidence.
+    have no recent evidence. ``list_sent_at`` is when the list of instances was
+    last requested, in monotonic seconds.
     """
 
     def __init__(self, rng: random.Random, now: float) -> None:
@@ -149,6 +151,8 @@
     def on_root(self, now: float, *, started: bool) -> RootRead | None:
         """Note the answer to a read or watch of the root; return the request.
 
+        None is returned if no request is pending.
+
         :param now: monotonic seconds.
         :param started: whether a version is in force.
         """
--- a/src/clementinedeal/_roster.py
+++ b/src/clementinedeal/_roster.py
@@ -18,7 +18,7 @@
 
 
 class Roster:
-    """When each published instance was heard and what it reported of itself.
+    """When each published instance was heard, and its newest record.
 
     In messages an instance is identified by its index in the sorted published
     names, which holds only between daemons with the same names.
@@ -43,7 +43,7 @@
     def set_names(self, names: Iterable[str], now: float) -> list[str]:
         """Replace the published names; return those no longer published.
 
-        What is known about names that stay is kept.
+        The members whose names remain published are kept.
 
         :param names: names of all published instances.
         :param now: monotonic seconds.
@@ -106,7 +106,7 @@
         """Return how long ago each instance was heard, one byte each.
 
         Ages are in quarter seconds, rounded up, at most ``MAX_AGE_UNITS``, in
-        the order of the sorted names.
+        the order of the sorted names. This instance counts as heard now.
 
         :param now: monotonic seconds.
         """
@@ -157,7 +157,10 @@
         return self._cached_digest
 
     def quorum_at(self, now: float) -> float:
-        """Return the latest time since which more than half were heard.
+        """Return the latest time at or after which a majority was heard.
+
+        A majority is more than half of the published instances, this one
+        included.
 
         :param now: monotonic seconds.
         """
--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -1,4 +1,4 @@
-"""The serving side of one HTTP connection."""
+"""The server end of one HTTP connection."""
 
 import contextlib
 from collections.abc import AsyncIterator
@@ -21,14 +21,14 @@
 )
 
 # Closing a socket that has unread bytes resets the connection, and the client
-# may lose the answer. The server reads on for this long, enough for one lost
-# packet to be sent again.
+# may lose the answer. The server keeps reading for this long, enough for one
+# lost packet to be sent again.
 CLOSE_TIMEOUT_SECONDS = 1.0
 _PROCESSING = 102
 
 
 class ServerConn:
-    """The serving side of one connection; one request at a time.
+    """The server end of one connection; one request at a time.
 
     ``is_idle`` is true between requests. Cancelling ``idle_scope`` closes the
     connection if it waits for a request. ``head_sent`` is true once a byte of
@@ -126,8 +126,10 @@
         """Send a whole answer.
 
         :param status: HTTP status.
-        :param headers: without length headers; they are added.
-        :param body: the whole body.
+        :param headers: end-to-end headers; a missing ``content-length`` is
+            added, except for ``HEAD`` and statuses without a body.
+        :param body: the whole body; not sent in answer to ``HEAD``.
+        :raises ConnLostError: the connection is closed.
         """
         length = (CONTENT_LENGTH, b'%d' % len(body))
         has_length = find_header(headers, CONTENT_LENGTH) is not None
@@ -146,9 +148,9 @@
     async def wait_disconnected(self) -> None:
         """Return when the client has closed or reset the connection.
 
-        To be used only while a request is being answered. What arrives
+        To be used only while a request is being answered. Data that arrives
         meanwhile is kept for the next request. After ``READ_BYTES`` no more
-        is read, and the end of the connection is no longer noticed.
+        is read, and the end of the connection is no longer detected.
         """
         received_bytes = 0
         while received_bytes < READ_BYTES:
@@ -223,10 +225,10 @@
         await trio.aclose_forcefully(self._h11_stream.stream)
 
     async def close_gracefully(self) -> int:
-        """Send the end of stream, read on for a short time, then close.
+        """Send the end of stream, keep reading for a short time, then close.
 
-        The client can so read an answer that it has not read yet. If the task
-        is cancelled, the stream is closed at once.
+        This lets the client read an answer that is still in transit. If the
+        task is cancelled, the stream is closed at once.
 
         :return: number of bytes received after the end was sent.
         """
--- a/src/clementinedeal/_serving_side.py
+++ b/src/clementinedeal/_serving_side.py
@@ -140,7 +140,10 @@
 
 
 def http_limits(limits: Limits) -> HttpLimits:
-    """Return the HTTP limits that a daemon's settings ask for.
+    """Return the HTTP limits of a daemon's settings.
+
+    ``max_body_bytes`` keeps its default; the entry applies the limit of the
+    settings to the bodies of callers' requests.
 
     :param limits: limits of the settings file.
     """
--- a/src/clementinedeal/_settings.py
+++ b/src/clementinedeal/_settings.py
@@ -22,7 +22,7 @@
 class FleetKey:
     """A named secret shared by all daemons of a fleet.
 
-    Daemons sign their messages to each other with it.
+    Daemons authenticate their messages to each other with it.
     """
 
     name: str
@@ -36,6 +36,8 @@
     They bound what a caller, a peer or a target can make the daemon hold or
     wait for. Sizes are in bytes, times in seconds. ``drain_timeout_seconds``
     is how long a stopping daemon lets running requests finish.
+    ``max_caller_connections`` and ``connect_timeout_seconds`` are validated
+    but not applied.
     """
 
     max_head_bytes: int = 16_384
@@ -54,7 +56,7 @@
 
     ``caller``, ``peer``, ``control`` and ``operator`` are the addresses on
     which it listens, ``platform`` those of the platform's replicas, all
-    ``ip:port``. The first fleet key signs messages; all of them verify.
+    ``ip:port``. The first fleet key seals messages; any of them opens one.
     """
 
     instance: str
--- a/src/clementinedeal/_timeline.py
+++ b/src/clementinedeal/_timeline.py
@@ -10,7 +10,7 @@
 from clementinedeal._errors import ProtocolError
 from clementinedeal._events import Event
 
-COUNTER_BITS = 16
+COUNTER_BITS = 16  # lower bits of a stamp, which hold a counter
 
 _MS_PER_SECOND = 1000
 _LOG_LINE = re.compile(
--- a/src/clementinedeal/_timeline_page.py
+++ b/src/clementinedeal/_timeline_page.py
@@ -8,8 +8,8 @@
 from clementinedeal._timeline import wall_time
 
 LANE_HEIGHT_PX = 22
-STEP_PX = 12
-LABEL_PX = 160
+STEP_PX = 12  # between successive events
+LABEL_PX = 160  # width of the instance names
 DOT_RADIUS_PX = 4
 
 _PAGE = """<!doctype html>
--- a/src/clementinedeal/_timers.py
+++ b/src/clementinedeal/_timers.py
@@ -1,4 +1,4 @@
-"""Clocks, and timers that call their subscribers by one clock."""
+"""Clocks, and timers that call subscribers at times of one clock."""
 
 import heapq
 import itertools
@@ -117,7 +117,7 @@
         """Call back at multiples of a period on the clock.
 
         Subscriptions whose periods have common multiples share a wake-up.
-        Calls that were missed, as by a pause, are not made up for.
+        Missed calls, as after a pause of the process, are not repeated.
 
         :param period: seconds between calls, above zero.
         :param callback: receives the current time in seconds.
--- a/src/clementinedeal/_validation.py
+++ b/src/clementinedeal/_validation.py
@@ -1,4 +1,4 @@
-"""Validates a configuration, the same for files and for publications."""
+"""Validates a configuration, from a file or a publication alike."""
 
 from collections.abc import Callable, Iterator
 
@@ -14,7 +14,7 @@
 )
 from clementinedeal._model import Config, PresetName
 
-MAX_VERSION = 2**63 - 1
+MAX_VERSION = 2**63 - 1  # largest signed 64-bit integer
 
 
 def find_fault(cfg: Config) -> Fault | None:
--- a/src/clementinedeal/_version_ages.py
+++ b/src/clementinedeal/_version_ages.py
@@ -4,9 +4,10 @@
 
 
 class VersionAges:
-    """Remembers the earliest time at which the newest version was published.
+    """Remembers since when the newest version is known to be published.
 
-    Several versions are held only if they have the same, highest number.
+    If the highest number was published with several contents, all of them are
+    held.
     """
 
     def __init__(self) -> None:
