Keep one comment for each limit of batches, connections and root reads

Two readings had described the same constants, and the merge held both texts. Those of the later reading stay.

--- a/src/clementinedeal/_control.py
+++ b/src/clementinedeal/_control.py
@@ -17,14 +17,10 @@
 # Messages to one peer are encoded, sealed and sent in batches up to this size.
 MAX_MESSAGES_PER_BATCH = 64
 _REJECTED_BATCH_ERRORS = (ProtocolError, *DECODE_ERRORS)
-# Sockets to other daemons that are kept open, at most.
 MAX_OPEN_PEERS = 96  # the connections to other peers are closed
-# Batches that one socket buffers.
 SEND_BUFFER_BATCHES = 64  # per peer; further batches are dropped
-# Larger batches are not received.
 MAX_BATCH_BYTES = 2_000_000  # largest sealed batch that is received
 # Time for the sockets to send buffered batches before they are closed.
-# Pause of a stop in which the last batches are sent, before sockets are closed.
 LINGER_SECONDS = 0.1
 
 
--- a/src/clementinedeal/_pool.py
+++ b/src/clementinedeal/_pool.py
@@ -11,7 +11,6 @@
 
 MAX_IDLE_SECONDS = 5.0
 CONNECT_TIMEOUT_SECONDS = 0.5
-# Idle connections that are kept for one address, at most.
 MAX_IDLE_CONNS = 16  # for each address
 
 
--- a/src/clementinedeal/_read_schedule.py
+++ b/src/clementinedeal/_read_schedule.py
@@ -12,9 +12,7 @@
 READER_COUNT = 8  # readers in the fleet
 LIST_NAME = 'instances'  # name under which the list of instances is read
 START_JITTER_SECONDS = 3.0
-# Mean interval of reads of the root until a version is in force.
 START_RETRY_INTERVAL_SECONDS = 4.0
-# How long the platform holds a watch without a newer root.
 WATCH_TIMEOUT_SECONDS = 1.0
 # Limits the rate of watches that return at once, because the root that they
 # return can't be accepted or rejected yet.
@@ -22,9 +20,7 @@
 # A watch returns only higher versions. Reading the root from time to time
 # detects a version that was published twice and a stale replica.
 REREAD_INTERVAL_SECONDS = 30.0
-# A read or watch of the root that was not answered for this long is repeated.
 READ_TIMEOUT_SECONDS = 5.0  # then another read of the root may be sent
-# Mean pause after a read of the root that failed.
 RETRY_INTERVAL_SECONDS = 1.0  # after a failed read of the root
 MIN_LIST_INTERVAL_SECONDS = 3.0
 MAX_LIST_READS_PER_SECOND = 100.0  # over the whole fleet
