--- a/src/clementinedeal_bench/_caller.py
+++ b/src/clementinedeal_bench/_caller.py
@@ -124,8 +124,8 @@
             with trio.move_on_after(self._scenario.seconds):
                 await self._stop.wait()
             self._stop.set()
-        for used in accounts:
-            used.close()
+        for used_account in accounts:
+            used_account.close()
 
     def _start_account(self, nursery: trio.Nursery, account: Account) -> None:
         if account.load.rate:
--- a/src/clementinedeal_bench/_cli.py
+++ b/src/clementinedeal_bench/_cli.py
@@ -50,7 +50,7 @@
     )
 
 
-def _run_platform(values: flags.FlagValues, _rest: list[str]) -> None:
+def _run_platform(values: flags.FlagValues, _positional: list[str]) -> None:
     settings = PlatformSettings(lag=values.lag)
     trio.run(serve_platform, values.host, values.port, settings)
 
@@ -74,7 +74,7 @@
     define_integer('seed', 0, 'seed of service times and injected faults')
 
 
-def _run_target(values: flags.FlagValues, _rest: list[str]) -> None:
+def _run_target(values: flags.FlagValues, _positional: list[str]) -> None:
     settings = TargetSettings(
         name=values.name,
         host=values.host,
@@ -97,7 +97,7 @@
     define_string('history', '', 'file for the history of calls (JSON lines)')
 
 
-def _run_load(values: flags.FlagValues, _rest: list[str]) -> None:
+def _run_load(values: flags.FlagValues, _positional: list[str]) -> None:
     scenario = load_scenario(values.scenario)
     if isinstance(scenario, Err):
         raise scenario.err_value
@@ -128,7 +128,7 @@
 async def _publish(platform: str, cfg: Config) -> None:
     publisher = Publisher(platform)
     published_bytes = await publisher.publish(cfg)
-    await publisher.list_instances(dict.fromkeys(cfg.instances, LIVE))
+    await publisher.publish_instance_list(dict.fromkeys(cfg.instances, LIVE))
     publisher.close()
     sys.stdout.write(
         f'published version={cfg.version} bytes={published_bytes}\n'
@@ -154,7 +154,7 @@
     )
 
 
-def _run_demo(values: flags.FlagValues, _rest: list[str]) -> None:
+def _run_demo(values: flags.FlagValues, _positional: list[str]) -> None:
     settings = DemoSettings(
         declaration=values.declaration,
         fleet=FleetSettings(
@@ -181,7 +181,7 @@
     )
 
 
-def _run_latency(values: flags.FlagValues, _rest: list[str]) -> None:
+def _run_latency(values: flags.FlagValues, _positional: list[str]) -> None:
     platform = f'127.0.0.1:{values.base_port + PLATFORM_PORT_OFFSET}'
     settings = LatencySettings(
         fleet=FleetSettings(
--- a/src/clementinedeal_bench/_commands.py
+++ b/src/clementinedeal_bench/_commands.py
@@ -24,7 +24,7 @@
 
     name: str
     summary: str
-    define: Callable[[flags.FlagValues], None]
+    define_flags: Callable[[flags.FlagValues], None]
     run: Callable[[flags.FlagValues, list[str]], None]
 
 
@@ -56,7 +56,10 @@
         return
     is_help_requested = bool(argv) and argv[0] in {'--help', '-h', 'help'}
     lines = [f'usage: {program} COMMAND [flags]', '']
-    lines += [f'  {each.name:<10} {each.summary}' for each in commands]
+    lines += [
+        f'  {listed_command.name:<10} {listed_command.summary}'
+        for listed_command in commands
+    ]
     lines.append(f'\nflags of a command: {program} COMMAND --help')
     if not is_help_requested:
         _exit_with_error('\n'.join(lines), USAGE_EXIT_STATUS)
@@ -65,7 +68,7 @@
 
 def _run_command(program: str, command: Command, argv: list[str]) -> None:
     values = flags.FlagValues()  # type: ignore[no-untyped-call]
-    command.define(values)
+    command.define_flags(values)
     flags.DEFINE_bool(
         'help', False, 'show the flags', short_name='h', flag_values=values
     )
--- a/src/clementinedeal_bench/_config_size_trial.py
+++ b/src/clementinedeal_bench/_config_size_trial.py
@@ -75,12 +75,12 @@
     root = read_root(before.root).unwrap()
     next_root = read_root(after.root).unwrap()
     unpack_all = partial(unpack, root, before.parts)
-    memo = PartCache()
-    unpack(root, before.parts, memo)
+    part_cache = PartCache()
+    unpack(root, before.parts, part_cache)
     return {
         'config_bytes': _measure_held_bytes(unpack_all),
         'change_seconds': _measure_processor_seconds(
-            partial(unpack, next_root, after.parts, memo),
+            partial(unpack, next_root, after.parts, part_cache),
         ),
         'whole_seconds': sorted(
             _measure_processor_seconds(unpack_all) for _ in range(UNPACK_RUNS)
--- a/src/clementinedeal_bench/_cost_measurement.py
+++ b/src/clementinedeal_bench/_cost_measurement.py
@@ -14,8 +14,8 @@
 CALLS_PER_ROUND = 2000
 MICROS_PER_SECOND = 1_000_000
 # numbers of accounts and instances; the last of each is the design size
-ACCOUNT_SIZES = (6_000, 12_000, 24_000)
-INSTANCE_SIZES = (160, 325, 650)
+ACCOUNT_COUNTS = (6_000, 12_000, 24_000)
+INSTANCE_COUNTS = (160, 325, 650)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/clementinedeal_bench/_decision_slopes.py
+++ b/src/clementinedeal_bench/_decision_slopes.py
@@ -21,9 +21,9 @@
 from clementinedeal._target_queue import TargetQueue
 from clementinedeal._tokens import TokenManager
 from clementinedeal_bench._cost_measurement import (
-    ACCOUNT_SIZES,
+    ACCOUNT_COUNTS,
     CALLS_PER_ROUND,
-    INSTANCE_SIZES,
+    INSTANCE_COUNTS,
     ROUNDS,
     CostMeasurement,
     measure_held_bytes,
@@ -41,9 +41,9 @@
 
     The entry, the daemon that took the caller's request, decides both.
     """
-    for accounts in ACCOUNT_SIZES:
+    for accounts in ACCOUNT_COUNTS:
         yield from _measure_access_check(accounts)
-    for instances in INSTANCE_SIZES:
+    for instances in INSTANCE_COUNTS:
         yield from _measure_target_order(instances)
 
 
@@ -52,7 +52,7 @@
 
     The take is from the share of the account's rate that the daemon holds.
     """
-    for accounts in ACCOUNT_SIZES:
+    for accounts in ACCOUNT_COUNTS:
         yield from _measure_token_manager(accounts)
 
 
@@ -61,7 +61,7 @@
 
     The owner, the daemon beside a target, records the outcome of each request.
     """
-    for instances in INSTANCE_SIZES:
+    for instances in INSTANCE_COUNTS:
         yield from _measure_ejection_manager(instances)
 
 
@@ -87,7 +87,7 @@
     """
     for claims in (1_000, 2_000, 4_000):
         yield from _measure_claims_memory(claims)
-    for instances in INSTANCE_SIZES:
+    for instances in INSTANCE_COUNTS:
         yield from _measure_claim_time(instances)
 
 
@@ -97,13 +97,13 @@
     Its cost is the time to seal and open it, and its size.
     """
     keyring = Keyring({'k': bytes(32)})
-    fwd = Forward('r/0', 'r', 'a', 't', 'i', 'acc', 1000, True, False, 1)
+    forward = Forward('r/0', 'r', 'a', 't', 'i', 'acc', 1000, True, False, 1)
 
     def seal_and_open(_number: int) -> None:
-        sealed = keyring.seal_header(fwd, b'context')
+        sealed = keyring.seal_header(forward, b'context')
         keyring.open_forward(sealed, b'context')
 
-    sealed = keyring.seal_header(fwd, b'context')
+    sealed = keyring.seal_header(forward, b'context')
     yield CostMeasurement(
         'entry', 'envelope', 1, measure_micros_per_call(seal_and_open), 'us'
     )
@@ -133,7 +133,7 @@
 
 def _measure_token_manager(accounts: int) -> Iterator[CostMeasurement]:
     cfg = sized_config(accounts)
-    name, account = _find_held_account(cfg)
+    holder, account = _find_holder_and_account(cfg)
     large_account = replace(
         cfg.accounts[account],
         rate=1e6,
@@ -145,7 +145,7 @@
     )
     held_bytes, manager = measure_held_bytes(
         lambda: TokenManager(
-            name, cfg, 0, incarnation=1, config_age_seconds=1e6
+            holder, cfg, 0, incarnation=1, config_age_seconds=1e6
         ),
     )
     manager.set_fresh(True, 0)
@@ -233,7 +233,7 @@
     return manager, next(iter(cfg.accounts))
 
 
-def _find_held_account(cfg: Config) -> tuple[str, str]:
+def _find_holder_and_account(cfg: Config) -> tuple[str, str]:
     account = next(iter(cfg.accounts))
     manager = TokenManager('instance-000', cfg, 0, incarnation=1)
     return manager.holders(account)[0], account
--- a/src/clementinedeal_bench/_declarations.py
+++ b/src/clementinedeal_bench/_declarations.py
@@ -22,10 +22,10 @@
     :param path: path of the YAML file.
     :raises ClementinedealError: the declaration is not valid.
     """
-    found = check_file(path)
-    if isinstance(found, Err):
-        raise found.err_value
-    return found.ok_value
+    result = check_file(path)
+    if isinstance(result, Err):
+        raise result.err_value
+    return result.ok_value
 
 
 def write_declaration(cfg: Config, path: Path) -> None:
--- a/src/clementinedeal_bench/_demo_steps.py
+++ b/src/clementinedeal_bench/_demo_steps.py
@@ -25,8 +25,8 @@
 DETECTION_TIMEOUT_SECONDS = 20.0  # for a slow target to leave use
 POLL_INTERVAL_SECONDS = 0.1
 OVERUSE_FACTOR = 4.0  # requests sent, as a multiple of the account's rate
-SLOW_MODE = b'{"mode": "slow", "factor": 20}'
-HEALTHY_MODE = b'{"mode": "healthy"}'
+SLOW_MODE_BODY = b'{"mode": "slow", "factor": 20}'
+HEALTHY_MODE_BODY = b'{"mode": "healthy"}'
 
 
 class DemoSteps:
@@ -82,15 +82,15 @@
         step = self._begin_step(
             'start: token holders wait until earlier leases end'
         )
-        waiting = set(self._cfg.accounts)
+        unanswered_accounts = set(self._cfg.accounts)
         with trio.move_on_after(WARM_UP_TIMEOUT_SECONDS):
-            while waiting:
+            while unanswered_accounts:
                 await trio.sleep(POLL_INTERVAL_SECONDS)
-                waiting -= {
+                unanswered_accounts -= {
                     call.account for call in self._records if _is_answered(call)
                 }
         step.ended_at = time.monotonic()
-        unanswered = ', '.join(sorted(waiting)) or 'none'
+        unanswered = ', '.join(sorted(unanswered_accounts)) or 'none'
         step.notes.append(f'accounts without any answer so far: {unanswered}')
 
     async def _send_ordinary_traffic(self) -> None:
@@ -118,7 +118,7 @@
             max(counts_before, key=counts_before.__getitem__)
         ]
         step = self._begin_step(f'target {target.name} serves 20 times slower')
-        await put(target.address, '/control/mode', SLOW_MODE)
+        await put(target.address, '/control/mode', SLOW_MODE_BODY)
         owner = self._cfg.instances[target.instance]
         with trio.move_on_after(DETECTION_TIMEOUT_SECONDS):
             await await_not_in_use(owner, target)
@@ -135,7 +135,7 @@
             f'and {slow_executions} executions'
         )
         await self._finish_step(step)
-        await put(target.address, '/control/mode', HEALTHY_MODE)
+        await put(target.address, '/control/mode', HEALTHY_MODE_BODY)
 
     async def _stop_daemon(self) -> None:
         name = sorted(self._cfg.instances)[-2]
@@ -212,13 +212,13 @@
         self._cfg = replace(cfg, version=version)
         started_at = time.monotonic()
         await self._fleet.publisher.publish(self._cfg)
-        daemons_in_force = await await_version(
+        daemons_at_version = await await_version(
             self._fleet.live_instances(),
             version,
         )
         elapsed_seconds = time.monotonic() - started_at
         step.notes.append(
-            f'version {version} in force at {daemons_in_force} daemons '
+            f'version {version} in force at {daemons_at_version} daemons '
             f'of {len(self._fleet.live_instances())} '
             f'after {elapsed_seconds:.2f} s',
         )
--- a/src/clementinedeal_bench/_demo_traffic.py
+++ b/src/clementinedeal_bench/_demo_traffic.py
@@ -7,7 +7,7 @@
 
 KEY_PREFIX = 'demo-'  # the key of an account in the examples: demo-ACCOUNT
 BODY_BYTES = 200
-READ_WEIGHT = 4.0  # of an idempotent route; any other has 1
+IDEMPOTENT_ROUTE_WEIGHT = 4.0  # of an idempotent route; any other has 1
 TIMEOUT_MS = 5000
 SEED = 1
 
@@ -71,7 +71,7 @@
         service=route.service,
         method=method,
         path=f'{route.prefix.rstrip("/")}/1',
-        weight=READ_WEIGHT if route.idempotent else 1,
+        weight=IDEMPOTENT_ROUTE_WEIGHT if route.idempotent else 1,
         body_bytes=0 if method == 'GET' else BODY_BYTES,
         timeout_ms=TIMEOUT_MS,
     )
--- a/src/clementinedeal_bench/_ejection_policies.py
+++ b/src/clementinedeal_bench/_ejection_policies.py
@@ -100,8 +100,13 @@
         return 0.0 if self._ejected_until.get(target, 0) > now else 1.0
 
     def _eject(self, target: str, now: float) -> None:
-        ejected = sum(until > now for until in self._ejected_until.values())
-        if self.usable_fraction(target, now) and ejected < self._max_ejected:
+        ejected_count = sum(
+            until > now for until in self._ejected_until.values()
+        )
+        if (
+            self.usable_fraction(target, now)
+            and ejected_count < self._max_ejected
+        ):
             self._ejected_until[target] = now + EJECTION_SECONDS
             self.ejections.append(target)
 
@@ -186,14 +191,14 @@
         """
         self.ejections: list[str] = []
         cfg = make_config(target_count, floor)
-        detection = DetectorSettings(threshold_nats=threshold_nats)
+        detector_settings = DetectorSettings(threshold_nats=threshold_nats)
         self._managers = {
             number: EjectionManager(
                 f'i{number}',
                 cfg,
                 0.0,
                 incarnation=number,
-                detector_settings=detection,
+                detector_settings=detector_settings,
             )
             for number in range(target_count)
         }
@@ -236,8 +241,8 @@
         """
         return self._manager(target).usable_fraction(target, now)
 
-    def _manager(self, name: str) -> EjectionManager:
-        return self._managers[int(name[1:])]
+    def _manager(self, target_or_instance: str) -> EjectionManager:
+        return self._managers[int(target_or_instance[1:])]
 
     def _apply_actions(
         self, target: str, actions: list[Action], now: float
--- a/src/clementinedeal_bench/_fleet.py
+++ b/src/clementinedeal_bench/_fleet.py
@@ -63,7 +63,7 @@
         self._processes = Processes(_ensure_folder(settings.folder / 'logs'))
         self._settings_folder = _ensure_folder(settings.folder / 'settings')
         self.publisher = Publisher(settings.platform_address)
-        self._ended: set[str] = set()
+        self._ended_names: set[str] = set()
 
     async def start(self) -> None:
         """Start all processes and wait until they serve.
@@ -72,10 +72,10 @@
         """
         await self._start_platform()
         await self.publisher.publish(self.cfg)
-        await self.publisher.list_instances(
+        await self.publisher.publish_instance_list(
             dict.fromkeys(self.cfg.instances, LIVE),
         )
-        await self._start_all(
+        await self._start_processes(
             (name, self._target_args(target), target.address, '/load')
             for name, target in self.cfg.targets.items()
         )
@@ -87,7 +87,7 @@
         return [
             instance
             for name, instance in self.cfg.instances.items()
-            if name not in self._ended
+            if name not in self._ended_names
         ]
 
     def live_targets(self) -> list[Target]:
@@ -95,7 +95,7 @@
         return [
             target
             for name, target in self.cfg.targets.items()
-            if name not in self._ended
+            if name not in self._ended_names
         ]
 
     def kill(self, name: str) -> None:
@@ -103,7 +103,7 @@
 
         :param name: name of the instance or target.
         """
-        self._ended.add(name)
+        self._ended_names.add(name)
         self._processes.kill(name)
 
     async def stop(self, name: str) -> bool:
@@ -111,7 +111,7 @@
 
         :param name: name of the instance or target.
         """
-        self._ended.add(name)
+        self._ended_names.add(name)
         return await self._processes.stop(name)
 
     async def restart_daemon(self, name: str) -> None:
@@ -121,8 +121,8 @@
         """
         instance = self.cfg.instances[name]
         args = self._daemon_args(instance)
-        await self._start_one(name, args, instance.operator, '/healthz')
-        self._ended.discard(name)
+        await self._start_process(name, args, instance.operator, '/healthz')
+        self._ended_names.discard(name)
 
     def pid(self, name: str) -> int:
         """Return the process id of a daemon or target.
@@ -140,13 +140,13 @@
         address = self._settings.platform_address
         host, port = split_address(address)
         args = _bench_command('platform', host=host, port=port)
-        await self._start_one(
+        await self._start_process(
             PLATFORM_NAME, args, address, '/operator/counters'
         )
 
     async def _start_daemons(self) -> None:
         instances = self.cfg.instances
-        await self._start_all(
+        await self._start_processes(
             (name, self._daemon_args(instance), instance.operator, '/status')
             for name, instance in instances.items()
         )
@@ -157,7 +157,7 @@
     async def _await_serving(self, instance: Instance) -> None:
         await self._await_answer(instance.name, instance.operator, '/healthz')
 
-    async def _start_all(
+    async def _start_processes(
         self,
         starts: Iterable[tuple[str, list[str], str, str]],
     ) -> None:
@@ -165,13 +165,13 @@
 
         async def start_limited(*start_args: object) -> None:  # noqa: WPS430
             async with limit:
-                await self._start_one(*start_args)  # type: ignore[arg-type]
+                await self._start_process(*start_args)  # type: ignore[arg-type]
 
         async with trio.open_nursery() as nursery:
             for args in starts:
                 nursery.start_soon(start_limited, *args)
 
-    async def _start_one(
+    async def _start_process(
         self,
         name: str,
         args: list[str],
--- a/src/clementinedeal_bench/_fleet_slopes.py
+++ b/src/clementinedeal_bench/_fleet_slopes.py
@@ -18,7 +18,7 @@
 from clementinedeal._messages import Send, message
 from clementinedeal._publication import pack, read_root, unpack
 from clementinedeal_bench._cost_measurement import (
-    ACCOUNT_SIZES,
+    ACCOUNT_COUNTS,
     CALLS_PER_ROUND,
     MICROS_PER_SECOND,
     CostMeasurement,
@@ -32,7 +32,7 @@
 
 def measure_configuration() -> Iterator[CostMeasurement]:
     """Measure the memory of a configuration and its index, and unpacking it."""
-    for accounts in ACCOUNT_SIZES:
+    for accounts in ACCOUNT_COUNTS:
         yield from _measure_configuration_at(accounts)
 
 
--- a/src/clementinedeal_bench/_latency.py
+++ b/src/clementinedeal_bench/_latency.py
@@ -103,15 +103,15 @@
 
     async def _measure_usage(self) -> None:
         await trio.sleep(IDLE_SECONDS)
-        for idle in self._meters.values():
-            idle.end_idle()
+        for idle_meter in self._meters.values():
+            idle_meter.end_idle()
         await self._warm_up()
         self._records.clear()
         for meter in self._meters.values():
             meter.begin_busy()
         await self._send_requests(self._settings.seconds)
-        for busy in self._meters.values():
-            busy.end_busy()
+        for busy_meter in self._meters.values():
+            busy_meter.end_busy()
 
     async def _warm_up(self) -> None:
         has_unanswered = True
--- a/src/clementinedeal_bench/_platform_server.py
+++ b/src/clementinedeal_bench/_platform_server.py
@@ -110,7 +110,7 @@
         while True:
             now = trio.current_time()
             if self._platform.is_down(now):
-                return WebAnswer(drop=True)
+                return WebAnswer(is_dropped=True)
             published = self._platform.read(name, now)
             if published is not None and published.version > after_version:
                 return _value_answer(name, published)
--- a/src/clementinedeal_bench/_publisher.py
+++ b/src/clementinedeal_bench/_publisher.py
@@ -51,7 +51,7 @@
                 self._published_parts.add(name)
         return published_bytes
 
-    async def list_instances(self, states: dict[str, str]) -> None:
+    async def publish_instance_list(self, states: dict[str, str]) -> None:
         """Publish the list of instances.
 
         :param states: ``live`` or ``leaving`` by instance name.
@@ -68,14 +68,14 @@
 
     async def _put(self, path: str, body: bytes) -> WebAnswer:
         req = WebRequest(method='PUT', target=f'/operator/{path}', body=body)
-        found = await self._client.request(req)
-        if isinstance(found, Err):
+        result = await self._client.request(req)
+        if isinstance(result, Err):
             where = f'platform {self._client.address}'
-            raise BenchError(f'{where}: {found.err_value.detail}')
-        if found.ok_value.status != OK_STATUS:
-            status = found.ok_value.status
+            raise BenchError(f'{where}: {result.err_value.detail}')
+        if result.ok_value.status != OK_STATUS:
+            status = result.ok_value.status
             raise BenchError(
                 f'platform refused {path}: status {status}, '
                 f'expected {OK_STATUS}'
             )
-        return found.ok_value
+        return result.ok_value
--- a/src/clementinedeal_bench/_report.py
+++ b/src/clementinedeal_bench/_report.py
@@ -22,7 +22,7 @@
 from clementinedeal_bench._executions import Execution
 from clementinedeal_bench._summary import Summary, summarize
 
-CALLER_REQUEST_PARAMETER = 'caller-request='
+CALLER_REQUEST_PREFIX = 'caller-request='
 CREDENTIAL_HEADERS = frozenset(
     ('authorization', 'x-api-key', 'proxy-authorization')
 )
@@ -65,16 +65,16 @@
     :param step: the step.
     :param records: the calls of the whole run.
     """
-    counts = summarize(step.calls(records))
+    summary = summarize(step.calls(records))
     seconds = step.ended_at - step.started_at
     lines = [f'== {step.name} ({seconds:.1f} s)']
     lines.extend(f'   {note}' for note in step.notes)
-    lines.append(f'   {_count_line(counts)}')
+    lines.append(f'   {_count_line(summary)}')
     lines.append(f'   {worst_served_line(step.calls(records))}')
-    if counts.reasons:
-        lines.append(f'   refused by reason: {_format_counts(counts.reasons)}')
-    if counts.verdicts:
-        lines.append(f'   verdicts: {_format_counts(counts.verdicts)}')
+    if summary.reasons:
+        lines.append(f'   refused by reason: {_format_counts(summary.reasons)}')
+    if summary.verdicts:
+        lines.append(f'   verdicts: {_format_counts(summary.verdicts)}')
     return lines
 
 
@@ -93,14 +93,16 @@
     """
     events = _history_events(cfg, records, executions)
     limits = {
-        name: RateLimit(account.rate, _visible_burst(account))
+        name: RateLimit(account.rate, _burst_at_targets(account))
         for name, account in cfg.accounts.items()
     }
     wrong_answers = [
         call for call in records if call.outcome is CallOutcome.WRONG
     ]
     with_credentials = [
-        run for run in executions if CREDENTIAL_HEADERS & set(run.header_names)
+        execution
+        for execution in executions
+        if CREDENTIAL_HEADERS & set(execution.header_names)
     ]
     return [
         _check_line(
@@ -118,15 +120,15 @@
     ]
 
 
-def caller_request_of(run: Execution) -> str:
+def caller_request_of(execution: Execution) -> str:
     """Return the caller's id of the request that was executed.
 
     :param run: the execution.
     """
-    return run.path.partition(CALLER_REQUEST_PARAMETER)[2].partition('&')[0]
+    return execution.path.partition(CALLER_REQUEST_PREFIX)[2].partition('&')[0]
 
 
-def _visible_burst(account: Account) -> float:
+def _burst_at_targets(account: Account) -> float:
     return account.burst + account.rate * ADMISSION_TO_START_SECONDS
 
 
@@ -138,27 +140,27 @@
     calls = {call.caller_request: call for call in records}
     first_starts: dict[str, float] = {}
     events: list[HistoryEvent] = []
-    for run in executions:
-        req_id = caller_request_of(run)
+    for execution in executions:
+        req_id = caller_request_of(execution)
         first_starts[req_id] = min(
-            run.start, first_starts.get(req_id, run.start)
+            execution.start, first_starts.get(req_id, execution.start)
         )
-        events.append(_start_event(run, req_id))
-    for call_id, at in first_starts.items():
+        events.append(_start_event(execution, req_id))
+    for call_id, started_at in first_starts.items():
         if call_id in calls and calls[call_id].account in cfg.accounts:
             events.append(
-                RequestAdmitted(at=at, account=calls[call_id].account)
+                RequestAdmitted(at=started_at, account=calls[call_id].account)
             )
     events.extend(_answer_event(call) for call in records if call.verdict)
     return events
 
 
-def _start_event(run: Execution, req_id: str) -> RequestStarted:
+def _start_event(execution: Execution, req_id: str) -> RequestStarted:
     return RequestStarted(
-        at=run.start,
+        at=execution.start,
         req_id=req_id,
-        target=run.target,
-        idempotent=run.method in {'GET', 'HEAD'},
+        target=execution.target,
+        idempotent=execution.method in {'GET', 'HEAD'},
     )
 
 
@@ -180,20 +182,20 @@
     return f'   FAULT {fault}: {len(violations)}, for example {shown}'
 
 
-def _describe(found: object) -> str:
-    if isinstance(found, Violation):
-        return found.detail
-    if isinstance(found, CallRecord):
-        return f'{found.method} {found.path}: {found.detail}'
-    if isinstance(found, Execution):
-        return f'{found.method} {found.path} at {found.target}'
-    return str(found)
+def _describe(violation: object) -> str:
+    if isinstance(violation, Violation):
+        return violation.detail
+    if isinstance(violation, CallRecord):
+        return f'{violation.method} {violation.path}: {violation.detail}'
+    if isinstance(violation, Execution):
+        return f'{violation.method} {violation.path} at {violation.target}'
+    return str(violation)
 
 
-def _count_line(counts: Summary) -> str:
-    latency = counts.latency
+def _count_line(summary: Summary) -> str:
+    latency = summary.latency
     return (
-        f'{counts.requests} requests: {_format_counts(counts.outcomes)}; '
+        f'{summary.requests} requests: {_format_counts(summary.outcomes)}; '
         f'p50 {latency.p50:.1f} ms, p99 {latency.p99:.1f} ms'
     )
 
--- a/src/clementinedeal_bench/_status_reader.py
+++ b/src/clementinedeal_bench/_status_reader.py
@@ -114,15 +114,15 @@
     :param job: called with each item.
     :param items: the items; results come in the order of completion.
     """
-    found: list[FoundT] = []
+    results: list[FoundT] = []
 
     async def run_one(item: ItemT) -> None:  # noqa: WPS430 - binds the list
-        found.append(await job(item))
+        results.append(await job(item))
 
     async with trio.open_nursery() as nursery:
         for item in items:
             nursery.start_soon(run_one, item)
-    return found
+    return results
 
 
 async def read_status(instance: Instance) -> InstanceStatus | None:
--- a/src/clementinedeal_bench/_timeline_page.py
+++ b/src/clementinedeal_bench/_timeline_page.py
@@ -24,7 +24,7 @@
         '--html',
         f'--out={page}',
     ]
-    ended = await trio.run_process(
+    process = await trio.run_process(
         args,
         capture_stdout=True,
         capture_stderr=True,
@@ -32,5 +32,5 @@
     )
     if page.exists():
         return f'time line: {page}'
-    lines = ended.stderr.decode().splitlines() or ['no page']
-    return f'time line: not written, status {ended.returncode}: {lines[-1]}'
+    lines = process.stderr.decode().splitlines() or ['no page']
+    return f'time line: not written, status {process.returncode}: {lines[-1]}'
--- a/src/clementinedeal_bench/_token_timing.py
+++ b/src/clementinedeal_bench/_token_timing.py
@@ -13,7 +13,7 @@
 from clementinedeal._tokens import TokenManager
 from clementinedeal_bench._token_config import ACCOUNT_NAME, make_config
 
-CALLS = 20_000
+CALL_COUNT = 20_000
 LARGE_AMOUNT = 1_000_000.0  # a rate, burst or age that limits nothing
 LOW_RATE = 9.0  # requests per second, for takes with a draw each
 NANOS_PER_MICRO = 1000
@@ -74,9 +74,9 @@
     fleet = TimedFleet(LARGE_AMOUNT)
     manager = fleet.managers[fleet.holders[0]]
     started_ns = time.process_time_ns()
-    for index in range(CALLS):
+    for index in range(CALL_COUNT):
         manager.take(str(index), ACCOUNT_NAME, fleet.now)
-    return (time.process_time_ns() - started_ns) / NANOS_PER_MICRO / CALLS
+    return (time.process_time_ns() - started_ns) / NANOS_PER_MICRO / CALL_COUNT
 
 
 def measure_take_with_draw() -> tuple[float, int]:
@@ -85,10 +85,10 @@
     The time is that of the owner and the holder together.
     """
     fleet = TimedFleet(LOW_RATE)
-    owner = next(each for each in fleet.managers if each not in fleet.holders)
+    owner = next(name for name in fleet.managers if name not in fleet.holders)
     spent_ns = 0
     admitted = 0
-    for index in range(CALLS // 10):
+    for index in range(CALL_COUNT // 10):
         fleet.now += STEP_SECONDS
         fleet.tick()
         started_ns = time.process_time_ns()
@@ -97,16 +97,16 @@
         )
         admitted += fleet.deliver(owner, actions)
         spent_ns += time.process_time_ns() - started_ns
-    return spent_ns / NANOS_PER_MICRO / (CALLS // 10), admitted
+    return spent_ns / NANOS_PER_MICRO / (CALL_COUNT // 10), admitted
 
 
 def main() -> None:
     """Measure and print the result as one JSON line."""
-    drawn_micros, admitted = measure_take_with_draw()
+    take_with_draw_micros, admitted = measure_take_with_draw()
     report = {
         'take_local_us': round(measure_local_take(), 2),
-        'take_with_draw_both_sides_us': round(drawn_micros, 2),
-        'draws': CALLS // 10,
+        'take_with_draw_both_sides_us': round(take_with_draw_micros, 2),
+        'draws': CALL_COUNT // 10,
         'admitted': admitted,
     }
     print(json.dumps(report))  # noqa: WPS421
--- a/src/clementinedeal_bench/_token_trial.py
+++ b/src/clementinedeal_bench/_token_trial.py
@@ -93,7 +93,7 @@
         ...
 
 
-class Bucket:
+class ExactTokenBucket:
     """An exact token bucket."""
 
     def __init__(self, rate: float, burst: float) -> None:
@@ -132,7 +132,7 @@
         count = len(holders)
         self._dead = set(dead)
         self._buckets = {
-            name: Bucket(case.rate / count, case.burst / count)
+            name: ExactTokenBucket(case.rate / count, case.burst / count)
             for name in holders
         }
         self._refused = 0
@@ -185,7 +185,7 @@
     def count_results(self, requests: int) -> RunCounts:
         """Return what became of all requests."""
         self._fleet.run(1)
-        admitted = sum(each.admitted for each in self._fleet.outcomes)
+        admitted = sum(outcome.admitted for outcome in self._fleet.outcomes)
         return RunCounts(
             requests,
             requests - admitted,
@@ -202,7 +202,7 @@
     :param case: the account and its load.
     :param rng: source of the random choices.
     """
-    exact_bucket = Bucket(case.rate, case.burst)
+    exact_bucket = ExactTokenBucket(case.rate, case.burst)
     burst_requests = int(case.burst / BURST_DIVISOR)
     even_rate = (
         case.rate * case.load - burst_requests / MEAN_BURST_INTERVAL_SECONDS
--- a/src/clementinedeal_bench/_web_client.py
+++ b/src/clementinedeal_bench/_web_client.py
@@ -11,7 +11,7 @@
     HeaderList,
     WebAnswer,
     WebRequest,
-    text_headers,
+    decode_headers,
 )
 from clementinedeal_bench._web_server import next_event
 
@@ -115,13 +115,13 @@
 
     async def run(self, req: WebRequest, host: str) -> WebAnswer:
         await self._stream.send_all(self._encode(req, host))
-        parts = []
+        chunks = []
         event = await self._next_event()
         while not isinstance(event, h11.EndOfMessage):
             if isinstance(event, h11.Response):
                 self._head = event
             elif isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
+                chunks.append(bytes(event.data))
             elif isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError(
                     'connection closed before the answer'
@@ -131,8 +131,8 @@
             raise h11.RemoteProtocolError('answer without a head')
         return WebAnswer(
             status=self._head.status_code,
-            headers=text_headers(self._head.headers),
-            body=b''.join(parts),
+            headers=decode_headers(self._head.headers),
+            body=b''.join(chunks),
         )
 
     def is_reusable(self) -> bool:
@@ -148,7 +148,7 @@
             detail=detail,
             may_have_been_sent=True,
             status=self._head.status_code,
-            headers=text_headers(self._head.headers),
+            headers=decode_headers(self._head.headers),
         )
 
     def _encode(self, req: WebRequest, host: str) -> bytes:
--- a/src/clementinedeal_bench/_web_messages.py
+++ b/src/clementinedeal_bench/_web_messages.py
@@ -62,7 +62,7 @@
     body: bytes = b''
     chunked: bool = False
     cut_after_bytes: int | None = None
-    drop: bool = False
+    is_dropped: bool = False
 
     def header(self, name: str, default: str = '') -> str:
         """Return the first value of a header.
@@ -86,7 +86,7 @@
     return default
 
 
-def text_headers(headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
+def decode_headers(headers: Iterable[tuple[bytes, bytes]]) -> HeaderList:
     """Decode the headers of an h11 event.
 
     :param headers: names and values as bytes.
--- a/src/clementinedeal_bench/_web_server.py
+++ b/src/clementinedeal_bench/_web_server.py
@@ -10,7 +10,7 @@
 from clementinedeal_bench._web_messages import (
     WebAnswer,
     WebRequest,
-    text_headers,
+    decode_headers,
 )
 
 RECEIVE_BYTES = 65536
@@ -109,18 +109,18 @@
             raise ConnectionClosedError
         if self._conn.they_are_waiting_for_100_continue:
             await self._send_continue()
-        parts = []
+        chunks = []
         event = await self._next_event()
         while isinstance(event, h11.Data):
-            parts.append(bytes(event.data))
+            chunks.append(bytes(event.data))
             event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise ConnectionClosedError
         return WebRequest(
             method=head.method.decode(),
             target=head.target.decode('latin-1'),
-            headers=text_headers(head.headers),
-            body=b''.join(parts),
+            headers=decode_headers(head.headers),
+            body=b''.join(chunks),
         )
 
     async def _send_continue(self) -> None:
@@ -133,7 +133,7 @@
         return await next_event(self._conn, self._stream)
 
     async def _run_handler(self, req: WebRequest) -> WebAnswer:
-        answer = WebAnswer(drop=True)
+        answer = WebAnswer(is_dropped=True)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_on_close, nursery.cancel_scope)
             answer = await self._handler(req)
@@ -148,7 +148,7 @@
         scope.cancel()
 
     async def _send_answer(self, req: WebRequest, answer: WebAnswer) -> None:
-        if answer.drop:
+        if answer.is_dropped:
             raise ConnectionClosedError
         await self._send(self._head_event(req, answer))
         body = answer.body
--- a/tests/test_bench_platform.py
+++ b/tests/test_bench_platform.py
@@ -77,7 +77,7 @@
     assert statuses == [200] * 5 + [429]
     await trio.sleep(2)
     await ask(server, 'PUT', '/operator/mode', b'{"mode": "down"}')
-    assert (await ask(server, 'GET', '/values/v')).drop
+    assert (await ask(server, 'GET', '/values/v')).is_dropped
     big = await ask(server, 'PUT', '/operator/values/v', b'x' * 1_000_001)
     assert big.status == 413
     bad = await ask(server, 'PUT', '/operator/mode', b'{"mode": "sideways"}')
--- a/tests/test_bench_web.py
+++ b/tests/test_bench_web.py
@@ -15,7 +15,7 @@
         '/chunks': WebAnswer(body=BODY, chunked=True),
         '/none': WebAnswer(status=204),
         '/cut': WebAnswer(body=BODY, cut_after_bytes=100),
-        '/drop': WebAnswer(drop=True),
+        '/drop': WebAnswer(is_dropped=True),
     }[req.path]
 
 
