Rename flags, times and locals of attempts, keys, permits and views

src/clementinedeal/_trailing_minimum.py TrailingMinimum.minimum.limits former_values src/clementinedeal/_target_tracker.py TargetTracker._eject_if_confirmed.verdict health src/clementinedeal/_target_tracker.py TargetTracker.__init__.cfg detector_settings src/clementinedeal/_target_tracker.py TargetTracker.build_report.suspected is_suspected src/clementinedeal/_target_tracker.py TargetTracker.build_report.outdated is_outdated src/clementinedeal/_target_tracker.py TargetTracker._check_trial.enough has_enough src/clementinedeal/_target_reporter.py TargetReporter.report_if_due.suspected is_suspected src/clementinedeal/_target_watcher.py TargetWatcher.refusal.on_trial is_barred_by_trial src/clementinedeal/_idempotency_gate.py _is_keyed _needs_claim src/clementinedeal/_idempotency.py IdempotencyManager.on_pause.gap gap_seconds src/clementinedeal/_claims.py Claims._settle.settled message src/clementinedeal/_claims.py _PendingSettlement.settled message src/clementinedeal/_claims.py Claims.on_answer.refused refusal src/clementinedeal/_claims.py Claims._give_up.refused refusal src/clementinedeal/_key_table.py KeyTable.settle.settled settlement src/clementinedeal/_key_table.py _accepts_settlement.settled settlement src/clementinedeal/_key_table.py KeyTable.records.found records src/clementinedeal/_key_table.py _StoredRecord.size size_bytes src/clementinedeal/_key_table.py KeyTable._store.size size_bytes src/clementinedeal/_key_placement.py _FormerCandidates.left_at replaced_at src/clementinedeal/_key_placement.py _FormerCandidates.left_ms replaced_ms src/clementinedeal/_key_placement.py KeyPlacement.update.changed candidates src/clementinedeal/_key_answers.py answer_repeat.same is_same_request tests/fleet.py FixedView.is_fresh has_fresh_config # frees the name that the method gets src/clementinedeal/_entry_parts.py EntryKnowledge.fresh is_fresh src/clementinedeal/_entry_view.py EntryView.fresh is_fresh tests/fleet.py FixedView.fresh is_fresh src/clementinedeal/_entry_view.py EntryView.take_config on_config src/clementinedeal/_attempt_sender.py AttemptSender._forward _build_forward src/clementinedeal/_attempt_sender.py AttemptSender._target _find_target src/clementinedeal/_attempt_sender.py AttemptSender._owner _find_owner src/clementinedeal/_hedged_exchange.py EVENT_BUFFER MAX_BUFFERED_EVENTS src/clementinedeal/_hedged_exchange.py HedgedExchange._events_in _event_sender src/clementinedeal/_hedged_exchange.py HedgedExchange._events_out _event_receiver src/clementinedeal/_incoming_request.py IncomingRequest.started started_at src/clementinedeal/_replies.py StreamedBody.__init__.rest remaining src/clementinedeal/_replies.py StreamedBody._rest _remaining src/clementinedeal/_retry_budget.py RetryBudgets.of for_service src/clementinedeal/_leases.py Lender.apply_report.lent granted_lease src/clementinedeal/_leases.py Lender._close.lent granted_lease src/clementinedeal/_borrowing.py Borrowing._refuse_all.refused refusals src/clementinedeal/_share_versions.py ShareVersions.next_change.dues change_times src/clementinedeal/_shares.py split_evenly.rest remainder src/clementinedeal/_shares.py _order_across_zones.used count_by_zone src/clementinedeal/_shares.py _order_across_zones.turn position_in_zone src/clementinedeal/_shares.py _order_across_zones.placed positions src/clementinedeal/_shares.py account_shares.placed ordered_names src/clementinedeal/_holdings.py Holdings._next_change _next_change_at src/clementinedeal/_view_handlers.py ViewHandlers._build_answer.refused rejected src/clementinedeal/_view_handlers.py ViewHandlers._on_view_answer.at contact_at src/clementinedeal/_view_state.py ViewState._sweep_due _sweep_due_at src/clementinedeal/_network_paths.py NetworkPath.latency latency_seconds src/clementinedeal/_network_paths.py NetworkPaths.on_answer.latency latency_seconds src/clementinedeal/_idempotency.py IdempotencyManager.claim.patience seconds_left

--- a/src/clementinedeal/_attempt_sender.py
+++ b/src/clementinedeal/_attempt_sender.py
@@ -60,7 +60,9 @@
             token.
         :raises ConnLostError: the connection broke after the first byte.
         """
-        fwd = self._forward(attempt_id, self._target(target), admitted=admitted)
+        fwd = self._build_forward(
+            attempt_id, self._find_target(target), admitted=admitted
+        )
         async with self._attempt_and_correct_incarnation(fwd) as reply:
             yield reply
 
@@ -72,7 +74,7 @@
         :param attempt_id: id of the attempt.
         :param target: name of the target that it was sent to.
         """
-        owner = self._target(target).instance
+        owner = self._find_target(target).instance
         cancel_request = CancelExecution(
             attempt_id, self._named_incarnations.get(attempt_id, '')
         )
@@ -107,9 +109,9 @@
             if not (replayable and _is_wrong_incarnation(reply)):
                 yield reply
                 return
-        retried = self._forward(
+        retried = self._build_forward(
             fwd.attempt,
-            self._target(fwd.target),
+            self._find_target(fwd.target),
             admitted=fwd.admitted,
         )
         async with self._attempt_once(retried) as reply:
@@ -117,22 +119,22 @@
 
     @contextlib.asynccontextmanager
     async def _attempt_once(self, fwd: Forward) -> AsyncIterator[AttemptReply]:
-        target = self._target(fwd.target)
+        target = self._find_target(fwd.target)
         req = self._incoming.req
         if target.instance == self._parts.me:
             async with self._parts.owner.execute(fwd, target, req) as reply:
                 yield reply
             return
-        owner = self._owner(target)
+        owner = self._find_owner(target)
         async with self._parts.peers.forward(owner, fwd, req) as reply:
             yield reply
 
     def _learn_incarnation(self, fwd: Forward, reply: AttemptReply) -> None:
         if isinstance(reply, AttemptRefusal) and reply.incarnation:
-            owner = self._target(fwd.target).instance
+            owner = self._find_target(fwd.target).instance
             self._parts.view.learn_incarnation(owner, reply.incarnation)
 
-    def _forward(
+    def _build_forward(
         self,
         attempt_id: str,
         target: Target,
@@ -155,10 +157,10 @@
             hlc=self._parts.events.clock.stamp(),
         )
 
-    def _target(self, name: str) -> Target:
+    def _find_target(self, name: str) -> Target:
         return self._incoming.access.cfg.targets[name]
 
-    def _owner(self, target: Target) -> Instance:
+    def _find_owner(self, target: Target) -> Instance:
         return self._incoming.access.cfg.instances[target.instance]
 
 
--- a/src/clementinedeal/_borrowing.py
+++ b/src/clementinedeal/_borrowing.py
@@ -227,14 +227,14 @@
         return tuple(actions)
 
     def _refuse_all(self) -> TokenActions:
-        refused: list[TokenAction] = []
+        refusals: list[TokenAction] = []
         for state in self._accounts.values():
-            refused.extend(
+            refusals.extend(
                 _refuse(self._planner.policy(state), req.req_id)
                 for req in state.waiting
             )
             state.waiting.clear()
-        return tuple(refused)
+        return tuple(refusals)
 
     def _remove_idle(self, now: float) -> None:
         self._swept_at = now
--- a/src/clementinedeal/_claims.py
+++ b/src/clementinedeal/_claims.py
@@ -82,7 +82,7 @@
     """
 
     keeper: str
-    settled: SettleKey
+    message: SettleKey
     send_at: float
     tries: int = 0
 
@@ -123,13 +123,13 @@
         if answer.outcome is ClaimOutcome.DONE and answer.answer:
             return (Replay(answer.req_id, answer.answer),)
         reason, verdict = _REFUSALS[answer.outcome]
-        refused = ClaimRefused(
+        refusal = ClaimRefused(
             answer.req_id,
             reason,
             verdict,
             answer.retry_after,
         )
-        return (refused,)
+        return (refusal,)
 
     def settle(
         self,
@@ -185,13 +185,13 @@
     def _give_up(self, pending: _PendingClaim, now: float) -> ClaimActions:
         req_id = pending.claim.req_id
         self._unanswered.pop(req_id)
-        refused = ClaimRefused(
+        refusal = ClaimRefused(
             req_id,
             Reason.KEEPER_UNAVAILABLE,
             Verdict.NOT_RUN,
             CLAIM_TIMEOUT_SECONDS,
         )
-        return refused, *self._settle(pending, Verdict.NOT_RUN, None, now)
+        return refusal, *self._settle(pending, Verdict.NOT_RUN, None, now)
 
     def _settle(
         self,
@@ -201,14 +201,14 @@
         now: float,
     ) -> ClaimActions:
         claim = pending.claim
-        settled = SettleKey(
+        message = SettleKey(
             key=claim.key,
             fingerprint=claim.fingerprint,
             req_id=claim.req_id,
             verdict=verdict,
             answer=answer,
         )
-        settlement = _PendingSettlement(pending.keeper, settled, now)
+        settlement = _PendingSettlement(pending.keeper, message, now)
         self._settlements[claim.req_id] = settlement
         return (self._send(settlement, now),)
 
@@ -216,5 +216,5 @@
         settlement.tries += 1
         settlement.send_at = now + SETTLE_RETRY_SECONDS
         if settlement.tries >= MAX_SETTLE_TRIES:
-            self._settlements.pop(settlement.settled.req_id, None)
-        return Send(settlement.keeper, settlement.settled)
+            self._settlements.pop(settlement.message.req_id, None)
+        return Send(settlement.keeper, settlement.message)
--- a/src/clementinedeal/_daemon.py
+++ b/src/clementinedeal/_daemon.py
@@ -243,7 +243,7 @@
         cfg = action.cfg
         context = self._serving_context
         context.directory.take_config(cfg)
-        context.view.take_config(cfg)
+        context.view.on_config(cfg)
         self._shared.events.emit(
             'config-in-force',
             version=cfg.version,
--- a/src/clementinedeal/_entry.py
+++ b/src/clementinedeal/_entry.py
@@ -63,7 +63,7 @@
             granted=granted,
             access=access,
             req=Request(forwarded_head(head), body),
-            started=started,
+            started_at=started,
             deadline=started
             + caller_timeout_seconds(head, access.cfg.active_preset.deadline),
         )
@@ -76,7 +76,7 @@
         access = self._parts.view.access
         if access is None:
             return Err(Reason.CONFIG_STALE)
-        granted = access.check(head, is_fresh=self._parts.view.fresh())
+        granted = access.check(head, is_fresh=self._parts.view.is_fresh())
         if isinstance(granted, Err):
             return granted
         if (head.content_length or 0) > self._parts.max_body_bytes:
@@ -120,7 +120,7 @@
         self, conn: ServerConn, incoming: IncomingRequest
     ) -> ExchangeResult:
         cfg = incoming.access.cfg
-        budget = self._budgets.of(incoming.service)
+        budget = self._budgets.for_service(incoming.service)
         plan = AttemptPlan(
             AttemptRequest(
                 req_id=incoming.req_id,
--- a/src/clementinedeal/_entry_parts.py
+++ b/src/clementinedeal/_entry_parts.py
@@ -24,7 +24,7 @@
         """Routes and accounts of the configuration in force, None before."""
         ...
 
-    def fresh(self) -> bool:
+    def is_fresh(self) -> bool:
         """Return whether the configuration is known to be recent."""
         ...
 
--- a/src/clementinedeal/_entry_view.py
+++ b/src/clementinedeal/_entry_view.py
@@ -50,7 +50,7 @@
         self._incarnations: dict[str, str] = {}
         self._absent: frozenset[str] = frozenset()
 
-    def take_config(self, cfg: Config) -> None:
+    def on_config(self, cfg: Config) -> None:
         """Use a new configuration.
 
         :param cfg: the configuration in force.
@@ -63,7 +63,7 @@
             self._router.on_config(cfg)
         self._absent = frozenset()
 
-    def fresh(self) -> bool:
+    def is_fresh(self) -> bool:
         """Return whether the configuration is known to be recent."""
         return self._fleet.is_fresh(self._clock.now())
 
--- a/src/clementinedeal/_hedged_exchange.py
+++ b/src/clementinedeal/_hedged_exchange.py
@@ -38,7 +38,7 @@
 
 # Events that may wait for the plan. A request has few attempts and each of them
 # reports few events, so that reporting one never has to wait.
-EVENT_BUFFER = 64
+MAX_BUFFERED_EVENTS = 64
 
 
 @dataclass(slots=True)
@@ -73,9 +73,9 @@
         self._runner = runner
         self._clock = clock
         self._running: dict[str, _RunningAttempt] = {}
-        channel = trio.open_memory_channel[AttemptEvent](EVENT_BUFFER)
-        self._events_in = channel[0]
-        self._events_out = channel[1]
+        channel = trio.open_memory_channel[AttemptEvent](MAX_BUFFERED_EVENTS)
+        self._event_sender = channel[0]
+        self._event_receiver = channel[1]
         self._admitted = False
         self._result = UNKNOWN_RESULT
 
@@ -85,8 +85,8 @@
         :param replayable: whether its body can be sent again.
         """
         async with (
-            self._events_in,
-            self._events_out,
+            self._event_sender,
+            self._event_receiver,
             trio.open_nursery() as nursery,
         ):
             if not replayable:
@@ -102,7 +102,7 @@
     async def _next_event(self) -> AttemptEvent:
         wait = max(0, self._plan.next_timeout() - self._clock.now())
         with trio.move_on_after(wait):
-            return await self._events_out.receive()
+            return await self._event_receiver.receive()
         return Timeout()
 
     def _perform(
@@ -178,4 +178,4 @@
         self._report(CancelAnswered(action.attempt_id, answer))
 
     def _report(self, event: AttemptEvent) -> None:
-        self._events_in.send_nowait(event)
+        self._event_sender.send_nowait(event)
--- a/src/clementinedeal/_holdings.py
+++ b/src/clementinedeal/_holdings.py
@@ -37,7 +37,7 @@
         self.versions = ShareVersions(me, cfg, now, config_age_seconds)
         self.is_fresh = False
         self._lenders: dict[str, Lender] = {}
-        self._next_change = float('inf')
+        self._next_change_at = float('inf')
         self._discarded_at = now
 
     @property
@@ -55,7 +55,7 @@
         """
         if not self.is_fresh:
             return None
-        if now >= self._next_change:
+        if now >= self._next_change_at:
             self._resize_lenders(now)
         lender = self._lenders.get(account) or self._create_lender(account, now)
         if lender:
@@ -157,7 +157,7 @@
 
     def _resize_lenders(self, now: float) -> None:
         self.versions.discard_old(now)
-        self._next_change = self.versions.next_change(now)
+        self._next_change_at = self.versions.next_change(now)
         for account, lender in tuple(self._lenders.items()):
             share = self.versions.effective_share(account, now)
             lender.resize(capacity=share.burst, rate=share.rate, now=now)
--- a/src/clementinedeal/_idempotency.py
+++ b/src/clementinedeal/_idempotency.py
@@ -111,7 +111,7 @@
         account: str,
         key: str,
         fingerprint: str,
-        patience: float,
+        seconds_left: float,
         now: float,
     ) -> ClaimActions:
         """Claim a request's key.
@@ -134,7 +134,7 @@
             minted_ms=minted_ms(key),
             fingerprint=fingerprint,
             req_id=req_id,
-            patience=patience + PATIENCE_SLACK_SECONDS,
+            patience=seconds_left + PATIENCE_SLACK_SECONDS,
         )
         return self._deliver_local(self._claims.claim(keeper, claim, now), now)
 
@@ -186,7 +186,7 @@
         """
         self._placement.update(cfg.instances, now, self._wall_ms())
 
-    def on_pause(self, gap: float, now: float) -> None:
+    def on_pause(self, gap_seconds: float, now: float) -> None:
         """Start a quarantine, as others may have kept this daemon's keys.
 
         Long gaps between ticks are detected without this call.
@@ -195,7 +195,7 @@
             ``MAX_PAUSE_SECONDS`` is ignored.
         :param now: current monotonic time in seconds.
         """
-        if gap > MAX_PAUSE_SECONDS:
+        if gap_seconds > MAX_PAUSE_SECONDS:
             self._keeper.start_quarantine(now)
 
     def set_fresh(self, is_fresh: bool, now: float) -> None:
--- a/src/clementinedeal/_idempotency_gate.py
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -66,7 +66,7 @@
 
         :param incoming: the request; one without a key may always run.
         """
-        if not _is_keyed(incoming):
+        if not _needs_claim(incoming):
             return None
         if incoming.req.body.whole is None:
             return Refusal(Verdict.NOT_RUN, Reason.BODY_TOO_LARGE)
@@ -100,7 +100,7 @@
         :param incoming: the request; ignored if it has no key.
         :param result: its answer or refusal.
         """
-        if not _is_keyed(incoming):
+        if not _needs_claim(incoming):
             return
         verdict = result.refusal.verdict if result.refusal else Verdict.RAN
         answer = _to_stored(result.answer) if result.answer else None
@@ -126,7 +126,7 @@
         self._dispatcher.perform(actions)
 
 
-def _is_keyed(incoming: IncomingRequest) -> bool:
+def _needs_claim(incoming: IncomingRequest) -> bool:
     return bool(
         incoming.account
         and incoming.idempotency_key
--- a/src/clementinedeal/_incoming_request.py
+++ b/src/clementinedeal/_incoming_request.py
@@ -47,7 +47,7 @@
     granted: Granted
     access: Access
     req: Request
-    started: float
+    started_at: float
     deadline: float
 
     @property
--- a/src/clementinedeal/_key_answers.py
+++ b/src/clementinedeal/_key_answers.py
@@ -23,8 +23,10 @@
     if record.fingerprint != claim.fingerprint:
         return ClaimAnswer(claim.req_id, ClaimOutcome.CONFLICT)
     if record.state is KeyState.IN_PROGRESS:
-        same = record.req_id == claim.req_id
-        outcome = ClaimOutcome.NEW if same else ClaimOutcome.IN_PROGRESS
+        is_same_request = record.req_id == claim.req_id
+        outcome = (
+            ClaimOutcome.NEW if is_same_request else ClaimOutcome.IN_PROGRESS
+        )
         return ClaimAnswer(claim.req_id, outcome)
     if record.state is KeyState.IN_DOUBT:
         return ClaimAnswer(claim.req_id, ClaimOutcome.IN_DOUBT)
--- a/src/clementinedeal/_key_placement.py
+++ b/src/clementinedeal/_key_placement.py
@@ -25,8 +25,8 @@
     """
 
     candidates: Candidates
-    left_at: float
-    left_ms: int
+    replaced_at: float
+    replaced_ms: int
 
 
 class KeyPlacement:
@@ -49,11 +49,11 @@
         :param now: current monotonic time in seconds.
         :param wall_ms: wall-clock time in milliseconds.
         """
-        changed = Candidates(names)
-        if changed.names == self._candidates.names:
+        candidates = Candidates(names)
+        if candidates.names == self._candidates.names:
             return
         self._past.append(_FormerCandidates(self._candidates, now, wall_ms))
-        self._candidates = changed
+        self._candidates = candidates
 
     def keeper(self, key: str) -> str:
         """Return the keeper of a key, or '' if there are no instances.
@@ -82,12 +82,12 @@
         :param now: current monotonic time in seconds.
         """
         oldest = now - self._retention_seconds
-        self._past = [past for past in self._past if past.left_at > oldest]
+        self._past = [past for past in self._past if past.replaced_at > oldest]
         return {
             past.candidates.heaviest(key)
             for past in self._past
             if past.candidates.names
-            and not minted_after(minted_ms, past.left_ms)
+            and not minted_after(minted_ms, past.replaced_ms)
         }
 
 
--- a/src/clementinedeal/_key_table.py
+++ b/src/clementinedeal/_key_table.py
@@ -43,7 +43,7 @@
 
     record: KeyRecord
     in_progress_until: float
-    size: int
+    size_bytes: int
 
 
 class KeyTable:
@@ -105,7 +105,7 @@
         self._store(record, now + record.patience, now)
         return True
 
-    def settle(self, settled: SettleKey, now: float) -> None:
+    def settle(self, settlement: SettleKey, now: float) -> None:
         """Store the outcome of a request with a claim.
 
         A settlement whose claim is not known here is stored too, unless its
@@ -114,17 +114,19 @@
         :param settled: from the entry that claimed the key.
         :param now: current monotonic time in seconds.
         """
-        kept = self._kept.get(settled.key)
-        if kept is None and settled.verdict is Verdict.NOT_RUN:
+        kept = self._kept.get(settlement.key)
+        if kept is None and settlement.verdict is Verdict.NOT_RUN:
             return
-        if kept is not None and not _accepts_settlement(kept.record, settled):
+        if kept is not None and not _accepts_settlement(
+            kept.record, settlement
+        ):
             return
         record = KeyRecord(
-            key=settled.key,
-            fingerprint=settled.fingerprint,
-            req_id=settled.req_id,
-            state=_SETTLED_STATES[settled.verdict],
-            answer=settled.answer,
+            key=settlement.key,
+            fingerprint=settlement.fingerprint,
+            req_id=settlement.req_id,
+            state=_SETTLED_STATES[settlement.verdict],
+            answer=settlement.answer,
         )
         self.put(record, now)
 
@@ -133,8 +135,8 @@
 
         :param now: current monotonic time in seconds.
         """
-        found = [self.get(key, now) for key in tuple(self._kept)]
-        return tuple(record for record in found if record is not None)
+        records = [self.get(key, now) for key in tuple(self._kept)]
+        return tuple(record for record in records if record is not None)
 
     def _is_full(self) -> bool:
         if len(self._kept) >= self._limits.max_entries:
@@ -144,15 +146,17 @@
     def _store(
         self, record: KeyRecord, in_progress_until: float, now: float
     ) -> None:
-        size = RECORD_BYTES
+        size_bytes = RECORD_BYTES
         if record.answer is not None:
-            size += len(record.answer.body)
-        total = self._used_bytes + size
+            size_bytes += len(record.answer.body)
+        total = self._used_bytes + size_bytes
         if total > self._limits.max_bytes or self._has_large_answer(record):
             record = replace(record, answer=None)
-            size = RECORD_BYTES
-        self._kept[record.key] = _StoredRecord(record, in_progress_until, size)
-        self._used_bytes += size
+            size_bytes = RECORD_BYTES
+        self._kept[record.key] = _StoredRecord(
+            record, in_progress_until, size_bytes
+        )
+        self._used_bytes += size_bytes
         forget_at = in_progress_until + self._limits.retention_seconds
         heapq.heappush(self._expiries, (forget_at, record.key))
 
@@ -164,7 +168,7 @@
     def _remove(self, key: str) -> None:
         kept = self._kept.pop(key, None)
         if kept is not None:
-            self._used_bytes -= kept.size
+            self._used_bytes -= kept.size_bytes
 
     def _expire(self, now: float) -> None:
         while self._expiries and self._expiries[0][0] <= now:
@@ -178,9 +182,9 @@
                 self._remove(key)
 
 
-def _accepts_settlement(record: KeyRecord, settled: SettleKey) -> bool:
-    if record.req_id != settled.req_id:
+def _accepts_settlement(record: KeyRecord, settlement: SettleKey) -> bool:
+    if record.req_id != settlement.req_id:
         return False
     if record.state is KeyState.IN_DOUBT:
-        return settled.verdict is Verdict.RAN
+        return settlement.verdict is Verdict.RAN
     return record.state is KeyState.IN_PROGRESS
--- a/src/clementinedeal/_leases.py
+++ b/src/clementinedeal/_leases.py
@@ -182,15 +182,17 @@
         :param report: from the borrower that the lease names. ``advance`` or
             ``advance_without_refill`` was called with the time of arrival.
         """
-        lent = self._leases.get(report.lease)
-        if lent is None:
+        granted_lease = self._leases.get(report.lease)
+        if granted_lease is None:
             return
-        newly_spent = min(report.spent, lent.granted) - lent.spent
+        newly_spent = (
+            min(report.spent, granted_lease.granted) - granted_lease.spent
+        )
         if newly_spent > 0:
-            lent.spent += newly_spent
+            granted_lease.spent += newly_spent
             self.lent -= newly_spent
         if report.closed:
-            self._close(report.lease, lent)
+            self._close(report.lease, granted_lease)
 
     def _refill(self, now: float) -> None:
         elapsed = _to_microseconds(now) - self._filled_at
@@ -206,22 +208,25 @@
             self._remainder = 0
         self.level += whole
 
-    def _close(self, lease: LeaseId, lent: _GrantedLease) -> None:
-        self.lent -= lent.unspent
+    def _close(self, lease: LeaseId, granted_lease: _GrantedLease) -> None:
+        self.lent -= granted_lease.unspent
         room = self.capacity - self.lent - self.level
-        self.level += max(0, min(lent.unspent, room))
+        self.level += max(0, min(granted_lease.unspent, room))
         self._leases.pop(lease)
 
     def _expire_leases(self, now: float) -> None:
         expired = [
             lease
-            for lease, lent in self._leases.items()
-            if lent.expires_at <= now
+            for lease, granted_lease in self._leases.items()
+            if granted_lease.expires_at <= now
         ]
         for lease in expired:
             self.lent -= self._leases.pop(lease).unspent
         self._next_expiry = min(
-            (lent.expires_at for lent in self._leases.values()),
+            (
+                granted_lease.expires_at
+                for granted_lease in self._leases.values()
+            ),
             default=float('inf'),
         )
 
--- a/src/clementinedeal/_metrics_recorder.py
+++ b/src/clementinedeal/_metrics_recorder.py
@@ -39,7 +39,7 @@
         """
         service = incoming.service
         account = self._account_label(incoming.account)
-        seconds = self._clock.now() - incoming.started
+        seconds = self._clock.now() - incoming.started_at
         self._metrics.requests.labels(
             service,
             account,
--- a/src/clementinedeal/_network_paths.py
+++ b/src/clementinedeal/_network_paths.py
@@ -19,7 +19,7 @@
         avoided.
     """
 
-    latency: float = 0.0
+    latency_seconds: float = 0.0
     faulty_until: float = 0.0
 
 
@@ -34,14 +34,16 @@
         """Create an empty set."""
         self._paths: dict[str, NetworkPath] = {}
 
-    def on_answer(self, owner: str, latency: float) -> None:
+    def on_answer(self, owner: str, latency_seconds: float) -> None:
         """Record the path latency of an answered forward.
 
         :param owner: instance that was called.
         :param latency: time of the forward less the owner's own, in seconds.
         """
-        path = self._paths.setdefault(owner, NetworkPath(latency))
-        path.latency += LATENCY_WEIGHT * (latency - path.latency)
+        path = self._paths.setdefault(owner, NetworkPath(latency_seconds))
+        path.latency_seconds += LATENCY_WEIGHT * (
+            latency_seconds - path.latency_seconds
+        )
         path.faulty_until = 0.0
 
     def on_connect_failure(self, owner: str, now: float) -> None:
@@ -69,7 +71,7 @@
         :returns: 1 for a latency of ``FULL_LOAD_LATENCY_SECONDS``.
         """
         path = self._paths.get(owner)
-        return path.latency / FULL_LOAD_LATENCY_SECONDS if path else 0.0
+        return path.latency_seconds / FULL_LOAD_LATENCY_SECONDS if path else 0.0
 
     def retain(self, owners: set[str]) -> None:
         """Forget all owners but the given ones.
--- a/src/clementinedeal/_replies.py
+++ b/src/clementinedeal/_replies.py
@@ -47,14 +47,14 @@
 
     whole: bytes | None = None
 
-    def __init__(self, first: bytes, rest: AsyncIterator[bytes]) -> None:
+    def __init__(self, first: bytes, remaining: AsyncIterator[bytes]) -> None:
         """Join the part that has been read to the rest.
 
         :param first: bytes that have been read.
         :param rest: yields the remaining pieces.
         """
         self._first = first
-        self._rest = rest
+        self._remaining = remaining
         self._is_consumed = False
 
     async def pieces(self) -> AsyncIterator[bytes]:
@@ -66,7 +66,7 @@
             raise ConnLostError('a streamed body cannot be sent twice')
         self._is_consumed = True
         yield self._first
-        async for piece in self._rest:
+        async for piece in self._remaining:
             yield piece
 
 
--- a/src/clementinedeal/_retry_budget.py
+++ b/src/clementinedeal/_retry_budget.py
@@ -40,7 +40,7 @@
         """Create an empty set."""
         self._budgets: dict[str, RetryBudget] = {}
 
-    def of(self, service: str) -> RetryBudget:
+    def for_service(self, service: str) -> RetryBudget:
         """Return the budget of a service; it is created on first use.
 
         :param service: name of the service.
--- a/src/clementinedeal/_samples.py
+++ b/src/clementinedeal/_samples.py
@@ -59,10 +59,10 @@
         if not count:
             return Traffic()
         latencies = sorted(
-            [one.latency_seconds for one in recent] + list(overdue)
+            [sample.latency_seconds for sample in recent] + list(overdue)
         )
-        failures = sum(one.is_failure for one in recent) + len(overdue)
-        corruptions = sum(one.is_corruption for one in recent)
+        failures = sum(sample.is_failure for sample in recent) + len(overdue)
+        corruptions = sum(sample.is_corruption for sample in recent)
         return Traffic(
             count=count,
             p50=latencies[count // 2],
--- a/src/clementinedeal/_share_versions.py
+++ b/src/clementinedeal/_share_versions.py
@@ -114,12 +114,14 @@
         :param now: monotonic seconds.
         """
         waits = (GROW_WAIT_SECONDS, GROW_WAIT_SECONDS + RETENTION_SECONDS)
-        dues = (
+        change_times = (
             version.superseded_at + wait
             for version in self._versions
             for wait in waits
         )
-        return min((due for due in dues if due > now), default=float('inf'))
+        return min(
+            (due for due in change_times if due > now), default=float('inf')
+        )
 
     def ready_at(self) -> float:
         """Return since when ``stable_share`` is valid, in monotonic seconds.
--- a/src/clementinedeal/_shares.py
+++ b/src/clementinedeal/_shares.py
@@ -130,14 +130,14 @@
     :param account: the published account.
     :param candidates: instances that own a target which it may call.
     """
-    placed = _order_across_zones(account.name, candidates)
-    count = min(holder_count(account.rate), len(placed))
+    ordered_names = _order_across_zones(account.name, candidates)
+    count = min(holder_count(account.rate), len(ordered_names))
     if not count:
         return NO_SHARES
     rates = split_evenly(to_micros(account.rate), count)
     bursts = split_evenly(to_micros(account.burst), count)
     return AccountShares(
-        tuple(placed[:count]),
+        tuple(ordered_names[:count]),
         tuple(map(Share, rates, bursts)),
     )
 
@@ -168,8 +168,8 @@
     :param total: sum of the parts.
     :param count: number of parts, above zero.
     """
-    part, rest = divmod(total, count)
-    return tuple(part + (index < rest) for index in range(count))
+    part, remainder = divmod(total, count)
+    return tuple(part + (index < remainder) for index in range(count))
 
 
 def _order_across_zones(
@@ -177,13 +177,13 @@
 ) -> list[str]:
     """Order candidates by rendezvous hashing, the first of each zone first."""
     zones = {instance.name: instance.zone for instance in candidates}
-    used: dict[str, int] = {}
-    placed: list[tuple[int, int, str]] = []
+    count_by_zone: dict[str, int] = {}
+    positions: list[tuple[int, int, str]] = []
     for order, name in enumerate(rank(account, zones)):
-        turn = used.get(zones[name], 0)
-        used[zones[name]] = turn + 1
-        placed.append((turn, order, name))
-    return [choice[-1] for choice in sorted(placed)]
+        position_in_zone = count_by_zone.get(zones[name], 0)
+        count_by_zone[zones[name]] = position_in_zone + 1
+        positions.append((position_in_zone, order, name))
+    return [choice[-1] for choice in sorted(positions)]
 
 
 def _owners_by_service(cfg: Config) -> Mapping[str, frozenset[str]]:
--- a/src/clementinedeal/_target_reporter.py
+++ b/src/clementinedeal/_target_reporter.py
@@ -47,8 +47,8 @@
         if tracker.is_ejected or tracker.state is TargetState.LEAVING:
             return []
         health = tracker.detector.health(now)
-        suspected = not isinstance(health, Healthy)
-        if suspected and elapsed >= SUSPECT_REPORT_INTERVAL_SECONDS:
+        is_suspected = not isinstance(health, Healthy)
+        if is_suspected and elapsed >= SUSPECT_REPORT_INTERVAL_SECONDS:
             return self.report_now(tracker, now)
         has_requested = tracker.state is TargetState.REQUESTING
         if (
--- a/src/clementinedeal/_target_tracker.py
+++ b/src/clementinedeal/_target_tracker.py
@@ -35,7 +35,7 @@
         self,
         target: Target,
         incarnation: int,
-        cfg: DetectorSettings,
+        detector_settings: DetectorSettings,
         now: float,
     ) -> None:
         """Start with the target in use.
@@ -47,7 +47,7 @@
         """
         self.target = target
         self.state = TargetState.IN_USE
-        self.detector = Detector(cfg, now)
+        self.detector = Detector(detector_settings, now)
         self.reported_at = now
         self._permit = BorrowedPermit(incarnation, now)
         self._backoff = EjectionBackoff(now)
@@ -92,8 +92,8 @@
         """
         sent_at = max(now, math.nextafter(self.reported_at, math.inf))
         wants = may_request and self._wants_permit(now)
-        suspected = not isinstance(self.detector.health(now), Healthy)
-        outdated = now - self._baseline_sent_at >= BASELINE_INTERVAL_SECONDS
+        is_suspected = not isinstance(self.detector.health(now), Healthy)
+        is_outdated = now - self._baseline_sent_at >= BASELINE_INTERVAL_SECONDS
         self.reported_at = sent_at
         self._permit.on_report(wants, sent_at)
         return TargetReport(
@@ -101,7 +101,7 @@
             incarnation=self._permit.incarnation,
             sent_at=sent_at,
             wants=wants,
-            compares=suspected or outdated,
+            compares=is_suspected or is_outdated,
             leaving=self.state is TargetState.LEAVING,
             traffic=self.detector.traffic(now),
         )
@@ -189,20 +189,20 @@
 
     def _eject_if_confirmed(self, now: float) -> list[TargetChange]:
         """Eject the target if it is still unhealthy by the newest baseline."""
-        verdict = self.detector.health(now)
-        if not isinstance(verdict, Unhealthy):
+        health = self.detector.health(now)
+        if not isinstance(health, Unhealthy):
             return []
         self._backoff.on_ejection(now)
         self._enter(TargetState.EJECTED, now)
-        return [TargetEjected(self.target.name, verdict.cause)]
+        return [TargetEjected(self.target.name, health.cause)]
 
     def _check_trial(self, now: float) -> list[TargetChange]:
         if not isinstance(self.detector.health(now), Healthy):
             self._backoff.on_ejection(now)
             self._enter(TargetState.EJECTED, now)
             return []
-        enough = self._trial_requests >= self._backoff.trial_requests
-        if enough or now - self._entered_at >= MAX_TRIAL_SECONDS:
+        has_enough = self._trial_requests >= self._backoff.trial_requests
+        if has_enough or now - self._entered_at >= MAX_TRIAL_SECONDS:
             self._permit.drop(now)
             return self._leave_ejection(TargetState.SLOW_START, now)
         return []
--- a/src/clementinedeal/_target_watcher.py
+++ b/src/clementinedeal/_target_watcher.py
@@ -70,8 +70,8 @@
         state = self._manager.state(target)
         if state is TargetState.LEAVING:
             return AttemptRefusal(Verdict.NOT_RUN, Reason.DRAINING)
-        on_trial = state is TargetState.TRIAL and not idempotent
-        if state is TargetState.EJECTED or on_trial:
+        is_barred_by_trial = state is TargetState.TRIAL and not idempotent
+        if state is TargetState.EJECTED or is_barred_by_trial:
             return AttemptRefusal(Verdict.NOT_RUN, Reason.TARGET_EJECTED)
         return None
 
--- a/src/clementinedeal/_trailing_minimum.py
+++ b/src/clementinedeal/_trailing_minimum.py
@@ -32,7 +32,7 @@
         if value == self._value:
             return
         self._former_values = [
-            one for one in self._former_values if one.expires_at > now
+            former for former in self._former_values if former.expires_at > now
         ]
         self._former_values.append(
             FormerValue(self._value, now + self._window_seconds)
@@ -44,7 +44,9 @@
 
         :param now: monotonic time in seconds.
         """
-        limits = [
-            one.value for one in self._former_values if one.expires_at > now
+        former_values = [
+            former.value
+            for former in self._former_values
+            if former.expires_at > now
         ]
-        return min([self._value, *limits])
+        return min([self._value, *former_values])
--- a/src/clementinedeal/_view_handlers.py
+++ b/src/clementinedeal/_view_handlers.py
@@ -68,7 +68,7 @@
         own = MemberRecord(0, state.incarnation, state.leaving, 0)
         roster.set_record(state.me, own, now)
         held = state.acceptance.in_force
-        refused = state.acceptance.newest_rejected
+        rejected = state.acceptance.newest_rejected
         return ViewAnswer(
             nonce=body.nonce,
             incarnation=state.incarnation,
@@ -78,7 +78,7 @@
             held_for=state.version_ages.age_seconds(
                 held.ref if held else None, now
             ),
-            rejected=None if refused is None else refused.ref,
+            rejected=None if rejected is None else rejected.ref,
             newest=state.freshness.newest_known,
             accepted=state.freshness.newest_accepted,
             contact=state.freshness.contact(now),
@@ -101,8 +101,8 @@
         state.freshness.on_known(body.newest, now)
         state.freshness.on_accepted(body.accepted, now)
         if body.contact is not None:
-            at = sent_at - body.contact.age
-            state.freshness.on_contact(body.contact.version, at, now)
+            contact_at = sent_at - body.contact.age
+            state.freshness.on_contact(body.contact.version, contact_at, now)
         state.members.roster.merge_answer(sender, body, sent_at)
         if body.held is not None:
             state.version_ages.note_published(body.held, now - body.held_for)
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -63,7 +63,7 @@
         self._control = settings.control
         self._rng = rng
         self._reader_order: list[str] = []
-        self._sweep_due = now
+        self._sweep_due_at = now
         self.incarnation = 0
         self.renew_incarnation()
 
@@ -145,9 +145,9 @@
 
         :param now: monotonic seconds.
         """
-        if now < self._sweep_due:
+        if now < self._sweep_due_at:
             return
-        self._sweep_due = now + SWEEP_INTERVAL_SECONDS
+        self._sweep_due_at = now + SWEEP_INTERVAL_SECONDS
         self.freshness.on_quorum(self.members.roster.quorum_at(now))
         yield from self.members.changes(now)
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -139,11 +139,11 @@
 
     access: Access
     order: tuple[str, ...]
-    is_fresh: bool = True
+    has_fresh_config: bool = True
     incarnations: dict[str, str] = field(default_factory=dict)
 
-    def fresh(self) -> bool:
-        return self.is_fresh
+    def is_fresh(self) -> bool:
+        return self.has_fresh_config
 
     def candidates(self, granted: Any) -> tuple[str, ...]:
         return self.order
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -124,7 +124,7 @@
 
 async def test_keys_are_not_honoured_on_a_stale_configuration() -> None:
     async with running_fleet() as fleet:
-        fleet.view.is_fresh = False
+        fleet.view.has_fresh_config = False
         answer, _ = await call(fleet)
     assert refusal(answer) == (503, b'config-stale', b'not-run')
 
