Describe the bench more exactly for a new reader

Describe the bench more exactly

Says which unit, whose name and which limit a parameter holds, what status a platform read without a newer version gets, which requests a sharing scheme refuses, and what the attributes of the stand-ins hold. Parameter lines that still had an old name are corrected.

Describe the examples, the runs' counts and the calls of the bench more exactly

Fields of the example classes and of RunCounts have a line each; parameters are named by the thing that they hold.

--- a/src/clementinedeal_bench/_account_service_levels.py
+++ b/src/clementinedeal_bench/_account_service_levels.py
@@ -18,7 +18,7 @@
     :param account: name of the account.
     :param answered_fraction: fraction of calls with a complete answer, 0 to 1.
     :param p99_seconds: 99th percentile of the latency of these answers, from
-        when each request was sent.
+        when each request was sent; 0 if there is no answer.
     """
 
     account: str
@@ -46,7 +46,10 @@
 
 
 def worst_served_line(calls: Iterable[CallRecord]) -> str:
-    """Describe the worst-served account and the median one in a line.
+    """Return a line about the worst-served accounts, for the report.
+
+    It names the account with the lowest answered fraction and the one with the
+    highest p99, each with the median of all accounts.
 
     :param calls: calls of one demo step.
     """
--- a/src/clementinedeal_bench/_call_records.py
+++ b/src/clementinedeal_bench/_call_records.py
@@ -48,12 +48,13 @@
         counts from here.
     :param sent: monotonic seconds at which it was sent.
     :param end: monotonic seconds at which the call ended.
-    :param outcome: outcome of the call.
+    :param outcome: outcome of the call, ``TIMEOUT`` until there is a result.
     :param status: status of the answer, 0 without one.
     :param request_id: ``x-request-id`` of the answer.
-    :param verdict: ``x-verdict`` of the answer.
+    :param verdict: ``x-verdict`` of the answer: whether a target ran the
+        request.
     :param reason: ``x-reason`` of a refusal.
-    :param retry_after: ``retry-after`` of a refusal.
+    :param retry_after: ``retry-after`` of a refusal, in seconds.
     :param target: name of the target that answered.
     :param idempotency_key: key that the request carried.
     :param detail: what is wrong with the answer, or why there is none.
@@ -100,8 +101,8 @@
     """Record an answer and the outcome that follows from it.
 
     :param record: the record to fill.
-    :param req: what was sent.
-    :param answer: what was received.
+    :param req: the request that was sent.
+    :param answer: the answer to it.
     """
     record.status = answer.status
     record.request_id = answer.header('x-request-id')
--- a/src/clementinedeal_bench/_caller.py
+++ b/src/clementinedeal_bench/_caller.py
@@ -19,7 +19,7 @@
 from clementinedeal_bench._web_client import WebClient, WebFailure
 from clementinedeal_bench._web_messages import HeaderList, WebAnswer, WebRequest
 
-MAX_IDLE_CONNECTIONS = 64
+MAX_IDLE_CONNECTIONS = 64  # of one account to one daemon
 MS_PER_SECOND = 1000
 NS_PER_MS = 1_000_000
 # layout of a UUID of version 7 (RFC 9562), as bit positions and widths
@@ -56,7 +56,7 @@
         self,
         daemons: tuple[str, ...],
     ) -> tuple[str, RequestKind]:
-        """Choose a daemon and a kind of request at random.
+        """Return a random daemon, and a kind of request chosen by weight.
 
         :param daemons: ``ip:port`` of each daemon.
         """
@@ -74,7 +74,7 @@
     def return_connection(self, client: WebClient) -> None:
         """Keep a connection for later requests, or close it.
 
-        :param client: what ``take_connection`` returned.
+        :param client: a connection from ``take_connection``.
         """
         idle = self._idle[client.address]
         if len(idle) < MAX_IDLE_CONNECTIONS:
--- a/src/clementinedeal_bench/_commands.py
+++ b/src/clementinedeal_bench/_commands.py
@@ -18,7 +18,7 @@
 
     :param name: name of the subcommand.
     :param summary: one line for the help.
-    :param define: adds the subcommand's flags to a set of flags.
+    :param define_flags: adds the subcommand's flags to a set of flags.
     :param run: called with the flag values and the positional arguments.
     """
 
@@ -41,6 +41,7 @@
 
 
 def _skip_global_flags(argv: list[str]) -> list[str]:
+    """Leave all arguments to the command, which has flags of its own."""
     flags.FLAGS(argv[:1])
     return argv
 
--- a/src/clementinedeal_bench/_config_size_trial.py
+++ b/src/clementinedeal_bench/_config_size_trial.py
@@ -1,8 +1,9 @@
 """Measures the size and the processor time of a large configuration.
 
 Run as ``python -m clementinedeal_bench._config_size_trial``; prints one JSON
-line. Sizes are in bytes, times in seconds of processor time. ``change_...``
-figures are those of a version from which one account was removed.
+line. Sizes are in bytes, times in seconds of processor time. Keys that begin
+with ``change`` hold the cost of an update to a version without one of the
+accounts.
 """
 
 import gc
@@ -24,13 +25,13 @@
 )
 from clementinedeal_bench._large_config import large_config
 
-# the size of deployment that the product is designed for
+# size of the deployment for which the product is designed
 ACCOUNT_COUNT = 24_000
 ROUTE_COUNT = 3_700
 TARGET_COUNT = 5_400
 INSTANCE_COUNT = 650
 
-UNPACK_RUNS = 5
+UNPACK_RUNS = 5  # runs in which the whole configuration is unpacked
 
 OutcomeT = TypeVar('OutcomeT')
 
--- a/src/clementinedeal_bench/_core_meter.py
+++ b/src/clementinedeal_bench/_core_meter.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-# Fields of /proc/PID/stat, counted from the one after the command's closing
+# Fields of /proc/PID/stat, counted from 0 after the command's closing
 # bracket: processor time in user and in system mode, in clock ticks.
 UTIME_FIELD = 11
 STIME_FIELD = 12
@@ -32,8 +32,8 @@
 class CoreMeter:
     """Measures the processor time of a process in an idle and a busy period.
 
-    The idle period begins at once; then come ``end_idle``, ``begin_busy``,
-    ``end_busy`` and ``cost``.
+    The constructor begins the idle period. The methods are called in the order
+    ``end_idle``, ``begin_busy``, ``end_busy``, ``cost``.
     """
 
     def __init__(self, pid: int) -> None:
@@ -86,7 +86,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CoreUsage:
-    """Elapsed time and processor time, both in seconds."""
+    """Use of the processor by one process.
+
+    :param elapsed_seconds: elapsed time.
+    :param core_seconds: processor time in user and system mode.
+    """
 
     elapsed_seconds: float
     core_seconds: float
--- a/src/clementinedeal_bench/_cost_measurement.py
+++ b/src/clementinedeal_bench/_cost_measurement.py
@@ -13,7 +13,7 @@
 ROUNDS = 5
 CALLS_PER_ROUND = 2000
 MICROS_PER_SECOND = 1_000_000
-# numbers of accounts and instances; the last of each is the design size
+# The last number is that of the deployment for which the product is designed.
 ACCOUNT_COUNTS = (6_000, 12_000, 24_000)
 INSTANCE_COUNTS = (160, 325, 650)
 
@@ -24,7 +24,8 @@
 
     The fields are the keys of the printed JSON line.
 
-    :param role: the role of a daemon, or the part that is measured.
+    :param role: role of the daemon that has the cost, such as entry or owner,
+        or the component that is measured.
     :param figure: what was measured.
     :param size: number of accounts, instances, entries, slots or bytes; 1 for
         a cost that has no size.
@@ -42,9 +43,9 @@
 def measure_micros_per_call(call: Callable[[int], Any]) -> float:
     """Return the processor time of one call in microseconds.
 
-    It is the mean over the calls of a round, the least of ``ROUNDS`` rounds.
+    It is the lowest mean of ``ROUNDS`` rounds of ``CALLS_PER_ROUND`` calls.
 
-    :param call: what to measure; takes the number of the call, from 0.
+    :param call: the function to measure; takes the number of the call, from 0.
     """
     least_seconds = float('inf')
     for round_number in range(ROUNDS):
@@ -56,9 +57,11 @@
 
 
 def measure_held_bytes(make_value: Callable[[], Any]) -> tuple[int, Any]:
-    """Return the traced bytes that a call allocates and keeps, and its value.
+    """Return the bytes that a new value holds in memory, and the value.
 
-    :param make_value: the call.
+    ``tracemalloc`` counts the bytes.
+
+    :param make_value: creates the value.
     """
     gc.collect()
     tracemalloc.start()
@@ -70,7 +73,10 @@
 
 
 def sized_config(accounts: int, instances: int = 650) -> Config:
-    """Return a configuration of the design size, scaled in two dimensions.
+    """Return a configuration with given numbers of accounts and instances.
+
+    The number of routes is that of the deployment for which the product is
+    designed.
 
     :param accounts: number of accounts.
     :param instances: number of instances; the number of targets is
--- a/src/clementinedeal_bench/_decision_slopes.py
+++ b/src/clementinedeal_bench/_decision_slopes.py
@@ -1,7 +1,8 @@
-"""Measures the decisions that daemons take for requests, by size.
+"""Measures the cost of decisions about requests, at several sizes.
 
-Each function yields the costs of one role. Sizes are numbers of accounts,
-instances or entries of a table; times are in microseconds of processor time.
+Each public function yields the costs of one role of a daemon. Sizes are numbers
+of accounts, instances or entries of a table; times are in microseconds of
+processor time.
 """
 
 import random
@@ -31,7 +32,7 @@
     sized_config,
 )
 
-WARM_UP_SECONDS = 100.0  # virtual; the holder uses its share afterwards
+WARM_UP_SECONDS = 100.0  # virtual time after which a holder uses its share
 TICKS_PER_SECOND = 20
 REQUESTS_PER_SECOND = 13  # at one target
 
@@ -48,9 +49,10 @@
 
 
 def measure_tokens() -> Iterator[CostMeasurement]:
-    """Measure a holder: its memory, one take and one tick.
+    """Measure a token holder: its memory, one take and one tick.
 
-    The take is from the share of the account's rate that the daemon holds.
+    A holder keeps a share of an account's rate, from which it takes a token
+    for each request.
     """
     for accounts in ACCOUNT_COUNTS:
         yield from _measure_token_manager(accounts)
--- a/src/clementinedeal_bench/_demo.py
+++ b/src/clementinedeal_bench/_demo.py
@@ -22,7 +22,7 @@
 from clementinedeal_bench._report import check_lines, step_lines
 from clementinedeal_bench._timeline_page import write_timeline
 
-MAX_TRAFFIC_SECONDS = 3600.0  # the traffic stops after the last step
+MAX_TRAFFIC_SECONDS = 3600.0  # the traffic ends earlier, with the last step
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/clementinedeal_bench/_demo_steps.py
+++ b/src/clementinedeal_bench/_demo_steps.py
@@ -21,16 +21,18 @@
 from clementinedeal_bench._report import DemoStep
 from clementinedeal_bench._status_reader import gather, put, read_executions
 
-WARM_UP_TIMEOUT_SECONDS = 40.0
-DETECTION_TIMEOUT_SECONDS = 20.0  # for a slow target to leave use
+WARM_UP_TIMEOUT_SECONDS = 40.0  # for an answer to each account
+# Longest wait until a slow target is taken out of use.
+DETECTION_TIMEOUT_SECONDS = 20.0
 POLL_INTERVAL_SECONDS = 0.1
 OVERUSE_FACTOR = 4.0  # requests sent, as a multiple of the account's rate
+# bodies of ``PUT /control/mode`` at a target
 SLOW_MODE_BODY = b'{"mode": "slow", "factor": 20}'
 HEALTHY_MODE_BODY = b'{"mode": "healthy"}'
 
 
 class DemoSteps:
-    """Runs the steps one after the other and records what each showed.
+    """Runs the steps one after the other and adds notes on their results.
 
     ``steps`` holds the steps that have begun, ``executions`` the executions
     read from the targets so far.
--- a/src/clementinedeal_bench/_demo_traffic.py
+++ b/src/clementinedeal_bench/_demo_traffic.py
@@ -7,8 +7,8 @@
 
 KEY_PREFIX = 'demo-'  # the key of an account in the examples: demo-ACCOUNT
 BODY_BYTES = 200
-IDEMPOTENT_ROUTE_WEIGHT = 4.0  # of an idempotent route; any other has 1
-TIMEOUT_MS = 5000
+IDEMPOTENT_ROUTE_WEIGHT = 4.0  # other routes have 1
+TIMEOUT_MS = 5000  # stated by each request
 SEED = 1
 
 
@@ -20,7 +20,7 @@
 ) -> Scenario:
     """Return traffic to the routes that need a key, for given accounts.
 
-    :param cfg: the declaration.
+    :param cfg: configuration with the routes and accounts.
     :param rates: requests per second, by account name.
     :param seconds: maximum duration.
     :param daemons: caller addresses (``ip:port``) to send to; those of all
@@ -40,9 +40,9 @@
 
 
 def spread_rate(cfg: Config, total: float) -> dict[str, float]:
-    """Return requests per second by account, in proportion to their rates.
+    """Return requests per second by account, in proportion to rate limits.
 
-    :param cfg: the declaration.
+    :param cfg: configuration with the routes and accounts.
     :param total: requests per second of all accounts together.
     """
     total_allowed = sum(account.rate for account in cfg.accounts.values())
--- a/src/clementinedeal_bench/_detection.py
+++ b/src/clementinedeal_bench/_detection.py
@@ -1,7 +1,7 @@
-"""Detection bench: how fast and how wrongly each policy ejects targets.
+"""Detection bench: measures how policies eject faulty and healthy targets.
 
 Each case is a fault mode and an ejection policy, run over many seeds in virtual
-time. ``python -m clementinedeal_bench._detection`` prints one JSON line a case.
+time. ``python -m clementinedeal_bench._detection`` prints a JSON line for each.
 """
 
 import heapq
@@ -36,10 +36,10 @@
 flags.DEFINE_bool('baselines', True, 'Whether to run the other policies.')
 
 TARGET_COUNTS = (8, 12, 16)  # targets of a service; the seed selects one
-# One target in so many may be ejected at once.
+# The number of targets divided by this, rounded down, may be ejected at once.
 MAX_EJECTED_DIVISOR = 4
-# Nothing is counted before this time: managers lend ejection permits to one
-# another only after 26 s.
+# Ejections before this time are not counted: managers lend ejection permits to
+# one another only after 26 s.
 WARM_UP_SECONDS = 40.0
 TICK_SECONDS = 0.05
 HOUR_SECONDS = 3600.0
@@ -90,7 +90,10 @@
 
 
 class DetectionRun:
-    """One service in virtual time under one policy."""
+    """Simulates one service in virtual time under one policy.
+
+    ``onset_at`` is the virtual time in seconds at which the fault begins.
+    """
 
     def __init__(
         self,
@@ -210,7 +213,10 @@
 
 
 def policy_factories() -> Iterator[tuple[str, Callable[[int], Policy]]]:
-    """Yield the name of each policy and its factory by number of targets."""
+    """Yield the name and the factory of each policy that the flags select.
+
+    A factory takes the number of targets of the service.
+    """
     for threshold in FLAGS.thresholds:
         yield f'ours-{threshold}', _ejection_managers_factory(float(threshold))
     if FLAGS.baselines:
@@ -238,7 +244,7 @@
     name: str,
     factory: Callable[[int], Policy],
 ) -> dict[str, object]:
-    """Run one case over all seeds and return the fields of its line.
+    """Run one case over all seeds and return the fields of its JSON line.
 
     :param mode: the fault.
     :param name: name of the policy.
--- a/src/clementinedeal_bench/_ejection_policies.py
+++ b/src/clementinedeal_bench/_ejection_policies.py
@@ -19,7 +19,7 @@
 from clementinedeal._target_state import TargetEjected
 
 SERVICE_NAME = 'status'
-EJECTION_SECONDS = 30.0
+EJECTION_SECONDS = 30.0  # of the simple rules
 CONSECUTIVE_FAILURES_TO_EJECT = 5
 AVERAGED_LATENCIES = 10  # latencies in the mean of FixedLatency
 MAX_MEAN_LATENCY_SECONDS = 0.06
@@ -242,6 +242,7 @@
         return self._manager(target).usable_fraction(target, now)
 
     def _manager(self, target_or_instance: str) -> EjectionManager:
+        """Return the manager of target ``tN`` at instance ``iN``."""
         return self._managers[int(target_or_instance[1:])]
 
     def _apply_actions(
--- a/src/clementinedeal_bench/_examples.py
+++ b/src/clementinedeal_bench/_examples.py
@@ -1,4 +1,4 @@
-"""Writes the example declarations of the two user organisations.
+"""Writes the declarations of the two example deployments.
 
 Run as ``python -m clementinedeal_bench._examples DIRECTORY``. The committed
 files in ``examples/`` are its output.
@@ -24,7 +24,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ExampleService:
-    """A service: number of its targets, and how many must stay in use."""
+    """A service of an example.
+
+    :param name: name of the service.
+    :param targets: number of its targets.
+    :param floor: number of targets that must stay in use.
+    """
 
     name: str
     targets: int
@@ -33,9 +38,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ExampleAccount:
-    """A client account: requests per second and burst.
+    """A client account of an example.
 
-    Its key is derived from its name (``demo_key``).
+    :param name: name of the account, from which ``demo_key`` derives its key.
+    :param rate: requests per second.
+    :param burst: burst in requests.
     """
 
     name: str
@@ -45,7 +52,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ExampleRoute:
-    """A route of an example; an ``open`` one needs no key."""
+    """A route of an example.
+
+    :param method: HTTP method.
+    :param prefix: prefix of the paths.
+    :param service: name of the service.
+    :param idempotent: whether a request may run more than once.
+    :param open: whether requests need no key.
+    """
 
     method: str
     prefix: str
@@ -56,9 +70,19 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Example:
-    """What differs between the deployments of the organisations.
-
-    Each target has an instance of its own; instances take turns in the zones.
+    """What differs between the example deployments.
+
+    Each target has an instance of its own; the instances are distributed evenly
+    over the zones.
+
+    :param name: name of the deployment, prefix of the instance names.
+    :param region: region of all instances.
+    :param first_port: caller port of the first instance; each instance has
+        ``PORTS_PER_INSTANCE`` ports.
+    :param zones: names of the availability zones.
+    :param services: the services.
+    :param routes: the routes.
+    :param accounts: the client accounts, which may call every service.
     """
 
     name: str
--- a/src/clementinedeal_bench/_executions.py
+++ b/src/clementinedeal_bench/_executions.py
@@ -33,7 +33,8 @@
     :param body_sha256: hex digest of the request's body.
     :param header_names: names of the request's headers, in lower case.
     :param start: monotonic seconds at which work began.
-    :param leaving_for: seconds for which the target had been leaving by then.
+    :param leaving_for: seconds at the start since the target began to leave, 0
+        if it was not leaving.
     :param end: monotonic seconds at which work ended.
     :param state: how far the execution got.
     """
@@ -71,7 +72,7 @@
 
         :param req: the request.
         :param now: monotonic seconds.
-        :param leaving_for: seconds since the target began to leave.
+        :param leaving_for: seconds since the target began to leave, else 0.
         """
         execution = Execution(
             target=self._target,
@@ -91,7 +92,7 @@
     ) -> None:
         """Record how an execution ended.
 
-        :param entry: what ``begin`` returned.
+        :param execution: the record from ``begin``.
         :param state: how it ended.
         :param now: monotonic seconds.
         """
@@ -112,7 +113,7 @@
 def encode_lines(executions: list[Execution]) -> bytes:
     """Encode executions as JSON lines.
 
-    :param entries: the executions.
+    :param executions: the executions.
     """
     return msgspec.json.Encoder().encode_lines(executions)
 
--- a/src/clementinedeal_bench/_fleet.py
+++ b/src/clementinedeal_bench/_fleet.py
@@ -107,7 +107,7 @@
         self._processes.kill(name)
 
     async def stop(self, name: str) -> bool:
-        """Stop a daemon or target; True if it ended with status 0 in time.
+        """Stop a daemon or target; return True if it exited with 0 in time.
 
         :param name: name of the instance or target.
         """
@@ -150,8 +150,8 @@
             (name, self._daemon_args(instance), instance.operator, '/status')
             for name, instance in instances.items()
         )
-        # A daemon serves only after it has heard from other daemons, so this
-        # wait comes after all of them have started.
+        # A daemon serves only after it has received messages of other daemons,
+        # so all of them are started before this wait.
         await gather(self._await_serving, instances.values())
 
     async def _await_serving(self, instance: Instance) -> None:
@@ -161,6 +161,11 @@
         self,
         starts: Iterable[tuple[str, list[str], str, str]],
     ) -> None:
+        """Start processes, up to ``max_parallel_starts`` at once.
+
+        :param starts: name, command line, address, and path to poll until the
+            process is ready.
+        """
         limit = trio.CapacityLimiter(self._settings.max_parallel_starts)
 
         async def start_limited(*start_args: object) -> None:  # noqa: WPS430
--- a/src/clementinedeal_bench/_fleet_slopes.py
+++ b/src/clementinedeal_bench/_fleet_slopes.py
@@ -1,4 +1,4 @@
-"""Measures the configuration and control messages, at three sizes each.
+"""Measures the cost of configurations and control messages by size.
 
 The size of a configuration is its number of accounts, that of a message the
 bytes of its payload.
--- a/src/clementinedeal_bench/_fleet_watch.py
+++ b/src/clementinedeal_bench/_fleet_watch.py
@@ -18,12 +18,13 @@
 
 
 async def await_version(instances: Sequence[Instance], version: int) -> int:
-    """Wait until daemons use a configuration version; return how many do.
+    """Wait until all daemons use a configuration version or a newer one.
 
-    Returns early once all of them do, else after ``VERSION_TIMEOUT_SECONDS``.
+    Returns the number of daemons that use it, after
+    ``VERSION_TIMEOUT_SECONDS`` at the latest.
 
     :param instances: the daemons to ask.
-    :param version: the lowest version to wait for.
+    :param version: the version to wait for.
     """
     deadline = time.monotonic() + VERSION_TIMEOUT_SECONDS
     daemons_at_version = 0
@@ -38,7 +39,7 @@
 
 
 async def await_not_in_use(owner: Instance, target: Target) -> None:
-    """Wait until a target's owner reports it as no longer in use.
+    """Wait without a limit until a target's owner reports it as not in use.
 
     :param owner: the daemon beside the target, which reports its state.
     :param target: the target.
--- a/src/clementinedeal_bench/_large_config.py
+++ b/src/clementinedeal_bench/_large_config.py
@@ -17,7 +17,8 @@
 ZONES_PER_REGION = 4
 TARGETS_PER_SERVICE = 16
 SERVICES_PER_ACCOUNT = 3
-FIRST_PORT = 1024  # generated addresses continue on another host address
+# Generated addresses use these ports of one host address, then of the next.
+FIRST_PORT = 1024
 PORTS_PER_HOST = 60_000
 
 
--- a/src/clementinedeal_bench/_latency.py
+++ b/src/clementinedeal_bench/_latency.py
@@ -25,10 +25,10 @@
 from clementinedeal_bench._scenario import AccountLoad, RequestKind, Scenario
 from clementinedeal_bench._summary import LatencyPercentiles, measure_latency
 
-DIRECT = 'direct'
+DIRECT = 'direct'  # names the calls that go to the target without a daemon
 WARM_UP_SECONDS = 3.0  # of each warm-up run
 IDLE_SECONDS = 5.0  # over which the idle processor time is measured
-START_TIMEOUT_SECONDS = 60.0  # until a warm-up run has answers only
+START_TIMEOUT_SECONDS = 60.0  # for warm-up runs, until all calls are answered
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -38,9 +38,9 @@
     :param fleet: how processes are launched.
     :param base_port: first of the ports used.
     :param seconds: length of the measurement.
-    :param rate: requests per second sent to the entry daemon: half to the
-        target beside it, half to the other. As many as one half go directly
-        to the target beside it.
+    :param rate: requests per second sent to the entry daemon, half of them for
+        the target beside it and half for the other target. The target beside
+        the entry also receives half of this rate directly.
     """
 
     fleet: FleetSettings
@@ -54,7 +54,9 @@
 
     Latencies are in milliseconds from the sending of a request, so that they
     exclude delays of the caller's timer. The ``added`` ones are differences
-    from the percentile of direct calls.
+    from the percentile of direct calls. ``entry`` and ``owner`` hold the
+    processor time of the two daemons, ``not_answered`` the number of calls
+    without a complete answer.
     """
 
     rate: float
@@ -71,7 +73,7 @@
 
 
 class LatencyRun:
-    """Runs two daemons with a target each, and sends calls to one of them."""
+    """Runs two daemons with a target each, and measures calls through one."""
 
     def __init__(self, settings: LatencySettings) -> None:
         """Create a run.
--- a/src/clementinedeal_bench/_latency_config.py
+++ b/src/clementinedeal_bench/_latency_config.py
@@ -15,8 +15,8 @@
 
 ENTRY = 'entry'
 OWNER = 'owner'
-ONE_HOP = 'near'  # target and service beside the entry daemon
-TWO_HOPS = 'far'  # target and service beside the owner daemon
+ONE_HOP = 'near'  # names the target beside the entry and its service
+TWO_HOPS = 'far'  # names the target beside the owner and its service
 ACCOUNT_RATE = 100_000.0  # high enough that no request is refused
 
 
--- a/src/clementinedeal_bench/_model_targets.py
+++ b/src/clementinedeal_bench/_model_targets.py
@@ -1,7 +1,8 @@
 """Simulated targets in virtual time, with service times, slots and faults.
 
-They stand for real targets in the detection bench: each has a fixed number of
-slots, log-normal service times, short stalls, and one fault from an onset on.
+The detection bench sends its requests to them. Each has a fixed number of
+slots, log-normal service times, short stalls, and a fault that begins at a
+given time.
 """
 
 import enum
@@ -27,7 +28,7 @@
 
 
 class FaultMode(enum.Enum):
-    """Fault of a target from its onset on.
+    """Fault of a target, which begins at its onset.
 
     ``ALL_SLOW`` slows every target of the service alike, which is no fault of
     a single target; it must not lead to an ejection.
@@ -66,8 +67,9 @@
 class ModelTarget:
     """A target with a fixed number of slots.
 
-    Healthy targets also differ in their mean service time, fail now and then,
-    and stall as a whole for ``STALL_SECONDS`` at random times.
+    Healthy targets also differ in their mean service time, answer a fraction
+    of ``BASE_ERROR_FRACTION`` of their requests with an error, and stall for
+    ``STALL_SECONDS`` at random times.
     """
 
     def __init__(
--- a/src/clementinedeal_bench/_platform.py
+++ b/src/clementinedeal_bench/_platform.py
@@ -65,7 +65,7 @@
     :param reads: reads that were admitted.
     :param refused: reads that were refused over the limit.
     :param waiting: watches that wait now.
-    :param peak: the highest load in any second.
+    :param peak: highest load at the admission of a read (see ``ReadLimiter``).
     """
 
     reads: int = 0
@@ -96,7 +96,7 @@
         self._peak = 0
 
     def admit(self, now: float) -> int | None:
-        """Admit a call and return its number, or None over the limit.
+        """Admit a call and return its number, or None if the limit is reached.
 
         :param now: monotonic seconds.
         """
@@ -110,9 +110,9 @@
         return self._reads
 
     def start_watch(self, call_number: int, now: float) -> None:
-        """Record that an admitted call waits for a newer version.
+        """Record that an admitted call, a watch, waits for a newer version.
 
-        :param call_number: what ``admit`` returned.
+        :param call_number: number of the call from ``admit``.
         :param now: monotonic seconds.
         """
         self._watch_starts[call_number] = now
@@ -120,7 +120,7 @@
     def end_watch(self, call_number: int) -> None:
         """Record that a call no longer waits.
 
-        :param call_number: what ``admit`` returned.
+        :param call_number: number of the call from ``admit``.
         """
         self._watch_starts.pop(call_number, None)
 
@@ -145,7 +145,7 @@
 
 @dataclass(slots=True)
 class _Snapshot:
-    """Values that a stale platform keeps serving, by name."""
+    """Values by name that a stale platform serves, and when they were taken."""
 
     taken_at: float
     values: dict[str, PublishedValue] = field(default_factory=dict)
@@ -191,8 +191,10 @@
     ) -> Result[PublishedValue, str]:
         """Publish a body as the next version of a name.
 
+        The error is a text for a body of more than ``MAX_VALUE_BYTES``.
+
         :param name: name of the value.
-        :param body: content of at most ``MAX_VALUE_BYTES``.
+        :param body: content of the value.
         :param now: monotonic seconds.
         :param lag_seconds: delay until readers see it.
         """
--- a/src/clementinedeal_bench/_platform_server.py
+++ b/src/clementinedeal_bench/_platform_server.py
@@ -2,7 +2,9 @@
 
 Readers use ``GET /instances`` and ``GET /values/NAME``; with the query
 parameters ``after`` (a version) and ``wait`` (seconds) the answer waits for a
-newer version. Tests publish and set modes under ``/operator/``.
+newer version. If there is none in time, the status is 304, or 404 for a read
+without ``after``. Calls under ``/operator/`` publish values and the instance
+list, set the mode and return counters.
 """
 
 from dataclasses import asdict
@@ -23,8 +25,8 @@
 VALUES_PREFIX = '/values/'
 INSTANCES_PATH = '/instances'
 OPERATOR_PREFIX = '/operator'
-INSTANCES_NAME = '/instances'
-MAX_WAIT_SECONDS = 60.0  # longest wait of a watch, whatever it asks for
+INSTANCES_NAME = '/instances'  # name of the instance list among the values
+MAX_WAIT_SECONDS = 60.0  # upper bound of ``wait``
 # A waiting watch also checks at this interval, for values that become visible
 # after their lag and for changes of a flapping mode.
 RECHECK_INTERVAL_SECONDS = 0.1
@@ -52,7 +54,7 @@
 
 
 class PlatformServer:
-    """Answers readers of the platform and the operator calls of tests."""
+    """Answers readers of the platform and operator calls."""
 
     def __init__(self, platform: Platform, read_limiter: ReadLimiter) -> None:
         """Create a server.
--- a/src/clementinedeal_bench/_processes.py
+++ b/src/clementinedeal_bench/_processes.py
@@ -55,7 +55,7 @@
         """Raise if a process has ended.
 
         :param name: name of the process.
-        :raises BenchError: it has ended; the message ends with its log's tail.
+        :raises BenchError: it has ended; the message quotes the end of its log.
         """
         code = self._running[name].poll()
         if code is not None:
@@ -76,7 +76,7 @@
         process.wait()
 
     async def stop(self, name: str) -> bool:
-        """Stop a process with SIGTERM; True if it ended with status 0 in time.
+        """Stop a process with SIGTERM; return True if it exited with 0 in time.
 
         A process that has not ended after ``STOP_TIMEOUT_SECONDS`` is killed.
 
--- a/src/clementinedeal_bench/_publisher.py
+++ b/src/clementinedeal_bench/_publisher.py
@@ -37,7 +37,7 @@
         """Publish a configuration and return the number of bytes sent.
 
         :param cfg: a valid configuration.
-        :raises BenchError: the platform has refused a value.
+        :raises BenchError: the platform can't be reached or refuses a value.
         """
         packed = pack(cfg)
         if isinstance(packed, Err):
@@ -55,7 +55,7 @@
         """Publish the list of instances.
 
         :param states: ``live`` or ``leaving`` by instance name.
-        :raises BenchError: the platform has refused the list.
+        :raises BenchError: the platform can't be reached or refuses the list.
         """
         listed = InstanceListBody(
             tuple(ListedInstance(*entry) for entry in sorted(states.items())),
--- a/src/clementinedeal_bench/_report.py
+++ b/src/clementinedeal_bench/_report.py
@@ -27,14 +27,15 @@
     ('authorization', 'x-api-key', 'proxy-authorization')
 )
 MAX_SHOWN_VIOLATIONS = 3
-# Longest time from the admission of a request to its start at a target. Targets
-# may see a burst that is larger by what the account's rate admits in this time.
+# Longest time from the admission of a request to its start at a target. The
+# burst at the targets may exceed the account's burst by the number of requests
+# that its rate admits in this time.
 ADMISSION_TO_START_SECONDS = 0.1
 
 
 @dataclass(slots=True)
 class DemoStep:
-    """One step of the demo, with the calls that were due during it.
+    """Period and notes of one step of the demo.
 
     :param name: name of the step.
     :param started_at: monotonic seconds.
@@ -48,7 +49,7 @@
     notes: list[str] = field(default_factory=list)
 
     def calls(self, records: Iterable[CallRecord]) -> list[CallRecord]:
-        """Return the calls of the step.
+        """Return the calls that were due during the step.
 
         :param records: the calls of the whole run.
         """
@@ -87,9 +88,9 @@
 
     A line begins with ``ok`` or ``FAULT``.
 
-    :param cfg: the configuration that was in force.
+    :param cfg: the configuration that was launched.
     :param records: the calls of the whole run.
-    :param executions: the executions of all targets that could be asked.
+    :param executions: all executions that were read from targets.
     """
     events = _history_events(cfg, records, executions)
     limits = {
@@ -123,7 +124,7 @@
 def caller_request_of(execution: Execution) -> str:
     """Return the caller's id of the request that was executed.
 
-    :param run: the execution.
+    :param execution: the execution.
     """
     return execution.path.partition(CALLER_REQUEST_PREFIX)[2].partition('&')[0]
 
--- a/src/clementinedeal_bench/_scenario.py
+++ b/src/clementinedeal_bench/_scenario.py
@@ -17,7 +17,7 @@
 ):
     """One kind of request of an account.
 
-    :param service: name of the service, for the records.
+    :param service: name of the service, used in the call records only.
     :param path: path, with or without a query.
     :param method: HTTP method.
     :param weight: how often the kind is chosen, relative to the others.
@@ -93,7 +93,7 @@
 
 
 def find_fault(scenario: Scenario) -> str:
-    """Return what is wrong with a scenario, an empty text for nothing.
+    """Return the first fault of a scenario, an empty text if it has none.
 
     :param scenario: the scenario.
     """
--- a/src/clementinedeal_bench/_simulated_platform.py
+++ b/src/clementinedeal_bench/_simulated_platform.py
@@ -1,7 +1,7 @@
 """A platform in virtual time, with stale replicas, outages and counted reads.
 
 ``_platform`` is the stand-in that real daemons read over HTTP; this one serves
-views that are simulated within one process.
+the fleet views of daemons that are simulated within one process.
 """
 
 from collections.abc import Callable
@@ -26,7 +26,8 @@
     :param replica: index of the replica that answers.
     :param after_version: the version that the watcher has.
     :param expires_at: virtual time in seconds.
-    :param callback: called with the root, or ``None`` at the end.
+    :param callback: called with the newer root, or ``None`` when the watch
+        expires.
     """
 
     replica: int
@@ -40,6 +41,11 @@
 
     Parts and the instance list are the same on all replicas; a stale replica
     keeps serving the root that it had when it became stale.
+
+    ``is_up`` is False during an outage, ``reads`` holds the virtual time in
+    seconds of each read and watch, ``instance_list`` the published list,
+    ``stale_replicas`` indexes of replicas, and ``unreachable_daemons`` the
+    instance names of daemons that get no answer.
     """
 
     def __init__(self, replicas: int = 1) -> None:
@@ -118,7 +124,8 @@
         :param after_version: the version that the watcher has.
         :param expires_at: end of the watch, virtual time in seconds.
         :param now: virtual time in seconds.
-        :param callback: called with the root, or ``None`` at the end.
+        :param callback: called with the newer root, or ``None`` when the watch
+            expires.
         """
         self.reads.append(now)
         index = replica % len(self._roots)
--- a/src/clementinedeal_bench/_slopes.py
+++ b/src/clementinedeal_bench/_slopes.py
@@ -1,4 +1,4 @@
-"""Measures how the cost of each role of a daemon grows with its size.
+"""Measures how the cost of each role of a daemon grows with the fleet.
 
 Run as ``python -m clementinedeal_bench._slopes``; prints a JSON line for each
 measurement. docs/CAPACITY.md derives the cost at the design size from them.
--- a/src/clementinedeal_bench/_slots.py
+++ b/src/clementinedeal_bench/_slots.py
@@ -8,7 +8,10 @@
 
 
 class Slots:
-    """Limits the requests that are served and those that wait."""
+    """Limits the requests that are served and those that wait.
+
+    ``queued`` is the number of requests that wait for a slot.
+    """
 
     def __init__(self, slot_count: int, queue_limit: int) -> None:
         """Create free slots.
--- a/src/clementinedeal_bench/_spread_trial.py
+++ b/src/clementinedeal_bench/_spread_trial.py
@@ -1,8 +1,9 @@
-"""Measures the spread of configurations and the cost of fleet views.
+"""Measures how fast configurations reach all daemons, and what views cost.
 
+A fleet view is a daemon's knowledge of the configuration and the instances.
 Run as ``python -m clementinedeal_bench._spread_trial SEED SIZE...``; prints
 one JSON line for each size. Times are virtual. Processor time is real and
-covers the views and the coding of messages only.
+covers the views and the encoding and decoding of messages only.
 """
 
 import json
@@ -16,7 +17,7 @@
 
 ACCOUNT_COUNT = 200
 ROUTE_COUNT = 50
-LOSS_FRACTION = 0.01
+LOSS_FRACTION = 0.01  # of the messages
 STEP_SECONDS = 0.1
 START_TIMEOUT_SECONDS = 60.0
 SETTLE_SECONDS = 35.0  # after the start, not measured
@@ -34,16 +35,20 @@
     :param loss: fraction of messages lost.
     :param start_seconds: from the start until the first version was in force
         at all daemons.
-    :param start_reads_per_second: most platform reads in one second of the
-        start, of the whole fleet.
+    :param start_reads_per_second: highest number of platform reads of the whole
+        fleet in one second of the start.
     :param steady_messages: messages per daemon and second without a change.
     :param steady_bytes: bytes per daemon and second without a change.
-    :param steady_processor_share: fraction of a core that a daemon uses.
-    :param steady_reads_per_second: platform reads of the whole fleet.
-    :param steady_fresh: daemons that were fresh at the end of that time.
+    :param steady_processor_share: fraction of a core that a daemon uses
+        without a change.
+    :param steady_reads_per_second: platform reads of the whole fleet without a
+        change.
+    :param steady_fresh: number of daemons whose configuration was fresh at the
+        end of the measurement without a change.
     :param in_force_seconds: for each change, time until it was in force at
-        all daemons; ``CHANGE_PERIOD_SECONDS`` if it was not by then.
-    :param change_bytes: bytes per daemon and change, above the steady ones.
+        all daemons; ``CHANGE_PERIOD_SECONDS`` if it took longer.
+    :param change_bytes: bytes per daemon and change, in addition to the
+        bytes without a change.
     """
 
     seed: int
--- a/src/clementinedeal_bench/_status_reader.py
+++ b/src/clementinedeal_bench/_status_reader.py
@@ -91,7 +91,8 @@
     :param address: ``ip:port``.
     :param path: path and query.
     :param timeout_seconds: longest wait.
-    :param check_running: raises if the process has ended.
+    :param check_running: called between attempts; raises ``BenchError`` if the
+        process has ended.
     :raises BenchError: there is no such answer in time.
     """
     deadline = trio.current_time() + timeout_seconds
--- a/src/clementinedeal_bench/_target.py
+++ b/src/clementinedeal_bench/_target.py
@@ -1,8 +1,8 @@
 """HTTP server of the stand-in target.
 
 ``/probe`` is the health probe, ``/load`` the load report, ``/cancel/ID``
-cancels a request, ``/control/`` is the interface of tests, and every other path
-is a request to the service.
+cancels a request, paths under ``/control/`` let tests control the target, and
+every other path is a request to the service.
 """
 
 import json
@@ -97,7 +97,8 @@
     """A stand-in target: limited slots, injected faults, recorded executions.
 
     Each request that starts work is recorded in ``execution_log``, which tests
-    compare with what callers and daemons report.
+    compare with what callers and daemons report. ``leaving`` is set when the
+    target begins to leave.
     """
 
     def __init__(self, settings: TargetSettings) -> None:
@@ -291,7 +292,9 @@
 
 
 async def serve_target(settings: TargetSettings) -> None:
-    """Run a stand-in target until it has drained, after SIGTERM or a call.
+    """Run a stand-in target until it is drained.
+
+    It begins to drain at SIGTERM or ``POST /control/drain``.
 
     :param settings: settings of the target.
     """
--- a/src/clementinedeal_bench/_token_config.py
+++ b/src/clementinedeal_bench/_token_config.py
@@ -1,4 +1,7 @@
-"""Configurations with one client account, for trials of its tokens."""
+"""Configurations with one client account, for trials of its tokens.
+
+A token admits one request of the account.
+"""
 
 from clementinedeal._model import (
     Account,
--- a/src/clementinedeal_bench/_token_fleet.py
+++ b/src/clementinedeal_bench/_token_fleet.py
@@ -87,7 +87,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenOutcome:
-    """Whether a request was admitted, and when in virtual seconds."""
+    """Result of one request; ``answered_at`` is in virtual seconds."""
 
     answered_at: float
     req_id: str
@@ -100,12 +100,12 @@
     ``now`` is the time in seconds, ``link`` the current faults and
     ``cut_links`` the pairs of sender and receiver whose messages are lost.
     ``versions`` holds the published versions, ``sent_messages`` every copy of
-    a message that was sent, also of lost ones, and ``outcomes`` the result of
-    each request.
+    a message that was sent, including lost ones, and ``outcomes`` the result of
+    each request. ``sent_bytes`` counts each message once.
     """
 
     def __init__(self, cfg: Config, seed: int) -> None:
-        """Start a daemon for each instance and let the shares come into use.
+        """Start a daemon for each instance and run until shares are in use.
 
         :param cfg: first version.
         :param seed: seed of the network's random choices.
@@ -129,8 +129,8 @@
         """Start a daemon, or replace it by a new process.
 
         :param name: instance name.
-        :param versions_behind: how many versions older than the newest its
-            first one is.
+        :param versions_behind: number of versions by which its first version is
+            older than the newest.
         :param known_for: seconds since that version was published, as the
             process knows it.
         """
--- a/src/clementinedeal_bench/_token_timing.py
+++ b/src/clementinedeal_bench/_token_timing.py
@@ -1,7 +1,7 @@
 """Measures the processor time of taking a token.
 
 Run as ``python -m clementinedeal_bench._token_timing``; prints one JSON line.
-Keys that end in ``_us`` hold microseconds.
+Keys that end in _us hold microseconds.
 """
 
 import json
@@ -15,7 +15,7 @@
 
 CALL_COUNT = 20_000
 LARGE_AMOUNT = 1_000_000.0  # a rate, burst or age that limits nothing
-LOW_RATE = 9.0  # requests per second, for takes with a draw each
+LOW_RATE = 9.0  # requests per second; each measured take needs a draw
 NANOS_PER_MICRO = 1000
 WARM_UP_STEPS = 40
 STEP_SECONDS = 0.25
@@ -54,7 +54,9 @@
             manager.set_fresh(True, self.now)
 
     def deliver(self, sender: str, actions: TokenActions) -> int:
-        """Deliver messages until none is left; return how many were admitted.
+        """Deliver messages and the answers to them, until there are no more.
+
+        Returns the number of requests that were admitted.
 
         :param sender: instance name of the daemon that returned the actions.
         :param actions: messages to deliver and results of requests.
@@ -70,7 +72,7 @@
 
 
 def measure_local_take() -> float:
-    """Return microseconds for a take from the share of the same daemon."""
+    """Return the microseconds of a take from the daemon's own share."""
     fleet = TimedFleet(LARGE_AMOUNT)
     manager = fleet.managers[fleet.holders[0]]
     started_ns = time.process_time_ns()
@@ -80,9 +82,10 @@
 
 
 def measure_take_with_draw() -> tuple[float, int]:
-    """Return microseconds for a take with one draw, and how many succeeded.
+    """Return the microseconds of a take with a draw, and how many succeeded.
 
-    The time is that of the owner and the holder together.
+    A draw asks a holder for tokens. The time is that of the owner and the
+    holder together.
     """
     fleet = TimedFleet(LOW_RATE)
     owner = next(name for name in fleet.managers if name not in fleet.holders)
--- a/src/clementinedeal_bench/_token_trial.py
+++ b/src/clementinedeal_bench/_token_trial.py
@@ -22,14 +22,18 @@
 SEEDS = tuple(range(1, 31))
 RUN_SECONDS = 20.0
 MEAN_BURST_INTERVAL_SECONDS = 10.0
-BURST_DIVISOR = 4  # a sudden burst is this part of the account's burst
+# A sudden burst has as many requests as the account's burst divided by this.
+BURST_DIVISOR = 4
 DRAWS_PER_STEP = 40  # binomial trials for the arrivals of one time step
 DEAD_HOLDER_COUNTS = (0, 1)
 LOAD_FRACTIONS = (0.4, 0.8, 1.0)  # of the account's rate
 
 
 class Routing(enum.Enum):
-    """Which daemons receive the requests."""
+    """Which daemons receive the requests.
+
+    ``ANY`` are all daemons, ``HOLDER`` only the account's holders.
+    """
 
     ANY = 'any owner'
     HOLDER = 'holder first'
@@ -39,7 +43,8 @@
     """How rate and burst of an account are shared.
 
     With ``HOLDERS``, the scheme of the product, some daemons hold shares and
-    lend tokens to the others.
+    lend tokens to the others. With ``STATIC`` each daemon has an equal part of
+    the rate for its own use, with ``SINGLE`` one daemon has all of it.
     """
 
     HOLDERS = 'holders'
@@ -69,7 +74,13 @@
 
 @dataclass(frozen=True, slots=True)
 class RunCounts:
-    """Requests, refusals, messages and their bytes in one run."""
+    """Counts of one run.
+
+    :param requests: requests sent.
+    :param refused: requests that were not admitted.
+    :param messages: messages between daemons.
+    :param sent_bytes: bytes of these messages, 0 for the baseline schemes.
+    """
 
     requests: int
     refused: int
@@ -81,20 +92,27 @@
     """Daemons that share an account's tokens by one of the schemes."""
 
     def take(self, name: str, req_id: str) -> None:
-        """Take a token for a request at a daemon."""
+        """Take a token for a request at a daemon.
+
+        :param name: instance name of the daemon.
+        :param req_id: request id.
+        """
         ...
 
     def step(self) -> None:
-        """Let one step of time pass."""
+        """Advance the time by ``STEP_SECONDS``."""
         ...
 
     def count_results(self, requests: int) -> RunCounts:
-        """Return what became of all requests."""
+        """Return the counts of the run.
+
+        :param requests: number of requests sent.
+        """
         ...
 
 
 class ExactTokenBucket:
-    """An exact token bucket."""
+    """A token bucket that is refilled once in each time step."""
 
     def __init__(self, rate: float, burst: float) -> None:
         """Create a full bucket.
@@ -141,7 +159,8 @@
     def take(self, name: str, req_id: str) -> None:
         """Take from the daemon's bucket, or from the only one if it has none.
 
-        The second costs a request and an answer message.
+        A take from the bucket of another daemon counts as two messages, the
+        request and the answer.
         """
         holder = name
         if name not in self._buckets:
@@ -151,20 +170,23 @@
             self._refused += 1
 
     def step(self) -> None:
-        """Let one step of time pass."""
+        """Advance the time by ``STEP_SECONDS``."""
         for bucket in self._buckets.values():
             bucket.step()
 
     def count_results(self, requests: int) -> RunCounts:
-        """Return what became of all requests."""
+        """Return the counts of the run.
+
+        :param requests: number of requests sent.
+        """
         return RunCounts(requests, self._refused, self._messages, 0)
 
 
 class HolderFleet:
-    """The product's scheme: token managers, 1 ms apart on the network."""
+    """The product's scheme: token managers whose messages take 1 ms."""
 
     def __init__(self, cfg: Config, seed: int, dead: list[str]) -> None:
-        """Start all daemons, let the shares come into use, then kill some.
+        """Start all daemons, run until the shares are in use, then kill some.
 
         :param cfg: the configuration.
         :param seed: seed of the network's random choices.
@@ -179,12 +201,15 @@
         self._fleet.take(name, req_id, ACCOUNT_NAME)
 
     def step(self) -> None:
-        """Let one step of time pass."""
+        """Advance the time by ``STEP_SECONDS``."""
         self._fleet.run(STEP_SECONDS)
 
     def count_results(self, requests: int) -> RunCounts:
-        """Return what became of all requests."""
-        self._fleet.run(1)
+        """Return the counts of the run.
+
+        :param requests: number of requests sent.
+        """
+        self._fleet.run(1)  # until the last requests are answered
         admitted = sum(outcome.admitted for outcome in self._fleet.outcomes)
         return RunCounts(
             requests,
@@ -195,9 +220,10 @@
 
 
 def conforming_arrivals(case: Case, rng: Random) -> Iterator[int]:
-    """Yield for each time step how many requests arrive within the rate.
+    """Yield the number of requests that arrive in each time step.
 
-    Some of the load arrives in sudden bursts, at random times.
+    Requests beyond what an exact token bucket admits are left out. Some of the
+    load arrives in sudden bursts, at random times.
 
     :param case: the account and its load.
     :param rng: source of the random choices.
@@ -285,6 +311,7 @@
 
 def all_cases() -> Iterator[Case]:
     """Yield the cases: small and large accounts, with and without a fault."""
+    # rate, burst and number of daemons
     sizes = ((3, 20, 12), (200, 200, 24))
     for size, load, dead, routing in itertools.product(
         sizes, LOAD_FRACTIONS, DEAD_HOLDER_COUNTS, Routing
--- a/src/clementinedeal_bench/_virtual_fleet.py
+++ b/src/clementinedeal_bench/_virtual_fleet.py
@@ -1,4 +1,7 @@
-"""Fleet views of many daemons, in virtual time, over a lossy network."""
+"""Fleet views of many daemons, in virtual time, over a lossy network.
+
+A fleet view is a daemon's knowledge of the configuration and the instances.
+"""
 
 import heapq
 import itertools
@@ -114,7 +117,7 @@
         self._schedule(self.now + phase, partial(self._tick, process))
 
     def stop(self, name: str) -> None:
-        """End a daemon at once.
+        """End a daemon at once; nothing happens if it does not run.
 
         :param name: instance name.
         """
@@ -130,14 +133,14 @@
         self._deliver(self.processes[name], call)
 
     def pause(self, name: str) -> None:
-        """Freeze a daemon; what arrives for it waits.
+        """Freeze a daemon; its messages and answers wait until it is resumed.
 
         :param name: instance name.
         """
         self.processes[name].is_paused = True
 
     def resume(self, name: str) -> None:
-        """Continue a paused daemon and deliver what has waited.
+        """Continue a paused daemon and deliver what arrived meanwhile.
 
         :param name: instance name.
         """
--- a/src/clementinedeal_bench/_web_messages.py
+++ b/src/clementinedeal_bench/_web_messages.py
@@ -53,8 +53,9 @@
     :param headers: names in lower case, and values.
     :param body: the whole body.
     :param chunked: whether the body is sent in chunks, without a length.
-    :param cut_after_bytes: closes the connection after this much of the body.
-    :param drop: closes the connection without an answer.
+    :param cut_after_bytes: number of bytes of the body after which the
+        connection is closed, ``None`` to send the whole body.
+    :param is_dropped: whether the connection is closed without an answer.
     """
 
     status: int = 200
--- a/src/clementinedeal_bench/_web_server.py
+++ b/src/clementinedeal_bench/_web_server.py
@@ -24,6 +24,7 @@
     """The connection is closed, by the client or by this server."""
 
 
+# errors that end a connection and are caused by the client or by closing it
 PEER_ERRORS = (
     ConnectionClosedError,
     h11.RemoteProtocolError,
@@ -33,7 +34,7 @@
 
 
 async def receive_into(conn: h11.Connection, stream: trio.abc.Stream) -> bool:
-    """Pass received bytes to a connection; False at the end of the stream.
+    """Pass received bytes to a connection; return False at the stream's end.
 
     :param conn: state of the HTTP connection.
     :param stream: stream to receive from.
