Describe attempts, ejection, tokens and views again for a new reader

Explain roles, units and limits of draws, keys, permits and attempts

The modules of draws, leases and keys say what a unit, a holder, a draw, an entry and a keeper are; the constants of the draw policy, the backoff and the samples say what they limit. Corrected against the code: a holder with too few tokens is avoided, not left out; a full event buffer makes a report fail; a cancelled attempt is known not to start only after NEVER_STARTED; the surplus of a draw is a part of the level that remains after its need.

State levels, roots and recorded actions of leases and views exactly

A lender's level, a version's root, the recent records of a view answer and the yield of a target call are named; InstanceLeaving and InstanceLeft are described as records, since the recorder is their only handler.

--- a/src/clementinedeal/_answer_checks.py
+++ b/src/clementinedeal/_answer_checks.py
@@ -66,7 +66,10 @@
 
 
 def _expected_sha256(head: ResponseHead) -> bytes | None:
-    """Return the declared digest; b'' if malformed, so that none matches."""
+    """Return the declared SHA-256 digest, None if there is none.
+
+    A malformed digest is returned as b'', which matches no body.
+    """
     text = head.header(CONTENT_DIGEST_HEADER)
     if text is None or not text.startswith(_SHA256_PREFIX):
         return None
--- a/src/clementinedeal/_attempt_events.py
+++ b/src/clementinedeal/_attempt_events.py
@@ -32,7 +32,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectionLost:
-    """Event: the connection to the owner broke after the first byte."""
+    """Event: the connection to the owner broke after the first byte was sent.
+
+    The attempt may have run.
+    """
 
     attempt_id: str
 
@@ -141,7 +144,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RefuseRequest:
-    """Action: refuse the request; also records why an attempt failed.
+    """Action: refuse the request.
+
+    Inside a plan it also holds the verdict and reason of a failed attempt.
 
     :param verdict: whether the request may have run at a target.
     :param reason: why it is refused.
@@ -159,6 +164,9 @@
 
     A part of the answer was sent, so no status can report the failure.
     Without a regular end the caller can detect that the answer is incomplete.
+
+    :param verdict: whether the request may have run at a target.
+    :param reason: why the answer could not be completed.
     """
 
     verdict: Verdict
--- a/src/clementinedeal/_attempt_sender.py
+++ b/src/clementinedeal/_attempt_sender.py
@@ -22,7 +22,9 @@
 class AttemptSender:
     """Sends attempts and cancels to owners, and the answer to the caller.
 
-    An owner is this daemon itself or, over the peer connection, another one.
+    The owner of a target is the daemon beside it: this daemon, or another one
+    that is called over a peer connection. Each attempt names the incarnation
+    of the owner for which it is meant, that is one run of the owner's process.
     """
 
     def __init__(
@@ -69,7 +71,7 @@
     async def cancel(self, attempt_id: str, target: str) -> CancelAnswer:
         """Cancel an attempt at its owner and return how far it came.
 
-        An attempt that has not started won't start any more.
+        An owner that answers ``NEVER_STARTED`` never starts the attempt.
 
         :param attempt_id: id of the attempt.
         :param target: name of the target that it was sent to.
@@ -100,8 +102,9 @@
     ) -> AsyncIterator[AttemptReply]:
         """Send an attempt, and once more if it named a wrong incarnation.
 
-        A refusal for a wrong incarnation carries the owner's present one, so
-        that the second copy under the same attempt id can be accepted.
+        A refusal for a wrong incarnation carries the owner's present one. The
+        attempt is sent again with it under the same id, unless the request's
+        body can't be sent twice.
         """
         async with self._attempt_once(fwd) as reply:
             self._learn_incarnation(fwd, reply)
--- a/src/clementinedeal/_borrowed.py
+++ b/src/clementinedeal/_borrowed.py
@@ -1,4 +1,7 @@
-"""The borrower's side of leases: units borrowed from several holders."""
+"""The borrower's side of leases: units borrowed from several holders.
+
+A unit is one token of an account's rate; each request spends one.
+"""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,6 +13,8 @@
 class _BorrowedLease:
     """A lease as the borrower knows it.
 
+    ``holder`` is the instance that granted it. ``expires_at`` is in monotonic
+    seconds.
     ``unspent``, ``spent`` and ``reported`` (the part of ``spent`` that was
     sent to the holder) are in micro-units.
     """
--- a/src/clementinedeal/_borrowed_permit.py
+++ b/src/clementinedeal/_borrowed_permit.py
@@ -11,10 +11,11 @@
 
 
 class PermitReply(enum.Enum):
-    """What an answer means to the owner that receives it.
+    """Effect of a permit holder's answer on the owner that receives it.
 
-    ``VOID`` answers no pending report and has no effect. ``BASELINE`` only
-    brings a baseline. ``GRANTED`` and ``REFUSED`` decide about the permit.
+    ``VOID`` answers no pending report and has no effect. ``BASELINE`` brings
+    a baseline and changes nothing about the permit. ``GRANTED`` means that
+    the permit is held, ``REFUSED`` that the holder does not lend it.
     """
 
     VOID = 'void'
@@ -24,7 +25,7 @@
 
 
 class BorrowedPermit:
-    """Keeps until when an owner may use a permit.
+    """Records until when an owner holds the permit to eject its target.
 
     The lease runs from the time at which the report that asked for it was
     sent. This is before the holder started to count the lease, so it never
--- a/src/clementinedeal/_borrowing.py
+++ b/src/clementinedeal/_borrowing.py
@@ -1,4 +1,4 @@
-"""The owner's side: takes tokens for requests and borrows missing ones."""
+"""Takes tokens for an owner's requests and borrows those that it lacks."""
 
 import math
 
@@ -87,7 +87,7 @@
     def on_grant(
         self, sender: str, body: DrawGrant, now: float
     ) -> TokenActions:
-        """Add a grant that answers an open draw; return a late one.
+        """Add the tokens of a grant; give those of a late one back.
 
         :param sender: authenticated name of the holder.
         :param body: the grant; ignored if it answers no draw of this process.
@@ -118,7 +118,10 @@
         return self._process_waiting(state, now)
 
     def on_tick(self, now: float) -> TokenActions:
-        """Handle draws without answer, refusals and reports that are due.
+        """Abandon unanswered draws and act on what is due.
+
+        Requests that have waited too long are refused, and spent tokens are
+        reported to the holders.
 
         :param now: monotonic seconds.
         """
--- a/src/clementinedeal/_claims.py
+++ b/src/clementinedeal/_claims.py
@@ -1,7 +1,8 @@
 """The entry's side of idempotency keys.
 
 The entry is the daemon that took the caller's request. It claims the key from
-its keeper before the request runs, and reports the outcome afterwards.
+its keeper, the daemon that stores the key's record, before the request runs,
+and reports the outcome afterwards.
 """
 
 from dataclasses import dataclass
@@ -78,7 +79,8 @@
 class _PendingSettlement:
     """A settlement that is sent again until the keeper confirms it.
 
-    ``send_at`` is the monotonic time of the next try in seconds.
+    ``send_at`` is the monotonic time in seconds at which ``message`` is sent
+    next, ``tries`` how often it was sent.
     """
 
     keeper: str
--- a/src/clementinedeal/_cusum.py
+++ b/src/clementinedeal/_cusum.py
@@ -32,8 +32,8 @@
 
     Both are zero if an unhealthy target has no more hits than a healthy one.
 
-    :param null: fraction of hits of a healthy target, between 0 and 1.
-    :param alternative: fraction of hits of an unhealthy target.
+    :param null: fraction of hits of a healthy target, above 0 and below 1.
+    :param alternative: fraction of hits of an unhealthy target, below 1.
     """
     if alternative <= null:
         return ZERO_LOG_RATIOS
@@ -49,8 +49,10 @@
 ) -> tuple[float, ...]:
     """Return the log-likelihood ratio of each class of observation, in nats.
 
-    :param null: probability of each class for a healthy target.
-    :param alternative: probability of each class for an unhealthy target.
+    :param null: probability of each class for a healthy target, above 0.
+    :param alternative: probability of each class for an unhealthy target,
+        above 0, in the same order.
+    :raises ValueError: the two differ in length.
     """
     pairs = zip(null, alternative, strict=True)
     return tuple(math.log(unhealthy / healthy) for healthy, unhealthy in pairs)
--- a/src/clementinedeal/_draw_planner.py
+++ b/src/clementinedeal/_draw_planner.py
@@ -1,4 +1,7 @@
-"""Chooses which holders an owner asks for tokens, and for how many."""
+"""Chooses which holders an owner asks for tokens, and for how many.
+
+A draw is one request for tokens of an account to one of its holders.
+"""
 
 from clementinedeal._draw_policy import DrawPolicy
 from clementinedeal._draws import (
@@ -12,8 +15,10 @@
 from clementinedeal._leases import LEASE_TTL_SECONDS, MICROS_PER_UNIT, LeaseId
 from clementinedeal._messages import Send
 
-# Tokens are prefetched when fewer are left than the demand of this time.
+# Tokens are prefetched when the available ones cover the demand of less than
+# this time.
 MIN_AVAILABLE_SECONDS = 0.25
+# Number of holders that are asked in the first, second and third round.
 HOLDERS_PER_ROUND = (1, 2, 4)
 
 
--- a/src/clementinedeal/_draw_policy.py
+++ b/src/clementinedeal/_draw_policy.py
@@ -4,20 +4,24 @@
 from clementinedeal._model import Account
 from clementinedeal._shares import holder_count
 
-# A prefetch covers this many seconds of demand, at most a fraction of the
-# burst.
+# A prefetch covers this many seconds of demand, but at most the account's burst
+# divided by the divisor.
 PREFETCH_SECONDS = 1.0
 PREFETCH_BURST_DIVISOR = 4
-# Below either limit, tokens are drawn only when a request needs them.
+# If the account's published rate or its demand at this owner is lower, tokens
+# are drawn only when a request needs them.
 MIN_PREFETCH_RATE_PER_SECOND = 10.0
 MIN_PREFETCH_DEMAND_PER_SECOND = 4.0
-# Spent tokens are reported after the time in which the account makes this
-# fraction of its burst (one divided by the divisor), within the limits.
+# Spent tokens are reported after the time in which the account's rate refills
+# its burst divided by the divisor, within the two limits.
 MIN_REPORT_DELAY_SECONDS = 0.05
 MAX_REPORT_DELAY_SECONDS = 1.0
 REPORT_DELAY_DIVISOR = 4
+# Limits of the time after which a refused caller should retry.
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 60.0
+# A holder counts as empty for the time in which it gets this many new tokens,
+# within the limit.
 MAX_EMPTY_BACKOFF_SECONDS = 0.4
 EMPTY_BACKOFF_TOKENS = 4
 
@@ -36,7 +40,11 @@
 
     @property
     def empty_backoff_seconds(self) -> float:
-        """Return for how long a holder without tokens is not asked again.
+        """Return for how many seconds a holder with too few tokens is avoided.
+
+        Other holders are asked before it, and nothing is prefetched from it.
+        If all holders have too few tokens, new requests are refused at once
+        for the same time.
 
         It is the time in which one holder makes ``EMPTY_BACKOFF_TOKENS``
         tokens, at most ``MAX_EMPTY_BACKOFF_SECONDS``.
--- a/src/clementinedeal/_draws.py
+++ b/src/clementinedeal/_draws.py
@@ -1,4 +1,8 @@
-"""Messages of draws, and the state of one account at one owner."""
+"""Messages of draws, and the state of one account at one owner.
+
+An owner draws tokens of an account from its holders, the instances that keep
+shares of the account's rate, when its own share does not suffice.
+"""
 
 import math
 from collections import deque
@@ -9,10 +13,10 @@
 from clementinedeal._messages import Send, message
 
 DRAW_TIMEOUT_SECONDS = 0.05  # for the holder's answer to one draw
-MAX_WAIT_SECONDS = 0.2  # of a request for its token
+MAX_WAIT_SECONDS = 0.2  # for which a request waits for its token
 ON_DEMAND_TTL_SECONDS = 0.25  # of leases that cover waiting requests only
 MAX_WAITING_REQUESTS = 64  # for each account at one owner
-DEMAND_WINDOW_SECONDS = 1.0
+DEMAND_WINDOW_SECONDS = 1.0  # time constant of an account's average demand
 
 
 @message
@@ -90,7 +94,8 @@
 
     ``need`` is in micro-tokens. The draw is ``abandoned`` once its timeout
     has passed; a grant that arrives later is returned. The draw is kept until
-    ``expires_at``, when the lease would have ended.
+    ``expires_at``, when the lease would have ended. Times are in monotonic
+    seconds.
     """
 
     holder: str
@@ -182,7 +187,7 @@
         return any(not draw.abandoned for draw in self.draws.values())
 
     def spend(self, amount: int, lender: Lender | None, now: float) -> bool:
-        """Spend borrowed units first, then units of the own share.
+        """Spend borrowed units first, then units of this instance's share.
 
         Return whether the amount was available; otherwise nothing is spent.
 
--- a/src/clementinedeal/_ejection.py
+++ b/src/clementinedeal/_ejection.py
@@ -64,7 +64,7 @@
         """Apply a new configuration.
 
         An ejected target that was published with changes is reinstated, and
-        so are all if the active preset does without ejection.
+        so are all if the active preset disables ejection.
 
         :param cfg: the configuration.
         :param now: monotonic time in seconds.
--- a/src/clementinedeal/_ejection_backoff.py
+++ b/src/clementinedeal/_ejection_backoff.py
@@ -1,11 +1,13 @@
 """Longer ejections and trials for a target that was ejected repeatedly."""
 
-# Hold after the first ejection, and how often it is doubled at most.
+# How long a target stays ejected the first time, and how often that time is
+# doubled at most.
 MIN_HOLD_SECONDS = 5.0
 MAX_DOUBLINGS = 6
 # Time in use after which one ejection no longer counts.
 DECAY_SECONDS = 60.0
-# Requests of the trial after the first ejection, and at most.
+# Number of requests in the trial after the first ejection, and the limit for
+# later trials.
 MIN_TRIAL_REQUESTS = 10
 MAX_TRIAL_REQUESTS = 40
 
--- a/src/clementinedeal/_entry_parts.py
+++ b/src/clementinedeal/_entry_parts.py
@@ -1,4 +1,7 @@
-"""Collaborators of an entry, most of them as interfaces."""
+"""Collaborators of an entry, most of them as interfaces.
+
+The entry is the daemon that took the caller's request.
+"""
 
 from dataclasses import dataclass
 from typing import Protocol
@@ -21,7 +24,7 @@
 
     @property
     def access(self) -> Access | None:
-        """Routes and accounts of the configuration in force, None before."""
+        """Routes and accounts in force, None before a configuration is."""
         ...
 
     def is_fresh(self) -> bool:
--- a/src/clementinedeal/_entry_view.py
+++ b/src/clementinedeal/_entry_view.py
@@ -12,6 +12,7 @@
 
 # Interval at which lost and leaving instances are looked for.
 REFRESH_SECONDS = 0.5
+# By the state that an owner reports of a target; all others are in use.
 _AVAILABILITIES = {
     'trial': Availability.TRIAL,
     'ejected': Availability.EJECTED,
@@ -37,7 +38,7 @@
 
         :param me: name of this instance.
         :param fleet: members of the fleet and freshness of the configuration.
-        :param clock: gives the age of reports.
+        :param clock: monotonic clock, by which reports are dated.
         :param rng: source of random choices.
         """
         self.access: Access | None = None
@@ -113,7 +114,8 @@
         :param owner: instance that answered.
         :param target: target that the attempt was for.
         :param outcome: the owner's report.
-        :param path_seconds: time spent on the network, both directions.
+        :param path_seconds: time that the attempt spent on the network, both
+            directions, in seconds.
         """
         self._incarnations[owner] = outcome.incarnation
         if self._router is None:
--- a/src/clementinedeal/_hedged_exchange.py
+++ b/src/clementinedeal/_hedged_exchange.py
@@ -37,13 +37,17 @@
 from clementinedeal._verdict import Reason
 
 # Events that may wait for the plan. A request has few attempts and each of them
-# reports few events, so that reporting one never has to wait.
+# reports few events, so the buffer never fills; reporting to a full one fails.
 MAX_BUFFERED_EVENTS = 64
 
 
 @dataclass(slots=True)
 class _RunningAttempt:
-    """An attempt's task; ``chosen`` is set when its answer may be sent on."""
+    """An attempt's task.
+
+    Cancelling ``scope`` ends it. ``chosen`` is set when the attempt's answer
+    is to be sent to the caller.
+    """
 
     target: str
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
--- a/src/clementinedeal/_holdings.py
+++ b/src/clementinedeal/_holdings.py
@@ -5,8 +5,8 @@
 from clementinedeal._model import Config
 from clementinedeal._share_versions import ShareVersions
 
-# Beyond what waiting requests need, one draw gets at most this part of the
-# holder's level (one divided by the divisor).
+# One draw gets what waiting requests need, and beyond that at most the level
+# that remains, divided by this.
 SURPLUS_DIVISOR = 4
 MILLIS_PER_SECOND = 1000
 
--- a/src/clementinedeal/_idempotency.py
+++ b/src/clementinedeal/_idempotency.py
@@ -1,4 +1,8 @@
-"""Idempotency keys at one daemon, as an entry and as a keeper."""
+"""Idempotency keys at one daemon, as an entry and as a keeper.
+
+The entry of a request is the daemon that took it from the caller, the keeper
+of a key is the daemon that stores the key's record.
+"""
 
 import hashlib
 import uuid
@@ -30,8 +34,8 @@
 from clementinedeal._verdict import Reason, Verdict
 
 MAX_KEY_CHARS = 255
-# Added to the time left to a request, for cancellations and the owners' last
-# checks.
+# Added to the time left to a request to get the time for which its key may stay
+# in progress. It covers cancels and the owners' last checks.
 PATIENCE_SLACK_SECONDS = 5.0
 # A longer pause starts a quarantine. Must be less than CONVERGENCE_SECONDS
 # minus twice the freshness limit.
@@ -70,7 +74,7 @@
 
 
 class IdempotencyManager:
-    """Claims keys for this entry's requests and keeps the keys placed here.
+    """Claims keys for this entry's requests and stores the keys placed here.
 
     A request with a key may run only after ``ClaimGranted``. Methods return
     the actions to perform; messages to this instance itself are delivered
@@ -92,7 +96,7 @@
         :param cfg: configuration in force.
         :param now: current monotonic time in seconds.
         :param wall_ms: returns the wall-clock time in milliseconds.
-        :param limits: limits of the keeper's memory.
+        :param limits: limits of the keeper's memory, None for the defaults.
         """
         bounds = limits or KeeperLimits()
         self._me = me
@@ -120,7 +124,7 @@
         :param account: name of its client account.
         :param key: its idempotency key, as the caller sent it.
         :param fingerprint: digest of method, path and body.
-        :param patience: seconds until the request's deadline.
+        :param seconds_left: time until the request's deadline.
         :param now: current monotonic time in seconds.
         """
         self._detect_pause(now)
@@ -191,7 +195,7 @@
 
         Long gaps between ticks are detected without this call.
 
-        :param gap: length of the pause in seconds; a pause of up to
+        :param gap_seconds: length of the pause; one of up to
             ``MAX_PAUSE_SECONDS`` is ignored.
         :param now: current monotonic time in seconds.
         """
--- a/src/clementinedeal/_idempotency_gate.py
+++ b/src/clementinedeal/_idempotency_gate.py
@@ -18,6 +18,8 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 
+# An answer with a larger body is not stored; repeated requests are refused as
+# duplicates.
 MAX_STORED_BODY_BYTES = 16384
 _STORED_HEADERS = frozenset(
     (
@@ -33,7 +35,11 @@
 
 
 class KeyGate:
-    """Claims keys before requests run and settles them afterwards."""
+    """Claims keys before requests run and settles them afterwards.
+
+    Implements ``IdempotencyGate``. Only requests that have a client account,
+    a key and a route that is not idempotent claim their key.
+    """
 
     def __init__(
         self,
@@ -64,7 +70,7 @@
         fingerprint, so a request that has both a key and such a body is
         refused.
 
-        :param incoming: the request; one without a key may always run.
+        :param incoming: the request; one that needs no claim may always run.
         """
         if not _needs_claim(incoming):
             return None
--- a/src/clementinedeal/_incoming_request.py
+++ b/src/clementinedeal/_incoming_request.py
@@ -39,7 +39,7 @@
     :param granted: its route and account.
     :param access: the access rules it was checked by.
     :param req: the request to forward.
-    :param started: monotonic time in seconds at which its head was checked.
+    :param started_at: monotonic time in seconds at which its head was checked.
     :param deadline: monotonic time in seconds by which it must be answered.
     """
 
--- a/src/clementinedeal/_key_messages.py
+++ b/src/clementinedeal/_key_messages.py
@@ -9,7 +9,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredAnswer:
-    """An answer that is kept to be replayed to repeated requests."""
+    """An answer that is kept to be replayed to repeated requests.
+
+    ``headers`` are names and values, decoded as Latin-1.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
@@ -127,8 +130,7 @@
 class QueryKey:
     """Keeper to another keeper: stop granting a key and send its record.
 
-    ``nonce`` joins the answer to the query; ``minted_ms`` is as in
-    ``ClaimKey``.
+    ``nonce`` is repeated in the answer; ``minted_ms`` is as in ``ClaimKey``.
     """
 
     key: str
--- a/src/clementinedeal/_key_placement.py
+++ b/src/clementinedeal/_key_placement.py
@@ -1,7 +1,7 @@
 """Chooses the instance that keeps an idempotency key.
 
-The instances that may have kept it under earlier configurations are known,
-too, for as long as records of them may matter.
+The instances that may have kept it under earlier configurations are
+remembered for as long as their records may still be needed.
 """
 
 from collections.abc import Iterable
@@ -20,7 +20,7 @@
 class _FormerCandidates:
     """A former list of instances and when it was replaced here.
 
-    ``left_at`` is in monotonic seconds, ``left_ms`` the same moment in
+    ``replaced_at`` is in monotonic seconds, ``replaced_ms`` the same moment in
     wall-clock milliseconds.
     """
 
@@ -30,7 +30,7 @@
 
 
 class KeyPlacement:
-    """The published instances, now and within the retention time."""
+    """The present list of instances and those of the retention time."""
 
     def __init__(self, names: Iterable[str], retention_seconds: float) -> None:
         """Start without former lists.
@@ -75,7 +75,8 @@
     def former_keepers(self, key: str, minted_ms: int, now: float) -> set[str]:
         """Return the instances that may have kept a key before.
 
-        Those are left out that were replaced well before the key was made.
+        Instances of lists that were replaced well before the key was made are
+        left out.
 
         :param key: digest of account and key.
         :param minted_ms: wall-clock milliseconds in the key, 0 for none.
--- a/src/clementinedeal/_key_table.py
+++ b/src/clementinedeal/_key_table.py
@@ -23,9 +23,10 @@
 class KeeperLimits:
     """Limits of a keeper's memory.
 
-    ``max_bytes`` is the limit of all records together, ``max_body_bytes`` of
-    one stored answer's body. ``retention_seconds`` is the time for which a
-    record is kept after its request ended.
+    ``max_entries`` is the limit of the number of records, ``max_bytes`` that
+    of their size together, ``max_body_bytes`` that of one answer's body.
+    ``retention_seconds`` is the time for which a record is kept after its
+    request ended.
     """
 
     max_entries: int = DEFAULT_MAX_ENTRIES
@@ -36,7 +37,7 @@
 
 @dataclass(slots=True)
 class _StoredRecord:
-    """A record, its estimated size in bytes and when its request must end.
+    """A record, its estimated size and when its request must have ended.
 
     ``in_progress_until`` is in monotonic seconds.
     """
@@ -111,7 +112,7 @@
         A settlement whose claim is not known here is stored too, unless its
         request did not run: in that case a later request may have run.
 
-        :param settled: from the entry that claimed the key.
+        :param settlement: from the entry that claimed the key.
         :param now: current monotonic time in seconds.
         """
         kept = self._kept.get(settlement.key)
--- a/src/clementinedeal/_leases.py
+++ b/src/clementinedeal/_leases.py
@@ -1,5 +1,8 @@
 """Units that one holder lends to many borrowers for a limited time.
 
+A unit is one token of an account's rate; each request spends one. A holder is
+an instance that keeps a share of the rate.
+
 A ``Lender`` makes units at a fixed rate up to a capacity. At any time, its
 level plus the lent units that are neither reported as spent, nor returned, nor
 expired is at most the capacity. ``BorrowedUnits`` (``_borrowed``) is the
@@ -54,7 +57,10 @@
 
 @dataclass(slots=True)
 class _GrantedLease:
-    """A lease as the holder knows it; amounts in micro-units."""
+    """A lease as the holder knows it.
+
+    Amounts are in micro-units, ``expires_at`` is in monotonic seconds.
+    """
 
     granted: int
     spent: int
@@ -69,8 +75,8 @@
 class Lender:
     """The holder's side: makes the units of one share and lends them.
 
-    ``level`` are the micro-units that are available here, ``lent`` those of
-    open leases that are not yet reported as spent.
+    ``level`` are the micro-units that the holder may spend or lend now,
+    ``lent`` those of open leases that are not yet reported as spent.
     """
 
     def __init__(self, *, capacity: int, rate: int, now: float) -> None:
--- a/src/clementinedeal/_network_paths.py
+++ b/src/clementinedeal/_network_paths.py
@@ -1,4 +1,4 @@
-"""Latency and reachability of the owners as this entry has seen them."""
+"""Latency and reachability of owners as measured by this entry."""
 
 from dataclasses import dataclass
 
@@ -14,7 +14,7 @@
 class NetworkPath:
     """State of the path to one owner.
 
-    :param latency: moving average in seconds.
+    :param latency_seconds: moving average of the time spent on the network.
     :param faulty_until: monotonic time in seconds up to which the owner is
         avoided.
     """
@@ -26,8 +26,8 @@
 class NetworkPaths:
     """Paths from this daemon to the owners of targets.
 
-    A path fault only affects the ranking here. It is no evidence against the
-    target, which may work for other daemons.
+    A path fault only affects the order in which this daemon tries targets. It
+    is no evidence against the target, which may work for other daemons.
     """
 
     def __init__(self) -> None:
@@ -38,7 +38,8 @@
         """Record the path latency of an answered forward.
 
         :param owner: instance that was called.
-        :param latency: time of the forward less the owner's own, in seconds.
+        :param latency_seconds: time of the forward minus the time that the
+            owner spent on it.
         """
         path = self._paths.setdefault(owner, NetworkPath(latency_seconds))
         path.latency_seconds += LATENCY_WEIGHT * (
@@ -56,7 +57,7 @@
         path.faulty_until = now + PATH_FAULT_SECONDS
 
     def is_faulty(self, owner: str, now: float) -> bool:
-        """Return whether an owner was unreachable a moment ago.
+        """Return whether connecting to an owner failed a short time ago.
 
         :param owner: name of the instance.
         :param now: current monotonic time in seconds.
--- a/src/clementinedeal/_prober.py
+++ b/src/clementinedeal/_prober.py
@@ -18,8 +18,8 @@
 class Prober:
     """Sends probes to owned targets that are leaving.
 
-    These get no requests. The health of all other targets is concluded from
-    the requests sent to them, without probes.
+    A leaving target gets no requests that could show that it is back. The
+    health of all other targets is concluded from their requests.
     """
 
     def __init__(
--- a/src/clementinedeal/_refusals.py
+++ b/src/clementinedeal/_refusals.py
@@ -17,6 +17,7 @@
 _CONFLICT = 409
 _UNAUTHORIZED = 401
 
+# All other reasons have 503, or 502 if the request may have run.
 _STATUSES = {
     Reason.BAD_REQUEST: 400,
     Reason.BODY_TOO_LARGE: 413,
--- a/src/clementinedeal/_replies.py
+++ b/src/clementinedeal/_replies.py
@@ -48,10 +48,10 @@
     whole: bytes | None = None
 
     def __init__(self, first: bytes, remaining: AsyncIterator[bytes]) -> None:
-        """Join the part that has been read to the rest.
+        """Join the part that has been read to the remaining pieces.
 
         :param first: bytes that have been read.
-        :param rest: yields the remaining pieces.
+        :param remaining: yields the pieces that follow.
         """
         self._first = first
         self._remaining = remaining
--- a/src/clementinedeal/_samples.py
+++ b/src/clementinedeal/_samples.py
@@ -7,8 +7,8 @@
 from clementinedeal._target_health import Traffic
 
 MAX_SAMPLES = 128
-# The summary covers the first window, or up to the longer one as long as it has
-# fewer than MIN_SAMPLES.
+# A summary covers WINDOW_SECONDS. If these have fewer than MIN_SAMPLES samples,
+# older ones are added, up to an age of MAX_WINDOW_SECONDS.
 WINDOW_SECONDS = 1.0
 MAX_WINDOW_SECONDS = 10.0
 MIN_SAMPLES = 8
@@ -18,6 +18,7 @@
 class Sample:
     """One request that ended at ``ended_at`` (monotonic seconds).
 
+    ``is_corruption`` is whether its answer was wrong or truncated.
     ``has_latency`` is whether the latency may be compared with that of the
     peers. It is false for failures other than timeouts, since they may end
     early.
--- a/src/clementinedeal/_shares.py
+++ b/src/clementinedeal/_shares.py
@@ -13,7 +13,8 @@
 from clementinedeal._leases import MICROS_PER_UNIT
 from clementinedeal._model import Account, Config, Instance
 
-# Requests per second for each of which an account gets one more holder.
+# An account gets one holder for each of these requests per second, within
+# MIN_HOLDERS and MAX_HOLDERS.
 RATE_PER_HOLDER = 10.0
 MIN_HOLDERS = 2
 MAX_HOLDERS = 64
--- a/src/clementinedeal/_target_call.py
+++ b/src/clementinedeal/_target_call.py
@@ -35,9 +35,10 @@
 # Answers up to this size are read whole and checked before they are passed on,
 # so that an attempt with an incomplete or wrong one can still be retried.
 ANSWER_BUFFER_BYTES = 65536
+# Milliseconds left until the request's deadline.
 DEADLINE_HEADER = b'x-deadline-ms'
-# A target uses these in its answers to say that it has not started the request,
-# and that it is leaving.
+# Headers of a target's answer: the target has not started the request, or the
+# target is leaving.
 TARGET_REFUSED_HEADER = b'x-target-refused'
 TARGET_STATE_HEADER = b'x-target-state'
 _MS_PER_SECOND = 1000
@@ -76,7 +77,9 @@
 
     @contextlib.asynccontextmanager
     async def call(self, call: TargetCall) -> AsyncIterator[AttemptReply]:
-        """Perform one call; the answer's body is read inside the context.
+        """Perform one call; yield the answer, or a refusal if none is usable.
+
+        The answer's body must be read inside the context.
 
         :param call: the call.
         """
--- a/src/clementinedeal/_target_health.py
+++ b/src/clementinedeal/_target_health.py
@@ -39,6 +39,7 @@
     """How one request from a target's owner to the target ended.
 
     ``latency_seconds`` runs from the start of the request to its end.
+    ``idempotent`` is whether the request may run more than once.
     """
 
     kind: OutcomeKind
@@ -82,7 +83,13 @@
 
 
 class Cause(enum.Enum):
-    """The fault for which a target is considered unhealthy."""
+    """The fault for which a target is considered unhealthy.
+
+    ``FAILING`` and ``PARTLY_FAILING`` are a large and a small fraction of
+    failures. ``HANGING`` is ``FAILING`` with requests that get no answer.
+    ``WRONG`` are wrong or truncated answers, ``SLOW`` are latencies above
+    those of the target's peers.
+    """
 
     FAILING = 'failing'
     PARTLY_FAILING = 'partly-failing'
--- a/src/clementinedeal/_target_queue.py
+++ b/src/clementinedeal/_target_queue.py
@@ -90,7 +90,7 @@
         return own + sum(others)
 
     def pop(self) -> QueuedRequest:
-        """Remove and return the next request; its account goes last."""
+        """Remove and return the next request; its account is last after it."""
         account, lane = next(iter(self._lanes.items()))
         req = lane.popleft()
         self._lanes.pop(account)
@@ -156,7 +156,7 @@
         """Add a request: start it, queue it or refuse it.
 
         If the queue is full, the newest request of the account with the most
-        waiting requests is refused, which may be another one.
+        waiting requests is refused; this may be the offered one.
 
         :param req_id: id of the attempt, unique.
         :param account: name of the client account, empty on an open route.
--- a/src/clementinedeal/_target_state.py
+++ b/src/clementinedeal/_target_state.py
@@ -8,6 +8,7 @@
 # Fractions of the slots that are used on trial and when slow start begins.
 TRIAL_FRACTION = 0.15
 SLOW_START_FRACTION = 0.2
+# Length of a slow start; the usable fraction grows at a rate of 1 in this time.
 SLOW_START_SECONDS = 10.0
 
 
--- a/src/clementinedeal/_target_tracker.py
+++ b/src/clementinedeal/_target_tracker.py
@@ -42,7 +42,7 @@
 
         :param target: the owned target.
         :param incarnation: distinguishes this run of the owner from others.
-        :param cfg: settings of the detector.
+        :param detector_settings: settings of the detector.
         :param now: monotonic time in seconds.
         """
         self.target = target
--- a/src/clementinedeal/_target_watcher.py
+++ b/src/clementinedeal/_target_watcher.py
@@ -16,7 +16,7 @@
 
 _SERVER_ERROR = 500
 _LEAVING = b'leaving'
-# Refusals that say something about the target; others are no evidence.
+# Refusals for these reasons are evidence about the target, others are not.
 _KIND_BY_REASON = {
     Reason.DEADLINE: OutcomeKind.TIMEOUT,
     Reason.ANSWER_WRONG: OutcomeKind.WRONG,
@@ -36,7 +36,10 @@
 
 
 class TargetWatcher:
-    """Measures requests to owned targets and reports how they ended."""
+    """Measures requests to owned targets and reports how they ended.
+
+    Implements ``OutcomeWatcher``.
+    """
 
     def __init__(
         self,
--- a/src/clementinedeal/_trailing_minimum.py
+++ b/src/clementinedeal/_trailing_minimum.py
@@ -1,4 +1,4 @@
-"""A limit that falls at once and rises only after a wait."""
+"""A value that falls at once and rises only after a wait."""
 
 from dataclasses import dataclass
 
@@ -12,7 +12,7 @@
 
 
 class TrailingMinimum:
-    """The lowest of the present value and those of the last seconds."""
+    """The lowest of the present value and those of a time window."""
 
     def __init__(self, window_seconds: float) -> None:
         """Start with the value zero.
--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -17,7 +17,14 @@
 
 
 class Reason(enum.Enum):
-    """Machine-readable reason of a refusal, sent to the caller."""
+    """Machine-readable reason of a refusal, sent to the caller.
+
+    ``KEY_MISSING`` and ``KEY_UNKNOWN`` concern the API key. ``IN_PROGRESS``,
+    ``KEEPER_UNAVAILABLE`` and ``KEY_REUSED`` concern the idempotency key, and
+    so does ``DUPLICATE``, unless it refuses an attempt id that was used before.
+    ``NO_TARGET`` means that the request could be sent to no target,
+    ``OWNER_LOST`` that the connection to an owner broke.
+    """
 
     BAD_REQUEST = 'bad-request'
     BODY_TOO_LARGE = 'body-too-large'
--- a/src/clementinedeal/_view_actions.py
+++ b/src/clementinedeal/_view_actions.py
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceList:
-    """Names of instances as the platform lists them, with a delay."""
+    """Names of instances as the platform lists them; may be out of date."""
 
     live: frozenset[str]
     leaving: frozenset[str]
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerAddress:
-    """Action: use an address of an instance that no configuration here has.
+    """Action: use this address of an instance that is not published here.
 
     ``control`` is the control address of the instance.
     """
@@ -59,13 +59,13 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceLeaving:
-    """Action: send an instance no new requests."""
+    """Action: record that an instance takes no new requests."""
 
     instance: str
 
 
 @dataclass(frozen=True, slots=True)
 class InstanceLeft:
-    """Action: an instance is no longer heard from or no longer published."""
+    """Action: record that an instance is silent or no longer published."""
 
     instance: str
--- a/src/clementinedeal/_view_messages.py
+++ b/src/clementinedeal/_view_messages.py
@@ -7,7 +7,10 @@
 
 @dataclass(frozen=True, slots=True, order=True)
 class VersionRef:
-    """A published version and the digest of its root."""
+    """A published version and the digest of its root.
+
+    The root is the value that lists the digests of all parts of the version.
+    """
 
     version: int
     digest: str
@@ -69,7 +72,7 @@
     for each of them: the time since that instance was heard from, in quarters
     of a second, rounded up, or 255 if it is longer. ``records_digest`` is a
     digest of the records of all instances; ``records`` has all of them, or
-    those that changed lately.
+    those that changed in the last ``RECENT_CHANGE_SECONDS`` (``_roster``).
     """
 
     nonce: int
--- a/src/clementinedeal/_view_state.py
+++ b/src/clementinedeal/_view_state.py
@@ -28,7 +28,7 @@
 )
 
 INCARNATION_BITS = 48
-# How often changes among members are looked for.
+# Interval at which changes among members are looked for.
 SWEEP_INTERVAL_SECONDS = 1.0
 
 
@@ -73,7 +73,9 @@
         return self.acceptance.cfg
 
     def config_age_seconds(self, now: float) -> float:
-        """Return the least time since the version in force was published.
+        """Return the seconds since the version in force was published.
+
+        This is a lower limit; the real age may be higher.
 
         :param now: monotonic seconds.
         """
