--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -74,7 +74,9 @@
     async def serve(self, conn, head):
         await conn.discard_body()
         parts = urlsplit(head.path)
-        query = {key: one[0] for key, one in parse_qs(parts.query).items()}
+        query = {
+            key: values[0] for key, values in parse_qs(parts.query).items()
+        }
         self.calls.append((parts.path, query))
         match self.mode:
             case 'busy':
--- a/tests/test_account_service_levels.py
+++ b/tests/test_account_service_levels.py
@@ -26,8 +26,8 @@
         call('c', CallOutcome.UNREACHABLE),
     ]
     services = {
-        one.account: one.answered_fraction
-        for one in account_service_levels(calls)
+        level.account: level.answered_fraction
+        for level in account_service_levels(calls)
     }
     assert services == {'a': 0.5, 'b': 1.0, 'c': 1.0}
     line = worst_served_line(calls)
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -15,7 +15,7 @@
 from test_permits import make_config
 
 SIZE = 8
-GAP_SECONDS = 1 / 13
+STEP_SECONDS = 1 / 13
 CFG = make_config(1, 6, frozenset(range(SIZE)))
 HOLDER = int((holder_of(CFG, 's') or 'i0')[1:])
 FAULTY = (HOLDER + 1) % SIZE
@@ -27,7 +27,7 @@
     def __init__(self, cfg: Config = CFG) -> None:
         self.now = 100.0
         self.failing: set[int] = set()
-        self.lost: set[int] = set()
+        self.unreachable: set[int] = set()
         self.changes: list[TargetEjected | TargetReinstated] = []
         self.managers = [
             EjectionManager(f'i{n}', cfg, self.now, incarnation=n)
@@ -43,9 +43,9 @@
     def run(self, seconds: float) -> None:
         end = self.now + seconds
         while self.now < end:
-            self.now += GAP_SECONDS
+            self.now += STEP_SECONDS
             for number, manager in enumerate(self.managers):
-                if number not in self.lost:
+                if number not in self.unreachable:
                     self.serve(number, manager)
 
     def serve(self, number: int, manager: EjectionManager) -> None:
@@ -64,7 +64,7 @@
                 self.changes.append(action)
                 continue
             number = int(action.to[1:])
-            if number not in self.lost:
+            if number not in self.unreachable:
                 manager = self.managers[number]
                 body = action.body
                 actions = manager.on_message(f'i{sender}', body, self.now)
@@ -96,22 +96,26 @@
     ejected.run(3.0)
     assert manager.usable_fraction(f't{FAULTY}', ejected.now) == 0
     ejected.failing.clear()
-    shares = []
+    fractions = []
     for _ in range(30):
         ejected.run(1.0)
-        shares.append(manager.usable_fraction(f't{FAULTY}', ejected.now))
+        fractions.append(manager.usable_fraction(f't{FAULTY}', ejected.now))
     assert ejected.changes == [TargetReinstated(f't{FAULTY}')]
-    assert shares == sorted(shares)
-    assert any(0 < share < 1 for share in shares)
+    assert fractions == sorted(fractions)
+    assert any(0 < fraction < 1 for fraction in fractions)
     assert ejected.state(FAULTY) is TargetState.IN_USE
 
 
-def test_a_target_that_fails_its_trial_stays_out(ejected: Deployment) -> None:
+def test_a_target_that_fails_its_trial_stays_ejected(
+    ejected: Deployment,
+) -> None:
     ejected.run(120.0)
     assert ejected.changes == []
 
 
-def test_no_more_are_out_than_the_floor_allows(fleet: Deployment) -> None:
+def test_no_more_targets_are_ejected_than_the_floor_allows(
+    fleet: Deployment,
+) -> None:
     fleet.failing = {1, 2, 3}
     for _ in range(60):
         fleet.run(1.0)
@@ -120,20 +124,22 @@
         assert sum(state in out for state in states) <= SIZE - 6
 
 
-def test_all_failing_alike_are_not_ejected(fleet: Deployment) -> None:
+def test_targets_that_all_fail_alike_are_not_ejected(fleet: Deployment) -> None:
     fleet.failing = set(range(SIZE))
     fleet.run(10.0)
     fleet.changes.clear()
     fleet.run(60.0)
-    ejections = [one for one in fleet.changes if isinstance(one, TargetEjected)]
+    ejections = [
+        change for change in fleet.changes if isinstance(change, TargetEjected)
+    ]
     assert ejections == []
 
 
 def test_a_lost_holder_means_reinstatement_within_the_lease(
     ejected: Deployment,
 ) -> None:
-    ejected.lost = {HOLDER}
-    ejected.run(LEASE_SECONDS + 2 * GAP_SECONDS)
+    ejected.unreachable = {HOLDER}
+    ejected.run(LEASE_SECONDS + 2 * STEP_SECONDS)
     assert ejected.changes == [TargetReinstated(f't{FAULTY}')]
 
 
@@ -141,7 +147,7 @@
     ejected: Deployment,
 ) -> None:
     ejected.set_fresh(False)
-    ejected.run(LEASE_SECONDS + 2 * GAP_SECONDS)
+    ejected.run(LEASE_SECONDS + 2 * STEP_SECONDS)
     assert ejected.changes == [TargetReinstated(f't{FAULTY}')]
     ejected.run(10.0)
     assert len(ejected.changes) == 1
@@ -206,10 +212,10 @@
     assert manager.usable_fraction(f't{FAULTY}', fleet.now) == 1
 
 
-def test_a_flapping_target_stays_out_longer_each_time(
+def test_a_flapping_target_stays_ejected_longer_each_time(
     fleet: Deployment,
 ) -> None:
-    lengths = []
+    ejected_seconds = []
     for _ in range(3):
         fleet.failing = {FAULTY}
         fleet.run(2.0)
@@ -218,5 +224,5 @@
         began = fleet.now
         while fleet.state(FAULTY) is not TargetState.IN_USE:
             fleet.run(1.0)
-        lengths.append(fleet.now - began)
-    assert lengths[0] < lengths[1] < lengths[2]
+        ejected_seconds.append(fleet.now - began)
+    assert ejected_seconds[0] < ejected_seconds[1] < ejected_seconds[2]
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -84,7 +84,7 @@
     return conn
 
 
-async def test_tiny_chunks_of_an_answer_hold_up_no_other_task(turns):
+async def test_tiny_chunks_of_an_answer_do_not_block_other_tasks(turns):
     conn = await connect_answered(
         b'HTTP/1.1 200 OK\r\n' + CHUNKED_HEADER + TINY_CHUNKS
     )
@@ -95,7 +95,7 @@
     assert turns.max_events <= MAX_EVENTS_PER_TURN
 
 
-async def test_tiny_chunks_of_a_request_hold_up_no_other_task(turns):
+async def test_tiny_chunks_of_a_request_do_not_block_other_tasks(turns):
     near, far = trio.testing.memory_stream_pair()
     conn = ServerConn(near, HttpLimits())
     await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKED_HEADER)
@@ -107,7 +107,7 @@
     assert turns.max_events <= MAX_EVENTS_PER_TURN
 
 
-async def test_interim_answers_hold_up_no_other_task(turns):
+async def test_interim_answers_do_not_block_other_tasks(turns):
     conn = await connect_answered(MANY_INTERIMS + b'HTTP/1.1 200 OK\r\n\r\n')
     await conn.read_head(turns.count_event)
     assert turns.total == 800
--- a/tests/test_endless_peers.py
+++ b/tests/test_endless_peers.py
@@ -83,7 +83,7 @@
     assert f'event=answer-cut address={endless.address}' in caplog.text
 
 
-async def test_a_request_of_a_peer_without_end_is_refused(nursery):
+async def test_an_endless_request_of_a_peer_is_refused(nursery):
     address = free_address()
     events = EventLog('i', '1')
     peers = MeshPeerServer(None, events, nursery)
@@ -107,7 +107,7 @@
     assert answer.startswith(b'HTTP/1.1 413 ')
 
 
-async def test_a_body_that_is_dropped_is_bounded():
+async def test_a_discarded_body_is_limited_in_size():
     near, far = trio.testing.memory_stream_pair()
     conn = ServerConn(near, HttpLimits(max_body_bytes=1 << 19))
     await far.send_all(b'POST / HTTP/1.1\r\nhost: x\r\n' + CHUNKED_HEADER)
--- a/tests/test_history.py
+++ b/tests/test_history.py
@@ -13,8 +13,8 @@
 FLOOR = hs.FloorDeclared(at=0, service='s', targets=('a', 'b'), floor=1)
 
 
-def start(req_id: str, at: float, **rest: object) -> hs.RequestStarted:
-    return hs.RequestStarted(req_id=req_id, target='a', at=at, **rest)  # type: ignore[arg-type]
+def start(req_id: str, at: float, **fields: object) -> hs.RequestStarted:
+    return hs.RequestStarted(req_id=req_id, target='a', at=at, **fields)  # type: ignore[arg-type]
 
 
 def exclude(instance: str, target: str, at: float) -> hs.TargetExcluded:
@@ -114,7 +114,7 @@
 
 
 @pytest.mark.parametrize(('check', 'clean', 'broken'), CASES)
-def test_a_checker_tells_a_clean_history_from_a_broken_one(
+def test_each_check_accepts_clean_and_rejects_broken_histories(
     check: object, clean: History, broken: History
 ) -> None:
     assert callable(check)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -119,7 +119,7 @@
     assert conn.is_stale()
 
 
-async def test_a_short_answer_is_never_whole() -> None:
+async def test_a_truncated_answer_is_an_error() -> None:
     async with serving():
         conn = await ConnPool(MonotonicClock()).acquire(ADDRESS)
         await conn.send_whole(RequestHead('GET', '/cut', GET.headers), b'')
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -127,7 +127,7 @@
     assert borrowed.balance(0) == 0
 
 
-def test_room_freed_by_an_expiry_fills_only_from_then_on() -> None:
+def test_capacity_freed_by_an_expired_lease_refills_only_from_then_on() -> None:
     lender = Lender(capacity=CAPACITY, rate=RATE, now=0)
     lender.advance(1)
     lender.lend(LeaseId('b', 1, 1), CAPACITY, LEASE_TTL_SECONDS, 1)
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -123,9 +123,9 @@
     answer = server._dispatch(head(wire.ASK_HEADER, query), MESSAGE)
     assert answer.verdict is Verdict.NOT_RUN
     sent = msgspec.json.encode(make_attempt(idempotent=True))
-    late = server._dispatch(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
-    assert late.verdict is Verdict.NOT_RUN
-    assert late.reason is Reason.CANCELLED
+    late_answer = server._dispatch(head(wire.ATTEMPT_HEADER, sent), MESSAGE)
+    assert late_answer.verdict is Verdict.NOT_RUN
+    assert late_answer.reason is Reason.CANCELLED
     await trio.sleep(0.05)
     assert owner._parts.target_client.runs == 0
 
--- a/tests/test_mesh_health.py
+++ b/tests/test_mesh_health.py
@@ -11,7 +11,7 @@
     return HealthEstimate(clock), clock
 
 
-def test_trusted_at_first():
+def test_a_new_target_is_trusted():
     health, _ = make_estimate()
     assert health.risk() < MAX_TRUSTED_RISK
 
--- a/tests/test_mesh_idle_limit.py
+++ b/tests/test_mesh_idle_limit.py
@@ -71,7 +71,7 @@
     return forgetful_target
 
 
-async def test_one_request_is_lost_and_says_that_it_may_have_run(target):
+async def test_one_request_is_lost_before_the_idle_limit_is_learned(target):
     reasons = []
     for _ in range(4):
         outcome = await target.client.call(MESSAGE, CALL_CONTEXT)
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -49,7 +49,7 @@
         return self.level >= 0
 
 
-def make_plan(*, idempotent, attempts=2, retry_tokens=None, targets=TARGETS):
+def make_plan(*, idempotent, max_targets=2, retry_tokens=None, targets=TARGETS):
     route = RouteRule(
         name='r',
         host='h',
@@ -59,7 +59,7 @@
         timeout=5,
         objective=2,
         priority=0,
-        max_targets=attempts,
+        max_targets=max_targets,
         public=False,
     )
     balancer = Balancer('10.0.0.0', 'a', VirtualClock(), random.Random(1))
@@ -87,7 +87,7 @@
         plan.on_outcome(step.target.name, pending.pop(0))
 
 
-def test_success_is_final():
+def test_a_succeeded_request_is_not_sent_again():
     steps, outcome = run_plan(make_plan(idempotent=False), [ANSWERED])
     assert len(steps) == 1
     assert outcome is ANSWERED
@@ -100,7 +100,7 @@
     assert end is outcome
 
 
-def test_idempotent_failure_goes_to_another_target():
+def test_a_failed_idempotent_request_is_retried_at_another_target():
     steps, end = run_plan(make_plan(idempotent=True), [FAILED, ANSWERED])
     assert end is ANSWERED
     assert steps[0].target != steps[1].target
@@ -138,7 +138,7 @@
     assert tokens.level == 0
 
 
-def test_queues_when_all_are_busy():
+def test_a_request_queues_when_all_targets_are_busy():
     busy = not_run(Reason.QUEUE_FULL)
     steps, end = run_plan(make_plan(idempotent=False), [busy] * 3 + [ANSWERED])
     assert end is ANSWERED
@@ -165,14 +165,14 @@
     assert 1 < waited <= 2 + 1e-9
 
 
-def test_queues_once_at_each_target():
+def test_a_request_queues_once_at_each_target():
     busy = not_run(Reason.QUEUE_FULL)
     steps, end = run_plan(make_plan(idempotent=False), [busy] * 5 + [ANSWERED])
     assert end is ANSWERED
     assert len({step.target for step in steps if step.wait}) == 3
 
 
-def test_insists_when_all_are_suspect():
+def test_a_request_insists_when_all_targets_are_suspect():
     suspect = not_run(Reason.TARGET_EJECTED)
     steps, end = run_plan(
         make_plan(idempotent=False), [suspect] * 3 + [ANSWERED]
@@ -193,7 +193,7 @@
     assert not any(step.insist for step in steps)
 
 
-def test_all_targets_are_asked_before_insisting():
+def test_all_targets_are_tried_before_a_request_insists():
     targets = tuple(
         Target(
             name=f't{number}',
--- a/tests/test_mesh_soak.py
+++ b/tests/test_mesh_soak.py
@@ -282,7 +282,7 @@
 
 
 @pytest.mark.parametrize('seed', SEEDS)
-async def test_random_faults_break_no_promise(seed, tmp_path, nursery):
+async def test_random_faults_violate_no_rule(seed, tmp_path, nursery):
     """Kills, pauses, broken links and failing targets break no promise."""
     rng = random.Random(seed)
     fleet = Fleet(tmp_path)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -28,19 +28,19 @@
 from clementinedeal._retry_budget import RetryBudget
 from clementinedeal._verdict import Reason, Verdict
 
-RETENTION = 100.0
+RETENTION_SECONDS = 100.0
 STEP_SECONDS = 0.25
 DEADLINE_SECONDS = 3.0
-CONFIG_SECONDS = 7.0
+MIN_CONFIG_INTERVAL_SECONDS = 7.0
 TRANSIT_SECONDS = 30.0
 WALL_MS = 1_700_000_000_000
 NODES = ('n0', 'n1', 'n2', 'n3')
-GAPS = (0, 0, 1, 4, 40)  # seconds of a pause, 0 for a restart
+PAUSES_SECONDS = (0, 0, 1, 4, 40)  # seconds of a pause, 0 for a restart
 ANSWER = StoredAnswer(201, (), b'booked')
 PRESET = Preset(name=PresetName.ORDINARY)
 
 
-def published(*names: str) -> Any:
+def make_config(*names: str) -> Any:
     return SimpleNamespace(instances=dict.fromkeys(names))
 
 
@@ -83,7 +83,7 @@
     running: dict[str, str] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self.known = {name: f'{name}.0' for name in NODES}
+        self.known_incarnations = {name: f'{name}.0' for name in NODES}
         self.table = ExecutionTable(self.incarnation)
         self.last_tick = self.fleet.now
         self.table.on_tick(self.last_tick)
@@ -92,7 +92,7 @@
             self.cfg,
             self.fleet.now,
             wall_ms=self.fleet.wall_ms,
-            limits=KeeperLimits(retention_seconds=RETENTION),
+            limits=KeeperLimits(retention_seconds=RETENTION_SECONDS),
         )
 
     def submit(self, key: str) -> None:
@@ -138,7 +138,7 @@
                 case ev.SendAttempt():
                     self.forward(call, action)
                 case ev.CancelAttempt():
-                    known = self.fleet.named[action.attempt_id]
+                    known = self.fleet.expected_incarnations[action.attempt_id]
                     cancel_request = CancelExecution(action.attempt_id, known)
                     self.fleet.post(self.name, action.target, cancel_request)
                 case ev.RefuseRequest() | ev.AbortStream():
@@ -149,8 +149,8 @@
             self.settle(call, Verdict.RAN, ANSWER)
 
     def forward(self, call: Call, action: ev.SendAttempt) -> None:
-        known = self.known[action.target]
-        self.fleet.named[action.attempt_id] = known
+        known = self.known_incarnations[action.target]
+        self.fleet.expected_incarnations[action.attempt_id] = known
         seconds = call.deadline - self.fleet.now
         body = Forwarded(action.attempt_id, known, seconds)
         self.fleet.post(self.name, action.target, body)
@@ -182,7 +182,7 @@
                 event = ev.CancelAnswered(body.req_id, body.answer)
                 self.on_attempt(body.req_id, event)
             case OwnerReply():
-                self.known[sender] = body.incarnation
+                self.known_incarnations[sender] = body.incarnation
                 for event in body.events:
                     self.on_attempt(body.attempt, event)
             case _:
@@ -212,7 +212,7 @@
 
     def work(self, rng: random.Random) -> None:
         now = self.fleet.now
-        for attempt in [one for one in self.queued if rng.random() < 0.4]:
+        for attempt in [queued for queued in self.queued if rng.random() < 0.4]:
             entry = self.queued.pop(attempt)
             allowed = self.table.start(attempt, now)
             if allowed.is_err():
@@ -220,7 +220,9 @@
                 continue
             self.fleet.start(attempt, self.name)
             self.running[attempt] = entry
-        for attempt in [one for one in self.running if rng.random() < 0.2]:
+        for attempt in [
+            running for running in self.running if rng.random() < 0.2
+        ]:
             entry = self.running.pop(attempt)
             self.table.finish(attempt, now)
             events = (ev.AnswerHead(attempt, 201), ev.AnswerComplete(attempt))
@@ -252,12 +254,14 @@
         self.history: list[Any] = []
         self.keys_of: dict[str, str] = {}
         self.deadlines: dict[str, float] = {}
-        self.named: dict[str, str] = {}
-        self.mail: list[tuple[float, str, str, Any]] = []
-        self.cfg = published(*NODES[:3])
+        self.expected_incarnations: dict[str, str] = {}
+        self.in_transit: list[tuple[float, str, str, Any]] = []
+        self.cfg = make_config(*NODES[:3])
         self.config_due = 0.0
         self.nodes = {name: self.boot(name, 0) for name in NODES}
-        self.run(RETENTION + CONVERGENCE_SECONDS, random.Random(0), loss=0)
+        self.run(
+            RETENTION_SECONDS + CONVERGENCE_SECONDS, random.Random(0), loss=0
+        )
 
     def boot(self, name: str, run: int) -> Node:
         return Node(name, self, f'{name}.{run}', self.cfg)
@@ -269,9 +273,9 @@
         self.history.append(event)
 
     def post(self, sender: str, to: str, body: Any) -> None:
-        longest = self.rng.choices((0, 1, TRANSIT_SECONDS), (8, 1, 1))[0]
-        delay = self.rng.uniform(0, longest)
-        self.mail.append((self.now + delay, sender, to, body))
+        max_delay = self.rng.choices((0, 1, TRANSIT_SECONDS), (8, 1, 1))[0]
+        delay = self.rng.uniform(0, max_delay)
+        self.in_transit.append((self.now + delay, sender, to, body))
 
     def start(self, attempt: str, target: str) -> None:
         req_id = attempt.split('/')[0]
@@ -288,7 +292,7 @@
         timed = uuid.UUID(int=(millis << 80) | (7 << 76) | (2 << 62) | low)
         plain = uuid.UUID(int=rng.getrandbits(128), version=4)
         self.keys[str(timed)] = float('inf')
-        self.keys[str(plain)] = self.now + RETENTION
+        self.keys[str(plain)] = self.now + RETENTION_SECONDS
 
     def submit(self, rng: random.Random) -> None:
         if rng.random() < 0.3:
@@ -312,7 +316,7 @@
             if rng.random() < self.traffic and self.awake():
                 self.submit(rng)
             if rng.random() < self.faults:
-                self.fail(rng.choice(NODES), False, rng.choice(GAPS))
+                self.fail(rng.choice(NODES), False, rng.choice(PAUSES_SECONDS))
             self.deliver(rng, loss)
             self.deliver(rng, loss)
             for node in self.awake():
@@ -343,14 +347,14 @@
                 node.manager.on_config(self.cfg, self.now)
 
     def deliver(self, rng: random.Random, loss: float) -> None:
-        pending, self.mail = self.mail, []
+        pending, self.in_transit = self.in_transit, []
         rng.shuffle(pending)
         for sent in pending:
             due, sender, to, body = sent
             node = self.nodes[to]
-            waits = max(due, node.asleep_until) > self.now
-            if waits or rng.random() < 0.1:
-                self.mail.append(sent)
+            is_delayed = max(due, node.asleep_until) > self.now
+            if is_delayed or rng.random() < 0.1:
+                self.in_transit.append(sent)
             elif rng.random() >= loss:
                 node.on_message(sender, body)
                 if rng.random() < loss:
@@ -376,7 +380,7 @@
     @rule(
         name=st.sampled_from(NODES),
         planned=st.booleans(),
-        gap=st.sampled_from(GAPS),
+        gap=st.sampled_from(PAUSES_SECONDS),
     )
     def fail(self, name: str, planned: bool, gap: float) -> None:
         """Restart an instance, planned or not, or pause it for some seconds."""
@@ -385,15 +389,15 @@
     @rule(names=st.sets(st.sampled_from(NODES), min_size=2))
     def publish(self, names: set[str]) -> None:
         if self.fleet.now >= self.fleet.config_due:
-            self.fleet.cfg = published(*sorted(names))
-            self.fleet.config_due = self.fleet.now + CONFIG_SECONDS
+            self.fleet.cfg = make_config(*sorted(names))
+            self.fleet.config_due = self.fleet.now + MIN_CONFIG_INTERVAL_SECONDS
 
     @rule(name=st.sampled_from(NODES))
     def adopt(self, name: str) -> None:
         self.fleet.adopt([self.fleet.nodes[name]])
 
     @invariant()
-    def outcomes_are_true(self) -> None:
+    def verdicts_match_the_history(self) -> None:
         assert check_at_most_once(self.fleet.history) == ()
         assert check_not_run(self.fleet.history) == ()
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -144,7 +144,7 @@
         fleet.misbehave('t-a', **mode)
         read, _ = await call(fleet)
         write, _ = await call(fleet, 'POST', b'book')
-        ran = [one for one in fleet.executions() if one['method'] == 'POST']
+        ran = [run for run in fleet.executions() if run['method'] == 'POST']
     assert read.status == 200
     status, reason, verdict = refusal(write)
     assert status == 502
@@ -209,7 +209,7 @@
         fleet.misbehave('t-a', mode='hang')
         read, _ = await call(fleet)
         write, _ = await call(fleet, 'POST', b'book')
-        ran = [one for one in fleet.executions() if one['method'] == 'POST']
+        ran = [run for run in fleet.executions() if run['method'] == 'POST']
     assert read.status == 200
     assert refusal(write) == (504, b'deadline', b'may-have-run')
     assert len(ran) == 1
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -21,17 +21,21 @@
 from clementinedeal._target_health import OutcomeKind, RequestOutcome, Traffic
 from clementinedeal._target_state import EJECTED_STATES
 
-SIZE = 6
+DAEMON_COUNT = 6
 ROUND_SECONDS = 0.25
-LAPSE_SECONDS = LEASE_SECONDS + LEASE_MARGIN_SECONDS + 2 * ROUND_SECONDS
-SETTLED_SECONDS = 2 * FRESH_SECONDS + LAPSE_SECONDS
-BAD = RequestOutcome(OutcomeKind.ERROR, 0.0)
-GOOD = RequestOutcome(OutcomeKind.OK, 0.0)
-LEARN_SECONDS = (0.25, 1.0, 3.0, 9.0, 40.0)
-DELAYS = {'good': (0.0,), 'late': (0.0, 4.5), 'slow': (0.0, 0.5, 2.0, 4.5, 9.0)}
+LEASE_END_SECONDS = LEASE_SECONDS + LEASE_MARGIN_SECONDS + 2 * ROUND_SECONDS
+SETTLED_SECONDS = 2 * FRESH_SECONDS + LEASE_END_SECONDS
+FAILED_OUTCOME = RequestOutcome(OutcomeKind.ERROR, 0.0)
+OK_OUTCOME = RequestOutcome(OutcomeKind.OK, 0.0)
+CONFIG_DELAYS_SECONDS = (0.25, 1.0, 3.0, 9.0, 40.0)
+MESSAGE_DELAYS_SECONDS = {
+    'good': (0.0,),
+    'late': (0.0, 4.5),
+    'slow': (0.0, 0.5, 2.0, 4.5, 9.0),
+}
 
-daemons = st.integers(0, SIZE - 1)
-floors = st.integers(3, SIZE)
+daemons = st.integers(0, DAEMON_COUNT - 1)
+floors = st.integers(3, DAEMON_COUNT)
 
 
 def make_config(version: int, floor: int, numbers: frozenset[int]) -> Config:
@@ -103,16 +107,20 @@
         self.leaving: set[int] = set()
         self.in_transit: list[tuple[float, int, int, bytes]] = []
         self.last_incarnation = 0
-        cfg = make_config(1, floor, frozenset(range(SIZE)))
+        cfg = make_config(1, floor, frozenset(range(DAEMON_COUNT)))
         self.versions = [Version(cfg, self.now - SETTLED_SECONDS)]
-        self.fleet = [self.boot(number) for number in range(SIZE)]
+        self.fleet = [self.boot(number) for number in range(DAEMON_COUNT)]
         self.make_faulty(frozenset((0, 1, 2)))
         self.advance(30.0)
 
     def boot(self, number: int) -> Daemon:
         self.last_incarnation += 1
         offset = self.rng.choice((0.0, 1000.0, -50.0))
-        usable = [one for one in self.versions if one.is_fresh(self.now)]
+        usable = [
+            candidate
+            for candidate in self.versions
+            if candidate.is_fresh(self.now)
+        ]
         version = self.rng.choice(usable)
         manager = EjectionManager(
             f'i{number}',
@@ -128,7 +136,7 @@
         cfg = make_config(len(self.versions) + 1, floor, numbers)
         self.versions.append(Version(cfg, self.now))
         for daemon in self.fleet:
-            daemon.learns_at = self.now + self.rng.choice(LEARN_SECONDS)
+            daemon.learns_at = self.now + self.rng.choice(CONFIG_DELAYS_SECONDS)
 
     @rule(floor=floors)
     def change_floor(self, floor: int) -> None:
@@ -141,7 +149,7 @@
         self.change_floor(floor)
         self.advance(12.0)
 
-    def learn(self, daemon: Daemon) -> None:
+    def apply_newest_version(self, daemon: Daemon) -> None:
         if daemon.version is not self.versions[-1]:
             daemon.version = self.versions[-1]
             daemon.manager.on_config(daemon.version.cfg, self.clock(daemon))
@@ -175,7 +183,7 @@
 
     @rule(number=daemons)
     def cut_sender(self, number: int) -> None:
-        self.cuts |= {(number, other) for other in range(SIZE)}
+        self.cuts |= {(number, other) for other in range(DAEMON_COUNT)}
 
     @rule()
     def lose_renewals_while_answers_are_late(self) -> None:
@@ -186,7 +194,10 @@
             self.cut_sender(int(name[1:]))
         self.advance(12.0)
 
-    @rule(mode=st.sampled_from(sorted(DELAYS)), lossy=st.booleans())
+    @rule(
+        mode=st.sampled_from(sorted(MESSAGE_DELAYS_SECONDS)),
+        lossy=st.booleans(),
+    )
     def change_network(self, mode: str, lossy: bool) -> None:
         self.mode, self.lossy = mode, lossy
 
@@ -207,10 +218,10 @@
             self.post(number, daemon.manager.on_leaving(f't{number}', clock))
 
     @rule(number=daemons)
-    def hear_of_absent(self, number: int) -> None:
+    def update_absent(self, number: int) -> None:
         daemon = self.fleet[number]
         if daemon.running:
-            absent = {n for n in range(SIZE) if not self.fleet[n].alive}
+            absent = {n for n in range(DAEMON_COUNT) if not self.fleet[n].alive}
             names = frozenset(f't{n}' for n in absent | self.leaving)
             daemon.absent_since = {
                 name: daemon.absent_since.get(name, self.now) for name in names
@@ -218,19 +229,19 @@
             daemon.manager.set_absent(names, self.clock(daemon))
 
     @rule()
-    def all_hear_of_absent(self) -> None:
-        for number in range(SIZE):
-            self.hear_of_absent(number)
+    def update_absent_everywhere(self) -> None:
+        for number in range(DAEMON_COUNT):
+            self.update_absent(number)
 
     @rule()
     def settle(self) -> None:
         self.change_network('good', lossy=False)
         self.heal()
-        for number in range(SIZE):
+        for number in range(DAEMON_COUNT):
             self.wake(number)
             if not self.fleet[number].alive:
                 self.restart(number)
-        self.all_hear_of_absent()
+        self.update_absent_everywhere()
         self.advance(33.0)
 
     @rule(seconds=st.sampled_from((0.25, 1.0, 2.0, 5.0, 7.0, 12.0, 27.0)))
@@ -246,10 +257,10 @@
     def run(self, number: int, daemon: Daemon) -> None:
         clock = self.clock(daemon)
         if daemon.learns_at <= self.now:
-            self.learn(daemon)
+            self.apply_newest_version(daemon)
         daemon.manager.set_fresh(daemon.version.is_fresh(self.now), clock)
         self.post(number, daemon.manager.on_tick(clock))
-        outcome = BAD if number in self.faulty else GOOD
+        outcome = FAILED_OUTCOME if number in self.faulty else OK_OUTCOME
         for _ in range(8 if number in self.faulty else 3):
             actions = daemon.manager.on_outcome(f't{number}', outcome, clock)
             self.post(number, actions)
@@ -266,20 +277,25 @@
             if self.lossy:
                 copies = self.rng.choice((0, 1, 2))
             for _ in range(copies):
-                due = self.now + self.rng.choice(DELAYS[self.mode])
+                due = self.now + self.rng.choice(
+                    MESSAGE_DELAYS_SECONDS[self.mode]
+                )
                 blob = encode((action.body,))
                 self.in_transit.append((due, sender, number, blob))
 
     def deliver(self) -> None:
         while True:
             due = [
-                one
-                for one in self.in_transit
-                if one[0] <= self.now and self.fleet[one[2]].paused_at is None
+                message
+                for message in self.in_transit
+                if message[0] <= self.now
+                and self.fleet[message[2]].paused_at is None
             ]
             if not due:
                 return
-            self.in_transit = [one for one in self.in_transit if one not in due]
+            self.in_transit = [
+                message for message in self.in_transit if message not in due
+            ]
             self.rng.shuffle(due)
             for _, sender, number, blob in due:
                 daemon = self.fleet[number]
@@ -303,9 +319,11 @@
 
     def check(self) -> None:
         ejected = self.ejected()
-        running = [one for one in self.fleet if one.running]
+        running = [daemon for daemon in self.fleet if daemon.running]
         in_force = [
-            one.version for one in running if one.version.is_fresh(self.now)
+            daemon.version
+            for daemon in running
+            if daemon.version.is_fresh(self.now)
         ]
         for version in (*in_force, self.versions[-1]):
             if self.now - version.published < SETTLED_SECONDS:
@@ -318,16 +336,20 @@
         newest = self.versions[-1]
         if self.now - newest.published < SETTLED_SECONDS:
             return
-        known = set(newest.cfg.targets)
+        absent_everywhere = set(newest.cfg.targets)
         for daemon in running:
-            known &= {
+            absent_everywhere &= {
                 name
                 for name, since in daemon.absent_since.items()
-                if self.now - since >= LAPSE_SECONDS
+                if self.now - since >= LEASE_END_SECONDS
             }
         out = ejected & set(newest.cfg.targets)
         if out:
-            assert len(out | known) <= newest.allowed, (out, known, newest)
+            assert len(out | absent_everywhere) <= newest.allowed, (
+                out,
+                absent_everywhere,
+                newest,
+            )
 
 
 TestFleet = Fleet.TestCase
@@ -362,11 +384,11 @@
     """A permit holder and reports that ask it for permits."""
 
     def __init__(self, floor: int) -> None:
-        cfg = make_config(1, floor, frozenset(range(SIZE)))
+        cfg = make_config(1, floor, frozenset(range(DAEMON_COUNT)))
         self.holder = PermitHolder('s', holder_of(cfg, 's') or '', cfg, 0.0)
         self.holder.set_fresh(True, 0.0)
 
-    def ask(
+    def report(
         self,
         number: int,
         now: float,
@@ -386,59 +408,59 @@
         (send,) = self.holder.on_message(f'i{number}', body, now)
         return send.body.granted
 
-    def tick_and_ask(self, number: int, now: float) -> bool:
+    def tick_and_report(self, number: int, now: float) -> bool:
         self.holder.on_tick(now)
-        return self.ask(number, now)
+        return self.report(number, now)
 
     def change(self, floor: int, now: float) -> None:
-        cfg = make_config(2, floor, frozenset(range(SIZE)))
+        cfg = make_config(2, floor, frozenset(range(DAEMON_COUNT)))
         self.holder.on_config(cfg, now)
 
 
 def test_a_new_holder_waits_before_it_lends() -> None:
-    lender = Lender(SIZE - 1)
-    assert not lender.tick_and_ask(1, SETTLE_SECONDS - 0.1)
-    assert lender.tick_and_ask(1, SETTLE_SECONDS)
+    lender = Lender(DAEMON_COUNT - 1)
+    assert not lender.tick_and_report(1, SETTLE_SECONDS - 0.1)
+    assert lender.tick_and_report(1, SETTLE_SECONDS)
 
 
 def test_a_lower_limit_applies_at_once_and_a_higher_one_later() -> None:
-    lender = Lender(SIZE - 1)
+    lender = Lender(DAEMON_COUNT - 1)
     now = SETTLE_SECONDS
-    assert lender.tick_and_ask(1, now)
-    lender.change(SIZE - 2, now)
-    assert not lender.tick_and_ask(2, now + 1)
+    assert lender.tick_and_report(1, now)
+    lender.change(DAEMON_COUNT - 2, now)
+    assert not lender.tick_and_report(2, now + 1)
     for second in range(int(SETTLE_SECONDS)):
-        assert lender.tick_and_ask(1, now + 1 + second)
+        assert lender.tick_and_report(1, now + 1 + second)
     now += SETTLE_SECONDS + 0.1
-    assert lender.tick_and_ask(2, now)
-    lender.change(SIZE - 1, now)
-    assert not lender.tick_and_ask(1, now + 0.1)
-    assert lender.tick_and_ask(2, now + 0.2)
+    assert lender.tick_and_report(2, now)
+    lender.change(DAEMON_COUNT - 1, now)
+    assert not lender.tick_and_report(1, now + 0.1)
+    assert lender.tick_and_report(2, now + 0.2)
 
 
 def test_a_holder_that_was_not_ticked_lends_nothing() -> None:
-    lender = Lender(SIZE - 1)
+    lender = Lender(DAEMON_COUNT - 1)
     lender.holder.on_tick(SETTLE_SECONDS)
-    assert not lender.ask(1, SETTLE_SECONDS + 1)
-    assert lender.tick_and_ask(1, SETTLE_SECONDS + 1.1)
+    assert not lender.report(1, SETTLE_SECONDS + 1)
+    assert lender.tick_and_report(1, SETTLE_SECONDS + 1.1)
 
 
 def test_a_report_from_another_instance_than_the_owner_is_not_granted() -> None:
-    lender = Lender(SIZE - 1)
+    lender = Lender(DAEMON_COUNT - 1)
     now = SETTLE_SECONDS
     lender.holder.on_tick(now)
     foreign = TargetReport('t1', 1, now, True, True, True, Traffic())
     (refusal,) = lender.holder.on_message('i2', foreign, now)
     assert not refusal.body.granted
-    assert lender.ask(2, now)
+    assert lender.report(2, now)
 
 
 def test_a_late_report_does_not_return_a_newer_permit() -> None:
-    lender = Lender(SIZE - 1)
+    lender = Lender(DAEMON_COUNT - 1)
     now = SETTLE_SECONDS
-    assert lender.tick_and_ask(1, now)
-    lender.ask(1, now, sent_at=now - 0.05, wants=False)
+    assert lender.tick_and_report(1, now)
+    lender.report(1, now, sent_at=now - 0.05, wants=False)
     assert lender.holder.lent_targets(now) == {'t1'}
-    assert not lender.ask(2, now)
-    lender.ask(1, now, sent_at=now + 0.1, wants=False)
-    assert lender.ask(2, now)
+    assert not lender.report(2, now)
+    lender.report(1, now, sent_at=now + 0.1, wants=False)
+    assert lender.report(2, now)
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -6,14 +6,14 @@
 from fleet import running_fleet
 
 
-async def test_a_target_whose_probe_says_leaving_is_not_back() -> None:
+async def test_a_leaving_target_is_not_reported_as_back() -> None:
     async with running_fleet(('a', 'b')) as fleet:
         leaving = fleet.cfg.targets['t-a']
         fleet.targets['t-a'].begin_leaving()
         back: list[str] = []
         seen = trio.Event()
 
-        def note(name: str) -> None:
+        def on_back(name: str) -> None:
             back.append(name)
             seen.set()
 
@@ -21,7 +21,7 @@
         prober = Prober(
             ConnPool(MonotonicClock()),
             lambda: tuple(watched),
-            note,
+            on_back,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(prober.run)
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -21,7 +21,7 @@
 
 
 @given(st.integers(0, 1 << 32), st.lists(st.integers(-9000, 9000), min_size=3))
-def test_causes_come_before_effects_whatever_the_wall_clocks_say(
+def test_causes_come_before_effects_despite_wrong_wall_clocks(
     seed: int, errors_ms: list[int]
 ) -> None:
     rng = random.Random(seed)
@@ -42,7 +42,7 @@
     served = [read_events(log.json_lines()) for log in logs]
     merged = merge_events([*served, served[0]])
     assert len(merged) == 40
-    order = [(one.name, int(one.fields[0][1])) for one in merged]
+    order = [(record.name, int(record.fields[0][1])) for record in merged]
     for message in range(20):
         sent, received = ('sent', message), ('received', message)
         assert order.index(sent) < order.index(received)
@@ -70,11 +70,11 @@
         (TimelineFilter(request='r', event='request-started'), [1]),
     ],
 )
-def test_filters_keep_what_they_name(
+def test_each_filter_keeps_only_matching_events(
     wanted: TimelineFilter, stamps: list[int]
 ) -> None:
-    found = merge_events([EVENTS], wanted)
-    assert [one.hlc for one in found] == stamps
+    merged = merge_events([EVENTS], wanted)
+    assert [record.hlc for record in merged] == stamps
 
 
 def test_text_has_one_line_an_event_with_its_wall_time() -> None:
@@ -89,16 +89,18 @@
     def __init__(self) -> None:
         super().__init__()
         self.tags: list[str] = []
-        self.outside: list[str] = []
+        self.external_links: list[str] = []
 
     def handle_starttag(
         self, tag: str, attrs: list[tuple[str, str | None]]
     ) -> None:
         self.tags.append(tag)
-        self.outside += [key for key, _ in attrs if key in ('src', 'href')]
+        self.external_links += [
+            key for key, _ in attrs if key in ('src', 'href')
+        ]
 
 
-def test_the_page_has_lanes_and_rows_and_nothing_from_outside() -> None:
+def test_the_page_has_lanes_and_rows_and_no_external_links() -> None:
     page = render_page((*EVENTS, event(5, '<script>', text='"&')))
     reader = PageReader()
     reader.feed(page)
@@ -106,7 +108,7 @@
     assert reader.tags.count('tr') == 6
     assert reader.tags.count('text') == 1
     assert reader.tags.count('script') == 1
-    assert reader.outside == []
+    assert reader.external_links == []
 
 
 def test_a_malformed_line_is_refused() -> None:
@@ -119,10 +121,10 @@
     lines = [
         '   0.5 n1 time=2026-01-01 00:00:00,001 level=INFO ' + logged.line(),
         'Traceback (most recent call last):',
-        *(one.line() for one in EVENTS),
+        *(record.line() for record in EVENTS),
     ]
     read = read_log('\n'.join(lines))
     assert read[1:] == EVENTS
     assert read[0].fields[1] == ('reason', "no answer, 'late'")
     chosen = merge_events([read], TimelineFilter(request='q'))
-    assert [one.name for one in chosen] == ['request-started']
+    assert [record.name for record in chosen] == ['request-started']
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -36,8 +36,8 @@
     Link(loss_fraction=0.2, duplicate_fraction=0.5, max_jitter_seconds=0.3),
     Link(max_jitter_seconds=3),
 )
-ROUNDING = 0.001
-SOME_NAMES = st.sets(st.sampled_from(NAMES), min_size=1)
+ROUNDING_TOKENS = 0.001
+NAME_SETS = st.sets(st.sampled_from(NAMES), min_size=1)
 
 
 def instance(name: str) -> Instance:
@@ -110,16 +110,17 @@
         return total
 
     def valid(self, start: float, end: float) -> list[tuple[float, float]]:
-        found = []
+        limits = []
         versions = self.fleet.versions
         ends = [
-            each.published_at + OLD_VERSION_SECONDS for each in versions[1:]
+            version.published_at + OLD_VERSION_SECONDS
+            for version in versions[1:]
         ] + [math.inf]
         for publication, until in zip(versions, ends, strict=True):
             if publication.published_at <= end and start <= until:
                 account = publication.cfg.accounts['a']
-                found.append((account.rate, account.burst))
-        return found
+                limits.append((account.rate, account.burst))
+        return limits
 
     def check(self) -> None:
         new_outcomes = self.fleet.outcomes[self.checked_count :]
@@ -133,7 +134,7 @@
             starts = dict.fromkeys(self.admitted[:count])
             for start in starts:
                 first = self.admitted.index(start)
-                allowed = self.allowed(start, end) + ROUNDING
+                allowed = self.allowed(start, end) + ROUNDING_TOKENS
                 assert count - first <= allowed, (start, end, count - first)
 
 
@@ -152,7 +153,7 @@
             self.requests(set(NAMES), 15)
         self.checker.check()
 
-    @rule(names=SOME_NAMES, count=st.sampled_from((1, 4, 8)))
+    @rule(names=NAME_SETS, count=st.sampled_from((1, 4, 8)))
     def requests(self, names: set[str], count: int) -> None:
         for name in sorted(names):
             for _ in range(count):
@@ -199,17 +200,17 @@
         rate=st.sampled_from((4, 60)),
         burst=st.sampled_from((10, 40)),
         owners=st.sampled_from(('34', '12')),
-        reached=SOME_NAMES,
+        reached=NAME_SETS,
     )
     def publish(
         self, rate: float, burst: float, owners: str, reached: set[str]
     ) -> None:
         version = len(self.fleet.versions) + 1
         self.fleet.publish(config(version, rate, burst, owners))
-        self.tell(reached)
+        self.apply_newest_version(reached)
 
-    @rule(names=SOME_NAMES)
-    def tell(self, names: set[str]) -> None:
+    @rule(names=NAME_SETS)
+    def apply_newest_version(self, names: set[str]) -> None:
         for name in sorted(names):
             self.fleet.apply_newest_version(name)
 
@@ -239,7 +240,7 @@
     fleet.run(0.1)
 
 
-def tell(fleet: TokenFleet, cfg: Config, *names: str) -> None:
+def publish_to(fleet: TokenFleet, cfg: Config, *names: str) -> None:
     fleet.publish(cfg)
     for name in names:
         fleet.apply_newest_version(name)
@@ -265,9 +266,9 @@
     flood(fleet)
 
 
-def test_new_holders_wait_for_old_ones_that_heard_nothing() -> None:
+def test_new_holders_wait_for_old_holders_without_the_new_version() -> None:
     fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
-    tell(fleet, config(2, 60, 40, '12'), 'i0', 'i1', 'i2')
+    publish_to(fleet, config(2, 60, 40, '12'), 'i0', 'i1', 'i2')
     fleet.run(5)
     flood(fleet)
 
@@ -283,9 +284,9 @@
 
 def test_holders_that_skipped_a_version_wait_for_its_holders() -> None:
     fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
-    tell(fleet, config(2, 60, 40, '12'), 'i1', 'i2')
+    publish_to(fleet, config(2, 60, 40, '12'), 'i1', 'i2')
     fleet.run(9)
-    tell(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
+    publish_to(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
     fleet.run(5.5)
     borrow(fleet, 'i1', 'i2')
     fleet.run(1)
@@ -294,18 +295,18 @@
 
 def test_a_new_account_whose_first_version_was_skipped_waits() -> None:
     fleet = TokenFleet(config(1, 0, 0, '34'), seed=1)
-    tell(fleet, config(2, 60, 40, '12'), 'i1', 'i2')
+    publish_to(fleet, config(2, 60, 40, '12'), 'i1', 'i2')
     fleet.run(5)
-    tell(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
+    publish_to(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
     fleet.run(3)
     flood(fleet)
 
 
-def test_a_holder_that_was_cut_off_comes_back_without_a_share() -> None:
+def test_holders_that_missed_a_version_return_without_a_share() -> None:
     fleet = TokenFleet(config(1, 60, 40, '34'), seed=1)
-    tell(fleet, config(2, 60, 40, '12'), 'i0', 'i1', 'i2')
+    publish_to(fleet, config(2, 60, 40, '12'), 'i0', 'i1', 'i2')
     fleet.run(80)
-    tell(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
+    publish_to(fleet, config(3, 60, 40, '34'), 'i3', 'i4')
     fleet.run(3)
     flood(fleet)
 
@@ -338,19 +339,19 @@
 def test_without_faults_an_account_within_its_rate_is_never_refused() -> None:
     for rate, burst in ((3, 20), (100, 100)):
         fleet = TokenFleet(config(1, rate, burst, '01234'), seed=1)
-        for each in range(int(burst)):
-            fleet.take(NAMES[each % 5], f'burst-{each}', 'a')
+        for number in range(int(burst)):
+            fleet.take(NAMES[number % 5], f'burst-{number}', 'a')
         fleet.run(0.4)
         answers = outcomes(fleet, 20, rate, NAMES)
         assert len(answers) == int(20 * rate + burst)
-        assert [each for each in answers if not each.admitted] == []
+        assert [outcome for outcome in answers if not outcome.admitted] == []
 
 
 def test_one_dead_holder_of_five_still_admits_half_the_rate() -> None:
     fleet = TokenFleet(config(1, 50, 50, '01234'), seed=1)
     fleet.daemons['i0'].is_running = False
     answers = outcomes(fleet, 20, 25, NAMES[1:])
-    assert all(each.admitted for each in answers)
+    assert all(outcome.admitted for outcome in answers)
 
 
 def test_a_higher_rate_with_the_same_holders_is_in_force_at_once() -> None:
@@ -359,7 +360,7 @@
     fleet.publish(config(2, 8, 8, '01234'))
     for name in NAMES:
         fleet.apply_newest_version(name)
-    assert all(each.admitted for each in outcomes(fleet, 5, 8, NAMES))
+    assert all(outcome.admitted for outcome in outcomes(fleet, 5, 8, NAMES))
 
 
 def test_shares_add_up_to_what_is_published() -> None:
@@ -378,6 +379,8 @@
         fleet.apply_newest_version(name)
     waited = GROW_WAIT_SECONDS - 1
     fleet.run(waited, step_seconds=0.25)
-    assert not any(each.admitted for each in outcomes(fleet, 0.5, 2, NAMES))
+    assert not any(
+        outcome.admitted for outcome in outcomes(fleet, 0.5, 2, NAMES)
+    )
     fleet.run(2, step_seconds=0.25)
     assert outcomes(fleet, 1, 2, NAMES)[-1].admitted
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -23,11 +23,13 @@
 from clementinedeal_bench._large_config import large_config
 from clementinedeal_bench._virtual_fleet import VirtualFleet
 
-SIZE = 8
+DAEMON_COUNT = 8
 IN_FORCE_SECONDS = 7.0
 START_SECONDS = 20.0
 CHECK_SECONDS = 0.5
-CFG = large_config(accounts=3, routes=2, targets=SIZE, instances=SIZE)
+CFG = large_config(
+    accounts=3, routes=2, targets=DAEMON_COUNT, instances=DAEMON_COUNT
+)
 NAMES = sorted(CFG.instances)
 
 instance_names = st.sampled_from(NAMES)
@@ -44,7 +46,7 @@
     return pack(replace(CFG, version=version, services=services)).unwrap()
 
 
-def started(seed=0, replicas=1):
+def started_fleet(seed=0, replicas=1):
     """Return a fleet in which all daemons have version 1 in force."""
     fleet = VirtualFleet(CFG, seed, replicas)
     fleet.platform.publish(publication(1))
@@ -69,7 +71,7 @@
     ]
 
 
-def split(fleet, side):
+def isolate(fleet, side):
     """Disconnect daemons from the other daemons and from the platform."""
     fleet.network.cut_links = {
         (a, b) for a in NAMES for b in NAMES if (a in side) != (b in side)
@@ -82,7 +84,7 @@
 
     @initialize(seed=st.integers(0, 2**32))
     def begin(self, seed):
-        self.fleet = started(seed, replicas=2)
+        self.fleet = started_fleet(seed, replicas=2)
         self.version = 1
         self.newest = 1
         self.published_at = 0.0
@@ -98,9 +100,9 @@
             self.newest = self.version
             self.published_at = self.fleet.now
 
-    @rule(side=st.sets(instance_names, min_size=1, max_size=SIZE // 2))
+    @rule(side=st.sets(instance_names, min_size=1, max_size=DAEMON_COUNT // 2))
     def split_off(self, side):
-        split(self.fleet, side)
+        isolate(self.fleet, side)
         self.isolated = dict.fromkeys(side, self.fleet.now)
 
     @rule(
@@ -178,8 +180,10 @@
 
     def platform_is_whole(self):
         platform = self.fleet.platform
-        cut = platform.unreachable_daemons
-        return platform.is_up and not platform.stale_replicas and not cut
+        unreachable = platform.unreachable_daemons
+        return (
+            platform.is_up and not platform.stale_replicas and not unreachable
+        )
 
     @invariant()
     def check(self):
@@ -194,8 +198,8 @@
             assert now - since <= FRESH_SECONDS, f'{name} is cut off'
             since = max(self.published_at, self.platform_whole_since)
             # While the newest version is invalid, the platform shows no other.
-            shown = self.version == self.newest
-            if shown and now - since > FRESH_SECONDS:
+            is_shown = self.version == self.newest
+            if is_shown and now - since > FRESH_SECONDS:
                 assert process.view.config.version == self.newest
 
 
@@ -205,27 +209,27 @@
 
 @pytest.mark.parametrize('size', [1, 3, 4])
 def test_side_without_majority_or_platform_is_not_fresh(size):
-    fleet = started()
+    fleet = started_fleet()
     fleet.network.min_delay_seconds = fleet.network.max_delay_seconds = 0.9
     fleet.run(FRESH_SECONDS)
-    split(fleet, NAMES[:size])
+    isolate(fleet, NAMES[:size])
     fleet.run(FRESH_SECONDS)
     assert not fresh_names(fleet, NAMES[:size])
     assert fresh_names(fleet, NAMES[size:]) == NAMES[size:]
 
 
 def test_even_halves_without_platform_are_not_fresh():
-    fleet = started()
+    fleet = started_fleet()
     fleet.platform.is_up = False
-    split(fleet, NAMES[: SIZE // 2])
+    isolate(fleet, NAMES[: DAEMON_COUNT // 2])
     fleet.run(2 * FRESH_SECONDS)
     assert not fresh_names(fleet)
 
 
 def test_majority_without_platform_stays_fresh():
-    fleet = started()
+    fleet = started_fleet()
     side = NAMES[3:]
-    split(fleet, side)
+    isolate(fleet, side)
     fleet.platform.publish(publication(2))
     fleet.run(2 * FRESH_SECONDS)
     assert versions(fleet, side) == {1}
@@ -235,7 +239,7 @@
 
 
 def test_platform_outage_of_an_hour_keeps_all_fresh():
-    fleet = started()
+    fleet = started_fleet()
     fleet.network.loss_fraction = 0.05
     fleet.platform.is_up = False
     for _ in range(60):
@@ -248,7 +252,7 @@
 
 
 def test_lost_announcements_are_repaired_by_pulls():
-    fleet = started()
+    fleet = started_fleet()
     cut_off = NAMES[0]
     fleet.network.cut_links = {(name, cut_off) for name in NAMES[1:]}
     fleet.platform.unreachable_daemons = {cut_off}
@@ -260,8 +264,8 @@
     assert versions(fleet) == {2}
 
 
-def test_version_published_twice_is_reported_and_not_taken():
-    fleet = started()
+def test_version_number_published_twice_is_reported_and_not_applied():
+    fleet = started_fleet()
     other = pack(replace(CFG, accounts={})).unwrap()
     fleet.platform.publish(other)
     fleet.start(NAMES[0])
@@ -273,7 +277,7 @@
 
 
 def test_stopping_and_listed_instances_are_leaving_everywhere():
-    fleet = started()
+    fleet = started_fleet()
     leaver, listed, dead = NAMES[:3]
     fleet.call_view(leaver, fleet.processes[leaver].view.stop)
     fleet.platform.instance_list = InstanceList(
@@ -311,7 +315,7 @@
 
 
 def test_readers_cut_from_the_platform_do_not_hold_up_a_version():
-    fleet = started()
+    fleet = started_fleet()
     readers = reader_order(CFG.instances)[:3]
     fleet.platform.unreachable_daemons = set(readers)
     fleet.run(FRESH_SECONDS)
@@ -321,7 +325,7 @@
 
 
 def test_paused_daemon_rejoins_as_new_incarnation_and_is_not_yet_fresh():
-    fleet = started()
+    fleet = started_fleet()
     name, peer = NAMES[:2]
     before = fleet.processes[name].view.incarnation(name)
     fleet.pause(name)
@@ -337,8 +341,8 @@
     assert before != after == fleet.processes[peer].view.incarnation(name)
 
 
-def test_daemon_with_a_higher_ref_only_heard_of_loses_freshness():
-    fleet = started()
+def test_daemon_that_cannot_get_an_announced_version_loses_freshness():
+    fleet = started_fleet()
     name = NAMES[0]
     fleet.platform.unreachable_daemons = set(NAMES)
     view = fleet.processes[name].view
@@ -349,8 +353,8 @@
 
 
 @pytest.mark.parametrize('seed', range(5))
-def test_refused_version_does_not_hide_the_one_before(seed):
-    fleet = started(seed)
+def test_rejected_version_does_not_hide_the_one_before(seed):
+    fleet = started_fleet(seed)
     fleet.network.max_delay_seconds = 2.9
     fleet.platform.publish(publication(2))
     fleet.platform.publish(publication(3, valid=False))
@@ -358,14 +362,14 @@
     assert versions(fleet) == {2}
 
 
-def test_refused_version_does_not_replace_one_in_force_elsewhere():
-    fleet = started()
+def test_rejected_version_does_not_replace_one_in_force_elsewhere():
+    fleet = started_fleet()
     fleet.platform.publish(publication(3, valid=False))
     fleet.run(IN_FORCE_SECONDS)
     view = fleet.processes[NAMES[0]].view
     held = VersionRef(2, 'd')
-    news = ViewRequest(nonce=1, control='', held=held, full=False)
-    view.on_message(NAMES[1], news, fleet.now)
+    request = ViewRequest(nonce=1, control='', held=held, full=False)
+    view.on_message(NAMES[1], request, fleet.now)
     fleet.run(FRESH_SECONDS - CHECK_SECONDS)
     assert view.is_fresh(fleet.now)
     fleet.run(2 * CHECK_SECONDS)
@@ -374,7 +378,7 @@
 
 @pytest.mark.parametrize('fault', ['malformed', 'none'])
 def test_restart_under_a_version_with_unusable_instances(fault):
-    fleet = started()
+    fleet = started_fleet()
     cfg = replace(CFG, version=2, instances={})
     faulty = pack(cfg).unwrap()
     if fault == 'malformed':
@@ -399,8 +403,8 @@
     assert fresh_names(fleet) == NAMES
 
 
-def test_restart_does_not_go_back_to_what_a_stale_platform_shows():
-    fleet = started()
+def test_restart_does_not_restore_an_older_version_of_a_stale_platform():
+    fleet = started_fleet()
     fleet.platform.publish(publication(2))
     fleet.run(IN_FORCE_SECONDS)
     fleet.platform.publish(publication(1))
