Describe the tests and their fleets plainly

Describe the tests and their fleets plainly

Each test module says in a line what it checks, constants of the simulated fleets say what they bound, and the checks of the soak speak of rules and violations. No check and no value changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,3 +1,5 @@
+"""Fixtures of the mesh fleet and the Hypothesis profile of all tests."""
+
 import pytest
 from hypothesis import settings
 from tests.endless_standin import BODIES, HEADS, INTERIM_ANSWERS, EndlessStandIn
--- a/tests/endless_standin.py
+++ b/tests/endless_standin.py
@@ -17,7 +17,7 @@
 OK_HEAD = b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
 CHUNKED_HEAD = OK_HEAD + b'transfer-encoding: chunked\r\n\r\n'
 
-# Bytes that are sent once, and bytes that are repeated, by a name.
+# By name of the case: bytes that are sent once, and bytes that are repeated.
 HEADS = {
     'one-header-line': (OK_HEAD + b'x: ', b'x' * 100),
     'many-header-lines': (OK_HEAD, b'x: y\r\n'),
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,4 +1,4 @@
-"""Serving sides of two daemons, and stand-in targets, in one trio loop."""
+"""The serving parts of two daemons, and stand-in targets, in one process."""
 
 import hashlib
 from collections.abc import AsyncIterator
@@ -135,7 +135,7 @@
 
 @dataclass
 class FixedView:
-    """Stub for the entry's view: all targets are candidates, in one order."""
+    """Stub for the entry's view: the candidates are always ``order``."""
 
     access: Access
     order: tuple[str, ...]
@@ -156,7 +156,7 @@
 
 
 class DaemonNode:
-    """The serving side of one daemon."""
+    """The parts of one daemon that serve requests as entry and as owner."""
 
     def __init__(self, name: str, cfg: Config, view: FixedView) -> None:
         self.cfg = cfg
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -45,7 +45,7 @@
     async def send(self, number, path, body=b'', **more):
         """Send a request to a daemon; return the head and body of its answer.
 
-        :param more: ``key``, the API key, and ``patience_ms``, the timeout.
+        :param more: ``key``, the API key; ``patience_ms``, the timeout in ms.
         """
         self.request_count += 1
         key = more.get('key', 'key-1')
@@ -146,7 +146,11 @@
 
 
 async def wait_for_status(fleet, number, status, seconds):
-    """Send requests until one is answered with a status."""
+    """Send lookups until one is answered with ``status``.
+
+    :param seconds: time limit.
+    :raises trio.TooSlowError: if no answer in that time has the status.
+    """
     with trio.fail_after(seconds):
         received = None
         while received != status:
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -12,7 +12,7 @@
 from clementinedeal._timers import MonotonicClock
 from clementinedeal.mesh._stop import NOTICE_SECONDS
 
-# Timeout of a request for which no other is drawn or given.
+# Default timeout of a request.
 TIMEOUT_SECONDS = 3.0
 # Tolerance for an answer after its deadline.
 MAX_DELAY_SECONDS = 0.5
@@ -62,7 +62,7 @@
 
 
 class Callers:
-    """Sends requests over kept connections and records each of them.
+    """Sends requests over kept-alive connections and records each of them.
 
     :param draw_timeout: returns the timeout of a request, in seconds.
     """
@@ -84,7 +84,7 @@
     async def send_request(self, instance, kind=None, timeout_seconds=None):
         """Send one request, and return its ``Call`` when it has ended.
 
-        Some callers disconnect after 50 ms, but never a target.
+        Of the callers, 3 % disconnect after 50 ms; a calling target never does.
 
         :param kind: the route's name, the first part of the path; random if
             none is given.
@@ -148,13 +148,13 @@
 
 
 def find_violations(callers, check_end):
-    """Return the broken promises as pairs of a rule and its call.
+    """Return the violations as pairs of the violated rule and the call.
 
-    The rule ``BAD_EXIT`` comes with the exit result of a process instead.
+    The rule ``BAD_EXIT`` is paired with the exit result of a process.
 
-    :param callers: all of whose requests have ended.
-    :param check_end: yields the rules that the end of a call breaks, from the
-        call, the bodies that targets received for it and the fleet.
+    :param callers: ``Callers`` whose requests have all ended.
+    :param check_end: yields the rules that the end of a call violates; takes
+        the call, the bodies that targets received for it and the fleet.
     """
     fleet = callers.fleet
     bodies = {}
@@ -192,7 +192,7 @@
         ):
             yield 'the answer is not the one that the target sent'
         withdrawn_at = fleet.withdrawn.get(call.key)
-        # the bound revoke_s, and a tolerance
+        # the setting revoke_s of 5 s, and a tolerance of 0.5 s
         if (
             withdrawn_at is not None
             and call.started_at > withdrawn_at + 5.0 + 0.5
@@ -205,7 +205,7 @@
 
 
 def check_end_under_faults(call, received, fleet):
-    """Yield the rules that the end of a call breaks during random faults."""
+    """Yield the rules that the end of a call violates during random faults."""
     if call.status == 0 and _must_be_answered(call, has_run=bool(received)):
         if not call.is_abandoned:
             yield 'connection closed without an answer'
@@ -234,7 +234,7 @@
 
 
 def check_end_under_planned_work(call, received, fleet):
-    """Yield the rules that the end of a call breaks during planned operations.
+    """Yield the rules that the end of a call violates in planned operations.
 
     A request that a process has read gets an answer, and an error of the
     daemon does not replace the answer of a run. An attempt of a lookup may be
--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -1,4 +1,4 @@
-"""The fleet of the soak: daemon processes with stand-ins of what they use."""
+"""The fleet of the soak: daemon processes with stand-in store and targets."""
 
 import contextlib
 import math
@@ -21,9 +21,9 @@
 
 from clementinedeal._pool import split_address
 
-# From the stop signal until the process is killed.
+# Time from a stop signal until the process is killed.
 GRACE_SECONDS = 6.0
-# Start of the Python interpreter on a machine under load.
+# Time that the Python interpreter takes to start under load.
 INTERPRETER_START_SECONDS = 0.5
 # A process that the platform restarts serves again after this time.
 RESTART_SECONDS = 3.0
@@ -56,10 +56,12 @@
         self.service = fleet.services[number]
         self.caller_address = f'{host}:{ports[0]}'
         self.ready_address = f'{host}:{ports[1]}'
+        # number of the target process, which is replaced during the soak
         self.target_generation = 0
         self.store_link = FaultyLink(free_address(), fleet.store.address)
         self.target = fleet.make_target(f't{number}.0')
         self.target_link = FaultyLink(f'{host}:{ports[2]}', self.target.address)
+        # setting that each reload changes
         self._retry_slack = 60
         self._settings = {
             'name': self.name,
@@ -75,7 +77,7 @@
         self.process = None
         self.started_at = 0.0
         self.reloaded_at = 0.0
-        # (start, end) of the times when a missing answer breaks no promise
+        # (start, end) of the times when a missing answer violates no rule
         self.exempt_periods = []
         # times of stop signals
         self.stop_times = []
@@ -107,9 +109,9 @@
 
     @contextlib.contextmanager
     def exempt_period(self, extra_seconds=0.0):
-        """Record the time of the context as one that may lack answers.
+        """Exempt the time of the context: calls in it may lack an answer.
 
-        :param extra_seconds: how long the period goes on after the context.
+        :param extra_seconds: how long the exemption lasts after the context.
         """
         begin = trio.current_time()
         self.exempt_periods.append((begin, math.inf))
@@ -129,7 +131,7 @@
         self.signal(signal.SIGHUP)
 
     def restart_if_ended(self, folder):
-        """Start a process that ended by itself again, as the platform does."""
+        """Start the process again if it has ended, as the platform does."""
         code = self.process.poll()
         if code is None:
             return
@@ -257,7 +259,7 @@
     def runs_of(self, call):
         """Return pairs of an instance and a ``Run`` for the runs of a call.
 
-        There are none for an exit result in place of a call.
+        Empty if ``call`` is the exit result of a process.
         """
         return [
             (instance, run)
--- a/tests/soak_targets.py
+++ b/tests/soak_targets.py
@@ -9,7 +9,7 @@
 from tests.store_standin import TargetStandIn
 
 ATTEMPT_ID = b'attempt-id'
-# Part of the answers that are sent a second time in mode ``extra``.
+# Fraction of the answers that are sent a second time in mode ``extra``.
 EXTRA_ANSWER_FRACTION = 0.3
 _EXTRA_ANSWER = (
     b'HTTP/1.1 200 OK\r\nattempt-id: %s\r\nserver-seal: s\r\n'
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -11,6 +11,7 @@
 from clementinedeal._http import HttpLimits
 from clementinedeal._http_server import HttpServer
 
+# Few, so that a list of targets takes several pages.
 MAX_PAGE_ITEMS = 3
 
 
@@ -49,12 +50,12 @@
         self._record({'key': key, 'revision': self.revision, 'deleted': True})
 
     def drop_history(self):
-        """Forget the changes so far; a watch from before gets 410."""
+        """Delete the history; a watch from an earlier revision gets 410."""
         self.dropped_revision = self.revision
         self.history.clear()
 
     def freeze_replica(self):
-        """Answer all further ``serializable`` reads with the present items."""
+        """Answer all further ``serializable`` reads with the current items."""
         self.replica_state = (dict(self.items), self.revision)
 
     def _record(self, event):
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -1,3 +1,5 @@
+"""Which published versions a daemon brings into force or rejects."""
+
 from dataclasses import replace
 
 import pytest
--- a/tests/test_account_service_levels.py
+++ b/tests/test_account_service_levels.py
@@ -1,3 +1,5 @@
+"""The report on the account that was served worst."""
+
 from types import SimpleNamespace
 from typing import Any
 
--- a/tests/test_bench_caller.py
+++ b/tests/test_bench_caller.py
@@ -1,3 +1,5 @@
+"""The bench caller and how it classifies the answers to its requests."""
+
 import json
 from collections import Counter
 
--- a/tests/test_bench_fleet.py
+++ b/tests/test_bench_fleet.py
@@ -1,3 +1,5 @@
+"""Processes and declarations that the bench programs start and write."""
+
 import json
 import socket
 from dataclasses import replace
--- a/tests/test_bench_platform.py
+++ b/tests/test_bench_platform.py
@@ -1,3 +1,5 @@
+"""The bench's stand-in for the platform: reads, watches and failure modes."""
+
 import msgspec
 import pytest
 import trio
--- a/tests/test_bench_target.py
+++ b/tests/test_bench_target.py
@@ -1,3 +1,5 @@
+"""The bench's stand-in for a target: queue, deadlines and failure modes."""
+
 import json
 
 import pytest
--- a/tests/test_bench_web.py
+++ b/tests/test_bench_web.py
@@ -1,3 +1,5 @@
+"""The HTTP client and server of the bench's stand-ins."""
+
 import pytest
 import trio
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -20,6 +20,8 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Note:
+    """A message of the test; the text ``bug`` makes its receiver raise."""
+
     text: str
 
 
--- a/tests/test_declaration.py
+++ b/tests/test_declaration.py
@@ -1,3 +1,5 @@
+"""Declaration and settings files: valid examples and error messages."""
+
 import copy
 from pathlib import Path
 
--- a/tests/test_detection_bench.py
+++ b/tests/test_detection_bench.py
@@ -1,3 +1,5 @@
+"""The simulation that measures how fast faulty targets are ejected."""
+
 import pytest
 
 from clementinedeal_bench._detection import DetectionRun, LoadSettings
--- a/tests/test_detector.py
+++ b/tests/test_detector.py
@@ -1,3 +1,5 @@
+"""How soon the health of a target is recognised from its outcomes."""
+
 import random
 
 import pytest
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -1,3 +1,5 @@
+"""Ejection and reinstatement of targets by managers without faults."""
+
 import dataclasses
 
 import pytest
@@ -15,6 +17,7 @@
 from test_permits import make_config
 
 SIZE = 8
+# Interval of the requests to each target.
 STEP_SECONDS = 1 / 13
 CFG = make_config(1, 6, frozenset(range(SIZE)))
 HOLDER = int((holder_of(CFG, 's') or 'i0')[1:])
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -62,7 +62,7 @@
         self.max_events = max(self.max_events, self.events)
 
     async def reset_each_turn(self):
-        """Be the other task: reset the count at each turn of the event loop."""
+        """Reset the count at each turn of the event loop, as the other task."""
         while True:
             self.events = 0
             await trio.lowlevel.checkpoint()
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -21,6 +21,8 @@
 
 
 class LeavingCaller:
+    """Stub for what an exchange calls; its caller leaves during the answer."""
+
     @contextlib.asynccontextmanager
     async def attempt(
         self, attempt_id: str, target: str, *, admitted: bool
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -103,6 +103,8 @@
 
 
 def refused(req_id: str, reason: Reason, verdict: Verdict) -> Any:
+    """Return a function that checks whether an action is this refusal."""
+
     def matches(action: Any) -> bool:
         fields = (action.req_id, action.reason, action.verdict)
         return fields == (req_id, reason, verdict)
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -8,6 +8,8 @@
 
 
 class Part:
+    """A part of a daemon that logs its start and stop."""
+
     def __init__(self, name: str, log: list[str]) -> None:
         self.name = name
         self.log = log
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -17,6 +17,7 @@
     Lender,
 )
 
+# RATE in units per second, CAPACITY in units.
 RATE = 5_000_000
 CAPACITY = 5_000_000
 WAITS_MILLIS = (1, 201, 1000, 1999, 2199)
--- a/tests/test_mesh_background_task.py
+++ b/tests/test_mesh_background_task.py
@@ -13,7 +13,7 @@
 
 
 def nested(text):
-    """Return bytes with a deeply nested list at ``%b``."""
+    """Return ``text`` with a deeply nested list in place of ``%b``."""
     return text % (b'[' * NESTING_DEPTH + b']' * NESTING_DEPTH)
 
 
--- a/tests/test_mesh_declarations.py
+++ b/tests/test_mesh_declarations.py
@@ -1,4 +1,4 @@
-"""The declaration in force is never replaced by an older one, or stale."""
+"""A feed never returns to an older declaration and reports when it is stale."""
 
 import pytest
 import trio
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -1,4 +1,4 @@
-"""Attempts that arrive twice, late or after they were forbidden."""
+"""Attempts that arrive twice, late or after a query that forbids them."""
 
 import msgspec
 import pytest
--- a/tests/test_mesh_idle_limit.py
+++ b/tests/test_mesh_idle_limit.py
@@ -25,7 +25,10 @@
 
 
 class ForgetfulTarget:
-    """Answers requests, but resets those on a connection idle for too long."""
+    """Answers requests, but resets a connection that was idle for too long.
+
+    :param idle_limit: in seconds.
+    """
 
     answer = (
         b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
--- a/tests/test_mesh_logs.py
+++ b/tests/test_mesh_logs.py
@@ -1,4 +1,4 @@
-"""Log output is bounded and does not block the event loop; metrics."""
+"""Log output is bounded and does not block the event loop; metrics text."""
 
 import logging
 import os
@@ -19,7 +19,7 @@
 
 @pytest.fixture
 def pipe():
-    """A pipe in place of standard output; nothing reads it by itself."""
+    """A pipe in place of standard output; only the test reads it."""
     reader, writer = os.pipe()
     os.set_blocking(reader, False)
     yield reader, writer
--- a/tests/test_mesh_peer_client.py
+++ b/tests/test_mesh_peer_client.py
@@ -16,6 +16,7 @@
 
 
 async def confirm_and_freeze(stream):
+    """Act as an owner that confirms a request and then stops answering."""
     await stream.receive_some()
     await stream.send_all(b'HTTP/1.1 102 Processing\r\n\r\n')
     await trio.sleep_forever()
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -70,7 +70,7 @@
 
 
 def run_plan(plan, outcomes, now=0.0):
-    """End each attempt with one of the outcomes in their order.
+    """Run a plan whose attempts end with the given outcomes, in this order.
 
     Return the send steps and the final outcome.
     """
--- a/tests/test_mesh_program.py
+++ b/tests/test_mesh_program.py
@@ -14,7 +14,7 @@
         env={**os.environ, 'CLEMENTINEDEAL_NODE_FILE': str(settings)},
         stderr=subprocess.PIPE,
     ) as process:
-        # blocks until the program reads its settings
+        # blocks until the program opens its settings file
         with settings.open('w') as pipe:
             process.send_signal(signal.SIGHUP)
             pipe.write('node = 1')
--- a/tests/test_mesh_rate_limiter.py
+++ b/tests/test_mesh_rate_limiter.py
@@ -22,6 +22,7 @@
 )
 
 
+# Bounds without and with a tolerance above the rate of an account.
 EXACT = Bounds()
 TOLERANT = Bounds(allowance_over=0.25, allowance_slack=20)
 
--- a/tests/test_mesh_soak.py
+++ b/tests/test_mesh_soak.py
@@ -103,7 +103,7 @@
                 await trio.sleep(self.rng.uniform(0.1, 0.9))
 
     async def restart_ended(self):
-        """Start processes that ended by themselves again, without end."""
+        """Restart processes that ended by themselves, until cancelled."""
         while True:
             await trio.sleep(0.1)
             for instance in self.fleet.instances:
@@ -240,11 +240,11 @@
 
 
 async def run_soak(injector, callers, check_end):
-    """Run callers and faults together; return the promises that were broken.
+    """Run callers and faults together; return the violations.
 
     :param injector: applies the faults to its fleet.
     :param callers: the load, which also checks the service before and after.
-    :param check_end: yields the rules that the end of a call breaks.
+    :param check_end: yields the rules that the end of a call violates.
     """
     fleet = injector.fleet
     try:
@@ -283,7 +283,7 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 async def test_random_faults_violate_no_rule(seed, tmp_path, nursery):
-    """Kills, pauses, broken links and failing targets break no promise."""
+    """Kills, pauses, broken links and failing targets cause no violation."""
     rng = random.Random(seed)
     fleet = Fleet(tmp_path)
     injector = FaultInjector(fleet, rng, nursery)
@@ -292,7 +292,7 @@
 
 
 async def run_planned_work(seed, tmp_path, nursery):
-    """Run callers during planned operations; return the broken promises.
+    """Run callers during planned operations; return the violations.
 
     Targets call each other through their daemons. With some seeds a target may
     send answers twice.
@@ -313,7 +313,7 @@
 
 @pytest.mark.parametrize('seed', PLANNED_SEEDS)
 async def test_planned_work_loses_no_request(seed, tmp_path, nursery):
-    """Planned operations break no promise but those of the next test."""
+    """Planned operations violate no rule except those of the next test."""
     violations = await run_planned_work(seed, tmp_path, nursery)
     assert not [
         violation
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -62,7 +62,7 @@
     for target in fleet.targets:
         target.mode = 'hang'
     async with trio.open_nursery() as nursery:
-        # a request that still runs keeps the daemon from ending
+        # the daemon does not end while this request runs
         nursery.start_soon(fleet.send, 0, '/open/1', b'')
         await trio.sleep(0.2)
         fleet.daemons[0].stop()
@@ -128,7 +128,7 @@
 
 @pytest.fixture
 async def hanging_fleet(fleet, monkeypatch):
-    """A fleet with one slot, at a target that hangs, and with short stops."""
+    """A fleet whose only target in use hangs and has one slot; short stops."""
     fleet.targets[1].mode = 'hang'
     monkeypatch.setattr(_stop, 'NOTICE_SECONDS', SHORT_NOTICE_SECONDS)
     set_route_times(fleet, LONG_TIMEOUT_SECONDS, LONG_TIMEOUT_SECONDS / 2)
@@ -151,7 +151,7 @@
 
 
 def set_route_times(fleet, timeout_seconds, target_latency_seconds):
-    """Publish a configuration with these times at all routes."""
+    """Publish a configuration with these times, in seconds, at all routes."""
     cfg = configuration(2)
     for entry in cfg['resources']:
         if entry['entry_type'] == 'routes':
@@ -214,7 +214,7 @@
 
 
 async def test_a_late_call_of_a_target_is_refused_and_not_cut(hanging_fleet):
-    # a request that still runs keeps the daemon from ending
+    # the daemon does not end while this request runs
     async with sent_requests(hanging_fleet, (0, '/book/long')) as answers:
         hanging_fleet.daemons[0].stop()
         await trio.sleep(SHORT_NOTICE_SECONDS + 0.2)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -31,8 +31,12 @@
 RETENTION_SECONDS = 100.0
 STEP_SECONDS = 0.25
 DEADLINE_SECONDS = 3.0
+# A configuration is in force at all daemons that run after this time; only
+# then is another one published.
 MIN_CONFIG_INTERVAL_SECONDS = 7.0
+# Maximum delay of a message.
 TRANSIT_SECONDS = 30.0
+# Wall-clock time at the start of the simulation, in ms since 1970.
 WALL_MS = 1_700_000_000_000
 NODES = ('n0', 'n1', 'n2', 'n3')
 PAUSES_SECONDS = (0, 0, 1, 4, 40)  # seconds of a pause, 0 for a restart
@@ -46,6 +50,12 @@
 
 @dataclass(frozen=True)
 class Forwarded:
+    """An attempt that an entry forwards to an owner.
+
+    ``incarnation`` is that of the owner as the entry knows it, ``seconds`` the
+    time left until the deadline.
+    """
+
     attempt: str
     incarnation: str
     seconds: float
@@ -62,6 +72,8 @@
 
 @dataclass
 class Call:
+    """A request with an idempotency key and the plan of its attempts."""
+
     req_id: str
     key: str
     deadline: float
@@ -77,8 +89,10 @@
     fleet: 'Fleet'
     incarnation: str
     cfg: Config
+    # end of its pause, during which it handles nothing
     asleep_until: float = 0.0
     calls: dict[str, Call] = field(default_factory=dict)
+    # attempts at its target as owner, with the name of their entry
     queued: dict[str, str] = field(default_factory=dict)
     running: dict[str, str] = field(default_factory=dict)
 
@@ -362,6 +376,8 @@
 
 
 class OutcomeMachine(RuleBasedStateMachine):
+    """Runs the fleet with faults in any order; checks its whole history."""
+
     def __init__(self) -> None:
         super().__init__()
         self.fleet = Fleet()
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -1,3 +1,5 @@
+"""Permits never allow more ejections than the floor, whatever faults occur."""
+
 import random
 from dataclasses import dataclass, field
 
@@ -22,12 +24,17 @@
 from clementinedeal._target_state import EJECTED_STATES
 
 DAEMON_COUNT = 6
+# Time between two checks of the simulated fleet.
 ROUND_SECONDS = 0.25
+# Longest time for which a lease counts, with two rounds of tolerance.
 LEASE_END_SECONDS = LEASE_SECONDS + LEASE_MARGIN_SECONDS + 2 * ROUND_SECONDS
+# Age from which a version limits the ejections in the whole fleet.
 SETTLED_SECONDS = 2 * FRESH_SECONDS + LEASE_END_SECONDS
 FAILED_OUTCOME = RequestOutcome(OutcomeKind.ERROR, 0.0)
 OK_OUTCOME = RequestOutcome(OutcomeKind.OK, 0.0)
+# From the publication of a version until a daemon applies it.
 CONFIG_DELAYS_SECONDS = (0.25, 1.0, 3.0, 9.0, 40.0)
+# Delays of messages by the mode of the network.
 MESSAGE_DELAYS_SECONDS = {
     'good': (0.0,),
     'late': (0.0, 4.5),
@@ -81,8 +88,10 @@
     offset: float
     alive: bool = True
     paused_at: float | None = None
+    # time from which it applies the newest version
     learns_at: float = 0.0
     absent: frozenset[str] = frozenset()
+    # targets that it knows to be stopped or leaving, and since when
     absent_since: dict[str, float] = field(default_factory=dict)
 
     @property
@@ -381,7 +390,7 @@
 
 
 class Lender:
-    """A permit holder and reports that ask it for permits."""
+    """A permit holder, and reports of owners that request permits from it."""
 
     def __init__(self, floor: int) -> None:
         cfg = make_config(1, floor, frozenset(range(DAEMON_COUNT)))
--- a/tests/test_prober.py
+++ b/tests/test_prober.py
@@ -1,3 +1,5 @@
+"""Probes of targets that are leaving."""
+
 import trio
 
 from clementinedeal._pool import ConnPool
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -23,13 +23,15 @@
 from ports import free_address
 
 INSTANCES = 6
+# Time limit for a start, a publication or the first answers.
 START_SECONDS = 90
+# Duration of each fault, and of the check after the withdrawal of a key.
 FAULT_SECONDS = 3
 SERVICES = ('status', 'booking', 'payment')
 
 
 def reduce_config(cfg: Config) -> Config:
-    """Reduce to six instances, two targets a service, two accounts."""
+    """Reduce to six instances, two targets per service and two accounts."""
     names = sorted(cfg.instances)[:INSTANCES]
     return replace(
         cfg,
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -1,3 +1,5 @@
+"""Packing of a configuration into values for the platform, and back."""
+
 from dataclasses import replace
 from pathlib import Path
 
--- a/tests/test_timeline.py
+++ b/tests/test_timeline.py
@@ -86,6 +86,8 @@
 
 
 class PageReader(HTMLParser):
+    """Collects the tags of a page and the attributes that load other files."""
+
     def __init__(self) -> None:
         super().__init__()
         self.tags: list[str] = []
--- a/tests/test_tokens.py
+++ b/tests/test_tokens.py
@@ -36,6 +36,7 @@
     Link(loss_fraction=0.2, duplicate_fraction=0.5, max_jitter_seconds=0.3),
     Link(max_jitter_seconds=3),
 )
+# Tolerance for rounding of the admitted amount.
 ROUNDING_TOKENS = 0.001
 NAME_SETS = st.sets(st.sampled_from(NAMES), min_size=1)
 
@@ -94,6 +95,7 @@
         self.admitted: list[float] = []
 
     def allowed(self, start: float, end: float) -> float:
+        """Return how many requests may be admitted in this interval."""
         total = max(burst for _, burst in self.valid(start, start))
         edges = {start, end}
         for publication in self.fleet.versions:
@@ -110,6 +112,7 @@
         return total
 
     def valid(self, start: float, end: float) -> list[tuple[float, float]]:
+        """Return rate and burst of each version that counts in that time."""
         limits = []
         versions = self.fleet.versions
         ends = [
@@ -241,6 +244,7 @@
 
 
 def publish_to(fleet: TokenFleet, cfg: Config, *names: str) -> None:
+    """Publish a version that only the named daemons apply."""
     fleet.publish(cfg)
     for name in names:
         fleet.apply_newest_version(name)
--- a/tests/test_views.py
+++ b/tests/test_views.py
@@ -1,3 +1,5 @@
+"""Which configuration version each daemon has in force, and if it is fresh."""
+
 from dataclasses import replace
 
 import msgspec
@@ -24,8 +26,11 @@
 from clementinedeal_bench._virtual_fleet import VirtualFleet
 
 DAEMON_COUNT = 8
+# A published version is in force at all daemons within this time.
 IN_FORCE_SECONDS = 7.0
+# A daemon that starts is fresh within this time.
 START_SECONDS = 20.0
+# Interval of the checks while virtual time passes.
 CHECK_SECONDS = 0.5
 CFG = large_config(
     accounts=3, routes=2, targets=DAEMON_COUNT, instances=DAEMON_COUNT
