--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -78,9 +78,9 @@
 
 
 async def test_a_batch_sealed_with_an_unknown_key_is_rejected() -> None:
-    received, there = await exchange({'k': b'1' * 32}, {'k': b'2' * 32})
+    received, receiver = await exchange({'k': b'1' * 32}, {'k': b'2' * 32})
     assert received == []
-    assert there.counters.rejected == 1
+    assert receiver.counters.rejected == 1
 
 
 async def test_keys_rotate_while_both_are_known() -> None:
--- a/tests/test_detection_bench.py
+++ b/tests/test_detection_bench.py
@@ -10,7 +10,7 @@
 )
 from clementinedeal_bench._model_targets import FaultMode
 
-SIZE = 8
+TARGET_COUNT = 8
 LOAD = LoadSettings(seconds_after_onset=15.0)
 
 
@@ -27,7 +27,7 @@
     seconds: float,
 ) -> None:
     result = DetectionRun(
-        mode, 3, EjectionManagers(SIZE, 6, 18.0), LOAD
+        mode, 3, EjectionManagers(TARGET_COUNT, 6, 18.0), LOAD
     ).simulate()
     assert result.detection_seconds is not None
     assert result.detection_seconds < seconds
@@ -39,7 +39,7 @@
     mode: FaultMode,
 ) -> None:
     result = DetectionRun(
-        mode, 3, EjectionManagers(SIZE, 6, 18.0), LOAD
+        mode, 3, EjectionManagers(TARGET_COUNT, 6, 18.0), LOAD
     ).simulate()
     assert result.detection_seconds is None
     assert result.wrongful_ejections == 0
--- a/tests/test_detector.py
+++ b/tests/test_detector.py
@@ -14,7 +14,7 @@
     Unhealthy,
 )
 
-GAP_SECONDS = 1 / 13
+STEP_SECONDS = 1 / 13
 PEERS = Baseline(7, 0.025, 0.045, 0.0, 0.0, 0.5)
 
 
@@ -27,7 +27,7 @@
     """Feed 13 outcomes a second until the target is unhealthy."""
     detector.on_baseline(baseline, start)
     for number, outcome in enumerate(outcomes):
-        now = start + number * GAP_SECONDS
+        now = start + number * STEP_SECONDS
         if number % 13 == 12:
             detector.on_baseline(baseline, now)
         detector.on_outcome(outcome, now)
@@ -90,7 +90,7 @@
 
 def test_a_hang_is_detected_without_any_answer(detector: Detector) -> None:
     detector.on_baseline(PEERS, 10.0)
-    detector.on_inflight([10.0 + n * GAP_SECONDS for n in range(7)])
+    detector.on_inflight([10.0 + n * STEP_SECONDS for n in range(7)])
     assert isinstance(detector.health(10.1), Healthy)
     verdict = detector.health(11.5)
     assert isinstance(verdict, Unhealthy)
@@ -109,7 +109,7 @@
 ) -> None:
     detector.on_baseline(PEERS, 10.0)
     for number, outcome in enumerate(latencies(10.0, 13, 3)):
-        detector.on_outcome(outcome, 10.3 + number * GAP_SECONDS)
+        detector.on_outcome(outcome, 10.3 + number * STEP_SECONDS)
     assert not isinstance(detector.health(11.3), Unhealthy)
     detector.on_baseline(Baseline(7, 0.25, 0.45, 0.0, 0.0, 1.0), 11.4)
     assert isinstance(detector.health(11.4), Healthy)
--- a/tests/test_executions.py
+++ b/tests/test_executions.py
@@ -13,7 +13,7 @@
 )
 from clementinedeal._verdict import Reason
 
-RETENTION = 30.0
+RETENTION_SECONDS = 30.0
 IDS = st.sampled_from(('r0', 'r1'))
 
 
@@ -24,7 +24,7 @@
         super().__init__()
         self.now = 0.0
         self.table = ExecutionTable(
-            'i0', ExecutionLimits(retention_seconds=RETENTION)
+            'i0', ExecutionLimits(retention_seconds=RETENTION_SECONDS)
         )
         self.starts: dict[str, int] = {}
         self.denied: set[str] = set()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -32,25 +32,25 @@
         self.lender = Lender(capacity=CAPACITY, rate=RATE, now=0)
         self.borrowed = BorrowedUnits()
         self.sent_at: dict[LeaseId, float] = {}
-        self.bag: list[tuple[LeaseId, int] | LeaseReport] = []
+        self.messages: list[tuple[LeaseId, int] | LeaseReport] = []
         self.grants: list[tuple[LeaseId, int]] = []
         self.spends: list[tuple[float, int]] = []
 
-    @rule(divisor=st.sampled_from((1, 1, 3)), legs=st.integers(0, 2))
-    def draw(self, divisor: int, legs: int) -> None:
-        lease = LeaseId('b', 1, len(self.bag))
+    @rule(divisor=st.sampled_from((1, 1, 3)), deliveries=st.integers(0, 2))
+    def draw(self, divisor: int, deliveries: int) -> None:
+        lease = LeaseId('b', 1, len(self.messages))
         self.sent_at[lease] = self.now
-        self.bag.append((lease, CAPACITY // divisor))
-        if legs > 0:
+        self.messages.append((lease, CAPACITY // divisor))
+        if deliveries > 0:
             self.deliver_to_holder(1)
-        if legs > 1:
+        if deliveries > 1:
             self.deliver_grant(1)
 
     @rule(pick=st.integers(1, 3))
     def deliver_to_holder(self, pick: int) -> None:
-        if len(self.bag) < pick:
+        if len(self.messages) < pick:
             return
-        body = self.bag[-pick]
+        body = self.messages[-pick]
         self.lender.advance(self.now)
         if isinstance(body, LeaseReport):
             self.lender.apply_report(body)
@@ -73,7 +73,7 @@
         chosen = self.borrowed.close if closes else self.borrowed.report
         self.lender.advance(self.now)
         for report in chosen('h'):
-            self.bag.append(report)
+            self.messages.append(report)
             if arrives:
                 self.lender.apply_report(report)
 
--- a/tests/test_mesh_rate_limiter.py
+++ b/tests/test_mesh_rate_limiter.py
@@ -30,14 +30,14 @@
 class Network:
     """Delivers datagrams at once, or drops them.
 
-    ``lost`` holds the hosts without a connection, ``loss`` is the probability
-    that a datagram is dropped.
+    ``unreachable`` holds the hosts without a connection, ``loss_fraction`` is
+    the probability that a datagram is dropped.
     """
 
     def __init__(self):
         self.limiters = {}
-        self.lost = set()
-        self.loss = 0.0
+        self.unreachable = set()
+        self.loss_fraction = 0.0
         self.rng = random.Random(7)
 
     def channel(self, sender):
@@ -45,9 +45,9 @@
 
         class Channel:
             async def send(self, host, body):
-                if host in network.lost or sender in network.lost:
+                if host in network.unreachable or sender in network.unreachable:
                     return
-                if network.rng.random() < network.loss:
+                if network.rng.random() < network.loss_fraction:
                     return
                 await network.limiters[host].on_message(sender, body)
 
@@ -95,12 +95,12 @@
     return granted
 
 
-async def test_within_the_rate_all_are_granted():
+async def test_all_requests_within_the_rate_are_granted():
     network, clock, hosts = make_limiters()
     assert await demand(network, clock, hosts, 8, 20) == 160
 
 
-async def test_over_any_window_no_more_than_rate_and_burst():
+async def test_no_more_than_burst_and_rate_is_granted():
     network, clock, hosts = make_limiters()
     granted = await demand(network, clock, hosts, 80, 5)
     assert granted <= 10 * 5 + 20
@@ -109,15 +109,15 @@
 
 async def test_a_silent_home_is_replaced_by_equal_shares(autojump_clock):
     network, clock, hosts = make_limiters()
-    network.lost.add(find_home('shop', hosts))
-    others = [host for host in hosts if host not in network.lost]
+    network.unreachable.add(find_home('shop', hosts))
+    others = [host for host in hosts if host not in network.unreachable]
     granted = await demand(network, clock, others, 80, 5)
     assert 0 < granted <= 10 * 5 + 20
 
 
-async def test_lost_datagrams_are_sent_once_more(autojump_clock):
+async def test_a_lost_datagram_is_sent_again(autojump_clock):
     network, clock, hosts = make_limiters()
-    network.loss = 0.05
+    network.loss_fraction = 0.05
     granted = await demand(network, clock, hosts, 8, 20)
     assert granted >= 0.97 * 160
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -22,7 +22,7 @@
 from clementinedeal_bench._status_reader import get, put, read_executions
 from ports import free_address
 
-INSTANCES = 6
+INSTANCE_COUNT = 6
 # Time limit for a start, a publication or the first answers.
 START_SECONDS = 90
 # Duration of each fault, and of the check after the withdrawal of a key.
@@ -32,7 +32,7 @@
 
 def reduce_config(cfg: Config) -> Config:
     """Reduce to six instances, two targets per service and two accounts."""
-    names = sorted(cfg.instances)[:INSTANCES]
+    names = sorted(cfg.instances)[:INSTANCE_COUNT]
     return replace(
         cfg,
         services={
@@ -77,7 +77,7 @@
         settings = FleetSettings(
             folder=folder,
             platform_address=free_address(),
-            max_parallel_starts=INSTANCES,
+            max_parallel_starts=INSTANCE_COUNT,
         )
         self.fleet = Fleet(self.cfg, settings)
         self.records: list[CallRecord] = []
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -40,10 +40,10 @@
     preset = data.draw(st.sampled_from(PresetName))
     cfg = replace(cfg, accounts=kept, routes=tuple(routes), preset=preset)
     publication = pack(cfg).unwrap()
-    again = read_back(publication).unwrap()
-    assert replace(again, routes=cfg.routes) == cfg
-    assert set(again.routes) == set(cfg.routes)
-    assert pack(again).unwrap() == publication
+    unpacked = read_back(publication).unwrap()
+    assert replace(unpacked, routes=cfg.routes) == cfg
+    assert set(unpacked.routes) == set(cfg.routes)
+    assert pack(unpacked).unwrap() == publication
 
 
 @given(st.integers(0, 2399), st.booleans())
--- a/tests/test_queue.py
+++ b/tests/test_queue.py
@@ -13,7 +13,7 @@
 )
 from clementinedeal._verdict import Reason
 
-LIMIT = 4
+MAX_WAITING = 4
 ACCOUNTS = ('a', 'b', 'c')
 
 
@@ -25,7 +25,7 @@
         self.now = 0.0
         self.slots = 2
         self.draining = False
-        self.queue = TargetQueue(self.slots, LIMIT)
+        self.queue = TargetQueue(self.slots, MAX_WAITING)
         self.count = 0
         self.waiting: dict[str, tuple[str, float]] = {}
         self.running: list[str] = []
@@ -76,7 +76,7 @@
         late = self.queue.offer('late', 'a', self.now + 60, self.now)
         assert [type(each) for each in late] == [RejectRequest]
         self.running.clear()
-        self.queue = TargetQueue(self.slots, LIMIT)
+        self.queue = TargetQueue(self.slots, MAX_WAITING)
 
     def apply(self, actions: QueueActions) -> None:
         for action in actions:
@@ -109,7 +109,7 @@
 
     @invariant()
     def queue_is_short_and_work_conserving(self) -> None:
-        assert self.queue.waiting == len(self.waiting) <= LIMIT
+        assert self.queue.waiting == len(self.waiting) <= MAX_WAITING
         assert not self.waiting or len(self.running) >= self.slots
 
 
@@ -117,7 +117,7 @@
 
 
 def test_a_request_that_cannot_start_in_time_is_refused_at_once() -> None:
-    queue = TargetQueue(1, LIMIT)
+    queue = TargetQueue(1, MAX_WAITING)
     queue.offer('1', 'a', 10, 0)
     queue.finish('1', 2)
     queue.offer('2', 'a', 10, 2)
@@ -127,8 +127,8 @@
 
 
 def test_a_full_queue_evicts_from_the_account_with_most_requests() -> None:
-    queue = TargetQueue(1, LIMIT)
-    for index in range(LIMIT + 1):
+    queue = TargetQueue(1, MAX_WAITING)
+    for index in range(MAX_WAITING + 1):
         queue.offer(f'a{index}', 'a', 60, 0)
     (reject,) = queue.offer('b', 'b', 60, 0)
     assert reject == RejectRequest('a4', Reason.QUEUE_FULL, 0.1)
@@ -137,7 +137,7 @@
 
 
 def test_a_request_past_its_deadline_is_not_started() -> None:
-    queue = TargetQueue(1, LIMIT)
+    queue = TargetQueue(1, MAX_WAITING)
     queue.offer('1', 'a', 10, 0)
     queue.offer('2', 'a', 10, 0)
     (reject,) = queue.finish('1', 10)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,8 +10,8 @@
 from clementinedeal._routing import Availability, Router, TargetView
 from test_permits import make_config
 
-SIZE = 9
-NAMES = [f't{number}' for number in range(SIZE)]
+TARGET_COUNT = 9
+NAMES = [f't{number}' for number in range(TARGET_COUNT)]
 
 
 def instance(number: int) -> Instance:
@@ -27,8 +27,10 @@
 
 
 CFG = dataclasses.replace(
-    make_config(1, 6, frozenset(range(SIZE))),
-    instances={f'i{number}': instance(number) for number in range(SIZE)},
+    make_config(1, 6, frozenset(range(TARGET_COUNT))),
+    instances={
+        f'i{number}': instance(number) for number in range(TARGET_COUNT)
+    },
 )
 
 
@@ -115,7 +117,7 @@
 ) -> None:
     observe(router, 't8', Availability.TRIAL)
     trial_fraction = count_first(router)['t8'] / 3000
-    assert 0 < trial_fraction < 1 / SIZE
+    assert 0 < trial_fraction < 1 / TARGET_COUNT
     for _ in range(500):
         assert 't8' not in router.rank_targets('s', (), False, 10.0)
 
--- a/tests/test_slot_gate.py
+++ b/tests/test_slot_gate.py
@@ -14,15 +14,15 @@
 class GateClient:
     """A gate with one target, and the results of its waits by request."""
 
-    def __init__(self, share: float = 1.0) -> None:
+    def __init__(self, usable_fraction: float = 1.0) -> None:
         self.clock = VirtualClock()
-        self.share = share
+        self.usable_fraction = usable_fraction
         cfg = make_config(('a',))
         self.gate = QueuedSlotGate(
             'a',
             cfg,
             self.clock,
-            lambda target, now: self.share,
+            lambda target, now: self.usable_fraction,
         )
         self.gate.on_tick(0)
         self.results: dict[str, AttemptRefusal | None] = {}
@@ -37,12 +37,12 @@
 
 
 async def test_a_slow_start_uses_fewer_slots(nursery: trio.Nursery) -> None:
-    client = GateClient(share=0.3)
+    client = GateClient(usable_fraction=0.3)
     for number in range(4):
         nursery.start_soon(client.acquire, str(number))
     await trio.testing.wait_all_tasks_blocked()
     assert len(client.results) == 2
-    client.share = 1
+    client.usable_fraction = 1
     client.gate.on_tick(0)
     await trio.testing.wait_all_tasks_blocked()
     assert set(client.results.values()) == {None}
@@ -52,7 +52,7 @@
 async def test_an_ejection_rejects_waiting_requests(
     nursery: trio.Nursery,
 ) -> None:
-    client = GateClient(share=0.1)
+    client = GateClient(usable_fraction=0.1)
     nursery.start_soon(client.acquire, 'running')
     await trio.testing.wait_all_tasks_blocked()
     nursery.start_soon(client.acquire, 'waiting')
@@ -66,7 +66,7 @@
 
 
 async def test_a_caller_that_stops_waiting_takes_no_slot() -> None:
-    client = GateClient(share=0.1)
+    client = GateClient(usable_fraction=0.1)
     await client.acquire('running')
     with trio.move_on_after(0.01):
         await client.acquire('gone')
@@ -78,7 +78,7 @@
 async def test_a_request_that_waits_past_its_deadline_is_refused(
     nursery: trio.Nursery,
 ) -> None:
-    client = GateClient(share=0.1)
+    client = GateClient(usable_fraction=0.1)
     await client.acquire('running')
     nursery.start_soon(client.acquire, 'late', 1)
     await trio.testing.wait_all_tasks_blocked()
