Log and expose the limit and the end that a target names in its answers

Nothing showed that a target names a request limit or that it leaves, so a header that nobody reads could not be told from a limit that is lost or passed by. The dialect decodes Server-Limit (the lowest of several, finite, not negative) and Server-Leaving, the target's client reports them for answers that belong to their request, and the owner logs target-limit, target-limit-unreadable and target-leaving, with gauges target_limit and target_leaving. No decision uses them yet.

--- a/src/clementinedeal/mesh/_contracts.py
+++ b/src/clementinedeal/mesh/_contracts.py
@@ -132,6 +132,20 @@
     caller_service: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetStatement:
+    """What a target says of itself in the headers of an answer.
+
+    ``request_limit`` is how many requests a second it takes from all daemons
+    together, None if it names no limit. ``limit_unreadable``: it names one that
+    is not a number. ``leaving``: it accepts no new requests and will end.
+    """
+
+    request_limit: float | None = None
+    limit_unreadable: bool = False
+    leaving: bool = False
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class AnswerHeaders:
     """The decoded headers of a target's answer.
@@ -142,6 +156,7 @@
     the answer carries the mark that the target's server sets. ``encoded``:
     the body has a content encoding. ``closing``: the target closes the
     connection. ``idle_seconds`` is how long it keeps an idle connection.
+    ``statement`` is what the target says of itself.
     """
 
     not_run: bool
@@ -151,6 +166,7 @@
     misdirected: bool
     closing: bool
     idle_seconds: float | None = None
+    statement: TargetStatement = TargetStatement()
 
 
 class Dialect(Protocol):
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -288,6 +288,8 @@
             target_running=lambda: owner.slot_queue.running,
             target_waiting=lambda: owner.slot_queue.waiting,
             target_slots=lambda: owner.slot_queue.slots,
+            target_limit=owner.limit.gauge,
+            target_leaving=lambda: owner.limit.is_leaving,
             platform_calls=lambda: self._platform.calls,
             log_lines_left_out=lambda: self.count_dropped_lines(),
         )
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -20,6 +20,7 @@
 )
 from clementinedeal.mesh._slots import Rank, SlotQueue
 from clementinedeal.mesh._target_client import BufferedRequest, TargetClient
+from clementinedeal.mesh._target_limit import TargetLimit
 from clementinedeal.mesh._types import Target
 
 # A refused connection means that the target is down; it is tried again after
@@ -74,6 +75,8 @@
         self.health = HealthTracker(
             parts.clock, parts.events, parts.call_failures
         )
+        self.limit = TargetLimit(parts.clock, parts.events)
+        parts.target_client.on_statement.append(self.limit.on_statement)
         self.slot_queue = SlotQueue(DEFAULT_SLOTS)
         self.executions = MeshExecutionTable(parts.clock)
         self._down_until = 0.0
@@ -112,6 +115,7 @@
         )
         if not is_same_process:
             self.health.reset(target.name)
+            self.limit.reset(target.name)
             self._down_until = 0
         self.slot_queue.slots = target.slots
         self.slot_queue.fill_free_slots()
--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -1,6 +1,7 @@
 """HTTP client for the target beside this daemon."""
 
 import collections
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import trio
@@ -21,7 +22,12 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh._contracts import AnswerHeaders, CallContext, Dialect
+from clementinedeal.mesh._contracts import (
+    AnswerHeaders,
+    CallContext,
+    Dialect,
+    TargetStatement,
+)
 from clementinedeal.mesh._idle_limit import IdleLimit
 from clementinedeal.mesh._outcomes import MeshOutcome, not_run
 
@@ -74,6 +80,8 @@
 
     Each answer is matched to its request by the request id that the target
     returns: a target may send answers to earlier requests on a connection.
+    Handlers in ``on_statement`` are called with what the target says of itself
+    and when the request was sent, in monotonic seconds.
     """
 
     def __init__(
@@ -101,6 +109,7 @@
         self._refused_ids: collections.deque[str] = collections.deque(
             maxlen=MAX_REFUSED_IDS
         )
+        self.on_statement: list[Callable[[TargetStatement, float], None]] = []
 
     async def call(
         self, request: BufferedRequest, context: CallContext
@@ -178,6 +187,7 @@
 
         The second is in seconds, None if the connection must be closed.
         """
+        sent_at = self._clock.now()
         added = self._dialect.target_headers(request.headers, context)
         if request.body or request.method not in {'GET', 'HEAD'}:
             length = (CONTENT_LENGTH, b'%d' % len(request.body))
@@ -185,7 +195,7 @@
         head = RequestHead(request.method, request.path, added)
         if len(request.body) <= MAX_BUFFERED_BODY_BYTES:
             await conn.send_whole(head, request.body)
-            return await self._read_answer(conn, context)
+            return await self._read_answer(conn, context, sent_at)
         body_sent = trio.Event()
         answer: tuple[MeshOutcome, float | None] | ProtocolError
         async with trio.open_nursery() as nursery:
@@ -193,7 +203,7 @@
                 _send_request, conn, head, request.body, body_sent
             )
             try:
-                answer = await self._read_answer(conn, context)
+                answer = await self._read_answer(conn, context, sent_at)
             except (ConnLostError, HttpError) as exc:
                 answer = exc
             nursery.cancel_scope.cancel()
@@ -206,6 +216,7 @@
         self,
         conn: ClientConn,
         context: CallContext,
+        sent_at: float,
     ) -> tuple[MeshOutcome, float | None]:
         for _ in range(MAX_FOREIGN_ANSWERS):
             head = await conn.read_head()
@@ -223,6 +234,9 @@
             conn.discard_answer()
         else:
             return _may_have_run(Reason.ANSWER_WRONG), None
+        if is_own and not answer_headers.misdirected:
+            for handler in self.on_statement:
+                handler(answer_headers.statement, sent_at)
         conn.answered_ids.append(context.req_id)
         idle = (
             None
--- a/src/clementinedeal/platform/_dialect.py
+++ b/src/clementinedeal/platform/_dialect.py
@@ -12,6 +12,7 @@
     AnswerHeaders,
     CallContext,
     CallerHeaders,
+    TargetStatement,
 )
 
 _ATTEMPT_ID = b'attempt-id'
@@ -22,6 +23,8 @@
 _AUTHORIZATION = b'authorization'
 _NOT_RUN = b'not-executed'
 _SEAL = b'server-seal'
+_REQUEST_LIMIT = b'server-limit'
+_LEAVING = b'server-leaving'
 _BEARER = b'bearer '
 _READY_PATH = '/-/ready'
 _MISDIRECTED = 421
@@ -80,6 +83,7 @@
             misdirected=misdirected,
             closing=b'close' in (head.header(b'connection') or b'').lower(),
             idle_seconds=_decode_idle_seconds(head.headers),
+            statement=_decode_statement(head.headers),
         )
 
     def is_ready_check(self, head: RequestHead) -> bool:
@@ -110,6 +114,35 @@
     return raw[len(_BEARER) :].strip().decode('latin-1')
 
 
+def _decode_statement(headers: Headers) -> TargetStatement:
+    """Decode what a target says of itself.
+
+    The lowest of several limits counts.
+    """
+    named = [
+        part
+        for name, text in headers
+        if name == _REQUEST_LIMIT
+        for part in text.split(b',')
+    ]
+    limits = [limit for limit in map(_decode_limit, named) if limit is not None]
+    leaving = find_header(headers, _LEAVING) or b''
+    return TargetStatement(
+        request_limit=min(limits, default=None),
+        limit_unreadable=bool(named) and not limits,
+        leaving=leaving.strip() == b'1',
+    )
+
+
+def _decode_limit(raw: bytes) -> float | None:
+    """Return a limit in requests per second, None if it is not valid."""
+    try:
+        limit = float(raw)
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
 def _decode_idle_seconds(headers: Headers) -> float | None:
     for part in (find_header(headers, b'keep-alive') or b'').split(b','):
         name, _, amount = part.strip().partition(b'=')
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -47,6 +47,7 @@
 
     def __init__(self):
         self.runs = 0
+        self.on_statement = []
 
     async def call(self, message, context):
         self.runs += 1
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,6 +12,7 @@
     CallContext,
     HistoryGoneError,
     SourceError,
+    TargetStatement,
 )
 from clementinedeal.platform import PlatformDialect, PlatformStore, load_node
 
@@ -198,6 +199,28 @@
     assert not read(ResponseHead(503, ())).not_run
 
 
+@pytest.mark.parametrize(
+    ('headers', 'statement'),
+    [
+        ((), TargetStatement()),
+        (((b'server-limit', b'2.8'),), TargetStatement(request_limit=2.8)),
+        (((b'server-limit', b'0'),), TargetStatement(request_limit=0)),
+        (
+            ((b'server-limit', b'5'), (b'server-limit', b'3, x')),
+            TargetStatement(request_limit=3),
+        ),
+        (((b'server-limit', b'soon'),), TargetStatement(limit_unreadable=True)),
+        (((b'server-limit', b'nan'),), TargetStatement(limit_unreadable=True)),
+        (((b'server-limit', b'-1'),), TargetStatement(limit_unreadable=True)),
+        (((b'server-leaving', b'1'),), TargetStatement(leaving=True)),
+        (((b'server-leaving', b'0'),), TargetStatement()),
+    ],
+)
+def test_statements_of_targets_are_decoded(headers, statement):
+    answer = PlatformDialect().read_answer(ResponseHead(200, headers))
+    assert answer.statement == statement
+
+
 @pytest.mark.parametrize(
     ('headers', 'timeout', 'key'),
     [
