Keep targets within the request limit and the end that they name

What callers saw: nothing yet; what targets saw: one that named a limit of 1 request a second got 26 in 4 s, 11 allowed, and was driven on while it was in need. A target that says in its answers that it leaves still got requests.

A limited target that answers fast looks free and well, so it attracted more.

Fix: the owner is the only caller of its target, so it counts alone: a token bucket at the named limit, empty at first, a second's worth at most. The token is taken with the slot, which every way to the target passes: first tries, repeats, takeovers, trials, calls. Tokens go by rank. Beyond them the owner refuses (target-limited): no arrival, no repeat, no evidence of sickness. Entries keep the limit that came with an outcome and name it with each attempt, so a restarted owner starts from an empty bucket. An answer without a limit ends it only if its request was sent after the limit was named; a limit under 0.2 a second is tried once in 5 s, or its end could not be heard. A process that says it leaves gets nothing further from its owner, nor from an entry that heard it. If all targets of a service are limited, a request is rejected at once and Retry-After spreads the return at the sum of the limits.

Ruled out: a limit lost at a stop (no limited target was at the stopped instance), ways past the counter (the excess were first tries).

--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -22,7 +22,8 @@
     ``KEY_MISSING`` and ``KEY_UNKNOWN`` concern the API key. ``IN_PROGRESS``,
     ``KEEPER_UNAVAILABLE`` and ``KEY_REUSED`` concern the idempotency key, and
     so does ``DUPLICATE``, unless it refuses an attempt id that was used before.
-    ``NO_TARGET`` means that the request could be sent to no target,
+    ``TARGET_LIMITED`` means that the request exceeds the request limit that the
+    target names, ``NO_TARGET`` that the request could be sent to no target,
     ``OWNER_LOST`` that the connection to an owner broke.
     """
 
@@ -39,6 +40,7 @@
     NO_TARGET = 'no-target'
     TARGET_EJECTED = 'target-ejected'
     QUEUE_FULL = 'queue-full'
+    TARGET_LIMITED = 'target-limited'
     DEADLINE = 'deadline'
     DRAINING = 'draining'
     CANCELLED = 'cancelled'
--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -6,19 +6,13 @@
 
 import random
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
 
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason
 from clementinedeal.mesh._outcomes import MeshOutcome, TargetCondition
+from clementinedeal.mesh._target_observation import TargetObservation
 from clementinedeal.mesh._types import Target
 
-# The last known condition of a target loses half its weight in this time; the
-# estimate returns to the defaults.
-HALF_LIFE_SECONDS = 4.0
-# Load and risk assumed of a target whose condition is unknown.
-DEFAULT_LOAD = 0.4
-DEFAULT_RISK = 0.25
 # Costs are in the unit of load: 1 is all slots of a target. Traffic between
 # availability zones is charged for, but a failed request that cannot be retried
 # costs many times as much. A nearly full target makes requests wait.
@@ -60,24 +54,6 @@
 BYTES_PER_KILOBYTE = 1024
 
 
-@dataclass(slots=True)
-class TargetObservation:
-    """The last known condition of a target, as this entry observed it.
-
-    ``load`` is the fraction of slots in use, above 1 with a queue. ``risk`` is
-    the probability that the target is sick. ``wait`` is the expected time in
-    its queue, in seconds. ``observed_at`` and ``avoid_until`` are monotonic
-    seconds. ``in_flight`` counts the attempts that this entry has there.
-    """
-
-    load: float = DEFAULT_LOAD
-    risk: float = DEFAULT_RISK
-    wait: float = 0.0
-    observed_at: float = float('-inf')
-    avoid_until: float = float('-inf')
-    in_flight: int = 0
-
-
 class Balancer:
     """Ranks the targets of a service by load, risk and distance."""
 
@@ -113,9 +89,12 @@
         by_service: dict[str, list[Target]] = {}
         for target in targets:
             by_service.setdefault(target.service, []).append(target)
-            if target.name not in self._observations:
-                self._observations[target.name] = TargetObservation()
+            observation = self._observations.get(target.name)
+            if observation is None:
+                observation = TargetObservation()
+                self._observations[target.name] = observation
                 self._warmup_until[target.name] = now + target.warmup_seconds
+            observation.set_process(target.slots, target.started_ms)
         self._by_service = by_service
         names = {one.name for group in by_service.values() for one in group}
         for name in self._observations.keys() - names:
@@ -123,13 +102,35 @@
             del self._warmup_until[name]
 
     def available_targets(self, service: str) -> list[Target]:
-        """Return the targets of a service that are not draining.
+        """Return the targets of a service that do not leave.
 
         :param service: name of the service.
         """
         return [
-            one for one in self._by_service.get(service, ()) if not one.draining
+            one
+            for one in self._by_service.get(service, ())
+            if not (one.draining or self._observation(one).is_leaving())
+        ]
+
+    def known_limit(self, target: Target) -> float | None:
+        """Return the request limit that a target names, None if none is known.
+
+        :param target: the target.
+        """
+        return self._observation(target).limit
+
+    def total_limit(self, service: str) -> float | None:
+        """Return the sum of the targets' request limits, per second.
+
+        :param service: name of the service.
+        :return: None if it has no targets or one that names no limit.
+        """
+        limits = [
+            self._observation(one).limit
+            for one in self.available_targets(service)
         ]
+        named = [limit for limit in limits if limit is not None]
+        return sum(named) if named and len(named) == len(limits) else None
 
     def choose_candidates(self, service: str) -> list[Target]:
         """Return the targets that one request chooses among.
@@ -182,9 +183,9 @@
         observation = self._observation(target)
         return (
             self.is_known(target)
-            and now >= observation.avoid_until
+            and not observation.is_avoided(now)
             and observation.risk <= PROMISING_RISK
-            and self._estimate_load(target, now) < 1
+            and observation.estimate_load(now) < 1
         )
 
     def on_condition(self, name: str, state: TargetCondition) -> None:
@@ -195,7 +196,7 @@
         """
         observation = self._observations.get(name)
         if observation is not None:
-            self._record_condition(observation, state, self._clock.now())
+            observation.record(state, self._clock.now())
 
     def on_silent(self, name: str) -> None:
         """Avoid a target whose owner did not reply.
@@ -243,8 +244,8 @@
         """
         now = self._clock.now()
         return any(
-            self._estimate_load(one, now) < NEARLY_FULL_LOAD
-            and now >= self._observation(one).avoid_until
+            self._observation(one).estimate_load(now) < NEARLY_FULL_LOAD
+            and not self._observation(one).is_avoided(now)
             for one in self.available_targets(service)
             if one.name not in excluded
         )
@@ -286,7 +287,7 @@
             return
         now = self._clock.now()
         if outcome.state is not None:
-            self._record_condition(observation, outcome.state, now)
+            observation.record(outcome.state, now)
         if outcome.reason is not None:
             pause = AVOID_SECONDS.get(outcome.reason, 0)
             observation.avoid_until = max(observation.avoid_until, now + pause)
@@ -304,28 +305,11 @@
     def _observation(self, target: Target) -> TargetObservation:
         return self._observations.get(target.name) or TargetObservation()
 
-    def _record_condition(
-        self, observation: TargetObservation, state: TargetCondition, now: float
-    ) -> None:
-        busy = state.running + state.waiting
-        observation.load = busy / max(1, state.slots)
-        observation.risk = state.risk
-        observation.wait = state.wait
-        observation.observed_at = now
-
-    def _estimate_load(self, target: Target, now: float) -> float:
-        """Return the load that a target is expected to have now."""
-        observation = self._observation(target)
-        load = DEFAULT_LOAD + (
-            observation.load - DEFAULT_LOAD
-        ) * _recency_weight(observation, now)
-        return max(load, observation.in_flight / max(1, target.slots))
-
     def _estimate_cost(
         self, target: Target, now: float, *, avoid_risk: bool
     ) -> float:
         observation = self._observations[target.name]
-        cost = self._estimate_load(target, now)
+        cost = observation.estimate_load(now)
         cost += NEARLY_FULL_COST * max(0, cost - NEARLY_FULL_LOAD)
         cost += JITTER_COST * self._rng.random()
         if target.zone != self._zone:
@@ -335,17 +319,9 @@
         elif target.host != self._host:
             cost += OTHER_INSTANCE_COST
         if avoid_risk:
-            weight = _recency_weight(observation, now)
-            risk = DEFAULT_RISK + (observation.risk - DEFAULT_RISK) * weight
-            cost += RISK_COST * risk
+            cost += RISK_COST * observation.estimate_risk(now)
         if now < self._warmup_until[target.name]:
             cost += WARMUP_COST
-        if now < observation.avoid_until:
+        if observation.is_avoided(now):
             cost += AVOIDED_COST
         return cost
-
-
-def _recency_weight(observation: TargetObservation, now: float) -> float:
-    """Return the weight of an observation, from 1 when new down to 0."""
-    weight: float = 0.5 ** ((now - observation.observed_at) / HALF_LIFE_SECONDS)
-    return weight
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -142,6 +142,7 @@
                 self._targets.follow_list, self._settings.target_address
             ),
             self._targets.follow_own,
+            self._owner.slot_queue.run,
             self._watch_settings,
             self._update_daemon_count,
         ]
--- a/src/clementinedeal/mesh/_outcomes.py
+++ b/src/clementinedeal/mesh/_outcomes.py
@@ -23,6 +23,9 @@
     Three flags matter for a suspect target. ``insist``: the attempt runs there
     even so. ``scout``: it may be used as a trial. ``spare``: a failure can
     be retried at another target, so it may be used as a trial, less often.
+
+    ``limit`` is the request limit that the entry knows the target to name, in
+    requests per second, None if it knows none.
     """
 
     attempt: str
@@ -38,6 +41,7 @@
     insist: bool = False
     scout: bool = False
     spare: bool = False
+    limit: float | None = None
 
 
 class TargetCondition(
@@ -48,6 +52,11 @@
     ``risk`` is the probability that the target is sick. ``running`` and
     ``waiting`` count attempts, ``slots`` is how many may run at once. ``wait``
     is the expected time in the queue, in seconds.
+
+    ``limit`` is the request limit that the target names, in requests per
+    second, None if it names none, and ``pause`` how long it takes no request by
+    that limit, in seconds. ``leaving_ms`` is the start, in Unix milliseconds,
+    of the process that says in its answers that it leaves, None if it does not.
     """
 
     risk: float
@@ -55,6 +64,9 @@
     waiting: int
     slots: int
     wait: float
+    limit: float | None = None
+    pause: float = 0.0
+    leaving_ms: int | None = None
 
 
 class OutcomeHeader(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -1,5 +1,6 @@
 """The owner of the target on this daemon's instance."""
 
+import math
 from dataclasses import dataclass
 
 import trio
@@ -8,7 +9,7 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._call_failures import CallFailures
-from clementinedeal.mesh._contracts import CallContext
+from clementinedeal.mesh._contracts import CallContext, TargetStatement
 from clementinedeal.mesh._executions import Execution, MeshExecutionTable
 from clementinedeal.mesh._health_tracker import HealthTracker
 from clementinedeal.mesh._metrics import DaemonMetrics
@@ -76,8 +77,8 @@
             parts.clock, parts.events, parts.call_failures
         )
         self.limit = TargetLimit(parts.clock, parts.events)
-        parts.target_client.on_statement.append(self.limit.on_statement)
-        self.slot_queue = SlotQueue(DEFAULT_SLOTS)
+        parts.target_client.on_statement.append(self._on_statement)
+        self.slot_queue = SlotQueue(DEFAULT_SLOTS, self.limit)
         self.executions = MeshExecutionTable(parts.clock)
         self._down_until = 0.0
         self._running_ranks: list[Rank] = []
@@ -92,7 +93,7 @@
         """Name of the target that accepts requests, empty if there is none."""
         target = self.target
         is_down = self._parts.clock.now() < self._down_until
-        if target is None or target.draining or self._is_stopping or is_down:
+        if target is None or self._is_leaving() or is_down:
             return ''
         return target.name
 
@@ -115,8 +116,8 @@
         )
         if not is_same_process:
             self.health.reset(target.name)
-            self.limit.reset(target.name)
             self._down_until = 0
+        self.limit.set_process(target.name, target.started_ms)
         self.slot_queue.slots = target.slots
         self.slot_queue.fill_free_slots()
 
@@ -133,12 +134,24 @@
     def target_condition(self) -> TargetCondition:
         """Return the target's condition, for entries."""
         slot_queue = self.slot_queue
+        limit = self.limit.limit
+        slots = slot_queue.slots
+        if limit is not None:
+            # as many slots as requests run at once at that rate
+            usable = math.ceil(limit * slot_queue.mean_service_seconds)
+            slots = max(1, min(slots, usable))
+        is_leaving = self.target is not None and self.limit.is_leaving
         return TargetCondition(
             risk=round(self.health.risk, 3),
             running=slot_queue.running,
             waiting=slot_queue.waiting,
-            slots=slot_queue.slots,
+            slots=slots,
             wait=round(slot_queue.expected_wait((0, 0)), 3),
+            limit=limit,
+            pause=round(self.limit.seconds_until_open(), 3),
+            leaving_ms=self.target.started_ms
+            if self.target and is_leaving
+            else None,
         )
 
     def submit(
@@ -160,6 +173,9 @@
         )
         if not self.executions.add(execution):
             return None
+        is_for_target = self.target and attempt.target == self.target.name
+        if attempt.limit is not None and is_for_target:
+            self.limit.on_reported(attempt.limit)
         self._live_executions.add(execution)
         self._parts.nursery.start_soon(self._run, execution)
         return execution
@@ -219,12 +235,14 @@
         refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
         if refusal is not None:
             return not_run(refusal, self.target_condition())
-        if self.slot_queue.expected_wait(attempt.rank) > attempt.wait:
-            return not_run(Reason.QUEUE_FULL, self.target_condition())
-        if not await self._wait_for_slot(attempt):
+        expected_wait = self.slot_queue.expected_wait(attempt.rank)
+        if expected_wait > attempt.wait or not await self._wait_for_slot(
+            attempt
+        ):
             refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
             return not_run(
-                refusal or Reason.QUEUE_FULL, self.target_condition()
+                refusal or self.slot_queue.full_reason(),
+                self.target_condition(),
             )
         started = self._parts.clock.now()
         try:
@@ -265,6 +283,18 @@
             self._parts.metrics.observe('queue_seconds', elapsed)
         return acquired
 
+    def _on_statement(self, statement: TargetStatement, sent_at: float) -> None:
+        """Apply what the target says in an answer."""
+        self.limit.on_statement(statement, sent_at)
+        if self.limit.is_leaving:
+            self._cancel_queued()
+        self.slot_queue.fill_free_slots()
+
+    def _is_leaving(self) -> bool:
+        """Whether the target, or this daemon, accepts no more requests."""
+        is_draining = self.target is not None and self.target.draining
+        return self._is_stopping or is_draining or self.limit.is_leaving
+
     def _cancel_queued(self) -> None:
         for scope in self._queue_scopes:
             scope.cancel()
@@ -278,12 +308,14 @@
         :param ignore_risk: whether it may go to a suspect target.
         """
         target = self.target
-        if self._is_stopping or (target is not None and target.draining):
+        if self._is_leaving():
             return Reason.DRAINING
         if target is None or self._parts.clock.now() < self._down_until:
             return Reason.NO_TARGET
         if attempt.target != target.name:
             return Reason.WRONG_INCARNATION
+        if not self.limit.accepts(idempotent=attempt.idempotent):
+            return Reason.TARGET_LIMITED
         is_allowed = ignore_risk or self.health.is_trusted
         return None if is_allowed else Reason.TARGET_EJECTED
 
@@ -317,7 +349,10 @@
             self._down_until = self._parts.clock.now() + DOWN_RETRY_SECONDS
         elapsed = self._parts.clock.now() - started
         self._parts.metrics.observe('target_seconds', elapsed)
-        self.health.on_outcome(outcome, elapsed)
+        is_limited = self.limit.limit is not None
+        if not (is_limited and outcome.reason is Reason.QUEUE_FULL):
+            # a rejection by a target that names a limit is no sign of sickness
+            self.health.on_outcome(outcome, elapsed)
         return outcome
 
     def _record_end(self, execution: Execution, outcome: MeshOutcome) -> None:
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -36,6 +36,8 @@
 HOLD_PAUSE_SECONDS = 0.1
 # Retry-After for refused callers, as a fraction of the objective.
 RETRY_AFTER_FRACTION = 0.4
+# Refusals of targets that may accept the request later.
+_FULL_REASONS = (Reason.QUEUE_FULL, Reason.TARGET_LIMITED)
 
 
 class RetryTokens(Protocol):
@@ -308,7 +310,7 @@
         A suspect target is tried once as a trial, then the request queues at
         busy targets, then it insists on a suspect one.
         """
-        full = self._targets_refused_for(ranked, Reason.QUEUE_FULL)
+        full = self._targets_refused_for(ranked, *_FULL_REASONS)
         busy = [one for one in full if one.name not in self._queued_targets]
         suspect = self._targets_refused_for(ranked, Reason.TARGET_EJECTED)
         if busy and suspect and not self._has_scouted:
@@ -363,12 +365,17 @@
         )
 
     def _targets_refused_for(
-        self, ranked: list[Target], reason: Reason
+        self, ranked: list[Target], *reasons: Reason
     ) -> list[Target]:
-        return [one for one in ranked if self._refusals.get(one.name) is reason]
+        return [
+            one for one in ranked if self._refusals.get(one.name) in reasons
+        ]
 
     def _hold(self, now: float) -> Step:
         """Return a pause before another round, or the end of the request."""
+        is_limited = set(self._refusals.values()) == {Reason.TARGET_LIMITED}
+        if is_limited and self._balancer.total_limit(self._service) is not None:
+            return FinishStep(outcome=self.conclude(Reason.TARGET_LIMITED))
         if self._hold_until is None:
             hold = HOLD_FRACTION * self._route.objective
             self._hold_until = min(now + hold, self._deadline)
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -3,7 +3,7 @@
 import functools
 import itertools
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -85,6 +85,7 @@
         self._running_attempts: set[PendingAttempt] = set()
         self._keeps_overdue = False
         self._is_closing = False
+        self._returns_until: dict[str, float] = {}
         self.daemon_count = 1
 
     @property
@@ -138,7 +139,7 @@
                 await parts.condition_probe.ask(targets)
             match plan.next_step(parts.clock.now()):
                 case FinishStep(outcome=outcome):
-                    return outcome
+                    return self._schedule_return(admitted, outcome)
                 case _ if self._is_closing:
                     return plan.conclude(Reason.DRAINING)
                 case PauseStep(seconds=seconds):
@@ -349,8 +350,29 @@
             insist=step.insist,
             scout=step.scout,
             spare=step.spare,
+            limit=parts.balancer.known_limit(step.target),
         )
 
+    def _schedule_return(
+        self, admitted: AdmittedRequest, outcome: MeshOutcome
+    ) -> MeshOutcome:
+        """Set when a caller refused for the targets' limits should return.
+
+        Returns are spread evenly, at this daemon's share of the limits.
+        """
+        if outcome.reason is not Reason.TARGET_LIMITED:
+            return outcome
+        service = admitted.service
+        limit = self._parts.balancer.total_limit(service)
+        if not limit:
+            return replace(outcome, retry_after=admitted.route.timeout)
+        now = self._parts.clock.now()
+        former = self._returns_until.get(service, now)
+        returns_at = max(now, former) + self.daemon_count / limit
+        returns_at = min(returns_at, now + admitted.route.timeout)
+        self._returns_until[service] = returns_at
+        return replace(outcome, retry_after=returns_at - now)
+
     def _rank(self, admitted: AdmittedRequest) -> Rank:
         """Return the rank of a request in queues.
 
--- /dev/null
+++ b/src/clementinedeal/mesh/_target_observation.py
@@ -0,0 +1,103 @@
+"""What an entry knows of one target."""
+
+from dataclasses import dataclass
+
+from clementinedeal.mesh._outcomes import TargetCondition
+
+# The last known condition of a target loses half its weight in this time; the
+# estimate returns to the defaults.
+HALF_LIFE_SECONDS = 4.0
+# Load and risk assumed of a target whose condition is unknown.
+DEFAULT_LOAD = 0.4
+DEFAULT_RISK = 0.25
+
+
+@dataclass(slots=True)
+class TargetObservation:
+    """The last known condition of a target, as this entry observed it.
+
+    ``load`` is the fraction of slots in use, above 1 with a queue. ``risk`` is
+    the probability that the target is sick. ``wait`` is the expected time in
+    its queue, in seconds. ``observed_at`` and ``avoid_until`` are monotonic
+    seconds. ``in_flight`` counts the attempts that this entry has there.
+
+    ``slots`` is how many requests the target can run at once. ``limit`` is the
+    request limit that it names, in requests per second; by it, it accepts no
+    request until ``paused_until``. Its processes that were started up to
+    ``leaving_ms`` leave. ``started_ms`` is the start of the listed process.
+    """
+
+    load: float = DEFAULT_LOAD
+    risk: float = DEFAULT_RISK
+    wait: float = 0.0
+    observed_at: float = float('-inf')
+    avoid_until: float = float('-inf')
+    in_flight: int = 0
+    slots: int = 1
+    limit: float | None = None
+    paused_until: float = float('-inf')
+    leaving_ms: int | None = None
+    started_ms: int = -1
+
+    def set_process(self, slots: int, started_ms: int) -> None:
+        """Forget the request limit of any process but the listed one.
+
+        :param slots: slots of the listed process.
+        :param started_ms: its start in Unix milliseconds.
+        """
+        if self.started_ms == started_ms:
+            return
+        self.started_ms = started_ms
+        self.slots = slots
+        self.limit = None
+        self.paused_until = float('-inf')
+
+    def record(self, state: TargetCondition, now: float) -> None:
+        """Record a condition.
+
+        :param state: the condition, as the owner sent it.
+        :param now: monotonic time in seconds.
+        """
+        busy = state.running + state.waiting
+        self.load = busy / max(1, state.slots)
+        self.risk = state.risk
+        self.wait = state.wait
+        self.observed_at = now
+        self.slots = state.slots
+        self.limit = state.limit
+        self.paused_until = now + state.pause
+        if state.leaving_ms is not None:
+            self.leaving_ms = state.leaving_ms
+
+    def is_leaving(self) -> bool:
+        """Whether the listed process has said that it leaves."""
+        return self.leaving_ms is not None and (
+            self.started_ms <= self.leaving_ms
+        )
+
+    def is_avoided(self, now: float) -> bool:
+        """Whether the target accepts no request now, as far as is known.
+
+        :param now: monotonic time in seconds.
+        """
+        return now < max(self.avoid_until, self.paused_until)
+
+    def estimate_load(self, now: float) -> float:
+        """Return the load that the target is expected to have.
+
+        :param now: monotonic time in seconds.
+        """
+        load = DEFAULT_LOAD + (self.load - DEFAULT_LOAD) * self._weight(now)
+        return max(load, self.in_flight / max(1, self.slots))
+
+    def estimate_risk(self, now: float) -> float:
+        """Return the probability that the target is sick.
+
+        :param now: monotonic time in seconds.
+        """
+        return DEFAULT_RISK + (self.risk - DEFAULT_RISK) * self._weight(now)
+
+    def _weight(self, now: float) -> float:
+        """Return the weight of what was observed, from 1 when new to 0."""
+        weight: float = 0.5 ** ((now - self.observed_at) / HALF_LIFE_SECONDS)
+        return weight
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -209,7 +209,8 @@
 
     ``executed`` holds the requests that it ran as tuples of attempt id, path,
     headers and body. ``disconnects`` counts the connections that were closed
-    while it hung, ``work_seconds`` is how long a request takes. ``runs`` is
+    while it hung, ``work_seconds`` is how long a request takes and
+    ``answer_headers`` are added to its answers. ``runs`` is
     for targets that record the times of their runs.
     """
 
@@ -221,6 +222,7 @@
         self.runs = []
         self.disconnects = 0
         self.work_seconds = 0.0
+        self.answer_headers = ()
 
     async def start(self, nursery):
         server = HttpServer(
@@ -255,7 +257,11 @@
         status = 500 if self.mode == 'fail' else 200
         if self.mode == 'foreign':
             attempt_id = b'another'
-        answer_headers = ((b'attempt-id', attempt_id), (b'server-seal', b's'))
+        answer_headers = (
+            (b'attempt-id', attempt_id),
+            (b'server-seal', b's'),
+            *self.answer_headers,
+        )
         if self.mode == 'endless':
             await conn.start_answer(200, answer_headers)
             # longer than any limit, but bounded to protect the test machine
--- a/tests/test_mesh_target_limit.py
+++ b/tests/test_mesh_target_limit.py
@@ -1,6 +1,9 @@
 """Targets that name a request limit, or their end, in their answers."""
 
 import bisect
+import random
+from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 import trio
@@ -8,18 +11,25 @@
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
 from clementinedeal._verdict import Reason, Verdict
+from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._contracts import TargetStatement
 from clementinedeal.mesh._metrics import DaemonMetrics
-from clementinedeal.mesh._outcomes import MeshAttempt, MeshOutcome
+from clementinedeal.mesh._outcomes import (
+    MeshAttempt,
+    MeshOutcome,
+    TargetCondition,
+    not_run,
+)
 from clementinedeal.mesh._owner import MeshOwner, MeshOwnerParts
+from clementinedeal.mesh._plan import FinishStep, Plan, SendStep
+from clementinedeal.mesh._sender import Sender
 from clementinedeal.mesh._target_client import BufferedRequest
 from clementinedeal.mesh._target_limit import TargetLimit
-from clementinedeal.mesh._types import Target
+from clementinedeal.mesh._types import RouteRule, Target, WeightedService
 
 NOTHING = TargetStatement()
 REQUEST = BufferedRequest('GET', '/', (), b'')
-WORK_SECONDS = 0.2
 # the rule of the platform: requests in WINDOW_SECONDS, from SETTLED_SECONDS on
 WINDOW_SECONDS = 4
 SETTLED_SECONDS = 3
@@ -39,11 +49,12 @@
         self.statement = NOTHING
         self.on_statement = []
         self.arrivals = []
+        self.work_seconds = 0.2
 
     async def call(self, request, context):
         sent_at = trio.current_time()
         self.arrivals.append(sent_at)
-        await trio.sleep(WORK_SECONDS)
+        await trio.sleep(self.work_seconds)
         for handler in self.on_statement:
             handler(self.statement, sent_at)
         return MeshOutcome(verdict=Verdict.RAN, reached=True, status=200)
@@ -75,6 +86,7 @@
     owner.set_target(
         Target(name='t1', service='s', address='h:1', zone='a', slots=7)
     )
+    nursery.start_soon(owner.slot_queue.run)
     return owner
 
 
@@ -138,7 +150,7 @@
 def make_limit():
     clock = VirtualClock(100.0)
     limit = TargetLimit(clock, EventLog('i', '1'))
-    limit.reset('t1')
+    limit.set_process('t1', 5)
     return limit, clock
 
 
@@ -165,6 +177,185 @@
     limit.on_statement(
         TargetStatement(request_limit=2, leaving=True), sent_at=99.0
     )
-    limit.reset('t2')
+    limit.set_process('t1', 6)
     assert limit.limit is None
     assert not limit.is_leaving
+
+
+async def test_restarted_owner_keeps_the_limit_that_entries_know(
+    nursery, autojump_clock
+):
+    target = SpeakingTarget()
+    target.statement = limited(1)
+    target.work_seconds = 3.0
+    owner = make_owner(target, nursery)
+    await submit_steadily(owner, 4, insist=True, limit=1.0)
+    assert target.most_arrivals(since=0) <= 1.5 * WINDOW_SECONDS + 5
+
+
+async def test_first_answer_ends_a_limit_known_only_to_entries(
+    nursery, autojump_clock
+):
+    target = SpeakingTarget()
+    owner = make_owner(target, nursery)
+    await submit_steadily(owner, 4, insist=True, limit=1.0)
+    assert owner.limit.limit is None
+    assert target.most_arrivals(since=2) > 20
+
+
+async def test_next_token_goes_to_the_most_urgent_request(
+    nursery, autojump_clock
+):
+    target = SpeakingTarget()
+    target.statement = limited(1)
+    owner = make_owner(target, nursery)
+    await owner.submit(make_attempt('first'), REQUEST).done.wait()
+    late = owner.submit(make_attempt('late', rank=(2, 0), wait=5), REQUEST)
+    await trio.sleep(0.1)
+    urgent = owner.submit(make_attempt('urgent', rank=(1, 0), wait=5), REQUEST)
+    await urgent.done.wait()
+    assert urgent.outcome.succeeded
+    assert not late.done.is_set()
+
+
+async def test_token_of_a_request_that_is_never_sent_is_used_by_another(
+    nursery, autojump_clock
+):
+    target = SpeakingTarget()
+    target.statement = limited(0.2)
+    owner = make_owner(target, nursery)
+    await owner.submit(make_attempt('first'), REQUEST).done.wait()
+    await trio.sleep(5)
+    # its body never arrives
+    await owner.submit(make_attempt('bodiless'), None).done.wait()
+    execution = owner.submit(make_attempt('second'), REQUEST)
+    await execution.done.wait()
+    assert execution.outcome.succeeded
+
+
+async def test_full_limit_is_a_refusal_that_reaches_no_target(
+    nursery, autojump_clock
+):
+    target = SpeakingTarget()
+    target.statement = limited(1)
+    owner = make_owner(target, nursery)
+    await owner.submit(make_attempt('first'), REQUEST).done.wait()
+    execution = owner.submit(make_attempt('second', wait=0.5), REQUEST)
+    await execution.done.wait()
+    outcome = execution.outcome
+    assert outcome.reason is Reason.TARGET_LIMITED
+    assert not outcome.reached
+    assert outcome.state.limit == 1
+    assert outcome.state.pause == pytest.approx(1, abs=0.05)
+    assert owner.health.is_trusted
+
+
+TARGETS = tuple(
+    Target(name=f't{n}', service='s', address=f'h{n}:1', zone='a', slots=7)
+    for n in range(3)
+)
+
+
+def make_balancer(targets=TARGETS):
+    balancer = Balancer('h9', 'a', VirtualClock(), random.Random(1))
+    balancer.set_targets(targets)
+    return balancer
+
+
+def condition(**more):
+    return TargetCondition(
+        risk=0.1,
+        running=0,
+        waiting=0,
+        slots=7,
+        wait=more.pop('wait', 0),
+        **more,
+    )
+
+
+def test_entry_tells_the_limit_until_the_process_is_replaced():
+    balancer = make_balancer()
+    balancer.on_condition('t0', condition(limit=2.0))
+    assert balancer.known_limit(TARGETS[0]) == 2
+    replaced = replace(TARGETS[0], started_ms=9)
+    balancer.set_targets((replaced,))
+    assert balancer.known_limit(replaced) is None
+
+
+def test_entry_sends_nothing_to_a_process_that_said_it_leaves():
+    balancer = make_balancer()
+    balancer.on_condition('t0', condition(leaving_ms=0))
+    # a restarted owner knows nothing of it
+    balancer.on_condition('t0', condition())
+    balancer.set_targets(TARGETS)
+    names = {one.name for one in balancer.available_targets('s')}
+    assert names == {'t1', 't2'}
+    balancer.set_targets((replace(TARGETS[0], started_ms=9),))
+    assert len(balancer.available_targets('s')) == 1
+
+
+def test_target_without_a_token_is_tried_last():
+    balancer = make_balancer()
+    for target in TARGETS:
+        pause = 0.8 if target.name == 't1' else 0
+        balancer.on_condition(target.name, condition(pause=pause))
+    ranked = balancer.rank_targets(TARGETS, (), avoid_risk=False)
+    assert ranked[-1].name == 't1'
+
+
+def test_request_is_rejected_at_once_if_all_targets_are_limited():
+    balancer = make_balancer()
+    route = RouteRule(
+        name='r',
+        host='h',
+        prefix='/',
+        weighted_services=(WeightedService(service='s', weight=1),),
+        idempotent=True,
+        timeout=5,
+        objective=2,
+        priority=0,
+        max_targets=2,
+        public=False,
+    )
+    plan = Plan(route, 's', balancer, None, deadline=5)
+    step = plan.next_step(0)
+    while isinstance(step, SendStep):
+        state = condition(limit=0.2, pause=4, wait=4)
+        balancer.on_condition(step.target.name, state)
+        plan.on_outcome(step.target.name, not_run(Reason.TARGET_LIMITED, state))
+        step = plan.next_step(0)
+    assert isinstance(step, FinishStep)
+    assert step.outcome.verdict is Verdict.NOT_RUN
+    assert step.outcome.reason is Reason.TARGET_LIMITED
+
+
+def test_rejected_callers_return_at_the_rate_of_the_limits():
+    balancer = make_balancer()
+    for target in TARGETS:
+        balancer.on_condition(target.name, condition(limit=2.0))
+    clock = VirtualClock()
+    sender = Sender(SimpleNamespace(balancer=balancer, clock=clock))
+    sender.daemon_count = 3
+    admitted = SimpleNamespace(service='s', route=SimpleNamespace(timeout=60))
+    refused = not_run(Reason.TARGET_LIMITED)
+    returns = [
+        sender._schedule_return(admitted, refused).retry_after
+        for _ in range(100)
+    ]
+    # three daemons share six requests a second
+    assert returns == pytest.approx([0.5 * (n + 1) for n in range(100)])
+
+
+@pytest.mark.parametrize('status', [200, 500])
+async def test_daemons_use_no_target_that_says_it_leaves(fleet, status):
+    leaving = fleet.targets[1]
+    leaving.answer_headers = ((b'server-leaving', b'1'),)
+    leaving.mode = 'ok' if status == 200 else 'fail'
+    seen = len(leaving.executed)
+    while len(leaving.executed) == seen:
+        await fleet.send(0, '/look/1')
+    seen = len(leaving.executed)
+    for number in (0, 1, 2) * 10:
+        answer, _ = await fleet.send(number, '/look/1')
+        assert answer.status == 200
+    assert len(leaving.executed) == seen
