Log restores of the platform's store, and declarations that are ignored

A declaration that was read and dropped left no line, and neither did the era that the store names in its answers, so a wrong order could not be told from a missed change. platform-restored says when the era rises, config-ignored which version was dropped and for which one.

--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -170,10 +170,17 @@
         return role.read_interval if role and is_reader else WATCH_SECONDS
 
     def _apply(self, update: DeclarationUpdate) -> None:
-        if (
-            update.declaration is None
-            or update.published_revision <= self._published_revision
-        ):
+        if update.declaration is None:
+            return
+        if update.published_revision <= self._published_revision:
+            if update.declaration.version != self.version:
+                self._events.emit(
+                    'config-ignored',
+                    version=update.declaration.version,
+                    revision=update.published_revision,
+                    in_force=self.version,
+                    published=self._published_revision,
+                )
             return
         self._published_revision = update.published_revision
         self.catalog = Catalog(update.declaration)
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -10,7 +10,12 @@
 
 from clementinedeal._errors import DECODE_ERRORS, ProtocolError
 from clementinedeal._events import EventLog
-from clementinedeal._http import RequestHead, TooLongError
+from clementinedeal._http import (
+    HttpError,
+    RequestHead,
+    ResponseHead,
+    TooLongError,
+)
 from clementinedeal._pool import ConnPool
 from clementinedeal.mesh._contracts import HistoryGoneError, SourceError
 from clementinedeal.mesh._types import (
@@ -44,16 +49,20 @@
 # A page of the store has about 1 MB. Three calls may run at once and then hold
 # up to 24 MiB of the 200 MB of the smallest instance.
 MAX_ANSWER_BYTES = 8 << 20
+# Rises each time the store is restored from a copy.
+_ERA_HEADER = b'store-era'
+_MAX_ERA_DIGITS = 18
 # A page has some 500 items, so that up to 50,000 targets can be listed.
 MAX_PAGES = 100
 
 
 @dataclass(frozen=True, slots=True)
 class _Answer:
-    """HTTP status and whole body of the answer to one call."""
+    """HTTP status, whole body and era of the answer to one call."""
 
     status: int
     body: bytes
+    era: int
 
 
 class PlatformStore:
@@ -79,6 +88,7 @@
         self._pool = pool
         self._events = events
         self._unreadable_revisions: dict[str, int] = {}
+        self._newest_era: int | None = None
         self.calls = 0
 
     async def read(self) -> DeclarationUpdate:
@@ -259,7 +269,9 @@
             if not is_complete:
                 conn.abort()
         await self._pool.release(self._address, conn)
-        return _Answer(answer.status, body)
+        era = _read_era(answer)
+        self._report_era(era)
+        return _Answer(answer.status, body, era)
 
     def _convert_declaration(
         self, item: Item, revision: int
@@ -287,6 +299,14 @@
             self._report_unreadable(item, exc)
             return None
 
+    def _report_era(self, era: int) -> None:
+        """Log that the store was restored from a copy."""
+        newest = self._newest_era
+        if newest is None or era > newest:
+            self._newest_era = era
+        if newest is not None and era > newest:
+            self._events.emit('platform-restored', era=era, former=newest)
+
     def _report_unreadable(self, item: Item, exc: Exception) -> None:
         """Log a value that cannot be decoded, once for each revision."""
         if self._unreadable_revisions.get(item.key) == item.revision:
@@ -300,6 +320,17 @@
         )
 
 
+def _read_era(head: ResponseHead) -> int:
+    """Return the era that an answer of the store names, 0 if none.
+
+    :raises HttpError: it is not a number.
+    """
+    text = (head.header(_ERA_HEADER) or b'0').strip()
+    if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
+        raise HttpError(f'unreadable era {text!r}')
+    return int(text)
+
+
 def _decode(answer: _Answer, kind: type[Any]) -> Any:
     if answer.status != _OK:
         raise SourceError(f'expected status 200, not {answer.status}')
