--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -20,7 +20,7 @@
 
     ``mode`` is ``ok`` or how it fails: ``busy`` answers 503, ``silent`` never
     answers, ``reset`` closes the connection. ``calls`` holds the path and the
-    query of each request.
+    query of each request. ``era`` is named in all answers.
     """
 
     def __init__(self):
@@ -29,6 +29,7 @@
         self.history = []
         self.dropped_revision = 0
         self.mode = 'ok'
+        self.era = 1
         self.replica_state = None
         self.calls = []
         self.changed = trio.Event()
@@ -58,6 +59,18 @@
         """Answer all further ``serializable`` reads with the current items."""
         self.replica_state = (dict(self.items), self.revision)
 
+    def copy(self):
+        """Return a copy of the items, for ``restore``."""
+        return dict(self.items), list(self.history), self.revision
+
+    def restore(self, copy):
+        """Return to a copy: revisions after it are given out again."""
+        items, history, self.revision = copy
+        self.items, self.history = dict(items), list(history)
+        self.era += 1
+        self.changed.set()
+        self.changed = trio.Event()
+
     def _record(self, event):
         self.history.append(event)
         self.changed.set()
@@ -93,10 +106,15 @@
             '/-/kv-range': self._range,
             '/-/kv-watch': self._watch,
         }
+        era = self.era
         status, body = await handlers[parts.path](query)
         if self.mode != 'ok':
             await trio.sleep_forever()
-        await conn.respond(status, (), json.dumps(body).encode())
+        if self.era != era:
+            await conn.aclose()
+            return
+        headers = ((b'store-era', b'%d' % era),)
+        await conn.respond(status, headers, json.dumps(body).encode())
 
     async def _key(self, query):
         item = self.items.get(query['key'])
@@ -122,10 +140,14 @@
 
     async def _watch(self, query):
         after = int(query['after'])
-        if after < self.dropped_revision:
+        if after < self.dropped_revision or after > self.revision:
             return 410, {}
+        era = self.era
         with trio.move_on_after(int(query['wait_ms']) / 1000):
-            while not self._events_since(query['prefix'], after):
+            while (
+                not self._events_since(query['prefix'], after)
+                and self.era == era
+            ):
                 await self.changed.wait()
         events = self._events_since(query['prefix'], after)
         return 200, {'events': events, 'at_rev': self.revision}
