Keep declarations and targets in order when the store returns from a copy

Cause: the store's revision stood for two things, the place in a history from which to watch and the age of what was read. After a restore the numbers are given out again: version 12 came with revision 32, as version 10 had, and was dropped for good. Any answer counted as proof that the version in force is the newest, also the one that showed a newer one.

Fix: declarations are ordered by their version, in a daemon and between daemons. A revision carries the store's era and only says from where to watch; lists are ordered by both, and an answer of another era ends a watch. The source proves the version in force only while it shows that version, and not before 2 s after a restore. A daemon that knows only the copy hears of the newer version from others, by their questions too, and answers 503 until the store shows it. A process that drains does not become ready again by an older entry, and a removed one that is brought back counts after 5 s, when its entry would have expired.

Tests: test_a_stopping_owner_refuses_its_queued_requests made a draining target ready again in the same process, which targets do not do; it now registers a new process and checks the same. The news between daemons have a new tag, since they carry a version where a revision stood: daemons of two builds read the store by themselves during an update.

Ruled out: a change that was not seen (the ignored version was read 22 ms after it was published), daemons that talk others out of a version.

--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -66,6 +66,10 @@
         """Seconds since it was last proved to be the newest one published."""
         ...
 
+    def is_outdated(self) -> bool:
+        """Whether a newer one is known to be in force elsewhere."""
+        ...
+
     def is_fresh(self) -> bool:
         """Whether it is recent enough to accept API keys.
 
@@ -145,7 +149,7 @@
         catalog = self.active_declaration.catalog
         if self.is_closing:
             return _refusal(Reason.DRAINING, UNREADY_RETRY_AFTER_SECONDS)
-        if catalog is None:
+        if catalog is None or self.active_declaration.is_outdated():
             return _refusal(Reason.CONFIG_STALE, UNREADY_RETRY_AFTER_SECONDS)
         fields = self._dialect.read_request(head)
         host = (head.header(b'host') or b'').decode('latin-1')
--- a/src/clementinedeal/mesh/_contracts.py
+++ b/src/clementinedeal/mesh/_contracts.py
@@ -9,6 +9,7 @@
     DeclarationUpdate,
     Listing,
     ListingChanges,
+    Revision,
     TargetUpdate,
 )
 
@@ -18,13 +19,18 @@
 
 
 class HistoryGoneError(SourceError):
-    """A watch asked for changes that the platform no longer keeps."""
+    """A watch asked for changes that the platform no longer keeps.
+
+    Either they are too old, or the platform was restored from a copy and its
+    revisions belong to another history.
+    """
 
 
 class DeclarationSource(Protocol):
     """Publishes declarations.
 
-    A revision is the source's own counter of its changes.
+    A revision is the source's own counter of its changes. A wait from a
+    revision of another era raises ``HistoryGoneError``.
     """
 
     async def read(self) -> DeclarationUpdate:
@@ -34,7 +40,9 @@
         """
         ...
 
-    async def wait(self, revision: int, seconds: float) -> DeclarationUpdate:
+    async def wait(
+        self, revision: Revision, seconds: float
+    ) -> DeclarationUpdate:
         """Wait for a declaration newer than a revision.
 
         An answer without one shows that none was published before the call
@@ -60,7 +68,7 @@
         ...
 
     async def wait_changes(
-        self, revision: int, seconds: float
+        self, revision: Revision, seconds: float
     ) -> ListingChanges:
         """Wait for changes of any target after a revision.
 
@@ -83,7 +91,7 @@
     async def wait_target(
         self,
         name: str,
-        revision: int,
+        revision: Revision,
         seconds: float,
     ) -> TargetUpdate:
         """Wait for a change of one target's entry.
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -9,7 +9,7 @@
 from clementinedeal.mesh._catalog import Catalog
 from clementinedeal.mesh._contracts import DeclarationSource, SourceError
 from clementinedeal.mesh._reading_role import ReadingRole
-from clementinedeal.mesh._types import DeclarationUpdate
+from clementinedeal.mesh._types import DeclarationUpdate, Revision
 
 # Length of one watch. A watch without changes confirms that nothing newer was
 # published. Watches are short so that a daemon that loses the platform refuses
@@ -19,6 +19,12 @@
 FIRST_WATCH_SECONDS = 5.0
 # Pause after a failed call, and after a read that found no declaration.
 RETRY_SECONDS = 0.25
+# A restored store may have lost a newer declaration. Operators publish it again
+# soon; until then an answer proves nothing. Shorter than the time in which keys
+# are accepted without a proof, so that a short outage refuses none.
+RESTORE_SECONDS = 2.0
+# Era of a store that was never restored.
+FIRST_ERA = 1
 # Subtracted from the operators' limit for withdrawn keys, to allow for
 # differences between clocks and for requests in progress.
 FRESH_MARGIN_SECONDS = 0.3
@@ -27,9 +33,10 @@
 class DeclarationFeed:
     """Holds the newest published declaration.
 
-    Invariant: the published revision never decreases, so that an older
-    declaration never replaces a newer one. Handlers in ``on_change`` are
-    called with each new catalog.
+    Invariant: the version never decreases, so that an older declaration never
+    replaces a newer one, not even if the source was restored from a copy and
+    shows it as its newest. Handlers in ``on_change`` are called with each new
+    catalog.
     """
 
     def __init__(
@@ -54,9 +61,13 @@
         self._events = events
         self._max_age_seconds = revoke_seconds - FRESH_MARGIN_SECONDS
         self._confirmed_at = float('-inf')
-        self._published_revision = 0
+        self._era = FIRST_ERA
+        self._settled_at = float('-inf')
+        self._source_version: int | None = None
+        self._shown_at = float('-inf')
         self._role = role
-        self._reported_revision = 0
+        self._reported_version = 0
+        self._reported_at = float('-inf')
         self._wake = trio.Event()
         if role is not None:
             role.on_change.append(self._check_due)
@@ -69,11 +80,6 @@
         """Version of the declaration in force, 0 before there is one."""
         return self.catalog.declaration.version if self.catalog else 0
 
-    @property
-    def published_revision(self) -> int:
-        """The source's revision of the declaration in force, 0 if none is."""
-        return self._published_revision
-
     @property
     def age(self) -> float:
         """Seconds since the declaration was last confirmed as the newest."""
@@ -83,35 +89,52 @@
         """Whether the declaration is recent enough to accept keys by it."""
         return self.age < self._max_age_seconds
 
+    def is_outdated(self) -> bool:
+        """Whether another daemon has a newer version that cannot be read.
+
+        The source has lost it, and this daemon never had it.
+        """
+        return (
+            self._reported_version > self.version
+            and self._shown_at > self._reported_at
+        )
+
     async def run(self) -> None:
         """Follow the source until cancelled."""
-        revision = 0
+        revision: Revision | None = None
         while True:
             if await self._wait_until_due():
-                revision = 0
-            started_at = self._clock.now()
+                revision = None
             try:
-                revision = await self._read_or_wait(revision)
+                update, shown_at = await self._call(revision)
             except SourceError as exc:
                 self._report_lost(exc)
-                revision = 0
+                revision = None
+                self._shown_at = float('-inf')
+                await trio.sleep(RETRY_SECONDS)
+                continue
+            self._report_recovered()
+            self._apply(update)
+            self._shown_at = shown_at
+            self._confirm(shown_at)
+            revision = update.revision
+            if not revision.number:
+                revision = None
                 await trio.sleep(RETRY_SECONDS)
-            else:
-                # an answer shows all that was published before its call
-                self._confirmed_at = max(self._confirmed_at, started_at)
-                self._report_recovered()
 
-    def on_reported(self, revision: int, confirmed_at: float) -> None:
+    def on_reported(self, version: int, confirmed_at: float) -> None:
         """Take over what another daemon knows of the newest declaration.
 
-        :param revision: the newest published revision that it knows.
+        :param version: the version that it has in force, 0 if none.
         :param confirmed_at: when that certainly was the newest one, monotonic
             seconds.
         """
-        if revision > self._published_revision:
-            self._reported_revision = revision
+        if version > self.version:
+            if version > self._reported_version:
+                self._reported_version = version
+                self._reported_at = self._clock.now()
             self._check_due()
-        elif revision == self._published_revision and self.catalog is not None:
+        elif version == self.version and self.catalog is not None:
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
     async def _wait_until_due(self) -> bool:
@@ -134,33 +157,31 @@
         return (
             role.is_reader
             or self.catalog is None
-            or self._reported_revision > self._published_revision
+            or self._reported_version > self.version
             or self.age >= role.max_declaration_age
         )
 
-    async def _read_or_wait(self, revision: int) -> int:
-        """Make one call to the source and apply its answer.
+    async def _call(
+        self, revision: Revision | None
+    ) -> tuple[DeclarationUpdate, float]:
+        """Make one call to the source.
 
-        :param revision: the newest revision known, 0 for a first read.
-        :return: the revision to wait from, 0 to read again.
+        :param revision: the newest revision known, None for a first read.
+        :return: the answer, and until when it shows all that was published,
+            monotonic seconds.
+        :raises SourceError: the source gave no answer.
         """
-        if revision:
-            sent_at = self._clock.now()
-            seconds = self._watch_seconds()
-            update = await self._source.wait(revision, seconds)
-            if not update.published_revision:
-                # a call held for the whole time found nothing up to its end,
-                # one answered early only up to its start
-                is_complete = self._clock.now() - sent_at >= seconds
-                confirmed_at = sent_at + seconds if is_complete else sent_at
-                self._confirmed_at = max(self._confirmed_at, confirmed_at)
-        else:
-            update = await self._source.read()
-        self._apply(update)
-        if not update.published_revision and not update.revision:
-            await trio.sleep(RETRY_SECONDS)
-            return 0
-        return max(revision, update.revision)
+        sent_at = self._clock.now()
+        if revision is None:
+            return await self._source.read(), sent_at
+        seconds = self._watch_seconds()
+        update = await self._source.wait(revision, seconds)
+        # a call held for the whole time found nothing up to its end, one
+        # answered early only up to its start
+        is_complete = (
+            not update.changed and self._clock.now() - sent_at >= seconds
+        )
+        return update, sent_at + seconds if is_complete else sent_at
 
     def _watch_seconds(self) -> float:
         if self.catalog is None:
@@ -170,31 +191,50 @@
         return role.read_interval if role and is_reader else WATCH_SECONDS
 
     def _apply(self, update: DeclarationUpdate) -> None:
-        if update.declaration is None:
+        self._observe_era(update.revision.era)
+        if not update.changed:
             return
-        if update.published_revision <= self._published_revision:
-            if update.declaration.version != self.version:
+        declaration = update.declaration
+        self._source_version = declaration.version if declaration else None
+        shown_version = self._source_version or 0
+        if declaration is None or shown_version <= self.version:
+            if shown_version < self.version:
                 self._events.emit(
                     'config-ignored',
-                    version=update.declaration.version,
-                    revision=update.published_revision,
+                    version=shown_version,
                     in_force=self.version,
-                    published=self._published_revision,
+                    era=update.revision.era,
+                    revision=update.revision.number,
                 )
             return
-        self._published_revision = update.published_revision
-        self.catalog = Catalog(update.declaration)
+        self.catalog = Catalog(declaration)
         self._events.emit(
             'config-in-force',
-            version=update.declaration.version,
-            revision=update.published_revision,
-            routes=len(update.declaration.routes),
-            accounts=len(update.declaration.accounts),
-            unknown_kinds=','.join(update.declaration.unknown_kinds),
+            version=declaration.version,
+            era=update.revision.era,
+            revision=update.revision.number,
+            routes=len(declaration.routes),
+            accounts=len(declaration.accounts),
+            unknown_kinds=','.join(declaration.unknown_kinds),
         )
         for handler in self.on_change:
             handler(self.catalog)
 
+    def _observe_era(self, era: int) -> None:
+        """Distrust the source for a while after it was restored."""
+        if era > self._era:
+            self._era = era
+            self._settled_at = self._clock.now() + RESTORE_SECONDS
+
+    def _confirm(self, shown_at: float) -> None:
+        """Record that the source showed the version in force as its newest.
+
+        :param shown_at: until when it showed all, monotonic seconds.
+        """
+        is_newest = self.catalog and self._source_version == self.version
+        if is_newest and shown_at >= self._settled_at:
+            self._confirmed_at = max(self._confirmed_at, shown_at)
+
     def _report_lost(self, exc: SourceError) -> None:
         if self._is_reachable:
             self._is_reachable = False
--- a/src/clementinedeal/mesh/_fleet_news.py
+++ b/src/clementinedeal/mesh/_fleet_news.py
@@ -101,6 +101,10 @@
         match body:
             case NewsRequest() as request:
                 self._parts.role.on_asked()
+                # the asker may have what this daemon has missed
+                self._parts.declarations.on_reported(
+                    request.version, float('-inf')
+                )
                 reply = self._build_reply(request)
                 await self._parts.datagrams.send(host, reply)
             case NewsReply(number=number):
@@ -144,7 +148,10 @@
             self._reply = None
             self._reply_event = trio.Event()
             request = NewsRequest(
-                self._asked_number, self._parts.address, known
+                self._asked_number,
+                self._parts.address,
+                known,
+                self._parts.declarations.version,
             )
             await self._parts.datagrams.send(host, request)
             with trio.move_on_after(REPLY_TIMEOUT_SECONDS):
@@ -163,14 +170,16 @@
         """
         role = self._parts.role
         self._parts.declarations.on_reported(
-            reply.revision, asked_at - reply.age
+            reply.version, asked_at - reply.age
         )
         if reply.list_age < role.max_target_age:
             listed_at = asked_at - reply.list_age
             if reply.is_unchanged:
                 self._parts.targets.on_own_confirmed(known, listed_at)
             else:
-                self._parts.targets.on_own_reported(reply.target, listed_at)
+                self._parts.targets.on_own_reported(
+                    reply.target, listed_at, reply.era
+                )
         return (
             reply.age < role.max_declaration_age
             and reply.list_age < role.max_target_age
@@ -182,11 +191,12 @@
         is_unchanged = target is not None and target.state == request.known
         return NewsReply(
             number=request.number,
-            revision=self._parts.declarations.published_revision,
+            version=self._parts.declarations.version,
             age=self._parts.declarations.age,
             list_age=watch.age,
             target=None if is_unchanged else target,
             is_unchanged=is_unchanged,
+            era=watch.era,
         )
 
     def _report_own(self) -> None:
@@ -195,6 +205,7 @@
         self._parts.targets.on_own_reported(
             watch.find_target(self._parts.address),
             self._parts.clock.now() - watch.age,
+            watch.era,
         )
 
     def _hint_all(self) -> None:
--- a/src/clementinedeal/mesh/_news_messages.py
+++ b/src/clementinedeal/mesh/_news_messages.py
@@ -10,31 +10,34 @@
 
     ``number`` identifies the request, for the reply to it. ``address`` is the
     ``ip:port`` of the target that the asking daemon owns, ``known`` the state
-    that it knows of, empty if it knows none.
+    that it knows of, empty if it knows none. ``version`` is that of the
+    declaration that it has in force, 0 if none.
     """
 
     number: int
     address: str
     known: str
+    version: int = 0
 
 
-class NewsReply(msgspec.Struct, frozen=True, array_like=True, tag='news'):
+class NewsReply(msgspec.Struct, frozen=True, array_like=True, tag='version'):
     """A daemon's reply to the request ``number``.
 
-    ``revision`` is the published revision of its declaration, and ``age`` the
-    seconds since that was proved the newest. ``target`` is the newest process
-    listed at the address that was asked for, None if there is none or if
-    ``is_unchanged`` says that its state is the one that was asked about, as the
-    registry said ``list_age`` seconds ago. An age is infinite if the daemon
-    does not know. Ages are those at the time of the reply.
+    ``version`` is that of its declaration, and ``age`` the seconds since that
+    was proved the newest. ``target`` is the newest process listed at the
+    address that was asked for, None if there is none or if ``is_unchanged``
+    says that its state is the one that was asked about, as the registry said
+    ``list_age`` seconds ago, in ``era``. An age is infinite if the daemon does
+    not know. Ages are those at the time of the reply.
     """
 
     number: int
-    revision: int
+    version: int
     age: float
     list_age: float
     target: Target | None
     is_unchanged: bool
+    era: int = 0
 
 
 class NewsHint(msgspec.Struct, frozen=True, array_like=True, tag='hint'):
--- a/src/clementinedeal/mesh/_registry_watch.py
+++ b/src/clementinedeal/mesh/_registry_watch.py
@@ -8,14 +8,15 @@
 from clementinedeal._timers import Clock
 from clementinedeal.mesh._contracts import Registry, SourceError
 from clementinedeal.mesh._reading_role import ReadingRole
-from clementinedeal.mesh._types import Target
+from clementinedeal.mesh._types import Revision, Target
 
 
 class RegistryWatch:
     """Follows all targets while this daemon is a reader.
 
     Each call returns the changes since the one before, so that heartbeats of
-    many targets cost one call. Handlers in ``on_change`` are called with the
+    many targets cost one call. ``era`` is the registry's era that the list is
+    from. Handlers in ``on_change`` are called with the
     IP addresses whose target appeared, left or changed its state.
     """
 
@@ -37,7 +38,8 @@
         self._role = role
         self._clock = clock
         self._events = events
-        self._revision = 0
+        self._revision: Revision | None = None
+        self.era = 0
         self._targets: dict[str, Target] = {}
         self._confirmed_at = float('-inf')
         self._is_reachable = True
@@ -69,7 +71,7 @@
                 was_reader = self._role.is_reader
                 self._events.emit('reading-role', reader=was_reader)
                 # changes since an earlier watch may be forgotten
-                self._revision = 0
+                self._revision = None
             called_at = self._clock.now()
             if self._role.is_reader:
                 await self._read_changes()
@@ -87,7 +89,7 @@
         try:
             changed = await self._call()
         except SourceError as exc:
-            self._revision = 0
+            self._revision = None
             if self._is_reachable:
                 self._is_reachable = False
                 self._events.emit('platform-lost', part='registry', reason=exc)
@@ -107,11 +109,12 @@
 
         :raises SourceError: the registry gave no answer.
         """
-        if not self._revision:
+        if self._revision is None:
             listing = await self._registry.list_targets(may_lag=False)
             former = self._targets
             self._targets = dict(listing.targets)
             self._revision = listing.revision
+            self.era = listing.revision.era
             return {
                 one.host
                 for one in (*former.values(), *self._targets.values())
--- a/src/clementinedeal/mesh/_target_feed.py
+++ b/src/clementinedeal/mesh/_target_feed.py
@@ -14,7 +14,7 @@
 from clementinedeal.mesh._contracts import Registry, SourceError
 from clementinedeal.mesh._owner import MeshOwner
 from clementinedeal.mesh._reading_role import ReadingRole
-from clementinedeal.mesh._types import Listing, Target
+from clementinedeal.mesh._types import Listing, Revision, Target
 
 # Minimum time between two reads of the list. A long list is read less often, in
 # proportion to its approximate size, so that control traffic stays within its
@@ -34,6 +34,9 @@
 # Entries expire while the registry is unreachable. Targets that still run are
 # registered again within this time after it is back.
 REREGISTRATION_SECONDS = 2.3
+# An entry that a restored registry brings back expires within this time, if its
+# target is gone.
+ENTRY_LAPSE_SECONDS = 5.0
 
 
 class TargetFeed:
@@ -67,7 +70,11 @@
         self._owner = owner
         self._clock = clock
         self._events = events
-        self._revision = 0
+        self._revision = Revision(0, 0)
+        self._era = 0
+        self._era_began_at = float('-inf')
+        self._gone: Target | None = None
+        self._gone_era = 0
         self._targets: dict[str, Target] = {}
         self._hosts: frozenset[str] = frozenset()
         self._own: Target | None = None
@@ -145,7 +152,7 @@
             self._set_own(self._own)
 
     def on_own_reported(
-        self, target: Target | None, confirmed_at: float
+        self, target: Target | None, confirmed_at: float, era: int
     ) -> None:
         """Take over what a reader knows of the own target.
 
@@ -154,8 +161,10 @@
 
         :param target: the newest process listed at the own address, if any.
         :param confirmed_at: when the registry showed it, monotonic seconds.
+        :param era: the registry's era in which it did.
         """
-        if confirmed_at <= self._reported_at:
+        self._observe_era(era)
+        if confirmed_at <= self._reported_at or self._brought_back(target):
             return
         own = self._own
         is_missing = own is not None and (
@@ -192,6 +201,7 @@
             and not self._is_own_reported()
         ):
             self._report_restored()
+            self._observe_era(update.revision.era)
             if update.changed:
                 await self._update_own(own.name, update.target)
                 if update.target is None:
@@ -204,6 +214,11 @@
             )
 
     async def _update_own(self, name: str, target: Target | None) -> None:
+        if self._brought_back(target):
+            await trio.sleep(
+                self._era_began_at + ENTRY_LAPSE_SECONDS - self._clock.now()
+            )
+            target = (await self._registry.read_target(name)).target
         if target is not None:
             self._set_own(target)
             return
@@ -218,14 +233,20 @@
                 return
         if self._own is not None and self._own.name == name:
             self._targets.pop(name, None)
+            self._gone = self._own
+            self._gone_era = self._era
             self._set_own(None)
 
     def _apply_listing(self, listing: Listing, own_address: str) -> None:
         if listing.revision < self._revision:
             return
         self._revision = listing.revision
+        self._observe_era(listing.revision.era)
         now = self._clock.now()
-        targets = dict(listing.targets)
+        targets = {
+            name: one.supersede(self._targets.get(name))
+            for name, one in listing.targets.items()
+        }
         if now < self._restored_at + REREGISTRATION_SECONDS:
             # a missing entry may only have expired: keep the former targets
             targets = {**self._targets, **targets}
@@ -257,8 +278,36 @@
             for handler in self.on_own_found:
                 handler()
 
+    def _observe_era(self, era: int) -> None:
+        """Expect missing and outdated entries after a restore."""
+        if era <= self._era:
+            return
+        if self._era:
+            self._era_began_at = self._clock.now()
+            self._restored_at = self._era_began_at
+        self._era = era
+
+    def _brought_back(self, target: Target | None) -> bool:
+        """Whether a restore may have brought back an entry that was removed.
+
+        :param target: the entry, if any.
+        """
+        gone = self._gone
+        if target is None or gone is None or self._era <= self._gone_era:
+            return False
+        is_same = (target.name, target.started_ms) == (
+            gone.name,
+            gone.started_ms,
+        )
+        expires_at = self._era_began_at + ENTRY_LAPSE_SECONDS
+        return is_same and self._clock.now() < expires_at
+
     def _set_own(self, target: Target | None) -> None:
         former = self._owner.target
+        if target is not None and former is not None:
+            target = target.supersede(
+                former if former.name == target.name else None
+            )
         self._own = target
         self._owner.set_target(target)
         if target is not None:
--- a/src/clementinedeal/mesh/_types.py
+++ b/src/clementinedeal/mesh/_types.py
@@ -29,6 +29,22 @@
         """IP address of the instance that the target runs on."""
         return self.address.rpartition(':')[0]
 
+    def supersede(self, former: 'Target | None') -> 'Target':
+        """Return which of two entries of one name holds.
+
+        A process that drains does not become ready again: an entry that says
+        so is older, from a store that was restored from a copy.
+
+        :param former: the entry known so far, if any.
+        """
+        is_older = (
+            former is not None
+            and former.started_ms == self.started_ms
+            and former.draining
+            and not self.draining
+        )
+        return former if former is not None and is_older else self
+
     @property
     def state(self) -> str:
         """Short text that changes with the process or its readiness."""
@@ -108,17 +124,29 @@
     unknown_kinds: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Revision:
+    """A position in the history of the platform's store.
+
+    ``number`` rises with each change. After the store was restored from a copy
+    its numbers are given out again; ``era`` rises with each such restore.
+    """
+
+    era: int
+    number: int
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeclarationUpdate:
     """Result of a read or watch of the declarations.
 
-    ``revision`` is the source's revision from which to continue.
-    ``published_revision`` is that of the newest declaration found, 0 if there
-    is none. ``declaration`` is None if none was found or it cannot be decoded.
+    ``revision`` is the source's revision from which to continue. ``changed``:
+    this is what the source shows now; ``declaration`` is then None if it shows
+    none or one that cannot be decoded.
     """
 
-    revision: int
-    published_revision: int = 0
+    revision: Revision
+    changed: bool = False
     declaration: Declaration | None = None
 
 
@@ -126,7 +154,7 @@
 class Listing:
     """The targets that the registry listed at one revision, by name."""
 
-    revision: int
+    revision: Revision
     targets: Mapping[str, Target]
 
 
@@ -137,7 +165,7 @@
     A target is None if it is no longer listed.
     """
 
-    revision: int
+    revision: Revision
     targets: Mapping[str, Target | None]
 
 
@@ -149,6 +177,6 @@
     ``changed``, ``target`` is the new entry, None if it is no longer listed.
     """
 
-    revision: int
+    revision: Revision
     changed: bool = False
     target: Target | None = None
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -1,7 +1,6 @@
 """Read-only client of the platform's store."""
 
-import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import urlencode
 
@@ -22,6 +21,7 @@
     DeclarationUpdate,
     Listing,
     ListingChanges,
+    Revision,
     Target,
     TargetUpdate,
 )
@@ -87,7 +87,7 @@
         self._address = address
         self._pool = pool
         self._events = events
-        self._unreadable_revisions: dict[str, int] = {}
+        self._unreadable_revisions: dict[str, Revision] = {}
         self._newest_era: int | None = None
         self.calls = 0
 
@@ -98,11 +98,17 @@
         """
         answer = await self._get('/-/kv-key', {'key': _CONFIG_KEY})
         if answer.status == _NOT_FOUND:
-            return DeclarationUpdate(revision=_missing_revision(answer))
+            return DeclarationUpdate(
+                revision=_missing_revision(answer), changed=True
+            )
         item = _decode(answer, Item)
-        return self._convert_declaration(item, item.at_rev)
+        return self._convert_declaration(
+            item, Revision(answer.era, item.at_rev)
+        )
 
-    async def wait(self, revision: int, seconds: float) -> DeclarationUpdate:
+    async def wait(
+        self, revision: Revision, seconds: float
+    ) -> DeclarationUpdate:
         """Wait for a declaration newer than a revision.
 
         :param revision: the newest revision known.
@@ -110,10 +116,11 @@
         :raises SourceError: the store gave no answer.
         """
         changes = await self._watch(_CONFIG_KEY, revision, seconds)
+        shown_at = replace(revision, number=changes.at_rev)
         for item in reversed(changes.events):
             if item.key == _CONFIG_KEY and not item.deleted:
-                return self._convert_declaration(item, changes.at_rev)
-        return DeclarationUpdate(revision=changes.at_rev)
+                return self._convert_declaration(item, shown_at)
+        return DeclarationUpdate(revision=shown_at)
 
     async def list_targets(self, *, may_lag: bool) -> Listing:
         """Return every listed target.
@@ -125,23 +132,25 @@
         if may_lag:
             query['serializable'] = 1
         targets: dict[str, Target] = {}
-        revision = math.inf
+        revisions: list[Revision] = []
         for _ in range(MAX_PAGES):
             answer = await self._get('/-/kv-range', query)
             page = _decode(answer, ItemPage)
             for item in page.items:
-                target = self._convert_target(item)
+                target = self._convert_target(item, answer.era)
                 if target is not None:
                     targets[target.name] = target
-            # pages are read one after the other: the first is the oldest
-            revision = min(revision, page.at_rev)
+            revisions.append(Revision(answer.era, page.at_rev))
+            if revisions[0].era != answer.era:
+                raise HistoryGoneError('restored between two pages')
             if not page.has_more or not page.items:
-                return Listing(revision=int(revision), targets=targets)
+                # pages are read one after the other: the first is the oldest
+                return Listing(revision=min(revisions), targets=targets)
             query['after'] = page.items[-1].key
         raise SourceError(f'more than {MAX_PAGES} pages of targets')
 
     async def wait_changes(
-        self, revision: int, seconds: float
+        self, revision: Revision, seconds: float
     ) -> ListingChanges:
         """Wait for changes of any target after a revision.
 
@@ -151,10 +160,10 @@
         """
         changes = await self._watch(_TARGETS_PREFIX, revision, seconds)
         return ListingChanges(
-            revision=changes.at_rev,
+            revision=replace(revision, number=changes.at_rev),
             targets={
                 item.key.removeprefix(_TARGETS_PREFIX): self._convert_target(
-                    item
+                    item, revision.era
                 )
                 for item in changes.events
             },
@@ -174,15 +183,15 @@
             )
         item = _decode(answer, Item)
         return TargetUpdate(
-            revision=item.at_rev,
+            revision=Revision(answer.era, item.at_rev),
             changed=True,
-            target=self._convert_target(item),
+            target=self._convert_target(item, answer.era),
         )
 
     async def wait_target(
         self,
         name: str,
-        revision: int,
+        revision: Revision,
         seconds: float,
     ) -> TargetUpdate:
         """Wait for a change of one target's entry.
@@ -196,29 +205,32 @@
         changes = await self._watch(key, revision, seconds)
         own_items = [item for item in changes.events if item.key == key]
         return TargetUpdate(
-            revision=changes.at_rev,
+            revision=replace(revision, number=changes.at_rev),
             changed=bool(own_items),
-            target=self._convert_target(own_items[-1]) if own_items else None,
+            target=self._convert_target(own_items[-1], revision.era)
+            if own_items
+            else None,
         )
 
     async def _watch(
         self,
         prefix: str,
-        revision: int,
+        revision: Revision,
         seconds: float,
     ) -> Changes:
         answer = await self._get(
             '/-/kv-watch',
             {
                 'prefix': prefix,
-                'after': revision,
+                'after': revision.number,
                 'wait_ms': int(seconds * _MS_PER_SECOND),
             },
             seconds,
         )
-        if answer.status == _GONE:
+        if answer.status == _GONE or answer.era != revision.era:
             raise HistoryGoneError(
-                f'{prefix}: no history after revision {revision}'
+                f'{prefix}: no history after revision {revision.number}'
+                f' of era {revision.era}, now {answer.era}'
             )
         changes: Changes = _decode(answer, Changes)
         return changes
@@ -274,29 +286,25 @@
         return _Answer(answer.status, body, era)
 
     def _convert_declaration(
-        self, item: Item, revision: int
+        self, item: Item, revision: Revision
     ) -> DeclarationUpdate:
         try:
             declaration = decode_declaration(item.blob())
         except UnreadableError as exc:
-            self._report_unreadable(item, exc)
-            return DeclarationUpdate(
-                revision=revision, published_revision=item.revision
-            )
+            self._report_unreadable(item, revision.era, exc)
+            return DeclarationUpdate(revision=revision, changed=True)
         return DeclarationUpdate(
-            revision=revision,
-            published_revision=item.revision,
-            declaration=declaration,
+            revision=revision, changed=True, declaration=declaration
         )
 
-    def _convert_target(self, item: Item) -> Target | None:
+    def _convert_target(self, item: Item, era: int) -> Target | None:
         if item.deleted:
             return None
         name = item.key.removeprefix(_TARGETS_PREFIX)
         try:
             return decode_target(name, item.blob())
         except UnreadableError as exc:
-            self._report_unreadable(item, exc)
+            self._report_unreadable(item, era, exc)
             return None
 
     def _report_era(self, era: int) -> None:
@@ -307,11 +315,12 @@
         if newest is not None and era > newest:
             self._events.emit('platform-restored', era=era, former=newest)
 
-    def _report_unreadable(self, item: Item, exc: Exception) -> None:
+    def _report_unreadable(self, item: Item, era: int, exc: Exception) -> None:
         """Log a value that cannot be decoded, once for each revision."""
-        if self._unreadable_revisions.get(item.key) == item.revision:
+        revision = Revision(era, item.revision)
+        if self._unreadable_revisions.get(item.key) == revision:
             return
-        self._unreadable_revisions[item.key] = item.revision
+        self._unreadable_revisions[item.key] = revision
         self._events.emit(
             'value-unreadable',
             key=item.key,
@@ -340,9 +349,10 @@
         raise SourceError(f'unreadable answer: {exc}') from exc
 
 
-def _missing_revision(answer: _Answer) -> int:
+def _missing_revision(answer: _Answer) -> Revision:
     """Return the store's revision from an answer without an item."""
     try:
-        return msgspec.json.decode(answer.body, type=StoreRevision).at_rev
+        shown = msgspec.json.decode(answer.body, type=StoreRevision)
     except DECODE_ERRORS:
-        return 0
+        return Revision(answer.era, 0)
+    return Revision(answer.era, shown.at_rev)
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -21,6 +21,7 @@
     DeclarationUpdate,
     Listing,
     ListingChanges,
+    Revision,
     Target,
 )
 
@@ -124,8 +125,8 @@
             version=self.revision, routes=(), services=frozenset(), accounts=()
         )
         return DeclarationUpdate(
-            revision=self.revision,
-            published_revision=self.revision,
+            revision=Revision(1, self.revision),
+            changed=True,
             declaration=declaration,
         )
 
@@ -136,13 +137,14 @@
 
     async def list_targets(self, *, may_lag):
         return Listing(
-            revision=3, targets={one.name: one for one in self.targets}
+            revision=Revision(1, 3),
+            targets={one.name: one for one in self.targets},
         )
 
     async def wait_changes(self, revision, seconds):
         await trio.lowlevel.checkpoint()
         changes, self.changes = self.changes, {}
-        return ListingChanges(revision=revision + 1, targets=changes)
+        return ListingChanges(revision=revision, targets=changes)
 
 
 class Owner:
@@ -210,7 +212,7 @@
 
 def reply_to(request, **more):
     fields = {
-        'revision': 7,
+        'version': 7,
         'age': 0.5,
         'list_age': 0.4,
         'target': None,
@@ -287,26 +289,22 @@
     assert member.feed.age == pytest.approx(0.5)
 
 
-async def test_older_revision_of_a_reader_proves_nothing(member):
-    member.datagrams.answer = lambda host, request: reply_to(
-        request, revision=6
-    )
+async def test_older_version_of_a_reader_proves_nothing(member):
+    member.datagrams.answer = lambda host, request: reply_to(request, version=6)
     await member.news._ask_readers()
     assert not member.feed.is_fresh()
 
 
-async def test_newer_revision_is_read_at_once_and_stale_until_then(
+async def test_newer_version_is_read_at_once_and_stale_until_then(
     member, nursery
 ):
-    member.datagrams.answer = lambda host, request: reply_to(
-        request, revision=8
-    )
+    member.datagrams.answer = lambda host, request: reply_to(request, version=8)
     member.source.revision = 8
     nursery.start_soon(member.feed.run)
     await trio.testing.wait_all_tasks_blocked()
     await member.news._ask_readers()
     await trio.testing.wait_all_tasks_blocked()
-    assert member.feed.published_revision == 8
+    assert member.feed.version == 8
 
 
 async def test_reader_tells_what_it_knows_and_hints_at_changes(nursery):
@@ -347,7 +345,9 @@
 
 
 async def test_target_in_a_lagging_list_is_accepted_only_after_a_report(member):
-    listing = Listing(revision=3, targets={member.own.name: member.own})
+    listing = Listing(
+        revision=Revision(1, 3), targets={member.own.name: member.own}
+    )
     member.target_feed._apply_listing(listing, member.own.address)
     assert member.owner.target is None
     assert member.news._hint.is_set()
@@ -362,7 +362,8 @@
 async def test_older_process_of_a_reader_does_not_replace_a_newer_one(member):
     newer = replace(member.own, name='t99', started_ms=6)
     member.target_feed._apply_listing(
-        Listing(revision=3, targets={newer.name: newer}), newer.address
+        Listing(revision=Revision(1, 3), targets={newer.name: newer}),
+        newer.address,
     )
     member.datagrams.answer = lambda host, request: reply_to(
         request, target=member.own
--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -228,7 +228,10 @@
 async def test_a_stopping_owner_refuses_its_queued_requests(hanging_fleet):
     requests = ((0, '/book/first'), (0, '/book/second'))
     async with sent_requests(hanging_fleet, *requests) as answers:
-        registered = registration(hanging_fleet.settings[0].target_address)
+        # a new process: one that drains does not become ready again
+        registered = registration(
+            hanging_fleet.settings[0].target_address, born=6
+        )
         hanging_fleet.store.put('servers/t0', registered)
         await trio.sleep(1.5)
         hanging_fleet.daemons[1].stop()
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,6 +14,7 @@
     SourceError,
     TargetStatement,
 )
+from clementinedeal.mesh._types import Revision
 from clementinedeal.platform import PlatformDialect, PlatformStore, load_node
 
 
@@ -36,7 +37,7 @@
     store.put('op/config', configuration())
     listing = await client.list_targets(may_lag=True)
     assert sorted(listing.targets) == [f't{number}' for number in range(7)]
-    assert listing.revision == store.revision
+    assert listing.revision == Revision(store.era, store.revision)
     assert listing.targets['t0'].address == '10.0.0.1:80'
 
 
@@ -69,7 +70,7 @@
     assert (await client.read()).declaration is None
     store.put('op/config', configuration(version=4))
     news = await client.read()
-    assert news.published_revision == store.revision
+    assert news.revision == Revision(store.era, store.revision)
     assert news.declaration.version == 4
     route = news.declaration.routes[1]
     assert (route.prefix, route.idempotent, route.max_targets) == (
@@ -103,7 +104,7 @@
     news = await client.wait(news.revision, 5)
     assert news.declaration.version == 5
     news = await client.wait(news.revision, 0.05)
-    assert news.published_revision == 0
+    assert not news.changed
 
 
 async def _put_later(store):
