--- a/src/clementinedeal/mesh/_datagrams.py
+++ b/src/clementinedeal/mesh/_datagrams.py
@@ -7,7 +7,7 @@
 import trio
 
 from clementinedeal._errors import DECODE_ERRORS
-from clementinedeal._events import EventLog
+from clementinedeal._events import EventLog, log
 from clementinedeal.mesh._condition_messages import (
     ConditionReply,
     ConditionRequest,
@@ -85,4 +85,8 @@
             except _READ_ERRORS as exc:
                 self._events.emit('datagram-unread', reason=exc)
                 continue
-            await on_message(source[0], body)
+            try:
+                await on_message(source[0], body)
+            except Exception:
+                # one message's failure must not cost the next ones
+                log.exception('event=datagram-failed host=%s', source[0])
--- a/src/clementinedeal/platform/_items.py
+++ b/src/clementinedeal/platform/_items.py
@@ -35,9 +35,9 @@
 
 
 class ItemPage(msgspec.Struct):
-    """One page of items; ``at_rev`` is the revision that it shows."""
+    """One page of encoded items; ``at_rev`` is the revision that it shows."""
 
-    items: list[Item]
+    items: list[msgspec.Raw]
     has_more: bool
     at_rev: int
 
@@ -49,7 +49,7 @@
 
 
 class Changes(msgspec.Struct):
-    """The answer to a watch; ``events`` are in the order of changes."""
+    """The answer to a watch; encoded ``events`` in the order of changes."""
 
-    events: list[Item]
+    events: list[msgspec.Raw]
     at_rev: int
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -1,6 +1,6 @@
 """Read-only client of the platform's store."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
@@ -115,9 +115,8 @@
         :param seconds: how long the store holds the call.
         :raises SourceError: the store gave no answer.
         """
-        changes = await self._watch(_CONFIG_KEY, revision, seconds)
-        shown_at = replace(revision, number=changes.at_rev)
-        for item in reversed(changes.events):
+        events, shown_at = await self._watch(_CONFIG_KEY, revision, seconds)
+        for item in reversed(events):
             if item.key == _CONFIG_KEY and not item.deleted:
                 return self._convert_declaration(item, shown_at)
         return DeclarationUpdate(revision=shown_at)
@@ -136,17 +135,19 @@
         for _ in range(MAX_PAGES):
             answer = await self._get('/-/kv-range', query)
             page = _decode(answer, ItemPage)
-            for item in page.items:
+            shown_at = Revision(answer.era, page.at_rev)
+            items = self._decode_items(page.items, shown_at)
+            for item in items:
                 target = self._convert_target(item, answer.era)
                 if target is not None:
                     targets[target.name] = target
-            revisions.append(Revision(answer.era, page.at_rev))
+            revisions.append(shown_at)
             if revisions[0].era != answer.era:
                 raise HistoryGoneError('restored between two pages')
-            if not page.has_more or not page.items:
+            if not page.has_more or not items:
                 # pages are read one after the other: the first is the oldest
                 return Listing(revision=min(revisions), targets=targets)
-            query['after'] = page.items[-1].key
+            query['after'] = items[-1].key
         raise SourceError(f'more than {MAX_PAGES} pages of targets')
 
     async def wait_changes(
@@ -158,14 +159,14 @@
         :param seconds: how long the store holds the call.
         :raises SourceError: the store gave no answer.
         """
-        changes = await self._watch(_TARGETS_PREFIX, revision, seconds)
+        events, shown_at = await self._watch(_TARGETS_PREFIX, revision, seconds)
         return ListingChanges(
-            revision=replace(revision, number=changes.at_rev),
+            revision=shown_at,
             targets={
                 item.key.removeprefix(_TARGETS_PREFIX): self._convert_target(
                     item, revision.era
                 )
-                for item in changes.events
+                for item in events
             },
         )
 
@@ -202,10 +203,10 @@
         :raises SourceError: the store gave no answer.
         """
         key = _TARGETS_PREFIX + name
-        changes = await self._watch(key, revision, seconds)
-        own_items = [item for item in changes.events if item.key == key]
+        events, shown_at = await self._watch(key, revision, seconds)
+        own_items = [item for item in events if item.key == key]
         return TargetUpdate(
-            revision=replace(revision, number=changes.at_rev),
+            revision=shown_at,
             changed=bool(own_items),
             target=self._convert_target(own_items[-1], revision.era)
             if own_items
@@ -217,7 +218,8 @@
         prefix: str,
         revision: Revision,
         seconds: float,
-    ) -> Changes:
+    ) -> tuple[list[Item], Revision]:
+        """Return the changes after a revision, and up to which revision."""
         answer = await self._get(
             '/-/kv-watch',
             {
@@ -232,8 +234,22 @@
                 f'{prefix}: no history after revision {revision.number}'
                 f' of era {revision.era}, now {answer.era}'
             )
-        changes: Changes = _decode(answer, Changes)
-        return changes
+        changes = _decode(answer, Changes)
+        shown_at = Revision(answer.era, changes.at_rev)
+        return self._decode_items(changes.events, shown_at), shown_at
+
+    def _decode_items(
+        self, encoded: list[msgspec.Raw], revision: Revision
+    ) -> list[Item]:
+        """Decode items one by one: one that cannot be read hides no other."""
+        items = []
+        for blob in encoded:
+            try:
+                items.append(msgspec.json.decode(blob, type=Item))
+            except DECODE_ERRORS as exc:
+                unnamed = Item(key='', revision=revision.number)
+                self._report_unreadable(unnamed, revision.era, exc)
+        return items
 
     async def _get(
         self,
