Test that a stop passes on no request that it cuts at its end

Report of other operators: in a planned stop, in calm, requests that came late in the grace were passed on and cut without an answer at its end. No code changes. The test sends bookings and lookups every 50 ms during a whole stop, with work of 0.3 s and of 5 s that outlasts it: whatever ran has an answer, and nothing that was refused ran.

--- a/tests/test_mesh_stop.py
+++ b/tests/test_mesh_stop.py
@@ -413,3 +413,34 @@
     await trio.sleep(0.05)
     assert daemon._stopping.is_set()
     assert signal.getsignal(signal.SIGINT) == handler
+
+
+@pytest.mark.parametrize('work_seconds', [0.3, 5.0])
+async def test_no_request_is_passed_on_and_cut_at_the_end_of_a_stop(
+    hanging_fleet, nursery, work_seconds
+):
+    fleet = hanging_fleet
+    fleet.targets[1].mode = 'ok'
+    fleet.targets[1].work_seconds = work_seconds
+    fleet.targets[1].executed.clear()
+    answers = {}
+
+    async def send(path):
+        with contextlib.suppress(ConnLostError):
+            await send_request(fleet, 0, path, answers)
+
+    fleet.daemons[0].stop()
+    number = 0
+    while not fleet.ended[0].is_set():
+        number += 1
+        kind = 'book' if number % 2 else 'look'
+        nursery.start_soon(send, f'/{kind}/{number}')
+        await trio.sleep(0.05)
+    await trio.sleep(0.2)
+    ran = {path for _, path, _, _ in fleet.targets[1].executed}
+    assert ran
+    assert ran <= answers.keys()
+    refused = {path for path, (status, _) in answers.items() if status == 503}
+    assert refused
+    assert not refused & ran
+    assert (200, None) in answers.values() or work_seconds > 1
