--- a/src/clementinedeal/mesh/_contracts.py
+++ b/src/clementinedeal/mesh/_contracts.py
@@ -72,7 +72,8 @@
     ) -> ListingChanges:
         """Wait for changes of any target after a revision.
 
-        The answer shows all changes that were made before the call was sent.
+        The answer shows all changes that were made before the call was sent
+        or, if the registry held it for the full time, before it ended.
 
         :param revision: the newest revision known.
         :param seconds: how long the registry holds the call.
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -10,6 +10,7 @@
 from clementinedeal.mesh._contracts import DeclarationSource, SourceError
 from clementinedeal.mesh._reading_role import ReadingRole
 from clementinedeal.mesh._types import DeclarationUpdate, Revision
+from clementinedeal.mesh._watch_proof import shown_until
 
 # Length of one watch. A watch without changes confirms that nothing newer was
 # published. Watches are short so that a daemon that loses the platform refuses
@@ -176,12 +177,10 @@
             return await self._source.read(), sent_at
         seconds = self._watch_seconds()
         update = await self._source.wait(revision, seconds)
-        # a call held for the whole time found nothing up to its end, one
-        # answered early only up to its start
-        is_complete = (
-            not update.changed and self._clock.now() - sent_at >= seconds
+        shown_at = shown_until(
+            sent_at, self._clock.now(), seconds, is_empty=not update.changed
         )
-        return update, sent_at + seconds if is_complete else sent_at
+        return update, shown_at
 
     def _watch_seconds(self) -> float:
         if self.catalog is None:
--- a/src/clementinedeal/mesh/_registry_watch.py
+++ b/src/clementinedeal/mesh/_registry_watch.py
@@ -8,7 +8,13 @@
 from clementinedeal._timers import Clock
 from clementinedeal.mesh._contracts import Registry, SourceError
 from clementinedeal.mesh._reading_role import ReadingRole
-from clementinedeal.mesh._types import Revision, Target
+from clementinedeal.mesh._types import (
+    Listing,
+    ListingChanges,
+    Revision,
+    Target,
+)
+from clementinedeal.mesh._watch_proof import shown_until
 
 
 class RegistryWatch:
@@ -85,9 +91,8 @@
 
     async def _read_changes(self) -> None:
         """Make one call and apply its answer."""
-        sent_at = self._clock.now()
         try:
-            changed = await self._call()
+            changed, shown_at = await self._call()
         except SourceError as exc:
             self._revision = None
             if self._is_reachable:
@@ -97,42 +102,54 @@
         if not self._is_reachable:
             self._is_reachable = True
             self._events.emit('platform-back', part='registry')
-        self._confirmed_at = max(self._confirmed_at, sent_at)
+        self._confirmed_at = max(self._confirmed_at, shown_at)
         for confirmed_handler in self.on_confirmed:
             confirmed_handler()
         if changed:
             for change_handler in self.on_change:
                 change_handler(changed)
 
-    async def _call(self) -> set[str]:
-        """Return the IP addresses where something has changed.
+    async def _call(self) -> tuple[set[str], float]:
+        """Make one call to the registry.
 
+        :return: the IP addresses where something has changed, and until when
+            the answer shows all changes, monotonic seconds.
         :raises SourceError: the registry gave no answer.
         """
+        sent_at = self._clock.now()
         if self._revision is None:
-            listing = await self._registry.list_targets(may_lag=False)
-            former = self._targets
-            self._targets = dict(listing.targets)
-            self._revision = listing.revision
-            self.era = listing.revision.era
-            return {
-                one.host
-                for one in (*former.values(), *self._targets.values())
-                if former.get(one.name) != self._targets.get(one.name)
-            }
-        changes = await self._registry.wait_changes(
-            self._revision, self._role.read_interval
+            return self._take_listing(
+                await self._registry.list_targets(may_lag=False)
+            ), sent_at
+        seconds = self._role.read_interval
+        changes = await self._registry.wait_changes(self._revision, seconds)
+        shown_at = shown_until(
+            sent_at, self._clock.now(), seconds, is_empty=not changes.targets
         )
+        return self._take_changes(changes), shown_at
+
+    def _take_listing(self, listing: Listing) -> set[str]:
+        """Replace the targets; return the IP addresses with a change."""
+        former = self._targets
+        self._targets = dict(listing.targets)
+        self._revision = listing.revision
+        self.era = listing.revision.era
+        return {
+            one.host
+            for one in (*former.values(), *self._targets.values())
+            if former.get(one.name) != self._targets.get(one.name)
+        }
+
+    def _take_changes(self, changes: ListingChanges) -> set[str]:
+        """Apply changes; return the IP addresses with a change."""
         self._revision = changes.revision
         hosts: set[str] = set()
         for name, target in changes.targets.items():
-            former_target = self._targets.pop(name, None)
+            former = self._targets.pop(name, None)
             if target is not None:
                 self._targets[name] = target
-            if former_target != target:
+            if former != target:
                 hosts.update(
-                    one.host
-                    for one in (former_target, target)
-                    if one is not None
+                    one.host for one in (former, target) if one is not None
                 )
         return hosts
