Keep the plan's Retry-After if a target's limit has ended meanwhile

Now the plan's own value stays; a sum of limits of 0 still gives the timeout. Two conditions of the owner read plainer, with no change.

--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -140,7 +140,6 @@
             # as many slots as requests run at once at that rate
             usable = math.ceil(limit * slot_queue.mean_service_seconds)
             slots = max(1, min(slots, usable))
-        is_leaving = self.target is not None and self.limit.is_leaving
         return TargetCondition(
             risk=round(self.health.risk, 3),
             running=slot_queue.running,
@@ -150,7 +149,7 @@
             limit=limit,
             pause=round(self.limit.seconds_until_open(), 3),
             leaving_ms=self.target.started_ms
-            if self.target and is_leaving
+            if self.target and self.limit.is_leaving
             else None,
         )
 
@@ -235,10 +234,8 @@
         refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
         if refusal is not None:
             return not_run(refusal, self.target_condition())
-        expected_wait = self.slot_queue.expected_wait(attempt.rank)
-        if expected_wait > attempt.wait or not await self._wait_for_slot(
-            attempt
-        ):
+        may_wait = self.slot_queue.expected_wait(attempt.rank) <= attempt.wait
+        if not (may_wait and await self._wait_for_slot(attempt)):
             refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
             return not_run(
                 refusal or self.slot_queue.full_reason(),
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -364,12 +364,13 @@
             return outcome
         service = admitted.service
         limit = self._parts.balancer.total_limit(service)
-        if not limit:
-            return replace(outcome, retry_after=admitted.route.timeout)
+        if limit is None:
+            return outcome
         now = self._parts.clock.now()
-        former = self._returns_until.get(service, now)
-        returns_at = max(now, former) + self.daemon_count / limit
-        returns_at = min(returns_at, now + admitted.route.timeout)
+        returns_at = now + admitted.route.timeout
+        if limit:
+            former = max(now, self._returns_until.get(service, now))
+            returns_at = min(returns_at, former + self.daemon_count / limit)
         self._returns_until[service] = returns_at
         return replace(outcome, retry_after=returns_at - now)
 
--- a/tests/test_mesh_target_limit.py
+++ b/tests/test_mesh_target_limit.py
@@ -359,3 +359,13 @@
         answer, _ = await fleet.send(number, '/look/1')
         assert answer.status == 200
     assert len(leaving.executed) == seen
+
+
+def test_retry_after_of_the_plan_stays_once_a_limit_has_ended():
+    balancer = make_balancer()
+    for target in TARGETS[1:]:
+        balancer.on_condition(target.name, condition(limit=2.0))
+    sender = Sender(SimpleNamespace(balancer=balancer, clock=VirtualClock()))
+    admitted = SimpleNamespace(service='s', route=SimpleNamespace(timeout=60))
+    refused = replace(not_run(Reason.TARGET_LIMITED), retry_after=0.8)
+    assert sender._schedule_return(admitted, refused) is refused
