Keep an entry's knowledge of a limit when the owner has just started

LIMIT, found in review: an owner that has just started has not heard its target, and its condition said "no limit". An entry that asked for the condition before a send forgot what it knew, named no limit with its attempts, and up to all slots of the target were filled before its first answer. The condition now says whether the limit is known. Refusals of a target, and answers without its seal, may name a limit but no longer end one.

--- a/src/clementinedeal/mesh/_outcomes.py
+++ b/src/clementinedeal/mesh/_outcomes.py
@@ -54,8 +54,9 @@
     is the expected time in the queue, in seconds.
 
     ``limit`` is the request limit that the target names, in requests per
-    second, None if it names none, and ``pause`` how long it takes no request by
-    that limit, in seconds. ``leaving_ms`` is the start, in Unix milliseconds,
+    second, None if it names none or, unless ``limit_known``, has not answered
+    this owner yet. ``pause`` is how long it takes no request by that limit, in
+    seconds. ``leaving_ms`` is the start, in Unix milliseconds,
     of the process that says in its answers that it leaves, None if it does not.
     """
 
@@ -65,6 +66,7 @@
     slots: int
     wait: float
     limit: float | None = None
+    limit_known: bool = False
     pause: float = 0.0
     leaving_ms: int | None = None
 
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -147,6 +147,7 @@
             slots=slots,
             wait=round(slot_queue.expected_wait((0, 0)), 3),
             limit=limit,
+            limit_known=limit is not None or self.limit.has_answered,
             pause=round(self.limit.seconds_until_open(), 3),
             leaving_ms=self.target.started_ms
             if self.target and self.limit.is_leaving
@@ -280,7 +281,9 @@
             self._parts.metrics.observe('queue_seconds', elapsed)
         return acquired
 
-    def _on_statement(self, statement: TargetStatement, sent_at: float) -> None:
+    def _on_statement(
+        self, statement: TargetStatement, sent_at: float | None
+    ) -> None:
         """Apply what the target says in an answer."""
         self.limit.on_statement(statement, sent_at)
         if self.limit.is_leaving:
--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -81,7 +81,8 @@
     Each answer is matched to its request by the request id that the target
     returns: a target may send answers to earlier requests on a connection.
     Handlers in ``on_statement`` are called with what the target says of itself
-    and when the request was sent, in monotonic seconds.
+    and when the request was sent, in monotonic seconds; None if the target
+    refused the request.
     """
 
     def __init__(
@@ -109,7 +110,9 @@
         self._refused_ids: collections.deque[str] = collections.deque(
             maxlen=MAX_REFUSED_IDS
         )
-        self.on_statement: list[Callable[[TargetStatement, float], None]] = []
+        self.on_statement: list[
+            Callable[[TargetStatement, float | None], None]
+        ] = []
 
     async def call(
         self, request: BufferedRequest, context: CallContext
@@ -234,9 +237,8 @@
             conn.discard_answer()
         else:
             return _may_have_run(Reason.ANSWER_WRONG), None
-        if is_own and not answer_headers.misdirected:
-            for handler in self.on_statement:
-                handler(answer_headers.statement, sent_at)
+        if is_own:
+            self._report_statement(answer_headers, sent_at)
         conn.answered_ids.append(context.req_id)
         idle = (
             None
@@ -247,6 +249,16 @@
             return self._classify_refusal(conn, answer_headers, context), idle
         return classify_answer(head, body, answer_headers, context), idle
 
+    def _report_statement(
+        self, answer_headers: AnswerHeaders, sent_at: float
+    ) -> None:
+        """Call the handlers, unless another process has answered."""
+        if answer_headers.misdirected:
+            return
+        has_run = answer_headers.sealed and not answer_headers.not_run
+        for handler in self.on_statement:
+            handler(answer_headers.statement, sent_at if has_run else None)
+
     def _classify_refusal(
         self,
         conn: ClientConn,
--- a/src/clementinedeal/mesh/_target_limit.py
+++ b/src/clementinedeal/mesh/_target_limit.py
@@ -22,8 +22,8 @@
 
     A token bucket, filled at the limit; every request to the target takes a
     token. ``limit`` is in requests per second, None while the target names
-    none. A limit begins with no token, for requests that were sent before count
-    too.
+    none, or ``has_answered`` is False: then it has said nothing yet. A limit
+    begins with no token, for requests that were sent before count too.
     """
 
     def __init__(self, clock: Clock, events: EventLog) -> None:
@@ -36,7 +36,7 @@
         self._events = events
         self._process = ('', 0)
         self._named_at = float('-inf')
-        self._has_answered = False
+        self.has_answered = False
         self._tokens = 0.0
         self._filled_at = clock.now()
         self._taken_at = float('-inf')
@@ -57,18 +57,22 @@
             return
         self._process = (target, started_ms)
         self._named_at = float('-inf')
-        self._has_answered = False
+        self.has_answered = False
         self.limit = None
         self.is_leaving = False
 
-    def on_statement(self, statement: TargetStatement, sent_at: float) -> None:
+    def on_statement(
+        self, statement: TargetStatement, sent_at: float | None
+    ) -> None:
         """Record what an answer says.
 
-        An answer without a limit ends the limit only if its request was sent
-        after the limit was named: it may have been written before.
+        An answer without a limit ends the limit only if the target ran its
+        request, and it was sent after the limit was named: the answer may have
+        been written before.
 
         :param statement: what the answer says.
-        :param sent_at: when its request was sent, monotonic seconds.
+        :param sent_at: when its request was sent, monotonic seconds; None if
+            the target refused it.
         """
         if statement.leaving and not self.is_leaving:
             self.is_leaving = True
@@ -81,9 +85,9 @@
         limit = statement.request_limit
         if limit is not None:
             self._named_at = self._clock.now()
-        elif sent_at < self._named_at:
+        elif sent_at is None or sent_at < self._named_at:
             return
-        self._has_answered = True
+        self.has_answered = True
         self._set_limit(limit, 'answer')
 
     def on_reported(self, limit: float) -> None:
@@ -93,7 +97,7 @@
 
         :param limit: the limit in requests per second.
         """
-        if not self._has_answered and limit < self.gauge():
+        if not self.has_answered and limit < self.gauge():
             self._named_at = self._clock.now()
             self._set_limit(limit, 'entry')
 
--- a/src/clementinedeal/mesh/_target_observation.py
+++ b/src/clementinedeal/mesh/_target_observation.py
@@ -64,7 +64,8 @@
         self.wait = state.wait
         self.observed_at = now
         self.slots = state.slots
-        self.limit = state.limit
+        if state.limit_known:
+            self.limit = state.limit
         self.paused_until = now + state.pause
         if state.leaving_ms is not None:
             self.leaving_ms = state.leaving_ms
--- a/tests/test_mesh_target_limit.py
+++ b/tests/test_mesh_target_limit.py
@@ -154,12 +154,14 @@
     return limit, clock
 
 
-def test_answer_written_before_the_limit_was_named_does_not_end_it():
+def test_refusal_or_earlier_answer_without_a_limit_does_not_end_it():
     limit, clock = make_limit()
     limit.on_statement(limited(2), sent_at=99.0)
     clock.advance(0.5)
     limit.on_statement(NOTHING, sent_at=99.5)
     assert limit.limit == 2
+    limit.on_statement(NOTHING, sent_at=None)
+    assert limit.limit == 2
     limit.on_statement(NOTHING, sent_at=100.2)
     assert limit.limit is None
 
@@ -264,6 +266,7 @@
 
 def condition(**more):
     return TargetCondition(
+        limit_known=more.pop('limit_known', True),
         risk=0.1,
         running=0,
         waiting=0,
@@ -276,6 +279,8 @@
 def test_entry_tells_the_limit_until_the_process_is_replaced():
     balancer = make_balancer()
     balancer.on_condition('t0', condition(limit=2.0))
+    # a restarted owner has not heard of it yet
+    balancer.on_condition('t0', condition(limit_known=False))
     assert balancer.known_limit(TARGETS[0]) == 2
     replaced = replace(TARGETS[0], started_ms=9)
     balancer.set_targets((replaced,))
@@ -369,3 +374,22 @@
     admitted = SimpleNamespace(service='s', route=SimpleNamespace(timeout=60))
     refused = replace(not_run(Reason.TARGET_LIMITED), retry_after=0.8)
     assert sender._schedule_return(admitted, refused) is refused
+
+
+async def test_limit_survives_a_restart_of_the_daemon_beside_the_target(
+    nursery, autojump_clock
+):
+    target = SpeakingTarget()
+    target.statement = limited(0.2)
+    owner = make_owner(target, nursery)
+    await submit_steadily(owner, 8, insist=True)
+    balancer = make_balancer()
+    balancer.on_condition('t1', owner.target_condition())
+    target.on_statement.clear()
+    target.work_seconds = 2.0
+    restarted = make_owner(target, nursery)
+    balancer.on_condition('t1', restarted.target_condition())
+    limit = balancer.known_limit(TARGETS[1])
+    await submit_steadily(restarted, 4, insist=True, limit=limit)
+    allowed = 1.5 * 0.2 * WINDOW_SECONDS + 5
+    assert target.most_arrivals(since=SETTLED_SECONDS) <= allowed
