Soak restores of the store and targets that name limits

A test of its own mixes both with the other faults: the store returns to one of its copies and its writers write again within 0.5 s, stale entries expire after 4.5 s, a target names 0 to 10 requests a second, or no number.

--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -27,6 +27,8 @@
 INTERPRETER_START_SECONDS = 0.5
 # A process that the platform restarts serves again after this time.
 RESTART_SECONDS = 3.0
+# Time after which the store drops the entry of a target that is silent.
+ENTRY_LAPSE_SECONDS = 4.5
 # Longer than the grace time, so that a timeout seldom ends a request first.
 PLANNED_TIMEOUT_SECONDS = 8.0
 _SETTINGS = """
@@ -229,11 +231,28 @@
         self.keys.append(key)
         self._publish()
 
+    async def restore_store(self, copy, delay_seconds):
+        """Return the store to a copy; its writers then write again.
+
+        Entries of targets that have left meanwhile expire.
+        """
+        self.store.restore(copy)
+        await trio.sleep(delay_seconds)
+        self.store.put('op/config', self.configuration())
+        for instance in self.instances:
+            self._register(instance)
+        await trio.sleep(ENTRY_LAPSE_SECONDS)
+        names = {f'servers/{one.target.name}' for one in self.instances}
+        for key in list(self.store.items):
+            if key.startswith('servers/') and key not in names:
+                self.store.delete(key)
+
     async def replace_target(self, instance, nursery):
         """Replace a target by another process at the same address."""
         instance.target_generation += 1
         name = instance.target.name.partition('.')[0]
-        self.store.delete(f'servers/{instance.target.name}')
+        if f'servers/{instance.target.name}' in self.store.items:
+            self.store.delete(f'servers/{instance.target.name}')
         self.former_targets.append(instance.target)
         instance.target = self.make_target(
             f'{name}.{instance.target_generation}'
@@ -276,6 +295,7 @@
     def _register(self, instance):
         item = registration(instance.target_link.address, instance.service)
         item['info']['slots'] = self.slots
+        item['born'] += instance.target_generation
         self.store.put(f'servers/{instance.target.name}', item)
 
     def _publish(self):
--- a/tests/test_mesh_soak.py
+++ b/tests/test_mesh_soak.py
@@ -53,9 +53,12 @@
 # 2028: a late duplicate answer of a target cut the next booking on the same
 # connection.
 PLANNED_SEEDS = [2007, 2012, 2015, 2028]
+RESTORE_SEEDS = [6001, 6002]
 _first, _, _end = os.environ.get('SOAK_SEEDS', '').partition(':')
 if _first:
-    SEEDS = PLANNED_SEEDS = range(int(_first), int(_end or int(_first) + 1))
+    SEEDS = PLANNED_SEEDS = RESTORE_SEEDS = range(
+        int(_first), int(_end or int(_first) + 1)
+    )
 
 
 class FaultInjector:
@@ -78,9 +81,9 @@
         # killed or stopped instances that do not listen again yet
         self._stopping = set()
 
-    async def run(self):
-        """Start a random fault every 0.1 to 0.9 s until the time is over."""
-        actions = (
+    def actions(self):
+        """Return the faults to choose from."""
+        return (
             self.kill,
             self.pause,
             self.stop,
@@ -91,6 +94,10 @@
             self.replace_target,
             self.change_configuration,
         )
+
+    async def run(self):
+        """Start a random fault every 0.1 to 0.9 s until the time is over."""
+        actions = self.actions()
         end = trio.current_time() + self.duration_seconds
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
@@ -189,6 +196,49 @@
         await trio.lowlevel.checkpoint()
 
 
+class RestoreInjector(FaultInjector):
+    """Also restores the store from copies and lets targets name limits."""
+
+    duration_seconds = 12.0
+
+    def __init__(self, fleet, rng, nursery):
+        super().__init__(fleet, rng, nursery)
+        self._copies = []
+        self._is_restoring = False
+
+    def actions(self):
+        """Return the faults to choose from."""
+        return (
+            *super().actions(),
+            self.copy_store,
+            self.restore_store,
+            self.restore_store,
+            self.limit_target,
+        )
+
+    async def copy_store(self, _):
+        """Take a copy to which the store may return."""
+        self._copies.append(self.fleet.store.copy())
+        await trio.lowlevel.checkpoint()
+
+    async def restore_store(self, _):
+        """Return the store to a copy; writers write again within 0.5 s."""
+        if not self._copies or self._is_restoring:
+            return
+        self._is_restoring = True
+        copy = self.rng.choice(self._copies)
+        await self.fleet.restore_store(copy, self.rng.uniform(0, 0.5))
+        self._is_restoring = False
+
+    async def limit_target(self, instance):
+        """Let a target name a request limit for up to 5 s."""
+        target = instance.target
+        limit = self.rng.choice([b'0', b'0.5', b'2', b'10', b'soon'])
+        target.answer_headers = ((b'server-limit', limit),)
+        await trio.sleep(self.rng.uniform(1, 5))
+        target.answer_headers = ()
+
+
 class PlannedWork(FaultInjector):
     """Applies only planned operations, each after the previous one has ended.
 
@@ -291,6 +341,16 @@
     assert not await run_soak(injector, callers, check_end_under_faults)
 
 
+@pytest.mark.parametrize('seed', RESTORE_SEEDS)
+async def test_restores_and_limits_violate_no_rule(seed, tmp_path, nursery):
+    """Neither do restores of the store or limits, mixed with these faults."""
+    rng = random.Random(seed)
+    fleet = Fleet(tmp_path)
+    injector = RestoreInjector(fleet, rng, nursery)
+    callers = Callers(fleet, rng)
+    assert not await run_soak(injector, callers, check_end_under_faults)
+
+
 async def run_planned_work(seed, tmp_path, nursery):
     """Run callers during planned operations; return the violations.
 
