Fail a list whose page has no readable item instead of ending it there

Found in review of the odd entries: a page with more behind it on which no item could be read ended the list as if it were whole, so the targets behind it would have been dropped. The read now fails, which keeps the former targets and is tried again; the new test got a list of nothing before. The order of two entries of one process reads shorter.

--- a/src/clementinedeal/mesh/_types.py
+++ b/src/clementinedeal/mesh/_types.py
@@ -37,13 +37,9 @@
 
         :param former: the entry known so far, if any.
         """
-        is_older = (
-            former is not None
-            and former.started_ms == self.started_ms
-            and former.draining
-            and not self.draining
-        )
-        return former if former is not None and is_older else self
+        if former is None or former.started_ms != self.started_ms:
+            return self
+        return former if former.draining and not self.draining else self
 
     @property
     def state(self) -> str:
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -133,18 +133,15 @@
         targets: dict[str, Target] = {}
         revisions: list[Revision] = []
         for _ in range(MAX_PAGES):
-            answer = await self._get('/-/kv-range', query)
-            page = _decode(answer, ItemPage)
-            shown_at = Revision(answer.era, page.at_rev)
-            items = self._decode_items(page.items, shown_at)
+            items, shown_at, has_more = await self._read_page(query)
+            revisions.append(shown_at)
+            if revisions[0].era != shown_at.era:
+                raise HistoryGoneError('restored between two pages')
             for item in items:
-                target = self._convert_target(item, answer.era)
+                target = self._convert_target(item, shown_at.era)
                 if target is not None:
                     targets[target.name] = target
-            revisions.append(shown_at)
-            if revisions[0].era != answer.era:
-                raise HistoryGoneError('restored between two pages')
-            if not page.has_more or not items:
+            if not has_more:
                 # pages are read one after the other: the first is the oldest
                 return Listing(revision=min(revisions), targets=targets)
             query['after'] = items[-1].key
@@ -213,6 +210,22 @@
             else None,
         )
 
+    async def _read_page(
+        self, query: dict[str, Any]
+    ) -> tuple[list[Item], Revision, bool]:
+        """Return the items of a page, its revision and whether more follow.
+
+        :raises SourceError: the store gave no answer, or no item from which
+            to continue.
+        """
+        answer = await self._get('/-/kv-range', query)
+        page = _decode(answer, ItemPage)
+        shown_at = Revision(answer.era, page.at_rev)
+        items = self._decode_items(page.items, shown_at)
+        if page.has_more and not items:
+            raise SourceError('a page without a readable item')
+        return items, shown_at, page.has_more
+
     async def _watch(
         self,
         prefix: str,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,11 +4,12 @@
 
 import pytest
 import trio
-from tests.store_standin import StoreStandIn, registration
+from tests.store_standin import MAX_PAGE_ITEMS, StoreStandIn, registration
 
 from clementinedeal._events import EventLog
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import MonotonicClock
+from clementinedeal.mesh._contracts import SourceError
 from clementinedeal.platform import PlatformStore
 
 DEPTH = 100_000
@@ -130,6 +131,18 @@
     assert {'a', 'c'} <= set(listing.targets)
 
 
+async def test_page_of_odd_items_does_not_end_the_list(store):
+    client = PlatformStore(
+        store.address, ConnPool(MonotonicClock()), EventLog('i', '1')
+    )
+    for number in range(MAX_PAGE_ITEMS + 1):
+        store.put(f'servers/{number}', registration('10.0.0.1:80'))
+        if number < MAX_PAGE_ITEMS:
+            store.items[f'servers/{number}'] = 5
+    with pytest.raises(SourceError):
+        await client.list_targets(may_lag=False)
+
+
 @pytest.mark.parametrize('name', ODD)
 async def test_fleet_follows_the_list_beside_an_odd_entry(fleet, name, caplog):
     address = fleet.settings[1].target_address
