--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -224,7 +224,7 @@
 
         :param now: monotonic time in seconds.
         """
-        if not self.reserve_retry(now):
+        if not (self._route.idempotent and self.reserve_retry(now)):
             return None
         ranked = self._balancer.rank_targets(
             self._balancer.choose_candidates(self._service),
--- a/tests/test_mesh_plan.py
+++ b/tests/test_mesh_plan.py
@@ -310,3 +310,10 @@
         other.name, not_run(Reason.QUEUE_FULL, free)
     )
     assert plan.reserve_retry(2.6)
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+def test_only_an_idempotent_attempt_is_taken_over(idempotent):
+    plan = make_plan(idempotent=idempotent)
+    plan.next_step(0)
+    assert (plan.takeover_step(2.6) is not None) is idempotent
