--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 import trio.testing
+from tests.trio_clock import TrioClock
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
@@ -400,13 +401,6 @@
     assert member.source.reads > 1
 
 
-class TrioClock:
-    """The clock of the running event loop, which a test can speed up."""
-
-    def now(self):
-        return trio.current_time()
-
-
 class SharedSource(CountingSource):
     """A platform that many daemons watch."""
 
--- a/tests/test_mesh_target_limit.py
+++ b/tests/test_mesh_target_limit.py
@@ -7,6 +7,7 @@
 
 import pytest
 import trio
+from tests.trio_clock import TrioClock
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
@@ -35,13 +36,6 @@
 SETTLED_SECONDS = 3
 
 
-class TrioClock:
-    """The clock of the running event loop, which a test can speed up."""
-
-    def now(self):
-        return trio.current_time()
-
-
 class SpeakingTarget:
     """Stands in for a target's client; answers carry ``statement``."""
 
