Keep what a target said for its process, listed or not

Cause: DRAIN broke in two orders of events.

After a new era is seen, an entry with an earlier start is held back for the time in which a brought-back entry expires; in one era the revisions decide, as clocks may be set back. The owner names the statement of its last process also when that is not listed, and keeps the health of a process whose entry vanished and came back.

Ruled out: ordering by start alone, which would leave a live target unused once its clock was set back.

--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -9,6 +9,7 @@
 
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason
+from clementinedeal.mesh._absences import Absences
 from clementinedeal.mesh._outcomes import MeshOutcome, TargetCondition
 from clementinedeal.mesh._target_observation import TargetObservation
 from clementinedeal.mesh._types import Target
@@ -76,6 +77,8 @@
         self._clock = clock
         self._rng = rng
         self._by_service: dict[str, list[Target]] = {}
+        self._names: frozenset[str] = frozenset()
+        self._absences = Absences(clock)
         self._warmup_until: dict[str, float] = {}
         self._observations: dict[str, TargetObservation] = {}
         self._answer_kilobytes: dict[str, float] = {}
@@ -83,6 +86,9 @@
     def set_targets(self, targets: Iterable[Target]) -> None:
         """Replace the targets to choose from.
 
+        What is known of the others is kept for a while: they may be listed
+        again.
+
         :param targets: all listed targets, of all services.
         """
         now = self._clock.now()
@@ -96,8 +102,10 @@
                 self._warmup_until[target.name] = now + target.warmup_seconds
             observation.set_process(target.slots, target.started_ms)
         self._by_service = by_service
-        names = {one.name for group in by_service.values() for one in group}
-        for name in self._observations.keys() - names:
+        self._names = frozenset(
+            one.name for group in by_service.values() for one in group
+        )
+        for name in self._absences.update(self._names, self._observations):
             del self._observations[name]
             del self._warmup_until[name]
 
@@ -227,7 +235,7 @@
         ranked = [
             one
             for one in candidates
-            if one.name not in excluded and one.name in self._observations
+            if one.name not in excluded and one.name in self._names
         ]
         return sorted(
             ranked,
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -107,17 +107,12 @@
 
         :param target: the listed target, None if there is none.
         """
-        former = self.target
         self.target = target
         if target is None:
             return
-        is_same_process = former is not None and (
-            (former.name, former.started_ms) == (target.name, target.started_ms)
-        )
-        if not is_same_process:
+        if self.limit.set_process(target.name, target.started_ms):
             self.health.reset(target.name)
             self._down_until = 0
-        self.limit.set_process(target.name, target.started_ms)
         self.slot_queue.slots = target.slots
         self.slot_queue.fill_free_slots()
 
@@ -149,9 +144,7 @@
             limit=limit,
             limit_known=limit is not None or self.limit.has_answered,
             pause=round(self.limit.seconds_until_open(), 3),
-            leaving_ms=self.target.started_ms
-            if self.target and self.limit.is_leaving
-            else None,
+            leaving_ms=self.limit.leaving_ms,
         )
 
     def submit(
--- a/src/clementinedeal/mesh/_target_feed.py
+++ b/src/clementinedeal/mesh/_target_feed.py
@@ -10,6 +10,7 @@
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import Clock
+from clementinedeal.mesh._absences import Absences
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._contracts import Registry, SourceError
 from clementinedeal.mesh._owner import MeshOwner
@@ -76,6 +77,9 @@
         self._gone: Target | None = None
         self._gone_era = 0
         self._targets: dict[str, Target] = {}
+        # listed ones and those that were until lately
+        self._known: dict[str, Target] = {}
+        self._absences = Absences(clock)
         self._hosts: frozenset[str] = frozenset()
         self._own: Target | None = None
         self._restored_at = float('-inf')
@@ -164,7 +168,7 @@
         :param era: the registry's era in which it did.
         """
         self._observe_era(era)
-        if confirmed_at <= self._reported_at or self._brought_back(target):
+        if confirmed_at <= self._reported_at or self._is_outdated(target):
             return
         own = self._own
         is_missing = own is not None and (
@@ -214,7 +218,9 @@
             )
 
     async def _update_own(self, name: str, target: Target | None) -> None:
-        if self._brought_back(target):
+        if self._is_outdated(target):
+            if self._owner.target is not None:
+                return
             await trio.sleep(
                 self._era_began_at + ENTRY_LAPSE_SECONDS - self._clock.now()
             )
@@ -243,14 +249,18 @@
         self._revision = listing.revision
         self._observe_era(listing.revision.era)
         now = self._clock.now()
+        is_restored = self._is_restored()
         targets = {
-            name: one.supersede(self._targets.get(name))
+            name: one.supersede(self._known.get(name), is_restored=is_restored)
             for name, one in listing.targets.items()
         }
         if now < self._restored_at + REREGISTRATION_SECONDS:
             # a missing entry may only have expired: keep the former targets
             targets = {**self._targets, **targets}
         self._targets = targets
+        self._known.update(targets)
+        for name in self._absences.update(targets, self._known):
+            del self._known[name]
         self._hosts = frozenset(one.host for one in targets.values())
         self._balancer.set_targets(targets.values())
         if self._role is not None:
@@ -287,26 +297,33 @@
             self._restored_at = self._era_began_at
         self._era = era
 
-    def _brought_back(self, target: Target | None) -> bool:
-        """Whether a restore may have brought back an entry that was removed.
+    def _is_restored(self) -> bool:
+        """Whether entries may be shown that a restore has brought back."""
+        return self._clock.now() < self._era_began_at + ENTRY_LAPSE_SECONDS
+
+    def _is_outdated(self, target: Target | None) -> bool:
+        """Whether a restore may have brought back this entry for the owner.
 
         :param target: the entry, if any.
         """
-        gone = self._gone
-        if target is None or gone is None or self._era <= self._gone_era:
+        if target is None or not self._is_restored():
             return False
-        is_same = (target.name, target.started_ms) == (
-            gone.name,
-            gone.started_ms,
+        own, gone = self._owner.target, self._gone
+        if own is not None:
+            is_same_name = target.name == own.name
+            return is_same_name and target.started_ms < own.started_ms
+        return (
+            gone is not None
+            and self._era > self._gone_era
+            and target.started_ms <= gone.started_ms
         )
-        expires_at = self._era_began_at + ENTRY_LAPSE_SECONDS
-        return is_same and self._clock.now() < expires_at
 
     def _set_own(self, target: Target | None) -> None:
         former = self._owner.target
         if target is not None and former is not None:
             target = target.supersede(
-                former if former.name == target.name else None
+                former if former.name == target.name else None,
+                is_restored=self._is_restored(),
             )
         self._own = target
         self._owner.set_target(target)
--- a/src/clementinedeal/mesh/_target_limit.py
+++ b/src/clementinedeal/mesh/_target_limit.py
@@ -43,23 +43,30 @@
         self.limit: float | None = None
         self.is_leaving = False
 
+    @property
+    def leaving_ms(self) -> int | None:
+        """Start of the process, Unix milliseconds, None unless it leaves."""
+        return self._process[1] if self.is_leaving else None
+
     def gauge(self) -> float:
         """Return the limit in requests per second, infinite without one."""
         return math.inf if self.limit is None else self.limit
 
-    def set_process(self, target: str, started_ms: int) -> None:
+    def set_process(self, target: str, started_ms: int) -> bool:
         """Forget what was said by any process but this one.
 
         :param target: name of the target.
         :param started_ms: its start in Unix milliseconds.
+        :return: whether it is another process than before.
         """
         if self._process == (target, started_ms):
-            return
+            return False
         self._process = (target, started_ms)
         self._named_at = float('-inf')
         self.has_answered = False
         self.limit = None
         self.is_leaving = False
+        return True
 
     def on_statement(
         self, statement: TargetStatement, sent_at: float | None
--- a/src/clementinedeal/mesh/_target_observation.py
+++ b/src/clementinedeal/mesh/_target_observation.py
@@ -40,13 +40,15 @@
     started_ms: int = -1
 
     def set_process(self, slots: int, started_ms: int) -> None:
-        """Forget the request limit of any process but the listed one.
+        """Forget what was said by the process that was listed before.
 
         :param slots: slots of the listed process.
         :param started_ms: its start in Unix milliseconds.
         """
         if self.started_ms == started_ms:
             return
+        if self.leaving_ms == self.started_ms:
+            self.leaving_ms = None
         self.started_ms = started_ms
         self.slots = slots
         self.limit = None
--- a/src/clementinedeal/mesh/_types.py
+++ b/src/clementinedeal/mesh/_types.py
@@ -29,16 +29,23 @@
         """IP address of the instance that the target runs on."""
         return self.address.rpartition(':')[0]
 
-    def supersede(self, former: 'Target | None') -> 'Target':
+    def supersede(
+        self, former: 'Target | None', *, is_restored: bool
+    ) -> 'Target':
         """Return which of two entries of one name holds.
 
         A process that drains does not become ready again: an entry that says
-        so is older, from a store that was restored from a copy.
+        so is older, from a store that was restored from a copy. So is one with
+        an earlier start, but only then: clocks may be set back.
 
         :param former: the entry known so far, if any.
+        :param is_restored: whether this entry may come from such a copy.
         """
-        if former is None or former.started_ms != self.started_ms:
+        if former is None:
             return self
+        if former.started_ms != self.started_ms:
+            is_older = is_restored and self.started_ms < former.started_ms
+            return former if is_older else self
         return former if former.draining and not self.draining else self
 
     @property
--- a/tests/test_mesh_restored_store.py
+++ b/tests/test_mesh_restored_store.py
@@ -197,3 +197,55 @@
     await parts.feed._update_own(TARGET.name, None)
     parts.feed.on_own_reported(TARGET, 103, 1)
     assert parts.shown.target == TARGET
+
+
+OLDER = replace(TARGET, started_ms=4)
+OLDER_OTHER = replace(OTHER, started_ms=4)
+
+
+def test_older_process_that_a_restore_brings_back_ends_no_drain(parts):
+    leaving, other = (replace(one, draining=True) for one in (TARGET, OTHER))
+    parts.feed.on_own_reported(leaving, 101, 1)
+    parts.list_targets(1, 31, leaving, other)
+    parts.list_targets(2, 20, OLDER, OLDER_OTHER)
+    parts.feed.on_own_reported(OLDER, 102, 2)
+    assert parts.shown.targets == [leaving, other]
+    assert parts.shown.target == leaving
+
+
+async def test_own_watch_passes_over_an_older_process(parts):
+    parts.feed.on_own_reported(TARGET, 101, 2)
+    await parts.feed._update_own(TARGET.name, OLDER)
+    assert parts.shown.target == TARGET
+    parts.clock.advance(ENTRY_LAPSE_SECONDS)
+    await parts.feed._update_own(TARGET.name, OLDER)
+    assert parts.shown.target == OLDER
+
+
+@pytest.mark.parametrize('is_restored', [True, False])
+def test_lower_start_is_believed_unless_a_restore_explains_it(
+    parts, is_restored
+):
+    parts.list_targets(1 + is_restored, 32, TARGET, OLDER_OTHER)
+    assert parts.shown.targets[1] == (OTHER if is_restored else OLDER_OTHER)
+    parts.clock.advance(ENTRY_LAPSE_SECONDS)
+    parts.list_targets(1 + is_restored, 33, TARGET, OLDER_OTHER)
+    assert parts.shown.targets[1] == OLDER_OTHER
+
+
+def test_target_that_drained_and_vanished_comes_back_draining(parts):
+    leaving = replace(OTHER, draining=True)
+    parts.list_targets(1, 31, TARGET, leaving)
+    parts.list_targets(1, 32, TARGET)
+    assert parts.shown.targets == [TARGET]
+    parts.list_targets(2, 20, TARGET, OTHER)
+    assert parts.shown.targets == [TARGET, leaving]
+
+
+async def test_older_process_at_the_address_of_a_removed_one_is_not_used(
+    parts, autojump_clock
+):
+    await parts.feed._update_own(TARGET.name, None)
+    parts.list_targets(2, 20, OLDER)
+    parts.feed.on_own_reported(OLDER, 103, 2)
+    assert parts.shown.target is None
--- a/tests/test_mesh_target_limit.py
+++ b/tests/test_mesh_target_limit.py
@@ -12,9 +12,11 @@
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
 from clementinedeal._verdict import Reason, Verdict
+from clementinedeal.mesh._absences import FORGET_SECONDS, MAX_ABSENT
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._contracts import TargetStatement
+from clementinedeal.mesh._health import FAST_FAILURE_RATIO
 from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._outcomes import (
     MeshAttempt,
@@ -252,8 +254,9 @@
 )
 
 
-def make_balancer(targets=TARGETS):
-    balancer = Balancer('h9', 'a', VirtualClock(), random.Random(1))
+def make_balancer(targets=TARGETS, clock=None):
+    clock = clock or VirtualClock()
+    balancer = Balancer('h9', 'a', clock, random.Random(1))
     balancer.set_targets(targets)
     return balancer
 
@@ -293,6 +296,61 @@
     assert len(balancer.available_targets('s')) == 1
 
 
+@pytest.mark.parametrize('absent_seconds', [0, FORGET_SECONDS - 1])
+def test_statements_outlive_an_absence_from_the_list(absent_seconds):
+    clock = VirtualClock()
+    balancer = make_balancer(clock=clock)
+    balancer.on_condition('t1', condition(limit=2.0))
+    balancer.set_targets(TARGETS[2:])
+    # an answer that was under way when the entry vanished
+    balancer.on_attempt_started('t0')
+    outcome = MeshOutcome(verdict=Verdict.RAN, state=condition(leaving_ms=0))
+    balancer.on_attempt_ended('t0', outcome)
+    assert not balancer.rank_targets(TARGETS[:2], (), avoid_risk=False)
+    clock.advance(absent_seconds)
+    balancer.set_targets(TARGETS)
+    assert balancer.available_targets('s') == list(TARGETS[1:])
+    assert balancer.known_limit(TARGETS[1]) == 2
+
+
+def test_memory_of_departed_targets_is_bounded():
+    clock = VirtualClock()
+    balancer = make_balancer((), clock)
+    for number in range(MAX_ABSENT + 10):
+        balancer.set_targets([replace(TARGETS[0], name=f'n{number}')])
+    assert len(balancer._observations) <= MAX_ABSENT + 1
+    balancer.set_targets(TARGETS)
+    clock.advance(FORGET_SECONDS)
+    balancer.set_targets(TARGETS)
+    assert balancer._observations.keys() == {one.name for one in TARGETS}
+
+
+async def test_statement_is_told_although_the_entry_has_vanished(
+    nursery, autojump_clock
+):
+    target = SpeakingTarget()
+    target.statement = TargetStatement(leaving=True)
+    owner = make_owner(target, nursery)
+    owner.health.observe(FAST_FAILURE_RATIO, 'failed-at-once')
+    listed, risk = owner.target, owner.health.risk
+    execution = owner.submit(make_attempt('first', insist=True), REQUEST)
+    await trio.sleep(0.1)
+    owner.set_target(None)
+    await execution.done.wait()
+    assert execution.outcome.state.leaving_ms == listed.started_ms
+    owner.set_target(listed)
+    assert owner.accepted_target == ''
+    assert owner.health.risk > risk / 2
+
+
+def test_process_whose_clock_was_set_back_starts_without_statements():
+    balancer = make_balancer([replace(TARGETS[0], started_ms=9)])
+    balancer.on_condition('t0', condition(limit=2.0, leaving_ms=9))
+    balancer.set_targets(TARGETS[:1])
+    assert balancer.available_targets('s') == [TARGETS[0]]
+    assert balancer.known_limit(TARGETS[0]) is None
+
+
 def test_target_without_a_token_is_tried_last():
     balancer = make_balancer()
     for target in TARGETS:
