Let daemons learn which zones are evacuated

Cause: operators write op/evacuate/ZONE to the store, which no daemon read.

Change: where the settings have the contract "places" and a bound evacuate_s, the readers of declarations read and watch the prefix op/ instead of the key op/config, in as many calls as before. EvacuationTracker keeps the zones of the newest revision; replies of readers carry them, and a change is hinted to all. Elsewhere calls, messages and behaviour are as before.

Ruled out: a watch of its own for the evacuations, one more priced call; an age of its own, since one call proves both.

--- a/src/clementinedeal/mesh/_contracts.py
+++ b/src/clementinedeal/mesh/_contracts.py
@@ -4,7 +4,9 @@
 from typing import Protocol
 
 from clementinedeal._errors import ClementinedealError
+from clementinedeal._events import EventLog
 from clementinedeal._http import Headers, RequestHead, ResponseHead
+from clementinedeal._pool import ConnPool
 from clementinedeal.mesh._types import (
     DeclarationUpdate,
     Listing,
@@ -111,6 +113,28 @@
     calls: int
 
 
+class OpenPlatform(Protocol):
+    """Opens the platform."""
+
+    def __call__(
+        self,
+        address: str,
+        pool: ConnPool,
+        events: EventLog,
+        *,
+        has_evacuations: bool,
+    ) -> Platform:
+        """Return the platform at an address.
+
+        :param address: its ``ip:port``.
+        :param pool: connections.
+        :param events: log of values that cannot be decoded.
+        :param has_evacuations: whether operators evacuate availability zones,
+            so that the declarations' source tells them.
+        """
+        ...
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CallerHeaders:
     """The decoded headers of a caller's request.
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -25,10 +25,11 @@
     ConditionRequest,
 )
 from clementinedeal.mesh._condition_probe import ConditionProbe
-from clementinedeal.mesh._contracts import Dialect, Platform
+from clementinedeal.mesh._contracts import Dialect, OpenPlatform
 from clementinedeal.mesh._datagrams import Body, DatagramChannel
 from clementinedeal.mesh._declarations import DeclarationFeed
 from clementinedeal.mesh._entry import MeshEntry, MeshEntryParts
+from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._fleet_news import FleetNews, FleetNewsParts
 from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._operator_endpoint import OperatorEndpoint
@@ -68,7 +69,7 @@
         self,
         settings: MeshDaemonSettings,
         reload: ReloadSettings,
-        open_platform: Callable[[str, ConnPool, EventLog], Platform],
+        open_platform: OpenPlatform,
         dialect: Dialect,
     ) -> None:
         """Create a daemon that does not run yet.
@@ -85,7 +86,10 @@
         self.events = EventLog(settings.instance, new_request_id()[:8])
         self._pool = ConnPool(self._clock)
         platform = open_platform(
-            settings.platform_address, self._pool, self.events
+            settings.platform_address,
+            self._pool,
+            self.events,
+            has_evacuations=settings.bounds.evacuate_seconds is not None,
         )
         self._platform = platform
         host = settings.target_address.rpartition(':')[0]
@@ -99,6 +103,8 @@
             settings.bounds.revoke_seconds,
             self._role,
         )
+        self._evacuations = EvacuationTracker(self._clock, self.events)
+        self._declarations.on_update.append(self._evacuations.on_update)
         self._stopping = trio.Event()
         self._metrics = DaemonMetrics()
         self.count_dropped_lines: Callable[[], int] = int
@@ -192,6 +198,7 @@
                 address=settings.target_address,
                 role=self._role,
                 declarations=self._declarations,
+                evacuations=self._evacuations,
                 targets=self._targets,
                 registry_watch=self._registry_watch,
                 datagrams=self._datagrams,
@@ -291,6 +298,7 @@
             target_slots=lambda: owner.slot_queue.slots,
             target_limit=owner.limit.gauge,
             target_leaving=lambda: owner.limit.is_leaving,
+            evacuated_zones=lambda: len(self._evacuations.zones),
             platform_calls=lambda: self._platform.calls,
             log_lines_left_out=lambda: self.count_dropped_lines(),
         )
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -37,7 +37,7 @@
     Invariant: the version never decreases, so that an older declaration never
     replaces a newer one, not even if the source was restored from a copy and
     shows it as its newest. Handlers in ``on_change`` are called with each new
-    catalog.
+    catalog, those in ``on_update`` with each answer of the source.
     """
 
     def __init__(
@@ -75,6 +75,7 @@
         self._is_reachable = True
         self.catalog: Catalog | None = None
         self.on_change: list[Callable[[Catalog], None]] = []
+        self.on_update: list[Callable[[DeclarationUpdate], None]] = []
 
     @property
     def version(self) -> int:
@@ -115,6 +116,8 @@
                 await trio.sleep(RETRY_SECONDS)
                 continue
             self._report_recovered()
+            for handler in self.on_update:
+                handler(update)
             self._apply(update)
             self._shown_at = shown_at
             self._confirm(shown_at)
@@ -178,7 +181,7 @@
         seconds = self._watch_seconds()
         update = await self._source.wait(revision, seconds)
         shown_at = shown_until(
-            sent_at, self._clock.now(), seconds, is_empty=not update.changed
+            sent_at, self._clock.now(), seconds, is_empty=update.is_empty
         )
         return update, shown_at
 
--- a/src/clementinedeal/mesh/_fleet_news.py
+++ b/src/clementinedeal/mesh/_fleet_news.py
@@ -14,6 +14,7 @@
 from clementinedeal._events import EventLog
 from clementinedeal._timers import Clock
 from clementinedeal.mesh._declarations import DeclarationFeed
+from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._news_messages import NewsHint, NewsReply, NewsRequest
 from clementinedeal.mesh._rate_limiter import (
     MAX_SENDS,
@@ -35,13 +36,14 @@
     """The collaborators of ``FleetNews``.
 
     ``address`` is the ``ip:port`` of the own target, ``role`` says whom to ask.
-    ``declarations`` and ``targets`` get the news. They and ``registry_watch``
-    answer for this daemon.
+    ``declarations``, ``evacuations`` and ``targets`` get the news. They and
+    ``registry_watch`` answer for this daemon.
     """
 
     address: str
     role: ReadingRole
     declarations: DeclarationFeed
+    evacuations: EvacuationTracker
     targets: TargetFeed
     registry_watch: RegistryWatch
     datagrams: Datagrams
@@ -70,6 +72,7 @@
         parts.registry_watch.on_confirmed.append(self._report_own)
         parts.targets.on_own_found.append(lambda: self._hint.set())
         parts.declarations.on_change.append(lambda _: self._hint_all())
+        parts.evacuations.on_change.append(lambda _: self._hint_all())
 
     async def run(self) -> None:
         """Ask a reader at each interval, and at once after a hint."""
@@ -169,6 +172,8 @@
         :param asked_at: when it was asked for, monotonic seconds.
         """
         role = self._parts.role
+        if reply.evacuations is not None:
+            self._parts.evacuations.on_reported(reply.evacuations)
         self._parts.declarations.on_reported(
             reply.version, asked_at - reply.age
         )
@@ -197,6 +202,7 @@
             target=None if is_unchanged else target,
             is_unchanged=is_unchanged,
             era=watch.era,
+            evacuations=self._parts.evacuations.known,
         )
 
     def _report_own(self) -> None:
--- a/src/clementinedeal/mesh/_news_messages.py
+++ b/src/clementinedeal/mesh/_news_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from clementinedeal.mesh._types import Target
+from clementinedeal.mesh._types import Evacuations, Target
 
 
 class NewsRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
@@ -28,7 +28,8 @@
     address that was asked for, None if there is none or if ``is_unchanged``
     says that its state is the one that was asked about, as the registry said
     ``list_age`` seconds ago, in ``era``. An age is infinite if the daemon does
-    not know. Ages are those at the time of the reply.
+    not know. Ages are those at the time of the reply. ``evacuations`` is None
+    if the daemon knows of none; they are as old as the declaration.
     """
 
     number: int
@@ -38,6 +39,7 @@
     target: Target | None
     is_unchanged: bool
     era: int = 0
+    evacuations: Evacuations | None = None
 
 
 class NewsHint(msgspec.Struct, frozen=True, array_like=True, tag='hint'):
--- a/src/clementinedeal/mesh/_reading_role.py
+++ b/src/clementinedeal/mesh/_reading_role.py
@@ -58,9 +58,12 @@
         self._clock = clock
         self._host = host
         self._zone = zone
-        self.max_declaration_age = bounds.config_seconds - OWN_READ_SECONDS
+        declaration_limit = bounds.config_seconds
+        if bounds.evacuate_seconds is not None:
+            declaration_limit = min(declaration_limit, bounds.evacuate_seconds)
+        self.max_declaration_age = declaration_limit - OWN_READ_SECONDS
         self.max_target_age = bounds.drain_seconds - OWN_READ_SECONDS
-        limit = min(bounds.drain_seconds, bounds.config_seconds)
+        limit = min(bounds.drain_seconds, declaration_limit)
         self.ask_interval = ASK_FRACTION * limit
         self.read_interval = (
             limit - OWN_READ_SECONDS - self.ask_interval - EXCHANGE_SECONDS
--- a/src/clementinedeal/mesh/_types.py
+++ b/src/clementinedeal/mesh/_types.py
@@ -132,18 +132,44 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Evacuations:
+    """The availability zones that operators had evacuated at a revision."""
+
+    revision: Revision
+    zones: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EvacuationChanges:
+    """Whether each of some availability zones is evacuated.
+
+    ``is_complete``: no other zone is.
+    """
+
+    zones: Mapping[str, bool]
+    is_complete: bool
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeclarationUpdate:
     """Result of a read or watch of the declarations.
 
     ``revision`` is the source's revision from which to continue. ``changed``:
     this is what the source shows now; ``declaration`` is then None if it shows
-    none or one that cannot be decoded.
+    none or one that cannot be decoded. ``evacuations`` is None if the source
+    does not tell them, or if a watch saw no change of them.
     """
 
     revision: Revision
     changed: bool = False
     declaration: Declaration | None = None
+    evacuations: EvacuationChanges | None = None
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether a watch saw no change at all."""
+        return not self.changed and self.evacuations is None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/clementinedeal/platform/_node.py
+++ b/src/clementinedeal/platform/_node.py
@@ -11,6 +11,8 @@
 from clementinedeal.mesh._settings import Bounds, MeshDaemonSettings
 
 NODE_FILE_VARIABLE = 'CLEMENTINEDEAL_NODE_FILE'
+# The contract by which zones are evacuated.
+_PLACES = 'places'
 
 
 class _Listen(msgspec.Struct):
@@ -41,6 +43,8 @@
     :param quota_over: fraction by which an account may exceed its rate and
         burst.
     :param quota_slack: requests by which it may exceed them in addition.
+    :param evacuate_s: seconds after which the targets of an evacuated
+        availability zone must get no request.
     """
 
     revoke_s: float = 5.0
@@ -52,6 +56,7 @@
     grace_s: float = 6.0
     quota_over: float = 0.0
     quota_slack: float = 0.0
+    evacuate_s: float | None = None
 
 
 class _Platform(msgspec.Struct):
@@ -66,7 +71,8 @@
     ``node`` is the name of the instance, ``zone`` its availability zone.
     ``app_addr`` is the ``ip:port`` of its target, which runs ``service``.
     ``port_range`` holds the first and last port that the daemon may use
-    besides those of ``listen``.
+    besides those of ``listen``. ``contracts`` names the parts of the rules that
+    are in force.
     """
 
     node: str
@@ -77,6 +83,7 @@
     listen: _Listen
     platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    contracts: tuple[str, ...] = ()
 
 
 def node_path() -> str:
@@ -113,6 +120,7 @@
 
 def _convert(node: _Node) -> MeshDaemonSettings:
     bounds = node.bounds
+    has_places = _PLACES in node.contracts
     return MeshDaemonSettings(
         instance=node.node,
         zone=node.zone,
@@ -133,6 +141,7 @@
             stop_seconds=bounds.grace_s,
             allowance_over=bounds.quota_over,
             allowance_slack=bounds.quota_slack,
+            evacuate_seconds=bounds.evacuate_s if has_places else None,
         ),
     )
 
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -1,6 +1,6 @@
 """Read-only client of the platform's store."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import urlencode
 
@@ -19,6 +19,7 @@
 from clementinedeal.mesh._contracts import HistoryGoneError, SourceError
 from clementinedeal.mesh._types import (
     DeclarationUpdate,
+    EvacuationChanges,
     Listing,
     ListingChanges,
     Revision,
@@ -35,9 +36,13 @@
     ItemPage,
     StoreRevision,
 )
+from clementinedeal.platform._orders import (
+    CONFIG_KEY,
+    ORDERS_PREFIX,
+    evacuated_zones,
+)
 from clementinedeal.platform._registration import decode_target
 
-_CONFIG_KEY = 'op/config'
 _TARGETS_PREFIX = 'servers/'
 _OK = 200
 _NOT_FOUND = 404
@@ -77,16 +82,21 @@
         address: str,
         pool: ConnPool,
         events: EventLog,
+        *,
+        has_evacuations: bool = False,
     ) -> None:
         """Create a client.
 
         :param address: ``ip:port`` of the store.
         :param pool: connections.
         :param events: log of values that cannot be decoded.
+        :param has_evacuations: whether operators evacuate zones, so that these
+            are read with the declaration.
         """
         self._address = address
         self._pool = pool
         self._events = events
+        self._has_evacuations = has_evacuations
         self._unreadable_revisions: dict[str, Revision] = {}
         self._newest_era: int | None = None
         self.calls = 0
@@ -96,7 +106,10 @@
 
         :raises SourceError: the store gave no answer.
         """
-        answer = await self._get('/-/kv-key', {'key': _CONFIG_KEY})
+        if self._has_evacuations:
+            items, shown_at = await self._read_all({'prefix': ORDERS_PREFIX})
+            return self._convert_orders(items, shown_at, is_complete=True)
+        answer = await self._get('/-/kv-key', {'key': CONFIG_KEY})
         if answer.status == _NOT_FOUND:
             return DeclarationUpdate(
                 revision=_missing_revision(answer), changed=True
@@ -115,11 +128,9 @@
         :param seconds: how long the store holds the call.
         :raises SourceError: the store gave no answer.
         """
-        events, shown_at = await self._watch(_CONFIG_KEY, revision, seconds)
-        for item in reversed(events):
-            if item.key == _CONFIG_KEY and not item.deleted:
-                return self._convert_declaration(item, shown_at)
-        return DeclarationUpdate(revision=shown_at)
+        prefix = ORDERS_PREFIX if self._has_evacuations else CONFIG_KEY
+        events, shown_at = await self._watch(prefix, revision, seconds)
+        return self._convert_orders(events, shown_at, is_complete=False)
 
     async def list_targets(self, *, may_lag: bool) -> Listing:
         """Return every listed target.
@@ -130,22 +141,12 @@
         query: dict[str, Any] = {'prefix': _TARGETS_PREFIX}
         if may_lag:
             query['serializable'] = 1
-        targets: dict[str, Target] = {}
-        revisions: list[Revision] = []
-        for _ in range(MAX_PAGES):
-            items, shown_at, has_more = await self._read_page(query)
-            revisions.append(shown_at)
-            if revisions[0].era != shown_at.era:
-                raise HistoryGoneError('restored between two pages')
-            for item in items:
-                target = self._convert_target(item, shown_at.era)
-                if target is not None:
-                    targets[target.name] = target
-            if not has_more:
-                # pages are read one after the other: the first is the oldest
-                return Listing(revision=min(revisions), targets=targets)
-            query['after'] = items[-1].key
-        raise SourceError(f'more than {MAX_PAGES} pages of targets')
+        items, shown_at = await self._read_all(query)
+        targets = [self._convert_target(item, shown_at.era) for item in items]
+        return Listing(
+            revision=shown_at,
+            targets={one.name: one for one in targets if one is not None},
+        )
 
     async def wait_changes(
         self, revision: Revision, seconds: float
@@ -210,6 +211,28 @@
             else None,
         )
 
+    async def _read_all(
+        self, query: dict[str, Any]
+    ) -> tuple[list[Item], Revision]:
+        """Return the items of all pages, and the revision of the oldest page.
+
+        :param query: the parameters of the first page's query.
+        :raises SourceError: the store gave no answer.
+        """
+        items: list[Item] = []
+        revisions: list[Revision] = []
+        for _ in range(MAX_PAGES):
+            page, shown_at, has_more = await self._read_page(query)
+            items.extend(page)
+            revisions.append(shown_at)
+            if revisions[0].era != shown_at.era:
+                raise HistoryGoneError('restored between two pages')
+            if not has_more:
+                # pages are read one after the other: the first is the oldest
+                return items, min(revisions)
+            query['after'] = page[-1].key
+        raise SourceError(f'more than {MAX_PAGES} pages of {query["prefix"]}')
+
     async def _read_page(
         self, query: dict[str, Any]
     ) -> tuple[list[Item], Revision, bool]:
@@ -314,6 +337,26 @@
         self._report_era(era)
         return _Answer(answer.status, body, era)
 
+    def _convert_orders(
+        self, items: list[Item], revision: Revision, *, is_complete: bool
+    ) -> DeclarationUpdate:
+        """Convert the items of a read, or the events of a watch.
+
+        :param items: the items, the newest of a key last.
+        :param revision: the store's revision that they show.
+        :param is_complete: whether they are all there are, as in a read.
+        """
+        update = DeclarationUpdate(revision=revision, changed=is_complete)
+        for item in reversed(items):
+            if item.key == CONFIG_KEY and not item.deleted:
+                update = self._convert_declaration(item, revision)
+                break
+        zones = evacuated_zones(items)
+        if not (zones or is_complete):
+            return update
+        changes = EvacuationChanges(zones=zones, is_complete=is_complete)
+        return replace(update, evacuations=changes)
+
     def _convert_declaration(
         self, item: Item, revision: Revision
     ) -> DeclarationUpdate:
--- a/tests/test_mesh_declarations.py
+++ b/tests/test_mesh_declarations.py
@@ -151,7 +151,7 @@
     MeshDaemon(
         settings,
         lambda: None,
-        lambda address, pool, events: clocks.append(pool._clock),
+        lambda address, pool, events, **_: clocks.append(pool._clock),
         None,
     )
     assert isinstance(clocks[0], BootClock)
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -11,6 +11,7 @@
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
 from clementinedeal.mesh._declarations import DeclarationFeed
+from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._fleet_news import FleetNews, FleetNewsParts
 from clementinedeal.mesh._news_messages import NewsHint, NewsReply, NewsRequest
 from clementinedeal.mesh._reading_role import ReadingRole
@@ -20,6 +21,8 @@
 from clementinedeal.mesh._types import (
     Declaration,
     DeclarationUpdate,
+    EvacuationChanges,
+    Evacuations,
     Listing,
     ListingChanges,
     Revision,
@@ -122,6 +125,7 @@
         self.targets = targets
         self.reads = 0
         self.revision = 7
+        self.evacuated = {}
         self.changes = {}
 
     async def read(self):
@@ -134,6 +138,9 @@
             revision=Revision(1, self.revision),
             changed=True,
             declaration=declaration,
+            evacuations=EvacuationChanges(
+                zones=dict(self.evacuated), is_complete=True
+            ),
         )
 
     async def wait(self, revision, seconds):
@@ -181,6 +188,8 @@
         self.feed = DeclarationFeed(
             self.source, self.clock, events, 5, self.role
         )
+        self.evacuations = EvacuationTracker(self.clock, events)
+        self.feed.on_update.append(self.evacuations.on_update)
         self.owner = Owner()
         self.target_feed = TargetFeed(
             self.source, Balancer(), self.owner, self.clock, events, self.role
@@ -192,6 +201,7 @@
                 address=self.own.address,
                 role=self.role,
                 declarations=self.feed,
+                evacuations=self.evacuations,
                 targets=self.target_feed,
                 registry_watch=self.watch,
                 datagrams=self.datagrams,
@@ -340,6 +350,35 @@
     assert reader.datagrams.sent == [(leaving.host, NewsHint())]
 
 
+async def test_reader_tells_evacuated_zones_and_hints_at_changes(
+    member, nursery
+):
+    reader = find_daemon(reader=True)
+    nursery.start_soon(reader.news.run_hints)
+    reader.source.evacuated = {'a': True, 'b': False}
+    reader.evacuations.on_update(await reader.source.read())
+    await trio.testing.wait_all_tasks_blocked()
+    hosts = [one.host for one in reader.targets]
+    assert reader.datagrams.sent == [(host, NewsHint()) for host in hosts]
+    await reader.news.on_message('h', NewsRequest(5, reader.own.address, ''))
+    (_, told) = reader.datagrams.sent[-1]
+    reads = member.source.reads
+    member.datagrams.answer = lambda host, request: reply_to(
+        request, target=member.own, evacuations=told.evacuations
+    )
+    await member.news._ask_readers()
+    assert member.evacuations.zones == {'a'}
+    # another reader has not learned of it yet
+    member.datagrams.answer = lambda host, request: reply_to(
+        request,
+        target=member.own,
+        evacuations=Evacuations(revision=Revision(1, 6)),
+    )
+    await member.news._ask_readers()
+    assert member.evacuations.zones == {'a'}
+    assert member.source.reads == reads
+
+
 async def test_target_that_a_reader_no_longer_lists_is_looked_up(member):
     member.datagrams.answer = lambda host, request: reply_to(
         request, target=member.own
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -264,6 +264,20 @@
     assert settings.bounds.revoke_seconds == 5
 
 
+@pytest.mark.parametrize('contract', ['base', 'places'])
+def test_zones_count_only_where_the_contract_names_places(tmp_path, contract):
+    path = tmp_path / 'settings.toml'
+    more = f'contracts = ["{contract}"]\n[listen]'
+    path.write_text(
+        NODE.replace('[listen]', more).replace(
+            'revoke_s = 5', 'revoke_s = 5\nevacuate_s = 4'
+        )
+    )
+    settings = load_node(str(path)).unwrap()
+    has_places = contract == 'places'
+    assert settings.bounds.evacuate_seconds == (4 if has_places else None)
+
+
 @pytest.mark.parametrize(
     ('old', 'new', 'named'),
     [
