Send nothing to the targets of evacuated zones

Cause: daemons know the evacuated zones, but go on using their targets.

Change: each request has AllowedZones, by which the balancer leaves targets out for first attempts, retries, takeovers, trials and when it insists. The owner of a target in such a zone refuses attempts with zone-evacuated and empties its queue; requests that run end normally. If the zones of all targets are evacuated, requests are refused at once, not run.

Ruled out: refusals by owners only, a round trip for each request.

--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -24,7 +24,9 @@
     so does ``DUPLICATE``, unless it refuses an attempt id that was used before.
     ``TARGET_LIMITED`` means that the request exceeds the request limit that the
     target names, ``NO_TARGET`` that the request could be sent to no target,
-    ``OWNER_LOST`` that the connection to an owner broke.
+    ``OWNER_LOST`` that the connection to an owner broke. ``ZONE_EVACUATED``
+    means that operators have evacuated the availability zones of all targets,
+    or of the one that was asked.
     """
 
     BAD_REQUEST = 'bad-request'
@@ -38,6 +40,7 @@
     RATE_EXCEEDED = 'rate-exceeded'
     CONFIG_STALE = 'config-stale'
     NO_TARGET = 'no-target'
+    ZONE_EVACUATED = 'zone-evacuated'
     TARGET_EJECTED = 'target-ejected'
     QUEUE_FULL = 'queue-full'
     TARGET_LIMITED = 'target-limited'
--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -9,6 +9,7 @@
 
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason
+from clementinedeal.mesh._allowed_zones import EVERY_ZONE, AllowedZones
 from clementinedeal.mesh._outcomes import MeshOutcome, TargetCondition
 from clementinedeal.mesh._target_observation import TargetObservation
 from clementinedeal.mesh._types import Target
@@ -46,6 +47,7 @@
 AVOID_SECONDS = {
     Reason.NO_TARGET: 1.0,
     Reason.DRAINING: 3.0,
+    Reason.ZONE_EVACUATED: 1.0,
     Reason.WRONG_INCARNATION: 1.0,
     Reason.TARGET_EJECTED: 1.2,
 }
@@ -101,15 +103,21 @@
             del self._observations[name]
             del self._warmup_until[name]
 
-    def available_targets(self, service: str) -> list[Target]:
-        """Return the targets of a service that do not leave.
+    def available_targets(
+        self, service: str, zones: AllowedZones = EVERY_ZONE
+    ) -> list[Target]:
+        """Return the targets of a service that a request may go to.
+
+        Those that leave accept none.
 
         :param service: name of the service.
+        :param zones: the zones in which the request may run.
         """
         return [
             one
             for one in self._by_service.get(service, ())
-            if not (one.draining or self._observation(one).is_leaving())
+            if zones.allow(one)
+            and not (one.draining or self._observation(one).is_leaving())
         ]
 
     def known_limit(self, target: Target) -> float | None:
@@ -119,28 +127,34 @@
         """
         return self._observation(target).limit
 
-    def total_limit(self, service: str) -> float | None:
+    def total_limit(
+        self, service: str, zones: AllowedZones = EVERY_ZONE
+    ) -> float | None:
         """Return the sum of the targets' request limits, per second.
 
         :param service: name of the service.
+        :param zones: the zones in which the request may run.
         :return: None if it has no targets or one that names no limit.
         """
         limits = [
             self._observation(one).limit
-            for one in self.available_targets(service)
+            for one in self.available_targets(service, zones)
         ]
         named = [limit for limit in limits if limit is not None]
         return sum(named) if named and len(named) == len(limits) else None
 
-    def choose_candidates(self, service: str) -> list[Target]:
+    def choose_candidates(
+        self, service: str, zones: AllowedZones = EVERY_ZONE
+    ) -> list[Target]:
         """Return the targets that one request chooses among.
 
         In a large service these are a sample: targets that were observed
         lately, then others of the own zone, then any.
 
         :param service: name of the service.
+        :param zones: the zones in which the request may run.
         """
-        available = self.available_targets(service)
+        available = self.available_targets(service, zones)
         if len(available) <= MAX_CANDIDATES:
             return available
         self._rng.shuffle(available)
@@ -236,17 +250,23 @@
             ),
         )
 
-    def has_room(self, service: str, excluded: Collection[str]) -> bool:
+    def has_room(
+        self,
+        service: str,
+        excluded: Collection[str],
+        zones: AllowedZones = EVERY_ZONE,
+    ) -> bool:
         """Whether some target is expected to have a free slot.
 
         :param service: name of the service.
         :param excluded: names of targets to leave out.
+        :param zones: the zones in which the request may run.
         """
         now = self._clock.now()
         return any(
             self._observation(one).estimate_load(now) < NEARLY_FULL_LOAD
             and not self._observation(one).is_avoided(now)
-            for one in self.available_targets(service)
+            for one in self.available_targets(service, zones)
             if one.name not in excluded
         )
 
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -16,6 +16,7 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import BootClock
 from clementinedeal.mesh._admission import Admission
+from clementinedeal.mesh._allowed_zones import AllowedZones
 from clementinedeal.mesh._background_task import BackgroundTask, keep_running
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._call_failures import CallFailures
@@ -173,6 +174,7 @@
                     self.events,
                 ),
                 call_failures=call_failures,
+                evacuations=self._evacuations,
                 metrics=self._metrics,
                 nursery=nursery,
             ),
@@ -235,6 +237,7 @@
                     ConnPool(self._clock, PEER_CONNECT_SECONDS),
                     self._clock,
                 ),
+                allowed_zones=lambda: AllowedZones(self._evacuations.zones),
             ),
         )
         entry = MeshEntry(
@@ -288,6 +291,7 @@
     def _add_gauges(self) -> None:
         owner = self._owner
         feed = self._declarations
+        evacuations = self._evacuations
         self._metrics.gauges.update(
             config_version=lambda: feed.version,
             config_age_seconds=lambda: feed.age,
@@ -298,7 +302,8 @@
             target_slots=lambda: owner.slot_queue.slots,
             target_limit=owner.limit.gauge,
             target_leaving=lambda: owner.limit.is_leaving,
-            evacuated_zones=lambda: len(self._evacuations.zones),
+            target_evacuated=lambda: evacuations.includes(owner.target),
+            evacuated_zones=lambda: len(evacuations.zones),
             platform_calls=lambda: self._platform.calls,
             log_lines_left_out=lambda: self.count_dropped_lines(),
         )
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -10,6 +10,7 @@
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._contracts import CallContext, TargetStatement
+from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._executions import Execution, MeshExecutionTable
 from clementinedeal.mesh._health_tracker import HealthTracker
 from clementinedeal.mesh._metrics import DaemonMetrics
@@ -43,13 +44,15 @@
     """Collaborators of an owner.
 
     ``target_client`` calls the target, ``call_failures`` are those of calls
-    that the target itself made, ``nursery`` runs the attempts.
+    that the target itself made, ``evacuations`` the evacuated zones;
+    ``nursery`` runs the attempts.
     """
 
     clock: Clock
     events: EventLog
     target_client: TargetClient
     call_failures: CallFailures
+    evacuations: EvacuationTracker
     metrics: DaemonMetrics
     nursery: trio.Nursery
 
@@ -78,6 +81,7 @@
         )
         self.limit = TargetLimit(parts.clock, parts.events)
         parts.target_client.on_statement.append(self._on_statement)
+        parts.evacuations.on_change.append(lambda _: self._cancel_refused())
         self.slot_queue = SlotQueue(DEFAULT_SLOTS, self.limit)
         self.executions = MeshExecutionTable(parts.clock)
         self._down_until = 0.0
@@ -124,7 +128,7 @@
     def stop_admitting(self) -> None:
         """Refuse new and queued attempts; their entries try other targets."""
         self._is_stopping = True
-        self._cancel_queued()
+        self._cancel_refused()
 
     def cancel_running(self) -> None:
         """Cancel the running attempts, so that their entries get outcomes."""
@@ -287,17 +291,24 @@
         """Apply what the target says in an answer."""
         self.limit.on_statement(statement, sent_at)
         if self.limit.is_leaving:
-            self._cancel_queued()
+            self._cancel_refused()
         self.slot_queue.fill_free_slots()
 
     def _is_leaving(self) -> bool:
         """Whether the target, or this daemon, accepts no more requests."""
         is_draining = self.target is not None and self.target.draining
-        return self._is_stopping or is_draining or self.limit.is_leaving
+        return (
+            self._is_stopping
+            or is_draining
+            or self.limit.is_leaving
+            or self._parts.evacuations.includes(self.target)
+        )
 
-    def _cancel_queued(self) -> None:
-        for scope in self._queue_scopes:
-            scope.cancel()
+    def _cancel_refused(self) -> None:
+        """Cancel queued attempts if they may no longer be sent."""
+        if self._is_leaving():
+            for scope in self._queue_scopes:
+                scope.cancel()
 
     def _refusal_reason(
         self, attempt: MeshAttempt, *, ignore_risk: bool
@@ -308,6 +319,8 @@
         :param ignore_risk: whether it may go to a suspect target.
         """
         target = self.target
+        if self._parts.evacuations.includes(target):
+            return Reason.ZONE_EVACUATED
         if self._is_leaving():
             return Reason.DRAINING
         if target is None or self._parts.clock.now() < self._down_until:
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -3,10 +3,12 @@
 The sender carries out the steps of a plan and reports their outcomes to it.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
 from clementinedeal._verdict import Reason, Verdict
+from clementinedeal.mesh._allowed_zones import EVERY_ZONE, AllowedZones
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._outcomes import MeshOutcome
 from clementinedeal.mesh._types import RouteRule, Target
@@ -40,6 +42,10 @@
 _FULL_REASONS = (Reason.QUEUE_FULL, Reason.TARGET_LIMITED)
 
 
+def _allow_every_zone() -> AllowedZones:
+    return EVERY_ZONE
+
+
 class RetryTokens(Protocol):
     """Limits how many retries this daemon sends."""
 
@@ -100,6 +106,7 @@
         balancer: Balancer,
         retry_tokens: RetryTokens,
         deadline: float,
+        allowed_zones: Callable[[], AllowedZones] = _allow_every_zone,
     ) -> None:
         """Create a plan without attempts.
 
@@ -108,12 +115,14 @@
         :param balancer: ranks the targets of the service.
         :param retry_tokens: limits retries.
         :param deadline: when the answer is due, monotonic seconds.
+        :param allowed_zones: returns the zones in which the request may run.
         """
         self._route = route
         self._service = service
         self._balancer = balancer
         self._retry_tokens = retry_tokens
         self._deadline = deadline
+        self._allowed_zones = allowed_zones
         self._reached_targets: set[str] = set()
         self._refusals: dict[str, Reason] = {}
         self._last_outcome: MeshOutcome | None = None
@@ -122,7 +131,7 @@
         self._has_insisted = False
         self._has_scouted = False
         self._takeover_refusals: set[str] = set()
-        self._candidates = balancer.choose_candidates(service)
+        self._candidates = balancer.choose_candidates(service, allowed_zones())
         self._ask_rounds = 0
         self._has_token = True
         self._has_reserved_token = False
@@ -149,7 +158,7 @@
         A target that may fail is avoided if there is no retry after it.
         """
         return self._balancer.rank_targets(
-            self._candidates,
+            filter(self._allowed_zones().allow, self._candidates),
             self._reached_targets,
             avoid_risk=not self._route.idempotent
             or bool(self._reached_targets),
@@ -211,7 +220,9 @@
         seconds_left = self._deadline - now
         if seconds_left < MIN_RETRY_TIME_FRACTION * self._route.objective:
             return False
-        if not self._balancer.has_room(self._service, self._taken_targets()):
+        if not self._balancer.has_room(
+            self._service, self._taken_targets(), self._allowed_zones()
+        ):
             return False
         if not self._has_reserved_token:
             self._has_reserved_token = self._retry_tokens.take()
@@ -227,7 +238,9 @@
         if not (self._route.idempotent and self.reserve_retry(now)):
             return None
         ranked = self._balancer.rank_targets(
-            self._balancer.choose_candidates(self._service),
+            self._balancer.choose_candidates(
+                self._service, self._allowed_zones()
+            ),
             self._taken_targets(),
             avoid_risk=True,
         )
@@ -244,7 +257,9 @@
 
     def _renew_candidates(self) -> None:
         """Choose candidates anew, and ask before the next attempt."""
-        self._candidates = self._balancer.choose_candidates(self._service)
+        self._candidates = self._balancer.choose_candidates(
+            self._service, self._allowed_zones()
+        )
         self._ask_rounds = 0
 
     def _taken_targets(self) -> set[str]:
@@ -373,8 +388,15 @@
 
     def _hold(self, now: float) -> Step:
         """Return a pause before another round, or the end of the request."""
+        zones = self._allowed_zones()
+        refusal = zones.find_refusal(
+            self._balancer.available_targets(self._service)
+        )
+        if refusal is not None:
+            return FinishStep(outcome=self.conclude(refusal))
         is_limited = set(self._refusals.values()) == {Reason.TARGET_LIMITED}
-        if is_limited and self._balancer.total_limit(self._service) is not None:
+        limit = self._balancer.total_limit(self._service, zones)
+        if is_limited and limit is not None:
             return FinishStep(outcome=self.conclude(Reason.TARGET_LIMITED))
         if self._hold_until is None:
             hold = HOLD_FRACTION * self._route.objective
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -12,6 +12,7 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._admission import AdmittedRequest
+from clementinedeal.mesh._allowed_zones import EVERY_ZONE, AllowedZones
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._condition_probe import ConditionProbe
 from clementinedeal.mesh._outcomes import (
@@ -54,6 +55,7 @@
     condition_probe: ConditionProbe
     owner: MeshOwner
     peer_client: MeshPeerClient
+    allowed_zones: Callable[[], AllowedZones]
 
 
 @dataclass(slots=True)
@@ -132,6 +134,7 @@
             parts.balancer,
             retry_bucket,
             admitted.deadline,
+            parts.allowed_zones,
         )
         attempt_numbers = itertools.count(1)
         while True:
@@ -139,7 +142,9 @@
                 await parts.condition_probe.ask(targets)
             match plan.next_step(parts.clock.now()):
                 case FinishStep(outcome=outcome):
-                    return self._schedule_return(admitted, outcome)
+                    return self._schedule_return(
+                        admitted, outcome, parts.allowed_zones()
+                    )
                 case _ if self._is_closing:
                     return plan.conclude(Reason.DRAINING)
                 case PauseStep(seconds=seconds):
@@ -354,7 +359,10 @@
         )
 
     def _schedule_return(
-        self, admitted: AdmittedRequest, outcome: MeshOutcome
+        self,
+        admitted: AdmittedRequest,
+        outcome: MeshOutcome,
+        zones: AllowedZones = EVERY_ZONE,
     ) -> MeshOutcome:
         """Set when a caller refused for the targets' limits should return.
 
@@ -363,7 +371,7 @@
         if outcome.reason is not Reason.TARGET_LIMITED:
             return outcome
         service = admitted.service
-        limit = self._parts.balancer.total_limit(service)
+        limit = self._parts.balancer.total_limit(service, zones)
         if limit is None:
             return outcome
         now = self._parts.clock.now()
--- a/tests/mesh_fleet.py
+++ b/tests/mesh_fleet.py
@@ -85,11 +85,11 @@
     return int(free_address().rpartition(':')[2])
 
 
-def make_settings(number, store, peer_port, datagram_port):
+def make_settings(number, store, peer_port, datagram_port, **more):
     host = HOSTS[number]
     return MeshDaemonSettings(
         instance=f'n{number}',
-        zone='a',
+        zone=more.pop('zone', 'a'),
         caller_address=f'{host}:{free_port()}',
         peer_address=f'{host}:{peer_port}',
         ready_address=f'{host}:{free_port()}',
@@ -97,21 +97,35 @@
         service='till',
         platform_address=store.address,
         port_range=(datagram_port, datagram_port),
+        **more,
     )
 
 
 @pytest.fixture
 async def fleet(nursery):
+    return await start_fleet(nursery)
+
+
+async def start_fleet(nursery, zones='aaa', **more):
+    """Start a fleet and return it.
+
+    :param zones: the zone of each daemon and its target.
+    :param more: further settings of the daemons.
+    """
     store = StoreStandIn()
     await store.start(nursery)
     store.put('op/config', configuration())
     fleet = Fleet(store)
     ports = (free_port(), free_port())
     for number in range(len(HOSTS)):
-        settings = make_settings(number, store, *ports)
+        settings = make_settings(
+            number, store, *ports, zone=zones[number], **more
+        )
         target = TargetStandIn(f't{number}', settings.target_address)
         await target.start(nursery)
-        store.put(f'servers/t{number}', registration(settings.target_address))
+        item = registration(settings.target_address)
+        item['info']['zone'] = zones[number]
+        store.put(f'servers/t{number}', item)
         fleet.targets.append(target)
         fleet.settings.append(settings)
     for settings in fleet.settings:
--- a/tests/test_mesh_executions.py
+++ b/tests/test_mesh_executions.py
@@ -12,6 +12,7 @@
 from clementinedeal.mesh import _health_tracker
 from clementinedeal.mesh import _peer_wire as wire
 from clementinedeal.mesh._call_failures import CallFailures
+from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._executions import (
     RETENTION_SECONDS,
     Execution,
@@ -22,7 +23,7 @@
 from clementinedeal.mesh._owner import MeshOwner, MeshOwnerParts
 from clementinedeal.mesh._peer_server import MeshPeerServer
 from clementinedeal.mesh._target_client import BufferedRequest
-from clementinedeal.mesh._types import Target
+from clementinedeal.mesh._types import Evacuations, Revision, Target
 
 MESSAGE = BufferedRequest('POST', '/', (), b'x')
 
@@ -64,6 +65,7 @@
             events=EventLog('i', '1'),
             target_client=CountingTargetClient(),
             call_failures=CallFailures(clock),
+            evacuations=EvacuationTracker(clock, EventLog('i', '1')),
             metrics=DaemonMetrics(),
             nursery=nursery,
         ),
@@ -153,6 +155,30 @@
     assert waiting.outcome.reason is Reason.DRAINING
 
 
+async def test_an_evacuation_refuses_queued_attempts_at_once(owner):
+    running = owner.submit(make_attempt('a1'), MESSAGE)
+    await trio.sleep(0.01)
+    waiting = owner.submit(make_attempt('a2', wait=1.0), MESSAGE)
+    await trio.sleep(0.01)
+    evacuations = owner._parts.evacuations
+    shown = Evacuations(revision=Revision(1, 1), zones=frozenset('a'))
+    evacuations.on_reported(shown)
+    await waiting.done.wait()
+    assert waiting.outcome.verdict is Verdict.NOT_RUN
+    assert waiting.outcome.reason is Reason.ZONE_EVACUATED
+    assert not running.done.is_set()
+    await running.done.wait()
+    assert running.outcome.status == 200
+    assert owner.accepted_target == ''
+    insisting = owner.submit(make_attempt('a3', insist=True), MESSAGE)
+    await insisting.done.wait()
+    assert insisting.outcome.reason is Reason.ZONE_EVACUATED
+    evacuations.on_reported(Evacuations(revision=Revision(1, 2)))
+    restored = owner.submit(make_attempt('a4'), MESSAGE)
+    await restored.done.wait()
+    assert restored.outcome.status == 200
+
+
 async def test_an_exception_in_one_attempt_does_not_end_the_daemon(owner):
     owner._parts.target_client.call = fail
     failed = owner.submit(make_attempt('a1'), MESSAGE)
--- a/tests/test_mesh_target_limit.py
+++ b/tests/test_mesh_target_limit.py
@@ -15,6 +15,7 @@
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._contracts import TargetStatement
+from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._outcomes import (
     MeshAttempt,
@@ -73,6 +74,7 @@
             events=EventLog('i', '1'),
             target_client=target_client,
             call_failures=CallFailures(clock),
+            evacuations=EvacuationTracker(clock, EventLog('i', '1')),
             metrics=DaemonMetrics(),
             nursery=nursery,
         ),
