Decode what a cold target bears and how long it stays cold

Cause: services declare warmup_s and warmup_per_s, and answers may name Warmup-Ms, but only the names of services were read, and a registration without warmup_s_time looked like one of a warm target.

Change: Declaration.services holds a ServiceRule each, with warmup_rate (0 if none is declared) and warmup_seconds. Target.warmup_seconds is None if the registration does not say; TargetStatement has the same of an answer. The state by which readers and owners compare entries contains the warmup, so that a target that becomes cold again is noticed like one that drains. The balancer's cost of a warmup follows the list then, too.

Evidence: the new cases of test_platform_store.py.

--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -79,7 +79,6 @@
         self._by_service: dict[str, list[Target]] = {}
         self._names: frozenset[str] = frozenset()
         self._absences = Absences(clock)
-        self._warmup_until: dict[str, float] = {}
         self._observations: dict[str, TargetObservation] = {}
         self._answer_kilobytes: dict[str, float] = {}
 
@@ -99,15 +98,13 @@
             if observation is None:
                 observation = TargetObservation()
                 self._observations[target.name] = observation
-                self._warmup_until[target.name] = now + target.warmup_seconds
-            observation.set_process(target.slots, target.started_ms)
+            observation.set_target(target, now)
         self._by_service = by_service
         self._names = frozenset(
             one.name for group in by_service.values() for one in group
         )
         for name in self._absences.update(self._names, self._observations):
             del self._observations[name]
-            del self._warmup_until[name]
 
     def available_targets(self, service: str) -> list[Target]:
         """Return the targets of a service that do not leave.
@@ -328,7 +325,7 @@
             cost += OTHER_INSTANCE_COST
         if avoid_risk:
             cost += RISK_COST * observation.estimate_risk(now)
-        if now < self._warmup_until[target.name]:
+        if now < observation.warmup_until:
             cost += WARMUP_COST
         if observation.is_avoided(now):
             cost += AVOIDED_COST
--- a/src/clementinedeal/mesh/_contracts.py
+++ b/src/clementinedeal/mesh/_contracts.py
@@ -148,11 +148,13 @@
     ``request_limit`` is how many requests a second it takes from all daemons
     together, None if it names no limit. ``limit_unreadable``: it names one that
     is not a number. ``leaving``: it accepts no new requests and will end.
+    ``warmup_seconds`` is how long it stays cold, None if it does not say.
     """
 
     request_limit: float | None = None
     limit_unreadable: bool = False
     leaving: bool = False
+    warmup_seconds: float | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/clementinedeal/mesh/_target_observation.py
+++ b/src/clementinedeal/mesh/_target_observation.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from clementinedeal.mesh._outcomes import TargetCondition
+from clementinedeal.mesh._types import Target
 
 # The last known condition of a target loses half its weight in this time; the
 # estimate returns to the defaults.
@@ -24,7 +25,9 @@
     ``slots`` is how many requests the target can run at once. ``limit`` is the
     request limit that it names, in requests per second; by it, it accepts no
     request until ``paused_until``. Its processes that were started up to
-    ``leaving_ms`` leave. ``started_ms`` is the start of the listed process.
+    ``leaving_ms`` leave. ``started_ms`` is the start of the listed process,
+    ``warmup_seconds`` the warmup that it told last; it is slow until
+    ``warmup_until``.
     """
 
     load: float = DEFAULT_LOAD
@@ -38,19 +41,26 @@
     paused_until: float = float('-inf')
     leaving_ms: int | None = None
     started_ms: int = -1
+    warmup_seconds: float | None = None
+    warmup_until: float = float('-inf')
 
-    def set_process(self, slots: int, started_ms: int) -> None:
+    def set_target(self, target: Target, now: float) -> None:
         """Forget what was said by the process that was listed before.
 
-        :param slots: slots of the listed process.
-        :param started_ms: its start in Unix milliseconds.
+        :param target: the listed process.
+        :param now: monotonic time in seconds.
         """
-        if self.started_ms == started_ms:
+        is_same = self.started_ms == target.started_ms
+        if not (is_same and self.warmup_seconds == target.warmup_seconds):
+            self.warmup_seconds = target.warmup_seconds
+            warmup_until = now + (target.warmup_seconds or 0)
+            self.warmup_until = max(self.warmup_until, warmup_until)
+        if is_same:
             return
         if self.leaving_ms == self.started_ms:
             self.leaving_ms = None
-        self.started_ms = started_ms
-        self.slots = slots
+        self.started_ms = target.started_ms
+        self.slots = target.slots
         self.limit = None
         self.paused_until = float('-inf')
 
--- a/src/clementinedeal/mesh/_types.py
+++ b/src/clementinedeal/mesh/_types.py
@@ -10,8 +10,8 @@
 
     ``address`` is ``ip:port``. ``slots`` is how many requests it may run at
     once. A ``draining`` target accepts no new requests. ``warmup_seconds`` is
-    the length of its warmup, the time after its start in which it is still
-    slow. ``started_ms`` is the Unix time of that start in milliseconds, which
+    how long it stays cold, counted from when it said so, None if it does not
+    say. ``started_ms`` is the Unix time of its start in milliseconds, which
     distinguishes two processes of the same name.
     """
 
@@ -21,7 +21,7 @@
     zone: str
     slots: int
     draining: bool = False
-    warmup_seconds: float = 0.0
+    warmup_seconds: float | None = 0.0
     started_ms: int = 0
 
     @property
@@ -50,9 +50,23 @@
 
     @property
     def state(self) -> str:
-        """Short text that changes with the process or its readiness."""
+        """Short text that changes with process, readiness and warmup."""
         suffix = '-' if self.draining else '+'
-        return f'{self.name}.{self.started_ms}{suffix}'
+        warmup = self.warmup_seconds or ''
+        return f'{self.name}.{self.started_ms}{suffix}{warmup}'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceRule:
+    """What is declared of a service.
+
+    A target of it is cold for ``warmup_seconds`` after its start, and bears
+    ``warmup_rate`` requests per second while cold, 0 for no limit.
+    """
+
+    name: str
+    warmup_rate: float = 0.0
+    warmup_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -121,7 +135,7 @@
 
     version: int
     routes: tuple[RouteRule, ...]
-    services: frozenset[str]
+    services: tuple[ServiceRule, ...]
     accounts: tuple[ClientAccount, ...]
     limits: RequestLimits = field(default_factory=RequestLimits)
     unknown_kinds: tuple[str, ...] = ()
--- a/src/clementinedeal/platform/_declaration.py
+++ b/src/clementinedeal/platform/_declaration.py
@@ -1,6 +1,6 @@
 """Decodes the operators' configuration from the platform's store."""
 
-from typing import Any
+from typing import Annotated, Any, TypeAlias
 
 import msgspec
 
@@ -10,9 +10,11 @@
     Declaration,
     RequestLimits,
     RouteRule,
+    ServiceRule,
     WeightedService,
 )
 
+_NotNegative: TypeAlias = Annotated[float, msgspec.Meta(ge=0)]
 # Whether requests of a route may run more than once, by the kind of the route.
 # Those of a kind that is not listed here may not.
 _MAY_REPEAT = {'safe': True, 'download': True, 'unsafe': False}
@@ -71,6 +73,16 @@
     split: list[_SplitPart] = []
 
 
+class _Service(msgspec.Struct):
+    """A service: a target is cold for ``warmup_s`` seconds after its start.
+
+    While cold it bears ``warmup_per_s`` requests per second.
+    """
+
+    warmup_s: _NotNegative | None = None
+    warmup_per_s: _NotNegative | None = None
+
+
 class _Account(msgspec.Struct):
     """A client account; the platform calls it a tenant.
 
@@ -107,7 +119,7 @@
 
 def _convert(document: _Document) -> Declaration:
     limits = RequestLimits()
-    services = set()
+    services = []
     routes = []
     accounts = []
     unknown_kinds = set()
@@ -119,7 +131,7 @@
                 if spec.kind not in _MAY_REPEAT:
                     unknown_kinds.add(spec.kind)
             case 'services':
-                services.add(resource.metadata.name)
+                services.append(_convert_service(resource))
             case 'tenants':
                 accounts.append(_convert_account(resource))
             case 'limits':
@@ -129,7 +141,7 @@
     return Declaration(
         version=document.version,
         routes=tuple(routes),
-        services=frozenset(services),
+        services=tuple(services),
         accounts=tuple(accounts),
         limits=limits,
         unknown_kinds=tuple(sorted(unknown_kinds)),
@@ -156,6 +168,15 @@
     )
 
 
+def _convert_service(resource: _Resource) -> ServiceRule:
+    spec = msgspec.convert(resource.spec, _Service)
+    return ServiceRule(
+        name=resource.metadata.name,
+        warmup_rate=spec.warmup_per_s or 0,
+        warmup_seconds=spec.warmup_s or 0,
+    )
+
+
 def _convert_account(resource: _Resource) -> ClientAccount:
     spec = msgspec.convert(resource.spec, _Account)
     return ClientAccount(
--- a/src/clementinedeal/platform/_dialect.py
+++ b/src/clementinedeal/platform/_dialect.py
@@ -25,10 +25,13 @@
 _SEAL = b'server-seal'
 _REQUEST_LIMIT = b'server-limit'
 _LEAVING = b'server-leaving'
+_WARMUP = b'warmup-ms'
 _BEARER = b'bearer '
 _READY_PATH = '/-/ready'
 _MISDIRECTED = 421
 _MS_PER_SECOND = 1000
+# Longer warmups are cut to this, as in registrations.
+MAX_WARMUP_SECONDS = 86_400.0
 
 # Removed from callers' requests: they are set for targets, or secret.
 _REPLACED_HEADERS = frozenset(
@@ -131,11 +134,22 @@
         request_limit=min(limits, default=None),
         limit_unreadable=bool(named) and not limits,
         leaving=leaving.strip() == b'1',
+        warmup_seconds=_decode_warmup(find_header(headers, _WARMUP)),
+    )
+
+
+def _decode_warmup(raw: bytes | None) -> float | None:
+    """Return the time in seconds, None if there is none that is valid."""
+    milliseconds = _decode_limit(raw or b'')
+    return (
+        None
+        if milliseconds is None
+        else min(milliseconds / _MS_PER_SECOND, MAX_WARMUP_SECONDS)
     )
 
 
 def _decode_limit(raw: bytes) -> float | None:
-    """Return a limit in requests per second, None if it is not valid."""
+    """Return a number that is not negative, None if it is not valid."""
     try:
         limit = float(raw)
     except ValueError:
--- a/src/clementinedeal/platform/_registration.py
+++ b/src/clementinedeal/platform/_registration.py
@@ -31,8 +31,8 @@
     """Present condition of a target; ``state`` is one of ``_STATES``."""
 
     state: _Text
-    # seconds for which the target is slow after its start
-    warmup_s_time: _Seconds = 0
+    # seconds for which the target stays cold
+    warmup_s_time: _Seconds | None = None
 
 
 class _Registration(msgspec.Struct):
--- a/tests/test_mesh_declarations.py
+++ b/tests/test_mesh_declarations.py
@@ -48,7 +48,7 @@
     declaration = Declaration(
         version=number,
         routes=(),
-        services=frozenset(),
+        services=(),
         accounts=(),
     )
     return DeclarationUpdate(
--- a/tests/test_mesh_rate_limiter.py
+++ b/tests/test_mesh_rate_limiter.py
@@ -63,7 +63,7 @@
         Declaration(
             version=1,
             routes=(),
-            services=frozenset(),
+            services=(),
             accounts=(account,),
         ),
     )
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -128,7 +128,7 @@
         self.reads += 1
         await trio.lowlevel.checkpoint()
         declaration = Declaration(
-            version=self.revision, routes=(), services=frozenset(), accounts=()
+            version=self.revision, routes=(), services=(), accounts=()
         )
         return DeclarationUpdate(
             revision=Revision(1, self.revision),
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -14,7 +14,7 @@
     SourceError,
     TargetStatement,
 )
-from clementinedeal.mesh._types import Revision
+from clementinedeal.mesh._types import Revision, ServiceRule
 from clementinedeal.platform import PlatformDialect, PlatformStore, load_node
 
 
@@ -82,6 +82,45 @@
     assert news.declaration.limits.body_bytes == 100_000
 
 
+@pytest.mark.parametrize(
+    ('spec', 'rate', 'seconds'),
+    [
+        ({'warmup_s': 3.0, 'warmup_per_s': 6.0}, 6, 3),
+        ({'warmup_s': None}, 0, 0),
+        ({}, 0, 0),
+    ],
+)
+async def test_service_declares_what_a_cold_target_bears(
+    store, client, spec, rate, seconds
+):
+    value = configuration()
+    entry = next(
+        one for one in value['resources'] if one['entry_type'] == 'services'
+    )
+    entry['spec'].update(spec)
+    store.put('op/config', value)
+    rule = ServiceRule(name='till', warmup_rate=rate, warmup_seconds=seconds)
+    assert (await client.read()).declaration.services == (rule,)
+
+
+@pytest.mark.parametrize('told', [{}, {'warmup_s_time': 2.5}])
+async def test_target_tells_how_long_it_stays_cold(store, client, told):
+    status = {'state': 'ready', 'sequence': 1, **told}
+    store.put('servers/t1', registration('10.0.0.1:80', status=status))
+    target = (await client.read_target('t1')).target
+    assert target.warmup_seconds == told.get('warmup_s_time')
+
+
+@pytest.mark.parametrize(
+    ('text', 'seconds'),
+    [(b'1500', 1.5), (b'0', 0), (b'-3', None), (b'x', None), (b'', None)],
+)
+def test_answer_tells_how_long_its_target_stays_cold(text, seconds):
+    head = ResponseHead(200, ((b'warmup-ms', text),))
+    answer = PlatformDialect().read_answer(head)
+    assert answer.statement.warmup_seconds == seconds
+
+
 @pytest.mark.parametrize(
     ('kind', 'may_repeat'),
     [('safe', True), ('download', True), ('unsafe', False), ('new', False)],
