Send a cold target no more than it bears

Cause: a cold target crashes at a rate well above the one that its service declares.

Change: Warmup knows until when the owned process is cold: from its registration, also when it becomes cold again, from Warmup-Ms in answers, after a refused connection, and from the service's warmup_s if the registration does not say. TargetLimit, the owner's token bucket, fills at the lower of the named limit and that rate, which doubles each second for three seconds after the warmup. Entries see usable slots and pause. Logs target-cold and target-warm, gauges target_cold and target_warmup_rate. Services without a rate are served as before. The owner's test stand-ins moved to tests/owner_standins.py.

The balancer's cost of a warmup stays: it answers that a cold target is slow, which a rate does not.

Ruled out: naming the rate as a limit, which entries would repeat to a restarted owner after the warmup has ended.

--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -291,12 +291,16 @@
             target_slots=lambda: owner.slot_queue.slots,
             target_limit=owner.limit.gauge,
             target_leaving=lambda: owner.limit.is_leaving,
+            target_cold=lambda: owner.limit.warmup.is_cold,
+            target_warmup_rate=owner.limit.warmup.gauge,
             platform_calls=lambda: self._platform.calls,
             log_lines_left_out=lambda: self.count_dropped_lines(),
         )
 
     def _apply_limits(self, catalog: Catalog) -> None:
-        limits = catalog.declaration.limits
+        declaration = catalog.declaration
+        self._owner.limit.warmup.set_services(declaration.services)
+        limits = declaration.limits
         self._caller_server.set_limits(
             HttpLimits(
                 max_head_bytes=limits.head_bytes,
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -110,7 +110,7 @@
         self.target = target
         if target is None:
             return
-        if self.limit.set_process(target.name, target.started_ms):
+        if self.limit.set_target(target):
             self.health.reset(target.name)
             self._down_until = 0
         self.slot_queue.slots = target.slots
@@ -130,10 +130,11 @@
         """Return the target's condition, for entries."""
         slot_queue = self.slot_queue
         limit = self.limit.limit
+        rate = self.limit.rate
         slots = slot_queue.slots
-        if limit is not None:
+        if rate is not None:
             # as many slots as requests run at once at that rate
-            usable = math.ceil(limit * slot_queue.mean_service_seconds)
+            usable = math.ceil(rate * slot_queue.mean_service_seconds)
             slots = max(1, min(slots, usable))
         return TargetCondition(
             risk=round(self.health.risk, 3),
@@ -340,11 +341,12 @@
         if not outcome.reached:
             execution.reached = False
             self._down_until = self._parts.clock.now() + DOWN_RETRY_SECONDS
+            self.limit.warmup.on_down()
         elapsed = self._parts.clock.now() - started
         self._parts.metrics.observe('target_seconds', elapsed)
-        is_limited = self.limit.limit is not None
+        is_limited = self.limit.rate is not None
         if not (is_limited and outcome.reason is Reason.QUEUE_FULL):
-            # a rejection by a target that names a limit is no sign of sickness
+            # a rejection by a limited target is no sign of sickness
             self.health.on_outcome(outcome, elapsed)
         return outcome
 
--- a/src/clementinedeal/mesh/_target_limit.py
+++ b/src/clementinedeal/mesh/_target_limit.py
@@ -1,13 +1,17 @@
-"""Keeps the owned target within the request limit that it names."""
+"""Keeps the owned target within the requests that it takes."""
 
 import math
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import Clock
 from clementinedeal.mesh._contracts import TargetStatement
+from clementinedeal.mesh._types import Target
+from clementinedeal.mesh._warmup import Warmup
 
 # Requests may be up to this many seconds of the limit ahead of it.
 BURST_SECONDS = 1.0
+# The same for the rate that a cold target bears.
+WARMUP_BURST_SECONDS = 0.25
 # A target that takes fewer requests than this, in requests per second, still
 # gets so many: only an answer can tell that its limit has ended.
 MIN_TRIAL_RATE = 0.2
@@ -18,12 +22,14 @@
 
 
 class TargetLimit:
-    """The request limit that the owned target names, and whether it leaves.
-
-    A token bucket, filled at the limit; every request to the target takes a
-    token. ``limit`` is in requests per second, None while the target names
-    none, or ``has_answered`` is False: then it has said nothing yet. A limit
-    begins with no token, for requests that were sent before count too.
+    """The requests that the owned target takes, and whether it leaves.
+
+    A token bucket; every request to the target takes a token. It is filled at
+    the limit that the target names or, if lower, at the rate that it bears
+    during its ``warmup``. ``limit`` is in requests per second, None while the
+    target names none, or ``has_answered`` is False: then it has said nothing
+    yet. The bucket begins with no token, for requests that were sent before
+    count too.
     """
 
     def __init__(self, clock: Clock, events: EventLog) -> None:
@@ -40,6 +46,8 @@
         self._tokens = 0.0
         self._filled_at = clock.now()
         self._taken_at = float('-inf')
+        self._is_filling = False
+        self.warmup = Warmup(clock, events)
         self.limit: float | None = None
         self.is_leaving = False
 
@@ -52,16 +60,24 @@
         """Return the limit in requests per second, infinite without one."""
         return math.inf if self.limit is None else self.limit
 
-    def set_process(self, target: str, started_ms: int) -> bool:
+    @property
+    def rate(self) -> float | None:
+        """Requests per second that the target takes now, None for no limit."""
+        rates = (self.limit, self.warmup.rate())
+        return min((one for one in rates if one is not None), default=None)
+
+    def set_target(self, target: Target) -> bool:
         """Forget what was said by any process but this one.
 
-        :param target: name of the target.
-        :param started_ms: its start in Unix milliseconds.
+        :param target: the listed target.
         :return: whether it is another process than before.
         """
-        if self._process == (target, started_ms):
+        self.warmup.set_target(target)
+        self._fill()
+        process = (target.name, target.started_ms)
+        if self._process == process:
             return False
-        self._process = (target, started_ms)
+        self._process = process
         self._named_at = float('-inf')
         self.has_answered = False
         self.limit = None
@@ -81,6 +97,9 @@
         :param sent_at: when its request was sent, monotonic seconds; None if
             the target refused it.
         """
+        if statement.warmup_seconds is not None:
+            self.warmup.on_told(statement.warmup_seconds, 'answer')
+            self._fill()
         if statement.leaving and not self.is_leaving:
             self.is_leaving = True
             self._events.emit('target-leaving', target=self._process[0])
@@ -123,13 +142,11 @@
 
         :param ahead: requests that take a token before it.
         """
-        if self.limit is None:
+        rate = self._fill()
+        if rate is None:
             return 0
-        self._fill()
         missing = ahead + 1 - self._tokens
-        if missing <= _TOKEN_TOLERANCE:
-            return 0
-        return missing / max(self.limit, MIN_TRIAL_RATE)
+        return 0 if missing <= _TOKEN_TOLERANCE else missing / rate
 
     def take(self) -> None:
         """Take the token of a request that is about to be sent."""
@@ -141,21 +158,31 @@
         """Return the token of a request that was not sent."""
         self._tokens += 1
 
-    def _fill(self) -> None:
-        """Add the tokens due since the last call."""
+    def _fill(self) -> float | None:
+        """Add the tokens due since the last call; return the rate in force."""
         now = self._clock.now()
         elapsed = now - self._filled_at
         self._filled_at = now
-        rate = max(self.limit or 0, MIN_TRIAL_RATE)
-        most = max(1, rate * BURST_SECONDS)
+        rate = self.rate
+        if rate is None or not self._is_filling:
+            self._is_filling = rate is not None
+            self._tokens = 0
+            elapsed = 0
+        if rate is None:
+            return None
+        is_warming = self.warmup.rate() is not None
+        burst_seconds = WARMUP_BURST_SECONDS if is_warming else BURST_SECONDS
+        rate = max(rate, MIN_TRIAL_RATE)
+        most = max(1, rate * burst_seconds)
         self._tokens = min(most, self._tokens + elapsed * rate)
+        return rate
 
     def _set_limit(self, limit: float | None, source: str) -> None:
         if limit == self.limit:
             return
+        self._fill()
         if self.limit is None:
             self._tokens = 0
-            self._filled_at = self._clock.now()
         self._events.emit(
             'target-limit',
             target=self._process[0],
@@ -164,3 +191,4 @@
             source=source,
         )
         self.limit = limit
+        self._fill()
--- a/tests/test_mesh_target_limit.py
+++ b/tests/test_mesh_target_limit.py
@@ -1,118 +1,42 @@
 """Targets that name a request limit, or their end, in their answers."""
 
-import bisect
 import random
 from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
 import trio
-from tests.trio_clock import TrioClock
+from tests.owner_standins import (
+    NOTHING,
+    REQUEST,
+    SpeakingTarget,
+    make_attempt,
+    make_owner,
+    submit_steadily,
+)
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._absences import FORGET_SECONDS, MAX_ABSENT
 from clementinedeal.mesh._balancer import Balancer
-from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._contracts import TargetStatement
 from clementinedeal.mesh._health import FAST_FAILURE_RATIO
-from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._outcomes import (
-    MeshAttempt,
     MeshOutcome,
     TargetCondition,
     not_run,
 )
-from clementinedeal.mesh._owner import MeshOwner, MeshOwnerParts
 from clementinedeal.mesh._plan import FinishStep, Plan, SendStep
 from clementinedeal.mesh._sender import Sender
-from clementinedeal.mesh._target_client import BufferedRequest
 from clementinedeal.mesh._target_limit import TargetLimit
 from clementinedeal.mesh._types import RouteRule, Target, WeightedService
 
-NOTHING = TargetStatement()
-REQUEST = BufferedRequest('GET', '/', (), b'')
 # the rule of the platform: requests in WINDOW_SECONDS, from SETTLED_SECONDS on
 WINDOW_SECONDS = 4
 SETTLED_SECONDS = 3
 
 
-class SpeakingTarget:
-    """Stands in for a target's client; answers carry ``statement``."""
-
-    def __init__(self):
-        self.statement = NOTHING
-        self.on_statement = []
-        self.arrivals = []
-        self.work_seconds = 0.2
-
-    async def call(self, request, context):
-        sent_at = trio.current_time()
-        self.arrivals.append(sent_at)
-        await trio.sleep(self.work_seconds)
-        for handler in self.on_statement:
-            handler(self.statement, sent_at)
-        return MeshOutcome(verdict=Verdict.RAN, reached=True, status=200)
-
-    def most_arrivals(self, since):
-        """Return the most arrivals in a window that begins at ``since``."""
-        arrivals = [at for at in self.arrivals if at >= since]
-        return max(
-            (
-                bisect.bisect_left(arrivals, at + WINDOW_SECONDS) - number
-                for number, at in enumerate(arrivals)
-            ),
-            default=0,
-        )
-
-
-def make_owner(target_client, nursery):
-    clock = TrioClock()
-    owner = MeshOwner(
-        MeshOwnerParts(
-            clock=clock,
-            events=EventLog('i', '1'),
-            target_client=target_client,
-            call_failures=CallFailures(clock),
-            metrics=DaemonMetrics(),
-            nursery=nursery,
-        ),
-    )
-    owner.set_target(
-        Target(name='t1', service='s', address='h:1', zone='a', slots=7)
-    )
-    nursery.start_soon(owner.slot_queue.run)
-    return owner
-
-
-def make_attempt(number, **more):
-    return MeshAttempt(
-        attempt=f'a{number}',
-        req_id=f'r{number}',
-        target='t1',
-        left=5.0,
-        objective=1.0,
-        idempotent=True,
-        account='shop',
-        caller='s',
-        rank=more.pop('rank', (0, 0)),
-        **more,
-    )
-
-
-async def submit_steadily(owner, seconds, **more):
-    """Submit 20 attempts a second; return their executions."""
-    executions = []
-    for number in range(int(seconds * 20)):
-        attempt = make_attempt(
-            f'{trio.current_time()}.{number}', wait=number % 3 * 0.5, **more
-        )
-        executions.append(owner.submit(attempt, REQUEST))
-        await trio.sleep(0.05)
-    return executions
-
-
 @pytest.mark.parametrize('limit', [0, 0.2, 1, 2.8, 5.5])
 async def test_target_gets_no_more_requests_than_the_limit_it_names(
     nursery, autojump_clock, limit
@@ -143,10 +67,15 @@
     return TargetStatement(request_limit=limit)
 
 
+PROCESS = Target(
+    name='t1', service='s', address='h:1', zone='a', slots=7, started_ms=5
+)
+
+
 def make_limit():
     clock = VirtualClock(100.0)
     limit = TargetLimit(clock, EventLog('i', '1'))
-    limit.set_process('t1', 5)
+    limit.set_target(PROCESS)
     return limit, clock
 
 
@@ -175,7 +104,7 @@
     limit.on_statement(
         TargetStatement(request_limit=2, leaving=True), sent_at=99.0
     )
-    limit.set_process('t1', 6)
+    limit.set_target(replace(PROCESS, started_ms=6))
     assert limit.limit is None
     assert not limit.is_leaving
 
