Bind requests to the regions of their route and account

Cause: routes and client accounts may have allowed_regions, which were ignored.

Change: where the settings have the contract "places", a request may only go to targets in zones that the settings put in an allowed region; where route and account both name regions, both bind. A zone without a region is not allowed. Calls of targets have no account, so the route's regions bind. A further attempt is bound by the declaration in force as well as by the one that admitted the request. With no target there the request is refused at once with no-home.

Evidence: the tables in test_mesh_evacuations.py and, with two regions and a declaration that moves the home under traffic, test_mesh_zones.py. Without the check of homes both fail.

Ruled out: binding by the newest declaration alone, which would let a region that was just added have a body sent under the older one.

--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -26,7 +26,8 @@
     target names, ``NO_TARGET`` that the request could be sent to no target,
     ``OWNER_LOST`` that the connection to an owner broke. ``ZONE_EVACUATED``
     means that operators have evacuated the availability zones of all targets,
-    or of the one that was asked.
+    or of the one that was asked, ``NO_HOME`` that none is in a region in which
+    the request may run.
     """
 
     BAD_REQUEST = 'bad-request'
@@ -41,6 +42,7 @@
     CONFIG_STALE = 'config-stale'
     NO_TARGET = 'no-target'
     ZONE_EVACUATED = 'zone-evacuated'
+    NO_HOME = 'no-home'
     TARGET_EJECTED = 'target-ejected'
     QUEUE_FULL = 'queue-full'
     TARGET_LIMITED = 'target-limited'
--- a/src/clementinedeal/mesh/_catalog.py
+++ b/src/clementinedeal/mesh/_catalog.py
@@ -11,8 +11,8 @@
 class Catalog:
     """A declaration with indexes by host and API key.
 
-    ``declaration`` is the whole version; ``accounts_by_name`` maps each
-    account's name to it.
+    ``declaration`` is the whole version; ``routes_by_name`` and
+    ``accounts_by_name`` map the names of routes and accounts to them.
     """
 
     def __init__(self, declaration: Declaration) -> None:
@@ -33,6 +33,7 @@
             for account in declaration.accounts
             for key in account.keys
         }
+        self.routes_by_name = {one.name: one for one in declaration.routes}
         self.accounts_by_name = {one.name: one for one in declaration.accounts}
 
     def find_route(self, host: str, path: str) -> RouteRule | None:
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -16,7 +16,7 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import BootClock
 from clementinedeal.mesh._admission import Admission
-from clementinedeal.mesh._allowed_zones import AllowedZones
+from clementinedeal.mesh._allowed_zones import ZoneRules
 from clementinedeal.mesh._background_task import BackgroundTask, keep_running
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._call_failures import CallFailures
@@ -237,7 +237,11 @@
                     ConnPool(self._clock, PEER_CONNECT_SECONDS),
                     self._clock,
                 ),
-                allowed_zones=lambda: AllowedZones(self._evacuations.zones),
+                zone_rules=ZoneRules(
+                    self._evacuations,
+                    lambda: self._settings.zone_regions,
+                    lambda: self._declarations.catalog,
+                ),
             ),
         )
         entry = MeshEntry(
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -12,7 +12,11 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._admission import AdmittedRequest
-from clementinedeal.mesh._allowed_zones import EVERY_ZONE, AllowedZones
+from clementinedeal.mesh._allowed_zones import (
+    EVERY_ZONE,
+    AllowedZones,
+    ZoneRules,
+)
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._condition_probe import ConditionProbe
 from clementinedeal.mesh._outcomes import (
@@ -55,7 +59,7 @@
     condition_probe: ConditionProbe
     owner: MeshOwner
     peer_client: MeshPeerClient
-    allowed_zones: Callable[[], AllowedZones]
+    zone_rules: ZoneRules
 
 
 @dataclass(slots=True)
@@ -128,13 +132,16 @@
         parts = self._parts
         retry_bucket = self._find_retry_bucket(admitted.service)
         retry_bucket.add_request()
+        find_zones = functools.partial(
+            parts.zone_rules.find_allowed, admitted.route, admitted.account
+        )
         plan = Plan(
             admitted.route,
             admitted.service,
             parts.balancer,
             retry_bucket,
             admitted.deadline,
-            parts.allowed_zones,
+            find_zones,
         )
         attempt_numbers = itertools.count(1)
         while True:
@@ -143,7 +150,7 @@
             match plan.next_step(parts.clock.now()):
                 case FinishStep(outcome=outcome):
                     return self._schedule_return(
-                        admitted, outcome, parts.allowed_zones()
+                        admitted, outcome, find_zones()
                     )
                 case _ if self._is_closing:
                     return plan.conclude(Reason.DRAINING)
--- a/src/clementinedeal/mesh/_settings.py
+++ b/src/clementinedeal/mesh/_settings.py
@@ -1,5 +1,6 @@
 """Settings of a mesh daemon."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 
@@ -40,7 +41,9 @@
     ``ready_address`` for the platform's ready check. ``target_address`` is the
     target beside it, of the service ``service``; ``platform_address`` the
     platform's store. ``port_range`` holds the first and last port that it may
-    use otherwise; the first is the UDP port of all daemons.
+    use otherwise; the first is the UDP port of all daemons. ``zone_regions``
+    is the region of each availability zone, None if requests are not bound to
+    regions.
     """
 
     instance: str
@@ -53,3 +56,4 @@
     platform_address: str
     port_range: tuple[int, int]
     bounds: Bounds = field(default_factory=Bounds)
+    zone_regions: Mapping[str, str] | None = None
--- a/src/clementinedeal/mesh/_types.py
+++ b/src/clementinedeal/mesh/_types.py
@@ -65,6 +65,7 @@
     services to choose from, at least one. An ``idempotent`` request may run
     more than once. ``max_targets`` bounds how many targets may run one request.
     Priority 0 is the most urgent. A ``public`` route needs no API key.
+    Requests may run only in the ``allowed_regions``, anywhere if it is empty.
     """
 
     name: str
@@ -77,6 +78,7 @@
     priority: int
     max_targets: int
     public: bool
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -84,7 +86,8 @@
     """A client account.
 
     ``keys`` are its API keys. Priority 0 is the most urgent. ``rate`` is in
-    requests per second, 0 for no limit; ``burst`` is in requests.
+    requests per second, 0 for no limit; ``burst`` is in requests. Requests may
+    run only in the ``allowed_regions``, anywhere if it is empty.
     """
 
     name: str
@@ -92,6 +95,7 @@
     priority: int
     rate: float
     burst: float
+    allowed_regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/clementinedeal/platform/_declaration.py
+++ b/src/clementinedeal/platform/_declaration.py
@@ -55,7 +55,8 @@
 
     ``kind`` says whether its requests may run twice, see ``_MAY_REPEAT``; those
     of ``download`` have large answers. ``split`` divides the requests among
-    services and replaces ``service``.
+    services and replaces ``service``. Requests may run only in the
+    ``allowed_regions``, anywhere if there are none.
     """
 
     host: str
@@ -69,19 +70,22 @@
     public: bool = False
     service: str = ''
     split: list[_SplitPart] = []
+    allowed_regions: list[str] = []
 
 
 class _Account(msgspec.Struct):
     """A client account; the platform calls it a tenant.
 
     Priority 0 is the most urgent. ``rate_per_s`` is in requests per second, 0
-    for no limit; ``burst`` is in requests.
+    for no limit; ``burst`` is in requests. Requests may run only in the
+    ``allowed_regions``, anywhere if there are none.
     """
 
     api_keys: list[str] = []
     priority: int = 0
     rate_per_s: float = 0
     burst: float = 0
+    allowed_regions: list[str] = []
 
 
 class _Limits(msgspec.Struct):
@@ -153,6 +157,7 @@
         priority=spec.priority,
         max_targets=max(1, spec.attempts),
         public=spec.public,
+        allowed_regions=frozenset(spec.allowed_regions),
     )
 
 
@@ -164,6 +169,7 @@
         priority=spec.priority,
         rate=spec.rate_per_s,
         burst=spec.burst,
+        allowed_regions=frozenset(spec.allowed_regions),
     )
 
 
--- a/src/clementinedeal/platform/_node.py
+++ b/src/clementinedeal/platform/_node.py
@@ -11,7 +11,7 @@
 from clementinedeal.mesh._settings import Bounds, MeshDaemonSettings
 
 NODE_FILE_VARIABLE = 'CLEMENTINEDEAL_NODE_FILE'
-# The contract by which zones are evacuated.
+# The contract by which zones are evacuated and requests bound to regions.
 _PLACES = 'places'
 
 
@@ -72,7 +72,7 @@
     ``app_addr`` is the ``ip:port`` of its target, which runs ``service``.
     ``port_range`` holds the first and last port that the daemon may use
     besides those of ``listen``. ``contracts`` names the parts of the rules that
-    are in force.
+    are in force, ``zones`` the region of each availability zone.
     """
 
     node: str
@@ -84,6 +84,7 @@
     platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     contracts: tuple[str, ...] = ()
+    zones: dict[str, str] = {}
 
 
 def node_path() -> str:
@@ -131,6 +132,7 @@
         service=node.service,
         platform_address=node.platform.address,
         port_range=node.port_range,
+        zone_regions=node.zones if has_places else None,
         bounds=Bounds(
             revoke_seconds=bounds.revoke_s,
             config_seconds=bounds.config_s,
--- a/tests/test_mesh_evacuations.py
+++ b/tests/test_mesh_evacuations.py
@@ -8,14 +8,22 @@
 from clementinedeal._events import EventLog
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import MonotonicClock, VirtualClock
+from clementinedeal._verdict import Reason
+from clementinedeal.mesh._allowed_zones import AllowedZones, ZoneRules
+from clementinedeal.mesh._catalog import Catalog
 from clementinedeal.mesh._contracts import HistoryGoneError
 from clementinedeal.mesh._declarations import RESTORE_SECONDS
 from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._types import (
+    ClientAccount,
+    Declaration,
     DeclarationUpdate,
     EvacuationChanges,
     Evacuations,
     Revision,
+    RouteRule,
+    Target,
+    WeightedService,
 )
 from clementinedeal.platform import PlatformStore
 
@@ -124,3 +132,91 @@
     assert set(shown.evacuations.zones) == set('cdef')
     assert shown.evacuations.is_complete
     assert shown.declaration.version == 4
+
+
+def make_route(*regions):
+    return RouteRule(
+        name='look',
+        host='h',
+        prefix='/',
+        weighted_services=(WeightedService(service='till', weight=1),),
+        idempotent=True,
+        timeout=5,
+        objective=2,
+        priority=0,
+        max_targets=2,
+        public=False,
+        allowed_regions=frozenset(regions),
+    )
+
+
+def make_account(*regions):
+    return ClientAccount(
+        name='shop',
+        keys=(),
+        priority=0,
+        rate=0,
+        burst=0,
+        allowed_regions=frozenset(regions),
+    )
+
+
+@pytest.mark.parametrize(
+    ('route', 'account', 'in_force', 'homes'),
+    [
+        (make_route(), make_account(), (make_route(), make_account()), None),
+        (make_route('n'), make_account(), (make_route('n'),), 'ab'),
+        (make_route('n'), None, (), 'ab'),
+        (make_route('n', 's'), make_account('s'), (), 'c'),
+        (make_route('n'), make_account('s'), (), ''),
+        # regions withdrawn and added since the request was accepted
+        (make_route('n', 's'), None, (make_route('s'),), 'c'),
+        (make_route('s'), None, (make_route('n', 's'),), 'c'),
+        (make_route(), make_account(), (make_account('n'),), 'ab'),
+    ],
+)
+def test_regions_of_route_and_account_bind(
+    tracker, route, account, in_force, homes
+):
+    declaration = Declaration(
+        version=1,
+        routes=tuple(one for one in in_force if isinstance(one, RouteRule)),
+        services=frozenset(),
+        accounts=tuple(
+            one for one in in_force if isinstance(one, ClientAccount)
+        ),
+    )
+    zone_regions = {'a': 'n', 'b': 'n', 'c': 's'}
+    rules = ZoneRules(
+        tracker, lambda: zone_regions, lambda: Catalog(declaration)
+    )
+    allowed = rules.find_allowed(route, account)
+    assert allowed.homes == (homes if homes is None else set(homes))
+    assert allowed.evacuated == {'a'}
+    zone_regions = None
+    assert rules.find_allowed(route, account).homes is None
+
+
+@pytest.mark.parametrize(
+    ('evacuated', 'homes', 'refusal'),
+    [
+        ('', None, None),
+        ('a', None, None),
+        ('ab', None, Reason.ZONE_EVACUATED),
+        ('', 'b', None),
+        ('b', 'b', Reason.ZONE_EVACUATED),
+        ('a', 'c', Reason.NO_HOME),
+        ('', '', Reason.NO_HOME),
+    ],
+)
+def test_request_is_refused_if_no_zone_may_take_it(evacuated, homes, refusal):
+    zones = AllowedZones(
+        evacuated=frozenset(evacuated),
+        homes=None if homes is None else frozenset(homes),
+    )
+    targets = [
+        Target(name=zone, service='s', address='h:1', zone=zone, slots=1)
+        for zone in 'ab'
+    ]
+    assert zones.find_refusal(targets) is refusal
+    assert zones.find_refusal([]) is None
--- a/tests/test_mesh_zones.py
+++ b/tests/test_mesh_zones.py
@@ -1,5 +1,6 @@
-"""Evacuated zones, through a fleet of whole daemons."""
+"""Evacuated zones and bound regions, through a fleet of whole daemons."""
 
+import functools
 import itertools
 
 import pytest
@@ -9,6 +10,7 @@
 
 from clementinedeal.mesh._settings import Bounds
 
+REGIONS = {'a': 'north', 'b': 'south', 'c': 'south'}
 # Time in which a change of the store reaches every daemon.
 SETTLE_SECONDS = 0.5
 
@@ -20,6 +22,7 @@
         nursery,
         zones='abc',
         bounds=Bounds(evacuate_seconds=5),
+        zone_regions=REGIONS,
     )
 
 
@@ -87,3 +90,42 @@
         assert answer.header(b'x-verdict') == b'not-run'
         assert float(answer.header(b'retry-after')) > 0
     assert not any(run_counts(fleet))
+
+
+def bind_routes(version, *regions, **account):
+    """Return a configuration whose routes are bound to regions."""
+    value = configuration(version, **account)
+    for resource in value['resources']:
+        if resource['entry_type'] == 'routes':
+            resource['spec']['allowed_regions'] = list(regions)
+    return value
+
+
+async def test_requests_stay_in_the_regions_of_route_and_account(fleet):
+    publish = functools.partial(fleet.store.put, 'op/config')
+    publish(bind_routes(2, 'south'))
+    await trio.sleep(SETTLE_SECONDS)
+    for path in ('/look/1', '/book/1', '/open/1'):
+        clear_runs(fleet)
+        answers = await send_many(fleet, path)
+        assert {answer.status for answer in answers} == {200}
+        assert run_counts(fleet)[0] == 0
+    publish(bind_routes(3, 'south', 'north', allowed_regions=['north']))
+    await trio.sleep(SETTLE_SECONDS)
+    clear_runs(fleet)
+    await send_many(fleet)
+    assert run_counts(fleet) == [30, 0, 0]
+    # no home is left: both bind, or its zone is evacuated
+    for orders, reason in (
+        (bind_routes(4, 'south', allowed_regions=['north']), b'no-home'),
+        (bind_routes(5, 'north'), b'zone-evacuated'),
+        (bind_routes(6, 'west'), b'no-home'),
+    ):
+        publish(orders)
+        fleet.store.put('op/evacuate/a', {})
+        await trio.sleep(SETTLE_SECONDS)
+        clear_runs(fleet)
+        for answer in await send_many(fleet, count=6):
+            assert answer.status == 503
+            assert answer.header(b'x-reason') == reason
+        assert not any(run_counts(fleet))
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -267,7 +267,7 @@
 @pytest.mark.parametrize('contract', ['base', 'places'])
 def test_zones_count_only_where_the_contract_names_places(tmp_path, contract):
     path = tmp_path / 'settings.toml'
-    more = f'contracts = ["{contract}"]\n[listen]'
+    more = f'contracts = ["{contract}"]\nzones = {{ a = "north" }}\n[listen]'
     path.write_text(
         NODE.replace('[listen]', more).replace(
             'revoke_s = 5', 'revoke_s = 5\nevacuate_s = 4'
@@ -275,6 +275,7 @@
     )
     settings = load_node(str(path)).unwrap()
     has_places = contract == 'places'
+    assert settings.zone_regions == ({'a': 'north'} if has_places else None)
     assert settings.bounds.evacuate_seconds == (4 if has_places else None)
 
 
