Decide which requests leave the zone by expected time

Cause: an entry compared costs of single targets, so that any full or slightly riskier target sent a request to another zone, where an unknown target counted as free. Refused attempts and questions crossed too.

Change: `ZoneSpill` compares the expected wait inside and outside, the learned round trip and a price for the bytes. A service's share rises and falls by steps. Owners of other zones are asked only for a request that leaves; targets known to be full are queued at instead of tried for a refusal.

Candidates: a service with 24 targets in the own zone had none elsewhere, so that it could not leave. A third of a sample is now from other zones.

Ruled out: shares published by a daemon of the zone (a message, and a holder that may fail).

--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -12,6 +12,8 @@
 from clementinedeal.mesh._outcomes import MeshOutcome, TargetCondition
 from clementinedeal.mesh._target_observation import TargetObservation
 from clementinedeal.mesh._types import Target
+from clementinedeal.mesh._zone_plan import Zones
+from clementinedeal.mesh._zone_spill import ZoneSpill
 
 # Costs are in the unit of load: 1 is all slots of a target. Traffic between
 # availability zones is charged for, but a failed request that cannot be retried
@@ -25,10 +27,6 @@
 WARMUP_COST = 0.5
 AVOIDED_COST = 5.0
 JITTER_COST = 0.15
-# Weight of the newest answer in the mean size of a service's answers.
-NEWEST_ANSWER_WEIGHT = 0.1
-# An observation older than this is asked for again before a request is sent.
-MAX_KNOWN_SECONDS = 0.4
 # A known target with at most this risk is good enough to ask no others.
 PROMISING_RISK = 0.08
 # Targets observed within this time stay among the candidates, so that their
@@ -40,6 +38,8 @@
 # How many targets of a service one request chooses among: more cost time to
 # rank and give no better choice.
 MAX_CANDIDATES = 24
+# How many of them are of other zones, if the own zone has enough.
+CANDIDATES_ELSEWHERE = 8
 # For how many seconds a target is avoided whose owner does not reply.
 SILENT_SECONDS = 0.5
 # For how many seconds a target is avoided after a refusal for this reason.
@@ -51,9 +51,6 @@
 }
 
 
-BYTES_PER_KILOBYTE = 1024
-
-
 class Balancer:
     """Ranks the targets of a service by load, risk and distance."""
 
@@ -63,6 +60,7 @@
         zone: str,
         clock: Clock,
         rng: random.Random,
+        spill: ZoneSpill | None = None,
     ) -> None:
         """Create a balancer without targets.
 
@@ -70,6 +68,7 @@
         :param zone: its availability zone.
         :param clock: monotonic time.
         :param rng: adds jitter, so that entries do not all choose one target.
+        :param spill: decides which requests leave the zone.
         """
         self._host = host
         self._zone = zone
@@ -78,7 +77,9 @@
         self._by_service: dict[str, list[Target]] = {}
         self._warmup_until: dict[str, float] = {}
         self._observations: dict[str, TargetObservation] = {}
-        self._answer_kilobytes: dict[str, float] = {}
+        self.zones = Zones(
+            zone, clock, spill or ZoneSpill(clock, rng), self._observations
+        )
 
     def set_targets(self, targets: Iterable[Target]) -> None:
         """Replace the targets to choose from.
@@ -86,6 +87,8 @@
         :param targets: all listed targets, of all services.
         """
         now = self._clock.now()
+        targets = tuple(targets)
+        self.zones.set_targets(targets)
         by_service: dict[str, list[Target]] = {}
         for target in targets:
             by_service.setdefault(target.service, []).append(target)
@@ -96,7 +99,7 @@
                 self._warmup_until[target.name] = now + target.warmup_seconds
             observation.set_process(target.slots, target.started_ms)
         self._by_service = by_service
-        names = {one.name for group in by_service.values() for one in group}
+        names = {one.name for one in targets}
         for name in self._observations.keys() - names:
             del self._observations[name]
             del self._warmup_until[name]
@@ -135,8 +138,8 @@
     def choose_candidates(self, service: str) -> list[Target]:
         """Return the targets that one request chooses among.
 
-        In a large service these are a sample: targets that were observed
-        lately, then others of the own zone, then any.
+        In a large service these are a sample, most of the own zone and some of
+        others, of each first the targets that were observed lately.
 
         :param service: name of the service.
         """
@@ -147,32 +150,35 @@
         since = self._clock.now() - REMEMBERED_SECONDS
         observations = self._observations
         available.sort(
-            key=lambda one: (
-                observations[one.name].observed_at < since,
-                one.zone != self._zone,
-            ),
+            key=lambda one: observations[one.name].observed_at < since
         )
-        return available[:MAX_CANDIDATES]
+        inside = self.zones.keep_own(available)
+        outside = self.zones.keep_others(available)
+        elsewhere = max(CANDIDATES_ELSEWHERE, MAX_CANDIDATES - len(inside))
+        chosen = inside[: MAX_CANDIDATES - min(elsewhere, len(outside))]
+        return chosen + outside[: MAX_CANDIDATES - len(chosen)]
 
     def choose_asked(self, ranked: Sequence[Target]) -> list[Target]:
         """Return the targets to ask about: the best that are not known.
 
-        Those of other zones are asked only once the own zone's are known, and
-        fewer, since traffic between zones is charged for.
+        None are asked if the best target is known to be well and free, and
+        fewer of other zones, since traffic between zones is charged for.
 
         :param ranked: the candidates, the best first.
         """
+        if ranked and self.is_promising(ranked[0]):
+            return []
         unknown = [one for one in ranked if not self.is_known(one)]
-        in_zone = [one for one in unknown if one.zone == self._zone]
-        return in_zone[:ASKED_IN_ZONE] or unknown[:ASKED_ELSEWHERE]
+        if unknown and unknown[0].zone != self._zone:
+            return unknown[:ASKED_ELSEWHERE]
+        return self.zones.keep_own(unknown)[:ASKED_IN_ZONE]
 
     def is_known(self, target: Target) -> bool:
         """Whether the condition of a target was observed just now.
 
         :param target: the target.
         """
-        age = self._clock.now() - self._observation(target).observed_at
-        return age <= MAX_KNOWN_SECONDS
+        return self._observation(target).is_known(self._clock.now())
 
     def is_promising(self, target: Target) -> bool:
         """Whether a target is known to be well and to have a free slot.
@@ -197,6 +203,7 @@
         observation = self._observations.get(name)
         if observation is not None:
             observation.record(state, self._clock.now())
+            self.zones.on_condition(name, state)
 
     def on_silent(self, name: str) -> None:
         """Avoid a target whose owner did not reply.
@@ -272,6 +279,7 @@
         observation = self._observations.get(name)
         if observation is not None:
             observation.in_flight += 1
+            self.zones.on_attempt_started(name)
 
     def on_attempt_ended(self, name: str, outcome: MeshOutcome | None) -> None:
         """Record what the end of an attempt shows of its target.
@@ -283,24 +291,27 @@
         if observation is None:
             return
         observation.in_flight = max(0, observation.in_flight - 1)
+        self.zones.on_attempt_ended(name)
         if outcome is None:
             return
         now = self._clock.now()
         if outcome.state is not None:
             observation.record(outcome.state, now)
+            self.zones.on_condition(name, outcome.state)
         if outcome.reason is not None:
             pause = AVOID_SECONDS.get(outcome.reason, 0)
             observation.avoid_until = max(observation.avoid_until, now + pause)
 
-    def on_answer(self, service: str, size: int) -> None:
-        """Record the size of an answer, for the cost of other zones.
+    def on_answer(
+        self, service: str, size: int, seconds: float | None = None
+    ) -> None:
+        """Learn from an answer what requests to a service need.
 
         :param service: name of the service.
-        :param size: size of the answer's body in bytes.
+        :param size: size of the bodies of request and answer in bytes.
+        :param seconds: time until the answer, None if it includes a wait.
         """
-        mean = self._answer_kilobytes.get(service, 0.0)
-        change = size / BYTES_PER_KILOBYTE - mean
-        self._answer_kilobytes[service] = mean + NEWEST_ANSWER_WEIGHT * change
+        self.zones.spill.on_answer(service, size, seconds)
 
     def _observation(self, target: Target) -> TargetObservation:
         return self._observations.get(target.name) or TargetObservation()
@@ -314,7 +325,7 @@
         cost += JITTER_COST * self._rng.random()
         if target.zone != self._zone:
             cost += OTHER_ZONE_COST
-            kilobytes = self._answer_kilobytes.get(target.service, 0.0)
+            kilobytes = self.zones.spill.kilobytes(target.service)
             cost += OTHER_ZONE_COST_PER_KILOBYTE * kilobytes
         elif target.host != self._host:
             cost += OTHER_INSTANCE_COST
--- a/src/clementinedeal/mesh/_condition_probe.py
+++ b/src/clementinedeal/mesh/_condition_probe.py
@@ -14,9 +14,10 @@
 from clementinedeal.mesh._rate_limiter import Datagrams
 from clementinedeal.mesh._types import Target
 
-# A round trip takes 2 ms between zones. An owner that takes longer is busy,
-# suspended or gone, or a datagram was lost.
+# An owner that takes longer is busy, suspended or gone, or a datagram was lost.
 REPLY_SECONDS = 0.015
+# Owners in distant zones get more time: this many of the mean round trips.
+REPLY_ROUND_TRIPS = 2.0
 
 
 class _Question:
@@ -24,6 +25,7 @@
 
     def __init__(self, targets: Sequence[Target]) -> None:
         self.silent = {one.host: one for one in targets}
+        self.asked_at = trio.current_time()
         self.answered = trio.Event()
 
 
@@ -61,8 +63,13 @@
             self._record(self._build_reply(0))
         number = next(self._numbers)
         self._questions[number] = question
+        zones = self._balancer.zones
+        limit = REPLY_SECONDS
+        if zones.keep_others(targets):
+            round_trip = zones.spill.round_trip_seconds
+            limit = max(limit, REPLY_ROUND_TRIPS * round_trip)
         try:
-            with trio.move_on_after(REPLY_SECONDS):
+            with trio.move_on_after(limit):
                 for host in tuple(question.silent):
                     await self._datagrams.send(host, ConditionRequest(number))
                 if question.silent:
@@ -92,6 +99,8 @@
         if body.target == target.name:
             del question.silent[host]
             self._record(body)
+            elapsed = trio.current_time() - question.asked_at
+            self._balancer.zones.on_round_trip(target.name, elapsed)
         if not question.silent:
             question.answered.set()
 
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -47,6 +47,7 @@
 from clementinedeal.mesh._stop import PlannedStop, StopParts
 from clementinedeal.mesh._target_client import TargetClient
 from clementinedeal.mesh._target_feed import TargetFeed
+from clementinedeal.mesh._zone_spill import ZoneSpill
 
 # Interval at which the settings file is read again without a signal.
 SETTINGS_POLL_SECONDS = 1.0
@@ -172,7 +173,11 @@
             ),
         )
         host = settings.target_address.rpartition(':')[0]
-        balancer = Balancer(host, settings.zone, self._clock, rng)
+        spill = ZoneSpill(self._clock, rng, self.events)
+        balancer = Balancer(host, settings.zone, self._clock, rng, spill)
+        self._metrics.service_gauges.update(
+            zone_leave_share=spill.shares, zone_crossings=spill.crossings
+        )
         self._targets = TargetFeed(
             self._platform,
             balancer,
--- a/src/clementinedeal/mesh/_metrics.py
+++ b/src/clementinedeal/mesh/_metrics.py
@@ -2,7 +2,7 @@
 
 import bisect
 import collections
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING, TypeAlias
 
 if TYPE_CHECKING:
@@ -55,7 +55,8 @@
 class DaemonMetrics:
     """Metrics of one daemon, in plain containers until they are scraped.
 
-    ``gauges`` holds a function for each gauge, called at each scrape.
+    ``gauges`` holds a function for each gauge, called at each scrape, and
+    ``service_gauges`` one that returns the values by service.
     """
 
     def __init__(self) -> None:
@@ -69,6 +70,7 @@
         self._sums: collections.defaultdict[tuple[str, Labels], float]
         self._sums = collections.defaultdict(float)
         self.gauges: dict[str, Callable[[], float]] = {}
+        self.service_gauges: dict[str, Callable[[], Mapping[str, float]]] = {}
 
     def count(self, name: str, *labels: str) -> None:
         """Add one to a counter.
@@ -109,7 +111,6 @@
         """Yield the metrics; called by prometheus_client's registry."""
         from prometheus_client.core import (  # noqa: PLC0415
             CounterMetricFamily,
-            GaugeMetricFamily,
             HistogramMetricFamily,
         )
 
@@ -133,8 +134,18 @@
                     self._sums[name, labels],
                 )
             yield histogram
+        yield from self._collect_gauges()
+
+    def _collect_gauges(self) -> Iterable['Metric']:
+        from prometheus_client.core import GaugeMetricFamily  # noqa: PLC0415
+
         for name, read in self.gauges.items():
             yield GaugeMetricFamily(_PREFIX + name, name, value=read())
+        for name, read_all in self.service_gauges.items():
+            gauge = GaugeMetricFamily(_PREFIX + name, name, labels=['service'])
+            for service, value in read_all().items():
+                gauge.add_metric((service,), value)
+            yield gauge
 
 
 def _accumulate(buckets: list[int]) -> list[tuple[str, int]]:
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -10,6 +10,7 @@
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._outcomes import MeshOutcome
 from clementinedeal.mesh._types import RouteRule, Target
+from clementinedeal.mesh._zone_plan import ZonePlan
 
 # Each refusal by an owner costs a round trip. After this many, the request
 # queues at a busy target or insists on a suspect one.
@@ -122,6 +123,7 @@
         self._has_insisted = False
         self._has_scouted = False
         self._takeover_refusals: set[str] = set()
+        self._zone_plan = ZonePlan(route, service, deadline, balancer.zones)
         self._candidates = balancer.choose_candidates(service)
         self._ask_rounds = 0
         self._has_token = True
@@ -133,27 +135,33 @@
         """Return the targets whose owners should be asked before an attempt.
 
         None are asked once the best target is known to be well and free, nor
-        after a refusal, whose owner has told its target's condition.
+        after a refusal, whose owner has told its target's condition. Those of
+        other zones are asked only once some of the own zone are known and the
+        request should leave all the same.
         """
         if self._ask_rounds >= MAX_ASK_ROUNDS or self._refusals:
             return []
         self._ask_rounds += 1
-        ranked = self._rank()
-        if not ranked or self._balancer.is_promising(ranked[0]):
-            return []
-        return self._balancer.choose_asked(ranked)
+        asked: list[Target] = []
+        if self._ask_rounds == 1:
+            asked = self._balancer.choose_asked(self._rank(own_zone_only=True))
+        return asked or self._balancer.choose_asked(self._rank())
 
-    def _rank(self) -> list[Target]:
+    def _rank(self, *, own_zone_only: bool = False) -> list[Target]:
         """Return the candidates, the best for the next attempt first.
 
-        A target that may fail is avoided if there is no retry after it.
+        A target that may fail is avoided if there is no retry after it. Those
+        of other zones are left out unless the request should leave its zone.
+
+        :param own_zone_only: leave them out unless there are no others.
         """
-        return self._balancer.rank_targets(
-            self._candidates,
-            self._reached_targets,
-            avoid_risk=not self._route.idempotent
-            or bool(self._reached_targets),
+        avoid_risk = not self._route.idempotent or bool(self._reached_targets)
+        ranked = self._balancer.rank_targets(
+            self._candidates, self._reached_targets, avoid_risk=avoid_risk
         )
+        if own_zone_only:
+            return self._balancer.zones.keep_own(ranked) or ranked
+        return self._zone_plan.choose(ranked, avoid_risk=avoid_risk)
 
     def next_step(self, now: float) -> Step:
         """Return the next step.
@@ -194,6 +202,7 @@
             self._has_scouted = False
         elif outcome.reason is not None:
             self._refusals[target] = outcome.reason
+            self._zone_plan.on_refused(target)
         if outcome.verdict is not Verdict.NOT_RUN:
             self._last_outcome = outcome
         elif not self._may_have_run():
@@ -231,6 +240,7 @@
             self._taken_targets(),
             avoid_risk=True,
         )
+        ranked = self._zone_plan.choose_takeover(ranked)
         if not ranked:
             return None
         return SendStep(target=ranked[0], overdue_after=self._deadline - now)
@@ -291,7 +301,8 @@
 
     def _choose_step(self, now: float, seconds_left: float) -> Step:
         ranked = self._rank()
-        untried = [one for one in ranked if one.name not in self._refusals]
+        fresh = [one for one in ranked if one.name not in self._refusals]
+        untried = self._zone_plan.skip_full(fresh)
         if untried and len(self._refusals) < MAX_REFUSALS:
             return SendStep(
                 target=untried[0],
@@ -305,12 +316,15 @@
     def _choose_fallback(
         self, ranked: list[Target], now: float, seconds_left: float
     ) -> Step:
-        """Return the step for a request that every target has refused.
+        """Return the step for a request that no target accepts at once.
 
         A suspect target is tried once as a trial, then the request queues at
         busy targets, then it insists on a suspect one.
         """
         full = self._targets_refused_for(ranked, *_FULL_REASONS)
+        full += self._zone_plan.find_full(
+            one for one in ranked if one.name not in self._refusals
+        )
         busy = [one for one in full if one.name not in self._queued_targets]
         suspect = self._targets_refused_for(ranked, Reason.TARGET_EJECTED)
         if busy and suspect and not self._has_scouted:
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -241,6 +241,7 @@
         parts = self._parts
         target = step.target
         attempt = self._build_attempt(admitted, step, attempt_number)
+        started = parts.clock.now()
         outcome: MeshOutcome | None = None
         self._running_attempts.add(pending)
         parts.balancer.on_attempt_started(target.name)
@@ -268,7 +269,11 @@
         if outcome is None:
             outcome = self._unanswered_outcome(pending)
         if outcome.succeeded:
-            parts.balancer.on_answer(target.service, len(outcome.body))
+            parts.balancer.on_answer(
+                target.service,
+                len(admitted.request.body) + len(outcome.body),
+                None if step.wait else parts.clock.now() - started,
+            )
         parts.events.emit(
             'attempt-tried',
             req=admitted.req_id,
--- a/src/clementinedeal/mesh/_target_observation.py
+++ b/src/clementinedeal/mesh/_target_observation.py
@@ -7,6 +7,8 @@
 # The last known condition of a target loses half its weight in this time; the
 # estimate returns to the defaults.
 HALF_LIFE_SECONDS = 4.0
+# An observation older than this is asked for again before a request is sent.
+MAX_KNOWN_SECONDS = 0.4
 # Load and risk assumed of a target whose condition is unknown.
 DEFAULT_LOAD = 0.4
 DEFAULT_RISK = 0.25
@@ -76,6 +78,13 @@
             self.started_ms <= self.leaving_ms
         )
 
+    def is_known(self, now: float) -> bool:
+        """Whether the condition was observed just now.
+
+        :param now: monotonic time in seconds.
+        """
+        return now - self.observed_at <= MAX_KNOWN_SECONDS
+
     def is_avoided(self, now: float) -> bool:
         """Whether the target accepts no request now, as far as is known.
 
@@ -98,6 +107,15 @@
         """
         return DEFAULT_RISK + (self.risk - DEFAULT_RISK) * self._weight(now)
 
+    def estimate_wait(self, now: float, default: float) -> float:
+        """Return the time until a slot is expected to be free, in seconds.
+
+        :param now: monotonic time in seconds.
+        :param default: the wait assumed of a target that is not observed.
+        """
+        wait = self.wait if self.load >= 1 else 0.0
+        return default + (wait - default) * self._weight(now)
+
     def _weight(self, now: float) -> float:
         """Return the weight of what was observed, from 1 when new to 0."""
         weight: float = 0.5 ** ((now - self.observed_at) / HALF_LIFE_SECONDS)
--- /dev/null
+++ b/src/clementinedeal/mesh/_zone_plan.py
@@ -0,0 +1,235 @@
+"""The availability zones as one entry, and one of its requests, sees them."""
+
+from collections.abc import Collection, Iterable, Mapping
+
+from clementinedeal._timers import Clock
+from clementinedeal.mesh._outcomes import TargetCondition
+from clementinedeal.mesh._target_observation import TargetObservation
+from clementinedeal.mesh._types import RouteRule, Target
+from clementinedeal.mesh._zone_spill import SpillRequest, ZoneSpill
+from clementinedeal.mesh._zone_view import ZoneView, ZoneWaits
+
+
+class Zones:
+    """What is known of the targets, by availability zone.
+
+    ``has_several`` is set if targets are listed in more than one.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        clock: Clock,
+        spill: ZoneSpill,
+        observations: Mapping[str, TargetObservation],
+    ) -> None:
+        """Create an object that knows of no targets.
+
+        :param zone: the entry's zone.
+        :param clock: monotonic time.
+        :param spill: decides which requests leave the zone.
+        :param observations: what the entry knows of targets, by their names.
+        """
+        self._zone = zone
+        self._clock = clock
+        self._observations = observations
+        self._targets: dict[str, Target] = {}
+        self._waits = ZoneWaits(clock)
+        self.spill = spill
+        self.has_several = False
+
+    def set_targets(self, targets: Collection[Target]) -> None:
+        """Replace the listed targets.
+
+        :param targets: all of them.
+        """
+        self._targets = {one.name: one for one in targets}
+        self.has_several = len({one.zone for one in targets}) > 1
+        self.spill.set_targets(self._zone, targets)
+
+    def keep_own(self, targets: Iterable[Target]) -> list[Target]:
+        """Return those of some targets that are in the own zone, in order.
+
+        :param targets: the targets.
+        """
+        return [one for one in targets if one.zone == self._zone]
+
+    def keep_others(self, targets: Iterable[Target]) -> list[Target]:
+        """Return those of some targets that are in other zones, in order.
+
+        :param targets: the targets.
+        """
+        return [one for one in targets if one.zone != self._zone]
+
+    def keep_usable(self, targets: Iterable[Target]) -> list[Target]:
+        """Return those of some targets that are not avoided, in order.
+
+        :param targets: the targets.
+        """
+        now = self._clock.now()
+        return [
+            one
+            for one in targets
+            if not self._observations[one.name].is_avoided(now)
+        ]
+
+    def is_outside(self, name: str) -> bool:
+        """Whether a target is in another zone.
+
+        :param name: its name.
+        """
+        target = self._targets.get(name)
+        return target is not None and target.zone != self._zone
+
+    def is_full(self, target: Target) -> bool:
+        """Whether a target was observed just now without a free slot.
+
+        :param target: the target.
+        """
+        observation = self._observations[target.name]
+        return observation.load >= 1 and (
+            observation.is_known(self._clock.now())
+        )
+
+    def on_condition(self, name: str, state: TargetCondition) -> None:
+        """Learn from the condition of a listed target.
+
+        :param name: the target's name.
+        :param state: its condition.
+        """
+        self._waits.record(
+            self._targets[name].service,
+            state,
+            is_inside=not self.is_outside(name),
+        )
+
+    def on_attempt_started(self, name: str) -> None:
+        """Count an attempt that this entry sends.
+
+        :param name: name of its listed target.
+        """
+        self.spill.on_attempt_started(
+            self._targets[name].service, is_inside=not self.is_outside(name)
+        )
+
+    def on_attempt_ended(self, name: str) -> None:
+        """Count the end of an attempt.
+
+        :param name: name of its listed target.
+        """
+        self.spill.on_attempt_ended(self._targets[name].service)
+
+    def on_round_trip(self, name: str, seconds: float) -> None:
+        """Learn how long a message to a target's owner and its reply took.
+
+        :param name: the target's name.
+        :param seconds: the time of the exchange.
+        """
+        if self.is_outside(name):
+            self.spill.on_round_trip(seconds)
+
+    def view(
+        self, service: str, targets: Iterable[Target], *, is_inside: bool
+    ) -> ZoneView:
+        """Return what to expect of some targets of one service.
+
+        :param service: the service.
+        :param targets: the targets, all in the own zone or none.
+        :param is_inside: whether they are in the own zone.
+        """
+        observations = [self._observations[one.name] for one in targets]
+        return self._waits.view(service, observations, is_inside=is_inside)
+
+
+class ZonePlan:
+    """The part of one request's plan that is about zones."""
+
+    def __init__(
+        self,
+        route: RouteRule,
+        service: str,
+        deadline: float,
+        zones: Zones,
+    ) -> None:
+        """Create the plan of a request that has not been sent.
+
+        :param route: the rule that the request matched.
+        :param service: the service that it goes to.
+        :param deadline: when the answer is due, monotonic seconds.
+        :param zones: what is known of the zones.
+        """
+        self._route = route
+        self._service = service
+        self._deadline = deadline
+        self._zones = zones
+        self._draw = zones.spill.draw()
+        self._refusals = 0
+
+    def on_refused(self, target: str) -> None:
+        """Count a refusal.
+
+        :param target: name of the target.
+        """
+        self._refusals += self._zones.is_outside(target)
+
+    def choose(self, ranked: list[Target], *, avoid_risk: bool) -> list[Target]:
+        """Return the targets to try: the own zone's, or first the others.
+
+        :param ranked: the candidates, the best first.
+        :param avoid_risk: whether there is no retry after a failure.
+        """
+        inside = self._zones.keep_own(ranked)
+        outside = self._zones.keep_usable(self._zones.keep_others(ranked))
+        if not (inside and outside):
+            return inside or ranked
+        leaves = self._zones.spill.should_leave(
+            self._build_request(avoid_risk=avoid_risk),
+            self._zones.view(self._service, inside, is_inside=True),
+            self._zones.view(self._service, outside, is_inside=False),
+        )
+        return outside + inside if leaves else inside
+
+    def choose_takeover(self, ranked: list[Target]) -> list[Target]:
+        """Return the targets that may take over from an overdue attempt.
+
+        :param ranked: the candidates, the best first.
+        """
+        outside = self._zones.keep_others(ranked)
+        if not outside:
+            return ranked
+        has_room = self._zones.spill.expects_room(
+            self._build_request(avoid_risk=True),
+            self._zones.view(self._service, outside, is_inside=False),
+        )
+        return ranked if has_room else self._zones.keep_own(ranked)
+
+    def skip_full(self, targets: list[Target]) -> list[Target]:
+        """Return targets without those that are known to be full.
+
+        Refusals by these would cost time, and bytes between zones.
+
+        :param targets: the targets.
+        """
+        full = self.find_full(targets)
+        return [one for one in targets if one not in full]
+
+    def find_full(self, targets: Iterable[Target]) -> list[Target]:
+        """Return the targets that are known to be full.
+
+        :param targets: the targets; none if all listed are in one zone.
+        """
+        if not self._zones.has_several:
+            return []
+        return [one for one in targets if self._zones.is_full(one)]
+
+    def _build_request(self, *, avoid_risk: bool) -> SpillRequest:
+        route = self._route
+        return SpillRequest(
+            service=self._service,
+            objective=route.objective,
+            due_at=self._deadline - max(0, route.timeout - route.objective),
+            deadline=self._deadline,
+            avoid_risk=avoid_risk,
+            draw=self._draw,
+            refusals=self._refusals,
+        )
