Split what a service needs from the share that leaves

`ServiceNeeds` learns size, time and demand; `ZoneSpill` judges, and says why (`ZoneReason`). No decision changes, but for one: the share now steps also for requests that leave for other reasons than the share.

--- a/src/clementinedeal/mesh/_zone_spill.py
+++ b/src/clementinedeal/mesh/_zone_spill.py
@@ -5,6 +5,7 @@
 would be late otherwise.
 """
 
+import enum
 import math
 import random
 from collections.abc import Iterable
@@ -12,17 +13,10 @@
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import Clock
+from clementinedeal.mesh._service_needs import ServiceNeeds, SlotCounts
 from clementinedeal.mesh._types import Target
 from clementinedeal.mesh._zone_view import ZoneView
 
-# A kilobyte between zones is worth this fraction of the latency objective, so
-# that urgent requests leave earlier than patient ones.
-OBJECTIVE_FRACTION_PER_KILOBYTE = 0.06
-# Heads of an exchange between entry and owner, and the questions before it.
-EXCHANGE_OVERHEAD_KILOBYTES = 2.0
-BYTES_PER_KILOBYTE = 1024
-# Weight of the newest exchange in the mean size and time of a service's.
-NEWEST_EXCHANGE_WEIGHT = 0.1
 # The share of requests that may leave moves by these steps, at most one in an
 # interval. It rises if leaving pays, and falls if it would not even if the
 # bytes cost nothing; in between it stays.
@@ -32,9 +26,9 @@
 # A request that cannot be retried leaves for a target outside whose risk is
 # lower by this much.
 RISK_MARGIN = 0.15
-# Time constant of the mean number of requests that this entry has in flight.
-DEMAND_SECONDS = 5.0
 DEFAULT_ROUND_TRIP_SECONDS = 0.002
+# Weight of the newest round trip in the mean.
+NEWEST_ROUND_TRIP_WEIGHT = 0.1
 # After this many refusals by other zones a request goes there no more, unless
 # it can go to no target of its own zone.
 MAX_REFUSALS_OUTSIDE = 2
@@ -42,6 +36,36 @@
 LOG_INTERVAL_SECONDS = 1.0
 
 
+class ZoneReason(enum.Enum):
+    """Why a request leaves its zone, or stays.
+
+    ``NOT_FASTER``, ``NOT_WORTH_THE_BYTES`` and ``NOT_DRAWN`` are the cases in
+    which a request could be answered on either side and stays.
+    """
+
+    NONE_INSIDE = 'none-inside'
+    SICK_INSIDE = 'sick-inside'
+    LATE_INSIDE = 'late-inside'
+    FEW_SLOTS = 'few-slots'
+    FASTER = 'faster'
+    NONE_OUTSIDE = 'none-outside'
+    REFUSED_OUTSIDE = 'refused-outside'
+    NOT_FASTER = 'not-faster'
+    NOT_WORTH_THE_BYTES = 'not-worth-the-bytes'
+    NOT_DRAWN = 'not-drawn'
+
+
+LEAVING = frozenset(
+    (
+        ZoneReason.NONE_INSIDE,
+        ZoneReason.SICK_INSIDE,
+        ZoneReason.LATE_INSIDE,
+        ZoneReason.FEW_SLOTS,
+        ZoneReason.FASTER,
+    )
+)
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class SpillRequest:
     """The request that a decision is for.
@@ -64,23 +88,17 @@
 
 @dataclass(slots=True)
 class _ServiceState:
-    """What is known of one service; times are monotonic seconds.
+    """The share of one service; times are monotonic seconds.
 
-    ``demand`` is the mean number of attempts in flight. ``slots`` are those of
-    the own zone's targets, ``crossings`` counts attempts sent to other zones.
+    ``crossings`` counts attempts sent to other zones.
     """
 
+    needs: ServiceNeeds = field(default_factory=ServiceNeeds)
+    slots: SlotCounts = field(default_factory=SlotCounts)
     share: float = 0.0
     stepped_at: float = float('-inf')
     logged_at: float = float('-inf')
     logged_share: float = 0.0
-    kilobytes: float = 0.0
-    work_seconds: float = 0.0
-    in_flight: int = 0
-    demand: float = 0.0
-    demand_at: float = 0.0
-    slots: int = 0
-    fleet_slots: int = 0
     crossings: int = 0
 
 
@@ -97,8 +115,7 @@
     rng: random.Random
     events: EventLog | None = None
     round_trip_seconds: float = DEFAULT_ROUND_TRIP_SECONDS
-    _zone_entries: int = 1
-    _fleet_entries: int = 1
+    _entries: SlotCounts = field(default_factory=SlotCounts)
     _services: dict[str, _ServiceState] = field(default_factory=dict)
 
     def set_targets(self, zone: str, targets: Iterable[Target]) -> None:
@@ -107,13 +124,14 @@
         :param zone: the own zone.
         :param targets: all listed targets, each with an entry beside it.
         """
+        self._entries = SlotCounts()
         for state in self._services.values():
-            state.slots = 0
-            state.fleet_slots = 0
-        self._zone_entries = 0
-        self._fleet_entries = 0
+            state.slots = SlotCounts()
         for target in targets:
-            self._add_target(target, is_inside=target.zone == zone)
+            is_inside = target.zone == zone
+            self._entries.add(1, is_inside=is_inside)
+            slots = self._state(target.service).slots
+            slots.add(target.slots, is_inside=is_inside)
 
     def draw(self) -> float:
         """Return a random number from 0 to 1, for ``SpillRequest``."""
@@ -124,30 +142,35 @@
     ) -> bool:
         """Return whether a request should go to a target of another zone.
 
+        :param request: the request.
+        :param inside: the targets of the own zone that it may go to.
+        :param outside: those of other zones.
+        """
+        gain, price = self._weigh(request, inside, outside)
+        if not math.isnan(gain):
+            state = self._state(request.service)
+            self._step(request.service, state, gain, price)
+        return self.judge(request, inside, outside) in LEAVING
+
+    def judge(
+        self, request: SpillRequest, inside: ZoneView, outside: ZoneView
+    ) -> ZoneReason:
+        """Return why a request would leave or stay, without learning from it.
+
         :param request: the request.
         :param inside: the targets of the own zone that it may go to.
         :param outside: those of other zones.
         """
         if math.isinf(outside.wait):
-            return False
+            return ZoneReason.NONE_OUTSIDE
         if math.isinf(inside.wait):
-            return True
+            return ZoneReason.NONE_INSIDE
         if request.refusals >= MAX_REFUSALS_OUTSIDE:
-            return False
+            return ZoneReason.REFUSED_OUTSIDE
         risk_change = inside.risk - outside.risk
         if request.avoid_risk and risk_change > RISK_MARGIN:
-            return True
-        state = self._state(request.service)
-        gain = inside.wait - outside.wait - self.round_trip_seconds
-        price = request.objective * self._price(state)
-        self._step(request.service, state, gain, price)
-        if gain <= 0:
-            return False
-        return (
-            self._is_late_inside(request, state, inside, outside)
-            or request.draw < self._shortage(state)
-            or (gain > price and request.draw < state.share)
-        )
+            return ZoneReason.SICK_INSIDE
+        return self._judge_times(request, inside, outside)
 
     def expects_room(self, request: SpillRequest, outside: ZoneView) -> bool:
         """Whether a slot is expected outside without a wait that matters.
@@ -155,7 +178,7 @@
         :param request: the request.
         :param outside: the targets of other zones.
         """
-        price = request.objective * self._price(self._state(request.service))
+        price = request.objective * self._state(request.service).needs.price
         return outside.wait <= price
 
     def on_attempt_started(self, service: str, *, is_inside: bool) -> None:
@@ -165,8 +188,7 @@
         :param is_inside: whether its target is in the own zone.
         """
         state = self._state(service)
-        self._update_demand(state)
-        state.in_flight += 1
+        state.needs.add_attempts(1, self.clock.now())
         state.crossings += not is_inside
 
     def on_attempt_ended(self, service: str) -> None:
@@ -174,9 +196,7 @@
 
         :param service: its service.
         """
-        state = self._state(service)
-        self._update_demand(state)
-        state.in_flight = max(0, state.in_flight - 1)
+        self._state(service).needs.add_attempts(-1, self.clock.now())
 
     def on_answer(
         self, service: str, size: int, seconds: float | None = None
@@ -187,13 +207,7 @@
         :param size: size of the bodies of request and answer in bytes.
         :param seconds: time until the answer, None if it includes a wait.
         """
-        state = self._state(service)
-        change = size / BYTES_PER_KILOBYTE - state.kilobytes
-        state.kilobytes += NEWEST_EXCHANGE_WEIGHT * change
-        if seconds is not None:
-            former = state.work_seconds or seconds
-            change = seconds - former
-            state.work_seconds = former + NEWEST_EXCHANGE_WEIGHT * change
+        self._state(service).needs.on_answer(size, seconds)
 
     def on_round_trip(self, seconds: float) -> None:
         """Learn how long a message to another zone and its reply take.
@@ -201,14 +215,14 @@
         :param seconds: the time of one exchange.
         """
         change = seconds - self.round_trip_seconds
-        self.round_trip_seconds += NEWEST_EXCHANGE_WEIGHT * change
+        self.round_trip_seconds += NEWEST_ROUND_TRIP_WEIGHT * change
 
     def kilobytes(self, service: str) -> float:
         """Return the mean size of a service's exchanges, without heads.
 
         :param service: name of the service.
         """
-        return self._state(service).kilobytes
+        return self._state(service).needs.kilobytes
 
     def shares(self) -> dict[str, float]:
         """Return the share of each service's requests that may leave."""
@@ -221,59 +235,52 @@
     def _state(self, service: str) -> _ServiceState:
         return self._services.setdefault(service, _ServiceState())
 
-    def _add_target(self, target: Target, *, is_inside: bool) -> None:
-        state = self._state(target.service)
-        self._fleet_entries += 1
-        state.fleet_slots += target.slots
-        if is_inside:
-            self._zone_entries += 1
-            state.slots += target.slots
+    def _judge_times(
+        self, request: SpillRequest, inside: ZoneView, outside: ZoneView
+    ) -> ZoneReason:
+        gain, price = self._weigh(request, inside, outside)
+        if gain <= 0:
+            return ZoneReason.NOT_FASTER
+        state = self._state(request.service)
+        if self._is_late_inside(request, state.needs, inside, outside):
+            return ZoneReason.LATE_INSIDE
+        now = self.clock.now()
+        shortage = state.needs.shortage(state.slots, self._entries, now)
+        if request.draw < shortage:
+            return ZoneReason.FEW_SLOTS
+        if gain <= price:
+            return ZoneReason.NOT_WORTH_THE_BYTES
+        is_drawn = request.draw < state.share
+        return ZoneReason.FASTER if is_drawn else ZoneReason.NOT_DRAWN
+
+    def _weigh(
+        self, request: SpillRequest, inside: ZoneView, outside: ZoneView
+    ) -> tuple[float, float]:
+        """Return the time saved by leaving, and its price, both in seconds.
 
-    def _price(self, state: _ServiceState) -> float:
-        """Return the price of an exchange, as a fraction of the objective."""
-        kilobytes = EXCHANGE_OVERHEAD_KILOBYTES + state.kilobytes
-        return OBJECTIVE_FRACTION_PER_KILOBYTE * kilobytes
+        The time saved is not a number if only one side can be used.
+        """
+        price = request.objective * self._state(request.service).needs.price
+        if math.isinf(inside.wait) or math.isinf(outside.wait):
+            return math.nan, price
+        gain = inside.wait - outside.wait - self.round_trip_seconds
+        return gain, price
 
     def _is_late_inside(
         self,
         request: SpillRequest,
-        state: _ServiceState,
+        needs: ServiceNeeds,
         inside: ZoneView,
         outside: ZoneView,
     ) -> bool:
         """Whether a request would be late inside the zone and not outside."""
         now = self.clock.now()
         limit = request.due_at
-        if limit - state.work_seconds < now:
+        if limit - needs.work_seconds < now:
             limit = request.deadline
-        slack = limit - state.work_seconds - now
+        slack = limit - needs.work_seconds - now
         return outside.wait + self.round_trip_seconds <= slack < inside.wait
 
-    def _shortage(self, state: _ServiceState) -> float:
-        """Return the share of the demand that the zone has too few slots for.
-
-        Each entry is assumed to have the demand of this one. Where the demand
-        exceeds the slots of the whole fleet, the zone keeps as much of its
-        demand as its part of the slots can serve.
-        """
-        self._update_demand(state)
-        if not state.demand:
-            return 0.0
-        served = state.slots / (state.demand * max(1, self._zone_entries))
-        fleet_slots = max(1, state.fleet_slots)
-        slot_part = state.slots / fleet_slots
-        entry_part = self._zone_entries / max(1, self._fleet_entries)
-        fair = slot_part / entry_part if entry_part else 0.0
-        return max(0.0, 1 - max(served, fair))
-
-    def _update_demand(self, state: _ServiceState) -> None:
-        now = self.clock.now()
-        weight = math.exp((state.demand_at - now) / DEMAND_SECONDS)
-        state.demand = state.in_flight + weight * (
-            state.demand - state.in_flight
-        )
-        state.demand_at = now
-
     def _step(
         self, service: str, state: _ServiceState, gain: float, price: float
     ) -> None:
@@ -300,10 +307,10 @@
             service=service,
             former=f'{state.logged_share:.3f}',
             share=f'{state.share:.3f}',
-            demand=f'{state.demand:.2f}',
-            slots=state.slots,
+            demand=f'{state.needs.demand:.2f}',
+            slots=state.slots.zone,
             round_trip_ms=f'{self.round_trip_seconds * 1000:.1f}',
-            kilobytes=f'{state.kilobytes:.1f}',
+            kilobytes=f'{state.needs.kilobytes:.1f}',
         )
         state.logged_at = now
         state.logged_share = state.share
