Weigh risk like a wait when a request may leave its zone

Change: the expected wait includes the risk, 2 objectives for a failure without a retry and half of one with; unobserved targets have the mean risk of their zone. Queues are chosen the same way. Once a suspect target has refused a request, other avoided ones are left out while there are full ones to queue at.

Ruled out: ignoring the zone for requests that cannot be retried, as before; most bytes were theirs.

--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -257,12 +257,17 @@
             if one.name not in excluded
         )
 
-    def find_shortest_queue(self, targets: Sequence[Target]) -> Target:
+    def find_shortest_queue(
+        self, targets: Sequence[Target], risk_seconds: float = 0
+    ) -> Target:
         """Return the target with the shortest last known wait.
 
         :param targets: the targets to choose from, not empty.
+        :param risk_seconds: the wait that is as bad as a certain failure.
         """
-        return min(targets, key=lambda one: self._observation(one).wait)
+        observations = [self._observation(one) for one in targets]
+        costs = [one.wait + risk_seconds * one.risk for one in observations]
+        return targets[costs.index(min(costs))]
 
     def find_least_risk(self, targets: Sequence[Target]) -> Target:
         """Return the target with the lowest last known risk.
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -302,7 +302,10 @@
     def _choose_step(self, now: float, seconds_left: float) -> Step:
         ranked = self._rank()
         fresh = [one for one in ranked if one.name not in self._refusals]
-        untried = self._zone_plan.skip_full(fresh)
+        untried = self._zone_plan.find_untried(
+            fresh,
+            has_suspect=Reason.TARGET_EJECTED in self._refusals.values(),
+        )
         if untried and len(self._refusals) < MAX_REFUSALS:
             return SendStep(
                 target=untried[0],
@@ -340,7 +343,9 @@
             wait > MIN_QUEUE_SECONDS and len(self._queued_targets) < MAX_QUEUES
         )
         if busy and may_queue:
-            target = self._balancer.find_shortest_queue(busy)
+            target = self._balancer.find_shortest_queue(
+                busy, self._zone_plan.risk_seconds
+            )
             self._queued_targets.add(target.name)
             overdue_after = self._overdue_after(seconds_left) + wait
             return SendStep(
--- a/src/clementinedeal/mesh/_target_observation.py
+++ b/src/clementinedeal/mesh/_target_observation.py
@@ -100,12 +100,13 @@
         load = DEFAULT_LOAD + (self.load - DEFAULT_LOAD) * self._weight(now)
         return max(load, self.in_flight / max(1, self.slots))
 
-    def estimate_risk(self, now: float) -> float:
+    def estimate_risk(self, now: float, default: float = DEFAULT_RISK) -> float:
         """Return the probability that the target is sick.
 
         :param now: monotonic time in seconds.
+        :param default: the risk assumed of a target that is not observed.
         """
-        return DEFAULT_RISK + (self.risk - DEFAULT_RISK) * self._weight(now)
+        return default + (self.risk - default) * self._weight(now)
 
     def estimate_wait(self, now: float, default: float) -> float:
         """Return the time until a slot is expected to be free, in seconds.
--- a/src/clementinedeal/mesh/_zone_plan.py
+++ b/src/clementinedeal/mesh/_zone_plan.py
@@ -7,7 +7,7 @@
 from clementinedeal.mesh._target_observation import TargetObservation
 from clementinedeal.mesh._types import RouteRule, Target
 from clementinedeal.mesh._zone_spill import SpillRequest, ZoneSpill
-from clementinedeal.mesh._zone_view import ZoneView, ZoneWaits
+from clementinedeal.mesh._zone_view import ZoneView, ZoneViews
 
 
 class Zones:
@@ -34,7 +34,7 @@
         self._clock = clock
         self._observations = observations
         self._targets: dict[str, Target] = {}
-        self._waits = ZoneWaits(clock)
+        self._views = ZoneViews(clock)
         self.spill = spill
         self.has_several = False
 
@@ -97,7 +97,7 @@
         :param name: the target's name.
         :param state: its condition.
         """
-        self._waits.record(
+        self._views.record(
             self._targets[name].service,
             state,
             is_inside=not self.is_outside(name),
@@ -129,16 +129,25 @@
             self.spill.on_round_trip(seconds)
 
     def view(
-        self, service: str, targets: Iterable[Target], *, is_inside: bool
+        self,
+        request: SpillRequest,
+        targets: Iterable[Target],
+        *,
+        is_inside: bool,
     ) -> ZoneView:
         """Return what to expect of some targets of one service.
 
-        :param service: the service.
+        :param request: the request that may go there.
         :param targets: the targets, all in the own zone or none.
         :param is_inside: whether they are in the own zone.
         """
         observations = [self._observations[one.name] for one in targets]
-        return self._waits.view(service, observations, is_inside=is_inside)
+        return self._views.view(
+            request.service,
+            observations,
+            request.risk_seconds,
+            is_inside=is_inside,
+        )
 
 
 class ZonePlan:
@@ -165,6 +174,14 @@
         self._draw = zones.spill.draw()
         self._refusals = 0
 
+    @property
+    def risk_seconds(self) -> float:
+        """The wait that is as bad as a failure, 0 in a fleet of one zone."""
+        if not self._zones.has_several:
+            return 0
+        request = self._build_request(avoid_risk=not self._route.idempotent)
+        return request.risk_seconds
+
     def on_refused(self, target: str) -> None:
         """Count a refusal.
 
@@ -173,7 +190,7 @@
         self._refusals += self._zones.is_outside(target)
 
     def choose(self, ranked: list[Target], *, avoid_risk: bool) -> list[Target]:
-        """Return the targets to try: the own zone's, or first the others.
+        """Return the targets to try: the own zone's, or any.
 
         :param ranked: the candidates, the best first.
         :param avoid_risk: whether there is no retry after a failure.
@@ -182,12 +199,14 @@
         outside = self._zones.keep_usable(self._zones.keep_others(ranked))
         if not (inside and outside):
             return inside or ranked
+        request = self._build_request(avoid_risk=avoid_risk)
         leaves = self._zones.spill.should_leave(
-            self._build_request(avoid_risk=avoid_risk),
-            self._zones.view(self._service, inside, is_inside=True),
-            self._zones.view(self._service, outside, is_inside=False),
+            request,
+            self._zones.view(request, inside, is_inside=True),
+            self._zones.view(request, outside, is_inside=False),
         )
-        return outside + inside if leaves else inside
+        usable = inside + outside if leaves else inside
+        return [one for one in ranked if one in usable]
 
     def choose_takeover(self, ranked: list[Target]) -> list[Target]:
         """Return the targets that may take over from an overdue attempt.
@@ -197,21 +216,29 @@
         outside = self._zones.keep_others(ranked)
         if not outside:
             return ranked
+        request = self._build_request(avoid_risk=True)
         has_room = self._zones.spill.expects_room(
-            self._build_request(avoid_risk=True),
-            self._zones.view(self._service, outside, is_inside=False),
+            request, self._zones.view(request, outside, is_inside=False)
         )
         return ranked if has_room else self._zones.keep_own(ranked)
 
-    def skip_full(self, targets: list[Target]) -> list[Target]:
-        """Return targets without those that are known to be full.
+    def find_untried(
+        self, targets: list[Target], *, has_suspect: bool
+    ) -> list[Target]:
+        """Return targets that may accept the request at once.
 
-        Refusals by these would cost time, and bytes between zones.
+        Refusals cost time, and bytes between zones. So targets that are known
+        to be full are left out, and where there are such to queue at, avoided
+        ones too once a suspect one has refused the request.
 
-        :param targets: the targets.
+        :param targets: targets that have not refused the request.
+        :param has_suspect: whether a suspect one has.
         """
         full = self.find_full(targets)
-        return [one for one in targets if one not in full]
+        untried = [one for one in targets if one not in full]
+        if not (full and has_suspect):
+            return untried
+        return self._zones.keep_usable(untried)
 
     def find_full(self, targets: Iterable[Target]) -> list[Target]:
         """Return the targets that are known to be full.
--- a/src/clementinedeal/mesh/_zone_spill.py
+++ b/src/clementinedeal/mesh/_zone_spill.py
@@ -23,9 +23,10 @@
 STEP_SECONDS = 0.25
 STEP_UP = 0.25
 STEP_DOWN = 0.125
-# A request that cannot be retried leaves for a target outside whose risk is
-# lower by this much.
-RISK_MARGIN = 0.15
+# A failure is as bad as a wait of this many latency objectives, if it cannot be
+# made good by a retry, and if it can.
+FAILURE_OBJECTIVES = 2.0
+RETRIED_FAILURE_OBJECTIVES = 0.5
 DEFAULT_ROUND_TRIP_SECONDS = 0.002
 # Weight of the newest round trip in the mean.
 NEWEST_ROUND_TRIP_WEIGHT = 0.1
@@ -85,6 +86,14 @@
     draw: float
     refusals: int = 0
 
+    @property
+    def risk_seconds(self) -> float:
+        """The wait that is as bad as a certain failure."""
+        objectives = RETRIED_FAILURE_OBJECTIVES
+        if self.avoid_risk:
+            objectives = FAILURE_OBJECTIVES
+        return objectives * self.objective
+
 
 @dataclass(slots=True)
 class _ServiceState:
@@ -167,9 +176,6 @@
             return ZoneReason.NONE_INSIDE
         if request.refusals >= MAX_REFUSALS_OUTSIDE:
             return ZoneReason.REFUSED_OUTSIDE
-        risk_change = inside.risk - outside.risk
-        if request.avoid_risk and risk_change > RISK_MARGIN:
-            return ZoneReason.SICK_INSIDE
         return self._judge_times(request, inside, outside)
 
     def expects_room(self, request: SpillRequest, outside: ZoneView) -> bool:
@@ -241,6 +247,9 @@
         gain, price = self._weigh(request, inside, outside)
         if gain <= 0:
             return ZoneReason.NOT_FASTER
+        risk_gain = request.risk_seconds * (inside.risk - outside.risk)
+        if request.avoid_risk and min(gain, risk_gain) > price:
+            return ZoneReason.SICK_INSIDE
         state = self._state(request.service)
         if self._is_late_inside(request, state.needs, inside, outside):
             return ZoneReason.LATE_INSIDE
@@ -256,15 +265,16 @@
     def _weigh(
         self, request: SpillRequest, inside: ZoneView, outside: ZoneView
     ) -> tuple[float, float]:
-        """Return the time saved by leaving, and its price, both in seconds.
+        """Return what leaving gains, and its price, both in seconds of wait.
 
-        The time saved is not a number if only one side can be used.
+        The gain is not a number if only one side can be used.
         """
         price = request.objective * self._state(request.service).needs.price
         if math.isinf(inside.wait) or math.isinf(outside.wait):
             return math.nan, price
         gain = inside.wait - outside.wait - self.round_trip_seconds
-        return gain, price
+        risk_change = inside.risk - outside.risk
+        return gain + request.risk_seconds * risk_change, price
 
     def _is_late_inside(
         self,
--- a/src/clementinedeal/mesh/_zone_view.py
+++ b/src/clementinedeal/mesh/_zone_view.py
@@ -2,47 +2,84 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from clementinedeal._timers import Clock
 from clementinedeal.mesh._outcomes import TargetCondition
 from clementinedeal.mesh._target_observation import TargetObservation
 
-# The mean wait learned of a zone loses half its weight in this time.
-WAIT_HALF_LIFE_SECONDS = 2.0
-# Weight of the newest condition in the mean wait of a zone.
-NEWEST_WAIT_WEIGHT = 0.3
+# The means learned of a zone lose half their weight in this time.
+MEAN_HALF_LIFE_SECONDS = 2.0
+# Weight of the newest condition in the means of a zone.
+NEWEST_CONDITION_WEIGHT = 0.3
+# Risk expected of a target while nothing is known of its zone. It is that of a
+# target that is well: the owner is asked before a request leaves.
+EXPECTED_RISK = 0.08
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ZoneView:
-    """What to expect of a service's targets, inside the zone or outside it.
+    """What to expect of the best target, inside the zone or outside it.
 
-    ``wait`` is the expected time until the best target has a free slot, in
-    seconds, infinite if no target can be used. ``risk`` is the lowest
-    probability that a target is sick.
+    ``wait`` is the expected time until it has a free slot, in seconds, infinite
+    if no target can be used. ``risk`` is the probability that it is sick.
     """
 
     wait: float
     risk: float
 
 
-class ZoneWaits:
-    """Mean wait at a service's targets, learned inside and outside the zone.
+NO_TARGET = ZoneView(wait=math.inf, risk=1.0)
 
-    A target that was not observed lately is expected to make requests wait as
-    long as those that were: if one target of a zone is full, the others
-    probably are.
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _ZoneMeans:
+    """Mean wait in seconds and mean risk of targets, at ``updated_at``."""
+
+    wait: float = 0.0
+    risk: float = EXPECTED_RISK
+    updated_at: float = 0.0
+
+    def decay(self, now: float) -> '_ZoneMeans':
+        """Return the means on the way back to what is expected of any zone.
+
+        :param now: monotonic time in seconds.
+        """
+        age = now - self.updated_at
+        weight: float = 0.5 ** (age / MEAN_HALF_LIFE_SECONDS)
+        return _ZoneMeans(
+            wait=weight * self.wait,
+            risk=EXPECTED_RISK + weight * (self.risk - EXPECTED_RISK),
+            updated_at=now,
+        )
+
+    def add(self, wait: float, risk: float) -> '_ZoneMeans':
+        """Return the means with one more condition.
+
+        :param wait: the target's expected wait in seconds.
+        :param risk: its risk.
+        """
+        return replace(
+            self,
+            wait=self.wait + NEWEST_CONDITION_WEIGHT * (wait - self.wait),
+            risk=self.risk + NEWEST_CONDITION_WEIGHT * (risk - self.risk),
+        )
+
+
+class ZoneViews:
+    """Means of a service's targets, learned inside and outside the zone.
+
+    A target that was not observed lately is expected to be like those that
+    were: if one target of a zone is full, the others probably are.
     """
 
     def __init__(self, clock: Clock) -> None:
-        """Create an object that expects no waits.
+        """Create an object that knows of no targets.
 
         :param clock: monotonic time.
         """
         self._clock = clock
-        self._means: dict[tuple[str, bool], float] = {}
-        self._updated_at: dict[tuple[str, bool], float] = {}
+        self._means: dict[tuple[str, bool], _ZoneMeans] = {}
 
     def record(
         self, service: str, state: TargetCondition, *, is_inside: bool
@@ -53,38 +90,42 @@
         :param state: its condition.
         :param is_inside: whether it is in the entry's zone.
         """
-        key = service, is_inside
-        mean = self._mean(key)
         is_full = state.running + state.waiting >= state.slots
         wait = state.wait if is_full else 0.0
-        self._means[key] = mean + NEWEST_WAIT_WEIGHT * (wait - mean)
-        self._updated_at[key] = self._clock.now()
+        means = self._find_means(service, is_inside=is_inside)
+        self._means[service, is_inside] = means.add(wait, state.risk)
 
     def view(
         self,
         service: str,
         observations: Iterable[TargetObservation],
+        risk_seconds: float,
         *,
         is_inside: bool,
     ) -> ZoneView:
-        """Return what to expect of some targets.
+        """Return what to expect of the best of some targets.
 
         :param service: their service.
         :param observations: what is known of them.
+        :param risk_seconds: the wait that is as bad as a certain failure.
         :param is_inside: whether they are in the entry's zone.
         """
         now = self._clock.now()
-        mean = self._mean((service, is_inside))
-        usable = [one for one in observations if not one.is_avoided(now)]
-        return ZoneView(
-            wait=min(
-                (one.estimate_wait(now, mean) for one in usable),
-                default=math.inf,
-            ),
-            risk=min((one.estimate_risk(now) for one in usable), default=1.0),
+        means = self._find_means(service, is_inside=is_inside)
+        views = [
+            ZoneView(
+                wait=one.estimate_wait(now, means.wait),
+                risk=one.estimate_risk(now, means.risk),
+            )
+            for one in observations
+            if not one.is_avoided(now)
+        ]
+        return min(
+            views,
+            key=lambda view: view.wait + risk_seconds * view.risk,
+            default=NO_TARGET,
         )
 
-    def _mean(self, key: tuple[str, bool]) -> float:
-        age = self._clock.now() - self._updated_at.get(key, 0.0)
-        weight: float = 0.5 ** (age / WAIT_HALF_LIFE_SECONDS)
-        return weight * self._means.get(key, 0.0)
+    def _find_means(self, service: str, *, is_inside: bool) -> _ZoneMeans:
+        means = self._means.get((service, is_inside), _ZoneMeans())
+        return means.decay(self._clock.now())
