Try other zones before suspect targets, and see the whole queue

An owner tells the wait of the most urgent requests, so queues looked short.

Change: targets of other zones that are not avoided are tried before a trial or insisting; a request queues in its zone first. The expected wait counts all that runs and waits, by the mean work of the service. Unobserved targets of the own zone have the default risk, as in the ranking.

`judge` now names the reason without learning, and `learn` moves the share, so that a decision can be explained.

--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -203,7 +203,7 @@
         observation = self._observations.get(name)
         if observation is not None:
             observation.record(state, self._clock.now())
-            self.zones.on_condition(name, state)
+            self.zones.on_condition(name)
 
     def on_silent(self, name: str) -> None:
         """Avoid a target whose owner did not reply.
@@ -302,7 +302,7 @@
         now = self._clock.now()
         if outcome.state is not None:
             observation.record(outcome.state, now)
-            self.zones.on_condition(name, outcome.state)
+            self.zones.on_condition(name)
         if outcome.reason is not None:
             pause = AVOID_SECONDS.get(outcome.reason, 0)
             observation.avoid_until = max(observation.avoid_until, now + pause)
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -322,7 +322,8 @@
         """Return the step for a request that no target accepts at once.
 
         A suspect target is tried once as a trial, then the request queues at
-        busy targets, then it insists on a suspect one.
+        busy targets, then it insists on a suspect one. Targets of other zones
+        are tried before a suspect one.
         """
         full = self._targets_refused_for(ranked, *_FULL_REASONS)
         full += self._zone_plan.find_full(
@@ -330,7 +331,10 @@
         )
         busy = [one for one in full if one.name not in self._queued_targets]
         suspect = self._targets_refused_for(ranked, Reason.TARGET_EJECTED)
-        if busy and suspect and not self._has_scouted:
+        escapes = self._zone_plan.find_escapes(self._refusals)
+        if len(self._refusals) >= MAX_REFUSALS:
+            escapes = []
+        if busy and suspect and not (escapes or self._has_scouted):
             # the other targets are full, so the suspect's slots are needed:
             # its owner accepts one request per interval as a trial
             self._has_scouted = True
@@ -351,6 +355,9 @@
             return SendStep(
                 target=target, overdue_after=overdue_after, wait=wait
             )
+        if escapes:
+            overdue_after = self._overdue_after(seconds_left)
+            return SendStep(target=escapes[0], overdue_after=overdue_after)
         if suspect and not self._has_insisted:
             self._has_insisted = True
             target = self._balancer.find_least_risk(suspect)
--- a/src/clementinedeal/mesh/_service_needs.py
+++ b/src/clementinedeal/mesh/_service_needs.py
@@ -5,7 +5,7 @@
 
 # A kilobyte between zones is worth this fraction of the latency objective, so
 # that urgent requests leave earlier than patient ones.
-OBJECTIVE_FRACTION_PER_KILOBYTE = 0.04
+OBJECTIVE_FRACTION_PER_KILOBYTE = 0.025
 # Heads of an exchange between entry and owner, and the questions before it.
 EXCHANGE_OVERHEAD_KILOBYTES = 2.0
 BYTES_PER_KILOBYTE = 1024
--- a/src/clementinedeal/mesh/_target_observation.py
+++ b/src/clementinedeal/mesh/_target_observation.py
@@ -108,13 +108,20 @@
         """
         return default + (self.risk - default) * self._weight(now)
 
-    def estimate_wait(self, now: float, default: float) -> float:
+    def estimate_wait(
+        self, now: float, default: float, work_seconds: float
+    ) -> float:
         """Return the time until a slot is expected to be free, in seconds.
 
         :param now: monotonic time in seconds.
         :param default: the wait assumed of a target that is not observed.
+        :param work_seconds: mean time that a request takes.
         """
-        wait = self.wait if self.load >= 1 else 0.0
+        wait = 0.0
+        if self.load >= 1:
+            # what the owner tells is the wait of the most urgent requests
+            excess = self.load - 1 + 1 / max(1, self.slots)
+            wait = max(self.wait, excess * work_seconds)
         return default + (wait - default) * self._weight(now)
 
     def _weight(self, now: float) -> float:
--- a/src/clementinedeal/mesh/_zone_plan.py
+++ b/src/clementinedeal/mesh/_zone_plan.py
@@ -3,11 +3,15 @@
 from collections.abc import Collection, Iterable, Mapping
 
 from clementinedeal._timers import Clock
-from clementinedeal.mesh._outcomes import TargetCondition
 from clementinedeal.mesh._target_observation import TargetObservation
 from clementinedeal.mesh._types import RouteRule, Target
-from clementinedeal.mesh._zone_spill import SpillRequest, ZoneSpill
-from clementinedeal.mesh._zone_view import ZoneView, ZoneViews
+from clementinedeal.mesh._zone_spill import (
+    LEAVING,
+    SpillRequest,
+    ZoneReason,
+    ZoneSpill,
+)
+from clementinedeal.mesh._zone_view import RiskScale, ZoneView, ZoneViews
 
 
 class Zones:
@@ -81,6 +85,20 @@
         target = self._targets.get(name)
         return target is not None and target.zone != self._zone
 
+    def listed(self, service: str) -> list[Target]:
+        """Return the listed targets of a service, available or not.
+
+        :param service: its name.
+        """
+        return [one for one in self._targets.values() if one.service == service]
+
+    def observation(self, target: Target) -> TargetObservation:
+        """Return what is known of a listed target.
+
+        :param target: the target.
+        """
+        return self._observations[target.name]
+
     def is_full(self, target: Target) -> bool:
         """Whether a target was observed just now without a free slot.
 
@@ -91,15 +109,16 @@
             observation.is_known(self._clock.now())
         )
 
-    def on_condition(self, name: str, state: TargetCondition) -> None:
-        """Learn from the condition of a listed target.
+    def on_condition(self, name: str) -> None:
+        """Learn from the condition of a listed target, observed just now.
 
         :param name: the target's name.
-        :param state: its condition.
         """
+        service = self._targets[name].service
         self._views.record(
-            self._targets[name].service,
-            state,
+            service,
+            self._observations[name],
+            self.spill.work_seconds(service),
             is_inside=not self.is_outside(name),
         )
 
@@ -145,7 +164,10 @@
         return self._views.view(
             request.service,
             observations,
-            request.risk_seconds,
+            RiskScale(
+                work_seconds=self.spill.work_seconds(request.service),
+                risk_seconds=request.risk_seconds,
+            ),
             is_inside=is_inside,
         )
 
@@ -173,6 +195,7 @@
         self._zones = zones
         self._draw = zones.spill.draw()
         self._refusals = 0
+        self._others: list[Target] = []
 
     @property
     def risk_seconds(self) -> float:
@@ -192,21 +215,49 @@
     def choose(self, ranked: list[Target], *, avoid_risk: bool) -> list[Target]:
         """Return the targets to try: the own zone's, or any.
 
+        :param ranked: the candidates, the best first.
+        :param avoid_risk: whether there is no retry after a failure.
+        """
+        others = self._zones.keep_others(ranked)
+        self._others = self._zones.keep_usable(others)
+        self._zones.spill.learn(*self._compare(ranked, avoid_risk=avoid_risk))
+        return self.preview(ranked, avoid_risk=avoid_risk)
+
+    def preview(
+        self, ranked: list[Target], *, avoid_risk: bool
+    ) -> list[Target]:
+        """Return what ``choose`` returns, without learning from the request.
+
         :param ranked: the candidates, the best first.
         :param avoid_risk: whether there is no retry after a failure.
         """
         inside = self._zones.keep_own(ranked)
+        if not inside:
+            return ranked
+        if self.judge(ranked, avoid_risk=avoid_risk) not in LEAVING:
+            return inside
         outside = self._zones.keep_usable(self._zones.keep_others(ranked))
-        if not (inside and outside):
-            return inside or ranked
-        request = self._build_request(avoid_risk=avoid_risk)
-        leaves = self._zones.spill.should_leave(
-            request,
-            self._zones.view(request, inside, is_inside=True),
-            self._zones.view(request, outside, is_inside=False),
+        return [one for one in ranked if one in inside or one in outside]
+
+    def judge(self, ranked: list[Target], *, avoid_risk: bool) -> ZoneReason:
+        """Return why the request would leave its zone, or stay.
+
+        :param ranked: the candidates, the best first.
+        :param avoid_risk: whether there is no retry after a failure.
+        """
+        return self._zones.spill.judge(
+            *self._compare(ranked, avoid_risk=avoid_risk)
         )
-        usable = inside + outside if leaves else inside
-        return [one for one in ranked if one in usable]
+
+    def _compare(
+        self, ranked: list[Target], *, avoid_risk: bool
+    ) -> tuple[SpillRequest, ZoneView, ZoneView]:
+        """Return the request, and what to expect inside and outside."""
+        request = self._build_request(avoid_risk=avoid_risk)
+        zones = self._zones
+        inside = zones.view(request, zones.keep_own(ranked), is_inside=True)
+        others = zones.keep_others(ranked)
+        return request, inside, zones.view(request, others, is_inside=False)
 
     def choose_takeover(self, ranked: list[Target]) -> list[Target]:
         """Return the targets that may take over from an overdue attempt.
@@ -240,6 +291,19 @@
             return untried
         return self._zones.keep_usable(untried)
 
+    def find_escapes(self, refused: Collection[str]) -> list[Target]:
+        """Return targets of other zones to try before a suspect one.
+
+        A suspect target probably fails, which costs more than the bytes.
+
+        :param refused: names of targets that have refused the request.
+        """
+        return [
+            one
+            for one in self.find_untried(self._others, has_suspect=False)
+            if one.name not in refused
+        ]
+
     def find_full(self, targets: Iterable[Target]) -> list[Target]:
         """Return the targets that are known to be full.
 
--- a/src/clementinedeal/mesh/_zone_spill.py
+++ b/src/clementinedeal/mesh/_zone_spill.py
@@ -146,10 +146,10 @@
         """Return a random number from 0 to 1, for ``SpillRequest``."""
         return self.rng.random()
 
-    def should_leave(
+    def learn(
         self, request: SpillRequest, inside: ZoneView, outside: ZoneView
-    ) -> bool:
-        """Return whether a request should go to a target of another zone.
+    ) -> None:
+        """Move the share of a service by what a request would gain.
 
         :param request: the request.
         :param inside: the targets of the own zone that it may go to.
@@ -159,7 +159,6 @@
         if not math.isnan(gain):
             state = self._state(request.service)
             self._step(request.service, state, gain, price)
-        return self.judge(request, inside, outside) in LEAVING
 
     def judge(
         self, request: SpillRequest, inside: ZoneView, outside: ZoneView
@@ -230,6 +229,13 @@
         """
         return self._state(service).needs.kilobytes
 
+    def work_seconds(self, service: str) -> float:
+        """Return the mean time until an answer without a wait, in seconds.
+
+        :param service: name of the service.
+        """
+        return self._state(service).needs.work_seconds
+
     def shares(self) -> dict[str, float]:
         """Return the share of each service's requests that may leave."""
         return {name: one.share for name, one in self._services.items()}
--- a/src/clementinedeal/mesh/_zone_view.py
+++ b/src/clementinedeal/mesh/_zone_view.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass, replace
 
 from clementinedeal._timers import Clock
-from clementinedeal.mesh._outcomes import TargetCondition
-from clementinedeal.mesh._target_observation import TargetObservation
+from clementinedeal.mesh._target_observation import (
+    DEFAULT_RISK,
+    TargetObservation,
+)
 
 # The means learned of a zone lose half their weight in this time.
 MEAN_HALF_LIFE_SECONDS = 2.0
@@ -29,6 +31,18 @@
     risk: float
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RiskScale:
+    """Times in seconds to weigh waits and risks of a request's targets by.
+
+    ``work_seconds`` is the mean time that it takes, ``risk_seconds`` the wait
+    that is as bad as a certain failure.
+    """
+
+    work_seconds: float
+    risk_seconds: float
+
+
 NO_TARGET = ZoneView(wait=math.inf, risk=1.0)
 
 
@@ -82,24 +96,30 @@
         self._means: dict[tuple[str, bool], _ZoneMeans] = {}
 
     def record(
-        self, service: str, state: TargetCondition, *, is_inside: bool
+        self,
+        service: str,
+        observation: TargetObservation,
+        work_seconds: float,
+        *,
+        is_inside: bool,
     ) -> None:
         """Record the condition of one target.
 
         :param service: the target's service.
-        :param state: its condition.
+        :param observation: its condition, observed just now.
+        :param work_seconds: mean time that a request to the service takes.
         :param is_inside: whether it is in the entry's zone.
         """
-        is_full = state.running + state.waiting >= state.slots
-        wait = state.wait if is_full else 0.0
+        now = self._clock.now()
+        wait = observation.estimate_wait(now, 0, work_seconds)
         means = self._find_means(service, is_inside=is_inside)
-        self._means[service, is_inside] = means.add(wait, state.risk)
+        self._means[service, is_inside] = means.add(wait, observation.risk)
 
     def view(
         self,
         service: str,
         observations: Iterable[TargetObservation],
-        risk_seconds: float,
+        scale: RiskScale,
         *,
         is_inside: bool,
     ) -> ZoneView:
@@ -107,22 +127,24 @@
 
         :param service: their service.
         :param observations: what is known of them.
-        :param risk_seconds: the wait that is as bad as a certain failure.
+        :param scale: weighs waits and risks.
         :param is_inside: whether they are in the entry's zone.
         """
         now = self._clock.now()
         means = self._find_means(service, is_inside=is_inside)
+        # the owners of the own zone have been asked before
+        risk = DEFAULT_RISK if is_inside else means.risk
         views = [
             ZoneView(
-                wait=one.estimate_wait(now, means.wait),
-                risk=one.estimate_risk(now, means.risk),
+                wait=one.estimate_wait(now, means.wait, scale.work_seconds),
+                risk=one.estimate_risk(now, risk),
             )
             for one in observations
             if not one.is_avoided(now)
         ]
         return min(
             views,
-            key=lambda view: view.wait + risk_seconds * view.risk,
+            key=lambda view: view.wait + scale.risk_seconds * view.risk,
             default=NO_TARGET,
         )
 
--- a/tests/test_mesh_zone_spill.py
+++ b/tests/test_mesh_zone_spill.py
@@ -13,6 +13,7 @@
 from clementinedeal.mesh._plan import Plan, SendStep
 from clementinedeal.mesh._types import RouteRule, Target, WeightedService
 from clementinedeal.mesh._zone_spill import (
+    LEAVING,
     STEP_DOWN,
     STEP_SECONDS,
     STEP_UP,
@@ -26,6 +27,8 @@
 WORK_SECONDS = 0.5
 FREE = ZoneView(wait=0.0, risk=0.05)
 BUSY = ZoneView(wait=0.5, risk=0.05)
+# Slower than a free target, but not by so much that the bytes pay.
+SLOWER = ZoneView(wait=0.05, risk=0.05)
 ROUTE = RouteRule(
     name='r',
     host='h',
@@ -38,6 +41,7 @@
     max_targets=2,
     public=False,
 )
+PATIENT = replace(ROUTE, objective=6, timeout=8)
 
 
 def make_targets(zones, slots=SLOTS):
@@ -77,7 +81,9 @@
 
 def decide(spill, clock, inside, outside, seconds=STEP_SECONDS, **kind):
     clock.advance(seconds)
-    return spill.should_leave(make_request(clock, **kind), inside, outside)
+    request = make_request(clock, **kind)
+    spill.learn(request, inside, outside)
+    return spill.judge(request, inside, outside) in LEAVING
 
 
 def condition(running, waiting=0):
@@ -138,7 +144,7 @@
     assert min(steps) == -STEP_DOWN
     assert shares[-1] == 0
     # a gain that would not pay for the bytes moves the share neither way
-    for inside in (BUSY, BUSY, ZoneView(wait=0.1, risk=0.05)):
+    for inside in (BUSY, BUSY, SLOWER):
         decide(spill, clock, inside, FREE)
     assert spill.shares()['till'] == 2 * STEP_UP
 
@@ -192,8 +198,7 @@
     for _ in range(4 * SLOTS):
         spill.on_attempt_started('till', is_inside=True)
     clock.advance(20)
-    small = ZoneView(wait=0.1, risk=0.05)
-    assert decide(spill, clock, small, FREE, draw=0.1) is leaves
+    assert decide(spill, clock, SLOWER, FREE, draw=0.1) is leaves
 
 
 def test_zone_without_targets_asks_and_uses_the_others():
@@ -208,8 +213,7 @@
     clock = VirtualClock()
     balancer = make_entry(make_targets('aabb'), clock)
     asked = []
-    patient = replace(ROUTE, objective=6, timeout=8)
-    plan = Plan(patient, 'till', balancer, None, clock.now() + patient.timeout)
+    plan = Plan(PATIENT, 'till', balancer, None, clock.now() + PATIENT.timeout)
     while targets := plan.targets_to_ask():
         asked.extend(one.zone for one in targets)
         for target in targets:
@@ -246,3 +250,20 @@
     balancer.set_targets([one for one in make_targets('aabb') if one != gone])
     plan.on_outcome(gone.name, not_run(Reason.NO_TARGET))
     assert plan.next_step(clock.now()).target != gone
+
+
+def test_other_zones_are_tried_before_a_suspect_target():
+    clock = VirtualClock()
+    balancer = make_entry(make_targets('aab'), clock)
+    balancer.on_condition('t0', condition(SLOTS))
+    balancer.on_condition('t1', condition(0))
+    plan = Plan(PATIENT, 'till', balancer, None, clock.now() + PATIENT.timeout)
+    suspect = plan.next_step(clock.now())
+    plan.on_outcome(suspect.target.name, not_run(Reason.TARGET_EJECTED))
+    queue = plan.next_step(clock.now())
+    plan.on_outcome(queue.target.name, not_run(Reason.QUEUE_FULL))
+    escape = plan.next_step(clock.now())
+    names = [step.target.name for step in (suspect, queue, escape)]
+    assert names == ['t1', 't0', 't2']
+    assert [bool(step.wait) for step in (suspect, queue, escape)] == [0, 1, 0]
+    assert not any(step.scout or step.insist for step in (queue, escape))
