--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -12,6 +12,7 @@
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._outcomes import MeshOutcome
 from clementinedeal.mesh._types import RouteRule, Target
+from clementinedeal.mesh._zone_plan import ZonePlan
 
 # Each refusal by an owner costs a round trip. After this many, the request
 # queues at a busy target or insists on a suspect one.
@@ -131,6 +132,7 @@
         self._has_insisted = False
         self._has_scouted = False
         self._takeover_refusals: set[str] = set()
+        self._zone_plan = ZonePlan(route, service, deadline, balancer.zones)
         self._candidates = balancer.choose_candidates(service, allowed_zones())
         self._ask_rounds = 0
         self._has_token = True
@@ -142,27 +144,35 @@
         """Return the targets whose owners should be asked before an attempt.
 
         None are asked once the best target is known to be well and free, nor
-        after a refusal, whose owner has told its target's condition.
+        after a refusal, whose owner has told its target's condition. Those of
+        other zones are asked only once some of the own zone are known and the
+        request should leave all the same.
         """
         if self._ask_rounds >= MAX_ASK_ROUNDS or self._refusals:
             return []
         self._ask_rounds += 1
-        ranked = self._rank()
-        if not ranked or self._balancer.is_promising(ranked[0]):
-            return []
-        return self._balancer.choose_asked(ranked)
+        asked: list[Target] = []
+        if self._ask_rounds == 1:
+            asked = self._balancer.choose_asked(self._rank(own_zone_only=True))
+        return asked or self._balancer.choose_asked(self._rank())
 
-    def _rank(self) -> list[Target]:
+    def _rank(self, *, own_zone_only: bool = False) -> list[Target]:
         """Return the candidates, the best for the next attempt first.
 
-        A target that may fail is avoided if there is no retry after it.
+        A target that may fail is avoided if there is no retry after it. Those
+        of other zones are left out unless the request should leave its zone.
+
+        :param own_zone_only: leave them out unless there are no others.
         """
-        return self._balancer.rank_targets(
+        avoid_risk = not self._route.idempotent or bool(self._reached_targets)
+        ranked = self._balancer.rank_targets(
             filter(self._allowed_zones().allow, self._candidates),
             self._reached_targets,
-            avoid_risk=not self._route.idempotent
-            or bool(self._reached_targets),
+            avoid_risk=avoid_risk,
         )
+        if own_zone_only:
+            return self._balancer.zones.keep_own(ranked) or ranked
+        return self._zone_plan.choose(ranked, avoid_risk=avoid_risk)
 
     def next_step(self, now: float) -> Step:
         """Return the next step.
@@ -203,6 +213,7 @@
             self._has_scouted = False
         elif outcome.reason is not None:
             self._refusals[target] = outcome.reason
+            self._zone_plan.on_refused(target)
         if outcome.verdict is not Verdict.NOT_RUN:
             self._last_outcome = outcome
         elif not self._may_have_run():
@@ -244,6 +255,7 @@
             self._taken_targets(),
             avoid_risk=True,
         )
+        ranked = self._zone_plan.choose_takeover(ranked)
         if not ranked:
             return None
         return SendStep(target=ranked[0], overdue_after=self._deadline - now)
@@ -306,7 +318,11 @@
 
     def _choose_step(self, now: float, seconds_left: float) -> Step:
         ranked = self._rank()
-        untried = [one for one in ranked if one.name not in self._refusals]
+        fresh = [one for one in ranked if one.name not in self._refusals]
+        untried = self._zone_plan.find_untried(
+            fresh,
+            has_suspect=Reason.TARGET_EJECTED in self._refusals.values(),
+        )
         if untried and len(self._refusals) < MAX_REFUSALS:
             return SendStep(
                 target=untried[0],
@@ -320,15 +336,22 @@
     def _choose_fallback(
         self, ranked: list[Target], now: float, seconds_left: float
     ) -> Step:
-        """Return the step for a request that every target has refused.
+        """Return the step for a request that no target accepts at once.
 
         A suspect target is tried once as a trial, then the request queues at
-        busy targets, then it insists on a suspect one.
+        busy targets, then it insists on a suspect one. Targets of other zones
+        are tried before a suspect one.
         """
         full = self._targets_refused_for(ranked, *_FULL_REASONS)
+        full += self._zone_plan.find_full(
+            one for one in ranked if one.name not in self._refusals
+        )
         busy = [one for one in full if one.name not in self._queued_targets]
         suspect = self._targets_refused_for(ranked, Reason.TARGET_EJECTED)
-        if busy and suspect and not self._has_scouted:
+        escapes = self._zone_plan.find_escapes(self._refusals)
+        if len(self._refusals) >= MAX_REFUSALS:
+            escapes = []
+        if busy and suspect and not (escapes or self._has_scouted):
             # the other targets are full, so the suspect's slots are needed:
             # its owner accepts one request per interval as a trial
             self._has_scouted = True
@@ -341,12 +364,17 @@
             wait > MIN_QUEUE_SECONDS and len(self._queued_targets) < MAX_QUEUES
         )
         if busy and may_queue:
-            target = self._balancer.find_shortest_queue(busy)
+            target = self._balancer.find_shortest_queue(
+                busy, self._zone_plan.risk_seconds
+            )
             self._queued_targets.add(target.name)
             overdue_after = self._overdue_after(seconds_left) + wait
             return SendStep(
                 target=target, overdue_after=overdue_after, wait=wait
             )
+        if escapes:
+            overdue_after = self._overdue_after(seconds_left)
+            return SendStep(target=escapes[0], overdue_after=overdue_after)
         if suspect and not self._has_insisted:
             self._has_insisted = True
             target = self._balancer.find_least_risk(suspect)
--- a/src/clementinedeal/mesh/_target_observation.py
+++ b/src/clementinedeal/mesh/_target_observation.py
@@ -8,6 +8,8 @@
 # The last known condition of a target loses half its weight in this time; the
 # estimate returns to the defaults.
 HALF_LIFE_SECONDS = 4.0
+# An observation older than this is asked for again before a request is sent.
+MAX_KNOWN_SECONDS = 0.4
 # Load and risk assumed of a target whose condition is unknown.
 DEFAULT_LOAD = 0.4
 DEFAULT_RISK = 0.25
@@ -88,6 +90,13 @@
             self.started_ms <= self.leaving_ms
         )
 
+    def is_known(self, now: float) -> bool:
+        """Whether the condition was observed just now.
+
+        :param now: monotonic time in seconds.
+        """
+        return now - self.observed_at <= MAX_KNOWN_SECONDS
+
     def is_avoided(self, now: float) -> bool:
         """Whether the target accepts no request now, as far as is known.
 
@@ -103,12 +112,29 @@
         load = DEFAULT_LOAD + (self.load - DEFAULT_LOAD) * self._weight(now)
         return max(load, self.in_flight / max(1, self.slots))
 
-    def estimate_risk(self, now: float) -> float:
+    def estimate_risk(self, now: float, default: float = DEFAULT_RISK) -> float:
         """Return the probability that the target is sick.
 
         :param now: monotonic time in seconds.
+        :param default: the risk assumed of a target that is not observed.
+        """
+        return default + (self.risk - default) * self._weight(now)
+
+    def estimate_wait(
+        self, now: float, default: float, work_seconds: float
+    ) -> float:
+        """Return the time until a slot is expected to be free, in seconds.
+
+        :param now: monotonic time in seconds.
+        :param default: the wait assumed of a target that is not observed.
+        :param work_seconds: mean time that a request takes.
         """
-        return DEFAULT_RISK + (self.risk - DEFAULT_RISK) * self._weight(now)
+        wait = 0.0
+        if self.load >= 1:
+            # what the owner tells is the wait of the most urgent requests
+            excess = self.load - 1 + 1 / max(1, self.slots)
+            wait = max(self.wait, excess * work_seconds)
+        return default + (wait - default) * self._weight(now)
 
     def _weight(self, now: float) -> float:
         """Return the weight of what was observed, from 1 when new to 0."""
