Don't retry a request that its target began just before it crashed

Cause: a crash looked like any lost answer, so that the idempotent request that had caused it was retried and ended the next target too.

Ruled out: suspecting all attempts under way (innocent lookups fail), or any lost connection (retries save lost answers), or keeping what the request looked like.

--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -23,7 +23,8 @@
     ``KEEPER_UNAVAILABLE`` and ``KEY_REUSED`` concern the idempotency key, and
     so does ``DUPLICATE``, unless it refuses an attempt id that was used before.
     ``TARGET_LIMITED`` means that the request exceeds the request limit that the
-    target names, ``NO_TARGET`` that the request could be sent to no target,
+    target names, ``TARGET_CRASHED`` that the request may have ended the process
+    of its target, ``NO_TARGET`` that the request could be sent to no target,
     ``OWNER_LOST`` that the connection to an owner broke.
     """
 
@@ -51,6 +52,7 @@
     KEY_REUSED = 'idempotency-key-reused'
     OWNER_LOST = 'owner-lost'
     TARGET_FAILED = 'target-failed'
+    TARGET_CRASHED = 'target-crashed'
     ANSWER_INCOMPLETE = 'answer-incomplete'
     ANSWER_WRONG = 'answer-wrong'
     CONNECTION_FORGOTTEN = 'connection-forgotten'
--- a/src/clementinedeal/mesh/_health_tracker.py
+++ b/src/clementinedeal/mesh/_health_tracker.py
@@ -110,7 +110,11 @@
                 self.observe(evidence.SHED_RATIO, 'shed')
             case Reason.TARGET_FAILED:
                 self._observe_failure(seconds)
-            case Reason.ANSWER_WRONG | Reason.ANSWER_INCOMPLETE:
+            case (
+                Reason.ANSWER_WRONG
+                | Reason.ANSWER_INCOMPLETE
+                | Reason.TARGET_CRASHED
+            ):
                 self.observe(evidence.LOST_ANSWER_RATIO, 'answer-lost')
             case Reason.CONNECTION_FORGOTTEN:
                 self.observe(
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -10,6 +10,7 @@
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._contracts import CallContext, TargetStatement
+from clementinedeal.mesh._crashes import CrashDetector
 from clementinedeal.mesh._executions import Execution, MeshExecutionTable
 from clementinedeal.mesh._health_tracker import HealthTracker
 from clementinedeal.mesh._metrics import DaemonMetrics
@@ -76,6 +77,7 @@
         self.health = HealthTracker(
             parts.clock, parts.events, parts.call_failures
         )
+        self._crash_detector = CrashDetector(parts.target_client, parts.events)
         self.limit = TargetLimit(parts.clock, parts.events)
         parts.target_client.on_statement.append(self._on_statement)
         self.slot_queue = SlotQueue(DEFAULT_SLOTS, self.limit)
@@ -349,6 +351,9 @@
             self._down_until = self._parts.clock.now() + DOWN_RETRY_SECONDS
         elapsed = self._parts.clock.now() - started
         self._parts.metrics.observe('target_seconds', elapsed)
+        outcome = await self._crash_detector.check(attempt, outcome, elapsed)
+        if outcome.reason is Reason.TARGET_CRASHED:
+            self._down_until = self._parts.clock.now() + DOWN_RETRY_SECONDS
         is_limited = self.limit.limit is not None
         if not (is_limited and outcome.reason is Reason.QUEUE_FULL):
             # a rejection by a target that names a limit is no sign of sickness
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -273,7 +273,7 @@
         return last is not None and last.verdict is not Verdict.NOT_RUN
 
     def _is_final(self, outcome: MeshOutcome) -> bool:
-        if outcome.succeeded:
+        if outcome.succeeded or outcome.reason is Reason.TARGET_CRASHED:
             return True
         if outcome.verdict is Verdict.NOT_RUN:
             return False
--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -158,6 +158,18 @@
                 conn.abort()
         return _may_have_run(Reason.DEADLINE)
 
+    async def is_down(self) -> bool:
+        """Whether the target accepts no connection.
+
+        A target that does not reply at all may only be slow.
+        """
+        try:
+            conn = await self._pool.connect(self._address)
+        except ConnLostError as exc:
+            return not isinstance(exc.__cause__, trio.TooSlowError)
+        await conn.aclose()
+        return False
+
     def _classify_loss(
         self, idle_seconds: float | None, seconds: float
     ) -> MeshOutcome:
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -227,7 +227,8 @@
 
     The modes are ``ok``, ``shed`` (503, not run), ``fail`` (500), ``hang`` (no
     answer), ``reset`` (closes the connection after the run), ``foreign`` (the
-    answer has another attempt id) and ``endless`` (a body without end).
+    answer has another attempt id) and ``endless`` (a body without end). A path
+    with ``deadly`` ends it, as a crash does.
 
     ``executed`` holds the requests that it ran as tuples of attempt id, path,
     headers and body. ``disconnects`` counts the connections that were closed
@@ -245,15 +246,20 @@
         self.disconnects = 0
         self.work_seconds = 0.0
         self.answer_headers = ()
+        self.crash_scope = trio.CancelScope()
 
     async def start(self, nursery):
+        await nursery.start(self._run)
+
+    async def _run(self, task_status):
         server = HttpServer(
             self.address,
             self.serve,
             HttpLimits(),
             EventLog(self.name, '1'),
         )
-        await server.start(nursery)
+        with self.crash_scope:
+            await server.run(task_status)
 
     async def serve(self, conn, head):
         body = b''.join([piece async for piece in conn.read_body()])
@@ -268,6 +274,8 @@
             await conn.respond(503, (id_header, (b'not-executed', b'1')))
             return
         self.executed.append((attempt_id.decode(), head.path, headers, body))
+        if 'deadly' in head.path:
+            self.crash_scope.cancel()
         if self.mode == 'hang':
             await conn.wait_disconnected()
             self.disconnects += 1
