Refuse requests that have crashed two targets, whoever sends them

Change: the owner of a crashed target tells all daemons the fingerprints of the requests suspected of it. After crashes of two processes every daemon refuses equal requests (503, not run, with Retry-After) for a minute after the newest; an answer by any target clears them.

Ruled out: refusing after one crash (a lookup that had just begun beside the cause would be refused), or by route or account.

--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -24,7 +24,8 @@
     so does ``DUPLICATE``, unless it refuses an attempt id that was used before.
     ``TARGET_LIMITED`` means that the request exceeds the request limit that the
     target names, ``TARGET_CRASHED`` that the request may have ended the process
-    of its target, ``NO_TARGET`` that the request could be sent to no target,
+    of its target, ``CRASHES_TARGETS`` that equal requests ended several,
+    ``NO_TARGET`` that the request could be sent to no target,
     ``OWNER_LOST`` that the connection to an owner broke.
     """
 
@@ -53,6 +54,7 @@
     OWNER_LOST = 'owner-lost'
     TARGET_FAILED = 'target-failed'
     TARGET_CRASHED = 'target-crashed'
+    CRASHES_TARGETS = 'crashes-targets'
     ANSWER_INCOMPLETE = 'answer-incomplete'
     ANSWER_WRONG = 'answer-wrong'
     CONNECTION_FORGOTTEN = 'connection-forgotten'
--- a/src/clementinedeal/mesh/_crashes.py
+++ b/src/clementinedeal/mesh/_crashes.py
@@ -3,12 +3,18 @@
 Such a request is not retried: it could end the next target too.
 """
 
+from collections.abc import Callable
 from dataclasses import replace
 
 from clementinedeal._events import EventLog
 from clementinedeal._verdict import Reason, Verdict
+from clementinedeal.mesh._crash_records import (
+    CrashNotice,
+    fingerprint_request,
+)
 from clementinedeal.mesh._outcomes import MeshAttempt, MeshOutcome
-from clementinedeal.mesh._target_client import TargetClient
+from clementinedeal.mesh._target_client import BufferedRequest, TargetClient
+from clementinedeal.mesh._types import Target
 
 # A request that crashes its target does so when the target reads it or begins
 # to work on it. One that has run for longer was only beside another.
@@ -19,7 +25,10 @@
 
 
 class CrashDetector:
-    """Checks attempts that lost their target."""
+    """Checks attempts that lost their target.
+
+    Handlers in ``on_crash`` are called with each crash and suspected request.
+    """
 
     def __init__(self, target_client: TargetClient, events: EventLog) -> None:
         """Create a detector.
@@ -29,13 +38,21 @@
         """
         self._target_client = target_client
         self._events = events
+        self.on_crash: list[Callable[[CrashNotice], None]] = []
 
     async def check(
-        self, attempt: MeshAttempt, outcome: MeshOutcome, seconds: float
+        self,
+        attempt: MeshAttempt,
+        request: BufferedRequest,
+        target: Target | None,
+        outcome: MeshOutcome,
+        seconds: float,
     ) -> MeshOutcome:
         """Return an outcome, with another reason if the attempt is suspect.
 
         :param attempt: an attempt that was sent to the target.
+        :param request: its request.
+        :param target: the target as listed.
         :param outcome: how it ended.
         :param seconds: time from the send to the end.
         """
@@ -49,6 +66,13 @@
             target=attempt.target,
             seconds=f'{seconds:.3f}',
         )
+        notice = CrashNotice(
+            fingerprint_request(request),
+            attempt.target,
+            target.started_ms if target else 0,
+        )
+        for handler in self.on_crash:
+            handler(notice)
         return replace(outcome, reason=Reason.TARGET_CRASHED)
 
 
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -26,6 +26,7 @@
 )
 from clementinedeal.mesh._condition_probe import ConditionProbe
 from clementinedeal.mesh._contracts import Dialect, Platform
+from clementinedeal.mesh._crash_records import CrashNotice, CrashRecords
 from clementinedeal.mesh._datagrams import Body, DatagramChannel
 from clementinedeal.mesh._declarations import DeclarationFeed
 from clementinedeal.mesh._entry import MeshEntry, MeshEntryParts
@@ -216,6 +217,17 @@
             self._rate_limiter,
             rng,
         )
+        self._crash_records = CrashRecords(
+            self._clock,
+            self.events,
+            self._datagrams,
+            lambda: self._targets.hosts - {host},
+        )
+        self._owner.crash_detector.on_crash.append(
+            lambda notice: nursery.start_soon(
+                self._crash_records.report, notice
+            )
+        )
         self._sender = Sender(
             SenderParts(
                 settings=lambda: self._settings,
@@ -228,6 +240,7 @@
                     ConnPool(self._clock, PEER_CONNECT_SECONDS),
                     self._clock,
                 ),
+                crash_records=self._crash_records,
             ),
         )
         entry = MeshEntry(
@@ -315,6 +328,8 @@
             await self._rate_limiter.on_message(host, body)
         elif isinstance(body, ConditionRequest | ConditionReply):
             await self._condition_probe.on_message(host, body)
+        elif isinstance(body, CrashNotice):
+            self._crash_records.on_notice(body)
         else:
             await self._news.on_message(host, body)
 
--- a/src/clementinedeal/mesh/_datagrams.py
+++ b/src/clementinedeal/mesh/_datagrams.py
@@ -12,6 +12,7 @@
     ConditionReply,
     ConditionRequest,
 )
+from clementinedeal.mesh._crash_records import CrashNotice
 from clementinedeal.mesh._news_messages import NewsHint, NewsReply, NewsRequest
 from clementinedeal.mesh._rate_limiter import TokenReply, TokenRequest
 
@@ -21,7 +22,7 @@
 
 News: TypeAlias = NewsRequest | NewsReply | NewsHint
 Condition: TypeAlias = ConditionRequest | ConditionReply
-Body: TypeAlias = TokenRequest | TokenReply | News | Condition
+Body: TypeAlias = TokenRequest | TokenReply | News | Condition | CrashNotice
 MessageHandler: TypeAlias = Callable[[str, Body], Awaitable[None]]
 
 
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -77,7 +77,7 @@
         self.health = HealthTracker(
             parts.clock, parts.events, parts.call_failures
         )
-        self._crash_detector = CrashDetector(parts.target_client, parts.events)
+        self.crash_detector = CrashDetector(parts.target_client, parts.events)
         self.limit = TargetLimit(parts.clock, parts.events)
         parts.target_client.on_statement.append(self._on_statement)
         self.slot_queue = SlotQueue(DEFAULT_SLOTS, self.limit)
@@ -351,7 +351,9 @@
             self._down_until = self._parts.clock.now() + DOWN_RETRY_SECONDS
         elapsed = self._parts.clock.now() - started
         self._parts.metrics.observe('target_seconds', elapsed)
-        outcome = await self._crash_detector.check(attempt, outcome, elapsed)
+        outcome = await self.crash_detector.check(
+            attempt, execution.request, self.target, outcome, elapsed
+        )
         if outcome.reason is Reason.TARGET_CRASHED:
             self._down_until = self._parts.clock.now() + DOWN_RETRY_SECONDS
         is_limited = self.limit.limit is not None
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -14,6 +14,10 @@
 from clementinedeal.mesh._admission import AdmittedRequest
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._condition_probe import ConditionProbe
+from clementinedeal.mesh._crash_records import (
+    CrashRecords,
+    fingerprint_request,
+)
 from clementinedeal.mesh._outcomes import (
     MeshAttempt,
     MeshOutcome,
@@ -54,6 +58,7 @@
     condition_probe: ConditionProbe
     owner: MeshOwner
     peer_client: MeshPeerClient
+    crash_records: CrashRecords
 
 
 @dataclass(slots=True)
@@ -124,6 +129,22 @@
         :param admitted: the request.
         """
         parts = self._parts
+        fingerprint = fingerprint_request(admitted.request)
+        refused = parts.crash_records.seconds_refused(fingerprint)
+        if refused:
+            return MeshOutcome(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.CRASHES_TARGETS,
+                retry_after=refused,
+            )
+        outcome = await self._run_plan(admitted)
+        if outcome.succeeded:
+            parts.crash_records.on_answered(fingerprint)
+        return outcome
+
+    async def _run_plan(self, admitted: AdmittedRequest) -> MeshOutcome:
+        """Make attempts until the request has an outcome."""
+        parts = self._parts
         retry_bucket = self._find_retry_bucket(admitted.service)
         retry_bucket.add_request()
         plan = Plan(
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -3,9 +3,19 @@
 import pytest
 import trio
 
+from clementinedeal._events import EventLog
+from clementinedeal._timers import VirtualClock
 from clementinedeal._verdict import Reason, Verdict
+from clementinedeal.mesh._crash_records import (
+    CRASHES_TO_REFUSE,
+    REFUSE_SECONDS,
+    CrashNotice,
+    CrashRecords,
+    fingerprint_request,
+)
 from clementinedeal.mesh._crashes import CRASH_SECONDS, is_early_loss
 from clementinedeal.mesh._outcomes import MeshOutcome
+from clementinedeal.mesh._target_client import BufferedRequest
 
 
 async def test_a_deadly_lookup_ends_one_target_only(fleet):
@@ -55,3 +65,57 @@
 def test_only_early_losses_are_suspect(verdict, reason, seconds, suspect):
     outcome = MeshOutcome(verdict=verdict, reason=reason, reached=True)
     assert is_early_loss(outcome, seconds) is suspect
+
+
+async def test_an_equal_request_of_another_caller_is_refused_everywhere(fleet):
+    for number in range(CRASHES_TO_REFUSE):
+        answer, _ = await fleet.send(number, '/look/deadly', key='key-1')
+        assert answer.header(b'x-reason') == b'target-crashed'
+        await trio.sleep(0.2)
+    for number in range(3):
+        answer, _ = await fleet.send(number, '/look/deadly')
+        assert answer.status == 503
+        assert answer.header(b'x-reason') == b'crashes-targets'
+        assert answer.header(b'x-verdict') == b'not-run'
+        assert float(answer.header(b'retry-after')) > 0
+    crashed = [one.crash_scope.cancel_called for one in fleet.targets]
+    assert crashed.count(True) == CRASHES_TO_REFUSE
+    answer, _ = await fleet.send(0, '/look/other')
+    assert answer.status == 200
+
+
+def make_records(clock):
+    return CrashRecords(clock, EventLog('a', '1'), None, tuple)
+
+
+def test_a_request_is_refused_for_a_time_after_crashes_of_two_processes():
+    clock = VirtualClock()
+    records = make_records(clock)
+    for _ in range(3):
+        records.on_notice(CrashNotice(7, 't1', 1))
+    assert not records.seconds_refused(7)
+    records.on_notice(CrashNotice(7, 't1', 2))
+    assert records.seconds_refused(7) == REFUSE_SECONDS
+    assert not records.seconds_refused(8)
+    clock.advance(REFUSE_SECONDS)
+    assert not records.seconds_refused(7)
+    records.on_notice(CrashNotice(7, 't3', 1))
+    assert records.seconds_refused(7)
+
+
+def test_a_request_that_a_target_answers_is_not_suspect():
+    records = make_records(VirtualClock())
+    records.on_notice(CrashNotice(7, 't1', 1))
+    records.on_answered(7)
+    records.on_notice(CrashNotice(7, 't2', 1))
+    assert not records.seconds_refused(7)
+
+
+def test_equal_requests_have_one_fingerprint():
+    def fingerprint(path='/a', body=b'b', host=b'h', req_id=b'1'):
+        headers = ((b'host', host), (b'attempt-id', req_id))
+        return fingerprint_request(BufferedRequest('GET', path, headers, body))
+
+    assert fingerprint() == fingerprint(req_id=b'2')
+    others = {fingerprint('/c'), fingerprint(body=b''), fingerprint(host=b'i')}
+    assert len(others | {fingerprint()}) == 4
