--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -23,7 +23,9 @@
     ``KEEPER_UNAVAILABLE`` and ``KEY_REUSED`` concern the idempotency key, and
     so does ``DUPLICATE``, unless it refuses an attempt id that was used before.
     ``TARGET_LIMITED`` means that the request exceeds the request limit that the
-    target names, ``NO_TARGET`` that the request could be sent to no target,
+    target names, ``TARGET_CRASHED`` that the request may have ended the process
+    of its target, ``CRASHES_TARGETS`` that equal requests ended several,
+    ``NO_TARGET`` that the request could be sent to no target,
     ``OWNER_LOST`` that the connection to an owner broke. ``ZONE_EVACUATED``
     means that operators have evacuated the availability zones of all targets,
     or of the one that was asked, ``NO_HOME`` that none is in a region in which
@@ -56,6 +58,8 @@
     KEY_REUSED = 'idempotency-key-reused'
     OWNER_LOST = 'owner-lost'
     TARGET_FAILED = 'target-failed'
+    TARGET_CRASHED = 'target-crashed'
+    CRASHES_TARGETS = 'crashes-targets'
     ANSWER_INCOMPLETE = 'answer-incomplete'
     ANSWER_WRONG = 'answer-wrong'
     CONNECTION_FORGOTTEN = 'connection-forgotten'
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -27,6 +27,7 @@
 )
 from clementinedeal.mesh._condition_probe import ConditionProbe
 from clementinedeal.mesh._contracts import Dialect, OpenPlatform
+from clementinedeal.mesh._crash_records import CrashNotice, CrashRecords
 from clementinedeal.mesh._datagrams import Body, DatagramChannel
 from clementinedeal.mesh._declarations import DeclarationFeed
 from clementinedeal.mesh._entry import MeshEntry, MeshEntryParts
@@ -230,6 +231,17 @@
             self._rate_limiter,
             rng,
         )
+        self._crash_records = CrashRecords(
+            self._clock,
+            self.events,
+            self._datagrams,
+            lambda: self._targets.hosts - {host},
+        )
+        self._owner.crash_detector.on_crash.append(
+            lambda notice: nursery.start_soon(
+                self._crash_records.report, notice
+            )
+        )
         self._sender = Sender(
             SenderParts(
                 settings=lambda: self._settings,
@@ -247,6 +259,7 @@
                     lambda: self._settings.zone_regions,
                     lambda: self._declarations.catalog,
                 ),
+                crash_records=self._crash_records,
             ),
         )
         entry = MeshEntry(
@@ -341,6 +354,8 @@
             await self._rate_limiter.on_message(host, body)
         elif isinstance(body, ConditionRequest | ConditionReply):
             await self._condition_probe.on_message(host, body)
+        elif isinstance(body, CrashNotice):
+            self._crash_records.on_notice(body)
         else:
             await self._news.on_message(host, body)
 
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -10,6 +10,7 @@
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._call_failures import CallFailures
 from clementinedeal.mesh._contracts import CallContext, TargetStatement
+from clementinedeal.mesh._crashes import CrashDetector
 from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._executions import Execution, MeshExecutionTable
 from clementinedeal.mesh._health_tracker import HealthTracker
@@ -79,6 +80,7 @@
         self.health = HealthTracker(
             parts.clock, parts.events, parts.call_failures
         )
+        self.crash_detector = CrashDetector(parts.target_client, parts.events)
         self.limit = TargetLimit(parts.clock, parts.events)
         parts.target_client.on_statement.append(self._on_statement)
         parts.evacuations.on_change.append(lambda _: self._cancel_refused())
@@ -351,12 +353,15 @@
                 execution.request, context
             )
             nursery.cancel_scope.cancel()
-        if not outcome.reached:
-            execution.reached = False
-            self._down_until = self._parts.clock.now() + DOWN_RETRY_SECONDS
-            self.limit.warmup.on_down()
+        execution.reached = outcome.reached
         elapsed = self._parts.clock.now() - started
         self._parts.metrics.observe('target_seconds', elapsed)
+        outcome = await self.crash_detector.check(
+            attempt, execution.request, self.target, outcome, elapsed
+        )
+        if not outcome.reached or outcome.reason is Reason.TARGET_CRASHED:
+            self._down_until = self._parts.clock.now() + DOWN_RETRY_SECONDS
+            self.limit.warmup.on_down()
         is_limited = self.limit.rate is not None
         if not (is_limited and outcome.reason is Reason.QUEUE_FULL):
             # a rejection by a limited target is no sign of sickness
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -19,6 +19,10 @@
 )
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._condition_probe import ConditionProbe
+from clementinedeal.mesh._crash_records import (
+    CrashRecords,
+    fingerprint_request,
+)
 from clementinedeal.mesh._outcomes import (
     MeshAttempt,
     MeshOutcome,
@@ -60,6 +64,7 @@
     owner: MeshOwner
     peer_client: MeshPeerClient
     zone_rules: ZoneRules
+    crash_records: CrashRecords
 
 
 @dataclass(slots=True)
@@ -130,6 +135,22 @@
         :param admitted: the request.
         """
         parts = self._parts
+        fingerprint = fingerprint_request(admitted.request)
+        refused = parts.crash_records.seconds_refused(fingerprint)
+        if refused:
+            return MeshOutcome(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.CRASHES_TARGETS,
+                retry_after=refused,
+            )
+        outcome = await self._run_plan(admitted)
+        if outcome.succeeded:
+            parts.crash_records.on_answered(fingerprint)
+        return outcome
+
+    async def _run_plan(self, admitted: AdmittedRequest) -> MeshOutcome:
+        """Make attempts until the request has an outcome."""
+        parts = self._parts
         retry_bucket = self._find_retry_bucket(admitted.service)
         retry_bucket.add_request()
         find_zones = functools.partial(
--- /dev/null
+++ b/tests/test_mesh_crashes.py
@@ -0,0 +1,121 @@
+"""Requests that end the process of their target."""
+
+import pytest
+import trio
+
+from clementinedeal._events import EventLog
+from clementinedeal._timers import VirtualClock
+from clementinedeal._verdict import Reason, Verdict
+from clementinedeal.mesh._crash_records import (
+    CRASHES_TO_REFUSE,
+    REFUSE_SECONDS,
+    CrashNotice,
+    CrashRecords,
+    fingerprint_request,
+)
+from clementinedeal.mesh._crashes import CRASH_SECONDS, is_early_loss
+from clementinedeal.mesh._outcomes import MeshOutcome
+from clementinedeal.mesh._target_client import BufferedRequest
+
+
+async def test_a_deadly_lookup_ends_one_target_only(fleet):
+    """It comes while lookups run beside it at every target."""
+    statuses = []
+
+    async def send_beside(number):
+        answer, _ = await fleet.send(number % 3, f'/look/beside{number}')
+        statuses.append(answer.status)
+
+    for target in fleet.targets:
+        target.work_seconds = 2 * CRASH_SECONDS
+    async with trio.open_nursery() as nursery:
+        for number in range(9):
+            nursery.start_soon(send_beside, number)
+        await trio.sleep(1.5 * CRASH_SECONDS)
+        answer, _ = await fleet.send(0, '/look/deadly')
+    assert answer.status == 502
+    assert answer.header(b'x-reason') == b'target-crashed'
+    assert answer.header(b'x-verdict') == b'may-have-run'
+    crashed = [one.crash_scope.cancel_called for one in fleet.targets]
+    assert crashed.count(True) == 1
+    assert statuses == [200] * 9
+
+
+async def test_a_lost_answer_of_a_running_target_is_no_crash(fleet):
+    fleet.targets[0].mode = 'reset'
+    for number in range(6):
+        await fleet.send(number % 3, '/look/1')
+    lines = [daemon.events.json_lines() for daemon in fleet.daemons]
+    assert any(b'answer-incomplete' in one for one in lines)
+    assert not any(b'target-crashed' in one for one in lines)
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'reason', 'seconds', 'suspect'),
+    [
+        (Verdict.MAY_HAVE_RUN, Reason.ANSWER_INCOMPLETE, 0.05, True),
+        (Verdict.MAY_HAVE_RUN, Reason.CONNECTION_FORGOTTEN, 0.05, True),
+        (Verdict.MAY_HAVE_RUN, Reason.ANSWER_INCOMPLETE, 0.3, False),
+        (Verdict.MAY_HAVE_RUN, Reason.ANSWER_WRONG, 0.05, False),
+        (Verdict.MAY_HAVE_RUN, Reason.DEADLINE, 0.05, False),
+        (Verdict.NOT_RUN, Reason.NO_TARGET, 0.05, False),
+        (Verdict.RAN, Reason.TARGET_FAILED, 0.05, False),
+    ],
+)
+def test_only_early_losses_are_suspect(verdict, reason, seconds, suspect):
+    outcome = MeshOutcome(verdict=verdict, reason=reason, reached=True)
+    assert is_early_loss(outcome, seconds) is suspect
+
+
+async def test_an_equal_request_of_another_caller_is_refused_everywhere(fleet):
+    for number in range(CRASHES_TO_REFUSE):
+        answer, _ = await fleet.send(number, '/look/deadly', key='key-1')
+        assert answer.header(b'x-reason') == b'target-crashed'
+        await trio.sleep(0.2)
+    for number in range(3):
+        answer, _ = await fleet.send(number, '/look/deadly')
+        assert answer.status == 503
+        assert answer.header(b'x-reason') == b'crashes-targets'
+        assert answer.header(b'x-verdict') == b'not-run'
+        assert float(answer.header(b'retry-after')) > 0
+    crashed = [one.crash_scope.cancel_called for one in fleet.targets]
+    assert crashed.count(True) == CRASHES_TO_REFUSE
+    answer, _ = await fleet.send(0, '/look/other')
+    assert answer.status == 200
+
+
+def make_records(clock):
+    return CrashRecords(clock, EventLog('a', '1'), None, tuple)
+
+
+def test_a_request_is_refused_for_a_time_after_crashes_of_two_processes():
+    clock = VirtualClock()
+    records = make_records(clock)
+    for _ in range(3):
+        records.on_notice(CrashNotice(7, 't1', 1))
+    assert not records.seconds_refused(7)
+    records.on_notice(CrashNotice(7, 't1', 2))
+    assert records.seconds_refused(7) == REFUSE_SECONDS
+    assert not records.seconds_refused(8)
+    clock.advance(REFUSE_SECONDS)
+    assert not records.seconds_refused(7)
+    records.on_notice(CrashNotice(7, 't3', 1))
+    assert records.seconds_refused(7)
+
+
+def test_a_request_that_a_target_answers_is_not_suspect():
+    records = make_records(VirtualClock())
+    records.on_notice(CrashNotice(7, 't1', 1))
+    records.on_answered(7)
+    records.on_notice(CrashNotice(7, 't2', 1))
+    assert not records.seconds_refused(7)
+
+
+def test_equal_requests_have_one_fingerprint():
+    def fingerprint(path='/a', body=b'b', host=b'h', req_id=b'1'):
+        headers = ((b'host', host), (b'attempt-id', req_id))
+        return fingerprint_request(BufferedRequest('GET', path, headers, body))
+
+    assert fingerprint() == fingerprint(req_id=b'2')
+    others = {fingerprint('/c'), fingerprint(body=b''), fingerprint(host=b'i')}
+    assert len(others | {fingerprint()}) == 4
