Run idempotent requests before their turn on a connection

Cause: a connection served one request at a time. A request that its client sent ahead waited for those before it while its time limit ran, and its time counted from its turn instead of its arrival. After 64 KB of unread requests a caller that left was not noticed any more.

Answers keep the order, since the connection's own parser still reads each request in its turn. No request starts early once an answer must close the connection, and the close comes with the last answer of those that did. Behind 64 KB the end of a connection is read from its TCP state.

Ruled out: parsing in a task of its own, which would repeat order, close and errors; h11 doesn't parse a request before the former answer has ended.

--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -142,6 +142,17 @@
         return find_header(self.headers, name)
 
 
+def decode_request_head(event: h11.Request) -> RequestHead:
+    """Return the request line and headers of a parsed request.
+
+    :param event: the request.
+    """
+    headers = tuple((bytes(key), bytes(text)) for key, text in event.headers)
+    return RequestHead(
+        event.method.decode('ascii'), event.target.decode('ascii'), headers
+    )
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, None without one.
 
--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -218,6 +218,7 @@
             req=req_id,
             reason=refusal.reason.value,
         )
+        conn.read_ahead.cancel_all()
         conn.close_after_answer()
         try:
             await conn.respond(
--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -1,6 +1,7 @@
 """The server end of one HTTP connection."""
 
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 
 import h11
@@ -17,22 +18,30 @@
     HttpLimits,
     RequestHead,
     SizeCounter,
+    decode_request_head,
     find_header,
 )
+from clementinedeal._read_ahead import EarlyRequest, EarlyRunner, ReadAhead
 
 # Closing a socket that has unread bytes resets the connection, and the client
 # may lose the answer. The server keeps reading for this long, enough for one
 # lost packet to be sent again.
 CLOSE_TIMEOUT_SECONDS = 1.0
+# How often a connection that reads no more is checked for its end.
+END_POLL_SECONDS = 0.25
+# States of a TCP connection whose peer has closed it, see linux/tcp.h.
+_ENDED_TCP_STATES = frozenset((7, 8))
 _PROCESSING = 102
 
 
 class ServerConn:
-    """The server end of one connection; one request at a time.
+    """The server end of one connection; answers one request at a time.
 
     ``is_idle`` is true between requests. Cancelling ``idle_scope`` closes the
     connection if it waits for a request. ``head_sent`` is true once a byte of
-    the current answer may have reached the client.
+    the current answer may have reached the client. ``read_ahead`` holds the
+    requests behind the current one that run already; ``early_request`` is the
+    current one, if it does.
     """
 
     def __init__(self, stream: trio.abc.Stream, limits: HttpLimits) -> None:
@@ -48,6 +57,8 @@
         self.head_sent = False
         self._method = b''
         self._must_close = False
+        self.read_ahead = ReadAhead()
+        self.early_request: EarlyRequest | None = None
 
     def set_limits(self, limits: HttpLimits) -> None:
         """Replace the limits.
@@ -138,31 +149,47 @@
             headers = (*headers, length)
         self.head_sent = True
         events: list[h11.Event] = [
-            _response_head(status, headers, must_close=self._must_close)
+            _response_head(
+                status,
+                headers,
+                must_close=self._must_close and not self.read_ahead.count,
+            )
         ]
         if body and self._method != b'HEAD':
             events.append(h11.Data(data=body))
         events.append(h11.EndOfMessage())
         await self._h11_stream.send_all(*events)
 
-    async def wait_disconnected(self) -> None:
+    async def wait_disconnected(
+        self, runner: EarlyRunner | None = None
+    ) -> None:
         """Return when the client has closed or reset the connection.
 
         To be used only while a request is being answered. Data that arrives
-        meanwhile is kept for the next request. After ``READ_BYTES`` no more
-        is read, and the end of the connection is no longer detected.
+        meanwhile, up to ``READ_BYTES``, is kept for the next requests. Behind
+        more the end of the connection is polled for.
+
+        :param runner: starts requests that have arrived before their turn;
+            None if none may start.
         """
-        received_bytes = 0
-        while received_bytes < READ_BYTES:
+        h11_conn = self._h11_stream.h11
+        unread = h11_conn.trailing_data[0]
+        if runner is not None and not self._must_close:
+            self.read_ahead.restart(runner, unread)
+        unread_bytes = len(unread)
+        while unread_bytes < READ_BYTES:
+            self.read_ahead.start_found(self.limits.max_head_bytes)
             try:
                 blob = await self._h11_stream.stream.receive_some(READ_BYTES)
             except BROKEN_STREAM_ERRORS:
                 return
-            self._h11_stream.h11.receive_data(bytes(blob))
+            h11_conn.receive_data(bytes(blob))
             if not blob:
                 return
-            received_bytes += len(blob)
-        await trio.sleep_forever()
+            self.read_ahead.receive(bytes(blob))
+            unread_bytes += len(blob)
+        self.read_ahead.start_found(self.limits.max_head_bytes)
+        await _wait_ended(self._h11_stream.stream)
 
     async def send_interim(self) -> None:
         """Send ``102 Processing``: the request was accepted."""
@@ -179,7 +206,11 @@
         """
         self.head_sent = True
         await self._h11_stream.send(
-            _response_head(status, headers, must_close=self._must_close)
+            _response_head(
+                status,
+                headers,
+                must_close=self._must_close and not self.read_ahead.count,
+            )
         )
 
     async def send_piece(self, piece: bytes) -> None:
@@ -195,8 +226,12 @@
         await self._h11_stream.send(h11.EndOfMessage())
 
     def close_after_answer(self) -> None:
-        """Send ``connection: close`` with the next answer, then close."""
+        """Close after the next answer, which says ``connection: close``.
+
+        Requests that run early are answered before.
+        """
         self._must_close = True
+        self.read_ahead.stop()
 
     def close_unless_read(self) -> None:
         """Close after the answer if the request was not read to its end."""
@@ -221,7 +256,8 @@
         return is_complete
 
     async def aclose(self) -> None:
-        """Close the stream without waiting for the client."""
+        """Close the stream without waiting; cancel what runs early."""
+        self.read_ahead.cancel_all()
         await trio.aclose_forcefully(self._h11_stream.stream)
 
     async def close_gracefully(self) -> int:
@@ -256,17 +292,12 @@
         if not isinstance(event, h11.Request):
             return None
         self._method = event.method
-        headers = tuple(
-            (bytes(key), bytes(text)) for key, text in event.headers
-        )
-        has_length = find_header(headers, CONTENT_LENGTH) is not None
-        if has_length and find_header(headers, TRANSFER_ENCODING) is not None:
+        self.early_request = self.read_ahead.take_turn()
+        head = decode_request_head(event)
+        has_length = head.header(CONTENT_LENGTH) is not None
+        if has_length and head.header(TRANSFER_ENCODING) is not None:
             raise HttpError('both content-length and transfer-encoding')
-        return RequestHead(
-            event.method.decode('ascii'),
-            event.target.decode('ascii'),
-            headers,
-        )
+        return head
 
     async def _next_body_event(self) -> h11.Event | type[object]:
         with trio.move_on_after(self.limits.body_timeout):
@@ -282,6 +313,26 @@
     return h11.Response(status_code=status, headers=list(headers))
 
 
+async def _wait_ended(stream: trio.abc.Stream) -> None:
+    """Return when the peer has ended a stream that is not read."""
+    while True:
+        if _has_ended(stream):
+            return
+        await trio.sleep(END_POLL_SECONDS)
+
+
+def _has_ended(stream: trio.abc.Stream) -> bool:
+    """Whether the peer has closed a connection, behind unread data too."""
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    try:
+        state = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        # not every kernel tells the state; writing the answer will fail then
+        return False
+    return bytes(state)[0] in _ENDED_TCP_STATES
+
+
 async def _end_stream(stream: trio.abc.Stream) -> int:
     received_bytes = 0
     if not isinstance(stream, trio.SocketStream):
--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -134,6 +134,17 @@
         """
         return self._dialect.read_request(head).req_id
 
+    def is_idempotent(self, head: RequestHead) -> bool:
+        """Whether a request is on a route whose requests may run twice.
+
+        :param head: request line and headers.
+        """
+        catalog = self.active_declaration.catalog
+        if catalog is None:
+            return False
+        route = catalog.find_route(_host(head), head.path)
+        return route is not None and route.idempotent
+
     async def admit(
         self,
         head: RequestHead,
@@ -152,8 +163,7 @@
         if catalog is None or self.active_declaration.is_outdated():
             return _refusal(Reason.CONFIG_STALE, UNREADY_RETRY_AFTER_SECONDS)
         fields = self._dialect.read_request(head)
-        host = (head.header(b'host') or b'').decode('latin-1')
-        route = catalog.find_route(host, head.path)
+        route = catalog.find_route(_host(head), head.path)
         if route is None:
             return _refusal(Reason.NO_ROUTE)
         account_found = catalog.find_account(route, fields.key)
@@ -196,6 +206,10 @@
         return chosen[0].service
 
 
+def _host(head: RequestHead) -> str:
+    return (head.header(b'host') or b'').decode('latin-1')
+
+
 def _build_request(head: RequestHead, body: bytes) -> BufferedRequest:
     headers = tuple(
         pair
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -238,6 +238,7 @@
                 sender=self._sender,
                 call_failures=call_failures,
                 metrics=self._metrics,
+                nursery=nursery,
             ),
         )
         peer_server = MeshPeerServer(self._owner, self.events, nursery)
--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -1,10 +1,12 @@
 """Serves the callers of this instance and answers each request."""
 
-from dataclasses import dataclass
+import functools
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 
 import trio
 
-from clementinedeal._events import EventLog
+from clementinedeal._events import EventLog, log
 from clementinedeal._http import (
     CONTENT_LENGTH,
     ConnLostError,
@@ -22,11 +24,17 @@
 from clementinedeal.mesh._sender import Sender
 
 _TOO_LARGE_STATUS = 413
+_INTERNAL_ERROR = MeshOutcome(
+    verdict=Verdict.MAY_HAVE_RUN, reason=Reason.INTERNAL
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MeshEntryParts:
-    """The collaborators of an entry; ``metrics`` counts its requests."""
+    """The collaborators of an entry.
+
+    ``metrics`` counts its requests, ``nursery`` runs those that run early.
+    """
 
     clock: Clock
     events: EventLog
@@ -34,6 +42,27 @@
     sender: Sender
     call_failures: CallFailures
     metrics: DaemonMetrics
+    nursery: trio.Nursery
+
+
+@dataclass(eq=False, slots=True)
+class RunningRequest:
+    """A request on its way to an outcome.
+
+    ``received_at`` is when its head arrived, in monotonic seconds. ``outcome``
+    is None until it has ended, and if a part of the daemon failed on it.
+    ``cancel_scope`` and ``done`` belong to a request that runs early.
+    """
+
+    req_id: str
+    received_at: float
+    outcome: MeshOutcome | None = None
+    cancel_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    done: trio.Event = field(default_factory=trio.Event)
+
+    def cancel(self) -> None:
+        """End it, if it runs early: nobody waits for its answer any more."""
+        self.cancel_scope.cancel()
 
 
 class MeshEntry:
@@ -59,51 +88,113 @@
         :raises ConnLostError: the caller closed its connection.
         :raises HttpError: the body is larger than the limit in force.
         """
+        running = conn.early_request
+        if isinstance(running, RunningRequest):
+            await conn.discard_body()
+            finish: Callable[[], Awaitable[None]] = running.done.wait
+        else:
+            received_at = self._parts.clock.now()
+            max_bytes = self._parts.admission.max_body_bytes
+            body = await _read_body(conn, max_bytes)
+            running = RunningRequest(self._read_id(head), received_at)
+            finish = functools.partial(self._run, running, head, body)
+        await self._run_while_connected(conn, running, finish)
+        await self._respond(conn, running)
+
+    def may_run_early(self, head: RequestHead) -> bool:
+        """Whether a request may run before its turn to be answered.
+
+        :param head: its request line and headers.
+        """
+        admission = self._parts.admission
+        return not admission.is_closing and admission.is_idempotent(head)
+
+    def start_early(self, head: RequestHead) -> 'RunningRequest':
+        """Run a request before its turn to be answered.
+
+        :param head: its request line and headers.
+        """
+        running = RunningRequest(self._read_id(head), self._parts.clock.now())
+        self._parts.metrics.count('early')
+        self._parts.nursery.start_soon(self._run_early, running, head)
+        return running
+
+    async def _run_early(
+        self, running: 'RunningRequest', head: RequestHead
+    ) -> None:
+        try:
+            with running.cancel_scope:
+                await self._run(running, head, b'')
+        except Exception:
+            # one request's failure must not end the others of the process
+            log.exception('event=request-failed req=%s', running.req_id)
+        running.done.set()
+        if running.cancel_scope.cancelled_caught:
+            self._report_cancelled(running.req_id, caller_left=True)
+
+    async def _run(
+        self, running: 'RunningRequest', head: RequestHead, body: bytes
+    ) -> None:
+        """Run a request to its end and set its outcome."""
         parts = self._parts
-        started_at = parts.clock.now()
-        body = await _read_body(conn, parts.admission.max_body_bytes)
-        admitted = await parts.admission.admit(head, body, started_at)
+        admitted = await parts.admission.admit(head, body, running.received_at)
         if isinstance(admitted, MeshOutcome):
-            await self._respond_error(
-                conn, parts.admission.read_request_id(head), admitted
-            )
+            running.outcome = admitted
             return
-        outcome = await self._run_while_connected(conn, admitted)
-        self._report_finished(admitted, outcome, parts.clock.now() - started_at)
-        if outcome.status:
-            headers = tuple(
-                pair for pair in outcome.headers if pair[0] != CONTENT_LENGTH
-            )
-            await conn.respond(outcome.status, headers, outcome.body)
-        else:
-            await self._respond_error(conn, admitted.req_id, outcome)
+        running.req_id = admitted.req_id
+        running.outcome = await parts.sender.send(admitted)
+        seconds = parts.clock.now() - running.received_at
+        self._report_finished(admitted, running.outcome, seconds)
 
     async def _run_while_connected(
         self,
         conn: ServerConn,
-        admitted: AdmittedRequest,
-    ) -> MeshOutcome:
-        """Run a request; cancel it if the caller closes its connection."""
-        outcome: MeshOutcome | None = None
+        running: 'RunningRequest',
+        finish: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Wait for a request; cancel it if the caller closes its connection.
+
+        :param conn: the caller's connection.
+        :param running: the request.
+        :param finish: returns when the request has ended.
+        :raises ConnLostError: the caller closed its connection.
+        """
         caller_left = False
 
         async def watch_caller(scope: trio.CancelScope) -> None:
             nonlocal caller_left
-            await conn.wait_disconnected()
+            await conn.wait_disconnected(self)
             caller_left = True
             scope.cancel()
 
+        has_ended = False
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(watch_caller, nursery.cancel_scope)
-                outcome = await self._parts.sender.send(admitted)
+                await finish()
+                has_ended = True
                 nursery.cancel_scope.cancel()
         finally:
-            if outcome is None:
-                self._report_cancelled(admitted.req_id, caller_left=caller_left)
-        if outcome is None:
+            if not has_ended:
+                running.cancel()
+                self._report_cancelled(running.req_id, caller_left=caller_left)
+        if not has_ended:
             raise ConnLostError('the caller closed its connection')
-        return outcome
+
+    async def _respond(
+        self, conn: ServerConn, running: 'RunningRequest'
+    ) -> None:
+        outcome = running.outcome or _INTERNAL_ERROR
+        if outcome.status:
+            headers = tuple(
+                pair for pair in outcome.headers if pair[0] != CONTENT_LENGTH
+            )
+            await conn.respond(outcome.status, headers, outcome.body)
+        else:
+            await self._respond_error(conn, running.req_id, outcome)
+
+    def _read_id(self, head: RequestHead) -> str:
+        return self._parts.admission.read_request_id(head)
 
     def _report_cancelled(self, req_id: str, *, caller_left: bool) -> None:
         """Log a cancelled request.
--- a/src/clementinedeal/mesh/_metrics.py
+++ b/src/clementinedeal/mesh/_metrics.py
@@ -40,6 +40,7 @@
         'Attempts ended at the owned target.',
         ('verdict', 'reason'),
     ),
+    'early': ('Requests run before their turn on a connection.', ()),
     'left': ('Callers that left before their answer.', ()),
 }
 _HISTOGRAMS = {
