Show that hostile clients take a process over its memory

Seven small crowds send to a daemon process whose settings name 100 MB and 300 descriptors: large bodies whole, in pieces, in huge and in one-byte chunks, bodies announced and sent far over the limit, and many open connections. Most stop just short of their end and stay. Checked are that the processes live, the peak of memory, the descriptors, and that ordinary requests are answered.

--- a/tests/soak_fleet.py
+++ b/tests/soak_fleet.py
@@ -63,6 +63,7 @@
         self.store_link = FaultyLink(free_address(), fleet.store.address)
         self.target = fleet.make_target(f't{number}.0')
         self.target_link = FaultyLink(f'{host}:{ports[2]}', self.target.address)
+        self._more_settings = fleet.more_settings
         # setting that each reload changes
         self._retry_slack = 60
         self._settings = {
@@ -93,6 +94,7 @@
         """Replace the settings file in a folder; return its path."""
         path = folder / f'{self.name}.toml'
         text = _SETTINGS.format(**self._settings, slack=self._retry_slack)
+        text += self._more_settings
         new_path = path.with_suffix('.new')
         new_path.write_text(text)
         return new_path.rename(path)
@@ -185,6 +187,8 @@
     services = ('till',) * 4
     slots = 7
     request_kinds = ('look', 'book', 'book', 'book')
+    # appended to the settings file of each instance
+    more_settings = ''
 
     def __init__(self, folder):
         self.folder = folder
--- /dev/null
+++ b/tests/test_hostile_clients.py
@@ -0,0 +1,237 @@
+"""Clients that send large or endless bodies and keep their connections open.
+
+The tests start daemon processes and check that they live, that their memory
+and descriptors stay within the limits of the settings, and that an ordinary
+request is answered while the hostile connections are still open.
+"""
+
+import contextlib
+import os
+import pathlib
+
+import pytest
+import trio
+from tests.soak_fleet import Fleet
+
+from clementinedeal._http import BROKEN_STREAM_ERRORS, RequestHead
+from clementinedeal._pool import ConnPool, split_address
+from clementinedeal._timers import MonotonicClock
+
+pytestmark = pytest.mark.alone
+
+MEMORY_MB = 100
+MAX_FDS = 300
+BODY_BYTES = 16 << 20
+# Bodies of the size BODY_BYTES; two of them fit into the memory.
+LARGE_COUNT = 12
+TINY_COUNT = 60
+TINY_CHUNKS = 40_000
+OPEN_COUNT = 400
+PIECE_BYTES = 16 << 10
+SECONDS = 120  # only ends a test that hangs
+
+
+class LowLimitsFleet(Fleet):
+    """Two daemons with the limits of a very small machine."""
+
+    services = ('till',) * 2
+    more_settings = f"""
+[limits]
+memory_mb = {MEMORY_MB}
+max_fds = {MAX_FDS}
+"""
+
+    def configuration(self):
+        document = super().configuration()
+        for item in document['resources']:
+            if item['entry_type'] == 'limits':
+                item['spec']['max_body_bytes'] = BODY_BYTES
+                item['spec']['idle_timeout_s'] = 60
+            if item['entry_type'] == 'routes':
+                item['spec']['timeout_s'] = 10
+        return document
+
+
+def head(*lines):
+    fields = (
+        'POST /open/a HTTP/1.1',
+        'host: h.example',
+        'deadline-ms: 9000',
+        *lines,
+    )
+    return '\r\n'.join(fields).encode() + b'\r\n\r\n'
+
+
+def sized(size):
+    return head(f'content-length: {size}')
+
+
+def pieces_of(blob):
+    for start in range(0, len(blob), PIECE_BYTES):
+        yield blob[start : start + PIECE_BYTES]
+
+
+CHUNKED = head('transfer-encoding: chunked')
+END = b'0\r\n\r\n'
+LARGE = bytes(BODY_BYTES)
+HUGE_CHUNK = b'%x\r\n' % BODY_BYTES + LARGE + b'\r\n'
+TINY_CHUNK_BODY = b'1\r\nx\r\n' * TINY_CHUNKS
+
+
+def whole(stalls):
+    yield sized(BODY_BYTES) + (LARGE[:-1] if stalls else LARGE)
+
+
+def pieces(stalls):
+    yield sized(BODY_BYTES)
+    yield from pieces_of(LARGE[:-1] if stalls else LARGE)
+
+
+def huge_chunks(stalls):
+    yield CHUNKED + HUGE_CHUNK
+    yield b'' if stalls else END
+
+
+def tiny_chunks(stalls):
+    yield CHUNKED
+    yield from pieces_of(TINY_CHUNK_BODY)
+    yield b'' if stalls else END
+
+
+def announced(_):
+    yield sized(10 * BODY_BYTES)
+    for _ in range(10):
+        yield LARGE
+
+
+def endless(_):
+    yield CHUNKED
+    for _ in range(10):
+        yield HUGE_CHUNK
+
+
+def small(_):
+    yield sized(100) + bytes(99)
+
+
+CROWDS = {
+    'whole': (whole, LARGE_COUNT),
+    'pieces': (pieces, LARGE_COUNT),
+    'huge-chunks': (huge_chunks, LARGE_COUNT),
+    'tiny-chunks': (tiny_chunks, TINY_COUNT),
+    'announced': (announced, LARGE_COUNT),
+    'endless': (endless, LARGE_COUNT),
+    'open': (small, OPEN_COUNT),
+}
+
+
+class Crowd:
+    """Connections that stay open after all was sent, or refused.
+
+    ``all_sent`` is set once each has sent all, or was closed.
+    """
+
+    def __init__(self, address, make_blobs, count):
+        self._address = split_address(address)
+        self._make_blobs = make_blobs
+        self._count = count
+        self._unsent = count
+        self.all_sent = trio.Event()
+
+    async def connect(self, nursery):
+        """Return once all are connected and send."""
+        for number in range(self._count):
+            await nursery.start(self._send_one, number % 4 != 0)
+
+    async def _send_one(self, stalls, task_status):
+        stream = await trio.open_tcp_stream(*self._address)
+        task_status.started()
+        async with stream:
+            with contextlib.suppress(*BROKEN_STREAM_ERRORS):
+                for blob in self._make_blobs(stalls):
+                    await stream.send_all(blob)
+            self._unsent -= 1
+            if not self._unsent:
+                self.all_sent.set()
+            await trio.sleep_forever()
+
+
+class Monitor:
+    """Watches the memory and the descriptors of processes.
+
+    ``max_bytes`` and ``max_fds`` are the largest values of any process.
+    """
+
+    def __init__(self, processes):
+        self._folders = [
+            pathlib.Path('/proc') / str(process.pid) for process in processes
+        ]
+        self.max_bytes = 0
+        self.max_fds = 0
+
+    async def run(self):
+        while True:
+            self.measure()
+            await trio.sleep(0.02)
+
+    def measure(self):
+        for folder in self._folders:
+            for line in (folder / 'status').read_text().splitlines():
+                if line.startswith('VmHWM'):
+                    peak = int(line.split()[1]) * 1024
+                    self.max_bytes = max(self.max_bytes, peak)
+            self.max_fds = max(self.max_fds, len(os.listdir(folder / 'fd')))
+
+
+async def send_ordinary_request(instance):
+    """Send a lookup on a new connection and return its status."""
+    headers = (
+        (b'host', b'h.example'),
+        (b'attempt-id', b'ordinary'),
+        (b'deadline-ms', b'9000'),
+        (b'authorization', b'Bearer key-1'),
+    )
+    conn = await ConnPool(MonotonicClock()).connect(instance.caller_address)
+    await conn.send_whole(RequestHead('GET', '/look/1', headers), b'')
+    answer = await conn.read_head()
+    await conn.aclose()
+    return answer.status
+
+
+@pytest.fixture
+async def low_fleet(tmp_path, nursery):
+    fleet = LowLimitsFleet(tmp_path)
+    try:
+        await fleet.start(nursery)
+        with trio.fail_after(SECONDS):
+            for instance in fleet.instances:
+                await instance.wait_until_listening()
+                status = 0
+                while status != 200:
+                    await trio.sleep(0.05)
+                    status = await send_ordinary_request(instance)
+        yield fleet
+    finally:
+        fleet.kill()
+
+
+@pytest.mark.parametrize('kind', CROWDS)
+async def test_hostile_clients_end_no_process(kind, low_fleet, nursery):
+    """The process lives within its limits and answers an ordinary request."""
+    fleet = low_fleet
+    processes = [instance.process for instance in fleet.instances]
+    monitor = Monitor(processes)
+    nursery.start_soon(monitor.run)
+    entry = fleet.instances[0]
+    crowd = Crowd(entry.caller_address, *CROWDS[kind])
+    with trio.fail_after(SECONDS):
+        await crowd.connect(nursery)
+        statuses = [await send_ordinary_request(entry)]
+        await crowd.all_sent.wait()
+        statuses.append(await send_ordinary_request(entry))
+    monitor.measure()
+    print(kind, monitor.max_bytes, monitor.max_fds, statuses)
+    assert [process.poll() for process in processes] == [None, None]
+    assert monitor.max_bytes < MEMORY_MB * 1_000_000
+    assert monitor.max_fds <= MAX_FDS
+    assert statuses == [200, 200]
