Bound the bytes and connections that a process holds

Cause: nothing counted the bodies that a daemon keeps. Each caller could send a body up to the limit and stay; a body was copied when whole and again when it was sent; owners kept the requests and answers of ended attempts for 20 s; each open connection took a descriptor without a bound.

Change: one ByteBudget for the process, sized from memory_mb, counts the bodies of callers, of other daemons and of answers with the objects that hold them. If it is short, the longest stalled arriving bodies are cut, else the newcomer is refused with 503, not run. An eighth is for small bodies. A body announced over the limit is refused at its head. Bodies grow in place and are written without a copy. Owners drop the request at the end of an attempt and the body of its answer after 8 s, or earlier if memory is short; the id stays for 20 s. Connections of callers are bounded from max_fds and memory_mb: at the bound the oldest that wait or receive are closed. The pool closes idle connections to all addresses every 5 s. Other daemons accept bodies up to the declaration's limit, and the time for a large one to pass is added to their time limits.

Ruled out: reserving what a head announces (a silent client would hold it), a share for each connection (too small for one legal body).

--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -7,15 +7,23 @@
 import h11
 import trio
 
+from clementinedeal._byte_budget import (
+    BudgetSpentError,
+    ByteBudget,
+    HeldBytes,
+)
 from clementinedeal._http import (
     READ_BYTES,
+    Body,
     ConnLostError,
     H11Stream,
     RequestHead,
     ResponseHead,
     SizeCounter,
     TooLongError,
+    body_event,
 )
+from clementinedeal._timers import MonotonicClock
 
 # A target that answers a request twice sends the extra answer soon after, so
 # it carries the id of one of the latest requests.
@@ -34,11 +42,17 @@
     latest requests that were answered on it.
     """
 
-    def __init__(self, stream: trio.SocketStream) -> None:
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        budget: ByteBudget | None = None,
+    ) -> None:
         """Wrap a connected stream.
 
         :param stream: the connection, owned from now on.
+        :param budget: counts the bodies of answers; unlimited if None.
         """
+        self._budget = budget or ByteBudget(MonotonicClock())
         self.stream = stream
         self.idle_until = 0.0
         self.idle_since = 0.0
@@ -70,8 +84,8 @@
             return
         await self._h11_stream.send(request)
 
-    async def send_whole(self, head: RequestHead, body: bytes) -> None:
-        """Send a request with its whole body in one write.
+    async def send_whole(self, head: RequestHead, body: Body) -> None:
+        """Send a request with its whole body.
 
         :param head: request line and headers; a body needs a length header or
             chunked encoding.
@@ -87,7 +101,7 @@
             ),
         ]
         if body:
-            events.append(h11.Data(data=body))
+            events.append(body_event(body))
         events.append(h11.EndOfMessage())
         await self._h11_stream.send_all(*events)
 
@@ -153,27 +167,30 @@
         self,
         max_bytes: int,
         on_piece: Callable[[], None] | None = None,
-    ) -> bytes:
+    ) -> Body:
         """Return the whole response body.
 
         :param max_bytes: maximum number of bytes accepted, framing included.
         :param on_piece: called at each piece of the body.
         :raises TooLongError: the body is longer; the connection is closed.
+        :raises BudgetSpentError: there is no memory for the body; the
+            connection is closed.
         :raises ConnLostError: the body was cut short.
         :raises HttpError: malformed answer.
         """
         size_counter = SizeCounter(self._h11_stream, max_bytes)
-        body = bytearray()
+        body = HeldBytes(self._budget, is_answer=True)
         try:
             async for piece in self.read_body():
                 size_counter.count(len(piece))
-                body += piece
+                body.add(piece)
                 if on_piece is not None:
                     on_piece()
-        except TooLongError:
+        except (TooLongError, BudgetSpentError):
             self.abort()
+            body.discard()
             raise
-        return bytes(body)
+        return body
 
     def discard_answer(self) -> None:
         """Discard the answer just read, so that another one can be read.
--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 messages over trio streams, parsed and serialized by h11."""
 
 from dataclasses import dataclass
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, cast
 
 import h11
 import trio
@@ -9,6 +9,8 @@
 from clementinedeal._errors import ProtocolError
 
 READ_BYTES = 65536  # largest number of bytes in one read of a stream
+# Larger messages are written in several writes, without a copy.
+MAX_JOINED_BYTES = 65536
 # h11 parses an event in about 6 us of CPU time, so other tasks wait at most
 # 0.4 ms between two checkpoints.
 MAX_EVENTS_PER_CHECKPOINT = 64
@@ -36,6 +38,7 @@
 
 BROKEN_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
+Body: TypeAlias = bytes | bytearray
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
 
 
@@ -142,6 +145,15 @@
         return find_header(self.headers, name)
 
 
+def body_event(body: Body) -> h11.Data:
+    """Return the event that sends a body without a copy.
+
+    :param body: the whole body.
+    """
+    # h11 takes any object with a length
+    return h11.Data(data=cast('bytes', body))
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, None without one.
 
@@ -206,17 +218,30 @@
         await self.send_all(event)
 
     async def send_all(self, *events: h11.Event) -> None:
-        """Send several events in one write.
+        """Send several events, in one write unless they are large.
 
         :param events: in the order in which they are sent.
         :raises ConnLostError: the connection is closed, or the body does not
             have its declared length.
         """
+        blobs: list[bytes] = []
         try:
-            blobs = [self.h11.send(event) for event in events]
+            for event in events:
+                blobs.extend(self.h11.send_with_data_passthrough(event) or ())
         except h11.LocalProtocolError as exc:
             raise ConnLostError(f'cannot be sent: {exc}') from exc
-        await self._write(b''.join(blob for blob in blobs if blob))
+        if sum(map(len, blobs)) <= MAX_JOINED_BYTES:
+            await self._write(b''.join(blobs))
+            return
+        small_blobs: list[bytes] = []
+        for blob in blobs:
+            if len(blob) <= MAX_JOINED_BYTES:
+                small_blobs.append(blob)
+                continue
+            await self._write(b''.join(small_blobs))
+            small_blobs.clear()
+            await self._write(blob)
+        await self._write(b''.join(small_blobs))
 
     async def next_event(self) -> h11.Event | type[object]:
         """Return the next event, reading from the stream as needed.
--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -1,10 +1,16 @@
 """Listeners that serve HTTP connections and stop gracefully."""
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import TypeAlias
 
 import trio
 
+from clementinedeal._byte_budget import (
+    RETRY_AFTER_SECONDS,
+    BudgetSpentError,
+    ByteBudget,
+)
 from clementinedeal._events import EventLog, log
 from clementinedeal._http import (
     ConnLostError,
@@ -23,6 +29,9 @@
 # only if the client does not read.
 LAST_ANSWER_TIMEOUT_SECONDS = 0.2
 MAX_BACKLOG_CONNECTIONS = 512
+# At the bound, this part of the connections is closed at a time, so that they
+# are not sorted for each new one.
+CLOSED_SHARE = 0.0625
 
 RequestHandler: TypeAlias = Callable[[ServerConn, RequestHead], Awaitable[None]]
 
@@ -30,6 +39,7 @@
     408: Reason.SLOW_SENDER,
     413: Reason.BODY_TOO_LARGE,
     431: Reason.HEAD_TOO_LARGE,
+    503: Reason.MEMORY_FULL,
 }
 
 
@@ -37,6 +47,7 @@
     """Listens on one address and serves each connection in a task.
 
     A fault in the handler ends only the connection on which it occurs.
+    ``closed_for_room`` counts the connections closed for newer ones.
     """
 
     def __init__(
@@ -45,6 +56,8 @@
         handler: RequestHandler,
         limits: HttpLimits,
         events: EventLog,
+        budget: ByteBudget | None = None,
+        max_connections: float = math.inf,
     ) -> None:
         """Create a server that is not yet listening.
 
@@ -52,7 +65,14 @@
         :param handler: answers one request; gets connection and head.
         :param limits: limits on what clients may send.
         :param events: log for refused requests and lost connections.
+        :param budget: counts the bodies of requests; unlimited if None.
+        :param max_connections: how many may be open.
         """
+        self._budget = budget
+        self._max_connections = max_connections
+        self._closing_scopes: dict[ServerConn, trio.CancelScope] = {}
+        self._surplus_conns: set[ServerConn] = set()
+        self.closed_for_room = 0
         self._address = address
         self._handler = handler
         self._limits = limits
@@ -141,14 +161,34 @@
             scope.cancel()
 
     async def _handle_connection(self, stream: trio.SocketStream) -> None:
-        conn = ServerConn(stream, self._limits)
+        if not self._make_room():
+            await trio.aclose_forcefully(stream)
+            return
+        conn = ServerConn(stream, self._limits, self._budget)
         scope = trio.CancelScope()
         self._conn_scopes[conn] = scope
         try:
             with scope:
                 await self._serve_or_report_fault(conn)
+            if conn in self._surplus_conns:
+                await conn.aclose()
+                return
             if scope.cancelled_caught and not conn.is_idle:
                 await self._refuse_cancelled(conn)
+            await self._close_gracefully(conn)
+        finally:
+            self._forget(conn)
+
+    def _forget(self, conn: ServerConn) -> None:
+        self._closing_scopes.pop(conn, None)
+        self._surplus_conns.discard(conn)
+        self._conn_scopes.pop(conn, None)
+        if not self._conn_scopes:
+            self._all_closed.set()
+
+    async def _close_gracefully(self, conn: ServerConn) -> None:
+        with trio.CancelScope() as scope:
+            self._closing_scopes[conn] = scope
             crossed_bytes = await conn.close_gracefully()
             if crossed_bytes:
                 self._events.emit(
@@ -156,10 +196,37 @@
                     address=self._address,
                     bytes=crossed_bytes,
                 )
-        finally:
-            self._conn_scopes.pop(conn, None)
-            if not self._conn_scopes:
-                self._all_closed.set()
+
+    def _make_room(self) -> bool:
+        """Close the oldest connections if the bound is reached.
+
+        A connection whose request was read to its end is kept.
+
+        :return: False if there is no room for another connection.
+        """
+        open_count = len(self._conn_scopes) - len(self._surplus_conns)
+        if open_count < self._max_connections:
+            return True
+        candidates = [
+            conn
+            for conn in self._conn_scopes
+            if conn not in self._surplus_conns
+            and (conn in self._closing_scopes or not conn.is_received)
+        ]
+        candidates.sort(key=lambda conn: conn.state_since)
+        count = max(1, int(self._max_connections * CLOSED_SHARE))
+        closed_conns = candidates[:count]
+        for conn in closed_conns:
+            self._surplus_conns.add(conn)
+            self._closing_scopes.get(conn, self._conn_scopes[conn]).cancel()
+        self.closed_for_room += len(closed_conns)
+        self._events.emit(
+            'connections-closed',
+            address=self._address,
+            count=len(closed_conns),
+            open=open_count,
+        )
+        return bool(closed_conns)
 
     async def _refuse_cancelled(self, conn: ServerConn) -> None:
         """Answer a request that was cancelled at the end of a stop."""
@@ -202,7 +269,9 @@
 
     async def _answer_error(self, conn: ServerConn, exc: HttpError) -> None:
         reason = _REASON_BY_STATUS.get(exc.status, Reason.BAD_REQUEST)
-        await self._refuse(conn, Refusal(Verdict.NOT_RUN, reason))
+        is_spent = isinstance(exc, BudgetSpentError)
+        retry_after = RETRY_AFTER_SECONDS if is_spent else 0
+        await self._refuse(conn, Refusal(Verdict.NOT_RUN, reason, retry_after))
 
     async def _refuse(self, conn: ServerConn, refusal: Refusal) -> None:
         """Send a refusal as the connection's last answer.
--- a/src/clementinedeal/_operator_client.py
+++ b/src/clementinedeal/_operator_client.py
@@ -70,7 +70,7 @@
     try:
         await conn.send_whole(head, b'')
         answer = await conn.read_head()
-        body = await conn.read_whole(MAX_ANSWER_BYTES)
+        body = bytes(await conn.read_whole(MAX_ANSWER_BYTES))
     finally:
         await conn.aclose()
     if answer.status != _OK:
--- a/src/clementinedeal/_platform.py
+++ b/src/clementinedeal/_platform.py
@@ -164,7 +164,7 @@
         head = RequestHead('GET', path, ((b'host', address.encode()),))
         await conn.send_whole(head, b'')
         answer = await conn.read_head()
-        blob = await conn.read_whole(MAX_RESPONSE_BYTES)
+        blob = bytes(await conn.read_whole(MAX_RESPONSE_BYTES))
         if answer.status in {_NOT_MODIFIED, _NOT_FOUND}:
             return None
         if answer.status != _OK:
--- a/src/clementinedeal/_pool.py
+++ b/src/clementinedeal/_pool.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from clementinedeal._byte_budget import ByteBudget
 from clementinedeal._client_conn import ClientConn
 from clementinedeal._http import ConnLostError
 from clementinedeal._timers import Clock
@@ -12,6 +13,9 @@
 MAX_IDLE_SECONDS = 5.0
 CONNECT_TIMEOUT_SECONDS = 0.5
 MAX_IDLE_CONNS = 16  # for each address
+# Interval at which unused connections to all addresses are closed, also to
+# those that are used no more.
+SWEEP_SECONDS = 5.0
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -33,12 +37,16 @@
         self,
         clock: Clock,
         connect_timeout: float = CONNECT_TIMEOUT_SECONDS,
+        budget: ByteBudget | None = None,
     ) -> None:
         """Create an empty pool.
 
         :param clock: measures how long a connection has been idle.
         :param connect_timeout: time to open a connection, in seconds.
+        :param budget: counts the bodies of answers; unlimited if None.
         """
+        self._budget = budget
+        self._swept_at = clock.now()
         self._connect_timeout = connect_timeout
         self._clock = clock
         self._idle_conns: dict[str, collections.deque[ClientConn]] = {}
@@ -81,6 +89,7 @@
         :param conn: the connection.
         :param max_idle: how long it may stay idle, in seconds.
         """
+        self._sweep()
         idle_conns = self._idle_conns.setdefault(address, collections.deque())
         if len(idle_conns) >= MAX_IDLE_CONNS or not conn.prepare_next():
             await conn.aclose()
@@ -107,4 +116,18 @@
                 stream = await trio.open_tcp_stream(host, port)
         except (OSError, trio.TooSlowError) as exc:
             raise ConnLostError(f'cannot connect to {address}') from exc
-        return ClientConn(stream)
+        return ClientConn(stream, self._budget)
+
+    def _sweep(self) -> None:
+        """Close the connections that have been idle for too long."""
+        now = self._clock.now()
+        if now - self._swept_at < SWEEP_SECONDS:
+            return
+        self._swept_at = now
+        for address, idle_conns in tuple(self._idle_conns.items()):
+            for conn in tuple(idle_conns):
+                if now >= conn.idle_until:
+                    idle_conns.remove(conn)
+                    conn.abort()
+            if not idle_conns:
+                self._idle_conns.pop(address)
--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -6,25 +6,35 @@
 import h11
 import trio
 
+from clementinedeal._body_reader import BodyLimits, BodyReader
+from clementinedeal._byte_budget import ByteBudget, HeldBytes
 from clementinedeal._http import (
     BROKEN_STREAM_ERRORS,
     CONTENT_LENGTH,
+    MAX_JOINED_BYTES,
     READ_BYTES,
     TRANSFER_ENCODING,
+    Body,
+    ConnLostError,
     H11Stream,
     Headers,
     HttpError,
     HttpLimits,
     RequestHead,
     SizeCounter,
+    body_event,
     find_header,
 )
+from clementinedeal._timers import MonotonicClock
 
 # Closing a socket that has unread bytes resets the connection, and the client
 # may lose the answer. The server keeps reading for this long, enough for one
 # lost packet to be sent again.
 CLOSE_TIMEOUT_SECONDS = 1.0
+# Data that is read while a request is answered, to notice its caller's end.
+READ_AHEAD_BYTES = 16384
 _PROCESSING = 102
+_RECEIVED_STATES = frozenset((h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
 
 
 class ServerConn:
@@ -32,23 +42,39 @@
 
     ``is_idle`` is true between requests. Cancelling ``idle_scope`` closes the
     connection if it waits for a request. ``head_sent`` is true once a byte of
-    the current answer may have reached the client.
+    the current answer may have reached the client. ``state_since`` is when it
+    began to wait for a request or to receive one, in monotonic seconds.
     """
 
-    def __init__(self, stream: trio.abc.Stream, limits: HttpLimits) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        limits: HttpLimits,
+        budget: ByteBudget | None = None,
+    ) -> None:
         """Wrap an accepted stream.
 
         :param stream: the connection, owned from now on.
         :param limits: limits on what the client may send.
+        :param budget: counts the bodies; unlimited if none is given.
         """
         self.limits = limits
+        self._budget = budget or ByteBudget(MonotonicClock())
+        self.state_since = self._budget.clock.now()
+        self._announced_bytes = 0
         self.is_idle = True
         self._h11_stream = H11Stream(stream, h11.SERVER, limits.max_head_bytes)
+        self._body_reader = BodyReader(self._h11_stream, self._budget)
         self.idle_scope = trio.CancelScope()
         self.head_sent = False
         self._method = b''
         self._must_close = False
 
+    @property
+    def is_received(self) -> bool:
+        """Whether a request was read to its end and is not answered yet."""
+        return self._h11_stream.h11.their_state in _RECEIVED_STATES
+
     def set_limits(self, limits: HttpLimits) -> None:
         """Replace the limits.
 
@@ -69,10 +95,12 @@
         :raises HttpError: the head is malformed, too large or too slow.
         """
         self.is_idle = True
+        self.state_since = self._budget.clock.now()
         self.head_sent = False
         if not await self._wait_first_bytes():
             return None
         self.is_idle = False
+        self.state_since = self._budget.clock.now()
         with trio.move_on_after(self.limits.head_timeout):
             return await self._read_head()
         raise HttpError('request head not complete in time', status=408)
@@ -83,29 +111,35 @@
         :raises HttpError: malformed or too slow.
         :raises ConnLostError: the client closed the connection.
         """
-        if self._h11_stream.h11.they_are_waiting_for_100_continue:
-            await self._h11_stream.send(
-                h11.InformationalResponse(status_code=100, headers=[]),
-            )
+        await self._body_reader.send_continue()
         while True:
-            event = await self._next_body_event()
+            event = await self._body_reader.next_event(self.limits.body_timeout)
             if not isinstance(event, h11.Data):
                 return
             yield bytes(event.data)
 
-    async def read_whole(self) -> bytes:
-        """Return the whole request body, up to ``limits.max_body_bytes``.
+    async def read_whole(self, max_bytes: int | None = None) -> Body:
+        """Return the whole request body.
 
-        :raises TooLongError: the body is larger.
+        :param max_bytes: size of the largest body accepted, however it is
+            framed. By default ``limits.max_body_bytes``, toward which the
+            framing counts.
+        :raises TooLongError: the body is larger; a size that the head
+            announces is refused before it is read.
+        :raises BudgetSpentError: there is no memory for it.
         :raises HttpError: malformed or too slow.
         :raises ConnLostError: the client closed the connection.
         """
         size_counter = SizeCounter(self._h11_stream, self.limits.max_body_bytes)
-        body = bytearray()
-        async for piece in self.read_body():
-            size_counter.count(len(piece))
-            body += piece
-        return bytes(body)
+        body_limits = BodyLimits(
+            announced_bytes=self._announced_bytes,
+            max_bytes=self.limits.max_body_bytes
+            if max_bytes is None
+            else max_bytes,
+            timeout=self.limits.body_timeout,
+            count=size_counter.count if max_bytes is None else None,
+        )
+        return await self._body_reader.read(body_limits)
 
     async def discard_body(self) -> None:
         """Read the request body, up to the limit, and discard it.
@@ -113,7 +147,10 @@
         :raises TooLongError: the body is larger.
         """
         size_counter = SizeCounter(self._h11_stream, self.limits.max_body_bytes)
-        while isinstance(await self._next_body_event(), h11.Data):
+        while isinstance(
+            await self._body_reader.next_event(self.limits.body_timeout),
+            h11.Data,
+        ):
             size_counter.count()
             await trio.lowlevel.checkpoint_if_cancelled()
 
@@ -121,7 +158,7 @@
         self,
         status: int,
         headers: Headers,
-        body: bytes = b'',
+        body: Body = b'',
     ) -> None:
         """Send a whole answer.
 
@@ -141,21 +178,26 @@
             _response_head(status, headers, must_close=self._must_close)
         ]
         if body and self._method != b'HEAD':
-            events.append(h11.Data(data=body))
+            events.append(body_event(body))
         events.append(h11.EndOfMessage())
+        if isinstance(body, HeldBytes) and len(body) > MAX_JOINED_BYTES:
+            await _send_cuttable(self._h11_stream, self._budget, body, events)
+            return
         await self._h11_stream.send_all(*events)
 
     async def wait_disconnected(self) -> None:
         """Return when the client has closed or reset the connection.
 
         To be used only while a request is being answered. Data that arrives
-        meanwhile is kept for the next request. After ``READ_BYTES`` no more
-        is read, and the end of the connection is no longer detected.
+        meanwhile is kept for the next request. After ``READ_AHEAD_BYTES`` no
+        more is read, and the end of the connection is no longer detected.
         """
         received_bytes = 0
-        while received_bytes < READ_BYTES:
+        while received_bytes < READ_AHEAD_BYTES:
             try:
-                blob = await self._h11_stream.stream.receive_some(READ_BYTES)
+                blob = await self._h11_stream.stream.receive_some(
+                    READ_AHEAD_BYTES
+                )
             except BROKEN_STREAM_ERRORS:
                 return
             self._h11_stream.h11.receive_data(bytes(blob))
@@ -262,16 +304,33 @@
         has_length = find_header(headers, CONTENT_LENGTH) is not None
         if has_length and find_header(headers, TRANSFER_ENCODING) is not None:
             raise HttpError('both content-length and transfer-encoding')
-        return RequestHead(
+        head = RequestHead(
             event.method.decode('ascii'),
             event.target.decode('ascii'),
             headers,
         )
-
-    async def _next_body_event(self) -> h11.Event | type[object]:
-        with trio.move_on_after(self.limits.body_timeout):
-            return await self._h11_stream.next_event()
-        raise HttpError('request body not received in time', status=408)
+        self._announced_bytes = head.content_length or 0
+        return head
+
+
+async def _send_cuttable(
+    h11_stream: H11Stream,
+    budget: ByteBudget,
+    body: HeldBytes,
+    events: list[h11.Event],
+) -> None:
+    """Send an answer; give up if its memory is needed meanwhile."""
+    body.progress_at = budget.clock.now()
+    scope = trio.CancelScope()
+
+    def cut() -> None:  # noqa: WPS430 - ends this call
+        body.uncount()
+        scope.cancel()
+
+    with scope, budget.cuttable(body, cut):
+        await h11_stream.send_all(*events)
+    if scope.cancelled_caught:
+        raise ConnLostError('the answer was not read in time')
 
 
 def _response_head(
--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -24,7 +24,8 @@
     so does ``DUPLICATE``, unless it refuses an attempt id that was used before.
     ``TARGET_LIMITED`` means that the request exceeds the request limit that the
     target names, ``NO_TARGET`` that the request could be sent to no target,
-    ``OWNER_LOST`` that the connection to an owner broke.
+    ``OWNER_LOST`` that the connection to an owner broke, ``MEMORY_FULL`` that
+    the daemon has no memory for the body.
     """
 
     BAD_REQUEST = 'bad-request'
@@ -43,6 +44,7 @@
     TARGET_LIMITED = 'target-limited'
     DEADLINE = 'deadline'
     DRAINING = 'draining'
+    MEMORY_FULL = 'memory-full'
     CANCELLED = 'cancelled'
     DUPLICATE = 'duplicate'
     WRONG_INCARNATION = 'wrong-incarnation'
--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -8,6 +8,7 @@
 
 from clementinedeal._http import (
     CONTENT_LENGTH,
+    Body,
     RequestHead,
     strip_hop_by_hop_headers,
 )
@@ -137,7 +138,7 @@
     async def admit(
         self,
         head: RequestHead,
-        body: bytes,
+        body: Body,
         received_at: float,
     ) -> AdmittedRequest | MeshOutcome:
         """Return the accepted request, or the outcome that refuses it.
@@ -196,7 +197,7 @@
         return chosen[0].service
 
 
-def _build_request(head: RequestHead, body: bytes) -> BufferedRequest:
+def _build_request(head: RequestHead, body: Body) -> BufferedRequest:
     headers = tuple(
         pair
         for pair in strip_internal_headers(
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -4,13 +4,15 @@
 import random
 import signal
 from collections.abc import Callable
+from dataclasses import replace
 
 import trio
 from result import Err, Result
 
+from clementinedeal._byte_budget import ByteBudget
 from clementinedeal._errors import SettingsError
 from clementinedeal._events import EventLog
-from clementinedeal._http import HttpLimits
+from clementinedeal._http import READ_BYTES, HttpLimits
 from clementinedeal._http_server import HttpServer
 from clementinedeal._incoming_request import new_request_id
 from clementinedeal._pool import ConnPool
@@ -35,6 +37,7 @@
 from clementinedeal.mesh._owner import MeshOwner, MeshOwnerParts
 from clementinedeal.mesh._peer_client import MeshPeerClient
 from clementinedeal.mesh._peer_server import MeshPeerServer
+from clementinedeal.mesh._process_limits import ProcessLimits
 from clementinedeal.mesh._rate_limiter import (
     AccountRateLimiter,
     TokenReply,
@@ -83,6 +86,11 @@
         self._dialect = dialect
         self._clock = BootClock()
         self.events = EventLog(settings.instance, new_request_id()[:8])
+        self._limits = ProcessLimits(
+            settings.memory_bytes, settings.max_descriptors
+        )
+        self._budget = ByteBudget(self._clock, self._limits.body_bytes)
+        self._budget.on_cut = self._on_body_cut
         self._pool = ConnPool(self._clock)
         platform = open_platform(
             settings.platform_address, self._pool, self.events
@@ -161,7 +169,7 @@
                 events=self.events,
                 target_client=TargetClient(
                     settings.target_address,
-                    self._pool,
+                    ConnPool(self._clock, budget=self._budget),
                     self._dialect,
                     self._clock,
                     self.events,
@@ -169,6 +177,7 @@
                 call_failures=call_failures,
                 metrics=self._metrics,
                 nursery=nursery,
+                budget=self._budget,
             ),
         )
         host = settings.target_address.rpartition(':')[0]
@@ -225,7 +234,7 @@
                 condition_probe=self._condition_probe,
                 owner=self._owner,
                 peer_client=MeshPeerClient(
-                    ConnPool(self._clock, PEER_CONNECT_SECONDS),
+                    ConnPool(self._clock, PEER_CONNECT_SECONDS, self._budget),
                     self._clock,
                 ),
             ),
@@ -250,12 +259,19 @@
             entry.serve,
             limits,
             self.events,
+            self._budget,
+            self._limits.caller_connections,
+        )
+        self._peer_server = HttpServer(
+            settings.peer_address,
+            peer_server.serve,
+            limits,
+            self.events,
+            self._budget,
         )
         self._servers = (
             self._caller_server,
-            HttpServer(
-                settings.peer_address, peer_server.serve, limits, self.events
-            ),
+            self._peer_server,
             HttpServer(
                 settings.ready_address,
                 operator_endpoint.serve,
@@ -291,6 +307,10 @@
             target_slots=lambda: owner.slot_queue.slots,
             target_limit=owner.limit.gauge,
             target_leaving=lambda: owner.limit.is_leaving,
+            bytes_held=lambda: self._budget.held_bytes,
+            bodies_refused=lambda: self._budget.counts.refused,
+            bodies_cut=lambda: self._budget.counts.cut,
+            connections_closed=lambda: self._caller_server.closed_for_room,
             platform_calls=lambda: self._platform.calls,
             log_lines_left_out=lambda: self.count_dropped_lines(),
         )
@@ -304,6 +324,22 @@
                 idle_timeout=limits.idle_timeout,
             ),
         )
+        # another daemon may apply a declaration with a larger limit
+        peer_limits = HttpLimits()
+        body_bytes = max(
+            peer_limits.max_body_bytes, limits.body_bytes + READ_BYTES
+        )
+        self._peer_server.set_limits(
+            replace(peer_limits, max_body_bytes=body_bytes)
+        )
+
+    def _on_body_cut(self, size: int, idle_seconds: float) -> None:
+        self.events.emit(
+            'body-cut',
+            bytes=size,
+            idle=f'{idle_seconds:.2f}',
+            held=self._budget.held_bytes,
+        )
 
     def _is_ready(self) -> bool:
         has_declaration = self._declarations.catalog is not None
--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -8,7 +8,6 @@
 from clementinedeal._http import (
     CONTENT_LENGTH,
     ConnLostError,
-    HttpError,
     RequestHead,
 )
 from clementinedeal._refusals import Refusal
@@ -21,8 +20,6 @@
 from clementinedeal.mesh._outcomes import MeshOutcome
 from clementinedeal.mesh._sender import Sender
 
-_TOO_LARGE_STATUS = 413
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class MeshEntryParts:
@@ -57,11 +54,12 @@
         :param conn: the caller's connection.
         :param head: the request's head.
         :raises ConnLostError: the caller closed its connection.
-        :raises HttpError: the body is larger than the limit in force.
+        :raises HttpError: the body is larger than the limit in force, or
+            there is no memory for it.
         """
         parts = self._parts
         started_at = parts.clock.now()
-        body = await _read_body(conn, parts.admission.max_body_bytes)
+        body = await conn.read_whole(parts.admission.max_body_bytes)
         admitted = await parts.admission.admit(head, body, started_at)
         if isinstance(admitted, MeshOutcome):
             await self._respond_error(
@@ -170,12 +168,3 @@
             refusal.headers(req_id, with_fraction=True),
             refusal.body(req_id),
         )
-
-
-async def _read_body(conn: ServerConn, max_bytes: int) -> bytes:
-    body = bytearray()
-    async for piece in conn.read_body():
-        body += piece
-        if len(body) > max_bytes:
-            raise HttpError('request body too large', status=_TOO_LARGE_STATUS)
-    return bytes(body)
--- a/src/clementinedeal/mesh/_outcomes.py
+++ b/src/clementinedeal/mesh/_outcomes.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from clementinedeal._http import Headers
+from clementinedeal._http import Body, Headers
 from clementinedeal._verdict import Reason, Verdict
 
 
@@ -104,7 +104,7 @@
     retry_after: float = 0.0
     status: int = 0
     headers: Headers = ()
-    body: bytes = b''
+    body: Body = b''
     state: TargetCondition | None = None
 
     @property
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from clementinedeal._byte_budget import ByteBudget
 from clementinedeal._events import EventLog, log
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
@@ -43,7 +44,8 @@
     """Collaborators of an owner.
 
     ``target_client`` calls the target, ``call_failures`` are those of calls
-    that the target itself made, ``nursery`` runs the attempts.
+    that the target itself made, ``nursery`` runs the attempts. ``budget``
+    counts bodies.
     """
 
     clock: Clock
@@ -52,6 +54,7 @@
     call_failures: CallFailures
     metrics: DaemonMetrics
     nursery: trio.Nursery
+    budget: ByteBudget | None = None
 
 
 class MeshOwner:
@@ -79,7 +82,7 @@
         self.limit = TargetLimit(parts.clock, parts.events)
         parts.target_client.on_statement.append(self._on_statement)
         self.slot_queue = SlotQueue(DEFAULT_SLOTS, self.limit)
-        self.executions = MeshExecutionTable(parts.clock)
+        self.executions = MeshExecutionTable(parts.clock, parts.budget)
         self._down_until = 0.0
         self._running_ranks: list[Rank] = []
 
@@ -225,8 +228,8 @@
             )
         execution.body_wanted.set()
         execution.done.set()
-        self.executions.expire_later(execution.attempt.attempt)
         self._record_end(execution, execution.outcome)
+        self.executions.keep_outcome(execution)
 
     async def _execute(self, execution: Execution) -> MeshOutcome:
         """Refuse an attempt, or wait for a slot and call the target."""
@@ -326,6 +329,10 @@
             execution.body_wanted.set()
             with trio.move_on_after(BODY_TIMEOUT_SECONDS):
                 await execution.body_received.wait()
+        if execution.request is None and execution.is_body_arriving:
+            seconds_left = execution.deadline - self._parts.clock.now()
+            with trio.move_on_after(max(0, seconds_left)):
+                await execution.body_received.wait()
         started = self._parts.clock.now()
         seconds_left = execution.deadline - started
         if seconds_left <= 0 or execution.request is None:
--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -9,6 +9,7 @@
 from clementinedeal._http import (
     CONTENT_LENGTH,
     READ_BYTES,
+    Body,
     ConnLostError,
     HttpError,
     RequestHead,
@@ -32,6 +33,8 @@
 # An owner confirms a request within one round trip. Without a confirmation in
 # this time the request or its answer counts as lost.
 CONFIRM_SECONDS = 0.3
+# Added for a large body: the slowest link that it is sent over, 100 Mbit/s.
+MIN_SEND_BYTES_PER_SECOND = 12_500_000
 # Time from the last confirmation until an owner without an answer is queried.
 MAX_SILENCE_SECONDS = 2.5
 # How long an owner that cannot be reached is queried. The time starts again
@@ -232,14 +235,15 @@
         self.is_reserved = False
         self.is_confirmed = False
 
-    async def run(self, head: RequestHead, body: bytes) -> MeshOutcome | None:
+    async def run(self, head: RequestHead, body: Body) -> MeshOutcome | None:
         """Send the request; return the outcome that the owner sent, if any.
 
         :param head: the head of the request.
         :param body: its whole body.
         :return: None if the exchange failed, timed out or granted a slot.
         """
-        self._scope.deadline = trio.current_time() + CONFIRM_SECONDS
+        seconds = CONFIRM_SECONDS + len(body) / MIN_SEND_BYTES_PER_SECOND
+        self._scope.deadline = trio.current_time() + seconds
         try:
             with self._scope:
                 await self._conn.send_whole(head, body)
--- a/src/clementinedeal/mesh/_peer_server.py
+++ b/src/clementinedeal/mesh/_peer_server.py
@@ -3,7 +3,8 @@
 import msgspec
 import trio
 
-from clementinedeal._errors import DECODE_ERRORS
+from clementinedeal._byte_budget import BudgetSpentError
+from clementinedeal._errors import DECODE_ERRORS, ProtocolError
 from clementinedeal._events import EventLog
 from clementinedeal._http import (
     CONTENT_LENGTH,
@@ -63,7 +64,7 @@
         :param head: the request's head.
         :raises ConnLostError: the connection was lost.
         """
-        request = await _read_request(conn, head)
+        request = await self._read_request(conn, head)
         try:
             dispatched = self._dispatch(head, request)
         except DECODE_ERRORS:
@@ -79,13 +80,37 @@
         else:
             await self._respond_when_settled(conn, answer)
 
+    async def _read_request(
+        self, conn: ServerConn, head: RequestHead
+    ) -> BufferedRequest | None:
+        """Read a request; return None if there is no memory for its body."""
+        execution = None
+        reserved_id = head.header(wire.RUN_HEADER)
+        if reserved_id is not None:
+            execution = self._owner.executions.find(
+                reserved_id.decode('latin-1')
+            )
+        if execution is not None:
+            execution.is_body_arriving = True
+        try:
+            return await _read_request(conn, head)
+        except BudgetSpentError:
+            conn.close_after_answer()
+        except ProtocolError:
+            if execution is not None:
+                execution.body_received.set()
+            raise
+        return None
+
     def _dispatch(
         self,
         head: RequestHead,
-        request: BufferedRequest,
+        request: BufferedRequest | None,
     ) -> tuple[str, Execution | MeshOutcome] | None:
         """Return the id and the attempt or outcome that a request is about.
 
+        :param head: the request's head.
+        :param request: the request, None if there was no memory for its body.
         :return: None if the request has none of the headers of daemons.
         """
         reserved = head.header(wire.RUN_HEADER)
@@ -101,6 +126,8 @@
         if encoded is None:
             return None
         attempt = msgspec.json.decode(encoded, type=MeshAttempt)
+        if request is None:
+            return attempt.attempt, self._refuse_unread(attempt.attempt)
         execution = self._owner.submit(attempt, None if reserve else request)
         # a repeated attempt shares the first one; a forbidden one is refused
         known_execution = execution or self._owner.executions.find(
@@ -108,8 +135,15 @@
         )
         return attempt.attempt, known_execution or not_run(Reason.CANCELLED)
 
+    def _refuse_unread(self, attempt_id: str) -> Execution | MeshOutcome:
+        """Refuse an attempt whose body was not read; it never starts."""
+        known = self._find_or_forbid(attempt_id, 0)
+        if isinstance(known, Execution):
+            return known
+        return not_run(Reason.MEMORY_FULL)
+
     def _start_reserved(
-        self, attempt_id: str, request: BufferedRequest
+        self, attempt_id: str, request: BufferedRequest | None
     ) -> Execution | MeshOutcome:
         """Give the body to the attempt that holds a slot for it."""
         execution = self._owner.executions.find(attempt_id)
@@ -150,7 +184,7 @@
         """
         execution.reader_count += 1
         settled_event = execution.done
-        if execution.request is None:
+        if not execution.body_received.is_set() and execution.request is None:
             settled_event = execution.body_wanted
         try:
             await _wait_while_connected(conn, settled_event)
--- a/src/clementinedeal/mesh/_settings.py
+++ b/src/clementinedeal/mesh/_settings.py
@@ -37,7 +37,9 @@
     ``ready_address`` for the platform's ready check. ``target_address`` is the
     target beside it, of the service ``service``; ``platform_address`` the
     platform's store. ``port_range`` holds the first and last port that it may
-    use otherwise; the first is the UDP port of all daemons.
+    use otherwise; the first is the UDP port of all daemons. The process may use
+    ``memory_bytes`` and ``max_descriptors``; by default those of the smallest
+    machine.
     """
 
     instance: str
@@ -49,4 +51,6 @@
     service: str
     platform_address: str
     port_range: tuple[int, int]
+    memory_bytes: int = 200_000_000
+    max_descriptors: int = 4100
     bounds: Bounds = field(default_factory=Bounds)
--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -11,6 +11,7 @@
 from clementinedeal._events import EventLog
 from clementinedeal._http import (
     CONTENT_LENGTH,
+    Body,
     ConnLostError,
     Headers,
     HttpError,
@@ -44,8 +45,7 @@
 # How many answers are read for one request: answers to earlier requests are
 # skipped, and with this many of them the call fails.
 MAX_FOREIGN_ANSWERS = 3
-# The 13 requests that a target runs at once then hold 55 MB of the 200 MB of
-# the smallest instance.
+# Answers count toward the process's budget of bytes; this bounds each.
 MAX_ANSWER_BYTES = 4 << 20
 # How many refused request ids are remembered. A target runs a few requests at
 # once, so these cover all that callers send again within their timeouts.
@@ -72,7 +72,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: Body
 
 
 class TargetClient:
@@ -300,7 +300,7 @@
 async def _send_request(
     conn: ClientConn,
     head: RequestHead,
-    body: bytes,
+    body: Body,
     body_sent: trio.Event,
 ) -> None:
     try:
@@ -325,7 +325,7 @@
 
 def classify_answer(
     head: ResponseHead,
-    body: bytes,
+    body: Body,
     answer_headers: AnswerHeaders,
     context: CallContext,
 ) -> MeshOutcome:
--- a/src/clementinedeal/platform/_node.py
+++ b/src/clementinedeal/platform/_node.py
@@ -10,6 +10,7 @@
 from clementinedeal._errors import SettingsError
 from clementinedeal.mesh._settings import Bounds, MeshDaemonSettings
 
+BYTES_PER_MB = 1_000_000
 NODE_FILE_VARIABLE = 'CLEMENTINEDEAL_NODE_FILE'
 
 
@@ -54,6 +55,17 @@
     quota_slack: float = 0.0
 
 
+class _Limits(msgspec.Struct):
+    """Limits of the process; the defaults are those of the smallest machine.
+
+    :param memory_mb: megabytes of memory beyond which it is killed.
+    :param max_fds: how many descriptors it may have open.
+    """
+
+    memory_mb: float = 200
+    max_fds: int = 4100
+
+
 class _Platform(msgspec.Struct):
     """The platform's store; ``address`` is its ``ip:port``."""
 
@@ -76,6 +88,7 @@
     port_range: tuple[int, int]
     listen: _Listen
     platform: _Platform
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -123,6 +136,8 @@
         service=node.service,
         platform_address=node.platform.address,
         port_range=node.port_range,
+        memory_bytes=int(node.limits.memory_mb * BYTES_PER_MB),
+        max_descriptors=node.limits.max_fds,
         bounds=Bounds(
             revoke_seconds=bounds.revoke_s,
             config_seconds=bounds.config_s,
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -296,7 +296,7 @@
         try:
             await conn.send_whole(head, b'')
             answer = await conn.read_head()
-            body = await conn.read_whole(MAX_ANSWER_BYTES)
+            body = bytes(await conn.read_whole(MAX_ANSWER_BYTES))
             is_complete = True
         except TooLongError as exc:
             self._events.emit(
