Let connections with many small chunks take turns

Cause: each connection parsed 64 events before it let other tasks run. Sixty of them delayed every other task by the sum, tens of milliseconds a turn, so that connecting to the targets timed out and ordinary requests got 503.

Change: the connections of one server share a lock; one that has more than 64 events parses one batch and waits for its turn. A connection alone is delayed by no other.

--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -186,7 +186,9 @@
     """A byte stream and the h11 state machine that parses it.
 
     ``h11`` is that state machine. ``received_bytes`` counts the bytes read
-    from the stream so far.
+    from the stream so far. Streams with the same ``parse_lock`` take turns if
+    they have many events to parse, so that all of them together delay other
+    tasks no more than one would.
     """
 
     def __init__(
@@ -194,13 +196,16 @@
         stream: trio.abc.Stream,
         role: Any,
         max_head_bytes: int,
+        parse_lock: trio.Lock | None = None,
     ) -> None:
         """Wrap a stream on which nothing was sent or received yet.
 
         :param stream: the connection.
         :param role: ``h11.CLIENT`` or ``h11.SERVER``.
         :param max_head_bytes: size of the largest head accepted.
+        :param parse_lock: shared with other streams; None for a stream alone.
         """
+        self._parse_lock = parse_lock or trio.Lock()
         self.stream = stream
         self.h11 = h11.Connection(
             role, max_incomplete_event_size=max_head_bytes
@@ -255,7 +260,8 @@
         """
         if self._events_since_checkpoint >= MAX_EVENTS_PER_CHECKPOINT:
             self._events_since_checkpoint = 0
-            await trio.lowlevel.checkpoint()
+            async with self._parse_lock:
+                await trio.lowlevel.checkpoint()
         self._events_since_checkpoint += 1
         while True:
             event = self._parse()
--- a/src/clementinedeal/_http_server.py
+++ b/src/clementinedeal/_http_server.py
@@ -69,6 +69,7 @@
         :param max_connections: how many may be open.
         """
         self._budget = budget
+        self._parse_lock = trio.Lock()
         self._max_connections = max_connections
         self._closing_scopes: dict[ServerConn, trio.CancelScope] = {}
         self._surplus_conns: set[ServerConn] = set()
@@ -164,7 +165,7 @@
         if not self._make_room():
             await trio.aclose_forcefully(stream)
             return
-        conn = ServerConn(stream, self._limits, self._budget)
+        conn = ServerConn(stream, self._limits, self._budget, self._parse_lock)
         scope = trio.CancelScope()
         self._conn_scopes[conn] = scope
         try:
--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -51,19 +51,23 @@
         stream: trio.abc.Stream,
         limits: HttpLimits,
         budget: ByteBudget | None = None,
+        parse_lock: trio.Lock | None = None,
     ) -> None:
         """Wrap an accepted stream.
 
         :param stream: the connection, owned from now on.
         :param limits: limits on what the client may send.
         :param budget: counts the bodies; unlimited if none is given.
+        :param parse_lock: shared by the connections that parse in turns.
         """
         self.limits = limits
         self._budget = budget or ByteBudget(MonotonicClock())
         self.state_since = self._budget.clock.now()
         self._announced_bytes = 0
         self.is_idle = True
-        self._h11_stream = H11Stream(stream, h11.SERVER, limits.max_head_bytes)
+        self._h11_stream = H11Stream(
+            stream, h11.SERVER, limits.max_head_bytes, parse_lock
+        )
         self._body_reader = BodyReader(self._h11_stream, self._budget)
         self.idle_scope = trio.CancelScope()
         self.head_sent = False
