--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -232,8 +232,9 @@
     ``executed`` holds the requests that it ran as tuples of attempt id, path,
     headers and body. ``disconnects`` counts the connections that were closed
     while it hung, ``work_seconds`` is how long a request takes and
-    ``answer_headers`` are added to its answers. ``runs`` is
-    for targets that record the times of their runs.
+    ``answer_headers`` are added to its answers, which return the first
+    ``echoed_bytes`` of the body, all if it is None. ``runs`` is for
+    targets that record the times of their runs.
     """
 
     def __init__(self, name, address):
@@ -245,6 +246,7 @@
         self.disconnects = 0
         self.work_seconds = 0.0
         self.answer_headers = ()
+        self.echoed_bytes = None
 
     async def start(self, nursery):
         server = HttpServer(
@@ -291,5 +293,7 @@
                 await conn.send_piece(bytes(1 << 16))
             await conn.wait_disconnected()
         await conn.respond(
-            status, answer_headers, self.name.encode() + b':' + body
+            status,
+            answer_headers,
+            self.name.encode() + b':' + body[: self.echoed_bytes],
         )
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -183,16 +183,20 @@
             self.max_fds = max(self.max_fds, len(os.listdir(folder / 'fd')))
 
 
-async def send_ordinary_request(instance):
-    """Send a lookup on a new connection and return its status."""
+async def send_ordinary_request(instance, path='/look/1', body=b''):
+    """Send a request on a new connection and return its status."""
     headers = (
         (b'host', b'h.example'),
         (b'attempt-id', b'ordinary'),
         (b'deadline-ms', b'9000'),
         (b'authorization', b'Bearer key-1'),
     )
+    method = 'GET'
+    if body:
+        method = 'POST'
+        headers = (*headers, (b'content-length', b'%d' % len(body)))
     conn = await ConnPool(MonotonicClock()).connect(instance.caller_address)
-    await conn.send_whole(RequestHead('GET', '/look/1', headers), b'')
+    await conn.send_whole(RequestHead(method, path, headers), body)
     answer = await conn.read_head()
     await conn.aclose()
     return answer.status
@@ -235,3 +239,26 @@
     assert monitor.max_bytes < MEMORY_MB * 1_000_000
     assert monitor.max_fds <= MAX_FDS
     assert statuses == [200, 200]
+
+
+@pytest.mark.parametrize('path', ['/look/1', '/book/1'])
+@pytest.mark.parametrize('owner_number', [0, 1])
+async def test_a_request_at_the_limit_is_served(path, owner_number, low_fleet):
+    """One after the other, by the own target and through another daemon."""
+    fleet = low_fleet
+    for instance in fleet.instances:
+        instance.target.echoed_bytes = 1
+    fleet.store.delete(
+        f'servers/{fleet.instances[1 - owner_number].target.name}'
+    )
+    await trio.sleep(2)  # the time in which a target that left is known
+    monitor = Monitor([instance.process for instance in fleet.instances])
+    with trio.fail_after(SECONDS):
+        statuses = [
+            await send_ordinary_request(fleet.instances[0], path, LARGE)
+            for _ in range(4)
+        ]
+    monitor.measure()
+    print(path, owner_number, monitor.max_bytes, statuses)
+    assert statuses == [200] * 4
+    assert monitor.max_bytes < MEMORY_MB * 1_000_000
