--- a/src/clementinedeal/_http.py
+++ b/src/clementinedeal/_http.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 messages over trio streams, parsed and serialized by h11."""
 
 from dataclasses import dataclass
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, cast
 
 import h11
 import trio
@@ -9,6 +9,8 @@
 from clementinedeal._errors import ProtocolError
 
 READ_BYTES = 65536  # largest number of bytes in one read of a stream
+# Larger messages are written in several writes, without a copy.
+MAX_JOINED_BYTES = 65536
 # h11 parses an event in about 6 us of CPU time, so other tasks wait at most
 # 0.4 ms between two checkpoints.
 MAX_EVENTS_PER_CHECKPOINT = 64
@@ -36,6 +38,7 @@
 
 BROKEN_STREAM_ERRORS = (trio.BrokenResourceError, trio.ClosedResourceError)
 
+Body: TypeAlias = bytes | bytearray
 Headers: TypeAlias = tuple[tuple[bytes, bytes], ...]
 
 
@@ -153,6 +156,15 @@
     )
 
 
+def body_event(body: Body) -> h11.Data:
+    """Return the event that sends a body without a copy.
+
+    :param body: the whole body.
+    """
+    # h11 takes any object with a length
+    return h11.Data(data=cast('bytes', body))
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, None without one.
 
@@ -185,7 +197,9 @@
     """A byte stream and the h11 state machine that parses it.
 
     ``h11`` is that state machine. ``received_bytes`` counts the bytes read
-    from the stream so far.
+    from the stream so far. Streams with the same ``parse_lock`` take turns if
+    they have many events to parse, so that all of them together delay other
+    tasks no more than one would.
     """
 
     def __init__(
@@ -193,13 +207,16 @@
         stream: trio.abc.Stream,
         role: Any,
         max_head_bytes: int,
+        parse_lock: trio.Lock | None = None,
     ) -> None:
         """Wrap a stream on which nothing was sent or received yet.
 
         :param stream: the connection.
         :param role: ``h11.CLIENT`` or ``h11.SERVER``.
         :param max_head_bytes: size of the largest head accepted.
+        :param parse_lock: shared with other streams; None for a stream alone.
         """
+        self._parse_lock = parse_lock or trio.Lock()
         self.stream = stream
         self.h11 = h11.Connection(
             role, max_incomplete_event_size=max_head_bytes
@@ -217,17 +234,30 @@
         await self.send_all(event)
 
     async def send_all(self, *events: h11.Event) -> None:
-        """Send several events in one write.
+        """Send several events, in one write unless they are large.
 
         :param events: in the order in which they are sent.
         :raises ConnLostError: the connection is closed, or the body does not
             have its declared length.
         """
+        blobs: list[bytes] = []
         try:
-            blobs = [self.h11.send(event) for event in events]
+            for event in events:
+                blobs.extend(self.h11.send_with_data_passthrough(event) or ())
         except h11.LocalProtocolError as exc:
             raise ConnLostError(f'cannot be sent: {exc}') from exc
-        await self._write(b''.join(blob for blob in blobs if blob))
+        if sum(map(len, blobs)) <= MAX_JOINED_BYTES:
+            await self._write(b''.join(blobs))
+            return
+        small_blobs: list[bytes] = []
+        for blob in blobs:
+            if len(blob) <= MAX_JOINED_BYTES:
+                small_blobs.append(blob)
+                continue
+            await self._write(b''.join(small_blobs))
+            small_blobs.clear()
+            await self._write(blob)
+        await self._write(b''.join(small_blobs))
 
     async def next_event(self) -> h11.Event | type[object]:
         """Return the next event, reading from the stream as needed.
@@ -241,7 +271,8 @@
         """
         if self._events_since_checkpoint >= MAX_EVENTS_PER_CHECKPOINT:
             self._events_since_checkpoint = 0
-            await trio.lowlevel.checkpoint()
+            async with self._parse_lock:
+                await trio.lowlevel.checkpoint()
         self._events_since_checkpoint += 1
         while True:
             event = self._parse()
--- a/src/clementinedeal/_verdict.py
+++ b/src/clementinedeal/_verdict.py
@@ -29,7 +29,8 @@
     ``OWNER_LOST`` that the connection to an owner broke. ``ZONE_EVACUATED``
     means that operators have evacuated the availability zones of all targets,
     or of the one that was asked, ``NO_HOME`` that none is in a region in which
-    the request may run.
+    the request may run. ``MEMORY_FULL`` means that the daemon has no memory
+    for the body.
     """
 
     BAD_REQUEST = 'bad-request'
@@ -50,6 +51,7 @@
     TARGET_LIMITED = 'target-limited'
     DEADLINE = 'deadline'
     DRAINING = 'draining'
+    MEMORY_FULL = 'memory-full'
     CANCELLED = 'cancelled'
     DUPLICATE = 'duplicate'
     WRONG_INCARNATION = 'wrong-incarnation'
--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -9,8 +9,8 @@
 from clementinedeal._events import EventLog, log
 from clementinedeal._http import (
     CONTENT_LENGTH,
+    Body,
     ConnLostError,
-    HttpError,
     RequestHead,
 )
 from clementinedeal._refusals import Refusal
@@ -23,7 +23,6 @@
 from clementinedeal.mesh._outcomes import MeshOutcome
 from clementinedeal.mesh._sender import Sender
 
-_TOO_LARGE_STATUS = 413
 _INTERNAL_ERROR = MeshOutcome(
     verdict=Verdict.MAY_HAVE_RUN, reason=Reason.INTERNAL
 )
@@ -86,7 +85,8 @@
         :param conn: the caller's connection.
         :param head: the request's head.
         :raises ConnLostError: the caller closed its connection.
-        :raises HttpError: the body is larger than the limit in force.
+        :raises HttpError: the body is larger than the limit in force, or
+            there is no memory for it.
         """
         running = conn.early_request
         if isinstance(running, RunningRequest):
@@ -95,7 +95,7 @@
         else:
             received_at = self._parts.clock.now()
             max_bytes = self._parts.admission.max_body_bytes
-            body = await _read_body(conn, max_bytes)
+            body = await conn.read_whole(max_bytes)
             running = RunningRequest(self._read_id(head), received_at)
             finish = functools.partial(self._run, running, head, body)
         await self._run_while_connected(conn, running, finish)
@@ -133,7 +133,7 @@
             self._report_cancelled(running.req_id, caller_left=True)
 
     async def _run(
-        self, running: 'RunningRequest', head: RequestHead, body: bytes
+        self, running: 'RunningRequest', head: RequestHead, body: Body
     ) -> None:
         """Run a request to its end and set its outcome."""
         parts = self._parts
@@ -261,12 +261,3 @@
             refusal.headers(req_id, with_fraction=True),
             refusal.body(req_id),
         )
-
-
-async def _read_body(conn: ServerConn, max_bytes: int) -> bytes:
-    body = bytearray()
-    async for piece in conn.read_body():
-        body += piece
-        if len(body) > max_bytes:
-            raise HttpError('request body too large', status=_TOO_LARGE_STATUS)
-    return bytes(body)
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -233,8 +233,9 @@
     ``executed`` holds the requests that it ran as tuples of attempt id, path,
     headers and body. ``disconnects`` counts the connections that were closed
     while it hung, ``work_seconds`` is how long a request takes and
-    ``answer_headers`` are added to its answers. ``runs`` is
-    for targets that record the times of their runs.
+    ``answer_headers`` are added to its answers, which return the first
+    ``echoed_bytes`` of the body, all if it is None. ``runs`` is for
+    targets that record the times of their runs.
     """
 
     def __init__(self, name, address):
@@ -247,6 +248,7 @@
         self.work_seconds = 0.0
         self.answer_headers = ()
         self.crash_scope = trio.CancelScope()
+        self.echoed_bytes = None
 
     async def start(self, nursery):
         await nursery.start(self._run)
@@ -299,5 +301,7 @@
                 await conn.send_piece(bytes(1 << 16))
             await conn.wait_disconnected()
         await conn.respond(
-            status, answer_headers, self.name.encode() + b':' + body
+            status,
+            answer_headers,
+            self.name.encode() + b':' + body[: self.echoed_bytes],
         )
