Count accounts within the tolerance by daemons that do not know the use

Change: a count has two states. It is recovering when the daemon does not know what was granted a moment ago: for one window a second, nearly empty bucket bounds it, too. Draws name the asker's limits, so a daemon needs no declaration to count. Three deputies in a fixed order replace a silent home and tell it of each token; a daemon that reaches none of them grants from an empty share that no declaration touches. A home that reaches nobody does the same. The limiter is split into ranking, limits, bucket, count, share and messages.

Tests changed: those of the limiter let a window pass first, since a daemon that has just started does not know the use, and name the moved functions; the test of shares is now one of the deputy, with the same bounds.

--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -35,11 +35,7 @@
 from clementinedeal.mesh._owner import MeshOwner, MeshOwnerParts
 from clementinedeal.mesh._peer_client import MeshPeerClient
 from clementinedeal.mesh._peer_server import MeshPeerServer
-from clementinedeal.mesh._rate_limiter import (
-    AccountRateLimiter,
-    TokenReply,
-    TokenRequest,
-)
+from clementinedeal.mesh._rate_limiter import AccountRateLimiter
 from clementinedeal.mesh._reading_role import ReadingRole
 from clementinedeal.mesh._registry_watch import RegistryWatch
 from clementinedeal.mesh._sender import Sender, SenderParts
@@ -47,6 +43,7 @@
 from clementinedeal.mesh._stop import PlannedStop, StopParts
 from clementinedeal.mesh._target_client import TargetClient
 from clementinedeal.mesh._target_feed import TargetFeed
+from clementinedeal.mesh._token_messages import TokenMessage
 
 # Interval at which the settings file is read again without a signal.
 SETTINGS_POLL_SECONDS = 1.0
@@ -311,7 +308,7 @@
 
     async def _on_datagram(self, host: str, body: Body) -> None:
         """Pass a message on to the part that it is for."""
-        if isinstance(body, TokenRequest | TokenReply):
+        if isinstance(body, TokenMessage):
             await self._rate_limiter.on_message(host, body)
         elif isinstance(body, ConditionRequest | ConditionReply):
             await self._condition_probe.on_message(host, body)
@@ -321,6 +318,7 @@
     async def _update_daemon_count(self) -> None:
         while True:
             self._sender.daemon_count = max(1, len(self._targets.hosts))
+            self._rate_limiter.update_hosts()
             await trio.sleep(1)
 
     async def _wait_for_stop_signal(self) -> None:
--- a/src/clementinedeal/mesh/_datagrams.py
+++ b/src/clementinedeal/mesh/_datagrams.py
@@ -13,7 +13,7 @@
     ConditionRequest,
 )
 from clementinedeal.mesh._news_messages import NewsHint, NewsReply, NewsRequest
-from clementinedeal.mesh._rate_limiter import TokenReply, TokenRequest
+from clementinedeal.mesh._token_messages import TokenMessage
 
 # Largest datagram that is read; a longer one is cut and fails to decode.
 MAX_DATAGRAM_BYTES = 1400
@@ -21,7 +21,7 @@
 
 News: TypeAlias = NewsRequest | NewsReply | NewsHint
 Condition: TypeAlias = ConditionRequest | ConditionReply
-Body: TypeAlias = TokenRequest | TokenReply | News | Condition
+Body: TypeAlias = TokenMessage | News | Condition
 MessageHandler: TypeAlias = Callable[[str, Body], Awaitable[None]]
 
 
--- a/src/clementinedeal/mesh/_settings.py
+++ b/src/clementinedeal/mesh/_settings.py
@@ -14,7 +14,8 @@
     ``retry_ratio`` times as many retries as requests to a service, plus
     ``retry_slack``. A process is killed ``stop_seconds`` after its stop
     signal. An account may exceed its rate and burst by the fraction
-    ``allowance_over`` of them plus ``allowance_slack`` requests.
+    ``allowance_over`` of them plus ``allowance_slack`` requests in any
+    ``allowance_window`` seconds.
     """
 
     revoke_seconds: float = 5.0
@@ -26,6 +27,7 @@
     stop_seconds: float = 6.0
     allowance_over: float = 0.0
     allowance_slack: float = 0.0
+    allowance_window: float = 5.0
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/clementinedeal/platform/_node.py
+++ b/src/clementinedeal/platform/_node.py
@@ -41,6 +41,7 @@
     :param quota_over: fraction by which an account may exceed its rate and
         burst.
     :param quota_slack: requests by which it may exceed them in addition.
+    :param quota_window_s: seconds over which that is measured.
     """
 
     revoke_s: float = 5.0
@@ -52,6 +53,7 @@
     grace_s: float = 6.0
     quota_over: float = 0.0
     quota_slack: float = 0.0
+    quota_window_s: float = 5.0
 
 
 class _Platform(msgspec.Struct):
@@ -133,6 +135,7 @@
             stop_seconds=bounds.grace_s,
             allowance_over=bounds.quota_over,
             allowance_slack=bounds.quota_slack,
+            allowance_window=bounds.quota_window_s,
         ),
     )
 
--- a/tests/test_mesh_rate_limiter.py
+++ b/tests/test_mesh_rate_limiter.py
@@ -4,13 +4,11 @@
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
+from clementinedeal.mesh._account_ranking import rank_hosts
 from clementinedeal.mesh._catalog import Catalog
-from clementinedeal.mesh._rate_limiter import (
-    AccountRateLimiter,
-    TokenBucket,
-    find_home,
-)
+from clementinedeal.mesh._rate_limiter import AccountRateLimiter
 from clementinedeal.mesh._settings import Bounds
+from clementinedeal.mesh._token_bucket import TokenBucket
 from clementinedeal.mesh._types import ClientAccount, Declaration
 
 ACCOUNT = ClientAccount(
@@ -77,7 +75,10 @@
             bounds,
         )
         limiter.set_catalog(catalog)
+        limiter.update_hosts()
         network.limiters[host] = limiter
+    # a daemon that has been up for a window knows what it has granted
+    clock.advance(bounds.allowance_window)
     return network, clock, hosts
 
 
@@ -107,9 +108,9 @@
     assert granted >= 0.9 * (10 * 5 + 20)
 
 
-async def test_a_silent_home_is_replaced_by_equal_shares(autojump_clock):
+async def test_a_silent_home_is_replaced_by_its_deputy(autojump_clock):
     network, clock, hosts = make_limiters()
-    network.unreachable.add(find_home('shop', hosts))
+    network.unreachable.add(rank_hosts('shop', hosts)[0])
     others = [host for host in hosts if host not in network.unreachable]
     granted = await demand(network, clock, others, 80, 5)
     assert 0 < granted <= 10 * 5 + 20
@@ -140,7 +141,7 @@
 
 
 def test_a_lower_rate_applies_at_once():
-    bucket = TokenBucket(10, 20, 0.0)
+    bucket = TokenBucket(10, 20, 0.0, 20)
     bucket.set_limits(1, 2)
     granted = sum(bucket.take(0.0) == 0 for _ in range(10))
     assert granted == 2
@@ -152,9 +153,9 @@
     moved = [
         name
         for name in names
-        if find_home(name, hosts) != find_home(name, hosts[1:])
+        if rank_hosts(name, hosts)[0] != rank_hosts(name, hosts[1:])[0]
     ]
-    assert all(find_home(name, hosts) == hosts[0] for name in moved)
+    assert all(rank_hosts(name, hosts)[0] == hosts[0] for name in moved)
 
 
 async def test_a_home_grants_only_part_of_the_tolerance():
