Rank a call as the request that it serves

Cause: a request without an account took the most urgent rank of anything that the own target runs, so that calls of cheap, patient work passed urgent work, and even ranked as requests that end before them.

Change: the owner keeps the rank and the end of each running request. A call that ends with one of them takes its rank; one with a shorter limit takes the median of those that may have made it, or its route's priority if that is more urgent.

--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -9,6 +9,7 @@
 from clementinedeal._timers import Clock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._call_failures import CallFailures
+from clementinedeal.mesh._call_ranks import CallRanks
 from clementinedeal.mesh._contracts import CallContext, TargetStatement
 from clementinedeal.mesh._executions import Execution, MeshExecutionTable
 from clementinedeal.mesh._health_tracker import HealthTracker
@@ -19,7 +20,7 @@
     TargetCondition,
     not_run,
 )
-from clementinedeal.mesh._slots import Rank, SlotQueue
+from clementinedeal.mesh._slots import SlotQueue
 from clementinedeal.mesh._target_client import BufferedRequest, TargetClient
 from clementinedeal.mesh._target_limit import TargetLimit
 from clementinedeal.mesh._types import Target
@@ -81,7 +82,7 @@
         self.slot_queue = SlotQueue(DEFAULT_SLOTS, self.limit)
         self.executions = MeshExecutionTable(parts.clock)
         self._down_until = 0.0
-        self._running_ranks: list[Rank] = []
+        self.call_ranks = CallRanks()
 
     @property
     def is_busy(self) -> bool:
@@ -97,11 +98,6 @@
             return ''
         return target.name
 
-    @property
-    def most_urgent_rank(self) -> Rank | None:
-        """Rank of the most urgent running request, None if none runs."""
-        return min(self._running_ranks, default=None)
-
     def set_target(self, target: Target | None) -> None:
         """Replace what is known of the target.
 
@@ -247,11 +243,11 @@
             refusal = self._refusal_reason(attempt, ignore_risk=ignore_risk)
             if refusal is not None:
                 return not_run(refusal, self.target_condition())
-            self._running_ranks.append(attempt.rank)
+            running = self.call_ranks.add(attempt.rank, execution.deadline)
             try:
                 outcome = await self._call_target(execution)
             finally:
-                self._running_ranks.remove(attempt.rank)
+                self.call_ranks.discard(running)
         finally:
             elapsed = self._parts.clock.now() - started
             self.slot_queue.release(elapsed if execution.reached else None)
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -29,9 +29,6 @@
 from clementinedeal.mesh._target_client import BufferedRequest
 from clementinedeal.mesh._types import Target
 
-# Account priority of a request without an account, unless it takes the rank of
-# a request that the own target runs: see ``Sender._rank``.
-KEYLESS_PRIORITY = 0
 # Added to the time limit of an attempt: the owner answers no later than at the
 # deadline, and this is the time in which its answer arrives.
 ANSWER_GRACE_SECONDS = 0.12
@@ -378,13 +375,13 @@
         """Return the rank of a request in queues.
 
         A request without an account may be a call that the own target makes
-        for a request which it runs. It takes the rank of the most urgent of
-        these.
+        for a request which it runs, and ranks as that.
         """
         if admitted.account is not None:
             return admitted.account.priority, admitted.route.priority
-        calling_rank = self._parts.owner.most_urgent_rank
-        return calling_rank or (KEYLESS_PRIORITY, admitted.route.priority)
+        return self._parts.owner.call_ranks.rank_call(
+            admitted.deadline, admitted.route.priority
+        )
 
     def _find_retry_bucket(self, service: str) -> RetryTokenBucket:
         bucket = self._retry_buckets.get(service)
