--- a/src/clementinedeal/mesh/_account_ranking.py
+++ b/src/clementinedeal/mesh/_account_ranking.py
@@ -66,7 +66,7 @@
         while self._former and self._former[0][0] < now - self._window:
             self._former.popleft()
         hosts = frozenset(self._read_hosts())
-        if hosts != self._hosts:
+        if hosts is not self._hosts and hosts != self._hosts:
             self._former.append((now, self._hosts))
             self._hosts = hosts
             self._ranked.clear()
