--- a/src/clementinedeal/mesh/_warmup.py
+++ b/src/clementinedeal/mesh/_warmup.py
@@ -62,6 +62,7 @@
         if not is_same:
             self._seen_at = self._clock.now()
             self._told_until = float('-inf')
+            self._was_cold = False
         is_told = former is None or (
             former.warmup_seconds != target.warmup_seconds
         )
--- a/tests/test_mesh_cold_target.py
+++ b/tests/test_mesh_cold_target.py
@@ -189,6 +189,15 @@
     assert warmup.rate() is None
 
 
+def test_each_cold_process_is_logged():
+    events = EventLog('i', '1')
+    warmup = Warmup(VirtualClock(100), events)
+    warmup.set_services([RULE])
+    for target in (COLD, replace(COLD, started_ms=6)):
+        warmup.set_target(target)
+    assert events.json_lines().count(b'target-cold') == 2
+
+
 def test_unchanged_entry_does_not_prolong_a_warmup():
     warmup, clock = make_warmup(COLD, RULE)
     clock.advance(WARMUP_SECONDS - 0.5)
