Move what a restore may bring back into a module of its own

The era, the time in which entries may be brought back and the own target that was removed are now kept by Restores; no behaviour changes.

--- a/src/clementinedeal/mesh/_target_feed.py
+++ b/src/clementinedeal/mesh/_target_feed.py
@@ -15,6 +15,7 @@
 from clementinedeal.mesh._contracts import Registry, SourceError
 from clementinedeal.mesh._owner import MeshOwner
 from clementinedeal.mesh._reading_role import ReadingRole
+from clementinedeal.mesh._restores import Restores
 from clementinedeal.mesh._types import Listing, Revision, Target
 
 # Minimum time between two reads of the list. A long list is read less often, in
@@ -35,9 +36,6 @@
 # Entries expire while the registry is unreachable. Targets that still run are
 # registered again within this time after it is back.
 REREGISTRATION_SECONDS = 2.3
-# An entry that a restored registry brings back expires within this time, if its
-# target is gone.
-ENTRY_LAPSE_SECONDS = 5.0
 
 
 class TargetFeed:
@@ -72,10 +70,7 @@
         self._clock = clock
         self._events = events
         self._revision = Revision(0, 0)
-        self._era = 0
-        self._era_began_at = float('-inf')
-        self._gone: Target | None = None
-        self._gone_era = 0
+        self._restores = Restores(clock)
         self._targets: dict[str, Target] = {}
         # listed ones and those that were until lately
         self._known: dict[str, Target] = {}
@@ -221,9 +216,7 @@
         if self._is_outdated(target):
             if self._owner.target is not None:
                 return
-            await trio.sleep(
-                self._era_began_at + ENTRY_LAPSE_SECONDS - self._clock.now()
-            )
+            await trio.sleep(self._restores.lapse_seconds())
             target = (await self._registry.read_target(name)).target
         if target is not None:
             self._set_own(target)
@@ -239,8 +232,7 @@
                 return
         if self._own is not None and self._own.name == name:
             self._targets.pop(name, None)
-            self._gone = self._own
-            self._gone_era = self._era
+            self._restores.on_removed(self._own)
             self._set_own(None)
 
     def _apply_listing(self, listing: Listing, own_address: str) -> None:
@@ -249,7 +241,7 @@
         self._revision = listing.revision
         self._observe_era(listing.revision.era)
         now = self._clock.now()
-        is_restored = self._is_restored()
+        is_restored = self._restores.lapse_seconds() > 0
         targets = {
             name: one.supersede(self._known.get(name), is_restored=is_restored)
             for name, one in listing.targets.items()
@@ -290,40 +282,18 @@
 
     def _observe_era(self, era: int) -> None:
         """Expect missing and outdated entries after a restore."""
-        if era <= self._era:
-            return
-        if self._era:
-            self._era_began_at = self._clock.now()
-            self._restored_at = self._era_began_at
-        self._era = era
-
-    def _is_restored(self) -> bool:
-        """Whether entries may be shown that a restore has brought back."""
-        return self._clock.now() < self._era_began_at + ENTRY_LAPSE_SECONDS
+        if self._restores.observe(era):
+            self._restored_at = self._clock.now()
 
     def _is_outdated(self, target: Target | None) -> bool:
-        """Whether a restore may have brought back this entry for the owner.
-
-        :param target: the entry, if any.
-        """
-        if target is None or not self._is_restored():
-            return False
-        own, gone = self._owner.target, self._gone
-        if own is not None:
-            is_same_name = target.name == own.name
-            return is_same_name and target.started_ms < own.started_ms
-        return (
-            gone is not None
-            and self._era > self._gone_era
-            and target.started_ms <= gone.started_ms
-        )
+        return self._restores.may_bring_back(target, self._owner.target)
 
     def _set_own(self, target: Target | None) -> None:
         former = self._owner.target
         if target is not None and former is not None:
             target = target.supersede(
                 former if former.name == target.name else None,
-                is_restored=self._is_restored(),
+                is_restored=self._restores.lapse_seconds() > 0,
             )
         self._own = target
         self._owner.set_target(target)
--- a/tests/test_mesh_restored_store.py
+++ b/tests/test_mesh_restored_store.py
@@ -11,11 +11,8 @@
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
 from clementinedeal.mesh._daemon import MeshDaemon
-from clementinedeal.mesh._target_feed import (
-    ENTRY_LAPSE_SECONDS,
-    REREGISTRATION_SECONDS,
-    TargetFeed,
-)
+from clementinedeal.mesh._restores import ENTRY_LAPSE_SECONDS
+from clementinedeal.mesh._target_feed import REREGISTRATION_SECONDS, TargetFeed
 from clementinedeal.mesh._types import Listing, Revision, Target, TargetUpdate
 from clementinedeal.platform import PlatformDialect, PlatformStore
 
