Explain where a request would go, without sending it

Operators could read from the time line where a request went, but not ask a daemon where one would go now.

The answer is built from the entry's memory by the code that ranks targets and judges zones; it sends nothing, counts nothing, takes the name of an account instead of a key, and shows none.

--- a/src/clementinedeal/_cli.py
+++ b/src/clementinedeal/_cli.py
@@ -8,6 +8,7 @@
 from clementinedeal._commands import (
     check,
     daemon,
+    explain,
     pack_values,
     status,
     timeline,
@@ -27,7 +28,12 @@
 flags.DEFINE_string('out', None, 'File or folder to write.')
 flags.DEFINE_string('request', '', 'Only events of this request id.')
 flags.DEFINE_string('target', '', 'Only events of this target.')
-flags.DEFINE_string('account', '', 'Only events of this client account.')
+flags.DEFINE_string(
+    'account', '', 'Name of a client account; of timeline, only its events.'
+)
+flags.DEFINE_string(
+    'operator', None, 'ip:port at which a daemon serves operators.'
+)
 flags.DEFINE_string('event', '', 'Only events of this name.')
 flags.DEFINE_bool('html', False, 'Write the time line as one HTML page.')
 flags.DEFINE_enum(
@@ -47,6 +53,9 @@
   timeline --declaration=FILE [--request=ID] [--target=NAME] [--account=NAME]
            [--event=NAME] [--html --out=FILE]
                              events of all instances in causal order
+  explain HOST PATH --operator=IP:PORT [--account=NAME]
+                             where a request would go now from that daemon, and
+                             why; exit 1 if it would be refused. Nothing is sent
   timeline LOG... [the same filters]
                              the same from files of log lines
 
@@ -57,6 +66,7 @@
 
 _COMMANDS: dict[str, Command] = {
     'daemon': daemon,
+    'explain': explain,
     'check': check,
     'pack': pack_values,
     'status': status,
--- a/src/clementinedeal/_commands.py
+++ b/src/clementinedeal/_commands.py
@@ -5,6 +5,7 @@
 import pathlib
 import sys
 from typing import TypeVar
+from urllib.parse import urlencode
 
 import msgspec
 import trio
@@ -17,7 +18,11 @@
 from clementinedeal._events import Event
 from clementinedeal._model import Config
 from clementinedeal._operator import DaemonStatus
-from clementinedeal._operator_client import OperatorAnswer, fetch_all
+from clementinedeal._operator_client import (
+    OperatorAnswer,
+    fetch,
+    fetch_all,
+)
 from clementinedeal._publication import pack
 from clementinedeal._settings import load_settings
 from clementinedeal._timeline import (
@@ -28,7 +33,13 @@
     render_text,
 )
 from clementinedeal._timeline_page import render_page
+from clementinedeal.mesh._explanation import (
+    EXPLAIN_PATH,
+    Explanation,
+    render_explanation,
+)
 
+EXPLAIN_ARGUMENTS = 2
 FoundT = TypeVar('FoundT')
 
 _LOG_FORMAT = 'time=%(asctime)s level=%(levelname)s %(message)s'
@@ -121,6 +132,24 @@
     return 1 if error_lines else 0
 
 
+def explain(args: list[str]) -> int:
+    """Print where a request would go now, and why; exit 1 if it is refused.
+
+    :param args: host and path of the request. The daemon that is asked and the
+        name of the client account are flags.
+    """
+    if len(args) != EXPLAIN_ARGUMENTS:
+        raise UsageError('explain needs the arguments HOST and PATH')
+    host, path = args
+    query = urlencode(
+        {'host': host, 'path': path, 'account': flags.FLAGS.account}
+    )
+    body = trio.run(fetch, _require_flag('operator'), f'{EXPLAIN_PATH}?{query}')
+    explanation = msgspec.json.decode(body, type=Explanation)
+    sys.stdout.write(render_explanation(explanation))
+    return 1 if explanation.refusal else 0
+
+
 def _read_lines(path: str) -> str:
     try:
         return pathlib.Path(path).read_text('utf-8', errors='replace')
--- a/src/clementinedeal/_operator_client.py
+++ b/src/clementinedeal/_operator_client.py
@@ -1,10 +1,11 @@
-"""Client that queries the operator endpoints of many instances at once."""
+"""Client that queries the operator endpoints of instances."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 import trio
 
+from clementinedeal._errors import ClementinedealError
 from clementinedeal._http import ConnLostError, HttpError, RequestHead
 from clementinedeal._model import Instance
 from clementinedeal._pool import ConnPool
@@ -17,6 +18,10 @@
 _OK = 200
 
 
+class NoAnswerError(ClementinedealError):
+    """An instance gave no usable answer."""
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorAnswer:
     """Answer of one instance.
@@ -49,6 +54,23 @@
     return tuple(sorted(answers, key=lambda answer: answer.instance.name))
 
 
+async def fetch(address: str, path: str) -> bytes:
+    """Request one path from one instance.
+
+    :param address: ``ip:port`` of its operator endpoint.
+    :param path: path and query.
+    :raises ClementinedealError: there is no usable answer.
+    """
+    pool = ConnPool(MonotonicClock())
+    try:
+        with trio.fail_after(REQUEST_TIMEOUT_SECONDS):
+            return await _get(pool, address, path)
+    except (ConnLostError, HttpError, trio.TooSlowError) as exc:
+        raise NoAnswerError(f'{address}: {exc or "no answer"}') from exc
+    finally:
+        await pool.stop()
+
+
 async def _fetch(
     pool: ConnPool,
     instance: Instance,
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -29,6 +29,7 @@
 from clementinedeal.mesh._datagrams import Body, DatagramChannel
 from clementinedeal.mesh._declarations import DeclarationFeed
 from clementinedeal.mesh._entry import MeshEntry, MeshEntryParts
+from clementinedeal.mesh._explanation import Explainer
 from clementinedeal.mesh._fleet_news import FleetNews, FleetNewsParts
 from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._operator_endpoint import OperatorEndpoint
@@ -247,7 +248,10 @@
         )
         peer_server = MeshPeerServer(self._owner, self.events, nursery)
         operator_endpoint = OperatorEndpoint(
-            self._dialect, self._is_ready, self._metrics
+            self._dialect,
+            self._is_ready,
+            self._metrics,
+            Explainer(self._declarations, balancer, self._clock),
         )
         limits = HttpLimits()
         self._caller_server = HttpServer(
--- a/tests/test_mesh_path.py
+++ b/tests/test_mesh_path.py
@@ -1,11 +1,14 @@
 """Requests through a fleet of whole daemons."""
 
+import msgspec
 import pytest
 import trio
 from tests.mesh_fleet import wait_for_status
 from tests.store_standin import configuration, registration
 
+from clementinedeal._operator_client import fetch
 from clementinedeal.mesh import _balancer
+from clementinedeal.mesh._explanation import Explanation
 
 
 async def test_every_daemon_serves_every_kind_of_route(fleet):
@@ -194,3 +197,15 @@
         path for _, path, _, _ in remote_target_fleet.runs() if 'book' in path
     ]
     assert paths == ['/book/first', '/book/second']
+
+
+async def test_operators_get_explanations_and_no_request_is_sent(fleet):
+    runs = len(fleet.runs())
+    query = '/explain?host=h.example&path=%2Flook%2F1&account=shop'
+    body = await fetch(fleet.settings[0].ready_address, query)
+    explanation = msgspec.json.decode(body, type=Explanation)
+    (service,) = explanation.services
+    assert (explanation.account, explanation.refusal) == ('shop', '')
+    assert service.first in {'t0', 't1', 't2'}
+    assert b'key-' not in body
+    assert len(fleet.runs()) == runs
