Compare the zones once for each choice

The choice computed what to expect of both sides twice, for the share and for the judgement, and in fleets of one zone too. No decision changes.

--- a/src/clementinedeal/mesh/_explanation.py
+++ b/src/clementinedeal/mesh/_explanation.py
@@ -137,7 +137,7 @@
         )
         plan = ZonePlan(route, service, deadline, zones)
         reason = plan.judge(ranked, avoid_risk=avoid_risk)
-        chosen = plan.preview(ranked, avoid_risk=avoid_risk)
+        chosen = plan.select(ranked, reason)
         return ServiceReport(
             service=service,
             weight=weight,
--- a/src/clementinedeal/mesh/_zone_plan.py
+++ b/src/clementinedeal/mesh/_zone_plan.py
@@ -220,24 +220,26 @@
         """
         others = self._zones.keep_others(ranked)
         self._others = self._zones.keep_usable(others)
-        self._zones.spill.learn(*self._compare(ranked, avoid_risk=avoid_risk))
-        return self.preview(ranked, avoid_risk=avoid_risk)
+        if not others:
+            return ranked
+        comparison = self._compare(ranked, avoid_risk=avoid_risk)
+        self._zones.spill.learn(*comparison)
+        return self.select(ranked, self._zones.spill.judge(*comparison))
 
-    def preview(
-        self, ranked: list[Target], *, avoid_risk: bool
-    ) -> list[Target]:
-        """Return what ``choose`` returns, without learning from the request.
+    def select(self, ranked: list[Target], reason: ZoneReason) -> list[Target]:
+        """Return the targets to try: the own zone's, or any.
 
         :param ranked: the candidates, the best first.
-        :param avoid_risk: whether there is no retry after a failure.
+        :param reason: why the request would leave its zone, or stay.
         """
         inside = self._zones.keep_own(ranked)
         if not inside:
             return ranked
-        if self.judge(ranked, avoid_risk=avoid_risk) not in LEAVING:
+        if reason not in LEAVING:
             return inside
-        outside = self._zones.keep_usable(self._zones.keep_others(ranked))
-        return [one for one in ranked if one in inside or one in outside]
+        others = self._zones.keep_others(ranked)
+        usable = inside + self._zones.keep_usable(others)
+        return [one for one in ranked if one in usable]
 
     def judge(self, ranked: list[Target], *, avoid_risk: bool) -> ZoneReason:
         """Return why the request would leave its zone, or stay.
