Move the share that leaves by what other zones take

Cause: the share rose with requests that would gain and fell with those that found a free slot inside.

Change: the share starts at half, rises when a target of another zone takes a request and falls when one refuses it; an eighth always tries.

Ruled out: a lower price, which would send more from full zones to full ones.

--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -296,7 +296,7 @@
         if observation is None:
             return
         observation.in_flight = max(0, observation.in_flight - 1)
-        self.zones.on_attempt_ended(name)
+        self.zones.on_attempt_ended(name, outcome)
         if outcome is None:
             return
         now = self._clock.now()
--- a/src/clementinedeal/mesh/_plan.py
+++ b/src/clementinedeal/mesh/_plan.py
@@ -37,8 +37,6 @@
 HOLD_PAUSE_SECONDS = 0.1
 # Retry-After for refused callers, as a fraction of the objective.
 RETRY_AFTER_FRACTION = 0.4
-# Refusals of targets that may accept the request later.
-_FULL_REASONS = (Reason.QUEUE_FULL, Reason.TARGET_LIMITED)
 
 
 class RetryTokens(Protocol):
@@ -325,15 +323,22 @@
         busy targets, then it insists on a suspect one. Targets of other zones
         are tried before a suspect one.
         """
-        full = self._targets_refused_for(ranked, *_FULL_REASONS)
-        full += self._zone_plan.find_full(
-            one for one in ranked if one.name not in self._refusals
-        )
-        busy = [one for one in full if one.name not in self._queued_targets]
-        suspect = self._targets_refused_for(ranked, Reason.TARGET_EJECTED)
+        suspect = [
+            one
+            for one in ranked
+            if self._refusals.get(one.name) is Reason.TARGET_EJECTED
+        ]
         escapes = self._zone_plan.find_escapes(self._refusals)
         if len(self._refusals) >= MAX_REFUSALS:
             escapes = []
+        busy = self._zone_plan.find_queues(
+            ranked, self._refusals, self._queued_targets
+        )
+        if suspect and not (busy or escapes):
+            # a queue in another zone is better than a suspect target
+            busy = self._zone_plan.find_queues(
+                self._zone_plan.others, self._refusals, self._queued_targets
+            )
         if busy and suspect and not (escapes or self._has_scouted):
             # the other targets are full, so the suspect's slots are needed:
             # its owner accepts one request per interval as a trial
@@ -390,13 +395,6 @@
             else seconds_left
         )
 
-    def _targets_refused_for(
-        self, ranked: list[Target], *reasons: Reason
-    ) -> list[Target]:
-        return [
-            one for one in ranked if self._refusals.get(one.name) in reasons
-        ]
-
     def _hold(self, now: float) -> Step:
         """Return a pause before another round, or the end of the request."""
         is_limited = set(self._refusals.values()) == {Reason.TARGET_LIMITED}
--- a/src/clementinedeal/mesh/_zone_plan.py
+++ b/src/clementinedeal/mesh/_zone_plan.py
@@ -3,6 +3,8 @@
 from collections.abc import Collection, Iterable, Mapping
 
 from clementinedeal._timers import Clock
+from clementinedeal._verdict import Reason
+from clementinedeal.mesh._outcomes import MeshOutcome
 from clementinedeal.mesh._target_observation import TargetObservation
 from clementinedeal.mesh._types import RouteRule, Target
 from clementinedeal.mesh._zone_spill import (
@@ -13,6 +15,9 @@
 )
 from clementinedeal.mesh._zone_view import RiskScale, ZoneView, ZoneViews
 
+# Refusals of targets that may accept the request later.
+FULL_REASONS = frozenset((Reason.QUEUE_FULL, Reason.TARGET_LIMITED))
+
 
 class Zones:
     """What is known of the targets, by availability zone.
@@ -131,12 +136,16 @@
             self._targets[name].service, is_inside=not self.is_outside(name)
         )
 
-    def on_attempt_ended(self, name: str) -> None:
-        """Count the end of an attempt.
+    def on_attempt_ended(self, name: str, outcome: MeshOutcome | None) -> None:
+        """Learn from the end of an attempt.
 
         :param name: name of its listed target.
+        :param outcome: None if the attempt was abandoned.
         """
-        self.spill.on_attempt_ended(self._targets[name].service)
+        service = self._targets[name].service
+        self.spill.on_attempt_ended(service)
+        if outcome is not None and self.is_outside(name):
+            self.spill.on_crossing(service, was_taken=outcome.reached)
 
     def on_round_trip(self, name: str, seconds: float) -> None:
         """Learn how long a message to a target's owner and its reply took.
@@ -173,7 +182,10 @@
 
 
 class ZonePlan:
-    """The part of one request's plan that is about zones."""
+    """The part of one request's plan that is about zones.
+
+    ``others`` are the usable targets of other zones at the last choice.
+    """
 
     def __init__(
         self,
@@ -195,7 +207,7 @@
         self._zones = zones
         self._draw = zones.spill.draw()
         self._refusals = 0
-        self._others: list[Target] = []
+        self.others: list[Target] = []
 
     @property
     def risk_seconds(self) -> float:
@@ -219,12 +231,10 @@
         :param avoid_risk: whether there is no retry after a failure.
         """
         others = self._zones.keep_others(ranked)
-        self._others = self._zones.keep_usable(others)
+        self.others = self._zones.keep_usable(others)
         if not others:
             return ranked
-        comparison = self._compare(ranked, avoid_risk=avoid_risk)
-        self._zones.spill.learn(*comparison)
-        return self.select(ranked, self._zones.spill.judge(*comparison))
+        return self.select(ranked, self.judge(ranked, avoid_risk=avoid_risk))
 
     def select(self, ranked: list[Target], reason: ZoneReason) -> list[Target]:
         """Return the targets to try: the own zone's, or any.
@@ -247,19 +257,14 @@
         :param ranked: the candidates, the best first.
         :param avoid_risk: whether there is no retry after a failure.
         """
-        return self._zones.spill.judge(
-            *self._compare(ranked, avoid_risk=avoid_risk)
-        )
-
-    def _compare(
-        self, ranked: list[Target], *, avoid_risk: bool
-    ) -> tuple[SpillRequest, ZoneView, ZoneView]:
-        """Return the request, and what to expect inside and outside."""
-        request = self._build_request(avoid_risk=avoid_risk)
         zones = self._zones
-        inside = zones.view(request, zones.keep_own(ranked), is_inside=True)
+        request = self._build_request(avoid_risk=avoid_risk)
         others = zones.keep_others(ranked)
-        return request, inside, zones.view(request, others, is_inside=False)
+        return zones.spill.judge(
+            request,
+            zones.view(request, zones.keep_own(ranked), is_inside=True),
+            zones.view(request, others, is_inside=False),
+        )
 
     def choose_takeover(self, ranked: list[Target]) -> list[Target]:
         """Return the targets that may take over from an overdue attempt.
@@ -269,11 +274,18 @@
         outside = self._zones.keep_others(ranked)
         if not outside:
             return ranked
+        if self._expects_room(outside):
+            return ranked
+        return self._zones.keep_own(ranked)
+
+    def _expects_room(self, outside: list[Target]) -> bool:
+        """Whether some targets of other zones are expected to have a slot.
+
+        :param outside: the targets.
+        """
         request = self._build_request(avoid_risk=True)
-        has_room = self._zones.spill.expects_room(
-            request, self._zones.view(request, outside, is_inside=False)
-        )
-        return ranked if has_room else self._zones.keep_own(ranked)
+        view = self._zones.view(request, outside, is_inside=False)
+        return self._zones.spill.expects_room(request, view)
 
     def find_untried(
         self, targets: list[Target], *, has_suspect: bool
@@ -281,15 +293,15 @@
         """Return targets that may accept the request at once.
 
         Refusals cost time, and bytes between zones. So targets that are known
-        to be full are left out, and where there are such to queue at, avoided
-        ones too once a suspect one has refused the request.
+        to be full are left out. Once a suspect one has refused the request, so
+        are avoided ones, if there are other zones or full targets to turn to.
 
         :param targets: targets that have not refused the request.
         :param has_suspect: whether a suspect one has.
         """
         full = self.find_full(targets)
         untried = [one for one in targets if one not in full]
-        if not (full and has_suspect):
+        if not (has_suspect and (full or self.others)):
             return untried
         return self._zones.keep_usable(untried)
 
@@ -300,12 +312,33 @@
 
         :param refused: names of targets that have refused the request.
         """
+        if not self._expects_room(self.others):
+            return []
         return [
             one
-            for one in self.find_untried(self._others, has_suspect=False)
+            for one in self.find_untried(self.others, has_suspect=False)
             if one.name not in refused
         ]
 
+    def find_queues(
+        self,
+        targets: Iterable[Target],
+        refusals: Mapping[str, Reason],
+        queued: Collection[str],
+    ) -> list[Target]:
+        """Return the full targets at which the request has not queued yet.
+
+        :param targets: the targets to choose from.
+        :param refusals: why targets have refused the request, by their names.
+        :param queued: names of those at which it has queued.
+        """
+        fresh = [one for one in targets if one.name not in queued]
+        refused = [
+            one for one in fresh if refusals.get(one.name) in FULL_REASONS
+        ]
+        untried = [one for one in fresh if one.name not in refusals]
+        return refused + self.find_full(untried)
+
     def find_full(self, targets: Iterable[Target]) -> list[Target]:
         """Return the targets that are known to be full.
 
--- a/src/clementinedeal/mesh/_zone_spill.py
+++ b/src/clementinedeal/mesh/_zone_spill.py
@@ -17,12 +17,13 @@
 from clementinedeal.mesh._types import Target
 from clementinedeal.mesh._zone_view import ZoneView
 
-# The share of requests that may leave moves by these steps, at most one in an
-# interval. It rises if leaving pays, and falls if it would not even if the
-# bytes cost nothing; in between it stays.
+# The share of those requests that gain by leaving that may leave. It rises by a
+# step when a target of another zone takes one and falls when one is refused, at
+# most one step in an interval. A small share always tries.
+START_SHARE = 0.5
+MIN_SHARE = 0.125
+STEP_SHARE = 0.25
 STEP_SECONDS = 0.25
-STEP_UP = 0.25
-STEP_DOWN = 0.125
 # A failure is as bad as a wait of this many latency objectives, if it cannot be
 # made good by a retry, and if it can.
 FAILURE_OBJECTIVES = 2.0
@@ -104,10 +105,10 @@
 
     needs: ServiceNeeds = field(default_factory=ServiceNeeds)
     slots: SlotCounts = field(default_factory=SlotCounts)
-    share: float = 0.0
+    share: float = START_SHARE
     stepped_at: float = float('-inf')
     logged_at: float = float('-inf')
-    logged_share: float = 0.0
+    logged_share: float = START_SHARE
     crossings: int = 0
 
 
@@ -116,8 +117,8 @@
     """The share of each service's requests that may leave the zone.
 
     The share moves by steps, and each request draws whether it is part of it.
-    So the entries of a full zone do not all turn to the same free zone, and do
-    not all turn back at once.
+    So the entries of a full zone that all turn to the same free zone leave it
+    by steps once it is full too.
     """
 
     clock: Clock
@@ -146,24 +147,10 @@
         """Return a random number from 0 to 1, for ``SpillRequest``."""
         return self.rng.random()
 
-    def learn(
-        self, request: SpillRequest, inside: ZoneView, outside: ZoneView
-    ) -> None:
-        """Move the share of a service by what a request would gain.
-
-        :param request: the request.
-        :param inside: the targets of the own zone that it may go to.
-        :param outside: those of other zones.
-        """
-        gain, price = self._weigh(request, inside, outside)
-        if not math.isnan(gain):
-            state = self._state(request.service)
-            self._step(request.service, state, gain, price)
-
     def judge(
         self, request: SpillRequest, inside: ZoneView, outside: ZoneView
     ) -> ZoneReason:
-        """Return why a request would leave or stay, without learning from it.
+        """Return why a request leaves or stays.
 
         :param request: the request.
         :param inside: the targets of the own zone that it may go to.
@@ -203,6 +190,23 @@
         """
         self._state(service).needs.add_attempts(-1, self.clock.now())
 
+    def on_crossing(self, service: str, *, was_taken: bool) -> None:
+        """Move the share by what became of an attempt in another zone.
+
+        :param service: its service.
+        :param was_taken: whether a target took it, rather than refused it.
+        """
+        now = self.clock.now()
+        state = self._state(service)
+        if now - state.stepped_at < STEP_SECONDS:
+            return
+        step = STEP_SHARE if was_taken else -STEP_SHARE
+        share = min(1.0, max(MIN_SHARE, state.share + step))
+        if share != state.share:
+            state.share = share
+            state.stepped_at = now
+            self._log(service, state, now)
+
     def on_answer(
         self, service: str, size: int, seconds: float | None = None
     ) -> None:
@@ -271,13 +275,8 @@
     def _weigh(
         self, request: SpillRequest, inside: ZoneView, outside: ZoneView
     ) -> tuple[float, float]:
-        """Return what leaving gains, and its price, both in seconds of wait.
-
-        The gain is not a number if only one side can be used.
-        """
+        """Return what leaving gains, and its price, both in seconds of wait."""
         price = request.objective * self._state(request.service).needs.price
-        if math.isinf(inside.wait) or math.isinf(outside.wait):
-            return math.nan, price
         gain = inside.wait - outside.wait - self.round_trip_seconds
         risk_change = inside.risk - outside.risk
         return gain + request.risk_seconds * risk_change, price
@@ -297,22 +296,6 @@
         slack = limit - needs.work_seconds - now
         return outside.wait + self.round_trip_seconds <= slack < inside.wait
 
-    def _step(
-        self, service: str, state: _ServiceState, gain: float, price: float
-    ) -> None:
-        """Move the share by one step, at most once in an interval."""
-        now = self.clock.now()
-        if now - state.stepped_at < STEP_SECONDS:
-            return
-        former = state.share
-        if gain > price:
-            state.share = min(1.0, former + STEP_UP)
-        elif gain <= 0:
-            state.share = max(0.0, former - STEP_DOWN)
-        if state.share != former:
-            state.stepped_at = now
-            self._log(service, state, now)
-
     def _log(self, service: str, state: _ServiceState, now: float) -> None:
         if self.events is None or (
             now - state.logged_at < LOG_INTERVAL_SECONDS
