--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -12,8 +12,8 @@
 from clementinedeal.mesh._outcomes import MeshOutcome, TargetCondition
 from clementinedeal.mesh._target_observation import TargetObservation
 from clementinedeal.mesh._types import Target
-from clementinedeal.mesh._zone_plan import Zones
 from clementinedeal.mesh._zone_spill import ZoneSpill
+from clementinedeal.mesh._zones import Zones
 
 # Costs are in the unit of load: 1 is all slots of a target. Traffic between
 # availability zones is charged for, but a failed request that cannot be retried
