--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -249,6 +249,11 @@
                 self._crash_records.report, notice
             )
         )
+        self._zone_rules = ZoneRules(
+            self._evacuations,
+            lambda: self._settings.zone_regions,
+            lambda: self._declarations.catalog,
+        )
         self._sender = Sender(
             SenderParts(
                 settings=lambda: self._settings,
@@ -261,11 +266,7 @@
                     ConnPool(self._clock, PEER_CONNECT_SECONDS, self._budget),
                     self._clock,
                 ),
-                zone_rules=ZoneRules(
-                    self._evacuations,
-                    lambda: self._settings.zone_regions,
-                    lambda: self._declarations.catalog,
-                ),
+                zone_rules=self._zone_rules,
                 crash_records=self._crash_records,
             ),
         )
@@ -285,7 +286,9 @@
             self._dialect,
             self._is_ready,
             self._metrics,
-            Explainer(self._declarations, balancer, self._clock),
+            Explainer(
+                self._declarations, balancer, self._zone_rules, self._clock
+            ),
         )
         limits = HttpLimits()
         self._caller_server = HttpServer(
--- a/src/clementinedeal/mesh/_explanation.py
+++ b/src/clementinedeal/mesh/_explanation.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from clementinedeal.mesh._allowed_zones import AllowedZones, ZoneRules
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._types import ClientAccount, RouteRule, Target
 from clementinedeal.mesh._zone_plan import ZonePlan
@@ -74,16 +75,19 @@
         self,
         active_declaration: 'ActiveDeclaration',
         balancer: Balancer,
+        zone_rules: ZoneRules,
         clock: 'Clock',
     ) -> None:
         """Create an explainer.
 
         :param active_declaration: the routes and accounts in force.
         :param balancer: what this entry knows of targets.
+        :param zone_rules: in which zones requests may run.
         :param clock: monotonic time.
         """
         self._active_declaration = active_declaration
         self._balancer = balancer
+        self._zone_rules = zone_rules
         self._clock = clock
 
     def explain(self, host: str, path: str, account: str) -> Explanation:
@@ -101,6 +105,7 @@
         if route is None:
             return Explanation(version=version, refusal='no-route')
         found = catalog.accounts_by_name.get(account)
+        allowed = self._zone_rules.find_allowed(route, found)
         needs_account = bool(catalog.accounts_by_name) and not route.public
         return Explanation(
             version=version,
@@ -110,7 +115,7 @@
                 account, found, needs_account=needs_account
             ),
             services=tuple(
-                self._explain_service(route, one.service, one.weight)
+                self._explain_service(route, one.service, one.weight, allowed)
                 for one in route.weighted_services
             ),
         )
@@ -126,14 +131,20 @@
         return '' if is_fresh else 'config-stale'
 
     def _explain_service(
-        self, route: RouteRule, service: str, weight: float
+        self,
+        route: RouteRule,
+        service: str,
+        weight: float,
+        allowed: AllowedZones,
     ) -> ServiceReport:
         balancer = self._balancer
         zones = balancer.zones
         deadline = self._clock.now() + route.timeout
         avoid_risk = not route.idempotent
         ranked = balancer.rank_targets(
-            balancer.choose_candidates(service), (), avoid_risk=avoid_risk
+            balancer.choose_candidates(service, allowed),
+            (),
+            avoid_risk=avoid_risk,
         )
         plan = ZonePlan(route, service, deadline, zones)
         reason = plan.judge(ranked, avoid_risk=avoid_risk)
@@ -145,7 +156,7 @@
             zone_share=zones.spill.shares().get(service, 0.0),
             first=self._find_first(plan, chosen),
             candidates=tuple(
-                self._report(service, ranked, chosen),
+                self._report(service, allowed, ranked, chosen),
             ),
         )
 
@@ -160,7 +171,11 @@
         ).name
 
     def _report(
-        self, service: str, ranked: list[Target], chosen: list[Target]
+        self,
+        service: str,
+        allowed: AllowedZones,
+        ranked: list[Target],
+        chosen: list[Target],
     ) -> Iterable[CandidateReport]:
         """Yield reports, the targets that would be tried first."""
         others = [
@@ -172,12 +187,12 @@
         for target in chosen:
             yield self._describe(target, '')
         for target in others:
-            if target not in available:
+            if not allowed.allow(target):
+                excluded = _name_refusal(allowed, target)
+            elif target not in available:
                 excluded = 'leaving' if target.draining else 'unavailable'
-            elif target not in ranked:
-                excluded = 'not-sampled'
             else:
-                excluded = 'other-zone'
+                excluded = 'other-zone' if target in ranked else 'not-sampled'
             yield self._describe(target, excluded)
 
     def _describe(self, target: Target, excluded: str) -> CandidateReport:
@@ -203,6 +218,11 @@
         )
 
 
+def _name_refusal(allowed: AllowedZones, target: Target) -> str:
+    reason = allowed.find_refusal((target,))
+    return reason.value if reason else ''
+
+
 def render_explanation(explanation: Explanation) -> str:
     """Return an explanation as lines of ``key=value``.
 
--- a/tests/test_mesh_explanation.py
+++ b/tests/test_mesh_explanation.py
@@ -5,15 +5,21 @@
 
 import msgspec
 
+from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
+from clementinedeal.mesh._allowed_zones import ZoneRules
 from clementinedeal.mesh._balancer import Balancer
 from clementinedeal.mesh._catalog import Catalog
+from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._explanation import Explainer, render_explanation
 from clementinedeal.mesh._outcomes import TargetCondition
 from clementinedeal.mesh._types import (
     ClientAccount,
     Declaration,
+    Evacuations,
+    Revision,
     RouteRule,
+    ServiceRule,
     Target,
     WeightedService,
 )
@@ -61,7 +67,7 @@
     declaration = Declaration(
         version=7,
         routes=(ROUTE,),
-        services=frozenset({'till'}),
+        services=(ServiceRule(name='till'),),
         accounts=(ACCOUNT,),
     )
     active = SimpleNamespace(
@@ -70,11 +76,14 @@
         is_outdated=lambda: False,
         is_fresh=lambda: True,
     )
-    return Explainer(active, balancer, clock), balancer
+    tracker = EvacuationTracker(clock, EventLog('a', '1'))
+    zone_rules = ZoneRules(tracker, lambda: None, lambda: active.catalog)
+    explainer = Explainer(active, balancer, zone_rules, clock)
+    return explainer, balancer, tracker
 
 
 def test_candidates_come_with_reasons_and_the_first_choice():
-    explainer, balancer = make_explainer()
+    explainer, balancer, _ = make_explainer()
     balancer.on_condition(
         't1',
         TargetCondition(risk=0.05, running=1, waiting=0, slots=3, wait=0.0),
@@ -96,7 +105,7 @@
 
 
 def test_explaining_shows_no_key_and_counts_nothing():
-    explainer, balancer = make_explainer()
+    explainer, balancer, _ = make_explainer()
     full = TargetCondition(risk=0.05, running=3, waiting=9, slots=3, wait=2.0)
     for name in ('t1', 't4'):
         balancer.on_condition(name, full)
@@ -108,9 +117,20 @@
 
 
 def test_refusals_are_named():
-    explainer, _ = make_explainer()
+    explainer, *_ = make_explainer()
     refusals = [
         explainer.explain(host, '/', account).refusal
         for host, account in (('h', ''), ('h', KEY), ('other', 'acme'))
     ]
     assert refusals == ['key-missing', 'key-unknown', 'no-route']
+
+
+def test_targets_of_an_evacuated_zone_are_excluded():
+    explainer, _, tracker = make_explainer()
+    tracker.on_reported(
+        Evacuations(revision=Revision(1, 1), zones=frozenset({'a'}))
+    )
+    report = explainer.explain('h', '/', 'shop').services[0]
+    assert report.first == 't3'
+    excluded = {one.target: one.excluded for one in report.candidates}
+    assert excluded['t1'] == excluded['t4'] == 'zone-evacuated'
