--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -7,6 +7,7 @@
 import trio
 
 from clementinedeal._body_reader import BodyLimits, BodyReader
+from clementinedeal._body_writer import send_cuttable
 from clementinedeal._byte_budget import ByteBudget, HeldBytes
 from clementinedeal._http import (
     BROKEN_STREAM_ERRORS,
@@ -15,7 +16,6 @@
     READ_BYTES,
     TRANSFER_ENCODING,
     Body,
-    ConnLostError,
     H11Stream,
     Headers,
     HttpError,
@@ -185,7 +185,7 @@
             events.append(body_event(body))
         events.append(h11.EndOfMessage())
         if isinstance(body, HeldBytes) and len(body) > MAX_JOINED_BYTES:
-            await _send_cuttable(self._h11_stream, self._budget, body, events)
+            await send_cuttable(self._h11_stream, self._budget, body, events)
             return
         await self._h11_stream.send_all(*events)
 
@@ -317,26 +317,6 @@
         return head
 
 
-async def _send_cuttable(
-    h11_stream: H11Stream,
-    budget: ByteBudget,
-    body: HeldBytes,
-    events: list[h11.Event],
-) -> None:
-    """Send an answer; give up if its memory is needed meanwhile."""
-    body.progress_at = budget.clock.now()
-    scope = trio.CancelScope()
-
-    def cut() -> None:  # noqa: WPS430 - ends this call
-        body.uncount()
-        scope.cancel()
-
-    with scope, budget.cuttable(body, cut):
-        await h11_stream.send_all(*events)
-    if scope.cancelled_caught:
-        raise ConnLostError('the answer was not read in time')
-
-
 def _response_head(
     status: int, headers: Headers, *, must_close: bool
 ) -> h11.Response:
