Move the gauges and limits of a daemon to modules of their own

Change: none of behaviour. The gauges are in _gauges.py, the limits that follow from a declaration in _process_limits.py.

--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -4,7 +4,6 @@
 import random
 import signal
 from collections.abc import Callable
-from dataclasses import replace
 
 import trio
 from result import Err, Result
@@ -12,7 +11,7 @@
 from clementinedeal._byte_budget import ByteBudget
 from clementinedeal._errors import SettingsError
 from clementinedeal._events import EventLog
-from clementinedeal._http import READ_BYTES, HttpLimits
+from clementinedeal._http import HttpLimits
 from clementinedeal._http_server import HttpServer
 from clementinedeal._incoming_request import new_request_id
 from clementinedeal._pool import ConnPool
@@ -36,6 +35,7 @@
 from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._explanation import Explainer
 from clementinedeal.mesh._fleet_news import FleetNews, FleetNewsParts
+from clementinedeal.mesh._gauges import GaugeParts, add_gauges
 from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._operator_endpoint import OperatorEndpoint
 from clementinedeal.mesh._owner import MeshOwner, MeshOwnerParts
@@ -327,55 +327,28 @@
                 servers=self._servers,
             ),
         )
-        self._add_gauges()
+        add_gauges(
+            self._metrics,
+            GaugeParts(
+                declarations=self._declarations,
+                evacuations=self._evacuations,
+                owner=self._owner,
+                sender=self._sender,
+                budget=self._budget,
+                caller_server=self._caller_server,
+                platform=self._platform,
+                count_dropped_lines=lambda: self.count_dropped_lines(),
+            ),
+        )
         self._declarations.on_change.append(self._apply_limits)
         self._declarations.on_change.append(self._rate_limiter.set_catalog)
 
-    def _add_gauges(self) -> None:
-        owner = self._owner
-        feed = self._declarations
-        evacuations = self._evacuations
-        self._metrics.gauges.update(
-            config_version=lambda: feed.version,
-            config_age_seconds=lambda: feed.age,
-            repeats=lambda: self._sender.retry_count,
-            target_risk=lambda: owner.health.risk,
-            target_running=lambda: owner.slot_queue.running,
-            target_waiting=lambda: owner.slot_queue.waiting,
-            target_slots=lambda: owner.slot_queue.slots,
-            target_limit=owner.limit.gauge,
-            target_leaving=lambda: owner.limit.is_leaving,
-            target_evacuated=lambda: evacuations.includes(owner.target),
-            evacuated_zones=lambda: len(evacuations.zones),
-            target_cold=lambda: owner.limit.warmup.is_cold,
-            target_warmup_rate=owner.limit.warmup.gauge,
-            bytes_held=lambda: self._budget.held_bytes,
-            bodies_refused=lambda: self._budget.counts.refused,
-            bodies_cut=lambda: self._budget.counts.cut,
-            connections_closed=lambda: self._caller_server.closed_for_room,
-            platform_calls=lambda: self._platform.calls,
-            log_lines_left_out=lambda: self.count_dropped_lines(),
-        )
-
     def _apply_limits(self, catalog: Catalog) -> None:
         declaration = catalog.declaration
         self._owner.limit.warmup.set_services(declaration.services)
         limits = declaration.limits
-        self._caller_server.set_limits(
-            HttpLimits(
-                max_head_bytes=limits.head_bytes,
-                head_timeout=limits.head_timeout,
-                idle_timeout=limits.idle_timeout,
-            ),
-        )
-        # another daemon may apply a declaration with a larger limit
-        peer_limits = HttpLimits()
-        body_bytes = max(
-            peer_limits.max_body_bytes, limits.body_bytes + READ_BYTES
-        )
-        self._peer_server.set_limits(
-            replace(peer_limits, max_body_bytes=body_bytes)
-        )
+        self._caller_server.set_limits(ProcessLimits.for_callers(limits))
+        self._peer_server.set_limits(ProcessLimits.for_peers(limits))
 
     def _on_body_cut(self, size: int, idle_seconds: float) -> None:
         self.events.emit(
--- a/src/clementinedeal/mesh/_process_limits.py
+++ b/src/clementinedeal/mesh/_process_limits.py
@@ -1,6 +1,9 @@
 """How a process divides its memory and descriptors."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from clementinedeal._http import READ_BYTES, HttpLimits
+from clementinedeal.mesh._types import RequestLimits
 
 # Memory of the process without clients.
 BASE_BYTES = 48_000_000
@@ -37,3 +40,29 @@
         return max(
             MIN_CONNECTIONS, int(min(memory / CONNECTION_BYTES, sockets))
         )
+
+    @staticmethod
+    def for_callers(declared: RequestLimits) -> HttpLimits:
+        """Return the limits on what callers may send.
+
+        :param declared: those of the declaration in force.
+        """
+        return HttpLimits(
+            max_head_bytes=declared.head_bytes,
+            head_timeout=declared.head_timeout,
+            idle_timeout=declared.idle_timeout,
+        )
+
+    @staticmethod
+    def for_peers(declared: RequestLimits) -> HttpLimits:
+        """Return the limits on what other daemons may send.
+
+        They may apply a declaration with a larger limit on bodies.
+
+        :param declared: those of the declaration in force.
+        """
+        limits = HttpLimits()
+        body_bytes = max(
+            limits.max_body_bytes, declared.body_bytes + READ_BYTES
+        )
+        return replace(limits, max_body_bytes=body_bytes)
