--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -199,6 +199,8 @@
     await conn.send_whole(RequestHead(method, path, headers), body)
     answer = await conn.read_head()
     await conn.aclose()
+    if answer.status != 200:
+        print(path, answer.status, answer.header(b'x-reason'))
     return answer.status
 
 
