Move the schedule of returns out of the sender

Change: none of behaviour. ReturnSchedule says when a caller returns that was refused for the limits of targets.

Evidence: the tests of target limits and the sender pass (40); the stand-in for the sender's parts has a clock now.

--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -33,6 +33,7 @@
 from clementinedeal.mesh._peer_client import MeshPeerClient
 from clementinedeal.mesh._plan import FinishStep, PauseStep, Plan, SendStep
 from clementinedeal.mesh._retry_tokens import RetryTokenBucket
+from clementinedeal.mesh._return_schedule import ReturnSchedule
 from clementinedeal.mesh._settings import MeshDaemonSettings
 from clementinedeal.mesh._slots import Rank
 from clementinedeal.mesh._target_client import BufferedRequest
@@ -93,7 +94,7 @@
         self._running_attempts: set[PendingAttempt] = set()
         self._keeps_overdue = False
         self._is_closing = False
-        self._returns_until: dict[str, float] = {}
+        self._return_schedule = ReturnSchedule(parts.clock)
         self.daemon_count = 1
 
     @property
@@ -394,23 +395,17 @@
         outcome: MeshOutcome,
         zones: AllowedZones = EVERY_ZONE,
     ) -> MeshOutcome:
-        """Set when a caller refused for the targets' limits should return.
-
-        Returns are spread evenly, at this daemon's share of the limits.
-        """
+        """Set when a caller refused for the targets' limits should return."""
         if outcome.reason is not Reason.TARGET_LIMITED:
             return outcome
         service = admitted.service
         limit = self._parts.balancer.total_limit(service, zones)
         if limit is None:
             return outcome
-        now = self._parts.clock.now()
-        returns_at = now + admitted.route.timeout
-        if limit:
-            former = max(now, self._returns_until.get(service, now))
-            returns_at = min(returns_at, former + self.daemon_count / limit)
-        self._returns_until[service] = returns_at
-        return replace(outcome, retry_after=returns_at - now)
+        retry_after = self._return_schedule.add(
+            service, limit, self.daemon_count, admitted.route.timeout
+        )
+        return replace(outcome, retry_after=retry_after)
 
     def _rank(self, admitted: AdmittedRequest) -> Rank:
         """Return the rank of a request in queues.
--- a/tests/test_mesh_sender.py
+++ b/tests/test_mesh_sender.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from clementinedeal._timers import VirtualClock
 from clementinedeal.mesh._call_ranks import KEYLESS_PRIORITY, CallRanks
 from clementinedeal.mesh._sender import Sender
 
@@ -20,7 +21,9 @@
     call_ranks = CallRanks()
     for rank, ends_at in running:
         call_ranks.add(rank, ends_at)
-    parts = SimpleNamespace(owner=SimpleNamespace(call_ranks=call_ranks))
+    parts = SimpleNamespace(
+        owner=SimpleNamespace(call_ranks=call_ranks), clock=VirtualClock()
+    )
     admitted = SimpleNamespace(
         account=account, route=SimpleNamespace(priority=2), deadline=deadline
     )
