Compare request ids of one type in the test of closing answers

Cause: the targets record ids as text, the test looked for bytes, so that the check that nothing behind a closing answer ran could not fail. Change: look for text, and expect the ids that did run, so that a change of their type fails. Evidence: tests/test_read_ahead.py, 5 passed, of which the one that changed. Ruled out: a change of the fixture; other tests read its ids as text.

--- a/tests/test_read_ahead.py
+++ b/tests/test_read_ahead.py
@@ -129,7 +129,8 @@
     assert taken == [b'p%d' % one for one in range(len(taken))]
     assert len(taken) == 3
     ran = {run[0] for run in fleet.runs()}
-    assert not ran & {b'p%d' % one for one in range(3, 9)}
+    assert {'p0', 'p1', 'p2'} <= ran
+    assert not ran & {f'p{one}' for one in range(3, 9)}
 
 
 async def test_a_caller_that_leaves_is_noticed_behind_unread_bytes(fleet):
