Forget old crashes also where no equal request has come since

Cause: a record was dropped after FORGET_SECONDS only when an equal request was looked up. A daemon without one in between added a new crash to a record of any age, and refused the request for 60 s. Change: a notice begins a new record if the known one is older than that. Evidence: the new test failed before (60 s refused instead of 0) and passes. Ruled out: a task that removes old records; the bound on their number suffices.

--- a/src/clementinedeal/mesh/_crash_records.py
+++ b/src/clementinedeal/mesh/_crash_records.py
@@ -93,9 +93,12 @@
 
         :param notice: the crash.
         """
+        now = self._clock.now()
         record = self._records.pop(notice.fingerprint, CrashRecord())
+        if now - record.crashed_at > FORGET_SECONDS:
+            record = CrashRecord()
         record.processes.add((notice.target, notice.started_ms))
-        record.crashed_at = self._clock.now()
+        record.crashed_at = now
         self._records[notice.fingerprint] = record
         if len(self._records) > MAX_RECORDS:
             self._records.pop(next(iter(self._records)))
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -8,6 +8,7 @@
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._crash_records import (
     CRASHES_TO_REFUSE,
+    FORGET_SECONDS,
     REFUSE_SECONDS,
     CrashNotice,
     CrashRecords,
@@ -119,3 +120,12 @@
     assert fingerprint() == fingerprint(req_id=b'2')
     others = {fingerprint('/c'), fingerprint(body=b''), fingerprint(host=b'i')}
     assert len(others | {fingerprint()}) == 4
+
+
+def test_a_crash_is_forgotten_where_no_equal_request_has_come_since():
+    clock = VirtualClock()
+    records = make_records(clock)
+    records.on_notice(CrashNotice(7, 't1', 1))
+    clock.advance(FORGET_SECONDS + 1)
+    records.on_notice(CrashNotice(7, 't2', 1))
+    assert not records.seconds_refused(7)
