Take no planned end of a target for a crash

Cause: a target that was listed as draining, said that it leaves, or was taken from the list could end as a lookup began. The lookup failed with 502 instead of being retried, and was suspected by all daemons. The process of the crash was also read after the loss: if the next process of that name was listed by then, two equal requests at one crash counted as two crashed processes. Change: the owner remembers the process that it sent the request to, and checks for a crash only if that target is still listed and does not leave. Ruled out: evacuated zones and a stop of the daemon, which end no target.

--- a/src/clementinedeal/mesh/_crashes.py
+++ b/src/clementinedeal/mesh/_crashes.py
@@ -44,7 +44,7 @@
         self,
         attempt: MeshAttempt,
         request: BufferedRequest,
-        target: Target | None,
+        target: Target,
         outcome: MeshOutcome,
         seconds: float,
     ) -> MeshOutcome:
@@ -52,7 +52,7 @@
 
         :param attempt: an attempt that was sent to the target.
         :param request: its request.
-        :param target: the target as listed.
+        :param target: the target as listed when the attempt was sent.
         :param outcome: how it ended.
         :param seconds: time from the send to the end.
         """
@@ -69,7 +69,7 @@
         notice = CrashNotice(
             fingerprint_request(request),
             attempt.target,
-            target.started_ms if target else 0,
+            target.started_ms,
         )
         for handler in self.on_crash:
             handler(notice)
--- a/src/clementinedeal/mesh/_owner.py
+++ b/src/clementinedeal/mesh/_owner.py
@@ -298,6 +298,16 @@
             or self._parts.evacuations.includes(self.target)
         )
 
+    def _is_end_planned(self, target: Target) -> bool:
+        """Whether a target that was sent a request leaves or was taken away."""
+        listed = self.target
+        return (
+            listed is None
+            or listed.name != target.name
+            or listed.draining
+            or self.limit.is_leaving
+        )
+
     def _cancel_refused(self) -> None:
         """Cancel queued attempts if they may no longer be sent."""
         if self._is_leaving():
@@ -349,6 +359,8 @@
             caller_service=attempt.caller,
         )
         execution.reached = True
+        # another process may be listed by the time that this one is lost
+        target = self.target
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.health.observe_progress, attempt)
             outcome = await self._parts.target_client.call(
@@ -358,9 +370,10 @@
         execution.reached = outcome.reached
         elapsed = self._parts.clock.now() - started
         self._parts.metrics.observe('target_seconds', elapsed)
-        outcome = await self.crash_detector.check(
-            attempt, execution.request, self.target, outcome, elapsed
-        )
+        if target is not None and not self._is_end_planned(target):
+            outcome = await self.crash_detector.check(
+                attempt, execution.request, target, outcome, elapsed
+            )
         if not outcome.reached or outcome.reason is Reason.TARGET_CRASHED:
             self._down_until = self._parts.clock.now() + DOWN_RETRY_SECONDS
             self.limit.warmup.on_down()
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -1,7 +1,16 @@
 """Requests that end the process of their target."""
 
+from dataclasses import replace
+
 import pytest
 import trio
+from tests.owner_standins import (
+    REQUEST,
+    TARGET,
+    SpeakingTarget,
+    make_attempt,
+    make_owner,
+)
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
@@ -129,3 +138,46 @@
     clock.advance(FORGET_SECONDS + 1)
     records.on_notice(CrashNotice(7, 't2', 1))
     assert not records.seconds_refused(7)
+
+
+class CrashingTarget(SpeakingTarget):
+    """A target that is gone before it answers; ``owner`` is told meanwhile."""
+
+    listed = TARGET
+
+    async def call(self, request, context):
+        self.owner.set_target(self.listed)
+        return MeshOutcome(
+            verdict=Verdict.MAY_HAVE_RUN,
+            reason=Reason.ANSWER_INCOMPLETE,
+            reached=True,
+        )
+
+    async def is_down(self):
+        return True
+
+
+@pytest.mark.parametrize(
+    ('listed', 'notices'),
+    [
+        (TARGET, [('t1', 0)]),
+        # the next process was listed before the loss was seen
+        (replace(TARGET, started_ms=9), [('t1', 0)]),
+        (replace(TARGET, draining=True), []),
+        (None, []),
+        (replace(TARGET, name='t2'), []),
+    ],
+)
+async def test_only_the_end_of_a_target_in_service_is_a_crash(
+    listed, notices, nursery
+):
+    target = CrashingTarget()
+    target.listed = listed
+    target.owner = make_owner(target, nursery)
+    seen = []
+    target.owner.crash_detector.on_crash.append(seen.append)
+    execution = target.owner.submit(make_attempt(1), REQUEST)
+    await execution.done.wait()
+    assert [(one.target, one.started_ms) for one in seen] == notices
+    is_crash = execution.outcome.reason is Reason.TARGET_CRASHED
+    assert is_crash is bool(notices)
