Keep connections with early requests when making room

Cause: at the bound on connections, those whose request was not read to its end are closed. Between two turns a connection counted as such while requests behind ran already; these would have been cut without an answer. Change: a connection whose requests run early counts as received until the last of them is answered. Evidence: the new test failed before (not received after the first answer) and passes; so do the others of test_read_ahead.py and test_http_server.py. Ruled out: a check in _make_room, which would need to know of early requests.

--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -87,8 +87,14 @@
 
     @property
     def is_received(self) -> bool:
-        """Whether a request was read to its end and is not answered yet."""
-        return self._h11_stream.h11.their_state in _RECEIVED_STATES
+        """Whether a request was read to its end and is not answered yet.
+
+        One that runs early counts before its turn, too.
+        """
+        has_early = self.read_ahead.count or self.early_request is not None
+        return bool(
+            has_early or self._h11_stream.h11.their_state in _RECEIVED_STATES
+        )
 
     def set_limits(self, limits: HttpLimits) -> None:
         """Replace the limits.
@@ -298,6 +304,7 @@
             and self._h11_stream.h11.their_state is h11.DONE
         )
         if is_complete:
+            self.early_request = None
             self._h11_stream.h11.start_next_cycle()
         return is_complete
 
--- a/tests/test_read_ahead.py
+++ b/tests/test_read_ahead.py
@@ -1,10 +1,13 @@
 """Requests that a client sends before it has been answered."""
 
 import trio
+import trio.testing
 from hypothesis import given
 from hypothesis import strategies as st
 
+from clementinedeal._http import HttpLimits
 from clementinedeal._read_ahead import MAX_EARLY_REQUESTS, ReadAhead
+from clementinedeal._server_conn import ServerConn
 
 HEAD_BYTES = 4096
 KINDS = {
@@ -146,3 +149,23 @@
     await stream.aclose()
     await trio.sleep(1)
     assert sum(target.disconnects for target in fleet.targets) >= 1
+
+
+async def test_a_connection_with_early_requests_counts_as_received():
+    """So that it is not closed to make room, between two turns either."""
+    near, far = trio.testing.memory_stream_pair()
+    await near.send_all(KINDS['look'] % 1 + KINDS['look'] % 2)
+    conn = ServerConn(far, HttpLimits())
+    await conn.next_request()
+    await conn.read_whole()
+    with trio.move_on_after(0.1):
+        await conn.wait_disconnected(Runner())
+    await conn.respond(200, ())
+    assert conn.prepare_next()
+    assert conn.is_received
+    await conn.next_request()
+    assert conn.is_received
+    await conn.discard_body()
+    await conn.respond(200, ())
+    assert conn.prepare_next()
+    assert not conn.is_received
