Report an early request once when its caller leaves

Cause: in its turn an early request was reported by the wait for it and by its own task, so that metric and log counted its caller twice; the task also said that the caller had left where the daemon had cancelled the request. Change: its own task alone reports it, with the cause that the wait has seen. Evidence: the new test failed before (two reports of one request) and passes; 37 tests of test_read_ahead.py, test_cancels.py and test_mesh_path.py pass. Ruled out: reporting in the wait alone; those before their turn have none.

--- a/src/clementinedeal/mesh/_entry.py
+++ b/src/clementinedeal/mesh/_entry.py
@@ -50,7 +50,8 @@
 
     ``received_at`` is when its head arrived, in monotonic seconds. ``outcome``
     is None until it has ended, and if a part of the daemon failed on it.
-    ``cancel_scope`` and ``done`` belong to a request that runs early.
+    ``cancel_scope`` and ``done`` belong to a request that runs early;
+    ``caller_left`` is False if the daemon cancels it in its turn.
     """
 
     req_id: str
@@ -58,6 +59,7 @@
     outcome: MeshOutcome | None = None
     cancel_scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     done: trio.Event = field(default_factory=trio.Event)
+    caller_left: bool = True
 
     def cancel(self) -> None:
         """End it, if it runs early: nobody waits for its answer any more."""
@@ -130,7 +132,7 @@
             log.exception('event=request-failed req=%s', running.req_id)
         running.done.set()
         if running.cancel_scope.cancelled_caught:
-            self._report_cancelled(running.req_id, caller_left=True)
+            self._report_cancelled(running)
 
     async def _run(
         self, running: 'RunningRequest', head: RequestHead, body: Body
@@ -159,14 +161,13 @@
         :param finish: returns when the request has ended.
         :raises ConnLostError: the caller closed its connection.
         """
-        caller_left = False
 
         async def watch_caller(scope: trio.CancelScope) -> None:
-            nonlocal caller_left
             await conn.wait_disconnected(self)
-            caller_left = True
+            running.caller_left = True
             scope.cancel()
 
+        running.caller_left = False
         has_ended = False
         try:
             async with trio.open_nursery() as nursery:
@@ -177,7 +178,8 @@
         finally:
             if not has_ended:
                 running.cancel()
-                self._report_cancelled(running.req_id, caller_left=caller_left)
+                if running is not conn.early_request:
+                    self._report_cancelled(running)
         if not has_ended:
             raise ConnLostError('the caller closed its connection')
 
@@ -196,18 +198,13 @@
     def _read_id(self, head: RequestHead) -> str:
         return self._parts.admission.read_request_id(head)
 
-    def _report_cancelled(self, req_id: str, *, caller_left: bool) -> None:
-        """Log a cancelled request.
-
-        :param req_id: id of the request.
-        :param caller_left: whether its caller disconnected; if not, the
-            daemon cancelled it.
-        """
-        if caller_left:
+    def _report_cancelled(self, running: 'RunningRequest') -> None:
+        """Log a request that its caller or the daemon has cancelled."""
+        if running.caller_left:
             self._parts.metrics.count('left')
         self._parts.events.emit(
-            'caller-left' if caller_left else 'request-cut',
-            req=req_id,
+            'caller-left' if running.caller_left else 'request-cut',
+            req=running.req_id,
         )
 
     def _report_finished(
--- a/tests/test_read_ahead.py
+++ b/tests/test_read_ahead.py
@@ -1,5 +1,6 @@
 """Requests that a client sends before it has been answered."""
 
+import pytest
 import trio
 import trio.testing
 from hypothesis import given
@@ -169,3 +170,24 @@
     await conn.respond(200, ())
     assert conn.prepare_next()
     assert not conn.is_received
+
+
+@pytest.mark.parametrize('has_turn', [True, False])
+async def test_an_early_request_is_reported_once_if_its_caller_leaves(
+    has_turn, fleet
+):
+    for target in fleet.targets:
+        target.work_seconds = 0.3 if has_turn else 3
+    stream = await open_connection(fleet)
+    await stream.send_all(request(b'/look/0', 0))
+    await trio.sleep(0.1)
+    for target in fleet.targets:
+        target.work_seconds = 3
+    await stream.send_all(request(b'/look/1', 1))
+    await trio.sleep(0.5)
+    await stream.aclose()
+    await trio.sleep(0.3)
+    lines = fleet.daemons[0].events.json_lines()
+    left = [one for one in lines.splitlines() if b'caller-left' in one]
+    assert [b'"p1"' in one for one in left].count(True) == 1
+    assert len(left) == 2 - has_turn
