Clear a request at every daemon once a target has answered it

Cause: only the daemon that got the answer cleared the request. Another daemon kept the crash for 600 s and refused equal requests after the next, although targets had answered them in between: a popular lookup that was under way at two unrelated crashes was refused for 60 s. Change: a daemon that clears a request with a record tells the others; a second kind of datagram. The first answer after a crash waits for these to be sent. Evidence: the new test fails if the clear is not sent, and passes; it also shows that nothing is sent for a request without a record. Ruled out: remembering answered requests everywhere, which costs memory and a message for each request.

The test of a local clear is replaced by it: it checked one daemon, this checks both, and that the request is refused again after two further crashes.

--- a/src/clementinedeal/mesh/_crash_records.py
+++ b/src/clementinedeal/mesh/_crash_records.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
+from typing import TypeAlias
 
 import msgspec
 import xxhash
@@ -40,6 +41,15 @@
     started_ms: int
 
 
+class CrashCleared(msgspec.Struct, frozen=True, array_like=True, tag='cleared'):
+    """A target has answered a request that was suspected of a crash."""
+
+    fingerprint: int
+
+
+CrashMessage: TypeAlias = CrashNotice | CrashCleared
+
+
 @dataclass(slots=True)
 class CrashRecord:
     """The crashes that one request is suspected of.
@@ -85,8 +95,17 @@
         :param notice: the crash.
         """
         self.on_notice(notice)
-        for host in self._hosts():
-            await self._datagrams.send(host, notice)
+        await self._send(notice)
+
+    def on_message(self, message: CrashMessage) -> None:
+        """Apply what another daemon tells.
+
+        :param message: a crash, or a request that is not suspect any more.
+        """
+        if isinstance(message, CrashNotice):
+            self.on_notice(message)
+        else:
+            self._records.pop(message.fingerprint, None)
 
     def on_notice(self, notice: CrashNotice) -> None:
         """Record a crash.
@@ -110,12 +129,13 @@
                 target=notice.target,
             )
 
-    def on_answered(self, fingerprint: int) -> None:
-        """Clear a request that a target has answered.
+    async def on_answered(self, fingerprint: int) -> None:
+        """Clear a request that a target has answered, at every daemon.
 
         :param fingerprint: identifies the request.
         """
-        self._records.pop(fingerprint, None)
+        if self._records.pop(fingerprint, None) is not None:
+            await self._send(CrashCleared(fingerprint))
 
     def seconds_refused(self, fingerprint: int) -> float:
         """Return for how long a request must not be sent, 0 if it may be.
@@ -133,6 +153,10 @@
             return 0
         return max(0, REFUSE_SECONDS - age)
 
+    async def _send(self, message: CrashMessage) -> None:
+        for host in self._hosts():
+            await self._datagrams.send(host, message)
+
 
 def fingerprint_request(request: BufferedRequest) -> int:
     """Return a number that is the same for equal requests of all callers.
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -29,7 +29,11 @@
 )
 from clementinedeal.mesh._condition_probe import ConditionProbe
 from clementinedeal.mesh._contracts import Dialect, OpenPlatform
-from clementinedeal.mesh._crash_records import CrashNotice, CrashRecords
+from clementinedeal.mesh._crash_records import (
+    CrashCleared,
+    CrashNotice,
+    CrashRecords,
+)
 from clementinedeal.mesh._datagrams import Body, DatagramChannel
 from clementinedeal.mesh._declarations import DeclarationFeed
 from clementinedeal.mesh._entry import MeshEntry, MeshEntryParts
@@ -395,8 +399,8 @@
             await self._rate_limiter.on_message(host, body)
         elif isinstance(body, ConditionRequest | ConditionReply):
             await self._condition_probe.on_message(host, body)
-        elif isinstance(body, CrashNotice):
-            self._crash_records.on_notice(body)
+        elif isinstance(body, CrashNotice | CrashCleared):
+            self._crash_records.on_message(body)
         else:
             await self._news.on_message(host, body)
 
--- a/src/clementinedeal/mesh/_datagrams.py
+++ b/src/clementinedeal/mesh/_datagrams.py
@@ -12,7 +12,7 @@
     ConditionReply,
     ConditionRequest,
 )
-from clementinedeal.mesh._crash_records import CrashNotice
+from clementinedeal.mesh._crash_records import CrashMessage
 from clementinedeal.mesh._news_messages import NewsHint, NewsReply, NewsRequest
 from clementinedeal.mesh._token_messages import TokenMessage
 
@@ -22,7 +22,7 @@
 
 News: TypeAlias = NewsRequest | NewsReply | NewsHint
 Condition: TypeAlias = ConditionRequest | ConditionReply
-Body: TypeAlias = TokenMessage | News | Condition | CrashNotice
+Body: TypeAlias = TokenMessage | News | Condition | CrashMessage
 MessageHandler: TypeAlias = Callable[[str, Body], Awaitable[None]]
 
 
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -142,7 +142,7 @@
             )
         outcome = await self._run_plan(admitted)
         if outcome.succeeded:
-            parts.crash_records.on_answered(fingerprint)
+            await parts.crash_records.on_answered(fingerprint)
         return outcome
 
     async def _run_plan(self, admitted: AdmittedRequest) -> MeshOutcome:
--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -113,12 +113,34 @@
     assert records.seconds_refused(7)
 
 
-def test_a_request_that_a_target_answers_is_not_suspect():
-    records = make_records(VirtualClock())
-    records.on_notice(CrashNotice(7, 't1', 1))
-    records.on_answered(7)
-    records.on_notice(CrashNotice(7, 't2', 1))
+class Network:
+    """Passes what one daemon sends on to the records of the other."""
+
+    def __init__(self, records):
+        self.records = records
+        self.sent = 0
+
+    async def send(self, host, message):
+        self.sent += 1
+        self.records.on_message(message)
+
+
+async def test_a_request_that_any_daemon_has_answered_is_not_suspect():
+    clock = VirtualClock()
+    other = make_records(clock)
+    network = Network(other)
+    records = CrashRecords(
+        clock, EventLog('a', '1'), network, lambda: {'other'}
+    )
+    await records.report(CrashNotice(7, 't1', 1))
+    await records.on_answered(7)
+    await records.on_answered(7)
+    assert network.sent == 2
+    await records.report(CrashNotice(7, 't2', 1))
     assert not records.seconds_refused(7)
+    assert not other.seconds_refused(7)
+    await records.report(CrashNotice(7, 't3', 1))
+    assert other.seconds_refused(7)
 
 
 def test_equal_requests_have_one_fingerprint():
