Keep requests that offer another protocol when making room

Cause: after a request with an upgrade header h11 is in a state of its own, so that the connection counted as not received: at the bound on connections it could be closed while its request ran. Change: name the states in which a request is not read, instead of the others. Evidence: the new test failed before and passes; 38 tests of test_read_ahead.py, test_byte_budget.py and test_http_server.py pass. Ruled out: naming the missing state, which h11 does not export for type checks.

--- a/src/clementinedeal/_server_conn.py
+++ b/src/clementinedeal/_server_conn.py
@@ -41,7 +41,7 @@
 # Data that is read while a request is answered, to notice its caller's end.
 READ_AHEAD_BYTES = 16384
 _PROCESSING = 102
-_RECEIVED_STATES = frozenset((h11.DONE, h11.MUST_CLOSE, h11.CLOSED))
+_UNREAD_STATES = frozenset((h11.IDLE, h11.SEND_BODY, h11.ERROR))
 
 
 class ServerConn:
@@ -93,7 +93,7 @@
         """
         has_early = self.read_ahead.count or self.early_request is not None
         return bool(
-            has_early or self._h11_stream.h11.their_state in _RECEIVED_STATES
+            has_early or self._h11_stream.h11.their_state not in _UNREAD_STATES
         )
 
     def set_limits(self, limits: HttpLimits) -> None:
--- a/tests/test_read_ahead.py
+++ b/tests/test_read_ahead.py
@@ -172,6 +172,17 @@
     assert not conn.is_received
 
 
+async def test_a_request_that_offers_another_protocol_counts_as_received():
+    near, far = trio.testing.memory_stream_pair()
+    offer = b'connection: upgrade\r\nupgrade: h2c\r\n'
+    await near.send_all(request(b'/book/1', 1, offer))
+    conn = ServerConn(far, HttpLimits())
+    await conn.next_request()
+    assert not conn.is_received
+    await conn.read_whole()
+    assert conn.is_received
+
+
 @pytest.mark.parametrize('has_turn', [True, False])
 async def test_an_early_request_is_reported_once_if_its_caller_leaves(
     has_turn, fleet
