--- a/tests/test_mesh_crashes.py
+++ b/tests/test_mesh_crashes.py
@@ -1,13 +1,23 @@
 """Requests that end the process of their target."""
 
+from dataclasses import replace
+
 import pytest
 import trio
+from tests.owner_standins import (
+    REQUEST,
+    TARGET,
+    SpeakingTarget,
+    make_attempt,
+    make_owner,
+)
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._crash_records import (
     CRASHES_TO_REFUSE,
+    FORGET_SECONDS,
     REFUSE_SECONDS,
     CrashNotice,
     CrashRecords,
@@ -103,12 +113,34 @@
     assert records.seconds_refused(7)
 
 
-def test_a_request_that_a_target_answers_is_not_suspect():
-    records = make_records(VirtualClock())
-    records.on_notice(CrashNotice(7, 't1', 1))
-    records.on_answered(7)
-    records.on_notice(CrashNotice(7, 't2', 1))
+class Network:
+    """Passes what one daemon sends on to the records of the other."""
+
+    def __init__(self, records):
+        self.records = records
+        self.sent = 0
+
+    async def send(self, host, message):
+        self.sent += 1
+        self.records.on_message(message)
+
+
+async def test_a_request_that_any_daemon_has_answered_is_not_suspect():
+    clock = VirtualClock()
+    other = make_records(clock)
+    network = Network(other)
+    records = CrashRecords(
+        clock, EventLog('a', '1'), network, lambda: {'other'}
+    )
+    await records.report(CrashNotice(7, 't1', 1))
+    await records.on_answered(7)
+    await records.on_answered(7)
+    assert network.sent == 2
+    await records.report(CrashNotice(7, 't2', 1))
     assert not records.seconds_refused(7)
+    assert not other.seconds_refused(7)
+    await records.report(CrashNotice(7, 't3', 1))
+    assert other.seconds_refused(7)
 
 
 def test_equal_requests_have_one_fingerprint():
@@ -119,3 +151,55 @@
     assert fingerprint() == fingerprint(req_id=b'2')
     others = {fingerprint('/c'), fingerprint(body=b''), fingerprint(host=b'i')}
     assert len(others | {fingerprint()}) == 4
+
+
+def test_a_crash_is_forgotten_where_no_equal_request_has_come_since():
+    clock = VirtualClock()
+    records = make_records(clock)
+    records.on_notice(CrashNotice(7, 't1', 1))
+    clock.advance(FORGET_SECONDS + 1)
+    records.on_notice(CrashNotice(7, 't2', 1))
+    assert not records.seconds_refused(7)
+
+
+class CrashingTarget(SpeakingTarget):
+    """A target that is gone before it answers; ``owner`` is told meanwhile."""
+
+    listed = TARGET
+
+    async def call(self, request, context):
+        self.owner.set_target(self.listed)
+        return MeshOutcome(
+            verdict=Verdict.MAY_HAVE_RUN,
+            reason=Reason.ANSWER_INCOMPLETE,
+            reached=True,
+        )
+
+    async def is_down(self):
+        return True
+
+
+@pytest.mark.parametrize(
+    ('listed', 'notices'),
+    [
+        (TARGET, [('t1', 0)]),
+        # the next process was listed before the loss was seen
+        (replace(TARGET, started_ms=9), [('t1', 0)]),
+        (replace(TARGET, draining=True), []),
+        (None, []),
+        (replace(TARGET, name='t2'), []),
+    ],
+)
+async def test_only_the_end_of_a_target_in_service_is_a_crash(
+    listed, notices, nursery
+):
+    target = CrashingTarget()
+    target.listed = listed
+    target.owner = make_owner(target, nursery)
+    seen = []
+    target.owner.crash_detector.on_crash.append(seen.append)
+    execution = target.owner.submit(make_attempt(1), REQUEST)
+    await execution.done.wait()
+    assert [(one.target, one.started_ms) for one in seen] == notices
+    is_crash = execution.outcome.reason is Reason.TARGET_CRASHED
+    assert is_crash is bool(notices)
--- a/tests/test_read_ahead.py
+++ b/tests/test_read_ahead.py
@@ -1,10 +1,14 @@
 """Requests that a client sends before it has been answered."""
 
+import pytest
 import trio
+import trio.testing
 from hypothesis import given
 from hypothesis import strategies as st
 
+from clementinedeal._http import HttpLimits
 from clementinedeal._read_ahead import MAX_EARLY_REQUESTS, ReadAhead
+from clementinedeal._server_conn import ServerConn
 
 HEAD_BYTES = 4096
 KINDS = {
@@ -129,7 +133,8 @@
     assert taken == [b'p%d' % one for one in range(len(taken))]
     assert len(taken) == 3
     ran = {run[0] for run in fleet.runs()}
-    assert not ran & {b'p%d' % one for one in range(3, 9)}
+    assert {'p0', 'p1', 'p2'} <= ran
+    assert not ran & {f'p{one}' for one in range(3, 9)}
 
 
 async def test_a_caller_that_leaves_is_noticed_behind_unread_bytes(fleet):
@@ -145,3 +150,55 @@
     await stream.aclose()
     await trio.sleep(1)
     assert sum(target.disconnects for target in fleet.targets) >= 1
+
+
+async def test_a_connection_with_early_requests_counts_as_received():
+    """So that it is not closed to make room, between two turns either."""
+    near, far = trio.testing.memory_stream_pair()
+    await near.send_all(KINDS['look'] % 1 + KINDS['look'] % 2)
+    conn = ServerConn(far, HttpLimits())
+    await conn.next_request()
+    await conn.read_whole()
+    with trio.move_on_after(0.1):
+        await conn.wait_disconnected(Runner())
+    await conn.respond(200, ())
+    assert conn.prepare_next()
+    assert conn.is_received
+    await conn.next_request()
+    assert conn.is_received
+    await conn.discard_body()
+    await conn.respond(200, ())
+    assert conn.prepare_next()
+    assert not conn.is_received
+
+
+async def test_a_request_that_offers_another_protocol_counts_as_received():
+    near, far = trio.testing.memory_stream_pair()
+    offer = b'connection: upgrade\r\nupgrade: h2c\r\n'
+    await near.send_all(request(b'/book/1', 1, offer))
+    conn = ServerConn(far, HttpLimits())
+    await conn.next_request()
+    assert not conn.is_received
+    await conn.read_whole()
+    assert conn.is_received
+
+
+@pytest.mark.parametrize('has_turn', [True, False])
+async def test_an_early_request_is_reported_once_if_its_caller_leaves(
+    has_turn, fleet
+):
+    for target in fleet.targets:
+        target.work_seconds = 0.3 if has_turn else 3
+    stream = await open_connection(fleet)
+    await stream.send_all(request(b'/look/0', 0))
+    await trio.sleep(0.1)
+    for target in fleet.targets:
+        target.work_seconds = 3
+    await stream.send_all(request(b'/look/1', 1))
+    await trio.sleep(0.5)
+    await stream.aclose()
+    await trio.sleep(0.3)
+    lines = fleet.daemons[0].events.json_lines()
+    left = [one for one in lines.splitlines() if b'caller-left' in one]
+    assert [b'"p1"' in one for one in left].count(True) == 1
+    assert len(left) == 2 - has_turn
