--- a/src/clementinedeal/mesh/_balancer.py
+++ b/src/clementinedeal/mesh/_balancer.py
@@ -110,19 +110,19 @@
             del self._observations[name]
 
     def available_targets(
-        self, service: str, zones: AllowedZones = EVERY_ZONE
+        self, service: str, allowed: AllowedZones = EVERY_ZONE
     ) -> list[Target]:
         """Return the targets of a service that a request may go to.
 
         Those that leave accept none.
 
         :param service: name of the service.
-        :param zones: the zones in which the request may run.
+        :param allowed: the zones in which the request may run.
         """
         return [
             one
             for one in self._by_service.get(service, ())
-            if zones.allow(one)
+            if allowed.allow(one)
             and not (one.draining or self._observation(one).is_leaving())
         ]
 
@@ -134,23 +134,23 @@
         return self._observation(target).limit
 
     def total_limit(
-        self, service: str, zones: AllowedZones = EVERY_ZONE
+        self, service: str, allowed: AllowedZones = EVERY_ZONE
     ) -> float | None:
         """Return the sum of the targets' request limits, per second.
 
         :param service: name of the service.
-        :param zones: the zones in which the request may run.
+        :param allowed: the zones in which the request may run.
         :return: None if it has no targets or one that names no limit.
         """
         limits = [
             self._observation(one).limit
-            for one in self.available_targets(service, zones)
+            for one in self.available_targets(service, allowed)
         ]
         named = [limit for limit in limits if limit is not None]
         return sum(named) if named and len(named) == len(limits) else None
 
     def choose_candidates(
-        self, service: str, zones: AllowedZones = EVERY_ZONE
+        self, service: str, allowed: AllowedZones = EVERY_ZONE
     ) -> list[Target]:
         """Return the targets that one request chooses among.
 
@@ -158,9 +158,9 @@
         others, of each first the targets that were observed lately.
 
         :param service: name of the service.
-        :param zones: the zones in which the request may run.
+        :param allowed: the zones in which the request may run.
         """
-        available = self.available_targets(service, zones)
+        available = self.available_targets(service, allowed)
         if len(available) <= MAX_CANDIDATES:
             return available
         self._rng.shuffle(available)
@@ -264,19 +264,19 @@
         self,
         service: str,
         excluded: Collection[str],
-        zones: AllowedZones = EVERY_ZONE,
+        allowed: AllowedZones = EVERY_ZONE,
     ) -> bool:
         """Whether some target is expected to have a free slot.
 
         :param service: name of the service.
         :param excluded: names of targets to leave out.
-        :param zones: the zones in which the request may run.
+        :param allowed: the zones in which the request may run.
         """
         now = self._clock.now()
         return any(
             self._observation(one).estimate_load(now) < NEARLY_FULL_LOAD
             and not self._observation(one).is_avoided(now)
-            for one in self.available_targets(service, zones)
+            for one in self.available_targets(service, allowed)
             if one.name not in excluded
         )
 
--- a/src/clementinedeal/mesh/_sender.py
+++ b/src/clementinedeal/mesh/_sender.py
@@ -393,13 +393,13 @@
         self,
         admitted: AdmittedRequest,
         outcome: MeshOutcome,
-        zones: AllowedZones = EVERY_ZONE,
+        allowed: AllowedZones = EVERY_ZONE,
     ) -> MeshOutcome:
         """Set when a caller refused for the targets' limits should return."""
         if outcome.reason is not Reason.TARGET_LIMITED:
             return outcome
         service = admitted.service
-        limit = self._parts.balancer.total_limit(service, zones)
+        limit = self._parts.balancer.total_limit(service, allowed)
         if limit is None:
             return outcome
         retry_after = self._return_schedule.add(
