Refuse part of an answer whose connection is reset during the upload

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written. The caller got that part as a whole answer.

Cause: the system reports a reset to one call only. A large body is written while its answer is read, so the write may get the error. The read then meets a regular end of the stream, which is the end of an answer without a length. The failed write was ignored, as the reader was to report the loss.

Change: the stream of a client records a failed write. If an answer without a length ends with its connection before the upload is complete, the client waits briefly for the write to fail, and refuses the answer as incomplete if it does (502, may have run). An answer that has a length or is chunked proves its end and is still delivered.

Other readers: the peers, the store, the platform, the operator endpoints, the probe and the earlier core write a request before they read its answer, so that a failed write ends the exchange. The earlier core also takes no answer without a length. Nothing is changed there.

Why it works: after a reset either the read or the write fails. Both end in a refusal now, in whichever order the two tasks run.

--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -16,13 +16,13 @@
     READ_BYTES,
     Body,
     ConnLostError,
-    H11Stream,
     RequestHead,
     ResponseHead,
     SizeCounter,
     TooLongError,
     body_event,
 )
+from clementinedeal._response_stream import ResponseStream
 from clementinedeal._timers import MonotonicClock
 
 # A target that answers a request twice sends the extra answer soon after, so
@@ -62,7 +62,20 @@
         )
         self._is_closed = False
         self._method = b'GET'
-        self._h11_stream = H11Stream(stream, h11.CLIENT, READ_BYTES)
+        self._h11_stream = ResponseStream(stream)
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the end of the connection was received.
+
+        An answer without a length ends with its connection.
+        """
+        return self._h11_stream.has_ended
+
+    @property
+    def was_reset(self) -> bool:
+        """Whether the end that was received may have been a reset."""
+        return self._h11_stream.was_reset
 
     async def send_head(self, head: RequestHead, body: bytes = b'') -> None:
         """Send the request head and, if given, the whole body.
--- /dev/null
+++ b/src/clementinedeal/_response_stream.py
@@ -0,0 +1,43 @@
+"""The stream of a client: checks of responses that h11 does not make."""
+
+import h11
+import trio
+
+from clementinedeal._http import (
+    READ_BYTES,
+    H11Stream,
+    WriteLostError,
+)
+
+
+class ResponseStream(H11Stream):
+    """Sends requests on a connection and reads their responses."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        """Wrap a stream on which nothing was sent or received yet.
+
+        :param stream: the connection.
+        """
+        super().__init__(stream, h11.CLIENT, READ_BYTES)
+        self._has_write_failed = False
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the end of the stream was received."""
+        return self.h11.trailing_data[1]
+
+    @property
+    def was_reset(self) -> bool:
+        """Whether the end of the stream may have been a reset.
+
+        The system reports a reset to one call only. If that is a write, reads
+        then meet a regular end.
+        """
+        return self._has_write_failed and self.has_ended
+
+    async def _write(self, blob: bytes) -> None:
+        try:
+            await super()._write(blob)
+        except WriteLostError:
+            self._has_write_failed = True
+            raise
--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -1,8 +1,9 @@
 """HTTP client for the target beside this daemon."""
 
 import collections
+import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import trio
 
@@ -57,6 +58,10 @@
 # for less than 200 ms.
 MAX_RESET_SECONDS = 0.05
 MIN_RESET_IDLE_SECONDS = 0.15
+# An answer without a length that ends during an upload is complete only if the
+# target then does not reset the connection. It is on the same host, so that a
+# reset follows at once the bytes that it does not read.
+RESET_WAIT_SECONDS = 0.05
 
 _SUCCESS = range(200, 300)
 _FAILURE_STATUS = 500
@@ -211,21 +216,23 @@
         if len(request.body) <= MAX_BUFFERED_BODY_BYTES:
             await conn.send_whole(head, request.body)
             return await self._read_answer(conn, context, sent_at)
-        body_sent = trio.Event()
+        upload = _Upload()
         answer: tuple[MeshOutcome, float | None] | ProtocolError
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _send_request, conn, head, request.body, body_sent
-            )
+            nursery.start_soon(_send_request, conn, head, request.body, upload)
             try:
                 answer = await self._read_answer(conn, context, sent_at)
+                if conn.has_ended:
+                    await upload.wait_for_reset()
             except (ConnLostError, HttpError) as exc:
                 answer = exc
             nursery.cancel_scope.cancel()
         if isinstance(answer, ProtocolError):
             raise answer
+        if conn.was_reset:
+            raise HttpError('answer without a length ended by a reset')
         # after an early answer the target may still read the rest of the body
-        return answer if body_sent.is_set() else (answer[0], None)
+        return answer if upload.is_sent else (answer[0], None)
 
     async def _read_answer(
         self,
@@ -309,17 +316,33 @@
         return MeshOutcome(verdict=Verdict.NOT_RUN, reason=reason, reached=True)
 
 
+@dataclass(eq=False, slots=True)
+class _Upload:
+    """A request that is sent while its answer is read.
+
+    ``ended`` is set once all ``is_sent`` or the connection is lost.
+    """
+
+    ended: trio.Event = field(default_factory=trio.Event)
+    is_sent: bool = False
+
+    async def wait_for_reset(self) -> None:
+        """Wait until it has ended, or until no reset is to be expected."""
+        with trio.move_on_after(RESET_WAIT_SECONDS):
+            await self.ended.wait()
+
+
 async def _send_request(
     conn: ClientConn,
     head: RequestHead,
     body: Body,
-    body_sent: trio.Event,
+    upload: _Upload,
 ) -> None:
-    try:
+    # the task that reads the answer reports a loss
+    with contextlib.suppress(ConnLostError):
         await conn.send_whole(head, body)
-    except ConnLostError:
-        return  # the task that reads the answer reports the loss
-    body_sent.set()
+        upload.is_sent = True
+    upload.ended.set()
 
 
 def _allowed_idle_seconds(answer_headers: AnswerHeaders) -> float | None:
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -235,7 +235,8 @@
     while it hung, ``work_seconds`` is how long a request takes and
     ``answer_headers`` are added to its answers, which return the first
     ``echoed_bytes`` of the body, all if it is None. ``runs`` is for
-    targets that record the times of their runs.
+    targets that record the times of their runs. ``serve_instead``, if set, is
+    called in place of ``serve`` with the connection and the request's head.
     """
 
     def __init__(self, name, address):
@@ -249,6 +250,7 @@
         self.answer_headers = ()
         self.crash_scope = trio.CancelScope()
         self.echoed_bytes = None
+        self.serve_instead = None
 
     async def start(self, nursery):
         await nursery.start(self._run)
@@ -264,6 +266,9 @@
             await server.run(task_status)
 
     async def serve(self, conn, head):
+        if self.serve_instead is not None:
+            await self.serve_instead(conn, head)
+            return
         body = b''.join([piece async for piece in conn.read_body()])
         headers = dict(head.headers)
         attempt_id = headers[b'attempt-id']
--- a/tests/test_mesh_idle_limit.py
+++ b/tests/test_mesh_idle_limit.py
@@ -1,10 +1,8 @@
 """Targets that drop idle connections without closing them."""
 
-import socket
-import struct
-
 import pytest
 import trio
+from tests.broken_answer_standin import reset
 from tests.ports import free_address
 
 from clementinedeal._events import EventLog
@@ -52,12 +50,6 @@
             await stream.send_all(self.answer)
 
 
-def reset(stream):
-    linger = struct.pack('ii', 1, 0)
-    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    stream.socket.close()
-
-
 @pytest.fixture
 async def target(nursery):
     forgetful_target = ForgetfulTarget(TARGET_IDLE_LIMIT_SECONDS)
