Refuse answers with a status above 599

What callers saw: an operator of another system reports an answer with the status 000 that reached a client. Here a caller got no such answer, but it got one with the status 600 or 999 as the target's own.

Cause: h11 refuses a status below 100, so that 000 was no answer before. It takes every greater one of three digits. RFC 9110, section 15, defines 100 to 599 only.

Change: the stream of a client refuses a greater status as malformed. All answers are read through it: those of targets, owners, the store, the platform, probes, operator endpoints and targets of the earlier core.

Evidence: tests/test_broken_answers.py and test_target_call.py on the sources before: 7 failed (600 and 999; target, owner, the earlier core and a caller of a fleet), 35 passed, among them each test with 000, 001 and 099. After: 42 passed.

Why it works: the check is made where each head is parsed, before anybody reads its status.

--- a/src/clementinedeal/_response_stream.py
+++ b/src/clementinedeal/_response_stream.py
@@ -6,9 +6,14 @@
 from clementinedeal._http import (
     READ_BYTES,
     H11Stream,
+    HttpError,
     WriteLostError,
 )
 
+# Greater ones are invalid, see RFC 9110, section 15. h11 refuses those below
+# 100 and takes all of three digits from there on.
+MAX_STATUS = 599
+
 
 class ResponseStream(H11Stream):
     """Sends requests on a connection and reads their responses."""
@@ -35,6 +40,12 @@
         """
         return self._has_write_failed and self.has_ended
 
+    def _parse(self) -> h11.Event | type[object]:
+        event = super()._parse()
+        if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+            raise HttpError(f'invalid status {event.status_code}')
+        return event
+
     async def _write(self, blob: bytes) -> None:
         try:
             await super()._write(blob)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -1,17 +1,35 @@
 """Answers that are cut, or whose head is no HTTP, are no answers."""
 
+import contextlib
+
 import pytest
 import trio
 from tests.broken_answer_standin import BrokenAnswerStandIn, send_and_end
+from tests.mesh_fleet import untimed_attempt
 from tests.store_standin import configuration
+from tests.test_target_call import make_call
 
 from clementinedeal._events import EventLog
+from clementinedeal._model import Target
+from clementinedeal._operator_client import NoAnswerError, fetch
+from clementinedeal._platform import HttpPlatform, PlatformError
 from clementinedeal._pool import ConnPool
+from clementinedeal._prober import Prober
+from clementinedeal._replies import TargetAnswer
+from clementinedeal._target_call import TargetCaller
 from clementinedeal._timers import MonotonicClock
 from clementinedeal._verdict import Reason, Verdict
-from clementinedeal.mesh._contracts import CallContext
+from clementinedeal.mesh import _peer_client
+from clementinedeal.mesh import _peer_wire as wire
+from clementinedeal.mesh._contracts import CallContext, SourceError
+from clementinedeal.mesh._outcomes import (
+    MeshAttempt,
+    MeshOutcome,
+    encode_outcome_header,
+)
+from clementinedeal.mesh._peer_client import MeshPeerClient
 from clementinedeal.mesh._target_client import BufferedRequest, TargetClient
-from clementinedeal.platform import PlatformDialect
+from clementinedeal.platform import PlatformDialect, PlatformStore
 
 # More than the buffers of both sockets take.
 UPLOAD = bytes(16 << 20)
@@ -20,6 +38,13 @@
 TRIES = 20
 HEAD = b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
 
+BAD_STATUSES = [b'000', b'001', b'099', b'600', b'999']
+# Whole answers but for one line of the head.
+BAD_HEADS = {
+    'status-000': b'HTTP/1.1 000 OK\r\n%bcontent-length: 2\r\n\r\nok',
+    'status-600': b'HTTP/1.1 600 OK\r\n%bcontent-length: 2\r\n\r\nok',
+}
+
 
 async def call_target(address, body=b'x'):
     """Return the outcome of a call to a target."""
@@ -94,6 +119,116 @@
         assert outcome.body == b'whole'
 
 
+@pytest.mark.parametrize('status', BAD_STATUSES)
+@pytest.mark.parametrize('end', [b'content-length: 2\r\n\r\nok', b'\r\nok'])
+async def test_status_outside_of_http_is_no_answer(nursery, status, end):
+    target = BrokenAnswerStandIn(HEAD.replace(b'200', status) + end)
+    await target.start(nursery)
+    assert_not_delivered(await call_target(target.address))
+
+
+async def call_earlier_target(address):
+    """Call a target as the product's own interface does."""
+    caller = TargetCaller(ConnPool(MonotonicClock()))
+    async with caller.call(make_call(address)) as reply:
+        return isinstance(reply, TargetAnswer)
+
+
+async def call_owner(address):
+    attempt = MeshAttempt(
+        attempt='a1',
+        req_id='r1',
+        target='t1',
+        left=5.0,
+        objective=1.0,
+        idempotent=True,
+        account='shop',
+        caller='s',
+        rank=(0, 0),
+    )
+    clock = MonotonicClock()
+    outcome = await MeshPeerClient(ConnPool(clock), clock).send_attempt(
+        address,
+        attempt,
+        BufferedRequest('POST', '/', ((b'host', b'h'),), b'x'),
+        untimed_attempt(),
+    )
+    return outcome.verdict is Verdict.RAN
+
+
+async def read_store(address):
+    pool = ConnPool(MonotonicClock())
+    store = PlatformStore(address, pool, EventLog('i', '1'))
+    with contextlib.suppress(SourceError):
+        await store.read_target('t1')
+        return True
+    return False
+
+
+async def read_platform(address):
+    platform = HttpPlatform((address,), ConnPool(MonotonicClock()))
+    with contextlib.suppress(PlatformError):
+        await platform.read('t1')
+        return True
+    return False
+
+
+async def read_operator_endpoint(address):
+    with contextlib.suppress(NoAnswerError):
+        await fetch(address, '/status')
+        return True
+    return False
+
+
+async def probe_target(address):
+    target = Target(name='t1', service='s', instance='i1', address=address)
+    prober = Prober(ConnPool(MonotonicClock()), tuple, print)
+    return await prober._is_back(target)
+
+
+# Each returns whether it has accepted the answer.
+READERS = {
+    'target': call_earlier_target,
+    'owner': call_owner,
+    'store': read_store,
+    'platform': read_platform,
+    'operator': read_operator_endpoint,
+    'probe': probe_target,
+}
+RAN = MeshOutcome(verdict=Verdict.RAN, reached=True, status=200)
+TOLD = b'%b: %b\r\n' % (wire.TOLD_HEADER, encode_outcome_header(RAN, 'a1'))
+STORE_ITEM = b'{"key": "servers/t1", "revision": 1, "at_rev": 1, "value": ""}'
+
+
+def answer_for(reader, head):
+    """Return an answer that a reader accepts if its head is in order."""
+    answer = head % (TOLD if reader == 'owner' else b'server-seal: s\r\n')
+    if reader != 'store':
+        return answer
+    length = b'content-length: %d' % len(STORE_ITEM)
+    answer = answer.replace(b'content-length: 2', length)
+    return answer.removesuffix(b'ok') + STORE_ITEM
+
+
+@pytest.mark.parametrize('reader', READERS)
+async def test_every_reader_accepts_a_head_in_order(nursery, reader):
+    head = b'HTTP/1.1 200 OK\r\n%bx: y\r\ncontent-length: 2\r\n\r\nok'
+    peer = BrokenAnswerStandIn(answer_for(reader, head))
+    await peer.start(nursery)
+    assert await READERS[reader](peer.address)
+
+
+@pytest.mark.parametrize('head', BAD_HEADS)
+@pytest.mark.parametrize('reader', READERS)
+async def test_no_reader_accepts_a_damaged_head(
+    nursery, monkeypatch, reader, head
+):
+    monkeypatch.setattr(_peer_client, 'QUERY_SECONDS', 0.2)
+    peer = BrokenAnswerStandIn(answer_for(reader, BAD_HEADS[head]))
+    await peer.start(nursery)
+    assert not await READERS[reader](peer.address)
+
+
 def damaged(status_line=b'200 OK', end=b'content-length: 2\r\n\r\nok'):
     """Return an answer of a fleet's target, without its request's id."""
     head = b'HTTP/1.1 %b\r\nattempt-id: %%b\r\nserver-seal: s\r\n%b'
@@ -103,6 +238,8 @@
 # By case: the answer, and how its connection ends.
 FLEET_CASES = {
     'reset': (damaged(end=b'\r\npart'), 'reset'),
+    'status-000': (damaged(b'000 OK'), 'fin'),
+    'status-600': (damaged(b'600 OK'), 'fin'),
 }
 
 
--- a/tests/test_target_call.py
+++ b/tests/test_target_call.py
@@ -22,10 +22,9 @@
         await stream.send_all(REFUSAL + END)
 
 
-async def call(caller, address):
-    """Send a request; return its verdict."""
+def make_call(address):
     head = RequestHead('GET', '/', ((b'host', b'h'),))
-    target_call = TargetCall(
+    return TargetCall(
         target=Target(name='t1', service='s', instance='i1', address=address),
         req_id='r1',
         req=Request(head, WholeBody(b'')),
@@ -33,7 +32,11 @@
         may_start=lambda: Ok(None),
         scope=trio.CancelScope(),
     )
-    async with caller.call(target_call) as reply:
+
+
+async def call(caller, address):
+    """Send a request; return its verdict."""
+    async with caller.call(make_call(address)) as reply:
         return reply.verdict
 
 
