--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -38,11 +38,28 @@
 TRIES = 20
 HEAD = b'HTTP/1.1 200 OK\r\nattempt-id: r1\r\nserver-seal: s\r\n'
 
+BLANKS_AND_CONTROLS = [*range(0x21), 0x7F]
+# Where a byte is put into the name of the header that gives the length.
+PLACES = {
+    'first': b'%ccontent-length: 2\r\n',
+    'inside': b'content%c-length: 2\r\n',
+    'last': b'content-length%c: 2\r\n',
+}
 BAD_STATUSES = [b'000', b'001', b'099', b'600', b'999']
 # Whole answers but for one line of the head.
 BAD_HEADS = {
     'status-000': b'HTTP/1.1 000 OK\r\n%bcontent-length: 2\r\n\r\nok',
     'status-600': b'HTTP/1.1 600 OK\r\n%bcontent-length: 2\r\n\r\nok',
+    'blank-before-name': b'HTTP/1.1 200 OK\r\n%b x: y\r\n'
+    b'content-length: 2\r\n\r\nok',
+    'tab-before-name': b'HTTP/1.1 200 OK\r\n%b\tx: y\r\n'
+    b'content-length: 2\r\n\r\nok',
+    'blank-in-name': b'HTTP/1.1 200 OK\r\n%bx y: z\r\n'
+    b'content-length: 2\r\n\r\nok',
+    'control-in-name': b'HTTP/1.1 200 OK\r\n%bx\x01y: z\r\n'
+    b'content-length: 2\r\n\r\nok',
+    'line-feed-before-name': b'HTTP/1.1 200 OK\r\n%b\nx: y\r\n'
+    b'content-length: 2\r\n\r\nok',
 }
 
 
@@ -127,6 +144,30 @@
     assert_not_delivered(await call_target(target.address))
 
 
+@pytest.mark.parametrize('place', PLACES)
+async def test_blank_or_control_byte_in_a_header_name_is_no_answer(
+    nursery, place
+):
+    for byte in BLANKS_AND_CONTROLS:
+        target = BrokenAnswerStandIn(HEAD + PLACES[place] % byte + b'\r\nok')
+        await target.start(nursery)
+        outcome = await call_target(target.address)
+        assert outcome.status == 0, (byte, outcome.headers, outcome.body)
+        assert_not_delivered(outcome)
+
+
+@pytest.mark.parametrize('line_end', [b'\r\n', b'\n'])
+async def test_head_with_either_line_end_is_an_answer(nursery, line_end):
+    lines = (*HEAD.splitlines(), b'x-note: \t a  b \t', b'content-length: 2')
+    answer = line_end.join((*lines, b'', b'ok'))
+    target = BrokenAnswerStandIn(answer)
+    await target.start(nursery)
+    outcome = await call_target(target.address)
+    assert outcome.verdict is Verdict.RAN
+    assert outcome.body == b'ok'
+    assert (b'x-note', b'a  b') in outcome.headers
+
+
 async def call_earlier_target(address):
     """Call a target as the product's own interface does."""
     caller = TargetCaller(ConnPool(MonotonicClock()))
@@ -240,6 +281,8 @@
     'reset': (damaged(end=b'\r\npart'), 'reset'),
     'status-000': (damaged(b'000 OK'), 'fin'),
     'status-600': (damaged(b'600 OK'), 'fin'),
+    'blank': (damaged(end=b' content-length: 2\r\n\r\nok'), 'fin'),
+    'control': (damaged(end=b'\ncontent-length: 2\r\n\r\nok'), 'fin'),
 }
 
 
