Bound the answers that the load tool keeps

What callers saw: nothing; the load tool is the caller. The load tool kept all of it in memory, until its request timed out.

Cause: the tool's client had a limit for the head of an answer, from h11, and none for its body.

Change: it counts the bytes of an answer, framing included, and gives up above 32 MiB, the limit of the product's own operator client.

Why it works: every byte of an answer passes the count before it is kept.

--- a/src/clementinedeal_bench/_web_client.py
+++ b/src/clementinedeal_bench/_web_client.py
@@ -13,9 +13,11 @@
     WebRequest,
     decode_headers,
 )
-from clementinedeal_bench._web_server import next_event
+from clementinedeal_bench._web_server import receive_into
 
 CONNECT_TIMEOUT_SECONDS = 3.0
+# The largest answer lists 20,000 events of an instance, of about 1 KB each.
+MAX_ANSWER_BYTES = 32 << 20
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -62,7 +64,8 @@
     async def request(self, req: WebRequest) -> Result[WebAnswer, WebFailure]:
         """Send a request and read the complete answer.
 
-        A cancelled or failed exchange closes the connection.
+        A cancelled or failed exchange closes the connection. An answer of more
+        than ``MAX_ANSWER_BYTES`` is a failure.
 
         :param req: the request; ``host`` and ``content-length`` are added.
         """
@@ -112,6 +115,7 @@
         self._conn = conn
         self._stream = stream
         self._head: h11.Response | None = None
+        self._received_bytes = 0
 
     async def run(self, req: WebRequest, host: str) -> WebAnswer:
         await self._stream.send_all(self._encode(req, host))
@@ -168,4 +172,11 @@
         return b''.join(self._conn.send(event) or b'' for event in events)
 
     async def _next_event(self) -> object:
-        return await next_event(self._conn, self._stream)
+        event: object = self._conn.next_event()
+        while event is h11.NEED_DATA:
+            size = await receive_into(self._conn, self._stream)
+            self._received_bytes += size
+            if self._received_bytes > MAX_ANSWER_BYTES:
+                raise h11.RemoteProtocolError('answer too long')
+            event = self._conn.next_event()
+        return event
--- a/src/clementinedeal_bench/_web_server.py
+++ b/src/clementinedeal_bench/_web_server.py
@@ -33,15 +33,15 @@
 )
 
 
-async def receive_into(conn: h11.Connection, stream: trio.abc.Stream) -> bool:
-    """Pass received bytes to a connection; return False at the stream's end.
+async def receive_into(conn: h11.Connection, stream: trio.abc.Stream) -> int:
+    """Pass received bytes to a connection; return how many, 0 at the end.
 
     :param conn: state of the HTTP connection.
     :param stream: stream to receive from.
     """
     blob = bytes(await stream.receive_some(RECEIVE_BYTES))
     conn.receive_data(blob)
-    return bool(blob)
+    return len(blob)
 
 
 async def next_event(conn: h11.Connection, stream: trio.abc.Stream) -> object:
@@ -145,7 +145,7 @@
         is_open = True
         with suppress(trio.BrokenResourceError):
             while is_open:
-                is_open = await receive_into(self._conn, self._stream)
+                is_open = bool(await receive_into(self._conn, self._stream))
         scope.cancel()
 
     async def _send_answer(self, req: WebRequest, answer: WebAnswer) -> None:
--- a/tests/test_bench_web.py
+++ b/tests/test_bench_web.py
@@ -51,6 +51,18 @@
     assert (dropped.status, dropped.may_have_been_sent) == (0, True)
 
 
+@pytest.mark.parametrize(
+    'endless',
+    ['no-length', 'huge-length', 'chunks', 'chunk-extensions'],
+    indirect=True,
+)
+async def test_an_answer_without_end_is_a_failure(endless):
+    with trio.fail_after(20):
+        result = await ask(WebClient(endless.address), 'GET', '/')
+    assert result.unwrap_err().status == 200
+    assert await endless.was_cut()
+
+
 async def test_connections_over_the_limit_are_closed(client, nursery):
     assert (await ask(client, 'GET', '/none')).is_ok()
     second = WebClient(client.address)
