Test that endless answers end no process

What callers saw: operators of other systems report a target that sent bytes without end until the machine that had called it ran out of memory. It can't happen in a daemon here: what it held before is unchanged.

Change: tests only. Two daemon processes with 100 MB each call targets that send a head, junk or a body without end to 80 requests of each entry, or a store that does; the processes live, stay within their memory and serve requests beside one such target. The earlier core and the operator client get such answers, too. The fleet with low limits moves from the tests of hostile clients into a module of its own, without a change to its checks.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import pytest
 from hypothesis import settings
 from tests.endless_standin import BODIES, HEADS, INTERIM_ANSWERS, EndlessStandIn
+from tests.low_limits_fleet import low_fleet  # noqa: F401
 from tests.mesh_fleet import fleet, remote_target_fleet  # noqa: F401
 
 settings.register_profile(
--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -20,7 +20,9 @@
 
     ``mode`` is ``ok`` or how it fails: ``busy`` answers 503, ``silent`` never
     answers, ``reset`` closes the connection. ``calls`` holds the path and the
-    query of each request. ``era`` is named in all answers.
+    query of each request. ``era`` is named in all answers. ``serve_instead``,
+    if set, is called in place of ``serve`` with the connection and the
+    request's head.
     """
 
     def __init__(self):
@@ -34,6 +36,7 @@
         self.calls = []
         self.changed = trio.Event()
         self.address = free_address()
+        self.serve_instead = None
 
     def put(self, key, value):
         self.revision += 1
@@ -86,6 +89,9 @@
         await server.start(nursery)
 
     async def serve(self, conn, head):
+        if self.serve_instead is not None:
+            await self.serve_instead(conn, head)
+            return
         await conn.discard_body()
         parts = urlsplit(head.path)
         query = {
@@ -235,8 +241,8 @@
     while it hung, ``work_seconds`` is how long a request takes and
     ``answer_headers`` are added to its answers, which return the first
     ``echoed_bytes`` of the body, all if it is None. ``runs`` is for
-    targets that record the times of their runs. ``serve_instead``, if set, is
-    called in place of ``serve`` with the connection and the request's head.
+    targets that record the times of their runs. ``serve_instead`` is as for
+    the store.
     """
 
     def __init__(self, name, address):
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,10 +8,12 @@
 import trio.testing
 from tests.endless_standin import (
     BODIES,
+    HEADS,
     OK_HEAD,
     EndlessStandIn,
 )
 from tests.ports import free_address
+from tests.test_target_call import make_call
 
 from clementinedeal._client_conn import ClientConn
 from clementinedeal._events import EventLog
@@ -20,8 +22,11 @@
     HttpLimits,
     RequestHead,
 )
+from clementinedeal._operator_client import NoAnswerError, fetch
 from clementinedeal._pool import ConnPool, split_address
+from clementinedeal._replies import TargetAnswer
 from clementinedeal._server_conn import ServerConn
+from clementinedeal._target_call import ANSWER_BUFFER_BYTES, TargetCaller
 from clementinedeal._timers import MonotonicClock
 from clementinedeal._verdict import Reason, Verdict
 from clementinedeal.mesh._contracts import CallContext
@@ -146,6 +151,34 @@
     assert await endless.was_cut()
 
 
+# Those whose end is not awaited: a chunk extension is dropped as it arrives.
+PASSED_ON = [*HEADS, 'no-length', 'huge-length', 'chunks', 'tiny-chunks']
+
+
+@pytest.mark.parametrize('endless', PASSED_ON, indirect=True)
+async def test_an_answer_without_end_is_passed_on_without_being_kept(endless):
+    caller = TargetCaller(ConnPool(MonotonicClock()))
+    read_bytes = 0
+    async with caller.call(make_call(endless.address)) as reply:
+        if isinstance(reply, TargetAnswer):
+            async for piece in reply.body.pieces():
+                read_bytes += len(piece)
+                if read_bytes > 2 * ANSWER_BUFFER_BYTES:
+                    break
+        else:
+            assert reply.verdict is Verdict.MAY_HAVE_RUN
+    assert read_bytes < 4 * ANSWER_BUFFER_BYTES
+    assert await endless.was_cut()
+
+
+async def test_an_operator_endpoint_that_sends_without_end_gives_no_answer(
+    endless,
+):
+    with pytest.raises(NoAnswerError):
+        await fetch(endless.address, '/status')
+    assert await endless.was_cut()
+
+
 async def test_a_cut_answer_is_logged_with_its_size(nursery):
     endless = EndlessStandIn(*BODIES['no-length'])
     await endless.start(nursery)
