Move the upload beside an answer into a module of its own

Change: mesh/_upload.py with the class Upload. No behaviour changes, and callers see no difference.

Evidence: tests of broken and endless answers, of the target's client and of its idle limit: 155 passed.

--- a/src/clementinedeal/mesh/_target_client.py
+++ b/src/clementinedeal/mesh/_target_client.py
@@ -1,9 +1,8 @@
 """HTTP client for the target beside this daemon."""
 
 import collections
-import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import trio
 
@@ -32,6 +31,7 @@
 )
 from clementinedeal.mesh._idle_limit import IdleLimit
 from clementinedeal.mesh._outcomes import MeshOutcome, not_run
+from clementinedeal.mesh._upload import Upload
 
 # Bodies up to this size fit into the socket's send buffer even if the target
 # reads nothing. A larger body is sent while the answer is read.
@@ -58,10 +58,6 @@
 # for less than 200 ms.
 MAX_RESET_SECONDS = 0.05
 MIN_RESET_IDLE_SECONDS = 0.15
-# An answer without a length that ends during an upload is complete only if the
-# target then does not reset the connection. It is on the same host, so that a
-# reset follows at once the bytes that it does not read.
-RESET_WAIT_SECONDS = 0.05
 
 _SUCCESS = range(200, 300)
 _FAILURE_STATUS = 500
@@ -216,10 +212,10 @@
         if len(request.body) <= MAX_BUFFERED_BODY_BYTES:
             await conn.send_whole(head, request.body)
             return await self._read_answer(conn, context, sent_at)
-        upload = _Upload()
+        upload = Upload(conn, head, request.body)
         answer: tuple[MeshOutcome, float | None] | ProtocolError
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_send_request, conn, head, request.body, upload)
+            nursery.start_soon(upload.run)
             try:
                 answer = await self._read_answer(conn, context, sent_at)
                 if conn.has_ended:
@@ -316,35 +312,6 @@
         return MeshOutcome(verdict=Verdict.NOT_RUN, reason=reason, reached=True)
 
 
-@dataclass(eq=False, slots=True)
-class _Upload:
-    """A request that is sent while its answer is read.
-
-    ``ended`` is set once all ``is_sent`` or the connection is lost.
-    """
-
-    ended: trio.Event = field(default_factory=trio.Event)
-    is_sent: bool = False
-
-    async def wait_for_reset(self) -> None:
-        """Wait until it has ended, or until no reset is to be expected."""
-        with trio.move_on_after(RESET_WAIT_SECONDS):
-            await self.ended.wait()
-
-
-async def _send_request(
-    conn: ClientConn,
-    head: RequestHead,
-    body: Body,
-    upload: _Upload,
-) -> None:
-    # the task that reads the answer reports a loss
-    with contextlib.suppress(ConnLostError):
-        await conn.send_whole(head, body)
-        upload.is_sent = True
-    upload.ended.set()
-
-
 def _allowed_idle_seconds(answer_headers: AnswerHeaders) -> float | None:
     idle_seconds = (
         DEFAULT_IDLE_SECONDS
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -6,6 +6,7 @@
 import trio
 from tests.broken_answer_standin import BrokenAnswerStandIn, send_and_end
 from tests.mesh_fleet import untimed_attempt
+from tests.owner_standins import make_attempt
 from tests.store_standin import configuration
 from tests.test_target_call import make_call
 
@@ -22,11 +23,7 @@
 from clementinedeal.mesh import _peer_client
 from clementinedeal.mesh import _peer_wire as wire
 from clementinedeal.mesh._contracts import CallContext, SourceError
-from clementinedeal.mesh._outcomes import (
-    MeshAttempt,
-    MeshOutcome,
-    encode_outcome_header,
-)
+from clementinedeal.mesh._outcomes import MeshOutcome, encode_outcome_header
 from clementinedeal.mesh._peer_client import MeshPeerClient
 from clementinedeal.mesh._target_client import BufferedRequest, TargetClient
 from clementinedeal.platform import PlatformDialect, PlatformStore
@@ -176,21 +173,10 @@
 
 
 async def call_owner(address):
-    attempt = MeshAttempt(
-        attempt='a1',
-        req_id='r1',
-        target='t1',
-        left=5.0,
-        objective=1.0,
-        idempotent=True,
-        account='shop',
-        caller='s',
-        rank=(0, 0),
-    )
     clock = MonotonicClock()
     outcome = await MeshPeerClient(ConnPool(clock), clock).send_attempt(
         address,
-        attempt,
+        make_attempt(1),
         BufferedRequest('POST', '/', ((b'host', b'h'),), b'x'),
         untimed_attempt(),
     )
