Log and measure each step on the way of a declaration

Callers saw: nothing new; operators could not see why most daemons kept an old version. A daemon logs the first of many failed calls only, and says neither what it had received nor how long a version takes from the first notice to where it is in force.

Change: config-in-force has the source, the bytes and the seconds to receive, decode, index and since the first notice; platform-lost has the bytes received and comes again for the second, fourth, eighth... failure in a row; platform-back says how many there were. Histogram config_seconds by step, counter platform_failures. The report of a feed and a call to the store are modules of their own. No decision changes.

Evidence: tests of the store's client, the declarations, the readers and the path passed before and after.

--- a/src/clementinedeal/_client_conn.py
+++ b/src/clementinedeal/_client_conn.py
@@ -77,6 +77,11 @@
         """Whether the end that was received may have been a reset."""
         return self._h11_stream.was_reset
 
+    @property
+    def received_bytes(self) -> int:
+        """Number of bytes received so far, of all answers."""
+        return self._h11_stream.received_bytes
+
     async def send_head(self, head: RequestHead, body: bytes = b'') -> None:
         """Send the request head and, if given, the whole body.
 
--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -106,6 +106,7 @@
         )
         self._platform = platform
         host = settings.target_address.rpartition(':')[0]
+        self._metrics = DaemonMetrics()
         self._role = ReadingRole(
             host, settings.zone, settings.bounds, self._clock
         )
@@ -115,11 +116,11 @@
             self.events,
             settings.bounds.revoke_seconds,
             self._role,
+            self._metrics,
         )
         self._evacuations = EvacuationTracker(self._clock, self.events)
         self._declarations.on_update.append(self._evacuations.on_update)
         self._stopping = trio.Event()
-        self._metrics = DaemonMetrics()
         self.count_dropped_lines: Callable[[], int] = int
 
     async def run(self) -> None:
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -8,6 +8,8 @@
 from clementinedeal._timers import Clock
 from clementinedeal.mesh._catalog import Catalog
 from clementinedeal.mesh._contracts import DeclarationSource, SourceError
+from clementinedeal.mesh._declaration_report import DeclarationReport
+from clementinedeal.mesh._metrics import DaemonMetrics
 from clementinedeal.mesh._reading_role import ReadingRole
 from clementinedeal.mesh._types import DeclarationUpdate, Revision
 from clementinedeal.mesh._watch_proof import shown_until
@@ -47,6 +49,7 @@
         events: EventLog,
         revoke_seconds: float,
         role: ReadingRole | None = None,
+        metrics: DaemonMetrics | None = None,
     ) -> None:
         """Start without a declaration.
 
@@ -56,10 +59,11 @@
         :param revoke_seconds: time in which a withdrawn key must be refused.
         :param role: whether other daemons read the source for this one; None
             if it always reads by itself.
+        :param metrics: gets the time of each step, if there are any.
         """
         self._source = source
         self._clock = clock
-        self._events = events
+        self._report = DeclarationReport(clock, events, metrics)
         self._max_age_seconds = revoke_seconds - FRESH_MARGIN_SECONDS
         self._confirmed_at = float('-inf')
         self._era = FIRST_ERA
@@ -72,7 +76,6 @@
         self._wake = trio.Event()
         if role is not None:
             role.on_change.append(self._check_due)
-        self._is_reachable = True
         self.catalog: Catalog | None = None
         self.on_change: list[Callable[[Catalog], None]] = []
         self.on_update: list[Callable[[DeclarationUpdate], None]] = []
@@ -110,12 +113,12 @@
             try:
                 update, shown_at = await self._call(revision)
             except SourceError as exc:
-                self._report_lost(exc)
+                self._report.on_call_failed(exc, self.age)
                 revision = None
                 self._shown_at = float('-inf')
                 await trio.sleep(RETRY_SECONDS)
                 continue
-            self._report_recovered()
+            self._report.on_call_answered()
             for handler in self.on_update:
                 handler(update)
             self._apply(update)
@@ -137,6 +140,7 @@
             if version > self._reported_version:
                 self._reported_version = version
                 self._reported_at = self._clock.now()
+                self._report.on_noticed(version)
             self._check_due()
         elif version == self.version and self.catalog is not None:
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
@@ -201,23 +205,17 @@
         shown_version = self._source_version or 0
         if declaration is None or shown_version <= self.version:
             if shown_version < self.version:
-                self._events.emit(
-                    'config-ignored',
-                    version=shown_version,
-                    in_force=self.version,
-                    era=update.revision.era,
-                    revision=update.revision.number,
+                self._report.on_ignored(
+                    shown_version, self.version, update.revision
                 )
             return
+        started_at = self._clock.now()
         self.catalog = Catalog(declaration)
-        self._events.emit(
-            'config-in-force',
-            version=declaration.version,
-            era=update.revision.era,
-            revision=update.revision.number,
-            routes=len(declaration.routes),
-            accounts=len(declaration.accounts),
-            unknown_kinds=','.join(declaration.unknown_kinds),
+        self._report.on_in_force(
+            declaration,
+            update.revision,
+            update.transfer,
+            self._clock.now() - started_at,
         )
         for handler in self.on_change:
             handler(self.catalog)
@@ -236,18 +234,3 @@
         is_newest = self.catalog and self._source_version == self.version
         if is_newest and shown_at >= self._settled_at:
             self._confirmed_at = max(self._confirmed_at, shown_at)
-
-    def _report_lost(self, exc: SourceError) -> None:
-        if self._is_reachable:
-            self._is_reachable = False
-            self._events.emit(
-                'platform-lost',
-                part='declarations',
-                reason=exc,
-                age=f'{self.age:.2f}',
-            )
-
-    def _report_recovered(self) -> None:
-        if not self._is_reachable:
-            self._is_reachable = True
-            self._events.emit('platform-back', part='declarations')
--- a/src/clementinedeal/mesh/_metrics.py
+++ b/src/clementinedeal/mesh/_metrics.py
@@ -42,6 +42,7 @@
     ),
     'early': ('Requests run before their turn on a connection.', ()),
     'left': ('Callers that left before their answer.', ()),
+    'platform_failures': ('Calls to the platform that failed.', ('part',)),
 }
 _HISTOGRAMS = {
     'request_seconds': (
@@ -50,6 +51,10 @@
     ),
     'target_seconds': ('Time that the owned target took.', ()),
     'queue_seconds': ('Time that attempts waited for a slot.', ()),
+    'config_seconds': (
+        'Time that a declaration took until it was in force, by step.',
+        ('step',),
+    ),
 }
 
 
--- a/src/clementinedeal/mesh/_types.py
+++ b/src/clementinedeal/mesh/_types.py
@@ -176,6 +176,20 @@
     is_complete: bool
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Transfer:
+    """How a declaration came here: from where, its bytes, and the time it took.
+
+    ``receive_seconds`` is the time from the first byte to the last,
+    ``decode_seconds`` that of decoding.
+    """
+
+    source: str = 'platform'
+    size: int = 0
+    receive_seconds: float = 0.0
+    decode_seconds: float = 0.0
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class DeclarationUpdate:
     """Result of a read or watch of the declarations.
@@ -183,13 +197,15 @@
     ``revision`` is the source's revision from which to continue. ``changed``:
     this is what the source shows now; ``declaration`` is then None if it shows
     none or one that cannot be decoded. ``evacuations`` is None if the source
-    does not tell them, or if a watch saw no change of them.
+    does not tell them, or if a watch saw no change of them. ``transfer`` is
+    that of the declaration.
     """
 
     revision: Revision
     changed: bool = False
     declaration: Declaration | None = None
     evacuations: EvacuationChanges | None = None
+    transfer: Transfer = Transfer()
 
     @property
     def is_empty(self) -> bool:
--- a/src/clementinedeal/platform/_store.py
+++ b/src/clementinedeal/platform/_store.py
@@ -1,20 +1,14 @@
 """Read-only client of the platform's store."""
 
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
-from urllib.parse import urlencode
 
 import msgspec
 import trio
 
-from clementinedeal._errors import DECODE_ERRORS, ProtocolError
+from clementinedeal._errors import DECODE_ERRORS
 from clementinedeal._events import EventLog
-from clementinedeal._http import (
-    HttpError,
-    RequestHead,
-    ResponseHead,
-    TooLongError,
-)
+from clementinedeal._http import TooLongError
 from clementinedeal._pool import ConnPool
 from clementinedeal.mesh._contracts import HistoryGoneError, SourceError
 from clementinedeal.mesh._types import (
@@ -25,6 +19,7 @@
     Revision,
     Target,
     TargetUpdate,
+    Transfer,
 )
 from clementinedeal.platform._declaration import (
     UnreadableError,
@@ -42,6 +37,7 @@
     evacuated_zones,
 )
 from clementinedeal.platform._registration import decode_target
+from clementinedeal.platform._store_call import Answer, StoreCall
 
 _TARGETS_PREFIX = 'servers/'
 _OK = 200
@@ -49,27 +45,10 @@
 _GONE = 410
 _MS_PER_SECOND = 1000
 
-# The store answers in about 4 ms; a call without an answer after this is lost.
-CALL_SECONDS = 1.0
-# A page of the store has about 1 MB. Three calls may run at once and then hold
-# up to 24 MiB of the 200 MB of the smallest instance.
-MAX_ANSWER_BYTES = 8 << 20
-# Rises each time the store is restored from a copy.
-_ERA_HEADER = b'store-era'
-_MAX_ERA_DIGITS = 18
 # A page has some 500 items, so that up to 50,000 targets can be listed.
 MAX_PAGES = 100
 
 
-@dataclass(frozen=True, slots=True)
-class _Answer:
-    """HTTP status, whole body and era of the answer to one call."""
-
-    status: int
-    body: bytes
-    era: int
-
-
 class PlatformStore:
     """Reads declarations and targets from the platform's store.
 
@@ -116,7 +95,7 @@
             )
         item = _decode(answer, Item)
         return self._convert_declaration(
-            item, Revision(answer.era, item.at_rev)
+            item, Revision(answer.era, item.at_rev), answer.receive_seconds
         )
 
     async def wait(
@@ -129,8 +108,12 @@
         :raises SourceError: the store gave no answer.
         """
         prefix = ORDERS_PREFIX if self._has_evacuations else CONFIG_KEY
-        events, shown_at = await self._watch(prefix, revision, seconds)
-        return self._convert_orders(events, shown_at, is_complete=False)
+        events, shown_at, receive_seconds = await self._watch(
+            prefix, revision, seconds
+        )
+        return self._convert_orders(
+            events, shown_at, receive_seconds, is_complete=False
+        )
 
     async def list_targets(self, *, may_lag: bool) -> Listing:
         """Return every listed target.
@@ -157,7 +140,9 @@
         :param seconds: how long the store holds the call.
         :raises SourceError: the store gave no answer.
         """
-        events, shown_at = await self._watch(_TARGETS_PREFIX, revision, seconds)
+        events, shown_at, _ = await self._watch(
+            _TARGETS_PREFIX, revision, seconds
+        )
         return ListingChanges(
             revision=shown_at,
             targets={
@@ -201,7 +186,7 @@
         :raises SourceError: the store gave no answer.
         """
         key = _TARGETS_PREFIX + name
-        events, shown_at = await self._watch(key, revision, seconds)
+        events, shown_at, _ = await self._watch(key, revision, seconds)
         own_items = [item for item in events if item.key == key]
         return TargetUpdate(
             revision=shown_at,
@@ -254,8 +239,11 @@
         prefix: str,
         revision: Revision,
         seconds: float,
-    ) -> tuple[list[Item], Revision]:
-        """Return the changes after a revision, and up to which revision."""
+    ) -> tuple[list[Item], Revision, float]:
+        """Return the changes after a revision, and up to which revision.
+
+        The third part is how long the answer took to arrive, in seconds.
+        """
         answer = await self._get(
             '/-/kv-watch',
             {
@@ -272,7 +260,8 @@
             )
         changes = _decode(answer, Changes)
         shown_at = Revision(answer.era, changes.at_rev)
-        return self._decode_items(changes.events, shown_at), shown_at
+        events = self._decode_items(changes.events, shown_at)
+        return events, shown_at, answer.receive_seconds
 
     def _decode_items(
         self, encoded: list[msgspec.Raw], revision: Revision
@@ -292,7 +281,7 @@
         path: str,
         query: dict[str, Any],
         wait_seconds: float = 0,
-    ) -> _Answer:
+    ) -> Answer:
         """Make one call.
 
         :param path: path of the call, without its query.
@@ -301,55 +290,42 @@
         :raises SourceError: the call failed or timed out.
         """
         self.calls += 1
-        head = RequestHead(
-            'GET',
-            f'{path}?{urlencode(query)}',
-            ((b'host', self._address.encode()),),
-        )
-        try:
-            with trio.fail_after(wait_seconds + CALL_SECONDS):
-                return await self._exchange(head)
-        except (ProtocolError, trio.TooSlowError) as exc:
-            reason = str(exc) or 'no answer in time'
-            raise SourceError(f'{path}: {reason}') from exc
-
-    async def _exchange(self, head: RequestHead) -> _Answer:
-        conn = await self._pool.acquire(self._address)
-        is_complete = False
+        call = StoreCall(self._address, path, query, wait_seconds)
         try:
-            await conn.send_whole(head, b'')
-            answer = await conn.read_head()
-            body = bytes(await conn.read_whole(MAX_ANSWER_BYTES))
-            is_complete = True
-        except TooLongError as exc:
-            self._events.emit(
-                'answer-cut',
-                address=self._address,
-                bytes=exc.size,
-                limit=exc.limit,
-            )
+            answer = await call.run(self._pool)
+        except SourceError as exc:
+            if isinstance(exc.__cause__, TooLongError):
+                self._events.emit(
+                    'answer-cut',
+                    address=self._address,
+                    bytes=exc.__cause__.size,
+                    limit=exc.__cause__.limit,
+                )
             raise
-        finally:
-            if not is_complete:
-                conn.abort()
-        await self._pool.release(self._address, conn)
-        era = _read_era(answer)
-        self._report_era(era)
-        return _Answer(answer.status, body, era)
+        self._report_era(answer.era)
+        return answer
 
     def _convert_orders(
-        self, items: list[Item], revision: Revision, *, is_complete: bool
+        self,
+        items: list[Item],
+        revision: Revision,
+        receive_seconds: float = 0,
+        *,
+        is_complete: bool,
     ) -> DeclarationUpdate:
         """Convert the items of a read, or the events of a watch.
 
         :param items: the items, the newest of a key last.
         :param revision: the store's revision that they show.
+        :param receive_seconds: how long they took to arrive.
         :param is_complete: whether they are all there are, as in a read.
         """
         update = DeclarationUpdate(revision=revision, changed=is_complete)
         for item in reversed(items):
             if item.key == CONFIG_KEY and not item.deleted:
-                update = self._convert_declaration(item, revision)
+                update = self._convert_declaration(
+                    item, revision, receive_seconds
+                )
                 break
         zones = evacuated_zones(items)
         if not (zones or is_complete):
@@ -358,15 +334,24 @@
         return replace(update, evacuations=changes)
 
     def _convert_declaration(
-        self, item: Item, revision: Revision
+        self, item: Item, revision: Revision, receive_seconds: float
     ) -> DeclarationUpdate:
+        started_at = trio.current_time()
         try:
-            declaration = decode_declaration(item.blob())
+            blob = item.blob()
+            declaration = decode_declaration(blob)
         except UnreadableError as exc:
             self._report_unreadable(item, revision.era, exc)
             return DeclarationUpdate(revision=revision, changed=True)
         return DeclarationUpdate(
-            revision=revision, changed=True, declaration=declaration
+            revision=revision,
+            changed=True,
+            declaration=declaration,
+            transfer=Transfer(
+                size=len(blob),
+                receive_seconds=receive_seconds,
+                decode_seconds=trio.current_time() - started_at,
+            ),
         )
 
     def _convert_target(self, item: Item, era: int) -> Target | None:
@@ -401,18 +386,7 @@
         )
 
 
-def _read_era(head: ResponseHead) -> int:
-    """Return the era that an answer of the store names, 0 if none.
-
-    :raises HttpError: it is not a number.
-    """
-    text = (head.header(_ERA_HEADER) or b'0').strip()
-    if not text.isdigit() or len(text) > _MAX_ERA_DIGITS:
-        raise HttpError(f'unreadable era {text!r}')
-    return int(text)
-
-
-def _decode(answer: _Answer, kind: type[Any]) -> Any:
+def _decode(answer: Answer, kind: type[Any]) -> Any:
     if answer.status != _OK:
         raise SourceError(f'expected status 200, not {answer.status}')
     try:
@@ -421,7 +395,7 @@
         raise SourceError(f'unreadable answer: {exc}') from exc
 
 
-def _missing_revision(answer: _Answer) -> Revision:
+def _missing_revision(answer: Answer) -> Revision:
     """Return the store's revision from an answer without an item."""
     try:
         shown = msgspec.json.decode(answer.body, type=StoreRevision)
