Reproduce declarations that are never read because they arrive slowly

Callers saw: refused keys and 404 for routes that are there, from daemons that keep an old version for good.

Cause: shown, not mended: a call to the store ends one second after it was sent, with most of the answer received, and begins anew.

--- a/tests/store_standin.py
+++ b/tests/store_standin.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 from urllib.parse import parse_qs, urlsplit
 
 import trio
@@ -13,6 +14,8 @@
 
 # Few, so that a list of targets takes several pages.
 MAX_PAGE_ITEMS = 3
+# Pieces of an answer that is sent slowly.
+PIECE_BYTES = 4096
 
 
 class StoreStandIn:
@@ -22,10 +25,12 @@
     answers, ``reset`` closes the connection. ``calls`` holds the path and the
     query of each request. ``era`` is named in all answers. ``serve_instead``,
     if set, is called in place of ``serve`` with the connection and the
-    request's head.
+    request's head. ``bytes_per_second`` is the rate at which each answer is
+    sent.
     """
 
     def __init__(self):
+        self.bytes_per_second = math.inf
         self.items = {}
         self.revision = 10
         self.history = []
@@ -120,7 +125,18 @@
             await conn.aclose()
             return
         headers = ((b'store-era', b'%d' % era),)
-        await conn.respond(status, headers, json.dumps(body).encode())
+        await self._respond(conn, status, headers, json.dumps(body).encode())
+
+    async def _respond(self, conn, status, headers, body):
+        if len(body) < PIECE_BYTES or math.isinf(self.bytes_per_second):
+            await conn.respond(status, headers, body)
+            return
+        await conn.start_answer(status, headers)
+        for start in range(0, len(body), PIECE_BYTES):
+            piece = body[start : start + PIECE_BYTES]
+            await trio.sleep(len(piece) / self.bytes_per_second)
+            await conn.send_piece(piece)
+        await conn.end_answer()
 
     async def _key(self, query):
         item = self.items.get(query['key'])
@@ -182,6 +198,22 @@
     }
 
 
+def large_configuration(version, route_count):
+    """Return a configuration with many more routes."""
+    document = configuration(version)
+    (look, *_) = document['resources']
+    for number in range(route_count):
+        spec = {**look['spec'], 'prefix': f'/more/{number}/'}
+        document['resources'].append(
+            {
+                'entry_type': 'routes',
+                'metadata': {'name': f'more-{number}'},
+                'spec': spec,
+            }
+        )
+    return document
+
+
 def configuration(version=1, **more):
     """Return one configuration with a route of each kind."""
     route = {
