Read an answer of the store to its end as long as it arrives

Callers saw: refused keys and 404 for routes that are there. 76 of 83 daemons never got a declaration of 2,823 routes.

Cause: a call ended one second after it was sent, whatever had arrived, and the next one began at the first byte. A link of 5 Mbit/s carries some 570 KB in that second, the answer has 846 KB. The class: a fixed time limit cuts work that makes progress, and what is repeated is no smaller. All calls to the store share the code: lists, entries and watches too.

Change: a call is given up after a second without a byte, or when its answer arrives at less than 60 KB/s, a tenth of the slowest link. An answer that trickles is still given up.

--- a/src/clementinedeal/platform/_store_call.py
+++ b/src/clementinedeal/platform/_store_call.py
@@ -1,5 +1,6 @@
 """One call to the platform's store."""
 
+import functools
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
@@ -12,8 +13,12 @@
 from clementinedeal._pool import ConnPool
 from clementinedeal.mesh._contracts import SourceError
 
-# The store answers in about 4 ms; a call without an answer after this is lost.
-CALL_SECONDS = 1.0
+# The store answers in about 4 ms; a call that gets nothing for this long is
+# lost.
+SILENCE_SECONDS = 1.0
+# An answer that goes on arriving is read to its end, since another call would
+# begin at the first byte. A tenth of what the slowest link carries.
+MIN_BYTES_PER_SECOND = 60_000
 # A page of the store has about 1 MB. Three calls may run at once and then hold
 # up to 24 MiB of the 200 MB of the smallest instance.
 MAX_ANSWER_BYTES = 8 << 20
@@ -36,7 +41,10 @@
 
 
 class StoreCall:
-    """A call with a time limit; ``received_bytes`` is what it got so far."""
+    """A call that ends when its answer stops arriving.
+
+    ``received_bytes`` is what it got so far.
+    """
 
     def __init__(
         self, address: str, path: str, query: dict[str, Any], held: float
@@ -56,6 +64,8 @@
             f'{path}?{urlencode(query)}',
             ((b'host', address.encode()),),
         )
+        self._scope = trio.CancelScope()
+        self._answered_at = 0.0
         self.received_bytes = 0
 
     async def run(self, pool: ConnPool) -> Answer:
@@ -64,7 +74,9 @@
         :param pool: connections.
         :raises SourceError: the call failed or timed out.
         """
-        with trio.move_on_after(self._held + CALL_SECONDS):
+        now = trio.current_time()
+        self._scope.deadline = now + self._held + SILENCE_SECONDS
+        with self._scope:
             try:
                 return await self._exchange(pool)
             except ProtocolError as exc:
@@ -76,28 +88,37 @@
 
     async def _exchange(self, pool: ConnPool) -> Answer:
         conn = await pool.acquire(self._address)
-        start_bytes = conn.received_bytes
         is_complete = False
         try:
             answer = await self._receive(conn)
             is_complete = True
         finally:
-            self.received_bytes = conn.received_bytes - start_bytes
             if not is_complete:
                 conn.abort()
         await pool.release(self._address, conn)
         return answer
 
     async def _receive(self, conn: ClientConn) -> Answer:
+        start_bytes = conn.received_bytes
         await conn.send_whole(self._head, b'')
         head = await conn.read_head()
-        answered_at = trio.current_time()
-        body = bytes(await conn.read_whole(MAX_ANSWER_BYTES))
+        self._answered_at = trio.current_time()
+        on_received = functools.partial(self._on_received, conn, start_bytes)
+        on_received()
+        body = bytes(await conn.read_whole(MAX_ANSWER_BYTES, on_received))
         return Answer(
             head.status,
             body,
             _read_era(head),
-            trio.current_time() - answered_at,
+            trio.current_time() - self._answered_at,
+        )
+
+    def _on_received(self, conn: ClientConn, start_bytes: int) -> None:
+        """Extend the time limit, since a part of the answer has arrived."""
+        self.received_bytes = conn.received_bytes - start_bytes
+        seconds = SILENCE_SECONDS + self.received_bytes / MIN_BYTES_PER_SECOND
+        self._scope.deadline = min(
+            trio.current_time() + SILENCE_SECONDS, self._answered_at + seconds
         )
 
 
--- a/tests/test_large_declarations.py
+++ b/tests/test_large_declarations.py
@@ -10,6 +10,7 @@
 from clementinedeal._events import EventLog
 from clementinedeal._pool import ConnPool
 from clementinedeal._timers import MonotonicClock
+from clementinedeal.mesh._contracts import SourceError
 from clementinedeal.mesh._settings import Bounds
 from clementinedeal.platform import PlatformStore
 
@@ -45,6 +46,17 @@
     assert len(update.declaration.routes) == ROUTES + 3
 
 
+@pytest.mark.parametrize('bytes_per_second', [2000, 20_000])
+async def test_answer_that_hardly_arrives_is_given_up(store, bytes_per_second):
+    store.put('op/config', large_configuration(4, ROUTES))
+    store.bytes_per_second = bytes_per_second
+    client = PlatformStore(
+        store.address, ConnPool(MonotonicClock()), EventLog('i', '1')
+    )
+    with trio.fail_after(3), pytest.raises(SourceError, match='in time'):
+        await client.read()
+
+
 async def test_large_version_is_in_force_everywhere_within_the_bound(nursery):
     bounds = Bounds(config_seconds=2.0)
     fleet = await start_fleet(nursery, bounds=bounds)
