Let the fastest link follow the declarations for a slow reader

Callers saw: nothing of their own; the time in which a large version is in force everywhere depended on whether a reader happened to have a fast link.

Cause: readers are chosen by rank alone. On a link of 5 Mbit/s a reader takes 1.35 s to receive 846 KB, more than half of the bound, before others hear.

Change: daemons name the rate of their link, as the settings have it, when they ask for news. A reader on a slow link tells the fastest of those that asked it lately, if that is twice as fast, to follow the declarations and to hint at new ones as a reader does. The others then get the change from there. Where links are alike nothing changes. Cost: one more watch of the declaration a reader.

--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -106,7 +106,11 @@
         host = settings.target_address.rpartition(':')[0]
         self._metrics = DaemonMetrics()
         self._role = ReadingRole(
-            host, settings.zone, settings.bounds, self._clock
+            host,
+            settings.zone,
+            settings.bounds,
+            self._clock,
+            settings.link_mbps,
         )
         self._declarations = DeclarationFeed(
             platform,
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -232,7 +232,7 @@
 
     def _is_due(self, role: ReadingRole) -> bool:
         return (
-            role.is_reader
+            role.follows_declarations
             or self.catalog is None
             or self._is_behind()
             or self.age >= role.max_declaration_age
--- a/src/clementinedeal/mesh/_fleet_news.py
+++ b/src/clementinedeal/mesh/_fleet_news.py
@@ -104,12 +104,12 @@
         """
         match body:
             case NewsRequest() as request:
-                self._parts.role.on_asked()
+                self._parts.role.on_asked(host, request.link_mbps)
                 # the asker may have what this daemon has missed
                 self._parts.declarations.on_reported(
                     request.version, float('-inf'), host
                 )
-                reply = self._build_reply(request)
+                reply = self._build_reply(host, request)
                 await self._parts.datagrams.send(host, reply)
             case NewsReply(number=number):
                 if number == self._asked_number:
@@ -159,6 +159,7 @@
                 self._parts.address,
                 known,
                 self._parts.declarations.version,
+                self._parts.role.link_mbps,
             )
             await self._parts.datagrams.send(host, request)
             with trio.move_on_after(REPLY_TIMEOUT_SECONDS):
@@ -177,6 +178,8 @@
         :param asked_at: when it was asked for, monotonic seconds.
         """
         role = self._parts.role
+        if reply.is_delegate:
+            role.on_delegated()
         if reply.evacuations is not None:
             self._parts.evacuations.on_reported(reply.evacuations)
         self._parts.declarations.on_reported(
@@ -195,7 +198,7 @@
             and reply.list_age < role.max_target_age
         )
 
-    def _build_reply(self, request: NewsRequest) -> NewsReply:
+    def _build_reply(self, host: str, request: NewsRequest) -> NewsReply:
         watch = self._parts.registry_watch
         target = watch.find_target(request.address)
         is_unchanged = target is not None and target.state == request.known
@@ -208,6 +211,7 @@
             is_unchanged=is_unchanged,
             era=watch.era,
             evacuations=self._parts.evacuations.known,
+            is_delegate=self._parts.role.is_delegate(host),
         )
 
     def _report_own(self) -> None:
@@ -220,7 +224,7 @@
         )
 
     def _hint_all(self) -> None:
-        if self._parts.role.is_reader:
+        if self._parts.role.follows_declarations:
             self._hint_hosts(set(self._parts.role.hosts))
 
     def _hint_hosts(self, hosts: set[str]) -> None:
--- a/src/clementinedeal/mesh/_news_messages.py
+++ b/src/clementinedeal/mesh/_news_messages.py
@@ -11,13 +11,15 @@
     ``number`` identifies the request, for the reply to it. ``address`` is the
     ``ip:port`` of the target that the asking daemon owns, ``known`` the state
     that it knows of, empty if it knows none. ``version`` is that of the
-    declaration that it has in force, 0 if none.
+    declaration that it has in force, 0 if none. ``link_mbps`` is the rate of
+    the asking daemon's link in Mbit/s, 0 if it is not known.
     """
 
     number: int
     address: str
     known: str
     version: int = 0
+    link_mbps: float = 0.0
 
 
 class NewsReply(msgspec.Struct, frozen=True, array_like=True, tag='version'):
@@ -30,6 +32,7 @@
     ``list_age`` seconds ago, in ``era``. An age is infinite if the daemon does
     not know. Ages are those at the time of the reply. ``evacuations`` is None
     if the daemon knows of none; they are as old as the declaration.
+    ``is_delegate``: the asking daemon shall follow the declarations, too.
     """
 
     number: int
@@ -40,6 +43,7 @@
     is_unchanged: bool
     era: int = 0
     evacuations: Evacuations | None = None
+    is_delegate: bool = False
 
 
 class NewsHint(msgspec.Struct, frozen=True, array_like=True, tag='hint'):
--- a/src/clementinedeal/mesh/_reading_role.py
+++ b/src/clementinedeal/mesh/_reading_role.py
@@ -7,6 +7,10 @@
 readers that fall silent are replaced, and daemons whose lists differ agree.
 Answers the load of hundreds of daemons that each follow the platform: the
 calls of a fleet no longer grow with its size.
+
+A reader on a slow link takes long to receive a large declaration. So it has the
+daemon with the fastest link among those that ask it follow the declarations,
+too: its delegate.
 """
 
 import math
@@ -32,6 +36,8 @@
 OWN_READ_SECONDS = 0.4
 # Time kept for the reader's call, the question and the reply.
 EXCHANGE_SECONDS = 0.1
+# A delegate's link is faster than its reader's by this factor at least.
+MIN_DELEGATE_GAIN = 2
 _READERS_KEY = 'readers'
 
 
@@ -45,14 +51,20 @@
     nearest first; the root of the zone's tree has none. Times are in seconds:
     a daemon asks every ``ask_interval``, a reader calls the platform every
     ``read_interval``, and a declaration must be in force everywhere within
-    ``declaration_limit``.
+    ``declaration_limit``. ``link_mbps`` is the rate of the instance's link in
+    Mbit/s, 0 if it is not known.
     What it learns is then never older than ``max_declaration_age`` and
     ``max_target_age``. Handlers in ``on_change`` are called when this daemon
-    becomes a reader or ceases to be one.
+    becomes a reader or delegate, or ceases to be a reader.
     """
 
     def __init__(
-        self, host: str, zone: str, bounds: Bounds, clock: Clock
+        self,
+        host: str,
+        zone: str,
+        bounds: Bounds,
+        clock: Clock,
+        link_mbps: float = 0,
     ) -> None:
         """Start as a daemon that knows of no others and reads for itself.
 
@@ -60,8 +72,12 @@
         :param zone: its availability zone.
         :param bounds: how soon changes must be noticed.
         :param clock: monotonic time.
+        :param link_mbps: rate of the instance's link, 0 if it is not known.
         """
         self._clock = clock
+        self.link_mbps = link_mbps
+        self._askers: dict[str, tuple[float, float]] = {}
+        self._delegated_until = float('-inf')
         self.host = host
         self._zone = zone
         declaration_limit = bounds.config_seconds
@@ -87,6 +103,11 @@
         """Whether this daemon reads the platform for others now."""
         return self._is_chosen or self._clock.now() < self._asked_until
 
+    @property
+    def follows_declarations(self) -> bool:
+        """Whether this daemon is a reader or the delegate of one."""
+        return self.is_reader or self._clock.now() < self._delegated_until
+
     def set_targets(self, targets: Iterable[Target]) -> None:
         """Choose the readers among the daemons beside these targets.
 
@@ -106,16 +127,52 @@
         self._is_chosen = self.host in order
         self._report_change(was_reader=was_reader)
 
-    def on_asked(self) -> None:
-        """Read for a while, since another daemon relies on this one."""
+    def on_asked(self, host: str = '', link_mbps: float = 0) -> None:
+        """Read for a while, since another daemon relies on this one.
+
+        :param host: IP address of that daemon.
+        :param link_mbps: rate of its link, 0 if it is not known.
+        """
         was_reader = self.is_reader
-        self._asked_until = self._clock.now() + ASKED_SECONDS
+        now = self._clock.now()
+        self._asked_until = now + ASKED_SECONDS
+        self._askers[host] = (link_mbps, now)
         self._report_change(was_reader=was_reader)
 
+    def is_delegate(self, host: str) -> bool:
+        """Whether another daemon is the delegate of this reader.
+
+        :param host: IP address of that daemon.
+        """
+        since = self._clock.now() - ASKED_SECONDS
+        self._askers = {
+            other: (rate, asked_at)
+            for other, (rate, asked_at) in self._askers.items()
+            if asked_at >= since
+        }
+        fastest, rate = max(
+            ((other, rate) for other, (rate, _) in self._askers.items()),
+            key=lambda one: (one[1], one[0]),
+            default=('', 0.0),
+        )
+        if host != fastest or not self.link_mbps:
+            return False
+        return rate >= MIN_DELEGATE_GAIN * self.link_mbps
+
+    def on_delegated(self) -> None:
+        """Follow the declarations for a while, as a reader asks."""
+        had_part = self.follows_declarations
+        self._delegated_until = self._clock.now() + ASKED_SECONDS
+        if not had_part:
+            self._call_handlers()
+
     def _report_change(self, *, was_reader: bool) -> None:
         if self.is_reader != was_reader:
-            for handler in self.on_change:
-                handler()
+            self._call_handlers()
+
+    def _call_handlers(self) -> None:
+        for handler in self.on_change:
+            handler()
 
 
 def _find_relays(hosts: Sequence[str], host: str) -> tuple[str, ...]:
--- a/src/clementinedeal/mesh/_settings.py
+++ b/src/clementinedeal/mesh/_settings.py
@@ -46,7 +46,8 @@
     use otherwise; the first is the UDP port of all daemons. The process may use
     ``memory_bytes`` and ``max_descriptors``; by default those of the smallest
     machine. ``zone_regions`` is the region of each availability zone, None if
-    requests are not bound to regions.
+    requests are not bound to regions. ``link_mbps`` is the rate of the
+    instance's link in Mbit/s, 0 if it is not known.
     """
 
     instance: str
@@ -60,5 +61,6 @@
     port_range: tuple[int, int]
     memory_bytes: int = 200_000_000
     max_descriptors: int = 4100
+    link_mbps: float = 0.0
     bounds: Bounds = field(default_factory=Bounds)
     zone_regions: Mapping[str, str] | None = None
--- a/src/clementinedeal/platform/_node.py
+++ b/src/clementinedeal/platform/_node.py
@@ -67,10 +67,12 @@
 
     :param memory_mb: megabytes of memory beyond which it is killed.
     :param max_fds: how many descriptors it may have open.
+    :param link_mbps: rate of the machine's link in Mbit/s, 0 if not named.
     """
 
     memory_mb: float = 200
     max_fds: int = 4100
+    link_mbps: float = 0
 
 
 class _Platform(msgspec.Struct):
@@ -150,6 +152,7 @@
         zone_regions=node.zones if has_places else None,
         memory_bytes=int(node.limits.memory_mb * BYTES_PER_MB),
         max_descriptors=node.limits.max_fds,
+        link_mbps=node.limits.link_mbps,
         bounds=Bounds(
             revoke_seconds=bounds.revoke_s,
             config_seconds=bounds.config_s,
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -251,6 +251,60 @@
     assert not daemon.role.is_reader
 
 
+def make_slow_reader(link_mbps=5.0):
+    role = ReadingRole('10.0.0.1', 'a', BOUNDS, VirtualClock(), link_mbps)
+    for host, rate in (('h1', 5.0), ('h2', 100.0), ('h3', 60.0), ('h4', 0.0)):
+        role.on_asked(host, rate)
+    return role
+
+
+def test_slow_reader_chooses_the_asker_with_the_fastest_link_as_delegate():
+    role = make_slow_reader()
+    hosts = ('h1', 'h2', 'h3', 'h4', 'h5')
+    assert [host for host in hosts if role.is_delegate(host)] == ['h2']
+    role._clock.advance(2)
+    role.on_asked('h3', 60.0)
+    role._clock.advance(1)
+    assert [host for host in hosts if role.is_delegate(host)] == ['h3']
+
+
+@pytest.mark.parametrize('link_mbps', [0.0, 60.0, 1000.0])
+def test_reader_on_a_fast_or_unknown_link_has_no_delegate(link_mbps):
+    role = make_slow_reader(link_mbps)
+    assert not any(role.is_delegate(f'h{number}') for number in range(5))
+
+
+async def test_delegate_follows_declarations_and_hints_at_changes(
+    member, nursery
+):
+    member.datagrams.answer = lambda host, request: reply_to(
+        request, target=member.own, is_delegate=True
+    )
+    nursery.start_soon(member.news.run_hints)
+    await member.news._ask_readers()
+    assert member.role.follows_declarations
+    assert not member.role.is_reader
+    member.datagrams.sent.clear()
+    member.source.revision = 8
+    member.feed._apply(await member.source.read())
+    await trio.testing.wait_all_tasks_blocked()
+    hosts = sorted(member.role.hosts)
+    assert member.datagrams.sent == [(host, NewsHint(8)) for host in hosts]
+    member.clock.advance(2.6)
+    assert not member.role.follows_declarations
+
+
+async def test_slow_reader_tells_its_delegate(nursery):
+    reader = find_daemon(reader=True)
+    reader.role.link_mbps = 5.0
+    await reader.watch._read_changes()
+    for host, rate in (('h1', 5.0), ('h2', 100.0), ('h1', 5.0)):
+        request = NewsRequest(5, reader.own.address, '', link_mbps=rate)
+        await reader.news.on_message(host, request)
+    replies = [body.is_delegate for _, body in reader.datagrams.sent]
+    assert replies == [False, True, False]
+
+
 async def test_spare_reader_replaces_silent_ones(member):
     *readers, spare, _ = member.role.readers
     member.datagrams.answer = lambda host, request: (
