Refuse nothing for good while a newer declaration is on its way

Callers saw: 404 for a route that had been added, 401 for a new key, from daemons that knew that others had a newer version. Callers don't retry these.

Cause: between the first notice of a version and its coming into force a daemon answered by the old one, as if that were final.

Change: in that time an unknown route or key is answered 503 with a time to come back. The same in explain. What the old version has is served as before. Not changed: a daemon that has no proof, but was told of nothing newer.

Evidence: test_unknown_route_or_key_is_no_final_answer_while_a_version_is_due failed before (404 in place of 503).

--- a/src/clementinedeal/mesh/_admission.py
+++ b/src/clementinedeal/mesh/_admission.py
@@ -67,6 +67,10 @@
         """Seconds since it was last proved to be the newest one published."""
         ...
 
+    def is_behind(self) -> bool:
+        """Whether a newer one is in force elsewhere and on its way here."""
+        ...
+
     def is_outdated(self) -> bool:
         """Whether a newer one is known to be in force elsewhere."""
         ...
@@ -166,10 +170,10 @@
         fields = self._dialect.read_request(head)
         route = catalog.find_route(_host(head), head.path)
         if route is None:
-            return _refusal(Reason.NO_ROUTE)
+            return self._refuse_unknown(Reason.NO_ROUTE)
         account_found = catalog.find_account(route, fields.key)
         if isinstance(account_found, Err):
-            return _refusal(account_found.err_value)
+            return self._refuse_unknown(account_found.err_value)
         account = account_found.ok_value
         refusal = account and await self._check_account(account, fields.req_id)
         if refusal:
@@ -186,6 +190,16 @@
             deadline=received_at + timeout,
         )
 
+    def _refuse_unknown(self, reason: Reason) -> MeshOutcome:
+        """Refuse what the declaration in force does not have.
+
+        Callers do not retry when that is final, so it is not while a newer
+        declaration may have it.
+        """
+        if self.active_declaration.is_behind():
+            return _refusal(Reason.CONFIG_STALE, UNREADY_RETRY_AFTER_SECONDS)
+        return _refusal(reason)
+
     async def _check_account(
         self,
         account: ClientAccount,
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -125,19 +125,23 @@
         """Whether the declaration is recent enough to accept keys by it."""
         return self.age < self._max_age_seconds
 
+    def is_behind(self) -> bool:
+        """Whether another daemon has a newer version in force."""
+        return self._reported_version > self.version
+
     def is_outdated(self) -> bool:
         """Whether another daemon has a newer version that cannot be read.
 
         The source has lost it, and this daemon never had it.
         """
-        return self._is_behind() and self._shown_at > self._reported_at
+        return self.is_behind() and self._shown_at > self._reported_at
 
     async def run(self) -> None:
         """Follow the source until cancelled."""
         while True:
             if await self._wait_until_due():
                 self._read_revision = None
-            if not self._is_behind() or not await self._take_relayed():
+            if not self.is_behind() or not await self._take_relayed():
                 await self._take_from_source()
 
     def on_reported(
@@ -163,9 +167,6 @@
         elif version == self.version and self.catalog is not None:
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
 
-    def _is_behind(self) -> bool:
-        return self._reported_version > self.version
-
     async def _take_relayed(self) -> bool:
         """Take a newer declaration over from another daemon, if one has it.
 
@@ -234,7 +235,7 @@
         return (
             role.follows_declarations
             or self.catalog is None
-            or self._is_behind()
+            or self.is_behind()
             or self.age >= role.max_declaration_age
         )
 
--- a/src/clementinedeal/mesh/_explanation.py
+++ b/src/clementinedeal/mesh/_explanation.py
@@ -103,7 +103,9 @@
             return Explanation(version=version, refusal='config-stale')
         route = catalog.find_route(host, path)
         if route is None:
-            return Explanation(version=version, refusal='no-route')
+            is_behind = self._active_declaration.is_behind()
+            refusal = 'config-stale' if is_behind else 'no-route'
+            return Explanation(version=version, refusal=refusal)
         found = catalog.accounts_by_name.get(account)
         allowed = self._zone_rules.find_allowed(route, found)
         needs_account = bool(catalog.accounts_by_name) and not route.public
@@ -126,6 +128,8 @@
         if not needs_account:
             return ''
         if account is None:
+            if self._active_declaration.is_behind():
+                return 'config-stale'
             return 'key-unknown' if name else 'key-missing'
         is_fresh = self._active_declaration.is_fresh()
         return '' if is_fresh else 'config-stale'
--- a/tests/test_large_declarations.py
+++ b/tests/test_large_declarations.py
@@ -69,3 +69,22 @@
     assert versions == [4, 4, 4]
     answer, _ = await fleet.send(2, '/more/7/x')
     assert answer.status == 200
+
+
+async def test_unknown_route_or_key_is_no_final_answer_while_a_version_is_due(
+    nursery,
+):
+    fleet = await start_fleet(nursery)
+    feed = fleet.daemons[0]._declarations
+    refusals = [('/new/1', 'key-1', 404), ('/look/1', 'new-key', 401)]
+    for path, key, status in refusals:
+        answer, _ = await fleet.send(0, path, key=key)
+        assert answer.status == status
+    fleet.store.mode = 'silent'
+    feed.on_reported(feed.version + 1, float('-inf'), '127.0.0.9')
+    for path, key, _ in refusals:
+        answer, _ = await fleet.send(0, path, key=key)
+        assert answer.status == 503
+        assert float(answer.header(b'retry-after')) > 0
+    answer, _ = await fleet.send(0, '/look/1')
+    assert answer.status == 200
--- a/tests/test_mesh_explanation.py
+++ b/tests/test_mesh_explanation.py
@@ -73,6 +73,7 @@
     active = SimpleNamespace(
         catalog=Catalog(declaration),
         version=7,
+        is_behind=lambda: False,
         is_outdated=lambda: False,
         is_fresh=lambda: True,
     )
