Prove the version in force without reading it again

Callers saw: nothing yet.

Cause: a daemon that was due read the whole declaration to learn that nothing is newer, and a reader held a watch whose answer filled its own link although its delegate has the change long before.

Change: replies name the revision at which the platform showed the version in force last. From there a short watch proves that it still is the newest; only without a revision, or if the history is gone, everything is read. A reader with a delegate asks by such short watches at its interval. A question for a declaration is confirmed at once, and 0.6 s of silence end it in place of 0.3 s, since packets may wait half a second at the link of a machine in touch.

--- a/src/clementinedeal/mesh/_daemon.py
+++ b/src/clementinedeal/mesh/_daemon.py
@@ -61,6 +61,9 @@
 # zones takes about 1 ms. A lost packet is sent again only after a second, so
 # that it is faster to send the request to another target.
 PEER_CONNECT_SECONDS = 0.15
+# The same for the connections on which daemons ask each other for declarations:
+# these are used seldom, so that a connection is mostly opened first.
+RELAY_CONNECT_SECONDS = 0.3
 ReloadSettings = Callable[[], Result[MeshDaemonSettings, SettingsError]]
 
 
@@ -120,7 +123,7 @@
             self._role,
             self._metrics,
             DeclarationClient(
-                ConnPool(self._clock, PEER_CONNECT_SECONDS),
+                ConnPool(self._clock, RELAY_CONNECT_SECONDS),
                 int(settings.peer_address.rpartition(':')[2]),
                 self._role,
                 self._clock,
--- a/src/clementinedeal/mesh/_declaration_relay.py
+++ b/src/clementinedeal/mesh/_declaration_relay.py
@@ -36,8 +36,9 @@
 # How long a daemon holds a question until it has a newer declaration.
 HOLD_SECONDS = 0.8
 # A daemon confirms a question within one round trip, then it may be held. After
-# this time without a byte the next daemon is asked.
-CONFIRM_SECONDS = 0.3
+# this time without a byte the next daemon is asked. Packets may wait for half a
+# second at a busy link.
+SILENCE_SECONDS = 0.6
 # Part of the time in which a declaration must be in force that other daemons
 # are asked for it, before this one reads the platform.
 ASKING_FRACTION = 0.4
@@ -139,11 +140,10 @@
             conn.close_after_answer()
             await conn.respond(_BAD_REQUEST, ())
             return
-        if not self._is_newer_than(question.version):
-            await conn.send_interim()
-            with trio.move_on_after(HOLD_SECONDS):
-                while not self._is_newer_than(question.version):
-                    await self._changed.wait()
+        await conn.send_interim()
+        with trio.move_on_after(HOLD_SECONDS):
+            while not self._is_newer_than(question.version):
+                await self._changed.wait()
         await self._respond(conn, question)
 
     async def _respond(self, conn: ServerConn, question: _Question) -> None:
@@ -300,7 +300,7 @@
                 (wire.DECLARATION_HEADER, msgspec.json.encode(question)),
             ),
         )
-        self._scope.deadline = trio.current_time() + CONFIRM_SECONDS
+        self._scope.deadline = trio.current_time() + SILENCE_SECONDS
         answer = None
         try:
             with self._scope:
@@ -327,8 +327,8 @@
 
     def _on_confirmed(self) -> None:
         self._scope.deadline = (
-            trio.current_time() + HOLD_SECONDS + CONFIRM_SECONDS
+            trio.current_time() + HOLD_SECONDS + SILENCE_SECONDS
         )
 
     def _on_received(self) -> None:
-        self._scope.deadline = trio.current_time() + CONFIRM_SECONDS
+        self._scope.deadline = trio.current_time() + SILENCE_SECONDS
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -21,6 +21,8 @@
 )
 from clementinedeal.mesh._watch_proof import shown_until
 
+# Length of a watch that only proves that what is known is the newest.
+PROOF_WATCH_SECONDS = 0.02
 # Length of one watch. A watch without changes confirms that nothing newer was
 # published. Watches are short so that a daemon that loses the platform refuses
 # keys well before the operators' limit for withdrawn keys.
@@ -61,7 +63,8 @@
     replaces a newer one, not even if the source was restored from a copy and
     shows it as its newest. Handlers in ``on_change`` are called with each new
     catalog, those in ``on_update`` with each answer of the source.
-    ``revision`` is the source's revision at which the declaration was shown.
+    ``revision`` is the source's revision at which the declaration was last
+    shown as the newest.
     """
 
     def __init__(
@@ -140,12 +143,16 @@
         """Follow the source until cancelled."""
         while True:
             if await self._wait_until_due():
-                self._read_revision = None
+                self._read_revision = self._known_revision()
             if not self.is_behind() or not await self._take_relayed():
                 await self._take_from_source()
 
     def on_reported(
-        self, version: int, confirmed_at: float, teller: str = ''
+        self,
+        version: int,
+        confirmed_at: float,
+        teller: str = '',
+        revision: Revision | None = None,
     ) -> None:
         """Take over what another daemon knows of the newest declaration.
 
@@ -153,6 +160,7 @@
         :param confirmed_at: when that certainly was the newest one, monotonic
             seconds.
         :param teller: IP address of that daemon.
+        :param revision: the source's revision at which it was shown last.
         """
         if version > self.version:
             if version > self._reported_version:
@@ -166,6 +174,18 @@
             self._check_due()
         elif version == self.version and self.catalog is not None:
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
+            if revision is not None:
+                self.revision = max(self.revision, revision)
+
+    def _known_revision(self) -> Revision | None:
+        """Return from where a watch shows all that is not known here.
+
+        None if only a read of everything does.
+        """
+        if self.catalog is None or self._tells_evacuations:
+            return None
+        self._source_version = self.version
+        return self.revision
 
     async def _take_relayed(self) -> bool:
         """Take a newer declaration over from another daemon, if one has it.
@@ -177,14 +197,10 @@
         relayed = await self._peers.fetch(self.catalog, self._teller)
         if relayed is None or relayed.declaration.version <= self.version:
             return False
-        self._read_revision = relayed.revision
-        if self._tells_evacuations:
-            # the revision may be past evacuations that were not seen here
-            self._read_revision = None
-        self._source_version = relayed.declaration.version
         self._bring_into_force(
             relayed.declaration, relayed.revision, relayed.transfer
         )
+        self._read_revision = self._known_revision()
         self._confirmed_at = max(self._confirmed_at, relayed.confirmed_at)
         return True
 
@@ -211,6 +227,8 @@
         self._shown_at = shown_at
         self._confirm(shown_at)
         self._read_revision = update.revision
+        if self._source_version == self.version:
+            self.revision = update.revision
         if not update.revision.number:
             self._read_revision = None
             await trio.sleep(RETRY_SECONDS)
@@ -249,10 +267,14 @@
             monotonic seconds.
         :raises SourceError: the source gave no answer.
         """
-        sent_at = self._clock.now()
         if revision is None:
+            sent_at = self._clock.now()
             return await self._source.read(), sent_at
+        if self._role is not None and self._role.has_delegate:
+            # a large declaration would fill the slow link of this reader
+            await trio.sleep(max(0, self._role.read_interval - self.age))
         seconds = self._watch_seconds()
+        sent_at = self._clock.now()
         update = await self._source.wait(revision, seconds)
         shown_at = shown_until(
             sent_at, self._clock.now(), seconds, is_empty=update.is_empty
@@ -263,8 +285,11 @@
         if self.catalog is None:
             return FIRST_WATCH_SECONDS
         role = self._role
-        is_reader = role is not None and role.is_reader
-        return role.read_interval if role and is_reader else WATCH_SECONDS
+        if role is None:
+            return WATCH_SECONDS
+        if role.has_delegate or self.age >= role.read_interval:
+            return PROOF_WATCH_SECONDS
+        return role.read_interval if role.is_reader else WATCH_SECONDS
 
     def _apply(self, update: DeclarationUpdate) -> None:
         self._observe_era(update.revision.era)
--- a/src/clementinedeal/mesh/_fleet_news.py
+++ b/src/clementinedeal/mesh/_fleet_news.py
@@ -183,7 +183,7 @@
         if reply.evacuations is not None:
             self._parts.evacuations.on_reported(reply.evacuations)
         self._parts.declarations.on_reported(
-            reply.version, asked_at - reply.age, host
+            reply.version, asked_at - reply.age, host, reply.revision
         )
         if reply.list_age < role.max_target_age:
             listed_at = asked_at - reply.list_age
@@ -212,6 +212,7 @@
             era=watch.era,
             evacuations=self._parts.evacuations.known,
             is_delegate=self._parts.role.is_delegate(host),
+            revision=self._parts.declarations.revision,
         )
 
     def _report_own(self) -> None:
--- a/src/clementinedeal/mesh/_news_messages.py
+++ b/src/clementinedeal/mesh/_news_messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from clementinedeal.mesh._types import Evacuations, Target
+from clementinedeal.mesh._types import Evacuations, Revision, Target
 
 
 class NewsRequest(msgspec.Struct, frozen=True, array_like=True, tag='ask'):
@@ -33,6 +33,7 @@
     not know. Ages are those at the time of the reply. ``evacuations`` is None
     if the daemon knows of none; they are as old as the declaration.
     ``is_delegate``: the asking daemon shall follow the declarations, too.
+    ``revision`` is that at which the platform showed the declaration last.
     """
 
     number: int
@@ -44,6 +45,7 @@
     era: int = 0
     evacuations: Evacuations | None = None
     is_delegate: bool = False
+    revision: Revision | None = None
 
 
 class NewsHint(msgspec.Struct, frozen=True, array_like=True, tag='hint'):
--- a/src/clementinedeal/mesh/_reading_role.py
+++ b/src/clementinedeal/mesh/_reading_role.py
@@ -144,6 +144,15 @@
 
         :param host: IP address of that daemon.
         """
+        return bool(host) and host == self._find_delegate()
+
+    @property
+    def has_delegate(self) -> bool:
+        """Whether another daemon follows the declarations for this reader."""
+        return bool(self._find_delegate())
+
+    def _find_delegate(self) -> str:
+        """Return the IP address of the delegate, empty if there is none."""
         since = self._clock.now() - ASKED_SECONDS
         self._askers = {
             other: (rate, asked_at)
@@ -155,9 +164,9 @@
             key=lambda one: (one[1], one[0]),
             default=('', 0.0),
         )
-        if host != fastest or not self.link_mbps:
-            return False
-        return rate >= MIN_DELEGATE_GAIN * self.link_mbps
+        if not self.link_mbps or rate < MIN_DELEGATE_GAIN * self.link_mbps:
+            return ''
+        return fastest
 
     def on_delegated(self) -> None:
         """Follow the declarations for a while, as a reader asks."""
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -10,7 +10,10 @@
 
 from clementinedeal._events import EventLog
 from clementinedeal._timers import VirtualClock
-from clementinedeal.mesh._declarations import DeclarationFeed
+from clementinedeal.mesh._declarations import (
+    PROOF_WATCH_SECONDS,
+    DeclarationFeed,
+)
 from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._fleet_news import FleetNews, FleetNewsParts
 from clementinedeal.mesh._news_messages import NewsHint, NewsReply, NewsRequest
@@ -127,6 +130,8 @@
         self.revision = 7
         self.evacuated = {}
         self.changes = {}
+        self.tells_evacuations = True
+        self.waits = []
 
     async def read(self):
         self.reads += 1
@@ -140,11 +145,14 @@
             declaration=declaration,
             evacuations=EvacuationChanges(
                 zones=dict(self.evacuated), is_complete=True
-            ),
+            )
+            if self.tells_evacuations
+            else None,
         )
 
     async def wait(self, revision, seconds):
         self.reads += 1
+        self.waits.append((revision, seconds))
         await trio.sleep(seconds)
         return DeclarationUpdate(revision=revision)
 
@@ -494,6 +502,45 @@
     assert member.source.reads > 1
 
 
+async def test_what_readers_told_is_proved_without_reading_it_again(
+    nursery, autojump_clock
+):
+    daemon = find_daemon(reader=False)
+    daemon.source.tells_evacuations = False
+    shown_at = Revision(1, 90)
+    daemon.datagrams.answer = lambda host, request: reply_to(
+        request, target=daemon.own, revision=shown_at
+    )
+    nursery.start_soon(daemon.feed.run)
+    await trio.testing.wait_all_tasks_blocked()
+    await daemon.news._ask_readers()
+    assert daemon.source.reads == 1
+    daemon.clock.advance(2.7)
+    await trio.sleep(3)
+    assert daemon.source.waits == [(shown_at, PROOF_WATCH_SECONDS)]
+    assert daemon.source.reads == 2
+    assert daemon.feed.age < 0.1
+
+
+@pytest.mark.parametrize('has_delegate', [True, False])
+async def test_slow_reader_holds_no_watch_while_it_has_a_delegate(
+    nursery, autojump_clock, has_delegate
+):
+    daemon = find_daemon(reader=True)
+    daemon.role.link_mbps = 5.0
+    daemon.role._is_chosen = True
+    nursery.start_soon(daemon.feed.run)
+    seconds = set()
+    for _ in range(8):
+        daemon.role.on_asked('h', 100.0 if has_delegate else 5.0)
+        await trio.sleep(daemon.role.read_interval / 2)
+        daemon.clock.advance(daemon.role.read_interval / 2)
+        seconds.update(held for _, held in daemon.source.waits)
+    held = PROOF_WATCH_SECONDS if has_delegate else daemon.role.read_interval
+    assert seconds == {held}
+    assert 3 <= len(daemon.source.waits) <= 5
+
+
 class SharedSource(CountingSource):
     """A platform that many daemons watch."""
 
