Give a large body the time that the slowest link needs

A request with a body of 200 KB to an owner over a link of 5 Mbit/s was given up after 0.32 s, with half of the body sent, and sent again from its start.

Cause: the time for a body was that of a link of 100 Mbit/s, which the comment called the slowest; it has 5 Mbit/s. The class of the incident: a time limit cuts work that makes progress, and what is repeated is no smaller.

Change: 300 KB/s, half of what that link carries.

--- a/src/clementinedeal/mesh/_peer_client.py
+++ b/src/clementinedeal/mesh/_peer_client.py
@@ -33,8 +33,8 @@
 # An owner confirms a request within one round trip. Without a confirmation in
 # this time the request or its answer counts as lost.
 CONFIRM_SECONDS = 0.3
-# Added for a large body: the slowest link that it is sent over, 100 Mbit/s.
-MIN_SEND_BYTES_PER_SECOND = 12_500_000
+# Added for a large body: half of what the slowest link carries, 5 Mbit/s.
+MIN_SEND_BYTES_PER_SECOND = 300_000
 # Time from the last confirmation until an owner without an answer is queried.
 MAX_SILENCE_SECONDS = 2.5
 # How long an owner that cannot be reached is queried. The time starts again
