Ask no reader for a version that a hint has told of

Callers saw: nothing directly; readers were passed over as silent after a change, so that spare ones began to read.

Change: a hint at a version that is newer here leads to the relay alone. Any other hint leads to a question as before.

Evidence: test_hint_at_a_newer_version_needs_no_question.

--- a/src/clementinedeal/mesh/_fleet_news.py
+++ b/src/clementinedeal/mesh/_fleet_news.py
@@ -116,10 +116,15 @@
                     self._reply = body
                     self._reply_event.set()
             case NewsHint(version=version):
-                self._parts.declarations.on_reported(
-                    version, float('-inf'), host
-                )
-                self._hint.set()
+                self._on_hint(host, version)
+
+    def _on_hint(self, host: str, version: int) -> None:
+        """Fetch a newer declaration, or else ask for what has changed."""
+        declarations = self._parts.declarations
+        if version > declarations.version:
+            declarations.on_reported(version, float('-inf'), host)
+        else:
+            self._hint.set()
 
     def _knows_enough(self) -> bool:
         """Whether the own reads of this reader succeed."""
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -387,6 +387,20 @@
     assert member.feed.version == 8
 
 
+@pytest.mark.parametrize(('version', 'asks'), [(0, 1), (7, 1), (8, 0)])
+async def test_hint_at_a_newer_version_needs_no_question(
+    member, nursery, version, asks
+):
+    reported = []
+    member.feed.on_reported = lambda *told: reported.append(told)
+    nursery.start_soon(member.news.run)
+    await trio.testing.wait_all_tasks_blocked()
+    await member.news.on_message('h', NewsHint(version))
+    await trio.testing.wait_all_tasks_blocked()
+    assert [told[::2] for told in reported] == [(8, 'h')] * (1 - asks)
+    assert bool(member.datagrams.sent) == bool(asks)
+
+
 async def test_reader_tells_what_it_knows_and_hints_at_changes(nursery):
     reader = find_daemon(reader=True)
     await reader.watch._read_changes()
