Bound the calls and the relays of a declaration by their progress

Cause: (1) a version that can't be proved, as after a restore of the store, made a reader send its short watches one after the other, 50 a second.

Change: a short watch follows another call only after the reader's interval. An answer that arrives is read to its end at 30 KB/s or more; after the limit no further daemon is asked. News are waited for twice 0.1 s.

--- a/src/clementinedeal/mesh/_declaration_relay.py
+++ b/src/clementinedeal/mesh/_declaration_relay.py
@@ -39,8 +39,10 @@
 # this time without a byte the next daemon is asked. Packets may wait for half a
 # second at a busy link.
 SILENCE_SECONDS = 0.6
-# Part of the time in which a declaration must be in force that other daemons
-# are asked for it, before this one reads the platform.
+# An answer that arrives more slowly than this is given up, too.
+MIN_BYTES_PER_SECOND = 30_000
+# Part of the time in which a declaration must be in force. After it no further
+# daemon is asked, and this one reads the platform.
 ASKING_FRACTION = 0.4
 # Former declarations from which a change can be told.
 KEPT_CATALOGS = 3
@@ -216,15 +218,17 @@
         :param teller: IP address of the daemon that is known to have one.
         """
         seconds = ASKING_FRACTION * self._role.declaration_limit
-        with trio.move_on_after(seconds):
-            for host in self._hosts_to_ask(teller):
-                try:
-                    relayed = await self._ask(host, catalog)
-                except _ANSWER_ERRORS as exc:
-                    self._report_failure(host, str(exc) or type(exc).__name__)
-                    continue
-                if relayed is not None:
-                    return relayed
+        asked_until = self._clock.now() + seconds
+        for host in self._hosts_to_ask(teller):
+            if self._clock.now() >= asked_until:
+                break
+            try:
+                relayed = await self._ask(host, catalog)
+            except _ANSWER_ERRORS as exc:
+                self._report_failure(host, str(exc) or type(exc).__name__)
+                continue
+            if relayed is not None:
+                return relayed
         return None
 
     def _hosts_to_ask(self, teller: str) -> Iterator[str]:
@@ -299,6 +303,8 @@
 
     def __init__(self, conn: ClientConn) -> None:
         self._conn = conn
+        self._start_bytes = conn.received_bytes
+        self._answered_at = 0.0
         self._scope = trio.CancelScope()
         self.is_complete = False
         self.receive_seconds = 0.0
@@ -327,10 +333,10 @@
 
     async def _receive(self) -> tuple[_Proof, Body] | None:
         head = await self._conn.read_head(self._on_confirmed)
-        started_at = trio.current_time()
+        self._answered_at = trio.current_time()
         self._on_received()
         body = await self._conn.read_whole(MAX_CHANGE_BYTES, self._on_received)
-        self.receive_seconds = trio.current_time() - started_at
+        self.receive_seconds = trio.current_time() - self._answered_at
         if head.status == _NOTHING_NEWER:
             return None
         if head.status != _OK:
@@ -344,4 +350,8 @@
         )
 
     def _on_received(self) -> None:
-        self._scope.deadline = trio.current_time() + SILENCE_SECONDS
+        received_bytes = self._conn.received_bytes - self._start_bytes
+        self._scope.deadline = SILENCE_SECONDS + min(
+            trio.current_time(),
+            self._answered_at + received_bytes / MIN_BYTES_PER_SECOND,
+        )
--- a/src/clementinedeal/mesh/_declarations.py
+++ b/src/clementinedeal/mesh/_declarations.py
@@ -93,6 +93,7 @@
         self._teller = ''
         self._read_revision: Revision | None = None
         self._call_scope = trio.CancelScope()
+        self._called_at = float('-inf')
         self._tells_evacuations = False
         self._clock = clock
         self._report = DeclarationReport(clock, events, metrics)
@@ -107,7 +108,7 @@
         self._reported_at = float('-inf')
         self._wake = trio.Event()
         if role is not None:
-            role.on_change.append(self._check_due)
+            role.on_change.append(lambda: self._wake.set())
         self.catalog: Catalog | None = None
         self.revision = Revision(0, 0)
         self.on_change: list[Callable[[Catalog], None]] = []
@@ -170,7 +171,7 @@
                 if self._peers is not None:
                     # others have what the call under way may take long to get
                     self._call_scope.cancel()
-            self._check_due()
+            self._wake.set()
         elif version == self.version and self.catalog is not None:
             self._confirmed_at = max(self._confirmed_at, confirmed_at)
             if revision is not None:
@@ -247,9 +248,6 @@
                 await self._wake.wait()
         return has_waited
 
-    def _check_due(self) -> None:
-        self._wake.set()
-
     def _is_due(self, role: ReadingRole) -> bool:
         return (
             role.follows_declarations
@@ -273,22 +271,30 @@
             return await self._source.read(), sent_at
         if self._role is not None and self._role.has_delegate:
             # a large declaration would fill the slow link of this reader
-            await trio.sleep(max(0, self._role.read_interval - self.age))
+            pause = self._role.read_interval - self._call_age()
+            await trio.sleep(max(0, pause))
         seconds = self._watch_seconds()
         sent_at = self._clock.now()
+        self._called_at = sent_at
         update = await self._source.wait(revision, seconds)
         shown_at = shown_until(
             sent_at, self._clock.now(), seconds, is_empty=update.is_empty
         )
         return update, shown_at
 
+    def _call_age(self) -> float:
+        """Return the seconds since the last watch began."""
+        return self._clock.now() - self._called_at
+
     def _watch_seconds(self) -> float:
         if self.catalog is None:
             return FIRST_WATCH_SECONDS
         role = self._role
         if role is None:
             return WATCH_SECONDS
-        if role.has_delegate or self.age >= role.read_interval:
+        if min(self.age, self._call_age()) >= role.read_interval:
+            return PROOF_WATCH_SECONDS
+        if role.has_delegate:
             return PROOF_WATCH_SECONDS
         return role.read_interval if role.is_reader else WATCH_SECONDS
 
--- a/src/clementinedeal/mesh/_fleet_news.py
+++ b/src/clementinedeal/mesh/_fleet_news.py
@@ -16,15 +16,13 @@
 from clementinedeal.mesh._declarations import DeclarationFeed
 from clementinedeal.mesh._evacuations import EvacuationTracker
 from clementinedeal.mesh._news_messages import NewsHint, NewsReply, NewsRequest
-from clementinedeal.mesh._rate_limiter import (
-    MAX_SENDS,
-    REPLY_TIMEOUT_SECONDS,
-    Datagrams,
-)
+from clementinedeal.mesh._rate_limiter import MAX_SENDS, Datagrams
 from clementinedeal.mesh._reading_role import ReadingRole
 from clementinedeal.mesh._registry_watch import RegistryWatch
 from clementinedeal.mesh._target_feed import TargetFeed
 
+# A reader takes tens of milliseconds to bring a large declaration into force.
+REPLY_TIMEOUT_SECONDS = 0.1
 # A reader that did not reply is not asked again for this long.
 SILENT_READER_SECONDS = 2.0
 # A spare reader begins to read when it is first asked.
--- a/tests/test_mesh_readers.py
+++ b/tests/test_mesh_readers.py
@@ -555,6 +555,23 @@
     assert 3 <= len(daemon.source.waits) <= 5
 
 
+async def test_version_that_cannot_be_proved_costs_no_more_calls(
+    nursery, autojump_clock
+):
+    daemon = find_daemon(reader=True)
+    daemon.source.tells_evacuations = False
+    nursery.start_soon(daemon.feed.run)
+    await trio.testing.wait_all_tasks_blocked()
+    daemon.feed._settled_at = math.inf
+    seconds = 12
+    for _ in range(seconds * 10):
+        await trio.sleep(0.1)
+        daemon.clock.advance(0.1)
+    assert daemon.feed.age > seconds - 1
+    intervals = seconds / daemon.role.read_interval
+    assert len(daemon.source.waits) <= 2 * intervals
+
+
 class SharedSource(CountingSource):
     """A platform that many daemons watch."""
 
