Give each test process a range of ports of its own

Cause: likely, not shown: a test process took its range by the number of its worker and the id of its run, of 18 ranges, and one without workers always the first.

Change: a process reserves a range by listening at its first port.

Evidence: two processes at the same time had the first range both, and have 10000 and 10700 now.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -3,23 +3,33 @@
 import itertools
 import os
 import socket
-import zlib
 
 FIRST_PORT = 10_000
-# The port of a stopped process is free for a while. Other test processes of the
-# run must not take it, so that each process has a range of its own.
-PORTS_PER_RANGE = 1_100
-RANGE_COUNT = 18
-_run = zlib.crc32(os.environ.get('PYTEST_XDIST_TESTRUNUID', '').encode())
-_worker = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:])
-_first = FIRST_PORT + (_run + _worker) % RANGE_COUNT * PORTS_PER_RANGE
+# The port of a stopped process is free for a while. Other test processes must
+# not take it, those of other runs neither, so that each has a range of its own.
+PORTS_PER_RANGE = 700
+RANGE_COUNT = 32
+
+
+def _reserve_range():
+    """Return the first port of a range, and the listener that reserves it."""
+    for number in range(RANGE_COUNT):
+        first = FIRST_PORT + number * PORTS_PER_RANGE
+        try:
+            return first, socket.create_server(('', first))
+        except OSError:
+            continue
+    raise OSError(f'{RANGE_COUNT} test processes are running')
+
+
+_first, _listener = _reserve_range()
 _offsets = itertools.count(os.getpid() * 97)
 
 
 def free_address() -> str:
     """Return an address on which nothing listens."""
     while True:
-        port = _first + next(_offsets) % PORTS_PER_RANGE
+        port = _first + 1 + next(_offsets) % (PORTS_PER_RANGE - 1)
         try:
             # tests listen on other loopback addresses as well
             socket.create_server(('', port)).close()
