--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Checks that the stand-ins of the cases 11 to 15 can start: they are Python
+# Checks that the stand-ins of the cases 11 to 14 can start: they are Python
 # modules that use the libraries of the deploy file's build.
 set -e
 cd "$(dirname "$0")/.."
@@ -8,4 +8,4 @@
   exit 1
 fi
 PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="$PWD/target/deps:$PWD/review:$PWD" \
-  python3 -c 'import fleet_3, links_3, tests.store_standin'
+  python3 -c 'import fleet_3, tests.store_standin'
--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -1,6 +1,6 @@
 """Starts daemons as the deploy file does, with stand-ins on loopback.
 
-Used by the scripts of the cases 11 to 15. The store and the targets are the
+Used by the scripts of the cases 11 to 14. The store and the targets are the
 stand-ins of the project's tests; they run in the process of the script.
 """
 
@@ -19,7 +19,6 @@
 sys.path[:0] = [str(ROOT / 'target' / 'deps'), str(ROOT)]
 
 import trio  # noqa: E402
-from links_3 import Links  # noqa: E402
 from tests.store_standin import (  # noqa: E402
     StoreStandIn,
     TargetStandIn,
@@ -112,8 +111,6 @@
         self.name = f'n{number}'
         self.host = host
         self.service = service
-        self.peer_port = fleet.ports['peers']
-        self.datagram_port = fleet.ports['datagrams']
         self.callers = f'{host}:{fleet.ports["callers"]}'
         self.ready = f'{host}:{fleet.ports["ready"]}'
         self.target = TargetStandIn(
@@ -130,9 +127,9 @@
             'host': self.host,
             'target': self.target.address,
             'service': self.service,
-            'datagrams': self.datagram_port,
-            'last': self.datagram_port,
-            'peers': f'{self.host}:{self.peer_port}',
+            'datagrams': ports['datagrams'],
+            'last': ports['datagrams'],
+            'peers': f'{self.host}:{ports["peers"]}',
             'callers': self.callers,
             'ready': self.ready,
             'store': self.fleet.store.address,
@@ -240,7 +237,7 @@
 class Fleet:
     """Store, daemons and targets; ends all processes on exit."""
 
-    def __init__(self, nursery, config, services, *, has_links=False):
+    def __init__(self, nursery, config, services):
         self.nursery = nursery
         self.config = config
         self.store = StoreStandIn()
@@ -254,18 +251,9 @@
             Daemon(self, number, host, services[number])
             for number, host in enumerate(hosts)
         ]
-        self.links = Links(self.daemons) if has_links else None
-        if has_links:
-            # a daemon and the links to others need different ports
-            ports = free_ports(hosts, 2 * len(hosts))
-            for daemon in self.daemons:
-                daemon.peer_port = ports.pop()
-                daemon.datagram_port = ports.pop()
 
     async def start(self):
         await self.store.start(self.nursery)
-        if self.links is not None:
-            await self.links.start(self.nursery)
         self.store.put('op/config', self.config)
         for daemon in self.daemons:
             await daemon.target.start(self.nursery)
