--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -286,3 +287,4 @@
                     daemon.process.send_signal(signal.SIGCONT)
                 daemon.process.kill()
                 daemon.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
