--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Checks that the stand-ins of the cases 11 to 14 can start: they are Python
+# Checks that the stand-ins of the cases 11 to 15 can start: they are Python
 # modules that use the libraries of the deploy file's build.
 set -e
 cd "$(dirname "$0")/.."
--- a/review/fleet_3.py
+++ b/review/fleet_3.py
@@ -1,6 +1,6 @@
 """Starts daemons as the deploy file does, with stand-ins on loopback.
 
-Used by the scripts of the cases 11 to 14. The store and the targets are the
+Used by the scripts of the cases 11 to 15. The store and the targets are the
 stand-ins of the project's tests; they run in the process of the script.
 """
 
